The drain test no longer depends on where in a window it runs

A store without history may begin with less than two large requests' units, depending on the time of day: its second request was refused then.

--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -102,13 +102,13 @@
             health = b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"
             assert (await client.ask(health))[0] == 200
             held = await Client.connect(program.port)
-            held.writer.write(call("held", X_Call_Terms=TERMS))
+            held.writer.write(call("held", X_Call_Terms=FEW))
             await until(lambda: backend.seen)
             program.process.send_signal(signal.SIGTERM)
             while (await client.ask(health))[0] == 200:
                 pass
             late = await Client.connect(program.port)  # the front has not noticed yet
-            assert (await late.ask(call("late", X_Call_Terms=TERMS)))[0] == 200
+            assert (await late.ask(call("late", X_Call_Terms=FEW)))[0] == 200
             assert await client.reader.read() == b"" and await late.reader.read() == b""
             with pytest.raises(OSError):
                 await Client.connect(program.port)
