Log counts every 5 s, a sample of bad requests, and the plans at start

The logs named no request: one could not be followed from its first byte to its last. Now one request a second at most that ended badly is told in full with its attempts, and counts of ends, attempts and counter calls come in one line each 5 s.

--- a/roadspur/__main__.py
+++ b/roadspur/__main__.py
@@ -115,7 +115,8 @@
     gateway = Gateway(config.settings, config.seed, time.time())
     ingress = Ingress(loop, config.settings, gateway, upstream, config.load_fields)
     if config.counter is not None and config.settings.counter:
-        ingress.counter = Counter(loop, config.counter, config.settings.counter_timeout, ingress.submit)
+        ingress.counter = Counter(loop, config.counter, config.settings.counter_timeout, ingress.submit,
+                                  ingress.tally)
     if config.peer_listen is not None and config.settings.peers:
         peers = Peers(config.peers, config.peers_all, config.settings.me, ingress.submit)
         await loop.create_datagram_endpoint(lambda: peers, local_addr=config.peer_listen)
@@ -143,6 +144,8 @@
     loop.add_signal_handler(signal.SIGHUP, reload)
     await server.listen(*config.listen)
     log.info("%s serves on %s:%d", config.name, *config.listen)
+    for plan in config.settings.plans:
+        log.info("%s", plan)
     gc.freeze()  # what start-up made is never garbage
     await stop.wait()
     log.info("%s stops: %d requests held", config.name, len(ingress.held))
@@ -151,6 +154,7 @@
     if ingress.counter is not None:
         ingress.counter.close()
     upstream.close()
+    ingress.tally.close()
     log.info("%s has stopped", config.name)
 
 
--- a/roadspur/net/counter.py
+++ b/roadspur/net/counter.py
@@ -10,6 +10,7 @@
 from typing import cast
 
 from roadspur import interface as io
+from roadspur.net.tally import Tally
 from roadspur.net.wire import Address, Answer, AnswerReader
 
 log = logging.getLogger(__name__)
@@ -212,8 +213,9 @@
     """The counter service. All calls of one name go over one line, so that they keep their order there."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, address: Address, timeout: float,
-                 on_reply: Callable[[io.CounterReply], None]) -> None:
+                 on_reply: Callable[[io.CounterReply], None], tally: Tally | None = None) -> None:
         self.loop, self.address, self.timeout, self.on_reply = loop, address, timeout, on_reply
+        self.tally = tally
         self.calls: dict[int, deque[Add]] = {}  # by name, until all before them have been told
         self.lines = [Line(self) for _ in range(LINES)]
 
@@ -243,6 +245,9 @@
         if add.reply is not None:
             return
         add.reply = io.CounterReply(add.name, outcome, self.loop.time() - add.began, total)
+        if self.tally is not None:
+            self.tally.counts[f"counter {outcome.value}"] += 1
+            self.tally.counts["counter ms"] += round(1000 * add.reply.elapsed)
         calls = self.calls[add.name]
         while calls and (reply := calls[0].reply) is not None:
             calls.popleft()
--- a/roadspur/net/ingress.py
+++ b/roadspur/net/ingress.py
@@ -13,6 +13,7 @@
 from roadspur.net.counter import Counter
 from roadspur.net.discovery import Listing
 from roadspur.net.peers import Peers
+from roadspur.net.tally import Tally
 from roadspur.net.upstream import Exchange, Upstream
 from roadspur.net.wire import Answer, Call
 
@@ -35,7 +36,8 @@
 class Held:
     """A request that is owed one final answer."""
 
-    __slots__ = ("call", "reply", "timer", "attempts", "exchange", "answered", "may_have_run", "deadline")
+    __slots__ = ("call", "reply", "timer", "attempts", "exchange", "answered", "may_have_run", "deadline",
+                 "trail")
 
     def __init__(self, call: Call, reply: Reply, deadline: float) -> None:
         self.call, self.reply, self.deadline = call, reply, deadline
@@ -43,6 +45,7 @@
         self.attempts = 0
         self.exchange: Exchange | None = None
         self.answered = self.may_have_run = False
+        self.trail: list[tuple[float, str]] = []  # what became of its attempts, for the log
 
 
 class Ingress:
@@ -54,6 +57,7 @@
         self.load_fields = load_fields
         self.effects = {c.name: c.effect for c in settings.classes}
         self.groups = {c.name: c.group for c in settings.classes}
+        self.aims = {c.name: c.objective for c in settings.classes}
         self.counter: Counter | None = None
         self.peers: Peers | None = None
         self.held: dict[str, Held] = {}
@@ -61,6 +65,7 @@
         self.events: deque[io.Event] = deque()
         self.busy = False
         self.clock = 0.0
+        self.tally = Tally(loop)
 
     # Events.
 
@@ -147,6 +152,7 @@
         if held is None or held.answered:
             return
         held.answered = True
+        self.told(held, "gone")
         self.submit(io.ClientGone(call.request.id))
         if held.exchange is not None and not held.exchange.written:
             self.upstream.cancel(held.exchange)
@@ -187,11 +193,23 @@
         if held.answered:
             return
         held.answered = True
+        self.told(held, str(status))
         held.reply(status, lines, body)
         if held.exchange is not None and not held.exchange.written:
             self.upstream.cancel(held.exchange)
         self.forget(held)
 
+    def told(self, held: Held, how: str) -> None:
+        """Count an end, and sample those that are bad: anything but an answer within the class's aim."""
+        r, now = held.call.request, self.loop.time()
+        if how == "200" and now - held.call.came > self.aims[r.class_name]:
+            how = "late"
+        self.tally.counts[f"{r.plan} {how}"] += 1
+        if how != "200" and self.tally.bad(now):
+            trail = "".join(f", +{at - held.call.came:.3f} {what}" for at, what in held.trail)
+            log.info("request %s of %d: %s %s %g units: %s after %.3f s%s", r.id, r.customer, r.plan,
+                     r.class_name, r.units, how, now - held.call.came, trail)
+
     def forget(self, held: Held) -> None:
         """Answered, and nothing out any more."""
         if held.answered and held.exchange is None:
@@ -212,6 +230,7 @@
             self.submit(io.AttemptEnded(a.request, number, a.backend, io.Outcome.MOOT, 0.0, done))
             return
         number, held.attempts = held.attempts, held.attempts + 1
+        held.trail.append((now, a.backend))
 
         def message() -> bytes:
             return held.call.message(max(0.001, held.deadline - self.loop.time()))
@@ -230,6 +249,8 @@
               sent: float) -> None:
         """An attempt has its outcome: a whole 200 is the answer, anything else is the module's to decide."""
         held.exchange = None
+        held.trail.append((self.loop.time(), outcome.value))
+        self.tally.counts[f"attempt {outcome.value}"] += 1
         held.may_have_run |= exchange.written and outcome is not io.Outcome.FULL
         units = 0.0
         if answer is not None and outcome is io.Outcome.OK:
--- /dev/null
+++ b/roadspur/net/tally.py
@@ -0,0 +1,41 @@
+"""What the people on call see in the log: counts every few seconds, and one bad request a second in full."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections import Counter
+
+log = logging.getLogger(__name__)
+
+REPORT_S = 5.0
+SAMPLE_S = 1.0
+
+
+class Tally:
+    """Counts by kind, and a sample of the requests that ended badly: never a line for each request."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, write: logging.Logger = log) -> None:
+        self.loop, self.write = loop, write
+        self.counts = Counter[str]()
+        self.sampled = -SAMPLE_S
+        self.timer = loop.call_later(REPORT_S, self.report)
+
+    def bad(self, now: float) -> bool:
+        """Whether a request that has ended badly now is to be told in full."""
+        if now - self.sampled < SAMPLE_S:
+            return False
+        self.sampled = now
+        return True
+
+    def report(self) -> None:
+        """One line of all counts since the last one; an idle ingress is silent."""
+        if self.counts:
+            self.write.info("%s", ", ".join(f"{key} {n}" for key, n in sorted(self.counts.items())))
+            self.counts.clear()
+        self.timer = self.loop.call_later(REPORT_S, self.report)
+
+    def close(self) -> None:
+        self.timer.cancel()
+        self.report()
+        self.timer.cancel()
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -236,3 +236,21 @@
         assert found()["b1"].outcome is io.Outcome.CONNECT_FAILED
         assert backend.seen[0].line == "GET /load HTTP/1.1"
     run(main())
+
+
+def test_the_log_has_counts_and_a_sample_of_bad_requests_never_a_line_each(caplog):
+    async def main():
+        backend = await Peer.start(b"HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n")
+        rig = Rig(in_turn("b0"))
+        client = await rig.start(b0=backend.port)
+        caplog.set_level("INFO")
+        for n in range(5):
+            assert (await client.ask(call(f"r{n}")))[0] == 503
+            rig.ingress.tally.sampled = float("inf")  # the second of the first sample does not pass
+        rig.ingress.tally.report()
+        rig.ingress.tally.report()  # nothing has come since: no line
+    run(main())
+    lines = [r.getMessage() for r in caplog.records]
+    samples = [line for line in lines if line.startswith("request r")]
+    assert len(samples) == 1 and "503 after" in samples[0] and "b0" in samples[0] and "error" in samples[0]
+    assert [line for line in lines if line.startswith("attempt")] == ["attempt error 5, basic 503 5"]
