Hold the cap on open requests, for all ingresses together

Cause: full has no rate but a cap on requests open at once; the module let in every request of a plan without a rate. Each open request is now counted on the counter under the customer's name: +1 before it is sent, -1 when it ends or is refused. A count lasts two of the longest aims and each begins with what is open, so that a lost call or a crashed ingress is healed soon.

Ruled out: slow backends (all used alike), the concurrency limit (held requests only because the fleet was full), the counter (answered every call).

--- a/roadspur/control.py
+++ b/roadspur/control.py
@@ -39,6 +39,7 @@
 PRESSED = 1.8     # times the unpressed latency, where the concurrency limit shrinks
 KEEP_SHARE = 0.5  # of the fleet that outlier ejection must leave in use
 COLD_SAFETY = 0.5  # of the stated cold budget that is used, as the warm rate is only an estimate
+OPEN_AIMS = 2.0   # longest aims after which a count of open requests begins anew, with what is open then
 KEPT_LENGTHS = 6.0  # windows after which a quiet customer is forgotten: its store has long been full
 TELL_S, TELL_MOST_S = 0.1, 0.25  # between tellings to peers of what was let in, and at most
 TELL_PART = 0.75  # of the messages that an ingress takes in, that its peers' tellings may make up
@@ -65,7 +66,8 @@
 
     __slots__ = ("key", "plan", "width", "first", "length", "phase", "window", "total", "told", "heard",
                  "heard_in", "excess", "excess_at", "mine", "mine_told", "theirs", "level", "at", "born",
-                 "vouched", "seen", "pending", "flying", "part", "known", "chance")
+                 "vouched", "seen", "pending", "flying", "part", "known", "chance", "out", "counted",
+                 "counted_in")
 
     def __init__(self, key: int, plan: io.PlanSettings, now: float) -> None:
         self.key, self.plan, self.width = key, plan, 1
@@ -86,6 +88,8 @@
         self.pending, self.flying = 0.0, 0.0  # own use not in the count yet, and charges without a verdict
         self.part = 0.0  # of the customer's recent use, what came through here
         self.known, self.chance = True, 1.0  # carried on from an earlier window; share admitted of late
+        self.out = 0  # requests open or about to be here; how many of them a count holds, and which
+        self.counted, self.counted_in = 0, -1
 
     def turn(self, now: float) -> int:
         """The number of the window."""
@@ -136,6 +140,7 @@
         self.ran_at: float | None = None  # send time of the earliest attempt that may have run, and where
         self.ran_on: io.BackendEntry | None = None
         self.took = 0.0  # units off the store
+        self.sent_on = False  # an attempt is out
         self.bad, self.value = set[str](), cls.worth * customer.plan.price  # worth a unit; units go with work
 
 
@@ -151,6 +156,9 @@
         self.flights: dict[str, Flight] = {}
         self.backends: dict[str, Backend] = {}
         self.calls: dict[int, deque[tuple[Customer, int, float, Flight | None]]] = {}
+        self.open_calls: dict[int, deque[tuple[Customer, int, int, Flight | None]]] = {}
+        self.open: dict[str, Customer] = {}  # requests counted as open, whose they are
+        self.open_length = OPEN_AIMS * max(c.objective for c in settings.classes) or 1.0
         self.ask, self.misses, self.asked = 1.0, 0, 1.0  # share of requests that call, misses in a row, calls
         self.chance = {(p, again): 1.0 for p in self.plans for again in (False, True)}  # admitted of late
         self.spent = OrderedDict[bytes, float]()  # windows known to be used up, until when it matters
@@ -173,7 +181,7 @@
         self.on: dict[type, Callable[[float, Any], Any]] = {
             io.Request: self.request, io.CounterReply: self.counted, io.AttemptEnded: self.ended,
             io.ListUpdate: self.listed, io.TimerFired: self.timer, io.PeerMessage: self.heard,
-            io.ClientGone: lambda _, e: self.flights.pop(e.request, None)}  # nothing more is owed
+            io.ClientGone: self.gone}
 
     def handle(self, now: float, event: io.Event) -> list[io.Action]:
         """Decide on one event."""
@@ -204,7 +212,9 @@
         c.width, c.first = max(1, r.width), r.first
         self.forgive(now, c)
         f = self.flights[r.id] = Flight(r, cls, c, now)
-        if plan.rate <= 0 or not self.s.counter:
+        if plan.rate <= 0:
+            return self.enter(now, f)
+        if not self.s.counter:
             return self.local(now, f)
         known = c.room(now) - c.flying
         self.asked *= 1 - ASK_OVER
@@ -229,7 +239,7 @@
             self.customers.move_to_end(key)
         c.seen = now
         while (first := next(iter(self.customers.values()))).seen < now - self.kept:
-            if first.flying > 0:
+            if first.flying > 0 or first.out > 0:
                 first.seen = now
                 self.customers.move_to_end(first.key)
             else:
@@ -247,6 +257,8 @@
 
     def counted(self, now: float, e: io.CounterReply) -> None:
         """A total came, or did not: admit, refuse and add back, or fall back on the local share."""
+        if e.name in self.open_calls:
+            return self.open_counted(now, e)
         queue = self.calls.get(e.name)
         if not queue:
             return
@@ -255,18 +267,9 @@
             del self.calls[e.name]
         c.flying -= f.charge if f else 0.0
         f = f if f is not None and f.req.id in self.flights else None
-        if e.outcome not in (io.Outcome.OK, io.Outcome.ERROR):
-            least = ASK_LEAST if self.misses < ALONE else ASK_DOWN
-            self.ask, self.misses = max(least, self.ask * ASK_CUT), self.misses + 1
-            if self.misses == ALONE:
-                self.acts.append(io.Log("counter gives no answer: admitting by local shares"))
+        if not self.answers(e):
             c.pending += units - (f.charge if f else 0.0)  # told again: what did count, the refill heals
             return self.local(now, f) if f else None
-        self.ask += STEP * (WAIT - e.elapsed / self.s.counter_timeout)
-        if self.misses >= ALONE:
-            self.acts.append(io.Log(f"counter answers again after {self.misses} misses"))
-        self.ask = ASK_BACK if self.misses >= ALONE else min(1.0, max(ASK_LEAST, self.ask))
-        self.misses = 0
         # Added, but the total cannot be read: it is at least what was known and this.
         total = e.total if e.outcome is io.Outcome.OK else units + (c.total if c.window == window else 0.0)
         self.learn(now, c, window, units, total, f.charge if f else 0.0)
@@ -278,7 +281,7 @@
         self.chance[f.req.plan, f.req.is_repeat] = common + VERDICT / 5 * (good - common)
         if good:
             self.admit(now, c, f.charge, f)
-            return self.send(now, f)
+            return self.enter(now, f)
         if c.known or self.ask >= 1:
             self.add(now, c, -f.charge, None)  # refused: the charge is added back
         if self.s.peers and not c.known and c.level < 1 and c.short(now) not in self.spent:
@@ -286,6 +289,87 @@
             self.heard(now, io.PeerMessage(self.s.me, c.short(now)))
         self.refuse(now, f, (f.req.units - c.room(now)) / c.plan.rate)
 
+    def answers(self, e: io.CounterReply) -> bool:
+        """Whether the counter did add; the share of requests that call follows how it does."""
+        if e.outcome not in (io.Outcome.OK, io.Outcome.ERROR):
+            least = ASK_LEAST if self.misses < ALONE else ASK_DOWN
+            self.ask, self.misses = max(least, self.ask * ASK_CUT), self.misses + 1
+            if self.misses == ALONE:
+                self.acts.append(io.Log("counter gives no answer: admitting by local shares"))
+            return False
+        self.ask += STEP * (WAIT - e.elapsed / self.s.counter_timeout)
+        if self.misses >= ALONE:
+            self.acts.append(io.Log(f"counter answers again after {self.misses} misses"))
+        self.ask = ASK_BACK if self.misses >= ALONE else min(1.0, max(ASK_LEAST, self.ask))
+        self.misses = 0
+        return True
+
+    # The cap on open requests: a count of them on the counter, told of each change here.
+
+    def enter(self, now: float, f: Flight) -> None:
+        """Within its quota on the rate: go on if the cap on open requests has room."""
+        c, most = f.customer, f.customer.plan.max_open
+        if most <= 0:
+            return self.send(now, f)
+        if c.out >= most:  # sure: what is open here alone fills it
+            return self.refuse(now, f, self.latency[f.cls.name])
+        if not self.free(now) and self.late(now, f):
+            return self.refuse(now, f, 0.0)
+        c.out += 1
+        self.open[f.req.id] = c
+        if not self.s.counter or self.rng.random() >= self.ask:
+            return self.enter_alone(now, f)
+        self.count_open(now, c, f)
+
+    def enter_alone(self, now: float, f: Flight) -> None:
+        """Without a total, an even share of the cap stands in, of one request at least."""
+        if f.customer.out > max(1, f.customer.plan.max_open // f.customer.width):
+            return self.refuse(now, f, self.latency[f.cls.name])
+        self.send(now, f)
+
+    def count_open(self, now: float, c: Customer, f: Flight | None = None) -> None:
+        """Tell the count of this window what has changed here; a new one, all that is open here."""
+        window = int(now // self.open_length)
+        if c.counted_in != window:
+            c.counted, c.counted_in = 0, window
+        change = c.out - c.counted
+        if change == 0 and f is None:
+            return
+        c.counted = c.out
+        name = mix(~c.key, window)
+        self.open_calls.setdefault(name, deque()).append((c, window, change, f))
+        self.acts.append(io.CounterAdd(name, change, min(60.0, 2 * self.open_length)))
+
+    def open_counted(self, now: float, e: io.CounterReply) -> None:
+        """A total of open requests came, or did not."""
+        queue = self.open_calls[e.name]
+        c, window, change, f = queue.popleft()
+        if not queue:
+            del self.open_calls[e.name]
+        if not self.answers(e) and e.outcome is not io.Outcome.TIMEOUT and c.counted_in == window:
+            c.counted -= change  # sure not to have been added: it goes with the next call
+        if f is None or f.req.id not in self.flights:
+            return
+        if e.outcome is not io.Outcome.OK:
+            return self.enter_alone(now, f)
+        if e.total > c.plan.max_open:
+            return self.refuse(now, f, self.latency[f.cls.name])
+        self.send(now, f)
+
+    def leave(self, now: float, request: str) -> None:
+        """A request is open no more: its place is free at once."""
+        c = self.open.pop(request, None)
+        if c is not None:
+            c.out -= 1
+            if c.counted_in == int(now // self.open_length):  # a later count has never held it
+                self.count_open(now, c)
+
+    def gone(self, now: float, e: io.ClientGone) -> None:
+        """Nothing more is owed; an attempt that is out stays open until it ends."""
+        f = self.flights.pop(e.request, None)
+        if f is not None and not f.sent_on:
+            self.leave(now, e.request)
+
     def admit(self, now: float, c: Customer, units: float, f: Flight | None = None) -> None:
         """Units were let in here: they come off the store, and peers are told."""
         c.use(now, units)
@@ -401,7 +485,7 @@
             # A share under one request would refuse all: whole ones by the chance they had of late.
             good = self.rng.random() < self.guess(now, f)
             c.chance *= 1 - VERDICT * good  # let in unseen: who comes here again soon asks more than most
-            return self.send(now, f) if good else self.refuse(now, f, 0.0)
+            return self.enter(now, f) if good else self.refuse(now, f, 0.0)
         elif c.plan.rate > 0:
             share = max(1.0 / c.width, c.part)
             if c.plan.ceiling_rate > 0:  # all shares together, and what totals admit, stay within it
@@ -416,11 +500,12 @@
                 return self.refuse(now, f, 0.0)
             c.pending += units
         self.admit(now, c, units, f)
-        self.send(now, f)
+        self.enter(now, f)
 
     def refuse(self, now: float, f: Flight, wait: float) -> None:
         """Final answer: refused, or failed where a refusal would promise too much."""
         del self.flights[f.req.id]
+        self.leave(now, f.req.id)
         if f.took > 0 and f.attempts == 0:  # what was never sent on uses nothing up
             f.customer.pending -= f.took
             self.admit(now, f.customer, -f.took)
@@ -447,7 +532,7 @@
                 return self.refuse(now, f, 0.0)  # early, not late
             return bisect.insort_right(self.queue, f, key=lambda g: -g.value)
         f.attempts += 1
-        f.sent = now
+        f.sent, f.sent_on = now, True
         best.out[f.req.id] = (now, f.cls.name, f.req.plan)
         self.out += 1
         if self.cold(now, best) < 1.0:
@@ -473,6 +558,9 @@
     def sweep(self, now: float) -> None:
         """Each beat: find silent backends by the answers they owe, and see to what is held."""
         self.armed = False
+        for c in {c.key: c for c in self.open.values()}.values():  # a new count holds nothing of it yet
+            if c.counted_in != int(now // self.open_length):
+                self.count_open(now, c)
         for b in [x for x in self.backends.values() if x.out]:
             owed = sum((now - max(sent, b.answered)) / self.latency[name] for sent, name, _ in b.out.values())
             if owed < SILENT_X * max(1.0, b.ratio):
@@ -540,11 +628,13 @@
                 self.out -= 1
                 self.judge(now, b, e, name, plan)
         if f is None:
-            return
+            return self.leave(now, e.request)
+        f.sent_on = False
         if e.outcome not in NEVER_RAN and f.ran_at is None and b is not None:
             f.ran_at, f.ran_on = f.sent, b.entry
         if e.done:
             del self.flights[e.request]
+            self.leave(now, e.request)
             if self.queue:
                 self.dispatch(now)
             if e.outcome is io.Outcome.OK and e.true_units > 0 and self.s.settles:
--- /dev/null
+++ b/tests/test_open.py
@@ -0,0 +1,67 @@
+"""The cap on open requests, held by all ingresses together."""
+
+from __future__ import annotations
+
+from roadspur import interface as io
+from tests.helpers import Ingress, only, some
+
+CAPPED = io.PlanSettings("full", rate=0.0, burst=0.0, max_open=2)
+
+
+def pair() -> tuple[Ingress, Ingress]:
+    """Two ingresses on one counter."""
+    a, b = (Ingress(plans=(CAPPED,), instances=2, seed=n) for n in (1, 2))
+    b.counts = a.counts
+    return a, b
+
+
+def test_all_ingresses_together_keep_a_customer_to_its_cap():
+    a, b = pair()
+    first = only(a.ask(plan="full"), io.Attempt)
+    only(b.ask(plan="full"), io.Attempt)
+    for g in (a, b):
+        refused = only(g.ask(plan="full"), io.Refuse)
+        assert refused.retry_in > 0
+    only(b.ask(plan="full", customer=8), io.Attempt)
+    a.end(first)
+    only(b.ask(plan="full"), io.Attempt)
+    only(a.ask(plan="full"), io.Refuse)
+
+
+def test_a_new_count_begins_with_what_is_open():
+    a, b = pair()
+    for _ in range(2):
+        only(a.ask(plan="full"), io.Attempt)
+    a.beat(a.gw.open_length)
+    b.now = a.now
+    only(b.ask(plan="full"), io.Refuse)
+
+
+def test_a_place_is_held_until_the_attempt_ends_and_free_once_it_has():
+    a, b = pair()
+    sent = [only(a.ask(plan="full"), io.Attempt) for _ in range(2)]
+    a.give(io.ClientGone(sent[0].request))
+    only(b.ask(plan="full"), io.Refuse)
+    a.end(sent[0], io.Outcome.TIMEOUT, done=True)
+    only(b.ask(plan="full"), io.Attempt)
+    a.end(sent[1], io.Outcome.ERROR, done=False)  # tried again: still open
+    only(b.ask(plan="full"), io.Refuse)
+    assert not some(b.end(only([x for x in b.log if isinstance(x, io.Attempt)], io.Attempt)), io.Refuse)
+    only(b.ask(plan="full"), io.Attempt)
+
+
+def test_without_totals_a_share_of_the_cap_stands_in():
+    g = Ingress(plans=(CAPPED,), instances=2)
+    g.counter = "timeout"
+    only(g.ask(plan="full", width=2), io.Attempt)
+    only(g.ask(plan="full", width=2), io.Refuse)
+
+
+def test_what_a_call_that_added_nothing_held_goes_with_the_next():
+    a, b = pair()
+    a.counter = "refusing"
+    only(a.ask(plan="full"), io.Attempt)
+    a.counter = "up"
+    a.gw.ask = 1.0
+    only(a.ask(plan="full"), io.Attempt)
+    only(b.ask(plan="full"), io.Refuse)
