Replace a counter connection that is silent while others are answered

A later call answered elsewhere shows that only this connection is at fault: it is replaced at its first time-out.

Ruled out: a crowded or stopped counter (the other connections were answered in 7 ms meanwhile), spoilt answers (none in the new count of reasons).

--- a/roadspur/net/counter.py
+++ b/roadspur/net/counter.py
@@ -82,6 +82,7 @@
             return
         add = self.owed.popleft()
         self.served = True
+        self.line.counter.newest = max(self.line.counter.newest, add.began)
         if answer.status == 200:
             self.line.counter.tell(add, io.Outcome.OK, float(answer.body))
         elif answer.status == 503:
@@ -112,7 +113,8 @@
         if self.closed:
             return
         self.closed = True
-        log.debug("counter: %s", why)
+        if self.line.counter.tally is not None:
+            self.line.counter.tally.counts[f"counter connection {why}"] += 1
         if self.stall is not None:
             self.stall.cancel()
         if self.transport is not None:
@@ -197,12 +199,18 @@
         for add in unsent:
             self.unsent.remove(add)
         if link is not None and link.owed and now - link.heard > STUCK_S:
-            log.warning("counter: no answer for %.1f s: opening a new connection", now - link.heard)
             link.end("stuck")
+        elif link is not None and late and self.overtaken(link):
+            link.end("overtaken")
         for add in late:
             self.counter.tell(add, io.Outcome.CONNECT_FAILED if add in unsent else io.Outcome.TIMEOUT)
         self.arm()
 
+    def overtaken(self, link: Link) -> bool:
+        """Whether only this connection does not work: a later call has had its turn elsewhere."""
+        return bool(link.owed) and link.heard < self.loop.time() - self.counter.timeout and (
+            self.counter.newest > link.owed[0].began)
+
     def close(self) -> None:
         self.task.cancel()
         if self.link is not None:
@@ -216,6 +224,7 @@
                  on_reply: Callable[[io.CounterReply], None], tally: Tally | None = None) -> None:
         self.loop, self.address, self.timeout, self.on_reply = loop, address, timeout, on_reply
         self.tally = tally
+        self.newest = 0.0  # when the latest call that has been answered began
         self.calls: dict[int, deque[Add]] = {}  # by name, until all before them have been told
         self.lines = [Line(self) for _ in range(LINES)]
 
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -124,6 +124,45 @@
     run(main())
 
 
+def test_a_connection_that_is_silent_while_others_are_answered_is_replaced_at_the_first_time_out():
+    async def main():
+        async def act(seen):
+            return None if seen.line.startswith("POST /v2/numbers/4") else ok(b"7")
+
+        service = await Peer(act).listen()
+        w = Watching(service.port, 6 * LONG)
+        await until(lambda: all(line.link for line in w.counter.lines))
+        line = w.counter.lines[0]
+        old = line.link
+        w.counter.add(4, 1.0, 3.0)
+        await until(lambda: service.seen)
+        w.counter.add(5, 1.0, 3.0)
+        await w.some(1)
+        w.counter.timeout = line.untold[0].due = 0.0  # its time is up
+        line.expire()
+        assert [(r.name, r.outcome) for r in w.replies] == [(5, io.Outcome.OK), (4, io.Outcome.TIMEOUT)]
+        w.counter.timeout = 6 * LONG
+        await until(lambda: line.link not in (None, old))
+        w.counter.add(8, 1.0, 3.0)
+        assert (await w.some(3))[2].total == 7.0
+    run(main())
+
+
+def test_a_counter_that_answers_nobody_keeps_its_connections(monkeypatch):
+    monkeypatch.setattr(counter_module, "STUCK_S", LONG)
+
+    async def main():
+        service = await Peer.start(None)
+        w = Watching(service.port, 0.02)
+        await until(lambda: all(line.link for line in w.counter.lines))
+        links = [line.link for line in w.counter.lines]
+        for name in range(8):
+            w.counter.add(name, 1.0, 3.0)
+        await w.some(8)
+        assert [line.link for line in w.counter.lines] == links
+    run(main())
+
+
 def test_calls_behind_a_spoilt_answer_may_have_been_added():
     async def main():
         service = await Peer.start(b"HTTP/1.1 20x\r\n\r\n")
