Tell a hung attempt from a silent backend, and try it elsewhere

Each silence between two answers of a backend counted once for every hung attempt there, so live backends were ejected about once a second at each ingress; and a hung nom-check at a live backend waited until its client's time was up. An attempt that was overdue when another was answered no longer counts as silence, and one that hangs for eight usual latencies goes elsewhere where it may repeat.

Ruled out: reused connections (fresh ones hang alike), slow backends (p50 as ever).

--- a/roadspur/control.py
+++ b/roadspur/control.py
@@ -28,7 +28,7 @@
 VERDICT, PART = 0.3, 0.2  # weight of a new total in a customer's chance (a fifth for its like), in its part
 BAD_SHARE = 0.5   # error share at which a backend is ejected
 EJECT_S = 3.0     # rest of an ejected backend, before each trial attempt
-SILENT_X = 8.0    # usual latencies of owed answers after which a backend counts as silent
+SILENT_X = 8.0    # usual latencies of owed answers after which a backend counts as silent, an attempt as hung
 BEAT, TELL = 0, 1  # tokens of timers
 BEAT_S = 0.05     # between looks at silent backends and at what is held
 SLOTS, FLOOR = 6.0, 2.0  # attempts out to a backend by all ingresses together, at first and at least
@@ -562,14 +562,18 @@
             if c.counted_in != int(now // self.open_length):
                 self.count_open(now, c)
         for b in [x for x in self.backends.values() if x.out]:
-            owed = sum((now - max(sent, b.answered)) / self.latency[name] for sent, name, _ in b.out.values())
-            if owed < SILENT_X * max(1.0, b.ratio):
-                continue
-            self.eject(now, b, "silent")
+            slow = SILENT_X * max(1.0, b.ratio)
+            # An attempt that was overdue when another was answered tells of itself, not of the backend.
+            owed = sum((now - max(sent, b.answered)) / self.latency[name] for sent, name, _ in b.out.values()
+                       if b.answered - sent < slow * self.latency[name])
+            silent = owed >= slow
+            if silent:
+                self.eject(now, b, "silent")
             for name in b.out:  # move what may be repeated; a long request at a live server is left alone
                 f = self.flights.get(name)
-                old = f is not None and now - f.sent > 2 * self.latency[f.cls.name]
-                if f is not None and old and self.s.may_cancel and self.may_send(now, f, f.ran_at or f.sent):
+                if f is None or not self.s.may_cancel or not self.may_send(now, f, f.ran_at or f.sent):
+                    continue
+                if now - f.sent > (2 if silent else slow) * self.latency[f.cls.name]:
                     self.acts.append(io.CancelAttempt(name, f.attempts - 1))
         self.review(now)
 
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -170,6 +170,37 @@
     assert g.gw.backends[stuck.backend].trial
 
 
+def rounds(g: Ingress, number: int, gap: float) -> list[io.Action]:
+    """Requests that are all answered at once, with time between them."""
+    seen = []
+    for _ in range(number):
+        for a in [only(g.ask(customer=1000 + g.n), io.Attempt) for _ in range(6)]:
+            g.end(a)
+        seen += g.beat(gap)
+    return seen
+
+
+def test_attempts_that_hang_say_nothing_of_a_backend_that_answers_others():
+    # Each silence between two answers counted once for each of them: live backends were ejected all the time.
+    g = Ingress(backends=2)
+    g.gw.slots = 40.0
+    for k in range(12):
+        only(g.ask("once", customer=k), io.Attempt)
+    rounds(g, 80, 0.05)
+    rounds(g, 5, 0.8)
+    assert not some(g.log, io.Log)
+
+
+def test_an_attempt_that_hangs_at_a_live_backend_is_tried_elsewhere_if_it_may_be():
+    g = Ingress(backends=3)
+    stuck, once = only(g.ask(customer=1), io.Attempt), only(g.ask("once", customer=2), io.Attempt)
+    while not (seen := some(rounds(g, 1, 0.05), io.CancelAttempt)):
+        assert g.now < 102.0
+    assert {c.request for c in seen} == {stuck.request}
+    again = only(g.end(stuck, io.Outcome.CANCELLED), io.Attempt)
+    assert again.backend != stuck.backend and once.request in g.gw.flights
+
+
 def test_unsafe_is_never_the_trial_of_an_ejected_backend():
     g = Ingress(backends=2)
     b = g.gw.backends["b0"]
