Where counter calls are short, make those first that decide

A customer near its quota was then refused unasked, though the counter had room, while calls were spent on customers whose share covered them anyway.

--- a/roadspur/control.py
+++ b/roadspur/control.py
@@ -23,6 +23,7 @@
 ALONE = 8         # misses in a row after which the counter counts as down for all, not just crowded
 WAIT = 0.3        # mean wait for the counter, of its time-out, that the share of requests that call aims at
 STEP = 0.1        # how fast that share moves
+ASK_NEED = 4.0    # times that share, for requests that would be refused unasked
 ASK_LEAST, ASK_DOWN = 0.05, 0.2  # its least; while the counter is down, and least that counts as told
 ASK_BACK, ASK_CUT = 0.5, 0.6  # its value when the counter is back; what a miss leaves of it
 VERDICT, PART = 0.3, 0.2  # weight of a new total in a customer's chance (a fifth for its like), in its part
@@ -223,13 +224,20 @@
             return self.refuse(now, f, (r.units - known) / plan.rate)
         if not self.free(now) and self.late(now, f):  # a charge for what is not sent would use the quota up
             return self.refuse(now, f, 0.0)
-        if r.expires_in <= 2 * self.s.counter_timeout or self.rng.random() >= self.ask:
+        if r.expires_in <= 2 * self.s.counter_timeout or not self.asks(now, f):
             return self.local(now, f)
         if f.thin and c.window < c.turn(now) - 1 and not self.in_touch(now, c):  # others cannot tell
             f.charge = r.units / max(ASK_DOWN, self.ask)
         self.add(now, c, f.charge + c.pending, f)
         c.pending = 0.0
 
+    def asks(self, now: float, f: Flight) -> bool:
+        """Whether a request calls: where calls are short, those go first that would be refused unasked."""
+        chance = self.rng.random()
+        if chance < self.ask or self.misses >= ALONE or chance >= ASK_NEED * self.ask:
+            return chance < self.ask
+        return not (self.in_touch(now, f.customer) or self.by_chance(f) or self.fits(now, f))
+
     def meet(self, now: float, key: int, plan: io.PlanSettings) -> Customer:
         """A customer, known or new. Those long quiet are forgotten: many come once and never again."""
         c = self.customers.get(key)
@@ -481,27 +489,36 @@
             if c.room(now) - c.flying < units:
                 return self.refuse(now, f, (units - c.room(now)) / c.plan.rate)
             c.pending += units
-        elif c.plan.rate > 0 >= c.plan.ceiling_rate and f.thin:
-            # A share under one request would refuse all: whole ones by the chance they had of late.
+        elif self.by_chance(f):
             good = self.rng.random() < self.guess(now, f)
             c.chance *= 1 - VERDICT * good  # let in unseen: who comes here again soon asks more than most
             return self.enter(now, f) if good else self.refuse(now, f, 0.0)
         elif c.plan.rate > 0:
-            share = max(1.0 / c.width, c.part)
-            if c.plan.ceiling_rate > 0:  # all shares together, and what totals admit, stay within it
-                times = c.plan.ceiling_rate / c.plan.rate - (0.0 if self.misses >= ALONE else 1.0)
-                share = min(share, max(0.0, times) / c.width)
-            unused = now - c.at - (c.plan.burst - c.level) / c.plan.rate
-            if unused > 0:  # refilled since the store was full: no wave of refusals when an outage ends
-                c.pending -= min(share * c.plan.rate * unused, max(0.0, c.pending))
-                c.level, c.at = c.plan.burst, now
-            own = max(0.0, c.pending)
-            if own + c.flying + units > min(c.plan.burst, c.room(now) + own) * share:
+            if not self.fits(now, f):
                 return self.refuse(now, f, 0.0)
             c.pending += units
         self.admit(now, c, units, f)
         self.enter(now, f)
 
+    @staticmethod
+    def by_chance(f: Flight) -> bool:
+        """A share under one request would refuse all: whole ones by the chance they had of late."""
+        return f.thin and f.customer.plan.rate > 0 >= f.customer.plan.ceiling_rate
+
+    def fits(self, now: float, f: Flight) -> bool:
+        """Whether this ingress's share of the store, less what no count holds yet, has room for a request."""
+        c = f.customer
+        share = max(1.0 / c.width, c.part)
+        if c.plan.ceiling_rate > 0:  # all shares together, and what totals admit, stay within it
+            times = c.plan.ceiling_rate / c.plan.rate - (0.0 if self.misses >= ALONE else 1.0)
+            share = min(share, max(0.0, times) / c.width)
+        unused = now - c.at - (c.plan.burst - c.level) / c.plan.rate
+        if unused > 0:  # refilled since the store was full: no wave of refusals when an outage ends
+            c.pending -= min(share * c.plan.rate * unused, max(0.0, c.pending))
+            c.level, c.at = c.plan.burst, now
+        own = max(0.0, c.pending)
+        return own + c.flying + f.req.units <= min(c.plan.burst, c.room(now) + own) * share
+
     def refuse(self, now: float, f: Flight, wait: float) -> None:
         """Final answer: refused, or failed where a refusal would promise too much."""
         del self.flights[f.req.id]
