--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -246,17 +246,17 @@
 
 def test_where_calls_are_short_those_go_first_that_a_share_would_refuse():
     # Unasked, a customer with room was refused whenever its share of what is left was under the request.
-    g = Ingress(plans=(PLAN, CEILED))
-    calls = {units: 0 for units in (1.0, 3.0)}
+    g = Ingress()
+    calls = {units: 0 for units in (1.0, 4.0)}
     for _ in range(400):
         for units in calls:
             g.gw.ask = 0.25
-            acts = g.ask(units=units, customer=g.n, width=4)  # its share of a full store holds two units
+            acts = g.ask(units=units, customer=g.n, plan="plus", width=4)  # its share holds one unit
             g.end(only(acts, io.Attempt))
             calls[units] += len(some(acts, io.CounterAdd))
-    assert calls[3.0] == 400 and 50 < calls[1.0] < 150
+    assert calls[4.0] == 400 and 50 < calls[1.0] < 150
     g.gw.ask, g.gw.misses = 0.0, ALONE  # nobody answers: the share decides
-    assert [type(a) for a in g.ask(units=3.0, customer=5000, width=4)] == [io.Refuse]
+    assert [type(a) for a in g.ask(units=4.0, customer=5000, plan="plus", width=4)] == [io.Refuse]
 
 
 def test_share_under_one_request_admits_whole_ones_by_chance():
