Give the place of an attempt that hangs past its aim back

Where a plan has a cap, an attempt past its aim and eight usual latencies old is given up; the request fails at once, as it would have at its deadline.

Ruled out: lost releases (counts four times shorter made no difference).

--- a/roadspur/control.py
+++ b/roadspur/control.py
@@ -588,12 +588,17 @@
                 self.eject(now, b, "silent")
             for name in b.out:  # move what may be repeated; a long request at a live server is left alone
                 f = self.flights.get(name)
-                if f is None or not self.s.may_cancel or not self.may_send(now, f, f.ran_at or f.sent):
+                if f is None or not self.s.may_cancel or now - f.sent <= (
+                        2 if silent else slow) * self.latency[f.cls.name]:
                     continue
-                if now - f.sent > (2 if silent else slow) * self.latency[f.cls.name]:
+                if self.may_send(now, f, f.ran_at or f.sent) or self.blocks(now, f, slow):
                     self.acts.append(io.CancelAttempt(name, f.attempts - 1))
         self.review(now)
 
+    def blocks(self, now: float, f: Flight, slow: float) -> bool:
+        """Whether an attempt hangs past its aim and only keeps a place from its customer's next request."""
+        return f.customer.plan.max_open > 0 and now > f.aim and now - f.sent > slow * self.latency[f.cls.name]
+
     def may_send(self, now: float, f: Flight, ran_at: float | None) -> bool:
         """Whether one more attempt is allowed; if one may have run, by class and window too."""
         if f.attempts >= self.s.max_attempts or now + self.base[f.cls.name] > f.aim:
--- a/tests/test_open.py
+++ b/tests/test_open.py
@@ -65,3 +65,23 @@
     a.gw.ask = 1.0
     only(a.ask(plan="full"), io.Attempt)
     only(b.ask(plan="full"), io.Refuse)
+
+
+def test_an_attempt_that_hangs_past_its_aim_gives_its_place_back():
+    # It held half of its customer's cap until its client's time was up.
+    a, b = pair()
+    stuck = only(a.ask("once", plan="full"), io.Attempt)
+    only(b.ask(plan="full"), io.Attempt)
+    a.gw.latency["once"] = 0.1
+    assert not some(a.beat(1.9), io.CancelAttempt)
+    assert [c.request for c in some(a.beat(0.2), io.CancelAttempt)[:1]] == [stuck.request]
+    only(a.end(stuck, io.Outcome.CANCELLED), io.Fail)
+    b.now = a.now
+    only(b.ask(plan="full"), io.Attempt)
+
+
+def test_where_no_cap_is_kept_a_hung_attempt_is_waited_for():
+    g = Ingress()
+    g.gw.latency["once"] = 0.1
+    only(g.ask("once"), io.Attempt)
+    assert not some(g.beat(5.0), io.CancelAttempt)
