--- a/roadspur/control.py
+++ b/roadspur/control.py
@@ -325,7 +325,8 @@
             return self.refuse(now, f, 0.0)
         c.out += 1
         self.open[f.req.id] = c
-        if not self.s.counter or self.rng.random() >= self.ask:
+        beyond = c.out > max(1, most // c.width) and self.misses < ALONE
+        if not self.s.counter or self.rng.random() >= self.ask * (ASK_NEED if beyond else 1.0):
             return self.enter_alone(now, f)
         self.count_open(now, c, f)
 
--- a/tests/test_open.py
+++ b/tests/test_open.py
@@ -85,3 +85,14 @@
     g.gw.latency["once"] = 0.1
     only(g.ask("once"), io.Attempt)
     assert not some(g.beat(5.0), io.CancelAttempt)
+
+
+def test_where_calls_are_short_those_go_first_that_an_even_share_would_refuse():
+    g = Ingress(plans=(CAPPED,), instances=2)
+    for customer in range(50):
+        only(g.ask(plan="full", customer=customer), io.Attempt)
+        g.gw.ask = 0.25
+        acts = g.ask(plan="full", customer=customer)
+        only(acts, io.CounterAdd)
+        for a in some(g.log, io.Attempt)[-2:]:
+            g.end(a)
