A console with health and counters, and two processes on one client address

The listener now shares it. The console answers one line a connection; totals are counted where a request ends and where an attempt is written. The list of backends and their health move out of control.py, which was full, to fleet.py.

--- a/roadspur/__main__.py
+++ b/roadspur/__main__.py
@@ -18,6 +18,7 @@
 
 from roadspur import interface as io
 from roadspur.control import Gateway
+from roadspur.net.console import Call, Console, Refused
 from roadspur.net.counter import Counter
 from roadspur.net.discovery import Discovery, Listing, read_listing
 from roadspur.net.ingress import Ingress
@@ -45,6 +46,7 @@
     listen: Address
     discovery: Address
     counter: Address | None
+    console: Address | None
     peer_listen: Address | None
     peers: tuple[Address, ...]
     peers_all: Address | None
@@ -83,7 +85,7 @@
         raise BadConfiguration(f"{path}: {error}") from error
     if not isinstance(data, dict) or not isinstance(data.get("settings"), dict):
         raise BadConfiguration(f"{path}: settings: missing")
-    for key in ("name", "listen", "discovery"):
+    for key in ("name", "listen", "discovery", "console"):
         data.setdefault(key, environ.get(f"PROXY_{key.upper()}"))
 
     def address(key: str) -> Address | None:
@@ -96,6 +98,7 @@
             raise ValueError("listen and discovery are needed")
         return Config(
             name=str(data["name"]), listen=listen, discovery=discovery, counter=address("counter"),
+            console=address("console"),
             peer_listen=address("peer_listen"), peers_all=address("peers_all"),
             peers=tuple(read_address(str(p)) for p in data.get("peers", ())),
             seed=int(str(data.get("seed", "0")), 16),
@@ -107,6 +110,17 @@
         raise BadConfiguration(f"{path}: {error}") from error
 
 
+def calls(server: Server) -> dict[str, Call]:
+    """What operators may ask of this process."""
+
+    def health() -> list[str]:
+        if not server.ready():
+            raise Refused("this process takes no requests now")
+        return ["done"]
+
+    return {"health": Call(health), "counters": Call(lambda: [*server.ingress.figures(), "end"])}
+
+
 async def serve(config: Config) -> None:
     """Serve until told to stop, then leave in order."""
     loop = asyncio.get_running_loop()
@@ -143,6 +157,9 @@
 
     loop.add_signal_handler(signal.SIGHUP, reload)
     await server.listen(*config.listen)
+    console = Console(loop, calls(server))
+    if config.console is not None:
+        await console.listen(*config.console)
     log.info("%s serves on %s:%d", config.name, *config.listen)
     for plan in config.settings.plans:
         log.info("%s", plan)
@@ -154,6 +171,7 @@
     if ingress.counter is not None:
         ingress.counter.close()
     upstream.close()
+    console.close()
     ingress.tally.close()
     log.info("%s has stopped", config.name)
 
--- a/roadspur/control.py
+++ b/roadspur/control.py
@@ -17,6 +17,7 @@
 from typing import Any
 
 from roadspur import interface as io
+from roadspur.fleet import Backend, Fleet
 
 ASK_SHARE, ASK_OVER = 0.8, 0.01  # calls a request beyond which sure refusals need none; weight of a request
 UNKNOWN = 0.8     # of the burst that counts as left of a window that nothing was seen of
@@ -28,7 +29,6 @@
 ASK_BACK, ASK_CUT = 0.5, 0.6  # its value when the counter is back; what a miss leaves of it
 VERDICT, PART = 0.3, 0.2  # weight of a new total in a customer's chance (a fifth for its like), in its part
 BAD_SHARE = 0.5   # error share at which a backend is ejected
-EJECT_S = 3.0     # rest of an ejected backend, before each trial attempt
 SILENT_X = 8.0    # usual latencies of owed answers after which a backend counts as silent, an attempt as hung
 BEAT, TELL, KEEP = 0, 1, 2  # tokens of timers
 BEAT_S = 0.05     # between looks at silent backends and at what is held
@@ -38,7 +38,6 @@
 SHY, SHY_S = 4.0, 10.0  # cost of a backend sure to turn a class or plan away; time by which such news ages
 TAIL = 4.0        # times the unpressed latency, beyond which a longer answer says no more
 PRESSED = 1.8     # times the unpressed latency, where the concurrency limit shrinks
-KEEP_SHARE = 0.5  # of the fleet that outlier ejection must leave in use
 COLD_SAFETY = 0.5  # of the stated cold budget that is used, as the warm rate is only an estimate
 OPEN_AIMS = 2.0   # longest aims after which a count of open requests begins anew, with what is open then
 KEPT_LENGTHS = 6.0  # windows after which a quiet customer is forgotten: its store has long been full
@@ -119,18 +118,6 @@
             self.level -= units
 
 
-class Backend:
-    """A server as seen from the ingress's own traffic."""
-
-    def __init__(self, entry: io.BackendEntry, now: float, phase: float) -> None:
-        self.entry, self.usable = entry, False
-        self.out: dict[str, tuple[float, str, str]] = {}  # own attempts out: sent when, class, plan
-        self.answered = now
-        self.ratio, self.errors, self.resting, self.trial = 1.0, 0.0, 0.0, False
-        self.tokens, self.tokens_at = phase, now  # a small part never comes to one without
-        self.shy: dict[str, tuple[float, float]] = {}  # class or plan: turned away (1) or served (0), when
-
-
 class Flight:
     """A request that is owed one final answer."""
 
@@ -156,7 +143,8 @@
         self.customers = OrderedDict[int, Customer]()  # the longest quiet first
         self.kept = KEPT_LENGTHS * max((p.burst / p.rate for p in settings.plans if p.rate > 0), default=1.0)
         self.flights: dict[str, Flight] = {}
-        self.backends: dict[str, Backend] = {}
+        self.fleet = Fleet(settings, self.rng)
+        self.members = self.fleet.members
         self.calls: dict[int, deque[tuple[Customer, int, float, Flight | None]]] = {}
         self.open_calls: dict[int, deque[tuple[Customer, int, int, Flight | None]]] = {}
         self.open: dict[str, Customer] = {}  # requests counted as open, whose they are
@@ -179,7 +167,7 @@
         self.armed, self.out, self.slots = False, 0, 0.0  # beat set; own attempts out, how many may be
         self.press, self.judged, self.paused = 1.0, now, 0.0  # latency over base, when; rest below one slot
         self.shy = dict.fromkeys((*self.classes, *self.plans), 0.0)  # share of attempts turned away
-        self.usable, self.rate, self.rate_at = 0, 0.0, now  # attempts a second to one warm backend
+        self.rate, self.rate_at = 0.0, now  # attempts a second to one warm backend
         self.acts: list[io.Action] = []
         self.on: dict[type, Callable[[float, Any], Any]] = {
             io.Request: self.request, io.CounterReply: self.counted, io.AttemptEnded: self.ended,
@@ -577,7 +565,7 @@
         f.sent, f.sent_on = now, True
         best.out[f.req.id] = (now, f.cls.name, f.req.plan)
         self.out += 1
-        if self.cold(now, best) < 1.0:
+        if self.fleet.cold(now, best) < 1.0:
             best.tokens -= 1.0
         self.acts.append(io.Attempt(f.req.id, best.entry.backend))
 
@@ -603,14 +591,14 @@
         for c in {c.key: c for c in self.open.values()}.values():  # a new count holds nothing of it yet
             if c.counted_in != int(now // self.open_length):
                 self.count_open(now, c)
-        for b in [x for x in self.backends.values() if x.out]:
+        for b in [x for x in self.fleet.backends.values() if x.out]:
             slow = SILENT_X * max(1.0, b.ratio)
             # An attempt that was overdue when another was answered tells of itself, not of the backend.
             owed = sum((now - max(sent, b.answered)) / self.latency[name] for sent, name, _ in b.out.values()
                        if b.answered - sent < slow * self.latency[name])
             silent = owed >= slow
             if silent:
-                self.eject(now, b, "silent")
+                self.acts += self.fleet.eject(now, b, "silent")
             for name in b.out:  # move what may be repeated; a long request at a live server is left alone
                 f = self.flights.get(name)
                 if f is None or not self.s.may_cancel or now - f.sent <= (
@@ -631,11 +619,6 @@
         return ran_at is None or f.cls.effect is io.Effect.SAFE or (
             f.cls.effect is io.Effect.KEYED and now < ran_at + f.cls.window - BEAT_S)
 
-    def cold(self, now: float, b: Backend) -> float:
-        """Share of its capacity that a backend is sure to have since its start (slow start)."""
-        grown = (now - b.entry.born) / self.s.cold_time if b.entry.born > 0 and self.s.cold_time > 0 else 1.0
-        return min(1.0, self.s.start_capacity + (1 - self.s.start_capacity) * max(0.0, grown))
-
     def choose(self, now: float, f: Flight) -> Backend | None:
         """Least own outstanding work over learned speed, among those that are healthy and allowed."""
         best: Backend | None = None
@@ -644,7 +627,7 @@
             return None
         keyed = f.ran_on if f.cls.effect is io.Effect.KEYED else None
         keys = [(key, 1 + SHY * self.shy[key]) for key in (f.cls.name, f.req.plan)]
-        for b in self.backends.values():
+        for b in self.fleet.backends.values():
             e = b.entry
             if not b.usable or e.backend in f.bad or now < b.resting:
                 continue
@@ -653,7 +636,7 @@
             if keyed is not None and ((f.cls.group is io.Group.ZONE and e.zone != keyed.zone) or (
                     f.cls.group is io.Group.CELL and e.cell != keyed.cell)):
                 continue
-            if e.born > 0 and (ramp := self.cold(now, b)) < 1.0:
+            if e.born > 0 and (ramp := self.fleet.cold(now, b)) < 1.0:
                 gain = self.rate * ramp * self.s.fall_multiple * COLD_SAFETY
                 b.tokens = min(1.5, b.tokens + gain * (now - b.tokens_at))
                 b.tokens_at = now
@@ -672,7 +655,7 @@
 
     def ended(self, now: float, e: io.AttemptEnded) -> None:
         """An attempt ended: learn from it, then serve, try again or give the final answer."""
-        b, f = self.backends.get(e.backend), self.flights.get(e.request)
+        b, f = self.fleet.backends.get(e.backend), self.flights.get(e.request)
         if b is not None:
             _, name, plan = b.out.pop(e.request, (now, "", ""))
             if name:
@@ -709,7 +692,7 @@
             self.judged = now
             self.press += min(0.4, 5 * step) * (times - self.press)
             if self.press > PRESSED:  # all hold too much there: one slot a backend may be too many
-                self.slots = max(FLOOR * self.usable / self.s.instances, self.slots * (1 - step))
+                self.slots = max(FLOOR * self.fleet.usable / self.s.instances, self.slots * (1 - step))
             elif self.out + 2 > self.slots:
                 self.slots += min(self.slots, 1 / self.slots)
             if self.slots < 1:  # less than one attempt out on average: a rest after each
@@ -720,7 +703,8 @@
                 self.shy[key] += 0.1 * (b.shy[key][0] - self.shy[key])
         if e.outcome is io.Outcome.OK:
             # Served, not sent: requests turned away made warm servers look able to take more, cold ones too.
-            self.rate = self.rate * math.exp((self.rate_at - now) / RATE_S) + 1 / RATE_S / max(1, self.usable)
+            each = 1 / RATE_S / max(1, self.fleet.usable)
+            self.rate = self.rate * math.exp((self.rate_at - now) / RATE_S) + each
             self.rate_at = now
             b.errors, b.trial = 0.8 * b.errors, False
             self.latency[name] += 0.05 * (e.elapsed - self.latency[name])
@@ -730,33 +714,10 @@
         elif e.outcome in FAULTS:
             b.errors += 0.3 * (1 - b.errors)
             if b.trial or b.errors >= BAD_SHARE:
-                self.eject(now, b, "failing")
-
-    def eject(self, now: float, b: Backend, why: str) -> None:
-        """Outlier ejection: rest a while, then one trial at a time; part of the fleet is always kept."""
-        resting = sum(1 for x in self.backends.values() if x.usable and now < x.resting)
-        if now < b.resting or resting + 1 > (1 - KEEP_SHARE) * self.usable:
-            return
-        b.resting, b.trial = now + EJECT_S, True
-        self.acts.append(io.Log(f"ejected {b.entry.backend}: {why}"))
+                self.acts += self.fleet.eject(now, b, "failing")
 
     def listed(self, now: float, e: io.ListUpdate) -> None:
-        """Follow the list of servers: nothing new to what drains or is gone, slow start for what is new."""
-        if e.kind is io.ListKind.FAILED:
-            return
-        for b in self.backends.values():
-            b.usable = b.usable and e.kind is io.ListKind.CHANGE
-        for entry in e.entries:
-            known = self.backends.get(entry.backend)
-            if known is None or entry.born != known.entry.born:  # new, or its process is
-                self.backends[entry.backend] = Backend(entry, now, self.rng.random())
-                self.backends[entry.backend].out = known.out if known else {}
-                known = self.backends[entry.backend]
-            known.entry, known.usable = entry, entry.phase is io.Phase.RUNNING
-        if e.kind is not io.ListKind.CHANGE:
-            for name in self.backends.keys() - {entry.backend for entry in e.entries}:
-                self.backends[name].entry = self.backends[name].entry._replace(phase=io.Phase.DELETED)
-        self.backends = {n: b for n, b in self.backends.items()  # gone, and nothing of ours out there
-                         if b.out or b.entry.phase is not io.Phase.DELETED}
-        self.usable = sum(b.usable for b in self.backends.values())
-        self.slots = self.slots or max(2.0, SLOTS * self.usable / self.s.instances)
+        """Follow the list of servers; the first one tells how many attempts may be out."""
+        if e.kind is not io.ListKind.FAILED:
+            self.fleet.listed(now, e)
+            self.slots = self.slots or max(2.0, SLOTS * self.fleet.usable / self.s.instances)
--- /dev/null
+++ b/roadspur/fleet.py
@@ -0,0 +1,67 @@
+"""The backends as an ingress sees them: the list of servers, health, slow start."""
+
+from __future__ import annotations
+
+import random
+
+from roadspur import interface as io
+
+EJECT_S = 3.0     # rest of an ejected backend, before each trial attempt
+KEEP_SHARE = 0.5  # of the fleet that outlier ejection must leave in use
+
+
+class Backend:
+    """A server as seen from the ingress's own traffic."""
+
+    def __init__(self, entry: io.BackendEntry, now: float, phase: float) -> None:
+        self.entry, self.usable = entry, False
+        self.out: dict[str, tuple[float, str, str]] = {}  # own attempts out: sent when, class, plan
+        self.answered = now
+        self.ratio, self.errors, self.resting, self.trial = 1.0, 0.0, 0.0, False
+        self.tokens, self.tokens_at = phase, now  # a small part never comes to one without
+        self.shy: dict[str, tuple[float, float]] = {}  # class or plan: turned away (1) or served (0), when
+
+
+class Fleet:
+    """All backends of one ingress."""
+
+    def __init__(self, settings: io.Settings, rng: random.Random) -> None:
+        self.s, self.rng = settings, rng
+        self.backends: dict[str, Backend] = {}
+        self.usable = 0
+
+    def members(self, now: float) -> tuple[int, int]:
+        """How many backends are listed, and how many of those are avoided now."""
+        listed = [b for b in self.backends.values() if b.entry.phase is not io.Phase.DELETED]
+        return len(listed), sum(not b.usable or b.trial or now < b.resting for b in listed)
+
+    def cold(self, now: float, b: Backend) -> float:
+        """Share of its capacity that a backend is sure to have since its start (slow start)."""
+        grown = (now - b.entry.born) / self.s.cold_time if b.entry.born > 0 and self.s.cold_time > 0 else 1.0
+        return min(1.0, self.s.start_capacity + (1 - self.s.start_capacity) * max(0.0, grown))
+
+    def eject(self, now: float, b: Backend, why: str) -> list[io.Action]:
+        """Outlier ejection: rest a while, then one trial at a time; part of the fleet is always kept."""
+        resting = sum(1 for x in self.backends.values() if x.usable and now < x.resting)
+        if now < b.resting or resting + 1 > (1 - KEEP_SHARE) * self.usable:
+            return []
+        b.resting, b.trial = now + EJECT_S, True
+        return [io.Log(f"ejected {b.entry.backend}: {why}")]
+
+    def listed(self, now: float, e: io.ListUpdate) -> None:
+        """Follow the list of servers: nothing new to what drains or is gone, slow start for what is new."""
+        for b in self.backends.values():
+            b.usable = b.usable and e.kind is io.ListKind.CHANGE
+        for entry in e.entries:
+            known = self.backends.get(entry.backend)
+            if known is None or entry.born != known.entry.born:  # new, or its process is
+                self.backends[entry.backend] = Backend(entry, now, self.rng.random())
+                self.backends[entry.backend].out = known.out if known else {}
+                known = self.backends[entry.backend]
+            known.entry, known.usable = entry, entry.phase is io.Phase.RUNNING
+        if e.kind is not io.ListKind.CHANGE:
+            for name in self.backends.keys() - {entry.backend for entry in e.entries}:
+                self.backends[name].entry = self.backends[name].entry._replace(phase=io.Phase.DELETED)
+        self.backends = {n: b for n, b in self.backends.items()  # gone, and nothing of ours out there
+                         if b.out or b.entry.phase is not io.Phase.DELETED}
+        self.usable = sum(b.usable for b in self.backends.values())
--- a/roadspur/net/ingress.py
+++ b/roadspur/net/ingress.py
@@ -22,6 +22,7 @@
 MARGIN_S = 0.03  # before the client's own time is up, for the way back and a busy moment
 MARGIN_SHARE = 0.2  # of a short time
 DECIMALS = 3
+ENDINGS = {"200": "completed", "late": "completed", "429": "rejected", "503": "rejected"}  # others: failed
 
 
 class Decisions(Protocol):
@@ -29,6 +30,8 @@
 
     def handle(self, now: float, event: io.Event) -> list[io.Action]: ...
 
+    def members(self, now: float) -> tuple[int, int]: ...
+
 
 Reply = Callable[[int, bytes, bytes], None]  # status, further header lines, body
 
@@ -199,12 +202,23 @@
             self.upstream.cancel(held.exchange)
         self.forget(held)
 
+    def figures(self) -> list[str]:
+        """Totals since the start and what is the case now, a line each."""
+        members, unavailable = self.gateway.members(self.now())
+        figures = {f"{ending}.{name}": 0 for ending in ("completed", "rejected", "failed")
+                   for name in self.effects}
+        figures |= {"upstream_requests": 0, **self.tally.totals, "members": members,
+                    "members_unavailable": unavailable,
+                    "pending": sum(not held.answered for held in self.held.values())}
+        return [f"{name}={value}" for name, value in figures.items()]
+
     def told(self, held: Held, how: str) -> None:
         """Count an end, and sample those that are bad: anything but an answer within the class's aim."""
         r, now = held.call.request, self.loop.time()
         if how == "200" and now - held.call.came > self.aims[r.class_name]:
             how = "late"
         self.tally.counts[f"{r.plan} {how}"] += 1
+        self.tally.totals[f"{ENDINGS.get(how, 'failed')}.{r.class_name}"] += 1
         if how != "200" and self.tally.bad(now):
             trail = "".join(f", +{at - held.call.came:.3f} {what}" for at, what in held.trail)
             log.info("request %s of %d: %s %s %g units: %s after %.3f s%s", r.id, r.customer, r.plan,
@@ -233,6 +247,7 @@
         held.trail.append((now, a.backend))
 
         def message() -> bytes:
+            self.tally.totals["upstream_requests"] += 1
             return held.call.message(max(0.001, held.deadline - self.loop.time()))
 
         def may_send() -> bool:
--- a/roadspur/net/server.py
+++ b/roadspur/net/server.py
@@ -171,8 +171,6 @@
         """The request that has come, or the answer to one that is none of ours."""
         if self.url.partition(b"?")[0] == b"/healthz":
             return Early(200 if self.server.ready() else 503, "")
-        if self.crowded:
-            return Early(503, "too many connections")
         match = CUSTOMER.fullmatch(self.url)
         if match is None:
             return Early(404, "no such path")
@@ -181,6 +179,9 @@
                                    self.headers)
         except BadRequest as error:
             return Early(400, str(error))
+        if self.crowded:
+            self.server.ingress.tally.totals[f"rejected.{request.class_name}"] += 1
+            return Early(503, "too many connections")
         start = [b"%s %s HTTP/1.1\r\n" % (self.parser.get_method(), self.url)]
         start += [b"%s: %s\r\n" % (n, v) for n, v in self.headers if n.lower() not in HOP_BY_HOP]
         return Call(request, b"".join(start), bytes(self.body), self.loop.time())
@@ -283,7 +284,7 @@
 
     async def listen(self, host: str, port: int) -> None:
         self.listener = await self.loop.create_server(
-            lambda: ClientConnection(self), host, port, backlog=1024)
+            lambda: ClientConnection(self), host, port, backlog=1024, reuse_port=True)
 
     def ready(self) -> bool:
         """Whether a request could be served: there is a backend to send it to, and this is no goodbye."""
--- a/roadspur/net/tally.py
+++ b/roadspur/net/tally.py
@@ -1,4 +1,4 @@
-"""What the people on call see in the log: counts every few seconds, and one bad request a second in full."""
+"""What the people on call see: counts in the log, one bad request a second in full, and totals."""
 
 from __future__ import annotations
 
@@ -17,7 +17,8 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop, write: logging.Logger = log) -> None:
         self.loop, self.write = loop, write
-        self.counts = Counter[str]()
+        self.counts = Counter[str]()  # since the last report
+        self.totals = Counter[str]()  # since the start, as the console gives them
         self.sampled = -SAMPLE_S
         self.timer = loop.call_later(REPORT_S, self.report)
 
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -185,6 +185,9 @@
         finally:
             self.inside = False
 
+    def members(self, now: float) -> tuple[int, int]:
+        return 3, 1
+
     def ends(self) -> list[io.AttemptEnded]:
         return [e for e in self.events if isinstance(e, io.AttemptEnded)]
 
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -167,7 +167,7 @@
                 g.end(a)
         moved += some(g.beat(0.1), io.CancelAttempt)
     assert stuck is not None and stuck.request in {c.request for c in moved}
-    assert g.gw.backends[stuck.backend].trial
+    assert g.gw.fleet.backends[stuck.backend].trial
 
 
 def rounds(g: Ingress, number: int, gap: float) -> list[io.Action]:
@@ -203,7 +203,7 @@
 
 def test_unsafe_is_never_the_trial_of_an_ejected_backend():
     g = Ingress(backends=2)
-    b = g.gw.backends["b0"]
+    b = g.gw.fleet.backends["b0"]
     b.trial, b.resting = True, 0.0
     for k in range(5):
         a = only(g.ask("once", customer=k), io.Attempt)
@@ -213,14 +213,14 @@
 
 def test_ejection_keeps_half_of_the_fleet():
     g = Ingress(backends=4)
-    for b in g.gw.backends.values():
-        g.gw.eject(g.now, b, "failing")
-    assert sum(g.now < b.resting for b in g.gw.backends.values()) == 2
+    for b in g.gw.fleet.backends.values():
+        g.gw.fleet.eject(g.now, b, "failing")
+    assert sum(g.now < b.resting for b in g.gw.fleet.backends.values()) == 2
 
 
 def test_an_ejected_backend_comes_back_after_a_good_trial():
     g = Ingress(backends=1)
-    b = g.gw.backends["b0"]
+    b = g.gw.fleet.backends["b0"]
     b.trial, b.resting = True, g.now + 1.0
     g.now += 1.1
     g.end(only(g.ask(), io.Attempt))
@@ -291,7 +291,7 @@
 def test_a_clients_time_out_is_neither_a_fault_nor_a_sign_of_life():
     g = Ingress(backends=2)
     a = only(g.ask("once"), io.Attempt)
-    b = g.gw.backends[a.backend]
+    b = g.gw.fleet.backends[a.backend]
     g.now += 6.0
     g.end(a, io.Outcome.TIMEOUT, elapsed=6.0)
     assert b.errors == 0.0 and b.answered == 100.0
@@ -407,13 +407,13 @@
     other = "b1" if a.backend == "b0" else "b0"
     gone = tuple(io.BackendEntry(b, io.Phase.DELETED) for b in ("b0", "b1", "never-seen"))
     i.give(io.ListUpdate(io.ListKind.CHANGE, 2, gone))
-    assert set(i.gw.backends) == {a.backend} and other not in i.gw.backends
+    assert set(i.gw.fleet.backends) == {a.backend} and other not in i.gw.fleet.backends
     i.end(a)
     assert i.gw.out == 0
     i.give(io.ListUpdate(io.ListKind.CHANGE, 3))
-    assert not i.gw.backends
+    assert not i.gw.fleet.backends
     i.give(io.ListUpdate(io.ListKind.WHOLE, 3, (io.BackendEntry("b9", io.Phase.RUNNING),)))
-    assert set(i.gw.backends) == {"b9"}
+    assert set(i.gw.fleet.backends) == {"b9"}
 
 
 @pytest.mark.parametrize("entries", [
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -121,6 +121,44 @@
     run(main())
 
 
+async def consult(port, line):
+    """What the console of a program says to a line."""
+    reader, writer = await asyncio.open_connection(HOST, port)
+    writer.write(line)
+    answer = (await reader.read()).decode().splitlines()
+    writer.close()
+    return answer
+
+
+def test_a_second_program_serves_beside_the_first_and_operators_can_ask_each(tmp_path):
+    async def main():
+        backend, counter = await Peer.start(ok()), await Peer.start(ok(b"1"))
+        doors = [closed_port(), closed_port()]
+        told = {"known": known(backend.port), "counter": f"{HOST}:{counter.port}"}
+        old = Program(tmp_path, console=f"{HOST}:{doors[0]}", **told)
+        await old.start()
+        new = Program(tmp_path, console=f"{HOST}:{doors[1]}", listen=f"{HOST}:{old.port}", **told)
+        new.port = old.port
+        try:
+            await new.start()
+            while True:
+                try:
+                    assert await consult(doors[1], b"health\n") == ["done"]
+                    break
+                except ConnectionRefusedError:
+                    assert new.process.returncode is None
+            old.process.send_signal(signal.SIGTERM)
+            assert await old.process.wait() == 0
+            client = await Client.connect(new.port)
+            assert (await client.ask(call("r1", X_Call_Terms=FEW)))[0] == 200
+            figures = await consult(doors[1], b"counters\n")
+            assert "completed.read=1" in figures and "members=1" in figures and figures[-1] == "end"
+        finally:
+            await old.end()
+            await new.end()
+    run(main())
+
+
 def test_sighup_moves_discovery_and_the_counter_and_a_bad_file_changes_nothing(tmp_path):
     async def main():
         backend = await Peer.start(ok(b"fine"))
