--- a/roadspur/__main__.py
+++ b/roadspur/__main__.py
@@ -31,7 +31,6 @@
 
 log = logging.getLogger("roadspur")
 
-NOTICE_S = 0.5  # after SIGTERM new connections go on coming for up to 0.4 s
 STATE_S = 0.25  # between looks at what another process of this ingress has left
 SOCKETS_SPARE = 64  # descriptors that are neither clients' nor backends'
 
@@ -135,8 +134,16 @@
     def uncordon(backend: str) -> list[str]:
         return done(server.ingress.cordon(backend, False), "no such backend")
 
+    def quiesce() -> list[str]:
+        server.drain()
+        return ["done"]
+
+    def resume() -> list[str]:
+        return done(server.resume(), "this process is ending")
+
     return {"health": Call(health), "counters": Call(lambda: [*server.ingress.figures(), "end"]),
-            "cordon": Call(cordon, 1), "uncordon": Call(uncordon, 1)}
+            "cordon": Call(cordon, 1), "uncordon": Call(uncordon, 1), "quiesce": Call(quiesce),
+            "resume": Call(resume)}
 
 
 async def serve(config: Config) -> None:
@@ -187,7 +194,7 @@
     gc.freeze()  # what start-up made is never garbage
     await stop.wait()
     log.info("%s stops: %d requests held", config.name, len(ingress.held))
-    await server.leave(NOTICE_S)
+    await server.leave()
     discovery.close()
     if ingress.counter is not None:
         ingress.counter.close()
--- a/roadspur/net/server.py
+++ b/roadspur/net/server.py
@@ -14,6 +14,7 @@
 
 from roadspur import interface as io
 from roadspur.net.ingress import Ingress
+from roadspur.net.steer import steer_away
 from roadspur.net.wire import MAX_BODY, MAX_HEAD, Call
 
 CUSTOMER = re.compile(rb"(?:/[^/?#]*)+?/([0-9a-fA-F]{16})(?:\?.*)?")
@@ -28,6 +29,8 @@
 SLOW_S = 2.0  # for a first byte, for the rest of a request, and for a client to read its answers
 IDLE_S = 5.0  # between requests
 SWEEP_S = 0.25
+NOTICE_S = 0.5  # after a drain begins, in which new connections go on coming for up to 0.4 s
+DRAIN_IDLE_S = 0.3  # without a request, after which a drain closes a connection
 LINGER_S = 0.5  # for a client to read the last answer
 LINGER_BYTES = 256 * 1024  # that are read, and thrown away, meanwhile
 HOP_BY_HOP = {b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding",
@@ -170,7 +173,7 @@
     def read(self) -> Call | Early:
         """The request that has come, or the answer to one that is none of ours."""
         if self.url.partition(b"?")[0] == b"/healthz":
-            return Early(200 if self.server.ready() else 503, "")
+            return Early(200 if self.server.healthy() else 503, "")
         match = CUSTOMER.fullmatch(self.url)
         if match is None:
             return Early(404, "no such path")
@@ -224,7 +227,7 @@
         if self.transport is None or self.closing:
             return
         self.since = self.loop.time()
-        close = not self.keep or self.server.leaving
+        close = not self.keep or self.server.draining
         if close:
             lines += b"Connection: close\r\n"
         self.transport.write(b"HTTP/1.1 %d %s\r\n%sContent-Length: %d\r\n\r\n%s" % (
@@ -278,7 +281,8 @@
         self.loop, self.ingress, self.most = loop, ingress, most
         self.connections: set[ClientConnection] = set()
         self.order = itertools.count()  # who was heard last; the loop's clock is too coarse to tell
-        self.stopping = self.leaving = False
+        self.draining = self.leaving = False  # for a time, for good
+        self.drain_task: asyncio.Task[None] | None = None
         self.listener: asyncio.Server | None = None
         self.sweeper = loop.call_later(SWEEP_S, self.sweep)
 
@@ -288,7 +292,11 @@
 
     def ready(self) -> bool:
         """Whether a request could be served: there is a backend to send it to, and this is no goodbye."""
-        return not self.stopping and any(map(self.ingress.open_to, self.ingress.serving))
+        return not self.draining and any(map(self.ingress.open_to, self.ingress.serving))
+
+    def healthy(self) -> bool:
+        """Whether the ingress is to be sent requests: in an upgrade the process taking over serves them."""
+        return self.ready() or (self.leaving and self.ingress.beside > 0)
 
     def joined(self, connection: ClientConnection) -> None:
         """Room for one more is made by closing one that never sent anything, or has been idle longest.
@@ -309,18 +317,46 @@
             connection.sweep(now)
         self.sweeper = self.loop.call_later(SWEEP_S, self.sweep)
 
-    async def leave(self, notice: float) -> None:
-        """Go on accepting for the notice, then take nothing new and wait for what is held."""
-        self.stopping = True
-        await asyncio.sleep(notice)
+    def drain(self) -> None:
+        """Say no to health checks and let all connections go, each after its answer or once it is idle."""
+        if not self.draining:
+            self.draining = True
+            self.drain_task = self.loop.create_task(self.let_go())
+
+    async def let_go(self) -> None:
+        """Close what is idle once the notice is over; one that was accepted last may come only then."""
+        await asyncio.sleep(NOTICE_S)
+        while True:
+            idle_since = self.loop.time() - DRAIN_IDLE_S
+            for connection in list(self.connections):
+                if connection.since <= idle_since and connection.idle():
+                    connection.close()
+            await asyncio.sleep(0.02)
+
+    def resume(self) -> bool:
+        """Serve again as before the drain, unless this process is ending."""
+        if self.leaving:
+            return False
+        if self.drain_task is not None:
+            self.drain_task.cancel()
+        self.draining, self.drain_task = False, None
+        return True
+
+    async def leave(self) -> None:
+        """Drain for good: accept for the notice, unless another process does, and wait for what is held."""
         self.leaving = True
+        self.ingress.follow()
+        sockets = self.listener.sockets if self.listener is not None else ()
+        for listener in sockets:
+            steer_away(listener.fileno())
+        self.drain()
+        await asyncio.sleep(NOTICE_S)
         if self.listener is not None:
             self.listener.close()
         while self.connections:
-            for connection in list(self.connections):
-                if connection.idle():  # one that was accepted last may come only now
-                    connection.close()
             await asyncio.sleep(0.02)
+        if self.drain_task is not None:
+            self.drain_task.cancel()
         self.sweeper.cancel()
 
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -152,6 +152,7 @@
                 except ConnectionRefusedError:
                     assert new.process.returncode is None
             assert (await consult(doors[0], b"cordon b9\n"))[0].startswith("error ")
+            assert await consult(doors[0], b"quiesce\n") == await consult(doors[0], b"resume\n") == ["done"]
             old.process.send_signal(signal.SIGTERM)
             assert await old.process.wait() == 0
             client = await Client.connect(new.port)
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -8,7 +8,8 @@
 import pytest
 
 from roadspur.net import server as server_module
-from tests.sockets import Client, Peer, Rig, call, entry, in_turn, listing, ok, run, until
+from roadspur.net.state import State
+from tests.sockets import HOST, Client, Peer, Rig, call, entry, in_turn, listing, ok, run, until
 
 BODY = b"x" * (64 * 1024)
 
@@ -253,14 +254,16 @@
     run(main())
 
 
-def test_a_connection_that_comes_while_leaving_does_not_keep_the_program():
+def test_a_connection_that_comes_while_leaving_does_not_keep_the_program(monkeypatch):
+    monkeypatch.setattr(server_module, "NOTICE_S", 0.0)
+
     async def main():
         backend = await Peer.start(None)
         rig = Rig(in_turn("b0"))
         client = await rig.start(b0=backend.port)
         client.writer.write(call("r1", budget="400m"))
         await until(lambda: backend.seen)
-        leaving = asyncio.create_task(rig.server.leave(0.0))
+        leaving = asyncio.create_task(rig.server.leave())
         await until(lambda: rig.server.leaving)
         ours, theirs = socket.socketpair()
         loop = asyncio.get_running_loop()
@@ -269,3 +272,77 @@
         assert (await client.answer())[1]["connection"] == "close"
         theirs.close()
     run(main())
+
+
+HEALTH = b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"
+
+
+def test_a_drain_says_no_lets_all_connections_go_and_is_undone(monkeypatch):
+    monkeypatch.setattr(server_module, "NOTICE_S", 0.1)
+
+    async def main():
+        go = asyncio.Event()
+
+        async def act(seen):
+            await go.wait()
+            return ok()
+
+        backend = await Peer(act).listen()
+        rig = Rig(in_turn("b0"))
+        idle = await rig.start(b0=backend.port)
+        busy, used = await Client.connect(rig.port), await Client.connect(rig.port)
+        assert (await used.ask(HEALTH))[0] == 200
+        busy.writer.write(call("r1"))
+        await until(lambda: backend.seen)
+        rig.server.drain()
+        rig.server.drain()  # twice is once
+        status, headers, _ = await used.ask(HEALTH)
+        assert status == 503 and headers["connection"] == "close"
+        assert await idle.reader.read() == b""
+        late = await Client.connect(rig.port)  # health checks are answered all the time
+        assert (await late.ask(HEALTH))[0] == 503
+        go.set()
+        status, headers, _ = await busy.answer()
+        assert status == 200 and headers["connection"] == "close"
+        assert await busy.reader.read() == b""
+        await until(lambda: not rig.server.connections)
+        assert rig.server.resume() and rig.server.resume()
+        kept = await Client.connect(rig.port)
+        for _ in range(2):
+            status, headers, _ = await kept.ask(HEALTH)
+            assert status == 200 and "connection" not in headers
+    run(main())
+
+
+def test_no_drain_is_undone_once_the_process_ends():
+    async def main():
+        rig = Rig(in_turn("b0"))
+        await rig.start()
+        leaving = asyncio.create_task(rig.server.leave())
+        await until(lambda: rig.server.draining)
+        assert not rig.server.resume() and rig.server.draining
+        await leaving
+    run(main())
+
+
+def test_in_an_upgrade_health_is_the_ingresss_and_new_connections_go_to_the_other_process(tmp_path):
+    async def main():
+        old, new = Rig(in_turn("b0")), Rig(in_turn("b0"))
+        state = State(str(tmp_path))
+        state.others = lambda: 1
+        old.ingress.state = state
+        client = await old.start(b0=1)
+        await new.start(b0=1)
+        await new.server.listen(HOST, old.port)
+        leaving = asyncio.create_task(old.server.leave())
+        await until(lambda: old.server.draining)
+        status, headers, _ = await client.ask(HEALTH)
+        assert status == 200 and headers["connection"] == "close"
+        before = len(new.server.connections)
+        clients = [await Client.connect(old.port) for _ in range(20)]
+        await until(lambda: len(new.server.connections) == before + 20)
+        for c in clients:
+            assert (await c.ask(HEALTH))[0] == 200
+        await leaving
+        assert (await (await Client.connect(old.port)).ask(HEALTH))[0] == 200
+    run(main())
