What a cold backend has served makes room for the next attempt there

While backends are renewed under load the cold ones lay almost idle (none or one attempt out, latency as usual) and the warm ones held 2.5 times their usual latency, so that slots shrank and half of the requests were refused. The share of a cold backend followed what this ingress had served lately, next to nothing in a process that has just begun. Now each answer of a cold backend makes room for another attempt, so what is out there is bounded and cannot pile up, and the pace of a beginner is one request at a time.

--- a/roadspur/control.py
+++ b/roadspur/control.py
@@ -39,6 +39,7 @@
 TAIL = 4.0        # times the unpressed latency, beyond which a longer answer says no more
 PRESSED = 1.8     # times the unpressed latency, where the concurrency limit shrinks
 COLD_SAFETY = 0.5  # of the stated cold budget that is used, as the warm rate is only an estimate
+COLD_MOST = 1.5   # attempts that may be saved up for a cold backend
 OPEN_AIMS = 2.0   # longest aims after which a count of open requests begins anew, with what is open then
 KEPT_LENGTHS = 6.0  # windows after which a quiet customer is forgotten: its store has long been full
 TELL_S, TELL_MOST_S = 0.1, 0.25  # between tellings to peers of what was let in, and at most
@@ -637,8 +638,8 @@
                     f.cls.group is io.Group.CELL and e.cell != keyed.cell)):
                 continue
             if b.start > 0 and (ramp := self.fleet.cold(now, b)) < 1.0:
-                gain = self.rate * ramp * self.s.fall_multiple * COLD_SAFETY
-                b.tokens = min(1.5, b.tokens + gain * (now - b.tokens_at))
+                gain = self.pace() * ramp * self.s.fall_multiple * COLD_SAFETY
+                b.tokens = min(COLD_MOST, b.tokens + gain * (now - b.tokens_at))
                 b.tokens_at = now
                 if b.tokens < 1.0:
                     continue
@@ -653,6 +654,13 @@
                 best, least = b, cost
         return best
 
+    def pace(self) -> float:
+        """Attempts a second that this ingress may count on at a warm backend: what one has served of late.
+
+        One that has only begun has seen little: a backend serves one at a time at least, for all ingresses.
+        """
+        return max(self.rate, 1 / (self.s.instances * max(1e-3, *self.base.values())))
+
     def ended(self, now: float, e: io.AttemptEnded) -> None:
         """An attempt ended: learn from it, then serve, try again or give the final answer."""
         b, f = self.fleet.backends.get(e.backend), self.flights.get(e.request)
@@ -707,6 +715,8 @@
             self.rate = self.rate * math.exp((self.rate_at - now) / RATE_S) + each
             self.rate_at = now
             b.errors, b.trial = 0.8 * b.errors, False
+            if self.fleet.cold(now, b) < 1.0:  # what it has served makes room: it cannot pile up there
+                b.tokens = min(COLD_MOST, b.tokens + 1.0)
             self.latency[name] += 0.05 * (e.elapsed - self.latency[name])
             usual = self.base[name] + (0.01 if self.press < PRESSED else 0.0005) * (
                 self.latency[name] - self.base[name])
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -391,8 +391,7 @@
     # A store filled at one ingress's tiny rate never came to one: a fleet renewed by a deploy stood unused.
     first = 0
     for seed in range(200):
-        g = Ingress(backends=4, seed=seed)
-        g.gw.rate, g.gw.rate_at = 0.01, g.now
+        g = Ingress(backends=4, seed=seed, instances=300)  # one at a time is 0.01 a second for each
         g.give(io.ListUpdate(io.ListKind.CHANGE, 2, tuple(
             io.BackendEntry(f"b{i}", io.Phase.RUNNING, born=g.now) for i in range(4))))
         g.now += 5.0
@@ -428,3 +427,32 @@
     assert g.gw.out == 1
     g.end(attempt, io.Outcome.RESET)
     assert g.gw.out == 0
+
+
+def test_an_ingress_that_has_only_begun_uses_cold_backends_within_what_is_sure():
+    g = Ingress(backends=3, now=100.0, born=99.0, instances=4)  # all restarted a moment ago
+    sent = 0
+    for _ in range(40):
+        g.now += 0.05
+        for a in some(g.ask(customer=g.n + 1), io.Attempt):
+            sent += 1
+            g.end(a)
+    # Warm, a backend serves one at a time in 0.32 s at least: 3.1 a second, 0.78 for each ingress; cold, 0.2
+    # to 0.44 of that, times 2.5 and halved. Three backends for 2 s, and 1.5 at once.
+    assert 2 <= sent <= 3 * (0.78 * 0.44 * 1.25 * 2 + 1.5)
+
+
+def test_what_a_cold_backend_has_served_makes_room_there_and_what_it_has_not_does_not():
+    def sent(serves):
+        g, count = Ingress(backends=1, instances=300), 0
+        g.give(io.ListUpdate(io.ListKind.CHANGE, 2, (io.BackendEntry("b0", io.Phase.RUNNING, born=g.now),)))
+        g.gw.fleet.backends["b0"].tokens = 1.0
+        for _ in range(20):
+            g.now += 0.05
+            for a in some(g.ask(customer=g.n + 1), io.Attempt):
+                count += 1
+                if serves:
+                    g.end(a, elapsed=0.02)
+        return count
+
+    assert sent(serves=True) == 20 and sent(serves=False) == 1
