Answers over 64 KiB flow through, and those that the connection's end ends are read

A large one is passed on as it comes, paced by its client, without a deadline; the module hears that it has begun and frees the slot. What a request says of itself moves to net/request.py, as server.py was full.

Ruled out as a cause: backends at fault; every reset had a sound answer behind it.

--- a/roadspur/control.py
+++ b/roadspur/control.py
@@ -173,7 +173,8 @@
         self.on: dict[type, Callable[[float, Any], Any]] = {
             io.Request: self.request, io.CounterReply: self.counted, io.AttemptEnded: self.ended,
             io.ListUpdate: self.listed, io.TimerFired: self.timer, io.PeerMessage: self.heard,
-            io.ClientGone: self.gone, io.Cordon: self.cordon, io.Cordons: self.restore}
+            io.ClientGone: self.gone, io.AttemptStarted: self.started, io.Cordon: self.cordon,
+            io.Cordons: self.restore}
 
     def handle(self, now: float, event: io.Event) -> list[io.Action]:
         """Decide on one event."""
@@ -654,6 +655,17 @@
                 best, least = b, cost
         return best
 
+    def started(self, now: float, e: io.AttemptStarted) -> None:
+        """A large answer has begun: the work is done, and only its customer's place is taken to its end."""
+        b = self.fleet.backends.get(e.backend)
+        _, name, plan = b.out.pop(e.request, (now, "", "")) if b is not None else (now, "", "")
+        if b is not None and name:
+            self.out -= 1
+            begun = io.AttemptEnded(e.request, e.attempt, e.backend, io.Outcome.OK, e.elapsed, True)
+            self.judge(now, b, begun, name, plan)
+        if self.queue:
+            self.dispatch(now)
+
     def pace(self) -> float:
         """Attempts a second that this ingress may count on at a warm backend: what one has served of late.
 
--- a/roadspur/net/ingress.py
+++ b/roadspur/net/ingress.py
@@ -6,7 +6,7 @@
 import logging
 import time
 from collections import deque
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from typing import Protocol
 
 from roadspur import interface as io
@@ -34,21 +34,34 @@
     def members(self, now: float) -> tuple[int, int]: ...
 
 
-Reply = Callable[[int, bytes, bytes], None]  # status, further header lines, body
+class Client(Protocol):
+    """Where the one final answer to a request goes: at once, or in parts."""
+
+    def reply(self, status: int, lines: bytes, body: bytes) -> None: ...
+
+    def begin(self, lines: bytes, length: int | None, source: Exchange) -> None: ...
+
+    def part(self, data: bytes) -> None: ...
+
+    def finish(self) -> None: ...
+
+    def break_off(self) -> None: ...
 
 
 class Held:
     """A request that is owed one final answer."""
 
-    __slots__ = ("call", "reply", "timer", "attempts", "exchange", "answered", "may_have_run", "deadline",
-                 "trail")
+    __slots__ = ("call", "client", "timer", "attempts", "exchange", "answered", "may_have_run", "deadline",
+                 "trail", "flowing", "ended")
 
-    def __init__(self, call: Call, reply: Reply, deadline: float) -> None:
-        self.call, self.reply, self.deadline = call, reply, deadline
+    def __init__(self, call: Call, client: Client, deadline: float) -> None:
+        self.call, self.client, self.deadline = call, client, deadline
         self.timer: asyncio.TimerHandle | None = None
         self.attempts = 0
         self.exchange: Exchange | None = None
         self.answered = self.may_have_run = False
+        self.flowing = 0.0  # since when its answer is on its way in parts
+        self.ended = False  # and counted
         self.trail: list[tuple[float, str]] = []  # what became of its attempts, for the log
 
 
@@ -141,15 +154,15 @@
 
     # Requests.
 
-    def take(self, call: Call, reply: Reply) -> None:
+    def take(self, call: Call, client: Client) -> None:
         """A client's request has come whole: it is owed one answer from here on."""
         r = call.request
         if r.id in self.held:  # an id never comes twice
-            reply(400, b"", b"")
+            client.reply(400, b"", b"")
             return
         left = call.came + r.expires_in - self.loop.time()
         left -= min(MARGIN_S, MARGIN_SHARE * r.expires_in)
-        held = self.held[r.id] = Held(call, reply, self.loop.time() + left)
+        held = self.held[r.id] = Held(call, client, self.loop.time() + left)
         held.timer = self.loop.call_at(held.deadline, self.overdue, held)
         self.submit(r._replace(expires_in=max(0.0, left)))
 
@@ -159,10 +172,13 @@
         What a backend already has is waited for: no cancel stops its work, and the module counts it as load.
         """
         held = self.held.get(call.request.id)
-        if held is None or held.answered:
+        if held is None or held.ended:
             return
-        held.answered = True
         self.told(held, "gone")
+        if held.flowing and held.exchange is not None:
+            self.upstream.cancel(held.exchange)
+            return
+        held.answered = True
         self.submit(io.ClientGone(call.request.id))
         if held.exchange is not None and not held.exchange.written:
             self.upstream.cancel(held.exchange)
@@ -204,7 +220,7 @@
             return
         held.answered = True
         self.told(held, str(status))
-        held.reply(status, lines, body)
+        held.client.reply(status, lines, body)
         if held.exchange is not None and not held.exchange.written:
             self.upstream.cancel(held.exchange)
         self.forget(held)
@@ -216,13 +232,16 @@
                    for name in self.effects}
         figures |= {"upstream_requests": 0, **self.tally.totals, "members": members,
                     "members_unavailable": unavailable,
-                    "pending": sum(not held.answered for held in self.held.values())}
+                    "pending": sum(not held.ended for held in self.held.values())}
         return [f"{name}={value}" for name, value in figures.items()]
 
     def told(self, held: Held, how: str) -> None:
         """Count an end, and sample those that are bad: anything but an answer within the class's aim."""
+        if held.ended:
+            return
+        held.ended = True
         r, now = held.call.request, self.loop.time()
-        if how == "200" and now - held.call.came > self.aims[r.class_name]:
+        if how == "200" and (held.flowing or now) - held.call.came > self.aims[r.class_name]:
             how = "late"
         self.tally.counts[f"{r.plan} {how}"] += 1
         self.tally.totals[f"{ENDINGS.get(how, 'failed')}.{r.class_name}"] += 1
@@ -263,7 +282,7 @@
         def ended(exchange: Exchange, outcome: io.Outcome, answer: Answer | None) -> None:
             self.ended(held, number, exchange, outcome, answer, now)
 
-        exchange = held.exchange = Exchange(a.backend, message, may_send, ended)
+        exchange = held.exchange = Exchange(a.backend, message, may_send, ended, Passing(self, held, number))
         left = held.deadline - now
         self.upstream.send(exchange, left if a.timeout is None else min(left, a.timeout))
 
@@ -279,13 +298,23 @@
             units = read_number(answer.headers.get(b"x-cost-units", b""))
             if units > self.settings.max_units:  # no request counts more: it cannot be meant
                 units = 0.0
-            kind = answer.headers.get(b"content-type")
-            self.answer(held, 200, b"Content-Type: %s\r\n" % kind if kind else b"", answer.body)
+            if not held.flowing:
+                self.answer(held, 200, content_type(answer), answer.body)
+        if held.flowing:
+            self.passed(held, outcome)
         self.submit(io.AttemptEnded(held.call.request.id, number, exchange.backend, outcome,
                                     self.loop.time() - sent, held.answered, true_units=units,
                                     load=self.load(answer) if self.settings.load_in_answers else {}))
         self.forget(held)
 
+    def passed(self, held: Held, outcome: io.Outcome) -> None:
+        """An answer in parts has ended; if it is not whole, the client can tell by the connection's end."""
+        self.told(held, "200" if outcome is io.Outcome.OK else "broken")
+        if outcome is io.Outcome.OK:
+            held.client.finish()
+        else:
+            held.client.break_off()
+
     def probe(self, backend: str) -> None:
         """Ask a backend for its load; the answer may be a 503."""
         began = self.loop.time()
@@ -348,6 +377,36 @@
         self.submit(io.ListUpdate(kind, listing.version, tuple(e for e, _ in listing.entries)))
 
 
+class Passing:
+    """Passes one large answer on to its client, as its final one."""
+
+    __slots__ = ("ingress", "held", "number", "sent")
+
+    def __init__(self, ingress: Ingress, held: Held, number: int) -> None:
+        self.ingress, self.held, self.number, self.sent = ingress, held, number, ingress.loop.time()
+
+    def begin(self, exchange: Exchange, head: Answer) -> None:
+        held, now = self.held, self.ingress.loop.time()
+        if held.answered:  # its client has gone, or has been told otherwise
+            self.ingress.upstream.cancel(exchange)
+            return
+        held.answered, held.flowing = True, now
+        if held.timer is not None:
+            held.timer.cancel()
+        held.client.begin(content_type(head), head.length, exchange)
+        self.ingress.submit(io.AttemptStarted(held.call.request.id, self.number, exchange.backend,
+                                              now - self.sent))
+
+    def part(self, data: bytes) -> None:
+        self.held.client.part(data)
+
+
+def content_type(answer: Answer) -> bytes:
+    """The line that tells a client what an answer holds."""
+    kind = answer.headers.get(b"content-type")
+    return b"Content-Type: %s\r\n" % kind if kind else b""
+
+
 def read_number(text: bytes) -> float:
     """A number of 0 or more, or 0 where there is none."""
     try:
--- /dev/null
+++ b/roadspur/net/request.py
@@ -0,0 +1,70 @@
+"""What a client's request says of itself: its headers made into the module's request, or found unsound."""
+
+from __future__ import annotations
+
+import re
+
+from roadspur import interface as io
+
+CUSTOMER = re.compile(rb"(?:/[^/?#]*)+?/([0-9a-fA-F]{16})(?:\?.*)?")
+CALL_ID = re.compile(rb"[!-~]{1,64}")
+BUDGET = re.compile(rb"([0-9]{1,10})([mu])")
+UNITS = re.compile(r"[0-9]{1,9}(?:\.[0-9]{1,9})?")
+COUNT = re.compile(r"[0-9]{1,9}")
+ONCE = {b"idempotency-key", b"host"}  # and all X- headers: two of them could be read in two ways
+MAX_CUSTOMER = 1 << 33
+MAX_BUDGET_S = 3600.0
+
+
+class BadRequest(ValueError):
+    """A request that cannot be what the protocol describes."""
+
+
+def read_request(settings: io.Settings, customer: bytes, method: bytes,
+                 headers: list[tuple[bytes, bytes]]) -> io.Request:
+    """The module's request out of the headers; BadRequest says what is wrong with them."""
+    values: dict[bytes, bytes] = {}
+    for name, value in headers:
+        key = name.lower()
+        if key in values and (key.startswith(b"x-") or key in ONCE):
+            raise BadRequest(f"{key.decode()}: more than one")
+        values[key] = value
+    number = int(customer, 16)
+    call_id, budget = values.get(b"x-call-id", b""), BUDGET.fullmatch(values.get(b"x-budget", b""))
+    class_name = values.get(b"x-call-class", b"").decode("latin-1")
+    plan = values.get(b"x-tier", b"").decode("latin-1")
+    cls = next((c for c in settings.classes if c.name == class_name), None)
+    if number >= MAX_CUSTOMER:
+        raise BadRequest("no such customer")
+    if CALL_ID.fullmatch(call_id) is None:
+        raise BadRequest("x-call-id: expected 1 to 64 visible characters")
+    if cls is None:
+        raise BadRequest("x-call-class: no such class")
+    if all(p.name != plan for p in settings.plans):
+        raise BadRequest("x-tier: no such plan")
+    if (method == b"GET") != (cls.effect is io.Effect.SAFE) or method not in (b"GET", b"POST"):
+        raise BadRequest("the method does not fit the class")
+    if cls.effect is io.Effect.KEYED and not values.get(b"idempotency-key"):
+        raise BadRequest("idempotency-key: missing")
+    expires_in = int(budget[1]) / (1e3 if budget[2] == b"m" else 1e6) if budget else 0.0
+    if not 0 < expires_in <= MAX_BUDGET_S:
+        raise BadRequest("x-budget: expected a time such as 480m")
+    if cls.deadline > 0:  # a silent backend must not hold a request for longer than any client waits
+        expires_in = min(expires_in, cls.deadline)
+    units, spread, first = _terms(values.get(b"x-call-terms", b""), settings)
+    return io.Request(call_id.decode(), class_name, plan, number, expires_in, units, spread, first,
+                      values.get(b"x-again") == b"1")
+
+
+def _terms(text: bytes, settings: io.Settings) -> tuple[float, int, int]:
+    pairs = [part.strip().partition("=")[::2] for part in text.decode("latin-1").split(",")]
+    terms = dict(pairs)
+    units, spread, first = (terms.get(key, "") for key in ("units", "spread", "first"))
+    if len(terms) < len(pairs) or not (UNITS.fullmatch(units) and COUNT.fullmatch(spread)
+                                       and COUNT.fullmatch(first)):
+        raise BadRequest("x-call-terms: expected units=, spread= and first=, each once")
+    if not 0 < float(units) <= settings.max_units:
+        raise BadRequest(f"x-call-terms: units: expected more than 0 and up to {settings.max_units:g}")
+    if not (1 <= int(spread) <= settings.instances and int(first) < settings.instances):
+        raise BadRequest("x-call-terms: spread and first: no such ingresses")
+    return float(units), int(spread), int(first)
--- a/roadspur/net/server.py
+++ b/roadspur/net/server.py
@@ -5,29 +5,25 @@
 import asyncio
 import http
 import itertools
-import re
 import select
+import socket
 from collections import deque
 from typing import NamedTuple, cast
 
 import httptools
 
-from roadspur import interface as io
 from roadspur.net.ingress import Ingress
+from roadspur.net.request import CUSTOMER, BadRequest, read_request
 from roadspur.net.steer import steer_away
-from roadspur.net.wire import MAX_BODY, MAX_HEAD, Call
-
-CUSTOMER = re.compile(rb"(?:/[^/?#]*)+?/([0-9a-fA-F]{16})(?:\?.*)?")
-CALL_ID = re.compile(rb"[!-~]{1,64}")
-BUDGET = re.compile(rb"([0-9]{1,10})([mu])")
-UNITS = re.compile(r"[0-9]{1,9}(?:\.[0-9]{1,9})?")
-COUNT = re.compile(r"[0-9]{1,9}")
-ONCE = {b"idempotency-key", b"host"}  # and all X- headers: two of them could be read in two ways
-MAX_CUSTOMER = 1 << 33
-MAX_BUDGET_S = 3600.0
+from roadspur.net.upstream import Exchange
+from roadspur.net.wire import MAX_HEAD, MAX_WHOLE, Call
+
 PIPELINE = 16  # requests read ahead on one connection
 SLOW_S = 2.0  # for a first byte, for the rest of a request, and for a client to read its answers
+FLOW_STALL_S = 10.0  # for a client to read any more of a large answer
+SEND_BYTES = 128 * 1024  # that the kernel holds of one: so a slow reader's progress is seen
 IDLE_S = 5.0  # between requests
+CHUNKED, CLOSE = b"Transfer-Encoding: chunked\r\n", b"Connection: close\r\n"
 SWEEP_S = 0.25
 NOTICE_S = 0.5  # after a drain begins, in which new connections go on coming for up to 0.4 s
 DRAIN_IDLE_S = 0.3  # without a request, after which a drain closes a connection
@@ -44,10 +40,6 @@
     why: str
 
 
-class BadRequest(ValueError):
-    """A request that cannot be what the protocol describes."""
-
-
 class ClientConnection(asyncio.Protocol):
     """One client's connection; requests on it are answered in turn."""
 
@@ -65,6 +57,9 @@
         self.began = 0.0  # when the request that is now coming in began; 0 between requests
         self.since = self.loop.time()  # of being idle
         self.full_since = 0.0  # of a client that does not read; 0 if it does
+        self.full_size = 0  # of what it has not read, when last looked at
+        self.source: Exchange | None = None  # of an answer that is on its way in parts
+        self.chunked = False  # as which they go
         self.reset()
 
     def reset(self) -> None:
@@ -120,9 +115,13 @@
     def pause_writing(self) -> None:
         """The client does not read its answers: what it asks for further waits, and not for long."""
         self.full_since = self.loop.time()
+        if self.source is not None:
+            self.source.pause()
 
     def resume_writing(self) -> None:
         self.full_since = 0.0
+        if self.source is not None:
+            self.source.resume()
         self.proceed()
 
     # From the parser.
@@ -148,9 +147,9 @@
         self.in_head = False
         for name, value in self.headers:
             key = name.lower()
-            if key == b"content-length" and int(value) > MAX_BODY:
-                raise BadRequest(413, f"a body holds at most {MAX_BODY} bytes")
-            if key == b"transfer-encoding" and value.lower() != b"chunked":
+            if key == b"content-length" and int(value) > MAX_WHOLE:
+                raise BadRequest(413, f"a body holds at most {MAX_WHOLE} bytes")
+            if key == b"transfer-encoding" and value.strip().lower() != b"chunked":
                 raise BadRequest(400, "transfer-encoding: expected chunked")
         if self.parser.should_upgrade():
             raise BadRequest(400, "no other protocol is spoken here")
@@ -158,8 +157,8 @@
             raise BadRequest(431, "the head is too long")
 
     def on_body(self, data: bytes) -> None:
-        if len(self.body) + len(data) > MAX_BODY:
-            raise BadRequest(413, f"a body holds at most {MAX_BODY} bytes")
+        if len(self.body) + len(data) > MAX_WHOLE:
+            raise BadRequest(413, f"a body holds at most {MAX_WHOLE} bytes")
         self.body += data
 
     def on_message_complete(self) -> None:
@@ -187,7 +186,8 @@
             return Early(503, "too many connections")
         start = [b"%s %s HTTP/1.1\r\n" % (self.parser.get_method(), self.url)]
         start += [b"%s: %s\r\n" % (n, v) for n, v in self.headers if n.lower() not in HOP_BY_HOP]
-        return Call(request, b"".join(start), bytes(self.body), self.loop.time())
+        return Call(request, b"".join(start), bytes(self.body), self.loop.time(),
+                    self.parser.get_http_version() != "1.0")
 
     # Answers, in the order of the requests.
 
@@ -205,7 +205,7 @@
             item, self.keep = self.waiting.popleft()
             if isinstance(item, Call):
                 self.call = item
-                self.server.ingress.take(item, self.reply)
+                self.server.ingress.take(item, self)
             else:
                 lines = b"Retry-After: 1\r\n" if item.status == 503 else b""
                 self.write(item.status, lines, item.why.encode())
@@ -223,18 +223,56 @@
         if self.waiting:  # not from here: this may be deep inside an event
             self.loop.call_soon(self.proceed)
 
+    def begin(self, lines: bytes, length: int | None, source: Exchange) -> None:
+        """The head of a final answer whose body follows in parts."""
+        assert self.call is not None and self.transport is not None
+        self.chunked = length is None and self.call.chunks
+        if length is None and not self.chunked:  # only the connection's end can end it
+            self.keep = False
+        sock = self.transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BYTES)
+        self.source = source
+        lines += b"Content-Length: %d\r\n" % length if length is not None else CHUNKED * self.chunked
+        self.write_head(200, lines)
+
+    def part(self, data: bytes) -> None:
+        if self.transport is not None and not self.closing:
+            self.transport.write(b"%x\r\n%s\r\n" % (len(data), data) if self.chunked else data)
+
+    def finish(self) -> None:
+        """The last part has been passed on."""
+        self.call = self.source = None
+        if self.transport is None or self.closing:
+            return
+        if self.chunked:
+            self.transport.write(b"0\r\n\r\n")
+        self.since = self.loop.time()
+        if not self.keep:
+            self.close()
+        elif self.waiting:
+            self.loop.call_soon(self.proceed)
+
+    def break_off(self) -> None:
+        """The rest cannot be had: the client is to see that its answer is not whole."""
+        self.call = self.source = None
+        if self.transport is not None:
+            self.closing = True
+            self.transport.abort()
+
     def write(self, status: int, lines: bytes, body: bytes) -> None:
         if self.transport is None or self.closing:
             return
         self.since = self.loop.time()
-        close = not self.keep or self.server.draining
-        if close:
-            lines += b"Connection: close\r\n"
-        self.transport.write(b"HTTP/1.1 %d %s\r\n%sContent-Length: %d\r\n\r\n%s" % (
-            status, http.HTTPStatus(status).phrase.encode(), lines, len(body), body))
-        if close:
+        self.write_head(status, b"%sContent-Length: %d\r\n" % (lines, len(body)), body)
+        if not self.keep:
             self.close()
 
+    def write_head(self, status: int, lines: bytes, body: bytes = b"") -> None:
+        assert self.transport is not None
+        self.keep = self.keep and not self.server.draining
+        self.transport.write(b"HTTP/1.1 %d %s\r\n%s%s\r\n%s" % (
+            status, http.HTTPStatus(status).phrase.encode(), lines, b"" if self.keep else CLOSE, body))
+
     def close(self) -> None:
         """Close. A client still sending gets a moment to read the answer, which a reset would destroy."""
         if self.closing or self.transport is None:
@@ -264,7 +302,10 @@
         if self.closing or self.transport is None:
             return
         if self.full_since:
-            if now - self.full_since > SLOW_S:
+            size, self.full_size = self.full_size, self.transport.get_write_buffer_size()
+            if self.full_size < size:  # it reads, if slowly
+                self.full_since = now
+            if now - self.full_since > (FLOW_STALL_S if self.source is not None else SLOW_S):
                 self.closing = True
                 self.transport.abort()
         elif self.began:
@@ -358,53 +399,3 @@
         if self.drain_task is not None:
             self.drain_task.cancel()
         self.sweeper.cancel()
-
-
-def read_request(settings: io.Settings, customer: bytes, method: bytes,
-                 headers: list[tuple[bytes, bytes]]) -> io.Request:
-    """The module's request out of the headers; BadRequest says what is wrong with them."""
-    values: dict[bytes, bytes] = {}
-    for name, value in headers:
-        key = name.lower()
-        if key in values and (key.startswith(b"x-") or key in ONCE):
-            raise BadRequest(f"{key.decode()}: more than one")
-        values[key] = value
-    number = int(customer, 16)
-    call_id, budget = values.get(b"x-call-id", b""), BUDGET.fullmatch(values.get(b"x-budget", b""))
-    class_name = values.get(b"x-call-class", b"").decode("latin-1")
-    plan = values.get(b"x-tier", b"").decode("latin-1")
-    cls = next((c for c in settings.classes if c.name == class_name), None)
-    if number >= MAX_CUSTOMER:
-        raise BadRequest("no such customer")
-    if CALL_ID.fullmatch(call_id) is None:
-        raise BadRequest("x-call-id: expected 1 to 64 visible characters")
-    if cls is None:
-        raise BadRequest("x-call-class: no such class")
-    if all(p.name != plan for p in settings.plans):
-        raise BadRequest("x-tier: no such plan")
-    if (method == b"GET") != (cls.effect is io.Effect.SAFE) or method not in (b"GET", b"POST"):
-        raise BadRequest("the method does not fit the class")
-    if cls.effect is io.Effect.KEYED and not values.get(b"idempotency-key"):
-        raise BadRequest("idempotency-key: missing")
-    expires_in = int(budget[1]) / (1e3 if budget[2] == b"m" else 1e6) if budget else 0.0
-    if not 0 < expires_in <= MAX_BUDGET_S:
-        raise BadRequest("x-budget: expected a time such as 480m")
-    if cls.deadline > 0:  # a silent backend must not hold a request for longer than any client waits
-        expires_in = min(expires_in, cls.deadline)
-    units, spread, first = _terms(values.get(b"x-call-terms", b""), settings)
-    return io.Request(call_id.decode(), class_name, plan, number, expires_in, units, spread, first,
-                      values.get(b"x-again") == b"1")
-
-
-def _terms(text: bytes, settings: io.Settings) -> tuple[float, int, int]:
-    pairs = [part.strip().partition("=")[::2] for part in text.decode("latin-1").split(",")]
-    terms = dict(pairs)
-    units, spread, first = (terms.get(key, "") for key in ("units", "spread", "first"))
-    if len(terms) < len(pairs) or not (UNITS.fullmatch(units) and COUNT.fullmatch(spread)
-                                       and COUNT.fullmatch(first)):
-        raise BadRequest("x-call-terms: expected units=, spread= and first=, each once")
-    if not 0 < float(units) <= settings.max_units:
-        raise BadRequest(f"x-call-terms: units: expected more than 0 and up to {settings.max_units:g}")
-    if not (1 <= int(spread) <= settings.instances and int(first) < settings.instances):
-        raise BadRequest("x-call-terms: spread and first: no such ingresses")
-    return float(units), int(spread), int(first)
--- a/roadspur/net/upstream.py
+++ b/roadspur/net/upstream.py
@@ -6,7 +6,7 @@
 import logging
 import socket
 from collections.abc import Callable
-from typing import NamedTuple, cast
+from typing import NamedTuple, Protocol, cast
 
 from roadspur import interface as io
 from roadspur.net.wire import Address, Answer, AnswerReader
@@ -16,6 +16,8 @@
 IDLE_SHARE = 0.5  # of the backends' own idle time, after which a connection is no longer trusted
 SWEEP_S = 1.0
 STALL_S = 0.25  # in the middle of an answer, after which the rest is not waited for
+FLOW_STALL_S = 5.0  # the same where its first part has been passed on: the client can get no other
+READ_BYTES = 128 * 1024  # that the kernel holds of an answer, and one read takes in, at most
 REFUSED_STATUS = (503, 504)
 UNSURE = (io.Outcome.TIMEOUT, io.Outcome.CANCELLED)
 
@@ -27,6 +29,14 @@
     born: float
 
 
+class Sink(Protocol):
+    """Where a large answer goes as it comes."""
+
+    def begin(self, exchange: Exchange, head: Answer) -> None: ...
+
+    def part(self, data: bytes) -> None: ...
+
+
 class Exchange:
     """One request to a backend and its one outcome, told through `on_end`.
 
@@ -35,8 +45,10 @@
     """
 
     def __init__(self, backend: str, message: Callable[[], bytes], may_send: Callable[[], bool],
-                 on_end: Callable[[Exchange, io.Outcome, Answer | None], None]) -> None:
+                 on_end: Callable[[Exchange, io.Outcome, Answer | None], None],
+                 sink: Sink | None = None) -> None:
         self.backend, self.message, self.may_send, self.on_end = backend, message, may_send, on_end
+        self.sink = sink
         self.connection: Connection | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.written = False  # from here on it may have run
@@ -52,6 +64,21 @@
             self.timer.cancel()
         self.on_end(self, outcome, answer)
 
+    def begin(self, sink: Sink, head: Answer) -> None:
+        """A large answer has begun: from here on it is not timed."""
+        if self.timer is not None:
+            self.timer.cancel()
+        sink.begin(self, head)
+
+    def pause(self) -> None:
+        """Whoever reads the answer is behind."""
+        if self.connection is not None:
+            self.connection.pause()
+
+    def resume(self) -> None:
+        if self.connection is not None:
+            self.connection.resume()
+
     def give_up(self, outcome: io.Outcome) -> None:
         """Stop waiting. The connection is ended first, so that what is sent next is no second copy."""
         if self.ended:
@@ -68,10 +95,10 @@
     def __init__(self, pool: Pool, sock: socket.socket) -> None:
         self.pool, self.sock = pool, sock
         self.transport: asyncio.Transport | None = None
-        self.reader = AnswerReader()
+        self.reader = AnswerReader(flows=True)
         self.exchange: Exchange | None = None
         self.idle_since = 0.0
-        self.closed = False
+        self.closed = self.flowing = self.paused = False
         self.stall: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -108,8 +135,17 @@
         if self.exchange is None:
             self.drop()
             return
-        answers = self.reader.feed(data)
-        if answers:
+        self.read(self.reader.feed(data))
+
+    def eof_received(self) -> None:
+        if self.exchange is not None:
+            self.read(self.reader.end())
+
+    def read(self, answers: list[Answer]) -> None:
+        """Go by what the reader has made of a read."""
+        if self.reader.head is not None:
+            self.flow(self.reader.head, bool(answers))
+        elif answers:
             clean = len(answers) == 1 and not self.reader.partial and not self.reader.broken
             self.answered(answers[0], clean)
         elif self.reader.broken:
@@ -117,10 +153,47 @@
         elif self.reader.partial:
             self.stall = self.pool.loop.call_later(STALL_S, self.stalled)
 
+    def flow(self, head: Answer, surplus: bool) -> None:
+        """Pass on what has come of a large answer; a probe's, which nobody reads, is spoilt."""
+        exchange, reader = self.exchange, self.reader
+        if exchange is None or exchange.sink is None:
+            self.spoilt("the body is too large")
+            return
+        if not self.flowing:
+            self.flowing = True
+            exchange.begin(exchange.sink, head)
+        if (part := reader.take()) and not self.closed:
+            exchange.sink.part(part)
+        if self.closed:  # its reader has gone
+            return
+        if reader.done:
+            self.answered(head, not (surplus or reader.partial or reader.broken))
+        elif reader.broken:
+            self.spoilt(reader.broken)
+        elif not self.paused:
+            self.stall = self.pool.loop.call_later(FLOW_STALL_S, self.stalled)
+
+    def pause(self) -> None:
+        if not self.paused and not self.closed and self.transport is not None:
+            self.paused = True
+            self.transport.pause_reading()
+            if self.stall is not None:
+                self.stall.cancel()
+
+    def resume(self) -> None:
+        if self.paused and not self.closed and self.transport is not None:
+            self.paused = False
+            self.transport.resume_reading()
+            self.stall = self.pool.loop.call_later(FLOW_STALL_S, self.stalled)
+
     def answered(self, answer: Answer, clean: bool) -> None:
         exchange, self.exchange = self.exchange, None
         assert exchange is not None
         exchange.connection = None
+        self.flowing = False
+        self.resume()
+        if self.stall is not None:
+            self.stall.cancel()
         if clean and answer.keep and not self.closed:
             self.pool.keep(self)
         else:
@@ -299,6 +372,7 @@
         try:
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, READ_BYTES)
             async with asyncio.timeout(self.connect_timeout):
                 await self.loop.sock_connect(sock, pool.endpoint.address)
         except BaseException:
