Requests over 64 KiB flow through to the backend, with time running from their last byte

A body over 64 KiB got a 413. It is now decided on when its first part is there, goes out as it comes, and counts as out and as timed once it is whole (AttemptWritten). Once a part has gone there is no further attempt. A client may take 2.5 s for a head and must then send 32 kB a second at least. 'Expect: 100-continue' and an address before the path are understood.

--- a/roadspur/control.py
+++ b/roadspur/control.py
@@ -173,8 +173,8 @@
         self.on: dict[type, Callable[[float, Any], Any]] = {
             io.Request: self.request, io.CounterReply: self.counted, io.AttemptEnded: self.ended,
             io.ListUpdate: self.listed, io.TimerFired: self.timer, io.PeerMessage: self.heard,
-            io.ClientGone: self.gone, io.AttemptStarted: self.started, io.Cordon: self.cordon,
-            io.Cordons: self.restore}
+            io.ClientGone: self.gone, io.AttemptStarted: self.started,
+            io.AttemptWritten: self.written, io.Cordon: self.cordon, io.Cordons: self.restore}
 
     def handle(self, now: float, event: io.Event) -> list[io.Action]:
         """Decide on one event."""
@@ -565,12 +565,24 @@
             return bisect.insort_right(self.queue, f, key=lambda g: -g.value)
         f.attempts += 1
         f.sent, f.sent_on = now, True
-        best.out[f.req.id] = (now, f.cls.name, f.req.plan)
-        self.out += 1
+        if not f.req.flows:  # no work for a backend before it has come whole
+            self.occupy(now, f, best)
         if self.fleet.cold(now, best) < 1.0:
             best.tokens -= 1.0
         self.acts.append(io.Attempt(f.req.id, best.entry.backend))
 
+    def occupy(self, now: float, f: Flight, b: Backend) -> None:
+        """An attempt is out at a backend."""
+        b.out[f.req.id] = (now, f.cls.name, f.req.plan)
+        self.out += 1
+
+    def written(self, now: float, e: io.AttemptWritten) -> None:
+        """A body that came slowly has gone out whole: only now does the request's time run."""
+        f, b = self.flights.get(e.request), self.fleet.backends.get(e.backend)
+        if f is not None and b is not None:
+            f.sent, f.aim = now, now + min(f.cls.objective, f.req.expires_in)
+            self.occupy(now, f, b)
+
     def dispatch(self, now: float) -> None:
         """Send what is held as slots come free; it is looked through in full at each beat only."""
         for _ in range(len(self.queue)):
@@ -697,7 +709,7 @@
             return
         f.bad.add(e.backend)
         jammed = e.outcome is io.Outcome.FULL and self.press > PRESSED  # elsewhere it is full too
-        if not jammed and self.may_send(now, f, f.ran_at):
+        if not jammed and not e.spent and self.may_send(now, f, f.ran_at):
             self.send(now, f)
         else:
             self.refuse(now, f, 0.0)
--- a/roadspur/interface.py
+++ b/roadspur/interface.py
@@ -187,6 +187,7 @@
     first: int = 0
     is_repeat: bool = False
     is_write: bool = False
+    flows: bool = False  # its body is still coming, and goes on to a backend as it comes
 
 
 class AttemptStarted(NamedTuple):
@@ -198,9 +199,17 @@
     elapsed: float
 
 
+class AttemptWritten(NamedTuple):
+    """The last byte of a flowing request has gone out: the backend may begin, and its time runs."""
+
+    request: str
+    attempt: int
+    backend: str
+
+
 @dataclass(frozen=True, slots=True)
 class AttemptEnded:
-    """How an attempt ended. `done`: the request has its final answer."""
+    """How an attempt ended. `done`: the request has its final answer; `spent`: its body is gone."""
 
     request: str
     attempt: int
@@ -211,6 +220,7 @@
     metered: int = 0
     true_units: float = 0.0
     load: Mapping[str, float] = field(default_factory=dict)
+    spent: bool = False
 
 
 class ClientGone(NamedTuple):
@@ -271,8 +281,8 @@
     bans: Mapping[str, Ban]
 
 
-Event = Union[ListUpdate, Request, AttemptStarted, AttemptEnded, ClientGone, TimerFired, ProbeEnded,
-              PeerMessage, CounterReply, Cordon, Cordons]
+Event = Union[ListUpdate, Request, AttemptWritten, AttemptStarted, AttemptEnded, ClientGone, TimerFired,
+              ProbeEnded, PeerMessage, CounterReply, Cordon, Cordons]
 
 
 class Attempt(NamedTuple):
--- /dev/null
+++ b/roadspur/net/client.py
@@ -0,0 +1,396 @@
+"""The client side: HTTP/1.1 requests in, one answer each out, and /healthz."""
+
+from __future__ import annotations
+
+import asyncio
+import http
+import re
+import select
+import socket
+from collections import deque
+from typing import TYPE_CHECKING, NamedTuple, cast
+
+import httptools
+
+from roadspur.net.request import CUSTOMER, BadRequest, read_request
+from roadspur.net.upload import Upload
+from roadspur.net.upstream import Exchange
+from roadspur.net.wire import MAX_BODY, MAX_HEAD, MAX_WHOLE, Call
+
+if TYPE_CHECKING:
+    from roadspur.net.server import Server
+
+PIPELINE = 16  # requests read ahead on one connection
+SLOW_S = 2.5  # for a first byte, for a head, and for a client to read its answers
+SLOW_RATE = 32 * 1024  # bytes a second of a body that come at least
+FLOW_STALL_S = 10.0  # for a client to read any more of a large answer
+SEND_BYTES = 128 * 1024  # that the kernel holds of one: so a slow reader's progress is seen
+IDLE_S = 5.0  # between requests
+ABSOLUTE = re.compile(rb"(?i:https?)://[^/?#]*")  # what a client may write before the path
+CHUNKED, CLOSE = b"Transfer-Encoding: chunked\r\n", b"Connection: close\r\n"
+LINGER_S = 0.5  # for a client to read the last answer
+LINGER_BYTES = 256 * 1024  # that are read, and thrown away, meanwhile
+HOP_BY_HOP = {b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding",
+              b"upgrade", b"expect", b"content-length", b"x-budget"}
+
+
+class Early(NamedTuple):
+    """An answer that no decision is needed for."""
+
+    status: int
+    why: str
+
+
+class ClientConnection(asyncio.Protocol):
+    """One client's connection; requests on it are answered in turn."""
+
+    def __init__(self, server: Server) -> None:
+        self.server = server
+        self.loop = server.loop
+        self.parser = httptools.HttpRequestParser(self)
+        self.transport: asyncio.Transport | None = None
+        self.waiting: deque[tuple[Call | Early, bool]] = deque()
+        self.call: Call | None = None  # the one that is being decided on
+        self.upload_call: Call | None = None  # the one whose body is still coming
+        self.held_since = 0.0  # of not reading its body; 0 if it is read
+        self.keep = True  # whether the connection stays open after the present answer
+        self.closing = self.deaf = self.paused = self.crowded = False
+        self.heard = next(server.order)
+        self.used = False  # a request has come
+        self.began = 0.0  # when the request that is now coming in began; 0 between requests
+        self.since = self.loop.time()  # of being idle
+        self.full_since = 0.0  # of a client that does not read; 0 if it does
+        self.full_size = 0  # of what it has not read, when last looked at
+        self.source: Exchange | None = None  # of an answer that is on its way in parts
+        self.chunked = False  # as which they go
+        self.reset()
+
+    def reset(self) -> None:
+        """Ready for the next request's bytes."""
+        self.url = b""
+        self.headers: list[tuple[bytes, bytes]] = []
+        self.body = bytearray()
+        self.size, self.in_head, self.fresh = 0, True, True
+        self.length: int | None = None  # of the body, as the head tells it
+        self.got = 0  # of it
+
+    # From the socket.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)  # no subclass of it under uvloop
+        self.server.joined(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.closing = True
+        self.server.connections.discard(self)
+        self.waiting.clear()
+        call, self.call = self.call, None
+        if call is not None:
+            self.server.ingress.gone(call)
+
+    def data_received(self, data: bytes) -> None:
+        if self.deaf:  # the rest of a request that was turned away unread
+            self.size += len(data)
+            if self.size > LINGER_BYTES and self.transport is not None and not self.paused:
+                self.paused = True
+                self.transport.pause_reading()
+            return
+        self.heard = next(self.server.order)
+        self.began = self.began or self.loop.time()
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            cause = error.__context__
+            if isinstance(cause, BadRequest):
+                self.fault(int(cause.args[0]), str(cause.args[1]))
+            else:
+                self.fault(400, "malformed HTTP")
+            return
+        if self.in_head and self.began:  # the parser itself would take in a head that never ends
+            self.size += 0 if self.fresh else len(data)
+            self.fresh = False
+            if self.size > MAX_HEAD:
+                self.fault(431, "the head is too long")
+
+    def fault(self, status: int, why: str) -> None:
+        """Answer what cannot be read on, after what came before it, and close."""
+        self.deaf, self.size, self.body = True, 0, bytearray()
+        call, self.upload_call = self.upload_call, None
+        if call is None:
+            self.server.ingress.tally.counts[f"turned away {status}"] += 1
+            self.enqueue(Early(status, why), keep=False)
+        elif call is self.call:  # its first part has been taken
+            self.server.ingress.withdraw(call, status)
+        elif any(call is item for item, _ in self.waiting):
+            self.waiting.pop()
+            self.enqueue(Early(status, why), keep=False)
+        else:  # it has been answered
+            self.close()
+
+    def pause_writing(self) -> None:
+        """The client does not read its answers: what it asks for further waits, and not for long."""
+        self.full_since = self.loop.time()
+        if self.source is not None:
+            self.source.pause()
+
+    def resume_writing(self) -> None:
+        self.full_since = 0.0
+        if self.source is not None:
+            self.source.resume()
+        self.proceed()
+
+    # From the parser.
+
+    def on_message_begin(self) -> None:
+        self.reset()
+        self.began = self.loop.time()
+
+    def on_url(self, url: bytes) -> None:
+        self.url += url
+        if len(self.url) > MAX_HEAD:
+            raise BadRequest(431, "the head is too long")
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if self.in_head:  # and not in a trailer, behind a chunked body
+            self.headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """What the head tells already is turned down before any body comes.
+
+        The parser refuses both framings at once, two lengths, and lengths that are no plain number.
+        """
+        self.in_head = False
+        for name, value in self.headers:
+            key = name.lower()
+            if key == b"content-length":
+                self.length = int(value)
+                if self.length > MAX_BODY:
+                    raise BadRequest(413, f"a body holds at most {MAX_BODY} bytes")
+            if key == b"transfer-encoding" and value.strip().lower() != b"chunked":
+                raise BadRequest(400, "transfer-encoding: expected chunked")
+        if self.parser.should_upgrade():
+            raise BadRequest(400, "no other protocol is spoken here")
+        if len(self.url) + sum(len(n) + len(v) + 4 for n, v in self.headers) > MAX_HEAD:
+            raise BadRequest(431, "the head is too long")
+        if self.transport is not None and self.expects():
+            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        if self.length is not None and self.length > MAX_WHOLE:
+            self.let_flow()
+
+    def expects(self) -> bool:
+        """Whether the client waits to be told to send its body; one with answers before it waits in vain."""
+        told = any(n.lower() == b"expect" and v.lower() == b"100-continue" for n, v in self.headers)
+        return told and self.call is None and not self.waiting
+
+    def let_flow(self) -> None:
+        """The body is too large to be held: the request is decided on before it has come."""
+        item = self.read()
+        if isinstance(item, Early):
+            raise BadRequest(item.status, item.why)
+        item.upload, item.body = Upload(self.length, self.hold), b""
+        self.upload_call = item
+        self.enqueue(item, self.parser.should_keep_alive())
+        if self.body:
+            item.upload.feed(bytes(self.body))
+            self.body.clear()
+
+    def on_body(self, data: bytes) -> None:
+        self.got += len(data)
+        if self.got > MAX_BODY:
+            raise BadRequest(413, f"a body holds at most {MAX_BODY} bytes")
+        if self.upload_call is None and self.got > MAX_WHOLE:
+            self.let_flow()
+        if self.upload_call is not None and self.upload_call.upload is not None:
+            self.upload_call.upload.feed(data)
+        else:
+            self.body += data
+
+    def on_message_complete(self) -> None:
+        self.began, self.in_head, self.used = 0.0, True, True
+        call, self.upload_call = self.upload_call, None
+        if call is not None and call.upload is not None:
+            self.hold(False)
+            self.server.ingress.whole(call)
+            call.upload.finish()
+            if call.upload.unwanted:  # answered before
+                self.close()
+            return
+        item = self.read()
+        if isinstance(item, Early) and item.status in (400, 404):  # who repeats it has to connect anew
+            self.fault(item.status, item.why)
+        else:
+            self.enqueue(item, self.parser.should_keep_alive() and not self.crowded)
+
+    def hold(self, on: bool) -> None:
+        """Stop reading, or go on: a body's next hop is behind, or there is none yet."""
+        if on and not self.held_since:
+            self.held_since = self.loop.time()
+        elif not on and self.held_since:
+            if self.began:  # what the client could not send is not its fault
+                self.began += self.loop.time() - self.held_since
+            self.held_since = 0.0
+        self.regulate()
+
+    def regulate(self) -> None:
+        """Read, or do not, as the requests read ahead and a body on its way allow."""
+        want = self.deaf or not (self.held_since or len(self.waiting) > PIPELINE)
+        if self.transport is None or self.closing or want is not self.paused:
+            return
+        self.paused = not want
+        if want:
+            self.transport.resume_reading()
+        else:
+            self.transport.pause_reading()
+
+    def read(self) -> Call | Early:
+        """The request that has come, or the answer to one that is none of ours."""
+        url = ABSOLUTE.sub(b"", self.url, 1) if self.url[:1] != b"/" else self.url
+        if url.partition(b"?")[0] == b"/healthz":
+            return Early(200 if self.server.healthy() else 503, "")
+        match = CUSTOMER.fullmatch(url)
+        if match is None:
+            return Early(404, "no such path")
+        try:
+            request = read_request(self.server.ingress.settings, match[1], self.parser.get_method(),
+                                   self.headers)
+        except BadRequest as error:
+            return Early(400, str(error))
+        if self.crowded:
+            self.server.ingress.tally.totals[f"rejected.{request.class_name}"] += 1
+            return Early(503, "too many connections")
+        start = [b"%s %s HTTP/1.1\r\n" % (self.parser.get_method(), url)]
+        start += [b"%s: %s\r\n" % (n, v) for n, v in self.headers if n.lower() not in HOP_BY_HOP]
+        return Call(request, b"".join(start), bytes(self.body), self.loop.time(),
+                    self.parser.get_http_version() != "1.0")
+
+    # Answers, in the order of the requests.
+
+    def enqueue(self, item: Call | Early, keep: bool) -> None:
+        self.waiting.append((item, keep))
+        self.regulate()
+        if self.call is None:
+            self.proceed()
+
+    def proceed(self) -> None:
+        """Go on with what has been read ahead, until there is one that must wait for its answer."""
+        while self.waiting and self.call is None and not self.closing and not self.full_since:
+            item, self.keep = self.waiting.popleft()
+            if isinstance(item, Call):
+                self.call = item
+                self.server.ingress.take(item, self)
+            else:
+                lines = b"Retry-After: 1\r\n" if item.status == 503 else b""
+                self.write(item.status, lines, item.why.encode())
+        if not self.deaf:
+            self.regulate()
+
+    def reply(self, status: int, lines: bytes, body: bytes) -> None:
+        """The final answer to the present request."""
+        call, self.call = self.call, None
+        if status == 400:  # found to be bad only there: an id that another holds
+            self.deaf, self.keep = True, False
+        if call is not None and call.upload is not None and not call.upload.whole:
+            self.keep = False  # and the rest of its body is read, so that the answer is
+            call.upload.drop()
+        self.write(status, lines, body)
+        if self.waiting:  # not from here: this may be deep inside an event
+            self.loop.call_soon(self.proceed)
+
+    def begin(self, lines: bytes, length: int | None, source: Exchange) -> None:
+        """The head of a final answer whose body follows in parts."""
+        assert self.call is not None and self.transport is not None
+        self.chunked = length is None and self.call.chunks
+        if length is None and not self.chunked:  # only the connection's end can end it
+            self.keep = False
+        sock = self.transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BYTES)
+        self.source = source
+        lines += b"Content-Length: %d\r\n" % length if length is not None else CHUNKED * self.chunked
+        self.write_head(200, lines)
+
+    def part(self, data: bytes) -> None:
+        if self.transport is not None and not self.closing:
+            self.transport.write(b"%x\r\n%s\r\n" % (len(data), data) if self.chunked else data)
+
+    def finish(self) -> None:
+        """The last part has been passed on."""
+        self.call = self.source = None
+        if self.transport is None or self.closing:
+            return
+        if self.chunked:
+            self.transport.write(b"0\r\n\r\n")
+        self.since = self.loop.time()
+        if not self.keep:
+            self.close()
+        elif self.waiting:
+            self.loop.call_soon(self.proceed)
+
+    def break_off(self) -> None:
+        """The rest cannot be had: the client is to see that its answer is not whole."""
+        self.call = self.source = None
+        if self.transport is not None:
+            self.closing = True
+            self.transport.abort()
+
+    def write(self, status: int, lines: bytes, body: bytes) -> None:
+        if self.transport is None or self.closing:
+            return
+        self.since = self.loop.time()
+        self.write_head(status, b"%sContent-Length: %d\r\n" % (lines, len(body)), body)
+        if not self.keep:
+            self.close()
+
+    def write_head(self, status: int, lines: bytes, body: bytes = b"") -> None:
+        assert self.transport is not None
+        self.keep = self.keep and not self.server.draining
+        self.transport.write(b"HTTP/1.1 %d %s\r\n%s%s\r\n%s" % (
+            status, http.HTTPStatus(status).phrase.encode(), lines, b"" if self.keep else CLOSE, body))
+
+    def close(self) -> None:
+        """Close. A client still sending gets a moment to read the answer, which a reset would destroy."""
+        if self.closing or self.transport is None or self.upload_call is not None:
+            return
+        self.closing = True
+        if self.deaf:
+            self.transport.write_eof()
+        else:
+            self.transport.close()
+        self.loop.call_later(LINGER_S, self.transport.abort)  # whether or not it reads
+
+    def idle(self) -> bool:
+        """Between requests, with nothing unread: closing it can at most cross a request."""
+        if self.call is not None or self.waiting or self.began or self.closing or self.transport is None:
+            return False
+        return not self.unread()
+
+    def unread(self) -> bool:
+        """Whether bytes have come that this program has not got round to reading."""
+        assert self.transport is not None
+        poll = select.poll()
+        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
+    def sweep(self, now: float) -> None:
+        """Nothing is waited for without end: a first byte, the rest of a request, the next one, a reader."""
+        if self.closing or self.transport is None:
+            return
+        if self.full_since:
+            size, self.full_size = self.full_size, self.transport.get_write_buffer_size()
+            if self.full_size < size:  # it reads, if slowly
+                self.full_since = now
+            if now - self.full_since > (FLOW_STALL_S if self.source is not None else SLOW_S):
+                self.closing = True
+                self.transport.abort()
+        elif self.began:
+            self.hurry(now)
+        elif now - self.since > (IDLE_S if self.used else SLOW_S) and self.idle():
+            self.close()
+
+
+    def hurry(self, now: float) -> None:
+        """A request comes whole in time: its head, and then its body no slower than any client sends."""
+        if self.held_since:
+            if now - self.held_since > FLOW_STALL_S and self.upload_call is not None:
+                self.server.ingress.stuck(self.upload_call)
+        elif now - self.began > SLOW_S + self.got / SLOW_RATE and not self.deaf and not self.unread():
+            self.fault(408, "the request did not come whole in time")
--- a/roadspur/net/ingress.py
+++ b/roadspur/net/ingress.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 import time
 from collections import deque
 from collections.abc import Mapping
@@ -163,8 +164,33 @@
         left = call.came + r.expires_in - self.loop.time()
         left -= min(MARGIN_S, MARGIN_SHARE * r.expires_in)
         held = self.held[r.id] = Held(call, client, self.loop.time() + left)
+        if call.upload is None or call.upload.whole:
+            held.timer = self.loop.call_at(held.deadline, self.overdue, held)
+        else:
+            held.deadline = math.inf  # until its last byte has come
+        self.submit(r._replace(expires_in=max(0.0, left), flows=call.upload is not None))
+
+    def whole(self, call: Call) -> None:
+        """The body of a request that was taken before has come whole: its time runs from here on."""
+        held = self.held.get(call.request.id)
+        if held is None or held.call is not call or held.answered:
+            return
+        expires_in, call.came = call.request.expires_in, self.loop.time()
+        held.deadline = call.came + expires_in - min(MARGIN_S, MARGIN_SHARE * expires_in)
         held.timer = self.loop.call_at(held.deadline, self.overdue, held)
-        self.submit(r._replace(expires_in=max(0.0, left)))
+
+    def withdraw(self, call: Call, status: int) -> None:
+        """The rest of a request that was taken before will not come, or cannot be read."""
+        held = self.held.get(call.request.id)
+        if held is not None and held.call is call and not held.answered:
+            self.submit(io.ClientGone(call.request.id))
+            self.answer(held, status)
+
+    def stuck(self, call: Call) -> None:
+        """A backend has taken in nothing of a body for too long."""
+        held = self.held.get(call.request.id)
+        if held is not None and held.call is call and held.exchange is not None:
+            self.upstream.expire(held.exchange)
 
     def gone(self, call: Call) -> None:
         """The client has closed its connection: nothing more goes out for its request.
@@ -272,23 +298,26 @@
         number, held.attempts = held.attempts, held.attempts + 1
         held.trail.append((now, a.backend))
 
+        upload, passing = held.call.upload, Passing(self, held, number)
+
         def message() -> bytes:
-            self.tally.totals["upstream_requests"] += 1
-            return held.call.message(max(0.001, held.deadline - self.loop.time()))
+            self.tally.totals["upstream_requests"] += upload is None
+            left = min(held.deadline - self.loop.time(), held.call.request.expires_in)
+            return held.call.message(max(0.001, left))
 
         def may_send() -> bool:
             return not held.answered and self.open_to(a.backend)
 
         def ended(exchange: Exchange, outcome: io.Outcome, answer: Answer | None) -> None:
-            self.ended(held, number, exchange, outcome, answer, now)
+            self.ended(passing, exchange, outcome, answer)
 
-        exchange = held.exchange = Exchange(a.backend, message, may_send, ended, Passing(self, held, number))
+        exchange = held.exchange = Exchange(a.backend, message, may_send, ended, passing, upload)
         left = held.deadline - now
         self.upstream.send(exchange, left if a.timeout is None else min(left, a.timeout))
 
-    def ended(self, held: Held, number: int, exchange: Exchange, outcome: io.Outcome, answer: Answer | None,
-              sent: float) -> None:
+    def ended(self, passing: Passing, exchange: Exchange, outcome: io.Outcome, answer: Answer | None) -> None:
         """An attempt has its outcome: a whole 200 is the answer, anything else is the module's to decide."""
+        held = passing.held
         held.exchange = None
         held.trail.append((self.loop.time(), outcome.value))
         self.tally.counts[f"attempt {outcome.value}"] += 1
@@ -302,8 +331,10 @@
                 self.answer(held, 200, content_type(answer), answer.body)
         if held.flowing:
             self.passed(held, outcome)
-        self.submit(io.AttemptEnded(held.call.request.id, number, exchange.backend, outcome,
-                                    self.loop.time() - sent, held.answered, true_units=units,
+        upload = held.call.upload
+        self.submit(io.AttemptEnded(held.call.request.id, passing.number, exchange.backend, outcome,
+                                    self.loop.time() - passing.sent, held.answered, true_units=units,
+                                    spent=upload is not None and upload.spent,
                                     load=self.load(answer) if self.settings.load_in_answers else {}))
         self.forget(held)
 
@@ -385,6 +416,12 @@
     def __init__(self, ingress: Ingress, held: Held, number: int) -> None:
         self.ingress, self.held, self.number, self.sent = ingress, held, number, ingress.loop.time()
 
+    def written(self, exchange: Exchange) -> None:
+        """A large body has gone out whole."""
+        self.sent = self.ingress.loop.time()
+        self.ingress.tally.totals["upstream_requests"] += 1
+        self.ingress.submit(io.AttemptWritten(self.held.call.request.id, self.number, exchange.backend))
+
     def begin(self, exchange: Exchange, head: Answer) -> None:
         held, now = self.held, self.ingress.loop.time()
         if held.answered:  # its client has gone, or has been told otherwise
--- a/roadspur/net/upstream.py
+++ b/roadspur/net/upstream.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import logging
+import math
 import socket
 from collections.abc import Callable
 from typing import NamedTuple, Protocol, cast
 
 from roadspur import interface as io
+from roadspur.net.upload import Upload
 from roadspur.net.wire import Address, Answer, AnswerReader
 
 log = logging.getLogger(__name__)
@@ -32,6 +34,8 @@
 class Sink(Protocol):
     """Where a large answer goes as it comes."""
 
+    def written(self, exchange: Exchange) -> None: ...
+
     def begin(self, exchange: Exchange, head: Answer) -> None: ...
 
     def part(self, data: bytes) -> None: ...
@@ -46,9 +50,9 @@
 
     def __init__(self, backend: str, message: Callable[[], bytes], may_send: Callable[[], bool],
                  on_end: Callable[[Exchange, io.Outcome, Answer | None], None],
-                 sink: Sink | None = None) -> None:
+                 sink: Sink | None = None, upload: Upload | None = None) -> None:
         self.backend, self.message, self.may_send, self.on_end = backend, message, may_send, on_end
-        self.sink = sink
+        self.sink, self.upload = sink, upload
         self.connection: Connection | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.written = False  # from here on it may have run
@@ -64,6 +68,11 @@
             self.timer.cancel()
         self.on_end(self, outcome, answer)
 
+    def end_upload(self) -> None:
+        """Nothing more of a large body goes out."""
+        if self.upload is not None:
+            self.upload.writer = None
+
     def begin(self, sink: Sink, head: Answer) -> None:
         """A large answer has begun: from here on it is not timed."""
         if self.timer is not None:
@@ -85,6 +94,7 @@
             return
         if self.connection is not None:
             self.connection.drop()
+        self.end_upload()
         self.end(outcome if self.written else io.Outcome.MOOT if outcome is io.Outcome.CANCELLED else
                  io.Outcome.CONNECT_FAILED)
 
@@ -117,11 +127,34 @@
         return True
 
     def send(self, exchange: Exchange) -> None:
-        """Write the request. After this a broken connection counts as a reset, as it may have come whole."""
+        """Write the request. Once its last byte is, a break counts as a reset: it may have come whole."""
         assert self.transport is not None
         self.exchange, exchange.connection = exchange, self
-        exchange.written = True
+        exchange.written = exchange.upload is None
         self.transport.write(exchange.message())
+        if exchange.upload is not None:
+            exchange.upload.attach(self)
+
+    def body(self, data: bytes) -> None:
+        """A part of a large body."""
+        if self.transport is not None and not self.closed:
+            self.transport.write(data)
+
+    def uploaded(self) -> None:
+        """Its last part has been written."""
+        if self.exchange is not None and self.exchange.sink is not None:
+            self.exchange.end_upload()
+            self.exchange.written = True
+            self.exchange.sink.written(self.exchange)
+
+    def pause_writing(self) -> None:
+        """The backend takes a body in more slowly than it comes."""
+        if self.exchange is not None and self.exchange.upload is not None:
+            self.exchange.upload.hold(True)
+
+    def resume_writing(self) -> None:
+        if self.exchange is not None and self.exchange.upload is not None:
+            self.exchange.upload.hold(False)
 
     def data_received(self, data: bytes) -> None:
         """Only the first answer of a read is the exchange's.
@@ -190,6 +223,8 @@
         exchange, self.exchange = self.exchange, None
         assert exchange is not None
         exchange.connection = None
+        exchange.end_upload()
+        clean = clean and exchange.written
         self.flowing = False
         self.resume()
         if self.stall is not None:
@@ -213,7 +248,8 @@
         self.drop()
         if exchange is not None:
             log.debug("backend %s: %s", self.pool.backend, why)
-            exchange.end(io.Outcome.RESET)
+            exchange.end_upload()
+            exchange.end(io.Outcome.RESET if exchange.written else io.Outcome.CONNECT_FAILED)
 
     def drop(self) -> None:
         """End it at once: the kernel has its end before anything else is written anywhere."""
@@ -313,7 +349,8 @@
             exchange.end(io.Outcome.MOOT)
             return
         exchange.heard = pool.heard
-        exchange.timer = self.loop.call_later(max(0.0, timeout), self.expire, exchange)
+        if timeout < math.inf:
+            exchange.timer = self.loop.call_later(max(0.0, timeout), self.expire, exchange)
         connection = pool.take(self.loop.time() - self.idle)
         if connection is not None:
             connection.send(exchange)
--- a/roadspur/net/wire.py
+++ b/roadspur/net/wire.py
@@ -8,6 +8,7 @@
 import httptools
 
 from roadspur import interface as io
+from roadspur.net.upload import Upload
 
 MAX_WHOLE = 64 * 1024  # of a body that is held whole; a larger one flows through
 MAX_BODY = 40 * 1024 * 1024
@@ -34,11 +35,14 @@
     body: bytes
     came: float  # loop time of its last byte
     chunks: bool = True  # whether the client reads chunks
+    upload: Upload | None = None  # a large body, of which `body` then holds nothing
 
     def message(self, patience: float) -> bytes:
         """The request as a backend gets it; `patience` is how long this ingress will wait, in seconds."""
-        return b"%sX-Budget: %dm\r\nContent-Length: %d\r\n\r\n%s" % (
-            self.start, max(1, int(patience * 1000)), len(self.body), self.body)
+        length = len(self.body) if self.upload is None else self.upload.length
+        framing = b"Transfer-Encoding: chunked" if length is None else b"Content-Length: %d" % length
+        return b"%sX-Budget: %dm\r\n%s\r\n\r\n%s" % (
+            self.start, max(1, int(patience * 1000)), framing, self.body)
 
 
 class Answer(NamedTuple):
--- a/tests/test_flow.py
+++ b/tests/test_flow.py
@@ -7,10 +7,12 @@
 import pytest
 
 from roadspur import interface as io
+from roadspur.net import client as client_module
+from roadspur.net import server as server_module
 from roadspur.net import upstream
 from tests.helpers import Ingress as Driven
 from tests.helpers import only, some
-from tests.sockets import Client, Peer, Rig, call, in_turn, ok, run, until
+from tests.sockets import Client, Peer, Rig, call, closed_port, in_turn, ok, run, until
 
 LARGE = bytes(range(256)) * 4096  # 1 MiB
 
@@ -171,9 +173,220 @@
     run(main())
 
 
+# Requests.
+
+
+def post(name: str, body: bytes, chunk: int = 0, **headers: str | None) -> bytes:
+    if not chunk:
+        return call(name, cls="once", body=body, **headers)
+    head = call(name, cls="once", Content_Length=None, Transfer_Encoding="chunked ", **headers)
+    return head + chunks(body, chunk)
+
+
+class Taker:
+    """A backend that reads requests of any size, and answers what the test says."""
+
+    def __init__(self, answer: bytes = ok(), early: int | None = None) -> None:
+        self.answer, self.early, self.got, self.heads = answer, early, list[bytes](), list[bytes]()
+        self.go, self.lost = asyncio.Event(), 0
+        self.go.set()
+
+    async def listen(self) -> Taker:
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0, limit=1 << 16)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while True:
+                self.heads.append(await reader.readuntil(b"\r\n\r\n"))
+                await self.go.wait()
+                if self.early is not None:
+                    await reader.readexactly(self.early)
+                else:
+                    self.got.append(await self.body(reader, self.heads[-1].lower()))
+                writer.write(self.answer)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            self.lost += 1
+        writer.close()
+
+    async def body(self, reader: asyncio.StreamReader, head: bytes) -> bytes:
+        if b"content-length: " in head:
+            return await reader.readexactly(int(head.split(b"content-length: ")[1].split(b"\r\n")[0]))
+        body = b""
+        while size := int(await reader.readuntil(b"\r\n"), 16):
+            body += await reader.readexactly(size)
+            await reader.readexactly(2)
+        await reader.readexactly(2)
+        return body
+
+
+@pytest.mark.parametrize("chunk", [0, 7000])
+def test_a_request_of_any_size_comes_through_unchanged(chunk):
+    async def main():
+        backend = await Taker().listen()
+        rig = Rig(in_turn("b0"))
+        client = await rig.start(b0=backend.port)
+        for n in (1, 2):
+            client.writer.write(post(f"r{n}", LARGE * 3, chunk))
+            assert (await client.answer())[0] == 200
+        assert backend.got == [LARGE * 3] * 2 and not rig.ingress.held
+        assert [e.flows for e in rig.script.events if isinstance(e, io.Request)] == [True, True]
+        assert len([e for e in rig.script.events if isinstance(e, io.AttemptWritten)]) == 2
+        assert rig.ingress.tally.totals["upstream_requests"] == 2
+    run(main())
+
+
+def test_a_slow_backend_slows_its_client_and_little_is_held():
+    async def main():
+        backend = await Taker().listen()
+        backend.go.clear()
+        rig = Rig(in_turn("b0"))
+        client = await rig.start(b0=backend.port)
+        client.writer.write(post("r1", LARGE * 24))
+        await until(lambda: backend.heads and any(c.held_since for c in rig.server.connections))
+        theirs = next(iter(rig.upstream.connections)).transport
+        assert theirs.get_write_buffer_size() < 1_000_000
+        assert client.writer.transport.get_write_buffer_size() > 8 * len(LARGE)
+        backend.go.set()
+        assert (await client.answer())[0] == 200 and backend.got == [LARGE * 24]
+    run(main())
+
+
+def test_time_runs_from_the_last_byte_of_a_body():
+    async def main():
+        backend = await Taker().listen()
+        rig = Rig(in_turn("b0"))
+        client = await rig.start(b0=backend.port)
+        raw = post("r1", LARGE, budget="100m")
+        client.writer.write(raw[:300_000])
+        await until(lambda: backend.heads)
+        began = asyncio.get_running_loop().time()
+        await until(lambda: asyncio.get_running_loop().time() > began + 0.2)
+        client.writer.write(raw[300_000:])
+        assert (await client.answer())[0] == 200 and backend.got == [LARGE]
+    run(main())
+
+
+def test_a_refusal_comes_before_the_body_and_the_rest_is_read_and_thrown_away():
+    async def main():
+        rig = Rig(lambda e: [io.Refuse(e.id, 0.5)] if isinstance(e, io.Request) else [])
+        client = await rig.start()
+        raw = post("r1", LARGE * 8)
+        client.writer.write(raw[:100_000])
+        status, headers, _ = await client.answer()
+        assert (status, headers["connection"]) == (429, "close")
+        client.writer.write(raw[100_000:])
+        await client.writer.drain()
+        assert await client.reader.read() == b""
+        assert not rig.ingress.held
+    run(main())
+
+
+@pytest.mark.parametrize("spoil,status", [(b"zz\r\n", 400), (b"", 408)])
+def test_a_body_that_cannot_be_read_on_or_stops_is_answered_and_never_whole(monkeypatch, spoil, status):
+    monkeypatch.setattr(client_module, "SLOW_S", 0.1)
+    monkeypatch.setattr(client_module, "SLOW_RATE", 1 << 20)
+    monkeypatch.setattr(server_module, "SWEEP_S", 0.01)
+
+    async def main():
+        backend = await Taker().listen()
+        rig = Rig(in_turn("b0", "b0"))
+        client = await rig.start(b0=backend.port)
+        client.writer.write(post("r1", LARGE, 7000)[:-len(b"0\r\nX-Trail: 1\r\n\r\n")] + spoil)
+        got, headers, _ = await client.answer()
+        assert (got, headers["connection"]) == (status, "close")
+        await until(lambda: backend.lost == 1)
+        assert not backend.got and not rig.ingress.held
+        assert [e.outcome for e in rig.script.ends()] == [io.Outcome.MOOT]
+    run(main())
+
+
+def test_a_client_that_leaves_in_the_middle_of_its_body_has_sent_nothing():
+    async def main():
+        backend = await Taker().listen()
+        rig = Rig(in_turn("b0"))
+        client = await rig.start(b0=backend.port)
+        client.writer.write(post("r1", LARGE)[:-5])
+        await until(lambda: backend.heads)
+        client.writer.close()
+        await until(lambda: backend.lost == 1 and not rig.ingress.held)
+        assert not backend.got and [e.outcome for e in rig.script.ends()] == [io.Outcome.MOOT]
+    run(main())
+
+
+def test_an_attempt_that_ends_before_the_body_is_whole_never_ran_and_cannot_be_made_again():
+    async def main():
+        full = b"HTTP/1.1 503 Busy\r\nX-Rejected: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+        backend = await Taker(full, early=1000).listen()
+        rig = Rig(in_turn("b0"))
+        client = await rig.start(b0=backend.port)
+        raw = post("r1", LARGE)
+        client.writer.write(raw[:200_000])
+        assert (await client.answer())[0] == 503
+        assert [(e.outcome, e.spent) for e in rig.script.ends()] == [(io.Outcome.FULL, True)]
+    run(main())
+
+
+def test_a_connection_refused_leaves_the_body_for_the_next_attempt():
+    async def main():
+        backend = await Taker().listen()
+        rig = Rig(in_turn("gone", "b0"))
+        client = await rig.start(b0=backend.port, gone=closed_port())
+        client.writer.write(post("r1", LARGE))
+        assert (await client.answer())[0] == 200 and backend.got == [LARGE]
+        assert [(e.outcome, e.spent) for e in rig.script.ends()][0] == (io.Outcome.CONNECT_FAILED, False)
+    run(main())
+
+
+def test_a_client_that_waits_to_be_told_is_told_to_send_its_body():
+    async def main():
+        backend = await Taker().listen()
+        rig = Rig(in_turn("b0"))
+        client = await rig.start(b0=backend.port)
+        for n, body in enumerate((b"small", LARGE)):
+            raw = post(f"r{n}", body, Expect="100-continue")
+            head, _, rest = raw.partition(b"\r\n\r\n")
+            client.writer.write(head + b"\r\n\r\n")
+            assert await client.reader.readuntil(b"\r\n\r\n") == b"HTTP/1.1 100 Continue\r\n\r\n"
+            client.writer.write(rest)
+            assert (await client.answer())[0] == 200 and backend.got[n] == body
+    run(main())
+
+
+def test_the_address_of_this_ingress_may_stand_before_the_path():
+    async def main():
+        backend = await Peer.start(ok())
+        rig = Rig(in_turn("b0"))
+        client = await rig.start(b0=backend.port)
+        assert (await client.ask(call(path="HTTP://backend.local/api/000000000000000a?x=1")))[0] == 200
+        assert backend.seen[0].line == "GET /api/000000000000000a?x=1 HTTP/1.1"
+    run(main())
+
+
 # What the module makes of it.
 
 
+def test_a_body_on_its_way_is_no_work_yet_and_time_runs_from_its_end():
+    g = Driven(backends=1)
+    a = only(g.give(io.Request("u1", "once", "basic", 7, 6.0, 1.0, 2, flows=True)), io.Attempt)
+    assert g.gw.out == 0
+    assert not some(g.beat(30.0), io.CancelAttempt) and not g.gw.fleet.backends["b0"].resting
+    g.give(io.AttemptWritten("u1", 0, "b0"))
+    assert g.gw.out == 1 and g.gw.flights["u1"].aim == g.now + 2.0
+    g.end(a)
+    assert g.gw.out == 0 and not g.gw.flights and g.gw.latency["once"] < 1.0
+
+
+def test_a_body_that_is_gone_is_not_tried_again():
+    g = Driven(backends=3)
+    a = only(g.give(io.Request("u1", "once", "basic", 7, 6.0, 1.0, 2, flows=True)), io.Attempt)
+    first = io.AttemptEnded("u1", 0, a.backend, io.Outcome.CONNECT_FAILED, 0.1, False)
+    b = only(g.give(first), io.Attempt)
+    end = io.AttemptEnded("u1", 1, b.backend, io.Outcome.CONNECT_FAILED, 0.1, False, spent=True)
+    only(g.give(end), io.Refuse)
+
+
 def test_an_answer_that_has_begun_frees_its_slot_and_is_not_hung():
     g = Driven(backends=2)
     a = only(g.ask(), io.Attempt)
