--- a/roadspur/net/client.py
+++ b/roadspur/net/client.py
@@ -15,7 +15,7 @@
 from roadspur.net.request import CUSTOMER, BadRequest, read_request
 from roadspur.net.upload import Upload
 from roadspur.net.upstream import Exchange
-from roadspur.net.wire import MAX_BODY, MAX_HEAD, MAX_WHOLE, Call
+from roadspur.net.wire import BLANKS, MAX_BODY, MAX_HEAD, MAX_WHOLE, Call
 
 if TYPE_CHECKING:
     from roadspur.net.server import Server
@@ -152,7 +152,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if self.in_head:  # and not in a trailer, behind a chunked body
-            self.headers.append((name, value))
+            self.headers.append((name, value.strip(BLANKS)))  # the parser leaves those behind a value
 
     def on_headers_complete(self) -> None:
         """What the head tells already is turned down before any body comes.
@@ -166,7 +166,7 @@
                 self.length = int(value)
                 if self.length > MAX_BODY:
                     raise BadRequest(413, f"a body holds at most {MAX_BODY} bytes")
-            if key == b"transfer-encoding" and value.strip().lower() != b"chunked":
+            if key == b"transfer-encoding" and value.lower() != b"chunked":
                 raise BadRequest(400, "transfer-encoding: expected chunked")
         if self.parser.should_upgrade():
             raise BadRequest(400, "no other protocol is spoken here")
--- a/roadspur/net/wire.py
+++ b/roadspur/net/wire.py
@@ -13,6 +13,7 @@
 MAX_WHOLE = 64 * 1024  # of a body that is held whole; a larger one flows through
 MAX_BODY = 40 * 1024 * 1024
 MAX_HEAD = 16 * 1024
+BLANKS = b" \t"  # that may stand round a header's value
 FRAMING = (b"content-length", b"transfer-encoding")
 
 Address = tuple[str, int]
@@ -117,7 +118,7 @@
             return
         if key in FRAMING and key in self.headers:
             raise BadAnswer(f"{key.decode()}: more than one")
-        self.headers[key] = value
+        self.headers[key] = value.strip(BLANKS)
 
     def on_headers_complete(self) -> None:
         """How long the answer is must be clear from its head, else its end could be taken for another's."""
@@ -125,11 +126,11 @@
         if self.parser.get_status_code() < 200:
             return
         length, coding = (self.headers.get(key) for key in FRAMING)
-        closes = self.headers.get(b"connection", b"").strip().lower() == b"close"
+        closes = self.headers.get(b"connection", b"").lower() == b"close"
         self.until_end = self.flows and closes and length is None and coding is None
         if (length is None) == (coding is None) and not self.until_end:
             raise BadAnswer("expected one of content-length and transfer-encoding")
-        if coding is not None and coding.strip().lower() != b"chunked":
+        if coding is not None and coding.lower() != b"chunked":
             raise BadAnswer("transfer-encoding: expected chunked")
         if length is not None and int(length) > MAX_WHOLE:
             self.flow(int(length))
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from roadspur import interface as io
 from roadspur.net import client as client_module
 from roadspur.net import server as server_module
 from roadspur.net.state import State
@@ -346,3 +347,16 @@
         await leaving
         assert (await (await Client.connect(old.port)).ask(HEALTH))[0] == 200
     run(main())
+
+
+def test_blanks_round_the_values_of_headers_mean_nothing():
+    async def main():
+        backend = await Peer.start(ok(b"fine", b"X-Cost-Units:  3 \t"))
+        rig = Rig(in_turn("b0"))
+        client = await rig.start(b0=backend.port)
+        raw = call(budget="6000m \t").replace(b"read\r\n", b" \tread \r\n").replace(b"basic", b"basic ")
+        assert (await client.ask(raw))[0] == 200
+        request = next(e for e in rig.script.events if isinstance(e, io.Request))
+        assert (request.class_name, request.plan) == ("read", "basic")
+        assert rig.script.ends()[0].true_units == 3
+    run(main())
