Hold bodies of up to 1 MiB whole while an eighth of the memory lasts

A body that flows takes its customer's place among the open requests before it has come; one that is held takes it when it is whole, and can be sent again.

--- a/roadspur/__main__.py
+++ b/roadspur/__main__.py
@@ -32,6 +32,7 @@
 log = logging.getLogger("roadspur")
 
 STATE_S = 0.25  # between looks at what another process of this ingress has left
+BODIES_SHARE = 8  # of the memory, the part that larger bodies may take together
 SOCKETS_SPARE = 64  # descriptors that are neither clients' nor backends'
 
 
@@ -53,6 +54,7 @@
     peers_all: Address | None
     seed: int
     sockets: int
+    memory: int
     idle: float
     known: Listing | None
     settings: io.Settings
@@ -104,6 +106,7 @@
             peers=tuple(read_address(str(p)) for p in data.get("peers", ())),
             seed=int(str(data.get("seed", "0")), 16),
             sockets=int(data.get("limits", {}).get("sockets", 1024)),
+            memory=int(1e6 * float(data.get("limits", {}).get("memory_mb", 64))),
             idle=float(data["settings"].get("limits", {}).get("connIdle", 15.0)),
             known=read_listing(data["known"]) if data.get("known") else None, settings=settings,
             load_fields=fields)
@@ -166,7 +169,7 @@
     if config.known is not None:
         ingress.listed(config.known, saved=True)
     discovery = Discovery(loop, config.discovery, config.known.version if config.known else 0, ingress.listed)
-    server = Server(loop, ingress, share)
+    server = Server(loop, ingress, share, config.memory // BODIES_SHARE)
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
--- a/roadspur/net/client.py
+++ b/roadspur/net/client.py
@@ -22,6 +22,7 @@
 
 PIPELINE = 16  # requests read ahead on one connection
 SLOW_S = 2.5  # for a first byte, for a head, and for a client to read its answers
+HOLD_MOST = 1024 * 1024  # of a body that is held whole where there is room
 SLOW_RATE = 32 * 1024  # bytes a second of a body that come at least
 FLOW_STALL_S = 10.0  # for a client to read any more of a large answer
 SEND_BYTES = 128 * 1024  # that the kernel holds of one: so a slow reader's progress is seen
@@ -52,6 +53,7 @@
         self.waiting: deque[tuple[Call | Early, bool]] = deque()
         self.call: Call | None = None  # the one that is being decided on
         self.upload_call: Call | None = None  # the one whose body is still coming
+        self.reserved = 0  # bytes for the body that is coming in, of those that all share
         self.held_since = 0.0  # of not reading its body; 0 if it is read
         self.keep = True  # whether the connection stays open after the present answer
         self.closing = self.deaf = self.paused = self.crowded = False
@@ -83,9 +85,14 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self.closing = True
         self.server.connections.discard(self)
+        self.server.bodies -= self.reserved
+        for item, _ in self.waiting:
+            if isinstance(item, Call):
+                self.release(item)
         self.waiting.clear()
         call, self.call = self.call, None
         if call is not None:
+            self.release(call)
             self.server.ingress.gone(call)
 
     def data_received(self, data: bytes) -> None:
@@ -115,6 +122,7 @@
     def fault(self, status: int, why: str) -> None:
         """Answer what cannot be read on, after what came before it, and close."""
         self.deaf, self.size, self.body = True, 0, bytearray()
+        self.server.bodies, self.reserved = self.server.bodies - self.reserved, 0
         call, self.upload_call = self.upload_call, None
         if call is None:
             self.server.ingress.tally.counts[f"turned away {status}"] += 1
@@ -174,7 +182,7 @@
             raise BadRequest(431, "the head is too long")
         if self.transport is not None and self.expects():
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-        if self.length is not None and self.length > MAX_WHOLE:
+        if self.length is not None and not self.may_hold(self.length):
             self.let_flow()
 
     def expects(self) -> bool:
@@ -188,17 +196,34 @@
         if isinstance(item, Early):
             raise BadRequest(item.status, item.why)
         item.upload, item.body = Upload(self.length, self.hold), b""
+        self.release(item)
         self.upload_call = item
         self.enqueue(item, self.parser.should_keep_alive())
         if self.body:
             item.upload.feed(bytes(self.body))
             self.body.clear()
 
+    def may_hold(self, size: int) -> bool:
+        """Whether a body of so many bytes is held whole; beyond a little, all bodies share what there is."""
+        if size <= max(MAX_WHOLE, self.reserved):
+            return True
+        more = size - self.reserved
+        if size > HOLD_MOST or self.server.bodies + more > self.server.bodies_most:
+            return False
+        self.server.bodies += more
+        self.reserved = size
+        return True
+
+    def release(self, call: Call) -> None:
+        """A request has its final answer: its body is held no more."""
+        self.server.bodies -= call.reserved
+        call.reserved = 0
+
     def on_body(self, data: bytes) -> None:
         self.got += len(data)
         if self.got > MAX_BODY:
             raise BadRequest(413, f"a body holds at most {MAX_BODY} bytes")
-        if self.upload_call is None and self.got > MAX_WHOLE:
+        if self.upload_call is None and not self.may_hold(self.got):
             self.let_flow()
         if self.upload_call is not None and self.upload_call.upload is not None:
             self.upload_call.upload.feed(data)
@@ -260,8 +285,10 @@
             return Early(503, "too many connections")
         start = [b"%s %s HTTP/1.1\r\n" % (self.parser.get_method(), url)]
         start += [b"%s: %s\r\n" % (n, v) for n, v in self.headers if n.lower() not in HOP_BY_HOP]
-        return Call(request, b"".join(start), bytes(self.body), self.loop.time(),
-                    self.parser.get_http_version() != "1.0")
+        call = Call(request, b"".join(start), bytes(self.body), self.loop.time(),
+                    self.parser.get_http_version() != "1.0", reserved=self.reserved)
+        self.reserved = 0
+        return call
 
     # Answers, in the order of the requests.
 
@@ -287,6 +314,8 @@
     def reply(self, status: int, lines: bytes, body: bytes) -> None:
         """The final answer to the present request."""
         call, self.call = self.call, None
+        if call is not None:
+            self.release(call)
         if status == 400:  # found to be bad only there: an id that another holds
             self.deaf, self.keep = True, False
         if call is not None and call.upload is not None and not call.upload.whole:
@@ -299,6 +328,7 @@
     def begin(self, lines: bytes, length: int | None, source: Exchange) -> None:
         """The head of a final answer whose body follows in parts."""
         assert self.call is not None and self.transport is not None
+        self.release(self.call)
         self.chunked = length is None and self.call.chunks
         if length is None and not self.chunked:  # only the connection's end can end it
             self.keep = False
--- a/roadspur/net/server.py
+++ b/roadspur/net/server.py
@@ -17,8 +17,10 @@
 class Server:
     """Listens for clients, and leaves in order."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, ingress: Ingress, most: int) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop, ingress: Ingress, most: int,
+                 bodies_most: int = 0) -> None:
         self.loop, self.ingress, self.most = loop, ingress, most
+        self.bodies, self.bodies_most = 0, bodies_most  # bytes of larger bodies that are held
         self.connections: set[ClientConnection] = set()
         self.order = itertools.count()  # who was heard last; the loop's clock is too coarse to tell
         self.draining = self.leaving = False  # for a time, for good
--- a/roadspur/net/wire.py
+++ b/roadspur/net/wire.py
@@ -36,6 +36,7 @@
     body: bytes
     came: float  # loop time of its last byte
     chunks: bool = True  # whether the client reads chunks
+    reserved: int = 0  # bytes of the body that count against what all bodies may take
     upload: Upload | None = None  # a large body, of which `body` then holds nothing
 
     def message(self, patience: float) -> bytes:
--- a/tests/test_flow.py
+++ b/tests/test_flow.py
@@ -364,6 +364,31 @@
     run(main())
 
 
+def test_bodies_are_held_whole_while_they_fit_and_room_comes_back():
+    async def main():
+        backend = await Taker().listen()
+        rig = Rig(in_turn("b0"))
+        rig.server.bodies_most = 500_000
+        client = await rig.start(b0=backend.port)
+        slow, gone = await Client.connect(rig.port), await Client.connect(rig.port)
+        body = LARGE[:300_000]
+        slow.writer.write(post("slow", body)[:-1])
+        await until(lambda: rig.server.bodies == 300_000)
+        assert not rig.ingress.held  # it takes nobody's place before it is whole
+        gone.writer.write(post("gone", LARGE[:150_000], 7000)[:-9])
+        await until(lambda: rig.server.bodies > 440_000)
+        gone.writer.close()
+        await until(lambda: rig.server.bodies == 300_000)
+        client.writer.write(post("second", body))  # no room: it flows
+        assert (await client.answer())[0] == 200
+        slow.writer.write(body[-1:])
+        assert (await slow.answer())[0] == 200
+        assert [(e.id, e.flows) for e in rig.script.events if isinstance(e, io.Request)] == [
+            ("second", True), ("slow", False)]
+        assert rig.server.bodies == 0 and backend.got == [body, body]
+    run(main())
+
+
 # What the module makes of it.
 
 
