Let the kernel hold what a slow reader leaves of a large answer

The kernel's own sizing takes such an answer in. A reader's progress is now told by what the kernel still has to send. Answers whose backends write slowly (128, 204 s) are not ours to mend.

--- a/roadspur/net/client.py
+++ b/roadspur/net/client.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import http
 import re
 import select
-import socket
+import sys
+import termios
 from collections import deque
 from typing import TYPE_CHECKING, NamedTuple, cast
 
@@ -25,7 +27,6 @@
 HOLD_MOST = 1024 * 1024  # of a body that is held whole where there is room
 SLOW_RATE = 32 * 1024  # bytes a second of a body that come at least
 FLOW_STALL_S = 10.0  # for a client to read any more of a large answer
-SEND_BYTES = 128 * 1024  # that the kernel holds of one: so a slow reader's progress is seen
 IDLE_S = 5.0  # between requests
 ABSOLUTE = re.compile(rb"(?i:https?)://[^/?#]*")  # what a client may write before the path
 CHUNKED, CLOSE = b"Transfer-Encoding: chunked\r\n", b"Connection: close\r\n"
@@ -332,8 +333,6 @@
         self.chunked = length is None and self.call.chunks
         if length is None and not self.chunked:  # only the connection's end can end it
             self.keep = False
-        sock = self.transport.get_extra_info("socket")
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BYTES)
         self.source = source
         lines += b"Content-Length: %d\r\n" % length if length is not None else CHUNKED * self.chunked
         self.write_head(200, lines)
@@ -393,6 +392,13 @@
             return False
         return not self.unread()
 
+    def unsent(self) -> int:
+        """Bytes that the client has not read, here and in the kernel."""
+        assert self.transport is not None
+        queued = bytearray(4)
+        fcntl.ioctl(self.transport.get_extra_info("socket").fileno(), termios.TIOCOUTQ, queued)
+        return self.transport.get_write_buffer_size() + int.from_bytes(queued, sys.byteorder)
+
     def unread(self) -> bool:
         """Whether bytes have come that this program has not got round to reading."""
         assert self.transport is not None
@@ -405,7 +411,7 @@
         if self.closing or self.transport is None:
             return
         if self.full_since:
-            size, self.full_size = self.full_size, self.transport.get_write_buffer_size()
+            size, self.full_size = self.full_size, self.unsent()
             if self.full_size < size:  # it reads, if slowly
                 self.full_since = now
             if now - self.full_since > (FLOW_STALL_S if self.source is not None else SLOW_S):
