--- a/roadspur/net/upstream.py
+++ b/roadspur/net/upstream.py
@@ -19,7 +19,6 @@
 SWEEP_S = 1.0
 STALL_S = 0.25  # in the middle of an answer, after which the rest is not waited for
 FLOW_STALL_S = 5.0  # the same where its first part has been passed on: the client can get no other
-READ_BYTES = 128 * 1024  # that the kernel holds of an answer, and one read takes in, at most
 REFUSED_STATUS = (503, 504)
 UNSURE = (io.Outcome.TIMEOUT, io.Outcome.CANCELLED)
 
@@ -409,7 +408,6 @@
         try:
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, READ_BYTES)
             async with asyncio.timeout(self.connect_timeout):
                 await self.loop.sock_connect(sock, pool.endpoint.address)
         except BaseException:
