Two processes of an upgrade share connections, and what they let in without the counter

Each tells its connections in a locked file in TMPDIR and gives up that much of its own room; the module halves its shares of the store, the ceiling and the open cap where the counter is not asked, and a beginner's pace at cold backends.

--- a/roadspur/__main__.py
+++ b/roadspur/__main__.py
@@ -114,10 +114,10 @@
         raise BadConfiguration(f"{path}: {error}") from error
 
 
-def follow(ingress: Ingress) -> None:
-    """Look now and then at what another process of this ingress has left, or tells meanwhile."""
-    ingress.follow()
-    ingress.loop.call_later(STATE_S, follow, ingress)
+def follow(server: Server) -> None:
+    """Look now and then at what another process of this ingress tells."""
+    server.ingress.follow(len(server.connections))
+    server.loop.call_later(STATE_S, follow, server)
 
 
 def calls(server: Server) -> dict[str, Call]:
@@ -158,7 +158,7 @@
     state = State(os.environ.get("TMPDIR"))
     state.join()
     ingress = Ingress(loop, config.settings, gateway, upstream, config.load_fields, state)
-    follow(ingress)
+    ingress.follow()
     if config.counter is not None and config.settings.counter:
         ingress.counter = Counter(loop, config.counter, config.settings.counter_timeout, ingress.submit,
                                   ingress.tally)
@@ -170,6 +170,7 @@
         ingress.listed(config.known, saved=True)
     discovery = Discovery(loop, config.discovery, config.known.version if config.known else 0, ingress.listed)
     server = Server(loop, ingress, share, config.memory // BODIES_SHARE)
+    follow(server)
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
--- a/roadspur/control.py
+++ b/roadspur/control.py
@@ -145,6 +145,7 @@
         self.kept = KEPT_LENGTHS * max((p.burst / p.rate for p in settings.plans if p.rate > 0), default=1.0)
         self.flights: dict[str, Flight] = {}
         self.fleet = Fleet(settings, self.rng)
+        self.processes = 1  # of this ingress: in an upgrade each lets in its part of what the ingress may
         self.members = self.fleet.members
         self.calls: dict[int, deque[tuple[Customer, int, float, Flight | None]]] = {}
         self.open_calls: dict[int, deque[tuple[Customer, int, int, Flight | None]]] = {}
@@ -174,7 +175,8 @@
             io.Request: self.request, io.CounterReply: self.counted, io.AttemptEnded: self.ended,
             io.ListUpdate: self.listed, io.TimerFired: self.timer, io.PeerMessage: self.heard,
             io.ClientGone: self.gone, io.AttemptStarted: self.started,
-            io.AttemptWritten: self.written, io.Cordon: self.cordon, io.Cordons: self.restore}
+            io.AttemptWritten: self.written, io.Cordon: self.cordon, io.Cordons: self.restore,
+            io.Beside: self.beside}
 
     def handle(self, now: float, event: io.Event) -> list[io.Action]:
         """Decide on one event."""
@@ -333,7 +335,7 @@
 
     def enter_alone(self, now: float, f: Flight) -> None:
         """Without a total, an even share of the cap stands in, of one request at least."""
-        if f.customer.out > max(1, f.customer.plan.max_open // f.customer.width):
+        if f.customer.out > max(1, f.customer.plan.max_open // (f.customer.width * self.processes)):
             return self.refuse(now, f, self.latency[f.cls.name])
         self.send(now, f)
 
@@ -523,10 +525,10 @@
     def fits(self, now: float, f: Flight) -> bool:
         """Whether this ingress's share of the store, less what no count holds yet, has room for a request."""
         c = f.customer
-        share = max(1.0 / c.width, c.part)
+        share = max(1.0 / c.width, c.part) / self.processes
         if c.plan.ceiling_rate > 0:  # all shares together, and what totals admit, stay within it
             times = c.plan.ceiling_rate / c.plan.rate - (0.0 if self.misses >= ALONE else 1.0)
-            share = min(share, max(0.0, times) / c.width)
+            share = min(share, max(0.0, times) / c.width / self.processes)
         unused = now - c.at - (c.plan.burst - c.level) / c.plan.rate
         if unused > 0:  # refilled since the store was full: no wave of refusals when an outage ends
             c.pending -= min(share * c.plan.rate * unused, max(0.0, c.pending))
@@ -683,7 +685,7 @@
 
         One that has only begun has seen little: a backend serves one at a time at least, for all ingresses.
         """
-        return max(self.rate, 1 / (self.s.instances * max(1e-3, *self.base.values())))
+        return max(self.rate, 1 / (self.s.instances * self.processes * max(1e-3, *self.base.values())))
 
     def ended(self, now: float, e: io.AttemptEnded) -> None:
         """An attempt ended: learn from it, then serve, try again or give the final answer."""
@@ -756,6 +758,10 @@
             self.fleet.listed(now, e)
             self.slots = self.slots or max(2.0, SLOTS * self.fleet.usable / self.s.instances)
 
+    def beside(self, now: float, e: io.Beside) -> None:
+        """Another process of this ingress has begun, or has ended."""
+        self.processes = 1 + e.processes
+
     def cordon(self, now: float, e: io.Cordon) -> None:
         """An operator takes a backend out or puts it back."""
         self.acts += self.fleet.cordon(now, e)
--- a/roadspur/interface.py
+++ b/roadspur/interface.py
@@ -281,8 +281,14 @@
     bans: Mapping[str, Ban]
 
 
+class Beside(NamedTuple):
+    """How many other processes of this ingress are running: during an upgrade they are one ingress."""
+
+    processes: int
+
+
 Event = Union[ListUpdate, Request, AttemptWritten, AttemptStarted, AttemptEnded, ClientGone, TimerFired,
-              ProbeEnded, PeerMessage, CounterReply, Cordon, Cordons]
+              ProbeEnded, PeerMessage, CounterReply, Cordon, Cordons, Beside]
 
 
 class Attempt(NamedTuple):
--- a/roadspur/net/ingress.py
+++ b/roadspur/net/ingress.py
@@ -83,7 +83,7 @@
         self.bans: Mapping[str, io.Ban] = {}  # backends that operators have taken out, or have just put back
         self.state = state or State(None)
         self.obeyed = False  # whether the last order was one that can be carried out
-        self.beside = 0  # other processes of this ingress, during an upgrade
+        self.beside = self.clients_beside = 0  # other processes of this ingress, and their clients
         self.events: deque[io.Event] = deque()
         self.busy = False
         self.clock = 0.0
@@ -378,11 +378,17 @@
     def restore(self, bans: Mapping[str, io.Ban]) -> None:
         self.submit(io.Cordons(bans))
 
-    def follow(self) -> None:
-        """Keep to what another process has written, and know whether there is one."""
+    def follow(self, clients: int = 0) -> None:
+        """Keep to what another process has written, and share the room for connections with it."""
         if (news := self.state.news()) is not None:
             self.restore(news)
-        self.beside = self.state.others()
+        self.state.tell(clients, len(self.upstream.connections))
+        others = self.state.others()
+        self.clients_beside = sum(n for n, _ in others)
+        self.upstream.beside = sum(n for _, n in others)
+        if len(others) != self.beside:
+            self.beside = len(others)
+            self.submit(io.Beside(self.beside))
 
     def open_to(self, backend: str) -> bool:
         """Whether anything new may go to a backend."""
--- a/roadspur/net/server.py
+++ b/roadspur/net/server.py
@@ -46,7 +46,7 @@
         Where none is idle, the new one is told so: ended without an answer, its request would be lost.
         """
         self.connections.add(connection)
-        if len(self.connections) > self.most:
+        if len(self.connections) + self.ingress.clients_beside > self.most:
             for other in sorted(self.connections, key=lambda c: (c.used, c.heard)):
                 if other is not connection and other.idle():
                     other.close()
@@ -87,7 +87,7 @@
     async def leave(self) -> None:
         """Drain for good: accept for the notice, unless another process does, and wait for what is held."""
         self.leaving = True
-        self.ingress.follow()
+        self.ingress.follow(len(self.connections))
         sockets = self.listener.sockets if self.listener is not None else ()
         for listener in sockets:
             steer_away(listener.fileno())
--- a/roadspur/net/state.py
+++ b/roadspur/net/state.py
@@ -60,9 +60,14 @@
                 log.error("state: %s", error)
             self.others()
 
-    def others(self) -> int:
-        """How many other processes of this ingress are alive."""
-        alive = 0
+    def tell(self, clients: int, backends: int) -> None:
+        """Let the other process know how many connections this one holds."""
+        if self.own >= 0:
+            os.pwrite(self.own, f"{clients:6d} {backends:6d}\n".encode(), 0)
+
+    def others(self) -> list[tuple[int, int]]:
+        """The connections, to clients and to backends, of each other living process of this ingress."""
+        alive: list[tuple[int, int]] = []
         for path in self.folder.glob(f"{PROCESS}*") if self.folder is not None else ():
             if path.name == f"{PROCESS}{os.getpid()}":
                 continue
@@ -74,7 +79,7 @@
                 fcntl.flock(file, fcntl.LOCK_EX | fcntl.LOCK_NB)
                 path.unlink(missing_ok=True)
             except OSError:
-                alive += 1
+                alive.append(read_counts(os.pread(file, 64, 0)))
             finally:
                 os.close(file)
         return alive
@@ -127,6 +132,15 @@
             os.close(self.own)
 
 
+def read_counts(text: bytes) -> tuple[int, int]:
+    """The numbers that a process has told; none yet count as none."""
+    try:
+        clients, backends = map(int, text.split())
+    except ValueError:
+        return 0, 0
+    return clients, backends
+
+
 def read_bans(data: object) -> dict[str, io.Ban]:
     """The bans in a file's JSON; ValueError for anything else."""
     if not isinstance(data, dict):
--- a/roadspur/net/upstream.py
+++ b/roadspur/net/upstream.py
@@ -328,6 +328,7 @@
         self.connections: set[Connection] = set()
         self.tasks: set[asyncio.Task[None]] = set()
         self.opening = 0
+        self.beside = 0  # connections of other processes of this ingress
         self.sweeper = loop.call_later(SWEEP_S, self.sweep)
 
     def update(self, backend: str, endpoint: Endpoint | None) -> None:
@@ -424,7 +425,7 @@
 
     def room(self) -> bool:
         """Whether one more socket may be opened, closing an idle one for it where that helps."""
-        if self.opening + len(self.connections) < self.most:
+        if self.opening + len(self.connections) + self.beside < self.most:
             return True
         idle = [p.idle[0] for p in self.pools.values() if p.idle]
         if idle:
--- a/tests/test_cordon.py
+++ b/tests/test_cordon.py
@@ -11,7 +11,7 @@
 from roadspur import interface as io
 from roadspur.net.state import NAME, PROCESS, State
 from tests.helpers import Ingress, only, some
-from tests.sockets import Peer, Rig, call, entry, in_turn, listing, ok, run, until
+from tests.sockets import Client, Peer, Rig, call, entry, in_turn, listing, ok, run, until
 
 
 def backends_used(g: Ingress, rounds: int = 20) -> set[str]:
@@ -128,7 +128,7 @@
         state = State(folder)
         state.join()
         assert state.change(lambda bans: None, lambda: BANS)
-        assert state.news() is None and state.others() == 0
+        assert state.news() is None and state.others() == []
         state.leave()
 
 
@@ -137,10 +137,44 @@
     (tmp_path / f"{NAME}.1").write_text("half")
     state = State(str(tmp_path))
     state.join()
-    assert state.others() == 0
+    assert state.others() == []
     assert {p.name for p in tmp_path.iterdir()} == {"roadspur.lock", f"{PROCESS}{os.getpid()}"}
 
 
+def test_two_living_processes_share_the_room_for_connections(tmp_path, monkeypatch):
+    async def main():
+        backend = await Peer.start(ok())
+        rig = Rig(in_turn("b0"))
+        client = await rig.start(b0=backend.port)
+        other = State(str(tmp_path))
+        with monkeypatch.context() as m:
+            m.setattr(os, "getpid", lambda: 7)
+            other.join()
+        other.tell(49, 100)
+        rig.ingress.state = State(str(tmp_path))
+        rig.ingress.follow(1)
+        assert rig.ingress.beside == 1 and io.Beside(1) in rig.script.events
+        assert (await client.ask(call("r1")))[0] == 503 and not backend.seen  # no socket is left
+        crowd = await Client.connect(rig.port)
+        assert (await crowd.ask(call("r2")))[0] == 503
+        os.close(other.own)  # as when its process ends
+        rig.ingress.follow(1)
+        assert rig.ingress.beside == 0 and rig.script.events[-1] == io.Beside(0)
+        assert (await (await Client.connect(rig.port)).ask(call("r3")))[0] == 200
+    run(main())
+
+
+@pytest.mark.parametrize("plan,width,alone,together", [("basic", 2, 4, 2), ("plus", 2, 10, 5)])
+def test_without_the_counter_two_processes_let_in_what_one_may(plan, width, alone, together):
+    for processes, most in ((0, alone), (1, together)):
+        g = Ingress(backends=4, instances=2)
+        g.counter = "refusing"
+        g.gw.misses, g.gw.ask = 100, 0.0
+        g.give(io.Beside(processes))
+        let_in = sum(len(some(g.ask(plan=plan, width=width), io.Attempt)) for _ in range(30))
+        assert 0 < let_in <= most
+
+
 def test_an_order_at_one_process_holds_at_the_other_and_does_not_undo_an_earlier_one(tmp_path):
     async def main():
         rigs = []
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -330,7 +330,7 @@
     async def main():
         old, new = Rig(in_turn("b0")), Rig(in_turn("b0"))
         state = State(str(tmp_path))
-        state.others = lambda: 1
+        state.others = lambda: [(0, 0)]
         old.ingress.state = state
         client = await old.start(b0=1)
         await new.start(b0=1)
