--- a/roadspur/control.py
+++ b/roadspur/control.py
@@ -1,7 +1,7 @@
 """All decisions of a quota gateway; its settings, events and actions are in roadspur/interface.py.
 
-Read from top to bottom: the store of a customer, admission by the counter (the mechanism of
-docs/design.md), what stands in while the counter fails, then routing, attempts and the list of servers.
+Read from top to bottom: the store of a customer, admission by the counter, what stands in while the counter
+fails, then routing and attempts.
 """
 
 from __future__ import annotations
--- a/roadspur/net/client.py
+++ b/roadspur/net/client.py
@@ -26,6 +26,7 @@
 SLOW_S = 2.5  # for a first byte, for a head, and for a client to read its answers
 HOLD_MOST = 1024 * 1024  # of a body that is held whole where there is room
 SLOW_RATE = 32 * 1024  # bytes a second of a body that come at least
+LAG_S = 1.5  # for more of a body, however much of it has come
 FLOW_STALL_S = 10.0  # for a client to read any more of a large answer
 IDLE_S = 5.0  # between requests
 ABSOLUTE = re.compile(rb"(?i:https?)://[^/?#]*")  # what a client may write before the path
@@ -60,6 +61,7 @@
         self.closing = self.deaf = self.paused = self.crowded = False
         self.heard = next(server.order)
         self.used = False  # a request has come
+        self.due = 0.0  # by when more of it is to come
         self.began = 0.0  # when the request that is now coming in began; 0 between requests
         self.since = self.loop.time()  # of being idle
         self.full_since = 0.0  # of a client that does not read; 0 if it does
@@ -104,7 +106,8 @@
                 self.transport.pause_reading()
             return
         self.heard = next(self.server.order)
-        self.began = self.began or self.loop.time()
+        if not self.began:
+            self.begin_request()
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError as error:
@@ -120,6 +123,10 @@
             if self.size > MAX_HEAD:
                 self.fault(431, "the head is too long")
 
+    def begin_request(self) -> None:
+        self.began = self.loop.time()
+        self.due = self.began + SLOW_S
+
     def fault(self, status: int, why: str) -> None:
         """Answer what cannot be read on, after what came before it, and close."""
         self.deaf, self.size, self.body = True, 0, bytearray()
@@ -152,7 +159,7 @@
 
     def on_message_begin(self) -> None:
         self.reset()
-        self.began = self.loop.time()
+        self.begin_request()
 
     def on_url(self, url: bytes) -> None:
         self.url += url
@@ -222,6 +229,8 @@
 
     def on_body(self, data: bytes) -> None:
         self.got += len(data)
+        ahead = min(self.loop.time() + LAG_S, self.due + len(data) / SLOW_RATE)
+        self.due = max(self.due, ahead)  # what has come fast does not excuse a long silence
         if self.got > MAX_BODY:
             raise BadRequest(413, f"a body holds at most {MAX_BODY} bytes")
         if self.upload_call is None and not self.may_hold(self.got):
@@ -252,8 +261,7 @@
         if on and not self.held_since:
             self.held_since = self.loop.time()
         elif not on and self.held_since:
-            if self.began:  # what the client could not send is not its fault
-                self.began += self.loop.time() - self.held_since
+            self.due += self.loop.time() - self.held_since  # what it could not send is not its fault
             self.held_since = 0.0
         self.regulate()
 
@@ -428,5 +436,5 @@
         if self.held_since:
             if now - self.held_since > FLOW_STALL_S and self.upload_call is not None:
                 self.server.ingress.stuck(self.upload_call)
-        elif now - self.began > SLOW_S + self.got / SLOW_RATE and not self.deaf and not self.unread():
+        elif now > self.due and not self.deaf and not self.unread():
             self.fault(408, "the request did not come whole in time")
--- a/tests/test_flow.py
+++ b/tests/test_flow.py
@@ -302,6 +302,21 @@
     run(main())
 
 
+def test_a_client_that_sends_much_and_then_nothing_is_not_waited_for(monkeypatch):
+    monkeypatch.setattr(client_module, "SLOW_S", 0.1)
+    monkeypatch.setattr(client_module, "LAG_S", 0.1)
+    monkeypatch.setattr(server_module, "SWEEP_S", 0.01)
+
+    async def main():
+        backend = await Taker().listen()
+        rig = Rig(in_turn("b0"))
+        client = await rig.start(b0=backend.port)
+        client.writer.write(post("r1", LARGE * 2)[:-5])  # a minute's worth of a slow body
+        assert (await client.answer())[0] == 408
+        assert not backend.got
+    run(main())
+
+
 def test_a_client_that_leaves_in_the_middle_of_its_body_has_sent_nothing():
     async def main():
         backend = await Taker().listen()
