Close behind the last byte of a slow reader's answer, not half a second after its last part

A connection that closes after its answer (the client asked for it, an old client, a drain) was ended 0.5 s after the last part had been handed to the transport, with up to 320 kB of a large answer still waiting in it; and what was left after the last part had to be read within 2.5 s. Now the rest goes out as long as the client reads any of it within 10 s.

--- a/roadspur/net/client.py
+++ b/roadspur/net/client.py
@@ -68,6 +68,7 @@
         self.full_size = 0  # of what it has not read, when last looked at
         self.source: Exchange | None = None  # of an answer that is on its way in parts
         self.chunked = False  # as which they go
+        self.flowed = False  # whether what is still to be written may be of such an answer
         self.reset()
 
     def reset(self) -> None:
@@ -150,7 +151,7 @@
             self.source.pause()
 
     def resume_writing(self) -> None:
-        self.full_since = 0.0
+        self.full_since, self.flowed = 0.0, self.source is not None
         if self.source is not None:
             self.source.resume()
         self.proceed()
@@ -341,7 +342,7 @@
         self.chunked = length is None and self.call.chunks
         if length is None and not self.chunked:  # only the connection's end can end it
             self.keep = False
-        self.source = source
+        self.source, self.flowed = source, True
         lines += b"Content-Length: %d\r\n" % length if length is not None else CHUNKED * self.chunked
         self.write_head(200, lines)
 
@@ -392,7 +393,24 @@
             self.transport.write_eof()
         else:
             self.transport.close()
-        self.loop.call_later(LINGER_S, self.transport.abort)  # whether or not it reads
+        self.full_since, self.full_size = self.loop.time(), self.unsent()
+        self.loop.call_later(LINGER_S, self.linger)
+
+    def linger(self) -> None:
+        """Wait for the rest of an answer to go out, as long as the client reads; then it is the end."""
+        if self.transport is None or self not in self.server.connections:
+            return
+        if self.transport.get_write_buffer_size() and self.reads(self.loop.time()):
+            self.loop.call_later(LINGER_S, self.linger)
+        else:
+            self.transport.abort()
+
+    def reads(self, now: float) -> bool:
+        """Whether a client that is behind has read any more of its answer lately."""
+        size, self.full_size = self.full_size, self.unsent()
+        if self.full_size < size:
+            self.full_since = now
+        return now - self.full_since <= (FLOW_STALL_S if self.flowed else SLOW_S)
 
     def idle(self) -> bool:
         """Between requests, with nothing unread: closing it can at most cross a request."""
@@ -419,10 +437,7 @@
         if self.closing or self.transport is None:
             return
         if self.full_since:
-            size, self.full_size = self.full_size, self.unsent()
-            if self.full_size < size:  # it reads, if slowly
-                self.full_since = now
-            if now - self.full_since > (FLOW_STALL_S if self.source is not None else SLOW_S):
+            if not self.reads(now):
                 self.closing = True
                 self.transport.abort()
         elif self.began:
--- a/tests/test_flow.py
+++ b/tests/test_flow.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 
 import pytest
 
@@ -148,6 +149,24 @@
     run(main())
 
 
+def test_a_connection_closes_behind_the_last_byte_of_a_slow_readers_answer(monkeypatch):
+    monkeypatch.setattr(client_module, "LINGER_S", 0.0)
+
+    async def main():
+        body = LARGE * 2
+        backend = await Peer.start(ok(body))
+        rig = Rig(in_turn("b0"))
+        client = await rig.start(b0=backend.port)
+        await until(lambda: rig.server.connections)
+        ours = next(iter(rig.server.connections)).transport.get_extra_info("socket")
+        ours.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)  # the rest waits in the program
+        client.writer.write(call(Connection="close"))
+        assert (await read_answer(client))[1] == body
+        assert await client.reader.read() == b""
+        await until(lambda: not rig.server.connections)
+    run(main())
+
+
 def test_a_client_that_leaves_in_the_middle_ends_its_attempt():
     async def main():
         backend = await Peer.start(ok(LARGE)[:100_000])
