--- a/roadspur/net/client.py
+++ b/roadspur/net/client.py
@@ -217,7 +217,7 @@
         if size <= max(MAX_WHOLE, self.reserved):
             return True
         more = size - self.reserved
-        if size > HOLD_MOST or self.server.bodies + more > self.server.bodies_most:
+        if size > HOLD_MOST or not self.server.room(more):
             return False
         self.server.bodies += more
         self.reserved = size
--- a/roadspur/net/server.py
+++ b/roadspur/net/server.py
@@ -40,6 +40,10 @@
         """Whether the ingress is to be sent requests: in an upgrade the process taking over serves them."""
         return self.ready() or (self.leaving and self.ingress.beside > 0)
 
+    def room(self, more: int) -> bool:
+        """Whether so many more bytes of bodies may be held; during an upgrade each process has its part."""
+        return self.bodies + more <= self.bodies_most // (1 + self.ingress.beside)
+
     def joined(self, connection: ClientConnection) -> None:
         """Room for one more is made by closing one that never sent anything, or has been idle longest.
 
--- a/tests/test_flow.py
+++ b/tests/test_flow.py
@@ -420,6 +420,9 @@
         assert [(e.id, e.flows) for e in rig.script.events if isinstance(e, io.Request)] == [
             ("second", True), ("slow", False)]
         assert rig.server.bodies == 0 and backend.got == [body, body]
+        assert rig.server.room(500_000)
+        rig.ingress.beside = 1
+        assert rig.server.room(250_000) and not rig.server.room(250_001)
     run(main())
 
 
