Ask the kernel what is unsent without a fault on a connection that is gone

Closing asked for it on a descriptor that might be closed already; the error would have ended in the handling of a request.

--- a/roadspur/net/client.py
+++ b/roadspur/net/client.py
@@ -3,12 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import fcntl
 import http
 import re
 import select
-import sys
-import termios
 from collections import deque
 from typing import TYPE_CHECKING, NamedTuple, cast
 
@@ -17,7 +14,7 @@
 from roadspur.net.request import CUSTOMER, BadRequest, read_request
 from roadspur.net.upload import Upload
 from roadspur.net.upstream import Exchange
-from roadspur.net.wire import BLANKS, MAX_BODY, MAX_HEAD, MAX_WHOLE, Call
+from roadspur.net.wire import BLANKS, MAX_BODY, MAX_HEAD, MAX_WHOLE, Call, unsent
 
 if TYPE_CHECKING:
     from roadspur.net.server import Server
@@ -393,7 +390,7 @@
             self.transport.write_eof()
         else:
             self.transport.close()
-        self.full_since, self.full_size = self.loop.time(), self.unsent()
+        self.full_since, self.full_size = self.loop.time(), unsent(self.transport)
         self.loop.call_later(LINGER_S, self.linger)
 
     def linger(self) -> None:
@@ -407,7 +404,8 @@
 
     def reads(self, now: float) -> bool:
         """Whether a client that is behind has read any more of its answer lately."""
-        size, self.full_size = self.full_size, self.unsent()
+        assert self.transport is not None
+        size, self.full_size = self.full_size, unsent(self.transport)
         if self.full_size < size:
             self.full_since = now
         return now - self.full_since <= (FLOW_STALL_S if self.flowed else SLOW_S)
@@ -418,13 +416,6 @@
             return False
         return not self.unread()
 
-    def unsent(self) -> int:
-        """Bytes that the client has not read, here and in the kernel."""
-        assert self.transport is not None
-        queued = bytearray(4)
-        fcntl.ioctl(self.transport.get_extra_info("socket").fileno(), termios.TIOCOUTQ, queued)
-        return self.transport.get_write_buffer_size() + int.from_bytes(queued, sys.byteorder)
-
     def unread(self) -> bool:
         """Whether bytes have come that this program has not got round to reading."""
         assert self.transport is not None
--- a/roadspur/net/wire.py
+++ b/roadspur/net/wire.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
+import fcntl
+import sys
+import termios
 from dataclasses import dataclass
 from typing import NamedTuple
 
@@ -27,6 +31,16 @@
     return host.strip("[]"), int(port)
 
 
+def unsent(transport: asyncio.Transport) -> int:
+    """Bytes that the other side has not taken in, here and in the kernel; none if it is gone."""
+    queued = bytearray(4)
+    try:
+        fcntl.ioctl(transport.get_extra_info("socket").fileno(), termios.TIOCOUTQ, queued)
+    except (OSError, ValueError):
+        return 0
+    return transport.get_write_buffer_size() + int.from_bytes(queued, sys.byteorder)
+
+
 @dataclass(slots=True)
 class Call:
     """A client's request once it has come whole and has been found sound."""
--- a/tests/test_flow.py
+++ b/tests/test_flow.py
@@ -11,6 +11,7 @@
 from roadspur.net import client as client_module
 from roadspur.net import server as server_module
 from roadspur.net import upstream
+from roadspur.net.wire import unsent
 from tests.helpers import Ingress as Driven
 from tests.helpers import only, some
 from tests.sockets import Client, Peer, Rig, call, closed_port, in_turn, ok, run, until
@@ -167,6 +168,20 @@
     run(main())
 
 
+def test_nothing_is_unsent_on_a_connection_that_is_gone():
+    async def main():
+        backend = await Peer.start(ok())
+        rig = Rig(in_turn("b0"))
+        client = await rig.start(b0=backend.port)
+        await until(lambda: rig.server.connections)
+        ours = next(iter(rig.server.connections))
+        assert unsent(ours.transport) == 0
+        client.writer.close()
+        await until(lambda: not rig.server.connections)
+        assert unsent(ours.transport) == 0
+    run(main())
+
+
 def test_a_client_that_leaves_in_the_middle_ends_its_attempt():
     async def main():
         backend = await Peer.start(ok(LARGE)[:100_000])
