Tell no wait as 0, and open requests to no counter where there is none

A wait under half a millisecond was told as Retry-After: 0.000, and a program test failed once by it, depending on where in a window it ran. The adapter's drill found counter calls under settings without a counter: open requests were counted at each beat all the same. Ruled out: a fault in the counter's totals; the status was 429.

--- a/roadspur/control.py
+++ b/roadspur/control.py
@@ -345,7 +345,7 @@
         if c.counted_in != window:
             c.counted, c.counted_in = 0, window
         change = c.out - c.counted
-        if change == 0 and f is None:
+        if not self.s.counter or (change == 0 and f is None):
             return
         c.counted = c.out
         name = mix(~c.key, window)
--- a/roadspur/net/ingress.py
+++ b/roadspur/net/ingress.py
@@ -236,7 +236,7 @@
         if not refused:
             self.answer(held, 502)
             return
-        after = wait if wait > 0 else self.settings.max_retry_after
+        after = max(wait, 10 ** -DECIMALS) if wait > 0 else self.settings.max_retry_after  # never told as 0
         self.answer(held, 429 if wait > 0 else 503,
                     b"Retry-After: %s\r\n" % f"{after:.{DECIMALS}f}".encode() if after > 0 else b"")
 
--- a/tests/test_open.py
+++ b/tests/test_open.py
@@ -122,3 +122,11 @@
     for _ in range(20):
         a.gw.ask = 0.25
         only(a.ask(plan="full"), io.Refuse)  # unasked, its even share would let it in
+
+
+def test_where_there_is_no_counter_open_requests_are_told_to_none():
+    plan = io.PlanSettings("capped", rate=0.0, burst=0.0, max_open=4)
+    g = Ingress(backends=4, counter=False, plans=(plan,))
+    sent = [a for _ in range(3) for a in some(g.ask(plan="capped"), io.Attempt)]
+    assert sent and not some(g.beat(12.0), io.CounterAdd)
+    assert not some([x for a in sent for x in g.end(a)], io.CounterAdd)
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -360,3 +360,12 @@
         assert (request.class_name, request.plan) == ("read", "basic")
         assert rig.script.ends()[0].true_units == 3
     run(main())
+
+
+def test_a_short_wait_is_not_told_as_none():
+    async def main():
+        rig = Rig(lambda e: [io.Refuse(e.id, 0.0001)] if isinstance(e, io.Request) else [])
+        client = await rig.start()
+        status, headers, _ = await client.ask(call())
+        assert status == 429 and float(headers["retry-after"]) > 0
+    run(main())
