Ask discovery again with exponential backoff and jitter: 40 fixed retries shut all out

From 10 s on 447 attempts found no backend and 351 one that was draining. Ruled out: garbled lines, a silent watch (not one in the logs); faults of backends. To blame: Source.run, a fixed RETRY_S, the same at all. Now full jitter in a window that grows with the fleet and with each failure, from the instance's seed.

--- a/roadspur/__main__.py
+++ b/roadspur/__main__.py
@@ -168,7 +168,8 @@
         ingress.peers = peers
     if config.known is not None:
         ingress.listed(config.known, saved=True)
-    discovery = Discovery(loop, config.discovery, config.known.version if config.known else 0, ingress.listed)
+    discovery = Discovery(loop, config.discovery, config.known.version if config.known else 0, ingress.listed,
+                          config.settings.instances, config.seed)
     server = Server(loop, ingress, share, config.memory // BODIES_SHARE)
     follow(server)
     stop = asyncio.Event()
--- a/roadspur/net/discovery.py
+++ b/roadspur/net/discovery.py
@@ -6,6 +6,7 @@
 import json
 import logging
 import math
+import random
 from collections.abc import Callable
 from typing import Any, NamedTuple, cast
 
@@ -18,7 +19,9 @@
 log = logging.getLogger(__name__)
 
 SILENCE_S = 3.2  # an empty line comes every 2 s; what is not heard counts as told 6 s later all the same
-RETRY_S = 0.2
+RETRY_S = 0.4  # within which it is asked again after a failure, and twice as long after each further one
+RETRY_EACH_S = 0.05  # of that, at least, for each ingress: all of them lose discovery at once
+RETRY_MOST_S = 6.0  # what is not heard by then counts as told all the same
 CONNECT_S = 1.0
 MAX_LINE = 8 * 1024 * 1024
 PHASES = {"SERVING": io.Phase.RUNNING, "DRAINING": io.Phase.STOPPING, "DELETED": io.Phase.DELETED}
@@ -66,6 +69,7 @@
         self.loop = asyncio.get_running_loop()
         self.transport: asyncio.Transport | None = None
         self.rest = bytearray()
+        self.accepted = False
         self.heard = self.loop.time()
         self.ended: asyncio.Future[str] = self.loop.create_future()
 
@@ -89,7 +93,8 @@
             self.end(str(error.__context__ or error))
 
     def on_headers_complete(self) -> None:
-        if self.parser.get_status_code() != 200:
+        self.accepted = self.parser.get_status_code() == 200
+        if not self.accepted:
             self.end(f"status {self.parser.get_status_code()}")
 
     def on_body(self, data: bytes) -> None:
@@ -129,12 +134,27 @@
             self.ended.set_result(why)
 
 
+class Backoff:
+    """When to ask again: exponential backoff with full jitter, so that no fleet shuts itself out."""
+
+    def __init__(self, instances: int, rng: random.Random) -> None:
+        self.rng, self.failures = rng, 0
+        self.first = max(RETRY_S, RETRY_EACH_S * instances)
+
+    def next(self) -> float:
+        """The wait after one more failure."""
+        window = min(RETRY_MOST_S, self.first * 2.0 ** min(self.failures, 10))
+        self.failures += 1
+        return self.rng.uniform(0.0, window)
+
+
 class Source:
     """Keeps a watch on one address going, from the last version that was taken in."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, address: Address, index: int | None,
-                 on_listing: Callable[[Source, Listing], None]) -> None:
+                 on_listing: Callable[[Source, Listing], None], backoff: Backoff) -> None:
         self.loop, self.address, self.index, self.on_listing = loop, address, index, on_listing
+        self.backoff = backoff
         self.task = loop.create_task(self.run())
 
     async def run(self) -> None:
@@ -148,7 +168,7 @@
                 log.exception("discovery")
                 why = "a fault"
             log.info("discovery: %s", why)
-            await asyncio.sleep(RETRY_S)
+            await asyncio.sleep(self.backoff.next())
 
     async def follow(self, watch: Watch) -> str:
         """Keep a watch going; returns why it came to its end."""
@@ -161,6 +181,8 @@
                     return watch.ended.result()
             return f"silent for {SILENCE_S:g} s"
         finally:
+            if watch.accepted:
+                self.backoff.failures = 0
             watch.end("given up")
             transport.abort()
 
@@ -179,9 +201,13 @@
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop, address: Address, index: int,
-                 on_listing: Callable[[Listing], None]) -> None:
+                 on_listing: Callable[[Listing], None], instances: int = 1, seed: int = 0) -> None:
         self.loop, self.on_listing = loop, on_listing
-        self.source = self.newest = Source(loop, address, index, self.listed)
+        self.instances, self.rng = instances, random.Random(seed)
+        self.source = self.newest = self.seek(address, index)
+
+    def seek(self, address: Address, index: int | None) -> Source:
+        return Source(self.loop, address, index, self.listed, Backoff(self.instances, self.rng))
 
     def move(self, address: Address) -> None:
         """Discovery is elsewhere from now on."""
@@ -189,7 +215,7 @@
             return
         if self.newest is not self.source:
             self.newest.task.cancel()
-        self.newest = Source(self.loop, address, None, self.listed)
+        self.newest = self.seek(address, None)
 
     def listed(self, source: Source, listing: Listing) -> None:
         if source is self.newest:
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import json
+import random
+from collections import Counter as Counting
 
 import pytest
 
@@ -297,6 +299,35 @@
     run(main())
 
 
+def test_a_fleet_that_discovery_turns_away_asks_ever_less_often_and_at_different_times():
+    # All 40 asked again after 0.2 s, and again: 170 calls a second kept it from answering any of them.
+    backoffs = [discovery_module.Backoff(40, random.Random(seed)) for seed in range(40)]
+    rounds = [[b.next() for b in backoffs] for _ in range(6)]
+    for waits in rounds:
+        tenths = Counting(int(w * 10) for w in waits)
+        assert max(tenths.values()) <= 12 and max(waits) <= discovery_module.RETRY_MOST_S
+    assert sum(rounds[-1]) / 40 > 2.0 > sum(rounds[0]) / 40
+    assert discovery_module.Backoff(3, random.Random(1)).next() <= 0.4  # a small one finds it again at once
+
+
+def test_a_watch_that_was_turned_away_waits_ever_longer_and_one_that_stood_does_not(monkeypatch):
+    monkeypatch.setattr(discovery_module, "RETRY_S", 0.001)
+
+    async def main():
+        agent, failures = await Peer.start(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"), []
+        discovery = Discovery(asyncio.get_running_loop(), (HOST, agent.port), 7, lambda _: None)
+        backoff, wait = discovery.source.backoff, discovery.source.backoff.next
+        monkeypatch.setattr(backoff, "next", lambda: failures.append(backoff.failures) or wait() * 0)
+        await until(lambda: len(failures) >= 4)
+        good = await Agent().listen()
+        discovery.source.address = (HOST, good.port)
+        await until(lambda: good.requests)
+        good.lines.put_nowait(None)
+        await until(lambda: failures[-1] == 0)
+        assert failures[:4] == [0, 1, 2, 3]
+    run(main())
+
+
 def test_discovery_that_moves_is_asked_for_the_whole_list_and_the_old_one_stays_until_then():
     """Versions need not go on from one to the other: only the whole list tells what has gone meanwhile."""
     async def main():
