--- a/roadspur/control.py
+++ b/roadspur/control.py
@@ -1,13 +1,12 @@
 """All decisions of a quota gateway; its settings, events and actions are in roadspur/interface.py.
 
-Read from top to bottom: the store of a customer, admission by the counter, what stands in while the counter
-fails, then routing and attempts.
+Read from top to bottom: admission by the counter, what stands in while the counter fails, then routing and
+attempts. The store of a customer is in roadspur/customer.py, the cap on open requests in roadspur/opencap.py.
 """
 
 from __future__ import annotations
 
 import bisect
-import hashlib
 import math
 import random
 import struct
@@ -17,7 +16,9 @@
 from typing import Any
 
 from roadspur import interface as io
+from roadspur.customer import Customer
 from roadspur.fleet import Backend, Fleet
+from roadspur.opencap import KEEP, OpenCap
 
 ASK_SHARE, ASK_OVER = 0.8, 0.01  # calls a request beyond which sure refusals need none; weight of a request
 UNKNOWN = 0.8     # of the burst that counts as left of a window that nothing was seen of
@@ -30,7 +31,7 @@
 VERDICT, PART = 0.3, 0.2  # weight of a new total in a customer's chance (a fifth for its like), in its part
 BAD_SHARE = 0.5   # error share at which a backend is ejected
 SILENT_X = 8.0    # usual latencies of owed answers after which a backend counts as silent, an attempt as hung
-BEAT, TELL, KEEP = 0, 1, 2  # tokens of timers
+BEAT, TELL = 0, 1  # tokens of timers
 BEAT_S = 0.05     # between looks at silent backends and at what is held
 SLOTS, FLOOR = 6.0, 2.0  # attempts out to a backend by all ingresses together, at first and at least
 AIM_PART = 0.16   # of its aim that a class's unpressed latency is taken for at most
@@ -40,7 +41,6 @@
 PRESSED = 1.8     # times the unpressed latency, where the concurrency limit shrinks
 COLD_SAFETY = 0.5  # of the stated cold budget that is used, as the warm rate is only an estimate
 COLD_MOST = 1.5   # attempts that may be saved up for a cold backend
-OPEN_AIMS = 2.0   # longest aims after which a count of open requests begins anew, with what is open then
 KEPT_LENGTHS = 6.0  # windows after which a quiet customer is forgotten: its store has long been full
 TELL_S, TELL_MOST_S = 0.1, 0.25  # between tellings to peers of what was let in, and at most
 TELL_PART = 0.75  # of the messages that an ingress takes in, that its peers' tellings may make up
@@ -57,68 +57,6 @@
 ANSWERS = (io.Outcome.OK, io.Outcome.ERROR, io.Outcome.RESET, io.Outcome.FULL)
 
 
-def mix(a: int, b: int) -> int:
-    """A 63-bit name out of two numbers, the same at every instance."""
-    return int.from_bytes(hashlib.blake2b(f"{a} {b}".encode(), digest_size=8).digest()) >> 1
-
-
-class Customer:
-    """What one ingress knows of a customer's count: a refilling store, seen through totals."""
-
-    __slots__ = ("key", "plan", "width", "first", "length", "phase", "window", "total", "told", "heard",
-                 "heard_in", "excess", "excess_at", "mine", "mine_told", "theirs", "level", "at", "born",
-                 "vouched", "seen", "pending", "flying", "part", "known", "chance", "out", "counted",
-                 "counted_in", "pressed")
-
-    def __init__(self, key: int, plan: io.PlanSettings, now: float) -> None:
-        self.key, self.plan, self.width = key, plan, 1
-        self.length = plan.burst / plan.rate if plan.rate > 0 else 1.0
-        self.phase = mix(key, 0) / (1 << 63) * self.length  # windows of customers turn at different times
-        self.window, self.total = -1, 0.0
-        self.told = 0.0  # own units that the total holds
-        self.heard, self.heard_in = 0.0, -1  # what peers have told of, and in which window
-        self.excess, self.excess_at = 0.0, 0.0  # of the total over both, taken off the level; since when
-        self.mine, self.mine_told = 0, 0  # quarter units let in here, and as last told to peers
-        self.theirs: dict[int, int] = {}  # the same of each peer
-        # Without history the store counts as full; under a ceiling as what a full quota cannot have spent, so
-        # that a restart in a counter outage does not hand the ceiling out twice.
-        spent = plan.rate / plan.ceiling_rate if plan.ceiling_rate > 0 else 0.0
-        self.level, self.at = plan.burst * max(0.0, 1 - spent), now
-        self.first, self.born, self.seen = 0, now, now
-        self.vouched = False  # a peer has told the level to this ingress, which had only begun
-        self.pending, self.flying = 0.0, 0.0  # own use not in the count yet, and charges without a verdict
-        self.part = 0.0  # of the customer's recent use, what came through here
-        self.known, self.chance = True, 1.0  # carried on from an earlier window; share admitted of late
-        self.out = 0  # requests open or about to be here; how many of them a count holds, and which
-        self.counted, self.counted_in = 0, -1
-        self.pressed = -math.inf  # when a total last showed the cap to be full
-
-    def turn(self, now: float) -> int:
-        """The number of the window."""
-        return int((now + self.phase) // self.length)
-
-    def name(self, now: float) -> int:
-        """The name of the count of the window."""
-        return mix(self.key, self.turn(now) + 1)
-
-    def short(self, now: float) -> bytes:
-        """That name in few bytes, for peers."""
-        return self.name(now).to_bytes(8)[:5]
-
-    def room(self, now: float) -> float:
-        """Units in the store, with all that is known to have been let in taken off."""
-        if not self.known:  # a fixed window: no refill within it, the whole burst in the next
-            return self.level if self.turn(now) == self.window else self.plan.burst
-        return min(self.plan.burst, self.level + self.plan.rate * (now - self.at))
-
-    def use(self, now: float, units: float) -> None:
-        """Units were let in."""
-        if self.known:
-            self.level, self.at = self.room(now) - units, now
-        else:
-            self.level -= units
-
-
 class Flight:
     """A request that is owed one final answer."""
 
@@ -148,10 +86,7 @@
         self.processes = 1  # of this ingress: in an upgrade each lets in its part of what the ingress may
         self.members = self.fleet.members
         self.calls: dict[int, deque[tuple[Customer, int, float, Flight | None]]] = {}
-        self.open_calls: dict[int, deque[tuple[Customer, int, int, Flight | None]]] = {}
-        self.open: dict[str, Customer] = {}  # requests counted as open, whose they are
-        self.places = deque[tuple[float, Customer]]()  # counted, free, kept for the next until then
-        self.open_length = OPEN_AIMS * max(c.objective for c in settings.classes) or 1.0
+        self.cap = OpenCap(self)
         self.ask, self.misses, self.asked = 1.0, 0, 1.0  # share of requests that call, misses in a row, calls
         self.chance = {(p, again): 1.0 for p in self.plans for again in (False, True)}  # admitted of late
         self.spent = OrderedDict[bytes, float]()  # windows known to be used up, until when it matters
@@ -196,7 +131,7 @@
         if e.token == TELL:
             self.tell(now)
         elif e.token == KEEP:
-            self.give_back(now)
+            self.cap.give_back(now)
         else:
             self.sweep(now)
 
@@ -210,7 +145,7 @@
         self.forgive(now, c)
         f = self.flights[r.id] = Flight(r, cls, c, now)
         if plan.rate <= 0:
-            return self.enter(now, f)
+            return self.cap.enter(now, f)
         if not self.s.counter:
             return self.local(now, f)
         known = c.room(now) - c.flying
@@ -266,8 +201,8 @@
 
     def counted(self, now: float, e: io.CounterReply) -> None:
         """A total came, or did not: admit, refuse and add back, or fall back on the local share."""
-        if e.name in self.open_calls:
-            return self.open_counted(now, e)
+        if e.name in self.cap.calls:
+            return self.cap.counted(now, e)
         queue = self.calls.get(e.name)
         if not queue:
             return
@@ -290,7 +225,7 @@
         self.chance[f.req.plan, f.req.is_repeat] = common + VERDICT / 5 * (good - common)
         if good:
             self.admit(now, c, f.charge, f)
-            return self.enter(now, f)
+            return self.cap.enter(now, f)
         if c.known or self.ask >= 1:
             self.add(now, c, -f.charge, None)  # refused: the charge is added back
         if self.s.peers and not c.known and c.level < 1 and c.short(now) not in self.spent:
@@ -313,87 +248,11 @@
         self.misses = 0
         return True
 
-    # The cap on open requests: a count of them on the counter, told of each change here.
-
-    def enter(self, now: float, f: Flight) -> None:
-        """Within its quota on the rate: go on if the cap on open requests has room."""
-        c, most = f.customer, f.customer.plan.max_open
-        if most <= 0:
-            return self.send(now, f)
-        if c.out >= most:  # sure: what is open here alone fills it
-            return self.refuse(now, f, self.latency[f.cls.name])
-        if not self.free(now) and self.late(now, f):
-            return self.refuse(now, f, 0.0)
-        c.out += 1
-        self.open[f.req.id] = c
-        if c.counted_in == int(now // self.open_length) and c.counted >= c.out:
-            return self.send(now, f)  # into a place that was kept
-        doubtful = c.out > max(1, most // c.width) or now < c.pressed + f.cls.objective
-        if not self.s.counter or not self.drawn(doubtful):
-            return self.enter_alone(now, f)
-        self.count_open(now, c, f)
-
-    def enter_alone(self, now: float, f: Flight) -> None:
-        """Without a total, an even share of the cap stands in, of one request at least."""
-        if f.customer.out > max(1, f.customer.plan.max_open // (f.customer.width * self.processes)):
-            return self.refuse(now, f, self.latency[f.cls.name])
-        self.send(now, f)
-
-    def count_open(self, now: float, c: Customer, f: Flight | None = None) -> None:
-        """Tell the count of this window what has changed here; a new one, all that is open here."""
-        window = int(now // self.open_length)
-        if c.counted_in != window:
-            c.counted, c.counted_in = 0, window
-        change = c.out - c.counted
-        if not self.s.counter or (change == 0 and f is None):
-            return
-        c.counted = c.out
-        name = mix(~c.key, window)
-        self.open_calls.setdefault(name, deque()).append((c, window, change, f))
-        self.acts.append(io.CounterAdd(name, change, min(60.0, 2 * self.open_length)))
-
-    def open_counted(self, now: float, e: io.CounterReply) -> None:
-        """A total of open requests came, or did not."""
-        queue = self.open_calls[e.name]
-        c, window, change, f = queue.popleft()
-        if not queue:
-            del self.open_calls[e.name]
-        if not self.answers(e) and e.outcome is not io.Outcome.TIMEOUT and c.counted_in == window:
-            c.counted -= change  # sure not to have been added: it goes with the next call
-        if f is None or f.req.id not in self.flights:
-            return
-        if e.outcome is not io.Outcome.OK:
-            return self.enter_alone(now, f)
-        if e.total > c.plan.max_open:
-            c.pressed = now
-            return self.refuse(now, f, self.latency[f.cls.name])
-        self.send(now, f)
-
-    def leave(self, now: float, request: str, served: bool = True) -> None:
-        """A request is open no more: its place is free at once, or kept a moment where calls are short."""
-        c = self.open.pop(request, None)
-        if c is not None:
-            c.out -= 1
-            if c.counted_in != int(now // self.open_length) or c.counted <= c.out:
-                return  # no count holds it
-            if self.ask >= 1 or not served:  # a charge that was refused is no place
-                return self.count_open(now, c)
-            wait = (1 - self.ask) * self.s.counter_timeout
-            self.places.append((now + wait, c))
-            self.acts.append(io.SetTimer(wait, KEEP))
-
-    def give_back(self, now: float) -> None:
-        """Places that were kept and not used are free for others."""
-        while self.places and self.places[0][0] <= now + 1e-6:
-            _, c = self.places.popleft()
-            if c.counted_in == int(now // self.open_length):
-                self.count_open(now, c)
-
     def gone(self, now: float, e: io.ClientGone) -> None:
         """Nothing more is owed; an attempt that is out stays open until it ends."""
         f = self.flights.pop(e.request, None)
         if f is not None and not f.sent_on:
-            self.leave(now, e.request)
+            self.cap.leave(now, e.request)
 
     def admit(self, now: float, c: Customer, units: float, f: Flight | None = None) -> None:
         """Units were let in here: they come off the store, and peers are told."""
@@ -509,13 +368,13 @@
         elif self.by_chance(f):
             good = self.rng.random() < self.guess(now, f)
             c.chance *= 1 - VERDICT * good  # let in unseen: who comes here again soon asks more than most
-            return self.enter(now, f) if good else self.refuse(now, f, 0.0)
+            return self.cap.enter(now, f) if good else self.refuse(now, f, 0.0)
         elif c.plan.rate > 0:
             if not self.fits(now, f):
                 return self.refuse(now, f, 0.0)
             c.pending += units
         self.admit(now, c, units, f)
-        self.enter(now, f)
+        self.cap.enter(now, f)
 
     @staticmethod
     def by_chance(f: Flight) -> bool:
@@ -539,7 +398,7 @@
     def refuse(self, now: float, f: Flight, wait: float) -> None:
         """Final answer: refused, or failed where a refusal would promise too much."""
         del self.flights[f.req.id]
-        self.leave(now, f.req.id, served=False)
+        self.cap.leave(now, f.req.id, served=False)
         if f.took > 0 and f.attempts == 0:  # what was never sent on uses nothing up
             f.customer.pending -= f.took
             self.admit(now, f.customer, -f.took)
@@ -604,9 +463,7 @@
     def sweep(self, now: float) -> None:
         """Each beat: find silent backends by the answers they owe, and see to what is held."""
         self.armed = False
-        for c in {c.key: c for c in self.open.values()}.values():  # a new count holds nothing of it yet
-            if c.counted_in != int(now // self.open_length):
-                self.count_open(now, c)
+        self.cap.renew(now)
         for b in [x for x in self.fleet.backends.values() if x.out]:
             slow = SILENT_X * max(1.0, b.ratio)
             # An attempt that was overdue when another was answered tells of itself, not of the backend.
@@ -696,13 +553,13 @@
                 self.out -= 1
                 self.judge(now, b, e, name, plan)
         if f is None:
-            return self.leave(now, e.request)
+            return self.cap.leave(now, e.request)
         f.sent_on = False
         if e.outcome not in NEVER_RAN and f.ran_at is None and b is not None:
             f.ran_at, f.ran_on = f.sent, b.entry
         if e.done:
             del self.flights[e.request]
-            self.leave(now, e.request)
+            self.cap.leave(now, e.request)
             if self.queue:
                 self.dispatch(now)
             if e.outcome is io.Outcome.OK and e.true_units > 0 and self.s.settles:
--- /dev/null
+++ b/roadspur/opencap.py
@@ -0,0 +1,106 @@
+"""The cap on open requests: a count of them on the counter, told of each change here."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+
+from roadspur import interface as io
+from roadspur.customer import Customer, mix
+
+if TYPE_CHECKING:
+    from roadspur.control import Flight, Gateway
+
+OPEN_AIMS = 2.0   # longest aims after which a count of open requests begins anew, with what is open then
+KEEP = 2  # token of the timer that gives kept places back
+
+
+class OpenCap:
+    """What one ingress lets in, and counts, of each customer's open requests."""
+
+    def __init__(self, gw: Gateway) -> None:
+        self.gw = gw
+        self.calls: dict[int, deque[tuple[Customer, int, int, Flight | None]]] = {}
+        self.open: dict[str, Customer] = {}  # requests counted as open, whose they are
+        self.places = deque[tuple[float, Customer]]()  # counted, free, kept for the next until then
+        self.length = OPEN_AIMS * max(c.objective for c in gw.s.classes) or 1.0
+
+    def enter(self, now: float, f: Flight) -> None:
+        """Within its quota on the rate: go on if the cap on open requests has room."""
+        c, most = f.customer, f.customer.plan.max_open
+        if most <= 0:
+            return self.gw.send(now, f)
+        if c.out >= most:  # sure: what is open here alone fills it
+            return self.gw.refuse(now, f, self.gw.latency[f.cls.name])
+        if not self.gw.free(now) and self.gw.late(now, f):
+            return self.gw.refuse(now, f, 0.0)
+        c.out += 1
+        self.open[f.req.id] = c
+        if c.counted_in == int(now // self.length) and c.counted >= c.out:
+            return self.gw.send(now, f)  # into a place that was kept
+        doubtful = c.out > max(1, most // c.width) or now < c.pressed + f.cls.objective
+        if not self.gw.s.counter or not self.gw.drawn(doubtful):
+            return self.enter_alone(now, f)
+        self.count(now, c, f)
+
+    def enter_alone(self, now: float, f: Flight) -> None:
+        """Without a total, an even share of the cap stands in, of one request at least."""
+        if f.customer.out > max(1, f.customer.plan.max_open // (f.customer.width * self.gw.processes)):
+            return self.gw.refuse(now, f, self.gw.latency[f.cls.name])
+        self.gw.send(now, f)
+
+    def count(self, now: float, c: Customer, f: Flight | None = None) -> None:
+        """Tell the count of this window what has changed here; a new one, all that is open here."""
+        window = int(now // self.length)
+        if c.counted_in != window:
+            c.counted, c.counted_in = 0, window
+        change = c.out - c.counted
+        if not self.gw.s.counter or (change == 0 and f is None):
+            return
+        c.counted = c.out
+        name = mix(~c.key, window)
+        self.calls.setdefault(name, deque()).append((c, window, change, f))
+        self.gw.acts.append(io.CounterAdd(name, change, min(60.0, 2 * self.length)))
+
+    def counted(self, now: float, e: io.CounterReply) -> None:
+        """A total of open requests came, or did not."""
+        queue = self.calls[e.name]
+        c, window, change, f = queue.popleft()
+        if not queue:
+            del self.calls[e.name]
+        if not self.gw.answers(e) and e.outcome is not io.Outcome.TIMEOUT and c.counted_in == window:
+            c.counted -= change  # sure not to have been added: it goes with the next call
+        if f is None or f.req.id not in self.gw.flights:
+            return
+        if e.outcome is not io.Outcome.OK:
+            return self.enter_alone(now, f)
+        if e.total > c.plan.max_open:
+            c.pressed = now
+            return self.gw.refuse(now, f, self.gw.latency[f.cls.name])
+        self.gw.send(now, f)
+
+    def leave(self, now: float, request: str, served: bool = True) -> None:
+        """A request is open no more: its place is free at once, or kept a moment where calls are short."""
+        c = self.open.pop(request, None)
+        if c is not None:
+            c.out -= 1
+            if c.counted_in != int(now // self.length) or c.counted <= c.out:
+                return  # no count holds it
+            if self.gw.ask >= 1 or not served:  # a charge that was refused is no place
+                return self.count(now, c)
+            wait = (1 - self.gw.ask) * self.gw.s.counter_timeout
+            self.places.append((now + wait, c))
+            self.gw.acts.append(io.SetTimer(wait, KEEP))
+
+    def give_back(self, now: float) -> None:
+        """Places that were kept and not used are free for others."""
+        while self.places and self.places[0][0] <= now + 1e-6:
+            _, c = self.places.popleft()
+            if c.counted_in == int(now // self.length):
+                self.count(now, c)
+
+    def renew(self, now: float) -> None:
+        """A new count holds nothing of what is open here yet."""
+        for c in {c.key: c for c in self.open.values()}.values():
+            if c.counted_in != int(now // self.length):
+                self.count(now, c)
--- a/tests/test_open.py
+++ b/tests/test_open.py
@@ -32,7 +32,7 @@
     a, b = pair()
     for _ in range(2):
         only(a.ask(plan="full"), io.Attempt)
-    a.beat(a.gw.open_length)
+    a.beat(a.gw.cap.length)
     b.now = a.now
     only(b.ask(plan="full"), io.Refuse)
 
