--- a/roadspur/opencap.py
+++ b/roadspur/opencap.py
@@ -84,7 +84,9 @@
         c = self.open.pop(request, None)
         if c is not None:
             c.out -= 1
-            if c.counted_in != int(now // self.length) or c.counted <= c.out:
+            if c.counted_in != int(now // self.length):
+                c.counted = min(c.counted, c.out)
+            if c.counted <= c.out:
                 return  # no count holds it
             if self.gw.ask >= 1 or not served:  # a charge that was refused is no place
                 return self.count(now, c)
@@ -98,9 +100,11 @@
             _, c = self.places.popleft()
             if c.counted_in == int(now // self.length):
                 self.count(now, c)
+            else:
+                c.counted = min(c.counted, c.out)
 
     def renew(self, now: float) -> None:
-        """A new count holds nothing of what is open here yet."""
+        """A new count holds nothing of what is open here yet; where calls are short, else stays so."""
         for c in {c.key: c for c in self.open.values()}.values():
-            if c.counted_in != int(now // self.length):
+            if c.counted_in != int(now // self.length) and (c.counted > 0 or self.gw.ask >= 1):
                 self.count(now, c)
--- a/tests/test_open.py
+++ b/tests/test_open.py
@@ -124,6 +124,32 @@
         only(a.ask(plan="full"), io.Refuse)  # unasked, its even share would let it in
 
 
+def test_where_calls_are_short_a_request_let_in_without_one_costs_none_until_its_end():
+    # Each was told to the count by the next beat and taken back at its end: two calls of every three.
+    fleet = [Ingress(plans=(CAPPED,), instances=40, seed=n) for n in range(40)]
+    calls = asked = 0
+    for n, g in enumerate(fleet):
+        g.gw.ask = 0.05
+        acts = g.ask(plan="full", customer=n, width=40)
+        if some(acts, io.CounterAdd):
+            asked += 1
+            continue
+        g.counter = "silent"
+        acts += g.beat(0.1) + g.end(only(acts, io.Attempt)) + g.beat(0.1)
+        calls += len(some(acts, io.CounterAdd))
+    assert asked < 10 and calls == 0
+
+
+def test_what_a_count_held_is_told_to_the_next_also_where_calls_are_short():
+    a, b = pair()
+    for _ in range(2):
+        only(a.ask(plan="full"), io.Attempt)
+    a.gw.ask = 0.5
+    a.beat(a.gw.cap.length)
+    b.now = a.now
+    only(b.ask(plan="full"), io.Refuse)
+
+
 def test_where_there_is_no_counter_open_requests_are_told_to_none():
     plan = io.PlanSettings("capped", rate=0.0, burst=0.0, max_open=4)
     g = Ingress(backends=4, counter=False, plans=(plan,))
