--- a/roadspur/control.py
+++ b/roadspur/control.py
@@ -28,6 +28,7 @@
 ASK_NEED = 4.0    # times that share, for requests that would be refused unasked
 ASK_LEAST, ASK_DOWN = 0.05, 0.2  # its least; while the counter is down, and least that counts as told
 ASK_BACK, ASK_CUT = 0.5, 0.6  # its value when the counter is back; what a miss leaves of it
+ASK_ALL = 8.0  # ingresses that may all call for each request at once, as far as one knows that has only begun
 VERDICT, PART = 0.3, 0.2  # weight of a new total in a customer's chance (a fifth for its like), in its part
 BAD_SHARE = 0.5   # error share at which a backend is ejected
 SILENT_X = 8.0    # usual latencies of owed answers after which a backend counts as silent, an attempt as hung
@@ -88,7 +89,8 @@
         self.members = self.fleet.members
         self.calls: dict[int, deque[tuple[Customer, int, float, Flight | None]]] = {}
         self.cap = OpenCap(self)
-        self.ask, self.misses, self.asked = 1.0, 0, 1.0  # share of requests that call, misses in a row, calls
+        self.begin_ask = min(1.0, ASK_ALL / settings.instances)
+        self.ask, self.misses, self.asked = self.begin_ask, 0, 1.0  # share that calls, misses in a row, calls
         self.chance = {(p, again): 1.0 for p in self.plans for again in (False, True)}  # admitted of late
         self.spent = OrderedDict[bytes, float]()  # windows known to be used up, until when it matters
         taken_in = TELL_PART * settings.peer_in_per_s
@@ -245,7 +247,8 @@
         self.ask += STEP * (WAIT - e.elapsed / self.s.counter_timeout)
         if self.misses >= ALONE:
             self.acts.append(io.Log(f"counter answers again after {self.misses} misses"))
-        self.ask = ASK_BACK if self.misses >= ALONE else min(1.0, max(ASK_LEAST, self.ask))
+        back = self.misses >= ALONE
+        self.ask = min(ASK_BACK, self.begin_ask) if back else min(1.0, max(ASK_LEAST, self.ask))
         self.misses = 0
         return True
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -555,3 +555,32 @@
     before = g.gw.customers[7].room(g.now)
     g.give(io.PeerMessage(1, payload))
     assert g.gw.customers[7].room(g.now) == before
+
+
+def test_a_fleet_that_begins_at_once_leaves_the_counter_room():
+    # 28 ingresses restarted together and each called for every request: a flood that none had an answer to.
+    def calls(instances: int) -> int:
+        fleet = [Ingress(instances=instances, seed=n) for n in range(instances)]
+        for g in fleet:
+            g.counter = "silent"
+            for customer in range(5):
+                g.ask(customer=customer, plan="plus", units=1.0, width=1)
+        return len([a for g in fleet for a in some(g.log, io.CounterAdd)])
+
+    assert calls(40) < 100 and calls(4) == 20
+
+
+def test_a_counter_that_is_back_is_not_flooded_by_a_fleet():
+    g = Ingress(instances=40)
+
+    def ask(state: str) -> None:
+        g.counter = state
+        for a in some(g.ask(customer=g.n), io.Attempt):
+            g.end(a)
+
+    for _ in range(1000):
+        ask("timeout")
+    assert g.gw.misses >= ALONE
+    while g.gw.misses:
+        ask("up")
+    assert g.gw.ask < 0.3
