Go back to a backend that has answered before connecting to a strange one

Checked: idle connections closed too early (none was, by either side). To blame: Backend.ratio = 1.0, an unpressed latency, until it had answered: the strange one looked faster than all that were known. Now it counts as the others do and a bit more.

--- a/roadspur/control.py
+++ b/roadspur/control.py
@@ -52,6 +52,7 @@
 TOLD = struct.Struct(">5sHbb")  # customer, plan; quarter units let in so far, since last told; level
 TOLD_MARK = b"\x01"
 TOLD_MOST = (256 - len(TOLD_MARK)) // TOLD.size  # customers that a message of 256 bytes tells of
+STRANGE = 1.15    # cost of a backend that has not answered here yet, over what the others cost
 TIE, RATE_S = 0.02, 5.0  # chance that breaks ties, span of the rate of answers
 NEVER_RAN = (io.Outcome.FULL, io.Outcome.CONNECT_FAILED, io.Outcome.MOOT)
 FAULTS = (io.Outcome.ERROR, io.Outcome.RESET, io.Outcome.CONNECT_FAILED)
@@ -519,7 +520,7 @@
                 b.tokens_at = now
                 if b.tokens < 1.0:
                     continue
-            cost = (len(b.out) + 1) * b.ratio * (1 + 4 * b.errors)
+            cost = (len(b.out) + 1) * self.slowness(b) * (1 + 4 * b.errors)
             for key, usual in keys:
                 if key in b.shy:
                     last, at = b.shy[key]
@@ -530,6 +531,15 @@
                 best, least = b, cost
         return best
 
+    def slowness(self, b: Backend, strange: float = STRANGE) -> float:
+        """How slow a backend is; one that has not answered yet is as others are, and costs a handshake.
+
+        What has started since this ingress did is new to all of them: nobody would go there first.
+        """
+        if b.known or b.start > self.began:
+            return b.ratio
+        return max(b.ratio, self.press) * strange
+
     def started(self, now: float, e: io.AttemptStarted) -> None:
         """A large answer has begun: the work is done, and only its customer's place is taken to its end."""
         b = self.fleet.backends.get(e.backend)
@@ -582,7 +592,8 @@
         b.answered = now if e.outcome in ANSWERS else b.answered  # a time-out is no sign of life, nor a fault
         if e.outcome is io.Outcome.OK or (e.outcome is io.Outcome.TIMEOUT and e.elapsed > self.latency[name]):
             times = min(e.elapsed / self.base[name], TAIL)  # a few very costly requests are no jam
-            b.ratio += 0.1 * (times - b.ratio)
+            b.ratio = self.slowness(b, 1.0)
+            b.ratio, b.known = b.ratio + 0.1 * (times - b.ratio), True
             step = min(EASE_S, max(EASE, EASE_S * (now - self.judged)))  # few answers: each says more
             self.judged = now
             self.press += min(0.4, 5 * step) * (times - self.press)
--- a/roadspur/fleet.py
+++ b/roadspur/fleet.py
@@ -20,6 +20,7 @@
         self.out: dict[str, tuple[float, str, str]] = {}  # own attempts out: sent when, class, plan
         self.answered = now
         self.ratio, self.errors, self.resting, self.trial = 1.0, 0.0, 0.0, False
+        self.known = False  # it has answered here
         self.tokens, self.tokens_at = phase, now  # a small part never comes to one without
         self.shy: dict[str, tuple[float, float]] = {}  # class or plan: turned away (1) or served (0), when
 
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -456,3 +456,30 @@
         return count
 
     assert sent(serves=True) == 20 and sent(serves=False) == 1
+
+
+def choices_beside_known(born: float) -> set[str]:
+    """Where 40 ingresses send once six backends are listed beside two that have answered each of them."""
+    used = set()
+    for seed in range(40):
+        g = Ingress(backends=2, seed=seed, instances=40)
+        for _ in range(2):
+            for a in [only(g.ask(customer=g.n), io.Attempt) for _ in range(2)]:
+                g.end(a, elapsed=0.32)
+        g.now += 30.0
+        g.give(io.ListUpdate(io.ListKind.CHANGE, 2, tuple(
+            io.BackendEntry(f"b{n}", io.Phase.RUNNING, born=born) for n in range(2, 8))))
+        for _ in range(5):
+            sent = only(g.ask(customer=g.n), io.Attempt)
+            used.add(sent.backend)
+            g.end(sent, elapsed=0.32)
+    return used
+
+
+def test_a_backend_that_has_answered_is_gone_back_to_before_others_are_connected_to():
+    # Each counted as unpressed until it had answered: every ingress tried all 60, a handshake each.
+    assert choices_beside_known(born=0.0) == {"b0", "b1"}
+
+
+def test_a_backend_that_has_only_started_is_used_though_no_ingress_knows_it():
+    assert choices_beside_known(born=110.0) >= {f"b{n}" for n in range(2, 8)}
