Give a cold backend one more for one served only while it holds little of all

To blame: Gateway.judge, which added a token for each answer. `inflight` in the answers tells of all ingresses' work: beyond four, answers make no room and only the sure pace goes on. A guard of the rule on cold boxes, not a gain.

--- a/roadspur/control.py
+++ b/roadspur/control.py
@@ -41,6 +41,7 @@
 TAIL = 4.0        # times the unpressed latency, beyond which a longer answer says no more
 PRESSED = 1.8     # times the unpressed latency, where the concurrency limit shrinks
 COLD_SAFETY = 0.5  # of the stated cold budget that is used, as the warm rate is only an estimate
+COLD_HELD = 4.0   # requests of all ingresses at a cold backend, beyond which what it serves makes no room
 COLD_MOST = 1.5   # attempts that may be saved up for a cold backend
 KEPT_LENGTHS = 6.0  # windows after which a quiet customer is forgotten: its store has long been full
 TELL_S, TELL_MOST_S = 0.1, 0.25  # between tellings to peers of what was let in, and at most
@@ -613,7 +614,8 @@
             self.rate = self.rate * math.exp((self.rate_at - now) / RATE_S) + each
             self.rate_at = now
             b.errors, b.trial = 0.8 * b.errors, False
-            if self.fleet.cold(now, b) < 1.0:  # what it has served makes room: it cannot pile up there
+            held = e.load.get("inflight", 0.0)  # of all ingresses: each sends one more for one served
+            if held <= COLD_HELD and self.fleet.cold(now, b) < 1.0:  # what it has served makes room
                 b.tokens = min(COLD_MOST, b.tokens + 1.0)
             self.latency[name] += 0.05 * (e.elapsed - self.latency[name])
             usual = self.base[name] + (0.01 if self.press < PRESSED else 0.0005) * (
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -483,3 +483,23 @@
 
 def test_a_backend_that_has_only_started_is_used_though_no_ingress_knows_it():
     assert choices_beside_known(born=110.0) >= {f"b{n}" for n in range(2, 8)}
+
+
+def test_what_a_cold_backend_serves_makes_no_room_while_it_holds_the_work_of_many_ingresses():
+    # Each of 40 ingresses sent one more for each served, whatever the others had there.
+    def sent(inflight: float) -> int:
+        count = 0
+        for seed in range(40):
+            g = Ingress(backends=1, instances=300, seed=seed)
+            g.give(io.ListUpdate(io.ListKind.CHANGE, 2, (
+                io.BackendEntry("b0", io.Phase.RUNNING, born=g.now),)))
+            g.gw.fleet.backends["b0"].tokens = 1.0
+            for _ in range(10):
+                g.now += 0.05
+                for a in some(g.ask(customer=g.n + 1), io.Attempt):
+                    count += 1
+                    g.give(io.AttemptEnded(a.request, 0, a.backend, io.Outcome.OK, 0.02, True,
+                                           load={"inflight": inflight}))
+        return count
+
+    assert sent(9.0) == 40 and sent(2.0) == 400
