Hold a cap of hundreds by chance without numbers that no float holds

Seen in a test of caps of 1, 2 and 300 where calls are short: at 300 the powers in the chance of being beyond the cap overflowed, and the request was answered 500. No site has such a cap; the settings allow it. To blame: beyond and turned_away, now by recursion, and part, which tried 20 paces for each place and now 40 in all.

--- a/roadspur/opencap.py
+++ b/roadspur/opencap.py
@@ -21,13 +21,19 @@
 
 def beyond(pace: float, most: int) -> float:
     """The chance that so many are open where so many are on average, none turned away."""
-    return 1 - math.exp(-pace) * sum(pace ** n / math.factorial(n) for n in range(most))
+    chance, below = math.exp(-pace), 0.0
+    for n in range(most):
+        below += chance
+        chance *= pace / (n + 1)
+    return 1 - below
 
 
 def turned_away(pace: float, most: int) -> float:
     """The part that a cap turns away (Erlang's loss formula)."""
-    weights = [pace ** n / math.factorial(n) for n in range(most + 1)]
-    return weights[-1] / sum(weights)
+    part = 1.0
+    for n in range(1, most + 1):
+        part = pace * part / (n + pace * part)
+    return part
 
 
 class OpenCap:
@@ -84,8 +90,9 @@
     def part(self, pace: float, plan: io.PlanSettings) -> float:
         """The part of requests let in unseen at which most is gained, at what one beyond the cap costs."""
         if plan.name not in self.best:
-            self.best[plan.name] = max((n / 10 for n in range(1, 20 * plan.max_open)), key=lambda n: n * (
-                1 - (1 + plan.over_cost) * beyond(n, plan.max_open)))
+            paces = (plan.max_open * n / 20 for n in range(1, 41))
+            self.best[plan.name] = max(paces, key=lambda pace: pace * (
+                1 - (1 + plan.over_cost) * beyond(pace, plan.max_open)))
         return min(1.0, self.best[plan.name] / max(pace, 1e-9))
 
     def need(self, pace: float, plan: io.PlanSettings) -> float:
--- a/tests/test_open.py
+++ b/tests/test_open.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from roadspur import interface as io
 from roadspur.opencap import KEEP
 from tests.helpers import Ingress, only, some
@@ -189,6 +191,21 @@
     assert asked(8) > 2 * asked(80)  # each of them three open on average, and 0.3
 
 
+@pytest.mark.parametrize("most", [1, 2, 300])
+def test_a_cap_of_any_size_is_held_by_chance_where_calls_are_short(most):
+    # Powers and factorials of a cap of hundreds are more than a float holds.
+    plan = io.PlanSettings("full", rate=0.0, burst=0.0, max_open=most, over_cost=0.6)
+    g = Ingress(plans=(plan,), instances=40)
+    for _ in range(400):
+        g.gw.ask = 0.2
+        acts = g.ask(plan="full", width=40)
+        for a in some(acts, io.Attempt):
+            g.end(a, elapsed=0.15)
+        assert len(some(acts, io.Attempt)) + len(some(acts, io.Refuse)) == 1
+    sent = len(some(g.log, io.Attempt))
+    assert 0 < sent < 400 if most < 300 else sent == 400
+
+
 def test_where_there_is_no_counter_open_requests_are_told_to_none():
     plan = io.PlanSettings("capped", rate=0.0, burst=0.0, max_open=4)
     g = Ingress(backends=4, counter=False, plans=(plan,))
