Tell of arrivals with each call on the open cap, for the customer's pace at all ingresses

Own arrivals, half a request a second of a customer of many, tell its pace to a factor of two. To blame: OpenCap.pace, which knew of one ingress in 40. Now a call adds a ten-thousandth for each request since the last one; the whole part of a total is what is open, as before.

--- a/roadspur/customer.py
+++ b/roadspur/customer.py
@@ -19,7 +19,8 @@
     __slots__ = ("key", "plan", "width", "first", "length", "phase", "window", "total", "told", "heard",
                  "heard_in", "excess", "excess_at", "mine", "mine_told", "theirs", "level", "at", "born",
                  "vouched", "seen", "pending", "flying", "part", "known", "chance", "out", "counted",
-                 "counted_in", "pressed", "came", "came_at")
+                 "counted_in", "pressed", "came", "came_at", "untold",
+                 "rate", "rate_part", "rate_at")
 
     def __init__(self, key: int, plan: io.PlanSettings, now: float) -> None:
         self.key, self.plan, self.width = key, plan, 1
@@ -44,6 +45,8 @@
         self.counted, self.counted_in = 0, -1
         self.pressed = -math.inf  # when a total last showed the cap to be full
         self.came, self.came_at = 0.0, now  # requests of late, as of then
+        self.untold = 0  # of them, not yet told to the count
+        self.rate, self.rate_part, self.rate_at = 0.0, 0.0, now  # a second, at all ingresses, as a total told
 
     def turn(self, now: float) -> int:
         """The number of the window."""
--- a/roadspur/opencap.py
+++ b/roadspur/opencap.py
@@ -16,6 +16,8 @@
 VERDICT_PART = 0.6  # of what a verdict gains: one on the cap takes two calls, one on a rate gains more
 PACE_S = 8.0  # for which a customer's arrivals count
 PACE_PRIOR, PACE_PRIOR_S = 0.25, 2.0  # of its cap that a new customer is taken to keep open, and for how long
+ARRIVAL = 1e-4  # of a place: what a call adds for each request that has come, so that totals tell of them
+RATE_PRIOR_S = 0.5  # of a window, from which on what its total tells of arrivals says more than the own ones
 KEEP = 2  # token of the timer that gives kept places back
 
 
@@ -72,12 +74,15 @@
         c, span = f.customer, PACE_S * (1 - math.exp((self.gw.began - now) / PACE_S))
         came = c.came * math.exp((c.came_at - now) / PACE_S)
         prior = PACE_PRIOR_S * PACE_PRIOR * c.plan.max_open
-        return (came * c.width * self.gw.latency[f.cls.name] + prior) / (span + PACE_PRIOR_S)
+        own = (came * c.width * self.gw.latency[f.cls.name] + prior) / (span + PACE_PRIOR_S)
+        told = c.rate * self.gw.latency[f.cls.name]  # by all ingresses, so it is less of a guess
+        return own + (told - own) * c.rate_part * math.exp((c.rate_at - now) / PACE_S)
 
     def arrive(self, now: float, c: Customer) -> None:
         """One more has come; what came long ago says little."""
         c.came = c.came * math.exp((c.came_at - now) / PACE_S) + 1
         c.came_at = now
+        c.untold += 1
 
     def enter_alone(self, now: float, f: Flight) -> None:
         """Without a total: one at least of an even share, and of a customer of many as many as gain most."""
@@ -112,7 +117,9 @@
         c.counted = c.out
         name = mix(~c.key, window)
         self.calls.setdefault(name, deque()).append((c, window, change, f))
-        self.gw.acts.append(io.CounterAdd(name, change, min(60.0, 2 * self.length)))
+        amount = change + ARRIVAL * c.untold
+        c.untold = 0
+        self.gw.acts.append(io.CounterAdd(name, amount, min(60.0, 2 * self.length)))
 
     def counted(self, now: float, e: io.CounterReply) -> None:
         """A total of open requests came, or did not."""
@@ -122,11 +129,16 @@
             del self.calls[e.name]
         if not self.gw.answers(e) and e.outcome is not io.Outcome.TIMEOUT and c.counted_in == window:
             c.counted -= change  # sure not to have been added: it goes with the next call
+        total = math.floor(e.total + ARRIVAL / 2)
+        if e.outcome is io.Outcome.OK and now > window * self.length:
+            told_s = now - window * self.length
+            c.rate, c.rate_at = (e.total - total) / ARRIVAL / told_s, now
+            c.rate_part = told_s / (told_s + RATE_PRIOR_S)
         if f is None or f.req.id not in self.gw.flights:
             return
         if e.outcome is not io.Outcome.OK:
             return self.enter_alone(now, f)
-        if e.total > c.plan.max_open:
+        if total > c.plan.max_open:
             c.pressed = now
             return self.gw.refuse(now, f, self.gw.latency[f.cls.name])
         self.gw.send(now, f)
