Let in unseen under an open cap only what those with a verdict leave room for

To blame: OpenCap.part, which let in unseen the whole pace that pays, as if the requests with a verdict, let in on a count that holds only themselves, took no places.

--- a/roadspur/control.py
+++ b/roadspur/control.py
@@ -18,11 +18,10 @@
 from roadspur import interface as io
 from roadspur.customer import Customer
 from roadspur.fleet import Backend, Fleet
-from roadspur.opencap import KEEP, OpenCap
+from roadspur.opencap import ALONE, KEEP, OpenCap
 
 ASK_SHARE, ASK_OVER = 0.8, 0.01  # calls a request beyond which sure refusals need none; weight of a request
 UNKNOWN = 0.8     # of the burst that counts as left of a window that nothing was seen of
-ALONE = 8         # misses in a row after which the counter counts as down for all, not just crowded
 WAIT = 0.3        # mean wait for the counter, of its time-out, that the share of requests that call aims at
 STEP = 0.1        # how fast that share moves
 ASK_NEED = 4.0    # times that share, for requests that would be refused unasked
@@ -175,9 +174,13 @@
 
     def drawn(self, need: float) -> bool:
         """Whether one of the calls there are goes to a request, by how much a verdict on it is needed."""
+        return self.rng.random() < self.share_drawn(need)
+
+    def share_drawn(self, need: float) -> float:
+        """How many of the requests with such a need call."""
         if self.misses >= ALONE:
-            return self.rng.random() < self.ask
-        return self.rng.random() < max(ASK_LEAST, self.ask * self.ask, ASK_NEED * self.ask * need)
+            return self.ask
+        return max(ASK_LEAST, self.ask * self.ask, ASK_NEED * self.ask * need)
 
     def meet(self, now: float, key: int, plan: io.PlanSettings) -> Customer:
         """A customer, known or new. Those long quiet are forgotten: many come once and never again."""
--- a/roadspur/opencap.py
+++ b/roadspur/opencap.py
@@ -18,6 +18,7 @@
 PACE_PRIOR, PACE_PRIOR_S = 0.25, 2.0  # of its cap that a new customer is taken to keep open, and for how long
 ARRIVAL = 1e-4  # of a place: what a call adds for each request that has come, so that totals tell of them
 RATE_PRIOR_S = 0.5  # of a window, from which on what its total tells of arrivals says more than the own ones
+ALONE = 8  # misses in a row after which the counter counts as down for all, not just crowded
 KEEP = 2  # token of the timer that gives kept places back
 
 
@@ -88,7 +89,7 @@
         """Without a total: one at least of an even share, and of a customer of many as many as gain most."""
         c = f.customer
         even = max(1, c.plan.max_open // (c.width * self.gw.processes))
-        if c.out > even or self.gw.rng.random() >= self.part(f.pace, c.plan):
+        if c.out > even or self.gw.rng.random() >= self.left(f.pace, c.plan):
             return self.gw.refuse(now, f, self.gw.latency[f.cls.name])
         self.gw.send(now, f)
 
@@ -100,6 +101,15 @@
                 1 - (1 + plan.over_cost) * beyond(pace, plan.max_open)))
         return min(1.0, self.best[plan.name] / max(pace, 1e-9))
 
+    def left(self, pace: float, plan: io.PlanSettings) -> float:
+        """That part of the requests without a verdict, as those with one take places too."""
+        if self.gw.misses >= ALONE:
+            return self.part(pace, plan)
+        asked = min(1.0, self.gw.share_drawn(self.need(pace, plan)))
+        seen = asked * pace * (1 - turned_away(asked * pace, plan.max_open))
+        unseen = self.part(pace, plan) * pace - seen
+        return min(1.0, max(0.0, unseen) / max(pace * (1 - asked), 1e-9))
+
     def need(self, pace: float, plan: io.PlanSettings) -> float:
         """What a verdict gains for a request over letting in a part unseen."""
         part = self.part(pace, plan)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -6,7 +6,8 @@
 
 from roadspur import control
 from roadspur import interface as io
-from roadspur.control import ALONE, Customer
+from roadspur.control import Customer
+from roadspur.opencap import ALONE
 from tests.helpers import CEILED, PLAN, SAFE, Ingress, only, some
 
 
--- a/tests/test_open.py
+++ b/tests/test_open.py
@@ -175,6 +175,23 @@
     assert heavy < 0.6 and calm > 0.95
 
 
+def test_unseen_requests_leave_room_for_those_with_a_verdict():
+    # Each was let in as if the others were not there, and together they went far beyond the cap.
+    fleet = [Ingress(plans=(CAPPED,), instances=40, seed=n) for n in range(40)]
+    unseen = sent = 0
+    for n in range(1200):
+        g = fleet[n * 17 % 40]
+        g.now, g.counts = 100.0 + n * 0.03, fleet[0].counts
+        g.give(io.TimerFired(KEEP))
+        g.gw.latency["read"], g.gw.ask = 0.15, 0.5
+        acts = g.ask(plan="full", width=40)
+        if not some(acts, io.CounterAdd):
+            unseen, sent = unseen + 1, sent + len(some(acts, io.Attempt))
+        for a in some(acts, io.Attempt):
+            g.end(a, elapsed=0.15)
+    assert unseen > 200 and sent < 0.25 * unseen
+
+
 def test_one_total_tells_an_ingress_that_a_customer_asks_for_much_at_the_others():
     # Each went by its own arrivals alone, one in seconds, and let in what came.
     let_in = 0
