Register: Raft's names for messages, quorum, voters and the outgoing members

Message kinds have the names of Raft's messages (heartbeat, append, pre-vote, request vote, timeout now); numbers on the wire and on disk are unchanged.

--- a/post/office/showing.py
+++ b/post/office/showing.py
@@ -21,12 +21,12 @@
     return {
         "node": agreement.seat.me, "role": agreement.role, "leader": agreement.leader,
         "term": agreement.term, "sure": agreement.sure(now), "version": agreement.committed,
-        "changing": bool(entry.before),
+        "changing": bool(entry.outgoing),
         "bears": plan.bears(len(entry.members)), "tolerance": agreement.tolerance,
         "members": [{"address": m.address, "disk": m.disk,
-                     "state": _state(m in entry.members, m in entry.before or not entry.before),
+                     "state": _state(m in entry.members, m in entry.outgoing or not entry.outgoing),
                      "heard-s": 0.0 if m.disk == agreement.seat.disk else heard.get(m.disk)}
-                    for m in entry.deciders()]}
+                    for m in entry.voters()]}
 
 
 def _state(stays: bool, was: bool) -> str:
--- a/post/register/agreement.py
+++ b/post/register/agreement.py
@@ -210,11 +210,11 @@
             return self._drop(why)
         kind, seat = note.kind, self.seat
         if note.to_disk and note.to_disk != seat.disk:
-            if kind != pb.BEAT:  # meant for a disk that was here before, or for anyone
+            if kind != pb.HEARTBEAT:  # meant for a disk that was here before, or for anyone
                 turned_away(seat, sender, note)
             elif not seat.seated:
                 self.joining.lead(now, sender, note.term)
-        elif kind == pb.BEAT or kind == pb.ENTRY:
+        elif kind == pb.HEARTBEAT or kind == pb.APPEND:
             self._beat(now, sender, note)
         elif kind == pb.JOIN:
             self._join(now, sender, note)
@@ -231,24 +231,24 @@
 
     def _of_a_member(self, now: float, sender: Address, note: pb.Note) -> None:
         kind = note.kind
-        if kind == pb.MAY_I:
-            self.voting.may_i(sender, note, self._free(now, note))
-        elif kind == pb.ELECT:
-            self._elect(now, sender, note)
-        elif kind == pb.HAND_OVER:
+        if kind == pb.PRE_VOTE:
+            self.voting.pre_vote(sender, note, self._free(now, note))
+        elif kind == pb.REQUEST_VOTE:
+            self._request_vote(now, sender, note)
+        elif kind == pb.TIMEOUT_NOW:
             self._handed(now, note)
         elif kind == pb.LEAVE:
             if self.leading is not None:
                 self.leading.leave(now, note)
         elif kind == pb.BEGUN:
             self._begun(now, sender, note)
-        elif note.term > self.seat.term and (kind == pb.HELD or not note.granted):
+        elif note.term > self.seat.term and (kind == pb.APPENDED or not note.granted):
             self._adopt(now, note.term)
-        elif kind == pb.HELD:
+        elif kind == pb.APPENDED:
             if self.leading is not None and note.term == self.seat.term:
-                self.leading.held(now, note)
+                self.leading.appended(now, note)
         elif self.campaign is not None:
-            (self.campaign.may if kind == pb.YOU_MAY else self.campaign.elected)(note)
+            (self.campaign.pre_voted if kind == pb.PRE_VOTED else self.campaign.voted)(note)
 
     def _beat(self, now: float, sender: Address, note: pb.Note) -> None:
         """The leader is heard, with its newest entry perhaps."""
@@ -256,7 +256,7 @@
         if note.term < seat.term:
             return self.following.tell(sender, note.disk, note.sent)
         if self.leading is not None and note.term == seat.term \
-                or note.kind == pb.ENTRY and not get_entry(note.entry).names(seat.disk):
+                or note.kind == pb.APPEND and not get_entry(note.entry).names(seat.disk):
             return self._drop("leader")
         if note.term > seat.term:
             self._adopt(now, note.term)
@@ -267,12 +267,12 @@
     def _free(self, now: float, note: pb.Note) -> bool:
         return self.leading is None and self.voting.free(now, self.following.heard, note)
 
-    def _elect(self, now: float, sender: Address, note: pb.Note) -> None:
+    def _request_vote(self, now: float, sender: Address, note: pb.Note) -> None:
         if not self._free(now, note):
             return
         if note.term > self.seat.term:
             self._adopt(now, note.term)
-        if self.voting.elect(sender, note):
+        if self.voting.request_vote(sender, note):
             self._wait(now)
 
     def _begun(self, now: float, sender: Address, note: pb.Note) -> None:
--- a/post/register/campaign.py
+++ b/post/register/campaign.py
@@ -27,13 +27,13 @@
             self.asked = now
             self._ask()
 
-    def may(self, note: pb.Note) -> None:
+    def pre_voted(self, note: pb.Note) -> None:
         """One of them would vote for this disk."""
         if not self.standing and note.granted and note.term == self.seat.term + 1:
             self.granted.add(note.disk)
             self._count()
 
-    def elected(self, note: pb.Note) -> None:
+    def voted(self, note: pb.Note) -> None:
         """One of them has voted for this disk."""
         if self.standing and note.granted and note.term == self.seat.term:
             self.granted.add(note.disk)
@@ -52,7 +52,7 @@
         self.standing, self.granted = True, set()
 
     def _count(self) -> None:
-        if not self.seat.entry.carried(self.granted):
+        if not self.seat.entry.has_quorum(self.granted):
             return
         if self.standing:
             self.won = True
@@ -63,9 +63,9 @@
         seat = self.seat
         if self.standing and seat.disk not in self.granted:
             return
-        for member in seat.entry.deciders():
+        for member in seat.entry.voters():
             if member.disk not in self.granted:
-                note = seat.telling(pb.ELECT if self.standing else pb.MAY_I, member.disk)
+                note = seat.telling(pb.REQUEST_VOTE if self.standing else pb.PRE_VOTE, member.disk)
                 note.term = seat.term if self.standing else seat.term + 1
                 note.handed = self.handed
                 seat.send(member.address, note)
--- a/post/register/following.py
+++ b/post/register/following.py
@@ -22,7 +22,7 @@
         seat = self.seat
         self.leader, self.disk, self.heard, self.sent = sender, note.disk, now, note.sent
         self._learn(note)
-        if note.kind == pb.ENTRY and (note.entry.term, note.entry.number) > seat.entry.place:
+        if note.kind == pb.APPEND and (note.entry.term, note.entry.number) > seat.entry.place:
             self._take(note)
             self._learn(note)
         self.tell(sender, note.disk, note.sent)
@@ -35,7 +35,7 @@
     def tell(self, to: Address, disk: str, sent: float) -> None:
         """Tell a leader the newest entry that is here, and the newest on disk."""
         seat = self.seat
-        note = seat.telling(pb.HELD, disk)
+        note = seat.telling(pb.APPENDED, disk)
         if seat.kept.disk == seat.disk:
             note.held_term, note.held_number = seat.kept.entry.place
         note.sent = sent
--- a/post/register/joining.py
+++ b/post/register/joining.py
@@ -39,9 +39,9 @@
 
     def seek(self) -> None:
         """As a member that hears no leader, ask others too: all other members may have been replaced."""
-        known = {m.address for m in self.seat.entry.deciders()}
+        known = {m.address for m in self.seat.entry.voters()}
         for address in sorted({*self.seeds, *self.core} - known) if known else ():
-            self.seat.send(address, self.seat.telling(pb.MAY_I, ANYONE))
+            self.seat.send(address, self.seat.telling(pb.PRE_VOTE, ANYONE))
 
     def lead(self, now: float, leader: Address, term: int) -> None:
         """Someone is heard as leader, or named as one (term 0)."""
@@ -90,9 +90,9 @@
 def turned_away(seat: Seat, sender: Address, note: pb.Note) -> bool:
     """Is a note from a disk that is no member any more? Then that is told to it."""
     known = seat.known
-    if known is None or known.before or known.names(note.disk) or seat.entry.names(note.disk) \
+    if known is None or known.outgoing or known.names(note.disk) or seat.entry.names(note.disk) \
             or (note.has_term, note.has_number) >= known.place:
         return False
-    if note.kind in (pb.MAY_I, pb.ELECT, pb.HELD, pb.LEAVE):
+    if note.kind in (pb.PRE_VOTE, pb.REQUEST_VOTE, pb.APPENDED, pb.LEAVE):
         tell_gone(seat, known, sender, note.disk)
     return True
--- a/post/register/leading.py
+++ b/post/register/leading.py
@@ -95,7 +95,7 @@
         self.ask, self.asked, self.put = ask, now, False
         self._next(now)
 
-    def held(self, now: float, note: pb.Note) -> None:
+    def appended(self, now: float, note: pb.Note) -> None:
         """A member has answered a beat or an entry."""
         peer = self.peers.get(note.disk)
         if peer is None:
@@ -118,14 +118,14 @@
         disks = {p.disk for p in self.peers.values() if p.held == entry.place}
         if seat.holds():
             disks.add(seat.disk)
-        if not entry.carried(disks):
+        if not entry.has_quorum(disks):
             return
         seat.commit(entry)
         if self.put:
             self._answer("done")
-        if entry.before:
-            self.removed = [m for m in entry.before if m not in entry.members]
-            self._put(now, entry._replace(before=()))
+        if entry.outgoing:
+            self.removed = [m for m in entry.outgoing if m not in entry.members]
+            self._put(now, entry._replace(outgoing=()))
             return
         for member in self.removed:
             tell_gone(seat, entry, member.address, member.disk)
@@ -159,7 +159,7 @@
         if not able:
             return False
         heir = max(able, key=lambda p: p.sure)
-        seat.send(heir.address, seat.note(pb.HAND_OVER, heir.disk))
+        seat.send(heir.address, seat.note(pb.TIMEOUT_NOW, heir.disk))
         return True
 
     def resign(self) -> None:
@@ -175,7 +175,7 @@
     def _next(self, now: float) -> None:
         """Begin the proposal that waits, if nothing is under way."""
         ask = self.ask
-        if ask is None or self.put or not self.settled or self.seat.entry.before:
+        if ask is None or self.put or not self.settled or self.seat.entry.outgoing:
             return
         entry = self.seat.entry
         if ask.expected != entry.version:
@@ -193,7 +193,7 @@
         joiners = [a for a in self.joiners.fresh(now, 3 * t.ask_s) if a.member.disk not in self.seen]
         members = next_members(now, entry.members, others, joiners, self.tolerance, t)
         if members is not None:
-            self._put(now, entry._replace(members=members, before=entry.members))
+            self._put(now, entry._replace(members=members, outgoing=entry.members))
 
     def _put(self, now: float, entry: Entry, new_value: bool = False) -> None:
         """Have this entry agreed on, as the next one of this term."""
@@ -201,7 +201,7 @@
         self.base = None if new_value else seat.entry.place
         seat.entry = entry._replace(term=seat.term, number=entry.number + 1)
         old = self.peers
-        self.peers = {m.disk: old.get(m.disk) or Peer(m, now) for m in seat.entry.deciders()
+        self.peers = {m.disk: old.get(m.disk) or Peer(m, now) for m in seat.entry.voters()
                       if m.disk != seat.disk}
         self.seen = dict.fromkeys([*self.seen, *self.peers][-MOST_SEEN:])
         if old:
@@ -221,13 +221,13 @@
                 self._send_entry(now, peer, bare)
                 if bare:  # which is a beat as well
                     continue
-            seat.send(peer.address, self._beat(now, pb.BEAT, peer))
+            seat.send(peer.address, self._beat(now, pb.HEARTBEAT, peer))
 
     def _send_entry(self, now: float, peer: Peer, bare: bool) -> None:
         """Send the newest entry, bare of its value to one who may have that."""
         peer.next = now + peer.wait
         peer.wait = min(LONGEST_WAIT_S, 2 * peer.wait)
-        note = self._beat(now, pb.ENTRY, peer)
+        note = self._beat(now, pb.APPEND, peer)
         put_entry(self.seat.entry, note.entry, not bare)
         if bare and self.base is not None:
             note.base_term, note.base_number = self.base
--- a/post/register/records.py
+++ b/post/register/records.py
@@ -24,13 +24,13 @@
 
 
 class Entry(NamedTuple):
-    """The whole agreed state. While members change, `before` holds those of before."""
+    """The whole agreed state. While members change, `outgoing` holds those of before."""
 
     term: int
     number: int
     version: int
     members: tuple[Member, ...]
-    before: tuple[Member, ...]
+    outgoing: tuple[Member, ...]
     value: bytes
 
     @property
@@ -38,15 +38,15 @@
         """Where it stands among all entries."""
         return self.term, self.number
 
-    def deciders(self) -> tuple[Member, ...]:
+    def voters(self) -> tuple[Member, ...]:
         """All whose word counts, each disk once."""
-        return (*self.members, *(m for m in self.before if m not in self.members))
+        return (*self.members, *(m for m in self.outgoing if m not in self.members))
 
     def names(self, disk: str) -> bool:
         """Does the disk decide, by this entry?"""
-        return any(m.disk == disk for m in self.deciders())
+        return any(m.disk == disk for m in self.voters())
 
-    def carried(self, disks: Container[str]) -> bool:
+    def has_quorum(self, disks: Container[str]) -> bool:
         """Are these disks a majority of the members and, while those change, of the ones of before too?"""
         return all(2 * sum(m.disk in disks for m in council) > len(council) for council in self._councils())
 
@@ -56,7 +56,7 @@
                    if council else NEVER for council in self._councils())
 
     def _councils(self) -> tuple[tuple[Member, ...], ...]:
-        return (self.members, self.before) if self.before else (self.members,)
+        return (self.members, self.outgoing) if self.outgoing else (self.members,)
 
 
 NEVER = -1e9  # before any time of a steady clock
@@ -93,7 +93,7 @@
     """Fill in an entry's message, with its value or without."""
     into.term, into.number, into.version = entry.term, entry.number, entry.version
     put_members(entry.members, into.members)
-    put_members(entry.before, into.before)
+    put_members(entry.outgoing, into.outgoing)
     if value:
         into.value = entry.value
 
@@ -101,12 +101,12 @@
 def get_entry(message: pb.Entry) -> Entry:
     """An entry from its message."""
     return Entry(message.term, message.number, message.version, get_members(message.members),
-                 get_members(message.before), message.value)
+                 get_members(message.outgoing), message.value)
 
 
 def odd(note: pb.Note) -> str:
     """Why a note can't be from one of us; empty if it may be."""
-    if not pb.BEAT <= note.kind <= pb.BEGUN:
+    if not pb.HEARTBEAT <= note.kind <= pb.BEGUN:
         return "kind"
     if not 0 < len(note.disk) <= LONGEST_NAME:
         return "disk"
@@ -118,10 +118,10 @@
         return "sent"
     if len(note.members) > MOST_MEMBERS:
         return "members"
-    if note.kind == pb.ENTRY:
+    if note.kind == pb.APPEND:
         e = note.entry
         if e.term != note.term or not e.number or not 0 < len(e.members) <= MOST_MEMBERS:
             return "entry"
-        if len(e.before) > MOST_MEMBERS or any(not m.disk or not m.address for m in e.members):
+        if len(e.outgoing) > MOST_MEMBERS or any(not m.disk or not m.address for m in e.members):
             return "entry"
     return ""
--- a/post/register/starting.py
+++ b/post/register/starting.py
@@ -38,7 +38,7 @@
         """Ask those who haven't answered; some may not run yet, and datagrams get lost."""
         if self.unled and self.next <= now < self.until:
             self.next = now + self.seat.tuning.begun_s
-            for member in self.seat.entry.deciders():
+            for member in self.seat.entry.voters():
                 if member.disk != self.seat.disk and member.disk not in self.others:
                     self._tell(now, member.address, member.disk, 0)
 
@@ -54,7 +54,7 @@
         """Have all whose word counts begun anew?"""
         seat = self.seat
         return seat.seated and all(m.disk in self.others or m.disk == seat.disk
-                                   for m in seat.entry.deciders())
+                                   for m in seat.entry.voters())
 
     def unled_since(self) -> float | None:
         """For a leader just elected: when the last of the core's processes began, if it is the first leader
@@ -62,7 +62,7 @@
 
         Every leader of their lives is of a later term than all began with, and a term has one leader.
         """
-        known = [self.others[m.disk] for m in self.seat.entry.deciders() if m.disk in self.others]
+        known = [self.others[m.disk] for m in self.seat.entry.voters() if m.disk in self.others]
         if not self.unled or not self.unanimous() or (
                 self.seat.term != 1 + max([self.first, *(b.first for b in known)])):
             return None
@@ -72,9 +72,9 @@
         """How many are to stand before this one; None if too few are known to hold the same entry."""
         seat = self.seat
         equal = {d for d, begun in self.others.items() if begun.place == seat.entry.place} | {seat.disk}
-        if not seat.entry.carried(equal):
+        if not seat.entry.has_quorum(equal):
             return None
-        return sum(m.disk in equal and m.disk < seat.disk for m in seat.entry.deciders())
+        return sum(m.disk in equal and m.disk < seat.disk for m in seat.entry.voters())
 
     def _tell(self, now: float, to: Address, disk: str, to_life: int, asks: bool = True) -> None:
         note = self.seat.telling(pb.BEGUN, disk)
--- a/post/register/voting.py
+++ b/post/register/voting.py
@@ -25,21 +25,21 @@
             return False
         return note.handed or now - heard >= self.seat.tuning.election_min_s
 
-    def may_i(self, sender: Address, note: pb.Note, free: bool) -> None:
+    def pre_vote(self, sender: Address, note: pb.Note, free: bool) -> None:
         """Would this disk vote for another in that term? Changes nothing; a later term is told anyway."""
         seat = self.seat
-        answer = seat.note(pb.YOU_MAY, note.disk)
+        answer = seat.note(pb.PRE_VOTED, note.disk)
         if note.term > seat.term:
             if not free or (note.has_term, note.has_number) < seat.entry.place:
                 return
             answer.granted, answer.term = True, note.term
         seat.send(sender, answer)
 
-    def elect(self, sender: Address, note: pb.Note) -> bool:
+    def request_vote(self, sender: Address, note: pb.Note) -> bool:
         """Vote, in a term that this disk has gone on to. Does the candidate have the vote?"""
         seat = self.seat
         if note.term < seat.term:
-            seat.send(sender, seat.note(pb.ELECTED, note.disk))
+            seat.send(sender, seat.note(pb.VOTED, note.disk))
             return False
         if seat.vote not in ("", note.disk) or (note.has_term, note.has_number) < seat.entry.place:
             return False
@@ -54,6 +54,6 @@
             return
         disk, address = self.promised
         self.promised = None
-        answer = self.seat.note(pb.ELECTED, disk)
+        answer = self.seat.note(pb.VOTED, disk)
         answer.granted = True
         self.seat.send(address, answer)
--- a/proving/show.py
+++ b/proving/show.py
@@ -50,7 +50,7 @@
         if self.machines and frm.name not in self.machines and to.name not in self.machines:
             return
         text = fields(message)
-        if self.quiet and (text.startswith("kind=BEAT") or text.startswith("kind=HELD")):
+        if self.quiet and (text.startswith("kind=HEARTBEAT") or text.startswith("kind=APPENDED")):
             return
         self.lines.append((now, f"{frm.name} -> {to.name}  {plane} {text}"))
 
--- a/tests/system/core.py
+++ b/tests/system/core.py
@@ -297,7 +297,7 @@
         newest = [max(entries, key=lambda e: e.place) for entries in (held, known)]
         late = {disk for disk, at in self.core.lost.items() if self.core.now < at + 2.0}
         return all(len({m.disk for m in council} & {*self.core.lost} | late) < (len(council) - 1) // 2
-                   for entry in newest for council in (entry.members, entry.before) if council)
+                   for entry in newest for council in (entry.members, entry.outgoing) if council)
 
     def _wipe(self, node: Node) -> None:
         if self._may_lose(node):
@@ -365,6 +365,6 @@
     parts = [f"{f.name}={v}" for f, v in note.ListFields() if f.name not in skip]
     if note.HasField("entry"):
         e = get_entry(note.entry)
-        names = [[m.disk for m in council] for council in (e.members, e.before)]
+        names = [[m.disk for m in council] for council in (e.members, e.outgoing)]
         parts.append(f"entry={e.place} v{e.version} {e.value!r} of {names[0]} before {names[1]}")
     return " ".join([f"to {output.to}", pb.Kind.Name(note.kind), *parts])
--- a/tests/system/test_register.py
+++ b/tests/system/test_register.py
@@ -36,7 +36,7 @@
     """Planted fault: it is enough that most have begun anew."""
 
     def unanimous(self) -> bool:
-        return self.seat.entry.carried({*self.others, self.seat.disk})
+        return self.seat.entry.has_quorum({*self.others, self.seat.disk})
 
 
 class AnyTerm(Starting):
@@ -204,14 +204,15 @@
     seeds = ["10.0.0.1:1", "10.0.0.2:1"]
     entry = first_entry(seeds)
     stored = Stored("first-" + seeds[0], 1, "", entry._replace(members=entry.members[1:],
-                                                               before=entry.members))
+                                                               outgoing=entry.members))
     seat = Seat(seeds[0], stored, stored, STEADY, random.Random(1))
     leading = Leading(seat, 10.0, 0)
 
     def held(now: float) -> None:
         place = seat.entry.place
-        leading.held(now, pb.Note(kind=pb.HELD, disk="first-" + seeds[1], sent=now, has_term=place[0],
-                                  has_number=place[1], held_term=place[0], held_number=place[1]))
+        leading.appended(now, pb.Note(kind=pb.APPENDED, disk="first-" + seeds[1], sent=now,
+                                      has_term=place[0], has_number=place[1], held_term=place[0],
+                                      held_number=place[1]))
     seat.kept = seat.kept._replace(entry=seat.entry)
     held(10.1)  # both councils have what it began with: now without itself
     assert not seat.seated and leading.lease > 10.2 and not leading.sure(10.2)
@@ -232,7 +233,8 @@
     log = core.record()
     core.start(others[0].address)
     core.run(1.0, lambda: others[0].heard == 1)
-    assert "\n".join(line for line in log if " BEAT " not in line and " HELD " not in line) == snapshot
+    quiet = [line for line in log if " HEARTBEAT " not in line and " APPENDED " not in line]
+    assert "\n".join(quiet) == snapshot
     core.run(0.1)
     assert not named(core)[others[0].address].startswith("first-")
 
@@ -249,7 +251,7 @@
 def test_a_proposal_waits_for_a_change_of_members() -> None:
     core, leader, _ = settled()
     core.add("10.0.1.1:1")
-    assert core.run(3.0, lambda: bool(leader.machine.seat.entry.before))
+    assert core.run(3.0, lambda: bool(leader.machine.seat.entry.outgoing))
     assert outcome(core, leader, 1) == "done"
     assert len(named(core)) == 4
 
@@ -332,7 +334,7 @@
     core.add("10.0.1.1:1")
     far = {apart.address, other.address}
     core.cut = {(leader.address, apart.address), (apart.address, leader.address)}
-    assert core.run(4.0, lambda: bool(leader.machine.seat.entry.before))
+    assert core.run(4.0, lambda: bool(leader.machine.seat.entry.outgoing))
     core.cut |= {way for a in far for b in core.nodes if b not in far for way in [(a, b), (b, a)]}
     lone = core.propose(leader, 1)
     assert core.run(3.0, lambda: core.leader() in (apart, other))
@@ -347,7 +349,8 @@
     machine = Agreement(seeds[0], stored, False, seeds, random.Random(1), STEADY, "n", 1, 10.0)
 
     def asked(now: float, who: int, **fields: Any) -> list[str]:
-        note = pb.Note(kind=pb.ELECT, disk="first-" + seeds[who], to_disk=stored.disk, has_term=2, **fields)
+        note = pb.Note(kind=pb.REQUEST_VOTE, disk="first-" + seeds[who], to_disk=stored.disk, has_term=2,
+                       **fields)
         return [tell(o) for o in machine.handle(now, api.Received(seeds[who], note))]
     assert asked(10.4, 1, term=4, has_number=7) == []  # it may have told a leader just before its end
     assert asked(10.5, 1, term=4, has_number=6) == []  # behind
@@ -355,10 +358,10 @@
         "writes first-10.0.0.1:1: term 4, vote first-10.0.0.2:1, entry (2, 7)"]
     assert asked(10.5, 2, term=4, has_number=8) == []  # one vote a term
     assert [tell(o) for o in machine.handle(10.6, api.Written(1))] == [
-        "to 10.0.0.2:1 ELECTED term=4 granted=True"]
+        "to 10.0.0.2:1 VOTED term=4 granted=True"]
     asked(10.6, 1, term=4, has_number=7)
     machine.handle(10.7, api.Received(seeds[1], pb.Note(
-        kind=pb.BEAT, disk="first-" + seeds[1], to_disk=stored.disk, term=4)))
+        kind=pb.HEARTBEAT, disk="first-" + seeds[1], to_disk=stored.disk, term=4)))
     assert asked(11.1, 2, term=5, has_number=8) == [] and machine.term == 4  # the leader was just heard
     assert asked(11.1, 2, term=5, has_number=8, handed=True) != []  # and has asked for it
 
