Register: a newcomer is a learner first, a member once it has the newest entry on disk

Cause: a disk that asked to join was made a member at once, and a change of members is committed by the old ones alone. One whose disk hung after its name was written was then counted: of {A, B, C, D} with D hung, the loss of A left two of four, no majority for good (test seen to fail before). Change: the leader sends the newest committed entry to those that ask and may get a place; JOIN tells what is on disk, and only one that has the newest entry there is chosen. Others that do are not held up by it. A learner neither votes for itself, counts for a lease, nor tells its own planes of what it holds. Ruled out: an answer by APPENDED, which members that have gone on turn away as from one that was put out.

--- a/post/register/agreement.py
+++ b/post/register/agreement.py
@@ -88,8 +88,8 @@
 
     @property
     def members(self) -> tuple[Member, ...]:
-        """The members by the newest entry held; none for a disk that has never been one."""
-        return self.seat.entry.members
+        """The members by the newest entry held; none for a disk that isn't one."""
+        return () if self.role == "joiner" else self.seat.entry.members
 
     @property
     def term(self) -> int:
@@ -162,7 +162,8 @@
         early = now < self.starting.until + self.tuning.election_max_s
         again_s = self.tuning.begun_s if early else 2 * self.tuning.beat_s
         self.campaign = Campaign(self.seat, now, again_s) if self._may_stand(now) else None
-        self.joining.seek()
+        if self.seat.seated:
+            self.joining.seek()
 
     def _go_on(self, now: float) -> None:
         """A campaign that is won makes a leader. One that has led itself out of the members is done."""
@@ -183,6 +184,8 @@
             self.leading.count(now)
         else:
             self.following.kept()
+        if not self.seat.seated and not self.left:
+            self.joining.caught_up(now)
 
     def _may_stand(self, now: float) -> bool:
         return not self.leaving and self.seat.seated and self.seat.stuck(now) <= SICK_S
@@ -255,15 +258,25 @@
         seat = self.seat
         if note.term < seat.term:
             return self.following.tell(sender, note.disk, note.sent)
-        if self.leading is not None and note.term == seat.term \
-                or note.kind == pb.APPEND and not get_entry(note.entry).names(seat.disk):
+        learns = note.kind == pb.APPEND and not get_entry(note.entry).names(seat.disk)
+        if self.leading is not None and note.term == seat.term or learns and (seat.seated or self.left):
             return self._drop("leader")
         if note.term > seat.term:
             self._adopt(now, note.term)
         self.campaign, self.starting.unled = None, False
+        if learns:
+            self._learn(now, sender, note)
+            return
         self._wait(now)
         self.following.beat(now, sender, note)
 
+    def _learn(self, now: float, sender: Address, note: pb.Note) -> None:
+        """As a learner: the leader's newest entry is taken, and told of once it is on disk."""
+        self.joining.lead(now, sender, note.term)
+        self.following.learn(note)
+        if self.seat.holds():
+            self.joining.caught_up(now)
+
     def _free(self, now: float, note: pb.Note) -> bool:
         return self.leading is None and self.voting.free(now, self.following.heard, note)
 
--- a/post/register/following.py
+++ b/post/register/following.py
@@ -27,6 +27,11 @@
             self._learn(note)
         self.tell(sender, note.disk, note.sent)
 
+    def learn(self, note: pb.Note) -> None:
+        """As a learner, take the leader's newest entry, which doesn't name this disk."""
+        if (note.entry.term, note.entry.number) > self.seat.entry.place:
+            self._take(note)
+
     def kept(self) -> None:
         """More is on disk: the leader waits for that."""
         if self.leader is not None and self.seat.holds():
@@ -35,9 +40,7 @@
     def tell(self, to: Address, disk: str, sent: float) -> None:
         """Tell a leader the newest entry that is here, and the newest on disk."""
         seat = self.seat
-        note = seat.telling(pb.APPENDED, disk)
-        if seat.kept.disk == seat.disk:
-            note.held_term, note.held_number = seat.kept.entry.place
+        note = seat.holding(pb.APPENDED, disk)
         note.sent = sent
         seat.send(to, note)
 
--- a/post/register/joining.py
+++ b/post/register/joining.py
@@ -43,6 +43,11 @@
         for address in sorted({*self.seeds, *self.core} - known) if known else ():
             self.seat.send(address, self.seat.telling(pb.PRE_VOTE, ANYONE))
 
+    def caught_up(self, now: float) -> None:
+        """As a learner, have the leader know what is on disk."""
+        self.next = now
+        self.tick(now)
+
     def lead(self, now: float, leader: Address, term: int) -> None:
         """Someone is heard as leader, or named as one (term 0)."""
         if term == 0 and leader == self.leader:
@@ -66,7 +71,7 @@
         self.asked, self.next = now, now + seat.tuning.ask_s
         targets = {*self.seeds, *self.core} if self.leader is None else {self.leader}
         for address in sorted(targets - {seat.me}):
-            note = seat.note(pb.JOIN)
+            note = seat.holding(pb.JOIN)
             note.term = self.term if address == self.leader else 0
             seat.send(address, note)
 
--- a/post/register/leading.py
+++ b/post/register/leading.py
@@ -8,8 +8,8 @@
 from post.register import register_pb2 as pb
 from post.register.api import Propose, Proposed
 from post.register.joining import give_hint, tell_gone
-from post.register.members import Joiners, Presence, next_members
-from post.register.records import NEVER, NOTHING, Entry, Member, Place, put_entry
+from post.register.members import Joiners, Presence, has_place, next_members
+from post.register.records import NEVER, Entry, Member, Place, put_entry
 from post.register.seat import Seat
 
 MOST_SEEN = 256  # disks
@@ -42,6 +42,7 @@
         self.peers: dict[str, Peer] = {}
         self.seen: dict[str, None] = {}  # disks that have been members in this term, the latest ones
         self.joiners = Joiners()
+        self.learners: dict[str, Peer] = {}  # joiners that are sent the newest entry, to have it on disk
         self.ask: Propose | None = None
         self.asked, self.put = now, False  # the proposal: when it came, and is it under way
         self.base: Place | None = None  # an entry with the same value as the newest
@@ -75,7 +76,7 @@
             return False
         if self.ask is not None and not self.put and now - self.asked > self.seat.tuning.queue_s:
             self._answer("refused")
-        if now >= self.choose_at and self.settled and self.ask is None and self.sure(now):
+        if now >= self.choose_at and self.settled and self.sure(now):
             self.choose_at = now + self.seat.tuning.beat_s
             self._choose(now)
         if now >= self.beat_at:
@@ -142,8 +143,31 @@
                 tell_gone(seat, known, sender, note.disk)
         elif note.term == seat.term:
             self.joiners.ask(now, note.disk, sender)
+            self._learner(now, Member(note.disk, sender), (note.held_term, note.held_number))
         give_hint(self.seat, sender, note.disk, self.seat.me)
 
+    def _learner(self, now: float, member: Member, held: Place) -> None:
+        """A disk that asks has this entry: it is sent the newest before it may be chosen."""
+        peer = self.learners.get(member.disk)
+        if peer is None or peer.address != member.address:
+            peer = Peer(member, now)
+            peer.wait = self.seat.tuning.resend_s
+        peer.heard, peer.has, peer.held = now, held, held
+        self.learners[member.disk] = peer
+        if held == self.seat.entry.place:
+            self.choose_at = now
+        elif self.settled:
+            self._teach(now)
+
+    def _teach(self, now: float) -> None:
+        """Send the newest entry, which is committed, to those who might become members and lack it."""
+        seat = self.seat
+        self.learners = {d: p for d, p in self.learners.items() if d in self.joiners.askers}
+        if has_place(seat.entry.members, self._presences(now), seat.tuning):
+            for peer in self.learners.values():
+                if peer.held != seat.entry.place and now >= peer.next:
+                    self._send_entry(now, peer, peer.held == self.base)
+
     def leave(self, now: float, note: pb.Note) -> None:
         """A member wants to go."""
         peer = self.peers.get(note.disk)
@@ -185,29 +209,32 @@
         self._put(now, entry._replace(version=entry.version + 1, value=ask.value), new_value=True)
 
     def _choose(self, now: float) -> None:
-        """Begin a change of members if one is due."""
-        seat, entry = self.seat, self.seat.entry
-        t = seat.tuning
-        others = {p.disk: Presence(now - max(p.heard, p.began), now - p.heard <= t.heard_s,
-                                   now - p.leaves <= 3 * t.ask_s) for p in self.peers.values()}
+        """Begin a change of members if one is due. A newcomer must have the newest entry on disk."""
+        entry, t = self.seat.entry, self.seat.tuning
         joiners = [a for a in self.joiners.fresh(now, 3 * t.ask_s) if a.member.disk not in self.seen]
-        members = next_members(now, entry.members, others, joiners, self.tolerance, t)
+        self._teach(now)
+        if self.ask is not None:
+            return
+        able = [a for a in joiners if self.learners[a.member.disk].held == entry.place]
+        members = next_members(now, entry.members, self._presences(now), able, self.tolerance, t)
         if members is not None:
             self._put(now, entry._replace(members=members, outgoing=entry.members))
 
+    def _presences(self, now: float) -> dict[str, Presence]:
+        t = self.seat.tuning
+        return {p.disk: Presence(now - max(p.heard, p.began), now - p.heard <= t.heard_s,
+                                 now - p.leaves <= 3 * t.ask_s) for p in self.peers.values()}
+
     def _put(self, now: float, entry: Entry, new_value: bool = False) -> None:
         """Have this entry agreed on, as the next one of this term."""
         seat = self.seat
         self.base = None if new_value else seat.entry.place
         seat.entry = entry._replace(term=seat.term, number=entry.number + 1)
         old = self.peers
-        self.peers = {m.disk: old.get(m.disk) or Peer(m, now) for m in seat.entry.voters()
-                      if m.disk != seat.disk}
+        self.peers = {m.disk: old.get(m.disk) or self.learners.pop(m.disk, None) or Peer(m, now)
+                      for m in seat.entry.voters() if m.disk != seat.disk}
         self.seen = dict.fromkeys([*self.seen, *self.peers][-MOST_SEEN:])
-        if old:
-            for disk in self.peers.keys() - old.keys():  # a newcomer: it lacks the value
-                self.peers[disk].has = NOTHING.place
-        for peer in self.peers.values():
+        for peer in (*self.peers.values(), *self.learners.values()):
             peer.next, peer.wait = now, seat.tuning.resend_s
         self._renew()
         self._spread(now)
--- a/post/register/members.py
+++ b/post/register/members.py
@@ -63,6 +63,11 @@
     return found if 2 * there > len(found) or len(members) == 1 else None
 
 
+def has_place(members: tuple[Member, ...], others: Mapping[str, Presence], tuning: Tuning) -> bool:
+    """Is there a place for a newcomer, or may there be one soon?"""
+    return len(members) < tuning.most_members or any(p.leaving or not p.here for p in others.values())
+
+
 def _there(others: Mapping[str, Presence], member: Member) -> bool:
     return member.disk not in others or others[member.disk].here
 
--- a/post/register/seat.py
+++ b/post/register/seat.py
@@ -42,6 +42,13 @@
         note.has_term, note.has_number = self.entry.place
         return note
 
+    def holding(self, kind: pb.Kind, to_disk: str = "") -> pb.Note:
+        """A note that also tells the places of the newest entries held, and held on disk."""
+        note = self.telling(kind, to_disk)
+        if self.kept.disk == self.disk:
+            note.held_term, note.held_number = self.kept.entry.place
+        return note
+
     def send(self, to: Address, note: pb.Note) -> None:
         """Have a note sent."""
         self.out.append(Send(to, note))
