Register: a core of an even count lets go of one that leaves while others are away

Cause: a member was only taken out where as many as the core must bear stayed there, dead ones not counted. Of four, one dead and one leaving for good, two were left of four: no majority for good. Without the one that leaves it is two of three. Of an even count, one fewer is needed after a removal, so that can only help; of an odd count the rule stays. Tests with 4 and 6 disks, one or two of them dead, seen to fail before.

--- a/post/register/members.py
+++ b/post/register/members.py
@@ -96,12 +96,17 @@
 
 def _without(members: tuple[Member, ...], others: Mapping[str, Presence], tolerance: int,
              tuning: Tuning) -> tuple[Member, ...] | None:
-    """The members without one that leaves or is gone, if enough stay."""
+    """The members without one that leaves or is gone, if enough stay.
+
+    Of an even count, fewer are needed after that than before, whoever else is away.
+    """
+    fewest = max(3, 2 * tolerance + 1)
     for old in members:
         presence = others.get(old.disk)
         if presence is None or not (presence.leaving or presence.silent > tuning.remove_s):
             continue
         rest = tuple(m for m in members if m != old)
-        if sum(_there(others, m) for m in rest) >= max(3, 2 * tolerance + 1):
+        staying = len(rest) if len(rest) % 2 else sum(_there(others, m) for m in rest)
+        if staying >= fewest:
             return rest
     return None
--- a/tests/system/test_register_members.py
+++ b/tests/system/test_register_members.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from post.register import api
 from post.register.agreement import Agreement
 from post.register.leading import Leading
 from post.register.records import Member, Place
@@ -88,3 +89,15 @@
         assert outcome(core, leader, leader.machine.committed) == "done"
         done += 1
     assert core.now < began + 0.5 and done > 5
+
+
+@pytest.mark.parametrize(("count", "dead"), [(4, 1), (6, 1), (6, 2)])
+def test_an_even_core_lets_go_of_one_that_leaves_while_others_are_away(count: int, dead: int) -> None:
+    core, leader, others = settled(count, tolerance=(count - 2) // 2)
+    for node in others[:dead]:
+        core.kill(node.address)
+    core.run(1.2)
+    core.give(others[-1], api.Leave())
+    assert core.run(2.0, lambda: others[-1].machine.left) and len(named(core)) == count - 1
+    core.kill(others[-1].address, wipe=True)
+    finish(core, 3.0)
