--- a/proving/cli.py
+++ b/proving/cli.py
@@ -341,6 +341,20 @@
         return 0
 
 
+class LossesCommand(Proving):
+    """Counts what a core bears while its members change."""
+
+    name = "losses"
+    description = "Count how many more disks of a core may go at each instant of a change of its members."
+    options: ClassVar[list[Option]] = [SEEDS, CORES]
+
+    def act(self) -> int:
+        from proving import losses
+        for line in losses.table(self.number("seeds") or 20, self.number("cores")):
+            self.tell(line)
+        return 0
+
+
 class ProofsCommand(Proving):
     """Plays the days of all planted faults."""
 
@@ -375,7 +389,8 @@
 
 
 COMMANDS = (RunCommand, HuntCommand, SweepCommand, PlanCommand, ShowCommand, TapeCommand, ReplayCommand,
-            LoadCommand, StandardCommand, CompareCommand, AllowanceCommand, ProofsCommand, OrdersCommand)
+            LoadCommand, StandardCommand, CompareCommand, AllowanceCommand, ProofsCommand, OrdersCommand,
+            LossesCommand)
 
 
 def main() -> int:
--- /dev/null
+++ b/proving/losses.py
@@ -0,0 +1,122 @@
+"""How many more disks of a core may go for good, at each instant of a change of its members."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable, Sequence
+from itertools import combinations
+from typing import NamedTuple
+
+from post.register.records import Stored
+from proving.hunt import on_all_cores
+from proving.model.deployment import Deployment
+from proving.model.processes import PostmasterProcess
+from proving.model.run import Run
+from proving.spec import Day, Spec, Trouble
+
+AT_S, FOR_S, BACK_S, ORDER_S = 10.0, 12.0, 1.5, 0.3
+CORES = {3: (1, 1, 1), 5: (2, 2, 1), 7: (3, 2, 2)}
+KINDS = {"wipe": "an empty disk comes back", "replace_core": "another machine comes for one that is gone",
+         "planned_core": "another comes, then one is stopped", "both": "two empty disks come back at once"}
+
+
+class Change(NamedTuple):
+    """One change of members: the fewest losses that are borne at any instant, for how many seconds in all
+    fewer are than the core has to bear, and until when after the last newcomer's start."""
+
+    fewest: int
+    short_s: float
+    since_start_s: float
+
+
+def takes_orders(disks: Iterable[Stored], acknowledged: int) -> bool:
+    """Would these disks by themselves agree on orders again, with none lost that was acknowledged?
+
+    One may be elected by those of no newer entry, if they are quorums by its own; each such must have it all.
+    """
+    left = list(disks)
+    able = [x.entry for x in left if x.entry.names(x.disk) and x.entry.has_quorum(
+        {y.disk for y in left if y.entry.place <= x.entry.place})]
+    return bool(able) and all(entry.version >= acknowledged for entry in able)
+
+
+def borne(disks: Sequence[Stored], acknowledged: int) -> int:
+    """How many of these disks may go for good, whichever they are; -1 if even these take no orders."""
+    for lost in range(len(disks) + 1):
+        if not all(takes_orders(left, acknowledged) for left in combinations(disks, len(disks) - lost)):
+            return lost - 1
+    return len(disks)
+
+
+class Watch:
+    """Looks at the disks of a deployment after each event."""
+
+    def __init__(self, deployment: Deployment) -> None:
+        self.deployment = deployment
+        self.state: object = None
+        self.rows: list[tuple[float, int]] = []  # from when on, how many losses
+        self.empty: set[str] = set()
+        self.started = 0.0  # the last time that a process began on an empty disk
+
+    def look(self) -> None:
+        """Count anew if a disk has another record, one came or went, or more was acknowledged."""
+        now = self.deployment.world.now
+        machines = [m for m in self.deployment.machines.values() if m.core and not m.removed]
+        empty = {m.name for m in machines if m.disk.stored is None and m.processes}
+        if empty - self.empty:
+            self.started = now
+        self.empty = empty
+        disks = [m.disk.stored for m in machines if m.disk.stored is not None]
+        acknowledged = max((p.post.agreement.committed for m in machines for p in m.processes.values()
+                            if isinstance(p, PostmasterProcess)), default=0)
+        state = [(d.disk, d.entry.place) for d in disks], acknowledged
+        if state != self.state:
+            self.state = state
+            self.rows.append((now, borne(disks, acknowledged)))
+
+
+def play(disks: int, kind: str, seed: int) -> tuple[int, str, Change]:
+    """One change of a core that takes orders all the while, at an instant by chance."""
+    tolerance = disks // 2
+    spec = Spec(postmasters=CORES[disks], sorters=CORES[disks], tolerance=tolerance, day=Day(traffic=False))
+    at = AT_S + random.Random(seed).random()
+    struck = [Trouble("wipe" if kind == "both" else kind, at, BACK_S, 14 * seed + seed % 7)]
+    if kind == "both":
+        struck.append(Trouble("wipe", at, BACK_S, struck[0].which + 1))
+    orders = [Trouble("config_change", ORDER_S * n, 0.0, n) for n in range(9, int((AT_S + FOR_S) / ORDER_S))]
+    run = Run(spec, seed)
+    run.deployment.start()
+    run.world.at(1.0, run.desk.begin)
+    run.troubles.plan([*struck, *orders])
+    run.world.run(AT_S)
+    watch, queue = Watch(run.deployment), run.world.queue
+    while queue[0][0] <= AT_S + FOR_S:
+        run.world.run(queue[0][0])
+        watch.look()
+    return disks, kind, summary(watch, tolerance)
+
+
+def summary(watch: Watch, tolerance: int) -> Change:
+    """What the instants that were looked at come to."""
+    ends = [*(at for at, _ in watch.rows[1:]), AT_S + FOR_S]
+    short = [(end, end - at) for (at, bears), end in zip(watch.rows, ends, strict=True) if bears < tolerance]
+    last = max((end for end, _ in short), default=0.0)
+    return Change(min(bears for _, bears in watch.rows), sum(lasts for _, lasts in short),
+                  max(0.0, last - watch.started))
+
+
+def table(seeds: int, cores: int) -> list[str]:
+    """Lines of a markdown table: one for each size of a core and kind of change."""
+    found: dict[tuple[int, int], list[Change]] = {}
+    calls = [(disks, kind, seed) for disks in CORES for kind in KINDS for seed in range(1, seeds + 1)
+             if disks > 3 or kind != "both"]
+    for disks, kind, one in on_all_cores(play, calls, cores):
+        found.setdefault((disks, list(KINDS).index(kind)), []).append(one)
+    lines = ["| disks | to bear | change | fewest borne | fewer than to bear for, s: median, longest "
+             "| after the newcomer's start, s: longest |", "| --- | --- | --- | --- | --- | --- |"]
+    for (disks, kind), ones in sorted(found.items()):
+        short = sorted(one.short_s for one in ones)
+        lines.append(f"| {disks} | {disks // 2} | {list(KINDS.values())[kind]} | "
+                     f"{min(one.fewest for one in ones)} | {short[len(short) // 2]:.2f}, {short[-1]:.2f} | "
+                     f"{max(one.since_start_s for one in ones):.2f} |")
+    return lines
--- a/proving/model/troubles/machines.py
+++ b/proving/model/troubles/machines.py
@@ -132,6 +132,21 @@
         self.world.after(t.lasts * 0.3, self.deployment.list_controls)
         self.note(t, [old, new], core=True, lasts=t.lasts, planned=in_order)
 
+    def do_planned_core(self, t: Trouble) -> None:
+        """A machine of the core is replaced as planned: another comes, and it is stopped in order `lasts`
+        seconds later."""
+        old = self.one(t, self.core())
+        new = self.deployment.add(old.place.zone, old.roles)
+        new.start()
+
+        def stop() -> None:
+            old.removed = True
+            old.stop()
+            self.deployment.list_controls()
+        self.deployment.list_controls()
+        self.world.after(t.lasts, stop)
+        self.note(t, [old, new], core=True, lasts=t.lasts, planned=True)
+
     def do_seed_turnover(self, t: Trouble) -> None:
         """The seeds are exchanged for others that serve `control`, where there are others."""
         self.deployment.turn_seeds()
