Command line: core tells how many more disks may go right now, plan-core after each loss

The leader counts the disks that it hears and that don't leave, for each of the two sets of members while they change, and those of them that have the newest acknowledged order on disk. core ends with 2 where that is less than the core has to bear: before, a core of three with one away was called well.

--- a/post/office/cli.py
+++ b/post/office/cli.py
@@ -249,7 +249,8 @@
         self.line(f"acknowledged: on {plan.majority(members)} of {members} disks")
         for loss in plan.losses(members):
             away, gone = plan.told(loss)
-            self.line(f"{loss.lost} lost: while away {away}; for good {gone}")
+            left = plan.more([(members, members - loss.lost)], plan.majority(members) - loss.lost)
+            self.line(f"{loss.lost} lost: while away {away}; for good {gone}; then {left} more may go")
         if plan.bears(members) < tolerance:
             wanted = plan.wanted(tolerance)
             return self.faults("", [("members", f"{tolerance} lost at once takes {wanted} of them at least")])
--- a/post/office/showing.py
+++ b/post/office/showing.py
@@ -23,12 +23,27 @@
         "term": agreement.term, "sure": agreement.sure(now), "version": agreement.committed,
         "changing": bool(entry.outgoing),
         "bears": plan.bears(len(entry.members)), "tolerance": agreement.tolerance,
+        "bears-now": _bears_now(agreement, now),
         "members": [{"address": m.address, "disk": m.disk,
                      "state": _state(m in entry.members, m in entry.outgoing or not entry.outgoing),
                      "heard-s": 0.0 if m.disk == agreement.seat.disk else heard.get(m.disk)}
                     for m in entry.voters()]}
 
 
+def _bears_now(agreement: Agreement, now: float) -> int | None:
+    """How many more disks may be lost right now, as far as the leader knows; None from others."""
+    seat, leading = agreement.seat, agreement.leading
+    if leading is None or seat.known is None:
+        return None
+    place = seat.known.place
+    there = {disk for disk, p in leading.presences(now).items() if p.here and not p.leaving}
+    holders = sum(p.disk in there and p.held is not None and p.held >= place for p in leading.peers.values())
+    there.add(seat.disk)
+    councils = [(len(council), sum(m.disk in there for m in council))
+                for council in (seat.entry.members, seat.entry.outgoing) if council]
+    return plan.more(councils, holders + (seat.kept.entry.place >= place))
+
+
 def _state(stays: bool, was: bool) -> str:
     return "member" if stays and was else "comes" if stays else "goes"
 
@@ -55,12 +70,13 @@
     return [*nodes.columns(("address", "disk", "role", "heard-s"), rows),
             f"version {a['version']}, term {a['term']}, told by {a['node']}, "
             f"{'surely' if a['sure'] else 'not surely'} the newest; "
-            f"bears {a['bears']} lost at once, {a['tolerance']} wanted"]
+            f"bears {a['bears']} lost at once, {a['tolerance']} wanted"
+            + ("" if a["bears-now"] is None else f"; {a['bears-now']} more right now")]
 
 
 def core_well(answers: list[Row]) -> bool:
-    """Whether somebody leads and the core bears what it has to."""
-    return any(a["sure"] and a["bears"] >= a["tolerance"] and not a["changing"] for a in answers)
+    """Whether somebody leads and the core bears right now what it has to."""
+    return any(a["sure"] and (a["bears-now"] or 0) >= a["tolerance"] and not a["changing"] for a in answers)
 
 
 def lease_lines(answers: list[Row]) -> list[str]:
--- a/post/register/agreement.py
+++ b/post/register/agreement.py
@@ -162,8 +162,7 @@
         early = now < self.starting.until + self.tuning.election_max_s
         again_s = self.tuning.begun_s if early else 2 * self.tuning.beat_s
         self.campaign = Campaign(self.seat, now, again_s) if self._may_stand(now) else None
-        if self.seat.seated:
-            self.joining.seek()
+        self.joining.seek()
 
     def _go_on(self, now: float) -> None:
         """A campaign that is won makes a leader. One that has led itself out of the members is done."""
@@ -265,18 +264,11 @@
             self._adopt(now, note.term)
         self.campaign, self.starting.unled = None, False
         if learns:
-            self._learn(now, sender, note)
-            return
+            self.following.learn(note)
+            return self.joining.taught(now, sender, note.term)
         self._wait(now)
         self.following.beat(now, sender, note)
 
-    def _learn(self, now: float, sender: Address, note: pb.Note) -> None:
-        """As a learner: the leader's newest entry is taken, and told of once it is on disk."""
-        self.joining.lead(now, sender, note.term)
-        self.following.learn(note)
-        if self.seat.holds():
-            self.joining.caught_up(now)
-
     def _free(self, now: float, note: pb.Note) -> bool:
         return self.leading is None and self.voting.free(now, self.following.heard, note)
 
--- a/post/register/joining.py
+++ b/post/register/joining.py
@@ -39,7 +39,7 @@
 
     def seek(self) -> None:
         """As a member that hears no leader, ask others too: all other members may have been replaced."""
-        known = {m.address for m in self.seat.entry.voters()}
+        known = {m.address for m in self.seat.entry.voters()} if self.seat.seated else set()
         for address in sorted({*self.seeds, *self.core} - known) if known else ():
             self.seat.send(address, self.seat.telling(pb.PRE_VOTE, ANYONE))
 
@@ -48,6 +48,12 @@
         self.next = now
         self.tick(now)
 
+    def taught(self, now: float, leader: Address, term: int) -> None:
+        """As a learner, one has been sent the leader's newest entry, perhaps again."""
+        self.lead(now, leader, term)
+        if self.seat.holds():
+            self.caught_up(now)
+
     def lead(self, now: float, leader: Address, term: int) -> None:
         """Someone is heard as leader, or named as one (term 0)."""
         if term == 0 and leader == self.leader:
--- a/post/register/leading.py
+++ b/post/register/leading.py
@@ -163,7 +163,7 @@
         """Send the newest entry, which is committed, to those who might become members and lack it."""
         seat = self.seat
         self.learners = {d: p for d, p in self.learners.items() if d in self.joiners.askers}
-        if has_place(seat.entry.members, self._presences(now), seat.tuning):
+        if has_place(seat.entry.members, self.presences(now), seat.tuning):
             for peer in self.learners.values():
                 if peer.held != seat.entry.place and now >= peer.next:
                     self._send_entry(now, peer, peer.held == self.base)
@@ -224,11 +224,12 @@
         late = {place for place, at in self.former.items() if now - at > t.election_min_s}
         fresh = {entry.place, *self.former} - late
         able = [a for a in joiners if self.learners[a.member.disk].held in fresh]
-        members = next_members(now, entry.members, self._presences(now), able, self.tolerance, t)
+        members = next_members(now, entry.members, self.presences(now), able, self.tolerance, t)
         if members is not None:
             self._put(now, entry._replace(members=members, outgoing=entry.members))
 
-    def _presences(self, now: float) -> dict[str, Presence]:
+    def presences(self, now: float) -> dict[str, Presence]:
+        """What is known of each other member's presence, by disk."""
         t = self.seat.tuning
         return {p.disk: Presence(now - max(p.heard, p.began), now - p.heard <= t.heard_s,
                                  now - p.leaves <= 3 * t.ask_s) for p in self.peers.values()}
--- a/post/register/plan.py
+++ b/post/register/plan.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from typing import NamedTuple
 
 
@@ -28,6 +29,15 @@
     return [Loss(f, members - f >= q, f < q) for f in range(members + 1)]
 
 
+def more(councils: Iterable[tuple[int, int]], holders: int) -> int:
+    """How many more disks may be lost for good, whichever they are, while orders go on and none is lost.
+
+    `councils`: of those whose majorities are needed, how many disks and how many of them are there.
+    `holders`: how many disks that are there have the newest acknowledged order.
+    """
+    return max(0, min([there - majority(disks) for disks, there in councils] + [holders - 1]))
+
+
 def bears(members: int) -> int:
     """How many disks may be lost at once while the core goes on."""
     return max((loss.lost for loss in losses(members) if loss.goes_on), default=0)
--- a/proving/losses.py
+++ b/proving/losses.py
@@ -108,15 +108,16 @@
 def table(seeds: int, cores: int) -> list[str]:
     """Lines of a markdown table: one for each size of a core and kind of change."""
     found: dict[tuple[int, int], list[Change]] = {}
+    names = list(KINDS.values())
     calls = [(disks, kind, seed) for disks in CORES for kind in KINDS for seed in range(1, seeds + 1)
              if disks > 3 or kind != "both"]
     for disks, kind, one in on_all_cores(play, calls, cores):
         found.setdefault((disks, list(KINDS).index(kind)), []).append(one)
     lines = ["| disks | to bear | change | fewest borne | fewer than to bear for, s: median, longest "
              "| after the newcomer's start, s: longest |", "| --- | --- | --- | --- | --- | --- |"]
-    for (disks, kind), ones in sorted(found.items()):
+    for (disks, row), ones in sorted(found.items()):
         short = sorted(one.short_s for one in ones)
-        lines.append(f"| {disks} | {disks // 2} | {list(KINDS.values())[kind]} | "
+        lines.append(f"| {disks} | {disks // 2} | {names[row]} | "
                      f"{min(one.fewest for one in ones)} | {short[len(short) // 2]:.2f}, {short[-1]:.2f} | "
                      f"{max(one.since_start_s for one in ones):.2f} |")
     return lines
--- a/tests/system/test_operators.py
+++ b/tests/system/test_operators.py
@@ -97,6 +97,38 @@
     assert [cli.run(["plan-core", n, "--tolerance", "2"]) for n in ("5", "4")] == [0, 2]
     out, err = capfd.readouterr()
     assert "acknowledged: on 3 of 5 disks" in out and "takes 5" in err
+    assert "1 lost: while away goes on; for good goes on, nothing lost; then 1 more may go" in out
+
+
+def test_what_a_core_bears_right_now() -> None:
+    core = Core(5, 1, 2)
+    finish(core, 5.0)
+
+    def told() -> tuple[int | None, bool]:
+        answers = [showing.core(n.machine, core.now) for n in core.up()]
+        leads = max(answers, key=lambda a: a["sure"])
+        return leads["bears-now"], showing.core_well(answers)
+    core.run(0.2)
+    assert told() == (2, True)
+    others = [n for n in core.up() if n is not core.leader()]
+    others[0].disk_s = others[1].disk_s = others[2].disk_s = (60.0, 60.0)
+    leader = core.leader()
+    assert leader is not None
+    core.propose(leader, leader.machine.committed)
+    core.run(0.2)
+    assert told() == (2, True)  # what is under way is on two disks: not acknowledged yet
+    core.kill(others[3].address)
+    core.run(1.2)
+    assert told() == (1, False)
+    core.kill(others[0].address, wipe=True)
+    core.run(1.2)
+    assert told() == (0, False)
+
+
+@pytest.mark.parametrize(("disks", "there", "holders", "more"), [
+    (3, 3, 2, 1), (3, 3, 1, 0), (3, 2, 2, 0), (4, 4, 3, 1), (5, 5, 3, 2), (5, 4, 4, 1), (5, 2, 2, 0)])
+def test_more_losses(disks: int, there: int, holders: int, more: int) -> None:
+    assert plan.more([(disks, there)], holders) == more == plan.more([(9, 9), (disks, there)], holders)
 
 
 def test_core_and_backends_are_shown(snapshot: SnapshotAssertion) -> None:
