--- a/post/register/joining.py
+++ b/post/register/joining.py
@@ -39,9 +39,20 @@
 
     def seek(self) -> None:
         """As a member that hears no leader, ask others too: all other members may have been replaced."""
-        known = {m.address for m in self.seat.entry.deciders()}
+        known = {m.address for m in self.seat.entry.voters()} if self.seat.seated else set()
         for address in sorted({*self.seeds, *self.core} - known) if known else ():
-            self.seat.send(address, self.seat.telling(pb.MAY_I, ANYONE))
+            self.seat.send(address, self.seat.telling(pb.PRE_VOTE, ANYONE))
+
+    def caught_up(self, now: float) -> None:
+        """As a learner, have the leader know what is on disk."""
+        self.next = now
+        self.tick(now)
+
+    def taught(self, now: float, leader: Address, term: int) -> None:
+        """As a learner, one has been sent the leader's newest entry, perhaps again."""
+        self.lead(now, leader, term)
+        if self.seat.holds():
+            self.caught_up(now)
 
     def lead(self, now: float, leader: Address, term: int) -> None:
         """Someone is heard as leader, or named as one (term 0)."""
@@ -66,7 +77,7 @@
         self.asked, self.next = now, now + seat.tuning.ask_s
         targets = {*self.seeds, *self.core} if self.leader is None else {self.leader}
         for address in sorted(targets - {seat.me}):
-            note = seat.note(pb.JOIN)
+            note = seat.holding(pb.JOIN)
             note.term = self.term if address == self.leader else 0
             seat.send(address, note)
 
@@ -90,9 +101,9 @@
 def turned_away(seat: Seat, sender: Address, note: pb.Note) -> bool:
     """Is a note from a disk that is no member any more? Then that is told to it."""
     known = seat.known
-    if known is None or known.before or known.names(note.disk) or seat.entry.names(note.disk) \
+    if known is None or known.outgoing or known.names(note.disk) or seat.entry.names(note.disk) \
             or (note.has_term, note.has_number) >= known.place:
         return False
-    if note.kind in (pb.MAY_I, pb.ELECT, pb.HELD, pb.LEAVE):
+    if note.kind in (pb.PRE_VOTE, pb.REQUEST_VOTE, pb.APPENDED, pb.LEAVE):
         tell_gone(seat, known, sender, note.disk)
     return True
--- a/post/register/leading.py
+++ b/post/register/leading.py
@@ -8,8 +8,8 @@
 from post.register import register_pb2 as pb
 from post.register.api import Propose, Proposed
 from post.register.joining import give_hint, tell_gone
-from post.register.members import Joiners, Presence, next_members
-from post.register.records import NEVER, NOTHING, Entry, Member, Place, put_entry
+from post.register.members import Joiners, Presence, has_place, next_members
+from post.register.records import NEVER, Entry, Member, Place, put_entry
 from post.register.seat import Seat
 
 MOST_SEEN = 256  # disks
@@ -42,6 +42,8 @@
         self.peers: dict[str, Peer] = {}
         self.seen: dict[str, None] = {}  # disks that have been members in this term, the latest ones
         self.joiners = Joiners()
+        self.former: dict[Place, float] = {}  # entries that were the newest, and until when
+        self.learners: dict[str, Peer] = {}  # joiners that are sent the newest entry, to have it on disk
         self.ask: Propose | None = None
         self.asked, self.put = now, False  # the proposal: when it came, and is it under way
         self.base: Place | None = None  # an entry with the same value as the newest
@@ -75,9 +77,7 @@
             return False
         if self.ask is not None and not self.put and now - self.asked > self.seat.tuning.queue_s:
             self._answer("refused")
-        if now >= self.choose_at and self.settled and self.ask is None and self.sure(now):
-            self.choose_at = now + self.seat.tuning.beat_s
-            self._choose(now)
+        self._choose(now)
         if now >= self.beat_at:
             self._spread(now)
         return True
@@ -95,7 +95,7 @@
         self.ask, self.asked, self.put = ask, now, False
         self._next(now)
 
-    def held(self, now: float, note: pb.Note) -> None:
+    def appended(self, now: float, note: pb.Note) -> None:
         """A member has answered a beat or an entry."""
         peer = self.peers.get(note.disk)
         if peer is None:
@@ -118,18 +118,19 @@
         disks = {p.disk for p in self.peers.values() if p.held == entry.place}
         if seat.holds():
             disks.add(seat.disk)
-        if not entry.carried(disks):
+        if not entry.has_quorum(disks):
             return
         seat.commit(entry)
         if self.put:
             self._answer("done")
-        if entry.before:
-            self.removed = [m for m in entry.before if m not in entry.members]
-            self._put(now, entry._replace(before=()))
+        if entry.outgoing:
+            self.removed = [m for m in entry.outgoing if m not in entry.members]
+            self._put(now, entry._replace(outgoing=()))
             return
         for member in self.removed:
             tell_gone(seat, entry, member.address, member.disk)
         self.removed = []
+        self._choose(now)
         self._next(now)
         if self.settled:
             self._spread(now)
@@ -142,8 +143,31 @@
                 tell_gone(seat, known, sender, note.disk)
         elif note.term == seat.term:
             self.joiners.ask(now, note.disk, sender)
+            self._learner(now, Member(note.disk, sender), (note.held_term, note.held_number))
         give_hint(self.seat, sender, note.disk, self.seat.me)
 
+    def _learner(self, now: float, member: Member, held: Place) -> None:
+        """A disk that asks has this entry: it is sent the newest before it may be chosen."""
+        peer = self.learners.get(member.disk)
+        if peer is None or peer.address != member.address:
+            peer = Peer(member, now)
+            peer.wait = self.seat.tuning.resend_s
+        peer.heard, peer.has, peer.held = now, held, held
+        self.learners[member.disk] = peer
+        if held == self.seat.entry.place:
+            self.choose_at = now
+        elif self.settled:
+            self._teach(now)
+
+    def _teach(self, now: float) -> None:
+        """Send the newest entry, which is committed, to those who might become members and lack it."""
+        seat = self.seat
+        self.learners = {d: p for d, p in self.learners.items() if d in self.joiners.askers}
+        if has_place(seat.entry.members, self.presences(now), seat.tuning):
+            for peer in self.learners.values():
+                if peer.held != seat.entry.place and now >= peer.next:
+                    self._send_entry(now, peer, peer.held == self.base)
+
     def leave(self, now: float, note: pb.Note) -> None:
         """A member wants to go."""
         peer = self.peers.get(note.disk)
@@ -159,7 +183,7 @@
         if not able:
             return False
         heir = max(able, key=lambda p: p.sure)
-        seat.send(heir.address, seat.note(pb.HAND_OVER, heir.disk))
+        seat.send(heir.address, seat.note(pb.TIMEOUT_NOW, heir.disk))
         return True
 
     def resign(self) -> None:
@@ -175,7 +199,7 @@
     def _next(self, now: float) -> None:
         """Begin the proposal that waits, if nothing is under way."""
         ask = self.ask
-        if ask is None or self.put or not self.settled or self.seat.entry.before:
+        if ask is None or self.put or not self.settled or self.seat.entry.outgoing:
             return
         entry = self.seat.entry
         if ask.expected != entry.version:
@@ -185,29 +209,43 @@
         self._put(now, entry._replace(version=entry.version + 1, value=ask.value), new_value=True)
 
     def _choose(self, now: float) -> None:
-        """Begin a change of members if one is due."""
-        seat, entry = self.seat, self.seat.entry
-        t = seat.tuning
-        others = {p.disk: Presence(now - max(p.heard, p.began), now - p.heard <= t.heard_s,
-                                   now - p.leaves <= 3 * t.ask_s) for p in self.peers.values()}
+        """Begin a change of members if one is due, between two proposals as well.
+
+        A newcomer must have on disk what was the newest entry not longer ago than a follower bears silence.
+        """
+        if now < self.choose_at or not self.settled or not self.sure(now):
+            return
+        entry, t = self.seat.entry, self.seat.tuning
+        self.choose_at = now + t.beat_s
         joiners = [a for a in self.joiners.fresh(now, 3 * t.ask_s) if a.member.disk not in self.seen]
-        members = next_members(now, entry.members, others, joiners, self.tolerance, t)
+        self._teach(now)
+        if self.ask is not None:
+            return
+        late = {place for place, at in self.former.items() if now - at > t.election_min_s}
+        fresh = {entry.place, *self.former} - late
+        able = [a for a in joiners if self.learners[a.member.disk].held in fresh]
+        members = next_members(now, entry.members, self.presences(now), able, self.tolerance, t)
         if members is not None:
-            self._put(now, entry._replace(members=members, before=entry.members))
+            self._put(now, entry._replace(members=members, outgoing=entry.members))
+
+    def presences(self, now: float) -> dict[str, Presence]:
+        """What is known of each other member's presence, by disk."""
+        t = self.seat.tuning
+        return {p.disk: Presence(now - max(p.heard, p.began), now - p.heard <= t.heard_s,
+                                 now - p.leaves <= 3 * t.ask_s) for p in self.peers.values()}
 
     def _put(self, now: float, entry: Entry, new_value: bool = False) -> None:
         """Have this entry agreed on, as the next one of this term."""
         seat = self.seat
+        self.former = {p: at for p, at in self.former.items() if now - at <= seat.tuning.election_min_s}
+        self.former[seat.entry.place] = now
         self.base = None if new_value else seat.entry.place
         seat.entry = entry._replace(term=seat.term, number=entry.number + 1)
         old = self.peers
-        self.peers = {m.disk: old.get(m.disk) or Peer(m, now) for m in seat.entry.deciders()
-                      if m.disk != seat.disk}
+        self.peers = {m.disk: old.get(m.disk) or self.learners.pop(m.disk, None) or Peer(m, now)
+                      for m in seat.entry.voters() if m.disk != seat.disk}
         self.seen = dict.fromkeys([*self.seen, *self.peers][-MOST_SEEN:])
-        if old:
-            for disk in self.peers.keys() - old.keys():  # a newcomer: it lacks the value
-                self.peers[disk].has = NOTHING.place
-        for peer in self.peers.values():
+        for peer in (*self.peers.values(), *self.learners.values()):
             peer.next, peer.wait = now, seat.tuning.resend_s
         self._renew()
         self._spread(now)
@@ -221,13 +259,13 @@
                 self._send_entry(now, peer, bare)
                 if bare:  # which is a beat as well
                     continue
-            seat.send(peer.address, self._beat(now, pb.BEAT, peer))
+            seat.send(peer.address, self._beat(now, pb.HEARTBEAT, peer))
 
     def _send_entry(self, now: float, peer: Peer, bare: bool) -> None:
         """Send the newest entry, bare of its value to one who may have that."""
         peer.next = now + peer.wait
         peer.wait = min(LONGEST_WAIT_S, 2 * peer.wait)
-        note = self._beat(now, pb.ENTRY, peer)
+        note = self._beat(now, pb.APPEND, peer)
         put_entry(self.seat.entry, note.entry, not bare)
         if bare and self.base is not None:
             note.base_term, note.base_number = self.base
