Orders: a number that JSON can't tell again is refused

Cause: 1e999 in a field that nobody checks was read as infinity, taken and agreed on; whoever had the value from the agreement or the disk couldn't read it, stayed at the version before, and as the next leader had each later order refused by its version. The fingerprint already walks all of an order, so it costs nothing. Seen to fail before: two more cases of what cannot be read.

--- a/post/directory/orders.py
+++ b/post/directory/orders.py
@@ -92,7 +92,10 @@
     if isinstance(loaded, Err):
         return Decision(400, _told(loaded.err_value))
     raw = loaded.ok_value
-    order = fingerprint(method, raw)
+    try:
+        order = fingerprint(method, raw)
+    except ValueError:  # an agreed value holds what JSON can tell again
+        return Decision(400, _told([Fault("", "expected numbers that a double can hold")]))
     if order in held.taken:
         return Decision(200, _body({"generation": raw["generation"]}))
     faults: list[Fault] = []
@@ -112,8 +115,11 @@
 
 
 def fingerprint(method: str, raw: Raw) -> int:
-    """Of an order, 64 bit: the same however its JSON is spaced and its fields are ordered."""
-    told = json.dumps(raw, sort_keys=True, separators=(",", ":"))
+    """Of an order, 64 bit: the same however its JSON is spaced and its fields are ordered.
+
+    Raises ValueError if it holds a number that JSON can't tell, as 1e999 is read.
+    """
+    told = json.dumps(raw, allow_nan=False, sort_keys=True, separators=(",", ":"))
     return int.from_bytes(blake2b(f"{method} {told}".encode(), digest_size=8).digest())
 
 
--- a/tests/system/test_directory.py
+++ b/tests/system/test_directory.py
@@ -104,7 +104,8 @@
 
 @pytest.mark.parametrize("sent", [
     b"", b'{"generation":1', b"\xff", b"1e999", b"[" * 10**6, b'{"a":' * 40 + b"1" + b"}" * 40, b"9" * 5000,
-    b'{"generation":1,"resource-list":[],"x":NaN}'])
+    b'{"generation":1,"resource-list":[],"x":NaN}', b'{"generation":1,"resource-list":[],"x":1e999}',
+    b'{"generation":1,"resource-list":[{"entry-kind":"new","x":[-1e999]}]}'])
 def test_what_cannot_be_read_is_refused(sent: bytes) -> None:
     assert decide(Held(), "PUT", sent).status == 400
 
