Orders: 1,024 are remembered, and one that may be forgotten is left unclear, not refused

Cause: a repeat was known among the last 64 orders only, and refused (412) after more: order 1, sent again after 69 others, got 412 (tried on the sources before). An order of a later one that isn't in the memory was never taken: 412 as before. An older one may have been: 503, with the reason.

The value has form 2: a wider count, and generations beside the fingerprints, 16 bytes an order (16,541 bytes of a value with 1,024); form 1 is read still, its generations taken for the most that they may be. Ingresses take no orders, so they get the value without: 157 bytes of the same one. Ruled out: a memory without end (each change carries it), times instead of a number (clocks step, and a repeat tells no time of its own).

--- a/post/directory/orders.py
+++ b/post/directory/orders.py
@@ -15,22 +15,27 @@
 from post.directory.document import Document, Raw
 from post.directory.table import Fault
 
-REMEMBERED = 64  # orders taken, by which a repeat is known
+REMEMBERED = 1024  # orders taken, by which a repeat is known: ten hours of 2,400 a day
 WHOLE_MAX = 64 * 1024 * 1024  # bytes of a configuration
-FORM = 1  # of the encoded value, its first byte
-TAKEN = struct.Struct(">Q")
+FORM = 2  # of the encoded value, its first byte
+HEAD = struct.Struct(">BHQ")  # form, number of orders taken, generation of the newest one forgotten
+TAKEN = struct.Struct(">QQ")  # fingerprint and generation
+FORM_1, REMEMBERED_1 = 1, 64  # an older form without generations
+HEAD_1, TAKEN_1 = struct.Struct(">BB"), struct.Struct(">Q")
 
 
 class Held:
     """What is in force: a configuration (None before the first) and the last orders taken, newest last.
 
-    `taken` are their fingerprints, which cover method, generation and content.
+    `taken` has their generations by their fingerprints, which cover method, generation and content. All that
+    were taken with a later generation than `forgotten` are among them.
     """
 
-    __slots__ = ("document", "taken")
+    __slots__ = ("document", "taken", "forgotten")
 
-    def __init__(self, document: Document | None = None, taken: tuple[int, ...] = ()) -> None:
-        self.document, self.taken = document, taken
+    def __init__(self, document: Document | None = None, taken: dict[int, int] | None = None,
+                 forgotten: int = 0) -> None:
+        self.document, self.taken, self.forgotten = document, taken or {}, forgotten
 
     @property
     def generation(self) -> int:
@@ -41,10 +46,18 @@
         """The body that answers a GET: the whole configuration as it is put; empty if there is none."""
         return self.document.encode() if self.document else b""
 
+    def then(self, document: Document, order: int) -> Held:
+        """What is in force after an order that makes this configuration."""
+        taken, forgotten = {**self.taken, order: document.generation}, self.forgotten
+        while len(taken) > REMEMBERED:
+            forgotten = max(forgotten, taken.pop(next(iter(taken))))
+        return Held(document, taken, forgotten)
+
     def encode(self) -> bytes:
         """The value to be agreed on: the orders taken, and the configuration packed."""
-        taken = b"".join([TAKEN.pack(order) for order in self.taken])
-        return bytes((FORM, len(self.taken))) + taken + zlib.compress(self.whole(), 3)
+        taken = b"".join([TAKEN.pack(*order) for order in self.taken.items()])
+        head = HEAD.pack(FORM, len(self.taken), self.forgotten)
+        return head + taken + zlib.compress(self.whole(), 3)
 
     @classmethod
     def decode(cls, value: bytes, former: Held | None = None) -> Held:
@@ -54,22 +67,49 @@
         """
         if not value:
             return cls()
-        if value[0] != FORM or len(value) < 2 or len(value) < (start := 2 + TAKEN.size * value[1]):
-            raise ValueError("not a value of orders")
-        taken = tuple([order for order, in TAKEN.iter_unpack(value[2:start])])
-        unpack = zlib.decompressobj()
-        try:
-            body = unpack.decompress(value[start:], WHOLE_MAX)
-        except zlib.error as e:
-            raise ValueError(f"packed configuration: {e}") from e
-        if not unpack.eof:
-            raise ValueError("packed configuration is cut off or too large")
-        if not body:
-            return cls(None, taken)
-        document = documents.parse(body, former.document if former else None)
-        if isinstance(document, Err):
-            raise ValueError(f"agreed configuration: {document.err_value[0]}")
-        return cls(document.ok_value, taken)
+        start = _packed_at(value)
+        held = cls(_unpacked(value[start:], former.document if former else None))
+        if value[0] == FORM:
+            held.taken = dict(TAKEN.iter_unpack(value[HEAD.size:start]))
+            held.forgotten = HEAD.unpack_from(value)[2]
+        else:  # generations rise, so this is the most that each may be
+            orders = [order for order, in TAKEN_1.iter_unpack(value[HEAD_1.size:start])]
+            least = held.generation - len(orders)
+            held.taken = {order: max(0, least + n) for n, order in enumerate(orders, 1)}
+            held.forgotten = max(0, least) if len(orders) >= REMEMBERED_1 else 0
+        return held
+
+
+def without_taken(value: bytes) -> bytes:
+    """An agreed value for those who take no orders: the configuration alone. ValueError if it is none."""
+    return HEAD.pack(FORM, 0, 0) + value[_packed_at(value):]
+
+
+def _packed_at(value: bytes) -> int:
+    """Where the packed configuration begins."""
+    head, taken = (HEAD, TAKEN) if value[0] == FORM else (HEAD_1, TAKEN_1)
+    if value[0] not in (FORM, FORM_1) or len(value) < head.size:
+        raise ValueError("not a value of orders")
+    start: int = head.size + taken.size * head.unpack_from(value)[1]
+    if len(value) < start:
+        raise ValueError("not a value of orders")
+    return start
+
+
+def _unpacked(packed: bytes, former: Document | None) -> Document | None:
+    unpack = zlib.decompressobj()
+    try:
+        body = unpack.decompress(packed, WHOLE_MAX)
+    except zlib.error as e:
+        raise ValueError(f"packed configuration: {e}") from e
+    if not unpack.eof:
+        raise ValueError("packed configuration is cut off or too large")
+    if not body:
+        return None
+    document = documents.parse(body, former)
+    if isinstance(document, Err):
+        raise ValueError(f"agreed configuration: {document.err_value[0]}")
+    return document.ok_value
 
 
 class Decision(NamedTuple):
@@ -84,7 +124,8 @@
     """Judge a PUT or PATCH of the configuration on top of what is in force.
 
     A repeat of an order that was taken is 200, whatever came since; then another base is 412, and an invalid
-    configuration 400, with the faults.
+    configuration 400, with the faults. One so old that it may have been taken and forgotten gets no clear
+    answer (503).
     """
     if method not in ("PUT", "PATCH"):
         return Decision(405, _told([Fault("", "expected PUT or PATCH")]))
@@ -101,6 +142,9 @@
     faults: list[Fault] = []
     generation, base_version = table.read(table.HEAD, raw, "", faults)
     if base_version is not None and base_version != held.generation:
+        if generation is not None and base_version < generation <= held.forgotten:
+            reason = f"expected more than {held.forgotten}: what was taken until then is forgotten"
+            return Decision(503, _told([Fault("generation", reason)]))
         return Decision(412, _body({"generation": held.generation}))
     if generation is not None and generation <= held.generation:
         faults.append(Fault("generation", f"expected more than {held.generation}, got {generation}"))
@@ -110,8 +154,7 @@
     if isinstance(built, Err):
         return Decision(400, _told(built.err_value))
     new = built.ok_value
-    taken = (*held.taken, order)[-REMEMBERED:]
-    return Decision(200, _body({"generation": new.generation}), Held(new, taken))
+    return Decision(200, _body({"generation": new.generation}), held.then(new, order))
 
 
 def fingerprint(method: str, raw: Raw) -> int:
--- a/post/office/core.py
+++ b/post/office/core.py
@@ -9,7 +9,7 @@
 from typing import Any, Protocol
 
 from post.directory.digest import Expected
-from post.directory.orders import Held
+from post.directory.orders import Held, without_taken
 from post.franking import interface as franking
 from post.franking.duties import Duties
 from post.franking.holder import Holder
@@ -168,7 +168,8 @@
             return
         self.expected = Expected(document, self.expected)
         digest = self.expected.total.to_bytes(8)
-        self.turn(self.rounds, rounds.Put(rounds.CONFIG, (0, news.version), news.value, digest))
+        value = without_taken(news.value)
+        self.turn(self.rounds, rounds.Put(rounds.CONFIG, (0, news.version), value, digest))
         self.turn(self.rounds, rounds.Holds(news.version, digest))
         self.hand_on()
         self.overseeing.took_up(self.clock(), news.version, self.expected.total, document)
