Control: an order that builds on one still under way waits for it, as long as for a leader

Cause: an operator may build on an order that has no clear answer yet; where its second came first, or the first was put back, the second was refused (412) though its base was about to be in force, and a refusal is for good. Now such an order is put by for 0.7 s from its coming, holds up no other, and has its turn again when a version comes, behind what is queued. Then, and when nothing of this process's is under way, it is 412: a base that never comes must not be sent for ever. Ruled out: 503 without end for it (the caller would never learn). Seen to fail before: the story of orders ahead.

--- a/post/directory/orders.py
+++ b/post/directory/orders.py
@@ -113,11 +113,15 @@
 
 
 class Decision(NamedTuple):
-    """The answer to an order, and what is to be agreed on before it may go out (None: nothing)."""
+    """The answer to an order, and what is to be agreed on before it may go out (None: nothing).
+
+    `ahead`: its base may be under way still, so that the answer may be another one a little later.
+    """
 
     status: int
     body: bytes
     held: Held | None = None
+    ahead: bool = False
 
 
 def decide(held: Held, method: str, body: bytes) -> Decision:
@@ -145,7 +149,7 @@
         if generation is not None and base_version < generation <= held.forgotten:
             reason = f"expected more than {held.forgotten}: what was taken until then is forgotten"
             return Decision(503, _told([Fault("generation", reason)]))
-        return Decision(412, _body({"generation": held.generation}))
+        return Decision(412, _body({"generation": held.generation}), ahead=base_version > held.generation)
     if generation is not None and generation <= held.generation:
         faults.append(Fault("generation", f"expected more than {held.generation}, got {generation}"))
     if faults:
--- a/post/office/control.py
+++ b/post/office/control.py
@@ -63,6 +63,8 @@
     def __init__(self, core: Core, rounds: Callable[[Beat | End], None]) -> None:
         self.core, self.rounds = core, rounds
         self.orders: deque[Order] = deque()
+        self.ahead: list[Order] = []  # those that build on a version which isn't in force yet
+        self.ahead_of = 0  # the version that was, when they were put by
         self.out: Out | None = None
         self.out_at = 0.0
         self.token = 0
@@ -77,7 +79,7 @@
             order = Order(asked, reply, now)
             if asked.method == "GET" and self.core.leads(now):  # needs nobody's consent
                 return self.settle(now, order)
-            if len(self.orders) >= WAITING:
+            if len(self.orders) + len(self.ahead) >= WAITING:
                 return reply(503, b"Retry-After: 1\r\n", b"")
             self.orders.append(order)
             return self.proceed(now)
@@ -91,6 +93,8 @@
         """Settle orders in turn: here if this process leads, else the caller is told who does."""
         if self.out is not None and now - self.out_at > LOST_S:
             self.proposed(now, self.out.token, "unknown")
+        if self.ahead:
+            self.take_up_again(now)
         while self.orders and self.out is None and now > self.refused_at:
             order = self.orders[0]
             if self.core.leads(now):
@@ -106,6 +110,13 @@
             else:
                 return
 
+    def take_up_again(self, now: float) -> None:
+        """Orders that were put by have their turn once a version has come, or their patience is over."""
+        passed = self.core.taken_up()[0] != self.ahead_of or not self.core.leads(now)
+        waiting, self.ahead = self.ahead, []
+        for order in waiting:
+            (self.orders if passed or now - order.came > PATIENCE_S else self.ahead).append(order)
+
     def settle(self, now: float, order: Order) -> None:
         """Read, or decide on a change and have it agreed on."""
         version, held = self.core.taken_up()
@@ -113,6 +124,10 @@
             body = held.whole()
             return order.reply(200 if body else 404, JSON, body)
         decision = decide(held, order.asked.method, order.asked.body)
+        if decision.ahead and now - order.came <= PATIENCE_S:
+            self.ahead.append(order)
+            self.ahead_of = version
+            return
         if decision.held is None:
             self.refused += decision.status != 200
             return order.reply(decision.status, JSON, decision.body)
--- a/tests/system/test_control.py
+++ b/tests/system/test_control.py
@@ -181,6 +181,32 @@
     await lost
 
 
+async def ahead(office: Office) -> None:
+    """Orders that build on one which isn't in force yet wait a little, and hold up no other."""
+    later = await office.held_back("on top of what comes next", "PUT", CONFIG, config(5, 3, "b"))
+    never = await office.held_back("on top of what never comes", "PUT", CONFIG, config(9, 8, "b"))
+    office.tick(0.3)
+    await office.call("what comes next", "PUT", CONFIG, config(3, 0, "a"))
+    await later
+    office.tick(PATIENCE_S - 0.31)
+    assert not never.done() and office.version == 2
+    office.tick(0.02)
+    await never
+    office.outcomes = [None]
+    first = await office.held_back("whose end takes long", "PUT", CONFIG, config(6, 5, "c"))
+    second = await office.held_back("on top of it", "PUT", CONFIG, config(7, 6, "d"))
+    office.tick(PATIENCE_S + 0.1)
+    assert not second.done()
+    office.outcomes = ["done"]
+    office.end("done")
+    await first
+    await second
+    gone = await office.held_back("and then another leads", "PUT", CONFIG, config(20, 15, "b"))
+    office.leader = "10.0.0.4:8407"
+    office.tick(0.1)
+    await gone
+
+
 async def beats(office: Office) -> None:
     """Backends: what is taken, what is none, and what the machine can't vouch for."""
     beat = {"target": "s1", "address": "10.128.0.9:8080", "zone": "z", "generation": "v1", "capacity": 4,
@@ -212,7 +238,7 @@
 
 STORIES: dict[Callable[[Office], Awaitable[None]], tuple[str | None, ...]] = {
     orders: ("done",), elsewhere: ("done",), refusals: ("refused", "done", "unknown", "done"), hung: (None,),
-    beats: ("done",), too_large: ("done",)}
+    ahead: ("done",), beats: ("done",), too_large: ("done",)}
 
 
 @pytest.mark.parametrize("story", STORIES, ids=lambda story: story.__name__)
