Model: crowds of eight orders, answers that operators don't hear, and repeats of what was acknowledged

Cause: the model's operators sent one order or a pair, never two under one number, and sent again only what no answer had come to by chance. A crowd keeps eight under way on one version, half of the pairs under one number, drops three in ten answers, and sends acknowledged orders again. CONFIG now finds an acknowledged order that is refused later; what is read back must be what was sent by one who wasn't refused.

--- a/proving/checkers/configs.py
+++ b/proving/checkers/configs.py
@@ -35,7 +35,7 @@
 
 def config(case: Case) -> list[Broken]:
     """All of the rule."""
-    parts = acknowledged(case), taken_hold(case), gone_back(case), read_back(case)
+    parts = acknowledged(case), repeated(case), taken_hold(case), gone_back(case), read_back(case)
     return [found for part in parts for found in few(list(part))]
 
 
@@ -62,6 +62,18 @@
         bases[order.base] = order.generation
 
 
+def repeated(case: Case) -> Iterator[Broken]:
+    """What was acknowledged and is sent again isn't refused, whether the acknowledgement was heard or not."""
+    for order in case.record.orders:
+        if order.unheard and order.status not in (0, 200):
+            yield Broken("CONFIG", order.at, f"generation {order.generation} was acknowledged, unheard, at "
+                                             f"{order.unheard:.3f}, and then answered {order.status}")
+    for repeat in case.record.repeats:
+        if repeat.status not in (0, 200):
+            yield Broken("CONFIG", repeat.at, f"generation {repeat.generation} was acknowledged, sent again "
+                                              f"and answered {repeat.status} by {repeat.by}")
+
+
 def taken_hold(case: Case) -> Iterator[Broken]:
     """Machines in touch go by what was acknowledged `apply_s` ago, and by nothing that was refused."""
     apply_s = case.bounds.apply_s
--- a/proving/days.py
+++ b/proving/days.py
@@ -14,7 +14,8 @@
 
 HERD = ("herd_kill", "all_kill", "after_ack_all", "all_power")
 EDGE = ("node_kill", "power", "freeze", "slow", "stop", "node_cut", "half_cut", "lossy", "squeeze", "lag")
-ORDERS = ("config_change", "config_change", "config_change", "config_race", "invalid", "big_config")
+ORDERS = ("config_change", "config_change", "config_change", "config_race", "invalid", "big_config",
+          "config_crowd")
 TENANTS = ("hot_tenant",)
 BACKENDS = ("srv_crash", "srv_lost", "release", "scale_in", "answer_lost", "answer_late", "answer_double",
             "answer_short", "garble")
--- a/proving/model/operators.py
+++ b/proving/model/operators.py
@@ -5,10 +5,11 @@
 import copy
 import json
 import random
+from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
 from proving.model.network import Place
-from proving.model.record import Order, Read
+from proving.model.record import Order, Read, Repeat
 
 if TYPE_CHECKING:
     from proving.model.deployment import Deployment
@@ -71,35 +72,59 @@
 
     def put(self, document: Document, valid: bool = True, patch: Document | None = None) -> None:
         """Send a change until there is a clear answer."""
-        record = self.deployment.record
-        body = json.dumps(patch or document).encode()
-        number = len(record.orders)
+        record, number = self.deployment.record, len(self.deployment.record.orders)
+        method, body = "PATCH" if patch else "PUT", json.dumps(patch or document).encode()
         record.orders.append(Order(self.world.now, 0.0, document["generation"], document["base-version"],
                                    valid, 0, "", self.name, document))
-        wait = [0.1]
-        tries = [0]
 
-        def send() -> None:
+        def clear(status: int, by: str) -> None:
+            order = record.orders[number]
+            record.orders[number] = order._replace(at=self.world.now, status=status, by=by)
+            if status == 200:
+                self.desk.taken(document, method, body)
+            for listener in self.desk.listeners:
+                listener(record.orders[number])
+
+        def unheard() -> None:
+            record.orders[number] = record.orders[number]._replace(unheard=self.world.now)
+
+        self.send(method, body, clear, unheard)
+
+    def repeat(self, generation: int, method: str, body: bytes) -> None:
+        """Send a change again that was acknowledged."""
+        record, number = self.deployment.record, len(self.deployment.record.repeats)
+        record.repeats.append(Repeat(0.0, generation, 0, ""))
+
+        def clear(status: int, by: str) -> None:
+            record.repeats[number] = Repeat(self.world.now, generation, status, by)
+
+        self.send(method, body, clear, lambda: None)
+
+    def send(self, method: str, body: bytes, clear: Callable[[int, str], None],
+             unheard: Callable[[], None]) -> None:
+        """Call one process after the other until there is a clear answer; `unheard`: an acknowledgement that
+        was lost on its way."""
+        wait, tries = 0.1, 0
+
+        def call() -> None:
             address = self.deployment.some_control(self.place, self.rng)
             wait_s = 1.0 + len(body) / 1e5
-            self.deployment.call(self.place, address, "PATCH" if patch else "PUT", "/-/config", body, wait_s,
-                                 told)
+            self.deployment.call(self.place, address, method, "/-/config", body, wait_s, told)
 
         def told(status: int, by: str, answer: bytes) -> None:
-            clear = status in (200, 400, 409, 412, 413, 422)
-            tries[0] += 400 <= status < 500 and status not in (408, 429)
-            if clear or tries[0] >= 3:
-                order = record.orders[number]
-                record.orders[number] = order._replace(at=self.world.now, status=status, by=by)
+            nonlocal wait, tries
+            if self.desk.deaf and self.rng.random() < self.desk.deaf:
                 if status == 200:
-                    self.desk.taken(document)
-                for listener in self.desk.listeners:
-                    listener(record.orders[number])
+                    unheard()
+                status = 0
+            tries += 400 <= status < 500 and status not in (408, 429)
+            if status in (200, 400, 409, 412, 413, 422) or tries >= 3:
+                clear(status, by)
             else:
-                self.world.after(wait[0] * self.rng.uniform(0.8, 1.2), send)
-                wait[0] = min(1.5, wait[0] * 1.5)
+                self.world.after(wait * self.rng.uniform(0.8, 1.2), call)
+                wait = min(1.5, wait * 1.5)
 
-        send()
+        call()
 
     def read(self) -> None:
         """Read the configuration back once."""
@@ -109,7 +134,8 @@
             if status == 200:
                 found = json.loads(answer)
                 generation = found["generation"]
-                sent = [o.document for o in record.orders if o.generation == generation]
+                sent = [o.document for o in record.orders
+                        if o.generation == generation and o.status in (0, 200)]
                 same = any(_canon(found) == _canon(s) for s in sent)
             record.reads.append(Read(self.world.now, status, generation, same, by))
 
@@ -148,6 +174,8 @@
                           Operator(deployment, self, "second", deployment.spec.zones[-1])]
         self.added: list[str] = []  # labels of routes that were added later
         self.removed: list[str] = []
+        self.acknowledged: list[tuple[int, str, bytes]] = []  # generation, method and body
+        self.deaf = 0.0  # part of the answers to orders that get lost
 
     def begin(self) -> None:
         """Send the first configuration."""
@@ -155,26 +183,29 @@
         self.generation = 1
         self.operators[0].put(document)
 
-    def taken(self, document: Document) -> None:
+    def taken(self, document: Document, method: str, body: bytes) -> None:
         """A change is acknowledged."""
+        self.acknowledged.append((document["generation"], method, body))
         if document["generation"] > self.newest.get("generation", 0):
             former, self.newest = self.newest, document
             for listener in self.followers:
                 listener(former, document)
 
-    def next(self, base: Document) -> Document:
-        """A copy with a new generation on top of another."""
+    def next(self, base: Document, another: bool = True) -> Document:
+        """A copy with a new generation on top of another; or with the newest number that was picked."""
         document = copy.deepcopy(base)
-        self.generation += self.rng.randrange(1, 4)
+        if another or self.generation <= base["generation"]:
+            self.generation += self.rng.randrange(1, 4)
         document["generation"], document["base-version"] = self.generation, base["generation"]
         return document
 
-    def change(self, how: str, who: int = 0) -> None:
+    def change(self, how: str, who: int = 0, another: bool = True) -> None:
         """Change something: `add` or `remove` a route, `move` one to another service, `keys` of a tenant,
-        `limit` of a tenant, `big` for many routes, `invalid`."""
+        `limit` of a tenant, `big` for many routes, `invalid`. Without `another` it has the newest number, as
+        another change may."""
         if not self.newest:
             return
-        document = self.next(self.newest)
+        document = self.next(self.newest, another)
         entries = document["resource-list"]
         patch: Document | None = None
         valid = getattr(self, f"_{how}")(entries) is not False
@@ -188,6 +219,14 @@
         self.change("add", 0)
         self.change("keys", 1)
 
+    def crowd(self, orders: int) -> None:
+        """So many orders at once on top of the same version, some under one number; and some sent again."""
+        for n in range(orders):
+            if n % 4 == 3 and self.acknowledged:
+                self.operators[n % 2].repeat(*self.rng.choice(self.acknowledged))
+            else:
+                self.change(self.rng.choice(["add", "keys"]), n % 2, another=n % 2 == 0)
+
     def _add(self, entries: list[Entry], count: int = 1) -> None:
         kinds = self.deployment.spec.kinds
         for _ in range(count):
--- a/proving/model/planted.py
+++ b/proving/model/planted.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING, Any
 
 from post.directory.matchers import Route
+from post.directory.orders import Held
 from post.register import api as register
 from proving.model.processes import PostmasterProcess, Program, SorterProcess
 from roadspur import interface as io
@@ -169,6 +170,17 @@
     post.propose = lambda token, value, expected: post.control.proposed(p.time(), token, "done")
 
 
+def _forgets_orders(p: PostmasterProcess) -> None:
+    """Knows no order again."""
+    post: Any = p.post
+    taken_up = post.taken_up
+
+    def bare() -> tuple[int, Held]:
+        version, held = taken_up()
+        return version, Held(held.document)
+    post.taken_up = bare
+
+
 def _silent_orders(p: PostmasterProcess) -> None:
     """Gives orders no answer."""
     post: Any = p.post
@@ -198,7 +210,8 @@
     "other_path": _other_path, "no_target": _no_target, "denies": _denies, "abrupt": _abrupt,
     "no_return": _no_return, "faulty": _faulty}
 POSTMASTERS: dict[str, Callable[[PostmasterProcess], None]] = {
-    "lying_disk": _lying_disk, "hasty": _hasty, "credulous": _credulous, "silent_orders": _silent_orders}
+    "lying_disk": _lying_disk, "hasty": _hasty, "credulous": _credulous, "silent_orders": _silent_orders,
+    "forgets_orders": _forgets_orders}
 
 
 def plant(name: str, deployment: Deployment) -> None:
--- a/proving/model/record.py
+++ b/proving/model/record.py
@@ -57,6 +57,16 @@
     by: str  # the machine that has answered
     who: str
     document: Any  # the whole configuration that it makes
+    unheard: float = 0.0  # when an acknowledgement of it was lost on its way, the last time
+
+
+class Repeat(NamedTuple):
+    """An order that was sent again after it was acknowledged, and its answer (0: none yet)."""
+
+    at: float
+    generation: int
+    status: int
+    by: str
 
 
 class Read(NamedTuple):
@@ -100,6 +110,7 @@
         self.answered: dict[str, Answered] = {}
         self.arrived: list[Arrived] = []
         self.orders: list[Order] = []
+        self.repeats: list[Repeat] = []
         self.reads: list[Read] = []
         self.lives: list[Life] = []
         self.troubles: list[Trouble] = []
--- a/proving/model/troubles/others.py
+++ b/proving/model/troubles/others.py
@@ -7,6 +7,10 @@
 from proving.model.troubles.basis import Basis
 from proving.spec import Trouble
 
+CROWD_EVERY_S = 0.4
+UNDER_WAY = 8  # orders at most
+DEAF = 0.3  # of the answers
+
 
 class OnOthers(Basis):
     """What operators, tenants and backends do."""
@@ -19,6 +23,18 @@
         """Two operators change the configuration at once."""
         self.desk.race()
 
+    def do_config_crowd(self, t: Trouble) -> None:
+        """Up to eight orders are under way, again and again; a part of the answers gets lost, and orders that
+        were acknowledged are sent again."""
+        self.desk.deaf = DEAF
+        for n in range(int(t.lasts / CROWD_EVERY_S)):
+            self.world.after(n * CROWD_EVERY_S, self._crowd)
+        self.world.after(t.lasts, setattr, self.desk, "deaf", 0.0)
+
+    def _crowd(self) -> None:
+        answers = [o.status for o in self.record.orders] + [r.status for r in self.record.repeats]
+        self.desk.crowd(UNDER_WAY - answers.count(0))
+
     def do_big_config(self, t: Trouble) -> None:
         """Hundreds of routes are added."""
         self.desk.change("big")
--- a/proving/proofs.py
+++ b/proving/proofs.py
@@ -29,11 +29,13 @@
 
 
 LOST_ANSWERS = (_at("answer_lost", 7.0, 8.0, much=5.0),)
+CROWD = (_at("config_crowd", 6.0, 6.0), _at("core_kill", 8.0, 1.0), _at("core_cut", 10.0, 2.0, 1))
 PROOFS = {
     "stale": Proof("CONFIG", (_at("config_change", 7.0, which=3), _at("config_change", 10.0, which=3))),
     "credulous": Proof("CONFIG", (_at("config_change", 8.0),)),
     "hasty": Proof("CONFIG", tuple(t for n in range(3) for t in (
         _at("core_apart", 7.0 + 10 * n, 4.0, n), _at("config_change", 7.15 + 10 * n))), 40.0),
+    "forgets_orders": Proof("CONFIG", CROWD, 20.0),
     "lying_disk": Proof("LOST", (), 28.0, closing=10.0),
     "abrupt": Proof("LOST", tuple(_at("stop", 7.0 + 1.5 * n, which=n) for n in range(6))),
     "deaf_to_drain": Proof("DRAIN", (_at("scale_in", 7.0),)),
--- a/tests/system/test_proving.py
+++ b/tests/system/test_proving.py
@@ -31,7 +31,7 @@
     assert PROOFS[name].rule in rules(proofs.day(name))
 
 
-@pytest.mark.parametrize("name", ["hasty", "abrupt", "no_target", "no_return"])
+@pytest.mark.parametrize("name", ["hasty", "abrupt", "no_target", "no_return", "forgets_orders"])
 def test_nothing_is_found_on_the_same_day_without_it(name):
     assert not rules(proofs.day(name, planted=False))
 
