--- a/post/office/control.py
+++ b/post/office/control.py
@@ -19,6 +19,7 @@
 PATIENCE_S = 0.7  # for a leader to be there, and for one order to be settled before the next
 LOST_S = 10.0  # without a word on what became of a proposal, which then counts as unknown
 WAITING = 64  # orders at most
+AT_ONCE = 128 * 1024  # bytes of orders that are judged in a row; the agreement's beats come between
 LONGEST = 200  # characters of a name that a backend tells
 COLDEST_S = 3600.0
 
@@ -63,6 +64,8 @@
     def __init__(self, core: Core, rounds: Callable[[Beat | End], None]) -> None:
         self.core, self.rounds = core, rounds
         self.orders: deque[Order] = deque()
+        self.ahead: list[Order] = []  # those that build on a version which isn't in force yet
+        self.ahead_of = 0  # the version that was, when they were put by
         self.out: Out | None = None
         self.out_at = 0.0
         self.token = 0
@@ -77,7 +80,7 @@
             order = Order(asked, reply, now)
             if asked.method == "GET" and self.core.leads(now):  # needs nobody's consent
                 return self.settle(now, order)
-            if len(self.orders) >= WAITING:
+            if len(self.orders) + len(self.ahead) >= WAITING:
                 return reply(503, b"Retry-After: 1\r\n", b"")
             self.orders.append(order)
             return self.proceed(now)
@@ -91,10 +94,14 @@
         """Settle orders in turn: here if this process leads, else the caller is told who does."""
         if self.out is not None and now - self.out_at > LOST_S:
             self.proposed(now, self.out.token, "unknown")
-        while self.orders and self.out is None and now > self.refused_at:
+        if self.ahead:
+            self.take_up_again(now)
+        judged = 0
+        while self.orders and self.out is None and now > self.refused_at and judged < AT_ONCE:
             order = self.orders[0]
             if self.core.leads(now):
                 self.orders.popleft()
+                judged += len(order.asked.body)
                 self.settle(now, order)
             elif (leader := self.core.leader_control()) is not None:
                 self.orders.popleft()
@@ -106,6 +113,13 @@
             else:
                 return
 
+    def take_up_again(self, now: float) -> None:
+        """Orders that were put by have their turn once a version has come, or their patience is over."""
+        passed = self.core.taken_up()[0] != self.ahead_of or not self.core.leads(now)
+        waiting, self.ahead = self.ahead, []
+        for order in waiting:
+            (self.orders if passed or now - order.came > PATIENCE_S else self.ahead).append(order)
+
     def settle(self, now: float, order: Order) -> None:
         """Read, or decide on a change and have it agreed on."""
         version, held = self.core.taken_up()
@@ -113,6 +127,10 @@
             body = held.whole()
             return order.reply(200 if body else 404, JSON, body)
         decision = decide(held, order.asked.method, order.asked.body)
+        if decision.ahead and now - order.came <= PATIENCE_S:
+            self.ahead.append(order)
+            self.ahead_of = version
+            return
         if decision.held is None:
             self.refused += decision.status != 200
             return order.reply(decision.status, JSON, decision.body)
