A large answer keeps its end when more bytes come right behind it

Cause: the reader begins the next message in the same read, and so threw away the last part of the answer that flows and its head. A copy of the answer behind it was then taken for its end: a client that gets chunks had a 2xx that was cut short and looked complete. Bytes of any other kind left the request without an end, or broke off an answer that had come whole. Ruled out: that the connection was used again (it wasn't); answers that are held whole (they are kept in a list). Change: behind a large answer nothing is read until the next request goes out; the rest of the read is a fault of the connection, which is dropped. The next request says what answer it expects.

--- a/roadspur/net/upstream.py
+++ b/roadspur/net/upstream.py
@@ -52,7 +52,7 @@
         """Write the request. Once its last byte is, a break counts as a reset: it may have come whole."""
         assert self.transport is not None
         self.exchange, exchange.connection = exchange, self
-        self.reader.ends = exchange.ends
+        self.reader.expect(exchange.ends)
         exchange.written = exchange.upload is None
         self.transport.write(exchange.message())
         if exchange.upload is not None:
--- a/roadspur/net/wire.py
+++ b/roadspur/net/wire.py
@@ -104,6 +104,10 @@
         self.size = 0  # of its body so far
         self.fed = 0  # since a body was last heard of
 
+    def expect(self, ends: End) -> None:
+        """A request goes out: what comes next is the answer to it."""
+        self.ends, self.head, self.done = ends, None, False
+
     def feed(self, data: bytes) -> list[Answer]:
         """Take bytes in; returns the answers that are whole with them."""
         if not self.broken:
@@ -133,6 +137,8 @@
         return part
 
     def on_message_begin(self) -> None:
+        if self.done:  # its last part has not been taken yet
+            raise BadAnswer("more behind a large answer")
         self.headers, self.body, self.partial, self.in_head = {}, bytearray(), True, True
         self.until_end = self.done = self.over = False
         self.head, self.size = None, 0
--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,32 @@
+"""What the reader of backends' answers makes of bytes that belong to no request."""
+
+from __future__ import annotations
+
+import pytest
+
+from roadspur.net.wire import MAX_WHOLE, AnswerReader, End
+
+SMALL = b"HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nContent-Length: 2\r\n\r\nok"
+BODY = b"x" * (MAX_WHOLE + 1)
+LARGE = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(BODY) + BODY
+CHUNKS = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n" % (len(BODY), BODY)
+
+
+@pytest.mark.parametrize("answer", [LARGE, CHUNKS], ids=["length", "chunks"])
+@pytest.mark.parametrize("behind", [SMALL, b"noise", SMALL[:20], b"HTTP/1.1 103 Early\r\n\r\n"],
+                         ids=["answer", "noise", "part", "interim"])
+def test_what_comes_behind_a_large_answer_takes_nothing_of_it(answer: bytes, behind: bytes) -> None:
+    reader = AnswerReader(flows=True)
+    reader.feed(answer[:-100])
+    part = reader.take()
+    assert not reader.feed(answer[-100:] + behind)
+    assert reader.head is not None and reader.done and reader.broken
+    assert part + reader.take() == BODY
+
+
+def test_a_large_answer_and_then_another_on_one_connection() -> None:
+    reader = AnswerReader(flows=True)
+    reader.feed(LARGE)
+    assert reader.done and not reader.broken
+    reader.expect(End())
+    assert [answer.body for answer in reader.feed(SMALL)] == [b"ok"] and reader.head is None
