Interim answers behind an answer, and a change of protocols, spoil a connection

Cause: an interim answer (103) in the same read behind a whole answer was skipped, so the connection was kept though bytes had come that belong to no request; and a 101 raised out of the reader (HttpParserUpgrade is no parser error), so that only the loop's own handling ended the connection, with a fault in the log. Ruled out: that either was passed on to a client. Change: both are faults of the connection, as any other bytes that are no answer.

--- a/roadspur/net/wire.py
+++ b/roadspur/net/wire.py
@@ -116,6 +116,8 @@
                 self.parser.feed_data(data)
             except httptools.HttpParserError as error:
                 self.broken = str(error.__context__ or error)
+            except httptools.HttpParserUpgrade:
+                self.broken = "no other protocol is spoken here"
             if self.over and not self.partial:  # the parser waits for a body yet
                 self.parser, self.over = httptools.HttpResponseParser(self), False
             if self.fed > MAX_WHOLE + MAX_HEAD:  # a head without end is held in the parser's memory
@@ -199,6 +201,8 @@
         self.partial = False
         self.fed = 0
         if self.parser.get_status_code() < 200:  # an interim answer
+            if self.answers:
+                self.broken = "an interim answer behind the last one"
             return
         if self.head is not None:
             self.done = True
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -30,3 +30,16 @@
     assert reader.done and not reader.broken
     reader.expect(End())
     assert [answer.body for answer in reader.feed(SMALL)] == [b"ok"] and reader.head is None
+
+
+@pytest.mark.parametrize("ends", [End(), End(bodiless=True)])
+def test_an_interim_answer_behind_the_last_one_spoils_the_connection(ends: End) -> None:
+    reader = AnswerReader(flows=True)
+    reader.expect(ends)
+    assert len(reader.feed(b"HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 204 X\r\n\r\n")) == 1 and not reader.broken
+    assert len(reader.feed(b"HTTP/1.1 204 X\r\n\r\nHTTP/1.1 103 Early\r\n\r\n")) == 1 and reader.broken
+
+
+def test_a_change_of_protocols_is_no_answer() -> None:
+    reader = AnswerReader(flows=True)
+    assert not reader.feed(b"HTTP/1.1 101 X\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\nmore") and reader.broken
