The answer to a HEAD that can't be read has no body either

Cause: what is turned away while its head comes in (400, 408, 431) got a body with its cause, also where the method was HEAD. Its client takes those bytes for what they look like behind an answer without body: belonging to nobody. Ruled out: answers to HEAD that are decided on (tested before). Change: as soon as the method is known, such an answer tells the body's length only.

--- a/roadspur/net/client.py
+++ b/roadspur/net/client.py
@@ -89,7 +89,7 @@
         call, self.upload_call = self.upload_call, None
         if call is None:
             self.server.desk.tally.counts[f"turned away {status}"] += 1
-            self.enqueue(Early(status, why), keep=False)
+            self.enqueue(Early(status, why, bodiless=self.is_head()), keep=False)
         elif call is self.call:  # its first part has been taken
             self.server.desk.withdraw(call, status)
         elif any(call is item for item, _ in self.waiting):
@@ -98,6 +98,10 @@
         else:  # it has been answered
             self.close()
 
+    def is_head(self) -> bool:
+        """Whether what is coming in is a HEAD, as far as it can be told: its answer has no body."""
+        return bool(self.url) and self.parser.get_method() == b"HEAD"
+
     # From the parser.
 
     def on_message_begin(self) -> None:
@@ -190,7 +194,7 @@
             return
         item = self.read()
         if isinstance(item, Early):
-            item = item._replace(bodiless=self.parser.get_method() == b"HEAD")
+            item = item._replace(bodiless=self.is_head())
         if isinstance(item, Early) and item.close:
             self.fault(item.status, item.why)
         else:
--- a/tests/system/test_sorting_ends.py
+++ b/tests/system/test_sorting_ends.py
@@ -86,6 +86,17 @@
     run(main())
 
 
+@pytest.mark.parametrize(("raw", "status"), [
+    (asked(method="HEAD").replace(b"Content", b"Con tent"), "400"), (asked(method="HEAD", name=None), "400"),
+    (asked(method="HEAD", path="/read/" + "x" * 20_000), "431")], ids=["malformed", "no id", "too long"])
+def test_a_head_that_cannot_be_read_has_no_body_in_its_answer_either(raw: bytes, status: str):
+    async def main():
+        client = await Plane().start(answer())
+        assert (await read(client, raw))[0].split()[1] == status
+        assert await client.reader.read() == b""
+    run(main())
+
+
 def test_a_body_to_head_is_not_taken_for_the_next_answer():
     async def main():
         plane = Plane()
