A connection whose answer named no request is not used again; calls in memory, byte by byte

Cause: what a backend turns away (503 with Not-Executed, 421) may come without Attempt-Id, and is believed. A second copy of such an answer that comes late, when the connection carries the next request, was believed of that one: it went on to another backend, or its client was promised that it never ran, while it ran at the first. Change: an answer that doesn't name its request ends its connection. Test: clients, ingress and backends in memory; schedules by hypothesis and by chance cut, double and delay bytes, forget idle connections, use addresses again, refuse connects, answer early, and let clients leave or not read. Each caller has its own answer or an honest break; unsafe runs once at most; a promise stands only where nothing ran nor will.

--- a/post/sorting/ingress.py
+++ b/post/sorting/ingress.py
@@ -36,7 +36,7 @@
     """One ingress of the whole system."""
 
     health_path = None
-    ends = End(unsaid=True)
+    label, ends = b"attempt-id", End(unsaid=True)
     kept_back = frozenset((b"authorization", b"tenant", b"deadline-ms", b"target-instance"))
 
     def __init__(self, loop: asyncio.AbstractEventLoop, terms: io.Settings, decisions: Decisions,
--- a/roadspur/net/attempting.py
+++ b/roadspur/net/attempting.py
@@ -54,7 +54,7 @@
 
         ends = self.ends._replace(bodiless=True) if held.call.bodiless else self.ends
         exchange = held.exchange = Exchange(a.backend, message, may_send, ended, passing, upload,
-                                            partial(self.outcome, held.call), ends)
+                                            partial(self.outcome, held.call), ends, self.label)
         left = held.deadline - now
         self.upstream.send(exchange, left if a.timeout is None else min(left, a.timeout))
 
--- a/roadspur/net/exchange.py
+++ b/roadspur/net/exchange.py
@@ -60,10 +60,11 @@
     def __init__(self, backend: str, message: Callable[[], bytes], may_send: Callable[[], bool],
                  on_end: Callable[[Exchange, io.Outcome, Answer | None], None],
                  sink: Sink | None = None, upload: Upload | None = None,
-                 judge: Callable[[Answer], io.Outcome | None] = outcome_of, ends: End = PLAIN) -> None:
+                 judge: Callable[[Answer], io.Outcome | None] = outcome_of, ends: End = PLAIN,
+                 label: bytes = b"") -> None:
         self.backend, self.message, self.may_send, self.on_end = backend, message, may_send, on_end
         self.sink, self.upload, self.judge = sink, upload, judge  # None: the answer to another request
-        self.ends = ends
+        self.ends, self.label = ends, label  # the header that names the request of an answer, if one does
         self.connection: Carrier | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.written = False  # from here on it may have run
@@ -79,6 +80,10 @@
             self.timer.cancel()
         self.on_end(self, outcome, answer)
 
+    def named(self, answer: Answer) -> bool:
+        """Whether an answer names its request, so that a copy of it is known whenever it comes."""
+        return not self.label or self.label in answer.headers
+
     def end_upload(self) -> None:
         """Nothing more of a large body goes out."""
         if self.upload is not None:
--- a/roadspur/net/upstream.py
+++ b/roadspur/net/upstream.py
@@ -155,7 +155,7 @@
         assert exchange is not None
         exchange.connection = None
         exchange.end_upload()
-        clean = clean and exchange.written
+        clean = clean and exchange.written and exchange.named(answer)
         self.flowing = False
         self.resume()
         if self.stall is not None:
--- /dev/null
+++ b/tests/system/calls.py
@@ -0,0 +1,435 @@
+"""A sorter's traffic plane in memory, between clients and backends that a schedule drives byte by byte.
+
+Simulated time, the programs' own code on both sides, no sockets. A request that was written whole to a
+backend runs there unless that has said otherwise, also when its connection has ended since.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import zlib
+from collections import Counter, deque
+from collections.abc import Callable
+from typing import Any, NamedTuple, cast
+
+from result import Ok
+
+from post.directory import document
+from post.directory.matchers import Book
+from post.franking.charger import Charger
+from post.sorting import service as services
+from post.sorting.budget import RetryBudget
+from post.sorting.decisions import Decisions, Fellows
+from post.sorting.ingress import Sorting
+from proving.model.wire import Frontage, FrontConnection
+from proving.model.world import Process, World
+from roadspur import interface as io
+from roadspur.net import upstream as real
+from tests.system.sorting import entry, route
+
+CONNECT_S, IDLE_S = 2.0, 10.0
+PATIENCE_S = 4.0  # of clients
+LARGE = 70_000  # bytes, more than is held whole
+PROMISES = (429, 503, 408, 421)
+SERVICES = ("s1", "s2")
+
+
+def public() -> Book:
+    """Routes of one service that need no key: what may be repeated, and what may not."""
+    entries = [route("read", "safe", public=True), route("order", "unsafe", public=True), *(
+        entry("services", s, health_path="/h", max_conns=99, protocol="h1", tls=False) for s in SERVICES)]
+    whole = {"generation": 1, "base-version": 0, "resource-list": entries}
+    parsed = document.parse(json.dumps(whole).encode())
+    assert isinstance(parsed, Ok), parsed
+    return Book(parsed.ok_value)
+
+
+def body_of(attempt: str, large: bool = False) -> bytes:
+    """The one body of a try's answers. It quotes an answer, which nobody may take for one."""
+    head = b"HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nBackend-Seal: forged\r\nContent-Length: 6\r\n\r\n"
+    return head % attempt.encode() + b"forged" + b"." * (LARGE if large else 9)
+
+
+def seal(attempt: str, body: bytes) -> bytes:
+    return b"%s.%08x" % (attempt.encode(), zlib.crc32(body))
+
+
+class Ask(NamedTuple):
+    """A client's request. `large`: it, if it has a body, and its answer are more than is held whole."""
+
+    attempt: str
+    safe: bool
+    method: str
+    large: bool
+    version: str
+
+    def raw(self) -> bytes:
+        body = b"" if self.method != "POST" else self.attempt.encode() * (LARGE // 2 if self.large else 3)
+        path = f"/{'read' if self.safe else 'order'}/{'large' if self.large else 'small'}"
+        lines = [f"{self.method} {path} HTTP/{self.version}", "Host: a.example",
+                 f"Attempt-Id: {self.attempt}", f"Deadline-Ms: {1000 * PATIENCE_S:.0f}",
+                 f"Content-Length: {len(body)}", "", ""]
+        return "\r\n".join(lines).encode() + body
+
+
+class Wire:
+    """What both kinds of transport here have in common, and a socket as far as one is asked for."""
+
+    pending, held = 0, ()
+
+    def __init__(self, process: Process) -> None:
+        self.process = process
+        self.closed = self.reset = self.paused = False  # by the ingress
+        self.taker: Any = None
+        self.lost = False
+
+    def get_extra_info(self, name: str, default: Any = None) -> Any:
+        return self
+
+    def fileno(self) -> int:
+        raise OSError("no descriptor here")
+
+    def shutdown(self, how: int) -> None:
+        """The transport's end does that."""
+
+    def setsockopt(self, level: int, option: int, value: Any) -> None:
+        """An end that is not to look like one."""
+        self.reset = True
+
+    def get_write_buffer_size(self) -> int:
+        return 0
+
+    def is_closing(self) -> bool:
+        return self.closed
+
+    def write_eof(self) -> None:
+        """Clients here see an end where all has ended."""
+
+    def pause_reading(self) -> None:
+        self.paused = True
+
+    def resume_reading(self) -> None:
+        self.paused = False
+
+    def close(self) -> None:
+        if not self.closed:
+            self.closed = True
+            self.tell(None)
+
+    abort = close
+
+    def hand(self, call: Callable[..., Any], *args: Any) -> None:
+        """Hand something to what is here; what it raises ends the connection, as in a loop, and is kept."""
+        try:
+            self.process.enter(call, *args)
+        except Exception as error:
+            self.process.fault(error)
+            self.closed = True
+            self.tell(error)
+
+    def tell(self, error: Exception | None) -> None:
+        if not self.lost:
+            self.lost = True
+            self.process.call_soon(self.taker.connection_lost, error)
+
+
+class Link(Wire):
+    """A connection to a backend. `kernel` has what came and the ingress has not read: bytes, their end (b"")
+    or a reset (None); `coming` what has yet to come."""
+
+    def __init__(self, process: Process, life: Life) -> None:
+        super().__init__(process)
+        self.life = life
+        self.kernel, self.coming = deque[bytes | None](), deque[bytes]()
+        self.wrote = bytearray()
+        self.asked = deque[Arrived]()  # whole requests that the backend has not answered
+        self.past = list[bytes]()  # answers that were given
+        self.forgotten = self.cut = False  # cut: nothing comes behind a part of an answer
+        self.slow = False  # the backend takes in nothing for now
+
+    def write(self, data: bytes) -> None:
+        if self.closed:
+            return
+        self.wrote += data
+        if self.forgotten:
+            self.kernel.append(None)
+        while (arrived := read(self.wrote)) is not None:
+            del self.wrote[:arrived.size]
+            arrived.turned_away = arrived.target not in ("", self.life.name)
+            self.asked.append(arrived)
+            self.life.came.append(arrived)
+
+    def get_write_buffer_size(self) -> int:
+        return 1 if self.slow else 0
+
+    def recv(self, size: int, flags: int = 0) -> bytes:
+        if not self.kernel:
+            raise BlockingIOError
+        return self.kernel[0] or b""
+
+    def deliver(self, most: int = 1 << 30) -> None:
+        """Something comes, and the ingress reads it, or up to so many bytes of it."""
+        if self.coming:
+            self.kernel.append(self.coming.popleft())
+        if self.lost or self.paused or not self.kernel:
+            return
+        if data := self.kernel[0]:
+            self.kernel.popleft()
+            if data[most:]:
+                self.kernel.appendleft(data[most:])
+            self.hand(self.taker.data_received, data[:most])
+            return
+        if self.kernel.popleft() is None:
+            self.closed = True
+            self.tell(ConnectionResetError("reset by the other side"))
+        else:
+            self.hand(self.taker.eof_received)
+            self.close()
+
+
+class Arrived:
+    """A request that was written whole. It runs unless the backend turns it away."""
+
+    def __init__(self, size: int, attempt: str, target: str, method: str, large: bool) -> None:
+        self.size, self.attempt, self.target, self.method, self.large = size, attempt, target, method, large
+        self.turned_away = False
+
+
+def read(wrote: bytearray) -> Arrived | None:
+    """The first whole request of what was written."""
+    head, found, rest = bytes(wrote[:4096]).partition(b"\r\n\r\n")
+    if not found:
+        return None
+    line, *lines = head.decode().split("\r\n")
+    fields = {k.lower(): v.strip() for k, _, v in (part.partition(":") for part in lines)}
+    size = len(head) + 4 + int(fields.get("content-length", 0))
+    if len(wrote) < size:
+        return None
+    method, path, _ = line.split(" ")
+    return Arrived(size, fields["attempt-id"], fields.get("target-instance", ""), method, "large" in path)
+
+
+class Life:
+    """One life of a backend."""
+
+    def __init__(self, name: str, service: str, address: tuple[str, int]) -> None:
+        self.name, self.service, self.address = name, service, address
+        self.came = list[Arrived]()
+        self.links = list[Link]()
+
+
+class Upstream(real.Upstream):
+    """Connections to backends; only how one is opened is the schedule's."""
+
+    def __init__(self, town: Town, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop, CONNECT_S, IDLE_S, 100)
+        self.town = town
+
+    async def connect(self, pool: real.Pool) -> real.Connection:
+        town, future = self.town, self.town.process.create_future()
+        life = town.lives.get(pool.endpoint.address)
+        how = town.dials.pop(pool.endpoint.address, "taken")
+        if life is not None and how != "silent":
+            town.process.call_later(0.001, lambda: future.done() or future.set_result(how))
+        async with asyncio.timeout(self.connect_timeout):
+            if await future == "refused" or life is None:
+                raise ConnectionRefusedError
+        link = Link(town.process, life)
+        connection = link.taker = real.Connection(pool, cast(Any, link))
+        life.links.append(link)
+        town.links.append(link)
+        self.connections.add(connection)
+        connection.connection_made(cast(asyncio.Transport, link))
+        return connection
+
+
+class Seat(Wire):
+    """A client's connection. `asks` are those that have begun to come to the ingress, `said` all answers."""
+
+    def __init__(self, process: Process) -> None:
+        super().__init__(process)
+        self.asks = list[Ask]()
+        self.whole = 0  # of these, that have come whole
+        self.left = bytearray()  # of a request, that is yet to come
+        self.said = bytearray()
+        self.gone = False  # the client
+
+    def write(self, data: bytes) -> None:
+        if not self.closed:
+            self.said += data
+
+    def send(self, data: bytes) -> None:
+        if not (self.closed or self.gone):
+            self.hand(self.taker.data_received, data)
+
+
+class Town:
+    """One ingress, three backends, and clients. `spoil` may plant a fault in it before it begins."""
+
+    def __init__(self, book: Any, spoil: Callable[[Town], None] | None = None) -> None:
+        self.world = World(1)
+        self.process = Process(self.world, "sorter", 0.0, 100.0, 0.0)
+        loop, rng = self.process.loop, random.Random(1)
+        self.lives: dict[tuple[str, int], Life] = {}
+        self.all = list[Life]()
+        self.dials: dict[tuple[str, int], str] = {}
+        self.links = list[Link]()
+        self.news = deque[Callable[[], None]]()  # that the ingress has not heard yet
+        self.seats = list[Seat]()
+        self.asks = dict[str, Ask]()
+        terms = services.settings(1, CONNECT_S, "z1")
+        self.decisions = Decisions(Charger(5.0, rng), terms, lambda n: RetryBudget(0.2, 1000.0, 10.0, n), rng)
+        self.decisions.handle(self.process.time() - 9.0, Fellows(1, 0, 0))
+        self.upstream = Upstream(self, loop)
+        self.ingress = Sorting(loop, terms, self.decisions, self.upstream, print, self.process.time)
+        self.ingress.book = book
+        self.server = Frontage(loop, self.ingress, 50)
+        if spoil is not None:
+            spoil(self)
+        for n, service in enumerate(("s1", "s1", "s2")):
+            self.begin(service, ("10.0.0.1", 8000 + n))()
+
+    # Backends.
+
+    def begin(self, service: str, address: tuple[str, int]) -> Callable[[], None]:
+        """A backend's life begins; returns what tells the ingress of it."""
+        life = self.lives[address] = Life(f"i{len(self.all)}", service, address)
+        self.all.append(life)
+        return lambda: self.ingress.backend(life.name, service, address, io.Phase.RUNNING, 0.0, 2)
+
+    def reuse(self, address: tuple[str, int], silent: bool) -> None:
+        """A life ends, and one of the other service has its address. Told of, in this order, later."""
+        old = self.lives[address]
+        for link in old.links:
+            link.forgotten = True
+            if not silent and not link.lost:
+                link.kernel.append(None)
+        self.news.append(lambda: self.ingress.backend(
+            old.name, old.service, address, io.Phase.DELETED, 0.0))
+        self.news.append(self.begin(SERVICES[old.service == "s1"], address))
+
+    def run(self, seconds: float) -> None:
+        self.world.run(self.world.now + seconds)
+
+    # Clients.
+
+    def seat(self) -> Seat:
+        """A client's new connection."""
+        seat = Seat(self.process)
+        seat.taker = FrontConnection(self.server)
+        seat.taker.connection_made(seat)
+        self.seats.append(seat)
+        return seat
+
+    def ask(self, seat: Seat, ask: Ask, kept: int) -> None:
+        """Send a request, but for its last bytes."""
+        self.push(seat)
+        if seat.closed or seat.gone:
+            return
+        raw = ask.raw()
+        kept = min(kept, len(raw) - 1)
+        self.asks[ask.attempt] = ask
+        seat.asks.append(ask)
+        seat.left = bytearray(raw[len(raw) - kept:])
+        seat.send(raw[:len(raw) - kept])
+        if not seat.left:
+            seat.whole = len(seat.asks)
+
+    def push(self, seat: Seat) -> None:
+        """Send what was kept back, and read on."""
+        if seat.left:
+            left, seat.left = bytes(seat.left), bytearray()
+            seat.whole = len(seat.asks)
+            seat.send(left)
+        if seat.taker.full_since and not seat.lost:
+            seat.hand(seat.taker.resume_writing)
+
+    def leave(self, seat: Seat) -> None:
+        """A client goes."""
+        seat.gone, seat.left = True, bytearray()
+        seat.close()
+
+    # The end.
+
+    def settle(self) -> None:
+        """All that is under way arrives, and all times run out."""
+        for _ in range(4):
+            while self.news:
+                self.news.popleft()()
+            for seat in self.seats:
+                self.push(seat)
+            for link in self.links:
+                while (link.kernel or link.coming) and not (link.lost or link.paused):
+                    link.deliver()
+            self.run(3.5)
+
+    def runs(self) -> Counter[str]:
+        """How often each try has run, or may yet."""
+        return Counter(a.attempt for life in self.all for a in life.came if not a.turned_away)
+
+    def check(self) -> None:
+        """Each caller has its own answer or an honest break; nothing runs twice, nor after a promise."""
+        assert not self.process.faults, self.process.faults
+        runs = self.runs()
+        for life in self.all:
+            for came in life.came:
+                assert came.turned_away or life.service == "s1", f"{came.attempt} runs at another service"
+        for name, ask in self.asks.items():
+            assert ask.safe or runs[name] <= 1, f"{name} runs {runs[name]} times"
+        for seat in self.seats:
+            self.heard(seat, runs)
+        assert not self.ingress.held and not self.decisions.homes
+        assert not any(s.flights or s.out for s in self.decisions.services.values())
+
+    def heard(self, seat: Seat, runs: Counter[str]) -> None:
+        """What a client makes of its answers."""
+        data = bytes(seat.said)
+        for n, ask in enumerate(seat.asks):
+            status, fields, body, data = parse(data, ask.method == "HEAD", seat.closed and not seat.reset)
+            if body is None:
+                assert seat.closed or n >= seat.whole, f"{ask.attempt}: no answer, and no end"
+                assert not data
+                break
+            if status < 300:
+                assert fields.get("attempt-id") == ask.attempt, f"{ask.attempt} is answered with {fields}"
+                wanted = body_of(ask.attempt, ask.large)
+                assert fields.get("backend-seal", "").encode() == seal(ask.attempt, wanted)
+                assert ask.method == "HEAD" or body == wanted, f"{ask.attempt}: {len(body)} of {len(wanted)}"
+                assert runs[ask.attempt], f"{ask.attempt} has never run"
+            if status in PROMISES and not ask.safe:
+                assert not runs[ask.attempt], f"{ask.attempt} was promised by {status} not to run"
+            if fields.get("connection") == "close":
+                assert not data, "bytes behind the last answer"
+        else:
+            assert not data, "bytes that belong to no request"
+
+
+def parse(data: bytes, bodiless: bool, ended: bool) -> tuple[int, dict[str, str], bytes | None, bytes]:
+    """The first answer: status, headers, body and what is behind it; the body is None if it isn't whole, and
+    then all that is left is a part of it. `ended`: the connection has come to what looks like its end."""
+    head, found, rest = data.partition(b"\r\n\r\n")
+    if not found:
+        assert b"HTTP/1.1 ".startswith(head[:9])
+        return 0, {}, None, b""
+    line, *lines = head.decode("latin-1").split("\r\n")
+    status = int(line.split(" ")[1])
+    if status < 200:
+        return parse(rest, bodiless, ended)
+    fields = {k.lower(): v.strip() for k, _, v in (part.partition(":") for part in lines)}
+    if bodiless or status in (204, 304):
+        return status, fields, b"", rest
+    if "content-length" in fields:
+        length = int(fields["content-length"])
+        return status, fields, rest[:length] if len(rest) >= length else None, rest[length:]
+    if fields.get("transfer-encoding") != "chunked":
+        return status, fields, rest if ended else None, b""
+    body = b""
+    while True:
+        size, found, rest = rest.partition(b"\r\n")
+        if not found or len(rest) < int(size, 16) + 2:
+            return status, fields, None, b""
+        body, rest = body + rest[:int(size, 16)], rest[int(size, 16) + 2:]
+        if not int(size, 16):
+            return status, fields, body, rest
--- /dev/null
+++ b/tests/system/test_calls.py
@@ -0,0 +1,286 @@
+"""Whatever becomes of bytes on their way: each caller has its own answer or an honest break, nothing that may
+not be repeated runs twice, and a promise is given only where nothing ran nor will."""
+
+from __future__ import annotations
+
+import os
+import random
+from collections.abc import Callable
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from post.sorting.verdict import Verdict
+from proving.model import planted
+from tests.system.calls import PATIENCE_S, Arrived, Ask, Link, Town, body_of, public, seal
+
+FIRST = int(os.environ.get("CALLS_FIRST", "0"))
+SEEDS = int(os.environ.get("CALLS_SEEDS", "100"))  # more where a long hunt is wanted
+BOOK = public()
+
+
+def answer(link: Link, a: Arrived, framing: int = 0, status: int = 200, name: str | None = "",
+           sealed: bool = True, lines: bytes = b"") -> bytes:
+    """A backend's answer to a request, framed by its length, in chunks, or by its connection's end."""
+    body = body_of(a.attempt, a.large) if status < 300 else b"no"
+    head = b"HTTP/1.1 %d X\r\n" % status + lines
+    if name is not None:
+        head += b"Attempt-Id: %s\r\n" % (name or a.attempt).encode()
+    if sealed and status < 300:
+        head += b"Backend-Seal: %s\r\n" % seal(a.attempt, body)
+    if a.method == "HEAD":
+        return head + b"Content-Length: %d\r\n\r\n" % len(body)
+    if framing == 1:
+        cut = len(body) // 2
+        chunks = b"%x\r\n%s\r\n%x\r\n%s\r\n0\r\n" % (cut, body[:cut], len(body) - cut, body[cut:])
+        return head + b"Transfer-Encoding: chunked\r\n\r\n" + chunks + b"Attempt-Id: a0\r\n\r\n"
+    length = b"" if framing == 2 else b"Content-Length: %d\r\n" % len(body)
+    return head + length + b"\r\n" + body
+
+
+def away(link: Link, a: Arrived, status: int = 503, named: bool = True) -> bytes:
+    """The backend has not run it. Such answers need not tell to which request they belong."""
+    a.turned_away = True
+    return answer(link, a, status=status, lines=b"Not-Executed: 1\r\n", name="" if named else None)
+
+
+def late(link: Link) -> bytes:
+    """A former answer once more."""
+    return link.past[-1] if link.past else b"HTTP/1.1 200 OK\r\nAttempt-Id: a0\r\nContent-Length: 2\r\n\r\nno"
+
+
+STRAY: list[Callable[[Link, bytes], bytes]] = [
+    lambda link, own: own, lambda link, own: own, lambda link, own: late(link),
+    lambda link, own: b"\xff\x00noise\r\n\r\n", lambda link, own: b"HTTP/1.1 103 X\r\n\r\n",
+    lambda link, own: b"HTTP/1.1 200 O",
+    lambda link, own: b"HTTP/1.1 204 X\r\nAttempt-Id: a0\r\nBackend-Seal: forged\r\n\r\n",
+    lambda link, own: b"\r\n"]
+BEHIND = [*STRAY, lambda link, own: b"HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+          lambda link, own: b"HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n"]
+SPOILT: list[Callable[[Link, Arrived], bytes]] = [
+    lambda link, a: answer(link, a, name=None), lambda link, a: answer(link, a, name="a0"),
+    lambda link, a: answer(link, a, sealed=False), lambda link, a: b"rubbish\r\n\r\n",
+    lambda link, a: answer(link, a, lines=b"Content-Length: 5\r\n"),
+    lambda link, a: answer(link, a, lines=b"Transfer-Encoding: chunked\r\n"),
+    lambda link, a: answer(link, a, 1, lines=b"Content-Length: 5\r\n"),
+    lambda link, a: answer(link, a, status=500), lambda link, a: answer(link, a, status=503),
+    lambda link, a: answer(link, a, status=429, name=None), lambda link, a: answer(link, a, status=408),
+    lambda link, a: b"HTTP/1.1 101 X\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n",
+    lambda link, a: answer(link, a, lines=b"Attempt-Id: a0\r\n")]
+SAID = 10  # ways in which a backend answers
+WAYS = ["ask"] * 5 + ["say"] * 9 + ["read"] * 2 + [
+    "wait", "idle", "reuse", "news", "leave", "push", "dial", "slow"]
+N = st.integers(0, 1 << 16)
+STEPS = st.lists(st.tuples(st.sampled_from(WAYS), N, N, N), min_size=10, max_size=40)
+Schedule = list[tuple[str, int, int, int]]
+
+
+def by_chance(seed: int) -> Schedule:
+    """A longer schedule, all of whose numbers are equally likely."""
+    rng = random.Random(seed)
+    return [(rng.choice(WAYS), rng.randrange(1 << 16), rng.randrange(1 << 16), rng.randrange(1 << 16))
+            for _ in range(rng.randrange(10, 60))]
+
+
+def say(link: Link, n: int, m: int) -> None:
+    """A backend answers the first request that it has on a connection."""
+    a = link.asked.popleft()
+    how, framing = n % SAID, n // SAID % 3
+    until_end = framing == 2 and a.method != "HEAD"  # what is behind such an answer is a part of it
+    if a.turned_away or how in (3, 4):
+        own = away(link, a, 421 if a.turned_away else (503, 429, 421)[m % 3], m % 2 == 0)
+    else:
+        own = answer(link, a, framing)
+    if how == 5 and not until_end:
+        link.kernel.append(own + BEHIND[m % len(BEHIND)](link, own))
+    elif how == 6 and not until_end or how == 3:
+        link.kernel.append(own)
+        link.coming.append(STRAY[m % len(STRAY)](link, own))
+    elif how == 7:
+        link.kernel.append(late(link) + own)
+    elif how == 8 and not until_end:
+        link.cut = True
+        link.kernel += [own[:m % len(own)], *([None], [b""], [])[m % 3]]
+    elif how == 9 and not a.turned_away:
+        link.kernel.append(SPOILT[m % len(SPOILT)](link, a))
+    else:
+        link.kernel += [own, *([b""] if until_end and how != 4 else [])]
+    link.past.append(own)
+
+
+def step(town: Town, what: str, i: int, n: int, m: int) -> None:
+    """One step of a schedule."""
+    links = [link for link in town.links if not link.lost]
+    link = links[i % len(links)] if links else None
+    busy = [x for x in town.links if x.asked]
+    seats = [seat for seat in town.seats if not (seat.closed or seat.gone)]
+    seat = seats[i % len(seats)] if seats else None
+    addresses = sorted(town.lives)
+    if what == "ask":
+        kind = n % 8
+        method = ("GET", "POST", "POST", "GET", "POST", "HEAD", "POST", "GET")[kind]
+        ask = Ask(f"a{len(town.asks) + 1}", kind in (0, 3, 5), method, m % 5 == 0,
+                  "1.0" if m % 7 == 0 else "1.1")
+        town.ask(seat if seat is not None and i % 3 else town.seat(), ask, m % 40 if m % 4 == 0 else 0)
+        town.run(0.002)
+    elif what == "say" and busy:
+        chosen = busy[i % len(busy)]
+        say(chosen, n, m)
+        if i % 4:
+            chosen.deliver()
+    elif what == "read" and link is not None:
+        link.deliver(1 + n if n % 3 else 1 << 30)
+    elif what == "wait":
+        town.run((0.01, 0.3, 1.0, PATIENCE_S, 0.06, 6.0)[n % 6])
+    elif what == "idle" and link is not None:
+        idle(link, n, m)
+    elif what == "reuse":
+        town.reuse(addresses[i % len(addresses)], n % 2 == 0)
+    elif what == "news" and town.news:
+        town.news.popleft()()
+    elif what == "leave" and seat is not None:
+        town.leave(seat)
+    elif what == "push" and seat is not None:
+        town.push(seat)
+    elif what == "dial":
+        town.dials[addresses[i % len(addresses)]] = ("refused", "silent")[n % 2]
+    elif what == "slow" and seat is not None and not seat.taker.full_since:
+        seat.hand(seat.taker.pause_writing)
+    town.run(0.001)
+
+
+def idle(link: Link, n: int, m: int) -> None:
+    """Something becomes of a connection while nothing is asked for, or while something is."""
+    kind = n % 4
+    if kind == 0:
+        link.forgotten = True
+    elif kind == 1 and not link.cut:
+        link.coming.append(STRAY[m % len(STRAY)](link, late(link)))
+    else:
+        link.forgotten = True
+        link.kernel.append(b"" if kind == 2 else None)
+
+
+def play(schedule: Schedule, spoil: Callable[[Town], None] | None = None) -> None:
+    town = Town(BOOK, spoil)
+    for each in schedule:
+        step(town, *each)
+    town.settle()
+    town.check()
+
+
+@settings(max_examples=100)
+@given(STEPS)
+def test_each_caller_has_its_own_answer_or_an_honest_break(schedule: Schedule) -> None:
+    play(schedule)
+
+
+def test_the_same_on_longer_schedules_by_chance() -> None:
+    for seed in range(FIRST, FIRST + SEEDS):
+        try:
+            play(by_chance(seed))
+        except AssertionError as error:
+            raise AssertionError(f"schedule {seed}: {error}") from error
+
+
+def test_a_plain_call_is_served() -> None:
+    town = Town(BOOK)
+    order(town)
+    link = town.links[0]
+    link.kernel.append(answer(link, link.asked.popleft()))
+    link.deliver()
+    assert town.seats[0].said.startswith(b"HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\n")
+    town.settle()
+    town.check()
+
+
+def keeps_spoilt(town: Town) -> None:
+    """Uses a connection again whatever came on it, and takes what comes meanwhile for the next answer."""
+    connect = town.upstream.connect
+
+    async def spoilt(pool: Any) -> Any:
+        connection: Any = await connect(pool)
+        answered, send, received = connection.answered, connection.send, connection.data_received
+        early = list[bytes]()
+
+        def keeps(told: Any, clean: bool) -> None:
+            connection.exchange.label = b""
+            answered(told, True)
+
+        def later(data: bytes) -> None:
+            if connection.exchange is None:
+                early.append(data)
+            else:
+                received(data)
+
+        def sends(exchange: Any) -> None:
+            send(exchange)
+            while early and connection.exchange is not None:
+                received(early.pop(0))
+
+        connection.answered, connection.send, connection.data_received = keeps, sends, later
+        return connection
+
+    town.upstream.connect = spoilt  # type: ignore[method-assign]
+
+
+def always_promises(town: Town) -> None:
+    """Promises that nothing has run, whatever is known."""
+    town.ingress.verdict = lambda held: Verdict.NEVER  # type: ignore[method-assign]
+    give_up = town.decisions.give_up
+
+    def refuse(now: float, f: Any, wait: float) -> None:
+        f.ran_at = None
+        give_up(now, f, wait)
+
+    town.decisions.give_up = refuse  # type: ignore[method-assign]
+
+
+def of_model(name: str) -> Callable[[Town], None]:
+    """A fault that is planted in the model's processes as well."""
+    return lambda town: planted.SORTERS[name](
+        SimpleNamespace(hall=SimpleNamespace(ingress=town.ingress)))  # type: ignore[arg-type]
+
+
+@pytest.mark.parametrize(("fault", "found"), [
+    (of_model("believes_all"), "is answered with"), (of_model("repeats"), "runs 2 times"),
+    (always_promises, "not to run"), (of_model("no_target"), "at another service"),
+    (keeps_spoilt, "not to run|runs 2 times")],
+    ids=["believes_all", "repeats", "always_promises", "no_target", "keeps_spoilt"])
+def test_planted_fault_is_found(fault: Callable[[Town], None], found: str) -> None:
+    with pytest.raises(AssertionError, match=found):
+        for seed in range(400):
+            play(by_chance(seed), fault)
+
+
+def order(town: Town) -> Ask:
+    """A request that may not be repeated, from a new client."""
+    ask = Ask(f"a{len(town.asks) + 1}", False, "POST", False, "1.1")
+    town.ask(town.seat(), ask, 0)
+    town.run(0.002)
+    return ask
+
+
+def test_a_connection_with_an_answer_that_names_no_request_is_not_used_again() -> None:
+    """A copy of such an answer would be believed of whatever is sent next, which then runs twice."""
+    town = Town(BOOK)
+    order(town)
+    first = town.links[0]
+    nameless = away(first, first.asked.popleft(), 503, False)
+    first.kernel.append(nameless)
+    first.deliver()
+    town.run(0.002)
+    assert len(town.links) == 2, "it goes on to another"
+    for life in town.all[:3]:
+        if life is not first.life:
+            town.reuse(life.address, True)
+    while town.news:
+        town.news.popleft()()
+    order(town)
+    first.kernel.append(nameless)
+    first.deliver()
+    town.settle()
+    town.check()
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -42,4 +42,5 @@
 
 def test_a_change_of_protocols_is_no_answer() -> None:
     reader = AnswerReader(flows=True)
-    assert not reader.feed(b"HTTP/1.1 101 X\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\nmore") and reader.broken
+    change = b"HTTP/1.1 101 X\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\nmore"
+    assert not reader.feed(change) and reader.broken
