A body that was sent in part brings no promise: a backend may have begun with it

Cause: a large body goes on as it comes, and the attempt counted as sent only with its last byte. When its backend broke off before that, the client was told 503, and 408 when the client itself had stopped: both promise that nothing ran nor will, but a backend may begin with the head and a part. Nothing was sent elsewhere (such a body is spent). Ruled out: small bodies (they count as sent from their first byte). Change: an exchange may have run from its first byte on where backends may begin early; a body that stops is 400 then.

--- a/post/sorting/ingress.py
+++ b/post/sorting/ingress.py
@@ -36,7 +36,7 @@
     """One ingress of the whole system."""
 
     health_path = None
-    label, ends = b"attempt-id", End(unsaid=True)
+    label, ends, streams = b"attempt-id", End(unsaid=True), True
     kept_back = frozenset((b"authorization", b"tenant", b"deadline-ms", b"target-instance"))
 
     def __init__(self, loop: asyncio.AbstractEventLoop, terms: io.Settings, decisions: Decisions,
@@ -145,12 +145,17 @@
         """What is known of a request's runs."""
         if held.last is not None and held.may_have_run and held.last.status >= 500:
             return Verdict.RAN
-        sent = held.may_have_run or (held.exchange is not None and held.exchange.written)
+        sent = held.may_have_run or (held.exchange is not None and held.exchange.may_have_run)
         return Verdict.PERHAPS if sent else Verdict.NEVER
 
     def may_refuse(self, held: Held) -> bool:
         return self.verdict(held).promises
 
+    def answer(self, held: Held, status: int, lines: bytes = b"", body: bytes = b"") -> None:
+        """The one final answer. That a body stops when a part of it has gone out allows no promise."""
+        stopped = status == 408 and not self.may_refuse(held)
+        super().answer(held, 400 if stopped else status, lines, body)
+
     def finish(self, name: str, refused: bool, wait: float) -> None:
         """A promise with a time to come back, or what the backend has said, or a failure."""
         held = self.held.get(name)
--- a/roadspur/net/attempting.py
+++ b/roadspur/net/attempting.py
@@ -54,7 +54,7 @@
 
         ends = self.ends._replace(bodiless=True) if held.call.bodiless else self.ends
         exchange = held.exchange = Exchange(a.backend, message, may_send, ended, passing, upload,
-                                            partial(self.outcome, held.call), ends, self.label)
+                                            partial(self.outcome, held.call), ends, self.label, self.streams)
         left = held.deadline - now
         self.upstream.send(exchange, left if a.timeout is None else min(left, a.timeout))
 
@@ -64,7 +64,7 @@
         held.exchange = None
         held.trail.append((self.loop.time(), outcome.value))
         self.tally.counts[f"attempt {outcome.value}"] += 1
-        held.may_have_run |= exchange.written and outcome not in io.NEVER_RAN
+        held.may_have_run |= exchange.may_have_run and outcome not in io.NEVER_RAN
         held.last, units = answer, 0.0
         if answer is not None and outcome is io.Outcome.OK:
             units = read_number(answer.headers.get(b"x-cost-units", b""))
--- a/roadspur/net/exchange.py
+++ b/roadspur/net/exchange.py
@@ -61,13 +61,14 @@
                  on_end: Callable[[Exchange, io.Outcome, Answer | None], None],
                  sink: Sink | None = None, upload: Upload | None = None,
                  judge: Callable[[Answer], io.Outcome | None] = outcome_of, ends: End = PLAIN,
-                 label: bytes = b"") -> None:
+                 label: bytes = b"", streams: bool = False) -> None:
         self.backend, self.message, self.may_send, self.on_end = backend, message, may_send, on_end
         self.sink, self.upload, self.judge = sink, upload, judge  # None: the answer to another request
         self.ends, self.label = ends, label  # the header that names the request of an answer, if one does
         self.connection: Carrier | None = None
         self.timer: asyncio.TimerHandle | None = None
-        self.written = False  # from here on it may have run
+        self.streams = streams  # a backend may begin with a request before it has come whole
+        self.begun = self.written = False  # its first byte has gone out, its last one
         self.ended = False
         self.heard = 0  # what the pool had heard at the start
 
@@ -80,6 +81,11 @@
             self.timer.cancel()
         self.on_end(self, outcome, answer)
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether as much has gone out as a backend may run."""
+        return self.written or (self.streams and self.begun)
+
     def named(self, answer: Answer) -> bool:
         """Whether an answer names its request, so that a copy of it is known whenever it comes."""
         return not self.label or self.label in answer.headers
@@ -111,5 +117,5 @@
         if self.connection is not None:
             self.connection.drop()
         self.end_upload()
-        self.end(outcome if self.written else io.Outcome.MOOT if outcome is io.Outcome.CANCELLED else
+        self.end(outcome if self.may_have_run else io.Outcome.MOOT if outcome is io.Outcome.CANCELLED else
                  io.Outcome.CONNECT_FAILED)
--- a/roadspur/net/upstream.py
+++ b/roadspur/net/upstream.py
@@ -53,7 +53,7 @@
         assert self.transport is not None
         self.exchange, exchange.connection = exchange, self
         self.reader.expect(exchange.ends)
-        exchange.written = exchange.upload is None
+        exchange.begun, exchange.written = True, exchange.upload is None
         self.transport.write(exchange.message())
         if exchange.upload is not None:
             exchange.upload.attach(self)
@@ -180,7 +180,7 @@
         if exchange is not None:
             log.debug("backend %s: %s", self.pool.backend, why)
             exchange.end_upload()
-            exchange.end(io.Outcome.RESET if exchange.written else io.Outcome.CONNECT_FAILED)
+            exchange.end(io.Outcome.RESET if exchange.may_have_run else io.Outcome.CONNECT_FAILED)
 
     def drop(self) -> None:
         """End it at once: the kernel has its end before anything else is written anywhere."""
--- a/roadspur/net/words.py
+++ b/roadspur/net/words.py
@@ -15,6 +15,7 @@
     health_path: bytes | None = b"/healthz"
     kept_back = frozenset((b"x-budget",))  # headers of clients that do not go on
     label = b""  # the header of answers that names their request
+    streams = False  # whether backends may begin with a request before it has come whole
     ends = PLAIN  # where answers end, but for those to HEAD
 
     def __init__(self, settings: io.Settings, load_fields: tuple[str, ...]) -> None:
--- a/tests/system/calls.py
+++ b/tests/system/calls.py
@@ -147,7 +147,7 @@
         self.asked = deque[Arrived]()  # whole requests that the backend has not answered
         self.past = list[bytes]()  # answers that were given
         self.forgotten = self.cut = False  # cut: nothing comes behind a part of an answer
-        self.slow = False  # the backend takes in nothing for now
+        self.early: Arrived | None = None  # what was taken for whole before it was
 
     def write(self, data: bytes) -> None:
         if self.closed:
@@ -155,14 +155,25 @@
         self.wrote += data
         if self.forgotten:
             self.kernel.append(None)
-        while (arrived := read(self.wrote)) is not None:
+        while (arrived := read(self.wrote)) is not None and len(self.wrote) >= arrived.size:
             del self.wrote[:arrived.size]
-            arrived.turned_away = arrived.target not in ("", self.life.name)
-            self.asked.append(arrived)
-            self.life.came.append(arrived)
+            if self.early is None:
+                self.take(arrived)
+            self.early = None
+
+    def take(self, arrived: Arrived) -> None:
+        arrived.turned_away = arrived.target not in ("", self.life.name)
+        self.asked.append(arrived)
+        self.life.came.append(arrived)
+
+    def hurry(self) -> None:
+        """The backend takes a request for whole whose head has come, and answers before the rest does."""
+        if self.early is None and (arrived := read(self.wrote)) is not None:
+            self.early = arrived
+            self.take(arrived)
 
     def get_write_buffer_size(self) -> int:
-        return 1 if self.slow else 0
+        return len(self.wrote)
 
     def recv(self, size: int, flags: int = 0) -> bytes:
         if not self.kernel:
@@ -198,15 +209,13 @@
 
 
 def read(wrote: bytearray) -> Arrived | None:
-    """The first whole request of what was written."""
+    """The first request of what was written, as soon as its head is whole."""
     head, found, rest = bytes(wrote[:4096]).partition(b"\r\n\r\n")
     if not found:
         return None
     line, *lines = head.decode().split("\r\n")
     fields = {k.lower(): v.strip() for k, _, v in (part.partition(":") for part in lines)}
     size = len(head) + 4 + int(fields.get("content-length", 0))
-    if len(wrote) < size:
-        return None
     method, path, _ = line.split(" ")
     return Arrived(size, fields["attempt-id"], fields.get("target-instance", ""), method, "large" in path)
 
--- a/tests/system/test_calls.py
+++ b/tests/system/test_calls.py
@@ -72,7 +72,7 @@
     lambda link, a: answer(link, a, lines=b"Attempt-Id: a0\r\n")]
 SAID = 10  # ways in which a backend answers
 WAYS = ["ask"] * 5 + ["say"] * 9 + ["read"] * 2 + [
-    "wait", "idle", "reuse", "news", "leave", "push", "dial", "slow"]
+    "wait", "idle", "reuse", "news", "leave", "push", "dial", "slow", "early"]
 N = st.integers(0, 1 << 16)
 STEPS = st.lists(st.tuples(st.sampled_from(WAYS), N, N, N), min_size=10, max_size=40)
 Schedule = list[tuple[str, int, int, int]]
@@ -137,6 +137,9 @@
         town.run((0.01, 0.3, 1.0, PATIENCE_S, 0.06, 6.0)[n % 6])
     elif what == "idle" and link is not None:
         idle(link, n, m)
+    elif what == "early":
+        for other in links:
+            other.hurry()
     elif what == "reuse":
         town.reuse(addresses[i % len(addresses)], n % 2 == 0)
     elif what == "news" and town.news:
@@ -256,10 +259,10 @@
             play(by_chance(seed), fault)
 
 
-def order(town: Town) -> Ask:
+def order(town: Town, large: bool = False, kept: int = 0) -> Ask:
     """A request that may not be repeated, from a new client."""
-    ask = Ask(f"a{len(town.asks) + 1}", False, "POST", False, "1.1")
-    town.ask(town.seat(), ask, 0)
+    ask = Ask(f"a{len(town.asks) + 1}", False, "POST", large, "1.1")
+    town.ask(town.seat(), ask, kept)
     town.run(0.002)
     return ask
 
@@ -284,3 +287,24 @@
     first.deliver()
     town.settle()
     town.check()
+
+
+@pytest.mark.parametrize(("becomes", "status"), [
+    ("the client stops", 400), ("the backend resets", 502), ("the backend fails", 500)])
+def test_what_was_sent_in_part_brings_no_promise(becomes: str, status: int) -> None:
+    """A backend may begin with a body before it has come whole."""
+    town = Town(BOOK)
+    order(town, large=True, kept=9)
+    link = town.links[0]
+    link.hurry()
+    a = link.asked.popleft()
+    if becomes == "the backend resets":
+        link.kernel.append(None)
+    elif becomes == "the backend fails":
+        link.kernel.append(answer(link, a, status=500))
+    link.deliver()
+    town.run(4.0)
+    assert town.seats[0].said.startswith(b"HTTP/1.1 %d " % status)
+    assert len(town.links) == 1
+    town.settle()
+    town.check()
