--- a/roadspur/net/upstream.py
+++ b/roadspur/net/upstream.py
@@ -52,8 +52,8 @@
         """Write the request. Once its last byte is, a break counts as a reset: it may have come whole."""
         assert self.transport is not None
         self.exchange, exchange.connection = exchange, self
-        self.reader.ends = exchange.ends
-        exchange.written = exchange.upload is None
+        self.reader.expect(exchange.ends)
+        exchange.begun, exchange.written = True, exchange.upload is None
         self.transport.write(exchange.message())
         if exchange.upload is not None:
             exchange.upload.attach(self)
@@ -155,7 +155,7 @@
         assert exchange is not None
         exchange.connection = None
         exchange.end_upload()
-        clean = clean and exchange.written
+        clean = clean and exchange.written and exchange.named(answer)
         self.flowing = False
         self.resume()
         if self.stall is not None:
@@ -180,7 +180,7 @@
         if exchange is not None:
             log.debug("backend %s: %s", self.pool.backend, why)
             exchange.end_upload()
-            exchange.end(io.Outcome.RESET if exchange.written else io.Outcome.CONNECT_FAILED)
+            exchange.end(io.Outcome.RESET if exchange.may_have_run else io.Outcome.CONNECT_FAILED)
 
     def drop(self) -> None:
         """End it at once: the kernel has its end before anything else is written anywhere."""
--- a/roadspur/net/wire.py
+++ b/roadspur/net/wire.py
@@ -104,6 +104,10 @@
         self.size = 0  # of its body so far
         self.fed = 0  # since a body was last heard of
 
+    def expect(self, ends: End) -> None:
+        """A request goes out: what comes next is the answer to it."""
+        self.ends, self.head, self.done = ends, None, False
+
     def feed(self, data: bytes) -> list[Answer]:
         """Take bytes in; returns the answers that are whole with them."""
         if not self.broken:
@@ -112,6 +116,8 @@
                 self.parser.feed_data(data)
             except httptools.HttpParserError as error:
                 self.broken = str(error.__context__ or error)
+            except httptools.HttpParserUpgrade:
+                self.broken = "no other protocol is spoken here"
             if self.over and not self.partial:  # the parser waits for a body yet
                 self.parser, self.over = httptools.HttpResponseParser(self), False
             if self.fed > MAX_WHOLE + MAX_HEAD:  # a head without end is held in the parser's memory
@@ -133,6 +139,8 @@
         return part
 
     def on_message_begin(self) -> None:
+        if self.done:  # its last part has not been taken yet
+            raise BadAnswer("more behind a large answer")
         self.headers, self.body, self.partial, self.in_head = {}, bytearray(), True, True
         self.until_end = self.done = self.over = False
         self.head, self.size = None, 0
@@ -193,6 +201,8 @@
         self.partial = False
         self.fed = 0
         if self.parser.get_status_code() < 200:  # an interim answer
+            if self.answers:
+                self.broken = "an interim answer behind the last one"
             return
         if self.head is not None:
             self.done = True
