What a start finds on disk is synced before it counts

A killed process leaves its files as they were. The next one took what it found for saved, told the leader so and voted by it, though nobody had synced it: an entry could be acknowledged on one synced disk, and be lost with the next loss of power.

The direct test failed before. The same is planted as `Trusting` and found.

A start now saves what it found: the store only syncs it, in the disk's thread (a sync at the load would have held the start up where the disk hangs), and writes it anew if that sync fails.

Tests: one transcript has the three writes more; `Seat` begins with nothing kept, so two tests say what is.

--- a/post/register/agreement.py
+++ b/post/register/agreement.py
@@ -29,7 +29,7 @@
 from post.register.joining import Joining, give_hint, turned_away
 from post.register.leading import Leading
 from post.register.records import NOTHING, Entry, Member, Stored, first_entry, get_entry, odd
-from post.register.seat import BLANK, Seat
+from post.register.seat import Seat
 from post.register.starting import Starting
 from post.register.voting import Voting
 
@@ -39,28 +39,25 @@
 class Agreement:
     """One disk's part. `now` must be read after the input came, for leases rest on it.
 
-    `stored` is what `Store.load` gave; `fresh` the first start of the whole system; `seeds` the own ports of
-    the seeds; `new_disk_id` a random name, used if this disk is to be a new member; `tolerance` how many
-    members may be lost at once. `dropped` counts notes that made no sense, by why.
+    `stored` is what `Store.load` gave, which counts as kept once it is saved: a killed process may have left
+    it unsynced; `fresh` the first start of the whole system; `seeds` the own ports of the seeds;
+    `new_disk_id` a random name, used if this disk is to be a new member; `tolerance` how many members may be
+    lost at once. `dropped` counts notes that made no sense, by why.
     """
 
     def __init__(self, me: Address, stored: Stored | None, fresh: bool, seeds: Sequence[Address],
                  rng: random.Random, tuning: Tuning, new_disk_id: str, tolerance: int, now: float,
                  began: float | None = None) -> None:
-        first = first_entry(seeds)
-        if stored is not None:
-            kept = stored
-        elif fresh and me in seeds:
-            stored, kept = Stored("first-" + me, 0, "", first), BLANK
-        else:
-            stored, kept = Stored(new_disk_id, 0, "", NOTHING), BLANK
-        self.seat = Seat(me, stored, kept, tuning, rng)
+        blank = stored is None
+        if stored is None and fresh and me in seeds:
+            stored = Stored("first-" + me, 0, "", first_entry(seeds))
+        self.seat = Seat(me, stored or Stored(new_disk_id, 0, "", NOTHING), tuning, rng)
         self.tuning, self.rng, self.tolerance = tuning, rng, tolerance
         self.leading: Leading | None = None
         self.campaign: Campaign | None = None
         self.joining = Joining(self.seat, seeds)
         self.following = Following(self.seat, now - tuning.election_min_s)
-        self.starting = Starting(self.seat, now, now if kept is BLANK else now + tuning.election_min_s,
+        self.starting = Starting(self.seat, now, now if blank else now + tuning.election_min_s,
                                  now if began is None else began)
         self.unled_since: float | None = None  # of the leader that this is: see `Starting`
         self.voting = Voting(self.seat, self.starting)
--- a/post/register/disk.py
+++ b/post/register/disk.py
@@ -2,7 +2,8 @@
 
 A generation is the files `gen-N.dat` and `gen-N.dir`. It counts if both are whole and the record's checksum
 is right; the newest that counts is loaded, the last two are kept. Each save is a new generation, so whatever
-becomes of a save, those before it stay as they are. It syncs three times: both files and the folder.
+becomes of a save, those before it stay as they are. It syncs three times: both files and the folder. So is
+what a start finds, before it counts as saved.
 """
 
 from __future__ import annotations
@@ -41,6 +42,7 @@
         if not os.path.isdir(folder):
             os.makedirs(folder)
         self.good: list[int] = []  # generations that count, oldest first
+        self.unsynced = True  # the loaded one may be: a kill leaves files as they are
         self.last = max(self._numbers(), default=0)  # of any, whole or not
         self.newest = self._load()
 
@@ -63,7 +65,13 @@
         return newest
 
     def save(self, record: Stored) -> None:
-        """Write a record and return once it lasts. Raises OSError; what was there before is there still."""
+        """Write a record and return once it lasts. Raises OSError; what was there before is there still.
+
+        The one that was loaded is only synced; where that fails, the next save writes it anew.
+        """
+        unsynced, self.unsynced = self.unsynced, False
+        if unsynced and record == self.newest:
+            return self._sync(self.good[-1])
         self.last += 1
         try:
             self._write(self.last, pack(record))
@@ -89,7 +97,10 @@
             generation[b"record"] = data
             generation[b"sum"] = b"%d %d" % (len(data), zlib.crc32(data))
         _unlink(path + ".bak")
-        for name in (path + ".dat", path + ".dir", self.folder):
+        self._sync(number)
+
+    def _sync(self, number: int) -> None:
+        for name in (self._path(number) + ".dat", self._path(number) + ".dir", self.folder):
             _sync(name)
 
     def _read(self, number: int) -> Stored:
--- a/post/register/seat.py
+++ b/post/register/seat.py
@@ -15,10 +15,10 @@
 class Seat:
     """Term, vote and entry, in memory and as they are on disk (`kept`). Outputs are gathered in `out`."""
 
-    def __init__(self, me: Address, stored: Stored, kept: Stored, tuning: Tuning, rng: random.Random) -> None:
+    def __init__(self, me: Address, stored: Stored, tuning: Tuning, rng: random.Random) -> None:
         self.me, self.tuning, self.rng = me, tuning, rng
         self.disk, self.term, self.vote, self.entry = stored
-        self.kept = kept
+        self.kept = BLANK
         self.known: Entry | None = None  # the newest entry known to be committed
         self.announced = 0  # version that was put out as committed
         self.out: list[Output] = []
--- a/tests/system/core.py
+++ b/tests/system/core.py
@@ -25,7 +25,8 @@
 
     def __init__(self, address: str) -> None:
         self.address, self.machine, self.life = address, None, 0
-        self.stored: Stored | None = None
+        self.files: Stored | None = None  # what a start finds
+        self.stored: Stored | None = None  # what is synced, and so there after a loss of power too
         self.heard = 0  # newest version put out in this life
         self.disk_s = (0.002, 0.01)
         self.disk_fails = False
@@ -49,6 +50,7 @@
         self.outcomes: dict[int, str] = {}
         self.led: dict[tuple[str, int], float] = {}  # processes' lives, and when each was last sure to lead
         self.lost: dict[str, float] = {}  # disks that won't come back, and since when
+        self.unsynced_is_lost = False  # with every loss of power, not only by chance
         self.early = False  # planted fault: a write is told before it is on disk
         self.log: list[str] | None = None  # outputs, if asked for
         self.log_from = 0.0
@@ -79,17 +81,20 @@
     def start(self, address: str, fresh: bool = False) -> None:
         node = self.nodes[address]
         node.life, node.heard = node.life + 1, 0
-        node.machine = self.kind(address, node.stored, fresh, self.seeds, random.Random(self.rng.random()),
+        node.machine = self.kind(address, node.files, fresh, self.seeds, random.Random(self.rng.random()),
                                  self.tuning, f"{self.rng.getrandbits(32):08x}", self.tolerance, self.now)
         self._tick(node, node.life)
 
-    def kill(self, address: str, wipe: bool = False) -> None:
-        """The process ends; what isn't synced yet is lost, with `wipe` the disk as well."""
+    def kill(self, address: str, wipe: bool = False, power: bool = True) -> None:
+        """The process ends; with it goes the `power`, and what isn't synced may be lost, with `wipe` the disk
+        as well."""
         node = self.nodes[address]
         if wipe:
-            for disk in {x.disk for x in (node.stored, node.machine and node.machine.seat) if x}:
+            for disk in {x.disk for x in (node.files, node.machine and node.machine.seat) if x}:
                 self.lost[disk] = self.now
-            node.stored = None
+            node.files = node.stored = None
+        elif power and node.files is not node.stored and (self.unsynced_is_lost or self.rng.random() < 0.5):
+            node.files = node.stored
         node.machine, node.life, node.frozen = None, node.life + 1, 0.0
 
     def up(self) -> list[Node]:
@@ -150,14 +155,20 @@
     def _write(self, node: Node, write: api.Write) -> None:
         life, fails = node.life, node.disk_fails
 
+        def put() -> None:
+            if node.life == life and not fails:
+                node.files = write.record
+
         def finish() -> None:
             if node.life != life:
                 return
             if not fails:
-                node.stored = write.record
+                node.files = node.stored = write.record
             if not self.early:
                 self.give(node, api.WriteFailed(write.token, "full") if fails else api.Written(write.token))
-        self.at(self.rng.uniform(*node.disk_s), finish)
+        takes = self.rng.uniform(*node.disk_s)
+        self.at(takes / 2, put)
+        self.at(takes, finish)
         if self.early:
             self.at(0.0, lambda: node.life == life and self.give(node, api.Written(write.token)))
 
@@ -217,7 +228,7 @@
         node = rng.choice(list(core.nodes.values()))
         act = rng.choice([self._cut, self._cut, self._heal, self._restart, self._restart, self._herd,
                           self._wipe, self._wipe, self._replace, self._disk, self._leave, self._freeze,
-                          self._after_ack, self._after_ack, self._power, self._power])
+                          self._after_ack, self._after_ack, self._power, self._power, self._unsynced])
         act(node)
         for _ in range(rng.randrange(4)):
             asker = core.leader() or rng.choice(core.up() or [None])
@@ -246,10 +257,10 @@
     def _heal(self, node: Node) -> None:
         self.core.cut.clear()
 
-    def _restart(self, node: Node, wipe: bool = False) -> None:
+    def _restart(self, node: Node, wipe: bool = False, power: bool | None = None) -> None:
         if node.machine is not None and not self.over:
             core = self.core
-            core.kill(node.address, wipe)
+            core.kill(node.address, wipe, self.rng.random() < 0.5 if power is None else power)
             life = node.life
             core.at(self.rng.uniform(0.02, 0.2 if self.storm else 1.5),
                     lambda: node.life == life and core.start(node.address))
@@ -285,12 +296,30 @@
             if core.run(2.0, lambda: token in core.outcomes):
                 wipe = self.rng.random() < 0.5 and self._may_lose(leader)
                 for each in list(core.nodes.values()):
-                    self._restart(each, wipe and each is leader)
+                    self._restart(each, wipe and each is leader, power=True)
+
+    def _unsynced(self, node: Node) -> None:
+        """Those who are to save a proposal are killed before it is synced, and all lose power soon after."""
+        core = self.core
+        if core.run(2.0, lambda: core.leader() is not None):
+            leader = core.leader()
+            for other in [n for n in core.up() if n is not leader]:
+                other.disk_s = (0.3, 0.6)
+            token = core.propose(leader, leader.machine.committed)
+            core.run(self.rng.uniform(0.15, 0.5))
+            for other in [n for n in core.up() if n is not leader]:
+                core.kill(other.address, power=False)
+                core.start(other.address)
+            core.run(self.rng.uniform(0.1, 0.5), lambda: token in core.outcomes)
+            core.unsynced_is_lost = True
+            for each in list(core.nodes.values()):
+                self._restart(each, power=True)
+            core.unsynced_is_lost = False
 
     def _may_lose(self, node: Node) -> bool:
         """May this disk be lost, after those that still count as members?"""
-        held = [n.machine.seat.entry if n.machine else n.stored.entry for n in self.core.nodes.values()
-                if n.machine or n.stored]
+        held = [n.machine.seat.entry if n.machine else n.files.entry for n in self.core.nodes.values()
+                if n.machine or n.files]
         known = [n.machine.value for n in self.core.up() if n.machine.value]
         if not known:
             return False
--- a/tests/system/test_register.py
+++ b/tests/system/test_register.py
@@ -54,6 +54,14 @@
         super().begun(now, sender, note)
 
 
+class Trusting(Agreement):
+    """Planted fault: what a start finds in the files counts as synced."""
+
+    def __init__(self, me, stored, *rest) -> None:
+        super().__init__(me, stored, *rest)
+        self.seat.kept = stored or self.seat.kept
+
+
 def begins_as(part: type[Starting]) -> Any:
     def make(*args: Any) -> Agreement:
         machine = Agreement(*args)
@@ -97,14 +105,15 @@
 
 
 @pytest.mark.parametrize("fault", [{"early": True}, {"kind": Forgetful}, {"kind": begins_as(MostBegun)},
-                                   {"kind": begins_as(AnyTerm)}],
-                         ids=["early ack", "wiped votes", "most have begun", "any term"])
+                                   {"kind": begins_as(AnyTerm)}, {"kind": Trusting}],
+                         ids=["early ack", "wiped votes", "most have begun", "any term", "unsynced files"])
 def test_planted_faults_are_found(fault: dict) -> None:
     for seed in range(400):
         try:
             explore(3, seed, **fault)
         except Broken as why:
-            if re.search("two values|sure of an old version|two leaders are sure|nobody has led", str(why)):
+            if re.search("two values|sure of an old version|two leaders are sure|nobody has led|is lost",
+                         str(why)):
                 return
     pytest.fail("not found")
 
@@ -205,7 +214,8 @@
     entry = first_entry(seeds)
     stored = Stored("first-" + seeds[0], 1, "", entry._replace(members=entry.members[1:],
                                                                before=entry.members))
-    seat = Seat(seeds[0], stored, stored, STEADY, random.Random(1))
+    seat = Seat(seeds[0], stored, STEADY, random.Random(1))
+    seat.kept = stored
     leading = Leading(seat, 10.0, 0)
 
     def held(now: float) -> None:
@@ -300,6 +310,22 @@
     assert others[0].stored.entry.version == 2
 
 
+def test_what_a_killed_process_left_unsynced_does_not_count() -> None:
+    """A follower is killed between writing and syncing, and starts again: it has yet to hold the entry."""
+    core, leader, others = settled()
+    killed, away = others
+    core.cut = {(a, b) for a in core.nodes for b in core.nodes if away.address in (a, b)}
+    killed.disk_s = (1.0, 1.0)
+    token = core.propose(leader, 1)
+    core.run(0.6)
+    core.kill(killed.address, power=False)
+    core.start(killed.address)
+    core.run(0.4)
+    assert killed.machine.seat.entry.version == 2 and token not in core.outcomes
+    core.run(1.0, lambda: token in core.outcomes)
+    assert core.outcomes[token] == "done" and killed.stored.entry.version == 2
+
+
 def test_leaving() -> None:
     core, leader, others = settled(4)
     core.give(leader, api.Leave())
@@ -345,6 +371,9 @@
     seeds = ["10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"]
     stored = Stored("first-" + seeds[0], 3, "", first_entry(seeds)._replace(term=2, number=7))
     machine = Agreement(seeds[0], stored, False, seeds, random.Random(1), STEADY, "n", 1, 10.0)
+    assert [tell(o) for o in machine.handle(10.0, api.Known(()))] == [
+        "writes first-10.0.0.1:1: term 3, vote none, entry (2, 7)"]  # a kill may have left it unsynced
+    machine.handle(10.1, api.Written(1))
 
     def asked(now: float, who: int, **fields: Any) -> list[str]:
         note = pb.Note(kind=pb.ELECT, disk="first-" + seeds[who], to_disk=stored.disk, has_term=2, **fields)
@@ -354,7 +383,7 @@
     assert asked(10.5, 1, term=4, has_number=7) == [
         "writes first-10.0.0.1:1: term 4, vote first-10.0.0.2:1, entry (2, 7)"]
     assert asked(10.5, 2, term=4, has_number=8) == []  # one vote a term
-    assert [tell(o) for o in machine.handle(10.6, api.Written(1))] == [
+    assert [tell(o) for o in machine.handle(10.6, api.Written(2))] == [
         "to 10.0.0.2:1 ELECTED term=4 granted=True"]
     asked(10.6, 1, term=4, has_number=7)
     machine.handle(10.7, api.Received(seeds[1], pb.Note(
--- a/tests/system/test_register_disk.py
+++ b/tests/system/test_register_disk.py
@@ -98,6 +98,26 @@
     assert files(tmp_path, 1) and not files(tmp_path, 2)
 
 
+def test_what_is_loaded_is_synced_before_it_counts(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """A process that was killed may have left it unsynced. A second try after a failure writes it anew, since
+    the first may have marked it clean."""
+    Store(str(tmp_path)).save(record(1))
+    synced, sync = [], os.fsync
+    monkeypatch.setattr(os, "fsync", lambda descriptor: synced.append(descriptor) or sync(descriptor))
+    store = Store(str(tmp_path))
+    store.save(record(1))
+    assert len(synced) == 3 and files(tmp_path, 1) and not files(tmp_path, 2)
+    store.save(record(1))
+    assert len(synced) == 6 and files(tmp_path, 2)
+    store = Store(str(tmp_path))
+    monkeypatch.setattr(os, "fsync", lambda _: (_ for _ in ()).throw(OSError(5)))
+    with pytest.raises(OSError):
+        store.save(record(1))
+    monkeypatch.undo()
+    store.save(record(1))
+    assert files(tmp_path, 3) and loaded(tmp_path) == 1
+
+
 def test_no_room_to_write(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     store = Store(str(tmp_path))
     store.save(record(1))
