Model: files outlive a kill, and unsynced ones a loss of power only by chance

Torn writes and names that are kept or lost by themselves come to the same at the store: the generation counts or it doesn't.

--- a/proving/model/disk.py
+++ b/proving/model/disk.py
@@ -1,7 +1,12 @@
-"""A disk as a member of the core sees it: what was synced is there again, what was not may not be."""
+"""A disk as a member of the core sees it: what was synced is there again, what was not may not be.
+
+A killed process leaves its files as they were. A loss of power leaves of unsynced ones all, or too little to
+count (torn, or a name is missing), so that the record before is found.
+"""
 
 from __future__ import annotations
 
+import random
 from collections.abc import Callable
 
 from post.register.records import Stored
@@ -15,37 +20,47 @@
     def __init__(self, sync_s: float) -> None:
         self.usual = self.sync_s = sync_s
         self.fails = self.hung = False
-        self.stored: Stored | None = None
+        self.stored: Stored | None = None  # as a start finds it
+        self.synced: Stored | None = None
         self.saves = self.bytes = self.wiped = 0
         self.stuck: list[Callable[[], None]] = []
         self.lying = False  # planted fault: says so before it is saved
 
     def save(self, process: Process, record: Stored, done: Callable[[], None],
              failed: Callable[[str], None]) -> None:
-        """Save a record for a process. One that ends before then has saved nothing."""
-        size = len(record.entry.value) + 300
+        """Save a record for a process. Halfway it is in the files, at the end it is synced too."""
+        again = record == self.stored
+        size = 0 if again else len(record.entry.value) + 300
         self.saves += 1
         self.bytes += size
-
         begun = self.wiped
+        takes = 3 * self.sync_s + size / 50e6
+
+        def put() -> None:
+            if not process.ended and not self.fails and self.wiped == begun:
+                self.stored = record
 
         def finish() -> None:
-            if process.ended:  # what a killed process has written may be there, in full
-                if self.wiped == begun and not self.fails and process.world.now < process.end_at + 0.01:
-                    self.stored = record
+            if process.ended:
                 return
             if self.hung:
                 self.stuck.append(finish)
-            elif self.fails:
+            elif self.fails and not again:
                 process.enter(failed, "no space left on the disk")
             else:
-                self.stored = record
+                self.stored = self.synced = record
                 if not self.lying:
                     process.enter(done)
 
         if self.lying:
             process.world.after(0.0, process.enter, done)
-        process.world.after(3 * self.sync_s + size / 50e6, finish)
+        process.world.after(takes / 2, put)
+        process.world.after(takes, finish)
+
+    def lose_power(self, rng: random.Random) -> None:
+        """What isn't synced is there still, or not."""
+        if self.stored is not self.synced and rng.random() < 0.5:
+            self.stored = self.synced
 
     def hang(self, on: bool) -> None:
         """Hang, or go on."""
@@ -57,7 +72,7 @@
 
     def wipe(self) -> None:
         """The disk is lost: an empty one takes its place."""
-        self.stored = None
+        self.stored = self.synced = None
         self.wiped += 1
         self.fails = self.hung = False
         self.sync_s = self.usual
--- a/proving/model/machines.py
+++ b/proving/model/machines.py
@@ -92,6 +92,8 @@
             self.disk.wipe()
         for process in list(self.processes.values()):
             self.end(process, power)
+        if power:
+            self.disk.lose_power(self.deployment.rng)
 
     def back(self, after: float = RESTART_S) -> None:
         """Start again after some seconds."""
