The name of a member's folder is synced, and a disk that is full at the start ends nothing

The first save made the folder in data-dir and never synced that: after a loss of power the folder could be gone, with all that was acknowledged. It is synced once in each life, for a killed process may have made it. And a process that was to make its folder on a full disk ended with code 2, again and again: now the first save makes it, fails as any other, and is tried anew.

Test: test_register_power.py, the store on real files under a model of what a loss of power leaves (each name and each content by itself): it found the lost folder (seen to fail), and finds four planted stores: no sync of names, none of the folder's own, a load that counts as synced, older generations removed too early.

--- a/post/register/disk.py
+++ b/post/register/disk.py
@@ -32,15 +32,14 @@
 
 
 class Store:
-    """The generations in a folder, which is made if need be. One thread at a time may use it.
+    """The generations in a folder, which the first save makes if need be. One thread at a time may use it.
 
-    Raises OSError if the folder can't be made or read.
+    Raises OSError if the folder can't be read.
     """
 
     def __init__(self, folder: str) -> None:
         self.folder = folder
-        if not os.path.isdir(folder):
-            os.makedirs(folder)
+        self.made = False  # the folder, and its name is synced
         self.good: list[int] = []  # generations that count, oldest first
         self.unsynced = True  # the loaded one may be: a kill leaves files as they are
         self.last = max(self._numbers(), default=0)  # of any, whole or not
@@ -69,6 +68,9 @@
 
         The one that was loaded is only synced; where that fails, the next save writes it anew.
         """
+        if not self.made:
+            self._make()
+            self.made = True
         unsynced, self.unsynced = self.unsynced, False
         if unsynced and record == self.newest:
             return self._sync(self.good[-1])
@@ -83,12 +85,24 @@
             if number not in self.good:
                 self._remove(number)
 
+    def _make(self) -> None:
+        """Whoever made the folder may have been killed before its name was synced, so that is done anyway."""
+        new, path = [self.folder], self.folder
+        while not os.path.isdir(path := os.path.dirname(path)):
+            new.append(path)
+        os.makedirs(self.folder, exist_ok=True)
+        for path in new:
+            _sync(os.path.dirname(path))
+
     def _path(self, number: int) -> str:
         return os.path.join(self.folder, f"{PREFIX}{number}")
 
     def _numbers(self) -> set[int]:
-        stems = (name[len(PREFIX):].partition(".")[0] for name in os.listdir(self.folder)
-                 if name.startswith(PREFIX))
+        try:
+            names = os.listdir(self.folder)
+        except FileNotFoundError:
+            return set()
+        stems = (name[len(PREFIX):].partition(".")[0] for name in names if name.startswith(PREFIX))
         return {int(stem) for stem in stems if stem.isdecimal() and len(stem) < 16}
 
     def _write(self, number: int, data: bytes) -> None:
--- /dev/null
+++ b/tests/system/test_register_power.py
@@ -0,0 +1,183 @@
+"""A core member's folder under losses of power: what is unsynced is there, torn or not, each by itself."""
+
+from __future__ import annotations
+
+import os
+import random
+import shutil
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from post.register.disk import Store
+from tests.system.test_register_disk import record
+
+
+class PowerLostError(BaseException):
+    """Everything stops here."""
+
+
+class Power:
+    """Notes what is synced under a folder, and breaks off at a call that changes or syncs something.
+
+    `left` are the calls until then. `sure` holds, by folder, its synced names and which file each is;
+    `synced`, by file, what its last sync covered. `fails` is the chance that a sync fails.
+    """
+
+    def __init__(self, top: Path, after: Path, rng: random.Random, patch: pytest.MonkeyPatch) -> None:
+        self.top, self.after, self.rng, self.left = top, after, rng, -1
+        self.sure: dict[Path, dict[str, int]] = {}
+        self.synced: dict[int, bytes] = {}
+        self.held: list[int] = []  # open, so that no number of a file is used anew
+        self.fails = 0.0
+        self.real = {name: getattr(os, name) for name in ("fsync", "unlink", "remove", "mkdir", "rename")}
+        for name in self.real:
+            patch.setattr(os, name, lambda *args, name=name, **more: self.call(name, *args, **more))
+
+    def call(self, name: str, *args: Any, **more: Any) -> None:
+        self.left -= 1
+        if self.left == 0:
+            self.lose()
+            raise PowerLostError
+        if name != "fsync":
+            return self.real[name](*args, **more)
+        if self.rng.random() < self.fails:
+            raise OSError(5, "the disk is in trouble")
+        path = Path(os.readlink(f"/proc/self/fd/{args[0]}"))
+        if path.is_dir():
+            self.sure[path] = {p.name: p.stat().st_ino for p in path.iterdir()}
+        else:
+            self.held.append(os.dup(args[0]))
+            self.synced[path.stat().st_ino] = path.read_bytes()
+        return None
+
+    def lose(self) -> None:
+        """Put what a start may find after a loss of power now into the folder `after`."""
+        if self.after.exists():
+            shutil.rmtree(self.after)
+        self.copy(self.top, self.after)
+
+    def copy(self, here: Path, to: Path) -> None:
+        self.real["mkdir"](to)
+        now = {p.name: p.stat().st_ino for p in here.iterdir()}
+        sure = self.sure.get(here, {})
+        for name in sorted({*now, *sure}):
+            number = now.get(name) if now.get(name) == sure.get(name) else self.rng.choice(
+                [now.get(name), sure.get(name)])
+            if number is None:
+                continue
+            if (here / name).is_dir():
+                self.copy(here / name, to / name)
+                continue
+            whole = (here / name).read_bytes() if number == now.get(name) else b""
+            (to / name).write_bytes(self.content(number, whole))
+
+    def content(self, number: int, whole: bytes) -> bytes:
+        kept = self.synced.get(number, b"")
+        if not whole or kept == whole:
+            return kept
+        cut = self.rng.randrange(len(whole) + 1)
+        return self.rng.choice([kept, whole, whole[:cut], whole[:cut] + bytes(len(whole) - cut)])
+
+
+class NoFolderSync(Store):
+    """Planted fault: names aren't synced."""
+
+    def _sync(self, number: int) -> None:
+        for suffix in (".dat", ".dir"):
+            descriptor = os.open(self._path(number) + suffix, os.O_RDONLY)
+            os.fsync(descriptor)
+            os.close(descriptor)
+
+
+class NoParentSync(Store):
+    """Planted fault: the folder is made, and its own name isn't synced."""
+
+    def _make(self) -> None:
+        os.makedirs(self.folder, exist_ok=True)
+
+
+class Trusting(Store):
+    """Planted fault: what it has loaded counts as synced."""
+
+    def save(self, record: Any) -> None:
+        if not self.unsynced or record != self.newest:
+            super().save(record)
+
+
+class Hasty(Store):
+    """Planted fault: the older generations go before the new one is synced."""
+
+    def _sync(self, number: int) -> None:
+        for other in self._numbers() - {number}:
+            self._remove(other)
+        super()._sync(number)
+
+
+def day(folder: Path, seed: int, kind: type[Store], patch: pytest.MonkeyPatch) -> int:
+    """Lives of one member, ended by kills, the last one by a loss of power. Returns the saves that lasted."""
+    rng = random.Random(seed)
+    top = folder / "data"
+    top.mkdir()
+    power = Power(top, folder / "after", rng, patch)
+    acked = term = 0
+    power.left = rng.randrange(1, 60)
+    power.fails = rng.choice([0.0, 0.0, 0.1])
+    try:
+        while True:
+            store = kind(str(top / "register"))
+            found = store.load()
+            assert found is None and not acked or found is not None and found.term >= acked
+            if found is not None:
+                try:
+                    store.save(found)
+                    acked = found.term
+                except OSError:
+                    pass
+            for _ in range(rng.randrange(4)):
+                term += 1
+                try:
+                    store.save(record(term, 700))
+                    acked = term
+                except OSError:
+                    pass
+            if rng.random() < 0.5:  # killed between writing and syncing
+                term += 1
+                with patch.context() as inner:
+                    inner.setattr(Store, "_remove", lambda *_: None)
+                    inner.setattr(os, "fsync", lambda _: (_ for _ in ()).throw(OSError(5)))
+                    with pytest.raises(OSError):
+                        store.save(record(term, 700))
+    except PowerLostError:
+        pass
+    after = Store(str(folder / "after" / "register")).load()
+    there = 0 if after is None else after.term
+    assert there >= acked, f"{acked} was saved, {there} is there"
+    assert after is None or after == record(after.term, 700)
+    for descriptor in power.held:
+        os.close(descriptor)
+    return acked
+
+
+def test_what_is_saved_outlives_any_loss_of_power(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    saved = 0
+    for seed in range(300):
+        (tmp_path / str(seed)).mkdir()
+        with monkeypatch.context() as patch:
+            saved += day(tmp_path / str(seed), seed, Store, patch)
+    assert saved > 500
+
+
+@pytest.mark.parametrize("kind", [NoFolderSync, NoParentSync, Trusting, Hasty])
+def test_planted_faults_of_a_store_are_found(tmp_path: Path, monkeypatch: pytest.MonkeyPatch,
+                                             kind: type[Store]) -> None:
+    for seed in range(300):
+        (tmp_path / str(seed)).mkdir()
+        with monkeypatch.context() as patch:
+            try:
+                day(tmp_path / str(seed), seed, kind, patch)
+            except AssertionError as why:
+                assert "was saved" in str(why)
+                return
+    pytest.fail("not found")
