A member that is back gets what it lacks at once

Entries are sent again with waits that double up to 2 s, and the wait went on when a member that had been silent was heard again: it stood a change behind for up to 2 s more, in which its copy didn't count.

Who was silent for longer than a follower bears is sent the entry with the next beat. The test failed before for those cut off and killed.

--- a/post/register/leading.py
+++ b/post/register/leading.py
@@ -100,6 +100,8 @@
         peer = self.peers.get(note.disk)
         if peer is None:
             return
+        if now - peer.heard > self.seat.tuning.election_min_s:  # it is back: what it lacks goes out at once
+            peer.next, peer.wait = now, self.seat.tuning.resend_s
         peer.heard = now
         peer.has, peer.held = (note.has_term, note.has_number), (note.held_term, note.held_number)
         if min(note.sent, now) > peer.sure:
--- a/tests/system/test_register.py
+++ b/tests/system/test_register.py
@@ -326,6 +326,23 @@
     assert core.outcomes[token] == "done" and killed.stored.entry.version == 2
 
 
+@pytest.mark.parametrize("how", ["cut", "killed", "wiped"])
+def test_one_that_is_back_catches_up_at_once(how: str) -> None:
+    """However long the leader has waited between two tries by then, and however much has changed."""
+    core, leader, (away, _) = settled()
+    if how == "cut":
+        core.cut = {(a, b) for a in core.nodes for b in core.nodes if away.address in (a, b)}
+    else:
+        core.kill(away.address, wipe=how == "wiped")
+    for version in range(1, 21):
+        assert outcome(core, leader, version) == "done"
+    core.run(1.5 if how == "wiped" else 3.2)
+    core.cut.clear()
+    if how != "cut":
+        core.start(away.address)
+    assert core.run(0.7 if how == "wiped" else 0.3, lambda: away.heard == 21)
+
+
 def test_leaving() -> None:
     core, leader, others = settled(4)
     core.give(leader, api.Leave())
