A leader that is one again tells the ingresses of one another anew

It told them when they differed from what it had told last, be it terms ago. What another leader had told in between, with a later fence, stayed in force until an ingress came or went: an old list with a new leader. Now what was told is kept with its term. Found by review; the test failed before.

--- a/post/office/core.py
+++ b/post/office/core.py
@@ -65,7 +65,7 @@
         self.held, self.version = Held(), 0
         self.expected: Expected | None = None
         self.core_told: Any = None
-        self.ingresses: list[tuple[int, Address]] = []  # as last told
+        self.ingresses: tuple[int, list[tuple[int, Address]]] = 0, []  # as last told: term, who
         self.ingresses_at, self.told = -CALM_S, 0
         self.control = Control(self, lambda call: self.turn(self.rounds, call))
         bounds = settings.terms.bounds
@@ -220,13 +220,13 @@
             self.frank(self.duties, franking.Live((self.me, *live), members))
 
     def tell_ingresses(self, now: float) -> None:
-        """Tell all ingresses of one another, not too often."""
-        ingresses = self.rounds.log.ingresses(now)
-        if ingresses == self.ingresses or now < self.ingresses_at + CALM_S:
+        """Tell all ingresses of one another, not too often; in each term anew, for others led in between."""
+        term, ingresses = self.agreement.term, self.rounds.log.ingresses(now)
+        if not ingresses or (term, ingresses) == self.ingresses or now < self.ingresses_at + CALM_S:
             return
-        self.ingresses, self.ingresses_at, self.told = ingresses, now, self.told + 1
+        self.ingresses, self.ingresses_at, self.told = (term, ingresses), now, self.told + 1
         data = rounds_wire.encode_ingresses(ingresses)
-        self.turn(self.rounds, rounds.Put(rounds.INGRESSES, (self.agreement.term, self.told), data))
+        self.turn(self.rounds, rounds.Put(rounds.INGRESSES, (term, self.told), data))
 
     def tell_core(self, now: float) -> None:
         """Tell the other planes who the core is, and who leads."""
--- a/tests/system/test_reload.py
+++ b/tests/system/test_reload.py
@@ -120,3 +120,26 @@
     now += 1
     post.tick(now)
     assert set(NEW) <= carrier.to
+
+
+def test_a_leader_that_is_one_again_tells_the_ingresses_anew() -> None:
+    """Another may have told of others in between, and its word is the newest of its kind until then."""
+    settings = files.read_document(document("10.1.0.1:8407", **{"fresh-start": False})).unwrap()
+    post = Post(Carrier(), lambda: 100.0, settings, None, random.Random(1))
+    known: list[tuple[int, str]] = []
+    post.rounds.log.ingresses = lambda now: known  # type: ignore[method-assign]
+
+    def held() -> Any:
+        return post.rounds.shelf.notices[m.INGRESSES]
+    post.agreement.seat.adopt(3)
+    post.tell_ingresses(99.0)
+    assert m.INGRESSES not in post.rounds.shelf.notices  # one that has just begun knows of none yet
+    known += [(0, "10.1.0.5:7660"), (1, "10.2.0.5:7660")]
+    post.tell_ingresses(100.0)
+    own = held()
+    post.turn(post.rounds, m.Put(m.INGRESSES, (4, 1), b""))
+    post.tell_ingresses(101.0)
+    assert held().fence == (4, 1)  # it isn't the leader of a later term
+    post.agreement.seat.adopt(5)
+    post.tell_ingresses(102.0)
+    assert held().fence[0] == 5 and held().data == own.data
