--- a/post/register/disk.py
+++ b/post/register/disk.py
@@ -2,7 +2,8 @@
 
 A generation is the files `gen-N.dat` and `gen-N.dir`. It counts if both are whole and the record's checksum
 is right; the newest that counts is loaded, the last two are kept. Each save is a new generation, so whatever
-becomes of a save, those before it stay as they are. It syncs three times: both files and the folder.
+becomes of a save, those before it stay as they are. It syncs three times: both files and the folder. So is
+what a start finds, before it counts as saved.
 """
 
 from __future__ import annotations
@@ -31,16 +32,16 @@
 
 
 class Store:
-    """The generations in a folder, which is made if need be. One thread at a time may use it.
+    """The generations in a folder, which the first save makes if need be. One thread at a time may use it.
 
-    Raises OSError if the folder can't be made or read.
+    Raises OSError if the folder can't be read.
     """
 
     def __init__(self, folder: str) -> None:
         self.folder = folder
-        if not os.path.isdir(folder):
-            os.makedirs(folder)
+        self.made = False  # the folder, and its name is synced
         self.good: list[int] = []  # generations that count, oldest first
+        self.unsynced = True  # the loaded one may be: a kill leaves files as they are
         self.last = max(self._numbers(), default=0)  # of any, whole or not
         self.newest = self._load()
 
@@ -63,7 +64,16 @@
         return newest
 
     def save(self, record: Stored) -> None:
-        """Write a record and return once it lasts. Raises OSError; what was there before is there still."""
+        """Write a record and return once it lasts. Raises OSError; what was there before is there still.
+
+        The one that was loaded is only synced; where that fails, the next save writes it anew.
+        """
+        if not self.made:
+            self._make()
+            self.made = True
+        unsynced, self.unsynced = self.unsynced, False
+        if unsynced and record == self.newest:
+            return self._sync(self.good[-1])
         self.last += 1
         try:
             self._write(self.last, pack(record))
@@ -75,12 +85,24 @@
             if number not in self.good:
                 self._remove(number)
 
+    def _make(self) -> None:
+        """Whoever made the folder may have been killed before its name was synced, so that is done anyway."""
+        new, path = [self.folder], self.folder
+        while not os.path.isdir(path := os.path.dirname(path)):
+            new.append(path)
+        os.makedirs(self.folder, exist_ok=True)
+        for path in new:
+            _sync(os.path.dirname(path))
+
     def _path(self, number: int) -> str:
         return os.path.join(self.folder, f"{PREFIX}{number}")
 
     def _numbers(self) -> set[int]:
-        stems = (name[len(PREFIX):].partition(".")[0] for name in os.listdir(self.folder)
-                 if name.startswith(PREFIX))
+        try:
+            names = os.listdir(self.folder)
+        except FileNotFoundError:
+            return set()
+        stems = (name[len(PREFIX):].partition(".")[0] for name in names if name.startswith(PREFIX))
         return {int(stem) for stem in stems if stem.isdecimal() and len(stem) < 16}
 
     def _write(self, number: int, data: bytes) -> None:
@@ -89,7 +111,10 @@
             generation[b"record"] = data
             generation[b"sum"] = b"%d %d" % (len(data), zlib.crc32(data))
         _unlink(path + ".bak")
-        for name in (path + ".dat", path + ".dir", self.folder):
+        self._sync(number)
+
+    def _sync(self, number: int) -> None:
+        for name in (self._path(number) + ".dat", self._path(number) + ".dir", self.folder):
             _sync(name)
 
     def _read(self, number: int) -> Stored:
