Contact with a majority is a lease by the member's own clock, not a flag

A postmaster told sorters that it was in touch with a majority (`quorate`) by a flag that was set at its ticks: a follower's stood while any leader was heard. So it stood at a follower whose leader had lost its majority (up to 1.1 s more), at one that heard beats and couldn't be heard, or got beats and not the entries that go over TCP (for as long as a cut of one direction lasts: it named all others lost, and sorters that heard only it dropped what those held), and at a process that thawed and answered what lay in its buffer before its first tick.

Now a beat of a leader that is sure tells its member the newest answer that it has of it, by the member's clock. Contact lasts `election_max_s` from when that answer went out, as long as the newest entry that the leader told to be committed is here and of this term. It goes to the log as a time, looked at when an answer is made. `sure` of a leader rests on the same function.

Weighed: a bit in the beat (beats that lay in a buffer for 20 s would count), a lease from the beat heard (one-way links). Ruled out: the leader's own lease and votes; both were by time already.

The model core checks before each input that nobody in touch lacks what was acknowledged 0.55 s before its contact ends.

--- a/post/office/core.py
+++ b/post/office/core.py
@@ -59,6 +59,7 @@
             f"disk-{rng.getrandbits(64):x}", settings.terms.fault_budget.machines, clock(), began)
         zone = program.zone_number(settings)
         self.rounds = PostmasterRounds(self.me, zone, seeds, settings.provider.beat_s, rng)
+        self.rounds.handle(clock(), rounds.SetQuorate(self.agreement.in_touch_until()))
         self.duties = Duties()
         self.holder = Holder(settings.terms.bounds.quota_window_s, rng)
         self.holding = Holding(self.me, self.holder)
@@ -188,7 +189,7 @@
             now, core = self.clock(), path == showing.CORE
             told = showing.core(self.agreement, now) if core else showing.leases(self.rounds, now)
             return reply(200, JSON, json.dumps(told).encode())
-        leader = {"leader": self.agreement.leader, "quorate": self.rounds.log.quorate}
+        leader = {"leader": self.agreement.leader, "quorate": self.rounds.log.quorate(self.clock())}
         if not self.overseeing.answer(self.clock(), asked, reply, leader, self.holding):
             self.control.answer(self.clock(), asked, reply)
 
@@ -204,7 +205,7 @@
             self.frank(self.duties, franking.Tick())
             if agreement.sure(now):
                 self.tell_ingresses(now)
-        self.overseeing.tick(now, self.rounds.log.quorate, lambda: dict(self.holder.windows.values()))
+        self.overseeing.tick(now, self.rounds.log.quorate(now), lambda: dict(self.holder.windows.values()))
         self.frank(self.holder, franking.Leader(agreement.leader))
         self.frank(self.holder, franking.Tick())
         self.holding.tick(now)
@@ -231,16 +232,15 @@
     def tell_core(self, now: float) -> None:
         """Tell the other planes who the core is, and who leads."""
         agreement = self.agreement
-        known = agreement.value
-        quorate = known is not None and (
-            agreement.sure(now) or (agreement.leading is None and agreement.leader is not None))
+        known, until = agreement.value, agreement.in_touch_until()
+        quorate = now < until
+        self.turn(self.rounds, rounds.SetQuorate(until))
         members = tuple(m.address for m in (agreement.members if known is None else known.members))
         told = (members, None if known is None else known.place, agreement.leader, quorate)
         if told == self.core_told or not members:
             return
         self.core_told = told  # right after a start by what the disk tells: beats need no election
         self.turn(self.rounds, rounds.SetCore(members))
-        self.turn(self.rounds, rounds.SetQuorate(quorate))
         if known is not None and agreement.leading is not None and quorate:
             data = rounds_wire.encode_members(members, self.me)
             self.turn(self.rounds, rounds.Put(rounds.CORE, known.place, data))
--- a/post/register/agreement.py
+++ b/post/register/agreement.py
@@ -106,6 +106,16 @@
         """The newest entry known to be committed, with its version and value."""
         return self.seat.known
 
+    def in_touch_until(self) -> float:
+        """A lease by this process's clock: until then it may say that it is in touch with a majority, and
+        that `value` is the newest there is, or was at most `election_max_s` ago.
+
+        A leader's begins with the beats that majorities have answered. A follower's begins with its own
+        answer that a leader, which was sure, has told to have; so what lay in a buffer while either process
+        stood still, and what comes over a link of one direction, begins none.
+        """
+        return (self.leading or self.following).in_touch_until()
+
     def sure(self, now: float) -> bool:
         """Is this the leader, can't there be another, and is `value` the newest there is?"""
         return self.leading is not None and self.leading.sure(now)
@@ -182,7 +192,7 @@
         if self.leading is not None:
             self.leading.count(now)
         else:
-            self.following.kept()
+            self.following.kept(now)
 
     def _may_stand(self, now: float) -> bool:
         return not self.leaving and self.seat.seated and self.seat.stuck(now) <= SICK_S
@@ -254,7 +264,7 @@
         """The leader is heard, with its newest entry perhaps."""
         seat = self.seat
         if note.term < seat.term:
-            return self.following.tell(sender, note.disk, note.sent)
+            return self.following.tell(now, sender, note.disk, note.sent)
         if self.leading is not None and note.term == seat.term \
                 or note.kind == pb.ENTRY and not get_entry(note.entry).names(seat.disk):
             return self._drop("leader")
--- a/post/register/following.py
+++ b/post/register/following.py
@@ -4,7 +4,7 @@
 
 from post.machine import Address
 from post.register import register_pb2 as pb
-from post.register.records import get_entry
+from post.register.records import NEVER, Place, get_entry
 from post.register.seat import Seat
 
 
@@ -16,29 +16,41 @@
         self.leader: Address | None = None
         self.disk = ""  # the leader's
         self.sent = 0.0  # when it sent the newest beat, by its clock
+        self.answered = NEVER  # when the newest answer went out that a leader which was sure has told to have
+        self.commit: Place = (0, 0)  # newest that a leader has told to be committed
 
     def beat(self, now: float, sender: Address, note: pb.Note) -> None:
         """The leader of this term is heard, with its newest entry perhaps."""
         seat = self.seat
         self.leader, self.disk, self.heard, self.sent = sender, note.disk, now, note.sent
+        self.commit = max(self.commit, (note.term, note.commit))
+        if self.answered < note.answered <= now:
+            self.answered = note.answered
         self._learn(note)
         if note.kind == pb.ENTRY and (note.entry.term, note.entry.number) > seat.entry.place:
             self._take(note)
             self._learn(note)
-        self.tell(sender, note.disk, note.sent)
+        self.tell(now, sender, note.disk, note.sent)
 
-    def kept(self) -> None:
+    def kept(self, now: float) -> None:
         """More is on disk: the leader waits for that."""
         if self.leader is not None and self.seat.holds():
-            self.tell(self.leader, self.disk, self.sent)
+            self.tell(now, self.leader, self.disk, self.sent)
 
-    def tell(self, to: Address, disk: str, sent: float) -> None:
+    def in_touch_until(self) -> float:
+        """See `Agreement`. A leader of this term was sure after `answered`, and told nothing newer."""
+        known = self.seat.known
+        if known is None or known.term != self.seat.term or known.place < self.commit:
+            return NEVER
+        return self.answered + self.seat.tuning.election_max_s
+
+    def tell(self, now: float, to: Address, disk: str, sent: float) -> None:
         """Tell a leader the newest entry that is here, and the newest on disk."""
         seat = self.seat
         note = seat.telling(pb.HELD, disk)
         if seat.kept.disk == seat.disk:
             note.held_term, note.held_number = seat.kept.entry.place
-        note.sent = sent
+        note.sent, note.at = sent, now
         seat.send(to, note)
 
     def _take(self, note: pb.Note) -> None:
--- a/post/register/leading.py
+++ b/post/register/leading.py
@@ -20,13 +20,14 @@
 class Peer:
     """Another member, as the leader sees it."""
 
-    __slots__ = ("address", "began", "disk", "has", "heard", "held", "leaves", "next", "sure", "tried",
+    __slots__ = ("address", "at", "began", "disk", "has", "heard", "held", "leaves", "next", "sure", "tried",
                  "wait")
 
     def __init__(self, member: Member, now: float) -> None:
         self.disk, self.address = member
         self.began, self.heard = now, NEVER  # first looked for, and last heard
         self.sure = NEVER  # when the newest beat that it has answered was sent
+        self.at = 0.0  # when its newest answer was sent, by its clock; 0: there is none
         self.has: Place | None = None  # newest entry that it has, and has on disk
         self.held: Place | None = None
         self.next = self.wait = 0.0  # when an entry is sent once more, and the wait after that
@@ -61,9 +62,13 @@
 
         One that leads itself out isn't sure: the members it leaves behind needn't ask it (`Starting`).
         """
+        return now < self.in_touch_until()
+
+    def in_touch_until(self) -> float:
+        """See `Agreement`: while it is sure."""
         known = self.seat.known
-        return (now < self.lease and known is not None and known.term == self.seat.term
-                and self.handing is None and self.seat.seated)
+        knows = known is not None and known.term == self.seat.term
+        return self.lease if knows and self.handing is None and self.seat.seated else NEVER
 
     def tick(self, now: float, leaving: bool) -> bool:
         """Send beats and what is missing; change members where it is due. False if it must lead no more."""
@@ -100,7 +105,7 @@
         peer = self.peers.get(note.disk)
         if peer is None:
             return
-        peer.heard = now
+        peer.heard, peer.at = now, note.at
         peer.has, peer.held = (note.has_term, note.has_number), (note.held_term, note.held_number)
         if min(note.sent, now) > peer.sure:
             peer.sure = min(note.sent, now)
@@ -238,6 +243,8 @@
         seat = self.seat
         note = seat.telling(kind, peer.disk)
         note.sent = now
+        if self.sure(now):
+            note.answered = peer.at
         if seat.known is not None and seat.known.term == seat.term:
             note.commit = seat.known.number
         return note
--- a/post/register/records.py
+++ b/post/register/records.py
@@ -114,7 +114,7 @@
         return "to_disk"
     if max(note.term, note.has_term, note.held_term, note.base_term) > MOST_TERM:
         return "term"
-    if not abs(note.sent) < 1e12:  # nor NaN
+    if not all(abs(time) < 1e12 for time in (note.sent, note.at, note.answered)):  # nor NaN
         return "sent"
     if len(note.members) > MOST_MEMBERS:
         return "members"
--- a/post/rounds/log.py
+++ b/post/rounds/log.py
@@ -4,6 +4,7 @@
 
 import random
 from collections.abc import Collection, Hashable
+from math import inf
 
 from post.machine import Address, Send
 from post.rounds import rounds_pb2 as pb
@@ -35,7 +36,7 @@
         self.id = rng.randrange(1, 1 << 32)
         self.zone, self.max_followers = zone, max_followers
         self.place = 0
-        self.quorate = True
+        self.quorate_until = inf  # a lease: a process that stood still past it isn't, without being told
         self.lost: Collection[int] = ()
         self.items: dict[Hashable, tuple[int, Record]] = {}  # in the order of their numbers
         self.floor = 0  # changes up to here may be forgotten ones
@@ -43,6 +44,10 @@
         self._answers: dict[int, pb.Note] = {}  # pushes of one moment to followers at one place
         self._answers_at = -1.0
 
+    def quorate(self, now: float) -> bool:
+        """Whether this process is in touch with a majority of the core."""
+        return now < self.quorate_until
+
     def put(self, key: Hashable, record: Record) -> int:
         """Note a change; it goes out with the next `push`. Returns its number."""
         self.items.pop(key, None)
@@ -116,7 +121,7 @@
     def _answer(self, now: float, place: int) -> pb.Note:
         note = pb.Note()
         answer = note.answer
-        answer.log, answer.place, answer.quorate = self.id, self.place, self.quorate
+        answer.log, answer.place, answer.quorate = self.id, self.place, self.quorate(now)
         answer.lost.extend(self.lost)
         if place < 0:
             answer.whole, answer.zone = True, self.zone + 1
--- a/post/rounds/messages.py
+++ b/post/rounds/messages.py
@@ -55,9 +55,9 @@
 
 
 class SetQuorate(NamedTuple):
-    """Whether this postmaster is in touch with a majority of the core."""
+    """Until when this postmaster is in touch with a majority of the core, unless it tells anew."""
 
-    quorate: bool
+    until: float
 
 
 class Beat(NamedTuple):
--- a/post/rounds/postmaster.py
+++ b/post/rounds/postmaster.py
@@ -75,7 +75,7 @@
             self.follower.tell(now, event.version, int.from_bytes(event.digest), *event[2:])
             return []
         if isinstance(event, SetQuorate):
-            self.log.quorate = event.quorate
+            self.log.quorate_until = event.until
             return []
         if isinstance(event, SetSeeds):
             self.view.set_seeds(event.addresses)
@@ -155,7 +155,7 @@
         return [*self.follower.tick(now), *self.leases.confirmed()]
 
     def _tick(self, now: float) -> list[Any]:
-        out: list[Any] = self._settled(now, self.leases.tick(now, self.log.quorate))
+        out: list[Any] = self._settled(now, self.leases.tick(now, self.log.quorate(now)))
         self.log.lost = [wire.mark(a) for a in self.follower.silent(now)]
         for source, last in self.follower.lost(now, self.table.grace):
             self.table.unhold(last, source)
--- a/tests/system/core.py
+++ b/tests/system/core.py
@@ -45,6 +45,7 @@
         self.cut: set[tuple[str, str]] = set()
         self.committed: dict[int, bytes] = {}
         self.done: dict[int, bytes] = {}
+        self.done_at: dict[int, float] = {}
         self.asked: dict[int, tuple[bytes, int]] = {}
         self.outcomes: dict[int, str] = {}
         self.led: dict[tuple[str, int], float] = {}  # processes' lives, and when each was last sure to lead
@@ -116,6 +117,7 @@
             life = node.life
             self.at(node.frozen - self.now, lambda: node.life == life and self.give(node, event))
             return
+        self._check_contact(node)
         for output in node.machine.handle(self.now, event):
             if self.log is not None:
                 self.log.append(f"{self.now - self.log_from:.3f} {node.address} {tell(output)}")
@@ -180,9 +182,21 @@
             if self.done.setdefault(expected + 1, value) != value \
                     or self.committed.get(expected + 1) != value:
                 raise Broken(f"{value!r} was acknowledged as version {expected + 1} and isn't")
+            self.done_at.setdefault(expected + 1, self.now)
         elif output.outcome == "refused" and value in self.committed.values():
             raise Broken(f"{value!r} is in force and gets refused")
 
+    def _check_contact(self, node: Node) -> None:
+        """Whoever says, before its next input, that it is in touch lacks nothing that was acknowledged a
+        while ago; so a process that has just thawed doesn't say so."""
+        until = node.machine.in_touch_until()
+        since = until - self.tuning.election_max_s
+        newest = max((v for v, at in self.done_at.items() if at <= since), default=0)
+        if self.now < until and node.machine.committed < newest:
+            if node.machine.sure(self.now):
+                raise Broken(f"{node.address} is sure of an old version")
+            raise Broken(f"{node.address} is in touch and has version {node.machine.committed}, not {newest}")
+
     def _check_lease(self, node: Node) -> None:
         if node.machine.sure(self.now):
             self.led[node.address, node.life] = self.now
@@ -361,7 +375,7 @@
     if not isinstance(output, Send):
         return str(output)
     note = output.message
-    skip = ("kind", "disk", "to_disk", "sent", "entry", "members")
+    skip = ("kind", "disk", "to_disk", "sent", "at", "answered", "entry", "members")
     parts = [f"{f.name}={v}" for f, v in note.ListFields() if f.name not in skip]
     if note.HasField("entry"):
         e = get_entry(note.entry)
--- a/tests/system/test_register.py
+++ b/tests/system/test_register.py
@@ -15,6 +15,7 @@
 from post.register import api
 from post.register import register_pb2 as pb
 from post.register.agreement import Agreement
+from post.register.following import Following
 from post.register.leading import Leading
 from post.register.members import Asker, Presence, next_members
 from post.register.records import Member, Stored, first_entry
@@ -54,14 +55,33 @@
         super().begun(now, sender, note)
 
 
-def begins_as(part: type[Starting]) -> Any:
+class Hearing(Following):
+    """Planted fault: it is in touch while it hears a leader, though that may not hear it, or be sure."""
+
+    def in_touch_until(self) -> float:
+        self.answered = self.heard
+        return super().in_touch_until()
+
+
+class Lacking(Following):
+    """Planted fault: it is in touch while it lacks the newest entry."""
+
+    def in_touch_until(self) -> float:
+        self.commit = 0, 0
+        return super().in_touch_until()
+
+
+def begins_as(part: type[Any]) -> Any:
     def make(*args: Any) -> Agreement:
         machine = Agreement(*args)
-        machine.starting.__class__ = part
+        (machine.starting if issubclass(part, Starting) else machine.following).__class__ = part
         return machine
     return make
 
 
+IN_TOUCH = [begins_as(Hearing), begins_as(Lacking)]
+
+
 def settled(count: int = 3, seed: int = 1, tolerance: int = 1) -> tuple[Core, Node, list[Node]]:
     """A core with one value agreed on, even delays and disks; its leader and the others."""
     core = Core(count, seed, tolerance, STEADY)
@@ -97,14 +117,16 @@
 
 
 @pytest.mark.parametrize("fault", [{"early": True}, {"kind": Forgetful}, {"kind": begins_as(MostBegun)},
-                                   {"kind": begins_as(AnyTerm)}],
-                         ids=["early ack", "wiped votes", "most have begun", "any term"])
+                                   {"kind": begins_as(AnyTerm)}, *({"kind": kind} for kind in IN_TOUCH)],
+                         ids=["early ack", "wiped votes", "most have begun", "any term", "hears", "lacks"])
 def test_planted_faults_are_found(fault: dict) -> None:
     for seed in range(400):
         try:
             explore(3, seed, **fault)
         except Broken as why:
-            if re.search("two values|sure of an old version|two leaders are sure|nobody has led", str(why)):
+            contact = fault.get("kind") in IN_TOUCH and "is in touch" in str(why)
+            if contact or re.search("two values|sure of an old version|two leaders are sure|nobody has led",
+                                    str(why)):
                 return
     pytest.fail("not found")
 
--- a/tests/system/test_rounds.py
+++ b/tests/system/test_rounds.py
@@ -1,6 +1,7 @@
 """Who is there: leases, logs and tables of postmasters and sorters, and what losses do to them."""
 
 import random
+from math import inf
 
 from post.machine import Send
 from post.rounds import messages as m
@@ -153,13 +154,13 @@
     net.beat(P1, "i-1", 1)
     net.run(0.5)
     net.cut = lambda a, b: (a in (P1, sorter)) != (b in (P1, sorter))
-    net.give(P1, m.SetQuorate(False))
+    net.give(P1, m.SetQuorate(net.now))
     for seq in range(2, 8):
         net.beat(P2, "i-1", seq)
         net.run(1.3)
     assert "i-1" in net.table(sorter)
     net.cut = lambda a, b: False
-    net.give(P1, m.SetQuorate(True))
+    net.give(P1, m.SetQuorate(inf))
     net.run(1.3)
     assert net.table(sorter)["i-1"].seq == 2 and net.nodes[P1].log.get("i-1").id == "i-1"
     assert not net.got(sorter, m.Gone)
--- a/tests/system/test_rounds_days.py
+++ b/tests/system/test_rounds_days.py
@@ -1,6 +1,7 @@
 """Short days of random trouble for who is there; once calm, every table shows the living backends."""
 
 import random
+from math import inf
 
 import pytest
 
@@ -83,7 +84,7 @@
             net.post(post)
         for post in [p for p in POSTS if p in net.nodes]:
             met = sum(o in net.nodes and not net.cut(post, o) for o in POSTS)
-            net.give(post, m.SetQuorate(met >= 2))
+            net.give(post, m.SetQuorate(inf if met >= 2 else net.now))
         fleet.step()
         if n < 700 and rng.random() < 0.03:
             trouble(net, fleet, rng, sorters, dead)
