A sorter that begins anew serves once a majority of the core has confirmed its version

It took up whatever the first postmaster told and served by it.

Now it takes no clients and turns requests back (503, nothing has run) until a majority has once confirmed its version; after that a cut changes nothing, as before. Where the majority that it was told of is gone, it used to stay with the one that it heard: seeds and neighbours are now followed too while no source *in touch* is heard, not only while none is.

Weighed: a cap on the wait (a sorter that isn't told the new members would serve old state after it), telling who is served by gossip's word (a cut half gossips among itself).

Changed tests: the inspector's are given the core's word first, which used to be taken for granted; the planted stale sorter is kept ready as well, since the watch that it switches off now makes it so.

--- a/post/inspection/inspector.py
+++ b/post/inspection/inspector.py
@@ -34,6 +34,7 @@
 CALM_S = 30.0  # after which a rebuild is forgotten
 SAMPLE_S = 10.0  # between two rebuilds that samples lead to
 REBUILDS = 3  # within that time; more don't help
+UNHEARD = "the core has yet to be heard"  # why requests are turned back right after a start
 SAMPLE, DIGEST = "sample", "digest"  # ways of finding, by a plain reading and at taking up
 KEPT, TEXT = 32, 120  # findings shown, letters of a value in them
 SEEN, FORGET_S = 256, 600.0  # findings that are known again, until they are not found for so long
@@ -44,7 +45,9 @@
     `Ready`, `Refuse`, `Finding`; `Ready` and `Refuse` only where that changes.
 
     `apply_s` is the time in which a version has to be in force. With `closed_s`, requests are turned back
-    once the core's word is that old; without it a node that is cut off serves on.
+    once the core's word is that old; without it a node that is cut off serves on. Either way they are turned
+    back until the core has said once that the version is the newest: who begins anew may hear only one that
+    is cut off.
     """
 
     def __init__(self, apply_s: float, closed_s: float | None = None) -> None:
@@ -52,7 +55,8 @@
         self.version = self.running = self.acknowledged = 0
         self.newest, self.source, self.since = 0, "", 0.0  # a newer version, who has it, since when known
         self.rumour = self.tries = 0
-        self.confirmed: float | None = None
+        self.confirmed: float | None = None  # nobody is served before
+        self.began = 0.0  # when the first version was taken up
         self.last: float | None = None
         self.offset = 0.0  # of this machine's time to the clock's
         self.spoilt = 0  # a version that came and can't be read
@@ -83,20 +87,24 @@
         """Seconds for which a newer version has been known of; 0 if there is none."""
         return (self.last or 0.0) - self.since if self.newest > self.version else 0.0
 
+    @property
+    def unheard(self) -> bool:
+        """Whether there is a version, and the core has never said in this life that it is the newest."""
+        return self.version > 0 and self.confirmed is None
+
     def unconfirmed(self) -> float | None:
-        """Seconds since the core said that the version is the newest; None before the first version."""
+        """Seconds since the core said that the version is the newest; None before it did."""
         return None if self.confirmed is None else max(0.0, (self.last or 0.0) - self.confirmed)
 
     # Versions.
 
     def _took_up(self, now: float, e: TookUp) -> list[Any]:
+        self.began = self.began if self.version else now
         self.version, self.running, self.acknowledged = e
         if self.newest <= e.version:
             self.newest, self.source = 0, ""
         if self.rumour <= e.version:
             self.rumour = self.tries = 0
-        if self.confirmed is None:
-            self.confirmed = now
         if e.running == e.acknowledged:
             return []
         what = Difference(f"version {e.version}", f"digest {e.running:016x}", f"digest {e.acknowledged:016x}")
@@ -210,14 +218,14 @@
         if self.newest > self.version and now - self.since >= REFUSE * self.apply_s:
             what = Difference("version", str(self.version), str(self.newest))
             out += self._tell(what, f"can't be had for {REFUSE * self.apply_s:g} s")
-        if self.confirmed is not None and now - max(self.confirmed, self.woke) > SILENT_S:
+        if self.version and now - max(self.confirmed or self.began, self.woke) > SILENT_S:
             out += self._tell(Difference("core", "unheard", "heard"), f"for {SILENT_S:g} s")
         return out
 
     def _state(self, now: float) -> list[Any]:
         """Whether clients may come and requests may be sent on, where that has changed."""
         lag, out = self.lag(), list[Any]()
-        ready = lag < UNREADY * self.apply_s and not self._worn(now)
+        ready = lag < UNREADY * self.apply_s and not self._worn(now) and not self.unheard
         why = self._refusal(now, lag)
         if ready != self.ready:
             self.ready = ready
@@ -231,6 +239,8 @@
         """Why requests are turned back; empty if they are not."""
         if lag >= REFUSE * self.apply_s:
             return "a newer version is known of"
+        if self.unheard:
+            return UNHEARD
         if self.confirmed is None:
             return ""
         if self.confirmed < self.woke and now - self.woke < WAKE_S:
--- a/post/office/watching.py
+++ b/post/office/watching.py
@@ -12,7 +12,7 @@
 from post.directory.table import Difference
 from post.inspection import interface as inspection
 from post.inspection.figures import KIND, Figure, text
-from post.inspection.inspector import SAMPLE, Inspector
+from post.inspection.inspector import SAMPLE, UNHEARD, Inspector
 from post.inspection.live import Live, Seen, running_digest
 from post.machine import Address
 from post.office.counting import PREFIX, Counting
@@ -109,7 +109,7 @@
     def tick(self) -> None:
         """Time goes on."""
         now = self.node.clock()
-        if now < self.look_at <= now + LOOK_S:
+        if now < self.look_at <= now + LOOK_S and not self.inspector.unheard:
             return
         self.look_at = now + LOOK_S
         if (sure := self.node.confirmed(now)) is not None:
@@ -141,8 +141,10 @@
                 self.ready = out.well
                 log.info("new clients: %s", out.well)
             elif isinstance(out, inspection.Refuse):
+                usual = UNHEARD in (out.why, self.refusing)
                 self.refusing = out.why
-                log.warning("drift: requests turned back: %s", out.why or "no longer")
+                log.log(logging.INFO if usual else logging.WARNING,
+                        "drift: requests turned back: %s", out.why or "no longer")
         if self.inspector.found != found:
             i = self.inspector
             self.node.holds(i.version, i.running, i.found, self.latest())
--- a/post/rounds/follower.py
+++ b/post/rounds/follower.py
@@ -41,6 +41,12 @@
         self.config = 0  # the newest version in it
         self.told = 0  # heartbeats that told what runs here
 
+    def reach(self, answer: pb.Answer) -> None:
+        """Nothing is missing of its log, by an answer to the last heartbeat or the one before: no earlier one
+        is answered so late, nor one from before it was followed."""
+        if answer.quorate:
+            self.level = max(self.beats[0], self.since)
+
 
 class Follower:
     """Knows how far it has each source's log. `beat` is the time between heartbeats in seconds; an
@@ -100,7 +106,7 @@
         s.heard, s.quorate, s.lost = now, answer.quorate, frozenset(answer.lost)
         same = answer.log == s.log
         if same and answer.place <= s.place:
-            s.level = s.beats[0] if answer.quorate else s.level  # no earlier heartbeat is answered so late
+            s.reach(answer)
             return [], None
         if not answer.whole and (not same or not answer.records or answer.base > s.place):
             if now - s.asked_at < GAP_S:
@@ -110,6 +116,7 @@
         if answer.whole:
             s.log, s.zone, s.config = answer.log, answer.zone - 1, 0
         s.place = answer.place
+        s.reach(answer)
         news = News(sender, answer.whole, list(wire.records(answer, now)))
         return [self._follow(now, sender, s, quiet=True)], news
 
@@ -126,13 +133,17 @@
         """Sources that were heard of lately."""
         return [a for a, s in self.sources.items() if now - s.heard < SILENT_S]
 
+    def quorate(self, now: float) -> list[Address]:
+        """Those of them that are in touch with a majority."""
+        return [a for a in self.heard(now) if self.sources[a].quorate]
+
     def silent(self, now: float) -> list[Address]:
         """Sources that were not heard of lately, although there was time."""
         return [a for a, s in self.sources.items() if now - max(s.heard, s.since) >= SILENT_S]
 
     def judges(self, now: float) -> list[frozenset[int]]:
         """Whom the quorate sources in reach have lost; empty while there are none."""
-        return [s.lost for s in self.sources.values() if s.quorate and now - s.heard < SILENT_S]
+        return [self.sources[a].lost for a in self.quorate(now)]
 
     def lost(self, now: float, grace: float) -> list[tuple[Address, float]]:
         """Sources silent for the grace that, as all quorate sources in reach say, are silent to them too; and
--- a/post/rounds/sorter.py
+++ b/post/rounds/sorter.py
@@ -29,7 +29,7 @@
 from post.rounds.views import View
 from post.rounds.wants import FAR_S, Shelf, Wants
 
-BLIND_S = 3.0  # without any source in reach, seeds and neighbours are followed too
+BLIND_S = 3.0  # without any quorate source in reach, seeds and neighbours are followed too
 PEER_S = 1.0  # a neighbour is asked for a configuration only after that
 
 
@@ -163,7 +163,7 @@
             self.table.unhold(now, left)
 
     def _tick(self, now: float) -> list[Any]:
-        heard = self.follower.heard(now)
+        heard = self.follower.quorate(now)
         if heard:
             self.last_heard = now
             if self.blind and any(a in self.core for a in heard):
--- a/proving/model/planted.py
+++ b/proving/model/planted.py
@@ -22,7 +22,7 @@
 def _stale(s: SorterProcess) -> None:
     """Takes up the first configuration only, and nothing in it looks for that."""
     hall: Any = s.hall
-    hall.watching.tick = lambda: None
+    hall.watching.tick = lambda: setattr(hall.watching, "ready", True)
     hall.ingress.inspect = lambda host, path, key, judged: judged
     take_up = hall.take_up
 
--- a/tests/system/drift.py
+++ b/tests/system/drift.py
@@ -147,6 +147,12 @@
                 self.later(TICK_S, address, event)
         self.now = end
 
+    def kill(self, address):
+        """Ends a process, with its ticks."""
+        del self.nodes[address]
+        self.due = [d for d in self.due if d[2] != address]
+        heapq.heapify(self.due)
+
     def put(self, version, held, posts=POSTS):
         """The core has acknowledged a version."""
         digest = Expected(held.document).total.to_bytes(8)
--- a/tests/system/test_drift.py
+++ b/tests/system/test_drift.py
@@ -107,6 +107,7 @@
 def test_what_rebuilding_does_not_cure_keeps_clients_away_and_is_told_once():
     machine = Inspector(2.5)
     machine.handle(0.0, i.TookUp(1, 7, 7))
+    machine.handle(0.0, i.Confirmed(1, 0.0))
     outs = []
     for n in range(100):
         found = i.Found("request", (live.Difference("route r1.max-tries", "9", "2"),))
@@ -117,13 +118,14 @@
 
 
 def test_an_inspector_through_its_day(snapshot):
-    """Behind, refusing, caught up, another digest, a claim that is none."""
+    """Awaiting the core's word, behind, refusing, caught up, another digest, a claim that is none."""
     machine, said = Inspector(2.5, closed_s=5.0), []
 
     def give(now, event):
         said.extend(f"{now:5.2f} {out!r}" for out in machine.handle(now, event))
 
     give(0.0, i.TookUp(5, 0xA, 0xA))
+    give(0.0, i.Confirmed(5, 0.0))
     give(0.1, i.Heard(6, 0xB, "10.0.0.1:7661"))
     for n in range(24):
         give(0.2 + n / 10, i.Tick())
