Orders at a machine without a leader get 503 at once when nobody has led for 1.5 s

Each order waited 0.7 s there for a leader, for as long as a cut lasted: of the second that a caller gives a machine it used up most, on each of its tries. An election takes less than 1.5 s, so who is without one for longer is cut off and sends callers on at once; 0.7 s stays for elections. A process that thaws as a leader whose lease is over answers so before its first tick, too.

Weighed: 0.7 s here as well (long elections would send callers round and round); no wait at all. The story of calls elsewhere tells it: without the change its first call after 20 s times out.

--- a/post/office/control.py
+++ b/post/office/control.py
@@ -17,6 +17,7 @@
 CONFIG, BACKENDS = "/-/config", "/-/backends/"
 JSON = b"Content-Type: application/json\r\n"
 PATIENCE_S = 0.7  # for a leader to be there, and for one order to be settled before the next
+LONE_S = 1.5  # without a leader, after which none is awaited: an election takes less
 LOST_S = 10.0  # without a word on what became of a proposal, which then counts as unknown
 WAITING = 64  # orders at most
 LONGEST = 200  # characters of a name that a backend tells
@@ -68,6 +69,7 @@
         self.token = 0
         self.refused_at = float("-inf")  # the last proposal that was: the next one waits for a later time
         self.beats: dict[int, Reply] = {}
+        self.led: float | None = None  # when there last was a leader, here or elsewhere
         self.settled = self.refused = 0
 
     def answer(self, now: float, asked: Asked, reply: Reply) -> None:
@@ -88,7 +90,13 @@
     # The operator.
 
     def proceed(self, now: float) -> None:
-        """Settle orders in turn: here if this process leads, else the caller is told who does."""
+        """Settle orders in turn: here if this process leads, else the caller is told who does.
+
+        Where nobody has led for a while, none is awaited: this process is cut off, and the caller goes on.
+        """
+        leads, leader = self.core.leads(now), self.core.leader_control()
+        if leads or leader is not None or self.led is None:
+            self.led = now
         if self.out is not None and now - self.out_at > LOST_S:
             self.proposed(now, self.out.token, "unknown")
         while self.orders and self.out is None and now > self.refused_at:
@@ -100,7 +108,7 @@
                 self.orders.popleft()
                 where = b"Location: http://%s%s\r\n" % (leader.encode(), order.asked.path.encode("latin-1"))
                 order.reply(307, where, b"")
-            elif now - order.came > PATIENCE_S:
+            elif now - order.came > PATIENCE_S or now - self.led > LONE_S:
                 self.orders.popleft()
                 order.reply(503, b"Retry-After: 0.5\r\n", b"")
             else:
--- a/tests/system/test_control.py
+++ b/tests/system/test_control.py
@@ -147,7 +147,14 @@
     office.leader = "10.0.0.5:8407"
     office.tick(0.1)
     await again
-    assert office.version == 1
+    office.leader = ""
+    for _ in range(800):  # cut off, by its ticks
+        office.tick(0.025)
+    await office.call("of 20 s without a leader", "GET", CONFIG)
+    await office.call("of 20 s without a leader", "PUT", CONFIG, config(9, 1, "a"))
+    office.leader = "me"
+    await office.call("at once when one leads", "PUT", CONFIG, config(9, 1, "a"))
+    assert office.version == 2
 
 
 async def refusals(office: Office) -> None:
