Model test: what each core machine says while the leader is cut off, in six ways

Whole postmasters in the model of the deployment: the leader cut off for 20 s, deaf, mute, frozen, behind 300 ms each way, and cut off while all others are replaced one after the other. Each machine is asked again and again for the configuration and to take one of several orders that race. Who is cut off says 503 at once, or 307 to one that leads; nobody reads or refuses by a version older than one acknowledged before the call or a second before the answer; no base is taken twice; the majority goes on. Seen to fail: with a leader whose lease doesn't end (frozen), and one that awaits a leader for each order (cut off). A lease without end isn't found on the deaf way: the leader steps down 0.3 s after its lease ends, and by then no other can lead.

--- /dev/null
+++ b/tests/system/test_cut_core.py
@@ -0,0 +1,183 @@
+"""A core machine is cut off for twenty seconds while orders race: what each machine of the core says."""
+
+import json
+from dataclasses import replace
+
+import pytest
+
+from post.office.wicket import Asked
+from proving.model.run import Run
+from proving.proofs import SMALL
+from proving.spec import Day
+
+BEGINS, LASTS, SHORT = 6.0, 20.0, 9.0
+SLACK_S = 2.5  # of a cut's beginning, in which an election may be awaited
+EVERY_S, AT_ONCE_S, PATIENT_S = 0.37, 0.05, 1.0
+CONFIG = "/-/config"
+
+
+class Told:
+    """One call and its answer."""
+
+    def __init__(self, asked, name, method, base):
+        self.asked, self.name, self.method, self.base = asked, name, method, base
+        self.at, self.status, self.lines, self.body = None, 0, b"", b""
+
+
+class Cut:
+    """A core without traffic. At `BEGINS` its leader is cut off in one of several ways; each machine is asked
+    again and again, for the configuration and to take one of two that race."""
+
+    def __init__(self, way, seed=1, planted=None):
+        self.lasts = LASTS if way in ("both", "frozen", "replaced") else SHORT
+        day = Day(seconds=BEGINS + self.lasts + 3.0, warm=5.0, traffic=False)
+        self.run = Run(replace(SMALL, sorters=(1, 1, 1), day=day, services=tuple(
+            replace(service, backends=1) for service in SMALL.services)), seed)
+        self.way, self.told, self.acked, self.lone = way, [], {1: 0}, None
+        self.acked_at = {1: 0.0}
+        self.seen = 1  # the newest generation that is known to be in force, acknowledged or not
+        self.world, self.deployment = self.run.world, self.run.deployment
+        if planted is not None:
+            self.deployment.spoilers.append(planted)
+        self.world.at(BEGINS, self.strike)
+        self.world.at(BEGINS - 1.0, self.ask)
+        self.faults = self.run.play().faults
+
+    def posts(self):
+        """The postmasters that run, by machine."""
+        return [(m.name, m.processes["postmaster"]) for m in self.deployment.machines.values()
+                if "postmaster" in m.processes]
+
+    def strike(self):
+        self.lone = next(name for name, p in self.posts() if p.post.agreement.sure(p.time()))
+        others = [name for name, _ in self.posts() if name != self.lone]
+        ways = [(other, self.lone) for other in others] if self.way != "mute" else []
+        ways += [(self.lone, other) for other in others] if self.way in ("both", "mute", "replaced") else []
+        network = self.deployment.network
+        if self.way == "frozen":
+            self.lone_process().freeze(True)
+            self.world.after(self.lasts, self.lone_process().freeze, False)
+            for n in range(12):  # what waits for a process that stands still, its next tick perhaps behind it
+                self.world.after(0.002 * n, self.ask_all)
+        elif self.way == "slow":
+            for name, _ in self.posts():
+                network.slow[name] = 0.15
+                self.world.after(self.lasts, network.slow.pop, name)
+        else:
+            for frm, to in ways:
+                network.cut(frm, to)
+                self.world.after(self.lasts, network.cut, frm, to, False)
+        if self.way == "replaced":
+            for n, name in enumerate((self.lone, *others)):
+                self.world.after(1.0 + 6.0 * n, self.replace, name)
+
+    def replace(self, name):
+        """A new one comes, cut off from the lone one as well, in place of that one or of one that is gone."""
+        old = self.deployment.machines[name]
+        if name != self.lone:
+            old.removed = True
+            old.kill(power=True, wipe=True)
+        new = self.deployment.add(old.place.zone, old.roles)
+        for ends in ((new.name, self.lone), (self.lone, new.name)):
+            self.deployment.network.cut(*ends)
+            self.world.at(BEGINS + self.lasts, self.deployment.network.cut, *ends, False)
+        self.deployment.list_controls()
+        new.start()
+
+    def lone_process(self):
+        return dict(self.posts())[self.lone]
+
+    def ask(self):
+        self.ask_all()
+        self.world.after(EVERY_S, self.ask)
+
+    def ask_all(self):
+        """Ask all: a read of each, and of each a change of its own on top of the newest."""
+        base = max(self.seen, *self.acked)
+        for n, (name, process) in enumerate(self.posts()):
+            first = self.run.desk.newest
+            change = {**first, "generation": base + 10 + n, "base-version": base}
+            for method, body in (("GET", b""), ("PUT", json.dumps(change).encode())):
+                told = Told(self.world.now, name, method, base)
+                self.told.append(told)
+                process.enter(process.answer, Asked(method, CONFIG, body), lambda *answer, told=told:
+                              self.answered(told, *answer))
+
+    def answered(self, told, status, lines, body):
+        told.at, told.status, told.lines, told.body = self.world.now, status, lines, body
+        if told.method == "PUT" and status == 200:
+            generation = json.loads(body)["generation"]
+            assert self.acked.setdefault(generation, told.base) == told.base
+            self.acked_at.setdefault(generation, self.world.now)
+        if status == 412:
+            self.seen = max(self.seen, json.loads(body)["generation"])
+        if status == 307:
+            ip = lines.partition(b"http://")[2].partition(b":")[0].decode()
+            told.leads = any(p.post.agreement.leading for name, p in self.posts()
+                             if self.deployment.by_ip[ip].name == name)
+
+    def old(self, told):
+        """Whether an answer is by an older version than one acknowledged before, or a second before it."""
+        until = max(told.asked, told.at - PATIENT_S)
+        newest = max(g for g, at in self.acked_at.items() if at <= until)
+        return json.loads(told.body)["generation"] < newest
+
+    def faults_found(self):
+        """What was said that should not have been."""
+        found, bases = [], list(self.acked.values())
+        if len(set(bases)) < len(bases):
+            found.append("two on one base")
+        for t in self.told:
+            cut = t.name == self.lone and BEGINS + SLACK_S < t.asked < BEGINS + self.lasts - 1.0
+            if t.at is None:
+                if self.way != "frozen" and t.asked < BEGINS + self.lasts:
+                    found.append(f"{t.name} never answered {t.method} of {t.asked:.2f}")
+                continue
+            if t.status in (400, 404, 409) or (t.status == 412 or t.method == "GET" and t.status == 200
+                                               ) and self.old(t):
+                found.append(f"{t.name} answered {t.status} by an old one at {t.at:.2f}")
+            if cut and self.way != "slow" and t.status not in (307, 503):
+                found.append(f"{t.name} answered {t.status} at {t.at:.2f}, cut off")
+            if cut and t.status == 307 and not t.leads:
+                found.append(f"{t.name} named one that doesn't lead at {t.at:.2f}")
+            thaws = BEGINS + self.lasts if self.way == "frozen" and t.name == self.lone else 0.0
+            took = t.at - max(t.asked, thaws)
+            if took > (AT_ONCE_S if cut and self.way not in ("slow", "frozen") else PATIENT_S):
+                found.append(f"{t.name} took {took:.2f} s at {t.at:.2f}")
+        return found
+
+
+def endless(process):
+    """Planted fault: a leader's lease doesn't end."""
+    if process.kind == "postmaster":
+        process.post.leads = lambda now: process.post.agreement.leading is not None
+
+
+def patient(process):
+    """Planted fault: a machine without a leader awaits one for each order."""
+    if process.kind == "postmaster":
+        control = process.post.control
+        proceed = control.proceed
+
+        def waits(now):
+            control.led = None
+            proceed(now)
+        control.proceed = waits
+
+
+WAYS = ("both", "deaf", "mute", "frozen", "slow", "replaced")
+
+
+@pytest.mark.parametrize("way", WAYS)
+def test_who_is_cut_off_says_not_here_at_once_and_nothing_else(way):
+    cut = Cut(way)
+    assert not cut.faults_found() and not cut.faults
+    goes_on = [g for g, at in cut.acked_at.items() if BEGINS + 3 < at < BEGINS + cut.lasts]
+    assert len(goes_on) > 10 or way == "slow"
+
+
+@pytest.mark.parametrize("way,planted", [("frozen", endless), ("both", patient)])
+def test_planted_faults_are_found(way, planted):
+    assert Cut(way, planted=planted).faults_found()
+
+
