--- a/post/office/core.py
+++ b/post/office/core.py
@@ -75,7 +75,7 @@
     # What the control calls need.
 
     def leads(self, now: float) -> bool:
-        # one that can't read what is in force (another release has made it) decides nothing by what was before
+        # Who can't read what is in force (another release has made it) decides nothing by what was before.
         return self.agreement.sure(now) and self.version == self.agreement.committed
 
     def leader_control(self) -> Address | None:
--- a/post/register/agreement.py
+++ b/post/register/agreement.py
@@ -108,12 +108,7 @@
 
     def in_touch_until(self) -> float:
         """A lease by this process's clock: until then it may say that it is in touch with a majority, and
-        that `value` is the newest there is, or was at most `election_max_s` ago.
-
-        A leader's begins with the beats that majorities have answered. A follower's begins with its own
-        answer that a leader, which was sure, has told to have; so what lay in a buffer while either process
-        stood still, and what comes over a link of one direction, begins none.
-        """
+        that `value` is the newest there is, or was at most `election_max_s` ago."""
         return (self.leading or self.following).in_touch_until()
 
     def sure(self, now: float) -> bool:
--- a/post/register/following.py
+++ b/post/register/following.py
@@ -38,7 +38,8 @@
             self.tell(now, self.leader, self.disk, self.sent)
 
     def in_touch_until(self) -> float:
-        """See `Agreement`. A leader of this term was sure after `answered`, and told nothing newer."""
+        """See `Agreement`. It begins with this disk's own answer that a leader, which was sure, has told to
+        have; so beats that lay in a buffer, or come over a link of one direction, begin none."""
         known = self.seat.known
         if known is None or known.term != self.seat.term or known.place < self.commit:
             return NEVER
--- a/post/register/leading.py
+++ b/post/register/leading.py
@@ -65,7 +65,7 @@
         return now < self.in_touch_until()
 
     def in_touch_until(self) -> float:
-        """See `Agreement`: while it is sure."""
+        """See `Agreement`. It begins with the beats that majorities have answered."""
         known = self.seat.known
         knows = known is not None and known.term == self.seat.term
         return self.lease if knows and self.handing is None and self.seat.seated else NEVER
