--- a/tests/system/test_cut_core.py
+++ b/tests/system/test_cut_core.py
@@ -11,7 +11,7 @@
 from proving.proofs import SMALL
 from proving.spec import Day
 
-BEGINS, LASTS, SHORT = 6.0, 20.0, 9.0
+BEGINS, LASTS, SHORT = 3.5, 20.0, 9.0
 SLACK_S = 2.5  # of a cut's beginning, in which an election may be awaited
 EVERY_S, AT_ONCE_S, PATIENT_S = 0.37, 0.05, 1.0
 CONFIG = "/-/config"
@@ -30,10 +30,10 @@
     again and again, for the configuration and to take one of two that race."""
 
     def __init__(self, way, seed=1, planted=None):
-        self.lasts = LASTS if way in ("both", "frozen", "replaced") else SHORT
-        day = Day(seconds=BEGINS + self.lasts + 3.0, warm=5.0, traffic=False)
+        self.lasts = LASTS if way in ("both", "mute", "frozen", "replaced") else SHORT
+        day = Day(seconds=BEGINS + self.lasts + 2.0, warm=3.0, traffic=False)
         self.run = Run(replace(SMALL, sorters=(1, 1, 1), day=day, services=tuple(
-            replace(service, backends=1) for service in SMALL.services)), seed)
+            replace(service, backends=2) for service in SMALL.services)), seed)
         self.way, self.told, self.acked, self.lone = way, [], {1: 0}, None
         self.acked_at = {1: 0.0}
         self.seen = 1  # the newest generation that is known to be in force, acknowledged or not
@@ -42,6 +42,7 @@
             self.deployment.spoilers.append(planted)
         self.world.at(BEGINS, self.strike)
         self.world.at(BEGINS - 1.0, self.ask)
+        self.world.at(BEGINS + self.lasts - 0.1, self.look)
         self.faults = self.run.play().faults
 
     def posts(self):
@@ -85,6 +86,11 @@
         self.deployment.list_controls()
         new.start()
 
+    def look(self):
+        """How many backends the sorter beside the one that is cut off still has."""
+        sorter = self.deployment.machines[self.lone].processes["sorter"]
+        self.kept = len(sorter.hall.rounds.table.rows)
+
     def lone_process(self):
         return dict(self.posts())[self.lone]
 
@@ -132,6 +138,8 @@
         """What was said that should not have been."""
         found = [f"{t.name} said {t.status} by an old one at {t.at:.2f}" for t in self.answered_by_old()]
         bases = list(self.acked.values())
+        if self.kept < len(self.deployment.alive()):
+            found.append(f"{self.kept} backends are left beside {self.lone}")
         if len(set(bases)) < len(bases):
             found.append("two on one base")
         for t in self.told:
@@ -171,6 +179,13 @@
         control.proceed = waits
 
 
+def flagged(process):
+    """Planted fault: who hears a leader takes itself to be in touch."""
+    if process.kind == "postmaster":
+        log, agreement = process.post.rounds.log, process.post.agreement
+        log.quorate = lambda now: agreement.leader is not None
+
+
 WAYS = ("both", "deaf", "mute", "frozen", "slow", "replaced")
 
 
@@ -182,7 +197,7 @@
     assert len(goes_on) > 10 or way == "slow"
 
 
-@pytest.mark.parametrize("way,planted", [("frozen", endless), ("both", patient)])
+@pytest.mark.parametrize("way,planted", [("frozen", endless), ("both", patient), ("mute", flagged)])
 def test_planted_faults_are_found(way, planted):
     assert Cut(way, planted=planted).faults_found()
 
