--- a/post/register/following.py
+++ b/post/register/following.py
@@ -24,7 +24,7 @@
         seat = self.seat
         self.leader, self.disk, self.heard, self.sent = sender, note.disk, now, note.sent
         self.commit = max(self.commit, (note.term, note.commit))
-        if self.answered < note.answered <= now:
+        if note.answered and self.answered < note.answered <= now:
             self.answered = note.answered
         self._learn(note)
         if note.kind == pb.ENTRY and (note.entry.term, note.entry.number) > seat.entry.place:
