--- a/post/register/agreement.py
+++ b/post/register/agreement.py
@@ -103,6 +103,11 @@
         """The newest entry known to be committed, with its version and value."""
         return self.seat.known
 
+    def in_touch_until(self) -> float:
+        """A lease by this process's clock: until then it may say that it is in touch with a majority, and
+        that `value` is the newest there is, or was at most `election_max_s` ago."""
+        return (self.leading or self.following).in_touch_until()
+
     def sure(self, now: float) -> bool:
         """Is this the leader, can't there be another, and is `value` the newest there is?"""
         return self.leading is not None and self.leading.sure(now)
@@ -179,7 +184,7 @@
         if self.leading is not None:
             self.leading.count(now)
         else:
-            self.following.kept()
+            self.following.kept(now)
         if not self.seat.seated and not self.left:
             self.joining.caught_up(now)
 
@@ -253,7 +258,7 @@
         """The leader is heard, with its newest entry perhaps."""
         seat = self.seat
         if note.term < seat.term:
-            return self.following.tell(sender, note.disk, note.sent)
+            return self.following.tell(now, sender, note.disk, note.sent)
         learns = note.kind == pb.APPEND and not get_entry(note.entry).names(seat.disk)
         if self.leading is not None and note.term == seat.term or learns and (seat.seated or self.left):
             return self._drop("leader")
