--- a/tests/system/offices.py
+++ b/tests/system/offices.py
@@ -132,6 +132,8 @@
         if len(self.under_way) >= UNDER_WAY:
             return
         again = chance.random()
+        if again > 0.95:
+            return Read(self).send()
         if self.orders and again < 0.3:
             waits = [call.order for call in self.under_way]
             self._call(chance.choice(waits if waits and again < 0.15 else self.orders))
@@ -212,6 +214,11 @@
     return {"entry-kind": "services", "metadata": {"label": label}, "spec": spec}
 
 
+def located(lines: bytes) -> str:
+    """Where a 307 sends its caller."""
+    return lines.decode().partition("http://")[2].partition("/")[0]
+
+
 class Call:
     """An operator's: the same order, sent until there is a clear answer."""
 
@@ -234,7 +241,7 @@
         if turn != self.sent or self.status:
             return
         if status == 307 and self.hops < 2:
-            self.send(lines.decode().partition("http://")[2].partition("/")[0])
+            self.send(located(lines))
         elif status in (200, 400, 412):
             self.status = status
             self.core.under_way.remove(self)
@@ -251,10 +258,17 @@
         self.core, self.least, self.found = core, core.newest, 0
 
     def send(self) -> None:
-        address = self.core.chance.choice(list(self.core.nodes))
-        self.core.ask(address, Asked("GET", CONFIG, b""), lambda *answer: None, self.check)
+        """Ask any process, and where it sends us."""
+        self.ask(self.core.chance.choice(list(self.core.nodes)))
         self.core.at(SILENCE_S, lambda: self.found or self.send())
 
+    def ask(self, address: str) -> None:
+        def told(status: int, lines: bytes, body: bytes) -> None:
+            if status == 307 and not self.found:
+                self.ask(located(lines))
+
+        self.core.ask(address, Asked("GET", CONFIG, b""), told, self.check)
+
     def check(self, status: int, body: bytes) -> None:
         """An answer, as it is given."""
         if status == 200:
