Control: exchanges of callers who leave half way, or while their order waits

No fault was found by them: half of an order is never judged, an order whose caller has gone is taken in its turn and known again, and answers on one connection come in the order of its calls.

--- a/tests/system/test_control.py
+++ b/tests/system/test_control.py
@@ -207,6 +207,38 @@
     await gone
 
 
+async def gone(office: Office) -> None:
+    """Callers who leave: with half of an order sent, or while it waits behind another; it is then taken."""
+    whole = config(2, 0, "a")
+    client = await Client.connect(office.port)
+    client.writer.write(f"PUT {CONFIG} HTTP/1.1\r\nContent-Length: {len(whole)}\r\n\r\n".encode())
+    client.writer.write(whole[:50])
+    await until(lambda: len(office.wicket.connections) == 1)
+    client.writer.close()
+    await until(lambda: not office.wicket.connections)
+    assert not office.out
+    first = await office.held_back("cut short, sent again", "PUT", CONFIG, whole)
+    second = await office.send("PUT", CONFIG, config(5, 2, "a", "b"))
+    await until(lambda: len(office.control.orders) == 1)
+    second.writer.close()
+    await until(lambda: len(office.wicket.connections) == 1)
+    office.outcomes = ["done"]
+    office.end("done")
+    await first
+    assert office.version == 2
+    await office.call("that was left, sent again", "PUT", CONFIG, config(5, 2, "a", "b"))
+    assert office.version == 2
+    both = await Client.connect(office.port)
+    office.outcomes = [None]
+    both.writer.write(f"PUT {CONFIG} HTTP/1.1\r\nContent-Length: {len(config(7, 5))}\r\n\r\n".encode())
+    both.writer.write(config(7, 5) + f"GET {CONFIG} HTTP/1.1\r\nConnection: close\r\n\r\n".encode())
+    await until(lambda: len(office.out) == 3)
+    office.end("done")
+    said = [await both.answer(), await both.answer()]
+    assert [json.loads(body)["generation"] for _, _, body in said] == [7, 7]  # in turn
+    both.writer.close()
+
+
 async def beats(office: Office) -> None:
     """Backends: what is taken, what is none, and what the machine can't vouch for."""
     beat = {"target": "s1", "address": "10.128.0.9:8080", "zone": "z", "generation": "v1", "capacity": 4,
@@ -238,7 +270,7 @@
 
 STORIES: dict[Callable[[Office], Awaitable[None]], tuple[str | None, ...]] = {
     orders: ("done",), elsewhere: ("done",), refusals: ("refused", "done", "unknown", "done"), hung: (None,),
-    ahead: ("done",), beats: ("done",), too_large: ("done",)}
+    ahead: ("done",), gone: (None,), beats: ("done",), too_large: ("done",)}
 
 
 @pytest.mark.parametrize("story", STORIES, ids=lambda story: story.__name__)
