--- a/tests/system/test_register_members.py
+++ b/tests/system/test_register_members.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import Any
 
 import pytest
@@ -9,8 +10,8 @@
 from post.register import api
 from post.register.agreement import Agreement
 from post.register.leading import Leading
-from post.register.records import Member, Place
-from tests.system.core import Core, Node, finish
+from post.register.records import Entry, Member, Place
+from tests.system.core import Broken, Core, Node, finish
 from tests.system.test_register import STEADY, named, outcome, settled
 
 
@@ -101,3 +102,89 @@
     assert core.run(2.0, lambda: others[-1].machine.left) and len(named(core)) == count - 1
     core.kill(others[-1].address, wipe=True)
     finish(core, 3.0)
+
+
+def change_members(count: int, kind: Any = Agreement) -> tuple[Core, Node]:
+    """A core about to replace a lost disk at its old address: the next events are of that."""
+    core = Core(count, 1, (count - 1) // 2, STEADY, kind)
+    core.delay_s = (0.002, 0.002)
+    for node in core.nodes.values():
+        node.disk_s = (0.005, 0.005)
+    finish(core, 5.0)
+    node = next(n for n in core.up() if n is not core.leader())
+    core.kill(node.address, wipe=True)
+    core.run(0.6)
+    core.start(node.address)
+    return core, node
+
+
+def strike_at(count: int, event: int, wipe: bool, kind: Any = Agreement) -> bool:
+    """The leader ends at that event of a change; True if the change is over by then."""
+    core, node = change_members(count, kind)
+    leader, left = core.leader(), iter(range(event))
+    assert leader is not None
+
+    def full() -> bool:
+        known = leader.machine.value
+        return not known.outgoing and node.stored is not None and known.names(node.stored.disk)
+    assert core.run(1.0, lambda: next(left, None) is None or full())
+    done = full()
+    core.kill(leader.address, wipe)
+    core.run(0.3)
+    core.start(leader.address)
+    finish(core, 3.0)
+    core.run(1.5)
+    entry = core.leader().machine.seat.entry  # type: ignore[union-attr]
+    assert not entry.outgoing and len(entry.members) == count
+    assert {m.disk for m in entry.members} == {n.stored.disk for n in core.nodes.values()}
+    return done
+
+
+@pytest.mark.parametrize(("count", "wipe"), [(3, False), (5, True)])
+def test_a_leader_that_ends_at_any_instant_of_a_change(count: int, wipe: bool) -> None:
+    event = 1
+    while not strike_at(count, event, wipe):
+        event += 2
+    assert event > 30  # instants, and as many of a time between two of them
+
+
+def cut_at(event: int) -> bool:
+    """A leaving member is replaced; at that event the leader and the newcomer are cut off from the others."""
+    core, leader, (other, old) = settled()
+    new = newcomer(core)
+    core.run(0.3)
+    core.give(old, api.Leave())
+    left = iter(range(event))
+    core.run(2.0, lambda: next(left, None) is None)
+    done = old.machine.left
+    ours, theirs = {leader.address, new.address}, {other.address, old.address}
+    core.cut = {way for a in ours for b in theirs for way in ((a, b), (b, a))}
+    core.propose(leader, leader.machine.committed)
+    core.run(0.5)
+    core.propose(leader, leader.machine.committed)
+    core.run(2.0)
+    for node in (other, old):
+        core.propose(node, node.machine.committed)
+    core.run(0.5)
+    core.cut.clear()
+    core.kill(old.address, wipe=True)
+    finish(core, 3.0)
+    return done
+
+
+@pytest.mark.parametrize("planted", [False, True])
+def test_a_core_cut_in_two_at_any_instant_of_a_replacement(monkeypatch: pytest.MonkeyPatch,
+                                                           planted: bool) -> None:
+    if planted:  # fault: the members after the change decide on it alone
+        monkeypatch.setattr(Entry, "_councils", lambda entry: (entry.members,))
+    event, broken = 1, []
+    try:
+        while not cut_at(event):
+            event += 1
+    except Broken as why:
+        broken.append(str(why))
+    if planted:
+        assert broken and re.search("two values|goes back|is lost|sure of an old version", broken[0])
+    else:
+        assert not broken
+    assert planted or event > 20
