--- /dev/null
+++ b/tests/system/test_losses.py
@@ -0,0 +1,38 @@
+"""The count of what a core bears at an instant, and a change of members in the model."""
+
+from __future__ import annotations
+
+import logging
+
+import pytest
+
+from post.register.records import NOTHING, Entry, Member, Stored
+from proving import losses
+
+A, B, C, D = (Member(x, f"10.0.0.{n}:1") for n, x in enumerate("abcd"))
+OLD = Entry(1, 3, 1, (A, B, C), (), b"old")
+NEW = OLD._replace(number=4, version=2, value=b"new")
+JOINT = OLD._replace(number=4, members=(A, B, D), outgoing=(A, B, C))
+SWAPPED = OLD._replace(number=5, members=(A, B, D))
+
+
+@pytest.mark.parametrize(("held", "acknowledged", "borne"), [
+    ({A: OLD, B: OLD, C: OLD}, 1, 1),
+    ({A: OLD, B: OLD}, 1, 0),
+    ({A: OLD}, 1, -1),
+    ({A: NEW, B: NEW, C: OLD}, 2, 1),
+    ({A: NEW, B: OLD, C: OLD}, 2, -1),  # acknowledged on one disk alone: an election may lose it
+    ({A: JOINT, B: JOINT, D: OLD}, 1, 0),  # c is gone: both a and b are needed
+    ({A: JOINT, B: JOINT, C: OLD, D: OLD}, 1, 1),
+    ({A: SWAPPED, B: SWAPPED, D: NOTHING}, 1, 1),
+    ({A: SWAPPED, B: SWAPPED, C: OLD, D: OLD}, 1, 1),
+])
+def test_what_is_borne_at_an_instant(held: dict[Member, Entry], acknowledged: int, borne: int) -> None:
+    disks = [Stored(member.disk, 1, "", entry) for member, entry in held.items()]
+    assert losses.borne(disks, acknowledged) == borne
+
+
+def test_a_disk_is_replaced_within_what_the_pages_ask(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(logging.getLogger("post"), "level", logging.ERROR)
+    _, _, change = losses.play(3, "wipe", 1)
+    assert change.fewest == 0 and change.since_start_s < 1.0
--- a/tests/system/test_register_members.py
+++ b/tests/system/test_register_members.py
@@ -104,23 +104,18 @@
     finish(core, 3.0)
 
 
-def change_members(count: int, kind: Any = Agreement) -> tuple[Core, Node]:
+def change_members(count: int) -> tuple[Core, Node]:
     """A core about to replace a lost disk at its old address: the next events are of that."""
-    core = Core(count, 1, (count - 1) // 2, STEADY, kind)
-    core.delay_s = (0.002, 0.002)
-    for node in core.nodes.values():
-        node.disk_s = (0.005, 0.005)
-    finish(core, 5.0)
-    node = next(n for n in core.up() if n is not core.leader())
+    core, _, (node, *_) = settled(count, tolerance=(count - 1) // 2)
     core.kill(node.address, wipe=True)
     core.run(0.6)
     core.start(node.address)
     return core, node
 
 
-def strike_at(count: int, event: int, wipe: bool, kind: Any = Agreement) -> bool:
-    """The leader ends at that event of a change; True if the change is over by then."""
-    core, node = change_members(count, kind)
+def strike_at(count: int, event: int, newcomer: bool, wipe: bool) -> bool:
+    """The leader or the newcomer ends at that event of a change; True if the change is over by then."""
+    core, node = change_members(count)
     leader, left = core.leader(), iter(range(event))
     assert leader is not None
 
@@ -129,9 +124,10 @@
         return not known.outgoing and node.stored is not None and known.names(node.stored.disk)
     assert core.run(1.0, lambda: next(left, None) is None or full())
     done = full()
-    core.kill(leader.address, wipe)
-    core.run(0.3)
-    core.start(leader.address)
+    struck = node if newcomer else leader
+    core.kill(struck.address, wipe)
+    core.run(0.4)
+    core.start(struck.address)
     finish(core, 3.0)
     core.run(1.5)
     entry = core.leader().machine.seat.entry  # type: ignore[union-attr]
@@ -140,10 +136,11 @@
     return done
 
 
-@pytest.mark.parametrize(("count", "wipe"), [(3, False), (5, True)])
-def test_a_leader_that_ends_at_any_instant_of_a_change(count: int, wipe: bool) -> None:
+@pytest.mark.parametrize(("count", "newcomer", "wipe"), [
+    (3, False, False), (5, False, True), (3, True, True), (3, True, False)])
+def test_one_that_ends_at_any_instant_of_a_change(count: int, newcomer: bool, wipe: bool) -> None:
     event = 1
-    while not strike_at(count, event, wipe):
+    while not strike_at(count, event, newcomer, wipe):
         event += 2
     assert event > 30  # instants, and as many of a time between two of them
 
