--- a/post/register/leading.py
+++ b/post/register/leading.py
@@ -143,16 +143,17 @@
                 tell_gone(seat, known, sender, note.disk)
         elif note.term == seat.term:
             self.joiners.ask(now, note.disk, sender)
-            self._learner(now, Member(note.disk, sender), (note.held_term, note.held_number))
+            self._learner(now, Member(note.disk, sender), (note.has_term, note.has_number),
+                          (note.held_term, note.held_number))
         give_hint(self.seat, sender, note.disk, self.seat.me)
 
-    def _learner(self, now: float, member: Member, held: Place) -> None:
-        """A disk that asks has this entry: it is sent the newest before it may be chosen."""
+    def _learner(self, now: float, member: Member, has: Place, held: Place) -> None:
+        """One that asks has this entry, and that on disk: it is sent the newest before it may be chosen."""
         peer = self.learners.get(member.disk)
         if peer is None or peer.address != member.address:
             peer = Peer(member, now)
             peer.wait = self.seat.tuning.resend_s
-        peer.heard, peer.has, peer.held = now, held, held
+        peer.heard, peer.has, peer.held = now, has, held
         self.learners[member.disk] = peer
         if held == self.seat.entry.place:
             self.choose_at = now
@@ -165,8 +166,8 @@
         self.learners = {d: p for d, p in self.learners.items() if d in self.joiners.askers}
         if has_place(seat.entry.members, self.presences(now), seat.tuning):
             for peer in self.learners.values():
-                if peer.held != seat.entry.place and now >= peer.next:
-                    self._send_entry(now, peer, peer.held == self.base)
+                if peer.has != seat.entry.place and now >= peer.next:
+                    self._send_entry(now, peer, peer.has == self.base)
 
     def leave(self, now: float, note: pb.Note) -> None:
         """A member wants to go."""
--- a/tests/system/test_register_members.py
+++ b/tests/system/test_register_members.py
@@ -18,8 +18,8 @@
 class CountsAtOnce(Leading):
     """Planted fault: a newcomer is chosen before it has the newest entry on disk."""
 
-    def _learner(self, now: float, member: Member, held: Place) -> None:
-        super()._learner(now, member, self.seat.entry.place)
+    def _learner(self, now: float, member: Member, has: Place, held: Place) -> None:
+        super()._learner(now, member, has, self.seat.entry.place)
 
 
 def leads_as(part: type[Leading]) -> Any:
@@ -67,6 +67,16 @@
     assert core.run(3.0, lambda: late.address in named(core))
 
 
+def test_one_whose_disk_hangs_is_not_sent_the_same_again() -> None:
+    core, leader, _ = settled()
+    late = newcomer(core, disk_s=60.0)
+    core.run(1.0)
+    log = core.record()
+    core.run(4.0)
+    assert late.machine.seat.entry.version == 1 and late.address not in named(core)
+    assert not [line for line in log if f"to {late.address} APPEND" in line]
+
+
 def test_a_learner_restarts_with_what_it_has() -> None:
     core, leader, _ = settled()
     node = newcomer(core)
