--- a/tests/system/test_register_members.py
+++ b/tests/system/test_register_members.py
@@ -212,3 +212,23 @@
     else:
         assert not broken
     assert planted or event > 20
+
+
+def test_a_change_that_was_never_committed() -> None:
+    """The leader and the newcomer alone hold it; the others go on without it, and neither brings it back."""
+    core, leader, others = settled()
+    new = newcomer(core)
+    core.run(0.9)
+    core.cut = {(leader.address, o.address) for o in others}
+    assert core.run(0.5, lambda: new.stored.entry.names(new.stored.disk))
+    joint, disk = new.stored.entry, new.stored.disk
+    assert joint.outgoing and not any(o.machine.seat.entry.outgoing for o in others)
+    core.kill(leader.address)
+    assert core.run(2.0, lambda: core.leader() in others)
+    assert outcome(core, core.leader(), 1) == "done"  # type: ignore[arg-type]
+    core.cut.clear()
+    assert leader.stored.entry.place == joint.place
+    core.start(leader.address)
+    assert core.run(4.0, lambda: new.address in named(core)) and named(core)[new.address] != disk
+    finish(core, 3.0)
+    assert leader.heard == new.heard == 3 and leader.stored.disk == named(core)[leader.address]
