--- a/tests/system/test_register_members.py
+++ b/tests/system/test_register_members.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import Any
 
 import pytest
@@ -9,16 +10,16 @@
 from post.register import api
 from post.register.agreement import Agreement
 from post.register.leading import Leading
-from post.register.records import Member, Place
-from tests.system.core import Core, Node, finish
+from post.register.records import Entry, Member, Place
+from tests.system.core import Broken, Core, Node, finish
 from tests.system.test_register import STEADY, named, outcome, settled
 
 
 class CountsAtOnce(Leading):
     """Planted fault: a newcomer is chosen before it has the newest entry on disk."""
 
-    def _learner(self, now: float, member: Member, held: Place) -> None:
-        super()._learner(now, member, self.seat.entry.place)
+    def _learner(self, now: float, member: Member, has: Place, held: Place) -> None:
+        super()._learner(now, member, has, self.seat.entry.place)
 
 
 def leads_as(part: type[Leading]) -> Any:
@@ -66,6 +67,16 @@
     assert core.run(3.0, lambda: late.address in named(core))
 
 
+def test_one_whose_disk_hangs_is_not_sent_the_same_again() -> None:
+    core, leader, _ = settled()
+    late = newcomer(core, disk_s=60.0)
+    core.run(1.0)
+    log = core.record()
+    core.run(4.0)
+    assert late.machine.seat.entry.version == 1 and late.address not in named(core)
+    assert not [line for line in log if f"to {late.address} APPEND" in line]
+
+
 def test_a_learner_restarts_with_what_it_has() -> None:
     core, leader, _ = settled()
     node = newcomer(core)
@@ -101,3 +112,123 @@
     assert core.run(2.0, lambda: others[-1].machine.left) and len(named(core)) == count - 1
     core.kill(others[-1].address, wipe=True)
     finish(core, 3.0)
+
+
+def change_members(count: int) -> tuple[Core, Node]:
+    """A core about to replace a lost disk at its old address: the next events are of that."""
+    core, _, (node, *_) = settled(count, tolerance=(count - 1) // 2)
+    core.kill(node.address, wipe=True)
+    core.run(0.6)
+    core.start(node.address)
+    return core, node
+
+
+def strike_at(count: int, event: int, who: str, wipe: bool, early: bool = False) -> bool:
+    """The leader, the newcomer or all end at that event of a change; True if the change is over by then."""
+    core, node = change_members(count)
+    core.early = early
+    leader, left = core.leader(), iter(range(event))
+    assert leader is not None
+
+    def order() -> None:
+        if leader.machine is not None and not full():
+            core.propose(leader, leader.machine.committed)
+            core.at(0.02, order)
+
+    def full() -> bool:
+        known = leader.machine.value
+        return not known.outgoing and node.stored is not None and known.names(node.stored.disk)
+    order()
+    assert core.run(1.0, lambda: next(left, None) is None or full())
+    done = full()
+    struck = {"leader": [leader], "newcomer": [node], "all": core.up()}[who]
+    for each in struck:
+        core.kill(each.address, wipe)
+    core.run(0.4)
+    for each in struck:
+        core.start(each.address)
+    finish(core, 3.0)
+    core.run(1.5)
+    entry = core.leader().machine.seat.entry  # type: ignore[union-attr]
+    assert not entry.outgoing and len(entry.members) == count
+    assert {m.disk for m in entry.members} == {n.stored.disk for n in core.nodes.values()}
+    return done
+
+
+@pytest.mark.parametrize(("count", "who", "wipe"), [
+    (3, "leader", False), (5, "leader", True), (3, "newcomer", True), (3, "newcomer", False),
+    (3, "all", False)])
+def test_ends_at_any_instant_of_a_change(count: int, who: str, wipe: bool) -> None:
+    event = 1
+    while not strike_at(count, event, who, wipe):
+        event += 7
+    assert event > 30
+
+
+def test_acknowledged_before_it_is_on_disk_is_found_at_some_instant_of_a_change() -> None:
+    with pytest.raises(Broken, match="two values|is lost|sure of an old version"):
+        for event in range(1, 200):
+            if strike_at(3, event, "all", wipe=False, early=True):
+                break
+
+
+def cut_at(event: int) -> bool:
+    """A leaving member is replaced; at that event the leader and the newcomer are cut off from the others."""
+    core, leader, (other, old) = settled()
+    new = newcomer(core)
+    core.run(0.3)
+    core.give(old, api.Leave())
+    left = iter(range(event))
+    core.run(2.0, lambda: next(left, None) is None)
+    done = old.machine.left
+    ours, theirs = {leader.address, new.address}, {other.address, old.address}
+    core.cut = {way for a in ours for b in theirs for way in ((a, b), (b, a))}
+    core.propose(leader, leader.machine.committed)
+    core.run(0.5)
+    core.propose(leader, leader.machine.committed)
+    core.run(2.0)
+    for node in (other, old):
+        core.propose(node, node.machine.committed)
+    core.run(0.5)
+    core.cut.clear()
+    core.kill(old.address, wipe=True)
+    finish(core, 3.0)
+    return done
+
+
+@pytest.mark.parametrize("planted", [False, True])
+def test_a_core_cut_in_two_at_any_instant_of_a_replacement(monkeypatch: pytest.MonkeyPatch,
+                                                           planted: bool) -> None:
+    if planted:  # fault: the members after the change decide on it alone
+        monkeypatch.setattr(Entry, "_councils", lambda entry: (entry.members,))
+    event, broken = 1, []
+    try:
+        while not cut_at(event):
+            event += 1
+    except Broken as why:
+        broken.append(str(why))
+    if planted:
+        assert broken and re.search("two values|goes back|is lost|sure of an old version", broken[0])
+    else:
+        assert not broken
+    assert planted or event > 20
+
+
+def test_a_change_that_was_never_committed() -> None:
+    """The leader and the newcomer alone hold it; the others go on without it, and neither brings it back."""
+    core, leader, others = settled()
+    new = newcomer(core)
+    core.run(0.9)
+    core.cut = {(leader.address, o.address) for o in others}
+    assert core.run(0.5, lambda: new.stored.entry.names(new.stored.disk))
+    joint, disk = new.stored.entry, new.stored.disk
+    assert joint.outgoing and not any(o.machine.seat.entry.outgoing for o in others)
+    core.kill(leader.address)
+    assert core.run(2.0, lambda: core.leader() in others)
+    assert outcome(core, core.leader(), 1) == "done"  # type: ignore[arg-type]
+    core.cut.clear()
+    assert leader.stored.entry.place == joint.place
+    core.start(leader.address)
+    assert core.run(4.0, lambda: new.address in named(core)) and named(core)[new.address] != disk
+    finish(core, 3.0)
+    assert leader.heard == new.heard == 3 and leader.stored.disk == named(core)[leader.address]
