Over a slow link the newest entry comes, not each

What a link couldn't carry yet waited in a queue of 4 MB, the oldest first: a member or sorter whose link is slower than changes are made got each of them in turn, and every repeat, and stayed behind by as much as the queue held.

Entries, answers from logs and values now have a slot each: a later one takes the place of an earlier one that waits. An entry is the whole state, a later answer builds on a place that is confirmed, and a value is the newest of its kind. Without slots the test fails.

--- a/post/office/links.py
+++ b/post/office/links.py
@@ -1,7 +1,9 @@
 """Kept TCP links that carry the longer messages between own processes, each in one direction.
 
 A link is opened when there is something to send, and closed by its opener after 10 s without. What waits for
-it is bounded; the oldest is dropped first. Whoever sends asks again, so nothing is sent anew here.
+it is bounded; the oldest is dropped first. A later message of one slot takes the place of an earlier one that
+waits: over a way that is slower than they are made, the newest comes, not each. Whoever sends asks again, so
+nothing is sent anew here.
 """
 
 from __future__ import annotations
@@ -9,7 +11,7 @@
 import asyncio
 import socket
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Hashable
 from typing import cast
 
 from post.machine import Address
@@ -37,20 +39,24 @@
 
     def __init__(self, links: Links, to: Address) -> None:
         self.links, self.to = links, to
-        self.waiting: deque[bytes] = deque()
+        self.waiting: deque[tuple[Hashable, bytes]] = deque()
         self.bytes = 0
         self.transport: asyncio.Transport | None = None
         self.paused = True
         self.used = links.loop.time()
 
-    def send(self, data: bytes) -> None:
+    def send(self, data: bytes, slot: Hashable = None) -> None:
         self.used = self.links.loop.time()
         if not self.paused and self.transport is not None:
             return self.transport.write(_frame(data))
-        self.waiting.append(data)
+        if slot is not None:
+            for waits in [w for w in self.waiting if w[0] == slot]:
+                self.waiting.remove(waits)
+                self.bytes -= len(waits[1])
+        self.waiting.append((slot, data))
         self.bytes += len(data)
         while self.bytes > MOST_BYTES:
-            self.bytes -= len(self.waiting.popleft())
+            self.bytes -= len(self.waiting.popleft()[1])
             self.links.lost("link is full")
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -65,7 +71,7 @@
     def resume_writing(self) -> None:
         self.paused = False
         while self.waiting and not self.paused and self.transport is not None:
-            data = self.waiting.popleft()
+            _, data = self.waiting.popleft()
             self.bytes -= len(data)
             self.transport.write(_frame(data))
 
@@ -145,8 +151,8 @@
         self.inbound: set[Inbound] = set()
         self.opening: set[asyncio.Task[None]] = set()
 
-    def send(self, to: Address, target: tuple[str, int], data: bytes) -> None:
-        """Send over the link to a process, which is opened if need be."""
+    def send(self, to: Address, target: tuple[str, int], data: bytes, slot: Hashable = None) -> None:
+        """Send over the link to a process, which is opened if need be. None: no other takes its place."""
         if len(data) > MOST_BYTES:
             return self.lost("too long")
         link = self.outbound.get(to)
@@ -157,7 +163,7 @@
             task = self.loop.create_task(self._open(link, target))
             self.opening.add(task)
             task.add_done_callback(self.opening.discard)
-        link.send(data)
+        link.send(data, slot)
 
     async def _open(self, link: Outbound, target: tuple[str, int]) -> None:
         try:
--- a/post/office/postmaster.py
+++ b/post/office/postmaster.py
@@ -37,8 +37,8 @@
         self.post = Post(self, steady, settings, store.load(), rng, BEGAN)
         self.disk = DiskThread(loop, store.save, self.post.written, self.post.write_failed)
         self.port = Port(loop, self.post.me, {
-            REGISTER: Plane(REGISTER, RegisterNote, self.post.register_note),
-            ROUNDS: Plane(ROUNDS, RoundsNote, self.post.rounds_note),
+            REGISTER: Plane(REGISTER, RegisterNote, self.post.register_note, program.register_slot),
+            ROUNDS: Plane(ROUNDS, RoundsNote, self.post.rounds_note, program.rounds_slot),
             FRANKING: Plane(FRANKING, FrankingNote, self.post.franking_note)})
 
     def send(self, to: Address, plane: int, message: Any) -> None:
--- a/post/office/program.py
+++ b/post/office/program.py
@@ -9,6 +9,7 @@
 import signal
 import sys
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 import uvloop
 from result import Err
@@ -17,6 +18,7 @@
 from post.office.counting import ALLOWANCE
 from post.office.ring import Ring
 from post.office.settings import Settings, SettingsFile
+from post.register import register_pb2
 
 REGISTER, ROUNDS, FRANKING = 1, 2, 3
 """Planes' numbers on the wire."""
@@ -27,6 +29,17 @@
 log = logging.getLogger("post.program")
 
 
+def register_slot(note: Any) -> int | None:
+    """An entry is the whole state, so a later one will do."""
+    return register_pb2.ENTRY if note.kind == register_pb2.ENTRY else None
+
+
+def rounds_slot(note: Any) -> tuple[str, int] | None:
+    """A later answer builds on a place that is confirmed, and a value is the newest of its kind."""
+    kind = note.WhichOneof("kind")
+    return (kind, note.value.kind) if kind == "value" else (kind, 0) if kind == "answer" else None
+
+
 def zone_number(settings: Settings) -> int:
     """A zone's place among all zones, the same on every machine."""
     zones = sorted(settings.network.zones)
--- a/post/office/sorter.py
+++ b/post/office/sorter.py
@@ -43,7 +43,7 @@
         memory = int(1e6 * settings.own.limits.memory_mb)
         self.server = Server(loop, self.hall.ingress, half, memory // BODIES_SHARE)
         self.port = Port(loop, self.hall.me, {
-            ROUNDS: Plane(ROUNDS, RoundsNote, self.hall.rounds_note),
+            ROUNDS: Plane(ROUNDS, RoundsNote, self.hall.rounds_note, program.rounds_slot),
             FRANKING: Plane(FRANKING, FrankingNote, self.hall.franking_note)})
 
     def send(self, to: Address, plane: int, message: Any) -> None:
--- a/post/office/wire.py
+++ b/post/office/wire.py
@@ -13,7 +13,7 @@
 import asyncio
 import logging
 import socket
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Hashable, Mapping
 from typing import Any, NamedTuple, Protocol
 
 from post.machine import Address
@@ -39,11 +39,15 @@
 
 
 class Plane(NamedTuple):
-    """Who takes a plane's messages: its number (0 to 31), the messages' class, and the one who is told."""
+    """Who takes a plane's messages: its number (0 to 31), the messages' class, and the one who is told.
+
+    `slot` tells of a message which later ones stand in for it: those with the same slot. None: none does.
+    """
 
     number: int
     message_class: Callable[[], Any]
     on_note: Callable[[Address, Any], object]
+    slot: Callable[[Any], Hashable] = lambda _: None
 
 
 class Count:
@@ -115,7 +119,9 @@
             if target is None:
                 return self._lost("no address")
         if len(data) > DATAGRAM_BYTES:
-            return self.links.send(to, target, data)
+            known = self.handlers.get(plane)
+            slot = None if known is None else known.slot(message)
+            return self.links.send(to, target, data, None if slot is None else (plane, slot))
         try:
             self.socket.sendto(data, target)
         except OSError:
--- a/tests/system/test_office_wire.py
+++ b/tests/system/test_office_wire.py
@@ -4,13 +4,16 @@
 
 import asyncio
 import socket
+from collections import deque
 from collections.abc import Awaitable, Callable
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
 import uvloop
 
 from post.office import links
+from post.office.links import Links, Outbound
 from post.office.wire import Plane, Port
 
 
@@ -158,3 +161,58 @@
             await asyncio.sleep(0)
 
     with_two(story, uvloop.new_event_loop)
+
+
+class Slow:
+    """A transport over a way of 21 KB a second: takes 64 KB, then says that it is full until it isn't."""
+
+    RATE, MOST = 21_000, 65_536
+
+    def __init__(self, link: Outbound) -> None:
+        self.link, self.left, self.at = link, deque[bytes](), 0.0
+        self.came: list[tuple[float, bytes]] = []
+        self.full = False
+
+    def get_extra_info(self, name: str) -> None:
+        """No socket has options here."""
+
+    def write(self, data: bytes) -> None:
+        self.left.append(data)
+        self.look()
+
+    def look(self) -> None:
+        full = sum(map(len, self.left)) > self.MOST
+        if full != self.full:
+            self.full = full
+            self.link.pause_writing() if full else self.link.resume_writing()
+
+    def go(self, now: float) -> None:
+        """What has come over by now."""
+        while self.left and self.at + len(self.left[0]) / self.RATE <= now:
+            data = self.left.popleft()
+            self.at += len(data) / self.RATE
+            self.came.append((self.at, data))
+            self.look()
+        if not self.left:
+            self.at = now
+
+
+def test_a_slow_way_gets_the_newest_not_all_of_them() -> None:
+    """Entries of 400 KB take 19 s each and are made every second, some sent twice: none that comes is older
+    than the time of two, and the last one is there soon after it was made."""
+    now, entry_s = 0.0, 400_000 / Slow.RATE
+    loop: Any = SimpleNamespace(time=lambda: now)
+    link = Outbound(Links(loop, "127.0.0.1:1", print), "127.0.0.1:2")
+    link.connection_made(way := Slow(link))  # type: ignore[arg-type]
+    for second in range(300):
+        now = float(second)
+        way.go(now)
+        if second < 150:
+            for _ in range(1 + second % 2):
+                link.send(second.to_bytes(4, "big") + bytes(400_000), "entry")
+        if second % 10 == 0:
+            link.send(b"other" + bytes(2000), None)
+    entries = [(at, int.from_bytes(data[4:8], "big")) for at, data in way.came if len(data) > 400_000]
+    assert all(at - made <= 2 * entry_s + 5 for at, made in entries)
+    assert entries[-1][1] == 149 and len(entries) < 150 / entry_s + 3
+    assert sum(b"other" in data[:9] for _, data in way.came) == 30
