--- a/tests/system/test_register.py
+++ b/tests/system/test_register.py
@@ -20,6 +20,7 @@
 from post.register.records import Member, Stored, first_entry
 from post.register.seat import Seat
 from post.register.starting import Starting
+from post.register.voting import Voting
 from tests.system.core import Broken, Core, Node, explore, finish, tell
 
 STEADY = api.Tuning(beat_s=0.1, election_min_s=0.45, election_max_s=0.9)
@@ -54,6 +55,18 @@
         super().begun(now, sender, note)
 
 
+class AnyPlace(Voting):
+    """Planted fault: whoever asks has the vote, however old its entry."""
+
+    def may_i(self, sender, note, free) -> None:
+        note.has_term = 1 << 40
+        super().may_i(sender, note, free)
+
+    def elect(self, sender, note) -> bool:
+        note.has_term = 1 << 40
+        return super().elect(sender, note)
+
+
 class Trusting(Agreement):
     """Planted fault: what a start finds in the files counts as synced."""
 
@@ -62,10 +75,10 @@
         self.seat.kept = stored or self.seat.kept
 
 
-def begins_as(part: type[Starting]) -> Any:
+def begins_as(part: type[Starting | Voting]) -> Any:
     def make(*args: Any) -> Agreement:
         machine = Agreement(*args)
-        machine.starting.__class__ = part
+        (machine.voting if issubclass(part, Voting) else machine.starting).__class__ = part
         return machine
     return make
 
@@ -105,8 +118,10 @@
 
 
 @pytest.mark.parametrize("fault", [{"early": True}, {"kind": Forgetful}, {"kind": begins_as(MostBegun)},
-                                   {"kind": begins_as(AnyTerm)}, {"kind": Trusting}],
-                         ids=["early ack", "wiped votes", "most have begun", "any term", "unsynced files"])
+                                   {"kind": begins_as(AnyTerm)}, {"kind": Trusting},
+                                   {"kind": begins_as(AnyPlace)}],
+                         ids=["early ack", "wiped votes", "most have begun", "any term", "unsynced files",
+                              "any place"])
 def test_planted_faults_are_found(fault: dict) -> None:
     for seed in range(400):
         try:
