What killed lives left of their saves goes once the loaded generation is synced

It went only with the next whole save, which a disk that such leftovers had filled refused for good. Found by review; test_register_power.py, which now counts the files after the first save of a life, failed before.

--- a/post/register/disk.py
+++ b/post/register/disk.py
@@ -73,7 +73,8 @@
             self.made = True
         unsynced, self.unsynced = self.unsynced, False
         if unsynced and record == self.newest:
-            return self._sync(self.good[-1])
+            self._sync(self.good[-1])
+            return self._tidy()
         self.last += 1
         try:
             self._write(self.last, pack(record))
@@ -81,6 +82,10 @@
             self._remove(self.last)
             raise
         self.good, self.newest = [*self.good, self.last][-KEPT:], record
+        self._tidy()
+
+    def _tidy(self) -> None:
+        """What doesn't count takes room; it goes once the newest that does is synced, never before."""
         for number in self._numbers():
             if number not in self.good:
                 self._remove(number)
--- a/tests/system/test_register_power.py
+++ b/tests/system/test_register_power.py
@@ -103,7 +103,8 @@
 
     def save(self, record: Any) -> None:
         if not self.unsynced or record != self.newest:
-            super().save(record)
+            return super().save(record)
+        self._tidy()
 
 
 class Hasty(Store):
@@ -133,6 +134,7 @@
                 try:
                     store.save(found)
                     acked = found.term
+                    assert len(os.listdir(store.folder)) <= 4, "more than two generations"
                 except OSError:
                     pass
             for _ in range(rng.randrange(4)):
