--- /dev/null
+++ b/tests/system/catching.py
@@ -0,0 +1,136 @@
+"""How long and with how many bytes one that was away catches up, after 0, 500 and 5,000 changes.
+
+    python -m tests.system.catching
+"""
+
+from __future__ import annotations
+
+import os
+import statistics
+import tempfile
+from collections.abc import Iterator
+
+from post.machine import Send
+from post.register import register_pb2 as pb
+from post.register.disk import Store
+from tests.system.core import Core, Node, finish
+from tests.system.test_register_disk import record
+from tests.system.test_rounds_logs import SOURCE, TICK_S, Net
+
+CHANGES = (0, 500, 5000)
+SEEDS = 5
+VALUE_BYTES = 400_000
+WAYS = {"cut off": "cut off", "killed": "killed", "wiped": "wiped",
+        "lossy": "cut off, then a tenth lost, 1 to 50 ms"}
+
+
+class Counted(Core):
+    """Counts the whole entries that go to one node."""
+
+    to, whole = "", 0
+
+    def _send(self, node: Node, output: Send) -> None:
+        note = output.message
+        self.whole += output.to == self.to and note.kind == pb.ENTRY and not note.base_number
+        super()._send(node, output)
+
+
+def member(how: str, changes: int, seed: int) -> tuple[float, int]:
+    """Seconds until a member that is back knows the newest value, and whole entries sent to it."""
+    core = Counted(3, seed)
+    core.delay_s = (0.001, 0.003)
+    finish(core, 5.0)
+    leader = core.leader()
+    away = next(n for n in core.up() if n is not leader)
+    if how in ("cut off", "lossy"):
+        core.cut = {(a, b) for a in core.nodes for b in core.nodes if away.address in (a, b)}
+    else:
+        core.kill(away.address, wipe=how == "wiped")
+    for _ in range(changes):
+        core.run(2.0, lambda: core.leader() is not None)
+        leader = core.leader()
+        token = core.propose(leader, leader.machine.committed)
+        core.run(2.0, lambda token=token: token in core.outcomes)
+    core.run(core.rng.uniform(0.5, 1.9))
+    newest = max(n.machine.committed for n in core.up())
+    core.cut.clear()
+    if how == "lossy":
+        core.loss, core.delay_s = 0.1, (0.001, 0.05)
+    if away.machine is None:
+        core.start(away.address)
+    core.to, began = away.address, core.now
+    assert core.run(30.0, lambda: away.heard >= newest)
+    return core.now - began, core.whole
+
+
+def follower(again: bool, changes: int, seed: int) -> tuple[float, int]:
+    """Seconds until a follower of a log has all of it, and bytes both ways; `again`: the log begins anew."""
+    net = Net(seed)
+    net.loss, net.delay = 0.0, 0.005
+    (address, mirror), *_ = net.mirrors.items()
+    net.mirrors = {address: mirror}
+    for _ in range(100):
+        net.change()
+    for _ in range(100):
+        net.step()
+    mirror.away = 1 << 30
+    for n in range(changes):
+        net.change()
+        if n % 10 == 0:
+            net.step()
+    for _ in range(100):
+        net.step()
+    if again:
+        net.begin()
+        while net.unheard:
+            net.step()
+    mirror.away, net.bytes, began = 0, 0, net.now
+    while mirror.backends != net.truth or mirror.version != net.version:
+        net.step()
+    assert SOURCE in mirror.follower.sources
+    return net.now - began, net.bytes
+
+
+def disk(changes: int) -> int:
+    """The most bytes that a member's folder held while it saved so many entries."""
+    most, sync = 0, os.fsync
+    with tempfile.TemporaryDirectory() as folder:
+        store = Store(folder)
+
+        def seen(descriptor: int) -> None:
+            nonlocal most
+            most = max(most, sum(entry.stat().st_size for entry in os.scandir(folder)))
+            sync(descriptor)
+        os.fsync = seen
+        try:
+            for _ in range(changes):
+                store.save(record(1, VALUE_BYTES))
+        finally:
+            os.fsync = sync
+    return most
+
+
+def table() -> Iterator[str]:
+    yield "| who was away | " + " | ".join(f"{n:,} changes" for n in CHANGES) + " |"
+    yield "| --- |" + " --- |" * len(CHANGES)
+    for how, words in WAYS.items():
+        cells = []
+        for changes in CHANGES:
+            found = [member(how, changes, seed) for seed in range(SEEDS)]
+            times, whole = zip(*found, strict=True)
+            cells.append(f"{statistics.median(times):.2f} s (worst {max(times):.2f}), "
+                         f"{max(whole)} whole entries at most")
+        yield f"| member, {words} | " + " | ".join(cells) + " |"
+    for again in (False, True):
+        cells = []
+        for changes in CHANGES:
+            times, sizes = zip(*[follower(again, changes, seed) for seed in range(SEEDS)], strict=True)
+            cells.append(f"{statistics.median(times) + TICK_S:.2f} s, {max(sizes):,} bytes at most")
+        yield f"| follower of a log{', which begins anew' if again else ''} | " + " | ".join(cells) + " |"
+    cells = [f"{disk(changes) / 1e6:.2f} MB at most" for changes in CHANGES]
+    yield f"| disk, entries of {VALUE_BYTES // 1000} KB | " + " | ".join(cells) + " |"
+
+
+if __name__ == "__main__":
+    for line in table():
+        print(line, flush=True)
