--- a/post/register/disk.py
+++ b/post/register/disk.py
@@ -38,7 +38,7 @@
     """
 
     def __init__(self, folder: str) -> None:
-        self.folder = folder
+        self.folder = os.path.abspath(folder)
         self.made = False  # the folder, and its name is synced
         self.good: list[int] = []  # generations that count, oldest first
         self.unsynced = True  # the loaded one may be: a kill leaves files as they are
