--- a/tests/system/test_register.py
+++ b/tests/system/test_register.py
@@ -21,6 +21,7 @@
 from post.register.records import Member, Stored, first_entry
 from post.register.seat import Seat
 from post.register.starting import Starting
+from post.register.voting import Voting
 from tests.system.core import Broken, Core, Node, explore, finish, tell
 
 STEADY = api.Tuning(beat_s=0.1, election_min_s=0.45, election_max_s=0.9)
@@ -55,6 +56,18 @@
         super().begun(now, sender, note)
 
 
+class AnyPlace(Voting):
+    """Planted fault: whoever asks has the vote, however old its entry."""
+
+    def may_i(self, sender, note, free) -> None:
+        note.has_term = 1 << 40
+        super().may_i(sender, note, free)
+
+    def elect(self, sender, note) -> bool:
+        note.has_term = 1 << 40
+        return super().elect(sender, note)
+
+
 class Trusting(Agreement):
     """Planted fault: what a start finds in the files counts as synced."""
 
@@ -82,7 +95,8 @@
 def begins_as(part: type[Any]) -> Any:
     def make(*args: Any) -> Agreement:
         machine = Agreement(*args)
-        (machine.starting if issubclass(part, Starting) else machine.following).__class__ = part
+        parts = machine.starting, machine.voting, machine.following
+        next(p for p in parts if issubclass(part, type(p))).__class__ = part
         return machine
     return make
 
@@ -126,9 +140,9 @@
 
 @pytest.mark.parametrize("fault", [{"early": True}, {"kind": Forgetful}, {"kind": begins_as(MostBegun)},
                                    {"kind": begins_as(AnyTerm)}, {"kind": Trusting},
-                                   *({"kind": kind} for kind in IN_TOUCH)],
+                                   {"kind": begins_as(AnyPlace)}, *({"kind": kind} for kind in IN_TOUCH)],
                          ids=["early ack", "wiped votes", "most have begun", "any term", "unsynced files",
-                              "hears", "lacks"])
+                              "any place", "hears", "lacks"])
 def test_planted_faults_are_found(fault: dict) -> None:
     for seed in range(400):
         try:
