A connection with bytes of a request still to go out is not used again

Cause: a body that is held whole counts as sent when it is handed to the transport. Answered before the kernel had taken it all (a backend that turns it away unread), the connection went back to the pool, and the next request stood behind the rest of the last one. Ruled out: bodies that flow (an answer before their last byte ended the connection already).

--- a/roadspur/net/upstream.py
+++ b/roadspur/net/upstream.py
@@ -58,6 +58,10 @@
         if exchange.upload is not None:
             exchange.upload.attach(self)
 
+    def sent(self) -> bool:
+        """Whether all that was written has been taken by the kernel."""
+        return self.transport is not None and not self.transport.get_write_buffer_size()
+
     def body(self, data: bytes) -> None:
         """A part of a large body."""
         if self.transport is not None and not self.closed:
@@ -155,7 +159,7 @@
         assert exchange is not None
         exchange.connection = None
         exchange.end_upload()
-        clean = clean and exchange.written and exchange.named(answer)
+        clean = clean and exchange.written and exchange.named(answer) and self.sent()
         self.flowing = False
         self.resume()
         if self.stall is not None:
--- a/tests/system/calls.py
+++ b/tests/system/calls.py
@@ -147,6 +147,7 @@
         self.asked = deque[Arrived]()  # whole requests that the backend has not answered
         self.past = list[bytes]()  # answers that were given
         self.forgotten = self.cut = False  # cut: nothing comes behind a part of an answer
+        self.jammed = False  # the kernel takes nothing
         self.early: Arrived | None = None  # what was taken for whole before it was
 
     def write(self, data: bytes) -> None:
@@ -173,7 +174,7 @@
             self.take(arrived)
 
     def get_write_buffer_size(self) -> int:
-        return len(self.wrote)
+        return 1 if self.jammed else 0
 
     def recv(self, size: int, flags: int = 0) -> bytes:
         if not self.kernel:
