A client whose large answer comes before its own body is whole can go on

Cause: an answer that flows left the connection open when the request's body wasn't whole; the rest of it was then kept for an attempt that never came and the client was paused, until it was thrown out 10 s later or left. Ruled out: answers that are held whole (they closed it, and read the rest). Change: the head says `Connection: close`, the backend gets the rest as long as it answers, and then the rest is thrown away and the connection closed.

--- a/roadspur/net/answering.py
+++ b/roadspur/net/answering.py
@@ -75,9 +75,9 @@
             self.release(call)
         if status == 400:  # found to be bad only there: an id that another holds
             self.deaf, self.keep = True, False
-        if call is not None and call.upload is not None and not call.upload.whole:
-            self.keep = False  # and the rest of its body is read, so that the answer is
-            call.upload.drop()
+        if call is not None and call.unfinished:
+            self.keep = False
+            call.drop_rest()
         self.write(status, lines, body, call is not None and call.bodiless)
         if self.waiting:  # not from here: this may be deep inside an event
             self.loop.call_soon(self.proceed)
@@ -86,6 +86,7 @@
         """The head of a final answer whose body follows in parts."""
         assert self.call is not None and self.transport is not None
         self.release(self.call)
+        self.keep = self.keep and not self.call.unfinished
         self.chunked = length is None and self.call.chunks
         if length is None and not self.chunked:  # only the connection's end can end it
             self.keep = False
@@ -99,6 +100,8 @@
 
     def finish(self) -> None:
         """The last part has been passed on."""
+        if self.call is not None:
+            self.call.drop_rest()
         self.call = self.source = None
         if self.transport is None or self.closing:
             return
--- a/roadspur/net/wire.py
+++ b/roadspur/net/wire.py
@@ -56,6 +56,16 @@
     upload: Upload | None = None  # a large body, of which `body` then holds nothing
     bodiless: bool = False  # its answer has no body: it is a HEAD
 
+    @property
+    def unfinished(self) -> bool:
+        """Whether a part of its body is yet to come."""
+        return self.upload is not None and not self.upload.whole
+
+    def drop_rest(self) -> None:
+        """It has been answered: the rest of its body is read, so that the answer is, and thrown away."""
+        if self.upload is not None and not self.upload.whole:
+            self.upload.drop()
+
     def message(self, lines: bytes) -> bytes:
         """The request as a backend gets it, with further header lines."""
         length = len(self.body) if self.upload is None else self.upload.length
--- a/tests/system/test_calls.py
+++ b/tests/system/test_calls.py
@@ -310,3 +310,30 @@
     assert len(town.links) == 1
     town.settle()
     town.check()
+
+
+def test_a_connection_with_a_request_that_has_not_gone_out_is_not_used_again() -> None:
+    """What is left of it would stand before the next one."""
+    town = Town(BOOK)
+    order(town)
+    link = town.links[0]
+    link.jammed = True
+    link.kernel.append(answer(link, link.asked.popleft()))
+    link.deliver()
+    town.run(0.01)
+    assert link.lost and town.seats[0].said.startswith(b"HTTP/1.1 200 ")
+
+
+@pytest.mark.parametrize("framing", [0, 1])
+def test_a_large_answer_before_the_request_is_whole_lets_its_client_go_on(framing: int) -> None:
+    town = Town(BOOK)
+    order(town, large=True, kept=9)
+    link, seat = town.links[0], town.seats[0]
+    link.hurry()
+    link.kernel.append(answer(link, link.asked.popleft(), framing))
+    link.deliver()
+    town.push(seat)
+    town.run(0.01)
+    assert seat.closed and not seat.paused and b"Connection: close" in seat.said
+    town.settle()
+    town.check()
