A break of an answer that only its connection's end ends is a reset

Cause: an HTTP/1.0 client of a large answer without a length knows its end by the connection's end. When the backend broke off, or when the client itself was too slow, its connection was closed as at the end: a 2xx that was cut short looked complete. Ruled out: chunks and lengths (their lack shows); answers that are held whole. Change: such a connection is ended by a reset (SO_LINGER of 0) wherever it is ended in the middle. Before: a new test on sockets and one in memory fail.

--- a/proving/model/pipes.py
+++ b/proving/model/pipes.py
@@ -98,6 +98,9 @@
     def shutdown(self, how: int) -> None:
         """The transport's end does that."""
 
+    def setsockopt(self, level: int, option: int, value: Any) -> None:
+        """A break is always a reset here."""
+
     def recv(self, size: int, flags: int = 0) -> bytes:
         """A look at what has come and isn't read, as `MSG_PEEK` gives it."""
         if self.over:
--- a/roadspur/net/answering.py
+++ b/roadspur/net/answering.py
@@ -88,8 +88,8 @@
         self.release(self.call)
         self.keep = self.keep and not self.call.unfinished
         self.chunked = length is None and self.call.chunks
-        if length is None and not self.chunked:  # only the connection's end can end it
-            self.keep = False
+        self.endless = length is None and not self.chunked
+        self.keep = self.keep and not self.endless
         self.source, self.flowed = source, True
         lines += b"Content-Length: %d\r\n" % length if length is not None else CHUNKED * self.chunked
         self.write_head(200, lines)
@@ -117,8 +117,7 @@
         """The rest cannot be had: the client is to see that its answer is not whole."""
         self.call = self.source = None
         if self.transport is not None:
-            self.closing = True
-            self.transport.abort()
+            self.cut()
 
     def release(self, call: Call) -> None:
         """A request has its final answer: its body is held no more."""
--- a/roadspur/net/client.py
+++ b/roadspur/net/client.py
@@ -261,8 +261,7 @@
             return
         if self.full_since:
             if not self.reads(now):
-                self.closing = True
-                self.transport.abort()
+                self.cut()
         elif self.began:
             self.hurry(now)
         else:
--- a/roadspur/net/line.py
+++ b/roadspur/net/line.py
@@ -5,6 +5,8 @@
 import asyncio
 import http
 import select
+import socket
+import struct
 from typing import cast
 
 from roadspur.net.door import House
@@ -13,6 +15,7 @@
 FLOW_STALL_S = 10.0  # for a client to read any more of a large answer
 CLOSE = b"Connection: close\r\n"
 LINGER_S = 0.5  # for a client to read the last answer
+RESET = struct.pack("ii", 1, 0)  # of SO_LINGER
 PHRASES = {s.value: s.phrase.encode() for s in http.HTTPStatus}
 
 
@@ -28,6 +31,7 @@
         self.since = self.loop.time()  # of being idle
         self.full_since = 0.0  # of a client that does not read; 0 if it does
         self.full_size = 0  # of what it has not read, when last looked at
+        self.endless = False  # only the connection's end tells the end of the present answer
         self.flowed = False  # whether what is still to be written may be of a large answer
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -72,10 +76,20 @@
         """Wait for the rest of an answer to go out, as long as the client reads; then it is the end."""
         if self.transport is None or self not in self.server.connections:
             return
-        if self.transport.get_write_buffer_size() and self.reads(self.loop.time()):
+        if not self.transport.get_write_buffer_size():
+            self.transport.abort()
+        elif self.reads(self.loop.time()):
             self.loop.call_later(LINGER_S, self.linger)
         else:
-            self.transport.abort()
+            self.cut()
+
+    def cut(self) -> None:
+        """End it in the middle of an answer, so that this does not look like the answer's end."""
+        assert self.transport is not None
+        self.closing = True
+        if self.endless and (self.transport.get_write_buffer_size() or not self.transport.is_closing()):
+            self.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        self.transport.abort()
 
     def reads(self, now: float) -> bool:
         """Whether a client that is behind has read any more of its answer lately."""
--- a/tests/system/calls.py
+++ b/tests/system/calls.py
@@ -270,6 +270,10 @@
         if not self.closed:
             self.said += data
 
+    def ended(self) -> bool:
+        """Whether the client sees what looks like an end in order."""
+        return self.closed and not (self.reset or self.gone)
+
     def send(self, data: bytes) -> None:
         if not (self.closed or self.gone):
             self.hand(self.taker.data_received, data)
@@ -397,7 +401,7 @@
         """What a client makes of its answers."""
         data = bytes(seat.said)
         for n, ask in enumerate(seat.asks):
-            status, fields, body, data = parse(data, ask.method == "HEAD", seat.closed and not seat.reset)
+            status, fields, body, data = parse(data, ask.method == "HEAD", seat.ended())
             if body is None:
                 assert seat.closed or n >= seat.whole, f"{ask.attempt}: no answer, and no end"
                 assert not data
--- a/tests/system/test_calls.py
+++ b/tests/system/test_calls.py
@@ -105,7 +105,7 @@
     elif how == 7:
         link.kernel.append(late(link) + own)
     elif how == 8 and not until_end:
-        link.kernel += [own[:m % len(own)], *([None], [b""], [])[m % 3]]
+        link.kernel += [own[:40503 * m % len(own)], *([None], [b""], [])[m % 3]]
     elif how == 9 and not a.turned_away:
         link.kernel.append(SPOILT[m % len(SPOILT)](link, a))
     else:
@@ -337,3 +337,20 @@
     assert seat.closed and not seat.paused and b"Connection: close" in seat.said
     town.settle()
     town.check()
+
+
+def test_a_break_does_not_look_like_an_end_to_an_old_client() -> None:
+    """It knows the end of an answer without a length by its connection's only."""
+    town = Town(BOOK)
+    seat = town.seat()
+    town.ask(seat, Ask("a1", True, "GET", True, "1.0"), 0)
+    town.run(0.002)
+    link = town.links[0]
+    link.kernel.append(answer(link, link.asked.popleft(), 1)[:-99])
+    link.deliver()
+    assert b"Content-Length" not in seat.said.partition(b"\r\n\r\n")[0] and not seat.closed
+    link.kernel.append(None)
+    link.deliver()
+    town.settle()
+    assert seat.closed and seat.reset
+    town.check()
--- a/tests/test_flow.py
+++ b/tests/test_flow.py
@@ -116,6 +116,21 @@
     run(main())
 
 
+def test_a_break_does_not_look_like_an_end_to_an_old_client():
+    async def main():
+        async def act(seen):
+            seen.writer.write(FORMS["chunks"][:100_000])
+            return b""
+
+        backend = await Peer(act).listen()
+        rig = Rig(in_turn("b0"))
+        client = await rig.start(b0=backend.port)
+        client.writer.write(call().replace(b"HTTP/1.1", b"HTTP/1.0"))
+        with pytest.raises(ConnectionError):
+            await client.reader.read()
+    run(main())
+
+
 def test_an_answer_that_stands_still_in_the_middle_is_given_up(monkeypatch):
     monkeypatch.setattr(upstream, "FLOW_STALL_S", 0.1)
 
