Nothing is sent on from behind the last answer on a client's connection

Cause: with the rest of a body still coming in, a connection was not closed after its last answer, so that this is read; but that body could be the next request's. While leaving (SIGTERM), a pipelined large request behind the answer that said `Connection: close` was thus sent on and run, though its client has to take it for unread. Ruled out: requests that had come whole (never taken once the connection closes). Change: a body that belongs to a request behind the last answer is thrown away, and the connection closes.

--- a/roadspur/net/client.py
+++ b/roadspur/net/client.py
@@ -246,6 +246,9 @@
 
     def close(self) -> None:
         """Close, unless the rest of a body is to be read first, so that its answer is."""
+        if any(item is self.upload_call for item, _ in self.waiting):  # it is behind the last answer
+            self.upload_call, self.held_since, self.deaf, self.size = None, 0.0, True, 0
+            self.regulate()
         if self.upload_call is None:
             super().close()
 
--- a/tests/system/test_calls.py
+++ b/tests/system/test_calls.py
@@ -358,3 +358,18 @@
     town.settle()
     assert seat.closed and seat.reset
     town.check()
+
+
+def test_nothing_is_sent_on_from_behind_the_last_answer() -> None:
+    """A client that is told that its connection ends takes what it has sent behind that for unread."""
+    town = Town(BOOK)
+    town.server.draining = True
+    order(town)
+    town.ask(town.seats[0], Ask("a2", False, "POST", True, "1.1"), 9)
+    link = town.links[0]
+    link.kernel.append(answer(link, link.asked.popleft()))
+    link.deliver()
+    assert b"Connection: close" in town.seats[0].said and town.seats[0].taker.closing
+    town.settle()
+    assert not town.runs()["a2"]
+    town.check()
