--- a/proving/proofs.py
+++ b/proving/proofs.py
@@ -56,3 +56,14 @@
     proof = PROOFS[name]
     played = replace(SMALL.day, seconds=proof.seconds, closing=proof.closing)
     return replace(SMALL, planted=name if planted else "", troubles=proof.troubles, day=played)
+
+
+def calls(planted: str = "") -> Spec:
+    """A day on which answers are lost, doubled, late, cut and spoilt while backends close connections that
+    have just become idle, end, and leave their addresses to others."""
+    services = tuple(replace(s, idle_s=0.4, closes=0.1) for s in SMALL.services)
+    kinds = ("answer_double", "answer_late", "garble", "answer_lost", "answer_short") + 2 * ("srv_crash",)
+    which = [(kind, 40 * n + turn) for turn in range(3) for n, kind in enumerate(kinds)]
+    troubles = tuple(_at(kind, 6.5 + 0.6 * n, 2.0, number, 3.0) for n, (kind, number) in enumerate(which))
+    return replace(SMALL, planted=planted, services=services, troubles=troubles,
+                   day=replace(SMALL.day, seconds=24.0))
--- a/tests/system/test_proving.py
+++ b/tests/system/test_proving.py
@@ -36,6 +36,11 @@
     assert not rules(proofs.day(name, planted=False))
 
 
+@pytest.mark.parametrize(("fault", "found"), [("", set()), ("repeats", {"TWICE"})])
+def test_a_day_of_spoilt_answers_breaks_nothing_but_what_is_planted(fault, found):
+    assert rules(proofs.calls(fault)) == found
+
+
 def test_one_seed_is_one_run():
     spec = days.by_chance(replace(SMALL, day=replace(SMALL.day, seconds=16.0)), 3)
     first, again = play(spec, 3), play(spec, 3)
