--- a/post/office/program.py
+++ b/post/office/program.py
@@ -31,7 +31,7 @@
 
 def register_slot(note: Any) -> int | None:
     """An entry is the whole state, so a later one will do."""
-    return register_pb2.ENTRY if note.kind == register_pb2.ENTRY else None
+    return register_pb2.APPEND if note.kind == register_pb2.APPEND else None
 
 
 def rounds_slot(note: Any) -> tuple[str, int] | None:
--- a/post/register/agreement.py
+++ b/post/register/agreement.py
@@ -39,10 +39,10 @@
 class Agreement:
     """One disk's part. `now` must be read after the input came, for leases rest on it.
 
-    `stored` is what `Store.load` gave, which counts as kept once it is saved: a killed process may have left
-    it unsynced; `fresh` the first start of the whole system; `seeds` the own ports of the seeds;
-    `new_disk_id` a random name, used if this disk is to be a new member; `tolerance` how many members may be
-    lost at once. `dropped` counts notes that made no sense, by why.
+    `stored` is what `Store.load` gave: it counts once it is saved, for a kill may have left it unsynced;
+    `fresh` the first start of the whole system; `seeds` the own ports of the seeds; `new_disk_id` a random
+    name, used if this disk is to be a new member; `tolerance` how many members may be lost at once.
+    `dropped` counts notes that made no sense, by why.
     """
 
     def __init__(self, me: Address, stored: Stored | None, fresh: bool, seeds: Sequence[Address],
--- a/tests/system/test_register.py
+++ b/tests/system/test_register.py
@@ -59,13 +59,13 @@
 class AnyPlace(Voting):
     """Planted fault: whoever asks has the vote, however old its entry."""
 
-    def may_i(self, sender, note, free) -> None:
+    def pre_vote(self, sender, note, free) -> None:
         note.has_term = 1 << 40
-        super().may_i(sender, note, free)
+        super().pre_vote(sender, note, free)
 
-    def elect(self, sender, note) -> bool:
+    def request_vote(self, sender, note) -> bool:
         note.has_term = 1 << 40
-        return super().elect(sender, note)
+        return super().request_vote(sender, note)
 
 
 class Trusting(Agreement):
