--- a/post/register/agreement.py
+++ b/post/register/agreement.py
@@ -63,8 +63,7 @@
         self.voting = Voting(self.seat, self.starting)
         self.dropped: dict[str, int] = {}
         self.leaving = self.left = False  # asked to leave; and no member any more
-        self.leave_at = now
-        self.patience = 0.0
+        self.leave_at = self.patience = now
         self._wait(now)
 
     @property
