--- a/.ci/limits.py
+++ b/.ci/limits.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 
 COLUMNS, FILE, CLASS, POLICY = 110, 400, 250, 1200
-FOLDERS = ("roadspur", "post", "examples", "proving")
+FOLDERS = ("roadspur", "gateway", "examples", "proving")
 
 
 def full(lines: list[str]) -> int:
--- a/examples/run.py
+++ b/examples/run.py
@@ -1,4 +1,4 @@
-"""The whole system on loopback: one postmaster, one sorter, two stand-in backends, a configuration.
+"""The whole system on loopback: one controller, one proxy, two stand-in backends, a configuration.
 
     python examples/run.py            # until Ctrl-C
     python examples/run.py --once     # sends one request, prints the answer, ends
@@ -42,24 +42,24 @@
 
     def settings(self, program: str) -> dict[str, Any]:
         """The settings of a program; JSON is YAML, too."""
-        listen = {"sorter": {"front": self.front, "ready": self.ready},
-                  "postmaster": {"control": self.control}}
+        listen = {"proxy": {"front": self.front, "ready": self.ready},
+                  "controller": {"control": self.control}}
         own: dict[str, Any] = {"node": program, "role": program, "machine-class": "edge", "ip": "127.0.0.1",
                                "zone": "zone-a", "region": "region-a", "counted": True, "fresh-start": True,
-                               "serves": ["edge" if program == "sorter" else "control"],
+                               "serves": ["edge" if program == "proxy" else "control"],
                                "limits": {"cpu-share": 1, "cores": 1, "memory-mb": 300, "max-fds": 1024}}
-        if program == "postmaster":
+        if program == "controller":
             own["data-dir"] = f"{self.folder}/data"
         return {"self": own, "provider": {"beat-s": 1}, "terms": {"bounds": {"drain-s": 0.5}},
                 "network": {"listen": listen[program], "port-range": [self.port + 10, self.port + 25],
                             "seeds": [self.control], "zones": {"zone-a": "region-a"}}}
 
     def program(self, program: str) -> None:
-        """Start `sorter` or `postmaster`."""
+        """Start `proxy` or `controller`."""
         path = Path(self.folder, f"{program}.yaml")
         path.write_text(json.dumps(self.settings(program), indent=1))
         environ = {**os.environ, "EIDERSTAGE_NODE_FILE": str(path)}
-        self.programs.append(spawn(["-m", "post", program], environ))
+        self.programs.append(spawn(["-m", "gateway", program], environ))
 
     def backend(self, number: int) -> None:
         """Start a backend."""
@@ -70,13 +70,13 @@
     def start(self) -> None:
         """Start all, and wait until requests are taken. RuntimeError: they are not."""
         Path(self.folder, "data").mkdir()
-        self.program("postmaster")
-        self.program("sorter")
+        self.program("controller")
+        self.program("proxy")
         for number in range(2):
             self.backend(number)
         config = (HERE / "config.json").read_bytes()
         self.until("the configuration to be taken", lambda: call(self.control, "PUT", "/-/config", config))
-        self.until("the sorter to be ready", lambda: call(self.ready, "GET", "/-/readiness"))
+        self.until("the proxy to be ready", lambda: call(self.ready, "GET", "/-/readiness"))
 
     def until(self, what: str, ask: Any) -> Answer:
         """Ask again until the answer is 200. RuntimeError: not in time, or a process has ended."""
--- a/post/office/allowance.py
+++ b/gateway/cli/allowance.py
@@ -1,16 +1,16 @@
-"""Whether all nodes agree on each tenant's remaining allowance, as the postmasters that count it tell."""
+"""Whether all nodes agree on each tenant's remaining allowance, as the controllers that count it tell."""
 
 from __future__ import annotations
 
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from post.office.nodes import Row, ask_each, columns
+from gateway.cli.nodes import Row, ask_each, columns
 
 DISAGREES = 1  # units beyond what was said in a view's time that are let pass
 
 
-class Told(NamedTuple):
+class AllowanceReport(NamedTuple):
     """Tenants with their holders, each node's views, and seeds that gave no answer."""
 
     tenants: list[Row]
@@ -23,12 +23,12 @@
         return not self.faults and all(row["state"] == "agrees" for row in self.tenants)
 
 
-def ask(seeds: Iterable[str]) -> Told:
+def ask(seeds: Iterable[str]) -> AllowanceReport:
     """Ask each of these `control` addresses; tenants that none of them counts are not known."""
-    return put_together(*ask_each(seeds))
+    return merge_answers(*ask_each(seeds))
 
 
-def put_together(answers: list[Row], faults: list[tuple[str, str]]) -> Told:
+def merge_answers(answers: list[Row], faults: list[tuple[str, str]]) -> AllowanceReport:
     """One list of tenants, one of views."""
     tenants, views = [], []
     for answer in answers:
@@ -48,7 +48,7 @@
         if held.count(row["tenant"]) > 1:
             row["state"] = "held twice"
     tenants.sort(key=lambda row: (row["tenant"], row["holder"]))
-    return Told(tenants, sorted(views, key=lambda row: (row["tenant"], row["node"])), faults)
+    return AllowanceReport(tenants, sorted(views, key=lambda row: (row["tenant"], row["node"])), faults)
 
 
 TENANTS = ("tenant", "holder", "allowance", "remaining", "kept", "nodes", "oldest-s", "differs", "beyond",
@@ -56,7 +56,7 @@
 VIEWS = ("tenant", "holder", "remaining", "node", "view", "age-s", "differs", "beyond")
 
 
-def lines(told: Told, nodes: bool) -> list[str]:
+def lines(report: AllowanceReport, nodes: bool) -> list[str]:
     """A table of the tenants, or of each node's views."""
-    names, rows = (VIEWS, told.views) if nodes else (TENANTS, told.tenants)
+    names, rows = (VIEWS, report.views) if nodes else (TENANTS, report.tenants)
     return columns(names, [tuple(row[name] for name in names) for row in rows])
--- a/post/office/cli.py
+++ b/gateway/cli/commands.py
@@ -20,13 +20,13 @@
 from cleo.io.outputs.output import Type
 from result import Err
 
-from post.office import VERSION, settings
+from gateway.runtime import VERSION, settings
 
-FAULTY = 2
-SEEDS = argument("seeds", "Addresses of postmasters (`control`), such as 10.1.0.5:8407", multiple=True)
+EXIT_FAULTS = 2
+SEEDS = argument("seeds", "Addresses of controllers (`control`), such as 10.1.0.5:8407", multiple=True)
 
 
-class _Checking(Command):
+class _CheckCommand(Command):
     """What the checks share."""
 
     def faults(self, file: str, faults: Iterable[tuple[str, str]]) -> int:
@@ -34,14 +34,14 @@
         for place, problem in faults:
             where = place if place.startswith(file) else f"{file}: {place}" if place else file
             self.line_error(Formatter.escape(f"{where}: {problem}"))
-        return FAULTY
+        return EXIT_FAULTS
 
     def lines(self, lines: Iterable[str]) -> None:
         """Print lines as they are."""
         for line in lines:
             self.line(Formatter.escape(line))
 
-    def fine(self, what: str) -> int:
+    def report_ok(self, what: str) -> int:
         """Print that all is well."""
         self.line(Formatter.escape(f"{what}: no faults"))
         return 0
@@ -51,8 +51,8 @@
         found = settings.read_file(path)
         if isinstance(found, Err):
             return self.faults(path, found.err_value)
-        lacks = found.ok_value.lacks(program) if program else []
-        return self.faults(path, lacks) if lacks else self.fine(path)
+        missing_listeners = found.ok_value.missing_listeners(program) if program else []
+        return self.faults(path, missing_listeners) if missing_listeners else self.report_ok(path)
 
     def own_settings(self, program: str | None) -> int:
         """Check the settings file that the environment names."""
@@ -73,7 +73,7 @@
         return 0
 
 
-class CheckSettings(_Checking):
+class CheckSettings(_CheckCommand):
     """Checks a settings file, by default the one that the environment names."""
 
     name = "check-settings"
@@ -86,7 +86,7 @@
         return self.settings(path, None) if path else self.own_settings(None)
 
 
-class CheckConfig(_Checking):
+class CheckConfig(_CheckCommand):
     """Checks a whole configuration as an operator would put it."""
 
     name = "check-config"
@@ -94,7 +94,7 @@
     arguments: ClassVar[list[Argument]] = [argument("file", "The file")]
 
     def handle(self) -> int:
-        from post.directory import document
+        from gateway.config import document
 
         path = self.argument("file")
         try:
@@ -103,11 +103,11 @@
         except OSError as error:
             return self.faults(path, [(path, error.strerror or str(error))])
         found = document.parse(body)
-        return self.faults(path, found.err_value) if isinstance(found, Err) else self.fine(path)
+        return self.faults(path, found.err_value) if isinstance(found, Err) else self.report_ok(path)
 
 
-class NodesCommand(_Checking):
-    """Lists what all nodes run, as the postmasters know it."""
+class NodesCommand(_CheckCommand):
+    """Lists what all nodes run, as the controllers know it."""
 
     name = "nodes"
     description = "List nodes by version, digest, lag and findings"
@@ -115,15 +115,15 @@
     options: ClassVar[list[Option]] = [option("json", None, "As JSON")]
 
     def handle(self) -> int:
-        from post.office import nodes
+        from gateway.cli import nodes
 
         told = nodes.ask(self.argument("seeds"))
         self.lines([json.dumps(told._asdict())] if self.option("json") else nodes.lines(told))
         self.faults("", told.faults)
-        return 0 if told.well else FAULTY
+        return 0 if told.well else EXIT_FAULTS
 
 
-class CoreCommand(_Checking):
+class CoreCommand(_CheckCommand):
     """Shows the core's members."""
 
     name = "core"
@@ -131,15 +131,16 @@
     arguments: ClassVar[list[Argument]] = [SEEDS]
 
     def handle(self) -> int:
-        from post.office import nodes, showing
+        from gateway.cli import nodes
+        from gateway.programs import status_report
 
-        answers, faults = nodes.ask_each(self.argument("seeds"), showing.CORE)
-        self.lines(showing.core_lines(answers))
+        answers, faults = nodes.ask_each(self.argument("seeds"), status_report.CORE)
+        self.lines(status_report.core_lines(answers))
         self.faults("", faults)
-        return 0 if showing.core_well(answers) and not faults else FAULTY
+        return 0 if status_report.core_well(answers) and not faults else EXIT_FAULTS
 
 
-class BackendsCommand(_Checking):
+class BackendsCommand(_CheckCommand):
     """Shows the backends and their leases."""
 
     name = "backends"
@@ -147,15 +148,16 @@
     arguments: ClassVar[list[Argument]] = [SEEDS]
 
     def handle(self) -> int:
-        from post.office import nodes, showing
+        from gateway.cli import nodes
+        from gateway.programs import status_report
 
-        answers, faults = nodes.ask_each(self.argument("seeds"), showing.LEASES)
-        self.lines(showing.lease_lines(answers))
+        answers, faults = nodes.ask_each(self.argument("seeds"), status_report.LEASES)
+        self.lines(status_report.lease_lines(answers))
         return self.faults("", faults) if faults else 0
 
 
-class AllowanceCommand(_Checking):
-    """Compares what all nodes know of each tenant's remaining allowance with its holder's word."""
+class AllowanceCommand(_CheckCommand):
+    """Compares what all nodes know of each tenant's remaining allowance with its holder's verdict."""
 
     name = "allowance"
     description = "Compare each node's view of each tenant's remaining allowance with the holder's"
@@ -164,16 +166,16 @@
                                        option("json", None, "As JSON")]
 
     def handle(self) -> int:
-        from post.office import allowance
+        from gateway.cli import allowance
 
         told = allowance.ask(self.argument("seeds"))
         table = allowance.lines(told, self.option("nodes"))
         self.lines([json.dumps(told._asdict())] if self.option("json") else table)
         self.faults("", told.faults)
-        return 0 if told.well else FAULTY
+        return 0 if told.well else EXIT_FAULTS
 
 
-class _Config(_Checking):
+class _ConfigCommand(_CheckCommand):
     """An order about the configuration, at whichever process takes it."""
 
     method = "GET"
@@ -182,9 +184,9 @@
 
     def order(self, seeds: list[str], body: bytes) -> int:
         """Carry it out and print the answer."""
-        from post.office import errand
+        from gateway.cli import control_client
 
-        answer = errand.run(seeds, self.method, errand.CONFIG, body, float(self.option("for")))
+        answer = control_client.run(seeds, self.method, control_client.CONFIG, body, float(self.option("for")))
         told = answer.body.decode(errors="replace")
         if answer.status != 200:
             status = f"answered {answer.status}" if answer.status else "no answer"
@@ -193,7 +195,7 @@
         return 0
 
 
-class ConfigGet(_Config):
+class ConfigGet(_ConfigCommand):
     """Prints the configuration in force, whole."""
 
     name = "config get"
@@ -204,14 +206,14 @@
         return self.order(self.argument("seeds"), b"")
 
 
-class ConfigPut(_Config):
+class ConfigPut(_ConfigCommand):
     """Puts a whole configuration."""
 
     name = "config put"
     description = "Put a whole configuration"
     method = "PUT"
     arguments: ClassVar[list[Argument]] = [
-        argument("seeds", "Addresses of postmasters (`control`), and last the file (JSON)", multiple=True)]
+        argument("seeds", "Addresses of controllers (`control`), and last the file (JSON)", multiple=True)]
 
     def handle(self) -> int:
         *seeds, path = self.argument("seeds")
@@ -233,7 +235,7 @@
     method = "PATCH"
 
 
-class PlanCore(_Checking):
+class PlanCore(_CheckCommand):
     """Tells what a core of so many disks bears."""
 
     name = "plan-core"
@@ -243,21 +245,21 @@
         option("tolerance", None, "How many may be lost at once", flag=False, default="1")]
 
     def handle(self) -> int:
-        from post.register import plan
+        from gateway.consensus import quorum
 
         members, tolerance = int(self.argument("members")), int(self.option("tolerance"))
-        self.line(f"acknowledged: on {plan.majority(members)} of {members} disks")
-        for loss in plan.losses(members):
-            away, gone = plan.told(loss)
-            left = plan.more([(members, members - loss.lost)], plan.majority(members) - loss.lost)
+        self.line(f"acknowledged: on {quorum.majority(members)} of {members} disks")
+        for loss in quorum.losses(members):
+            away, gone = quorum.told(loss)
+            left = quorum.more([(members, members - loss.lost)], quorum.majority(members) - loss.lost)
             self.line(f"{loss.lost} lost: while away {away}; for good {gone}; then {left} more may go")
-        if plan.bears(members) < tolerance:
-            wanted = plan.wanted(tolerance)
-            return self.faults("", [("members", f"{tolerance} lost at once takes {wanted} of them at least")])
+        if quorum.tolerable_losses(members) < tolerance:
+            members_needed = quorum.members_needed(tolerance)
+            return self.faults("", [("members", f"{tolerance} lost at once takes {members_needed} of them at least")])
         return 0
 
 
-class _Program(_Checking):
+class _ProgramCommand(_CheckCommand):
     options: ClassVar[list[Option]] = [
         option("check", None, "Only check the settings, then end"),
         option("counts", None, "Write what tenants asked and were allowed, a line each 5 s")]
@@ -265,33 +267,33 @@
     def handle(self) -> int:
         if self.option("check"):
             return self.own_settings(self.name)
-        from post.__main__ import main
+        from gateway.__main__ import main
 
         return main([str(self.name)])
 
 
-class SorterCommand(_Program):
+class ProxyCommand(_ProgramCommand):
     """The program on every machine that takes requests."""
 
-    name = "sorter"
+    name = "proxy"
     description = "Run the program that takes requests"
 
 
-class PostmasterCommand(_Program):
+class ControllerCommand(_ProgramCommand):
     """The program on the machines of the core."""
 
-    name = "postmaster"
+    name = "controller"
     description = "Run the program that serves backends and operators"
 
 
 COMMANDS = (VersionCommand, CheckSettings, CheckConfig, ConfigGet, ConfigPut, ConfigPatch, NodesCommand,
-            CoreCommand, BackendsCommand, AllowanceCommand, PlanCore, SorterCommand, PostmasterCommand)
+            CoreCommand, BackendsCommand, AllowanceCommand, PlanCore, ProxyCommand, ControllerCommand)
 
 
 def run(arguments: list[str]) -> int:
     """Run a command line; its exit code."""
-    application = Application("post", VERSION)
+    application = Application("gateway", VERSION)
     application.auto_exits(False)
     for command in COMMANDS:
         application.add(command())
-    return application.run(ArgvInput(["post", *arguments]))
+    return application.run(ArgvInput(["gateway", *arguments]))
--- a/post/office/errand.py
+++ b/gateway/cli/control_client.py
@@ -1,6 +1,6 @@
 """An operator's call to `control`: made again, unchanged, until a process gives a clear answer.
 
-    answer = errand.run(["10.1.0.5:8407", "10.2.0.3:8407"], "PUT", errand.CONFIG, body)
+    answer = operator call.run(["10.1.0.5:8407", "10.2.0.3:8407"], "PUT", operator call.CONFIG, body)
 """
 
 from __future__ import annotations
@@ -11,12 +11,12 @@
 from typing import NamedTuple
 from urllib.parse import urlsplit
 
-from post.machine import Address
-from post.office.address import host_port
+from gateway.runtime.address import host_port
+from gateway.state_machine import Address
 
 CONFIG = "/-/config"
-CLEAR = (400, 409, 412, 413, 422)  # end it at once, as a success does
-AGAIN = (408, 429)  # another process may have room
+FINAL_STATUSES = (400, 409, 412, 413, 422)  # end it at once, as a success does
+RETRY_STATUSES = (408, 429)  # another process may have room
 TRIES_4XX = 3  # after which any other 4xx counts
 REDIRECTS = 2
 SILENCE_S, BYTES_A_SECOND = 1.0, 1e6  # of patience with one process, and what a large body adds
@@ -31,7 +31,7 @@
     body: bytes
 
 
-NOTHING = Answer(0, "", b"")
+NO_ANSWER = Answer(0, "", b"")
 Call = Callable[[Address, str, str, bytes, float], Answer]
 
 
@@ -48,7 +48,7 @@
         finally:
             connection.close()
     except (OSError, HTTPException, ValueError):
-        return NOTHING
+        return NO_ANSWER
 
 
 def run(seeds: Sequence[Address], method: str, path: str, body: bytes = b"", most_s: float = 30.0,
@@ -59,11 +59,11 @@
     An order that has got no clear answer may be in force: the same one sent again is then answered with 200.
     """
     patience, ends = SILENCE_S + len(body) / BYTES_A_SECOND, clock() + most_s
-    wait, odd, turn = FIRST_PAUSE_S, 0, 0
+    wait, unexpected_4xx, turn = FIRST_PAUSE_S, 0, 0
     while True:
         answer = _follow(call, seeds[turn % len(seeds)], method, path, body, patience)
-        odd += 400 <= answer.status < 500 and answer.status not in AGAIN
-        if 200 <= answer.status < 300 or answer.status in CLEAR or odd >= TRIES_4XX or clock() + wait > ends:
+        unexpected_4xx += 400 <= answer.status < 500 and answer.status not in RETRY_STATUSES
+        if 200 <= answer.status < 300 or answer.status in FINAL_STATUSES or unexpected_4xx >= TRIES_4XX or clock() + wait > ends:
             return answer
         pause(wait)
         wait, turn = min(2 * wait, LONGEST_PAUSE_S), turn + 1
@@ -71,7 +71,7 @@
 
 def _follow(call: Call, address: Address, method: str, path: str, body: bytes, patience: float) -> Answer:
     """The answer of a process, or of the one that it sends us on to."""
-    answer = NOTHING
+    answer = NO_ANSWER
     for _ in range(1 + REDIRECTS):
         answer = call(address, method, path, body, patience)
         to = urlsplit(answer.location)
--- a/post/office/nodes.py
+++ b/gateway/cli/nodes.py
@@ -1,4 +1,4 @@
-"""What all nodes run, as the postmasters tell it: asked, put together, and laid out for a terminal."""
+"""What all nodes run, as the controllers tell it: asked, put together, and laid out for a terminal."""
 
 from __future__ import annotations
 
@@ -7,8 +7,8 @@
 from http.client import HTTPConnection, HTTPException
 from typing import Any, NamedTuple
 
-from post.office.address import host_port
-from post.office.overseeing import STATUS
+from gateway.programs.fleet_monitor import STATUS
+from gateway.runtime.address import host_port
 
 PATIENCE_S = 2.0  # for one answer
 MOST_BYTES = 4 * 1024 * 1024  # of one answer
@@ -16,8 +16,8 @@
 Row = dict[str, Any]
 
 
-class Told(NamedTuple):
-    """The newest version that a postmaster knows; all nodes; findings; and seeds that gave no answer."""
+class FleetReport(NamedTuple):
+    """The newest version that a controller knows; all nodes; findings; and seeds that gave no answer."""
 
     version: int
     nodes: list[Row]
@@ -40,10 +40,10 @@
         body = answer.read(MOST_BYTES)
         if answer.status != 200:
             raise ValueError(f"answered {answer.status}")
-        told = json.loads(body)
-        if not isinstance(told, dict):
+        report = json.loads(body)
+        if not isinstance(report, dict):
             raise ValueError("answered no object")
-        return told
+        return report
     except HTTPException as error:
         raise ValueError(f"answered {type(error).__name__}") from error
     finally:
@@ -61,12 +61,12 @@
     return answers, faults
 
 
-def ask(seeds: Iterable[str]) -> Told:
+def ask(seeds: Iterable[str]) -> FleetReport:
     """Ask each of these `control` addresses."""
-    return put_together(*ask_each(seeds))
+    return merge_answers(*ask_each(seeds))
 
 
-def put_together(answers: list[Row], faults: list[tuple[str, str]]) -> Told:
+def merge_answers(answers: list[Row], faults: list[tuple[str, str]]) -> FleetReport:
     """One list out of several: of each node what was heard latest."""
     version = max((a["version"] for a in answers), default=0)
     latest: dict[str, Row] = {}
@@ -81,7 +81,7 @@
     for row in latest.values():
         row["state"] = _state(row, version, digests)
     findings = dict.fromkeys(f for a in answers for f in a["findings"])
-    return Told(version, [latest[n] for n in sorted(latest)], list(findings), faults)
+    return FleetReport(version, [latest[n] for n in sorted(latest)], list(findings), faults)
 
 
 def _state(row: Row, version: int, digests: set[str]) -> str:
@@ -97,10 +97,10 @@
 COLUMNS = ("node", "role", "version", "digest", "lag-s", "heard-s", "found", "state")
 
 
-def lines(told: Told) -> list[str]:
+def lines(report: FleetReport) -> list[str]:
     """A table of the nodes, then the findings."""
-    table = columns(COLUMNS, [tuple(n[c] for c in COLUMNS) for n in told.nodes])
-    return [*table, *(f"finding: {f}" for f in told.findings)]
+    table = columns(COLUMNS, [tuple(n[c] for c in COLUMNS) for n in report.nodes])
+    return [*table, *(f"finding: {f}" for f in report.findings)]
 
 
 def columns(names: tuple[str, ...], rows: Iterable[tuple[Any, ...]]) -> list[str]:
--- a/post/directory/digest.py
+++ b/gateway/config/digest.py
@@ -6,9 +6,9 @@
 from hashlib import blake2b
 from typing import Any, NamedTuple
 
-from post.directory.document import Document, RouteEntry
-from post.directory.matchers import Book, Node, Route, Tenant, steps
-from post.directory.table import Difference
+from gateway.config.document import Document, RouteEntry
+from gateway.config.routing import CompiledConfig, Node, Route, Tenant, cumulative_shares
+from gateway.config.schema import Difference
 
 MASK = 2**64 - 1
 ROUTE = ("label", "hostname", "path-prefix", "safe", "deadline-s", "target-latency-s", "precedence",
@@ -18,115 +18,115 @@
 LIMITS = ("max-header-bytes", "max-body-bytes", "header-timeout-s", "idle-timeout-s")
 FIELDS = {"route": ROUTE, "key": TENANT, "service": SERVICE, "limits": LIMITS, "keys": ("asked",)}
 
-Name = tuple[str, bytes, bytes]
+ItemKey = tuple[str, bytes, bytes]
 """What an item is found by: its kind, then host and prefix of a route, the key of a tenant, or a label."""
-Values = tuple[Any, ...]
+ItemValues = tuple[Any, ...]
 
 
-class Item(NamedTuple):
+class ExpectedItem(NamedTuple):
     """One thing that requests use, as it is set."""
 
     label: str
-    values: Values
+    values: ItemValues
     digest: int
 
 
-class Expected:
+class ExpectedDigests:
     """Digests of all items, from the document alone. What a former one knows already is taken over."""
 
     __slots__ = ("generation", "items", "total")
 
-    def __init__(self, document: Document, former: Expected | None = None) -> None:
+    def __init__(self, document: Document, previous: ExpectedDigests | None = None) -> None:
         self.generation = document.generation
-        self.items: dict[Name, Item] = {}
-        old = former.items if former else {}
-        for name, label, values in _set(document):
+        self.items: dict[ItemKey, ExpectedItem] = {}
+        old = previous.items if previous else {}
+        for name, label, values in _expected_items(document):
             known = old.get(name)
             same = known is not None and known.values == values and known.label == label
-            self.items[name] = known if known and same else Item(label, values, item_digest(name, values))
+            self.items[name] = known if known and same else ExpectedItem(label, values, item_digest(name, values))
         self.total = sum(i.digest for i in self.items.values()) & MASK
 
 
-def item_digest(name: Name, values: Values) -> int:
+def item_digest(name: ItemKey, values: ItemValues) -> int:
     """Of one item, 64 bit. All nodes have the same for the same meaning."""
     return int.from_bytes(blake2b(repr((name, values)).encode(), digest_size=8).digest())
 
 
-def digest(book: Book) -> int:
+def digest(compiled_config: CompiledConfig) -> int:
     """Of the whole compiled book, 64 bit: the sum over its items, so that no order of entries matters."""
-    return sum(item_digest(name, values_of(thing)) for name, thing in live(book)) & MASK
+    return sum(item_digest(name, values_of(thing)) for name, thing in iterate_items(compiled_config)) & MASK
 
 
-def live(book: Book) -> Iterator[tuple[Name, Any]]:
+def iterate_items(compiled_config: CompiledConfig) -> Iterator[tuple[ItemKey, Any]]:
     """All items that requests use, found by way of the tree itself."""
-    for host, root in book.hosts.items():
+    for host, root in compiled_config.hosts.items():
         level: list[tuple[bytes, Node]] = [(b"/", root)]
         while level:
             prefix, node = level.pop()
             if node.route is not None:
                 yield ("route", host, prefix), node.route
             level += [(prefix + segment + b"/", child) for segment, child in node.children.items()]
-    for key, tenant in book.keys.items():
+    for key, tenant in compiled_config.keys.items():
         yield ("key", key, b""), tenant
-    for label, service in book.services.items():
+    for label, service in compiled_config.services.items():
         yield ("service", label.encode(), b""), service
-    yield ("limits", b"", b""), book.limits
-    yield ("keys", b"", b""), (book.asks_keys,)
+    yield ("limits", b"", b""), compiled_config.limits
+    yield ("keys", b"", b""), (compiled_config.requires_key,)
 
 
-class Watch:
+class DriftScanner:
     """Goes over a live book again and again, some items a call, and names what is not as expected."""
 
-    def __init__(self, book: Book, expected: Expected) -> None:
-        self.book, self.expected = book, expected
-        self.rounds = 0  # gone through to their end
-        self._todo: list[tuple[Name, Any]] = []
+    def __init__(self, compiled_config: CompiledConfig, expected: ExpectedDigests) -> None:
+        self.compiled_config, self.expected = compiled_config, expected
+        self.completed_passes = 0  # gone through to their end
+        self._pending_items: list[tuple[ItemKey, Any]] = []
 
     def step(self, n: int) -> list[Difference]:
         """Hash the next n items. Once a round, also tell what is missing from the book."""
         found: list[Difference] = []
-        if not self._todo:
-            self._todo = list(live(self.book))
-            for name in self.expected.items.keys() - {name for name, _ in self._todo}:
+        if not self._pending_items:
+            self._pending_items = list(iterate_items(self.compiled_config))
+            for name in self.expected.items.keys() - {name for name, _ in self._pending_items}:
                 found.append(Difference(self._place(name), "absent", "present"))
-        for _ in range(min(n, len(self._todo))):
-            found += self.look(*self._todo.pop())
-        self.rounds += not self._todo
+        for _ in range(min(n, len(self._pending_items))):
+            found += self.check_item(*self._pending_items.pop())
+        self.completed_passes += not self._pending_items
         return found
 
-    def look(self, name: Name, thing: Any) -> list[Difference]:
+    def check_item(self, name: ItemKey, thing: Any) -> list[Difference]:
         """Hash one item that requests use; where it is not as it is set."""
         running, item = values_of(thing), self.expected.items.get(name)
         if item is None:
             return [Difference(f"{name[0]} {_label(name, running)}".rstrip(), "present", "absent")]
         return self._fields(name, running, item) if item_digest(name, running) != item.digest else []
 
-    def _place(self, name: Name) -> str:
+    def _place(self, name: ItemKey) -> str:
         return f"{name[0]} {self.expected.items[name].label}".rstrip()
 
-    def _fields(self, name: Name, running: Values, item: Item) -> list[Difference]:
+    def _fields(self, name: ItemKey, running: ItemValues, item: ExpectedItem) -> list[Difference]:
         place = self._place(name)
         return [Difference(f"{place}.{field}", str(was), str(to))
                 for field, was, to in zip(FIELDS[name[0]], running, item.values, strict=True) if was != to]
 
 
-def _label(name: Name, running: Values) -> str:
+def _label(name: ItemKey, running: ItemValues) -> str:
     """How an item is called that is in no document; keys are secrets, so theirs is that of the tenant."""
     return str(running[0]) if name[0] in ("route", "key") else name[1].decode()
 
 
-def values_of(thing: Any) -> Values:
+def values_of(thing: Any) -> ItemValues:
     """What requests use of an item, in the order of `FIELDS`."""
     if isinstance(thing, Route):
         r = thing
-        return (r.label, r.host, r.prefix, r.safe, r.deadline, r.aim, r.precedence, r.tries, r.public,
-                r.targets, r.steps)
+        return (r.label, r.host, r.prefix, r.safe, r.deadline, r.target_latency, r.precedence, r.tries, r.public,
+                r.targets, r.cumulative_shares)
     if isinstance(thing, Tenant):
         return thing.label, thing.precedence, thing.rate, thing.burst
     return tuple(thing)
 
 
-def _set(document: Document) -> Iterator[tuple[Name, str, Values]]:
+def _expected_items(document: Document) -> Iterator[tuple[ItemKey, str, ItemValues]]:
     for route in document.routes.values():
         yield ("route", route.host.encode(), route.prefix.encode()), route.label, _route(route)
     for tenant in document.tenants.values():
@@ -138,5 +138,5 @@
     yield ("keys", b"", b""), "", (bool(document.tenants),)
 
 
-def _route(r: RouteEntry) -> Values:
-    return (*r[:10], steps(r.targets))
+def _route(r: RouteEntry) -> ItemValues:
+    return (*r[:10], cumulative_shares(r.targets))
--- a/post/directory/document.py
+++ b/gateway/config/document.py
@@ -9,11 +9,11 @@
 
 from result import Err, Ok, Result
 
-from post.directory import table
-from post.directory.table import Fault
+from gateway.config import schema
+from gateway.config.schema import ConfigError
 
 DEPTH_MAX = 32  # of lists and objects within one another
-AIM_BEYOND = 60.0  # seconds by which an aim has to stay below its deadline's end
+MAX_TARGET_LATENCY_EXCESS_S = 60.0  # seconds by which an aim has to stay below its deadline's end
 
 Raw = dict[str, Any]
 Key = tuple[str, str]  # kind and label of an entry
@@ -27,12 +27,12 @@
     prefix: str
     safe: bool
     deadline: float
-    aim: float
+    target_latency: float
     precedence: int
     tries: int
     public: bool
     targets: tuple[tuple[str, float], ...]
-    also: str | None  # a `target` that stands beside `weighted`, and takes nothing
+    unused_target: str | None  # a `target` that stands beside `weighted`, and takes nothing
 
 
 class ServiceEntry(NamedTuple):
@@ -97,15 +97,15 @@
             self.limits = entry
 
 
-def load(body: bytes, checked: bool = False) -> Result[Raw, list[Fault]]:
+def load(body: bytes, checked: bool = False) -> Result[Raw, list[ConfigError]]:
     """The JSON object in a body. Errors: it can't be read whole, is no object, or, unless it was `checked`
     before, is nested too deep."""
     try:
         raw = json.loads(body, parse_constant=_no_number)
     except (ValueError, RecursionError) as e:
-        return Err([Fault("", f"expected JSON: {e}"[:200])])
+        return Err([ConfigError("", f"expected JSON: {e}"[:200])])
     if not isinstance(raw, dict):
-        return Err([Fault("", f"expected an object, got {table.shown(raw)}")])
+        return Err([ConfigError("", f"expected an object, got {schema.format_value(raw)}")])
     if checked:
         return Ok(raw)
     level: list[Any] = [raw]
@@ -114,42 +114,42 @@
                  if isinstance(child, dict | list)]
         if not level:
             return Ok(raw)
-    return Err([Fault("", f"expected at most {DEPTH_MAX} levels of lists and objects")])
+    return Err([ConfigError("", f"expected at most {DEPTH_MAX} levels of lists and objects")])
 
 
-def parse(body: bytes, former: Document | None = None) -> Result[Document, list[Fault]]:
+def parse(body: bytes, previous: Document | None = None) -> Result[Document, list[ConfigError]]:
     """Read a whole configuration.
 
     With a former one, entries equal to those in it are taken over, which saves time. Only for a configuration
     that was checked before: to Python, 1 and true are equal.
     """
-    raw = load(body, former is not None)
-    return whole(raw.ok_value, former) if isinstance(raw, Ok) else raw
+    raw = load(body, previous is not None)
+    return whole(raw.ok_value, previous) if isinstance(raw, Ok) else raw
 
 
-def whole(raw: Raw, former: Document | None = None) -> Result[Document, list[Fault]]:
+def whole(raw: Raw, previous: Document | None = None) -> Result[Document, list[ConfigError]]:
     """Check a whole configuration and build its typed view (see `parse`). `raw` is not changed after this."""
-    return _build(raw, former, operator.eq)
+    return _build(raw, previous, operator.eq)
 
 
-def patch(former: Document | None, raw: Raw) -> Result[Document, list[Fault]]:
+def patch(previous: Document | None, raw: Raw) -> Result[Document, list[ConfigError]]:
     """The former configuration with a PATCH put into it: first its `remove`, then its `upsert`.
 
     Items are replaced where they stand, new ones come last, and names that are unknown are not missed.
     """
-    faults: list[Fault] = []
-    upsert, remove = _upserted(raw, faults), _removed(raw, faults)
+    errors: list[ConfigError] = []
+    upsert, remove = _upserted(raw, errors), _removed(raw, errors)
     places: dict[Key, str] = {}
-    if not faults:
-        _labels(upsert, "upsert.resource-list", places, faults)
-    if faults:
-        return Err(faults[:table.FAULTS_MAX])
+    if not errors:
+        _check_labels(upsert, "upsert.resource-list", places, errors)
+    if errors:
+        return Err(errors[:schema.MAX_REPORTED_ERRORS])
     new = {key_of(e): e for e in upsert}
-    kept = [e for e in (former.entries if former else []) if key_of(e) in new or key_of(e) not in remove]
+    kept = [e for e in (previous.entries if previous else []) if key_of(e) in new or key_of(e) not in remove]
     entries = [new.pop(key_of(e), e) for e in kept] + list(new.values())
     head = {"generation": raw.get("generation"), "base-version": raw.get("base-version", 0)}
-    result = {**(former.raw if former else {}), **head, "resource-list": entries}
-    return _build(result, former, operator.is_, places)
+    result = {**(previous.raw if previous else {}), **head, "resource-list": entries}
+    return _build(result, previous, operator.is_, places)
 
 
 def key_of(entry: Raw) -> Key:
@@ -163,7 +163,7 @@
     raise ValueError(f"{constant} is no number")
 
 
-def _upserted(raw: Raw, faults: list[Fault]) -> list[Raw]:
+def _upserted(raw: Raw, errors: list[ConfigError]) -> list[Raw]:
     upsert = raw.get("upsert")
     if upsert is None:
         return []
@@ -171,24 +171,24 @@
     if entries is None:
         return []
     if not isinstance(entries, list):
-        faults.append(Fault("upsert.resource-list", f"expected a list, got {table.shown(upsert)}"))
+        errors.append(ConfigError("upsert.resource-list", f"expected a list, got {schema.format_value(upsert)}"))
         return []
     return entries
 
 
-def _removed(raw: Raw, faults: list[Fault]) -> set[Key]:
+def _removed(raw: Raw, errors: list[ConfigError]) -> set[Key]:
     remove = raw.get("remove")
     if remove is None:
         return set()
     if not isinstance(remove, dict):
-        faults.append(Fault("remove", f"expected an object, got {table.shown(remove)}"))
+        errors.append(ConfigError("remove", f"expected an object, got {schema.format_value(remove)}"))
         return set()
     gone: set[Key] = set()
     for kind, names in remove.items():
         if names is None:
             continue
         if not isinstance(names, list) or not all(isinstance(n, str) for n in names):
-            faults.append(Fault(f"remove.{kind}", f"expected a list of names, got {table.shown(names)}"))
+            errors.append(ConfigError(f"remove.{kind}", f"expected a list of names, got {schema.format_value(names)}"))
         elif kind == "limits":
             gone |= {(kind, "")} if names else set()
         else:
@@ -196,67 +196,67 @@
     return gone
 
 
-def _labels(entries: list[Any], where: str, places: dict[Key, str], faults: list[Fault]) -> None:
+def _check_labels(entries: list[Any], where: str, places: dict[Key, str], errors: list[ConfigError]) -> None:
     """Check what all entries share, and note the place of each by its kind and label."""
     for i, entry in enumerate(entries):
         place = f"{where}[{i}]"
         if not isinstance(entry, dict) or not isinstance(entry.get("entry-kind"), str):
-            faults.append(Fault(place, "expected an object with an entry-kind"))
+            errors.append(ConfigError(place, "expected an object with an entry-kind"))
             continue
         metadata = entry.get("metadata")
         if metadata is not None and not isinstance(metadata, dict):
-            faults.append(Fault(f"{place}.metadata", f"expected an object, got {table.shown(metadata)}"))
+            errors.append(ConfigError(f"{place}.metadata", f"expected an object, got {schema.format_value(metadata)}"))
             continue
         label = (metadata or {}).get("label")
-        if entry["entry-kind"] in LABELLED and not table.text(label):
-            faults.append(Fault(f"{place}.metadata.label", f"expected a text, got {table.shown(label)}"))
+        if entry["entry-kind"] in LABELLED_KINDS and not schema.text(label):
+            errors.append(ConfigError(f"{place}.metadata.label", f"expected a text, got {schema.format_value(label)}"))
             continue
         if label is not None and not isinstance(label, str):
-            faults.append(Fault(f"{place}.metadata.label", f"expected a text, got {table.shown(label)}"))
+            errors.append(ConfigError(f"{place}.metadata.label", f"expected a text, got {schema.format_value(label)}"))
             continue
         key = key_of(entry)
         if key in places and key[0] in KINDS:
-            faults.append(Fault(place, f"expected one entry of {' '.join(key).strip()}, got two"))
+            errors.append(ConfigError(place, f"expected one entry of {' '.join(key).strip()}, got two"))
         places.setdefault(key, place)
 
 
-def _build(raw: Raw, former: Document | None, same: Callable[[Raw, Raw], bool],
-           order: dict[Key, str] | None = None) -> Result[Document, list[Fault]]:
-    faults: list[Fault] = []
-    generation, base_version = table.read(table.HEAD, raw, "", faults)
+def _build(raw: Raw, previous: Document | None, same: Callable[[Raw, Raw], bool],
+           order: dict[Key, str] | None = None) -> Result[Document, list[ConfigError]]:
+    errors: list[ConfigError] = []
+    generation, base_version = schema.read(schema.HEAD, raw, "", errors)
     entries = raw.get("resource-list")
     found: dict[Key, str] = {}
     if not isinstance(entries, list):
-        faults.append(Fault("resource-list", f"expected a list, got {table.shown(entries)}"))
+        errors.append(ConfigError("resource-list", f"expected a list, got {schema.format_value(entries)}"))
     else:
-        _labels(entries, "resource-list", found, faults)
-    if faults:
-        return Err(faults[:table.FAULTS_MAX])
+        _check_labels(entries, "resource-list", found, errors)
+    if errors:
+        return Err(errors[:schema.MAX_REPORTED_ERRORS])
     document = Document(raw, generation, base_version)
     if order is not None:  # it names single items, and the others have no place in it
         found = {key: order.get(key) or " ".join(key) for key in found}
     for entry in document.entries:
         key = key_of(entry)
         if key[0] in KINDS:
-            old = former.seen.get(key) if former else None
+            old = previous.seen.get(key) if previous else None
             if old is not None and same(old[0], entry):
                 document.add(key, entry, old[1])
             else:
-                _read(document, key, entry, found[key], faults)
-    if not faults:
-        _together(document, found, faults)
-    return Err(faults[:table.FAULTS_MAX]) if faults else Ok(document)
+                _read(document, key, entry, found[key], errors)
+    if not errors:
+        _check_references(document, found, errors)
+    return Err(errors[:schema.MAX_REPORTED_ERRORS]) if errors else Ok(document)
 
 
-def _read(document: Document, key: Key, raw: Raw, place: str, faults: list[Fault]) -> None:
-    before = len(faults)
+def _read(document: Document, key: Key, raw: Raw, place: str, errors: list[ConfigError]) -> None:
+    before = len(errors)
     kind, label = key
     spec = raw.get("spec")
-    values = table.read(KINDS[kind], {} if spec is None else spec, f"{place}.spec", faults)
-    if len(faults) > before:
+    values = schema.read(KINDS[kind], {} if spec is None else spec, f"{place}.spec", errors)
+    if len(errors) > before:
         return
     if kind == "route-table":
-        entry: Entry | None = _route(label, values, place, faults)
+        entry: Entry | None = _route(label, values, place, errors)
     elif kind == "services":
         entry = ServiceEntry(label, *values)
     elif kind == "tenants":
@@ -267,43 +267,43 @@
         document.add(key, raw, entry)
 
 
-def _route(label: str, values: list[Any], place: str, faults: list[Fault]) -> RouteEntry | None:
-    host, prefix, kind, deadline, aim, precedence, tries, public, target, weighted = values
-    aim = deadline if aim is None else aim
-    if aim - deadline >= AIM_BEYOND:
-        reason = f"expected less than a minute beyond deadline-s ({deadline:g}), got {aim:g}"
-        faults.append(Fault(f"{place}.spec.target-latency-s", reason))
+def _route(label: str, values: list[Any], place: str, errors: list[ConfigError]) -> RouteEntry | None:
+    host, prefix, kind, deadline, target_latency, precedence, tries, public, target, weighted = values
+    target_latency = deadline if target_latency is None else target_latency
+    if target_latency - deadline >= MAX_TARGET_LATENCY_EXCESS_S:
+        reason = f"expected less than a minute beyond deadline-s ({deadline:g}), got {target_latency:g}"
+        errors.append(ConfigError(f"{place}.spec.target-latency-s", reason))
     if not target and not weighted:
-        faults.append(Fault(f"{place}.spec.target", "expected a target or a list of weighted ones"))
+        errors.append(ConfigError(f"{place}.spec.target", "expected a target or a list of weighted ones"))
         return None
     targets = weighted or ((target, 1.0),)
-    return RouteEntry(label, host, prefix, kind == "safe", deadline, aim, precedence, tries, public, targets,
+    return RouteEntry(label, host, prefix, kind == "safe", deadline, target_latency, precedence, tries, public, targets,
                       target if weighted else None)
 
 
-def _together(document: Document, places: dict[Key, str], faults: list[Fault]) -> None:
+def _check_references(document: Document, places: dict[Key, str], errors: list[ConfigError]) -> None:
     """Check entries against one another."""
     places_taken: dict[tuple[str, str], str] = {}
     for route in document.routes.values():
         place = places["route-table", route.label]
         for service, _ in route.targets:
             if service not in document.services:
-                faults.append(Fault(f"{place}.spec", f"expected a known service, got {service}"))
-        if route.also is not None and route.also not in document.services:
-            faults.append(Fault(f"{place}.spec.target", f"expected a known service, got {route.also}"))
+                errors.append(ConfigError(f"{place}.spec", f"expected a known service, got {service}"))
+        if route.unused_target is not None and route.unused_target not in document.services:
+            errors.append(ConfigError(f"{place}.spec.target", f"expected a known service, got {route.unused_target}"))
         holder = places_taken.setdefault((route.host, route.prefix), route.label)
         if holder != route.label:
             reason = f"expected one of its own on this host, got that of {holder}"
-            faults.append(Fault(f"{place}.spec.path-prefix", reason))
+            errors.append(ConfigError(f"{place}.spec.path-prefix", reason))
     holders: dict[str, str] = {}
     for tenant in document.tenants.values():
         for key in tenant.keys:
             holder = holders.setdefault(key, tenant.label)
             if holder != tenant.label:
                 place = f"{places['tenants', tenant.label]}.spec.api-keys"
-                faults.append(Fault(place, f"expected keys of its own, got one of {holder}"))
+                errors.append(ConfigError(place, f"expected keys of its own, got one of {holder}"))
 
 
-KINDS: Final = {"route-table": table.ROUTE, "services": table.SERVICE, "tenants": table.TENANT,
-                "limits": table.LIMITS}
-LABELLED: Final = ("route-table", "services", "tenants")
+KINDS: Final = {"route-table": schema.ROUTE, "services": schema.SERVICE, "tenants": schema.TENANT,
+                "limits": schema.LIMITS}
+LABELLED_KINDS: Final = ("route-table", "services", "tenants")
--- a/post/directory/orders.py
+++ b/gateway/config/orders.py
@@ -10,21 +10,21 @@
 
 from result import Err
 
-from post.directory import document as documents
-from post.directory import table
-from post.directory.document import Document, Raw
-from post.directory.table import Fault
+from gateway.config import document as documents
+from gateway.config import schema
+from gateway.config.document import Document, Raw
+from gateway.config.schema import ConfigError
 
-REMEMBERED = 1024  # orders taken, by which a repeat is known: ten hours of 2,400 a day
+MAX_REMEMBERED_ORDERS = 1024  # orders taken, by which a repeat is known: ten hours of 2,400 a day
 WHOLE_MAX = 64 * 1024 * 1024  # bytes of a configuration
-FORM = 2  # of the encoded value, its first byte
+FORMAT = 2  # of the encoded value, its first byte
 HEAD = struct.Struct(">BHQ")  # form, number of orders taken, generation of the newest one forgotten
-TAKEN = struct.Struct(">QQ")  # fingerprint and generation
-FORM_1, REMEMBERED_1 = 1, 64  # an older form without generations
-HEAD_1, TAKEN_1 = struct.Struct(">BB"), struct.Struct(">Q")
+ORDER_RECORD = struct.Struct(">QQ")  # fingerprint and generation
+FORMAT_1, MAX_REMEMBERED_ORDERS_1 = 1, 64  # an older form without generations
+HEAD_1, ORDER_RECORD_1 = struct.Struct(">BB"), struct.Struct(">Q")
 
 
-class Held:
+class ConfigState:
     """What is in force: a configuration (None before the first) and the last orders taken, newest last.
 
     `taken` has their generations by their fingerprints, which cover method, generation and content. All that
@@ -46,49 +46,49 @@
         """The body that answers a GET: the whole configuration as it is put; empty if there is none."""
         return self.document.encode() if self.document else b""
 
-    def then(self, document: Document, order: int) -> Held:
+    def with_order(self, document: Document, order: int) -> ConfigState:
         """What is in force after an order that makes this configuration."""
         taken, forgotten = {**self.taken, order: document.generation}, self.forgotten
-        while len(taken) > REMEMBERED:
+        while len(taken) > MAX_REMEMBERED_ORDERS:
             forgotten = max(forgotten, taken.pop(next(iter(taken))))
-        return Held(document, taken, forgotten)
+        return ConfigState(document, taken, forgotten)
 
     def encode(self) -> bytes:
         """The value to be agreed on: the orders taken, and the configuration packed."""
-        taken = b"".join([TAKEN.pack(*order) for order in self.taken.items()])
-        head = HEAD.pack(FORM, len(self.taken), self.forgotten)
+        taken = b"".join([ORDER_RECORD.pack(*order) for order in self.taken.items()])
+        head = HEAD.pack(FORMAT, len(self.taken), self.forgotten)
         return head + taken + zlib.compress(self.whole(), 3)
 
     @classmethod
-    def decode(cls, value: bytes, former: Held | None = None) -> Held:
+    def decode(cls, value: bytes, previous: ConfigState | None = None) -> ConfigState:
         """Read an agreed value; an empty one is that before the first order. A former one saves time.
 
         Raises ValueError if it is none.
         """
         if not value:
             return cls()
-        start = _packed_at(value)
-        held = cls(_unpacked(value[start:], former.document if former else None))
-        if value[0] == FORM:
-            held.taken = dict(TAKEN.iter_unpack(value[HEAD.size:start]))
-            held.forgotten = HEAD.unpack_from(value)[2]
+        start = _payload_offset(value)
+        config_state = cls(_decompress(value[start:], previous.document if previous else None))
+        if value[0] == FORMAT:
+            config_state.taken = dict(ORDER_RECORD.iter_unpack(value[HEAD.size:start]))
+            config_state.forgotten = HEAD.unpack_from(value)[2]
         else:  # generations rise, so this is the most that each may be
-            orders = [order for order, in TAKEN_1.iter_unpack(value[HEAD_1.size:start])]
-            least = held.generation - len(orders)
-            held.taken = {order: max(0, least + n) for n, order in enumerate(orders, 1)}
-            held.forgotten = max(0, least) if len(orders) >= REMEMBERED_1 else 0
-        return held
+            orders = [order for order, in ORDER_RECORD_1.iter_unpack(value[HEAD_1.size:start])]
+            least = config_state.generation - len(orders)
+            config_state.taken = {order: max(0, least + n) for n, order in enumerate(orders, 1)}
+            config_state.forgotten = max(0, least) if len(orders) >= MAX_REMEMBERED_ORDERS_1 else 0
+        return config_state
 
 
-def without_taken(value: bytes) -> bytes:
+def without_order_history(value: bytes) -> bytes:
     """An agreed value for those who take no orders: the configuration alone. ValueError if it is none."""
-    return HEAD.pack(FORM, 0, 0) + value[_packed_at(value):]
+    return HEAD.pack(FORMAT, 0, 0) + value[_payload_offset(value):]
 
 
-def _packed_at(value: bytes) -> int:
+def _payload_offset(value: bytes) -> int:
     """Where the packed configuration begins."""
-    head, taken = (HEAD, TAKEN) if value[0] == FORM else (HEAD_1, TAKEN_1)
-    if value[0] not in (FORM, FORM_1) or len(value) < head.size:
+    head, taken = (HEAD, ORDER_RECORD) if value[0] == FORMAT else (HEAD_1, ORDER_RECORD_1)
+    if value[0] not in (FORMAT, FORMAT_1) or len(value) < head.size:
         raise ValueError("not a value of orders")
     start: int = head.size + taken.size * head.unpack_from(value)[1]
     if len(value) < start:
@@ -96,7 +96,7 @@
     return start
 
 
-def _unpacked(packed: bytes, former: Document | None) -> Document | None:
+def _decompress(packed: bytes, previous: Document | None) -> Document | None:
     unpack = zlib.decompressobj()
     try:
         body = unpack.decompress(packed, WHOLE_MAX)
@@ -106,7 +106,7 @@
         raise ValueError("packed configuration is cut off or too large")
     if not body:
         return None
-    document = documents.parse(body, former)
+    document = documents.parse(body, previous)
     if isinstance(document, Err):
         raise ValueError(f"agreed configuration: {document.err_value[0]}")
     return document.ok_value
@@ -120,11 +120,11 @@
 
     status: int
     body: bytes
-    held: Held | None = None
+    config_state: ConfigState | None = None
     ahead: bool = False
 
 
-def decide(held: Held, method: str, body: bytes) -> Decision:
+def decide(config_state: ConfigState, method: str, body: bytes) -> Decision:
     """Judge a PUT or PATCH of the configuration on top of what is in force.
 
     A repeat of an order that was taken is 200, whatever came since; then another base is 412, and an invalid
@@ -132,33 +132,33 @@
     answer (503).
     """
     if method not in ("PUT", "PATCH"):
-        return Decision(405, _told([Fault("", "expected PUT or PATCH")]))
+        return Decision(405, _errors_body([ConfigError("", "expected PUT or PATCH")]))
     loaded = documents.load(body)
     if isinstance(loaded, Err):
-        return Decision(400, _told(loaded.err_value))
+        return Decision(400, _errors_body(loaded.err_value))
     raw = loaded.ok_value
     try:
         order = fingerprint(method, raw)
     except ValueError:  # an agreed value holds what JSON can tell again
-        return Decision(400, _told([Fault("", "expected numbers that a double can hold")]))
-    if order in held.taken:
+        return Decision(400, _errors_body([ConfigError("", "expected numbers that a double can hold")]))
+    if order in config_state.taken:
         return Decision(200, _body({"generation": raw["generation"]}))
-    faults: list[Fault] = []
-    generation, base_version = table.read(table.HEAD, raw, "", faults)
-    if base_version is not None and base_version != held.generation:
-        if generation is not None and base_version < generation <= held.forgotten:
-            reason = f"expected more than {held.forgotten}: what was taken until then is forgotten"
-            return Decision(503, _told([Fault("generation", reason)]))
-        return Decision(412, _body({"generation": held.generation}), ahead=base_version > held.generation)
-    if generation is not None and generation <= held.generation:
-        faults.append(Fault("generation", f"expected more than {held.generation}, got {generation}"))
-    if faults:
-        return Decision(400, _told(faults))
-    built = documents.whole(raw) if method == "PUT" else documents.patch(held.document, raw)
+    errors: list[ConfigError] = []
+    generation, base_version = schema.read(schema.HEAD, raw, "", errors)
+    if base_version is not None and base_version != config_state.generation:
+        if generation is not None and base_version < generation <= config_state.forgotten:
+            reason = f"expected more than {config_state.forgotten}: what was taken until then is forgotten"
+            return Decision(503, _errors_body([ConfigError("generation", reason)]))
+        return Decision(412, _body({"generation": config_state.generation}), ahead=base_version > config_state.generation)
+    if generation is not None and generation <= config_state.generation:
+        errors.append(ConfigError("generation", f"expected more than {config_state.generation}, got {generation}"))
+    if errors:
+        return Decision(400, _errors_body(errors))
+    built = documents.whole(raw) if method == "PUT" else documents.patch(config_state.document, raw)
     if isinstance(built, Err):
-        return Decision(400, _told(built.err_value))
+        return Decision(400, _errors_body(built.err_value))
     new = built.ok_value
-    return Decision(200, _body({"generation": new.generation}), held.then(new, order))
+    return Decision(200, _body({"generation": new.generation}), config_state.with_order(new, order))
 
 
 def fingerprint(method: str, raw: Raw) -> int:
@@ -170,8 +170,8 @@
     return int.from_bytes(blake2b(f"{method} {told}".encode(), digest_size=8).digest())
 
 
-def _told(faults: list[Fault]) -> bytes:
-    return _body({"errors": [{"place": f.place, "reason": f.reason} for f in faults]})
+def _errors_body(errors: list[ConfigError]) -> bytes:
+    return _body({"errors": [{"place": f.place, "reason": f.reason} for f in errors]})
 
 
 def _body(value: Raw) -> bytes:
--- a/post/directory/evaluate.py
+++ b/gateway/config/reference.py
@@ -7,12 +7,12 @@
 
 from typing import Any, NamedTuple
 
-from post.directory.document import Document, Raw
-from post.directory.matchers import Judged
-from post.directory.table import Difference
+from gateway.config.document import Document, Raw
+from gateway.config.routing import RouteDecision
+from gateway.config.schema import Difference
 
 
-class Plain(NamedTuple):
+class ExpectedDecision(NamedTuple):
     """What is to become of a request: status 200 (go on), 401 or 404; the rest as far as it has a route.
 
     Times are seconds. `targets` are services by name with their shares, `tenant` is empty for none.
@@ -23,7 +23,7 @@
     safe: bool = False
     tries: int = 0
     deadline: float = 0.0
-    aim: float = 0.0
+    target_latency: float = 0.0
     targets: tuple[tuple[str, float], ...] = ()
     precedence: int = 0
     tenant: str = ""
@@ -35,43 +35,43 @@
           "tenant", "rate-per-s", "burst")
 
 
-def evaluate(document: Document, host: bytes, path: bytes, key: bytes) -> Plain:
+def evaluate(document: Document, host: bytes, path: bytes, key: bytes) -> ExpectedDecision:
     """Read the document for one request; the key is empty where it has none."""
     entry = _route(document.entries, _host(host), path.split(b"?")[0])
     if entry is None:
-        return Plain(404)
+        return ExpectedDecision(404)
     spec, tenants = entry["spec"], [e for e in document.entries if e["entry-kind"] == "tenants"]
     holder = next((t for t in tenants if key in [k.encode() for k in _spec(t).get("api-keys") or ()]), None)
     if tenants and holder is None and not spec.get("public"):
-        return Plain(401, entry["metadata"]["label"])
+        return ExpectedDecision(401, entry["metadata"]["label"])
     limits = _spec(holder) if holder else {}
     rank = limits.get("precedence")
     if rank is None:
         rank = 1 if spec.get("precedence") is None else spec["precedence"]
     deadline, tries = float(spec["deadline-s"]), spec.get("max-tries")
-    return Plain(
+    return ExpectedDecision(
         200, entry["metadata"]["label"], spec.get("traffic-class") == "safe", int(tries) if tries else 1,
         deadline, float(spec.get("target-latency-s") or deadline), _targets(spec), int(rank),
         holder["metadata"]["label"] if holder else "",
         float(limits.get("rate-per-s") or 0), float(limits.get("burst") or 0))
 
 
-def differs(running: Judged, plain: Plain) -> list[Difference]:
+def compare_decision(running: RouteDecision, expected: ExpectedDecision) -> list[Difference]:
     """Where a live decision is not what the document says. Another status or route is told alone."""
     r, tenant = running.route, running.tenant
     if r is None:
-        ran = Plain(running.status)
+        ran = ExpectedDecision(running.status)
     elif running.status != 200:
-        ran = Plain(running.status, r.label)
+        ran = ExpectedDecision(running.status, r.label)
     else:
-        ran = Plain(200, r.label, r.safe, r.tries, r.deadline, r.aim, r.targets, running.precedence,
+        ran = ExpectedDecision(200, r.label, r.safe, r.tries, r.deadline, r.target_latency, r.targets, running.precedence,
                     *((tenant.label, tenant.rate, tenant.burst) if tenant else ()))
-    if ran == plain:
+    if ran == expected:
         return []
-    place = f"route {plain.route or ran.route}"
-    told = 2 if ran[:2] != plain[:2] else len(FIELDS)
+    place = f"route {expected.route or ran.route}"
+    told = 2 if ran[:2] != expected[:2] else len(FIELDS)
     return [Difference(f"{place}.{field}", str(was), str(to))
-            for field, was, to in list(zip(FIELDS, ran, plain, strict=True))[:told] if was != to]
+            for field, was, to in list(zip(FIELDS, ran, expected, strict=True))[:told] if was != to]
 
 
 def _spec(entry: Raw) -> dict[str, Any]:
--- a/post/directory/matchers.py
+++ b/gateway/config/routing.py
@@ -4,8 +4,8 @@
 
 from typing import NamedTuple
 
-from post.directory.document import Document, RouteEntry, TenantEntry
-from post.directory.table import host_of
+from gateway.config.document import Document, RouteEntry, TenantEntry
+from gateway.config.schema import host_of
 
 Targets = tuple[tuple[str, float], ...]
 
@@ -13,21 +13,21 @@
 class Route:
     """A route as requests use it. Times are seconds; `targets` are services and their shares."""
 
-    __slots__ = ("label", "host", "prefix", "safe", "deadline", "aim", "precedence", "tries", "public",
-                 "targets", "steps", "entry")
+    __slots__ = ("label", "host", "prefix", "safe", "deadline", "target_latency", "precedence", "tries", "public",
+                 "targets", "cumulative_shares", "entry")
 
     def __init__(self, entry: RouteEntry) -> None:
-        (self.label, self.host, self.prefix, self.safe, self.deadline, self.aim, self.precedence, self.tries,
+        (self.label, self.host, self.prefix, self.safe, self.deadline, self.target_latency, self.precedence, self.tries,
          self.public, self.targets, _) = entry
-        self.steps = steps(self.targets)  # services, and up to which of 0 to 1 each is taken
+        self.cumulative_shares = cumulative_shares(self.targets)  # services, and up to which of 0 to 1 each is taken
         self.entry = entry  # from which it was built
 
-    def pick(self, r: float) -> str:
+    def pick_service(self, r: float) -> str:
         """The service for a request, by the shares; `r` is drawn evenly from 0 up to 1."""
-        for service, upto in self.steps:
-            if r < upto:
+        for service, upper_bound in self.cumulative_shares:
+            if r < upper_bound:
                 return service
-        return self.steps[-1][0]
+        return self.cumulative_shares[-1][0]
 
 
 class Tenant:
@@ -60,7 +60,7 @@
         self.route: Route | None = None
 
 
-class Judged(NamedTuple):
+class RouteDecision(NamedTuple):
     """What becomes of a request: status 200 (go on), 401 or 404, its route and its tenant."""
 
     status: int
@@ -75,37 +75,37 @@
         return self.route.precedence if self.route is not None else 0
 
 
-class Book:
+class CompiledConfig:
     """A configuration compiled for requests, never changed once it is built.
 
     What is as in the former book is taken over from it as it is, since live requests hold it.
     """
 
-    __slots__ = ("generation", "hosts", "routes", "tenants", "keys", "asks_keys", "services", "limits")
+    __slots__ = ("generation", "hosts", "routes", "tenants", "keys", "requires_key", "services", "limits")
 
-    def __init__(self, document: Document, former: Book | None = None) -> None:
+    def __init__(self, document: Document, previous: CompiledConfig | None = None) -> None:
         self.generation, self.limits = document.generation, document.limits
         self.services = {s.label: Service(*s[1:]) for s in document.services.values()}
         self.routes: dict[str, Route] = {}
         self.hosts: dict[bytes, Node] = {}
-        old_routes = former.routes if former else {}
+        old_routes = previous.routes if previous else {}
         for entry in document.routes.values():
             old = old_routes.get(entry.label)
             route = old if old is not None and old.entry == entry else Route(entry)
             self.routes[entry.label] = route
-            self._plant(route)
+            self._insert(route)
         self.tenants: dict[str, Tenant] = {}
         self.keys: dict[bytes, Tenant] = {}
-        old_tenants = former.tenants if former else {}
+        old_tenants = previous.tenants if previous else {}
         for held in document.tenants.values():
             known = old_tenants.get(held.label)
             tenant = known if known is not None and known.same(held) else Tenant(held)
             self.tenants[held.label] = tenant
             for key in held.keys:
                 self.keys[key.encode()] = tenant
-        self.asks_keys = bool(self.tenants)
+        self.requires_key = bool(self.tenants)
 
-    def _plant(self, route: Route) -> None:
+    def _insert(self, route: Route) -> None:
         node = self.hosts.setdefault(route.host.encode(), Node())
         for segment in segments(route.prefix.encode()):
             node = node.children.setdefault(segment, Node())
@@ -132,18 +132,18 @@
         """Who holds a key (that of `Authorization: Token KEY`, see `key_of`)."""
         return self.keys.get(key)
 
-    def judge(self, host: bytes, path: bytes, key: bytes) -> Judged:
+    def resolve_request(self, host: bytes, path: bytes, key: bytes) -> RouteDecision:
         """Route and tenant of a request; the key is empty where it has none.
 
         A public route asks for no key, but whoever shows one that is known is still its tenant.
         """
         route = self.match(host, path)
         if route is None:
-            return Judged(404, None, None)
+            return RouteDecision(404, None, None)
         tenant = self.keys.get(key)
-        if tenant is None and self.asks_keys and not route.public:
-            return Judged(401, route, None)
-        return Judged(200, route, tenant)
+        if tenant is None and self.requires_key and not route.public:
+            return RouteDecision(401, route, None)
+        return RouteDecision(200, route, tenant)
 
 
 def key_of(authorization: bytes) -> bytes:
@@ -157,7 +157,7 @@
     return prefix.split(b"/")[1:-1]
 
 
-def steps(targets: Targets) -> Targets:
+def cumulative_shares(targets: Targets) -> Targets:
     """Shares added up: services that have one, each with the part of 0 to 1 up to which it is taken."""
     total = sum(share for _, share in targets)
     run, added = 0.0, []
--- a/post/directory/table.py
+++ b/gateway/config/schema.py
@@ -6,11 +6,11 @@
 from collections.abc import Callable
 from typing import Any, Final, NamedTuple
 
-FAULTS_MAX = 20  # faults told of one configuration
+MAX_REPORTED_ERRORS = 20  # faults told of one configuration
 WHOLE_MAX = 2**63 - 1  # generations and bytes fit a signed 64 bit number
 
 
-class Fault(NamedTuple):
+class ConfigError(NamedTuple):
     """What is wrong with a configuration: a place such as `resource-list[3].spec.max-tries`, and why."""
 
     place: str
@@ -25,67 +25,67 @@
     set: str
 
 
-class Check(NamedTuple):
+class Constraint(NamedTuple):
     """A test of a value that has the right kind, and how it is said to the operator."""
 
     expected: str
-    holds: Callable[[Any], bool]
+    accepts: Callable[[Any], bool]
 
 
-class Row(NamedTuple):
+class FieldSpec(NamedTuple):
     """One field. With `zero`, a 0 (or an empty list) counts as left out."""
 
     name: str
     kind: str
     default: Any
-    check: Check | None = None
-    zero: bool = False
+    check: Constraint | None = None
+    zero_means_default: bool = False
 
 
-NEEDED: Final = object()  # as a default: the field has to be there
+REQUIRED: Final = object()  # as a default: the field has to be there
 
-FILLED = Check("text that is not empty", lambda v: bool(v.strip()))
-ABOVE_0 = Check("more than 0", lambda v: v > 0)
-FROM_0 = Check("0 or more", lambda v: v >= 0)
-FROM_1 = Check("1 or more", lambda v: v >= 1)
-SLASHED = Check("a path that begins and ends with a slash", lambda v: v[:1] == "/" == v[-1:])
-ROOTED = Check("a path that begins with a slash", lambda v: v[:1] == "/")
-CLASSES = Check("safe or unsafe", lambda v: v in ("safe", "unsafe"))
-KEYS = Check("keys that are not empty", all)
-SHARED = Check("shares of 0 or more and one of them above", lambda v: not v or (
+NOT_BLANK = Constraint("text that is not empty", lambda v: bool(v.strip()))
+POSITIVE = Constraint("more than 0", lambda v: v > 0)
+NOT_NEGATIVE = Constraint("0 or more", lambda v: v >= 0)
+AT_LEAST_ONE = Constraint("1 or more", lambda v: v >= 1)
+SLASH_DELIMITED = Constraint("a path that begins and ends with a slash", lambda v: v[:1] == "/" == v[-1:])
+ABSOLUTE_PATH = Constraint("a path that begins with a slash", lambda v: v[:1] == "/")
+TRAFFIC_CLASS = Constraint("safe or unsafe", lambda v: v in ("safe", "unsafe"))
+NON_EMPTY_KEYS = Constraint("keys that are not empty", all)
+VALID_SHARES = Constraint("shares of 0 or more and one of them above", lambda v: not v or (
     all(share >= 0 for _, share in v) and any(share > 0 for _, share in v)))
 
 HEAD = (  # of a whole configuration and of a PATCH
-    Row("generation", "whole number", NEEDED, FROM_1),
-    Row("base-version", "whole number", 0, FROM_0),
+    FieldSpec("generation", "whole number", REQUIRED, AT_LEAST_ONE),
+    FieldSpec("base-version", "whole number", 0, NOT_NEGATIVE),
 )
 ROUTE = (
-    Row("hostname", "host", NEEDED, FILLED),
-    Row("path-prefix", "text", NEEDED, SLASHED),
-    Row("traffic-class", "text", "unsafe", CLASSES),
-    Row("deadline-s", "number", NEEDED, ABOVE_0),
-    Row("target-latency-s", "number", None, FROM_0, zero=True),
-    Row("precedence", "whole number", 1, FROM_0),
-    Row("max-tries", "whole number", 1, FROM_1),
-    Row("public", "flag", False),
-    Row("target", "text", None, zero=True),
-    Row("weighted", "list of targets with shares", None, SHARED, zero=True),
+    FieldSpec("hostname", "host", REQUIRED, NOT_BLANK),
+    FieldSpec("path-prefix", "text", REQUIRED, SLASH_DELIMITED),
+    FieldSpec("traffic-class", "text", "unsafe", TRAFFIC_CLASS),
+    FieldSpec("deadline-s", "number", REQUIRED, POSITIVE),
+    FieldSpec("target-latency-s", "number", None, NOT_NEGATIVE, zero_means_default=True),
+    FieldSpec("precedence", "whole number", 1, NOT_NEGATIVE),
+    FieldSpec("max-tries", "whole number", 1, AT_LEAST_ONE),
+    FieldSpec("public", "flag", False),
+    FieldSpec("target", "text", None, zero_means_default=True),
+    FieldSpec("weighted", "list of targets with shares", None, VALID_SHARES, zero_means_default=True),
 )
 SERVICE = (
-    Row("health-path", "text", "/health", ROOTED, zero=True),
-    Row("max-conns", "whole number", 100, FROM_0, zero=True),
+    FieldSpec("health-path", "text", "/health", ABSOLUTE_PATH, zero_means_default=True),
+    FieldSpec("max-conns", "whole number", 100, NOT_NEGATIVE, zero_means_default=True),
 )
 TENANT = (
-    Row("api-keys", "list of texts", (), KEYS),
-    Row("precedence", "whole number", None, FROM_0),
-    Row("rate-per-s", "number", 0.0, FROM_0),
-    Row("burst", "number", 0.0, FROM_0),
+    FieldSpec("api-keys", "list of texts", (), NON_EMPTY_KEYS),
+    FieldSpec("precedence", "whole number", None, NOT_NEGATIVE),
+    FieldSpec("rate-per-s", "number", 0.0, NOT_NEGATIVE),
+    FieldSpec("burst", "number", 0.0, NOT_NEGATIVE),
 )
 LIMITS = (
-    Row("max-header-bytes", "whole number", 16_384, FROM_0, zero=True),
-    Row("max-body-bytes", "whole number", 64 * 1024 * 1024, FROM_0, zero=True),
-    Row("header-timeout-s", "number", 3.0, FROM_0, zero=True),
-    Row("idle-timeout-s", "number", 15.0, FROM_0, zero=True),
+    FieldSpec("max-header-bytes", "whole number", 16_384, NOT_NEGATIVE, zero_means_default=True),
+    FieldSpec("max-body-bytes", "whole number", 64 * 1024 * 1024, NOT_NEGATIVE, zero_means_default=True),
+    FieldSpec("header-timeout-s", "number", 3.0, NOT_NEGATIVE, zero_means_default=True),
+    FieldSpec("idle-timeout-s", "number", 15.0, NOT_NEGATIVE, zero_means_default=True),
 )
 
 
@@ -157,31 +157,31 @@
 }
 
 
-def shown(value: Any) -> str:
+def format_value(value: Any) -> str:
     """A value as it is told in a fault: JSON, cut short."""
     told = "nothing" if value is None else json.dumps(value)
     return told if len(told) <= 60 else told[:57] + "..."
 
 
-def read(rows: tuple[Row, ...], fields: Any, place: str, faults: list[Fault]) -> list[Any]:
+def read(rows: tuple[FieldSpec, ...], fields: Any, place: str, errors: list[ConfigError]) -> list[Any]:
     """The values of the rows in their order, defaults put in. Faults are added; a value with one is None."""
     if not isinstance(fields, dict):
-        faults.append(Fault(place, f"expected an object, got {shown(fields)}"))
+        errors.append(ConfigError(place, f"expected an object, got {format_value(fields)}"))
         return [None] * len(rows)
     values = []
-    for name, kind, default, check, zero in rows:
+    for name, kind, default, check, zero_means_default in rows:
         given = fields.get(name)
-        if given is None and default is not NEEDED:
+        if given is None and default is not REQUIRED:
             values.append(default)
             continue
         value = KINDS[kind](given)
         if value is None:
-            faults.append(Fault(f"{place}.{name}".lstrip("."), f"expected a {kind}, got {shown(given)}"))
-        elif zero and not value:
+            errors.append(ConfigError(f"{place}.{name}".lstrip("."), f"expected a {kind}, got {format_value(given)}"))
+        elif zero_means_default and not value:
             value = default
-        elif check is not None and not check.holds(value):
-            reason = f"expected {check.expected}, got {shown(given)}"
-            faults.append(Fault(f"{place}.{name}".lstrip("."), reason))
+        elif check is not None and not check.accepts(value):
+            reason = f"expected {check.expected}, got {format_value(given)}"
+            errors.append(ConfigError(f"{place}.{name}".lstrip("."), reason))
             value = None
         values.append(value)
     return values
--- a/post/register/api.py
+++ b/gateway/consensus/api.py
@@ -4,42 +4,42 @@
 
 from typing import NamedTuple
 
-from post.machine import Address, Send
-from post.register import register_pb2 as pb
-from post.register.records import Stored
+from gateway.consensus import consensus_pb2 as pb
+from gateway.consensus.records import PersistentState
+from gateway.state_machine import Address, Send
 
 
 class Tuning(NamedTuple):
     """Times in seconds. Ways between members may take up to a fifth of `election_min_s`."""
 
-    beat_s: float = 0.08
+    heartbeat_interval_s: float = 0.08
     election_min_s: float = 0.3  # silence of the leader that a follower bears at least
     election_max_s: float = 0.55
-    margin_s: float = 0.05  # by which a leader's lease ends before others may vote
+    lease_margin_s: float = 0.05  # by which a leader's lease ends before others may vote
     resend_s: float = 0.3  # of an entry; doubled with each further time
-    hung_s: float = 1.0  # of a write, after which a leader hands over
-    heard_s: float = 1.0  # silence that counts as being there
-    replace_s: float = 2.0  # silence after which a newcomer takes a member's place
-    remove_s: float = 4.0  # silence after which a member goes without one
-    begun_s: float = 0.04  # between two asks whether others have begun anew
-    ask_s: float = 0.5  # between two asks to join or to leave
-    rewrite_s: float = 0.25  # after a write that failed
-    queue_s: float = 2.0  # that a proposal waits for a change of members
-    most_members: int = 9
+    max_write_stall_s: float = 1.0  # of a write, after which a leader hands over
+    presence_timeout_s: float = 1.0  # silence that counts as being there
+    replace_after_s: float = 2.0  # silence after which a newcomer takes a member's place
+    remove_after_s: float = 4.0  # silence after which a member goes without one
+    restart_query_interval_s: float = 0.04  # between two asks whether others have begun anew
+    request_interval_s: float = 0.5  # between two asks to join or to leave
+    write_retry_s: float = 0.25  # after a write that failed
+    max_proposal_wait_s: float = 2.0  # that a proposal waits for a change of members
+    max_members: int = 9
 
 
 class Received(NamedTuple):
     """A note has come."""
 
     sender: Address
-    note: pb.Note
+    message: pb.Message
 
 
 class Tick(NamedTuple):
     """Time goes on; wanted about every 25 ms."""
 
 
-class Written(NamedTuple):
+class WriteCompleted(NamedTuple):
     """The write of this token is on disk."""
 
     token: int
@@ -64,7 +64,7 @@
     """This process ends soon: hand over, and have its disk taken out of the members."""
 
 
-class Known(NamedTuple):
+class KnownAddresses(NamedTuple):
     """Addresses of the core as learned elsewhere, for a disk that isn't a member yet."""
 
     addresses: tuple[Address, ...]
@@ -74,7 +74,7 @@
     """Save this record; at most one write is out at a time."""
 
     token: int
-    record: Stored
+    record: PersistentState
 
 
 class Committed(NamedTuple):
@@ -91,5 +91,5 @@
     outcome: str
 
 
-Event = Received | Tick | Written | WriteFailed | Propose | Leave | Known
+Event = Received | Tick | WriteCompleted | WriteFailed | Propose | Leave | KnownAddresses
 Output = Send | Write | Committed | Proposed
--- a/post/register/records.py
+++ b/gateway/consensus/records.py
@@ -5,15 +5,15 @@
 from collections.abc import Container, Iterable, Mapping
 from typing import Any, NamedTuple
 
-from post.machine import Address
-from post.register import register_pb2 as pb
+from gateway.consensus import consensus_pb2 as pb
+from gateway.state_machine import Address
 
-Place = tuple[int, int]
+LogPosition = tuple[int, int]
 """Term and number of an entry. Of two entries the one with the greater place is the newer."""
 
-MOST_MEMBERS = 16  # in one entry that is taken from others
-LONGEST_NAME = 80  # of a disk or an address
-MOST_TERM = 1 << 48
+MAX_ENTRY_MEMBERS = 16  # in one entry that is taken from others
+MAX_NAME_LENGTH = 80  # of a disk or an address
+MAX_TERM = 1 << 48
 
 
 class Member(NamedTuple):
@@ -34,7 +34,7 @@
     value: bytes
 
     @property
-    def place(self) -> Place:
+    def position(self) -> LogPosition:
         """Where it stands among all entries."""
         return self.term, self.number
 
@@ -42,29 +42,29 @@
         """All whose word counts, each disk once."""
         return (*self.members, *(m for m in self.outgoing if m not in self.members))
 
-    def names(self, disk: str) -> bool:
+    def has_voter(self, disk: str) -> bool:
         """Does the disk decide, by this entry?"""
         return any(m.disk == disk for m in self.voters())
 
     def has_quorum(self, disks: Container[str]) -> bool:
         """Are these disks a majority of the members and, while those change, of the ones of before too?"""
-        return all(2 * sum(m.disk in disks for m in council) > len(council) for council in self._councils())
+        return all(2 * sum(m.disk in disks for m in voter_set) > len(voter_set) for voter_set in self._voter_sets())
 
-    def latest(self, times: Mapping[str, float]) -> float:
+    def latest_quorum_time(self, times: Mapping[str, float]) -> float:
         """The latest time that majorities have reached, given the time that each disk has reached."""
-        return min(sorted(times.get(m.disk, NEVER) for m in council)[(len(council) - 1) // 2]
-                   if council else NEVER for council in self._councils())
+        return min(sorted(times.get(m.disk, NEVER) for m in voter_set)[(len(voter_set) - 1) // 2]
+                   if voter_set else NEVER for voter_set in self._voter_sets())
 
-    def _councils(self) -> tuple[tuple[Member, ...], ...]:
+    def _voter_sets(self) -> tuple[tuple[Member, ...], ...]:
         return (self.members, self.outgoing) if self.outgoing else (self.members,)
 
 
 NEVER = -1e9  # before any time of a steady clock
-NOTHING = Entry(0, 0, 0, (), (), b"")
+EMPTY_ENTRY = Entry(0, 0, 0, (), (), b"")
 """What a disk holds that has never been a member."""
 
 
-class Stored(NamedTuple):
+class PersistentState(NamedTuple):
     """What a member keeps on disk; nothing may be told that isn't there yet."""
 
     disk: str
@@ -73,7 +73,7 @@
     entry: Entry
 
 
-def first_entry(seeds: Iterable[Address]) -> Entry:
+def bootstrap_entry(seeds: Iterable[Address]) -> Entry:
     """What all seeds hold at the first start of the whole system."""
     return Entry(0, 1, 0, tuple(Member("first-" + a, a) for a in sorted(set(seeds))), (), b"")
 
@@ -104,24 +104,24 @@
                  get_members(message.outgoing), message.value)
 
 
-def odd(note: pb.Note) -> str:
+def malformed_reason(message: pb.Message) -> str:
     """Why a note can't be from one of us; empty if it may be."""
-    if not pb.HEARTBEAT <= note.kind <= pb.BEGUN:
+    if not pb.HEARTBEAT <= message.kind <= pb.RESTARTED:
         return "kind"
-    if not 0 < len(note.disk) <= LONGEST_NAME:
+    if not 0 < len(message.disk) <= MAX_NAME_LENGTH:
         return "disk"
-    if not note.to_disk and note.kind != pb.JOIN:
+    if not message.to_disk and message.kind != pb.JOIN:
         return "to_disk"
-    if max(note.term, note.has_term, note.held_term, note.base_term) > MOST_TERM:
+    if max(message.term, message.last_term, message.durable_term, message.base_term) > MAX_TERM:
         return "term"
-    if not all(abs(time) < 1e12 for time in (note.sent, note.at, note.answered)):  # nor NaN
+    if not all(abs(time) < 1e12 for time in (message.sent, message.replied_at, message.last_reply_at)):  # nor NaN
         return "sent"
-    if len(note.members) > MOST_MEMBERS:
+    if len(message.members) > MAX_ENTRY_MEMBERS:
         return "members"
-    if note.kind == pb.APPEND:
-        e = note.entry
-        if e.term != note.term or not e.number or not 0 < len(e.members) <= MOST_MEMBERS:
+    if message.kind == pb.APPEND_ENTRIES:
+        e = message.entry
+        if e.term != message.term or not e.number or not 0 < len(e.members) <= MAX_ENTRY_MEMBERS:
             return "entry"
-        if len(e.outgoing) > MOST_MEMBERS or any(not m.disk or not m.address for m in e.members):
+        if len(e.outgoing) > MAX_ENTRY_MEMBERS or any(not m.disk or not m.address for m in e.members):
             return "entry"
     return ""
--- a/post/inspection/fleet.py
+++ b/gateway/drift/fleet_status.py
@@ -1,19 +1,19 @@
-"""Who runs what, as a postmaster knows it: nodes that lack what was acknowledged, and findings of all."""
+"""Who runs what, as a controller knows it: nodes that lack what was acknowledged, and findings of all."""
 
 from __future__ import annotations
 
 from collections import OrderedDict, deque
 from typing import Any, NamedTuple
 
-from post.inspection.interface import Finding, Newest, Runs
-from post.machine import Address
+from gateway.drift.messages import Finding, NodeReport, VersionAcknowledged
+from gateway.state_machine import Address
 
-MOST = 4096  # nodes
+MAX_NODES = 4096  # nodes
 SILENT_S = 10.0  # without its word a node is shown as silent,
-FORGET_S = 120.0  # and then forgotten
-GAP_S = 2.5  # between two words of a node that is in touch
-VERSIONS = 32  # acknowledged ones whose time is remembered
-KEPT, TEXT = 32, 400  # findings shown, letters of one
+FORGET_AFTER_S = 120.0  # and then forgotten
+CONTACT_GAP_S = 2.5  # between two words of a node that is in touch
+MAX_VERSIONS = 32  # acknowledged ones whose time is remembered
+MAX_FINDINGS, MAX_TEXT_LENGTH = 32, 400  # findings shown, letters of one
 
 
 class Node:
@@ -27,7 +27,7 @@
         self.told = (0, 0)  # version and digest of which a finding was made
 
 
-class Seen(NamedTuple):
+class NodeRow(NamedTuple):
     """A node as it is shown: seconds since it was heard, and since it lacks a version (0: it lacks none)."""
 
     node: Address
@@ -39,7 +39,7 @@
     finding: str
 
 
-class Fleet:
+class FleetStatus:
     """Inputs: `Runs`, `Newest`, `Tick`. Outputs: `Finding`, once for each node and version that it lacks, for
     each digest that is not the acknowledged one, and for each finding that a node tells.
 
@@ -51,60 +51,60 @@
         self.nodes: OrderedDict[Address, Node] = OrderedDict()
         self.version = 0
         self.times: OrderedDict[int, tuple[float, int]] = OrderedDict()  # when, and digest
-        self.findings: deque[str] = deque(maxlen=KEPT)
+        self.findings: deque[str] = deque(maxlen=MAX_FINDINGS)
         self.found = 0
-        self.looked = self.spread_s = 0.0
+        self.checked_at = self.spread_s = 0.0
 
     def handle(self, now: float, event: Any) -> list[Finding]:
         """Take an input; findings that are new."""
-        if isinstance(event, Runs):
+        if isinstance(event, NodeReport):
             return self._runs(now, event)
-        if isinstance(event, Newest):
+        if isinstance(event, VersionAcknowledged):
             if event.version > self.version:
                 self.version, self.spread_s = event.version, 0.0
                 self.times[event.version] = now, event.digest
-                if len(self.times) > VERSIONS:
+                if len(self.times) > MAX_VERSIONS:
                     self.times.popitem(last=False)
             return []
-        if now - self.looked < 0.5:
+        if now - self.checked_at < 0.5:
             return []
-        self.looked = now
-        for address in [a for a, n in self.nodes.items() if now - n.heard > FORGET_S]:
+        self.checked_at = now
+        for address in [a for a, n in self.nodes.items() if now - n.heard > FORGET_AFTER_S]:
             del self.nodes[address]
-        return [f for a, n in self.nodes.items() if n.version < self.version for f in self._lags(now, a, n)]
+        return [f for a, n in self.nodes.items() if n.version < self.version for f in self._lag_finding(now, a, n)]
 
-    def _runs(self, now: float, e: Runs) -> list[Finding]:
+    def _runs(self, now: float, e: NodeReport) -> list[Finding]:
         node = self.nodes.get(e.node)
         if node is None:
-            if len(self.nodes) >= MOST:
+            if len(self.nodes) >= MAX_NODES:
                 return []
             node = self.nodes[e.node] = Node(now)
         out = []
         if e.finding and (e.findings, e.finding) != (node.findings, node.finding):
-            out.append(Finding(f"node {e.node}", e.finding[:TEXT], "", e.version, "its own word"))
-        if now - node.heard > GAP_S:
+            out.append(Finding(f"node {e.node}", e.finding[:MAX_TEXT_LENGTH], "", e.version, "its own word"))
+        if now - node.heard > CONTACT_GAP_S:
             node.since = now
         elif node.version < self.version <= e.version:
             self.spread_s = now - self.times[self.version][0]
         node.heard, node.version, node.digest = now, e.version, e.digest
-        node.findings, node.finding = e.findings, e.finding[:TEXT]
+        node.findings, node.finding = e.findings, e.finding[:MAX_TEXT_LENGTH]
         acknowledged = self.times.get(e.version)
         if acknowledged is not None and acknowledged[1] != e.digest and node.told != (e.version, e.digest):
             node.told = e.version, e.digest
             out.append(Finding(f"node {e.node}", f"digest {e.digest:016x}", f"digest {acknowledged[1]:016x}",
                                e.version, "its digest"))
-        return self._kept(out)
+        return self._record_findings(out)
 
-    def _lags(self, now: float, address: Address, node: Node) -> list[Finding]:
+    def _lag_finding(self, now: float, address: Address, node: Node) -> list[Finding]:
         """A node that says for too long, while it is in touch, that it lacks a version."""
         late = node.heard - max(node.since, now - self.lag(now, node)) > self.apply_s
         if not late or node.told[0] == -self.version:
             return []
         node.told = -self.version, 0
-        return self._kept([Finding(f"node {address}", f"version {node.version}", f"version {self.version}",
+        return self._record_findings([Finding(f"node {address}", f"version {node.version}", f"version {self.version}",
                                    self.version, f"for {self.lag(now, node):.1f} s")])
 
-    def _kept(self, found: list[Finding]) -> list[Finding]:
+    def _record_findings(self, found: list[Finding]) -> list[Finding]:
         self.found += len(found)
         self.findings.extend(map(str, found))
         return found
@@ -113,7 +113,7 @@
         """Seconds since a version was acknowledged that a node is not known to run."""
         return next((now - at for version, (at, _) in self.times.items() if version > node.version), 0.0)
 
-    def seen(self, now: float) -> list[Seen]:
+    def seen(self, now: float) -> list[NodeRow]:
         """All nodes, by address."""
-        return [Seen(a, n.version, n.digest, self.lag(now, n), now - n.heard, n.findings, n.finding)
+        return [NodeRow(a, n.version, n.digest, self.lag(now, n), now - n.heard, n.findings, n.finding)
                 for a, n in sorted(self.nodes.items())]
--- a/post/inspection/interface.py
+++ b/gateway/drift/messages.py
@@ -4,13 +4,13 @@
 
 from typing import NamedTuple
 
-from post.directory.table import Difference
-from post.machine import Address
+from gateway.config.schema import Difference
+from gateway.state_machine import Address
 
 # Inputs.
 
 
-class TookUp(NamedTuple):
+class VersionApplied(NamedTuple):
     """This node runs a version: the digest of what requests use, and the one that the core acknowledged."""
 
     version: int
@@ -18,14 +18,14 @@
     acknowledged: int
 
 
-class Unreadable(NamedTuple):
+class VersionUnreadable(NamedTuple):
     """A version has come that can't be read here, and why."""
 
     version: int
     why: str
 
 
-class Heard(NamedTuple):
+class VersionSeen(NamedTuple):
     """Somebody holds this version, or ("" as the source) somebody has heard of it."""
 
     version: int
@@ -33,14 +33,14 @@
     source: Address
 
 
-class Confirmed(NamedTuple):
+class NewestConfirmed(NamedTuple):
     """Most of the core said that this is the newest version, to a question of the time `at` or later."""
 
     version: int
     at: float
 
 
-class Found(NamedTuple):
+class DifferencesFound(NamedTuple):
     """Something that runs is not as it is set. `how` tells by what it was found."""
 
     how: str
@@ -51,7 +51,7 @@
     """Time goes on; due about four times a second."""
 
 
-class Runs(NamedTuple):
+class NodeReport(NamedTuple):
     """A node tells what it runs, how many findings it has had in its life, and at times the latest."""
 
     node: Address
@@ -61,7 +61,7 @@
     finding: str
 
 
-class Newest(NamedTuple):
+class VersionAcknowledged(NamedTuple):
     """A version has been acknowledged, with its digest."""
 
     version: int
@@ -71,7 +71,7 @@
 # Outputs.
 
 
-class CatchUp(NamedTuple):
+class FetchVersion(NamedTuple):
     """Ask for a version now, of who has it, or ("" as the source) of the core. `again`: though it is held."""
 
     version: int
@@ -85,13 +85,13 @@
     why: str
 
 
-class Ready(NamedTuple):
+class ReadinessChanged(NamedTuple):
     """Whether new clients may come as far as the configuration goes."""
 
     well: bool
 
 
-class Refuse(NamedTuple):
+class RefusalChanged(NamedTuple):
     """Whether requests are turned back, and why."""
 
     refuse: bool
--- a/post/inspection/figures.py
+++ b/gateway/drift/metrics.py
@@ -8,11 +8,11 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-KIND = b"Content-Type: text/plain; version=0.0.4; charset=utf-8\r\n"
-PREFIX = "post_drift_"
+CONTENT_TYPE = b"Content-Type: text/plain; version=0.0.4; charset=utf-8\r\n"
+DRIFT_METRIC_PREFIX = "gateway_drift_"
 
 
-class Figure(NamedTuple):
+class Metric(NamedTuple):
     """One figure; a name that ends in `_total` only ever grows. None is left out.
 
     Those of one name follow one another, with labels such as `way="holder"`; so do the `_bucket`, `_sum` and
@@ -24,10 +24,10 @@
     labels: str = ""
 
 
-def text(figures: Iterable[Figure], prefix: str = PREFIX) -> bytes:
+def render_metrics(metrics: Iterable[Metric], prefix: str = DRIFT_METRIC_PREFIX) -> bytes:
     """The body of an answer to a scrape."""
     lines, family, parts = list[str](), "", tuple[str, ...]()
-    for name, help, value, labels in figures:
+    for name, help, value, labels in metrics:
         if value is None:
             continue
         if name not in (family, *parts):
--- a/post/inspection/quotas.py
+++ b/gateway/drift/quota_windows.py
@@ -4,27 +4,27 @@
 
 from collections.abc import Mapping
 
-from post.directory.document import Document
-from post.directory.table import Difference
-from post.franking.window import Window, plan
+from gateway.config.document import Document
+from gateway.config.schema import Difference
+from gateway.quota.window import Window, plan
 
 Windows = Mapping[str, Window]
 """By a tenant's label, how it is counted; one without a limit isn't in it."""
 
 
-def planned(document: Document, span_s: float) -> Windows:
+def expected_windows(document: Document, span_s: float) -> Windows:
     """How tenants are to be counted; `span_s` is that of the quota rule, in seconds."""
     windows = {t.label: plan(t.rate, t.burst, span_s) for t in document.tenants.values()}
     return {label: window for label, window in windows.items() if window is not None}
 
 
-def quotas_differ(plans: Windows, windows: Windows) -> list[Difference]:
+def quota_differences(quota_windows: Windows, windows: Windows) -> list[Difference]:
     """Where tenants are counted otherwise than they are to be."""
-    if plans == windows:
+    if quota_windows == windows:
         return []
-    labels = sorted(plans.keys() | windows.keys())
-    return [Difference(f"quota {label}", _told(windows.get(label)), _told(plans.get(label)))
-            for label in labels if windows.get(label) != plans.get(label)]
+    labels = sorted(quota_windows.keys() | windows.keys())
+    return [Difference(f"quota {label}", _told(windows.get(label)), _told(quota_windows.get(label)))
+            for label in labels if windows.get(label) != quota_windows.get(label)]
 
 
 def _told(window: Window | None) -> str:
--- a/post/rounds/messages.py
+++ b/gateway/membership/messages.py
@@ -4,12 +4,12 @@
 
 from typing import Any, NamedTuple
 
-from post.machine import Address
+from gateway.state_machine import Address
 
-CORE, CONFIG, DUTIES, INGRESSES = 1, 2, 3, 4  # kinds of news of which there is one only: the newest
-SORTER, POSTMASTER = 1, 2  # roles in a view
+CORE, CONFIG, SHARD_MAP, INGRESSES = 1, 2, 3, 4  # kinds of news of which there is one only: the newest
+PROXY, CONTROLLER = 1, 2  # roles in a view
 
-Fence = tuple[int, int]
+FencingToken = tuple[int, int]
 """Orders the news of one kind: (term, number); a configuration has (0, version)."""
 
 
@@ -43,24 +43,24 @@
 
 
 class SetCore(NamedTuple):
-    """The core's members, by the addresses of their postmasters."""
+    """The core's members, by the addresses of their controllers."""
 
     addresses: tuple[Address, ...]
 
 
 class SetSeeds(NamedTuple):
-    """Other seeds than at the start, by the addresses of their postmasters."""
+    """Other seeds than at the start, by the addresses of their controllers."""
 
     addresses: tuple[Address, ...]
 
 
 class SetQuorate(NamedTuple):
-    """Until when this postmaster is in touch with a majority of the core, unless it tells anew."""
+    """Until when this controller is in touch with a majority of the core, unless it tells anew."""
 
     until: float
 
 
-class Beat(NamedTuple):
+class Heartbeat(NamedTuple):
     """A beat of a backend, taken here. `token` comes back in `Acked` or `Refused`."""
 
     token: Any
@@ -75,23 +75,23 @@
     seq: int
 
 
-class End(NamedTuple):
+class Deregistration(NamedTuple):
     """A backend says that it has ended. `token` comes back in `Acked` or `Refused`."""
 
     token: Any
     id: str
 
 
-class Put(NamedTuple):
+class Publish(NamedTuple):
     """Pass this on to all, unless something newer of its kind is known."""
 
     kind: int
-    fence: Fence
+    fencing_token: FencingToken
     data: bytes
     digest: bytes = b""
 
 
-class Holds(NamedTuple):
+class ConfigApplied(NamedTuple):
     """The configuration that this process runs, how many findings it had, and the latest for the operator."""
 
     version: int
@@ -100,7 +100,7 @@
     finding: str = ""
 
 
-class Fetch(NamedTuple):
+class FetchConfig(NamedTuple):
     """Ask for a configuration now: its holder, or ("") the core. `again`: though it is held."""
 
     version: int
@@ -111,46 +111,46 @@
 # Outputs.
 
 
-class Acked(NamedTuple):
+class Acknowledged(NamedTuple):
     """Answer a backend's call with 200."""
 
     token: Any
 
 
-class Refused(NamedTuple):
+class Rejected(NamedTuple):
     """Answer a backend's call with 503: it is to try another process."""
 
     token: Any
 
 
-class Came(NamedTuple):
+class BackendAdded(NamedTuple):
     """A backend that was not known."""
 
     backend: Backend
 
 
-class Changed(NamedTuple):
+class BackendChanged(NamedTuple):
     """A known backend with something new about it, such as that it drains."""
 
     backend: Backend
 
 
-class Gone(NamedTuple):
+class BackendRemoved(NamedTuple):
     """A backend to which nothing more may be sent."""
 
     id: str
 
 
-class News(NamedTuple):
+class Update(NamedTuple):
     """The newest of a kind; it may come again, and skip some."""
 
     kind: int
-    fence: Fence
+    fencing_token: FencingToken
     data: bytes
     digest: bytes
 
 
-class Heard(NamedTuple):
+class ConfigAdvertised(NamedTuple):
     """Somebody (`holder`, or "" for hearsay) holds this configuration; 8 bytes of its digest."""
 
     version: int
@@ -158,7 +158,7 @@
     holder: Address
 
 
-class Runs(NamedTuple):
+class RunningConfig(NamedTuple):
     """A follower tells what it runs (8 bytes of the digest), its findings so far, and the latest."""
 
     node: Address
@@ -168,8 +168,8 @@
     finding: str
 
 
-class Core(NamedTuple):
+class CoreMembers(NamedTuple):
     """Newer members of the core, as neighbours tell them."""
 
-    order: Fence
+    members_version: FencingToken
     members: tuple[Address, ...]
--- a/post/rounds/wire.py
+++ b/gateway/membership/wire.py
@@ -10,24 +10,24 @@
 
 from google.protobuf.message import DecodeError
 
-from post.machine import Address
-from post.rounds import rounds_pb2 as pb
-from post.rounds.messages import Backend, Fence
+from gateway.membership import membership_pb2 as pb
+from gateway.membership.messages import Backend, FencingToken
+from gateway.state_machine import Address
 
-FINAL = 1 << 62  # as a call-seq: no later beat counts either
+FINAL_SEQUENCE = 1 << 62  # as a call-seq: no later beat counts either
 INLINE_BYTES = 256  # longer values are asked for, so that they come from one source only
-MOST_BYTES = 64 << 20  # of a value, unpacked
-PACK_BYTES = 1024  # shorter values aren't worth packing
+MAX_VALUE_BYTES = 64 << 20  # of a value, unpacked
+COMPRESS_MIN_BYTES = 1024  # shorter values aren't worth packing
 
 
-class Listed(NamedTuple):
+class LeaseRecord(NamedTuple):
     """A backend in a log; a relay is told on by one that doesn't take its beats."""
 
     backend: Backend
     relay: bool = False
 
 
-class Ended(NamedTuple):
+class EndRecord(NamedTuple):
     """A backend's end: beats with a call-seq up to `seq` are late. Forgotten at `until`."""
 
     id: str
@@ -36,23 +36,23 @@
     since: float = float("inf")  # when that life was first heard of, if it is known
 
 
-class Released(NamedTuple):
+class ReleaseRecord(NamedTuple):
     """A backend that this log no longer holds; others may. Forgotten at `until`."""
 
     id: str
     until: float = 0.0
 
 
-class Notice(NamedTuple):
+class ValueRecord(NamedTuple):
     """News in a log; `data` is None where it must be asked for."""
 
     kind: int
-    fence: Fence
+    fencing_token: FencingToken
     digest: bytes
     data: bytes | None
 
 
-Record = Listed | Ended | Released | Notice
+Record = LeaseRecord | EndRecord | ReleaseRecord | ValueRecord
 
 
 def packed(address: Address) -> int:
@@ -69,7 +69,7 @@
     return f"{socket.inet_ntoa(struct.pack('>I', number >> 16 & 0xFFFFFFFF))}:{number & 0xFFFF}"
 
 
-def mark(address: Address) -> int:
+def address_hash(address: Address) -> int:
     """A short digest of an address, for naming it to those who know it."""
     return zlib.crc32(address.encode())
 
@@ -77,8 +77,8 @@
 def encode_members(addresses: Iterable[Address], leader: Address = "") -> bytes:
     """The value of `CORE` news: the members' addresses, and which of them leads ("": none)."""
     members = list(addresses)
-    place = members.index(leader) + 1 if leader in members else 0
-    return pb.Members(addresses=map(packed, members), leader=place).SerializeToString()
+    position = members.index(leader) + 1 if leader in members else 0
+    return pb.Members(addresses=map(packed, members), leader=position).SerializeToString()
 
 
 def decode_members(data: bytes) -> tuple[tuple[Address, ...], Address]:
@@ -113,23 +113,23 @@
     return [(number & 0xFFF, unpacked(number >> 12)) for number in message.addresses]
 
 
-def fill(answer: pb.Answer, now: float, records: Iterable[Record]) -> None:
+def fill_answer(answer: pb.Answer, now: float, records: Iterable[Record]) -> None:
     """Put records into an answer; times become what is left or has passed."""
     names: dict[str, int] = {}
     for record in records:
         out = answer.records.add()
-        if isinstance(record, Listed):
-            _fill_listed(out.listed, now, record, names)
-        elif isinstance(record, Ended):
-            out.ended.id, out.ended.after = record.id, 0 if record.seq >= FINAL else record.seq + 1
-        elif isinstance(record, Released):
+        if isinstance(record, LeaseRecord):
+            _fill_lease(out.leased, now, record, names)
+        elif isinstance(record, EndRecord):
+            out.ended.id, out.ended.after = record.id, 0 if record.seq >= FINAL_SEQUENCE else record.seq + 1
+        elif isinstance(record, ReleaseRecord):
             out.released = record.id
         else:
-            _fill_news(out.news, record)
+            _fill_update(out.news, record)
     answer.names.extend(names)
 
 
-def _fill_listed(out: pb.Listed, now: float, record: Listed, names: dict[str, int]) -> None:
+def _fill_lease(out: pb.LeaseRecord, now: float, record: LeaseRecord, names: dict[str, int]) -> None:
     b = record.backend
     out.id, out.address, out.capacity, out.seq = b.id, b.address, b.capacity, b.seq
     out.service = names.setdefault(b.service, len(names))
@@ -141,8 +141,8 @@
     out.age_ds = min(max(0, round(10 * (now - b.since))), 0xFFFFFFFF)
 
 
-def _fill_news(out: pb.News, record: Notice) -> None:
-    out.kind, (out.term, out.number), out.digest = record.kind, record.fence, record.digest
+def _fill_update(out: pb.Update, record: ValueRecord) -> None:
+    out.kind, (out.term, out.number), out.digest = record.kind, record.fencing_token, record.digest
     if record.data is None or len(record.data) > INLINE_BYTES:
         out.large = True
     else:
@@ -154,29 +154,29 @@
     names = answer.names
     for record in answer.records:
         kind = record.WhichOneof("kind")
-        if kind == "listed":
-            m = record.listed
+        if kind == "leased":
+            m = record.leased
             if max(m.service, m.zone, m.generation) < len(names):
                 backend = Backend(m.id, names[m.service], m.address, names[m.zone], names[m.generation],
                                   m.capacity, m.draining, now + m.cold_ms / 1000 if m.cold_ms else 0.0,
                                   m.seq, now - m.age_ds / 10)
-                yield Listed(backend, m.relay)
+                yield LeaseRecord(backend, m.relay)
         elif kind == "ended":
-            yield Ended(record.ended.id, record.ended.after - 1 if record.ended.after else FINAL)
+            yield EndRecord(record.ended.id, record.ended.after - 1 if record.ended.after else FINAL_SEQUENCE)
         elif kind == "released":
-            yield Released(record.released)
+            yield ReleaseRecord(record.released)
         elif kind == "news":
             n = record.news
-            yield Notice(n.kind, (n.term, n.number), n.digest, None if n.large else n.value)
+            yield ValueRecord(n.kind, (n.term, n.number), n.digest, None if n.large else n.value)
 
 
-def value_note(notice: Notice) -> pb.Note:
+def value_note(value_record: ValueRecord) -> pb.Message:
     """The whole value of news, for one that asked."""
-    data = notice.data or b""
-    note = pb.Note()
+    data = value_record.data or b""
+    note = pb.Message()
     value = note.value
-    value.kind, (value.term, value.number), value.digest = notice.kind, notice.fence, notice.digest
-    value.packed = len(data) > PACK_BYTES
+    value.kind, (value.term, value.number), value.digest = value_record.kind, value_record.fencing_token, value_record.digest
+    value.packed = len(data) > COMPRESS_MIN_BYTES
     value.value = zlib.compress(data, 6) if value.packed else data
     return note
 
@@ -187,7 +187,7 @@
         return value.value
     try:
         unpacker = zlib.decompressobj()
-        data = unpacker.decompress(value.value, MOST_BYTES)
+        data = unpacker.decompress(value.value, MAX_VALUE_BYTES)
         return data if unpacker.eof else None
     except zlib.error:
         return None
--- /dev/null
+++ b/gateway/programs/proxy.py
@@ -0,0 +1,92 @@
+"""The traffic plane's program: clients' requests, by what the core tells of routes and backends."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+from typing import Any
+
+from gateway.membership import messages as membership
+from gateway.membership.membership_pb2 import Message as MembershipNote
+from gateway.programs import startup
+from gateway.programs.proxy_node import CONNECT_TIMEOUT_S, ProxyNode
+from gateway.programs.settings_reload import Reload, start_maintenance
+from gateway.programs.startup import MEMBERSHIP, QUOTA
+from gateway.quota.quota_pb2 import Message as QuotaNote
+from gateway.runtime.clock import steady
+from gateway.runtime.http_listener import HttpCall, HttpListener, Reply
+from gateway.runtime.log_ring import LogRing
+from gateway.runtime.peer_transport import PeerTransport, Plane
+from gateway.runtime.settings import Settings, SettingsFile
+from gateway.runtime.ticker import Ticker
+from gateway.state_machine import Address
+from roadspur.net.connection_interfaces import Limits
+from roadspur.net.http_messages import read_address
+from roadspur.net.server import Server
+from roadspur.net.upstream import Upstream
+
+TICK_S = 0.05
+SILENT_S = 2.0  # of a far end that acknowledges nothing
+BACKEND_IDLE_S = 10.0  # after which backends close idle connections
+BODY_MEMORY_DIVISOR = 8  # of the memory, the part that larger bodies may take together
+RESERVED_DESCRIPTORS = 300  # descriptors that are neither clients' nor backends'
+
+
+class ProxyServer:
+    """Connects a proxy's machines and its ingress to the wire."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, settings: Settings, rng: random.Random) -> None:
+        half = max(32, (settings.own.limits.max_fds - RESERVED_DESCRIPTORS) // 2)
+        self.upstream = Upstream(loop, CONNECT_TIMEOUT_S, BACKEND_IDLE_S, half, SILENT_S)
+        self.proxy_node = ProxyNode(self, loop, steady, settings, self.upstream, rng)
+        memory = int(1e6 * settings.own.limits.memory_mb)
+        self.server = Server(loop, self.proxy_node.ingress, half, memory // BODY_MEMORY_DIVISOR)
+        self.port = PeerTransport(loop, self.proxy_node.me, {
+            MEMBERSHIP: Plane(MEMBERSHIP, MembershipNote, self.proxy_node.on_membership_message, startup.membership_slot),
+            QUOTA: Plane(QUOTA, QuotaNote, self.proxy_node.on_quota_message)})
+
+    def send(self, to: Address, plane: int, message: Any) -> None:
+        self.port.send(to, plane, message)
+
+    def limit(self, limits: Limits) -> None:
+        self.server.limits = limits
+
+    def limits(self) -> Limits:
+        return self.server.limits
+
+    def ready(self, http_call: HttpCall, reply: Reply) -> None:
+        """Answer the platform, and whoever asks what runs here."""
+        if not self.proxy_node.drift_monitor.answer(http_call, reply, self.proxy_node.charger_report):
+            reply(200 if self.proxy_node.ready() else 503, b"", b"")
+
+
+async def serve(settings: Settings, ring: LogRing, file: SettingsFile) -> None:
+    """Serve until told to stop, then leave in order."""
+    loop = asyncio.get_running_loop()
+    proxy = ProxyServer(loop, settings, random.Random(int.from_bytes(os.urandom(8))))
+    await proxy.port.open()
+    reload = Reload(settings, file, proxy.proxy_node.seeds)
+    stop = startup.stop_on_signal(loop, reload.read)
+    second = start_maintenance(loop, reload, ring)
+    ticker = Ticker(loop, TICK_S, lambda now: proxy.proxy_node.handle_membership(membership.Tick()), first=0.0)
+    http_listener = HttpListener(loop, proxy.ready)
+    listen = settings.network.listen
+    if listen.ready is not None:
+        await http_listener.listen(listen.ready)
+    if listen.front is not None:
+        await proxy.server.listen(*read_address(listen.front))
+    await stop.wait()
+    proxy.proxy_node.leaving = True
+    await proxy.server.leave()
+    ticker.stop()
+    proxy.proxy_node.charger_report.tell(steady())
+    second.stop()
+    http_listener.close()
+    proxy.upstream.close()
+    proxy.port.close()
+
+
+def main() -> int:
+    """Run; the exit code."""
+    return startup.run("proxy", serve)
--- /dev/null
+++ b/gateway/programs/proxy_node.py
@@ -0,0 +1,209 @@
+"""A proxy's machines and its ingress, connected to one another and free of sockets and clock."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from gateway.config.digest import ExpectedDigests
+from gateway.config.document import Document
+from gateway.config.orders import ConfigState
+from gateway.config.routing import CompiledConfig
+from gateway.config.schema import Difference
+from gateway.drift.quota_windows import Windows, expected_windows, quota_differences
+from gateway.membership import messages as membership
+from gateway.membership.proxy import ProxyMembership
+from gateway.membership.wire import decode_ingresses
+from gateway.programs import startup
+from gateway.programs.drift_monitor import DriftMonitor
+from gateway.programs.quota_report import ChargerReport
+from gateway.programs.startup import MEMBERSHIP, QUOTA
+from gateway.proxy import service as services
+from gateway.proxy.decisions import Decisions
+from gateway.proxy.ingress import ProxyIngress
+from gateway.proxy.retry_budget import RetryBudget
+from gateway.quota import interface as quota
+from gateway.quota.quota_client import QuotaClient
+from gateway.runtime import config_events
+from gateway.runtime.settings import Settings
+from gateway.state_machine import Address, Send
+from roadspur import interface as io
+from roadspur.net.connection_interfaces import Limits
+from roadspur.net.http_messages import read_address
+from roadspur.net.upstream import Upstream
+
+CONNECT_TIMEOUT_S = 0.3  # for a connection to a backend to stand
+INGRESSES = 12  # among which slack and slots are shared
+
+log = logging.getLogger("gateway.proxy")
+
+
+class Driver(Protocol):
+    """Carries out what the machines want done outside of them."""
+
+    def send(self, to: Address, plane: int, message: Any) -> None:
+        """Send a message to another process, or lose it."""
+
+    def limit(self, limits: Limits) -> None:
+        """Hold clients to these limits from now on."""
+
+    def limits(self) -> Limits:
+        """The limits that clients are held to."""
+
+
+class ProxyNode:
+    """The machines of the traffic plane at one proxy. Of `loop` only the timers are used, and its time."""
+
+    def __init__(self, driver: Driver, loop: asyncio.AbstractEventLoop, clock: Callable[[], float],
+                 settings: Settings, upstream: Upstream, rng: random.Random) -> None:
+        self.driver, self.loop, self.clock = driver, loop, clock
+        bounds = settings.terms.bounds
+        self.me = settings.own_address("proxy")
+        seeds = [settings.controller_at(s) for s in settings.network.seeds]
+        self.zone = startup.zone_number(settings)
+        self.membership = ProxyMembership(self.me, self.zone, seeds, rng)
+        self.quota_client = QuotaClient(bounds.quota_window_s, rng)
+        terms = services.settings(INGRESSES, CONNECT_TIMEOUT_S, settings.own.zone)
+
+        def budget(ingresses: int) -> RetryBudget:
+            return RetryBudget(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s, ingresses)
+
+        decisions = Decisions(self.quota_client, terms, budget, rng)
+        self.ingress = ProxyIngress(loop, terms, decisions, upstream, self.send_quota_message, clock)
+        self.config_state = ConfigState()
+        self.compiled_config: CompiledConfig | None = None
+        self.expected: ExpectedDigests | None = None
+        self.version = 0
+        self.quota_windows: Windows = {}
+        self.drift_monitor = DriftMonitor(self.me, self, bounds)
+        self.charger_report = ChargerReport(self.me, self.quota_client)
+        self.ingress.inspect = self.drift_monitor.request
+        self.leaving = False
+        self.charge_timer: asyncio.TimerHandle | None = None
+        self.charge_at = 0.0
+
+    # Messages.
+
+    def on_membership_message(self, sender: Address, note: Any) -> None:
+        self.handle_membership(membership.Received(sender, note))
+
+    def on_quota_message(self, sender: Address, note: Any) -> None:
+        self.handle_quota(quota.Received(sender, note))
+
+    def send_quota_message(self, out: Send) -> None:
+        self.driver.send(out.to, QUOTA, out.message)
+        self.arm()
+
+    def handle_quota(self, event: Any) -> None:
+        """An input of the quota plane."""
+        self.ingress.handle_quota(event)
+        self.arm()
+
+    def arm(self) -> None:
+        """Have the quota plane's machine called again when it wants to be."""
+        due = self.quota_client.due()
+        if self.charge_timer is not None:
+            if self.charge_at <= due:
+                return
+            self.charge_timer.cancel()
+        self.charge_at = due  # a timer that is due at once is a plain handle, which doesn't know its time
+        self.charge_timer = self.loop.call_at(due, self.charge_due)
+
+    def charge_due(self) -> None:
+        self.charge_timer = None
+        self.handle_quota(quota.Tick())
+
+    def handle_membership(self, event: Any) -> None:
+        """An input of the rounds."""
+        for out in self.membership.handle(self.clock(), event):
+            if isinstance(out, Send):
+                self.driver.send(out.to, MEMBERSHIP, out.message)
+            elif isinstance(out, membership.BackendAdded | membership.BackendChanged):
+                self.backend(out.backend)
+            elif isinstance(out, membership.BackendRemoved):
+                self.ingress.backend(out.id, "", ("", 0), io.Phase.DELETED, 0.0)
+            elif isinstance(out, membership.Update):
+                self.news(out)
+            elif isinstance(out, membership.ConfigAdvertised):
+                self.drift_monitor.heard(*out)
+        if isinstance(event, membership.Tick):
+            self.drift_monitor.tick()
+            self.charger_report.tick(self.clock())
+
+    def backend(self, b: membership.Backend) -> None:
+        """A backend came or changed."""
+        try:
+            address = read_address(b.address)
+        except ValueError:
+            log.warning("backend %s: no address: %r", b.id, b.address)
+            return
+        phase = io.Phase.STOPPING if b.draining else io.Phase.RUNNING
+        self.ingress.backend(b.id, b.service, address, phase, max(0.0, b.cold_until - self.clock()),
+                             b.capacity, b.zone)
+
+    def seeds(self, addresses: tuple[Address, ...]) -> None:
+        """Other seeds are set."""
+        self.handle_membership(membership.SetSeeds(addresses))
+
+    def news(self, news: membership.Update) -> None:
+        """The newest configuration, or who counts whom."""
+        if news.kind == membership.INGRESSES:
+            self.ingress.proxy_peers(self.me, self.zone, decode_ingresses(news.data))
+        elif news.kind == membership.SHARD_MAP:
+            self.handle_quota(quota.ShardMap(news.data))
+        elif news.kind == membership.CONFIG:
+            version, again = news.fencing_token[1], self.drift_monitor.refetching
+            if version > self.version or (again and version == self.version):
+                self.apply_config(version, news.data, int.from_bytes(news.digest), afresh=again)
+
+    def apply_config(self, version: int, value: bytes, acknowledged: int, afresh: bool = False) -> None:
+        """Put a newer configuration in force, or the same `afresh`: with nothing that was built before."""
+        try:
+            config_state = ConfigState.decode(value, None if afresh else self.config_state)
+        except ValueError as error:
+            log.error("version %d can't be read: %s", version, error)
+            return self.drift_monitor.unreadable(version, str(error))
+        if config_state.document is None:
+            return
+        before, self.config_state, self.version = self.version, config_state, version
+        compiled_config = self.compiled_config = CompiledConfig(config_state.document, None if afresh else self.compiled_config)
+        self.expected = ExpectedDigests(config_state.document, None if afresh else self.expected)
+        tenants = {t.label: (t.rate, t.burst) for t in compiled_config.tenants.values()}
+        self.handle_quota(quota.Allowances(tenants))
+        limits = compiled_config.limits
+        self.driver.limit(Limits(limits.max_header_bytes, limits.max_body_bytes, limits.header_timeout,
+                                  limits.idle_timeout))
+        self.ingress.compiled_config = compiled_config
+        if version > before:
+            config_events.in_force(self.me, version, compiled_config.generation, first=not before)
+        self.quota_windows = expected_windows(config_state.document, self.quota_client.span_s)
+        self.drift_monitor.config_applied(version, value, acknowledged, config_state.document, self.expected, compiled_config)
+
+    # What the drift detector needs.
+
+    def confirmed(self, now: float) -> tuple[int, float] | None:
+        return self.membership.confirmed(now)
+
+    def fetch(self, version: int, holder: Address, again: bool) -> None:
+        self.handle_membership(membership.FetchConfig(version, holder, again))
+
+    def rebuild(self, version: int, value: bytes) -> None:
+        self.apply_config(version, value, self.drift_monitor.drift_detector.acknowledged, afresh=True)
+
+    def holds(self, version: int, digest: int, findings: int, finding: str) -> None:
+        self.handle_membership(membership.ConfigApplied(version, digest.to_bytes(8), findings, finding))
+
+    def in_force(self, document: Document) -> list[Difference]:
+        limits, held_to = document.limits, self.driver.limits()
+        found = [Difference(f"limits {name}", str(was), str(to))
+                 for name, was, to in zip(limits._fields, held_to, limits, strict=False) if was != to]
+        windows = {label: local_quota.window for label, local_quota in self.quota_client.local_quotas.items()}
+        return found + quota_differences(self.quota_windows, windows)
+
+    def ready(self) -> bool:
+        """Whether the platform may send clients: configuration and backends are known, and it stays."""
+        well = self.compiled_config is not None and bool(self.ingress.serving) and self.drift_monitor.ready
+        return well and not self.leaving
--- a/post/office/counting.py
+++ b/gateway/programs/quota_report.py
@@ -9,31 +9,31 @@
 from itertools import accumulate
 from typing import Any, Protocol
 
-from post.franking.charger import Charger
-from post.franking.holder import Holder
-from post.franking.tally import EDGES, SPLIT, WAYS
-from post.franking.witness import Compared
-from post.inspection.figures import Figure
-from post.machine import Address
-
-ALLOWANCE = "post.allowance"
-PREFIX = "post_allowance_"
+from gateway.drift.metrics import Metric
+from gateway.quota.decision_statistics import DECISION_KINDS, EDGES, SPLIT
+from gateway.quota.quota_client import QuotaClient
+from gateway.quota.shard_owner import ShardOwner
+from gateway.quota.view_audit import CounterComparison
+from gateway.state_machine import Address
+
+QUOTA_LOGGER = "gateway.quota_report"
+QUOTA_METRIC_PREFIX = "gateway_allowance_"
 LINE_S = 5.0
 
-log = logging.getLogger(ALLOWANCE)
+log = logging.getLogger(QUOTA_LOGGER)
 
 
-class Counting(Protocol):
+class QuotaReport(Protocol):
     """What `GET /-/status` and `GET /-/metrics` tell besides."""
 
     def status(self, now: float) -> dict[str, Any]:
         """For JSON."""
 
-    def figures(self, now: float) -> list[Figure]:
+    def metrics(self, now: float) -> list[Metric]:
         """What is worth an alert."""
 
 
-class _Lines:
+class _PeriodicReport:
     """A line each 5 s of what has changed since the last one; an idle process is silent."""
 
     def __init__(self, me: Address) -> None:
@@ -47,39 +47,39 @@
     def tell(self, now: float) -> None:
         """Log what there is."""
         self.due = now + LINE_S
-        if news := self.news(now):
-            log.info({"node": self.me, **news})
+        if changes := self.changes(now):
+            log.info({"node": self.me, **changes})
 
-    def news(self, now: float) -> dict[str, Any]:
+    def changes(self, now: float) -> dict[str, Any]:
         """The line's content."""
         raise NotImplementedError
 
 
-class Charging(_Lines):
-    """Of a charger: how requests were decided, and the time that took."""
+class ChargerReport(_PeriodicReport):
+    """Of a quota client: how requests were decided, and the time that took."""
 
-    def __init__(self, me: Address, charger: Charger) -> None:
+    def __init__(self, me: Address, quota_client: QuotaClient) -> None:
         super().__init__(me)
-        self.charger = charger
+        self.quota_client = quota_client
         self.decided: dict[tuple[str, int], list[int]] = {}  # as told by the last line
-        self.times = [[0] * len(counts) for counts in charger.tally.times]
+        self.times = [[0] * len(counts) for counts in quota_client.statistics.times]
         self.back = 0
 
-    def news(self, now: float) -> dict[str, Any]:
+    def changes(self, now: float) -> dict[str, Any]:
         """`charged`: by tenant and precedence the counts of `tally.WAYS`; `times`: by `tally.SPLIT` the
         counts by number of the bucket; `back`: units given back."""
-        tally, charged = self.charger.tally, dict[str, dict[int, list[int]]]()
-        for key, counts in tally.decided.items():
+        statistics, charged = self.quota_client.statistics, dict[str, dict[int, list[int]]]()
+        for key, counts in statistics.decided.items():
             before = self.decided.get(key)
             if before != counts:
-                more = [n - b for n, b in zip(counts, before or [0] * len(WAYS), strict=True)]
+                more = [n - b for n, b in zip(counts, before or [0] * len(DECISION_KINDS), strict=True)]
                 charged.setdefault(key[0], {})[key[1]] = more
                 self.decided[key] = list(counts)
-        back, self.back = tally.back - self.back, tally.back
+        back, self.back = statistics.back - self.back, statistics.back
         if not charged and not back:
             return {}
         times = {}
-        for n, counts in enumerate(tally.times):
+        for n, counts in enumerate(statistics.times):
             if self.times[n] != counts:
                 more = [c - b for c, b in zip(counts, self.times[n], strict=True)]
                 times[SPLIT[n]] = {k: c for k, c in enumerate(more) if c}
@@ -91,48 +91,48 @@
         return {"allowance": [
             {"tenant": tenant, "allowance": round(allowance, 2), "remaining": remaining,
              "age-s": round(age, 3), "share": round(share, 2)}
-            for tenant, (remaining, age, allowance, share) in sorted(self.charger.view(now).items())
+            for tenant, (remaining, age, allowance, share) in sorted(self.quota_client.view(now).items())
             if age < 1e8]}
 
-    def figures(self, now: float) -> list[Figure]:
+    def metrics(self, now: float) -> list[Metric]:
         """Counts by way, and histograms of the time that the charge adds."""
-        tally = self.charger.tally
-        totals = [sum(counts[n] for counts in tally.decided.values()) for n in range(len(WAYS))]
+        statistics = self.quota_client.statistics
+        totals = [sum(counts[n] for counts in statistics.decided.values()) for n in range(len(DECISION_KINDS))]
         help = "Requests of limited tenants, by how they were decided."
-        found = [Figure("charged_total", help, n, f'way="{way}"')
-                 for way, n in zip(WAYS, totals, strict=True)]
-        found.append(Figure("given_back_total", "Units given back.", tally.back))
+        found = [Metric("charged_total", help, n, f'way="{way}"')
+                 for way, n in zip(DECISION_KINDS, totals, strict=True)]
+        found.append(Metric("given_back_total", "Units given back.", statistics.back))
         name, help = "charge_seconds", "Time that the charge added to a request."
-        for way, counts, seconds in zip(SPLIT, tally.times, tally.seconds, strict=True):
+        for way, counts, seconds in zip(SPLIT, statistics.times, statistics.seconds, strict=True):
             label = f'way="{way}"'
             sums = list(accumulate(counts))
-            found += [Figure(f"{name}_bucket", help, n, f'{label},le="{edge}"')
+            found += [Metric(f"{name}_bucket", help, n, f'{label},le="{edge}"')
                       for edge, n in zip((*(f"{edge:.4g}" for edge in EDGES), "+Inf"), sums, strict=True)]
-            found += [Figure(f"{name}_sum", help, seconds, label),
-                      Figure(f"{name}_count", help, sums[-1], label)]
+            found += [Metric(f"{name}_sum", help, seconds, label),
+                      Metric(f"{name}_count", help, sums[-1], label)]
         return found
 
 
-class Holding(_Lines):
+class HolderReport(_PeriodicReport):
     """Of a holder: what remains of each count that it has, and whether all nodes know it so."""
 
-    def __init__(self, me: Address, holder: Holder) -> None:
+    def __init__(self, me: Address, holder: ShardOwner) -> None:
         super().__init__(me)
         self.holder = holder
         self.told = (0, 0, 0)  # parts gained, lost, and units given back, by the last line
 
-    def compared(self, now: float) -> list[Compared]:
+    def compared(self, now: float) -> list[CounterComparison]:
         """Each tenant held, with all views of it."""
-        return self.holder.witness.compare(now, self.holder.view(now))
+        return self.holder.view_audit.compare(now, self.holder.view(now))
 
-    def news(self, now: float) -> dict[str, Any]:
+    def changes(self, now: float) -> dict[str, Any]:
         """`held`: by tenant its allowance, what remains, units kept back, views, the largest difference,
         units by which a view is beyond what was said, and the oldest view's age; and what changed hands."""
-        witness = self.holder.witness
-        counts = witness.gained, witness.lost, witness.back
+        view_audit = self.holder.view_audit
+        counts = view_audit.gained, view_audit.lost, view_audit.back
         gained, lost, back = (n - b for n, b in zip(counts, self.told, strict=True))
         self.told = counts
-        held = {c.tenant: [round(c.allowance, 2), round(c.remaining, 2), round(c.kept, 2), len(c.views),
+        held = {c.tenant: [round(c.allowance, 2), round(c.remaining, 2), round(c.reserved, 2), len(c.views),
                            max((v.differs for v in c.views), default=0), beyond(c),
                            round(max((v.age_s for v in c.views), default=0.0), 2)]
                 for c in self.compared(now)}
@@ -144,33 +144,33 @@
         """Each tenant held here, with each node's view of it."""
         return {"allowance": [
             {"tenant": c.tenant, "allowance": round(c.allowance, 2), "remaining": round(c.remaining, 2),
-             "kept": round(c.kept, 2), "views": [
+             "kept": round(c.reserved, 2), "views": [
                  {"node": v.node, "view": v.remaining, "age-s": round(v.age_s, 3), "beyond": v.beyond}
                  for v in c.views]}
             for c in self.compared(now)]}
 
-    def figures(self, now: float) -> list[Figure]:
+    def metrics(self, now: float) -> list[Metric]:
         """What remains of each count, and how far views are from it."""
         found, labels = self.compared(now), []
         for c in found:
             name = c.tenant.replace("\\", r"\\").replace('"', r"\"").replace("\n", r"\n")
             labels.append((f'tenant="{name}"', c))
-        witness = self.holder.witness
+        view_audit = self.holder.view_audit
         return [
-            *(Figure("units", "Units that a tenant may use in a window.", c.allowance, t) for t, c in labels),
-            *(Figure("remaining_units", "Units that remain in it.", c.remaining, t) for t, c in labels),
-            *(Figure("kept_back_units", "Units kept back for ingresses that are silent.", c.kept, t)
+            *(Metric("units", "Units that a tenant may use in a window.", c.allowance, t) for t, c in labels),
+            *(Metric("remaining_units", "Units that remain in it.", c.remaining, t) for t, c in labels),
+            *(Metric("kept_back_units", "Units kept back for ingresses that are silent.", c.reserved, t)
               for t, c in labels),
-            Figure("views", "Ingresses' views of the counts held here.", sum(len(c.views) for c in found)),
-            Figure("worst_difference_units", "Largest difference of a view, old as it is, to what remains.",
+            Metric("views", "Ingresses' views of the counts held here.", sum(len(c.views) for c in found)),
+            Metric("worst_difference_units", "Largest difference of a view, old as it is, to what remains.",
                    max((v.differs for c in found for v in c.views), default=None)),
-            Figure("worst_disagreement_units", "Units by which a view is beyond what was said in its time.",
+            Metric("worst_disagreement_units", "Units by which a view is beyond what was said in its time.",
                    max((beyond(c) for c in found), default=0)),
-            Figure("given_back_total", "Units given back.", witness.back),
-            Figure("parts_gained_total", "Parts of the tenants, of 64, that came here.", witness.gained),
-            Figure("parts_lost_total", "Parts that went elsewhere, or whose lease ended.", witness.lost)]
+            Metric("given_back_total", "Units given back.", view_audit.back),
+            Metric("parts_gained_total", "Parts of the tenants, of 64, that came here.", view_audit.gained),
+            Metric("parts_lost_total", "Parts that went elsewhere, or whose lease ended.", view_audit.lost)]
 
 
-def beyond(c: Compared) -> int:
+def beyond(c: CounterComparison) -> int:
     """The most units by which a view of a count can't be explained."""
     return max((v.beyond or 0 for v in c.views), default=0)
--- a/post/office/reload.py
+++ b/gateway/programs/settings_reload.py
@@ -9,20 +9,20 @@
 
 from result import Err
 
-from post.machine import Address
-from post.office.ring import Ring
-from post.office.settings import Settings, SettingsFile
-from post.office.ticker import Ticker
+from gateway.runtime.log_ring import LogRing
+from gateway.runtime.settings import Settings, SettingsFile
+from gateway.runtime.ticker import Ticker
+from gateway.state_machine import Address
 
-LOOK_S = 1.0
-TAKEN_UP = ("network.seeds",)
+CHECK_INTERVAL_S = 1.0
+RELOADABLE = ("network.seeds",)
 """What a running program takes up; all else waits for its next start."""
 
-log = logging.getLogger("post.reload")
+log = logging.getLogger("gateway.settings_reload")
 
 
 class Reload:
-    """Tells of new seeds, as the own ports of their postmasters. A file with faults changes nothing.
+    """Tells of new seeds, as the own ports of their controllers. A file with faults changes nothing.
 
     What else has changed is logged, as it counts from the next start on.
     """
@@ -45,26 +45,26 @@
             return
         former, self.settings = self.settings, found.ok_value
         changes = differences(former, self.settings)
-        if waiting := [name for name in changes if name not in TAKEN_UP]:
+        if waiting := [name for name in changes if name not in RELOADABLE]:
             log.info("changed settings that need a restart: %s", ", ".join(waiting))
         if "network.seeds" in changes:
             log.info("seeds are now %s", ", ".join(self.settings.network.seeds))
-            self.seeds(seed_ports(self.settings))
+            self.seeds(seed_addresses(self.settings))
 
 
-def upkeep(loop: asyncio.AbstractEventLoop, reload: Reload, ring: Ring) -> Ticker:
+def start_maintenance(loop: asyncio.AbstractEventLoop, reload: Reload, ring: LogRing) -> Ticker:
     """What a program does each second: it looks at its settings file, and writes the logs that are owed."""
 
     def second(now: float) -> None:
         ring.tick()
         reload.look()
 
-    return Ticker(loop, LOOK_S, second)
+    return Ticker(loop, CHECK_INTERVAL_S, second)
 
 
-def seed_ports(settings: Settings) -> tuple[Address, ...]:
-    """The own ports of the seeds' postmasters."""
-    return tuple(settings.postmaster_at(seed) for seed in settings.network.seeds)
+def seed_addresses(settings: Settings) -> tuple[Address, ...]:
+    """The own ports of the seeds' controllers."""
+    return tuple(settings.controller_at(seed) for seed in settings.network.seeds)
 
 
 def differences(former: Any, later: Any, place: str = "") -> list[str]:
--- a/post/office/program.py
+++ b/gateway/programs/startup.py
@@ -14,27 +14,27 @@
 import uvloop
 from result import Err
 
-from post.office import settings as files
-from post.office.counting import ALLOWANCE
-from post.office.ring import Ring
-from post.office.settings import Settings, SettingsFile
-from post.register import register_pb2
+from gateway.consensus import consensus_pb2
+from gateway.programs.quota_report import QUOTA_LOGGER
+from gateway.runtime import settings as files
+from gateway.runtime.log_ring import LogRing
+from gateway.runtime.settings import Settings, SettingsFile
 
-REGISTER, ROUNDS, FRANKING = 1, 2, 3
+CONSENSUS, MEMBERSHIP, QUOTA = 1, 2, 3
 """Planes' numbers on the wire."""
 
 COUNTS = "--counts"
 """The option with which a program writes its lines of counts at once, for a day's report."""
 
-log = logging.getLogger("post.program")
+log = logging.getLogger("gateway.startup")
 
 
-def register_slot(note: Any) -> int | None:
+def consensus_slot(note: Any) -> int | None:
     """An entry is the whole state, so a later one will do."""
-    return register_pb2.APPEND if note.kind == register_pb2.APPEND else None
+    return consensus_pb2.APPEND_ENTRIES if note.kind == consensus_pb2.APPEND_ENTRIES else None
 
 
-def rounds_slot(note: Any) -> tuple[str, int] | None:
+def membership_slot(note: Any) -> tuple[str, int] | None:
     """A later answer builds on a place that is confirmed, and a value is the newest of its kind."""
     kind = note.WhichOneof("kind")
     return (kind, note.value.kind) if kind == "value" else (kind, 0) if kind == "answer" else None
@@ -46,7 +46,7 @@
     return zones.index(settings.own.zone) if settings.own.zone in zones else 0
 
 
-def until_told(loop: asyncio.AbstractEventLoop, reload: Callable[[], None]) -> asyncio.Event:
+def stop_on_signal(loop: asyncio.AbstractEventLoop, reload: Callable[[], None]) -> asyncio.Event:
     """Set by SIGTERM or SIGINT; SIGHUP calls `reload`."""
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -55,7 +55,7 @@
     return stop
 
 
-def run(program: str, serve: Callable[[Settings, Ring, SettingsFile], Awaitable[None]]) -> int:
+def run(program: str, serve: Callable[[Settings, LogRing, SettingsFile], Awaitable[None]]) -> int:
     """Run a program by its settings file; faults of that are told with their places, and the code is 2."""
     file = files.SettingsFile(os.environ)
     found = file.read()
@@ -63,7 +63,7 @@
         for fault in found.err_value:
             print(f"{program}: {fault}", file=sys.stderr)
         return 2
-    ring = Ring.install(aloud=ALLOWANCE if COUNTS in sys.argv else "")
+    ring = LogRing.install(immediate_logger=QUOTA_LOGGER if COUNTS in sys.argv else "")
     log.info("%s begins", program)  # so that the ring tells a new life from a long silence
     gc.freeze()  # what start-up made is never garbage
     try:
--- a/post/office/showing.py
+++ b/gateway/programs/status_report.py
@@ -1,63 +1,63 @@
-"""What a postmaster shows of the core and of the backends, and how it is laid out for a terminal."""
+"""What a controller shows of the core and of the backends, and how it is laid out for a terminal."""
 
 from __future__ import annotations
 
 from typing import Any
 
-from post.office import nodes
-from post.register import plan
-from post.register.agreement import Agreement
-from post.rounds.postmaster import PostmasterRounds
+from gateway.cli import nodes
+from gateway.consensus import quorum
+from gateway.consensus.raft import RaftNode
+from gateway.membership.controller import ControllerMembership
 
 CORE, LEASES = "/-/core", "/-/leases"
 Row = dict[str, Any]
 
 
-def core(agreement: Agreement, now: float) -> Row:
+def core(raft: RaftNode, now: float) -> Row:
     """The members by the newest entry here. Seconds since they were heard are known to the leader alone."""
-    entry, leading = agreement.seat.entry, agreement.leading
-    peers = leading.peers.values() if leading is not None else ()
+    entry, leader_role = raft.replica.entry, raft.leader_role
+    peers = leader_role.peers.values() if leader_role is not None else ()
     heard = {p.disk: round(now - p.heard, 3) for p in peers if p.heard > 0}
     return {
-        "node": agreement.seat.me, "role": agreement.role, "leader": agreement.leader,
-        "term": agreement.term, "sure": agreement.sure(now), "version": agreement.committed,
+        "node": raft.replica.me, "role": raft.role, "leader": raft.leader,
+        "term": raft.term, "sure": raft.has_leader_lease(now), "version": raft.committed,
         "changing": bool(entry.outgoing),
-        "bears": plan.bears(len(entry.members)), "tolerance": agreement.tolerance,
-        "bears-now": _bears_now(agreement, now),
+        "bears": quorum.tolerable_losses(len(entry.members)), "tolerance": raft.tolerance,
+        "bears-now": _further_losses_now(raft, now),
         "members": [{"address": m.address, "disk": m.disk,
                      "state": _state(m in entry.members, m in entry.outgoing or not entry.outgoing),
-                     "heard-s": 0.0 if m.disk == agreement.seat.disk else heard.get(m.disk)}
+                     "heard-s": 0.0 if m.disk == raft.replica.disk else heard.get(m.disk)}
                     for m in entry.voters()]}
 
 
-def _bears_now(agreement: Agreement, now: float) -> int | None:
+def _further_losses_now(raft: RaftNode, now: float) -> int | None:
     """How many more disks may be lost right now, as far as the leader knows; None from others."""
-    seat, leading = agreement.seat, agreement.leading
-    if leading is None or seat.known is None:
+    replica, leader_role = raft.replica, raft.leader_role
+    if leader_role is None or replica.committed_entry is None:
         return None
-    place = seat.known.place
-    there = {disk for disk, p in leading.presences(now).items() if p.here and not p.leaving}
-    holders = sum(p.disk in there and p.held is not None and p.held >= place for p in leading.peers.values())
-    there.add(seat.disk)
-    councils = [(len(council), sum(m.disk in there for m in council))
-                for council in (seat.entry.members, seat.entry.outgoing) if council]
-    return plan.more(councils, holders + (seat.kept.entry.place >= place))
+    position = replica.committed_entry.position
+    there = {disk for disk, p in leader_role.member_health(now).items() if p.reachable and not p.leaving}
+    holders = sum(p.disk in there and p.durable_position is not None and p.durable_position >= position for p in leader_role.peers.values())
+    there.add(replica.disk)
+    voter_sets = [(len(council), sum(m.disk in there for m in council))
+                for council in (replica.entry.members, replica.entry.outgoing) if council]
+    return quorum.more(voter_sets, holders + (replica.persisted.entry.position >= position))
 
 
 def _state(stays: bool, was: bool) -> str:
     return "member" if stays and was else "comes" if stays else "goes"
 
 
-def leases(rounds: PostmasterRounds, now: float) -> Row:
-    """All backends that are known, and what is left of the leases that this postmaster has given them."""
-    own = rounds.leases.leases
-    return {"node": rounds.address, "backends": [
+def leases(membership: ControllerMembership, now: float) -> Row:
+    """All backends that are known, and what is left of the leases that this controller has given them."""
+    own = membership.leases.leases
+    return {"node": membership.address, "backends": [
         {"id": b.id, "service": b.service, "address": b.address, "zone": b.zone, "capacity": b.capacity,
          "phase": "draining" if b.draining else "standing", "call-seq": b.seq,
          "cold-left-s": round(max(0.0, b.cold_until - now), 3),
          "lease-left-s": round(own[b.id].until - now, 3) if b.id in own else None,
-         "held-by": sorted(h or rounds.address for h in row.holders)}
-        for b, row in ((row.backend, row) for _, row in sorted(rounds.table.rows.items()))]}
+         "held-by": sorted(h or membership.address for h in row.holders)}
+        for b, row in ((row.backend, row) for _, row in sorted(membership.table.rows.items()))]}
 
 
 def core_lines(answers: list[Row]) -> list[str]:
--- a/post/sorting/verdict.py
+++ b/gateway/proxy/execution_status.py
@@ -5,18 +5,18 @@
 from enum import Enum
 
 
-class Verdict(Enum):
+class ExecutionStatus(Enum):
     """What is known of a request's runs."""
 
-    NEVER = "never"  # it has not run and never will: 429, 503, 408 and 421 may be said, and anything sent
-    PERHAPS = "perhaps"  # it was sent, and nobody can tell
+    NEVER_RAN = "never"  # it has not run and never will: 429, 503, 408 and 421 may be said, and anything sent
+    MAY_HAVE_RAN = "perhaps"  # it was sent, and nobody can tell
     RAN = "ran"  # a backend has said so
 
     @property
-    def promises(self) -> bool:
+    def allows_refusal(self) -> bool:
         """Whether an answer that promises that it never ran may be given."""
-        return self is Verdict.NEVER
+        return self is ExecutionStatus.NEVER_RAN
 
     def repeatable(self, safe: bool) -> bool:
         """Whether it may be sent once more."""
-        return safe or self is Verdict.NEVER
+        return safe or self is ExecutionStatus.NEVER_RAN
--- a/post/sorting/refusals.py
+++ b/gateway/proxy/refusals.py
@@ -5,11 +5,11 @@
 import logging
 from collections import Counter
 
-from post.franking.interface import BEYOND
+from gateway.quota.interface import OVER_ALLOWANCE
 
-LEAST, SHARE = 5, 0.25  # requests of one second turned back for causes that lie with the system; of all
+WARNING_MIN_COUNT, WARNING_MIN_RATIO = 5, 0.25  # requests of one second turned back for causes that lie with the system; of all
 
-log = logging.getLogger("post.refusals")
+log = logging.getLogger("gateway.proxy.refusals")
 
 
 class Refusals:
@@ -21,23 +21,23 @@
         self.requests, self.until = 0, float("-inf")
         self.causes = Counter[str]()
 
-    def asked(self, now: float) -> None:
+    def request_received(self, now: float) -> None:
         """A request has come."""
-        self.turn(now)
+        self.roll_over(now)
         self.requests += 1
 
     def count(self, now: float, why: str) -> None:
         """A request is turned back."""
-        self.turn(now)
+        self.roll_over(now)
         self.causes[why] += 1
 
-    def turn(self, now: float) -> None:
+    def roll_over(self, now: float) -> None:
         """Tell of the second that has ended, with the first news after it."""
         if now < self.until:
             return
         if self.causes:
-            bad = self.causes.total() - self.causes[BEYOND]
-            level = logging.WARNING if bad >= max(LEAST, SHARE * self.requests) else logging.INFO
+            bad = self.causes.total() - self.causes[OVER_ALLOWANCE]
+            level = logging.WARNING if bad >= max(WARNING_MIN_COUNT, WARNING_MIN_RATIO * self.requests) else logging.INFO
             told = ", ".join(f"{why} {n}" for why, n in sorted(self.causes.items()) if n)
             log.log(level, "of %d requests in a second turned back: %s", self.requests, told)
             self.causes.clear()
--- a/post/sorting/budget.py
+++ b/gateway/proxy/retry_budget.py
@@ -4,9 +4,9 @@
 
 from collections import deque
 
-FEWER_S = 60.0  # after which fewer ingresses are believed: until then some may be there and out of reach
-SETTLED_S = 1.0  # without more ingresses, after which their number is believed, and the slack shared by it
-SAFETY = 0.7  # of the allowed ratio that is used, as the others count by clocks of their own
+SHRINK_DELAY_S = 60.0  # after which fewer ingresses are believed: until then some may be there and out of reach
+GROWTH_SETTLE_S = 1.0  # without more ingresses, after which their number is believed, and the slack shared by it
+SAFETY_FACTOR = 0.7  # of the allowed ratio that is used, as the others count by clocks of their own
 
 
 class RetryBudget:
@@ -21,7 +21,7 @@
                  "grown_at")
 
     def __init__(self, ratio: float, slack: float, window: float, ingresses: int) -> None:
-        self.ratio, self.slack, self.window = SAFETY * ratio, slack / 2, window
+        self.ratio, self.slack, self.window = SAFETY_FACTOR * ratio, slack / 2, window
         self.ingresses = ingresses
         self.shared_at: float | None = None
         self.grown_at = float("inf")
@@ -34,7 +34,7 @@
             self.grown_at = now
         if self.shared_at is None or ingresses >= self.ingresses:
             self.ingresses, self.shared_at = max(self.ingresses, ingresses), now
-        elif now - self.shared_at >= FEWER_S:
+        elif now - self.shared_at >= SHRINK_DELAY_S:
             self.ingresses, self.shared_at = ingresses, now
 
     def count(self, now: float, repeat: bool) -> None:
@@ -52,7 +52,7 @@
     def allows(self, now: float) -> bool:
         """Whether one more repeat stays within the budget."""
         self._forget(now)
-        slack = self.slack / self.ingresses if now >= self.grown_at + SETTLED_S else 0.0
+        slack = self.slack / self.ingresses if now >= self.grown_at + GROWTH_SETTLE_S else 0.0
         return self.repeats + 1 <= self.ratio * self.requests + slack
 
     def _forget(self, now: float) -> None:
--- a/post/franking/tally.py
+++ b/gateway/quota/decision_statistics.py
@@ -1,14 +1,14 @@
-"""How a charger's requests were decided, and the time that took, since its process began."""
+"""How a quota client's requests were decided, and the time that took, since its process began."""
 
 from __future__ import annotations
 
 from bisect import bisect_right
 
-from post.franking.interface import LOWEST
+from gateway.quota.interface import LOWEST_PRECEDENCE
 
-HOLDER, SHARE, OVER, UNASKED, SHORT = range(5)
-WAYS = ("holder", "share", "over", "unasked", "short")
-"""Let go by the holder or by the share; refused by the holder, after its word that nothing is left, or as the
+HOLDER, SHARE, OVER, REFUSED_LOCALLY, SHARE_EXHAUSTED = range(5)
+DECISION_KINDS = ("holder", "share", "over", "unasked", "short")
+"""Let go by the holder or by the share; refused by the holder, after its answer that nothing is left, or as the
 share has none left."""
 
 SPLIT = ("holder", "share", "refused")
@@ -18,7 +18,7 @@
 beyond all."""
 
 
-class Tally:
+class DecisionStatistics:
     """Counts that only grow. `decided` is by tenant and precedence a count for each of `WAYS`; `times` and
     `seconds` are for each of `SPLIT` the counts by bucket and their sum."""
 
@@ -30,10 +30,10 @@
 
     def count(self, way: int, tenant: str, precedence: int, waited: float) -> None:
         """A request was decided after so many seconds."""
-        key = tenant, precedence if precedence < LOWEST else LOWEST
+        key = tenant, precedence if precedence < LOWEST_PRECEDENCE else LOWEST_PRECEDENCE
         counts = self.decided.get(key)
         if counts is None:
-            counts = self.decided[key] = [0] * len(WAYS)
+            counts = self.decided[key] = [0] * len(DECISION_KINDS)
         counts[way] += 1
         split = SPLIT_OF[way]
         self.times[split][bisect_right(EDGES, waited)] += 1
--- a/post/franking/interface.py
+++ b/gateway/quota/interface.py
@@ -5,23 +5,23 @@
 from collections.abc import Collection, Mapping
 from typing import NamedTuple
 
-from post.franking.franking_pb2 import Note
-from post.machine import Address
+from gateway.quota.quota_pb2 import Message
+from gateway.state_machine import Address
 
-PARTS = 64            # into which the tenants are cut
-ALL_PARTS = (1 << PARTS) - 1
-WHOLE = 8192          # parts of an allowance that can be leased as shares
-LOWEST = 7            # precedence that is told apart; lower ones are the same
+SHARDS = 64            # into which the tenants are cut
+ALL_SHARDS = (1 << SHARDS) - 1
+FULL_SHARE = 8192          # parts of an allowance that can be leased as shares
+LOWEST_PRECEDENCE = 7            # precedence that is told apart; lower ones are the same
 LEASE_S = 1.5         # of a holder, from when it asked
 MARGIN_S = 0.25       # a lease or share is surely over only this much later
-ASK_S = 0.3           # between a holder's requests for its lease
+LEASE_RENEW_S = 0.3           # between a holder's requests for its lease
 SHARE_S = 12.0        # of a share, from when the charge was sent whose verdict brought or kept it
-ALIVE_S = 0.2         # a charger silent towards a holder for this long says that it is there
-SILENT_S = 0.45       # a charger unheard for this long is held to go by its shares
+CLIENT_HEARTBEAT_S = 0.2         # a quota client silent towards a holder for this long says that it is there
+SILENT_S = 0.45       # a quota client unheard for this long is held to go by its shares
 
 
 class Code:
-    """What a verdict says: `NOT_YET` to `UNKNOWN` send the charger to its share."""
+    """What a verdict says: `NOT_YET` to `UNKNOWN` send the quota client to its share."""
 
     ADMITTED, OVER, NOT_YET, NOT_MINE, UNKNOWN = range(5)
 
@@ -30,11 +30,11 @@
     """A message of the plane has come from the process at an address."""
 
     frm: Address
-    note: Note
+    note: Message
 
 
 class Tick(NamedTuple):
-    """Time has passed: wanted each 0.1 s by `Duties` and `Holder`, at `due()` by `Charger`."""
+    """Time has passed: wanted each 0.1 s by `Duties` and `Holder`, at `due()` by `Quota client`."""
 
 
 class Allowances(NamedTuple):
@@ -43,10 +43,10 @@
     tenants: Mapping[str, tuple[float, float]]
 
 
-BEYOND = "over the allowance"  # why a request is refused, where that is its tenant's doing
+OVER_ALLOWANCE = "over the allowance"  # why a request is refused, where that is its tenant's doing
 
 
-class Ask(NamedTuple):
+class ChargeRequest(NamedTuple):
     """May this request go on? `patience_s` is how long the holder may take."""
 
     id: int
@@ -61,7 +61,7 @@
     id: int
 
 
-class Charged(NamedTuple):
+class ChargeDecision(NamedTuple):
     """The answer to an `Ask`: 'go', or 'over' with the time after which to come back and the reason."""
 
     id: int
@@ -70,20 +70,20 @@
     why: str = ""
 
 
-class Places(NamedTuple):
-    """The table of holders, as `Duties` has published it, has reached this charger."""
+class ShardMap(NamedTuple):
+    """The table of holders, as `Duties` has published it, has reached this quota client."""
 
     data: bytes
 
 
-class Table(NamedTuple):
-    """A new table for all chargers, newer than any of a lower fence (term, number)."""
+class PublishShardMap(NamedTuple):
+    """A new table for all quota clients, newer than any of a lower fence (term, number)."""
 
-    fence: tuple[int, int]
+    fencing_token: tuple[int, int]
     data: bytes
 
 
-class Lead(NamedTuple):
+class LeadershipChange(NamedTuple):
     """This process leads the core in `term` (0: it doesn't), and is `sure` that nobody else does by now.
 
     It is the first leader since all processes of the core began anew, the last of them at `unled_since` (a
@@ -91,18 +91,18 @@
     """
 
     term: int
-    sure: bool
-    unled_since: float | None = None
+    has_leader_lease: bool
+    leaderless_since: float | None = None
 
 
-class Live(NamedTuple):
-    """Postmasters that live now; `members`, if known, are all that may hold an earlier leader's lease."""
+class LiveControllers(NamedTuple):
+    """Controllers that live now; `members`, if known, are all that may hold an earlier leader's lease."""
 
     addresses: Collection[Address]
     members: Collection[Address] = ()
 
 
-class Leader(NamedTuple):
+class SetLeader(NamedTuple):
     """Where this holder asks for its lease; None while nobody leads."""
 
     address: Address | None
--- /dev/null
+++ b/gateway/quota/owner_links.py
@@ -0,0 +1,121 @@
+"""The holders as a quota client knows them: which parts each has, whether it answers, what it was told."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from google.protobuf.message import DecodeError
+
+from gateway.quota import quota_pb2 as pb
+from gateway.quota.interface import CLIENT_HEARTBEAT_S, SHARDS, SHARE_S
+from gateway.quota.local_quota import LocalQuota
+from gateway.quota.quota_pb2 import ClientHeartbeat, Message
+from gateway.state_machine import Address, Send
+
+SILENT_AFTER_MISSES = 2      # in a row make a holder silent
+IDLE_HEARTBEAT_S = 1.0    # between two Alive to a holder that gets charges all the time, or that gave no share
+VIEW_REPORT_S = 5.0   # between two of them with what this quota client knows
+
+
+class OwnerLink:
+    """One holder."""
+
+    __slots__ = ("address", "heard", "misses", "number", "shards", "sent", "told", "told_at",
+                 "viewed_at")
+
+    def __init__(self, address: Address) -> None:
+        self.address, self.shards = address, 0
+        self.heard, self.sent, self.misses = -1e9, -1e9, 0
+        self.number, self.told_at = 0, -1e9  # the newest Alive
+        self.told = False                    # whether it knows all shares of its parts
+        self.viewed_at = -1e9                # when it was told views
+
+    @property
+    def silent(self) -> bool:
+        """Whether it didn't answer lately."""
+        return self.misses >= SILENT_AFTER_MISSES
+
+    def missed(self, since: float) -> None:
+        """Something sent at `since` has had no answer."""
+        if self.heard < since:
+            self.misses += 1
+
+
+class OwnerLinks:
+    """All holders of the newest table."""
+
+    def __init__(self, incarnation: int) -> None:
+        self.incarnation = incarnation
+        self.links: dict[Address, OwnerLink] = {}
+        self.link_of_shard: list[OwnerLink | None] = [None] * SHARDS
+        self.fencing_token = (0, 0)
+        self.peers, self.peers_at = 0, -1e9  # quota clients that a holder knew of, and when it said so
+        self.due = 0.0                       # next look for holders that must hear something
+
+    def follow(self, now: float, data: bytes) -> None:
+        """Take over a table of holders, unless a newer one is known."""
+        try:
+            table = pb.ShardMap.FromString(data)
+        except DecodeError:
+            return
+        fencing_token, owners = (table.term, table.number), list(table.owners)
+        if fencing_token <= self.fencing_token or len(table.owner_of_shard) != SHARDS:
+            return
+        self.fencing_token = fencing_token
+        links = {address: self.links.get(address) or OwnerLink(address) for address in owners}
+        shards = dict.fromkeys(owners, 0)
+        for part, index in enumerate(table.owner_of_shard):
+            address = owners[index] if index < len(owners) else None
+            self.link_of_shard[part] = links[address] if address is not None else None
+            if address is not None:
+                shards[address] |= 1 << part
+        for address, link in links.items():
+            if shards[address] & ~link.shards:
+                link.told = False
+            link.shards = shards[address]
+        self.links, self.due = links, now
+
+    def on_heartbeat_reply(self, now: float, link: OwnerLink, heard: pb.ClientHeartbeatReply) -> None:
+        """A holder has heard that this quota client is there."""
+        if heard.peers >= self.peers or now >= self.peers_at + SHARE_S:
+            self.peers, self.peers_at = heard.peers, now
+        link.told = not heard.missing & link.shards
+
+    def tick(self, now: float, local_quotas: Iterable[LocalQuota]) -> list[Send]:
+        """Say to each holder often enough that this quota client is there."""
+        if now < self.due:
+            return []
+        self.due = now + CLIENT_HEARTBEAT_S / 2
+        known = list(local_quotas)
+        live = [p for p in known if p.live(now)]
+        share_owners, out = {p.share_owner for p in live}, []
+        for link in self.links.values():
+            soon = CLIENT_HEARTBEAT_S if not link.told or link.misses or link.address in share_owners else IDLE_HEARTBEAT_S
+            if now >= link.sent + soon or now >= link.told_at + (IDLE_HEARTBEAT_S if link.told else CLIENT_HEARTBEAT_S):
+                out.append(self.tell(now, link, live, known))
+        return out
+
+    def tell(self, now: float, link: OwnerLink, live: list[LocalQuota], known: list[LocalQuota]) -> Send:
+        """Say that this quota client is there, its shares until the holder knows them, and at times its views."""
+        link.missed(link.told_at)
+        link.number += 1
+        link.told_at = link.sent = now
+        client_heartbeat = ClientHeartbeat(incarnation=self.incarnation, number=link.number)
+        if link.silent:
+            client_heartbeat.hears_nothing = True
+        if now < self.peers_at + SHARE_S:
+            client_heartbeat.peers = self.peers
+        if not link.told:
+            client_heartbeat.shards = link.shards
+            for local_quota in live:
+                if link.shards >> (local_quota.number % SHARDS) & 1:
+                    client_heartbeat.shares.add(tenant=local_quota.number, part=local_quota.share, spent=local_quota.spent,
+                                     left_ms=int((local_quota.until - now) * 1000) + 1,
+                                     accrues_in_ms=int(local_quota.accrues_from(now) * 1000))
+        if now >= link.viewed_at + VIEW_REPORT_S:
+            for local_quota in known:
+                if local_quota.remaining_at > link.viewed_at and link.shards >> (local_quota.number % SHARDS) & 1:
+                    client_heartbeat.views.add(tenant=local_quota.number, remaining=local_quota.remaining,
+                                    age_ms=int((now - local_quota.remaining_at) * 1000))
+            link.viewed_at = now
+        return Send(link.address, Message(client_heartbeat=client_heartbeat))
--- /dev/null
+++ b/gateway/quota/quota_client.py
@@ -0,0 +1,278 @@
+"""The quota client at a proxy: asks the holders, and goes by shares where they don't answer."""
+
+from __future__ import annotations
+
+import random
+from heapq import heappop, heappush
+
+from gateway.quota.decision_statistics import (
+    HOLDER,
+    OVER,
+    REFUSED_LOCALLY,
+    SHARE,
+    SHARE_EXHAUSTED,
+    DecisionStatistics,
+)
+from gateway.quota.interface import (
+    FULL_SHARE,
+    LOWEST_PRECEDENCE,
+    OVER_ALLOWANCE,
+    SHARDS,
+    Allowances,
+    ChargeDecision,
+    ChargeRequest,
+    Code,
+    Received,
+    Refund,
+    ShardMap,
+    Tick,
+)
+from gateway.quota.local_quota import LocalQuota
+from gateway.quota.owner_links import OwnerLink, OwnerLinks
+from gateway.quota.quota_pb2 import Charge, ChargeRefund, Message, Verdict
+from gateway.quota.window import plan, tenant_number
+from gateway.state_machine import Address, Send
+
+MAX_PENDING_CHARGES = 8192   # charges out at once
+MAX_REMEMBERED_CHARGES = 32768    # in one generation
+REMEMBER_ANSWERED_S = 4.0          # an answered charge is known at least this long
+MIN_RETRY_AFTER_S, MAX_RETRY_AFTER_S = 0.05, 2.0  # told with 'over'
+
+Output = Send | ChargeDecision
+Input = ChargeRequest | Received | Tick | Refund | ShardMap | Allowances
+
+WAITING, COUNTED, SHARED, REFUSED = range(4)  # COUNTED: by the holder; SHARED: let go by share
+
+
+class PendingCharge:
+    """A charge on its way, or answered lately."""
+
+    __slots__ = ("ask_count", "link", "patience", "precedence", "local_quota", "sent", "state", "tries")
+
+    def __init__(self, local_quota: LocalQuota, link: OwnerLink | None, now: float, patience: float, precedence: int) -> None:
+        self.local_quota, self.link, self.sent, self.patience = local_quota, link, now, patience
+        self.precedence, self.ask_count, self.tries, self.state = precedence, 1, 1, WAITING
+
+
+class QuotaClient:
+    """Charges requests at a proxy. Wants a `Tick` at `due()`.
+
+    `span_s` is the span of the rule (quota-window-s); `rng` draws the life's number and shares' thresholds.
+    """
+
+    def __init__(self, span_s: float, rng: random.Random) -> None:
+        self.span_s, self.rng, self.incarnation = span_s, rng, rng.randrange(1, 1 << 32)
+        self.local_quotas: dict[str, LocalQuota] = {}
+        self.links, self.statistics = OwnerLinks(self.incarnation), DecisionStatistics()
+        self.pending: dict[int, PendingCharge] = {}    # waiting or answered lately, and the generation before
+        self.previous_pending: dict[int, PendingCharge] = {}
+        self.rotate_at, self.waiting = 0.0, 0
+        self.timers: list[tuple[float, int]] = []
+
+    def handle(self, now: float, input: Input) -> list[Output]:
+        """Take one input at a steady time in seconds; messages to send and answers to `Ask`."""
+        if type(input) is ChargeRequest:
+            return self.ask(now, input)
+        if type(input) is Received:
+            return self.receive(now, input)
+        if type(input) is Tick:
+            return self.tick(now)
+        if type(input) is Refund:
+            return self.refund(input.id)
+        if type(input) is ShardMap:
+            self.links.follow(now, input.data)
+        elif type(input) is Allowances:
+            self.set_allowances(input)
+        return []
+
+    def due(self) -> float:
+        """When the next `Tick` is wanted."""
+        due = self.links.due
+        return min(self.timers[0][0], due) if self.timers else due
+
+    def view(self, now: float) -> dict[str, tuple[int, float, float, float]]:
+        """By tenant: units remaining by the newest verdict, its age in s, the allowance, the own share."""
+        out = {}
+        for label, p in self.local_quotas.items():
+            share = p.share * p.window.allowance / FULL_SHARE if p.live(now) else 0.0
+            out[label] = (p.remaining, now - p.remaining_at, p.window.allowance, share)
+        return out
+
+    # Requests
+
+    def ask(self, now: float, ask: ChargeRequest) -> list[Output]:
+        """Charge a request: ask the holder, or decide at once where there is no limit or nobody to ask."""
+        local_quota = self.local_quotas.get(ask.tenant)
+        if local_quota is None:
+            return [ChargeDecision(ask.id, "go", 0.0)]
+        known = self.pending.get(ask.id)
+        if known is not None and known.state == WAITING:
+            known.ask_count += 1
+            return []
+        if now < local_quota.exhausted_until:
+            local_quota.refuse(ask.precedence)
+            self.statistics.count(REFUSED_LOCALLY, ask.tenant, ask.precedence, 0.0)
+            return [ChargeDecision(ask.id, "over", max(MIN_RETRY_AFTER_S, local_quota.ends - now), OVER_ALLOWANCE)]
+        if now >= self.rotate_at or len(self.pending) >= MAX_REMEMBERED_CHARGES:
+            self.rotate(now)
+        link = self.links.link_of_shard[local_quota.number % SHARDS]
+        out = self.pending[ask.id] = PendingCharge(local_quota, link, now, ask.patience_s, ask.precedence)
+        if link is None or link.silent or self.waiting >= MAX_PENDING_CHARGES:
+            why = "no holder" if link is None else "silent holder"
+            return self.by_share(now, ask.id, out, why)
+        self.waiting += 1
+        heappush(self.timers, (now + ask.patience_s / 3, ask.id))
+        return [self.charge(now, ask.id, out, link)]
+
+    def charge(self, now: float, id: int, out: PendingCharge, link: OwnerLink) -> Send:
+        """The message that asks the holder."""
+        local_quota = out.local_quota
+        charge = Charge(id=id, tenant=local_quota.number, incarnation=self.incarnation)
+        if out.precedence:
+            charge.precedence = out.precedence
+        if local_quota.share_owner == link.address:
+            charge.share = local_quota.part
+        elif local_quota.sent:
+            charge.held = True
+        if local_quota.spent:
+            charge.spent = local_quota.spent
+        if local_quota.refused:
+            charge.refused_locally = local_quota.refused.pop(min(out.precedence, LOWEST_PRECEDENCE), 0)
+            if now >= local_quota.ends:
+                charge.late = charge.refused_locally
+        link.sent = now
+        return Send(link.address, Message(charge=charge))
+
+    def decide(self, now: float, id: int, out: PendingCharge, state: int, wait: float = 0.0, decision: int = HOLDER,
+               why: str = "") -> list[Output]:
+        """Answer a request, once for each time that it was asked."""
+        out.state = state
+        for _ in range(out.ask_count):
+            self.statistics.count(decision, out.local_quota.label, out.precedence, now - out.sent)
+        if state == REFUSED:
+            charged = ChargeDecision(id, "over", min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait)), why)
+        else:
+            charged = ChargeDecision(id, "go", 0.0)
+        return [charged] * out.ask_count
+
+    def by_share(self, now: float, id: int, out: PendingCharge, why: str) -> list[Output]:
+        """Decide by the share, for a reason."""
+        return self.shared(now, id, out, out.local_quota.spend(now), why)
+
+    def shared(self, now: float, id: int, out: PendingCharge, wait: float, why: str) -> list[Output]:
+        """The same, where the share has said how long to wait."""
+        if not wait:
+            return self.decide(now, id, out, SHARED, decision=SHARE)
+        share = "share spent" if out.local_quota.live(now) else "no share"
+        return self.decide(now, id, out, REFUSED, wait, SHARE_EXHAUSTED, f"{why}, {share}")
+
+    def refund(self, id: int) -> list[Output]:
+        """Give the unit of a request back that was let go and has not run."""
+        out = self.pending.get(id) or self.previous_pending.get(id)
+        if out is None or out.state not in (COUNTED, SHARED):
+            return []
+        shared, out.state = out.state == SHARED, REFUSED
+        self.statistics.back += 1
+        if shared:
+            out.local_quota.undo_spend()
+            return []
+        return self.give_back(id, out)
+
+    def give_back(self, id: int, out: PendingCharge) -> list[Output]:
+        """The message that gives a unit back."""
+        return [Send(out.link.address, Message(back=ChargeRefund(id=id, tenant=out.local_quota.number)))] if out.link else []
+
+    # Messages
+
+    def receive(self, now: float, received: Received) -> list[Output]:
+        """Take a message of a holder."""
+        link = self.links.links.get(received.frm)
+        kind = received.note.WhichOneof("kind")
+        if link is not None:
+            link.heard, link.misses = now, 0
+        if kind == "verdict":
+            return self.on_verdict(now, received.frm, link, received.note.verdict)
+        if kind == "heard" and link is not None:
+            self.links.on_heartbeat_reply(now, link, received.note.heard)
+        return []
+
+    def on_verdict(self, now: float, frm: Address, link: OwnerLink | None, verdict: Verdict) -> list[Output]:
+        """Answer the request; a verdict that comes too late is made good."""
+        id, code = verdict.id, verdict.code
+        out = self.pending.get(id) or self.previous_pending.get(id)
+        if out is None:
+            return []
+        if code <= Code.OVER:
+            out.local_quota.note(now, frm, out.sent, verdict)
+        elif code == Code.NOT_YET:
+            if link is not None:
+                link.told = False
+            out.local_quota.share_owner = None
+        if out.state == WAITING:
+            self.waiting -= 1
+            if code == Code.ADMITTED:
+                return self.decide(now, id, out, COUNTED)
+            if code == Code.OVER:
+                return self.decide(now, id, out, REFUSED, verdict.wait_ms / 1000, OVER, OVER_ALLOWANCE)
+            return self.by_share(now, id, out, "count not open")
+        if code == Code.ADMITTED:
+            if out.state == REFUSED:
+                self.statistics.back += 1
+                return self.give_back(id, out)
+            if out.state == SHARED:
+                out.state = COUNTED
+                out.local_quota.undo_spend()
+        return []
+
+    # Time
+
+    def tick(self, now: float) -> list[Output]:
+        """Repeat charges, end waiting, say that this quota client is there."""
+        outputs: list[Output] = []
+        timers = self.timers
+        while timers and timers[0][0] <= now:
+            id = heappop(timers)[1]
+            out = self.pending.get(id) or self.previous_pending.get(id)
+            if out is not None and out.state == WAITING:
+                outputs += self.late(now, id, out)
+        if now >= self.links.due:
+            outputs += self.links.tick(now, self.local_quotas.values())
+        return outputs
+
+    def late(self, now: float, id: int, out: PendingCharge) -> list[Output]:
+        """No verdict yet: repeat, then go by share; with none left, repeat and wait as long again."""
+        out.tries += 1
+        link = out.link
+        silent = link is None or link.silent
+        if out.tries == 2 and link is not None and not silent:
+            heappush(self.timers, (out.sent + out.patience, id))
+            return [self.charge(now, id, out, link)]
+        if link is not None:
+            link.missed(out.sent)
+        wait = out.local_quota.spend(now)
+        if wait and out.tries == 3 and link is not None and not silent:
+            heappush(self.timers, (out.sent + 2 * out.patience, id))
+            return [self.charge(now, id, out, link)]
+        self.waiting -= 1
+        return self.shared(now, id, out, wait, "no verdict")
+
+    def rotate(self, now: float) -> None:
+        """Forget charges answered long ago."""
+        waiting = {id: out for id, out in self.previous_pending.items() if out.state == WAITING}
+        self.previous_pending, self.pending, self.rotate_at = self.pending, waiting, now + REMEMBER_ANSWERED_S
+
+    # Configuration
+
+    def set_allowances(self, input: Allowances) -> None:
+        """Take over the tenants' allowances; shares stay the same part of them."""
+        local_quotas = {}
+        for label, (rate, burst) in input.tenants.items():
+            window = plan(rate, burst, self.span_s)
+            if window is None:
+                continue
+            local_quota = self.local_quotas.get(label)
+            if local_quota is None:
+                local_quota = LocalQuota(label, tenant_number(label), window, 1 - self.rng.random())
+            local_quota.window, local_quota.exhausted_until = window, 0.0
+            local_quotas[label] = local_quota
+        self.local_quotas = local_quotas
--- /dev/null
+++ b/gateway/quota/shard_assigner.py
@@ -0,0 +1,222 @@
+"""Who holds which parts of the tenants: cut by the core's leader, handed out under leases and a fence."""
+
+from __future__ import annotations
+
+from hashlib import blake2b
+
+from gateway.quota.interface import (
+    ALL_SHARDS,
+    LEASE_S,
+    MARGIN_S,
+    SHARDS,
+    LeadershipChange,
+    LiveControllers,
+    PublishShardMap,
+    Received,
+    Tick,
+)
+from gateway.quota.quota_pb2 import LeaseGrant, LeaseRequest, Message
+from gateway.quota.quota_pb2 import ShardMap as ShardMapMessage
+from gateway.state_machine import Address, Send
+
+PRESENT_S = 1.0      # a holder that asked this lately is there
+STABLE_S = 2.0     # and after this long without a gap, parts are moved to it from others
+PUBLISH_INTERVAL_S = 0.2       # between two tables, the first of which has a holder for each part
+EARLY_REQUEST_S = 0.1      # from a request to a leader that isn't sure yet; after so long it comes again
+MAX_EARLY_REQUESTS = 16    # of them
+MAX_CACHED_ASSIGNMENTS = 32          # remembered
+NO_OWNER = 255
+
+Output = Send | PublishShardMap
+Input = Received | Tick | LeadershipChange | LiveControllers
+
+
+class OwnerCandidate:
+    """A controller that asks for parts, as the leader knows it."""
+
+    __slots__ = ("at", "asked", "confirmed", "ever_offered", "asked_since", "last_grant", "incarnation", "possibly_held", "offer", "ranks",
+                 "until")
+
+    def __init__(self, address: Address) -> None:
+        self.incarnation, self.at = 0, -1.0            # of its newest request
+        self.asked, self.asked_since = -10.0, -10.0   # when that came here, and when the first without a gap
+        self.confirmed = -10.0                  # when it last had seen the newest Hold
+        self.possibly_held, self.until = 0, 0.0           # parts that it may still hold, and until when
+        self.offer, self.last_grant = 0, (0, 0)       # parts in the newest Hold, and that one's fence
+        self.ever_offered = 0                           # parts in any
+        self.ranks = [blake2b(f"{address} {shard}".encode(), digest_size=8).digest() for shard in range(SHARDS)]
+
+
+class ShardAssigner:
+    """The leader's hand: wants a `Tick` each 0.1 s, `Lead` and `Live` whenever they change.
+
+    A part is handed on only when its holder has confirmed that it gave it up, when that holder's process has
+    begun anew, or when its lease is surely over. A new leader knows none of its predecessor's leases: it
+    confirms what holders report, and hands out the rest when those leases are over or all who could have one
+    have asked.
+    """
+
+    def __init__(self) -> None:
+        self.term, self.has_leader_lease = 0, False
+        self.began, self.settled = 0.0, False
+        self.number = 0                          # of the newest Hold or table, in this term
+        self.live: frozenset[Address] = frozenset()
+        self.members: frozenset[Address] = frozenset()
+        self.candidates: dict[Address, OwnerCandidate] = {}
+        self.owner_of_shard: list[Address | None] = [None] * SHARDS
+        self.idle, self.idle_since = 0, 0.0      # parts that nobody has held since then but who was told so
+        self.early: dict[Address, tuple[float, LeaseRequest]] = {}  # in this term before it was sure, and when
+        self.changed, self.has_unowned, self.published = False, True, 0.0  # gaps: of the newest table
+        self.data = b""
+        self.assignments: dict[frozenset[Address], dict[Address, int]] = {}
+
+    def handle(self, now: float, input: Input) -> list[Output]:
+        """Take one input at a steady time in seconds; what to send, and a changed table to spread."""
+        if type(input) is Received:
+            if input.note.WhichOneof("kind") == "request":
+                if self.leads():
+                    return self.on_lease_request(now, input.frm, input.note.request)
+                if self.term and (len(self.early) < MAX_EARLY_REQUESTS or input.frm in self.early):
+                    self.early[input.frm] = now, input.note.request
+        elif type(input) is Tick:
+            return self.tick(now) if self.leads() else []
+        elif type(input) is LeadershipChange:
+            if input.term != self.term:
+                self.begin(now, input.term, input.leaderless_since)
+            self.has_leader_lease = input.has_leader_lease
+        elif type(input) is LiveControllers:
+            self.live, self.members = frozenset(input.addresses), frozenset(input.members)
+        return []
+
+    def table(self) -> bytes:
+        """The newest table of this leader, empty before the first."""
+        return self.data
+
+    def leads(self) -> bool:
+        """Whether this process may hand out parts."""
+        return self.term > 0 and self.has_leader_lease
+
+    def begin(self, now: float, term: int, idle_since: float | None) -> None:
+        """Begin to lead, or stop: what was known is of another term."""
+        self.term, self.began, self.settled, self.number = term, now, False, 0
+        self.candidates, self.early, self.owner_of_shard = {}, {}, [None] * SHARDS
+        self.changed, self.has_unowned, self.data = False, True, b""
+        self.idle, self.idle_since = (0, 0.0) if idle_since is None else (ALL_SHARDS, idle_since)
+
+    # Leases
+
+    def on_lease_request(self, now: float, frm: Address, request: LeaseRequest) -> list[Output]:
+        """A holder asks: note what it may hold, and lease it what is its."""
+        candidate = self.candidates.get(frm)
+        if candidate is None:
+            if frm not in self.live and frm not in self.members:
+                return []
+            candidate = self.candidates[frm] = OwnerCandidate(frm)
+            candidate.possibly_held, candidate.until, candidate.confirmed = request.shards, now + LEASE_S + MARGIN_S, now
+        elif candidate.incarnation != request.incarnation:
+            candidate.possibly_held, candidate.offer, candidate.asked_since, candidate.confirmed = request.shards, 0, now, now
+            self.idle &= ~candidate.ever_offered  # its process before may have counted
+        elif request.at <= candidate.at:
+            return []
+        elif (request.term, request.number) == candidate.last_grant:
+            candidate.possibly_held, candidate.confirmed = request.shards, now
+        if now > candidate.asked + PRESENT_S:
+            candidate.asked_since = now
+        candidate.incarnation, candidate.at, candidate.asked = request.incarnation, request.at, now
+        self.idle &= ~(request.shards & ~candidate.ever_offered)  # held, whoever leased them
+        waited, out = not self.settled, list[Output]()
+        self.settle(now)
+        out.append(self.grant(now, frm, candidate))
+        if waited and self.settled:
+            out += self.push(now)
+        return out + self.publish(now)
+
+    def settle(self, now: float) -> None:
+        """See whether leases of an earlier leader may still run that nobody has reported."""
+        if not self.settled:
+            heard = bool(self.members) and all(a in self.candidates for a in self.members)
+            self.settled = heard or now >= self.began + LEASE_S + 2 * MARGIN_S
+
+    def grant(self, now: float, frm: Address, candidate: OwnerCandidate) -> Send:
+        """Lease an asker its parts, from when it asked."""
+        offer = self.offer(now, frm, candidate)
+        self.number += 1
+        candidate.offer, candidate.last_grant = offer, (self.term, self.number)
+        candidate.possibly_held |= offer
+        if offer:
+            candidate.until = now + LEASE_S + MARGIN_S
+        candidate.ever_offered |= offer
+        for shard in range(SHARDS):
+            if offer >> shard & 1 and self.owner_of_shard[shard] != frm:
+                if self.owner_of_shard[shard] is not None:
+                    self.idle &= ~(1 << shard)
+                self.owner_of_shard[shard], self.changed = frm, True
+        hold = LeaseGrant(incarnation=candidate.incarnation, at=candidate.at, term=self.term, number=self.number, shards=offer)
+        if idle := offer & self.idle:
+            hold.idle, hold.idle_ms = idle, int(1000 * (now - self.idle_since))
+        return Send(frm, Message(hold=hold))
+
+    def offer(self, now: float, frm: Address, candidate: OwnerCandidate) -> int:
+        """Parts that an asker shall hold now: free ones that are its, and those it has and no other wants."""
+        taken, present, stable = 0, [], []
+        for address, other in self.candidates.items():
+            if address != frm and now < other.until:
+                taken |= other.possibly_held
+            if address in self.live and now < other.asked + PRESENT_S and now < other.confirmed + LEASE_S:
+                present.append(address)
+                if address == frm or now >= other.asked_since + STABLE_S:
+                    stable.append(address)
+        if not self.settled:
+            return candidate.possibly_held & ~taken
+        if frm not in present:
+            return 0
+        return (candidate.possibly_held & self.assignment(stable)[frm] | ~candidate.possibly_held & self.assignment(present)[frm]) & ALL_SHARDS & ~taken
+
+    def assignment(self, addresses: list[Address]) -> dict[Address, int]:
+        """Rendezvous: each part goes to the address that ranks highest for it."""
+        key = frozenset(addresses)
+        assignment = self.assignments.get(key)
+        if assignment is None:
+            if len(self.assignments) >= MAX_CACHED_ASSIGNMENTS:
+                self.assignments.clear()
+            assignment = self.assignments[key] = dict.fromkeys(key, 0)
+            for shard in range(SHARDS):
+                assignment[max(key, key=lambda a: (self.candidates[a].ranks[shard], a))] |= 1 << shard  # noqa: B023
+        return assignment
+
+    def tick(self, now: float) -> list[Output]:
+        """Push parts that have become free to those whose they are; publish."""
+        out: list[Output] = []
+        early, self.early = self.early, {}
+        for address, (came, request) in early.items():
+            if now - came <= EARLY_REQUEST_S:
+                out += self.on_lease_request(now, address, request)
+        self.settle(now)
+        taken = 0
+        for address, candidate in list(self.candidates.items()):
+            if now >= candidate.until and now >= candidate.asked + 60:
+                del self.candidates[address]
+            taken |= candidate.possibly_held if now < candidate.until else 0
+        if self.settled and taken != ALL_SHARDS:
+            out += self.push(now)
+        return out + self.publish(now)
+
+    def push(self, now: float) -> list[Output]:
+        """Lease free parts to those who have asked and whose they are."""
+        return [self.grant(now, address, candidate) for address, candidate in self.candidates.items()
+                if now < candidate.asked + LEASE_S / 2 and self.offer(now, address, candidate) & ~candidate.offer]
+
+    # The table
+
+    def publish(self, now: float) -> list[Output]:
+        """Give out a new table: not too often unless the last one had gaps, nor before an earlier leader's
+        leases are accounted for."""
+        if not self.changed or not self.settled or (now < self.published + PUBLISH_INTERVAL_S and not self.has_unowned):
+            return []
+        self.changed, self.has_unowned, self.published = False, None in self.owner_of_shard, now
+        self.number += 1
+        owners = sorted({a for a in self.owner_of_shard if a is not None})
+        owner_of_shard = bytes(NO_OWNER if a is None else owners.index(a) for a in self.owner_of_shard)
+        message = ShardMapMessage(term=self.term, number=self.number, owners=owners, owner_of_shard=owner_of_shard)
+        self.data = message.SerializeToString()
+        return [PublishShardMap((self.term, self.number), self.data)]
