--- /dev/null
+++ b/gateway/quota/tenant_counter.py
@@ -0,0 +1,263 @@
+"""One tenant's count at its holder: windows, precedence, repeats, and the shares leased to quota clients."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping
+
+from gateway.quota.interface import FULL_SHARE, LOWEST_PRECEDENCE, MARGIN_S, SHARE_S
+from gateway.quota.window import Window
+from gateway.state_machine import Address
+
+PRECEDENCE_LEVELS = LOWEST_PRECEDENCE + 1    # of precedence
+REMEMBER_S = 3.0       # ids are known at least this long, and two windows
+SMOOTHING = 0.3           # weight of the newest window in what is usual
+HIGHER_PRECEDENCE_DEVIATIONS = 1.5             # standard deviations by which higher precedence may ask more than usual
+SHARE_TOLERANCE = 0.25          # a share within this of its aim stays as it is
+MIN_SHARE = 4        # parts of an allowance
+NEVER = 1e18
+EARLY_FRACTION = 0.5            # of an allowance that flows evenly before a count opens, if nobody has told a share: a
+                       # span of 5 windows meets 6 of them at most, and the rule bears 6.6
+MIN_USAGE = 0.05        # units a window below which a quota client is forgotten
+SHARE_NUMBERS = 1 << 14      # of shares, for the lengths of messages
+
+
+class ClientShare:
+    """What one quota client may let go by itself, as far as the holder can't rule it out."""
+
+    __slots__ = ("asked", "before", "accrues_from", "number", "part", "raised", "spent", "until", "usage")
+
+    def __init__(self, spent: int) -> None:
+        self.part = self.before = 0  # leased now, and the largest that it may still go by instead
+        self.number = 0
+        self.until = 0.0             # end of the lease, with a margin
+        self.spent = spent           # units told as let go by share
+        self.asked, self.usage = 0, 0.0
+        self.accrues_from = NEVER           # from when its units flow into the pool
+        self.raised = False          # by this count
+
+    @property
+    def outstanding(self) -> int:
+        """Parts of the allowance that the quota client may go by."""
+        return self.part if self.part > self.before else self.before
+
+
+class TenantCounter:
+    """The count of one tenant.
+
+    It opens a window after `begun`, when a predecessor may have counted last and filled a window. Until then
+    it pools the shares that quota clients tell it: they flow evenly, and to whoever asks. Where nobody has counted
+    for a time, `begun` is that time's beginning and `real` that of this holder; this one counts again once a
+    quota client is found to have a share of a predecessor, by which it may have let requests go in between.
+    """
+
+    __slots__ = ("admitted", "target_shares", "asked", "begins", "claimed", "claimed_by_client", "has_unreported", "ends", "epoch", "ids",
+                 "reserved", "late", "levels", "next_number", "previous_ids", "opens", "outstanding", "has_reported_shares", "over_demand",
+                 "shares", "rotate_at", "typical_demand", "window")
+
+    def __init__(self, now: float, window: Window, begun: float, number: int, lease_began: float = 0.0) -> None:
+        self.window, self.opens, self.late = window, begun + window.length_s, lease_began + window.length_s
+        self.begins = self.ends = begun
+        self.admitted, self.asked, self.over_demand = 0, 0, False
+        self.levels, self.typical_demand = [0] * PRECEDENCE_LEVELS, [0.0] * PRECEDENCE_LEVELS
+        self.ids: dict[int, float] = {}    # admitted: begin of their window; -1 once given back
+        self.previous_ids: dict[int, float] = {}
+        self.rotate_at = now
+        self.shares: dict[Address, ClientShare] = {}
+        self.target_shares: dict[Address, int] = {}
+        self.has_reported_shares = False                # whether any share has been told
+        self.outstanding, self.has_unreported = 0, False   # sum of all shares; closed: others may be out that aren't told
+        self.claimed_by_client: dict[Address, int] = {}  # an earlier holder's shares, as each quota client first told its own
+        self.claimed = 0                   # their sum: what others have is in the rest
+        self.reserved, self.epoch = 0.0, -1    # units kept back, and the holder's epoch for which they are
+        self.next_number = number % SHARE_NUMBERS
+        self.begin_window(now)
+
+    def begin_window(self, now: float) -> None:
+        """Begin the window that `now` is in."""
+        length = self.window.length_s
+        skipped = now >= self.ends + length
+        self.begins += ((now - self.begins) // length) * length
+        self.ends = self.begins + length
+        if now >= self.ends:  # by rounding
+            self.begins, self.ends = self.ends, self.ends + length
+        self.over_demand = not skipped and self.asked > self.window.allowance
+        self.typical_demand = [u + SMOOTHING * ((0 if skipped else n) - u)
+                      for u, n in zip(self.typical_demand, self.levels, strict=True)]
+        self.levels = [0] * PRECEDENCE_LEVELS
+        self.admitted = self.asked = 0
+        self.epoch = -1
+        if now >= self.rotate_at:
+            self.previous_ids = self.ids if now < self.rotate_at + self.remember() else {}
+            self.ids, self.rotate_at = {}, now + self.remember()
+        self.target(now)
+
+    def remember(self) -> float:
+        """Seconds for which an id is known at least."""
+        return max(REMEMBER_S, 2 * self.window.length_s)
+
+    def resize(self, now: float, window: Window) -> None:
+        """The allowance has changed; a window of another length begins now, with what is counted."""
+        if window.length_s != self.window.length_s:
+            self.begins, self.ends = now, now + window.length_s
+        self.window, self.epoch = window, -1
+
+    def charge(self, now: float, share: ClientShare, id: int, precedence: int, refused_locally: int, late: int = 0) -> bool:
+        """Charge one unit, unless it would pass the allowance. A repeat of an admitted id counts once.
+
+        `more` requests of the same precedence were refused by the quota client itself, `late` of them in an
+        earlier window: they tell what is usual, and nothing of how this window is pressed.
+        """
+        if self.ids.get(id, -1.0) >= 0 or self.previous_ids.get(id, -1.0) >= 0:
+            return True
+        level = precedence if precedence < PRECEDENCE_LEVELS else LOWEST_PRECEDENCE
+        share.asked += 1 + refused_locally
+        self.asked += 1 + refused_locally - late
+        self.levels[level] += 1 + refused_locally
+        limit = self.window.allowance - self.reserved if now >= self.opens else self.early_limit(now)
+        room = limit - self.admitted - 1
+        if room < 0 or (self.over_demand and level and room < self.reserved_for_higher(now, level)):
+            return False
+        self.admitted += 1
+        self.ids[id] = self.begins
+        return True
+
+    def reserved_for_higher(self, now: float, level: int) -> float:
+        """Units that requests of higher precedence are rather sure not to exceed in the rest of this window.
+
+        Nothing once this window's own demand falls well short of the allowance: then all of it fits.
+        """
+        passed = (now - self.begins) / self.window.length_s
+        if self.asked < 0.8 * passed * self.window.allowance:
+            return 0.0
+        typical_demand = sum(self.typical_demand[:level]) * (1 - passed)
+        return typical_demand + HIGHER_PRECEDENCE_DEVIATIONS * math.sqrt(typical_demand)
+
+    def back(self, id: int) -> None:
+        """Give the unit of an id back, once, if it is of this window."""
+        for ids in (self.ids, self.previous_ids):
+            begun = ids.get(id, -1.0)
+            if begun >= 0:
+                ids[id] = -1.0
+                if begun == self.begins and self.admitted:
+                    self.admitted -= 1
+                return
+
+    def early_limit(self, now: float) -> float:
+        """Units of told shares that have flowed since this count was begun; with none told, a part flows."""
+        length = self.window.length_s
+        if not self.has_reported_shares:
+            return EARLY_FRACTION * (1 - (self.opens - now) / length) * self.window.allowance
+        flowing = (s for s in self.shares.values() if s.accrues_from < now)
+        parts = sum(s.part * min(1.0, (now - s.accrues_from) / length) for s in flowing)
+        return parts / FULL_SHARE * self.window.allowance
+
+    def note_earlier_share(self) -> None:
+        """A quota client has had a share of a predecessor."""
+        self.opens = max(self.opens, self.late)
+
+    def remaining(self, now: float) -> float:
+        """Units left in this window; before the count opens, those still to come, and one to ask for."""
+        if now < self.opens:
+            parts = sum(s.part for s in self.shares.values() if s.accrues_from < self.opens)
+            return max(1.0, parts / FULL_SHARE * self.window.allowance - self.admitted)
+        return max(0.0, self.window.allowance - self.reserved - self.admitted)
+
+    def reserve(self, silent: Mapping[Address, float], unknown: bool) -> None:
+        """Keep back the shares of silent quota clients (address: last heard), and those nothing is known of: what
+        quota clients have told, whatever became of it since, is none of those."""
+        self.has_unreported = unknown
+        parts = float(max(0, FULL_SHARE - self.claimed)) if unknown else 0.0
+        for frm, heard in silent.items():
+            share = self.shares.get(frm)
+            if share is not None and share.until > self.begins:
+                parts += share.outstanding * min(1.0, max(0.0, (self.ends - heard) / self.window.length_s))
+        self.reserved = parts / FULL_SHARE * self.window.allowance
+
+    # Shares
+
+    def known(self, frm: Address, spent: int) -> ClientShare:
+        """The books of a quota client, begun if there are none."""
+        share = self.shares.get(frm)
+        if share is None:
+            share = self.shares[frm] = ClientShare(spent)
+        return share
+
+    def told(self, now: float, frm: Address, part: int, left_s: float, spent: int, accrues_from: float) -> None:
+        """A quota client tells the share that it has of an earlier holder, flowing from `flows` on."""
+        share = self.known(frm, spent)
+        previous = share.outstanding
+        if frm not in self.claimed_by_client and not share.raised:
+            self.claimed_by_client[frm] = part
+            self.claimed += part
+        if share.number == 0:
+            self.note_earlier_share()
+            share.part, share.number = part, self.number()
+            if now < self.opens:
+                share.accrues_from, self.has_reported_shares = accrues_from, True
+        share.before = max(share.before, part)
+        share.until = max(share.until, now + left_s + MARGIN_S)
+        self.outstanding += share.outstanding - previous
+
+    def report(self, share: ClientShare, spent: int) -> None:
+        """Count what a quota client let go by its share; at most what its share bore within one window."""
+        if spent > share.spent:
+            self.admitted += min(spent - share.spent, 1 + int(share.outstanding * self.window.allowance / FULL_SHARE))
+        share.spent = spent
+
+    def lease(self, now: float, frm: Address, share: ClientShare, confirmed: int) -> bool:
+        """Keep a quota client's lease going, move it towards its aim; whether there is news for the quota client."""
+        previous = share.outstanding
+        if confirmed and not share.number:  # it goes by a share that isn't in the books
+            share.number = self.number()
+        if confirmed == share.number:
+            share.before = 0
+            self.outstanding += share.outstanding - previous
+        target = self.target_shares.get(frm, share.part)
+        if abs(target - share.part) > SHARE_TOLERANCE * share.part + 2:
+            self.change_share(share, target)
+        share.until = now + SHARE_S + MARGIN_S
+        return share.number != 0 and confirmed != share.number
+
+    def change_share(self, share: ClientShare, target: int) -> None:
+        """Lower a share at once, raise it as far as the other shares leave room."""
+        previous = share.outstanding
+        if target > previous:
+            most = self.claimed if self.has_unreported else FULL_SHARE
+            target = min(target, previous + max(0, most - self.outstanding))
+            share.raised = share.raised or target > previous
+        if target == share.part:
+            return
+        share.before = max(share.before, share.part)
+        share.part, share.number = target, self.number()
+        self.outstanding += share.outstanding - previous
+
+    def number(self) -> int:
+        """A number for a new share, never 0."""
+        self.next_number = self.next_number % (SHARE_NUMBERS - 1) + 1
+        return self.next_number
+
+    def target(self, now: float) -> None:
+        """Share the allowance out by use of late; end what is over."""
+        total = 0.0
+        for frm, share in list(self.shares.items()):
+            share.usage += SMOOTHING * (share.asked - share.usage)
+            share.asked = 0
+            if now >= share.until and share.outstanding:
+                self.outstanding -= share.outstanding
+                share.part = share.before = share.number = 0
+            if not share.outstanding and share.usage < MIN_USAGE:
+                del self.shares[frm]
+            total += share.usage
+        scale = FULL_SHARE / total if total else 0.0
+        target_shares = {frm: int(share.usage * scale) for frm, share in self.shares.items()}
+        self.target_shares = {frm: target if target >= MIN_SHARE else 0 for frm, target in target_shares.items()}
+
+    def forget(self, frm: Address) -> None:
+        """A quota client's process has ended: it has no share any more."""
+        share = self.shares.get(frm)
+        if share is not None:
+            self.outstanding -= share.outstanding
+            share.part = share.before = share.number = share.spent = 0
+            share.until, share.accrues_from = 0.0, NEVER
+            self.epoch = -1
--- a/post/franking/witness.py
+++ b/gateway/quota/view_audit.py
@@ -1,4 +1,4 @@
-"""What a holder has said of each count of late, and whether what its chargers know of it is that."""
+"""What a holder has said of each count of late, and whether what its quota clients know of it is that."""
 
 from __future__ import annotations
 
@@ -6,19 +6,19 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
-from post.franking.franking_pb2 import View
-from post.franking.interface import PARTS
-from post.franking.window import tenant_number
-from post.machine import Address
+from gateway.quota.interface import SHARDS
+from gateway.quota.quota_pb2 import CounterView
+from gateway.quota.window import tenant_number
+from gateway.state_machine import Address
 
 SLOT_S = 0.1     # verdicts of so long are known by their least and most
 SLOTS = 128      # remembered of each count: at least 12.8 s of verdicts
-WAY_S = 0.5      # that a verdict and the view of it may have been under way together
-FORGET_S = 30.0  # a view of this age is none any more
+MAX_TRANSIT_S = 0.5      # that a verdict and the view of it may have been under way together
+VIEW_FORGET_S = 30.0  # a view of this age is none any more
 
 
-class Known(NamedTuple):
-    """A charger's view: units, when the verdict came by this holder's clock, and by how many units it is
+class RecordedView(NamedTuple):
+    """A quota client's view: units, when the verdict came by this holder's clock, and by how many units it is
     beyond all that was said at that time; None if that was before this holder's first word."""
 
     remaining: int
@@ -26,8 +26,8 @@
     beyond: int | None
 
 
-class Seen(NamedTuple):
-    """A charger's view now: its age in s, how far it is from what remains, and `Known.beyond`."""
+class ComparedView(NamedTuple):
+    """A quota client's view now: its age in s, how far it is from what remains, and `Known.beyond`."""
 
     node: Address
     remaining: int
@@ -36,32 +36,32 @@
     beyond: int | None
 
 
-class Compared(NamedTuple):
-    """A tenant held here: allowance, units remaining, units kept back, and the views of its chargers."""
+class CounterComparison(NamedTuple):
+    """A tenant held here: allowance, units remaining, units kept back, and the views of its quota clients."""
 
     tenant: str
     allowance: float
     remaining: float
-    kept: float
-    views: list[Seen]
+    reserved: float
+    views: list[ComparedView]
 
 
-class Witness:
-    """Follows a holder's verdicts and its chargers' views.
+class ViewAudit:
+    """Follows a holder's verdicts and its quota clients' views.
 
     A view is held against what was said when its verdict came, so that its age alone is no disagreement.
     """
 
     def __init__(self) -> None:
-        self.said: dict[int, deque[list[float]]] = {}  # by tenant: begin of a slot, least, most
-        self.known: dict[int, dict[Address, Known]] = {}
+        self.replied_range: dict[int, deque[list[float]]] = {}  # by tenant: begin of a slot, least, most
+        self.known: dict[int, dict[Address, RecordedView]] = {}
         self.gained = self.lost = self.back = 0        # parts; units given back; these only grow
 
-    def say(self, now: float, tenant: int, remaining: int) -> None:
+    def record_reply(self, now: float, tenant: int, remaining: int) -> None:
         """A verdict goes out."""
-        slots = self.said.get(tenant)
+        slots = self.replied_range.get(tenant)
         if slots is None:
-            slots = self.said[tenant] = deque(maxlen=SLOTS)
+            slots = self.replied_range[tenant] = deque(maxlen=SLOTS)
         if not slots or now >= slots[-1][0] + SLOT_S:
             slots.append([now, remaining, remaining])
             return
@@ -71,36 +71,36 @@
         elif remaining > slot[2]:
             slot[2] = remaining
 
-    def hear(self, now: float, frm: Address, views: Iterable[View]) -> None:
-        """A charger tells what it knows."""
+    def hear(self, now: float, frm: Address, views: Iterable[CounterView]) -> None:
+        """A quota client tells what it knows."""
         for view in views:
             at = now - view.age_ms / 1000
-            known = Known(view.remaining, at, self.beyond(at, view.tenant, view.remaining))
+            known = RecordedView(view.remaining, at, self.beyond(at, view.tenant, view.remaining))
             self.known.setdefault(view.tenant, {})[frm] = known
 
     def beyond(self, at: float, tenant: int, remaining: int) -> int | None:
         """By how much that is below or above all that was said by then, and not long before."""
-        before = [slot for slot in self.said.get(tenant, ()) if slot[0] <= at]
+        before = [slot for slot in self.replied_range.get(tenant, ()) if slot[0] <= at]
         if not before:
             return None
-        near = [slot for slot in before if slot[0] + SLOT_S >= at - WAY_S] or before[-1:]
-        return int(max(0, min(s[1] for s in near) - remaining, remaining - max(s[2] for s in near)))
+        nearby = [slot for slot in before if slot[0] + SLOT_S >= at - MAX_TRANSIT_S] or before[-1:]
+        return int(max(0, min(s[1] for s in nearby) - remaining, remaining - max(s[2] for s in nearby)))
 
     def moved(self, lost: int, new: int) -> None:
         """Parts were given up or begun: what was known of their tenants is of another count."""
         self.lost, self.gained = self.lost + lost.bit_count(), self.gained + new.bit_count()
-        for tenants in (self.said, self.known):
-            for tenant in [t for t in tenants if (lost | new) >> (t % PARTS) & 1]:
+        for tenants in (self.replied_range, self.known):
+            for tenant in [t for t in tenants if (lost | new) >> (t % SHARDS) & 1]:
                 del tenants[tenant]
 
-    def compare(self, now: float, held: Mapping[str, tuple[float, float, float]]) -> list[Compared]:
+    def compare(self, now: float, held: Mapping[str, tuple[float, float, float]]) -> list[CounterComparison]:
         """All tenants held, as `Holder.view` tells them, by label."""
         out = []
-        for label, (remaining, allowance, kept) in sorted(held.items()):
+        for label, (remaining, allowance, reserved) in sorted(held.items()):
             known = self.known.get(tenant_number(label), {})
-            for node in [n for n, k in known.items() if now >= k.at + FORGET_S]:
+            for node in [n for n, k in known.items() if now >= k.at + VIEW_FORGET_S]:
                 del known[node]
-            views = [Seen(node, k.remaining, now - k.at, abs(k.remaining - int(remaining)), k.beyond)
+            views = [ComparedView(node, k.remaining, now - k.at, abs(k.remaining - int(remaining)), k.beyond)
                      for node, k in sorted(known.items())]
-            out.append(Compared(label, allowance, remaining, kept, views))
+            out.append(CounterComparison(label, allowance, remaining, reserved, views))
         return out
--- a/post/franking/window.py
+++ b/gateway/quota/window.py
@@ -7,8 +7,8 @@
 from hashlib import blake2b
 from typing import NamedTuple
 
-SHORTEST_S = 0.5
-PACE = 0.96  # of the rate that a tenant without a burst has in the long run, for the sake of shares
+MIN_WINDOW_S = 0.5
+STEADY_RATE_FRACTION = 0.96  # of the rate that a tenant without a burst has in the long run, for the sake of shares
 
 
 class Window(NamedTuple):
@@ -26,10 +26,10 @@
     """
     if rate <= 0:
         return None
-    most = math.ceil(span_s / SHORTEST_S)
+    most = math.ceil(span_s / MIN_WINDOW_S)
     spans = min(most, math.ceil(span_s * rate / burst)) if burst > 0 else most
-    allowance = max((rate * span_s + burst) / (spans + 1), PACE * rate * SHORTEST_S, 1.0)
-    return Window(max(allowance / rate, SHORTEST_S), allowance)
+    allowance = max((rate * span_s + burst) / (spans + 1), STEADY_RATE_FRACTION * rate * MIN_WINDOW_S, 1.0)
+    return Window(max(allowance / rate, MIN_WINDOW_S), allowance)
 
 
 def tenant_number(label: str) -> int:
--- a/post/office/address.py
+++ b/gateway/runtime/address.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from post.machine import Address
+from gateway.state_machine import Address
 
 
 def host_port(address: Address) -> tuple[str, int]:
--- a/post/office/clock.py
+++ b/gateway/runtime/clock.py
@@ -4,6 +4,6 @@
 
 from time import monotonic as steady
 
-BEGAN = steady()  # of this process, as nearly as it knows: the programs import this first
+PROCESS_START = steady()  # of this process, as nearly as it knows: the programs import this first
 
-__all__ = ["BEGAN", "steady"]
+__all__ = ["PROCESS_START", "steady"]
--- a/post/office/word.py
+++ b/gateway/runtime/config_events.py
@@ -1,4 +1,4 @@
-"""What is logged of the operator's word: orders at the leader, versions where they come into force.
+"""What is logged of the configuration: orders at the leader, versions where they come into force.
 
 A few lines a minute, written at once; `python -m proving orders` reads them.
 """
@@ -7,18 +7,18 @@
 
 import logging
 
-from post.machine import Address
-from post.office.ring import NOTICE
+from gateway.runtime.log_ring import NOTICE
+from gateway.state_machine import Address
 
-log = logging.getLogger("post.word")
+log = logging.getLogger("gateway.config_events")
 
 
-def taken(version: int, generation: int) -> None:
+def order_taken(version: int, generation: int) -> None:
     """An order is put to the core, to be this version."""
     log.log(NOTICE, "order taken", extra={"version": version, "generation": generation})
 
 
-def acknowledged(version: int, generation: int, after_s: float) -> None:
+def order_acknowledged(version: int, generation: int, after_s: float) -> None:
     """It is agreed on, so many seconds after it came here, and answered."""
     log.log(NOTICE, "order acknowledged",
             extra={"version": version, "generation": generation, "after_s": round(after_s, 4)})
--- a/post/office/disk.py
+++ b/gateway/runtime/disk_thread.py
@@ -9,12 +9,12 @@
 from collections.abc import Callable
 from typing import Any
 
-from post.office.clock import steady
+from gateway.runtime.clock import steady
 
-TOKENS = 1024  # at most, of superseded writes whose outcome is told
-HUNG_S = 1.0  # of a save, which then is a hanging disk
+MAX_TOKENS = 1024  # at most, of superseded writes whose outcome is told
+STALL_THRESHOLD_S = 1.0  # of a save, which then is a hanging disk
 
-log = logging.getLogger("post.disk")
+log = logging.getLogger("gateway.disk_thread")
 
 
 class DiskThread:
@@ -30,10 +30,10 @@
                  clock: Callable[[], float] = steady) -> None:
         self.loop, self.save, self.done, self.failed, self.clock = loop, save, done, failed, clock
         self.changed = threading.Condition()
-        self.waiting: deque[int] = deque(maxlen=TOKENS)  # tokens that the next save is for
+        self.waiting: deque[int] = deque(maxlen=MAX_TOKENS)  # tokens that the next save is for
         self.record: Any = None
         self.began: float | None = None  # the running save
-        self.stopped = self.hangs = False
+        self.stopped = self.stalled = False
         self.thread: threading.Thread | None = None
 
     def write(self, token: int, record: Any) -> None:
@@ -46,18 +46,18 @@
             self.thread = threading.Thread(target=self._run, name="disk", daemon=True)
             self.thread.start()
 
-    def hung_for(self, now: float) -> float:
+    def stalled_for(self, now: float) -> float:
         """Seconds that the running save has been going; 0 if none runs."""
         began = self.began
         return 0.0 if began is None else max(0.0, now - began)
 
     def look(self, now: float) -> None:
         """Log it when the disk hangs, and when it goes on."""
-        hangs = self.hung_for(now) > HUNG_S
-        if hangs != self.hangs:
-            self.hangs = hangs
-            log.warning("the disk hangs: nothing is saved for %.1f s" if hangs else "the disk goes on",
-                        *([self.hung_for(now)] if hangs else []))
+        stalled = self.stalled_for(now) > STALL_THRESHOLD_S
+        if stalled != self.stalled:
+            self.stalled = stalled
+            log.warning("the disk hangs: nothing is saved for %.1f s" if stalled else "the disk goes on",
+                        *([self.stalled_for(now)] if stalled else []))
 
     def stop(self, wait_s: float) -> bool:
         """Save what is waiting, for at most `wait_s` seconds, and end. Is all saved or told failed?"""
--- a/post/office/wicket.py
+++ b/gateway/runtime/http_listener.py
@@ -9,19 +9,19 @@
 
 from roadspur import interface as io
 from roadspur.net.client import ClientConnection
-from roadspur.net.door import Early, Limits
-from roadspur.net.held import Client
-from roadspur.net.tally import Tally
-from roadspur.net.wire import Call
+from roadspur.net.connection_interfaces import ImmediateResponse, Limits
+from roadspur.net.http_messages import ClientRequest
+from roadspur.net.pending_request import Client
+from roadspur.net.request_statistics import RequestStatistics
 
-SWEEP_S = 0.5
-MOST_BODY = 16 * 1024 * 1024  # of a call
-MOST_BODIES = 64 * 1024 * 1024  # of all calls that are coming in
-CONNECTIONS = 1024
-QUIET = io.Request("", "", "", 0, 3600.0, 0.0)
+SWEEP_INTERVAL_S = 0.5
+MAX_BODY_BYTES = 16 * 1024 * 1024  # of a call
+MAX_TOTAL_BODY_BYTES = 64 * 1024 * 1024  # of all calls that are coming in
+MAX_CONNECTIONS = 1024
+EMPTY_REQUEST = io.Request("", "", "", 0, 3600.0, 0.0)
 
 
-class Asked(NamedTuple):
+class HttpCall(NamedTuple):
     """A call that has come whole."""
 
     method: str
@@ -33,22 +33,22 @@
 """Gives a call its answer, once: status, header lines, body. Does nothing once the caller has gone."""
 
 
-class WicketDesk:
+class HttpCallHandler:
     """Hands calls to a function, and its answers back."""
 
     health_path: bytes | None = None
-    kept_back: frozenset[bytes] = frozenset()
+    withheld_headers: frozenset[bytes] = frozenset()
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, answer: Callable[[Asked, Reply], None]) -> None:
-        self.tally = Tally(loop)
-        self.tally.timer.cancel()
+    def __init__(self, loop: asyncio.AbstractEventLoop, answer: Callable[[HttpCall, Reply], None]) -> None:
+        self.statistics = RequestStatistics(loop)
+        self.statistics.timer.cancel()
         self.answer = answer
         self.open: dict[int, Client] = {}
 
-    def read(self, method: bytes, url: bytes, headers: list[tuple[bytes, bytes]]) -> io.Request | Early:
-        return QUIET._replace(about=(method.decode("latin-1"), url.decode("latin-1")))
+    def read(self, method: bytes, url: bytes, headers: list[tuple[bytes, bytes]]) -> io.Request | ImmediateResponse:
+        return EMPTY_REQUEST._replace(about=(method.decode("latin-1"), url.decode("latin-1")))
 
-    def take(self, call: Call, client: Client) -> None:
+    def take(self, call: ClientRequest, client: Client) -> None:
         """Answer a call, now or later."""
         if call.upload is not None:  # no room for it among the bodies of other calls
             client.reply(503, b"Retry-After: 1\r\n", b"")
@@ -61,38 +61,38 @@
                 waiting.reply(status, lines, body)
 
         method, path = call.request.about
-        self.answer(Asked(method, path, bytes(call.body)), reply)
+        self.answer(HttpCall(method, path, bytes(call.body)), reply)
 
-    def gone(self, call: Call) -> None:
+    def gone(self, call: ClientRequest) -> None:
         self.open.pop(id(call), None)
 
-    def whole(self, call: Call) -> None:
+    def whole(self, call: ClientRequest) -> None:
         """A body that flows is answered before it has come."""
 
-    def withdraw(self, call: Call, status: int) -> None:
+    def abort_request(self, call: ClientRequest, status: int) -> None:
         if (waiting := self.open.pop(id(call), None)) is not None:
             waiting.reply(status, b"", b"")
 
-    def stuck(self, call: Call) -> None:
+    def upload_stalled(self, call: ClientRequest) -> None:
         """Nothing goes further than here."""
 
 
-class Wicket:
+class HttpListener:
     """Listens, and reads calls as the ingress reads requests."""
 
     draining = False
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, answer: Callable[[Asked, Reply], None]) -> None:
-        self.loop, self.calls = loop, WicketDesk(loop, answer)
+    def __init__(self, loop: asyncio.AbstractEventLoop, answer: Callable[[HttpCall, Reply], None]) -> None:
+        self.loop, self.calls = loop, HttpCallHandler(loop, answer)
         self.connections: set[ClientConnection] = set()
         self.order: Iterator[int] = itertools.count()
         self.bodies = 0
-        self.limits = Limits(body=MOST_BODY, slow=5.0, idle=30.0, hold=MOST_BODY)
+        self.limits = Limits(body=MAX_BODY_BYTES, slow=5.0, idle=30.0, hold=MAX_BODY_BYTES)
         self.listener: asyncio.Server | None = None
-        self.sweeper = loop.call_later(SWEEP_S, self.sweep)
+        self.sweeper = loop.call_later(SWEEP_INTERVAL_S, self.sweep)
 
     @property
-    def desk(self) -> WicketDesk:
+    def request_handler(self) -> HttpCallHandler:
         """What takes the calls."""
         return self.calls
 
@@ -102,14 +102,14 @@
         self.listener = await self.loop.create_server(
             lambda: ClientConnection(self), host, int(port), backlog=512)
 
-    def joined(self, connection: ClientConnection) -> None:
+    def connection_opened(self, connection: ClientConnection) -> None:
         self.connections.add(connection)
-        if len(self.connections) > CONNECTIONS:
+        if len(self.connections) > MAX_CONNECTIONS:
             connection.crowded = True
 
     def room(self, more: int) -> bool:
         """Whether so many more bytes of bodies may be held."""
-        return self.bodies + more <= MOST_BODIES
+        return self.bodies + more <= MAX_TOTAL_BODY_BYTES
 
     def healthy(self) -> bool:
         return True
@@ -119,7 +119,7 @@
         now = self.loop.time()
         for connection in list(self.connections):
             connection.sweep(now)
-        self.sweeper = self.loop.call_later(SWEEP_S, self.sweep)
+        self.sweeper = self.loop.call_later(SWEEP_INTERVAL_S, self.sweep)
 
     def close(self) -> None:
         """Listen no more, and end what is open."""
--- a/post/office/ring.py
+++ b/gateway/runtime/log_ring.py
@@ -13,16 +13,16 @@
 from collections.abc import Callable
 from typing import Any
 
-from post.office.clock import steady
+from gateway.runtime.clock import steady
 
-SIZE = 400  # records
-SPILL_S = 5.0  # between two times that the ring is written
-LINES_A_SECOND = 5  # warnings and notices that are written at once
+MAX_RECORDS = 400  # records
+DUMP_INTERVAL_S = 5.0  # between two times that the ring is written
+MAX_LINES_PER_SECOND = 5  # warnings and notices that are written at once
 NOTICE = 25  # level of what is as it should be, and rare
 logging.addLevelName(NOTICE, "NOTICE")
 
 
-class Ring(logging.Handler):
+class LogRing(logging.Handler):
     """Keeps the latest records. They are formatted only when written, so their arguments must not change.
 
     A record of level ERROR or above, or `spill`, writes all that the ring holds, at most every 5 s; what
@@ -31,21 +31,21 @@
     the logger `aloud` are written at once, whatever their level.
     """
 
-    def __init__(self, size: int = SIZE, write: Callable[[str], Any] | None = None,
-                 clock: Callable[[], float] = steady, aloud: str = "") -> None:
+    def __init__(self, size: int = MAX_RECORDS, write: Callable[[str], Any] | None = None,
+                 clock: Callable[[], float] = steady, immediate_logger: str = "") -> None:
         super().__init__()
         self.records: deque[logging.LogRecord] = deque(maxlen=size)
         self.clock = clock
         self.out = write or _to_stderr
-        self.owed = False
-        self.next_spill = float("-inf")
+        self.dump_pending = False
+        self.next_dump = float("-inf")
         self.second, self.lines = float("-inf"), 0
-        self.dropped, self.aloud = 0, aloud
+        self.dropped, self.immediate_logger = 0, immediate_logger
 
     @classmethod
-    def install(cls, size: int = SIZE, aloud: str = "") -> Ring:
+    def install(cls, size: int = MAX_RECORDS, immediate_logger: str = "") -> LogRing:
         """A ring that takes all records of the program from level INFO on."""
-        ring, root = cls(size, aloud=aloud), logging.getLogger()
+        ring, root = cls(size, immediate_logger=immediate_logger), logging.getLogger()
         logging.logThreads = logging.logProcesses = logging.logMultiprocessing = False
         logging._srcfile = None  # no look at the caller's frame: it costs most
         root.handlers[:] = [ring]
@@ -54,41 +54,41 @@
 
     def handle(self, record: logging.LogRecord) -> bool:
         """Keep a record; no lock is needed for that."""
-        if record.name == self.aloud or (
-                NOTICE <= record.levelno <= logging.WARNING and self._line_is_free()):
+        if record.name == self.immediate_logger or (
+                NOTICE <= record.levelno <= logging.WARNING and self._line_allowed()):
             self._write([record])
             return True
         self.records.append(record)
         if record.levelno >= logging.ERROR:
-            self.owed = True
-        if self.owed:
+            self.dump_pending = True
+        if self.dump_pending:
             self.tick()
         return True
 
-    def spill(self, why: str) -> None:
+    def dump(self, why: str) -> None:
         """Something went wrong: write the ring, now or once 5 s are over since the last time."""
-        self.handle(logging.LogRecord("post.ring", logging.ERROR, "", 0, "spilled: %s", (why,), None))
+        self.handle(logging.LogRecord("gateway.log_ring", logging.ERROR, "", 0, "spilled: %s", (why,), None))
 
     def tick(self) -> None:
         """Write what is owed, if its time has come."""
         now = self.clock()
-        if self.owed and now >= self.next_spill:
-            self.next_spill, self.owed = now + SPILL_S, False
+        if self.dump_pending and now >= self.next_dump:
+            self.next_dump, self.dump_pending = now + DUMP_INTERVAL_S, False
             records = list(self.records)
             self.records.clear()
             self._write(records)
 
     def flush(self) -> None:
         """Write what is owed at once: the program ends."""
-        self.next_spill = float("-inf")
+        self.next_dump = float("-inf")
         self.tick()
 
-    def _line_is_free(self) -> bool:
+    def _line_allowed(self) -> bool:
         now = self.clock()
         if now >= self.second + 1:
             self.second, self.lines = now, 0
         self.lines += 1
-        return self.lines <= LINES_A_SECOND
+        return self.lines <= MAX_LINES_PER_SECOND
 
     def _write(self, records: list[logging.LogRecord]) -> None:
         try:
--- a/post/office/wire.py
+++ b/gateway/runtime/peer_transport.py
@@ -16,19 +16,19 @@
 from collections.abc import Callable, Hashable, Mapping
 from typing import Any, NamedTuple, Protocol
 
-from post.machine import Address
-from post.office.address import host_port
-from post.office.links import MOST_BYTES, Inbound, Links, try_option
-from post.office.ticker import Ticker
+from gateway.runtime.address import host_port
+from gateway.runtime.tcp_links import MAX_QUEUED_BYTES, InboundLink, TcpLinks, try_option
+from gateway.runtime.ticker import Ticker
+from gateway.state_machine import Address
 
 VERSION = 1
-DATAGRAM_BYTES = 1150  # the longest message that goes as a datagram, its first byte counted
-READS = 32  # datagrams that are read before others get their turn
+MAX_DATAGRAM_BYTES = 1150  # the longest message that goes as a datagram, its first byte counted
+MAX_READS_PER_WAKEUP = 32  # datagrams that are read before others get their turn
 SOCKET_BYTES = 1 << 19  # kept by the kernel for datagrams that aren't read yet
 SWEEP_S = 2.0  # between two looks for idle links
-KNOWN = 1024  # addresses whose parts are kept
+MAX_CACHED_ADDRESSES = 1024  # addresses whose parts are kept
 
-log = logging.getLogger("post.wire")
+log = logging.getLogger("gateway.peer_transport")
 
 
 class Message(Protocol):
@@ -46,11 +46,11 @@
 
     number: int
     message_class: Callable[[], Any]
-    on_note: Callable[[Address, Any], object]
+    on_message: Callable[[Address, Any], object]
     slot: Callable[[Any], Hashable] = lambda _: None
 
 
-class Count:
+class PlaneCounters:
     """Messages and bytes of one plane, in and out, since the start."""
 
     __slots__ = ("bytes_in", "bytes_out", "messages_in", "messages_out")
@@ -59,7 +59,7 @@
         self.messages_in = self.bytes_in = self.messages_out = self.bytes_out = 0
 
 
-class Port:
+class PeerTransport:
     """A process's own port. `open` raises OSError if it can't be had; after that nothing here raises.
 
     `counts` is by plane; `bad` counts messages that were dropped because they can't be read or sent, by why.
@@ -68,9 +68,9 @@
     def __init__(self, loop: asyncio.AbstractEventLoop, address: Address,
                  handlers: Mapping[int, Plane]) -> None:
         self.loop, self.address, self.handlers = loop, address, dict(handlers)
-        self.counts = {number: Count() for number in self.handlers}
+        self.counts = {number: PlaneCounters() for number in self.handlers}
         self.bad: dict[str, int] = {}
-        self.links = Links(loop, address, self._lost)
+        self.links = TcpLinks(loop, address, self._lost)
         self.to: dict[Address, tuple[str, int]] = {}
         self.names: dict[tuple[str, int], Address] = {}
         self.socket: socket.socket | None = None
@@ -107,7 +107,7 @@
         """Send a message to another process's own port, or lose it."""
         count = self.counts.get(plane)
         if count is None:
-            count = self.counts[plane] = Count()
+            count = self.counts[plane] = PlaneCounters()
         data = bytes((VERSION << 5 | plane,)) + message.SerializeToString()
         count.messages_out += 1
         count.bytes_out += len(data)
@@ -118,7 +118,7 @@
             target = self._target(to)
             if target is None:
                 return self._lost("no address")
-        if len(data) > DATAGRAM_BYTES:
+        if len(data) > MAX_DATAGRAM_BYTES:
             known = self.handlers.get(plane)
             slot = None if known is None else known.slot(message)
             return self.links.send(to, target, data, None if slot is None else (plane, slot))
@@ -132,7 +132,7 @@
             target = host_port(to)
         except ValueError:
             return None
-        if len(self.to) >= KNOWN:
+        if len(self.to) >= MAX_CACHED_ADDRESSES:
             self.to.clear()
         self.to[to] = target
         return target
@@ -140,20 +140,20 @@
     def _lost(self, why: str) -> None:
         self.bad[why] = self.bad.get(why, 0) + 1
 
-    def _inbound(self) -> Inbound:
-        return Inbound(self.links, self._take, self._lost)
+    def _inbound(self) -> InboundLink:
+        return InboundLink(self.links, self._take, self._lost)
 
     def _readable(self) -> None:
-        for _ in range(READS):
+        for _ in range(MAX_READS_PER_WAKEUP):
             if self.socket is None:  # a message just read has closed the port
                 return
             try:
-                data, source = self.socket.recvfrom(DATAGRAM_BYTES + 1)
+                data, source = self.socket.recvfrom(MAX_DATAGRAM_BYTES + 1)
             except OSError:  # nothing is left, or an earlier datagram was turned away by its host
                 return
             name = self.names.get(source)
             if name is None:
-                if len(self.names) >= KNOWN:
+                if len(self.names) >= MAX_CACHED_ADDRESSES:
                     self.names.clear()
                 name = self.names[source] = f"{source[0]}:{source[1]}"
             self._take(name, data)
@@ -173,9 +173,9 @@
         except Exception:
             return self._lost("unreadable")
         try:
-            plane.on_note(sender, note)
+            plane.on_message(sender, note)
         except Exception:
             log.exception("a message of plane %s from %s could not be handled", plane.number, sender)
 
 
-__all__ = ["DATAGRAM_BYTES", "MOST_BYTES", "Count", "Message", "Plane", "Port"]
+__all__ = ["MAX_DATAGRAM_BYTES", "MAX_QUEUED_BYTES", "PlaneCounters", "Message", "Plane", "PeerTransport"]
--- a/post/office/settings.py
+++ b/gateway/runtime/settings.py
@@ -12,16 +12,16 @@
 import yaml  # type: ignore[import-untyped]
 from result import Err, Ok, Result
 
-from post.machine import Address
-from post.office import table
-from post.office.address import host_port
-from post.office.table import Fault, Field, above_zero, not_negative
+from gateway.runtime import settings_schema
+from gateway.runtime.address import host_port
+from gateway.runtime.settings_schema import Fault, Field, above_zero, not_negative
+from gateway.state_machine import Address
 
 VARIABLE = "EIDERSTAGE_NODE_FILE"
-PROGRAMS = {"sorter": 0, "postmaster": 1}
+PORT_OFFSETS = {"proxy": 0, "controller": 1}
 """Which port of the port range, from the first, is a program's own."""
 
-NEEDS = {"sorter": ("front", "ready"), "postmaster": ("control",)}
+REQUIRED_LISTENERS = {"proxy": ("front", "ready"), "controller": ("control",)}
 """The addresses that a program has to be given to listen on."""
 
 
@@ -36,7 +36,7 @@
     disk_mb: float
 
 
-class Own(NamedTuple):
+class NodeSettings(NamedTuple):
     """The process's own machine and role (`self` in the file). No `data_dir`: it has no disk."""
 
     node: str
@@ -75,7 +75,7 @@
     beat_s: float
 
 
-class Budget(NamedTuple):
+class FaultBudget(NamedTuple):
     """How many counted machines, or zones, or regions may be lost at once."""
 
     machines: int
@@ -112,30 +112,30 @@
     """The parts of the rules in force, what may be lost at once, and the rules' figures."""
 
     contracts: tuple[str, ...]
-    fault_budget: Budget
+    fault_budget: FaultBudget
     bounds: Bounds
 
 
 class Settings(NamedTuple):
     """All that a process is told."""
 
-    own: Own
+    own: NodeSettings
     network: Network
     provider: Provider
     terms: Terms
 
     def own_address(self, program: str) -> Address:
-        """The own port of a program (`sorter` or `postmaster`) on this machine."""
-        return f"{self.own.ip}:{self.network.port_range[0] + PROGRAMS[program]}"
+        """The own port of a program (`proxy` or `controller`) on this machine."""
+        return f"{self.own.ip}:{self.network.port_range[0] + PORT_OFFSETS[program]}"
 
-    def postmaster_at(self, control_address: Address) -> Address:
-        """The own port of the postmaster that serves a `control` address."""
-        return f"{host_port(control_address)[0]}:{self.network.port_range[0] + PROGRAMS['postmaster']}"
+    def controller_at(self, control_address: Address) -> Address:
+        """The own port of the controller that serves a `control` address."""
+        return f"{host_port(control_address)[0]}:{self.network.port_range[0] + PORT_OFFSETS['controller']}"
 
-    def lacks(self, program: str) -> list[Fault]:
+    def missing_listeners(self, program: str) -> list[Fault]:
         """What the program cannot do without and isn't told."""
         return [Fault(f"network.listen.{name}", f"is missing, and the {program} needs it")
-                for name in NEEDS[program] if getattr(self.network.listen, name) is None]
+                for name in REQUIRED_LISTENERS[program] if getattr(self.network.listen, name) is None]
 
 
 def _port_range(ports: tuple[int, ...]) -> str:
@@ -144,37 +144,37 @@
 
 
 def _bound(name: str, default: float) -> Field:
-    return Field(f"terms.bounds.{name}", table.number, default, not_negative)
-
-
-TABLE = (
-    Field("self.node", table.text, "node"),
-    Field("self.role", table.text, "role"),
-    Field("self.machine-class", table.text, "edge"),
-    Field("self.serves", table.many(table.text), ()),
-    Field("self.ip", table.text),
-    Field("self.zone", table.text, "zone"),
-    Field("self.region", table.text, "region"),
-    Field("self.counted", table.flag, True),
-    Field("self.fresh-start", table.flag, False),
-    Field("self.data-dir", table.text, None),
-    Field("self.limits.cpu-share", table.number, 1.0, above_zero),
-    Field("self.limits.cores", table.number, 1.0, above_zero),
-    Field("self.limits.memory-mb", table.number, 300.0, above_zero),
-    Field("self.limits.max-fds", table.whole, 1024, above_zero),
-    Field("self.limits.link-mbps", table.number, 1000.0, above_zero),
-    Field("self.limits.disk-mb", table.number, 0.0, not_negative),
-    Field("network.listen.front", table.address, None),
-    Field("network.listen.ready", table.address, None),
-    Field("network.listen.control", table.address, None),
-    Field("network.port-range", table.many(table.whole), table.REQUIRED, _port_range),
-    Field("network.seeds", table.many(table.address), ()),
-    Field("network.zones", table.named(table.text), {}),
-    Field("provider.beat-s", table.number, 1.0, above_zero),
-    Field("terms.contracts", table.many(table.text), ()),
-    Field("terms.fault-budget.machines", table.whole, 1, not_negative),
-    Field("terms.fault-budget.zones", table.whole, 0, not_negative),
-    Field("terms.fault-budget.regions", table.whole, 0, not_negative),
+    return Field(f"terms.bounds.{name}", settings_schema.number, default, not_negative)
+
+
+FIELDS = (
+    Field("self.node", settings_schema.text, "node"),
+    Field("self.role", settings_schema.text, "role"),
+    Field("self.machine-class", settings_schema.text, "edge"),
+    Field("self.serves", settings_schema.sequence_of(settings_schema.text), ()),
+    Field("self.ip", settings_schema.text),
+    Field("self.zone", settings_schema.text, "zone"),
+    Field("self.region", settings_schema.text, "region"),
+    Field("self.counted", settings_schema.boolean, True),
+    Field("self.fresh-start", settings_schema.boolean, False),
+    Field("self.data-dir", settings_schema.text, None),
+    Field("self.limits.cpu-share", settings_schema.number, 1.0, above_zero),
+    Field("self.limits.cores", settings_schema.number, 1.0, above_zero),
+    Field("self.limits.memory-mb", settings_schema.number, 300.0, above_zero),
+    Field("self.limits.max-fds", settings_schema.integer, 1024, above_zero),
+    Field("self.limits.link-mbps", settings_schema.number, 1000.0, above_zero),
+    Field("self.limits.disk-mb", settings_schema.number, 0.0, not_negative),
+    Field("network.listen.front", settings_schema.address, None),
+    Field("network.listen.ready", settings_schema.address, None),
+    Field("network.listen.control", settings_schema.address, None),
+    Field("network.port-range", settings_schema.sequence_of(settings_schema.integer), settings_schema.REQUIRED, _port_range),
+    Field("network.seeds", settings_schema.sequence_of(settings_schema.address), ()),
+    Field("network.zones", settings_schema.mapping_of(settings_schema.text), {}),
+    Field("provider.beat-s", settings_schema.number, 1.0, above_zero),
+    Field("terms.contracts", settings_schema.sequence_of(settings_schema.text), ()),
+    Field("terms.fault-budget.machines", settings_schema.integer, 1, not_negative),
+    Field("terms.fault-budget.zones", settings_schema.integer, 0, not_negative),
+    Field("terms.fault-budget.regions", settings_schema.integer, 0, not_negative),
     _bound("seed-staleness-s", 3.0),
     _bound("addr-reuse-s", 2.0),
     _bound("contact-s", 3.0),
@@ -186,7 +186,7 @@
     _bound("apply-s", 2.5),
     _bound("downgrade-s", 0.25),
     _bound("stretch-max-s", 8.0),
-    Field("terms.bounds.revoke-closed", table.flag, False),
+    Field("terms.bounds.revoke-closed", settings_schema.boolean, False),
     _bound("revoke-s", 5.0),
     _bound("retry-ratio", 0.2),
     _bound("retry-window-s", 10.0),
@@ -214,7 +214,7 @@
     except OSError as error:
         return Err([Fault(path, error.strerror or str(error))])
     except (yaml.YAMLError, UnicodeDecodeError) as error:
-        return Err([_no_yaml(path, error)])
+        return Err([_yaml_fault(path, error)])
     if not isinstance(document, dict):
         return Err([Fault(path, "holds no tables")])
     return read_document(document)
@@ -222,15 +222,15 @@
 
 def read_document(document: Mapping[str, Any]) -> Found:
     """The settings in a file's content."""
-    found = table.read_table(document, TABLE)
+    found = settings_schema.read_table(document, FIELDS)
     if isinstance(found, Err):
         return found
     v = found.ok_value
-    own = _part(Own, v, "self.", limits=_part(Limits, v, "self.limits."))
-    network = _part(Network, v, "network.", listen=_part(Listen, v, "network.listen."))
-    terms = _part(Terms, v, "terms.", fault_budget=_part(Budget, v, "terms.fault-budget."),
-                  bounds=_part(Bounds, v, "terms.bounds."))
-    return Ok(Settings(own, network, _part(Provider, v, "provider."), terms))
+    own = _build(NodeSettings, v, "self.", limits=_build(Limits, v, "self.limits."))
+    network = _build(Network, v, "network.", listen=_build(Listen, v, "network.listen."))
+    terms = _build(Terms, v, "terms.", fault_budget=_build(FaultBudget, v, "terms.fault-budget."),
+                  bounds=_build(Bounds, v, "terms.bounds."))
+    return Ok(Settings(own, network, _build(Provider, v, "provider."), terms))
 
 
 class SettingsFile:
@@ -261,13 +261,13 @@
 T = TypeVar("T")
 
 
-def _part(cls: type[T], values: Mapping[str, Any], prefix: str, **parts: Any) -> T:
+def _build(cls: type[T], values: Mapping[str, Any], prefix: str, **parts: Any) -> T:
     names = cast(Any, cls)._fields
     return cls(*(parts[name] if name in parts else values[prefix + name.replace("_", "-")]
                  for name in names))
 
 
-def _no_yaml(path: str, error: Exception) -> Fault:
+def _yaml_fault(path: str, error: Exception) -> Fault:
     mark = getattr(error, "problem_mark", None)
     place = f"{path}:{mark.line + 1}:{mark.column + 1}" if mark is not None else path
     return Fault(place, getattr(error, "problem", None) or str(error))
--- a/post/office/table.py
+++ b/gateway/runtime/settings_schema.py
@@ -7,7 +7,7 @@
 
 from result import Err, Ok, Result
 
-from post.office.address import host_port
+from gateway.runtime.address import host_port
 
 REQUIRED: Any = object()
 """The default of a field that has none."""
@@ -39,7 +39,7 @@
     return value
 
 
-def flag(value: Any) -> bool:
+def boolean(value: Any) -> bool:
     """True or false."""
     if not isinstance(value, bool):
         raise ValueError(f"true or false is needed, not {value!r}")
@@ -53,7 +53,7 @@
     return float(value)
 
 
-def whole(value: Any) -> int:
+def integer(value: Any) -> int:
     """A whole number."""
     if number(value) != int(value):
         raise ValueError(f"a whole number is needed, not {value!r}")
@@ -66,7 +66,7 @@
     return str(value)
 
 
-def many(kind: Callable[[Any], Any]) -> Callable[[Any], tuple[Any, ...]]:
+def sequence_of(kind: Callable[[Any], Any]) -> Callable[[Any], tuple[Any, ...]]:
     """A list of values of one kind, as a tuple."""
 
     def read(value: Any) -> tuple[Any, ...]:
@@ -77,7 +77,7 @@
     return read
 
 
-def named(kind: Callable[[Any], Any]) -> Callable[[Any], dict[str, Any]]:
+def mapping_of(kind: Callable[[Any], Any]) -> Callable[[Any], dict[str, Any]]:
     """Values of one kind by name."""
 
     def read(value: Any) -> dict[str, Any]:
--- a/post/office/links.py
+++ b/gateway/runtime/tcp_links.py
@@ -14,16 +14,16 @@
 from collections.abc import Callable, Hashable
 from typing import cast
 
-from post.machine import Address
-from post.office.address import host_port
-
-CONNECT_S = 1.0  # to come up
-IDLE_S = 10.0  # without a message, until the opener closes
-STRANGER_S = 30.0  # without a byte, until the other side closes
-MOST_BYTES = 4 << 20  # that wait for one link, and of one message
-LINKS = 64  # outward, at most
-INBOUND = 256  # inward, at most
-ADDRESS_BYTES = 64
+from gateway.runtime.address import host_port
+from gateway.state_machine import Address
+
+CONNECT_TIMEOUT_S = 1.0  # to come up
+OUTBOUND_IDLE_S = 10.0  # without a message, until the opener closes
+INBOUND_IDLE_S = 30.0  # without a byte, until the other side closes
+MAX_QUEUED_BYTES = 4 << 20  # that wait for one link, and of one message
+MAX_OUTBOUND_LINKS = 64  # outward, at most
+MAX_INBOUND_LINKS = 256  # inward, at most
+MAX_ADDRESS_BYTES = 64
 OPTIONS = (
     (socket.IPPROTO_TCP, "TCP_NODELAY", 1),
     (socket.IPPROTO_TCP, "TCP_USER_TIMEOUT", 1500),  # ms
@@ -34,10 +34,10 @@
 )
 
 
-class Outbound(asyncio.Protocol):
+class OutboundLink(asyncio.Protocol):
     """A link to another process: waits for the connection, then for the other side to read."""
 
-    def __init__(self, links: Links, to: Address) -> None:
+    def __init__(self, links: TcpLinks, to: Address) -> None:
         self.links, self.to = links, to
         self.waiting: deque[tuple[Hashable, bytes]] = deque()
         self.bytes = 0
@@ -55,7 +55,7 @@
                 self.bytes -= len(waits[1])
         self.waiting.append((slot, data))
         self.bytes += len(data)
-        while self.bytes > MOST_BYTES:
+        while self.bytes > MAX_QUEUED_BYTES:
             self.bytes -= len(self.waiting.popleft()[1])
             self.links.lost("link is full")
 
@@ -83,10 +83,10 @@
             self.transport.abort()
 
 
-class Inbound(asyncio.Protocol):
+class InboundLink(asyncio.Protocol):
     """A link that another process has opened. Whatever makes no sense closes it."""
 
-    def __init__(self, links: Links, take: Callable[[Address, bytes], None],
+    def __init__(self, links: TcpLinks, take: Callable[[Address, bytes], None],
                  lost: Callable[[str], None]) -> None:
         self.links, self.take, self.lost = links, take, lost
         self.sender: Address | None = None
@@ -98,7 +98,7 @@
         self.transport = cast(asyncio.Transport, transport)
         set_options(transport)
         self.links.inbound.add(self)
-        if len(self.links.inbound) > INBOUND:
+        if len(self.links.inbound) > MAX_INBOUND_LINKS:
             self._drop("too many links")
 
     def data_received(self, data: bytes) -> None:
@@ -107,7 +107,7 @@
         start, have = 0, len(self.buffer)
         while self.transport is not None and have - start >= 4:
             length = int.from_bytes(self.buffer[start:start + 4], "big")
-            if length > (MOST_BYTES if self.sender is not None else ADDRESS_BYTES):
+            if length > (MAX_QUEUED_BYTES if self.sender is not None else MAX_ADDRESS_BYTES):
                 return self._drop("too long")
             if have - start - 4 < length:
                 break
@@ -141,39 +141,39 @@
             self.transport = None
 
 
-class Links:
+class TcpLinks:
     """All links of one process."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, address: Address,
                  lost: Callable[[str], None]) -> None:
         self.loop, self.address, self.lost = loop, address, lost
-        self.outbound: dict[Address, Outbound] = {}
-        self.inbound: set[Inbound] = set()
+        self.outbound: dict[Address, OutboundLink] = {}
+        self.inbound: set[InboundLink] = set()
         self.opening: set[asyncio.Task[None]] = set()
 
     def send(self, to: Address, target: tuple[str, int], data: bytes, slot: Hashable = None) -> None:
         """Send over the link to a process, which is opened if need be. None: no other takes its place."""
-        if len(data) > MOST_BYTES:
+        if len(data) > MAX_QUEUED_BYTES:
             return self.lost("too long")
         link = self.outbound.get(to)
         if link is None:
-            if len(self.outbound) >= LINKS:
+            if len(self.outbound) >= MAX_OUTBOUND_LINKS:
                 return self.lost("too many links")
-            link = self.outbound[to] = Outbound(self, to)
+            link = self.outbound[to] = OutboundLink(self, to)
             task = self.loop.create_task(self._open(link, target))
             self.opening.add(task)
             task.add_done_callback(self.opening.discard)
         link.send(data, slot)
 
-    async def _open(self, link: Outbound, target: tuple[str, int]) -> None:
+    async def _open(self, link: OutboundLink, target: tuple[str, int]) -> None:
         try:
-            await asyncio.wait_for(self.loop.create_connection(lambda: link, *target), CONNECT_S)
+            await asyncio.wait_for(self.loop.create_connection(lambda: link, *target), CONNECT_TIMEOUT_S)
         except OSError:
             self.lost("no connection")
             self.gone(link)
             link.close()
 
-    def gone(self, link: Outbound) -> None:
+    def gone(self, link: OutboundLink) -> None:
         """A link has ended; the next message opens another."""
         if self.outbound.get(link.to) is link:
             del self.outbound[link.to]
@@ -184,11 +184,11 @@
     def sweep(self) -> None:
         """Close what is idle."""
         now = self.loop.time()
-        for link in [x for x in self.outbound.values() if now - x.used > IDLE_S]:
+        for link in [x for x in self.outbound.values() if now - x.used > OUTBOUND_IDLE_S]:
             self.gone(link)
             link.close()
-        for stranger in [x for x in self.inbound if now - x.used > STRANGER_S]:
-            stranger.close()
+        for inbound_link in [x for x in self.inbound if now - x.used > INBOUND_IDLE_S]:
+            inbound_link.close()
 
     def close(self) -> None:
         """End all links at once."""
@@ -196,8 +196,8 @@
             task.cancel()
         for link in self.outbound.values():
             link.close()
-        for stranger in list(self.inbound):
-            stranger.close()
+        for inbound_link in list(self.inbound):
+            inbound_link.close()
         self.outbound.clear()
         self.inbound.clear()
 
--- a/post/office/ticker.py
+++ b/gateway/runtime/ticker.py
@@ -6,9 +6,9 @@
 import logging
 from collections.abc import Callable
 
-from post.office.clock import steady
+from gateway.runtime.clock import steady
 
-log = logging.getLogger("post.ticker")
+log = logging.getLogger("gateway.ticker")
 
 
 class Ticker:
--- a/proving/allowance.py
+++ b/proving/allowance.py
@@ -10,16 +10,16 @@
 from collections.abc import Iterable, Iterator
 from typing import Any, NamedTuple
 
-from post.franking.tally import EDGES, HOLDER, SHARE, SPLIT, WAYS
-from post.office.counting import ALLOWANCE
-from post.office.nodes import columns
-from proving.loglines import objects
+from gateway.cli.nodes import columns
+from gateway.programs.quota_report import QUOTA_LOGGER
+from gateway.quota.decision_statistics import DECISION_KINDS, EDGES, HOLDER, SHARE, SPLIT
+from proving.log_lines import objects
 
 TIME = re.compile(r"(?<![\w.])(\d+(?:\.\d+)?)(?![\w.])")
 NAME = re.compile(r"[A-Za-z][\w.-]*")
 
 
-class Line(NamedTuple):
+class LogLine(NamedTuple):
     """A line of counts: seconds as the file tells them, or as the process did, and the process's name."""
 
     at: float
@@ -62,19 +62,19 @@
 STEP_S = 5
 
 
-def read(lines: Iterable[str]) -> Iterator[Line]:
+def read(lines: Iterable[str]) -> Iterator[LogLine]:
     """The lines of counts among others."""
-    for before, told in objects(lines, ALLOWANCE):
+    for before, told in objects(lines, QUOTA_LOGGER):
         time, name = TIME.search(before), NAME.search(before)
         at = float(time[1]) if time else float(told.get("time", 0.0))
-        yield Line(at, f"{name[0]} {told['node']}" if name else str(told.get("node", "")), told)
+        yield LogLine(at, f"{name[0]} {told['node']}" if name else str(told.get("node", "")), told)
 
 
-def gather(lines: Iterable[Line]) -> Day:
+def gather(lines: Iterable[LogLine]) -> Day:
     """A day out of its lines; times count from the first line where they are dates."""
     found = sorted(lines, key=lambda line: line.at)
     begin = found[0].at if found and found[0].at > 1e6 else 0.0
-    day = Day({}, {name: [0] * (len(EDGES) + 1) for name in SPLIT}, defaultdict(lambda: [0] * len(WAYS)),
+    day = Day({}, {name: [0] * (len(EDGES) + 1) for name in SPLIT}, defaultdict(lambda: [0] * len(DECISION_KINDS)),
               Counter(), [], [], [])
     holders: dict[str, str] = {}
     for at, node, told in (line._replace(at=line.at - begin) for line in found):
@@ -89,7 +89,7 @@
     step = int((at - STEP_S / 2) // STEP_S) * STEP_S  # a line tells of the time before it
     for tenant, levels in told["charged"].items():
         for level, counts in levels.items():
-            for total in (day.decided.setdefault((tenant, int(level)), [0] * len(WAYS)), day.course[step]):
+            for total in (day.decided.setdefault((tenant, int(level)), [0] * len(DECISION_KINDS)), day.course[step]):
                 for n, count in enumerate(counts):
                     total[n] += count
     for split, buckets in told["times"].items():
@@ -123,7 +123,7 @@
 
 def table(day: Day) -> Table:
     """Asked, admitted and refused by tenant and its routes' precedence, late tries apart; a head first."""
-    rows: Table = [("tenant", "precedence", "asked", "admitted", "refused early", "in part", *WAYS)]
+    rows: Table = [("tenant", "precedence", "asked", "admitted", "refused early", "in part", *DECISION_KINDS)]
     for (tenant, level), counts in sorted(day.decided.items()):
         asked, admitted = sum(counts), counts[HOLDER] + counts[SHARE]
         rows.append((tenant, f"{level // 2}{' late' if level % 2 else ''}", str(asked), str(admitted),
--- a/proving/allowance_report.py
+++ b/proving/allowance_report.py
@@ -9,7 +9,7 @@
 import numpy as np
 from matplotlib import pyplot as plt
 
-from post.franking.tally import EDGES, WAYS
+from gateway.quota.decision_statistics import DECISION_KINDS, EDGES
 from proving import allowance
 from proving.allowance import STEP_S, Day, Table
 from proving.report import STYLE, picture
@@ -22,7 +22,7 @@
     figure, axes = plt.subplots(figsize=(11, 3.4))
     steps = sorted(day.course)
     floor = np.zeros(len(steps))
-    for n, (way, colour) in enumerate(zip(WAYS, COLOURS, strict=True)):
+    for n, (way, colour) in enumerate(zip(DECISION_KINDS, COLOURS, strict=True)):
         height = np.array([day.course[step][n] for step in steps])
         axes.bar(steps, height, STEP_S * 0.9, floor, align="edge", label=way, color=colour)
         floor = floor + height
--- a/proving/checkers/__init__.py
+++ b/proving/checkers/__init__.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from proving.checkers.base import Broken, Case
 from proving.checkers.budgets import budget, quota
-from proving.checkers.closing import acks, faults, recover
-from proving.checkers.configs import config
-from proving.checkers.leaving import drain, lost
+from proving.checkers.configuration import config
+from proving.checkers.draining import drain, lost
+from proving.checkers.history import RuleViolation, RunHistory
+from proving.checkers.recovery import acks, faults, recover
 from proving.checkers.requests import denied, mixed, refused, route, twice, unasked
 from proving.model.record import Record
 
@@ -16,10 +16,10 @@
 """Checkers by rule. ACKS is the gate's, FAULT what the programs would log as faults of their own."""
 
 
-def check(record: Record) -> list[Broken]:
+def check(record: Record) -> list[RuleViolation]:
     """All that is broken in a run."""
-    case = Case(record)
-    return [found for checker in RULES.values() for found in checker(case)]
+    history = RunHistory(record)
+    return [found for checker in RULES.values() for found in checker(history)]
 
 
-__all__ = ["RULES", "Broken", "check"]
+__all__ = ["RULES", "RuleViolation", "check"]
--- a/proving/checkers/budgets.py
+++ b/proving/checkers/budgets.py
@@ -4,15 +4,15 @@
 
 from bisect import bisect_left, bisect_right
 
-from proving.checkers.base import Broken, Case, few
+from proving.checkers.history import RuleViolation, RunHistory, limit_findings
 
 
-def quota(case: Case) -> list[Broken]:
+def quota(history: RunHistory) -> list[RuleViolation]:
     """No tenant has more run in any window than its limit allows."""
-    b, found = case.bounds, []
+    b, found = history.bounds, []
     runs: dict[str, list[tuple[float, float]]] = {}
-    for attempt, arrivals in case.ran.items():
-        sent = case.sent.get(attempt)
+    for attempt, arrivals in history.ran.items():
+        sent = history.sent.get(attempt)
         if sent is not None:
             runs.setdefault(arrivals[0].tenant, []).append((arrivals[0].at, sent.at))
     for tenant, times in runs.items():
@@ -24,28 +24,28 @@
             if last - first + 1 <= b.quota_slack:
                 continue
             begins = times[first][0]
-            limit = limit_of(case, tenant, begins, at)
+            limit = limit_of(history, tenant, begins, at)
             if limit is None:
                 continue
             count = sum(1 for a, s in times[first:last + 1] if s >= begins - 0.5)
             if count > limit:
-                found.append(Broken("QUOTA", at, f"{count} requests of {tenant} are run from {begins:.3f} "
+                found.append(RuleViolation("QUOTA", at, f"{count} requests of {tenant} are run from {begins:.3f} "
                                                  f"on, {limit:.0f} are allowed"))
                 break
-    return few(found)
+    return limit_findings(found)
 
 
-def limit_of(case: Case, tenant: str, begins: float, ends: float) -> float | None:
+def limit_of(history: RunHistory, tenant: str, begins: float, ends: float) -> float | None:
     """The most that a tenant may have run in a window; None for no limit. The highest counts of those limits
     that may still have been in force anywhere."""
-    b = case.bounds
+    b = history.bounds
     since = begins - b.quota_window_s - b.apply_s
-    late = [t.ends for t in case.record.troubles if t.machines and t.begins <= ends
+    late = [t.ends for t in history.record.disruptions if t.machines and t.begins <= ends
             and t.ends + b.contact_s + b.apply_s + b.quota_window_s >= begins]
     if late:
-        since = min(since, *(t.begins - b.contact_s for t in case.record.troubles if t.ends in late))
+        since = min(since, *(t.begins - b.contact_s for t in history.record.disruptions if t.ends in late))
     highest = 0.0
-    for version in case.in_force(since, ends):
+    for version in history.in_force(since, ends):
         if tenant not in version.limits:
             continue
         rate, burst = version.limits[tenant]
@@ -56,22 +56,22 @@
     return highest or None
 
 
-def budget(case: Case) -> list[Broken]:
+def budget(history: RunHistory) -> list[RuleViolation]:
     """Further arrivals of tries stay within the budget of their service."""
-    b, found = case.bounds, []
+    b, found = history.bounds, []
     window = b.retry_window_s
     first: set[tuple[str, str]] = set()
     repeats: dict[str, list[float]] = {}
     seen: set[str] = set()
-    for a in sorted(case.record.arrived, key=lambda a: a.at):
+    for a in sorted(history.record.arrived, key=lambda a: a.at):
         if a.attempt in seen:
             repeats.setdefault(a.service, []).append(a.at)
         seen.add(a.attempt)
         first.add((a.attempt, a.service))
     wanted: dict[str, list[float]] = {}
-    for sent in case.record.sent:
+    for sent in history.record.sent:
         services: set[str] = set().union(*(v.services(sent.host, sent.path)
-                                           for v in case.in_force(sent.at, sent.at)))
+                                           for v in history.in_force(sent.at, sent.at)))
         for service in services:
             wanted.setdefault(service, []).append(sent.at)
     for service, times in repeats.items():
@@ -82,7 +82,7 @@
                            for back in (0.0, window, window / 2))
             most = b.retry_ratio * requests + b.retry_slack
             if count > most:
-                found.append(Broken("BUDGET", at, f"{count} further arrivals at {service} in {window:g} s, "
+                found.append(RuleViolation("BUDGET", at, f"{count} further arrivals at {service} in {window:g} s, "
                                                   f"{most:.0f} are allowed"))
                 break
-    return few(found)
+    return limit_findings(found)
--- a/proving/checkers/configs.py
+++ b/proving/checkers/configuration.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
-from proving.checkers.base import Broken, Case, Version, few
+from proving.checkers.history import ConfigVersion, RuleViolation, RunHistory, limit_findings
 from proving.model.record import Order, Sent
 
 SAME_LIFE = ("slow", "freeze", "lossy", "squeeze", "lag", "node_cut", "half_cut", "core_freeze", "core_cut",
@@ -13,7 +13,7 @@
 """Troubles that end no process."""
 
 
-class Handled(NamedTuple):
+class ServedRequest(NamedTuple):
     """How a try was handled: run at a service in a tenant's name, or turned away with a status."""
 
     at: float
@@ -22,7 +22,7 @@
     tenant: str
     status: int
 
-    def by(self, version: Version) -> bool:
+    def by(self, version: ConfigVersion) -> bool:
         """Whether a version allows this."""
         if self.service:
             return version.runs(self.sent, self.service, self.tenant)
@@ -33,99 +33,99 @@
         return f"{self.sent.path} with {self.sent.key}, sent at {self.sent.at:.3f} to {self.sent.way}, {how}"
 
 
-def config(case: Case) -> list[Broken]:
+def config(history: RunHistory) -> list[RuleViolation]:
     """All of the rule."""
-    parts = acknowledged(case), repeated(case), taken_hold(case), gone_back(case), read_back(case)
-    return [found for part in parts for found in few(list(part))]
+    parts = acknowledged(history), repeated(history), taken_hold(history), gone_back(history), read_back(history)
+    return [found for part in parts for found in limit_findings(list(part))]
 
 
-def handled(case: Case) -> list[Handled]:
+def handled(history: RunHistory) -> list[ServedRequest]:
     """All tries that show which configuration is in force."""
-    found = [Handled(a.at, case.sent[a.attempt], a.service, a.tenant, 0)
-             for runs in case.ran.values() for a in runs if a.attempt in case.sent]
-    found += [Handled(a.at, case.sent[a.attempt], "", "", a.status)
-              for a in case.record.answered.values() if a.status in (401, 403, 404)]
+    found = [ServedRequest(a.at, history.sent[a.attempt], a.service, a.tenant, 0)
+             for runs in history.ran.values() for a in runs if a.attempt in history.sent]
+    found += [ServedRequest(a.at, history.sent[a.attempt], "", "", a.status)
+              for a in history.record.answered.values() if a.status in (401, 403, 404)]
     return sorted(found, key=lambda h: h.at)
 
 
-def acknowledged(case: Case) -> Iterator[Broken]:
+def acknowledged(history: RunHistory) -> Iterator[RuleViolation]:
     """Which orders were acknowledged: of different ones on one base, one. The same one sent by two is one."""
     bases: dict[int, Order] = {}
-    for order in case.record.orders:
+    for order in history.record.orders:
         if order.status != 200:
             continue
         first = bases.setdefault(order.base, order)
         if not order.valid:
-            yield Broken("CONFIG", order.at, f"generation {order.generation} is invalid and acknowledged")
+            yield RuleViolation("CONFIG", order.at, f"generation {order.generation} is invalid and acknowledged")
         elif first.document != order.document:
-            yield Broken("CONFIG", order.at, f"generations {first.generation} and {order.generation} are "
+            yield RuleViolation("CONFIG", order.at, f"generations {first.generation} and {order.generation} are "
                                              f"both acknowledged on top of {order.base}")
 
 
-def repeated(case: Case) -> Iterator[Broken]:
+def repeated(history: RunHistory) -> Iterator[RuleViolation]:
     """What was acknowledged and is sent again isn't refused, whether the acknowledgement was heard or not."""
-    for order in case.record.orders:
+    for order in history.record.orders:
         if order.unheard and order.status not in (0, 200):
-            yield Broken("CONFIG", order.at, f"generation {order.generation} was acknowledged, unheard, at "
+            yield RuleViolation("CONFIG", order.at, f"generation {order.generation} was acknowledged, unheard, at "
                                              f"{order.unheard:.3f}, and then answered {order.status}")
-    for repeat in case.record.repeats:
+    for repeat in history.record.repeats:
         if repeat.status not in (0, 200):
-            yield Broken("CONFIG", repeat.at, f"generation {repeat.generation} was acknowledged, sent again "
+            yield RuleViolation("CONFIG", repeat.at, f"generation {repeat.generation} was acknowledged, sent again "
                                               f"and answered {repeat.status} by {repeat.by}")
 
 
-def taken_hold(case: Case) -> Iterator[Broken]:
+def taken_hold(history: RunHistory) -> Iterator[RuleViolation]:
     """Machines in touch go by what was acknowledged `apply_s` ago, and by nothing that was refused."""
-    apply_s = case.bounds.apply_s
-    refused = [Version(o) for o in case.record.orders if o.status not in (0, 200) and o.valid]
-    for h in handled(case):
+    apply_s = history.bounds.apply_s
+    refused = [ConfigVersion(o) for o in history.record.orders if o.status not in (0, 200) and o.valid]
+    for h in handled(history):
         since = h.sent.at - apply_s
-        known = case.in_force(since, h.at)
+        known = history.in_force(since, h.at)
         if not known or any(h.by(v) for v in known):
             continue
-        if any(h.by(v) for v in case.older(since)):
-            if case.in_touch(h.sent.way, h.sent.at - apply_s, h.at):
-                yield Broken("CONFIG", h.at, f"{h}, as only an older version than {known[0].generation} "
+        if any(h.by(v) for v in history.older(since)):
+            if history.has_contact(h.sent.way, h.sent.at - apply_s, h.at):
+                yield RuleViolation("CONFIG", h.at, f"{h}, as only an older version than {known[0].generation} "
                                              f"allows")
         elif any(h.by(v) for v in refused):
-            yield Broken("CONFIG", h.at, f"{h}, as only a refused version allows")
+            yield RuleViolation("CONFIG", h.at, f"{h}, as only a refused version allows")
 
 
-def gone_back(case: Case) -> Iterator[Broken]:
+def gone_back(history: RunHistory) -> Iterator[RuleViolation]:
     """A machine that has shown a version doesn't go back, in one life of its processes."""
     shown: dict[tuple[str, int], tuple[float, int]] = {}
-    for h in handled(case):
-        allowing = [v.generation for v in case.versions if h.by(v)]
+    for h in handled(history):
+        allowing = [v.generation for v in history.versions if h.by(v)]
         if not allowing:
             continue
-        life = h.sent.way, sum(1 for t in case.record.troubles if h.sent.way in t.machines
+        life = h.sent.way, sum(1 for t in history.record.disruptions if h.sent.way in t.machines
                                and t.begins <= h.at and t.kind not in SAME_LIFE)
         seen = shown.get(life)
-        slack = case.bounds.downgrade_s * (8 if slowed(case, h) else 1)
+        slack = history.bounds.downgrade_s * (8 if slowed(history, h) else 1)
         if seen and h.sent.at > seen[0] + slack and max(allowing) < seen[1]:
-            yield Broken("CONFIG", h.at, f"{h}, after it showed generation {seen[1]} at {seen[0]:.3f}")
+            yield RuleViolation("CONFIG", h.at, f"{h}, after it showed generation {seen[1]} at {seen[0]:.3f}")
         if h.service and (not seen or min(allowing) > seen[1]):
             shown[life] = h.at, min(allowing)
 
 
-def slowed(case: Case, h: Handled) -> bool:
+def slowed(history: RunHistory, h: ServedRequest) -> bool:
     """Whether the machine was slow, or stood still, not long before."""
-    return any(h.sent.way in t.machines and t.begins <= h.at and t.ends >= h.sent.at - case.bounds.contact_s
-               and t.kind in ("slow", "freeze", "core_freeze") for t in case.record.troubles)
+    return any(h.sent.way in t.machines and t.begins <= h.at and t.ends >= h.sent.at - history.bounds.contact_s
+               and t.kind in ("slow", "freeze", "core_freeze") for t in history.record.disruptions)
 
 
-def read_back(case: Case) -> Iterator[Broken]:
+def read_back(history: RunHistory) -> Iterator[RuleViolation]:
     """What the operator reads at the day's end."""
-    record = case.record
+    record = history.record
     rule = "LOST" if record.closing else "CONFIG"
     good = [r for r in record.reads if r.status == 200]
     if record.reads and not good:
-        yield Broken(rule, record.reads[-1].at, "the configuration can't be read back")
+        yield RuleViolation(rule, record.reads[-1].at, "the configuration can't be read back")
     for read in good:
         newest = max((o.generation for o in record.orders if o.status == 200 and o.at < read.at - 2.0),
                      default=0)
         if read.generation < newest:
-            yield Broken(rule, read.at, f"generation {read.generation} is read back at {read.by}, "
+            yield RuleViolation(rule, read.at, f"generation {read.generation} is read back at {read.by}, "
                                         f"{newest} was acknowledged")
         elif not read.same:
-            yield Broken("CONFIG", read.at, f"generation {read.generation} is not what was sent")
+            yield RuleViolation("CONFIG", read.at, f"generation {read.generation} is not what was sent")
--- a/proving/checkers/base.py
+++ b/proving/checkers/history.py
@@ -10,7 +10,7 @@
 MOST = 5  # of one rule's findings that are told
 
 
-class Broken(NamedTuple):
+class RuleViolation(NamedTuple):
     """A rule that is broken, when, and how."""
 
     rule: str
@@ -21,7 +21,7 @@
         return f"{self.rule} at {self.at:.3f} s: {self.what}"
 
 
-class Version:
+class ConfigVersion:
     """A configuration that may be in force, as the checkers read it: nothing of the programs is used here."""
 
     def __init__(self, order: Order) -> None:
@@ -69,7 +69,7 @@
             sent.key not in self.keys)
 
 
-class Case:
+class RunHistory:
     """A record, and what follows from it."""
 
     def __init__(self, record: Record) -> None:
@@ -90,41 +90,41 @@
         return found
 
     @cached_property
-    def versions(self) -> list[Version]:
+    def versions(self) -> list[ConfigVersion]:
         """Configurations that may be in force, in their order: those acknowledged, or without an answer."""
         orders = sorted((o for o in self.record.orders if o.status in (0, 200) and o.valid),
                         key=lambda o: o.generation)
-        return [Version(o) for o in orders]
+        return [ConfigVersion(o) for o in orders]
 
-    def in_force(self, since: float, until: float) -> list[Version]:
+    def in_force(self, since: float, until: float) -> list[ConfigVersion]:
         """Versions that may be in force for a request: the newest one acknowledged by `since`, and those that
         were sent after that one's base and by `until`."""
         known = [v for v in self.versions if v.order.status == 200 and v.order.at <= since]
         newest = known[-1].generation if known else 0
         return [v for v in self.versions if v.generation >= newest and v.order.sent <= until]
 
-    def older(self, since: float) -> list[Version]:
+    def older(self, since: float) -> list[ConfigVersion]:
         """Versions that are over by then."""
         known = [v for v in self.versions if v.order.status == 200 and v.order.at <= since]
         return [v for v in self.versions if known and v.generation < known[-1].generation]
 
-    def in_touch(self, machine: str, begins: float, ends: float) -> bool:
+    def has_contact(self, machine: str, begins: float, ends: float) -> bool:
         """Whether a machine was in touch for a whole span."""
         since = begins - self.bounds.contact_s
         return not any(t.begins <= ends and t.ends >= since and (t.core or machine in t.machines)
-                       for t in self.record.troubles)
+                       for t in self.record.disruptions)
 
     def settled(self, begins: float, ends: float) -> bool:
         """Whether the core was settled, and no link in trouble, for a whole span."""
         since = begins - self.bounds.contact_s
-        return not any(t.begins <= ends and t.ends >= since and t.machines for t in self.record.troubles)
+        return not any(t.begins <= ends and t.ends >= since and t.machines for t in self.record.disruptions)
 
-    def calm(self, begins: float, ends: float) -> bool:
+    def undisturbed(self, begins: float, ends: float) -> bool:
         """Whether no unplanned trouble struck in a span."""
-        return not any(t.begins <= ends and t.ends >= begins and not t.planned for t in self.record.troubles)
+        return not any(t.begins <= ends and t.ends >= begins and not t.planned for t in self.record.disruptions)
 
 
-def few(found: list[Broken]) -> list[Broken]:
+def limit_findings(found: list[RuleViolation]) -> list[RuleViolation]:
     """The first findings, and how many there are."""
     if len(found) > MOST:
         last = found[MOST - 1]
--- a/proving/checkers/closing.py
+++ b/proving/checkers/recovery.py
@@ -2,15 +2,15 @@
 
 from __future__ import annotations
 
-from proving.checkers.base import Broken, Case, few
+from proving.checkers.history import RuleViolation, RunHistory, limit_findings
 
 
-def recover(case: Case) -> list[Broken]:
+def recover(history: RunHistory) -> list[RuleViolation]:
     """After the closing fault, requests are served again."""
-    record, b = case.record, case.bounds
+    record, b = history.record, history.bounds
     if not record.closing or not record.wanted:
         return []
-    back = max((t.ends for t in record.troubles if t.begins >= record.closing - 1e-6), default=record.closing)
+    back = max((t.ends for t in record.disruptions if t.begins >= record.closing - 1e-6), default=record.closing)
     done = {(at, route) for at, route, *_ in record.served}
 
     def share(begins: float, ends: float) -> float | None:
@@ -21,35 +21,35 @@
     after = share(back + b.recovery_s, record.until - 3.0)
     if before is None or after is None or before < 0.25 or after >= 0.25:
         return []
-    return [Broken("RECOVER", back + b.recovery_s, f"{after:.0%} are served after the closing fault, "
+    return [RuleViolation("RECOVER", back + b.recovery_s, f"{after:.0%} are served after the closing fault, "
                                                    f"{before:.0%} were before")]
 
 
-def acks(case: Case) -> list[Broken]:
+def acks(history: RunHistory) -> list[RuleViolation]:
     """Proper orders are acknowledged in time while the core is settled."""
     found = []
-    wait = case.bounds.order_ack_s
-    for order in case.record.orders:
+    wait = history.bounds.order_ack_s
+    for order in history.record.orders:
         if not order.valid or order.status in (200, 412):
             wait_s, until = order.at - order.sent, order.at
         elif order.status == 0:
-            wait_s, until = case.record.until - order.sent, case.record.until
+            wait_s, until = history.record.until - order.sent, history.record.until
         else:
-            if order.base == max((o.generation for o in case.record.orders
+            if order.base == max((o.generation for o in history.record.orders
                                   if o.status == 200 and o.at < order.sent), default=0):
-                found.append(Broken("ACKS", order.at, f"generation {order.generation} is refused with "
+                found.append(RuleViolation("ACKS", order.at, f"generation {order.generation} is refused with "
                                                       f"{order.status}"))
             continue
         begins = order.sent
         while wait_s > wait and begins + wait < until:
-            if case.settled(begins, begins + wait):
-                found.append(Broken("ACKS", until, f"generation {order.generation}, sent at "
+            if history.settled(begins, begins + wait):
+                found.append(RuleViolation("ACKS", until, f"generation {order.generation}, sent at "
                                                    f"{order.sent:.3f}, has no answer for {wait_s:.1f} s"))
                 break
             begins += 0.5
-    return few(found)
+    return limit_findings(found)
 
 
-def faults(case: Case) -> list[Broken]:
+def faults(history: RunHistory) -> list[RuleViolation]:
     """Exceptions that the programs would log as errors."""
-    return few([Broken("FAULT", 0.0, f) for f in case.record.faults if f[:6] != "MIXED:"])
+    return limit_findings([RuleViolation("FAULT", 0.0, f) for f in history.record.faults if f[:6] != "MIXED:"])
--- a/proving/checkers/requests.py
+++ b/proving/checkers/requests.py
@@ -2,86 +2,86 @@
 
 from __future__ import annotations
 
-from proving.checkers.base import Broken, Case, few
+from proving.checkers.history import RuleViolation, RunHistory, limit_findings
 
 PROMISES = (429, 503, 408, 421)
 OWN = (408, 409, 421, 429)  # answers of the system's own that deny nothing
 
 
-def twice(case: Case) -> list[Broken]:
+def twice(history: RunHistory) -> list[RuleViolation]:
     """What may not be repeated runs once."""
-    return few([Broken("TWICE", runs[1].at, f"{case.sent[attempt].path} runs {len(runs)} times: "
+    return limit_findings([RuleViolation("TWICE", runs[1].at, f"{history.sent[attempt].path} runs {len(runs)} times: "
                                             f"{', '.join(a.backend for a in runs)}")
-                for attempt, runs in case.ran.items()
-                if len(runs) > 1 and attempt in case.sent and not case.sent[attempt].safe])
+                for attempt, runs in history.ran.items()
+                if len(runs) > 1 and attempt in history.sent and not history.sent[attempt].safe])
 
 
-def refused(case: Case) -> list[Broken]:
+def refused(history: RunHistory) -> list[RuleViolation]:
     """Nothing that has run, and may not be repeated, is answered with a promise."""
     found = []
-    for attempt, runs in case.ran.items():
-        answer, sent = case.record.answered.get(attempt), case.sent.get(attempt)
+    for attempt, runs in history.ran.items():
+        answer, sent = history.record.answered.get(attempt), history.sent.get(attempt)
         if answer is not None and sent is not None and not sent.safe and answer.status in PROMISES:
-            found.append(Broken("REFUSED", answer.at, f"{sent.path} has run at {runs[0].at:.3f} and is "
+            found.append(RuleViolation("REFUSED", answer.at, f"{sent.path} has run at {runs[0].at:.3f} and is "
                                                       f"answered {answer.status} by {sent.way}"))
-    return few(found)
+    return limit_findings(found)
 
 
-def mixed(case: Case) -> list[Broken]:
+def mixed(history: RunHistory) -> list[RuleViolation]:
     """Successes are whole and belong to their request; nothing else looks like one."""
-    found = [Broken("MIXED", a.at, f"{case.sent[a.attempt].path}: {a.status}, {a.fault}")
-             for a in case.record.answered.values()
+    found = [RuleViolation("MIXED", a.at, f"{history.sent[a.attempt].path}: {a.status}, {a.fault}")
+             for a in history.record.answered.values()
              if a.fault and (200 <= a.status < 300 or "no answer" in a.fault)]
-    found += [Broken("MIXED", 0.0, f.removeprefix("MIXED: "))
-              for f in case.record.faults if f[:6] == "MIXED:"]
-    found += [Broken("MIXED", a.at, f"{case.sent[a.attempt].path}: {a.status}, and nothing has run")
-              for a in case.record.answered.values() if 200 <= a.status < 300 and a.attempt not in case.ran]
-    return few(found)
+    found += [RuleViolation("MIXED", 0.0, f.removeprefix("MIXED: "))
+              for f in history.record.faults if f[:6] == "MIXED:"]
+    found += [RuleViolation("MIXED", a.at, f"{history.sent[a.attempt].path}: {a.status}, and nothing has run")
+              for a in history.record.answered.values() if 200 <= a.status < 300 and a.attempt not in history.ran]
+    return limit_findings(found)
 
 
-def unasked(case: Case) -> list[Broken]:
+def unasked(history: RunHistory) -> list[RuleViolation]:
     """Backends run what clients have sent, as they sent it, in the name of the key's tenant."""
     found = []
-    for attempt, runs in case.ran.items():
-        sent = case.sent.get(attempt)
+    for attempt, runs in history.ran.items():
+        sent = history.sent.get(attempt)
         for a in runs:
             if sent is None:
-                found.append(Broken("UNASKED", a.at, f"{a.path} runs with an id that nobody has sent"))
+                found.append(RuleViolation("UNASKED", a.at, f"{a.path} runs with an id that nobody has sent"))
             elif a.path != sent.path:
-                found.append(Broken("UNASKED", a.at, f"{sent.path} runs as {a.path}"))
-            elif a.tenant not in {v.keys.get(sent.key) for v in case.versions}:
-                found.append(Broken("UNASKED", a.at, f"{sent.path} runs for {a.tenant}, with {sent.key}"))
-    return few(found)
+                found.append(RuleViolation("UNASKED", a.at, f"{sent.path} runs as {a.path}"))
+            elif a.tenant not in {v.keys.get(sent.key) for v in history.versions}:
+                found.append(RuleViolation("UNASKED", a.at, f"{sent.path} runs for {a.tenant}, with {sent.key}"))
+    return limit_findings(found)
 
 
-def denied(case: Case) -> list[Broken]:
+def denied(history: RunHistory) -> list[RuleViolation]:
     """Proper requests are not denied, but for a few."""
     wrong = []
-    for a in case.record.answered.values():
+    for a in history.record.answered.values():
         if not 300 <= a.status < 500 or a.status in OWN:
             continue
-        sent = case.sent[a.attempt]
-        known = case.in_force(sent.at - case.bounds.apply_s, a.at)
-        if known and all(v.allows(sent) for v in known) and case.in_touch(
-                sent.way, sent.at - case.bounds.apply_s, a.at):
+        sent = history.sent[a.attempt]
+        known = history.in_force(sent.at - history.bounds.apply_s, a.at)
+        if known and all(v.allows(sent) for v in known) and history.has_contact(
+                sent.way, sent.at - history.bounds.apply_s, a.at):
             wrong.append((a, sent))
-    if len(wrong) <= 5 + len(case.record.sent) / 500:
+    if len(wrong) <= 5 + len(history.record.sent) / 500:
         return []
     a, sent = wrong[0]
-    return [Broken("DENIED", a.at, f"{len(wrong)} proper requests are denied; the first is {sent.path} with "
+    return [RuleViolation("DENIED", a.at, f"{len(wrong)} proper requests are denied; the first is {sent.path} with "
                                    f"{sent.key}, answered {a.status} by {sent.way}")]
 
 
-def route(case: Case) -> list[Broken]:
+def route(history: RunHistory) -> list[RuleViolation]:
     """No service runs what no configuration lets it, nor for a key that none has held."""
     found = []
-    for attempt, runs in case.ran.items():
-        sent = case.sent.get(attempt)
+    for attempt, runs in history.ran.items():
+        sent = history.sent.get(attempt)
         if sent is None:
             continue
         for a in runs:
-            if not any(a.service in v.services(sent.host, sent.path) for v in case.versions):
-                found.append(Broken("ROUTE", a.at, f"{sent.path} runs at {a.backend} of {a.service}"))
-            elif not any(sent.key in v.keys for v in case.versions):
-                found.append(Broken("ROUTE", a.at, f"{sent.path} runs with {sent.key}, which nobody held"))
-    return few(found)
+            if not any(a.service in v.services(sent.host, sent.path) for v in history.versions):
+                found.append(RuleViolation("ROUTE", a.at, f"{sent.path} runs at {a.backend} of {a.service}"))
+            elif not any(sent.key in v.keys for v in history.versions):
+                found.append(RuleViolation("ROUTE", a.at, f"{sent.path} runs with {sent.key}, which nobody held"))
+    return limit_findings(found)
--- a/proving/cli.py
+++ b/proving/cli.py
@@ -17,14 +17,14 @@
 from cleo.io.inputs.argument import Argument
 from cleo.io.inputs.option import Option
 
-from proving import days, hunt, proofs, spec
-from proving.hunt import Found
+from proving import hunt, injected_bug_cases, random_days, spec
+from proving.hunt import HuntResult
 
 EXPERIMENT = argument("file", "An experiment (TOML).")
 SEED = option("seed", "s", "Seed of the run.", flag=False, default="1")
 CORES = option("cores", "c", "Processes at a time, 0 for all cores.", flag=False, default="0")
 CHANCE = option("by-chance", None, "Add troubles by chance, from the seed.")
-GROUPS = option("groups", "g", f"Of which kinds of trouble: {', '.join(days.GROUPS)}.", flag=False,
+GROUPS = option("groups", "g", f"Of which kinds of trouble: {', '.join(random_days.GROUPS)}.", flag=False,
                 default="")
 VALUES = option("set", None, "Other values, as day.load=0.1,day.seconds=45.", flag=False, default="")
 SEEDS = option("seeds", None, "How many seeds.", flag=False, default="")
@@ -46,9 +46,9 @@
         """The kinds of trouble to choose from."""
         chosen = tuple(name for name in (self.option("groups") or "").split(",") if name)
         for name in chosen:
-            if name not in days.GROUPS:
-                raise ValueError(f"{name}: no group of troubles; there are {', '.join(days.GROUPS)}")
-        return chosen or tuple(days.GROUPS)
+            if name not in random_days.GROUPS:
+                raise ValueError(f"{name}: no group of troubles; there are {', '.join(random_days.GROUPS)}")
+        return chosen or tuple(random_days.GROUPS)
 
     def values(self) -> dict[str, Any]:
         """Other values than the file's, by their dotted names."""
@@ -62,9 +62,9 @@
     def day(self) -> spec.Spec:
         """The experiment's day, or one by chance."""
         told = spec.change(self.experiment(), self.values())
-        return days.by_chance(told, self.number("seed"), self.groups()) if self.option("by-chance") else told
+        return random_days.random_day(told, self.number("seed"), self.groups()) if self.option("by-chance") else told
 
-    def findings(self, found: Found) -> int:
+    def findings(self, found: HuntResult) -> int:
         """Print what is broken."""
         for broken in found.broken:
             self.tell(str(broken))
@@ -93,14 +93,14 @@
 
     def act(self) -> int:
         from proving.checkers import check
-        from proving.measure import measure
-        from proving.model.run import play
+        from proving.measurements import measure
+        from proving.model.simulation_run import play
         day = self.day()
         record = play(day, self.number("seed"))
-        self.tell(days.told(day))
+        self.tell(random_days.told(day))
         for name, value in measure(record, day).items():
             self.tell(f"{value:14.5g}  {name}")
-        return self.findings(Found(self.number("seed"), day, check(record), {}))
+        return self.findings(HuntResult(self.number("seed"), day, check(record), {}))
 
 
 class HuntCommand(Proving):
@@ -129,7 +129,7 @@
         for each in broken:
             if not self.option("whole"):
                 short = hunt.shrink(each)
-                self.tell(f"\nseed {each.seed}, shrunk:\n{days.told(short.spec)}\n  {short.broken[0]}")
+                self.tell(f"\nseed {each.seed}, shrunk:\n{random_days.told(short.spec)}\n  {short.broken[0]}")
         if path := self.option("record"):
             line = {"experiment": told.name, "set": self.values(), "groups": self.groups(), "source": source,
                     "first": first, "seeds": count, "processor_s": round(spent[0], 1),
@@ -191,12 +191,12 @@
     options: ClassVar[list[Option]] = [
         SEED, CHANCE, GROUPS, VALUES, option("begins", "b", "Seconds of the day.", flag=False, default="0"),
         option("ends", "e", "Seconds of the day.", flag=False, default="1e9"),
-        option("planes", "p", "Only these: register, rounds, franking, or none.", flag=False, default=""),
+        option("planes", "p", "Only these: register, rounds, quota, or none.", flag=False, default=""),
         option("machines", "m", "Only messages from or to these.", flag=False, default=""),
         option("beats", None, "With the agreement's beats.")]
 
     def act(self) -> int:
-        from proving.show import transcript
+        from proving.transcript import transcript
         planes = [p for p in (self.option("planes") or "").split(",") if p]
         machines = [m for m in (self.option("machines") or "").split(",") if m]
         self.tell(transcript(self.day(), self.number("seed"), float(self.option("begins")),
@@ -204,30 +204,30 @@
         return 0
 
 
-class TapeCommand(Proving):
-    """Keeps tapes of all processes of a day."""
+class RecordCommand(Proving):
+    """Keeps recordings of all processes of a day."""
 
-    name = "tape"
-    description = "Play one day, keep a tape of each process, and play those again."
+    name = "record"
+    description = "Play one day, keep a recording of each process, and play those again."
     arguments: ClassVar[list[Argument]] = [EXPERIMENT]
     options: ClassVar[list[Option]] = [
         SEED, CHANCE, GROUPS, VALUES,
-        option("out", "o", "Folder for the tapes.", flag=False, default="found/tapes")]
+        option("out", "o", "Folder for the recordings.", flag=False, default="found/recordings")]
 
     def act(self) -> int:
-        from proving import tape
-        from proving.model.run import Run
+        from proving import recording
+        from proving.model.simulation_run import Run
         run = Run(self.day(), self.number("seed"))
-        tapes: list[tuple[str, tape.Tape]] = []
-        run.deployment.tapes = tapes
+        recordings: list[tuple[str, recording.Recording]] = []
+        run.deployment.recordings = recordings
         run.play()
         folder = Path(self.option("out"))
         folder.mkdir(parents=True, exist_ok=True)
         differing = 0
-        for n, (name, each) in enumerate(tapes):
-            path = folder / f"{name.replace(' ', '-')}-{n}.tape"
+        for n, (name, each) in enumerate(recordings):
+            path = folder / f"{name.replace(' ', '-')}-{n}.recording"
             each.save(path)
-            found = tape.replay(each.head, list(each.steps))
+            found = recording.replay(each.head, list(each.steps))
             differing += found is not None
             self.tell(f"{path}: {each.count} inputs, " + ("same outputs" if found is None else
                                                           f"another output at input {found.number}"))
@@ -235,31 +235,31 @@
 
 
 class ReplayCommand(Proving):
-    """Feeds a tape through the state machines again."""
+    """Feeds a recording through the state machines again."""
 
     name = "replay"
-    description = "Feed a tape through the state machines again, or print it."
-    arguments: ClassVar[list[Argument]] = [argument("file", "A tape.")]
+    description = "Feed a recording through the state machines again, or print it."
+    arguments: ClassVar[list[Argument]] = [argument("file", "A recording.")]
     options: ClassVar[list[Option]] = [option("print", "p", "Print inputs and outputs."),
                                        option("begins", "b", "Steady seconds.", flag=False, default="0"),
                                        option("ends", "e", "Steady seconds.", flag=False, default="1e12")]
 
     def act(self) -> int:
-        from proving import tape
-        head, count, steps = tape.load(Path(self.argument("file")))
+        from proving import recording
+        head, count, steps = recording.load(Path(self.argument("file")))
         if self.option("print"):
-            for line in tape.told(steps, float(self.option("begins")), float(self.option("ends"))):
+            for line in recording.told(steps, float(self.option("begins")), float(self.option("ends"))):
                 self.tell(line)
             return 0
         if count > len(steps):
-            self.tell(f"the tape holds the last {len(steps)} of {count} inputs: it can be printed only")
+            self.tell(f"the recording holds the last {len(steps)} of {count} inputs: it can be printed only")
             return 2
-        found = tape.replay(head, steps)
+        found = recording.replay(head, steps)
         if found is None:
             self.tell(f"{head.role}: {count} inputs, the same outputs")
             return 0
         self.tell(f"input {found.number} at {found.step.now:.4f}, {found.step.machine}:")
-        self.tell("\n".join(["on the tape:", *found.step.outputs, "now:", *found.outputs]))
+        self.tell("\n".join(["on the recording:", *found.step.outputs, "now:", *found.outputs]))
         return 1
 
 
@@ -271,15 +271,15 @@
     arguments: ClassVar[list[Argument]] = [EXPERIMENT]
     options: ClassVar[list[Option]] = [
         SEED, option("port", "p", "First of 40 ports at each address.", flag=False, default="19400"),
-        option("tapes", "t", "Folder for tapes of the programs.", flag=False, default="")]
+        option("recordings", "t", "Folder for recordings of the programs.", flag=False, default="")]
 
     def act(self) -> int:
-        from proving.loopback.play import compare
-        tapes = Path(self.option("tapes")) if self.option("tapes") else None
-        if tapes is not None:
-            tapes.mkdir(parents=True, exist_ok=True)
-            tapes = tapes.resolve()
-        real, model = compare(self.experiment(), self.number("seed"), self.number("port"), tapes)
+        from proving.loopback.driver import compare
+        recordings = Path(self.option("recordings")) if self.option("recordings") else None
+        if recordings is not None:
+            recordings.mkdir(parents=True, exist_ok=True)
+            recordings = recordings.resolve()
+        real, model = compare(self.experiment(), self.number("seed"), self.number("port"), recordings)
         self.tell(f"{'loopback':>12}{'model':>12}")
         for name, value in real.items():
             if value or model[name]:
@@ -296,8 +296,8 @@
     options: ClassVar[list[Option]] = [SEEDS, CORES]
 
     def act(self) -> int:
-        from proving import standard
-        for line in standard.table(self.argument("site"), self.number("seeds") or 4, self.number("cores")):
+        from proving import standard_days
+        for line in standard_days.table(self.argument("site"), self.number("seeds") or 4, self.number("cores")):
             self.tell(line)
         return 0
 
@@ -312,7 +312,7 @@
 
     def act(self) -> int:
         from proving import allowance, allowance_report
-        lines: list[allowance.Line] = []
+        lines: list[allowance.LogLine] = []
         for name in self.argument("logs"):
             with open(name, encoding="utf-8", errors="replace") as file:
                 lines += allowance.read(file)
@@ -349,13 +349,13 @@
     options: ClassVar[list[Option]] = [SEEDS, CORES]
 
     def act(self) -> int:
-        from proving import losses
-        for line in losses.table(self.number("seeds") or 20, self.number("cores")):
+        from proving import disk_loss_tolerance
+        for line in disk_loss_tolerance.table(self.number("seeds") or 20, self.number("cores")):
             self.tell(line)
         return 0
 
 
-class ProofsCommand(Proving):
+class InjectedBugsCommand(Proving):
     """Plays the days of all planted faults."""
 
     name = "proofs"
@@ -363,8 +363,8 @@
 
     def act(self) -> int:
         missed = 0
-        for name, proof in proofs.PROOFS.items():
-            rules = {b.rule for b in hunt.look(proofs.day(name), 1).broken}
+        for name, proof in injected_bug_cases.INJECTED_BUG_CASES.items():
+            rules = {b.rule for b in hunt.run_once(injected_bug_cases.day(name), 1).broken}
             missed += proof.rule not in rules
             self.tell(f"{name}: {proof.rule} {'found' if proof.rule in rules else 'MISSED'}")
         return 1 if missed else 0
@@ -388,8 +388,8 @@
         return 0 if found else 1
 
 
-COMMANDS = (RunCommand, HuntCommand, SweepCommand, PlanCommand, ShowCommand, TapeCommand, ReplayCommand,
-            LoadCommand, StandardCommand, CompareCommand, AllowanceCommand, ProofsCommand, OrdersCommand,
+COMMANDS = (RunCommand, HuntCommand, SweepCommand, PlanCommand, ShowCommand, RecordCommand, ReplayCommand,
+            LoadCommand, StandardCommand, CompareCommand, AllowanceCommand, InjectedBugsCommand, OrdersCommand,
             LossesCommand)
 
 
--- a/proving/comparison.py
+++ b/proving/comparison.py
@@ -9,7 +9,7 @@
 
 import numpy as np
 
-from proving import standard
+from proving import standard_days
 from proving.hunt import on_all_cores
 from proving.sweep import Row
 
@@ -18,7 +18,7 @@
 """What the bench calls a figure, and what the model does."""
 
 
-class Pair(NamedTuple):
+class BenchModelPair(NamedTuple):
     """A figure of a day: what the bench measured, and what the model says for each seed."""
 
     site: str
@@ -32,7 +32,7 @@
     entry = json.loads(Path(path).read_text(encoding="utf-8"))
     site = entry.get("site")
     found = {(site, day["name"]): _figures(day) for day in entry.get("days", ())
-             if day["name"] in standard.DAYS.get(site, ())}
+             if day["name"] in standard_days.DAYS.get(site, ())}
     if not found:
         raise ValueError(f"{path}: no standard day of a known site")
     return found
@@ -44,14 +44,14 @@
     return {name: parts.get(name, day.get(name, megabytes)) for name in FIGURES}
 
 
-def pairs(paths: Sequence[str | Path], seeds: int, most: int = 0) -> dict[str, list[Pair]]:
+def pairs(paths: Sequence[str | Path], seeds: int, most: int = 0) -> dict[str, list[BenchModelPair]]:
     """By figure, all days of some entries (later ones go before earlier) and as many seeds of the model."""
     bench = {key: figures for path in paths for key, figures in measured(path).items()}
     calls = [(*key, seed) for key in bench for seed in range(1, seeds + 1)]
     rows: dict[tuple[str, str], list[Row]] = {key: [] for key in bench}
-    for row in on_all_cores(standard.run, calls, most):
+    for row in on_all_cores(standard_days.run, calls, most):
         rows[row.values["site"], row.values["day"]].append(row)
-    return {name: [Pair(*key, bench[key][name], [row.figures[ours] for row in rows[key]]) for key in bench]
+    return {name: [BenchModelPair(*key, bench[key][name], [row.figures[ours] for row in rows[key]]) for key in bench]
             for name, ours in FIGURES.items()}
 
 
@@ -62,7 +62,7 @@
     return (ends - (counts - 1) / 2)[which]
 
 
-def correlation(found: Sequence[Pair]) -> float:
+def correlation(found: Sequence[BenchModelPair]) -> float:
     """Spearman's: of the bench's figures and the model's means."""
     ours, theirs = ranks([float(np.mean(p.model)) for p in found]), ranks([p.bench for p in found])
     if ours.std() == 0 or theirs.std() == 0:
@@ -70,7 +70,7 @@
     return float(np.corrcoef(ours, theirs)[0, 1])
 
 
-def tables(found: dict[str, list[Pair]]) -> Iterator[str]:
+def tables(found: dict[str, list[BenchModelPair]]) -> Iterator[str]:
     """Markdown: a line a day, bench and model side by side, and a line a figure with the agreement."""
     days = next(iter(found.values()))
     yield "| | " + " | ".join(f"{name}: bench | model" for name in found) + " |"
--- a/proving/losses.py
+++ b/proving/disk_loss_tolerance.py
@@ -7,12 +7,12 @@
 from itertools import combinations
 from typing import NamedTuple
 
-from post.register.records import Stored
+from gateway.consensus.records import PersistentState
 from proving.hunt import on_all_cores
 from proving.model.deployment import Deployment
-from proving.model.processes import PostmasterProcess
-from proving.model.run import Run
-from proving.spec import Day, Spec, Trouble
+from proving.model.processes import ControllerProcess
+from proving.model.simulation_run import Run
+from proving.spec import Day, Disruption, Spec
 
 AT_S, FOR_S, BACK_S, ORDER_S = 10.0, 12.0, 1.5, 0.3
 CORES = {3: (1, 1, 1), 5: (2, 2, 1), 7: (3, 2, 2)}
@@ -29,18 +29,18 @@
     since_start_s: float
 
 
-def takes_orders(disks: Iterable[Stored], acknowledged: int) -> bool:
+def takes_orders(disks: Iterable[PersistentState], acknowledged: int) -> bool:
     """Would these disks by themselves agree on orders again, with none lost that was acknowledged?
 
     One may be elected by those of no newer entry, if they are quorums by its own; each such must have it all.
     """
     left = list(disks)
-    able = [x.entry for x in left if x.entry.names(x.disk) and x.entry.has_quorum(
-        {y.disk for y in left if y.entry.place <= x.entry.place})]
+    able = [x.entry for x in left if x.entry.has_voter(x.disk) and x.entry.has_quorum(
+        {y.disk for y in left if y.entry.position <= x.entry.position})]
     return bool(able) and all(entry.version >= acknowledged for entry in able)
 
 
-def borne(disks: Sequence[Stored], acknowledged: int) -> int:
+def borne(disks: Sequence[PersistentState], acknowledged: int) -> int:
     """How many of these disks may go for good, whichever they are; -1 if even these take no orders."""
     for lost in range(len(disks) + 1):
         if not all(takes_orders(left, acknowledged) for left in combinations(disks, len(disks) - lost)):
@@ -48,7 +48,7 @@
     return len(disks)
 
 
-class Watch:
+class DiskLossMonitor:
     """Looks at the disks of a deployment after each event."""
 
     def __init__(self, deployment: Deployment) -> None:
@@ -60,16 +60,16 @@
 
     def look(self) -> None:
         """Count anew if a disk has another record, one came or went, or more was acknowledged."""
-        now = self.deployment.world.now
+        now = self.deployment.simulator.now
         machines = [m for m in self.deployment.machines.values() if m.core and not m.removed]
         empty = {m.name for m in machines if m.disk.stored is None and m.processes}
         if empty - self.empty:
             self.started = now
         self.empty = empty
         disks = [m.disk.stored for m in machines if m.disk.stored is not None]
-        acknowledged = max((p.post.agreement.committed for m in machines for p in m.processes.values()
-                            if isinstance(p, PostmasterProcess)), default=0)
-        state = [(d.disk, d.entry.place) for d in disks], acknowledged
+        acknowledged = max((p.controller_node.raft.committed for m in machines for p in m.processes.values()
+                            if isinstance(p, ControllerProcess)), default=0)
+        state = [(d.disk, d.entry.position) for d in disks], acknowledged
         if state != self.state:
             self.state = state
             self.rows.append((now, borne(disks, acknowledged)))
@@ -78,25 +78,25 @@
 def play(disks: int, kind: str, seed: int) -> tuple[int, str, Change]:
     """One change of a core that takes orders all the while, at an instant by chance."""
     tolerance = disks // 2
-    spec = Spec(postmasters=CORES[disks], sorters=CORES[disks], tolerance=tolerance, day=Day(traffic=False))
+    spec = Spec(controllers=CORES[disks], proxies=CORES[disks], tolerance=tolerance, day=Day(traffic=False))
     at = AT_S + random.Random(seed).random()
-    struck = [Trouble("wipe" if kind == "both" else kind, at, BACK_S, 14 * seed + seed % 7)]
+    planned_disruptions = [Disruption("wipe" if kind == "both" else kind, at, BACK_S, 14 * seed + seed % 7)]
     if kind == "both":
-        struck.append(Trouble("wipe", at, BACK_S, struck[0].which + 1))
-    orders = [Trouble("config_change", ORDER_S * n, 0.0, n) for n in range(9, int((AT_S + FOR_S) / ORDER_S))]
+        planned_disruptions.append(Disruption("wipe", at, BACK_S, planned_disruptions[0].which + 1))
+    orders = [Disruption("config_change", ORDER_S * n, 0.0, n) for n in range(9, int((AT_S + FOR_S) / ORDER_S))]
     run = Run(spec, seed)
     run.deployment.start()
-    run.world.at(1.0, run.desk.begin)
-    run.troubles.plan([*struck, *orders])
-    run.world.run(AT_S)
-    watch, queue = Watch(run.deployment), run.world.queue
+    run.simulator.at(1.0, run.operator_pool.begin)
+    run.disruptions.plan([*planned_disruptions, *orders])
+    run.simulator.run(AT_S)
+    watch, queue = DiskLossMonitor(run.deployment), run.simulator.queue
     while queue[0][0] <= AT_S + FOR_S:
-        run.world.run(queue[0][0])
+        run.simulator.run(queue[0][0])
         watch.look()
     return disks, kind, summary(watch, tolerance)
 
 
-def summary(watch: Watch, tolerance: int) -> Change:
+def summary(watch: DiskLossMonitor, tolerance: int) -> Change:
     """What the instants that were looked at come to."""
     ends = [*(at for at, _ in watch.rows[1:]), AT_S + FOR_S]
     short = [(end, end - at) for (at, bears), end in zip(watch.rows, ends, strict=True) if bears < tolerance]
--- a/proving/hunt.py
+++ b/proving/hunt.py
@@ -11,34 +11,34 @@
 from pathlib import Path
 from typing import Any, NamedTuple, TypeVar
 
-from proving import days
-from proving.checkers import Broken, check
-from proving.model.run import play
-from proving.spec import Spec, Trouble
+from proving import random_days
+from proving.checkers import RuleViolation, check
+from proving.model.simulation_run import play
+from proving.spec import Disruption, Spec
 
 T = TypeVar("T")
 
 ROUNDED = (1.0, 0.1)  # seconds, to which times are rounded where that changes nothing
 
 
-class Found(NamedTuple):
+class HuntResult(NamedTuple):
     """A day, and what is broken in it."""
 
     seed: int
     spec: Spec
-    broken: list[Broken]
+    broken: list[RuleViolation]
     figures: dict[str, Any]
 
 
-def look(spec: Spec, seed: int) -> Found:
+def run_once(spec: Spec, seed: int) -> HuntResult:
     """Play one day and check it."""
     record = play(spec, seed)
-    return Found(seed, spec, check(record), record.all_done())
+    return HuntResult(seed, spec, check(record), record.all_done())
 
 
-def look_by_chance(spec: Spec, seed: int, groups: tuple[str, ...]) -> Found:
+def run_random_day(spec: Spec, seed: int, groups: tuple[str, ...]) -> HuntResult:
     """Play and check the day that a seed makes."""
-    return look(days.by_chance(spec, seed, groups), seed)
+    return run_once(random_days.random_day(spec, seed, groups), seed)
 
 
 def source() -> str:
@@ -46,7 +46,7 @@
     def git(*words: str) -> str:
         return subprocess.run(["git", *words], capture_output=True, text=True, check=False,
                               cwd=Path(__file__).parent.parent).stdout.strip()
-    changed = git("status", "--porcelain", "--", "post", "roadspur", "proving")
+    changed = git("status", "--porcelain", "--", "gateway", "roadspur", "proving")
     return git("rev-parse", "--short", "HEAD") + ("+" if changed else "")
 
 
@@ -74,13 +74,13 @@
                 each.cancel()
 
 
-def hunt(spec: Spec, seeds: Iterable[int], groups: tuple[str, ...], most: int = 0) -> Iterator[Found]:
+def hunt(spec: Spec, seeds: Iterable[int], groups: tuple[str, ...], most: int = 0) -> Iterator[HuntResult]:
     """Days by chance, one a seed."""
-    return on_all_cores(look_by_chance, ((spec, seed, groups) for seed in seeds), most)
+    return on_all_cores(run_random_day, ((spec, seed, groups) for seed in seeds), most)
 
 
-def shrink(found: Found, rule: str = "", most: int = 300,
-           tell: Callable[[Spec], Any] = lambda spec: None) -> Found:
+def shrink(found: HuntResult, rule: str = "", most: int = 300,
+           tell: Callable[[Spec], Any] = lambda spec: None) -> HuntResult:
     """A shorter day that breaks the same rule: troubles are left out, made shorter, moved to round times. At
     most `most` days are played for that."""
     rule = rule or found.broken[0].rule
@@ -91,7 +91,7 @@
         if left[0] <= 0:
             return False
         left[0] -= 1
-        tried = look(spec, found.seed)
+        tried = run_once(spec, found.seed)
         if any(b.rule == rule for b in tried.broken):
             best = tried
             tell(spec)
@@ -102,8 +102,8 @@
     changed = True
     while changed and left[0] > 0:
         changed = _fewer(best, still)
-    for n in range(len(best.spec.troubles)):
-        for simpler in _simpler(best.spec.troubles[n]):
+    for n in range(len(best.spec.disruptions)):
+        for simpler in _simpler(best.spec.disruptions[n]):
             still(_with(best.spec, n, simpler))
     return best
 
@@ -118,20 +118,20 @@
         still(quiet)
 
 
-def _fewer(found: Found, still: Callable[[Spec], bool]) -> bool:
+def _fewer(found: HuntResult, still: Callable[[Spec], bool]) -> bool:
     """Leave out halves, quarters and so on, down to single troubles."""
-    troubles = found.spec.troubles
-    size = max(1, len(troubles) // 2)
+    disruptions = found.spec.disruptions
+    size = max(1, len(disruptions) // 2)
     while size:
-        for begin in range(0, len(troubles), size):
-            rest = troubles[:begin] + troubles[begin + size:]
-            if rest != troubles and still(replace(found.spec, troubles=rest)):
+        for begin in range(0, len(disruptions), size):
+            rest = disruptions[:begin] + disruptions[begin + size:]
+            if rest != disruptions and still(replace(found.spec, disruptions=rest)):
                 return True
         size //= 2
     return False
 
 
-def _simpler(t: Trouble) -> Iterator[Trouble]:
+def _simpler(t: Disruption) -> Iterator[Disruption]:
     for unit in ROUNDED:
         yield replace(t, at=round(round(t.at / unit) * unit, 3))
     for lasts in (0.3, 1.0):
@@ -141,7 +141,7 @@
         yield replace(t, which=t.which % 20)
 
 
-def _with(spec: Spec, n: int, trouble: Trouble) -> Spec:
-    troubles = list(spec.troubles)
-    troubles[n] = trouble
-    return replace(spec, troubles=tuple(sorted(troubles, key=lambda t: t.at)))
+def _with(spec: Spec, n: int, disruption: Disruption) -> Spec:
+    disruptions = list(spec.disruptions)
+    disruptions[n] = disruption
+    return replace(spec, disruptions=tuple(sorted(disruptions, key=lambda t: t.at)))
--- a/proving/loopback/play.py
+++ b/proving/loopback/driver.py
@@ -15,14 +15,14 @@
 
 import numpy as np
 
-from proving.loopback import callers
-from proving.loopback.town import House, Town
-from proving.measure import measure
-from proving.model.operators import HOST, Desk, first_document, shares
+from proving.loopback import http_clients
+from proving.loopback.local_cluster import LocalCluster, LocalMachine
+from proving.measurements import measure
+from proving.model.operators import HOST, OperatorPool, first_document, shares
 from proving.model.record import Answered, Order, Read, Record, Sent
-from proving.model.record import Trouble as Told
-from proving.model.run import play
-from proving.spec import Kind, Spec, Trouble
+from proving.model.record import Disruption as RecordedDisruption
+from proving.model.simulation_run import play
+from proving.spec import Disruption, Kind, Spec
 
 PROMISES, FINAL = (429, 503, 408, 421), (400, 401, 404, 413, 431)
 START_S = 30.0  # for the first configuration to be taken, and for ingresses to be ready
@@ -39,7 +39,7 @@
     services = tuple(replace(s, spread=0.0, cold_s=0.0, queue=4) for s in spec.services)
     links = replace(spec.links, within=0.0001, between=0.0001, client=0.0002, loss=0.0)
     return replace(spec, kinds=kinds, services=services, links=links,
-                   troubles=tuple(t for t in spec.troubles if t.kind in KINDS))
+                   disruptions=tuple(t for t in spec.disruptions if t.kind in KINDS))
 
 
 def _work(spec: Spec, service: str) -> float:
@@ -47,27 +47,27 @@
     return sum(k.rate * k.work_s for k in kinds) / max(1e-9, sum(k.rate for k in kinds)) if kinds else 0.05
 
 
-class Stand:
+class DeploymentStub:
     """What the model's operators need to know of a deployment, over loopback."""
 
     def __init__(self, spec: Spec, seed: int) -> None:
         self.spec, self.works = spec, dict[str, float]()
-        self.world: Any = type("Chance", (), {"chance": staticmethod(lambda: random.Random(seed))})
+        self.simulator: Any = type("Chance", (), {"chance": staticmethod(lambda: random.Random(seed))})
 
 
 class Day:
     """One day over loopback."""
 
-    def __init__(self, spec: Spec, seed: int, town: Town) -> None:
-        self.spec, self.town = spec, town
+    def __init__(self, spec: Spec, seed: int, cluster: LocalCluster) -> None:
+        self.spec, self.cluster = spec, cluster
         self.rng, self.numbers = random.Random(seed), np.random.default_rng(seed)
         self.record = Record()
         self.record.bounds, self.record.until = spec.bounds, spec.day.seconds
         self.began = 0.0
         self.ready: set[str] = set()
         self.tasks: set[asyncio.Task[Any]] = set()
-        self.desk = Desk(Stand(spec, seed))  # type: ignore[arg-type]
-        self.controls = [h.address("control") for h in town.core]
+        self.operator_pool = OperatorPool(DeploymentStub(spec, seed))  # type: ignore[arg-type]
+        self.controls = [h.address("control") for h in cluster.core]
         self.tenants = shares(spec.tenants.count, spec.tenants.uneven)
         self.count = 0
         self.held: set[str] = set()  # machines that aren't to be started again at once
@@ -85,24 +85,24 @@
     async def play(self) -> Record:
         """Play it."""
         spec = self.spec
-        for house in self.town.houses:
-            house.start()
+        for machine in self.cluster.machines:
+            machine.start()
         for service in spec.services:
             for _ in range(service.backends):
-                self.town.launch(service, _work(spec, service.name))
+                self.cluster.launch(service, _work(spec, service.name))
         self.began = time.monotonic()
-        document = first_document(self.desk.deployment)
+        document = first_document(self.operator_pool.deployment)
         await asyncio.wait_for(self.order(document), START_S)
-        self.desk.generation, self.desk.newest = 1, document
+        self.operator_pool.generation, self.operator_pool.newest = 1, document
         self.do(self.look())
         ends = time.monotonic() + START_S
-        while len(self.ready) < len(self.town.houses) and time.monotonic() < ends:
+        while len(self.ready) < len(self.cluster.machines) and time.monotonic() < ends:
             await asyncio.sleep(0.1)
         self.began = time.monotonic() - spec.day.warm
         for kind in spec.kinds:
             self.do(self.come(kind, 1.0, None))
-        for trouble in spec.troubles:
-            self.do(self.strike(trouble))
+        for disruption in spec.disruptions:
+            self.do(self.start_disruption(disruption))
         await asyncio.sleep(max(0.0, spec.day.seconds - self.now()))
         await self.read()
         for task in list(self.tasks):
@@ -114,33 +114,33 @@
     async def look(self) -> None:
         """Ask all ingresses whether they are ready, each second; start again what has ended."""
         while True:
-            await asyncio.gather(*(self.look_at(house) for house in self.town.houses))
+            await asyncio.gather(*(self.look_at(machine) for machine in self.cluster.machines))
             await asyncio.sleep(1.0)
 
-    async def look_at(self, house: House) -> None:
-        if house.ended() and house.name not in self.held:
-            house.start()
-        answer = await callers.call(house.address("ready"), "GET", "/-/readiness", {}, b"", 0.9)
-        (self.ready.add if answer.status == 200 else self.ready.discard)(house.name)
+    async def look_at(self, machine: LocalMachine) -> None:
+        if machine.ended() and machine.name not in self.held:
+            machine.start()
+        answer = await http_clients.call(machine.address("ready"), "GET", "/-/readiness", {}, b"", 0.9)
+        (self.ready.add if answer.status == 200 else self.ready.discard)(machine.name)
 
     async def order(self, document: dict[str, Any]) -> None:
         """Send a configuration until there is a clear answer."""
         sent = self.now()
         while True:
             body = json.dumps(document).encode()
-            answer, by = await callers.control(self.controls, "PUT", "/-/config", body, self.rng, 2.0)
+            answer, by = await http_clients.control(self.controls, "PUT", "/-/config", body, self.rng, 2.0)
             if answer.status in (200, 400, 409, 412, 413, 422):
                 break
             await asyncio.sleep(0.3)
         self.record.orders.append(Order(sent, self.now(), document["generation"], document["base-version"],
                                         True, answer.status, by, "first", document))
         if answer.status == 200:
-            self.desk.newest = document
+            self.operator_pool.newest = document
 
     async def read(self) -> None:
         """Read the configuration back."""
-        answer, by = await callers.control(self.controls, "GET", "/-/config", b"", self.rng, 2.0)
-        found = callers.generation(answer)
+        answer, by = await http_clients.control(self.controls, "GET", "/-/config", b"", self.rng, 2.0)
+        found = http_clients.generation(answer)
         self.record.reads.append(Read(self.now(), answer.status, found, found > 0, by))
 
     # Clients.
@@ -160,18 +160,18 @@
         client, tried, left = self.rng.randrange(self.spec.day.clients), set[str](), kind.repeats
         self.record.wanted.append((began, kind.name, kind.worth, f"tenant-{tenant}"))
         while True:
-            house = self.ingress(zone, client, tried)
-            tried.add(house.name)
+            machine = self.ingress(zone, client, tried)
+            tried.add(machine.name)
             attempt, ends = f"{self.rng.getrandbits(64):016x}", began + kind.deadline_s
             key = f"key-{tenant}-{'ab'[number % 2]}"
             self.record.sent.append(Sent(self.now(), attempt, number, kind.name, HOST, path, key,
-                                         f"tenant-{tenant}", zone, house.name, kind.safe, False))
+                                         f"tenant-{tenant}", zone, machine.name, kind.safe, False))
             headers = {"Host": HOST, "Attempt-Id": attempt, "Authorization": f"Token {key}",
                        "Deadline-Ms": str(max(1, int(1000 * (ends - self.now()))))}
-            answer = await callers.call(house.address("front"), "GET", path, headers, b"", ends - self.now())
+            answer = await http_clients.call(machine.address("front"), "GET", path, headers, b"", ends - self.now())
             after = float(answer.headers.get("retry-after", 0.0))
             self.record.answered[attempt] = Answered(
-                self.now(), attempt, answer.status, callers.whole(answer, attempt), after)
+                self.now(), attempt, answer.status, http_clients.whole(answer, attempt), after)
             if 200 <= answer.status < 300:
                 self.record.served.append((began, kind.name, f"tenant-{tenant}", zone, self.now() - began))
                 return
@@ -181,80 +181,80 @@
             left -= 1
             await asyncio.sleep(min(after, (ends - self.now()) / 3) if after else 0.02)
 
-    def ingress(self, zone: str, client: int, but: set[str]) -> House:
+    def ingress(self, zone: str, client: int, but: set[str]) -> LocalMachine:
         """The ingress that a client is led to."""
-        near = [h for h in self.town.houses if h.zone == zone]
+        near = [h for h in self.cluster.machines if h.zone == zone]
         known = [h for h in near if h.name in self.ready]
         group = (known if 2 * len(known) >= len(near) else near) if known else [
-            h for h in self.town.houses if h.name in self.ready] or self.town.houses
+            h for h in self.cluster.machines if h.name in self.ready] or self.cluster.machines
         others = [h for h in group if h.name not in but] or group
         return others[client % len(others)]
 
     # Troubles.
 
-    async def strike(self, t: Trouble) -> None:
+    async def start_disruption(self, t: Disruption) -> None:
         """A trouble, in its time."""
         await asyncio.sleep(max(0.0, t.at - self.now()))
-        houses = self.town.houses
-        one = houses[t.which % len(houses)]
-        core = self.town.core[t.which % len(self.town.core)]
-        deeds: dict[str, Callable[[], Any]] = {
+        machines = self.cluster.machines
+        one = machines[t.which % len(machines)]
+        core = self.cluster.core[t.which % len(self.cluster.core)]
+        actions_by_kind: dict[str, Callable[[], Any]] = {
             "node_kill": lambda: self.kill([one], t), "core_kill": lambda: self.kill([core], t),
-            "all_kill": lambda: self.kill(houses, t),
-            "herd_kill": lambda: self.kill([*houses, *houses][t.which % len(houses):][:max(1, round(
-                min(1.0, t.much) * len(houses)))], t),
+            "all_kill": lambda: self.kill(machines, t),
+            "herd_kill": lambda: self.kill([*machines, *machines][t.which % len(machines):][:max(1, round(
+                min(1.0, t.much) * len(machines)))], t),
             "freeze": lambda: self.freeze(one, t), "core_freeze": lambda: self.freeze(core, t),
             "stop": lambda: self.end(one, t), "srv_crash": lambda: self.crash(t),
             "scale_in": lambda: self.scale_in(t), "hot_tenant": lambda: self.press(t),
             "config_change": lambda: self.change()}
-        await deeds[t.kind]()
-
-    def note(self, t: Trouble, houses: list[House], lasts: float, planned: bool = False) -> None:
-        names = tuple(h.name for h in houses)
-        self.record.troubles.append(Told(self.now(), self.now() + lasts, t.kind, names,
-                                         any(len(h.roles) == 2 for h in houses), t.kind, planned))
-
-    async def kill(self, houses: list[House], t: Trouble) -> None:
-        for house in houses:
-            self.held.add(house.name)
-            house.signal(signal.SIGKILL)
-        self.note(t, houses, 1.0)
+        await actions_by_kind[t.kind]()
+
+    def note(self, t: Disruption, machines: list[LocalMachine], lasts: float, planned: bool = False) -> None:
+        names = tuple(h.name for h in machines)
+        self.record.disruptions.append(RecordedDisruption(self.now(), self.now() + lasts, t.kind, names,
+                                         any(len(h.roles) == 2 for h in machines), t.kind, planned))
+
+    async def kill(self, machines: list[LocalMachine], t: Disruption) -> None:
+        for machine in machines:
+            self.held.add(machine.name)
+            machine.signal(signal.SIGKILL)
+        self.note(t, machines, 1.0)
         await asyncio.sleep(0.8)
-        for house in houses:
-            self.held.discard(house.name)
-            house.start()
+        for machine in machines:
+            self.held.discard(machine.name)
+            machine.start()
 
-    async def freeze(self, house: House, t: Trouble) -> None:
-        house.signal(signal.SIGSTOP)
-        self.note(t, [house], t.lasts)
+    async def freeze(self, machine: LocalMachine, t: Disruption) -> None:
+        machine.signal(signal.SIGSTOP)
+        self.note(t, [machine], t.lasts)
         await asyncio.sleep(t.lasts)
-        house.signal(signal.SIGCONT)
+        machine.signal(signal.SIGCONT)
 
-    async def end(self, house: House, t: Trouble) -> None:
-        self.held.add(house.name)
-        house.signal(signal.SIGTERM)
-        self.note(t, [house], self.spec.bounds.grace_s + 0.5, planned=True)
+    async def end(self, machine: LocalMachine, t: Disruption) -> None:
+        self.held.add(machine.name)
+        machine.signal(signal.SIGTERM)
+        self.note(t, [machine], self.spec.bounds.grace_s + 0.5, planned=True)
         await asyncio.sleep(self.spec.bounds.grace_s)
-        house.signal(signal.SIGKILL)
+        machine.signal(signal.SIGKILL)
         await asyncio.sleep(0.5)
-        self.held.discard(house.name)
-        house.start()
+        self.held.discard(machine.name)
+        machine.start()
 
-    async def crash(self, t: Trouble) -> None:
-        alive = [(n, s, p) for n, s, p in self.town.backends if p.poll() is None]
+    async def crash(self, t: Disruption) -> None:
+        alive = [(n, s, p) for n, s, p in self.cluster.backends if p.poll() is None]
         _, service, process = alive[t.which % len(alive)]
         process.kill()
         await asyncio.sleep(self.spec.bounds.addr_reuse_s)
-        self.town.launch(service, _work(self.spec, service.name))
+        self.cluster.launch(service, _work(self.spec, service.name))
 
-    async def scale_in(self, t: Trouble) -> None:
+    async def scale_in(self, t: Disruption) -> None:
         service = self.spec.services[t.which % len(self.spec.services)]
-        alive = [p for _, s, p in self.town.backends if p.poll() is None and s.name == service.name]
+        alive = [p for _, s, p in self.cluster.backends if p.poll() is None and s.name == service.name]
         for process in alive[:max(1, len(alive) // 4)]:
             process.terminate()
             await asyncio.sleep(0.3)
 
-    async def press(self, t: Trouble) -> None:
+    async def press(self, t: Disruption) -> None:
         tenant = t.which % len(self.tenants)
         self.note(t, [], t.lasts)
         factor = (1.0 + 6.0 * t.much) * self.tenants[tenant]
@@ -262,20 +262,20 @@
             self.do(self.come(kind, factor, tenant, self.now() + t.lasts))
 
     async def change(self) -> None:
-        document = self.desk.next(self.desk.newest)
-        self.desk._add(document["resource-list"])
+        document = self.operator_pool.next(self.operator_pool.newest)
+        self.operator_pool._add(document["resource-list"])
         await self.order(document)
 
 
-def compare(spec: Spec, seed: int, port: int, tapes: Path | None = None) -> tuple[dict[str, float], ...]:
+def compare(spec: Spec, seed: int, port: int, recordings: Path | None = None) -> tuple[dict[str, float], ...]:
     """The same day over loopback and in the model; their figures."""
     day = alike(spec)
     with tempfile.TemporaryDirectory() as folder:
-        town = Town(day, Path(folder), port, tapes)
+        cluster = LocalCluster(day, Path(folder), port, recordings)
         try:
-            real = asyncio.run(Day(day, seed, town).play())
+            real = asyncio.run(Day(day, seed, cluster).play())
         finally:
-            town.stop()
+            cluster.stop()
     real.figures = {"day_s": day.day.seconds, "times_real": 1.0, "node_seconds_a_second": 0.0,
                     "disk_saves": 0, "bytes_between_zones": 0, "messages": {}, "bytes": {}}
     return measure(real, day), measure(play(day, seed), day)
--- a/proving/loopback/town.py
+++ b/proving/loopback/local_cluster.py
@@ -18,25 +18,25 @@
 Popen = subprocess.Popen[bytes]
 
 
-class House:
+class LocalMachine:
     """A machine: its address and the programs on it."""
 
-    def __init__(self, town: Town, name: str, ip: str, zone: str, core: bool) -> None:
-        self.town, self.name, self.ip, self.zone = town, name, ip, zone
-        self.roles = ("postmaster", "sorter") if core else ("sorter",)
+    def __init__(self, cluster: LocalCluster, name: str, ip: str, zone: str, core: bool) -> None:
+        self.cluster, self.name, self.ip, self.zone = cluster, name, ip, zone
+        self.roles = ("controller", "proxy") if core else ("proxy",)
         self.programs: dict[str, Popen] = {}
         self.fresh = True
 
     def address(self, what: str) -> str:
         """Where `front`, `ready` or `control` is served here."""
-        return f"{self.ip}:{self.town.port + ('front', 'ready', 'control').index(what)}"
+        return f"{self.ip}:{self.cluster.port + ('front', 'ready', 'control').index(what)}"
 
     def start(self) -> None:
         """Start what doesn't run."""
         for role in self.roles:
             known = self.programs.get(role)
             if known is None or known.poll() is not None:
-                self.programs[role] = self.town.spawn_program(self, role)
+                self.programs[role] = self.cluster.spawn_program(self, role)
         self.fresh = False
 
     def signal(self, number: int) -> None:
@@ -50,47 +50,47 @@
         return [role for role, program in self.programs.items() if program.poll() is not None]
 
 
-class Town:
-    """All machines and backends. `port` is the first of the ports that each machine's address uses; `tapes` a
-    folder for tapes of the programs, or None."""
+class LocalCluster:
+    """All machines and backends. `port` is the first of the ports that each machine's address uses; `recordings` a
+    folder for recordings of the programs, or None."""
 
-    def __init__(self, spec: Spec, folder: Path, port: int, tapes: Path | None = None) -> None:
-        self.spec, self.folder, self.port, self.tapes = spec, folder, port, tapes
-        self.houses: list[House] = []
+    def __init__(self, spec: Spec, folder: Path, port: int, recordings: Path | None = None) -> None:
+        self.spec, self.folder, self.port, self.recordings = spec, folder, port, recordings
+        self.machines: list[LocalMachine] = []
         self.backends: list[tuple[str, Service, Popen]] = []
         self.launched = 0
         for number, zone in enumerate(spec.zones, 1):
-            for place in range(spec.sorters[number - 1]):
-                core, ip = place < spec.postmasters[number - 1], f"127.{number}.0.{place + 3}"
-                self.houses.append(House(self, f"{zone}-{place + 1}", ip, zone, core))
-        self.core = sorted((h for h in self.houses if len(h.roles) == 2), key=lambda h: h.name[::-1])
+            for place in range(spec.proxies[number - 1]):
+                core, ip = place < spec.controllers[number - 1], f"127.{number}.0.{place + 3}"
+                self.machines.append(LocalMachine(self, f"{zone}-{place + 1}", ip, zone, core))
+        self.core = sorted((h for h in self.machines if len(h.roles) == 2), key=lambda h: h.name[::-1])
 
-    def settings(self, house: House, role: str) -> dict[str, Any]:
+    def settings(self, machine: LocalMachine, role: str) -> dict[str, Any]:
         """A program's settings; JSON is YAML, too."""
-        served = ("control",) if role == "postmaster" else ("front", "ready")
+        served = ("control",) if role == "controller" else ("front", "ready")
         bounds = {name.replace("_", "-"): value for name, value in vars(self.spec.bounds).items()}
         own: dict[str, Any] = {
-            "node": house.name, "role": role, "ip": house.ip, "zone": house.zone, "fresh-start": house.fresh,
+            "node": machine.name, "role": role, "ip": machine.ip, "zone": machine.zone, "fresh-start": machine.fresh,
             "limits": {"max-fds": 1024, "memory-mb": 300}}
-        if role == "postmaster":
-            own["data-dir"] = str(self.folder / house.name)
+        if role == "controller":
+            own["data-dir"] = str(self.folder / machine.name)
             Path(own["data-dir"]).mkdir(exist_ok=True)
         return {"self": own, "provider": {"beat-s": self.spec.beat_s},
-                "network": {"listen": {what: house.address(what) for what in served},
+                "network": {"listen": {what: machine.address(what) for what in served},
                             "port-range": [self.port + 10, self.port + 25],
                             "seeds": [h.address("control") for h in self.core[:3]],
                             "zones": {zone: "region" for zone in self.spec.zones}},
                 "terms": {"fault-budget": {"machines": self.spec.tolerance}, "bounds": bounds}}
 
-    def spawn_program(self, house: House, role: str) -> Popen:
+    def spawn_program(self, machine: LocalMachine, role: str) -> Popen:
         """Start a program."""
-        path = self.folder / f"{house.name}-{role}.yaml"
-        path.write_text(json.dumps(self.settings(house, role)))
+        path = self.folder / f"{machine.name}-{role}.yaml"
+        path.write_text(json.dumps(self.settings(machine, role)))
         environ = {**os.environ, "EIDERSTAGE_NODE_FILE": str(path), "PYTHONPATH": str(ROOT)}
-        if self.tapes is not None:
-            environ["PROVING_TAPES"] = str(self.tapes)
-        module = "post" if self.tapes is None else "proving.taped"
-        log = open(self.folder / f"{house.name}-{role}.log", "ab")
+        if self.recordings is not None:
+            environ["PROVING_RECORDINGS"] = str(self.recordings)
+        module = "gateway" if self.recordings is None else "proving.recorded_program"
+        log = open(self.folder / f"{machine.name}-{role}.log", "ab")
         with log:
             return subprocess.Popen([sys.executable, "-m", module, role], cwd=ROOT, env=environ, stderr=log,
                                     start_new_session=True)
@@ -102,15 +102,15 @@
         options = ["--id", f"i-{n:04x}", "--service", service.name, "--port", str(BACKENDS_AT + n), "--zone",
                    zone, "--capacity", str(service.capacity), "--work-ms", str(1000 * work_s), "--beat-s",
                    str(self.spec.beat_s), "--drain-s", str(self.spec.bounds.drain_s)]
-        for house in self.core:
-            options += ["--control", house.address("control")]
+        for machine in self.core:
+            options += ["--control", machine.address("control")]
         process = subprocess.Popen([sys.executable, str(ROOT / "examples" / "backend.py"), *options],
                                    cwd=ROOT, start_new_session=True, stderr=subprocess.DEVNULL)
         self.backends.append((f"i-{n:04x}", service, process))
 
     def stop(self) -> None:
         """End all that was started."""
-        groups = [[p for *_, p in self.backends], [p for h in self.houses for p in h.programs.values()]]
+        groups = [[p for *_, p in self.backends], [p for h in self.machines for p in h.programs.values()]]
         for group in groups:
             for process in group:
                 if process.poll() is None:
--- a/proving/measure.py
+++ b/proving/measurements.py
@@ -16,7 +16,7 @@
 USUAL_PART = 0.9  # of the usual share served, below which a second counts as felt
 
 
-class Seconds(NamedTuple):
+class SecondCounts(NamedTuple):
     """By second of the day: requests wanted, how many were served at all, how many within their aim."""
 
     wanted: np.ndarray[Any, Any]
@@ -24,7 +24,7 @@
     timely: np.ndarray[Any, Any]
 
 
-def seconds(record: Record, spec: Spec) -> Seconds:
+def seconds(record: Record, spec: Spec) -> SecondCounts:
     """What became of the requests of each second."""
     n = int(record.until) + 1
     aims = {kind.name: kind.aim_s for kind in spec.kinds}
@@ -32,7 +32,7 @@
     served = np.bincount([int(at) for at, *_ in record.served], minlength=n)
     timely = np.bincount([int(at) for at, route, _, _, took in record.served if took <= aims[route]],
                          minlength=n)
-    return Seconds(wanted, served, timely)
+    return SecondCounts(wanted, served, timely)
 
 
 def owed(record: Record, spec: Spec) -> np.ndarray[Any, Any]:
@@ -107,7 +107,7 @@
     return found
 
 
-def felt(by: Seconds, begins: float, ends: float) -> tuple[int, float]:
+def felt(by: SecondCounts, begins: float, ends: float) -> tuple[int, float]:
     """How many seconds of a span less was served than usual, and the part lost in the worst of them."""
     wanted, served = by.wanted, by.served
     total = wanted.sum()
--- a/proving/model/backends.py
+++ b/proving/model/backends.py
@@ -9,17 +9,17 @@
 from functools import partial
 from typing import TYPE_CHECKING, Any
 
-from proving.model.network import Place
-from proving.model.pipes import End
-from proving.model.record import Arrived, Life
+from proving.model.network import Location
+from proving.model.record import Arrived, BackendEvent
+from proving.model.tcp import TcpEndpoint
 from proving.spec import Service
-from roadspur.net.wire import Answer
+from roadspur.net.http_messages import Response
 
 if TYPE_CHECKING:
     from proving.model.deployment import Deployment
 
 LEAVE_S = 4.0  # to get an acknowledgement before it ends all the same
-Done = Callable[[Answer | None], Any]
+Done = Callable[[Response | None], Any]
 
 
 def body_of(attempt: str, most: int) -> bytes:
@@ -32,7 +32,7 @@
     return b"%08x.%s" % (zlib.crc32(body), attempt.encode())
 
 
-class Work:
+class BackendRequest:
     """A request at a backend."""
 
     __slots__ = ("attempt", "deadline", "done", "fields", "path", "running", "over")
@@ -46,18 +46,18 @@
 class Backend:
     """One life of a backend. It beats from `start` on."""
 
-    def __init__(self, deployment: Deployment, service: Service, name: str, address: str, place: Place,
+    def __init__(self, deployment: Deployment, service: Service, name: str, address: str, place: Location,
                  pace: float) -> None:
         self.deployment, self.service, self.id, self.address, self.place = (
             deployment, service, name, address, place)
-        self.world, self.rng = deployment.world, deployment.world.chance()
+        self.simulator, self.rng = deployment.simulator, deployment.simulator.chance()
         self.pace = pace  # times the usual time that it takes
-        self.began = self.world.now
+        self.began = self.simulator.now
         self.cold_until = 0.0
-        self.running, self.queue = 0, deque[Work]()
+        self.running, self.queue = 0, deque[BackendRequest]()
         self.connections = 0
-        self.ends = set[End]()
-        self.draining = self.ended = self.mute = False  # mute: tells nothing any more
+        self.ends = set[TcpEndpoint]()
+        self.draining = self.ended = self.silenced = False  # mute: tells nothing any more
         self.calls = 0
         self.target: str | None = None  # where its beats are taken
         self.served = 0
@@ -66,33 +66,33 @@
 
     def start(self, cold_s: float) -> None:
         """Begin to serve and to tell of it."""
-        self.cold_until = self.world.now + cold_s if cold_s else 0.0
+        self.cold_until = self.simulator.now + cold_s if cold_s else 0.0
         self.deployment.listeners[self.address] = self
         self.tell("starts", "")
-        self.world.after(self.rng.uniform(0.0, 0.3), self.beat)
+        self.simulator.after(self.rng.uniform(0.0, 0.3), self.beat)
 
     def tell(self, what: str, by: str) -> None:
         self.deployment.record.lives.append(
-            Life(self.world.now, what, self.id, self.service.name, self.address, by))
+            BackendEvent(self.simulator.now, what, self.id, self.service.name, self.address, by))
 
     def beat(self) -> None:
         """Say that it is there, again and again."""
-        if self.ended or self.draining or self.mute:
+        if self.ended or self.draining or self.silenced:
             return
-        self.call("PUT", self.beaten)
+        self.call("PUT", self.on_heartbeat_response)
 
-    def beaten(self, status: int, by: str, body: bytes) -> None:
+    def on_heartbeat_response(self, status: int, by: str, body: bytes) -> None:
         if 200 <= status < 300:
-            self.world.after(self.deployment.spec.beat_s * self.rng.uniform(0.95, 1.05), self.beat)
+            self.simulator.after(self.deployment.spec.beat_s * self.rng.uniform(0.95, 1.05), self.beat)
             told = json.loads(body or b"{}").get("beat-target")
             if told:
                 self.target = told
         else:
             self.target = None
-            self.world.after(0.2, self.beat)
+            self.simulator.after(0.2, self.beat)
 
     def call(self, method: str, done: Callable[[int, str, bytes], None]) -> None:
-        """One call to some postmaster, the one that took the last, or another."""
+        """One call to some controller, the one that took the last, or another."""
         self.calls += 1
         if self.target is None:
             self.target = self.deployment.some_control(self.place, self.rng)
@@ -102,7 +102,7 @@
                 "target": self.service.name, "address": self.address, "zone": self.place.zone,
                 "generation": "v1", "capacity": self.service.capacity, "call-seq": self.calls,
                 "phase": "draining" if self.draining else "standing",
-                "cold-left-s": max(0.0, self.cold_until - self.world.now)}).encode()
+                "cold-left-s": max(0.0, self.cold_until - self.simulator.now)}).encode()
         self.deployment.call(self.place, self.target, method, f"/-/backends/{self.id}", body, 1.0, done)
 
     def leave(self, drain_s: float) -> None:
@@ -110,17 +110,17 @@
         if self.draining or self.ended:
             return
         self.draining = True
-        give_up = self.world.now + LEAVE_S
+        give_up = self.simulator.now + LEAVE_S
 
         def told(status: int, by: str, body: bytes) -> None:
             if 200 <= status < 300:
                 self.tell("draining", by)
-                self.world.after(drain_s + 0.3, last)
-            elif self.world.now < give_up:
+                self.simulator.after(drain_s + 0.3, last)
+            elif self.simulator.now < give_up:
                 self.target = None
-                self.world.after(0.2, self.call, "PUT", told)
+                self.simulator.after(0.2, self.call, "PUT", told)
             else:
-                self.world.after(1.0, self.end)
+                self.simulator.after(1.0, self.end)
 
         def last() -> None:
             self.call("DELETE", over)
@@ -128,7 +128,7 @@
         def over(status: int, by: str, body: bytes) -> None:
             if 200 <= status < 300:
                 self.tell("gone", by)
-            self.world.after(0.5, self.end)
+            self.simulator.after(0.5, self.end)
 
         self.call("PUT", told)
 
@@ -146,7 +146,7 @@
         for end in list(self.ends):
             end.abort()
 
-    def vanish(self) -> None:
+    def lose_host(self) -> None:
         """Its machine is lost: nothing is heard of it any more."""
         for end in self.ends:
             end.die(True)
@@ -155,19 +155,19 @@
 
     # Its connections.
 
-    def accept(self, end: End) -> bool | None:
+    def accept(self, end: TcpEndpoint) -> bool | None:
         """A caller connects."""
         full = len(self.queue) >= self.service.queue and self.service.when_full == "reset"
         if self.ended or self.connections >= self.service.max_conns or full:
             return False
         self.connections += 1
         self.ends.add(end)
-        end.taker = Caller(self, end)
+        end.receiver = BackendConnection(self, end)
         return True
 
     # Its work.
 
-    def take(self, head: list[bytes], body: bytes, done: Done) -> Work | None:
+    def take(self, head: list[bytes], body: bytes, done: Done) -> BackendRequest | None:
         """A request: turn it away, queue it or begin it. `done` gets the answer, None for a broken one."""
         fields = {name.lower(): value.strip() for name, _, value in
                   (line.partition(b":") for line in head[1:] if line)}
@@ -178,12 +178,12 @@
             path += " with another body"
         meant = fields.get(b"target-instance", self.id.encode()).decode()
         left = float(fields.get(b"deadline-ms", b"60000")) / 1000
-        work = Work(attempt, path, fields, self.world.now + left, done)
+        work = BackendRequest(attempt, path, fields, self.simulator.now + left, done)
         if meant != self.id:
-            self.turn_away(work, 421, "another is meant")
+            self.reject(work, 421, "another is meant")
             return None
         if not attempt:
-            self.turn_away(work, 400, "no id")
+            self.reject(work, 400, "no id")
             return None
         if self.running >= self.service.capacity and len(self.queue) >= self.service.queue:
             if self.service.when_full == "silent":
@@ -193,20 +193,20 @@
                 self.note(work, False, "full, reset")
                 done(None)
                 return None
-            self.turn_away(work, 503, "full")
+            self.reject(work, 503, "full")
             return None
         self.queue.append(work)
         self.proceed()
         return work
 
-    def note(self, work: Work, ran: bool, why: str = "") -> None:
+    def note(self, work: BackendRequest, ran: bool, why: str = "") -> None:
         tenant = work.fields.get(b"tenant", b"").decode()
         self.deployment.record.arrived.append(Arrived(
-            self.world.now, work.attempt, self.id, self.service.name, tenant, work.path, ran, why))
+            self.simulator.now, work.attempt, self.id, self.service.name, tenant, work.path, ran, why))
 
-    def turn_away(self, work: Work, status: int, why: str) -> None:
+    def reject(self, work: BackendRequest, status: int, why: str) -> None:
         self.note(work, False, why)
-        work.done(Answer(status, {b"attempt-id": work.attempt.encode(), b"not-executed": b"1",
+        work.done(Response(status, {b"attempt-id": work.attempt.encode(), b"not-executed": b"1",
                                   **self.load()}, b"", True))
 
     def proceed(self) -> None:
@@ -215,20 +215,20 @@
             work = self.queue.popleft()
             if work.over:
                 continue
-            if self.world.now >= work.deadline:
-                self.turn_away(work, 503, "its time is over")
+            if self.simulator.now >= work.deadline:
+                self.reject(work, 503, "its time is over")
                 continue
             self.running += 1
             work.running = True
             self.note(work, True)
             took = self.deployment.work_s(work.path, self.rng) * self.pace
-            if self.world.now < self.cold_until:
+            if self.simulator.now < self.cold_until:
                 took *= 2.0
             if self.service.slow_when_full and self.running >= self.service.capacity:
                 took *= self.service.slow_when_full
-            self.world.after(min(took, work.deadline - self.world.now), self.finish, work, took)
+            self.simulator.after(min(took, work.deadline - self.simulator.now), self.finish, work, took)
 
-    def finish(self, work: Work, took: float) -> None:
+    def finish(self, work: BackendRequest, took: float) -> None:
         """A request's work is over, or its time is."""
         if not work.running:
             return
@@ -237,17 +237,17 @@
         if self.ended:
             return
         self.served += 1
-        late = self.world.now >= work.deadline - 1e-9
+        late = self.simulator.now >= work.deadline - 1e-9
         work.over = True
         if late:
-            work.done(Answer(504, {b"attempt-id": work.attempt.encode(), **self.load()}, b"", True))
+            work.done(Response(504, {b"attempt-id": work.attempt.encode(), **self.load()}, b"", True))
         else:
             body = f"{self.id} ran {work.path} for {work.attempt}\n".encode()
             headers = {b"attempt-id": work.attempt.encode(), b"backend-seal": seal(work.attempt, body)}
-            work.done(Answer(200, {**headers, **self.load()}, body, True))
+            work.done(Response(200, {**headers, **self.load()}, body, True))
         self.proceed()
 
-    def drop(self, work: Work) -> None:
+    def drop(self, work: BackendRequest) -> None:
         """Its caller has gone."""
         work.over = True
         if work.running:
@@ -261,16 +261,16 @@
         return {b"backend-load": b"%d,%d,%d" % (self.running, len(self.queue), self.service.capacity)}
 
 
-class Caller:
+class BackendConnection:
     """One connection at a backend: a request at a time."""
 
-    def __init__(self, backend: Backend, end: End) -> None:
+    def __init__(self, backend: Backend, end: TcpEndpoint) -> None:
         self.backend, self.end = backend, end
         self.buffer = b""
-        self.work: Work | None = None
+        self.work: BackendRequest | None = None
         self.busy = False
-        self.used = backend.world.now
-        backend.world.after(backend.service.idle_s, self.rest)
+        self.used = backend.simulator.now
+        backend.simulator.after(backend.service.idle_s, self.rest)
 
     def connection_made(self, transport: Any) -> None:
         """Nothing is said before a request."""
@@ -305,18 +305,18 @@
 
     def rest(self) -> None:
         """Close the connection if it has carried nothing for long."""
-        idle_s, now = self.backend.service.idle_s, self.backend.world.now
+        idle_s, now = self.backend.service.idle_s, self.backend.simulator.now
         if self.end.closed or self.end.lost:
             return
         if self.busy or now - self.used < idle_s:
-            self.backend.world.after(idle_s if self.busy else self.used + idle_s - now + 0.01, self.rest)
+            self.backend.simulator.after(idle_s if self.busy else self.used + idle_s - now + 0.01, self.rest)
         else:
             self.end.close()
 
-    def answer(self, answer: Answer | None) -> None:
+    def answer(self, answer: Response | None) -> None:
         """Send an answer, or whatever it becomes."""
         backend = self.backend
-        self.busy, self.used = False, backend.world.now
+        self.busy, self.used = False, backend.simulator.now
         if answer is None or backend.ended:
             self.end.abort()
             return
@@ -326,7 +326,7 @@
         for delay, part in sent:
             call = self.end.abort if part is None else partial(self.end.write, part)
             if delay:
-                backend.world.after(delay, call)
+                backend.simulator.after(delay, call)
             else:
                 call()
         if closes and len(sent) == 1:
@@ -335,7 +335,7 @@
             self.proceed()
 
 
-def write(answer: Answer, close: bool = False) -> bytes:
+def write(answer: Response, close: bool = False) -> bytes:
     """An answer as bytes."""
     lines = b"".join(b"%s: %s\r\n" % (name.title(), value) for name, value in answer.headers.items())
     return b"HTTP/1.1 %d X\r\n%s%sContent-Length: %d\r\n\r\n%s" % (
--- a/proving/model/tries.py
+++ b/proving/model/client_attempts.py
@@ -5,12 +5,12 @@
 from typing import TYPE_CHECKING, Any
 
 from proving.model.backends import body_of, seal
-from proving.model.pipes import End, connect
-from proving.model.processes import SorterProcess
-from roadspur.net.wire import AnswerReader
+from proving.model.processes import ProxyProcess
+from proving.model.tcp import TcpEndpoint, connect
+from roadspur.net.http_messages import ResponseReader
 
 if TYPE_CHECKING:
-    from proving.model.clients import Load, Request
+    from proving.model.client_load import ClientLoad, Request
     from proving.model.machines import Machine
 
 CONNECT_S = 1.0
@@ -35,14 +35,14 @@
     return "" if rest.partition(b"\r\n")[0] == seal(attempt, body) else "not the whole body"
 
 
-class Talk:
+class SimulatedClientConnection:
     """A client's connection to an ingress: one try at a time."""
 
-    def __init__(self, load: Load, machine: Machine, slot: tuple[str, int]) -> None:
+    def __init__(self, load: ClientLoad, machine: Machine, slot: tuple[str, int]) -> None:
         self.load, self.machine, self.slot = load, machine, slot
-        self.end: End | None = None
-        self.reader = AnswerReader(flows=True)
-        self.current: Try | None = None
+        self.end: TcpEndpoint | None = None
+        self.reader = ResponseReader(flows=True)
+        self.current: ClientAttempt | None = None
         self.open = False
 
     def connection_made(self, transport: Any) -> None:
@@ -95,20 +95,20 @@
             self.end.close()
 
 
-class Try:
+class ClientAttempt:
     """One try of a request at one ingress, over a kept connection or a new one."""
 
-    def __init__(self, load: Load, request: Request, attempt: str, machine: Machine) -> None:
+    def __init__(self, load: ClientLoad, request: Request, attempt: str, machine: Machine) -> None:
         self.load, self.request, self.attempt, self.machine = load, request, attempt, machine
-        self.world, self.network = load.world, load.deployment.network
+        self.simulator, self.network = load.simulator, load.deployment.network
         self.place = load.places[request.zone]
         self.ended = False
         self.read_before = 0
 
-    def process(self) -> SorterProcess | None:
+    def process(self) -> ProxyProcess | None:
         """The program at the ingress."""
-        found = self.machine.processes.get("sorter")
-        return found if isinstance(found, SorterProcess) else None
+        found = self.machine.processes.get("proxy")
+        return found if isinstance(found, ProxyProcess) else None
 
     def end(self, status: int, after: float = 0.0, fault: str = "", read: bool = True) -> None:
         """What it came to."""
@@ -119,59 +119,59 @@
     def begin(self) -> None:
         r = self.request
         slot = (r.zone, r.hashed)
-        self.world.at(r.ends, self.give_up)
+        self.simulator.at(r.ends, self.give_up)
         known = self.load.idle.get(slot)
         if known is not None and known.machine is self.machine and known.open and not r.ways:
             del self.load.idle[slot]
-            self.talk = known
+            self.connection = known
             self.write()
             return
-        self.talk = Talk(self.load, self.machine, slot)
-        self.world.after(CONNECT_S, self.no_connection)
+        self.connection = SimulatedClientConnection(self.load, self.machine, slot)
+        self.simulator.after(CONNECT_S, self.no_connection)
         connect(self.network, self.place, None, self.machine.place, True, None, self.accept, self.made)
 
-    def accept(self, end: End) -> bool | None:
+    def accept(self, end: TcpEndpoint) -> bool | None:
         process = self.process()
         if process is None:
             return False if self.machine.power else None
         return process.server.accept(process, end)
 
-    def made(self, end: End | None) -> None:
+    def made(self, end: TcpEndpoint | None) -> None:
         if end is None:
             self.end(0, 0.0, "", False)
             return
         if self.ended:
             end.abort()
             return
-        self.talk.end, end.taker, self.talk.open = end, self.talk, True
+        self.connection.end, end.receiver, self.connection.open = end, self.connection, True
         self.write()
 
     def no_connection(self) -> None:
-        if not self.talk.open and self.talk.end is None:
+        if not self.connection.open and self.connection.end is None:
             self.end(0, 0.0, "no connection", False)
 
     def write(self) -> None:
-        r, talk = self.request, self.talk
-        assert talk.end is not None
-        talk.current = self
-        self.read_before = talk.end.peer.taken_bytes
-        left = max(1, int(1000 * (r.ends - self.world.now)))
+        r, connection = self.request, self.connection
+        assert connection.end is not None
+        connection.current = self
+        self.read_before = connection.end.peer.taken_bytes
+        left = max(1, int(1000 * (r.ends - self.simulator.now)))
         body = b"" if r.kind.safe else body_of(self.attempt, self.load.deployment.spec.day.bodies)
         length = b"" if r.kind.safe else b"Content-Length: %d\r\n" % len(body)
-        talk.end.write(b"%s %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\n"
+        connection.end.write(b"%s %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\n"
                        b"Authorization: Token %s\r\n%s\r\n%s" % (
                            b"GET" if r.kind.safe else b"POST", r.path.encode(), r.host.encode(),
                            self.attempt.encode(), left, r.key.encode(), length, body))
 
     def was_read(self) -> bool:
         """Whether the ingress has read anything of it."""
-        end = self.talk.end
+        end = self.connection.end
         return end is not None and end.peer.taken_bytes > self.read_before
 
     def give_up(self) -> None:
         """The client has no time left."""
         if not self.ended:
             self.end(-1)
-            if self.talk.current is self:
-                self.talk.current = None
-                self.talk.drop()
+            if self.connection.current is self:
+                self.connection.current = None
+                self.connection.drop()
--- a/proving/model/clients.py
+++ b/proving/model/client_load.py
@@ -6,10 +6,10 @@
 
 import numpy as np
 
-from proving.model.network import Place
-from proving.model.operators import HOST, Desk, Document, keys_of, routes_of, shares
+from proving.model.client_attempts import ClientAttempt, SimulatedClientConnection
+from proving.model.network import Location
+from proving.model.operators import HOST, Document, OperatorPool, keys_of, routes_of, shares
 from proving.model.record import Answered, Sent
-from proving.model.tries import Talk, Try
 from proving.spec import Kind
 
 if TYPE_CHECKING:
@@ -39,28 +39,28 @@
         self.ways: set[str] = set()
 
 
-class Load:
+class ClientLoad:
     """All clients: requests of each kind come at random, by tenant, zone and client."""
 
-    def __init__(self, deployment: Deployment, desk: Desk) -> None:
-        self.deployment, self.desk = deployment, desk
-        self.world, self.record = deployment.world, deployment.record
-        self.rng = self.world.chance()
-        self.numbers = self.world.numbers()
+    def __init__(self, deployment: Deployment, operator_pool: OperatorPool) -> None:
+        self.deployment, self.operator_pool = deployment, operator_pool
+        self.simulator, self.record = deployment.simulator, deployment.record
+        self.rng = self.simulator.chance()
+        self.numbers = self.simulator.numbers()
         spec = deployment.spec
         self.tenants = shares(spec.tenants.count, spec.tenants.uneven)
         self.zones = spec.zones
         self.count = 0
         self.pressure: dict[int, float] = {}  # tenants that send many times their usual
-        self.idle: dict[tuple[str, int], Talk] = {}  # kept connections, by zone and client
+        self.idle: dict[tuple[str, int], SimulatedClientConnection] = {}  # kept connections, by zone and client
         self.until = spec.day.seconds
-        self.places = {zone: Place(f"clients {zone}", f"clients {zone}") for zone in self.zones}
+        self.places = {zone: Location(f"clients {zone}", f"clients {zone}") for zone in self.zones}
 
     def begin(self) -> None:
         """Traffic starts."""
         for kind in self.deployment.spec.kinds:
             self.draw(kind)
-        self.desk.followers.append(self.follow)
+        self.operator_pool.followers.append(self.follow)
 
     def draw(self, kind: Kind) -> None:
         """The next arrivals of a kind."""
@@ -72,10 +72,10 @@
         tenants = self.numbers.choice(len(self.tenants), n, p=self.tenants).tolist()
         zones = self.numbers.integers(len(self.zones), size=n).tolist()
         clients = self.numbers.integers(self.deployment.spec.day.clients, size=n).tolist()
-        now = self.world.now
+        now = self.simulator.now
         for gap, tenant, zone, client in zip(gaps.tolist(), tenants, zones, clients, strict=True):
-            self.world.at(now + gap, self.arrive, kind, tenant, zone, client)
-        self.world.at(now + float(gaps[-1]), self.draw, kind)
+            self.simulator.at(now + gap, self.arrive, kind, tenant, zone, client)
+        self.simulator.at(now + float(gaps[-1]), self.draw, kind)
 
     def press(self, tenant: int, factor: float, until: float) -> None:
         """A tenant sends `factor` times its usual for a while."""
@@ -84,15 +84,15 @@
         rate = (factor - 1) * usual
 
         def one() -> None:
-            if self.world.now < until and rate > 0:
+            if self.simulator.now < until and rate > 0:
                 kind = self.rng.choices(kinds, [k.rate for k in kinds])[0]
                 self.arrive(kind, tenant, self.rng.randrange(len(self.zones)), self.rng.randrange(64))
-                self.world.after(self.rng.expovariate(rate), one)
+                self.simulator.after(self.rng.expovariate(rate), one)
         one()
 
     def arrive(self, kind: Kind, tenant: int, zone: int, client: int) -> None:
         """A client has a request."""
-        if self.world.now >= self.until:
+        if self.simulator.now >= self.until:
             return
         self.count += 1
         name, keys = f"tenant-{tenant}", self.keys(f"tenant-{tenant}")
@@ -101,8 +101,8 @@
             return
         key = keys[self.count % len(keys)]
         request = Request(self.count, kind, kind.name, path, name, key, self.zones[zone], client,
-                          self.world.now)
-        self.record.wanted.append((self.world.now, kind.name, kind.worth, name))
+                          self.simulator.now)
+        self.record.wanted.append((self.simulator.now, kind.name, kind.worth, name))
         self.send(request)
 
     # Requests that show which configuration is in force.
@@ -121,41 +121,41 @@
         asked += [(kind.name, key) for key in self.rng.sample(keys, min(PROBED, len(keys)))]
         for wait in PROBES_S:
             for label, key in asked:
-                self.world.after(wait * self.rng.uniform(0.8, 1.2), self.ask, label, key)
+                self.simulator.after(wait * self.rng.uniform(0.8, 1.2), self.ask, label, key)
 
     def ask(self, label: str, key: str) -> None:
         """One such request to each ingress that is in."""
         kind = self.deployment.spec.kinds[0]
-        tenant = keys_of(self.desk.newest).get(key, "")
+        tenant = keys_of(self.operator_pool.newest).get(key, "")
         for machine in list(self.deployment.machines.values()):
-            if self.deployment.isready.get(machine.name) and self.world.now < self.until:
+            if self.deployment.isready.get(machine.name) and self.simulator.now < self.until:
                 self.count += 1
                 request = Request(self.count, kind, label, f"/{label}/{self.count:x}", tenant, key,
-                                  machine.place.zone, self.count, self.world.now)
+                                  machine.place.zone, self.count, self.simulator.now)
                 request.probe, request.left = True, 0
                 self.send(request, machine)
 
     def keys(self, tenant: str) -> list[str]:
         """The keys that a tenant has by the newest configuration."""
-        return [key for key, label in keys_of(self.desk.newest).items() if label == tenant]
+        return [key for key, label in keys_of(self.operator_pool.newest).items() if label == tenant]
 
     # Tries.
 
     def send(self, request: Request, to: Machine | None = None) -> None:
         """One try, at the ingress that the platform leads it to."""
         machine = to or self.deployment.ingress(request.zone, request.hashed, request.ways)
-        if machine is None or self.world.now >= request.ends:
+        if machine is None or self.simulator.now >= request.ends:
             return
         attempt = f"{self.rng.getrandbits(64):016x}"
         self.record.sent.append(Sent(
-            self.world.now, attempt, request.number, request.label, request.host, request.path, request.key,
+            self.simulator.now, attempt, request.number, request.label, request.host, request.path, request.key,
             request.tenant, request.zone, machine.name, request.kind.safe, request.probe))
-        Try(self, request, attempt, machine).begin()
+        ClientAttempt(self, request, attempt, machine).begin()
 
     def over(self, request: Request, attempt: str, machine: Machine, status: int, after: float, fault: str,
              read: bool) -> None:
         """A try has come to something: served, tried again, or given up."""
-        now = self.world.now
+        now = self.simulator.now
         if attempt in self.record.answered:
             return
         self.record.answered[attempt] = Answered(now, attempt, status, fault, after)
@@ -176,4 +176,4 @@
         wait = 0.02 * self.rng.uniform(0.5, 2.0)
         if after and not impatient:
             wait = min(after, (request.ends - now) / 3)
-        self.world.after(wait, self.send, request)
+        self.simulator.after(wait, self.send, request)
--- a/proving/model/deployment.py
+++ b/proving/model/deployment.py
@@ -6,18 +6,18 @@
 from collections.abc import Callable
 from typing import Any
 
-from post.machine import Address
-from post.office import settings as files
-from post.office.settings import Settings
-from post.office.wicket import Asked
+from gateway.runtime import settings as files
+from gateway.runtime.http_listener import HttpCall
+from gateway.runtime.settings import Settings
+from gateway.state_machine import Address
 from proving import spec as specs
 from proving.model.backends import Backend
 from proving.model.machines import Machine
-from proving.model.network import Network, Place, Ways
-from proving.model.processes import PostmasterProcess, Program, SorterProcess
+from proving.model.network import LinkProfile, Location, Network
+from proving.model.processes import ControllerProcess, Program, ProxyProcess
 from proving.model.record import Record
-from proving.model.world import World
-from proving.tape import Tape
+from proving.model.simulator import Simulator
+from proving.recording import Recording
 
 FRONT, READY, FIRST, LAST = 8405, 8406, 7660, 7675
 MISSES = 2  # of the platform's calls, after which an ingress gets no new connections
@@ -28,14 +28,14 @@
 class Deployment:
     """All machines, backends and links of a run."""
 
-    def __init__(self, world: World, spec: specs.Spec, record: Record) -> None:
-        self.world, self.spec, self.record = world, spec, record
+    def __init__(self, simulator: Simulator, spec: specs.Spec, record: Record) -> None:
+        self.simulator, self.spec, self.record = simulator, spec, record
         w = spec.links
-        self.network = Network(world, Ways(w.within, w.between, w.client, 0.1, w.loss, w.twice,
+        self.network = Network(simulator, LinkProfile(w.within, w.between, w.client, 0.1, w.loss, w.twice,
                                            w.mbps * 125_000))
-        self.rng = world.chance()
+        self.rng = simulator.chance()
         self.machines: dict[str, Machine] = {}
-        self.ports: dict[Address, Place] = {}
+        self.ports: dict[Address, Location] = {}
         self.at_port: dict[Address, Program] = {}
         self.by_ip: dict[str, Machine] = {}
         self.listeners: dict[Address, Backend] = {}
@@ -48,12 +48,12 @@
         self.misses: dict[str, int] = {}
         self.isready: dict[str, bool] = {}
         self.processor = 0.0
-        self.tapes: list[tuple[str, Tape]] | None = None  # of all processes, if they are wanted
-        self.spoilers: list[Callable[[Program], None]] = []
+        self.recordings: list[tuple[str, Recording]] | None = None  # of all processes, if they are wanted
+        self.process_hooks: list[Callable[[Program], None]] = []
         self.modes: dict[str, tuple[str, float]] = {}  # of services: what their answers become, how often
         for zone, number in zip(spec.zones, range(1, 99), strict=False):
-            for place in range(spec.sorters[number - 1]):
-                self._machine(zone, number, place, place < spec.postmasters[number - 1])
+            for place in range(spec.proxies[number - 1]):
+                self._machine(zone, number, place, place < spec.controllers[number - 1])
         core = sorted((m for m in self.machines.values() if m.core),
                       key=lambda m: (m.name.rpartition("-")[2], m.place.zone))
         self.seeds = tuple(m.control for m in core[:3])
@@ -61,7 +61,7 @@
 
     def _machine(self, zone: str, number: int, place: int, core: bool) -> Machine:
         name = f"{zone}-{place + 1}"
-        roles = ("postmaster", "sorter") if core else ("sorter",)
+        roles = ("controller", "proxy") if core else ("proxy",)
         ip = f"10.{number}.{place // 200}.{place % 200 + 3}"
         machine = Machine(self, name, ip, zone, roles, True)
         self.machines[name] = self.by_ip[machine.ip] = machine
@@ -79,8 +79,8 @@
     def start(self) -> None:
         """The first start of the whole system."""
         for machine in self.machines.values():
-            self.world.after(self.rng.uniform(0.0, 0.3), machine.start)
-        self.world.after(1.0, self.look)
+            self.simulator.after(self.rng.uniform(0.0, 0.3), machine.start)
+        self.simulator.after(1.0, self.look)
 
     def list_controls(self) -> None:
         """The operator's list of who serves `control` is as it is now."""
@@ -88,11 +88,11 @@
         if self.controls:
             turned = self.turned % len(self.controls)
             self.controls = self.controls[turned:] + self.controls[:turned]
-        self.told.append((self.world.now, tuple(self.controls)))
+        self.told.append((self.simulator.now, tuple(self.controls)))
         self.told = self.told[-20:]
         if len(self.told) > 1:
             for machine in self.machines.values():
-                self.world.after(self.rng.uniform(0.0, 2 * self.spec.bounds.seed_staleness_s), machine.reseed)
+                self.simulator.after(self.rng.uniform(0.0, 2 * self.spec.bounds.seed_staleness_s), machine.reseed)
 
     def turn_seeds(self) -> None:
         """Others than before come first in the list, from which seeds are taken."""
@@ -101,20 +101,20 @@
 
     def listed(self) -> tuple[Address, ...]:
         """The list as callers have it."""
-        until = self.world.now - self.spec.bounds.seed_staleness_s
+        until = self.simulator.now - self.spec.bounds.seed_staleness_s
         known = [controls for at, controls in self.told if at <= until]
         return known[-1] if known else self.told[0][1]
 
     def settings(self, machine: Machine, role: str) -> Settings:
         """What a process is told at its start."""
         spec = self.spec
-        listen = {"control": machine.control} if role == "postmaster" else {
+        listen = {"control": machine.control} if role == "controller" else {
             "front": f"{machine.ip}:{FRONT}", "ready": f"{machine.ip}:{READY}"}
         seeds = self.seeds if machine.fresh else tuple(self.listed()[:3])
         bounds = {name.replace("_", "-"): value for name, value in vars(spec.bounds).items()}
         document = {
             "self": {"node": machine.name, "role": role, "ip": machine.ip, "zone": machine.place.zone,
-                     "fresh-start": machine.fresh, "data-dir": "/data" if role == "postmaster" else "",
+                     "fresh-start": machine.fresh, "data-dir": "/data" if role == "controller" else "",
                      "limits": {"max-fds": 4100, "memory-mb": 300}},
             "network": {"listen": listen, "port-range": [FIRST, LAST], "seeds": list(seeds),
                         "zones": {zone: "region" for zone in spec.zones}},
@@ -125,7 +125,7 @@
     def started(self, process: Program) -> None:
         """A process begins; what is planted is put into it."""
         process.tick_s *= self.spec.tick_factor
-        for spoil in self.spoilers:
+        for spoil in self.process_hooks:
             spoil(process)
 
     def account(self, process: Program) -> None:
@@ -140,16 +140,16 @@
 
     def look(self) -> None:
         """Ask every ingress whether it is ready, each second."""
-        self.world.after(1.0, self.look)
+        self.simulator.after(1.0, self.look)
         for machine in self.machines.values():
-            process = machine.processes.get("sorter")
-            well = (isinstance(process, SorterProcess) and not process.frozen and process.ready()
+            process = machine.processes.get("proxy")
+            well = (isinstance(process, ProxyProcess) and not process.frozen and process.ready()
                     and self.network.reaches(machine.place, CLIENTS))
             self.misses[machine.name] = 0 if well else self.misses.get(machine.name, 0) + 1
             ready = well or (self.isready.get(machine.name, False) and self.misses[machine.name] < MISSES)
             if ready != self.isready.get(machine.name, False):
                 self.isready[machine.name] = ready
-                self.record.ready.append((self.world.now, machine.name, ready))
+                self.record.ready.append((self.simulator.now, machine.name, ready))
 
     def ingress(self, zone: str, hashed: int, but: set[str]) -> Machine | None:
         """The ingress that a client of a zone is led to; further tries go to others where there are any."""
@@ -165,7 +165,7 @@
         zones = [zone, *(z for z in self.spec.zones if z != zone)]
         for each in zones:
             all_of = [m for m in self.machines.values() if m.place.zone == each and not m.removed
-                      and "sorter" in m.roles]
+                      and "proxy" in m.roles]
             known = [m for m in all_of if self.isready.get(m.name)]
             if known:
                 found.append(known if 2 * len(known) >= len(all_of) else all_of)
@@ -173,16 +173,16 @@
 
     # Calls to `control`.
 
-    def some_control(self, place: Place, rng: random.Random) -> Address | None:
+    def some_control(self, place: Location, rng: random.Random) -> Address | None:
         """One of those that serve `control`, by the list that callers have."""
         known = self.listed()
         return rng.choice(known) if known else None
 
-    def call(self, place: Place, address: Address | None, method: str, path: str, body: bytes, wait_s: float,
+    def call(self, place: Location, address: Address | None, method: str, path: str, body: bytes, wait_s: float,
              done: Answer, hops: int = 2) -> None:
         """Call `control` at an address: `done(status, machine, body)`, with status 0 for silence or a broken
         call. A 307 is followed twice."""
-        world, network = self.world, self.network
+        simulator, network = self.simulator, self.network
         machine = self.by_ip.get((address or "").partition(":")[0])
         state = [False]
 
@@ -191,14 +191,14 @@
                 state[0] = True
                 done(status, by, answer)
 
-        world.after(wait_s, over, 0, "", b"")
+        simulator.after(wait_s, over, 0, "", b"")
         if machine is None or not network.reaches(place, machine.place):
             return
         target: Machine = machine
 
         def answered(status: int, lines: bytes, answer: bytes) -> None:
             if network.reaches(target.place, place):
-                world.after(network.delay(target.place, place), back, status, lines, answer)
+                simulator.after(network.delay(target.place, place), back, status, lines, answer)
 
         def back(status: int, lines: bytes, answer: bytes) -> None:
             if state[0]:
@@ -211,13 +211,13 @@
                 over(status, target.name, answer)
 
         def arrive() -> None:
-            process = target.processes.get("postmaster")
-            if isinstance(process, PostmasterProcess):
-                process.enter(process.answer, Asked(method, path, body), answered)
+            process = target.processes.get("controller")
+            if isinstance(process, ControllerProcess):
+                process.enter(process.answer, HttpCall(method, path, body), answered)
             elif target.power:  # nothing listens there: refused
-                world.after(network.delay(target.place, place), over, 0, target.name, b"")
+                simulator.after(network.delay(target.place, place), over, 0, target.name, b"")
 
-        world.after(3 * network.delay(place, machine.place), arrive)
+        simulator.after(3 * network.delay(place, machine.place), arrive)
 
     # Backends.
 
@@ -226,7 +226,7 @@
         n = len(self.backends)
         number = self.spec.zones.index(zone) + 1
         name = f"i-{self.rng.getrandbits(32):08x}"
-        place = Place(name, zone)
+        place = Location(name, zone)
         pace = max(0.3, self.rng.gauss(1.0, service.spread))
         backend = Backend(self, service, name, address or f"10.{100 + number}.{n // 250}.{n % 250 + 1}:8080",
                           place, pace)
@@ -261,5 +261,5 @@
         return [(0.0, b"\x00" + data[cut:] if self.rng.random() < 0.5 else data + b"garble" + data[cut:])]
 
 
-CLIENTS = Place("clients", "clients")
+CLIENTS = Location("clients", "clients")
 """Where the platform stands."""
--- a/proving/model/disk.py
+++ b/proving/model/disk.py
@@ -9,8 +9,8 @@
 import random
 from collections.abc import Callable
 
-from post.register.records import Stored
-from proving.model.world import Process
+from gateway.consensus.records import PersistentState
+from proving.model.simulator import Process
 
 
 class Disk:
@@ -20,13 +20,13 @@
     def __init__(self, sync_s: float) -> None:
         self.usual = self.sync_s = sync_s
         self.fails = self.hung = False
-        self.stored: Stored | None = None  # as a start finds it
-        self.synced: Stored | None = None
+        self.stored: PersistentState | None = None  # as a start finds it
+        self.synced: PersistentState | None = None
         self.saves = self.bytes = self.wiped = 0
         self.stuck: list[Callable[[], None]] = []
         self.lying = False  # planted fault: says so before it is saved
 
-    def save(self, process: Process, record: Stored, done: Callable[[], None],
+    def save(self, process: Process, record: PersistentState, done: Callable[[], None],
              failed: Callable[[str], None]) -> None:
         """Save a record for a process. Halfway it is in the files, at the end it is synced too."""
         again = record == self.stored
@@ -53,9 +53,9 @@
                     process.enter(done)
 
         if self.lying:
-            process.world.after(0.0, process.enter, done)
-        process.world.after(takes / 2, put)
-        process.world.after(takes, finish)
+            process.simulator.after(0.0, process.enter, done)
+        process.simulator.after(takes / 2, put)
+        process.simulator.after(takes, finish)
 
     def lose_power(self, rng: random.Random) -> None:
         """What isn't synced is there still, or not."""
--- a/proving/model/troubles/links.py
+++ b/proving/model/disruptions/link_disruptions.py
@@ -4,26 +4,26 @@
 
 from collections.abc import Sequence
 
-from proving.model.troubles.basis import Basis
-from proving.spec import Trouble
+from proving.model.disruptions.schedule import DisruptionBase
+from proving.spec import Disruption
 
 
-class OnLinks(Basis):
+class LinkDisruptions(DisruptionBase):
     """What befalls links and disks."""
 
-    def do_node_cut(self, t: Trouble) -> None:
+    def do_node_cut(self, t: Disruption) -> None:
         """A machine is cut off."""
         machine = self.one(t, self.machines())
         self._cut([(machine.name, "*"), ("*", machine.name)], t.lasts)
         self.note(t, [machine], lasts=t.lasts)
 
-    def do_half_cut(self, t: Trouble) -> None:
+    def do_half_cut(self, t: Disruption) -> None:
         """A machine is cut off one way."""
         machine = self.one(t, self.machines())
         self._cut([(machine.name, "*") if t.which // 5 % 2 else ("*", machine.name)], t.lasts)
         self.note(t, [machine], lasts=t.lasts)
 
-    def do_core_cut(self, t: Trouble) -> None:
+    def do_core_cut(self, t: Disruption) -> None:
         """The core is cut in two, or one way between two of it, zones and all."""
         zones = list(dict.fromkeys(m.place.zone for m in self.core()))
         lone = zones[t.which % len(zones)]
@@ -32,7 +32,7 @@
         self._cut(ways, t.lasts)
         self.note(t, [m for m in self.machines() if m.place.zone == lone], core=True, lasts=t.lasts)
 
-    def do_core_apart(self, t: Trouble) -> None:
+    def do_core_apart(self, t: Disruption) -> None:
         """The core's machines are cut from each other, and reach all others."""
         core = self.core()
         lone = core[t.which % len(core)]
@@ -40,7 +40,7 @@
         self._cut(ways, t.lasts)
         self.note(t, core, core=True, lasts=t.lasts)
 
-    def do_core_off(self, t: Trouble) -> None:
+    def do_core_off(self, t: Disruption) -> None:
         """All of the core is cut off from everything."""
         ways = [w for m in self.core() for w in ((m.name, "*"), ("*", m.name))]
         self._cut(ways, t.lasts)
@@ -49,43 +49,43 @@
     def _cut(self, ways: Sequence[tuple[str, str]], lasts: float) -> None:
         for frm, to in ways:
             self.deployment.network.cut(frm, to)
-            self.world.after(lasts, self.deployment.network.cut, frm, to, False)
+            self.simulator.after(lasts, self.deployment.network.cut, frm, to, False)
 
-    def do_lossy(self, t: Trouble) -> None:
+    def do_lossy(self, t: Disruption) -> None:
         """A machine's link loses packets."""
         self._link(t, self.deployment.network.loss, 0.3 * min(3.0, t.much))
 
-    def do_squeeze(self, t: Trouble) -> None:
+    def do_squeeze(self, t: Disruption) -> None:
         """A machine's link carries little."""
         self._link(t, self.deployment.network.squeezed, 40_000.0 / t.much)
 
-    def do_lag(self, t: Trouble) -> None:
+    def do_lag(self, t: Disruption) -> None:
         """A machine's link is slow."""
         self._link(t, self.deployment.network.slow, 0.1 * t.much)
 
-    def _link(self, t: Trouble, table: dict[str, float], value: float) -> None:
+    def _link(self, t: Disruption, table: dict[str, float], value: float) -> None:
         machine = self.one(t, self.machines())
         table[machine.name] = value
-        self.world.after(t.lasts, table.pop, machine.name, None)
+        self.simulator.after(t.lasts, table.pop, machine.name, None)
         self.note(t, [machine], lasts=t.lasts)
 
-    def do_disk_full(self, t: Trouble) -> None:
+    def do_disk_full(self, t: Disruption) -> None:
         """A disk of the core takes nothing more."""
         machine = self.one(t, self.core())
         machine.disk.fails = True
-        self.world.after(t.lasts, setattr, machine.disk, "fails", False)
+        self.simulator.after(t.lasts, setattr, machine.disk, "fails", False)
         self.note(t, [machine], lasts=t.lasts)
 
-    def do_disk_hang(self, t: Trouble) -> None:
+    def do_disk_hang(self, t: Disruption) -> None:
         """A disk of the core hangs."""
         machine = self.one(t, self.core())
         machine.disk.hang(True)
-        self.world.after(t.lasts, machine.disk.hang, False)
+        self.simulator.after(t.lasts, machine.disk.hang, False)
         self.note(t, [machine], lasts=t.lasts)
 
-    def do_disk_slow(self, t: Trouble) -> None:
+    def do_disk_slow(self, t: Disruption) -> None:
         """A disk of the core is slow."""
         machine = self.one(t, self.core())
         machine.disk.sync_s = 0.1 * t.much
-        self.world.after(t.lasts, setattr, machine.disk, "sync_s", machine.disk.usual)
+        self.simulator.after(t.lasts, setattr, machine.disk, "sync_s", machine.disk.usual)
         self.note(t, [machine], lasts=t.lasts)
