--- a/proving/model/troubles/machines.py
+++ b/proving/model/disruptions/machine_disruptions.py
@@ -4,84 +4,84 @@
 
 from collections.abc import Sequence
 
+from proving.model.disruptions.schedule import DisruptionBase
 from proving.model.machines import RESTART_S, START_S, Machine
 from proving.model.record import Order
-from proving.model.troubles.basis import Basis
-from proving.spec import Trouble
+from proving.spec import Disruption
 
 
-class OnMachines(Basis):
+class MachineDisruptions(DisruptionBase):
     """What befalls machines."""
 
-    def do_node_kill(self, t: Trouble) -> None:
+    def do_node_kill(self, t: Disruption) -> None:
         """A machine's processes are killed; the platform starts them again."""
         self._kill(t, [self.one(t, self.machines())])
 
-    def do_core_kill(self, t: Trouble) -> None:
+    def do_core_kill(self, t: Disruption) -> None:
         """So are those of a machine of the core."""
         self._kill(t, [self.one(t, self.core())])
 
-    def do_herd_kill(self, t: Trouble) -> None:
+    def do_herd_kill(self, t: Disruption) -> None:
         """Many machines' processes are killed at the same moment."""
         machines = self.machines()
         n = max(1, round(min(1.0, t.much) * len(machines)))
         start = t.which % len(machines)
         self._kill(t, [*machines, *machines][start:start + n])
 
-    def do_all_kill(self, t: Trouble) -> None:
+    def do_all_kill(self, t: Disruption) -> None:
         """All processes are killed."""
         self._kill(t, self.machines())
 
-    def _kill(self, t: Trouble, machines: Sequence[Machine], power: bool = False, wipe: bool = False,
+    def _kill(self, t: Disruption, machines: Sequence[Machine], power: bool = False, wipe: bool = False,
               after: float = RESTART_S) -> None:
         for machine in machines:
             machine.kill(power, wipe)
             machine.back(after * self.rng.uniform(0.8, 1.2))
         self.note(t, machines, lasts=1.2 * after + START_S)
 
-    def do_power(self, t: Trouble) -> None:
+    def do_power(self, t: Disruption) -> None:
         """A machine loses power and comes back with its disk."""
         self._kill(t, [self.one(t, self.machines())], power=True, after=t.lasts)
 
-    def do_core_power(self, t: Trouble) -> None:
+    def do_core_power(self, t: Disruption) -> None:
         """A machine of the core loses power and comes back with its disk."""
         self._kill(t, [self.one(t, self.core())], power=True, after=t.lasts)
 
-    def do_all_power(self, t: Trouble) -> None:
+    def do_all_power(self, t: Disruption) -> None:
         """All machines lose power."""
         self._kill(t, self.machines(), power=True, after=max(1.0, t.lasts))
 
-    def do_wipe(self, t: Trouble) -> None:
+    def do_wipe(self, t: Disruption) -> None:
         """A machine of the core loses power and its disk."""
         self._kill(t, [self.one(t, self.core())], power=True, wipe=True, after=t.lasts)
 
-    def do_all_power_wipe(self, t: Trouble) -> None:
+    def do_all_power_wipe(self, t: Disruption) -> None:
         """All machines lose power, and as many as the system has to bear lose their disks."""
         core = self.core()
         for n in range(min(self.deployment.spec.tolerance, len(core))):
             core[(t.which + n) % len(core)].disk.wipe()
         self._kill(t, self.machines(), power=True, after=max(1.0, t.lasts))
 
-    def do_freeze(self, t: Trouble) -> None:
+    def do_freeze(self, t: Disruption) -> None:
         """A machine's processes stand still."""
         self._freeze(t, self.one(t, self.machines()))
 
-    def do_core_freeze(self, t: Trouble) -> None:
+    def do_core_freeze(self, t: Disruption) -> None:
         """Those of a machine of the core do."""
         self._freeze(t, self.one(t, self.core()))
 
-    def _freeze(self, t: Trouble, machine: Machine) -> None:
+    def _freeze(self, t: Disruption, machine: Machine) -> None:
         processes = list(machine.processes.values())
         for process in processes:
             process.freeze(True)
-            self.world.after(t.lasts, process.freeze, False)
+            self.simulator.after(t.lasts, process.freeze, False)
         self.note(t, [machine], lasts=t.lasts)
 
-    def do_slow(self, t: Trouble) -> None:
+    def do_slow(self, t: Disruption) -> None:
         """A machine's processor is slow."""
         machine = self.one(t, self.machines())
         self._speed(machine, 0.05)
-        self.world.after(t.lasts, self._speed, machine, 1.0)
+        self.simulator.after(t.lasts, self._speed, machine, 1.0)
         self.note(t, [machine], lasts=t.lasts)
 
     def _speed(self, machine: Machine, speed: float) -> None:
@@ -89,38 +89,38 @@
         for process in machine.processes.values():
             process.speed = speed
 
-    def do_stop(self, t: Trouble) -> None:
+    def do_stop(self, t: Disruption) -> None:
         """A machine is stopped in order and started again, as a new release of the system would."""
         self._stop(t, self.one(t, self.machines()))
 
-    def _stop(self, t: Trouble, machine: Machine) -> None:
+    def _stop(self, t: Disruption, machine: Machine) -> None:
         machine.stop()
         lasts = self.deployment.spec.bounds.grace_s + 0.5
         machine.back(lasts)
         self.note(t, [machine], lasts=lasts, planned=True)
 
-    def do_roll_out(self, t: Trouble) -> None:
+    def do_roll_out(self, t: Disruption) -> None:
         """All machines are stopped in order and started again, one after the other; `lasts` is the time from
         one to the next."""
         for n, machine in enumerate(self.machines()):
-            self.world.after(n * t.lasts, self._stop, t, machine)
+            self.simulator.after(n * t.lasts, self._stop, t, machine)
 
-    def do_zone_lost(self, t: Trouble) -> None:
+    def do_zone_lost(self, t: Disruption) -> None:
         """A zone loses power, with all that is in it, for `lasts` seconds; its backends come back as new."""
         zones = self.deployment.spec.zones
         zone = zones[t.which % len(zones)]
         for backend in [b for b in self.deployment.alive() if b.place.zone == zone]:
-            backend.vanish()
-            self.world.after(t.lasts, self.deployment.launch, backend.service, zone, backend.service.cold_s)
+            backend.lose_host()
+            self.simulator.after(t.lasts, self.deployment.launch, backend.service, zone, backend.service.cold_s)
         self._kill(t, [m for m in self.machines() if m.place.zone == zone], power=True, after=t.lasts)
 
     # The core's members.
 
-    def do_replace_core(self, t: Trouble) -> None:
+    def do_replace_core(self, t: Disruption) -> None:
         """A machine of the core is removed for good; an empty one comes at another address."""
         self._replace(t, self.one(t, self.core()), in_order=t.which // 7 % 2 == 1)
 
-    def _replace(self, t: Trouble, old: Machine, in_order: bool) -> None:
+    def _replace(self, t: Disruption, old: Machine, in_order: bool) -> None:
         old.removed = True
         if in_order:
             old.stop()
@@ -128,11 +128,11 @@
             old.kill(power=True, wipe=True)
         self.deployment.list_controls()
         new = self.deployment.add(old.place.zone, old.roles)
-        self.world.after(t.lasts * 0.3, new.start)
-        self.world.after(t.lasts * 0.3, self.deployment.list_controls)
+        self.simulator.after(t.lasts * 0.3, new.start)
+        self.simulator.after(t.lasts * 0.3, self.deployment.list_controls)
         self.note(t, [old, new], core=True, lasts=t.lasts, planned=in_order)
 
-    def do_planned_core(self, t: Trouble) -> None:
+    def do_planned_core(self, t: Disruption) -> None:
         """A machine of the core is replaced as planned: another comes, and it is stopped in order `lasts`
         seconds later."""
         old = self.one(t, self.core())
@@ -144,37 +144,37 @@
             old.stop()
             self.deployment.list_controls()
         self.deployment.list_controls()
-        self.world.after(t.lasts, stop)
+        self.simulator.after(t.lasts, stop)
         self.note(t, [old, new], core=True, lasts=t.lasts, planned=True)
 
-    def do_seed_turnover(self, t: Trouble) -> None:
+    def do_seed_turnover(self, t: Disruption) -> None:
         """The seeds are exchanged for others that serve `control`, where there are others."""
         self.deployment.turn_seeds()
 
-    def do_core_turnover(self, t: Trouble) -> None:
+    def do_core_turnover(self, t: Disruption) -> None:
         """The core's machines are exchanged one after the other."""
         for n, machine in enumerate(self.core()):
-            self.world.after(n * max(8.0, t.lasts), self._replace, t, machine, n % 2 == 0)
+            self.simulator.after(n * max(8.0, t.lasts), self._replace, t, machine, n % 2 == 0)
 
-    def do_after_ack_kill(self, t: Trouble) -> None:
+    def do_after_ack_kill(self, t: Disruption) -> None:
         """Whoever acknowledges the next change loses power right then."""
-        self.armed.append((t, lambda machine: self._kill(t, [machine], power=True, after=t.lasts)))
-        self.desk.change("add")
+        self.after_next_ack.append((t, lambda machine: self._kill(t, [machine], power=True, after=t.lasts)))
+        self.operator_pool.change("add")
 
-    def do_after_ack_wipe(self, t: Trouble) -> None:
+    def do_after_ack_wipe(self, t: Disruption) -> None:
         """Whoever acknowledges the next change loses its disk right then."""
-        self.armed.append((t, lambda machine: self._kill(t, [machine], power=True, wipe=True, after=t.lasts)))
-        self.desk.change("keys")
+        self.after_next_ack.append((t, lambda machine: self._kill(t, [machine], power=True, wipe=True, after=t.lasts)))
+        self.operator_pool.change("keys")
 
-    def do_after_ack_all(self, t: Trouble) -> None:
+    def do_after_ack_all(self, t: Disruption) -> None:
         """All machines lose power right after the next change is acknowledged."""
-        self.armed.append((t, lambda machine: self.do_all_power(t)))
-        self.desk.change("add")
+        self.after_next_ack.append((t, lambda machine: self.do_all_power(t)))
+        self.operator_pool.change("add")
 
     def answered(self, order: Order) -> None:
         """An order has its answer."""
         machine = self.deployment.machines.get(order.by)
         if order.status == 200 and machine is not None:
-            armed, self.armed = self.armed, []
-            for _, strike in armed:
-                strike(machine)
+            after_next_ack, self.after_next_ack = self.after_next_ack, []
+            for _, start_disruption in after_next_ack:
+                start_disruption(machine)
--- /dev/null
+++ b/proving/model/disruptions/schedule.py
@@ -0,0 +1,59 @@
+"""A schedule of troubles: who is struck, and what is put on record."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from typing import Any
+
+from proving.model.client_load import ClientLoad
+from proving.model.deployment import Deployment
+from proving.model.machines import Machine
+from proving.model.operators import OperatorPool
+from proving.model.record import Disruption as RecordedDisruption
+from proving.model.record import Order
+from proving.spec import Disruption
+
+
+class DisruptionBase:
+    """Carries out a schedule. Each trouble chooses its victims by its number among those that fit."""
+
+    def __init__(self, deployment: Deployment, operator_pool: OperatorPool, load: ClientLoad) -> None:
+        self.deployment, self.operator_pool, self.load = deployment, operator_pool, load
+        self.simulator, self.record = deployment.simulator, deployment.record
+        self.rng = self.simulator.chance()
+        self.after_next_ack: list[tuple[Disruption, Callable[[Machine], None]]] = []  # for after the next acknowledgement
+        operator_pool.listeners.append(self.answered)
+
+    def plan(self, disruptions: Sequence[Disruption]) -> None:
+        """Have them come in their time."""
+        for disruption in disruptions:
+            if not hasattr(self, f"do_{disruption.kind}"):
+                raise ValueError(f"trouble {disruption.kind!r}: unknown")
+            self.simulator.at(disruption.at, self.start_disruption, disruption)
+
+    def answered(self, order: Order) -> None:
+        """An order has its answer."""
+
+    def start_disruption(self, disruption: Disruption) -> None:
+        getattr(self, f"do_{disruption.kind}")(disruption)
+
+    def note(self, disruption: Disruption, machines: Sequence[Machine], core: bool | None = None,
+             lasts: float = 0.0, planned: bool = False) -> None:
+        """Put a trouble on record."""
+        now = self.simulator.now
+        if core is None:
+            core = any(m.core for m in machines)
+        names = tuple(m.name for m in machines)
+        self.record.disruptions.append(RecordedDisruption(now, now + lasts, disruption.kind, names, core,
+                                         f"{disruption.kind} {' '.join(names)}".strip(), planned))
+
+    # Who.
+
+    def machines(self) -> list[Machine]:
+        return [m for m in self.deployment.machines.values() if not m.removed]
+
+    def core(self) -> list[Machine]:
+        return [m for m in self.machines() if m.core]
+
+    def one(self, disruption: Disruption, among: Sequence[Any]) -> Any:
+        return among[disruption.which % len(among)] if among else None
--- a/proving/model/planted.py
+++ b/proving/model/injected_bugs.py
@@ -9,33 +9,33 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
-from post.directory.matchers import Route
-from post.directory.orders import Held
-from post.register import api as register
-from proving.model.processes import PostmasterProcess, Program, SorterProcess
+from gateway.config.orders import ConfigState
+from gateway.config.routing import Route
+from gateway.consensus import api as consensus
+from proving.model.processes import ControllerProcess, Program, ProxyProcess
 from roadspur import interface as io
-from roadspur.net.door import Early
+from roadspur.net.connection_interfaces import ImmediateResponse
 
 if TYPE_CHECKING:
     from proving.model.deployment import Deployment
 
 
-def _stale(s: SorterProcess) -> None:
+def _stale(s: ProxyProcess) -> None:
     """Takes up the first configuration only, and nothing in it looks for that."""
-    hall: Any = s.hall
-    hall.watching.tick = lambda: setattr(hall.watching, "ready", True)
-    hall.ingress.inspect = lambda host, path, key, judged: judged
-    take_up = hall.take_up
+    proxy_node: Any = s.proxy_node
+    proxy_node.drift_monitor.tick = lambda: setattr(proxy_node.drift_monitor, "ready", True)
+    proxy_node.ingress.inspect = lambda host, path, key, route_decision: route_decision
+    apply_config = proxy_node.apply_config
 
     def first_only(version: int, *rest: Any, **more: Any) -> None:
-        if hall.version == 0:
-            take_up(version, *rest, **more)
-    hall.take_up = first_only
+        if proxy_node.version == 0:
+            apply_config(version, *rest, **more)
+    proxy_node.apply_config = first_only
 
 
-def _any_charge(s: SorterProcess) -> None:
+def _any_charge(s: ProxyProcess) -> None:
     """Lets every request go, whatever the holder says."""
-    decisions: Any = s.hall.ingress.gateway
+    decisions: Any = s.proxy_node.ingress.gateway
     request = decisions.request
 
     def unlimited(now: float, r: io.Request) -> None:
@@ -44,17 +44,17 @@
     decisions.on[io.Request] = unlimited
 
 
-def _deaf_to_drain(s: SorterProcess) -> None:
+def _deaf_to_drain(s: ProxyProcess) -> None:
     """Takes backends that leave for ones that stay."""
-    hall: Any = s.hall
-    backend = hall.backend
-    hall.backend = lambda b: backend(b._replace(draining=False))
+    proxy_node: Any = s.proxy_node
+    backend = proxy_node.backend
+    proxy_node.backend = lambda b: backend(b._replace(draining=False))
 
 
-def _repeats(s: SorterProcess) -> None:
+def _repeats(s: ProxyProcess) -> None:
     """Sends what may not be repeated to a second backend."""
-    hall: Any = s.hall
-    read = hall.ingress.read
+    proxy_node: Any = s.proxy_node
+    read = proxy_node.ingress.read
 
     def safe(*args: Any) -> Any:
         request = read(*args)
@@ -64,14 +64,14 @@
             route.safe = True
             request = request._replace(about=request.about._replace(route=route))
         return request
-    hall.ingress.read = safe
+    proxy_node.ingress.read = safe
 
 
-def _always_promises(s: SorterProcess) -> None:
+def _always_promises(s: ProxyProcess) -> None:
     """Promises that nothing has run."""
-    from post.sorting.verdict import Verdict
-    ingress: Any = s.hall.ingress
-    ingress.verdict = lambda held: Verdict.NEVER
+    from gateway.proxy.execution_status import ExecutionStatus
+    ingress: Any = s.proxy_node.ingress
+    ingress.execution_status = lambda held: ExecutionStatus.NEVER_RAN
     decisions: Any = ingress.gateway
 
     def refuse(now: float, f: Any, wait: float) -> None:
@@ -82,15 +82,15 @@
         service.give_up = refuse
 
 
-def _believes_all(s: SorterProcess) -> None:
+def _believes_all(s: ProxyProcess) -> None:
     """Takes any answer for a good one."""
-    ingress: Any = s.hall.ingress
+    ingress: Any = s.proxy_node.ingress
     ingress.outcome = lambda call, answer: io.Outcome.OK if answer.status == 200 else io.Outcome.ERROR
 
 
-def _no_budget(s: SorterProcess) -> None:
+def _no_budget(s: ProxyProcess) -> None:
     """Repeats without end."""
-    decisions: Any = s.hall.ingress.gateway
+    decisions: Any = s.proxy_node.ingress.gateway
     budget = decisions.budget
 
     def endless(*args: Any) -> Any:
@@ -106,124 +106,124 @@
     decisions.budget = endless
 
 
-def _other_path(s: SorterProcess) -> None:
+def _other_path(s: ProxyProcess) -> None:
     """Changes a path on its way."""
-    ingress: Any = s.hall.ingress
+    ingress: Any = s.proxy_node.ingress
     message = ingress.message
     ingress.message = lambda *args: message(*args).replace(b" HTTP/1.1", b"x HTTP/1.1", 1)
 
 
-def _no_target(s: SorterProcess) -> None:
+def _no_target(s: ProxyProcess) -> None:
     """Doesn't say for whom a request is, and holds on to backends that are gone."""
-    hall: Any = s.hall
-    message, backend = hall.ingress.message, hall.ingress.backend
-    hall.ingress.message = lambda *args: message(*args).replace(b"Target-Instance:", b"X-Target:")
+    proxy_node: Any = s.proxy_node
+    message, backend = proxy_node.ingress.message, proxy_node.ingress.backend
+    proxy_node.ingress.message = lambda *args: message(*args).replace(b"Target-Instance:", b"X-Target:")
 
     def keep(name: str, service: str, address: Any, phase: io.Phase, *rest: Any) -> None:
         if phase is not io.Phase.DELETED:
             backend(name, service, address, phase, *rest)
-    hall.ingress.backend = keep
+    proxy_node.ingress.backend = keep
 
 
-def _denies(s: SorterProcess) -> None:
+def _denies(s: ProxyProcess) -> None:
     """Denies a tenth of what it is sent."""
-    ingress: Any = s.hall.ingress
+    ingress: Any = s.proxy_node.ingress
     read, rng = ingress.read, random.Random(1)
 
     def deny(*args: Any) -> Any:
-        return Early(403, "no") if rng.random() < 0.1 else read(*args)
+        return ImmediateResponse(403, "no") if rng.random() < 0.1 else read(*args)
     ingress.read = deny
 
 
-def _abrupt(s: SorterProcess) -> None:
+def _abrupt(s: ProxyProcess) -> None:
     """Ends at once when told to leave."""
     process: Any = s
     process.leave = lambda: s.machine.end(s)
 
 
-def _no_return(s: SorterProcess) -> None:
+def _no_return(s: ProxyProcess) -> None:
     """Serves nothing after the closing fault."""
     if s.machine.deployment.record.closing:
-        hall: Any = s.hall
-        hall.take_up = lambda *args, **more: None
+        proxy_node: Any = s.proxy_node
+        proxy_node.apply_config = lambda *args, **more: None
 
 
-def _lying_disk(p: PostmasterProcess) -> None:
+def _lying_disk(p: ControllerProcess) -> None:
     """Its disk says that it has saved what it has not."""
     p.machine.disk.lying, p.machine.disk.sync_s = True, 0.1
 
 
-def _hasty(p: PostmasterProcess) -> None:
+def _hasty(p: ControllerProcess) -> None:
     """Acknowledges an order before it is agreed on."""
-    post: Any = p.post
-    propose = post.propose
+    controller_node: Any = p.controller_node
+    propose = controller_node.propose
 
     def at_once(token: int, value: bytes, expected: int) -> None:
         propose(token, value, expected)
-        post.control.proposed(p.time(), token, "done")
-    post.propose = at_once
+        controller_node.control.proposed(p.time(), token, "done")
+    controller_node.propose = at_once
 
 
-def _credulous(p: PostmasterProcess) -> None:
+def _credulous(p: ControllerProcess) -> None:
     """Acknowledges whatever it is told to change."""
-    post: Any = p.post
-    post.propose = lambda token, value, expected: post.control.proposed(p.time(), token, "done")
+    controller_node: Any = p.controller_node
+    controller_node.propose = lambda token, value, expected: controller_node.control.proposed(p.time(), token, "done")
 
 
-def _forgets_orders(p: PostmasterProcess) -> None:
+def _forgets_orders(p: ControllerProcess) -> None:
     """Knows no order again."""
-    post: Any = p.post
-    taken_up = post.taken_up
+    controller_node: Any = p.controller_node
+    config_in_force = controller_node.config_in_force
 
-    def bare() -> tuple[int, Held]:
-        version, held = taken_up()
-        return version, Held(held.document)
-    post.taken_up = bare
+    def bare() -> tuple[int, ConfigState]:
+        version, held = config_in_force()
+        return version, ConfigState(held.document)
+    controller_node.config_in_force = bare
 
 
-def _silent_orders(p: PostmasterProcess) -> None:
+def _silent_orders(p: ControllerProcess) -> None:
     """Gives orders no answer."""
-    post: Any = p.post
-    agree = post.agree
+    controller_node: Any = p.controller_node
+    handle_consensus = controller_node.handle_consensus
 
     def forgetful(event: Any) -> None:
-        if not isinstance(event, register.Propose):
-            agree(event)
-    post.agree = forgetful
+        if not isinstance(event, consensus.Propose):
+            handle_consensus(event)
+    controller_node.handle_consensus = forgetful
 
 
-def _faulty(s: SorterProcess) -> None:
+def _faulty(s: ProxyProcess) -> None:
     """Raises now and then."""
-    hall: Any = s.hall
-    turn, rng = hall.turn, random.Random(1)
+    proxy_node: Any = s.proxy_node
+    handle_membership, rng = proxy_node.handle_membership, random.Random(1)
 
     def raising(event: Any) -> None:
         if rng.random() < 0.02:
             raise RuntimeError("planted")
-        turn(event)
-    hall.turn = raising
+        handle_membership(event)
+    proxy_node.handle_membership = raising
 
 
-SORTERS: dict[str, Callable[[SorterProcess], None]] = {
+PROXY_BUGS: dict[str, Callable[[ProxyProcess], None]] = {
     "stale": _stale, "any_charge": _any_charge, "deaf_to_drain": _deaf_to_drain, "repeats": _repeats,
     "always_promises": _always_promises, "believes_all": _believes_all, "no_budget": _no_budget,
     "other_path": _other_path, "no_target": _no_target, "denies": _denies, "abrupt": _abrupt,
     "no_return": _no_return, "faulty": _faulty}
-POSTMASTERS: dict[str, Callable[[PostmasterProcess], None]] = {
+CONTROLLER_BUGS: dict[str, Callable[[ControllerProcess], None]] = {
     "lying_disk": _lying_disk, "hasty": _hasty, "credulous": _credulous, "silent_orders": _silent_orders,
     "forgets_orders": _forgets_orders}
 
 
-def plant(name: str, deployment: Deployment) -> None:
+def inject_bug(name: str, deployment: Deployment) -> None:
     """Plant a fault in all processes that start from now on; none if the name is empty."""
     if not name:
         return
-    if name not in SORTERS and name not in POSTMASTERS:
+    if name not in PROXY_BUGS and name not in CONTROLLER_BUGS:
         raise ValueError(f"fault {name!r}: unknown")
 
-    def spoil(process: Program) -> None:
-        if isinstance(process, SorterProcess) and name in SORTERS:
-            SORTERS[name](process)
-        elif isinstance(process, PostmasterProcess) and name in POSTMASTERS:
-            POSTMASTERS[name](process)
-    deployment.spoilers.append(spoil)
+    def corrupt_process(process: Program) -> None:
+        if isinstance(process, ProxyProcess) and name in PROXY_BUGS:
+            PROXY_BUGS[name](process)
+        elif isinstance(process, ControllerProcess) and name in CONTROLLER_BUGS:
+            CONTROLLER_BUGS[name](process)
+    deployment.process_hooks.append(corrupt_process)
--- a/proving/model/machines.py
+++ b/proving/model/machines.py
@@ -5,11 +5,11 @@
 import random
 from typing import TYPE_CHECKING
 
-from post.machine import Address
+from gateway.state_machine import Address
 from proving.model.disk import Disk
-from proving.model.network import Network, Place
-from proving.model.processes import PostmasterProcess, Program, SorterProcess
-from proving.model.world import World
+from proving.model.network import Location, Network
+from proving.model.processes import ControllerProcess, Program, ProxyProcess
+from proving.model.simulator import Simulator
 
 if TYPE_CHECKING:
     from proving.model.deployment import Deployment
@@ -25,9 +25,9 @@
     def __init__(self, deployment: Deployment, name: str, ip: str, zone: str, roles: tuple[str, ...],
                  fresh: bool) -> None:
         self.deployment, self.name, self.ip, self.roles, self.fresh = deployment, name, ip, roles, fresh
-        self.world: World = deployment.world
+        self.simulator: Simulator = deployment.simulator
         self.network: Network = deployment.network
-        self.place: Place = Place(name, zone)
+        self.place: Location = Location(name, zone)
         self.cost: float = deployment.spec.cost_s
         self.speed: float = 1.0
         self.disk: Disk = Disk(deployment.spec.disk_s)
@@ -38,7 +38,7 @@
     @property
     def core(self) -> bool:
         """Whether it is of the core."""
-        return "postmaster" in self.roles
+        return "controller" in self.roles
 
     @property
     def control(self) -> Address:
@@ -56,9 +56,9 @@
 
     def _start(self, role: str) -> None:
         deployment = self.deployment
-        rng = random.Random(self.world.chance().random())
+        rng = random.Random(self.simulator.chance().random())
         settings = deployment.settings(self, role)
-        kind = PostmasterProcess if role == "postmaster" else SorterProcess
+        kind = ControllerProcess if role == "controller" else ProxyProcess
         process = self.processes[role] = kind(self, settings, rng)
         self.starts += 1
         deployment.at_port[process.me] = process
@@ -69,7 +69,7 @@
     def reseed(self) -> None:
         """The settings file names the seeds that callers know by now."""
         for process in self.processes.values():
-            ports = tuple(process.settings.postmaster_at(a) for a in self.deployment.listed()[:3])
+            ports = tuple(process.settings.controller_at(a) for a in self.deployment.listed()[:3])
             process.enter(process.seeds, ports)
 
     def end(self, process: Program, power: bool = False) -> None:
@@ -100,7 +100,7 @@
         def start() -> None:
             self.power = True
             self.start()
-        self.world.after(after + START_S, start)
+        self.simulator.after(after + START_S, start)
 
     def stop(self) -> None:
         """SIGTERM to all processes; what is left after the grace is killed."""
@@ -112,4 +112,4 @@
         def kill() -> None:
             for process in stopped:
                 self.end(process)
-        self.world.after(grace, kill)
+        self.simulator.after(grace, kill)
--- a/proving/model/network.py
+++ b/proving/model/network.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
-from proving.model.world import World
+from proving.model.simulator import Simulator
 
 DATAGRAM_BYTES = 1150  # longer messages go over a connection, which loses none
 RESEND_S = 0.2  # until a connection sends once more what was lost
@@ -14,14 +14,14 @@
 Address = str
 
 
-class Place(NamedTuple):
+class Location(NamedTuple):
     """Where something stands: its own name, and its zone."""
 
     name: str
     zone: str
 
 
-class Ways(NamedTuple):
+class LinkProfile(NamedTuple):
     """One-way delays in seconds, their spread (a part of them), the chance that a datagram is lost or comes
     twice, and the bytes a second of a machine's link."""
 
@@ -37,16 +37,16 @@
 class Network:
     """All links. A cut goes one way: from a name or zone to a name or zone ("*": any)."""
 
-    def __init__(self, world: World, ways: Ways) -> None:
-        self.world, self.ways = world, ways
-        self.rng = world.chance()
+    def __init__(self, simulator: Simulator, ways: LinkProfile) -> None:
+        self.simulator, self.ways = simulator, ways
+        self.rng = simulator.chance()
         self.cuts: dict[tuple[str, str], int] = {}
         self.loss: dict[str, float] = {}  # of single machines, on top
         self.slow: dict[str, float] = {}  # seconds added on both ways of single machines
         self.squeezed: dict[str, float] = {}  # bytes a second of single machines' links
         self.free: dict[str, float] = {}  # when a machine's link has sent what it was given
         self.sent = dict[str, list[int]]()  # by kind: messages, bytes, bytes between zones
-        self.watch: Callable[[Place, Place, str, Any], None] | None = None
+        self.watch: Callable[[Location, Location, str, Any], None] | None = None
 
     # Troubles.
 
@@ -58,7 +58,7 @@
         else:
             self.cuts.pop((frm, to), None)
 
-    def reaches(self, a: Place, b: Place) -> bool:
+    def reaches(self, a: Location, b: Location) -> bool:
         """Whether anything gets from one place to another now."""
         cuts = self.cuts
         if not cuts or a.name == b.name:
@@ -71,7 +71,7 @@
 
     # Ways.
 
-    def delay(self, a: Place, b: Place, client: bool = False) -> float:
+    def delay(self, a: Location, b: Location, client: bool = False) -> float:
         """Seconds for one packet."""
         w = self.ways
         base = w.client if client else 0.00005 if a.name == b.name else w.within if a.zone == b.zone \
@@ -81,25 +81,25 @@
             delay += self.slow.get(a.name, 0.0) + self.slow.get(b.name, 0.0)
         return delay
 
-    def wait(self, a: Place, size: int) -> float:
+    def wait(self, a: Location, size: int) -> float:
         """Seconds until so many bytes have gone out at a machine, after what went before."""
         bandwidth = self.squeezed.get(a.name)
         if bandwidth is None:
             if size < 4096:
                 return 0.0
             bandwidth = self.ways.bandwidth
-        now = self.world.now
+        now = self.simulator.now
         free = self.free[a.name] = max(now, self.free.get(a.name, 0.0)) + size / bandwidth
         return free - now
 
-    def lossy(self, a: Place, b: Place) -> float:
+    def lossy(self, a: Location, b: Location) -> float:
         """The chance that a datagram is lost."""
         loss = self.ways.loss
         if self.loss:
             loss = 1 - (1 - loss) * (1 - self.loss.get(a.name, 0.0)) * (1 - self.loss.get(b.name, 0.0))
         return loss
 
-    def note(self, a: Place, b: Place, kind: str, size: int) -> None:
+    def note(self, a: Location, b: Location, kind: str, size: int) -> None:
         """Count what is sent."""
         row = self.sent.get(kind)
         if row is None:
@@ -109,7 +109,7 @@
         if a.zone != b.zone:
             row[2] += size
 
-    def message(self, a: Place, b: Place, kind: str, size: int, arrive: Callable[..., Any],
+    def message(self, a: Location, b: Location, kind: str, size: int, arrive: Callable[..., Any],
                 *args: Any) -> None:
         """Send a message between two own processes: `arrive(*args)` is called there, unless it is lost."""
         self.note(a, b, kind, size)
@@ -120,6 +120,6 @@
         delay = wait + self.delay(a, b)
         if size > DATAGRAM_BYTES:
             delay += self.delay(a, b) + self.delay(b, a)  # a connection that has to be opened
-        self.world.after(delay, arrive, *args)
+        self.simulator.after(delay, arrive, *args)
         if self.ways.twice and self.rng.random() < self.ways.twice:
-            self.world.after(delay + self.delay(a, b), arrive, *args)
+            self.simulator.after(delay + self.delay(a, b), arrive, *args)
--- a/proving/model/operators.py
+++ b/proving/model/operators.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
-from proving.model.network import Place
+from proving.model.network import Location
 from proving.model.record import Order, Read, Repeat
 
 if TYPE_CHECKING:
@@ -65,28 +65,28 @@
 class Operator:
     """One operator. What is known to be in force is shared by all of them in `Desk`."""
 
-    def __init__(self, deployment: Deployment, desk: Desk, name: str, zone: str) -> None:
-        self.deployment, self.desk, self.name = deployment, desk, name
-        self.world, self.rng = deployment.world, deployment.world.chance()
-        self.place = Place(f"operator {name}", f"operator {zone}")
+    def __init__(self, deployment: Deployment, operator_pool: OperatorPool, name: str, zone: str) -> None:
+        self.deployment, self.operator_pool, self.name = deployment, operator_pool, name
+        self.simulator, self.rng = deployment.simulator, deployment.simulator.chance()
+        self.place = Location(f"operator {name}", f"operator {zone}")
 
     def put(self, document: Document, valid: bool = True, patch: Document | None = None) -> None:
         """Send a change until there is a clear answer."""
         record, number = self.deployment.record, len(self.deployment.record.orders)
         method, body = "PATCH" if patch else "PUT", json.dumps(patch or document).encode()
-        record.orders.append(Order(self.world.now, 0.0, document["generation"], document["base-version"],
+        record.orders.append(Order(self.simulator.now, 0.0, document["generation"], document["base-version"],
                                    valid, 0, "", self.name, document))
 
         def clear(status: int, by: str) -> None:
             order = record.orders[number]
-            record.orders[number] = order._replace(at=self.world.now, status=status, by=by)
+            record.orders[number] = order._replace(at=self.simulator.now, status=status, by=by)
             if status == 200:
-                self.desk.taken(document, method, body)
-            for listener in self.desk.listeners:
+                self.operator_pool.taken(document, method, body)
+            for listener in self.operator_pool.listeners:
                 listener(record.orders[number])
 
         def unheard() -> None:
-            record.orders[number] = record.orders[number]._replace(unheard=self.world.now)
+            record.orders[number] = record.orders[number]._replace(unheard=self.simulator.now)
 
         self.send(method, body, clear, unheard)
 
@@ -96,7 +96,7 @@
         record.repeats.append(Repeat(0.0, generation, 0, ""))
 
         def clear(status: int, by: str) -> None:
-            record.repeats[number] = Repeat(self.world.now, generation, status, by)
+            record.repeats[number] = Repeat(self.simulator.now, generation, status, by)
 
         self.send(method, body, clear, lambda: None)
 
@@ -113,7 +113,7 @@
 
         def told(status: int, by: str, answer: bytes) -> None:
             nonlocal wait, tries
-            if self.desk.deaf and self.rng.random() < self.desk.deaf:
+            if self.operator_pool.deaf and self.rng.random() < self.operator_pool.deaf:
                 if status == 200:
                     unheard()
                 status = 0
@@ -121,7 +121,7 @@
             if status in (200, 400, 409, 412, 413, 422) or tries >= 3:
                 clear(status, by)
             else:
-                self.world.after(wait * self.rng.uniform(0.8, 1.2), call)
+                self.simulator.after(wait * self.rng.uniform(0.8, 1.2), call)
                 wait = min(1.5, wait * 1.5)
 
         call()
@@ -137,7 +137,7 @@
                 sent = [o.document for o in record.orders
                         if o.generation == generation and o.status in (0, 200)]
                 same = any(_canon(found) == _canon(s) for s in sent)
-            record.reads.append(Read(self.world.now, status, generation, same, by))
+            record.reads.append(Read(self.simulator.now, status, generation, same, by))
 
         address = self.deployment.some_control(self.place, self.rng)
         self.deployment.call(self.place, address, "GET", "/-/config", b"", 2.0, told)
@@ -160,12 +160,12 @@
             if e["entry-kind"] == "route-table"}
 
 
-class Desk:
+class OperatorPool:
     """What the operators know together: the newest configuration that was acknowledged, and their changes."""
 
     def __init__(self, deployment: Deployment) -> None:
         self.deployment = deployment
-        self.rng: random.Random = deployment.world.chance()
+        self.rng: random.Random = deployment.simulator.chance()
         self.newest: Document = {}
         self.generation = 0
         self.listeners: list[Any] = []  # told of each order's answer
--- a/proving/model/processes.py
+++ b/proving/model/processes.py
@@ -6,29 +6,29 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
-from post.machine import Address
-from post.office import hall as halls
-from post.office.core import Post
-from post.office.hall import Hall
-from post.office.program import FRANKING, REGISTER, ROUNDS
-from post.office.settings import Settings
-from post.office.sorter import BACKEND_IDLE_S, BODIES_SHARE, SILENT_S, SPARE
-from post.office.wicket import Asked
-from post.register import api as register
-from post.register.records import Stored
-from post.rounds import messages as rounds
-from proving.model.network import Place
-from proving.model.wire import Frontage, Upstream
-from proving.model.world import Process
-from proving.tape import Head, Tape
-from roadspur.net.door import Limits
+from gateway.consensus import api as consensus
+from gateway.consensus.records import PersistentState
+from gateway.membership import messages as membership
+from gateway.programs import proxy_node as proxy_node_module
+from gateway.programs.controller_node import ControllerNode
+from gateway.programs.proxy import BACKEND_IDLE_S, BODY_MEMORY_DIVISOR, RESERVED_DESCRIPTORS, SILENT_S
+from gateway.programs.proxy_node import ProxyNode
+from gateway.programs.startup import CONSENSUS, MEMBERSHIP, QUOTA
+from gateway.runtime.http_listener import HttpCall
+from gateway.runtime.settings import Settings
+from gateway.state_machine import Address
+from proving.model.network import Location
+from proving.model.proxy_sockets import SimulatedServer, Upstream
+from proving.model.simulator import Process
+from proving.recording import Recording, RecordingHeader
+from roadspur.net.connection_interfaces import Limits
 
 if TYPE_CHECKING:
     from proving.model.machines import Machine
 
-POSTMASTER_TICK_S, SORTER_TICK_S = 0.025, 0.05
-KINDS = {REGISTER: "register", ROUNDS: "rounds", FRANKING: "franking"}
-TICK = rounds.Tick()
+CONTROLLER_TICK_S, PROXY_TICK_S = 0.025, 0.05
+KINDS = {CONSENSUS: "register", MEMBERSHIP: "rounds", QUOTA: "franking"}
+TICK = membership.Tick()
 
 
 class Program(Process):
@@ -37,33 +37,33 @@
     kind = ""
 
     def __init__(self, machine: Machine, settings: Settings, rng: random.Random) -> None:
-        world = machine.world
-        super().__init__(world, f"{self.kind} {machine.name}", machine.cost, rng.uniform(1e3, 1e5),
+        simulator = machine.simulator
+        super().__init__(simulator, f"{self.kind} {machine.name}", machine.cost, rng.uniform(1e3, 1e5),
                          rng.uniform(-2e-5, 2e-5))
         self.machine: Machine = machine
         self.settings, self.rng = settings, rng
-        self.place: Place = machine.place
+        self.place: Location = machine.place
         self.me: Address = settings.own_address(self.kind)
         self.speed = machine.speed
         self.notes: dict[int, Callable[[Address, Any], None]] = {}
         self.leaving = False
-        self.tick_s = POSTMASTER_TICK_S if self.kind == "postmaster" else SORTER_TICK_S
+        self.tick_s = CONTROLLER_TICK_S if self.kind == "controller" else PROXY_TICK_S
 
-    def taped(self, role: str, stored: Stored | None) -> None:
-        """Keep a tape, if tapes are wanted."""
-        self.tape: Tape | None = None
-        tapes = self.machine.deployment.tapes
-        if tapes is not None:
-            self.tape = Tape(Head(role, self.settings, stored, self.rng.getstate(), self.time()))
-            tapes.append((self.name, self.tape))
+    def attach_recording(self, role: str, stored: PersistentState | None) -> None:
+        """Keep a recording, if recordings are wanted."""
+        self.recording: Recording | None = None
+        recordings = self.machine.deployment.recordings
+        if recordings is not None:
+            self.recording = Recording(RecordingHeader(role, self.settings, stored, self.rng.getstate(), self.time()))
+            recordings.append((self.name, self.recording))
 
     def begin(self) -> None:
         """Start its ticks."""
-        self.world.after(self.machine.deployment.rng.uniform(0.0, self.tick_s), self.enter, self.tick)
+        self.simulator.after(self.machine.deployment.rng.uniform(0.0, self.tick_s), self.enter, self.tick)
 
     def tick(self) -> None:
         """As the program's ticker does."""
-        self.world.after(self.tick_s, self.enter, self.tick)
+        self.simulator.after(self.tick_s, self.enter, self.tick)
         try:
             self.ticked()
         except Exception as error:
@@ -104,81 +104,81 @@
         self.leaving = True
 
 
-class PostmasterProcess(Program):
-    """A postmaster."""
+class ControllerProcess(Program):
+    """A controller."""
 
-    kind = "postmaster"
+    kind = "controller"
 
     def __init__(self, machine: Machine, settings: Settings, rng: random.Random) -> None:
         super().__init__(machine, settings, rng)
-        self.taped("postmaster", machine.disk.stored)
-        self.post = Post(self, self.time, settings, machine.disk.stored, rng)
-        post = self.post
-        if self.tape is not None:
-            self.tape.attach(post)
-        self.notes = {REGISTER: post.register_note, ROUNDS: post.rounds_note, FRANKING: post.franking_note}
+        self.attach_recording("controller", machine.disk.stored)
+        self.controller_node = ControllerNode(self, self.time, settings, machine.disk.stored, rng)
+        controller_node = self.controller_node
+        if self.recording is not None:
+            self.recording.attach(controller_node)
+        self.notes = {CONSENSUS: controller_node.on_consensus_message, MEMBERSHIP: controller_node.on_membership_message, QUOTA: controller_node.on_quota_message}
 
     def ticked(self) -> None:
-        self.post.tick(self.time())
+        self.controller_node.tick(self.time())
 
-    def write(self, token: int, record: Stored) -> None:
+    def write(self, token: int, record: PersistentState) -> None:
         """A record is to be saved."""
-        self.machine.disk.save(self, record, lambda: self.post.written(token),
-                               lambda why: self.post.write_failed(token, why))
+        self.machine.disk.save(self, record, lambda: self.controller_node.written(token),
+                               lambda why: self.controller_node.write_failed(token, why))
 
     def seeds(self, addresses: tuple[Address, ...]) -> None:
-        self.post.seeds(addresses)
+        self.controller_node.seeds(addresses)
 
-    def answer(self, asked: Asked, reply: Callable[[int, bytes, bytes], None]) -> None:
+    def answer(self, http_call: HttpCall, reply: Callable[[int, bytes, bytes], None]) -> None:
         """A call to `control`."""
         try:
-            self.post.answer(asked, reply)
+            self.controller_node.answer(http_call, reply)
         except Exception as error:
             self.fault(error)
 
     def stop(self, grace_s: float) -> None:
         super().stop(grace_s)
-        until = self.world.now + 0.5 * grace_s
+        until = self.simulator.now + 0.5 * grace_s
 
         def look() -> None:
-            if self.world.now < until and not self.post.agreement.left:
-                self.world.after(0.05, self.enter, look)
+            if self.simulator.now < until and not self.controller_node.raft.left:
+                self.simulator.after(0.05, self.enter, look)
             else:
-                self.world.after(0.1, self.machine.end, self)
+                self.simulator.after(0.1, self.machine.end, self)
 
-        self.enter(self.post.agree, register.Leave())
+        self.enter(self.controller_node.handle_consensus, consensus.Leave())
         self.enter(look)
 
 
-class SorterProcess(Program):
-    """A sorter."""
+class ProxyProcess(Program):
+    """A proxy."""
 
-    kind = "sorter"
+    kind = "proxy"
 
     def __init__(self, machine: Machine, settings: Settings, rng: random.Random) -> None:
         super().__init__(machine, settings, rng)
-        half = max(32, (settings.own.limits.max_fds - SPARE) // 2)
-        self.taped("sorter", None)
-        self.upstream = Upstream(self, halls.CONNECT_S, BACKEND_IDLE_S, half, SILENT_S)
-        self.hall = Hall(self, self.loop, self.time, settings, self.upstream, rng)
-        if self.tape is not None:
-            self.tape.attach(self.hall)
+        half = max(32, (settings.own.limits.max_fds - RESERVED_DESCRIPTORS) // 2)
+        self.attach_recording("proxy", None)
+        self.upstream = Upstream(self, proxy_node_module.CONNECT_TIMEOUT_S, BACKEND_IDLE_S, half, SILENT_S)
+        self.proxy_node = ProxyNode(self, self.loop, self.time, settings, self.upstream, rng)
+        if self.recording is not None:
+            self.recording.attach(self.proxy_node)
         memory = int(1e6 * settings.own.limits.memory_mb)
-        self.server = Frontage(self.loop, self.hall.ingress, half, memory // BODIES_SHARE)
-        self.notes = {ROUNDS: self.hall.rounds_note, FRANKING: self.hall.franking_note}
+        self.server = SimulatedServer(self.loop, self.proxy_node.ingress, half, memory // BODY_MEMORY_DIVISOR)
+        self.notes = {MEMBERSHIP: self.proxy_node.on_membership_message, QUOTA: self.proxy_node.on_quota_message}
 
     def ticked(self) -> None:
-        self.hall.turn(TICK)
+        self.proxy_node.handle_membership(TICK)
 
     def seeds(self, addresses: tuple[Address, ...]) -> None:
-        self.hall.seeds(addresses)
+        self.proxy_node.seeds(addresses)
 
     def limit(self, limits: Limits) -> None:
         """A configuration is taken up, and its limits of clients."""
         self.server.limits = limits
-        book = self.hall.book
-        if book is not None:
-            taken = self.world.now, self.machine.name, book.generation
+        compiled_config = self.proxy_node.compiled_config
+        if compiled_config is not None:
+            taken = self.simulator.now, self.machine.name, compiled_config.generation
             self.machine.deployment.record.taken.append(taken)
 
     def limits(self) -> Limits:
@@ -187,13 +187,13 @@
 
     def ready(self) -> bool:
         """What it says to the platform."""
-        return self.hall.ready()
+        return self.proxy_node.ready()
 
     def stop(self, grace_s: float) -> None:
         super().stop(grace_s)
         self.enter(self.leave)
 
     def leave(self) -> None:
-        self.hall.leaving = True
+        self.proxy_node.leaving = True
         task = self.create_task(self.server.leave())
         task.add_done_callback(lambda _: self.machine.end(self))
--- a/proving/model/wire.py
+++ b/proving/model/proxy_sockets.py
@@ -1,4 +1,4 @@
-"""The sorter's connections to clients and backends: the program's own, over the model's links."""
+"""The proxy's connections to clients and backends: the program's own, over the model's links."""
 
 from __future__ import annotations
 
@@ -6,20 +6,20 @@
 import socket
 from typing import TYPE_CHECKING, Any, cast
 
-from proving.model.pipes import End, connect
+from proving.model.tcp import TcpEndpoint, connect
 from roadspur.net import upstream as real
 from roadspur.net.client import ClientConnection
 from roadspur.net.server import Server
 from roadspur.net.upstream import Pool
 
 if TYPE_CHECKING:
-    from proving.model.processes import SorterProcess
+    from proving.model.processes import ProxyProcess
 
 
 class Upstream(real.Upstream):
     """Connections to backends; only how one is opened is the model's."""
 
-    def __init__(self, process: SorterProcess, *args: Any) -> None:
+    def __init__(self, process: ProxyProcess, *args: Any) -> None:
         super().__init__(process.loop, *args)
         self.process = process
 
@@ -29,7 +29,7 @@
         backend = process.machine.deployment.listeners.get(f"{ip}:{port}")
         future = process.create_future()
 
-        def made(end: End | None) -> None:
+        def made(end: TcpEndpoint | None) -> None:
             if future.done():
                 if end is not None:
                     end.abort()
@@ -46,22 +46,22 @@
         async with asyncio.timeout(self.connect_timeout):
             end = await future
         connection = real.Connection(pool, cast(socket.socket, end))
-        end.taker = connection
+        end.receiver = connection
         process.ends.add(end)
         self.connections.add(connection)
         connection.connection_made(cast(asyncio.Transport, end))
         return connection
 
 
-class FrontConnection(ClientConnection):
+class SimulatedServerConnection(ClientConnection):
     """A client's connection; what has come and isn't read is known without a descriptor."""
 
     def unread(self) -> bool:
-        end = cast(End, self.transport)
+        end = cast(TcpEndpoint, self.transport)
         return bool(end.pending or end.held)
 
 
-class Listener:
+class ListeningSocket:
     """Stands in for the listening socket."""
 
     sockets = ()
@@ -73,20 +73,20 @@
         self.open = False
 
 
-class Frontage(Server):
-    """The sorter's own listener for clients."""
+class SimulatedServer(Server):
+    """The proxy's own listener for clients."""
 
     def __init__(self, *args: Any) -> None:
         super().__init__(*args)
-        self.door = Listener()
-        self.listener = cast(asyncio.Server, self.door)
+        self.listening_socket = ListeningSocket()
+        self.listener = cast(asyncio.Server, self.listening_socket)
 
-    def accept(self, process: SorterProcess, end: End) -> bool:
+    def accept(self, process: ProxyProcess, end: TcpEndpoint) -> bool:
         """A client connects: taken by the kernel, and by the program once it gets round to it."""
-        if process.ended or not self.door.open:
+        if process.ended or not self.listening_socket.open:
             return False
         end.process = process
         process.ends.add(end)
-        connection = end.taker = FrontConnection(self)
+        connection = end.receiver = SimulatedServerConnection(self)
         process.enter(connection.connection_made, end)
         return True
--- a/proving/model/record.py
+++ b/proving/model/record.py
@@ -79,7 +79,7 @@
     by: str
 
 
-class Life(NamedTuple):
+class BackendEvent(NamedTuple):
     """Something in the life of a backend: `starts`, `draining` or `gone` (each acknowledged), `ends`."""
 
     at: float
@@ -90,7 +90,7 @@
     by: str
 
 
-class Trouble(NamedTuple):
+class Disruption(NamedTuple):
     """What was done to machines, from when to when. `core`: it unsettles the core."""
 
     begins: float
@@ -112,8 +112,8 @@
         self.orders: list[Order] = []
         self.repeats: list[Repeat] = []
         self.reads: list[Read] = []
-        self.lives: list[Life] = []
-        self.troubles: list[Trouble] = []
+        self.lives: list[BackendEvent] = []
+        self.disruptions: list[Disruption] = []
         self.wanted: list[tuple[float, str, float, str]] = []  # first tries: at, route, worth, tenant
         self.served: list[tuple[float, str, str, str, float]] = []  # at, route, tenant, zone, seconds
         self.taken: list[tuple[float, str, int]] = []  # at, ingress's machine, generation that it takes up
--- a/proving/model/world.py
+++ b/proving/model/simulator.py
@@ -18,7 +18,7 @@
 MOST_FAULTS = 20  # of one process, that are kept
 
 
-class World:
+class Simulator:
     """Time in seconds since the day began, and all chance of a run, from one seed."""
 
     def __init__(self, seed: int) -> None:
@@ -95,8 +95,8 @@
     the processor time in seconds that an event takes, `speed` the part of the usual speed that it has.
     """
 
-    def __init__(self, world: World, name: str, cost: float, begin: float, drift: float) -> None:
-        self.world, self.name = world, name
+    def __init__(self, simulator: Simulator, name: str, cost: float, begin: float, drift: float) -> None:
+        self.simulator, self.name = simulator, name
         self.loop = cast(asyncio.AbstractEventLoop, self)  # as far as the programs use one
         self.cost, self.speed = cost, 1.0
         self.offset, self.rate = begin, 1.0 + drift
@@ -114,7 +114,7 @@
         """Something comes up for this process now: done at once, or when it gets round to it."""
         if self.ended:
             return
-        if self.frozen or self.backlog or self.world.now < self.busy:
+        if self.frozen or self.backlog or self.simulator.now < self.busy:
             self.backlog.append((call, args))
             self.wake()
             return
@@ -124,20 +124,20 @@
         if self.cost:
             spent = self.cost / self.speed
             self.used += self.cost
-            self.busy = self.world.now + spent
+            self.busy = self.simulator.now + spent
         call(*args)
 
     def wake(self) -> None:
         if not self.woken and not self.frozen and not self.ended:
             self.woken = True
-            self.world.at(self.busy, self.go_on)
+            self.simulator.at(self.busy, self.go_on)
 
     def go_on(self) -> None:
         """Do what waits, as far as there is time."""
         self.woken = False
         if self.frozen or self.ended:
             return
-        while self.backlog and not self.ended and not self.frozen and self.world.now >= self.busy:
+        while self.backlog and not self.ended and not self.frozen and self.simulator.now >= self.busy:
             self.act(*self.backlog.popleft())
         if self.backlog:
             self.wake()
@@ -153,18 +153,18 @@
         ends, self.ends = self.ends, set()
         for end in ends:
             end.die(power)
-        self.ended, self.end_at = True, self.world.now
+        self.ended, self.end_at = True, self.simulator.now
         self.backlog.clear()
 
     # What the program uses of its loop.
 
     def time(self) -> float:
         """Steady seconds of this machine."""
-        return self.offset + self.world.now * self.rate
+        return self.offset + self.simulator.now * self.rate
 
     def call_at(self, when: float, callback: Call, *args: Any, context: Any = None) -> Any:
         handle = Handle(when, callback, args)
-        self.world.at((when - self.offset) / self.rate, self.enter, self.fire, handle)
+        self.simulator.at((when - self.offset) / self.rate, self.enter, self.fire, handle)
         return handle
 
     def call_later(self, delay: float, callback: Call, *args: Any, context: Any = None) -> Any:
@@ -210,4 +210,4 @@
         if len(self.faults) < MOST_FAULTS:
             frame = traceback.extract_tb(error.__traceback__)[-1:]
             place = "".join(f" ({f.filename.rpartition('/')[2]}:{f.lineno})" for f in frame)
-            self.faults.append(f"{self.world.now:.3f} {type(error).__name__}: {error}{place}")
+            self.faults.append(f"{self.simulator.now:.3f} {type(error).__name__}: {error}{place}")
--- a/proving/model/pipes.py
+++ b/proving/model/tcp.py
@@ -6,11 +6,11 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
-from proving.model.network import RESEND_S, Network, Place
-from proving.model.world import Process
+from proving.model.network import RESEND_S, Location, Network
+from proving.model.simulator import Process
 
 
-class Taker(Protocol):
+class StreamProtocol(Protocol):
     """What is at an end: as asyncio's protocols."""
 
     def connection_made(self, transport: Any) -> None: ...
@@ -25,7 +25,7 @@
 DATA, EOF, RESET = 0, 1, 2
 
 
-class End:
+class TcpEndpoint:
     """One end of a connection, and the transport of what is there.
 
     `patience` is how long bytes may go unacknowledged, in seconds; None: for ever. What arrives for a
@@ -33,14 +33,14 @@
     """
 
     __slots__ = ("closed", "client", "free_at", "lost", "network", "patience", "paused", "peer", "pending",
-                 "place", "process", "silent", "stuck_at", "taken_bytes", "taker", "waiting", "held", "over")
+                 "place", "process", "silent", "stuck_at", "taken_bytes", "receiver", "waiting", "held", "over")
 
-    def __init__(self, network: Network, place: Place, process: Process | None, client: bool,
+    def __init__(self, network: Network, place: Location, process: Process | None, client: bool,
                  patience: float | None) -> None:
         self.network, self.place, self.process, self.client = network, place, process, client
         self.patience = patience
-        self.peer: End
-        self.taker: Taker | None = None
+        self.peer: TcpEndpoint
+        self.receiver: StreamProtocol | None = None
         self.waiting = deque[tuple[int, bytes]]()  # that a cut holds up
         self.held = deque[tuple[int, bytes]]()  # that has come while reading is paused
         self.stuck_at: float | None = None
@@ -118,12 +118,12 @@
             self.pump()
 
     def pump(self) -> None:
-        network, world = self.network, self.network.world
+        network, simulator = self.network, self.network.simulator
         while self.waiting:
             if self.silent or self.peer.silent or not network.reaches(self.place, self.peer.place):
                 if self.stuck_at is None:
-                    self.stuck_at = world.now
-                world.after(RESEND_S, self.again)
+                    self.stuck_at = simulator.now
+                simulator.after(RESEND_S, self.again)
                 return
             self.stuck_at = None
             kind, data = self.waiting.popleft()
@@ -132,13 +132,13 @@
             delay = network.delay(self.place, self.peer.place, self.client or self.peer.client)
             if network.loss and network.rng.random() < network.lossy(self.place, self.peer.place):
                 delay += RESEND_S
-            when = max(self.free_at, world.now + delay + network.wait(self.place, len(data)))
+            when = max(self.free_at, simulator.now + delay + network.wait(self.place, len(data)))
             self.free_at = when
-            world.at(when, self.peer.arrive, kind, data)
+            simulator.at(when, self.peer.arrive, kind, data)
 
     def again(self) -> None:
         """Packets that a cut took are sent once more, as long as there is patience."""
-        now = self.network.world.now
+        now = self.network.simulator.now
         if self.silent or self.stuck_at is None:
             return
         if self.patience is not None and now - self.stuck_at > self.patience:
@@ -181,14 +181,14 @@
 
     def give(self, kind: int, data: bytes) -> None:
         """Hand something to what is here."""
-        if self.taker is None or self.lost:
+        if self.receiver is None or self.lost:
             return
         if kind == DATA:
             if not self.closed:
                 self.taken_bytes += len(data)
-                self.taker.data_received(data)
+                self.receiver.data_received(data)
         elif kind == EOF:
-            if not self.closed and not self.taker.eof_received():
+            if not self.closed and not self.receiver.eof_received():
                 self.close()
         else:
             self.closed = True
@@ -196,14 +196,14 @@
 
     def tell(self, error: Exception | None) -> None:
         """This side is over: its taker is told, not from within its own call."""
-        if self.lost or self.taker is None:
+        if self.lost or self.receiver is None:
             return
         self.lost = True
         if self.process is None:
-            self.network.world.after(0.0, self.taker.connection_lost, error)
+            self.network.simulator.after(0.0, self.receiver.connection_lost, error)
         else:
             self.process.ends.discard(self)
-            self.process.call_soon(self.taker.connection_lost, error)
+            self.process.call_soon(self.receiver.connection_lost, error)
 
     def die(self, power: bool) -> None:
         """The process here ends: its kernel resets what is open, unless that has lost power too."""
@@ -215,14 +215,14 @@
             self.push(RESET, b"")
 
 
-def connect(network: Network, place: Place, process: Process | None, target: Place, client: bool,
-            patience: float | None, accept: Callable[[End], bool | None],
-            made: Callable[[End | None], Any]) -> None:
+def connect(network: Network, place: Location, process: Process | None, target: Location, client: bool,
+            patience: float | None, accept: Callable[[TcpEndpoint], bool | None],
+            made: Callable[[TcpEndpoint | None], Any]) -> None:
     """Open a connection. `accept(end)` is asked at the other side: True if it takes it (it sets the end's
     taker), False for a refusal, None for silence. `made(end)` is called here, with None for a refusal."""
-    world = network.world
-    mine = End(network, place, process, client, patience)
-    theirs = End(network, target, None, False, None)
+    simulator = network.simulator
+    mine = TcpEndpoint(network, place, process, client, patience)
+    theirs = TcpEndpoint(network, target, None, False, None)
     mine.peer, theirs.peer = theirs, mine
 
     def arrived() -> None:
@@ -230,7 +230,7 @@
             return
         answer = accept(theirs)
         if answer is not None:
-            world.after(network.delay(target, place, client), answered, answer)
+            simulator.after(network.delay(target, place, client), answered, answer)
 
     def answered(taken: bool) -> None:
         if process is None:
@@ -242,4 +242,4 @@
         delay = network.delay(place, target, client)
         if network.loss and network.rng.random() < network.lossy(place, target):
             delay += 1.0  # an opening packet is sent again after a second
-        world.after(delay, arrived)
+        simulator.after(delay, arrived)
--- a/proving/orders.py
+++ b/proving/orders.py
@@ -1,6 +1,6 @@
 """How long the operator's orders took, from the log lines of a day: to the answer, and to the nodes.
 
-Lines are found by the JSON object in them (`post.office.word`); what stands before it, a time and a node's
+Lines are found by the JSON object in them (`gateway.runtime.config_events`); what stands before it, a time and a node's
 name perhaps, may be anything.
 """
 
@@ -12,14 +12,14 @@
 from statistics import median
 from typing import Any, NamedTuple
 
-from proving.loglines import objects
+from proving.log_lines import objects
 
-LOGGER = "post.word"
+LOGGER = "gateway.config_events"
 NUMBER = re.compile(r"\d+(?:\.\d+)?")
 SKEW_S = 0.5  # by which clocks of machines may differ
 
 
-class Line(NamedTuple):
+class LogLine(NamedTuple):
     """What a line tells, and when in seconds."""
 
     at: float
@@ -40,7 +40,7 @@
     missing: int = 0  # nodes that were there and have told nothing of it
 
 
-def read(lines: Iterable[str], by_prefix: bool) -> list[Line]:
+def read(lines: Iterable[str], by_prefix: bool) -> list[LogLine]:
     """The lines that are about orders, by time: the first number before the object, or its own time."""
     found = []
     for before, told in objects(lines, LOGGER):
@@ -48,14 +48,14 @@
         if by_prefix and number is None:
             continue
         at = float(number[0]) if by_prefix and number else float(told["time"])
-        found.append(Line(at, told["message"], told))
+        found.append(LogLine(at, told["message"], told))
     return sorted(found, key=lambda line: line.at)
 
 
-def orders(lines: list[Line]) -> list[Order]:
+def orders(lines: list[LogLine]) -> list[Order]:
     """All orders that were taken, and what became of them."""
     found: dict[tuple[int, int], Order] = {}
-    forces: list[Line] = []
+    forces: list[LogLine] = []
     for line in lines:
         if line.what == "in force":
             forces.append(line)
@@ -71,7 +71,7 @@
     return list(found.values())
 
 
-def _spread(order: Order, forces: list[Line]) -> None:
+def _spread(order: Order, forces: list[LogLine]) -> None:
     """See when each node had the order, or a later one, in force."""
     known, told = set[str](), set[str]()
     for line in forces:
--- a/proving/planner.py
+++ b/proving/planner.py
@@ -10,8 +10,8 @@
 
 from proving import sweep
 from proving.hunt import on_all_cores
-from proving.measure import felt
-from proving.spec import Service, Spec, Trouble
+from proving.measurements import felt
+from proving.spec import Disruption, Service, Spec
 
 FIGURES = (
     ("served_part", "of the requests wanted are served"), ("timely_part", "are served within their aim"),
@@ -41,28 +41,28 @@
     """The core gets another number of members, spread over the zones."""
     n = int(size)
     zones = len(spec.zones)
-    posts = tuple(n // zones + (z < n % zones) for z in range(zones))
-    sorters = tuple(max(s, p) for s, p in zip(spec.sorters, posts, strict=True))
-    after = replace(spec, postmasters=posts, sorters=sorters, tolerance=max(0, (n - 1) // 2))
-    return Plan(f"a core of {n} in place of {sum(spec.postmasters)}", spec, after)
+    controllers = tuple(n // zones + (z < n % zones) for z in range(zones))
+    proxies = tuple(max(s, p) for s, p in zip(spec.proxies, controllers, strict=True))
+    after = replace(spec, controllers=controllers, proxies=proxies, tolerance=max(0, (n - 1) // 2))
+    return Plan(f"a core of {n} in place of {sum(spec.controllers)}", spec, after)
 
 
 def lose_zone(spec: Spec, zone: str) -> Plan:
     """A zone loses power for good."""
     number = spec.zones.index(zone) if zone in spec.zones else int(zone or 0)
     at = spec.day.warm + 10.0
-    trouble = Trouble("zone_lost", at, spec.day.seconds, number)
+    disruption = Disruption("zone_lost", at, spec.day.seconds, number)
     return Plan(f"zone {spec.zones[number]} is lost", spec,
-                replace(spec, troubles=(*spec.troubles, trouble)), at)
+                replace(spec, disruptions=(*spec.disruptions, disruption)), at)
 
 
 def roll_out(spec: Spec, apart: str) -> Plan:
     """A version of the system is rolled out: machine by machine, `apart` seconds from one to the next."""
     gap, at = float(apart or 7.0), spec.day.warm + 5.0
-    needed = at + gap * sum(spec.sorters) + spec.bounds.grace_s + 10.0
+    needed = at + gap * sum(spec.proxies) + spec.bounds.grace_s + 10.0
     before = replace(spec, day=replace(spec.day, seconds=max(spec.day.seconds, needed)))
     return Plan(f"a roll-out, {gap:g} s from machine to machine", before,
-                replace(before, troubles=(*spec.troubles, Trouble("roll_out", at, gap))), at)
+                replace(before, disruptions=(*spec.disruptions, Disruption("roll_out", at, gap))), at)
 
 
 def grow(spec: Spec, factor: str) -> Plan:
@@ -71,7 +71,7 @@
 
     def more(service: Service) -> Service:
         return replace(service, backends=round(service.backends * times))
-    after = replace(spec, sorters=tuple(round(s * times) for s in spec.sorters),
+    after = replace(spec, proxies=tuple(round(s * times) for s in spec.proxies),
                     services=tuple(map(more, spec.services)),
                     day=replace(spec.day, load=spec.day.load * times,
                                 clients=round(spec.day.clients * times)))
--- a/proving/days.py
+++ b/proving/random_days.py
@@ -5,7 +5,7 @@
 import random
 from dataclasses import replace
 
-from proving.spec import Spec, Trouble
+from proving.spec import Disruption, Spec
 
 CORE = ("core_kill", "core_power", "wipe", "core_freeze", "core_cut", "core_apart", "core_off",
         "replace_core", "seed_turnover", "after_ack_kill", "after_ack_wipe", "disk_full", "disk_hang",
@@ -23,7 +23,7 @@
 GROUPS = {"core": CORE, "herd": HERD, "edge": EDGE, "orders": ORDERS, "tenants": TENANTS,
           "backends": BACKENDS}
 
-def by_chance(spec: Spec, seed: int, groups: tuple[str, ...] = tuple(GROUPS)) -> Spec:
+def random_day(spec: Spec, seed: int, groups: tuple[str, ...] = tuple(GROUPS)) -> Spec:
     """A day of some troubles, alone and together; the core's come one after the other."""
     spec = varied(spec, seed)
     rng = random.Random(f"day {seed}")
@@ -35,7 +35,7 @@
             ends = closing - spec.bounds.sync_s - 3.0
         else:
             closing = 0.0
-    found: list[Trouble] = []
+    found: list[Disruption] = []
     free = begins
     for _ in range(rng.randrange(1, 9)):
         group = rng.choice(groups)
@@ -49,10 +49,10 @@
             if at + lasts > ends:
                 continue
             free = at + lasts + spec.bounds.sync_s + 2.0
-        found.append(Trouble(kind, round(at, 3), lasts, rng.randrange(1000), rng.choice([0.3, 1.0, 2.0])))
+        found.append(Disruption(kind, round(at, 3), lasts, rng.randrange(1000), rng.choice([0.3, 1.0, 2.0])))
     day = replace(spec.day, closing=closing, closing_kind=rng.choice(CLOSING),
                   config_changes=rng.choice([0.0, 0.0, 3.0, 8.0]))
-    return replace(spec, day=day, troubles=tuple(sorted(found, key=lambda t: t.at)))
+    return replace(spec, day=day, disruptions=tuple(sorted(found, key=lambda t: t.at)))
 
 
 def varied(spec: Spec, seed: int) -> Spec:
@@ -65,15 +65,15 @@
                       burst_s=rng.choice([0.3, 1.0, 2.0]))
     spec = replace(spec, links=links, services=services, tenants=tenants,
                    tick_factor=rng.choice([1.0, 1.0, 2.0]))
-    if rng.random() < 0.2 and sum(spec.sorters) >= 5:
-        posts = tuple(min(s, p) for s, p in zip(spec.sorters, (2, 2, 1), strict=False))
-        spec = replace(spec, postmasters=posts, tolerance=(sum(posts) - 1) // 2)
+    if rng.random() < 0.2 and sum(spec.proxies) >= 5:
+        controllers = tuple(min(s, p) for s, p in zip(spec.proxies, (2, 2, 1), strict=False))
+        spec = replace(spec, controllers=controllers, tolerance=(sum(controllers) - 1) // 2)
     return spec
 
 
 def told(spec: Spec) -> str:
     """A day's schedule, a line a trouble."""
-    lines = [f"{t.at:7.2f} s  {t.kind} ({t.which}), {t.lasts:g} s, x{t.much:g}" for t in spec.troubles]
+    lines = [f"{t.at:7.2f} s  {t.kind} ({t.which}), {t.lasts:g} s, x{t.much:g}" for t in spec.disruptions]
     if spec.day.closing:
         lines.append(f"{spec.day.closing:7.2f} s  closing fault: {spec.day.closing_kind}")
     if spec.day.config_changes:
--- /dev/null
+++ b/proving/recorded_program.py
@@ -0,0 +1,65 @@
+"""A program of the system with a recording, which goes to the folder $PROVING_RECORDINGS at its end.
+
+    python -m proving.recorded_program proxy|controller
+
+The program is the same; only its state machines are listened to, which costs it some time.
+"""
+
+from __future__ import annotations
+
+import os
+import random
+import sys
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from gateway.programs import controller, proxy
+from gateway.programs.controller_node import ControllerNode
+from gateway.programs.proxy_node import ProxyNode
+from proving.recording import Recording, RecordingHeader
+
+FOLDER = "PROVING_RECORDINGS"
+RECORDINGS: list[Recording] = []
+
+
+class RecordedController(ControllerNode):
+    """The controller's machines, listened to."""
+
+    def __init__(self, driver: Any, clock: Callable[[], float], settings: Any, stored: Any,
+                 rng: random.Random) -> None:
+        recording = Recording(RecordingHeader("controller", settings, stored, rng.getstate(), clock()))
+        super().__init__(driver, lambda: recording.head.began, settings, stored, rng)
+        self.clock = clock
+        recording.attach(self)
+        RECORDINGS.append(recording)
+
+
+class RecordedProxy(ProxyNode):
+    """The proxy's machines, listened to."""
+
+    def __init__(self, driver: Any, loop: Any, clock: Callable[[], float], settings: Any, upstream: Any,
+                 rng: random.Random) -> None:
+        recording = Recording(RecordingHeader("proxy", settings, None, rng.getstate(), clock()))
+        super().__init__(driver, loop, clock, settings, upstream, rng)
+        recording.attach(self)
+        RECORDINGS.append(recording)
+
+
+def main() -> int:
+    """Run the program and write the recording at its end; the exit code."""
+    role = sys.argv[1]
+    if role == "controller":
+        setattr(controller, "ControllerNode", RecordedController)  # noqa: B010
+        code = controller.main()
+    else:
+        setattr(proxy, "ProxyNode", RecordedProxy)  # noqa: B010
+        code = proxy.main()
+    folder = Path(os.environ.get(FOLDER, "."))
+    for recording in RECORDINGS:
+        recording.save(folder / f"{recording.head.settings.own.node}-{role}-{os.getpid()}.recording")
+    return code
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/proving/tape.py
+++ b/proving/recording.py
@@ -1,7 +1,7 @@
-"""Tapes: all that went into a process's state machines and what came out, to be played again.
+"""Recordings: all that went into a process's state machines and what came out, to be played again.
 
 A machine is its inputs, its times and its chance, so the same inputs give the same outputs; where they don't,
-something else had a say in a decision. A tape holds what a process was told at its start and each call of a
+something else had a say in a decision. A recording holds what a process was told at its start and each call of a
 machine's `handle` since then.
 """
 
@@ -14,26 +14,26 @@
 from pathlib import Path
 from typing import Any, NamedTuple, cast
 
-from post.office.core import Post
-from post.office.hall import Hall
-from post.office.settings import Settings
-from post.register.records import Stored
+from gateway.consensus.records import PersistentState
+from gateway.programs.controller_node import ControllerNode
+from gateway.programs.proxy_node import ProxyNode
+from gateway.runtime.settings import Settings
 
-MOST = 200_000  # inputs that a tape keeps; a full one is no longer replayed, only read
-POST_MACHINES = ("agreement", "rounds", "duties", "holder")
+MOST = 200_000  # inputs that a recording keeps; a full one is no longer replayed, only read
+CONTROLLER_MACHINES = ("raft", "membership", "shard_assigner", "holder")
 
 
-class Head(NamedTuple):
+class RecordingHeader(NamedTuple):
     """What a process was told at its start. `chance` is the state of its random.Random."""
 
     role: str
     settings: Settings
-    stored: Stored | None
+    stored: PersistentState | None
     chance: Any
     began: float
 
 
-class Step(NamedTuple):
+class RecordedInput(NamedTuple):
     """One input of a machine, and its outputs."""
 
     machine: str
@@ -42,14 +42,14 @@
     outputs: list[str]
 
 
-class Tape:
+class Recording:
     """Records a process. `attach` is called once its machines are there, before anything goes in."""
 
-    def __init__(self, head: Head, most: int = MOST) -> None:
-        self.head, self.steps = head, deque[Step](maxlen=most)
+    def __init__(self, head: RecordingHeader, most: int = MOST) -> None:
+        self.head, self.steps = head, deque[RecordedInput](maxlen=most)
         self.count = 0
 
-    def attach(self, glue: Post | Hall) -> None:
+    def attach(self, glue: ControllerNode | ProxyNode) -> None:
         """Listen at all of its machines."""
         for name, machine in machines(glue):
             self._listen(name, machine)
@@ -57,13 +57,13 @@
     def _listen(self, name: str, machine: Any) -> None:
         handle = machine.handle
 
-        def taped(now: float, event: Any) -> Any:
+        def recorded_handle(now: float, event: Any) -> Any:
             kept = pickle.dumps(event)
             out = handle(now, event)
             self.count += 1
-            self.steps.append(Step(name, now, kept, [shown(o) for o in out]))
+            self.steps.append(RecordedInput(name, now, kept, [shown(o) for o in out]))
             return out
-        machine.handle = taped
+        machine.handle = recorded_handle
 
     def save(self, path: Path) -> None:
         """Write it to a file."""
@@ -71,13 +71,13 @@
             pickle.dump((self.head, self.count, list(self.steps)), file)
 
 
-def machines(glue: Post | Hall) -> Iterator[tuple[str, Any]]:
+def machines(glue: ControllerNode | ProxyNode) -> Iterator[tuple[str, Any]]:
     """A process's state machines by name."""
-    if isinstance(glue, Post):
-        for name in POST_MACHINES:
+    if isinstance(glue, ControllerNode):
+        for name in CONTROLLER_MACHINES:
             yield name, getattr(glue, name)
     else:
-        yield "rounds", glue.rounds
+        yield "membership", glue.membership
         yield "gateway", glue.ingress.gateway
 
 
@@ -86,48 +86,48 @@
     return f"{type(output).__name__} {' '.join(str(output).split())}"
 
 
-class Mute:
+class NullObject:
     """Stands in for all that is outside: does nothing, and is asked nothing."""
 
     def __getattr__(self, name: str) -> Any:
-        return lambda *args, **more: Mute()
+        return lambda *args, **more: NullObject()
 
     def __len__(self) -> int:
         return 0
 
 
-class Difference(NamedTuple):
-    """The first input whose outputs are others than on the tape."""
+class OutputDifference(NamedTuple):
+    """The first input whose outputs are others than on the recording."""
 
     number: int
-    step: Step
+    step: RecordedInput
     outputs: list[str]
 
 
-def replay(head: Head, steps: list[Step]) -> Difference | None:
-    """Feed a whole tape through new machines; the first difference, or None."""
+def replay(head: RecordingHeader, steps: list[RecordedInput]) -> OutputDifference | None:
+    """Feed a whole recording through new machines; the first difference, or None."""
     rng = random.Random()
     rng.setstate(head.chance)
     glue: Any
-    if head.role == "postmaster":
-        glue = Post(Mute(), lambda: head.began, head.settings, head.stored, rng)
+    if head.role == "controller":
+        glue = ControllerNode(NullObject(), lambda: head.began, head.settings, head.stored, rng)
     else:
-        glue = Hall(Mute(), cast(Any, Mute()), lambda: head.began, head.settings, cast(Any, Mute()), rng)
+        glue = ProxyNode(NullObject(), cast(Any, NullObject()), lambda: head.began, head.settings, cast(Any, NullObject()), rng)
     known = dict(machines(glue))
     for number, step in enumerate(steps):
         out = [shown(o) for o in known[step.machine].handle(step.now, pickle.loads(step.event))]
         if out != step.outputs:
-            return Difference(number, step, out)
+            return OutputDifference(number, step, out)
     return None
 
 
-def load(path: Path) -> tuple[Head, int, list[Step]]:
-    """A tape's head, how many inputs there were in all, and those that it has kept."""
+def load(path: Path) -> tuple[RecordingHeader, int, list[RecordedInput]]:
+    """A recording's head, how many inputs there were in all, and those that it has kept."""
     with open(path, "rb") as file:
         return pickle.load(file)  # type: ignore[no-any-return]
 
 
-def told(steps: list[Step], begins: float = 0.0, ends: float = 1e12, longest: int = 200) -> Iterator[str]:
+def told(steps: list[RecordedInput], begins: float = 0.0, ends: float = 1e12, longest: int = 200) -> Iterator[str]:
     """Steps as lines: what came in, and what went out for it."""
     for step in steps:
         if begins <= step.now <= ends:
--- a/proving/report.py
+++ b/proving/report.py
@@ -49,9 +49,9 @@
     for part, label, colour in zip(total / len(found), ("wanted", "served", "within the aim"),
                                    ("#999", "#2b6cb0", "#2f855a"), strict=True):
         axes.step(times, part, where="post", label=label, color=colour)
-    for trouble in spec.troubles:
-        axes.axvspan(trouble.at, trouble.at + trouble.lasts, color="#c53030", alpha=0.12)
-        axes.annotate(trouble.kind, (trouble.at, axes.get_ylim()[1]), fontsize=7, rotation=30)
+    for disruption in spec.disruptions:
+        axes.axvspan(disruption.at, disruption.at + disruption.lasts, color="#c53030", alpha=0.12)
+        axes.annotate(disruption.kind, (disruption.at, axes.get_ylim()[1]), fontsize=7, rotation=30)
     axes.set_xlabel("second of the day")
     axes.set_ylabel("requests a second")
     axes.legend(loc="lower left", fontsize=8)
@@ -98,8 +98,8 @@
     """Write the report."""
     points = summaries(found)
     parts = [f"<h1>{html.escape(spec.name)}</h1>", f"<p>{html.escape(text)}</p>" if text else "",
-             f"<p>{len(found)} runs, {len(spec.zones)} zones, {sum(spec.sorters)} sorters, "
-             f"{sum(spec.postmasters)} postmasters, {spec.day.seconds:g} s a day.</p>", table(points)]
+             f"<p>{len(found)} runs, {len(spec.zones)} zones, {sum(spec.proxies)} proxies, "
+             f"{sum(spec.controllers)} controllers, {spec.day.seconds:g} s a day.</p>", table(points)]
     if spec.day.traffic:
         parts += ["<h2>The day</h2>", course(found, spec)]
     names = points[0].values if points else {}
--- a/proving/spec.py
+++ b/proving/spec.py
@@ -98,7 +98,7 @@
 
 
 @dataclass(frozen=True)
-class Trouble:
+class Disruption:
     """Something that befalls the deployment. `at` is in seconds of the day; `lasts` in seconds; `which`
     chooses among machines, backends or ways by a number, so that it means something in any deployment."""
 
@@ -132,23 +132,23 @@
 
     name: str = "unnamed"
     zones: tuple[str, ...] = ("kgn-a", "kgn-b", "kgn-c")
-    postmasters: tuple[int, ...] = (1, 1, 1)
-    sorters: tuple[int, ...] = (5, 5, 4)
-    spares: int = 0
+    controllers: tuple[int, ...] = (1, 1, 1)
+    proxies: tuple[int, ...] = (5, 5, 4)
+    sampling_active: int = 0
     tolerance: int = 1  # machines of the core that may be lost at once
     beat_s: float = 1.3
     disk_s: float = 0.002  # of one sync
     cost_s: float = 0.0001  # of processor time for an event
     tick_factor: float = 1.0  # times as long between ticks as in the programs
     serialized: bool = False  # messages go as bytes and are read again
-    planted: str = ""  # a fault that is put into the system, for the checkers to find
+    injected_bug: str = ""  # a fault that is put into the system, for the checkers to find
     services: tuple[Service, ...] = (Service(),)
     kinds: tuple[Kind, ...] = (Kind(),)
     tenants: Tenants = Tenants()
     links: Links = Links()
     bounds: Bounds = Bounds()
     day: Day = Day()
-    troubles: tuple[Trouble, ...] = ()
+    disruptions: tuple[Disruption, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -160,7 +160,7 @@
     values: Mapping[str, tuple[Any, ...]] = field(default_factory=dict)
 
 
-NESTED: dict[str, Any] = {"services": Service, "kinds": Kind, "troubles": Trouble}
+NESTED: dict[str, Any] = {"services": Service, "kinds": Kind, "disruptions": Disruption}
 
 
 def make(cls: type[T], table: Mapping[str, Any], place: str = "") -> T:
--- a/proving/standard.py
+++ b/proving/standard_days.py
@@ -15,7 +15,7 @@
 from proving import spec as specs
 from proving import sweep
 from proving.hunt import on_all_cores
-from proving.spec import Spec, Trouble
+from proving.spec import Disruption, Spec
 
 SITES = Path(__file__).parent / "sites"
 LOAD = {"quiet": 0.5, "trouble": 0.5, "scale": 0.6}
@@ -54,20 +54,20 @@
     rng = random.Random(f"{site} {name} {seed}")
     kind = name.partition("-")[0]
     seconds = 48.0 if kind == "quiet" else 68.0
-    troubles = []
-    for trouble in DAYS[site][name]:
+    disruptions = []
+    for disruption in DAYS[site][name]:
         at, which = rng.uniform(14.0, seconds - 16.0), rng.randrange(1000)
-        if trouble in ("revoke", "config_change"):  # no limit is cut, no route moved to where it overloads
-            trouble, which = "config_change", 3 if trouble == "revoke" else rng.choice((0, 1))
-        much = 0.4 if trouble == "herd_kill" else 1.0
+        if disruption in ("revoke", "config_change"):  # no limit is cut, no route moved to where it overloads
+            disruption, which = "config_change", 3 if disruption == "revoke" else rng.choice((0, 1))
+        much = 0.4 if disruption == "herd_kill" else 1.0
         lasts = rng.uniform(2.0, 5.0)
-        if trouble == "hot_tenant":  # one of the three largest, for long
+        if disruption == "hot_tenant":  # one of the three largest, for long
             at, which, lasts = rng.uniform(14.0, 22.0), which % 3, rng.uniform(*HOT_S)
-        troubles.append(Trouble(trouble, at, lasts, which, much))
+        disruptions.append(Disruption(disruption, at, lasts, which, much))
     closing = seconds - 26.0 if name in CLOSING else 0.0
     if closing:
-        troubles = [t for t in troubles if t.at < closing - 5.0]
-    return replace(told, name=f"{site} {name}", troubles=tuple(sorted(troubles, key=lambda t: t.at)),
+        disruptions = [t for t in disruptions if t.at < closing - 5.0]
+    return replace(told, name=f"{site} {name}", disruptions=tuple(sorted(disruptions, key=lambda t: t.at)),
                    day=replace(told.day, seconds=seconds, load=LOAD[kind], closing=closing))
 
 
--- a/proving/sweep.py
+++ b/proving/sweep.py
@@ -13,8 +13,8 @@
 
 from proving.checkers import check
 from proving.hunt import on_all_cores
-from proving.measure import Seconds, measure, seconds
-from proving.model.run import play
+from proving.measurements import SecondCounts, measure, seconds
+from proving.model.simulation_run import play
 from proving.spec import Spec, Sweep, change
 
 
@@ -36,9 +36,9 @@
     return Row(values, seed, measure(record, changed), [str(b) for b in check(record)], course)
 
 
-def seconds_of(row: Row) -> Seconds:
+def seconds_of(row: Row) -> SecondCounts:
     """A run's course, as `measure.seconds` has it."""
-    return Seconds(*(np.array(part) for part in row.course))
+    return SecondCounts(*(np.array(part) for part in row.course))
 
 
 def points(sweep: Sweep) -> list[dict[str, Any]]:
--- a/proving/show.py
+++ b/proving/transcript.py
@@ -5,9 +5,9 @@
 from collections.abc import Iterable
 from typing import Any
 
-from proving.model.network import Place
+from proving.model.network import Location
 from proving.model.record import Record
-from proving.model.run import Run
+from proving.model.simulation_run import Run
 from proving.spec import Spec
 
 LONGEST = 60  # letters of a field's value
@@ -32,7 +32,7 @@
     return " ".join(found)
 
 
-class Scribe:
+class TranscriptWriter:
     """Writes down messages as they come, within a span and of some planes."""
 
     def __init__(self, run: Run, begins: float, ends: float, planes: Iterable[str], machines: Iterable[str],
@@ -42,9 +42,9 @@
         self.lines: list[tuple[float, str]] = []
         run.deployment.network.watch = self.note
 
-    def note(self, frm: Place, to: Place, plane: str, message: Any) -> None:
+    def note(self, frm: Location, to: Location, plane: str, message: Any) -> None:
         """A message has arrived."""
-        now = self.run.world.now
+        now = self.run.simulator.now
         if not self.begins <= now <= self.ends or (self.planes and plane not in self.planes):
             return
         if self.machines and frm.name not in self.machines and to.name not in self.machines:
@@ -57,7 +57,7 @@
 
 def events(record: Record) -> Iterable[tuple[float, str]]:
     """What befell the deployment, and what its callers saw but for the usual."""
-    for t in record.troubles:
+    for t in record.disruptions:
         yield t.begins, f"**  {t.told}, until {t.ends:.3f}"
     for o in record.orders:
         kind = "" if o.valid else " (invalid)"
@@ -83,7 +83,7 @@
                machines: Iterable[str] = (), quiet: bool = True) -> str:
     """Play a day and tell what goes on in a span of it; `quiet` leaves out the agreement's beats."""
     run = Run(spec, seed)
-    scribe = Scribe(run, begins, ends, planes, machines, quiet)
+    transcript_writer = TranscriptWriter(run, begins, ends, planes, machines, quiet)
     record = run.play()
-    lines = [*scribe.lines, *((at, text) for at, text in events(record) if begins <= at <= ends)]
+    lines = [*transcript_writer.lines, *((at, text) for at, text in events(record) if begins <= at <= ends)]
     return "\n".join(f"{at:9.4f}  {text}" for at, text in sorted(lines, key=lambda line: line[0]))
--- a/roadspur/__main__.py
+++ b/roadspur/__main__.py
@@ -18,21 +18,21 @@
 
 from roadspur import interface as io
 from roadspur.control import Gateway
-from roadspur.net.console import Call, Console, Refused
+from roadspur.net.console import CommandRefused, Console, ConsoleCommand
 from roadspur.net.counter import Counter
 from roadspur.net.discovery import Discovery, Listing, read_listing
+from roadspur.net.http_messages import Address, read_address
 from roadspur.net.ingress import Ingress
 from roadspur.net.peers import Peers
+from roadspur.net.process_state import State
 from roadspur.net.server import Server
-from roadspur.net.state import State
 from roadspur.net.upstream import Upstream
-from roadspur.net.wire import Address, read_address
 from roadspur.wirehost import WireError, read_settings
 
 log = logging.getLogger("roadspur")
 
 STATE_S = 0.25  # between looks at what another process of this ingress has left
-BODIES_SHARE = 8  # of the memory, the part that larger bodies may take together
+BODY_MEMORY_DIVISOR = 8  # of the memory, the part that larger bodies may take together
 SOCKETS_SPARE = 64  # descriptors that are neither clients' nor backends'
 
 
@@ -120,12 +120,12 @@
     server.loop.call_later(STATE_S, follow, server)
 
 
-def calls(server: Server) -> dict[str, Call]:
+def calls(server: Server) -> dict[str, ConsoleCommand]:
     """What operators may ask of this process."""
 
     def done(done: bool, otherwise: str) -> list[str]:
         if not done:
-            raise Refused(otherwise)
+            raise CommandRefused(otherwise)
         return ["done"]
 
     def health() -> list[str]:
@@ -144,9 +144,9 @@
     def resume() -> list[str]:
         return done(server.resume(), "this process is ending")
 
-    return {"health": Call(health), "counters": Call(lambda: [*server.ingress.figures(), "end"]),
-            "cordon": Call(cordon, 1), "uncordon": Call(uncordon, 1), "quiesce": Call(quiesce),
-            "resume": Call(resume)}
+    return {"health": ConsoleCommand(health), "counters": ConsoleCommand(lambda: [*server.ingress.figures(), "end"]),
+            "cordon": ConsoleCommand(cordon, 1), "uncordon": ConsoleCommand(uncordon, 1), "quiesce": ConsoleCommand(quiesce),
+            "resume": ConsoleCommand(resume)}
 
 
 async def serve(config: Config) -> None:
@@ -161,7 +161,7 @@
     ingress.follow()
     if config.counter is not None and config.settings.counter:
         ingress.counter = Counter(loop, config.counter, config.settings.counter_timeout, ingress.submit,
-                                  ingress.tally)
+                                  ingress.statistics)
     if config.peer_listen is not None and config.settings.peers:
         peers = Peers(config.peers, config.peers_all, config.settings.me, ingress.submit)
         await loop.create_datagram_endpoint(lambda: peers, local_addr=config.peer_listen)
@@ -170,7 +170,7 @@
         ingress.listed(config.known, saved=True)
     discovery = Discovery(loop, config.discovery, config.known.version if config.known else 0, ingress.listed,
                           config.settings.instances, config.seed)
-    server = Server(loop, ingress, share, config.memory // BODIES_SHARE)
+    server = Server(loop, ingress, share, config.memory // BODY_MEMORY_DIVISOR)
     follow(server)
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -206,7 +206,7 @@
     upstream.close()
     console.close()
     state.leave()
-    ingress.tally.close()
+    ingress.statistics.close()
     log.info("%s has stopped", config.name)
 
 
--- a/roadspur/fleet.py
+++ b/roadspur/fleet.py
@@ -22,7 +22,7 @@
         self.ratio, self.errors, self.resting, self.trial = 1.0, 0.0, 0.0, False
         self.known = False  # it has answered here
         self.tokens, self.tokens_at = phase, now  # a small part never comes to one without
-        self.shy: dict[str, tuple[float, float]] = {}  # class or plan: turned away (1) or served (0), when
+        self.rejection_share: dict[str, tuple[float, float]] = {}  # class or plan: turned away (1) or served (0), when
 
 
 class Fleet:
@@ -32,7 +32,7 @@
         self.s, self.rng = settings, rng
         self.backends: dict[str, Backend] = {}
         self.usable = 0
-        self.bans: dict[str, io.Ban] = {}  # by backend; one put back stays while it may be cold
+        self.cordon_entries: dict[str, io.CordonEntry] = {}  # by backend; one put back stays while it may be cold
 
     def members(self, now: float) -> tuple[int, int]:
         """How many backends are listed, and how many of those are avoided now."""
@@ -75,31 +75,31 @@
     def settle(self) -> None:
         """Put together what the list and the operators say of each backend."""
         for name, b in self.backends.items():
-            ban = self.bans.get(name)
-            b.usable = b.entry.phase is io.Phase.RUNNING and (ban is None or ban.back > 0)
+            cordon_entry = self.cordon_entries.get(name)
+            b.usable = b.entry.phase is io.Phase.RUNNING and (cordon_entry is None or cordon_entry.back > 0)
             b.start = b.entry.born
-            if ban is not None and b.start < ban.since:  # it was restarted while out; the list may be late
-                b.start = max(b.start, ban.back)
+            if cordon_entry is not None and b.start < cordon_entry.since:  # it was restarted while out; the list may be late
+                b.start = max(b.start, cordon_entry.back)
         self.usable = sum(b.usable for b in self.backends.values())
 
     def cordon(self, now: float, e: io.Cordon) -> list[io.Action]:
         """Take a backend out by hand, or put it back; a call that was made before changes nothing."""
-        ban, known = self.bans.get(e.backend), self.backends.get(e.backend)
-        if ban is None and (known is None or known.entry.phase is io.Phase.DELETED):
+        cordon_entry, known = self.cordon_entries.get(e.backend), self.backends.get(e.backend)
+        if cordon_entry is None and (known is None or known.entry.phase is io.Phase.DELETED):
             return [io.UnknownBackend(e.backend)]
-        out = ban is not None and ban.back == 0
+        out = cordon_entry is not None and cordon_entry.back == 0
         if e.on and not out:
-            self.bans[e.backend] = io.Ban(now)
-        elif not e.on and ban is not None and out:
-            self.bans[e.backend] = ban._replace(back=now)
+            self.cordon_entries[e.backend] = io.CordonEntry(now)
+        elif not e.on and cordon_entry is not None and out:
+            self.cordon_entries[e.backend] = cordon_entry._replace(back=now)
             if known is not None:  # what it was like says nothing of what it is now
                 self.backends[e.backend] = self.anew(now, known.entry)
-        self.bans = {n: b for n, b in self.bans.items() if b.back == 0 or now < b.back + self.s.cold_time}
+        self.cordon_entries = {n: b for n, b in self.cordon_entries.items() if b.back == 0 or now < b.back + self.s.cold_time}
         self.settle()
-        return [*([io.CloseIdle(e.backend)] if e.on else []), io.Cordons(dict(self.bans))]
+        return [*([io.CloseIdle(e.backend)] if e.on else []), io.Cordons(dict(self.cordon_entries))]
 
-    def restore(self, bans: Mapping[str, io.Ban]) -> list[io.Action]:
+    def restore(self, cordon_entries: Mapping[str, io.CordonEntry]) -> list[io.Action]:
         """Take over the bans that another process of this ingress has kept."""
-        self.bans = dict(bans)
+        self.cordon_entries = dict(cordon_entries)
         self.settle()
-        return [*(io.CloseIdle(name) for name, b in self.bans.items() if b.back == 0), io.Cordons(dict(bans))]
+        return [*(io.CloseIdle(name) for name, b in self.cordon_entries.items() if b.back == 0), io.Cordons(dict(cordon_entries))]
--- a/roadspur/flight.py
+++ b/roadspur/flight.py
@@ -6,17 +6,17 @@
 from roadspur.customer import Customer
 
 
-class Flight:
+class ActiveRequest:
     """A request that is owed one final answer."""
 
     def __init__(self, req: io.Request, cls: io.ClassSettings, customer: Customer, now: float) -> None:
         self.req, self.cls, self.customer = req, cls, customer
         self.aim = now + min(cls.objective, req.expires_in)  # nothing is sent once its client is gone
         self.attempts, self.sent, self.charge = 0, 0.0, req.units
-        self.thin = req.units * customer.width > customer.plan.burst  # an even share is under one request
+        self.share_below_one = req.units * customer.width > customer.plan.burst  # an even share is under one request
         self.ran_at: float | None = None  # send time of the earliest attempt that may have run, and where
         self.ran_on: io.BackendEntry | None = None
-        self.took = 0.0  # units off the store
-        self.sent_on = False  # an attempt is out
+        self.charged_units = 0.0  # units off the store
+        self.attempt_out = False  # an attempt is out
         self.pace = 0.0  # requests that its customer is taken to keep open
         self.bad, self.value = set[str](), cls.worth * customer.plan.price  # worth a unit; units go with work
--- a/roadspur/interface.py
+++ b/roadspur/interface.py
@@ -35,10 +35,10 @@
     CONNECT_FAILED = "connect_failed"
     RESET = "reset"
     CANCELLED = "cancelled"
-    MOOT = "moot"
+    NOT_SENT = "moot"
 
 
-NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)  # outcomes that say so of an attempt
+NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT)  # outcomes that say so of an attempt
 
 
 class Phase(Enum):
@@ -272,7 +272,7 @@
     on: bool
 
 
-class Ban(NamedTuple):
+class CordonEntry(NamedTuple):
     """A backend taken out by hand: since when, and when it was put back (0: it is out), in Unix time."""
 
     since: float
@@ -282,17 +282,17 @@
 class Cordons(NamedTuple):
     """All bans. As an event: what a process before or beside this one has left; as an action: to be kept."""
 
-    bans: Mapping[str, Ban]
+    cordon_entries: Mapping[str, CordonEntry]
 
 
-class Beside(NamedTuple):
+class SiblingProcesses(NamedTuple):
     """How many other processes of this ingress are running: during an upgrade they are one ingress."""
 
     processes: int
 
 
 Event = Union[ListUpdate, Request, AttemptWritten, AttemptStarted, AttemptEnded, ClientGone, TimerFired,
-              ProbeEnded, PeerMessage, CounterReply, Cordon, Cordons, Beside]
+              ProbeEnded, PeerMessage, CounterReply, Cordon, Cordons, SiblingProcesses]
 
 
 class Attempt(NamedTuple):
@@ -343,7 +343,7 @@
     backend: str
 
 
-class Tell(NamedTuple):
+class SendPeerMessage(NamedTuple):
     """Send bytes to a peer, or to all (None)."""
 
     peer: int | None
@@ -380,5 +380,5 @@
     backend: str
 
 
-Action = Union[Attempt, CancelAttempt, Refuse, Fail, SetTimer, Probe, CloseIdle, Tell, CounterAdd, Subscribe,
+Action = Union[Attempt, CancelAttempt, Refuse, Fail, SetTimer, Probe, CloseIdle, SendPeerMessage, CounterAdd, Subscribe,
                FetchList, Log, Cordons, UnknownBackend]
--- a/roadspur/net/client.py
+++ b/roadspur/net/client.py
@@ -6,12 +6,12 @@
 
 import httptools
 
-from roadspur.net.answering import Answering
-from roadspur.net.door import Early, House
-from roadspur.net.line import FLOW_STALL_S
-from roadspur.net.request import BadRequest
+from roadspur.net.client_connection_base import FLOW_STALL_S
+from roadspur.net.connection_interfaces import ConnectionServer, ImmediateResponse
+from roadspur.net.http_messages import BLANKS, MAX_WHOLE, ClientRequest
+from roadspur.net.request_parser import BadRequest
+from roadspur.net.response_queue import ResponseQueue
 from roadspur.net.upload import Upload
-from roadspur.net.wire import BLANKS, MAX_WHOLE, Call
 
 PIPELINE = 16  # requests read ahead on one connection
 SLOW_RATE = 32 * 1024  # bytes a second of a body that come at least
@@ -22,13 +22,13 @@
               b"upgrade", b"expect", b"content-length"}
 
 
-class ClientConnection(Answering):
+class ClientConnection(ResponseQueue):
     """One client's connection; requests on it are answered in turn."""
 
-    def __init__(self, server: House) -> None:
+    def __init__(self, server: ConnectionServer) -> None:
         super().__init__(server)
         self.parser = httptools.HttpRequestParser(self)
-        self.upload_call: Call | None = None  # the one whose body is still coming
+        self.upload_call: ClientRequest | None = None  # the one whose body is still coming
         self.reserved = 0  # bytes for the body that is coming in, of those that all share
         self.held_since = 0.0  # of not reading its body; 0 if it is read
         self.paused = self.crowded = False
@@ -54,7 +54,7 @@
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
-        if self.deaf:  # the rest of a request that was turned away unread
+        if self.discarding_input:  # the rest of a request that was turned away unread
             self.size += len(data)
             if self.size > LINGER_BYTES and self.transport is not None and not self.paused:
                 self.paused = True
@@ -84,17 +84,17 @@
 
     def fault(self, status: int, why: str) -> None:
         """Answer what cannot be read on, after what came before it, and close."""
-        self.deaf, self.size, self.body = True, 0, bytearray()
+        self.discarding_input, self.size, self.body = True, 0, bytearray()
         self.server.bodies, self.reserved = self.server.bodies - self.reserved, 0
         call, self.upload_call = self.upload_call, None
         if call is None:
-            self.server.desk.tally.counts[f"turned away {status}"] += 1
-            self.enqueue(Early(status, why, bodiless=self.is_head()), keep=False)
+            self.server.request_handler.statistics.counts[f"turned away {status}"] += 1
+            self.enqueue(ImmediateResponse(status, why, bodiless=self.is_head()), keep=False)
         elif call is self.call:  # its first part has been taken
-            self.server.desk.withdraw(call, status)
+            self.server.request_handler.abort_request(call, status)
         elif any(call is item for item, _ in self.waiting):
             self.waiting.pop()
-            self.enqueue(Early(status, why), keep=False)
+            self.enqueue(ImmediateResponse(status, why), keep=False)
         else:  # it has been answered
             self.close()
 
@@ -137,18 +137,18 @@
             raise BadRequest(431, "the head is too long")
         if self.transport is not None and self.expects():
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-        if self.length is not None and not self.may_hold(self.length):
-            self.let_flow()
+        if self.length is not None and not self.may_buffer(self.length):
+            self.may_stream()
 
     def expects(self) -> bool:
         """Whether the client waits to be told to send its body; one with answers before it waits in vain."""
         told = any(n.lower() == b"expect" and v.lower() == b"100-continue" for n, v in self.headers)
         return told and self.call is None and not self.waiting
 
-    def let_flow(self) -> None:
+    def may_stream(self) -> None:
         """The body is too large to be held: the request is decided on before it has come."""
         item = self.read()
-        if isinstance(item, Early):
+        if isinstance(item, ImmediateResponse):
             raise BadRequest(item.status, item.why)
         item.upload, item.body = Upload(self.length, self.hold), b""
         self.release(item)
@@ -158,7 +158,7 @@
             item.upload.feed(bytes(self.body))
             self.body = bytearray()
 
-    def may_hold(self, size: int) -> bool:
+    def may_buffer(self, size: int) -> bool:
         """Whether a body of so many bytes is held whole; beyond a little, all bodies share what there is."""
         if size <= max(MAX_WHOLE, self.reserved):
             return True
@@ -175,8 +175,8 @@
         self.due = max(self.due, ahead)  # what has come fast does not excuse a long silence
         if self.got > self.server.limits.body:
             raise BadRequest(413, f"a body holds at most {self.server.limits.body} bytes")
-        if self.upload_call is None and not self.may_hold(self.got):
-            self.let_flow()
+        if self.upload_call is None and not self.may_buffer(self.got):
+            self.may_stream()
         if self.upload_call is not None and self.upload_call.upload is not None:
             self.upload_call.upload.feed(data)
         else:
@@ -187,15 +187,15 @@
         call, self.upload_call = self.upload_call, None
         if call is not None and call.upload is not None:
             self.hold(False)
-            self.server.desk.whole(call)
+            self.server.request_handler.whole(call)
             call.upload.finish()
             if call.upload.unwanted:  # answered before
                 self.close()
             return
         item = self.read()
-        if isinstance(item, Early):
+        if isinstance(item, ImmediateResponse):
             item = item._replace(bodiless=self.is_head())
-        if isinstance(item, Early) and item.close:
+        if isinstance(item, ImmediateResponse) and item.close:
             self.fault(item.status, item.why)
         else:
             self.enqueue(item, self.parser.should_keep_alive() and not self.crowded)
@@ -211,7 +211,7 @@
 
     def regulate(self) -> None:
         """Read, or do not, as the requests read ahead and a body on its way allow."""
-        want = self.deaf or not (self.held_since or len(self.waiting) > PIPELINE)
+        want = self.discarding_input or not (self.held_since or len(self.waiting) > PIPELINE)
         if self.transport is None or self.closing or want is not self.paused:
             return
         self.paused = not want
@@ -220,23 +220,23 @@
         else:
             self.transport.pause_reading()
 
-    def read(self) -> Call | Early:
+    def read(self) -> ClientRequest | ImmediateResponse:
         """The request that has come, or the answer to one that is none of ours."""
         url = ABSOLUTE.sub(b"", self.url, 1) if self.url[:1] != b"/" else self.url
-        desk = self.server.desk
-        if url.partition(b"?")[0] == desk.health_path:
-            return Early(200 if self.server.healthy() else 503, "")
+        request_handler = self.server.request_handler
+        if url.partition(b"?")[0] == request_handler.health_path:
+            return ImmediateResponse(200 if self.server.healthy() else 503, "")
         method = self.parser.get_method()
-        request = desk.read(method, url, self.headers)
-        if isinstance(request, Early):
+        request = request_handler.read(method, url, self.headers)
+        if isinstance(request, ImmediateResponse):
             return request
         if self.crowded:
-            self.server.desk.tally.totals[f"rejected.{request.class_name}"] += 1
-            return Early(503, "too many connections")
+            self.server.request_handler.statistics.totals[f"rejected.{request.class_name}"] += 1
+            return ImmediateResponse(503, "too many connections")
         start = [b"%s %s HTTP/1.1\r\n" % (method, url)]
         start += [b"%s: %s\r\n" % (n, v) for n, v in self.headers
-                  if (key := n.lower()) not in HOP_BY_HOP and key not in desk.kept_back]
-        call = Call(request, b"".join(start), self.body, self.loop.time(),
+                  if (key := n.lower()) not in HOP_BY_HOP and key not in request_handler.withheld_headers]
+        call = ClientRequest(request, b"".join(start), self.body, self.loop.time(),
                     self.parser.get_http_version() != "1.0", reserved=self.reserved,
                     bodiless=method == b"HEAD")
         self.reserved = 0
@@ -247,7 +247,7 @@
     def close(self) -> None:
         """Close, unless the rest of a body is to be read first, so that its answer is."""
         if any(item is self.upload_call for item, _ in self.waiting):  # it is behind the last answer
-            self.upload_call, self.held_since, self.deaf, self.size = None, 0.0, True, 0
+            self.upload_call, self.held_since, self.discarding_input, self.size = None, 0.0, True, 0
             self.regulate()
         if self.upload_call is None:
             super().close()
@@ -266,16 +266,16 @@
             if not self.reads(now):
                 self.cut()
         elif self.began:
-            self.hurry(now)
+            self.close_when_idle(now)
         else:
             limits = self.server.limits
             if now - self.since > (limits.idle if self.used else limits.slow) and self.idle():
                 self.close()
 
-    def hurry(self, now: float) -> None:
+    def close_when_idle(self, now: float) -> None:
         """A request comes whole in time: its head, and then its body no slower than any client sends."""
         if self.held_since:
             if now - self.held_since > FLOW_STALL_S and self.upload_call is not None:
-                self.server.desk.stuck(self.upload_call)
-        elif now > self.due and not self.deaf and not self.unread():
+                self.server.request_handler.upload_stalled(self.upload_call)
+        elif now > self.due and not self.discarding_input and not self.unread():
             self.fault(408, "the request did not come whole in time")
--- a/roadspur/net/line.py
+++ b/roadspur/net/client_connection_base.py
@@ -9,8 +9,8 @@
 import struct
 from typing import cast
 
-from roadspur.net.door import House
-from roadspur.net.wire import EMPTY, unsent
+from roadspur.net.connection_interfaces import ConnectionServer
+from roadspur.net.http_messages import EMPTY, unsent
 
 FLOW_STALL_S = 10.0  # for a client to read any more of a large answer
 CLOSE = b"Connection: close\r\n"
@@ -19,15 +19,15 @@
 PHRASES = {s.value: s.phrase.encode() for s in http.HTTPStatus}
 
 
-class Line(asyncio.Protocol):
+class ClientConnectionBase(asyncio.Protocol):
     """Writes answers, and ends the connection so that the last one is read."""
 
-    def __init__(self, server: House) -> None:
+    def __init__(self, server: ConnectionServer) -> None:
         self.server = server
         self.loop = server.loop
         self.transport: asyncio.Transport | None = None
         self.keep = True  # whether the connection stays open after the present answer
-        self.closing = self.deaf = False  # deaf: what comes is thrown away
+        self.closing = self.discarding_input = False  # deaf: what comes is thrown away
         self.since = self.loop.time()  # of being idle
         self.full_since = 0.0  # of a client that does not read; 0 if it does
         self.full_size = 0  # of what it has not read, when last looked at
@@ -36,7 +36,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # no subclass of it under uvloop
-        self.server.joined(self)
+        self.server.connection_opened(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.closing = True
@@ -65,7 +65,7 @@
         if self.closing or self.transport is None:
             return
         self.closing = True
-        if self.deaf:
+        if self.discarding_input:
             self.transport.write_eof()
         else:
             self.transport.close()
--- a/roadspur/net/door.py
+++ b/roadspur/net/connection_interfaces.py
@@ -7,12 +7,12 @@
 from typing import Any, NamedTuple, Protocol
 
 from roadspur import interface as io
-from roadspur.net.held import Client
-from roadspur.net.tally import Tally
-from roadspur.net.wire import MAX_BODY, MAX_HEAD, Call
+from roadspur.net.http_messages import MAX_BODY, MAX_HEAD, ClientRequest
+from roadspur.net.pending_request import Client
+from roadspur.net.request_statistics import RequestStatistics
 
 
-class Early(NamedTuple):
+class ImmediateResponse(NamedTuple):
     """An answer that no decision is needed for."""
 
     status: int
@@ -35,27 +35,27 @@
 USUAL = Limits()
 
 
-class Desk(Protocol):
+class RequestHandler(Protocol):
     """Takes the requests that have come."""
 
-    tally: Tally
+    statistics: RequestStatistics
     health_path: bytes | None
-    kept_back: frozenset[bytes]
+    withheld_headers: frozenset[bytes]
 
-    def read(self, method: bytes, url: bytes, headers: list[tuple[bytes, bytes]]) -> io.Request | Early: ...
+    def read(self, method: bytes, url: bytes, headers: list[tuple[bytes, bytes]]) -> io.Request | ImmediateResponse: ...
 
-    def take(self, call: Call, client: Client) -> None: ...
+    def take(self, call: ClientRequest, client: Client) -> None: ...
 
-    def gone(self, call: Call) -> None: ...
+    def gone(self, call: ClientRequest) -> None: ...
 
-    def whole(self, call: Call) -> None: ...
+    def whole(self, call: ClientRequest) -> None: ...
 
-    def withdraw(self, call: Call, status: int) -> None: ...
+    def abort_request(self, call: ClientRequest, status: int) -> None: ...
 
-    def stuck(self, call: Call) -> None: ...
+    def upload_stalled(self, call: ClientRequest) -> None: ...
 
 
-class House(Protocol):
+class ConnectionServer(Protocol):
     """The listener that a connection came in by."""
 
     loop: asyncio.AbstractEventLoop
@@ -66,10 +66,10 @@
     limits: Limits
 
     @property
-    def desk(self) -> Desk:
+    def request_handler(self) -> RequestHandler:
         """What takes the requests."""
 
-    def joined(self, connection: Any) -> None: ...
+    def connection_opened(self, connection: Any) -> None: ...
 
     def room(self, more: int) -> bool: ...
 
--- a/roadspur/net/console.py
+++ b/roadspur/net/console.py
@@ -1,4 +1,4 @@
-"""The operators' door: one line a connection, answered at once; what a call means is the callee's."""
+"""The operator console: one line a connection, answered at once; what a call means is the callee's."""
 
 from __future__ import annotations
 
@@ -15,18 +15,18 @@
 LINGER_S = 0.5  # for a caller to read its answer and close
 
 
-class Refused(Exception):
+class CommandRefused(Exception):
     """Why a call is answered with `error`, in a few plain words."""
 
 
-class Call(NamedTuple):
+class ConsoleCommand(NamedTuple):
     """What a call does: it takes so many arguments and gives the answer's lines."""
 
     act: Callable[..., list[str]]
     arguments: int = 0
 
 
-class Caller(asyncio.Protocol):
+class ConsoleConnection(asyncio.Protocol):
     """One connection of an operator's."""
 
     def __init__(self, console: Console) -> None:
@@ -38,7 +38,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # no subclass of it under uvloop
-        self.console.joined(self)
+        self.console.connection_opened(self)
 
     def data_received(self, data: bytes) -> None:
         if self.answered:
@@ -48,7 +48,7 @@
         if len(line) > MAX_LINE:
             self.answer(["error the line is too long"])
         elif end:
-            self.answer(self.console.obey(bytes(line)))
+            self.answer(self.console.execute(bytes(line)))
 
     def eof_received(self) -> bool:
         """A line without its end may be cut off, and then mean another call or backend."""
@@ -74,15 +74,15 @@
 class Console:
     """Listens for operators."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, calls: Mapping[str, Call]) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop, calls: Mapping[str, ConsoleCommand]) -> None:
         self.loop, self.calls = loop, calls
-        self.callers: dict[Caller, None] = {}  # in the order in which they came
+        self.callers: dict[ConsoleConnection, None] = {}  # in the order in which they came
         self.listener: asyncio.Server | None = None
 
     async def listen(self, host: str, port: int) -> None:
-        self.listener = await self.loop.create_server(lambda: Caller(self), host, port)
+        self.listener = await self.loop.create_server(lambda: ConsoleConnection(self), host, port)
 
-    def joined(self, caller: Caller) -> None:
+    def connection_opened(self, caller: ConsoleConnection) -> None:
         self.callers[caller] = None
         if len(self.callers) > MOST:
             oldest = next(iter(self.callers))
@@ -90,20 +90,20 @@
             if oldest.transport is not None:
                 oldest.transport.abort()
 
-    def obey(self, line: bytes) -> list[str]:
+    def execute(self, line: bytes) -> list[str]:
         """The answer to a line, whatever it holds."""
         try:
-            words = line.decode("ascii").split()
+            arguments_given = line.decode("ascii").split()
         except UnicodeDecodeError:
             return ["error not a line of text"]
-        call = self.calls.get(words[0]) if words else None
+        call = self.calls.get(arguments_given[0]) if arguments_given else None
         if call is None:
             return ["error no such call"]
-        if len(words) - 1 != call.arguments:
-            return [f"error {words[0]} takes {call.arguments or 'no'} argument{'s'[:call.arguments != 1]}"]
+        if len(arguments_given) - 1 != call.arguments:
+            return [f"error {arguments_given[0]} takes {call.arguments or 'no'} argument{'s'[:call.arguments != 1]}"]
         try:
-            return call.act(*words[1:])
-        except Refused as error:
+            return call.act(*arguments_given[1:])
+        except CommandRefused as error:
             return [f"error {error}"]
         except Exception:  # an operator's call must not end the program
             log.exception("console: %r", line)
--- a/roadspur/net/counter.py
+++ b/roadspur/net/counter.py
@@ -10,8 +10,8 @@
 from typing import cast
 
 from roadspur import interface as io
-from roadspur.net.tally import Tally
-from roadspur.net.wire import Address, Answer, AnswerReader
+from roadspur.net.http_messages import Address, Response, ResponseReader
+from roadspur.net.request_statistics import RequestStatistics
 
 log = logging.getLogger(__name__)
 
@@ -34,28 +34,28 @@
         self.reply: io.CounterReply | None = None
 
 
-class Link(asyncio.Protocol):
+class CounterConnection(asyncio.Protocol):
     """One connection to the counter, from its start to its end. Answers come in the order of the calls."""
 
-    def __init__(self, line: Line) -> None:
+    def __init__(self, line: ReconnectingCounterLink) -> None:
         self.line = line
         self.loop = line.counter.loop
         self.transport: asyncio.Transport | None = None
-        self.reader = AnswerReader()
-        self.owed: deque[Add] = deque()  # written; kept past their time, so that late answers find their call
+        self.reader = ResponseReader()
+        self.awaiting_reply: deque[Add] = deque()  # written; kept past their time, so that late answers find their call
         self.heard = 0.0
         self.served = self.retired = self.closed = False
         self.stall: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # no subclass of it under uvloop
-        self.line.stands(self)
+        self.line.connection_ready(self)
 
     def write(self, add: Add) -> None:
         assert self.transport is not None
-        if not self.owed:
+        if not self.awaiting_reply:
             self.heard = self.loop.time()
-        self.owed.append(add)
+        self.awaiting_reply.append(add)
         self.transport.write(add.text)
 
     def data_received(self, data: bytes) -> None:
@@ -67,20 +67,20 @@
         for answer in self.reader.feed(data):
             self.answered(answer)
         if self.reader.broken:
-            self.end(f"spoilt: {self.reader.broken}", spoilt=True)
+            self.end(f"spoilt: {self.reader.broken}", corrupt=True)
         elif self.reader.partial and not self.closed:
             self.stall = self.loop.call_later(STALL_S, self.end, "spoilt: it stops midway", True)
 
-    def answered(self, answer: Answer) -> None:
+    def answered(self, answer: Response) -> None:
         if self.closed:
             return
-        if not self.owed:
+        if not self.awaiting_reply:
             self.end("an answer to no call")
             return
         if answer.status == 200 and TOTAL.fullmatch(answer.body) is None:
-            self.end("spoilt: not a total", spoilt=True)
+            self.end("spoilt: not a total", corrupt=True)
             return
-        add = self.owed.popleft()
+        add = self.awaiting_reply.popleft()
         self.served = True
         self.line.counter.newest = max(self.line.counter.newest, add.began)
         if answer.status == 200:
@@ -91,13 +91,13 @@
             nothing_added = answer.status in (400, 404)
             log.warning("counter: status %d", answer.status)
             self.line.counter.tell(add, io.Outcome.CONNECT_FAILED if nothing_added else io.Outcome.TIMEOUT)
-        if not answer.keep or (self.retired and not self.owed):
+        if not answer.keep or (self.retired and not self.awaiting_reply):
             self.end("done")
 
     def retire(self) -> None:
         """Another connection has taken over; what is owed here may still come."""
         self.retired = True
-        if self.owed:
+        if self.awaiting_reply:
             self.loop.call_later(RETIRE_S, self.end, "retired")
         else:
             self.end("retired")
@@ -105,7 +105,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self.end("closed")
 
-    def end(self, why: str, spoilt: bool = False) -> None:
+    def end(self, why: str, corrupt: bool = False) -> None:
         """No answer can be had here any more. What was written may have been added; a spoilt answer says so.
 
         The line is told first: a verdict may bring about the next call, which must not be written here.
@@ -113,26 +113,26 @@
         if self.closed:
             return
         self.closed = True
-        if self.line.counter.tally is not None:
-            self.line.counter.tally.counts[f"counter connection {why}"] += 1
+        if self.line.counter.statistics is not None:
+            self.line.counter.statistics.counts[f"counter connection {why}"] += 1
         if self.stall is not None:
             self.stall.cancel()
         if self.transport is not None:
             self.transport.abort()
         self.line.lost(self)
-        for n, add in enumerate(self.owed):
-            self.line.counter.tell(add, io.Outcome.ERROR if spoilt and n == 0 else io.Outcome.TIMEOUT)
-        self.owed.clear()
+        for n, add in enumerate(self.awaiting_reply):
+            self.line.counter.tell(add, io.Outcome.ERROR if corrupt and n == 0 else io.Outcome.TIMEOUT)
+        self.awaiting_reply.clear()
 
 
-class Line:
+class ReconnectingCounterLink:
     """Keeps one connection to wherever the counter is; calls that find none wait for it."""
 
     def __init__(self, counter: Counter) -> None:
         self.counter, self.loop = counter, counter.loop
-        self.link: Link | None = None
+        self.link: CounterConnection | None = None
         self.unsent: deque[Add] = deque()
-        self.untold: deque[Add] = deque()  # those without a verdict, oldest first
+        self.unresolved: deque[Add] = deque()  # those without a verdict, oldest first
         self.timer: asyncio.TimerHandle | None = None
         self.wanted = asyncio.Event()
         self.task = self.loop.create_task(self.run())
@@ -140,7 +140,7 @@
     async def run(self) -> None:
         """Connect, and again when that connection is lost or the counter is elsewhere."""
         while True:
-            address, link, began = self.counter.address, Link(self), self.loop.time()
+            address, link, began = self.counter.address, CounterConnection(self), self.loop.time()
             self.wanted.clear()
             try:
                 async with asyncio.timeout(CONNECT_S):
@@ -157,10 +157,10 @@
             await asyncio.sleep(RETRY_S)
 
     @staticmethod
-    def factory(link: Link) -> Callable[[], Link]:
+    def factory(link: CounterConnection) -> Callable[[], CounterConnection]:
         return lambda: link
 
-    def stands(self, link: Link) -> None:
+    def connection_ready(self, link: CounterConnection) -> None:
         """A connection has come up: it takes over."""
         old, self.link = self.link, link
         waiting = [a for a in self.unsent if a.reply is None]
@@ -170,46 +170,46 @@
         if old is not None:
             old.retire()
 
-    def lost(self, link: Link) -> None:
+    def lost(self, link: CounterConnection) -> None:
         if self.link is link:
             self.link = None
             self.wanted.set()
 
     def call(self, add: Add) -> None:
         """Write a call, or have it wait for the connection as long as its time allows."""
-        self.untold.append(add)
+        self.unresolved.append(add)
         if self.link is None:
             self.unsent.append(add)
         else:
             self.link.write(add)
-        self.arm()
+        self.schedule_expiry()
 
-    def arm(self) -> None:
-        while self.untold and self.untold[0].reply is not None:
-            self.untold.popleft()
-        if self.timer is None and self.untold:
-            self.timer = self.loop.call_at(self.untold[0].due, self.expire)
+    def schedule_expiry(self) -> None:
+        while self.unresolved and self.unresolved[0].reply is not None:
+            self.unresolved.popleft()
+        if self.timer is None and self.unresolved:
+            self.timer = self.loop.call_at(self.unresolved[0].due, self.expire)
 
     def expire(self) -> None:
         """Give a verdict on what is due; only what was never written is sure not to have been added."""
         self.timer = None
         now, link = self.loop.time(), self.link
-        late = [a for a in self.untold if a.reply is None and a.due <= now]
+        late = [a for a in self.unresolved if a.reply is None and a.due <= now]
         unsent = {a for a in late if a in self.unsent}
         for add in unsent:
             self.unsent.remove(add)
-        if link is not None and link.owed and now - link.heard > STUCK_S:
+        if link is not None and link.awaiting_reply and now - link.heard > STUCK_S:
             link.end("stuck")
         elif link is not None and late and self.overtaken(link):
             link.end("overtaken")
         for add in late:
             self.counter.tell(add, io.Outcome.CONNECT_FAILED if add in unsent else io.Outcome.TIMEOUT)
-        self.arm()
+        self.schedule_expiry()
 
-    def overtaken(self, link: Link) -> bool:
+    def overtaken(self, link: CounterConnection) -> bool:
         """Whether only this connection does not work: a later call has had its turn elsewhere."""
-        return bool(link.owed) and link.heard < self.loop.time() - self.counter.timeout and (
-            self.counter.newest > link.owed[0].began)
+        return bool(link.awaiting_reply) and link.heard < self.loop.time() - self.counter.timeout and (
+            self.counter.newest > link.awaiting_reply[0].began)
 
     def close(self) -> None:
         self.task.cancel()
@@ -221,12 +221,12 @@
     """The counter service. All calls of one name go over one line, so that they keep their order there."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, address: Address, timeout: float,
-                 on_reply: Callable[[io.CounterReply], None], tally: Tally | None = None) -> None:
+                 on_reply: Callable[[io.CounterReply], None], statistics: RequestStatistics | None = None) -> None:
         self.loop, self.address, self.timeout, self.on_reply = loop, address, timeout, on_reply
-        self.tally = tally
+        self.statistics = statistics
         self.newest = 0.0  # when the latest call that has been answered began
         self.calls: dict[int, deque[Add]] = {}  # by name, until all before them have been told
-        self.lines = [Line(self) for _ in range(LINES)]
+        self.lines = [ReconnectingCounterLink(self) for _ in range(LINES)]
 
     def move(self, address: Address) -> None:
         """The counter is elsewhere from now on; the old connections serve until the new ones stand."""
@@ -254,9 +254,9 @@
         if add.reply is not None:
             return
         add.reply = io.CounterReply(add.name, outcome, self.loop.time() - add.began, total)
-        if self.tally is not None:
-            self.tally.counts[f"counter {outcome.value}"] += 1
-            self.tally.counts["counter ms"] += round(1000 * add.reply.elapsed)
+        if self.statistics is not None:
+            self.statistics.counts[f"counter {outcome.value}"] += 1
+            self.statistics.counts["counter ms"] += round(1000 * add.reply.elapsed)
         calls = self.calls[add.name]
         while calls and (reply := calls[0].reply) is not None:
             calls.popleft()
--- a/roadspur/net/discovery.py
+++ b/roadspur/net/discovery.py
@@ -14,7 +14,7 @@
 
 from roadspur import interface as io
 from roadspur.net.exchange import Endpoint
-from roadspur.net.wire import Address, read_address
+from roadspur.net.http_messages import Address, read_address
 
 log = logging.getLogger(__name__)
 
@@ -60,7 +60,7 @@
                            str(e.get("zone", ""))), endpoint
 
 
-class Watch(asyncio.Protocol):
+class DiscoveryWatch(asyncio.Protocol):
     """One connection: the whole list first where no version is known, then the changes, an object a line."""
 
     def __init__(self, on_text: Callable[[bytes], int], host: Address, index: int | None) -> None:
@@ -148,11 +148,11 @@
         return self.rng.uniform(0.0, window)
 
 
-class Source:
+class DiscoverySource:
     """Keeps a watch on one address going, from the last version that was taken in."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, address: Address, index: int | None,
-                 on_listing: Callable[[Source, Listing], None], backoff: Backoff) -> None:
+                 on_listing: Callable[[DiscoverySource, Listing], None], backoff: Backoff) -> None:
         self.loop, self.address, self.index, self.on_listing = loop, address, index, on_listing
         self.backoff = backoff
         self.task = loop.create_task(self.run())
@@ -161,7 +161,7 @@
         """Watch, and when that ends or falls silent, watch again."""
         while True:
             try:
-                why = await self.follow(Watch(self.text, self.address, self.index))
+                why = await self.follow(DiscoveryWatch(self.text, self.address, self.index))
             except (OSError, TimeoutError) as error:
                 why = f"connect: {error!r}"
             except Exception:  # whatever it was, the list must not stay as it is for ever
@@ -170,7 +170,7 @@
             log.info("discovery: %s", why)
             await asyncio.sleep(self.backoff.next())
 
-    async def follow(self, watch: Watch) -> str:
+    async def follow(self, watch: DiscoveryWatch) -> str:
         """Keep a watch going; returns why it came to its end."""
         async with asyncio.timeout(CONNECT_S):
             transport, _ = await self.loop.create_connection(lambda: watch, *self.address)
@@ -204,10 +204,10 @@
                  on_listing: Callable[[Listing], None], instances: int = 1, seed: int = 0) -> None:
         self.loop, self.on_listing = loop, on_listing
         self.instances, self.rng = instances, random.Random(seed)
-        self.source = self.newest = self.seek(address, index)
+        self.source = self.newest = self.connect_to_source(address, index)
 
-    def seek(self, address: Address, index: int | None) -> Source:
-        return Source(self.loop, address, index, self.listed, Backoff(self.instances, self.rng))
+    def connect_to_source(self, address: Address, index: int | None) -> DiscoverySource:
+        return DiscoverySource(self.loop, address, index, self.listed, Backoff(self.instances, self.rng))
 
     def move(self, address: Address) -> None:
         """Discovery is elsewhere from now on."""
@@ -215,9 +215,9 @@
             return
         if self.newest is not self.source:
             self.newest.task.cancel()
-        self.newest = self.seek(address, None)
+        self.newest = self.connect_to_source(address, None)
 
-    def listed(self, source: Source, listing: Listing) -> None:
+    def listed(self, source: DiscoverySource, listing: Listing) -> None:
         if source is self.newest:
             if source is not self.source:
                 self.source.task.cancel()
--- a/roadspur/net/exchange.py
+++ b/roadspur/net/exchange.py
@@ -7,11 +7,11 @@
 from typing import NamedTuple, Protocol
 
 from roadspur import interface as io
+from roadspur.net.http_messages import Address, Response, ResponseEnd
 from roadspur.net.upload import Upload
-from roadspur.net.wire import Address, Answer, End
 
 REFUSED_STATUS = (503, 504)
-PLAIN = End()
+PLAIN = ResponseEnd()
 
 
 class Endpoint(NamedTuple):
@@ -21,17 +21,17 @@
     born: float
 
 
-class Sink(Protocol):
+class ResponseSink(Protocol):
     """Where a large answer goes as it comes."""
 
     def written(self, exchange: Exchange) -> None: ...
 
-    def begin(self, exchange: Exchange, head: Answer) -> None: ...
+    def begin(self, exchange: Exchange, head: Response) -> None: ...
 
     def part(self, data: bytes) -> None: ...
 
 
-class Carrier(Protocol):
+class UpstreamConnection(Protocol):
     """The connection that an exchange is on."""
 
     def pause(self) -> None: ...
@@ -41,7 +41,7 @@
     def drop(self) -> None: ...
 
 
-def outcome_of(answer: Answer) -> io.Outcome:
+def outcome_of(answer: Response) -> io.Outcome:
     """What an answer says of the attempt; only a whole 200 is served."""
     if answer.status == 200:
         return io.Outcome.OK
@@ -58,21 +58,21 @@
     """
 
     def __init__(self, backend: str, message: Callable[[], bytes], may_send: Callable[[], bool],
-                 on_end: Callable[[Exchange, io.Outcome, Answer | None], None],
-                 sink: Sink | None = None, upload: Upload | None = None,
-                 judge: Callable[[Answer], io.Outcome | None] = outcome_of, ends: End = PLAIN,
+                 on_end: Callable[[Exchange, io.Outcome, Response | None], None],
+                 sink: ResponseSink | None = None, upload: Upload | None = None,
+                 judge: Callable[[Response], io.Outcome | None] = outcome_of, ends: ResponseEnd = PLAIN,
                  label: bytes = b"", streams: bool = False) -> None:
         self.backend, self.message, self.may_send, self.on_end = backend, message, may_send, on_end
         self.sink, self.upload, self.judge = sink, upload, judge  # None: the answer to another request
         self.ends, self.label = ends, label  # the header that names the request of an answer, if one does
-        self.connection: Carrier | None = None
+        self.connection: UpstreamConnection | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.streams = streams  # a backend may begin with a request before it has come whole
         self.begun = self.written = False  # its first byte has gone out, its last one
         self.ended = False
         self.heard = 0  # what the pool had heard at the start
 
-    def end(self, outcome: io.Outcome, answer: Answer | None = None) -> None:
+    def end(self, outcome: io.Outcome, answer: Response | None = None) -> None:
         """Tell the outcome, the first time only."""
         if self.ended:
             return
@@ -86,7 +86,7 @@
         """Whether as much has gone out as a backend may run."""
         return self.written or (self.streams and self.begun)
 
-    def named(self, answer: Answer) -> bool:
+    def named(self, answer: Response) -> bool:
         """Whether an answer names its request, so that a copy of it is known whenever it comes."""
         return not self.label or self.label in answer.headers
 
@@ -95,7 +95,7 @@
         if self.upload is not None:
             self.upload.writer = None
 
-    def begin(self, sink: Sink, head: Answer) -> None:
+    def begin(self, sink: ResponseSink, head: Response) -> None:
         """A large answer has begun: from here on it is not timed."""
         if self.timer is not None:
             self.timer.cancel()
@@ -117,5 +117,5 @@
         if self.connection is not None:
             self.connection.drop()
         self.end_upload()
-        self.end(outcome if self.may_have_run else io.Outcome.MOOT if outcome is io.Outcome.CANCELLED else
+        self.end(outcome if self.may_have_run else io.Outcome.NOT_SENT if outcome is io.Outcome.CANCELLED else
                  io.Outcome.CONNECT_FAILED)
--- a/roadspur/net/wire.py
+++ b/roadspur/net/http_messages.py
@@ -44,7 +44,7 @@
 
 
 @dataclass(slots=True)
-class Call:
+class ClientRequest:
     """A client's request once it has come whole and has been found sound."""
 
     request: io.Request
@@ -73,7 +73,7 @@
         return b"%s%s%s\r\n\r\n%s" % (self.start, lines, framing, self.body)
 
 
-class Answer(NamedTuple):
+class Response(NamedTuple):
     """A whole answer, or the head of one that flows."""
 
     status: int
@@ -83,18 +83,18 @@
     length: int | None = None  # of the body, where the head of one that flows, or that has none, tells it
 
 
-class End(NamedTuple):
+class ResponseEnd(NamedTuple):
     """What the head of an answer does not tell of its end."""
 
     bodiless: bool = False  # it ends with its head, as the answer to HEAD does
-    unsaid: bool = False  # one without a length ends with its connection, also where its head does not say so
+    read_until_close: bool = False  # one without a length ends with its connection, also where its head does not say so
 
 
-class BadAnswer(Exception):
+class BadResponse(Exception):
     """What came is no HTTP answer, or a larger one than is taken."""
 
 
-class AnswerReader:
+class ResponseReader:
     """Gathers whole answers, and lets a large one flow where that is wanted: `head`, parts, `done`.
 
     One that the end of the connection ends counts only if its head or `ends` says so, and answers may flow.
@@ -104,22 +104,22 @@
 
     def __init__(self, flows: bool = False) -> None:
         self.parser = httptools.HttpResponseParser(self)
-        self.flows, self.ends = flows, End()
+        self.flows, self.ends = flows, ResponseEnd()
         self.headers: dict[bytes, bytes] = {}
         self.body = bytearray()
-        self.answers: list[Answer] = []
+        self.answers: list[Response] = []
         self.broken = ""
         self.partial = False  # an answer has begun and has not come whole
         self.in_head = self.until_end = self.done = self.over = False  # over: it has ended with its head
-        self.head: Answer | None = None  # of the answer that flows
+        self.head: Response | None = None  # of the answer that flows
         self.size = 0  # of its body so far
         self.fed = 0  # since a body was last heard of
 
-    def expect(self, ends: End) -> None:
+    def expect(self, ends: ResponseEnd) -> None:
         """A request goes out: what comes next is the answer to it."""
         self.ends, self.head, self.done = ends, None, False
 
-    def feed(self, data: bytes) -> list[Answer]:
+    def feed(self, data: bytes) -> list[Response]:
         """Take bytes in; returns the answers that are whole with them."""
         if not self.broken:
             self.fed += len(data)
@@ -136,7 +136,7 @@
         answers, self.answers = self.answers, []
         return answers
 
-    def end(self) -> list[Answer]:
+    def end(self) -> list[Response]:
         """The other side has ended its sending: so it has the answer, if its head said that it would."""
         if self.partial and self.until_end and not self.broken:
             self.on_message_complete()
@@ -151,7 +151,7 @@
 
     def on_message_begin(self) -> None:
         if self.done:  # its last part has not been taken yet
-            raise BadAnswer("more behind a large answer")
+            raise BadResponse("more behind a large answer")
         self.headers, self.body, self.partial, self.in_head = {}, bytearray(), True, True
         self.until_end = self.done = self.over = False
         self.head, self.size = None, 0
@@ -161,7 +161,7 @@
         if not self.in_head:  # a trailer
             return
         if key in SINGLE and key in self.headers:
-            raise BadAnswer(f"{key.decode()}: more than one")
+            raise BadResponse(f"{key.decode()}: more than one")
         self.headers[key] = value.strip(BLANKS)
 
     def on_headers_complete(self) -> None:
@@ -177,12 +177,12 @@
             return
         if status in EMPTY:
             return
-        closes = self.ends.unsaid or self.headers.get(b"connection", b"").lower() == b"close"
+        closes = self.ends.read_until_close or self.headers.get(b"connection", b"").lower() == b"close"
         self.until_end = self.flows and closes and length is None and coding is None
         if (length is None) == (coding is None) and not self.until_end:
-            raise BadAnswer("expected one of content-length and transfer-encoding")
+            raise BadResponse("expected one of content-length and transfer-encoding")
         if coding is not None and coding.lower() != b"chunked":
-            raise BadAnswer("transfer-encoding: expected chunked")
+            raise BadResponse("transfer-encoding: expected chunked")
         if length is not None and int(length) > MAX_WHOLE:
             self.flow(int(length))
 
@@ -190,9 +190,9 @@
         """The answer is too large to be held."""
         status = self.parser.get_status_code()
         if not self.flows or status != 200 or (length or 0) > MAX_BODY:
-            raise BadAnswer("the body is too large")
+            raise BadResponse("the body is too large")
         keep = self.parser.should_keep_alive() and not self.until_end
-        self.head = Answer(status, self.headers, b"", keep, length)
+        self.head = Response(status, self.headers, b"", keep, length)
 
     def on_body(self, data: bytes) -> None:
         self.fed = 0
@@ -203,7 +203,7 @@
         if self.head is None and self.size > MAX_WHOLE:
             self.flow(None)
         if self.size > MAX_BODY:
-            raise BadAnswer("the body is too large")
+            raise BadResponse("the body is too large")
         self.body += data
 
     def on_message_complete(self) -> None:
@@ -223,4 +223,4 @@
     def hand_over(self, body: bytes, length: int | None = None) -> None:
         """The answer has come whole."""
         keep = self.parser.should_keep_alive() and not self.until_end
-        self.answers.append(Answer(self.parser.get_status_code(), self.headers, body, keep, length))
+        self.answers.append(Response(self.parser.get_status_code(), self.headers, body, keep, length))
--- a/roadspur/net/ingress.py
+++ b/roadspur/net/ingress.py
@@ -10,12 +10,12 @@
 from typing import Protocol
 
 from roadspur import interface as io
-from roadspur.net.attempting import Attempting
 from roadspur.net.counter import Counter
 from roadspur.net.discovery import Listing
 from roadspur.net.peers import Peers
-from roadspur.net.state import State
+from roadspur.net.process_state import State
 from roadspur.net.upstream import Upstream
+from roadspur.net.upstream_attempts import UpstreamAttempts
 
 log = logging.getLogger(__name__)
 
@@ -28,7 +28,7 @@
     def members(self, now: float) -> tuple[int, int]: ...
 
 
-class Ingress(Attempting):
+class Ingress(UpstreamAttempts):
     """One ingress: events go to the module one at a time, in the order in which they came about."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, settings: io.Settings, gateway: Decisions,
@@ -38,10 +38,10 @@
         self.counter: Counter | None = None
         self.peers: Peers | None = None
         self.serving: set[str] = set()
-        self.bans: Mapping[str, io.Ban] = {}  # backends that operators have taken out, or have just put back
+        self.cordon_entries: Mapping[str, io.CordonEntry] = {}  # backends that operators have taken out, or have just put back
         self.state = state or State(None)
-        self.obeyed = False  # whether the last order was one that can be carried out
-        self.beside = self.clients_beside = 0  # other processes of this ingress, and their clients
+        self.unavailable_by_cordon = False  # whether the last order was one that can be carried out
+        self.beside = self.sibling_clients = 0  # other processes of this ingress, and their clients
         self.events: deque[io.Event] = deque()
         self.busy = False
         self.clock = 0.0
@@ -97,7 +97,7 @@
             held = self.held.get(a.request)
             if held is not None and held.exchange is not None and held.attempts == a.attempt + 1:
                 self.upstream.cancel(held.exchange)
-        elif isinstance(a, io.Tell):
+        elif isinstance(a, io.SendPeerMessage):
             if self.peers is not None:
                 self.peers.tell(a.peer, a.payload)
         elif isinstance(a, io.Probe):
@@ -107,7 +107,7 @@
         elif isinstance(a, io.Log):
             log.info("%s", a.text)
         elif isinstance(a, io.Cordons):
-            self.bans, self.obeyed = a.bans, True
+            self.cordon_entries, self.unavailable_by_cordon = a.cordon_entries, True
         # Subscribe and FetchList need nothing: the watch is always on. UnknownBackend is no order.
 
     # What operators ask.
@@ -117,22 +117,22 @@
         members, unavailable = self.gateway.members(self.now())
         figures = {f"{ending}.{name}": 0 for ending in ("completed", "rejected", "failed")
                    for name in self.effects}
-        figures |= {"upstream_requests": 0, **self.tally.totals, "members": members,
+        figures |= {"upstream_requests": 0, **self.statistics.totals, "members": members,
                     "members_unavailable": unavailable,
                     "pending": sum(not held.ended for held in self.held.values())}
         return [f"{name}={value}" for name, value in figures.items()]
 
     def cordon(self, backend: str, on: bool) -> bool:
         """Take a backend out or put it back; False if there is none of that name."""
-        def order() -> Mapping[str, io.Ban] | None:
-            self.obeyed = False
+        def order() -> Mapping[str, io.CordonEntry] | None:
+            self.unavailable_by_cordon = False
             self.submit(io.Cordon(backend, on))
-            return self.bans if self.obeyed else None
+            return self.cordon_entries if self.unavailable_by_cordon else None
 
         return self.state.change(self.restore, order)
 
-    def restore(self, bans: Mapping[str, io.Ban]) -> None:
-        self.submit(io.Cordons(bans))
+    def restore(self, cordon_entries: Mapping[str, io.CordonEntry]) -> None:
+        self.submit(io.Cordons(cordon_entries))
 
     def follow(self, clients: int = 0) -> None:
         """Keep to what another process has written, and share the room for connections with it."""
@@ -140,16 +140,16 @@
             self.restore(news)
         self.state.tell(clients, len(self.upstream.connections))
         others = self.state.others()
-        self.clients_beside = sum(n for n, _ in others)
+        self.sibling_clients = sum(n for n, _ in others)
         self.upstream.beside = sum(n for _, n in others)
         if len(others) != self.beside:
             self.beside = len(others)
-            self.submit(io.Beside(self.beside))
+            self.submit(io.SiblingProcesses(self.beside))
 
     def open_to(self, backend: str) -> bool:
         """Whether anything new may go to a backend."""
-        ban = self.bans.get(backend)
-        return backend in self.serving and (ban is None or ban.back > 0)
+        cordon_entry = self.cordon_entries.get(backend)
+        return backend in self.serving and (cordon_entry is None or cordon_entry.back > 0)
 
     # The list of backends.
 
--- a/roadspur/net/peers.py
+++ b/roadspur/net/peers.py
@@ -8,7 +8,7 @@
 from typing import Any, cast
 
 from roadspur import interface as io
-from roadspur.net.wire import Address
+from roadspur.net.http_messages import Address
 
 log = logging.getLogger(__name__)
 
--- a/roadspur/net/held.py
+++ b/roadspur/net/pending_request.py
@@ -7,8 +7,8 @@
 
 from roadspur import interface as io
 from roadspur.net.exchange import Exchange
-from roadspur.net.tally import Tally
-from roadspur.net.wire import Answer, Call
+from roadspur.net.http_messages import ClientRequest, Response
+from roadspur.net.request_statistics import RequestStatistics
 
 
 class Client(Protocol):
@@ -25,13 +25,13 @@
     def break_off(self) -> None: ...
 
 
-class Held:
+class PendingRequest:
     """A request that is owed one final answer."""
 
     __slots__ = ("call", "client", "timer", "attempts", "exchange", "answered", "may_have_run", "deadline",
-                 "trail", "flowing", "ended", "last")
+                 "attempt_history", "flowing", "ended", "last")
 
-    def __init__(self, call: Call, client: Client, deadline: float) -> None:
+    def __init__(self, call: ClientRequest, client: Client, deadline: float) -> None:
         self.call, self.client, self.deadline = call, client, deadline
         self.timer: asyncio.TimerHandle | None = None
         self.attempts = 0
@@ -39,38 +39,38 @@
         self.answered = self.may_have_run = False
         self.flowing = 0.0  # since when its answer is on its way in parts
         self.ended = False  # and counted
-        self.last: Answer | None = None  # of the attempt that ended last
-        self.trail: list[tuple[float, str]] = []  # what became of its attempts, for the log
+        self.last: Response | None = None  # of the attempt that ended last
+        self.attempt_history: list[tuple[float, str]] = []  # what became of its attempts, for the log
 
 
-class Keeper(Protocol):
+class PendingRequestOwner(Protocol):
     """What holds requests."""
 
     loop: asyncio.AbstractEventLoop
-    tally: Tally
+    statistics: RequestStatistics
 
     def submit(self, event: io.Event) -> None: ...
 
     def drop(self, exchange: Exchange) -> None: ...
 
-    def lines(self, answer: Answer) -> bytes: ...
+    def lines(self, answer: Response) -> bytes: ...
 
 
-class Passing:
+class ResponseRelay:
     """Passes one large answer on to its client, as its final one."""
 
     __slots__ = ("ingress", "held", "number", "sent")
 
-    def __init__(self, ingress: Keeper, held: Held, number: int) -> None:
+    def __init__(self, ingress: PendingRequestOwner, held: PendingRequest, number: int) -> None:
         self.ingress, self.held, self.number, self.sent = ingress, held, number, ingress.loop.time()
 
     def written(self, exchange: Exchange) -> None:
         """A large body has gone out whole."""
         self.sent = self.ingress.loop.time()
-        self.ingress.tally.totals["upstream_requests"] += 1
+        self.ingress.statistics.totals["upstream_requests"] += 1
         self.ingress.submit(io.AttemptWritten(self.held.call.request.id, self.number, exchange.backend))
 
-    def begin(self, exchange: Exchange, head: Answer) -> None:
+    def begin(self, exchange: Exchange, head: Response) -> None:
         held, now = self.held, self.ingress.loop.time()
         if held.answered:  # its client has gone, or has been told otherwise
             self.ingress.drop(exchange)
--- a/roadspur/net/holding.py
+++ b/roadspur/net/pending_requests.py
@@ -7,11 +7,11 @@
 import math
 
 from roadspur import interface as io
-from roadspur.net.held import Client, Held
-from roadspur.net.tally import Tally
+from roadspur.net.http_messages import ClientRequest
+from roadspur.net.pending_request import Client, PendingRequest
+from roadspur.net.request_statistics import RequestStatistics
+from roadspur.net.service_protocol import ServiceProtocol
 from roadspur.net.upstream import Upstream
-from roadspur.net.wire import Call
-from roadspur.net.words import Words
 
 log = logging.getLogger(__name__)
 
@@ -21,7 +21,7 @@
 ENDINGS = {"200": "completed", "late": "completed", "429": "rejected", "503": "rejected"}  # others: failed
 
 
-class Holding(Words):
+class PendingRequests(ServiceProtocol):
     """Takes requests, and gives each one answer in time, whatever the decisions do."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, settings: io.Settings, upstream: Upstream,
@@ -31,14 +31,14 @@
         self.effects = {c.name: c.effect for c in settings.classes}
         self.groups = {c.name: c.group for c in settings.classes}
         self.aims = {c.name: c.objective for c in settings.classes}
-        self.held: dict[str, Held] = {}
-        self.tally = Tally(loop)
+        self.held: dict[str, PendingRequest] = {}
+        self.statistics = RequestStatistics(loop)
 
     def submit(self, event: io.Event) -> None:
         """Hand an event to the decisions."""
         raise NotImplementedError
 
-    def take(self, call: Call, client: Client) -> None:
+    def take(self, call: ClientRequest, client: Client) -> None:
         """A client's request has come whole: it is owed one answer from here on."""
         r = call.request
         if r.id in self.held:  # an id never comes twice
@@ -46,36 +46,36 @@
             return
         left = call.came + r.expires_in - self.loop.time()
         left -= min(MARGIN_S, MARGIN_SHARE * r.expires_in)
-        held = self.held[r.id] = Held(call, client, self.loop.time() + left)
+        held = self.held[r.id] = PendingRequest(call, client, self.loop.time() + left)
         if call.upload is None or call.upload.whole:
-            held.timer = self.loop.call_at(held.deadline, self.overdue, held)
+            held.timer = self.loop.call_at(held.deadline, self.expire_request, held)
         else:
             held.deadline = math.inf  # until its last byte has come
         self.submit(r._replace(expires_in=max(0.0, left), flows=call.upload is not None))
 
-    def whole(self, call: Call) -> None:
+    def whole(self, call: ClientRequest) -> None:
         """The body of a request that was taken before has come whole: its time runs from here on."""
         held = self.held.get(call.request.id)
         if held is None or held.call is not call or held.answered:
             return
         expires_in, call.came = call.request.expires_in, self.loop.time()
         held.deadline = call.came + expires_in - min(MARGIN_S, MARGIN_SHARE * expires_in)
-        held.timer = self.loop.call_at(held.deadline, self.overdue, held)
+        held.timer = self.loop.call_at(held.deadline, self.expire_request, held)
 
-    def withdraw(self, call: Call, status: int) -> None:
+    def abort_request(self, call: ClientRequest, status: int) -> None:
         """The rest of a request that was taken before will not come, or cannot be read."""
         held = self.held.get(call.request.id)
         if held is not None and held.call is call and not held.answered:
             self.submit(io.ClientGone(call.request.id))
             self.answer(held, status)
 
-    def stuck(self, call: Call) -> None:
+    def upload_stalled(self, call: ClientRequest) -> None:
         """A backend has taken in nothing of a body for too long."""
         held = self.held.get(call.request.id)
         if held is not None and held.call is call and held.exchange is not None:
             self.upstream.expire(held.exchange)
 
-    def gone(self, call: Call) -> None:
+    def gone(self, call: ClientRequest) -> None:
         """The client has closed its connection: nothing more goes out for its request.
 
         What a backend already has is waited for: no cancel stops its work, and the module counts it as load.
@@ -83,7 +83,7 @@
         held = self.held.get(call.request.id)
         if held is None or held.ended:
             return
-        self.told(held, "gone")
+        self.record_outcome(held, "gone")
         if held.flowing and held.exchange is not None:
             self.upstream.cancel(held.exchange)
             return
@@ -93,7 +93,7 @@
             self.upstream.cancel(held.exchange)
         self.forget(held)
 
-    def overdue(self, held: Held) -> None:
+    def expire_request(self, held: PendingRequest) -> None:
         """The client's time is as good as up: end the attempt, and answer what the module does not."""
         if held.exchange is not None:
             self.upstream.expire(held.exchange)
@@ -104,7 +104,7 @@
             self.submit(io.ClientGone(name))
         self.forget(held)
 
-    def may_refuse(self, held: Held) -> bool:
+    def may_refuse(self, held: PendingRequest) -> bool:
         """A refusal says that trying again is harmless: so it is where nothing ran, or where repeats are."""
         name = held.call.request.class_name
         effect = self.effects[name]
@@ -123,18 +123,18 @@
         self.answer(held, 429 if wait > 0 else 503,
                     b"Retry-After: %s\r\n" % f"{after:.{DECIMALS}f}".encode() if after > 0 else b"")
 
-    def answer(self, held: Held, status: int, lines: bytes = b"", body: bytes = b"") -> None:
+    def answer(self, held: PendingRequest, status: int, lines: bytes = b"", body: bytes = b"") -> None:
         """The one final answer; any further one is dropped."""
         if held.answered:
             return
         held.answered = True
-        self.told(held, str(status))
+        self.record_outcome(held, str(status))
         held.client.reply(status, lines, body)
         if held.exchange is not None and not held.exchange.written:
             self.upstream.cancel(held.exchange)
         self.forget(held)
 
-    def told(self, held: Held, how: str) -> None:
+    def record_outcome(self, held: PendingRequest, how: str) -> None:
         """Count an end, and sample those that are bad: anything but an answer within the class's aim."""
         if held.ended:
             return
@@ -142,14 +142,14 @@
         r, now = held.call.request, self.loop.time()
         if how == "200" and (held.flowing or now) - held.call.came > self.aims[r.class_name]:
             how = "late"
-        self.tally.counts[f"{r.plan} {how}"] += 1
-        self.tally.totals[f"{ENDINGS.get(how, 'failed')}.{r.class_name}"] += 1
-        if how != "200" and self.tally.bad(now):
-            trail = "".join(f", +{at - held.call.came:.3f} {what}" for at, what in held.trail)
+        self.statistics.counts[f"{r.plan} {how}"] += 1
+        self.statistics.totals[f"{ENDINGS.get(how, 'failed')}.{r.class_name}"] += 1
+        if how != "200" and self.statistics.bad(now):
+            attempt_history = "".join(f", +{at - held.call.came:.3f} {what}" for at, what in held.attempt_history)
             log.info("request %s of %d: %s %s %g units: %s after %.3f s%s", r.id, r.customer, r.plan,
-                     r.class_name, r.units, how, now - held.call.came, trail)
+                     r.class_name, r.units, how, now - held.call.came, attempt_history)
 
-    def forget(self, held: Held) -> None:
+    def forget(self, held: PendingRequest) -> None:
         """Answered, and nothing out any more."""
         if held.answered and held.exchange is None:
             if held.timer is not None:
--- a/roadspur/net/state.py
+++ b/roadspur/net/process_state.py
@@ -84,7 +84,7 @@
                 os.close(file)
         return alive
 
-    def news(self) -> dict[str, io.Ban] | None:
+    def news(self) -> dict[str, io.CordonEntry] | None:
         """The cordons, if their file can be read and is not the one seen last."""
         if self.folder is None:
             return None
@@ -94,36 +94,36 @@
                 if (stat.st_ino, stat.st_mtime_ns) == self.seen:
                     return None
                 self.seen = stat.st_ino, stat.st_mtime_ns
-                return read_bans(json.load(file))
+                return read_cordon_entries(json.load(file))
         except FileNotFoundError:
             return None
         except (OSError, ValueError, TypeError, AttributeError) as error:
             log.error("state: the cordons cannot be read: %s", error)
             return None
 
-    def write(self, bans: Mapping[str, io.Ban]) -> None:
+    def write(self, cordon_entries: Mapping[str, io.CordonEntry]) -> None:
         """Replace the file at once: whoever reads it finds the old one or the new one whole."""
         if self.folder is None:
             return
         new = self.folder / f"{NAME}.{os.getpid()}"
         try:
-            new.write_text(json.dumps(bans), encoding="utf-8")
+            new.write_text(json.dumps(cordon_entries), encoding="utf-8")
             stat = os.stat(new)
             os.replace(new, self.folder / NAME)
             self.seen = stat.st_ino, stat.st_mtime_ns
         except OSError as error:  # they hold in this process all the same
             log.error("state: the cordons are not kept: %s", error)
 
-    def change(self, follow: Callable[[Mapping[str, io.Ban]], None],
-               order: Callable[[], Mapping[str, io.Ban] | None]) -> bool:
+    def change(self, follow: Callable[[Mapping[str, io.CordonEntry]], None],
+               order: Callable[[], Mapping[str, io.CordonEntry] | None]) -> bool:
         """Carry out an order on top of what the other process has kept; whether it was one."""
         with self.alone():
             if (news := self.news()) is not None:
                 follow(news)
-            bans = order()
-            if bans is not None:
-                self.write(bans)
-            return bans is not None
+            cordon_entries = order()
+            if cordon_entries is not None:
+                self.write(cordon_entries)
+            return cordon_entries is not None
 
     def leave(self) -> None:
         """This process is done."""
@@ -141,11 +141,11 @@
     return clients, backends
 
 
-def read_bans(data: object) -> dict[str, io.Ban]:
+def read_cordon_entries(data: object) -> dict[str, io.CordonEntry]:
     """The bans in a file's JSON; ValueError for anything else."""
     if not isinstance(data, dict):
         raise ValueError("not an object")
-    bans = {str(name): io.Ban(float(since), float(back)) for name, (since, back) in data.items()}
-    if not all(math.isfinite(t) for ban in bans.values() for t in ban):
+    cordon_entries = {str(name): io.CordonEntry(float(since), float(back)) for name, (since, back) in data.items()}
+    if not all(math.isfinite(t) for cordon_entry in cordon_entries.values() for t in cordon_entry):
         raise ValueError("not a time")
-    return bans
+    return cordon_entries
--- a/roadspur/net/tally.py
+++ b/roadspur/net/request_statistics.py
@@ -12,7 +12,7 @@
 SAMPLE_S = 1.0
 
 
-class Tally:
+class RequestStatistics:
     """Counts by kind, and a sample of the requests that ended badly: never a line for each request."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, write: logging.Logger = log) -> None:
--- a/roadspur/net/answering.py
+++ b/roadspur/net/response_queue.py
@@ -4,21 +4,21 @@
 
 from collections import deque
 
-from roadspur.net.door import Early, House
+from roadspur.net.client_connection_base import ClientConnectionBase
+from roadspur.net.connection_interfaces import ConnectionServer, ImmediateResponse
 from roadspur.net.exchange import Exchange
-from roadspur.net.line import Line
-from roadspur.net.wire import Call
+from roadspur.net.http_messages import ClientRequest
 
 CHUNKED = b"Transfer-Encoding: chunked\r\n"
 
 
-class Answering(Line):
+class ResponseQueue(ClientConnectionBase):
     """Has one request at a time decided on; those that were read ahead wait."""
 
-    def __init__(self, server: House) -> None:
+    def __init__(self, server: ConnectionServer) -> None:
         super().__init__(server)
-        self.waiting: deque[tuple[Call | Early, bool]] = deque()
-        self.call: Call | None = None  # the one that is being decided on
+        self.waiting: deque[tuple[ClientRequest | ImmediateResponse, bool]] = deque()
+        self.call: ClientRequest | None = None  # the one that is being decided on
         self.source: Exchange | None = None  # of an answer that is on its way in parts
         self.chunked = False  # as which they go
 
@@ -29,13 +29,13 @@
     def connection_lost(self, exc: Exception | None) -> None:
         super().connection_lost(exc)
         for item, _ in self.waiting:
-            if isinstance(item, Call):
+            if isinstance(item, ClientRequest):
                 self.release(item)
         self.waiting.clear()
         call, self.call = self.call, None
         if call is not None:
             self.release(call)
-            self.server.desk.gone(call)
+            self.server.request_handler.gone(call)
 
     def pause_writing(self) -> None:
         """The client does not read its answers: what it asks for further waits, and not for long."""
@@ -49,7 +49,7 @@
             self.source.resume()
         self.proceed()
 
-    def enqueue(self, item: Call | Early, keep: bool) -> None:
+    def enqueue(self, item: ClientRequest | ImmediateResponse, keep: bool) -> None:
         self.waiting.append((item, keep))
         self.regulate()
         if self.call is None:
@@ -59,13 +59,13 @@
         """Go on with what has been read ahead, until there is one that must wait for its answer."""
         while self.waiting and self.call is None and not self.closing and not self.full_since:
             item, self.keep = self.waiting.popleft()
-            if isinstance(item, Call):
+            if isinstance(item, ClientRequest):
                 self.call = item
-                self.server.desk.take(item, self)
+                self.server.request_handler.take(item, self)
             else:
                 lines = b"Retry-After: 1\r\n" if item.status == 503 else b""
                 self.write(item.status, item.lines or lines, item.why.encode(), item.bodiless)
-        if not self.deaf:
+        if not self.discarding_input:
             self.regulate()
 
     def reply(self, status: int, lines: bytes, body: bytes) -> None:
@@ -74,7 +74,7 @@
         if call is not None:
             self.release(call)
         if status == 400:  # found to be bad only there: an id that another holds
-            self.deaf, self.keep = True, False
+            self.discarding_input, self.keep = True, False
         if call is not None and call.unfinished:
             self.keep = False
             call.drop_rest()
@@ -119,7 +119,7 @@
         if self.transport is not None:
             self.cut()
 
-    def release(self, call: Call) -> None:
+    def release(self, call: ClientRequest) -> None:
         """A request has its final answer: its body is held no more."""
         self.server.bodies -= call.reserved
         call.reserved = 0
--- a/roadspur/net/steer.py
+++ b/roadspur/net/reuseport.py
@@ -14,7 +14,7 @@
 NEWEST = 1  # listeners are numbered in the order in which they came, and there are two at most
 
 
-def steer_away(fileno: int) -> None:
+def divert_new_connections(fileno: int) -> None:
     """New connections go to the second listener of the group, if there is one; to this one otherwise.
 
     A connection that is in this listener's queue when it closes would be reset, so it has to run dry first.
--- a/roadspur/net/server.py
+++ b/roadspur/net/server.py
@@ -6,11 +6,11 @@
 import itertools
 from collections.abc import Iterator
 
-from roadspur.net import door
+from roadspur.net import connection_interfaces
 from roadspur.net.client import ClientConnection
-from roadspur.net.door import Limits
+from roadspur.net.connection_interfaces import Limits
 from roadspur.net.ingress import Ingress
-from roadspur.net.steer import steer_away
+from roadspur.net.reuseport import divert_new_connections
 
 SWEEP_S = 0.25
 NOTICE_S = 0.5  # after a drain begins, in which new connections go on coming for up to 0.4 s
@@ -22,7 +22,7 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop, ingress: Ingress, most: int,
                  bodies_most: int = 0, limits: Limits | None = None) -> None:
-        self.loop, self.ingress, self.most, self.limits = loop, ingress, most, limits or door.USUAL
+        self.loop, self.ingress, self.most, self.limits = loop, ingress, most, limits or connection_interfaces.USUAL
         self.bodies, self.bodies_most = 0, bodies_most  # bytes of larger bodies that are held
         self.connections: set[ClientConnection] = set()
         self.order: Iterator[int] = itertools.count()  # who was heard last: the clock is too coarse
@@ -32,7 +32,7 @@
         self.sweeper = loop.call_later(SWEEP_S, self.sweep)
 
     @property
-    def desk(self) -> Ingress:
+    def request_handler(self) -> Ingress:
         """What takes the requests."""
         return self.ingress
 
@@ -52,13 +52,13 @@
         """Whether so many more bytes of bodies may be held; during an upgrade each process has its part."""
         return self.bodies + more <= self.bodies_most // (1 + self.ingress.beside)
 
-    def joined(self, connection: ClientConnection) -> None:
+    def connection_opened(self, connection: ClientConnection) -> None:
         """Room for one more is made by closing one that never sent anything, or has been idle longest.
 
         Where none is idle, the new one is told so: ended without an answer, its request would be lost.
         """
         self.connections.add(connection)
-        if len(self.connections) + self.ingress.clients_beside > self.most:
+        if len(self.connections) + self.ingress.sibling_clients > self.most:
             for other in sorted(self.connections, key=lambda c: (c.used, c.heard)):
                 if other is not connection and other.idle():
                     other.close()
@@ -75,9 +75,9 @@
         """Say no to health checks and let all connections go, each after its answer or once it is idle."""
         if not self.draining:
             self.draining = True
-            self.drain_task = self.loop.create_task(self.let_go())
+            self.drain_task = self.loop.create_task(self.release_connections())
 
-    async def let_go(self) -> None:
+    async def release_connections(self) -> None:
         """Close what is idle once the notice is over; one that was accepted last may come only then."""
         await asyncio.sleep(NOTICE_S)
         while True:
@@ -102,7 +102,7 @@
         self.ingress.follow(len(self.connections))
         sockets = self.listener.sockets if self.listener is not None else ()
         for listener in sockets:
-            steer_away(listener.fileno())
+            divert_new_connections(listener.fileno())
         self.drain()
         await asyncio.sleep(NOTICE_S)
         if self.listener is not None:
--- a/roadspur/net/words.py
+++ b/roadspur/net/service_protocol.py
@@ -3,17 +3,17 @@
 from __future__ import annotations
 
 from roadspur import interface as io
-from roadspur.net.door import Early
+from roadspur.net.connection_interfaces import ImmediateResponse
 from roadspur.net.exchange import PLAIN, outcome_of
-from roadspur.net.request import CUSTOMER, BadRequest, read_request
-from roadspur.net.wire import Answer, Call
+from roadspur.net.http_messages import ClientRequest, Response
+from roadspur.net.request_parser import CUSTOMER, BadRequest, read_request
 
 
-class Words:
+class ServiceProtocol:
     """The words of today's service."""
 
     health_path: bytes | None = b"/healthz"
-    kept_back = frozenset((b"x-budget",))  # headers of clients that do not go on
+    withheld_headers = frozenset((b"x-budget",))  # headers of clients that do not go on
     label = b""  # the header of answers that names their request
     streams = False  # whether backends may begin with a request before it has come whole
     ends = PLAIN  # where answers end, but for those to HEAD
@@ -21,30 +21,30 @@
     def __init__(self, settings: io.Settings, load_fields: tuple[str, ...]) -> None:
         self.settings, self.load_fields = settings, load_fields
 
-    def read(self, method: bytes, url: bytes, headers: list[tuple[bytes, bytes]]) -> io.Request | Early:
+    def read(self, method: bytes, url: bytes, headers: list[tuple[bytes, bytes]]) -> io.Request | ImmediateResponse:
         """The module's request out of a client's, or the answer to one that is none."""
         match = CUSTOMER.fullmatch(url)
         if match is None:
-            return Early(404, "no such path", close=True)
+            return ImmediateResponse(404, "no such path", close=True)
         try:
             return read_request(self.settings, match[1], method, headers)
         except BadRequest as error:
-            return Early(400, str(error), close=True)
+            return ImmediateResponse(400, str(error), close=True)
 
-    def message(self, call: Call, backend: str, patience: float) -> bytes:
+    def message(self, call: ClientRequest, backend: str, patience: float) -> bytes:
         """The request as a backend gets it; `patience` is how long this ingress will wait, in seconds."""
         return call.message(b"X-Budget: %dm\r\n" % max(1, int(patience * 1000)))
 
-    def outcome(self, call: Call, answer: Answer) -> io.Outcome | None:
+    def outcome(self, call: ClientRequest, answer: Response) -> io.Outcome | None:
         """What an answer says of its attempt; None: it is the answer to another request."""
         return outcome_of(answer)
 
-    def lines(self, answer: Answer) -> bytes:
+    def lines(self, answer: Response) -> bytes:
         """The headers of a backend's answer that its client gets."""
         kind = answer.headers.get(b"content-type")
         return b"Content-Type: %s\r\n" % kind if kind else b""
 
-    def load(self, answer: Answer | None) -> dict[str, float]:
+    def load(self, answer: Response | None) -> dict[str, float]:
         """The load report of an answer, in its header or, for a probe, its body: `TEXT name=value, ...`."""
         if answer is None:
             return {}
--- a/roadspur/net/upload.py
+++ b/roadspur/net/upload.py
@@ -6,7 +6,7 @@
 from typing import Protocol
 
 
-class Writer(Protocol):
+class UploadWriter(Protocol):
     """The connection that an upload goes out on."""
 
     def body(self, data: bytes) -> None: ...
@@ -24,7 +24,7 @@
     def __init__(self, length: int | None, hold: Callable[[bool], None]) -> None:
         self.length, self.hold = length, hold
         self.kept = bytearray()
-        self.writer: Writer | None = None
+        self.writer: UploadWriter | None = None
         self.whole = self.spent = self.unwanted = False
 
     def feed(self, data: bytes) -> None:
@@ -46,7 +46,7 @@
         if self.writer is not None:
             self.end(self.writer)
 
-    def attach(self, writer: Writer) -> None:
+    def attach(self, writer: UploadWriter) -> None:
         """An attempt is out: its connection takes what there is, and what follows."""
         self.writer, self.spent = writer, True
         if self.kept:
@@ -57,7 +57,7 @@
         else:
             self.hold(False)
 
-    def end(self, writer: Writer) -> None:
+    def end(self, writer: UploadWriter) -> None:
         if self.length is None:
             writer.body(b"0\r\n\r\n")
         writer.uploaded()
--- a/roadspur/net/upstream.py
+++ b/roadspur/net/upstream.py
@@ -10,7 +10,7 @@
 
 from roadspur import interface as io
 from roadspur.net.exchange import Endpoint, Exchange
-from roadspur.net.wire import Answer, AnswerReader
+from roadspur.net.http_messages import Response, ResponseReader
 
 log = logging.getLogger(__name__)
 
@@ -26,11 +26,11 @@
     def __init__(self, pool: Pool, sock: socket.socket) -> None:
         self.pool, self.sock = pool, sock
         self.transport: asyncio.Transport | None = None
-        self.reader = AnswerReader(flows=True)
+        self.reader = ResponseReader(flows=True)
         self.exchange: Exchange | None = None
         self.idle_since = 0.0
         self.closed = self.flowing = self.paused = False
-        self.strange = False  # an answer to another request has come
+        self.saw_foreign_answer = False  # an answer to another request has come
         self.stall: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -101,31 +101,31 @@
         if self.exchange is not None:
             self.read(self.reader.end())
 
-    def read(self, answers: list[Answer]) -> None:
+    def read(self, answers: list[Response]) -> None:
         """Go by what the reader has made of a read."""
         if self.reader.head is not None:
             self.flow(self.reader.head, bool(answers))
         elif (mine := self.mine(answers)) is not None:
             clean = len(answers) == 1 and not self.reader.partial and not self.reader.broken
-            self.answered(mine, clean and not self.strange)
+            self.answered(mine, clean and not self.saw_foreign_answer)
         elif self.reader.broken:
-            self.spoilt(self.reader.broken)
+            self.corrupt(self.reader.broken)
         elif self.reader.partial:
             self.stall = self.pool.loop.call_later(STALL_S, self.stalled)
 
-    def mine(self, answers: list[Answer]) -> Answer | None:
+    def mine(self, answers: list[Response]) -> Response | None:
         """The answer to what was sent; one to another request may come first, in its place."""
         for answer in answers:
             if self.exchange is not None and self.exchange.judge(answer) is not None:
                 return answer
-            self.strange = True
+            self.saw_foreign_answer = True
         return None
 
-    def flow(self, head: Answer, surplus: bool) -> None:
+    def flow(self, head: Response, surplus: bool) -> None:
         """Pass on what has come of a large answer; a probe's, which nobody reads, is spoilt."""
         exchange, reader = self.exchange, self.reader
         if exchange is None or exchange.sink is None or exchange.judge(head) is not io.Outcome.OK:
-            self.spoilt("the body is too large")
+            self.corrupt("the body is too large")
             return
         if not self.flowing:
             self.flowing = True
@@ -137,7 +137,7 @@
         if reader.done:
             self.answered(head, not (surplus or reader.partial or reader.broken))
         elif reader.broken:
-            self.spoilt(reader.broken)
+            self.corrupt(reader.broken)
         elif not self.paused:
             self.stall = self.pool.loop.call_later(FLOW_STALL_S, self.stalled)
 
@@ -154,7 +154,7 @@
             self.transport.resume_reading()
             self.stall = self.pool.loop.call_later(FLOW_STALL_S, self.stalled)
 
-    def answered(self, answer: Answer, clean: bool) -> None:
+    def answered(self, answer: Response, clean: bool) -> None:
         exchange, self.exchange = self.exchange, None
         assert exchange is not None
         exchange.connection = None
@@ -175,9 +175,9 @@
         if self.stale() and not self.closed:
             self.stall = self.pool.loop.call_later(STALL_S, self.stalled)
         else:
-            self.spoilt("the answer stops midway")
+            self.corrupt("the answer stops midway")
 
-    def spoilt(self, why: str) -> None:
+    def corrupt(self, why: str) -> None:
         """No answer can be had here any more; the request may have run."""
         exchange = self.exchange
         self.drop()
@@ -203,7 +203,7 @@
         self.pool.forget(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self.spoilt("the connection ended")
+        self.corrupt("the connection ended")
 
 
 class Pool:
@@ -274,7 +274,7 @@
         """Carry out one exchange; its outcome may come before this returns."""
         pool = self.pools.get(exchange.backend)
         if pool is None or not exchange.may_send():
-            exchange.end(io.Outcome.MOOT)
+            exchange.end(io.Outcome.NOT_SENT)
             return
         exchange.heard = pool.heard
         if timeout < math.inf:
@@ -327,7 +327,7 @@
         elif pool.retired or not exchange.may_send():
             # It began to drain, moved, or its client left meanwhile: not one byte goes out.
             connection.drop()
-            exchange.end(io.Outcome.MOOT)
+            exchange.end(io.Outcome.NOT_SENT)
         else:
             connection.send(exchange)
 
--- a/roadspur/net/attempting.py
+++ b/roadspur/net/upstream_attempts.py
@@ -7,15 +7,15 @@
 
 from roadspur import interface as io
 from roadspur.net.exchange import Exchange
-from roadspur.net.held import Held, Passing
-from roadspur.net.holding import Holding
-from roadspur.net.wire import Answer
-from roadspur.net.words import read_number
+from roadspur.net.http_messages import Response
+from roadspur.net.pending_request import PendingRequest, ResponseRelay
+from roadspur.net.pending_requests import PendingRequests
+from roadspur.net.service_protocol import read_number
 
 log = logging.getLogger(__name__)
 
 
-class Attempting(Holding):
+class UpstreamAttempts(PendingRequests):
     """Sends the requests that are held to backends."""
 
     def open_to(self, backend: str) -> bool:
@@ -34,22 +34,22 @@
             log.error("request %s: an attempt that is not allowed was not sent", a.request)
             number = held.attempts if held is not None else 0
             done = held is None or held.answered
-            self.submit(io.AttemptEnded(a.request, number, a.backend, io.Outcome.MOOT, 0.0, done))
+            self.submit(io.AttemptEnded(a.request, number, a.backend, io.Outcome.NOT_SENT, 0.0, done))
             return
         number, held.attempts = held.attempts, held.attempts + 1
-        held.trail.append((now, a.backend))
+        held.attempt_history.append((now, a.backend))
 
-        upload, passing = held.call.upload, Passing(self, held, number)
+        upload, passing = held.call.upload, ResponseRelay(self, held, number)
 
         def message() -> bytes:
-            self.tally.totals["upstream_requests"] += upload is None
+            self.statistics.totals["upstream_requests"] += upload is None
             left = min(held.deadline - self.loop.time(), held.call.request.expires_in)
             return self.message(held.call, a.backend, max(0.001, left))
 
         def may_send() -> bool:
             return not held.answered and self.open_to(a.backend)
 
-        def ended(exchange: Exchange, outcome: io.Outcome, answer: Answer | None) -> None:
+        def ended(exchange: Exchange, outcome: io.Outcome, answer: Response | None) -> None:
             self.ended(passing, exchange, outcome, answer)
 
         ends = self.ends._replace(bodiless=True) if held.call.bodiless else self.ends
@@ -58,12 +58,12 @@
         left = held.deadline - now
         self.upstream.send(exchange, left if a.timeout is None else min(left, a.timeout))
 
-    def ended(self, passing: Passing, exchange: Exchange, outcome: io.Outcome, answer: Answer | None) -> None:
+    def ended(self, passing: ResponseRelay, exchange: Exchange, outcome: io.Outcome, answer: Response | None) -> None:
         """An attempt has its outcome: a whole 200 is the answer, anything else is the module's to decide."""
         held = passing.held
         held.exchange = None
-        held.trail.append((self.loop.time(), outcome.value))
-        self.tally.counts[f"attempt {outcome.value}"] += 1
+        held.attempt_history.append((self.loop.time(), outcome.value))
+        self.statistics.counts[f"attempt {outcome.value}"] += 1
         held.may_have_run |= exchange.may_have_run and outcome not in io.NEVER_RAN
         held.last, units = answer, 0.0
         if answer is not None and outcome is io.Outcome.OK:
@@ -82,9 +82,9 @@
                                     load=self.load(answer) if self.settings.load_in_answers else {}))
         self.forget(held)
 
-    def passed(self, held: Held, outcome: io.Outcome) -> None:
+    def passed(self, held: PendingRequest, outcome: io.Outcome) -> None:
         """An answer in parts has ended; if it is not whole, the client can tell by the connection's end."""
-        self.told(held, "200" if outcome is io.Outcome.OK else "broken")
+        self.record_outcome(held, "200" if outcome is io.Outcome.OK else "broken")
         if outcome is io.Outcome.OK:
             held.client.finish()
         else:
@@ -94,7 +94,7 @@
         """Ask a backend for its load; the answer may be a 503."""
         began = self.loop.time()
 
-        def ended(exchange: Exchange, outcome: io.Outcome, answer: Answer | None) -> None:
+        def ended(exchange: Exchange, outcome: io.Outcome, answer: Response | None) -> None:
             self.submit(io.ProbeEnded(backend, outcome, self.loop.time() - began, self.load(answer)))
 
         self.upstream.send(Exchange(backend, lambda: b"GET /load HTTP/1.1\r\nHost: backend.local\r\n\r\n",
--- a/roadspur/opencap.py
+++ b/roadspur/opencap.py
@@ -6,9 +6,9 @@
 from collections import deque
 
 from roadspur import interface as io
-from roadspur.calling import Calling
+from roadspur.calling import CounterCallPolicy
 from roadspur.customer import Customer, mix
-from roadspur.flight import Flight
+from roadspur.flight import ActiveRequest
 from roadspur.routing import Routing
 
 OPEN_AIMS = 2.0   # longest aims after which a count of open requests begins anew, with what is open then
@@ -37,18 +37,18 @@
     return part
 
 
-class OpenCap:
+class ConcurrencyCap:
     """What one ingress lets in, and counts, of each customer's open requests."""
 
-    def __init__(self, gw: Routing, calling: Calling) -> None:
-        self.gw, self.calling = gw, calling
-        self.calls: dict[int, deque[tuple[Customer, int, int, Flight | None]]] = {}
+    def __init__(self, gw: Routing, call_policy: CounterCallPolicy) -> None:
+        self.gw, self.call_policy = gw, call_policy
+        self.calls: dict[int, deque[tuple[Customer, int, int, ActiveRequest | None]]] = {}
         self.open: dict[str, Customer] = {}  # requests counted as open, whose they are
         self.best: dict[str, float] = {}  # by plan: how many open gain most where none is counted
-        self.places = deque[tuple[float, Customer]]()  # counted, free, kept for the next until then
+        self.reserved_places = deque[tuple[float, Customer]]()  # counted, free, kept for the next until then
         self.length = OPEN_AIMS * max(c.objective for c in gw.s.classes) or 1.0
 
-    def enter(self, now: float, f: Flight) -> None:
+    def enter(self, now: float, f: ActiveRequest) -> None:
         """Within its quota on the rate: go on if the cap on open requests has room."""
         c, most = f.customer, f.customer.plan.max_open
         if most <= 0:
@@ -64,11 +64,11 @@
         if c.counted_in == int(now // self.length) and c.counted >= c.out:
             return self.gw.send(now, f)  # into a place that was kept
         sure = c.out > max(1, most // c.width) or now < c.pressed + f.cls.objective
-        if not self.gw.s.counter or not self.calling.drawn(1.0 if sure else self.need(f.pace, c.plan)):
+        if not self.gw.s.counter or not self.call_policy.should_call(1.0 if sure else self.need(f.pace, c.plan)):
             return self.enter_alone(now, f)
         self.count(now, c, f)
 
-    def pace(self, now: float, f: Flight) -> float:
+    def pace(self, now: float, f: ActiveRequest) -> float:
         """How many requests the customer would keep open, by what comes here and at how many others."""
         c, span = f.customer, PACE_S * (1 - math.exp((self.gw.began - now) / PACE_S))
         came = c.came * math.exp((c.came_at - now) / PACE_S)
@@ -81,9 +81,9 @@
         """One more has come; what came long ago says little."""
         c.came = c.came * math.exp((c.came_at - now) / PACE_S) + 1
         c.came_at = now
-        c.untold += 1
+        c.unreported_arrivals += 1
 
-    def enter_alone(self, now: float, f: Flight) -> None:
+    def enter_alone(self, now: float, f: ActiveRequest) -> None:
         """Without a total: one at least of an even share, and of a customer of many as many as gain most."""
         c = f.customer
         even = max(1, c.plan.max_open // (c.width * self.gw.processes))
@@ -101,9 +101,9 @@
 
     def left(self, pace: float, plan: io.PlanSettings) -> float:
         """That part of the requests without a verdict, as those with one take places too."""
-        if self.calling.alone():
+        if self.call_policy.counter_down():
             return self.part(pace, plan)
-        asked = min(1.0, self.calling.share_drawn(self.need(pace, plan)))
+        asked = min(1.0, self.call_policy.draw_share(self.need(pace, plan)))
         seen = asked * pace * (1 - turned_away(asked * pace, plan.max_open))
         unseen = self.part(pace, plan) * pace - seen
         return min(1.0, max(0.0, unseen) / max(pace * (1 - asked), 1e-9))
@@ -114,7 +114,7 @@
         unseen = part * (1 - (1 + plan.over_cost) * beyond(part * pace, plan.max_open))
         return VERDICT_PART * max(0.0, 1 - turned_away(pace, plan.max_open) - unseen)
 
-    def count(self, now: float, c: Customer, f: Flight | None = None) -> None:
+    def count(self, now: float, c: Customer, f: ActiveRequest | None = None) -> None:
         """Tell the count of this window what has changed here; a new one, all that is open here."""
         window = int(now // self.length)
         if c.counted_in != window:
@@ -125,8 +125,8 @@
         c.counted = c.out
         name = mix(~c.key, window)
         self.calls.setdefault(name, deque()).append((c, window, change, f))
-        amount = change + ARRIVAL * c.untold
-        c.untold = 0
+        amount = change + ARRIVAL * c.unreported_arrivals
+        c.unreported_arrivals = 0
         self.gw.acts.append(io.CounterAdd(name, amount, min(60.0, 2 * self.length)))
 
     def counted(self, now: float, e: io.CounterReply) -> None:
@@ -135,7 +135,7 @@
         c, window, change, f = queue.popleft()
         if not queue:
             del self.calls[e.name]
-        added = self.calling.answers(e, self.gw.acts) or e.outcome is io.Outcome.TIMEOUT
+        added = self.call_policy.answers(e, self.gw.acts) or e.outcome is io.Outcome.TIMEOUT
         if not added and c.counted_in == window:
             c.counted -= change  # sure not to have been added: it goes with the next call
         total = math.floor(e.total + ARRIVAL / 2)
@@ -143,7 +143,7 @@
             told_s = now - window * self.length
             c.rate, c.rate_at = (e.total - total) / ARRIVAL / told_s, now
             c.rate_part = told_s / (told_s + RATE_PRIOR_S)
-        if f is None or f.req.id not in self.gw.flights:
+        if f is None or f.req.id not in self.gw.active_requests:
             return
         if e.outcome is not io.Outcome.OK:
             return self.enter_alone(now, f)
@@ -161,16 +161,16 @@
                 c.counted = min(c.counted, c.out)
             if c.counted <= c.out:
                 return  # no count holds it
-            if self.calling.ask >= 1 or not served:  # a charge that was refused is no place
+            if self.call_policy.ask >= 1 or not served:  # a charge that was refused is no place
                 return self.count(now, c)
-            wait = (1 - self.calling.ask) * self.gw.s.counter_timeout
-            self.places.append((now + wait, c))
+            wait = (1 - self.call_policy.ask) * self.gw.s.counter_timeout
+            self.reserved_places.append((now + wait, c))
             self.gw.acts.append(io.SetTimer(wait, KEEP))
 
     def give_back(self, now: float) -> None:
         """Places that were kept and not used are free for others."""
-        while self.places and self.places[0][0] <= now + 1e-6:
-            _, c = self.places.popleft()
+        while self.reserved_places and self.reserved_places[0][0] <= now + 1e-6:
+            _, c = self.reserved_places.popleft()
             if c.counted_in == int(now // self.length):
                 self.count(now, c)
             else:
@@ -179,5 +179,5 @@
     def renew(self, now: float) -> None:
         """A new count holds nothing of what is open here yet; where calls are short, else stays so."""
         for c in {c.key: c for c in self.open.values()}.values():
-            if c.counted_in != int(now // self.length) and (c.counted > 0 or self.calling.ask >= 1):
+            if c.counted_in != int(now // self.length) and (c.counted > 0 or self.call_policy.ask >= 1):
                 self.count(now, c)
--- a/roadspur/wirehost.py
+++ b/roadspur/wirehost.py
@@ -12,7 +12,7 @@
 
 OUTCOMES = {"success": io.Outcome.OK, "failure": io.Outcome.ERROR, "overloaded": io.Outcome.FULL,
             "timed_out": io.Outcome.TIMEOUT, "unreachable": io.Outcome.CONNECT_FAILED,
-            "broken": io.Outcome.RESET, "withdrawn": io.Outcome.CANCELLED, "void": io.Outcome.MOOT}
+            "broken": io.Outcome.RESET, "withdrawn": io.Outcome.CANCELLED, "void": io.Outcome.NOT_SENT}
 PHASES = {"Running": io.Phase.RUNNING, "Stopping": io.Phase.STOPPING, "Deleted": io.Phase.DELETED}
 FORMS = {"INCREMENTAL": io.ListKind.CHANGE, "FULL": io.ListKind.WHOLE, "SAVED": io.ListKind.SAVED,
          "FAILED": io.ListKind.FAILED}
@@ -245,7 +245,7 @@
         return f"TOUCH {me} {a.backend}"
     if isinstance(a, io.CloseIdle):
         return f"CLOSE_IDLE {me} {a.backend}"
-    if isinstance(a, io.Tell):
+    if isinstance(a, io.SendPeerMessage):
         return f"MEMO_TO {me} {'*' if a.peer is None else a.peer} {a.payload.hex() or '-'}"
     if isinstance(a, io.Subscribe):
         return f"FOLLOW {me} {int(a.on)}"
--- a/tests/helpers.py
+++ b/tests/ingress_driver.py
@@ -15,7 +15,7 @@
 CEILED = io.PlanSettings("plus", rate=10.0, burst=20.0, ceiling_rate=16.0, ceiling_burst=32.0)
 
 
-class Ingress:
+class GatewayDriver:
     """Drives one gateway; a healthy counter of its own unless told otherwise."""
 
     def __init__(self, backends: int = 4, now: float = 100.0, born: float = 0.0, seed: int = 1,
--- a/tests/sockets.py
+++ b/tests/socket_rig.py
@@ -16,7 +16,7 @@
 from roadspur.net.ingress import Ingress
 from roadspur.net.server import Server
 from roadspur.net.upstream import Upstream
-from tests.helpers import CEILED, KEYED, PLAN, SAFE, UNSAFE
+from tests.ingress_driver import CEILED, KEYED, PLAN, SAFE, UNSAFE
 
 HOST = "127.0.0.1"
 PATIENCE_S = 20.0  # for anything at all to happen; never what a test measures
@@ -166,7 +166,7 @@
     return read_listing(json.loads(json.dumps({"index": index, "snapshot": snapshot, "endpoints": entries})))
 
 
-class Script:
+class ScriptedDecisions:
     """Stands in for the decision module: keeps what it is told and does what the test's function says."""
 
     def __init__(self, decide: Callable[[io.Event], list[io.Action]]) -> None:
@@ -207,13 +207,13 @@
     return decide
 
 
-class Rig:
+class IngressRig:
     """An ingress with its client side, in this process."""
 
     def __init__(self, decide: Callable[[io.Event], list[io.Action]], idle: float = 15.0,
                  **more: Any) -> None:
         loop = asyncio.get_running_loop()
-        self.script = Script(decide)
+        self.script = ScriptedDecisions(decide)
         self.settings = settings(**more)
         self.upstream = Upstream(loop, self.settings.connect_timeout, idle, 100)
         self.ingress = Ingress(loop, self.settings, self.script, self.upstream, ("latency_ms", "inflight"))
