--- a/tests/system/calls.py
+++ b/tests/system/calls.py
@@ -1,4 +1,4 @@
-"""A sorter's traffic plane in memory, between clients and backends that a schedule drives byte by byte.
+"""A proxy's traffic plane in memory, between clients and backends that a schedule drives byte by byte.
 
 Simulated time, the programs' own code on both sides, no sockets. A request that was written whole to a
 backend runs there unless that has said otherwise, also when its connection has ended since.
@@ -16,18 +16,18 @@
 
 from result import Ok
 
-from post.directory import document
-from post.directory.matchers import Book
-from post.franking.charger import Charger
-from post.sorting import service as services
-from post.sorting.budget import RetryBudget
-from post.sorting.decisions import Decisions, Fellows
-from post.sorting.ingress import Sorting
-from proving.model.wire import Frontage, FrontConnection
-from proving.model.world import Process, World
+from gateway.config import document
+from gateway.config.routing import CompiledConfig
+from gateway.proxy import service as services
+from gateway.proxy.decisions import Decisions, ProxyPeers
+from gateway.proxy.ingress import ProxyIngress
+from gateway.proxy.retry_budget import RetryBudget
+from gateway.quota.quota_client import QuotaClient
+from proving.model.proxy_sockets import SimulatedServer, SimulatedServerConnection
+from proving.model.simulator import Process, Simulator
 from roadspur import interface as io
 from roadspur.net import upstream as real
-from tests.system.sorting import entry, route
+from tests.system.proxy import entry, route
 
 CONNECT_S, IDLE_S = 2.0, 10.0
 PATIENCE_S = 4.0  # of clients
@@ -36,14 +36,14 @@
 SERVICES = ("s1", "s2")
 
 
-def public() -> Book:
+def public() -> CompiledConfig:
     """Routes of one service that need no key: what may be repeated, and what may not."""
     entries = [route("read", "safe", public=True), route("order", "unsafe", public=True), *(
         entry("services", s, health_path="/h", max_conns=99, protocol="h1", tls=False) for s in SERVICES)]
     whole = {"generation": 1, "base-version": 0, "resource-list": entries}
     parsed = document.parse(json.dumps(whole).encode())
     assert isinstance(parsed, Ok), parsed
-    return Book(parsed.ok_value)
+    return CompiledConfig(parsed.ok_value)
 
 
 def body_of(attempt: str, large: bool = False) -> bytes:
@@ -74,7 +74,7 @@
         return "\r\n".join(lines).encode() + body
 
 
-class Wire:
+class SimulatedTransport:
     """What both kinds of transport here have in common, and a socket as far as one is asked for."""
 
     pending, held = 0, ()
@@ -82,7 +82,7 @@
     def __init__(self, process: Process) -> None:
         self.process = process
         self.closed = self.reset = self.paused = False  # by the ingress
-        self.taker: Any = None
+        self.receiver: Any = None
         self.lost = False
 
     def get_extra_info(self, name: str, default: Any = None) -> Any:
@@ -132,23 +132,23 @@
     def tell(self, error: Exception | None) -> None:
         if not self.lost:
             self.lost = True
-            self.process.call_soon(self.taker.connection_lost, error)
+            self.process.call_soon(self.receiver.connection_lost, error)
 
 
-class Link(Wire):
+class BackendLink(SimulatedTransport):
     """A connection to a backend. `kernel` has what came and the ingress has not read: bytes, their end (b"")
     or a reset (None); `coming` what has yet to come."""
 
-    def __init__(self, process: Process, life: Life) -> None:
+    def __init__(self, process: Process, life: BackendLifetime) -> None:
         super().__init__(process)
         self.life = life
         self.kernel, self.coming = deque[bytes | None](), deque[bytes]()
         self.wrote = bytearray()
-        self.asked = deque[Arrived]()  # whole requests that the backend has not answered
+        self.asked = deque[ArrivedRequest]()  # whole requests that the backend has not answered
         self.past = list[bytes]()  # answers that were given
         self.forgotten = self.cut = False  # cut: nothing comes behind a part of an answer
         self.jammed = False  # the kernel takes nothing
-        self.early: Arrived | None = None  # what was taken for whole before it was
+        self.early: ArrivedRequest | None = None  # what was taken for whole before it was
 
     def write(self, data: bytes) -> None:
         if self.closed:
@@ -162,7 +162,7 @@
                 self.take(arrived)
             self.early = None
 
-    def take(self, arrived: Arrived) -> None:
+    def take(self, arrived: ArrivedRequest) -> None:
         arrived.turned_away = arrived.target not in ("", self.life.name)
         self.asked.append(arrived)
         self.life.came.append(arrived)
@@ -191,17 +191,17 @@
             self.kernel.popleft()
             if data[most:]:
                 self.kernel.appendleft(data[most:])
-            self.hand(self.taker.data_received, data[:most])
+            self.hand(self.receiver.data_received, data[:most])
             return
         if self.kernel.popleft() is None:
             self.closed = True
             self.tell(ConnectionResetError("reset by the other side"))
         else:
-            self.hand(self.taker.eof_received)
+            self.hand(self.receiver.eof_received)
             self.close()
 
 
-class Arrived:
+class ArrivedRequest:
     """A request that was written whole. It runs unless the backend turns it away."""
 
     def __init__(self, size: int, attempt: str, target: str, method: str, large: bool) -> None:
@@ -209,7 +209,7 @@
         self.turned_away = False
 
 
-def read(wrote: bytearray) -> Arrived | None:
+def read(wrote: bytearray) -> ArrivedRequest | None:
     """The first request of what was written, as soon as its head is whole."""
     head, found, rest = bytes(wrote[:4096]).partition(b"\r\n\r\n")
     if not found:
@@ -218,16 +218,16 @@
     fields = {k.lower(): v.strip() for k, _, v in (part.partition(":") for part in lines)}
     size = len(head) + 4 + int(fields.get("content-length", 0))
     method, path, _ = line.split(" ")
-    return Arrived(size, fields["attempt-id"], fields.get("target-instance", ""), method, "large" in path)
+    return ArrivedRequest(size, fields["attempt-id"], fields.get("target-instance", ""), method, "large" in path)
 
 
-class Life:
+class BackendLifetime:
     """One life of a backend."""
 
     def __init__(self, name: str, service: str, address: tuple[str, int]) -> None:
         self.name, self.service, self.address = name, service, address
-        self.came = list[Arrived]()
-        self.links = list[Link]()
+        self.came = list[ArrivedRequest]()
+        self.links = list[BackendLink]()
         self.known = False  # to the ingress
         self.before: set[str] | None = None  # tries that had begun to come when it was told to leave
 
@@ -235,29 +235,29 @@
 class Upstream(real.Upstream):
     """Connections to backends; only how one is opened is the schedule's."""
 
-    def __init__(self, town: Town, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(self, harness: ProxyHarness, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop, CONNECT_S, IDLE_S, 100)
-        self.town = town
+        self.harness = harness
 
     async def connect(self, pool: real.Pool) -> real.Connection:
-        town, future = self.town, self.town.process.create_future()
-        life = town.lives.get(pool.endpoint.address)
-        how = town.dials.pop(pool.endpoint.address, "taken")
+        harness, future = self.harness, self.harness.process.create_future()
+        life = harness.lives.get(pool.endpoint.address)
+        how = harness.dials.pop(pool.endpoint.address, "taken")
         if life is not None and how != "silent":
-            town.process.call_later(0.001, lambda: future.done() or future.set_result(how))
+            harness.process.call_later(0.001, lambda: future.done() or future.set_result(how))
         async with asyncio.timeout(self.connect_timeout):
             if await future == "refused" or life is None:
                 raise ConnectionRefusedError
-        link = Link(town.process, life)
-        connection = link.taker = real.Connection(pool, cast(Any, link))
+        link = BackendLink(harness.process, life)
+        connection = link.receiver = real.Connection(pool, cast(Any, link))
         life.links.append(link)
-        town.links.append(link)
+        harness.links.append(link)
         self.connections.add(connection)
         connection.connection_made(cast(asyncio.Transport, link))
         return connection
 
 
-class Seat(Wire):
+class SimulatedClient(SimulatedTransport):
     """A client's connection. `asks` are those that have begun to come to the ingress, `said` all answers."""
 
     def __init__(self, process: Process) -> None:
@@ -278,30 +278,30 @@
 
     def send(self, data: bytes) -> None:
         if not (self.closed or self.gone):
-            self.hand(self.taker.data_received, data)
+            self.hand(self.receiver.data_received, data)
 
 
-class Town:
+class ProxyHarness:
     """One ingress, three backends, and clients. `spoil` may plant a fault in it before it begins."""
 
-    def __init__(self, book: Any, spoil: Callable[[Town], None] | None = None) -> None:
-        self.world = World(1)
-        self.process = Process(self.world, "sorter", 0.0, 100.0, 0.0)
+    def __init__(self, compiled_config: Any, spoil: Callable[[ProxyHarness], None] | None = None) -> None:
+        self.simulator = Simulator(1)
+        self.process = Process(self.simulator, "proxy", 0.0, 100.0, 0.0)
         loop, rng = self.process.loop, random.Random(1)
-        self.lives: dict[tuple[str, int], Life] = {}
-        self.all = list[Life]()
+        self.lives: dict[tuple[str, int], BackendLifetime] = {}
+        self.all = list[BackendLifetime]()
         self.dials: dict[tuple[str, int], str] = {}
-        self.links = list[Link]()
+        self.links = list[BackendLink]()
         self.news = deque[Callable[[], None]]()  # that the ingress has not heard yet
-        self.seats = list[Seat]()
+        self.seats = list[SimulatedClient]()
         self.asks = dict[str, Ask]()
         terms = services.settings(1, CONNECT_S, "z1")
-        self.decisions = Decisions(Charger(5.0, rng), terms, lambda n: RetryBudget(0.2, 1000.0, 10.0, n), rng)
-        self.decisions.handle(self.process.time() - 9.0, Fellows(1, 0, 0))
+        self.decisions = Decisions(QuotaClient(5.0, rng), terms, lambda n: RetryBudget(0.2, 1000.0, 10.0, n), rng)
+        self.decisions.handle(self.process.time() - 9.0, ProxyPeers(1, 0, 0))
         self.upstream = Upstream(self, loop)
-        self.ingress = Sorting(loop, terms, self.decisions, self.upstream, print, self.process.time)
-        self.ingress.book = book
-        self.server = Frontage(loop, self.ingress, 50)
+        self.ingress = ProxyIngress(loop, terms, self.decisions, self.upstream, print, self.process.time)
+        self.ingress.compiled_config = compiled_config
+        self.server = SimulatedServer(loop, self.ingress, 50)
         if spoil is not None:
             spoil(self)
         for n, service in enumerate(("s1", "s1", "s2")):
@@ -311,7 +311,7 @@
 
     def begin(self, service: str, address: tuple[str, int]) -> Callable[[], None]:
         """A backend's life begins; returns what tells the ingress of it."""
-        life = self.lives[address] = Life(f"i{len(self.all)}", service, address)
+        life = self.lives[address] = BackendLifetime(f"i{len(self.all)}", service, address)
         self.all.append(life)
 
         def tell() -> None:
@@ -340,45 +340,45 @@
             life.before = {a.attempt for a in (*life.came, *begun) if a is not None}
 
     def run(self, seconds: float) -> None:
-        self.world.run(self.world.now + seconds)
+        self.simulator.run(self.simulator.now + seconds)
 
     # Clients.
 
-    def seat(self) -> Seat:
+    def client_connection(self) -> SimulatedClient:
         """A client's new connection."""
-        seat = Seat(self.process)
-        seat.taker = FrontConnection(self.server)
-        seat.taker.connection_made(seat)
-        self.seats.append(seat)
-        return seat
+        client_connection = SimulatedClient(self.process)
+        client_connection.receiver = SimulatedServerConnection(self.server)
+        client_connection.receiver.connection_made(client_connection)
+        self.seats.append(client_connection)
+        return client_connection
 
-    def ask(self, seat: Seat, ask: Ask, kept: int) -> None:
+    def ask(self, client_connection: SimulatedClient, ask: Ask, kept: int) -> None:
         """Send a request, but for its last bytes."""
-        self.push(seat)
-        if seat.closed or seat.gone:
+        self.push(client_connection)
+        if client_connection.closed or client_connection.gone:
             return
         raw = ask.raw()
         kept = min(kept, len(raw) - 1)
         self.asks[ask.attempt] = ask
-        seat.asks.append(ask)
-        seat.left = bytearray(raw[len(raw) - kept:])
-        seat.send(raw[:len(raw) - kept])
-        if not seat.left:
-            seat.whole = len(seat.asks)
+        client_connection.asks.append(ask)
+        client_connection.left = bytearray(raw[len(raw) - kept:])
+        client_connection.send(raw[:len(raw) - kept])
+        if not client_connection.left:
+            client_connection.whole = len(client_connection.asks)
 
-    def push(self, seat: Seat) -> None:
+    def push(self, client_connection: SimulatedClient) -> None:
         """Send what was kept back, and read on."""
-        if seat.left:
-            left, seat.left = bytes(seat.left), bytearray()
-            seat.whole = len(seat.asks)
-            seat.send(left)
-        if seat.taker.full_since and not seat.lost:
-            seat.hand(seat.taker.resume_writing)
-
-    def leave(self, seat: Seat) -> None:
+        if client_connection.left:
+            left, client_connection.left = bytes(client_connection.left), bytearray()
+            client_connection.whole = len(client_connection.asks)
+            client_connection.send(left)
+        if client_connection.receiver.full_since and not client_connection.lost:
+            client_connection.hand(client_connection.receiver.resume_writing)
+
+    def leave(self, client_connection: SimulatedClient) -> None:
         """A client goes."""
-        seat.gone, seat.left = True, bytearray()
-        seat.close()
+        client_connection.gone, client_connection.left = True, bytearray()
+        client_connection.close()
 
     # The end.
 
@@ -387,8 +387,8 @@
         for _ in range(4):
             while self.news:
                 self.news.popleft()()
-            for seat in self.seats:
-                self.push(seat)
+            for client_connection in self.seats:
+                self.push(client_connection)
             for link in self.links:
                 while (link.kernel or link.coming) and not (link.lost or link.paused):
                     link.deliver()
@@ -408,18 +408,18 @@
                 assert came.turned_away or life.service == "s1", f"{came.attempt} runs at another service"
         for name, ask in self.asks.items():
             assert ask.safe or runs[name] <= 1, f"{name} runs {runs[name]} times"
-        for seat in self.seats:
-            self.heard(seat, runs)
+        for client_connection in self.seats:
+            self.heard(client_connection, runs)
         assert not self.ingress.held and not self.decisions.homes
-        assert not any(s.flights or s.out for s in self.decisions.services.values())
+        assert not any(s.active_requests or s.out for s in self.decisions.services.values())
 
-    def heard(self, seat: Seat, runs: Counter[str]) -> None:
+    def heard(self, client_connection: SimulatedClient, runs: Counter[str]) -> None:
         """What a client makes of its answers."""
-        data = bytes(seat.said)
-        for n, ask in enumerate(seat.asks):
-            status, fields, body, data = parse(data, ask.method == "HEAD", seat.ended())
+        data = bytes(client_connection.said)
+        for n, ask in enumerate(client_connection.asks):
+            status, fields, body, data = parse(data, ask.method == "HEAD", client_connection.ended())
             if body is None:
-                assert seat.closed or n >= seat.whole, f"{ask.attempt}: no answer, and no end"
+                assert client_connection.closed or n >= client_connection.whole, f"{ask.attempt}: no answer, and no end"
                 assert not data
                 break
             if status < 300:
--- a/tests/system/catching.py
+++ b/tests/system/catch_up.py
@@ -1,6 +1,6 @@
 """How long and with how many bytes one that was away catches up, after 0, 500 and 5,000 changes.
 
-    python -m tests.system.catching
+    python -m tests.system.catch_up
 """
 
 from __future__ import annotations
@@ -10,12 +10,12 @@
 import tempfile
 from collections.abc import Iterator
 
-from post.machine import Send
-from post.register import register_pb2 as pb
-from post.register.disk import Store
-from tests.system.core import Core, Node, finish
-from tests.system.test_register_disk import record
-from tests.system.test_rounds_logs import SOURCE, TICK_S, Net
+from gateway.consensus import consensus_pb2 as pb
+from gateway.consensus.storage import Store
+from gateway.state_machine import Send
+from tests.system.consensus_cluster import ConsensusCluster, Node, finish
+from tests.system.test_change_log import SOURCE, TICK_S, Net
+from tests.system.test_consensus_storage import record
 
 CHANGES = (0, 500, 5000)
 SEEDS = 5
@@ -24,14 +24,14 @@
         "lossy": "cut off, then a tenth lost, 1 to 50 ms"}
 
 
-class Counted(Core):
+class Counted(ConsensusCluster):
     """Counts the whole entries that go to one node."""
 
     to, whole = "", 0
 
     def _send(self, node: Node, output: Send) -> None:
         note = output.message
-        self.whole += output.to == self.to and note.kind == pb.ENTRY and not note.base_number
+        self.whole += output.to == self.to and note.kind == pb.ENTRY and not note.base_index
         super()._send(node, output)
 
 
--- a/tests/system/core.py
+++ b/tests/system/consensus_cluster.py
@@ -7,16 +7,16 @@
 from collections.abc import Callable
 from typing import Any
 
-from post.machine import Send
-from post.register import api
-from post.register import register_pb2 as pb
-from post.register.agreement import Agreement
-from post.register.records import Stored, get_entry
+from gateway.consensus import api
+from gateway.consensus import consensus_pb2 as pb
+from gateway.consensus.raft import RaftNode
+from gateway.consensus.records import PersistentState, get_entry
+from gateway.state_machine import Send
 
 TICK_S = 0.025
 
 
-class Broken(AssertionError):
+class InvariantViolation(AssertionError):
     """A promise of the agreement was broken."""
 
 
@@ -24,20 +24,20 @@
     """A process at an address, and its disk."""
 
     def __init__(self, address: str) -> None:
-        self.address, self.machine, self.life = address, None, 0
-        self.files: Stored | None = None  # what a start finds
-        self.stored: Stored | None = None  # what is synced, and so there after a loss of power too
+        self.address, self.machine, self.incarnation = address, None, 0
+        self.files: PersistentState | None = None  # what a start finds
+        self.stored: PersistentState | None = None  # what is synced, and so there after a loss of power too
         self.heard = 0  # newest version put out in this life
         self.disk_s = (0.002, 0.01)
         self.disk_fails = False
         self.frozen = 0.0  # until then its process stands still
 
 
-class Core:
+class ConsensusCluster:
     """Several nodes. Every output is checked; `done` is by version, `committed` too."""
 
     def __init__(self, count: int, seed: int, tolerance: int = 1, tuning: api.Tuning | None = None,
-                 kind: Callable[..., Agreement] = Agreement) -> None:
+                 kind: Callable[..., RaftNode] = RaftNode) -> None:
         self.tuning = tuning or api.Tuning()
         self.rng, self.kind, self.tolerance = random.Random(seed), kind, tolerance
         self.now, self.order, self.events = 100.0, 0, []
@@ -81,22 +81,22 @@
 
     def start(self, address: str, fresh: bool = False) -> None:
         node = self.nodes[address]
-        node.life, node.heard = node.life + 1, 0
+        node.incarnation, node.heard = node.incarnation + 1, 0
         node.machine = self.kind(address, node.files, fresh, self.seeds, random.Random(self.rng.random()),
                                  self.tuning, f"{self.rng.getrandbits(32):08x}", self.tolerance, self.now)
-        self._tick(node, node.life)
+        self._tick(node, node.incarnation)
 
     def kill(self, address: str, wipe: bool = False, power: bool = True) -> None:
         """The process ends; with it goes the `power`, and what isn't synced may be lost, with `wipe` the disk
         as well."""
         node = self.nodes[address]
         if wipe:
-            for disk in {x.disk for x in (node.files, node.machine and node.machine.seat) if x}:
+            for disk in {x.disk for x in (node.files, node.machine and node.machine.replica) if x}:
                 self.lost[disk] = self.now
             node.files = node.stored = None
         elif power and node.files is not node.stored and (self.unsynced_is_lost or self.rng.random() < 0.5):
             node.files = node.stored
-        node.machine, node.life, node.frozen = None, node.life + 1, 0.0
+        node.machine, node.incarnation, node.frozen = None, node.incarnation + 1, 0.0
 
     def up(self) -> list[Node]:
         return [n for n in self.nodes.values() if n.machine is not None]
@@ -108,7 +108,7 @@
 
     def leader(self) -> Node | None:
         """The one that is sure to lead."""
-        return next((n for n in self.up() if n.machine.sure(self.now)), None)
+        return next((n for n in self.up() if n.machine.has_leader_lease(self.now)), None)
 
     def propose(self, node: Node, expected: int) -> int:
         token = len(self.asked) + 1
@@ -119,8 +119,8 @@
     def give(self, node: Node, event: Any) -> None:
         """Hand an input to a node's machine and do as it says, once it runs."""
         if self.now < node.frozen:
-            life = node.life
-            self.at(node.frozen - self.now, lambda: node.life == life and self.give(node, event))
+            incarnation = node.incarnation
+            self.at(node.frozen - self.now, lambda: node.incarnation == incarnation and self.give(node, event))
             return
         self._check_contact(node)
         for output in node.machine.handle(self.now, event):
@@ -135,12 +135,12 @@
             else:
                 self._proposed(output)
 
-    def _tick(self, node: Node, life: int) -> None:
-        if node.life == life and node.machine is not None:
+    def _tick(self, node: Node, incarnation: int) -> None:
+        if node.incarnation == incarnation and node.machine is not None:
             if self.now >= node.frozen:
                 self.give(node, api.Tick())
                 self._check_lease(node)
-            self.at(TICK_S * self.rng.uniform(0.9, 1.5), lambda: self._tick(node, life))
+            self.at(TICK_S * self.rng.uniform(0.9, 1.5), lambda: self._tick(node, incarnation))
 
     def _send(self, node: Node, output: Send) -> None:
         for _ in range(1 + (self.rng.random() < self.double)):
@@ -155,83 +155,83 @@
             self.give(node, api.Received(sender, output.message))
 
     def _write(self, node: Node, write: api.Write) -> None:
-        life, fails = node.life, node.disk_fails
+        incarnation, fails = node.incarnation, node.disk_fails
 
         def put() -> None:
-            if node.life == life and not fails:
+            if node.incarnation == incarnation and not fails:
                 node.files = write.record
 
         def finish() -> None:
-            if node.life != life:
+            if node.incarnation != incarnation:
                 return
             if not fails:
                 node.files = node.stored = write.record
             if not self.early:
-                self.give(node, api.WriteFailed(write.token, "full") if fails else api.Written(write.token))
+                self.give(node, api.WriteFailed(write.token, "full") if fails else api.WriteCompleted(write.token))
         takes = self.rng.uniform(*node.disk_s)
         self.at(takes / 2, put)
         self.at(takes, finish)
         if self.early:
-            self.at(0.0, lambda: node.life == life and self.give(node, api.Written(write.token)))
+            self.at(0.0, lambda: node.incarnation == incarnation and self.give(node, api.WriteCompleted(write.token)))
 
     def _committed(self, node: Node, output: api.Committed) -> None:
         if output.version <= node.heard:
-            raise Broken(f"{node.address} goes back from {node.heard} to {output.version}")
+            raise InvariantViolation(f"{node.address} goes back from {node.heard} to {output.version}")
         node.heard = output.version
         if self.committed.setdefault(output.version, output.value) != output.value:
-            raise Broken(f"two values of version {output.version}")
+            raise InvariantViolation(f"two values of version {output.version}")
         refused = {self.asked[t][0] for t, outcome in self.outcomes.items() if outcome == "refused"}
         if output.value in refused:
-            raise Broken(f"{output.value!r} was refused and is in force")
+            raise InvariantViolation(f"{output.value!r} was refused and is in force")
 
     def _proposed(self, output: api.Proposed) -> None:
         if output.token in self.outcomes:
-            raise Broken(f"proposal {output.token} is answered twice")
+            raise InvariantViolation(f"proposal {output.token} is answered twice")
         self.outcomes[output.token] = output.outcome
         value, expected = self.asked[output.token]
         if output.outcome == "done":
             if self.done.setdefault(expected + 1, value) != value \
                     or self.committed.get(expected + 1) != value:
-                raise Broken(f"{value!r} was acknowledged as version {expected + 1} and isn't")
+                raise InvariantViolation(f"{value!r} was acknowledged as version {expected + 1} and isn't")
             self.done_at.setdefault(expected + 1, self.now)
         elif output.outcome == "refused" and value in self.committed.values():
-            raise Broken(f"{value!r} is in force and gets refused")
+            raise InvariantViolation(f"{value!r} is in force and gets refused")
 
     def _check_contact(self, node: Node) -> None:
         """Whoever says, before its next input, that it is in touch lacks nothing that was acknowledged a
         while ago; so a process that has just thawed doesn't say so."""
-        until = node.machine.in_touch_until()
+        until = node.machine.quorum_contact_until()
         since = until - self.tuning.election_max_s
         newest = max((v for v, at in self.done_at.items() if at <= since), default=0)
         if self.now < until and node.machine.committed < newest:
-            if node.machine.sure(self.now):
-                raise Broken(f"{node.address} is sure of an old version")
-            raise Broken(f"{node.address} is in touch and has version {node.machine.committed}, not {newest}")
+            if node.machine.has_leader_lease(self.now):
+                raise InvariantViolation(f"{node.address} is sure of an old version")
+            raise InvariantViolation(f"{node.address} is in touch and has version {node.machine.committed}, not {newest}")
 
     def _check_lease(self, node: Node) -> None:
-        if node.machine.sure(self.now):
-            self.led[node.address, node.life] = self.now
-            since = node.machine.unled_since
+        if node.machine.has_leader_lease(self.now):
+            self.led[node.address, node.incarnation] = self.now
+            since = node.machine.leaderless_since
             if since is not None and any(
-                    until > since for who, until in self.led.items() if who != (node.address, node.life)):
-                raise Broken(f"{node.address} says that nobody has led since {since:.3f}")
+                    until > since for who, until in self.led.items() if who != (node.address, node.incarnation)):
+                raise InvariantViolation(f"{node.address} says that nobody has led since {since:.3f}")
             if node.machine.committed < max(self.done, default=0):
-                raise Broken(f"{node.address} is sure of an old version")
-            if any(o is not node and o.machine.sure(self.now) for o in self.up()):
-                raise Broken("two leaders are sure")
+                raise InvariantViolation(f"{node.address} is sure of an old version")
+            if any(o is not node and o.machine.has_leader_lease(self.now) for o in self.up()):
+                raise InvariantViolation("two leaders are sure")
 
 
-class Trouble:
+class FaultInjector:
     """Chance that befalls a core; no more disks are lost at once than it bears."""
 
-    def __init__(self, core: Core, rng: random.Random) -> None:
+    def __init__(self, core: ConsensusCluster, rng: random.Random) -> None:
         self.core, self.rng = core, rng
         core.loss, core.double = rng.choice([0, 0.02, 0.2]), rng.choice([0, 0.05, 0.2])
         core.delay_s = rng.choice([(0.001, 0.003), (0.001, 0.035), (0.01, 0.1)])
         self.over = False
         self.storm = rng.random() < 0.4  # many strikes at short intervals
 
-    def befall(self) -> None:
+    def inject_random_faults(self) -> None:
         """All of it, with some time to go on in between."""
         for _ in range(self.rng.randrange(20, 50) if self.storm else self.rng.randrange(4, 12)):
             self.strike()
@@ -260,7 +260,7 @@
             if node.machine is None or node.machine.leaving:
                 core.kill(node.address)
                 core.start(node.address)
-            core.give(node, api.Known(tuple(core.nodes)))
+            core.give(node, api.KnownAddresses(tuple(core.nodes)))
 
     def _cut(self, node: Node) -> None:
         others = [a for a in self.core.nodes if a != node.address]
@@ -275,9 +275,9 @@
         if node.machine is not None and not self.over:
             core = self.core
             core.kill(node.address, wipe, self.rng.random() < 0.5 if power is None else power)
-            life = node.life
+            incarnation = node.incarnation
             core.at(self.rng.uniform(0.02, 0.2 if self.storm else 1.5),
-                    lambda: node.life == life and core.start(node.address))
+                    lambda: node.incarnation == incarnation and core.start(node.address))
 
     def _herd(self, node: Node) -> None:
         for each in list(self.core.nodes.values()):
@@ -296,9 +296,9 @@
                 self.rng.choice([self._cut, self._freeze, self._heal])(spared)
             for each in [n for n in core.nodes.values() if n.machine is not None and n is not spared]:
                 core.kill(each.address)
-                life = each.life
+                incarnation = each.incarnation
                 core.at(self.rng.choice([0.01, 0.05, 0.2]) * self.rng.random(),
-                        lambda each=each, life=life: each.life == life and core.start(each.address))
+                        lambda each=each, incarnation=incarnation: each.incarnation == incarnation and core.start(each.address))
             core.run(self.rng.uniform(0.05, 0.5))
 
     def _after_ack(self, node: Node) -> None:
@@ -332,12 +332,12 @@
 
     def _may_lose(self, node: Node) -> bool:
         """May this disk be lost, after those that still count as members?"""
-        held = [n.machine.seat.entry if n.machine else n.files.entry for n in self.core.nodes.values()
+        held = [n.machine.replica.entry if n.machine else n.files.entry for n in self.core.nodes.values()
                 if n.machine or n.files]
         known = [n.machine.value for n in self.core.up() if n.machine.value]
         if not known:
             return False
-        newest = [max(entries, key=lambda e: e.place) for entries in (held, known)]
+        newest = [max(entries, key=lambda e: e.position) for entries in (held, known)]
         late = {disk for disk, at in self.core.lost.items() if self.core.now < at + 2.0}
         return all(len({m.disk for m in council} & {*self.core.lost} | late) < (len(council) - 1) // 2
                    for entry in newest for council in (entry.members, entry.outgoing) if council)
@@ -362,52 +362,52 @@
     def _leave(self, node: Node) -> None:
         if node.machine is not None and self.core.now >= node.frozen:
             self.core.give(node, api.Leave())
-            life = node.life
-            self.core.at(1.0, lambda: node.life == life and self._restart(node))
+            incarnation = node.incarnation
+            self.core.at(1.0, lambda: node.incarnation == incarnation and self._restart(node))
 
 
-def explore(count: int, seed: int, early: bool = False, kind: Callable[..., Agreement] = Agreement) -> Core:
+def explore(count: int, seed: int, early: bool = False, kind: Callable[..., RaftNode] = RaftNode) -> ConsensusCluster:
     """Some seconds of trouble, then calm: a leader must be found and a proposal get done within 5 s."""
-    core = Core(count, seed, (count - 1) // 2, kind=kind)
+    core = ConsensusCluster(count, seed, (count - 1) // 2, kind=kind)
     core.early = early
-    trouble = Trouble(core, random.Random(f"trouble {seed}"))
+    fault_injector = FaultInjector(core, random.Random(f"trouble {seed}"))
     core.run(random.Random(seed).uniform(0.3, 3.0))
-    trouble.befall()
-    trouble.calm()
+    fault_injector.inject_random_faults()
+    fault_injector.calm()
     finish(core, 5.0)
     return core
 
 
-def finish(core: Core, within: float) -> None:
+def finish(core: ConsensusCluster, within: float) -> None:
     """A proposal gets done, and everyone who is up learns it."""
     end, token = core.now + within, 0
     while core.outcomes.get(token) != "done":
         if not core.run(end - core.now, lambda: core.leader() is not None):
-            raise Broken(f"no leader within {within} s")
+            raise InvariantViolation(f"no leader within {within} s")
         leader = core.leader()
         token = core.propose(leader, leader.machine.committed)
         core.run(end - core.now, lambda token=token: token in core.outcomes)
         if core.now >= end:
-            raise Broken(f"nothing gets done within {within} s")
+            raise InvariantViolation(f"nothing gets done within {within} s")
     version = core.asked[token][1] + 1
     if version <= max((v for v in core.done if v != version), default=0):
-        raise Broken("what was acknowledged is lost")
+        raise InvariantViolation("what was acknowledged is lost")
     if not core.run(8.0, lambda: all(n.heard >= version for n in core.up())):
-        raise Broken(f"{[n.address for n in core.up() if n.heard < version]} lack version {version}")
+        raise InvariantViolation(f"{[n.address for n in core.up() if n.heard < version]} lack version {version}")
 
 
 def tell(output: api.Output) -> str:
     """An output in one line."""
     if isinstance(output, api.Write):
         disk, term, vote, entry = output.record
-        return f"writes {disk}: term {term}, vote {vote or 'none'}, entry {entry.place}"
+        return f"writes {disk}: term {term}, vote {vote or 'none'}, entry {entry.position}"
     if not isinstance(output, Send):
         return str(output)
-    note = output.message
-    skip = ("kind", "disk", "to_disk", "sent", "at", "answered", "entry", "members")
-    parts = [f"{f.name}={v}" for f, v in note.ListFields() if f.name not in skip]
-    if note.HasField("entry"):
-        e = get_entry(note.entry)
+    message = output.message
+    skip = ("kind", "disk", "to_disk", "sent", "replied_at", "last_reply_at", "entry", "members")
+    parts = [f"{f.name}={v}" for f, v in message.ListFields() if f.name not in skip]
+    if message.HasField("entry"):
+        e = get_entry(message.entry)
         names = [[m.disk for m in council] for council in (e.members, e.outgoing)]
-        parts.append(f"entry={e.place} v{e.version} {e.value!r} of {names[0]} before {names[1]}")
-    return " ".join([f"to {output.to}", pb.Kind.Name(note.kind), *parts])
+        parts.append(f"entry={e.position} v{e.version} {e.value!r} of {names[0]} before {names[1]}")
+    return " ".join([f"to {output.to}", pb.Kind.Name(message.kind), *parts])
--- a/tests/system/offices.py
+++ b/tests/system/controllers.py
@@ -10,11 +10,11 @@
 from collections.abc import Callable
 from typing import Any
 
-from post.directory.orders import Held
-from post.office.control import CONFIG, Control
-from post.office.wicket import Asked
-from post.register import api
-from tests.system.core import Broken, Core, Node, Trouble
+from gateway.config.orders import ConfigState
+from gateway.consensus import api
+from gateway.programs.control_api import CONFIG, Control
+from gateway.runtime.http_listener import HttpCall
+from tests.system.consensus_cluster import ConsensusCluster, FaultInjector, InvariantViolation, Node
 
 SILENCE_S = 1.0  # that a caller bears
 UNDER_WAY = 8  # orders at most
@@ -39,15 +39,15 @@
         return self.upsert if self.method == "PUT" else base + self.upsert
 
 
-class Office:
+class SimulatedController:
     """A process's control; its agreement is the core."""
 
-    def __init__(self, core: Offices, node: Node) -> None:
-        self.core, self.node, self.version, self.held = core, node, 0, Held()
+    def __init__(self, core: ControllerCluster, node: Node) -> None:
+        self.core, self.node, self.version, self.config_state = core, node, 0, ConfigState()
         self.control = Control(self, lambda call: None)
 
     def leads(self, now: float) -> bool:
-        return self.node.machine.sure(now)
+        return self.node.machine.has_leader_lease(now)
 
     def leader_control(self) -> str | None:
         leader = self.node.machine.leader
@@ -56,18 +56,18 @@
     def propose(self, token: int, value: bytes, expected: int) -> None:
         self.core.give(self.node, api.Propose(token, value, expected))
 
-    def taken_up(self) -> tuple[int, Held]:
-        return self.version, self.held
+    def config_in_force(self) -> tuple[int, ConfigState]:
+        return self.version, self.config_state
 
 
-class Offices(Core):
+class ControllerCluster(ConsensusCluster):
     """A core with its controls, and its callers. `under_way` are calls without a clear answer."""
 
-    def __init__(self, count: int, seed: int, office: type[Office] = Office) -> None:
-        self.office, self.offices, self.giving = office, {}, None
+    def __init__(self, count: int, seed: int, controller: type[SimulatedController] = SimulatedController) -> None:
+        self.controller, self.controllers, self.giving = controller, {}, None
         self.orders: list[Order] = []
         self.taken: list[tuple[Order | None, Labels]] = [(None, ())]  # by version
-        self.under_way: list[Call] = []
+        self.under_way: list[OperatorCall] = []
         self.newest: Order | None = None  # that was acknowledged
         self.chance = random.Random(f"callers {seed}")
         self.unheard, self.late = self.chance.choice([0.0, 0.1, 0.4]), self.chance.choice([0.0, 0.1])
@@ -78,7 +78,7 @@
     # The core.
 
     def start(self, address: str, fresh: bool = False) -> None:
-        self.offices[address] = self.office(self, self.nodes[address])
+        self.controllers[address] = self.controller(self, self.nodes[address])
         super().start(address, fresh)
 
     def give(self, node: Node, event: Any) -> None:
@@ -86,7 +86,7 @@
         super().give(node, event)
         self.giving = outer
         if isinstance(event, api.Tick) and self.now >= node.frozen:
-            self.offices[node.address].control.proceed(self.now)
+            self.controllers[node.address].control.proceed(self.now)
 
     def propose(self, node: Node, expected: int) -> int:
         """An order, whoever is to take it."""
@@ -94,33 +94,33 @@
         return len(self.orders) - 1
 
     def _proposed(self, output: api.Proposed) -> None:
-        office = self.offices[self.giving.address]
+        controller = self.controllers[self.giving.address]
         if output.outcome == "done":
-            self.done[office.version] = self.committed[office.version]
-        office.control.proposed(self.now, output.token, output.outcome)
+            self.done[controller.version] = self.committed[controller.version]
+        controller.control.proposed(self.now, output.token, output.outcome)
 
     def _committed(self, node: Node, output: api.Committed) -> None:
         super()._committed(node, output)
-        office = self.offices[node.address]
-        office.held = office.control.made(output.value) or Held.decode(output.value, office.held)
-        office.version = output.version
+        controller = self.controllers[node.address]
+        controller.config_state = controller.control.own_value(output.value) or ConfigState.decode(output.value, controller.config_state)
+        controller.version = output.version
         if output.version == len(self.taken):
-            self._take(office.held)
+            self._take(controller.config_state)
         elif output.version > len(self.taken):
-            raise Broken(f"version {output.version} came before {len(self.taken)}")
+            raise InvariantViolation(f"version {output.version} came before {len(self.taken)}")
 
-    def _take(self, held: Held) -> None:
+    def _take(self, config_state: ConfigState) -> None:
         """A version comes into force: it must be an order's that may be taken."""
         former, labels = self.taken[-1]
-        told, found = held.generation, tuple(held.document.services)
+        told, found = config_state.generation, tuple(config_state.document.services)
         base = former.generation if former else 0
         for order in self.orders:
             if (order.generation, order.base) == (told, base) and order.makes(labels) == found:
                 break
         else:
-            raise Broken(f"generation {told} on top of {base} was never sent")
+            raise InvariantViolation(f"generation {told} on top of {base} was never sent")
         if order.version or order.refused or not order.valid:
-            raise Broken(f"generation {told} is taken: {vars(order)}")
+            raise InvariantViolation(f"generation {told} is taken: {vars(order)}")
         order.version = len(self.taken)
         self.taken.append((order, found))
 
@@ -156,7 +156,7 @@
 
     def send(self, order: Order) -> None:
         """Another call with an order."""
-        self.under_way.append(Call(self, order))
+        self.under_way.append(OperatorCall(self, order))
         self.under_way[-1].send()
 
     def _go_on(self) -> None:
@@ -164,7 +164,7 @@
             self.begin()
             self.at(self.chance.choice([0.01, 0.1, 0.5]) * self.chance.random(), self._go_on)
 
-    def ask(self, address: str, asked: Asked, told: Callable[[int, bytes, bytes], None],
+    def ask(self, address: str, http_call: HttpCall, told: Callable[[int, bytes, bytes], None],
             check: Callable[[int, bytes], None]) -> None:
         """One HTTP call; `told` hears its answer, unless that is lost."""
         delay = self.chance.uniform(*((0.5, 4.0) if self.chance.random() < self.late else self.delay_s))
@@ -172,20 +172,20 @@
         def come() -> None:
             node = self.nodes.get(address)
             if node is not None and node.machine is not None:
-                arrive(node, node.life)
+                arrive(node, node.incarnation)
 
-        def arrive(node: Node, life: int) -> None:
+        def arrive(node: Node, incarnation: int) -> None:
             if self.now < node.frozen:
-                self.at(node.frozen - self.now, lambda: node.life == life and arrive(node, life))
+                self.at(node.frozen - self.now, lambda: node.incarnation == incarnation and arrive(node, incarnation))
                 return
 
             def reply(status: int, lines: bytes, body: bytes) -> None:
-                if node.life == life:
+                if node.incarnation == incarnation:
                     check(status, body)
                     if self.chance.random() >= self.unheard:
                         self.at(self.chance.uniform(*self.delay_s), lambda: told(status, lines, body))
 
-            self.offices[node.address].control.answer(self.now, asked, reply)
+            self.controllers[node.address].control.answer(self.now, http_call, reply)
 
         if self.chance.random() >= self.unheard:
             self.at(delay, come)
@@ -195,7 +195,7 @@
         about = f"answered {status} {body.decode()}: {vars(order)}"
         if status == 200:
             if not order.version:
-                raise Broken(f"not taken, {about}")
+                raise InvariantViolation(f"not taken, {about}")
             if not order.acknowledged:
                 self.outcomes[self.orders.index(order)] = "done"
             order.acknowledged = True
@@ -203,11 +203,11 @@
                 self.newest = order
         elif 400 <= status < 500:
             if order.version:
-                raise Broken(f"taken, {about}")
+                raise InvariantViolation(f"taken, {about}")
             # Of a base that is to come nothing is said for good.
             order.refused |= status != 412 or json.loads(body)["generation"] >= order.base
         elif status not in (307, 503):
-            raise Broken(f"odd, {about}")
+            raise InvariantViolation(f"odd, {about}")
 
 
 def service(label: str, valid: bool = True) -> dict[str, Any]:
@@ -220,10 +220,10 @@
     return lines.decode().partition("http://")[2].partition("/")[0]
 
 
-class Call:
+class OperatorCall:
     """An operator's: the same order, sent until there is a clear answer."""
 
-    def __init__(self, core: Offices, order: Order) -> None:
+    def __init__(self, core: ControllerCluster, order: Order) -> None:
         self.core, self.order, self.sent, self.hops, self.pause = core, order, 0, 0, 0.1
         self.status = 0
 
@@ -232,7 +232,7 @@
         core, order = self.core, self.order
         self.sent, self.hops = self.sent + 1, self.hops + 1 if address else 0
         turn = self.sent
-        core.ask(address or core.chance.choice(list(core.nodes)), Asked(order.method, CONFIG, order.body),
+        core.ask(address or core.chance.choice(list(core.nodes)), HttpCall(order.method, CONFIG, order.body),
                  lambda status, lines, body: self.told(turn, status, lines),
                  lambda status, body: core.check(order, status, body))
         core.at(SILENCE_S, lambda: self.told(turn, 0, b""))
@@ -255,7 +255,7 @@
 class Read:
     """An operator reads until it gets the configuration: none older than what was acknowledged before."""
 
-    def __init__(self, core: Offices) -> None:
+    def __init__(self, core: ControllerCluster) -> None:
         self.core, self.least, self.found = core, core.newest, 0
 
     def send(self) -> None:
@@ -268,7 +268,7 @@
             if status == 307 and not self.found:
                 self.ask(located(lines))
 
-        self.core.ask(address, Asked("GET", CONFIG, b""), told, self.check)
+        self.core.ask(address, HttpCall("GET", CONFIG, b""), told, self.check)
 
     def check(self, status: int, body: bytes) -> None:
         """An answer, as it is given."""
@@ -276,37 +276,37 @@
             raw = json.loads(body)
             self.found = raw["generation"]
             labels = tuple(e["metadata"]["label"] for e in raw["resource-list"])
-            of = [(o, made) for o, made in self.core.taken if o and o.generation == self.found]
+            of = [(o, own_value) for o, own_value in self.core.taken if o and o.generation == self.found]
             if not of or of[0][1] != labels or self.least and of[0][0].version < self.least.version:
-                raise Broken(f"read {raw}, acknowledged was {vars(self.least) if self.least else None}")
+                raise InvariantViolation(f"read {raw}, acknowledged was {vars(self.least) if self.least else None}")
         elif status == 404 and self.least:
-            raise Broken("nothing is read")
+            raise InvariantViolation("nothing is read")
 
 
-def explore(count: int, seed: int, office: type[Office] = Office, clear_s: float = 25.0) -> Offices:
+def explore(count: int, seed: int, controller: type[SimulatedController] = SimulatedController, clear_s: float = 25.0) -> ControllerCluster:
     """Orders amid trouble, then calm: all get a clear answer in time; what was acknowledged is, again.
 
     With `clear_s` 0 it ends with the trouble.
     """
-    core = Offices(count, seed, office)
-    trouble = Trouble(core, random.Random(f"trouble {seed}"))
+    core = ControllerCluster(count, seed, controller)
+    fault_injector = FaultInjector(core, random.Random(f"trouble {seed}"))
     core.run(core.chance.uniform(0.3, 3.0))
     reads = [Read(core)]
     for _ in range(3):
         reads[-1].send()
-        trouble.befall()
+        fault_injector.inject_random_faults()
         reads.append(Read(core))
-    trouble.calm()
+    fault_injector.calm()
     core.unheard = core.late = 0.0
     core.busy = False
     if not clear_s:
         return core
     if not core.run(clear_s, lambda: not core.under_way):
-        raise Broken(f"no clear answer: {[vars(call.order) for call in core.under_way]}")
+        raise InvariantViolation(f"no clear answer: {[vars(call.order) for call in core.under_way]}")
     for order in [o for o in core.orders if o.acknowledged]:
         core.send(order)
     reads.append(Read(core))
     reads[-1].send()
     if not core.run(clear_s, lambda: not core.under_way and bool(reads[-1].found)):
-        raise Broken(f"acknowledged, and then: {[vars(call.order) for call in core.under_way]}")
+        raise InvariantViolation(f"acknowledged, and then: {[vars(call.order) for call in core.under_way]}")
     return core
--- a/tests/system/drift.py
+++ b/tests/system/drift.py
@@ -1,4 +1,4 @@
-"""Sorters and postmasters on a simulated net, and configurations, for the tests of drift watch."""
+"""Proxies and controllers on a simulated net, and configurations, for the tests of drift watch."""
 
 import copy
 import heapq
@@ -6,20 +6,20 @@
 import random
 from types import SimpleNamespace
 
-from post.directory.digest import Expected
-from post.directory.orders import Held, decide
-from post.machine import Send
-from post.office import settings as files
-from post.office.hall import Hall
-from post.office.overseeing import Overseeing
-from post.office.program import ROUNDS
-from post.rounds import messages as m
-from post.rounds import wire
-from post.rounds.postmaster import PostmasterRounds
-from roadspur.net.door import USUAL
+from gateway.config.digest import ExpectedDigests
+from gateway.config.orders import ConfigState, decide
+from gateway.membership import messages as m
+from gateway.membership import wire
+from gateway.membership.controller import ControllerMembership
+from gateway.programs.fleet_monitor import FleetMonitor
+from gateway.programs.proxy_node import ProxyNode
+from gateway.programs.startup import MEMBERSHIP
+from gateway.runtime import settings as files
+from gateway.state_machine import Send
+from roadspur.net.connection_interfaces import USUAL
 
 TICK_S = 0.05
-POSTS = [f"10.{zone}.0.1:7661" for zone in (1, 2, 3)]
+CONTROLLER_ADDRESSES = [f"10.{zone}.0.1:7661" for zone in (1, 2, 3)]
 NOTHING = SimpleNamespace(cancel=lambda: None, when=lambda: 0.0)
 
 
@@ -37,29 +37,29 @@
     return json.dumps({"generation": generation, "base-version": base, "resource-list": entries}).encode()
 
 
-def taken(body, held=None):
+def taken(body, config_state=None):
     """What an order that is taken puts in force."""
-    decision = decide(held or Held(), "PUT", body)
+    decision = decide(config_state or ConfigState(), "PUT", body)
     assert decision.status == 200, decision
-    return decision.held
+    return decision.config_state
 
 
-class Sorter:
-    """A sorter's machines; `said` are its findings."""
+class SimulatedProxy:
+    """A proxy's machines; `said` are its findings."""
 
     def __init__(self, net, address):
         ip, port = address.split(":")
-        told = {"self": {"node": ip, "role": "sorter", "ip": ip, "zone": "z"}, "network": {
-            "port-range": [int(port), int(port) + 9], "seeds": [p.replace("7661", "8407") for p in POSTS],
+        told = {"self": {"node": ip, "role": "proxy", "ip": ip, "zone": "z"}, "network": {
+            "port-range": [int(port), int(port) + 9], "seeds": [p.replace("7661", "8407") for p in CONTROLLER_ADDRESSES],
             "zones": {"z": "r"}}}
         loop = SimpleNamespace(call_later=lambda *a: NOTHING, call_at=lambda *a: NOTHING, time=net.clock)
         self.outs, self.held_to, self.skew, self.versions = [], USUAL, 0.0, []
-        self.hall = Hall(self, loop, lambda: net.now + self.skew, files.read_document(told).unwrap(), None,
+        self.proxy_node = ProxyNode(self, loop, lambda: net.now + self.skew, files.read_document(told).unwrap(), None,
                          random.Random(address))
-        self.watching, self.inspector = self.hall.watching, self.hall.watching.inspector
+        self.drift_monitor, self.drift_detector = self.proxy_node.drift_monitor, self.proxy_node.drift_monitor.drift_detector
 
     def send(self, to, plane, message):
-        if plane == ROUNDS:
+        if plane == MEMBERSHIP:
             self.outs.append(Send(to, message))
 
     def limit(self, limits):
@@ -69,60 +69,60 @@
         return self.held_to
 
     def handle(self, now, event):
-        self.hall.turn(event)
-        if self.versions[-1:] != [self.hall.version]:
-            self.versions.append(self.hall.version)
+        self.proxy_node.handle_membership(event)
+        if self.versions[-1:] != [self.proxy_node.version]:
+            self.versions.append(self.proxy_node.version)
         outs, self.outs = self.outs, []
         return outs
 
     def ask(self, path="/r1/x", key="t1-a", host="a.example"):
         """A request: its status, or None if it is turned back."""
         wanted = host.encode(), path.encode(), key.encode()
-        judged = self.watching.request(*wanted, self.hall.book.judge(*wanted))
-        return judged and judged.status
+        route_decision = self.drift_monitor.request(*wanted, self.proxy_node.compiled_config.resolve_request(*wanted))
+        return route_decision and route_decision.status
 
     def findings(self):
-        return list(map(str, self.inspector.findings))
+        return list(map(str, self.drift_detector.findings))
 
 
-class Post:
-    """A postmaster's rounds and what it knows of the fleet."""
+class SimulatedController:
+    """A controller's rounds and what it knows of the fleet."""
 
     def __init__(self, net, address):
         self.net, self.said = net, []
-        self.rounds = PostmasterRounds(address, 1, POSTS, 1.3, net.rng)
-        self.overseeing = Overseeing(address, 2.5, 5.0, lambda: None)
+        self.membership = ControllerMembership(address, 1, CONTROLLER_ADDRESSES, 1.3, net.rng)
+        self.fleet_monitor = FleetMonitor(address, 2.5, 5.0, lambda: None)
 
     def handle(self, now, event):
-        outs = self.rounds.handle(now, event)
-        for runs in [o for o in outs if isinstance(o, m.Runs)]:
-            self.overseeing.runs(now, *runs)
+        outs = self.membership.handle(now, event)
+        for runs in [o for o in outs if isinstance(o, m.RunningConfig)]:
+            self.fleet_monitor.runs(now, *runs)
         if isinstance(event, m.Tick):
-            self.overseeing.tick(now, True, lambda: self.overseeing.plans)
+            self.fleet_monitor.tick(now, True, lambda: self.fleet_monitor.quota_windows)
         return [o for o in outs if isinstance(o, Send)]
 
 
 class Net:
     """Processes; messages take 2 ms. `cut(a, b, kind)` tells which are lost, `asleep` who stands still."""
 
-    def __init__(self, sorters=4, seed=1):
+    def __init__(self, proxies=4, seed=1):
         self.rng, self.now, self.count, self.due = random.Random(seed), 100.0, 0, []
         self.cut, self.asleep = lambda a, b, kind: False, set()
-        self.nodes = {a: Post(self, a) for a in POSTS}
-        self.nodes |= {f"10.{1 + i % 3}.1.{i}:7660": Sorter(self, f"10.{1 + i % 3}.1.{i}:7660")
-                       for i in range(sorters)}
+        self.nodes = {a: SimulatedController(self, a) for a in CONTROLLER_ADDRESSES}
+        self.nodes |= {f"10.{1 + i % 3}.1.{i}:7660": SimulatedProxy(self, f"10.{1 + i % 3}.1.{i}:7660")
+                       for i in range(proxies)}
         for address in self.nodes:
             self.later(self.rng.uniform(0, TICK_S), address, m.Tick())
-        for address in POSTS:
-            self.give(address, m.SetCore(tuple(POSTS)))
-        self.give(POSTS[0], m.Put(m.CORE, (1, 1), wire.encode_members(POSTS, POSTS[0])))
+        for address in CONTROLLER_ADDRESSES:
+            self.give(address, m.SetCore(tuple(CONTROLLER_ADDRESSES)))
+        self.give(CONTROLLER_ADDRESSES[0], m.Publish(m.CORE, (1, 1), wire.encode_members(CONTROLLER_ADDRESSES, CONTROLLER_ADDRESSES[0])))
 
     def clock(self):
         return self.now
 
     @property
-    def sorters(self):
-        return [n for n in self.nodes.values() if isinstance(n, Sorter)]
+    def proxies(self):
+        return [n for n in self.nodes.values() if isinstance(n, SimulatedProxy)]
 
     def later(self, wait, address, event):
         self.count += 1
@@ -153,9 +153,9 @@
         self.due = [d for d in self.due if d[2] != address]
         heapq.heapify(self.due)
 
-    def put(self, version, held, posts=POSTS):
+    def put(self, version, config_state, addresses=CONTROLLER_ADDRESSES):
         """The core has acknowledged a version."""
-        digest = Expected(held.document).total.to_bytes(8)
-        for address in posts:
-            self.give(address, m.Put(m.CONFIG, (0, version), held.encode(), digest))
-            self.nodes[address].overseeing.took_up(self.now, version, int.from_bytes(digest), held.document)
+        digest = ExpectedDigests(config_state.document).total.to_bytes(8)
+        for address in addresses:
+            self.give(address, m.Publish(m.CONFIG, (0, version), config_state.encode(), digest))
+            self.nodes[address].fleet_monitor.config_applied(self.now, version, int.from_bytes(digest), config_state.document)
--- a/tests/system/rounds.py
+++ b/tests/system/membership_net.py
@@ -1,15 +1,15 @@
-"""Postmasters and sorters over a simulated network, for the tests of who is there."""
+"""Controllers and proxies over a simulated network, for the tests of who is there."""
 
 import heapq
 import random
 
-from post.machine import Send
-from post.rounds import messages as m
-from post.rounds.postmaster import PostmasterRounds
-from post.rounds.sorter import SorterRounds
+from gateway.membership import messages as m
+from gateway.membership.controller import ControllerMembership
+from gateway.membership.proxy import ProxyMembership
+from gateway.state_machine import Send
 
 TICK_S = 0.05
-POSTS = [f"10.{zone}.0.1:7661" for zone in (1, 2, 3)]
+CONTROLLER_ADDRESSES = [f"10.{zone}.0.1:7661" for zone in (1, 2, 3)]
 
 
 class Net:
@@ -60,16 +60,16 @@
         self.due = [d for d in self.due if d[2] != address]
         heapq.heapify(self.due)
 
-    def post(self, address):
-        """Starts a postmaster."""
+    def controller(self, address):
+        """Starts a controller."""
         number = int(address.split(".")[1])
-        self.add(address, PostmasterRounds(address, number, POSTS, 1.3, random.Random(self.rng.random())))
-        self.give(address, m.SetCore(tuple(POSTS)))
+        self.add(address, ControllerMembership(address, number, CONTROLLER_ADDRESSES, 1.3, random.Random(self.rng.random())))
+        self.give(address, m.SetCore(tuple(CONTROLLER_ADDRESSES)))
 
     def beat(self, address, id, seq, draining=False, at="10.9.0.1:80", cold=0.0):
         """A backend's beat; returns its token."""
         token = f"{id}/{seq}"
-        self.give(address, m.Beat(token, id, "nomgate", at, "kgn-a", "v1", 2, draining, cold, seq))
+        self.give(address, m.Heartbeat(token, id, "nomgate", at, "kgn-a", "v1", 2, draining, cold, seq))
         return token
 
     def table(self, address):
@@ -85,18 +85,18 @@
     def answer(self, address, token):
         """How a call of a backend was answered: "Acked", "Refused", or "" so far."""
         kinds = [type(o).__name__ for o in self.outs[address]
-                 if isinstance(o, m.Acked | m.Refused) and o.token == token]
+                 if isinstance(o, m.Acknowledged | m.Rejected) and o.token == token]
         assert len(kinds) < 2
         return kinds[0] if kinds else ""
 
 
-def system(sorters=2, **kwargs):
-    """Three postmasters that know each other, and sorters that know the seeds."""
+def system(proxies=2, **kwargs):
+    """Three controllers that know each other, and proxies that know the seeds."""
     net = Net(**kwargs)
-    for address in POSTS:
-        net.post(address)
-    for n in range(sorters):
+    for address in CONTROLLER_ADDRESSES:
+        net.controller(address)
+    for n in range(proxies):
         address = f"10.{n % 3 + 1}.1.{n + 1}:7660"
-        net.add(address, SorterRounds(address, n % 3 + 1, POSTS, random.Random(n)))
+        net.add(address, ProxyMembership(address, n % 3 + 1, CONTROLLER_ADDRESSES, random.Random(n)))
     net.run(1.0)
-    return net, [a for a in net.nodes if a not in POSTS]
+    return net, [a for a in net.nodes if a not in CONTROLLER_ADDRESSES]
--- a/tests/system/sorting.py
+++ b/tests/system/proxy.py
@@ -1,4 +1,4 @@
-"""A sorter's traffic plane on loopback, with backends, holder and clients of the tests', and what is said."""
+"""A proxy's traffic plane on loopback, with backends, holder and clients of the tests', and what is said."""
 
 from __future__ import annotations
 
@@ -11,20 +11,20 @@
 
 from result import Ok
 
-from post.directory import document
-from post.directory.matchers import Book
-from post.franking import franking_pb2 as pb
-from post.franking.charger import Charger
-from post.franking.interface import PARTS, Allowances, Code, Places, Received
-from post.machine import Send
-from post.sorting import service as services
-from post.sorting.budget import RetryBudget
-from post.sorting.decisions import Decisions, Fellows
-from post.sorting.ingress import Sorting
+from gateway.config import document
+from gateway.config.routing import CompiledConfig
+from gateway.proxy import service as services
+from gateway.proxy.decisions import Decisions, ProxyPeers
+from gateway.proxy.ingress import ProxyIngress
+from gateway.proxy.retry_budget import RetryBudget
+from gateway.quota import quota_pb2 as pb
+from gateway.quota.interface import SHARDS, Allowances, Code, Received, ShardMap
+from gateway.quota.quota_client import QuotaClient
+from gateway.state_machine import Send
 from roadspur import interface as io
 from roadspur.net.server import Server
 from roadspur.net.upstream import Upstream
-from tests.sockets import HOST, Client, Peer, Seen
+from tests.socket_rig import HOST, Client, Peer, Seen
 
 HOLDER = "10.0.0.1:7661"
 ANY_NUMBER = re.compile(r"((?:deadline-ms|retry-after): )[0-9.]+")  # what hangs on the clock or on chance
@@ -43,7 +43,7 @@
     return entry("route-table", label, **{**usual, **spec})
 
 
-def book() -> Book:
+def compiled_config() -> CompiledConfig:
     """Routes for what a test may ask: safe and unsafe, one without a key, one whose service has nobody."""
     entries = [route("read", "safe"), route("order", "unsafe"), route("open", "safe", public=True),
                route("empty", "safe", target="s2"), *(
@@ -52,7 +52,7 @@
                entry("tenants", "t1", api_keys=["k1"], precedence=1, rate_per_s=10, burst=10)]
     read = document.parse(json.dumps({"generation": 1, "base-version": 0, "resource-list": entries}).encode())
     assert isinstance(read, Ok), read
-    return Book(read.ok_value)
+    return CompiledConfig(read.ok_value)
 
 
 def answer(status: int = 200, body: bytes = b"fine", **headers: str | None) -> Act:
@@ -98,8 +98,8 @@
     return "; ".join(f"{k}: {v}" for k, v in sorted(headers.items()) if k not in usual)
 
 
-class Plane:
-    """The traffic plane of one sorter. `said` is the transcript of what was asked and answered on all sides;
+class ProxyFixture:
+    """The traffic plane of one proxy. `said` is the transcript of what was asked and answered on all sides;
     backends are called by the order in which they are met, as the choice among equal ones is free."""
 
     def __init__(self, verdict: pb.Verdict | None = None, slack: float = 100.0) -> None:
@@ -109,18 +109,18 @@
         self.met: list[str] = []  # backends
         self.charges: list[int] = []
         self.silent = False  # the holder says nothing
-        charger = Charger(5.0, rng)
+        quota_client = QuotaClient(5.0, rng)
         terms = services.settings(1, 2.0, "z1")
-        self.decisions = Decisions(charger, terms, lambda n: RetryBudget(0.2, slack, 10.0, n), rng)
-        self.decisions.handle(-9.0, Fellows(1, 0, 0))
+        self.decisions = Decisions(quota_client, terms, lambda n: RetryBudget(0.2, slack, 10.0, n), rng)
+        self.decisions.handle(-9.0, ProxyPeers(1, 0, 0))
         self.upstream = Upstream(loop, 2.0, 15.0, 100)
-        self.ingress = Sorting(loop, terms, self.decisions, self.upstream, self.holder)
+        self.ingress = ProxyIngress(loop, terms, self.decisions, self.upstream, self.holder)
         self.server = Server(loop, self.ingress, 50)
         self.peers: dict[str, Peer] = {}
         self.loop = loop
-        self.ingress.frank(Allowances({"t1": (10.0, 10.0)}))
-        places = pb.Places(term=1, number=1, holders=[HOLDER], place=bytes(PARTS))
-        self.ingress.frank(Places(places.SerializeToString()))
+        self.ingress.handle_quota(Allowances({"t1": (10.0, 10.0)}))
+        places = pb.ShardMap(term=1, number=1, owners=[HOLDER], owner_of_shard=bytes(SHARDS))
+        self.ingress.handle_quota(ShardMap(places.SerializeToString()))
 
     def holder(self, out: Send) -> None:
         """Stands in for the one who counts: answers each charge alike."""
@@ -132,7 +132,7 @@
             self.charges.append(verdict.id)
             self.say("count", f"charge: {'over' if verdict.code == Code.OVER else 'go'}")
             if not self.silent:
-                self.loop.call_soon(self.ingress.frank, Received(HOLDER, pb.Note(verdict=verdict)))
+                self.loop.call_soon(self.ingress.handle_quota, Received(HOLDER, pb.Message(verdict=verdict)))
         elif kind == "back":
             self.say("count", "one given back")
 
@@ -144,7 +144,7 @@
         """Listen, with backends `i1` on in service, which do this as they are met, one after the other, and
         then the last for ever. Returns a client's connection."""
         if configured:
-            self.ingress.book = book()
+            self.ingress.compiled_config = compiled_config()
         turns = list(acts)
         for name in [f"i{n + 1}" for n in range(backends)]:
             self.peers[name] = await Peer(self.acting(name, turns)).listen()
--- a/tests/system/test_allowance.py
+++ b/tests/system/test_allowance.py
@@ -6,24 +6,24 @@
 import logging
 from typing import Any
 
-from post.franking.franking_pb2 import Note
-from post.franking.tally import EDGES, HOLDER, SHARE
-from post.inspection.figures import text
-from post.office import allowance, cli, nodes
-from post.office.counting import ALLOWANCE, PREFIX, Charging, Holding
-from post.office.ring import Ring
+from gateway.cli import allowance, commands, nodes
+from gateway.drift.metrics import render_metrics
+from gateway.programs.quota_report import QUOTA_LOGGER, QUOTA_METRIC_PREFIX, ChargerReport, HolderReport
+from gateway.quota.decision_statistics import EDGES, HOLDER, SHARE
+from gateway.quota.quota_pb2 import Message
+from gateway.runtime.log_ring import LogRing
 from proving import allowance as proving
-from tests.system.franking_net import Net
+from tests.system.quota_net import Net
 
 TENANTS = {"calm": (40.0, 40.0), "hot": (20.0, 20.0)}
 
 
 class Wrong(Net):
-    """One sorter reads verdicts wrongly."""
+    """One proxy reads verdicts wrongly."""
 
     def take(self, frm: str, to: str, note: Any) -> None:
         if to == "s0" and note.WhichOneof("kind") == "verdict":
-            note = Note.FromString(note.SerializeToString())
+            note = Message.FromString(note.SerializeToString())
             note.verdict.remaining += 500
         super().take(frm, to, note)
 
@@ -37,10 +37,10 @@
     return net
 
 
-def told(net: Net) -> allowance.Told:
+def told(net: Net) -> allowance.AllowanceReport:
     """What the command would show, asking all holders."""
-    holdings = [Holding(name, holder) for name, holder in net.holders.items()]
-    return allowance.put_together([{"node": h.me, **h.status(net.now)} for h in holdings], [])
+    holdings = [HolderReport(name, holder) for name, holder in net.owners.items()]
+    return allowance.merge_answers([{"node": h.me, **h.status(net.now)} for h in holdings], [])
 
 
 def test_all_nodes_agree_on_a_busy_morning_and_with_holders_lost_and_nodes_cut_off():
@@ -50,7 +50,7 @@
     assert all(row["nodes"] == 4 and row["oldest-s"] < 8 for row in now.tenants)
     assert any(row["differs"] > 0 for row in now.views)  # old as they are, by which nothing is wrong
     net.kill(now.tenants[1]["holder"])
-    net.lead(next(iter(net.holders)))
+    net.lead(next(iter(net.owners)))
     net.loss = 0.1
     net.run(23.0)
     net.away = {"s1"}
@@ -66,19 +66,19 @@
     net = busy(Wrong)
     now = told(net)
     assert {row["node"] for row in now.views if row["beyond"]} == {"s0"} and not now.well
-    answers = {name: {"node": name, **Holding(name, holder).status(net.now)}
-               for name, holder in net.holders.items()}
+    answers = {name: {"node": name, **HolderReport(name, holder).status(net.now)}
+               for name, holder in net.owners.items()}
     monkeypatch.setattr(nodes, "status", lambda seed, path: answers[seed])
-    assert cli.run(["allowance", *answers]) == 2 and "disagrees" in capfd.readouterr().out
-    assert cli.run(["allowance", "--nodes", *answers]) == 2 and "s0" in capfd.readouterr().out
+    assert commands.run(["allowance", *answers]) == 2 and "disagrees" in capfd.readouterr().out
+    assert commands.run(["allowance", "--nodes", *answers]) == 2 and "s0" in capfd.readouterr().out
     for answer in answers.values():
         for count in answer["allowance"]:
             count["views"] = [v for v in count["views"] if v["node"] != "s0"]
-    assert cli.run(["allowance", "--json", *answers]) == 0
+    assert commands.run(["allowance", "--json", *answers]) == 0
     assert len(json.loads(capfd.readouterr().out)["views"]) == 6
     twice = [answers["p0"], {**answers["p0"], "node": "p9"}, answers["p1"], answers["p2"]]
-    assert {row["state"] for row in allowance.put_together(twice, []).tenants} <= {"held twice", "agrees"}
-    assert not allowance.put_together(twice[:2] + twice[:2], []).well
+    assert {row["state"] for row in allowance.merge_answers(twice, []).tenants} <= {"held twice", "agrees"}
+    assert not allowance.merge_answers(twice[:2] + twice[:2], []).well
 
 
 def test_each_request_is_counted_once_by_how_it_was_decided():
@@ -87,31 +87,31 @@
     net.run(25.0)
     net.away = {"s2"}
     net.run(40.0)
-    lines = {name: Charging(name, charger) for name, charger in net.chargers.items()}
-    news = [line.news(net.now) for line in lines.values()]
+    lines = {name: ChargerReport(name, quota_client) for name, quota_client in net.quota_clients.items()}
+    changes = [line.changes(net.now) for line in lines.values()]
     net.away, net.loss = set(), 0.0
     net.run(62.0)
-    news += [line.news(net.now) for line in lines.values()]
-    assert [line.news(net.now) for line in lines.values()] == [{}] * 4
-    counts = [(tenant, ways) for n in news for tenant, levels in n["charged"].items()
+    changes += [line.changes(net.now) for line in lines.values()]
+    assert [line.changes(net.now) for line in lines.values()] == [{}] * 4
+    counts = [(tenant, ways) for n in changes for tenant, levels in n["charged"].items()
               for ways in levels.values()]
     for tenant in TENANTS:
         ways = [sum(column) for column in zip(*(w for t, w in counts if t == tenant), strict=True)]
         assert sum(ways) == net.asked[tenant] and ways[HOLDER] + ways[SHARE] == len(net.went[tenant])
         assert all(ways) or tenant == "calm"
-    assert sum(sum(t.values()) for n in news for t in n["times"].values()) == net.asked.total()
-    waited = net.chargers["s0"].tally.times[HOLDER]
+    assert sum(sum(t.values()) for n in changes for t in n["times"].values()) == net.asked.total()
+    waited = net.quota_clients["s0"].statistics.times[HOLDER]
     assert sum(waited[:EDGES.index(0.008)]) > 0.5 * sum(waited)  # 2 to 8 ms a round trip
 
 
 def test_figures_are_as_a_scraper_reads_them():
     net = busy()
-    charging, holding = Charging("s0", net.chargers["s0"]), Holding("p0", net.holders["p0"])
-    for counting in (charging, holding):
-        body = text(counting.figures(net.now), PREFIX).decode().splitlines()
+    charger_report, holder_report = ChargerReport("s0", net.quota_clients["s0"]), HolderReport("p0", net.owners["p0"])
+    for counting in (charger_report, holder_report):
+        body = render_metrics(counting.metrics(net.now), QUOTA_METRIC_PREFIX).decode().splitlines()
         families = [line.split()[2] for line in body if line.startswith("# TYPE")]
         assert len(families) == len(set(families))
-    buckets = [float(line.split()[1]) for line in text(charging.figures(net.now)).decode().splitlines()
+    buckets = [float(line.split()[1]) for line in render_metrics(charger_report.metrics(net.now)).decode().splitlines()
                if 'way="holder",le=' in line]
     assert len(buckets) == len(EDGES) + 1 and buckets == sorted(buckets) and buckets[-1] > 100
 
@@ -119,20 +119,20 @@
 def test_a_day_is_put_together_from_lines_among_others():
     net = busy()
     net.load("hot", 30.0, 60.0)
-    begun = [Charging(name, charger) for name, charger in net.chargers.items()]
-    begun += [Holding(name, holder) for name, holder in net.holders.items()]
-    lines = ["what else a file holds {", '   1.0 edge-a {"logger": "post.drift", "held": "post.allowance"}']
+    begun = [ChargerReport(name, quota_client) for name, quota_client in net.quota_clients.items()]
+    begun += [HolderReport(name, holder) for name, holder in net.owners.items()]
+    lines = ["what else a file holds {", '   1.0 edge-a {"logger": "gateway.drift", "held": "gateway.quota_report"}']
 
     def look() -> None:
         for counting in begun:
-            if counting.me in (*net.chargers, *net.holders) and (news := counting.news(net.now)):
-                told = json.dumps({"time": 1.7e9, "logger": ALLOWANCE, "node": counting.me, **news})
-                lines.append(f"{net.now:9.3f}  edge-{counting.me} sorter: {told}\n")
+            if counting.me in (*net.quota_clients, *net.owners) and (changes := counting.changes(net.now)):
+                told = json.dumps({"time": 1.7e9, "logger": QUOTA_LOGGER, "node": counting.me, **changes})
+                lines.append(f"{net.now:9.3f}  edge-{counting.me} proxy: {told}\n")
 
     look()
     gone = next(iter(told(net).tenants))["holder"]
     net.kill(gone)
-    net.lead(next(iter(net.holders)))
+    net.lead(next(iter(net.owners)))
     net.run(40.0)
     look()
     day = proving.gather(proving.read([*lines, lines[-1][:60]]))
@@ -145,10 +145,10 @@
 
 
 def test_lines_of_counts_are_written_at_once_only_if_asked_for():
-    for aloud, written in (("", 0), (ALLOWANCE, 1)):
+    for immediate_logger, written in (("", 0), (QUOTA_LOGGER, 1)):
         out: list[str] = []
-        ring = Ring(write=out.append, aloud=aloud)
-        ring.handle(logging.makeLogRecord({"name": ALLOWANCE, "levelno": logging.INFO, "msg": {"back": 3}}))
-        ring.handle(logging.makeLogRecord({"name": "post.else", "levelno": logging.INFO, "msg": "usual"}))
+        ring = LogRing(write=out.append, immediate_logger=immediate_logger)
+        ring.handle(logging.makeLogRecord({"name": QUOTA_LOGGER, "levelno": logging.INFO, "msg": {"back": 3}}))
+        ring.handle(logging.makeLogRecord({"name": "gateway.else", "levelno": logging.INFO, "msg": "usual"}))
         assert len(out) == written and len(ring.records) == 2 - written
     assert json.loads(out[0])["back"] == 3
--- a/tests/system/test_calls.py
+++ b/tests/system/test_calls.py
@@ -13,16 +13,25 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from post.sorting.verdict import Verdict
-from proving.model import planted
-from tests.system.calls import PATIENCE_S, Arrived, Ask, Link, Town, body_of, public, seal
+from gateway.proxy.execution_status import ExecutionStatus
+from proving.model import injected_bugs
+from tests.system.calls import (
+    PATIENCE_S,
+    ArrivedRequest,
+    Ask,
+    BackendLink,
+    ProxyHarness,
+    body_of,
+    public,
+    seal,
+)
 
 FIRST = int(os.environ.get("CALLS_FIRST", "0"))
 SEEDS = int(os.environ.get("CALLS_SEEDS", "100"))  # more where a long hunt is wanted
 BOOK = public()
 
 
-def answer(link: Link, a: Arrived, framing: int = 0, status: int = 200, name: str | None = "",
+def answer(link: BackendLink, a: ArrivedRequest, framing: int = 0, status: int = 200, name: str | None = "",
            sealed: bool = True, lines: bytes = b"") -> bytes:
     """A backend's answer to a request, framed by its length, in chunks, or by its connection's end."""
     body = body_of(a.attempt, a.large) if status < 300 else b"no"
@@ -41,18 +50,18 @@
     return head + length + b"\r\n" + body
 
 
-def away(link: Link, a: Arrived, status: int = 503, named: bool = True) -> bytes:
+def away(link: BackendLink, a: ArrivedRequest, status: int = 503, named: bool = True) -> bytes:
     """The backend has not run it. Such answers need not tell to which request they belong."""
     a.turned_away = True
     return answer(link, a, status=status, lines=b"Not-Executed: 1\r\n", name="" if named else None)
 
 
-def late(link: Link) -> bytes:
+def late(link: BackendLink) -> bytes:
     """A former answer once more."""
     return link.past[-1] if link.past else b"HTTP/1.1 200 OK\r\nAttempt-Id: a0\r\nContent-Length: 2\r\n\r\nno"
 
 
-STRAY: list[Callable[[Link, bytes], bytes]] = [
+STRAY: list[Callable[[BackendLink, bytes], bytes]] = [
     lambda link, own: own, lambda link, own: own, lambda link, own: late(link),
     lambda link, own: b"\xff\x00noise\r\n\r\n", lambda link, own: b"HTTP/1.1 103 X\r\n\r\n",
     lambda link, own: b"HTTP/1.1 200 O",
@@ -60,7 +69,7 @@
     lambda link, own: b"\r\n"]
 BEHIND = [*STRAY, lambda link, own: b"HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
           lambda link, own: b"HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n"]
-SPOILT: list[Callable[[Link, Arrived], bytes]] = [
+SPOILT: list[Callable[[BackendLink, ArrivedRequest], bytes]] = [
     lambda link, a: answer(link, a, name=None), lambda link, a: answer(link, a, name="a0"),
     lambda link, a: answer(link, a, sealed=False), lambda link, a: b"rubbish\r\n\r\n",
     lambda link, a: answer(link, a, lines=b"Content-Length: 5\r\n"),
@@ -85,7 +94,7 @@
             for _ in range(rng.randrange(10, 60))]
 
 
-def say(link: Link, n: int, m: int) -> None:
+def say(link: BackendLink, n: int, m: int) -> None:
     """A backend answers the first request that it has on a connection."""
     a = link.asked.popleft()
     how, framing = n % SAID, n // SAID % 3
@@ -113,21 +122,21 @@
     link.past.append(own)
 
 
-def step(town: Town, what: str, i: int, n: int, m: int) -> None:
+def step(harness: ProxyHarness, what: str, i: int, n: int, m: int) -> None:
     """One step of a schedule."""
-    links = [link for link in town.links if not link.lost]
+    links = [link for link in harness.links if not link.lost]
     link = links[i % len(links)] if links else None
-    busy = [x for x in town.links if x.asked]
-    seats = [seat for seat in town.seats if not (seat.closed or seat.gone)]
-    seat = seats[i % len(seats)] if seats else None
-    addresses = sorted(town.lives)
+    busy = [x for x in harness.links if x.asked]
+    seats = [client_connection for client_connection in harness.seats if not (client_connection.closed or client_connection.gone)]
+    client_connection = seats[i % len(seats)] if seats else None
+    addresses = sorted(harness.lives)
     if what == "ask":
         kind = n % 8
         method = ("GET", "POST", "POST", "GET", "POST", "HEAD", "POST", "GET")[kind]
-        ask = Ask(f"a{len(town.asks) + 1}", kind in (0, 3, 5), method, m % 5 == 0,
+        ask = Ask(f"a{len(harness.asks) + 1}", kind in (0, 3, 5), method, m % 5 == 0,
                   "1.0" if m % 7 == 0 else "1.1")
-        town.ask(seat if seat is not None and i % 3 else town.seat(), ask, m % 40 if m % 4 == 0 else 0)
-        town.run(0.002)
+        harness.ask(client_connection if client_connection is not None and i % 3 else harness.client_connection(), ask, m % 40 if m % 4 == 0 else 0)
+        harness.run(0.002)
     elif what == "say" and busy:
         chosen = busy[i % len(busy)]
         say(chosen, n, m)
@@ -136,32 +145,32 @@
     elif what == "read" and link is not None:
         link.deliver(1 + n if n % 3 else 1 << 30)
     elif what == "wait":
-        town.run((0.01, 0.3, 1.0, PATIENCE_S, 0.06, 6.0)[n % 6])
+        harness.run((0.01, 0.3, 1.0, PATIENCE_S, 0.06, 6.0)[n % 6])
     elif what == "idle" and link is not None:
         idle(link, n, m)
     elif what == "early":
         for other in links:
             other.hurry()
     elif what == "drain" and n % 4:
-        town.stop(addresses[i % len(addresses)])
+        harness.stop(addresses[i % len(addresses)])
     elif what == "drain":  # the ingress is told to end
-        town.server.draining = True
+        harness.server.draining = True
     elif what == "reuse":
-        town.reuse(addresses[i % len(addresses)], n % 2 == 0)
-    elif what == "news" and town.news:
-        town.news.popleft()()
-    elif what == "leave" and seat is not None:
-        town.leave(seat)
-    elif what == "push" and seat is not None:
-        town.push(seat)
+        harness.reuse(addresses[i % len(addresses)], n % 2 == 0)
+    elif what == "news" and harness.news:
+        harness.news.popleft()()
+    elif what == "leave" and client_connection is not None:
+        harness.leave(client_connection)
+    elif what == "push" and client_connection is not None:
+        harness.push(client_connection)
     elif what == "dial":
-        town.dials[addresses[i % len(addresses)]] = ("refused", "silent")[n % 2]
-    elif what == "slow" and seat is not None and not seat.taker.full_since:
-        seat.hand(seat.taker.pause_writing)
-    town.run(0.001)
+        harness.dials[addresses[i % len(addresses)]] = ("refused", "silent")[n % 2]
+    elif what == "slow" and client_connection is not None and not client_connection.receiver.full_since:
+        client_connection.hand(client_connection.receiver.pause_writing)
+    harness.run(0.001)
 
 
-def idle(link: Link, n: int, m: int) -> None:
+def idle(link: BackendLink, n: int, m: int) -> None:
     """Something becomes of a connection while nothing is asked for, or while something is."""
     kind = n % 4
     if kind == 0:
@@ -173,12 +182,12 @@
         link.kernel.append(b"" if kind == 2 else None)
 
 
-def play(schedule: Schedule, spoil: Callable[[Town], None] | None = None) -> None:
-    town = Town(BOOK, spoil)
+def play(schedule: Schedule, spoil: Callable[[ProxyHarness], None] | None = None) -> None:
+    harness = ProxyHarness(BOOK, spoil)
     for each in schedule:
-        step(town, *each)
-    town.settle()
-    town.check()
+        step(harness, *each)
+    harness.settle()
+    harness.check()
 
 
 @settings(max_examples=100)
@@ -196,19 +205,19 @@
 
 
 def test_a_plain_call_is_served() -> None:
-    town = Town(BOOK)
-    order(town)
-    link = town.links[0]
+    harness = ProxyHarness(BOOK)
+    order(harness)
+    link = harness.links[0]
     link.kernel.append(answer(link, link.asked.popleft()))
     link.deliver()
-    assert town.seats[0].said.startswith(b"HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\n")
-    town.settle()
-    town.check()
+    assert harness.seats[0].said.startswith(b"HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\n")
+    harness.settle()
+    harness.check()
 
 
-def keeps_spoilt(town: Town) -> None:
+def keeps_spoilt(harness: ProxyHarness) -> None:
     """Uses a connection again whatever came on it, and takes what comes meanwhile for the next answer."""
-    connect = town.upstream.connect
+    connect = harness.upstream.connect
 
     async def spoilt(pool: Any) -> Any:
         connection: Any = await connect(pool)
@@ -233,25 +242,25 @@
         connection.answered, connection.send, connection.data_received = keeps, sends, later
         return connection
 
-    town.upstream.connect = spoilt  # type: ignore[method-assign]
+    harness.upstream.connect = spoilt  # type: ignore[method-assign]
 
 
-def always_promises(town: Town) -> None:
+def always_promises(harness: ProxyHarness) -> None:
     """Promises that nothing has run, whatever is known."""
-    town.ingress.verdict = lambda held: Verdict.NEVER  # type: ignore[method-assign]
-    give_up = town.decisions.give_up
+    harness.ingress.execution_status = lambda held: ExecutionStatus.NEVER_RAN  # type: ignore[method-assign]
+    give_up = harness.decisions.give_up
 
     def refuse(now: float, f: Any, wait: float) -> None:
         f.ran_at = None
         give_up(now, f, wait)
 
-    town.decisions.give_up = refuse  # type: ignore[method-assign]
+    harness.decisions.give_up = refuse  # type: ignore[method-assign]
 
 
-def of_model(name: str) -> Callable[[Town], None]:
+def of_model(name: str) -> Callable[[ProxyHarness], None]:
     """A fault that is planted in the model's processes as well."""
-    return lambda town: planted.SORTERS[name](
-        SimpleNamespace(hall=SimpleNamespace(ingress=town.ingress)))  # type: ignore[arg-type]
+    return lambda harness: injected_bugs.PROXY_BUGS[name](
+        SimpleNamespace(proxy_node=SimpleNamespace(ingress=harness.ingress)))  # type: ignore[arg-type]
 
 
 @pytest.mark.parametrize(("fault", "found", "first"), [
@@ -259,49 +268,49 @@
     (always_promises, "not to run", 0), (of_model("no_target"), "at another service", 0),
     (keeps_spoilt, "not to run", 640)],  # 21 of 4,000 find it
     ids=["believes_all", "repeats", "always_promises", "no_target", "keeps_spoilt"])
-def test_planted_fault_is_found(fault: Callable[[Town], None], found: str, first: int) -> None:
+def test_planted_fault_is_found(fault: Callable[[ProxyHarness], None], found: str, first: int) -> None:
     with pytest.raises(AssertionError, match=found):
         for seed in range(first, first + 200):
             play(by_chance(seed), fault)
 
 
-def order(town: Town, large: bool = False, kept: int = 0) -> Ask:
+def order(harness: ProxyHarness, large: bool = False, kept: int = 0) -> Ask:
     """A request that may not be repeated, from a new client."""
-    ask = Ask(f"a{len(town.asks) + 1}", False, "POST", large, "1.1")
-    town.ask(town.seat(), ask, kept)
-    town.run(0.002)
+    ask = Ask(f"a{len(harness.asks) + 1}", False, "POST", large, "1.1")
+    harness.ask(harness.client_connection(), ask, kept)
+    harness.run(0.002)
     return ask
 
 
 def test_a_connection_with_an_answer_that_names_no_request_is_not_used_again() -> None:
     """A copy of such an answer would be believed of whatever is sent next, which then runs twice."""
-    town = Town(BOOK)
-    order(town)
-    first = town.links[0]
+    harness = ProxyHarness(BOOK)
+    order(harness)
+    first = harness.links[0]
     nameless = away(first, first.asked.popleft(), 503, False)
     first.kernel.append(nameless)
     first.deliver()
-    town.run(0.002)
-    assert len(town.links) == 2, "it goes on to another"
-    for life in town.all[:3]:
+    harness.run(0.002)
+    assert len(harness.links) == 2, "it goes on to another"
+    for life in harness.all[:3]:
         if life is not first.life:
-            town.reuse(life.address, True)
-    while town.news:
-        town.news.popleft()()
-    order(town)
+            harness.reuse(life.address, True)
+    while harness.news:
+        harness.news.popleft()()
+    order(harness)
     first.kernel.append(nameless)
     first.deliver()
-    town.settle()
-    town.check()
+    harness.settle()
+    harness.check()
 
 
 @pytest.mark.parametrize(("becomes", "status"), [
     ("the client stops", 400), ("the backend resets", 502), ("the backend fails", 500)])
 def test_what_was_sent_in_part_brings_no_promise(becomes: str, status: int) -> None:
     """A backend may begin with a body before it has come whole."""
-    town = Town(BOOK)
-    order(town, large=True, kept=9)
-    link = town.links[0]
+    harness = ProxyHarness(BOOK)
+    order(harness, large=True, kept=9)
+    link = harness.links[0]
     link.hurry()
     a = link.asked.popleft()
     if becomes == "the backend resets":
@@ -309,67 +318,67 @@
     elif becomes == "the backend fails":
         link.kernel.append(answer(link, a, status=500))
     link.deliver()
-    town.run(4.0)
-    assert town.seats[0].said.startswith(b"HTTP/1.1 %d " % status)
-    assert len(town.links) == 1
-    town.settle()
-    town.check()
+    harness.run(4.0)
+    assert harness.seats[0].said.startswith(b"HTTP/1.1 %d " % status)
+    assert len(harness.links) == 1
+    harness.settle()
+    harness.check()
 
 
 def test_a_connection_with_a_request_that_has_not_gone_out_is_not_used_again() -> None:
     """What is left of it would stand before the next one."""
-    town = Town(BOOK)
-    order(town)
-    link = town.links[0]
+    harness = ProxyHarness(BOOK)
+    order(harness)
+    link = harness.links[0]
     link.jammed = True
     link.kernel.append(answer(link, link.asked.popleft()))
     link.deliver()
-    town.run(0.01)
-    assert link.lost and town.seats[0].said.startswith(b"HTTP/1.1 200 ")
+    harness.run(0.01)
+    assert link.lost and harness.seats[0].said.startswith(b"HTTP/1.1 200 ")
 
 
 @pytest.mark.parametrize("framing", [0, 1])
 def test_a_large_answer_before_the_request_is_whole_lets_its_client_go_on(framing: int) -> None:
-    town = Town(BOOK)
-    order(town, large=True, kept=9)
-    link, seat = town.links[0], town.seats[0]
+    harness = ProxyHarness(BOOK)
+    order(harness, large=True, kept=9)
+    link, client_connection = harness.links[0], harness.seats[0]
     link.hurry()
     link.kernel.append(answer(link, link.asked.popleft(), framing))
     link.deliver()
-    town.push(seat)
-    town.run(0.01)
-    assert seat.closed and not seat.paused and b"Connection: close" in seat.said
-    town.settle()
-    town.check()
+    harness.push(client_connection)
+    harness.run(0.01)
+    assert client_connection.closed and not client_connection.paused and b"Connection: close" in client_connection.said
+    harness.settle()
+    harness.check()
 
 
 def test_a_break_does_not_look_like_an_end_to_an_old_client() -> None:
     """It knows the end of an answer without a length by its connection's only."""
-    town = Town(BOOK)
-    seat = town.seat()
-    town.ask(seat, Ask("a1", True, "GET", True, "1.0"), 0)
-    town.run(0.002)
-    link = town.links[0]
+    harness = ProxyHarness(BOOK)
+    client_connection = harness.client_connection()
+    harness.ask(client_connection, Ask("a1", True, "GET", True, "1.0"), 0)
+    harness.run(0.002)
+    link = harness.links[0]
     link.kernel.append(answer(link, link.asked.popleft(), 1)[:-99])
     link.deliver()
-    assert b"Content-Length" not in seat.said.partition(b"\r\n\r\n")[0] and not seat.closed
+    assert b"Content-Length" not in client_connection.said.partition(b"\r\n\r\n")[0] and not client_connection.closed
     link.kernel.append(None)
     link.deliver()
-    town.settle()
-    assert seat.closed and seat.reset
-    town.check()
+    harness.settle()
+    assert client_connection.closed and client_connection.reset
+    harness.check()
 
 
 def test_nothing_is_sent_on_from_behind_the_last_answer() -> None:
     """A client that is told that its connection ends takes what it has sent behind that for unread."""
-    town = Town(BOOK)
-    town.server.draining = True
-    order(town)
-    town.ask(town.seats[0], Ask("a2", False, "POST", True, "1.1"), 9)
-    link = town.links[0]
+    harness = ProxyHarness(BOOK)
+    harness.server.draining = True
+    order(harness)
+    harness.ask(harness.seats[0], Ask("a2", False, "POST", True, "1.1"), 9)
+    link = harness.links[0]
     link.kernel.append(answer(link, link.asked.popleft()))
     link.deliver()
-    assert b"Connection: close" in town.seats[0].said and town.seats[0].taker.closing
-    town.settle()
-    assert not town.runs()["a2"]
-    town.check()
+    assert b"Connection: close" in harness.seats[0].said and harness.seats[0].receiver.closing
+    harness.settle()
+    assert not harness.runs()["a2"]
+    harness.check()
--- a/tests/system/test_calls_control.py
+++ b/tests/system/test_calls_control.py
@@ -10,12 +10,12 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from post.directory.orders import Held
-from post.office.control import CONFIG, LOST_S, Control
-from post.office.wicket import Asked, Reply, Wicket
-from proving.model.wire import FrontConnection
-from proving.model.world import Process, World
-from tests.system.calls import Seat, parse
+from gateway.config.orders import ConfigState
+from gateway.programs.control_api import CONFIG, PROPOSAL_TIMEOUT_S, Control
+from gateway.runtime.http_listener import HttpCall, HttpListener, Reply
+from proving.model.proxy_sockets import SimulatedServerConnection
+from proving.model.simulator import Process, Simulator
+from tests.system.calls import SimulatedClient, parse
 from tests.system.test_control import config
 
 BEAT = {"target": "s1", "address": "10.128.0.9:8080", "zone": "z", "phase": "draining", "call-seq": 4}
@@ -24,19 +24,19 @@
 STEPS = st.lists(st.tuples(st.sampled_from(WAYS), N, N), min_size=5, max_size=40)
 
 
-class Office:
-    """A wicket, its control, and callers. `told` has the answers that control gave to each call, by its name,
+class SimulatedController:
+    """A HTTP listener, its control, and callers. `told` has the answers that control gave to each call, by its name,
     which is the last part of its path."""
 
     def __init__(self) -> None:
-        self.process = Process(World(1), "postmaster", 0.0, 100.0, 0.0)
+        self.process = Process(Simulator(1), "controller", 0.0, 100.0, 0.0)
         self.control = Control(self, lambda call: self.tokens.append((call.token, call.id)))
         self.tokens = list[tuple[int, str]]()
         self.proposals = list[int]()
         self.told = dict[str, list[tuple[int, bytes]]]()
         self.replies = list[Reply]()
-        self.wicket = Wicket(self.process.loop, self.answer)
-        self.seats = [self.seat() for _ in range(3)]
+        self.http_listener = HttpListener(self.process.loop, self.answer)
+        self.seats = [self.client_connection() for _ in range(3)]
         self.calls = 0
 
     def leads(self, now: float) -> bool:
@@ -45,46 +45,46 @@
     def leader_control(self) -> None:
         return None
 
-    def taken_up(self) -> tuple[int, Held]:
-        return 0, Held()
+    def config_in_force(self) -> tuple[int, ConfigState]:
+        return 0, ConfigState()
 
     def propose(self, token: int, value: bytes, expected: int) -> None:
         self.proposals.append(token)
 
-    def answer(self, asked: Asked, reply: Reply) -> None:
-        told = self.told[asked.path.rpartition("?")[2].rpartition("/")[2]] = []
+    def answer(self, http_call: HttpCall, reply: Reply) -> None:
+        told = self.told[http_call.path.rpartition("?")[2].rpartition("/")[2]] = []
 
         def tell(status: int, lines: bytes = b"", body: bytes = b"") -> None:
             told.append((status, body))
             self.replies.append(reply)
             reply(status, lines, body)
 
-        self.control.answer(self.process.time(), asked, tell)
+        self.control.answer(self.process.time(), http_call, tell)
 
-    def seat(self) -> Seat:
-        seat = Seat(self.process)
-        seat.taker = FrontConnection(self.wicket)  # type: ignore[arg-type]
-        seat.taker.connection_made(seat)
-        return seat
+    def client_connection(self) -> SimulatedClient:
+        client_connection = SimulatedClient(self.process)
+        client_connection.receiver = SimulatedServerConnection(self.http_listener)  # type: ignore[arg-type]
+        client_connection.receiver.connection_made(client_connection)
+        return client_connection
 
-    def ask(self, seat: Seat, order: bool, method: str) -> None:
+    def ask(self, client_connection: SimulatedClient, order: bool, method: str) -> None:
         """One more call, behind those that have no answer yet."""
         self.calls += 1
         name = f"c{self.calls}"
         path, body = (f"{CONFIG}?{name}", config(self.calls, 0, "a")) if order else (
             f"/-/backends/{name}", json.dumps(BEAT).encode())
         method = "PUT" if order else method
-        seat.asks.append(name)  # type: ignore[arg-type]
-        seat.send(f"{method} {path} HTTP/1.1\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body)
+        client_connection.asks.append(name)  # type: ignore[arg-type]
+        client_connection.send(f"{method} {path} HTTP/1.1\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body)
 
     def step(self, what: str, i: int, n: int) -> None:
-        seat = self.seats[i % len(self.seats)]
+        client_connection = self.seats[i % len(self.seats)]
         if what in ("beat", "order"):
-            self.ask(seat, what == "order", ("PUT", "DELETE")[n % 2])
+            self.ask(client_connection, what == "order", ("PUT", "DELETE")[n % 2])
         elif what == "ack" and self.tokens:  # also one that was before
             token, name = self.tokens[n % len(self.tokens)]
             before = len(self.told[name])
-            self.control.acked(token, i % 3 > 0)
+            self.control.heartbeat_answered(token, i % 3 > 0)
             assert len(self.told[name]) == max(before, 1)
         elif what == "settle" and self.proposals:
             self.control.proposed(self.process.time(), self.proposals[n % len(self.proposals)],
@@ -92,20 +92,20 @@
         elif what == "again" and self.replies:  # control itself answers once
             self.replies[n % len(self.replies)](500, b"", b"")
         elif what == "read":
-            seat.hand(seat.taker.pause_writing if n % 2 else seat.taker.resume_writing)
+            client_connection.hand(client_connection.receiver.pause_writing if n % 2 else client_connection.receiver.resume_writing)
         elif what == "leave":
-            seat.gone = True
-            seat.close()
-            self.seats[i % len(self.seats)] = self.seat()
+            client_connection.gone = True
+            client_connection.close()
+            self.seats[i % len(self.seats)] = self.client_connection()
         elif what == "wait":
-            self.process.world.run(self.process.world.now + (0.1, LOST_S + 1.0)[n % 2])
+            self.process.simulator.run(self.process.simulator.now + (0.1, PROPOSAL_TIMEOUT_S + 1.0)[n % 2])
             self.control.proceed(self.process.time())
-        self.process.world.run(self.process.world.now + 0.01)
+        self.process.simulator.run(self.process.simulator.now + 0.01)
 
-    def check(self, seat: Seat) -> None:
+    def check(self, client_connection: SimulatedClient) -> None:
         """What a caller has heard is what was told to its calls, in their order."""
-        data = bytes(seat.said)
-        for name in seat.asks:
+        data = bytes(client_connection.said)
+        for name in client_connection.asks:
             status, _, body, data = parse(data, False, False)
             if body is None:
                 break
@@ -114,14 +114,14 @@
 
 
 def play(schedule: list[tuple[str, int, int]]) -> None:
-    office = Office()
-    seats = list(office.seats)
+    controller = SimulatedController()
+    seats = list(controller.seats)
     for each in schedule:
-        office.step(*each)
-        seats += [seat for seat in office.seats if seat not in seats]
-    assert not office.process.faults
-    for seat in seats:
-        office.check(seat)
+        controller.step(*each)
+        seats += [client_connection for client_connection in controller.seats if client_connection not in seats]
+    assert not controller.process.faults
+    for client_connection in seats:
+        controller.check(client_connection)
 
 
 @settings(max_examples=150)
@@ -135,16 +135,16 @@
     """Answers to whoever waits on the connection by then, and to whichever beat came last."""
     def careless(self: Any, call: Any, client: Any) -> None:
         method, path = call.request.about
-        self.answer(Asked(method, path, bytes(call.body)), client.reply)
+        self.answer(HttpCall(method, path, bytes(call.body)), client.reply)
 
     def newest(self: Any, token: Any, well: bool) -> None:
-        if self.beats:
-            self.beats.popitem()[1](200 if well else 503, b"", b"")
+        if self.pending_heartbeats:
+            self.pending_heartbeats.popitem()[1](200 if well else 503, b"", b"")
 
     if fault == "late":
-        monkeypatch.setattr("post.office.wicket.WicketDesk.take", careless)
+        monkeypatch.setattr("gateway.runtime.http_listener.HttpCallHandler.take", careless)
     else:
-        monkeypatch.setattr("post.office.control.Control.acked", newest)
+        monkeypatch.setattr("gateway.programs.control_api.Control.heartbeat_answered", newest)
     rng = random.Random(1)
     with pytest.raises(AssertionError):
         for _ in range(200):
--- a/tests/system/test_rounds_logs.py
+++ b/tests/system/test_change_log.py
@@ -7,16 +7,16 @@
 
 import pytest
 
-from post.machine import Send
-from post.rounds.follower import Follower
-from post.rounds.log import Log
-from post.rounds.messages import CONFIG, Backend
-from post.rounds.wire import Ended, Listed, Notice
+from gateway.membership.change_log import ChangeLog
+from gateway.membership.log_follower import LogFollower
+from gateway.membership.messages import CONFIG, Backend
+from gateway.membership.wire import EndRecord, LeaseRecord, ValueRecord
+from gateway.state_machine import Send
 
 SOURCE, THINGS, TICK_S, FORGOTTEN_S = "10.0.0.1:1", 100, 0.05, 3.0
 
 
-class OneEpoch(Log):
+class OneEpoch(ChangeLog):
     """Planted fault: a log that begins anew has the name of the one before."""
 
     def __init__(self, *args: Any) -> None:
@@ -24,7 +24,7 @@
         self.id = 7
 
 
-class NoFloor(Log):
+class NoFloor(ChangeLog):
     """Planted fault: who is behind the end of something forgotten gets the changes since, not a snapshot."""
 
     floor = property(lambda self: 0, lambda self, floor: None)  # type: ignore[assignment]
@@ -38,7 +38,7 @@
         self.begin()
 
     def begin(self) -> None:
-        self.follower = Follower()
+        self.follower = LogFollower()
         self.follower.follow(self.net.now, [SOURCE])
         self.backends: dict[str, int] = {}
         self.version = self.away = 0
@@ -47,21 +47,21 @@
         sends, news = self.follower.answered(self.net.now, SOURCE, answer)
         self.net.carry(self.address, sends)
         for record in news.records if news else ():
-            if isinstance(record, Notice):
-                self.version = max(self.version, record.fence[1])
+            if isinstance(record, ValueRecord):
+                self.version = max(self.version, record.fencing_token[1])
         if news is not None:
-            self.backends = {} if news.whole else self.backends
+            self.backends = {} if news.snapshot else self.backends
             for record in news.records:
-                if isinstance(record, Listed):
+                if isinstance(record, LeaseRecord):
                     self.backends[record.backend.id] = record.backend.seq
-                elif isinstance(record, Ended):
+                elif isinstance(record, EndRecord):
                     self.backends.pop(record.id, None)
 
 
 class Net:
     """A source, its followers and the ways between them, with loss, delay and changes of order."""
 
-    def __init__(self, seed: int, log: type[Log] = Log) -> None:
+    def __init__(self, seed: int, log: type[ChangeLog] = ChangeLog) -> None:
         self.rng, self.log_class = random.Random(seed), log
         self.now, self.loss, self.delay = 100.0, self.rng.choice([0.0, 0.1, 0.3]), 0.3
         self.under_way: list[tuple[float, str, Any]] = []
@@ -75,7 +75,7 @@
         self.log = self.log_class(self.rng)
         self.unheard = list(self.truth.items())
         self.rng.shuffle(self.unheard)
-        self.log.put(CONFIG, Notice(CONFIG, (0, self.version), b"", None))
+        self.log.put(CONFIG, ValueRecord(CONFIG, (0, self.version), b"", None))
 
     def change(self) -> None:
         """A backend comes, changes or ends, or another version is in force."""
@@ -83,18 +83,18 @@
         what = self.rng.random()
         if what < 0.1:
             self.version += 1
-            self.log.put(CONFIG, Notice(CONFIG, (0, self.version), b"", None))
+            self.log.put(CONFIG, ValueRecord(CONFIG, (0, self.version), b"", None))
             return
         id = f"b{self.rng.randrange(THINGS)}"
         self.unheard = [u for u in self.unheard if u[0] != id]
         if id in self.truth and what < 0.55:
-            self.log.put(id, Ended(id, self.truth.pop(id), self.now + FORGOTTEN_S))
+            self.log.put(id, EndRecord(id, self.truth.pop(id), self.now + FORGOTTEN_S))
         else:
             self.truth[id] = self.made
             self.list(id)
 
     def list(self, id: str) -> None:
-        self.log.put(id, Listed(Backend(id, "s", "10.9.0.1:80", "z", "g", 1, seq=self.truth[id])))
+        self.log.put(id, LeaseRecord(Backend(id, "s", "10.9.0.1:80", "z", "g", 1, seq=self.truth[id])))
 
     def carry(self, sender: str, sends: list[Send]) -> None:
         for send in sends:
@@ -159,7 +159,7 @@
 
 
 @pytest.mark.parametrize("fault", [OneEpoch, NoFloor])
-def test_planted_faults_of_logs_are_found(fault: type[Log]) -> None:
+def test_planted_faults_of_logs_are_found(fault: type[ChangeLog]) -> None:
     for seed in range(60):
         try:
             day(Net(seed, fault), 500)
--- a/tests/system/test_directory.py
+++ b/tests/system/test_config.py
@@ -13,12 +13,12 @@
 from result import Ok
 from syrupy.assertion import SnapshotAssertion
 
-from post.directory import document, table
-from post.directory.digest import Expected, Watch, digest
-from post.directory.document import Document, Limits
-from post.directory.evaluate import differs, evaluate
-from post.directory.matchers import Book, Judged, Route, key_of
-from post.directory.orders import REMEMBERED, Held, decide, without_taken
+from gateway.config import document, schema
+from gateway.config.digest import DriftScanner, ExpectedDigests, digest
+from gateway.config.document import Document, Limits
+from gateway.config.orders import MAX_REMEMBERED_ORDERS, ConfigState, decide, without_order_history
+from gateway.config.reference import compare_decision, evaluate
+from gateway.config.routing import CompiledConfig, Route, RouteDecision, key_of
 
 Raw = dict[str, Any]
 
@@ -98,8 +98,8 @@
 
 @pytest.mark.parametrize("raw", INVALID.values(), ids=INVALID.keys())
 def test_invalid_is_refused(raw: Any) -> None:
-    answer = decide(Held(), "PUT", body(raw))
-    assert (answer.status, answer.held) == (400, None)
+    answer = decide(ConfigState(), "PUT", body(raw))
+    assert (answer.status, answer.config_state) == (400, None)
     assert all(e["reason"] for e in json.loads(answer.body)["errors"])
 
 
@@ -108,16 +108,16 @@
     b'{"generation":1,"resource-list":[],"x":NaN}', b'{"generation":1,"resource-list":[],"x":1e999}',
     b'{"generation":1,"resource-list":[{"entry-kind":"new","x":[-1e999]}]}'])
 def test_what_cannot_be_read_is_refused(sent: bytes) -> None:
-    assert decide(Held(), "PUT", sent).status == 400
+    assert decide(ConfigState(), "PUT", sent).status == 400
 
 
 def test_faults_name_their_place(snapshot: SnapshotAssertion) -> None:
     raws = [config(service("s1"), 7, tenant("t", "k")),
             config(service("s1"), route("r", max_tries=0, deadline_s="2"), route("q", target_latency_s=70)),
             config(service("s1"), route("r", target="s3"), tenant("t", "k"), tenant("u", "k"))]
-    assert [decide(Held(), "PUT", body(raw)).body.decode() for raw in raws] == snapshot
-    many = decide(Held(), "PUT", body(config(*[route(f"r{i}") for i in range(100)])))
-    assert len(json.loads(many.body)["errors"]) == table.FAULTS_MAX
+    assert [decide(ConfigState(), "PUT", body(raw)).body.decode() for raw in raws] == snapshot
+    many = decide(ConfigState(), "PUT", body(config(*[route(f"r{i}") for i in range(100)])))
+    assert len(json.loads(many.body)["errors"]) == schema.MAX_REPORTED_ERRORS
 
 
 @pytest.mark.parametrize("raw", [
@@ -132,9 +132,9 @@
     config(tenant("t", "k", "k", precedence=0), {"entry-kind": "tenants", "metadata": {"label": "u"}}),
 ])
 def test_what_is_proper_passes_and_comes_back(raw: Raw) -> None:
-    answer = decide(Held(), "PUT", body(raw))
-    assert answer.status == 200 and answer.held is not None, answer.body
-    assert json.loads(Held.decode(answer.held.encode()).whole()) == raw
+    answer = decide(ConfigState(), "PUT", body(raw))
+    assert answer.status == 200 and answer.config_state is not None, answer.body
+    assert json.loads(ConfigState.decode(answer.config_state.encode()).whole()) == raw
 
 
 def test_an_exchange_with_the_operator(snapshot: SnapshotAssertion) -> None:
@@ -152,24 +152,24 @@
         ("PATCH", {**later, "upsert": 1, "remove": {"services": "s2"}}),
         ("PUT", config(service("s1"), generation=8)), ("POST", first),
     ]
-    held, said = Held(), []
+    config_state, said = ConfigState(), []
     for method, raw in calls:
-        answer = decide(held, method, body(raw))
-        held = Held.decode(answer.held.encode(), held) if answer.held else held
+        answer = decide(config_state, method, body(raw))
+        config_state = ConfigState.decode(answer.config_state.encode(), config_state) if answer.config_state else config_state
         said.append(f"{method} {raw['generation']} on {raw['base-version']} -> "
-                    f"{answer.status} {answer.body.decode()}, in force {held.generation}")
-    assert [*said, held.whole().decode()] == snapshot
+                    f"{answer.status} {answer.body.decode()}, in force {config_state.generation}")
+    assert [*said, config_state.whole().decode()] == snapshot
 
 
 def test_a_patch_on_nothing_and_what_it_leaves() -> None:
     upsert = {"resource-list": [service("s1"), {"entry-kind": "limits", "spec": {"max-body-bytes": 5}}]}
-    held = decide(Held(), "PATCH", body({"generation": 1, "upsert": upsert})).held
-    assert held is not None and held.document is not None
-    assert held.document.limits == Limits(max_body_bytes=5)
+    config_state = decide(ConfigState(), "PATCH", body({"generation": 1, "upsert": upsert})).config_state
+    assert config_state is not None and config_state.document is not None
+    assert config_state.document.limits == Limits(max_body_bytes=5)
     order = {"generation": 2, "base-version": 1, "remove": {"limits": ["all"]}}
-    gone = decide(held, "PATCH", body(order)).held
+    gone = decide(config_state, "PATCH", body(order)).config_state
     assert gone is not None and gone.document is not None and gone.document.limits == Limits()
-    assert gone.document.services["s1"] is held.document.services["s1"]
+    assert gone.document.services["s1"] is config_state.document.services["s1"]
 
 
 def changes(count: int, step: int = 1) -> list[bytes]:
@@ -178,79 +178,79 @@
     return [body(config(service("s1"), generation=g, base=g - step)) for g in rising]
 
 
-def after(orders: list[bytes], held: Held | None = None) -> Held:
+def after(orders: list[bytes], config_state: ConfigState | None = None) -> ConfigState:
     for order in orders:
-        held = decide(held or Held(), "PUT", order).held
-        assert held is not None
-    return held or Held()
+        config_state = decide(config_state or ConfigState(), "PUT", order).config_state
+        assert config_state is not None
+    return config_state or ConfigState()
 
 
 def test_repeats_are_known_for_long_and_the_value_stays_small() -> None:
-    orders = changes(REMEMBERED + 6, 3)
-    held = after(orders)
-    held = Held.decode(held.encode())
-    assert [decide(held, "PUT", o).status for o in orders] == [503] * 6 + [200] * REMEMBERED
-    assert decide(held, "PATCH", orders[-1]).status == 412  # another order, if of the same body
-    value = held.encode()
-    assert len(value) < 17_000 and len(without_taken(value)) < 200
-    bare = Held.decode(without_taken(value))
-    assert bare.whole() == held.whole() and not bare.taken
+    orders = changes(MAX_REMEMBERED_ORDERS + 6, 3)
+    config_state = after(orders)
+    config_state = ConfigState.decode(config_state.encode())
+    assert [decide(config_state, "PUT", o).status for o in orders] == [503] * 6 + [200] * MAX_REMEMBERED_ORDERS
+    assert decide(config_state, "PATCH", orders[-1]).status == 412  # another order, if of the same body
+    value = config_state.encode()
+    assert len(value) < 17_000 and len(without_order_history(value)) < 200
+    bare = ConfigState.decode(without_order_history(value))
+    assert bare.whole() == config_state.whole() and not bare.taken
     small = after(orders[:3]).encode()
     for broken in (b"\x03\x00", b"\x02", b"\x02\x05abc", b"\x01", b"\x01\x05abc", small[:-1],
                    small[:-9] + b"123456789", small[:40]):
         with pytest.raises(ValueError):
-            Held.decode(broken)
-    assert Held.decode(b"").generation == 0
+            ConfigState.decode(broken)
+    assert ConfigState.decode(b"").generation == 0
 
 
 def test_what_may_be_forgotten_is_never_refused() -> None:
-    held = after(changes(REMEMBERED + 6, 3))
+    config_state = after(changes(MAX_REMEMBERED_ORDERS + 6, 3))
 
     def lost(generation: int, base: int) -> int:
         """What is said to an order that lost its race."""
-        return decide(held, "PUT", body(config(generation=generation, base=base))).status
+        return decide(config_state, "PUT", body(config(generation=generation, base=base))).status
 
-    assert held.forgotten == 18 and [lost(18, 15), lost(17, 15), lost(19, 15)] == [503, 503, 412]
+    assert config_state.forgotten == 18 and [lost(18, 15), lost(17, 15), lost(19, 15)] == [503, 503, 412]
     assert lost(15, 15) == 412  # invalid on any base, so never taken
 
 
 def test_a_value_of_the_older_form_is_read() -> None:
     orders = changes(70, 2)
     for count in (3, 64, 70):
-        held = after(orders[:count])
-        taken = [f.to_bytes(8) for f in held.taken][-64:]
-        old = Held.decode(bytes((1, len(taken))) + b"".join(taken) + zlib.compress(held.whole(), 3))
-        assert old.whole() == held.whole() and decide(old, "PUT", orders[count - 3]).status == 200
+        config_state = after(orders[:count])
+        taken = [f.to_bytes(8) for f in config_state.taken][-64:]
+        old = ConfigState.decode(bytes((1, len(taken))) + b"".join(taken) + zlib.compress(config_state.whole(), 3))
+        assert old.whole() == config_state.whole() and decide(old, "PUT", orders[count - 3]).status == 200
         assert old.forgotten >= (2 * (count - 64) if count >= 64 else 0)
         for order in orders[:count]:
             assert decide(old, "PUT", order).status in (200, 503)
         if count < 64:
             assert not old.forgotten
-        new = Held.decode(old.then(held.document, 1).encode())  # type: ignore[arg-type]
+        new = ConfigState.decode(old.with_order(config_state.document, 1).encode())  # type: ignore[arg-type]
         assert new.forgotten == old.forgotten and list(new.taken)[-2::-1] == list(old.taken)[::-1]
 
 
 def test_a_book_keeps_what_did_not_change() -> None:
-    one = Book(built(route("r"), route("q"), tenant("t", "k")))
-    two = Book(built(route("q", max_tries=3), route("r"), tenant("t", "l")), one)
+    one = CompiledConfig(built(route("r"), route("q"), tenant("t", "k")))
+    two = CompiledConfig(built(route("q", max_tries=3), route("r"), tenant("t", "l")), one)
     assert two.routes["r"] is one.routes["r"] and two.routes["q"] is not one.routes["q"]
     assert two.tenants["t"] is one.tenants["t"] and two.tenant(b"k") is None
     assert one.routes["q"].tries == 2 and two.match(b"A.example:8080", b"/q/x?y=/r/") is two.routes["q"]
 
 
 def test_services_are_picked_by_share() -> None:
-    r = Book(built(route("r", weighted=[{"target": "s1", "share": 0}, *reversed(SPLIT)]))).routes["r"]
-    assert [r.pick(x / 20) for x in range(20)] == ["s2"] * 2 + ["s1"] * 18
-    assert r.pick(1.0) == "s1"
+    r = CompiledConfig(built(route("r", weighted=[{"target": "s1", "share": 0}, *reversed(SPLIT)]))).routes["r"]
+    assert [r.pick_service(x / 20) for x in range(20)] == ["s2"] * 2 + ["s1"] * 18
+    assert r.pick_service(1.0) == "s1"
 
 
 def test_keys_and_ranks() -> None:
-    book = Book(built(route("r"), route("p", public=True), tenant("t", "k", precedence=0), tenant("u", "l")))
+    compiled_config = CompiledConfig(built(route("r"), route("p", public=True), tenant("t", "k", precedence=0), tenant("u", "l")))
     seen = [(j.status, j.tenant and j.tenant.label, j.precedence) for j in [
-        book.judge(b"a.example", p, k) for p in (b"/r/", b"/p/", b"/x/") for k in (b"k", b"l", b"no", b"")]]
+        compiled_config.resolve_request(b"a.example", p, k) for p in (b"/r/", b"/p/", b"/x/") for k in (b"k", b"l", b"no", b"")]]
     assert seen[:4] == [(200, "t", 0), (200, "u", 2), (401, None, 2), (401, None, 2)]
     assert seen[4:] == [(200, "t", 0), (200, "u", 2), *[(200, None, 2)] * 2, *[(404, None, 0)] * 4]
-    assert Book(built(route("r"))).judge(b"a.example", b"/r/", b"no").status == 200  # no tenants, no keys
+    assert CompiledConfig(built(route("r"))).resolve_request(b"a.example", b"/r/", b"no").status == 200  # no tenants, no keys
     assert [key_of(v) for v in (b"Token k", b"token  k ", b"Basic k", b"")] == [b"k", b"k", b"", b""]
 
 
@@ -265,39 +265,39 @@
                                              host: str, keys: bool, end: str, key: bytes) -> None:
     routes: dict[tuple[bytes, str], Raw] = {}
     for i, (name, parts, public) in enumerate(drawn):
-        prefix, place = "/" + "".join(f"{p}/" for p in parts), table.host_of(name.encode())
+        prefix, place = "/" + "".join(f"{p}/" for p in parts), schema.host_of(name.encode())
         routes[place, prefix] = route(f"r{i}", hostname=name, path_prefix=prefix, public=public)
     one = built(*routes.values(), *([tenant("t", "k")] if keys else []))
-    book, path = Book(one), ("/" + "".join(f"{p}/" for p in at) + end).encode()
-    assert differs(book.judge(host.encode(), path, key), evaluate(one, host.encode(), path, key)) == []
-    assert digest(book) == Expected(one).total
+    compiled_config, path = CompiledConfig(one), ("/" + "".join(f"{p}/" for p in at) + end).encode()
+    assert compare_decision(compiled_config.resolve_request(host.encode(), path, key), evaluate(one, host.encode(), path, key)) == []
+    assert digest(compiled_config) == ExpectedDigests(one).total
 
 
 def test_the_digest_is_of_the_meaning() -> None:
     entries = [route("r"), route("q", weighted=SPLIT), tenant("t", "k", "l")]
     one, two = built(*entries), built(*reversed(copy.deepcopy(entries)))
     other = built(route("r", max_tries=3), *entries[1:])
-    assert digest(Book(one)) == digest(Book(two)) == Expected(one).total
-    assert Expected(two, Expected(other)).total == Expected(one).total
-    assert digest(Book(other)) != digest(Book(one))
+    assert digest(CompiledConfig(one)) == digest(CompiledConfig(two)) == ExpectedDigests(one).total
+    assert ExpectedDigests(two, ExpectedDigests(other)).total == ExpectedDigests(one).total
+    assert digest(CompiledConfig(other)) != digest(CompiledConfig(one))
 
 
 def test_drift_is_found_and_named(snapshot: SnapshotAssertion) -> None:
     one = built(route("r"), route("q"), route("n"), tenant("t", "key-one"), tenant("u", "key-two"))
-    book = Book(one)
-    watch = Watch(book, Expected(one))
-    assert [watch.step(3) for _ in range(10)] == [[]] * 10 and watch.rounds == 3
-    book.routes["r"].deadline, book.limits = 9.0, Limits(idle_timeout=1.0)
-    book.tenants["t"].rate = 1.0
-    del book.hosts[b"a.example"].children[b"q"], book.keys[b"key-two"]
-    book.hosts[b"a.example"].children[b"n"].children[b"x"] = extra = type(book.hosts[b"a.example"])()
+    compiled_config = CompiledConfig(one)
+    watch = DriftScanner(compiled_config, ExpectedDigests(one))
+    assert [watch.step(3) for _ in range(10)] == [[]] * 10 and watch.completed_passes == 3
+    compiled_config.routes["r"].deadline, compiled_config.limits = 9.0, Limits(idle_timeout=1.0)
+    compiled_config.tenants["t"].rate = 1.0
+    del compiled_config.hosts[b"a.example"].children[b"q"], compiled_config.keys[b"key-two"]
+    compiled_config.hosts[b"a.example"].children[b"n"].children[b"x"] = extra = type(compiled_config.hosts[b"a.example"])()
     extra.route = Route(one.routes["q"])
-    book.keys[b"key-old"] = book.tenants["u"]
-    watch = Watch(book, Expected(one))
+    compiled_config.keys[b"key-old"] = compiled_config.tenants["u"]
+    watch = DriftScanner(compiled_config, ExpectedDigests(one))
     assert [f"{d.place}: {d.running} not {d.set}"
             for d in sorted(d for _ in range(5) for d in watch.step(2))] == snapshot
     assert [[f"{d.place}: {d.running} not {d.set}"
-             for d in differs(book.judge(b"a.example", path, key), evaluate(one, b"a.example", path, key))]
+             for d in compare_decision(compiled_config.resolve_request(b"a.example", path, key), evaluate(one, b"a.example", path, key))]
             for path, key in ((b"/r/", b"key-one"), (b"/q/", b"key-one"), (b"/n/", b"key-old"),
                               (b"/n/x/", b"no"), (b"/no/", b""))] == snapshot
-    assert differs(Judged(200, book.routes["n"], None), evaluate(one, b"a.example", b"/no/", b"")) != []
+    assert compare_decision(RouteDecision(200, compiled_config.routes["n"], None), evaluate(one, b"a.example", b"/no/", b"")) != []
--- a/tests/system/test_register.py
+++ b/tests/system/test_consensus.py
@@ -11,91 +11,91 @@
 from hypothesis import strategies as st
 from syrupy.assertion import SnapshotAssertion
 
-from post.machine import Send
-from post.register import api
-from post.register import register_pb2 as pb
-from post.register.agreement import Agreement
-from post.register.following import Following
-from post.register.leading import Leading
-from post.register.members import Asker, Presence, next_members
-from post.register.records import Member, Stored, first_entry
-from post.register.seat import Seat
-from post.register.starting import Starting
-from post.register.voting import Voting
-from tests.system.core import Broken, Core, Node, explore, finish, tell
-
-STEADY = api.Tuning(beat_s=0.1, election_min_s=0.45, election_max_s=0.9)
-
-
-class Forgetful(Agreement):
+from gateway.consensus import api
+from gateway.consensus import consensus_pb2 as pb
+from gateway.consensus.cold_start import ColdStart
+from gateway.consensus.follower import FollowerRole
+from gateway.consensus.leader import LeaderRole
+from gateway.consensus.raft import RaftNode
+from gateway.consensus.reconfiguration import JoinRequest, MemberHealth, next_configuration
+from gateway.consensus.records import Member, PersistentState, bootstrap_entry
+from gateway.consensus.replica import Replica
+from gateway.consensus.voter import Voter
+from gateway.state_machine import Send
+from tests.system.consensus_cluster import ConsensusCluster, InvariantViolation, Node, explore, finish, tell
+
+STEADY = api.Tuning(heartbeat_interval_s=0.1, election_min_s=0.45, election_max_s=0.9)
+
+
+class Forgetful(RaftNode):
     """Planted fault: an empty disk takes itself for the one that was lost."""
 
     def __init__(self, me, stored, fresh, *rest) -> None:
         super().__init__(me, stored, True, *rest)
 
 
-class MostBegun(Starting):
+class MostBegun(ColdStart):
     """Planted fault: it is enough that most have begun anew."""
 
-    def unanimous(self) -> bool:
-        return self.seat.entry.has_quorum({*self.others, self.seat.disk})
+    def all_members_restarted(self) -> bool:
+        return self.replica.entry.has_quorum({*self.others, self.replica.disk})
 
 
-class AnyTerm(Starting):
+class AnyTerm(ColdStart):
     """Planted fault: it is the first to lead if it has heard of no other, whoever else it hasn't heard."""
 
-    def unled_since(self) -> float | None:
-        return self.began if self.unled else None
+    def leaderless_since(self) -> float | None:
+        return self.began if self.leaderless else None
 
 
-class AnyAnswer(Starting):
+class AnyAnswer(ColdStart):
     """Planted fault: an answer to an earlier life counts."""
 
-    def begun(self, now, sender, note) -> None:
-        self.life = note.to_life or self.life
-        super().begun(now, sender, note)
+    def on_restarted(self, now, sender, message) -> None:
+        self.incarnation = message.to_incarnation or self.incarnation
+        super().on_restarted(now, sender, message)
 
 
-class AnyPlace(Voting):
+class AnyPlace(Voter):
     """Planted fault: whoever asks has the vote, however old its entry."""
 
-    def pre_vote(self, sender, note, free) -> None:
-        note.has_term = 1 << 40
-        super().pre_vote(sender, note, free)
+    def pre_vote(self, sender, message, may_vote) -> None:
+        message.last_term = 1 << 40
+        super().pre_vote(sender, message, may_vote)
 
-    def request_vote(self, sender, note) -> bool:
-        note.has_term = 1 << 40
-        return super().request_vote(sender, note)
+    def request_vote(self, sender, message) -> bool:
+        message.last_term = 1 << 40
+        return super().request_vote(sender, message)
 
 
-class Trusting(Agreement):
+class Trusting(RaftNode):
     """Planted fault: what a start finds in the files counts as synced."""
 
     def __init__(self, me, stored, *rest) -> None:
         super().__init__(me, stored, *rest)
-        self.seat.kept = stored or self.seat.kept
+        self.replica.persisted = stored or self.replica.persisted
 
 
-class Hearing(Following):
+class Hearing(FollowerRole):
     """Planted fault: it is in touch while it hears a leader, though that may not hear it, or be sure."""
 
-    def in_touch_until(self) -> float:
-        self.answered = self.heard
-        return super().in_touch_until()
+    def quorum_contact_until(self) -> float:
+        self.last_reply_at = self.heard
+        return super().quorum_contact_until()
 
 
-class Lacking(Following):
+class Lacking(FollowerRole):
     """Planted fault: it is in touch while it lacks the newest entry."""
 
-    def in_touch_until(self) -> float:
+    def quorum_contact_until(self) -> float:
         self.commit = 0, 0
-        return super().in_touch_until()
+        return super().quorum_contact_until()
 
 
 def begins_as(part: type[Any]) -> Any:
-    def make(*args: Any) -> Agreement:
-        machine = Agreement(*args)
-        parts = machine.starting, machine.voting, machine.following
+    def make(*args: Any) -> RaftNode:
+        machine = RaftNode(*args)
+        parts = machine.cold_start, machine.voter, machine.follower_role
         next(p for p in parts if issubclass(part, type(p))).__class__ = part
         return machine
     return make
@@ -104,9 +104,9 @@
 IN_TOUCH = [begins_as(Hearing), begins_as(Lacking)]
 
 
-def settled(count: int = 3, seed: int = 1, tolerance: int = 1) -> tuple[Core, Node, list[Node]]:
+def settled(count: int = 3, seed: int = 1, tolerance: int = 1) -> tuple[ConsensusCluster, Node, list[Node]]:
     """A core with one value agreed on, even delays and disks; its leader and the others."""
-    core = Core(count, seed, tolerance, STEADY)
+    core = ConsensusCluster(count, seed, tolerance, STEADY)
     core.delay_s = (0.002, 0.002)
     for node in core.nodes.values():
         node.disk_s = (0.005, 0.005)
@@ -115,15 +115,15 @@
     return core, leader, [n for n in core.up() if n is not leader]
 
 
-def outcome(core: Core, node: Node, expected: int, within: float = 2.0) -> str | None:
+def outcome(core: ConsensusCluster, node: Node, expected: int, within: float = 2.0) -> str | None:
     token = core.propose(node, expected)
     core.run(within, lambda: token in core.outcomes)
     return core.outcomes.get(token)
 
 
-def named(core: Core) -> dict[str, str]:
+def named(core: ConsensusCluster) -> dict[str, str]:
     """The disk of each address, by the newest entry that is agreed on."""
-    entry = max((n.machine.value for n in core.up() if n.machine.value), key=lambda e: e.place)
+    entry = max((n.machine.value for n in core.up() if n.machine.value), key=lambda e: e.position)
     return {m.address: m.disk for m in entry.members}
 
 
@@ -133,7 +133,7 @@
     for seed in range(seeds):
         try:
             explore(count, seed)
-        except Broken as why:
+        except InvariantViolation as why:
             broken.append(f"seed {seed}: {why}")
     assert not broken, "\n".join(broken)
 
@@ -147,7 +147,7 @@
     for seed in range(400):
         try:
             explore(3, seed, **fault)
-        except Broken as why:
+        except InvariantViolation as why:
             contact = fault.get("kind") in IN_TOUCH and "is in touch" in str(why)
             if contact or re.search("two values|sure of an old version|two leaders are sure|"
                                     "nobody has led|is lost",
@@ -157,7 +157,7 @@
 
 
 def test_first_start(snapshot: SnapshotAssertion) -> None:
-    core = Core(3, 5, tuning=STEADY)
+    core = ConsensusCluster(3, 5, tuning=STEADY)
     core.delay_s = (0.002, 0.002)
     log = core.record()
     core.run(2.0, lambda: core.leader() is not None)
@@ -185,44 +185,44 @@
         core.start(address)
     core.run(0.2, lambda: core.leader() is not None)
     leader = core.leader()
-    assert leader is not None and began <= leader.machine.unled_since < began + 0.05
+    assert leader is not None and began <= leader.machine.leaderless_since < began + 0.05
     core.kill(leader.address)
     core.run(2.0, lambda: core.leader() is not None)
-    assert core.leader().machine.unled_since is None  # type: ignore[union-attr]
+    assert core.leader().machine.leaderless_since is None  # type: ignore[union-attr]
 
 
 def test_all_but_the_leader_begin_anew() -> None:
     core, leader, others = settled()
     core.cut = {(leader.address, o.address) for o in others}
-    lease = leader.machine.leading.lease
+    lease = leader.machine.leader_role.lease
     for o in others:
         core.kill(o.address)
         core.start(o.address)
     assert core.run(1.5, lambda: core.leader() in others) and core.now > lease
 
 
-@pytest.mark.parametrize("part", [Starting, AnyAnswer])
-def test_answers_to_an_earlier_life(part: type[Starting]) -> None:
+@pytest.mark.parametrize("part", [ColdStart, AnyAnswer])
+def test_answers_to_an_earlier_life(part: type[ColdStart]) -> None:
     core, leader, _ = settled()
     for address in core.nodes:
         core.kill(address)
     sent: list[tuple[str, Send]] = []
-    post, core.kind = core._send, begins_as(part)
-    core._send = lambda node, out: (sent.append((node.address, out)), post(node, out))  # type: ignore
+    send_original, core.kind = core._send, begins_as(part)
+    core._send = lambda node, out: (sent.append((node.address, out)), send_original(node, out))  # type: ignore
     for address in core.nodes:
         core.start(address)
     assert core.run(0.2, lambda: core.leader() is not None)
-    leader, core._send = core.leader(), post  # type: ignore[method-assign]
+    leader, core._send = core.leader(), send_original  # type: ignore[method-assign]
     others = [n for n in core.up() if n is not leader]
     core.cut = {way for o in others for way in [(leader.address, o.address), (o.address, leader.address)]}
     for o in others:
         core.kill(o.address)
         core.start(o.address)
         for sender, out in sent:
-            if (sender, out.to, out.message.kind) == (leader.address, o.address, pb.BEGUN):
+            if (sender, out.to, out.message.kind) == (leader.address, o.address, pb.RESTARTED):
                 core.give(o, api.Received(sender, out.message))
     if part is AnyAnswer:
-        with pytest.raises(Broken, match="two leaders|nobody has led"):
+        with pytest.raises(InvariantViolation, match="two leaders|nobody has led"):
             core.run(0.2)
     else:
         core.run(0.2)
@@ -232,9 +232,9 @@
     core, leader, (other, lone) = settled()
 
     def asked(node: Node) -> bool:
-        note = pb.Note(kind=pb.BEGUN, disk=lone.machine.seat.disk, to_disk=node.machine.seat.disk, life=7)
-        return any(o.message.kind == pb.BEGUN and o.message.to_life == 7 for o in node.machine.handle(
-            core.now, api.Received(lone.address, note)))
+        message = pb.Message(kind=pb.RESTARTED, disk=lone.machine.replica.disk, to_disk=node.machine.replica.disk, incarnation=7)
+        return any(o.message.kind == pb.RESTARTED and o.message.to_incarnation == 7 for o in node.machine.handle(
+            core.now, api.Received(lone.address, message)))
     assert not asked(leader) and not asked(other)
     core.kill(other.address)
     core.cut = {(leader.address, other.address)}
@@ -249,21 +249,21 @@
 
 def test_one_that_leads_itself_out_is_not_sure() -> None:
     seeds = ["10.0.0.1:1", "10.0.0.2:1"]
-    entry = first_entry(seeds)
-    stored = Stored("first-" + seeds[0], 1, "", entry._replace(members=entry.members[1:],
+    entry = bootstrap_entry(seeds)
+    stored = PersistentState("first-" + seeds[0], 1, "", entry._replace(members=entry.members[1:],
                                                                outgoing=entry.members))
-    seat = Seat(seeds[0], stored, STEADY, random.Random(1))
-    seat.kept = stored
-    leading = Leading(seat, 10.0, 0)
+    replica = Replica(seeds[0], stored, STEADY, random.Random(1))
+    replica.persisted = stored
+    leader_role = LeaderRole(replica, 10.0, 0)
 
     def held(now: float) -> None:
-        place = seat.entry.place
-        leading.appended(now, pb.Note(kind=pb.APPENDED, disk="first-" + seeds[1], sent=now,
-                                      has_term=place[0], has_number=place[1], held_term=place[0],
-                                      held_number=place[1]))
-    seat.kept = seat.kept._replace(entry=seat.entry)
-    held(10.1)  # both councils have what it began with: now without itself
-    assert not seat.seated and leading.lease > 10.2 and not leading.sure(10.2)
+        position = replica.entry.position
+        leader_role.on_append_response(now, pb.Message(kind=pb.APPEND_RESPONSE, disk="first-" + seeds[1], sent=now,
+                                      last_term=position[0], last_index=position[1], durable_term=position[0],
+                                      durable_index=position[1]))
+    replica.persisted = replica.persisted._replace(entry=replica.entry)
+    held(10.1)  # both voter sets have what it began with: now without itself
+    assert not replica.is_voter and leader_role.lease > 10.2 and not leader_role.has_leader_lease(10.2)
 
 
 def test_a_proposal(snapshot: SnapshotAssertion) -> None:
@@ -281,7 +281,7 @@
     log = core.record()
     core.start(others[0].address)
     core.run(1.0, lambda: others[0].heard == 1)
-    quiet = [line for line in log if " HEARTBEAT " not in line and " APPENDED " not in line]
+    quiet = [line for line in log if " HEARTBEAT " not in line and " APPEND_RESPONSE " not in line]
     assert "\n".join(quiet) == snapshot
     core.run(0.1)
     assert not named(core)[others[0].address].startswith("first-")
@@ -299,7 +299,7 @@
 def test_a_proposal_waits_for_a_change_of_members() -> None:
     core, leader, _ = settled()
     core.add("10.0.1.1:1")
-    assert core.run(3.0, lambda: bool(leader.machine.seat.entry.outgoing))
+    assert core.run(3.0, lambda: bool(leader.machine.replica.entry.outgoing))
     assert outcome(core, leader, 1) == "done"
     assert len(named(core)) == 4
 
@@ -309,7 +309,7 @@
     core.cut = {(leader.address, o.address) for o in others}  # its word no longer gets out
     lone = core.propose(leader, 1)
     core.run(0.46)
-    assert not leader.machine.sure(core.now)
+    assert not leader.machine.has_leader_lease(core.now)
     assert core.run(3.0, lambda: core.leader() is not None)
     core.cut.clear()
     assert outcome(core, core.leader(), 1) == "done"
@@ -361,7 +361,7 @@
     core.kill(killed.address, power=False)
     core.start(killed.address)
     core.run(0.4)
-    assert killed.machine.seat.entry.version == 2 and token not in core.outcomes
+    assert killed.machine.replica.entry.version == 2 and token not in core.outcomes
     core.run(1.0, lambda: token in core.outcomes)
     assert core.outcomes[token] == "done" and killed.stored.entry.version == 2
 
@@ -389,7 +389,7 @@
     assert core.run(0.1, lambda: core.leader() in others)
     assert core.run(2.0, lambda: leader.machine.left)
     core.run(2.0)
-    assert leader.machine.role == "joiner" and sorted(named(core)) == sorted(o.address for o in others)
+    assert leader.machine.role == "learner" and sorted(named(core)) == sorted(o.address for o in others)
 
 
 def test_one_who_was_replaced_comes_back_as_another() -> None:
@@ -415,7 +415,7 @@
     core.add("10.0.1.1:1")
     far = {apart.address, other.address}
     core.cut = {(leader.address, apart.address), (apart.address, leader.address)}
-    assert core.run(4.0, lambda: bool(leader.machine.seat.entry.outgoing))
+    assert core.run(4.0, lambda: bool(leader.machine.replica.entry.outgoing))
     core.cut |= {way for a in far for b in core.nodes if b not in far for way in [(a, b), (b, a)]}
     lone = core.propose(leader, 1)
     assert core.run(3.0, lambda: core.leader() in (apart, other))
@@ -426,34 +426,34 @@
 
 def test_when_a_vote_is_given() -> None:
     seeds = ["10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"]
-    stored = Stored("first-" + seeds[0], 3, "", first_entry(seeds)._replace(term=2, number=7))
-    machine = Agreement(seeds[0], stored, False, seeds, random.Random(1), STEADY, "n", 1, 10.0)
-    assert [tell(o) for o in machine.handle(10.0, api.Known(()))] == [
+    stored = PersistentState("first-" + seeds[0], 3, "", bootstrap_entry(seeds)._replace(term=2, number=7))
+    machine = RaftNode(seeds[0], stored, False, seeds, random.Random(1), STEADY, "n", 1, 10.0)
+    assert [tell(o) for o in machine.handle(10.0, api.KnownAddresses(()))] == [
         "writes first-10.0.0.1:1: term 3, vote none, entry (2, 7)"]  # a kill may have left it unsynced
-    machine.handle(10.1, api.Written(1))
+    machine.handle(10.1, api.WriteCompleted(1))
 
     def asked(now: float, who: int, **fields: Any) -> list[str]:
-        note = pb.Note(kind=pb.REQUEST_VOTE, disk="first-" + seeds[who], to_disk=stored.disk, has_term=2,
+        message = pb.Message(kind=pb.REQUEST_VOTE, disk="first-" + seeds[who], to_disk=stored.disk, last_term=2,
                        **fields)
-        return [tell(o) for o in machine.handle(now, api.Received(seeds[who], note))]
-    assert asked(10.4, 1, term=4, has_number=7) == []  # it may have told a leader just before its end
-    assert asked(10.5, 1, term=4, has_number=6) == []  # behind
-    assert asked(10.5, 1, term=4, has_number=7) == [
+        return [tell(o) for o in machine.handle(now, api.Received(seeds[who], message))]
+    assert asked(10.4, 1, term=4, last_index=7) == []  # it may have told a leader just before its end
+    assert asked(10.5, 1, term=4, last_index=6) == []  # behind
+    assert asked(10.5, 1, term=4, last_index=7) == [
         "writes first-10.0.0.1:1: term 4, vote first-10.0.0.2:1, entry (2, 7)"]
-    assert asked(10.5, 2, term=4, has_number=8) == []  # one vote a term
-    assert [tell(o) for o in machine.handle(10.6, api.Written(2))] == [
-        "to 10.0.0.2:1 VOTED term=4 granted=True"]
-    asked(10.6, 1, term=4, has_number=7)
-    machine.handle(10.7, api.Received(seeds[1], pb.Note(
+    assert asked(10.5, 2, term=4, last_index=8) == []  # one vote a term
+    assert [tell(o) for o in machine.handle(10.6, api.WriteCompleted(2))] == [
+        "to 10.0.0.2:1 VOTE_RESPONSE term=4 granted=True"]
+    asked(10.6, 1, term=4, last_index=7)
+    machine.handle(10.7, api.Received(seeds[1], pb.Message(
         kind=pb.HEARTBEAT, disk="first-" + seeds[1], to_disk=stored.disk, term=4)))
-    assert asked(11.1, 2, term=5, has_number=8) == [] and machine.term == 4  # the leader was just heard
-    assert asked(11.1, 2, term=5, has_number=8, handed=True) != []  # and has asked for it
+    assert asked(11.1, 2, term=5, last_index=8) == [] and machine.term == 4  # the leader was just heard
+    assert asked(11.1, 2, term=5, last_index=8, leadership_transfer=True) != []  # and has asked for it
 
 
 MEMBERS = tuple(Member(x, f"{x}:1") for x in "abc")
 
 
-@pytest.mark.parametrize(("silent", "joiner", "waited", "after"), [
+@pytest.mark.parametrize(("silent", "learner", "waited", "after"), [
     ({}, Member("d", "d:1"), 0.5, None),  # perhaps another has just ended
     ({}, Member("d", "d:1"), 1.5, "abcd"),
     ({"c": 1.5}, Member("d", "d:1"), 1.5, None),  # soon to be replaced
@@ -463,25 +463,25 @@
     ({"b": 5.0, "c": 5.0}, Member("d", "d:1"), 0.5, None),  # no majority to agree on it
     ({"b": 5.0, "c": 5.0}, None, 0.0, None),
 ])
-def test_next_members(silent: dict, joiner: Member | None, waited: float, after: str | None) -> None:
-    others = {m.disk: Presence(s := silent.get(m.disk, 0.05), s <= 1.0, False) for m in MEMBERS[1:]}
-    askers = [Asker(joiner, 10.0 - waited, 10.0)] if joiner else []
-    found = next_members(10.0, MEMBERS, others, askers, 1, api.Tuning())
+def test_next_members(silent: dict, learner: Member | None, waited: float, after: str | None) -> None:
+    others = {m.disk: MemberHealth(s := silent.get(m.disk, 0.05), s <= 1.0, False) for m in MEMBERS[1:]}
+    askers = [JoinRequest(learner, 10.0 - waited, 10.0)] if learner else []
+    found = next_configuration(10.0, MEMBERS, others, askers, 1, api.Tuning())
     assert (found and sorted(m.disk for m in found)) == (after and sorted(after))
 
 
 @settings(max_examples=150, deadline=None, derandomize=True)
 @given(st.lists(st.builds(
-    pb.Note, kind=st.integers(0, 14), disk=st.sampled_from(["", "first-10.0.0.2:1", "x"]),
+    pb.Message, kind=st.integers(0, 14), disk=st.sampled_from(["", "first-10.0.0.2:1", "x"]),
     to_disk=st.sampled_from(["", "first-10.0.0.1:1", "y"]), term=st.integers(0, 2**64 - 1),
-    has_term=st.integers(0, 9), has_number=st.integers(0, 9), commit=st.integers(0, 9), sent=st.floats(),
-    granted=st.booleans(), handed=st.booleans(), leader=st.sampled_from(["", "10.0.0.9:1"]),
+    last_term=st.integers(0, 9), last_index=st.integers(0, 9), commit=st.integers(0, 9), sent=st.floats(),
+    granted=st.booleans(), leadership_transfer=st.booleans(), leader=st.sampled_from(["", "10.0.0.9:1"]),
     entry=st.builds(pb.Entry, term=st.integers(0, 3), number=st.integers(0, 3),
                     members=st.lists(st.builds(pb.Member, disk=st.sampled_from(["", "x"])), max_size=2)),
     members=st.lists(st.builds(pb.Member), max_size=20)), max_size=8))
 def test_odd_notes_are_dropped(notes: list) -> None:
     seeds = ["10.0.0.1:1", "10.0.0.2:1"]
-    machine = Agreement(seeds[0], None, True, seeds, random.Random(1), api.Tuning(), "n", 1, 0.0)
-    for i, note in enumerate(notes):
-        machine.handle(i * 0.3, api.Received(seeds[1], note))
+    machine = RaftNode(seeds[0], None, True, seeds, random.Random(1), api.Tuning(), "n", 1, 0.0)
+    for i, message in enumerate(notes):
+        machine.handle(i * 0.3, api.Received(seeds[1], message))
         machine.handle(i * 0.3, api.Tick())
--- a/tests/system/test_register_power.py
+++ b/tests/system/test_consensus_power_loss.py
@@ -10,8 +10,8 @@
 
 import pytest
 
-from post.register.disk import Store
-from tests.system.test_register_disk import record
+from gateway.consensus.storage import Store
+from tests.system.test_consensus_storage import record
 
 
 class PowerLostError(BaseException):
@@ -94,7 +94,7 @@
 class NoParentSync(Store):
     """Planted fault: the folder is made, and its own name isn't synced."""
 
-    def _make(self) -> None:
+    def _create_folder(self) -> None:
         os.makedirs(self.folder, exist_ok=True)
 
 
@@ -102,9 +102,9 @@
     """Planted fault: what it has loaded counts as synced."""
 
     def save(self, record: Any) -> None:
-        if not self.unsynced or record != self.newest:
+        if not self.unsynced or record != self.newest_record:
             return super().save(record)
-        self._tidy()
+        self._remove_obsolete()
 
 
 class Hasty(Store):
@@ -122,18 +122,18 @@
     top = folder / "data"
     top.mkdir()
     power = Power(top, folder / "after", rng, patch)
-    acked = term = 0
+    heartbeat_answered = term = 0
     power.left = rng.randrange(1, 60)
     power.fails = rng.choice([0.0, 0.0, 0.1])
     try:
         while True:
             store = kind(str(top / "register"))
             found = store.load()
-            assert found is None and not acked or found is not None and found.term >= acked
+            assert found is None and not heartbeat_answered or found is not None and found.term >= heartbeat_answered
             if found is not None:
                 try:
                     store.save(found)
-                    acked = found.term
+                    heartbeat_answered = found.term
                     assert len(os.listdir(store.folder)) <= 4, "more than two generations"
                 except OSError:
                     pass
@@ -141,7 +141,7 @@
                 term += 1
                 try:
                     store.save(record(term, 700))
-                    acked = term
+                    heartbeat_answered = term
                 except OSError:
                     pass
             if rng.random() < 0.5:  # killed between writing and syncing
@@ -155,11 +155,11 @@
         pass
     after = Store(str(folder / "after" / "register")).load()
     there = 0 if after is None else after.term
-    assert there >= acked, f"{acked} was saved, {there} is there"
+    assert there >= heartbeat_answered, f"{heartbeat_answered} was saved, {there} is there"
     assert after is None or after == record(after.term, 700)
     for descriptor in power.held:
         os.close(descriptor)
-    return acked
+    return heartbeat_answered
 
 
 def test_what_is_saved_outlives_any_loss_of_power(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
--- a/tests/system/test_register_members.py
+++ b/tests/system/test_consensus_reconfiguration.py
@@ -7,31 +7,31 @@
 
 import pytest
 
-from post.register import api
-from post.register.agreement import Agreement
-from post.register.leading import Leading
-from post.register.records import Entry, Member, Place
-from tests.system.core import Broken, Core, Node, finish
-from tests.system.test_register import STEADY, named, outcome, settled
+from gateway.consensus import api
+from gateway.consensus.leader import LeaderRole
+from gateway.consensus.raft import RaftNode
+from gateway.consensus.records import Entry, LogPosition, Member
+from tests.system.consensus_cluster import ConsensusCluster, InvariantViolation, Node, finish
+from tests.system.test_consensus import STEADY, named, outcome, settled
 
 
-class CountsAtOnce(Leading):
+class CountsAtOnce(LeaderRole):
     """Planted fault: a newcomer is chosen before it has the newest entry on disk."""
 
-    def _learner(self, now: float, member: Member, has: Place, held: Place) -> None:
-        super()._learner(now, member, has, self.seat.entry.place)
+    def _update_learner(self, now: float, member: Member, last_position: LogPosition, durable_position: LogPosition) -> None:
+        super()._update_learner(now, member, last_position, self.replica.entry.position)
 
 
-def leads_as(part: type[Leading]) -> Any:
-    class Machine(Agreement):
-        def _go_on(self, now: float) -> None:
-            super()._go_on(now)
-            if self.leading is not None:
-                self.leading.__class__ = part
+def leads_as(part: type[LeaderRole]) -> Any:
+    class Machine(RaftNode):
+        def _advance(self, now: float) -> None:
+            super()._advance(now)
+            if self.leader_role is not None:
+                self.leader_role.__class__ = part
     return Machine
 
 
-def newcomer(core: Core, address: str = "10.0.1.1:1", disk_s: float = 0.005) -> Node:
+def newcomer(core: ConsensusCluster, address: str = "10.0.1.1:1", disk_s: float = 0.005) -> Node:
     """A machine whose disk takes its name, and then needs so long for each write."""
     core.add(address)
     node = core.nodes[address]
@@ -40,16 +40,16 @@
     return node
 
 
-@pytest.mark.parametrize("part", [Leading, CountsAtOnce])
-def test_a_newcomer_counts_once_it_holds_the_newest_entry(part: type[Leading]) -> None:
-    core = Core(3, 1, tuning=STEADY, kind=leads_as(part))
+@pytest.mark.parametrize("part", [LeaderRole, CountsAtOnce])
+def test_a_newcomer_counts_once_it_holds_the_newest_entry(part: type[LeaderRole]) -> None:
+    core = ConsensusCluster(3, 1, tuning=STEADY, kind=leads_as(part))
     finish(core, 5.0)
     late = newcomer(core, disk_s=60.0)
     core.run(4.0)
     assert core.leader() is not None
     core.kill(core.leader().address, wipe=True)  # type: ignore[union-attr]
     goes_on = core.run(3.0, lambda: core.leader() is not None)
-    assert goes_on == (part is Leading) != (late.address in named(core))
+    assert goes_on == (part is LeaderRole) != (late.address in named(core))
     if goes_on:
         assert outcome(core, core.leader(), 1) == "done"  # type: ignore[arg-type]
 
@@ -73,15 +73,15 @@
     core.run(1.0)
     log = core.record()
     core.run(4.0)
-    assert late.machine.seat.entry.version == 1 and late.address not in named(core)
-    assert not [line for line in log if f"to {late.address} APPEND" in line]
+    assert late.machine.replica.entry.version == 1 and late.address not in named(core)
+    assert not [line for line in log if f"to {late.address} APPEND_ENTRIES" in line]
 
 
 def test_a_learner_restarts_with_what_it_has() -> None:
     core, leader, _ = settled()
     node = newcomer(core)
     assert core.run(0.5, lambda: node.stored.entry.version == 1)
-    assert node.machine.role == "joiner" and node.machine.members == () and node.heard == 0
+    assert node.machine.role == "learner" and node.machine.members == () and node.heard == 0
     disk = node.stored.disk
     core.kill(node.address)
     assert outcome(core, leader, 1) == "done"
@@ -114,7 +114,7 @@
     finish(core, 3.0)
 
 
-def change_members(count: int) -> tuple[Core, Node]:
+def change_members(count: int) -> tuple[ConsensusCluster, Node]:
     """A core about to replace a lost disk at its old address: the next events are of that."""
     core, _, (node, *_) = settled(count, tolerance=(count - 1) // 2)
     core.kill(node.address, wipe=True)
@@ -137,7 +137,7 @@
 
     def full() -> bool:
         known = leader.machine.value
-        return not known.outgoing and node.stored is not None and known.names(node.stored.disk)
+        return not known.outgoing and node.stored is not None and known.has_voter(node.stored.disk)
     order()
     assert core.run(1.0, lambda: next(left, None) is None or full())
     done = full()
@@ -149,7 +149,7 @@
         core.start(each.address)
     finish(core, 3.0)
     core.run(1.5)
-    entry = core.leader().machine.seat.entry  # type: ignore[union-attr]
+    entry = core.leader().machine.replica.entry  # type: ignore[union-attr]
     assert not entry.outgoing and len(entry.members) == count
     assert {m.disk for m in entry.members} == {n.stored.disk for n in core.nodes.values()}
     return done
@@ -166,7 +166,7 @@
 
 
 def test_acknowledged_before_it_is_on_disk_is_found_at_some_instant_of_a_change() -> None:
-    with pytest.raises(Broken, match="two values|is lost|sure of an old version"):
+    with pytest.raises(InvariantViolation, match="two values|is lost|sure of an old version"):
         for event in range(1, 200):
             if strike_at(3, event, "all", wipe=False, early=True):
                 break
@@ -200,12 +200,12 @@
 def test_a_core_cut_in_two_at_any_instant_of_a_replacement(monkeypatch: pytest.MonkeyPatch,
                                                            planted: bool) -> None:
     if planted:  # fault: the members after the change decide on it alone
-        monkeypatch.setattr(Entry, "_councils", lambda entry: (entry.members,))
+        monkeypatch.setattr(Entry, "_voter_sets", lambda entry: (entry.members,))
     event, broken = 1, []
     try:
         while not cut_at(event):
             event += 1
-    except Broken as why:
+    except InvariantViolation as why:
         broken.append(str(why))
     if planted:
         assert broken and re.search("two values|goes back|is lost|sure of an old version", broken[0])
@@ -220,14 +220,14 @@
     new = newcomer(core)
     core.run(0.9)
     core.cut = {(leader.address, o.address) for o in others}
-    assert core.run(0.5, lambda: new.stored.entry.names(new.stored.disk))
+    assert core.run(0.5, lambda: new.stored.entry.has_voter(new.stored.disk))
     joint, disk = new.stored.entry, new.stored.disk
-    assert joint.outgoing and not any(o.machine.seat.entry.outgoing for o in others)
+    assert joint.outgoing and not any(o.machine.replica.entry.outgoing for o in others)
     core.kill(leader.address)
     assert core.run(2.0, lambda: core.leader() in others)
     assert outcome(core, core.leader(), 1) == "done"  # type: ignore[arg-type]
     core.cut.clear()
-    assert leader.stored.entry.place == joint.place
+    assert leader.stored.entry.position == joint.position
     core.start(leader.address)
     assert core.run(4.0, lambda: new.address in named(core)) and named(core)[new.address] != disk
     finish(core, 3.0)
--- a/tests/system/test_register_disk.py
+++ b/tests/system/test_consensus_storage.py
@@ -8,15 +8,15 @@
 
 import pytest
 
-from post.register.disk import Store
-from post.register.records import Stored, first_entry
+from gateway.consensus.records import PersistentState, bootstrap_entry
+from gateway.consensus.storage import Store
 
 SEEDS = ["10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"]
 
 
-def record(term: int, size: int = 2000) -> Stored:
-    entry = first_entry(SEEDS)._replace(version=term, value=random.Random(term).randbytes(size))
-    return Stored("disk", term, "first-10.0.0.2:1", entry)
+def record(term: int, size: int = 2000) -> PersistentState:
+    entry = bootstrap_entry(SEEDS)._replace(version=term, value=random.Random(term).randbytes(size))
+    return PersistentState("disk", term, "first-10.0.0.2:1", entry)
 
 
 def loaded(folder: Path) -> int:
@@ -110,7 +110,7 @@
     store.save(record(1))
     assert len(synced) == 7 and files(tmp_path, 2)
     store = Store(str(tmp_path))
-    monkeypatch.setattr("post.register.disk._sync", lambda path: path.endswith(".dat") and os.close(-1))
+    monkeypatch.setattr("gateway.consensus.storage._sync", lambda path: path.endswith(".dat") and os.close(-1))
     with pytest.raises(OSError):
         store.save(record(1))
     monkeypatch.undo()
@@ -134,7 +134,7 @@
 def test_no_room_to_write(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     store = Store(str(tmp_path))
     store.save(record(1))
-    monkeypatch.setattr("post.register.disk._Plain._addval", lambda *_: (_ for _ in ()).throw(OSError(28)))
+    monkeypatch.setattr("gateway.consensus.storage._ModelessDatabase._addval", lambda *_: (_ for _ in ()).throw(OSError(28)))
     for _ in range(3):
         with pytest.raises(OSError):
             store.save(record(2))
--- a/tests/system/test_cut.py
+++ b/tests/system/test_cut.py
@@ -1,19 +1,19 @@
-"""Cut off for twenty seconds: what a sorter does that begins anew in the cut half, and hears only that."""
+"""Cut off for twenty seconds: what a proxy does that begins anew in the cut half, and hears only that."""
 
-from post.rounds import messages as m
-from post.rounds import wire
-from tests.system.drift import POSTS, Net, Post, Sorter, config, taken
+from gateway.membership import messages as m
+from gateway.membership import wire
+from tests.system.drift import CONTROLLER_ADDRESSES, Net, SimulatedController, SimulatedProxy, config, taken
 
 FIRST = taken(config())
 SECOND = taken(config(2, 1, r3="s2"), FIRST)
-CUT, MAJORITY = POSTS[0], POSTS[1:]
+CUT, MAJORITY = CONTROLLER_ADDRESSES[0], CONTROLLER_ADDRESSES[1:]
 
 
 def begins(net, address="10.1.9.1:7660"):
-    """Starts a sorter."""
-    sorter = net.nodes[address] = Sorter(net, address)
+    """Starts a proxy."""
+    proxy = net.nodes[address] = SimulatedProxy(net, address)
     net.later(0.01, address, m.Tick())
-    return sorter
+    return proxy
 
 
 def cut_off():
@@ -32,30 +32,30 @@
     apart = net.cut
     new = "10.1.9.1:7660"
     net.cut = lambda a, b, kind: apart(a, b, kind) or new in (a, b) and CUT not in (a, b)
-    sorter = begins(net, new)
+    proxy = begins(net, new)
     for _ in range(200):
         net.run(0.1)
-        assert not sorter.hall.version or sorter.ask() is None and not sorter.watching.ready
-    assert sorter.hall.version == 1
+        assert not proxy.proxy_node.version or proxy.ask() is None and not proxy.drift_monitor.ready
+    assert proxy.proxy_node.version == 1
     net.cut = apart
     net.run(2.0)
-    assert sorter.hall.version == 2 and sorter.ask("/r3/x") == 200 and sorter.watching.ready
+    assert proxy.proxy_node.version == 2 and proxy.ask("/r3/x") == 200 and proxy.drift_monitor.ready
 
 
 def test_a_sorter_that_begins_is_in_as_soon_as_a_majority_has_answered():
     net = cut_off()
-    sorter = begins(net)
+    proxy = begins(net)
     net.run(0.25)
-    assert sorter.hall.version == 2 and sorter.ask("/r3/x") == 200 and sorter.watching.ready
+    assert proxy.proxy_node.version == 2 and proxy.ask("/r3/x") == 200 and proxy.drift_monitor.ready
 
 
 def test_one_word_of_a_majority_is_enough_for_a_life():
     net = cut_off()
-    sorter = begins(net)
+    proxy = begins(net)
     net.run(1)
-    net.cut = lambda a, b, kind: sorter.hall.me in (a, b)
+    net.cut = lambda a, b, kind: proxy.proxy_node.me in (a, b)
     net.run(20)
-    assert sorter.ask("/r3/x") == 200 and sorter.watching.ready
+    assert proxy.ask("/r3/x") == 200 and proxy.drift_monitor.ready
 
 
 def test_one_that_names_a_majority_which_is_gone_does_not_hide_the_one_that_came():
@@ -64,14 +64,14 @@
     for address in MAJORITY:
         net.kill(address)
     for address in later:
-        net.nodes[address] = Post(net, address)
+        net.nodes[address] = SimulatedController(net, address)
         net.later(0.02, address, m.Tick())
         net.give(address, m.SetCore((CUT, *later)))
-        net.give(address, m.Put(m.CORE, (2, 9), wire.encode_members([CUT, *later], later[0])))
+        net.give(address, m.Publish(m.CORE, (2, 9), wire.encode_members([CUT, *later], later[0])))
     net.put(2, SECOND, later)
-    net.cut = lambda a, b, kind: kind in ("swap", "swapped") or CUT in (a, b) and (a in later or b in later)
-    sorter = begins(net)
+    net.cut = lambda a, b, kind: kind in ("shuffle_request", "shuffle_reply") or CUT in (a, b) and (a in later or b in later)
+    proxy = begins(net)
     net.run(1)
-    net.give(sorter.hall.me, m.SetSeeds((CUT, *later)))
+    net.give(proxy.proxy_node.me, m.SetSeeds((CUT, *later)))
     net.run(5)
-    assert sorter.hall.version == 2 and sorter.ask("/r3/x") == 200 and sorter.watching.ready
+    assert proxy.proxy_node.version == 2 and proxy.ask("/r3/x") == 200 and proxy.drift_monitor.ready
--- a/tests/system/test_cut_core.py
+++ b/tests/system/test_cut_core.py
@@ -5,10 +5,10 @@
 
 import pytest
 
-from post.directory.orders import Held
-from post.office.wicket import Asked
-from proving.model.run import Run
-from proving.proofs import SMALL
+from gateway.config.orders import ConfigState
+from gateway.runtime.http_listener import HttpCall
+from proving.injected_bug_cases import SMALL
+from proving.model.simulation_run import Run
 from proving.spec import Day
 
 BEGINS, LASTS, SHORT = 3.5, 20.0, 11.5
@@ -17,7 +17,7 @@
 CONFIG, BACKENDS = "/-/config", "/-/backends/"
 
 
-class Told:
+class CallRecord:
     """One call and its answer."""
 
     def __init__(self, asked, name, method, base):
@@ -32,46 +32,46 @@
     def __init__(self, way, seed=1, planted=None):
         self.lasts = LASTS if way in ("both", "frozen", "replaced") and planted is None else SHORT
         day = Day(seconds=BEGINS + self.lasts + 2.0, warm=3.0, traffic=False)
-        self.run = Run(replace(SMALL, sorters=(1, 1, 1), day=day, services=tuple(
+        self.run = Run(replace(SMALL, proxies=(1, 1, 1), day=day, services=tuple(
             replace(service, backends=2) for service in SMALL.services)), seed)
-        self.way, self.told, self.acked, self.lone = way, [], {1: 0}, None
+        self.way, self.told, self.heartbeat_answered, self.lone = way, [], {1: 0}, None
         self.acked_at = {1: 0.0}
         self.seen = 1  # the newest generation that is known to be in force, acknowledged or not
-        self.world, self.deployment = self.run.world, self.run.deployment
+        self.simulator, self.deployment = self.run.simulator, self.run.deployment
         if planted is not None:
-            self.deployment.spoilers.append(planted)
-        self.world.at(BEGINS, self.strike)
-        self.world.at(BEGINS - 1.0, self.ask)
-        self.world.at(BEGINS + self.lasts - 0.1, self.look)
+            self.deployment.process_hooks.append(planted)
+        self.simulator.at(BEGINS, self.strike)
+        self.simulator.at(BEGINS - 1.0, self.ask)
+        self.simulator.at(BEGINS + self.lasts - 0.1, self.look)
         self.faults = self.run.play().faults
 
-    def posts(self):
-        """The postmasters that run, by machine."""
-        return [(m.name, m.processes["postmaster"]) for m in self.deployment.machines.values()
-                if "postmaster" in m.processes]
+    def controller_processes(self):
+        """The controllers that run, by machine."""
+        return [(m.name, m.processes["controller"]) for m in self.deployment.machines.values()
+                if "controller" in m.processes]
 
     def strike(self):
-        self.lone = next(name for name, p in self.posts() if p.post.agreement.sure(p.time()))
-        others = [name for name, _ in self.posts() if name != self.lone]
+        self.lone = next(name for name, p in self.controller_processes() if p.controller_node.raft.has_leader_lease(p.time()))
+        others = [name for name, _ in self.controller_processes() if name != self.lone]
         ways = [(other, self.lone) for other in others] if self.way != "mute" else []
         ways += [(self.lone, other) for other in others] if self.way in ("both", "mute", "replaced") else []
         network = self.deployment.network
         if self.way == "frozen":
             self.lone_process().freeze(True)
-            self.world.after(self.lasts, self.lone_process().freeze, False)
+            self.simulator.after(self.lasts, self.lone_process().freeze, False)
             for n in range(12):  # what waits for a process that stands still, its next tick perhaps behind it
-                self.world.after(0.002 * n, self.ask_all)
+                self.simulator.after(0.002 * n, self.ask_all)
         elif self.way == "slow":
-            for name, _ in self.posts():
+            for name, _ in self.controller_processes():
                 network.slow[name] = 0.15
-                self.world.after(self.lasts, network.slow.pop, name)
+                self.simulator.after(self.lasts, network.slow.pop, name)
         else:
             for frm, to in ways:
                 network.cut(frm, to)
-                self.world.after(self.lasts, network.cut, frm, to, False)
+                self.simulator.after(self.lasts, network.cut, frm, to, False)
         if self.way == "replaced":
             for n, name in enumerate((self.lone, *others)):
-                self.world.after(1.0 + 6.0 * n, self.replace, name)
+                self.simulator.after(1.0 + 6.0 * n, self.replace, name)
 
     def replace(self, name):
         """A new one comes, cut off from the lone one as well, in place of that one or of one that is gone."""
@@ -82,52 +82,52 @@
         new = self.deployment.add(old.place.zone, old.roles)
         for ends in ((new.name, self.lone), (self.lone, new.name)):
             self.deployment.network.cut(*ends)
-            self.world.at(BEGINS + self.lasts, self.deployment.network.cut, *ends, False)
+            self.simulator.at(BEGINS + self.lasts, self.deployment.network.cut, *ends, False)
         self.deployment.list_controls()
         new.start()
 
     def look(self):
-        """How many backends the sorter beside the one that is cut off still has."""
-        sorter = self.deployment.machines[self.lone].processes["sorter"]
-        rows = sorter.hall.rounds.table.rows
+        """How many backends the proxy beside the one that is cut off still has."""
+        proxy = self.deployment.machines[self.lone].processes["proxy"]
+        rows = proxy.proxy_node.membership.table.rows
         self.kept = sum(b.id in rows for b in self.deployment.alive())
 
     def lone_process(self):
-        return dict(self.posts())[self.lone]
+        return dict(self.controller_processes())[self.lone]
 
     def ask(self):
         self.ask_all()
-        self.world.after(EVERY_S, self.ask)
+        self.simulator.after(EVERY_S, self.ask)
 
     def ask_all(self):
         """Ask all: a read, and a change of its own on top of the newest; the one that is cut off, to let a
         backend leave as well."""
-        base = max(self.seen, *self.acked)
+        base = max(self.seen, *self.heartbeat_answered)
         beat = {"target": "alpha", "address": f"10.9.{len(self.told) // 250}.{len(self.told) % 250}:80",
                 "phase": "draining", "call-seq": 1}
-        for n, (name, process) in enumerate(self.posts()):
-            first = self.run.desk.newest
+        for n, (name, process) in enumerate(self.controller_processes()):
+            first = self.run.operator_pool.newest
             change = {**first, "generation": base + 10 + n, "base-version": base}
             calls = [("GET", CONFIG, None), ("PUT", CONFIG, change)]
             if name == self.lone:
                 calls.append(("PUT", f"{BACKENDS}x-{len(self.told)}", beat))
             for method, path, body in calls:
-                told = Told(self.world.now, name, method if path == CONFIG else "drain", base)
+                told = CallRecord(self.simulator.now, name, method if path == CONFIG else "drain", base)
                 self.told.append(told)
-                process.enter(process.answer, Asked(method, path, json.dumps(body).encode()),
+                process.enter(process.answer, HttpCall(method, path, json.dumps(body).encode()),
                               lambda *answer, told=told: self.answered(told, *answer))
 
     def answered(self, told, status, lines, body):
-        told.at, told.status, told.lines, told.body = self.world.now, status, lines, body
+        told.at, told.status, told.lines, told.body = self.simulator.now, status, lines, body
         if told.method == "PUT" and status == 200:
             generation = json.loads(body)["generation"]
-            assert self.acked.setdefault(generation, told.base) == told.base
-            self.acked_at.setdefault(generation, self.world.now)
+            assert self.heartbeat_answered.setdefault(generation, told.base) == told.base
+            self.acked_at.setdefault(generation, self.simulator.now)
         if status == 412:
             self.seen = max(self.seen, json.loads(body)["generation"])
         if status == 307:
             ip = lines.partition(b"http://")[2].partition(b":")[0].decode()
-            told.leads = any(p.post.agreement.leading for name, p in self.posts()
+            told.leads = any(p.controller_node.raft.leader_role for name, p in self.controller_processes()
                              if self.deployment.by_ip[ip].name == name)
 
     def old(self, told):
@@ -144,7 +144,7 @@
     def faults_found(self):
         """What was said that should not have been."""
         found = [f"{t.name} said {t.status} by an old one at {t.at:.2f}" for t in self.answered_by_old()]
-        bases = list(self.acked.values())
+        bases = list(self.heartbeat_answered.values())
         if self.kept < len(self.deployment.alive()):
             found.append(f"{self.kept} backends are left beside {self.lone}")
         if len(set(bases)) < len(bases):
@@ -172,14 +172,14 @@
 
 def endless(process):
     """Planted fault: a leader's lease doesn't end."""
-    if process.kind == "postmaster":
-        process.post.leads = lambda now: process.post.agreement.leading is not None
+    if process.kind == "controller":
+        process.controller_node.leads = lambda now: process.controller_node.raft.leader_role is not None
 
 
 def patient(process):
     """Planted fault: a machine without a leader awaits one for each order."""
-    if process.kind == "postmaster":
-        control = process.post.control
+    if process.kind == "controller":
+        control = process.controller_node.control
         proceed = control.proceed
 
         def waits(now):
@@ -190,15 +190,15 @@
 
 def alone(process):
     """Planted fault: it takes its own log for a majority's."""
-    if process.kind == "postmaster":
-        process.post.rounds.log.confirmed = lambda number, members: len(members)
+    if process.kind == "controller":
+        process.controller_node.membership.log.confirmed = lambda number, members: len(members)
 
 
 def flagged(process):
     """Planted fault: who hears a leader takes itself to be in touch."""
-    if process.kind == "postmaster":
-        log, agreement = process.post.rounds.log, process.post.agreement
-        log.quorate = lambda now: agreement.leader is not None
+    if process.kind == "controller":
+        log, raft = process.controller_node.membership.log, process.controller_node.raft
+        log.quorate = lambda now: raft.leader is not None
 
 
 WAYS = ("both", "deaf", "mute", "frozen", "slow", "replaced")
@@ -223,10 +223,10 @@
 def test_a_leader_that_cannot_read_what_is_in_force_says_nothing_by_what_it_held_before():
     """A release that is older than the last leader's, say."""
     def unreadable(value):
-        if Held.decode(value).generation > 1:
+        if ConfigState.decode(value).generation > 1:
             raise ValueError("planted")
 
     def dull(process):
-        if process.kind == "postmaster":
-            process.post.control.made = unreadable
+        if process.kind == "controller":
+            process.controller_node.control.own_value = unreadable
     assert not Cut("frozen", planted=dull).answered_by_old()
--- a/tests/system/test_drift.py
+++ b/tests/system/test_drift.py
@@ -5,77 +5,77 @@
 
 import pytest
 
-from post.directory.matchers import Book
-from post.directory.orders import Held
-from post.franking.holder import Holder
-from post.inspection import interface as i
-from post.inspection import live
-from post.inspection.figures import text
-from post.inspection.inspector import Inspector
-from post.office import nodes
-from post.office.counting import Holding
-from post.office.wicket import Asked
-from tests.system.drift import POSTS, Net, config, route, taken
+from gateway.cli import nodes
+from gateway.config.orders import ConfigState
+from gateway.config.routing import CompiledConfig
+from gateway.drift import live_check
+from gateway.drift import messages as i
+from gateway.drift.detector import DriftDetector
+from gateway.drift.metrics import render_metrics
+from gateway.programs.quota_report import HolderReport
+from gateway.quota.shard_owner import ShardOwner
+from gateway.runtime.http_listener import HttpCall
+from tests.system.drift import CONTROLLER_ADDRESSES, Net, config, route, taken
 
 MANY = taken(config(more=[route(f"m{n}") for n in range(300)]))
 
 
-def begun(held=MANY):
-    """A net with one sorter that has the version in force."""
+def begun(config_state=MANY):
+    """A net with one proxy that has the version in force."""
     net = Net(1)
-    net.put(1, held)
+    net.put(1, config_state)
     net.run(2)
-    return net, net.sorters[0]
+    return net, net.proxies[0]
 
 
-def planted(kind, book):
+def planted(kind, compiled_config):
     """Something that runs otherwise than it is set; where, and a request that meets it."""
-    r1, node = book.match(b"a.example", b"/r1/x"), book.hosts[b"a.example"]
+    r1, node = compiled_config.match(b"a.example", b"/r1/x"), compiled_config.hosts[b"a.example"]
     if kind == "tries":
         r1.tries = 9
         return "route r1.max-tries: is 9, should be 2 (version 1, request)"
     if kind == "weight":
-        r1.steps = (("s1", 0.5), ("s2", 1.0))
+        r1.cumulative_shares = (("s1", 0.5), ("s2", 1.0))
         return "route r1.shares added up: is (('s1', 0.5), ('s2', 1.0)), should be (('s1', 0.9), ('s2', 1.0))"
     if kind == "key":
-        book.keys[b"t1-a"] = book.tenants["t2"]
+        compiled_config.keys[b"t1-a"] = compiled_config.tenants["t2"]
         return "key t1.label: is t2, should be t1 (version 1, request)"
     if kind == "key gone":
-        del book.keys[b"t1-a"]
+        del compiled_config.keys[b"t1-a"]
         return "route r1.status: is 401, should be 200 (version 1, sample)"
     if kind == "limit":
-        book.tenants["t1"].rate = 2000.0
+        compiled_config.tenants["t1"].rate = 2000.0
         return "key t1.rate-per-s: is 2000.0, should be 20.0 (version 1, request)"
     if kind == "route gone":
         del node.children[b"r1"]
         return "route r1.status: is 404, should be 200 (version 1, sample)"
-    node.children[b"r1"].route = book.match(b"a.example", b"/r2/x")  # half applied
+    node.children[b"r1"].route = compiled_config.match(b"a.example", b"/r2/x")  # half applied
     return "route r1.route: is r2, should be r1 (version 1, sample)"
 
 
 @pytest.mark.parametrize("kind", ["tries", "weight", "key", "key gone", "limit", "route gone", "half"])
 def test_a_corrupted_table_is_found_by_live_requests_and_built_anew(kind):
     net, s = begun()
-    book = s.hall.book
+    compiled_config = s.proxy_node.compiled_config
     net.run(0.5)
-    where = planted(kind, book)
-    assert s.ask() == 200 and s.findings()[0].startswith(where) and s.hall.book is not book
-    assert s.hall.book.match(b"a.example", b"/r1/x").tries == 2
+    where = planted(kind, compiled_config)
+    assert s.ask() == 200 and s.findings()[0].startswith(where) and s.proxy_node.compiled_config is not compiled_config
+    assert s.proxy_node.compiled_config.match(b"a.example", b"/r1/x").tries == 2
     net.run(2)
-    assert s.watching.ready and len(s.findings()) <= 2 and s.inspector.running == s.inspector.acknowledged
-    assert all(nodes.put_together([net.nodes[p].overseeing.status(net.now)], []).findings for p in POSTS)
+    assert s.drift_monitor.ready and len(s.findings()) <= 2 and s.drift_detector.running == s.drift_detector.acknowledged
+    assert all(nodes.merge_answers([net.nodes[p].fleet_monitor.status(net.now)], []).findings for p in CONTROLLER_ADDRESSES)
 
 
 @pytest.mark.parametrize("what", ["route", "limits", "quota", "held to"])
 def test_what_no_request_meets_is_found_as_well(what):
     net, s = begun(taken(config()))
     if what == "route":
-        s.hall.book.routes["r2"].deadline = 1.0
+        s.proxy_node.compiled_config.routes["r2"].deadline = 1.0
     elif what == "limits":
-        s.hall.book.limits = s.hall.book.limits._replace(max_body_bytes=7)
+        s.proxy_node.compiled_config.limits = s.proxy_node.compiled_config.limits._replace(max_body_bytes=7)
     elif what == "quota":
-        purse = s.hall.charger.purses["t1"]
-        purse.window = purse.window._replace(allowance=500.0)
+        local_quota = s.proxy_node.quota_client.local_quotas["t1"]
+        local_quota.window = local_quota.window._replace(allowance=500.0)
     else:
         s.held_to = s.held_to._replace(body=7)
     net.run(1.1 if what in ("quota", "held to") else 8)
@@ -87,71 +87,71 @@
 
 def test_where_the_value_held_is_no_good_the_next_rebuild_is_from_the_core():
     net, s = begun()
-    s.watching.value = b""
-    s.hall.book.match(b"a.example", b"/r1/x").tries = 9
+    s.drift_monitor.value = b""
+    s.proxy_node.compiled_config.match(b"a.example", b"/r1/x").tries = 9
     assert s.ask() is None and s.ask("/r2/x") == 200  # turned back rather than sent on
     net.run(1.1)
     assert s.ask() is None  # asks for it
     net.run(0.1)
-    assert s.ask() == 200 and len(s.findings()) == 1 and s.watching.value == MANY.encode()
+    assert s.ask() == 200 and len(s.findings()) == 1 and s.drift_monitor.value == MANY.encode()
 
 
 def test_a_document_that_cannot_be_read_any_more_ends_no_request():
     net, s = begun(taken(config()))
-    del s.hall.held.document.entries[0]["spec"]
+    del s.proxy_node.config_state.document.entries[0]["spec"]
     assert {s.ask() for _ in range(60)} == {200}
     assert s.findings() == ["a look: is KeyError: 'spec', should be possible (version 1, sample)"]
-    assert "spec" in s.hall.held.document.entries[0]
+    assert "spec" in s.proxy_node.config_state.document.entries[0]
 
 
 def test_what_rebuilding_does_not_cure_keeps_clients_away_and_is_told_once():
-    machine = Inspector(2.5)
-    machine.handle(0.0, i.TookUp(1, 7, 7))
-    machine.handle(0.0, i.Confirmed(1, 0.0))
+    machine = DriftDetector(2.5)
+    machine.handle(0.0, i.VersionApplied(1, 7, 7))
+    machine.handle(0.0, i.NewestConfirmed(1, 0.0))
     outs = []
     for n in range(100):
-        found = i.Found("request", (live.Difference("route r1.max-tries", "9", "2"),))
+        found = i.DifferencesFound("request", (live_check.Difference("route r1.max-tries", "9", "2"),))
         outs += machine.handle(n * 0.1, found)
     assert [type(o).__name__ for o in outs] == [
-        "Finding", "Rebuild", "CatchUp", "Rebuild", "CatchUp", "Rebuild", "Ready", "Finding"]
-    assert not machine.ready and machine.handle(40.0, i.Tick())[0] == i.Ready(True)
+        "Finding", "Rebuild", "FetchVersion", "Rebuild", "FetchVersion", "Rebuild", "ReadinessChanged", "Finding"]
+    assert not machine.ready and machine.handle(40.0, i.Tick())[0] == i.ReadinessChanged(True)
 
 
 def test_an_inspector_through_its_day(snapshot):
-    """Awaiting the core's word, behind, refusing, caught up, another digest, a claim that is none."""
-    machine, said = Inspector(2.5, closed_s=5.0), []
+    """Awaiting the last contact with the core, behind, refusing, caught up, another digest, a claim that is none."""
+    machine, said = DriftDetector(2.5, refuse_after_s=5.0), []
 
     def give(now, event):
         said.extend(f"{now:5.2f} {out!r}" for out in machine.handle(now, event))
 
-    give(0.0, i.TookUp(5, 0xA, 0xA))
-    give(0.0, i.Confirmed(5, 0.0))
-    give(0.1, i.Heard(6, 0xB, "10.0.0.1:7661"))
+    give(0.0, i.VersionApplied(5, 0xA, 0xA))
+    give(0.0, i.NewestConfirmed(5, 0.0))
+    give(0.1, i.VersionSeen(6, 0xB, "10.0.0.1:7661"))
     for n in range(24):
         give(0.2 + n / 10, i.Tick())
-    give(2.6, i.Unreadable(6, "not a value of orders"))
-    give(2.7, i.TookUp(6, 0xB, 0xB))
-    give(2.8, i.TookUp(6, 0xC, 0xB))
-    give(2.9, i.TookUp(6, 0xC, 0xB))
-    give(3.0, i.Heard(99, 0xF, "10.0.0.9:7660"))
+    give(2.6, i.VersionUnreadable(6, "not a value of orders"))
+    give(2.7, i.VersionApplied(6, 0xB, 0xB))
+    give(2.8, i.VersionApplied(6, 0xC, 0xB))
+    give(2.9, i.VersionApplied(6, 0xC, 0xB))
+    give(3.0, i.VersionSeen(99, 0xF, "10.0.0.9:7660"))
     give(3.4, i.Tick())
-    give(3.7, i.Confirmed(6, 3.6))
+    give(3.7, i.NewestConfirmed(6, 3.6))
     for n in range(6):
         give(4.0 + n, i.Tick())
-    give(9.2, i.Confirmed(6, 9.1))
+    give(9.2, i.NewestConfirmed(6, 9.1))
     assert "\n".join(said) == snapshot
 
 
 def test_looks_cost_a_bounded_share(monkeypatch):
     read = []
-    plain = live.evaluate
-    monkeypatch.setattr(live, "evaluate", lambda document, *more: read.append(1) or plain(document, *more))
-    for held, most in ((taken(config()), 1 / 50), (MANY, 1 / 50),
+    plain = live_check.evaluate
+    monkeypatch.setattr(live_check, "evaluate", lambda document, *more: read.append(1) or plain(document, *more))
+    for config_state, most in ((taken(config()), 1 / 50), (MANY, 1 / 50),
                        (taken(config(more=[route(f"m{n}") for n in range(900)])), 1 / 180)):
-        net, s = begun(held)
-        watch = s.watching.live.watch
-        looks = Mock(side_effect=watch.look)
-        monkeypatch.setattr(watch, "look", looks)
+        net, s = begun(config_state)
+        watch = s.drift_monitor.live.watch
+        looks = Mock(side_effect=watch.step)
+        monkeypatch.setattr(watch, "step", looks)
         read.clear()
         for _ in range(1100):
             s.ask()
@@ -164,29 +164,29 @@
 def test_status_figures_and_the_list_of_nodes(snapshot):
     net, s = begun(taken(config()))
     s.ask()
-    s.hall.book.match(b"a.example", b"/r1/x").tries = 9
+    s.proxy_node.compiled_config.match(b"a.example", b"/r1/x").tries = 9
     s.ask()
     net.run(1)
     answers = []
-    ask = [Asked("GET", path, b"") for path in ("/-/status", "/-/readiness", "/-/metrics")]
-    assert s.watching.answer(ask[0], lambda *a: answers.append(a), s.hall.charging)
-    assert not s.watching.answer(ask[1], lambda *a: answers.append(a), s.hall.charging)
+    ask = [HttpCall("GET", path, b"") for path in ("/-/status", "/-/readiness", "/-/metrics")]
+    assert s.drift_monitor.answer(ask[0], lambda *a: answers.append(a), s.proxy_node.charger_report)
+    assert not s.drift_monitor.answer(ask[1], lambda *a: answers.append(a), s.proxy_node.charger_report)
     assert json.loads(answers[0][2])["findings"][0]["place"] == "route r1.max-tries"
-    overseeing = [net.nodes[p].overseeing for p in POSTS]
-    holding = Holding(POSTS[0], Holder(5.0, net.rng))
-    assert overseeing[0].answer(net.now, ask[2], lambda *a: answers.append(a), {}, holding)
-    told = nodes.put_together([o.status(net.now) for o in overseeing], [("10.9.0.1:8407", "timed out")])
+    fleet_monitor = [net.nodes[p].fleet_monitor for p in CONTROLLER_ADDRESSES]
+    holder_report = HolderReport(CONTROLLER_ADDRESSES[0], ShardOwner(5.0, net.rng))
+    assert fleet_monitor[0].answer(net.now, ask[2], lambda *a: answers.append(a), {}, holder_report)
+    told = nodes.merge_answers([o.status(net.now) for o in fleet_monitor], [("10.9.0.1:8407", "timed out")])
     table = [line.replace("  0.0  ", "  #    ") for line in nodes.lines(told)]
-    shown = [text(s.watching.figures()[:1]).decode(), *(line for line in table if "sorter" not in line)]
+    shown = [render_metrics(s.drift_monitor.metrics()[:1]).decode(), *(line for line in table if "proxy" not in line)]
     assert "\n".join(shown) == snapshot
-    assert not told.well and b"post_drift_nodes_lagging 0\n" in answers[1][2]
+    assert not told.well and b"gateway_drift_nodes_lagging 0\n" in answers[1][2]
 
 
 def test_a_book_that_is_built_on_a_former_one_has_the_digest_of_a_new_one():
     first, second = taken(config()), taken(config(2, 1, r3="s2"), taken(config()))
-    grown = Held.decode(second.encode(), first).document
-    expected = live.Expected(grown, live.Expected(first.document))
-    book = Book(grown, Book(first.document))
-    assert live.running_digest(book, expected) == live.digest(Book(second.document)) == expected.total
-    book.routes["r1"].tries = 9
-    assert live.running_digest(book, expected) != expected.total
+    grown = ConfigState.decode(second.encode(), first).document
+    expected = live_check.ExpectedDigests(grown, live_check.ExpectedDigests(first.document))
+    compiled_config = CompiledConfig(grown, CompiledConfig(first.document))
+    assert live_check.running_digest(compiled_config, expected) == live_check.digest(CompiledConfig(second.document)) == expected.total
+    compiled_config.routes["r1"].tries = 9
+    assert live_check.running_digest(compiled_config, expected) != expected.total
--- a/tests/system/test_losses.py
+++ b/tests/system/test_losses.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from post.register.records import NOTHING, Entry, Member, Stored
-from proving import losses
+from gateway.consensus.records import EMPTY_ENTRY, Entry, Member, PersistentState
+from proving import disk_loss_tolerance
 
 A, B, C, D = (Member(x, f"10.0.0.{n}:1") for n, x in enumerate("abcd"))
 OLD = Entry(1, 3, 1, (A, B, C), (), b"old")
@@ -24,15 +24,15 @@
     ({A: NEW, B: OLD, C: OLD}, 2, -1),  # acknowledged on one disk alone: an election may lose it
     ({A: JOINT, B: JOINT, D: OLD}, 1, 0),  # c is gone: both a and b are needed
     ({A: JOINT, B: JOINT, C: OLD, D: OLD}, 1, 1),
-    ({A: SWAPPED, B: SWAPPED, D: NOTHING}, 1, 1),
+    ({A: SWAPPED, B: SWAPPED, D: EMPTY_ENTRY}, 1, 1),
     ({A: SWAPPED, B: SWAPPED, C: OLD, D: OLD}, 1, 1),
 ])
 def test_what_is_borne_at_an_instant(held: dict[Member, Entry], acknowledged: int, borne: int) -> None:
-    disks = [Stored(member.disk, 1, "", entry) for member, entry in held.items()]
-    assert losses.borne(disks, acknowledged) == borne
+    disks = [PersistentState(member.disk, 1, "", entry) for member, entry in held.items()]
+    assert disk_loss_tolerance.borne(disks, acknowledged) == borne
 
 
 def test_a_disk_is_replaced_within_what_the_pages_ask(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(logging.getLogger("post"), "level", logging.ERROR)
-    _, _, change = losses.play(3, "wipe", 1)
+    monkeypatch.setattr(logging.getLogger("gateway"), "level", logging.ERROR)
+    _, _, change = disk_loss_tolerance.play(3, "wipe", 1)
     assert change.fewest == 0 and change.since_start_s < 1.0
--- a/tests/system/test_rounds_days.py
+++ b/tests/system/test_membership_random.py
@@ -5,10 +5,10 @@
 
 import pytest
 
-from post.rounds import messages as m
-from tests.system.rounds import POSTS, system
+from gateway.membership import messages as m
+from tests.system.membership_net import CONTROLLER_ADDRESSES, system
 
-BEAT_S = 1.3
+HEARTBEAT_S = 1.3
 
 
 class Fleet:
@@ -23,7 +23,7 @@
     def start(self, address):
         self.count += 1
         self.living[f"i-{self.count}"] = {"at": address, "seq": 0, "next": self.net.now + self.rng.random(),
-                                          "to": self.rng.choice(POSTS), "drain": False, "out": None}
+                                          "to": self.rng.choice(CONTROLLER_ADDRESSES), "drain": False, "out": None}
 
     def stop(self, id):
         self.free.append((self.net.now + 2.0, self.living.pop(id)["at"]))
@@ -32,33 +32,33 @@
         """Calls that are due, and answers, or their lack."""
         now = self.net.now
         for id, b in self.living.items():
-            if b["out"] and (answer := self.net.answer(b["to"], b["out"][0])) == "Acked":
+            if b["out"] and (answer := self.net.answer(b["to"], b["out"][0])) == "Acknowledged":
                 b["out"] = None
             elif b["out"] and (answer or now > b["out"][1]):
-                b.update(out=None, next=now, to=self.rng.choice(POSTS))
+                b.update(out=None, next=now, to=self.rng.choice(CONTROLLER_ADDRESSES))
             if b["out"] is None and now >= b["next"]:
-                b.update(seq=b["seq"] + 1, next=now + BEAT_S)
+                b.update(seq=b["seq"] + 1, next=now + HEARTBEAT_S)
                 b["out"] = f"{id}/{b['seq']}", now + 1.0
-                beat = m.Beat(b["out"][0], id, "s", b["at"], "z", "v1", 2, b["drain"], 0.0, b["seq"])
+                beat = m.Heartbeat(b["out"][0], id, "s", b["at"], "z", "v1", 2, b["drain"], 0.0, b["seq"])
                 self.net.give(b["to"], beat)
                 if self.rng.random() < 0.05:
                     self.late.append((now + 2 * self.rng.random(), beat._replace(token="late")))
         for at, beat in [x for x in self.late if x[0] <= now]:
             self.late.remove((at, beat))
-            self.net.give(self.rng.choice(POSTS), beat)
+            self.net.give(self.rng.choice(CONTROLLER_ADDRESSES), beat)
 
 
-def trouble(net, fleet, rng, sorters, dead):
+def trouble(net, fleet, rng, proxies, dead):
     """Something happens."""
     ids = list(fleet.living)
     kind = rng.choice(["kill", "kill all", "cut", "heal", "crash", "drain", "start", "take over"])
     if kind.startswith("kill"):
-        for post in POSTS if kind == "kill all" else [rng.choice(POSTS)]:
-            if post in net.nodes:
-                net.kill(post)
-                dead[post] = net.now + rng.choice([0.3, 2.0, 10.0])
+        for controller in CONTROLLER_ADDRESSES if kind == "kill all" else [rng.choice(CONTROLLER_ADDRESSES)]:
+            if controller in net.nodes:
+                net.kill(controller)
+                dead[controller] = net.now + rng.choice([0.3, 2.0, 10.0])
     elif kind in ("cut", "heal"):
-        apart = set(rng.sample([*POSTS, *sorters], rng.randint(1, 3))) if kind == "cut" else set()
+        apart = set(rng.sample([*CONTROLLER_ADDRESSES, *proxies], rng.randint(1, 3))) if kind == "cut" else set()
         net.cut = lambda a, b: (a in apart) != (b in apart)
     elif kind == "crash" and ids:
         fleet.stop(rng.choice(ids))
@@ -73,21 +73,21 @@
 @pytest.mark.parametrize("seed", range(12))
 def test_after_a_day_of_trouble_all_tables_are_right(seed):
     rng = random.Random(seed)
-    net, sorters = system(sorters=4, seed=seed, loss=rng.choice([0.0, 0.02, 0.2]))
+    net, proxies = system(proxies=4, seed=seed, loss=rng.choice([0.0, 0.02, 0.2]))
     fleet, dead = Fleet(net, rng), {}
     for n in range(1100):
         net.run(0.05)
         if n == 700:
             net.cut, net.loss = lambda a, b: False, 0.02
-        for post in [p for p, at in dead.items() if at <= net.now]:
-            del dead[post]
-            net.post(post)
-        for post in [p for p in POSTS if p in net.nodes]:
-            met = sum(o in net.nodes and not net.cut(post, o) for o in POSTS)
-            net.give(post, m.SetQuorate(inf if met >= 2 else net.now))
+        for controller in [p for p, at in dead.items() if at <= net.now]:
+            del dead[controller]
+            net.controller(controller)
+        for controller in [p for p in CONTROLLER_ADDRESSES if p in net.nodes]:
+            met = sum(o in net.nodes and not net.cut(controller, o) for o in CONTROLLER_ADDRESSES)
+            net.give(controller, m.SetQuorate(inf if met >= 2 else net.now))
         fleet.step()
         if n < 700 and rng.random() < 0.03:
-            trouble(net, fleet, rng, sorters, dead)
+            trouble(net, fleet, rng, proxies, dead)
     expected = {id: (b["at"], b["drain"]) for id, b in fleet.living.items()}
     assert {a: {id: (b.address, b.draining) for id, b in net.table(a).items()} for a in net.nodes} == \
         dict.fromkeys(net.nodes, expected)
