--- a/.ci/limits.py
+++ b/.ci/limits.py
@@ -31,7 +31,7 @@
         yield f"{path}: {full(lines)} non-blank lines, {FILE} at most"
     for node in ast.walk(ast.parse(text)):
         if isinstance(node, ast.ClassDef):
-            size = full(lines[node.lineno - 1:node.end_lineno])
+            size = full(lines[node.lineno - 1 : node.end_lineno])
             if size > CLASS:
                 yield f"{path}: class {node.name} has {size} non-blank lines, {CLASS} at most"
 
--- a/examples/backend.py
+++ b/examples/backend.py
@@ -18,8 +18,13 @@
 
 QUEUE = 4  # requests that wait for a slot
 LEAVE_S = 2.0  # to get an acknowledgement before it ends all the same
-REASONS = {200: "OK", 400: "Bad Request", 421: "Misdirected Request", 503: "Service Unavailable",
-           504: "Gateway Timeout"}
+REASONS = {
+    200: "OK",
+    400: "Bad Request",
+    421: "Misdirected Request",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
 
 
 class Request:
@@ -129,9 +134,16 @@
     async def tell(self, method: str) -> bool:
         """Beat, or leave; is it acknowledged? If not, the next call goes to another address."""
         self.calls += 1
-        beat = {"target": self.o.service, "address": f"127.0.0.1:{self.o.port}", "zone": self.o.zone,
-                "generation": "v1", "capacity": self.o.capacity, "cold-left-s": 0, "call-seq": self.calls,
-                "phase": "draining" if self.draining.is_set() else "standing"}
+        beat = {
+            "target": self.o.service,
+            "address": f"127.0.0.1:{self.o.port}",
+            "zone": self.o.zone,
+            "generation": "v1",
+            "capacity": self.o.capacity,
+            "cold-left-s": 0,
+            "call-seq": self.calls,
+            "phase": "draining" if self.draining.is_set() else "standing",
+        }
         body = json.dumps(beat).encode() if method == "PUT" else None
         path = f"/-/backends/{self.o.id}"
         answer: Answer = await asyncio.to_thread(call, self.controls[0], method, path, body)
--- a/examples/calls.py
+++ b/examples/calls.py
@@ -18,8 +18,14 @@
 NONE = Answer(0, {}, b"")
 
 
-def call(address: str, method: str, path: str, body: bytes | None = None,
-         headers: dict[str, str] | None = None, wait_s: float = 1.0) -> Answer:
+def call(
+    address: str,
+    method: str,
+    path: str,
+    body: bytes | None = None,
+    headers: dict[str, str] | None = None,
+    wait_s: float = 1.0,
+) -> Answer:
     """Call `ip:port`, following a 307 twice; silence for `wait_s` seconds or a broken one is no answer."""
     for _ in range(3):
         answer = _once(address, method, path, body, headers or {}, wait_s)
@@ -30,8 +36,9 @@
     return answer
 
 
-def _once(address: str, method: str, path: str, body: bytes | None, headers: dict[str, str],
-          wait_s: float) -> Answer:
+def _once(
+    address: str, method: str, path: str, body: bytes | None, headers: dict[str, str], wait_s: float
+) -> Answer:
     connection = http.client.HTTPConnection(address, timeout=wait_s)
     try:
         kind = {"Content-Type": "application/json"} if body is not None else {}
--- a/examples/run.py
+++ b/examples/run.py
@@ -1,7 +1,7 @@
 """The whole system on loopback: one controller, one proxy, two stand-in backends, a configuration.
 
-    python examples/run.py            # until Ctrl-C
-    python examples/run.py --once     # sends one request, prints the answer, ends
+python examples/run.py            # until Ctrl-C
+python examples/run.py --once     # sends one request, prints the answer, ends
 """
 
 from __future__ import annotations
@@ -25,8 +25,12 @@
 PORTS = 40  # on loopback, in a row
 START_S = 20.0  # for each of the steps until a request is served
 STOP_S = 10.0  # for a process to end after SIGTERM
-HEADERS = {"Host": "parcels.example", "Attempt-Id": "9c41d07be2a35f68", "Deadline-Ms": "2500",
-           "Authorization": "Token example-key"}
+HEADERS = {
+    "Host": "parcels.example",
+    "Attempt-Id": "9c41d07be2a35f68",
+    "Deadline-Ms": "2500",
+    "Authorization": "Token example-key",
+}
 
 Process = subprocess.Popen[bytes]
 
@@ -42,17 +46,35 @@
 
     def settings(self, program: str) -> dict[str, Any]:
         """The settings of a program; JSON is YAML, too."""
-        listen = {"proxy": {"front": self.front, "ready": self.ready},
-                  "controller": {"control": self.control}}
-        own: dict[str, Any] = {"node": program, "role": program, "machine-class": "edge", "ip": "127.0.0.1",
-                               "zone": "zone-a", "region": "region-a", "counted": True, "fresh-start": True,
-                               "serves": ["edge" if program == "proxy" else "control"],
-                               "limits": {"cpu-share": 1, "cores": 1, "memory-mb": 300, "max-fds": 1024}}
+        listen = {
+            "proxy": {"front": self.front, "ready": self.ready},
+            "controller": {"control": self.control},
+        }
+        own: dict[str, Any] = {
+            "node": program,
+            "role": program,
+            "machine-class": "edge",
+            "ip": "127.0.0.1",
+            "zone": "zone-a",
+            "region": "region-a",
+            "counted": True,
+            "fresh-start": True,
+            "serves": ["edge" if program == "proxy" else "control"],
+            "limits": {"cpu-share": 1, "cores": 1, "memory-mb": 300, "max-fds": 1024},
+        }
         if program == "controller":
             own["data-dir"] = f"{self.folder}/data"
-        return {"self": own, "provider": {"beat-s": 1}, "terms": {"bounds": {"drain-s": 0.5}},
-                "network": {"listen": listen[program], "port-range": [self.port + 10, self.port + 25],
-                            "seeds": [self.control], "zones": {"zone-a": "region-a"}}}
+        return {
+            "self": own,
+            "provider": {"beat-s": 1},
+            "terms": {"bounds": {"drain-s": 0.5}},
+            "network": {
+                "listen": listen[program],
+                "port-range": [self.port + 10, self.port + 25],
+                "seeds": [self.control],
+                "zones": {"zone-a": "region-a"},
+            },
+        }
 
     def program(self, program: str) -> None:
         """Start `proxy` or `controller`."""
@@ -63,8 +85,16 @@
 
     def backend(self, number: int) -> None:
         """Start a backend."""
-        options = ["--id", f"i-{number}", "--service", "parcels", "--port", str(self.port + 30 + number),
-                   "--control", self.control]
+        options = [
+            "--id",
+            f"i-{number}",
+            "--service",
+            "parcels",
+            "--port",
+            str(self.port + 30 + number),
+            "--control",
+            self.control,
+        ]
         self.backends.append(spawn([str(HERE / "backend.py"), *options], dict(os.environ)))
 
     def start(self) -> None:
@@ -131,8 +161,9 @@
 
 def spawn(arguments: list[str], environ: dict[str, str]) -> Process:
     """Start a Python process that Ctrl-C doesn't reach: it is ended in its turn."""
-    return subprocess.Popen([sys.executable, *arguments], cwd=HERE.parent, env=environ,
-                            start_new_session=True)
+    return subprocess.Popen(
+        [sys.executable, *arguments], cwd=HERE.parent, env=environ, start_new_session=True
+    )
 
 
 def interrupted(number: int, frame: object) -> None:
--- a/gateway/cli/allowance.py
+++ b/gateway/cli/allowance.py
@@ -34,14 +34,24 @@
     for answer in answers:
         for count in answer.get("allowance", ()):
             remaining, row = count["remaining"], {"tenant": count["tenant"], "holder": answer["node"]}
-            seen = [{**row, "remaining": remaining, **view, "differs": abs(int(remaining) - view["view"])}
-                    for view in count["views"]]
+            seen = [
+                {**row, "remaining": remaining, **view, "differs": abs(int(remaining) - view["view"])}
+                for view in count["views"]
+            ]
             worst = max((v["beyond"] or 0 for v in seen), default=0)
-            tenants.append({**row, "allowance": count["allowance"], "remaining": remaining,
-                            "kept": count["kept"], "nodes": len(seen),
-                            "oldest-s": max((v["age-s"] for v in seen), default=None),
-                            "differs": max((v["differs"] for v in seen), default=0), "beyond": worst,
-                            "state": "disagrees" if worst > DISAGREES else "agrees"})
+            tenants.append(
+                {
+                    **row,
+                    "allowance": count["allowance"],
+                    "remaining": remaining,
+                    "kept": count["kept"],
+                    "nodes": len(seen),
+                    "oldest-s": max((v["age-s"] for v in seen), default=None),
+                    "differs": max((v["differs"] for v in seen), default=0),
+                    "beyond": worst,
+                    "state": "disagrees" if worst > DISAGREES else "agrees",
+                }
+            )
             views += seen
     held = [row["tenant"] for row in tenants]
     for row in tenants:
@@ -51,8 +61,18 @@
     return AllowanceReport(tenants, sorted(views, key=lambda row: (row["tenant"], row["node"])), faults)
 
 
-TENANTS = ("tenant", "holder", "allowance", "remaining", "kept", "nodes", "oldest-s", "differs", "beyond",
-           "state")
+TENANTS = (
+    "tenant",
+    "holder",
+    "allowance",
+    "remaining",
+    "kept",
+    "nodes",
+    "oldest-s",
+    "differs",
+    "beyond",
+    "state",
+)
 VIEWS = ("tenant", "holder", "remaining", "node", "view", "age-s", "differs", "beyond")
 
 
--- a/gateway/cli/commands.py
+++ b/gateway/cli/commands.py
@@ -79,7 +79,8 @@
     name = "check-settings"
     description = "Check a settings file"
     arguments: ClassVar[list[Argument]] = [
-        argument("file", f"The file, else that of {settings.VARIABLE}", optional=True)]
+        argument("file", f"The file, else that of {settings.VARIABLE}", optional=True)
+    ]
 
     def handle(self) -> int:
         path = self.argument("file")
@@ -162,8 +163,10 @@
     name = "allowance"
     description = "Compare each node's view of each tenant's remaining allowance with the holder's"
     arguments: ClassVar[list[Argument]] = [SEEDS]
-    options: ClassVar[list[Option]] = [option("nodes", None, "Each node's view, a line each"),
-                                       option("json", None, "As JSON")]
+    options: ClassVar[list[Option]] = [
+        option("nodes", None, "Each node's view, a line each"),
+        option("json", None, "As JSON"),
+    ]
 
     def handle(self) -> int:
         from gateway.cli import allowance
@@ -180,13 +183,16 @@
 
     method = "GET"
     options: ClassVar[list[Option]] = [
-        option("for", None, "Seconds to go on without a clear answer", flag=False, default="30")]
+        option("for", None, "Seconds to go on without a clear answer", flag=False, default="30")
+    ]
 
     def order(self, seeds: list[str], body: bytes) -> int:
         """Carry it out and print the answer."""
         from gateway.cli import control_client
 
-        answer = control_client.run(seeds, self.method, control_client.CONFIG, body, float(self.option("for")))
+        answer = control_client.run(
+            seeds, self.method, control_client.CONFIG, body, float(self.option("for"))
+        )
         told = answer.body.decode(errors="replace")
         if answer.status != 200:
             status = f"answered {answer.status}" if answer.status else "no answer"
@@ -213,7 +219,8 @@
     description = "Put a whole configuration"
     method = "PUT"
     arguments: ClassVar[list[Argument]] = [
-        argument("seeds", "Addresses of controllers (`control`), and last the file (JSON)", multiple=True)]
+        argument("seeds", "Addresses of controllers (`control`), and last the file (JSON)", multiple=True)
+    ]
 
     def handle(self) -> int:
         *seeds, path = self.argument("seeds")
@@ -242,7 +249,8 @@
     description = "Tell what becomes of a core when disks are lost"
     arguments: ClassVar[list[Argument]] = [argument("members", "Disks of the core")]
     options: ClassVar[list[Option]] = [
-        option("tolerance", None, "How many may be lost at once", flag=False, default="1")]
+        option("tolerance", None, "How many may be lost at once", flag=False, default="1")
+    ]
 
     def handle(self) -> int:
         from gateway.consensus import quorum
@@ -255,14 +263,17 @@
             self.line(f"{loss.lost} lost: while away {away}; for good {gone}; then {left} more may go")
         if quorum.tolerable_losses(members) < tolerance:
             members_needed = quorum.members_needed(tolerance)
-            return self.faults("", [("members", f"{tolerance} lost at once takes {members_needed} of them at least")])
+            return self.faults(
+                "", [("members", f"{tolerance} lost at once takes {members_needed} of them at least")]
+            )
         return 0
 
 
 class _ProgramCommand(_CheckCommand):
     options: ClassVar[list[Option]] = [
         option("check", None, "Only check the settings, then end"),
-        option("counts", None, "Write what tenants asked and were allowed, a line each 5 s")]
+        option("counts", None, "Write what tenants asked and were allowed, a line each 5 s"),
+    ]
 
     def handle(self) -> int:
         if self.option("check"):
@@ -286,8 +297,21 @@
     description = "Run the program that serves backends and operators"
 
 
-COMMANDS = (VersionCommand, CheckSettings, CheckConfig, ConfigGet, ConfigPut, ConfigPatch, NodesCommand,
-            CoreCommand, BackendsCommand, AllowanceCommand, PlanCore, ProxyCommand, ControllerCommand)
+COMMANDS = (
+    VersionCommand,
+    CheckSettings,
+    CheckConfig,
+    ConfigGet,
+    ConfigPut,
+    ConfigPatch,
+    NodesCommand,
+    CoreCommand,
+    BackendsCommand,
+    AllowanceCommand,
+    PlanCore,
+    ProxyCommand,
+    ControllerCommand,
+)
 
 
 def run(arguments: list[str]) -> int:
--- a/gateway/cli/control_client.py
+++ b/gateway/cli/control_client.py
@@ -1,6 +1,6 @@
 """An operator's call to `control`: made again, unchanged, until a process gives a clear answer.
 
-    answer = operator call.run(["10.1.0.5:8407", "10.2.0.3:8407"], "PUT", operator call.CONFIG, body)
+answer = operator call.run(["10.1.0.5:8407", "10.2.0.3:8407"], "PUT", operator call.CONFIG, body)
 """
 
 from __future__ import annotations
@@ -51,9 +51,16 @@
         return NO_ANSWER
 
 
-def run(seeds: Sequence[Address], method: str, path: str, body: bytes = b"", most_s: float = 30.0,
-        call: Call = call, pause: Callable[[float], object] = time.sleep,
-        clock: Callable[[], float] = time.monotonic) -> Answer:
+def run(
+    seeds: Sequence[Address],
+    method: str,
+    path: str,
+    body: bytes = b"",
+    most_s: float = 30.0,
+    call: Call = call,
+    pause: Callable[[float], object] = time.sleep,
+    clock: Callable[[], float] = time.monotonic,
+) -> Answer:
     """Call one process after the other, with a growing pause, for at most `most_s` seconds; the last answer.
 
     An order that has got no clear answer may be in force: the same one sent again is then answered with 200.
@@ -63,7 +70,12 @@
     while True:
         answer = _follow(call, seeds[turn % len(seeds)], method, path, body, patience)
         unexpected_4xx += 400 <= answer.status < 500 and answer.status not in RETRY_STATUSES
-        if 200 <= answer.status < 300 or answer.status in FINAL_STATUSES or unexpected_4xx >= TRIES_4XX or clock() + wait > ends:
+        if (
+            200 <= answer.status < 300
+            or answer.status in FINAL_STATUSES
+            or unexpected_4xx >= TRIES_4XX
+            or clock() + wait > ends
+        ):
             return answer
         pause(wait)
         wait, turn = min(2 * wait, LONGEST_PAUSE_S), turn + 1
--- a/gateway/cli/nodes.py
+++ b/gateway/cli/nodes.py
@@ -71,8 +71,16 @@
     version = max((a["version"] for a in answers), default=0)
     latest: dict[str, Row] = {}
     for a in answers:
-        own = {"node": a["node"], "role": a["role"], "version": a["version"], "digest": a["digest"],
-               "lag-s": 0.0, "heard-s": 0.0, "found": a["found"], "finding": ""}
+        own = {
+            "node": a["node"],
+            "role": a["role"],
+            "version": a["version"],
+            "digest": a["digest"],
+            "lag-s": 0.0,
+            "heard-s": 0.0,
+            "found": a["found"],
+            "finding": "",
+        }
         for row in (own, *a["nodes"]):
             known = latest.get(row["node"])
             if known is None or row["heard-s"] < known["heard-s"]:
@@ -107,8 +115,10 @@
     """Rows under their names, in even columns."""
     cells = [names, *(tuple(map(_cell, row)) for row in rows)]
     widths = [max(len(row[i]) for row in cells) for i in range(len(names))]
-    return ["  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True)).rstrip()
-            for row in cells]
+    return [
+        "  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True)).rstrip()
+        for row in cells
+    ]
 
 
 def _cell(value: Any) -> str:
--- a/gateway/config/digest.py
+++ b/gateway/config/digest.py
@@ -11,8 +11,19 @@
 from gateway.config.schema import Difference
 
 MASK = 2**64 - 1
-ROUTE = ("label", "hostname", "path-prefix", "safe", "deadline-s", "target-latency-s", "precedence",
-         "max-tries", "public", "targets", "shares added up")
+ROUTE = (
+    "label",
+    "hostname",
+    "path-prefix",
+    "safe",
+    "deadline-s",
+    "target-latency-s",
+    "precedence",
+    "max-tries",
+    "public",
+    "targets",
+    "shares added up",
+)
 TENANT = ("label", "precedence", "rate-per-s", "burst")
 SERVICE = ("health-path", "max-conns")
 LIMITS = ("max-header-bytes", "max-body-bytes", "header-timeout-s", "idle-timeout-s")
@@ -43,7 +54,9 @@
         for name, label, values in _expected_items(document):
             known = old.get(name)
             same = known is not None and known.values == values and known.label == label
-            self.items[name] = known if known and same else ExpectedItem(label, values, item_digest(name, values))
+            self.items[name] = (
+                known if known and same else ExpectedItem(label, values, item_digest(name, values))
+            )
         self.total = sum(i.digest for i in self.items.values()) & MASK
 
 
@@ -106,8 +119,11 @@
 
     def _fields(self, name: ItemKey, running: ItemValues, item: ExpectedItem) -> list[Difference]:
         place = self._place(name)
-        return [Difference(f"{place}.{field}", str(was), str(to))
-                for field, was, to in zip(FIELDS[name[0]], running, item.values, strict=True) if was != to]
+        return [
+            Difference(f"{place}.{field}", str(was), str(to))
+            for field, was, to in zip(FIELDS[name[0]], running, item.values, strict=True)
+            if was != to
+        ]
 
 
 def _label(name: ItemKey, running: ItemValues) -> str:
@@ -119,8 +135,19 @@
     """What requests use of an item, in the order of `FIELDS`."""
     if isinstance(thing, Route):
         r = thing
-        return (r.label, r.host, r.prefix, r.safe, r.deadline, r.target_latency, r.precedence, r.tries, r.public,
-                r.targets, r.cumulative_shares)
+        return (
+            r.label,
+            r.host,
+            r.prefix,
+            r.safe,
+            r.deadline,
+            r.target_latency,
+            r.precedence,
+            r.tries,
+            r.public,
+            r.targets,
+            r.cumulative_shares,
+        )
     if isinstance(thing, Tenant):
         return thing.label, thing.precedence, thing.rate, thing.burst
     return tuple(thing)
--- a/gateway/config/document.py
+++ b/gateway/config/document.py
@@ -68,8 +68,17 @@
 class Document:
     """One configuration, never changed once it is built. Built by `parse`, `whole` and `patch`."""
 
-    __slots__ = ("raw", "generation", "base_version", "entries", "routes", "services", "tenants", "limits",
-                 "seen")
+    __slots__ = (
+        "raw",
+        "generation",
+        "base_version",
+        "entries",
+        "routes",
+        "services",
+        "tenants",
+        "limits",
+        "seen",
+    )
 
     def __init__(self, raw: Raw, generation: int, base_version: int) -> None:
         self.raw, self.generation, self.base_version = raw, generation, base_version
@@ -110,8 +119,12 @@
         return Ok(raw)
     level: list[Any] = [raw]
     for _ in range(DEPTH_MAX):
-        level = [child for x in level for child in (x.values() if isinstance(x, dict) else x)
-                 if isinstance(child, dict | list)]
+        level = [
+            child
+            for x in level
+            for child in (x.values() if isinstance(x, dict) else x)
+            if isinstance(child, dict | list)
+        ]
         if not level:
             return Ok(raw)
     return Err([ConfigError("", f"expected at most {DEPTH_MAX} levels of lists and objects")])
@@ -143,7 +156,7 @@
     if not errors:
         _check_labels(upsert, "upsert.resource-list", places, errors)
     if errors:
-        return Err(errors[:schema.MAX_REPORTED_ERRORS])
+        return Err(errors[: schema.MAX_REPORTED_ERRORS])
     new = {key_of(e): e for e in upsert}
     kept = [e for e in (previous.entries if previous else []) if key_of(e) in new or key_of(e) not in remove]
     entries = [new.pop(key_of(e), e) for e in kept] + list(new.values())
@@ -171,7 +184,9 @@
     if entries is None:
         return []
     if not isinstance(entries, list):
-        errors.append(ConfigError("upsert.resource-list", f"expected a list, got {schema.format_value(upsert)}"))
+        errors.append(
+            ConfigError("upsert.resource-list", f"expected a list, got {schema.format_value(upsert)}")
+        )
         return []
     return entries
 
@@ -188,7 +203,9 @@
         if names is None:
             continue
         if not isinstance(names, list) or not all(isinstance(n, str) for n in names):
-            errors.append(ConfigError(f"remove.{kind}", f"expected a list of names, got {schema.format_value(names)}"))
+            errors.append(
+                ConfigError(f"remove.{kind}", f"expected a list of names, got {schema.format_value(names)}")
+            )
         elif kind == "limits":
             gone |= {(kind, "")} if names else set()
         else:
@@ -205,14 +222,20 @@
             continue
         metadata = entry.get("metadata")
         if metadata is not None and not isinstance(metadata, dict):
-            errors.append(ConfigError(f"{place}.metadata", f"expected an object, got {schema.format_value(metadata)}"))
+            errors.append(
+                ConfigError(f"{place}.metadata", f"expected an object, got {schema.format_value(metadata)}")
+            )
             continue
         label = (metadata or {}).get("label")
         if entry["entry-kind"] in LABELLED_KINDS and not schema.text(label):
-            errors.append(ConfigError(f"{place}.metadata.label", f"expected a text, got {schema.format_value(label)}"))
+            errors.append(
+                ConfigError(f"{place}.metadata.label", f"expected a text, got {schema.format_value(label)}")
+            )
             continue
         if label is not None and not isinstance(label, str):
-            errors.append(ConfigError(f"{place}.metadata.label", f"expected a text, got {schema.format_value(label)}"))
+            errors.append(
+                ConfigError(f"{place}.metadata.label", f"expected a text, got {schema.format_value(label)}")
+            )
             continue
         key = key_of(entry)
         if key in places and key[0] in KINDS:
@@ -220,8 +243,9 @@
         places.setdefault(key, place)
 
 
-def _build(raw: Raw, previous: Document | None, same: Callable[[Raw, Raw], bool],
-           order: dict[Key, str] | None = None) -> Result[Document, list[ConfigError]]:
+def _build(
+    raw: Raw, previous: Document | None, same: Callable[[Raw, Raw], bool], order: dict[Key, str] | None = None
+) -> Result[Document, list[ConfigError]]:
     errors: list[ConfigError] = []
     generation, base_version = schema.read(schema.HEAD, raw, "", errors)
     entries = raw.get("resource-list")
@@ -231,7 +255,7 @@
     else:
         _check_labels(entries, "resource-list", found, errors)
     if errors:
-        return Err(errors[:schema.MAX_REPORTED_ERRORS])
+        return Err(errors[: schema.MAX_REPORTED_ERRORS])
     document = Document(raw, generation, base_version)
     if order is not None:  # it names single items, and the others have no place in it
         found = {key: order.get(key) or " ".join(key) for key in found}
@@ -245,7 +269,7 @@
                 _read(document, key, entry, found[key], errors)
     if not errors:
         _check_references(document, found, errors)
-    return Err(errors[:schema.MAX_REPORTED_ERRORS]) if errors else Ok(document)
+    return Err(errors[: schema.MAX_REPORTED_ERRORS]) if errors else Ok(document)
 
 
 def _read(document: Document, key: Key, raw: Raw, place: str, errors: list[ConfigError]) -> None:
@@ -277,8 +301,19 @@
         errors.append(ConfigError(f"{place}.spec.target", "expected a target or a list of weighted ones"))
         return None
     targets = weighted or ((target, 1.0),)
-    return RouteEntry(label, host, prefix, kind == "safe", deadline, target_latency, precedence, tries, public, targets,
-                      target if weighted else None)
+    return RouteEntry(
+        label,
+        host,
+        prefix,
+        kind == "safe",
+        deadline,
+        target_latency,
+        precedence,
+        tries,
+        public,
+        targets,
+        target if weighted else None,
+    )
 
 
 def _check_references(document: Document, places: dict[Key, str], errors: list[ConfigError]) -> None:
@@ -290,7 +325,9 @@
             if service not in document.services:
                 errors.append(ConfigError(f"{place}.spec", f"expected a known service, got {service}"))
         if route.unused_target is not None and route.unused_target not in document.services:
-            errors.append(ConfigError(f"{place}.spec.target", f"expected a known service, got {route.unused_target}"))
+            errors.append(
+                ConfigError(f"{place}.spec.target", f"expected a known service, got {route.unused_target}")
+            )
         holder = places_taken.setdefault((route.host, route.prefix), route.label)
         if holder != route.label:
             reason = f"expected one of its own on this host, got that of {holder}"
@@ -304,6 +341,10 @@
                 errors.append(ConfigError(place, f"expected keys of its own, got one of {holder}"))
 
 
-KINDS: Final = {"route-table": schema.ROUTE, "services": schema.SERVICE, "tenants": schema.TENANT,
-                "limits": schema.LIMITS}
+KINDS: Final = {
+    "route-table": schema.ROUTE,
+    "services": schema.SERVICE,
+    "tenants": schema.TENANT,
+    "limits": schema.LIMITS,
+}
 LABELLED_KINDS: Final = ("route-table", "services", "tenants")
--- a/gateway/config/orders.py
+++ b/gateway/config/orders.py
@@ -33,8 +33,9 @@
 
     __slots__ = ("document", "taken", "forgotten")
 
-    def __init__(self, document: Document | None = None, taken: dict[int, int] | None = None,
-                 forgotten: int = 0) -> None:
+    def __init__(
+        self, document: Document | None = None, taken: dict[int, int] | None = None, forgotten: int = 0
+    ) -> None:
         self.document, self.taken, self.forgotten = document, taken or {}, forgotten
 
     @property
@@ -70,10 +71,10 @@
         start = _payload_offset(value)
         config_state = cls(_decompress(value[start:], previous.document if previous else None))
         if value[0] == FORMAT:
-            config_state.taken = dict(ORDER_RECORD.iter_unpack(value[HEAD.size:start]))
+            config_state.taken = dict(ORDER_RECORD.iter_unpack(value[HEAD.size : start]))
             config_state.forgotten = HEAD.unpack_from(value)[2]
         else:  # generations rise, so this is the most that each may be
-            orders = [order for order, in ORDER_RECORD_1.iter_unpack(value[HEAD_1.size:start])]
+            orders = [order for (order,) in ORDER_RECORD_1.iter_unpack(value[HEAD_1.size : start])]
             least = config_state.generation - len(orders)
             config_state.taken = {order: max(0, least + n) for n, order in enumerate(orders, 1)}
             config_state.forgotten = max(0, least) if len(orders) >= MAX_REMEMBERED_ORDERS_1 else 0
@@ -82,7 +83,7 @@
 
 def without_order_history(value: bytes) -> bytes:
     """An agreed value for those who take no orders: the configuration alone. ValueError if it is none."""
-    return HEAD.pack(FORMAT, 0, 0) + value[_payload_offset(value):]
+    return HEAD.pack(FORMAT, 0, 0) + value[_payload_offset(value) :]
 
 
 def _payload_offset(value: bytes) -> int:
@@ -149,9 +150,13 @@
         if generation is not None and base_version < generation <= config_state.forgotten:
             reason = f"expected more than {config_state.forgotten}: what was taken until then is forgotten"
             return Decision(503, _errors_body([ConfigError("generation", reason)]))
-        return Decision(412, _body({"generation": config_state.generation}), ahead=base_version > config_state.generation)
+        return Decision(
+            412, _body({"generation": config_state.generation}), ahead=base_version > config_state.generation
+        )
     if generation is not None and generation <= config_state.generation:
-        errors.append(ConfigError("generation", f"expected more than {config_state.generation}, got {generation}"))
+        errors.append(
+            ConfigError("generation", f"expected more than {config_state.generation}, got {generation}")
+        )
     if errors:
         return Decision(400, _errors_body(errors))
     built = documents.whole(raw) if method == "PUT" else documents.patch(config_state.document, raw)
--- a/gateway/config/reference.py
+++ b/gateway/config/reference.py
@@ -31,8 +31,19 @@
     burst: float = 0.0
 
 
-FIELDS = ("status", "route", "safe", "max-tries", "deadline-s", "target-latency-s", "targets", "precedence",
-          "tenant", "rate-per-s", "burst")
+FIELDS = (
+    "status",
+    "route",
+    "safe",
+    "max-tries",
+    "deadline-s",
+    "target-latency-s",
+    "targets",
+    "precedence",
+    "tenant",
+    "rate-per-s",
+    "burst",
+)
 
 
 def evaluate(document: Document, host: bytes, path: bytes, key: bytes) -> ExpectedDecision:
@@ -50,10 +61,18 @@
         rank = 1 if spec.get("precedence") is None else spec["precedence"]
     deadline, tries = float(spec["deadline-s"]), spec.get("max-tries")
     return ExpectedDecision(
-        200, entry["metadata"]["label"], spec.get("traffic-class") == "safe", int(tries) if tries else 1,
-        deadline, float(spec.get("target-latency-s") or deadline), _targets(spec), int(rank),
+        200,
+        entry["metadata"]["label"],
+        spec.get("traffic-class") == "safe",
+        int(tries) if tries else 1,
+        deadline,
+        float(spec.get("target-latency-s") or deadline),
+        _targets(spec),
+        int(rank),
         holder["metadata"]["label"] if holder else "",
-        float(limits.get("rate-per-s") or 0), float(limits.get("burst") or 0))
+        float(limits.get("rate-per-s") or 0),
+        float(limits.get("burst") or 0),
+    )
 
 
 def compare_decision(running: RouteDecision, expected: ExpectedDecision) -> list[Difference]:
@@ -64,14 +83,26 @@
     elif running.status != 200:
         ran = ExpectedDecision(running.status, r.label)
     else:
-        ran = ExpectedDecision(200, r.label, r.safe, r.tries, r.deadline, r.target_latency, r.targets, running.precedence,
-                    *((tenant.label, tenant.rate, tenant.burst) if tenant else ()))
+        ran = ExpectedDecision(
+            200,
+            r.label,
+            r.safe,
+            r.tries,
+            r.deadline,
+            r.target_latency,
+            r.targets,
+            running.precedence,
+            *((tenant.label, tenant.rate, tenant.burst) if tenant else ()),
+        )
     if ran == expected:
         return []
     place = f"route {expected.route or ran.route}"
     told = 2 if ran[:2] != expected[:2] else len(FIELDS)
-    return [Difference(f"{place}.{field}", str(was), str(to))
-            for field, was, to in list(zip(FIELDS, ran, expected, strict=True))[:told] if was != to]
+    return [
+        Difference(f"{place}.{field}", str(was), str(to))
+        for field, was, to in list(zip(FIELDS, ran, expected, strict=True))[:told]
+        if was != to
+    ]
 
 
 def _spec(entry: Raw) -> dict[str, Any]:
@@ -82,7 +113,7 @@
     host = host.strip().lower()
     closed = host.find(b"]") + 1 if host.startswith(b"[") else 0
     colon = host.find(b":", closed)
-    port = host[colon + 1:]
+    port = host[colon + 1 :]
     ends = colon >= 0 and (not port or port.isdigit()) and (not closed or colon == closed)
     return host[:colon] if ends else host
 
--- a/gateway/config/routing.py
+++ b/gateway/config/routing.py
@@ -13,13 +13,38 @@
 class Route:
     """A route as requests use it. Times are seconds; `targets` are services and their shares."""
 
-    __slots__ = ("label", "host", "prefix", "safe", "deadline", "target_latency", "precedence", "tries", "public",
-                 "targets", "cumulative_shares", "entry")
+    __slots__ = (
+        "label",
+        "host",
+        "prefix",
+        "safe",
+        "deadline",
+        "target_latency",
+        "precedence",
+        "tries",
+        "public",
+        "targets",
+        "cumulative_shares",
+        "entry",
+    )
 
     def __init__(self, entry: RouteEntry) -> None:
-        (self.label, self.host, self.prefix, self.safe, self.deadline, self.target_latency, self.precedence, self.tries,
-         self.public, self.targets, _) = entry
-        self.cumulative_shares = cumulative_shares(self.targets)  # services, and up to which of 0 to 1 each is taken
+        (
+            self.label,
+            self.host,
+            self.prefix,
+            self.safe,
+            self.deadline,
+            self.target_latency,
+            self.precedence,
+            self.tries,
+            self.public,
+            self.targets,
+            _,
+        ) = entry
+        self.cumulative_shares = cumulative_shares(
+            self.targets
+        )  # services, and up to which of 0 to 1 each is taken
         self.entry = entry  # from which it was built
 
     def pick_service(self, r: float) -> str:
@@ -166,4 +191,3 @@
             run += share / total
             added.append((service, run))
     return tuple(added)
-
--- a/gateway/config/schema.py
+++ b/gateway/config/schema.py
@@ -52,8 +52,10 @@
 ABSOLUTE_PATH = Constraint("a path that begins with a slash", lambda v: v[:1] == "/")
 TRAFFIC_CLASS = Constraint("safe or unsafe", lambda v: v in ("safe", "unsafe"))
 NON_EMPTY_KEYS = Constraint("keys that are not empty", all)
-VALID_SHARES = Constraint("shares of 0 or more and one of them above", lambda v: not v or (
-    all(share >= 0 for _, share in v) and any(share > 0 for _, share in v)))
+VALID_SHARES = Constraint(
+    "shares of 0 or more and one of them above",
+    lambda v: not v or (all(share >= 0 for _, share in v) and any(share > 0 for _, share in v)),
+)
 
 HEAD = (  # of a whole configuration and of a PATCH
     FieldSpec("generation", "whole number", REQUIRED, AT_LEAST_ONE),
@@ -152,8 +154,13 @@
 
 
 KINDS: Final[dict[str, Callable[[Any], Any]]] = {
-    "text": text, "host": _host, "whole number": _whole, "number": _number, "flag": _flag,
-    "list of texts": _texts, "list of targets with shares": _shares,
+    "text": text,
+    "host": _host,
+    "whole number": _whole,
+    "number": _number,
+    "flag": _flag,
+    "list of texts": _texts,
+    "list of targets with shares": _shares,
 }
 
 
@@ -176,7 +183,9 @@
             continue
         value = KINDS[kind](given)
         if value is None:
-            errors.append(ConfigError(f"{place}.{name}".lstrip("."), f"expected a {kind}, got {format_value(given)}"))
+            errors.append(
+                ConfigError(f"{place}.{name}".lstrip("."), f"expected a {kind}, got {format_value(given)}")
+            )
         elif zero_means_default and not value:
             value = default
         elif check is not None and not check.accepts(value):
--- a/gateway/consensus/candidate.py
+++ b/gateway/consensus/candidate.py
@@ -9,8 +9,14 @@
 class CandidateRole:
     """One try to become leader. `won` once majorities have voted."""
 
-    def __init__(self, replica: Replica, now: float, retry_interval_s: float, leadership_transfer: bool = False) -> None:
-        self.replica, self.retry_interval_s, self.leadership_transfer = replica, retry_interval_s, leadership_transfer
+    def __init__(
+        self, replica: Replica, now: float, retry_interval_s: float, leadership_transfer: bool = False
+    ) -> None:
+        self.replica, self.retry_interval_s, self.leadership_transfer = (
+            replica,
+            retry_interval_s,
+            leadership_transfer,
+        )
         self.requesting_votes = False  # in a term of its own; before that it only sounds the others out
         self.granted = {replica.disk}
         self.requested_at = now
@@ -41,7 +47,11 @@
 
     def on_persisted(self) -> None:
         """Something is on disk: perhaps its own vote, with which it asks for the others'."""
-        if self.requesting_votes and self.replica.disk not in self.granted and self.replica.vote_is_persisted(self.replica.disk):
+        if (
+            self.requesting_votes
+            and self.replica.disk not in self.granted
+            and self.replica.vote_is_persisted(self.replica.disk)
+        ):
             self.granted.add(self.replica.disk)
             self._ask()
             self._count()
@@ -65,7 +75,9 @@
             return
         for member in replica.entry.voters():
             if member.disk not in self.granted:
-                message = replica.message_with_last_position(pb.REQUEST_VOTE if self.requesting_votes else pb.PRE_VOTE, member.disk)
+                message = replica.message_with_last_position(
+                    pb.REQUEST_VOTE if self.requesting_votes else pb.PRE_VOTE, member.disk
+                )
                 message.term = replica.term if self.requesting_votes else replica.term + 1
                 message.leadership_transfer = self.leadership_transfer
                 replica.send(member.address, message)
--- a/gateway/consensus/cold_start.py
+++ b/gateway/consensus/cold_start.py
@@ -29,7 +29,9 @@
 
     def __init__(self, replica: Replica, now: float, until: float, began: float) -> None:
         self.replica, self.until, self.began, self.initial_term = replica, until, began, replica.term
-        self.incarnation = replica.rng.getrandbits(63) + 1  # named by answers; those to an earlier one don't count
+        self.incarnation = (
+            replica.rng.getrandbits(63) + 1
+        )  # named by answers; those to an earlier one don't count
         self.leaderless = True  # this process has neither led nor heard a leader
         self.others: dict[str, PeerRestart] = {}  # disks that have said so too since
         self.next = now
@@ -46,15 +48,18 @@
         """Another one has begun anew: it asks (`life`), or answers (`to_life`), or both."""
         if message.to_incarnation == self.incarnation:
             position = message.last_term, message.last_index
-            self.others[message.disk] = PeerRestart(position, now - message.age_ms / 1000, message.initial_term)
+            self.others[message.disk] = PeerRestart(
+                position, now - message.age_ms / 1000, message.initial_term
+            )
         if message.incarnation and self.leaderless:
             self._tell(now, sender, message.disk, message.incarnation, now < self.until)
 
     def all_members_restarted(self) -> bool:
         """Have all whose word counts begun anew?"""
         replica = self.replica
-        return replica.is_voter and all(m.disk in self.others or m.disk == replica.disk
-                                   for m in replica.entry.voters())
+        return replica.is_voter and all(
+            m.disk in self.others or m.disk == replica.disk for m in replica.entry.voters()
+        )
 
     def leaderless_since(self) -> float | None:
         """For a leader just elected: when the last of the core's processes began, if it is the first leader
@@ -63,15 +68,20 @@
         Every leader of their lives is of a later term than all began with, and a term has one leader.
         """
         known = [self.others[m.disk] for m in self.replica.entry.voters() if m.disk in self.others]
-        if not self.leaderless or not self.all_members_restarted() or (
-                self.replica.term != 1 + max([self.initial_term, *(b.initial_term for b in known)])):
+        if (
+            not self.leaderless
+            or not self.all_members_restarted()
+            or (self.replica.term != 1 + max([self.initial_term, *(b.initial_term for b in known)]))
+        ):
             return None
         return max([self.began, *(b.began for b in known)])
 
     def election_rank(self) -> int | None:
         """How many are to stand before this one; None if too few are known to hold the same entry."""
         replica = self.replica
-        equal = {d for d, begun in self.others.items() if begun.position == replica.entry.position} | {replica.disk}
+        equal = {d for d, begun in self.others.items() if begun.position == replica.entry.position} | {
+            replica.disk
+        }
         if not replica.entry.has_quorum(equal):
             return None
         return sum(m.disk in equal and m.disk < replica.disk for m in replica.entry.voters())
--- a/gateway/consensus/follower.py
+++ b/gateway/consensus/follower.py
@@ -16,7 +16,9 @@
         self.leader: Address | None = None
         self.disk = ""  # the leader's
         self.sent = 0.0  # when it sent the newest beat, by its clock
-        self.last_reply_at = NEVER  # when the newest answer went out that a leader which was sure has told to have
+        self.last_reply_at = (
+            NEVER  # when the newest answer went out that a leader which was sure has told to have
+        )
         self.commit: LogPosition = (0, 0)  # newest that a leader has told to be committed
 
     def on_heartbeat(self, now: float, sender: Address, message: pb.Message) -> None:
@@ -27,7 +29,10 @@
         if message.last_reply_at and self.last_reply_at < message.last_reply_at <= now:
             self.last_reply_at = message.last_reply_at
         self._commit_from_leader(message)
-        if message.kind == pb.APPEND_ENTRIES and (message.entry.term, message.entry.number) > replica.entry.position:
+        if (
+            message.kind == pb.APPEND_ENTRIES
+            and (message.entry.term, message.entry.number) > replica.entry.position
+        ):
             self._accept_entry(message)
             self._commit_from_leader(message)
         self.send_append_response(now, sender, message.disk, message.sent)
--- a/gateway/consensus/leader.py
+++ b/gateway/consensus/leader.py
@@ -20,8 +20,20 @@
 class Peer:
     """Another member, as the leader sees it."""
 
-    __slots__ = ("acknowledged_at", "address", "bare_entry_sent_at", "began", "disk", "durable_position", "heard",
-                 "last_position", "leave_requested_at", "next", "replied_at", "wait")
+    __slots__ = (
+        "acknowledged_at",
+        "address",
+        "bare_entry_sent_at",
+        "began",
+        "disk",
+        "durable_position",
+        "heard",
+        "last_position",
+        "leave_requested_at",
+        "next",
+        "replied_at",
+        "wait",
+    )
 
     def __init__(self, member: Member, now: float) -> None:
         self.disk, self.address = member
@@ -44,9 +56,14 @@
         self.past_members: dict[str, None] = {}  # disks that have been members in this term, the latest ones
         self.join_requests = JoinRequests()
         self.recent_entries: dict[LogPosition, float] = {}  # entries that were the newest, and until when
-        self.learners: dict[str, Peer] = {}  # joining disks that are sent the newest entry, to have it on disk
+        self.learners: dict[
+            str, Peer
+        ] = {}  # joining disks that are sent the newest entry, to have it on disk
         self.proposal: Propose | None = None
-        self.proposed_at, self.proposal_in_flight = now, False  # the proposal: when it came, and is it under way
+        self.proposed_at, self.proposal_in_flight = (
+            now,
+            False,
+        )  # the proposal: when it came, and is it under way
         self.base: LogPosition | None = None  # an entry with the same value as the newest
         self.removed: list[Member] = []
         self.next_heartbeat_at = self.next_reconfiguration_check_at = now
@@ -76,11 +93,17 @@
         """Send beats and what is missing; change members where it is due. False if it must lead no more."""
         if leaving and self.transfer_since is None:
             self.transfer_since = now
-        ready = self.transfer_since is not None and (self.newest_entry_committed or now - self.transfer_since > MAX_TRANSFER_WAIT_S)
+        ready = self.transfer_since is not None and (
+            self.newest_entry_committed or now - self.transfer_since > MAX_TRANSFER_WAIT_S
+        )
         sick = self.replica.write_stalled_s(now) > self.replica.tuning.max_write_stall_s
         if self.has_lost_quorum(now) or (ready or sick) and self.transfer_leadership(now):
             return False
-        if self.proposal is not None and not self.proposal_in_flight and now - self.proposed_at > self.replica.tuning.max_proposal_wait_s:
+        if (
+            self.proposal is not None
+            and not self.proposal_in_flight
+            and now - self.proposed_at > self.replica.tuning.max_proposal_wait_s
+        ):
             self._answer("refused")
         self._start_reconfiguration_if_due(now)
         if now >= self.next_heartbeat_at:
@@ -105,14 +128,21 @@
         peer = self.peers.get(message.disk)
         if peer is None:
             return
-        if now - peer.heard > self.replica.tuning.election_min_s:  # it is back: what it lacks goes out at once
+        if (
+            now - peer.heard > self.replica.tuning.election_min_s
+        ):  # it is back: what it lacks goes out at once
             peer.next, peer.wait = now, self.replica.tuning.resend_s
         peer.heard, peer.replied_at = now, message.replied_at
-        peer.last_position, peer.durable_position = (message.last_term, message.last_index), (message.durable_term, message.durable_index)
+        peer.last_position, peer.durable_position = (
+            (message.last_term, message.last_index),
+            (message.durable_term, message.durable_index),
+        )
         if min(message.sent, now) > peer.acknowledged_at:
             peer.acknowledged_at = min(message.sent, now)
             self._renew_lease()
-        if peer.last_position != self.replica.entry.position and message.sent == peer.bare_entry_sent_at:  # it lacks the value too
+        if (
+            peer.last_position != self.replica.entry.position and message.sent == peer.bare_entry_sent_at
+        ):  # it lacks the value too
             peer.bare_entry_sent_at = NEVER
             self._send_entry(now, peer, False)
         self.count(now)
@@ -146,15 +176,25 @@
         """A disk asks to be a member: answer, and keep it in mind if it has heard this leader's answer."""
         replica, known = self.replica, self.replica.committed_entry
         if message.disk in self.past_members:  # one that was put out never comes in again under that name
-            if known is not None and not replica.entry.has_voter(message.disk) and not known.has_voter(message.disk):
+            if (
+                known is not None
+                and not replica.entry.has_voter(message.disk)
+                and not known.has_voter(message.disk)
+            ):
                 send_removed(replica, known, sender, message.disk)
         elif message.term == replica.term:
             self.join_requests.add(now, message.disk, sender)
-            self._update_learner(now, Member(message.disk, sender), (message.last_term, message.last_index),
-                          (message.durable_term, message.durable_index))
+            self._update_learner(
+                now,
+                Member(message.disk, sender),
+                (message.last_term, message.last_index),
+                (message.durable_term, message.durable_index),
+            )
         send_leader_hint(self.replica, sender, message.disk, self.replica.me)
 
-    def _update_learner(self, now: float, member: Member, last_position: LogPosition, durable_position: LogPosition) -> None:
+    def _update_learner(
+        self, now: float, member: Member, last_position: LogPosition, durable_position: LogPosition
+    ) -> None:
         """One that asks has this entry, and that on disk: it is sent the newest before it may be chosen."""
         peer = self.learners.get(member.disk)
         if peer is None or peer.address != member.address:
@@ -185,8 +225,13 @@
     def transfer_leadership(self, now: float) -> bool:
         """Ask the member that is best placed for it to lead. If True, this one must step down for good."""
         replica = self.replica
-        able = [p for p in self.peers.values() if p.durable_position == replica.entry.position
-                and now - p.leave_requested_at > 3 * replica.tuning.request_interval_s and now - p.acknowledged_at <= replica.tuning.election_min_s]
+        able = [
+            p
+            for p in self.peers.values()
+            if p.durable_position == replica.entry.position
+            and now - p.leave_requested_at > 3 * replica.tuning.request_interval_s
+            and now - p.acknowledged_at <= replica.tuning.election_min_s
+        ]
         able = [p for p in able if any(m.disk == p.disk for m in replica.entry.members)]
         if not able:
             return False
@@ -207,7 +252,12 @@
     def _start_waiting_proposal(self, now: float) -> None:
         """Begin the proposal that waits, if nothing is under way."""
         proposal = self.proposal
-        if proposal is None or self.proposal_in_flight or not self.newest_entry_committed or self.replica.entry.outgoing:
+        if (
+            proposal is None
+            or self.proposal_in_flight
+            or not self.newest_entry_committed
+            or self.replica.entry.outgoing
+        ):
             return
         entry = self.replica.entry
         if proposal.expected != entry.version:
@@ -221,11 +271,19 @@
 
         A newcomer must have on disk what was the newest entry not longer ago than a follower bears silence.
         """
-        if now < self.next_reconfiguration_check_at or not self.newest_entry_committed or not self.has_leader_lease(now):
+        if (
+            now < self.next_reconfiguration_check_at
+            or not self.newest_entry_committed
+            or not self.has_leader_lease(now)
+        ):
             return
         entry, t = self.replica.entry, self.replica.tuning
         self.next_reconfiguration_check_at = now + t.heartbeat_interval_s
-        join_requests = [a for a in self.join_requests.fresh(now, 3 * t.request_interval_s) if a.member.disk not in self.past_members]
+        join_requests = [
+            a
+            for a in self.join_requests.fresh(now, 3 * t.request_interval_s)
+            if a.member.disk not in self.past_members
+        ]
         self._replicate_to_learners(now)
         if self.proposal is not None:
             return
@@ -239,19 +297,30 @@
     def member_health(self, now: float) -> dict[str, MemberHealth]:
         """What is known of each other member's presence, by disk."""
         t = self.replica.tuning
-        return {p.disk: MemberHealth(now - max(p.heard, p.began), now - p.heard <= t.presence_timeout_s,
-                                 now - p.leave_requested_at <= 3 * t.request_interval_s) for p in self.peers.values()}
+        return {
+            p.disk: MemberHealth(
+                now - max(p.heard, p.began),
+                now - p.heard <= t.presence_timeout_s,
+                now - p.leave_requested_at <= 3 * t.request_interval_s,
+            )
+            for p in self.peers.values()
+        }
 
     def _replicate(self, now: float, entry: Entry, new_value: bool = False) -> None:
         """Have this entry agreed on, as the next one of this term."""
         replica = self.replica
-        self.recent_entries = {p: at for p, at in self.recent_entries.items() if now - at <= replica.tuning.election_min_s}
+        self.recent_entries = {
+            p: at for p, at in self.recent_entries.items() if now - at <= replica.tuning.election_min_s
+        }
         self.recent_entries[replica.entry.position] = now
         self.base = None if new_value else replica.entry.position
         replica.entry = entry._replace(term=replica.term, number=entry.number + 1)
         old = self.peers
-        self.peers = {m.disk: old.get(m.disk) or self.learners.pop(m.disk, None) or Peer(m, now)
-                      for m in replica.entry.voters() if m.disk != replica.disk}
+        self.peers = {
+            m.disk: old.get(m.disk) or self.learners.pop(m.disk, None) or Peer(m, now)
+            for m in replica.entry.voters()
+            if m.disk != replica.disk
+        }
         self.past_members = dict.fromkeys([*self.past_members, *self.peers][-MAX_PAST_MEMBERS:])
         for peer in (*self.peers.values(), *self.learners.values()):
             peer.next, peer.wait = now, replica.tuning.resend_s
@@ -292,7 +361,11 @@
 
     def _renew_lease(self) -> None:
         t = self.replica.tuning
-        self.lease = self.replica.entry.latest_quorum_time(self._acknowledged_times()) + t.election_min_s - t.lease_margin_s
+        self.lease = (
+            self.replica.entry.latest_quorum_time(self._acknowledged_times())
+            + t.election_min_s
+            - t.lease_margin_s
+        )
 
     def _acknowledged_times(self) -> dict[str, float]:
         times = {p.disk: p.acknowledged_at for p in self.peers.values()}
--- a/gateway/consensus/learner.py
+++ b/gateway/consensus/learner.py
@@ -101,8 +101,13 @@
 def reject_removed_member(replica: Replica, sender: Address, message: pb.Message) -> bool:
     """Is a note from a disk that is no member any more? Then that is told to it."""
     known = replica.committed_entry
-    if known is None or known.outgoing or known.has_voter(message.disk) or replica.entry.has_voter(message.disk) \
-            or (message.last_term, message.last_index) >= known.position:
+    if (
+        known is None
+        or known.outgoing
+        or known.has_voter(message.disk)
+        or replica.entry.has_voter(message.disk)
+        or (message.last_term, message.last_index) >= known.position
+    ):
         return False
     if message.kind in (pb.PRE_VOTE, pb.REQUEST_VOTE, pb.APPEND_RESPONSE, pb.LEAVE):
         send_removed(replica, known, sender, message.disk)
--- a/gateway/consensus/quorum.py
+++ b/gateway/consensus/quorum.py
@@ -10,7 +10,9 @@
     """What becomes of a core when `lost` of its disks are away at once, or gone for good."""
 
     lost: int
-    stays_available: bool  # orders are agreed on all the while; where disks are gone, new ones take their places
+    stays_available: (
+        bool  # orders are agreed on all the while; where disks are gone, new ones take their places
+    )
     keeps_orders: bool  # every acknowledged order is on a disk that is left
 
 
--- a/gateway/consensus/raft.py
+++ b/gateway/consensus/raft.py
@@ -53,9 +53,19 @@
     `dropped` counts notes that made no sense, by why.
     """
 
-    def __init__(self, me: Address, stored: PersistentState | None, fresh: bool, seeds: Sequence[Address],
-                 rng: random.Random, tuning: Tuning, new_disk_id: str, tolerance: int, now: float,
-                 began: float | None = None) -> None:
+    def __init__(
+        self,
+        me: Address,
+        stored: PersistentState | None,
+        fresh: bool,
+        seeds: Sequence[Address],
+        rng: random.Random,
+        tuning: Tuning,
+        new_disk_id: str,
+        tolerance: int,
+        now: float,
+        began: float | None = None,
+    ) -> None:
         blank = stored is None
         if stored is None and fresh and me in seeds:
             stored = PersistentState("first-" + me, 0, "", bootstrap_entry(seeds))
@@ -65,8 +75,9 @@
         self.candidate_role: CandidateRole | None = None
         self.learner_role = LearnerRole(self.replica, seeds)
         self.follower_role = FollowerRole(self.replica, now - tuning.election_min_s)
-        self.cold_start = ColdStart(self.replica, now, now if blank else now + tuning.election_min_s,
-                                 now if began is None else began)
+        self.cold_start = ColdStart(
+            self.replica, now, now if blank else now + tuning.election_min_s, now if began is None else began
+        )
         self.leaderless_since: float | None = None  # of the leader that this is: see `ColdStart`
         self.voter = Voter(self.replica, self.cold_start)
         self.dropped: dict[str, int] = {}
@@ -162,15 +173,21 @@
                 self.learner_role.tick(now)
         elif self.leaving and follower_role.leader is not None and now >= self.next_leave_request_at:
             self.next_leave_request_at = now + self.tuning.request_interval_s
-            self.replica.send(follower_role.leader, self.replica.message_with_last_position(pb.LEAVE, follower_role.disk))
+            self.replica.send(
+                follower_role.leader, self.replica.message_with_last_position(pb.LEAVE, follower_role.disk)
+            )
 
     def _start_election(self, now: float) -> None:
         """No leader is heard: try to be one. Early in a life others may not be free yet, so ask often."""
         self._reset_election_timer(now)
         self.follower_role.leader = None
         early = now < self.cold_start.until + self.tuning.election_max_s
-        retry_interval_s = self.tuning.restart_query_interval_s if early else 2 * self.tuning.heartbeat_interval_s
-        self.candidate_role = CandidateRole(self.replica, now, retry_interval_s) if self._may_start_election(now) else None
+        retry_interval_s = (
+            self.tuning.restart_query_interval_s if early else 2 * self.tuning.heartbeat_interval_s
+        )
+        self.candidate_role = (
+            CandidateRole(self.replica, now, retry_interval_s) if self._may_start_election(now) else None
+        )
         self.learner_role.probe_other_addresses()
 
     def _advance(self, now: float) -> None:
@@ -179,7 +196,11 @@
             self.leaderless_since = self.cold_start.leaderless_since()
             self.candidate_role, self.follower_role.leader, self.cold_start.leaderless = None, None, False
             self.leader_role = LeaderRole(self.replica, now, self.tolerance)
-        elif self.leader_role is not None and self.leader_role.newest_entry_committed and not self.replica.is_voter:
+        elif (
+            self.leader_role is not None
+            and self.leader_role.newest_entry_committed
+            and not self.replica.is_voter
+        ):
             self.leader_role.transfer_leadership(now)
             self._rejoin_as_new_disk(now)
 
@@ -196,10 +217,16 @@
             self.learner_role.report_progress(now)
 
     def _may_start_election(self, now: float) -> bool:
-        return not self.leaving and self.replica.is_voter and self.replica.write_stalled_s(now) <= MAX_CANDIDATE_WRITE_STALL_S
+        return (
+            not self.leaving
+            and self.replica.is_voter
+            and self.replica.write_stalled_s(now) <= MAX_CANDIDATE_WRITE_STALL_S
+        )
 
     def _reset_election_timer(self, now: float) -> None:
-        self.election_deadline = now + self.rng.uniform(self.tuning.election_min_s, self.tuning.election_max_s)
+        self.election_deadline = now + self.rng.uniform(
+            self.tuning.election_min_s, self.tuning.election_max_s
+        )
 
     def _step_down(self, now: float) -> None:
         if self.leader_role is not None:
@@ -259,7 +286,11 @@
             if self.leader_role is not None and message.term == self.replica.term:
                 self.leader_role.on_append_response(now, message)
         elif self.candidate_role is not None:
-            (self.candidate_role.on_pre_vote_response if kind == pb.PRE_VOTE_RESPONSE else self.candidate_role.on_vote_response)(message)
+            (
+                self.candidate_role.on_pre_vote_response
+                if kind == pb.PRE_VOTE_RESPONSE
+                else self.candidate_role.on_vote_response
+            )(message)
 
     def _on_heartbeat(self, now: float, sender: Address, message: pb.Message) -> None:
         """The leader is heard, with its newest entry perhaps."""
@@ -267,7 +298,12 @@
         if message.term < replica.term:
             return self.follower_role.send_append_response(now, sender, message.disk, message.sent)
         learns = message.kind == pb.APPEND_ENTRIES and not get_entry(message.entry).has_voter(replica.disk)
-        if self.leader_role is not None and message.term == replica.term or learns and (replica.is_voter or self.left):
+        if (
+            self.leader_role is not None
+            and message.term == replica.term
+            or learns
+            and (replica.is_voter or self.left)
+        ):
             return self._drop("leader")
         if message.term > replica.term:
             self._enter_term(now, message.term)
@@ -293,20 +329,30 @@
         """Others have begun anew: one after the other stands, if all have at once, else as soon as it may."""
         cold_start = self.cold_start
         cold_start.on_restarted(now, sender, message)
-        election_rank = cold_start.election_rank() if cold_start.leaderless and now < cold_start.until else None
+        election_rank = (
+            cold_start.election_rank() if cold_start.leaderless and now < cold_start.until else None
+        )
         if election_rank is not None and self.candidate_role is None:
             begins = now if cold_start.all_members_restarted() else cold_start.until
-            self.election_deadline = min(self.election_deadline, begins + election_rank * self.tuning.heartbeat_interval_s)
+            self.election_deadline = min(
+                self.election_deadline, begins + election_rank * self.tuning.heartbeat_interval_s
+            )
             if now >= self.election_deadline:
                 self._start_election(now)
 
     def _on_timeout_now(self, now: float, message: pb.Message) -> None:
         """The leader has stepped down in favour of this one."""
-        if message.term == self.replica.term and self.follower_role.leader is not None \
-                and message.disk == self.follower_role.disk and self._may_start_election(now):
+        if (
+            message.term == self.replica.term
+            and self.follower_role.leader is not None
+            and message.disk == self.follower_role.disk
+            and self._may_start_election(now)
+        ):
             self._reset_election_timer(now)
             self.follower_role.leader = None
-            self.candidate_role = CandidateRole(self.replica, now, 2 * self.tuning.heartbeat_interval_s, leadership_transfer=True)
+            self.candidate_role = CandidateRole(
+                self.replica, now, 2 * self.tuning.heartbeat_interval_s, leadership_transfer=True
+            )
 
     def _join(self, now: float, sender: Address, message: pb.Message) -> None:
         if self.leader_role is not None:
--- a/gateway/consensus/reconfiguration.py
+++ b/gateway/consensus/reconfiguration.py
@@ -47,8 +47,14 @@
         return sorted(self.askers.values(), key=lambda a: a.since)
 
 
-def next_configuration(now: float, members: tuple[Member, ...], others: Mapping[str, MemberHealth],
-                 join_requests: list[JoinRequest], tolerance: int, tuning: Tuning) -> tuple[Member, ...] | None:
+def next_configuration(
+    now: float,
+    members: tuple[Member, ...],
+    others: Mapping[str, MemberHealth],
+    join_requests: list[JoinRequest],
+    tolerance: int,
+    tuning: Tuning,
+) -> tuple[Member, ...] | None:
     """The members after the next change; None if none is due. `others` is by disk, the leader left out.
 
     A change is only begun if a majority of the members after it are there, the newcomer not counted.
@@ -72,8 +78,13 @@
     return member.disk not in others or others[member.disk].reachable
 
 
-def _with_joiner(members: tuple[Member, ...], others: Mapping[str, MemberHealth], learner: Member, waited: float,
-          tuning: Tuning) -> tuple[Member, ...] | None:
+def _with_joiner(
+    members: tuple[Member, ...],
+    others: Mapping[str, MemberHealth],
+    learner: Member,
+    waited: float,
+    tuning: Tuning,
+) -> tuple[Member, ...] | None:
     """The members with a newcomer, if there is a place for it now.
 
     One that comes as another ends is to replace that one, so it is added only when its silence would show.
@@ -86,7 +97,9 @@
             if presence is None or presence.silence_s < tuning.election_min_s:
                 return None
             return tuple(learner if m == old else m for m in members)
-    free = [(p.silence_s, disk) for disk, p in others.items() if p.leaving or p.silence_s > tuning.replace_after_s]
+    free = [
+        (p.silence_s, disk) for disk, p in others.items() if p.leaving or p.silence_s > tuning.replace_after_s
+    ]
     if free:
         gone = max(free)[1]
         return tuple(learner if m.disk == gone else m for m in members)
@@ -94,8 +107,9 @@
     return (*members, learner) if room and all(_is_reachable(others, m) for m in members) else None
 
 
-def _without_lost_member(members: tuple[Member, ...], others: Mapping[str, MemberHealth], tolerance: int,
-             tuning: Tuning) -> tuple[Member, ...] | None:
+def _without_lost_member(
+    members: tuple[Member, ...], others: Mapping[str, MemberHealth], tolerance: int, tuning: Tuning
+) -> tuple[Member, ...] | None:
     """The members without one that leaves or is gone, if enough stay.
 
     Of an even count, fewer are needed after that than before, whoever else is away.
--- a/gateway/consensus/records.py
+++ b/gateway/consensus/records.py
@@ -48,12 +48,18 @@
 
     def has_quorum(self, disks: Container[str]) -> bool:
         """Are these disks a majority of the members and, while those change, of the ones of before too?"""
-        return all(2 * sum(m.disk in disks for m in voter_set) > len(voter_set) for voter_set in self._voter_sets())
+        return all(
+            2 * sum(m.disk in disks for m in voter_set) > len(voter_set) for voter_set in self._voter_sets()
+        )
 
     def latest_quorum_time(self, times: Mapping[str, float]) -> float:
         """The latest time that majorities have reached, given the time that each disk has reached."""
-        return min(sorted(times.get(m.disk, NEVER) for m in voter_set)[(len(voter_set) - 1) // 2]
-                   if voter_set else NEVER for voter_set in self._voter_sets())
+        return min(
+            sorted(times.get(m.disk, NEVER) for m in voter_set)[(len(voter_set) - 1) // 2]
+            if voter_set
+            else NEVER
+            for voter_set in self._voter_sets()
+        )
 
     def _voter_sets(self) -> tuple[tuple[Member, ...], ...]:
         return (self.members, self.outgoing) if self.outgoing else (self.members,)
@@ -100,8 +106,14 @@
 
 def get_entry(message: pb.Entry) -> Entry:
     """An entry from its message."""
-    return Entry(message.term, message.number, message.version, get_members(message.members),
-                 get_members(message.outgoing), message.value)
+    return Entry(
+        message.term,
+        message.number,
+        message.version,
+        get_members(message.members),
+        get_members(message.outgoing),
+        message.value,
+    )
 
 
 def malformed_reason(message: pb.Message) -> str:
@@ -114,7 +126,9 @@
         return "to_disk"
     if max(message.term, message.last_term, message.durable_term, message.base_term) > MAX_TERM:
         return "term"
-    if not all(abs(time) < 1e12 for time in (message.sent, message.replied_at, message.last_reply_at)):  # nor NaN
+    if not all(
+        abs(time) < 1e12 for time in (message.sent, message.replied_at, message.last_reply_at)
+    ):  # nor NaN
         return "sent"
     if len(message.members) > MAX_ENTRY_MEMBERS:
         return "members"
--- a/gateway/consensus/replica.py
+++ b/gateway/consensus/replica.py
@@ -71,7 +71,11 @@
 
     def vote_is_persisted(self, disk: str) -> bool:
         """Is the vote for that disk, in this term, on disk?"""
-        return self.persisted.disk == self.disk and self.persisted.term == self.term and self.persisted.vote == disk
+        return (
+            self.persisted.disk == self.disk
+            and self.persisted.term == self.term
+            and self.persisted.vote == disk
+        )
 
     def newest_entry_persisted(self) -> bool:
         """Is the newest entry on disk?"""
@@ -109,5 +113,9 @@
 
     def _wanted(self) -> bool:
         persisted = self.persisted
-        return (self.disk != persisted.disk or self.entry.position != persisted.entry.position
-                or self.vote != "" and (self.term, self.vote) != (persisted.term, persisted.vote))
+        return (
+            self.disk != persisted.disk
+            or self.entry.position != persisted.entry.position
+            or self.vote != ""
+            and (self.term, self.vote) != (persisted.term, persisted.vote)
+        )
--- a/gateway/consensus/storage.py
+++ b/gateway/consensus/storage.py
@@ -81,7 +81,10 @@
         except BaseException:
             self._remove(self.last_generation)
             raise
-        self.valid_generations, self.newest_record = [*self.valid_generations, self.last_generation][-RETAINED_GENERATIONS:], record
+        self.valid_generations, self.newest_record = (
+            [*self.valid_generations, self.last_generation][-RETAINED_GENERATIONS:],
+            record,
+        )
         self._remove_obsolete()
 
     def _remove_obsolete(self) -> None:
@@ -107,7 +110,7 @@
             names = os.listdir(self.folder)
         except FileNotFoundError:
             return set()
-        stems = (name[len(PREFIX):].partition(".")[0] for name in names if name.startswith(PREFIX))
+        stems = (name[len(PREFIX) :].partition(".")[0] for name in names if name.startswith(PREFIX))
         return {int(stem) for stem in stems if stem.isdecimal() and len(stem) < 16}
 
     def _write(self, number: int, data: bytes) -> None:
--- a/gateway/consensus/voter.py
+++ b/gateway/consensus/voter.py
@@ -21,7 +21,9 @@
         Unless all have begun anew, by the very entry that the candidate holds.
         """
         if now < self.cold_start.until and not (
-                (message.last_term, message.last_index) == self.replica.entry.position and self.cold_start.all_members_restarted()):
+            (message.last_term, message.last_index) == self.replica.entry.position
+            and self.cold_start.all_members_restarted()
+        ):
             return False
         return message.leadership_transfer or now - heard >= self.replica.tuning.election_min_s
 
@@ -41,7 +43,10 @@
         if message.term < replica.term:
             replica.send(sender, replica.message(pb.VOTE_RESPONSE, message.disk))
             return False
-        if replica.vote not in ("", message.disk) or (message.last_term, message.last_index) < replica.entry.position:
+        if (
+            replica.vote not in ("", message.disk)
+            or (message.last_term, message.last_index) < replica.entry.position
+        ):
             return False
         replica.vote = message.disk
         self.pending_vote_reply = message.disk, sender
--- a/gateway/drift/detector.py
+++ b/gateway/drift/detector.py
@@ -22,7 +22,10 @@
 )
 from gateway.state_machine import Address
 
-UNREADY_RATIO, REFUSE_RATIO = 0.4, 0.6  # of the time in which a version has to be in force, spent knowing of a newer one
+UNREADY_RATIO, REFUSE_RATIO = (
+    0.4,
+    0.6,
+)  # of the time in which a version has to be in force, spent knowing of a newer one
 FETCH_INTERVAL_S = 0.5  # between two calls to catch up
 UNREADABLE_FETCH_INTERVAL_S = 5.0  # likewise, for a version that can't be read
 MAX_UNATTRIBUTED_FETCHES = 20  # calls for a version of which there is hearsay only
@@ -37,7 +40,10 @@
 CORE_NOT_HEARD = "the core has yet to be heard"  # why requests are turned back right after a start
 SAMPLE, DIGEST = "sample", "digest"  # ways of finding, by a plain reading and at taking up
 MAX_FINDINGS, MAX_TEXT_LENGTH = 32, 120  # findings shown, letters of a value in them
-MAX_KNOWN_FINDINGS, FORGET_S = 256, 600.0  # findings that are known again, until they are not found for so long
+MAX_KNOWN_FINDINGS, FORGET_S = (
+    256,
+    600.0,
+)  # findings that are known again, until they are not found for so long
 
 
 class DriftDetector:
@@ -69,8 +75,13 @@
         self.findings: deque[Finding] = deque(maxlen=MAX_FINDINGS)
         self.found = 0
         self.on: dict[type, Callable[[float, Any], list[Any]]] = {
-            VersionApplied: self._version_applied, VersionUnreadable: self._unreadable, VersionSeen: self._version_seen,
-            NewestConfirmed: self._confirmed, DifferencesFound: self._differences_found, Tick: self._tick}
+            VersionApplied: self._version_applied,
+            VersionUnreadable: self._unreadable,
+            VersionSeen: self._version_seen,
+            NewestConfirmed: self._confirmed,
+            DifferencesFound: self._differences_found,
+            Tick: self._tick,
+        }
 
     def handle(self, now: float, event: Any) -> list[Any]:
         """Take an input; returns what is to be done. A clock that steps back is taken to stand still."""
@@ -119,8 +130,9 @@
 
     def _version_seen(self, now: float, e: VersionSeen) -> list[Any]:
         if e.version == self.version and e.source and e.digest not in (0, self.acknowledged):
-            what = Difference(f"neighbour {e.source}", f"digest {e.digest:016x}",
-                              f"digest {self.acknowledged:016x}")
+            what = Difference(
+                f"neighbour {e.source}", f"digest {e.digest:016x}", f"digest {self.acknowledged:016x}"
+            )
             return self._report(what, "its word")
         if e.version <= self.version:
             return []
@@ -159,7 +171,9 @@
             return []
         if self.newest > self.version and now - self.since >= FETCH_INTERVAL_S:
             self.fetched_at, self.tries = now, self.tries + 1
-            return [FetchVersion(self.newest, self.source if self.tries % 2 else "", again=unreadable_version)]
+            return [
+                FetchVersion(self.newest, self.source if self.tries % 2 else "", again=unreadable_version)
+            ]
         if self.unattributed_version > self.version and self.tries < MAX_UNATTRIBUTED_FETCHES:
             self.fetched_at, self.tries = now, self.tries + 1
             return [FetchVersion(self.version + 1, "")]  # not that one, which may be nowhere
@@ -200,7 +214,13 @@
         if len(self.known_findings) >= MAX_KNOWN_FINDINGS:
             del self.known_findings[next(iter(self.known_findings))]
         self.known_findings[what] = now
-        finding = Finding(what.place[:MAX_TEXT_LENGTH], what.running[:MAX_TEXT_LENGTH], what.set[:MAX_TEXT_LENGTH], self.version, how)
+        finding = Finding(
+            what.place[:MAX_TEXT_LENGTH],
+            what.running[:MAX_TEXT_LENGTH],
+            what.set[:MAX_TEXT_LENGTH],
+            self.version,
+            how,
+        )
         self.found += 1
         self.findings.append(finding)
         return [finding]
@@ -225,7 +245,11 @@
     def _state(self, now: float) -> list[Any]:
         """Whether clients may come and requests may be sent on, where that has changed."""
         lag, out = self.lag(), list[Any]()
-        ready = lag < UNREADY_RATIO * self.apply_s and not self._rebuild_limit_reached(now) and not self.core_not_heard
+        ready = (
+            lag < UNREADY_RATIO * self.apply_s
+            and not self._rebuild_limit_reached(now)
+            and not self.core_not_heard
+        )
         why = self._refusal(now, lag)
         if ready != self.ready:
             self.ready = ready
@@ -245,7 +269,9 @@
             return ""
         if self.confirmed < self.resumed_at and now - self.resumed_at < RESUME_GRACE_S:
             return "woken"
-        if self.refuse_after_s is not None and now - max(self.confirmed, self.resumed_at) > self.refuse_after_s:
+        if (
+            self.refuse_after_s is not None
+            and now - max(self.confirmed, self.resumed_at) > self.refuse_after_s
+        ):
             return "no contact with the core"
         return ""
-
--- a/gateway/drift/fleet_status.py
+++ b/gateway/drift/fleet_status.py
@@ -71,7 +71,9 @@
         self.checked_at = now
         for address in [a for a, n in self.nodes.items() if now - n.heard > FORGET_AFTER_S]:
             del self.nodes[address]
-        return [f for a, n in self.nodes.items() if n.version < self.version for f in self._lag_finding(now, a, n)]
+        return [
+            f for a, n in self.nodes.items() if n.version < self.version for f in self._lag_finding(now, a, n)
+        ]
 
     def _runs(self, now: float, e: NodeReport) -> list[Finding]:
         node = self.nodes.get(e.node)
@@ -91,8 +93,15 @@
         acknowledged = self.times.get(e.version)
         if acknowledged is not None and acknowledged[1] != e.digest and node.told != (e.version, e.digest):
             node.told = e.version, e.digest
-            out.append(Finding(f"node {e.node}", f"digest {e.digest:016x}", f"digest {acknowledged[1]:016x}",
-                               e.version, "its digest"))
+            out.append(
+                Finding(
+                    f"node {e.node}",
+                    f"digest {e.digest:016x}",
+                    f"digest {acknowledged[1]:016x}",
+                    e.version,
+                    "its digest",
+                )
+            )
         return self._record_findings(out)
 
     def _lag_finding(self, now: float, address: Address, node: Node) -> list[Finding]:
@@ -101,8 +110,17 @@
         if not late or node.told[0] == -self.version:
             return []
         node.told = -self.version, 0
-        return self._record_findings([Finding(f"node {address}", f"version {node.version}", f"version {self.version}",
-                                   self.version, f"for {self.lag(now, node):.1f} s")])
+        return self._record_findings(
+            [
+                Finding(
+                    f"node {address}",
+                    f"version {node.version}",
+                    f"version {self.version}",
+                    self.version,
+                    f"for {self.lag(now, node):.1f} s",
+                )
+            ]
+        )
 
     def _record_findings(self, found: list[Finding]) -> list[Finding]:
         self.found += len(found)
@@ -115,5 +133,7 @@
 
     def seen(self, now: float) -> list[NodeRow]:
         """All nodes, by address."""
-        return [NodeRow(a, n.version, n.digest, self.lag(now, n), now - n.heard, n.findings, n.finding)
-                for a, n in sorted(self.nodes.items())]
+        return [
+            NodeRow(a, n.version, n.digest, self.lag(now, n), now - n.heard, n.findings, n.finding)
+            for a, n in sorted(self.nodes.items())
+        ]
--- a/gateway/drift/live_check.py
+++ b/gateway/drift/live_check.py
@@ -13,7 +13,9 @@
 from gateway.drift.detector import SAMPLE
 
 SAMPLE_INTERVAL = 50  # one request in so many is also decided by a plain reading of the document, at most
-ENTRIES_PER_REQUEST = 5  # of the document that a sample reads for each request between two: it costs by their number
+ENTRIES_PER_REQUEST = (
+    5  # of the document that a sample reads for each request between two: it costs by their number
+)
 REQUESTS_PER_STEP = 16  # one request in so many looks at one more item of the whole
 IDLE_STEP_INTERVAL_S = 0.5  # besides, one item in this time
 REJECTED_SAMPLE_INTERVAL_S = 0.25  # between two plain readings for requests that are not allowed
@@ -33,11 +35,27 @@
 class LiveCheck:
     """Checks what one book says of requests. Made anew for each book."""
 
-    __slots__ = ("document", "expected", "compiled_config", "watch", "routes", "every", "left", "requests", "sampled",
-                 "odd", "due")
-
-    def __init__(self, document: Document, expected: ExpectedDigests, compiled_config: CompiledConfig,
-                 previous: LiveCheck | None = None) -> None:
+    __slots__ = (
+        "document",
+        "expected",
+        "compiled_config",
+        "watch",
+        "routes",
+        "every",
+        "left",
+        "requests",
+        "sampled",
+        "odd",
+        "due",
+    )
+
+    def __init__(
+        self,
+        document: Document,
+        expected: ExpectedDigests,
+        compiled_config: CompiledConfig,
+        previous: LiveCheck | None = None,
+    ) -> None:
         self.document, self.expected, self.compiled_config = document, expected, compiled_config
         self.watch = DriftScanner(compiled_config, expected)
         self.routes: dict[Route, tuple[ItemValues, bytes]] = {}  # used so far: what is set, and the prefix
@@ -47,7 +65,9 @@
         self.sampled: int = previous.sampled if previous else 0
         self.odd = self.due = 0.0
 
-    def check(self, now: float, host: bytes, path: bytes, key: bytes, route_decision: RouteDecision) -> CheckResult:
+    def check(
+        self, now: float, host: bytes, path: bytes, key: bytes, route_decision: RouteDecision
+    ) -> CheckResult:
         """Whether a decision is as it is set: the route and the tenant at each request, all of it at a
         sampled one."""
         self.requests += 1
@@ -55,8 +75,19 @@
         path_mismatch = False
         if r is not None:
             values, prefix = self.routes.get(r, UNKNOWN_ROUTE)
-            if values != (r.label, r.host, r.prefix, r.safe, r.deadline, r.target_latency, r.precedence, r.tries,
-                          r.public, r.targets, r.cumulative_shares):
+            if values != (
+                r.label,
+                r.host,
+                r.prefix,
+                r.safe,
+                r.deadline,
+                r.target_latency,
+                r.precedence,
+                r.tries,
+                r.public,
+                r.targets,
+                r.cumulative_shares,
+            ):
                 if found := self.route(r):
                     return CheckResult("request", found)
                 prefix = self.routes[r][1]
@@ -69,7 +100,11 @@
         if self.left <= 0:
             self.left = self.every
         elif (route_decision.status == 200 and not path_mismatch) or now < self.odd:
-            return CheckResult("round", self.watch.step(1)) if not self.left % REQUESTS_PER_STEP else NO_DIFFERENCE
+            return (
+                CheckResult("round", self.watch.step(1))
+                if not self.left % REQUESTS_PER_STEP
+                else NO_DIFFERENCE
+            )
         self.odd = now + REJECTED_SAMPLE_INTERVAL_S
         self.sampled += 1
         return CheckResult(SAMPLE, compare_decision(route_decision, evaluate(self.document, host, path, key)))
--- a/gateway/drift/quota_windows.py
+++ b/gateway/drift/quota_windows.py
@@ -23,8 +23,11 @@
     if quota_windows == windows:
         return []
     labels = sorted(quota_windows.keys() | windows.keys())
-    return [Difference(f"quota {label}", _told(windows.get(label)), _told(quota_windows.get(label)))
-            for label in labels if windows.get(label) != quota_windows.get(label)]
+    return [
+        Difference(f"quota {label}", _told(windows.get(label)), _told(quota_windows.get(label)))
+        for label in labels
+        if windows.get(label) != quota_windows.get(label)
+    ]
 
 
 def _told(window: Window | None) -> str:
--- a/gateway/membership/backend_table.py
+++ b/gateway/membership/backend_table.py
@@ -135,7 +135,13 @@
             return
         if tombstone is None and len(self.tombstones) >= self.max_rows:
             del self.tombstones[next(iter(self.tombstones))]
-        since = row.backend.since if row is not None else tombstone.since if tombstone is not None else float("inf")
+        since = (
+            row.backend.since
+            if row is not None
+            else tombstone.since
+            if tombstone is not None
+            else float("inf")
+        )
         self.tombstones[id] = EndRecord(id, seq, now + TOMBSTONE_S, since)
 
     def drop(self, id: str) -> list[BackendChange]:
@@ -155,4 +161,6 @@
             for _, row in orphans:
                 row.orphaned_at = min(now, row.orphaned_at + passed)
             return []
-        return [change for i, row in orphans if now - row.orphaned_at >= self.grace for change in self.drop(i)]
+        return [
+            change for i, row in orphans if now - row.orphaned_at >= self.grace for change in self.drop(i)
+        ]
--- a/gateway/membership/change_log.py
+++ b/gateway/membership/change_log.py
@@ -88,7 +88,9 @@
 
     def ingresses(self, now: float) -> list[tuple[int, Address]]:
         """Zone and address of each ingress that follows, in that order."""
-        live = ((f.zone, a) for a, f in self.followers.items() if f.zone >= 0 and now - f.heard < FOLLOWER_LIVE_S)
+        live = (
+            (f.zone, a) for a, f in self.followers.items() if f.zone >= 0 and now - f.heard < FOLLOWER_LIVE_S
+        )
         return sorted(live)
 
     def push(self, now: float) -> list[Send]:
@@ -103,7 +105,9 @@
 
     def tick(self, now: float) -> list[Send]:
         """Push what is due, and forget ends and followers of long ago."""
-        for key in [k for k, (_, r) in self.items.items() if isinstance(r, EXPIRING_RECORDS) and r.until <= now]:
+        for key in [
+            k for k, (_, r) in self.items.items() if isinstance(r, EXPIRING_RECORDS) and r.until <= now
+        ]:
             self.floor = max(self.floor, self.items.pop(key)[0])
         for address in [a for a, f in self.followers.items() if now - f.heard > FOLLOWER_FORGET_S]:
             del self.followers[address]
@@ -125,7 +129,9 @@
         answer.lost.extend(self.lost)
         if position < 0:
             answer.snapshot, answer.zone = True, self.zone + 1
-            wire.fill_answer(answer, now, (r for _, r in self.items.values() if not isinstance(r, ReleaseRecord)))
+            wire.fill_answer(
+                answer, now, (r for _, r in self.items.values() if not isinstance(r, ReleaseRecord))
+            )
         elif position < self.position:
             answer.base = position
             wire.fill_answer(answer, now, self._since(position))
--- a/gateway/membership/controller.py
+++ b/gateway/membership/controller.py
@@ -42,8 +42,9 @@
     `beat` is the time between a backend's beats in seconds. Calls of backends are refused unless this
     process is a member of the core, since others aren't followed."""
 
-    def __init__(self, address: Address, zone: int, seeds: Sequence[Address], heartbeat: float,
-                 rng: random.Random) -> None:
+    def __init__(
+        self, address: Address, zone: int, seeds: Sequence[Address], heartbeat: float, rng: random.Random
+    ) -> None:
         self.address = address
         self.log, self.table, self.follower = ChangeLog(rng, zone), BackendTable(), LogFollower()
         self.leases = Leases(self.log, self.table, address, heartbeat)
@@ -113,11 +114,22 @@
             out += self.leases.reconcile(now, id)
         out = self._reconciled(now, out)
         for value_record in log_update.records:
-            if isinstance(value_record, wire.ValueRecord) and value_record.kind != CONFIG:  # that comes by agreement
+            if (
+                isinstance(value_record, wire.ValueRecord) and value_record.kind != CONFIG
+            ):  # that comes by agreement
                 if value_record.data is not None:
-                    out += self._apply_updates(self.value_fetcher.accept(value_record.kind, value_record.fencing_token, value_record.data, value_record.digest))
+                    out += self._apply_updates(
+                        self.value_fetcher.accept(
+                            value_record.kind,
+                            value_record.fencing_token,
+                            value_record.data,
+                            value_record.digest,
+                        )
+                    )
                 else:
-                    out += self.value_fetcher.add_source(now, value_record.kind, value_record.fencing_token, log_update.source, 0.0)
+                    out += self.value_fetcher.add_source(
+                        now, value_record.kind, value_record.fencing_token, log_update.source, 0.0
+                    )
         return out
 
     def _reconciled(self, now: float, outputs: Sequence[Any]) -> list[Any]:
@@ -161,7 +173,10 @@
             self.table.release_all(last, source)
         suspicions_known = bool(self.follower.suspicions(now)) or not self.follower.sources
         out += self._reconciled(now, self.table.tick(now, suspicions_known))
-        return [*out, *self.follower.tick(now), *self.value_fetcher.tick(now), *self.view.tick(now),
-                *self.log.tick(now)]
-
-
+        return [
+            *out,
+            *self.follower.tick(now),
+            *self.value_fetcher.tick(now),
+            *self.view.tick(now),
+            *self.log.tick(now),
+        ]
--- a/gateway/membership/leases.py
+++ b/gateway/membership/leases.py
@@ -56,8 +56,16 @@
 
 def is_valid(heartbeat: Heartbeat) -> bool:
     """Whether a beat holds what can be told to others: short names, numbers that fit."""
-    return (0 <= heartbeat.seq < FINAL_SEQUENCE and 0 <= heartbeat.capacity < 1 << 32
-            and all(map(_is_valid_name, (heartbeat.id, heartbeat.service, heartbeat.address, heartbeat.zone, heartbeat.generation))))
+    return (
+        0 <= heartbeat.seq < FINAL_SEQUENCE
+        and 0 <= heartbeat.capacity < 1 << 32
+        and all(
+            map(
+                _is_valid_name,
+                (heartbeat.id, heartbeat.service, heartbeat.address, heartbeat.zone, heartbeat.generation),
+            )
+        )
+    )
 
 
 class Leases:
@@ -90,11 +98,20 @@
         if lease is None and len(self.leases) >= self.table.max_rows:
             return None
         known = lease.backend if lease else row.backend if row else None
-        if tombstone is not None and heartbeat.seq <= tombstone.seq or known is not None and heartbeat.seq <= known.seq:
+        if (
+            tombstone is not None
+            and heartbeat.seq <= tombstone.seq
+            or known is not None
+            and heartbeat.seq <= known.seq
+        ):
             return []
         since = known.since if known else min(now, tombstone.since) if tombstone else now
-        backend = Backend(*heartbeat[1:8], cold_until=now + heartbeat.cold_left if heartbeat.cold_left > 0 else 0.0,
-                          seq=heartbeat.seq, since=since)
+        backend = Backend(
+            *heartbeat[1:8],
+            cold_until=now + heartbeat.cold_left if heartbeat.cold_left > 0 else 0.0,
+            seq=heartbeat.seq,
+            since=since,
+        )
         if lease is None or is_significant(now, lease.backend, backend):
             return self._publish_lease(now, backend)
         lease.backend, lease.until = backend._replace(cold_until=lease.backend.cold_until), now + self.length
@@ -151,7 +168,11 @@
             self.table.record(now, SELF, ReleaseRecord(id))
         if row is not None:
             if row.backend.draining:
-                if not (isinstance(published, LeaseRecord) and published.relay and published.backend.seq == row.backend.seq):
+                if not (
+                    isinstance(published, LeaseRecord)
+                    and published.relay
+                    and published.backend.seq == row.backend.seq
+                ):
                     self.log.put(id, LeaseRecord(row.backend, relay=True))
                 return []
         elif tombstone is not None:
@@ -165,8 +186,12 @@
     @staticmethod
     def _is_current(published: Record | None, row: BackendRow, tombstone: EndRecord | None) -> bool:
         """Whether what the log says of a backend is the newest that others say."""
-        return (isinstance(published, LeaseRecord) and not published.relay and published.backend.seq == row.backend.seq
-                and (tombstone is None or tombstone.seq < row.backend.seq))
+        return (
+            isinstance(published, LeaseRecord)
+            and not published.relay
+            and published.backend.seq == row.backend.seq
+            and (tombstone is None or tombstone.seq < row.backend.seq)
+        )
 
     def _known(self, id: str) -> tuple[Lease | None, BackendRow | None, EndRecord | None]:
         return self.leases.get(id), self.table.rows.get(id), self.table.tombstones.get(id)
@@ -178,7 +203,9 @@
                 out += self.reconcile(now, change.id)
         return out
 
-    def _await_majority(self, now: float, token: Any, number: int) -> list[Acknowledged | Rejected | BackendChange]:
+    def _await_majority(
+        self, now: float, token: Any, number: int
+    ) -> list[Acknowledged | Rejected | BackendChange]:
         if len(self.waiting) >= MAX_PENDING_CALLS:
             return [Rejected(token)]
         self.waiting.append(_PendingCall(token, number, now + REJECT_AFTER_S))
--- a/gateway/membership/log_follower.py
+++ b/gateway/membership/log_follower.py
@@ -12,7 +12,10 @@
 
 HEARTBEAT_S = 0.4  # between two heartbeats to a source
 SLOW_HEARTBEAT_S = 1.0  # to one that is silent for long
-FIRST_HEARTBEAT_S, STARTUP_S = 0.1, 2.0  # to one that has yet to be heard, and for how long: it may be starting
+FIRST_HEARTBEAT_S, STARTUP_S = (
+    0.1,
+    2.0,
+)  # to one that has yet to be heard, and for how long: it may be starting
 SILENT_S = 1.5  # unheard of for so long, a source counts as lost to us
 REQUEST_INTERVAL_S = 0.05  # between two requests for what is missing
 REPORT_S = 2.0  # what runs here is told in each heartbeat for so long after a change, and to silent sources,
@@ -28,8 +31,22 @@
 
 
 class _SourceState:
-    __slots__ = ("log", "position", "heard", "since", "due", "asked_at", "quorate", "lost", "zone", "declared_lost",
-                 "last_heartbeats", "synced_at", "config", "reports_sent")
+    __slots__ = (
+        "log",
+        "position",
+        "heard",
+        "since",
+        "due",
+        "asked_at",
+        "quorate",
+        "lost",
+        "zone",
+        "declared_lost",
+        "last_heartbeats",
+        "synced_at",
+        "config",
+        "reports_sent",
+    )
 
     def __init__(self, now: float) -> None:
         self.log = self.position = 0
@@ -58,7 +75,9 @@
         self.running_config: tuple[int, int, int, str] | None = None
         self.running_config_at = -1e9
 
-    def report_running_config(self, now: float, version: int, digest: int, findings: int, finding: str) -> None:
+    def report_running_config(
+        self, now: float, version: int, digest: int, findings: int, finding: str
+    ) -> None:
         """What runs here, to be told to all sources for a while, and now and then later."""
         self.running_config, self.running_config_at = (version, digest, findings, finding), now
 
@@ -83,8 +102,13 @@
 
     def _follow(self, now: float, address: Address, state: _SourceState, quiet: bool = False) -> Send:
         first = state.heard < state.since and now - state.since < STARTUP_S
-        state.due = now + (FIRST_HEARTBEAT_S if first else
-                       self.heartbeat_interval if now - max(state.heard, state.since) < 5.0 else SLOW_HEARTBEAT_S)
+        state.due = now + (
+            FIRST_HEARTBEAT_S
+            if first
+            else self.heartbeat_interval
+            if now - max(state.heard, state.since) < 5.0
+            else SLOW_HEARTBEAT_S
+        )
         note = pb.Message()
         note.follow.log, note.follow.position, note.follow.quiet = state.log, state.position, quiet
         if not quiet:
@@ -123,10 +147,15 @@
     def confirmed(self, now: float, members: Collection[Address]) -> tuple[int, float] | None:
         """The newest version that the logs of a majority of these end with, all quorate, and since when that
         is sure: the heartbeats that they answered so went out then or later."""
-        confirming = [state for a, state in self.sources.items()
-                if state.quorate and state.config and 0 <= now - state.synced_at < SILENT_S and a in members]
+        confirming = [
+            state
+            for a, state in self.sources.items()
+            if state.quorate and state.config and 0 <= now - state.synced_at < SILENT_S and a in members
+        ]
         version = max((state.config for state in confirming), default=0)
-        synced_times = sorted((state.synced_at for state in confirming if state.config == version), reverse=True)
+        synced_times = sorted(
+            (state.synced_at for state in confirming if state.config == version), reverse=True
+        )
         return (version, synced_times[len(members) // 2]) if 2 * len(synced_times) > len(members) else None
 
     def heard(self, now: float) -> list[Address]:
@@ -152,7 +181,11 @@
         suspicions = self.suspicions(now)
         for address, state in self.sources.items() if suspicions else ():
             last = max(state.heard, state.since)
-            if not state.declared_lost and now - last >= grace and all(wire.address_hash(address) in j for j in suspicions):
+            if (
+                not state.declared_lost
+                and now - last >= grace
+                and all(wire.address_hash(address) in j for j in suspicions)
+            ):
                 state.declared_lost, state.log, state.position = True, 0, 0
                 found.append((address, last))
         return found
--- a/gateway/membership/peer_view.py
+++ b/gateway/membership/peer_view.py
@@ -14,7 +14,9 @@
 VIEW_SIZE = 8
 SHUFFLE_INTERVAL_S = 1.0  # between two swaps
 EXPEDITED_INTERVAL_S = 0.25  # likewise, while there is news to pass on
-OUTSIDE_PEER_EVERY = 5  # one swap in so many goes to somebody outside the view, so that parts of a cut meet again
+OUTSIDE_PEER_EVERY = (
+    5  # one swap in so many goes to somebody outside the view, so that parts of a cut meet again
+)
 MAX_UNRESPONSIVE_PEERS = 8  # neighbours that gave no answer and are tried again
 MAX_CORE_MEMBERS = 16
 DIGEST_BYTES = 8
@@ -43,8 +45,15 @@
     and then. At most four swaps a second are begun, one while there is no news; each swap that comes is
     answered. Each message holds at most half a view and 16 members of the core."""
 
-    def __init__(self, address: Address, role: int, zone: int, seeds: Iterable[Address], rng: random.Random,
-                 size: int = VIEW_SIZE) -> None:
+    def __init__(
+        self,
+        address: Address,
+        role: int,
+        zone: int,
+        seeds: Iterable[Address],
+        rng: random.Random,
+        size: int = VIEW_SIZE,
+    ) -> None:
         self.address, self.rng, self.size = address, rng, size
         self.own_entry = packed(address) << 16 | zone << 4 | role
         self.seeds: list[int] = []
@@ -61,7 +70,10 @@
 
     def peers(self) -> list[PeerEntry]:
         """The present view."""
-        return [PeerEntry(unpacked(entry >> 16), entry & 15, entry >> 4 & 4095, age) for entry, age in self.entries.items()]
+        return [
+            PeerEntry(unpacked(entry >> 16), entry & 15, entry >> 4 & 4095, age)
+            for entry, age in self.entries.items()
+        ]
 
     def set_seeds(self, seeds: Iterable[Address]) -> None:
         """Ask these while nobody else is known."""
@@ -71,14 +83,23 @@
         """The members of the core are known from elsewhere; whether that is news."""
         if members_version <= self.members_version:
             return False
-        self.members_version, self.members, self.expedite = members_version, tuple(map(packed, members))[:MAX_CORE_MEMBERS], True
+        self.members_version, self.members, self.expedite = (
+            members_version,
+            tuple(map(packed, members))[:MAX_CORE_MEMBERS],
+            True,
+        )
         return True
 
     def set_current_config(self, version: int, digest: bytes) -> None:
         """This process has taken up a configuration."""
-        current_config = ConfigVersion(version, int.from_bytes(digest[:DIGEST_BYTES].ljust(DIGEST_BYTES, b"\0"), "big"))
+        current_config = ConfigVersion(
+            version, int.from_bytes(digest[:DIGEST_BYTES].ljust(DIGEST_BYTES, b"\0"), "big")
+        )
         self.expedite = self.expedite or current_config.version > self.newest.version
-        self.current_config, self.newest = current_config, max(self.newest, current_config, key=lambda h: h.version)
+        self.current_config, self.newest = (
+            current_config,
+            max(self.newest, current_config, key=lambda h: h.version),
+        )
 
     def tick(self, now: float) -> list[Send]:
         """Begin a swap if it is due."""
@@ -86,14 +107,22 @@
             return []
         self._drop_unresponsive()
         to = self._choose_partner()
-        self.due, self.last_shuffle_at, self.expedite = now + SHUFFLE_INTERVAL_S * self.rng.uniform(0.9, 1.1), now, False
+        self.due, self.last_shuffle_at, self.expedite = (
+            now + SHUFFLE_INTERVAL_S * self.rng.uniform(0.9, 1.1),
+            now,
+            False,
+        )
         if to is None:
             return []
         self.number = self.number % 0xFFFF + 1
         self.entries = {entry: age + 1 for entry, age in self.entries.items()}
         self.asked, self.sent_entries = to, self._sample_entries(self.size // 2 - 1, to)
         note = pb.Message()
-        self._fill_shuffle(note.shuffle_request, self.number, [(self.own_entry, 0), *((entry, self.entries[entry]) for entry in self.sent_entries)])
+        self._fill_shuffle(
+            note.shuffle_request,
+            self.number,
+            [(self.own_entry, 0), *((entry, self.entries[entry]) for entry in self.sent_entries)],
+        )
         return [Send(unpacked(to), note)]
 
     def _drop_unresponsive(self) -> None:
@@ -112,7 +141,9 @@
         if self.entries and self.shuffle_count % OUTSIDE_PEER_EVERY:
             return max(self.entries, key=lambda entry: self.entries[entry]) >> 16
         known = {entry >> 16 for entry in self.entries} | {self.own_entry >> 16}
-        others = [a for a in dict.fromkeys([*self.unresponsive_peers, *self.seeds, *self.members]) if a not in known]
+        others = [
+            a for a in dict.fromkeys([*self.unresponsive_peers, *self.seeds, *self.members]) if a not in known
+        ]
         if others:
             return self.rng.choice(others)
         return max(self.entries, key=lambda entry: self.entries[entry]) >> 16 if self.entries else None
@@ -130,15 +161,20 @@
         if self.newest.version > self.current_config.version:
             shuffle_request.newest, shuffle_request.newest_digest = self.newest
 
-    def received(self, now: float, sender: Address, shuffle_request: pb.Shuffle, answer: bool) -> list[Send | ConfigAdvertised | CoreMembers]:
+    def received(
+        self, now: float, sender: Address, shuffle_request: pb.Shuffle, answer: bool
+    ) -> list[Send | ConfigAdvertised | CoreMembers]:
         """A swap, or the answer to one."""
         out = self._learn_from_shuffle(sender, shuffle_request)
-        entries = list(zip(shuffle_request.packed_peer, shuffle_request.ages, strict=False))[:self.size]
+        entries = list(zip(shuffle_request.packed_peer, shuffle_request.ages, strict=False))[: self.size]
         if answer:
             if shuffle_request.number == self.number and self.asked == packed(sender):
                 self.asked = None
                 self._merge_entries(entries, self.sent_entries, packed(sender))
-            if (shuffle_request.term, shuffle_request.index) < self.members_version:  # it doesn't know the core's members
+            if (
+                shuffle_request.term,
+                shuffle_request.index,
+            ) < self.members_version:  # it doesn't know the core's members
                 note = pb.Message()
                 self._fill_shuffle(note.shuffle_reply, 0, [])
                 note.shuffle_reply.core.extend(self.members)
@@ -146,27 +182,40 @@
             return out
         sent_entries = self._sample_entries(self.size // 2, packed(sender))
         note = pb.Message()
-        self._fill_shuffle(note.shuffle_reply, shuffle_request.number, [(entry, self.entries[entry]) for entry in sent_entries])
+        self._fill_shuffle(
+            note.shuffle_reply,
+            shuffle_request.number,
+            [(entry, self.entries[entry]) for entry in sent_entries],
+        )
         if (shuffle_request.term, shuffle_request.index) < self.members_version:
             note.shuffle_reply.core.extend(self.members)
         self._merge_entries(entries, sent_entries, None)
         return [*out, Send(sender, note)]
 
-    def _learn_from_shuffle(self, sender: Address, shuffle_request: pb.Shuffle) -> list[Send | ConfigAdvertised | CoreMembers]:
+    def _learn_from_shuffle(
+        self, sender: Address, shuffle_request: pb.Shuffle
+    ) -> list[Send | ConfigAdvertised | CoreMembers]:
         out: list[Send | ConfigAdvertised | CoreMembers] = []
-        if shuffle_request.core and (members_version := (shuffle_request.term, shuffle_request.index)) > self.members_version:
+        if (
+            shuffle_request.core
+            and (members_version := (shuffle_request.term, shuffle_request.index)) > self.members_version
+        ):
             members = tuple(map(unpacked, shuffle_request.core[:MAX_CORE_MEMBERS]))
             self.set_core_members(members_version, members)
             out.append(CoreMembers(members_version, members))
-        for version, digest, holder in ((shuffle_request.version, shuffle_request.digest, sender),
-                                        (shuffle_request.newest, shuffle_request.newest_digest, "")):
+        for version, digest, holder in (
+            (shuffle_request.version, shuffle_request.digest, sender),
+            (shuffle_request.newest, shuffle_request.newest_digest, ""),
+        ):
             if version:
                 out.append(ConfigAdvertised(version, digest.to_bytes(DIGEST_BYTES, "big"), holder))
                 if version > self.newest.version:
                     self.newest, self.expedite = ConfigVersion(version, digest), True
         return out
 
-    def _merge_entries(self, entries: list[tuple[int, int]], sent_entries: list[int], asked: int | None) -> None:
+    def _merge_entries(
+        self, entries: list[tuple[int, int]], sent_entries: list[int], asked: int | None
+    ) -> None:
         """Take entries in: into free places, then in the place of what was given away, then of the asked."""
         entry_by_address = {entry >> 16: entry for entry in self.entries}
         out = [entry for entry in sent_entries if entry in self.entries]
--- a/gateway/membership/proxy.py
+++ b/gateway/membership/proxy.py
@@ -86,7 +86,9 @@
             return list(self.value_store.asked(sender, note.ask))
         if kind in ("shuffle_request", "shuffle_reply"):
             shuffle_request = note.shuffle_request if kind == "shuffle_request" else note.shuffle_reply
-            return self._after_shuffle(now, self.view.received(now, sender, shuffle_request, kind == "shuffle_reply"))
+            return self._after_shuffle(
+                now, self.view.received(now, sender, shuffle_request, kind == "shuffle_reply")
+            )
         return []
 
     def _apply_log_update(self, now: float, log_update: LogUpdate) -> list[Any]:
@@ -117,9 +119,16 @@
         if value_record.kind == CONFIG and (followed := self.follower.sources.get(source)) is not None:
             followed.config = value_record.fencing_token[1]
         if value_record.data is not None:
-            return self._apply_updates(now, self.value_fetcher.accept(value_record.kind, value_record.fencing_token, value_record.data, value_record.digest))
+            return self._apply_updates(
+                now,
+                self.value_fetcher.accept(
+                    value_record.kind, value_record.fencing_token, value_record.data, value_record.digest
+                ),
+            )
         wait = 0.0 if self.follower.in_zone(source, self.zone) else OTHER_ZONE_DELAY_S
-        out: list[Any] = list(self.value_fetcher.add_source(now, value_record.kind, value_record.fencing_token, source, wait))
+        out: list[Any] = list(
+            self.value_fetcher.add_source(now, value_record.kind, value_record.fencing_token, source, wait)
+        )
         if value_record.kind == CONFIG:
             out.append(ConfigAdvertised(value_record.fencing_token[1], value_record.digest, source))
         return out
@@ -150,7 +159,9 @@
                 self.core = output.members
                 self._follow(now)
             elif isinstance(output, ConfigAdvertised) and output.holder:
-                out += self.value_fetcher.add_source(now, CONFIG, (0, output.version), output.holder, PEER_FETCH_DELAY_S)
+                out += self.value_fetcher.add_source(
+                    now, CONFIG, (0, output.version), output.holder, PEER_FETCH_DELAY_S
+                )
         return out
 
     def _follow(self, now: float, isolated: bool = False) -> None:
--- a/gateway/membership/value_fetch.py
+++ b/gateway/membership/value_fetch.py
@@ -41,7 +41,9 @@
         if again:
             self.newest_fetched.pop(kind, None)
 
-    def add_source(self, now: float, kind: int, fencing_token: FencingToken, source: Address, wait: float) -> list[Send]:
+    def add_source(
+        self, now: float, kind: int, fencing_token: FencingToken, source: Address, wait: float
+    ) -> list[Send]:
         """A source has this; it may be asked from `wait` seconds on. Returns whom to ask now."""
         if not self.newer(kind, fencing_token):
             return []
@@ -54,7 +56,9 @@
 
     def tick(self, now: float) -> list[Send]:
         """Ask (again) where it is due."""
-        return [send for kind, pending in self.pending_fetches.items() for send in self._ask(now, kind, pending)]
+        return [
+            send for kind, pending in self.pending_fetches.items() for send in self._ask(now, kind, pending)
+        ]
 
     def _ask(self, now: float, kind: int, pending: _PendingFetch) -> list[Send]:
         if now - pending.asked_at < FETCH_RETRY_S:
@@ -63,7 +67,9 @@
         if not ready:
             return []
         source = min(ready)[1]
-        pending.sources[source] += 2 * FETCH_RETRY_S + (now - pending.sources[source])  # the others have their turn first
+        pending.sources[source] += 2 * FETCH_RETRY_S + (
+            now - pending.sources[source]
+        )  # the others have their turn first
         pending.asked, pending.asked_at = source, now
         return [self.ask(kind, pending.fencing_token, source)]
 
--- a/gateway/membership/wire.py
+++ b/gateway/membership/wire.py
@@ -157,9 +157,18 @@
         if kind == "leased":
             m = record.leased
             if max(m.service, m.zone, m.generation) < len(names):
-                backend = Backend(m.id, names[m.service], m.address, names[m.zone], names[m.generation],
-                                  m.capacity, m.draining, now + m.cold_ms / 1000 if m.cold_ms else 0.0,
-                                  m.seq, now - m.age_ds / 10)
+                backend = Backend(
+                    m.id,
+                    names[m.service],
+                    m.address,
+                    names[m.zone],
+                    names[m.generation],
+                    m.capacity,
+                    m.draining,
+                    now + m.cold_ms / 1000 if m.cold_ms else 0.0,
+                    m.seq,
+                    now - m.age_ds / 10,
+                )
                 yield LeaseRecord(backend, m.relay)
         elif kind == "ended":
             yield EndRecord(record.ended.id, record.ended.after - 1 if record.ended.after else FINAL_SEQUENCE)
@@ -175,7 +184,11 @@
     data = value_record.data or b""
     note = pb.Message()
     value = note.value
-    value.kind, (value.term, value.number), value.digest = value_record.kind, value_record.fencing_token, value_record.digest
+    value.kind, (value.term, value.number), value.digest = (
+        value_record.kind,
+        value_record.fencing_token,
+        value_record.digest,
+    )
     value.packed = len(data) > COMPRESS_MIN_BYTES
     value.value = zlib.compress(data, 6) if value.packed else data
     return note
--- a/gateway/programs/control_api.py
+++ b/gateway/programs/control_api.py
@@ -87,7 +87,7 @@
             self.orders.append(order)
             return self.proceed(now)
         if path.startswith(BACKENDS) and http_call.method in ("PUT", "DELETE"):
-            return self.backend(path[len(BACKENDS):], http_call, reply)
+            return self.backend(path[len(BACKENDS) :], http_call, reply)
         reply(405 if path == CONFIG or path.startswith(BACKENDS) else 404, b"", b"")
 
     # The operator.
@@ -113,7 +113,10 @@
                 self.process_order(now, order)
             elif (leader := self.core.leader_control()) is not None:
                 self.orders.popleft()
-                where = b"Location: http://%s%s\r\n" % (leader.encode(), order.http_call.path.encode("latin-1"))
+                where = b"Location: http://%s%s\r\n" % (
+                    leader.encode(),
+                    order.http_call.path.encode("latin-1"),
+                )
                 order.reply(307, where, b"")
             elif now - order.came > ORDER_PATIENCE_S or now - self.led > NO_LEADER_TIMEOUT_S:
                 self.orders.popleft()
@@ -143,7 +146,9 @@
             self.refused += decision.status != 200
             return order.reply(decision.status, JSON, decision.body)
         self.token += 1
-        out = InFlightOrder(self.token, order, decision.body, decision.config_state, decision.config_state.encode())
+        out = InFlightOrder(
+            self.token, order, decision.body, decision.config_state, decision.config_state.encode()
+        )
         self.out, self.out_at = out, now
         config_events.order_taken(version + 1, out.config_state.generation)
         self.core.propose(self.token, out.value, version)
@@ -161,7 +166,9 @@
         if outcome == "done":
             self.completed += 1
             order.reply(200, JSON, body)
-            config_events.order_acknowledged(self.core.config_in_force()[0], config_state.generation, now - order.came)
+            config_events.order_acknowledged(
+                self.core.config_in_force()[0], config_state.generation, now - order.came
+            )
         elif outcome == "refused" and now - order.came <= ORDER_PATIENCE_S:
             self.refused_at = now
             self.orders.appendleft(order)
@@ -174,7 +181,11 @@
     def backend(self, name: str, http_call: HttpCall, reply: Reply) -> None:
         """A beat or an end."""
         self.token += 1
-        call = Deregistration(self.token, name) if http_call.method == "DELETE" else read_heartbeat(self.token, name, http_call.body)
+        call = (
+            Deregistration(self.token, name)
+            if http_call.method == "DELETE"
+            else read_heartbeat(self.token, name, http_call.body)
+        )
         if call is None or not 0 < len(name) <= MAX_NAME_LENGTH:
             return reply(400, b"", b"no beat: an object with target, address, zone, phase and call-seq")
         self.pending_heartbeats[self.token] = reply
@@ -191,12 +202,24 @@
     """The beat in a call's body; None if it is none."""
     try:
         told = json.loads(body)
-        beat = Heartbeat(token, name, str(told["target"]), str(told["address"]), str(told.get("zone", "")),
-                    str(told.get("generation", "")), int(told.get("capacity", 1)),
-                    told.get("phase", "standing") == "draining", float(told.get("cold-left-s", 0.0)),
-                    int(told.get("call-seq", 0)))
+        beat = Heartbeat(
+            token,
+            name,
+            str(told["target"]),
+            str(told["address"]),
+            str(told.get("zone", "")),
+            str(told.get("generation", "")),
+            int(told.get("capacity", 1)),
+            told.get("phase", "standing") == "draining",
+            float(told.get("cold-left-s", 0.0)),
+            int(told.get("call-seq", 0)),
+        )
         host_port(beat.address)
     except (ValueError, KeyError, TypeError, AttributeError, OverflowError):
         return None
-    fits = max(map(len, beat[2:6])) <= MAX_NAME_LENGTH and 0 < beat.capacity < 1 << 31 and 0 <= beat.seq < 1 << 63
+    fits = (
+        max(map(len, beat[2:6])) <= MAX_NAME_LENGTH
+        and 0 < beat.capacity < 1 << 31
+        and 0 <= beat.seq < 1 << 63
+    )
     return beat if fits and 0 <= beat.cold_left < MAX_COLD_START_S else None
--- a/gateway/programs/controller.py
+++ b/gateway/programs/controller.py
@@ -32,14 +32,32 @@
 class ControllerServer:
     """Connects a controller's machines to the disk and to the wire."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, settings: Settings, store: Store,
-                 rng: random.Random) -> None:
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, settings: Settings, store: Store, rng: random.Random
+    ) -> None:
         self.controller_node = ControllerNode(self, steady, settings, store.load(), rng, PROCESS_START)
-        self.disk = DiskThread(loop, store.save, self.controller_node.written, self.controller_node.write_failed)
-        self.port = PeerTransport(loop, self.controller_node.me, {
-            CONSENSUS: Plane(CONSENSUS, ConsensusMessage, self.controller_node.on_consensus_message, startup.consensus_slot),
-            MEMBERSHIP: Plane(MEMBERSHIP, MembershipNote, self.controller_node.on_membership_message, startup.membership_slot),
-            QUOTA: Plane(QUOTA, QuotaNote, self.controller_node.on_quota_message)})
+        self.disk = DiskThread(
+            loop, store.save, self.controller_node.written, self.controller_node.write_failed
+        )
+        self.port = PeerTransport(
+            loop,
+            self.controller_node.me,
+            {
+                CONSENSUS: Plane(
+                    CONSENSUS,
+                    ConsensusMessage,
+                    self.controller_node.on_consensus_message,
+                    startup.consensus_slot,
+                ),
+                MEMBERSHIP: Plane(
+                    MEMBERSHIP,
+                    MembershipNote,
+                    self.controller_node.on_membership_message,
+                    startup.membership_slot,
+                ),
+                QUOTA: Plane(QUOTA, QuotaNote, self.controller_node.on_quota_message),
+            },
+        )
 
     def send(self, to: Address, plane: int, message: Any) -> None:
         self.port.send(to, plane, message)
--- a/gateway/programs/controller_node.py
+++ b/gateway/programs/controller_node.py
@@ -49,15 +49,31 @@
     """The machines of the core at one controller. `clock` gives steady seconds, `stored` is off its disk, and
     `began` is when this process began, by the clock; now, if it isn't told."""
 
-    def __init__(self, driver: Driver, clock: Callable[[], float], settings: Settings,
-                 stored: PersistentState | None, rng: random.Random, began: float | None = None) -> None:
+    def __init__(
+        self,
+        driver: Driver,
+        clock: Callable[[], float],
+        settings: Settings,
+        stored: PersistentState | None,
+        rng: random.Random,
+        began: float | None = None,
+    ) -> None:
         self.driver, self.clock = driver, clock
         self.me = settings.own_address("controller")
         self.control_port = (settings.network.listen.control or "").rpartition(":")[2]
         seeds = [settings.controller_at(s) for s in settings.network.seeds]
         self.raft = RaftNode(
-            self.me, stored, settings.own.fresh_start, seeds, rng, consensus.Tuning(),
-            f"disk-{rng.getrandbits(64):x}", settings.terms.fault_budget.machines, clock(), began)
+            self.me,
+            stored,
+            settings.own.fresh_start,
+            seeds,
+            rng,
+            consensus.Tuning(),
+            f"disk-{rng.getrandbits(64):x}",
+            settings.terms.fault_budget.machines,
+            clock(),
+            began,
+        )
         zone = startup.zone_number(settings)
         self.membership = ControllerMembership(self.me, zone, seeds, settings.provider.beat_s, rng)
         self.membership.handle(clock(), membership.SetQuorate(self.raft.quorum_contact_until()))
@@ -71,7 +87,9 @@
         self.ingresses_at, self.told = -PUBLISH_INTERVAL_S, 0
         self.control = Control(self, lambda call: self.handle_membership(self.membership, call))
         bounds = settings.terms.bounds
-        self.fleet_monitor = FleetMonitor(self.me, bounds.apply_s, bounds.quota_window_s, self.push_allowances)
+        self.fleet_monitor = FleetMonitor(
+            self.me, bounds.apply_s, bounds.quota_window_s, self.push_allowances
+        )
 
     # What the control calls need.
 
@@ -144,7 +162,9 @@
             if isinstance(out, Send):
                 self.driver.send(out.to, QUOTA, out.message)
             elif isinstance(out, quota.PublishShardMap):
-                self.handle_membership(self.membership, membership.Publish(membership.SHARD_MAP, out.fencing_token, out.data))
+                self.handle_membership(
+                    self.membership, membership.Publish(membership.SHARD_MAP, out.fencing_token, out.data)
+                )
 
     def seeds(self, addresses: tuple[Address, ...]) -> None:
         """Other seeds are set."""
@@ -161,7 +181,9 @@
     def committed(self, news: consensus.Committed) -> None:
         """A value is in force from now on: take it up, and pass it on."""
         try:
-            self.config_state = self.control.own_value(news.value) or ConfigState.decode(news.value, self.config_state)
+            self.config_state = self.control.own_value(news.value) or ConfigState.decode(
+                news.value, self.config_state
+            )
         except ValueError as error:
             log.error("version %d can't be read: %s", news.version, error)
             return
@@ -172,7 +194,9 @@
         self.expected = ExpectedDigests(document, self.expected)
         digest = self.expected.total.to_bytes(8)
         value = without_order_history(news.value)
-        self.handle_membership(self.membership, membership.Publish(membership.CONFIG, (0, news.version), value, digest))
+        self.handle_membership(
+            self.membership, membership.Publish(membership.CONFIG, (0, news.version), value, digest)
+        )
         self.handle_membership(self.membership, membership.ConfigApplied(news.version, digest))
         self.push_allowances()
         self.fleet_monitor.config_applied(self.clock(), news.version, self.expected.total, document)
@@ -208,7 +232,9 @@
             self.handle_quota(self.shard_assigner, quota.Tick())
             if raft.has_leader_lease(now):
                 self.publish_ingresses(now)
-        self.fleet_monitor.tick(now, self.membership.log.quorate(now), lambda: dict(self.holder.windows.values()))
+        self.fleet_monitor.tick(
+            now, self.membership.log.quorate(now), lambda: dict(self.holder.windows.values())
+        )
         self.handle_quota(self.holder, quota.SetLeader(raft.leader))
         self.handle_quota(self.holder, quota.Tick())
         self.holder_report.tick(now)
@@ -217,7 +243,9 @@
         """Tell who hands out the tenants whether this process leads, and who is there."""
         raft, leader_role = self.raft, self.raft.leader_role
         term, since = (raft.term, raft.leaderless_since) if leader_role is not None else (0, None)
-        self.handle_quota(self.shard_assigner, quota.LeadershipChange(term, raft.has_leader_lease(now), since))
+        self.handle_quota(
+            self.shard_assigner, quota.LeadershipChange(term, raft.has_leader_lease(now), since)
+        )
         if leader_role is not None:
             live = [p.address for p in leader_role.peers.values() if now - p.heard < PEER_ALIVE_S]
             members = [m.address for m in raft.members]
@@ -226,11 +254,17 @@
     def publish_ingresses(self, now: float) -> None:
         """Tell all ingresses of one another, not too often; in each term anew, for others led in between."""
         term, ingresses = self.raft.term, self.membership.log.ingresses(now)
-        if not ingresses or (term, ingresses) == self.ingresses or now < self.ingresses_at + PUBLISH_INTERVAL_S:
+        if (
+            not ingresses
+            or (term, ingresses) == self.ingresses
+            or now < self.ingresses_at + PUBLISH_INTERVAL_S
+        ):
             return
         self.ingresses, self.ingresses_at, self.told = (term, ingresses), now, self.told + 1
         data = membership_codec.encode_ingresses(ingresses)
-        self.handle_membership(self.membership, membership.Publish(membership.INGRESSES, (term, self.told), data))
+        self.handle_membership(
+            self.membership, membership.Publish(membership.INGRESSES, (term, self.told), data)
+        )
 
     def publish_core(self, now: float) -> None:
         """Tell the other planes who the core is, and who leads."""
--- a/gateway/programs/drift_monitor.py
+++ b/gateway/programs/drift_monitor.py
@@ -67,7 +67,9 @@
 
     # What the proxy tells.
 
-    def request(self, host: bytes, path: bytes, key: bytes, route_decision: RouteDecision) -> RouteDecision | None:
+    def request(
+        self, host: bytes, path: bytes, key: bytes, route_decision: RouteDecision
+    ) -> RouteDecision | None:
         """A decision on a live request, seen through: as it was or as it is after a repair; None where the
         request is to be turned back."""
         if self.live is None:
@@ -84,15 +86,26 @@
             return route_decision
         self.handle_drift(drift_messages.DifferencesFound(seen.how, tuple(seen.differences)))
         if seen.how != "request" or self.node.compiled_config is None:
-            return route_decision if self.node.compiled_config is None else self.node.compiled_config.resolve_request(host, path, key)
+            return (
+                route_decision
+                if self.node.compiled_config is None
+                else self.node.compiled_config.resolve_request(host, path, key)
+            )
         route_decision = self.node.compiled_config.resolve_request(host, path, key)
         if self.live.check(self.node.clock(), host, path, key, route_decision).differences:
             self.turned_back += 1
             return None
         return route_decision
 
-    def config_applied(self, version: int, value: bytes, acknowledged: int, document: Document, expected: ExpectedDigests,
-                compiled_config: CompiledConfig) -> None:
+    def config_applied(
+        self,
+        version: int,
+        value: bytes,
+        acknowledged: int,
+        document: Document,
+        expected: ExpectedDigests,
+        compiled_config: CompiledConfig,
+    ) -> None:
         """A version is in force here; `acknowledged` is its digest as the core told it."""
         self.value, self.refetching = value, False
         self.live = LiveCheck(document, expected, compiled_config, self.live)
@@ -143,15 +156,20 @@
             elif isinstance(out, drift_messages.RefusalChanged):
                 usual = CORE_NOT_HEARD in (out.why, self.refusing)
                 self.refusing = out.why
-                log.log(logging.INFO if usual else logging.WARNING,
-                        "drift: requests turned back: %s", out.why or "no longer")
+                log.log(
+                    logging.INFO if usual else logging.WARNING,
+                    "drift: requests turned back: %s",
+                    out.why or "no longer",
+                )
         if self.drift_detector.found != found:
             i = self.drift_detector
             self.node.holds(i.version, i.running, i.found, self.latest())
 
     def latest(self) -> str:
         """The latest finding, cut short."""
-        return str(self.drift_detector.findings[-1])[:MAX_FINDING_LENGTH] if self.drift_detector.findings else ""
+        return (
+            str(self.drift_detector.findings[-1])[:MAX_FINDING_LENGTH] if self.drift_detector.findings else ""
+        )
 
     # For operators.
 
@@ -161,7 +179,12 @@
         if http_call.method != "GET" or path not in (STATUS, METRICS):
             return False
         if path == METRICS:
-            reply(200, CONTENT_TYPE, render_metrics(self.metrics()) + render_metrics(quota_report.metrics(self.node.clock()), QUOTA_METRIC_PREFIX))
+            reply(
+                200,
+                CONTENT_TYPE,
+                render_metrics(self.metrics())
+                + render_metrics(quota_report.metrics(self.node.clock()), QUOTA_METRIC_PREFIX),
+            )
         else:
             told = {**self.status(), **quota_report.status(self.node.clock())}
             reply(200, JSON, json.dumps(told).encode())
@@ -171,13 +194,22 @@
         """What `GET /-/status` answers."""
         i, live = self.drift_detector, self.live
         return {
-            "node": self.me, "role": "proxy", "version": i.version,
-            "newest": max(i.newest, i.version), "digest": f"{i.running:016x}",
-            "acknowledged": f"{i.acknowledged:016x}", "lag-s": round(i.lag(), 3),
+            "node": self.me,
+            "role": "proxy",
+            "version": i.version,
+            "newest": max(i.newest, i.version),
+            "digest": f"{i.running:016x}",
+            "acknowledged": f"{i.acknowledged:016x}",
+            "lag-s": round(i.lag(), 3),
             "confirmed-s": i.confirmation_age(),
-            "ready": self.ready, "refusing": self.refusing, "turned-back": self.turned_back,
-            "requests": live.requests if live else 0, "sampled": live.sampled if live else 0,
-            "found": i.found, "findings": [f._asdict() for f in i.findings]}
+            "ready": self.ready,
+            "refusing": self.refusing,
+            "turned-back": self.turned_back,
+            "requests": live.requests if live else 0,
+            "sampled": live.sampled if live else 0,
+            "found": i.found,
+            "findings": [f._asdict() for f in i.findings],
+        }
 
     def metrics(self) -> list[Metric]:
         """What is worth an alert."""
@@ -186,11 +218,15 @@
             Metric("version", "Version in force.", i.version),
             Metric("newest_version", "Newest version that is known of.", max(i.newest, i.version)),
             Metric("lag_seconds", "Time since when a newer version is known of.", i.lag()),
-            Metric("confirmed_seconds", "Age of the last contact with the core that the version is the newest.",
-                   i.confirmation_age()),
+            Metric(
+                "confirmed_seconds",
+                "Age of the last contact with the core that the version is the newest.",
+                i.confirmation_age(),
+            ),
             Metric("ready", "Whether new clients may come, as far as the configuration goes.", self.ready),
             Metric("refusing", "Whether requests are turned back for a newer version.", bool(self.refusing)),
             Metric("turned_back_total", "Requests turned back so.", self.turned_back),
             Metric("requests_total", "Requests looked at.", live.requests if live else 0),
             Metric("sampled_total", "Requests also decided by a plain reading.", live.sampled if live else 0),
-            Metric("findings_total", "Findings.", i.found)]
+            Metric("findings_total", "Findings.", i.found),
+        ]
--- a/gateway/programs/fleet_monitor.py
+++ b/gateway/programs/fleet_monitor.py
@@ -31,27 +31,36 @@
     `hand_on` hands the document's quotas on anew. `apply_s` as in the rules, `span_s` that of the quota rule.
     """
 
-    def __init__(self, me: Address, apply_s: float, span_s: float, push_allowances: Callable[[], None]) -> None:
+    def __init__(
+        self, me: Address, apply_s: float, span_s: float, push_allowances: Callable[[], None]
+    ) -> None:
         self.me, self.span_s, self.push_allowances = me, span_s, push_allowances
         self.fleet, self.drift_detector = FleetStatus(apply_s), DriftDetector(apply_s)
         self.quota_windows: Windows = {}
         self.look_at = 0.0
 
-    def runs(self, now: float, node: Address, version: int, digest: bytes, findings: int,
-             finding: str) -> None:
+    def runs(
+        self, now: float, node: Address, version: int, digest: bytes, findings: int, finding: str
+    ) -> None:
         """A node tells what it runs."""
         told = drift_messages.NodeReport(node, version, int.from_bytes(digest), findings, finding)
         self.handle_outputs(self.fleet.handle(now, told))
 
     def heard(self, now: float, version: int, digest: bytes, holder: Address) -> None:
         """Somebody holds a version."""
-        self.handle_outputs(self.drift_detector.handle(now, drift_messages.VersionSeen(version, int.from_bytes(digest), holder)))
+        self.handle_outputs(
+            self.drift_detector.handle(
+                now, drift_messages.VersionSeen(version, int.from_bytes(digest), holder)
+            )
+        )
 
     def config_applied(self, now: float, version: int, digest: int, document: Document) -> None:
         """A version is acknowledged, and in force here."""
         self.quota_windows = expected_windows(document, self.span_s)
         self.handle_outputs(self.fleet.handle(now, drift_messages.VersionAcknowledged(version, digest)))
-        self.handle_outputs(self.drift_detector.handle(now, drift_messages.VersionApplied(version, digest, digest)))
+        self.handle_outputs(
+            self.drift_detector.handle(now, drift_messages.VersionApplied(version, digest, digest))
+        )
 
     def tick(self, now: float, quorate: bool, windows: Callable[[], Windows]) -> None:
         """Time goes on. `windows` are those by which tenants are counted here."""
@@ -65,7 +74,9 @@
             self.drift_detector.handle(now, drift_messages.NewestConfirmed(self.drift_detector.version, now))
         self.handle_outputs(self.drift_detector.handle(now, drift_messages.Tick()))
         if found := quota_differences(self.quota_windows, windows()):
-            self.handle_outputs(self.drift_detector.handle(now, drift_messages.DifferencesFound("round", tuple(found))))
+            self.handle_outputs(
+                self.drift_detector.handle(now, drift_messages.DifferencesFound("round", tuple(found)))
+            )
 
     def handle_outputs(self, outputs: list[Any]) -> None:
         """Log findings; repair."""
@@ -77,15 +88,21 @@
 
     # For operators.
 
-    def answer(self, now: float, http_call: HttpCall, reply: Reply, more: dict[str, Any],
-               quota_report: QuotaReport) -> bool:
+    def answer(
+        self, now: float, http_call: HttpCall, reply: Reply, more: dict[str, Any], quota_report: QuotaReport
+    ) -> bool:
         """Answer a call that is about this; whether it is. `more` is told with the status, and what the quota
         plane tells is added by `counting`."""
         path = http_call.path.partition("?")[0]
         if http_call.method != "GET" or path not in (STATUS, METRICS):
             return False
         if path == METRICS:
-            reply(200, CONTENT_TYPE, render_metrics(self.metrics(now)) + render_metrics(quota_report.metrics(now), QUOTA_METRIC_PREFIX))
+            reply(
+                200,
+                CONTENT_TYPE,
+                render_metrics(self.metrics(now))
+                + render_metrics(quota_report.metrics(now), QUOTA_METRIC_PREFIX),
+            )
         else:
             reply(200, JSON, json.dumps({**self.status(now), **more, **quota_report.status(now)}).encode())
         return True
@@ -93,13 +110,29 @@
     def status(self, now: float) -> dict[str, Any]:
         """All nodes that are known, and the findings told or made here."""
         port, i = self.me.rpartition(":")[2], self.drift_detector
-        nodes = [{"node": n.node, "role": "controller" if n.node.rpartition(":")[2] == port else "proxy",
-                  "version": n.version, "digest": f"{n.digest:016x}", "lag-s": round(n.lag_s, 3),
-                  "heard-s": round(n.heard_s, 3), "found": n.findings, "finding": n.finding}
-                 for n in self.fleet.seen(now)[:MAX_NODES_SHOWN]]
-        return {"node": self.me, "role": "controller", "version": i.version, "digest": f"{i.running:016x}",
-                "spread-s": round(self.fleet.spread_s, 3), "found": i.found + self.fleet.found,
-                "findings": [*map(str, i.findings), *self.fleet.findings], "nodes": nodes}
+        nodes = [
+            {
+                "node": n.node,
+                "role": "controller" if n.node.rpartition(":")[2] == port else "proxy",
+                "version": n.version,
+                "digest": f"{n.digest:016x}",
+                "lag-s": round(n.lag_s, 3),
+                "heard-s": round(n.heard_s, 3),
+                "found": n.findings,
+                "finding": n.finding,
+            }
+            for n in self.fleet.seen(now)[:MAX_NODES_SHOWN]
+        ]
+        return {
+            "node": self.me,
+            "role": "controller",
+            "version": i.version,
+            "digest": f"{i.running:016x}",
+            "spread-s": round(self.fleet.spread_s, 3),
+            "found": i.found + self.fleet.found,
+            "findings": [*map(str, i.findings), *self.fleet.findings],
+            "nodes": nodes,
+        }
 
     def metrics(self, now: float) -> list[Metric]:
         """What is worth an alert."""
@@ -107,13 +140,29 @@
         return [
             Metric("version", "Version acknowledged, as known here.", self.drift_detector.version),
             Metric("nodes", "Nodes that have told what they run.", len(nodes)),
-            Metric("nodes_lagging", "Nodes beyond their time to put a version in force.",
-                   sum(n.lag_s > self.fleet.apply_s for n in nodes)),
-            Metric("worst_lag_seconds", "Longest time that a node lacks an acknowledged version.",
-                   max((n.lag_s for n in nodes), default=0.0)),
-            Metric("spread_seconds", "Time in which the newest version came into force at the last node.",
-                   self.fleet.spread_s),
-            Metric("worst_silence_seconds", "Longest time that a node has told nothing.",
-                   max((n.heard_s for n in nodes), default=0.0)),
-            Metric("findings_total", "Findings made here and told by nodes.",
-                   self.drift_detector.found + self.fleet.found)]
+            Metric(
+                "nodes_lagging",
+                "Nodes beyond their time to put a version in force.",
+                sum(n.lag_s > self.fleet.apply_s for n in nodes),
+            ),
+            Metric(
+                "worst_lag_seconds",
+                "Longest time that a node lacks an acknowledged version.",
+                max((n.lag_s for n in nodes), default=0.0),
+            ),
+            Metric(
+                "spread_seconds",
+                "Time in which the newest version came into force at the last node.",
+                self.fleet.spread_s,
+            ),
+            Metric(
+                "worst_silence_seconds",
+                "Longest time that a node has told nothing.",
+                max((n.heard_s for n in nodes), default=0.0),
+            ),
+            Metric(
+                "findings_total",
+                "Findings made here and told by nodes.",
+                self.drift_detector.found + self.fleet.found,
+            ),
+        ]
--- a/gateway/programs/proxy.py
+++ b/gateway/programs/proxy.py
@@ -42,9 +42,16 @@
         self.proxy_node = ProxyNode(self, loop, steady, settings, self.upstream, rng)
         memory = int(1e6 * settings.own.limits.memory_mb)
         self.server = Server(loop, self.proxy_node.ingress, half, memory // BODY_MEMORY_DIVISOR)
-        self.port = PeerTransport(loop, self.proxy_node.me, {
-            MEMBERSHIP: Plane(MEMBERSHIP, MembershipNote, self.proxy_node.on_membership_message, startup.membership_slot),
-            QUOTA: Plane(QUOTA, QuotaNote, self.proxy_node.on_quota_message)})
+        self.port = PeerTransport(
+            loop,
+            self.proxy_node.me,
+            {
+                MEMBERSHIP: Plane(
+                    MEMBERSHIP, MembershipNote, self.proxy_node.on_membership_message, startup.membership_slot
+                ),
+                QUOTA: Plane(QUOTA, QuotaNote, self.proxy_node.on_quota_message),
+            },
+        )
 
     def send(self, to: Address, plane: int, message: Any) -> None:
         self.port.send(to, plane, message)
@@ -69,7 +76,9 @@
     reload = Reload(settings, file, proxy.proxy_node.seeds)
     stop = startup.stop_on_signal(loop, reload.read)
     second = start_maintenance(loop, reload, ring)
-    ticker = Ticker(loop, TICK_S, lambda now: proxy.proxy_node.handle_membership(membership.Tick()), first=0.0)
+    ticker = Ticker(
+        loop, TICK_S, lambda now: proxy.proxy_node.handle_membership(membership.Tick()), first=0.0
+    )
     http_listener = HttpListener(loop, proxy.ready)
     listen = settings.network.listen
     if listen.ready is not None:
--- a/gateway/programs/proxy_node.py
+++ b/gateway/programs/proxy_node.py
@@ -57,8 +57,15 @@
 class ProxyNode:
     """The machines of the traffic plane at one proxy. Of `loop` only the timers are used, and its time."""
 
-    def __init__(self, driver: Driver, loop: asyncio.AbstractEventLoop, clock: Callable[[], float],
-                 settings: Settings, upstream: Upstream, rng: random.Random) -> None:
+    def __init__(
+        self,
+        driver: Driver,
+        loop: asyncio.AbstractEventLoop,
+        clock: Callable[[], float],
+        settings: Settings,
+        upstream: Upstream,
+        rng: random.Random,
+    ) -> None:
         self.driver, self.loop, self.clock = driver, loop, clock
         bounds = settings.terms.bounds
         self.me = settings.own_address("proxy")
@@ -141,8 +148,9 @@
             log.warning("backend %s: no address: %r", b.id, b.address)
             return
         phase = io.Phase.STOPPING if b.draining else io.Phase.RUNNING
-        self.ingress.backend(b.id, b.service, address, phase, max(0.0, b.cold_until - self.clock()),
-                             b.capacity, b.zone)
+        self.ingress.backend(
+            b.id, b.service, address, phase, max(0.0, b.cold_until - self.clock()), b.capacity, b.zone
+        )
 
     def seeds(self, addresses: tuple[Address, ...]) -> None:
         """Other seeds are set."""
@@ -169,18 +177,23 @@
         if config_state.document is None:
             return
         before, self.config_state, self.version = self.version, config_state, version
-        compiled_config = self.compiled_config = CompiledConfig(config_state.document, None if afresh else self.compiled_config)
+        compiled_config = self.compiled_config = CompiledConfig(
+            config_state.document, None if afresh else self.compiled_config
+        )
         self.expected = ExpectedDigests(config_state.document, None if afresh else self.expected)
         tenants = {t.label: (t.rate, t.burst) for t in compiled_config.tenants.values()}
         self.handle_quota(quota.Allowances(tenants))
         limits = compiled_config.limits
-        self.driver.limit(Limits(limits.max_header_bytes, limits.max_body_bytes, limits.header_timeout,
-                                  limits.idle_timeout))
+        self.driver.limit(
+            Limits(limits.max_header_bytes, limits.max_body_bytes, limits.header_timeout, limits.idle_timeout)
+        )
         self.ingress.compiled_config = compiled_config
         if version > before:
             config_events.in_force(self.me, version, compiled_config.generation, first=not before)
         self.quota_windows = expected_windows(config_state.document, self.quota_client.span_s)
-        self.drift_monitor.config_applied(version, value, acknowledged, config_state.document, self.expected, compiled_config)
+        self.drift_monitor.config_applied(
+            version, value, acknowledged, config_state.document, self.expected, compiled_config
+        )
 
     # What the drift detector needs.
 
@@ -198,8 +211,11 @@
 
     def in_force(self, document: Document) -> list[Difference]:
         limits, held_to = document.limits, self.driver.limits()
-        found = [Difference(f"limits {name}", str(was), str(to))
-                 for name, was, to in zip(limits._fields, held_to, limits, strict=False) if was != to]
+        found = [
+            Difference(f"limits {name}", str(was), str(to))
+            for name, was, to in zip(limits._fields, held_to, limits, strict=False)
+            if was != to
+        ]
         windows = {label: local_quota.window for label, local_quota in self.quota_client.local_quotas.items()}
         return found + quota_differences(self.quota_windows, windows)
 
--- a/gateway/programs/quota_report.py
+++ b/gateway/programs/quota_report.py
@@ -88,28 +88,44 @@
 
     def status(self, now: float) -> dict[str, Any]:
         """Each tenant's remaining allowance as known here, with its age in seconds, and the own share."""
-        return {"allowance": [
-            {"tenant": tenant, "allowance": round(allowance, 2), "remaining": remaining,
-             "age-s": round(age, 3), "share": round(share, 2)}
-            for tenant, (remaining, age, allowance, share) in sorted(self.quota_client.view(now).items())
-            if age < 1e8]}
+        return {
+            "allowance": [
+                {
+                    "tenant": tenant,
+                    "allowance": round(allowance, 2),
+                    "remaining": remaining,
+                    "age-s": round(age, 3),
+                    "share": round(share, 2),
+                }
+                for tenant, (remaining, age, allowance, share) in sorted(self.quota_client.view(now).items())
+                if age < 1e8
+            ]
+        }
 
     def metrics(self, now: float) -> list[Metric]:
         """Counts by way, and histograms of the time that the charge adds."""
         statistics = self.quota_client.statistics
-        totals = [sum(counts[n] for counts in statistics.decided.values()) for n in range(len(DECISION_KINDS))]
+        totals = [
+            sum(counts[n] for counts in statistics.decided.values()) for n in range(len(DECISION_KINDS))
+        ]
         help = "Requests of limited tenants, by how they were decided."
-        found = [Metric("charged_total", help, n, f'way="{way}"')
-                 for way, n in zip(DECISION_KINDS, totals, strict=True)]
+        found = [
+            Metric("charged_total", help, n, f'way="{way}"')
+            for way, n in zip(DECISION_KINDS, totals, strict=True)
+        ]
         found.append(Metric("given_back_total", "Units given back.", statistics.back))
         name, help = "charge_seconds", "Time that the charge added to a request."
         for way, counts, seconds in zip(SPLIT, statistics.times, statistics.seconds, strict=True):
             label = f'way="{way}"'
             sums = list(accumulate(counts))
-            found += [Metric(f"{name}_bucket", help, n, f'{label},le="{edge}"')
-                      for edge, n in zip((*(f"{edge:.4g}" for edge in EDGES), "+Inf"), sums, strict=True)]
-            found += [Metric(f"{name}_sum", help, seconds, label),
-                      Metric(f"{name}_count", help, sums[-1], label)]
+            found += [
+                Metric(f"{name}_bucket", help, n, f'{label},le="{edge}"')
+                for edge, n in zip((*(f"{edge:.4g}" for edge in EDGES), "+Inf"), sums, strict=True)
+            ]
+            found += [
+                Metric(f"{name}_sum", help, seconds, label),
+                Metric(f"{name}_count", help, sums[-1], label),
+            ]
         return found
 
 
@@ -132,22 +148,39 @@
         counts = view_audit.gained, view_audit.lost, view_audit.back
         gained, lost, back = (n - b for n, b in zip(counts, self.told, strict=True))
         self.told = counts
-        held = {c.tenant: [round(c.allowance, 2), round(c.remaining, 2), round(c.reserved, 2), len(c.views),
-                           max((v.differs for v in c.views), default=0), beyond(c),
-                           round(max((v.age_s for v in c.views), default=0.0), 2)]
-                for c in self.compared(now)}
+        held = {
+            c.tenant: [
+                round(c.allowance, 2),
+                round(c.remaining, 2),
+                round(c.reserved, 2),
+                len(c.views),
+                max((v.differs for v in c.views), default=0),
+                beyond(c),
+                round(max((v.age_s for v in c.views), default=0.0), 2),
+            ]
+            for c in self.compared(now)
+        }
         if not held and not gained and not lost:
             return {}
         return {"held": held, "gained": gained, "lost": lost, "back": back}
 
     def status(self, now: float) -> dict[str, Any]:
         """Each tenant held here, with each node's view of it."""
-        return {"allowance": [
-            {"tenant": c.tenant, "allowance": round(c.allowance, 2), "remaining": round(c.remaining, 2),
-             "kept": round(c.reserved, 2), "views": [
-                 {"node": v.node, "view": v.remaining, "age-s": round(v.age_s, 3), "beyond": v.beyond}
-                 for v in c.views]}
-            for c in self.compared(now)]}
+        return {
+            "allowance": [
+                {
+                    "tenant": c.tenant,
+                    "allowance": round(c.allowance, 2),
+                    "remaining": round(c.remaining, 2),
+                    "kept": round(c.reserved, 2),
+                    "views": [
+                        {"node": v.node, "view": v.remaining, "age-s": round(v.age_s, 3), "beyond": v.beyond}
+                        for v in c.views
+                    ],
+                }
+                for c in self.compared(now)
+            ]
+        }
 
     def metrics(self, now: float) -> list[Metric]:
         """What remains of each count, and how far views are from it."""
@@ -159,16 +192,25 @@
         return [
             *(Metric("units", "Units that a tenant may use in a window.", c.allowance, t) for t, c in labels),
             *(Metric("remaining_units", "Units that remain in it.", c.remaining, t) for t, c in labels),
-            *(Metric("kept_back_units", "Units kept back for ingresses that are silent.", c.reserved, t)
-              for t, c in labels),
+            *(
+                Metric("kept_back_units", "Units kept back for ingresses that are silent.", c.reserved, t)
+                for t, c in labels
+            ),
             Metric("views", "Ingresses' views of the counts held here.", sum(len(c.views) for c in found)),
-            Metric("worst_difference_units", "Largest difference of a view, old as it is, to what remains.",
-                   max((v.differs for c in found for v in c.views), default=None)),
-            Metric("worst_disagreement_units", "Units by which a view is beyond what was said in its time.",
-                   max((beyond(c) for c in found), default=0)),
+            Metric(
+                "worst_difference_units",
+                "Largest difference of a view, old as it is, to what remains.",
+                max((v.differs for c in found for v in c.views), default=None),
+            ),
+            Metric(
+                "worst_disagreement_units",
+                "Units by which a view is beyond what was said in its time.",
+                max((beyond(c) for c in found), default=0),
+            ),
             Metric("given_back_total", "Units given back.", view_audit.back),
             Metric("parts_gained_total", "Parts of the tenants, of 64, that came here.", view_audit.gained),
-            Metric("parts_lost_total", "Parts that went elsewhere, or whose lease ended.", view_audit.lost)]
+            Metric("parts_lost_total", "Parts that went elsewhere, or whose lease ended.", view_audit.lost),
+        ]
 
 
 def beyond(c: CounterComparison) -> int:
--- a/gateway/programs/settings_reload.py
+++ b/gateway/programs/settings_reload.py
@@ -27,8 +27,9 @@
     What else has changed is logged, as it counts from the next start on.
     """
 
-    def __init__(self, settings: Settings, file: SettingsFile,
-                 seeds: Callable[[tuple[Address, ...]], object]) -> None:
+    def __init__(
+        self, settings: Settings, file: SettingsFile, seeds: Callable[[tuple[Address, ...]], object]
+    ) -> None:
         self.settings, self.file, self.seeds = settings, file, seeds
 
     def look(self) -> None:
--- a/gateway/programs/status_report.py
+++ b/gateway/programs/status_report.py
@@ -19,15 +19,26 @@
     peers = leader_role.peers.values() if leader_role is not None else ()
     heard = {p.disk: round(now - p.heard, 3) for p in peers if p.heard > 0}
     return {
-        "node": raft.replica.me, "role": raft.role, "leader": raft.leader,
-        "term": raft.term, "sure": raft.has_leader_lease(now), "version": raft.committed,
+        "node": raft.replica.me,
+        "role": raft.role,
+        "leader": raft.leader,
+        "term": raft.term,
+        "sure": raft.has_leader_lease(now),
+        "version": raft.committed,
         "changing": bool(entry.outgoing),
-        "bears": quorum.tolerable_losses(len(entry.members)), "tolerance": raft.tolerance,
+        "bears": quorum.tolerable_losses(len(entry.members)),
+        "tolerance": raft.tolerance,
         "bears-now": _further_losses_now(raft, now),
-        "members": [{"address": m.address, "disk": m.disk,
-                     "state": _state(m in entry.members, m in entry.outgoing or not entry.outgoing),
-                     "heard-s": 0.0 if m.disk == raft.replica.disk else heard.get(m.disk)}
-                    for m in entry.voters()]}
+        "members": [
+            {
+                "address": m.address,
+                "disk": m.disk,
+                "state": _state(m in entry.members, m in entry.outgoing or not entry.outgoing),
+                "heard-s": 0.0 if m.disk == raft.replica.disk else heard.get(m.disk),
+            }
+            for m in entry.voters()
+        ],
+    }
 
 
 def _further_losses_now(raft: RaftNode, now: float) -> int | None:
@@ -37,10 +48,16 @@
         return None
     position = replica.committed_entry.position
     there = {disk for disk, p in leader_role.member_health(now).items() if p.reachable and not p.leaving}
-    holders = sum(p.disk in there and p.durable_position is not None and p.durable_position >= position for p in leader_role.peers.values())
+    holders = sum(
+        p.disk in there and p.durable_position is not None and p.durable_position >= position
+        for p in leader_role.peers.values()
+    )
     there.add(replica.disk)
-    voter_sets = [(len(council), sum(m.disk in there for m in council))
-                for council in (replica.entry.members, replica.entry.outgoing) if council]
+    voter_sets = [
+        (len(council), sum(m.disk in there for m in council))
+        for council in (replica.entry.members, replica.entry.outgoing)
+        if council
+    ]
     return quorum.more(voter_sets, holders + (replica.persisted.entry.position >= position))
 
 
@@ -51,13 +68,24 @@
 def leases(membership: ControllerMembership, now: float) -> Row:
     """All backends that are known, and what is left of the leases that this controller has given them."""
     own = membership.leases.leases
-    return {"node": membership.address, "backends": [
-        {"id": b.id, "service": b.service, "address": b.address, "zone": b.zone, "capacity": b.capacity,
-         "phase": "draining" if b.draining else "standing", "call-seq": b.seq,
-         "cold-left-s": round(max(0.0, b.cold_until - now), 3),
-         "lease-left-s": round(own[b.id].until - now, 3) if b.id in own else None,
-         "held-by": sorted(h or membership.address for h in row.holders)}
-        for b, row in ((row.backend, row) for _, row in sorted(membership.table.rows.items()))]}
+    return {
+        "node": membership.address,
+        "backends": [
+            {
+                "id": b.id,
+                "service": b.service,
+                "address": b.address,
+                "zone": b.zone,
+                "capacity": b.capacity,
+                "phase": "draining" if b.draining else "standing",
+                "call-seq": b.seq,
+                "cold-left-s": round(max(0.0, b.cold_until - now), 3),
+                "lease-left-s": round(own[b.id].until - now, 3) if b.id in own else None,
+                "held-by": sorted(h or membership.address for h in row.holders),
+            }
+            for b, row in ((row.backend, row) for _, row in sorted(membership.table.rows.items()))
+        ],
+    }
 
 
 def core_lines(answers: list[Row]) -> list[str]:
@@ -65,13 +93,17 @@
     if not answers:
         return []
     a = max(answers, key=lambda a: (a["sure"], a["term"]))
-    rows = [(m["address"], m["disk"], "leader" if m["address"] == a["leader"] else m["state"], m["heard-s"])
-            for m in a["members"]]
-    return [*nodes.columns(("address", "disk", "role", "heard-s"), rows),
-            f"version {a['version']}, term {a['term']}, told by {a['node']}, "
-            f"{'surely' if a['sure'] else 'not surely'} the newest; "
-            f"bears {a['bears']} lost at once, {a['tolerance']} wanted"
-            + ("" if a["bears-now"] is None else f"; {a['bears-now']} more right now")]
+    rows = [
+        (m["address"], m["disk"], "leader" if m["address"] == a["leader"] else m["state"], m["heard-s"])
+        for m in a["members"]
+    ]
+    return [
+        *nodes.columns(("address", "disk", "role", "heard-s"), rows),
+        f"version {a['version']}, term {a['term']}, told by {a['node']}, "
+        f"{'surely' if a['sure'] else 'not surely'} the newest; "
+        f"bears {a['bears']} lost at once, {a['tolerance']} wanted"
+        + ("" if a["bears-now"] is None else f"; {a['bears-now']} more right now"),
+    ]
 
 
 def core_well(answers: list[Row]) -> bool:
@@ -87,6 +119,8 @@
         known = found.setdefault(row["id"], row)
         if (row["lease-left-s"] or 0.0) > (known["lease-left-s"] or 0.0):
             found[row["id"]] = row
-    rows = [tuple(" ".join(row[n]) if n == "held-by" else row[n] for n in names)
-            for _, row in sorted(found.items())]
+    rows = [
+        tuple(" ".join(row[n]) if n == "held-by" else row[n] for n in names)
+        for _, row in sorted(found.items())
+    ]
     return nodes.columns(names, rows)
--- a/gateway/proxy/decisions.py
+++ b/gateway/proxy/decisions.py
@@ -80,11 +80,18 @@
 class Decisions:
     """One ingress's decisions; `handle` takes an event and gives the actions it calls for."""
 
-    def __init__(self, quota_client: QuotaClient, terms: io.Settings, budget: Callable[[int], RetryBudget],
-                 rng: random.Random) -> None:
+    def __init__(
+        self,
+        quota_client: QuotaClient,
+        terms: io.Settings,
+        budget: Callable[[int], RetryBudget],
+        rng: random.Random,
+    ) -> None:
         self.quota_client, self.terms, self.budget, self.rng = quota_client, terms, budget, rng
         self.services: dict[str, Service] = {}
-        self.waiting: dict[int, PendingCharge | None] = {}  # by the number charged under; None: the client has gone
+        self.waiting: dict[
+            int, PendingCharge | None
+        ] = {}  # by the number charged under; None: the client has gone
         self.homes: dict[str, Service] = {}  # requests that a service has
         self.charged: set[str] = set()  # of these, those whose unit can still be given back
         self.proxy_peers, self.instances = ProxyPeers(terms.instances, 0, 0), terms.instances
@@ -94,9 +101,16 @@
         self.acts: list[Any] = []
         self.sweep_timers: dict[int, Service] = {}  # timers' tokens
         self.on: dict[type, Callable[[float, Any], None]] = {
-            io.Request: self.request, io.AttemptEnded: self.ended, io.ClientGone: self.client_gone,
-            io.TimerFired: self.sweep_due, io.AttemptStarted: self.stream_progress, io.AttemptWritten: self.stream_progress,
-            Backends: self.backends, QuotaEvent: self.quota_event, ProxyPeers: self.update_peers}
+            io.Request: self.request,
+            io.AttemptEnded: self.ended,
+            io.ClientGone: self.client_gone,
+            io.TimerFired: self.sweep_due,
+            io.AttemptStarted: self.stream_progress,
+            io.AttemptWritten: self.stream_progress,
+            Backends: self.backends,
+            QuotaEvent: self.quota_event,
+            ProxyPeers: self.update_peers,
+        }
 
     def handle(self, now: float, event: Any) -> list[Any]:
         """Decide on one event; `now` is in seconds of a steady clock."""
@@ -135,7 +149,8 @@
         known = self.services.get(name)
         if known is None:
             known = self.services[name] = Service(
-                name, self.terms, self.budget(self.instances), self.rng, now, self.give_up)
+                name, self.terms, self.budget(self.instances), self.rng, now, self.give_up
+            )
             self.sweep_timers[len(self.sweep_timers)] = known
             if self.grown_at is not None:
                 known.budget.share_among(self.grown_at, self.proxy_peers.ingresses)
@@ -215,7 +230,9 @@
         if e.outcome not in io.NEVER_RAN:
             self.charged.discard(e.request)
         self.run_service(s, lambda: s.ended(now, e))
-        if e.request not in s.active_requests and not any(e.request in b.out for b in s.fleet.backends.values()):
+        if e.request not in s.active_requests and not any(
+            e.request in b.out for b in s.fleet.backends.values()
+        ):
             self.give_back(now, e.request)  # if the client left while a connection was being opened
             self.forget(e.request)
 
@@ -273,4 +290,3 @@
             s.s = self.terms
             s.budget.share_among(now, self.terms.instances)
             s.assign_own_backends(e.place, e.zone_peers)
-
--- a/gateway/proxy/ingress.py
+++ b/gateway/proxy/ingress.py
@@ -20,12 +20,31 @@
 from roadspur.net.service_protocol import read_number
 from roadspur.net.upstream import Upstream
 
-DROPPED_RESPONSE_HEADERS = frozenset((  # headers of answers that are not handed on
-    b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
-    b"content-length", b"backend-load", b"not-executed", b"instance-id"))
-SINGLETON_HEADERS = frozenset((b"host", b"attempt-id", b"authorization", b"deadline-ms"))  # by a request, once
+DROPPED_RESPONSE_HEADERS = frozenset(
+    (  # headers of answers that are not handed on
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"backend-load",
+        b"not-executed",
+        b"instance-id",
+    )
+)
+SINGLETON_HEADERS = frozenset(
+    (b"host", b"attempt-id", b"authorization", b"deadline-ms")
+)  # by a request, once
 NOT_EXECUTED_STATUSES = (503, 429, 400)  # statuses with which a backend may say that it has not run a request
-NEVER_RAN_STATUSES = (503, 429, 408, 421)  # statuses that promise that: only this ingress may give them to a client
+NEVER_RAN_STATUSES = (
+    503,
+    429,
+    408,
+    421,
+)  # statuses that promise that: only this ingress may give them to a client
 TIMER_SLACK_S = 0.02  # by which a timer may be early on the loop's own clock
 RETRY_SOON = b"Retry-After: 0.3\r\n"
 MAX_DEADLINE_S = 3600.0
@@ -40,9 +59,15 @@
     label, ends, streams = b"attempt-id", ResponseEnd(read_until_close=True), True
     withheld_headers = frozenset((b"authorization", b"tenant", b"deadline-ms", b"target-instance"))
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, terms: io.Settings, decisions: Decisions,
-                 upstream: Upstream, send: Callable[[Send], None],
-                 steady: Callable[[], float] = monotonic) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        terms: io.Settings,
+        decisions: Decisions,
+        upstream: Upstream,
+        send: Callable[[Send], None],
+        steady: Callable[[], float] = monotonic,
+    ) -> None:
         super().__init__(loop, terms, decisions, upstream)
         self.send, self.steady, self.refusals = send, steady, decisions.refusals
         self.compiled_config: CompiledConfig | None = None
@@ -56,7 +81,9 @@
 
     # What clients say.
 
-    def read(self, method: bytes, url: bytes, headers: list[tuple[bytes, bytes]]) -> io.Request | ImmediateResponse:
+    def read(
+        self, method: bytes, url: bytes, headers: list[tuple[bytes, bytes]]
+    ) -> io.Request | ImmediateResponse:
         """Match the call and its key; what no configuration allows is answered at once."""
         if self.compiled_config is None:
             self.refusals.count(self.now(), "no configuration")
@@ -79,15 +106,23 @@
                 return ImmediateResponse(503, "a newer configuration is awaited", lines=RETRY_SOON)
             route_decision = seen
         if route_decision.status != 200 or route_decision.route is None:
-            return ImmediateResponse(route_decision.status, "no such route" if route_decision.status == 404 else "unknown key")
+            return ImmediateResponse(
+                route_decision.status, "no such route" if route_decision.status == 404 else "unknown key"
+            )
         if not name or not name.isascii():
             return ImmediateResponse(400, "attempt-id: missing", close=True)
         route, tenant = route_decision.route, route_decision.tenant
         self.effects[route.label] = io.Effect.SAFE if route.safe else io.Effect.UNSAFE
         self.aims[route.label] = route.target_latency
-        return io.Request(name.decode(), route.label, tenant.label if tenant else "", 0,
-                          min(patience, route.deadline, MAX_DEADLINE_S), 1.0,
-                          about=RequestContext(route, tenant, route_decision.precedence, self.late(route, patience)))
+        return io.Request(
+            name.decode(),
+            route.label,
+            tenant.label if tenant else "",
+            0,
+            min(patience, route.deadline, MAX_DEADLINE_S),
+            1.0,
+            about=RequestContext(route, tenant, route_decision.precedence, self.late(route, patience)),
+        )
 
     def late(self, route: Route, patience: float) -> bool:
         """Whether a try comes too long after its request's first one to earn its full worth.
@@ -105,8 +140,10 @@
         """The request as a backend gets it: for this instance only, under its tenant's name."""
         plan = call.request.plan
         tenant = b"Tenant: %s\r\n" % plan.encode() if plan else b""
-        return call.message(b"%sTarget-Instance: %s\r\nDeadline-Ms: %d\r\n" % (
-            tenant, backend.encode(), max(1, int(1000 * patience))))
+        return call.message(
+            b"%sTarget-Instance: %s\r\nDeadline-Ms: %d\r\n"
+            % (tenant, backend.encode(), max(1, int(1000 * patience)))
+        )
 
     def outcome(self, call: ClientRequest, answer: Response) -> io.Outcome | None:
         """Only an answer that says so has not run; a success needs its seal, all need the request's id."""
@@ -114,19 +151,29 @@
         ours = name is not None and name == call.request.id.encode()
         if answer.status == 421 and (ours or name is None):
             return io.Outcome.CONNECT_FAILED  # another instance has the address
-        if answer.status in NOT_EXECUTED_STATUSES and b"not-executed" in answer.headers and (ours or name is None):
+        if (
+            answer.status in NOT_EXECUTED_STATUSES
+            and b"not-executed" in answer.headers
+            and (ours or name is None)
+        ):
             return io.Outcome.FULL
         if not ours:
             return None
-        if answer.status >= 500 or answer.status in NEVER_RAN_STATUSES or (
-                answer.status < 300 and b"backend-seal" not in answer.headers):
+        if (
+            answer.status >= 500
+            or answer.status in NEVER_RAN_STATUSES
+            or (answer.status < 300 and b"backend-seal" not in answer.headers)
+        ):
             return io.Outcome.ERROR
         return io.Outcome.OK
 
     def lines(self, answer: Response) -> bytes:
         """All headers but those that concern one connection, or the backend only."""
-        return b"".join(b"%s: %s\r\n" % (name.title(), value) for name, value in answer.headers.items()
-                        if name not in DROPPED_RESPONSE_HEADERS)
+        return b"".join(
+            b"%s: %s\r\n" % (name.title(), value)
+            for name, value in answer.headers.items()
+            if name not in DROPPED_RESPONSE_HEADERS
+        )
 
     def load(self, answer: Response | None) -> dict[str, float]:
         """`Backend-Load`: requests running, requests waiting, slots."""
@@ -192,8 +239,16 @@
         place = zone_peers.index(me) if me in zone_peers else -1
         self.submit(ProxyPeers(len(ingresses), place, len(zone_peers)))  # type: ignore[arg-type]
 
-    def backend(self, name: str, service: str, address: Address, phase: io.Phase, cold_left: float,
-                capacity: int = 1, zone: str = "") -> None:
+    def backend(
+        self,
+        name: str,
+        service: str,
+        address: Address,
+        phase: io.Phase,
+        cold_left: float,
+        capacity: int = 1,
+        zone: str = "",
+    ) -> None:
         """A backend came, changed or went; connections of old go before anything may be sent."""
         if phase is io.Phase.DELETED:
             service = self.services.pop(name, service)
--- a/gateway/proxy/refusals.py
+++ b/gateway/proxy/refusals.py
@@ -7,7 +7,10 @@
 
 from gateway.quota.interface import OVER_ALLOWANCE
 
-WARNING_MIN_COUNT, WARNING_MIN_RATIO = 5, 0.25  # requests of one second turned back for causes that lie with the system; of all
+WARNING_MIN_COUNT, WARNING_MIN_RATIO = (
+    5,
+    0.25,
+)  # requests of one second turned back for causes that lie with the system; of all
 
 log = logging.getLogger("gateway.proxy.refusals")
 
@@ -37,7 +40,11 @@
             return
         if self.causes:
             bad = self.causes.total() - self.causes[OVER_ALLOWANCE]
-            level = logging.WARNING if bad >= max(WARNING_MIN_COUNT, WARNING_MIN_RATIO * self.requests) else logging.INFO
+            level = (
+                logging.WARNING
+                if bad >= max(WARNING_MIN_COUNT, WARNING_MIN_RATIO * self.requests)
+                else logging.INFO
+            )
             told = ", ".join(f"{why} {n}" for why, n in sorted(self.causes.items()) if n)
             log.log(level, "of %d requests in a second turned back: %s", self.requests, told)
             self.causes.clear()
--- a/gateway/proxy/retry_budget.py
+++ b/gateway/proxy/retry_budget.py
@@ -4,8 +4,12 @@
 
 from collections import deque
 
-SHRINK_DELAY_S = 60.0  # after which fewer ingresses are believed: until then some may be there and out of reach
-GROWTH_SETTLE_S = 1.0  # without more ingresses, after which their number is believed, and the slack shared by it
+SHRINK_DELAY_S = (
+    60.0  # after which fewer ingresses are believed: until then some may be there and out of reach
+)
+GROWTH_SETTLE_S = (
+    1.0  # without more ingresses, after which their number is believed, and the slack shared by it
+)
 SAFETY_FACTOR = 0.7  # of the allowed ratio that is used, as the others count by clocks of their own
 
 
@@ -17,8 +21,17 @@
     is told and stays there is no slack: when all begin at once, each meets the others one after the other.
     """
 
-    __slots__ = ("ratio", "slack", "window", "seconds", "requests", "repeats", "ingresses", "shared_at",
-                 "grown_at")
+    __slots__ = (
+        "ratio",
+        "slack",
+        "window",
+        "seconds",
+        "requests",
+        "repeats",
+        "ingresses",
+        "shared_at",
+        "grown_at",
+    )
 
     def __init__(self, ratio: float, slack: float, window: float, ingresses: int) -> None:
         self.ratio, self.slack, self.window = SAFETY_FACTOR * ratio, slack / 2, window
--- a/gateway/proxy/service.py
+++ b/gateway/proxy/service.py
@@ -17,20 +17,34 @@
 INITIAL_LATENCY_RATIO = 0.3  # of its aim that a route's answers are taken to need before any has come
 COLD_S, COLD_CAPACITY = 3.0, 0.5  # of a backend's slow start, and what it does then
 MAX_REJECTION_KEYS = 512  # tenants and routes whose refusals at backends are remembered
-LOAD_FRESH_S, LOAD_STALE_S = 0.15, 8.0  # for which a told number says more than the mean, and that than the usual
+LOAD_FRESH_S, LOAD_STALE_S = (
+    0.15,
+    8.0,
+)  # for which a told number says more than the mean, and that than the usual
 MEAN_STEP, USUAL_STEP = 0.2, 0.02
 WORK_STEP, RATIO_STEP = 0.02, 0.05
 USUAL_WORK, MAX_FOREIGN_WORK = 0.15, 6.0  # seconds; times its own work that another's counts
-FOREIGN_BACKEND_COST, REMOTE_ZONE_COST = 1.15, 1.1  # cost of what is not this ingress's own, and of another zone
+FOREIGN_BACKEND_COST, REMOTE_ZONE_COST = (
+    1.15,
+    1.1,
+)  # cost of what is not this ingress's own, and of another zone
 SWEEP_INTERVAL_S = 0.05  # between looks at silent backends and at what is held
 
 
 def settings(ingresses: int, connect_timeout: float, zone: str) -> io.Settings:
     """What the shared choice is told, `connect_timeout` in seconds."""
     return io.Settings(
-        classes=(io.ClassSettings("", io.Effect.SAFE, 1.0, 1.0),), plans=(io.PlanSettings("", 0.0, 0.0),),
-        instances=max(1, ingresses), may_cancel=True, max_attempts=16, start_capacity=COLD_CAPACITY,
-        cold_time=COLD_S, zone=zone, connect_timeout=connect_timeout, load_in_answers=True)
+        classes=(io.ClassSettings("", io.Effect.SAFE, 1.0, 1.0),),
+        plans=(io.PlanSettings("", 0.0, 0.0),),
+        instances=max(1, ingresses),
+        may_cancel=True,
+        max_attempts=16,
+        start_capacity=COLD_CAPACITY,
+        cold_time=COLD_S,
+        zone=zone,
+        connect_timeout=connect_timeout,
+        load_in_answers=True,
+    )
 
 
 def class_of(route: Route) -> io.ClassSettings:
@@ -82,8 +96,15 @@
 class Service(Routing):
     """The backends of one service."""
 
-    def __init__(self, name: str, terms: io.Settings, budget: RetryBudget, rng: random.Random, now: float,
-                 give_up: Callable[[float, ActiveRequest, float], None]) -> None:
+    def __init__(
+        self,
+        name: str,
+        terms: io.Settings,
+        budget: RetryBudget,
+        rng: random.Random,
+        now: float,
+        give_up: Callable[[float, ActiveRequest, float], None],
+    ) -> None:
         super().__init__(terms, (), (), rng, now)
         self.rejection_share = RejectionRates()
         self.name, self.budget, self.give_up = name, budget, give_up
@@ -120,9 +141,15 @@
         """
         slots = max(1.0, b.entry.weight)
         foreign_load = self.others.get(b.entry.backend)
-        foreign = self.usual_foreign_load if foreign_load is None else foreign_load.expect(now, self.usual_foreign_load)
+        foreign = (
+            self.usual_foreign_load
+            if foreign_load is None
+            else foreign_load.expect(now, self.usual_foreign_load)
+        )
         ahead = expected_queue(len(b.out), foreign, int(slots)) / slots
-        relative_work = min(MAX_FOREIGN_WORK, self.work / self.base[f.cls.name])  # others' work before it, in terms of its own
+        relative_work = min(
+            MAX_FOREIGN_WORK, self.work / self.base[f.cls.name]
+        )  # others' work before it, in terms of its own
         cost = self.slowness(b) * (1 + ahead * relative_work)
         if b.entry.backend not in self.own:
             cost *= FOREIGN_BACKEND_COST
@@ -153,10 +180,13 @@
 
     def assign_own_backends(self, place: int, zone_peers: int) -> None:
         """Which backends of the zone are this ingress's own: the ingresses of a zone take them in turn."""
-        near = sorted(b.entry.backend for b in self.fleet.backends.values()
-                      if b.usable and b.entry.zone == self.s.zone)
+        near = sorted(
+            b.entry.backend for b in self.fleet.backends.values() if b.usable and b.entry.zone == self.s.zone
+        )
         first = zlib.crc32(self.name.encode())  # or those in front had more of every service
-        self.own = frozenset(n for i, n in enumerate(near) if zone_peers and (i + first) % zone_peers == place)
+        self.own = frozenset(
+            n for i, n in enumerate(near) if zone_peers and (i + first) % zone_peers == place
+        )
 
     def why(self, f: ActiveRequest) -> str:
         """Why a request that has not run is turned back."""
--- a/gateway/quota/interface.py
+++ b/gateway/quota/interface.py
@@ -8,16 +8,16 @@
 from gateway.quota.quota_pb2 import Message
 from gateway.state_machine import Address
 
-SHARDS = 64            # into which the tenants are cut
+SHARDS = 64  # into which the tenants are cut
 ALL_SHARDS = (1 << SHARDS) - 1
-FULL_SHARE = 8192          # parts of an allowance that can be leased as shares
-LOWEST_PRECEDENCE = 7            # precedence that is told apart; lower ones are the same
-LEASE_S = 1.5         # of a holder, from when it asked
-MARGIN_S = 0.25       # a lease or share is surely over only this much later
-LEASE_RENEW_S = 0.3           # between a holder's requests for its lease
-SHARE_S = 12.0        # of a share, from when the charge was sent whose verdict brought or kept it
-CLIENT_HEARTBEAT_S = 0.2         # a quota client silent towards a holder for this long says that it is there
-SILENT_S = 0.45       # a quota client unheard for this long is held to go by its shares
+FULL_SHARE = 8192  # parts of an allowance that can be leased as shares
+LOWEST_PRECEDENCE = 7  # precedence that is told apart; lower ones are the same
+LEASE_S = 1.5  # of a holder, from when it asked
+MARGIN_S = 0.25  # a lease or share is surely over only this much later
+LEASE_RENEW_S = 0.3  # between a holder's requests for its lease
+SHARE_S = 12.0  # of a share, from when the charge was sent whose verdict brought or kept it
+CLIENT_HEARTBEAT_S = 0.2  # a quota client silent towards a holder for this long says that it is there
+SILENT_S = 0.45  # a quota client unheard for this long is held to go by its shares
 
 
 class Code:
--- a/gateway/quota/local_quota.py
+++ b/gateway/quota/local_quota.py
@@ -7,9 +7,11 @@
 from gateway.quota.window import Window
 from gateway.state_machine import Address
 
-CALM_CREDIT_WINDOWS = 0.3  # windows' shares that can be spent at once when the holder falls silent in calm times
+CALM_CREDIT_WINDOWS = (
+    0.3  # windows' shares that can be spent at once when the holder falls silent in calm times
+)
 MAX_HANDED_WINDOWS = 0.3  # windows' shares that a quota client has unspent and hands to a new holder
-MAX_SHARE_WINDOWS = 1.2    # windows' shares that are kept
+MAX_SHARE_WINDOWS = 1.2  # windows' shares that are kept
 EXHAUSTED_S = 0.25  # after a verdict that nothing is left in the window, nobody is asked for so long
 
 
@@ -21,20 +23,37 @@
     quota client, so that shares of less than a unit come to their sum over many quota clients.
     """
 
-    __slots__ = ("accrued_from", "ends", "share_owner", "label", "number", "part", "over_demand", "refused", "remaining",
-                 "remaining_at", "sent", "share", "exhausted_until", "spent", "threshold", "until", "window")
+    __slots__ = (
+        "accrued_from",
+        "ends",
+        "share_owner",
+        "label",
+        "number",
+        "part",
+        "over_demand",
+        "refused",
+        "remaining",
+        "remaining_at",
+        "sent",
+        "share",
+        "exhausted_until",
+        "spent",
+        "threshold",
+        "until",
+        "window",
+    )
 
     def __init__(self, label: str, number: int, window: Window, threshold: float) -> None:
         self.label, self.number, self.window = label, number, window
         self.threshold = threshold
-        self.share, self.until = 0, 0.0              # parts of the allowance, and until when
-        self.share_owner: Address | None = None            # which holder gave the share
-        self.part, self.sent = 0, 0.0                # the share's number, and when the charge for it was sent
-        self.accrued_from, self.over_demand = 0.0, -1e9          # from when units flow in; last verdict under press
-        self.spent = 0                               # units let go by share
-        self.remaining, self.remaining_at = 0, -1e9          # by the newest verdict, and when that came
-        self.exhausted_until, self.ends = 0.0, 0.0              # nothing is left until then; end of the holder's window
-        self.refused: dict[int, int] = {}            # requests refused since, by precedence
+        self.share, self.until = 0, 0.0  # parts of the allowance, and until when
+        self.share_owner: Address | None = None  # which holder gave the share
+        self.part, self.sent = 0, 0.0  # the share's number, and when the charge for it was sent
+        self.accrued_from, self.over_demand = 0.0, -1e9  # from when units flow in; last verdict under press
+        self.spent = 0  # units let go by share
+        self.remaining, self.remaining_at = 0, -1e9  # by the newest verdict, and when that came
+        self.exhausted_until, self.ends = 0.0, 0.0  # nothing is left until then; end of the holder's window
+        self.refused: dict[int, int] = {}  # requests refused since, by precedence
 
     def note(self, now: float, frm: Address, sent: float, verdict: Verdict) -> None:
         """Take a verdict of an open count, to a charge sent at `sent`."""
--- a/gateway/quota/owner_links.py
+++ b/gateway/quota/owner_links.py
@@ -12,23 +12,22 @@
 from gateway.quota.quota_pb2 import ClientHeartbeat, Message
 from gateway.state_machine import Address, Send
 
-SILENT_AFTER_MISSES = 2      # in a row make a holder silent
-IDLE_HEARTBEAT_S = 1.0    # between two Alive to a holder that gets charges all the time, or that gave no share
-VIEW_REPORT_S = 5.0   # between two of them with what this quota client knows
+SILENT_AFTER_MISSES = 2  # in a row make a holder silent
+IDLE_HEARTBEAT_S = 1.0  # between two Alive to a holder that gets charges all the time, or that gave no share
+VIEW_REPORT_S = 5.0  # between two of them with what this quota client knows
 
 
 class OwnerLink:
     """One holder."""
 
-    __slots__ = ("address", "heard", "misses", "number", "shards", "sent", "told", "told_at",
-                 "viewed_at")
+    __slots__ = ("address", "heard", "misses", "number", "shards", "sent", "told", "told_at", "viewed_at")
 
     def __init__(self, address: Address) -> None:
         self.address, self.shards = address, 0
         self.heard, self.sent, self.misses = -1e9, -1e9, 0
         self.number, self.told_at = 0, -1e9  # the newest Alive
-        self.told = False                    # whether it knows all shares of its parts
-        self.viewed_at = -1e9                # when it was told views
+        self.told = False  # whether it knows all shares of its parts
+        self.viewed_at = -1e9  # when it was told views
 
     @property
     def silent(self) -> bool:
@@ -50,7 +49,7 @@
         self.link_of_shard: list[OwnerLink | None] = [None] * SHARDS
         self.fencing_token = (0, 0)
         self.peers, self.peers_at = 0, -1e9  # quota clients that a holder knew of, and when it said so
-        self.due = 0.0                       # next look for holders that must hear something
+        self.due = 0.0  # next look for holders that must hear something
 
     def follow(self, now: float, data: bytes) -> None:
         """Take over a table of holders, unless a newer one is known."""
@@ -90,8 +89,14 @@
         live = [p for p in known if p.live(now)]
         share_owners, out = {p.share_owner for p in live}, []
         for link in self.links.values():
-            soon = CLIENT_HEARTBEAT_S if not link.told or link.misses or link.address in share_owners else IDLE_HEARTBEAT_S
-            if now >= link.sent + soon or now >= link.told_at + (IDLE_HEARTBEAT_S if link.told else CLIENT_HEARTBEAT_S):
+            soon = (
+                CLIENT_HEARTBEAT_S
+                if not link.told or link.misses or link.address in share_owners
+                else IDLE_HEARTBEAT_S
+            )
+            if now >= link.sent + soon or now >= link.told_at + (
+                IDLE_HEARTBEAT_S if link.told else CLIENT_HEARTBEAT_S
+            ):
                 out.append(self.tell(now, link, live, known))
         return out
 
@@ -109,13 +114,23 @@
             client_heartbeat.shards = link.shards
             for local_quota in live:
                 if link.shards >> (local_quota.number % SHARDS) & 1:
-                    client_heartbeat.shares.add(tenant=local_quota.number, part=local_quota.share, spent=local_quota.spent,
-                                     left_ms=int((local_quota.until - now) * 1000) + 1,
-                                     accrues_in_ms=int(local_quota.accrues_from(now) * 1000))
+                    client_heartbeat.shares.add(
+                        tenant=local_quota.number,
+                        part=local_quota.share,
+                        spent=local_quota.spent,
+                        left_ms=int((local_quota.until - now) * 1000) + 1,
+                        accrues_in_ms=int(local_quota.accrues_from(now) * 1000),
+                    )
         if now >= link.viewed_at + VIEW_REPORT_S:
             for local_quota in known:
-                if local_quota.remaining_at > link.viewed_at and link.shards >> (local_quota.number % SHARDS) & 1:
-                    client_heartbeat.views.add(tenant=local_quota.number, remaining=local_quota.remaining,
-                                    age_ms=int((now - local_quota.remaining_at) * 1000))
+                if (
+                    local_quota.remaining_at > link.viewed_at
+                    and link.shards >> (local_quota.number % SHARDS) & 1
+                ):
+                    client_heartbeat.views.add(
+                        tenant=local_quota.number,
+                        remaining=local_quota.remaining,
+                        age_ms=int((now - local_quota.remaining_at) * 1000),
+                    )
             link.viewed_at = now
         return Send(link.address, Message(client_heartbeat=client_heartbeat))
--- a/gateway/quota/quota_client.py
+++ b/gateway/quota/quota_client.py
@@ -33,9 +33,9 @@
 from gateway.quota.window import plan, tenant_number
 from gateway.state_machine import Address, Send
 
-MAX_PENDING_CHARGES = 8192   # charges out at once
-MAX_REMEMBERED_CHARGES = 32768    # in one generation
-REMEMBER_ANSWERED_S = 4.0          # an answered charge is known at least this long
+MAX_PENDING_CHARGES = 8192  # charges out at once
+MAX_REMEMBERED_CHARGES = 32768  # in one generation
+REMEMBER_ANSWERED_S = 4.0  # an answered charge is known at least this long
 MIN_RETRY_AFTER_S, MAX_RETRY_AFTER_S = 0.05, 2.0  # told with 'over'
 
 Output = Send | ChargeDecision
@@ -49,7 +49,9 @@
 
     __slots__ = ("ask_count", "link", "patience", "precedence", "local_quota", "sent", "state", "tries")
 
-    def __init__(self, local_quota: LocalQuota, link: OwnerLink | None, now: float, patience: float, precedence: int) -> None:
+    def __init__(
+        self, local_quota: LocalQuota, link: OwnerLink | None, now: float, patience: float, precedence: int
+    ) -> None:
         self.local_quota, self.link, self.sent, self.patience = local_quota, link, now, patience
         self.precedence, self.ask_count, self.tries, self.state = precedence, 1, 1, WAITING
 
@@ -64,7 +66,7 @@
         self.span_s, self.rng, self.incarnation = span_s, rng, rng.randrange(1, 1 << 32)
         self.local_quotas: dict[str, LocalQuota] = {}
         self.links, self.statistics = OwnerLinks(self.incarnation), DecisionStatistics()
-        self.pending: dict[int, PendingCharge] = {}    # waiting or answered lately, and the generation before
+        self.pending: dict[int, PendingCharge] = {}  # waiting or answered lately, and the generation before
         self.previous_pending: dict[int, PendingCharge] = {}
         self.rotate_at, self.waiting = 0.0, 0
         self.timers: list[tuple[float, int]] = []
@@ -112,7 +114,9 @@
         if now < local_quota.exhausted_until:
             local_quota.refuse(ask.precedence)
             self.statistics.count(REFUSED_LOCALLY, ask.tenant, ask.precedence, 0.0)
-            return [ChargeDecision(ask.id, "over", max(MIN_RETRY_AFTER_S, local_quota.ends - now), OVER_ALLOWANCE)]
+            return [
+                ChargeDecision(ask.id, "over", max(MIN_RETRY_AFTER_S, local_quota.ends - now), OVER_ALLOWANCE)
+            ]
         if now >= self.rotate_at or len(self.pending) >= MAX_REMEMBERED_CHARGES:
             self.rotate(now)
         link = self.links.link_of_shard[local_quota.number % SHARDS]
@@ -143,8 +147,16 @@
         link.sent = now
         return Send(link.address, Message(charge=charge))
 
-    def decide(self, now: float, id: int, out: PendingCharge, state: int, wait: float = 0.0, decision: int = HOLDER,
-               why: str = "") -> list[Output]:
+    def decide(
+        self,
+        now: float,
+        id: int,
+        out: PendingCharge,
+        state: int,
+        wait: float = 0.0,
+        decision: int = HOLDER,
+        why: str = "",
+    ) -> list[Output]:
         """Answer a request, once for each time that it was asked."""
         out.state = state
         for _ in range(out.ask_count):
@@ -180,7 +192,11 @@
 
     def give_back(self, id: int, out: PendingCharge) -> list[Output]:
         """The message that gives a unit back."""
-        return [Send(out.link.address, Message(back=ChargeRefund(id=id, tenant=out.local_quota.number)))] if out.link else []
+        return (
+            [Send(out.link.address, Message(back=ChargeRefund(id=id, tenant=out.local_quota.number)))]
+            if out.link
+            else []
+        )
 
     # Messages
 
