--- a/gateway/quota/shard_assigner.py
+++ b/gateway/quota/shard_assigner.py
@@ -19,12 +19,12 @@
 from gateway.quota.quota_pb2 import ShardMap as ShardMapMessage
 from gateway.state_machine import Address, Send
 
-PRESENT_S = 1.0      # a holder that asked this lately is there
-STABLE_S = 2.0     # and after this long without a gap, parts are moved to it from others
-PUBLISH_INTERVAL_S = 0.2       # between two tables, the first of which has a holder for each part
-EARLY_REQUEST_S = 0.1      # from a request to a leader that isn't sure yet; after so long it comes again
-MAX_EARLY_REQUESTS = 16    # of them
-MAX_CACHED_ASSIGNMENTS = 32          # remembered
+PRESENT_S = 1.0  # a holder that asked this lately is there
+STABLE_S = 2.0  # and after this long without a gap, parts are moved to it from others
+PUBLISH_INTERVAL_S = 0.2  # between two tables, the first of which has a holder for each part
+EARLY_REQUEST_S = 0.1  # from a request to a leader that isn't sure yet; after so long it comes again
+MAX_EARLY_REQUESTS = 16  # of them
+MAX_CACHED_ASSIGNMENTS = 32  # remembered
 NO_OWNER = 255
 
 Output = Send | PublishShardMap
@@ -34,17 +34,30 @@
 class OwnerCandidate:
     """A controller that asks for parts, as the leader knows it."""
 
-    __slots__ = ("at", "asked", "confirmed", "ever_offered", "asked_since", "last_grant", "incarnation", "possibly_held", "offer", "ranks",
-                 "until")
+    __slots__ = (
+        "at",
+        "asked",
+        "confirmed",
+        "ever_offered",
+        "asked_since",
+        "last_grant",
+        "incarnation",
+        "possibly_held",
+        "offer",
+        "ranks",
+        "until",
+    )
 
     def __init__(self, address: Address) -> None:
-        self.incarnation, self.at = 0, -1.0            # of its newest request
-        self.asked, self.asked_since = -10.0, -10.0   # when that came here, and when the first without a gap
-        self.confirmed = -10.0                  # when it last had seen the newest Hold
-        self.possibly_held, self.until = 0, 0.0           # parts that it may still hold, and until when
-        self.offer, self.last_grant = 0, (0, 0)       # parts in the newest Hold, and that one's fence
-        self.ever_offered = 0                           # parts in any
-        self.ranks = [blake2b(f"{address} {shard}".encode(), digest_size=8).digest() for shard in range(SHARDS)]
+        self.incarnation, self.at = 0, -1.0  # of its newest request
+        self.asked, self.asked_since = -10.0, -10.0  # when that came here, and when the first without a gap
+        self.confirmed = -10.0  # when it last had seen the newest Hold
+        self.possibly_held, self.until = 0, 0.0  # parts that it may still hold, and until when
+        self.offer, self.last_grant = 0, (0, 0)  # parts in the newest Hold, and that one's fence
+        self.ever_offered = 0  # parts in any
+        self.ranks = [
+            blake2b(f"{address} {shard}".encode(), digest_size=8).digest() for shard in range(SHARDS)
+        ]
 
 
 class ShardAssigner:
@@ -59,13 +72,15 @@
     def __init__(self) -> None:
         self.term, self.has_leader_lease = 0, False
         self.began, self.settled = 0.0, False
-        self.number = 0                          # of the newest Hold or table, in this term
+        self.number = 0  # of the newest Hold or table, in this term
         self.live: frozenset[Address] = frozenset()
         self.members: frozenset[Address] = frozenset()
         self.candidates: dict[Address, OwnerCandidate] = {}
         self.owner_of_shard: list[Address | None] = [None] * SHARDS
-        self.idle, self.idle_since = 0, 0.0      # parts that nobody has held since then but who was told so
-        self.early: dict[Address, tuple[float, LeaseRequest]] = {}  # in this term before it was sure, and when
+        self.idle, self.idle_since = 0, 0.0  # parts that nobody has held since then but who was told so
+        self.early: dict[
+            Address, tuple[float, LeaseRequest]
+        ] = {}  # in this term before it was sure, and when
         self.changed, self.has_unowned, self.published = False, True, 0.0  # gaps: of the newest table
         self.data = b""
         self.assignments: dict[frozenset[Address], dict[Address, int]] = {}
@@ -112,9 +127,18 @@
             if frm not in self.live and frm not in self.members:
                 return []
             candidate = self.candidates[frm] = OwnerCandidate(frm)
-            candidate.possibly_held, candidate.until, candidate.confirmed = request.shards, now + LEASE_S + MARGIN_S, now
+            candidate.possibly_held, candidate.until, candidate.confirmed = (
+                request.shards,
+                now + LEASE_S + MARGIN_S,
+                now,
+            )
         elif candidate.incarnation != request.incarnation:
-            candidate.possibly_held, candidate.offer, candidate.asked_since, candidate.confirmed = request.shards, 0, now, now
+            candidate.possibly_held, candidate.offer, candidate.asked_since, candidate.confirmed = (
+                request.shards,
+                0,
+                now,
+                now,
+            )
             self.idle &= ~candidate.ever_offered  # its process before may have counted
         elif request.at <= candidate.at:
             return []
@@ -151,7 +175,13 @@
                 if self.owner_of_shard[shard] is not None:
                     self.idle &= ~(1 << shard)
                 self.owner_of_shard[shard], self.changed = frm, True
-        hold = LeaseGrant(incarnation=candidate.incarnation, at=candidate.at, term=self.term, number=self.number, shards=offer)
+        hold = LeaseGrant(
+            incarnation=candidate.incarnation,
+            at=candidate.at,
+            term=self.term,
+            number=self.number,
+            shards=offer,
+        )
         if idle := offer & self.idle:
             hold.idle, hold.idle_ms = idle, int(1000 * (now - self.idle_since))
         return Send(frm, Message(hold=hold))
@@ -170,7 +200,14 @@
             return candidate.possibly_held & ~taken
         if frm not in present:
             return 0
-        return (candidate.possibly_held & self.assignment(stable)[frm] | ~candidate.possibly_held & self.assignment(present)[frm]) & ALL_SHARDS & ~taken
+        return (
+            (
+                candidate.possibly_held & self.assignment(stable)[frm]
+                | ~candidate.possibly_held & self.assignment(present)[frm]
+            )
+            & ALL_SHARDS
+            & ~taken
+        )
 
     def assignment(self, addresses: list[Address]) -> dict[Address, int]:
         """Rendezvous: each part goes to the address that ranks highest for it."""
@@ -203,20 +240,29 @@
 
     def push(self, now: float) -> list[Output]:
         """Lease free parts to those who have asked and whose they are."""
-        return [self.grant(now, address, candidate) for address, candidate in self.candidates.items()
-                if now < candidate.asked + LEASE_S / 2 and self.offer(now, address, candidate) & ~candidate.offer]
+        return [
+            self.grant(now, address, candidate)
+            for address, candidate in self.candidates.items()
+            if now < candidate.asked + LEASE_S / 2 and self.offer(now, address, candidate) & ~candidate.offer
+        ]
 
     # The table
 
     def publish(self, now: float) -> list[Output]:
         """Give out a new table: not too often unless the last one had gaps, nor before an earlier leader's
         leases are accounted for."""
-        if not self.changed or not self.settled or (now < self.published + PUBLISH_INTERVAL_S and not self.has_unowned):
+        if (
+            not self.changed
+            or not self.settled
+            or (now < self.published + PUBLISH_INTERVAL_S and not self.has_unowned)
+        ):
             return []
         self.changed, self.has_unowned, self.published = False, None in self.owner_of_shard, now
         self.number += 1
         owners = sorted({a for a in self.owner_of_shard if a is not None})
         owner_of_shard = bytes(NO_OWNER if a is None else owners.index(a) for a in self.owner_of_shard)
-        message = ShardMapMessage(term=self.term, number=self.number, owners=owners, owner_of_shard=owner_of_shard)
+        message = ShardMapMessage(
+            term=self.term, number=self.number, owners=owners, owner_of_shard=owner_of_shard
+        )
         self.data = message.SerializeToString()
         return [PublishShardMap((self.term, self.number), self.data)]
--- a/gateway/quota/shard_owner.py
+++ b/gateway/quota/shard_owner.py
@@ -34,8 +34,8 @@
 from gateway.state_machine import Address, Send
 
 MAX_CLIENTS = 1024  # that are remembered at most
-CLIENT_CHECK_S = 0.1     # between looks for silent quota clients
-LEASE_RETRY_S = 0.1    # to the next request for the lease when none has come
+CLIENT_CHECK_S = 0.1  # between looks for silent quota clients
+LEASE_RETRY_S = 0.1  # to the next request for the lease when none has come
 
 Output = Send
 Input = Received | Tick | Allowances | SetLeader
@@ -49,7 +49,7 @@
     def __init__(self, now: float, incarnation: int) -> None:
         self.heard, self.incarnation = now, incarnation
         self.shares_until = 0.0  # when its last share here is over
-        self.told = 0   # parts held here of which it has told its shares
+        self.told = 0  # parts held here of which it has told its shares
 
 
 class ShardOwner:
@@ -61,21 +61,25 @@
     def __init__(self, span_s: float, rng: random.Random) -> None:
         self.span_s, self.incarnation = span_s, rng.randrange(1, 1 << 32)
         self.leader: Address | None = None
-        self.shards, self.until = 0, 0.0          # held, and until when
-        self.since = [0.0] * SHARDS               # when each part's lease began, or nobody has counted since
-        self.lease_began = [0.0] * SHARDS                # when its lease began
-        self.ever_held = 0                             # parts held at any time
+        self.shards, self.until = 0, 0.0  # held, and until when
+        self.since = [0.0] * SHARDS  # when each part's lease began, or nobody has counted since
+        self.lease_began = [0.0] * SHARDS  # when its lease began
+        self.ever_held = 0  # parts held at any time
         self.fencing_token, self.asked_at, self.answered = (0, 0), -LEASE_RENEW_S, True
         self.windows: dict[int, tuple[str, Window]] = {}  # by the tenant's number
         self.counts: dict[int, TenantCounter] = {}
         self.clients: dict[Address, ClientState] = {}
-        self.peers, self.peers_at = 0, 0.0       # quota clients that there were of late, and when that was told
-        self.silent: dict[Address, float] = {}   # quota clients, and when they were last heard
-        self.epoch, self.checked_at = 0, 0.0         # changes whenever what must be kept back may have
+        self.peers, self.peers_at = 0, 0.0  # quota clients that there were of late, and when that was told
+        self.silent: dict[Address, float] = {}  # quota clients, and when they were last heard
+        self.epoch, self.checked_at = 0, 0.0  # changes whenever what must be kept back may have
         self.seed = rng.randrange(1 << 14)
         self.view_audit = ViewAudit()
         self.handlers: dict[str, Callable[[float, Address, Message], list[Output]]] = {
-            "charge": self.on_charge, "back": self.on_refund, "client_heartbeat": self.on_client_heartbeat, "hold": self.on_lease_grant}
+            "charge": self.on_charge,
+            "back": self.on_refund,
+            "client_heartbeat": self.on_client_heartbeat,
+            "hold": self.on_lease_grant,
+        }
 
     def handle(self, now: float, input: Input) -> list[Output]:
         """Take one input at a steady time in seconds; what to send."""
@@ -119,8 +123,12 @@
             known = count.shares.get(frm)
             if charge.held or known is None or not known.number:
                 count.note_earlier_share()
-        if count is not None and now < count.opens and not count.has_reported_shares and (
-                count.early_limit(now) - count.admitted < 1):
+        if (
+            count is not None
+            and now < count.opens
+            and not count.has_reported_shares
+            and (count.early_limit(now) - count.admitted < 1)
+        ):
             verdict.code, count = Code.NOT_YET, None
         if client is None:
             verdict.code = Code.NOT_MINE
@@ -129,7 +137,9 @@
             client.shares_until = now + SHARE_S + MARGIN_S
         return [Send(frm, Message(verdict=verdict))]
 
-    def fill_reply(self, now: float, frm: Address, charge: Charge, count: TenantCounter, verdict: Verdict) -> None:
+    def fill_reply(
+        self, now: float, frm: Address, charge: Charge, count: TenantCounter, verdict: Verdict
+    ) -> None:
         """Fill in a verdict by an open count."""
         self.refresh(now, charge.tenant, count)
         share = count.shares.get(frm) or count.known(frm, charge.spent)
@@ -158,7 +168,8 @@
         if count is None:
             self.seed += 1
             count = self.counts[number] = TenantCounter(
-                now, known[1], self.since[part], self.seed * 97, self.lease_began[part])
+                now, known[1], self.since[part], self.seed * 97, self.lease_began[part]
+            )
         return count
 
     def refresh(self, now: float, number: int, count: TenantCounter) -> None:
@@ -188,7 +199,9 @@
 
     # Quota clients
 
-    def hear(self, now: float, frm: Address, incarnation: int, hears_nothing: bool = False) -> ClientState | None:
+    def hear(
+        self, now: float, frm: Address, incarnation: int, hears_nothing: bool = False
+    ) -> ClientState | None:
         """Something came from a quota client; None if there are too many of them."""
         client = self.clients.get(frm)
         if client is None:
@@ -219,7 +232,9 @@
         for told in client_heartbeat.shares:
             count = self.count(now, told.tenant, None)
             if count is not None and client_heartbeat.shards >> (told.tenant % SHARDS) & 1:
-                count.told(now, frm, told.part, told.left_ms / 1000, told.spent, now + told.accrues_in_ms / 1000)
+                count.told(
+                    now, frm, told.part, told.left_ms / 1000, told.spent, now + told.accrues_in_ms / 1000
+                )
                 client.shares_until = now + SHARE_S + MARGIN_S
         if client_heartbeat.peers >= self.peers or now >= self.peers_at + SHARE_S:
             self.peers, self.peers_at = client_heartbeat.peers, now
@@ -227,7 +242,9 @@
         if news:
             client.told |= news
             self.epoch += 1
-        heard = ClientHeartbeatReply(number=client_heartbeat.number, peers=len(self.clients), missing=self.shards & ~client.told)
+        heard = ClientHeartbeatReply(
+            number=client_heartbeat.number, peers=len(self.clients), missing=self.shards & ~client.told
+        )
         return [Send(frm, Message(heard=heard))]
 
     def check_clients(self, now: float) -> None:
@@ -251,7 +268,13 @@
         if self.leader is None or now < self.asked_at + (LEASE_RENEW_S if self.answered else LEASE_RETRY_S):
             return []
         self.asked_at, self.answered = now, False
-        request = LeaseRequest(incarnation=self.incarnation, at=now, term=self.fencing_token[0], number=self.fencing_token[1], shards=self.shards)
+        request = LeaseRequest(
+            incarnation=self.incarnation,
+            at=now,
+            term=self.fencing_token[0],
+            number=self.fencing_token[1],
+            shards=self.shards,
+        )
         return [Send(self.leader, Message(request=request))]
 
     def expire_lease(self, now: float) -> None:
@@ -263,10 +286,19 @@
         """A lease from the leader, unless a newer one came before."""
         hold: LeaseGrant = note.hold
         fencing_token = (hold.term, hold.number)
-        if hold.incarnation != self.incarnation or fencing_token <= self.fencing_token or frm != self.leader or now >= hold.at + LEASE_S:
+        if (
+            hold.incarnation != self.incarnation
+            or fencing_token <= self.fencing_token
+            or frm != self.leader
+            or now >= hold.at + LEASE_S
+        ):
             return []
         self.expire_lease(now)
-        self.fencing_token, self.until, self.answered = fencing_token, max(self.until, hold.at + LEASE_S), True
+        self.fencing_token, self.until, self.answered = (
+            fencing_token,
+            max(self.until, hold.at + LEASE_S),
+            True,
+        )
         self.hold(now, hold.shards, hold.idle, hold.idle_ms / 1000)
         return []
 
--- a/gateway/quota/tenant_counter.py
+++ b/gateway/quota/tenant_counter.py
@@ -9,17 +9,17 @@
 from gateway.quota.window import Window
 from gateway.state_machine import Address
 
-PRECEDENCE_LEVELS = LOWEST_PRECEDENCE + 1    # of precedence
-REMEMBER_S = 3.0       # ids are known at least this long, and two windows
-SMOOTHING = 0.3           # weight of the newest window in what is usual
-HIGHER_PRECEDENCE_DEVIATIONS = 1.5             # standard deviations by which higher precedence may ask more than usual
-SHARE_TOLERANCE = 0.25          # a share within this of its aim stays as it is
-MIN_SHARE = 4        # parts of an allowance
+PRECEDENCE_LEVELS = LOWEST_PRECEDENCE + 1  # of precedence
+REMEMBER_S = 3.0  # ids are known at least this long, and two windows
+SMOOTHING = 0.3  # weight of the newest window in what is usual
+HIGHER_PRECEDENCE_DEVIATIONS = 1.5  # standard deviations by which higher precedence may ask more than usual
+SHARE_TOLERANCE = 0.25  # a share within this of its aim stays as it is
+MIN_SHARE = 4  # parts of an allowance
 NEVER = 1e18
-EARLY_FRACTION = 0.5            # of an allowance that flows evenly before a count opens, if nobody has told a share: a
-                       # span of 5 windows meets 6 of them at most, and the rule bears 6.6
-MIN_USAGE = 0.05        # units a window below which a quota client is forgotten
-SHARE_NUMBERS = 1 << 14      # of shares, for the lengths of messages
+EARLY_FRACTION = 0.5  # of an allowance that flows evenly before a count opens, if nobody has told a share: a
+# span of 5 windows meets 6 of them at most, and the rule bears 6.6
+MIN_USAGE = 0.05  # units a window below which a quota client is forgotten
+SHARE_NUMBERS = 1 << 14  # of shares, for the lengths of messages
 
 
 class ClientShare:
@@ -30,11 +30,11 @@
     def __init__(self, spent: int) -> None:
         self.part = self.before = 0  # leased now, and the largest that it may still go by instead
         self.number = 0
-        self.until = 0.0             # end of the lease, with a margin
-        self.spent = spent           # units told as let go by share
+        self.until = 0.0  # end of the lease, with a margin
+        self.spent = spent  # units told as let go by share
         self.asked, self.usage = 0, 0.0
-        self.accrues_from = NEVER           # from when its units flow into the pool
-        self.raised = False          # by this count
+        self.accrues_from = NEVER  # from when its units flow into the pool
+        self.raised = False  # by this count
 
     @property
     def outstanding(self) -> int:
@@ -51,25 +51,54 @@
     quota client is found to have a share of a predecessor, by which it may have let requests go in between.
     """
 
-    __slots__ = ("admitted", "target_shares", "asked", "begins", "claimed", "claimed_by_client", "has_unreported", "ends", "epoch", "ids",
-                 "reserved", "late", "levels", "next_number", "previous_ids", "opens", "outstanding", "has_reported_shares", "over_demand",
-                 "shares", "rotate_at", "typical_demand", "window")
-
-    def __init__(self, now: float, window: Window, begun: float, number: int, lease_began: float = 0.0) -> None:
+    __slots__ = (
+        "admitted",
+        "target_shares",
+        "asked",
+        "begins",
+        "claimed",
+        "claimed_by_client",
+        "has_unreported",
+        "ends",
+        "epoch",
+        "ids",
+        "reserved",
+        "late",
+        "levels",
+        "next_number",
+        "previous_ids",
+        "opens",
+        "outstanding",
+        "has_reported_shares",
+        "over_demand",
+        "shares",
+        "rotate_at",
+        "typical_demand",
+        "window",
+    )
+
+    def __init__(
+        self, now: float, window: Window, begun: float, number: int, lease_began: float = 0.0
+    ) -> None:
         self.window, self.opens, self.late = window, begun + window.length_s, lease_began + window.length_s
         self.begins = self.ends = begun
         self.admitted, self.asked, self.over_demand = 0, 0, False
         self.levels, self.typical_demand = [0] * PRECEDENCE_LEVELS, [0.0] * PRECEDENCE_LEVELS
-        self.ids: dict[int, float] = {}    # admitted: begin of their window; -1 once given back
+        self.ids: dict[int, float] = {}  # admitted: begin of their window; -1 once given back
         self.previous_ids: dict[int, float] = {}
         self.rotate_at = now
         self.shares: dict[Address, ClientShare] = {}
         self.target_shares: dict[Address, int] = {}
-        self.has_reported_shares = False                # whether any share has been told
-        self.outstanding, self.has_unreported = 0, False   # sum of all shares; closed: others may be out that aren't told
-        self.claimed_by_client: dict[Address, int] = {}  # an earlier holder's shares, as each quota client first told its own
-        self.claimed = 0                   # their sum: what others have is in the rest
-        self.reserved, self.epoch = 0.0, -1    # units kept back, and the holder's epoch for which they are
+        self.has_reported_shares = False  # whether any share has been told
+        self.outstanding, self.has_unreported = (
+            0,
+            False,
+        )  # sum of all shares; closed: others may be out that aren't told
+        self.claimed_by_client: dict[
+            Address, int
+        ] = {}  # an earlier holder's shares, as each quota client first told its own
+        self.claimed = 0  # their sum: what others have is in the rest
+        self.reserved, self.epoch = 0.0, -1  # units kept back, and the holder's epoch for which they are
         self.next_number = number % SHARE_NUMBERS
         self.begin_window(now)
 
@@ -82,8 +111,10 @@
         if now >= self.ends:  # by rounding
             self.begins, self.ends = self.ends, self.ends + length
         self.over_demand = not skipped and self.asked > self.window.allowance
-        self.typical_demand = [u + SMOOTHING * ((0 if skipped else n) - u)
-                      for u, n in zip(self.typical_demand, self.levels, strict=True)]
+        self.typical_demand = [
+            u + SMOOTHING * ((0 if skipped else n) - u)
+            for u, n in zip(self.typical_demand, self.levels, strict=True)
+        ]
         self.levels = [0] * PRECEDENCE_LEVELS
         self.admitted = self.asked = 0
         self.epoch = -1
@@ -102,7 +133,9 @@
             self.begins, self.ends = now, now + window.length_s
         self.window, self.epoch = window, -1
 
-    def charge(self, now: float, share: ClientShare, id: int, precedence: int, refused_locally: int, late: int = 0) -> bool:
+    def charge(
+        self, now: float, share: ClientShare, id: int, precedence: int, refused_locally: int, late: int = 0
+    ) -> bool:
         """Charge one unit, unless it would pass the allowance. A repeat of an admitted id counts once.
 
         `more` requests of the same precedence were refused by the quota client itself, `late` of them in an
@@ -183,7 +216,9 @@
             share = self.shares[frm] = ClientShare(spent)
         return share
 
-    def told(self, now: float, frm: Address, part: int, left_s: float, spent: int, accrues_from: float) -> None:
+    def told(
+        self, now: float, frm: Address, part: int, left_s: float, spent: int, accrues_from: float
+    ) -> None:
         """A quota client tells the share that it has of an earlier holder, flowing from `flows` on."""
         share = self.known(frm, spent)
         previous = share.outstanding
@@ -202,7 +237,9 @@
     def report(self, share: ClientShare, spent: int) -> None:
         """Count what a quota client let go by its share; at most what its share bore within one window."""
         if spent > share.spent:
-            self.admitted += min(spent - share.spent, 1 + int(share.outstanding * self.window.allowance / FULL_SHARE))
+            self.admitted += min(
+                spent - share.spent, 1 + int(share.outstanding * self.window.allowance / FULL_SHARE)
+            )
         share.spent = spent
 
     def lease(self, now: float, frm: Address, share: ClientShare, confirmed: int) -> bool:
@@ -251,7 +288,9 @@
             total += share.usage
         scale = FULL_SHARE / total if total else 0.0
         target_shares = {frm: int(share.usage * scale) for frm, share in self.shares.items()}
-        self.target_shares = {frm: target if target >= MIN_SHARE else 0 for frm, target in target_shares.items()}
+        self.target_shares = {
+            frm: target if target >= MIN_SHARE else 0 for frm, target in target_shares.items()
+        }
 
     def forget(self, frm: Address) -> None:
         """A quota client's process has ended: it has no share any more."""
--- a/gateway/quota/view_audit.py
+++ b/gateway/quota/view_audit.py
@@ -11,9 +11,9 @@
 from gateway.quota.window import tenant_number
 from gateway.state_machine import Address
 
-SLOT_S = 0.1     # verdicts of so long are known by their least and most
-SLOTS = 128      # remembered of each count: at least 12.8 s of verdicts
-MAX_TRANSIT_S = 0.5      # that a verdict and the view of it may have been under way together
+SLOT_S = 0.1  # verdicts of so long are known by their least and most
+SLOTS = 128  # remembered of each count: at least 12.8 s of verdicts
+MAX_TRANSIT_S = 0.5  # that a verdict and the view of it may have been under way together
 VIEW_FORGET_S = 30.0  # a view of this age is none any more
 
 
@@ -55,7 +55,7 @@
     def __init__(self) -> None:
         self.replied_range: dict[int, deque[list[float]]] = {}  # by tenant: begin of a slot, least, most
         self.known: dict[int, dict[Address, RecordedView]] = {}
-        self.gained = self.lost = self.back = 0        # parts; units given back; these only grow
+        self.gained = self.lost = self.back = 0  # parts; units given back; these only grow
 
     def record_reply(self, now: float, tenant: int, remaining: int) -> None:
         """A verdict goes out."""
@@ -100,7 +100,9 @@
             known = self.known.get(tenant_number(label), {})
             for node in [n for n, k in known.items() if now >= k.at + VIEW_FORGET_S]:
                 del known[node]
-            views = [ComparedView(node, k.remaining, now - k.at, abs(k.remaining - int(remaining)), k.beyond)
-                     for node, k in sorted(known.items())]
+            views = [
+                ComparedView(node, k.remaining, now - k.at, abs(k.remaining - int(remaining)), k.beyond)
+                for node, k in sorted(known.items())
+            ]
             out.append(CounterComparison(label, allowance, remaining, reserved, views))
         return out
--- a/gateway/quota/window.py
+++ b/gateway/quota/window.py
@@ -8,7 +8,9 @@
 from typing import NamedTuple
 
 MIN_WINDOW_S = 0.5
-STEADY_RATE_FRACTION = 0.96  # of the rate that a tenant without a burst has in the long run, for the sake of shares
+STEADY_RATE_FRACTION = (
+    0.96  # of the rate that a tenant without a burst has in the long run, for the sake of shares
+)
 
 
 class Window(NamedTuple):
--- a/gateway/runtime/config_events.py
+++ b/gateway/runtime/config_events.py
@@ -20,11 +20,15 @@
 
 def order_acknowledged(version: int, generation: int, after_s: float) -> None:
     """It is agreed on, so many seconds after it came here, and answered."""
-    log.log(NOTICE, "order acknowledged",
-            extra={"version": version, "generation": generation, "after_s": round(after_s, 4)})
+    log.log(
+        NOTICE,
+        "order acknowledged",
+        extra={"version": version, "generation": generation, "after_s": round(after_s, 4)},
+    )
 
 
 def in_force(node: Address, version: int, generation: int, first: bool) -> None:
     """A version is in force at a node; `first`: of this process's life."""
-    log.log(NOTICE, "in force",
-            extra={"node": node, "version": version, "generation": generation, "first": first})
+    log.log(
+        NOTICE, "in force", extra={"node": node, "version": version, "generation": generation, "first": first}
+    )
--- a/gateway/runtime/disk_thread.py
+++ b/gateway/runtime/disk_thread.py
@@ -25,9 +25,14 @@
     raises on failure.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, save: Callable[[Any], None],
-                 done: Callable[[int], None], failed: Callable[[int, str], None],
-                 clock: Callable[[], float] = steady) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        save: Callable[[Any], None],
+        done: Callable[[int], None],
+        failed: Callable[[int, str], None],
+        clock: Callable[[], float] = steady,
+    ) -> None:
         self.loop, self.save, self.done, self.failed, self.clock = loop, save, done, failed, clock
         self.changed = threading.Condition()
         self.waiting: deque[int] = deque(maxlen=MAX_TOKENS)  # tokens that the next save is for
@@ -56,8 +61,10 @@
         stalled = self.stalled_for(now) > STALL_THRESHOLD_S
         if stalled != self.stalled:
             self.stalled = stalled
-            log.warning("the disk hangs: nothing is saved for %.1f s" if stalled else "the disk goes on",
-                        *([self.stalled_for(now)] if stalled else []))
+            log.warning(
+                "the disk hangs: nothing is saved for %.1f s" if stalled else "the disk goes on",
+                *([self.stalled_for(now)] if stalled else []),
+            )
 
     def stop(self, wait_s: float) -> bool:
         """Save what is waiting, for at most `wait_s` seconds, and end. Is all saved or told failed?"""
--- a/gateway/runtime/http_listener.py
+++ b/gateway/runtime/http_listener.py
@@ -45,7 +45,9 @@
         self.answer = answer
         self.open: dict[int, Client] = {}
 
-    def read(self, method: bytes, url: bytes, headers: list[tuple[bytes, bytes]]) -> io.Request | ImmediateResponse:
+    def read(
+        self, method: bytes, url: bytes, headers: list[tuple[bytes, bytes]]
+    ) -> io.Request | ImmediateResponse:
         return EMPTY_REQUEST._replace(about=(method.decode("latin-1"), url.decode("latin-1")))
 
     def take(self, call: ClientRequest, client: Client) -> None:
@@ -100,7 +102,8 @@
         """Listen on `ip:port`; OSError where that can't be had."""
         host, _, port = address.rpartition(":")
         self.listener = await self.loop.create_server(
-            lambda: ClientConnection(self), host, int(port), backlog=512)
+            lambda: ClientConnection(self), host, int(port), backlog=512
+        )
 
     def connection_opened(self, connection: ClientConnection) -> None:
         self.connections.add(connection)
--- a/gateway/runtime/log_ring.py
+++ b/gateway/runtime/log_ring.py
@@ -1,8 +1,8 @@
 """Logs: a ring in memory, written to standard error when something goes wrong, and little else.
 
-    ring = Ring.install()             # of the root logger
-    log.info("joined %s", name)       # stays in the ring, unformatted
-    ring.spill("no leader for 10 s")  # writes what the ring holds, as JSON lines
+ring = Ring.install()             # of the root logger
+log.info("joined %s", name)       # stays in the ring, unformatted
+ring.spill("no leader for 10 s")  # writes what the ring holds, as JSON lines
 """
 
 from __future__ import annotations
@@ -31,8 +31,13 @@
     the logger `aloud` are written at once, whatever their level.
     """
 
-    def __init__(self, size: int = MAX_RECORDS, write: Callable[[str], Any] | None = None,
-                 clock: Callable[[], float] = steady, immediate_logger: str = "") -> None:
+    def __init__(
+        self,
+        size: int = MAX_RECORDS,
+        write: Callable[[str], Any] | None = None,
+        clock: Callable[[], float] = steady,
+        immediate_logger: str = "",
+    ) -> None:
         super().__init__()
         self.records: deque[logging.LogRecord] = deque(maxlen=size)
         self.clock = clock
@@ -55,7 +60,8 @@
     def handle(self, record: logging.LogRecord) -> bool:
         """Keep a record; no lock is needed for that."""
         if record.name == self.immediate_logger or (
-                NOTICE <= record.levelno <= logging.WARNING and self._line_allowed()):
+            NOTICE <= record.levelno <= logging.WARNING and self._line_allowed()
+        ):
             self._write([record])
             return True
         self.records.append(record)
@@ -109,8 +115,11 @@
 def _json_lines() -> logging.Formatter:
     from pythonjsonlogger.json import JsonFormatter  # costs some at the start, and most runs never need it
 
-    return JsonFormatter("{created}{levelname}{name}{message}", style="{",
-                         rename_fields={"created": "time", "levelname": "level", "name": "logger"})
+    return JsonFormatter(
+        "{created}{levelname}{name}{message}",
+        style="{",
+        rename_fields={"created": "time", "levelname": "level", "name": "logger"},
+    )
 
 
 def _to_stderr(lines: str) -> None:
--- a/gateway/runtime/peer_transport.py
+++ b/gateway/runtime/peer_transport.py
@@ -65,8 +65,9 @@
     `counts` is by plane; `bad` counts messages that were dropped because they can't be read or sent, by why.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, address: Address,
-                 handlers: Mapping[int, Plane]) -> None:
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, address: Address, handlers: Mapping[int, Plane]
+    ) -> None:
         self.loop, self.address, self.handlers = loop, address, dict(handlers)
         self.counts = {number: PlaneCounters() for number in self.handlers}
         self.bad: dict[str, int] = {}
--- a/gateway/runtime/settings.py
+++ b/gateway/runtime/settings.py
@@ -1,6 +1,6 @@
 """The settings file of a process: what it holds, its table, and the reading of it, at the start and again.
 
-    found = settings.read(os.environ)   # Ok(Settings) or Err([Fault, ...])
+found = settings.read(os.environ)   # Ok(Settings) or Err([Fault, ...])
 """
 
 from __future__ import annotations
@@ -134,8 +134,11 @@
 
     def missing_listeners(self, program: str) -> list[Fault]:
         """What the program cannot do without and isn't told."""
-        return [Fault(f"network.listen.{name}", f"is missing, and the {program} needs it")
-                for name in REQUIRED_LISTENERS[program] if getattr(self.network.listen, name) is None]
+        return [
+            Fault(f"network.listen.{name}", f"is missing, and the {program} needs it")
+            for name in REQUIRED_LISTENERS[program]
+            if getattr(self.network.listen, name) is None
+        ]
 
 
 def _port_range(ports: tuple[int, ...]) -> str:
@@ -167,7 +170,12 @@
     Field("network.listen.front", settings_schema.address, None),
     Field("network.listen.ready", settings_schema.address, None),
     Field("network.listen.control", settings_schema.address, None),
-    Field("network.port-range", settings_schema.sequence_of(settings_schema.integer), settings_schema.REQUIRED, _port_range),
+    Field(
+        "network.port-range",
+        settings_schema.sequence_of(settings_schema.integer),
+        settings_schema.REQUIRED,
+        _port_range,
+    ),
     Field("network.seeds", settings_schema.sequence_of(settings_schema.address), ()),
     Field("network.zones", settings_schema.mapping_of(settings_schema.text), {}),
     Field("provider.beat-s", settings_schema.number, 1.0, above_zero),
@@ -228,8 +236,13 @@
     v = found.ok_value
     own = _build(NodeSettings, v, "self.", limits=_build(Limits, v, "self.limits."))
     network = _build(Network, v, "network.", listen=_build(Listen, v, "network.listen."))
-    terms = _build(Terms, v, "terms.", fault_budget=_build(FaultBudget, v, "terms.fault-budget."),
-                  bounds=_build(Bounds, v, "terms.bounds."))
+    terms = _build(
+        Terms,
+        v,
+        "terms.",
+        fault_budget=_build(FaultBudget, v, "terms.fault-budget."),
+        bounds=_build(Bounds, v, "terms.bounds."),
+    )
     return Ok(Settings(own, network, _build(Provider, v, "provider."), terms))
 
 
@@ -263,8 +276,7 @@
 
 def _build(cls: type[T], values: Mapping[str, Any], prefix: str, **parts: Any) -> T:
     names = cast(Any, cls)._fields
-    return cls(*(parts[name] if name in parts else values[prefix + name.replace("_", "-")]
-                 for name in names))
+    return cls(*(parts[name] if name in parts else values[prefix + name.replace("_", "-")] for name in names))
 
 
 def _yaml_fault(path: str, error: Exception) -> Fault:
--- a/gateway/runtime/tcp_links.py
+++ b/gateway/runtime/tcp_links.py
@@ -86,8 +86,9 @@
 class InboundLink(asyncio.Protocol):
     """A link that another process has opened. Whatever makes no sense closes it."""
 
-    def __init__(self, links: TcpLinks, take: Callable[[Address, bytes], None],
-                 lost: Callable[[str], None]) -> None:
+    def __init__(
+        self, links: TcpLinks, take: Callable[[Address, bytes], None], lost: Callable[[str], None]
+    ) -> None:
         self.links, self.take, self.lost = links, take, lost
         self.sender: Address | None = None
         self.buffer = bytearray()
@@ -106,12 +107,12 @@
         self.buffer += data
         start, have = 0, len(self.buffer)
         while self.transport is not None and have - start >= 4:
-            length = int.from_bytes(self.buffer[start:start + 4], "big")
+            length = int.from_bytes(self.buffer[start : start + 4], "big")
             if length > (MAX_QUEUED_BYTES if self.sender is not None else MAX_ADDRESS_BYTES):
                 return self._drop("too long")
             if have - start - 4 < length:
                 break
-            frame = bytes(self.buffer[start + 4:start + 4 + length])
+            frame = bytes(self.buffer[start + 4 : start + 4 + length])
             start += 4 + length
             self._frame(frame)
         if start:
@@ -144,8 +145,9 @@
 class TcpLinks:
     """All links of one process."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, address: Address,
-                 lost: Callable[[str], None]) -> None:
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, address: Address, lost: Callable[[str], None]
+    ) -> None:
         self.loop, self.address, self.lost = loop, address, lost
         self.outbound: dict[Address, OutboundLink] = {}
         self.inbound: set[InboundLink] = set()
--- a/gateway/runtime/ticker.py
+++ b/gateway/runtime/ticker.py
@@ -20,8 +20,13 @@
 
     __slots__ = ("call", "due", "handle", "loop", "period")
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, period: float, call: Callable[[float], object],
-                 first: float | None = None) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        period: float,
+        call: Callable[[float], object],
+        first: float | None = None,
+    ) -> None:
         self.loop, self.period, self.call = loop, period, call
         self.due = loop.time() + (period if first is None else first)
         self.handle: asyncio.TimerHandle | None = loop.call_at(self.due, self._tick)
--- a/proving/allowance.py
+++ b/proving/allowance.py
@@ -74,8 +74,15 @@
     """A day out of its lines; times count from the first line where they are dates."""
     found = sorted(lines, key=lambda line: line.at)
     begin = found[0].at if found and found[0].at > 1e6 else 0.0
-    day = Day({}, {name: [0] * (len(EDGES) + 1) for name in SPLIT}, defaultdict(lambda: [0] * len(DECISION_KINDS)),
-              Counter(), [], [], [])
+    day = Day(
+        {},
+        {name: [0] * (len(EDGES) + 1) for name in SPLIT},
+        defaultdict(lambda: [0] * len(DECISION_KINDS)),
+        Counter(),
+        [],
+        [],
+        [],
+    )
     holders: dict[str, str] = {}
     for at, node, told in (line._replace(at=line.at - begin) for line in found):
         if "charged" in told:
@@ -89,7 +96,10 @@
     step = int((at - STEP_S / 2) // STEP_S) * STEP_S  # a line tells of the time before it
     for tenant, levels in told["charged"].items():
         for level, counts in levels.items():
-            for total in (day.decided.setdefault((tenant, int(level)), [0] * len(DECISION_KINDS)), day.course[step]):
+            for total in (
+                day.decided.setdefault((tenant, int(level)), [0] * len(DECISION_KINDS)),
+                day.course[step],
+            ):
                 for n, count in enumerate(counts):
                     total[n] += count
     for split, buckets in told["times"].items():
@@ -126,8 +136,17 @@
     rows: Table = [("tenant", "precedence", "asked", "admitted", "refused early", "in part", *DECISION_KINDS)]
     for (tenant, level), counts in sorted(day.decided.items()):
         asked, admitted = sum(counts), counts[HOLDER] + counts[SHARE]
-        rows.append((tenant, f"{level // 2}{' late' if level % 2 else ''}", str(asked), str(admitted),
-                     str(asked - admitted), f"{1 - admitted / asked:.4f}", *map(str, counts)))
+        rows.append(
+            (
+                tenant,
+                f"{level // 2}{' late' if level % 2 else ''}",
+                str(asked),
+                str(admitted),
+                str(asked - admitted),
+                f"{1 - admitted / asked:.4f}",
+                *map(str, counts),
+            )
+        )
     return rows
 
 
@@ -143,29 +162,54 @@
 
 def agreement(day: Day) -> Table:
     """By tenant: its allowance, looks at it, holders, and the worst of its views; a head first."""
-    rows: Table = [("tenant", "allowance", "looks", "holders", "largest difference", "beyond what was said",
-                    "oldest view s", "most kept back")]
+    rows: Table = [
+        (
+            "tenant",
+            "allowance",
+            "looks",
+            "holders",
+            "largest difference",
+            "beyond what was said",
+            "oldest view s",
+            "most kept back",
+        )
+    ]
     for tenant in sorted({v.tenant for v in day.views}):
         own = [v for v in day.views if v.tenant == tenant]
-        rows.append((tenant, f"{own[-1].allowance:g}", str(len(own)), str(len({v.node for v in own})),
-                     f"{max(v.differs for v in own):g}", str(max(v.beyond for v in own)),
-                     f"{max(v.oldest for v in own):.1f}", f"{max(v.kept for v in own):g}"))
+        rows.append(
+            (
+                tenant,
+                f"{own[-1].allowance:g}",
+                str(len(own)),
+                str(len({v.node for v in own})),
+                f"{max(v.differs for v in own):g}",
+                str(max(v.beyond for v in own)),
+                f"{max(v.oldest for v in own):.1f}",
+                f"{max(v.kept for v in own):g}",
+            )
+        )
     return rows
 
 
 def hands(day: Day) -> Table:
     """Parts of the tenants that came or went, and tenants that another node counts; a head first."""
-    rows: Table = [(f"{at:.1f}", node, f"{gained} parts gained, {lost} lost")
-                   for at, node, gained, lost in day.parts]
-    rows += [(f"{at:.1f}", to, f"{tenant}, counted by {before} until then")
-             for at, tenant, before, to in day.moves]
+    rows: Table = [
+        (f"{at:.1f}", node, f"{gained} parts gained, {lost} lost") for at, node, gained, lost in day.parts
+    ]
+    rows += [
+        (f"{at:.1f}", to, f"{tenant}, counted by {before} until then") for at, tenant, before, to in day.moves
+    ]
     return [("from second", "at", "what"), *sorted(rows, key=lambda row: float(row[0]))]
 
 
 def told(day: Day) -> str:
     """All of it for a terminal."""
-    parts = [("asked, admitted, refused early", table(day)), ("time that the charge adds", added(day)),
-             ("agreement", agreement(day)), ("keys that changed hands", hands(day))]
+    parts = [
+        ("asked, admitted, refused early", table(day)),
+        ("time that the charge adds", added(day)),
+        ("agreement", agreement(day)),
+        ("keys that changed hands", hands(day)),
+    ]
     text = []
     for head, (names, *rows) in parts:
         text.append("\n".join([head, *columns(names, rows)]))
--- a/proving/allowance_report.py
+++ b/proving/allowance_report.py
@@ -71,11 +71,21 @@
 
 def write(day: Day, name: str, folder: Path) -> Path:
     """Write the page, and the same as text beside it; the page's path."""
-    parts = [f"<h1>{html.escape(name)}</h1>", "<h2>Asked, admitted, refused early</h2>", course(day),
-             table(allowance.table(day)), "<h2>Time that the charge adds</h2>", times(day),
-             table(allowance.added(day)), "<h2>Agreement</h2>", rest(day), table(allowance.agreement(day)),
-             f"<h2>Units given back</h2><p>{day.back.total()}</p>", "<h2>Keys that changed hands</h2>",
-             table(allowance.hands(day))]
+    parts = [
+        f"<h1>{html.escape(name)}</h1>",
+        "<h2>Asked, admitted, refused early</h2>",
+        course(day),
+        table(allowance.table(day)),
+        "<h2>Time that the charge adds</h2>",
+        times(day),
+        table(allowance.added(day)),
+        "<h2>Agreement</h2>",
+        rest(day),
+        table(allowance.agreement(day)),
+        f"<h2>Units given back</h2><p>{day.back.total()}</p>",
+        "<h2>Keys that changed hands</h2>",
+        table(allowance.hands(day)),
+    ]
     head = f'<!doctype html><meta charset="utf-8"><title>{html.escape(name)}</title>'
     path = folder / f"{name}.html"
     path.write_text(f"{head}<style>{STYLE}</style>" + "\n".join(parts), encoding="utf-8")
--- a/proving/checkers/__init__.py
+++ b/proving/checkers/__init__.py
@@ -10,9 +10,22 @@
 from proving.checkers.requests import denied, mixed, refused, route, twice, unasked
 from proving.model.record import Record
 
-RULES = {"CONFIG": config, "LOST": lost, "DRAIN": drain, "QUOTA": quota, "BUDGET": budget, "TWICE": twice,
-         "REFUSED": refused, "MIXED": mixed, "UNASKED": unasked, "DENIED": denied, "ROUTE": route,
-         "RECOVER": recover, "ACKS": acks, "FAULT": faults}
+RULES = {
+    "CONFIG": config,
+    "LOST": lost,
+    "DRAIN": drain,
+    "QUOTA": quota,
+    "BUDGET": budget,
+    "TWICE": twice,
+    "REFUSED": refused,
+    "MIXED": mixed,
+    "UNASKED": unasked,
+    "DENIED": denied,
+    "ROUTE": route,
+    "RECOVER": recover,
+    "ACKS": acks,
+    "FAULT": faults,
+}
 """Checkers by rule. ACKS is the gate's, FAULT what the programs would log as faults of their own."""
 
 
--- a/proving/checkers/budgets.py
+++ b/proving/checkers/budgets.py
@@ -27,10 +27,16 @@
             limit = limit_of(history, tenant, begins, at)
             if limit is None:
                 continue
-            count = sum(1 for a, s in times[first:last + 1] if s >= begins - 0.5)
+            count = sum(1 for a, s in times[first : last + 1] if s >= begins - 0.5)
             if count > limit:
-                found.append(RuleViolation("QUOTA", at, f"{count} requests of {tenant} are run from {begins:.3f} "
-                                                 f"on, {limit:.0f} are allowed"))
+                found.append(
+                    RuleViolation(
+                        "QUOTA",
+                        at,
+                        f"{count} requests of {tenant} are run from {begins:.3f} "
+                        f"on, {limit:.0f} are allowed",
+                    )
+                )
                 break
     return limit_findings(found)
 
@@ -40,8 +46,11 @@
     that may still have been in force anywhere."""
     b = history.bounds
     since = begins - b.quota_window_s - b.apply_s
-    late = [t.ends for t in history.record.disruptions if t.machines and t.begins <= ends
-            and t.ends + b.contact_s + b.apply_s + b.quota_window_s >= begins]
+    late = [
+        t.ends
+        for t in history.record.disruptions
+        if t.machines and t.begins <= ends and t.ends + b.contact_s + b.apply_s + b.quota_window_s >= begins
+    ]
     if late:
         since = min(since, *(t.begins - b.contact_s for t in history.record.disruptions if t.ends in late))
     highest = 0.0
@@ -70,19 +79,27 @@
         first.add((a.attempt, a.service))
     wanted: dict[str, list[float]] = {}
     for sent in history.record.sent:
-        services: set[str] = set().union(*(v.services(sent.host, sent.path)
-                                           for v in history.in_force(sent.at, sent.at)))
+        services: set[str] = set().union(
+            *(v.services(sent.host, sent.path) for v in history.in_force(sent.at, sent.at))
+        )
         for service in services:
             wanted.setdefault(service, []).append(sent.at)
     for service, times in repeats.items():
         asked = sorted(wanted.get(service, []))
         for i, at in enumerate(times):
             count = bisect_right(times, at + window) - i
-            requests = max(bisect_right(asked, at + window - back) - bisect_left(asked, at - back)
-                           for back in (0.0, window, window / 2))
+            requests = max(
+                bisect_right(asked, at + window - back) - bisect_left(asked, at - back)
+                for back in (0.0, window, window / 2)
+            )
             most = b.retry_ratio * requests + b.retry_slack
             if count > most:
-                found.append(RuleViolation("BUDGET", at, f"{count} further arrivals at {service} in {window:g} s, "
-                                                  f"{most:.0f} are allowed"))
+                found.append(
+                    RuleViolation(
+                        "BUDGET",
+                        at,
+                        f"{count} further arrivals at {service} in {window:g} s, " f"{most:.0f} are allowed",
+                    )
+                )
                 break
     return limit_findings(found)
--- a/proving/checkers/configuration.py
+++ b/proving/checkers/configuration.py
@@ -8,8 +8,22 @@
 from proving.checkers.history import ConfigVersion, RuleViolation, RunHistory, limit_findings
 from proving.model.record import Order, Sent
 
-SAME_LIFE = ("slow", "freeze", "lossy", "squeeze", "lag", "node_cut", "half_cut", "core_freeze", "core_cut",
-             "core_apart", "core_off", "disk_full", "disk_hang", "disk_slow")
+SAME_LIFE = (
+    "slow",
+    "freeze",
+    "lossy",
+    "squeeze",
+    "lag",
+    "node_cut",
+    "half_cut",
+    "core_freeze",
+    "core_cut",
+    "core_apart",
+    "core_off",
+    "disk_full",
+    "disk_hang",
+    "disk_slow",
+)
 """Troubles that end no process."""
 
 
@@ -35,16 +49,29 @@
 
 def config(history: RunHistory) -> list[RuleViolation]:
     """All of the rule."""
-    parts = acknowledged(history), repeated(history), taken_hold(history), gone_back(history), read_back(history)
+    parts = (
+        acknowledged(history),
+        repeated(history),
+        taken_hold(history),
+        gone_back(history),
+        read_back(history),
+    )
     return [found for part in parts for found in limit_findings(list(part))]
 
 
 def handled(history: RunHistory) -> list[ServedRequest]:
     """All tries that show which configuration is in force."""
-    found = [ServedRequest(a.at, history.sent[a.attempt], a.service, a.tenant, 0)
-             for runs in history.ran.values() for a in runs if a.attempt in history.sent]
-    found += [ServedRequest(a.at, history.sent[a.attempt], "", "", a.status)
-              for a in history.record.answered.values() if a.status in (401, 403, 404)]
+    found = [
+        ServedRequest(a.at, history.sent[a.attempt], a.service, a.tenant, 0)
+        for runs in history.ran.values()
+        for a in runs
+        if a.attempt in history.sent
+    ]
+    found += [
+        ServedRequest(a.at, history.sent[a.attempt], "", "", a.status)
+        for a in history.record.answered.values()
+        if a.status in (401, 403, 404)
+    ]
     return sorted(found, key=lambda h: h.at)
 
 
@@ -56,22 +83,36 @@
             continue
         first = bases.setdefault(order.base, order)
         if not order.valid:
-            yield RuleViolation("CONFIG", order.at, f"generation {order.generation} is invalid and acknowledged")
+            yield RuleViolation(
+                "CONFIG", order.at, f"generation {order.generation} is invalid and acknowledged"
+            )
         elif first.document != order.document:
-            yield RuleViolation("CONFIG", order.at, f"generations {first.generation} and {order.generation} are "
-                                             f"both acknowledged on top of {order.base}")
+            yield RuleViolation(
+                "CONFIG",
+                order.at,
+                f"generations {first.generation} and {order.generation} are "
+                f"both acknowledged on top of {order.base}",
+            )
 
 
 def repeated(history: RunHistory) -> Iterator[RuleViolation]:
     """What was acknowledged and is sent again isn't refused, whether the acknowledgement was heard or not."""
     for order in history.record.orders:
         if order.unheard and order.status not in (0, 200):
-            yield RuleViolation("CONFIG", order.at, f"generation {order.generation} was acknowledged, unheard, at "
-                                             f"{order.unheard:.3f}, and then answered {order.status}")
+            yield RuleViolation(
+                "CONFIG",
+                order.at,
+                f"generation {order.generation} was acknowledged, unheard, at "
+                f"{order.unheard:.3f}, and then answered {order.status}",
+            )
     for repeat in history.record.repeats:
         if repeat.status not in (0, 200):
-            yield RuleViolation("CONFIG", repeat.at, f"generation {repeat.generation} was acknowledged, sent again "
-                                              f"and answered {repeat.status} by {repeat.by}")
+            yield RuleViolation(
+                "CONFIG",
+                repeat.at,
+                f"generation {repeat.generation} was acknowledged, sent again "
+                f"and answered {repeat.status} by {repeat.by}",
+            )
 
 
 def taken_hold(history: RunHistory) -> Iterator[RuleViolation]:
@@ -85,8 +126,9 @@
             continue
         if any(h.by(v) for v in history.older(since)):
             if history.has_contact(h.sent.way, h.sent.at - apply_s, h.at):
-                yield RuleViolation("CONFIG", h.at, f"{h}, as only an older version than {known[0].generation} "
-                                             f"allows")
+                yield RuleViolation(
+                    "CONFIG", h.at, f"{h}, as only an older version than {known[0].generation} " f"allows"
+                )
         elif any(h.by(v) for v in refused):
             yield RuleViolation("CONFIG", h.at, f"{h}, as only a refused version allows")
 
@@ -98,8 +140,14 @@
         allowing = [v.generation for v in history.versions if h.by(v)]
         if not allowing:
             continue
-        life = h.sent.way, sum(1 for t in history.record.disruptions if h.sent.way in t.machines
-                               and t.begins <= h.at and t.kind not in SAME_LIFE)
+        life = (
+            h.sent.way,
+            sum(
+                1
+                for t in history.record.disruptions
+                if h.sent.way in t.machines and t.begins <= h.at and t.kind not in SAME_LIFE
+            ),
+        )
         seen = shown.get(life)
         slack = history.bounds.downgrade_s * (8 if slowed(history, h) else 1)
         if seen and h.sent.at > seen[0] + slack and max(allowing) < seen[1]:
@@ -110,8 +158,13 @@
 
 def slowed(history: RunHistory, h: ServedRequest) -> bool:
     """Whether the machine was slow, or stood still, not long before."""
-    return any(h.sent.way in t.machines and t.begins <= h.at and t.ends >= h.sent.at - history.bounds.contact_s
-               and t.kind in ("slow", "freeze", "core_freeze") for t in history.record.disruptions)
+    return any(
+        h.sent.way in t.machines
+        and t.begins <= h.at
+        and t.ends >= h.sent.at - history.bounds.contact_s
+        and t.kind in ("slow", "freeze", "core_freeze")
+        for t in history.record.disruptions
+    )
 
 
 def read_back(history: RunHistory) -> Iterator[RuleViolation]:
@@ -122,10 +175,14 @@
     if record.reads and not good:
         yield RuleViolation(rule, record.reads[-1].at, "the configuration can't be read back")
     for read in good:
-        newest = max((o.generation for o in record.orders if o.status == 200 and o.at < read.at - 2.0),
-                     default=0)
+        newest = max(
+            (o.generation for o in record.orders if o.status == 200 and o.at < read.at - 2.0), default=0
+        )
         if read.generation < newest:
-            yield RuleViolation(rule, read.at, f"generation {read.generation} is read back at {read.by}, "
-                                        f"{newest} was acknowledged")
+            yield RuleViolation(
+                rule,
+                read.at,
+                f"generation {read.generation} is read back at {read.by}, " f"{newest} was acknowledged",
+            )
         elif not read.same:
             yield RuleViolation("CONFIG", read.at, f"generation {read.generation} is not what was sent")
--- a/proving/checkers/draining.py
+++ b/proving/checkers/draining.py
@@ -18,8 +18,14 @@
         if since is None or sent is None or a.why == "another is meant":
             continue
         if a.at > since + history.bounds.drain_s and history.has_contact(sent.way, since, a.at):
-            found.append(RuleViolation("DRAIN", a.at, f"{sent.way} sends {sent.path} to {a.backend}, which was "
-                                               f"acknowledged to leave at {since:.3f}"))
+            found.append(
+                RuleViolation(
+                    "DRAIN",
+                    a.at,
+                    f"{sent.way} sends {sent.path} to {a.backend}, which was "
+                    f"acknowledged to leave at {since:.3f}",
+                )
+            )
     return limit_findings(found)
 
 
@@ -38,8 +44,19 @@
             passed_on = runs is not None or answer.at - sent.at > history.bounds.loss_slack_s
             read = answer.fault != "no connection" and (runs is not None or answer.retry_after >= 0)
             late = any(a.at + 0.5 * history.bounds.grace_s > ends - 1.0 for a in runs or ())
-            if passed_on and read and not late and history.undisturbed(sent.at - history.bounds.contact_s, answer.at):
-                found.append(RuleViolation("LOST", answer.at, f"{sent.path}, sent at {sent.at:.3f}, ends without an "
-                                                       f"answer at {sent.way}, which was told to stop at "
-                                                       f"{work.begins:.3f}"))
+            if (
+                passed_on
+                and read
+                and not late
+                and history.undisturbed(sent.at - history.bounds.contact_s, answer.at)
+            ):
+                found.append(
+                    RuleViolation(
+                        "LOST",
+                        answer.at,
+                        f"{sent.path}, sent at {sent.at:.3f}, ends without an "
+                        f"answer at {sent.way}, which was told to stop at "
+                        f"{work.begins:.3f}",
+                    )
+                )
     return limit_findings(found)
--- a/proving/checkers/history.py
+++ b/proving/checkers/history.py
@@ -41,8 +41,11 @@
 
     def route(self, host: str, path: str) -> dict[str, Any] | None:
         """The route with the longest prefix."""
-        found = [(len(prefix), spec) for (name, prefix), spec in self.routes.items()
-                 if name == host and path.startswith(prefix)]
+        found = [
+            (len(prefix), spec)
+            for (name, prefix), spec in self.routes.items()
+            if name == host and path.startswith(prefix)
+        ]
         return max(found, key=lambda f: f[0])[1] if found else None
 
     def services(self, host: str, path: str) -> set[str]:
@@ -65,8 +68,11 @@
         """Whether a request may be turned away with this status."""
         if status == 404:
             return self.route(sent.host, sent.path) is None
-        return status in (401, 403) and self.route(sent.host, sent.path) is not None and (
-            sent.key not in self.keys)
+        return (
+            status in (401, 403)
+            and self.route(sent.host, sent.path) is not None
+            and (sent.key not in self.keys)
+        )
 
 
 class RunHistory:
@@ -92,8 +98,9 @@
     @cached_property
     def versions(self) -> list[ConfigVersion]:
         """Configurations that may be in force, in their order: those acknowledged, or without an answer."""
-        orders = sorted((o for o in self.record.orders if o.status in (0, 200) and o.valid),
-                        key=lambda o: o.generation)
+        orders = sorted(
+            (o for o in self.record.orders if o.status in (0, 200) and o.valid), key=lambda o: o.generation
+        )
         return [ConfigVersion(o) for o in orders]
 
     def in_force(self, since: float, until: float) -> list[ConfigVersion]:
@@ -111,8 +118,10 @@
     def has_contact(self, machine: str, begins: float, ends: float) -> bool:
         """Whether a machine was in touch for a whole span."""
         since = begins - self.bounds.contact_s
-        return not any(t.begins <= ends and t.ends >= since and (t.core or machine in t.machines)
-                       for t in self.record.disruptions)
+        return not any(
+            t.begins <= ends and t.ends >= since and (t.core or machine in t.machines)
+            for t in self.record.disruptions
+        )
 
     def settled(self, begins: float, ends: float) -> bool:
         """Whether the core was settled, and no link in trouble, for a whole span."""
@@ -121,12 +130,14 @@
 
     def undisturbed(self, begins: float, ends: float) -> bool:
         """Whether no unplanned trouble struck in a span."""
-        return not any(t.begins <= ends and t.ends >= begins and not t.planned for t in self.record.disruptions)
+        return not any(
+            t.begins <= ends and t.ends >= begins and not t.planned for t in self.record.disruptions
+        )
 
 
 def limit_findings(found: list[RuleViolation]) -> list[RuleViolation]:
     """The first findings, and how many there are."""
     if len(found) > MOST:
         last = found[MOST - 1]
-        return [*found[:MOST - 1], last._replace(what=f"{last.what} (and {len(found) - MOST} more)")]
+        return [*found[: MOST - 1], last._replace(what=f"{last.what} (and {len(found) - MOST} more)")]
     return found
--- a/proving/checkers/recovery.py
+++ b/proving/checkers/recovery.py
@@ -10,7 +10,9 @@
     record, b = history.record, history.bounds
     if not record.closing or not record.wanted:
         return []
-    back = max((t.ends for t in record.disruptions if t.begins >= record.closing - 1e-6), default=record.closing)
+    back = max(
+        (t.ends for t in record.disruptions if t.begins >= record.closing - 1e-6), default=record.closing
+    )
     done = {(at, route) for at, route, *_ in record.served}
 
     def share(begins: float, ends: float) -> float | None:
@@ -21,8 +23,13 @@
     after = share(back + b.recovery_s, record.until - 3.0)
     if before is None or after is None or before < 0.25 or after >= 0.25:
         return []
-    return [RuleViolation("RECOVER", back + b.recovery_s, f"{after:.0%} are served after the closing fault, "
-                                                   f"{before:.0%} were before")]
+    return [
+        RuleViolation(
+            "RECOVER",
+            back + b.recovery_s,
+            f"{after:.0%} are served after the closing fault, " f"{before:.0%} were before",
+        )
+    ]
 
 
 def acks(history: RunHistory) -> list[RuleViolation]:
@@ -35,16 +42,27 @@
         elif order.status == 0:
             wait_s, until = history.record.until - order.sent, history.record.until
         else:
-            if order.base == max((o.generation for o in history.record.orders
-                                  if o.status == 200 and o.at < order.sent), default=0):
-                found.append(RuleViolation("ACKS", order.at, f"generation {order.generation} is refused with "
-                                                      f"{order.status}"))
+            if order.base == max(
+                (o.generation for o in history.record.orders if o.status == 200 and o.at < order.sent),
+                default=0,
+            ):
+                found.append(
+                    RuleViolation(
+                        "ACKS", order.at, f"generation {order.generation} is refused with " f"{order.status}"
+                    )
+                )
             continue
         begins = order.sent
         while wait_s > wait and begins + wait < until:
             if history.settled(begins, begins + wait):
-                found.append(RuleViolation("ACKS", until, f"generation {order.generation}, sent at "
-                                                   f"{order.sent:.3f}, has no answer for {wait_s:.1f} s"))
+                found.append(
+                    RuleViolation(
+                        "ACKS",
+                        until,
+                        f"generation {order.generation}, sent at "
+                        f"{order.sent:.3f}, has no answer for {wait_s:.1f} s",
+                    )
+                )
                 break
             begins += 0.5
     return limit_findings(found)
@@ -52,4 +70,6 @@
 
 def faults(history: RunHistory) -> list[RuleViolation]:
     """Exceptions that the programs would log as errors."""
-    return limit_findings([RuleViolation("FAULT", 0.0, f) for f in history.record.faults if f[:6] != "MIXED:"])
+    return limit_findings(
+        [RuleViolation("FAULT", 0.0, f) for f in history.record.faults if f[:6] != "MIXED:"]
+    )
--- a/proving/checkers/requests.py
+++ b/proving/checkers/requests.py
@@ -10,10 +10,18 @@
 
 def twice(history: RunHistory) -> list[RuleViolation]:
     """What may not be repeated runs once."""
-    return limit_findings([RuleViolation("TWICE", runs[1].at, f"{history.sent[attempt].path} runs {len(runs)} times: "
-                                            f"{', '.join(a.backend for a in runs)}")
-                for attempt, runs in history.ran.items()
-                if len(runs) > 1 and attempt in history.sent and not history.sent[attempt].safe])
+    return limit_findings(
+        [
+            RuleViolation(
+                "TWICE",
+                runs[1].at,
+                f"{history.sent[attempt].path} runs {len(runs)} times: "
+                f"{', '.join(a.backend for a in runs)}",
+            )
+            for attempt, runs in history.ran.items()
+            if len(runs) > 1 and attempt in history.sent and not history.sent[attempt].safe
+        ]
+    )
 
 
 def refused(history: RunHistory) -> list[RuleViolation]:
@@ -22,20 +30,34 @@
     for attempt, runs in history.ran.items():
         answer, sent = history.record.answered.get(attempt), history.sent.get(attempt)
         if answer is not None and sent is not None and not sent.safe and answer.status in PROMISES:
-            found.append(RuleViolation("REFUSED", answer.at, f"{sent.path} has run at {runs[0].at:.3f} and is "
-                                                      f"answered {answer.status} by {sent.way}"))
+            found.append(
+                RuleViolation(
+                    "REFUSED",
+                    answer.at,
+                    f"{sent.path} has run at {runs[0].at:.3f} and is "
+                    f"answered {answer.status} by {sent.way}",
+                )
+            )
     return limit_findings(found)
 
 
 def mixed(history: RunHistory) -> list[RuleViolation]:
     """Successes are whole and belong to their request; nothing else looks like one."""
-    found = [RuleViolation("MIXED", a.at, f"{history.sent[a.attempt].path}: {a.status}, {a.fault}")
-             for a in history.record.answered.values()
-             if a.fault and (200 <= a.status < 300 or "no answer" in a.fault)]
-    found += [RuleViolation("MIXED", 0.0, f.removeprefix("MIXED: "))
-              for f in history.record.faults if f[:6] == "MIXED:"]
-    found += [RuleViolation("MIXED", a.at, f"{history.sent[a.attempt].path}: {a.status}, and nothing has run")
-              for a in history.record.answered.values() if 200 <= a.status < 300 and a.attempt not in history.ran]
+    found = [
+        RuleViolation("MIXED", a.at, f"{history.sent[a.attempt].path}: {a.status}, {a.fault}")
+        for a in history.record.answered.values()
+        if a.fault and (200 <= a.status < 300 or "no answer" in a.fault)
+    ]
+    found += [
+        RuleViolation("MIXED", 0.0, f.removeprefix("MIXED: "))
+        for f in history.record.faults
+        if f[:6] == "MIXED:"
+    ]
+    found += [
+        RuleViolation("MIXED", a.at, f"{history.sent[a.attempt].path}: {a.status}, and nothing has run")
+        for a in history.record.answered.values()
+        if 200 <= a.status < 300 and a.attempt not in history.ran
+    ]
     return limit_findings(found)
 
 
@@ -50,7 +72,9 @@
             elif a.path != sent.path:
                 found.append(RuleViolation("UNASKED", a.at, f"{sent.path} runs as {a.path}"))
             elif a.tenant not in {v.keys.get(sent.key) for v in history.versions}:
-                found.append(RuleViolation("UNASKED", a.at, f"{sent.path} runs for {a.tenant}, with {sent.key}"))
+                found.append(
+                    RuleViolation("UNASKED", a.at, f"{sent.path} runs for {a.tenant}, with {sent.key}")
+                )
     return limit_findings(found)
 
 
@@ -62,14 +86,23 @@
             continue
         sent = history.sent[a.attempt]
         known = history.in_force(sent.at - history.bounds.apply_s, a.at)
-        if known and all(v.allows(sent) for v in known) and history.has_contact(
-                sent.way, sent.at - history.bounds.apply_s, a.at):
+        if (
+            known
+            and all(v.allows(sent) for v in known)
+            and history.has_contact(sent.way, sent.at - history.bounds.apply_s, a.at)
+        ):
             wrong.append((a, sent))
     if len(wrong) <= 5 + len(history.record.sent) / 500:
         return []
     a, sent = wrong[0]
-    return [RuleViolation("DENIED", a.at, f"{len(wrong)} proper requests are denied; the first is {sent.path} with "
-                                   f"{sent.key}, answered {a.status} by {sent.way}")]
+    return [
+        RuleViolation(
+            "DENIED",
+            a.at,
+            f"{len(wrong)} proper requests are denied; the first is {sent.path} with "
+            f"{sent.key}, answered {a.status} by {sent.way}",
+        )
+    ]
 
 
 def route(history: RunHistory) -> list[RuleViolation]:
@@ -83,5 +116,7 @@
             if not any(a.service in v.services(sent.host, sent.path) for v in history.versions):
                 found.append(RuleViolation("ROUTE", a.at, f"{sent.path} runs at {a.backend} of {a.service}"))
             elif not any(sent.key in v.keys for v in history.versions):
-                found.append(RuleViolation("ROUTE", a.at, f"{sent.path} runs with {sent.key}, which nobody held"))
+                found.append(
+                    RuleViolation("ROUTE", a.at, f"{sent.path} runs with {sent.key}, which nobody held")
+                )
     return limit_findings(found)
--- a/proving/cli.py
+++ b/proving/cli.py
@@ -24,8 +24,9 @@
 SEED = option("seed", "s", "Seed of the run.", flag=False, default="1")
 CORES = option("cores", "c", "Processes at a time, 0 for all cores.", flag=False, default="0")
 CHANCE = option("by-chance", None, "Add troubles by chance, from the seed.")
-GROUPS = option("groups", "g", f"Of which kinds of trouble: {', '.join(random_days.GROUPS)}.", flag=False,
-                default="")
+GROUPS = option(
+    "groups", "g", f"Of which kinds of trouble: {', '.join(random_days.GROUPS)}.", flag=False, default=""
+)
 VALUES = option("set", None, "Other values, as day.load=0.1,day.seconds=45.", flag=False, default="")
 SEEDS = option("seeds", None, "How many seeds.", flag=False, default="")
 FIRST = option("first", None, "The first seed.", flag=False, default="1")
@@ -62,7 +63,11 @@
     def day(self) -> spec.Spec:
         """The experiment's day, or one by chance."""
         told = spec.change(self.experiment(), self.values())
-        return random_days.random_day(told, self.number("seed"), self.groups()) if self.option("by-chance") else told
+        return (
+            random_days.random_day(told, self.number("seed"), self.groups())
+            if self.option("by-chance")
+            else told
+        )
 
     def findings(self, found: HuntResult) -> int:
         """Print what is broken."""
@@ -95,6 +100,7 @@
         from proving.checkers import check
         from proving.measurements import measure
         from proving.model.simulation_run import play
+
         day = self.day()
         record = play(day, self.number("seed"))
         self.tell(random_days.told(day))
@@ -110,12 +116,18 @@
     description = "Play days by chance; what breaks a rule is shrunk and printed. Seeds go on record."
     arguments: ClassVar[list[Argument]] = [EXPERIMENT]
     options: ClassVar[list[Option]] = [
-        SEEDS, FIRST, CORES, GROUPS, VALUES,
+        SEEDS,
+        FIRST,
+        CORES,
+        GROUPS,
+        VALUES,
         option("record", None, "File to which seeds and findings are appended.", flag=False, default=""),
-        option("whole", None, "Don't shrink what is found.")]
+        option("whole", None, "Don't shrink what is found."),
+    ]
 
     def act(self) -> int:
         from tqdm import tqdm
+
         first, count = self.number("first"), self.number("seeds") or 100
         told, broken, spent = spec.change(self.experiment(), self.values()), [], [0.0, 0.0]
         seeds, source = range(first, first + count), hunt.source()
@@ -131,10 +143,17 @@
                 short = hunt.shrink(each)
                 self.tell(f"\nseed {each.seed}, shrunk:\n{random_days.told(short.spec)}\n  {short.broken[0]}")
         if path := self.option("record"):
-            line = {"experiment": told.name, "set": self.values(), "groups": self.groups(), "source": source,
-                    "first": first, "seeds": count, "processor_s": round(spent[0], 1),
-                    "node_s": round(spent[1]),
-                    "broken": {each.seed: [str(b) for b in each.broken] for each in broken}}
+            line = {
+                "experiment": told.name,
+                "set": self.values(),
+                "groups": self.groups(),
+                "source": source,
+                "first": first,
+                "seeds": count,
+                "processor_s": round(spent[0], 1),
+                "node_s": round(spent[1]),
+                "broken": {each.seed: [str(b) for b in each.broken] for each in broken},
+            }
             with open(path, "a", encoding="utf-8") as file:
                 file.write(json.dumps(line) + "\n")
         self.tell(f"{count} days, {len(broken)} with a broken rule")
@@ -147,11 +166,15 @@
     name = "sweep"
     description = "Play an experiment over values and seeds; write a table and a report."
     arguments: ClassVar[list[Argument]] = [EXPERIMENT]
-    options: ClassVar[list[Option]] = [SEEDS, CORES,
-                                       option("out", "o", "Folder.", flag=False, default="found/proving")]
+    options: ClassVar[list[Option]] = [
+        SEEDS,
+        CORES,
+        option("out", "o", "Folder.", flag=False, default="found/proving"),
+    ]
 
     def act(self) -> int:
         from proving import report, sweep
+
         told, over = spec.load(self.argument("file"))
         if self.option("seeds"):
             over = replace(over, seeds=self.number("seeds"))
@@ -176,6 +199,7 @@
 
     def act(self) -> int:
         from proving import planner
+
         plan = planner.make(self.experiment(), self.argument("change"))
         outcome = planner.play(plan, range(1, 1 + (self.number("seeds") or 4)), self.number("cores"))
         self.tell(planner.told(outcome))
@@ -189,18 +213,33 @@
     description = "Play one day and print what happens in a span of it, messages and all."
     arguments: ClassVar[list[Argument]] = [EXPERIMENT]
     options: ClassVar[list[Option]] = [
-        SEED, CHANCE, GROUPS, VALUES, option("begins", "b", "Seconds of the day.", flag=False, default="0"),
+        SEED,
+        CHANCE,
+        GROUPS,
+        VALUES,
+        option("begins", "b", "Seconds of the day.", flag=False, default="0"),
         option("ends", "e", "Seconds of the day.", flag=False, default="1e9"),
         option("planes", "p", "Only these: register, rounds, quota, or none.", flag=False, default=""),
         option("machines", "m", "Only messages from or to these.", flag=False, default=""),
-        option("beats", None, "With the agreement's beats.")]
+        option("beats", None, "With the agreement's beats."),
+    ]
 
     def act(self) -> int:
         from proving.transcript import transcript
+
         planes = [p for p in (self.option("planes") or "").split(",") if p]
         machines = [m for m in (self.option("machines") or "").split(",") if m]
-        self.tell(transcript(self.day(), self.number("seed"), float(self.option("begins")),
-                             float(self.option("ends")), planes, machines, not self.option("beats")))
+        self.tell(
+            transcript(
+                self.day(),
+                self.number("seed"),
+                float(self.option("begins")),
+                float(self.option("ends")),
+                planes,
+                machines,
+                not self.option("beats"),
+            )
+        )
         return 0
 
 
@@ -211,12 +250,17 @@
     description = "Play one day, keep a recording of each process, and play those again."
     arguments: ClassVar[list[Argument]] = [EXPERIMENT]
     options: ClassVar[list[Option]] = [
-        SEED, CHANCE, GROUPS, VALUES,
-        option("out", "o", "Folder for the recordings.", flag=False, default="found/recordings")]
+        SEED,
+        CHANCE,
+        GROUPS,
+        VALUES,
+        option("out", "o", "Folder for the recordings.", flag=False, default="found/recordings"),
+    ]
 
     def act(self) -> int:
         from proving import recording
         from proving.model.simulation_run import Run
+
         run = Run(self.day(), self.number("seed"))
         recordings: list[tuple[str, recording.Recording]] = []
         run.deployment.recordings = recordings
@@ -229,8 +273,10 @@
             each.save(path)
             found = recording.replay(each.head, list(each.steps))
             differing += found is not None
-            self.tell(f"{path}: {each.count} inputs, " + ("same outputs" if found is None else
-                                                          f"another output at input {found.number}"))
+            self.tell(
+                f"{path}: {each.count} inputs, "
+                + ("same outputs" if found is None else f"another output at input {found.number}")
+            )
         return 1 if differing else 0
 
 
@@ -240,12 +286,15 @@
     name = "replay"
     description = "Feed a recording through the state machines again, or print it."
     arguments: ClassVar[list[Argument]] = [argument("file", "A recording.")]
-    options: ClassVar[list[Option]] = [option("print", "p", "Print inputs and outputs."),
-                                       option("begins", "b", "Steady seconds.", flag=False, default="0"),
-                                       option("ends", "e", "Steady seconds.", flag=False, default="1e12")]
+    options: ClassVar[list[Option]] = [
+        option("print", "p", "Print inputs and outputs."),
+        option("begins", "b", "Steady seconds.", flag=False, default="0"),
+        option("ends", "e", "Steady seconds.", flag=False, default="1e12"),
+    ]
 
     def act(self) -> int:
         from proving import recording
+
         head, count, steps = recording.load(Path(self.argument("file")))
         if self.option("print"):
             for line in recording.told(steps, float(self.option("begins")), float(self.option("ends"))):
@@ -270,11 +319,14 @@
     description = "Play a day over loopback against the real programs, and the same one in the model."
     arguments: ClassVar[list[Argument]] = [EXPERIMENT]
     options: ClassVar[list[Option]] = [
-        SEED, option("port", "p", "First of 40 ports at each address.", flag=False, default="19400"),
-        option("recordings", "t", "Folder for recordings of the programs.", flag=False, default="")]
+        SEED,
+        option("port", "p", "First of 40 ports at each address.", flag=False, default="19400"),
+        option("recordings", "t", "Folder for recordings of the programs.", flag=False, default=""),
+    ]
 
     def act(self) -> int:
         from proving.loopback.driver import compare
+
         recordings = Path(self.option("recordings")) if self.option("recordings") else None
         if recordings is not None:
             recordings.mkdir(parents=True, exist_ok=True)
@@ -297,7 +349,10 @@
 
     def act(self) -> int:
         from proving import standard_days
-        for line in standard_days.table(self.argument("site"), self.number("seeds") or 4, self.number("cores")):
+
+        for line in standard_days.table(
+            self.argument("site"), self.number("seeds") or 4, self.number("cores")
+        ):
             self.tell(line)
         return 0
 
@@ -312,6 +367,7 @@
 
     def act(self) -> int:
         from proving import allowance, allowance_report
+
         lines: list[allowance.LogLine] = []
         for name in self.argument("logs"):
             with open(name, encoding="utf-8", errors="replace") as file:
@@ -335,6 +391,7 @@
 
     def act(self) -> int:
         from proving import comparison
+
         found = comparison.pairs(self.argument("entries"), self.number("seeds") or 3, self.number("cores"))
         for line in comparison.tables(found):
             self.tell(line)
@@ -350,6 +407,7 @@
 
     def act(self) -> int:
         from proving import disk_loss_tolerance
+
         for line in disk_loss_tolerance.table(self.number("seeds") or 20, self.number("cores")):
             self.tell(line)
         return 0
@@ -377,10 +435,12 @@
     description = "From a day's log lines: times to an order's acknowledgement and to the nodes in force."
     arguments: ClassVar[list[Argument]] = [argument("file", "A log of all programs.")]
     options: ClassVar[list[Option]] = [
-        option("by-prefix", "p", "Times are the first number of each line, not the programs' own.")]
+        option("by-prefix", "p", "Times are the first number of each line, not the programs' own.")
+    ]
 
     def act(self) -> int:
         from proving import orders
+
         with open(self.argument("file"), encoding="utf-8", errors="replace") as file:
             found = orders.orders(orders.read(file, bool(self.option("by-prefix"))))
         for line in orders.table(found):
@@ -388,9 +448,22 @@
         return 0 if found else 1
 
 
-COMMANDS = (RunCommand, HuntCommand, SweepCommand, PlanCommand, ShowCommand, RecordCommand, ReplayCommand,
-            LoadCommand, StandardCommand, CompareCommand, AllowanceCommand, InjectedBugsCommand, OrdersCommand,
-            LossesCommand)
+COMMANDS = (
+    RunCommand,
+    HuntCommand,
+    SweepCommand,
+    PlanCommand,
+    ShowCommand,
+    RecordCommand,
+    ReplayCommand,
+    LoadCommand,
+    StandardCommand,
+    CompareCommand,
+    AllowanceCommand,
+    InjectedBugsCommand,
+    OrdersCommand,
+    LossesCommand,
+)
 
 
 def main() -> int:
--- a/proving/comparison.py
+++ b/proving/comparison.py
@@ -13,8 +13,14 @@
 from proving.hunt import on_all_cores
 from proving.sweep import Row
 
-FIGURES = {"whole day": "worth_part", "worst windows": "worst_windows", "served at all": "at_all_part",
-           "refused": "refused_requests", "failed": "failed_requests", "MB between zones": "zone_mb"}
+FIGURES = {
+    "whole day": "worth_part",
+    "worst windows": "worst_windows",
+    "served at all": "at_all_part",
+    "refused": "refused_requests",
+    "failed": "failed_requests",
+    "MB between zones": "zone_mb",
+}
 """What the bench calls a figure, and what the model does."""
 
 
@@ -31,8 +37,11 @@
     """The standard days of a journal's entry, by site and day. ValueError if it has none."""
     entry = json.loads(Path(path).read_text(encoding="utf-8"))
     site = entry.get("site")
-    found = {(site, day["name"]): _figures(day) for day in entry.get("days", ())
-             if day["name"] in standard_days.DAYS.get(site, ())}
+    found = {
+        (site, day["name"]): _figures(day)
+        for day in entry.get("days", ())
+        if day["name"] in standard_days.DAYS.get(site, ())
+    }
     if not found:
         raise ValueError(f"{path}: no standard day of a known site")
     return found
@@ -51,8 +60,12 @@
     rows: dict[tuple[str, str], list[Row]] = {key: [] for key in bench}
     for row in on_all_cores(standard_days.run, calls, most):
         rows[row.values["site"], row.values["day"]].append(row)
-    return {name: [BenchModelPair(*key, bench[key][name], [row.figures[ours] for row in rows[key]]) for key in bench]
-            for name, ours in FIGURES.items()}
+    return {
+        name: [
+            BenchModelPair(*key, bench[key][name], [row.figures[ours] for row in rows[key]]) for key in bench
+        ]
+        for name, ours in FIGURES.items()
+    }
 
 
 def ranks(values: Sequence[float]) -> np.ndarray[Any, Any]:
@@ -76,8 +89,10 @@
     yield "| | " + " | ".join(f"{name}: bench | model" for name in found) + " |"
     yield "|" + " --- |" * (1 + 2 * len(found))
     for n, day in enumerate(days):
-        cells = [f"{each[n].bench:.3f} | {np.mean(each[n].model):.3f} ±{np.std(each[n].model):.3f}"
-                 for each in found.values()]
+        cells = [
+            f"{each[n].bench:.3f} | {np.mean(each[n].model):.3f} ±{np.std(each[n].model):.3f}"
+            for each in found.values()
+        ]
         yield f"| {day.site} {day.day} | " + " | ".join(cells) + " |"
     yield ""
     yield "| figure | rank correlation | mean difference, model less bench | mean size of the difference |"
--- a/proving/disk_loss_tolerance.py
+++ b/proving/disk_loss_tolerance.py
@@ -16,8 +16,12 @@
 
 AT_S, FOR_S, BACK_S, ORDER_S = 10.0, 12.0, 1.5, 0.3
 CORES = {3: (1, 1, 1), 5: (2, 2, 1), 7: (3, 2, 2)}
-KINDS = {"wipe": "an empty disk comes back", "replace_core": "another machine comes for one that is gone",
-         "planned_core": "another comes, then one is stopped", "both": "two empty disks come back at once"}
+KINDS = {
+    "wipe": "an empty disk comes back",
+    "replace_core": "another machine comes for one that is gone",
+    "planned_core": "another comes, then one is stopped",
+    "both": "two empty disks come back at once",
+}
 
 
 class Change(NamedTuple):
@@ -35,8 +39,12 @@
     One may be elected by those of no newer entry, if they are quorums by its own; each such must have it all.
     """
     left = list(disks)
-    able = [x.entry for x in left if x.entry.has_voter(x.disk) and x.entry.has_quorum(
-        {y.disk for y in left if y.entry.position <= x.entry.position})]
+    able = [
+        x.entry
+        for x in left
+        if x.entry.has_voter(x.disk)
+        and x.entry.has_quorum({y.disk for y in left if y.entry.position <= x.entry.position})
+    ]
     return bool(able) and all(entry.version >= acknowledged for entry in able)
 
 
@@ -67,8 +75,15 @@
             self.started = now
         self.empty = empty
         disks = [m.disk.stored for m in machines if m.disk.stored is not None]
-        acknowledged = max((p.controller_node.raft.committed for m in machines for p in m.processes.values()
-                            if isinstance(p, ControllerProcess)), default=0)
+        acknowledged = max(
+            (
+                p.controller_node.raft.committed
+                for m in machines
+                for p in m.processes.values()
+                if isinstance(p, ControllerProcess)
+            ),
+            default=0,
+        )
         state = [(d.disk, d.entry.position) for d in disks], acknowledged
         if state != self.state:
             self.state = state
@@ -83,7 +98,9 @@
     planned_disruptions = [Disruption("wipe" if kind == "both" else kind, at, BACK_S, 14 * seed + seed % 7)]
     if kind == "both":
         planned_disruptions.append(Disruption("wipe", at, BACK_S, planned_disruptions[0].which + 1))
-    orders = [Disruption("config_change", ORDER_S * n, 0.0, n) for n in range(9, int((AT_S + FOR_S) / ORDER_S))]
+    orders = [
+        Disruption("config_change", ORDER_S * n, 0.0, n) for n in range(9, int((AT_S + FOR_S) / ORDER_S))
+    ]
     run = Run(spec, seed)
     run.deployment.start()
     run.simulator.at(1.0, run.operator_pool.begin)
@@ -101,23 +118,36 @@
     ends = [*(at for at, _ in watch.rows[1:]), AT_S + FOR_S]
     short = [(end, end - at) for (at, bears), end in zip(watch.rows, ends, strict=True) if bears < tolerance]
     last = max((end for end, _ in short), default=0.0)
-    return Change(min(bears for _, bears in watch.rows), sum(lasts for _, lasts in short),
-                  max(0.0, last - watch.started))
+    return Change(
+        min(bears for _, bears in watch.rows),
+        sum(lasts for _, lasts in short),
+        max(0.0, last - watch.started),
+    )
 
 
 def table(seeds: int, cores: int) -> list[str]:
     """Lines of a markdown table: one for each size of a core and kind of change."""
     found: dict[tuple[int, int], list[Change]] = {}
     names = list(KINDS.values())
-    calls = [(disks, kind, seed) for disks in CORES for kind in KINDS for seed in range(1, seeds + 1)
-             if disks > 3 or kind != "both"]
+    calls = [
+        (disks, kind, seed)
+        for disks in CORES
+        for kind in KINDS
+        for seed in range(1, seeds + 1)
+        if disks > 3 or kind != "both"
+    ]
     for disks, kind, one in on_all_cores(play, calls, cores):
         found.setdefault((disks, list(KINDS).index(kind)), []).append(one)
-    lines = ["| disks | to bear | change | fewest borne | fewer than to bear for, s: median, longest "
-             "| after the newcomer's start, s: longest |", "| --- | --- | --- | --- | --- | --- |"]
+    lines = [
+        "| disks | to bear | change | fewest borne | fewer than to bear for, s: median, longest "
+        "| after the newcomer's start, s: longest |",
+        "| --- | --- | --- | --- | --- | --- |",
+    ]
     for (disks, row), ones in sorted(found.items()):
         short = sorted(one.short_s for one in ones)
-        lines.append(f"| {disks} | {disks // 2} | {names[row]} | "
-                     f"{min(one.fewest for one in ones)} | {short[len(short) // 2]:.2f}, {short[-1]:.2f} | "
-                     f"{max(one.since_start_s for one in ones):.2f} |")
+        lines.append(
+            f"| {disks} | {disks // 2} | {names[row]} | "
+            f"{min(one.fewest for one in ones)} | {short[len(short) // 2]:.2f}, {short[-1]:.2f} | "
+            f"{max(one.since_start_s for one in ones):.2f} |"
+        )
     return lines
--- a/proving/hunt.py
+++ b/proving/hunt.py
@@ -43,9 +43,12 @@
 
 def source() -> str:
     """The commit that is played, with a plus sign if the sources differ from it."""
+
     def git(*words: str) -> str:
-        return subprocess.run(["git", *words], capture_output=True, text=True, check=False,
-                              cwd=Path(__file__).parent.parent).stdout.strip()
+        return subprocess.run(
+            ["git", *words], capture_output=True, text=True, check=False, cwd=Path(__file__).parent.parent
+        ).stdout.strip()
+
     changed = git("status", "--porcelain", "--", "gateway", "roadspur", "proving")
     return git("rev-parse", "--short", "HEAD") + ("+" if changed else "")
 
@@ -79,8 +82,9 @@
     return on_all_cores(run_random_day, ((spec, seed, groups) for seed in seeds), most)
 
 
-def shrink(found: HuntResult, rule: str = "", most: int = 300,
-           tell: Callable[[Spec], Any] = lambda spec: None) -> HuntResult:
+def shrink(
+    found: HuntResult, rule: str = "", most: int = 300, tell: Callable[[Spec], Any] = lambda spec: None
+) -> HuntResult:
     """A shorter day that breaks the same rule: troubles are left out, made shorter, moved to round times. At
     most `most` days are played for that."""
     rule = rule or found.broken[0].rule
@@ -124,7 +128,7 @@
     size = max(1, len(disruptions) // 2)
     while size:
         for begin in range(0, len(disruptions), size):
-            rest = disruptions[:begin] + disruptions[begin + size:]
+            rest = disruptions[:begin] + disruptions[begin + size :]
             if rest != disruptions and still(replace(found.spec, disruptions=rest)):
                 return True
         size //= 2
--- a/proving/loopback/driver.py
+++ b/proving/loopback/driver.py
@@ -26,8 +26,19 @@
 
 PROMISES, FINAL = (429, 503, 408, 421), (400, 401, 404, 413, 431)
 START_S = 30.0  # for the first configuration to be taken, and for ingresses to be ready
-KINDS = ("node_kill", "core_kill", "herd_kill", "all_kill", "freeze", "core_freeze", "stop", "srv_crash",
-         "scale_in", "hot_tenant", "config_change")
+KINDS = (
+    "node_kill",
+    "core_kill",
+    "herd_kill",
+    "all_kill",
+    "freeze",
+    "core_freeze",
+    "stop",
+    "srv_crash",
+    "scale_in",
+    "hot_tenant",
+    "config_change",
+)
 """Troubles that can be made over loopback."""
 
 
@@ -38,8 +49,13 @@
     kinds = tuple(replace(k, work_s=works[k.service], also="") for k in spec.kinds)
     services = tuple(replace(s, spread=0.0, cold_s=0.0, queue=4) for s in spec.services)
     links = replace(spec.links, within=0.0001, between=0.0001, client=0.0002, loss=0.0)
-    return replace(spec, kinds=kinds, services=services, links=links,
-                   disruptions=tuple(t for t in spec.disruptions if t.kind in KINDS))
+    return replace(
+        spec,
+        kinds=kinds,
+        services=services,
+        links=links,
+        disruptions=tuple(t for t in spec.disruptions if t.kind in KINDS),
+    )
 
 
 def _work(spec: Spec, service: str) -> float:
@@ -132,8 +148,19 @@
             if answer.status in (200, 400, 409, 412, 413, 422):
                 break
             await asyncio.sleep(0.3)
-        self.record.orders.append(Order(sent, self.now(), document["generation"], document["base-version"],
-                                        True, answer.status, by, "first", document))
+        self.record.orders.append(
+            Order(
+                sent,
+                self.now(),
+                document["generation"],
+                document["base-version"],
+                True,
+                answer.status,
+                by,
+                "first",
+                document,
+            )
+        )
         if answer.status == 200:
             self.operator_pool.newest = document
 
@@ -164,14 +191,35 @@
             tried.add(machine.name)
             attempt, ends = f"{self.rng.getrandbits(64):016x}", began + kind.deadline_s
             key = f"key-{tenant}-{'ab'[number % 2]}"
-            self.record.sent.append(Sent(self.now(), attempt, number, kind.name, HOST, path, key,
-                                         f"tenant-{tenant}", zone, machine.name, kind.safe, False))
-            headers = {"Host": HOST, "Attempt-Id": attempt, "Authorization": f"Token {key}",
-                       "Deadline-Ms": str(max(1, int(1000 * (ends - self.now()))))}
-            answer = await http_clients.call(machine.address("front"), "GET", path, headers, b"", ends - self.now())
+            self.record.sent.append(
+                Sent(
+                    self.now(),
+                    attempt,
+                    number,
+                    kind.name,
+                    HOST,
+                    path,
+                    key,
+                    f"tenant-{tenant}",
+                    zone,
+                    machine.name,
+                    kind.safe,
+                    False,
+                )
+            )
+            headers = {
+                "Host": HOST,
+                "Attempt-Id": attempt,
+                "Authorization": f"Token {key}",
+                "Deadline-Ms": str(max(1, int(1000 * (ends - self.now())))),
+            }
+            answer = await http_clients.call(
+                machine.address("front"), "GET", path, headers, b"", ends - self.now()
+            )
             after = float(answer.headers.get("retry-after", 0.0))
             self.record.answered[attempt] = Answered(
-                self.now(), attempt, answer.status, http_clients.whole(answer, attempt), after)
+                self.now(), attempt, answer.status, http_clients.whole(answer, attempt), after
+            )
             if 200 <= answer.status < 300:
                 self.record.served.append((began, kind.name, f"tenant-{tenant}", zone, self.now() - began))
                 return
@@ -185,8 +233,11 @@
         """The ingress that a client is led to."""
         near = [h for h in self.cluster.machines if h.zone == zone]
         known = [h for h in near if h.name in self.ready]
-        group = (known if 2 * len(known) >= len(near) else near) if known else [
-            h for h in self.cluster.machines if h.name in self.ready] or self.cluster.machines
+        group = (
+            (known if 2 * len(known) >= len(near) else near)
+            if known
+            else [h for h in self.cluster.machines if h.name in self.ready] or self.cluster.machines
+        )
         others = [h for h in group if h.name not in but] or group
         return others[client % len(others)]
 
@@ -199,20 +250,38 @@
         one = machines[t.which % len(machines)]
         core = self.cluster.core[t.which % len(self.cluster.core)]
         actions_by_kind: dict[str, Callable[[], Any]] = {
-            "node_kill": lambda: self.kill([one], t), "core_kill": lambda: self.kill([core], t),
+            "node_kill": lambda: self.kill([one], t),
+            "core_kill": lambda: self.kill([core], t),
             "all_kill": lambda: self.kill(machines, t),
-            "herd_kill": lambda: self.kill([*machines, *machines][t.which % len(machines):][:max(1, round(
-                min(1.0, t.much) * len(machines)))], t),
-            "freeze": lambda: self.freeze(one, t), "core_freeze": lambda: self.freeze(core, t),
-            "stop": lambda: self.end(one, t), "srv_crash": lambda: self.crash(t),
-            "scale_in": lambda: self.scale_in(t), "hot_tenant": lambda: self.press(t),
-            "config_change": lambda: self.change()}
+            "herd_kill": lambda: self.kill(
+                [*machines, *machines][t.which % len(machines) :][
+                    : max(1, round(min(1.0, t.much) * len(machines)))
+                ],
+                t,
+            ),
+            "freeze": lambda: self.freeze(one, t),
+            "core_freeze": lambda: self.freeze(core, t),
+            "stop": lambda: self.end(one, t),
+            "srv_crash": lambda: self.crash(t),
+            "scale_in": lambda: self.scale_in(t),
+            "hot_tenant": lambda: self.press(t),
+            "config_change": lambda: self.change(),
+        }
         await actions_by_kind[t.kind]()
 
     def note(self, t: Disruption, machines: list[LocalMachine], lasts: float, planned: bool = False) -> None:
         names = tuple(h.name for h in machines)
-        self.record.disruptions.append(RecordedDisruption(self.now(), self.now() + lasts, t.kind, names,
-                                         any(len(h.roles) == 2 for h in machines), t.kind, planned))
+        self.record.disruptions.append(
+            RecordedDisruption(
+                self.now(),
+                self.now() + lasts,
+                t.kind,
+                names,
+                any(len(h.roles) == 2 for h in machines),
+                t.kind,
+                planned,
+            )
+        )
 
     async def kill(self, machines: list[LocalMachine], t: Disruption) -> None:
         for machine in machines:
@@ -250,7 +319,7 @@
     async def scale_in(self, t: Disruption) -> None:
         service = self.spec.services[t.which % len(self.spec.services)]
         alive = [p for _, s, p in self.cluster.backends if p.poll() is None and s.name == service.name]
-        for process in alive[:max(1, len(alive) // 4)]:
+        for process in alive[: max(1, len(alive) // 4)]:
             process.terminate()
             await asyncio.sleep(0.3)
 
@@ -276,6 +345,13 @@
             real = asyncio.run(Day(day, seed, cluster).play())
         finally:
             cluster.stop()
-    real.figures = {"day_s": day.day.seconds, "times_real": 1.0, "node_seconds_a_second": 0.0,
-                    "disk_saves": 0, "bytes_between_zones": 0, "messages": {}, "bytes": {}}
+    real.figures = {
+        "day_s": day.day.seconds,
+        "times_real": 1.0,
+        "node_seconds_a_second": 0.0,
+        "disk_saves": 0,
+        "bytes_between_zones": 0,
+        "messages": {},
+        "bytes": {},
+    }
     return measure(real, day), measure(play(day, seed), day)
--- a/proving/loopback/http_clients.py
+++ b/proving/loopback/http_clients.py
@@ -22,8 +22,15 @@
 NONE = Answer(0, {}, b"")
 
 
-async def call(address: str, method: str, path: str, headers: dict[str, str], body: bytes, wait_s: float,
-               bind: str | None = None) -> Answer:
+async def call(
+    address: str,
+    method: str,
+    path: str,
+    headers: dict[str, str],
+    body: bytes,
+    wait_s: float,
+    bind: str | None = None,
+) -> Answer:
     """One call on a connection of its own; silence or a break is no answer."""
     with contextlib.suppress(OSError, TimeoutError, ValueError, asyncio.IncompleteReadError):
         async with asyncio.timeout(wait_s):
@@ -47,8 +54,9 @@
         writer.close()
 
 
-async def control(addresses: list[str], method: str, path: str, body: bytes, rng: random.Random,
-                  wait_s: float = 1.0) -> tuple[Answer, str]:
+async def control(
+    addresses: list[str], method: str, path: str, body: bytes, rng: random.Random, wait_s: float = 1.0
+) -> tuple[Answer, str]:
     """A call to `control`, following a 307 twice; the answer, and who gave it."""
     address = rng.choice(addresses)
     kind = {"Content-Type": "application/json"} if body else {}
--- a/proving/loopback/local_cluster.py
+++ b/proving/loopback/local_cluster.py
@@ -70,17 +70,27 @@
         served = ("control",) if role == "controller" else ("front", "ready")
         bounds = {name.replace("_", "-"): value for name, value in vars(self.spec.bounds).items()}
         own: dict[str, Any] = {
-            "node": machine.name, "role": role, "ip": machine.ip, "zone": machine.zone, "fresh-start": machine.fresh,
-            "limits": {"max-fds": 1024, "memory-mb": 300}}
+            "node": machine.name,
+            "role": role,
+            "ip": machine.ip,
+            "zone": machine.zone,
+            "fresh-start": machine.fresh,
+            "limits": {"max-fds": 1024, "memory-mb": 300},
+        }
         if role == "controller":
             own["data-dir"] = str(self.folder / machine.name)
             Path(own["data-dir"]).mkdir(exist_ok=True)
-        return {"self": own, "provider": {"beat-s": self.spec.beat_s},
-                "network": {"listen": {what: machine.address(what) for what in served},
-                            "port-range": [self.port + 10, self.port + 25],
-                            "seeds": [h.address("control") for h in self.core[:3]],
-                            "zones": {zone: "region" for zone in self.spec.zones}},
-                "terms": {"fault-budget": {"machines": self.spec.tolerance}, "bounds": bounds}}
+        return {
+            "self": own,
+            "provider": {"beat-s": self.spec.beat_s},
+            "network": {
+                "listen": {what: machine.address(what) for what in served},
+                "port-range": [self.port + 10, self.port + 25],
+                "seeds": [h.address("control") for h in self.core[:3]],
+                "zones": {zone: "region" for zone in self.spec.zones},
+            },
+            "terms": {"fault-budget": {"machines": self.spec.tolerance}, "bounds": bounds},
+        }
 
     def spawn_program(self, machine: LocalMachine, role: str) -> Popen:
         """Start a program."""
@@ -92,20 +102,44 @@
         module = "gateway" if self.recordings is None else "proving.recorded_program"
         log = open(self.folder / f"{machine.name}-{role}.log", "ab")
         with log:
-            return subprocess.Popen([sys.executable, "-m", module, role], cwd=ROOT, env=environ, stderr=log,
-                                    start_new_session=True)
+            return subprocess.Popen(
+                [sys.executable, "-m", module, role],
+                cwd=ROOT,
+                env=environ,
+                stderr=log,
+                start_new_session=True,
+            )
 
     def launch(self, service: Service, work_s: float) -> None:
         """Start a backend."""
         n, self.launched = self.launched, self.launched + 1
         zone = self.spec.zones[n % len(self.spec.zones)]
-        options = ["--id", f"i-{n:04x}", "--service", service.name, "--port", str(BACKENDS_AT + n), "--zone",
-                   zone, "--capacity", str(service.capacity), "--work-ms", str(1000 * work_s), "--beat-s",
-                   str(self.spec.beat_s), "--drain-s", str(self.spec.bounds.drain_s)]
+        options = [
+            "--id",
+            f"i-{n:04x}",
+            "--service",
+            service.name,
+            "--port",
+            str(BACKENDS_AT + n),
+            "--zone",
+            zone,
+            "--capacity",
+            str(service.capacity),
+            "--work-ms",
+            str(1000 * work_s),
+            "--beat-s",
+            str(self.spec.beat_s),
+            "--drain-s",
+            str(self.spec.bounds.drain_s),
+        ]
         for machine in self.core:
             options += ["--control", machine.address("control")]
-        process = subprocess.Popen([sys.executable, str(ROOT / "examples" / "backend.py"), *options],
-                                   cwd=ROOT, start_new_session=True, stderr=subprocess.DEVNULL)
+        process = subprocess.Popen(
+            [sys.executable, str(ROOT / "examples" / "backend.py"), *options],
+            cwd=ROOT,
+            start_new_session=True,
+            stderr=subprocess.DEVNULL,
+        )
         self.backends.append((f"i-{n:04x}", service, process))
 
     def stop(self) -> None:
--- a/proving/measurements.py
+++ b/proving/measurements.py
@@ -30,8 +30,9 @@
     aims = {kind.name: kind.aim_s for kind in spec.kinds}
     wanted = np.bincount([int(at) for at, *_ in record.wanted], minlength=n)
     served = np.bincount([int(at) for at, *_ in record.served], minlength=n)
-    timely = np.bincount([int(at) for at, route, _, _, took in record.served if took <= aims[route]],
-                         minlength=n)
+    timely = np.bincount(
+        [int(at) for at, route, _, _, took in record.served if took <= aims[route]], minlength=n
+    )
     return SecondCounts(wanted, served, timely)
 
 
@@ -39,8 +40,12 @@
     """By second of the day, three rows: worth owed, earned, and earned if lateness cost nothing. What a
     tenant asks beyond its rate within a second isn't owed."""
     kinds = {kind.name: kind for kind in spec.kinds}
-    limits = {e["metadata"]["label"]: e["spec"]["rate-per-s"] or 1e9 for o in record.orders[:1]
-              for e in o.document["resource-list"] if e["entry-kind"] == "tenants"}
+    limits = {
+        e["metadata"]["label"]: e["spec"]["rate-per-s"] or 1e9
+        for o in record.orders[:1]
+        for e in o.document["resource-list"]
+        if e["entry-kind"] == "tenants"
+    }
     asked, earned = dict[tuple[str, int], list[float]](), dict[tuple[str, int], list[tuple[float, float]]]()
     for at, _, worth, tenant in record.wanted:
         if at >= record.until - LAST_S:
@@ -153,21 +158,32 @@
     figures = record.figures
     day = max(1e-9, figures["day_s"])
     out = {
-        "wanted": wanted, "served": served, "served_part": served / max(1, wanted),
-        "worth_part": earned / max(1e-9, asked), "at_all_part": at_all / max(1e-9, asked),
-        "worst_windows": worst_windows(worth), "refused_requests": refused / max(1, wanted),
-        "failed_requests": failed / max(1, wanted), "timely_part": float(by.timely.sum()) / max(1, wanted),
+        "wanted": wanted,
+        "served": served,
+        "served_part": served / max(1, wanted),
+        "worth_part": earned / max(1e-9, asked),
+        "at_all_part": at_all / max(1e-9, asked),
+        "worst_windows": worst_windows(worth),
+        "refused_requests": refused / max(1, wanted),
+        "failed_requests": failed / max(1, wanted),
+        "timely_part": float(by.timely.sum()) / max(1, wanted),
         "worst_second": float(min(parts, default=1.0)),
         "worst_ten_seconds": float(np.mean(sorted(parts)[:10])) if parts else 1.0,
-        "p50_ms": times.get_value_at_percentile(50), "p99_ms": times.get_value_at_percentile(99),
+        "p50_ms": times.get_value_at_percentile(50),
+        "p99_ms": times.get_value_at_percentile(99),
         "refused_part": sum(s in (429, 503) for s in statuses) / tries,
         "failed_part": sum(s in (0, -1, 502, 504) for s in statuses) / tries,
-        "runs_a_request": len(ran) / max(1, served), "orders": len(record.orders), "acknowledged": len(acks),
-        "ack_s": max(acks, default=0.0), "spread_s": max(spreads, default=0.0),
-        "times_real": figures["times_real"], "node_seconds_a_second": figures["node_seconds_a_second"],
+        "runs_a_request": len(ran) / max(1, served),
+        "orders": len(record.orders),
+        "acknowledged": len(acks),
+        "ack_s": max(acks, default=0.0),
+        "spread_s": max(spreads, default=0.0),
+        "times_real": figures["times_real"],
+        "node_seconds_a_second": figures["node_seconds_a_second"],
         "disk_saves": figures["disk_saves"],
         "zone_bytes_a_second": figures["bytes_between_zones"] / day,
-        "zone_mb": figures["bytes_between_zones"] / 1e6}
+        "zone_mb": figures["bytes_between_zones"] / 1e6,
+    }
     for plane, count in figures["messages"].items():
         out[f"{plane}_messages_a_second"] = count / day
         out[f"{plane}_bytes_a_second"] = figures["bytes"][plane] / day
--- a/proving/model/backends.py
+++ b/proving/model/backends.py
@@ -24,7 +24,7 @@
 
 def body_of(attempt: str, most: int) -> bytes:
     """The body of a try: its id again and again, up to a length that follows from the id."""
-    return (attempt.encode() * (most // 16 + 1))[:int(attempt, 16) % (most + 1)] if most else b""
+    return (attempt.encode() * (most // 16 + 1))[: int(attempt, 16) % (most + 1)] if most else b""
 
 
 def seal(attempt: str, body: bytes) -> bytes:
@@ -37,8 +37,9 @@
 
     __slots__ = ("attempt", "deadline", "done", "fields", "path", "running", "over")
 
-    def __init__(self, attempt: str, path: str, fields: dict[bytes, bytes], deadline: float,
-                 done: Done) -> None:
+    def __init__(
+        self, attempt: str, path: str, fields: dict[bytes, bytes], deadline: float, done: Done
+    ) -> None:
         self.attempt, self.path, self.fields, self.deadline, self.done = attempt, path, fields, deadline, done
         self.running = self.over = False
 
@@ -46,10 +47,16 @@
 class Backend:
     """One life of a backend. It beats from `start` on."""
 
-    def __init__(self, deployment: Deployment, service: Service, name: str, address: str, place: Location,
-                 pace: float) -> None:
+    def __init__(
+        self, deployment: Deployment, service: Service, name: str, address: str, place: Location, pace: float
+    ) -> None:
         self.deployment, self.service, self.id, self.address, self.place = (
-            deployment, service, name, address, place)
+            deployment,
+            service,
+            name,
+            address,
+            place,
+        )
         self.simulator, self.rng = deployment.simulator, deployment.simulator.chance()
         self.pace = pace  # times the usual time that it takes
         self.began = self.simulator.now
@@ -73,7 +80,8 @@
 
     def tell(self, what: str, by: str) -> None:
         self.deployment.record.lives.append(
-            BackendEvent(self.simulator.now, what, self.id, self.service.name, self.address, by))
+            BackendEvent(self.simulator.now, what, self.id, self.service.name, self.address, by)
+        )
 
     def beat(self) -> None:
         """Say that it is there, again and again."""
@@ -98,11 +106,18 @@
             self.target = self.deployment.some_control(self.place, self.rng)
         body = b""
         if method == "PUT":
-            body = json.dumps({
-                "target": self.service.name, "address": self.address, "zone": self.place.zone,
-                "generation": "v1", "capacity": self.service.capacity, "call-seq": self.calls,
-                "phase": "draining" if self.draining else "standing",
-                "cold-left-s": max(0.0, self.cold_until - self.simulator.now)}).encode()
+            body = json.dumps(
+                {
+                    "target": self.service.name,
+                    "address": self.address,
+                    "zone": self.place.zone,
+                    "generation": "v1",
+                    "capacity": self.service.capacity,
+                    "call-seq": self.calls,
+                    "phase": "draining" if self.draining else "standing",
+                    "cold-left-s": max(0.0, self.cold_until - self.simulator.now),
+                }
+            ).encode()
         self.deployment.call(self.place, self.target, method, f"/-/backends/{self.id}", body, 1.0, done)
 
     def leave(self, drain_s: float) -> None:
@@ -169,8 +184,10 @@
 
     def take(self, head: list[bytes], body: bytes, done: Done) -> BackendRequest | None:
         """A request: turn it away, queue it or begin it. `done` gets the answer, None for a broken one."""
-        fields = {name.lower(): value.strip() for name, _, value in
-                  (line.partition(b":") for line in head[1:] if line)}
+        fields = {
+            name.lower(): value.strip()
+            for name, _, value in (line.partition(b":") for line in head[1:] if line)
+        }
         path = head[0].split(b" ")[1].decode()
         attempt = fields.get(b"attempt-id", b"").decode()
         wanted = self.deployment.spec.day.bodies if head[0].startswith(b"POST ") else 0
@@ -201,13 +218,20 @@
 
     def note(self, work: BackendRequest, ran: bool, why: str = "") -> None:
         tenant = work.fields.get(b"tenant", b"").decode()
-        self.deployment.record.arrived.append(Arrived(
-            self.simulator.now, work.attempt, self.id, self.service.name, tenant, work.path, ran, why))
+        self.deployment.record.arrived.append(
+            Arrived(self.simulator.now, work.attempt, self.id, self.service.name, tenant, work.path, ran, why)
+        )
 
     def reject(self, work: BackendRequest, status: int, why: str) -> None:
         self.note(work, False, why)
-        work.done(Response(status, {b"attempt-id": work.attempt.encode(), b"not-executed": b"1",
-                                  **self.load()}, b"", True))
+        work.done(
+            Response(
+                status,
+                {b"attempt-id": work.attempt.encode(), b"not-executed": b"1", **self.load()},
+                b"",
+                True,
+            )
+        )
 
     def proceed(self) -> None:
         """Begin what a slot is free for."""
@@ -339,4 +363,9 @@
     """An answer as bytes."""
     lines = b"".join(b"%s: %s\r\n" % (name.title(), value) for name, value in answer.headers.items())
     return b"HTTP/1.1 %d X\r\n%s%sContent-Length: %d\r\n\r\n%s" % (
-        answer.status, lines, b"Connection: close\r\n" if close else b"", len(answer.body), answer.body)
+        answer.status,
+        lines,
+        b"Connection: close\r\n" if close else b"",
+        len(answer.body),
+        answer.body,
+    )
--- a/proving/model/client_attempts.py
+++ b/proving/model/client_attempts.py
@@ -63,8 +63,9 @@
         for answer in answers:
             self.current = None
             lines = b"".join(b"%s: %s\r\n" % (n.title(), v) for n, v in answer.headers.items())
-            current.end(answer.status, read_after(lines), judge(answer.status, lines, answer.body,
-                                                                current.attempt))
+            current.end(
+                answer.status, read_after(lines), judge(answer.status, lines, answer.body, current.attempt)
+            )
             if answer.keep and len(answers) == 1:
                 self.load.idle[self.slot] = self
             else:
@@ -158,10 +159,20 @@
         left = max(1, int(1000 * (r.ends - self.simulator.now)))
         body = b"" if r.kind.safe else body_of(self.attempt, self.load.deployment.spec.day.bodies)
         length = b"" if r.kind.safe else b"Content-Length: %d\r\n" % len(body)
-        connection.end.write(b"%s %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\n"
-                       b"Authorization: Token %s\r\n%s\r\n%s" % (
-                           b"GET" if r.kind.safe else b"POST", r.path.encode(), r.host.encode(),
-                           self.attempt.encode(), left, r.key.encode(), length, body))
+        connection.end.write(
+            b"%s %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\n"
+            b"Authorization: Token %s\r\n%s\r\n%s"
+            % (
+                b"GET" if r.kind.safe else b"POST",
+                r.path.encode(),
+                r.host.encode(),
+                self.attempt.encode(),
+                left,
+                r.key.encode(),
+                length,
+                body,
+            )
+        )
 
     def was_read(self) -> bool:
         """Whether the ingress has read anything of it."""
--- a/proving/model/client_load.py
+++ b/proving/model/client_load.py
@@ -26,11 +26,35 @@
 class Request:
     """A request of a client, with all its tries."""
 
-    __slots__ = ("began", "ends", "host", "key", "kind", "label", "left", "number", "path", "probe", "tenant",
-                 "ways", "zone", "hashed")
-
-    def __init__(self, number: int, kind: Kind, label: str, path: str, tenant: str, key: str, zone: str,
-                 hashed: int, now: float) -> None:
+    __slots__ = (
+        "began",
+        "ends",
+        "host",
+        "key",
+        "kind",
+        "label",
+        "left",
+        "number",
+        "path",
+        "probe",
+        "tenant",
+        "ways",
+        "zone",
+        "hashed",
+    )
+
+    def __init__(
+        self,
+        number: int,
+        kind: Kind,
+        label: str,
+        path: str,
+        tenant: str,
+        key: str,
+        zone: str,
+        hashed: int,
+        now: float,
+    ) -> None:
         self.number, self.kind, self.label, self.path = number, kind, label, path
         self.tenant, self.key, self.zone, self.hashed = tenant, key, zone, hashed
         self.host, self.probe = HOST, False
@@ -52,7 +76,9 @@
         self.zones = spec.zones
         self.count = 0
         self.pressure: dict[int, float] = {}  # tenants that send many times their usual
-        self.idle: dict[tuple[str, int], SimulatedClientConnection] = {}  # kept connections, by zone and client
+        self.idle: dict[
+            tuple[str, int], SimulatedClientConnection
+        ] = {}  # kept connections, by zone and client
         self.until = spec.day.seconds
         self.places = {zone: Location(f"clients {zone}", f"clients {zone}") for zone in self.zones}
 
@@ -88,6 +114,7 @@
                 kind = self.rng.choices(kinds, [k.rate for k in kinds])[0]
                 self.arrive(kind, tenant, self.rng.randrange(len(self.zones)), self.rng.randrange(64))
                 self.simulator.after(self.rng.expovariate(rate), one)
+
         one()
 
     def arrive(self, kind: Kind, tenant: int, zone: int, client: int) -> None:
@@ -100,8 +127,9 @@
         if not keys:
             return
         key = keys[self.count % len(keys)]
-        request = Request(self.count, kind, kind.name, path, name, key, self.zones[zone], client,
-                          self.simulator.now)
+        request = Request(
+            self.count, kind, kind.name, path, name, key, self.zones[zone], client, self.simulator.now
+        )
         self.record.wanted.append((self.simulator.now, kind.name, kind.worth, name))
         self.send(request)
 
@@ -130,8 +158,17 @@
         for machine in list(self.deployment.machines.values()):
             if self.deployment.isready.get(machine.name) and self.simulator.now < self.until:
                 self.count += 1
-                request = Request(self.count, kind, label, f"/{label}/{self.count:x}", tenant, key,
-                                  machine.place.zone, self.count, self.simulator.now)
+                request = Request(
+                    self.count,
+                    kind,
+                    label,
+                    f"/{label}/{self.count:x}",
+                    tenant,
+                    key,
+                    machine.place.zone,
+                    self.count,
+                    self.simulator.now,
+                )
                 request.probe, request.left = True, 0
                 self.send(request, machine)
 
@@ -147,13 +184,34 @@
         if machine is None or self.simulator.now >= request.ends:
             return
         attempt = f"{self.rng.getrandbits(64):016x}"
-        self.record.sent.append(Sent(
-            self.simulator.now, attempt, request.number, request.label, request.host, request.path, request.key,
-            request.tenant, request.zone, machine.name, request.kind.safe, request.probe))
+        self.record.sent.append(
+            Sent(
+                self.simulator.now,
+                attempt,
+                request.number,
+                request.label,
+                request.host,
+                request.path,
+                request.key,
+                request.tenant,
+                request.zone,
+                machine.name,
+                request.kind.safe,
+                request.probe,
+            )
+        )
         ClientAttempt(self, request, attempt, machine).begin()
 
-    def over(self, request: Request, attempt: str, machine: Machine, status: int, after: float, fault: str,
-             read: bool) -> None:
+    def over(
+        self,
+        request: Request,
+        attempt: str,
+        machine: Machine,
+        status: int,
+        after: float,
+        fault: str,
+        read: bool,
+    ) -> None:
         """A try has come to something: served, tried again, or given up."""
         now = self.simulator.now
         if attempt in self.record.answered:
@@ -162,8 +220,9 @@
         request.ways.add(machine.name)
         if 200 <= status < 300 or request.probe:
             if not request.probe and not fault:
-                self.record.served.append((request.began, request.label, request.tenant, request.zone,
-                                           now - request.began))
+                self.record.served.append(
+                    (request.began, request.label, request.tenant, request.zone, now - request.began)
+                )
             return
         impatient = request.hashed < self.deployment.spec.day.impatient * self.deployment.spec.day.clients
         if status in FINAL or request.left <= (-3 if impatient else 0):
--- a/proving/model/deployment.py
+++ b/proving/model/deployment.py
@@ -31,8 +31,9 @@
     def __init__(self, simulator: Simulator, spec: specs.Spec, record: Record) -> None:
         self.simulator, self.spec, self.record = simulator, spec, record
         w = spec.links
-        self.network = Network(simulator, LinkProfile(w.within, w.between, w.client, 0.1, w.loss, w.twice,
-                                           w.mbps * 125_000))
+        self.network = Network(
+            simulator, LinkProfile(w.within, w.between, w.client, 0.1, w.loss, w.twice, w.mbps * 125_000)
+        )
         self.rng = simulator.chance()
         self.machines: dict[str, Machine] = {}
         self.ports: dict[Address, Location] = {}
@@ -54,8 +55,10 @@
         for zone, number in zip(spec.zones, range(1, 99), strict=False):
             for place in range(spec.proxies[number - 1]):
                 self._machine(zone, number, place, place < spec.controllers[number - 1])
-        core = sorted((m for m in self.machines.values() if m.core),
-                      key=lambda m: (m.name.rpartition("-")[2], m.place.zone))
+        core = sorted(
+            (m for m in self.machines.values() if m.core),
+            key=lambda m: (m.name.rpartition("-")[2], m.place.zone),
+        )
         self.seeds = tuple(m.control for m in core[:3])
         self.list_controls()
 
@@ -92,7 +95,9 @@
         self.told = self.told[-20:]
         if len(self.told) > 1:
             for machine in self.machines.values():
-                self.simulator.after(self.rng.uniform(0.0, 2 * self.spec.bounds.seed_staleness_s), machine.reseed)
+                self.simulator.after(
+                    self.rng.uniform(0.0, 2 * self.spec.bounds.seed_staleness_s), machine.reseed
+                )
 
     def turn_seeds(self) -> None:
         """Others than before come first in the list, from which seeds are taken."""
@@ -108,18 +113,32 @@
     def settings(self, machine: Machine, role: str) -> Settings:
         """What a process is told at its start."""
         spec = self.spec
-        listen = {"control": machine.control} if role == "controller" else {
-            "front": f"{machine.ip}:{FRONT}", "ready": f"{machine.ip}:{READY}"}
+        listen = (
+            {"control": machine.control}
+            if role == "controller"
+            else {"front": f"{machine.ip}:{FRONT}", "ready": f"{machine.ip}:{READY}"}
+        )
         seeds = self.seeds if machine.fresh else tuple(self.listed()[:3])
         bounds = {name.replace("_", "-"): value for name, value in vars(spec.bounds).items()}
         document = {
-            "self": {"node": machine.name, "role": role, "ip": machine.ip, "zone": machine.place.zone,
-                     "fresh-start": machine.fresh, "data-dir": "/data" if role == "controller" else "",
-                     "limits": {"max-fds": 4100, "memory-mb": 300}},
-            "network": {"listen": listen, "port-range": [FIRST, LAST], "seeds": list(seeds),
-                        "zones": {zone: "region" for zone in spec.zones}},
+            "self": {
+                "node": machine.name,
+                "role": role,
+                "ip": machine.ip,
+                "zone": machine.place.zone,
+                "fresh-start": machine.fresh,
+                "data-dir": "/data" if role == "controller" else "",
+                "limits": {"max-fds": 4100, "memory-mb": 300},
+            },
+            "network": {
+                "listen": listen,
+                "port-range": [FIRST, LAST],
+                "seeds": list(seeds),
+                "zones": {zone: "region" for zone in spec.zones},
+            },
             "provider": {"beat-s": spec.beat_s},
-            "terms": {"fault-budget": {"machines": spec.tolerance}, "bounds": bounds}}
+            "terms": {"fault-budget": {"machines": spec.tolerance}, "bounds": bounds},
+        }
         return files.read_document(document).unwrap()
 
     def started(self, process: Program) -> None:
@@ -143,8 +162,12 @@
         self.simulator.after(1.0, self.look)
         for machine in self.machines.values():
             process = machine.processes.get("proxy")
-            well = (isinstance(process, ProxyProcess) and not process.frozen and process.ready()
-                    and self.network.reaches(machine.place, CLIENTS))
+            well = (
+                isinstance(process, ProxyProcess)
+                and not process.frozen
+                and process.ready()
+                and self.network.reaches(machine.place, CLIENTS)
+            )
             self.misses[machine.name] = 0 if well else self.misses.get(machine.name, 0) + 1
             ready = well or (self.isready.get(machine.name, False) and self.misses[machine.name] < MISSES)
             if ready != self.isready.get(machine.name, False):
@@ -164,8 +187,11 @@
         found = []
         zones = [zone, *(z for z in self.spec.zones if z != zone)]
         for each in zones:
-            all_of = [m for m in self.machines.values() if m.place.zone == each and not m.removed
-                      and "proxy" in m.roles]
+            all_of = [
+                m
+                for m in self.machines.values()
+                if m.place.zone == each and not m.removed and "proxy" in m.roles
+            ]
             known = [m for m in all_of if self.isready.get(m.name)]
             if known:
                 found.append(known if 2 * len(known) >= len(all_of) else all_of)
@@ -178,8 +204,17 @@
         known = self.listed()
         return rng.choice(known) if known else None
 
-    def call(self, place: Location, address: Address | None, method: str, path: str, body: bytes, wait_s: float,
-             done: Answer, hops: int = 2) -> None:
+    def call(
+        self,
+        place: Location,
+        address: Address | None,
+        method: str,
+        path: str,
+        body: bytes,
+        wait_s: float,
+        done: Answer,
+        hops: int = 2,
+    ) -> None:
         """Call `control` at an address: `done(status, machine, body)`, with status 0 for silence or a broken
         call. A 307 is followed twice."""
         simulator, network = self.simulator, self.network
@@ -228,16 +263,20 @@
         name = f"i-{self.rng.getrandbits(32):08x}"
         place = Location(name, zone)
         pace = max(0.3, self.rng.gauss(1.0, service.spread))
-        backend = Backend(self, service, name, address or f"10.{100 + number}.{n // 250}.{n % 250 + 1}:8080",
-                          place, pace)
+        backend = Backend(
+            self, service, name, address or f"10.{100 + number}.{n // 250}.{n % 250 + 1}:8080", place, pace
+        )
         self.backends.append(backend)
         backend.start(cold_s)
         return backend
 
     def alive(self, service: str = "") -> list[Backend]:
         """Backends that are there and don't leave."""
-        return [b for b in self.backends if not b.ended and not b.draining
-                and (not service or b.service.name == service)]
+        return [
+            b
+            for b in self.backends
+            if not b.ended and not b.draining and (not service or b.service.name == service)
+        ]
 
     def work_s(self, path: str, rng: random.Random) -> float:
         """The work of one request, at a backend of usual pace."""
--- a/proving/model/disk.py
+++ b/proving/model/disk.py
@@ -26,8 +26,13 @@
         self.stuck: list[Callable[[], None]] = []
         self.lying = False  # planted fault: says so before it is saved
 
-    def save(self, process: Process, record: PersistentState, done: Callable[[], None],
-             failed: Callable[[str], None]) -> None:
+    def save(
+        self,
+        process: Process,
+        record: PersistentState,
+        done: Callable[[], None],
+        failed: Callable[[str], None],
+    ) -> None:
         """Save a record for a process. Halfway it is in the files, at the end it is synced too."""
         again = record == self.stored
         size = 0 if again else len(record.entry.value) + 300
--- a/proving/model/disruptions/link_disruptions.py
+++ b/proving/model/disruptions/link_disruptions.py
@@ -28,7 +28,7 @@
         zones = list(dict.fromkeys(m.place.zone for m in self.core()))
         lone = zones[t.which % len(zones)]
         ways = [(lone, z) for z in zones if z != lone] + [(z, lone) for z in zones if z != lone]
-        ways = ways[:len(ways) // 2] if t.which // 5 % 3 == 1 else ways
+        ways = ways[: len(ways) // 2] if t.which // 5 % 3 == 1 else ways
         self._cut(ways, t.lasts)
         self.note(t, [m for m in self.machines() if m.place.zone == lone], core=True, lasts=t.lasts)
 
--- a/proving/model/disruptions/machine_disruptions.py
+++ b/proving/model/disruptions/machine_disruptions.py
@@ -26,14 +26,20 @@
         machines = self.machines()
         n = max(1, round(min(1.0, t.much) * len(machines)))
         start = t.which % len(machines)
-        self._kill(t, [*machines, *machines][start:start + n])
+        self._kill(t, [*machines, *machines][start : start + n])
 
     def do_all_kill(self, t: Disruption) -> None:
         """All processes are killed."""
         self._kill(t, self.machines())
 
-    def _kill(self, t: Disruption, machines: Sequence[Machine], power: bool = False, wipe: bool = False,
-              after: float = RESTART_S) -> None:
+    def _kill(
+        self,
+        t: Disruption,
+        machines: Sequence[Machine],
+        power: bool = False,
+        wipe: bool = False,
+        after: float = RESTART_S,
+    ) -> None:
         for machine in machines:
             machine.kill(power, wipe)
             machine.back(after * self.rng.uniform(0.8, 1.2))
@@ -111,7 +117,9 @@
         zone = zones[t.which % len(zones)]
         for backend in [b for b in self.deployment.alive() if b.place.zone == zone]:
             backend.lose_host()
-            self.simulator.after(t.lasts, self.deployment.launch, backend.service, zone, backend.service.cold_s)
+            self.simulator.after(
+                t.lasts, self.deployment.launch, backend.service, zone, backend.service.cold_s
+            )
         self._kill(t, [m for m in self.machines() if m.place.zone == zone], power=True, after=t.lasts)
 
     # The core's members.
@@ -143,6 +151,7 @@
             old.removed = True
             old.stop()
             self.deployment.list_controls()
+
         self.deployment.list_controls()
         self.simulator.after(t.lasts, stop)
         self.note(t, [old, new], core=True, lasts=t.lasts, planned=True)
@@ -163,7 +172,9 @@
 
     def do_after_ack_wipe(self, t: Disruption) -> None:
         """Whoever acknowledges the next change loses its disk right then."""
-        self.after_next_ack.append((t, lambda machine: self._kill(t, [machine], power=True, wipe=True, after=t.lasts)))
+        self.after_next_ack.append(
+            (t, lambda machine: self._kill(t, [machine], power=True, wipe=True, after=t.lasts))
+        )
         self.operator_pool.change("keys")
 
     def do_after_ack_all(self, t: Disruption) -> None:
--- a/proving/model/disruptions/operators_and_backends.py
+++ b/proving/model/disruptions/operators_and_backends.py
@@ -48,7 +48,9 @@
     def do_hot_tenant(self, t: Disruption) -> None:
         """A tenant sends many times its usual."""
         if self.deployment.spec.day.traffic:
-            self.load.press(t.which % len(self.load.tenants), 2.0 + 6.0 * t.much, self.simulator.now + t.lasts)
+            self.load.press(
+                t.which % len(self.load.tenants), 2.0 + 6.0 * t.much, self.simulator.now + t.lasts
+            )
         self.note(t, [], lasts=t.lasts)
 
     # Backends.
@@ -62,8 +64,9 @@
             services = self.deployment.spec.services
             heir = services[t.which // 3 % len(services)] if t.which % 4 == 0 else backend.service
             wait = self.deployment.spec.bounds.addr_reuse_s + 0.1
-            self.simulator.after(wait, self.deployment.launch, heir, backend.place.zone, heir.cold_s,
-                             backend.address)
+            self.simulator.after(
+                wait, self.deployment.launch, heir, backend.place.zone, heir.cold_s, backend.address
+            )
 
     def do_srv_lost(self, t: Disruption) -> None:
         """A backend's machine is lost for good."""
@@ -86,7 +89,7 @@
         """Backends are emptied and taken away."""
         services = self.deployment.spec.services
         alive = self.deployment.alive(services[t.which % len(services)].name)
-        for n, backend in enumerate(alive[:max(1, len(alive) // 4)]):
+        for n, backend in enumerate(alive[: max(1, len(alive) // 4)]):
             self.simulator.after(n * 0.3, backend.leave, self.deployment.spec.bounds.drain_s)
 
     def _mode(self, t: Disruption, mode: str) -> None:
--- a/proving/model/disruptions/schedule.py
+++ b/proving/model/disruptions/schedule.py
@@ -21,7 +21,9 @@
         self.deployment, self.operator_pool, self.load = deployment, operator_pool, load
         self.simulator, self.record = deployment.simulator, deployment.record
         self.rng = self.simulator.chance()
-        self.after_next_ack: list[tuple[Disruption, Callable[[Machine], None]]] = []  # for after the next acknowledgement
+        self.after_next_ack: list[
+            tuple[Disruption, Callable[[Machine], None]]
+        ] = []  # for after the next acknowledgement
         operator_pool.listeners.append(self.answered)
 
     def plan(self, disruptions: Sequence[Disruption]) -> None:
@@ -37,15 +39,30 @@
     def start_disruption(self, disruption: Disruption) -> None:
         getattr(self, f"do_{disruption.kind}")(disruption)
 
-    def note(self, disruption: Disruption, machines: Sequence[Machine], core: bool | None = None,
-             lasts: float = 0.0, planned: bool = False) -> None:
+    def note(
+        self,
+        disruption: Disruption,
+        machines: Sequence[Machine],
+        core: bool | None = None,
+        lasts: float = 0.0,
+        planned: bool = False,
+    ) -> None:
         """Put a trouble on record."""
         now = self.simulator.now
         if core is None:
             core = any(m.core for m in machines)
         names = tuple(m.name for m in machines)
-        self.record.disruptions.append(RecordedDisruption(now, now + lasts, disruption.kind, names, core,
-                                         f"{disruption.kind} {' '.join(names)}".strip(), planned))
+        self.record.disruptions.append(
+            RecordedDisruption(
+                now,
+                now + lasts,
+                disruption.kind,
+                names,
+                core,
+                f"{disruption.kind} {' '.join(names)}".strip(),
+                planned,
+            )
+        )
 
     # Who.
 
--- a/proving/model/injected_bugs.py
+++ b/proving/model/injected_bugs.py
@@ -30,6 +30,7 @@
     def first_only(version: int, *rest: Any, **more: Any) -> None:
         if proxy_node.version == 0:
             apply_config(version, *rest, **more)
+
     proxy_node.apply_config = first_only
 
 
@@ -41,6 +42,7 @@
     def unlimited(now: float, r: io.Request) -> None:
         about = r.about
         request(now, r._replace(about=about._replace(tenant=None) if about.tenant else about))
+
     decisions.on[io.Request] = unlimited
 
 
@@ -64,12 +66,14 @@
             route.safe = True
             request = request._replace(about=request.about._replace(route=route))
         return request
+
     proxy_node.ingress.read = safe
 
 
 def _always_promises(s: ProxyProcess) -> None:
     """Promises that nothing has run."""
     from gateway.proxy.execution_status import ExecutionStatus
+
     ingress: Any = s.proxy_node.ingress
     ingress.execution_status = lambda held: ExecutionStatus.NEVER_RAN
     decisions: Any = ingress.gateway
@@ -77,6 +81,7 @@
     def refuse(now: float, f: Any, wait: float) -> None:
         decisions.acts.append(io.Refuse(f.req.id, 0.1))
         decisions.forget(f.req.id)
+
     decisions.give_up = refuse
     for service in decisions.services.values():
         service.give_up = refuse
@@ -101,8 +106,10 @@
 
             def allows(self, now: float) -> bool:
                 return True
+
         made.__class__ = Endless
         return made
+
     decisions.budget = endless
 
 
@@ -122,6 +129,7 @@
     def keep(name: str, service: str, address: Any, phase: io.Phase, *rest: Any) -> None:
         if phase is not io.Phase.DELETED:
             backend(name, service, address, phase, *rest)
+
     proxy_node.ingress.backend = keep
 
 
@@ -132,6 +140,7 @@
 
     def deny(*args: Any) -> Any:
         return ImmediateResponse(403, "no") if rng.random() < 0.1 else read(*args)
+
     ingress.read = deny
 
 
@@ -161,13 +170,16 @@
     def at_once(token: int, value: bytes, expected: int) -> None:
         propose(token, value, expected)
         controller_node.control.proposed(p.time(), token, "done")
+
     controller_node.propose = at_once
 
 
 def _credulous(p: ControllerProcess) -> None:
     """Acknowledges whatever it is told to change."""
     controller_node: Any = p.controller_node
-    controller_node.propose = lambda token, value, expected: controller_node.control.proposed(p.time(), token, "done")
+    controller_node.propose = lambda token, value, expected: controller_node.control.proposed(
+        p.time(), token, "done"
+    )
 
 
 def _forgets_orders(p: ControllerProcess) -> None:
@@ -178,6 +190,7 @@
     def bare() -> tuple[int, ConfigState]:
         version, held = config_in_force()
         return version, ConfigState(held.document)
+
     controller_node.config_in_force = bare
 
 
@@ -189,6 +202,7 @@
     def forgetful(event: Any) -> None:
         if not isinstance(event, consensus.Propose):
             handle_consensus(event)
+
     controller_node.handle_consensus = forgetful
 
 
@@ -201,17 +215,32 @@
         if rng.random() < 0.02:
             raise RuntimeError("planted")
         handle_membership(event)
+
     proxy_node.handle_membership = raising
 
 
 PROXY_BUGS: dict[str, Callable[[ProxyProcess], None]] = {
-    "stale": _stale, "any_charge": _any_charge, "deaf_to_drain": _deaf_to_drain, "repeats": _repeats,
-    "always_promises": _always_promises, "believes_all": _believes_all, "no_budget": _no_budget,
-    "other_path": _other_path, "no_target": _no_target, "denies": _denies, "abrupt": _abrupt,
-    "no_return": _no_return, "faulty": _faulty}
+    "stale": _stale,
+    "any_charge": _any_charge,
+    "deaf_to_drain": _deaf_to_drain,
+    "repeats": _repeats,
+    "always_promises": _always_promises,
+    "believes_all": _believes_all,
+    "no_budget": _no_budget,
+    "other_path": _other_path,
+    "no_target": _no_target,
+    "denies": _denies,
+    "abrupt": _abrupt,
+    "no_return": _no_return,
+    "faulty": _faulty,
+}
 CONTROLLER_BUGS: dict[str, Callable[[ControllerProcess], None]] = {
-    "lying_disk": _lying_disk, "hasty": _hasty, "credulous": _credulous, "silent_orders": _silent_orders,
-    "forgets_orders": _forgets_orders}
+    "lying_disk": _lying_disk,
+    "hasty": _hasty,
+    "credulous": _credulous,
+    "silent_orders": _silent_orders,
+    "forgets_orders": _forgets_orders,
+}
 
 
 def inject_bug(name: str, deployment: Deployment) -> None:
@@ -226,4 +255,5 @@
             PROXY_BUGS[name](process)
         elif isinstance(process, ControllerProcess) and name in CONTROLLER_BUGS:
             CONTROLLER_BUGS[name](process)
+
     deployment.process_hooks.append(corrupt_process)
--- a/proving/model/machines.py
+++ b/proving/model/machines.py
@@ -22,8 +22,9 @@
 class Machine:
     """A machine: its place and address, its disk if it is of the core, and its processes."""
 
-    def __init__(self, deployment: Deployment, name: str, ip: str, zone: str, roles: tuple[str, ...],
-                 fresh: bool) -> None:
+    def __init__(
+        self, deployment: Deployment, name: str, ip: str, zone: str, roles: tuple[str, ...], fresh: bool
+    ) -> None:
         self.deployment, self.name, self.ip, self.roles, self.fresh = deployment, name, ip, roles, fresh
         self.simulator: Simulator = deployment.simulator
         self.network: Network = deployment.network
@@ -97,9 +98,11 @@
 
     def back(self, after: float = RESTART_S) -> None:
         """Start again after some seconds."""
+
         def start() -> None:
             self.power = True
             self.start()
+
         self.simulator.after(after + START_S, start)
 
     def stop(self) -> None:
@@ -112,4 +115,5 @@
         def kill() -> None:
             for process in stopped:
                 self.end(process)
+
         self.simulator.after(grace, kill)
--- a/proving/model/network.py
+++ b/proving/model/network.py
@@ -74,8 +74,15 @@
     def delay(self, a: Location, b: Location, client: bool = False) -> float:
         """Seconds for one packet."""
         w = self.ways
-        base = w.client if client else 0.00005 if a.name == b.name else w.within if a.zone == b.zone \
+        base = (
+            w.client
+            if client
+            else 0.00005
+            if a.name == b.name
+            else w.within
+            if a.zone == b.zone
             else w.between
+        )
         delay = base * (1.0 + w.spread * self.rng.random())
         if self.slow:
             delay += self.slow.get(a.name, 0.0) + self.slow.get(b.name, 0.0)
@@ -109,13 +116,17 @@
         if a.zone != b.zone:
             row[2] += size
 
-    def message(self, a: Location, b: Location, kind: str, size: int, arrive: Callable[..., Any],
-                *args: Any) -> None:
+    def message(
+        self, a: Location, b: Location, kind: str, size: int, arrive: Callable[..., Any], *args: Any
+    ) -> None:
         """Send a message between two own processes: `arrive(*args)` is called there, unless it is lost."""
         self.note(a, b, kind, size)
         wait = self.wait(a, size)
-        if (self.cuts and not self.reaches(a, b)) or (size <= DATAGRAM_BYTES and a.name != b.name and (
-                wait > FULL_S or self.rng.random() < self.lossy(a, b))):
+        if (self.cuts and not self.reaches(a, b)) or (
+            size <= DATAGRAM_BYTES
+            and a.name != b.name
+            and (wait > FULL_S or self.rng.random() < self.lossy(a, b))
+        ):
             return
         delay = wait + self.delay(a, b)
         if size > DATAGRAM_BYTES:
--- a/proving/model/operators.py
+++ b/proving/model/operators.py
@@ -26,30 +26,67 @@
     for kind in spec.kinds:
         targets: Any = {"target": kind.service}
         if kind.also:
-            targets = {"weighted": [{"target": kind.service, "share": 90},
-                                    {"target": kind.also, "share": 10}]}
+            targets = {
+                "weighted": [{"target": kind.service, "share": 90}, {"target": kind.also, "share": 10}]
+            }
         entries.append(route(kind.name, kind, targets))
         deployment.works[kind.name] = kind.work_s
-    entries += [_entry("services", s.name, {"health-path": "/health", "max-conns": s.max_conns,
-                                            "protocol": "h1", "tls": False}) for s in spec.services]
+    entries += [
+        _entry(
+            "services",
+            s.name,
+            {"health-path": "/health", "max-conns": s.max_conns, "protocol": "h1", "tls": False},
+        )
+        for s in spec.services
+    ]
     total = spec.day.load * sum(kind.rate for kind in spec.kinds)
     parts = shares(spec.tenants.count, spec.tenants.uneven)
     for n, part in enumerate(parts):
         rate = max(1.0, round(spec.tenants.headroom * part * total)) if spec.tenants.limited else 0.0
-        entries.append(_entry("tenants", f"tenant-{n}", {
-            "api-keys": [f"key-{n}-a", f"key-{n}-b"], "precedence": 0 if n == 0 else 1,
-            "rate-per-s": rate, "burst": max(1.0, round(rate * spec.tenants.burst_s)) if rate else 0}))
-    entries.append(_entry("limits", None, {"max-header-bytes": 16384, "max-body-bytes": 1 << 26,
-                                           "header-timeout-s": 3, "idle-timeout-s": 15}))
+        entries.append(
+            _entry(
+                "tenants",
+                f"tenant-{n}",
+                {
+                    "api-keys": [f"key-{n}-a", f"key-{n}-b"],
+                    "precedence": 0 if n == 0 else 1,
+                    "rate-per-s": rate,
+                    "burst": max(1.0, round(rate * spec.tenants.burst_s)) if rate else 0,
+                },
+            )
+        )
+    entries.append(
+        _entry(
+            "limits",
+            None,
+            {
+                "max-header-bytes": 16384,
+                "max-body-bytes": 1 << 26,
+                "header-timeout-s": 3,
+                "idle-timeout-s": 15,
+            },
+        )
+    )
     return {"generation": 1, "base-version": 0, "resource-list": entries}
 
 
 def route(label: str, kind: Any, targets: Entry) -> Entry:
     """A route of a kind of request, at a path of its own."""
-    return _entry("route-table", label, {
-        "hostname": HOST, "path-prefix": f"/{label}/", "traffic-class": "safe" if kind.safe else "unsafe",
-        "deadline-s": kind.deadline_s, "target-latency-s": kind.aim_s, "precedence": kind.precedence,
-        "max-tries": kind.tries, "public": False, **targets})
+    return _entry(
+        "route-table",
+        label,
+        {
+            "hostname": HOST,
+            "path-prefix": f"/{label}/",
+            "traffic-class": "safe" if kind.safe else "unsafe",
+            "deadline-s": kind.deadline_s,
+            "target-latency-s": kind.aim_s,
+            "precedence": kind.precedence,
+            "max-tries": kind.tries,
+            "public": False,
+            **targets,
+        },
+    )
 
 
 def shares(count: int, uneven: float) -> list[float]:
@@ -74,8 +111,19 @@
         """Send a change until there is a clear answer."""
         record, number = self.deployment.record, len(self.deployment.record.orders)
         method, body = "PATCH" if patch else "PUT", json.dumps(patch or document).encode()
-        record.orders.append(Order(self.simulator.now, 0.0, document["generation"], document["base-version"],
-                                   valid, 0, "", self.name, document))
+        record.orders.append(
+            Order(
+                self.simulator.now,
+                0.0,
+                document["generation"],
+                document["base-version"],
+                valid,
+                0,
+                "",
+                self.name,
+                document,
+            )
+        )
 
         def clear(status: int, by: str) -> None:
             order = record.orders[number]
@@ -100,8 +148,9 @@
 
         self.send(method, body, clear, lambda: None)
 
-    def send(self, method: str, body: bytes, clear: Callable[[int, str], None],
-             unheard: Callable[[], None]) -> None:
+    def send(
+        self, method: str, body: bytes, clear: Callable[[int, str], None], unheard: Callable[[], None]
+    ) -> None:
         """Call one process after the other until there is a clear answer; `unheard`: an acknowledgement that
         was lost on its way."""
         wait, tries = 0.1, 0
@@ -128,14 +177,16 @@
 
     def read(self) -> None:
         """Read the configuration back once."""
+
         def told(status: int, by: str, answer: bytes) -> None:
             record = self.deployment.record
             generation, same = 0, False
             if status == 200:
                 found = json.loads(answer)
                 generation = found["generation"]
-                sent = [o.document for o in record.orders
-                        if o.generation == generation and o.status in (0, 200)]
+                sent = [
+                    o.document for o in record.orders if o.generation == generation and o.status in (0, 200)
+                ]
                 same = any(_canon(found) == _canon(s) for s in sent)
             record.reads.append(Read(self.simulator.now, status, generation, same, by))
 
@@ -150,14 +201,21 @@
 
 def keys_of(document: Document) -> dict[str, str]:
     """Keys, and the tenants that hold them."""
-    return {key: e["metadata"]["label"] for e in document.get("resource-list", ())
-            if e["entry-kind"] == "tenants" for key in e["spec"]["api-keys"]}
+    return {
+        key: e["metadata"]["label"]
+        for e in document.get("resource-list", ())
+        if e["entry-kind"] == "tenants"
+        for key in e["spec"]["api-keys"]
+    }
 
 
 def routes_of(document: Document) -> dict[str, Entry]:
     """Routes by label."""
-    return {e["metadata"]["label"]: e["spec"] for e in document.get("resource-list", ())
-            if e["entry-kind"] == "route-table"}
+    return {
+        e["metadata"]["label"]: e["spec"]
+        for e in document.get("resource-list", ())
+        if e["entry-kind"] == "route-table"
+    }
 
 
 class OperatorPool:
@@ -170,8 +228,10 @@
         self.generation = 0
         self.listeners: list[Any] = []  # told of each order's answer
         self.followers: list[Any] = []  # told of the former and the new configuration
-        self.operators = [Operator(deployment, self, "first", deployment.spec.zones[0]),
-                          Operator(deployment, self, "second", deployment.spec.zones[-1])]
+        self.operators = [
+            Operator(deployment, self, "first", deployment.spec.zones[0]),
+            Operator(deployment, self, "second", deployment.spec.zones[-1]),
+        ]
         self.added: list[str] = []  # labels of routes that were added later
         self.removed: list[str] = []
         self.acknowledged: list[tuple[int, str, bytes]] = []  # generation, method and body
@@ -210,8 +270,11 @@
         patch: Document | None = None
         valid = getattr(self, f"_{how}")(entries) is not False
         if how == "add" and self.rng.random() < 0.5:
-            patch = {"generation": document["generation"], "base-version": document["base-version"],
-                     "upsert": {"resource-list": entries[-1:]}}
+            patch = {
+                "generation": document["generation"],
+                "base-version": document["base-version"],
+                "upsert": {"resource-list": entries[-1:]},
+            }
         self.operators[who].put(document, valid, patch)
 
     def race(self) -> None:
--- a/proving/model/processes.py
+++ b/proving/model/processes.py
@@ -38,8 +38,13 @@
 
     def __init__(self, machine: Machine, settings: Settings, rng: random.Random) -> None:
         simulator = machine.simulator
-        super().__init__(simulator, f"{self.kind} {machine.name}", machine.cost, rng.uniform(1e3, 1e5),
-                         rng.uniform(-2e-5, 2e-5))
+        super().__init__(
+            simulator,
+            f"{self.kind} {machine.name}",
+            machine.cost,
+            rng.uniform(1e3, 1e5),
+            rng.uniform(-2e-5, 2e-5),
+        )
         self.machine: Machine = machine
         self.settings, self.rng = settings, rng
         self.place: Location = machine.place
@@ -54,7 +59,9 @@
         self.recording: Recording | None = None
         recordings = self.machine.deployment.recordings
         if recordings is not None:
-            self.recording = Recording(RecordingHeader(role, self.settings, stored, self.rng.getstate(), self.time()))
+            self.recording = Recording(
+                RecordingHeader(role, self.settings, stored, self.rng.getstate(), self.time())
+            )
             recordings.append((self.name, self.recording))
 
     def begin(self) -> None:
@@ -116,15 +123,23 @@
         controller_node = self.controller_node
         if self.recording is not None:
             self.recording.attach(controller_node)
-        self.notes = {CONSENSUS: controller_node.on_consensus_message, MEMBERSHIP: controller_node.on_membership_message, QUOTA: controller_node.on_quota_message}
+        self.notes = {
+            CONSENSUS: controller_node.on_consensus_message,
+            MEMBERSHIP: controller_node.on_membership_message,
+            QUOTA: controller_node.on_quota_message,
+        }
 
     def ticked(self) -> None:
         self.controller_node.tick(self.time())
 
     def write(self, token: int, record: PersistentState) -> None:
         """A record is to be saved."""
-        self.machine.disk.save(self, record, lambda: self.controller_node.written(token),
-                               lambda why: self.controller_node.write_failed(token, why))
+        self.machine.disk.save(
+            self,
+            record,
+            lambda: self.controller_node.written(token),
+            lambda why: self.controller_node.write_failed(token, why),
+        )
 
     def seeds(self, addresses: tuple[Address, ...]) -> None:
         self.controller_node.seeds(addresses)
@@ -165,7 +180,10 @@
             self.recording.attach(self.proxy_node)
         memory = int(1e6 * settings.own.limits.memory_mb)
         self.server = SimulatedServer(self.loop, self.proxy_node.ingress, half, memory // BODY_MEMORY_DIVISOR)
-        self.notes = {MEMBERSHIP: self.proxy_node.on_membership_message, QUOTA: self.proxy_node.on_quota_message}
+        self.notes = {
+            MEMBERSHIP: self.proxy_node.on_membership_message,
+            QUOTA: self.proxy_node.on_quota_message,
+        }
 
     def ticked(self) -> None:
         self.proxy_node.handle_membership(TICK)
--- a/proving/model/proxy_sockets.py
+++ b/proving/model/proxy_sockets.py
@@ -39,8 +39,16 @@
                 future.set_result(end)
 
         if backend is not None:
-            connect(process.machine.network, process.place, process, backend.place, False,
-                    self.silent or None, backend.accept, made)
+            connect(
+                process.machine.network,
+                process.place,
+                process,
+                backend.place,
+                False,
+                self.silent or None,
+                backend.accept,
+                made,
+            )
         elif not process.machine.deployment.vacant(ip):
             process.call_later(0.001, made, None)
         async with asyncio.timeout(self.connect_timeout):
--- a/proving/model/record.py
+++ b/proving/model/record.py
@@ -131,5 +131,10 @@
         for answer in self.answered.values():
             key = str(answer.status)
             ends[key] = ends.get(key, 0) + 1
-        return {"tries": len(self.sent), "served": len(self.served), "wanted": len(self.wanted),
-                "ends": dict(sorted(ends.items())), **self.figures}
+        return {
+            "tries": len(self.sent),
+            "served": len(self.served),
+            "wanted": len(self.wanted),
+            "ends": dict(sorted(ends.items())),
+            **self.figures,
+        }
--- a/proving/model/simulation_run.py
+++ b/proving/model/simulation_run.py
@@ -29,7 +29,9 @@
     def emit(self, entry: logging.LogRecord) -> None:
         if len(self.record.faults) < MOST_FAULTS and entry.name.partition(".")[0] in ("gateway", "roadspur"):
             why = f": {entry.exc_info[1]!r}" if entry.exc_info else ""
-            self.record.faults.append(f"{self.simulator.now:.3f} {entry.name}: {entry.getMessage()[:300]}{why}")
+            self.record.faults.append(
+                f"{self.simulator.now:.3f} {entry.name}: {entry.getMessage()[:300]}{why}"
+            )
 
 
 class Run:
@@ -83,8 +85,12 @@
 
     def close(self) -> None:
         """The closing fault: right after a configuration was acknowledged."""
-        disruption = Disruption(kind=self.spec.day.closing_kind, at=self.simulator.now, lasts=1.0,
-                          which=self.operator_pool.rng.randrange(100))
+        disruption = Disruption(
+            kind=self.spec.day.closing_kind,
+            at=self.simulator.now,
+            lasts=1.0,
+            which=self.operator_pool.rng.randrange(100),
+        )
 
         def start_disruption(machine: object) -> None:
             self.record.closing = self.simulator.now
@@ -107,17 +113,25 @@
         nodes = sum(len(m.roles) for m in deployment.machines.values())
         sent = deployment.network.sent
         versions = [p.proxy_node.version for p in processes if isinstance(p, ProxyProcess)]
-        leaders = sum(p.controller_node.raft.leader_role is not None for p in processes
-                      if isinstance(p, ControllerProcess))
+        leaders = sum(
+            p.controller_node.raft.leader_role is not None
+            for p in processes
+            if isinstance(p, ControllerProcess)
+        )
         record.figures = {
-            "day_s": self.simulator.now, "wall_s": seconds, "processor_s": processor,
+            "day_s": self.simulator.now,
+            "wall_s": seconds,
+            "processor_s": processor,
             "node_seconds_a_second": nodes * self.simulator.now / max(1e-9, processor),
-            "times_real": self.simulator.now / max(1e-9, processor), "events": self.simulator.events,
+            "times_real": self.simulator.now / max(1e-9, processor),
+            "events": self.simulator.events,
             "messages": {kind: row[0] for kind, row in sent.items()},
             "bytes": {kind: row[1] for kind, row in sent.items()},
             "bytes_between_zones": sum(row[2] for row in sent.values()),
             "disk_saves": sum(m.disk.saves for m in deployment.machines.values()),
-            "versions": sorted(set(versions)), "leaders": leaders}
+            "versions": sorted(set(versions)),
+            "leaders": leaders,
+        }
 
 
 def play(spec: Spec, seed: int) -> Record:
--- a/proving/model/simulator.py
+++ b/proving/model/simulator.py
@@ -59,7 +59,6 @@
             call(*args)
         self.now = max(self.now, until)
 
-
     def look(self, call: Call) -> None:
         """RuntimeError if time stands still: something does itself again at once, for ever."""
         if self.now == self.looked:
--- a/proving/model/tcp.py
+++ b/proving/model/tcp.py
@@ -32,11 +32,30 @@
     process waits until that gets round to it, anything else takes it at once.
     """
 
-    __slots__ = ("closed", "client", "free_at", "lost", "network", "patience", "paused", "peer", "pending",
-                 "place", "process", "silent", "stuck_at", "taken_bytes", "receiver", "waiting", "held", "over")
-
-    def __init__(self, network: Network, place: Location, process: Process | None, client: bool,
-                 patience: float | None) -> None:
+    __slots__ = (
+        "closed",
+        "client",
+        "free_at",
+        "lost",
+        "network",
+        "patience",
+        "paused",
+        "peer",
+        "pending",
+        "place",
+        "process",
+        "silent",
+        "stuck_at",
+        "taken_bytes",
+        "receiver",
+        "waiting",
+        "held",
+        "over",
+    )
+
+    def __init__(
+        self, network: Network, place: Location, process: Process | None, client: bool, patience: float | None
+    ) -> None:
         self.network, self.place, self.process, self.client = network, place, process, client
         self.patience = patience
         self.peer: TcpEndpoint
@@ -215,9 +234,16 @@
             self.push(RESET, b"")
 
 
-def connect(network: Network, place: Location, process: Process | None, target: Location, client: bool,
-            patience: float | None, accept: Callable[[TcpEndpoint], bool | None],
-            made: Callable[[TcpEndpoint | None], Any]) -> None:
+def connect(
+    network: Network,
+    place: Location,
+    process: Process | None,
+    target: Location,
+    client: bool,
+    patience: float | None,
+    accept: Callable[[TcpEndpoint], bool | None],
+    made: Callable[[TcpEndpoint | None], Any],
+) -> None:
     """Open a connection. `accept(end)` is asked at the other side: True if it takes it (it sets the end's
     taker), False for a refusal, None for silence. `made(end)` is called here, with None for a refusal."""
     simulator = network.simulator
--- a/proving/orders.py
+++ b/proving/orders.py
@@ -92,8 +92,18 @@
     rows = [("generation", "version", "acknowledged-s", "nodes", "median-s", "last-s", "anew", "missing")]
     for o in found:
         times = list(o.nodes.values())
-        rows.append((str(o.generation), str(o.version), "no" if o.ack_s is None else f"{o.ack_s:.3f}",
-                     str(len(times)), _cell(times, median), _cell(times, max), str(o.anew), str(o.missing)))
+        rows.append(
+            (
+                str(o.generation),
+                str(o.version),
+                "no" if o.ack_s is None else f"{o.ack_s:.3f}",
+                str(len(times)),
+                _cell(times, median),
+                _cell(times, max),
+                str(o.anew),
+                str(o.missing),
+            )
+        )
     acks = [o.ack_s for o in found if o.ack_s is not None]
     spreads = [list(o.nodes.values()) for o in found if o.nodes]
     mids, lasts = [median(s) for s in spreads], [max(s) for s in spreads]
--- a/proving/planner.py
+++ b/proving/planner.py
@@ -14,10 +14,14 @@
 from proving.spec import Disruption, Service, Spec
 
 FIGURES = (
-    ("served_part", "of the requests wanted are served"), ("timely_part", "are served within their aim"),
-    ("worst_second", "of the worst second's are served"), ("p50_ms", "ms, half of the answers"),
-    ("p99_ms", "ms, 99 of 100 answers"), ("refused_part", "of the tries are refused"),
-    ("failed_part", "of the tries fail"), ("ack_s", "s until an order is acknowledged, at most"),
+    ("served_part", "of the requests wanted are served"),
+    ("timely_part", "are served within their aim"),
+    ("worst_second", "of the worst second's are served"),
+    ("p50_ms", "ms, half of the answers"),
+    ("p99_ms", "ms, 99 of 100 answers"),
+    ("refused_part", "of the tries are refused"),
+    ("failed_part", "of the tries fail"),
+    ("ack_s", "s until an order is acknowledged, at most"),
     ("spread_s", "s from then until all ingresses have it, at most"),
     ("register_messages_a_second", "messages a second of the agreement"),
     ("rounds_messages_a_second", "messages a second of the rounds"),
@@ -25,7 +29,8 @@
     ("register_bytes_a_second", "bytes a second of the agreement"),
     ("rounds_bytes_a_second", "bytes a second of the rounds"),
     ("franking_bytes_a_second", "bytes a second of the quotas"),
-    ("zone_bytes_a_second", "bytes a second between zones"))
+    ("zone_bytes_a_second", "bytes a second between zones"),
+)
 
 
 class Plan(NamedTuple):
@@ -52,8 +57,12 @@
     number = spec.zones.index(zone) if zone in spec.zones else int(zone or 0)
     at = spec.day.warm + 10.0
     disruption = Disruption("zone_lost", at, spec.day.seconds, number)
-    return Plan(f"zone {spec.zones[number]} is lost", spec,
-                replace(spec, disruptions=(*spec.disruptions, disruption)), at)
+    return Plan(
+        f"zone {spec.zones[number]} is lost",
+        spec,
+        replace(spec, disruptions=(*spec.disruptions, disruption)),
+        at,
+    )
 
 
 def roll_out(spec: Spec, apart: str) -> Plan:
@@ -61,8 +70,12 @@
     gap, at = float(apart or 7.0), spec.day.warm + 5.0
     needed = at + gap * sum(spec.proxies) + spec.bounds.grace_s + 10.0
     before = replace(spec, day=replace(spec.day, seconds=max(spec.day.seconds, needed)))
-    return Plan(f"a roll-out, {gap:g} s from machine to machine", before,
-                replace(before, disruptions=(*spec.disruptions, Disruption("roll_out", at, gap))), at)
+    return Plan(
+        f"a roll-out, {gap:g} s from machine to machine",
+        before,
+        replace(before, disruptions=(*spec.disruptions, Disruption("roll_out", at, gap))),
+        at,
+    )
 
 
 def grow(spec: Spec, factor: str) -> Plan:
@@ -71,15 +84,22 @@
 
     def more(service: Service) -> Service:
         return replace(service, backends=round(service.backends * times))
-    after = replace(spec, proxies=tuple(round(s * times) for s in spec.proxies),
-                    services=tuple(map(more, spec.services)),
-                    day=replace(spec.day, load=spec.day.load * times,
-                                clients=round(spec.day.clients * times)))
+
+    after = replace(
+        spec,
+        proxies=tuple(round(s * times) for s in spec.proxies),
+        services=tuple(map(more, spec.services)),
+        day=replace(spec.day, load=spec.day.load * times, clients=round(spec.day.clients * times)),
+    )
     return Plan(f"growth by {times:g}", spec, after)
 
 
-CHANGES: dict[str, Callable[[Spec, str], Plan]] = {"core": core, "lose-zone": lose_zone, "roll-out": roll_out,
-                                                   "grow": grow}
+CHANGES: dict[str, Callable[[Spec, str], Plan]] = {
+    "core": core,
+    "lose-zone": lose_zone,
+    "roll-out": roll_out,
+    "grow": grow,
+}
 
 
 def make(spec: Spec, change: str) -> Plan:
@@ -103,33 +123,48 @@
 
 def play(plan: Plan, seeds: Sequence[int], most: int = 0) -> Outcome:
     """Play both for all seeds."""
-    calls = [(spec, {"name": name}, seed) for name, spec in (("before", plan.before), ("after", plan.after))
-             for seed in seeds]
+    calls = [
+        (spec, {"name": name}, seed)
+        for name, spec in (("before", plan.before), ("after", plan.after))
+        for seed in seeds
+    ]
     rows = list(on_all_cores(sweep.run, calls, most))
     sides = [[r for r in rows if r.values["name"] == name] for name in ("before", "after")]
-    before, after = ({figure: float(np.mean([r.figures.get(figure, 0.0) for r in side]))
-                      for figure, _ in FIGURES} for side in sides)
+    before, after = (
+        {figure: float(np.mean([r.figures.get(figure, 0.0) for r in side])) for figure, _ in FIGURES}
+        for side in sides
+    )
     means = {figure: (before[figure], after[figure]) for figure, _ in FIGURES}
     broken = [[f"seed {r.seed}: {b}" for r in side for b in r.broken] for side in sides]
     spans = []
     for row in sides[1]:
         by = sweep.seconds_of(row)
         spans.append(felt(by, plan.began or plan.after.day.warm, plan.after.day.seconds - 3.0))
-    return Outcome(plan, len(seeds), means, (broken[0], broken[1]), float(np.mean([s for s, _ in spans])),
-                   float(np.max([lost for _, lost in spans])))
+    return Outcome(
+        plan,
+        len(seeds),
+        means,
+        (broken[0], broken[1]),
+        float(np.mean([s for s, _ in spans])),
+        float(np.max([lost for _, lost in spans])),
+    )
 
 
 def told(outcome: Outcome) -> str:
     """The outcome as text."""
     plan = outcome.plan
-    lines = [f"{plan.title}: {outcome.runs} days before and after", "",
-             f"{'before':>12}{'after':>12}"]
+    lines = [f"{plan.title}: {outcome.runs} days before and after", "", f"{'before':>12}{'after':>12}"]
     for figure, text in FIGURES:
         before, after = outcome.means[figure]
         lines.append(f"{before:12.4g}{after:12.4g}  {text}")
-    lines += ["", f"less than usual is served in {outcome.felt_s:.1f} s of the day, "
-                  f"{outcome.lost:.0%} less in the worst second"]
+    lines += [
+        "",
+        f"less than usual is served in {outcome.felt_s:.1f} s of the day, "
+        f"{outcome.lost:.0%} less in the worst second",
+    ]
     for side, found in zip(("before", "after"), outcome.broken, strict=True):
-        lines.append(f"{side}: " + (f"{len(found)} findings\n  " + "\n  ".join(found[:10]) if found
-                                    else "no rule is broken"))
+        lines.append(
+            f"{side}: "
+            + (f"{len(found)} findings\n  " + "\n  ".join(found[:10]) if found else "no rule is broken")
+        )
     return "\n".join(lines)
--- a/proving/random_days.py
+++ b/proving/random_days.py
@@ -7,21 +7,57 @@
 
 from proving.spec import Disruption, Spec
 
-CORE = ("core_kill", "core_power", "wipe", "core_freeze", "core_cut", "core_apart", "core_off",
-        "replace_core", "seed_turnover", "after_ack_kill", "after_ack_wipe", "disk_full", "disk_hang",
-        "disk_slow")
+CORE = (
+    "core_kill",
+    "core_power",
+    "wipe",
+    "core_freeze",
+    "core_cut",
+    "core_apart",
+    "core_off",
+    "replace_core",
+    "seed_turnover",
+    "after_ack_kill",
+    "after_ack_wipe",
+    "disk_full",
+    "disk_hang",
+    "disk_slow",
+)
 """Troubles that befall the core: as many at once as it has to bear."""
 
 HERD = ("herd_kill", "all_kill", "after_ack_all", "all_power")
 EDGE = ("node_kill", "power", "freeze", "slow", "stop", "node_cut", "half_cut", "lossy", "squeeze", "lag")
-ORDERS = ("config_change", "config_change", "config_change", "config_race", "invalid", "big_config",
-          "config_crowd")
+ORDERS = (
+    "config_change",
+    "config_change",
+    "config_change",
+    "config_race",
+    "invalid",
+    "big_config",
+    "config_crowd",
+)
 TENANTS = ("hot_tenant",)
-BACKENDS = ("srv_crash", "srv_lost", "release", "scale_in", "answer_lost", "answer_late", "answer_double",
-            "answer_short", "garble")
+BACKENDS = (
+    "srv_crash",
+    "srv_lost",
+    "release",
+    "scale_in",
+    "answer_lost",
+    "answer_late",
+    "answer_double",
+    "answer_short",
+    "garble",
+)
 CLOSING = ("all_power", "all_kill", "all_power_wipe")
-GROUPS = {"core": CORE, "herd": HERD, "edge": EDGE, "orders": ORDERS, "tenants": TENANTS,
-          "backends": BACKENDS}
+GROUPS = {
+    "core": CORE,
+    "herd": HERD,
+    "edge": EDGE,
+    "orders": ORDERS,
+    "tenants": TENANTS,
+    "backends": BACKENDS,
+}
+
 
 def random_day(spec: Spec, seed: int, groups: tuple[str, ...] = tuple(GROUPS)) -> Spec:
     """A day of some troubles, alone and together; the core's come one after the other."""
@@ -50,8 +86,12 @@
                 continue
             free = at + lasts + spec.bounds.sync_s + 2.0
         found.append(Disruption(kind, round(at, 3), lasts, rng.randrange(1000), rng.choice([0.3, 1.0, 2.0])))
-    day = replace(spec.day, closing=closing, closing_kind=rng.choice(CLOSING),
-                  config_changes=rng.choice([0.0, 0.0, 3.0, 8.0]))
+    day = replace(
+        spec.day,
+        closing=closing,
+        closing_kind=rng.choice(CLOSING),
+        config_changes=rng.choice([0.0, 0.0, 3.0, 8.0]),
+    )
     return replace(spec, day=day, disruptions=tuple(sorted(found, key=lambda t: t.at)))
 
 
@@ -59,12 +99,14 @@
     """The deployment with some of its circumstances by chance: links, a larger core, backends when full."""
     rng = random.Random(f"circumstances {seed}")
     links = replace(spec.links, loss=rng.choice([0.0, 0.001, 0.02]), twice=rng.choice([0.0, 0.0, 0.02]))
-    services = tuple(replace(s, when_full=rng.choice(["503", "503", "reset", "silent"]),
-                             tells_load=rng.random() < 0.8) for s in spec.services)
-    tenants = replace(spec.tenants, headroom=rng.choice([1.2, 1.5, 3.0]),
-                      burst_s=rng.choice([0.3, 1.0, 2.0]))
-    spec = replace(spec, links=links, services=services, tenants=tenants,
-                   tick_factor=rng.choice([1.0, 1.0, 2.0]))
+    services = tuple(
+        replace(s, when_full=rng.choice(["503", "503", "reset", "silent"]), tells_load=rng.random() < 0.8)
+        for s in spec.services
+    )
+    tenants = replace(spec.tenants, headroom=rng.choice([1.2, 1.5, 3.0]), burst_s=rng.choice([0.3, 1.0, 2.0]))
+    spec = replace(
+        spec, links=links, services=services, tenants=tenants, tick_factor=rng.choice([1.0, 1.0, 2.0])
+    )
     if rng.random() < 0.2 and sum(spec.proxies) >= 5:
         controllers = tuple(min(s, p) for s, p in zip(spec.proxies, (2, 2, 1), strict=False))
         spec = replace(spec, controllers=controllers, tolerance=(sum(controllers) - 1) // 2)
--- a/proving/recorded_program.py
+++ b/proving/recorded_program.py
@@ -26,8 +26,9 @@
 class RecordedController(ControllerNode):
     """The controller's machines, listened to."""
 
-    def __init__(self, driver: Any, clock: Callable[[], float], settings: Any, stored: Any,
-                 rng: random.Random) -> None:
+    def __init__(
+        self, driver: Any, clock: Callable[[], float], settings: Any, stored: Any, rng: random.Random
+    ) -> None:
         recording = Recording(RecordingHeader("controller", settings, stored, rng.getstate(), clock()))
         super().__init__(driver, lambda: recording.head.began, settings, stored, rng)
         self.clock = clock
@@ -38,8 +39,15 @@
 class RecordedProxy(ProxyNode):
     """The proxy's machines, listened to."""
 
-    def __init__(self, driver: Any, loop: Any, clock: Callable[[], float], settings: Any, upstream: Any,
-                 rng: random.Random) -> None:
+    def __init__(
+        self,
+        driver: Any,
+        loop: Any,
+        clock: Callable[[], float],
+        settings: Any,
+        upstream: Any,
+        rng: random.Random,
+    ) -> None:
         recording = Recording(RecordingHeader("proxy", settings, None, rng.getstate(), clock()))
         super().__init__(driver, loop, clock, settings, upstream, rng)
         recording.attach(self)
--- a/proving/recording.py
+++ b/proving/recording.py
@@ -63,6 +63,7 @@
             self.count += 1
             self.steps.append(RecordedInput(name, now, kept, [shown(o) for o in out]))
             return out
+
         machine.handle = recorded_handle
 
     def save(self, path: Path) -> None:
@@ -112,7 +113,14 @@
     if head.role == "controller":
         glue = ControllerNode(NullObject(), lambda: head.began, head.settings, head.stored, rng)
     else:
-        glue = ProxyNode(NullObject(), cast(Any, NullObject()), lambda: head.began, head.settings, cast(Any, NullObject()), rng)
+        glue = ProxyNode(
+            NullObject(),
+            cast(Any, NullObject()),
+            lambda: head.began,
+            head.settings,
+            cast(Any, NullObject()),
+            rng,
+        )
     known = dict(machines(glue))
     for number, step in enumerate(steps):
         out = [shown(o) for o in known[step.machine].handle(step.now, pickle.loads(step.event))]
@@ -127,7 +135,9 @@
         return pickle.load(file)  # type: ignore[no-any-return]
 
 
-def told(steps: list[RecordedInput], begins: float = 0.0, ends: float = 1e12, longest: int = 200) -> Iterator[str]:
+def told(
+    steps: list[RecordedInput], begins: float = 0.0, ends: float = 1e12, longest: int = 200
+) -> Iterator[str]:
     """Steps as lines: what came in, and what went out for it."""
     for step in steps:
         if begins <= step.now <= ends:
--- a/proving/report.py
+++ b/proving/report.py
@@ -18,10 +18,25 @@
 matplotlib.use("Agg")
 from matplotlib import pyplot as plt  # noqa: E402
 
-SHOWN = ("served_part", "worth_part", "timely_part", "worst_second", "worst_ten_seconds", "p50_ms", "p99_ms",
-         "refused_part", "failed_part", "ack_s", "spread_s", "zone_bytes_a_second",
-         "rounds_messages_a_second", "franking_messages_a_second", "register_messages_a_second",
-         "times_real", "node_seconds_a_second")
+SHOWN = (
+    "served_part",
+    "worth_part",
+    "timely_part",
+    "worst_second",
+    "worst_ten_seconds",
+    "p50_ms",
+    "p99_ms",
+    "refused_part",
+    "failed_part",
+    "ack_s",
+    "spread_s",
+    "zone_bytes_a_second",
+    "rounds_messages_a_second",
+    "franking_messages_a_second",
+    "register_messages_a_second",
+    "times_real",
+    "node_seconds_a_second",
+)
 PLOTTED = ("served_part", "worst_second", "p99_ms", "spread_s", "zone_bytes_a_second", "times_real")
 STYLE = """body{font:15px/1.45 system-ui,sans-serif;max-width:76rem;margin:2rem auto;padding:0 1rem}
 table{border-collapse:collapse;font-size:13px}th,td{border:1px solid #ccc;padding:3px 7px;text-align:right}
@@ -43,11 +58,15 @@
     total = np.zeros((3, most))
     for row in found:
         for n, part in enumerate(row.course):
-            total[n, :len(part)] += part
+            total[n, : len(part)] += part
     figure, axes = plt.subplots(figsize=(11, 3.2))
     times = np.arange(most)
-    for part, label, colour in zip(total / len(found), ("wanted", "served", "within the aim"),
-                                   ("#999", "#2b6cb0", "#2f855a"), strict=True):
+    for part, label, colour in zip(
+        total / len(found),
+        ("wanted", "served", "within the aim"),
+        ("#999", "#2b6cb0", "#2f855a"),
+        strict=True,
+    ):
         axes.step(times, part, where="post", label=label, color=colour)
     for disruption in spec.disruptions:
         axes.axvspan(disruption.at, disruption.at + disruption.lasts, color="#c53030", alpha=0.12)
@@ -67,9 +86,14 @@
             line = [p for p in points if str({k: v for k, v in p.values.items() if k != name}) == other]
             at = [p.values[name] for p in line]
             places = at if all(isinstance(v, int | float) for v in at) else list(range(len(at)))
-            axes.errorbar(places, [p.means.get(metric, 0.0) for p in line],
-                          yerr=[p.spreads.get(metric, 0.0) for p in line], marker="o", capsize=3,
-                          label=other if len(others) > 1 else None)
+            axes.errorbar(
+                places,
+                [p.means.get(metric, 0.0) for p in line],
+                yerr=[p.spreads.get(metric, 0.0) for p in line],
+                marker="o",
+                capsize=3,
+                label=other if len(others) > 1 else None,
+            )
             if places is not at:
                 axes.set_xticks(places, [str(v) for v in at], fontsize=7)
         axes.set_title(metric, fontsize=9)
@@ -82,24 +106,29 @@
 
 def table(points: Sequence[Summary]) -> str:
     """Means of all points."""
-    head = "".join(f"<th>{html.escape(str(n))}</th>" for n in [
-        "point", "runs", "with a broken rule", *SHOWN])
+    head = "".join(f"<th>{html.escape(str(n))}</th>" for n in ["point", "runs", "with a broken rule", *SHOWN])
     lines = []
     for p in points:
         name = ", ".join(f"{k} = {v}" for k, v in p.values.items()) or "as it is"
         bad = len({b.partition(":")[0] for b in p.broken})
         cells = "".join(f"<td>{p.means.get(metric, 0.0):.4g}</td>" for metric in SHOWN)
-        lines.append(f"<tr><td>{html.escape(name)}</td><td>{p.runs}</td>"
-                     f"<td class={'bad' if bad else 'good'}>{bad}</td>{cells}</tr>")
+        lines.append(
+            f"<tr><td>{html.escape(name)}</td><td>{p.runs}</td>"
+            f"<td class={'bad' if bad else 'good'}>{bad}</td>{cells}</tr>"
+        )
     return f"<table><tr>{head}</tr>{''.join(lines)}</table>"
 
 
 def write(spec: Spec, found: Sequence[Row], path: Path, text: str = "") -> None:
     """Write the report."""
     points = summaries(found)
-    parts = [f"<h1>{html.escape(spec.name)}</h1>", f"<p>{html.escape(text)}</p>" if text else "",
-             f"<p>{len(found)} runs, {len(spec.zones)} zones, {sum(spec.proxies)} proxies, "
-             f"{sum(spec.controllers)} controllers, {spec.day.seconds:g} s a day.</p>", table(points)]
+    parts = [
+        f"<h1>{html.escape(spec.name)}</h1>",
+        f"<p>{html.escape(text)}</p>" if text else "",
+        f"<p>{len(found)} runs, {len(spec.zones)} zones, {sum(spec.proxies)} proxies, "
+        f"{sum(spec.controllers)} controllers, {spec.day.seconds:g} s a day.</p>",
+        table(points),
+    ]
     if spec.day.traffic:
         parts += ["<h2>The day</h2>", course(found, spec)]
     names = points[0].values if points else {}
--- a/proving/standard_days.py
+++ b/proving/standard_days.py
@@ -24,21 +24,46 @@
 DAYS = {
     "bmgs-noms": {
         "quiet-1": ("config_change",),
-        "trouble-1": ("answer_lost", "config_change", "hot_tenant", "node_kill", "replace_core", "revoke",
-                      "scale_in"),
+        "trouble-1": (
+            "answer_lost",
+            "config_change",
+            "hot_tenant",
+            "node_kill",
+            "replace_core",
+            "revoke",
+            "scale_in",
+        ),
         "scale-1": ("after_ack_kill", "config_change", "garble", "node_kill", "scale_in", "srv_crash"),
         "trouble-2": ("answer_lost", "config_change", "herd_kill", "hot_tenant", "scale_in", "seed_turnover"),
-        "scale-2": ("answer_lost", "big_config", "config_change", "garble", "node_cut", "release",
-                    "scale_in"),
-        "trouble-3": ("after_ack_wipe", "config_change", "config_race", "core_cut", "garble", "node_cut",
-                      "revoke", "scale_in")},
+        "scale-2": (
+            "answer_lost",
+            "big_config",
+            "config_change",
+            "garble",
+            "node_cut",
+            "release",
+            "scale_in",
+        ),
+        "trouble-3": (
+            "after_ack_wipe",
+            "config_change",
+            "config_race",
+            "core_cut",
+            "garble",
+            "node_cut",
+            "revoke",
+            "scale_in",
+        ),
+    },
     "atlas-cadastre": {
         "quiet-1": ("config_change",),
         "trouble-1": ("config_change", "disk_full", "node_kill", "release", "scale_in", "srv_crash"),
         "scale-1": ("after_ack_kill", "config_change", "garble", "herd_kill", "hot_tenant", "scale_in"),
         "trouble-2": ("answer_lost", "config_change", "core_cut", "revoke", "scale_in", "seed_turnover"),
         "scale-2": ("answer_lost", "config_change", "config_race", "node_cut", "revoke", "scale_in"),
-        "trouble-3": ("after_ack_wipe", "config_change", "garble", "hot_tenant", "node_kill", "scale_in")}}
+        "trouble-3": ("after_ack_wipe", "config_change", "garble", "hot_tenant", "node_kill", "scale_in"),
+    },
+}
 HOT_S = (6.0, 16.0)
 """How long a hot tenant is hot: by the part of all requests that the bench's days refuse."""
 
@@ -67,8 +92,12 @@
     closing = seconds - 26.0 if name in CLOSING else 0.0
     if closing:
         disruptions = [t for t in disruptions if t.at < closing - 5.0]
-    return replace(told, name=f"{site} {name}", disruptions=tuple(sorted(disruptions, key=lambda t: t.at)),
-                   day=replace(told.day, seconds=seconds, load=LOAD[kind], closing=closing))
+    return replace(
+        told,
+        name=f"{site} {name}",
+        disruptions=tuple(sorted(disruptions, key=lambda t: t.at)),
+        day=replace(told.day, seconds=seconds, load=LOAD[kind], closing=closing),
+    )
 
 
 def run(site: str, name: str, seed: int) -> sweep.Row:
@@ -85,5 +114,8 @@
         found = [row for row in rows if row.values["day"] == name]
         cells = [[row.figures[figure] for row in found] for figure in SHOWN]
         broken = sum(bool(row.broken) for row in found)
-        yield name.ljust(12) + "".join(f"{np.mean(c):.3f} ±{np.std(c):.3f}".rjust(20) for c in cells) + (
-            f"  {broken} of {len(found)}")
+        yield (
+            name.ljust(12)
+            + "".join(f"{np.mean(c):.3f} ±{np.std(c):.3f}".rjust(20) for c in cells)
+            + (f"  {broken} of {len(found)}")
+        )
--- a/proving/sweep.py
+++ b/proving/sweep.py
@@ -73,9 +73,15 @@
     for group in groups.values():
         names = group[0].figures
         table = {name: np.array([row.figures.get(name, 0.0) for row in group]) for name in names}
-        out.append(Summary(group[0].values, len(group), {n: float(v.mean()) for n, v in table.items()},
-                           {n: float(v.std()) for n, v in table.items()},
-                           [f"seed {row.seed}: {b}" for row in group for b in row.broken]))
+        out.append(
+            Summary(
+                group[0].values,
+                len(group),
+                {n: float(v.mean()) for n, v in table.items()},
+                {n: float(v.std()) for n, v in table.items()},
+                [f"seed {row.seed}: {b}" for row in group for b in row.broken],
+            )
+        )
     return sorted(out, key=lambda s: [str(type(v)) + str(v).rjust(24) for v in s.values.values()])
 
 
--- a/proving/transcript.py
+++ b/proving/transcript.py
@@ -35,8 +35,15 @@
 class TranscriptWriter:
     """Writes down messages as they come, within a span and of some planes."""
 
-    def __init__(self, run: Run, begins: float, ends: float, planes: Iterable[str], machines: Iterable[str],
-                 quiet: bool) -> None:
+    def __init__(
+        self,
+        run: Run,
+        begins: float,
+        ends: float,
+        planes: Iterable[str],
+        machines: Iterable[str],
+        quiet: bool,
+    ) -> None:
         self.run, self.begins, self.ends = run, begins, ends
         self.planes, self.machines, self.quiet = set(planes), set(machines), quiet
         self.lines: list[tuple[float, str]] = []
@@ -79,8 +86,15 @@
         yield 0.0, f"!!  {fault}"
 
 
-def transcript(spec: Spec, seed: int, begins: float = 0.0, ends: float = 1e9, planes: Iterable[str] = (),
-               machines: Iterable[str] = (), quiet: bool = True) -> str:
+def transcript(
+    spec: Spec,
+    seed: int,
+    begins: float = 0.0,
+    ends: float = 1e9,
+    planes: Iterable[str] = (),
+    machines: Iterable[str] = (),
+    quiet: bool = True,
+) -> str:
     """Play a day and tell what goes on in a span of it; `quiet` leaves out the agreement's beats."""
     run = Run(spec, seed)
     transcript_writer = TranscriptWriter(run, begins, ends, planes, machines, quiet)
--- a/roadspur/__main__.py
+++ b/roadspur/__main__.py
@@ -100,16 +100,22 @@
         if listen is None or discovery is None:
             raise ValueError("listen and discovery are needed")
         return Config(
-            name=str(data["name"]), listen=listen, discovery=discovery, counter=address("counter"),
+            name=str(data["name"]),
+            listen=listen,
+            discovery=discovery,
+            counter=address("counter"),
             console=address("console"),
-            peer_listen=address("peer_listen"), peers_all=address("peers_all"),
+            peer_listen=address("peer_listen"),
+            peers_all=address("peers_all"),
             peers=tuple(read_address(str(p)) for p in data.get("peers", ())),
             seed=int(str(data.get("seed", "0")), 16),
             sockets=int(data.get("limits", {}).get("sockets", 1024)),
             memory=int(1e6 * float(data.get("limits", {}).get("memory_mb", 64))),
             idle=float(data["settings"].get("limits", {}).get("connIdle", 15.0)),
-            known=read_listing(data["known"]) if data.get("known") else None, settings=settings,
-            load_fields=fields)
+            known=read_listing(data["known"]) if data.get("known") else None,
+            settings=settings,
+            load_fields=fields,
+        )
     except (WireError, ValueError, TypeError, AttributeError, KeyError) as error:
         raise BadConfiguration(f"{path}: {error}") from error
 
@@ -144,9 +150,14 @@
     def resume() -> list[str]:
         return done(server.resume(), "this process is ending")
 
-    return {"health": ConsoleCommand(health), "counters": ConsoleCommand(lambda: [*server.ingress.figures(), "end"]),
-            "cordon": ConsoleCommand(cordon, 1), "uncordon": ConsoleCommand(uncordon, 1), "quiesce": ConsoleCommand(quiesce),
-            "resume": ConsoleCommand(resume)}
+    return {
+        "health": ConsoleCommand(health),
+        "counters": ConsoleCommand(lambda: [*server.ingress.figures(), "end"]),
+        "cordon": ConsoleCommand(cordon, 1),
+        "uncordon": ConsoleCommand(uncordon, 1),
+        "quiesce": ConsoleCommand(quiesce),
+        "resume": ConsoleCommand(resume),
+    }
 
 
 async def serve(config: Config) -> None:
@@ -160,16 +171,23 @@
     ingress = Ingress(loop, config.settings, gateway, upstream, config.load_fields, state)
     ingress.follow()
     if config.counter is not None and config.settings.counter:
-        ingress.counter = Counter(loop, config.counter, config.settings.counter_timeout, ingress.submit,
-                                  ingress.statistics)
+        ingress.counter = Counter(
+            loop, config.counter, config.settings.counter_timeout, ingress.submit, ingress.statistics
+        )
     if config.peer_listen is not None and config.settings.peers:
         peers = Peers(config.peers, config.peers_all, config.settings.me, ingress.submit)
         await loop.create_datagram_endpoint(lambda: peers, local_addr=config.peer_listen)
         ingress.peers = peers
     if config.known is not None:
         ingress.listed(config.known, saved=True)
-    discovery = Discovery(loop, config.discovery, config.known.version if config.known else 0, ingress.listed,
-                          config.settings.instances, config.seed)
+    discovery = Discovery(
+        loop,
+        config.discovery,
+        config.known.version if config.known else 0,
+        ingress.listed,
+        config.settings.instances,
+        config.seed,
+    )
     server = Server(loop, ingress, share, config.memory // BODY_MEMORY_DIVISOR)
     follow(server)
     stop = asyncio.Event()
@@ -212,8 +230,9 @@
 
 def main() -> int:
     """Run; what keeps it from starting is one plain line and a non-zero exit."""
-    logging.basicConfig(level=logging.INFO, stream=sys.stderr,
-                        format="%(asctime)s %(name)s %(levelname)s %(message)s")
+    logging.basicConfig(
+        level=logging.INFO, stream=sys.stderr, format="%(asctime)s %(name)s %(levelname)s %(message)s"
+    )
     try:
         uvloop.run(serve(read_config(os.environ)))
     except (BadConfiguration, OSError) as error:
--- a/roadspur/calling.py
+++ b/roadspur/calling.py
@@ -7,9 +7,9 @@
 from roadspur import interface as io
 
 ASK_SHARE, ASK_OVER = 0.8, 0.01  # calls a request beyond which sure refusals need none; weight of a request
-WAIT = 0.3        # mean wait for the counter, of its time-out, that the share of requests that call aims at
-STEP = 0.1        # how fast that share moves
-ASK_NEED = 4.0    # times that share, for requests that would be refused unasked
+WAIT = 0.3  # mean wait for the counter, of its time-out, that the share of requests that call aims at
+STEP = 0.1  # how fast that share moves
+ASK_NEED = 4.0  # times that share, for requests that would be refused unasked
 ASK_LEAST, ASK_DOWN = 0.05, 0.2  # its least; while the counter is down, and least that counts as told
 ASK_BACK, ASK_CUT = 0.5, 0.6  # its value when the counter is back; what a miss leaves of it
 ASK_ALL = 8.0  # ingresses that may all call for each request at once, as far as one knows that has only begun
