--- a/roadspur/control.py
+++ b/roadspur/control.py
@@ -38,11 +38,19 @@
         self.cap = ConcurrencyCap(self, self.call_policy)
         self.chance = {(p, again): 1.0 for p in self.plans for again in (False, True)}  # admitted of late
         self.on: dict[type, Callable[[float, Any], Any]] = {
-            io.Request: self.request, io.CounterReply: self.counted, io.AttemptEnded: self.ended,
-            io.ListUpdate: self.listed, io.TimerFired: self.timer, io.PeerMessage: self.gossip.handle_peer_message,
-            io.ClientGone: self.gone, io.AttemptStarted: self.started,
-            io.AttemptWritten: self.written, io.Cordon: self.cordon, io.Cordons: self.restore,
-            io.SiblingProcesses: self.set_sibling_processes}
+            io.Request: self.request,
+            io.CounterReply: self.counted,
+            io.AttemptEnded: self.ended,
+            io.ListUpdate: self.listed,
+            io.TimerFired: self.timer,
+            io.PeerMessage: self.gossip.handle_peer_message,
+            io.ClientGone: self.gone,
+            io.AttemptStarted: self.started,
+            io.AttemptWritten: self.written,
+            io.Cordon: self.cordon,
+            io.Cordons: self.restore,
+            io.SiblingProcesses: self.set_sibling_processes,
+        }
 
     def handle(self, now: float, event: io.Event) -> list[io.Action]:
         """Decide on one event."""
@@ -87,7 +95,11 @@
             return self.refuse(now, f, 0.0)
         if r.expires_in <= 2 * self.s.counter_timeout or not self.should_call_counter(now, f):
             return self.admit_locally(now, f)
-        if f.share_below_one and c.window < c.window_number(now) - 1 and not self.gossip.all_peers_reachable(now, c):  # others cannot tell
+        if (
+            f.share_below_one
+            and c.window < c.window_number(now) - 1
+            and not self.gossip.all_peers_reachable(now, c)
+        ):  # others cannot tell
             f.charge = r.units / self.call_policy.part()
         self.add(now, c, f.charge + c.pending, f)
         c.pending = 0.0
@@ -95,7 +107,10 @@
     def should_call_counter(self, now: float, f: ActiveRequest) -> bool:
         """Whether a request calls: where calls are short, those go first that would be refused unasked."""
         doubtful = self.call_policy.ask < 1 and not (
-            self.gossip.all_peers_reachable(now, f.customer) or self.decided_by_sampling(f) or self.fits_local_share(now, f))
+            self.gossip.all_peers_reachable(now, f.customer)
+            or self.decided_by_sampling(f)
+            or self.fits_local_share(now, f)
+        )
         return self.call_policy.should_call(float(doubtful))
 
     def add(self, now: float, c: Customer, units: float, f: ActiveRequest | None) -> None:
@@ -137,7 +152,9 @@
         if c.known or self.call_policy.ask >= 1:
             self.add(now, c, -f.charge, None)  # refused: the charge is added back
         if self.s.peers and not c.known and c.level < 1 and c.window_id(now) not in self.gossip.spent:
-            self.acts.append(io.SendPeerMessage(None, c.window_id(now)))  # nothing more fits: peers need not ask
+            self.acts.append(
+                io.SendPeerMessage(None, c.window_id(now))
+            )  # nothing more fits: peers need not ask
             self.gossip.handle_peer_message(now, io.PeerMessage(self.s.me, c.window_id(now)))
         self.refuse(now, f, (f.req.units - c.available_units(now)) / c.plan.rate)
 
@@ -194,7 +211,9 @@
             c.pending -= min(share * c.plan.rate * unused, max(0.0, c.pending))
             c.level, c.at = c.plan.burst, now
         own = max(0.0, c.pending)
-        return own + c.units_in_flight + f.req.units <= min(c.plan.burst, c.available_units(now) + own) * share
+        return (
+            own + c.units_in_flight + f.req.units <= min(c.plan.burst, c.available_units(now) + own) * share
+        )
 
     def refuse(self, now: float, f: ActiveRequest, wait: float) -> None:
         """Final answer: refused, or failed where a refusal would promise too much."""
--- a/roadspur/customer.py
+++ b/roadspur/customer.py
@@ -9,9 +9,9 @@
 
 from roadspur import interface as io
 
-UNKNOWN = 0.8     # of the burst that counts as left of a window that nothing was seen of
-EXCESS_S = 0.3    # after which what a total held and no peer has told was a charge that was added back
-PART = 0.2        # weight of a new total in a customer's part
+UNKNOWN = 0.8  # of the burst that counts as left of a window that nothing was seen of
+EXCESS_S = 0.3  # after which what a total held and no peer has told was a charge that was added back
+PART = 0.2  # weight of a new total in a customer's part
 KEPT_LENGTHS = 6.0  # windows after which a quiet customer is forgotten: its store has long been full
 
 
@@ -23,11 +23,44 @@
 class Customer:
     """What one ingress knows of a customer's count: a refilling store, seen through totals."""
 
-    __slots__ = ("key", "plan", "width", "first", "length", "phase", "window", "total", "told", "heard",
-                 "heard_in", "excess", "excess_at", "mine", "own_total_sent", "peer_totals", "level", "at", "born",
-                 "level_from_peer", "seen", "pending", "units_in_flight", "part", "known", "chance", "out", "counted",
-                 "counted_in", "pressed", "came", "came_at", "unreported_arrivals",
-                 "rate", "rate_part", "rate_at")
+    __slots__ = (
+        "key",
+        "plan",
+        "width",
+        "first",
+        "length",
+        "phase",
+        "window",
+        "total",
+        "told",
+        "heard",
+        "heard_in",
+        "excess",
+        "excess_at",
+        "mine",
+        "own_total_sent",
+        "peer_totals",
+        "level",
+        "at",
+        "born",
+        "level_from_peer",
+        "seen",
+        "pending",
+        "units_in_flight",
+        "part",
+        "known",
+        "chance",
+        "out",
+        "counted",
+        "counted_in",
+        "pressed",
+        "came",
+        "came_at",
+        "unreported_arrivals",
+        "rate",
+        "rate_part",
+        "rate_at",
+    )
 
     def __init__(self, key: int, plan: io.PlanSettings, now: float) -> None:
         self.key, self.plan, self.width = key, plan, 1
@@ -45,7 +78,10 @@
         self.level, self.at = plan.burst * max(0.0, 1 - spent), now
         self.first, self.born, self.seen = 0, now, now
         self.level_from_peer = False  # a peer has told the level to this ingress, which had only begun
-        self.pending, self.units_in_flight = 0.0, 0.0  # own use not in the count yet, and charges without a verdict
+        self.pending, self.units_in_flight = (
+            0.0,
+            0.0,
+        )  # own use not in the count yet, and charges without a verdict
         self.part = 0.0  # of the customer's recent use, what came through here
         self.known, self.chance = True, 1.0  # carried on from an earlier window; share admitted of late
         self.out = 0  # requests open or about to be here; how many of them a count holds, and which
@@ -93,11 +129,19 @@
         if self.excess > 0 and now - self.excess_at > EXCESS_S and total_is_covered(now, self):
             self.level, self.at, self.excess = self.available_units(now) + self.excess, now, 0.0
 
-    def apply_total(self, now: float, window: int, units: float, total: float, charge: float,
-              total_is_covered: Callable[[float, Customer], bool]) -> None:
+    def apply_total(
+        self,
+        now: float,
+        window: int,
+        units: float,
+        total: float,
+        charge: float,
+        total_is_covered: Callable[[float, Customer], bool],
+    ) -> None:
         """Put the store right by a total: what it holds over what is known came in elsewhere."""
         if self.width > self.plan.burst and (
-                self.window < window - 1 or (self.window == window and not self.known)):
+            self.window < window - 1 or (self.window == window and not self.known)
+        ):
             # No history at most ingresses: each would take most of a store to be left, anew in every window.
             self.known, self.window, self.total = False, window, total
             self.level, self.at = self.plan.burst - total + charge, now
--- a/roadspur/fleet.py
+++ b/roadspur/fleet.py
@@ -7,7 +7,7 @@
 
 from roadspur import interface as io
 
-EJECT_S = 3.0     # rest of an ejected backend, before each trial attempt
+EJECT_S = 3.0  # rest of an ejected backend, before each trial attempt
 KEEP_SHARE = 0.5  # of the fleet that outlier ejection must leave in use
 
 
@@ -22,7 +22,9 @@
         self.ratio, self.errors, self.resting, self.trial = 1.0, 0.0, 0.0, False
         self.known = False  # it has answered here
         self.tokens, self.tokens_at = phase, now  # a small part never comes to one without
-        self.rejection_share: dict[str, tuple[float, float]] = {}  # class or plan: turned away (1) or served (0), when
+        self.rejection_share: dict[
+            str, tuple[float, float]
+        ] = {}  # class or plan: turned away (1) or served (0), when
 
 
 class Fleet:
@@ -32,7 +34,9 @@
         self.s, self.rng = settings, rng
         self.backends: dict[str, Backend] = {}
         self.usable = 0
-        self.cordon_entries: dict[str, io.CordonEntry] = {}  # by backend; one put back stays while it may be cold
+        self.cordon_entries: dict[
+            str, io.CordonEntry
+        ] = {}  # by backend; one put back stays while it may be cold
 
     def members(self, now: float) -> tuple[int, int]:
         """How many backends are listed, and how many of those are avoided now."""
@@ -62,8 +66,11 @@
         if e.kind is not io.ListKind.CHANGE:
             for name in self.backends.keys() - {entry.backend for entry in e.entries}:
                 self.backends[name].entry = self.backends[name].entry._replace(phase=io.Phase.DELETED)
-        self.backends = {n: b for n, b in self.backends.items()  # gone, and nothing of ours out there
-                         if b.out or b.entry.phase is not io.Phase.DELETED}
+        self.backends = {
+            n: b
+            for n, b in self.backends.items()  # gone, and nothing of ours out there
+            if b.out or b.entry.phase is not io.Phase.DELETED
+        }
         self.settle()
 
     def anew(self, now: float, entry: io.BackendEntry) -> Backend:
@@ -78,7 +85,9 @@
             cordon_entry = self.cordon_entries.get(name)
             b.usable = b.entry.phase is io.Phase.RUNNING and (cordon_entry is None or cordon_entry.back > 0)
             b.start = b.entry.born
-            if cordon_entry is not None and b.start < cordon_entry.since:  # it was restarted while out; the list may be late
+            if (
+                cordon_entry is not None and b.start < cordon_entry.since
+            ):  # it was restarted while out; the list may be late
                 b.start = max(b.start, cordon_entry.back)
         self.usable = sum(b.usable for b in self.backends.values())
 
@@ -94,7 +103,9 @@
             self.cordon_entries[e.backend] = cordon_entry._replace(back=now)
             if known is not None:  # what it was like says nothing of what it is now
                 self.backends[e.backend] = self.anew(now, known.entry)
-        self.cordon_entries = {n: b for n, b in self.cordon_entries.items() if b.back == 0 or now < b.back + self.s.cold_time}
+        self.cordon_entries = {
+            n: b for n, b in self.cordon_entries.items() if b.back == 0 or now < b.back + self.s.cold_time
+        }
         self.settle()
         return [*([io.CloseIdle(e.backend)] if e.on else []), io.Cordons(dict(self.cordon_entries))]
 
@@ -102,4 +113,7 @@
         """Take over the bans that another process of this ingress has kept."""
         self.cordon_entries = dict(cordon_entries)
         self.settle()
-        return [*(io.CloseIdle(name) for name, b in self.cordon_entries.items() if b.back == 0), io.Cordons(dict(cordon_entries))]
+        return [
+            *(io.CloseIdle(name) for name, b in self.cordon_entries.items() if b.back == 0),
+            io.Cordons(dict(cordon_entries)),
+        ]
--- a/roadspur/flight.py
+++ b/roadspur/flight.py
@@ -13,7 +13,9 @@
         self.req, self.cls, self.customer = req, cls, customer
         self.aim = now + min(cls.objective, req.expires_in)  # nothing is sent once its client is gone
         self.attempts, self.sent, self.charge = 0, 0.0, req.units
-        self.share_below_one = req.units * customer.width > customer.plan.burst  # an even share is under one request
+        self.share_below_one = (
+            req.units * customer.width > customer.plan.burst
+        )  # an even share is under one request
         self.ran_at: float | None = None  # send time of the earliest attempt that may have run, and where
         self.ran_on: io.BackendEntry | None = None
         self.charged_units = 0.0  # units off the store
--- a/roadspur/gossip.py
+++ b/roadspur/gossip.py
@@ -10,20 +10,27 @@
 from roadspur.calling import CounterCallPolicy
 from roadspur.customer import Customer, Customers
 
-GOSSIP_INTERVAL_S, GOSSIP_INTERVAL_MAX_S = 0.1, 0.25  # between tellings to peers of what was let in, and at most
+GOSSIP_INTERVAL_S, GOSSIP_INTERVAL_MAX_S = (
+    0.1,
+    0.25,
+)  # between tellings to peers of what was let in, and at most
 GOSSIP_MESSAGE_SHARE = 0.75  # of the messages that an ingress takes in, that its peers' tellings may make up
-PEER_SILENT_S = 1.0     # without a message, after which a peer counts as out of touch while the counter is down;
-PEER_GONE_S = 60.0     # while totals come they tell of it, and it is likely to be restarting
-LEVELS = 100.0    # steps of a burst in which a message tells what is left in a store
+PEER_SILENT_S = 1.0  # without a message, after which a peer counts as out of touch while the counter is down;
+PEER_GONE_S = 60.0  # while totals come they tell of it, and it is likely to be restarting
+LEVELS = 100.0  # steps of a burst in which a message tells what is left in a store
 USAGE_FORMAT = struct.Struct(">5sHbb")  # customer, plan; quarter units let in so far, since last told; level
 USAGE_PREFIX = b"\x01"
-USAGE_ENTRIES_MAX = (256 - len(USAGE_PREFIX)) // USAGE_FORMAT.size  # customers that a message of 256 bytes tells of
+USAGE_ENTRIES_MAX = (
+    256 - len(USAGE_PREFIX)
+) // USAGE_FORMAT.size  # customers that a message of 256 bytes tells of
 
 
 class Gossip:
     """What is to be told to peers, and what was heard of them."""
 
-    def __init__(self, settings: io.Settings, customers: Customers, call_policy: CounterCallPolicy, now: float) -> None:
+    def __init__(
+        self, settings: io.Settings, customers: Customers, call_policy: CounterCallPolicy, now: float
+    ) -> None:
         self.s, self.customers, self.call_policy, self.began = settings, customers, call_policy, now
         self.plans = settings.plans
         taken_in = GOSSIP_MESSAGE_SHARE * settings.peer_in_per_s
@@ -46,8 +53,14 @@
         """The messages that are due."""
         self.send_scheduled = False
         waiting = list(islice(self.unsent_usage.values(), max(1, self.most) * USAGE_ENTRIES_MAX))
-        return [io.SendPeerMessage(None, USAGE_PREFIX + b"".join(self.encode_usage(now, c) for c in waiting[n:n + USAGE_ENTRIES_MAX]))
-                for n in range(0, len(waiting), USAGE_ENTRIES_MAX)]
+        return [
+            io.SendPeerMessage(
+                None,
+                USAGE_PREFIX
+                + b"".join(self.encode_usage(now, c) for c in waiting[n : n + USAGE_ENTRIES_MAX]),
+            )
+            for n in range(0, len(waiting), USAGE_ENTRIES_MAX)
+        ]
 
     def encode_usage(self, now: float, c: Customer) -> bytes:
         """What a message says of one customer."""
@@ -56,7 +69,7 @@
         c.own_total_sent = c.mine
         name = c.key << 7 | self.plan_numbers[c.plan.name]
         level = max(-LEVELS, min(LEVELS, LEVELS * c.available_units(now) / c.plan.burst))
-        return USAGE_FORMAT.pack(name.to_bytes(5), c.mine & 0xffff, new, round(level))
+        return USAGE_FORMAT.pack(name.to_bytes(5), c.mine & 0xFFFF, new, round(level))
 
     def handle_peer_message(self, now: float, e: io.PeerMessage) -> None:
         """What a peer has let in, or a window that is used up; what is long over is forgotten."""
@@ -91,8 +104,11 @@
         """Whether all ingresses of the customer's set are heard of: the store is known without calls."""
         peers = (i % self.s.instances for i in range(c.first, c.first + c.width))
         since = now - (PEER_SILENT_S if self.call_policy.counter_down() else PEER_GONE_S)
-        return self.enabled and c.width <= c.plan.burst and all(
-            i == self.s.me or self.last_heard_from[i] > since for i in peers)
+        return (
+            self.enabled
+            and c.width <= c.plan.burst
+            and all(i == self.s.me or self.last_heard_from[i] > since for i in peers)
+        )
 
     def total_is_covered(self, now: float, c: Customer) -> bool:
         """Whether all that the present window's total holds must have been heard of too."""
--- a/roadspur/interface.py
+++ b/roadspur/interface.py
@@ -104,8 +104,19 @@
     ceiling_slack: float = 0.0
 
     def __post_init__(self) -> None:
-        _not_negative(self, "plans.", "rate", "burst", "price", "over_worth", "over_cost", "max_open",
-                      "ceiling_rate", "ceiling_burst", "ceiling_slack")
+        _not_negative(
+            self,
+            "plans.",
+            "rate",
+            "burst",
+            "price",
+            "over_worth",
+            "over_cost",
+            "max_open",
+            "ceiling_rate",
+            "ceiling_burst",
+            "ceiling_slack",
+        )
 
 
 @dataclass(frozen=True, slots=True)
@@ -151,10 +162,28 @@
         _need(len(self.plans) > 0, "plans", "at least one plan", self.plans)
         _need(self.instances >= 1, "instances", "1 or more", self.instances)
         _need(self.max_attempts >= 1, "max_attempts", "1 or more", self.max_attempts)
-        _not_negative(self, "", "me", "step", "counter_timeout", "counter_price", "max_units",
-                      "max_retry_after", "peer_in_per_s", "ask_every", "drain_grace", "fall_multiple",
-                      "fall_after", "start_capacity", "cold_time", "connect_timeout", "late_fail_price",
-                      "waste_price", "cross_zone_price", "probe_price")
+        _not_negative(
+            self,
+            "",
+            "me",
+            "step",
+            "counter_timeout",
+            "counter_price",
+            "max_units",
+            "max_retry_after",
+            "peer_in_per_s",
+            "ask_every",
+            "drain_grace",
+            "fall_multiple",
+            "fall_after",
+            "start_capacity",
+            "cold_time",
+            "connect_timeout",
+            "late_fail_price",
+            "waste_price",
+            "cross_zone_price",
+            "probe_price",
+        )
 
 
 class BackendEntry(NamedTuple):
@@ -291,8 +320,21 @@
     processes: int
 
 
-Event = Union[ListUpdate, Request, AttemptWritten, AttemptStarted, AttemptEnded, ClientGone, TimerFired,
-              ProbeEnded, PeerMessage, CounterReply, Cordon, Cordons, SiblingProcesses]
+Event = Union[
+    ListUpdate,
+    Request,
+    AttemptWritten,
+    AttemptStarted,
+    AttemptEnded,
+    ClientGone,
+    TimerFired,
+    ProbeEnded,
+    PeerMessage,
+    CounterReply,
+    Cordon,
+    Cordons,
+    SiblingProcesses,
+]
 
 
 class Attempt(NamedTuple):
@@ -380,5 +422,19 @@
     backend: str
 
 
-Action = Union[Attempt, CancelAttempt, Refuse, Fail, SetTimer, Probe, CloseIdle, SendPeerMessage, CounterAdd, Subscribe,
-               FetchList, Log, Cordons, UnknownBackend]
+Action = Union[
+    Attempt,
+    CancelAttempt,
+    Refuse,
+    Fail,
+    SetTimer,
+    Probe,
+    CloseIdle,
+    SendPeerMessage,
+    CounterAdd,
+    Subscribe,
+    FetchList,
+    Log,
+    Cordons,
+    UnknownBackend,
+]
--- a/roadspur/net/client.py
+++ b/roadspur/net/client.py
@@ -18,8 +18,17 @@
 LAG_S = 1.5  # for more of a body, however much of it has come
 LINGER_BYTES = 256 * 1024  # that are read, and thrown away, while a client reads the last answer
 ABSOLUTE = re.compile(rb"(?i:https?)://[^/?#]*")  # what a client may write before the path
-HOP_BY_HOP = {b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding",
-              b"upgrade", b"expect", b"content-length"}
+HOP_BY_HOP = {
+    b"connection",
+    b"keep-alive",
+    b"proxy-connection",
+    b"te",
+    b"trailer",
+    b"transfer-encoding",
+    b"upgrade",
+    b"expect",
+    b"content-length",
+}
 
 
 class ClientConnection(ResponseQueue):
@@ -234,11 +243,20 @@
             self.server.request_handler.statistics.totals[f"rejected.{request.class_name}"] += 1
             return ImmediateResponse(503, "too many connections")
         start = [b"%s %s HTTP/1.1\r\n" % (method, url)]
-        start += [b"%s: %s\r\n" % (n, v) for n, v in self.headers
-                  if (key := n.lower()) not in HOP_BY_HOP and key not in request_handler.withheld_headers]
-        call = ClientRequest(request, b"".join(start), self.body, self.loop.time(),
-                    self.parser.get_http_version() != "1.0", reserved=self.reserved,
-                    bodiless=method == b"HEAD")
+        start += [
+            b"%s: %s\r\n" % (n, v)
+            for n, v in self.headers
+            if (key := n.lower()) not in HOP_BY_HOP and key not in request_handler.withheld_headers
+        ]
+        call = ClientRequest(
+            request,
+            b"".join(start),
+            self.body,
+            self.loop.time(),
+            self.parser.get_http_version() != "1.0",
+            reserved=self.reserved,
+            bodiless=method == b"HEAD",
+        )
         self.reserved = 0
         return call
 
--- a/roadspur/net/client_connection_base.py
+++ b/roadspur/net/client_connection_base.py
@@ -57,8 +57,10 @@
     def write_head(self, status: int, lines: bytes, body: bytes = b"") -> None:
         assert self.transport is not None
         self.keep = self.keep and not self.server.draining
-        self.transport.write(b"HTTP/1.1 %d %s\r\n%s%s\r\n%s" % (
-            status, PHRASES.get(status, b"-"), lines, b"" if self.keep else CLOSE, body))
+        self.transport.write(
+            b"HTTP/1.1 %d %s\r\n%s%s\r\n%s"
+            % (status, PHRASES.get(status, b"-"), lines, b"" if self.keep else CLOSE, body)
+        )
 
     def close(self) -> None:
         """Close. A client still sending gets a moment to read the answer, which a reset would destroy."""
--- a/roadspur/net/connection_interfaces.py
+++ b/roadspur/net/connection_interfaces.py
@@ -42,7 +42,9 @@
     health_path: bytes | None
     withheld_headers: frozenset[bytes]
 
-    def read(self, method: bytes, url: bytes, headers: list[tuple[bytes, bytes]]) -> io.Request | ImmediateResponse: ...
+    def read(
+        self, method: bytes, url: bytes, headers: list[tuple[bytes, bytes]]
+    ) -> io.Request | ImmediateResponse: ...
 
     def take(self, call: ClientRequest, client: Client) -> None: ...
 
--- a/roadspur/net/console.py
+++ b/roadspur/net/console.py
@@ -43,7 +43,7 @@
     def data_received(self, data: bytes) -> None:
         if self.answered:
             return
-        self.line += data[:MAX_LINE + 1]
+        self.line += data[: MAX_LINE + 1]
         line, end, _ = self.line.partition(b"\n")
         if len(line) > MAX_LINE:
             self.answer(["error the line is too long"])
@@ -100,7 +100,9 @@
         if call is None:
             return ["error no such call"]
         if len(arguments_given) - 1 != call.arguments:
-            return [f"error {arguments_given[0]} takes {call.arguments or 'no'} argument{'s'[:call.arguments != 1]}"]
+            return [
+                f"error {arguments_given[0]} takes {call.arguments or 'no'} argument{'s'[:call.arguments != 1]}"
+            ]
         try:
             return call.act(*arguments_given[1:])
         except CommandRefused as error:
--- a/roadspur/net/counter.py
+++ b/roadspur/net/counter.py
@@ -42,7 +42,9 @@
         self.loop = line.counter.loop
         self.transport: asyncio.Transport | None = None
         self.reader = ResponseReader()
-        self.awaiting_reply: deque[Add] = deque()  # written; kept past their time, so that late answers find their call
+        self.awaiting_reply: deque[Add] = (
+            deque()
+        )  # written; kept past their time, so that late answers find their call
         self.heard = 0.0
         self.served = self.retired = self.closed = False
         self.stall: asyncio.TimerHandle | None = None
@@ -208,8 +210,11 @@
 
     def overtaken(self, link: CounterConnection) -> bool:
         """Whether only this connection does not work: a later call has had its turn elsewhere."""
-        return bool(link.awaiting_reply) and link.heard < self.loop.time() - self.counter.timeout and (
-            self.counter.newest > link.awaiting_reply[0].began)
+        return (
+            bool(link.awaiting_reply)
+            and link.heard < self.loop.time() - self.counter.timeout
+            and (self.counter.newest > link.awaiting_reply[0].began)
+        )
 
     def close(self) -> None:
         self.task.cancel()
@@ -220,8 +225,14 @@
 class Counter:
     """The counter service. All calls of one name go over one line, so that they keep their order there."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, address: Address, timeout: float,
-                 on_reply: Callable[[io.CounterReply], None], statistics: RequestStatistics | None = None) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        address: Address,
+        timeout: float,
+        on_reply: Callable[[io.CounterReply], None],
+        statistics: RequestStatistics | None = None,
+    ) -> None:
         self.loop, self.address, self.timeout, self.on_reply = loop, address, timeout, on_reply
         self.statistics = statistics
         self.newest = 0.0  # when the latest call that has been answered began
@@ -239,8 +250,10 @@
         """One call."""
         now = self.loop.time()
         life = max(1, min(60_000, round(lifetime * 1000)))
-        text = (f"POST /v2/numbers/{name}?delta={amount:.6f}&life_ms={life} HTTP/1.1\r\n"
-                f"Host: {self.address[0]}:{self.address[1]}\r\nContent-Length: 0\r\n\r\n").encode()
+        text = (
+            f"POST /v2/numbers/{name}?delta={amount:.6f}&life_ms={life} HTTP/1.1\r\n"
+            f"Host: {self.address[0]}:{self.address[1]}\r\nContent-Length: 0\r\n\r\n"
+        ).encode()
         add = Add(name, text, now, now + self.timeout)
         self.calls.setdefault(name, deque()).append(add)
         self.lines[name % LINES].call(add)
--- a/roadspur/net/discovery.py
+++ b/roadspur/net/discovery.py
@@ -56,8 +56,9 @@
     phase = PHASES[status]
     # A deleted one needs no address any more.
     endpoint = None if phase is io.Phase.DELETED else Endpoint(read_address(e["address"]), born)
-    return io.BackendEntry(name, phase, weight, str(e.get("type", "")), int(e.get("group") or 0), born,
-                           str(e.get("zone", ""))), endpoint
+    return io.BackendEntry(
+        name, phase, weight, str(e.get("type", "")), int(e.get("group") or 0), born, str(e.get("zone", ""))
+    ), endpoint
 
 
 class DiscoveryWatch(asyncio.Protocol):
@@ -80,8 +81,9 @@
     def ask(self) -> None:
         assert self.transport is not None
         what = b"" if self.index is None else b"?stream=1&index=%d" % self.index
-        self.transport.write(b"GET /v1/servers%s HTTP/1.1\r\nHost: %s:%d\r\n\r\n" % (
-            what, self.host[0].encode(), self.host[1]))
+        self.transport.write(
+            b"GET /v1/servers%s HTTP/1.1\r\nHost: %s:%d\r\n\r\n" % (what, self.host[0].encode(), self.host[1])
+        )
 
     def data_received(self, data: bytes) -> None:
         if self.ended.done():
@@ -151,8 +153,14 @@
 class DiscoverySource:
     """Keeps a watch on one address going, from the last version that was taken in."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, address: Address, index: int | None,
-                 on_listing: Callable[[DiscoverySource, Listing], None], backoff: Backoff) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        address: Address,
+        index: int | None,
+        on_listing: Callable[[DiscoverySource, Listing], None],
+        backoff: Backoff,
+    ) -> None:
         self.loop, self.address, self.index, self.on_listing = loop, address, index, on_listing
         self.backoff = backoff
         self.task = loop.create_task(self.run())
@@ -200,8 +208,15 @@
     it is asked for the whole list, and takes over with it. Until then the old one stays.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, address: Address, index: int,
-                 on_listing: Callable[[Listing], None], instances: int = 1, seed: int = 0) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        address: Address,
+        index: int,
+        on_listing: Callable[[Listing], None],
+        instances: int = 1,
+        seed: int = 0,
+    ) -> None:
         self.loop, self.on_listing = loop, on_listing
         self.instances, self.rng = instances, random.Random(seed)
         self.source = self.newest = self.connect_to_source(address, index)
--- a/roadspur/net/exchange.py
+++ b/roadspur/net/exchange.py
@@ -57,11 +57,19 @@
     begun to drain, or the client may have gone, while it was being opened.
     """
 
-    def __init__(self, backend: str, message: Callable[[], bytes], may_send: Callable[[], bool],
-                 on_end: Callable[[Exchange, io.Outcome, Response | None], None],
-                 sink: ResponseSink | None = None, upload: Upload | None = None,
-                 judge: Callable[[Response], io.Outcome | None] = outcome_of, ends: ResponseEnd = PLAIN,
-                 label: bytes = b"", streams: bool = False) -> None:
+    def __init__(
+        self,
+        backend: str,
+        message: Callable[[], bytes],
+        may_send: Callable[[], bool],
+        on_end: Callable[[Exchange, io.Outcome, Response | None], None],
+        sink: ResponseSink | None = None,
+        upload: Upload | None = None,
+        judge: Callable[[Response], io.Outcome | None] = outcome_of,
+        ends: ResponseEnd = PLAIN,
+        label: bytes = b"",
+        streams: bool = False,
+    ) -> None:
         self.backend, self.message, self.may_send, self.on_end = backend, message, may_send, on_end
         self.sink, self.upload, self.judge = sink, upload, judge  # None: the answer to another request
         self.ends, self.label = ends, label  # the header that names the request of an answer, if one does
@@ -117,5 +125,10 @@
         if self.connection is not None:
             self.connection.drop()
         self.end_upload()
-        self.end(outcome if self.may_have_run else io.Outcome.NOT_SENT if outcome is io.Outcome.CANCELLED else
-                 io.Outcome.CONNECT_FAILED)
+        self.end(
+            outcome
+            if self.may_have_run
+            else io.Outcome.NOT_SENT
+            if outcome is io.Outcome.CANCELLED
+            else io.Outcome.CONNECT_FAILED
+        )
--- a/roadspur/net/http_messages.py
+++ b/roadspur/net/http_messages.py
@@ -87,7 +87,9 @@
     """What the head of an answer does not tell of its end."""
 
     bodiless: bool = False  # it ends with its head, as the answer to HEAD does
-    read_until_close: bool = False  # one without a length ends with its connection, also where its head does not say so
+    read_until_close: bool = (
+        False  # one without a length ends with its connection, also where its head does not say so
+    )
 
 
 class BadResponse(Exception):
--- a/roadspur/net/ingress.py
+++ b/roadspur/net/ingress.py
@@ -31,14 +31,23 @@
 class Ingress(UpstreamAttempts):
     """One ingress: events go to the module one at a time, in the order in which they came about."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, settings: io.Settings, gateway: Decisions,
-                 upstream: Upstream, load_fields: tuple[str, ...] = (), state: State | None = None) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        settings: io.Settings,
+        gateway: Decisions,
+        upstream: Upstream,
+        load_fields: tuple[str, ...] = (),
+        state: State | None = None,
+    ) -> None:
         super().__init__(loop, settings, upstream, load_fields)
         self.gateway = gateway
         self.counter: Counter | None = None
         self.peers: Peers | None = None
         self.serving: set[str] = set()
-        self.cordon_entries: Mapping[str, io.CordonEntry] = {}  # backends that operators have taken out, or have just put back
+        self.cordon_entries: Mapping[
+            str, io.CordonEntry
+        ] = {}  # backends that operators have taken out, or have just put back
         self.state = state or State(None)
         self.unavailable_by_cordon = False  # whether the last order was one that can be carried out
         self.beside = self.sibling_clients = 0  # other processes of this ingress, and their clients
@@ -115,15 +124,21 @@
     def figures(self) -> list[str]:
         """Totals since the start and what is the case now, a line each."""
         members, unavailable = self.gateway.members(self.now())
-        figures = {f"{ending}.{name}": 0 for ending in ("completed", "rejected", "failed")
-                   for name in self.effects}
-        figures |= {"upstream_requests": 0, **self.statistics.totals, "members": members,
-                    "members_unavailable": unavailable,
-                    "pending": sum(not held.ended for held in self.held.values())}
+        figures = {
+            f"{ending}.{name}": 0 for ending in ("completed", "rejected", "failed") for name in self.effects
+        }
+        figures |= {
+            "upstream_requests": 0,
+            **self.statistics.totals,
+            "members": members,
+            "members_unavailable": unavailable,
+            "pending": sum(not held.ended for held in self.held.values()),
+        }
         return [f"{name}={value}" for name, value in figures.items()]
 
     def cordon(self, backend: str, on: bool) -> bool:
         """Take a backend out or put it back; False if there is none of that name."""
+
         def order() -> Mapping[str, io.CordonEntry] | None:
             self.unavailable_by_cordon = False
             self.submit(io.Cordon(backend, on))
--- a/roadspur/net/peers.py
+++ b/roadspur/net/peers.py
@@ -18,8 +18,13 @@
 class Peers(asyncio.DatagramProtocol):
     """Sends to one ingress or to all, and tells who sent what came."""
 
-    def __init__(self, peers: Sequence[Address], everyone: Address | None, me: int,
-                 on_message: Callable[[io.PeerMessage], None]) -> None:
+    def __init__(
+        self,
+        peers: Sequence[Address],
+        everyone: Address | None,
+        me: int,
+        on_message: Callable[[io.PeerMessage], None],
+    ) -> None:
         self.peers, self.everyone, self.me, self.on_message = peers, everyone, me, on_message
         self.numbers = {address: n for n, address in enumerate(peers)}
         self.transport: asyncio.DatagramTransport | None = None
--- a/roadspur/net/pending_request.py
+++ b/roadspur/net/pending_request.py
@@ -28,8 +28,20 @@
 class PendingRequest:
     """A request that is owed one final answer."""
 
-    __slots__ = ("call", "client", "timer", "attempts", "exchange", "answered", "may_have_run", "deadline",
-                 "attempt_history", "flowing", "ended", "last")
+    __slots__ = (
+        "call",
+        "client",
+        "timer",
+        "attempts",
+        "exchange",
+        "answered",
+        "may_have_run",
+        "deadline",
+        "attempt_history",
+        "flowing",
+        "ended",
+        "last",
+    )
 
     def __init__(self, call: ClientRequest, client: Client, deadline: float) -> None:
         self.call, self.client, self.deadline = call, client, deadline
@@ -79,8 +91,9 @@
         if held.timer is not None:
             held.timer.cancel()
         held.client.begin(self.ingress.lines(head), head.length, exchange)
-        self.ingress.submit(io.AttemptStarted(held.call.request.id, self.number, exchange.backend,
-                                              now - self.sent))
+        self.ingress.submit(
+            io.AttemptStarted(held.call.request.id, self.number, exchange.backend, now - self.sent)
+        )
 
     def part(self, data: bytes) -> None:
         self.held.client.part(data)
--- a/roadspur/net/pending_requests.py
+++ b/roadspur/net/pending_requests.py
@@ -24,8 +24,13 @@
 class PendingRequests(ServiceProtocol):
     """Takes requests, and gives each one answer in time, whatever the decisions do."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, settings: io.Settings, upstream: Upstream,
-                 load_fields: tuple[str, ...]) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        settings: io.Settings,
+        upstream: Upstream,
+        load_fields: tuple[str, ...],
+    ) -> None:
         super().__init__(settings, load_fields)
         self.loop, self.upstream = loop, upstream
         self.effects = {c.name: c.effect for c in settings.classes}
@@ -108,8 +113,11 @@
         """A refusal says that trying again is harmless: so it is where nothing ran, or where repeats are."""
         name = held.call.request.class_name
         effect = self.effects[name]
-        return (not held.may_have_run or effect is io.Effect.SAFE
-                or (effect is io.Effect.KEYED and self.groups[name] is io.Group.ALL))
+        return (
+            not held.may_have_run
+            or effect is io.Effect.SAFE
+            or (effect is io.Effect.KEYED and self.groups[name] is io.Group.ALL)
+        )
 
     def finish(self, name: str, refused: bool, wait: float) -> None:
         """The module's final answer. Beyond a quota it is 429 and tells when the quota has room again."""
@@ -119,9 +127,12 @@
         if not refused:
             self.answer(held, 502)
             return
-        after = max(wait, 10 ** -DECIMALS) if wait > 0 else self.settings.max_retry_after  # never told as 0
-        self.answer(held, 429 if wait > 0 else 503,
-                    b"Retry-After: %s\r\n" % f"{after:.{DECIMALS}f}".encode() if after > 0 else b"")
+        after = max(wait, 10**-DECIMALS) if wait > 0 else self.settings.max_retry_after  # never told as 0
+        self.answer(
+            held,
+            429 if wait > 0 else 503,
+            b"Retry-After: %s\r\n" % f"{after:.{DECIMALS}f}".encode() if after > 0 else b"",
+        )
 
     def answer(self, held: PendingRequest, status: int, lines: bytes = b"", body: bytes = b"") -> None:
         """The one final answer; any further one is dropped."""
@@ -145,9 +156,20 @@
         self.statistics.counts[f"{r.plan} {how}"] += 1
         self.statistics.totals[f"{ENDINGS.get(how, 'failed')}.{r.class_name}"] += 1
         if how != "200" and self.statistics.bad(now):
-            attempt_history = "".join(f", +{at - held.call.came:.3f} {what}" for at, what in held.attempt_history)
-            log.info("request %s of %d: %s %s %g units: %s after %.3f s%s", r.id, r.customer, r.plan,
-                     r.class_name, r.units, how, now - held.call.came, attempt_history)
+            attempt_history = "".join(
+                f", +{at - held.call.came:.3f} {what}" for at, what in held.attempt_history
+            )
+            log.info(
+                "request %s of %d: %s %s %g units: %s after %.3f s%s",
+                r.id,
+                r.customer,
+                r.plan,
+                r.class_name,
+                r.units,
+                how,
+                now - held.call.came,
+                attempt_history,
+            )
 
     def forget(self, held: PendingRequest) -> None:
         """Answered, and nothing out any more."""
--- a/roadspur/net/process_state.py
+++ b/roadspur/net/process_state.py
@@ -114,8 +114,11 @@
         except OSError as error:  # they hold in this process all the same
             log.error("state: the cordons are not kept: %s", error)
 
-    def change(self, follow: Callable[[Mapping[str, io.CordonEntry]], None],
-               order: Callable[[], Mapping[str, io.CordonEntry] | None]) -> bool:
+    def change(
+        self,
+        follow: Callable[[Mapping[str, io.CordonEntry]], None],
+        order: Callable[[], Mapping[str, io.CordonEntry] | None],
+    ) -> bool:
         """Carry out an order on top of what the other process has kept; whether it was one."""
         with self.alone():
             if (news := self.news()) is not None:
@@ -145,7 +148,9 @@
     """The bans in a file's JSON; ValueError for anything else."""
     if not isinstance(data, dict):
         raise ValueError("not an object")
-    cordon_entries = {str(name): io.CordonEntry(float(since), float(back)) for name, (since, back) in data.items()}
+    cordon_entries = {
+        str(name): io.CordonEntry(float(since), float(back)) for name, (since, back) in data.items()
+    }
     if not all(math.isfinite(t) for cordon_entry in cordon_entries.values() for t in cordon_entry):
         raise ValueError("not a time")
     return cordon_entries
--- a/roadspur/net/request_parser.py
+++ b/roadspur/net/request_parser.py
@@ -20,8 +20,9 @@
     """A request that cannot be what the protocol describes."""
 
 
-def read_request(settings: io.Settings, customer: bytes, method: bytes,
-                 headers: list[tuple[bytes, bytes]]) -> io.Request:
+def read_request(
+    settings: io.Settings, customer: bytes, method: bytes, headers: list[tuple[bytes, bytes]]
+) -> io.Request:
     """The module's request out of the headers; BadRequest says what is wrong with them."""
     values: dict[bytes, bytes] = {}
     for name, value in headers:
@@ -52,16 +53,26 @@
     if cls.deadline > 0:  # a silent backend must not hold a request for longer than any client waits
         expires_in = min(expires_in, cls.deadline)
     units, spread, first = _terms(values.get(b"x-call-terms", b""), settings)
-    return io.Request(call_id.decode(), class_name, plan, number, expires_in, units, spread, first,
-                      values.get(b"x-again") == b"1")
+    return io.Request(
+        call_id.decode(),
+        class_name,
+        plan,
+        number,
+        expires_in,
+        units,
+        spread,
+        first,
+        values.get(b"x-again") == b"1",
+    )
 
 
 def _terms(text: bytes, settings: io.Settings) -> tuple[float, int, int]:
     pairs = [part.strip().partition("=")[::2] for part in text.decode("latin-1").split(",")]
     terms = dict(pairs)
     units, spread, first = (terms.get(key, "") for key in ("units", "spread", "first"))
-    if len(terms) < len(pairs) or not (UNITS.fullmatch(units) and COUNT.fullmatch(spread)
-                                       and COUNT.fullmatch(first)):
+    if len(terms) < len(pairs) or not (
+        UNITS.fullmatch(units) and COUNT.fullmatch(spread) and COUNT.fullmatch(first)
+    ):
         raise BadRequest("x-call-terms: expected units=, spread= and first=, each once")
     if not 0 < float(units) <= settings.max_units:
         raise BadRequest(f"x-call-terms: units: expected more than 0 and up to {settings.max_units:g}")
--- a/roadspur/net/server.py
+++ b/roadspur/net/server.py
@@ -20,9 +20,20 @@
 class Server:
     """Listens for clients, and leaves in order."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, ingress: Ingress, most: int,
-                 bodies_most: int = 0, limits: Limits | None = None) -> None:
-        self.loop, self.ingress, self.most, self.limits = loop, ingress, most, limits or connection_interfaces.USUAL
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        ingress: Ingress,
+        most: int,
+        bodies_most: int = 0,
+        limits: Limits | None = None,
+    ) -> None:
+        self.loop, self.ingress, self.most, self.limits = (
+            loop,
+            ingress,
+            most,
+            limits or connection_interfaces.USUAL,
+        )
         self.bodies, self.bodies_most = 0, bodies_most  # bytes of larger bodies that are held
         self.connections: set[ClientConnection] = set()
         self.order: Iterator[int] = itertools.count()  # who was heard last: the clock is too coarse
@@ -38,7 +49,8 @@
 
     async def listen(self, host: str, port: int) -> None:
         self.listener = await self.loop.create_server(
-            lambda: ClientConnection(self), host, port, backlog=1024, reuse_port=True)
+            lambda: ClientConnection(self), host, port, backlog=1024, reuse_port=True
+        )
 
     def ready(self) -> bool:
         """Whether a request could be served: there is a backend to send it to, and this is no goodbye."""
--- a/roadspur/net/service_protocol.py
+++ b/roadspur/net/service_protocol.py
@@ -21,7 +21,9 @@
     def __init__(self, settings: io.Settings, load_fields: tuple[str, ...]) -> None:
         self.settings, self.load_fields = settings, load_fields
 
-    def read(self, method: bytes, url: bytes, headers: list[tuple[bytes, bytes]]) -> io.Request | ImmediateResponse:
+    def read(
+        self, method: bytes, url: bytes, headers: list[tuple[bytes, bytes]]
+    ) -> io.Request | ImmediateResponse:
         """The module's request out of a client's, or the answer to one that is none."""
         match = CUSTOMER.fullmatch(url)
         if match is None:
--- a/roadspur/net/upstream.py
+++ b/roadspur/net/upstream.py
@@ -209,8 +209,9 @@
 class Pool:
     """The connections to one backend; the newest idle one is used first, so that the others can age out."""
 
-    def __init__(self, backend: str, endpoint: Endpoint, loop: asyncio.AbstractEventLoop,
-                 connections: set[Connection]) -> None:
+    def __init__(
+        self, backend: str, endpoint: Endpoint, loop: asyncio.AbstractEventLoop, connections: set[Connection]
+    ) -> None:
         self.backend, self.endpoint, self.loop = backend, endpoint, loop
         self.idle: list[Connection] = []
         self.connections = connections  # those of all pools, also of retired ones: each is a descriptor
@@ -247,8 +248,14 @@
 class Upstream:
     """All backends' pools."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, connect_timeout: float, idle: float,
-                 most: int, silent: float = 0.0) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        connect_timeout: float,
+        idle: float,
+        most: int,
+        silent: float = 0.0,
+    ) -> None:
         self.loop, self.connect_timeout, self.most = loop, connect_timeout, most
         self.silent = silent  # seconds after which one that acknowledges nothing is lost; 0: the system's
         self.idle = IDLE_SHARE * idle
--- a/roadspur/net/upstream_attempts.py
+++ b/roadspur/net/upstream_attempts.py
@@ -53,12 +53,24 @@
             self.ended(passing, exchange, outcome, answer)
 
         ends = self.ends._replace(bodiless=True) if held.call.bodiless else self.ends
-        exchange = held.exchange = Exchange(a.backend, message, may_send, ended, passing, upload,
-                                            partial(self.outcome, held.call), ends, self.label, self.streams)
+        exchange = held.exchange = Exchange(
+            a.backend,
+            message,
+            may_send,
+            ended,
+            passing,
+            upload,
+            partial(self.outcome, held.call),
+            ends,
+            self.label,
+            self.streams,
+        )
         left = held.deadline - now
         self.upstream.send(exchange, left if a.timeout is None else min(left, a.timeout))
 
-    def ended(self, passing: ResponseRelay, exchange: Exchange, outcome: io.Outcome, answer: Response | None) -> None:
+    def ended(
+        self, passing: ResponseRelay, exchange: Exchange, outcome: io.Outcome, answer: Response | None
+    ) -> None:
         """An attempt has its outcome: a whole 200 is the answer, anything else is the module's to decide."""
         held = passing.held
         held.exchange = None
@@ -76,10 +88,19 @@
         if held.flowing:
             self.passed(held, outcome)
         upload = held.call.upload
-        self.submit(io.AttemptEnded(held.call.request.id, passing.number, exchange.backend, outcome,
-                                    self.loop.time() - passing.sent, held.answered, true_units=units,
-                                    spent=upload is not None and upload.spent,
-                                    load=self.load(answer) if self.settings.load_in_answers else {}))
+        self.submit(
+            io.AttemptEnded(
+                held.call.request.id,
+                passing.number,
+                exchange.backend,
+                outcome,
+                self.loop.time() - passing.sent,
+                held.answered,
+                true_units=units,
+                spent=upload is not None and upload.spent,
+                load=self.load(answer) if self.settings.load_in_answers else {},
+            )
+        )
         self.forget(held)
 
     def passed(self, held: PendingRequest, outcome: io.Outcome) -> None:
@@ -97,5 +118,12 @@
         def ended(exchange: Exchange, outcome: io.Outcome, answer: Response | None) -> None:
             self.submit(io.ProbeEnded(backend, outcome, self.loop.time() - began, self.load(answer)))
 
-        self.upstream.send(Exchange(backend, lambda: b"GET /load HTTP/1.1\r\nHost: backend.local\r\n\r\n",
-                                    lambda: self.open_to(backend), ended), self.settings.connect_timeout)
+        self.upstream.send(
+            Exchange(
+                backend,
+                lambda: b"GET /load HTTP/1.1\r\nHost: backend.local\r\n\r\n",
+                lambda: self.open_to(backend),
+                ended,
+            ),
+            self.settings.connect_timeout,
+        )
--- a/roadspur/opencap.py
+++ b/roadspur/opencap.py
@@ -11,7 +11,7 @@
 from roadspur.flight import ActiveRequest
 from roadspur.routing import Routing
 
-OPEN_AIMS = 2.0   # longest aims after which a count of open requests begins anew, with what is open then
+OPEN_AIMS = 2.0  # longest aims after which a count of open requests begins anew, with what is open then
 VERDICT_PART = 0.6  # of what a verdict gains: one on the cap takes two calls, one on a rate gains more
 PACE_S = 8.0  # for which a customer's arrivals count
 PACE_PRIOR, PACE_PRIOR_S = 0.25, 2.0  # of its cap that a new customer is taken to keep open, and for how long
@@ -64,7 +64,9 @@
         if c.counted_in == int(now // self.length) and c.counted >= c.out:
             return self.gw.send(now, f)  # into a place that was kept
         sure = c.out > max(1, most // c.width) or now < c.pressed + f.cls.objective
-        if not self.gw.s.counter or not self.call_policy.should_call(1.0 if sure else self.need(f.pace, c.plan)):
+        if not self.gw.s.counter or not self.call_policy.should_call(
+            1.0 if sure else self.need(f.pace, c.plan)
+        ):
             return self.enter_alone(now, f)
         self.count(now, c, f)
 
@@ -95,8 +97,9 @@
         """The part of requests let in unseen at which most is gained, at what one beyond the cap costs."""
         if plan.name not in self.best:
             paces = (plan.max_open * n / 20 for n in range(1, 41))
-            self.best[plan.name] = max(paces, key=lambda pace: pace * (
-                1 - (1 + plan.over_cost) * beyond(pace, plan.max_open)))
+            self.best[plan.name] = max(
+                paces, key=lambda pace: pace * (1 - (1 + plan.over_cost) * beyond(pace, plan.max_open))
+            )
         return min(1.0, self.best[plan.name] / max(pace, 1e-9))
 
     def left(self, pace: float, plan: io.PlanSettings) -> float:
--- a/roadspur/routing.py
+++ b/roadspur/routing.py
@@ -14,19 +14,29 @@
 from roadspur.fleet import Backend, Fleet
 from roadspur.flight import ActiveRequest
 
-BAD_SHARE = 0.5   # error share at which a backend is ejected
-SILENT_LATENCY_RATIO = 8.0    # usual latencies of owed answers after which a backend counts as silent, an attempt as hung
-SWEEP_INTERVAL_S = 0.05     # between looks at silent backends and at what is held
+BAD_SHARE = 0.5  # error share at which a backend is ejected
+SILENT_LATENCY_RATIO = (
+    8.0  # usual latencies of owed answers after which a backend counts as silent, an attempt as hung
+)
+SWEEP_INTERVAL_S = 0.05  # between looks at silent backends and at what is held
 SLOTS, FLOOR = 6.0, 2.0  # attempts out to a backend by all ingresses together, at first and at least
-AIM_PART = 0.16   # of its aim that a class's unpressed latency is taken for at most
-BACKOFF_STEP, BACKOFF_RATE = 0.01, 0.3  # of the slots that a pressed answer takes, at least; a second, at most at once
-REJECTION_COST, REJECTION_MEMORY_S = 4.0, 10.0  # cost of a backend sure to turn a class or plan away; time by which such news ages
-LATENCY_RATIO_CAP = 4.0        # times the unpressed latency, beyond which a longer answer says no more
-OVERLOAD_LATENCY_RATIO = 1.8     # times the unpressed latency, where the concurrency limit shrinks
+AIM_PART = 0.16  # of its aim that a class's unpressed latency is taken for at most
+BACKOFF_STEP, BACKOFF_RATE = (
+    0.01,
+    0.3,
+)  # of the slots that a pressed answer takes, at least; a second, at most at once
+REJECTION_COST, REJECTION_MEMORY_S = (
+    4.0,
+    10.0,
+)  # cost of a backend sure to turn a class or plan away; time by which such news ages
+LATENCY_RATIO_CAP = 4.0  # times the unpressed latency, beyond which a longer answer says no more
+OVERLOAD_LATENCY_RATIO = 1.8  # times the unpressed latency, where the concurrency limit shrinks
 COLD_SAFETY = 0.5  # of the stated cold budget that is used, as the warm rate is only an estimate
-COLD_QUEUE_LIMIT = 4.0   # requests of all ingresses at a cold backend, beyond which what it serves makes no room
-COLD_BURST = 1.5   # attempts that may be saved up for a cold backend
-UNTRIED_COST = 1.15    # cost of a backend that has not answered here yet, over what the others cost
+COLD_QUEUE_LIMIT = (
+    4.0  # requests of all ingresses at a cold backend, beyond which what it serves makes no room
+)
+COLD_BURST = 1.5  # attempts that may be saved up for a cold backend
+UNTRIED_COST = 1.15  # cost of a backend that has not answered here yet, over what the others cost
 TIE, RATE_S = 0.02, 5.0  # chance that breaks ties, span of the rate of answers
 FAULTS = (io.Outcome.ERROR, io.Outcome.RESET, io.Outcome.CONNECT_FAILED)
 ANSWERS = (io.Outcome.OK, io.Outcome.ERROR, io.Outcome.RESET, io.Outcome.FULL)
@@ -35,8 +45,14 @@
 class Routing:
     """Sends requests to the backends of one fleet, and learns from what becomes of them."""
 
-    def __init__(self, settings: io.Settings, classes: Iterable[io.ClassSettings], plans: Iterable[str],
-                 rng: random.Random, now: float) -> None:
+    def __init__(
+        self,
+        settings: io.Settings,
+        classes: Iterable[io.ClassSettings],
+        plans: Iterable[str],
+        rng: random.Random,
+        now: float,
+    ) -> None:
         self.s, self.rng, self.began = settings, rng, now
         self.classes = {c.name: c for c in classes}
         self.active_requests: dict[str, ActiveRequest] = {}
@@ -129,15 +145,21 @@
         for b in [x for x in self.fleet.backends.values() if x.out]:
             slow = SILENT_LATENCY_RATIO * max(1.0, b.ratio)
             # An attempt that was overdue when another was answered tells of itself, not of the backend.
-            owed = sum((now - max(sent, b.answered)) / self.latency[name] for sent, name, _ in b.out.values()
-                       if b.answered - sent < slow * self.latency[name])
+            owed = sum(
+                (now - max(sent, b.answered)) / self.latency[name]
+                for sent, name, _ in b.out.values()
+                if b.answered - sent < slow * self.latency[name]
+            )
             silent = owed >= slow
             if silent:
                 self.acts += self.fleet.eject(now, b, "silent")
             for name in b.out:  # move what may be repeated; a long request at a live server is left alone
                 f = self.active_requests.get(name)
-                if f is None or not self.s.may_cancel or now - f.sent <= (
-                        2 if silent else slow) * self.latency[f.cls.name]:
+                if (
+                    f is None
+                    or not self.s.may_cancel
+                    or now - f.sent <= (2 if silent else slow) * self.latency[f.cls.name]
+                ):
                     continue
                 if self.may_send(now, f, f.ran_at or f.sent) or self.blocks(now, f, slow):
                     self.acts.append(io.CancelAttempt(name, f.attempts - 1))
@@ -151,8 +173,11 @@
         """Whether one more attempt is allowed; if one may have run, by class and window too."""
         if f.attempts >= self.s.max_attempts or now + self.base[f.cls.name] > f.aim:
             return False
-        return ran_at is None or f.cls.effect is io.Effect.SAFE or (
-            f.cls.effect is io.Effect.KEYED and now < ran_at + f.cls.window - SWEEP_INTERVAL_S)
+        return (
+            ran_at is None
+            or f.cls.effect is io.Effect.SAFE
+            or (f.cls.effect is io.Effect.KEYED and now < ran_at + f.cls.window - SWEEP_INTERVAL_S)
+        )
 
     def choose(self, now: float, f: ActiveRequest) -> Backend | None:
         """Least own outstanding work over learned speed, among those that are healthy and allowed."""
@@ -168,8 +193,10 @@
                 continue
             if b.trial and (b.out or f.cls.effect is io.Effect.UNSAFE):
                 continue
-            if keyed is not None and ((f.cls.group is io.Group.ZONE and e.zone != keyed.zone) or (
-                    f.cls.group is io.Group.CELL and e.cell != keyed.cell)):
+            if keyed is not None and (
+                (f.cls.group is io.Group.ZONE and e.zone != keyed.zone)
+                or (f.cls.group is io.Group.CELL and e.cell != keyed.cell)
+            ):
                 continue
             if b.start > 0 and (ramp := self.fleet.cold(now, b)) < 1.0:
                 gain = self.pace() * ramp * self.s.fall_multiple * COLD_SAFETY
@@ -181,7 +208,10 @@
             for key, usual in keys:
                 if key in b.rejection_share:
                     last, at = b.rejection_share[key]
-                    usual = 1 + REJECTION_COST * (self.rejection_share[key] + (last - self.rejection_share[key]) * math.exp((at - now) / REJECTION_MEMORY_S))
+                    usual = 1 + REJECTION_COST * (
+                        self.rejection_share[key]
+                        + (last - self.rejection_share[key]) * math.exp((at - now) / REJECTION_MEMORY_S)
+                    )
                 cost *= usual
             cost *= 1 + TIE * self.rng.random()
             if best is None or cost < least:
@@ -239,7 +269,9 @@
                 self.dispatch(now)
             return self.served(now, f, e)
         f.bad.add(e.backend)
-        fleet_saturated = e.outcome is io.Outcome.FULL and self.press > OVERLOAD_LATENCY_RATIO  # elsewhere it is full too
+        fleet_saturated = (
+            e.outcome is io.Outcome.FULL and self.press > OVERLOAD_LATENCY_RATIO
+        )  # elsewhere it is full too
         if not fleet_saturated and not e.spent and self.may_send(now, f, f.ran_at):
             self.send(now, f)
         else:
@@ -249,13 +281,19 @@
         """Latency, errors and concurrency limit of one backend."""
         b.answered = now if e.outcome in ANSWERS else b.answered  # a time-out is no sign of life, nor a fault
         if e.outcome is io.Outcome.OK or (e.outcome is io.Outcome.TIMEOUT and e.elapsed > self.latency[name]):
-            times = min(e.elapsed / self.base[name], LATENCY_RATIO_CAP)  # a few very costly requests are no jam
+            times = min(
+                e.elapsed / self.base[name], LATENCY_RATIO_CAP
+            )  # a few very costly requests are no jam
             b.ratio = self.slowness(b, 1.0)
             b.ratio, b.known = b.ratio + self.step * (times - b.ratio), True
-            step = min(BACKOFF_RATE, max(BACKOFF_STEP, BACKOFF_RATE * (now - self.judged)))  # few answers: each says more
+            step = min(
+                BACKOFF_RATE, max(BACKOFF_STEP, BACKOFF_RATE * (now - self.judged))
+            )  # few answers: each says more
             self.judged = now
             self.press += min(0.4, 5 * step) * (times - self.press)
-            if self.press > OVERLOAD_LATENCY_RATIO:  # all hold too much there: one slot a backend may be too many
+            if (
+                self.press > OVERLOAD_LATENCY_RATIO
+            ):  # all hold too much there: one slot a backend may be too many
                 self.slots = max(self.floor * self.fleet.usable / self.s.instances, self.slots * (1 - step))
             elif self.out + 2 > self.slots:
                 self.slots += min(self.slots, 1 / self.slots)
@@ -276,7 +314,8 @@
                 b.tokens = min(COLD_BURST, b.tokens + 1.0)
             self.latency[name] += 0.05 * (e.elapsed - self.latency[name])
             usual = self.base[name] + (0.01 if self.press < OVERLOAD_LATENCY_RATIO else 0.0005) * (
-                self.latency[name] - self.base[name])
+                self.latency[name] - self.base[name]
+            )
             self.base[name] = min(usual, AIM_PART * self.classes[name].objective)  # a jam is never the norm
         elif e.outcome in FAULTS:
             b.errors += 0.3 * (1 - b.errors)
--- a/roadspur/wirehost.py
+++ b/roadspur/wirehost.py
@@ -10,12 +10,23 @@
 from roadspur import interface as io
 from roadspur.control import Gateway
 
-OUTCOMES = {"success": io.Outcome.OK, "failure": io.Outcome.ERROR, "overloaded": io.Outcome.FULL,
-            "timed_out": io.Outcome.TIMEOUT, "unreachable": io.Outcome.CONNECT_FAILED,
-            "broken": io.Outcome.RESET, "withdrawn": io.Outcome.CANCELLED, "void": io.Outcome.NOT_SENT}
+OUTCOMES = {
+    "success": io.Outcome.OK,
+    "failure": io.Outcome.ERROR,
+    "overloaded": io.Outcome.FULL,
+    "timed_out": io.Outcome.TIMEOUT,
+    "unreachable": io.Outcome.CONNECT_FAILED,
+    "broken": io.Outcome.RESET,
+    "withdrawn": io.Outcome.CANCELLED,
+    "void": io.Outcome.NOT_SENT,
+}
 PHASES = {"Running": io.Phase.RUNNING, "Stopping": io.Phase.STOPPING, "Deleted": io.Phase.DELETED}
-FORMS = {"INCREMENTAL": io.ListKind.CHANGE, "FULL": io.ListKind.WHOLE, "SAVED": io.ListKind.SAVED,
-         "FAILED": io.ListKind.FAILED}
+FORMS = {
+    "INCREMENTAL": io.ListKind.CHANGE,
+    "FULL": io.ListKind.WHOLE,
+    "SAVED": io.ListKind.SAVED,
+    "FAILED": io.ListKind.FAILED,
+}
 EFFECTS = {"retryable": io.Effect.SAFE, "dedup": io.Effect.KEYED, "fragile": io.Effect.UNSAFE}
 GROUPS = {"all": io.Group.ALL, "zone": io.Group.ZONE, "cell": io.Group.CELL}
 
@@ -91,8 +102,14 @@
         return int(self.number(key, default))
 
     def flag(self, key: str) -> bool:
-        return bool(_choice("BORN", key, self.text(key, "false").lower(),
-                            {"true": True, "false": False, "1": True, "0": False}))
+        return bool(
+            _choice(
+                "BORN",
+                key,
+                self.text(key, "false").lower(),
+                {"true": True, "false": False, "1": True, "0": False},
+            )
+        )
 
 
 def read_settings(parts: list[str]) -> tuple[io.Settings, tuple[str, ...]]:
@@ -102,38 +119,66 @@
         io.ClassSettings(
             name=p.text(c + "name"),
             effect=_choice("BORN", c + "semantics", p.text(c + "semantics"), EFFECTS),
-            objective=p.number(c + "objective"), deadline=p.number(c + "hardLimit"),
-            worth=p.number(c + "credit", "1"), late_worth=p.number(c + "lateWorth", "0"),
+            objective=p.number(c + "objective"),
+            deadline=p.number(c + "hardLimit"),
+            worth=p.number(c + "credit", "1"),
+            late_worth=p.number(c + "lateWorth", "0"),
             group=_choice("BORN", c + "group", p.text(c + "group", "all"), GROUPS),
-            window=p.number(c + "window", "0"))
-        for c in (f"classes.{i}." for i in range(p.whole("classes.count"))))
+            window=p.number(c + "window", "0"),
+        )
+        for c in (f"classes.{i}." for i in range(p.whole("classes.count")))
+    )
     plans = tuple(
         io.PlanSettings(
-            name=p.text(q + "name"), rate=p.number(q + "rate"), burst=p.number(q + "storeSize"),
-            price=p.number(q + "pays", "1"), over_worth=p.number(q + "beyondEarns", "0"),
-            over_cost=p.number(q + "beyondCosts", "0"), max_open=p.whole(q + "maxOut", "0"),
-            ceiling_rate=p.number(q + "capRate", "0"), ceiling_burst=p.number(q + "neverOverDepth", "0"),
-            ceiling_slack=p.number(q + "capSlack", "0"))
-        for q in (f"plans.{i}." for i in range(p.whole("plans.count"))))
+            name=p.text(q + "name"),
+            rate=p.number(q + "rate"),
+            burst=p.number(q + "storeSize"),
+            price=p.number(q + "pays", "1"),
+            over_worth=p.number(q + "beyondEarns", "0"),
+            over_cost=p.number(q + "beyondCosts", "0"),
+            max_open=p.whole(q + "maxOut", "0"),
+            ceiling_rate=p.number(q + "capRate", "0"),
+            ceiling_burst=p.number(q + "neverOverDepth", "0"),
+            ceiling_slack=p.number(q + "capSlack", "0"),
+        )
+        for q in (f"plans.{i}." for i in range(p.whole("plans.count")))
+    )
     how = p.text("loadReport.how", "silent")
     settings = io.Settings(
-        classes=classes, plans=plans, instances=p.whole("balancers"), me=p.whole("me"),
-        zone=p.text("zone", ""), step=p.number("step", "0"), counter=p.flag("extra.counter"),
+        classes=classes,
+        plans=plans,
+        instances=p.whole("balancers"),
+        me=p.whole("me"),
+        zone=p.text("zone", ""),
+        step=p.number("step", "0"),
+        counter=p.flag("extra.counter"),
         counter_timeout=p.number("extra.counterTimeout", "0.05"),
-        counter_price=p.number("extra.counterPrice", "0"), max_units=p.number("extra.maxUnits", "1"),
-        settles=p.flag("extra.truedUp"), max_attempts=p.whole("limits.maxAttempts", "1"),
-        retry_after=p.flag("limits.retryAfter"), max_retry_after=p.number("limits.maxRetryAfter", "0"),
-        may_probe=p.flag("limits.mayProbe"), may_cancel=p.flag("limits.cancel"), peers=p.flag("limits.peers"),
-        peer_in_per_s=p.number("extra.peerInPerS", "0"), second_copies=p.flag("limits.secondCopies"),
+        counter_price=p.number("extra.counterPrice", "0"),
+        max_units=p.number("extra.maxUnits", "1"),
+        settles=p.flag("extra.truedUp"),
+        max_attempts=p.whole("limits.maxAttempts", "1"),
+        retry_after=p.flag("limits.retryAfter"),
+        max_retry_after=p.number("limits.maxRetryAfter", "0"),
+        may_probe=p.flag("limits.mayProbe"),
+        may_cancel=p.flag("limits.cancel"),
+        peers=p.flag("limits.peers"),
+        peer_in_per_s=p.number("extra.peerInPerS", "0"),
+        second_copies=p.flag("limits.secondCopies"),
         list_on_request=p.text("discovery", "pushed") == "on_request",
-        ask_every=p.number("invariants.askEvery", "10"), load_in_answers=how == "piggyback",
-        load_in_probes=how in ("piggyback", "pull"), drain_grace=p.number("invariants.drainGrace", "0"),
+        ask_every=p.number("invariants.askEvery", "10"),
+        load_in_answers=how == "piggyback",
+        load_in_probes=how in ("piggyback", "pull"),
+        drain_grace=p.number("invariants.drainGrace", "0"),
         fall_multiple=p.number("invariants.fallMultiple", "1"),
         fall_after=p.number("invariants.tipAfter", "1"),
-        start_capacity=p.number("invariants.startCapacity", "1"), cold_time=p.number("invariants.cold", "0"),
+        start_capacity=p.number("invariants.startCapacity", "1"),
+        cold_time=p.number("invariants.cold", "0"),
         connect_timeout=p.number("limits.connectTimeout", "0"),
-        late_fail_price=p.number("prices.lateFail", "0"), waste_price=p.number("prices.waste", "0"),
-        cross_zone_price=p.number("prices.crossZone", "0"), probe_price=p.number("prices.probe", "0"))
+        late_fail_price=p.number("prices.lateFail", "0"),
+        waste_price=p.number("prices.waste", "0"),
+        cross_zone_price=p.number("prices.crossZone", "0"),
+        probe_price=p.number("prices.probe", "0"),
+    )
     fields = p.text("loadReport.fields", "")
     return settings, tuple(f for f in fields.split(",") if f and f != "-")
 
@@ -154,11 +199,14 @@
         _bad("UPDATE", "rows", "a ROW line", parts[0])
     _count("ROW", parts, 8)
     return io.BackendEntry(
-        backend=parts[4], phase=_choice("ROW", "stageState", parts[3], PHASES),
+        backend=parts[4],
+        phase=_choice("ROW", "stageState", parts[3], PHASES),
         weight=1.0 if parts[1] == "-" else _number("ROW", "share", parts[1], 0.0),
         kind="" if parts[2] == "-" else parts[2],
         cell=0 if parts[5] == "-" else _whole("ROW", "unitGroup", parts[5]),
-        born=_optional("ROW", "born", parts[6], -math.inf), zone="" if parts[7] == "-" else parts[7])
+        born=_optional("ROW", "born", parts[6], -math.inf),
+        zone="" if parts[7] == "-" else parts[7],
+    )
 
 
 def read_event(parts: list[str], fields: tuple[str, ...], rows: Iterator[str]) -> io.Event:
@@ -168,25 +216,38 @@
         _count(m, parts, 11)
         bits = 0 if parts[10] == "-" else _whole(m, "bits", parts[10])
         return io.Request(
-            id=parts[2], class_name=parts[3], plan=parts[4], customer=_whole(m, "apiKey", parts[5]),
-            expires_in=_number(m, "expiresIn", parts[6]), units=_number(m, "units", parts[7], 0.0),
+            id=parts[2],
+            class_name=parts[3],
+            plan=parts[4],
+            customer=_whole(m, "apiKey", parts[5]),
+            expires_in=_number(m, "expiresIn", parts[6]),
+            units=_number(m, "units", parts[7], 0.0),
             width=1 if parts[8] == "-" else _whole(m, "width", parts[8]),
             first=0 if parts[9] == "-" else _whole(m, "base", parts[9]),
-            is_repeat=bool(bits & 2), is_write=bool(bits & 4))
+            is_repeat=bool(bits & 2),
+            is_write=bool(bits & 4),
+        )
     if m == "RETURNED":
         _count(m, parts, 11)
         return io.AttemptEnded(
-            request=parts[2], attempt=_whole(m, "n", parts[3]), backend=parts[4],
+            request=parts[2],
+            attempt=_whole(m, "n", parts[3]),
+            backend=parts[4],
             outcome=_choice(m, "reason", parts[5], OUTCOMES),
-            elapsed=_optional(m, "waitTime", parts[6]), done=_flag(m, "doneFlag", parts[7]),
+            elapsed=_optional(m, "waitTime", parts[6]),
+            done=_flag(m, "doneFlag", parts[7]),
             metered=0 if parts[8] == "-" else _whole(m, "metered", parts[8]),
-            true_units=_optional(m, "trueUnits", parts[9]), load=_load(m, parts[10], fields))
+            true_units=_optional(m, "trueUnits", parts[9]),
+            load=_load(m, parts[10], fields),
+        )
     if m == "TALLIED":
         _count(m, parts, 6)
         return io.CounterReply(
-            elapsed=_optional(m, "waitTime", parts[2]), name=_whole(m, "name", parts[3]),
+            elapsed=_optional(m, "waitTime", parts[2]),
+            name=_whole(m, "name", parts[3]),
             outcome=_choice(m, "reason", parts[4], OUTCOMES),
-            total=_optional(m, "nowAt", parts[5], -math.inf))
+            total=_optional(m, "nowAt", parts[5], -math.inf),
+        )
     if m == "FIRED":
         _count(m, parts, 3)
         return io.TimerFired(_whole(m, "ctx", parts[2]))
@@ -206,12 +267,20 @@
         return io.ListUpdate(_choice(m, "form", parts[2], FORMS), version, tuple(entries))
     if m == "UNDER_WAY":
         _count(m, parts, 6)
-        return io.AttemptStarted(request=parts[2], elapsed=_optional(m, "waitTime", parts[3]),
-                                 backend=parts[4], attempt=_whole(m, "n", parts[5]))
+        return io.AttemptStarted(
+            request=parts[2],
+            elapsed=_optional(m, "waitTime", parts[3]),
+            backend=parts[4],
+            attempt=_whole(m, "n", parts[5]),
+        )
     if m == "PROBE_DONE":
         _count(m, parts, 6)
-        return io.ProbeEnded(backend=parts[2], outcome=_choice(m, "reason", parts[3], OUTCOMES),
-                             elapsed=_optional(m, "waitTime", parts[4]), load=_load(m, parts[5], fields))
+        return io.ProbeEnded(
+            backend=parts[2],
+            outcome=_choice(m, "reason", parts[3], OUTCOMES),
+            elapsed=_optional(m, "waitTime", parts[4]),
+            load=_load(m, parts[5], fields),
+        )
     if m == "HEARD":
         _count(m, parts, 4)
         try:
@@ -285,7 +354,7 @@
                 if len(parts) < 3:
                     _bad(m, "fields", "ingress, seed and profileData", len(parts) - 1)
                 settings, fields = read_settings(parts[3:])
-                seed = _whole(m, "seed", parts[2], -(2 ** 63))
+                seed = _whole(m, "seed", parts[2], -(2**63))
                 classes = {c.name: c for c in settings.classes}
                 plans = {q.name: q for q in settings.plans}
                 self.gateways[me] = (self.make(settings, seed, now), fields, classes, plans)
--- a/tests/ingress_driver.py
+++ b/tests/ingress_driver.py
@@ -18,21 +18,42 @@
 class GatewayDriver:
     """Drives one gateway; a healthy counter of its own unless told otherwise."""
 
-    def __init__(self, backends: int = 4, now: float = 100.0, born: float = 0.0, seed: int = 1,
-                 **more: Any) -> None:
+    def __init__(
+        self, backends: int = 4, now: float = 100.0, born: float = 0.0, seed: int = 1, **more: Any
+    ) -> None:
         args: dict[str, Any] = dict(
-            classes=(SAFE, KEYED, ZONED, UNSAFE), plans=(PLAN, CEILED), counter=True, counter_timeout=0.08,
-            max_attempts=4, may_cancel=True, settles=True, instances=1, zone="z0", step=0.002,
-            start_capacity=0.2, cold_time=10.0, fall_multiple=2.5, fall_after=1.0, max_retry_after=1.0)
+            classes=(SAFE, KEYED, ZONED, UNSAFE),
+            plans=(PLAN, CEILED),
+            counter=True,
+            counter_timeout=0.08,
+            max_attempts=4,
+            may_cancel=True,
+            settles=True,
+            instances=1,
+            zone="z0",
+            step=0.002,
+            start_capacity=0.2,
+            cold_time=10.0,
+            fall_multiple=2.5,
+            fall_after=1.0,
+            max_retry_after=1.0,
+        )
         args.update(more)
         self.now, self.n = now, 0
         self.gw = Gateway(io.Settings(**args), seed, now)
         self.counts: dict[int, float] = {}
         self.log: list[io.Action] = []
         self.counter = "up"
-        self.give(io.ListUpdate(io.ListKind.SAVED, 1, tuple(
-            io.BackendEntry(f"b{i}", io.Phase.RUNNING, born=born, zone=f"z{i % 2}", cell=i)
-            for i in range(backends))))
+        self.give(
+            io.ListUpdate(
+                io.ListKind.SAVED,
+                1,
+                tuple(
+                    io.BackendEntry(f"b{i}", io.Phase.RUNNING, born=born, zone=f"z{i % 2}", cell=i)
+                    for i in range(backends)
+                ),
+            )
+        )
 
     def give(self, event: io.Event) -> list[io.Action]:
         """Hand in one event and what the counter answers to it; returns all actions."""
@@ -54,18 +75,33 @@
         self.counts[a.name] = self.counts.get(a.name, 0.0) + a.amount
         return io.CounterReply(a.name, io.Outcome.OK, 0.001, self.counts[a.name])
 
-    def ask(self, cls: str = "read", units: float = 1.0, customer: int = 7, plan: str = "basic",
-            expires: float = 6.0, width: int = 2) -> list[io.Action]:
+    def ask(
+        self,
+        cls: str = "read",
+        units: float = 1.0,
+        customer: int = 7,
+        plan: str = "basic",
+        expires: float = 6.0,
+        width: int = 2,
+    ) -> list[io.Action]:
         """One request; its id is r1, r2, ..."""
         self.n += 1
         return self.give(io.Request(f"r{self.n}", cls, plan, customer, expires, units, width))
 
-    def end(self, attempt: io.Attempt, outcome: io.Outcome = io.Outcome.OK, n: int = 0, elapsed: float = 0.1,
-            true: float = 0.0, done: bool | None = None) -> list[io.Action]:
+    def end(
+        self,
+        attempt: io.Attempt,
+        outcome: io.Outcome = io.Outcome.OK,
+        n: int = 0,
+        elapsed: float = 0.1,
+        true: float = 0.0,
+        done: bool | None = None,
+    ) -> list[io.Action]:
         """The outcome of an attempt."""
         ok = outcome is io.Outcome.OK if done is None else done
-        return self.give(io.AttemptEnded(attempt.request, n, attempt.backend, outcome, elapsed, ok,
-                                         true_units=true))
+        return self.give(
+            io.AttemptEnded(attempt.request, n, attempt.backend, outcome, elapsed, ok, true_units=true)
+        )
 
     def beat(self, seconds: float) -> list[io.Action]:
         """Let time pass in beats of the gateway's timer."""
--- a/tests/socket_rig.py
+++ b/tests/socket_rig.py
@@ -35,9 +35,18 @@
 
 def settings(**more: Any) -> io.Settings:
     args: dict[str, Any] = dict(
-        classes=(SAFE, KEYED, UNSAFE), plans=(PLAN, CEILED), instances=3, counter_timeout=0.08, max_units=4.0,
-        max_attempts=3, settles=True, may_probe=True, may_cancel=True, connect_timeout=2.0,
-        max_retry_after=1.0)
+        classes=(SAFE, KEYED, UNSAFE),
+        plans=(PLAN, CEILED),
+        instances=3,
+        counter_timeout=0.08,
+        max_units=4.0,
+        max_attempts=3,
+        settles=True,
+        may_probe=True,
+        may_cancel=True,
+        connect_timeout=2.0,
+        max_retry_after=1.0,
+    )
     return io.Settings(**{**args, **more})
 
 
@@ -80,8 +89,14 @@
 
 
 def ok(body: bytes = b"fine", *lines: bytes) -> bytes:
-    return b"".join([b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n" % len(body), *(x + b"\r\n" for x in lines),
-                     b"\r\n", body])
+    return b"".join(
+        [
+            b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n" % len(body),
+            *(x + b"\r\n" for x in lines),
+            b"\r\n",
+            body,
+        ]
+    )
 
 
 class Peer:
@@ -143,12 +158,23 @@
         return int(line.split(" ")[1]), headers, body
 
 
-def call(name: str = "r1", cls: str = "read", body: bytes = b"", budget: str = "6000m",
-         path: str = "/api/000000000000000a", **headers: str | None) -> bytes:
+def call(
+    name: str = "r1",
+    cls: str = "read",
+    body: bytes = b"",
+    budget: str = "6000m",
+    path: str = "/api/000000000000000a",
+    **headers: str | None,
+) -> bytes:
     """A request as the front sends it; a header given as None is left out."""
     lines: dict[str, str | None] = {
-        "X-Call-Id": name, "X-Call-Class": cls, "X-Tier": "basic", "X-Budget": budget,
-        "X-Call-Terms": "units=2,spread=2,first=1", "Content-Length": str(len(body))}
+        "X-Call-Id": name,
+        "X-Call-Class": cls,
+        "X-Tier": "basic",
+        "X-Budget": budget,
+        "X-Call-Terms": "units=2,spread=2,first=1",
+        "Content-Length": str(len(body)),
+    }
     if cls == "pay":
         lines["Idempotency-Key"] = "k1"
     lines.update({k.replace("_", "-"): v for k, v in headers.items()})
@@ -158,8 +184,16 @@
 
 
 def entry(name: str, port: int, status: str = "SERVING", since_ms: int = 0) -> dict[str, Any]:
-    return {"name": name, "address": f"{HOST}:{port}", "zone": "z0", "type": "std", "group": 1,
-            "status": status, "weight": 1.0, "since_ms": since_ms}
+    return {
+        "name": name,
+        "address": f"{HOST}:{port}",
+        "zone": "z0",
+        "type": "std",
+        "group": 1,
+        "status": status,
+        "weight": 1.0,
+        "since_ms": since_ms,
+    }
 
 
 def listing(*entries: dict[str, Any], index: int = 1, snapshot: bool = True) -> Listing:
@@ -210,8 +244,9 @@
 class IngressRig:
     """An ingress with its client side, in this process."""
 
-    def __init__(self, decide: Callable[[io.Event], list[io.Action]], idle: float = 15.0,
-                 **more: Any) -> None:
+    def __init__(
+        self, decide: Callable[[io.Event], list[io.Action]], idle: float = 15.0, **more: Any
+    ) -> None:
         loop = asyncio.get_running_loop()
         self.script = ScriptedDecisions(decide)
         self.settings = settings(**more)
--- a/tests/system/calls.py
+++ b/tests/system/calls.py
@@ -38,8 +38,11 @@
 
 def public() -> CompiledConfig:
     """Routes of one service that need no key: what may be repeated, and what may not."""
-    entries = [route("read", "safe", public=True), route("order", "unsafe", public=True), *(
-        entry("services", s, health_path="/h", max_conns=99, protocol="h1", tls=False) for s in SERVICES)]
+    entries = [
+        route("read", "safe", public=True),
+        route("order", "unsafe", public=True),
+        *(entry("services", s, health_path="/h", max_conns=99, protocol="h1", tls=False) for s in SERVICES),
+    ]
     whole = {"generation": 1, "base-version": 0, "resource-list": entries}
     parsed = document.parse(json.dumps(whole).encode())
     assert isinstance(parsed, Ok), parsed
@@ -68,9 +71,15 @@
     def raw(self) -> bytes:
         body = b"" if self.method != "POST" else self.attempt.encode() * (LARGE // 2 if self.large else 3)
         path = f"/{'read' if self.safe else 'order'}/{'large' if self.large else 'small'}"
-        lines = [f"{self.method} {path} HTTP/{self.version}", "Host: a.example",
-                 f"Attempt-Id: {self.attempt}", f"Deadline-Ms: {1000 * PATIENCE_S:.0f}",
-                 f"Content-Length: {len(body)}", "", ""]
+        lines = [
+            f"{self.method} {path} HTTP/{self.version}",
+            "Host: a.example",
+            f"Attempt-Id: {self.attempt}",
+            f"Deadline-Ms: {1000 * PATIENCE_S:.0f}",
+            f"Content-Length: {len(body)}",
+            "",
+            "",
+        ]
         return "\r\n".join(lines).encode() + body
 
 
@@ -157,7 +166,7 @@
         if self.forgotten:
             self.kernel.append(None)
         while (arrived := read(self.wrote)) is not None and len(self.wrote) >= arrived.size:
-            del self.wrote[:arrived.size]
+            del self.wrote[: arrived.size]
             if self.early is None:
                 self.take(arrived)
             self.early = None
@@ -218,7 +227,9 @@
     fields = {k.lower(): v.strip() for k, _, v in (part.partition(":") for part in lines)}
     size = len(head) + 4 + int(fields.get("content-length", 0))
     method, path, _ = line.split(" ")
-    return ArrivedRequest(size, fields["attempt-id"], fields.get("target-instance", ""), method, "large" in path)
+    return ArrivedRequest(
+        size, fields["attempt-id"], fields.get("target-instance", ""), method, "large" in path
+    )
 
 
 class BackendLifetime:
@@ -296,7 +307,9 @@
         self.seats = list[SimulatedClient]()
         self.asks = dict[str, Ask]()
         terms = services.settings(1, CONNECT_S, "z1")
-        self.decisions = Decisions(QuotaClient(5.0, rng), terms, lambda n: RetryBudget(0.2, 1000.0, 10.0, n), rng)
+        self.decisions = Decisions(
+            QuotaClient(5.0, rng), terms, lambda n: RetryBudget(0.2, 1000.0, 10.0, n), rng
+        )
         self.decisions.handle(self.process.time() - 9.0, ProxyPeers(1, 0, 0))
         self.upstream = Upstream(self, loop)
         self.ingress = ProxyIngress(loop, terms, self.decisions, self.upstream, print, self.process.time)
@@ -327,8 +340,7 @@
             link.forgotten = True
             if not silent and not link.lost:
                 link.kernel.append(None)
-        self.news.append(lambda: self.ingress.backend(
-            old.name, old.service, address, io.Phase.DELETED, 0.0))
+        self.news.append(lambda: self.ingress.backend(old.name, old.service, address, io.Phase.DELETED, 0.0))
         self.news.append(self.begin(SERVICES[old.service == "s1"], address))
 
     def stop(self, address: tuple[str, int]) -> None:
@@ -361,8 +373,8 @@
         kept = min(kept, len(raw) - 1)
         self.asks[ask.attempt] = ask
         client_connection.asks.append(ask)
-        client_connection.left = bytearray(raw[len(raw) - kept:])
-        client_connection.send(raw[:len(raw) - kept])
+        client_connection.left = bytearray(raw[len(raw) - kept :])
+        client_connection.send(raw[: len(raw) - kept])
         if not client_connection.left:
             client_connection.whole = len(client_connection.asks)
 
@@ -419,7 +431,9 @@
         for n, ask in enumerate(client_connection.asks):
             status, fields, body, data = parse(data, ask.method == "HEAD", client_connection.ended())
             if body is None:
-                assert client_connection.closed or n >= client_connection.whole, f"{ask.attempt}: no answer, and no end"
+                assert (
+                    client_connection.closed or n >= client_connection.whole
+                ), f"{ask.attempt}: no answer, and no end"
                 assert not data
                 break
             if status < 300:
@@ -460,6 +474,6 @@
         size, found, rest = rest.partition(b"\r\n")
         if not found or len(rest) < int(size, 16) + 2:
             return status, fields, None, b""
-        body, rest = body + rest[:int(size, 16)], rest[int(size, 16) + 2:]
+        body, rest = body + rest[: int(size, 16)], rest[int(size, 16) + 2 :]
         if not int(size, 16):
             return status, fields, body, rest
--- a/tests/system/catch_up.py
+++ b/tests/system/catch_up.py
@@ -1,6 +1,6 @@
 """How long and with how many bytes one that was away catches up, after 0, 500 and 5,000 changes.
 
-    python -m tests.system.catch_up
+python -m tests.system.catch_up
 """
 
 from __future__ import annotations
@@ -20,8 +20,12 @@
 CHANGES = (0, 500, 5000)
 SEEDS = 5
 VALUE_BYTES = 400_000
-WAYS = {"cut off": "cut off", "killed": "killed", "wiped": "wiped",
-        "lossy": "cut off, then a tenth lost, 1 to 50 ms"}
+WAYS = {
+    "cut off": "cut off",
+    "killed": "killed",
+    "wiped": "wiped",
+    "lossy": "cut off, then a tenth lost, 1 to 50 ms",
+}
 
 
 class Counted(ConsensusCluster):
@@ -101,6 +105,7 @@
             nonlocal most
             most = max(most, sum(entry.stat().st_size for entry in os.scandir(folder)))
             sync(descriptor)
+
         os.fsync = seen
         try:
             for _ in range(changes):
@@ -118,8 +123,10 @@
         for changes in CHANGES:
             found = [member(how, changes, seed) for seed in range(SEEDS)]
             times, whole = zip(*found, strict=True)
-            cells.append(f"{statistics.median(times):.2f} s (worst {max(times):.2f}), "
-                         f"{max(whole)} whole entries at most")
+            cells.append(
+                f"{statistics.median(times):.2f} s (worst {max(times):.2f}), "
+                f"{max(whole)} whole entries at most"
+            )
         yield f"| member, {words} | " + " | ".join(cells) + " |"
     for again in (False, True):
         cells = []
--- a/tests/system/consensus_cluster.py
+++ b/tests/system/consensus_cluster.py
@@ -36,8 +36,14 @@
 class ConsensusCluster:
     """Several nodes. Every output is checked; `done` is by version, `committed` too."""
 
-    def __init__(self, count: int, seed: int, tolerance: int = 1, tuning: api.Tuning | None = None,
-                 kind: Callable[..., RaftNode] = RaftNode) -> None:
+    def __init__(
+        self,
+        count: int,
+        seed: int,
+        tolerance: int = 1,
+        tuning: api.Tuning | None = None,
+        kind: Callable[..., RaftNode] = RaftNode,
+    ) -> None:
         self.tuning = tuning or api.Tuning()
         self.rng, self.kind, self.tolerance = random.Random(seed), kind, tolerance
         self.now, self.order, self.events = 100.0, 0, []
@@ -82,8 +88,17 @@
     def start(self, address: str, fresh: bool = False) -> None:
         node = self.nodes[address]
         node.incarnation, node.heard = node.incarnation + 1, 0
-        node.machine = self.kind(address, node.files, fresh, self.seeds, random.Random(self.rng.random()),
-                                 self.tuning, f"{self.rng.getrandbits(32):08x}", self.tolerance, self.now)
+        node.machine = self.kind(
+            address,
+            node.files,
+            fresh,
+            self.seeds,
+            random.Random(self.rng.random()),
+            self.tuning,
+            f"{self.rng.getrandbits(32):08x}",
+            self.tolerance,
+            self.now,
+        )
         self._tick(node, node.incarnation)
 
     def kill(self, address: str, wipe: bool = False, power: bool = True) -> None:
@@ -120,7 +135,9 @@
         """Hand an input to a node's machine and do as it says, once it runs."""
         if self.now < node.frozen:
             incarnation = node.incarnation
-            self.at(node.frozen - self.now, lambda: node.incarnation == incarnation and self.give(node, event))
+            self.at(
+                node.frozen - self.now, lambda: node.incarnation == incarnation and self.give(node, event)
+            )
             return
         self._check_contact(node)
         for output in node.machine.handle(self.now, event):
@@ -146,8 +163,7 @@
         for _ in range(1 + (self.rng.random() < self.double)):
             if self.rng.random() >= self.loss and (node.address, output.to) not in self.cut:
                 slow = 20 if self.rng.random() < self.double else 1
-                self.at(slow * self.rng.uniform(*self.delay_s),
-                        lambda: self._arrive(node.address, output))
+                self.at(slow * self.rng.uniform(*self.delay_s), lambda: self._arrive(node.address, output))
 
     def _arrive(self, sender: str, output: Send) -> None:
         node = self.nodes.get(output.to)
@@ -167,12 +183,18 @@
             if not fails:
                 node.files = node.stored = write.record
             if not self.early:
-                self.give(node, api.WriteFailed(write.token, "full") if fails else api.WriteCompleted(write.token))
+                self.give(
+                    node, api.WriteFailed(write.token, "full") if fails else api.WriteCompleted(write.token)
+                )
+
         takes = self.rng.uniform(*node.disk_s)
         self.at(takes / 2, put)
         self.at(takes, finish)
         if self.early:
-            self.at(0.0, lambda: node.incarnation == incarnation and self.give(node, api.WriteCompleted(write.token)))
+            self.at(
+                0.0,
+                lambda: node.incarnation == incarnation and self.give(node, api.WriteCompleted(write.token)),
+            )
 
     def _committed(self, node: Node, output: api.Committed) -> None:
         if output.version <= node.heard:
@@ -190,8 +212,10 @@
         self.outcomes[output.token] = output.outcome
         value, expected = self.asked[output.token]
         if output.outcome == "done":
-            if self.done.setdefault(expected + 1, value) != value \
-                    or self.committed.get(expected + 1) != value:
+            if (
+                self.done.setdefault(expected + 1, value) != value
+                or self.committed.get(expected + 1) != value
+            ):
                 raise InvariantViolation(f"{value!r} was acknowledged as version {expected + 1} and isn't")
             self.done_at.setdefault(expected + 1, self.now)
         elif output.outcome == "refused" and value in self.committed.values():
@@ -206,14 +230,17 @@
         if self.now < until and node.machine.committed < newest:
             if node.machine.has_leader_lease(self.now):
                 raise InvariantViolation(f"{node.address} is sure of an old version")
-            raise InvariantViolation(f"{node.address} is in touch and has version {node.machine.committed}, not {newest}")
+            raise InvariantViolation(
+                f"{node.address} is in touch and has version {node.machine.committed}, not {newest}"
+            )
 
     def _check_lease(self, node: Node) -> None:
         if node.machine.has_leader_lease(self.now):
             self.led[node.address, node.incarnation] = self.now
             since = node.machine.leaderless_since
             if since is not None and any(
-                    until > since for who, until in self.led.items() if who != (node.address, node.incarnation)):
+                until > since for who, until in self.led.items() if who != (node.address, node.incarnation)
+            ):
                 raise InvariantViolation(f"{node.address} says that nobody has led since {since:.3f}")
             if node.machine.committed < max(self.done, default=0):
                 raise InvariantViolation(f"{node.address} is sure of an old version")
@@ -240,9 +267,27 @@
     def strike(self) -> None:
         core, rng = self.core, self.rng
         node = rng.choice(list(core.nodes.values()))
-        act = rng.choice([self._cut, self._cut, self._heal, self._restart, self._restart, self._herd,
-                          self._wipe, self._wipe, self._replace, self._disk, self._leave, self._freeze,
-                          self._after_ack, self._after_ack, self._power, self._power, self._unsynced])
+        act = rng.choice(
+            [
+                self._cut,
+                self._cut,
+                self._heal,
+                self._restart,
+                self._restart,
+                self._herd,
+                self._wipe,
+                self._wipe,
+                self._replace,
+                self._disk,
+                self._leave,
+                self._freeze,
+                self._after_ack,
+                self._after_ack,
+                self._power,
+                self._power,
+                self._unsynced,
+            ]
+        )
         act(node)
         for _ in range(rng.randrange(4)):
             asker = core.leader() or rng.choice(core.up() or [None])
@@ -276,8 +321,10 @@
             core = self.core
             core.kill(node.address, wipe, self.rng.random() < 0.5 if power is None else power)
             incarnation = node.incarnation
-            core.at(self.rng.uniform(0.02, 0.2 if self.storm else 1.5),
-                    lambda: node.incarnation == incarnation and core.start(node.address))
+            core.at(
+                self.rng.uniform(0.02, 0.2 if self.storm else 1.5),
+                lambda: node.incarnation == incarnation and core.start(node.address),
+            )
 
     def _herd(self, node: Node) -> None:
         for each in list(self.core.nodes.values()):
@@ -297,8 +344,11 @@
             for each in [n for n in core.nodes.values() if n.machine is not None and n is not spared]:
                 core.kill(each.address)
                 incarnation = each.incarnation
-                core.at(self.rng.choice([0.01, 0.05, 0.2]) * self.rng.random(),
-                        lambda each=each, incarnation=incarnation: each.incarnation == incarnation and core.start(each.address))
+                core.at(
+                    self.rng.choice([0.01, 0.05, 0.2]) * self.rng.random(),
+                    lambda each=each, incarnation=incarnation: each.incarnation == incarnation
+                    and core.start(each.address),
+                )
             core.run(self.rng.uniform(0.05, 0.5))
 
     def _after_ack(self, node: Node) -> None:
@@ -332,15 +382,22 @@
 
     def _may_lose(self, node: Node) -> bool:
         """May this disk be lost, after those that still count as members?"""
-        held = [n.machine.replica.entry if n.machine else n.files.entry for n in self.core.nodes.values()
-                if n.machine or n.files]
+        held = [
+            n.machine.replica.entry if n.machine else n.files.entry
+            for n in self.core.nodes.values()
+            if n.machine or n.files
+        ]
         known = [n.machine.value for n in self.core.up() if n.machine.value]
         if not known:
             return False
         newest = [max(entries, key=lambda e: e.position) for entries in (held, known)]
         late = {disk for disk, at in self.core.lost.items() if self.core.now < at + 2.0}
-        return all(len({m.disk for m in council} & {*self.core.lost} | late) < (len(council) - 1) // 2
-                   for entry in newest for council in (entry.members, entry.outgoing) if council)
+        return all(
+            len({m.disk for m in council} & {*self.core.lost} | late) < (len(council) - 1) // 2
+            for entry in newest
+            for council in (entry.members, entry.outgoing)
+            if council
+        )
 
     def _wipe(self, node: Node) -> None:
         if self._may_lose(node):
@@ -366,7 +423,9 @@
             self.core.at(1.0, lambda: node.incarnation == incarnation and self._restart(node))
 
 
-def explore(count: int, seed: int, early: bool = False, kind: Callable[..., RaftNode] = RaftNode) -> ConsensusCluster:
+def explore(
+    count: int, seed: int, early: bool = False, kind: Callable[..., RaftNode] = RaftNode
+) -> ConsensusCluster:
     """Some seconds of trouble, then calm: a leader must be found and a proposal get done within 5 s."""
     core = ConsensusCluster(count, seed, (count - 1) // 2, kind=kind)
     core.early = early
@@ -393,7 +452,9 @@
     if version <= max((v for v in core.done if v != version), default=0):
         raise InvariantViolation("what was acknowledged is lost")
     if not core.run(8.0, lambda: all(n.heard >= version for n in core.up())):
-        raise InvariantViolation(f"{[n.address for n in core.up() if n.heard < version]} lack version {version}")
+        raise InvariantViolation(
+            f"{[n.address for n in core.up() if n.heard < version]} lack version {version}"
+        )
 
 
 def tell(output: api.Output) -> str:
--- a/tests/system/controllers.py
+++ b/tests/system/controllers.py
@@ -29,8 +29,10 @@
     def __init__(self, method: str, raw: dict[str, Any], valid: bool) -> None:
         self.method, self.valid, self.body = method, valid, json.dumps(raw).encode()
         self.generation, self.base = raw["generation"], raw["base-version"]
-        self.upsert: Labels = tuple(e["metadata"]["label"] for e in (
-            raw["resource-list"] if method == "PUT" else raw["upsert"]["resource-list"]))
+        self.upsert: Labels = tuple(
+            e["metadata"]["label"]
+            for e in (raw["resource-list"] if method == "PUT" else raw["upsert"]["resource-list"])
+        )
         self.version = 0  # as which it was taken
         self.refused = self.acknowledged = False
 
@@ -63,7 +65,9 @@
 class ControllerCluster(ConsensusCluster):
     """A core with its controls, and its callers. `under_way` are calls without a clear answer."""
 
-    def __init__(self, count: int, seed: int, controller: type[SimulatedController] = SimulatedController) -> None:
+    def __init__(
+        self, count: int, seed: int, controller: type[SimulatedController] = SimulatedController
+    ) -> None:
         self.controller, self.controllers, self.giving = controller, {}, None
         self.orders: list[Order] = []
         self.taken: list[tuple[Order | None, Labels]] = [(None, ())]  # by version
@@ -102,7 +106,9 @@
     def _committed(self, node: Node, output: api.Committed) -> None:
         super()._committed(node, output)
         controller = self.controllers[node.address]
-        controller.config_state = controller.control.own_value(output.value) or ConfigState.decode(output.value, controller.config_state)
+        controller.config_state = controller.control.own_value(output.value) or ConfigState.decode(
+            output.value, controller.config_state
+        )
         controller.version = output.version
         if output.version == len(self.taken):
             self._take(controller.config_state)
@@ -146,11 +152,13 @@
         valid = chance.random() < 0.9
         if not valid and chance.random() < 0.5:
             raw["generation"] = base
-        services = [service(label, valid or raw["generation"] == base)
-                    for label in (*labels[-LABELS:], f"s{number}")]
+        services = [
+            service(label, valid or raw["generation"] == base) for label in (*labels[-LABELS:], f"s{number}")
+        ]
         method = chance.choice(["PUT", "PATCH"])
-        raw |= {"resource-list": services} if method == "PUT" else {
-            "upsert": {"resource-list": services[-1:]}}
+        raw |= (
+            {"resource-list": services} if method == "PUT" else {"upsert": {"resource-list": services[-1:]}}
+        )
         self.orders.append(Order(method, raw, valid))
         self.send(self.orders[-1])
 
@@ -164,8 +172,13 @@
             self.begin()
             self.at(self.chance.choice([0.01, 0.1, 0.5]) * self.chance.random(), self._go_on)
 
-    def ask(self, address: str, http_call: HttpCall, told: Callable[[int, bytes, bytes], None],
-            check: Callable[[int, bytes], None]) -> None:
+    def ask(
+        self,
+        address: str,
+        http_call: HttpCall,
+        told: Callable[[int, bytes, bytes], None],
+        check: Callable[[int, bytes], None],
+    ) -> None:
         """One HTTP call; `told` hears its answer, unless that is lost."""
         delay = self.chance.uniform(*((0.5, 4.0) if self.chance.random() < self.late else self.delay_s))
 
@@ -176,7 +189,10 @@
 
         def arrive(node: Node, incarnation: int) -> None:
             if self.now < node.frozen:
-                self.at(node.frozen - self.now, lambda: node.incarnation == incarnation and arrive(node, incarnation))
+                self.at(
+                    node.frozen - self.now,
+                    lambda: node.incarnation == incarnation and arrive(node, incarnation),
+                )
                 return
 
             def reply(status: int, lines: bytes, body: bytes) -> None:
@@ -232,9 +248,12 @@
         core, order = self.core, self.order
         self.sent, self.hops = self.sent + 1, self.hops + 1 if address else 0
         turn = self.sent
-        core.ask(address or core.chance.choice(list(core.nodes)), HttpCall(order.method, CONFIG, order.body),
-                 lambda status, lines, body: self.told(turn, status, lines),
-                 lambda status, body: core.check(order, status, body))
+        core.ask(
+            address or core.chance.choice(list(core.nodes)),
+            HttpCall(order.method, CONFIG, order.body),
+            lambda status, lines, body: self.told(turn, status, lines),
+            lambda status, body: core.check(order, status, body),
+        )
         core.at(SILENCE_S, lambda: self.told(turn, 0, b""))
 
     def told(self, turn: int, status: int, lines: bytes) -> None:
@@ -278,12 +297,16 @@
             labels = tuple(e["metadata"]["label"] for e in raw["resource-list"])
             of = [(o, own_value) for o, own_value in self.core.taken if o and o.generation == self.found]
             if not of or of[0][1] != labels or self.least and of[0][0].version < self.least.version:
-                raise InvariantViolation(f"read {raw}, acknowledged was {vars(self.least) if self.least else None}")
+                raise InvariantViolation(
+                    f"read {raw}, acknowledged was {vars(self.least) if self.least else None}"
+                )
         elif status == 404 and self.least:
             raise InvariantViolation("nothing is read")
 
 
-def explore(count: int, seed: int, controller: type[SimulatedController] = SimulatedController, clear_s: float = 25.0) -> ControllerCluster:
+def explore(
+    count: int, seed: int, controller: type[SimulatedController] = SimulatedController, clear_s: float = 25.0
+) -> ControllerCluster:
     """Orders amid trouble, then calm: all get a clear answer in time; what was acknowledged is, again.
 
     With `clear_s` 0 it ends with the trouble.
--- a/tests/system/drift.py
+++ b/tests/system/drift.py
@@ -24,16 +24,28 @@
 
 
 def route(label, target="s1", **more):
-    spec = {"hostname": "a.example", "path-prefix": f"/{label}/", "traffic-class": "safe", "deadline-s": 2,
-            "weighted": [{"target": target, "share": 90}, {"target": "s2", "share": 10}], "max-tries": 2}
+    spec = {
+        "hostname": "a.example",
+        "path-prefix": f"/{label}/",
+        "traffic-class": "safe",
+        "deadline-s": 2,
+        "weighted": [{"target": target, "share": 90}, {"target": "s2", "share": 10}],
+        "max-tries": 2,
+    }
     return {"entry-kind": "route-table", "metadata": {"label": label}, "spec": {**spec, **more}}
 
 
 def config(generation=1, base=0, more=(), **routes):
     entries = [route("r1"), route("r2"), *(route(label, target) for label, target in routes.items()), *more]
     entries += [{"entry-kind": "services", "metadata": {"label": s}, "spec": {}} for s in ("s1", "s2")]
-    entries += [{"entry-kind": "tenants", "metadata": {"label": t}, "spec": {
-        "api-keys": [f"{t}-a", f"{t}-b"], "rate-per-s": 20, "burst": 20}} for t in ("t1", "t2")]
+    entries += [
+        {
+            "entry-kind": "tenants",
+            "metadata": {"label": t},
+            "spec": {"api-keys": [f"{t}-a", f"{t}-b"], "rate-per-s": 20, "burst": 20},
+        }
+        for t in ("t1", "t2")
+    ]
     return json.dumps({"generation": generation, "base-version": base, "resource-list": entries}).encode()
 
 
@@ -49,14 +61,28 @@
 
     def __init__(self, net, address):
         ip, port = address.split(":")
-        told = {"self": {"node": ip, "role": "proxy", "ip": ip, "zone": "z"}, "network": {
-            "port-range": [int(port), int(port) + 9], "seeds": [p.replace("7661", "8407") for p in CONTROLLER_ADDRESSES],
-            "zones": {"z": "r"}}}
+        told = {
+            "self": {"node": ip, "role": "proxy", "ip": ip, "zone": "z"},
+            "network": {
+                "port-range": [int(port), int(port) + 9],
+                "seeds": [p.replace("7661", "8407") for p in CONTROLLER_ADDRESSES],
+                "zones": {"z": "r"},
+            },
+        }
         loop = SimpleNamespace(call_later=lambda *a: NOTHING, call_at=lambda *a: NOTHING, time=net.clock)
         self.outs, self.held_to, self.skew, self.versions = [], USUAL, 0.0, []
-        self.proxy_node = ProxyNode(self, loop, lambda: net.now + self.skew, files.read_document(told).unwrap(), None,
-                         random.Random(address))
-        self.drift_monitor, self.drift_detector = self.proxy_node.drift_monitor, self.proxy_node.drift_monitor.drift_detector
+        self.proxy_node = ProxyNode(
+            self,
+            loop,
+            lambda: net.now + self.skew,
+            files.read_document(told).unwrap(),
+            None,
+            random.Random(address),
+        )
+        self.drift_monitor, self.drift_detector = (
+            self.proxy_node.drift_monitor,
+            self.proxy_node.drift_monitor.drift_detector,
+        )
 
     def send(self, to, plane, message):
         if plane == MEMBERSHIP:
@@ -78,7 +104,9 @@
     def ask(self, path="/r1/x", key="t1-a", host="a.example"):
         """A request: its status, or None if it is turned back."""
         wanted = host.encode(), path.encode(), key.encode()
-        route_decision = self.drift_monitor.request(*wanted, self.proxy_node.compiled_config.resolve_request(*wanted))
+        route_decision = self.drift_monitor.request(
+            *wanted, self.proxy_node.compiled_config.resolve_request(*wanted)
+        )
         return route_decision and route_decision.status
 
     def findings(self):
@@ -109,13 +137,18 @@
         self.rng, self.now, self.count, self.due = random.Random(seed), 100.0, 0, []
         self.cut, self.asleep = lambda a, b, kind: False, set()
         self.nodes = {a: SimulatedController(self, a) for a in CONTROLLER_ADDRESSES}
-        self.nodes |= {f"10.{1 + i % 3}.1.{i}:7660": SimulatedProxy(self, f"10.{1 + i % 3}.1.{i}:7660")
-                       for i in range(proxies)}
+        self.nodes |= {
+            f"10.{1 + i % 3}.1.{i}:7660": SimulatedProxy(self, f"10.{1 + i % 3}.1.{i}:7660")
+            for i in range(proxies)
+        }
         for address in self.nodes:
             self.later(self.rng.uniform(0, TICK_S), address, m.Tick())
         for address in CONTROLLER_ADDRESSES:
             self.give(address, m.SetCore(tuple(CONTROLLER_ADDRESSES)))
-        self.give(CONTROLLER_ADDRESSES[0], m.Publish(m.CORE, (1, 1), wire.encode_members(CONTROLLER_ADDRESSES, CONTROLLER_ADDRESSES[0])))
+        self.give(
+            CONTROLLER_ADDRESSES[0],
+            m.Publish(m.CORE, (1, 1), wire.encode_members(CONTROLLER_ADDRESSES, CONTROLLER_ADDRESSES[0])),
+        )
 
     def clock(self):
         return self.now
@@ -158,4 +191,6 @@
         digest = ExpectedDigests(config_state.document).total.to_bytes(8)
         for address in addresses:
             self.give(address, m.Publish(m.CONFIG, (0, version), config_state.encode(), digest))
-            self.nodes[address].fleet_monitor.config_applied(self.now, version, int.from_bytes(digest), config_state.document)
+            self.nodes[address].fleet_monitor.config_applied(
+                self.now, version, int.from_bytes(digest), config_state.document
+            )
--- a/tests/system/membership_net.py
+++ b/tests/system/membership_net.py
@@ -63,7 +63,12 @@
     def controller(self, address):
         """Starts a controller."""
         number = int(address.split(".")[1])
-        self.add(address, ControllerMembership(address, number, CONTROLLER_ADDRESSES, 1.3, random.Random(self.rng.random())))
+        self.add(
+            address,
+            ControllerMembership(
+                address, number, CONTROLLER_ADDRESSES, 1.3, random.Random(self.rng.random())
+            ),
+        )
         self.give(address, m.SetCore(tuple(CONTROLLER_ADDRESSES)))
 
     def beat(self, address, id, seq, draining=False, at="10.9.0.1:80", cold=0.0):
@@ -84,8 +89,11 @@
 
     def answer(self, address, token):
         """How a call of a backend was answered: "Acked", "Refused", or "" so far."""
-        kinds = [type(o).__name__ for o in self.outs[address]
-                 if isinstance(o, m.Acknowledged | m.Rejected) and o.token == token]
+        kinds = [
+            type(o).__name__
+            for o in self.outs[address]
+            if isinstance(o, m.Acknowledged | m.Rejected) and o.token == token
+        ]
         assert len(kinds) < 2
         return kinds[0] if kinds else ""
 
--- a/tests/system/proxy.py
+++ b/tests/system/proxy.py
@@ -33,23 +33,41 @@
 
 
 def entry(kind: str, label: str, **spec: Any) -> dict[str, Any]:
-    return {"entry-kind": kind, "metadata": {"label": label},
-            "spec": {k.replace("_", "-"): v for k, v in spec.items()}}
+    return {
+        "entry-kind": kind,
+        "metadata": {"label": label},
+        "spec": {k.replace("_", "-"): v for k, v in spec.items()},
+    }
 
 
 def route(label: str, kind: str, **spec: Any) -> dict[str, Any]:
-    usual = {"hostname": "a.example", "path_prefix": f"/{label}/", "traffic_class": kind, "deadline_s": 5,
-             "target_latency_s": 2, "precedence": 2, "target": "s1", "max_tries": 2, "public": False}
+    usual = {
+        "hostname": "a.example",
+        "path_prefix": f"/{label}/",
+        "traffic_class": kind,
+        "deadline_s": 5,
+        "target_latency_s": 2,
+        "precedence": 2,
+        "target": "s1",
+        "max_tries": 2,
+        "public": False,
+    }
     return entry("route-table", label, **{**usual, **spec})
 
 
 def compiled_config() -> CompiledConfig:
     """Routes for what a test may ask: safe and unsafe, one without a key, one whose service has nobody."""
-    entries = [route("read", "safe"), route("order", "unsafe"), route("open", "safe", public=True),
-               route("empty", "safe", target="s2"), *(
-                   entry("services", label, health_path="/health", max_conns=9, protocol="h1", tls=False)
-                   for label in ("s1", "s2")),
-               entry("tenants", "t1", api_keys=["k1"], precedence=1, rate_per_s=10, burst=10)]
+    entries = [
+        route("read", "safe"),
+        route("order", "unsafe"),
+        route("open", "safe", public=True),
+        route("empty", "safe", target="s2"),
+        *(
+            entry("services", label, health_path="/health", max_conns=9, protocol="h1", tls=False)
+            for label in ("s1", "s2")
+        ),
+        entry("tenants", "t1", api_keys=["k1"], precedence=1, rate_per_s=10, burst=10),
+    ]
     read = document.parse(json.dumps({"generation": 1, "base-version": 0, "resource-list": entries}).encode())
     assert isinstance(read, Ok), read
     return CompiledConfig(read.ok_value)
@@ -83,11 +101,26 @@
     """No answer ever comes."""
 
 
-def asked(path: str = "/read/1", key: str | None = "k1", name: str | None = "a1", patience: int = 4000,
-          method: str = "GET", body: bytes = b"", host: str = "a.example") -> bytes:
+def asked(
+    path: str = "/read/1",
+    key: str | None = "k1",
+    name: str | None = "a1",
+    patience: int = 4000,
+    method: str = "GET",
+    body: bytes = b"",
+    host: str = "a.example",
+) -> bytes:
     """A client's request, which also claims what only the system may say."""
-    lines = {"Host": host, "Attempt-Id": name, "Deadline-Ms": patience, "Tenant": "other", "X-More": "kept",
-             "Target-Instance": "other", "Authorization": key and f"Token {key}", "Content-Length": len(body)}
+    lines = {
+        "Host": host,
+        "Attempt-Id": name,
+        "Deadline-Ms": patience,
+        "Tenant": "other",
+        "X-More": "kept",
+        "Target-Instance": "other",
+        "Authorization": key and f"Token {key}",
+        "Content-Length": len(body),
+    }
     head = "".join(f"{k}: {v}\r\n" for k, v in lines.items() if v is not None)
     return f"{method} {path} HTTP/1.1\r\n{head}\r\n".encode() + body
 
--- a/tests/system/quota_net.py
+++ b/tests/system/quota_net.py
@@ -31,7 +31,7 @@
         self.shard_assigner: dict[str, ShardAssigner] = {}
         self.leader, self.term, self.loss, self.away = "", 0, 0.0, set[str]()
         self.dead: set[str] = set()
-        self.went: dict[str, list[float]] = {t: [] for t in tenants}   # units let go
+        self.went: dict[str, list[float]] = {t: [] for t in tenants}  # units let go
         self.asked: Counter[str] = Counter()
         self.refused: list[tuple[float, str, str, int]] = []
         self.tenant_of: dict[int, tuple[str, int]] = {}
@@ -72,7 +72,9 @@
         self.term += 1
         for other, shard_assigner in self.shard_assigner.items():
             shard_assigner.handle(self.now, io.LiveControllers(list(self.owners), self.names))
-            shard_assigner.handle(self.now, io.LeadershipChange(self.term if other == name else 0, True, leaderless_since))
+            shard_assigner.handle(
+                self.now, io.LeadershipChange(self.term if other == name else 0, True, leaderless_since)
+            )
         self.leader = name
         for other, holder in self.owners.items():
             self.act(other, holder.handle(self.now, io.SetLeader(name)))
@@ -142,7 +144,9 @@
         if name in self.quota_clients:
             self.tenant_of[id] = tenant, precedence
             self.asked[tenant] += 1
-            self.act(name, self.quota_clients[name].handle(self.now, ChargeRequest(id, tenant, precedence, 0.06)))
+            self.act(
+                name, self.quota_clients[name].handle(self.now, ChargeRequest(id, tenant, precedence, 0.06))
+            )
         return id
 
     def charged(self, name: str, o: ChargeDecision) -> None:
@@ -156,10 +160,12 @@
         """Requests at random times, at random proxies of uneven weight."""
         names = [n for n in self.quota_clients if n[0] == "s"]
         weights = [1 + 2 * random.Random(n).random() for n in names]
+
         def one() -> None:
             if self.now < until:
                 self.ask(self.rng.choices(names, weights)[0], tenant, precedence=precedence)
                 self.schedule(self.rng.expovariate(rate), one)
+
         self.schedule(0.0, one)
 
     def most(self, tenant: str, since: float = 0.0) -> int:
--- a/tests/system/test_allowance.py
+++ b/tests/system/test_allowance.py
@@ -66,8 +66,10 @@
     net = busy(Wrong)
     now = told(net)
     assert {row["node"] for row in now.views if row["beyond"]} == {"s0"} and not now.well
-    answers = {name: {"node": name, **HolderReport(name, holder).status(net.now)}
-               for name, holder in net.owners.items()}
+    answers = {
+        name: {"node": name, **HolderReport(name, holder).status(net.now)}
+        for name, holder in net.owners.items()
+    }
     monkeypatch.setattr(nodes, "status", lambda seed, path: answers[seed])
     assert commands.run(["allowance", *answers]) == 2 and "disagrees" in capfd.readouterr().out
     assert commands.run(["allowance", "--nodes", *answers]) == 2 and "s0" in capfd.readouterr().out
@@ -93,26 +95,33 @@
     net.run(62.0)
     changes += [line.changes(net.now) for line in lines.values()]
     assert [line.changes(net.now) for line in lines.values()] == [{}] * 4
-    counts = [(tenant, ways) for n in changes for tenant, levels in n["charged"].items()
-              for ways in levels.values()]
+    counts = [
+        (tenant, ways) for n in changes for tenant, levels in n["charged"].items() for ways in levels.values()
+    ]
     for tenant in TENANTS:
         ways = [sum(column) for column in zip(*(w for t, w in counts if t == tenant), strict=True)]
         assert sum(ways) == net.asked[tenant] and ways[HOLDER] + ways[SHARE] == len(net.went[tenant])
         assert all(ways) or tenant == "calm"
     assert sum(sum(t.values()) for n in changes for t in n["times"].values()) == net.asked.total()
     waited = net.quota_clients["s0"].statistics.times[HOLDER]
-    assert sum(waited[:EDGES.index(0.008)]) > 0.5 * sum(waited)  # 2 to 8 ms a round trip
+    assert sum(waited[: EDGES.index(0.008)]) > 0.5 * sum(waited)  # 2 to 8 ms a round trip
 
 
 def test_figures_are_as_a_scraper_reads_them():
     net = busy()
-    charger_report, holder_report = ChargerReport("s0", net.quota_clients["s0"]), HolderReport("p0", net.owners["p0"])
+    charger_report, holder_report = (
+        ChargerReport("s0", net.quota_clients["s0"]),
+        HolderReport("p0", net.owners["p0"]),
+    )
     for counting in (charger_report, holder_report):
         body = render_metrics(counting.metrics(net.now), QUOTA_METRIC_PREFIX).decode().splitlines()
         families = [line.split()[2] for line in body if line.startswith("# TYPE")]
         assert len(families) == len(set(families))
-    buckets = [float(line.split()[1]) for line in render_metrics(charger_report.metrics(net.now)).decode().splitlines()
-               if 'way="holder",le=' in line]
+    buckets = [
+        float(line.split()[1])
+        for line in render_metrics(charger_report.metrics(net.now)).decode().splitlines()
+        if 'way="holder",le=' in line
+    ]
     assert len(buckets) == len(EDGES) + 1 and buckets == sorted(buckets) and buckets[-1] > 100
 
 
@@ -121,7 +130,10 @@
     net.load("hot", 30.0, 60.0)
     begun = [ChargerReport(name, quota_client) for name, quota_client in net.quota_clients.items()]
     begun += [HolderReport(name, holder) for name, holder in net.owners.items()]
-    lines = ["what else a file holds {", '   1.0 edge-a {"logger": "gateway.drift", "held": "gateway.quota_report"}']
+    lines = [
+        "what else a file holds {",
+        '   1.0 edge-a {"logger": "gateway.drift", "held": "gateway.quota_report"}',
+    ]
 
     def look() -> None:
         for counting in begun:
@@ -148,7 +160,9 @@
     for immediate_logger, written in (("", 0), (QUOTA_LOGGER, 1)):
         out: list[str] = []
         ring = LogRing(write=out.append, immediate_logger=immediate_logger)
-        ring.handle(logging.makeLogRecord({"name": QUOTA_LOGGER, "levelno": logging.INFO, "msg": {"back": 3}}))
+        ring.handle(
+            logging.makeLogRecord({"name": QUOTA_LOGGER, "levelno": logging.INFO, "msg": {"back": 3}})
+        )
         ring.handle(logging.makeLogRecord({"name": "gateway.else", "levelno": logging.INFO, "msg": "usual"}))
         assert len(out) == written and len(ring.records) == 2 - written
     assert json.loads(out[0])["back"] == 3
--- a/tests/system/test_calls.py
+++ b/tests/system/test_calls.py
@@ -31,8 +31,15 @@
 BOOK = public()
 
 
-def answer(link: BackendLink, a: ArrivedRequest, framing: int = 0, status: int = 200, name: str | None = "",
-           sealed: bool = True, lines: bytes = b"") -> bytes:
+def answer(
+    link: BackendLink,
+    a: ArrivedRequest,
+    framing: int = 0,
+    status: int = 200,
+    name: str | None = "",
+    sealed: bool = True,
+    lines: bytes = b"",
+) -> bytes:
     """A backend's answer to a request, framed by its length, in chunks, or by its connection's end."""
     body = body_of(a.attempt, a.large) if status < 300 else b"no"
     head = b"HTTP/1.1 %d X\r\n" % status + lines
@@ -62,26 +69,42 @@
 
 
 STRAY: list[Callable[[BackendLink, bytes], bytes]] = [
-    lambda link, own: own, lambda link, own: own, lambda link, own: late(link),
-    lambda link, own: b"\xff\x00noise\r\n\r\n", lambda link, own: b"HTTP/1.1 103 X\r\n\r\n",
+    lambda link, own: own,
+    lambda link, own: own,
+    lambda link, own: late(link),
+    lambda link, own: b"\xff\x00noise\r\n\r\n",
+    lambda link, own: b"HTTP/1.1 103 X\r\n\r\n",
     lambda link, own: b"HTTP/1.1 200 O",
     lambda link, own: b"HTTP/1.1 204 X\r\nAttempt-Id: a0\r\nBackend-Seal: forged\r\n\r\n",
-    lambda link, own: b"\r\n"]
-BEHIND = [*STRAY, lambda link, own: b"HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
-          lambda link, own: b"HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n"]
+    lambda link, own: b"\r\n",
+]
+BEHIND = [
+    *STRAY,
+    lambda link, own: b"HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+    lambda link, own: b"HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n",
+]
 SPOILT: list[Callable[[BackendLink, ArrivedRequest], bytes]] = [
-    lambda link, a: answer(link, a, name=None), lambda link, a: answer(link, a, name="a0"),
-    lambda link, a: answer(link, a, sealed=False), lambda link, a: b"rubbish\r\n\r\n",
+    lambda link, a: answer(link, a, name=None),
+    lambda link, a: answer(link, a, name="a0"),
+    lambda link, a: answer(link, a, sealed=False),
+    lambda link, a: b"rubbish\r\n\r\n",
     lambda link, a: answer(link, a, lines=b"Content-Length: 5\r\n"),
     lambda link, a: answer(link, a, lines=b"Transfer-Encoding: chunked\r\n"),
     lambda link, a: answer(link, a, 1, lines=b"Content-Length: 5\r\n"),
-    lambda link, a: answer(link, a, status=500), lambda link, a: answer(link, a, status=503),
-    lambda link, a: answer(link, a, status=429, name=None), lambda link, a: answer(link, a, status=408),
+    lambda link, a: answer(link, a, status=500),
+    lambda link, a: answer(link, a, status=503),
+    lambda link, a: answer(link, a, status=429, name=None),
+    lambda link, a: answer(link, a, status=408),
     lambda link, a: b"HTTP/1.1 101 X\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n",
-    lambda link, a: answer(link, a, lines=b"Attempt-Id: a0\r\n")]
+    lambda link, a: answer(link, a, lines=b"Attempt-Id: a0\r\n"),
+]
 SAID = 10  # ways in which a backend answers
-WAYS = ["ask"] * 5 + ["say"] * 9 + ["read"] * 2 + [
-    "wait", "idle", "reuse", "news", "leave", "push", "dial", "slow", "early", "drain"]
+WAYS = (
+    ["ask"] * 5
+    + ["say"] * 9
+    + ["read"] * 2
+    + ["wait", "idle", "reuse", "news", "leave", "push", "dial", "slow", "early", "drain"]
+)
 N = st.integers(0, 1 << 16)
 STEPS = st.lists(st.tuples(st.sampled_from(WAYS), N, N, N), min_size=10, max_size=40)
 Schedule = list[tuple[str, int, int, int]]
@@ -90,8 +113,10 @@
 def by_chance(seed: int) -> Schedule:
     """A longer schedule, all of whose numbers are equally likely."""
     rng = random.Random(seed)
-    return [(rng.choice(WAYS), rng.randrange(1 << 16), rng.randrange(1 << 16), rng.randrange(1 << 16))
-            for _ in range(rng.randrange(10, 60))]
+    return [
+        (rng.choice(WAYS), rng.randrange(1 << 16), rng.randrange(1 << 16), rng.randrange(1 << 16))
+        for _ in range(rng.randrange(10, 60))
+    ]
 
 
 def say(link: BackendLink, n: int, m: int) -> None:
@@ -114,7 +139,7 @@
     elif how == 7:
         link.kernel.append(late(link) + own)
     elif how == 8 and not until_end:
-        link.kernel += [own[:40503 * m % len(own)], *([None], [b""], [])[m % 3]]
+        link.kernel += [own[: 40503 * m % len(own)], *([None], [b""], [])[m % 3]]
     elif how == 9 and not a.turned_away:
         link.kernel.append(SPOILT[m % len(SPOILT)](link, a))
     else:
@@ -127,15 +152,24 @@
     links = [link for link in harness.links if not link.lost]
     link = links[i % len(links)] if links else None
     busy = [x for x in harness.links if x.asked]
-    seats = [client_connection for client_connection in harness.seats if not (client_connection.closed or client_connection.gone)]
+    seats = [
+        client_connection
+        for client_connection in harness.seats
+        if not (client_connection.closed or client_connection.gone)
+    ]
     client_connection = seats[i % len(seats)] if seats else None
     addresses = sorted(harness.lives)
     if what == "ask":
         kind = n % 8
         method = ("GET", "POST", "POST", "GET", "POST", "HEAD", "POST", "GET")[kind]
-        ask = Ask(f"a{len(harness.asks) + 1}", kind in (0, 3, 5), method, m % 5 == 0,
-                  "1.0" if m % 7 == 0 else "1.1")
-        harness.ask(client_connection if client_connection is not None and i % 3 else harness.client_connection(), ask, m % 40 if m % 4 == 0 else 0)
+        ask = Ask(
+            f"a{len(harness.asks) + 1}", kind in (0, 3, 5), method, m % 5 == 0, "1.0" if m % 7 == 0 else "1.1"
+        )
+        harness.ask(
+            client_connection if client_connection is not None and i % 3 else harness.client_connection(),
+            ask,
+            m % 40 if m % 4 == 0 else 0,
+        )
         harness.run(0.002)
     elif what == "say" and busy:
         chosen = busy[i % len(busy)]
@@ -260,14 +294,21 @@
 def of_model(name: str) -> Callable[[ProxyHarness], None]:
     """A fault that is planted in the model's processes as well."""
     return lambda harness: injected_bugs.PROXY_BUGS[name](
-        SimpleNamespace(proxy_node=SimpleNamespace(ingress=harness.ingress)))  # type: ignore[arg-type]
-
-
-@pytest.mark.parametrize(("fault", "found", "first"), [
-    (of_model("believes_all"), "is answered with", 0), (of_model("repeats"), "runs 2 times", 0),
-    (always_promises, "not to run", 0), (of_model("no_target"), "at another service", 0),
-    (keeps_spoilt, "not to run", 640)],  # 21 of 4,000 find it
-    ids=["believes_all", "repeats", "always_promises", "no_target", "keeps_spoilt"])
+        SimpleNamespace(proxy_node=SimpleNamespace(ingress=harness.ingress))
+    )  # type: ignore[arg-type]
+
+
+@pytest.mark.parametrize(
+    ("fault", "found", "first"),
+    [
+        (of_model("believes_all"), "is answered with", 0),
+        (of_model("repeats"), "runs 2 times", 0),
+        (always_promises, "not to run", 0),
+        (of_model("no_target"), "at another service", 0),
+        (keeps_spoilt, "not to run", 640),
+    ],  # 21 of 4,000 find it
+    ids=["believes_all", "repeats", "always_promises", "no_target", "keeps_spoilt"],
+)
 def test_planted_fault_is_found(fault: Callable[[ProxyHarness], None], found: str, first: int) -> None:
     with pytest.raises(AssertionError, match=found):
         for seed in range(first, first + 200):
@@ -304,8 +345,10 @@
     harness.check()
 
 
-@pytest.mark.parametrize(("becomes", "status"), [
-    ("the client stops", 400), ("the backend resets", 502), ("the backend fails", 500)])
+@pytest.mark.parametrize(
+    ("becomes", "status"),
+    [("the client stops", 400), ("the backend resets", 502), ("the backend fails", 500)],
+)
 def test_what_was_sent_in_part_brings_no_promise(becomes: str, status: int) -> None:
     """A backend may begin with a body before it has come whole."""
     harness = ProxyHarness(BOOK)
@@ -347,7 +390,11 @@
     link.deliver()
     harness.push(client_connection)
     harness.run(0.01)
-    assert client_connection.closed and not client_connection.paused and b"Connection: close" in client_connection.said
+    assert (
+        client_connection.closed
+        and not client_connection.paused
+        and b"Connection: close" in client_connection.said
+    )
     harness.settle()
     harness.check()
 
@@ -361,7 +408,10 @@
     link = harness.links[0]
     link.kernel.append(answer(link, link.asked.popleft(), 1)[:-99])
     link.deliver()
-    assert b"Content-Length" not in client_connection.said.partition(b"\r\n\r\n")[0] and not client_connection.closed
+    assert (
+        b"Content-Length" not in client_connection.said.partition(b"\r\n\r\n")[0]
+        and not client_connection.closed
+    )
     link.kernel.append(None)
     link.deliver()
     harness.settle()
--- a/tests/system/test_calls_control.py
+++ b/tests/system/test_calls_control.py
@@ -71,11 +71,16 @@
         """One more call, behind those that have no answer yet."""
         self.calls += 1
         name = f"c{self.calls}"
-        path, body = (f"{CONFIG}?{name}", config(self.calls, 0, "a")) if order else (
-            f"/-/backends/{name}", json.dumps(BEAT).encode())
+        path, body = (
+            (f"{CONFIG}?{name}", config(self.calls, 0, "a"))
+            if order
+            else (f"/-/backends/{name}", json.dumps(BEAT).encode())
+        )
         method = "PUT" if order else method
         client_connection.asks.append(name)  # type: ignore[arg-type]
-        client_connection.send(f"{method} {path} HTTP/1.1\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body)
+        client_connection.send(
+            f"{method} {path} HTTP/1.1\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body
+        )
 
     def step(self, what: str, i: int, n: int) -> None:
         client_connection = self.seats[i % len(self.seats)]
@@ -87,12 +92,19 @@
             self.control.heartbeat_answered(token, i % 3 > 0)
             assert len(self.told[name]) == max(before, 1)
         elif what == "settle" and self.proposals:
-            self.control.proposed(self.process.time(), self.proposals[n % len(self.proposals)],
-                                  ("done", "refused", "unknown")[i % 3])
+            self.control.proposed(
+                self.process.time(),
+                self.proposals[n % len(self.proposals)],
+                ("done", "refused", "unknown")[i % 3],
+            )
         elif what == "again" and self.replies:  # control itself answers once
             self.replies[n % len(self.replies)](500, b"", b"")
         elif what == "read":
-            client_connection.hand(client_connection.receiver.pause_writing if n % 2 else client_connection.receiver.resume_writing)
+            client_connection.hand(
+                client_connection.receiver.pause_writing
+                if n % 2
+                else client_connection.receiver.resume_writing
+            )
         elif what == "leave":
             client_connection.gone = True
             client_connection.close()
@@ -118,7 +130,9 @@
     seats = list(controller.seats)
     for each in schedule:
         controller.step(*each)
-        seats += [client_connection for client_connection in controller.seats if client_connection not in seats]
+        seats += [
+            client_connection for client_connection in controller.seats if client_connection not in seats
+        ]
     assert not controller.process.faults
     for client_connection in seats:
         controller.check(client_connection)
@@ -133,6 +147,7 @@
 @pytest.mark.parametrize("fault", ["late", "order"])
 def test_planted_fault_is_found(monkeypatch: pytest.MonkeyPatch, fault: str) -> None:
     """Answers to whoever waits on the connection by then, and to whichever beat came last."""
+
     def careless(self: Any, call: Any, client: Any) -> None:
         method, path = call.request.about
         self.answer(HttpCall(method, path, bytes(call.body)), client.reply)
--- a/tests/system/test_config.py
+++ b/tests/system/test_config.py
@@ -24,13 +24,25 @@
 
 
 def entry(kind: str, label: str, **spec: Any) -> Raw:
-    return {"entry-kind": kind, "metadata": {"label": label},
-            "spec": {k.replace("_", "-"): v for k, v in spec.items()}}
+    return {
+        "entry-kind": kind,
+        "metadata": {"label": label},
+        "spec": {k.replace("_", "-"): v for k, v in spec.items()},
+    }
 
 
 def route(label: str, **spec: Any) -> Raw:
-    usual = {"hostname": "a.example", "path_prefix": f"/{label}/", "traffic_class": "safe", "deadline_s": 2.5,
-             "target_latency_s": 0.4, "precedence": 2, "target": "s1", "max_tries": 2, "public": False}
+    usual = {
+        "hostname": "a.example",
+        "path_prefix": f"/{label}/",
+        "traffic_class": "safe",
+        "deadline_s": 2.5,
+        "target_latency_s": 0.4,
+        "precedence": 2,
+        "target": "s1",
+        "max_tries": 2,
+        "public": False,
+    }
     return entry("route-table", label, **{**usual, **spec})
 
 
@@ -103,34 +115,54 @@
     assert all(e["reason"] for e in json.loads(answer.body)["errors"])
 
 
-@pytest.mark.parametrize("sent", [
-    b"", b'{"generation":1', b"\xff", b"1e999", b"[" * 10**6, b'{"a":' * 40 + b"1" + b"}" * 40, b"9" * 5000,
-    b'{"generation":1,"resource-list":[],"x":NaN}', b'{"generation":1,"resource-list":[],"x":1e999}',
-    b'{"generation":1,"resource-list":[{"entry-kind":"new","x":[-1e999]}]}'])
+@pytest.mark.parametrize(
+    "sent",
+    [
+        b"",
+        b'{"generation":1',
+        b"\xff",
+        b"1e999",
+        b"[" * 10**6,
+        b'{"a":' * 40 + b"1" + b"}" * 40,
+        b"9" * 5000,
+        b'{"generation":1,"resource-list":[],"x":NaN}',
+        b'{"generation":1,"resource-list":[],"x":1e999}',
+        b'{"generation":1,"resource-list":[{"entry-kind":"new","x":[-1e999]}]}',
+    ],
+)
 def test_what_cannot_be_read_is_refused(sent: bytes) -> None:
     assert decide(ConfigState(), "PUT", sent).status == 400
 
 
 def test_faults_name_their_place(snapshot: SnapshotAssertion) -> None:
-    raws = [config(service("s1"), 7, tenant("t", "k")),
-            config(service("s1"), route("r", max_tries=0, deadline_s="2"), route("q", target_latency_s=70)),
-            config(service("s1"), route("r", target="s3"), tenant("t", "k"), tenant("u", "k"))]
+    raws = [
+        config(service("s1"), 7, tenant("t", "k")),
+        config(service("s1"), route("r", max_tries=0, deadline_s="2"), route("q", target_latency_s=70)),
+        config(service("s1"), route("r", target="s3"), tenant("t", "k"), tenant("u", "k")),
+    ]
     assert [decide(ConfigState(), "PUT", body(raw)).body.decode() for raw in raws] == snapshot
     many = decide(ConfigState(), "PUT", body(config(*[route(f"r{i}") for i in range(100)])))
     assert len(json.loads(many.body)["errors"]) == schema.MAX_REPORTED_ERRORS
 
 
-@pytest.mark.parametrize("raw", [
-    config(),
-    {"generation": 3, "resource-list": [], "note": {"by": ["ann"]}},
-    config({"entry-kind": "certificates", "of": 1}, generation=7.0),
-    config({"entry-kind": "limits", "metadata": {}, "spec": {"max-header-bytes": 0, "idle-timeout-s": 1}}),
-    config(service("s1"), route("r", target_latency_s=62.4, deadline_s=2.5, precedence=0, max_tries=2.0)),
-    config(service("s1"), service("s2"), route("r", weighted=[*SPLIT, {"target": "s2", "share": 0}])),
-    config(service("s1"), route("r", weighted=[], public=None, path_prefix="/"), tenant("t", rate_per_s=0)),
-    config(entry("services", "s1"), route("r", hostname="b.example"), route("q", path_prefix="/r/")),
-    config(tenant("t", "k", "k", precedence=0), {"entry-kind": "tenants", "metadata": {"label": "u"}}),
-])
+@pytest.mark.parametrize(
+    "raw",
+    [
+        config(),
+        {"generation": 3, "resource-list": [], "note": {"by": ["ann"]}},
+        config({"entry-kind": "certificates", "of": 1}, generation=7.0),
+        config(
+            {"entry-kind": "limits", "metadata": {}, "spec": {"max-header-bytes": 0, "idle-timeout-s": 1}}
+        ),
+        config(service("s1"), route("r", target_latency_s=62.4, deadline_s=2.5, precedence=0, max_tries=2.0)),
+        config(service("s1"), service("s2"), route("r", weighted=[*SPLIT, {"target": "s2", "share": 0}])),
+        config(
+            service("s1"), route("r", weighted=[], public=None, path_prefix="/"), tenant("t", rate_per_s=0)
+        ),
+        config(entry("services", "s1"), route("r", hostname="b.example"), route("q", path_prefix="/r/")),
+        config(tenant("t", "k", "k", precedence=0), {"entry-kind": "tenants", "metadata": {"label": "u"}}),
+    ],
+)
 def test_what_is_proper_passes_and_comes_back(raw: Raw) -> None:
     answer = decide(ConfigState(), "PUT", body(raw))
     assert answer.status == 200 and answer.config_state is not None, answer.body
@@ -140,24 +172,39 @@
 def test_an_exchange_with_the_operator(snapshot: SnapshotAssertion) -> None:
     first = config(service("s1"), service("s2"), route("r"), route("q"), generation=2)
     later = {"generation": 7, "base-version": 5}
-    change = {"generation": 5, "base-version": 2,
-              "upsert": {"resource-list": [route("r", target="s2"), route("n")]},
-              "remove": {"route-table": ["q", "unheard-of"], "kinds-to-come": ["x"]}}
+    change = {
+        "generation": 5,
+        "base-version": 2,
+        "upsert": {"resource-list": [route("r", target="s2"), route("n")]},
+        "remove": {"route-table": ["q", "unheard-of"], "kinds-to-come": ["x"]},
+    }
     calls = [
-        ("PUT", config(service("s1"), generation=9, base=4)), ("PUT", first), ("PUT", first),
-        ("PATCH", change), ("PATCH", change), ("PUT", first), ("PATCH", {**change, "generation": 6}),
+        ("PUT", config(service("s1"), generation=9, base=4)),
+        ("PUT", first),
+        ("PUT", first),
+        ("PATCH", change),
+        ("PATCH", change),
+        ("PUT", first),
+        ("PATCH", {**change, "generation": 6}),
         ("PATCH", {"generation": 5, "base-version": 5}),
         ("PATCH", {**later, "remove": {"services": ["s2"]}}),
         ("PATCH", {**later, "upsert": {"resource-list": [route("r", max_tries=0)]}}),
         ("PATCH", {**later, "upsert": 1, "remove": {"services": "s2"}}),
-        ("PUT", config(service("s1"), generation=8)), ("POST", first),
+        ("PUT", config(service("s1"), generation=8)),
+        ("POST", first),
     ]
     config_state, said = ConfigState(), []
     for method, raw in calls:
         answer = decide(config_state, method, body(raw))
-        config_state = ConfigState.decode(answer.config_state.encode(), config_state) if answer.config_state else config_state
-        said.append(f"{method} {raw['generation']} on {raw['base-version']} -> "
-                    f"{answer.status} {answer.body.decode()}, in force {config_state.generation}")
+        config_state = (
+            ConfigState.decode(answer.config_state.encode(), config_state)
+            if answer.config_state
+            else config_state
+        )
+        said.append(
+            f"{method} {raw['generation']} on {raw['base-version']} -> "
+            f"{answer.status} {answer.body.decode()}, in force {config_state.generation}"
+        )
     assert [*said, config_state.whole().decode()] == snapshot
 
 
@@ -189,15 +236,25 @@
     orders = changes(MAX_REMEMBERED_ORDERS + 6, 3)
     config_state = after(orders)
     config_state = ConfigState.decode(config_state.encode())
-    assert [decide(config_state, "PUT", o).status for o in orders] == [503] * 6 + [200] * MAX_REMEMBERED_ORDERS
+    assert [decide(config_state, "PUT", o).status for o in orders] == [503] * 6 + [
+        200
+    ] * MAX_REMEMBERED_ORDERS
     assert decide(config_state, "PATCH", orders[-1]).status == 412  # another order, if of the same body
     value = config_state.encode()
     assert len(value) < 17_000 and len(without_order_history(value)) < 200
     bare = ConfigState.decode(without_order_history(value))
     assert bare.whole() == config_state.whole() and not bare.taken
     small = after(orders[:3]).encode()
-    for broken in (b"\x03\x00", b"\x02", b"\x02\x05abc", b"\x01", b"\x01\x05abc", small[:-1],
-                   small[:-9] + b"123456789", small[:40]):
+    for broken in (
+        b"\x03\x00",
+        b"\x02",
+        b"\x02\x05abc",
+        b"\x01",
+        b"\x01\x05abc",
+        small[:-1],
+        small[:-9] + b"123456789",
+        small[:40],
+    ):
         with pytest.raises(ValueError):
             ConfigState.decode(broken)
     assert ConfigState.decode(b"").generation == 0
@@ -219,7 +276,9 @@
     for count in (3, 64, 70):
         config_state = after(orders[:count])
         taken = [f.to_bytes(8) for f in config_state.taken][-64:]
-        old = ConfigState.decode(bytes((1, len(taken))) + b"".join(taken) + zlib.compress(config_state.whole(), 3))
+        old = ConfigState.decode(
+            bytes((1, len(taken))) + b"".join(taken) + zlib.compress(config_state.whole(), 3)
+        )
         assert old.whole() == config_state.whole() and decide(old, "PUT", orders[count - 3]).status == 200
         assert old.forgotten >= (2 * (count - 64) if count >= 64 else 0)
         for order in orders[:count]:
@@ -239,18 +298,30 @@
 
 
 def test_services_are_picked_by_share() -> None:
-    r = CompiledConfig(built(route("r", weighted=[{"target": "s1", "share": 0}, *reversed(SPLIT)]))).routes["r"]
+    r = CompiledConfig(built(route("r", weighted=[{"target": "s1", "share": 0}, *reversed(SPLIT)]))).routes[
+        "r"
+    ]
     assert [r.pick_service(x / 20) for x in range(20)] == ["s2"] * 2 + ["s1"] * 18
     assert r.pick_service(1.0) == "s1"
 
 
 def test_keys_and_ranks() -> None:
-    compiled_config = CompiledConfig(built(route("r"), route("p", public=True), tenant("t", "k", precedence=0), tenant("u", "l")))
-    seen = [(j.status, j.tenant and j.tenant.label, j.precedence) for j in [
-        compiled_config.resolve_request(b"a.example", p, k) for p in (b"/r/", b"/p/", b"/x/") for k in (b"k", b"l", b"no", b"")]]
+    compiled_config = CompiledConfig(
+        built(route("r"), route("p", public=True), tenant("t", "k", precedence=0), tenant("u", "l"))
+    )
+    seen = [
+        (j.status, j.tenant and j.tenant.label, j.precedence)
+        for j in [
+            compiled_config.resolve_request(b"a.example", p, k)
+            for p in (b"/r/", b"/p/", b"/x/")
+            for k in (b"k", b"l", b"no", b"")
+        ]
+    ]
     assert seen[:4] == [(200, "t", 0), (200, "u", 2), (401, None, 2), (401, None, 2)]
     assert seen[4:] == [(200, "t", 0), (200, "u", 2), *[(200, None, 2)] * 2, *[(404, None, 0)] * 4]
-    assert CompiledConfig(built(route("r"))).resolve_request(b"a.example", b"/r/", b"no").status == 200  # no tenants, no keys
+    assert (
+        CompiledConfig(built(route("r"))).resolve_request(b"a.example", b"/r/", b"no").status == 200
+    )  # no tenants, no keys
     assert [key_of(v) for v in (b"Token k", b"token  k ", b"Basic k", b"")] == [b"k", b"k", b"", b""]
 
 
@@ -259,17 +330,29 @@
 
 
 @settings(max_examples=150, derandomize=True, deadline=None)
-@given(st.lists(st.tuples(HOSTS, SEGMENTS, st.booleans()), max_size=12), SEGMENTS, HOSTS, st.booleans(),
-       st.sampled_from(["", "?q=/a/b/", "x", "x/"]), st.sampled_from([b"", b"k", b"l"]))
-def test_the_tree_reads_as_the_plain_reading(drawn: list[tuple[str, list[str], bool]], at: list[str],
-                                             host: str, keys: bool, end: str, key: bytes) -> None:
+@given(
+    st.lists(st.tuples(HOSTS, SEGMENTS, st.booleans()), max_size=12),
+    SEGMENTS,
+    HOSTS,
+    st.booleans(),
+    st.sampled_from(["", "?q=/a/b/", "x", "x/"]),
+    st.sampled_from([b"", b"k", b"l"]),
+)
+def test_the_tree_reads_as_the_plain_reading(
+    drawn: list[tuple[str, list[str], bool]], at: list[str], host: str, keys: bool, end: str, key: bytes
+) -> None:
     routes: dict[tuple[bytes, str], Raw] = {}
     for i, (name, parts, public) in enumerate(drawn):
         prefix, place = "/" + "".join(f"{p}/" for p in parts), schema.host_of(name.encode())
         routes[place, prefix] = route(f"r{i}", hostname=name, path_prefix=prefix, public=public)
     one = built(*routes.values(), *([tenant("t", "k")] if keys else []))
     compiled_config, path = CompiledConfig(one), ("/" + "".join(f"{p}/" for p in at) + end).encode()
-    assert compare_decision(compiled_config.resolve_request(host.encode(), path, key), evaluate(one, host.encode(), path, key)) == []
+    assert (
+        compare_decision(
+            compiled_config.resolve_request(host.encode(), path, key), evaluate(one, host.encode(), path, key)
+        )
+        == []
+    )
     assert digest(compiled_config) == ExpectedDigests(one).total
 
 
@@ -290,14 +373,34 @@
     compiled_config.routes["r"].deadline, compiled_config.limits = 9.0, Limits(idle_timeout=1.0)
     compiled_config.tenants["t"].rate = 1.0
     del compiled_config.hosts[b"a.example"].children[b"q"], compiled_config.keys[b"key-two"]
-    compiled_config.hosts[b"a.example"].children[b"n"].children[b"x"] = extra = type(compiled_config.hosts[b"a.example"])()
+    compiled_config.hosts[b"a.example"].children[b"n"].children[b"x"] = extra = type(
+        compiled_config.hosts[b"a.example"]
+    )()
     extra.route = Route(one.routes["q"])
     compiled_config.keys[b"key-old"] = compiled_config.tenants["u"]
     watch = DriftScanner(compiled_config, ExpectedDigests(one))
-    assert [f"{d.place}: {d.running} not {d.set}"
-            for d in sorted(d for _ in range(5) for d in watch.step(2))] == snapshot
-    assert [[f"{d.place}: {d.running} not {d.set}"
-             for d in compare_decision(compiled_config.resolve_request(b"a.example", path, key), evaluate(one, b"a.example", path, key))]
-            for path, key in ((b"/r/", b"key-one"), (b"/q/", b"key-one"), (b"/n/", b"key-old"),
-                              (b"/n/x/", b"no"), (b"/no/", b""))] == snapshot
-    assert compare_decision(RouteDecision(200, compiled_config.routes["n"], None), evaluate(one, b"a.example", b"/no/", b"")) != []
+    assert [
+        f"{d.place}: {d.running} not {d.set}" for d in sorted(d for _ in range(5) for d in watch.step(2))
+    ] == snapshot
+    assert [
+        [
+            f"{d.place}: {d.running} not {d.set}"
+            for d in compare_decision(
+                compiled_config.resolve_request(b"a.example", path, key),
+                evaluate(one, b"a.example", path, key),
+            )
+        ]
+        for path, key in (
+            (b"/r/", b"key-one"),
+            (b"/q/", b"key-one"),
+            (b"/n/", b"key-old"),
+            (b"/n/x/", b"no"),
+            (b"/no/", b""),
+        )
+    ] == snapshot
+    assert (
+        compare_decision(
+            RouteDecision(200, compiled_config.routes["n"], None), evaluate(one, b"a.example", b"/no/", b"")
+        )
+        != []
+    )
--- a/tests/system/test_consensus.py
+++ b/tests/system/test_consensus.py
@@ -98,6 +98,7 @@
         parts = machine.cold_start, machine.voter, machine.follower_role
         next(p for p in parts if issubclass(part, type(p))).__class__ = part
         return machine
+
     return make
 
 
@@ -138,20 +139,37 @@
     assert not broken, "\n".join(broken)
 
 
-@pytest.mark.parametrize("fault", [{"early": True}, {"kind": Forgetful}, {"kind": begins_as(MostBegun)},
-                                   {"kind": begins_as(AnyTerm)}, {"kind": Trusting},
-                                   {"kind": begins_as(AnyPlace)}, *({"kind": kind} for kind in IN_TOUCH)],
-                         ids=["early ack", "wiped votes", "most have begun", "any term", "unsynced files",
-                              "any place", "hears", "lacks"])
+@pytest.mark.parametrize(
+    "fault",
+    [
+        {"early": True},
+        {"kind": Forgetful},
+        {"kind": begins_as(MostBegun)},
+        {"kind": begins_as(AnyTerm)},
+        {"kind": Trusting},
+        {"kind": begins_as(AnyPlace)},
+        *({"kind": kind} for kind in IN_TOUCH),
+    ],
+    ids=[
+        "early ack",
+        "wiped votes",
+        "most have begun",
+        "any term",
+        "unsynced files",
+        "any place",
+        "hears",
+        "lacks",
+    ],
+)
 def test_planted_faults_are_found(fault: dict) -> None:
     for seed in range(400):
         try:
             explore(3, seed, **fault)
         except InvariantViolation as why:
             contact = fault.get("kind") in IN_TOUCH and "is in touch" in str(why)
-            if contact or re.search("two values|sure of an old version|two leaders are sure|"
-                                    "nobody has led|is lost",
-                                    str(why)):
+            if contact or re.search(
+                "two values|sure of an old version|two leaders are sure|" "nobody has led|is lost", str(why)
+            ):
                 return
     pytest.fail("not found")
 
@@ -232,9 +250,17 @@
     core, leader, (other, lone) = settled()
 
     def asked(node: Node) -> bool:
-        message = pb.Message(kind=pb.RESTARTED, disk=lone.machine.replica.disk, to_disk=node.machine.replica.disk, incarnation=7)
-        return any(o.message.kind == pb.RESTARTED and o.message.to_incarnation == 7 for o in node.machine.handle(
-            core.now, api.Received(lone.address, message)))
+        message = pb.Message(
+            kind=pb.RESTARTED,
+            disk=lone.machine.replica.disk,
+            to_disk=node.machine.replica.disk,
+            incarnation=7,
+        )
+        return any(
+            o.message.kind == pb.RESTARTED and o.message.to_incarnation == 7
+            for o in node.machine.handle(core.now, api.Received(lone.address, message))
+        )
+
     assert not asked(leader) and not asked(other)
     core.kill(other.address)
     core.cut = {(leader.address, other.address)}
@@ -250,17 +276,28 @@
 def test_one_that_leads_itself_out_is_not_sure() -> None:
     seeds = ["10.0.0.1:1", "10.0.0.2:1"]
     entry = bootstrap_entry(seeds)
-    stored = PersistentState("first-" + seeds[0], 1, "", entry._replace(members=entry.members[1:],
-                                                               outgoing=entry.members))
+    stored = PersistentState(
+        "first-" + seeds[0], 1, "", entry._replace(members=entry.members[1:], outgoing=entry.members)
+    )
     replica = Replica(seeds[0], stored, STEADY, random.Random(1))
     replica.persisted = stored
     leader_role = LeaderRole(replica, 10.0, 0)
 
     def held(now: float) -> None:
         position = replica.entry.position
-        leader_role.on_append_response(now, pb.Message(kind=pb.APPEND_RESPONSE, disk="first-" + seeds[1], sent=now,
-                                      last_term=position[0], last_index=position[1], durable_term=position[0],
-                                      durable_index=position[1]))
+        leader_role.on_append_response(
+            now,
+            pb.Message(
+                kind=pb.APPEND_RESPONSE,
+                disk="first-" + seeds[1],
+                sent=now,
+                last_term=position[0],
+                last_index=position[1],
+                durable_term=position[0],
+                durable_index=position[1],
+            ),
+        )
+
     replica.persisted = replica.persisted._replace(entry=replica.entry)
     held(10.1)  # both voter sets have what it began with: now without itself
     assert not replica.is_voter and leader_role.lease > 10.2 and not leader_role.has_leader_lease(10.2)
@@ -429,23 +466,32 @@
     stored = PersistentState("first-" + seeds[0], 3, "", bootstrap_entry(seeds)._replace(term=2, number=7))
     machine = RaftNode(seeds[0], stored, False, seeds, random.Random(1), STEADY, "n", 1, 10.0)
     assert [tell(o) for o in machine.handle(10.0, api.KnownAddresses(()))] == [
-        "writes first-10.0.0.1:1: term 3, vote none, entry (2, 7)"]  # a kill may have left it unsynced
+        "writes first-10.0.0.1:1: term 3, vote none, entry (2, 7)"
+    ]  # a kill may have left it unsynced
     machine.handle(10.1, api.WriteCompleted(1))
 
     def asked(now: float, who: int, **fields: Any) -> list[str]:
-        message = pb.Message(kind=pb.REQUEST_VOTE, disk="first-" + seeds[who], to_disk=stored.disk, last_term=2,
-                       **fields)
+        message = pb.Message(
+            kind=pb.REQUEST_VOTE, disk="first-" + seeds[who], to_disk=stored.disk, last_term=2, **fields
+        )
         return [tell(o) for o in machine.handle(now, api.Received(seeds[who], message))]
+
     assert asked(10.4, 1, term=4, last_index=7) == []  # it may have told a leader just before its end
     assert asked(10.5, 1, term=4, last_index=6) == []  # behind
     assert asked(10.5, 1, term=4, last_index=7) == [
-        "writes first-10.0.0.1:1: term 4, vote first-10.0.0.2:1, entry (2, 7)"]
+        "writes first-10.0.0.1:1: term 4, vote first-10.0.0.2:1, entry (2, 7)"
+    ]
     assert asked(10.5, 2, term=4, last_index=8) == []  # one vote a term
     assert [tell(o) for o in machine.handle(10.6, api.WriteCompleted(2))] == [
-        "to 10.0.0.2:1 VOTE_RESPONSE term=4 granted=True"]
+        "to 10.0.0.2:1 VOTE_RESPONSE term=4 granted=True"
+    ]
     asked(10.6, 1, term=4, last_index=7)
-    machine.handle(10.7, api.Received(seeds[1], pb.Message(
-        kind=pb.HEARTBEAT, disk="first-" + seeds[1], to_disk=stored.disk, term=4)))
+    machine.handle(
+        10.7,
+        api.Received(
+            seeds[1], pb.Message(kind=pb.HEARTBEAT, disk="first-" + seeds[1], to_disk=stored.disk, term=4)
+        ),
+    )
     assert asked(11.1, 2, term=5, last_index=8) == [] and machine.term == 4  # the leader was just heard
     assert asked(11.1, 2, term=5, last_index=8, leadership_transfer=True) != []  # and has asked for it
 
@@ -453,16 +499,19 @@
 MEMBERS = tuple(Member(x, f"{x}:1") for x in "abc")
 
 
-@pytest.mark.parametrize(("silent", "learner", "waited", "after"), [
-    ({}, Member("d", "d:1"), 0.5, None),  # perhaps another has just ended
-    ({}, Member("d", "d:1"), 1.5, "abcd"),
-    ({"c": 1.5}, Member("d", "d:1"), 1.5, None),  # soon to be replaced
-    ({"c": 2.5}, Member("d", "d:1"), 0.5, "abd"),
-    ({"c": 0.6}, Member("d", "c:1"), 0.1, "abd"),
-    ({"c": 0.1}, Member("d", "c:1"), 9.0, None),  # it is still there: an old note
-    ({"b": 5.0, "c": 5.0}, Member("d", "d:1"), 0.5, None),  # no majority to agree on it
-    ({"b": 5.0, "c": 5.0}, None, 0.0, None),
-])
+@pytest.mark.parametrize(
+    ("silent", "learner", "waited", "after"),
+    [
+        ({}, Member("d", "d:1"), 0.5, None),  # perhaps another has just ended
+        ({}, Member("d", "d:1"), 1.5, "abcd"),
+        ({"c": 1.5}, Member("d", "d:1"), 1.5, None),  # soon to be replaced
+        ({"c": 2.5}, Member("d", "d:1"), 0.5, "abd"),
+        ({"c": 0.6}, Member("d", "c:1"), 0.1, "abd"),
+        ({"c": 0.1}, Member("d", "c:1"), 9.0, None),  # it is still there: an old note
+        ({"b": 5.0, "c": 5.0}, Member("d", "d:1"), 0.5, None),  # no majority to agree on it
+        ({"b": 5.0, "c": 5.0}, None, 0.0, None),
+    ],
+)
 def test_next_members(silent: dict, learner: Member | None, waited: float, after: str | None) -> None:
     others = {m.disk: MemberHealth(s := silent.get(m.disk, 0.05), s <= 1.0, False) for m in MEMBERS[1:]}
     askers = [JoinRequest(learner, 10.0 - waited, 10.0)] if learner else []
@@ -471,14 +520,32 @@
 
 
 @settings(max_examples=150, deadline=None, derandomize=True)
-@given(st.lists(st.builds(
-    pb.Message, kind=st.integers(0, 14), disk=st.sampled_from(["", "first-10.0.0.2:1", "x"]),
-    to_disk=st.sampled_from(["", "first-10.0.0.1:1", "y"]), term=st.integers(0, 2**64 - 1),
-    last_term=st.integers(0, 9), last_index=st.integers(0, 9), commit=st.integers(0, 9), sent=st.floats(),
-    granted=st.booleans(), leadership_transfer=st.booleans(), leader=st.sampled_from(["", "10.0.0.9:1"]),
-    entry=st.builds(pb.Entry, term=st.integers(0, 3), number=st.integers(0, 3),
-                    members=st.lists(st.builds(pb.Member, disk=st.sampled_from(["", "x"])), max_size=2)),
-    members=st.lists(st.builds(pb.Member), max_size=20)), max_size=8))
+@given(
+    st.lists(
+        st.builds(
+            pb.Message,
+            kind=st.integers(0, 14),
+            disk=st.sampled_from(["", "first-10.0.0.2:1", "x"]),
+            to_disk=st.sampled_from(["", "first-10.0.0.1:1", "y"]),
+            term=st.integers(0, 2**64 - 1),
+            last_term=st.integers(0, 9),
+            last_index=st.integers(0, 9),
+            commit=st.integers(0, 9),
+            sent=st.floats(),
+            granted=st.booleans(),
+            leadership_transfer=st.booleans(),
+            leader=st.sampled_from(["", "10.0.0.9:1"]),
+            entry=st.builds(
+                pb.Entry,
+                term=st.integers(0, 3),
+                number=st.integers(0, 3),
+                members=st.lists(st.builds(pb.Member, disk=st.sampled_from(["", "x"])), max_size=2),
+            ),
+            members=st.lists(st.builds(pb.Member), max_size=20),
+        ),
+        max_size=8,
+    )
+)
 def test_odd_notes_are_dropped(notes: list) -> None:
     seeds = ["10.0.0.1:1", "10.0.0.2:1"]
     machine = RaftNode(seeds[0], None, True, seeds, random.Random(1), api.Tuning(), "n", 1, 0.0)
--- a/tests/system/test_consensus_power_loss.py
+++ b/tests/system/test_consensus_power_loss.py
@@ -63,8 +63,11 @@
         now = {p.name: p.stat().st_ino for p in here.iterdir()}
         sure = self.sure.get(here, {})
         for name in sorted({*now, *sure}):
-            number = now.get(name) if now.get(name) == sure.get(name) else self.rng.choice(
-                [now.get(name), sure.get(name)])
+            number = (
+                now.get(name)
+                if now.get(name) == sure.get(name)
+                else self.rng.choice([now.get(name), sure.get(name)])
+            )
             if number is None:
                 continue
             if (here / name).is_dir():
@@ -129,7 +132,12 @@
         while True:
             store = kind(str(top / "register"))
             found = store.load()
-            assert found is None and not heartbeat_answered or found is not None and found.term >= heartbeat_answered
+            assert (
+                found is None
+                and not heartbeat_answered
+                or found is not None
+                and found.term >= heartbeat_answered
+            )
             if found is not None:
                 try:
                     store.save(found)
@@ -172,8 +180,9 @@
 
 
 @pytest.mark.parametrize("kind", [NoFolderSync, NoParentSync, Trusting, Hasty])
-def test_planted_faults_of_a_store_are_found(tmp_path: Path, monkeypatch: pytest.MonkeyPatch,
-                                             kind: type[Store]) -> None:
+def test_planted_faults_of_a_store_are_found(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, kind: type[Store]
+) -> None:
     for seed in range(300):
         (tmp_path / str(seed)).mkdir()
         with monkeypatch.context() as patch:
--- a/tests/system/test_consensus_reconfiguration.py
+++ b/tests/system/test_consensus_reconfiguration.py
@@ -18,7 +18,9 @@
 class CountsAtOnce(LeaderRole):
     """Planted fault: a newcomer is chosen before it has the newest entry on disk."""
 
-    def _update_learner(self, now: float, member: Member, last_position: LogPosition, durable_position: LogPosition) -> None:
+    def _update_learner(
+        self, now: float, member: Member, last_position: LogPosition, durable_position: LogPosition
+    ) -> None:
         super()._update_learner(now, member, last_position, self.replica.entry.position)
 
 
@@ -28,6 +30,7 @@
             super()._advance(now)
             if self.leader_role is not None:
                 self.leader_role.__class__ = part
+
     return Machine
 
 
@@ -138,6 +141,7 @@
     def full() -> bool:
         known = leader.machine.value
         return not known.outgoing and node.stored is not None and known.has_voter(node.stored.disk)
+
     order()
     assert core.run(1.0, lambda: next(left, None) is None or full())
     done = full()
@@ -155,9 +159,16 @@
     return done
 
 
-@pytest.mark.parametrize(("count", "who", "wipe"), [
-    (3, "leader", False), (5, "leader", True), (3, "newcomer", True), (3, "newcomer", False),
-    (3, "all", False)])
+@pytest.mark.parametrize(
+    ("count", "who", "wipe"),
+    [
+        (3, "leader", False),
+        (5, "leader", True),
+        (3, "newcomer", True),
+        (3, "newcomer", False),
+        (3, "all", False),
+    ],
+)
 def test_ends_at_any_instant_of_a_change(count: int, who: str, wipe: bool) -> None:
     event = 1
     while not strike_at(count, event, who, wipe):
@@ -197,8 +208,9 @@
 
 
 @pytest.mark.parametrize("planted", [False, True])
-def test_a_core_cut_in_two_at_any_instant_of_a_replacement(monkeypatch: pytest.MonkeyPatch,
-                                                           planted: bool) -> None:
+def test_a_core_cut_in_two_at_any_instant_of_a_replacement(
+    monkeypatch: pytest.MonkeyPatch, planted: bool
+) -> None:
     if planted:  # fault: the members after the change decide on it alone
         monkeypatch.setattr(Entry, "_voter_sets", lambda entry: (entry.members,))
     event, broken = 1, []
--- a/tests/system/test_consensus_storage.py
+++ b/tests/system/test_consensus_storage.py
@@ -87,6 +87,7 @@
         if len(synced) == failing:
             raise OSError("no space left on device")
         sync(descriptor)
+
     monkeypatch.setattr(os, "fsync", fsync)
     with pytest.raises(OSError):
         store.save(record(2))
@@ -110,7 +111,9 @@
     store.save(record(1))
     assert len(synced) == 7 and files(tmp_path, 2)
     store = Store(str(tmp_path))
-    monkeypatch.setattr("gateway.consensus.storage._sync", lambda path: path.endswith(".dat") and os.close(-1))
+    monkeypatch.setattr(
+        "gateway.consensus.storage._sync", lambda path: path.endswith(".dat") and os.close(-1)
+    )
     with pytest.raises(OSError):
         store.save(record(1))
     monkeypatch.undo()
@@ -134,7 +137,9 @@
 def test_no_room_to_write(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     store = Store(str(tmp_path))
     store.save(record(1))
-    monkeypatch.setattr("gateway.consensus.storage._ModelessDatabase._addval", lambda *_: (_ for _ in ()).throw(OSError(28)))
+    monkeypatch.setattr(
+        "gateway.consensus.storage._ModelessDatabase._addval", lambda *_: (_ for _ in ()).throw(OSError(28))
+    )
     for _ in range(3):
         with pytest.raises(OSError):
             store.save(record(2))
--- a/tests/system/test_control.py
+++ b/tests/system/test_control.py
@@ -23,11 +23,30 @@
 
 
 def config(generation: int, base: int, *labels: str, tries: int = 2) -> bytes:
-    entries = [{"entry-kind": "services", "metadata": {"label": "s1"}, "spec": {"health-path": "/h",
-                "max-conns": 9, "protocol": "h1", "tls": False}}]
-    entries += [{"entry-kind": "route-table", "metadata": {"label": label}, "spec": {
-        "hostname": "a.example", "path-prefix": f"/{label}/", "traffic-class": "safe", "deadline-s": 2,
-        "target-latency-s": 1, "precedence": 1, "target": "s1", "max-tries": tries}} for label in labels]
+    entries = [
+        {
+            "entry-kind": "services",
+            "metadata": {"label": "s1"},
+            "spec": {"health-path": "/h", "max-conns": 9, "protocol": "h1", "tls": False},
+        }
+    ]
+    entries += [
+        {
+            "entry-kind": "route-table",
+            "metadata": {"label": label},
+            "spec": {
+                "hostname": "a.example",
+                "path-prefix": f"/{label}/",
+                "traffic-class": "safe",
+                "deadline-s": 2,
+                "target-latency-s": 1,
+                "precedence": 1,
+                "target": "s1",
+                "max-tries": tries,
+            },
+        }
+        for label in labels
+    ]
     return json.dumps({"generation": generation, "base-version": base, "resource-list": entries}).encode()
 
 
@@ -66,7 +85,10 @@
         token, value = self.out[-1]
         own_value = self.control.own_value(value)  # need not be read, and is as if it had been
         assert own_value is not None and self.control.own_value(value + b"x") is None
-        assert (own_value.encode(), own_value.document.routes) == (value, ConfigState.decode(value).document.routes)  # type: ignore
+        assert (own_value.encode(), own_value.document.routes) == (
+            value,
+            ConfigState.decode(value).document.routes,
+        )  # type: ignore
         if outcome == "done":
             self.version, self.config_state = self.version + 1, ConfigState.decode(value, self.config_state)
         self.control.proposed(self.now, token, outcome)
@@ -121,8 +143,12 @@
     await controller.call("no JSON", "PUT", CONFIG, b"{")
     await controller.call("no tries", "PUT", CONFIG, config(5, 3, "b", tries=0))
     await controller.call("generation not above", "PUT", CONFIG, config(3, 3, "b"))
-    change = {"generation": 7, "base-version": 3, "remove": {"route-table": ["a"]}, "upsert": {
-        "resource-list": json.loads(config(7, 3, "b"))["resource-list"]}}
+    change = {
+        "generation": 7,
+        "base-version": 3,
+        "remove": {"route-table": ["a"]},
+        "upsert": {"resource-list": json.loads(config(7, 3, "b"))["resource-list"]},
+    }
     await controller.call("one route by another", "PATCH", CONFIG, json.dumps(change).encode())
     await controller.call("the change again", "PATCH", CONFIG, json.dumps(change).encode())
     await controller.call("", "GET", CONFIG)
@@ -248,8 +274,16 @@
 
 async def beats(controller: SimulatedController) -> None:
     """Backends: what is taken, what is none, and what the machine can't vouch for."""
-    beat = {"target": "s1", "address": "10.128.0.9:8080", "zone": "z", "generation": "v1", "capacity": 4,
-            "phase": "draining", "cold-left-s": 0.5, "call-seq": 4}
+    beat = {
+        "target": "s1",
+        "address": "10.128.0.9:8080",
+        "zone": "z",
+        "generation": "v1",
+        "capacity": 4,
+        "phase": "draining",
+        "cold-left-s": 0.5,
+        "call-seq": 4,
+    }
     path = "/-/backends/i-1"
     for well, method, body in ((True, "PUT", json.dumps(beat).encode()), (False, "DELETE", b"")):
         task = await controller.held_back("taken" if well else "not vouched for", method, path, body)
@@ -269,15 +303,24 @@
     """More than a call may hold, and more than there is room for now."""
     await controller.hear(await controller.send("PUT", CONFIG, b"", "Content-Length: 9"), "two lengths")
     client = await Client.connect(controller.port)
-    client.writer.write(f"PUT {CONFIG} HTTP/1.1\r\nContent-Length: {http_listener_module.MAX_BODY_BYTES + 1}\r\n\r\n".encode())
+    client.writer.write(
+        f"PUT {CONFIG} HTTP/1.1\r\nContent-Length: {http_listener_module.MAX_BODY_BYTES + 1}\r\n\r\n".encode()
+    )
     await controller.hear(client, "too large")
     controller.http_listener.bodies = http_listener_module.MAX_TOTAL_BODY_BYTES
     await controller.call("without room", "PUT", CONFIG, bytes(100_000))
 
 
 SCENARIOS: dict[Callable[[SimulatedController], Awaitable[None]], tuple[str | None, ...]] = {
-    orders: ("done",), elsewhere: ("done",), refusals: ("refused", "done", "unknown", "done"), hung: (None,),
-    ahead: ("done",), gone: (None,), beats: ("done",), too_large: ("done",)}
+    orders: ("done",),
+    elsewhere: ("done",),
+    refusals: ("refused", "done", "unknown", "done"),
+    hung: (None,),
+    ahead: ("done",),
+    gone: (None,),
+    beats: ("done",),
+    too_large: ("done",),
+}
 
 
 @pytest.mark.parametrize("story", SCENARIOS, ids=lambda story: story.__name__)
--- a/tests/system/test_cut.py
+++ b/tests/system/test_cut.py
@@ -69,7 +69,11 @@
         net.give(address, m.SetCore((CUT, *later)))
         net.give(address, m.Publish(m.CORE, (2, 9), wire.encode_members([CUT, *later], later[0])))
     net.put(2, SECOND, later)
-    net.cut = lambda a, b, kind: kind in ("shuffle_request", "shuffle_reply") or CUT in (a, b) and (a in later or b in later)
+    net.cut = (
+        lambda a, b, kind: kind in ("shuffle_request", "shuffle_reply")
+        or CUT in (a, b)
+        and (a in later or b in later)
+    )
     proxy = begins(net)
     net.run(1)
     net.give(proxy.proxy_node.me, m.SetSeeds((CUT, *later)))
--- a/tests/system/test_cut_core.py
+++ b/tests/system/test_cut_core.py
@@ -32,8 +32,15 @@
     def __init__(self, way, seed=1, planted=None):
         self.lasts = LASTS if way in ("both", "frozen", "replaced") and planted is None else SHORT
         day = Day(seconds=BEGINS + self.lasts + 2.0, warm=3.0, traffic=False)
-        self.run = Run(replace(SMALL, proxies=(1, 1, 1), day=day, services=tuple(
-            replace(service, backends=2) for service in SMALL.services)), seed)
+        self.run = Run(
+            replace(
+                SMALL,
+                proxies=(1, 1, 1),
+                day=day,
+                services=tuple(replace(service, backends=2) for service in SMALL.services),
+            ),
+            seed,
+        )
         self.way, self.told, self.heartbeat_answered, self.lone = way, [], {1: 0}, None
         self.acked_at = {1: 0.0}
         self.seen = 1  # the newest generation that is known to be in force, acknowledged or not
@@ -47,11 +54,18 @@
 
     def controller_processes(self):
         """The controllers that run, by machine."""
-        return [(m.name, m.processes["controller"]) for m in self.deployment.machines.values()
-                if "controller" in m.processes]
+        return [
+            (m.name, m.processes["controller"])
+            for m in self.deployment.machines.values()
+            if "controller" in m.processes
+        ]
 
     def strike(self):
-        self.lone = next(name for name, p in self.controller_processes() if p.controller_node.raft.has_leader_lease(p.time()))
+        self.lone = next(
+            name
+            for name, p in self.controller_processes()
+            if p.controller_node.raft.has_leader_lease(p.time())
+        )
         others = [name for name, _ in self.controller_processes() if name != self.lone]
         ways = [(other, self.lone) for other in others] if self.way != "mute" else []
         ways += [(self.lone, other) for other in others] if self.way in ("both", "mute", "replaced") else []
@@ -103,8 +117,12 @@
         """Ask all: a read, and a change of its own on top of the newest; the one that is cut off, to let a
         backend leave as well."""
         base = max(self.seen, *self.heartbeat_answered)
-        beat = {"target": "alpha", "address": f"10.9.{len(self.told) // 250}.{len(self.told) % 250}:80",
-                "phase": "draining", "call-seq": 1}
+        beat = {
+            "target": "alpha",
+            "address": f"10.9.{len(self.told) // 250}.{len(self.told) % 250}:80",
+            "phase": "draining",
+            "call-seq": 1,
+        }
         for n, (name, process) in enumerate(self.controller_processes()):
             first = self.run.operator_pool.newest
             change = {**first, "generation": base + 10 + n, "base-version": base}
@@ -114,8 +132,11 @@
             for method, path, body in calls:
                 told = CallRecord(self.simulator.now, name, method if path == CONFIG else "drain", base)
                 self.told.append(told)
-                process.enter(process.answer, HttpCall(method, path, json.dumps(body).encode()),
-                              lambda *answer, told=told: self.answered(told, *answer))
+                process.enter(
+                    process.answer,
+                    HttpCall(method, path, json.dumps(body).encode()),
+                    lambda *answer, told=told: self.answered(told, *answer),
+                )
 
     def answered(self, told, status, lines, body):
         told.at, told.status, told.lines, told.body = self.simulator.now, status, lines, body
@@ -127,8 +148,11 @@
             self.seen = max(self.seen, json.loads(body)["generation"])
         if status == 307:
             ip = lines.partition(b"http://")[2].partition(b":")[0].decode()
-            told.leads = any(p.controller_node.raft.leader_role for name, p in self.controller_processes()
-                             if self.deployment.by_ip[ip].name == name)
+            told.leads = any(
+                p.controller_node.raft.leader_role
+                for name, p in self.controller_processes()
+                if self.deployment.by_ip[ip].name == name
+            )
 
     def old(self, told):
         """Whether an answer is by an older version than one acknowledged before, or a second before it."""
@@ -138,8 +162,11 @@
 
     def answered_by_old(self):
         """Reads, and refusals, by an older version than one that is in force for long."""
-        return [t for t in self.told if t.at and (t.status == 412 or t.method == "GET" and t.status == 200)
-                and self.old(t)]
+        return [
+            t
+            for t in self.told
+            if t.at and (t.status == 412 or t.method == "GET" and t.status == 200) and self.old(t)
+        ]
 
     def faults_found(self):
         """What was said that should not have been."""
@@ -185,6 +212,7 @@
         def waits(now):
             control.led = None
             proceed(now)
+
         control.proceed = waits
 
 
@@ -212,16 +240,16 @@
     assert len(goes_on) > 10 or way == "slow"
 
 
-@pytest.mark.parametrize("way,planted", [
-    ("frozen", endless), ("both", patient), ("mute", flagged), ("deaf", alone)])
+@pytest.mark.parametrize(
+    "way,planted", [("frozen", endless), ("both", patient), ("mute", flagged), ("deaf", alone)]
+)
 def test_planted_faults_are_found(way, planted):
     assert Cut(way, planted=planted).faults_found()
 
 
-
-
 def test_a_leader_that_cannot_read_what_is_in_force_says_nothing_by_what_it_held_before():
     """A release that is older than the last leader's, say."""
+
     def unreadable(value):
         if ConfigState.decode(value).generation > 1:
             raise ValueError("planted")
@@ -229,4 +257,5 @@
     def dull(process):
         if process.kind == "controller":
             process.controller_node.control.own_value = unreadable
+
     assert not Cut("frozen", planted=dull).answered_by_old()
--- a/tests/system/test_drift.py
+++ b/tests/system/test_drift.py
@@ -59,11 +59,22 @@
     compiled_config = s.proxy_node.compiled_config
     net.run(0.5)
     where = planted(kind, compiled_config)
-    assert s.ask() == 200 and s.findings()[0].startswith(where) and s.proxy_node.compiled_config is not compiled_config
+    assert (
+        s.ask() == 200
+        and s.findings()[0].startswith(where)
+        and s.proxy_node.compiled_config is not compiled_config
+    )
     assert s.proxy_node.compiled_config.match(b"a.example", b"/r1/x").tries == 2
     net.run(2)
-    assert s.drift_monitor.ready and len(s.findings()) <= 2 and s.drift_detector.running == s.drift_detector.acknowledged
-    assert all(nodes.merge_answers([net.nodes[p].fleet_monitor.status(net.now)], []).findings for p in CONTROLLER_ADDRESSES)
+    assert (
+        s.drift_monitor.ready
+        and len(s.findings()) <= 2
+        and s.drift_detector.running == s.drift_detector.acknowledged
+    )
+    assert all(
+        nodes.merge_answers([net.nodes[p].fleet_monitor.status(net.now)], []).findings
+        for p in CONTROLLER_ADDRESSES
+    )
 
 
 @pytest.mark.parametrize("what", ["route", "limits", "quota", "held to"])
@@ -79,8 +90,11 @@
     else:
         s.held_to = s.held_to._replace(body=7)
     net.run(1.1 if what in ("quota", "held to") else 8)
-    assert len(s.findings()) == 1 and s.findings()[0].split()[0].startswith(what.partition(" ")[0][:5]) or (
-        what == "held to" and s.findings()[0].startswith("limits max_body_bytes: is 7"))
+    assert (
+        len(s.findings()) == 1
+        and s.findings()[0].split()[0].startswith(what.partition(" ")[0][:5])
+        or (what == "held to" and s.findings()[0].startswith("limits max_body_bytes: is 7"))
+    )
     net.run(8)
     assert len(s.findings()) == 1
 
@@ -113,7 +127,15 @@
         found = i.DifferencesFound("request", (live_check.Difference("route r1.max-tries", "9", "2"),))
         outs += machine.handle(n * 0.1, found)
     assert [type(o).__name__ for o in outs] == [
-        "Finding", "Rebuild", "FetchVersion", "Rebuild", "FetchVersion", "Rebuild", "ReadinessChanged", "Finding"]
+        "Finding",
+        "Rebuild",
+        "FetchVersion",
+        "Rebuild",
+        "FetchVersion",
+        "Rebuild",
+        "ReadinessChanged",
+        "Finding",
+    ]
     assert not machine.ready and machine.handle(40.0, i.Tick())[0] == i.ReadinessChanged(True)
 
 
@@ -145,9 +167,14 @@
 def test_looks_cost_a_bounded_share(monkeypatch):
     read = []
     plain = live_check.evaluate
-    monkeypatch.setattr(live_check, "evaluate", lambda document, *more: read.append(1) or plain(document, *more))
-    for config_state, most in ((taken(config()), 1 / 50), (MANY, 1 / 50),
-                       (taken(config(more=[route(f"m{n}") for n in range(900)])), 1 / 180)):
+    monkeypatch.setattr(
+        live_check, "evaluate", lambda document, *more: read.append(1) or plain(document, *more)
+    )
+    for config_state, most in (
+        (taken(config()), 1 / 50),
+        (MANY, 1 / 50),
+        (taken(config(more=[route(f"m{n}") for n in range(900)])), 1 / 180),
+    ):
         net, s = begun(config_state)
         watch = s.drift_monitor.live.watch
         looks = Mock(side_effect=watch.step)
@@ -177,7 +204,10 @@
     assert fleet_monitor[0].answer(net.now, ask[2], lambda *a: answers.append(a), {}, holder_report)
     told = nodes.merge_answers([o.status(net.now) for o in fleet_monitor], [("10.9.0.1:8407", "timed out")])
     table = [line.replace("  0.0  ", "  #    ") for line in nodes.lines(told)]
-    shown = [render_metrics(s.drift_monitor.metrics()[:1]).decode(), *(line for line in table if "proxy" not in line)]
+    shown = [
+        render_metrics(s.drift_monitor.metrics()[:1]).decode(),
+        *(line for line in table if "proxy" not in line),
+    ]
     assert "\n".join(shown) == snapshot
     assert not told.well and b"gateway_drift_nodes_lagging 0\n" in answers[1][2]
 
@@ -187,6 +217,10 @@
     grown = ConfigState.decode(second.encode(), first).document
     expected = live_check.ExpectedDigests(grown, live_check.ExpectedDigests(first.document))
     compiled_config = CompiledConfig(grown, CompiledConfig(first.document))
-    assert live_check.running_digest(compiled_config, expected) == live_check.digest(CompiledConfig(second.document)) == expected.total
+    assert (
+        live_check.running_digest(compiled_config, expected)
+        == live_check.digest(CompiledConfig(second.document))
+        == expected.total
+    )
     compiled_config.routes["r1"].tries = 9
     assert live_check.running_digest(compiled_config, expected) != expected.total
--- a/tests/system/test_drift_fleet.py
+++ b/tests/system/test_drift_fleet.py
@@ -50,7 +50,9 @@
     net.give(CONTROLLER_ADDRESSES[0], m.Publish(m.CONFIG, (0, 1), FIRST.encode(), b""))
     net.run(3)
     assert old.membership.log.followers and {tuple(s.versions) for s in net.proxies} == {(0, 1, 2, 3)}
-    assert all(s.drift_detector.confirmation_age() < 1 and s.drift_monitor.ready for s in net.proxies)  # two of three say so
+    assert all(
+        s.drift_detector.confirmation_age() < 1 and s.drift_monitor.ready for s in net.proxies
+    )  # two of three say so
     net.cut = lambda a, b, kind: a == CONTROLLER_ADDRESSES[2]
     net.run(5)
     assert all(s.drift_detector.confirmation_age() > 2 and s.drift_monitor.ready for s in net.proxies)
@@ -84,8 +86,10 @@
     assert len(digests) == 1 and {s.ask("/r3/x") for s in net.proxies} == {200}
     _, s = node(net, 0)
     s.drift_monitor.heard(2, b"\1" * 8, "10.9.0.1:7660")  # where the other one had won as well
-    assert s.findings() == [f"neighbour 10.9.0.1:7660: is digest {'01' * 8}, "
-                            f"should be digest {digests.pop():016x} (version 2, its word)"]
+    assert s.findings() == [
+        f"neighbour 10.9.0.1:7660: is digest {'01' * 8}, "
+        f"should be digest {digests.pop():016x} (version 2, its word)"
+    ]
 
 
 @pytest.mark.parametrize("step", [3600.0, -20.0])
@@ -96,7 +100,12 @@
     net.run(2)
     net.put(2, SECOND)
     net.run(1.5)
-    assert s.proxy_node.version == 2 and s.drift_monitor.ready and s.findings() == [] and not s.drift_monitor.refusing
+    assert (
+        s.proxy_node.version == 2
+        and s.drift_monitor.ready
+        and s.findings() == []
+        and not s.drift_monitor.refusing
+    )
     net.cut = lambda a, b, kind: b == address and kind == "value"
     net.put(3, THIRD)
     net.run(1.5)
@@ -129,13 +138,16 @@
     net.run(1)
     net.put(2, SECOND)
     net.run(1)
-    assert by_neighbours.proxy_node.version == 2 and [s for s in net.proxies if s.proxy_node.version != 2] == [lost]
+    assert by_neighbours.proxy_node.version == 2 and [
+        s for s in net.proxies if s.proxy_node.version != 2
+    ] == [lost]
     net.run(APPLY_S - 1)
     assert told(net) == [[], [], []]
     net.run(2)
     assert all(told(net))
     net.run(8)
     assert [[f.partition(": ")[0] for f in findings] for findings in told(net)] == [
-        [f"node {cut_off}", *[f"node {deaf}"] * 2]] * 3
+        [f"node {cut_off}", *[f"node {deaf}"] * 2]
+    ] * 3
     unheard = "core: is unheard, should be heard (version {}, for 10 s)"
     assert [s.findings() for s in net.proxies if s.findings()] == [[unheard.format(2)], [unheard.format(1)]]
--- a/tests/system/test_losses.py
+++ b/tests/system/test_losses.py
@@ -16,17 +16,20 @@
 SWAPPED = OLD._replace(number=5, members=(A, B, D))
 
 
-@pytest.mark.parametrize(("held", "acknowledged", "borne"), [
-    ({A: OLD, B: OLD, C: OLD}, 1, 1),
-    ({A: OLD, B: OLD}, 1, 0),
-    ({A: OLD}, 1, -1),
-    ({A: NEW, B: NEW, C: OLD}, 2, 1),
-    ({A: NEW, B: OLD, C: OLD}, 2, -1),  # acknowledged on one disk alone: an election may lose it
-    ({A: JOINT, B: JOINT, D: OLD}, 1, 0),  # c is gone: both a and b are needed
-    ({A: JOINT, B: JOINT, C: OLD, D: OLD}, 1, 1),
-    ({A: SWAPPED, B: SWAPPED, D: EMPTY_ENTRY}, 1, 1),
-    ({A: SWAPPED, B: SWAPPED, C: OLD, D: OLD}, 1, 1),
-])
+@pytest.mark.parametrize(
+    ("held", "acknowledged", "borne"),
+    [
+        ({A: OLD, B: OLD, C: OLD}, 1, 1),
+        ({A: OLD, B: OLD}, 1, 0),
+        ({A: OLD}, 1, -1),
+        ({A: NEW, B: NEW, C: OLD}, 2, 1),
+        ({A: NEW, B: OLD, C: OLD}, 2, -1),  # acknowledged on one disk alone: an election may lose it
+        ({A: JOINT, B: JOINT, D: OLD}, 1, 0),  # c is gone: both a and b are needed
+        ({A: JOINT, B: JOINT, C: OLD, D: OLD}, 1, 1),
+        ({A: SWAPPED, B: SWAPPED, D: EMPTY_ENTRY}, 1, 1),
+        ({A: SWAPPED, B: SWAPPED, C: OLD, D: OLD}, 1, 1),
+    ],
+)
 def test_what_is_borne_at_an_instant(held: dict[Member, Entry], acknowledged: int, borne: int) -> None:
     disks = [PersistentState(member.disk, 1, "", entry) for member, entry in held.items()]
     assert disk_loss_tolerance.borne(disks, acknowledged) == borne
--- a/tests/system/test_membership.py
+++ b/tests/system/test_membership.py
@@ -197,8 +197,10 @@
 
 def test_beats_that_cannot_be_told_on_are_refused():
     net, _ = system()
-    assert all(net.answer(P1, net.beat(P1, id, seq)) == "Rejected"
-               for id, seq in (("i-\ud800", 1), ("i" * 300, 1), ("i-1", -1), ("i-1", 1 << 63)))
+    assert all(
+        net.answer(P1, net.beat(P1, id, seq)) == "Rejected"
+        for id, seq in (("i-\ud800", 1), ("i" * 300, 1), ("i-1", -1), ("i-1", 1 << 63))
+    )
 
 
 def test_a_large_value_comes_once_and_from_next_door():
--- a/tests/system/test_membership_random.py
+++ b/tests/system/test_membership_random.py
@@ -22,8 +22,14 @@
 
     def start(self, address):
         self.count += 1
-        self.living[f"i-{self.count}"] = {"at": address, "seq": 0, "next": self.net.now + self.rng.random(),
-                                          "to": self.rng.choice(CONTROLLER_ADDRESSES), "drain": False, "out": None}
+        self.living[f"i-{self.count}"] = {
+            "at": address,
+            "seq": 0,
+            "next": self.net.now + self.rng.random(),
+            "to": self.rng.choice(CONTROLLER_ADDRESSES),
+            "drain": False,
+            "out": None,
+        }
 
     def stop(self, id):
         self.free.append((self.net.now + 2.0, self.living.pop(id)["at"]))
@@ -58,7 +64,9 @@
                 net.kill(controller)
                 dead[controller] = net.now + rng.choice([0.3, 2.0, 10.0])
     elif kind in ("cut", "heal"):
-        apart = set(rng.sample([*CONTROLLER_ADDRESSES, *proxies], rng.randint(1, 3))) if kind == "cut" else set()
+        apart = (
+            set(rng.sample([*CONTROLLER_ADDRESSES, *proxies], rng.randint(1, 3))) if kind == "cut" else set()
+        )
         net.cut = lambda a, b: (a in apart) != (b in apart)
     elif kind == "crash" and ids:
         fleet.stop(rng.choice(ids))
@@ -89,5 +97,6 @@
         if n < 700 and rng.random() < 0.03:
             trouble(net, fleet, rng, proxies, dead)
     expected = {id: (b["at"], b["drain"]) for id, b in fleet.living.items()}
-    assert {a: {id: (b.address, b.draining) for id, b in net.table(a).items()} for a in net.nodes} == \
-        dict.fromkeys(net.nodes, expected)
+    assert {
+        a: {id: (b.address, b.draining) for id, b in net.table(a).items()} for a in net.nodes
+    } == dict.fromkeys(net.nodes, expected)
--- a/tests/system/test_operator_commands.py
+++ b/tests/system/test_operator_commands.py
@@ -43,8 +43,16 @@
         self.now += seconds
 
     def run(self, **more: Any) -> int:
-        return control_client.run([A, B], "PUT", control_client.CONFIG, b"x", call=self.call, pause=self.pause,
-                          clock=lambda: self.now, **more).status
+        return control_client.run(
+            [A, B],
+            "PUT",
+            control_client.CONFIG,
+            b"x",
+            call=self.call,
+            pause=self.pause,
+            clock=lambda: self.now,
+            **more,
+        ).status
 
 
 def test_a_307_is_followed_twice_and_no_clear_answer_leads_to_the_next_process() -> None:
@@ -79,11 +87,18 @@
     monkeypatch.setattr(control_client, "run", lambda seeds, *asked: call(tuple(seeds), *asked))
     file = tmp_path / "c.json"
     file.write_bytes(b"{}")
-    assert [commands.run(["config", "get", A, B]), commands.run(["config", "put", A, B, str(file)]),
-            commands.run(["config", "patch", A, str(file)]), commands.run(["config", "put", str(file)]),
-            commands.run(["config", "put", A, "/none"])] == [0, 0, 2, 2, 2]
-    assert got == [((A, B), "GET", control_client.CONFIG, b""), ((A, B), "PUT", control_client.CONFIG, b"{}"),
-                   ((A,), "PATCH", control_client.CONFIG, b"{}")]
+    assert [
+        commands.run(["config", "get", A, B]),
+        commands.run(["config", "put", A, B, str(file)]),
+        commands.run(["config", "patch", A, str(file)]),
+        commands.run(["config", "put", str(file)]),
+        commands.run(["config", "put", A, "/none"]),
+    ] == [0, 0, 2, 2, 2]
+    assert got == [
+        ((A, B), "GET", control_client.CONFIG, b""),
+        ((A, B), "PUT", control_client.CONFIG, b"{}"),
+        ((A,), "PATCH", control_client.CONFIG, b"{}"),
+    ]
     out, err = capfd.readouterr()
     assert out == '{"a":"<b>\\n"}\n{"generation":7}\n'
     assert 'PATCH: answered 412 {"generation":9}' in err and "/none: No such file" in err
@@ -109,6 +124,7 @@
         answers = [status_report.core(n.machine, core.now) for n in core.up()]
         leads = max(answers, key=lambda a: a["sure"])
         return leads["bears-now"], status_report.core_well(answers)
+
     core.run(0.2)
     assert told() == (2, True)
     others = [n for n in core.up() if n is not core.leader()]
@@ -126,8 +142,10 @@
     assert told() == (0, False)
 
 
-@pytest.mark.parametrize(("disks", "there", "holders", "more"), [
-    (3, 3, 2, 1), (3, 3, 1, 0), (3, 2, 2, 0), (4, 4, 3, 1), (5, 5, 3, 2), (5, 4, 4, 1), (5, 2, 2, 0)])
+@pytest.mark.parametrize(
+    ("disks", "there", "holders", "more"),
+    [(3, 3, 2, 1), (3, 3, 1, 0), (3, 2, 2, 0), (4, 4, 3, 1), (5, 5, 3, 2), (5, 4, 4, 1), (5, 2, 2, 0)],
+)
 def test_more_losses(disks: int, there: int, holders: int, more: int) -> None:
     assert quorum.more([(disks, there)], holders) == more == quorum.more([(9, 9), (disks, there)], holders)
 
@@ -147,8 +165,14 @@
     membership = ControllerMembership("10.0.0.1:1", 0, [], 1.0, random.Random(1))
     membership.handle(0.0, SetCore(("10.0.0.1:1",)))
     for n, draining in enumerate((False, True)):
-        membership.handle(1.0, Heartbeat(n, f"b{n}", "parcels", f"10.5.0.{n}:80", "z1", "g1", 2, draining, 4.0, 7))
-    silent = {"node": "10.0.0.2:1", "backends": [
-        {**row, "lease-left-s": None} for row in status_report.leases(membership, 2.0)["backends"]]}
+        membership.handle(
+            1.0, Heartbeat(n, f"b{n}", "parcels", f"10.5.0.{n}:80", "z1", "g1", 2, draining, 4.0, 7)
+        )
+    silent = {
+        "node": "10.0.0.2:1",
+        "backends": [
+            {**row, "lease-left-s": None} for row in status_report.leases(membership, 2.0)["backends"]
+        ],
+    }
     lines += status_report.lease_lines([silent, status_report.leases(membership, 2.0)])
     assert "\n".join(lines) == snapshot
--- a/tests/system/test_order_retries.py
+++ b/tests/system/test_order_retries.py
@@ -40,7 +40,9 @@
         core.kill(address, wipe=True)
         del core.nodes[address]
         core.add(f"10.0.1.{n}:1")
-        core.give(core.nodes[f"10.0.1.{n}:1"], api.KnownAddresses(tuple(core.nodes)))  # which the rounds tell it
+        core.give(
+            core.nodes[f"10.0.1.{n}:1"], api.KnownAddresses(tuple(core.nodes))
+        )  # which the rounds tell it
         core.run(6.0)
         core.propose(next(iter(core.nodes.values())), 0)
         assert core.run(5.0, lambda: not core.under_way)
@@ -65,6 +67,7 @@
 
 def forgets(monkeypatch: pytest.MonkeyPatch) -> type[SimulatedController]:
     """Two orders are remembered, and nothing tells that others were taken."""
+
     def with_order(config_state: ConfigState, document: orders.Document, order: int) -> ConfigState:
         taken = {**dict(list(config_state.taken.items())[-1:]), order: document.generation}
         return ConfigState(document, taken)
@@ -76,12 +79,15 @@
 def keeps_to_itself(monkeypatch: pytest.MonkeyPatch) -> type[SimulatedController]:
     """The memory is no part of the value."""
     encode = ConfigState.encode
-    monkeypatch.setattr(ConfigState, "encode", lambda config_state: without_order_history(encode(config_state)))
+    monkeypatch.setattr(
+        ConfigState, "encode", lambda config_state: without_order_history(encode(config_state))
+    )
     return SimulatedController
 
 
 def decides_early(monkeypatch: pytest.MonkeyPatch) -> type[SimulatedController]:
     """A new leader decides before it is sure."""
+
     class Early(SimulatedController):
         def leads(self, now: float) -> bool:
             return self.node.machine.leader_role is not None
@@ -91,6 +97,7 @@
 
 def acknowledges_early(monkeypatch: pytest.MonkeyPatch) -> type[SimulatedController]:
     """An order is acknowledged once it is proposed."""
+
     class Hasty(SimulatedController):
         def propose(self, token: int, value: bytes, expected: int) -> None:
             super().propose(token, value, expected)
@@ -101,6 +108,7 @@
 
 def calls_unknown_refused(monkeypatch: pytest.MonkeyPatch) -> type[SimulatedController]:
     """What is under way when a leader steps down is refused."""
+
     class Sure(SimulatedController):
         def __init__(self, *its: object) -> None:
             super().__init__(*its)  # type: ignore[arg-type]
@@ -116,10 +124,12 @@
     return Sure
 
 
-@pytest.mark.parametrize("plant", [forgets, keeps_to_itself, decides_early, acknowledges_early,
-                                   calls_unknown_refused])
-def test_planted_faults_are_found(plant: Callable[[pytest.MonkeyPatch], type[SimulatedController]],
-                                  monkeypatch: pytest.MonkeyPatch) -> None:
+@pytest.mark.parametrize(
+    "plant", [forgets, keeps_to_itself, decides_early, acknowledges_early, calls_unknown_refused]
+)
+def test_planted_faults_are_found(
+    plant: Callable[[pytest.MonkeyPatch], type[SimulatedController]], monkeypatch: pytest.MonkeyPatch
+) -> None:
     controller = plant(monkeypatch)
     for seed in range(ENOUGH):
         try:
--- a/tests/system/test_orders.py
+++ b/tests/system/test_orders.py
@@ -39,8 +39,10 @@
     told = spec.load("proving/sites/small.toml")[0]
     run = Run(replace(told, day=replace(told.day, seconds=14.0, traffic=False, config_changes=1.0)), 3)
     lines: list[str] = []
-    ring = LogRing(write=lambda text: lines.extend(f"{run.simulator.now:.4f} {x}" for x in text.splitlines()),
-                clock=lambda: run.simulator.now)
+    ring = LogRing(
+        write=lambda text: lines.extend(f"{run.simulator.now:.4f} {x}" for x in text.splitlines()),
+        clock=lambda: run.simulator.now,
+    )
     logger = logging.getLogger("gateway.config_events")
     logger.addHandler(ring)
     logger.setLevel(logging.INFO)
--- a/tests/system/test_peer_view.py
+++ b/tests/system/test_peer_view.py
@@ -22,8 +22,10 @@
     def __init__(self, count, seed=1, loss=0.0):
         self.rng, self.loss, self.now = random.Random(seed), loss, 0.0
         seeds = [address(n) for n in range(3)]
-        self.views = {address(n): PeerView(address(n), PROXY, n % 3, seeds, random.Random(n * 7 + seed))
-                      for n in range(count)}
+        self.views = {
+            address(n): PeerView(address(n), PROXY, n % 3, seeds, random.Random(n * 7 + seed))
+            for n in range(count)
+        }
         self.cut = lambda a, b: False
         self.due, self.sent, self.bytes, self.heard = [], 0, 0, []
 
--- a/tests/system/test_programs.py
+++ b/tests/system/test_programs.py
@@ -18,8 +18,12 @@
 
 
 def test_the_example_serves_a_request_and_ends_in_order() -> None:
-    done = subprocess.run([sys.executable, str(EXAMPLES / "run.py"), "--once", "--port", "0"],
-                          capture_output=True, text=True, timeout=100)
+    done = subprocess.run(
+        [sys.executable, str(EXAMPLES / "run.py"), "--once", "--port", "0"],
+        capture_output=True,
+        text=True,
+        timeout=100,
+    )
     assert done.returncode == 0 and done.stdout.startswith("200 i-"), done
     assert {json.loads(line)["level"] for line in done.stderr.splitlines()} == {"NOTICE"}, done.stderr
 
@@ -29,8 +33,12 @@
     whole = json.loads((EXAMPLES / "config.json").read_bytes())
     route = next(e for e in whole["resource-list"] if e["metadata"].get("label") == "read")
     route["metadata"]["label"], route["spec"]["path-prefix"] = "look", "/look/"
-    return {"generation": 5, "base-version": 1, "upsert": {"resource-list": [route]},
-            "remove": {"route-table": ["read"]}}
+    return {
+        "generation": 5,
+        "base-version": 1,
+        "upsert": {"resource-list": [route]},
+        "remove": {"route-table": ["read"]},
+    }
 
 
 def limit() -> dict[str, Any]:
@@ -64,8 +72,9 @@
     assert commands.run(["allowance", example.control]) == 0
 
 
-def test_orders_hang_ups_and_ends(tmp_path: Path, monkeypatch: pytest.MonkeyPatch,
-                                  capfd: pytest.CaptureFixture[str]) -> None:
+def test_orders_hang_ups_and_ends(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capfd: pytest.CaptureFixture[str]
+) -> None:
     monkeypatch.syspath_prepend(str(EXAMPLES))
     import calls
     import run
@@ -81,11 +90,17 @@
         assert commands.run(["config", "patch", example.control, str(patch)]) == 0
         assert commands.run(["config", "get", example.control]) == 0
         assert json.loads(capfd.readouterr().out.splitlines()[-1])["generation"] == 5
-        example.until("the new route", lambda: calls.call(
-            example.front, "GET", "/look/1", headers=run.HEADERS))
-        example.until("all nodes to be well", lambda: calls.NONE._replace(
-            status=0 if commands.run(["nodes", example.control]) else 200))
-        assert [commands.run(["core", example.control]), commands.run(["backends", example.control])] == [2, 0]
+        example.until(
+            "the new route", lambda: calls.call(example.front, "GET", "/look/1", headers=run.HEADERS)
+        )
+        example.until(
+            "all nodes to be well",
+            lambda: calls.NONE._replace(status=0 if commands.run(["nodes", example.control]) else 200),
+        )
+        assert [commands.run(["core", example.control]), commands.run(["backends", example.control])] == [
+            2,
+            0,
+        ]
         shown = capfd.readouterr().out
         assert " leader " in shown and "bears 0 lost at once, 1 wanted" in shown
         assert shown.count(" standing ") == 2, shown
@@ -99,8 +114,12 @@
         leaving = example.backends.pop(0)
         leaving.terminate()
         assert leaving.wait(20) == 0
-        example.until("the one that is left", lambda: calls.call(
-            example.front, "GET", "/look/2", headers={**run.HEADERS, "Attempt-Id": "9c41d07be2a35f69"}))
+        example.until(
+            "the one that is left",
+            lambda: calls.call(
+                example.front, "GET", "/look/2", headers={**run.HEADERS, "Attempt-Id": "9c41d07be2a35f69"}
+            ),
+        )
     finally:
         example.stop()
     assert [process.returncode for process in example.programs] == [0, 0]
