--- a/tests/system/test_proxy.py
+++ b/tests/system/test_proxy.py
@@ -53,12 +53,14 @@
 
 READ, ORDER, AGAIN = asked(), asked("/order/1", method="POST", body=b"one"), asked(name="a2")
 SCENARIOS = {
-    "a request goes on under its tenant's name": Scenario([
-        asked("/read/1?q=2"), asked("/open/x", key=None, name="a2"), asked("/open/x", key="k0", name="a3")],
-        [answer()]),
-    "what no configuration allows": Scenario([
-        asked("/none/1"), asked(host="b.example"), asked(key=None), asked(key="k0"), asked(name=None)],
-        [answer()]),
+    "a request goes on under its tenant's name": Scenario(
+        [asked("/read/1?q=2"), asked("/open/x", key=None, name="a2"), asked("/open/x", key="k0", name="a3")],
+        [answer()],
+    ),
+    "what no configuration allows": Scenario(
+        [asked("/none/1"), asked(host="b.example"), asked(key=None), asked(key="k0"), asked(name=None)],
+        [answer()],
+    ),
     "no configuration yet": Scenario([READ], [answer()], configured=False),
     "no backend": Scenario([READ, asked("/empty/1")], [answer()], 0),
     "over quota": Scenario([ORDER], [answer()], 1, {"verdict": OVER}),
@@ -77,7 +79,8 @@
     "a failure, and another that has not run it": Scenario([READ], [answer(500, b"broken"), full], 2),
     "promises that a backend can't make": Scenario(
         [asked("/order/1", name=f"a{i}") for i in range(4)],
-        [answer(503, b"x"), answer(429, b"x"), answer(408, b"x"), answer(404, b"x")]),
+        [answer(503, b"x"), answer(429, b"x"), answer(408, b"x"), answer(404, b"x")],
+    ),
     "an answer cut short": Scenario([ORDER], [cut]),
     "a large answer cut short": Scenario([ORDER], [cut_large]),
     "no answer in the protocol": Scenario([ORDER], [lambda seen: b"rubbish"]),
@@ -218,6 +221,9 @@
 
 
 def test_what_a_verdict_allows() -> None:
-    assert [v.allows_refusal for v in (ExecutionStatus.NEVER_RAN, ExecutionStatus.MAY_HAVE_RAN, ExecutionStatus.RAN)] == [True, False, False]
+    assert [
+        v.allows_refusal
+        for v in (ExecutionStatus.NEVER_RAN, ExecutionStatus.MAY_HAVE_RAN, ExecutionStatus.RAN)
+    ] == [True, False, False]
     assert ExecutionStatus.NEVER_RAN.repeatable(False) and not ExecutionStatus.MAY_HAVE_RAN.repeatable(False)
     assert ExecutionStatus.MAY_HAVE_RAN.repeatable(True)
--- a/tests/system/test_proxy_ends.py
+++ b/tests/system/test_proxy_ends.py
@@ -18,8 +18,15 @@
 
 def head(seen: Seen, *lines: str, status: str = "1.1 200") -> bytes:
     """A sealed head for this request."""
-    return "\r\n".join([f"HTTP/{status} X", f"Attempt-Id: {seen.headers['attempt-id']}",
-                        "Backend-Seal: 3e1b.07", *lines, "\r\n"]).encode()
+    return "\r\n".join(
+        [
+            f"HTTP/{status} X",
+            f"Attempt-Id: {seen.headers['attempt-id']}",
+            "Backend-Seal: 3e1b.07",
+            *lines,
+            "\r\n",
+        ]
+    ).encode()
 
 
 def ending(body: bytes, *lines: str, status: str = "1.1 200") -> Act:
@@ -51,20 +58,24 @@
     return line, {k.lower(): v.strip() for k, _, v in (part.partition(":") for part in rest)}
 
 
-@pytest.mark.parametrize(("method", "lines", "status", "length"), [
-    ("HEAD", ["Content-Length: 1000"], "1.1 200", "1000"),
-    ("HEAD", ["Content-Length: 99999999"], "1.1 200", "99999999"),
-    ("HEAD", ["Transfer-Encoding: chunked"], "1.1 200", None),
-    ("HEAD", [], "1.1 200", None),
-    ("HEAD", ["Content-Length: 7"], "1.1 404", "7"),
-    ("HEAD", ["Content-Length: 7"], "1.1 500", None),
-    ("HEAD", ["Content-Length: 7"], "1.1 304", "7"),
-    ("GET", [], "1.1 204", None),
-    ("GET", [], "1.1 304", None),
-    ("GET", ["Content-Length: 1000"], "1.1 304", None),
-])
-def test_an_answer_that_has_no_body_ends_with_its_head(method: str, lines: list[str], status: str,
-                                                       length: str | None):
+@pytest.mark.parametrize(
+    ("method", "lines", "status", "length"),
+    [
+        ("HEAD", ["Content-Length: 1000"], "1.1 200", "1000"),
+        ("HEAD", ["Content-Length: 99999999"], "1.1 200", "99999999"),
+        ("HEAD", ["Transfer-Encoding: chunked"], "1.1 200", None),
+        ("HEAD", [], "1.1 200", None),
+        ("HEAD", ["Content-Length: 7"], "1.1 404", "7"),
+        ("HEAD", ["Content-Length: 7"], "1.1 500", None),
+        ("HEAD", ["Content-Length: 7"], "1.1 304", "7"),
+        ("GET", [], "1.1 204", None),
+        ("GET", [], "1.1 304", None),
+        ("GET", ["Content-Length: 1000"], "1.1 304", None),
+    ],
+)
+def test_an_answer_that_has_no_body_ends_with_its_head(
+    method: str, lines: list[str], status: str, length: str | None
+):
     async def main():
         plane = ProxyFixture()
         client = await plane.start(lambda seen: head(seen, *lines, status=status), answer())
@@ -73,27 +84,38 @@
         assert (await client.ask(asked(name="a2")))[::2] == (200, b"fine")  # nothing came in between
         if lines:
             assert plane.peers["i1"].connections == 1
+
     run(main())
 
 
-@pytest.mark.parametrize(("raw", "status"), [
-    (asked(method="HEAD", path="/none/1"), "404"), (asked(method="HEAD", path="/empty/1"), "503")])
+@pytest.mark.parametrize(
+    ("raw", "status"),
+    [(asked(method="HEAD", path="/none/1"), "404"), (asked(method="HEAD", path="/empty/1"), "503")],
+)
 def test_what_is_answered_here_to_head_has_no_body_either(raw: bytes, status: str):
     async def main():
         client = await ProxyFixture().start(answer())
         assert (await read(client, raw))[0].split()[1] == status
         assert (await client.ask(asked(name="a2")))[::2] == (200, b"fine")
+
     run(main())
 
 
-@pytest.mark.parametrize(("raw", "status"), [
-    (asked(method="HEAD").replace(b"Content", b"Con tent"), "400"), (asked(method="HEAD", name=None), "400"),
-    (asked(method="HEAD", path="/read/" + "x" * 20_000), "431")], ids=["malformed", "no id", "too long"])
+@pytest.mark.parametrize(
+    ("raw", "status"),
+    [
+        (asked(method="HEAD").replace(b"Content", b"Con tent"), "400"),
+        (asked(method="HEAD", name=None), "400"),
+        (asked(method="HEAD", path="/read/" + "x" * 20_000), "431"),
+    ],
+    ids=["malformed", "no id", "too long"],
+)
 def test_a_head_that_cannot_be_read_has_no_body_in_its_answer_either(raw: bytes, status: str):
     async def main():
         client = await ProxyFixture().start(answer())
         assert (await read(client, raw))[0].split()[1] == status
         assert await client.reader.read() == b""
+
     run(main())
 
 
@@ -104,18 +126,21 @@
         assert (await read(client, asked(method="HEAD")))[1]["content-length"] == "4"
         assert (await client.ask(asked(name="a2")))[2] == b"right"
         assert plane.peers["i1"].connections == 2
+
     run(main())
 
 
 @pytest.mark.parametrize("body", [b"few", LARGE])
-@pytest.mark.parametrize(("lines", "status"), [
-    ([], "1.1 200"), (["Connection: close"], "1.1 200"), ([], "1.0 200")])
+@pytest.mark.parametrize(
+    ("lines", "status"), [([], "1.1 200"), (["Connection: close"], "1.1 200"), ([], "1.0 200")]
+)
 def test_an_answer_without_a_length_ends_with_its_connection(lines: list[str], status: str, body: bytes):
     async def main():
         client = await ProxyFixture().start(ending(body, *lines, status=status), answer())
         _, headers = await read(client, asked())
         assert await rest(client, headers) == body
         assert (await client.ask(asked(name="a2")))[::2] == (200, b"fine")
+
     run(main())
 
 
@@ -143,17 +168,21 @@
         with pytest.raises((asyncio.IncompleteReadError, ConnectionError)):
             await rest(client, headers)
         await until(lambda: not plane.ingress.held)
+
     run(main())
 
 
-@pytest.mark.parametrize("line", [
-    "Host: b.example", "attempt-id: a2", "Authorization: Token k0", "Deadline-Ms: 9"])
+@pytest.mark.parametrize(
+    "line", ["Host: b.example", "attempt-id: a2", "Authorization: Token k0", "Deadline-Ms: 9"]
+)
 def test_what_a_request_tells_twice_is_not_guessed(line: str):
     """The backend could go by the other one than the ingress."""
+
     async def main():
         plane = ProxyFixture()
         client = await plane.start(answer())
         raw = asked("/order/1", method="POST").replace(b"X-More", line.encode() + b"\r\nX-More")
         assert (await read(client, raw))[0].split()[1] == "400"
         assert not plane.peers["i1"].seen
+
     run(main())
--- a/tests/system/test_proxy_rank.py
+++ b/tests/system/test_proxy_rank.py
@@ -21,8 +21,11 @@
 
 def test_a_nomination_goes_before_a_view_whatever_the_tenants_own_precedence() -> None:
     nomination, view = SimpleNamespace(precedence=1), SimpleNamespace(precedence=2)
-    ranks = [RequestContext(route, None, precedence=0, late=late).rank  # type: ignore[arg-type]
-             for route in (nomination, view) for late in (False, True)]
+    ranks = [
+        RequestContext(route, None, precedence=0, late=late).rank  # type: ignore[arg-type]
+        for route in (nomination, view)
+        for late in (False, True)
+    ]
     assert ranks == sorted(set(ranks))  # nomination, late nomination, view, late view
 
 
--- a/tests/system/test_proxy_retry_slack.py
+++ b/tests/system/test_proxy_retry_slack.py
@@ -13,8 +13,9 @@
 
 def test_a_service_met_after_a_loss_of_all_has_no_larger_part_of_the_slack() -> None:
     rng = random.Random(1)
-    d = Decisions(QuotaClient(5.0, rng), services.settings(12, 0.3, "z1"),
-                  lambda n: RetryBudget(0.2, 68, 10.0, n), rng)
+    d = Decisions(
+        QuotaClient(5.0, rng), services.settings(12, 0.3, "z1"), lambda n: RetryBudget(0.2, 68, 10.0, n), rng
+    )
     d.handle(0.0, ProxyPeers(2, 0, 1))  # type: ignore[arg-type]  # the others have not told the core yet
     d.handle(0.0, Backends("s1", (io.BackendEntry("i1", io.Phase.RUNNING),)))  # type: ignore[arg-type]
     assert d.services["s1"].budget.ingresses == 12
--- a/tests/system/test_proxy_start.py
+++ b/tests/system/test_proxy_start.py
@@ -62,4 +62,5 @@
         seen.request_received(2.1)
     assert [(r.levelname, r.getMessage()) for r in caplog.records] == [
         ("WARNING", "of 13 requests in a second turned back: no backend known 9, over the allowance 4"),
-        ("INFO", "of 1 requests in a second turned back: over the allowance 9")]
+        ("INFO", "of 1 requests in a second turned back: over the allowance 9"),
+    ]
--- a/tests/system/test_quota_machines.py
+++ b/tests/system/test_quota_machines.py
@@ -39,7 +39,9 @@
         self.now, self.number, self.lost = 0.0, 0, False
         self.holder = ShardOwner(5.0, rng)
         self.quota_clients = {"s0": QuotaClient(5.0, rng), "s1": QuotaClient(5.0, rng)}
-        places = ShardMapInput(ShardMap(term=1, number=1, owners=["h"], owner_of_shard=bytes(64)).SerializeToString())
+        places = ShardMapInput(
+            ShardMap(term=1, number=1, owners=["h"], owner_of_shard=bytes(64)).SerializeToString()
+        )
         self.holder.handle(0.0, TENANTS)
         self.holder.handle(0.0, SetLeader("p0"))
         for quota_client in self.quota_clients.values():
@@ -53,7 +55,13 @@
         while self.now < until - 1e-9:
             self.now = min(until, self.now + 0.02)
             self.number += 1
-            hold = LeaseGrant(incarnation=self.holder.incarnation, at=self.now, term=1, number=self.number, shards=ALL_SHARDS)
+            hold = LeaseGrant(
+                incarnation=self.holder.incarnation,
+                at=self.now,
+                term=1,
+                number=self.number,
+                shards=ALL_SHARDS,
+            )
             self.holder.handle(self.now, Received("p0", Message(hold=hold)))
             self.holder.handle(self.now, Tick())
             for name, quota_client in self.quota_clients.items():
@@ -67,7 +75,9 @@
         for o in outputs:
             if type(o) is Send and not self.lost:
                 for answer in self.holder.handle(self.now, Received(name, o.message)):
-                    out += self.put(name, self.quota_clients[name].handle(self.now, Received("h", answer.message)))
+                    out += self.put(
+                        name, self.quota_clients[name].handle(self.now, Received("h", answer.message))
+                    )
         return out
 
     def ask(self, name: str, id: int, tenant: str = "a") -> str:
@@ -110,7 +120,9 @@
     pair.lost = True
     out = []
     for n in range(200):
-        out += pair.put("s0", pair.quota_clients["s0"].handle(pair.now, ChargeRequest(2000 + n, "a", 0, 0.09)))
+        out += pair.put(
+            "s0", pair.quota_clients["s0"].handle(pair.now, ChargeRequest(2000 + n, "a", 0, 0.09))
+        )
         out += pair.pass_time(0.04)
     out += pair.pass_time(0.2)
     late = [charged for charged in out if charged.verdict == "go"]
@@ -180,14 +192,18 @@
             else:
                 hold = o.message.hold
                 self.seen[o.to] = hold.term, hold.number, hold.shards
-                self.lines.append(f"{now:5.2f} -> {o.to} {hold.shards.bit_count()} parts, fence {hold.number}")
+                self.lines.append(
+                    f"{now:5.2f} -> {o.to} {hold.shards.bit_count()} parts, fence {hold.number}"
+                )
 
     def ask(self, now: float, name: str, shards: int | None = None) -> None:
         """A holder asks, and holds what it was leased last, or these parts."""
         term, number, held = self.seen.get(name, (0, 0, 0))
         held = held if shards is None else shards
         self.lines.append(f"{now:5.2f} {name} asks, holds {held.bit_count()}")
-        request = LeaseRequest(incarnation=self.lives.get(name, 1), at=now, term=term, number=number, shards=held)
+        request = LeaseRequest(
+            incarnation=self.lives.get(name, 1), at=now, term=term, number=number, shards=held
+        )
         self.do(now, Received(name, Message(request=request)))
 
     def ticks(self, begin: float, end: float, *names: str) -> None:
@@ -225,7 +241,7 @@
     core.do(1.0, LeadershipChange(1, True))
     for name in ("p0", "p1", "p2"):
         core.ask(1.05, name)
-    table, = (line for line in core.lines if "table" in line)
+    (table,) = (line for line in core.lines if "table" in line)
     assert "'p0', 'p1', 'p2'" in table and sum(map(int, re.findall(r"\d+", table.split("] [")[1]))) == 64
 
 
--- a/tests/system/test_quota_startup.py
+++ b/tests/system/test_quota_startup.py
@@ -68,12 +68,14 @@
 
 
 def hold(shards: int = ALL_SHARDS, number: int = 1, at: float = 99.9, incarnation: int = 0) -> LeaseGrant:
-    return LeaseGrant(incarnation=incarnation, at=at, term=1, number=number, shards=shards, idle=ALL_SHARDS, idle_ms=1500)
+    return LeaseGrant(
+        incarnation=incarnation, at=at, term=1, number=number, shards=shards, idle=ALL_SHARDS, idle_ms=1500
+    )
 
 
 def charged(holder: ShardOwner, now: float, id: int, held: bool = False) -> int:
     note = Message(charge=Charge(id=id, tenant=tenant_number("one"), incarnation=7, held=held))
-    answer, = holder.handle(now, Received("10.0.0.1:7660", note))
+    (answer,) = holder.handle(now, Received("10.0.0.1:7660", note))
     return int(answer.message.verdict.code)
 
 
@@ -82,7 +84,13 @@
     holder.handle(now, Allowances({"one": (10.0, 10.0)}))
     holder.handle(now, SetLeader("p0"))
     holder.handle(now, Received("p0", Message(hold=hold(incarnation=holder.incarnation))))
-    holder.handle(now, Received("10.0.0.1:7660", Message(client_heartbeat=ClientHeartbeat(incarnation=7, number=1, shards=ALL_SHARDS))))
+    holder.handle(
+        now,
+        Received(
+            "10.0.0.1:7660",
+            Message(client_heartbeat=ClientHeartbeat(incarnation=7, number=1, shards=ALL_SHARDS)),
+        ),
+    )
     return holder
 
 
@@ -90,7 +98,9 @@
     holder = holder_at(100.0)
     assert [charged(holder, 100.0, n) for n in range(11)] == [Code.ADMITTED] * 10 + [Code.OVER]
     holder.handle(103.0, Tick())  # its lease is over
-    holder.handle(103.0, Received("p0", Message(hold=hold(number=2, at=103.0, incarnation=holder.incarnation))))
+    holder.handle(
+        103.0, Received("p0", Message(hold=hold(number=2, at=103.0, incarnation=holder.incarnation)))
+    )
     assert charged(holder, 103.0, 20) == Code.NOT_YET
 
 
@@ -99,10 +109,15 @@
     assert charged(holder, 100.0, 1, held=True) == Code.NOT_YET
 
 
-def asked(shard_assigner: ShardAssigner, now: float, frm: str, incarnation: int = 1, shards: int = 0) -> LeaseGrant:
+def asked(
+    shard_assigner: ShardAssigner, now: float, frm: str, incarnation: int = 1, shards: int = 0
+) -> LeaseGrant:
     request = LeaseRequest(incarnation=incarnation, at=now, shards=shards)
-    return next(o.message.hold for o in shard_assigner.handle(now, Received(frm, Message(request=request)))
-                if getattr(o, "to", "") == frm)
+    return next(
+        o.message.hold
+        for o in shard_assigner.handle(now, Received(frm, Message(request=request)))
+        if getattr(o, "to", "") == frm
+    )
 
 
 def leader(leaderless_since: float | None) -> ShardAssigner:
@@ -160,4 +175,5 @@
         begin = net.now
         net.run(begin + 1.0)
         return sum(t > begin for t in net.went["hot"])
+
     assert served(True) > 2 * served(False)
--- a/tests/system/test_reload.py
+++ b/tests/system/test_reload.py
@@ -131,9 +131,12 @@
 
     def held() -> Any:
         return controller_node.membership.value_store.newest_by_kind[m.INGRESSES]
+
     controller_node.raft.replica.enter_term(3)
     controller_node.publish_ingresses(99.0)
-    assert m.INGRESSES not in controller_node.membership.value_store.newest_by_kind  # one that has just begun knows of none yet
+    assert (
+        m.INGRESSES not in controller_node.membership.value_store.newest_by_kind
+    )  # one that has just begun knows of none yet
     known += [(0, "10.1.0.5:7660"), (1, "10.2.0.5:7660")]
     controller_node.publish_ingresses(100.0)
     own = held()
--- a/tests/system/test_runtime_parts.py
+++ b/tests/system/test_runtime_parts.py
@@ -110,8 +110,13 @@
         self.begun, self.go = threading.Semaphore(0), threading.Semaphore(0)
         self.now = 10.0
         loop: Any = self.loop
-        self.thread = DiskThread(loop, self.save, lambda token: self.told.append(token),
-                                 lambda token, why: self.told.append((token, why)), lambda: self.now)
+        self.thread = DiskThread(
+            loop,
+            self.save,
+            lambda token: self.told.append(token),
+            lambda token, why: self.told.append((token, why)),
+            lambda: self.now,
+        )
 
     told: list[Any]
     saved: list[str]
@@ -125,7 +130,8 @@
 
 
 def test_a_save_that_hangs_holds_up_nothing_and_newer_records_take_the_place_of_older_ones(
-        caplog: pytest.LogCaptureFixture) -> None:
+    caplog: pytest.LogCaptureFixture,
+) -> None:
     disk = Disk()
     disk.thread.write(1, "one")
     assert disk.begun.acquire(timeout=5)
--- a/tests/system/test_runtime_settings.py
+++ b/tests/system/test_runtime_settings.py
@@ -17,10 +17,19 @@
 
 SMALL: dict[str, Any] = {"self": {"ip": "10.1.0.5", "new-field": 1}, "network": {"port-range": [7660, 7675]}}
 WRONG = {
-    "self": {"node": 7, "serves": "edge", "counted": "yes", "data-dir": 5,
-             "limits": {"cpu-share": 0, "cores": True, "max-fds": 10.5, "memory-mb": float("inf")}},
-    "network": {"listen": {"front": "10.1.0.5", "control": "10.1.0.5:70000"}, "port-range": [7675, 7660],
-                "seeds": ["10.1.0.5:8407", "nowhere"], "zones": ["kgn-a"]},
+    "self": {
+        "node": 7,
+        "serves": "edge",
+        "counted": "yes",
+        "data-dir": 5,
+        "limits": {"cpu-share": 0, "cores": True, "max-fds": 10.5, "memory-mb": float("inf")},
+    },
+    "network": {
+        "listen": {"front": "10.1.0.5", "control": "10.1.0.5:70000"},
+        "port-range": [7675, 7660],
+        "seeds": ["10.1.0.5:8407", "nowhere"],
+        "zones": ["kgn-a"],
+    },
     "provider": {"beat-s": -1.3},
     "terms": {"contracts": [1], "fault-budget": "one", "bounds": {"drain-s": "2.5 s", "revoke-closed": 0}},
 }
@@ -35,11 +44,14 @@
 
 
 def test_each_fault_is_told_with_its_place(tmp_path: Path, snapshot: SnapshotAssertion) -> None:
-    assert {"wrong fields": told(WRONG, tmp_path), "empty": told("", tmp_path),
-            "broken": told("self:\n  ip: [10.1.0.5\nnetwork:", tmp_path),
-            "tables missing": told({"self": 1}, tmp_path),
-            "no file": list(map(str, settings.read({settings.VARIABLE: "/no/file"}).err() or [])),
-            "no variable": list(map(str, settings.read({}).err() or []))} == snapshot
+    assert {
+        "wrong fields": told(WRONG, tmp_path),
+        "empty": told("", tmp_path),
+        "broken": told("self:\n  ip: [10.1.0.5\nnetwork:", tmp_path),
+        "tables missing": told({"self": 1}, tmp_path),
+        "no file": list(map(str, settings.read({settings.VARIABLE: "/no/file"}).err() or [])),
+        "no variable": list(map(str, settings.read({}).err() or [])),
+    } == snapshot
 
 
 def test_what_is_left_out_has_defaults_and_unknown_fields_pass() -> None:
@@ -50,7 +62,10 @@
     assert s.own_address("proxy") == "10.1.0.5:7660"
     assert s.own_address("controller") == "10.1.0.5:7661"
     assert s.controller_at("10.2.0.3:8407") == "10.2.0.3:7661"
-    assert [fault.place for fault in s.missing_listeners("proxy")] == ["network.listen.front", "network.listen.ready"]
+    assert [fault.place for fault in s.missing_listeners("proxy")] == [
+        "network.listen.front",
+        "network.listen.ready",
+    ]
 
 
 def test_the_file_is_seen_to_change_without_a_signal(tmp_path: Path) -> None:
@@ -66,16 +81,28 @@
     assert file.read().is_ok() and not file.changed()
 
 
-def test_command_line(tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str],
-                      snapshot: SnapshotAssertion) -> None:
+def test_command_line(
+    tmp_path: Path,
+    monkeypatch: pytest.MonkeyPatch,
+    capsys: pytest.CaptureFixture[str],
+    snapshot: SnapshotAssertion,
+) -> None:
     monkeypatch.chdir(tmp_path)
     Path("good.yaml").write_text(yaml.safe_dump(SMALL))
     Path("bad.yaml").write_text(yaml.safe_dump({"self": {"ip": "<b>"}}))
     Path("bad.json").write_text('{"generation": 0, "resource-list": []}')
     good = str(Path(__file__).parents[2] / "examples/config.json")
     exchanges: list[Any] = []
-    for line in ("version", "check-settings good.yaml", "check-settings bad.yaml", "check-settings no.yaml",
-                 "check-settings", "proxy --check", f"check-config {good}", "check-config bad.json"):
+    for line in (
+        "version",
+        "check-settings good.yaml",
+        "check-settings bad.yaml",
+        "check-settings no.yaml",
+        "check-settings",
+        "proxy --check",
+        f"check-config {good}",
+        "check-config bad.json",
+    ):
         if line == "proxy --check":
             monkeypatch.setenv(settings.VARIABLE, "good.yaml")
         code = main(line.split())
@@ -85,9 +112,11 @@
 
 
 def test_the_programs_start_without_what_only_some_runs_need() -> None:
-    code = ("import sys, gateway.__main__, gateway.runtime.settings, gateway.runtime.peer_transport, gateway.runtime.disk_thread\n"
-            "import gateway.runtime.log_ring, gateway.runtime.ticker\n"
-            "print(sorted({'cleo', 'pythonjsonlogger', 'dataclasses', 'yaml'} & sys.modules.keys()))")
+    code = (
+        "import sys, gateway.__main__, gateway.runtime.settings, gateway.runtime.peer_transport, gateway.runtime.disk_thread\n"
+        "import gateway.runtime.log_ring, gateway.runtime.ticker\n"
+        "print(sorted({'cleo', 'pythonjsonlogger', 'dataclasses', 'yaml'} & sys.modules.keys()))"
+    )
     root = Path(__file__).parents[2]
     out = subprocess.run([sys.executable, "-c", code], cwd=root, capture_output=True, text=True, check=True)
     assert out.stdout == "['yaml']\n"
--- a/tests/system/test_runtime_transport.py
+++ b/tests/system/test_runtime_transport.py
@@ -37,7 +37,9 @@
 
     def __init__(self, address: str) -> None:
         self.notes: asyncio.Queue[tuple[str, bytes]] = asyncio.Queue()
-        self.port = PeerTransport(asyncio.get_running_loop(), address, {1: Plane(1, FakeMessage, self.on_message)})
+        self.port = PeerTransport(
+            asyncio.get_running_loop(), address, {1: Plane(1, FakeMessage, self.on_message)}
+        )
 
     def on_message(self, sender: str, note: Any) -> None:
         if note.body == b"unbearable":
@@ -111,8 +113,13 @@
         a.port.send(b.port.address, 1, FakeMessage(b"x" * tcp_links.MAX_QUEUED_BYTES))
         a.port.send(b.port.address, 1, FakeMessage(b"still here"))
         assert await b.next() == (a.port.address, b"still here")
-        assert b.port.bad == {"unknown plane": 3, "unknown version": 1, "unreadable": 1, "too long": 1,
-                              "no address": 1}
+        assert b.port.bad == {
+            "unknown plane": 3,
+            "unknown version": 1,
+            "unreadable": 1,
+            "too long": 1,
+            "no address": 1,
+        }
         assert a.port.bad == {"no address": 1, "too long": 1}
 
     with_two(story, loops)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -177,9 +177,16 @@
     assert sent <= (CEILED.ceiling_burst - CEILED.burst) / 2 + 1
 
 
-@pytest.mark.parametrize("change,field", [
-    (dict(classes=()), "classes"), (dict(plans=()), "plans"), (dict(instances=0), "instances"),
-    (dict(counter_timeout=-1.0), "counter_timeout"), (dict(max_attempts=0), "max_attempts")])
+@pytest.mark.parametrize(
+    "change,field",
+    [
+        (dict(classes=()), "classes"),
+        (dict(plans=()), "plans"),
+        (dict(instances=0), "instances"),
+        (dict(counter_timeout=-1.0), "counter_timeout"),
+        (dict(max_attempts=0), "max_attempts"),
+    ],
+)
 def test_settings_that_cannot_hold_name_the_field(change, field):
     args = dict(classes=(SAFE,), plans=(PLAN,))
     args.update(change)
@@ -393,7 +400,9 @@
     """Three ingresses that share the counter and tell one another what they let in."""
 
     def __init__(self) -> None:
-        self.nodes = [GatewayDriver(instances=3, me=n, peers=True, peer_in_per_s=100.0, seed=n) for n in range(3)]
+        self.nodes = [
+            GatewayDriver(instances=3, me=n, peers=True, peer_in_per_s=100.0, seed=n) for n in range(3)
+        ]
         for node in self.nodes:
             node.counts = self.nodes[0].counts
             node.now += node.gw.customers.kept  # who is met from here on is followed from the first request
@@ -549,8 +558,16 @@
     assert g.gw.customers.known[7].pending == pytest.approx(-3.0)
 
 
-@pytest.mark.parametrize("payload", [
-    b"", gossip.USAGE_PREFIX, gossip.USAGE_PREFIX + bytes(7), gossip.USAGE_PREFIX + b"\xff" * 9, b"\x01" * 250])
+@pytest.mark.parametrize(
+    "payload",
+    [
+        b"",
+        gossip.USAGE_PREFIX,
+        gossip.USAGE_PREFIX + bytes(7),
+        gossip.USAGE_PREFIX + b"\xff" * 9,
+        b"\x01" * 250,
+    ],
+)
 def test_what_a_peer_cannot_mean_changes_nothing(payload):
     g = GatewayDriver(peers=True, instances=3, peer_in_per_s=100.0)
     serve(g, g.ask(units=1.0))
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -260,9 +260,14 @@
 
 def test_stray_events_raise_nothing():
     g = GatewayDriver()
-    for e in (io.TimerFired(99), io.ClientGone("nobody"), io.PeerMessage(1, b"x"),
-              io.AttemptStarted("nobody", 0, "b0", 0.1), io.ProbeEnded("b0", io.Outcome.OK, 0.1),
-              io.AttemptEnded("nobody", 0, "nowhere", io.Outcome.OK, 0.1, True)):
+    for e in (
+        io.TimerFired(99),
+        io.ClientGone("nobody"),
+        io.PeerMessage(1, b"x"),
+        io.AttemptStarted("nobody", 0, "b0", 0.1),
+        io.ProbeEnded("b0", io.Outcome.OK, 0.1),
+        io.AttemptEnded("nobody", 0, "nowhere", io.Outcome.OK, 0.1, True),
+    ):
         assert not finals(g.give(e))
 
 
@@ -273,6 +278,7 @@
             for a in some(g.ask(["read", "pay", "once"][k % 3], customer=k), io.Attempt):
                 g.end(a)
         return g.log
+
     assert play() == play()
 
 
@@ -392,8 +398,13 @@
     first = 0
     for seed in range(200):
         g = GatewayDriver(backends=4, seed=seed, instances=300)  # one at a time is 0.01 a second for each
-        g.give(io.ListUpdate(io.ListKind.CHANGE, 2, tuple(
-            io.BackendEntry(f"b{i}", io.Phase.RUNNING, born=g.now) for i in range(4))))
+        g.give(
+            io.ListUpdate(
+                io.ListKind.CHANGE,
+                2,
+                tuple(io.BackendEntry(f"b{i}", io.Phase.RUNNING, born=g.now) for i in range(4)),
+            )
+        )
         g.now += 5.0
         first += bool(some(g.ask(), io.Attempt))
     # 4 backends x 0.01 a second x 2.5 x 0.5 x mean ramp 0.6 x 5 s (judged at the ramp's present height)
@@ -415,9 +426,14 @@
     assert set(i.gw.fleet.backends) == {"b9"}
 
 
-@pytest.mark.parametrize("entries", [
-    (), (io.BackendEntry("b0", io.Phase.RUNNING, born=105.0, zone="z0"),),
-    (io.BackendEntry("b0", io.Phase.STOPPING, zone="z0"),)])
+@pytest.mark.parametrize(
+    "entries",
+    [
+        (),
+        (io.BackendEntry("b0", io.Phase.RUNNING, born=105.0, zone="z0"),),
+        (io.BackendEntry("b0", io.Phase.STOPPING, zone="z0"),),
+    ],
+)
 def test_attempts_out_are_counted_down_whatever_becomes_of_their_backend(entries):
     """A count that stays up for ever would use up the limit on attempts out."""
     g = GatewayDriver(backends=1)
@@ -467,8 +483,13 @@
             for a in [only(g.ask(customer=g.n), io.Attempt) for _ in range(2)]:
                 g.end(a, elapsed=0.32)
         g.now += 30.0
-        g.give(io.ListUpdate(io.ListKind.CHANGE, 2, tuple(
-            io.BackendEntry(f"b{n}", io.Phase.RUNNING, born=born) for n in range(2, 8))))
+        g.give(
+            io.ListUpdate(
+                io.ListKind.CHANGE,
+                2,
+                tuple(io.BackendEntry(f"b{n}", io.Phase.RUNNING, born=born) for n in range(2, 8)),
+            )
+        )
         for _ in range(5):
             sent = only(g.ask(customer=g.n), io.Attempt)
             used.add(sent.backend)
@@ -491,15 +512,19 @@
         count = 0
         for seed in range(40):
             g = GatewayDriver(backends=1, instances=300, seed=seed)
-            g.give(io.ListUpdate(io.ListKind.CHANGE, 2, (
-                io.BackendEntry("b0", io.Phase.RUNNING, born=g.now),)))
+            g.give(
+                io.ListUpdate(io.ListKind.CHANGE, 2, (io.BackendEntry("b0", io.Phase.RUNNING, born=g.now),))
+            )
             g.gw.fleet.backends["b0"].tokens = 1.0
             for _ in range(10):
                 g.now += 0.05
                 for a in some(g.ask(customer=g.n + 1), io.Attempt):
                     count += 1
-                    g.give(io.AttemptEnded(a.request, 0, a.backend, io.Outcome.OK, 0.02, True,
-                                           load={"inflight": inflight}))
+                    g.give(
+                        io.AttemptEnded(
+                            a.request, 0, a.backend, io.Outcome.OK, 0.02, True, load={"inflight": inflight}
+                        )
+                    )
         return count
 
     assert sent(9.0) == 40 and sent(2.0) == 400
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -17,8 +17,14 @@
 
     def __init__(self) -> None:
         self.held: list[str] = []
-        self.console = Console(asyncio.get_running_loop(), {
-            "health": ConsoleCommand(lambda: ["done"]), "cordon": ConsoleCommand(self.cordon, 1), "fault": ConsoleCommand(lambda: [1 / 0])})
+        self.console = Console(
+            asyncio.get_running_loop(),
+            {
+                "health": ConsoleCommand(lambda: ["done"]),
+                "cordon": ConsoleCommand(self.cordon, 1),
+                "fault": ConsoleCommand(lambda: [1 / 0]),
+            },
+        )
 
     def cordon(self, backend: str) -> list[str]:
         if backend != "b1":
@@ -39,8 +45,19 @@
         return answer
 
 
-NO_CALLS = [b"\n", b"healthy\n", b"HEALTH\n", b"health now\n", b"cordon\n", b"cordon b1 b2\n", b"cordon b9\n",
-            b"cordon \xff\xfe\n", b"fault\n", b"cordon b" + b"1" * 5000 + b"\n", b"\x00" * 300]
+NO_CALLS = [
+    b"\n",
+    b"healthy\n",
+    b"HEALTH\n",
+    b"health now\n",
+    b"cordon\n",
+    b"cordon b1 b2\n",
+    b"cordon b9\n",
+    b"cordon \xff\xfe\n",
+    b"fault\n",
+    b"cordon b" + b"1" * 5000 + b"\n",
+    b"\x00" * 300,
+]
 
 
 @pytest.mark.parametrize("line", NO_CALLS)
@@ -50,6 +67,7 @@
         answer = await d.ask(line)
         assert answer.startswith(b"error ") and answer.count(b"\n") == 1 and not d.held
         assert await d.ask(b"cordon b1\r\n") == b"done\n" and d.held == ["b1"]
+
     run(main())
 
 
@@ -60,6 +78,7 @@
         writer.write(b"cordon b1")
         writer.write_eof()
         assert (await reader.read()).startswith(b"error ") and not d.held
+
     run(main())
 
 
@@ -71,6 +90,7 @@
             writer.write(bytes([byte]))
             await asyncio.sleep(0)
         assert await reader.read() == b"done\n"
+
     run(main())
 
 
@@ -82,6 +102,7 @@
         assert await d.ask(b"health\n") == b"done\n"
         assert await idle[0][0].read() == b""  # the oldest made room
         assert len(d.console.callers) <= door.MOST
+
     run(main())
 
 
@@ -93,6 +114,7 @@
         reader, _ = await asyncio.open_connection(HOST, d.port)
         assert (await reader.read()).startswith(b"error ")
         await until(lambda: not d.console.callers)
+
     run(main())
 
 
@@ -121,10 +143,21 @@
         go.set()
         assert (await client.answer())[0] == 200
         assert figures(rig) == {
-            "completed.read": 1, "rejected.read": 1, "failed.read": 0,
-            "completed.once": 1, "rejected.once": 0, "failed.once": 0,
-            "completed.pay": 0, "rejected.pay": 0, "failed.pay": 0,
-            "upstream_requests": 4, "members": 3, "members_unavailable": 1, "pending": 0}
+            "completed.read": 1,
+            "rejected.read": 1,
+            "failed.read": 0,
+            "completed.once": 1,
+            "rejected.once": 0,
+            "failed.once": 0,
+            "completed.pay": 0,
+            "rejected.pay": 0,
+            "failed.pay": 0,
+            "upstream_requests": 4,
+            "members": 3,
+            "members_unavailable": 1,
+            "pending": 0,
+        }
+
     run(main())
 
 
@@ -134,4 +167,5 @@
         client = await rig.start()
         assert (await client.ask(call("r1", cls="once")))[0] == 502
         assert figures(rig)["failed.once"] == 1 and figures(rig)["pending"] == 0
+
     run(main())
--- a/tests/test_cordon.py
+++ b/tests/test_cordon.py
@@ -26,8 +26,12 @@
     return used
 
 
-def relist(g: GatewayDriver, born: float = 0.0, phase: io.Phase = io.Phase.RUNNING,
-           kind: io.ListKind = io.ListKind.CHANGE) -> None:
+def relist(
+    g: GatewayDriver,
+    born: float = 0.0,
+    phase: io.Phase = io.Phase.RUNNING,
+    kind: io.ListKind = io.ListKind.CHANGE,
+) -> None:
     g.give(io.ListUpdate(kind, 2, (io.BackendEntry("b0", phase, born=born, zone="z0"),)))
 
 
@@ -35,7 +39,10 @@
     g = GatewayDriver(backends=2)
     assert backends_used(g) == {"b0", "b1"}
     acts = g.give(io.Cordon("b0", True))
-    assert only(acts, io.Cordons).cordon_entries == {"b0": io.CordonEntry(g.now)} and only(acts, io.CloseIdle).backend == "b0"
+    assert (
+        only(acts, io.Cordons).cordon_entries == {"b0": io.CordonEntry(g.now)}
+        and only(acts, io.CloseIdle).backend == "b0"
+    )
     assert backends_used(g) == {"b1"} and g.gw.members(g.now) == (2, 1)
     relist(g, phase=io.Phase.STOPPING)
     relist(g, phase=io.Phase.DELETED)
@@ -113,8 +120,20 @@
     assert one.news() == {}
 
 
-@pytest.mark.parametrize("text", ["", "{", "[]", '{"b0": 5}', '{"b0": [1]}', '{"b0": ["x", 0]}', "\x00\xff",
-                                  '{"b0": [NaN, 0]}', '{"b0": null}'])
+@pytest.mark.parametrize(
+    "text",
+    [
+        "",
+        "{",
+        "[]",
+        '{"b0": 5}',
+        '{"b0": [1]}',
+        '{"b0": ["x", 0]}',
+        "\x00\xff",
+        '{"b0": [NaN, 0]}',
+        '{"b0": null}',
+    ],
+)
 def test_a_torn_file_is_as_good_as_none(tmp_path, text):
     (tmp_path / NAME).write_bytes(text.encode("latin-1"))
     state = State(str(tmp_path))
@@ -161,6 +180,7 @@
         rig.ingress.follow(1)
         assert rig.ingress.beside == 0 and rig.script.events[-1] == io.SiblingProcesses(0)
         assert (await (await Client.connect(rig.port)).ask(call("r3")))[0] == 200
+
     run(main())
 
 
@@ -187,6 +207,7 @@
         assert all(set(rig.ingress.cordon_entries) == {"b0", "b1"} for rig in rigs)
         assert set(json.loads((tmp_path / NAME).read_text())) == {"b0", "b1"}
         assert not rigs[0].ingress.cordon("b9", True)
+
     run(main())
 
 
@@ -210,9 +231,15 @@
     async def main():
         go, seen = asyncio.Event(), []
         backend = await Peer.start(ok())
-        rig = IngressRig(lambda e: [io.Attempt(e.id, "b0")] if isinstance(e, io.Request) else
-                  [io.Cordons({"b0": io.CordonEntry(1.0)})] if isinstance(e, io.Cordon) else
-                  [io.Refuse(e.request)] if isinstance(e, io.AttemptEnded) else [])
+        rig = IngressRig(
+            lambda e: [io.Attempt(e.id, "b0")]
+            if isinstance(e, io.Request)
+            else [io.Cordons({"b0": io.CordonEntry(1.0)})]
+            if isinstance(e, io.Cordon)
+            else [io.Refuse(e.request)]
+            if isinstance(e, io.AttemptEnded)
+            else []
+        )
         connect = rig.upstream.connect
 
         async def slow(pool):
@@ -228,6 +255,7 @@
         go.set()
         assert (await client.answer())[0] == 503 and not backend.seen
         assert not rig.server.ready()  # nothing else is there to serve with
+
     run(main())
 
 
@@ -236,4 +264,5 @@
         rig = IngressRig(in_turn("b0"))
         rig.ingress.listed(listing(entry("b0", 1)))
         assert rig.server.ready()
+
     run(main())
--- a/tests/test_flow.py
+++ b/tests/test_flow.py
@@ -21,7 +21,7 @@
 
 
 def chunks(body: bytes, size: int) -> bytes:
-    parts = (body[i:i + size] for i in range(0, len(body), size))
+    parts = (body[i : i + size] for i in range(0, len(body), size))
     return b"".join(b"%x;a=b\r\n%s\r\n" % (len(p), p) for p in parts) + b"0\r\nX-Trail: 1\r\n\r\n"
 
 
@@ -48,7 +48,8 @@
     "chunks": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked \r\n\r\n" + chunks(LARGE, 5000),
     "small chunks": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks(LARGE[:200_000], 3),
     "until the end": b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + LARGE,
-    "a little, until the end": b"HTTP/1.1 200 OK\r\nConnection: Close\r\n\r\nfew"}
+    "a little, until the end": b"HTTP/1.1 200 OK\r\nConnection: Close\r\n\r\nfew",
+}
 
 
 @pytest.mark.parametrize("form", FORMS)
@@ -71,6 +72,7 @@
         assert all(e.done and e.outcome is io.Outcome.OK for e in rig.script.ends())
         assert not rig.ingress.held and backend.connections == (1 if ends is None else 2)
         assert rig.ingress.statistics.totals["completed.read"] == 2
+
     run(main())
 
 
@@ -95,6 +97,7 @@
         go.set()
         assert await client.reader.readexactly(len(LARGE)) == LARGE
         await until(lambda: "pending=0" in rig.ingress.figures())
+
     run(main())
 
 
@@ -113,6 +116,7 @@
         await until(rig.script.ends)
         assert [(e.outcome, e.done) for e in rig.script.ends()] == [(io.Outcome.RESET, True)]
         assert rig.ingress.statistics.totals["failed.read"] == 1 and len(backend.seen) == 1
+
     run(main())
 
 
@@ -128,6 +132,7 @@
         client.writer.write(call().replace(b"HTTP/1.1", b"HTTP/1.0"))
         with pytest.raises(ConnectionError):
             await client.reader.read()
+
     run(main())
 
 
@@ -142,6 +147,7 @@
         with pytest.raises((asyncio.IncompleteReadError, ConnectionError)):
             await read_answer(client)
         await until(lambda: not rig.ingress.held)
+
     run(main())
 
 
@@ -163,6 +169,7 @@
         assert ours.transport.get_write_buffer_size() < 600_000
         assert backend.seen[0].writer.transport.get_write_buffer_size() > 10 * len(LARGE)
         assert (await read_answer(client))[1] == body
+
     run(main())
 
 
@@ -181,6 +188,7 @@
         assert (await read_answer(client))[1] == body
         assert await client.reader.read() == b""
         await until(lambda: not rig.server.connections)
+
     run(main())
 
 
@@ -195,6 +203,7 @@
         client.writer.close()
         await until(lambda: not rig.server.connections)
         assert unsent(ours.transport) == 0
+
     run(main())
 
 
@@ -209,6 +218,7 @@
         await until(lambda: not rig.ingress.held)
         await until(backend.seen[0].ended)
         assert [e.done for e in rig.script.ends()] == [True]
+
     run(main())
 
 
@@ -220,6 +230,7 @@
         client.writer.write(call().replace(b"HTTP/1.1", b"HTTP/1.0"))
         headers, body = await read_answer(client)
         assert body == LARGE and "transfer-encoding" not in headers
+
     run(main())
 
 
@@ -284,6 +295,7 @@
         assert [e.flows for e in rig.script.events if isinstance(e, io.Request)] == [True, True]
         assert len([e for e in rig.script.events if isinstance(e, io.AttemptWritten)]) == 2
         assert rig.ingress.statistics.totals["upstream_requests"] == 2
+
     run(main())
 
 
@@ -300,6 +312,7 @@
         assert client.writer.transport.get_write_buffer_size() > 8 * len(LARGE)
         backend.go.set()
         assert (await client.answer())[0] == 200 and backend.got == [LARGE * 24]
+
     run(main())
 
 
@@ -315,6 +328,7 @@
         await until(lambda: asyncio.get_running_loop().time() > began + 0.2)
         client.writer.write(raw[300_000:])
         assert (await client.answer())[0] == 200 and backend.got == [LARGE]
+
     run(main())
 
 
@@ -330,6 +344,7 @@
         await client.writer.drain()
         assert await client.reader.read() == b""
         assert not rig.ingress.held
+
     run(main())
 
 
@@ -343,12 +358,13 @@
         backend = await UploadBackend().listen()
         rig = IngressRig(in_turn("b0", "b0"))
         client = await rig.start(b0=backend.port)
-        client.writer.write(post("r1", LARGE, 7000)[:-len(b"0\r\nX-Trail: 1\r\n\r\n")] + spoil)
+        client.writer.write(post("r1", LARGE, 7000)[: -len(b"0\r\nX-Trail: 1\r\n\r\n")] + spoil)
         got, headers, _ = await client.answer()
         assert (got, headers["connection"]) == (status, "close")
         await until(lambda: backend.lost == 1)
         assert not backend.got and not rig.ingress.held
         assert [e.outcome for e in rig.script.ends()] == [io.Outcome.NOT_SENT]
+
     run(main())
 
 
@@ -364,6 +380,7 @@
         client.writer.write(post("r1", LARGE * 2)[:-5])  # a minute's worth of a slow body
         assert (await client.answer())[0] == 408
         assert not backend.got
+
     run(main())
 
 
@@ -377,6 +394,7 @@
         client.writer.close()
         await until(lambda: backend.lost == 1 and not rig.ingress.held)
         assert not backend.got and [e.outcome for e in rig.script.ends()] == [io.Outcome.NOT_SENT]
+
     run(main())
 
 
@@ -390,6 +408,7 @@
         client.writer.write(raw[:200_000])
         assert (await client.answer())[0] == 503
         assert [(e.outcome, e.spent) for e in rig.script.ends()] == [(io.Outcome.FULL, True)]
+
     run(main())
 
 
@@ -401,6 +420,7 @@
         client.writer.write(post("r1", LARGE))
         assert (await client.answer())[0] == 200 and backend.got == [LARGE]
         assert [(e.outcome, e.spent) for e in rig.script.ends()][0] == (io.Outcome.CONNECT_FAILED, False)
+
     run(main())
 
 
@@ -416,6 +436,7 @@
             assert await client.reader.readuntil(b"\r\n\r\n") == b"HTTP/1.1 100 Continue\r\n\r\n"
             client.writer.write(rest)
             assert (await client.answer())[0] == 200 and backend.got[n] == body
+
     run(main())
 
 
@@ -426,6 +447,7 @@
         client = await rig.start(b0=backend.port)
         assert (await client.ask(call(path="HTTP://backend.local/api/000000000000000a?x=1")))[0] == 200
         assert backend.seen[0].line == "GET /api/000000000000000a?x=1 HTTP/1.1"
+
     run(main())
 
 
@@ -449,11 +471,14 @@
         slow.writer.write(body[-1:])
         assert (await slow.answer())[0] == 200
         assert [(e.id, e.flows) for e in rig.script.events if isinstance(e, io.Request)] == [
-            ("second", True), ("slow", False)]
+            ("second", True),
+            ("slow", False),
+        ]
         assert rig.server.bodies == 0 and backend.got == [body, body]
         assert rig.server.room(500_000)
         rig.ingress.beside = 1
         assert rig.server.room(250_000) and not rig.server.room(250_001)
+
     run(main())
 
 
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -30,17 +30,19 @@
         rig = IngressRig(in_turn("b0"))
         client = await rig.start(b0=backend.port)
         status, _, body = await client.ask(
-            call("r1", "pay", b"\x00\xffbody", path="/api/v1/00000001ffffffff?q=1", X_Again="1"))
+            call("r1", "pay", b"\x00\xffbody", path="/api/v1/00000001ffffffff?q=1", X_Again="1")
+        )
         assert (status, body) == (200, payload)
         seen = backend.seen[0]
         assert seen.line == "POST /api/v1/00000001ffffffff?q=1 HTTP/1.1" and seen.body == b"\x00\xffbody"
         assert seen.headers["x-call-id"] == "r1" and seen.headers["idempotency-key"] == "k1"
         assert 0 < int(seen.headers["x-budget"].removesuffix("m")) < 6000
         request = next(e for e in rig.script.events if isinstance(e, io.Request))
-        assert request[:4] == ("r1", "pay", "basic", 0x1ffffffff) and request[5:9] == (2.0, 2, 1, True)
+        assert request[:4] == ("r1", "pay", "basic", 0x1FFFFFFFF) and request[5:9] == (2.0, 2, 1, True)
         assert 5 < request.expires_in < 6
         assert rig.script.ends()[0].true_units == 3.0 and rig.script.ends()[0].done
         assert not rig.ingress.held
+
     run(main())
 
 
@@ -56,6 +58,7 @@
         assert all(before <= t <= unix() for t in rig.script.times)
         born = rig.script.events[1].entries[0].born
         assert born == started / 1000
+
     run(main())
 
 
@@ -66,6 +69,7 @@
         client = await rig.start(b0=backend.port)
         assert (await client.ask(call()))[0] == 200
         assert [e.outcome for e in rig.script.ends()] == [io.Outcome.NOT_SENT, io.Outcome.OK]
+
     run(main())
 
 
@@ -78,6 +82,7 @@
         assert status == 503 and float(headers["retry-after"]) > 0
         assert asyncio.get_running_loop().time() - began < 5
         assert rig.script.events[-1] == io.ClientGone("r1") and not rig.ingress.held
+
     run(main())
 
 
@@ -91,6 +96,7 @@
         assert [(e.outcome, e.done) for e in rig.script.ends()] == [(io.Outcome.TIMEOUT, False)]
         await until(backend.seen[0].ended)
         assert (await client.ask(call("r2", cls="pay", budget="250000u")))[0] == 503
+
     run(main())
 
 
@@ -106,6 +112,7 @@
         rig.ingress.submit(io.TimerFired(1))
         assert [(e.outcome, e.done) for e in rig.script.ends()] == [(io.Outcome.NOT_SENT, True)]
         assert not backend.seen and not rig.ingress.held
+
     run(main())
 
 
@@ -128,6 +135,7 @@
         await until(rig.script.ends)
         assert [(e.outcome, e.done) for e in rig.script.ends()] == [(io.Outcome.OK, True)]
         assert not rig.ingress.held
+
     run(main())
 
 
@@ -140,6 +148,7 @@
         assert status == 429 and float(headers["retry-after"]) == 0.25
         status, headers, _ = await client.ask(call("r2"))
         assert status == 503 and float(headers["retry-after"]) == rig.settings.max_retry_after
+
     run(main())
 
 
@@ -158,6 +167,7 @@
         assert rig.script.events[-1] == io.ClientGone("bad")  # nothing of it stays in the module
         assert (await client.ask(call("good")))[0] == 200
         assert "a fault of the module" in caplog.text
+
     run(main())
 
 
@@ -170,6 +180,7 @@
         second = await Client.connect(rig.port)
         assert (await second.ask(call("same")))[0] == 400
         assert len(rig.ingress.held) == 1
+
     run(main())
 
 
@@ -191,6 +202,7 @@
         assert (await client.ask(call()))[0] == 200
         assert [e.outcome for e in rig.script.ends()] == [io.Outcome.NOT_SENT, io.Outcome.OK]
         assert not draining.seen and len(other.seen) == 1
+
     run(main())
 
 
@@ -205,11 +217,13 @@
         rig.ingress.listed(gone)
         assert (await client.ask(call("r2")))[0] == 503
         assert len(backend.seen) == 1 and rig.script.ends()[-1].outcome is io.Outcome.NOT_SENT
+
     run(main())
 
 
-@pytest.mark.parametrize("figure,units", [
-    (b"3", 3.0), (b"1e300", 0.0), (b"nan", 0.0), (b"-2", 0.0), (b"x", 0.0)])
+@pytest.mark.parametrize(
+    "figure,units", [(b"3", 3.0), (b"1e300", 0.0), (b"nan", 0.0), (b"-2", 0.0), (b"x", 0.0)]
+)
 def test_a_figure_on_use_that_cannot_be_meant_is_left_out(figure, units):
     async def main():
         backend = await Peer.start(ok(b"fine", b"X-Cost-Units: " + figure))
@@ -217,6 +231,7 @@
         client = await rig.start(b0=backend.port)
         assert (await client.ask(call()))[0] == 200
         assert rig.script.ends()[0].true_units == units
+
     run(main())
 
 
@@ -228,6 +243,7 @@
         rig.ingress.listed(listing(entry("b0", backend.port, "DRAINING"), snapshot=False))
         rig.ingress.listed(listing(index=2))
         assert not rig.upstream.pools
+
     run(main())
 
 
@@ -235,9 +251,12 @@
     async def main():
         report = b"TEXT latency_ms=14.5, inflight=7, util=1"
         backend = await Peer.start(
-            b"HTTP/1.1 503 Busy\r\nContent-Length: %d\r\n\r\n%s" % (len(report), report))
-        rig = IngressRig(lambda e: [io.Probe("b0"), io.Probe("b1")] if isinstance(e, io.TimerFired) else [],
-                  connect_timeout=5.0)
+            b"HTTP/1.1 503 Busy\r\nContent-Length: %d\r\n\r\n%s" % (len(report), report)
+        )
+        rig = IngressRig(
+            lambda e: [io.Probe("b0"), io.Probe("b1")] if isinstance(e, io.TimerFired) else [],
+            connect_timeout=5.0,
+        )
         await rig.start(b0=backend.port, b1=closed_port())
         rig.ingress.submit(io.TimerFired(1))
 
@@ -248,6 +267,7 @@
         assert found()["b0"].load == {"latency_ms": 14.5, "inflight": 7.0}
         assert found()["b1"].outcome is io.Outcome.CONNECT_FAILED
         assert backend.seen[0].line == "GET /load HTTP/1.1"
+
     run(main())
 
 
@@ -262,6 +282,7 @@
             rig.ingress.statistics.sampled = float("inf")  # the second of the first sample does not pass
         rig.ingress.statistics.report()
         rig.ingress.statistics.report()  # nothing has come since: no line
+
     run(main())
     lines = [r.getMessage() for r in caplog.records]
     samples = [line for line in lines if line.startswith("request r")]
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -30,9 +30,13 @@
 def test_just_the_named_ones_are_passed_over(pytester: pytest.Pytester) -> None:
     result = play(pytester, OVER.format("bad"))
     result.assert_outcomes(passed=1, failed=1, xfailed=1)
-    result.stdout.fnmatch_lines(["*known to be red*",
-                                 "test_it.py::test_bad: the second copy is late (issue 19)",
-                                 "FAILED test_it.py::test_worse*"])
+    result.stdout.fnmatch_lines(
+        [
+            "*known to be red*",
+            "test_it.py::test_bad: the second copy is late (issue 19)",
+            "FAILED test_it.py::test_worse*",
+        ]
+    )
     assert result.ret == pytest.ExitCode.TESTS_FAILED
 
 
@@ -48,13 +52,16 @@
     assert result.ret == pytest.ExitCode.TESTS_FAILED
 
 
-@pytest.mark.parametrize("lines, told", [
-    ([OVER.format(name) for name in ("bad", "worse", "good", "x")], "4 tests, 3 at most"),
-    ([OVER.format("gone")], "no test test_it.py::test_gone"),
-    ([OVER.format("bad"), "test_it.py::test_worse, no issue\n"], "KNOWN-RED.txt:2: expected"),
-    ([OVER.format("bad"), OVER.format("bad")], "KNOWN-RED.txt:2: test_it.py::test_bad is named twice"),
-    (["test_it.py, a file is no test, 19\n"], "KNOWN-RED.txt:1: expected"),
-])
+@pytest.mark.parametrize(
+    "lines, told",
+    [
+        ([OVER.format(name) for name in ("bad", "worse", "good", "x")], "4 tests, 3 at most"),
+        ([OVER.format("gone")], "no test test_it.py::test_gone"),
+        ([OVER.format("bad"), "test_it.py::test_worse, no issue\n"], "KNOWN-RED.txt:2: expected"),
+        ([OVER.format("bad"), OVER.format("bad")], "KNOWN-RED.txt:2: test_it.py::test_bad is named twice"),
+        (["test_it.py, a file is no test, 19\n"], "KNOWN-RED.txt:1: expected"),
+    ],
+)
 def test_an_odd_file_fails(pytester: pytest.Pytester, lines: list[str], told: str) -> None:
     result = play(pytester, *lines)
     assert result.ret == pytest.ExitCode.USAGE_ERROR
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -14,16 +14,35 @@
 from tests.socket_rig import HOST, Client, Peer, call, closed_port, entry, ok, run, until
 
 SETTINGS = {
-    "balancers": 1, "me": 0, "zone": "z0", "step": 0.004, "classes": [
+    "balancers": 1,
+    "me": 0,
+    "zone": "z0",
+    "step": 0.004,
+    "classes": [
         {"name": "read", "semantics": "retryable", "objective": 2.0, "hardLimit": 6.0},
-        {"name": "pay", "semantics": "dedup", "objective": 2.0, "hardLimit": 6.0, "window": 15.0,
-         "group": "all"}],
+        {
+            "name": "pay",
+            "semantics": "dedup",
+            "objective": 2.0,
+            "hardLimit": 6.0,
+            "window": 15.0,
+            "group": "all",
+        },
+    ],
     "plans": [{"name": "basic", "rate": 2.0, "storeSize": 8.0, "pays": 1.1}],
     "extra": {"counter": True, "counterTimeout": 1.0, "maxUnits": 4, "truedUp": True, "peerInPerS": 100.0},
-    "limits": {"maxAttempts": 3, "cancel": True, "peers": False, "connIdle": 15.0, "connectTimeout": 2.0,
-               "maxRetryAfter": 1.0},
+    "limits": {
+        "maxAttempts": 3,
+        "cancel": True,
+        "peers": False,
+        "connIdle": 15.0,
+        "connectTimeout": 2.0,
+        "maxRetryAfter": 1.0,
+    },
     "loadReport": {"how": "pull", "fields": ["latency_ms", "inflight"]},
-    "areas": ["z0", "z1"], "unheard": {"of": 1}}
+    "areas": ["z0", "z1"],
+    "unheard": {"of": 1},
+}
 
 
 TERMS = "units=4,spread=1,first=0"
@@ -36,16 +55,28 @@
     def __init__(self, tmp_path, **config):
         self.port, self.process = closed_port(), None
         self.path = tmp_path / f"config-{self.port}.json"
-        self.path.write_text(json.dumps({
-            "name": "n0", "listen": f"{HOST}:{self.port}", "discovery": f"{HOST}:{closed_port()}",
-            "seed": "8c1f", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-            "settings": SETTINGS, **config}))
+        self.path.write_text(
+            json.dumps(
+                {
+                    "name": "n0",
+                    "listen": f"{HOST}:{self.port}",
+                    "discovery": f"{HOST}:{closed_port()}",
+                    "seed": "8c1f",
+                    "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+                    "settings": SETTINGS,
+                    **config,
+                }
+            )
+        )
 
     async def start(self):
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "roadspur", env={**os.environ, "PROXY_CONFIG": str(self.path),
-                                                   "TMPDIR": str(self.path.parent)},
-            stderr=subprocess.PIPE)
+            sys.executable,
+            "-m",
+            "roadspur",
+            env={**os.environ, "PROXY_CONFIG": str(self.path), "TMPDIR": str(self.path.parent)},
+            stderr=subprocess.PIPE,
+        )
         while True:
             try:
                 return await Client.connect(self.port)
@@ -85,6 +116,7 @@
             assert len(backend.seen) == len(served) and counter.seen
         finally:
             await program.end()
+
     run(main())
 
 
@@ -121,6 +153,7 @@
             assert await program.process.wait() == 0
         finally:
             await program.end()
+
     run(main())
 
 
@@ -166,6 +199,7 @@
         finally:
             for program in (old, new, third):
                 await program.end()
+
     run(main())
 
 
@@ -175,8 +209,12 @@
         lists = ok(json.dumps(known(backend.port)).encode())
         counters = [await Peer.start(ok(b"1")) for _ in range(2)]
         lists = [await Peer.start(lists) for _ in range(2)]
-        program = Program(tmp_path, known=known(backend.port), counter=f"{HOST}:{counters[0].port}",
-                          discovery=f"{HOST}:{lists[0].port}")
+        program = Program(
+            tmp_path,
+            known=known(backend.port),
+            counter=f"{HOST}:{counters[0].port}",
+            discovery=f"{HOST}:{lists[0].port}",
+        )
         sound = program.path.read_text()
         client = await program.start()
         try:
@@ -186,8 +224,12 @@
             while b"stays as it was" not in await program.process.stderr.readline():
                 pass
             assert (await client.ask(call("r2", X_Call_Terms=FEW)))[0] == 200
-            program.path.write_text(json.dumps(json.loads(sound) | {
-                "counter": f"{HOST}:{counters[1].port}", "discovery": f"{HOST}:{lists[1].port}"}))
+            program.path.write_text(
+                json.dumps(
+                    json.loads(sound)
+                    | {"counter": f"{HOST}:{counters[1].port}", "discovery": f"{HOST}:{lists[1].port}"}
+                )
+            )
             program.process.send_signal(signal.SIGHUP)
             await until(lambda: lists[1].seen and counters[1].connections)
             assert lists[1].seen[0].line == "GET /v1/servers HTTP/1.1"
@@ -198,25 +240,37 @@
             assert program.process.returncode is None
         finally:
             await program.end()
+
     run(main())
 
 
 SOUND = {"settings": SETTINGS, "listen": "127.0.0.1:1", "discovery": "127.0.0.1:1", "name": "n"}
 
 
-@pytest.mark.parametrize("config", [
-    None, "no json", "[]", "{}", {"settings": {}}, {"settings": SETTINGS},
-    {"settings": SETTINGS, "listen": "x"}, {**SOUND, "settings": {**SETTINGS, "plans": []}},
-    {**SOUND, "listen": "203.0.113.9:1"},  # no address of this machine
-    {**SOUND, "known": {"x": 1}}, {**SOUND, "seed": "no hex"},
-])
+@pytest.mark.parametrize(
+    "config",
+    [
+        None,
+        "no json",
+        "[]",
+        "{}",
+        {"settings": {}},
+        {"settings": SETTINGS},
+        {"settings": SETTINGS, "listen": "x"},
+        {**SOUND, "settings": {**SETTINGS, "plans": []}},
+        {**SOUND, "listen": "203.0.113.9:1"},  # no address of this machine
+        {**SOUND, "known": {"x": 1}},
+        {**SOUND, "seed": "no hex"},
+    ],
+)
 def test_bad_configuration_is_one_plain_line(tmp_path, config):
     path = tmp_path / "config.json"
     path.write_text(config if isinstance(config, str) else json.dumps(config))
     env = {k: v for k, v in os.environ.items() if not k.startswith("PROXY_")}
     if config is not None:
         env["PROXY_CONFIG"] = str(path)
-    done = subprocess.run([sys.executable, "-m", "roadspur"], env=env, capture_output=True, text=True,
-                          timeout=60)
+    done = subprocess.run(
+        [sys.executable, "-m", "roadspur"], env=env, capture_output=True, text=True, timeout=60
+    )
     lines = [line for line in done.stderr.splitlines() if " INFO " not in line]
     assert done.returncode == 2 and len(lines) == 1 and lines[0].startswith("roadspur: ")
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -17,47 +17,99 @@
 BODY = b"x" * (64 * 1024)
 
 
-@pytest.mark.parametrize("raw,status", [
-    (b"no http at all\r\n\r\n", 400),
-    (b"GET /api/000000000000000a HTTP/9.9\r\n\r\n", 400),
-    (b"\x00\xff\x00\xff\r\n\r\n", 400),
-    (call(Content_Length="-5"), 400),
-    (call(Content_Length="5", Transfer_Encoding="chunked"), 400),
-    # Where an ingress and a backend could read two different requests, or none.
-    (call(cls="pay", Transfer_Encoding="chunked", Content_Length="5"), 400),
-    *((call(cls="pay", Content_Length=None, Transfer_Encoding=t), 400) for t in (
-        "identity", "gzip, chunked", "chunked, gzip", "xchunked", "\x0bchunked", "chunked, chunked")),
-    *((call(cls="pay", Content_Length=n), 400) for n in (
-        "-1", "+5", "5, 5", "0x5", "1_0", "", "99999999999999999999999")),
-    (call(cls="pay", Content_Length="5\r\nContent-Length: 5"), 400),
-    (call(cls="pay", Content_Length="63000000"), 413),
-    (call(X_A="a\rb"), 400), (call(X_A="a\x00b"), 400), (call(X_A="a\r\n b"), 400), (call(X_A="a\x01"), 400),
-    (call().replace(b"Host:", b"Host :"), 400), (call().replace(b"\r\n", b"\n"), 400),
-    (call(X_Call_Id="r1\r\nX-Call-Id: r2"), 400), (call(Host="a"), 400),
-    (call(cls="pay", Idempotency_Key="a\r\nIdempotency-Key: b"), 400),
-    (call(Connection="upgrade", Upgrade="h2c"), 400), (b"CONNECT x:80 HTTP/1.1\r\n\r\n", 400),
-    (b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n", 400), (b"GET http://x/api/000000000000000a HTTP/1.1\r\n\r\n", 400),
-    *((call(cls="pay", Content_Length=None, Transfer_Encoding="chunked", body=b), 400) for b in (
-        b"-5\r\nabcde\r\n0\r\n\r\n", b"fffffffffffffffffff\r\na", b"3\r\nabcde\r\n0\r\n\r\n")),
-    (call(X_Call_Id=None), 400), (call(X_Call_Id="x" * 65), 400), (call(X_Call_Id="a b"), 400),
-    (call(X_Call_Class=None), 400), (call(X_Call_Class="unheard-of"), 400),
-    (call(X_Tier=None), 400), (call(X_Tier="unheard-of"), 400),
-    (call(X_Budget=None), 400), *((call(budget=b), 400) for b in (
-        "480", "0m", "-1m", "9999999999m", "99999999999999999999m", "nanm")),
-    *((call(X_Call_Terms=t), 400) for t in (
-        None, "units=nan,spread=1,first=0", "units=-1,spread=1,first=0", "units=5,spread=1,first=0",
-        "units=1,spread=0,first=0", "units=1,spread=9,first=0", "units=1,spread=1,first=3",
-        "units,spread,first", "", "units=0,spread=1,first=0", "units=1_0,spread=1,first=0",
-        "units=1e0,spread=1,first=0", "units=1,spread=1.5,first=0", "units=1,spread=-1,first=0",
-        "units=1,spread=1,first=-1", "units=1,units=2,spread=1,first=0", "units=inf,spread=1,first=0")),
-    (call(cls="pay", Idempotency_Key=None), 400), (call(cls="pay").replace(b"POST", b"GET"), 400),
-    (call().replace(b"GET", b"POST"), 400), (call().replace(b"GET", b"DELETE"), 400),
-    (call(path="/api/0000000200000000"), 400),
-    (call(path="/"), 404), (call(path="/api/12"), 404), (call(path="/api/000000000000000a/more"), 404),
-    (call(path="/load"), 404), (call(path="/a\xe9\xff"), 400),
-    (call(path="/" + "a" * 20_000), 431), (call(Other="x" * 20_000), 431),
-    (call(**{f"Other_{i}": "x" for i in range(3000)}), 431),
-])
+@pytest.mark.parametrize(
+    "raw,status",
+    [
+        (b"no http at all\r\n\r\n", 400),
+        (b"GET /api/000000000000000a HTTP/9.9\r\n\r\n", 400),
+        (b"\x00\xff\x00\xff\r\n\r\n", 400),
+        (call(Content_Length="-5"), 400),
+        (call(Content_Length="5", Transfer_Encoding="chunked"), 400),
+        # Where an ingress and a backend could read two different requests, or none.
+        (call(cls="pay", Transfer_Encoding="chunked", Content_Length="5"), 400),
+        *(
+            (call(cls="pay", Content_Length=None, Transfer_Encoding=t), 400)
+            for t in (
+                "identity",
+                "gzip, chunked",
+                "chunked, gzip",
+                "xchunked",
+                "\x0bchunked",
+                "chunked, chunked",
+            )
+        ),
+        *(
+            (call(cls="pay", Content_Length=n), 400)
+            for n in ("-1", "+5", "5, 5", "0x5", "1_0", "", "99999999999999999999999")
+        ),
+        (call(cls="pay", Content_Length="5\r\nContent-Length: 5"), 400),
+        (call(cls="pay", Content_Length="63000000"), 413),
+        (call(X_A="a\rb"), 400),
+        (call(X_A="a\x00b"), 400),
+        (call(X_A="a\r\n b"), 400),
+        (call(X_A="a\x01"), 400),
+        (call().replace(b"Host:", b"Host :"), 400),
+        (call().replace(b"\r\n", b"\n"), 400),
+        (call(X_Call_Id="r1\r\nX-Call-Id: r2"), 400),
+        (call(Host="a"), 400),
+        (call(cls="pay", Idempotency_Key="a\r\nIdempotency-Key: b"), 400),
+        (call(Connection="upgrade", Upgrade="h2c"), 400),
+        (b"CONNECT x:80 HTTP/1.1\r\n\r\n", 400),
+        (b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n", 400),
+        (b"GET http://x/api/000000000000000a HTTP/1.1\r\n\r\n", 400),
+        *(
+            (call(cls="pay", Content_Length=None, Transfer_Encoding="chunked", body=b), 400)
+            for b in (b"-5\r\nabcde\r\n0\r\n\r\n", b"fffffffffffffffffff\r\na", b"3\r\nabcde\r\n0\r\n\r\n")
+        ),
+        (call(X_Call_Id=None), 400),
+        (call(X_Call_Id="x" * 65), 400),
+        (call(X_Call_Id="a b"), 400),
+        (call(X_Call_Class=None), 400),
+        (call(X_Call_Class="unheard-of"), 400),
+        (call(X_Tier=None), 400),
+        (call(X_Tier="unheard-of"), 400),
+        (call(X_Budget=None), 400),
+        *(
+            (call(budget=b), 400)
+            for b in ("480", "0m", "-1m", "9999999999m", "99999999999999999999m", "nanm")
+        ),
+        *(
+            (call(X_Call_Terms=t), 400)
+            for t in (
+                None,
+                "units=nan,spread=1,first=0",
+                "units=-1,spread=1,first=0",
+                "units=5,spread=1,first=0",
+                "units=1,spread=0,first=0",
+                "units=1,spread=9,first=0",
+                "units=1,spread=1,first=3",
+                "units,spread,first",
+                "",
+                "units=0,spread=1,first=0",
+                "units=1_0,spread=1,first=0",
+                "units=1e0,spread=1,first=0",
+                "units=1,spread=1.5,first=0",
+                "units=1,spread=-1,first=0",
+                "units=1,spread=1,first=-1",
+                "units=1,units=2,spread=1,first=0",
+                "units=inf,spread=1,first=0",
+            )
+        ),
+        (call(cls="pay", Idempotency_Key=None), 400),
+        (call(cls="pay").replace(b"POST", b"GET"), 400),
+        (call().replace(b"GET", b"POST"), 400),
+        (call().replace(b"GET", b"DELETE"), 400),
+        (call(path="/api/0000000200000000"), 400),
+        (call(path="/"), 404),
+        (call(path="/api/12"), 404),
+        (call(path="/api/000000000000000a/more"), 404),
+        (call(path="/load"), 404),
+        (call(path="/a\xe9\xff"), 400),
+        (call(path="/" + "a" * 20_000), 431),
+        (call(Other="x" * 20_000), 431),
+        (call(**{f"Other_{i}": "x" for i in range(3000)}), 431),
+    ],
+)
 def test_bad_input_is_answered_and_the_next_request_served(raw, status):
     async def main():
         backend = await Peer.start()
@@ -67,6 +119,7 @@
         assert not backend.seen and not rig.script.ends()
         other = await Client.connect(rig.port)
         assert (await other.ask(call("good")))[0] == 200
+
     run(main())
 
 
@@ -77,6 +130,7 @@
         client = await rig.start(b0=backend.port)
         assert (await client.ask(call(cls="pay", body=BODY)))[0] == 200
         assert backend.seen[0].body == BODY
+
     run(main())
 
 
@@ -89,6 +143,7 @@
             client.writer.write(b"a" * 1024)
             await asyncio.sleep(0)
         assert (await client.answer())[0] == 431
+
     run(main())
 
 
@@ -102,6 +157,7 @@
         client = await rig.start()
         assert (await client.ask(begun))[0] == 408
         assert await client.reader.read() == b""
+
     run(main())
 
 
@@ -118,6 +174,7 @@
         assert (await once.ask(call()))[0] == 200
         assert await silent.reader.read() == b"" and await once.reader.read() == b""
         await until(lambda: not rig.server.connections)
+
     run(main())
 
 
@@ -133,6 +190,7 @@
         assert (await third.ask(call("r2")))[0] == 200
         assert await silent.reader.read() == b""
         assert (await used.ask(call("r3")))[0] == 200
+
     run(main())
 
 
@@ -149,6 +207,7 @@
             client.writer.write(call(f"r{n}"))
         await until(lambda: not rig.server.connections)
         assert len(backend.seen) < client_module.PIPELINE * 20
+
     run(main())
 
 
@@ -162,11 +221,13 @@
         client.writer.write(b"x" * (4 * client_module.LINGER_BYTES))
         await until(lambda: connection.paused or not rig.server.connections)
         await until(lambda: not rig.server.connections)
+
     run(main())
 
 
 def test_a_bad_request_ends_its_connection():
     """A client that repeats it as fast as it is turned away has to connect each time."""
+
     async def main():
         rig = IngressRig(lambda event: [])
         first = await rig.start()
@@ -177,6 +238,7 @@
             status, headers, _ = await client.ask(raw)
             assert status in (400, 404) and headers["connection"] == "close"
             assert await client.reader.read() == b""
+
     run(main())
 
 
@@ -187,6 +249,7 @@
         client.writer.write(call(budget="3600000m"))
         await until(lambda: rig.script.events[1:])
         assert rig.script.events[-1].expires_in <= 6.0
+
     run(main())
 
 
@@ -209,6 +272,7 @@
         for i in range(count):
             assert (await client.answer())[2] == f"r{i}".encode()
         assert (await client.answer())[0] == 400
+
     run(main())
 
 
@@ -221,6 +285,7 @@
         assert (await client.ask(health))[0] == 503
         rig.ingress.listed(listing(entry("b0", backend.port)))
         assert (await client.ask(health))[0] == 200
+
     run(main())
 
 
@@ -238,6 +303,7 @@
         assert (await three.ask(call("r4")))[0] == 200
         assert await two.reader.read() == b""
         assert (await one.ask(call("r5")))[0] == 200
+
     run(main())
 
 
@@ -252,6 +318,7 @@
         status, headers, _ = await two.ask(call("r2"))
         assert (status, headers["connection"]) == (503, "close") and float(headers["retry-after"]) > 0
         assert await two.reader.read() == b"" and list(rig.ingress.held) == ["r1"]
+
     run(main())
 
 
@@ -272,6 +339,7 @@
         await leaving
         assert (await client.answer())[1]["connection"] == "close"
         theirs.close()
+
     run(main())
 
 
@@ -312,6 +380,7 @@
         for _ in range(2):
             status, headers, _ = await kept.ask(HEALTH)
             assert status == 200 and "connection" not in headers
+
     run(main())
 
 
@@ -323,6 +392,7 @@
         await until(lambda: rig.server.draining)
         assert not rig.server.resume() and rig.server.draining
         await leaving
+
     run(main())
 
 
@@ -346,6 +416,7 @@
             assert (await c.ask(HEALTH))[0] == 200
         await leaving
         assert (await (await Client.connect(old.port)).ask(HEALTH))[0] == 200
+
     run(main())
 
 
@@ -359,6 +430,7 @@
         request = next(e for e in rig.script.events if isinstance(e, io.Request))
         assert (request.class_name, request.plan) == ("read", "basic")
         assert rig.script.ends()[0].true_units == 3
+
     run(main())
 
 
@@ -368,4 +440,5 @@
         client = await rig.start()
         status, headers, _ = await client.ask(call())
         assert status == 429 and float(headers["retry-after"]) > 0
+
     run(main())
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -49,6 +49,7 @@
         assert all(r.name == 8 and r.outcome is io.Outcome.OK for r in w.replies)
         assert len({s.writer for s in service.seen}) == 1
         assert service.seen[0].line == "POST /v2/numbers/8?delta=1.000000&life_ms=3000 HTTP/1.1"
+
     run(main())
 
 
@@ -71,21 +72,28 @@
         go.set()
         assert [(r.outcome, r.total) for r in (await w.some(2))[1:]] == [(io.Outcome.OK, 222.0)]
         assert service.connections == counter_module.LINES  # the connection was kept
+
     run(main())
 
 
-@pytest.mark.parametrize("answer,outcome", [
-    (b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n", io.Outcome.FULL),
-    (b"HTTP/1.1 400 What\r\nContent-Length: 0\r\n\r\n", io.Outcome.CONNECT_FAILED),
-    (b"HTTP/1.1 404 What\r\nContent-Length: 0\r\n\r\n", io.Outcome.CONNECT_FAILED),
-    (b"HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n", io.Outcome.TIMEOUT),
-    # Spoilt: added, and the connection is of no further use.
-    *((ok(total), io.Outcome.ERROR) for total in (b"many", b"--3", b"nan", b"inf", b"", b"1e999", b"7 8")),
-    (b"rubbish\r\n\r\n", io.Outcome.ERROR),
-    (b"HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\n", io.Outcome.ERROR),
-    (b"HTTP/1.1 200 OK\r\nContent-Len", io.Outcome.ERROR),
-    (b"", io.Outcome.TIMEOUT),
-])
+@pytest.mark.parametrize(
+    "answer,outcome",
+    [
+        (b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n", io.Outcome.FULL),
+        (b"HTTP/1.1 400 What\r\nContent-Length: 0\r\n\r\n", io.Outcome.CONNECT_FAILED),
+        (b"HTTP/1.1 404 What\r\nContent-Length: 0\r\n\r\n", io.Outcome.CONNECT_FAILED),
+        (b"HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n", io.Outcome.TIMEOUT),
+        # Spoilt: added, and the connection is of no further use.
+        *(
+            (ok(total), io.Outcome.ERROR)
+            for total in (b"many", b"--3", b"nan", b"inf", b"", b"1e999", b"7 8")
+        ),
+        (b"rubbish\r\n\r\n", io.Outcome.ERROR),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\n", io.Outcome.ERROR),
+        (b"HTTP/1.1 200 OK\r\nContent-Len", io.Outcome.ERROR),
+        (b"", io.Outcome.TIMEOUT),
+    ],
+)
 def test_only_what_surely_was_not_added_is_reported_so(answer, outcome):
     async def main():
         service = await Peer.start(answer)
@@ -96,6 +104,7 @@
         service.act = lambda _: asyncio.sleep(0, ok(b"7"))
         w.counter.add(4, 1.0, 3.0)  # on the same connection or a new one
         assert (await w.some(2))[1].total == 7.0
+
     run(main())
 
 
@@ -105,6 +114,7 @@
         w.counter.add(4, 1.0, 3.0)
         assert (await w.some(1))[0].outcome is io.Outcome.CONNECT_FAILED
         assert not w.counter.lines[0].unsent
+
     run(main())
 
 
@@ -123,6 +133,7 @@
         w.counter.timeout = LONG
         w.counter.add(4, 1.0, 3.0)
         assert (await w.some(2))[1].total == 7.0
+
     run(main())
 
 
@@ -147,6 +158,7 @@
         await until(lambda: line.link not in (None, old))
         w.counter.add(8, 1.0, 3.0)
         assert (await w.some(3))[2].total == 7.0
+
     run(main())
 
 
@@ -162,6 +174,7 @@
             w.counter.add(name, 1.0, 3.0)
         await w.some(8)
         assert [line.link for line in w.counter.lines] == links
+
     run(main())
 
 
@@ -173,11 +186,13 @@
         w.counter.add(4, 1.0, 3.0)
         w.counter.add(8, 1.0, 3.0)
         assert [r.outcome for r in await w.some(2)] == [io.Outcome.ERROR, io.Outcome.TIMEOUT]
+
     run(main())
 
 
 def test_news_of_an_old_connection_does_not_reach_the_new_one():
     """One object for both once let the late end of the old connection take the new one down."""
+
     async def main():
         service = await Peer.start(None)
         w = CounterFixture(service.port)
@@ -193,6 +208,7 @@
         old.data_received(ok(b"111"))
         old.connection_lost(None)
         assert line.link is new and len(w.replies) == 1 and len(new.awaiting_reply) == 1
+
     run(main())
 
 
@@ -221,6 +237,7 @@
         assert [(r.name, r.total) for r in await w.some(3)] == [(4, 1.0), (4, 2.0), (8, 1.0)]
         await until(lambda: first.closed)
         assert not w.counter.calls
+
     run(main())
 
 
@@ -266,11 +283,13 @@
         agent.lines.put_nowait(None)
         await until(lambda: len(agent.requests) == 3)
         assert [r.split(" ")[1] for r in agent.requests] == [
-            f"/v1/servers?stream=1&index={i}" for i in (41, 42, 44)]
+            f"/v1/servers?stream=1&index={i}" for i in (41, 42, 44)
+        ]
         assert (got[0].whole, got[1].whole) == (True, False)
         backend, endpoint = got[1].entries[0]
         assert (backend.backend, backend.phase, backend.born) == ("b1", io.Phase.STOPPING, 1.5)
         assert endpoint.address == (HOST, 81)
+
     run(main())
 
 
@@ -282,6 +301,7 @@
         agent = await Agent().listen()
         Discovery(asyncio.get_running_loop(), (HOST, agent.port), 7, lambda _: None)
         await until(lambda: len(agent.requests) == 3)
+
     run(main())
 
 
@@ -296,6 +316,7 @@
         discovery.source.address = (HOST, agent.port)
         agent.lines.put_nowait(text(8))
         await until(lambda: got)
+
     run(main())
 
 
@@ -325,11 +346,13 @@
         good.lines.put_nowait(None)
         await until(lambda: failures[-1] == 0)
         assert failures[:4] == [0, 1, 2, 3]
+
     run(main())
 
 
 def test_discovery_that_moves_is_asked_for_the_whole_list_and_the_old_one_stays_until_then():
     """Versions need not go on from one to the other: only the whole list tells what has gone meanwhile."""
+
     async def main():
         old, new, go, got = await Agent().listen(), asyncio.Event(), asyncio.Event(), []
 
@@ -337,8 +360,10 @@
             new.set()
             await go.wait()
             if "stream" in seen.line:
-                return (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n"
-                        % (len(text(6)), text(6)))
+                return b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n" % (
+                    len(text(6)),
+                    text(6),
+                )
             return ok(text(5, entry("b0", 80), snapshot=True))
 
         agent = await Peer(act).listen()
@@ -355,6 +380,7 @@
         assert [s.line.split(" ")[1] for s in agent.seen] == ["/v1/servers", "/v1/servers?stream=1&index=5"]
         discovery.listed(object(), got[0])  # whatever is neither the present nor the newest says nothing
         assert len(got) == 3
+
     run(main())
 
 
@@ -377,16 +403,25 @@
         agent.lines.put_nowait(text(8))
         await until(lambda: got == [8, 8])
         assert all(r.endswith("index=7 HTTP/1.1") for r in agent.requests)
+
     run(main())
 
 
-@pytest.mark.parametrize("message", [
-    None, [], {}, {"index": 1, "snapshot": True}, {"index": "x", "snapshot": True, "endpoints": []},
-    {"index": 1, "snapshot": 1, "endpoints": []}, {"index": 1, "snapshot": True, "endpoints": [3]},
-    {"index": 1, "snapshot": True, "endpoints": [entry("b0", 80, "ASLEEP")]},
-    {"index": 1, "snapshot": True, "endpoints": [entry("b0", 0)]},
-    {"index": 1, "snapshot": True, "endpoints": [entry("b0", 80) | {"weight": float("nan")}]},
-])
+@pytest.mark.parametrize(
+    "message",
+    [
+        None,
+        [],
+        {},
+        {"index": 1, "snapshot": True},
+        {"index": "x", "snapshot": True, "endpoints": []},
+        {"index": 1, "snapshot": 1, "endpoints": []},
+        {"index": 1, "snapshot": True, "endpoints": [3]},
+        {"index": 1, "snapshot": True, "endpoints": [entry("b0", 80, "ASLEEP")]},
+        {"index": 1, "snapshot": True, "endpoints": [entry("b0", 0)]},
+        {"index": 1, "snapshot": True, "endpoints": [entry("b0", 80) | {"weight": float("nan")}]},
+    ],
+)
 def test_what_is_no_list_is_said_to_be_none(message):
     with pytest.raises(ValueError):
         read_listing(message)
@@ -419,4 +454,5 @@
         nodes[2].everyone = addresses[1]
         nodes[2].tell(None, b"by one address")
         await until(lambda: got[1])
+
     run(main())
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -26,19 +26,22 @@
 BIG = b"x" * (64 * 1024 + 1)
 
 
-@pytest.mark.parametrize("answer,outcome", [
-    (b"HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n", io.Outcome.ERROR),
-    (b"HTTP/1.1 503 Busy\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n", io.Outcome.FULL),
-    (b"HTTP/1.1 504 Late\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n", io.Outcome.FULL),
-    (b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", io.Outcome.ERROR),
-    (b"HTTP/1.1 404 What\r\nContent-Length: 0\r\n\r\n", io.Outcome.ERROR),
-    (b"", io.Outcome.RESET),
-    (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\nConnection: close\r\n\r\nshort", io.Outcome.RESET),
-    (b"HTTP/1.1 200 OK\r\n\r\nno length at all", io.Outcome.RESET),
-    (b"HTTP/1.1 200 OK\r\nContent-Length: nine\r\n\r\n", io.Outcome.RESET),
-    (b"no HTTP at all\r\n\r\n", io.Outcome.RESET),
-    (b"HTTP/1.1 500 Oops\r\nContent-Length: 65537\r\n\r\n" + BIG, io.Outcome.RESET),
-])
+@pytest.mark.parametrize(
+    "answer,outcome",
+    [
+        (b"HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n", io.Outcome.ERROR),
+        (b"HTTP/1.1 503 Busy\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n", io.Outcome.FULL),
+        (b"HTTP/1.1 504 Late\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n", io.Outcome.FULL),
+        (b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", io.Outcome.ERROR),
+        (b"HTTP/1.1 404 What\r\nContent-Length: 0\r\n\r\n", io.Outcome.ERROR),
+        (b"", io.Outcome.RESET),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\nConnection: close\r\n\r\nshort", io.Outcome.RESET),
+        (b"HTTP/1.1 200 OK\r\n\r\nno length at all", io.Outcome.RESET),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: nine\r\n\r\n", io.Outcome.RESET),
+        (b"no HTTP at all\r\n\r\n", io.Outcome.RESET),
+        (b"HTTP/1.1 500 Oops\r\nContent-Length: 65537\r\n\r\n" + BIG, io.Outcome.RESET),
+    ],
+)
 def test_only_a_whole_200_is_served(answer, outcome):
     async def main():
         async def act(seen):
@@ -52,26 +55,35 @@
         assert (status, body) == (200, b"whole")
         assert [e.outcome for e in rig.script.ends()] == [outcome, io.Outcome.OK]
         assert len(backend.seen) == 1  # nothing sends again by itself
+
     run(main())
 
 
-@pytest.mark.parametrize("answer", [
-    b"\x93.G\x85\xe1\xb4}\r\n\r\n", b"ICY 200 OK\r\nContent-Length: 2\r\n\r\nno",
-    b"HTTP/1.1 2x0 OK\r\nContent-Length: 2\r\n\r\nno", b"HTTP/1.1 OK 200\r\nContent-Length: 2\r\n\r\nno",
-    ok(b"no", b"Content-Length: 2"), ok(b"no", b"Content-Length: -1"),
-    ok(b"no", b"Transfer-Encoding: chunked"),
-    b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 1791\r\n\r\nno",
-    b"HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\nno",
-    b"HTTP/1.1 200 OK\r\nContent-Length: 99999999999999999999999\r\n\r\nno",
-    b"HTTP/1.1 200 OK\r\nContent-Length: 1_0\r\n\r\n0123456789",
-    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n",
-    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\nzz\r\nabcde\r\n0\r\n\r\n",
-    b"HTTP/1.1 200 OK\r\n" + b"X-Pad: pppp\r\n" * 20_000,
-    b"HTTP/1.1 200 OK\r\n\r\nuntil the end",
-    b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nmidway", b"HTTP/1.1 200 OK\r\nContent-Le",
-])
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"\x93.G\x85\xe1\xb4}\r\n\r\n",
+        b"ICY 200 OK\r\nContent-Length: 2\r\n\r\nno",
+        b"HTTP/1.1 2x0 OK\r\nContent-Length: 2\r\n\r\nno",
+        b"HTTP/1.1 OK 200\r\nContent-Length: 2\r\n\r\nno",
+        ok(b"no", b"Content-Length: 2"),
+        ok(b"no", b"Content-Length: -1"),
+        ok(b"no", b"Transfer-Encoding: chunked"),
+        b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 1791\r\n\r\nno",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\nno",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 99999999999999999999999\r\n\r\nno",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 1_0\r\n\r\n0123456789",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\nzz\r\nabcde\r\n0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\n" + b"X-Pad: pppp\r\n" * 20_000,
+        b"HTTP/1.1 200 OK\r\n\r\nuntil the end",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nmidway",
+        b"HTTP/1.1 200 OK\r\nContent-Le",
+    ],
+)
 def test_a_spoilt_answer_on_a_connection_that_stays_open_is_a_failed_attempt(answer):
     """The request may have run; nobody may be served with it, nor wait for the rest until time is up."""
+
     async def main():
         backend, good = await Peer.start(answer), await Peer.start(ok(b"whole"))
         rig = IngressRig(in_turn("b0", "b1"))
@@ -80,13 +92,16 @@
         assert (status, body) == (200, b"whole")
         assert [e.outcome for e in rig.script.ends()] == [io.Outcome.RESET, io.Outcome.OK]
         await until(backend.seen[0].ended)
+
     run(main())
 
 
-@pytest.mark.parametrize("surplus", [
-    ok(b"a copy"), b"noise", b"HTTP/1.1 200 OK\r\nContent-", b"\xff\r\n\r\n"])
+@pytest.mark.parametrize(
+    "surplus", [ok(b"a copy"), b"noise", b"HTTP/1.1 200 OK\r\nContent-", b"\xff\r\n\r\n"]
+)
 def test_what_comes_behind_an_answer_is_nobodys(surplus):
     """The end of an attempt may start the next one at once: it must not find this connection in the pool."""
+
     async def main():
         full = b"HTTP/1.1 503 Busy\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n"
         backend = await Peer.start(full + surplus, ok(b"first") + surplus, ok(b"second"))
@@ -96,6 +111,7 @@
         assert (await client.ask(call("r2")))[2] == b"second"
         assert backend.connections == 3
         assert [e.outcome for e in rig.script.ends()] == [io.Outcome.FULL, io.Outcome.OK, io.Outcome.OK]
+
     run(main())
 
 
@@ -103,8 +119,11 @@
     async def main():
         gate = asyncio.Event()
         backend = await Peer.start()
-        rig = IngressRig(lambda e: [io.Attempt(e.id, "b0", 0.0 if e.id == "r1" else None)]
-                  if isinstance(e, io.Request) else in_turn("b0")(e))
+        rig = IngressRig(
+            lambda e: [io.Attempt(e.id, "b0", 0.0 if e.id == "r1" else None)]
+            if isinstance(e, io.Request)
+            else in_turn("b0")(e)
+        )
         client = await rig.start(b0=backend.port)
         connect = rig.upstream.connect
 
@@ -118,6 +137,7 @@
         await until(lambda: rig.upstream.pools["b0"].idle)
         assert (await client.ask(call("r2")))[0] == 200
         assert backend.connections == 1 and len(backend.seen) == 1
+
     run(main())
 
 
@@ -133,6 +153,7 @@
         rig.upstream.close()
         await until(backend.seen[0].ended)
         assert not rig.upstream.connections
+
     run(main())
 
 
@@ -145,6 +166,7 @@
         assert (await client.ask(call("r1")))[2] == BIG[1:]
         assert (await client.ask(call("r2")))[2] == b"abcde"
         assert backend.connections == 1
+
     run(main())
 
 
@@ -154,6 +176,7 @@
         client = await rig.start(b0=closed_port())
         assert (await client.ask(call(cls="once")))[0] == 503
         assert [e.outcome for e in rig.script.ends()] == [io.Outcome.CONNECT_FAILED]
+
     run(main())
 
 
@@ -167,9 +190,15 @@
             return ok()
 
         fast = await Peer(act).listen()
-        rig = IngressRig(lambda e: [io.Attempt(e.id, "b0")] if isinstance(e, io.Request) else
-                  [io.CancelAttempt("r2", 0)] if isinstance(e, io.TimerFired) else
-                  [io.Attempt(e.request, "b1")] if isinstance(e, io.AttemptEnded) and not e.done else [])
+        rig = IngressRig(
+            lambda e: [io.Attempt(e.id, "b0")]
+            if isinstance(e, io.Request)
+            else [io.CancelAttempt("r2", 0)]
+            if isinstance(e, io.TimerFired)
+            else [io.Attempt(e.request, "b1")]
+            if isinstance(e, io.AttemptEnded) and not e.done
+            else []
+        )
         client = await rig.start(b0=slow.port, b1=fast.port)
         rig.script.decide, decide = in_turn("b1"), rig.script.decide
         await client.ask(call("r1"))  # so that a connection to b1 stands ready
@@ -181,18 +210,27 @@
         assert (await client.answer())[0] == 200
         assert ended[-1] is True
         assert [e.outcome for e in rig.script.ends()][1:] == [io.Outcome.CANCELLED, io.Outcome.OK]
+
     run(main())
 
 
 def test_a_time_out_of_the_module_ends_the_attempt():
     async def main():
         slow, fast = await Peer.start(None), await Peer.start()
-        rig = IngressRig(lambda e: [io.Attempt(e.id, "b0", 0.05)] if isinstance(e, io.Request) else
-                  [io.Attempt(e.request, "b1")] if isinstance(e, io.AttemptEnded) and not e.done else [])
+        rig = IngressRig(
+            lambda e: [io.Attempt(e.id, "b0", 0.05)]
+            if isinstance(e, io.Request)
+            else [io.Attempt(e.request, "b1")]
+            if isinstance(e, io.AttemptEnded) and not e.done
+            else []
+        )
         client = await rig.start(b0=slow.port, b1=fast.port)
         assert (await client.ask(call()))[0] == 200
         assert [(e.attempt, e.outcome) for e in rig.script.ends()] == [
-            (0, io.Outcome.TIMEOUT), (1, io.Outcome.OK)]
+            (0, io.Outcome.TIMEOUT),
+            (1, io.Outcome.OK),
+        ]
+
     run(main())
 
 
@@ -205,13 +243,19 @@
             return ok(b"late")
 
         slow, fast = await Peer(act).listen(), await Peer.start(ok(b"in time"))
-        rig = IngressRig(lambda e: [io.Attempt(e.id, "b0", 0.05)] if isinstance(e, io.Request) else
-                  [io.Attempt(e.request, "b1")] if isinstance(e, io.AttemptEnded) and not e.done else [])
+        rig = IngressRig(
+            lambda e: [io.Attempt(e.id, "b0", 0.05)]
+            if isinstance(e, io.Request)
+            else [io.Attempt(e.request, "b1")]
+            if isinstance(e, io.AttemptEnded) and not e.done
+            else []
+        )
         client = await rig.start(b0=slow.port, b1=fast.port)
         assert (await client.ask(call("r1")))[2] == b"in time"
         go.set()
         assert (await client.ask(call("r2", budget="5000m")))[2] in (b"late", b"in time")
         assert len(rig.script.ends()) == len({(e.request, e.attempt) for e in rig.script.ends()})
+
     run(main())
 
 
@@ -254,6 +298,7 @@
                 s.shutdown(socket.SHUT_WR)  # the ingress's loop has not heard of it yet
         assert (await one.ask(call("d")))[0] == 200
         assert [e.outcome for e in rig.script.ends()] == [io.Outcome.OK] * 4 and backend.connections == 3
+
     run(main())
 
 
@@ -282,6 +327,7 @@
             await until(seen.ended)
         assert (await one.ask(call("new")))[0] == 200
         assert (backend.connections, moved.connections) == ((3, 0) if change == "start" else (2, 1))
+
     run(main())
 
 
@@ -295,27 +341,37 @@
         await client.ask(call())
         await until(lambda: not rig.upstream.connections)
         await until(backend.seen[0].ended)
+
     run(main())
 
 
 def test_a_silent_backend_loses_its_idle_connections():
     async def main():
         backend = await holding()
-        rig = IngressRig(lambda e: [io.Attempt(e.id, "b0", 0.05 if e.id == "silent" else None)]
-                  if isinstance(e, io.Request) else in_turn("b0")(e))
+        rig = IngressRig(
+            lambda e: [io.Attempt(e.id, "b0", 0.05 if e.id == "silent" else None)]
+            if isinstance(e, io.Request)
+            else in_turn("b0")(e)
+        )
         one = await rig.start(b0=backend.port)
         await both_idle(one, rig)
         assert len(rig.upstream.pools["b0"].idle) == 2
         assert (await one.ask(call("silent")))[0] == 503
         assert not rig.upstream.connections
+
     run(main())
 
 
 def test_sockets_stay_within_their_number():
     async def main():
         backends = [await Peer.start() for _ in range(3)]
-        rig = IngressRig(lambda e: [io.Attempt(e.id, e.id)] if isinstance(e, io.Request) else
-                  [io.Refuse(e.request)] if isinstance(e, io.AttemptEnded) and not e.done else [])
+        rig = IngressRig(
+            lambda e: [io.Attempt(e.id, e.id)]
+            if isinstance(e, io.Request)
+            else [io.Refuse(e.request)]
+            if isinstance(e, io.AttemptEnded) and not e.done
+            else []
+        )
         rig.upstream.most = 2
         client = await rig.start(**{f"b{i}": b.port for i, b in enumerate(backends)})
         for i in range(3):
@@ -327,4 +383,5 @@
             pool.close_idle()
         assert (await client.ask(call("b1")))[0] == 503
         assert rig.script.ends()[-1].outcome is io.Outcome.CONNECT_FAILED
+
     run(main())
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -13,8 +13,11 @@
 
 
 @pytest.mark.parametrize("answer", [LARGE, CHUNKS], ids=["length", "chunks"])
-@pytest.mark.parametrize("behind", [SMALL, b"noise", SMALL[:20], b"HTTP/1.1 103 Early\r\n\r\n"],
-                         ids=["answer", "noise", "part", "interim"])
+@pytest.mark.parametrize(
+    "behind",
+    [SMALL, b"noise", SMALL[:20], b"HTTP/1.1 103 Early\r\n\r\n"],
+    ids=["answer", "noise", "part", "interim"],
+)
 def test_what_comes_behind_a_large_answer_takes_nothing_of_it(answer: bytes, behind: bytes) -> None:
     reader = ResponseReader(flows=True)
     reader.feed(answer[:-100])
--- a/tests/test_wirehost.py
+++ b/tests/test_wirehost.py
@@ -11,10 +11,12 @@
 from roadspur import interface as io
 from roadspur import wirehost
 
-BORN = ("BORN 3 17 balancers=2 me=1 zone=z0 step=0.002 extra.counter=true extra.counterTimeout=0.08 "
-        "classes.count=1 classes.0.name=read classes.0.semantics=retryable classes.0.objective=2.0 "
-        "classes.0.hardLimit=6.0 plans.count=1 plans.0.name=basic plans.0.rate=2.0 plans.0.storeSize=8.0 "
-        "limits.maxAttempts=3 loadReport.how=piggyback loadReport.fields=latency_ms,util unheard.of=5")
+BORN = (
+    "BORN 3 17 balancers=2 me=1 zone=z0 step=0.002 extra.counter=true extra.counterTimeout=0.08 "
+    "classes.count=1 classes.0.name=read classes.0.semantics=retryable classes.0.objective=2.0 "
+    "classes.0.hardLimit=6.0 plans.count=1 plans.0.name=basic plans.0.rate=2.0 plans.0.storeSize=8.0 "
+    "limits.maxAttempts=3 loadReport.how=piggyback loadReport.fields=latency_ms,util unheard.of=5"
+)
 ROW = "ROW 1 std Running 10.0.0.1:80 0 - z0"
 
 
@@ -40,25 +42,43 @@
     return h, rec
 
 
-@pytest.mark.parametrize("lines,event", [
-    (["UPDATE 3 SAVED 4 1", ROW], io.ListUpdate(io.ListKind.SAVED, 4, (
-        io.BackendEntry("10.0.0.1:80", io.Phase.RUNNING, 1.0, "std", 0, 0.0, "z0"),))),
-    (["UPDATE 3 FAILED 4 0"], io.ListUpdate(io.ListKind.FAILED, 4, ())),
-    (["WORK_ITEM 3 abc read basic 99 0.24 2 3 1 6"],
-     io.Request("abc", "read", "basic", 99, 0.24, 2.0, 3, 1, True, True)),
-    (["WORK_ITEM 3 abc read basic 99 0.24 2 - - -"], io.Request("abc", "read", "basic", 99, 0.24, 2.0)),
-    (["RETURNED 3 abc 0 b:1 success 0.02 1 86 3 14.5,0.62"], io.AttemptEnded(
-        "abc", 0, "b:1", io.Outcome.OK, 0.02, True, 86, 3.0, {"latency_ms": 14.5, "util": 0.62})),
-    (["RETURNED 3 abc 1 b:1 void 0 0 - - -"], io.AttemptEnded("abc", 1, "b:1", io.Outcome.NOT_SENT, 0.0, False)),
-    (["TALLIED 3 0.002 77 success 38"], io.CounterReply(77, io.Outcome.OK, 0.002, 38.0)),
-    (["TALLIED 3 0.08 77 timed_out -"], io.CounterReply(77, io.Outcome.TIMEOUT, 0.08, 0.0)),
-    (["FIRED 3 9"], io.TimerFired(9)),
-    (["EXPIRED 3 abc"], io.ClientGone("abc")),
-    (["UNDER_WAY 3 abc 0.1 b:1 0"], io.AttemptStarted("abc", 0, "b:1", 0.1)),
-    (["PROBE_DONE 3 b:1 success 0.1 -"], io.ProbeEnded("b:1", io.Outcome.OK, 0.1)),
-    (["HEARD 3 2 68692037"], io.PeerMessage(2, b"hi 7")),
-    (["HEARD 3 2 -"], io.PeerMessage(2, b"")),
-])
+@pytest.mark.parametrize(
+    "lines,event",
+    [
+        (
+            ["UPDATE 3 SAVED 4 1", ROW],
+            io.ListUpdate(
+                io.ListKind.SAVED,
+                4,
+                (io.BackendEntry("10.0.0.1:80", io.Phase.RUNNING, 1.0, "std", 0, 0.0, "z0"),),
+            ),
+        ),
+        (["UPDATE 3 FAILED 4 0"], io.ListUpdate(io.ListKind.FAILED, 4, ())),
+        (
+            ["WORK_ITEM 3 abc read basic 99 0.24 2 3 1 6"],
+            io.Request("abc", "read", "basic", 99, 0.24, 2.0, 3, 1, True, True),
+        ),
+        (["WORK_ITEM 3 abc read basic 99 0.24 2 - - -"], io.Request("abc", "read", "basic", 99, 0.24, 2.0)),
+        (
+            ["RETURNED 3 abc 0 b:1 success 0.02 1 86 3 14.5,0.62"],
+            io.AttemptEnded(
+                "abc", 0, "b:1", io.Outcome.OK, 0.02, True, 86, 3.0, {"latency_ms": 14.5, "util": 0.62}
+            ),
+        ),
+        (
+            ["RETURNED 3 abc 1 b:1 void 0 0 - - -"],
+            io.AttemptEnded("abc", 1, "b:1", io.Outcome.NOT_SENT, 0.0, False),
+        ),
+        (["TALLIED 3 0.002 77 success 38"], io.CounterReply(77, io.Outcome.OK, 0.002, 38.0)),
+        (["TALLIED 3 0.08 77 timed_out -"], io.CounterReply(77, io.Outcome.TIMEOUT, 0.08, 0.0)),
+        (["FIRED 3 9"], io.TimerFired(9)),
+        (["EXPIRED 3 abc"], io.ClientGone("abc")),
+        (["UNDER_WAY 3 abc 0.1 b:1 0"], io.AttemptStarted("abc", 0, "b:1", 0.1)),
+        (["PROBE_DONE 3 b:1 success 0.1 -"], io.ProbeEnded("b:1", io.Outcome.OK, 0.1)),
+        (["HEARD 3 2 68692037"], io.PeerMessage(2, b"hi 7")),
+        (["HEARD 3 2 -"], io.PeerMessage(2, b"")),
+    ],
+)
 def test_every_event(lines, event):
     h, rec = host()
     h.batch(["CLOCK 2", *lines])
@@ -72,18 +92,26 @@
     assert rec.events[0].outcome is outcome
 
 
-@pytest.mark.parametrize("action,line", [
-    (io.Attempt("abc", "b:1", 0.08), "SUBMIT_TO 3 abc b:1 0.080000"),
-    (io.Attempt("abc", "b:1"), "SUBMIT_TO 3 abc b:1 0"),
-    (io.CounterAdd(77, -4.0, 3.0), "COUNT 3 3.000000 77 -4"),
-    (io.CounterAdd(77, 0.5, 3.0), "COUNT 3 3.000000 77 0.500000"),
-    (io.Refuse("abc", 0.25), "DECLINE 3 abc 0.250000"), (io.Fail("abc"), "FINISH_ERROR 3 abc"),
-    (io.SetTimer(0.5, 7), "DEFER 3 0.500000 7"), (io.CancelAttempt("abc", 1), "DROP_ATTEMPT 3 abc 1"),
-    (io.Probe("b:1"), "TOUCH 3 b:1"), (io.CloseIdle("b:1"), "CLOSE_IDLE 3 b:1"),
-    (io.SendPeerMessage(None, b"hi 7"), "MEMO_TO 3 * 68692037"), (io.SendPeerMessage(2, b"a"), "MEMO_TO 3 2 61"),
-    (io.Subscribe(True), "FOLLOW 3 1"), (io.FetchList(), "GET_LIST 3"),
-    (io.Log("two\nlines"), "EMIT 3 two lines"),
-])
+@pytest.mark.parametrize(
+    "action,line",
+    [
+        (io.Attempt("abc", "b:1", 0.08), "SUBMIT_TO 3 abc b:1 0.080000"),
+        (io.Attempt("abc", "b:1"), "SUBMIT_TO 3 abc b:1 0"),
+        (io.CounterAdd(77, -4.0, 3.0), "COUNT 3 3.000000 77 -4"),
+        (io.CounterAdd(77, 0.5, 3.0), "COUNT 3 3.000000 77 0.500000"),
+        (io.Refuse("abc", 0.25), "DECLINE 3 abc 0.250000"),
+        (io.Fail("abc"), "FINISH_ERROR 3 abc"),
+        (io.SetTimer(0.5, 7), "DEFER 3 0.500000 7"),
+        (io.CancelAttempt("abc", 1), "DROP_ATTEMPT 3 abc 1"),
+        (io.Probe("b:1"), "TOUCH 3 b:1"),
+        (io.CloseIdle("b:1"), "CLOSE_IDLE 3 b:1"),
+        (io.SendPeerMessage(None, b"hi 7"), "MEMO_TO 3 * 68692037"),
+        (io.SendPeerMessage(2, b"a"), "MEMO_TO 3 2 61"),
+        (io.Subscribe(True), "FOLLOW 3 1"),
+        (io.FetchList(), "GET_LIST 3"),
+        (io.Log("two\nlines"), "EMIT 3 two lines"),
+    ],
+)
 def test_every_action(action, line):
     h, _ = host([action])
     assert h.batch(["CLOCK 2", "FIRED 3 1"]) == [line]
@@ -114,26 +142,30 @@
     class Broken(Recorder):
         def handle(self, now, event):
             raise RuntimeError("no\nidea")
+
     h = wirehost.Host(Broken())
     h.batch(["CLOCK 1", BORN])
     assert h.batch(["CLOCK 2", "FIRED 3 1"]) == ["EXCEPTION 3 RuntimeError: no idea"]
 
 
-@pytest.mark.parametrize("text,words", [
-    ("TICK 1\nEND\n", ["batch", "CLOCK"]),
-    ("CLOCK x\nEND\n", ["CLOCK", "clock", "number"]),
-    (f"CLOCK 1\n{BORN}\nFIRED 3\nEND\n", ["FIRED", "fields"]),
-    (f"CLOCK 1\n{BORN}\nFIRED 3 -4\nEND\n", ["FIRED", "ctx"]),
-    (f"CLOCK 1\n{BORN}\nJUMP 3 1\nEND\n", ["message", "JUMP"]),
-    ("CLOCK 1\nFIRED 3 1\nEND\n", ["FIRED", "ingress"]),
-    (f"CLOCK 1\n{BORN}\nUPDATE 3 FULL 1 2\n{ROW}\nEND\n", ["UPDATE", "rows"]),
-    (f"CLOCK 1\n{BORN}\nRETURNED 3 a 0 b what 0 0 0 0 -\nEND\n", ["RETURNED", "reason"]),
-    (f"CLOCK 1\n{BORN}\nRETURNED 3 a 0 b success 0 1 0 0 1,2,3\nEND\n", ["RETURNED", "gauge"]),
-    (f"CLOCK 1\n{BORN}\nWORK_ITEM 3 a odd basic 1 1 1 1 0 0\nEND\n", ["WORK_ITEM", "service", "odd"]),
-    (f"CLOCK 1\n{BORN}\nWORK_ITEM 3 a read basic 1 nan 1 1 0 0\nEND\n", ["WORK_ITEM", "expiresIn"]),
-    (f"CLOCK 1\n{BORN.replace('rate=2.0', 'rate=-2.0')}\nEND\n", ["plans.rate"]),
-    ("CLOCK 1\n", ["END"]),
-])
+@pytest.mark.parametrize(
+    "text,words",
+    [
+        ("TICK 1\nEND\n", ["batch", "CLOCK"]),
+        ("CLOCK x\nEND\n", ["CLOCK", "clock", "number"]),
+        (f"CLOCK 1\n{BORN}\nFIRED 3\nEND\n", ["FIRED", "fields"]),
+        (f"CLOCK 1\n{BORN}\nFIRED 3 -4\nEND\n", ["FIRED", "ctx"]),
+        (f"CLOCK 1\n{BORN}\nJUMP 3 1\nEND\n", ["message", "JUMP"]),
+        ("CLOCK 1\nFIRED 3 1\nEND\n", ["FIRED", "ingress"]),
+        (f"CLOCK 1\n{BORN}\nUPDATE 3 FULL 1 2\n{ROW}\nEND\n", ["UPDATE", "rows"]),
+        (f"CLOCK 1\n{BORN}\nRETURNED 3 a 0 b what 0 0 0 0 -\nEND\n", ["RETURNED", "reason"]),
+        (f"CLOCK 1\n{BORN}\nRETURNED 3 a 0 b success 0 1 0 0 1,2,3\nEND\n", ["RETURNED", "gauge"]),
+        (f"CLOCK 1\n{BORN}\nWORK_ITEM 3 a odd basic 1 1 1 1 0 0\nEND\n", ["WORK_ITEM", "service", "odd"]),
+        (f"CLOCK 1\n{BORN}\nWORK_ITEM 3 a read basic 1 nan 1 1 0 0\nEND\n", ["WORK_ITEM", "expiresIn"]),
+        (f"CLOCK 1\n{BORN.replace('rate=2.0', 'rate=-2.0')}\nEND\n", ["plans.rate"]),
+        ("CLOCK 1\n", ["END"]),
+    ],
+)
 def test_malformed_lines_end_in_one_plain_line(text, words):
     command = [sys.executable, "-m", "roadspur.wirehost"]
     got = subprocess.run(command, input=text, capture_output=True, text=True)
