Launch the programs from their own package; wrap what the formatter leaves too long

Cause: the command line and the entry module imported one another. Change: gateway.programs.launch starts a program, and both use it. Docstrings and comments over 110 columns are wrapped; no other change of behaviour.

--- a/gateway/cli/commands.py
+++ b/gateway/cli/commands.py
@@ -20,6 +20,7 @@
 from cleo.io.outputs.output import Type
 from result import Err
 
+from gateway.programs import launch
 from gateway.runtime import VERSION, settings
 
 EXIT_FAULTS = 2
@@ -278,9 +279,7 @@
     def handle(self) -> int:
         if self.option("check"):
             return self.own_settings(self.name)
-        from gateway.__main__ import main
-
-        return main([str(self.name)])
+        return launch(str(self.name))
 
 
 class ProxyCommand(_ProgramCommand):
--- a/gateway/drift/detector.py
+++ b/gateway/drift/detector.py
@@ -1,4 +1,4 @@
-"""The drift detector of one node: is the version in force the newest, and does what runs look as it is set?"""
+"""Drift detector of one node: is the version in force the newest, and does the running state match it?"""
 
 from __future__ import annotations
 
@@ -50,10 +50,10 @@
     """Inputs: `TookUp`, `Unreadable`, `Heard`, `Confirmed`, `Found`, `Tick`. Outputs: `CatchUp`, `Rebuild`,
     `Ready`, `Refuse`, `Finding`; `Ready` and `Refuse` only where that changes.
 
-    `apply_s` is the time in which a version has to be in force. With `closed_s`, requests are turned back
-    once the last contact with the core is that old; without it a node that is cut off serves on. Either way they are turned
-    back until the core has said once that the version is the newest: who begins anew may hear only one that
-    is cut off.
+    `apply_s` is the time in which a version has to be in force. With `refuse_after_s`, requests are turned
+    back once the last contact with the core is that old; without it a node that is cut off serves on.
+    Either way they are turned back until the core has said once that the version is the newest: who begins
+    anew may hear only one that is cut off.
     """
 
     def __init__(self, apply_s: float, refuse_after_s: float | None = None) -> None:
@@ -150,7 +150,8 @@
             self.newest, self.source = version, source
 
     def _confirmed(self, now: float, e: NewestConfirmed) -> list[Any]:
-        """The last contact with the core. A claim beyond it that the core doesn't know of for a while is none."""
+        """The last contact with the core. A claim beyond it that the core doesn't know of for a while is
+        none."""
         at, out = min(now, e.at + self.offset), list[Any]()
         if e.version == self.version:
             self.confirmed = max(self.confirmed or at, at)
--- a/gateway/programs/drift_monitor.py
+++ b/gateway/programs/drift_monitor.py
@@ -52,8 +52,8 @@
 
 
 class DriftMonitor:
-    """Connects the drift detector to a proxy. `apply_s` as in the rules; `closed_s` is how old the last contact with the core
-    may be where requests are then to be turned back, else None."""
+    """Connects the drift detector to a proxy. `apply_s` as in the rules; `revoke_closed` turns requests
+    back once the last contact with the core is older than `revoke_s`."""
 
     def __init__(self, me: Address, node: Node, bounds: Bounds) -> None:
         self.me, self.node = me, node
--- a/gateway/quota/decision_statistics.py
+++ b/gateway/quota/decision_statistics.py
@@ -8,8 +8,8 @@
 
 HOLDER, SHARE, OVER, REFUSED_LOCALLY, SHARE_EXHAUSTED = range(5)
 DECISION_KINDS = ("holder", "share", "over", "unasked", "short")
-"""Let go by the holder or by the share; refused by the holder, after its answer that nothing is left, or as the
-share has none left."""
+"""Let go by the holder or by the share; refused by the holder, after its answer that nothing is left, or as
+the share has none left."""
 
 SPLIT = ("holder", "share", "refused")
 SPLIT_OF = (0, 1, 2, 2, 2)
--- a/gateway/quota/local_quota.py
+++ b/gateway/quota/local_quota.py
@@ -19,8 +19,8 @@
     """A share flows in evenly, from where the holder's count stood at its last verdict.
 
     While the tenant asks for more than its allowance, the share flows only from the second window on: the
-    holder can't know in the first one that this quota client is cut off. `threshold` in (0, 1] is drawn once a
-    quota client, so that shares of less than a unit come to their sum over many quota clients.
+    holder can't know in the first one that this quota client is cut off. `threshold` in (0, 1] is drawn
+    once a quota client, so that shares of less than a unit come to their sum over many quota clients.
     """
 
     __slots__ = (
--- a/gateway/quota/owner_links.py
+++ b/gateway/quota/owner_links.py
@@ -101,7 +101,8 @@
         return out
 
     def tell(self, now: float, link: OwnerLink, live: list[LocalQuota], known: list[LocalQuota]) -> Send:
-        """Say that this quota client is there, its shares until the holder knows them, and at times its views."""
+        """Say that this quota client is there, its shares until the holder knows them, and at times its
+        views."""
         link.missed(link.told_at)
         link.number += 1
         link.told_at = link.sent = now
--- a/gateway/quota/shard_assigner.py
+++ b/gateway/quota/shard_assigner.py
@@ -218,7 +218,8 @@
                 self.assignments.clear()
             assignment = self.assignments[key] = dict.fromkeys(key, 0)
             for shard in range(SHARDS):
-                assignment[max(key, key=lambda a: (self.candidates[a].ranks[shard], a))] |= 1 << shard  # noqa: B023
+                owner = max((self.candidates[address].ranks[shard], address) for address in key)[1]
+                assignment[owner] |= 1 << shard
         return assignment
 
     def tick(self, now: float) -> list[Output]:
--- a/gateway/quota/shard_owner.py
+++ b/gateway/quota/shard_owner.py
@@ -248,7 +248,7 @@
         return [Send(frm, Message(heard=heard))]
 
     def check_clients(self, now: float) -> None:
-        """Find quota clients that have gone silent, and forget those silent for longer than any share lasts."""
+        """Find quota clients that went silent, and forget those silent for longer than any share lasts."""
         self.checked_at = now
         for frm, client in list(self.clients.items()):
             if client.heard + SILENT_S <= now < client.shares_until and frm not in self.silent:
--- a/gateway/quota/tenant_counter.py
+++ b/gateway/quota/tenant_counter.py
@@ -46,9 +46,10 @@
     """The count of one tenant.
 
     It opens a window after `begun`, when a predecessor may have counted last and filled a window. Until then
-    it pools the shares that quota clients tell it: they flow evenly, and to whoever asks. Where nobody has counted
-    for a time, `begun` is that time's beginning and `real` that of this holder; this one counts again once a
-    quota client is found to have a share of a predecessor, by which it may have let requests go in between.
+    it pools the shares that quota clients tell it: they flow evenly, and to whoever asks. Where nobody has
+    counted for a time, `begun` is that time's beginning and `real` that of this holder; this one counts
+    again once a quota client is found to have a share of a predecessor, by which it may have let requests
+    go in between.
     """
 
     __slots__ = (
@@ -197,8 +198,8 @@
         return max(0.0, self.window.allowance - self.reserved - self.admitted)
 
     def reserve(self, silent: Mapping[Address, float], unknown: bool) -> None:
-        """Keep back the shares of silent quota clients (address: last heard), and those nothing is known of: what
-        quota clients have told, whatever became of it since, is none of those."""
+        """Keep back the shares of silent quota clients (address: last heard), and those nothing is known
+        of: what quota clients have told, whatever became of it since, is none of those."""
         self.has_unreported = unknown
         parts = float(max(0, FULL_SHARE - self.claimed)) if unknown else 0.0
         for frm, heard in silent.items():
@@ -243,7 +244,8 @@
         share.spent = spent
 
     def lease(self, now: float, frm: Address, share: ClientShare, confirmed: int) -> bool:
-        """Keep a quota client's lease going, move it towards its aim; whether there is news for the quota client."""
+        """Keep a quota client's lease going, move it towards its aim; whether there is news for the quota
+        client."""
         previous = share.outstanding
         if confirmed and not share.number:  # it goes by a share that isn't in the books
             share.number = self.number()
--- a/proving/loopback/local_cluster.py
+++ b/proving/loopback/local_cluster.py
@@ -51,8 +51,8 @@
 
 
 class LocalCluster:
-    """All machines and backends. `port` is the first of the ports that each machine's address uses; `recordings` a
-    folder for recordings of the programs, or None."""
+    """All machines and backends. `port` is the first of the ports that each machine's address uses;
+    `recordings` a folder for recordings of the programs, or None."""
 
     def __init__(self, spec: Spec, folder: Path, port: int, recordings: Path | None = None) -> None:
         self.spec, self.folder, self.port, self.recordings = spec, folder, port, recordings
--- a/proving/orders.py
+++ b/proving/orders.py
@@ -1,7 +1,7 @@
 """How long the operator's orders took, from the log lines of a day: to the answer, and to the nodes.
 
-Lines are found by the JSON object in them (`gateway.runtime.config_events`); what stands before it, a time and a node's
-name perhaps, may be anything.
+Lines are found by the JSON object in them (`gateway.runtime.config_events`); what stands before it, a time
+and a node's name perhaps, may be anything.
 """
 
 from __future__ import annotations
--- a/proving/recording.py
+++ b/proving/recording.py
@@ -1,8 +1,8 @@
 """Recordings: all that went into a process's state machines and what came out, to be played again.
 
 A machine is its inputs, its times and its chance, so the same inputs give the same outputs; where they don't,
-something else had a say in a decision. A recording holds what a process was told at its start and each call of a
-machine's `handle` since then.
+something else had a say in a decision. A recording holds what a process was told at its start and each call
+of a machine's `handle` since then.
 """
 
 from __future__ import annotations
--- a/roadspur/net/console.py
+++ b/roadspur/net/console.py
@@ -101,7 +101,8 @@
             return ["error no such call"]
         if len(arguments_given) - 1 != call.arguments:
             return [
-                f"error {arguments_given[0]} takes {call.arguments or 'no'} argument{'s'[:call.arguments != 1]}"
+                f"error {arguments_given[0]} takes {call.arguments or 'no'} argument"
+                f"{'s'[: call.arguments != 1]}"
             ]
         try:
             return call.act(*arguments_given[1:])
--- a/tests/system/test_calls_control.py
+++ b/tests/system/test_calls_control.py
@@ -25,8 +25,8 @@
 
 
 class SimulatedController:
-    """A HTTP listener, its control, and callers. `told` has the answers that control gave to each call, by its name,
-    which is the last part of its path."""
+    """A HTTP listener, its control, and callers. `told` has the answers that control gave to each call, by
+    its name, which is the last part of its path."""
 
     def __init__(self) -> None:
         self.process = Process(Simulator(1), "controller", 0.0, 100.0, 0.0)
--- a/tests/system/test_control.py
+++ b/tests/system/test_control.py
@@ -51,8 +51,8 @@
 
 
 class SimulatedController:
-    """A HTTP listener and its control. The core is the test's: who leads, and what becomes of proposals in turn, the
-    last one for ever; time stands unless the test moves it."""
+    """A HTTP listener and its control. The core is the test's: who leads, and what becomes of proposals in
+    turn, the last one for ever; time stands unless the test moves it."""
 
     def __init__(self, *outcomes: str | None) -> None:
         self.now, self.leader = 100.0, "me"
--- a/tests/system/test_drift.py
+++ b/tests/system/test_drift.py
@@ -140,7 +140,8 @@
 
 
 def test_an_inspector_through_its_day(snapshot):
-    """Awaiting the last contact with the core, behind, refusing, caught up, another digest, a claim that is none."""
+    """Awaiting the last contact with the core, behind, refusing, caught up, another digest, a claim that is
+    none."""
     machine, said = DriftDetector(2.5, refuse_after_s=5.0), []
 
     def give(now, event):
--- a/tests/system/test_quota_startup.py
+++ b/tests/system/test_quota_startup.py
@@ -36,7 +36,8 @@
 
 
 def test_once_a_share_is_told_no_more_flows_than_is_told() -> None:
-    """The quota clients that told nothing may go by shares of their own meanwhile: both together were too much."""
+    """The quota clients that told nothing may go by shares of their own meanwhile: both together were too
+    much."""
     count = TenantCounter(100.0, Window(1.0, 60), 100.0, 1)
     count.told(100.0, "10.0.0.1:7660", FULL_SHARE // 5, 10.0, 0, 100.0)
     share = count.known("10.0.0.2:7660", 0)
--- a/tests/system/test_runtime_settings.py
+++ b/tests/system/test_runtime_settings.py
@@ -113,7 +113,8 @@
 
 def test_the_programs_start_without_what_only_some_runs_need() -> None:
     code = (
-        "import sys, gateway.__main__, gateway.runtime.settings, gateway.runtime.peer_transport, gateway.runtime.disk_thread\n"
+        "import sys, gateway.__main__, gateway.runtime.settings\n"
+        "import gateway.runtime.peer_transport, gateway.runtime.disk_thread\n"
         "import gateway.runtime.log_ring, gateway.runtime.ticker\n"
         "print(sorted({'cleo', 'pythonjsonlogger', 'dataclasses', 'yaml'} & sys.modules.keys()))"
     )
