A reset that was looked for before it was read is a break, not the end of an answer

Cause: when the rest of an answer stays out, the timer looks for unread bytes with a peek. It takes a reset between a poll of the loop and the timer; the test brings that about.

Change: the look tells of a break by OSError, and the timer treats that as the break that it is. The look at idle connections ends those at once and stays as it was.

Test: seen to fail before (200 with a part of the body), passes now (502).

--- a/roadspur/net/upstream.py
+++ b/roadspur/net/upstream.py
@@ -40,12 +40,17 @@
         """Whether the other side has ended it, or has sent what was not read yet."""
         if self.closed:
             return True
+        try:
+            return self.unread()
+        except OSError:
+            return True
+
+    def unread(self) -> bool:
+        """Whether bytes or an end have come that were not read yet. OSError: the connection was reset."""
         try:
             self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
         except BlockingIOError:
             return False
-        except OSError:
-            return True
         return True
 
     def send(self, exchange: Exchange) -> None:
@@ -172,7 +177,11 @@
 
     def stalled(self) -> None:
         """An answer that stops midway is not waited for; unread bytes mean that it was us who stopped."""
-        if self.stale() and not self.closed:
+        try:
+            goes_on = not self.closed and self.unread()
+        except OSError:  # told only once: whoever reads next finds a plain end, which may be the answer's
+            goes_on = False
+        if goes_on:
             self.stall = self.pool.loop.call_later(STALL_S, self.stalled)
         else:
             self.spoilt("the answer stops midway")
--- a/tests/system/test_sorting_ends.py
+++ b/tests/system/test_sorting_ends.py
@@ -9,7 +9,8 @@
 
 import pytest
 
-from tests.sockets import Client, Seen, run, until
+from roadspur import interface as io
+from tests.sockets import HOST, Client, Seen, run, until
 from tests.system.sorting import Act, Plane, answer, asked
 
 LARGE = bytes(range(256)) * 1024  # more than is held whole
@@ -146,6 +147,25 @@
     run(main())
 
 
+def test_a_break_that_was_looked_for_before_it_was_read_does_not_look_like_an_end():
+    async def main():
+        plane, loop = Plane(), asyncio.get_running_loop()
+        client = await plane.start(answer())
+        with socket.create_server((HOST, 0)) as listener:
+            listener.setblocking(False)
+            plane.ingress.backend("i1", "s1", listener.getsockname(), io.Phase.RUNNING, 0.0)
+            asking = asyncio.ensure_future(read(client, asked("/order/1", method="POST")))
+            backend, _ = await loop.sock_accept(listener)
+        await loop.sock_recv(backend, 4096)
+        backend.send(b"HTTP/1.1 200 X\r\nAttempt-Id: a1\r\nBackend-Seal: 3e1b.07\r\n\r\nfew")
+        await until(lambda: any(c.reader.partial for c in plane.upstream.connections))
+        backend.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        backend.close()
+        next(iter(plane.upstream.connections)).stalled()  # its timer is due before the loop reads
+        assert (await asking)[0].split()[1] == "502"
+    run(main())
+
+
 @pytest.mark.parametrize("line", [
     "Host: b.example", "attempt-id: a2", "Authorization: Token k0", "Deadline-Ms: 9"])
 def test_what_a_request_tells_twice_is_not_guessed(line: str):
