Cancel a repeatable request at its backend once its client has gone

Cause: what a backend already had was waited for up to its deadline though the client had closed its connection.

Change: the system's ingress ends the connection to the backend at once, which makes backends drop the request; a request that may not be repeated is finished as before, and so is every request of today's service, whose backends are not stopped by that. The other idle connections to the backend are kept: that nothing has come yet when a client leaves says nothing of them.

Ruled out: cancelling through the pool's time-out path, which closes all idle connections of a backend that has been silent since the send; each client that leaves early would have cost new connections.

--- a/post/sorting/ingress.py
+++ b/post/sorting/ingress.py
@@ -147,6 +147,10 @@
         sent = held.may_have_run or (held.exchange is not None and held.exchange.may_have_run)
         return Verdict.PERHAPS if sent else Verdict.NEVER
 
+    def cancels_when_gone(self, held: Held) -> bool:
+        """A repeatable request is: backends drop a request when its connection closes."""
+        return self.effects[held.call.request.class_name] is io.Effect.SAFE
+
     def may_refuse(self, held: Held) -> bool:
         return self.verdict(held).promises
 
--- a/roadspur/net/holding.py
+++ b/roadspur/net/holding.py
@@ -78,7 +78,8 @@
     def gone(self, call: Call) -> None:
         """The client has closed its connection: nothing more goes out for its request.
 
-        What a backend already has is waited for: no cancel stops its work, and the module counts it as load.
+        What a backend already has is waited for unless `cancels_when_gone` says otherwise; the module counts
+        it as load until then.
         """
         held = self.held.get(call.request.id)
         if held is None or held.ended:
@@ -91,8 +92,14 @@
         self.submit(io.ClientGone(call.request.id))
         if held.exchange is not None and not held.exchange.written:
             self.upstream.cancel(held.exchange)
+        elif held.exchange is not None and self.cancels_when_gone(held):
+            held.exchange.give_up(io.Outcome.CANCELLED)  # that nothing has come yet says nothing of the pool
         self.forget(held)
 
+    def cancels_when_gone(self, held: Held) -> bool:
+        """Whether a backend's work on a whole request is cancelled once its client has gone."""
+        return False
+
     def overdue(self, held: Held) -> None:
         """The client's time is as good as up: end the attempt, and answer what the module does not."""
         if held.exchange is not None:
