Notice that a client has closed while its connection is not read

Cause: reading is paused while a body waits for its backend and while too many requests have been read ahead. Nothing was registered with the kernel then, so a close or a reset came to light only with the next answer, up to the deadline later, and requests of clients that had left went on to backends.

Limit: a plain close behind a body that fills the closed window stays in the client's kernel until something is read; only a reset can be noticed there.

--- a/roadspur/net/client.py
+++ b/roadspur/net/client.py
@@ -262,7 +262,9 @@
         """Nothing is waited for without end: a first byte, the rest of a request, the next one, a reader."""
         if self.closing or self.transport is None:
             return
-        if self.full_since:
+        if self.paused and self.hung_up():  # its end isn't read while reading is paused
+            self.transport.abort()
+        elif self.full_since:
             if not self.reads(now):
                 self.cut()
         elif self.began:
--- a/roadspur/net/line.py
+++ b/roadspur/net/line.py
@@ -99,6 +99,16 @@
             self.full_since = now
         return now - self.full_since <= (FLOW_STALL_S if self.flowed else self.server.limits.slow)
 
+    def hung_up(self) -> bool:
+        """Whether the client has closed, as far as it can be told without reading what it sent before."""
+        assert self.transport is not None
+        poll = select.poll()
+        try:
+            poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+        except (OSError, ValueError):  # its own end has closed the descriptor already
+            return False
+        return bool(poll.poll(0))
+
     def unread(self) -> bool:
         """Whether bytes have come that this program has not got round to reading."""
         assert self.transport is not None
--- a/tests/system/test_client_gone.py
+++ b/tests/system/test_client_gone.py
@@ -3,11 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 
 import pytest
 
-from tests.sockets import Client, run, until
+from roadspur import interface as io
+from tests.sockets import HOST, Client, run, until
 from tests.system.sorting import Plane, answer, asked, silent
+from tests.system.test_sorting_ends import RESET
+
+LARGE_BODY = 8 * 1024 * 1024  # more than all socket buffers on the way hold
+PIPELINED = 40  # more than are read ahead
 
 
 @pytest.mark.parametrize("half", [False, True], ids=["closed", "only its sending side closed"])
@@ -57,3 +63,45 @@
         assert connections == 2 and plane.peers["i1"].connections == 2
 
     run(main())
+
+
+@pytest.mark.parametrize("half", [False, True], ids=["closed", "only its sending side closed"])
+def test_a_close_behind_requests_that_are_not_read_yet_is_noticed(half: bool) -> None:
+    async def main() -> None:
+        plane = Plane()
+        client = await plane.start(silent)
+        client.writer.write(b"".join(asked(name=f"a{n}") for n in range(PIPELINED)))
+        await until(lambda: plane.peers["i1"].seen and any(c.paused for c in plane.server.connections))
+        client.writer.write_eof() if half else client.writer.close()
+        await until(lambda: not plane.server.connections)
+        assert plane.ingress.tally.counts["t1 gone"] == 1  # and not answered at its deadline
+        assert not plane.ingress.held and len(plane.peers["i1"].seen) == 1
+
+    run(main())
+
+
+def test_a_reset_behind_a_body_that_its_backend_does_not_read_is_noticed() -> None:
+    """A plain close can't be: it waits in the client's kernel behind what the closed window keeps there."""
+
+    async def main() -> None:
+        plane = Plane()
+        client = await plane.start(answer())
+        heads: list[bytes] = []
+
+        async def read_head_only(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            heads.append(await reader.readuntil(b"\r\n\r\n"))
+            await asyncio.Event().wait()
+
+        backend = await asyncio.start_server(read_head_only, HOST, 0, limit=4096)
+        address = (HOST, backend.sockets[0].getsockname()[1])
+        plane.ingress.backend("i1", "s1", address, io.Phase.RUNNING, 0.0)
+        client.writer.write(asked("/order/1", method="POST", body=bytes(LARGE_BODY)))
+        await until(lambda: heads and any(c.paused for c in plane.server.connections))
+        reset_on_close = client.writer.get_extra_info("socket").setsockopt
+        reset_on_close(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        client.writer.transport.abort()
+        await until(lambda: not plane.server.connections)
+        assert plane.ingress.tally.counts["t1 gone"] == 1
+        assert not plane.ingress.held and not plane.upstream.connections
+
+    run(main())
