Cancel an attempt that hangs only where another backend is left for its request

Cause: an attempt that hangs is cancelled if its request may be sent once more, whether or not another backend could take it.

Change: a service also asks that a usable backend which the request has not been to is left, and that its body is not spent. Today's service chooses as before.

Test: seen to fail before with one backend; with two the attempt is cancelled as before.

--- a/post/sorting/service.py
+++ b/post/sorting/service.py
@@ -158,6 +158,13 @@
         first = zlib.crc32(self.name.encode())  # or those in front had more of every service
         self.own = frozenset(n for i, n in enumerate(near) if beside and (i + first) % beside == place)
 
+    def movable(self, now: float, f: Flight) -> bool:
+        """Not where its body is spent or no other backend is left: cancelling would only end its answer."""
+        name = f.req.id
+        return not f.req.flows and super().movable(now, f) and any(
+            b.usable and name not in b.out and b.entry.backend not in f.bad
+            for b in self.fleet.backends.values())
+
     def why(self, f: Flight) -> str:
         """Why a request that has not run is turned back."""
         if f.attempts:
--- a/roadspur/routing.py
+++ b/roadspur/routing.py
@@ -139,10 +139,14 @@
                 if f is None or not self.s.may_cancel or now - f.sent <= (
                         2 if silent else slow) * self.latency[f.cls.name]:
                     continue
-                if self.may_send(now, f, f.ran_at or f.sent) or self.blocks(now, f, slow):
+                if self.movable(now, f) or self.blocks(now, f, slow):
                     self.acts.append(io.CancelAttempt(name, f.attempts - 1))
         self.review(now)
 
+    def movable(self, now: float, f: Flight) -> bool:
+        """Whether a request whose attempt hangs may be sent elsewhere instead."""
+        return self.may_send(now, f, f.ran_at or f.sent)
+
     def blocks(self, now: float, f: Flight, slow: float) -> bool:
         """Whether an attempt hangs past its aim and only keeps a place from its customer's next request."""
         return f.customer.plan.max_open > 0 and now > f.aim and now - f.sent > slow * self.latency[f.cls.name]
