Wait for the rest of an answer until its deadline unless another backend can give it

Cause: an answer that stopped midway was given up after 0.25 s, and after 5 s where its beginning had been passed on.

Change: in the system an answer that stops is ended early only if its request may and can go to another backend; one that has been passed on in part is waited for until its deadline.

Weighed: a backend that cuts an answer off and leaves the connection open now holds a request that can't be repeated until its deadline (504 instead of 502 after 0.25 s).

In the stories, 'an answer cut short' left the connection open and expected 502, which the rule now forbids: it ends the connection, as a cut does, and keeps its 502; the open one is a story of its own, answered 504 at its deadline.

--- a/post/sorting/decisions.py
+++ b/post/sorting/decisions.py
@@ -195,6 +195,12 @@
             token = next(t for t, known in self.beats.items() if known is s)
             self.acts.append(io.SetTimer(services.BEAT_S, token))
 
+    def movable(self, now: float, request: str) -> bool:
+        """Whether a request that is at a backend may be sent to another one instead."""
+        s = self.homes.get(request)
+        f = s.flights.get(request) if s is not None else None
+        return s is not None and f is not None and s.movable(now, f)
+
     def beat(self, now: float, e: io.TimerFired) -> None:
         """Look at silent backends and at what is held."""
         s = self.beats[e.token]
--- a/post/sorting/ingress.py
+++ b/post/sorting/ingress.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
 from time import monotonic
 from typing import Any
@@ -45,6 +46,7 @@
                  steady: Callable[[], float] = monotonic) -> None:
         super().__init__(loop, terms, decisions, upstream)
         self.send, self.steady, self.refusals = send, steady, decisions.refusals
+        self.movable = decisions.movable
         self.book: Book | None = None
         self.patience: dict[str, float] = {}  # by route: seconds that clients tell with a first try
         self.inspect: Callable[[bytes, bytes, bytes, Judged], Judged | None] | None = None
@@ -147,6 +149,12 @@
         sent = held.may_have_run or (held.exchange is not None and held.exchange.may_have_run)
         return Verdict.PERHAPS if sent else Verdict.NEVER
 
+    def waits_out_silence(self, held: Held) -> bool:
+        """No answer is ended before its time because its backend is silent, unless another can be had."""
+        if held.flowing:
+            return self.loop.time() < held.deadline < math.inf
+        return not self.movable(self.now(), held.call.request.id)
+
     def cancels_when_gone(self, held: Held) -> bool:
         """A repeatable request is: backends drop a request when its connection closes."""
         return self.effects[held.call.request.class_name] is io.Effect.SAFE
--- a/roadspur/net/attempting.py
+++ b/roadspur/net/attempting.py
@@ -55,9 +55,14 @@
         ends = self.ends._replace(bodiless=True) if held.call.bodiless else self.ends
         exchange = held.exchange = Exchange(a.backend, message, may_send, ended, passing, upload,
                                             partial(self.outcome, held.call), ends, self.label, self.streams)
+        exchange.waits = partial(self.waits_out_silence, held)
         left = held.deadline - now
         self.upstream.send(exchange, left if a.timeout is None else min(left, a.timeout))
 
+    def waits_out_silence(self, held: Held) -> bool:
+        """Whether the rest of an answer is waited for though its backend has stopped in the middle."""
+        return False
+
     def ended(self, passing: Passing, exchange: Exchange, outcome: io.Outcome, answer: Answer | None) -> None:
         """An attempt has its outcome: a whole 200 is the answer, anything else is the module's to decide."""
         held = passing.held
--- a/roadspur/net/exchange.py
+++ b/roadspur/net/exchange.py
@@ -67,6 +67,7 @@
         self.ends, self.label = ends, label  # the header that names the request of an answer, if one does
         self.connection: Carrier | None = None
         self.timer: asyncio.TimerHandle | None = None
+        self.waits: Callable[[], bool] = lambda: False  # for the rest of an answer that stops midway
         self.streams = streams  # a backend may begin with a request before it has come whole
         self.begun = self.written = False  # its first byte has gone out, its last one
         self.ended = False
--- a/roadspur/net/upstream.py
+++ b/roadspur/net/upstream.py
@@ -176,9 +176,13 @@
         exchange.end(exchange.judge(answer) or io.Outcome.RESET, answer)
 
     def stalled(self) -> None:
-        """An answer that stops midway is not waited for; unread bytes mean that it was us who stopped."""
+        """An answer that stops midway is only waited for where no other can be had.
+
+        Unread bytes mean that it was us who stopped.
+        """
+        waits = self.exchange is not None and self.exchange.waits()
         try:
-            goes_on = not self.closed and self.unread()
+            goes_on = not self.closed and (self.unread() or waits)
         except OSError:  # told only once: whoever reads next finds a plain end, which may be the answer's
             goes_on = False
         if goes_on:
--- a/tests/system/test_silent_backend.py
+++ b/tests/system/test_silent_backend.py
@@ -2,13 +2,83 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import Any
 
 import pytest
 
 from roadspur import interface as io
+from roadspur.net import upstream
+from tests.sockets import Client, run, until
+from tests.system.sorting import Plane, answer, asked
+from tests.system.test_sorting_ends import LARGE, head, read
 from tests.system.test_sorting_start import flight, service
 
+LENGTH = f"Content-Length: {len(LARGE)}"
+
+
+async def stopped(plane: Plane) -> None:
+    """Wait until an answer has begun, and then for as long as the rest of one is waited for."""
+    await until(lambda: any(c.stall is not None for c in plane.upstream.connections))
+    next(c for c in plane.upstream.connections if c.stall is not None).stalled()
+
+
+@pytest.mark.parametrize(("path", "backends"), [("/order/1", 2), ("/read/1", 1)])
+def test_the_rest_of_an_answer_that_no_other_backend_can_give_is_waited_for(path: str, backends: int) -> None:
+    async def main() -> None:
+        plane = Plane()
+        client = await plane.start(lambda seen: head(seen, "Content-Length: 4") + b"fi", backends=backends)
+        client.writer.write(asked(path, method="POST"))
+        await stopped(plane)
+        backend = next(peer for peer in plane.peers.values() if peer.seen)
+        backend.seen[0].writer.write(b"ne")
+        assert (await client.answer())[::2] == (200, b"fine")
+
+    run(main())
+
+
+def test_a_repeatable_request_goes_on_to_another_backend() -> None:
+    async def main() -> None:
+        plane = Plane()
+        client = await plane.start(lambda seen: head(seen, "Content-Length: 4") + b"fi", answer(), backends=2)
+        asking = asyncio.ensure_future(client.ask(asked()))
+        await stopped(plane)
+        assert (await asking)[::2] == (200, b"fine")
+        assert len(plane.met) == 2
+
+    run(main())
+
+
+async def half_of_a_large_answer(patience: int) -> tuple[Plane, Client]:
+    """A client that has the head of a large answer, of which the second half doesn't come."""
+    plane = Plane()
+    client = await plane.start(lambda seen: head(seen, LENGTH) + LARGE[:len(LARGE) // 2])
+    await read(client, asked(patience=patience))
+    return plane, client
+
+
+def test_the_rest_of_a_large_answer_is_waited_for_until_the_deadline() -> None:
+    async def main() -> None:
+        plane, client = await half_of_a_large_answer(4000)
+        await stopped(plane)
+        plane.peers["i1"].seen[0].writer.write(LARGE[len(LARGE) // 2:])
+        assert await client.reader.readexactly(len(LARGE)) == LARGE
+
+    run(main())
+
+
+def test_and_no_longer(monkeypatch: pytest.MonkeyPatch) -> None:
+    for period in ("STALL_S", "FLOW_STALL_S"):
+        monkeypatch.setattr(upstream, period, 0.01)
+
+    async def main() -> None:
+        plane, client = await half_of_a_large_answer(100)
+        with pytest.raises(asyncio.IncompleteReadError):
+            await client.reader.readexactly(len(LARGE))
+        await until(lambda: not plane.ingress.held)
+
+    run(main())
+
 
 @pytest.mark.parametrize(("left", "cancelled"), [(1, 0), (2, 1)])
 def test_an_attempt_that_hangs_is_only_cancelled_where_another_backend_is(left: int, cancelled: int) -> None:
--- a/tests/system/test_sorting.py
+++ b/tests/system/test_sorting.py
@@ -25,11 +25,17 @@
     return answer(body=b"another's", Attempt_Id="a0")(seen) + answer()(seen)
 
 
-def cut(seen: Any) -> bytes:
+def stop(seen: Any) -> bytes:
     """Less of the body than the head tells, and no more."""
     return answer(body=b"0123456789")(seen)[:-4]
 
 
+def cut(seen: Any) -> bytes:
+    """The same, and the connection ends."""
+    seen.writer.write(stop(seen))
+    return b""
+
+
 def cut_large(seen: Any) -> bytes:
     """The same with more than is held, and so the client has its beginning."""
     seen.writer.write(answer(body=bytes(99_999))(seen)[:-9])
@@ -79,6 +85,7 @@
         [asked("/order/1", name=f"a{i}") for i in range(4)],
         [answer(503, b"x"), answer(429, b"x"), answer(408, b"x"), answer(404, b"x")]),
     "an answer cut short": Story([ORDER], [cut]),
+    "an answer that stops": Story([asked("/order/1", patience=200)], [stop]),
     "a large answer cut short": Story([ORDER], [cut_large]),
     "no answer in the protocol": Story([ORDER], [lambda seen: b"rubbish"]),
     "bytes behind an answer": Story([READ, AGAIN], [twice, answer(body=b"mine")]),
