A drain answers all requests that had been read ahead before it lets a connection go

Cause: from the beginning of a drain each answer closes its connection. Requests that had come whole behind the present one were dropped then, though they may have waited there for long (LOST around a SIGTERM).

Change: a drain notes how many requests each connection has read; the answer to the last of them closes it. What is read later, behind an answer that will say so, goes unanswered as before.

Test: seen to fail before (the connection ended behind the first of three answers).

--- a/roadspur/net/answering.py
+++ b/roadspur/net/answering.py
@@ -59,6 +59,7 @@
         """Go on with what has been read ahead, until there is one that must wait for its answer."""
         while self.waiting and self.call is None and not self.closing and not self.full_since:
             item, self.keep = self.waiting.popleft()
+            self.owed = max(0, self.owed - 1)
             if isinstance(item, Call):
                 self.call = item
                 self.server.desk.take(item, self)
@@ -68,6 +69,10 @@
         if not self.deaf:
             self.regulate()
 
+    def drain(self) -> None:
+        """The answer to the last request that has been read by now is to be the last one."""
+        self.owed = len(self.waiting)
+
     def reply(self, status: int, lines: bytes, body: bytes) -> None:
         """The final answer to the present request."""
         call, self.call = self.call, None
--- a/roadspur/net/line.py
+++ b/roadspur/net/line.py
@@ -27,6 +27,7 @@
         self.loop = server.loop
         self.transport: asyncio.Transport | None = None
         self.keep = True  # whether the connection stays open after the present answer
+        self.owed = 0  # answers to requests that had been read before a drain began, behind the present one
         self.closing = self.deaf = False  # deaf: what comes is thrown away
         self.since = self.loop.time()  # of being idle
         self.full_since = 0.0  # of a client that does not read; 0 if it does
@@ -56,7 +57,7 @@
 
     def write_head(self, status: int, lines: bytes, body: bytes = b"") -> None:
         assert self.transport is not None
-        self.keep = self.keep and not self.server.draining
+        self.keep = self.keep and not (self.server.draining and not self.owed)
         self.transport.write(b"HTTP/1.1 %d %s\r\n%s%s\r\n%s" % (
             status, PHRASES.get(status, b"-"), lines, b"" if self.keep else CLOSE, body))
 
--- a/roadspur/net/server.py
+++ b/roadspur/net/server.py
@@ -75,6 +75,8 @@
         """Say no to health checks and let all connections go, each after its answer or once it is idle."""
         if not self.draining:
             self.draining = True
+            for connection in self.connections:
+                connection.drain()
             self.drain_task = self.loop.create_task(self.let_go())
 
     async def let_go(self) -> None:
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -315,6 +315,29 @@
     run(main())
 
 
+def test_a_drain_lets_a_connection_go_behind_the_last_request_that_was_read():
+    async def main():
+        go = asyncio.Event()
+
+        async def act(seen):
+            await go.wait()
+            return ok(seen.headers["x-call-id"].encode())
+
+        backend = await Peer(act).listen()
+        rig = Rig(in_turn("b0"))
+        client = await rig.start(b0=backend.port)
+        client.writer.write(b"".join(call(f"r{n}") for n in range(3)))
+        await until(lambda: any(len(c.waiting) == 2 for c in rig.server.connections))
+        rig.server.drain()
+        go.set()
+        for n in range(3):
+            status, headers, body = await client.answer()
+            assert (status, body) == (200, b"r%d" % n)
+            assert ("connection" in headers) is (n == 2)
+        assert await client.reader.read() == b""
+    run(main())
+
+
 def test_no_drain_is_undone_once_the_process_ends():
     async def main():
         rig = Rig(in_turn("b0"))
