Within a tenant's precedence hold the requests of the more urgent route first

Cause: a tenant's precedence replaces that of the route, so all requests of a tenant were held in the order in which they came.

Change: requests are ordered by the precedence that counts and, where that is the same, by their route's.

Test: seen to fail before for want of an order within a tenant.

--- a/post/sorting/decisions.py
+++ b/post/sorting/decisions.py
@@ -40,6 +40,12 @@
         """Its place within its tenant's allowance, 0 the highest: by its route, late ones behind."""
         return 2 * self.route.precedence + self.late
 
+    @property
+    def urgency(self) -> float:
+        """How soon it goes to a backend, the greatest first: by its precedence, then by its route's."""
+        own = self.route.precedence
+        return 1.0 / (1 + self.precedence + own / (1 + own))
+
 
 class Backends(NamedTuple):
     """Event: backends of a service that came, changed or went."""
@@ -122,7 +128,7 @@
         label = tenant.label if tenant is not None else ""
         service.meet(cls, route.aim, label)
         flight = Flight(r, cls, self.payer(label, now), now)
-        flight.value = 1.0 / (1 + about.precedence)
+        flight.value = about.urgency
         if tenant is None or tenant.rate <= 0:
             return self.go(now, flight, service)
         number = attempt_number(r.id)
--- a/tests/system/test_sorting_rank.py
+++ b/tests/system/test_sorting_rank.py
@@ -7,6 +7,11 @@
 
 from post.sorting.decisions import About
 from post.sorting.ingress import Sorting
+from roadspur import interface as io
+from tests.system.test_sorting_start import flight
+from tests.system.test_sorting_start import service as backends_of
+
+CLASS = io.ClassSettings("read", io.Effect.SAFE, 5.0, 5.0)
 
 
 def sorting() -> Any:
@@ -39,3 +44,37 @@
     Sorting.late(here, route, 4.0)
     late = [Sorting.late(here, route, 2.5) for _ in range(200)]
     assert late[0] and not late[-1]
+
+
+def held_in_turn(requests: list[tuple[str, int, int | None]]) -> list[str]:
+    """Names of requests in the order in which they are held for a slot; each with the precedences of its
+    route and of its tenant."""
+    service = one_slot()
+    service.send(0.0, in_flight(service, "busy", 1.0))
+    for name, of_route, of_tenant in requests:
+        precedence = of_route if of_tenant is None else of_tenant
+        about = About(SimpleNamespace(precedence=of_route), None, precedence)  # type: ignore[arg-type]
+        service.send(0.0, in_flight(service, name, about.urgency))
+    names = [f.req.id for f in service.queue]
+    assert len(names) == len(requests)
+    return names
+
+
+def one_slot() -> Any:
+    """A service with two backends and room for one attempt."""
+    held = backends_of(lambda *_: None)
+    held.slots, held.floor = 1.0, 1.0
+    held.meet(CLASS, 2.0, "t1")
+    return held
+
+
+def in_flight(service: Any, name: str, urgency: float) -> Any:
+    """A request that a service has."""
+    f = service.flights[name] = flight(name, CLASS)
+    f.value = urgency
+    return f
+
+
+def test_within_a_tenants_precedence_the_more_urgent_route_goes_first() -> None:
+    asked = [("low", 2, 1), ("high", 0, 1), ("rush", 5, 0), ("other", 1, None), ("last", 0, 2)]
+    assert held_in_turn(asked) == ["rush", "high", "other", "low", "last"]
