Give a free slot to the most urgent request that is held, not to whoever comes just then

Cause: held requests are sent as attempts end with an answer. Where a slot came free otherwise (a refusal, a longer limit, a rest that was over), they waited for the next beat, up to 0.05 s, and any request that came meanwhile went first, whatever its precedence; so did the next try of a request that a backend had turned away.

Change: a request that finds a free slot while a more urgent one is held joins the held ones, and these are looked through in their order at once.

Test: seen to fail before (the newcomer was sent).

--- a/post/sorting/service.py
+++ b/post/sorting/service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import bisect
 import math
 import random
 import zlib
@@ -110,6 +111,20 @@
         left = any(b.usable and b.entry.backend not in f.bad for b in self.fleet.backends.values())
         return not left or super().late(now, f)
 
+    def send(self, now: float, f: Flight) -> None:
+        """A slot that is free goes to the most urgent request that is held, whoever comes just then."""
+        if self.queue and self.queue[0].value > f.value and self.free(now):
+            bisect.insort_right(self.queue, f, key=lambda g: -g.value)
+            self.review(now)
+        else:
+            super().send(now, f)
+
+    def review(self, now: float) -> None:
+        held, self.queue = self.queue, []
+        for f in held:
+            if f.req.id in self.flights:
+                super().send(now, f)
+
     # Which backend.
 
     def cost(self, now: float, f: Flight, b: Backend) -> float:
--- a/tests/system/test_sorting_rank.py
+++ b/tests/system/test_sorting_rank.py
@@ -78,3 +78,15 @@
 def test_within_a_tenants_precedence_the_more_urgent_route_goes_first() -> None:
     asked = [("low", 2, 1), ("high", 0, 1), ("rush", 5, 0), ("other", 1, None), ("last", 0, 2)]
     assert held_in_turn(asked) == ["rush", "high", "other", "low", "last"]
+
+
+def test_a_newcomer_does_not_take_the_slot_that_a_more_urgent_request_waits_for() -> None:
+    service = one_slot()
+    service.send(0.0, in_flight(service, "busy", 1.0))
+    service.send(0.0, in_flight(service, "urgent", 1.0))
+    first = service.acts.pop()
+    service.flights.pop("busy")
+    service.out, service.fleet.backends[first.backend].out = 0, {}  # it ended, and nobody was sent on yet
+    service.send(0.0, in_flight(service, "newcomer", 0.5))
+    assert [a.request for a in service.acts] == ["urgent"]
+    assert [f.req.id for f in service.queue] == ["newcomer"]
