--- a/roadspur/interface.py
+++ b/roadspur/interface.py
@@ -35,10 +35,10 @@
     CONNECT_FAILED = "connect_failed"
     RESET = "reset"
     CANCELLED = "cancelled"
-    MOOT = "moot"
+    NOT_SENT = "moot"
 
 
-NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)  # outcomes that say so of an attempt
+NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT)  # outcomes that say so of an attempt
 
 
 class Phase(Enum):
@@ -104,8 +104,19 @@
     ceiling_slack: float = 0.0
 
     def __post_init__(self) -> None:
-        _not_negative(self, "plans.", "rate", "burst", "price", "over_worth", "over_cost", "max_open",
-                      "ceiling_rate", "ceiling_burst", "ceiling_slack")
+        _not_negative(
+            self,
+            "plans.",
+            "rate",
+            "burst",
+            "price",
+            "over_worth",
+            "over_cost",
+            "max_open",
+            "ceiling_rate",
+            "ceiling_burst",
+            "ceiling_slack",
+        )
 
 
 @dataclass(frozen=True, slots=True)
@@ -151,10 +162,28 @@
         _need(len(self.plans) > 0, "plans", "at least one plan", self.plans)
         _need(self.instances >= 1, "instances", "1 or more", self.instances)
         _need(self.max_attempts >= 1, "max_attempts", "1 or more", self.max_attempts)
-        _not_negative(self, "", "me", "step", "counter_timeout", "counter_price", "max_units",
-                      "max_retry_after", "peer_in_per_s", "ask_every", "drain_grace", "fall_multiple",
-                      "fall_after", "start_capacity", "cold_time", "connect_timeout", "late_fail_price",
-                      "waste_price", "cross_zone_price", "probe_price")
+        _not_negative(
+            self,
+            "",
+            "me",
+            "step",
+            "counter_timeout",
+            "counter_price",
+            "max_units",
+            "max_retry_after",
+            "peer_in_per_s",
+            "ask_every",
+            "drain_grace",
+            "fall_multiple",
+            "fall_after",
+            "start_capacity",
+            "cold_time",
+            "connect_timeout",
+            "late_fail_price",
+            "waste_price",
+            "cross_zone_price",
+            "probe_price",
+        )
 
 
 class BackendEntry(NamedTuple):
@@ -272,7 +301,7 @@
     on: bool
 
 
-class Ban(NamedTuple):
+class CordonEntry(NamedTuple):
     """A backend taken out by hand: since when, and when it was put back (0: it is out), in Unix time."""
 
     since: float
@@ -282,17 +311,30 @@
 class Cordons(NamedTuple):
     """All bans. As an event: what a process before or beside this one has left; as an action: to be kept."""
 
-    bans: Mapping[str, Ban]
+    cordon_entries: Mapping[str, CordonEntry]
 
 
-class Beside(NamedTuple):
+class SiblingProcesses(NamedTuple):
     """How many other processes of this ingress are running: during an upgrade they are one ingress."""
 
     processes: int
 
 
-Event = Union[ListUpdate, Request, AttemptWritten, AttemptStarted, AttemptEnded, ClientGone, TimerFired,
-              ProbeEnded, PeerMessage, CounterReply, Cordon, Cordons, Beside]
+Event = Union[
+    ListUpdate,
+    Request,
+    AttemptWritten,
+    AttemptStarted,
+    AttemptEnded,
+    ClientGone,
+    TimerFired,
+    ProbeEnded,
+    PeerMessage,
+    CounterReply,
+    Cordon,
+    Cordons,
+    SiblingProcesses,
+]
 
 
 class Attempt(NamedTuple):
@@ -343,7 +385,7 @@
     backend: str
 
 
-class Tell(NamedTuple):
+class SendPeerMessage(NamedTuple):
     """Send bytes to a peer, or to all (None)."""
 
     peer: int | None
@@ -380,5 +422,19 @@
     backend: str
 
 
-Action = Union[Attempt, CancelAttempt, Refuse, Fail, SetTimer, Probe, CloseIdle, Tell, CounterAdd, Subscribe,
-               FetchList, Log, Cordons, UnknownBackend]
+Action = Union[
+    Attempt,
+    CancelAttempt,
+    Refuse,
+    Fail,
+    SetTimer,
+    Probe,
+    CloseIdle,
+    SendPeerMessage,
+    CounterAdd,
+    Subscribe,
+    FetchList,
+    Log,
+    Cordons,
+    UnknownBackend,
+]
--- a/tests/system/test_client_gone.py
+++ b/tests/system/test_client_gone.py
@@ -8,9 +8,9 @@
 import pytest
 
 from roadspur import interface as io
-from tests.sockets import HOST, Client, run, until
-from tests.system.sorting import Plane, answer, asked, silent
-from tests.system.test_sorting_ends import RESET
+from tests.socket_rig import HOST, Client, run, until
+from tests.system.proxy import Plane, answer, asked, silent
+from tests.system.test_proxy_ends import RESET
 
 LARGE_BODY = 8 * 1024 * 1024  # more than all socket buffers on the way hold
 PIPELINED = 40  # more than are read ahead
--- a/tests/system/test_silent_backend.py
+++ b/tests/system/test_silent_backend.py
@@ -9,10 +9,10 @@
 
 from roadspur import interface as io
 from roadspur.net import upstream
-from tests.sockets import Client, run, until
-from tests.system.sorting import Plane, answer, asked
-from tests.system.test_sorting_ends import LARGE, head, read
-from tests.system.test_sorting_start import flight, service
+from tests.socket_rig import Client, run, until
+from tests.system.proxy import Plane, answer, asked
+from tests.system.test_proxy_ends import LARGE, head, read
+from tests.system.test_proxy_start import flight, service
 
 LENGTH = f"Content-Length: {len(LARGE)}"
 
@@ -52,7 +52,7 @@
 async def half_of_a_large_answer(patience: int) -> tuple[Plane, Client]:
     """A client that has the head of a large answer, of which the second half doesn't come."""
     plane = Plane()
-    client = await plane.start(lambda seen: head(seen, LENGTH) + LARGE[:len(LARGE) // 2])
+    client = await plane.start(lambda seen: head(seen, LENGTH) + LARGE[: len(LARGE) // 2])
     await read(client, asked(patience=patience))
     return plane, client
 
@@ -61,7 +61,7 @@
     async def main() -> None:
         plane, client = await half_of_a_large_answer(4000)
         await stopped(plane)
-        plane.peers["i1"].seen[0].writer.write(LARGE[len(LARGE) // 2:])
+        plane.peers["i1"].seen[0].writer.write(LARGE[len(LARGE) // 2 :])
         assert await client.reader.readexactly(len(LARGE)) == LARGE
 
     run(main())
@@ -92,7 +92,7 @@
     s.send(0.0, f)
     backend = s.acts[0].backend
     others = [b for b in s.fleet.backends if b != backend]
-    for name in others[left - 1:]:
+    for name in others[left - 1 :]:
         entry = io.BackendEntry(name, io.Phase.DELETED, 4.0, zone="z1")
         s.listed(0.0, io.ListUpdate(io.ListKind.CHANGE, 0, (entry,)))
     s.acts = []
--- a/tests/system/test_sorting_status.py
+++ b/tests/system/test_sorting_status.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from tests.sockets import run, until
-from tests.system.sorting import Plane, answer, asked, reset
+from tests.socket_rig import run, until
+from tests.system.proxy import Plane, answer, asked, reset
 
 EARLIER_MS = 60  # between the first send of a request and its second one
 
@@ -35,6 +35,7 @@
                 ends = loop.time() + EARLIER_MS / 1000
                 await until(lambda: loop.time() >= ends)
                 return await act(seen)
+
             return wait
 
         for peer in plane.peers.values():
