--- a/gateway/proxy/decisions.py
+++ b/gateway/proxy/decisions.py
@@ -40,6 +40,12 @@
         """Its place within its tenant's allowance, 0 the highest: by its route, late ones behind."""
         return 2 * self.route.precedence + self.late
 
+    @property
+    def urgency(self) -> float:
+        """How soon it goes to a backend, the greatest first: by its precedence, then by its route's."""
+        own = self.route.precedence
+        return 1.0 / (1 + self.precedence + own / (1 + own))
+
 
 class Backends(NamedTuple):
     """Event: backends of a service that came, changed or went."""
@@ -136,7 +142,7 @@
         label = tenant.label if tenant is not None else ""
         service.learn_route(cls, route.target_latency, label)
         flight = ActiveRequest(r, cls, self.customer_of(label, now), now)
-        flight.value = 1.0 / (1 + about.precedence)
+        flight.value = about.urgency
         if tenant is None or tenant.rate <= 0:
             return self.send_on(now, flight, service)
         number = attempt_number(r.id)
@@ -210,6 +216,12 @@
             token = next(t for t, known in self.sweep_timers.items() if known is s)
             self.acts.append(io.SetTimer(services.SWEEP_INTERVAL_S, token))
 
+    def movable(self, now: float, request: str) -> bool:
+        """Whether a request that is at a backend may be sent to another one instead."""
+        s = self.homes.get(request)
+        f = s.active_requests.get(request) if s is not None else None
+        return s is not None and f is not None and s.movable(now, f)
+
     def sweep_due(self, now: float, e: io.TimerFired) -> None:
         """Look at silent backends and at what is held."""
         s = self.sweep_timers[e.token]
--- a/gateway/proxy/ingress.py
+++ b/gateway/proxy/ingress.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
 from time import monotonic
 from typing import Any
@@ -70,6 +71,7 @@
     ) -> None:
         super().__init__(loop, terms, decisions, upstream)
         self.send, self.steady, self.refusals = send, steady, decisions.refusals
+        self.movable = decisions.movable
         self.compiled_config: CompiledConfig | None = None
         self.patience: dict[str, float] = {}  # by route: seconds that clients tell with a first try
         self.inspect: Callable[[bytes, bytes, bytes, RouteDecision], RouteDecision | None] | None = None
@@ -194,6 +196,16 @@
         sent = held.may_have_run or (held.exchange is not None and held.exchange.may_have_run)
         return ExecutionStatus.MAY_HAVE_RAN if sent else ExecutionStatus.NEVER_RAN
 
+    def waits_out_silence(self, held: PendingRequest) -> bool:
+        """No answer is ended before its time because its backend is silent, unless another can be had."""
+        if held.flowing:
+            return self.loop.time() < held.deadline < math.inf
+        return not self.movable(self.now(), held.call.request.id)
+
+    def cancels_when_gone(self, held: PendingRequest) -> bool:
+        """A repeatable request is: backends drop a request when its connection closes."""
+        return self.effects[held.call.request.class_name] is io.Effect.SAFE
+
     def may_refuse(self, held: PendingRequest) -> bool:
         return self.execution_status(held).allows_refusal
 
--- a/gateway/proxy/service.py
+++ b/gateway/proxy/service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import bisect
 import math
 import random
 import zlib
@@ -131,6 +132,20 @@
         left = any(b.usable and b.entry.backend not in f.bad for b in self.fleet.backends.values())
         return not left or super().late(now, f)
 
+    def send(self, now: float, f: ActiveRequest) -> None:
+        """A slot that is free goes to the most urgent request that is held, whoever comes just then."""
+        if self.queue and self.queue[0].value > f.value and self.free(now):
+            bisect.insort_right(self.queue, f, key=lambda g: -g.value)
+            self.review(now)
+        else:
+            super().send(now, f)
+
+    def review(self, now: float) -> None:
+        held, self.queue = self.queue, []
+        for f in held:
+            if f.req.id in self.flights:
+                super().send(now, f)
+
     # Which backend.
 
     def cost(self, now: float, f: ActiveRequest, b: Backend) -> float:
@@ -188,6 +203,18 @@
             n for i, n in enumerate(near) if zone_peers and (i + first) % zone_peers == place
         )
 
+    def movable(self, now: float, f: ActiveRequest) -> bool:
+        """Not where its body is spent or no other backend is left: cancelling would only end its answer."""
+        name = f.req.id
+        return (
+            not f.req.flows
+            and super().movable(now, f)
+            and any(
+                b.usable and name not in b.out and b.entry.backend not in f.bad
+                for b in self.fleet.backends.values()
+            )
+        )
+
     def why(self, f: ActiveRequest) -> str:
         """Why a request that has not run is turned back."""
         if f.attempts:
--- a/roadspur/net/client_connection_base.py
+++ b/roadspur/net/client_connection_base.py
@@ -27,6 +27,7 @@
         self.loop = server.loop
         self.transport: asyncio.Transport | None = None
         self.keep = True  # whether the connection stays open after the present answer
+        self.owed = 0  # answers to requests that had been read before a drain began, behind the present one
         self.closing = self.discarding_input = False  # deaf: what comes is thrown away
         self.since = self.loop.time()  # of being idle
         self.full_since = 0.0  # of a client that does not read; 0 if it does
@@ -56,7 +57,7 @@
 
     def write_head(self, status: int, lines: bytes, body: bytes = b"") -> None:
         assert self.transport is not None
-        self.keep = self.keep and not self.server.draining
+        self.keep = self.keep and not (self.server.draining and not self.owed)
         self.transport.write(
             b"HTTP/1.1 %d %s\r\n%s%s\r\n%s"
             % (status, PHRASES.get(status, b"-"), lines, b"" if self.keep else CLOSE, body)
@@ -101,6 +102,16 @@
             self.full_since = now
         return now - self.full_since <= (FLOW_STALL_S if self.flowed else self.server.limits.slow)
 
+    def hung_up(self) -> bool:
+        """Whether the client has closed, as far as it can be told without reading what it sent before."""
+        assert self.transport is not None
+        poll = select.poll()
+        try:
+            poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+        except (OSError, ValueError):  # its own end has closed the descriptor already
+            return False
+        return bool(poll.poll(0))
+
     def unread(self) -> bool:
         """Whether bytes have come that this program has not got round to reading."""
         assert self.transport is not None
--- a/roadspur/net/response_queue.py
+++ b/roadspur/net/response_queue.py
@@ -59,6 +59,7 @@
         """Go on with what has been read ahead, until there is one that must wait for its answer."""
         while self.waiting and self.call is None and not self.closing and not self.full_since:
             item, self.keep = self.waiting.popleft()
+            self.owed = max(0, self.owed - 1)
             if isinstance(item, ClientRequest):
                 self.call = item
                 self.server.request_handler.take(item, self)
@@ -68,6 +69,10 @@
         if not self.discarding_input:
             self.regulate()
 
+    def drain(self) -> None:
+        """The answer to the last request that has been read by now is to be the last one."""
+        self.owed = len(self.waiting)
+
     def reply(self, status: int, lines: bytes, body: bytes) -> None:
         """The final answer to the present request."""
         call, self.call = self.call, None
--- a/roadspur/net/upstream_attempts.py
+++ b/roadspur/net/upstream_attempts.py
@@ -65,9 +65,14 @@
             self.label,
             self.streams,
         )
+        exchange.waits = partial(self.waits_out_silence, held)
         left = held.deadline - now
         self.upstream.send(exchange, left if a.timeout is None else min(left, a.timeout))
 
+    def waits_out_silence(self, held: PendingRequest) -> bool:
+        """Whether the rest of an answer is waited for though its backend has stopped in the middle."""
+        return False
+
     def ended(
         self, passing: ResponseRelay, exchange: Exchange, outcome: io.Outcome, answer: Response | None
     ) -> None:
--- a/tests/system/test_programs.py
+++ b/tests/system/test_programs.py
@@ -72,6 +72,19 @@
     assert commands.run(["allowance", example.control]) == 0
 
 
+def readiness_after_sigterm(example: Any) -> list[int]:
+    """What the proxy says to questions whether it is ready from SIGTERM to its end, but for the very first,
+    which may cross the signal."""
+    import calls
+
+    proxy, said = example.programs[1], []
+    proxy.terminate()
+    while proxy.poll() is None:
+        said.append(calls.call(example.ready, "GET", "/-/readiness").status)
+    assert len(said) > 1
+    return said[1:]
+
+
 def test_orders_hang_ups_and_ends(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capfd: pytest.CaptureFixture[str]
 ) -> None:
@@ -120,6 +133,7 @@
                 example.front, "GET", "/look/2", headers={**run.HEADERS, "Attempt-Id": "9c41d07be2a35f69"}
             ),
         )
+        assert 200 not in readiness_after_sigterm(example)
     finally:
         example.stop()
     assert [process.returncode for process in example.programs] == [0, 0]
