Agreement: a leader without an heir leads on, and members that leave may stand late

Cause: members told to end all at once had no leader: it took no orders while it looked for an heir, or handed over to one that was told to end a moment later and declined; nobody that leaves stood for election.

Change: a leader that leaves takes no orders only while an heir is there, and leads on without one. Whoever is asked takes the lead, and members that leave stand after those that stay would have. Each answer to a beat tells whether its sender leaves, in place of a note of its own each 0.5 s.

--- a/post/register/agreement.py
+++ b/post/register/agreement.py
@@ -63,7 +63,7 @@
         self.voting = Voting(self.seat, self.starting)
         self.dropped: dict[str, int] = {}
         self.leaving = self.left = False  # asked to leave; and no member any more
-        self.leave_at = self.patience = now
+        self.patience = now
         self._wait(now)
 
     @property
@@ -124,7 +124,7 @@
         elif isinstance(event, Propose):
             self._propose(now, event)
         elif isinstance(event, Leave):
-            self.leaving = True
+            self.leaving = self.following.leaving = True
         elif isinstance(event, Known):
             self.joining.learn(event.addresses)
         else:
@@ -140,7 +140,6 @@
             self.leading.propose(now, event)
 
     def _tick(self, now: float) -> None:
-        following = self.following
         self.starting.tick(now)
         if self.leading is not None:
             if not self.leading.tick(now, self.leaving):
@@ -149,12 +148,8 @@
             self._stand(now)
         elif self.campaign is not None:
             self.campaign.tick(now)
-        if not self.seat.seated:
-            if not self.left:
-                self.joining.tick(now)
-        elif self.leaving and following.leader is not None and now >= self.leave_at:
-            self.leave_at = now + self.tuning.ask_s
-            self.seat.send(following.leader, self.seat.telling(pb.LEAVE, following.disk))
+        if not self.seat.seated and not self.left:
+            self.joining.tick(now)
 
     def _stand(self, now: float) -> None:
         """No leader is heard: try to be one. Early in a life others may not be free yet, so ask often."""
@@ -188,10 +183,12 @@
             self.joining.caught_up(now)
 
     def _may_stand(self, now: float) -> bool:
-        return not self.leaving and self.seat.seated and self.seat.stuck(now) <= SICK_S
+        return self.seat.seated and self.seat.stuck(now) <= SICK_S
 
     def _wait(self, now: float) -> None:
-        self.patience = now + self.rng.uniform(self.tuning.election_min_s, self.tuning.election_max_s)
+        """Be patient with the leader anew. One that leaves lets those that stay stand first."""
+        shortest, longest = self.tuning.election_min_s, self.tuning.election_max_s
+        self.patience = now + self.rng.uniform(shortest, longest) + (longest if self.leaving else 0.0)
 
     def _step_down(self, now: float) -> None:
         if self.leading is not None:
@@ -240,9 +237,6 @@
             self._request_vote(now, sender, note)
         elif kind == pb.TIMEOUT_NOW:
             self._handed(now, note)
-        elif kind == pb.LEAVE:
-            if self.leading is not None:
-                self.leading.leave(now, note)
         elif kind == pb.BEGUN:
             self._begun(now, sender, note)
         elif note.term > self.seat.term and (kind == pb.APPENDED or not note.granted):
--- a/post/register/following.py
+++ b/post/register/following.py
@@ -18,6 +18,7 @@
         self.sent = 0.0  # when it sent the newest beat, by its clock
         self.answered = NEVER  # when the newest answer went out that a leader which was sure has told to have
         self.commit: Place = (0, 0)  # newest that a leader has told to be committed
+        self.leaving = False  # this process ends soon, which each answer tells
 
     def beat(self, now: float, sender: Address, note: pb.Note) -> None:
         """The leader of this term is heard, with its newest entry perhaps."""
@@ -54,7 +55,7 @@
         """Tell a leader the newest entry that is here, and the newest on disk."""
         seat = self.seat
         note = seat.holding(pb.APPENDED, disk)
-        note.sent, note.at = sent, now
+        note.sent, note.at, note.leaving = sent, now, self.leaving
         seat.send(to, note)
 
     def _take(self, note: pb.Note) -> None:
--- a/post/register/joining.py
+++ b/post/register/joining.py
@@ -104,6 +104,6 @@
     if known is None or known.outgoing or known.names(note.disk) or seat.entry.names(note.disk) \
             or (note.has_term, note.has_number) >= known.place:
         return False
-    if note.kind in (pb.PRE_VOTE, pb.REQUEST_VOTE, pb.APPENDED, pb.LEAVE):
+    if note.kind in (pb.PRE_VOTE, pb.REQUEST_VOTE, pb.APPENDED):
         tell_gone(seat, known, sender, note.disk)
     return True
--- a/post/register/leading.py
+++ b/post/register/leading.py
@@ -20,7 +20,7 @@
 class Peer:
     """Another member, as the leader sees it."""
 
-    __slots__ = ("address", "at", "began", "disk", "has", "heard", "held", "leaves", "next", "sure", "tried",
+    __slots__ = ("address", "at", "began", "disk", "has", "heard", "held", "leaving", "next", "sure", "tried",
                  "wait")
 
     def __init__(self, member: Member, now: float) -> None:
@@ -32,7 +32,7 @@
         self.held: Place | None = None
         self.next = self.wait = 0.0  # when an entry is sent once more, and the wait after that
         self.tried = NEVER  # when an entry without its value was sent
-        self.leaves = NEVER  # it last said that it wants to go
+        self.leaving = False  # its process ends soon, by its newest answer
 
 
 class Leading:
@@ -50,7 +50,7 @@
         self.base: Place | None = None  # an entry with the same value as the newest
         self.removed: list[Member] = []
         self.beat_at = self.choose_at = now
-        self.handing: float | None = None  # since when it wants to hand over
+        self.handing: float | None = None  # since when it has wanted to hand over to an heir
         self.lease = NEVER
         self._put(now, seat.entry)
 
@@ -74,8 +74,7 @@
 
     def tick(self, now: float, leaving: bool) -> bool:
         """Send beats and what is missing; change members where it is due. False if it must lead no more."""
-        if leaving and self.handing is None:
-            self.handing = now
+        self._make_way(now, leaving)
         ready = self.handing is not None and (self.settled or now - self.handing > LONGEST_HANDING_S)
         sick = self.seat.stuck(now) > self.seat.tuning.hung_s
         if self.lost(now) or (ready or sick) and self.hand_over(now):
@@ -107,7 +106,7 @@
             return
         if now - peer.heard > self.seat.tuning.election_min_s:  # it is back: what it lacks goes out at once
             peer.next, peer.wait = now, self.seat.tuning.resend_s
-        peer.heard, peer.at = now, note.at
+        peer.heard, peer.at, peer.leaving = now, note.at, note.leaving
         peer.has, peer.held = (note.has_term, note.has_number), (note.held_term, note.held_number)
         if min(note.sent, now) > peer.sure:
             peer.sure = min(note.sent, now)
@@ -176,18 +175,24 @@
                 if peer.has != seat.entry.place and now >= peer.next:
                     self._send_entry(now, peer, peer.has == self.base)
 
-    def leave(self, now: float, note: pb.Note) -> None:
-        """A member wants to go."""
-        peer = self.peers.get(note.disk)
-        if peer is not None:
-            peer.heard = peer.leaves = now
+    def _make_way(self, now: float, leaving: bool) -> None:
+        """Before it leaves, take no more proposals while there is an heir; without one, lead on."""
+        if not leaving or not self._heirs(now):
+            self.handing = None
+        elif self.handing is None:
+            self.handing = now
+
+    def _heirs(self, now: float) -> list[Peer]:
+        """Members that may lead next: they stay, and hold the newest entry once that is agreed on."""
+        entry, oldest = self.seat.entry, now - self.seat.tuning.election_min_s
+        members = {m.disk for m in entry.members}
+        return [p for p in self.peers.values() if not p.leaving and p.sure >= oldest and p.disk in members
+                and (p.held == entry.place or not self.settled)]
 
     def hand_over(self, now: float) -> bool:
         """Ask the member that is best placed for it to lead. If True, this one must step down for good."""
         seat = self.seat
-        able = [p for p in self.peers.values() if p.held == seat.entry.place
-                and now - p.leaves > 3 * seat.tuning.ask_s and now - p.sure <= seat.tuning.election_min_s]
-        able = [p for p in able if any(m.disk == p.disk for m in seat.entry.members)]
+        able = [p for p in self._heirs(now) if p.held == seat.entry.place]
         if not able:
             return False
         heir = max(able, key=lambda p: p.sure)
@@ -240,7 +245,7 @@
         """What is known of each other member's presence, by disk."""
         t = self.seat.tuning
         return {p.disk: Presence(now - max(p.heard, p.began), now - p.heard <= t.heard_s,
-                                 now - p.leaves <= 3 * t.ask_s) for p in self.peers.values()}
+                                 p.leaving) for p in self.peers.values()}
 
     def _put(self, now: float, entry: Entry, new_value: bool = False) -> None:
         """Have this entry agreed on, as the next one of this term."""
