Core: machines whose disk doesn't last give way to those that count

Change: a process that is neither counted nor has a data folder asks only who leads. Where the first start has made it a member, as one of the seeds, it tells with each answer that it wants to go, as one does that ends.

--- a/post/office/core.py
+++ b/post/office/core.py
@@ -56,7 +56,8 @@
         seeds = [settings.postmaster_at(s) for s in settings.network.seeds]
         self.agreement = Agreement(
             self.me, stored, settings.own.fresh_start, seeds, rng, register.Tuning(),
-            f"disk-{rng.getrandbits(64):x}", settings.terms.fault_budget.machines, clock(), began)
+            f"disk-{rng.getrandbits(64):x}", settings.terms.fault_budget.machines, clock(), began,
+            durable=settings.own.counted or settings.own.data_dir is not None)
         zone = program.zone_number(settings)
         self.rounds = PostmasterRounds(self.me, zone, seeds, settings.provider.beat_s, rng)
         self.rounds.handle(clock(), rounds.SetQuorate(self.agreement.in_touch_until()))
--- a/post/register/agreement.py
+++ b/post/register/agreement.py
@@ -41,13 +41,14 @@
 
     `stored` is what `Store.load` gave: it counts once it is saved, for a kill may have left it unsynced;
     `fresh` the first start of the whole system; `seeds` the own ports of the seeds; `new_disk_id` a random
-    name, used if this disk is to be a new member; `tolerance` how many members may be lost at once.
+    name, used if this disk is to be a new member; `tolerance` how many members may be lost at once. Where the
+    disk isn't `durable`, this is a member only if the first start has made it one, until durable ones come.
     `dropped` counts notes that made no sense, by why.
     """
 
     def __init__(self, me: Address, stored: Stored | None, fresh: bool, seeds: Sequence[Address],
                  rng: random.Random, tuning: Tuning, new_disk_id: str, tolerance: int, now: float,
-                 began: float | None = None) -> None:
+                 began: float | None = None, durable: bool = True) -> None:
         blank = stored is None
         if stored is None and fresh and me in seeds:
             stored = Stored("first-" + me, 0, "", first_entry(seeds))
@@ -55,8 +56,8 @@
         self.tuning, self.rng, self.tolerance = tuning, rng, tolerance
         self.leading: Leading | None = None
         self.campaign: Campaign | None = None
-        self.joining = Joining(self.seat, seeds)
-        self.following = Following(self.seat, now - tuning.election_min_s)
+        self.joining = Joining(self.seat, seeds, durable)
+        self.following = Following(self.seat, now - tuning.election_min_s, leaving=not durable)
         self.starting = Starting(self.seat, now, now if blank else now + tuning.election_min_s,
                                  now if began is None else began)
         self.unled_since: float | None = None  # of the leader that this is: see `Starting`
@@ -142,7 +143,7 @@
     def _tick(self, now: float) -> None:
         self.starting.tick(now)
         if self.leading is not None:
-            if not self.leading.tick(now, self.leaving):
+            if not self.leading.tick(now, self.following.leaving):
                 self._step_down(now)
         elif now >= self.patience:
             self._stand(now)
@@ -188,7 +189,8 @@
     def _wait(self, now: float) -> None:
         """Be patient with the leader anew. One that leaves lets those that stay stand first."""
         shortest, longest = self.tuning.election_min_s, self.tuning.election_max_s
-        self.patience = now + self.rng.uniform(shortest, longest) + (longest if self.leaving else 0.0)
+        courtesy = longest if self.following.leaving else 0.0
+        self.patience = now + self.rng.uniform(shortest, longest) + courtesy
 
     def _step_down(self, now: float) -> None:
         if self.leading is not None:
--- a/post/register/following.py
+++ b/post/register/following.py
@@ -11,14 +11,14 @@
 class Following:
     """Who leads as far as heard (`leader`), and when it was heard last."""
 
-    def __init__(self, seat: Seat, heard: float) -> None:
+    def __init__(self, seat: Seat, heard: float, leaving: bool) -> None:
         self.seat, self.heard = seat, heard
         self.leader: Address | None = None
         self.disk = ""  # the leader's
         self.sent = 0.0  # when it sent the newest beat, by its clock
         self.answered = NEVER  # when the newest answer went out that a leader which was sure has told to have
         self.commit: Place = (0, 0)  # newest that a leader has told to be committed
-        self.leaving = False  # this process ends soon, which each answer tells
+        self.leaving = leaving  # others are to be members in its place, which each answer tells
 
     def beat(self, now: float, sender: Address, note: pb.Note) -> None:
         """The leader of this term is heard, with its newest entry perhaps."""
--- a/post/register/joining.py
+++ b/post/register/joining.py
@@ -17,8 +17,9 @@
 class Joining:
     """Asks the leader where it is known, else everyone who may know it."""
 
-    def __init__(self, seat: Seat, seeds: Sequence[Address]) -> None:
+    def __init__(self, seat: Seat, seeds: Sequence[Address], asks: bool) -> None:
         self.seat = seat
+        self.asks = asks  # to be a member; else only who leads
         self.seeds = tuple(seeds)
         self.core: tuple[Address, ...] = ()  # as told by others
         self.leader: Address | None = None
@@ -78,7 +79,7 @@
         targets = {*self.seeds, *self.core} if self.leader is None else {self.leader}
         for address in sorted(targets - {seat.me}):
             note = seat.holding(pb.JOIN)
-            note.term = self.term if address == self.leader else 0
+            note.term = self.term if self.asks and address == self.leader else 0
             seat.send(address, note)
 
 
--- a/post/register/leading.py
+++ b/post/register/leading.py
@@ -32,7 +32,7 @@
         self.held: Place | None = None
         self.next = self.wait = 0.0  # when an entry is sent once more, and the wait after that
         self.tried = NEVER  # when an entry without its value was sent
-        self.leaving = False  # its process ends soon, by its newest answer
+        self.leaving = False  # it wants to be a member no more, by its newest answer
 
 
 class Leading:
--- a/tests/system/test_register_members.py
+++ b/tests/system/test_register_members.py
@@ -232,3 +232,32 @@
     assert core.run(4.0, lambda: new.address in named(core)) and named(core)[new.address] != disk
     finish(core, 3.0)
     assert leader.heard == new.heard == 3 and leader.stored.disk == named(core)[leader.address]
+
+
+def of_two_kinds(lasting: set[str], seed: int) -> Core:
+    """A core at its first start, two of its three seeds on machines whose disks end with their processes."""
+
+    def begin(me: str, *rest: Any) -> Agreement:
+        return Agreement(me, *rest, durable=me in lasting)
+
+    core = Core(3, seed, kind=begin)
+    for address in sorted(lasting - {*core.nodes}):
+        core.add(address)
+    return core
+
+
+def test_disks_that_do_not_last_give_way_to_those_that_do() -> None:
+    for seed in range(10):
+        core = of_two_kinds({"10.0.0.1:1", "10.0.1.1:1", "10.0.1.2:1"}, seed)
+        others = {*core.seeds} - {"10.0.0.1:1"}
+        core.add("10.0.2.1:1")  # a further one that doesn't last
+        others.add("10.0.2.1:1")
+        core.run(8.0)
+        leader = core.leader()
+        assert leader is not None and leader.address not in others
+        assert outcome(core, leader, leader.machine.committed) == "done"
+        assert {m.address for m in leader.machine.members} == {*core.nodes} - others
+        assert all(core.nodes[a].machine.leader == leader.address for a in others)  # named to callers
+        for address in others:  # any number of them may go
+            core.kill(address, wipe=True)
+        finish(core, 2.0)
