Control: who is no member of the core sends backends on to one that is

Cause: a postmaster that is no member refuses each beat and each planned end with 503, and the backend looks on among all that serve control, with a pause that grows. With more postmasters than members, most calls met that.

Change: such a process answers 307 with a member, drawn anew for each call. Without a known member it refuses as before. The new test failed before.

--- a/post/office/control.py
+++ b/post/office/control.py
@@ -34,6 +34,9 @@
     def leader_control(self) -> Address | None:
         """The `control` address of another process that leads."""
 
+    def member_control(self) -> Address | None:
+        """The `control` address of a member of the core, where this process is none and knows one."""
+
     def propose(self, token: int, value: bytes, expected: int) -> None:
         """Have a value agreed on."""
 
@@ -113,8 +116,7 @@
                 self.settle(now, order)
             elif (leader := self.core.leader_control()) is not None:
                 self.orders.popleft()
-                where = b"Location: http://%s%s\r\n" % (leader.encode(), order.asked.path.encode("latin-1"))
-                order.reply(307, where, b"")
+                send_on(leader, order.asked, order.reply)
             elif now - order.came > PATIENCE_S or now - self.led > LONE_S:
                 self.orders.popleft()
                 order.reply(503, b"Retry-After: 0.5\r\n", b"")
@@ -172,7 +174,9 @@
     # Backends.
 
     def backend(self, name: str, asked: Asked, reply: Reply) -> None:
-        """A beat or an end."""
+        """A beat or an end. Who is no member of the core can't vouch for it, and names one that can."""
+        if (member := self.core.member_control()) is not None:
+            return send_on(member, asked, reply)
         self.token += 1
         call = End(self.token, name) if asked.method == "DELETE" else read_beat(self.token, name, asked.body)
         if call is None or not 0 < len(name) <= LONGEST:
@@ -187,6 +191,11 @@
             reply(200 if well else 503, JSON if well else b"", b"{}" if well else b"")
 
 
+def send_on(to: Address, asked: Asked, reply: Reply) -> None:
+    """Send a caller on to another process with the same call."""
+    reply(307, b"Location: http://%s%s\r\n" % (to.encode(), asked.path.encode("latin-1")), b"")
+
+
 def read_beat(token: int, name: str, body: bytes) -> Beat | None:
     """The beat in a call's body; None if it is none."""
     try:
--- a/post/office/core.py
+++ b/post/office/core.py
@@ -50,7 +50,7 @@
 
     def __init__(self, carrier: Carrier, clock: Callable[[], float], settings: Settings,
                  stored: Stored | None, rng: random.Random, began: float | None = None) -> None:
-        self.carrier, self.clock = carrier, clock
+        self.carrier, self.clock, self.rng = carrier, clock, rng
         self.me = settings.own_address("postmaster")
         self.control_port = (settings.network.listen.control or "").rpartition(":")[2]
         seeds = [settings.postmaster_at(s) for s in settings.network.seeds]
@@ -83,7 +83,16 @@
         leader = self.agreement.leader
         if leader is None or leader == self.me:
             return None
-        return f"{leader.rpartition(':')[0]}:{self.control_port}"
+        return self.control_at(leader)
+
+    def member_control(self) -> Address | None:
+        members = () if self.me in self.rounds.leases.core else self.agreement.joining.core
+        others = [member for member in members if member != self.me]
+        return self.control_at(self.rng.choice(others)) if others else None
+
+    def control_at(self, process: Address) -> Address:
+        """Where a postmaster takes calls, by its own port: ports are alike on all machines."""
+        return f"{process.rpartition(':')[0]}:{self.control_port}"
 
     def propose(self, token: int, value: bytes, expected: int) -> None:
         self.agree(register.Propose(token, value, expected))
--- a/tests/system/offices.py
+++ b/tests/system/offices.py
@@ -53,6 +53,9 @@
         leader = self.node.machine.leader
         return None if leader == self.node.address else leader
 
+    def member_control(self) -> str | None:
+        return None
+
     def propose(self, token: int, value: bytes, expected: int) -> None:
         self.core.give(self.node, api.Propose(token, value, expected))
 
--- a/tests/system/test_calls_control.py
+++ b/tests/system/test_calls_control.py
@@ -45,6 +45,9 @@
     def leader_control(self) -> None:
         return None
 
+    def member_control(self) -> None:
+        return None
+
     def taken_up(self) -> tuple[int, Held]:
         return 0, Held()
 
--- a/tests/system/test_control.py
+++ b/tests/system/test_control.py
@@ -37,6 +37,7 @@
 
     def __init__(self, *outcomes: str | None) -> None:
         self.now, self.leader = 100.0, "me"
+        self.member: str | None = None
         self.outcomes = list(outcomes or ["done"])
         self.version, self.held = 0, Held()
         self.out: list[tuple[int, bytes]] = []
@@ -54,6 +55,9 @@
     def taken_up(self) -> tuple[int, Held]:
         return self.version, self.held
 
+    def member_control(self) -> str | None:
+        return self.member
+
     def propose(self, token: int, value: bytes, expected: int) -> None:
         assert expected == self.version
         self.out.append((token, value))
@@ -291,6 +295,19 @@
     run(main())
 
 
+def test_who_is_no_member_sends_backends_on_to_one() -> None:
+    async def main() -> None:
+        office = await Office().open()
+        office.member = "10.0.0.4:8407"
+        await office.call("at no member", "DELETE", "/-/backends/i-1")
+        assert office.said == [
+            "DELETE /-/backends/i-1 at no member -> 307 location: http://10.0.0.4:8407/-/backends/i-1"]
+        assert not office.calls
+        office.wicket.close()
+
+    run(main())
+
+
 def test_large_orders_leave_time_between_them() -> None:
     async def main() -> None:
         office, said = Office(None), []
