--- /dev/null
+++ b/tests/system/test_moved_rules.py
@@ -0,0 +1,100 @@
+"""What a sorter says and does by the control plane's word: readiness, refusals, late routes, limits."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+
+from post.office.sorter import Sorter as Program
+from post.rounds import messages as m
+from roadspur.net.door import Early
+from tests.system.drift import POSTS, Net, Sorter, config, taken
+
+LIMITS = {"entry-kind": "limits", "metadata": {}, "spec": {
+    "max-header-bytes": 16384, "max-body-bytes": 1 << 20, "header-timeout-s": 3, "idle-timeout-s": 15}}
+FIRST = taken(config(more=[LIMITS]))
+LATER = taken(config(2, 1, [LIMITS], r3="s2", r4="s1"), FIRST)
+HEADERS = [(b"Host", b"a.example"), (b"Attempt-Id", b"a1"), (b"Authorization", b"Token t1-a")]
+
+
+def begins(net: Net, address: str) -> Sorter:
+    sorter = net.nodes[address] = Sorter(net, address)
+    net.later(0.01, address, m.Tick())
+    return sorter
+
+
+def refusal(sorter: Sorter, path: str) -> int | None:
+    """With what a request is ended at once; None if it goes on."""
+    found = sorter.hall.ingress.read(b"GET", path.encode(), HEADERS)
+    return found.status if isinstance(found, Early) else None
+
+
+def answered(sorter: Sorter) -> int:
+    """What the platform is told of its readiness."""
+    told: list[int] = []
+    program = SimpleNamespace(hall=sorter.hall)
+    Program.ready(program, SimpleNamespace(path="/-/readiness", method="GET"),  # type: ignore[arg-type]
+                  lambda status, lines, body: told.append(status))
+    return told[0]
+
+
+def test_a_process_told_to_end_is_not_ready_from_then_on() -> None:
+    net = Net(1)
+    (sorter,) = net.sorters
+    assert answered(sorter) == 503
+    net.put(1, FIRST)
+    net.run(1)
+    assert answered(sorter) == 503  # no backend is known
+    sorter.hall.ingress.serving.add("i-1")
+    assert answered(sorter) == 200
+    sorter.hall.leaving = True
+    for _ in range(8):
+        net.run(1)
+        assert answered(sorter) == 503
+
+
+def test_who_knows_no_configuration_or_has_not_heard_the_core_denies_nothing() -> None:
+    net = Net(1)
+    (sorter,) = net.sorters
+    assert refusal(sorter, "/r1/x") == refusal(sorter, "/none/x") == 503
+    net.put(1, FIRST)
+    net.run(1)
+    assert refusal(sorter, "/r1/x") is None and refusal(sorter, "/r3/x") == 404
+    net.cut = lambda a, b, kind: POSTS[0] not in (a, b)
+    net.put(2, LATER, POSTS[1:])
+    late = begins(net, "10.1.9.1:7660")  # its first configuration is not the newest
+    for _ in range(30):
+        net.run(0.1)
+        assert refusal(late, "/r3/x") == 503 and refusal(late, "/r1/x") == 503
+    net.cut = lambda a, b, kind: False
+    net.run(1)
+    assert refusal(late, "/r3/x") is None and refusal(late, "/r1/x") is None
+
+
+def test_routes_added_later_are_as_those_of_the_first_configuration() -> None:
+    net = Net(2)
+    net.put(1, FIRST)
+    net.run(1)
+    behind = net.sorters[0]
+    net.cut = lambda a, b, kind: behind.hall.me in (a, b)
+    net.put(2, LATER)
+    net.run(10)
+    assert behind.hall.version == 1
+    net.cut = lambda a, b, kind: False
+    net.run(1.5)
+    after = begins(net, "10.1.9.1:7660")
+    net.run(1)
+    for sorter in net.sorters:
+        assert [refusal(sorter, f"/{label}/x") for label in ("r1", "r2", "r3", "r4")] == [None] * 4
+        judged = [sorter.hall.book.judge(b"a.example", f"/{label}/x".encode(), b"t1-a")
+                  for label in ("r1", "r3", "r4")]
+        assert {(j.status, j.tenant.label, j.precedence) for j in judged} == {(200, "t1", 1)}
+    assert after in net.sorters and len(net.sorters) == 3
+
+
+def test_connections_rest_as_long_as_the_configuration_lets_them_also_right_after_a_restart() -> None:
+    net = Net(1)
+    net.put(1, FIRST)
+    net.run(1)
+    after = begins(net, "10.1.9.1:7660")
+    net.run(0.5)
+    assert [s.held_to.idle for s in (*net.sorters, after)] == [15.0] * 3
--- a/tests/system/test_office_parts.py
+++ b/tests/system/test_office_parts.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import itertools
 import json
 import logging
 import queue
 import threading
 from collections.abc import Callable
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
@@ -156,6 +158,40 @@
     assert disk.told == [(1, "no space is left"), 2] and disk.saved == ["two"]
 
 
+def test_a_turn_of_the_other_thread_at_any_point_loses_no_save_and_none_is_told_before_its_record() -> None:
+    """Between any two steps of the disk's thread that no lock covers, the other one writes."""
+    loop: Any = Loop()
+    told: list[int] = []
+    saved: list[int] = []
+    tokens = iter(range(1, 61))
+
+    def turn() -> None:
+        for token in itertools.islice(tokens, 2):
+            disk.write(token, token)
+
+    def save(record: int) -> None:
+        turn()
+        saved.append(record)
+        turn()
+
+    def tell(call: Any, *args: Any) -> None:
+        turn()
+        loop.calls.put((call, args))
+        turn()
+
+    def done(token: int) -> None:
+        assert saved[-1] >= token
+        told.append(token)
+
+    between: Any = SimpleNamespace(call_soon_threadsafe=tell)
+    disk = DiskThread(between, save, done, lambda token, why: None)
+    turn()
+    while len(told) < 60:
+        loop.turn()
+    assert disk.stop(5)
+    assert told == list(range(1, 61)) and saved == sorted(saved) and saved[-1] == 60
+
+
 def test_a_stop_does_not_wait_for_a_disk_that_hangs() -> None:
     disk = Disk()
     disk.thread.write(1, "one")
--- a/tests/system/test_office_wire.py
+++ b/tests/system/test_office_wire.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import struct
 from collections import deque
 from collections.abc import Awaitable, Callable
 from types import SimpleNamespace
@@ -138,6 +139,27 @@
     with_two(story, loops)
 
 
+@LOOPS
+def test_a_link_that_is_reset_is_opened_anew_for_the_next_message(loops: Any) -> None:
+    """Both sides live on; what was on its way is asked for again by whoever lacks it."""
+
+    async def story(a: End, b: End) -> None:
+        for turn in range(3):
+            a.port.send(b.port.address, 1, Note(b"%d" % turn * 2000))
+            assert await b.next() == (a.port.address, b"%d" % turn * 2000)
+            (link,) = b.port.links.inbound
+            assert link.transport is not None
+            link.transport.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            link.close()
+            async with asyncio.timeout(5):
+                while a.port.links.outbound or b.port.links.inbound:
+                    await asyncio.sleep(0)
+        assert not b.port.bad
+
+    with_two(story, loops)
+
+
 def test_what_waits_for_a_link_is_bounded_and_the_oldest_goes_first() -> None:
     async def story(a: End, b: End) -> None:
         for letter in b"abcdef":
--- a/tests/system/test_register_disk.py
+++ b/tests/system/test_register_disk.py
@@ -139,3 +139,38 @@
         with pytest.raises(OSError):
             store.save(record(2))
     assert len(os.listdir(tmp_path)) == 2 and loaded(tmp_path) == 1
+
+
+def test_a_full_disk_refuses_to_sync_the_folder_and_to_remove_too(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """From the first save on; what it leaves is of later saves than any that counts."""
+    folder, real = tmp_path / "register", os.fsync
+
+    def sync(descriptor: int) -> None:
+        if os.path.isdir(os.readlink(f"/proc/self/fd/{descriptor}")):
+            raise OSError(28, "no space left on device")
+        real(descriptor)
+
+    def refuse(*_: object) -> None:
+        raise OSError(28, "no space left on device")
+
+    def fails(store: Store, term: int) -> None:
+        with monkeypatch.context() as full:
+            full.setattr(os, "fsync", sync)
+            full.setattr(os, "unlink", refuse)
+            with pytest.raises(OSError):
+                store.save(record(term))
+
+    store = Store(str(folder))
+    fails(store, 1)
+    fails(store, 2)
+    assert Store(str(folder)).load() in (None, record(1), record(2))
+    store.save(record(3))
+    assert loaded(folder) == 3 and len(os.listdir(folder)) == 2
+    fails(store, 4)
+    again = Store(str(folder))
+    found = again.load()
+    assert found in (record(3), record(4))
+    fails(again, found.term)  # it isn't synced, so it doesn't count yet
+    again.save(record(5))
+    assert loaded(folder) == 5
--- /dev/null
+++ b/tests/system/test_starting.py
@@ -0,0 +1,59 @@
+"""First starts: all machines begin within 0.3 s, in any order, and none need listen when another asks it."""
+
+from __future__ import annotations
+
+import itertools
+import random
+from functools import partial
+
+import pytest
+
+from post.rounds import messages as m
+from post.rounds import wire
+from tests.system.core import Core, Node, finish
+from tests.system.drift import POSTS, Net, Sorter, config, taken
+from tests.system.drift import Post as Rounds
+
+SPREAD_S = 0.3
+FIRST = taken(config())
+
+
+class Staggered(Core):
+    """A core at its first start, whose seeds begin at the given times."""
+
+    def __init__(self, count: int, seed: int, begins: list[float]) -> None:
+        self.begins = iter(begins)
+        super().__init__(count, seed)
+
+    def add(self, address: str, fresh: bool = False) -> None:
+        self.nodes[address] = Node(address)
+        self.at(next(self.begins), partial(self.start, address, fresh))
+
+
+@pytest.mark.parametrize("order", list(itertools.permutations([0.0, 0.15, SPREAD_S])))
+def test_seeds_that_start_in_any_order_agree_on_a_first_order(order: tuple[float, ...]) -> None:
+    for seed in range(10):
+        core = Staggered(3, seed, list(order))
+        core.run(SPREAD_S)
+        assert core.run(0.7, lambda core=core: core.leader() is not None)
+        finish(core, 0.5)
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_sorters_that_start_before_their_seeds_are_in_soon_after_the_first_order(seed: int) -> None:
+    net, chance = Net(0, seed), random.Random(seed)
+    for address in POSTS:
+        net.kill(address)
+    starts = [(chance.uniform(0, SPREAD_S), address) for address in POSTS]
+    starts += [(chance.uniform(0, SPREAD_S), f"10.1.2.{n}:7660") for n in range(5)]
+    for wait, address in sorted(starts):
+        net.run(max(0.0, 100.0 + wait - net.now))
+        net.nodes[address] = (Rounds if address in POSTS else Sorter)(net, address)
+        net.later(0.01, address, m.Tick())
+        if address in POSTS:
+            net.give(address, m.SetCore(tuple(POSTS)))
+    net.run(0.5)
+    net.give(POSTS[0], m.Put(m.CORE, (1, 1), wire.encode_members(POSTS, POSTS[0])))
+    net.put(1, FIRST)
+    net.run(0.6)
+    assert len(net.sorters) == 5 and all(s.ask() == 200 and s.watching.ready for s in net.sorters)
