--- a/tests/system/test_register_leaving.py
+++ b/tests/system/test_register_leaving.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from post.register import api
-from tests.system.core import Core, Node, finish
+from gateway.consensus import api
+from tests.system.consensus_cluster import Core, Node, finish
 
 LONGEST_GAP_S = 0.9  # without a sure leader: an election by members that leave, which stand late
 
--- a/tests/system/test_starting.py
+++ b/tests/system/test_starting.py
@@ -8,10 +8,10 @@
 
 import pytest
 
-from post.rounds import messages as m
-from post.rounds import wire
-from tests.system.core import Core, Node, finish
-from tests.system.drift import POSTS, Net, Sorter, config, taken
+from gateway.membership import messages as m
+from gateway.membership import wire
+from tests.system.consensus_cluster import Core, Node, finish
+from tests.system.drift import CONTROLLER_ADDRESSES, Net, Sorter, config, taken
 from tests.system.drift import Post as Rounds
 
 SPREAD_S = 0.3
@@ -42,18 +42,21 @@
 @pytest.mark.parametrize("seed", range(6))
 def test_sorters_that_start_before_their_seeds_are_in_soon_after_the_first_order(seed: int) -> None:
     net, chance = Net(0, seed), random.Random(seed)
-    for address in POSTS:
+    for address in CONTROLLER_ADDRESSES:
         net.kill(address)
-    starts = [(chance.uniform(0, SPREAD_S), address) for address in POSTS]
+    starts = [(chance.uniform(0, SPREAD_S), address) for address in CONTROLLER_ADDRESSES]
     starts += [(chance.uniform(0, SPREAD_S), f"10.1.2.{n}:7660") for n in range(5)]
     for wait, address in sorted(starts):
         net.run(max(0.0, 100.0 + wait - net.now))
-        net.nodes[address] = (Rounds if address in POSTS else Sorter)(net, address)
+        net.nodes[address] = (Rounds if address in CONTROLLER_ADDRESSES else Sorter)(net, address)
         net.later(0.01, address, m.Tick())
-        if address in POSTS:
-            net.give(address, m.SetCore(tuple(POSTS)))
+        if address in CONTROLLER_ADDRESSES:
+            net.give(address, m.SetCore(tuple(CONTROLLER_ADDRESSES)))
     net.run(0.5)
-    net.give(POSTS[0], m.Put(m.CORE, (1, 1), wire.encode_members(POSTS, POSTS[0])))
+    net.give(
+        CONTROLLER_ADDRESSES[0],
+        m.Put(m.CORE, (1, 1), wire.encode_members(CONTROLLER_ADDRESSES, CONTROLLER_ADDRESSES[0])),
+    )
     net.put(1, FIRST)
     net.run(0.6)
-    assert len(net.sorters) == 5 and all(s.ask() == 200 and s.watching.ready for s in net.sorters)
+    assert len(net.proxies) == 5 and all(s.ask() == 200 and s.drift_monitor.ready for s in net.proxies)
