--- a/gateway/consensus/follower.py
+++ b/gateway/consensus/follower.py
@@ -11,7 +11,7 @@
 class FollowerRole:
     """Who leads as far as heard (`leader`), and when it was heard last."""
 
-    def __init__(self, replica: Replica, heard: float) -> None:
+    def __init__(self, replica: Replica, heard: float, leaving: bool) -> None:
         self.replica, self.heard = replica, heard
         self.leader: Address | None = None
         self.disk = ""  # the leader's
@@ -20,6 +20,7 @@
             NEVER  # when the newest answer went out that a leader which was sure has told to have
         )
         self.commit: LogPosition = (0, 0)  # newest that a leader has told to be committed
+        self.leaving = leaving  # others are to be members in its place, which each answer tells
 
     def on_heartbeat(self, now: float, sender: Address, message: pb.Message) -> None:
         """The leader of this term is heard, with its newest entry perhaps."""
@@ -59,7 +60,7 @@
         """Tell a leader the newest entry that is here, and the newest on disk."""
         replica = self.replica
         message = replica.message_with_durable_position(pb.APPEND_RESPONSE, disk)
-        message.sent, message.replied_at = sent, now
+        message.sent, message.replied_at, message.leaving = sent, now, self.leaving
         replica.send(to, message)
 
     def _accept_entry(self, message: pb.Message) -> None:
--- a/gateway/consensus/leader.py
+++ b/gateway/consensus/leader.py
@@ -21,13 +21,17 @@
     """Another member, as the leader sees it."""
 
     __slots__ = (
-        "acknowledged_at",
         "address",
-        "bare_entry_sent_at",
+        "at",
         "began",
         "disk",
-        "durable_position",
+        "has",
         "heard",
+        "held",
+        "leaving",
+        "next",
+        "has_leader_lease",
+        "bare_entry_sent_at",
         "last_position",
         "leave_requested_at",
         "next",
@@ -44,7 +48,7 @@
         self.durable_position: LogPosition | None = None
         self.next = self.wait = 0.0  # when an entry is sent once more, and the wait after that
         self.bare_entry_sent_at = NEVER  # when an entry without its value was sent
-        self.leave_requested_at = NEVER  # it last said that it wants to go
+        self.leaving = False  # it wants to be a member no more, by its newest answer
 
 
 class LeaderRole:
@@ -67,7 +71,7 @@
         self.base: LogPosition | None = None  # an entry with the same value as the newest
         self.removed: list[Member] = []
         self.next_heartbeat_at = self.next_reconfiguration_check_at = now
-        self.transfer_since: float | None = None  # since when it wants to hand over
+        self.transfer_since: float | None = None  # since when it has wanted to hand over to an heir
         self.lease = NEVER
         self._replicate(now, replica.entry)
 
@@ -91,8 +95,7 @@
 
     def tick(self, now: float, leaving: bool) -> bool:
         """Send beats and what is missing; change members where it is due. False if it must lead no more."""
-        if leaving and self.transfer_since is None:
-            self.transfer_since = now
+        self._make_way(now, leaving)
         ready = self.transfer_since is not None and (
             self.newest_entry_committed or now - self.transfer_since > MAX_TRANSFER_WAIT_S
         )
@@ -132,7 +135,7 @@
             now - peer.heard > self.replica.tuning.election_min_s
         ):  # it is back: what it lacks goes out at once
             peer.next, peer.wait = now, self.replica.tuning.resend_s
-        peer.heard, peer.replied_at = now, message.replied_at
+        peer.heard, peer.replied_at, peer.leaving = now, message.replied_at, message.leaving
         peer.last_position, peer.durable_position = (
             (message.last_term, message.last_index),
             (message.durable_term, message.durable_index),
@@ -216,23 +219,30 @@
                 if peer.last_position != replica.entry.position and now >= peer.next:
                     self._send_entry(now, peer, peer.last_position == self.base)
 
-    def leave(self, now: float, message: pb.Message) -> None:
-        """A member wants to go."""
-        peer = self.peers.get(message.disk)
-        if peer is not None:
-            peer.heard = peer.leave_requested_at = now
+    def _make_way(self, now: float, leaving: bool) -> None:
+        """Before it leaves, take no more proposals while there is an heir; without one, lead on."""
+        if not leaving or not self._heirs(now):
+            self.transfer_since = None
+        elif self.transfer_since is None:
+            self.transfer_since = now
 
-    def transfer_leadership(self, now: float) -> bool:
-        """Ask the member that is best placed for it to lead. If True, this one must step down for good."""
-        replica = self.replica
-        able = [
+    def _heirs(self, now: float) -> list[Peer]:
+        """Members that may lead next: they stay, and hold the newest entry once that is agreed on."""
+        entry, oldest = self.replica.entry, now - self.replica.tuning.election_min_s
+        members = {m.disk for m in entry.members}
+        return [
             p
             for p in self.peers.values()
-            if p.durable_position == replica.entry.position
-            and now - p.leave_requested_at > 3 * replica.tuning.request_interval_s
-            and now - p.acknowledged_at <= replica.tuning.election_min_s
+            if not p.leaving
+            and p.acknowledged_at >= oldest
+            and p.disk in members
+            and (p.durable_position == entry.position or not self.newest_entry_committed)
         ]
-        able = [p for p in able if any(m.disk == p.disk for m in replica.entry.members)]
+
+    def transfer_leadership(self, now: float) -> bool:
+        """Ask the member that is best placed for it to lead. If True, this one must step down for good."""
+        replica = self.replica
+        able = [p for p in self._heirs(now) if p.durable_position == replica.entry.position]
         if not able:
             return False
         successor = max(able, key=lambda p: p.acknowledged_at)
@@ -299,9 +309,7 @@
         t = self.replica.tuning
         return {
             p.disk: MemberHealth(
-                now - max(p.heard, p.began),
-                now - p.heard <= t.presence_timeout_s,
-                now - p.leave_requested_at <= 3 * t.request_interval_s,
+                now - max(p.heard, p.began), now - p.heard <= t.presence_timeout_s, p.leaving
             )
             for p in self.peers.values()
         }
--- a/gateway/consensus/learner.py
+++ b/gateway/consensus/learner.py
@@ -17,8 +17,9 @@
 class LearnerRole:
     """Asks the leader where it is known, else everyone who may know it."""
 
-    def __init__(self, replica: Replica, seeds: Sequence[Address]) -> None:
+    def __init__(self, replica: Replica, seeds: Sequence[Address], asks: bool) -> None:
         self.replica = replica
+        self.asks = asks  # to be a member; else only who leads
         self.seeds = tuple(seeds)
         self.core: tuple[Address, ...] = ()  # as told by others
         self.leader: Address | None = None
@@ -78,7 +79,7 @@
         targets = {*self.seeds, *self.core} if self.leader is None else {self.leader}
         for address in sorted(targets - {replica.me}):
             message = replica.message_with_durable_position(pb.JOIN)
-            message.term = self.term if address == self.leader else 0
+            message.term = self.term if self.asks and address == self.leader else 0
             replica.send(address, message)
 
 
@@ -109,6 +110,6 @@
         or (message.last_term, message.last_index) >= known.position
     ):
         return False
-    if message.kind in (pb.PRE_VOTE, pb.REQUEST_VOTE, pb.APPEND_RESPONSE, pb.LEAVE):
+    if message.kind in (pb.PRE_VOTE, pb.REQUEST_VOTE, pb.APPEND_RESPONSE):
         send_removed(replica, known, sender, message.disk)
     return True
--- a/gateway/consensus/raft.py
+++ b/gateway/consensus/raft.py
@@ -49,7 +49,8 @@
 
     `stored` is what `Store.load` gave: it counts once it is saved, for a kill may have left it unsynced;
     `fresh` the first start of the whole system; `seeds` the own ports of the seeds; `new_disk_id` a random
-    name, used if this disk is to be a new member; `tolerance` how many members may be lost at once.
+    name, used if this disk is to be a new member; `tolerance` how many members may be lost at once. Where the
+    disk isn't `durable`, this is a member only if the first start has made it one, until durable ones come.
     `dropped` counts notes that made no sense, by why.
     """
 
@@ -65,6 +66,7 @@
         tolerance: int,
         now: float,
         began: float | None = None,
+        durable: bool = True,
     ) -> None:
         blank = stored is None
         if stored is None and fresh and me in seeds:
@@ -73,8 +75,8 @@
         self.tuning, self.rng, self.tolerance = tuning, rng, tolerance
         self.leader_role: LeaderRole | None = None
         self.candidate_role: CandidateRole | None = None
-        self.learner_role = LearnerRole(self.replica, seeds)
-        self.follower_role = FollowerRole(self.replica, now - tuning.election_min_s)
+        self.learner_role = LearnerRole(self.replica, seeds, durable)
+        self.follower_role = FollowerRole(self.replica, now - tuning.election_min_s, leaving=not durable)
         self.cold_start = ColdStart(
             self.replica, now, now if blank else now + tuning.election_min_s, now if began is None else began
         )
@@ -82,7 +84,7 @@
         self.voter = Voter(self.replica, self.cold_start)
         self.dropped: dict[str, int] = {}
         self.leaving = self.left = False  # asked to leave; and no member any more
-        self.next_leave_request_at = self.election_deadline = now
+        self.election_deadline = now
         self._reset_election_timer(now)
 
     @property
@@ -143,7 +145,7 @@
         elif isinstance(event, Propose):
             self._propose(now, event)
         elif isinstance(event, Leave):
-            self.leaving = True
+            self.leaving = self.follower_role.leaving = True
         elif isinstance(event, KnownAddresses):
             self.learner_role.learn(event.addresses)
         else:
@@ -159,23 +161,16 @@
             self.leader_role.propose(now, event)
 
     def _tick(self, now: float) -> None:
-        follower_role = self.follower_role
         self.cold_start.tick(now)
         if self.leader_role is not None:
-            if not self.leader_role.tick(now, self.leaving):
+            if not self.leader_role.tick(now, self.follower_role.leaving):
                 self._step_down(now)
         elif now >= self.election_deadline:
             self._start_election(now)
         elif self.candidate_role is not None:
             self.candidate_role.tick(now)
-        if not self.replica.is_voter:
-            if not self.left:
-                self.learner_role.tick(now)
-        elif self.leaving and follower_role.leader is not None and now >= self.next_leave_request_at:
-            self.next_leave_request_at = now + self.tuning.request_interval_s
-            self.replica.send(
-                follower_role.leader, self.replica.message_with_last_position(pb.LEAVE, follower_role.disk)
-            )
+        if not self.replica.is_voter and not self.left:
+            self.learner_role.tick(now)
 
     def _start_election(self, now: float) -> None:
         """No leader is heard: try to be one. Early in a life others may not be free yet, so ask often."""
@@ -217,16 +212,13 @@
             self.learner_role.report_progress(now)
 
     def _may_start_election(self, now: float) -> bool:
-        return (
-            not self.leaving
-            and self.replica.is_voter
-            and self.replica.write_stalled_s(now) <= MAX_CANDIDATE_WRITE_STALL_S
-        )
+        return self.replica.is_voter and self.replica.write_stalled_s(now) <= MAX_CANDIDATE_WRITE_STALL_S
 
     def _reset_election_timer(self, now: float) -> None:
-        self.election_deadline = now + self.rng.uniform(
-            self.tuning.election_min_s, self.tuning.election_max_s
-        )
+        """Be patient with the leader anew. One that leaves lets those that stay stand first."""
+        shortest, longest = self.tuning.election_min_s, self.tuning.election_max_s
+        courtesy = longest if self.follower_role.leaving else 0.0
+        self.election_deadline = now + self.rng.uniform(shortest, longest) + courtesy
 
     def _step_down(self, now: float) -> None:
         if self.leader_role is not None:
@@ -275,9 +267,6 @@
             self._request_vote(now, sender, message)
         elif kind == pb.TIMEOUT_NOW:
             self._on_timeout_now(now, message)
-        elif kind == pb.LEAVE:
-            if self.leader_role is not None:
-                self.leader_role.leave(now, message)
         elif kind == pb.RESTARTED:
             self._on_restarted(now, sender, message)
         elif message.term > self.replica.term and (kind == pb.APPEND_RESPONSE or not message.granted):
--- a/gateway/programs/control_api.py
+++ b/gateway/programs/control_api.py
@@ -34,6 +34,9 @@
     def leader_control(self) -> Address | None:
         """The `control` address of another process that leads."""
 
+    def member_control(self) -> Address | None:
+        """The `control` address of a member of the core, where this process is none and knows one."""
+
     def propose(self, token: int, value: bytes, expected: int) -> None:
         """Have a value agreed on."""
 
@@ -113,11 +116,7 @@
                 self.process_order(now, order)
             elif (leader := self.core.leader_control()) is not None:
                 self.orders.popleft()
-                where = b"Location: http://%s%s\r\n" % (
-                    leader.encode(),
-                    order.http_call.path.encode("latin-1"),
-                )
-                order.reply(307, where, b"")
+                send_on(leader, order.http_call, order.reply)
             elif now - order.came > ORDER_PATIENCE_S or now - self.led > NO_LEADER_TIMEOUT_S:
                 self.orders.popleft()
                 order.reply(503, b"Retry-After: 0.5\r\n", b"")
@@ -179,7 +178,9 @@
     # Backends.
 
     def backend(self, name: str, http_call: HttpCall, reply: Reply) -> None:
-        """A beat or an end."""
+        """A beat or an end. Who is no member of the core can't vouch for it, and names one that can."""
+        if (member := self.core.member_control()) is not None:
+            return send_on(member, http_call, reply)
         self.token += 1
         call = (
             Deregistration(self.token, name)
@@ -198,6 +199,11 @@
             reply(200 if well else 503, JSON if well else b"", b"{}" if well else b"")
 
 
+def send_on(to: Address, http_call: HttpCall, reply: Reply) -> None:
+    """Send a caller on to another process with the same call."""
+    reply(307, b"Location: http://%s%s\r\n" % (to.encode(), http_call.path.encode("latin-1")), b"")
+
+
 def read_heartbeat(token: int, name: str, body: bytes) -> Heartbeat | None:
     """The beat in a call's body; None if it is none."""
     try:
--- a/gateway/programs/controller_node.py
+++ b/gateway/programs/controller_node.py
@@ -58,7 +58,7 @@
         rng: random.Random,
         began: float | None = None,
     ) -> None:
-        self.driver, self.clock = driver, clock
+        self.driver, self.clock, self.rng = driver, clock, rng
         self.me = settings.own_address("controller")
         self.control_port = (settings.network.listen.control or "").rpartition(":")[2]
         seeds = [settings.controller_at(s) for s in settings.network.seeds]
@@ -73,6 +73,7 @@
             settings.terms.fault_budget.machines,
             clock(),
             began,
+            durable=settings.own.counted or settings.own.data_dir is not None,
         )
         zone = startup.zone_number(settings)
         self.membership = ControllerMembership(self.me, zone, seeds, settings.provider.beat_s, rng)
@@ -101,7 +102,16 @@
         leader = self.raft.leader
         if leader is None or leader == self.me:
             return None
-        return f"{leader.rpartition(':')[0]}:{self.control_port}"
+        return self.control_at(leader)
+
+    def member_control(self) -> Address | None:
+        members = () if self.me in self.membership.leases.core else self.raft.joining.core
+        others = [member for member in members if member != self.me]
+        return self.control_at(self.rng.choice(others)) if others else None
+
+    def control_at(self, process: Address) -> Address:
+        """Where a controller takes calls, by its own port: ports are alike on all machines."""
+        return f"{process.rpartition(':')[0]}:{self.control_port}"
 
     def propose(self, token: int, value: bytes, expected: int) -> None:
         self.handle_consensus(consensus.Propose(token, value, expected))
--- a/tests/system/test_calls_control.py
+++ b/tests/system/test_calls_control.py
@@ -45,6 +45,9 @@
     def leader_control(self) -> None:
         return None
 
+    def member_control(self) -> None:
+        return None
+
     def config_in_force(self) -> tuple[int, ConfigState]:
         return 0, ConfigState()
 
--- a/tests/system/test_control.py
+++ b/tests/system/test_control.py
@@ -56,6 +56,7 @@
 
     def __init__(self, *outcomes: str | None) -> None:
         self.now, self.leader = 100.0, "me"
+        self.member: str | None = None
         self.outcomes = list(outcomes or ["done"])
         self.version, self.config_state = 0, ConfigState()
         self.out: list[tuple[int, bytes]] = []
@@ -73,6 +74,9 @@
     def config_in_force(self) -> tuple[int, ConfigState]:
         return self.version, self.config_state
 
+    def member_control(self) -> str | None:
+        return self.member
+
     def propose(self, token: int, value: bytes, expected: int) -> None:
         assert expected == self.version
         self.out.append((token, value))
@@ -334,6 +338,20 @@
     run(main())
 
 
+def test_who_is_no_member_sends_backends_on_to_one() -> None:
+    async def main() -> None:
+        controller = await SimulatedController().open()
+        controller.member = "10.0.0.4:8407"
+        await controller.call("at no member", "DELETE", "/-/backends/i-1")
+        assert controller.said == [
+            "DELETE /-/backends/i-1 at no member -> 307 location: http://10.0.0.4:8407/-/backends/i-1"
+        ]
+        assert not controller.calls
+        controller.http_listener.close()
+
+    run(main())
+
+
 def test_large_orders_leave_time_between_them() -> None:
     async def main() -> None:
         controller, said = SimulatedController(None), []
