--- a/gateway/consensus/leader.py
+++ b/gateway/consensus/leader.py
@@ -21,19 +21,15 @@
     """Another member, as the leader sees it."""
 
     __slots__ = (
+        "acknowledged_at",
         "address",
-        "at",
+        "bare_entry_sent_at",
         "began",
         "disk",
-        "has",
+        "durable_position",
         "heard",
-        "held",
-        "leaving",
-        "next",
-        "has_leader_lease",
-        "bare_entry_sent_at",
         "last_position",
-        "leave_requested_at",
+        "leaving",
         "next",
         "replied_at",
         "wait",
--- a/gateway/programs/controller_node.py
+++ b/gateway/programs/controller_node.py
@@ -105,7 +105,7 @@
         return self.control_at(leader)
 
     def member_control(self) -> Address | None:
-        members = () if self.me in self.membership.leases.core else self.raft.joining.core
+        members = () if self.me in self.membership.leases.core else self.raft.learner_role.core
         others = [member for member in members if member != self.me]
         return self.control_at(self.rng.choice(others)) if others else None
 
--- a/gateway/proxy/service.py
+++ b/gateway/proxy/service.py
@@ -143,7 +143,7 @@
     def review(self, now: float) -> None:
         held, self.queue = self.queue, []
         for f in held:
-            if f.req.id in self.flights:
+            if f.req.id in self.active_requests:
                 super().send(now, f)
 
     # Which backend.
--- a/tests/system/test_client_gone.py
+++ b/tests/system/test_client_gone.py
@@ -9,7 +9,7 @@
 
 from roadspur import interface as io
 from tests.socket_rig import HOST, Client, run, until
-from tests.system.proxy import Plane, answer, asked, silent
+from tests.system.proxy import ProxyFixture, answer, asked, silent
 from tests.system.test_proxy_ends import RESET
 
 LARGE_BODY = 8 * 1024 * 1024  # more than all socket buffers on the way hold
@@ -19,14 +19,14 @@
 @pytest.mark.parametrize("half", [False, True], ids=["closed", "only its sending side closed"])
 def test_a_safe_request_is_cancelled_at_its_backend(half: bool) -> None:
     async def main() -> None:
-        plane = Plane()
+        plane = ProxyFixture()
         client = await plane.start(silent)
         client.writer.write(asked())
         await until(lambda: plane.peers["i1"].seen)
         client.writer.write_eof() if half else client.writer.close()
         await until(plane.peers["i1"].seen[0].ended)
         await until(lambda: not plane.ingress.held)
-        assert plane.ingress.tally.counts["attempt cancelled"] == 1  # and didn't end with its deadline
+        assert plane.ingress.statistics.counts["attempt cancelled"] == 1  # and didn't end with its deadline
         assert not plane.decisions.homes and plane.decisions.services["s1"].out == 0
 
     run(main())
@@ -34,7 +34,7 @@
 
 def test_an_unsafe_request_that_was_sent_is_finished() -> None:
     async def main() -> None:
-        plane = Plane()
+        plane = ProxyFixture()
         client = await plane.start(silent)
         client.writer.write(asked("/order/1", method="POST"))
         await until(lambda: plane.peers["i1"].seen)
@@ -49,7 +49,7 @@
     """That a backend says nothing for a moment doesn't mean that its other connections are dead."""
 
     async def main() -> None:
-        plane = Plane()
+        plane = ProxyFixture()
         first = await plane.start(answer(), answer(), silent, answer())
         second = await Client.connect(plane.port)
         both = asyncio.gather(plane.ask(asked(name="a1"), first), plane.ask(asked(name="a2"), second))
@@ -68,13 +68,13 @@
 @pytest.mark.parametrize("half", [False, True], ids=["closed", "only its sending side closed"])
 def test_a_close_behind_requests_that_are_not_read_yet_is_noticed(half: bool) -> None:
     async def main() -> None:
-        plane = Plane()
+        plane = ProxyFixture()
         client = await plane.start(silent)
         client.writer.write(b"".join(asked(name=f"a{n}") for n in range(PIPELINED)))
         await until(lambda: plane.peers["i1"].seen and any(c.paused for c in plane.server.connections))
         client.writer.write_eof() if half else client.writer.close()
         await until(lambda: not plane.server.connections)
-        assert plane.ingress.tally.counts["t1 gone"] == 1  # and not answered at its deadline
+        assert plane.ingress.statistics.counts["t1 gone"] == 1  # and not answered at its deadline
         assert not plane.ingress.held and len(plane.peers["i1"].seen) == 1
 
     run(main())
@@ -84,7 +84,7 @@
     """A plain close can't be: it waits in the client's kernel behind what the closed window keeps there."""
 
     async def main() -> None:
-        plane = Plane()
+        plane = ProxyFixture()
         client = await plane.start(answer())
         heads: list[bytes] = []
 
@@ -101,7 +101,7 @@
         reset_on_close(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
         client.writer.transport.abort()
         await until(lambda: not plane.server.connections)
-        assert plane.ingress.tally.counts["t1 gone"] == 1
+        assert plane.ingress.statistics.counts["t1 gone"] == 1
         assert not plane.ingress.held and not plane.upstream.connections
 
     run(main())
--- a/tests/system/test_register_leaving.py
+++ b/tests/system/test_consensus_leaving.py
@@ -8,13 +8,13 @@
 import pytest
 
 from gateway.consensus import api
-from tests.system.consensus_cluster import Core, Node, finish
+from tests.system.consensus_cluster import ConsensusCluster, Node, finish
 
-LONGEST_GAP_S = 0.9  # without a sure leader: an election by members that leave, which stand late
+LONGEST_GAP_S = 0.9  # without a has_leader_lease leader: an election by members that leave, which stand late
 
 
-def longest_gap(core: Core, seconds: float) -> float:
-    """The longest time for which nobody was sure to lead."""
+def longest_gap(core: ConsensusCluster, seconds: float) -> float:
+    """The longest time for which nobody was has_leader_lease to lead."""
     end, since, longest = core.now + seconds, core.now, 0.0
     while core.now < end:
         core.run(0.01)
@@ -24,8 +24,8 @@
     return longest
 
 
-def running(count: int, seed: int) -> tuple[Core, Node]:
-    core = Core(count, seed)
+def running(count: int, seed: int) -> tuple[ConsensusCluster, Node]:
+    core = ConsensusCluster(count, seed)
     finish(core, 5.0)
     leader = core.leader()
     assert leader is not None
--- a/tests/system/test_moved_rules.py
+++ b/tests/system/test_moved_rules.py
@@ -5,9 +5,9 @@
 from types import SimpleNamespace
 
 from gateway.membership import messages as m
-from gateway.programs.proxy import Sorter as Program
-from roadspur.net.connection_interfaces import Early
-from tests.system.drift import CONTROLLER_ADDRESSES, Net, Sorter, config, taken
+from gateway.programs.proxy import ProxyServer as Program
+from roadspur.net.connection_interfaces import ImmediateResponse
+from tests.system.drift import CONTROLLER_ADDRESSES, Net, SimulatedProxy, config, taken
 
 LIMITS = {
     "entry-kind": "limits",
@@ -24,19 +24,19 @@
 HEADERS = [(b"Host", b"a.example"), (b"Attempt-Id", b"a1"), (b"Authorization", b"Token t1-a")]
 
 
-def begins(net: Net, address: str) -> Sorter:
-    proxy = net.nodes[address] = Sorter(net, address)
+def begins(net: Net, address: str) -> SimulatedProxy:
+    proxy = net.nodes[address] = SimulatedProxy(net, address)
     net.later(0.01, address, m.Tick())
     return proxy
 
 
-def refusal(proxy: Sorter, path: str) -> int | None:
+def refusal(proxy: SimulatedProxy, path: str) -> int | None:
     """With what a request is ended at once; None if it goes on."""
     found = proxy.proxy_node.ingress.read(b"GET", path.encode(), HEADERS)
-    return found.status if isinstance(found, Early) else None
+    return found.status if isinstance(found, ImmediateResponse) else None
 
 
-def answered(proxy: Sorter) -> int:
+def answered(proxy: SimulatedProxy) -> int:
     """What the platform is told of its readiness."""
     told: list[int] = []
     program = SimpleNamespace(proxy_node=proxy.proxy_node)
@@ -96,11 +96,11 @@
     net.run(1)
     for proxy in net.proxies:
         assert [refusal(proxy, f"/{label}/x") for label in ("r1", "r2", "r3", "r4")] == [None] * 4
-        judged = [
-            proxy.proxy_node.compiled_config.judge(b"a.example", f"/{label}/x".encode(), b"t1-a")
+        route_decision = [
+            proxy.proxy_node.compiled_config.resolve_request(b"a.example", f"/{label}/x".encode(), b"t1-a")
             for label in ("r1", "r3", "r4")
         ]
-        assert {(j.status, j.tenant.label, j.precedence) for j in judged} == {(200, "t1", 1)}
+        assert {(j.status, j.tenant.label, j.precedence) for j in route_decision} == {(200, "t1", 1)}
     assert after in net.proxies and len(net.proxies) == 3
 
 
--- a/tests/system/test_proxy_rank.py
+++ b/tests/system/test_proxy_rank.py
@@ -67,13 +67,13 @@
     """A service with two backends and room for one attempt."""
     held = backends_of(lambda *_: None)
     held.slots, held.floor = 1.0, 1.0
-    held.meet(CLASS, 2.0, "t1")
+    held.learn_route(CLASS, 2.0, "t1")
     return held
 
 
 def in_flight(service: Any, name: str, urgency: float) -> Any:
     """A request that a service has."""
-    f = service.flights[name] = flight(name, CLASS)
+    f = service.active_requests[name] = flight(name, CLASS)
     f.value = urgency
     return f
 
@@ -88,7 +88,7 @@
     service.send(0.0, in_flight(service, "busy", 1.0))
     service.send(0.0, in_flight(service, "urgent", 1.0))
     first = service.acts.pop()
-    service.flights.pop("busy")
+    service.active_requests.pop("busy")
     service.out, service.fleet.backends[first.backend].out = 0, {}  # it ended, and nobody was sent on yet
     service.send(0.0, in_flight(service, "newcomer", 0.5))
     assert [a.request for a in service.acts] == ["urgent"]
--- a/tests/system/test_sorting_status.py
+++ b/tests/system/test_proxy_status.py
@@ -7,7 +7,7 @@
 import pytest
 
 from tests.socket_rig import run, until
-from tests.system.proxy import Plane, answer, asked, reset
+from tests.system.proxy import ProxyFixture, answer, asked, reset
 
 EARLIER_MS = 60  # between the first send of a request and its second one
 
@@ -15,7 +15,7 @@
 @pytest.mark.parametrize("status", [301, 400, 404, 408, 421, 429, 500, 502, 503, 504])
 def test_a_failure_that_bears_a_seal_has_the_status_that_its_backend_gave(status: int) -> None:
     async def main() -> None:
-        plane = Plane()
+        plane = ProxyFixture()
         client = await plane.start(answer(status, b"no", Backend_Seal="3e1b.07"))
         got, headers, _ = await client.ask(asked("/order/1", method="POST"))
         assert got >= 300 and ("backend-seal" not in headers or got == status)
@@ -25,7 +25,7 @@
 
 def test_a_second_send_is_told_what_is_left_then() -> None:
     async def main() -> None:
-        plane, loop = Plane(), asyncio.get_running_loop()
+        plane, loop = ProxyFixture(), asyncio.get_running_loop()
         told: list[int] = []
         client = await plane.start(reset, answer(), backends=2)
 
@@ -48,7 +48,7 @@
 
 def test_a_request_that_tells_no_deadline_is_sent_with_that_of_its_route() -> None:
     async def main() -> None:
-        plane = Plane()
+        plane = ProxyFixture()
         client = await plane.start(answer())
         raw = asked().replace(b"Deadline-Ms: 4000\r\n", b"")
         assert (await client.ask(raw))[0] == 200
--- a/tests/system/test_silent_backend.py
+++ b/tests/system/test_silent_backend.py
@@ -10,14 +10,14 @@
 from roadspur import interface as io
 from roadspur.net import upstream
 from tests.socket_rig import Client, run, until
-from tests.system.proxy import Plane, answer, asked
+from tests.system.proxy import ProxyFixture, answer, asked
 from tests.system.test_proxy_ends import LARGE, head, read
 from tests.system.test_proxy_start import flight, service
 
 LENGTH = f"Content-Length: {len(LARGE)}"
 
 
-async def stopped(plane: Plane) -> None:
+async def stopped(plane: ProxyFixture) -> None:
     """Wait until an answer has begun, and then for as long as the rest of one is waited for."""
     await until(lambda: any(c.stall is not None for c in plane.upstream.connections))
     next(c for c in plane.upstream.connections if c.stall is not None).stalled()
@@ -26,7 +26,7 @@
 @pytest.mark.parametrize(("path", "backends"), [("/order/1", 2), ("/read/1", 1)])
 def test_the_rest_of_an_answer_that_no_other_backend_can_give_is_waited_for(path: str, backends: int) -> None:
     async def main() -> None:
-        plane = Plane()
+        plane = ProxyFixture()
         client = await plane.start(lambda seen: head(seen, "Content-Length: 4") + b"fi", backends=backends)
         client.writer.write(asked(path, method="POST"))
         await stopped(plane)
@@ -39,7 +39,7 @@
 
 def test_a_repeatable_request_goes_on_to_another_backend() -> None:
     async def main() -> None:
-        plane = Plane()
+        plane = ProxyFixture()
         client = await plane.start(lambda seen: head(seen, "Content-Length: 4") + b"fi", answer(), backends=2)
         asking = asyncio.ensure_future(client.ask(asked()))
         await stopped(plane)
@@ -49,9 +49,9 @@
     run(main())
 
 
-async def half_of_a_large_answer(patience: int) -> tuple[Plane, Client]:
+async def half_of_a_large_answer(patience: int) -> tuple[ProxyFixture, Client]:
     """A client that has the head of a large answer, of which the second half doesn't come."""
-    plane = Plane()
+    plane = ProxyFixture()
     client = await plane.start(lambda seen: head(seen, LENGTH) + LARGE[: len(LARGE) // 2])
     await read(client, asked(patience=patience))
     return plane, client
@@ -84,11 +84,11 @@
 def test_an_attempt_that_hangs_is_only_cancelled_where_another_backend_is(left: int, cancelled: int) -> None:
     s = service(lambda *_: None)
     cls = io.ClassSettings("read", io.Effect.SAFE, 60.0, 60.0)
-    s.meet(cls, 2.0, "t1")
+    s.learn_route(cls, 2.0, "t1")
     s.budget.share_among(0.0, 1)
     f: Any = flight("r1", cls)
     f.req.about.route.tries = 2
-    s.flights["r1"] = f
+    s.active_requests["r1"] = f
     s.send(0.0, f)
     backend = s.acts[0].backend
     others = [b for b in s.fleet.backends if b != backend]
--- a/tests/system/test_starting.py
+++ b/tests/system/test_starting.py
@@ -10,15 +10,14 @@
 
 from gateway.membership import messages as m
 from gateway.membership import wire
-from tests.system.consensus_cluster import Core, Node, finish
-from tests.system.drift import CONTROLLER_ADDRESSES, Net, Sorter, config, taken
-from tests.system.drift import Post as Rounds
+from tests.system.consensus_cluster import ConsensusCluster, Node, finish
+from tests.system.drift import CONTROLLER_ADDRESSES, Net, SimulatedController, SimulatedProxy, config, taken
 
 SPREAD_S = 0.3
 FIRST = taken(config())
 
 
-class Staggered(Core):
+class Staggered(ConsensusCluster):
     """A core at its first start, whose seeds begin at the given times."""
 
     def __init__(self, count: int, seed: int, begins: list[float]) -> None:
@@ -48,14 +47,16 @@
     starts += [(chance.uniform(0, SPREAD_S), f"10.1.2.{n}:7660") for n in range(5)]
     for wait, address in sorted(starts):
         net.run(max(0.0, 100.0 + wait - net.now))
-        net.nodes[address] = (Rounds if address in CONTROLLER_ADDRESSES else Sorter)(net, address)
+        net.nodes[address] = (SimulatedController if address in CONTROLLER_ADDRESSES else SimulatedProxy)(
+            net, address
+        )
         net.later(0.01, address, m.Tick())
         if address in CONTROLLER_ADDRESSES:
             net.give(address, m.SetCore(tuple(CONTROLLER_ADDRESSES)))
     net.run(0.5)
     net.give(
         CONTROLLER_ADDRESSES[0],
-        m.Put(m.CORE, (1, 1), wire.encode_members(CONTROLLER_ADDRESSES, CONTROLLER_ADDRESSES[0])),
+        m.Publish(m.CORE, (1, 1), wire.encode_members(CONTROLLER_ADDRESSES, CONTROLLER_ADDRESSES[0])),
     )
     net.put(1, FIRST)
     net.run(0.6)
