--- a/gateway/__init__.py
+++ b/gateway/__init__.py
@@ -1,1 +1,1 @@
-"""The whole system around the ingress: its planes as libraries, its programs on top."""
+"""The whole gateway: one library package a plane, and two programs, proxy and controller, on top of them."""
--- a/gateway/__main__.py
+++ b/gateway/__main__.py
@@ -1,15 +1,15 @@
-"""`python -m gateway proxy` and `... controller` run the programs; everything else is the command line."""
+"""`python -m gateway proxy` and `... controller` run a program; the rest is `gateway.cli`."""
 
 from __future__ import annotations
 
 import sys
 
-import gateway.runtime.clock  # noqa: F401  it notes when this process began
+import gateway.runtime.clock  # noqa: F401  imported first: it records the process start
 from gateway.programs import PROGRAMS, launch
 
 
 def main(arguments: list[str]) -> int:
-    """Run a command; its exit code. The programs start without the command line's library: it costs time."""
+    """Run a command and return its exit code. The programs start without importing cleo, which costs time."""
     if arguments and arguments[0] in PROGRAMS and set(arguments[1:]) <= {"--counts"}:
         return launch(arguments[0])
     from gateway.cli import commands
--- a/gateway/cli/allowance.py
+++ b/gateway/cli/allowance.py
@@ -1,4 +1,7 @@
-"""Whether all nodes agree on each tenant's remaining allowance, as the controllers that count it tell."""
+"""Command `allowance`: whether all nodes agree on each tenant's remaining allowance.
+
+The controllers report the counters that they own, and the view that each proxy has of them.
+"""
 
 from __future__ import annotations
 
@@ -7,11 +10,11 @@
 
 from gateway.cli.nodes import Row, ask_each, columns
 
-DISAGREES = 1  # units beyond what was said in a view's time that are let pass
+DISAGREES = 1  # units: a view may deviate by this much from what its owner had said
 
 
 class AllowanceReport(NamedTuple):
-    """Tenants with their holders, each node's views, and seeds that gave no answer."""
+    """Tenants with their counters' owners (`holder`), each node's views, and seeds without an answer."""
 
     tenants: list[Row]
     views: list[Row]
@@ -19,17 +22,17 @@
 
     @property
     def well(self) -> bool:
-        """Whether nothing calls for an operator."""
+        """Whether every seed answered and every tenant is in the state `agrees`."""
         return not self.faults and all(row["state"] == "agrees" for row in self.tenants)
 
 
 def ask(seeds: Iterable[str]) -> AllowanceReport:
-    """Ask each of these `control` addresses; tenants that none of them counts are not known."""
+    """Ask each of these `control` addresses. Tenants that none of these controllers counts are missing."""
     return merge_answers(*ask_each(seeds))
 
 
 def merge_answers(answers: list[Row], faults: list[tuple[str, str]]) -> AllowanceReport:
-    """One list of tenants, one of views."""
+    """Merge the status answers into one list of tenants and one of views, both sorted by tenant."""
     tenants, views = [], []
     for answer in answers:
         for count in answer.get("allowance", ()):
@@ -77,6 +80,6 @@
 
 
 def lines(report: AllowanceReport, nodes: bool) -> list[str]:
-    """A table of the tenants, or of each node's views."""
+    """A table for the terminal: one line a tenant, or with `nodes` one line a view."""
     names, rows = (VIEWS, report.views) if nodes else (TENANTS, report.tenants)
     return columns(names, [tuple(row[name] for name in names) for row in rows])
--- a/gateway/cli/commands.py
+++ b/gateway/cli/commands.py
@@ -1,6 +1,6 @@
-"""The command line beside the running programs: versions, checks of files, orders, and what all nodes run.
+"""The commands of `python -m gateway`: checks of files, configuration changes, reports, and the programs.
 
-Exit codes: 0 all is well, 1 a command that can't be understood, 2 faults, each printed with its place.
+Exit codes: 0 no faults, 1 a command line that can't be parsed, 2 faults, each printed with its place.
 """
 
 from __future__ import annotations
@@ -28,27 +28,27 @@
 
 
 class _CheckCommand(Command):
-    """What the checks share."""
+    """Base of all commands that print faults and return an exit code."""
 
     def faults(self, file: str, faults: Iterable[tuple[str, str]]) -> int:
-        """Print faults with their places."""
+        """Print faults to standard error, each with its place; returns exit code 2."""
         for place, problem in faults:
             where = place if place.startswith(file) else f"{file}: {place}" if place else file
             self.line_error(Formatter.escape(f"{where}: {problem}"))
         return EXIT_FAULTS
 
     def lines(self, lines: Iterable[str]) -> None:
-        """Print lines as they are."""
+        """Print lines to standard output without interpreting markup."""
         for line in lines:
             self.line(Formatter.escape(line))
 
     def report_ok(self, what: str) -> int:
-        """Print that all is well."""
+        """Print that there are no faults; returns exit code 0."""
         self.line(Formatter.escape(f"{what}: no faults"))
         return 0
 
     def settings(self, path: str, program: str | None) -> int:
-        """Check a settings file, also for what one program needs."""
+        """Check a settings file; with `program`, also that it has the listeners which that program needs."""
         found = settings.read_file(path)
         if isinstance(found, Err):
             return self.faults(path, found.err_value)
@@ -64,12 +64,13 @@
 
 
 class VersionCommand(Command):
-    """Tells the version."""
+    """Prints the version."""
 
     name = "version"
     description = "Tell the version"
 
     def handle(self) -> int:
+        """Run the command; returns its exit code."""
         self.line(VERSION)
         return 0
 
@@ -84,18 +85,20 @@
     ]
 
     def handle(self) -> int:
+        """Run the command; returns its exit code."""
         path = self.argument("file")
         return self.settings(path, None) if path else self.own_settings(None)
 
 
 class CheckConfig(_CheckCommand):
-    """Checks a whole configuration as an operator would put it."""
+    """Checks a whole configuration as `config put` would send it."""
 
     name = "check-config"
     description = "Check a configuration (JSON), as it would be put"
     arguments: ClassVar[list[Argument]] = [argument("file", "The file")]
 
     def handle(self) -> int:
+        """Run the command; returns its exit code."""
         from gateway.config import document
 
         path = self.argument("file")
@@ -109,7 +112,7 @@
 
 
 class NodesCommand(_CheckCommand):
-    """Lists what all nodes run, as the controllers know it."""
+    """Lists which configuration each node runs, as the controllers know it."""
 
     name = "nodes"
     description = "List nodes by version, digest, lag and findings"
@@ -117,6 +120,7 @@
     options: ClassVar[list[Option]] = [option("json", None, "As JSON")]
 
     def handle(self) -> int:
+        """Run the command; returns its exit code."""
         from gateway.cli import nodes
 
         told = nodes.ask(self.argument("seeds"))
@@ -126,13 +130,14 @@
 
 
 class CoreCommand(_CheckCommand):
-    """Shows the core's members."""
+    """Shows the members of the consensus group (the core)."""
 
     name = "core"
     description = "List the core's members, who leads, and what loss they bear"
     arguments: ClassVar[list[Argument]] = [SEEDS]
 
     def handle(self) -> int:
+        """Run the command; returns its exit code."""
         from gateway.cli import nodes
         from gateway.programs import status_report
 
@@ -150,6 +155,7 @@
     arguments: ClassVar[list[Argument]] = [SEEDS]
 
     def handle(self) -> int:
+        """Run the command; returns its exit code."""
         from gateway.cli import nodes
         from gateway.programs import status_report
 
@@ -159,7 +165,7 @@
 
 
 class AllowanceCommand(_CheckCommand):
-    """Compares what all nodes know of each tenant's remaining allowance with its holder's verdict."""
+    """Compares each node's view of each tenant's remaining allowance with the owner of its counter."""
 
     name = "allowance"
     description = "Compare each node's view of each tenant's remaining allowance with the holder's"
@@ -170,6 +176,7 @@
     ]
 
     def handle(self) -> int:
+        """Run the command; returns its exit code."""
         from gateway.cli import allowance
 
         told = allowance.ask(self.argument("seeds"))
@@ -180,7 +187,7 @@
 
 
 class _ConfigCommand(_CheckCommand):
-    """An order about the configuration, at whichever process takes it."""
+    """Base of the commands that read or change the configuration at whichever controller answers."""
 
     method = "GET"
     options: ClassVar[list[Option]] = [
@@ -188,7 +195,7 @@
     ]
 
     def order(self, seeds: list[str], body: bytes) -> int:
-        """Carry it out and print the answer."""
+        """Send the request, retrying until there is a definite answer, and print that; the exit code."""
         from gateway.cli import control_client
 
         answer = control_client.run(
@@ -210,11 +217,12 @@
     arguments: ClassVar[list[Argument]] = [SEEDS]
 
     def handle(self) -> int:
+        """Run the command; returns its exit code."""
         return self.order(self.argument("seeds"), b"")
 
 
 class ConfigPut(_ConfigCommand):
-    """Puts a whole configuration."""
+    """Replaces the whole configuration by that in a file."""
 
     name = "config put"
     description = "Put a whole configuration"
@@ -224,6 +232,7 @@
     ]
 
     def handle(self) -> int:
+        """Run the command; returns its exit code."""
         *seeds, path = self.argument("seeds")
         if not seeds:
             return self.faults("", [(path, "expected addresses, and then a file")])
@@ -236,7 +245,7 @@
 
 
 class ConfigPatch(ConfigPut):
-    """Changes named entries."""
+    """Changes single entries of the configuration by the PATCH in a file."""
 
     name = "config patch"
     description = "Change named entries of the configuration"
@@ -244,7 +253,7 @@
 
 
 class PlanCore(_CheckCommand):
-    """Tells what a core of so many disks bears."""
+    """Prints which losses of disks a core of a given size tolerates."""
 
     name = "plan-core"
     description = "Tell what becomes of a core when disks are lost"
@@ -254,6 +263,7 @@
     ]
 
     def handle(self) -> int:
+        """Run the command; returns its exit code."""
         from gateway.consensus import quorum
 
         members, tolerance = int(self.argument("members")), int(self.option("tolerance"))
@@ -271,26 +281,29 @@
 
 
 class _ProgramCommand(_CheckCommand):
+    """Base of the commands that run a program, or with `--check` only check its settings."""
+
     options: ClassVar[list[Option]] = [
         option("check", None, "Only check the settings, then end"),
         option("counts", None, "Write what tenants asked and were allowed, a line each 5 s"),
     ]
 
     def handle(self) -> int:
+        """Run the command; returns its exit code."""
         if self.option("check"):
             return self.own_settings(self.name)
         return launch(str(self.name))
 
 
 class ProxyCommand(_ProgramCommand):
-    """The program on every machine that takes requests."""
+    """Runs the proxy, which forwards clients' requests; on every machine."""
 
     name = "proxy"
     description = "Run the program that takes requests"
 
 
 class ControllerCommand(_ProgramCommand):
-    """The program on the machines of the core."""
+    """Runs the controller, which serves backends and operators; on the machines of the core."""
 
     name = "controller"
     description = "Run the program that serves backends and operators"
@@ -314,7 +327,7 @@
 
 
 def run(arguments: list[str]) -> int:
-    """Run a command line; its exit code."""
+    """Parse and run a command line (without the program name); returns its exit code."""
     application = Application("gateway", VERSION)
     application.auto_exits(False)
     for command in COMMANDS:
--- a/gateway/cli/control_client.py
+++ b/gateway/cli/control_client.py
@@ -1,6 +1,6 @@
-"""An operator's call to `control`: made again, unchanged, until a process gives a clear answer.
+"""HTTP client of `control` addresses: retries a call, unchanged, until there is a definite answer.
 
-answer = operator call.run(["10.1.0.5:8407", "10.2.0.3:8407"], "PUT", operator call.CONFIG, body)
+answer = control_client.run(["10.1.0.5:8407", "10.2.0.3:8407"], "PUT", control_client.CONFIG, body)
 """
 
 from __future__ import annotations
@@ -15,16 +15,16 @@
 from gateway.state_machine import Address
 
 CONFIG = "/-/config"
-FINAL_STATUSES = (400, 409, 412, 413, 422)  # end it at once, as a success does
-RETRY_STATUSES = (408, 429)  # another process may have room
-TRIES_4XX = 3  # after which any other 4xx counts
+FINAL_STATUSES = (400, 409, 412, 413, 422)  # definite, as any 2xx is: no retry
+RETRY_STATUSES = (408, 429)  # transient: another controller may accept the call
+TRIES_4XX = 3  # any other 4xx is definite once it was received this often
 REDIRECTS = 2
-SILENCE_S, BYTES_A_SECOND = 1.0, 1e6  # of patience with one process, and what a large body adds
+SILENCE_S, BYTES_A_SECOND = 1.0, 1e6  # timeout of one call in seconds; bytes of the body that add a second
 FIRST_PAUSE_S, LONGEST_PAUSE_S = 0.1, 2.0
 
 
 class Answer(NamedTuple):
-    """What a process has said: status (0: nothing), where to go instead, body."""
+    """An HTTP answer: status (0: none), the `Location` of a redirect, and the body."""
 
     status: int
     location: str
@@ -36,7 +36,7 @@
 
 
 def call(address: Address, method: str, path: str, body: bytes, patience_s: float) -> Answer:
-    """One HTTP call; whatever breaks it is no answer."""
+    """One HTTP call with a timeout of `patience_s` seconds; any failure of it is `NO_ANSWER`."""
     try:
         host, port = host_port(address)
         connection = HTTPConnection(host, port, timeout=patience_s)
@@ -61,9 +61,9 @@
     pause: Callable[[float], object] = time.sleep,
     clock: Callable[[], float] = time.monotonic,
 ) -> Answer:
-    """Call one process after the other, with a growing pause, for at most `most_s` seconds; the last answer.
+    """Call the seeds in turn, with exponential backoff, for at most `most_s` seconds; the last answer.
 
-    An order that has got no clear answer may be in force: the same one sent again is then answered with 200.
+    A configuration change without a definite answer may be in force: sent again unchanged it then gets 200.
     """
     patience, ends = SILENCE_S + len(body) / BYTES_A_SECOND, clock() + most_s
     wait, unexpected_4xx, turn = FIRST_PAUSE_S, 0, 0
@@ -82,7 +82,7 @@
 
 
 def _follow(call: Call, address: Address, method: str, path: str, body: bytes, patience: float) -> Answer:
-    """The answer of a process, or of the one that it sends us on to."""
+    """The answer of one controller, following its redirects (307)."""
     answer = NO_ANSWER
     for _ in range(1 + REDIRECTS):
         answer = call(address, method, path, body, patience)
--- a/gateway/cli/nodes.py
+++ b/gateway/cli/nodes.py
@@ -1,4 +1,7 @@
-"""What all nodes run, as the controllers tell it: asked, put together, and laid out for a terminal."""
+"""Command `nodes`: which configuration each node runs, merged from the status of several controllers.
+
+`ask_each` and `columns` also serve the other report commands.
+"""
 
 from __future__ import annotations
 
@@ -10,14 +13,14 @@
 from gateway.programs.fleet_monitor import STATUS
 from gateway.runtime.address import host_port
 
-PATIENCE_S = 2.0  # for one answer
-MOST_BYTES = 4 * 1024 * 1024  # of one answer
-SILENT_S = 10.0  # a node that has told nothing for so long is not well
+PATIENCE_S = 2.0  # timeout of one call
+MOST_BYTES = 4 * 1024 * 1024  # limit of one answer's body
+SILENT_S = 10.0  # without a report for so long, a node is in the state `silent`
 Row = dict[str, Any]
 
 
 class FleetReport(NamedTuple):
-    """The newest version that a controller knows; all nodes; findings; and seeds that gave no answer."""
+    """The newest version that a controller knows, all nodes, drift findings, and seeds without an answer."""
 
     version: int
     nodes: list[Row]
@@ -26,12 +29,12 @@
 
     @property
     def well(self) -> bool:
-        """Whether nothing calls for an operator."""
+        """Whether every seed answered, there are no findings, and every node is in the state `well`."""
         return not (self.faults or self.findings or any(n["state"] != "well" for n in self.nodes))
 
 
 def status(address: str, path: str = STATUS) -> Row:
-    """A program's own word; OSError or ValueError where there is none."""
+    """The JSON object at `path` of a program. Raises OSError or ValueError if there is no valid answer."""
     host, port = host_port(address)
     connection = HTTPConnection(host, port, timeout=PATIENCE_S)
     try:
@@ -51,7 +54,7 @@
 
 
 def ask_each(seeds: Iterable[str], path: str = STATUS) -> tuple[list[Row], list[tuple[str, str]]]:
-    """The answer of each of these `control` addresses, and which gave none."""
+    """The answers of these `control` addresses, and the failures as pairs of address and reason."""
     answers, faults = [], []
     for seed in seeds:
         try:
@@ -62,12 +65,12 @@
 
 
 def ask(seeds: Iterable[str]) -> FleetReport:
-    """Ask each of these `control` addresses."""
+    """Ask each of these `control` addresses and merge what they report."""
     return merge_answers(*ask_each(seeds))
 
 
 def merge_answers(answers: list[Row], faults: list[tuple[str, str]]) -> FleetReport:
-    """One list out of several: of each node what was heard latest."""
+    """One report from several answers: for each node the one that was heard from it last."""
     version = max((a["version"] for a in answers), default=0)
     latest: dict[str, Row] = {}
     for a in answers:
@@ -106,13 +109,13 @@
 
 
 def lines(report: FleetReport) -> list[str]:
-    """A table of the nodes, then the findings."""
+    """Lines for the terminal: a table of the nodes, then the findings."""
     table = columns(COLUMNS, [tuple(n[c] for c in COLUMNS) for n in report.nodes])
     return [*table, *(f"finding: {f}" for f in report.findings)]
 
 
 def columns(names: tuple[str, ...], rows: Iterable[tuple[Any, ...]]) -> list[str]:
-    """Rows under their names, in even columns."""
+    """Format rows as a table with aligned columns; the first line has the names."""
     cells = [names, *(tuple(map(_cell, row)) for row in rows)]
     widths = [max(len(row[i]) for row in cells) for i in range(len(names))]
     return [
--- a/gateway/config/__init__.py
+++ b/gateway/config/__init__.py
@@ -1,1 +1,1 @@
-"""Configurations: their check, the operator's orders, and the tree of matchers that requests go through."""
+"""Configurations: schema and checks, the operator's changes, the routing tree, and digests against drift."""
--- a/gateway/config/digest.py
+++ b/gateway/config/digest.py
@@ -1,4 +1,8 @@
-"""Whether a node runs what was acknowledged: digests over the live tree against those of the document."""
+"""Digests of a running configuration against those of the acknowledged document, to detect drift.
+
+A configuration is a set of items (routes, keys, services, limits). Each has a 64 bit digest over its values;
+the digest of the whole is their sum modulo 2**64, so it doesn't depend on the order of entries.
+"""
 
 from __future__ import annotations
 
@@ -30,12 +34,12 @@
 FIELDS = {"route": ROUTE, "key": TENANT, "service": SERVICE, "limits": LIMITS, "keys": ("asked",)}
 
 ItemKey = tuple[str, bytes, bytes]
-"""What an item is found by: its kind, then host and prefix of a route, the key of a tenant, or a label."""
+"""Identifies an item: its kind, then host and prefix of a route, the key of a tenant, or a label."""
 ItemValues = tuple[Any, ...]
 
 
 class ExpectedItem(NamedTuple):
-    """One thing that requests use, as it is set."""
+    """One item as the document has it: its label, the values that requests use, and their digest."""
 
     label: str
     values: ItemValues
@@ -43,7 +47,10 @@
 
 
 class ExpectedDigests:
-    """Digests of all items, from the document alone. What a former one knows already is taken over."""
+    """The expected digests of all items, computed from the document alone; `total` is that of the whole.
+
+    Unchanged items are reused from `previous`.
+    """
 
     __slots__ = ("generation", "items", "total")
 
@@ -61,17 +68,17 @@
 
 
 def item_digest(name: ItemKey, values: ItemValues) -> int:
-    """Of one item, 64 bit. All nodes have the same for the same meaning."""
+    """The 64 bit digest of one item; the same on all nodes for the same values."""
     return int.from_bytes(blake2b(repr((name, values)).encode(), digest_size=8).digest())
 
 
 def digest(compiled_config: CompiledConfig) -> int:
-    """Of the whole compiled book, 64 bit: the sum over its items, so that no order of entries matters."""
+    """The 64 bit digest of a whole compiled configuration: the sum over its items."""
     return sum(item_digest(name, values_of(thing)) for name, thing in iterate_items(compiled_config)) & MASK
 
 
 def iterate_items(compiled_config: CompiledConfig) -> Iterator[tuple[ItemKey, Any]]:
-    """All items that requests use, found by way of the tree itself."""
+    """All items that requests use, found by walking the routing tree itself."""
     for host, root in compiled_config.hosts.items():
         level: list[tuple[bytes, Node]] = [(b"/", root)]
         while level:
@@ -88,15 +95,15 @@
 
 
 class DriftScanner:
-    """Goes over a live book again and again, some items a call, and names what is not as expected."""
+    """Scans a compiled configuration repeatedly, some items a call, for differences from the expected."""
 
     def __init__(self, compiled_config: CompiledConfig, expected: ExpectedDigests) -> None:
         self.compiled_config, self.expected = compiled_config, expected
-        self.completed_passes = 0  # gone through to their end
+        self.completed_passes = 0  # full scans so far
         self._pending_items: list[tuple[ItemKey, Any]] = []
 
     def step(self, n: int) -> list[Difference]:
-        """Hash the next n items. Once a round, also tell what is missing from the book."""
+        """Check the next `n` items; at the start of each scan, also which expected items are missing."""
         found: list[Difference] = []
         if not self._pending_items:
             self._pending_items = list(iterate_items(self.compiled_config))
@@ -108,7 +115,7 @@
         return found
 
     def check_item(self, name: ItemKey, thing: Any) -> list[Difference]:
-        """Hash one item that requests use; where it is not as it is set."""
+        """Check one item that requests use; the fields that differ from the document."""
         running, item = values_of(thing), self.expected.items.get(name)
         if item is None:
             return [Difference(f"{name[0]} {_label(name, running)}".rstrip(), "present", "absent")]
@@ -127,12 +134,12 @@
 
 
 def _label(name: ItemKey, running: ItemValues) -> str:
-    """How an item is called that is in no document; keys are secrets, so theirs is that of the tenant."""
+    """Label of an item that the document doesn't have. Keys are secrets, so the tenant's label is used."""
     return str(running[0]) if name[0] in ("route", "key") else name[1].decode()
 
 
 def values_of(thing: Any) -> ItemValues:
-    """What requests use of an item, in the order of `FIELDS`."""
+    """The values of an item that requests use, in the order of `FIELDS`."""
     if isinstance(thing, Route):
         r = thing
         return (
--- a/gateway/config/document.py
+++ b/gateway/config/document.py
@@ -1,4 +1,4 @@
-"""A whole configuration as the operator sent it, and a typed view of it. Unknown fields pass and are kept."""
+"""A whole configuration as the operator sent it, with a typed view. Unknown fields are ignored but kept."""
 
 from __future__ import annotations
 
@@ -12,15 +12,15 @@
 from gateway.config import schema
 from gateway.config.schema import ConfigError
 
-DEPTH_MAX = 32  # of lists and objects within one another
-MAX_TARGET_LATENCY_EXCESS_S = 60.0  # seconds by which an aim has to stay below its deadline's end
+DEPTH_MAX = 32  # nesting of lists and objects, at most
+MAX_TARGET_LATENCY_EXCESS_S = 60.0  # seconds; a target latency may exceed its deadline by less
 
 Raw = dict[str, Any]
-Key = tuple[str, str]  # kind and label of an entry
+Key = tuple[str, str]  # entry-kind and label
 
 
 class RouteEntry(NamedTuple):
-    """A route as it is set. The host is in lower case, times are seconds, `targets` services with shares."""
+    """A route as configured. Lower-case host, times in seconds, `targets` are services with shares."""
 
     label: str
     host: str
@@ -32,11 +32,11 @@
     tries: int
     public: bool
     targets: tuple[tuple[str, float], ...]
-    unused_target: str | None  # a `target` that stands beside `weighted`, and takes nothing
+    unused_target: str | None  # a `target` beside `weighted`, which gets no requests
 
 
 class ServiceEntry(NamedTuple):
-    """A service as it is set: where its health is asked, and connections a backend takes from all callers."""
+    """A service as configured: path of health probes, and connections a backend accepts from all callers."""
 
     label: str
     health_path: str
@@ -44,7 +44,7 @@
 
 
 class TenantEntry(NamedTuple):
-    """A tenant as it is set. Requests a second and burst are 0 for no limit; precedence may be left out."""
+    """A tenant as configured. `rate` is requests a second, 0 for no limit; `precedence` None: the route's."""
 
     label: str
     keys: tuple[str, ...]
@@ -54,7 +54,7 @@
 
 
 class Limits(NamedTuple):
-    """What a client may send (bytes), and how long it may take or remain idle (seconds)."""
+    """Limits on clients: sizes in bytes, timeouts in seconds."""
 
     max_header_bytes: int = 16_384
     max_body_bytes: int = 64 * 1024 * 1024
@@ -66,7 +66,7 @@
 
 
 class Document:
-    """One configuration, never changed once it is built. Built by `parse`, `whole` and `patch`."""
+    """One configuration, immutable once it is built by `parse`, `whole` or `patch`."""
 
     __slots__ = (
         "raw",
@@ -87,14 +87,14 @@
         self.services: dict[str, ServiceEntry] = {}
         self.tenants: dict[str, TenantEntry] = {}
         self.limits = Limits()
-        self.seen: dict[Key, tuple[Raw, Entry]] = {}  # by kind and label: as sent, and as read
+        self.seen: dict[Key, tuple[Raw, Entry]] = {}  # by kind and label: raw and typed form
 
     def encode(self) -> bytes:
-        """The configuration as JSON, laid out as it was put."""
+        """The configuration as JSON, structured as in the PUT."""
         return json.dumps(self.raw, separators=(",", ":")).encode()
 
     def add(self, key: Key, raw: Raw, entry: Entry) -> None:
-        """Take an entry into the typed view."""
+        """Add an entry to the typed view."""
         self.seen[key] = raw, entry
         if isinstance(entry, RouteEntry):
             self.routes[entry.label] = entry
@@ -107,8 +107,10 @@
 
 
 def load(body: bytes, checked: bool = False) -> Result[Raw, list[ConfigError]]:
-    """The JSON object in a body. Errors: it can't be read whole, is no object, or, unless it was `checked`
-    before, is nested too deep."""
+    """Parse a body as a JSON object. Errors: invalid JSON, not an object, or nested too deeply.
+
+    The nesting isn't checked again if `checked`.
+    """
     try:
         raw = json.loads(body, parse_constant=_no_number)
     except (ValueError, RecursionError) as e:
@@ -131,24 +133,24 @@
 
 
 def parse(body: bytes, previous: Document | None = None) -> Result[Document, list[ConfigError]]:
-    """Read a whole configuration.
+    """Parse and check a whole configuration.
 
-    With a former one, entries equal to those in it are taken over, which saves time. Only for a configuration
-    that was checked before: to Python, 1 and true are equal.
+    Entries equal to those of `previous` are reused, which saves time. Pass it only for a configuration that
+    was checked before: to Python, 1 and true are equal.
     """
     raw = load(body, previous is not None)
     return whole(raw.ok_value, previous) if isinstance(raw, Ok) else raw
 
 
 def whole(raw: Raw, previous: Document | None = None) -> Result[Document, list[ConfigError]]:
-    """Check a whole configuration and build its typed view (see `parse`). `raw` is not changed after this."""
+    """Check a whole configuration and build its typed view (see `parse`). `raw` must not be changed later."""
     return _build(raw, previous, operator.eq)
 
 
 def patch(previous: Document | None, raw: Raw) -> Result[Document, list[ConfigError]]:
-    """The former configuration with a PATCH put into it: first its `remove`, then its `upsert`.
+    """The configuration that results from a PATCH of `previous`: first its `remove`, then its `upsert`.
 
-    Items are replaced where they stand, new ones come last, and names that are unknown are not missed.
+    Replaced entries keep their position, new ones come last; removing an unknown name is no error.
     """
     errors: list[ConfigError] = []
     upsert, remove = _upserted(raw, errors), _removed(raw, errors)
@@ -166,7 +168,7 @@
 
 
 def key_of(entry: Raw) -> Key:
-    """Kind and label of a checked entry. There is one entry of limits, whatever it is called."""
+    """Kind and label of a checked entry. There is only one entry of limits, whatever its label."""
     kind: str = entry["entry-kind"]
     label = "" if kind == "limits" else (entry.get("metadata") or {}).get("label") or ""
     return kind, label
@@ -214,7 +216,7 @@
 
 
 def _check_labels(entries: list[Any], where: str, places: dict[Key, str], errors: list[ConfigError]) -> None:
-    """Check what all entries share, and note the place of each by its kind and label."""
+    """Check kinds and labels, which all entries have, and record the place of each entry."""
     for i, entry in enumerate(entries):
         place = f"{where}[{i}]"
         if not isinstance(entry, dict) or not isinstance(entry.get("entry-kind"), str):
@@ -257,7 +259,7 @@
     if errors:
         return Err(errors[: schema.MAX_REPORTED_ERRORS])
     document = Document(raw, generation, base_version)
-    if order is not None:  # it names single items, and the others have no place in it
+    if order is not None:  # of a PATCH: only its own entries have a place
         found = {key: order.get(key) or " ".join(key) for key in found}
     for entry in document.entries:
         key = key_of(entry)
@@ -317,7 +319,7 @@
 
 
 def _check_references(document: Document, places: dict[Key, str], errors: list[ConfigError]) -> None:
-    """Check entries against one another."""
+    """Check references between entries, and that hosts with prefixes and keys are unique."""
     places_taken: dict[tuple[str, str], str] = {}
     for route in document.routes.values():
         place = places["route-table", route.label]
--- a/gateway/config/orders.py
+++ b/gateway/config/orders.py
@@ -1,4 +1,7 @@
-"""What becomes of an order of the operator, and the value that the core agrees on."""
+"""Decisions on the operator's orders (PUT and PATCH), and the encoding of the replicated value.
+
+The value holds the configuration in force and the history of accepted orders, by which retries are known.
+"""
 
 from __future__ import annotations
 
@@ -15,20 +18,20 @@
 from gateway.config.document import Document, Raw
 from gateway.config.schema import ConfigError
 
-MAX_REMEMBERED_ORDERS = 1024  # orders taken, by which a repeat is known: ten hours of 2,400 a day
-WHOLE_MAX = 64 * 1024 * 1024  # bytes of a configuration
+MAX_REMEMBERED_ORDERS = 1024  # length of the history: ten hours at 2,400 orders a day
+WHOLE_MAX = 64 * 1024 * 1024  # bytes of an uncompressed configuration
 FORMAT = 2  # of the encoded value, its first byte
-HEAD = struct.Struct(">BHQ")  # form, number of orders taken, generation of the newest one forgotten
+HEAD = struct.Struct(">BHQ")  # format, length of the history, generation of the newest order dropped from it
 ORDER_RECORD = struct.Struct(">QQ")  # fingerprint and generation
-FORMAT_1, MAX_REMEMBERED_ORDERS_1 = 1, 64  # an older form without generations
+FORMAT_1, MAX_REMEMBERED_ORDERS_1 = 1, 64  # the older format, without generations
 HEAD_1, ORDER_RECORD_1 = struct.Struct(">BB"), struct.Struct(">Q")
 
 
 class ConfigState:
-    """What is in force: a configuration (None before the first) and the last orders taken, newest last.
+    """The state in force: a configuration (None before the first) and the last accepted orders, newest last.
 
-    `taken` has their generations by their fingerprints, which cover method, generation and content. All that
-    were taken with a later generation than `forgotten` are among them.
+    `taken` maps the fingerprint of each accepted order (over method, generation and content) to its
+    generation. It has all accepted orders with a generation above `forgotten`.
     """
 
     __slots__ = ("document", "taken", "forgotten")
@@ -40,31 +43,31 @@
 
     @property
     def generation(self) -> int:
-        """Of the configuration in force, 0 for none."""
+        """The generation of the configuration in force; 0 for none."""
         return self.document.generation if self.document else 0
 
     def whole(self) -> bytes:
-        """The body that answers a GET: the whole configuration as it is put; empty if there is none."""
+        """The body that answers a GET: the whole configuration as JSON; empty if there is none."""
         return self.document.encode() if self.document else b""
 
     def with_order(self, document: Document, order: int) -> ConfigState:
-        """What is in force after an order that makes this configuration."""
+        """The state after accepting the order with this fingerprint, which results in `document`."""
         taken, forgotten = {**self.taken, order: document.generation}, self.forgotten
         while len(taken) > MAX_REMEMBERED_ORDERS:
             forgotten = max(forgotten, taken.pop(next(iter(taken))))
         return ConfigState(document, taken, forgotten)
 
     def encode(self) -> bytes:
-        """The value to be agreed on: the orders taken, and the configuration packed."""
+        """The value to be replicated: format, history of orders, and the compressed configuration."""
         taken = b"".join([ORDER_RECORD.pack(*order) for order in self.taken.items()])
         head = HEAD.pack(FORMAT, len(self.taken), self.forgotten)
         return head + taken + zlib.compress(self.whole(), 3)
 
     @classmethod
     def decode(cls, value: bytes, previous: ConfigState | None = None) -> ConfigState:
-        """Read an agreed value; an empty one is that before the first order. A former one saves time.
+        """Decode a replicated value; an empty one is the state before the first order.
 
-        Raises ValueError if it is none.
+        Unchanged entries are reused from `previous`. Raises ValueError if the value is invalid.
         """
         if not value:
             return cls()
@@ -73,7 +76,7 @@
         if value[0] == FORMAT:
             config_state.taken = dict(ORDER_RECORD.iter_unpack(value[HEAD.size : start]))
             config_state.forgotten = HEAD.unpack_from(value)[2]
-        else:  # generations rise, so this is the most that each may be
+        else:  # generations rise, so these are upper bounds
             orders = [order for (order,) in ORDER_RECORD_1.iter_unpack(value[HEAD_1.size : start])]
             least = config_state.generation - len(orders)
             config_state.taken = {order: max(0, least + n) for n, order in enumerate(orders, 1)}
@@ -82,12 +85,12 @@
 
 
 def without_order_history(value: bytes) -> bytes:
-    """An agreed value for those who take no orders: the configuration alone. ValueError if it is none."""
+    """A replicated value without its history, for proxies. Raises ValueError if the value is invalid."""
     return HEAD.pack(FORMAT, 0, 0) + value[_payload_offset(value) :]
 
 
 def _payload_offset(value: bytes) -> int:
-    """Where the packed configuration begins."""
+    """Offset of the compressed configuration in a value. Raises ValueError if the value is invalid."""
     head, taken = (HEAD, ORDER_RECORD) if value[0] == FORMAT else (HEAD_1, ORDER_RECORD_1)
     if value[0] not in (FORMAT, FORMAT_1) or len(value) < head.size:
         raise ValueError("not a value of orders")
@@ -114,9 +117,10 @@
 
 
 class Decision(NamedTuple):
-    """The answer to an order, and what is to be agreed on before it may go out (None: nothing).
+    """HTTP status and body of the answer to an order.
 
-    `ahead`: its base may be under way still, so that the answer may be another one a little later.
+    `config_state` has to be committed before the answer is sent; None: nothing changes. `ahead`: the order's
+    base may still be in flight, so the answer may be different a little later.
     """
 
     status: int
@@ -126,11 +130,11 @@
 
 
 def decide(config_state: ConfigState, method: str, body: bytes) -> Decision:
-    """Judge a PUT or PATCH of the configuration on top of what is in force.
+    """Decide on a PUT or PATCH of the configuration in force.
 
-    A repeat of an order that was taken is 200, whatever came since; then another base is 412, and an invalid
-    configuration 400, with the faults. One so old that it may have been taken and forgotten gets no clear
-    answer (503).
+    A retry of an accepted order gets 200, whatever was accepted since. Otherwise another base gets 412, and
+    an invalid configuration 400 with the errors. An order so old that it may have been accepted and dropped
+    from the history gets 503: its outcome is unknown.
     """
     if method not in ("PUT", "PATCH"):
         return Decision(405, _errors_body([ConfigError("", "expected PUT or PATCH")]))
@@ -140,7 +144,7 @@
     raw = loaded.ok_value
     try:
         order = fingerprint(method, raw)
-    except ValueError:  # an agreed value holds what JSON can tell again
+    except ValueError:  # a replicated value must be valid JSON
         return Decision(400, _errors_body([ConfigError("", "expected numbers that a double can hold")]))
     if order in config_state.taken:
         return Decision(200, _body({"generation": raw["generation"]}))
@@ -167,9 +171,9 @@
 
 
 def fingerprint(method: str, raw: Raw) -> int:
-    """Of an order, 64 bit: the same however its JSON is spaced and its fields are ordered.
+    """The 64 bit fingerprint of an order; spacing and the order of fields in its JSON don't matter.
 
-    Raises ValueError if it holds a number that JSON can't tell, as 1e999 is read.
+    Raises ValueError if it holds a number that JSON can't represent: 1e999 is parsed as infinity.
     """
     told = json.dumps(raw, allow_nan=False, sort_keys=True, separators=(",", ":"))
     return int.from_bytes(blake2b(f"{method} {told}".encode(), digest_size=8).digest())
--- a/gateway/config/reference.py
+++ b/gateway/config/reference.py
@@ -1,6 +1,6 @@
-"""A second, slow reading of the acknowledged configuration for one request, to hold what runs against it.
+"""Reference implementation: evaluates one request directly on the document, to check the compiled form.
 
-It searches the entries as they were sent, one after the other, and shares no code with the tree of matchers.
+It searches the raw entries one after the other, and shares no code with `gateway.config.routing`.
 """
 
 from __future__ import annotations
@@ -13,9 +13,9 @@
 
 
 class ExpectedDecision(NamedTuple):
-    """What is to become of a request: status 200 (go on), 401 or 404; the rest as far as it has a route.
+    """The expected decision on a request: status 200 (forward), 401 or 404, and its route and tenant.
 
-    Times are seconds. `targets` are services by name with their shares, `tenant` is empty for none.
+    Times are seconds. `targets` are services by name with their shares; `tenant` is empty for none.
     """
 
     status: int
@@ -47,7 +47,7 @@
 
 
 def evaluate(document: Document, host: bytes, path: bytes, key: bytes) -> ExpectedDecision:
-    """Read the document for one request; the key is empty where it has none."""
+    """Evaluate the document for one request; `key` is empty if the request has none."""
     entry = _route(document.entries, _host(host), path.split(b"?")[0])
     if entry is None:
         return ExpectedDecision(404)
@@ -76,7 +76,7 @@
 
 
 def compare_decision(running: RouteDecision, expected: ExpectedDecision) -> list[Difference]:
-    """Where a live decision is not what the document says. Another status or route is told alone."""
+    """Where a live decision differs from the document. If status or route differ, only these are compared."""
     r, tenant = running.route, running.tenant
     if r is None:
         ran = ExpectedDecision(running.status)
--- a/gateway/config/routing.py
+++ b/gateway/config/routing.py
@@ -1,4 +1,4 @@
-"""What a node runs of a configuration: a tree of matchers, from host over path to route, and the tenants."""
+"""A configuration compiled for requests: a tree from host and path segments to routes, and tenants by key."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 
 
 class Route:
-    """A route as requests use it. Times are seconds; `targets` are services and their shares."""
+    """A compiled route. Times are seconds; `targets` are services with their shares."""
 
     __slots__ = (
         "label",
@@ -42,13 +42,12 @@
             self.targets,
             _,
         ) = entry
-        self.cumulative_shares = cumulative_shares(
-            self.targets
-        )  # services, and up to which of 0 to 1 each is taken
-        self.entry = entry  # from which it was built
+        # with the upper bound of each service's interval in [0, 1]
+        self.cumulative_shares = cumulative_shares(self.targets)
+        self.entry = entry  # the entry it was built from
 
     def pick_service(self, r: float) -> str:
-        """The service for a request, by the shares; `r` is drawn evenly from 0 up to 1."""
+        """Choose a service by the shares; `r` is uniform in [0, 1)."""
         for service, upper_bound in self.cumulative_shares:
             if r < upper_bound:
                 return service
@@ -56,7 +55,7 @@
 
 
 class Tenant:
-    """A tenant as requests use it: 0 requests a second for no limit, no precedence for that of the route."""
+    """A compiled tenant. `rate` is requests a second, 0 for no limit; `precedence` None: the route's."""
 
     __slots__ = ("label", "precedence", "rate", "burst")
 
@@ -64,19 +63,19 @@
         self.label, _, self.precedence, self.rate, self.burst = entry
 
     def same(self, entry: TenantEntry) -> bool:
-        """Whether the entry asks for just this, its keys aside."""
+        """Whether an entry has the same values, apart from its keys."""
         return (self.label, self.precedence, self.rate, self.burst) == (entry.label, *entry[2:])
 
 
 class Service(NamedTuple):
-    """A service: the path of its health probes, and connections a backend takes from all callers."""
+    """A service: the path of its health probes, and connections a backend accepts from all callers."""
 
     health_path: str
     max_conns: int
 
 
 class Node:
-    """A place in the tree: what comes next by segment, and the route whose prefix ends here."""
+    """A node of the tree: children by path segment, and the route whose prefix ends here."""
 
     __slots__ = ("children", "route")
 
@@ -86,7 +85,7 @@
 
 
 class RouteDecision(NamedTuple):
-    """What becomes of a request: status 200 (go on), 401 or 404, its route and its tenant."""
+    """The decision on a request: status 200 (forward), 401 or 404, its route and its tenant."""
 
     status: int
     route: Route | None
@@ -94,16 +93,16 @@
 
     @property
     def precedence(self) -> int:
-        """The tenant's, else the route's; 0 is highest. Only for a request that goes on."""
+        """The tenant's precedence, else the route's; 0 is highest. Only for status 200."""
         if self.tenant is not None and self.tenant.precedence is not None:
             return self.tenant.precedence
         return self.route.precedence if self.route is not None else 0
 
 
 class CompiledConfig:
-    """A configuration compiled for requests, never changed once it is built.
+    """A configuration compiled for requests, immutable once it is built.
 
-    What is as in the former book is taken over from it as it is, since live requests hold it.
+    Unchanged routes and tenants are those of `previous`: open requests refer to them.
     """
 
     __slots__ = ("generation", "hosts", "routes", "tenants", "keys", "requires_key", "services", "limits")
@@ -137,7 +136,7 @@
         node.route = route
 
     def match(self, host: bytes, path: bytes) -> Route | None:
-        """The route with the longest prefix that begins the path; a query after the path is left aside."""
+        """The route with the longest prefix of the path on this host, or None; a query is ignored."""
         node = self.hosts.get(host)
         if node is None and (node := self.hosts.get(host_of(host))) is None:
             return None
@@ -154,13 +153,13 @@
         return best
 
     def tenant(self, key: bytes) -> Tenant | None:
-        """Who holds a key (that of `Authorization: Token KEY`, see `key_of`)."""
+        """The tenant of an API key (that of `Authorization: Token KEY`, see `key_of`)."""
         return self.keys.get(key)
 
     def resolve_request(self, host: bytes, path: bytes, key: bytes) -> RouteDecision:
-        """Route and tenant of a request; the key is empty where it has none.
+        """Decide on a request by its host, path and key; `key` is empty if it has none.
 
-        A public route asks for no key, but whoever shows one that is known is still its tenant.
+        A public route requires no key, but a known key still determines the tenant.
         """
         route = self.match(host, path)
         if route is None:
@@ -172,18 +171,18 @@
 
 
 def key_of(authorization: bytes) -> bytes:
-    """The key in the value of an `Authorization` header, empty if there is none."""
+    """The API key in the value of an `Authorization` header; empty if there is none."""
     scheme, _, key = authorization.strip().partition(b" ")
     return key.strip() if scheme.lower() == b"token" else b""
 
 
 def segments(prefix: bytes) -> list[bytes]:
-    """The parts of a prefix between its slashes."""
+    """The segments of a path prefix between its slashes."""
     return prefix.split(b"/")[1:-1]
 
 
 def cumulative_shares(targets: Targets) -> Targets:
-    """Shares added up: services that have one, each with the part of 0 to 1 up to which it is taken."""
+    """Services with a positive share, each with the upper bound of its interval in [0, 1]."""
     total = sum(share for _, share in targets)
     run, added = 0.0, []
     for service, share in targets:
--- a/gateway/config/schema.py
+++ b/gateway/config/schema.py
@@ -1,4 +1,4 @@
-"""The table of settings of a configuration: one row a field, with its name, kind, default and check."""
+"""Schema of a configuration: one `FieldSpec` a field, with its name, kind, default and check."""
 
 from __future__ import annotations
 
@@ -6,19 +6,19 @@
 from collections.abc import Callable
 from typing import Any, Final, NamedTuple
 
-MAX_REPORTED_ERRORS = 20  # faults told of one configuration
-WHOLE_MAX = 2**63 - 1  # generations and bytes fit a signed 64 bit number
+MAX_REPORTED_ERRORS = 20  # errors reported for one configuration
+WHOLE_MAX = 2**63 - 1  # generations and sizes fit a signed 64 bit integer
 
 
 class ConfigError(NamedTuple):
-    """What is wrong with a configuration: a place such as `resource-list[3].spec.max-tries`, and why."""
+    """An error in a configuration: a place such as `resource-list[3].spec.max-tries`, and the reason."""
 
     place: str
     reason: str
 
 
 class Difference(NamedTuple):
-    """Where what runs is not what is set: `route r-1.deadline-s`, what runs, and what is set."""
+    """A difference from the document: a place such as `route r-1.deadline-s`, running and set value."""
 
     place: str
     running: str
@@ -26,14 +26,14 @@
 
 
 class Constraint(NamedTuple):
-    """A test of a value that has the right kind, and how it is said to the operator."""
+    """A check of a value of the right kind, and how it is described to the operator."""
 
     expected: str
     accepts: Callable[[Any], bool]
 
 
 class FieldSpec(NamedTuple):
-    """One field. With `zero`, a 0 (or an empty list) counts as left out."""
+    """One field. With `zero_means_default`, a 0 or an empty list counts as left out."""
 
     name: str
     kind: str
@@ -42,7 +42,7 @@
     zero_means_default: bool = False
 
 
-REQUIRED: Final = object()  # as a default: the field has to be there
+REQUIRED: Final = object()  # as a default: the field is required
 
 NOT_BLANK = Constraint("text that is not empty", lambda v: bool(v.strip()))
 POSITIVE = Constraint("more than 0", lambda v: v > 0)
@@ -92,15 +92,16 @@
 
 
 def host_of(host: bytes) -> bytes:
-    """A host as it is compared: in lower case and without its port."""
+    """A host in the form that is compared: in lower case and without its port."""
     host = host.strip().lower()
     name, colon, port = host.rpartition(b":")
     ends = bool(colon) and (port.isdigit() or not port)
-    return name if ends and (b":" not in name or name[-1:] == b"]") else host  # of 6 as of 4 parts
+    # an IPv6 address without a port stays whole
+    return name if ends and (b":" not in name or name[-1:] == b"]") else host
 
 
 def text(value: Any) -> str | None:
-    """The value if it is text that can be put into a header, else None."""
+    """The value if it is a string that can be put into a header, else None."""
     if not isinstance(value, str):
         return None
     if value.isascii() and value.isprintable():
@@ -124,9 +125,9 @@
 def _number(value: Any) -> float | None:
     if isinstance(value, bool) or not isinstance(value, int | float):
         return None
-    if not -WHOLE_MAX <= value <= WHOLE_MAX:  # neither endless nor no number
+    if not -WHOLE_MAX <= value <= WHOLE_MAX:  # excludes infinity and NaN
         return None
-    return float(value) + 0.0  # of -0.0 as well, 0.0
+    return float(value) + 0.0  # turns -0.0 into 0.0
 
 
 def _flag(value: Any) -> bool | None:
@@ -165,13 +166,13 @@
 
 
 def format_value(value: Any) -> str:
-    """A value as it is told in a fault: JSON, cut short."""
+    """A value as it is shown in an error: JSON, truncated."""
     told = "nothing" if value is None else json.dumps(value)
     return told if len(told) <= 60 else told[:57] + "..."
 
 
 def read(rows: tuple[FieldSpec, ...], fields: Any, place: str, errors: list[ConfigError]) -> list[Any]:
-    """The values of the rows in their order, defaults put in. Faults are added; a value with one is None."""
+    """The values of the rows in their order, with defaults. Errors are appended; a value with one is None."""
     if not isinstance(fields, dict):
         errors.append(ConfigError(place, f"expected an object, got {format_value(fields)}"))
         return [None] * len(rows)
--- a/gateway/drift/__init__.py
+++ b/gateway/drift/__init__.py
@@ -1,1 +1,1 @@
-"""Drift watch: whether a node runs what was last set, and who of the fleet does not."""
+"""Drift watch: whether a node runs the acknowledged configuration, and which nodes of the fleet don't."""
--- a/gateway/drift/detector.py
+++ b/gateway/drift/detector.py
@@ -1,4 +1,4 @@
-"""Drift detector of one node: is the version in force the newest, and does the running state match it?"""
+"""Drift detector of one node: is its version the newest, and does the running state match that version?"""
 
 from __future__ import annotations
 
@@ -22,56 +22,53 @@
 )
 from gateway.state_machine import Address
 
-UNREADY_RATIO, REFUSE_RATIO = (
-    0.4,
-    0.6,
-)  # of the time in which a version has to be in force, spent knowing of a newer one
-FETCH_INTERVAL_S = 0.5  # between two calls to catch up
+# of `apply_s`: after knowing of a newer version for so long, not ready, then requests are rejected
+UNREADY_RATIO, REFUSE_RATIO = 0.4, 0.6
+FETCH_INTERVAL_S = 0.5  # between two fetches of a newer version
 UNREADABLE_FETCH_INTERVAL_S = 5.0  # likewise, for a version that can't be read
-MAX_UNATTRIBUTED_FETCHES = 20  # calls for a version of which there is hearsay only
-CLAIM_GRACE_S = 0.5  # after a claim, what the core says then counts more than the claim
-PAUSE_THRESHOLD_S = 1.0  # between two inputs: this process stood still
-RESUME_GRACE_S = 0.5  # after a long sleep, the longest that requests wait for the last contact with the core
-SILENT_S = 10.0  # without the last contact with the core the operator is told
+MAX_UNATTRIBUTED_FETCHES = 20  # fetches of a version that no known holder has
+CLAIM_GRACE_S = 0.5  # this long after a version was advertised, the core's answer overrides it
+PAUSE_THRESHOLD_S = 1.0  # without an input for so long, this process was suspended
+RESUME_GRACE_S = 0.5  # after a suspension requests are rejected until the core confirms, so long at most
+SILENT_S = 10.0  # without contact with the core for so long there is a finding
 REBUILD_INTERVAL_S = 1.0  # between two rebuilds
-REBUILD_FORGET_S = 30.0  # after which a rebuild is forgotten
-SAMPLE_REBUILD_INTERVAL_S = 10.0  # between two rebuilds that samples lead to
-MAX_REBUILDS = 3  # within that time; more don't help
-CORE_NOT_HEARD = "the core has yet to be heard"  # why requests are turned back right after a start
-SAMPLE, DIGEST = "sample", "digest"  # ways of finding, by a plain reading and at taking up
-MAX_FINDINGS, MAX_TEXT_LENGTH = 32, 120  # findings shown, letters of a value in them
-MAX_KNOWN_FINDINGS, FORGET_S = (
-    256,
-    600.0,
-)  # findings that are known again, until they are not found for so long
+REBUILD_FORGET_S = 30.0  # a rebuild counts towards the limit for so long
+SAMPLE_REBUILD_INTERVAL_S = 10.0  # between two rebuilds caused by samples
+MAX_REBUILDS = 3  # within that time; if they don't help, there are no more
+CORE_NOT_HEARD = "the core has yet to be heard"  # why requests are rejected right after a start
+# checks that found a difference: direct evaluation, and the digest when a version is applied
+SAMPLE, DIGEST = "sample", "digest"
+MAX_FINDINGS, MAX_TEXT_LENGTH = 32, 120  # findings kept, characters of a value in them
+# findings that aren't reported again, until they weren't found for so long
+MAX_KNOWN_FINDINGS, FORGET_S = 256, 600.0
 
 
 class DriftDetector:
-    """Inputs: `TookUp`, `Unreadable`, `Heard`, `Confirmed`, `Found`, `Tick`. Outputs: `CatchUp`, `Rebuild`,
-    `Ready`, `Refuse`, `Finding`; `Ready` and `Refuse` only where that changes.
+    """State machine; inputs and outputs are those of `gateway.drift.messages`.
 
-    `apply_s` is the time in which a version has to be in force. With `refuse_after_s`, requests are turned
-    back once the last contact with the core is that old; without it a node that is cut off serves on.
-    Either way they are turned back until the core has said once that the version is the newest: who begins
-    anew may hear only one that is cut off.
+    `ReadinessChanged` and `RefusalChanged` come out only on a change. `apply_s` is the time in seconds in
+    which a version has to be in force. With `refuse_after_s`, requests are rejected once the last contact
+    with the core is that old; without it a node that is cut off serves on. Either way they are rejected until
+    the core has confirmed the version once: a restarted node may hear only a controller that is cut off.
     """
 
     def __init__(self, apply_s: float, refuse_after_s: float | None = None) -> None:
         self.apply_s, self.refuse_after_s = apply_s, refuse_after_s
         self.version = self.running = self.acknowledged = 0
-        self.newest, self.source, self.since = 0, "", 0.0  # a newer version, who has it, since when known
+        # a newer version, a node that has it, since when it is known
+        self.newest, self.source, self.since = 0, "", 0.0
         self.unattributed_version = self.tries = 0
-        self.confirmed: float | None = None  # nobody is served before
-        self.began = 0.0  # when the first version was taken up
+        self.confirmed: float | None = None  # no request is served before that
+        self.began = 0.0  # when the first version was applied
         self.last: float | None = None
-        self.offset = 0.0  # of this machine's time to the clock's
-        self.unreadable_version = 0  # a version that came and can't be read
+        self.offset = 0.0  # added to the clock, so that time never runs backwards here
+        self.unreadable_version = 0  # a version that was received and can't be read
         self.resumed_at = -1e9
         self.fetched_at = -1e9
-        self.sample_rebuilt_at = -1e9  # when a sample last led to a rebuild
+        self.sample_rebuilt_at = -1e9  # last rebuild caused by a sample
         self.rebuilt: deque[float] = deque(maxlen=MAX_REBUILDS)
         self.ready, self.refusing, self.why = True, False, ""
-        self.known_findings: dict[Difference, float] = {}  # told, and when last found
+        self.known_findings: dict[Difference, float] = {}  # reported findings, and when they were found last
         self.findings: deque[Finding] = deque(maxlen=MAX_FINDINGS)
         self.found = 0
         self.on: dict[type, Callable[[float, Any], list[Any]]] = {
@@ -84,7 +81,7 @@
         }
 
     def handle(self, now: float, event: Any) -> list[Any]:
-        """Take an input; returns what is to be done. A clock that steps back is taken to stand still."""
+        """Handle an input; returns the outputs. A clock that steps back is treated as standing still."""
         now += self.offset
         if self.last is not None and now < self.last:
             self.offset += self.last - now
@@ -95,16 +92,16 @@
         return [*self.on[type(event)](now, event), *self._state(now)]
 
     def lag(self) -> float:
-        """Seconds for which a newer version has been known of; 0 if there is none."""
+        """Seconds since a newer version became known; 0 if there is none."""
         return (self.last or 0.0) - self.since if self.newest > self.version else 0.0
 
     @property
     def core_not_heard(self) -> bool:
-        """Whether there is a version, and the core has never said in this life that it is the newest."""
+        """Whether there is a version, and the core hasn't confirmed any since the process started."""
         return self.version > 0 and self.confirmed is None
 
     def confirmation_age(self) -> float | None:
-        """Seconds since the core said that the version is the newest; None before it did."""
+        """Seconds since the core last confirmed the version as the newest; None before the first time."""
         return None if self.confirmed is None else max(0.0, (self.last or 0.0) - self.confirmed)
 
     # Versions.
@@ -122,7 +119,7 @@
         return self._differences_found(now, DifferencesFound(DIGEST, (what,)))
 
     def _unreadable(self, now: float, e: VersionUnreadable) -> list[Any]:
-        """It came and is of no use: known of, and asked for again."""
+        """A version was received and can't be read: it counts as newer and is fetched again."""
         self.unreadable_version, self.fetched_at = e.version, now
         self._note_newer(now, e.version, self.source)
         what = Difference(f"version {e.version}", f"version {self.version}", "unreadable: " + e.why)
@@ -143,15 +140,15 @@
         return []
 
     def _note_newer(self, now: float, version: int, source: Address) -> None:
-        """A newer version is there, as somebody says who has it."""
+        """A node that has a newer version advertises it."""
         if self.newest <= self.version:
             self.since = now
         if version > self.newest or (version == self.newest and source):
             self.newest, self.source = version, source
 
     def _confirmed(self, now: float, e: NewestConfirmed) -> list[Any]:
-        """The last contact with the core. A claim beyond it that the core doesn't know of for a while is
-        none."""
+        """The core confirmed its newest version. An advertised one that the core still doesn't know after
+        `CLAIM_GRACE_S` is dismissed."""
         at, out = min(now, e.at + self.offset), list[Any]()
         if e.version == self.version:
             self.confirmed = max(self.confirmed or at, at)
@@ -166,7 +163,7 @@
         return out
 
     def _catch_up(self, now: float) -> list[Any]:
-        """Ask, in turn the core and who was heard to have it, while the log's own asking is of no use."""
+        """Fetch a newer version that the change log doesn't deliver, from its advertiser or the core."""
         unreadable_version = self.newest == self.unreadable_version > 0
         if now - self.fetched_at < (UNREADABLE_FETCH_INTERVAL_S if unreadable_version else FETCH_INTERVAL_S):
             return []
@@ -177,14 +174,14 @@
             ]
         if self.unattributed_version > self.version and self.tries < MAX_UNATTRIBUTED_FETCHES:
             self.fetched_at, self.tries = now, self.tries + 1
-            return [FetchVersion(self.version + 1, "")]  # not that one, which may be nowhere
+            return [FetchVersion(self.version + 1, "")]  # any newer one: the advertised one may not exist
         return []
 
     # What runs.
 
     def _differences_found(self, now: float, e: DifferencesFound) -> list[Any]:
         out = [told for what in e.differences for told in self._report(what, e.how)]
-        if e.how == SAMPLE:  # where two readings differ as such, rebuilding is of no use
+        if e.how == SAMPLE:  # if the two implementations disagree, rebuilding doesn't help
             if out and now - self.sample_rebuilt_at >= SAMPLE_REBUILD_INTERVAL_S:
                 self.sample_rebuilt_at = now
                 out.append(Rebuild(e.differences[0].place))
@@ -194,20 +191,20 @@
         if self._rebuild_limit_reached(now):
             return out + self._report(Difference("node", f"rebuilt {MAX_REBUILDS} times", "once"), "no cure")
         self.rebuilt.append(now)
-        if len(self.rebuilt) > 1:  # what is held may be what is wrong
+        if len(self.rebuilt) > 1:  # the stored value itself may be corrupt
             out.append(FetchVersion(self.version, "", again=True))
             if e.how == DIGEST:
                 return out
         return [*out, Rebuild(e.differences[0].place)]
 
     def _rebuild_limit_reached(self, now: float) -> bool:
-        """Whether rebuilding has not helped."""
+        """Whether there were `MAX_REBUILDS` rebuilds of late, so that another one won't help."""
         while self.rebuilt and now - self.rebuilt[0] > REBUILD_FORGET_S:
             self.rebuilt.popleft()
         return len(self.rebuilt) >= MAX_REBUILDS
 
     def _report(self, what: Difference, how: str) -> list[Any]:
-        """A finding, unless it was told of late."""
+        """A finding, unless the same one was reported of late."""
         now = self.last or 0.0
         if now - self.known_findings.pop(what, -1e9) <= FORGET_S:
             self.known_findings[what] = now
@@ -229,7 +226,7 @@
     # Time.
 
     def _paused(self, now: float, gap: float) -> None:
-        """This process stood still, and what it knows is from before; nobody could have told it more."""
+        """The process was suspended for `gap` seconds, in which it couldn't receive anything."""
         self.since += gap
         if gap > self.apply_s:
             self.resumed_at = now
@@ -244,7 +241,7 @@
         return out
 
     def _state(self, now: float) -> list[Any]:
-        """Whether clients may come and requests may be sent on, where that has changed."""
+        """Readiness and refusal of requests, where they have changed."""
         lag, out = self.lag(), list[Any]()
         ready = (
             lag < UNREADY_RATIO * self.apply_s
@@ -261,7 +258,7 @@
         return out
 
     def _refusal(self, now: float, lag: float) -> str:
-        """Why requests are turned back; empty if they are not."""
+        """Why requests are rejected; empty if they aren't."""
         if lag >= REFUSE_RATIO * self.apply_s:
             return "a newer version is known of"
         if self.core_not_heard:
--- a/gateway/drift/fleet_status.py
+++ b/gateway/drift/fleet_status.py
@@ -1,4 +1,4 @@
-"""Who runs what, as a controller knows it: nodes that lack what was acknowledged, and findings of all."""
+"""Which configuration each node runs, as a controller knows it, and which nodes are behind."""
 
 from __future__ import annotations
 
@@ -8,27 +8,27 @@
 from gateway.drift.messages import Finding, NodeReport, VersionAcknowledged
 from gateway.state_machine import Address
 
-MAX_NODES = 4096  # nodes
-SILENT_S = 10.0  # without its word a node is shown as silent,
+MAX_NODES = 4096  # further ones are ignored
+SILENT_S = 10.0  # without a report for so long a node is shown as silent,
 FORGET_AFTER_S = 120.0  # and then forgotten
-CONTACT_GAP_S = 2.5  # between two words of a node that is in touch
-MAX_VERSIONS = 32  # acknowledged ones whose time is remembered
-MAX_FINDINGS, MAX_TEXT_LENGTH = 32, 400  # findings shown, letters of one
+CONTACT_GAP_S = 2.5  # between two reports of a node that counts as in touch
+MAX_VERSIONS = 32  # acknowledged versions whose time is remembered
+MAX_FINDINGS, MAX_TEXT_LENGTH = 32, 400  # findings kept, characters of one
 
 
 class Node:
-    """What a node has told of itself."""
+    """What a node has reported of itself."""
 
     __slots__ = ("heard", "since", "version", "digest", "findings", "finding", "told")
 
     def __init__(self, now: float) -> None:
-        self.since = now  # it has been in touch, without a gap
+        self.since = now  # in touch since then, without a gap
         self.heard, self.version, self.digest, self.findings, self.finding = 0.0, 0, 0, 0, ""
-        self.told = (0, 0)  # version and digest of which a finding was made
+        self.told = (0, 0)  # version and digest of the last finding about it
 
 
 class NodeRow(NamedTuple):
-    """A node as it is shown: seconds since it was heard, and since it lacks a version (0: it lacks none)."""
+    """A node as shown: `heard_s` since its last report, `lag_s` since it lacks a version (0: none)."""
 
     node: Address
     version: int
@@ -40,23 +40,25 @@
 
 
 class FleetStatus:
-    """Inputs: `Runs`, `Newest`, `Tick`. Outputs: `Finding`, once for each node and version that it lacks, for
-    each digest that is not the acknowledged one, and for each finding that a node tells.
+    """State machine. Inputs: `NodeReport`, `VersionAcknowledged`, `Tick`. Outputs: `Finding`, once for each
+    node and version that it lacks, for each digest that isn't the acknowledged one, and for each finding that
+    a node reports.
 
-    `apply_s` is the time in which a version has to be in force. `spread_s` is the time from the newest
-    version's acknowledgement to the last word, so far, of a node in touch that it is in force there."""
+    `apply_s` is the time in seconds in which a version has to be in force. `spread_s` is the time from the
+    newest version's acknowledgement to the last report, so far, of a node in touch that it is in force."""
 
     def __init__(self, apply_s: float) -> None:
         self.apply_s = apply_s
         self.nodes: OrderedDict[Address, Node] = OrderedDict()
         self.version = 0
-        self.times: OrderedDict[int, tuple[float, int]] = OrderedDict()  # when, and digest
+        # by version: time of its acknowledgement, and digest
+        self.times: OrderedDict[int, tuple[float, int]] = OrderedDict()
         self.findings: deque[str] = deque(maxlen=MAX_FINDINGS)
         self.found = 0
         self.checked_at = self.spread_s = 0.0
 
     def handle(self, now: float, event: Any) -> list[Finding]:
-        """Take an input; findings that are new."""
+        """Handle an input; returns new findings."""
         if isinstance(event, NodeReport):
             return self._runs(now, event)
         if isinstance(event, VersionAcknowledged):
@@ -105,7 +107,7 @@
         return self._record_findings(out)
 
     def _lag_finding(self, now: float, address: Address, node: Node) -> list[Finding]:
-        """A node that says for too long, while it is in touch, that it lacks a version."""
+        """A finding if a node in touch has reported for longer than `apply_s` that it lacks a version."""
         late = node.heard - max(node.since, now - self.lag(now, node)) > self.apply_s
         if not late or node.told[0] == -self.version:
             return []
@@ -128,11 +130,11 @@
         return found
 
     def lag(self, now: float, node: Node) -> float:
-        """Seconds since a version was acknowledged that a node is not known to run."""
+        """Seconds since the acknowledgement of the first version that the node lacks; 0: none."""
         return next((now - at for version, (at, _) in self.times.items() if version > node.version), 0.0)
 
     def seen(self, now: float) -> list[NodeRow]:
-        """All nodes, by address."""
+        """All known nodes, sorted by address."""
         return [
             NodeRow(a, n.version, n.digest, self.lag(now, n), now - n.heard, n.findings, n.finding)
             for a, n in sorted(self.nodes.items())
--- a/gateway/drift/live_check.py
+++ b/gateway/drift/live_check.py
@@ -1,4 +1,4 @@
-"""What live requests use, held against what is set: each route and key that is used, samples, and rounds."""
+"""Checks of the running configuration on live requests: the route and key used, samples, and a scan."""
 
 from __future__ import annotations
 
@@ -12,17 +12,15 @@
 from gateway.config.schema import Difference
 from gateway.drift.detector import SAMPLE
 
-SAMPLE_INTERVAL = 50  # one request in so many is also decided by a plain reading of the document, at most
-ENTRIES_PER_REQUEST = (
-    5  # of the document that a sample reads for each request between two: it costs by their number
-)
-REQUESTS_PER_STEP = 16  # one request in so many looks at one more item of the whole
-IDLE_STEP_INTERVAL_S = 0.5  # besides, one item in this time
-REJECTED_SAMPLE_INTERVAL_S = 0.25  # between two plain readings for requests that are not allowed
+SAMPLE_INTERVAL = 50  # at most one request in so many is also evaluated directly on the document
+ENTRIES_PER_REQUEST = 5  # a sample costs by the number of entries, so large documents are sampled less often
+REQUESTS_PER_STEP = 16  # one request in so many advances the scan by one item
+IDLE_STEP_INTERVAL_S = 0.5  # besides, the scan advances by one item in this time
+REJECTED_SAMPLE_INTERVAL_S = 0.25  # between two samples of requests that are rejected
 
 
 class CheckResult(NamedTuple):
-    """What a look has shown, as a rule nothing: by what, and the differences."""
+    """The result of a check: which one (`request`, `sample`, `round`), and the differences, usually none."""
 
     how: str
     differences: Sequence[Difference]
@@ -33,7 +31,10 @@
 
 
 class LiveCheck:
-    """Checks what one book says of requests. Made anew for each book."""
+    """Checks the decisions of one compiled configuration. Created anew for each version.
+
+    `check` is for each live request, `idle` for times with few of them.
+    """
 
     __slots__ = (
         "document",
@@ -58,7 +59,8 @@
     ) -> None:
         self.document, self.expected, self.compiled_config = document, expected, compiled_config
         self.watch = DriftScanner(compiled_config, expected)
-        self.routes: dict[Route, tuple[ItemValues, bytes]] = {}  # used so far: what is set, and the prefix
+        # routes used so far: expected values, and the prefix
+        self.routes: dict[Route, tuple[ItemValues, bytes]] = {}
         self.every = max(SAMPLE_INTERVAL, len(document.entries) // ENTRIES_PER_REQUEST)
         self.left = self.every
         self.requests: int = previous.requests if previous else 0
@@ -68,8 +70,7 @@
     def check(
         self, now: float, host: bytes, path: bytes, key: bytes, route_decision: RouteDecision
     ) -> CheckResult:
-        """Whether a decision is as it is set: the route and the tenant at each request, all of it at a
-        sampled one."""
+        """Check a decision: its route and tenant at each request, the whole decision at a sampled one."""
         self.requests += 1
         r, tenant = route_decision.route, route_decision.tenant
         path_mismatch = False
@@ -110,7 +111,7 @@
         return CheckResult(SAMPLE, compare_decision(route_decision, evaluate(self.document, host, path, key)))
 
     def route(self, r: Route) -> list[Difference]:
-        """Look at a route at its first use, or as it isn't what it was then."""
+        """Check a route at its first use, or when it has changed since."""
         name = ("route", str(r.host).encode(), str(r.prefix).encode())
         found = self.watch.check_item(name, r)
         if not found:
@@ -118,7 +119,7 @@
         return found
 
     def idle(self, now: float) -> list[Difference]:
-        """Look at one item after the other while there are few requests."""
+        """Advance the scan in times of few requests."""
         if now < self.due <= now + IDLE_STEP_INTERVAL_S:
             return []
         self.due = now + IDLE_STEP_INTERVAL_S
@@ -126,7 +127,7 @@
 
 
 def running_digest(compiled_config: CompiledConfig, expected: ExpectedDigests) -> int:
-    """The digest of a book, at less cost where it is as expected."""
+    """The digest of a compiled configuration; cheap if it is as expected."""
     items, count = expected.items, 0
     for name, thing in iterate_items(compiled_config):
         item = items.get(name)
--- a/gateway/drift/messages.py
+++ b/gateway/drift/messages.py
@@ -1,4 +1,4 @@
-"""What goes into and comes out of the machines of this plane. Times are steady seconds, digests 64 bit."""
+"""Inputs and outputs of the drift state machines. Times are monotonic seconds, digests 64 bit integers."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 
 
 class VersionApplied(NamedTuple):
-    """This node runs a version: the digest of what requests use, and the one that the core acknowledged."""
+    """This node has applied a version: the digest of what it runs, and the one that the core acknowledged."""
 
     version: int
     running: int
@@ -19,14 +19,14 @@
 
 
 class VersionUnreadable(NamedTuple):
-    """A version has come that can't be read here, and why."""
+    """A version was received that can't be read here, and why."""
 
     version: int
     why: str
 
 
 class VersionSeen(NamedTuple):
-    """Somebody holds this version, or ("" as the source) somebody has heard of it."""
+    """A node has this version; with an empty `source`, one that doesn't have it has heard of it."""
 
     version: int
     digest: int
@@ -34,25 +34,25 @@
 
 
 class NewestConfirmed(NamedTuple):
-    """Most of the core said that this is the newest version, to a question of the time `at` or later."""
+    """A majority of the core confirmed that this is the newest version, at the time `at` or later."""
 
     version: int
     at: float
 
 
 class DifferencesFound(NamedTuple):
-    """Something that runs is not as it is set. `how` tells by what it was found."""
+    """What runs differs from the document. `how` names the check that found it."""
 
     how: str
     differences: tuple[Difference, ...]
 
 
 class Tick(NamedTuple):
-    """Time goes on; due about four times a second."""
+    """Time has passed; due about four times a second."""
 
 
 class NodeReport(NamedTuple):
-    """A node tells what it runs, how many findings it has had in its life, and at times the latest."""
+    """A node reports what it runs, its number of findings since its start, and at times the latest one."""
 
     node: Address
     version: int
@@ -62,7 +62,7 @@
 
 
 class VersionAcknowledged(NamedTuple):
-    """A version has been acknowledged, with its digest."""
+    """The core has acknowledged a version with this digest."""
 
     version: int
     digest: int
@@ -72,7 +72,7 @@
 
 
 class FetchVersion(NamedTuple):
-    """Ask for a version now, of who has it, or ("" as the source) of the core. `again`: though it is held."""
+    """Fetch a version from `source` (empty: from the core). `again`: even if it is held already."""
 
     version: int
     source: Address
@@ -80,26 +80,29 @@
 
 
 class Rebuild(NamedTuple):
-    """Build what requests use anew from the configuration as it came."""
+    """Rebuild the compiled configuration from the value as it was received."""
 
     why: str
 
 
 class ReadinessChanged(NamedTuple):
-    """Whether new clients may come as far as the configuration goes."""
+    """Whether the node is ready for new clients, as far as the configuration goes."""
 
     well: bool
 
 
 class RefusalChanged(NamedTuple):
-    """Whether requests are turned back, and why."""
+    """Whether requests are rejected, and why."""
 
     refuse: bool
     why: str
 
 
 class Finding(NamedTuple):
-    """For the operator, once: a place such as `route r-1.max-tries`, what runs there, and what is set."""
+    """A finding for the operator: a place such as `route r-1.max-tries`, the running and the set value.
+
+    `how` names the check that found it.
+    """
 
     place: str
     running: str
@@ -108,6 +111,6 @@
     how: str
 
     def __str__(self) -> str:
-        if not self.set:  # told by another
+        if not self.set:  # reported by another node
             return f"{self.place}: {self.running}"
         return f"{self.place}: is {self.running}, should be {self.set} (version {self.version}, {self.how})"
--- a/gateway/drift/metrics.py
+++ b/gateway/drift/metrics.py
@@ -1,6 +1,6 @@
-"""Figures for scraping, in the text format that Prometheus reads.
+"""Metrics in the Prometheus text format.
 
-A writer of its own: importing prometheus-client costs 35 ms of processor time and 5.3 MB.
+Written here: importing prometheus-client costs 35 ms of processor time and 5.3 MB.
 """
 
 from __future__ import annotations
@@ -13,10 +13,10 @@
 
 
 class Metric(NamedTuple):
-    """One figure; a name that ends in `_total` only ever grows. None is left out.
+    """One sample; a name ending in `_total` is a counter. A value of None is left out.
 
-    Those of one name follow one another, with labels such as `way="holder"`; so do the `_bucket`, `_sum` and
-    `_count` of a histogram."""
+    Samples of one name must be adjacent, with labels such as `way="holder"`; so must the `_bucket`, `_sum`
+    and `_count` of a histogram."""
 
     name: str
     help: str
@@ -25,7 +25,7 @@
 
 
 def render_metrics(metrics: Iterable[Metric], prefix: str = DRIFT_METRIC_PREFIX) -> bytes:
-    """The body of an answer to a scrape."""
+    """The body of the answer to a scrape; `prefix` is put before each name."""
     lines, family, parts = list[str](), "", tuple[str, ...]()
     for name, help, value, labels in metrics:
         if value is None:
--- a/gateway/drift/quota_windows.py
+++ b/gateway/drift/quota_windows.py
@@ -1,4 +1,4 @@
-"""Quotas as they were handed on to the plane that counts, against those of the document."""
+"""The rate limit windows in force in the quota plane, compared with those of the document."""
 
 from __future__ import annotations
 
@@ -9,17 +9,17 @@
 from gateway.quota.window import Window, plan
 
 Windows = Mapping[str, Window]
-"""By a tenant's label, how it is counted; one without a limit isn't in it."""
+"""The window of each tenant by label; tenants without a limit have none."""
 
 
 def expected_windows(document: Document, span_s: float) -> Windows:
-    """How tenants are to be counted; `span_s` is that of the quota rule, in seconds."""
+    """The windows that follow from the document; `span_s` is the span of the quota rule in seconds."""
     windows = {t.label: plan(t.rate, t.burst, span_s) for t in document.tenants.values()}
     return {label: window for label, window in windows.items() if window is not None}
 
 
 def quota_differences(quota_windows: Windows, windows: Windows) -> list[Difference]:
-    """Where tenants are counted otherwise than they are to be."""
+    """Where the windows in force (`windows`) differ from the expected ones (`quota_windows`)."""
     if quota_windows == windows:
         return []
     labels = sorted(quota_windows.keys() | windows.keys())
--- a/gateway/programs/__init__.py
+++ b/gateway/programs/__init__.py
@@ -8,8 +8,8 @@
 
 
 def launch(name: str) -> int:
-    """Run a program until it is told to end; its exit code. KeyError: no such program.
+    """Run a program until it is stopped; its exit code. Raises KeyError if there is no such program.
 
-    Only the program's own modules are imported: each further one costs time at a start.
+    Only the program's own modules are imported: each further one costs time at the start.
     """
     return int(import_module(PROGRAMS[name]).main())
--- a/gateway/programs/control_api.py
+++ b/gateway/programs/control_api.py
@@ -1,4 +1,8 @@
-"""Calls to `control`: the operator's orders and the backends' beats, handed to the machines that decide."""
+"""HTTP calls to `control`: the operator's orders and the backends' heartbeats.
+
+An order is a `GET`, `PUT` or `PATCH` of the configuration. Only a leader with its lease decides on one; the
+others redirect. Heartbeats are passed to the membership plane, which answers by `heartbeat_answered`.
+"""
 
 from __future__ import annotations
 
@@ -16,33 +20,33 @@
 
 CONFIG, BACKENDS = "/-/config", "/-/backends/"
 JSON = b"Content-Type: application/json\r\n"
-ORDER_PATIENCE_S = 0.7  # for a leader to be there, and for one order to be settled before the next
-NO_LEADER_TIMEOUT_S = 1.5  # without a leader, after which none is awaited: an election takes less
-PROPOSAL_TIMEOUT_S = 10.0  # without an answer on what became of a proposal, which then counts as unknown
-MAX_PENDING_ORDERS = 64  # orders at most
-MAX_BATCH_BYTES = 128 * 1024  # bytes of orders that are judged in a row; the agreement's beats come between
-MAX_NAME_LENGTH = 200  # characters of a name that a backend tells
+ORDER_PATIENCE_S = 0.7  # how long an order waits for a leader, for its base, and for another attempt
+NO_LEADER_TIMEOUT_S = 1.5  # without a leader for so long orders don't wait: an election takes less
+PROPOSAL_TIMEOUT_S = 10.0  # after which the outcome of a proposal counts as unknown
+MAX_PENDING_ORDERS = 64  # queued and postponed
+MAX_BATCH_BYTES = 128 * 1024  # bytes of orders decided in a row, so that heartbeats aren't delayed
+MAX_NAME_LENGTH = 200  # characters of a name in a heartbeat
 MAX_COLD_START_S = 3600.0
 
 
 class ConsensusCore(Protocol):
-    """What the calls need of the agreement."""
+    """What `Control` needs of the consensus plane."""
 
     def leads(self, now: float) -> bool:
-        """Whether this process leads and is sure of it."""
+        """Whether this process leads and has its leader lease."""
 
     def leader_control(self) -> Address | None:
-        """The `control` address of another process that leads."""
+        """The `control` address of the leader, if that is another process; else None."""
 
     def propose(self, token: int, value: bytes, expected: int) -> None:
-        """Have a value agreed on."""
+        """Propose a value to replace the version `expected`; `proposed` is called with the outcome."""
 
     def config_in_force(self) -> tuple[int, ConfigState]:
-        """The version and what is in force."""
+        """The version and the state in force."""
 
 
 class Order(NamedTuple):
-    """A call about the configuration."""
+    """A call about the configuration, and when it was received."""
 
     http_call: HttpCall
     reply: Reply
@@ -50,7 +54,7 @@
 
 
 class InFlightOrder(NamedTuple):
-    """An order that is being agreed on: its token, its answer, what it puts in force and the value for it."""
+    """The order that is being committed: its token, its answer, and the resulting state and value."""
 
     token: int
     order: Order
@@ -60,27 +64,28 @@
 
 
 class Control:
-    """Answers the calls; one order is out at a time."""
+    """Answers the calls; one order is in flight at a time."""
 
     def __init__(self, core: ConsensusCore, membership: Callable[[Heartbeat | Deregistration], None]) -> None:
         self.core, self.membership = core, membership
         self.orders: deque[Order] = deque()
-        self.ahead: list[Order] = []  # those that build on a version which isn't in force yet
-        self.ahead_of = 0  # the version that was, when they were put by
+        self.ahead: list[Order] = []  # postponed: their base isn't in force yet
+        self.ahead_of = 0  # the version in force when they were postponed
         self.out: InFlightOrder | None = None
         self.out_at = 0.0
         self.token = 0
-        self.refused_at = float("-inf")  # the last proposal that was: the next one waits for a later time
+        self.refused_at = float("-inf")  # last refused proposal: the next one waits for a later `now`
         self.pending_heartbeats: dict[int, Reply] = {}
-        self.led: float | None = None  # when there last was a leader, here or elsewhere
+        self.led: float | None = None  # when a leader was last known, here or elsewhere
         self.completed = self.refused = 0
 
     def answer(self, now: float, http_call: HttpCall, reply: Reply) -> None:
-        """Take a call."""
+        """Handle a call; it may be answered later."""
         path = http_call.path.partition("?")[0]
         if path == CONFIG and http_call.method in ("GET", "PUT", "PATCH"):
             order = Order(http_call, reply, now)
-            if http_call.method == "GET" and self.core.leads(now):  # needs nobody's consent
+            # a read under the leader lease needs no commit
+            if http_call.method == "GET" and self.core.leads(now):
                 return self.process_order(now, order)
             if len(self.orders) + len(self.ahead) >= MAX_PENDING_ORDERS:
                 return reply(503, b"Retry-After: 1\r\n", b"")
@@ -93,9 +98,9 @@
     # The operator.
 
     def proceed(self, now: float) -> None:
-        """Settle orders in turn: here if this process leads, else the caller is told who does.
+        """Handle queued orders in turn: decide them if this process leads, else redirect them to the leader.
 
-        Where nobody has led for a while, none is awaited: this process is cut off, and the caller goes on.
+        Without a leader for a while they get 503 at once: this process may be cut off.
         """
         leads, leader = self.core.leads(now), self.core.leader_control()
         if leads or leader is not None or self.led is None:
@@ -125,14 +130,14 @@
                 return
 
     def requeue_postponed(self, now: float) -> None:
-        """Orders that were put by have their turn once a version has come, or their patience is over."""
+        """Queue postponed orders again once a version was committed, or after `ORDER_PATIENCE_S`."""
         passed = self.core.config_in_force()[0] != self.ahead_of or not self.core.leads(now)
         waiting, self.ahead = self.ahead, []
         for order in waiting:
             (self.orders if passed or now - order.came > ORDER_PATIENCE_S else self.ahead).append(order)
 
     def process_order(self, now: float, order: Order) -> None:
-        """Read, or decide on a change and have it agreed on."""
+        """Answer a read, or decide on a change and propose the result."""
         version, config_state = self.core.config_in_force()
         if order.http_call.method == "GET":
             body = config_state.whole()
@@ -154,11 +159,11 @@
         self.core.propose(self.token, out.value, version)
 
     def own_value(self, value: bytes) -> ConfigState | None:
-        """What this value puts in force, if it was made here just now: it need not be read again."""
+        """The state of a committed value if it is that of the order in flight: it needn't be decoded."""
         return self.out.config_state if self.out is not None and self.out.value == value else None
 
     def proposed(self, now: float, token: int, outcome: str) -> None:
-        """What became of a proposal."""
+        """The outcome of a proposal: `done`, `refused` or `unknown`."""
         if self.out is None or self.out.token != token:
             return
         _, order, body, config_state, _ = self.out
@@ -172,14 +177,14 @@
         elif outcome == "refused" and now - order.came <= ORDER_PATIENCE_S:
             self.refused_at = now
             self.orders.appendleft(order)
-        else:  # it may be in force or not: who sends it again learns which
+        else:  # it may be in force or not: a retry finds out
             order.reply(503, b"Retry-After: 0.2\r\n", b"")
         self.proceed(now)
 
     # Backends.
 
     def backend(self, name: str, http_call: HttpCall, reply: Reply) -> None:
-        """A beat or an end."""
+        """A heartbeat (PUT) or deregistration (DELETE) of a backend."""
         self.token += 1
         call = (
             Deregistration(self.token, name)
@@ -192,14 +197,14 @@
         self.membership(call)
 
     def heartbeat_answered(self, token: Any, well: bool) -> None:
-        """The machine has taken a beat in, or can't vouch for it."""
+        """The membership plane has accepted a heartbeat, or can't acknowledge it."""
         reply = self.pending_heartbeats.pop(token, None)
         if reply is not None:
             reply(200 if well else 503, JSON if well else b"", b"{}" if well else b"")
 
 
 def read_heartbeat(token: int, name: str, body: bytes) -> Heartbeat | None:
-    """The beat in a call's body; None if it is none."""
+    """Parse the heartbeat in a call's body; None if it is invalid."""
     try:
         told = json.loads(body)
         beat = Heartbeat(
--- a/gateway/programs/controller.py
+++ b/gateway/programs/controller.py
@@ -1,4 +1,4 @@
-"""The control plane's program: the configuration, the core, backends under lease, and who counts whom."""
+"""The controller program: consensus on the configuration, backends under lease, and quota shards."""
 
 from __future__ import annotations
 
@@ -30,7 +30,7 @@
 
 
 class ControllerServer:
-    """Connects a controller's machines to the disk and to the wire."""
+    """Connects the state machines of a `ControllerNode` to the disk and to the network."""
 
     def __init__(
         self, loop: asyncio.AbstractEventLoop, settings: Settings, store: Store, rng: random.Random
@@ -60,18 +60,21 @@
         )
 
     def send(self, to: Address, plane: int, message: Any) -> None:
+        """Send a message of a plane to another process, or drop it."""
         self.port.send(to, plane, message)
 
     def write(self, token: int, record: PersistentState) -> None:
+        """Save a record on the disk thread."""
         self.disk.write(token, record)
 
     def tick(self, now: float) -> None:
+        """Pass on the time, and check whether the disk hangs."""
         self.controller_node.tick(now)
         self.disk.look(now)
 
 
 async def serve(settings: Settings, ring: LogRing, file: SettingsFile) -> None:
-    """Serve until told to stop; then hand over what this process leads or holds."""
+    """Serve until a signal to stop; then transfer leadership and leave the consensus group."""
     loop = asyncio.get_running_loop()
     rng = random.Random(int.from_bytes(os.urandom(8)))
     store = Store(os.path.join(settings.own.data_dir or "/tmp", "register"))
@@ -99,5 +102,5 @@
 
 
 def main() -> int:
-    """Run; the exit code."""
+    """Run the program; returns its exit code."""
     return startup.run("controller", serve)
--- a/gateway/programs/controller_node.py
+++ b/gateway/programs/controller_node.py
@@ -1,4 +1,4 @@
-"""A controller's machines, connected to one another and free of sockets, disk and clock."""
+"""A controller's state machines, connected to one another, without sockets, disk or clock."""
 
 from __future__ import annotations
 
@@ -29,25 +29,28 @@
 from gateway.runtime.settings import Settings
 from gateway.state_machine import Address, Send
 
-PEER_ALIVE_S = 1.0  # within which a member of the core was heard, if it lives
-PUBLISH_INTERVAL_S = 0.5  # between two tellings of who the ingresses are
+PEER_ALIVE_S = 1.0  # a member heard within this time counts as live
+PUBLISH_INTERVAL_S = 0.5  # between two publications of the list of proxies
 
 log = logging.getLogger("gateway.controller")
 
 
 class Driver(Protocol):
-    """Carries out what the machines want done outside of them."""
+    """Carries out the outputs of the state machines."""
 
     def send(self, to: Address, plane: int, message: Any) -> None:
-        """Send a message to another process, or lose it."""
+        """Send a message of a plane to another process, or drop it."""
 
     def write(self, token: int, record: PersistentState) -> None:
-        """Save a record; `Post.written` or `Post.write_failed` is called with the token later on."""
+        """Save a record; `ControllerNode.written` or `write_failed` is called with the token later on."""
 
 
 class ControllerNode:
-    """The machines of the core at one controller. `clock` gives steady seconds, `stored` is off its disk, and
-    `began` is when this process began, by the clock; now, if it isn't told."""
+    """The state machines of one controller: consensus, membership, quota and drift watch.
+
+    `clock` gives monotonic seconds, `stored` is what its disk holds, and `began` is when this process started
+    by that clock (None: now).
+    """
 
     def __init__(
         self,
@@ -83,7 +86,8 @@
         self.config_state, self.version = ConfigState(), 0
         self.expected: ExpectedDigests | None = None
         self.published_core: Any = None
-        self.ingresses: tuple[int, list[tuple[int, Address]]] = 0, []  # as last told: term, who
+        # as last published: term, zone and address of each
+        self.ingresses: tuple[int, list[tuple[int, Address]]] = 0, []
         self.ingresses_at, self.told = -PUBLISH_INTERVAL_S, 0
         self.control = Control(self, lambda call: self.handle_membership(self.membership, call))
         bounds = settings.terms.bounds
@@ -91,43 +95,50 @@
             self.me, bounds.apply_s, bounds.quota_window_s, self.push_allowances
         )
 
-    # What the control calls need.
+    # The interface `ConsensusCore` of `Control`.
 
     def leads(self, now: float) -> bool:
-        # Who can't read what is in force (another release has made it) decides nothing by what was before.
+        """Whether this process has the leader lease and can read the committed version."""
+        # A leader that can't read the committed version (of another release) must not decide on an older one.
         return self.raft.has_leader_lease(now) and self.version == self.raft.committed
 
     def leader_control(self) -> Address | None:
+        """The `control` address of the leader, if that is another process; else None."""
         leader = self.raft.leader
         if leader is None or leader == self.me:
             return None
         return f"{leader.rpartition(':')[0]}:{self.control_port}"
 
     def propose(self, token: int, value: bytes, expected: int) -> None:
+        """Propose a value to replace the version `expected`."""
         self.handle_consensus(consensus.Propose(token, value, expected))
 
     def config_in_force(self) -> tuple[int, ConfigState]:
+        """The version and the state in force here."""
         return self.version, self.config_state
 
-    # Messages.
+    # Messages of other processes.
 
     def on_consensus_message(self, sender: Address, note: Any) -> None:
+        """A message of the consensus plane has arrived."""
         self.handle_consensus(consensus.Received(sender, note))
 
     def on_membership_message(self, sender: Address, note: Any) -> None:
+        """A message of the membership plane has arrived."""
         self.handle_membership(self.membership, membership.Received(sender, note))
 
     def on_quota_message(self, sender: Address, note: Any) -> None:
+        """A message of the quota plane has arrived."""
         event = quota.Received(sender, note)
         if note.WhichOneof("kind") != "request":
             return self.handle_quota(self.holder, event)
         self.publish_leadership(self.clock())
         self.handle_quota(self.shard_assigner, event)
 
-    # Machines.
+    # Inputs of the state machines.
 
     def handle_consensus(self, event: Any) -> None:
-        """An input of the agreement."""
+        """Pass an input to the consensus plane and carry out its outputs."""
         now = self.clock()
         for out in self.raft.handle(now, event):
             if isinstance(out, Send):
@@ -140,7 +151,7 @@
                 self.control.proposed(now, out.token, out.outcome)
 
     def handle_membership(self, machine: ControllerMembership, event: Any) -> None:
-        """An input of the rounds."""
+        """Pass an input to the membership plane and carry out its outputs."""
         now = self.clock()
         for out in machine.handle(now, event):
             if isinstance(out, Send):
@@ -157,7 +168,7 @@
                 self.handle_consensus(consensus.KnownAddresses(out.members))
 
     def handle_quota(self, machine: ShardAssigner | ShardOwner, event: Any) -> None:
-        """An input of the quota plane."""
+        """Pass an input to the shard assigner or shard owner and carry out its outputs."""
         for out in machine.handle(self.clock(), event):
             if isinstance(out, Send):
                 self.driver.send(out.to, QUOTA, out.message)
@@ -167,19 +178,21 @@
                 )
 
     def seeds(self, addresses: tuple[Address, ...]) -> None:
-        """Other seeds are set."""
+        """The settings have other seeds."""
         self.handle_membership(self.membership, membership.SetSeeds(addresses))
         self.handle_consensus(consensus.KnownAddresses(addresses))
 
     def written(self, token: int) -> None:
+        """The record with this token is on disk."""
         self.handle_consensus(consensus.WriteCompleted(token))
 
     def write_failed(self, token: int, why: str) -> None:
+        """The record with this token couldn't be saved."""
         log.warning("the disk failed: %s", why)
         self.handle_consensus(consensus.WriteFailed(token, why))
 
     def committed(self, news: consensus.Committed) -> None:
-        """A value is in force from now on: take it up, and pass it on."""
+        """A value was committed: apply it here, and publish it to the followers."""
         try:
             self.config_state = self.control.own_value(news.value) or ConfigState.decode(
                 news.value, self.config_state
@@ -203,14 +216,14 @@
         config_events.in_force(self.me, news.version, document.generation, first)
 
     def push_allowances(self) -> None:
-        """Tell the quota plane what the document allows."""
+        """Pass the tenants' rates and bursts of the document to the shard owner."""
         document = self.config_state.document
         if document is not None:
             tenants = {t.label: (t.rate, t.burst) for t in document.tenants.values()}
             self.handle_quota(self.holder, quota.Allowances(tenants))
 
     def answer(self, http_call: HttpCall, reply: Reply) -> None:
-        """A call to `control`."""
+        """Answer an HTTP call to `control`."""
         path = http_call.path.partition("?")[0]
         if http_call.method == "GET" and path in (status_report.CORE, status_report.LEASES):
             now, core = self.clock(), path == status_report.CORE
@@ -221,7 +234,7 @@
             self.control.answer(self.clock(), http_call, reply)
 
     def tick(self, now: float) -> None:
-        """Time passes for all machines."""
+        """Pass the time to all state machines."""
         self.handle_consensus(consensus.Tick())
         self.publish_core(now)
         self.control.proceed(now)
@@ -240,7 +253,7 @@
         self.holder_report.tick(now)
 
     def publish_leadership(self, now: float) -> None:
-        """Tell who hands out the tenants whether this process leads, and who is there."""
+        """Tell the shard assigner whether this process leads, and which controllers are live."""
         raft, leader_role = self.raft, self.raft.leader_role
         term, since = (raft.term, raft.leaderless_since) if leader_role is not None else (0, None)
         self.handle_quota(
@@ -252,7 +265,7 @@
             self.handle_quota(self.shard_assigner, quota.LiveControllers((self.me, *live), members))
 
     def publish_ingresses(self, now: float) -> None:
-        """Tell all ingresses of one another, not too often; in each term anew, for others led in between."""
+        """Publish the list of proxies when it changes, and in each term; at most every 0.5 s."""
         term, ingresses = self.raft.term, self.membership.log.ingresses(now)
         if (
             not ingresses
@@ -267,7 +280,7 @@
         )
 
     def publish_core(self, now: float) -> None:
-        """Tell the other planes who the core is, and who leads."""
+        """Publish the core's members and the leader to the other planes when they change."""
         raft = self.raft
         known, until = raft.value, raft.quorum_contact_until()
         quorate = now < until
@@ -276,7 +289,7 @@
         told = (members, None if known is None else known.position, raft.leader, quorate)
         if told == self.published_core or not members:
             return
-        self.published_core = told  # right after a start by what the disk tells: beats need no election
+        self.published_core = told  # right after a start from disk: heartbeats need no election
         self.handle_membership(self.membership, membership.SetCore(members))
         if known is not None and raft.leader_role is not None and quorate:
             data = membership_codec.encode_members(members, self.me)
--- a/gateway/programs/drift_monitor.py
+++ b/gateway/programs/drift_monitor.py
@@ -1,4 +1,4 @@
-"""The drift detector's place in a proxy: what it is told, and what becomes of what it says."""
+"""Drift watch at a proxy: connects the drift detector to live requests and the membership plane."""
 
 from __future__ import annotations
 
@@ -20,40 +20,43 @@
 from gateway.runtime.settings import Bounds
 from gateway.state_machine import Address
 
-CHECK_INTERVAL_S = 0.25  # between two looks for the last contact with the core, and at what else time brings
-QUOTA_CHECK_INTERVAL_S = 1.0  # between two looks at the quotas and limits in force
-MAX_FINDING_LENGTH = 200  # letters of a finding that are told to the core
+CHECK_INTERVAL_S = 0.25  # between two inputs of the time and of the last confirmation by the core
+QUOTA_CHECK_INTERVAL_S = 1.0  # between two checks of the quotas and limits in force
+MAX_FINDING_LENGTH = 200  # characters of a finding that are sent to the core
 
 log = logging.getLogger("gateway.drift")
 
 
 class Node(Protocol):
-    """What the drift detector needs of the proxy around it."""
+    """What the drift monitor needs of the proxy."""
 
     compiled_config: CompiledConfig | None
 
     def clock(self) -> float:
-        """Steady seconds."""
+        """Monotonic seconds."""
 
     def confirmed(self, now: float) -> tuple[int, float] | None:
-        """The version that most of the core says is the newest, and since when that is sure."""
+        """The newest version by a majority of the core, and when that was confirmed; or None."""
 
     def fetch(self, version: int, holder: str, again: bool) -> None:
-        """Ask for a version."""
+        """Fetch a version from `holder` (empty: the core); `again`: even if it is held already."""
 
     def rebuild(self, version: int, value: bytes) -> None:
-        """Build what requests use anew, from the value of a version and nothing else."""
+        """Rebuild the compiled configuration from the value of a version, reusing nothing."""
 
     def holds(self, version: int, digest: int, findings: int, finding: str) -> None:
-        """Tell the core and the neighbours what runs here."""
+        """Report to the core and the neighbours what runs here."""
 
     def in_force(self, document: Document) -> list[Difference]:
-        """Where quotas and limits that are handed on aren't those of the document."""
+        """Where the quotas and limits in force differ from the document."""
 
 
 class DriftMonitor:
-    """Connects the drift detector to a proxy. `apply_s` as in the rules; `revoke_closed` turns requests
-    back once the last contact with the core is older than `revoke_s`."""
+    """Connects the drift detector to a proxy.
+
+    Of `bounds` it uses `apply_s`, and with `revoke_closed` also `revoke_s`: requests are then rejected once
+    the last contact with the core is older than that.
+    """
 
     def __init__(self, me: Address, node: Node, bounds: Bounds) -> None:
         self.me, self.node = me, node
@@ -61,17 +64,17 @@
         self.live: LiveCheck | None = None
         self.value = b""
         self.ready, self.refusing = True, ""
-        self.refetching = False  # the version that is held has been asked for again
+        self.refetching = False  # the held version is being fetched again
         self.turned_back = 0
         self.look_at = self.quotas_at = 0.0
 
-    # What the proxy tells.
+    # Events of the proxy.
 
     def request(
         self, host: bytes, path: bytes, key: bytes, route_decision: RouteDecision
     ) -> RouteDecision | None:
-        """A decision on a live request, seen through: as it was or as it is after a repair; None where the
-        request is to be turned back."""
+        """Check the decision on a live request: returns it, or the decision after a repair; None: reject the
+        request."""
         if self.live is None:
             return route_decision
         if self.refusing:
@@ -79,7 +82,7 @@
             return None
         try:
             seen = self.live.check(self.node.clock(), host, path, key, route_decision)
-        except Exception as error:  # of what is looked at: that must not end the request
+        except Exception as error:  # caused by corrupt state: it must not break the request
             told = f"{type(error).__name__}: {error}"
             seen = CheckResult(SAMPLE, [Difference("a look", told, "possible")])
         if not seen.differences:
@@ -106,7 +109,7 @@
         expected: ExpectedDigests,
         compiled_config: CompiledConfig,
     ) -> None:
-        """A version is in force here; `acknowledged` is its digest as the core told it."""
+        """A version was applied here; `acknowledged` is its digest by the core (0: unknown)."""
         self.value, self.refetching = value, False
         self.live = LiveCheck(document, expected, compiled_config, self.live)
         running = running_digest(compiled_config, expected)
@@ -114,13 +117,15 @@
         self.handle_drift(drift_messages.VersionApplied(version, running, acknowledged or expected.total))
 
     def unreadable(self, version: int, why: str) -> None:
+        """A version was received that can't be read, and why."""
         self.handle_drift(drift_messages.VersionUnreadable(version, why))
 
     def heard(self, version: int, digest: bytes, holder: str) -> None:
+        """A version was advertised; `holder` is empty if its sender doesn't have it."""
         self.handle_drift(drift_messages.VersionSeen(version, int.from_bytes(digest), holder))
 
     def tick(self) -> None:
-        """Time goes on."""
+        """Time has passed: feed the detector and run the periodic checks."""
         now = self.node.clock()
         if now < self.look_at <= now + CHECK_INTERVAL_S and not self.drift_detector.core_not_heard:
             return
@@ -137,10 +142,10 @@
         if found:
             self.handle_drift(drift_messages.DifferencesFound("round", tuple(found)))
 
-    # What the drift detector says.
+    # Outputs of the drift detector.
 
     def handle_drift(self, event: Any) -> None:
-        """An input of the drift detector."""
+        """Pass an input to the drift detector and carry out its outputs."""
         found = self.drift_detector.found
         for out in self.drift_detector.handle(self.node.clock(), event):
             if isinstance(out, drift_messages.Finding):
@@ -166,15 +171,15 @@
             self.node.holds(i.version, i.running, i.found, self.latest())
 
     def latest(self) -> str:
-        """The latest finding, cut short."""
+        """The latest finding, truncated; empty if there is none."""
         return (
             str(self.drift_detector.findings[-1])[:MAX_FINDING_LENGTH] if self.drift_detector.findings else ""
         )
 
-    # For operators.
+    # Status and metrics.
 
     def answer(self, http_call: HttpCall, reply: Reply, quota_report: QuotaReport) -> bool:
-        """Answer a call that is about this; whether it is. `counting` adds what the quota plane tells."""
+        """Answer a call for status or metrics, with those of `quota_report`; False if it is another call."""
         path = http_call.path.partition("?")[0]
         if http_call.method != "GET" or path not in (STATUS, METRICS):
             return False
@@ -191,7 +196,7 @@
         return True
 
     def status(self) -> dict[str, Any]:
-        """What `GET /-/status` answers."""
+        """The JSON object of `GET /-/status`. Times are seconds."""
         i, live = self.drift_detector, self.live
         return {
             "node": self.me,
@@ -212,7 +217,7 @@
         }
 
     def metrics(self) -> list[Metric]:
-        """What is worth an alert."""
+        """The metrics of `GET /-/metrics`."""
         i, live = self.drift_detector, self.live
         return [
             Metric("version", "Version in force.", i.version),
--- a/gateway/programs/fleet_monitor.py
+++ b/gateway/programs/fleet_monitor.py
@@ -1,4 +1,4 @@
-"""Drift watch at a controller: what all nodes run, and the quotas in force here."""
+"""Drift watch at a controller: which configuration all nodes run, and the quotas in force here."""
 
 from __future__ import annotations
 
@@ -19,16 +19,17 @@
 
 STATUS, METRICS = "/-/status", "/-/metrics"
 JSON = b"Content-Type: application/json\r\n"
-CHECK_INTERVAL_S = 1.0  # between two looks at the quotas in force
+CHECK_INTERVAL_S = 1.0  # between two checks of the quotas in force
 MAX_NODES_SHOWN = 1024  # nodes in one answer
 
 log = logging.getLogger("gateway.drift")
 
 
 class FleetMonitor:
-    """Connects the list of nodes, and the drift detector of this process's own quotas, to a controller.
+    """Connects the fleet status, and the drift detector of this process's own quotas, to a controller.
 
-    `hand_on` hands the document's quotas on anew. `apply_s` as in the rules, `span_s` that of the quota rule.
+    `push_allowances` passes the document's quotas to the quota plane again. `apply_s` is the time in seconds
+    in which a version has to be in force, `span_s` the span of the quota rule.
     """
 
     def __init__(
@@ -42,12 +43,12 @@
     def runs(
         self, now: float, node: Address, version: int, digest: bytes, findings: int, finding: str
     ) -> None:
-        """A node tells what it runs."""
+        """A node reports which version and digest it runs, and its findings."""
         told = drift_messages.NodeReport(node, version, int.from_bytes(digest), findings, finding)
         self.handle_outputs(self.fleet.handle(now, told))
 
     def heard(self, now: float, version: int, digest: bytes, holder: Address) -> None:
-        """Somebody holds a version."""
+        """A version was advertised by `holder`."""
         self.handle_outputs(
             self.drift_detector.handle(
                 now, drift_messages.VersionSeen(version, int.from_bytes(digest), holder)
@@ -55,7 +56,7 @@
         )
 
     def config_applied(self, now: float, version: int, digest: int, document: Document) -> None:
-        """A version is acknowledged, and in force here."""
+        """A version was acknowledged and applied here."""
         self.quota_windows = expected_windows(document, self.span_s)
         self.handle_outputs(self.fleet.handle(now, drift_messages.VersionAcknowledged(version, digest)))
         self.handle_outputs(
@@ -63,7 +64,7 @@
         )
 
     def tick(self, now: float, quorate: bool, windows: Callable[[], Windows]) -> None:
-        """Time goes on. `windows` are those by which tenants are counted here."""
+        """Time has passed. `windows` returns the rate limit windows in force here."""
         if now < self.look_at:
             return
         self.look_at = now + CHECK_INTERVAL_S
@@ -79,20 +80,20 @@
             )
 
     def handle_outputs(self, outputs: list[Any]) -> None:
-        """Log findings; repair."""
+        """Carry out outputs: log findings, repair the quotas."""
         for out in outputs:
             if isinstance(out, drift_messages.Finding):
                 log.warning("drift: %s", out)
             elif isinstance(out, drift_messages.Rebuild):
                 self.push_allowances()
 
-    # For operators.
+    # Status and metrics.
 
     def answer(
         self, now: float, http_call: HttpCall, reply: Reply, more: dict[str, Any], quota_report: QuotaReport
     ) -> bool:
-        """Answer a call that is about this; whether it is. `more` is told with the status, and what the quota
-        plane tells is added by `counting`."""
+        """Answer a call for status or metrics; False if it is another call. `more` is added to the status,
+        `quota_report` to both."""
         path = http_call.path.partition("?")[0]
         if http_call.method != "GET" or path not in (STATUS, METRICS):
             return False
@@ -108,7 +109,7 @@
         return True
 
     def status(self, now: float) -> dict[str, Any]:
-        """All nodes that are known, and the findings told or made here."""
+        """The JSON object of `GET /-/status`: all known nodes, and findings reported or made here."""
         port, i = self.me.rpartition(":")[2], self.drift_detector
         nodes = [
             {
@@ -135,7 +136,7 @@
         }
 
     def metrics(self, now: float) -> list[Metric]:
-        """What is worth an alert."""
+        """The metrics of `GET /-/metrics`."""
         nodes = self.fleet.seen(now)
         return [
             Metric("version", "Version acknowledged, as known here.", self.drift_detector.version),
--- a/gateway/programs/proxy.py
+++ b/gateway/programs/proxy.py
@@ -1,4 +1,4 @@
-"""The traffic plane's program: clients' requests, by what the core tells of routes and backends."""
+"""The proxy program: forwards clients' requests by the configuration and backends that it follows."""
 
 from __future__ import annotations
 
@@ -27,14 +27,14 @@
 from roadspur.net.upstream import Upstream
 
 TICK_S = 0.05
-SILENT_S = 2.0  # of a far end that acknowledges nothing
-BACKEND_IDLE_S = 10.0  # after which backends close idle connections
-BODY_MEMORY_DIVISOR = 8  # of the memory, the part that larger bodies may take together
-RESERVED_DESCRIPTORS = 300  # descriptors that are neither clients' nor backends'
+SILENT_S = 2.0  # TCP user timeout towards backends
+BACKEND_IDLE_S = 10.0  # backends close connections that were idle for so long
+BODY_MEMORY_DIVISOR = 8  # large bodies may take this fraction of the memory together
+RESERVED_DESCRIPTORS = 300  # file descriptors for other purposes than clients and backends
 
 
 class ProxyServer:
-    """Connects a proxy's machines and its ingress to the wire."""
+    """Connects the state machines and the ingress of a `ProxyNode` to the network."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, settings: Settings, rng: random.Random) -> None:
         half = max(32, (settings.own.limits.max_fds - RESERVED_DESCRIPTORS) // 2)
@@ -54,22 +54,25 @@
         )
 
     def send(self, to: Address, plane: int, message: Any) -> None:
+        """Send a message of a plane to another process, or drop it."""
         self.port.send(to, plane, message)
 
     def limit(self, limits: Limits) -> None:
+        """Apply these limits to clients from now on."""
         self.server.limits = limits
 
     def limits(self) -> Limits:
+        """The limits on clients in force."""
         return self.server.limits
 
     def ready(self, http_call: HttpCall, reply: Reply) -> None:
-        """Answer the platform, and whoever asks what runs here."""
+        """Answer readiness probes, and calls for status and metrics."""
         if not self.proxy_node.drift_monitor.answer(http_call, reply, self.proxy_node.charger_report):
             reply(200 if self.proxy_node.ready() else 503, b"", b"")
 
 
 async def serve(settings: Settings, ring: LogRing, file: SettingsFile) -> None:
-    """Serve until told to stop, then leave in order."""
+    """Serve until a signal to stop, then drain: finish open requests and exit."""
     loop = asyncio.get_running_loop()
     proxy = ProxyServer(loop, settings, random.Random(int.from_bytes(os.urandom(8))))
     await proxy.port.open()
@@ -97,5 +100,5 @@
 
 
 def main() -> int:
-    """Run; the exit code."""
+    """Run the program; returns its exit code."""
     return startup.run("proxy", serve)
--- a/gateway/programs/proxy_node.py
+++ b/gateway/programs/proxy_node.py
@@ -1,4 +1,4 @@
-"""A proxy's machines and its ingress, connected to one another and free of sockets and clock."""
+"""A proxy's state machines and its ingress, connected to one another, without sockets or clock."""
 
 from __future__ import annotations
 
@@ -35,27 +35,30 @@
 from roadspur.net.http_messages import read_address
 from roadspur.net.upstream import Upstream
 
-CONNECT_TIMEOUT_S = 0.3  # for a connection to a backend to stand
-INGRESSES = 12  # among which slack and slots are shared
+CONNECT_TIMEOUT_S = 0.3  # until a connection to a backend is established
+INGRESSES = 12  # assumed number of proxies, until the leader publishes it
 
 log = logging.getLogger("gateway.proxy")
 
 
 class Driver(Protocol):
-    """Carries out what the machines want done outside of them."""
+    """Carries out the outputs of the state machines."""
 
     def send(self, to: Address, plane: int, message: Any) -> None:
-        """Send a message to another process, or lose it."""
+        """Send a message of a plane to another process, or drop it."""
 
     def limit(self, limits: Limits) -> None:
-        """Hold clients to these limits from now on."""
+        """Apply these limits to clients from now on."""
 
     def limits(self) -> Limits:
-        """The limits that clients are held to."""
+        """The limits on clients in force."""
 
 
 class ProxyNode:
-    """The machines of the traffic plane at one proxy. Of `loop` only the timers are used, and its time."""
+    """The state machines of one proxy: membership, quota client, drift watch, and the ingress.
+
+    Of `loop` only timers and time are used. `clock` gives monotonic seconds.
+    """
 
     def __init__(
         self,
@@ -92,39 +95,43 @@
         self.charge_timer: asyncio.TimerHandle | None = None
         self.charge_at = 0.0
 
-    # Messages.
+    # Messages of other processes.
 
     def on_membership_message(self, sender: Address, note: Any) -> None:
+        """A message of the membership plane has arrived."""
         self.handle_membership(membership.Received(sender, note))
 
     def on_quota_message(self, sender: Address, note: Any) -> None:
+        """A message of the quota plane has arrived."""
         self.handle_quota(quota.Received(sender, note))
 
     def send_quota_message(self, out: Send) -> None:
+        """Send an output of the quota client."""
         self.driver.send(out.to, QUOTA, out.message)
         self.arm()
 
     def handle_quota(self, event: Any) -> None:
-        """An input of the quota plane."""
+        """Pass an input to the quota client, by way of the ingress."""
         self.ingress.handle_quota(event)
         self.arm()
 
     def arm(self) -> None:
-        """Have the quota plane's machine called again when it wants to be."""
+        """Set the timer for the next time that the quota client is due."""
         due = self.quota_client.due()
         if self.charge_timer is not None:
             if self.charge_at <= due:
                 return
             self.charge_timer.cancel()
-        self.charge_at = due  # a timer that is due at once is a plain handle, which doesn't know its time
+        self.charge_at = due  # kept here: uvloop returns a plain handle for a timer that is due at once
         self.charge_timer = self.loop.call_at(due, self.charge_due)
 
     def charge_due(self) -> None:
+        """The timer of the quota client has fired."""
         self.charge_timer = None
         self.handle_quota(quota.Tick())
 
     def handle_membership(self, event: Any) -> None:
-        """An input of the rounds."""
+        """Pass an input to the membership plane and carry out its outputs."""
         for out in self.membership.handle(self.clock(), event):
             if isinstance(out, Send):
                 self.driver.send(out.to, MEMBERSHIP, out.message)
@@ -141,7 +148,7 @@
             self.charger_report.tick(self.clock())
 
     def backend(self, b: membership.Backend) -> None:
-        """A backend came or changed."""
+        """A backend was added or has changed."""
         try:
             address = read_address(b.address)
         except ValueError:
@@ -153,11 +160,11 @@
         )
 
     def seeds(self, addresses: tuple[Address, ...]) -> None:
-        """Other seeds are set."""
+        """The settings have other seeds."""
         self.handle_membership(membership.SetSeeds(addresses))
 
     def news(self, news: membership.Update) -> None:
-        """The newest configuration, or who counts whom."""
+        """A published value: the list of proxies, the shard map, or a configuration."""
         if news.kind == membership.INGRESSES:
             self.ingress.proxy_peers(self.me, self.zone, decode_ingresses(news.data))
         elif news.kind == membership.SHARD_MAP:
@@ -168,7 +175,7 @@
                 self.apply_config(version, news.data, int.from_bytes(news.digest), afresh=again)
 
     def apply_config(self, version: int, value: bytes, acknowledged: int, afresh: bool = False) -> None:
-        """Put a newer configuration in force, or the same `afresh`: with nothing that was built before."""
+        """Apply a newer version of the configuration, or rebuild the same one: `afresh` reuses nothing."""
         try:
             config_state = ConfigState.decode(value, None if afresh else self.config_state)
         except ValueError as error:
@@ -195,21 +202,26 @@
             version, value, acknowledged, config_state.document, self.expected, compiled_config
         )
 
-    # What the drift detector needs.
+    # The interface `Node` of the drift monitor.
 
     def confirmed(self, now: float) -> tuple[int, float] | None:
+        """The newest version by a majority of the core, and when that was confirmed; or None."""
         return self.membership.confirmed(now)
 
     def fetch(self, version: int, holder: Address, again: bool) -> None:
+        """Fetch a version of the configuration from `holder` (empty: the core)."""
         self.handle_membership(membership.FetchConfig(version, holder, again))
 
     def rebuild(self, version: int, value: bytes) -> None:
+        """Rebuild the compiled configuration from the value of a version."""
         self.apply_config(version, value, self.drift_monitor.drift_detector.acknowledged, afresh=True)
 
     def holds(self, version: int, digest: int, findings: int, finding: str) -> None:
+        """Report the version and digest that run here, and the findings."""
         self.handle_membership(membership.ConfigApplied(version, digest.to_bytes(8), findings, finding))
 
     def in_force(self, document: Document) -> list[Difference]:
+        """Where limits and rate limit windows in force differ from the document."""
         limits, held_to = document.limits, self.driver.limits()
         found = [
             Difference(f"limits {name}", str(was), str(to))
@@ -220,6 +232,6 @@
         return found + quota_differences(self.quota_windows, windows)
 
     def ready(self) -> bool:
-        """Whether the platform may send clients: configuration and backends are known, and it stays."""
+        """Readiness: a confirmed configuration is in force, a backend is known, and no shutdown has begun."""
         well = self.compiled_config is not None and bool(self.ingress.serving) and self.drift_monitor.ready
         return well and not self.leaving
--- a/gateway/programs/quota_report.py
+++ b/gateway/programs/quota_report.py
@@ -1,6 +1,6 @@
-"""What the quota plane tells operators: a line of counts each 5 s, figures for scraping, and its status.
+"""Reports of the quota plane: a log record of counts each 5 s, metrics, and a part of the status.
 
-A line stays in the ring as all that is usual does; with `--counts` the program writes it at once.
+The record stays in the log ring like all INFO records; with `--counts` the program writes it at once.
 """
 
 from __future__ import annotations
@@ -24,50 +24,50 @@
 
 
 class QuotaReport(Protocol):
-    """What `GET /-/status` and `GET /-/metrics` tell besides."""
+    """The quota plane's part of `GET /-/status` and `GET /-/metrics`."""
 
     def status(self, now: float) -> dict[str, Any]:
-        """For JSON."""
+        """Fields that are added to the status."""
 
     def metrics(self, now: float) -> list[Metric]:
-        """What is worth an alert."""
+        """Metrics that are added to the scrape."""
 
 
 class _PeriodicReport:
-    """A line each 5 s of what has changed since the last one; an idle process is silent."""
+    """Logs each 5 s what has changed since the last record; an idle process logs nothing."""
 
     def __init__(self, me: Address) -> None:
         self.me, self.due = me, 0.0
 
     def tick(self, now: float) -> None:
-        """Time goes on."""
+        """Time has passed: log a record if it is due."""
         if now >= self.due:
             self.tell(now)
 
     def tell(self, now: float) -> None:
-        """Log what there is."""
+        """Log a record now, if anything has changed."""
         self.due = now + LINE_S
         if changes := self.changes(now):
             log.info({"node": self.me, **changes})
 
     def changes(self, now: float) -> dict[str, Any]:
-        """The line's content."""
+        """The fields of the record; empty if nothing has changed."""
         raise NotImplementedError
 
 
 class ChargerReport(_PeriodicReport):
-    """Of a quota client: how requests were decided, and the time that took."""
+    """Report of a quota client: how requests were decided, and the time that took."""
 
     def __init__(self, me: Address, quota_client: QuotaClient) -> None:
         super().__init__(me)
         self.quota_client = quota_client
-        self.decided: dict[tuple[str, int], list[int]] = {}  # as told by the last line
+        self.decided: dict[tuple[str, int], list[int]] = {}  # as of the last record
         self.times = [[0] * len(counts) for counts in quota_client.statistics.times]
         self.back = 0
 
     def changes(self, now: float) -> dict[str, Any]:
-        """`charged`: by tenant and precedence the counts of `tally.WAYS`; `times`: by `tally.SPLIT` the
-        counts by number of the bucket; `back`: units given back."""
+        """`charged`: by tenant and precedence the counts by `DECISION_KINDS`; `times`: by `SPLIT` the counts
+        by number of the bucket; `back`: units refunded."""
         statistics, charged = self.quota_client.statistics, dict[str, dict[int, list[int]]]()
         for key, counts in statistics.decided.items():
             before = self.decided.get(key)
@@ -87,7 +87,8 @@
         return {"charged": charged, "times": times, "back": back}
 
     def status(self, now: float) -> dict[str, Any]:
-        """Each tenant's remaining allowance as known here, with its age in seconds, and the own share."""
+        """Each tenant's allowance, its remaining units as last heard, the age of that in seconds, and the own
+        share."""
         return {
             "allowance": [
                 {
@@ -103,7 +104,7 @@
         }
 
     def metrics(self, now: float) -> list[Metric]:
-        """Counts by way, and histograms of the time that the charge adds."""
+        """Counts by kind of decision, and histograms of the time in seconds that charging adds."""
         statistics = self.quota_client.statistics
         totals = [
             sum(counts[n] for counts in statistics.decided.values()) for n in range(len(DECISION_KINDS))
@@ -130,20 +131,21 @@
 
 
 class HolderReport(_PeriodicReport):
-    """Of a holder: what remains of each count that it has, and whether all nodes know it so."""
+    """Report of a shard owner: what remains of each counter, and whether the views of all nodes agree."""
 
     def __init__(self, me: Address, holder: ShardOwner) -> None:
         super().__init__(me)
         self.holder = holder
-        self.told = (0, 0, 0)  # parts gained, lost, and units given back, by the last line
+        self.told = (0, 0, 0)  # shards gained, lost, and units refunded, as of the last record
 
     def compared(self, now: float) -> list[CounterComparison]:
-        """Each tenant held, with all views of it."""
+        """Each tenant counted here, with all views of its counter."""
         return self.holder.view_audit.compare(now, self.holder.view(now))
 
     def changes(self, now: float) -> dict[str, Any]:
-        """`held`: by tenant its allowance, what remains, units kept back, views, the largest difference,
-        units by which a view is beyond what was said, and the oldest view's age; and what changed hands."""
+        """`held`: by tenant its allowance, remaining and reserved units, number of views, largest difference,
+        most units by which a view is beyond what was said, and the oldest view's age in seconds. `gained`,
+        `lost`: shards; `back`: units refunded."""
         view_audit = self.holder.view_audit
         counts = view_audit.gained, view_audit.lost, view_audit.back
         gained, lost, back = (n - b for n, b in zip(counts, self.told, strict=True))
@@ -165,7 +167,7 @@
         return {"held": held, "gained": gained, "lost": lost, "back": back}
 
     def status(self, now: float) -> dict[str, Any]:
-        """Each tenant held here, with each node's view of it."""
+        """Each tenant counted here, with each node's view of its counter."""
         return {
             "allowance": [
                 {
@@ -183,7 +185,7 @@
         }
 
     def metrics(self, now: float) -> list[Metric]:
-        """What remains of each count, and how far views are from it."""
+        """What remains of each counter, and how far views are from it."""
         found, labels = self.compared(now), []
         for c in found:
             name = c.tenant.replace("\\", r"\\").replace('"', r"\"").replace("\n", r"\n")
@@ -214,5 +216,5 @@
 
 
 def beyond(c: CounterComparison) -> int:
-    """The most units by which a view of a count can't be explained."""
+    """The most units by which a view of a counter is outside of what its owner had said."""
     return max((v.beyond or 0 for v in c.views), default=0)
--- a/gateway/programs/settings_reload.py
+++ b/gateway/programs/settings_reload.py
@@ -1,4 +1,4 @@
-"""The settings file while a program runs: looked at each second and on SIGHUP, for what may change then."""
+"""Reload of the settings file while a program runs: polled each second, and on SIGHUP."""
 
 from __future__ import annotations
 
@@ -16,15 +16,15 @@
 
 CHECK_INTERVAL_S = 1.0
 RELOADABLE = ("network.seeds",)
-"""What a running program takes up; all else waits for its next start."""
+"""Fields that apply while running; all others apply from the next start."""
 
 log = logging.getLogger("gateway.settings_reload")
 
 
 class Reload:
-    """Tells of new seeds, as the own ports of their controllers. A file with faults changes nothing.
+    """Applies changed seeds: calls `seeds` with the own ports of their controllers.
 
-    What else has changed is logged, as it counts from the next start on.
+    Other changes are logged, as they apply from the next start. A file with faults changes nothing.
     """
 
     def __init__(
@@ -33,12 +33,12 @@
         self.settings, self.file, self.seeds = settings, file, seeds
 
     def look(self) -> None:
-        """Read the file if it is another one than at the last look."""
+        """Read the file if it has changed since the last check."""
         if self.file.changed():
             self.read()
 
     def read(self) -> None:
-        """Read the file: somebody says that it has changed."""
+        """Read the file and apply its changes; for SIGHUP."""
         found = self.file.read()
         if isinstance(found, Err):
             for fault in found.err_value:
@@ -54,7 +54,7 @@
 
 
 def start_maintenance(loop: asyncio.AbstractEventLoop, reload: Reload, ring: LogRing) -> Ticker:
-    """What a program does each second: it looks at its settings file, and writes the logs that are owed."""
+    """Start what a program does each second: check its settings file, and write pending logs."""
 
     def second(now: float) -> None:
         ring.tick()
@@ -64,12 +64,12 @@
 
 
 def seed_addresses(settings: Settings) -> tuple[Address, ...]:
-    """The own ports of the seeds' controllers."""
+    """Addresses of the own ports of the seeds' controllers."""
     return tuple(settings.controller_at(seed) for seed in settings.network.seeds)
 
 
 def differences(former: Any, later: Any, place: str = "") -> list[str]:
-    """Dotted names of the fields in which two settings differ."""
+    """Dotted names of the fields in which two settings differ; `place` is the prefix of the names."""
     if not hasattr(former, "_fields"):
         return [] if former == later else [place]
     found = []
--- a/gateway/programs/startup.py
+++ b/gateway/programs/startup.py
@@ -1,4 +1,4 @@
-"""What both programs share: settings at the start, their own port, signals, and the end."""
+"""What both programs share: reading settings at the start, planes on the wire, signals, and exit codes."""
 
 from __future__ import annotations
 
@@ -21,33 +21,33 @@
 from gateway.runtime.settings import Settings, SettingsFile
 
 CONSENSUS, MEMBERSHIP, QUOTA = 1, 2, 3
-"""Planes' numbers on the wire."""
+"""Numbers of the planes on the wire."""
 
 COUNTS = "--counts"
-"""The option with which a program writes its lines of counts at once, for a day's report."""
+"""Option with which a program writes its quota records at once, for `python -m proving allowance`."""
 
 log = logging.getLogger("gateway.startup")
 
 
 def consensus_slot(note: Any) -> int | None:
-    """An entry is the whole state, so a later one will do."""
+    """Slot of a queued message: an entry is the whole state, so a later one replaces it."""
     return consensus_pb2.APPEND_ENTRIES if note.kind == consensus_pb2.APPEND_ENTRIES else None
 
 
 def membership_slot(note: Any) -> tuple[str, int] | None:
-    """A later answer builds on a place that is confirmed, and a value is the newest of its kind."""
+    """Slot of a queued message: later answers build on confirmed positions, values are the newest."""
     kind = note.WhichOneof("kind")
     return (kind, note.value.kind) if kind == "value" else (kind, 0) if kind == "answer" else None
 
 
 def zone_number(settings: Settings) -> int:
-    """A zone's place among all zones, the same on every machine."""
+    """Index of the own zone among all zones in order of names, the same on every machine; 0 if unknown."""
     zones = sorted(settings.network.zones)
     return zones.index(settings.own.zone) if settings.own.zone in zones else 0
 
 
 def stop_on_signal(loop: asyncio.AbstractEventLoop, reload: Callable[[], None]) -> asyncio.Event:
-    """Set by SIGTERM or SIGINT; SIGHUP calls `reload`."""
+    """An event that SIGTERM or SIGINT sets; SIGHUP calls `reload`."""
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
@@ -56,7 +56,10 @@
 
 
 def run(program: str, serve: Callable[[Settings, LogRing, SettingsFile], Awaitable[None]]) -> int:
-    """Run a program by its settings file; faults of that are told with their places, and the code is 2."""
+    """Run a program with the settings file that the environment names; returns the exit code.
+
+    Faults in the file and addresses that can't be bound are printed to standard error, with code 2.
+    """
     file = files.SettingsFile(os.environ)
     found = file.read()
     if isinstance(found, Err):
@@ -64,8 +67,8 @@
             print(f"{program}: {fault}", file=sys.stderr)
         return 2
     ring = LogRing.install(immediate_logger=QUOTA_LOGGER if COUNTS in sys.argv else "")
-    log.info("%s begins", program)  # so that the ring tells a new life from a long silence
-    gc.freeze()  # what start-up made is never garbage
+    log.info("%s begins", program)  # marks a new process in the ring
+    gc.freeze()  # objects made at startup are never collected
     try:
         uvloop.run(serve(found.ok_value, ring, file))  # type: ignore[arg-type]
     except OSError as error:
--- a/gateway/programs/status_report.py
+++ b/gateway/programs/status_report.py
@@ -1,4 +1,4 @@
-"""What a controller shows of the core and of the backends, and how it is laid out for a terminal."""
+"""A controller's status of the core (`/-/core`) and backends (`/-/leases`), and tables of it."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 
 
 def core(raft: RaftNode, now: float) -> Row:
-    """The members by the newest entry here. Seconds since they were heard are known to the leader alone."""
+    """The members by the newest entry here, as JSON. Only the leader knows when they were last heard."""
     entry, leader_role = raft.replica.entry, raft.leader_role
     peers = leader_role.peers.values() if leader_role is not None else ()
     heard = {p.disk: round(now - p.heard, 3) for p in peers if p.heard > 0}
@@ -42,7 +42,7 @@
 
 
 def _further_losses_now(raft: RaftNode, now: float) -> int | None:
-    """How many more disks may be lost right now, as far as the leader knows; None from others."""
+    """How many more disks may be lost right now, as far as the leader knows; None from other members."""
     replica, leader_role = raft.replica, raft.leader_role
     if leader_role is None or replica.committed_entry is None:
         return None
@@ -66,7 +66,7 @@
 
 
 def leases(membership: ControllerMembership, now: float) -> Row:
-    """All backends that are known, and what is left of the leases that this controller has given them."""
+    """All known backends, and the remaining seconds of the leases that this controller has granted."""
     own = membership.leases.leases
     return {
         "node": membership.address,
@@ -89,7 +89,8 @@
 
 
 def core_lines(answers: list[Row]) -> list[str]:
-    """The members as the leader knows them, or who is of the latest term; then what they bear."""
+    """Lines for the terminal: the members as the leader (or the member of the latest term) reports them,
+    then how many losses the core tolerates."""
     if not answers:
         return []
     a = max(answers, key=lambda a: (a["sure"], a["term"]))
@@ -107,12 +108,12 @@
 
 
 def core_well(answers: list[Row]) -> bool:
-    """Whether somebody leads and the core bears right now what it has to."""
+    """Whether a leader has its lease, members aren't changing, and the core tolerates what it has to."""
     return any(a["sure"] and (a["bears-now"] or 0) >= a["tolerance"] and not a["changing"] for a in answers)
 
 
 def lease_lines(answers: list[Row]) -> list[str]:
-    """All backends, each with the longest lease that was told."""
+    """Lines for the terminal: all backends, each with the longest reported lease."""
     names = ("id", "service", "address", "zone", "phase", "cold-left-s", "lease-left-s", "held-by")
     found: dict[str, Row] = {}
     for row in (row for a in answers for row in a["backends"]):
--- a/gateway/proxy/__init__.py
+++ b/gateway/proxy/__init__.py
@@ -1,1 +1,1 @@
-"""The traffic plane: what is said to clients and backends, and decisions on requests."""
+"""The traffic plane: HTTP towards clients and backends, and the decisions on each request."""
--- a/gateway/runtime/__init__.py
+++ b/gateway/runtime/__init__.py
@@ -1,3 +1,3 @@
-"""The driver: connects the state machines to sockets, clock and disk, and the programs on top."""
+"""I/O for the programs: transport between processes, HTTP listener, disk thread, clock, settings, logs."""
 
 VERSION = "0.1.0"
--- a/gateway/runtime/address.py
+++ b/gateway/runtime/address.py
@@ -1,4 +1,4 @@
-"""Addresses in the form `ip:port`, taken apart."""
+"""Parsing of addresses in the form `ip:port`."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 
 
 def host_port(address: Address) -> tuple[str, int]:
-    """Host and port of an address; ValueError where it is none."""
+    """Host and port of an address. Raises ValueError if it has another form."""
     host, _, port = address.rpartition(":")
     if not host or not (port.isascii() and port.isdigit()) or not 0 < int(port) < 65536:
         raise ValueError(f"{address!r} is no address (ip:port)")
--- a/gateway/runtime/config_events.py
+++ b/gateway/runtime/config_events.py
@@ -1,6 +1,6 @@
-"""What is logged of the configuration: orders at the leader, versions where they come into force.
+"""Log records on configuration changes: orders at the leader, and versions that come into force at a node.
 
-A few lines a minute, written at once; `python -m proving orders` reads them.
+A few lines a minute, at level NOTICE, so written at once; `python -m proving orders` reads them.
 """
 
 from __future__ import annotations
@@ -14,12 +14,12 @@
 
 
 def order_taken(version: int, generation: int) -> None:
-    """An order is put to the core, to be this version."""
+    """The leader proposes an order to the consensus group; once committed it is this version."""
     log.log(NOTICE, "order taken", extra={"version": version, "generation": generation})
 
 
 def order_acknowledged(version: int, generation: int, after_s: float) -> None:
-    """It is agreed on, so many seconds after it came here, and answered."""
+    """The order is committed and answered, `after_s` seconds after the leader received it."""
     log.log(
         NOTICE,
         "order acknowledged",
@@ -28,7 +28,7 @@
 
 
 def in_force(node: Address, version: int, generation: int, first: bool) -> None:
-    """A version is in force at a node; `first`: of this process's life."""
+    """A version is in force at a node; `first`: it is the first one since the process started."""
     log.log(
         NOTICE, "in force", extra={"node": node, "version": version, "generation": generation, "first": first}
     )
--- a/gateway/runtime/disk_thread.py
+++ b/gateway/runtime/disk_thread.py
@@ -1,4 +1,4 @@
-"""Saves on a thread of their own, so that a disk that hangs holds nothing else up."""
+"""A thread that saves records, so that a disk that hangs blocks nothing else."""
 
 from __future__ import annotations
 
@@ -11,8 +11,8 @@
 
 from gateway.runtime.clock import steady
 
-MAX_TOKENS = 1024  # at most, of superseded writes whose outcome is told
-STALL_THRESHOLD_S = 1.0  # of a save, which then is a hanging disk
+MAX_TOKENS = 1024  # superseded writes whose outcome is still reported, at most
+STALL_THRESHOLD_S = 1.0  # a save that takes longer counts as a hanging disk
 
 log = logging.getLogger("gateway.disk_thread")
 
@@ -20,8 +20,8 @@
 class DiskThread:
     """One thread that saves one record at a time; `done` and `failed` are called in the event loop.
 
-    A newer record takes the place of one that isn't begun: the tokens of both are told done, in their order,
-    once the newer one is saved, or failed with the reason if it fails. `save(record)` runs in the thread and
+    A newer record replaces one whose save hasn't started: `done` gets the tokens of both, in their order,
+    once the newer one is saved, or `failed` gets them with the reason. `save(record)` runs in the thread and
     raises on failure.
     """
 
@@ -35,14 +35,14 @@
     ) -> None:
         self.loop, self.save, self.done, self.failed, self.clock = loop, save, done, failed, clock
         self.changed = threading.Condition()
-        self.waiting: deque[int] = deque(maxlen=MAX_TOKENS)  # tokens that the next save is for
+        self.waiting: deque[int] = deque(maxlen=MAX_TOKENS)  # tokens that the next save will complete
         self.record: Any = None
-        self.began: float | None = None  # the running save
+        self.began: float | None = None  # start of the running save, None if none runs
         self.stopped = self.stalled = False
         self.thread: threading.Thread | None = None
 
     def write(self, token: int, record: Any) -> None:
-        """Have a record saved; returns at once."""
+        """Queue a record to be saved; returns at once."""
         with self.changed:
             self.waiting.append(token)
             self.record = record
@@ -52,12 +52,12 @@
             self.thread.start()
 
     def stalled_for(self, now: float) -> float:
-        """Seconds that the running save has been going; 0 if none runs."""
+        """Seconds since the running save started; 0 if none runs."""
         began = self.began
         return 0.0 if began is None else max(0.0, now - began)
 
     def look(self, now: float) -> None:
-        """Log it when the disk hangs, and when it goes on."""
+        """Log a warning when the disk starts to hang, and when it no longer does. To be called regularly."""
         stalled = self.stalled_for(now) > STALL_THRESHOLD_S
         if stalled != self.stalled:
             self.stalled = stalled
@@ -67,7 +67,7 @@
             )
 
     def stop(self, wait_s: float) -> bool:
-        """Save what is waiting, for at most `wait_s` seconds, and end. Is all saved or told failed?"""
+        """Save what is queued and end the thread; whether it has ended within `wait_s` seconds."""
         with self.changed:
             self.stopped = True
             self.changed.notify()
--- a/gateway/runtime/http_listener.py
+++ b/gateway/runtime/http_listener.py
@@ -1,4 +1,7 @@
-"""A small listener for callers of the system's own interfaces: readiness, and the calls to control."""
+"""HTTP server for the system's own interfaces: readiness, status, metrics, and the calls to `control`.
+
+It reuses the connection handling of `roadspur`; a call is handed to one function once it is complete.
+"""
 
 from __future__ import annotations
 
@@ -15,14 +18,14 @@
 from roadspur.net.request_statistics import RequestStatistics
 
 SWEEP_INTERVAL_S = 0.5
-MAX_BODY_BYTES = 16 * 1024 * 1024  # of a call
-MAX_TOTAL_BODY_BYTES = 64 * 1024 * 1024  # of all calls that are coming in
+MAX_BODY_BYTES = 16 * 1024 * 1024  # of one call
+MAX_TOTAL_BODY_BYTES = 64 * 1024 * 1024  # of all calls being received
 MAX_CONNECTIONS = 1024
 EMPTY_REQUEST = io.Request("", "", "", 0, 3600.0, 0.0)
 
 
 class HttpCall(NamedTuple):
-    """A call that has come whole."""
+    """A complete HTTP request: method, path with query, body."""
 
     method: str
     path: str
@@ -30,11 +33,14 @@
 
 
 Reply = Callable[[int, bytes, bytes], None]
-"""Gives a call its answer, once: status, header lines, body. Does nothing once the caller has gone."""
+"""Answers a call, once: status, header lines, body. Does nothing if the caller has disconnected."""
 
 
 class HttpCallHandler:
-    """Hands calls to a function, and its answers back."""
+    """Passes complete calls to a function and its answers to the callers.
+
+    It has the interface that `ClientConnection` needs of a request handler.
+    """
 
     health_path: bytes | None = None
     withheld_headers: frozenset[bytes] = frozenset()
@@ -48,17 +54,18 @@
     def read(
         self, method: bytes, url: bytes, headers: list[tuple[bytes, bytes]]
     ) -> io.Request | ImmediateResponse:
+        """Accept any request head; method and URL are kept for `take`."""
         return EMPTY_REQUEST._replace(about=(method.decode("latin-1"), url.decode("latin-1")))
 
     def take(self, call: ClientRequest, client: Client) -> None:
-        """Answer a call, now or later."""
-        if call.upload is not None:  # no room for it among the bodies of other calls
+        """Pass on a complete call; it may be answered later."""
+        if call.upload is not None:  # its body exceeds the memory for bodies
             client.reply(503, b"Retry-After: 1\r\n", b"")
             return
         self.open[id(call)] = client
 
         def reply(status: int, lines: bytes = b"", body: bytes = b"") -> None:
-            # It keeps the call, whose number no other one can have until then.
+            # The closure keeps the call alive, so no other call gets the same id() until then.
             if (waiting := self.open.pop(id(call), None)) is not None:
                 waiting.reply(status, lines, body)
 
@@ -66,21 +73,26 @@
         self.answer(HttpCall(method, path, bytes(call.body)), reply)
 
     def gone(self, call: ClientRequest) -> None:
+        """The caller has disconnected: its answer will be dropped."""
         self.open.pop(id(call), None)
 
     def whole(self, call: ClientRequest) -> None:
-        """A body that flows is answered before it has come."""
+        """A streamed body has arrived. Nothing to do: such calls were refused by `take`."""
 
     def abort_request(self, call: ClientRequest, status: int) -> None:
+        """The call was cut off or too slow: answer with this status."""
         if (waiting := self.open.pop(id(call), None)) is not None:
             waiting.reply(status, b"", b"")
 
     def upload_stalled(self, call: ClientRequest) -> None:
-        """Nothing goes further than here."""
+        """A streamed body stalls. Nothing to do: bodies are not forwarded."""
 
 
 class HttpListener:
-    """Listens, and reads calls as the ingress reads requests."""
+    """Accepts connections and reads calls with the same parser and limits as the ingress.
+
+    `answer` gets each complete call and a function to reply with.
+    """
 
     draining = False
 
@@ -95,37 +107,39 @@
 
     @property
     def request_handler(self) -> HttpCallHandler:
-        """What takes the calls."""
+        """The handler of complete calls."""
         return self.calls
 
     async def listen(self, address: str) -> None:
-        """Listen on `ip:port`; OSError where that can't be had."""
+        """Listen on `ip:port`. Raises OSError if the address can't be bound."""
         host, _, port = address.rpartition(":")
         self.listener = await self.loop.create_server(
             lambda: ClientConnection(self), host, int(port), backlog=512
         )
 
     def connection_opened(self, connection: ClientConnection) -> None:
+        """A connection was accepted; beyond `MAX_CONNECTIONS` it closes after its first answer."""
         self.connections.add(connection)
         if len(self.connections) > MAX_CONNECTIONS:
             connection.crowded = True
 
     def room(self, more: int) -> bool:
-        """Whether so many more bytes of bodies may be held."""
+        """Whether so many more bytes of bodies may be buffered."""
         return self.bodies + more <= MAX_TOTAL_BODY_BYTES
 
     def healthy(self) -> bool:
+        """Part of the connection's interface: this listener has no health of its own."""
         return True
 
     def sweep(self) -> None:
-        """Close what is silent for too long."""
+        """Close connections that exceed their timeouts; reschedules itself."""
         now = self.loop.time()
         for connection in list(self.connections):
             connection.sweep(now)
         self.sweeper = self.loop.call_later(SWEEP_INTERVAL_S, self.sweep)
 
     def close(self) -> None:
-        """Listen no more, and end what is open."""
+        """Stop listening and close all connections."""
         self.sweeper.cancel()
         if self.listener is not None:
             self.listener.close()
--- a/gateway/runtime/log_ring.py
+++ b/gateway/runtime/log_ring.py
@@ -1,8 +1,8 @@
-"""Logs: a ring in memory, written to standard error when something goes wrong, and little else.
+"""Log handler with a ring buffer in memory that is written to standard error when an error occurs.
 
-ring = Ring.install()             # of the root logger
-log.info("joined %s", name)       # stays in the ring, unformatted
-ring.spill("no leader for 10 s")  # writes what the ring holds, as JSON lines
+ring = LogRing.install()         # as the only handler of the root logger
+log.info("joined %s", name)      # stays in the ring, unformatted
+ring.dump("no leader for 10 s")  # writes the ring as JSON lines
 """
 
 from __future__ import annotations
@@ -15,20 +15,20 @@
 
 from gateway.runtime.clock import steady
 
-MAX_RECORDS = 400  # records
-DUMP_INTERVAL_S = 5.0  # between two times that the ring is written
-MAX_LINES_PER_SECOND = 5  # warnings and notices that are written at once
-NOTICE = 25  # level of what is as it should be, and rare
+MAX_RECORDS = 400  # size of the ring
+DUMP_INTERVAL_S = 5.0  # shortest time between two dumps of the ring
+MAX_LINES_PER_SECOND = 5  # warnings and notices written at once
+NOTICE = 25  # level of rare, normal events that are written at once
 logging.addLevelName(NOTICE, "NOTICE")
 
 
 class LogRing(logging.Handler):
     """Keeps the latest records. They are formatted only when written, so their arguments must not change.
 
-    A record of level ERROR or above, or `spill`, writes all that the ring holds, at most every 5 s; what
-    comes in between stays and is written with the next record or `tick` after that. A WARNING or NOTICE is
+    A record of level ERROR or above, or `dump`, writes the whole ring, at most every 5 s; records of the time
+    between stay in it and are written with the next record or `tick` after that. A WARNING or NOTICE is
     written at once, up to 5 a second; those beyond stay in the ring. No record is written twice. Records of
-    the logger `aloud` are written at once, whatever their level.
+    the logger named `immediate_logger` are written at once, whatever their level.
     """
 
     def __init__(
@@ -49,16 +49,16 @@
 
     @classmethod
     def install(cls, size: int = MAX_RECORDS, immediate_logger: str = "") -> LogRing:
-        """A ring that takes all records of the program from level INFO on."""
+        """Make a ring the only handler of the root logger, for all records from level INFO on."""
         ring, root = cls(size, immediate_logger=immediate_logger), logging.getLogger()
         logging.logThreads = logging.logProcesses = logging.logMultiprocessing = False
-        logging._srcfile = None  # no look at the caller's frame: it costs most
+        logging._srcfile = None  # skips the inspection of the caller's frame, the costliest part
         root.handlers[:] = [ring]
         root.setLevel(logging.INFO)
         return ring
 
     def handle(self, record: logging.LogRecord) -> bool:
-        """Keep a record; no lock is needed for that."""
+        """Store or write a record, without the lock of `logging.Handler`: `deque.append` is atomic."""
         if record.name == self.immediate_logger or (
             NOTICE <= record.levelno <= logging.WARNING and self._line_allowed()
         ):
@@ -72,11 +72,11 @@
         return True
 
     def dump(self, why: str) -> None:
-        """Something went wrong: write the ring, now or once 5 s are over since the last time."""
+        """Write the ring because of `why`, now or once 5 s have passed since the last dump."""
         self.handle(logging.LogRecord("gateway.log_ring", logging.ERROR, "", 0, "spilled: %s", (why,), None))
 
     def tick(self) -> None:
-        """Write what is owed, if its time has come."""
+        """Write a pending dump if it is due. To be called regularly."""
         now = self.clock()
         if self.dump_pending and now >= self.next_dump:
             self.next_dump, self.dump_pending = now + DUMP_INTERVAL_S, False
@@ -85,7 +85,7 @@
             self._write(records)
 
     def flush(self) -> None:
-        """Write what is owed at once: the program ends."""
+        """Write a pending dump at once, before the program exits."""
         self.next_dump = float("-inf")
         self.tick()
 
@@ -107,13 +107,13 @@
     def _line(self, record: logging.LogRecord) -> str:
         try:
             return self.format(record) + "\n"
-        except Exception:  # arguments that don't fit
+        except Exception:  # the arguments don't match the format
             self.dropped += 1
             return ""
 
 
 def _json_lines() -> logging.Formatter:
-    from pythonjsonlogger.json import JsonFormatter  # costs some at the start, and most runs never need it
+    from pythonjsonlogger.json import JsonFormatter  # imported late: slow, and most runs write nothing
 
     return JsonFormatter(
         "{created}{levelname}{name}{message}",
--- a/gateway/runtime/peer_transport.py
+++ b/gateway/runtime/peer_transport.py
@@ -1,11 +1,12 @@
-"""Messages between own processes: small ones as datagrams, others over kept TCP links to the same port.
+"""Messages between our own processes: small ones as datagrams, others over TCP links to the same port.
 
-    port = Port(loop, "10.1.0.5:7660", {1: Plane(1, Note, on_note)})
+    port = PeerTransport(loop, "10.1.0.5:7660", {1: Plane(1, Message, on_message)})
     await port.open()
-    port.send("10.2.0.3:7661", 1, Note(...))    # may be lost, come late, or come twice
+    port.send("10.2.0.3:7661", 1, Message(...))    # may be lost, delayed or duplicated
 
 A message on the wire is one byte (version in the upper 3 bits, plane in the lower 5) and the serialised
-protobuf. On a link each message follows its length in 4 bytes; the first one is the opener's own address.
+protobuf. On a link each message is preceded by its length in 4 bytes, big endian; the first one is the
+address of the process that opened the link.
 """
 
 from __future__ import annotations
@@ -22,26 +23,27 @@
 from gateway.state_machine import Address
 
 VERSION = 1
-MAX_DATAGRAM_BYTES = 1150  # the longest message that goes as a datagram, its first byte counted
-MAX_READS_PER_WAKEUP = 32  # datagrams that are read before others get their turn
-SOCKET_BYTES = 1 << 19  # kept by the kernel for datagrams that aren't read yet
-SWEEP_S = 2.0  # between two looks for idle links
-MAX_CACHED_ADDRESSES = 1024  # addresses whose parts are kept
+MAX_DATAGRAM_BYTES = 1150  # bytes with the first one; longer messages go over TCP
+MAX_READS_PER_WAKEUP = 32  # datagrams read before the event loop goes on
+SOCKET_BYTES = 1 << 19  # receive buffer of the UDP socket
+SWEEP_S = 2.0  # between two checks for idle links
+MAX_CACHED_ADDRESSES = 1024  # addresses whose parsed form is cached
 
 log = logging.getLogger("gateway.peer_transport")
 
 
 class Message(Protocol):
-    """What a protobuf message can do, as far as needed here."""
+    """The methods of a protobuf message that are used here."""
 
     def SerializeToString(self) -> bytes: ...  # noqa: N802
     def ParseFromString(self, serialized: bytes) -> Any: ...  # noqa: N802
 
 
 class Plane(NamedTuple):
-    """Who takes a plane's messages: its number (0 to 31), the messages' class, and the one who is told.
+    """A plane on the wire: its number (0 to 31), the class of its messages, and the receiver of those.
 
-    `slot` tells of a message which later ones stand in for it: those with the same slot. None: none does.
+    `slot` maps a message to a key: of the messages queued for one link, a later one replaces an earlier one
+    of the same slot. None: it is never replaced.
     """
 
     number: int
@@ -51,7 +53,7 @@
 
 
 class PlaneCounters:
-    """Messages and bytes of one plane, in and out, since the start."""
+    """Messages and bytes of one plane, received and sent, since the start."""
 
     __slots__ = ("bytes_in", "bytes_out", "messages_in", "messages_out")
 
@@ -60,9 +62,9 @@
 
 
 class PeerTransport:
-    """A process's own port. `open` raises OSError if it can't be had; after that nothing here raises.
+    """A process's own port, UDP and TCP. `open` raises OSError if it can't be bound; no other method raises.
 
-    `counts` is by plane; `bad` counts messages that were dropped because they can't be read or sent, by why.
+    `counts` is by plane; `bad` counts dropped messages that couldn't be read or sent, by reason.
     """
 
     def __init__(
@@ -79,7 +81,7 @@
         self.sweeper: Ticker | None = None
 
     async def open(self) -> None:
-        """Take messages from now on."""
+        """Bind the port and receive messages from now on."""
         host, port = host_port(self.address)
         udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         try:
@@ -95,7 +97,7 @@
         self.sweeper = Ticker(self.loop, SWEEP_S, lambda now: self.links.sweep())
 
     def close(self) -> None:
-        """Take and send no more. What waits on links is lost."""
+        """Stop receiving and sending. Messages queued on links are lost."""
         if self.socket is not None and self.server is not None and self.sweeper is not None:
             self.loop.remove_reader(self.socket.fileno())
             self.socket.close()
@@ -105,7 +107,7 @@
             self.socket = None
 
     def send(self, to: Address, plane: int, message: Message) -> None:
-        """Send a message to another process's own port, or lose it."""
+        """Send a message to another process's own port, or drop it and count that in `bad`."""
         count = self.counts.get(plane)
         if count is None:
             count = self.counts[plane] = PlaneCounters()
@@ -146,11 +148,11 @@
 
     def _readable(self) -> None:
         for _ in range(MAX_READS_PER_WAKEUP):
-            if self.socket is None:  # a message just read has closed the port
+            if self.socket is None:  # the handler of a message has closed the port
                 return
             try:
                 data, source = self.socket.recvfrom(MAX_DATAGRAM_BYTES + 1)
-            except OSError:  # nothing is left, or an earlier datagram was turned away by its host
+            except OSError:  # nothing left to read, or an ICMP error of an earlier datagram
                 return
             name = self.names.get(source)
             if name is None:
--- a/gateway/runtime/settings.py
+++ b/gateway/runtime/settings.py
@@ -1,4 +1,4 @@
-"""The settings file of a process: what it holds, its table, and the reading of it, at the start and again.
+"""The settings file of a process (YAML): its typed form, the table of its fields, and how it is read.
 
 found = settings.read(os.environ)   # Ok(Settings) or Err([Fault, ...])
 """
@@ -19,14 +19,14 @@
 
 VARIABLE = "EIDERSTAGE_NODE_FILE"
 PORT_OFFSETS = {"proxy": 0, "controller": 1}
-"""Which port of the port range, from the first, is a program's own."""
+"""Offset of a program's own port from the first port of `network.port-range`."""
 
 REQUIRED_LISTENERS = {"proxy": ("front", "ready"), "controller": ("control",)}
-"""The addresses that a program has to be given to listen on."""
+"""Fields of `network.listen` that a program can't run without."""
 
 
 class Limits(NamedTuple):
-    """What the process may use: shares of a core, megabytes, descriptors, megabits a second."""
+    """Resources of the process: shares of a core, megabytes (10**6), file descriptors, megabits a second."""
 
     cpu_share: float
     cores: float
@@ -37,7 +37,7 @@
 
 
 class NodeSettings(NamedTuple):
-    """The process's own machine and role (`self` in the file). No `data_dir`: it has no disk."""
+    """The process's own machine and role (`self` in the file). `data_dir` is None without a disk."""
 
     node: str
     role: str
@@ -53,7 +53,7 @@
 
 
 class Listen(NamedTuple):
-    """Where callers from outside are served; None: that isn't served."""
+    """Addresses on which callers from outside are served; None: not served here."""
 
     front: Address | None
     ready: Address | None
@@ -61,7 +61,7 @@
 
 
 class Network(NamedTuple):
-    """Addresses: own ones, first and last port for talk between own processes, seeds, region by zone."""
+    """Own addresses, first and last port for messages between processes, seeds, and regions by zone."""
 
     listen: Listen
     port_range: tuple[int, int]
@@ -70,7 +70,7 @@
 
 
 class Provider(NamedTuple):
-    """How backends make themselves known: a beat every `beat_s` seconds."""
+    """How backends register: with a heartbeat every `beat_s` seconds."""
 
     beat_s: float
 
@@ -84,7 +84,7 @@
 
 
 class Bounds(NamedTuple):
-    """The figures of the rules: seconds (`_s`), shares (`ratio`, `excess`) and requests (`slack`)."""
+    """Parameters of the rules: seconds (`_s`), ratios (`ratio`, `excess`) and requests (`slack`)."""
 
     seed_staleness_s: float
     addr_reuse_s: float
@@ -109,7 +109,7 @@
 
 
 class Terms(NamedTuple):
-    """The parts of the rules in force, what may be lost at once, and the rules' figures."""
+    """The parts of the rules in force, the fault budget, and the parameters of the rules."""
 
     contracts: tuple[str, ...]
     fault_budget: FaultBudget
@@ -117,7 +117,7 @@
 
 
 class Settings(NamedTuple):
-    """All that a process is told."""
+    """All settings of a process."""
 
     own: NodeSettings
     network: Network
@@ -125,15 +125,15 @@
     terms: Terms
 
     def own_address(self, program: str) -> Address:
-        """The own port of a program (`proxy` or `controller`) on this machine."""
+        """Address of the own port of a program (`proxy` or `controller`) on this machine."""
         return f"{self.own.ip}:{self.network.port_range[0] + PORT_OFFSETS[program]}"
 
     def controller_at(self, control_address: Address) -> Address:
-        """The own port of the controller that serves a `control` address."""
+        """Address of the own port of the controller that serves a `control` address."""
         return f"{host_port(control_address)[0]}:{self.network.port_range[0] + PORT_OFFSETS['controller']}"
 
     def missing_listeners(self, program: str) -> list[Fault]:
-        """What the program cannot do without and isn't told."""
+        """A fault for each listen address that the program needs and the file doesn't have."""
         return [
             Fault(f"network.listen.{name}", f"is missing, and the {program} needs it")
             for name in REQUIRED_LISTENERS[program]
@@ -247,19 +247,19 @@
 
 
 class SettingsFile:
-    """The file, to be looked at each second: whoever writes it may not tell."""
+    """The file on disk, to be polled: whoever changes it may not send SIGHUP."""
 
     def __init__(self, environ: Mapping[str, str]) -> None:
         self.environ = environ
         self.seen = self._look()
 
     def changed(self) -> bool:
-        """Is it another file, or written to, since the last look?"""
+        """Whether the file was replaced or modified since the last check."""
         before, self.seen = self.seen, self._look()
         return self.seen is not None and self.seen != before
 
     def read(self) -> Found:
-        """As `read`; the file counts as seen."""
+        """Like the function `read`; the present file counts as checked."""
         self.seen = self._look()
         return read(self.environ)
 
--- a/gateway/runtime/settings_schema.py
+++ b/gateway/runtime/settings_schema.py
@@ -1,4 +1,4 @@
-"""A table of settings: one row a field with its dotted name, type, default and check, and its reading."""
+"""Schema of a settings file: one `Field` a row with dotted name, type, default and check, and a reader."""
 
 from __future__ import annotations
 
@@ -10,11 +10,11 @@
 from gateway.runtime.address import host_port
 
 REQUIRED: Any = object()
-"""The default of a field that has none."""
+"""Marks a field without a default."""
 
 
 class Fault(NamedTuple):
-    """What is wrong, and where: a dotted name, or a place in a file."""
+    """What is wrong, and where: the dotted name of a field, or a place in a file."""
 
     place: str
     problem: str
@@ -24,7 +24,7 @@
 
 
 class Field(NamedTuple):
-    """A row. `kind` makes the value or raises ValueError; `check` tells what is wrong with it, or nothing."""
+    """One field. `kind` converts the value or raises ValueError; `check` returns what is wrong, or ""."""
 
     name: str
     kind: Callable[[Any], Any]
@@ -33,7 +33,7 @@
 
 
 def text(value: Any) -> str:
-    """A text that isn't empty."""
+    """A non-empty string."""
     if not isinstance(value, str) or not value:
         raise ValueError(f"a text is needed, not {value!r}")
     return value
@@ -47,7 +47,7 @@
 
 
 def number(value: Any) -> float:
-    """A number, with or without fractions; not infinite."""
+    """A finite number."""
     if isinstance(value, bool) or not isinstance(value, int | float) or value - value != 0:
         raise ValueError(f"a number is needed, not {value!r}")
     return float(value)
@@ -67,7 +67,7 @@
 
 
 def sequence_of(kind: Callable[[Any], Any]) -> Callable[[Any], tuple[Any, ...]]:
-    """A list of values of one kind, as a tuple."""
+    """Converter of a list of values of one kind into a tuple."""
 
     def read(value: Any) -> tuple[Any, ...]:
         if not isinstance(value, list | tuple):
@@ -78,7 +78,7 @@
 
 
 def mapping_of(kind: Callable[[Any], Any]) -> Callable[[Any], dict[str, Any]]:
-    """Values of one kind by name."""
+    """Converter of a mapping from names to values of one kind."""
 
     def read(value: Any) -> dict[str, Any]:
         if not isinstance(value, dict):
@@ -89,19 +89,19 @@
 
 
 def above_zero(value: float) -> str:
-    """Check: over 0."""
+    """Check that a value is above 0."""
     return "" if value > 0 else f"must be over 0, not {value:g}"
 
 
 def not_negative(value: float) -> str:
-    """Check: 0 or more."""
+    """Check that a value is 0 or more."""
     return "" if value >= 0 else f"must not be negative, as {value:g} is"
 
 
 def read_table(document: Any, fields: Iterable[Field]) -> Result[dict[str, Any], list[Fault]]:
-    """The values of all fields by dotted name, or all faults. Fields that no row names are passed over.
+    """The values of all fields by dotted name, or all faults. Fields without a row are ignored.
 
-    An empty text counts as left out.
+    An empty string counts as missing.
     """
     values, faults = {}, []
     for field in fields:
--- a/gateway/runtime/tcp_links.py
+++ b/gateway/runtime/tcp_links.py
@@ -1,9 +1,9 @@
-"""Kept TCP links that carry the longer messages between own processes, each in one direction.
+"""TCP links that carry the longer messages between our own processes, each link in one direction.
 
-A link is opened when there is something to send, and closed by its opener after 10 s without. What waits for
-it is bounded; the oldest is dropped first. A later message of one slot takes the place of an earlier one that
-waits: over a way that is slower than they are made, the newest comes, not each. Whoever sends asks again, so
-nothing is sent anew here.
+A link is opened when there is something to send, and closed by its opener after 10 s without messages. Its
+queue is bounded; the oldest message is dropped first. A later message of one slot replaces an earlier one
+that is still queued, so that a slow link delivers the newest state instead of all of them. Nothing is
+retried here: the state machines do that.
 """
 
 from __future__ import annotations
@@ -17,12 +17,12 @@
 from gateway.runtime.address import host_port
 from gateway.state_machine import Address
 
-CONNECT_TIMEOUT_S = 1.0  # to come up
-OUTBOUND_IDLE_S = 10.0  # without a message, until the opener closes
-INBOUND_IDLE_S = 30.0  # without a byte, until the other side closes
-MAX_QUEUED_BYTES = 4 << 20  # that wait for one link, and of one message
-MAX_OUTBOUND_LINKS = 64  # outward, at most
-MAX_INBOUND_LINKS = 256  # inward, at most
+CONNECT_TIMEOUT_S = 1.0  # until a connection is established
+OUTBOUND_IDLE_S = 10.0  # without a message, then the opener closes
+INBOUND_IDLE_S = 30.0  # without a byte, then the accepting side closes
+MAX_QUEUED_BYTES = 4 << 20  # queued for one link; also the limit of one message
+MAX_OUTBOUND_LINKS = 64  # opened by this process
+MAX_INBOUND_LINKS = 256  # opened by others
 MAX_ADDRESS_BYTES = 64
 OPTIONS = (
     (socket.IPPROTO_TCP, "TCP_NODELAY", 1),
@@ -35,7 +35,7 @@
 
 
 class OutboundLink(asyncio.Protocol):
-    """A link to another process: waits for the connection, then for the other side to read."""
+    """A link to another process. Messages are queued until it is connected and while its buffer is full."""
 
     def __init__(self, links: TcpLinks, to: Address) -> None:
         self.links, self.to = links, to
@@ -46,6 +46,7 @@
         self.used = links.loop.time()
 
     def send(self, data: bytes, slot: Hashable = None) -> None:
+        """Write a message, or queue it until the link can take it."""
         self.used = self.links.loop.time()
         if not self.paused and self.transport is not None:
             return self.transport.write(_frame(data))
@@ -60,15 +61,19 @@
             self.links.lost("link is full")
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = cast(asyncio.Transport, transport)  # uvloop's is of no common class
+        """Connected: send the own address first, then the queue."""
+        # uvloop's transports don't derive from asyncio.Transport
+        self.transport = cast(asyncio.Transport, transport)
         set_options(transport)
         self.transport.write(_frame(self.links.address.encode()))
         self.resume_writing()
 
     def pause_writing(self) -> None:
+        """The transport's buffer is full: queue from now on."""
         self.paused = True
 
     def resume_writing(self) -> None:
+        """The buffer has room again: write the queue."""
         self.paused = False
         while self.waiting and not self.paused and self.transport is not None:
             _, data = self.waiting.popleft()
@@ -76,15 +81,20 @@
             self.transport.write(_frame(data))
 
     def connection_lost(self, error: Exception | None) -> None:
+        """The connection has ended."""
         self.links.gone(self)
 
     def close(self) -> None:
+        """Abort the connection."""
         if self.transport is not None:
             self.transport.abort()
 
 
 class InboundLink(asyncio.Protocol):
-    """A link that another process has opened. Whatever makes no sense closes it."""
+    """A link that another process has opened. Invalid framing closes it.
+
+    `take` gets the sender's address and each message, `lost` the reason of each dropped one.
+    """
 
     def __init__(
         self, links: TcpLinks, take: Callable[[Address, bytes], None], lost: Callable[[str], None]
@@ -96,6 +106,7 @@
         self.used = links.loop.time()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """A connection was accepted; beyond `MAX_INBOUND_LINKS` it is closed."""
         self.transport = cast(asyncio.Transport, transport)
         set_options(transport)
         self.links.inbound.add(self)
@@ -103,6 +114,7 @@
             self._drop("too many links")
 
     def data_received(self, data: bytes) -> None:
+        """Split what was received into frames and pass them on."""
         self.used = self.links.loop.time()
         self.buffer += data
         start, have = 0, len(self.buffer)
@@ -133,17 +145,19 @@
         self.close()
 
     def connection_lost(self, error: Exception | None) -> None:
+        """The connection has ended."""
         self.transport = None
         self.links.inbound.discard(self)
 
     def close(self) -> None:
+        """Abort the connection."""
         if self.transport is not None:
             self.transport.abort()
             self.transport = None
 
 
 class TcpLinks:
-    """All links of one process."""
+    """All links of one process, by the address of the other side."""
 
     def __init__(
         self, loop: asyncio.AbstractEventLoop, address: Address, lost: Callable[[str], None]
@@ -154,7 +168,7 @@
         self.opening: set[asyncio.Task[None]] = set()
 
     def send(self, to: Address, target: tuple[str, int], data: bytes, slot: Hashable = None) -> None:
-        """Send over the link to a process, which is opened if need be. None: no other takes its place."""
+        """Send over the link to a process, opening it if needed. `slot` None: never replaced in the queue."""
         if len(data) > MAX_QUEUED_BYTES:
             return self.lost("too long")
         link = self.outbound.get(to)
@@ -176,7 +190,7 @@
             link.close()
 
     def gone(self, link: OutboundLink) -> None:
-        """A link has ended; the next message opens another."""
+        """A link has ended: its queue is dropped, and the next message opens another link."""
         if self.outbound.get(link.to) is link:
             del self.outbound[link.to]
         for _ in link.waiting:
@@ -184,7 +198,7 @@
         link.waiting.clear()
 
     def sweep(self) -> None:
-        """Close what is idle."""
+        """Close idle links."""
         now = self.loop.time()
         for link in [x for x in self.outbound.values() if now - x.used > OUTBOUND_IDLE_S]:
             self.gone(link)
@@ -193,7 +207,7 @@
             inbound_link.close()
 
     def close(self) -> None:
-        """End all links at once."""
+        """Abort all links."""
         for task in self.opening:
             task.cancel()
         for link in self.outbound.values():
@@ -205,7 +219,7 @@
 
 
 def set_options(transport: asyncio.BaseTransport) -> None:
-    """Make a dead far side show within seconds; what the system can't do is left out."""
+    """Set options by which a dead peer is detected within seconds; unsupported ones are skipped."""
     sock = transport.get_extra_info("socket")
     for level, name, value in OPTIONS:
         if sock is not None and hasattr(socket, name):
@@ -213,7 +227,7 @@
 
 
 def try_option(sock: socket.socket, level: int, option: int, value: int) -> None:
-    """Set a socket's option, or leave it."""
+    """Set a socket option; errors are ignored."""
     try:
         sock.setsockopt(level, option, value)
     except OSError:
--- a/gateway/runtime/ticker.py
+++ b/gateway/runtime/ticker.py
@@ -1,4 +1,4 @@
-"""Calls that come again and again, whatever becomes of one of them."""
+"""Periodic calls in the event loop that go on if one of them fails."""
 
 from __future__ import annotations
 
@@ -14,8 +14,8 @@
 class Ticker:
     """Calls `call(now)` every `period` seconds, the first time after `first` (else `period`) seconds.
 
-    An exception in a call is logged as an error, and the next call comes all the same. Calls that came due
-    while the loop was held up are made once, not each.
+    `now` is `clock.steady()`. An exception in a call is logged as an error, and later calls are still made.
+    Several calls that came due while the loop was blocked are made as one.
     """
 
     __slots__ = ("call", "due", "handle", "loop", "period")
@@ -40,7 +40,7 @@
             log.exception("a call every %s s failed", self.period)
 
     def stop(self) -> None:
-        """No more calls."""
+        """Make no more calls."""
         if self.handle is not None:
             self.handle.cancel()
             self.handle = None
