Franking: chargers that went count no longer than their shares may last

A new holder keeps back what may be out in shares that nobody has told, for as long as fewer chargers have told theirs than there were of late. That number went round: a holder remembered one that went for 12 s, a charger the number for 12 s more, another holder again; so a machine lost for good was awaited for up to 36 s, and each holder named meanwhile kept back most of the allowance (28 of 38 units, 32 s after the loss, told by all 14 that there were). Now it is told how long some of them have been silent, and a bound ends 14.75 s after its charger was heard: its share's 12, the margin, and 2.5 s by which another holder may have heard it later. Without the new field all count as heard just now, as before.

--- a/post/franking/holder.py
+++ b/post/franking/holder.py
@@ -20,6 +20,7 @@
     Received,
     Tick,
 )
+from post.franking.peers import FRESH_S, MOST_SILENT, Peers
 from post.franking.window import Window, plan, tenant_number
 from post.franking.witness import Witness
 from post.machine import Address, Send
@@ -60,7 +61,8 @@
         self.windows: dict[int, tuple[str, Window]] = {}  # by the tenant's number
         self.counts: dict[int, Count] = {}
         self.chargers: dict[Address, Charger] = {}
-        self.peers, self.peers_at = 0, 0.0       # chargers that there were of late, and when that was told
+        self.peers = Peers()                     # chargers that may have shares, as these tell
+        self.absent: list[float] = []            # when each charger was last heard that is silent
         self.silent: dict[Address, float] = {}   # chargers, and when they were last heard
         self.epoch, self.looked = 0, 0.0         # changes whenever what must be kept back may have
         self.seed = rng.randrange(1 << 14)
@@ -165,7 +167,7 @@
         if now >= self.since[part] + SHARE_S + MARGIN_S:
             return False
         told = sum(c.told >> part & 1 for c in self.chargers.values())
-        return told < max(self.peers, len(self.chargers))
+        return told < max(self.peers.count(now), len(self.chargers))
 
     def on_back(self, now: float, frm: Address, note: Note) -> list[Output]:
         """Give a unit back."""
@@ -212,13 +214,13 @@
             if count is not None and alive.parts >> (told.tenant % PARTS) & 1:
                 count.told(now, frm, told.part, told.left_ms / 1000, told.spent, now + told.flows_ms / 1000)
                 charger.shares_until = now + SHARE_S + MARGIN_S
-        if alive.peers >= self.peers or now >= self.peers_at + SHARE_S:
-            self.peers, self.peers_at = alive.peers, now
+        self.peers.learn(now, alive.peers, alive.silent_ms)
         news = alive.parts & self.parts & ~charger.told
         if news:
             charger.told |= news
             self.epoch += 1
         heard = Heard(number=alive.number, peers=len(self.chargers), missing=self.parts & ~charger.told)
+        heard.silent_ms.extend(int(1000 * (now - at)) for at in self.absent)
         return [Send(frm, Note(heard=heard))]
 
     def look(self, now: float) -> None:
@@ -231,6 +233,8 @@
             if now >= charger.heard + SHARE_S + MARGIN_S:
                 del self.chargers[frm]
                 self.silent.pop(frm, None)
+        absent = [c.heard for c in self.chargers.values() if now >= c.heard + FRESH_S]
+        self.absent = sorted(absent)[:MOST_SILENT]
 
     # The lease
 
--- a/post/franking/links.py
+++ b/post/franking/links.py
@@ -8,7 +8,8 @@
 
 from post.franking import franking_pb2 as pb
 from post.franking.franking_pb2 import Alive, Note
-from post.franking.interface import ALIVE_S, PARTS, SHARE_S
+from post.franking.interface import ALIVE_S, PARTS
+from post.franking.peers import Peers
 from post.franking.purse import Purse
 from post.machine import Address, Send
 
@@ -49,7 +50,7 @@
         self.links: dict[Address, Link] = {}
         self.places: list[Link | None] = [None] * PARTS
         self.fence = (0, 0)
-        self.peers, self.peers_at = 0, -1e9  # chargers that a holder knew of, and when it said so
+        self.peers = Peers()                 # chargers that may have shares, as holders tell
         self.due = 0.0                       # next look for holders that must hear something
 
     def follow(self, now: float, data: bytes) -> None:
@@ -77,8 +78,7 @@
 
     def on_heard(self, now: float, link: Link, heard: pb.Heard) -> None:
         """A holder has heard that this charger is there."""
-        if heard.peers >= self.peers or now >= self.peers_at + SHARE_S:
-            self.peers, self.peers_at = heard.peers, now
+        self.peers.learn(now, heard.peers, heard.silent_ms)
         link.told = not heard.missing & link.parts
 
     def tick(self, now: float, purses: Iterable[Purse]) -> list[Send]:
@@ -103,8 +103,8 @@
         alive = Alive(life=self.life, number=link.number)
         if link.silent:
             alive.deaf = True
-        if now < self.peers_at + SHARE_S:
-            alive.peers = self.peers
+        alive.peers, silent_ms = self.peers.told(now)
+        alive.silent_ms.extend(silent_ms)
         if not link.told:
             alive.parts = link.parts
             for purse in live:
--- /dev/null
+++ b/tests/system/test_franking_peers.py
@@ -0,0 +1,55 @@
+"""How long chargers that went count as ones that may have shares."""
+
+from __future__ import annotations
+
+from post.franking.peers import LASTS_S, Peers
+from tests.system.franking_net import Net
+
+
+def test_the_highest_bound_that_has_not_ended_counts() -> None:
+    peers = Peers()
+    peers.learn(100.0, 14, [4000, 9000])
+    assert [peers.count(at) for at in (100.0, 100.0 + LASTS_S - 8.9)] == [14, 13]
+    peers.learn(106.0, 10, [])  # another one has heard fewer of them
+    assert [peers.count(at) for at in (106.0, 100.0 + LASTS_S - 3.9, 100.0 + LASTS_S + 0.1)] == [13, 12, 10]
+    assert peers.count(106.0 + LASTS_S) == 0
+
+
+def lost_one_after_another(seed: int, times: int = 5) -> Net:
+    """Every 5.8 s a machine with a holder and a charger is lost, and one at another address comes."""
+    net = Net(14, 3, {"calm": (60.0, 60.0)}, seed)
+
+    def one() -> None:
+        net.ask(net.rng.choice(list(net.chargers)), "calm")
+        net.post(net.rng.expovariate(30.0), one)
+    net.run(6.0)
+    net.post(0.0, one)
+    net.run(20.0)
+    for n in range(times):
+        at = net.now
+        gone = next((name for name, h in net.holders.items() if h.view(net.now)), next(iter(net.holders)))
+        net.kill(gone)
+        net.kill(f"s{n}")
+        net.run(at + 0.6)
+        if net.leader in net.dead:
+            net.lead(next(iter(net.holders)))
+        net.run(at + 1.2)
+        net.names = [*(name for name in net.names if name != gone), f"p{3 + n}"]
+        net.start(f"p{3 + n}")
+        net.start(f"s{14 + n}")
+        net.run(at + 5.8)
+    return net
+
+
+def test_one_that_went_counts_no_longer_than_its_share_lasts() -> None:
+    """A holder that is named later keeps nothing back for it."""
+    net = lost_one_after_another(1, times=1)
+    net.run(net.now + 12.0)
+    name = next(name for name, holder in net.holders.items() if holder.view(net.now))
+    net.kill(name)
+    net.start(name)
+    if name == net.leader:
+        net.lead(next(iter(net.holders)))
+    net.run(net.now + 4.0)
+    views = [holder.view(net.now) for holder in net.holders.values()]
+    assert [view["calm"][2] for view in views if view] == [0.0]
