Agreement: election timeouts and leases follow measured round trips

Timeouts were tuned for ways of 60 ms at most: on slower links no answer came within a lease, and no campaign lived long enough for its votes. Now `Timing` measures round trips and multiplies the timeouts by a stretch of 1, 2, 3 or 5.3. A leader asks for it in its beats, a follower tells what it has promised, and the lease counts just that, from when the beat went out; promises beyond the usual are on disk first, as a start forgets them. One that stands, or votes for itself, waits as long as its vote is withheld from others.

--- a/post/register/agreement.py
+++ b/post/register/agreement.py
@@ -31,10 +31,9 @@
 from post.register.records import NOTHING, Entry, Member, Stored, first_entry, get_entry, odd
 from post.register.seat import Seat
 from post.register.starting import Starting
+from post.register.timing import Timing
 from post.register.voting import Voting
 
-SICK_S = 0.3  # without headway of the disk: no candidate
-
 
 class Agreement:
     """One disk's part. `now` must be read after the input came, for leases rest on it.
@@ -56,15 +55,15 @@
         self.leading: Leading | None = None
         self.campaign: Campaign | None = None
         self.joining = Joining(self.seat, seeds)
-        self.following = Following(self.seat, now - tuning.election_min_s)
-        self.starting = Starting(self.seat, now, now if blank else now + tuning.election_min_s,
-                                 now if began is None else began)
+        until = now if blank else now + tuning.election_min_s * self.seat.stretch
+        self.starting = Starting(self.seat, now, until, now if began is None else began)
+        self.timing = Timing(self.seat, now)
+        self.following = Following(self.seat, self.timing, now)
         self.unled_since: float | None = None  # of the leader that this is: see `Starting`
-        self.voting = Voting(self.seat, self.starting)
+        self.voting = Voting(self.seat, self.starting, self.following)
         self.dropped: dict[str, int] = {}
         self.leaving = self.left = False  # asked to leave; and no member any more
-        self.leave_at = self.patience = now
-        self._wait(now)
+        self.leave_at = now
 
     @property
     def role(self) -> str:
@@ -142,10 +141,12 @@
     def _tick(self, now: float) -> None:
         following = self.following
         self.starting.tick(now)
+        self.timing.update(now)
+        following.relax(now)
         if self.leading is not None:
             if not self.leading.tick(now, self.leaving):
                 self._step_down(now)
-        elif now >= self.patience:
+        elif now >= self.timing.patience:
             self._stand(now)
         elif self.campaign is not None:
             self.campaign.tick(now)
@@ -158,11 +159,12 @@
 
     def _stand(self, now: float) -> None:
         """No leader is heard: try to be one. Early in a life others may not be free yet, so ask often."""
-        self._wait(now)
+        self.timing.wait(now)
         self.following.leader = None
+        may = not self.leaving and self.voting.may_stand(now)
         early = now < self.starting.until + self.tuning.election_max_s
-        again_s = self.tuning.begun_s if early else 2 * self.tuning.beat_s
-        self.campaign = Campaign(self.seat, now, again_s) if self._may_stand(now) else None
+        again_s = self.tuning.begun_s if early else 2 * self.tuning.beat_s * self.timing.stretch
+        self.campaign = Campaign(self.seat, now, again_s) if may else None
         self.joining.seek()
 
     def _go_on(self, now: float) -> None:
@@ -170,7 +172,7 @@
         if self.campaign is not None and self.campaign.won:
             self.unled_since = self.starting.unled_since()
             self.campaign, self.following.leader, self.starting.unled = None, None, False
-            self.leading = Leading(self.seat, now, self.tolerance)
+            self.leading = Leading(self.seat, now, self.tolerance, self.timing)
         elif self.leading is not None and self.leading.settled and not self.seat.seated:
             self.leading.hand_over(now)
             self._begin_anew(now)
@@ -187,18 +189,12 @@
         if not self.seat.seated and not self.left:
             self.joining.caught_up(now)
 
-    def _may_stand(self, now: float) -> bool:
-        return not self.leaving and self.seat.seated and self.seat.stuck(now) <= SICK_S
-
-    def _wait(self, now: float) -> None:
-        self.patience = now + self.rng.uniform(self.tuning.election_min_s, self.tuning.election_max_s)
-
     def _step_down(self, now: float) -> None:
         if self.leading is not None:
             self.leading.resign()
             self.leading = self.unled_since = None
         self.campaign = self.following.leader = None
-        self._wait(now)
+        self.timing.wait(now)
 
     def _adopt(self, now: float, term: int) -> None:
         """Go on to a later term that someone has told of."""
@@ -234,6 +230,7 @@
 
     def _of_a_member(self, now: float, sender: Address, note: pb.Note) -> None:
         kind = note.kind
+        self.timing.take(now, note)
         if kind == pb.PRE_VOTE:
             self.voting.pre_vote(sender, note, self._free(now, note))
         elif kind == pb.REQUEST_VOTE:
@@ -267,11 +264,11 @@
         if learns:
             self.following.learn(note)
             return self.joining.taught(now, sender, note.term)
-        self._wait(now)
         self.following.beat(now, sender, note)
+        self.timing.wait(now)
 
     def _free(self, now: float, note: pb.Note) -> bool:
-        return self.leading is None and self.voting.free(now, self.following.heard, note)
+        return self.leading is None and self.voting.free(now, note)
 
     def _request_vote(self, now: float, sender: Address, note: pb.Note) -> None:
         if not self._free(now, note):
@@ -279,7 +276,7 @@
         if note.term > self.seat.term:
             self._adopt(now, note.term)
         if self.voting.request_vote(sender, note):
-            self._wait(now)
+            self.timing.wait(now)
 
     def _begun(self, now: float, sender: Address, note: pb.Note) -> None:
         """Others have begun anew: one after the other stands, if all have at once, else as soon as it may."""
@@ -288,15 +285,15 @@
         turn = starting.turn() if starting.unled and now < starting.until else None
         if turn is not None and self.campaign is None:
             begins = now if starting.unanimous() else starting.until
-            self.patience = min(self.patience, begins + turn * self.tuning.beat_s)
-            if now >= self.patience:
+            self.timing.patience = min(self.timing.patience, begins + turn * self.tuning.beat_s)
+            if now >= self.timing.patience:
                 self._stand(now)
 
     def _handed(self, now: float, note: pb.Note) -> None:
         """The leader has stepped down in favour of this one."""
         if note.term == self.seat.term and self.following.leader is not None \
-                and note.disk == self.following.disk and self._may_stand(now):
-            self._wait(now)
+                and note.disk == self.following.disk and not self.leaving and self.voting.able(now):
+            self.timing.wait(now)
             self.following.leader = None
             self.campaign = Campaign(self.seat, now, 2 * self.tuning.beat_s, handed=True)
 
--- a/post/register/campaign.py
+++ b/post/register/campaign.py
@@ -67,5 +67,5 @@
             if member.disk not in self.granted:
                 note = seat.telling(pb.REQUEST_VOTE if self.standing else pb.PRE_VOTE, member.disk)
                 note.term = seat.term if self.standing else seat.term + 1
-                note.handed = self.handed
+                note.handed, note.sent = self.handed, self.asked
                 seat.send(member.address, note)
--- a/post/register/disk.py
+++ b/post/register/disk.py
@@ -14,7 +14,7 @@
 from dbm import dumb
 
 from post.register import register_pb2 as pb
-from post.register.records import Stored, get_entry, put_entry
+from post.register.records import MOST_STRETCH, Stored, get_entry, put_entry
 
 SCHEMA = 1
 KEPT = 2  # generations
@@ -141,6 +141,8 @@
 def pack(record: Stored) -> bytes:
     """A record as bytes."""
     message = pb.Record(schema=SCHEMA, disk=record.disk, term=record.term, vote=record.vote)
+    if record.stretch > 1.0:
+        message.stretch = record.stretch
     put_entry(record.entry, message.entry)
     return message.SerializeToString()
 
@@ -151,7 +153,8 @@
     message.ParseFromString(data)
     if message.schema != SCHEMA or not message.disk:
         raise ValueError(f"a record of schema {message.schema}")
-    return Stored(message.disk, message.term, message.vote, get_entry(message.entry))
+    return Stored(message.disk, message.term, message.vote, get_entry(message.entry),
+                  min(MOST_STRETCH, max(1.0, message.stretch)))
 
 
 def _sync(path: str) -> None:
--- a/post/register/leading.py
+++ b/post/register/leading.py
@@ -11,9 +11,11 @@
 from post.register.members import Joiners, Presence, has_place, next_members
 from post.register.records import NEVER, Entry, Member, Place, put_entry
 from post.register.seat import Seat
+from post.register.timing import Timing
 
 MOST_SEEN = 256  # disks
 LONGEST_HANDING_S = 1.0  # that handing over waits for the entry under way
+SLOWEST_BEATS = 2.5  # beats and entries sent once more, on slow links, times as far apart
 LONGEST_WAIT_S = 2.0  # between two times that an entry is sent to one who doesn't answer
 
 
@@ -21,12 +23,13 @@
     """Another member, as the leader sees it."""
 
     __slots__ = ("address", "at", "began", "disk", "has", "heard", "held", "leaves", "next", "sure", "tried",
-                 "wait")
+                 "wait", "withheld")
 
     def __init__(self, member: Member, now: float) -> None:
         self.disk, self.address = member
         self.began, self.heard = now, NEVER  # first looked for, and last heard
         self.sure = NEVER  # when the newest beat that it has answered was sent
+        self.withheld = NEVER  # until when it votes for nobody else, less a margin
         self.at = 0.0  # when its newest answer was sent, by its clock; 0: there is none
         self.has: Place | None = None  # newest entry that it has, and has on disk
         self.held: Place | None = None
@@ -38,8 +41,9 @@
 class Leading:
     """A term as its leader. Its first entry is what it held; one entry is under way at a time."""
 
-    def __init__(self, seat: Seat, now: float, tolerance: int) -> None:
-        self.seat, self.tolerance, self.began = seat, tolerance, now
+    def __init__(self, seat: Seat, now: float, tolerance: int, timing: Timing) -> None:
+        self.seat, self.tolerance, self.began, self.timing = seat, tolerance, now, timing
+        timing.lead()
         self.peers: dict[str, Peer] = {}
         self.seen: dict[str, None] = {}  # disks that have been members in this term, the latest ones
         self.joiners = Joiners()
@@ -89,8 +93,9 @@
 
     def lost(self, now: float) -> bool:
         """Have majorities been silent for so long that it leads no more?"""
-        latest = self.seat.entry.latest(self._times())
-        return now - max(latest, self.began) > self.seat.tuning.election_max_s
+        latest = self.seat.entry.latest(
+            {self.seat.disk: inf, **{p.disk: p.sure for p in self.peers.values()}})
+        return now - max(latest, self.began) > self.seat.tuning.election_max_s * self.timing.stretch
 
     def propose(self, now: float, ask: Propose) -> None:
         """Take a proposal, at once or once the entry under way is committed."""
@@ -102,15 +107,18 @@
 
     def appended(self, now: float, note: pb.Note) -> None:
         """A member has answered a beat or an entry."""
-        peer = self.peers.get(note.disk)
+        peer, t = self.peers.get(note.disk), self.seat.tuning
         if peer is None:
             return
-        if now - peer.heard > self.seat.tuning.election_min_s:  # it is back: what it lacks goes out at once
-            peer.next, peer.wait = now, self.seat.tuning.resend_s
+        if now - peer.heard > t.election_min_s * self.timing.stretch:  # it is back: what it lacks goes out
+            peer.next, peer.wait = now, self._resend_s()
         peer.heard, peer.at = now, note.at
         peer.has, peer.held = (note.has_term, note.has_number), (note.held_term, note.held_number)
-        if min(note.sent, now) > peer.sure:
-            peer.sure = min(note.sent, now)
+        sent = min(note.sent, now)
+        peer.sure = max(peer.sure, sent)
+        withheld = sent + (t.election_min_s - t.margin_s) * (note.stretch or 1.0)
+        if withheld > peer.withheld:
+            peer.withheld = withheld
             self._renew()
         if peer.has != self.seat.entry.place and note.sent == peer.tried:  # it lacks the value too
             peer.tried = NEVER
@@ -159,7 +167,7 @@
         peer = self.learners.get(member.disk)
         if peer is None or peer.address != member.address:
             peer = Peer(member, now)
-            peer.wait = self.seat.tuning.resend_s
+            peer.wait = self._resend_s()
         peer.heard, peer.has, peer.held = now, has, held
         self.learners[member.disk] = peer
         if held == self.seat.entry.place:
@@ -185,8 +193,9 @@
     def hand_over(self, now: float) -> bool:
         """Ask the member that is best placed for it to lead. If True, this one must step down for good."""
         seat = self.seat
+        longest = seat.tuning.election_min_s * self.timing.stretch
         able = [p for p in self.peers.values() if p.held == seat.entry.place
-                and now - p.leaves > 3 * seat.tuning.ask_s and now - p.sure <= seat.tuning.election_min_s]
+                and now - p.leaves > 3 * seat.tuning.ask_s and now - p.sure <= longest]
         able = [p for p in able if any(m.disk == p.disk for m in seat.entry.members)]
         if not able:
             return False
@@ -229,7 +238,8 @@
         self._teach(now)
         if self.ask is not None:
             return
-        late = {place for place, at in self.former.items() if now - at > t.election_min_s}
+        longest = t.election_min_s * self.timing.stretch
+        late = {place for place, at in self.former.items() if now - at > longest}
         fresh = {entry.place, *self.former} - late
         able = [a for a in joiners if self.learners[a.member.disk].held in fresh]
         members = next_members(now, entry.members, self.presences(now), able, self.tolerance, t)
@@ -245,7 +255,8 @@
     def _put(self, now: float, entry: Entry, new_value: bool = False) -> None:
         """Have this entry agreed on, as the next one of this term."""
         seat = self.seat
-        self.former = {p: at for p, at in self.former.items() if now - at <= seat.tuning.election_min_s}
+        longest = seat.tuning.election_min_s * self.timing.stretch
+        self.former = {p: at for p, at in self.former.items() if now - at <= longest}
         self.former[seat.entry.place] = now
         self.base = None if new_value else seat.entry.place
         seat.entry = entry._replace(term=seat.term, number=entry.number + 1)
@@ -254,13 +265,13 @@
                       for m in seat.entry.voters() if m.disk != seat.disk}
         self.seen = dict.fromkeys([*self.seen, *self.peers][-MOST_SEEN:])
         for peer in (*self.peers.values(), *self.learners.values()):
-            peer.next, peer.wait = now, seat.tuning.resend_s
+            peer.next, peer.wait = now, self._resend_s()
         self._renew()
         self._spread(now)
 
     def _spread(self, now: float) -> None:
         seat = self.seat
-        self.beat_at = now + seat.tuning.beat_s
+        self.beat_at = now + seat.tuning.beat_s * min(SLOWEST_BEATS, self.timing.stretch)
         for peer in self.peers.values():
             if peer.has != seat.entry.place and now >= peer.next:
                 bare = self.base is not None and peer.has in (None, self.base)
@@ -284,6 +295,8 @@
         seat = self.seat
         note = seat.telling(kind, peer.disk)
         note.sent = now
+        if self.timing.stretch > 1.0:
+            note.stretch = self.timing.stretch
         if self.sure(now):
             note.answered = peer.at
         if seat.known is not None and seat.known.term == seat.term:
@@ -291,10 +304,8 @@
         return note
 
     def _renew(self) -> None:
-        t = self.seat.tuning
-        self.lease = self.seat.entry.latest(self._times()) + t.election_min_s - t.margin_s
+        self.lease = self.seat.entry.latest(
+            {self.seat.disk: inf, **{p.disk: p.withheld for p in self.peers.values()}})
 
-    def _times(self) -> dict[str, float]:
-        times = {p.disk: p.sure for p in self.peers.values()}
-        times[self.seat.disk] = inf
-        return times
+    def _resend_s(self) -> float:
+        return self.seat.tuning.resend_s * min(SLOWEST_BEATS, self.timing.stretch)
--- a/post/register/records.py
+++ b/post/register/records.py
@@ -14,6 +14,7 @@
 MOST_MEMBERS = 16  # in one entry that is taken from others
 LONGEST_NAME = 80  # of a disk or an address
 MOST_TERM = 1 << 48
+MOST_STRETCH = 10.0
 
 
 class Member(NamedTuple):
@@ -71,6 +72,7 @@
     term: int
     vote: str
     entry: Entry
+    stretch: float = 1.0  # how many election timeouts a vote may have been withheld for (`Timing`)
 
 
 def first_entry(seeds: Iterable[Address]) -> Entry:
@@ -116,6 +118,8 @@
         return "term"
     if not all(abs(time) < 1e12 for time in (note.sent, note.at, note.answered)):  # nor NaN
         return "sent"
+    if note.stretch and not 1.0 <= note.stretch <= MOST_STRETCH:
+        return "stretch"
     if len(note.members) > MOST_MEMBERS:
         return "members"
     if note.kind == pb.APPEND:
--- a/post/register/seat.py
+++ b/post/register/seat.py
@@ -17,7 +17,7 @@
 
     def __init__(self, me: Address, stored: Stored, tuning: Tuning, rng: random.Random) -> None:
         self.me, self.tuning, self.rng = me, tuning, rng
-        self.disk, self.term, self.vote, self.entry = stored
+        self.disk, self.term, self.vote, self.entry, self.stretch = stored
         self.kept = BLANK
         self.known: Entry | None = None  # the newest entry known to be committed
         self.announced = 0  # version that was put out as committed
@@ -87,7 +87,7 @@
             self.unkept = now
         if self.writing is None and now >= self.rewrite_at:
             self.token += 1
-            self.writing = Stored(self.disk, self.term, self.vote, self.entry)
+            self.writing = Stored(self.disk, self.term, self.vote, self.entry, self.stretch)
             self.out.append(Write(self.token, self.writing))
 
     def written(self, now: float, token: int) -> bool:
@@ -101,13 +101,19 @@
     def failed(self, now: float, token: int) -> None:
         """A write has failed; the next one waits a little."""
         if token == self.token and self.writing is not None:
+            self.kept = self.kept._replace(stretch=self.promisable())  # the disk may have either
             self.writing, self.rewrite_at = None, now + self.tuning.rewrite_s
 
+    def promisable(self) -> float:
+        """The highest stretch that a start would find on disk, whichever write has come to be."""
+        writing = self.stretch if self.writing is None else self.writing.stretch
+        return min(self.kept.stretch, writing, self.stretch)
+
     def stuck(self, now: float) -> float:
         """Seconds since the disk should have saved something and hasn't."""
         return 0.0 if self.unkept is None else now - self.unkept
 
     def _wanted(self) -> bool:
         kept = self.kept
-        return (self.disk != kept.disk or self.entry.place != kept.entry.place
+        return (self.disk != kept.disk or self.entry.place != kept.entry.place or self.stretch != kept.stretch
                 or self.vote != "" and (self.term, self.vote) != (kept.term, kept.vote))
--- /dev/null
+++ b/post/register/timing.py
@@ -0,0 +1,84 @@
+"""Election timeouts that follow the measured round trips: as tuned on fast links, a multiple on slow ones.
+
+The multiple is the `stretch`. A leader asks it of its followers with each heartbeat, and counts for its lease
+only what a follower has promised with its answer. So members needn't agree on it, nor on round trips.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+
+from post.register import register_pb2 as pb
+from post.register.records import NEVER
+from post.register.seat import Seat
+
+STRETCHES = (1.0, 2.0, 3.0, 5.3)  # few, as each rise is saved on every disk
+PER_ROUND_TRIP = 2.5  # election timeouts in round trips: one each for the pre-vote, the vote and a disk
+SAMPLES = 4  # the shortest of these counts: a queue or a frozen process makes single answers late
+FRESH_S = 3.0  # a member that hasn't answered for so long counts for nothing
+RISE_S, FALL_S = 0.2, 1.0  # for which a change must have been wanted
+LONGEST_S = 10.0  # a round trip beyond this is another life's
+
+
+class Timing:
+    """One member's view of its round trips, and when it would stand for election (`patience`)."""
+
+    def __init__(self, seat: Seat, now: float) -> None:
+        self.seat = seat
+        self.samples: dict[str, deque[float]] = {}
+        self.heard: dict[str, float] = {}
+        self.measured = 1.0  # stretch by the own round trips
+        self.asked = 1.0  # stretch that the latest leader has asked for
+        self.wanted, self.since = 1.0, now
+        self.patience = now
+        self.wait(now)
+
+    @property
+    def stretch(self) -> float:
+        """How many times as long as on fast links an election timeout is."""
+        return max(self.measured, self.asked)
+
+    def wait(self, now: float) -> None:
+        """Begin an election timeout, at random as long."""
+        shortest, longest = self.seat.tuning.election_min_s, self.seat.tuning.election_max_s
+        self.patience = now + self.stretch * self.seat.rng.uniform(shortest, longest)
+
+    def follow(self, asked: float) -> None:
+        """A leader asks for a stretch: it measures all the time, and a follower doesn't."""
+        self.measured = self.wanted = 1.0
+        self.asked = asked
+
+    def lead(self) -> None:
+        """Nobody else asks any more; what was asked for holds until it is measured otherwise."""
+        self.measured = self.wanted = self.stretch
+        self.asked = 1.0
+
+    def take(self, now: float, note: pb.Note) -> None:
+        """A note of a member has come: perhaps an answer, which tells when it was asked for."""
+        answers = note.kind in (pb.APPENDED, pb.PRE_VOTED)
+        if answers and note.sent and 0.0 <= now - note.sent < LONGEST_S:
+            self.samples.setdefault(note.disk, deque(maxlen=SAMPLES)).append(now - note.sent)
+            self.heard[note.disk] = now
+
+    def update(self, now: float) -> None:
+        """Measure anew; a change has to last for a moment."""
+        wanted = self._fitting(now)
+        if wanted == self.measured or wanted is None:
+            self.wanted = self.measured
+        elif wanted != self.wanted:
+            self.wanted, self.since = wanted, now
+        elif now >= self.since + (RISE_S if wanted > self.measured else FALL_S):
+            self.measured = wanted
+
+    def _fitting(self, now: float) -> float | None:
+        """The stretch for the round trip to a majority; None if that isn't known."""
+        seat = self.seat
+        voters = {member.disk for member in seat.entry.voters()}
+        self.heard = {d: at for d, at in self.heard.items() if d in voters and now < at + FRESH_S}
+        self.samples = {d: s for d, s in self.samples.items() if d in self.heard}
+        times = {disk: -min(samples) for disk, samples in self.samples.items()}
+        round_trip = -seat.entry.latest({**times, seat.disk: 0.0})
+        if not voters or round_trip >= -NEVER:
+            return None
+        timeout = PER_ROUND_TRIP * round_trip
+        return next((s for s in STRETCHES if timeout <= s * seat.tuning.election_min_s), STRETCHES[-1])
