--- a/tests/system/test_franking_peers.py
+++ b/tests/system/test_franking_peers.py
@@ -15,13 +15,13 @@
     assert peers.count(106.0 + LASTS_S) == 0
 
 
-def lost_one_after_another(seed: int, times: int = 5) -> Net:
+def lost_one_after_another(seed: int, times: int = 5, rate: float = 30.0) -> Net:
     """Every 5.8 s a machine with a holder and a charger is lost, and one at another address comes."""
     net = Net(14, 3, {"calm": (60.0, 60.0)}, seed)
 
     def one() -> None:
         net.ask(net.rng.choice(list(net.chargers)), "calm")
-        net.post(net.rng.expovariate(30.0), one)
+        net.post(net.rng.expovariate(rate), one)
     net.run(6.0)
     net.post(0.0, one)
     net.run(20.0)
@@ -63,3 +63,11 @@
         parts.append(len(net.refused) / net.asked["calm"])
         assert net.most("calm") <= net.bound("calm")
     assert sum(parts) / 8 < 0.04
+
+
+def test_under_press_the_rule_holds_while_machines_are_lost() -> None:
+    for seed in range(1, 9):
+        net = lost_one_after_another(seed, rate=480.0)
+        net.run(60.0)
+        assert net.most("calm") <= net.bound("calm")
+        assert len(net.went["calm"]) > 0.5 * 60.0 * 54.0
