--- a/post/register/timing.py
+++ b/gateway/consensus/timing.py
@@ -8,9 +8,9 @@
 
 from collections import deque
 
-from post.register import register_pb2 as pb
-from post.register.records import NEVER
-from post.register.seat import Seat
+from gateway.consensus import consensus_pb2 as pb
+from gateway.consensus.records import NEVER
+from gateway.consensus.replica import Seat
 
 STRETCHES = (1.0, 2.0, 3.0, 5.3)  # few, as each rise is saved on every disk
 PER_ROUND_TRIP = 2.5  # election timeouts in round trips: one each for the pre-vote, the vote and a disk
@@ -53,9 +53,9 @@
         self.measured = self.wanted = self.stretch
         self.asked = 1.0
 
-    def take(self, now: float, note: pb.Note) -> None:
+    def take(self, now: float, note: pb.Message) -> None:
         """A note of a member has come: perhaps an answer, which tells when it was asked for."""
-        answers = note.kind in (pb.APPENDED, pb.PRE_VOTED)
+        answers = note.kind in (pb.APPEND_RESPONSE, pb.PRE_VOTE_RESPONSE)
         if answers and note.sent and 0.0 <= now - note.sent < LONGEST_S:
             self.samples.setdefault(note.disk, deque(maxlen=SAMPLES)).append(now - note.sent)
             self.heard[note.disk] = now
--- a/post/franking/peers.py
+++ b/gateway/quota/peers.py
@@ -1,15 +1,15 @@
-"""How many chargers may have a share, and until when: what holders and chargers tell one another of it."""
+"""How many quota clients may have a share, and until when: what holders and quota clients tell one another of it."""
 
 from __future__ import annotations
 
 from collections.abc import Iterable
 
-from post.franking.interface import MARGIN_S, SHARE_S
+from gateway.quota.interface import MARGIN_S, SHARE_S
 
-LATER_S = 2.5    # by which another holder may have heard a charger after the one that tells of it
-FRESH_S = 1.5    # a charger heard this lately is told without its silence
-MOST_SILENT = 16  # chargers whose silence is told; others pass for heard just now
-LASTS_S = SHARE_S + MARGIN_S + LATER_S  # from when a charger was heard until it has no share for sure
+LATER_S = 2.5  # by which another holder may have heard a quota client after the one that tells of it
+FRESH_S = 1.5  # a quota client heard this lately is told without its silence
+MOST_SILENT = 16  # quota clients whose silence is told; others pass for heard just now
+LASTS_S = SHARE_S + MARGIN_S + LATER_S  # from when a quota client was heard until it has no share for sure
 
 
 class Peers:
@@ -17,7 +17,7 @@
     bounds of several tellers stand together: the highest that hasn't ended counts."""
 
     def __init__(self) -> None:
-        self.bounds: list[tuple[float, int]] = []  # end, chargers: ends fall, numbers rise
+        self.bounds: list[tuple[float, int]] = []  # end, quota clients: ends fall, numbers rise
 
     def count(self, now: float) -> int:
         """How many there are at most that may have a share."""
--- a/tests/system/test_franking_peers.py
+++ b/tests/system/test_franking_peers.py
@@ -1,9 +1,9 @@
-"""How long chargers that went count as ones that may have shares."""
+"""How long quota clients that went count as ones that may have shares."""
 
 from __future__ import annotations
 
-from post.franking.peers import LASTS_S, Peers
-from tests.system.franking_net import Net
+from gateway.quota.peers import LASTS_S, Peers
+from tests.system.quota_net import Net
 
 
 def test_the_highest_bound_that_has_not_ended_counts() -> None:
@@ -16,12 +16,13 @@
 
 
 def lost_one_after_another(seed: int, times: int = 5, rate: float = 30.0) -> Net:
-    """Every 5.8 s a machine with a holder and a charger is lost, and one at another address comes."""
+    """Every 5.8 s a machine with a holder and a quota client is lost, and one at another address comes."""
     net = Net(14, 3, {"calm": (60.0, 60.0)}, seed)
 
     def one() -> None:
         net.ask(net.rng.choice(list(net.chargers)), "calm")
         net.post(net.rng.expovariate(rate), one)
+
     net.run(6.0)
     net.post(0.0, one)
     net.run(20.0)
--- a/tests/system/test_programs.py
+++ b/tests/system/test_programs.py
@@ -12,14 +12,18 @@
 
 import pytest
 
-from post.office import cli, errand
+from gateway.cli import commands, control_client
 
 EXAMPLES = Path(__file__).resolve().parents[2] / "examples"
 
 
 def test_the_example_serves_a_request_and_ends_in_order() -> None:
-    done = subprocess.run([sys.executable, str(EXAMPLES / "run.py"), "--once", "--port", "0"],
-                          capture_output=True, text=True, timeout=100)
+    done = subprocess.run(
+        [sys.executable, str(EXAMPLES / "run.py"), "--once", "--port", "0"],
+        capture_output=True,
+        text=True,
+        timeout=100,
+    )
     assert done.returncode == 0 and done.stdout.startswith("200 i-"), done
     assert {json.loads(line)["level"] for line in done.stderr.splitlines()} == {"NOTICE"}, done.stderr
 
@@ -29,8 +33,12 @@
     whole = json.loads((EXAMPLES / "config.json").read_bytes())
     route = next(e for e in whole["resource-list"] if e["metadata"].get("label") == "read")
     route["metadata"]["label"], route["spec"]["path-prefix"] = "look", "/look/"
-    return {"generation": 5, "base-version": 1, "upsert": {"resource-list": [route]},
-            "remove": {"route-table": ["read"]}}
+    return {
+        "generation": 5,
+        "base-version": 1,
+        "upsert": {"resource-list": [route]},
+        "remove": {"route-table": ["read"]},
+    }
 
 
 def limit() -> dict[str, Any]:
@@ -61,11 +69,12 @@
     example.until("a refusal", refusal)
     assert all(0 < float(answer.headers["retry-after"]) <= 2 for answer in found)
     example.until("to be served again", ask)
-    assert cli.run(["allowance", example.control]) == 0
+    assert commands.run(["allowance", example.control]) == 0
 
 
-def test_orders_hang_ups_and_ends(tmp_path: Path, monkeypatch: pytest.MonkeyPatch,
-                                  capfd: pytest.CaptureFixture[str]) -> None:
+def test_orders_hang_ups_and_ends(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capfd: pytest.CaptureFixture[str]
+) -> None:
     monkeypatch.syspath_prepend(str(EXAMPLES))
     import calls
     import run
@@ -78,29 +87,39 @@
             process.send_signal(signal.SIGHUP)
         patch = tmp_path / "patch.json"
         patch.write_text(json.dumps(change()))
-        assert cli.run(["config", "patch", example.control, str(patch)]) == 0
-        assert cli.run(["config", "get", example.control]) == 0
+        assert commands.run(["config", "patch", example.control, str(patch)]) == 0
+        assert commands.run(["config", "get", example.control]) == 0
         assert json.loads(capfd.readouterr().out.splitlines()[-1])["generation"] == 5
-        example.until("the new route", lambda: calls.call(
-            example.front, "GET", "/look/1", headers=run.HEADERS))
-        example.until("all nodes to be well", lambda: calls.NONE._replace(
-            status=0 if cli.run(["nodes", example.control]) else 200))
-        assert [cli.run(["core", example.control]), cli.run(["backends", example.control])] == [2, 0]
+        example.until(
+            "the new route", lambda: calls.call(example.front, "GET", "/look/1", headers=run.HEADERS)
+        )
+        example.until(
+            "all nodes to be well",
+            lambda: calls.NONE._replace(status=0 if commands.run(["nodes", example.control]) else 200),
+        )
+        assert [commands.run(["core", example.control]), commands.run(["backends", example.control])] == [
+            2,
+            0,
+        ]
         shown = capfd.readouterr().out
         assert " leader " in shown and "bears 0 lost at once, 1 wanted" in shown
         assert shown.count(" standing ") == 2, shown
         assert example.request().status == 404
         patch.write_text(json.dumps(limit()))
-        assert cli.run(["config", "patch", example.control, str(patch)]) == 0
+        assert commands.run(["config", "patch", example.control, str(patch)]) == 0
         beyond_the_allowance(example)
         assert "land-office" in capfd.readouterr().out
-        invalid = errand.call(example.control, "PUT", errand.CONFIG, b'{"generation":7}', 5.0)
+        invalid = control_client.call(example.control, "PUT", control_client.CONFIG, b'{"generation":7}', 5.0)
         assert invalid.status in (400, 412)
         leaving = example.backends.pop(0)
         leaving.terminate()
         assert leaving.wait(20) == 0
-        example.until("the one that is left", lambda: calls.call(
-            example.front, "GET", "/look/2", headers={**run.HEADERS, "Attempt-Id": "9c41d07be2a35f69"}))
+        example.until(
+            "the one that is left",
+            lambda: calls.call(
+                example.front, "GET", "/look/2", headers={**run.HEADERS, "Attempt-Id": "9c41d07be2a35f69"}
+            ),
+        )
     finally:
         example.stop()
     assert [process.returncode for process in example.programs] == [0, 0]
--- a/tests/system/test_register_slow.py
+++ b/tests/system/test_register_slow.py
@@ -7,13 +7,13 @@
 
 import pytest
 
-from post.register import register_pb2 as pb
-from post.register.agreement import Agreement
-from post.register.following import Following
-from post.register.leading import Leading
-from post.register.seat import Seat
-from post.register.timing import Timing
-from tests.system.core import Broken, Core, Node, finish
+from gateway.consensus import consensus_pb2 as pb
+from gateway.consensus.follower import FollowerRole
+from gateway.consensus.leader import LeaderRole
+from gateway.consensus.raft import RaftNode
+from gateway.consensus.replica import Seat
+from gateway.consensus.timing import Timing
+from tests.system.consensus_cluster import Broken, Core, Node, finish
 
 WAYS_S = (0.001, 0.035, 0.15, 0.3)
 SPREAD = 1.1  # of a link's delay
@@ -62,7 +62,7 @@
 
 def test_a_link_that_is_fast_asks_for_nothing_more() -> None:
     core = Slow(3, 1, 0.0014)
-    sent: list[pb.Note] = []
+    sent: list[pb.Message] = []
     post = core._send
     core._send = lambda node, out: (sent.append(out.message), post(node, out))  # type: ignore
     finish(core, 3.0)
@@ -167,7 +167,7 @@
             node.disk_fails, node.disk_s, node.frozen = False, (0.002, 0.01), 0.0
 
 
-def befall(count: int, seed: int, **more: Any) -> Core:
+def inject_random_faults(count: int, seed: int, **more: Any) -> Core:
     """Some rounds."""
     rng = random.Random(f"slow {seed}")
     core = Slow(count, seed, **more)
@@ -184,29 +184,29 @@
     broken = []
     for seed in range(seeds):
         try:
-            finish(befall(count, seed), 15.0)
+            finish(inject_random_faults(count, seed), 15.0)
         except Broken as why:
             broken.append(f"seed {seed}: {why}")
     assert not broken, "\n".join(broken)
 
 
-class FromArrival(Leading):
+class FromArrival(LeaderRole):
     """Planted fault: the lease runs from when an answer came, not from when its beat went out."""
 
-    def appended(self, now: float, note: pb.Note) -> None:
+    def on_append_response(self, now: float, note: pb.Message) -> None:
         note.sent = now
-        super().appended(now, note)
+        super().on_append_response(now, note)
 
 
-class AsAsked(Leading):
+class AsAsked(LeaderRole):
     """Planted fault: the lease counts on what was asked for, whatever the voter has promised."""
 
-    def appended(self, now: float, note: pb.Note) -> None:
+    def on_append_response(self, now: float, note: pb.Message) -> None:
         note.stretch = self.timing.stretch
-        super().appended(now, note)
+        super().on_append_response(now, note)
 
 
-class Newest(Following):
+class Newest(FollowerRole):
     """Planted fault: a beat that asks for less takes back what an earlier one was promised."""
 
     def _withhold(self, now: float, asked: float) -> None:
@@ -231,22 +231,25 @@
 
 def planted(fault: type[Any]) -> Any:
     """An agreement with a part of it replaced."""
-    def make(*args: Any) -> Agreement:
-        machine = Agreement(*args)
-        for part in (machine.following, machine.seat, machine.timing):
+
+    def make(*args: Any) -> RaftNode:
+        machine = RaftNode(*args)
+        for part in (machine.follower_role, machine.seat, machine.timing):
             if issubclass(fault, type(part)):
                 part.__class__ = fault
-        if issubclass(fault, Leading):
+        if issubclass(fault, LeaderRole):
             handle = machine.handle
 
             def handles(now: float, event: Any) -> Any:
                 if machine.leading is not None:
                     machine.leading.__class__ = fault
                 return handle(now, event)
+
             machine.handle = handles  # type: ignore[method-assign]
         if fault is Hasty:
-            machine.voting.may_stand = machine.voting.able  # type: ignore[method-assign]
+            machine.voter.may_stand = machine.voter.able  # type: ignore[method-assign]
         return machine
+
     return make
 
 
@@ -305,8 +308,13 @@
         self.part(other)
 
 
-AIMED = [(Aimed.thaws, 0.3, FromArrival), (Aimed.asks_less, 0.3, Newest), (Aimed.restarts, 0.001, Unsaved),
-         (Aimed.restarts, 0.001, AsAsked), (Aimed.stands, 0.3, Hasty)]
+AIMED = [
+    (Aimed.thaws, 0.3, FromArrival),
+    (Aimed.asks_less, 0.3, Newest),
+    (Aimed.restarts, 0.001, Unsaved),
+    (Aimed.restarts, 0.001, AsAsked),
+    (Aimed.stands, 0.3, Hasty),
+]
 
 
 def overlaps(act: Any, way_s: float, kind: Any) -> list[str]:
@@ -324,5 +332,5 @@
 
 @pytest.mark.parametrize(("act", "way_s", "fault"), AIMED)
 def test_planted_faults_of_leases_are_found(act: Any, way_s: float, fault: type[Any]) -> None:
-    assert not overlaps(act, way_s, Agreement)
+    assert not overlaps(act, way_s, RaftNode)
     assert any("two leaders are sure" in why for why in overlaps(act, way_s, planted(fault)))
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -9,24 +9,39 @@
 
 from roadspur import interface as io
 from roadspur.net import upstream as upstream_module
-from tests.sockets import Client, Peer, Rig, call, closed_port, entry, in_turn, listing, ok, run, until
+from tests.socket_rig import (
+    Client,
+    IngressRig,
+    Peer,
+    call,
+    closed_port,
+    entry,
+    in_turn,
+    listing,
+    ok,
+    run,
+    until,
+)
 
 BIG = b"x" * (64 * 1024 + 1)
 
 
-@pytest.mark.parametrize("answer,outcome", [
-    (b"HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n", io.Outcome.ERROR),
-    (b"HTTP/1.1 503 Busy\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n", io.Outcome.FULL),
-    (b"HTTP/1.1 504 Late\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n", io.Outcome.FULL),
-    (b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", io.Outcome.ERROR),
-    (b"HTTP/1.1 404 What\r\nContent-Length: 0\r\n\r\n", io.Outcome.ERROR),
-    (b"", io.Outcome.RESET),
-    (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\nConnection: close\r\n\r\nshort", io.Outcome.RESET),
-    (b"HTTP/1.1 200 OK\r\n\r\nno length at all", io.Outcome.RESET),
-    (b"HTTP/1.1 200 OK\r\nContent-Length: nine\r\n\r\n", io.Outcome.RESET),
-    (b"no HTTP at all\r\n\r\n", io.Outcome.RESET),
-    (b"HTTP/1.1 500 Oops\r\nContent-Length: 65537\r\n\r\n" + BIG, io.Outcome.RESET),
-])
+@pytest.mark.parametrize(
+    "answer,outcome",
+    [
+        (b"HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n", io.Outcome.ERROR),
+        (b"HTTP/1.1 503 Busy\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n", io.Outcome.FULL),
+        (b"HTTP/1.1 504 Late\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n", io.Outcome.FULL),
+        (b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", io.Outcome.ERROR),
+        (b"HTTP/1.1 404 What\r\nContent-Length: 0\r\n\r\n", io.Outcome.ERROR),
+        (b"", io.Outcome.RESET),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\nConnection: close\r\n\r\nshort", io.Outcome.RESET),
+        (b"HTTP/1.1 200 OK\r\n\r\nno length at all", io.Outcome.RESET),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: nine\r\n\r\n", io.Outcome.RESET),
+        (b"no HTTP at all\r\n\r\n", io.Outcome.RESET),
+        (b"HTTP/1.1 500 Oops\r\nContent-Length: 65537\r\n\r\n" + BIG, io.Outcome.RESET),
+    ],
+)
 def test_only_a_whole_200_is_served(answer, outcome):
     async def main():
         async def act(seen):
@@ -34,56 +49,69 @@
             return b""  # and the connection ends
 
         backend, good = await Peer(act).listen(), await Peer.start(ok(b"whole"))
-        rig = Rig(in_turn("b0", "b1"))
+        rig = IngressRig(in_turn("b0", "b1"))
         client = await rig.start(b0=backend.port, b1=good.port)
         status, _, body = await client.ask(call())
         assert (status, body) == (200, b"whole")
         assert [e.outcome for e in rig.script.ends()] == [outcome, io.Outcome.OK]
         assert len(backend.seen) == 1  # nothing sends again by itself
+
     run(main())
 
 
-@pytest.mark.parametrize("answer", [
-    b"\x93.G\x85\xe1\xb4}\r\n\r\n", b"ICY 200 OK\r\nContent-Length: 2\r\n\r\nno",
-    b"HTTP/1.1 2x0 OK\r\nContent-Length: 2\r\n\r\nno", b"HTTP/1.1 OK 200\r\nContent-Length: 2\r\n\r\nno",
-    ok(b"no", b"Content-Length: 2"), ok(b"no", b"Content-Length: -1"),
-    ok(b"no", b"Transfer-Encoding: chunked"),
-    b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 1791\r\n\r\nno",
-    b"HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\nno",
-    b"HTTP/1.1 200 OK\r\nContent-Length: 99999999999999999999999\r\n\r\nno",
-    b"HTTP/1.1 200 OK\r\nContent-Length: 1_0\r\n\r\n0123456789",
-    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n",
-    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\nzz\r\nabcde\r\n0\r\n\r\n",
-    b"HTTP/1.1 200 OK\r\n" + b"X-Pad: pppp\r\n" * 20_000,
-    b"HTTP/1.1 200 OK\r\n\r\nuntil the end",
-    b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nmidway", b"HTTP/1.1 200 OK\r\nContent-Le",
-])
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"\x93.G\x85\xe1\xb4}\r\n\r\n",
+        b"ICY 200 OK\r\nContent-Length: 2\r\n\r\nno",
+        b"HTTP/1.1 2x0 OK\r\nContent-Length: 2\r\n\r\nno",
+        b"HTTP/1.1 OK 200\r\nContent-Length: 2\r\n\r\nno",
+        ok(b"no", b"Content-Length: 2"),
+        ok(b"no", b"Content-Length: -1"),
+        ok(b"no", b"Transfer-Encoding: chunked"),
+        b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 1791\r\n\r\nno",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\nno",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 99999999999999999999999\r\n\r\nno",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 1_0\r\n\r\n0123456789",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\nzz\r\nabcde\r\n0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\n" + b"X-Pad: pppp\r\n" * 20_000,
+        b"HTTP/1.1 200 OK\r\n\r\nuntil the end",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nmidway",
+        b"HTTP/1.1 200 OK\r\nContent-Le",
+    ],
+)
 def test_a_spoilt_answer_on_a_connection_that_stays_open_is_a_failed_attempt(answer):
     """The request may have run; nobody may be served with it, nor wait for the rest until time is up."""
+
     async def main():
         backend, good = await Peer.start(answer), await Peer.start(ok(b"whole"))
-        rig = Rig(in_turn("b0", "b1"))
+        rig = IngressRig(in_turn("b0", "b1"))
         client = await rig.start(b0=backend.port, b1=good.port)
         status, _, body = await client.ask(call(budget="60000m"))
         assert (status, body) == (200, b"whole")
         assert [e.outcome for e in rig.script.ends()] == [io.Outcome.RESET, io.Outcome.OK]
         await until(backend.seen[0].ended)
+
     run(main())
 
 
-@pytest.mark.parametrize("surplus", [
-    ok(b"a copy"), b"noise", b"HTTP/1.1 200 OK\r\nContent-", b"\xff\r\n\r\n"])
+@pytest.mark.parametrize(
+    "surplus", [ok(b"a copy"), b"noise", b"HTTP/1.1 200 OK\r\nContent-", b"\xff\r\n\r\n"]
+)
 def test_what_comes_behind_an_answer_is_nobodys(surplus):
     """The end of an attempt may start the next one at once: it must not find this connection in the pool."""
+
     async def main():
         full = b"HTTP/1.1 503 Busy\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n"
         backend = await Peer.start(full + surplus, ok(b"first") + surplus, ok(b"second"))
-        rig = Rig(in_turn("b0", "b0"))
+        rig = IngressRig(in_turn("b0", "b0"))
         client = await rig.start(b0=backend.port)
         assert (await client.ask(call("r1")))[2] == b"first"
         assert (await client.ask(call("r2")))[2] == b"second"
         assert backend.connections == 3
         assert [e.outcome for e in rig.script.ends()] == [io.Outcome.FULL, io.Outcome.OK, io.Outcome.OK]
+
     run(main())
 
 
@@ -91,8 +119,11 @@
     async def main():
         gate = asyncio.Event()
         backend = await Peer.start()
-        rig = Rig(lambda e: [io.Attempt(e.id, "b0", 0.0 if e.id == "r1" else None)]
-                  if isinstance(e, io.Request) else in_turn("b0")(e))
+        rig = IngressRig(
+            lambda e: [io.Attempt(e.id, "b0", 0.0 if e.id == "r1" else None)]
+            if isinstance(e, io.Request)
+            else in_turn("b0")(e)
+        )
         client = await rig.start(b0=backend.port)
         connect = rig.upstream.connect
 
@@ -106,13 +137,14 @@
         await until(lambda: rig.upstream.pools["b0"].idle)
         assert (await client.ask(call("r2")))[0] == 200
         assert backend.connections == 1 and len(backend.seen) == 1
+
     run(main())
 
 
 def test_connections_of_a_backend_that_moved_count_until_they_end():
     async def main():
         backend = await Peer.start(None)
-        rig = Rig(in_turn("b0"))
+        rig = IngressRig(in_turn("b0"))
         client = await rig.start(b0=backend.port)
         client.writer.write(call())
         await until(lambda: backend.seen)
@@ -121,6 +153,7 @@
         rig.upstream.close()
         await until(backend.seen[0].ended)
         assert not rig.upstream.connections
+
     run(main())
 
 
@@ -128,20 +161,22 @@
     async def main():
         chunked = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
         backend = await Peer.start(ok(BIG[1:]), b"HTTP/1.1 100 Continue\r\n\r\n" + chunked)
-        rig = Rig(in_turn("b0"))
+        rig = IngressRig(in_turn("b0"))
         client = await rig.start(b0=backend.port)
         assert (await client.ask(call("r1")))[2] == BIG[1:]
         assert (await client.ask(call("r2")))[2] == b"abcde"
         assert backend.connections == 1
+
     run(main())
 
 
 def test_a_refused_connection_never_ran():
     async def main():
-        rig = Rig(in_turn("b0"))
+        rig = IngressRig(in_turn("b0"))
         client = await rig.start(b0=closed_port())
         assert (await client.ask(call(cls="once")))[0] == 503
         assert [e.outcome for e in rig.script.ends()] == [io.Outcome.CONNECT_FAILED]
+
     run(main())
 
 
@@ -155,9 +190,15 @@
             return ok()
 
         fast = await Peer(act).listen()
-        rig = Rig(lambda e: [io.Attempt(e.id, "b0")] if isinstance(e, io.Request) else
-                  [io.CancelAttempt("r2", 0)] if isinstance(e, io.TimerFired) else
-                  [io.Attempt(e.request, "b1")] if isinstance(e, io.AttemptEnded) and not e.done else [])
+        rig = IngressRig(
+            lambda e: [io.Attempt(e.id, "b0")]
+            if isinstance(e, io.Request)
+            else [io.CancelAttempt("r2", 0)]
+            if isinstance(e, io.TimerFired)
+            else [io.Attempt(e.request, "b1")]
+            if isinstance(e, io.AttemptEnded) and not e.done
+            else []
+        )
         client = await rig.start(b0=slow.port, b1=fast.port)
         rig.script.decide, decide = in_turn("b1"), rig.script.decide
         await client.ask(call("r1"))  # so that a connection to b1 stands ready
@@ -169,18 +210,27 @@
         assert (await client.answer())[0] == 200
         assert ended[-1] is True
         assert [e.outcome for e in rig.script.ends()][1:] == [io.Outcome.CANCELLED, io.Outcome.OK]
+
     run(main())
 
 
 def test_a_time_out_of_the_module_ends_the_attempt():
     async def main():
         slow, fast = await Peer.start(None), await Peer.start()
-        rig = Rig(lambda e: [io.Attempt(e.id, "b0", 0.05)] if isinstance(e, io.Request) else
-                  [io.Attempt(e.request, "b1")] if isinstance(e, io.AttemptEnded) and not e.done else [])
+        rig = IngressRig(
+            lambda e: [io.Attempt(e.id, "b0", 0.05)]
+            if isinstance(e, io.Request)
+            else [io.Attempt(e.request, "b1")]
+            if isinstance(e, io.AttemptEnded) and not e.done
+            else []
+        )
         client = await rig.start(b0=slow.port, b1=fast.port)
         assert (await client.ask(call()))[0] == 200
         assert [(e.attempt, e.outcome) for e in rig.script.ends()] == [
-            (0, io.Outcome.TIMEOUT), (1, io.Outcome.OK)]
+            (0, io.Outcome.TIMEOUT),
+            (1, io.Outcome.OK),
+        ]
+
     run(main())
 
 
@@ -193,13 +243,19 @@
             return ok(b"late")
 
         slow, fast = await Peer(act).listen(), await Peer.start(ok(b"in time"))
-        rig = Rig(lambda e: [io.Attempt(e.id, "b0", 0.05)] if isinstance(e, io.Request) else
-                  [io.Attempt(e.request, "b1")] if isinstance(e, io.AttemptEnded) and not e.done else [])
+        rig = IngressRig(
+            lambda e: [io.Attempt(e.id, "b0", 0.05)]
+            if isinstance(e, io.Request)
+            else [io.Attempt(e.request, "b1")]
+            if isinstance(e, io.AttemptEnded) and not e.done
+            else []
+        )
         client = await rig.start(b0=slow.port, b1=fast.port)
         assert (await client.ask(call("r1")))[2] == b"in time"
         go.set()
         assert (await client.ask(call("r2", budget="5000m")))[2] in (b"late", b"in time")
         assert len(rig.script.ends()) == len({(e.request, e.attempt) for e in rig.script.ends()})
+
     run(main())
 
 
@@ -217,7 +273,7 @@
     return await Peer(act).listen()
 
 
-async def both_idle(one: Client, rig: Rig) -> None:
+async def both_idle(one: Client, rig: IngressRig) -> None:
     """Two requests at once, after which two connections to the backend that holds them are idle."""
     two = await one.connect(rig.port)
     one.writer.write(call("a"))
@@ -230,7 +286,7 @@
 def test_the_newest_idle_connection_is_used_first_and_none_that_has_ended():
     async def main():
         backend = await holding()
-        rig = Rig(in_turn("b0"))
+        rig = IngressRig(in_turn("b0"))
         one = await rig.start(b0=backend.port)
         await both_idle(one, rig)
         pool = rig.upstream.pools["b0"]
@@ -242,6 +298,7 @@
                 s.shutdown(socket.SHUT_WR)  # the ingress's loop has not heard of it yet
         assert (await one.ask(call("d")))[0] == 200
         assert [e.outcome for e in rig.script.ends()] == [io.Outcome.OK] * 4 and backend.connections == 3
+
     run(main())
 
 
@@ -256,7 +313,7 @@
             return ok()
 
         backend, moved = await Peer(act).listen(), await Peer.start()
-        rig = Rig(in_turn("b0"))
+        rig = IngressRig(in_turn("b0"))
         one = await rig.start(b0=backend.port)
         two = await one.connect(rig.port)
         two.writer.write(call("held"))
@@ -270,6 +327,7 @@
             await until(seen.ended)
         assert (await one.ask(call("new")))[0] == 200
         assert (backend.connections, moved.connections) == ((3, 0) if change == "start" else (2, 1))
+
     run(main())
 
 
@@ -278,32 +336,42 @@
 
     async def main():
         backend = await Peer.start()
-        rig = Rig(in_turn("b0"), idle=0.1)
+        rig = IngressRig(in_turn("b0"), idle=0.1)
         client = await rig.start(b0=backend.port)
         await client.ask(call())
         await until(lambda: not rig.upstream.connections)
         await until(backend.seen[0].ended)
+
     run(main())
 
 
 def test_a_silent_backend_loses_its_idle_connections():
     async def main():
         backend = await holding()
-        rig = Rig(lambda e: [io.Attempt(e.id, "b0", 0.05 if e.id == "silent" else None)]
-                  if isinstance(e, io.Request) else in_turn("b0")(e))
+        rig = IngressRig(
+            lambda e: [io.Attempt(e.id, "b0", 0.05 if e.id == "silent" else None)]
+            if isinstance(e, io.Request)
+            else in_turn("b0")(e)
+        )
         one = await rig.start(b0=backend.port)
         await both_idle(one, rig)
         assert len(rig.upstream.pools["b0"].idle) == 2
         assert (await one.ask(call("silent")))[0] == 503
         assert not rig.upstream.connections
+
     run(main())
 
 
 def test_sockets_stay_within_their_number():
     async def main():
         backends = [await Peer.start() for _ in range(3)]
-        rig = Rig(lambda e: [io.Attempt(e.id, e.id)] if isinstance(e, io.Request) else
-                  [io.Refuse(e.request)] if isinstance(e, io.AttemptEnded) and not e.done else [])
+        rig = IngressRig(
+            lambda e: [io.Attempt(e.id, e.id)]
+            if isinstance(e, io.Request)
+            else [io.Refuse(e.request)]
+            if isinstance(e, io.AttemptEnded) and not e.done
+            else []
+        )
         rig.upstream.most = 2
         client = await rig.start(**{f"b{i}": b.port for i, b in enumerate(backends)})
         for i in range(3):
@@ -315,4 +383,5 @@
             pool.close_idle()
         assert (await client.ask(call("b1")))[0] == 503
         assert rig.script.ends()[-1].outcome is io.Outcome.CONNECT_FAILED
+
     run(main())
