--- a/gateway/consensus/candidate.py
+++ b/gateway/consensus/candidate.py
@@ -79,5 +79,5 @@
                     pb.REQUEST_VOTE if self.requesting_votes else pb.PRE_VOTE, member.disk
                 )
                 message.term = replica.term if self.requesting_votes else replica.term + 1
-                message.leadership_transfer = self.leadership_transfer
+                message.leadership_transfer, message.sent = self.leadership_transfer, self.requested_at
                 replica.send(member.address, message)
--- a/gateway/consensus/leader.py
+++ b/gateway/consensus/leader.py
@@ -10,10 +10,12 @@
 from gateway.consensus.reconfiguration import JoinRequests, MemberHealth, has_room, next_configuration
 from gateway.consensus.records import NEVER, Entry, LogPosition, Member, put_entry
 from gateway.consensus.replica import Replica
+from gateway.consensus.timing import Timing
 from gateway.state_machine import Address
 
 MAX_PAST_MEMBERS = 256  # disks
 MAX_TRANSFER_WAIT_S = 1.0  # that handing over waits for the entry under way
+SLOWEST_BEATS = 2.5  # beats and entries sent once more, on slow links, times as far apart
 MAX_RESEND_WAIT_S = 2.0  # between two times that an entry is sent to one who doesn't answer
 
 
@@ -33,12 +35,14 @@
         "next",
         "replied_at",
         "wait",
+        "withheld",
     )
 
     def __init__(self, member: Member, now: float) -> None:
         self.disk, self.address = member
         self.began, self.heard = now, NEVER  # first looked for, and last heard
         self.acknowledged_at = NEVER  # when the newest beat that it has answered was sent
+        self.withheld = NEVER  # until when it votes for nobody else, less a margin
         self.replied_at = 0.0  # when its newest answer was sent, by its clock; 0: there is none
         self.last_position: LogPosition | None = None  # newest entry that it has, and has on disk
         self.durable_position: LogPosition | None = None
@@ -50,8 +54,9 @@
 class LeaderRole:
     """A term as its leader. Its first entry is what it held; one entry is under way at a time."""
 
-    def __init__(self, replica: Replica, now: float, tolerance: int) -> None:
-        self.replica, self.tolerance, self.began = replica, tolerance, now
+    def __init__(self, replica: Replica, now: float, tolerance: int, timing: Timing) -> None:
+        self.replica, self.tolerance, self.began, self.timing = replica, tolerance, now, timing
+        timing.lead()
         self.peers: dict[str, Peer] = {}
         self.past_members: dict[str, None] = {}  # disks that have been members in this term, the latest ones
         self.join_requests = JoinRequests()
@@ -111,8 +116,13 @@
 
     def has_lost_quorum(self, now: float) -> bool:
         """Have majorities been silent for so long that it leads no more?"""
-        latest_quorum_time = self.replica.entry.latest_quorum_time(self._acknowledged_times())
-        return now - max(latest_quorum_time, self.began) > self.replica.tuning.election_max_s
+        latest_quorum_time = self.replica.entry.latest_quorum_time(
+            {self.replica.disk: inf, **{p.disk: p.acknowledged_at for p in self.peers.values()}}
+        )
+        return (
+            now - max(latest_quorum_time, self.began)
+            > self.replica.tuning.election_max_s * self.timing.stretch
+        )
 
     def propose(self, now: float, proposal: Propose) -> None:
         """Take a proposal, at once or once the entry under way is committed."""
@@ -124,20 +134,21 @@
 
     def on_append_response(self, now: float, message: pb.Message) -> None:
         """A member has answered a beat or an entry."""
-        peer = self.peers.get(message.disk)
+        peer, t = self.peers.get(message.disk), self.replica.tuning
         if peer is None:
             return
-        if (
-            now - peer.heard > self.replica.tuning.election_min_s
-        ):  # it is back: what it lacks goes out at once
-            peer.next, peer.wait = now, self.replica.tuning.resend_s
+        if now - peer.heard > t.election_min_s * self.timing.stretch:  # it is back: what it lacks goes out
+            peer.next, peer.wait = now, self._resend_s()
         peer.heard, peer.replied_at, peer.leaving = now, message.replied_at, message.leaving
         peer.last_position, peer.durable_position = (
             (message.last_term, message.last_index),
             (message.durable_term, message.durable_index),
         )
-        if min(message.sent, now) > peer.acknowledged_at:
-            peer.acknowledged_at = min(message.sent, now)
+        sent = min(message.sent, now)
+        peer.acknowledged_at = max(peer.acknowledged_at, sent)
+        withheld = sent + (t.election_min_s - t.lease_margin_s) * (message.stretch or 1.0)
+        if withheld > peer.withheld:
+            peer.withheld = withheld
             self._renew_lease()
         if (
             peer.last_position != self.replica.entry.position and message.sent == peer.bare_entry_sent_at
@@ -198,7 +209,7 @@
         peer = self.learners.get(member.disk)
         if peer is None or peer.address != member.address:
             peer = Peer(member, now)
-            peer.wait = self.replica.tuning.resend_s
+            peer.wait = self._resend_s()
         peer.heard, peer.last_position, peer.durable_position = now, last_position, durable_position
         self.learners[member.disk] = peer
         if durable_position == self.replica.entry.position:
@@ -224,7 +235,8 @@
 
     def _heirs(self, now: float) -> list[Peer]:
         """Members that may lead next: they stay, and hold the newest entry once that is agreed on."""
-        entry, oldest = self.replica.entry, now - self.replica.tuning.election_min_s
+        entry = self.replica.entry
+        oldest = now - self.replica.tuning.election_min_s * self.timing.stretch
         members = {m.disk for m in entry.members}
         return [
             p
@@ -293,7 +305,8 @@
         self._replicate_to_learners(now)
         if self.proposal is not None:
             return
-        late = {position for position, at in self.recent_entries.items() if now - at > t.election_min_s}
+        longest = t.election_min_s * self.timing.stretch
+        late = {position for position, at in self.recent_entries.items() if now - at > longest}
         fresh = {entry.position, *self.recent_entries} - late
         able = [a for a in join_requests if self.learners[a.member.disk].durable_position in fresh]
         members = next_configuration(now, entry.members, self.member_health(now), able, self.tolerance, t)
@@ -313,9 +326,8 @@
     def _replicate(self, now: float, entry: Entry, new_value: bool = False) -> None:
         """Have this entry agreed on, as the next one of this term."""
         replica = self.replica
-        self.recent_entries = {
-            p: at for p, at in self.recent_entries.items() if now - at <= replica.tuning.election_min_s
-        }
+        longest = replica.tuning.election_min_s * self.timing.stretch
+        self.recent_entries = {p: at for p, at in self.recent_entries.items() if now - at <= longest}
         self.recent_entries[replica.entry.position] = now
         self.base = None if new_value else replica.entry.position
         replica.entry = entry._replace(term=replica.term, number=entry.number + 1)
@@ -327,13 +339,15 @@
         }
         self.past_members = dict.fromkeys([*self.past_members, *self.peers][-MAX_PAST_MEMBERS:])
         for peer in (*self.peers.values(), *self.learners.values()):
-            peer.next, peer.wait = now, replica.tuning.resend_s
+            peer.next, peer.wait = now, self._resend_s()
         self._renew_lease()
         self._broadcast(now)
 
     def _broadcast(self, now: float) -> None:
         replica = self.replica
-        self.next_heartbeat_at = now + replica.tuning.heartbeat_interval_s
+        self.next_heartbeat_at = now + replica.tuning.heartbeat_interval_s * min(
+            SLOWEST_BEATS, self.timing.stretch
+        )
         for peer in self.peers.values():
             if peer.last_position != replica.entry.position and now >= peer.next:
                 bare = self.base is not None and peer.last_position in (None, self.base)
@@ -357,6 +371,8 @@
         replica = self.replica
         message = replica.message_with_last_position(kind, peer.disk)
         message.sent = now
+        if self.timing.stretch > 1.0:
+            message.stretch = self.timing.stretch
         if self.has_leader_lease(now):
             message.last_reply_at = peer.replied_at
         if replica.committed_entry is not None and replica.committed_entry.term == replica.term:
@@ -364,14 +380,9 @@
         return message
 
     def _renew_lease(self) -> None:
-        t = self.replica.tuning
-        self.lease = (
-            self.replica.entry.latest_quorum_time(self._acknowledged_times())
-            + t.election_min_s
-            - t.lease_margin_s
+        self.lease = self.replica.entry.latest_quorum_time(
+            {self.replica.disk: inf, **{p.disk: p.withheld for p in self.peers.values()}}
         )
 
-    def _acknowledged_times(self) -> dict[str, float]:
-        times = {p.disk: p.acknowledged_at for p in self.peers.values()}
-        times[self.replica.disk] = inf
-        return times
+    def _resend_s(self) -> float:
+        return self.replica.tuning.resend_s * min(SLOWEST_BEATS, self.timing.stretch)
--- a/gateway/consensus/raft.py
+++ b/gateway/consensus/raft.py
@@ -38,11 +38,10 @@
     malformed_reason,
 )
 from gateway.consensus.replica import Replica
+from gateway.consensus.timing import Timing
 from gateway.consensus.voter import Voter
 from gateway.state_machine import Address
 
-MAX_CANDIDATE_WRITE_STALL_S = 0.3  # without headway of the disk: no candidate
-
 
 class RaftNode:
     """One disk's part. `now` must be read after the input came, for leases rest on it.
@@ -76,15 +75,14 @@
         self.leader_role: LeaderRole | None = None
         self.candidate_role: CandidateRole | None = None
         self.learner_role = LearnerRole(self.replica, seeds, durable)
-        self.follower_role = FollowerRole(self.replica, now - tuning.election_min_s, leaving=not durable)
-        self.cold_start = ColdStart(
-            self.replica, now, now if blank else now + tuning.election_min_s, now if began is None else began
-        )
+        until = now if blank else now + tuning.election_min_s * self.replica.stretch
+        self.cold_start = ColdStart(self.replica, now, until, now if began is None else began)
+        self.timing = Timing(self.replica, now)
+        self.follower_role = FollowerRole(self.replica, self.timing, now, leaving=not durable)
         self.leaderless_since: float | None = None  # of the leader that this is: see `ColdStart`
-        self.voter = Voter(self.replica, self.cold_start)
+        self.voter = Voter(self.replica, self.cold_start, self.follower_role)
         self.dropped: dict[str, int] = {}
         self.leaving = self.left = False  # asked to leave; and no member any more
-        self.election_deadline = now
         self._reset_election_timer(now)
 
     @property
@@ -162,10 +160,12 @@
 
     def _tick(self, now: float) -> None:
         self.cold_start.tick(now)
+        self.timing.update(now)
+        self.follower_role.relax(now)
         if self.leader_role is not None:
             if not self.leader_role.tick(now, self.follower_role.leaving):
                 self._step_down(now)
-        elif now >= self.election_deadline:
+        elif now >= self.timing.election_deadline:
             self._start_election(now)
         elif self.candidate_role is not None:
             self.candidate_role.tick(now)
@@ -176,13 +176,14 @@
         """No leader is heard: try to be one. Early in a life others may not be free yet, so ask often."""
         self._reset_election_timer(now)
         self.follower_role.leader = None
+        may = self.voter.may_stand(now)
         early = now < self.cold_start.until + self.tuning.election_max_s
         retry_interval_s = (
-            self.tuning.restart_query_interval_s if early else 2 * self.tuning.heartbeat_interval_s
-        )
-        self.candidate_role = (
-            CandidateRole(self.replica, now, retry_interval_s) if self._may_start_election(now) else None
+            self.tuning.restart_query_interval_s
+            if early
+            else 2 * self.tuning.heartbeat_interval_s * self.timing.stretch
         )
+        self.candidate_role = CandidateRole(self.replica, now, retry_interval_s) if may else None
         self.learner_role.probe_other_addresses()
 
     def _advance(self, now: float) -> None:
@@ -190,7 +191,7 @@
         if self.candidate_role is not None and self.candidate_role.won:
             self.leaderless_since = self.cold_start.leaderless_since()
             self.candidate_role, self.follower_role.leader, self.cold_start.leaderless = None, None, False
-            self.leader_role = LeaderRole(self.replica, now, self.tolerance)
+            self.leader_role = LeaderRole(self.replica, now, self.tolerance, self.timing)
         elif (
             self.leader_role is not None
             and self.leader_role.newest_entry_committed
@@ -211,14 +212,8 @@
         if not self.replica.is_voter and not self.left:
             self.learner_role.report_progress(now)
 
-    def _may_start_election(self, now: float) -> bool:
-        return self.replica.is_voter and self.replica.write_stalled_s(now) <= MAX_CANDIDATE_WRITE_STALL_S
-
     def _reset_election_timer(self, now: float) -> None:
-        """Be patient with the leader anew. One that leaves lets those that stay stand first."""
-        shortest, longest = self.tuning.election_min_s, self.tuning.election_max_s
-        courtesy = longest if self.follower_role.leaving else 0.0
-        self.election_deadline = now + self.rng.uniform(shortest, longest) + courtesy
+        self.timing.reset_election_timer(now, self.follower_role.leaving)
 
     def _step_down(self, now: float) -> None:
         if self.leader_role is not None:
@@ -261,6 +256,7 @@
 
     def _handle_member_message(self, now: float, sender: Address, message: pb.Message) -> None:
         kind = message.kind
+        self.timing.observe(now, message)
         if kind == pb.PRE_VOTE:
             self.voter.pre_vote(sender, message, self._may_vote(now, message))
         elif kind == pb.REQUEST_VOTE:
@@ -300,11 +296,11 @@
         if learns:
             self.follower_role.learn(message)
             return self.learner_role.on_leader_entry(now, sender, message.term)
-        self._reset_election_timer(now)
         self.follower_role.on_heartbeat(now, sender, message)
+        self._reset_election_timer(now)
 
     def _may_vote(self, now: float, message: pb.Message) -> bool:
-        return self.leader_role is None and self.voter.may_vote(now, self.follower_role.heard, message)
+        return self.leader_role is None and self.voter.may_vote(now, message)
 
     def _request_vote(self, now: float, sender: Address, message: pb.Message) -> None:
         if not self._may_vote(now, message):
@@ -323,10 +319,10 @@
         )
         if election_rank is not None and self.candidate_role is None:
             begins = now if cold_start.all_members_restarted() else cold_start.until
-            self.election_deadline = min(
-                self.election_deadline, begins + election_rank * self.tuning.heartbeat_interval_s
+            self.timing.election_deadline = min(
+                self.timing.election_deadline, begins + election_rank * self.tuning.heartbeat_interval_s
             )
-            if now >= self.election_deadline:
+            if now >= self.timing.election_deadline:
                 self._start_election(now)
 
     def _on_timeout_now(self, now: float, message: pb.Message) -> None:
@@ -335,7 +331,7 @@
             message.term == self.replica.term
             and self.follower_role.leader is not None
             and message.disk == self.follower_role.disk
-            and self._may_start_election(now)
+            and self.voter.able(now)
         ):
             self._reset_election_timer(now)
             self.follower_role.leader = None
--- a/gateway/consensus/records.py
+++ b/gateway/consensus/records.py
@@ -14,6 +14,7 @@
 MAX_ENTRY_MEMBERS = 16  # in one entry that is taken from others
 MAX_NAME_LENGTH = 80  # of a disk or an address
 MAX_TERM = 1 << 48
+MOST_STRETCH = 10.0
 
 
 class Member(NamedTuple):
@@ -77,6 +78,7 @@
     term: int
     vote: str
     entry: Entry
+    stretch: float = 1.0  # how many election timeouts a vote may have been withheld for (`Timing`)
 
 
 def bootstrap_entry(seeds: Iterable[Address]) -> Entry:
@@ -130,6 +132,8 @@
         abs(time) < 1e12 for time in (message.sent, message.replied_at, message.last_reply_at)
     ):  # nor NaN
         return "sent"
+    if message.stretch and not 1.0 <= message.stretch <= MOST_STRETCH:
+        return "stretch"
     if len(message.members) > MAX_ENTRY_MEMBERS:
         return "members"
     if message.kind == pb.APPEND_ENTRIES:
--- a/gateway/consensus/replica.py
+++ b/gateway/consensus/replica.py
@@ -17,7 +17,7 @@
 
     def __init__(self, me: Address, stored: PersistentState, tuning: Tuning, rng: random.Random) -> None:
         self.me, self.tuning, self.rng = me, tuning, rng
-        self.disk, self.term, self.vote, self.entry = stored
+        self.disk, self.term, self.vote, self.entry, self.stretch = stored
         self.persisted = EMPTY_STATE
         self.committed_entry: Entry | None = None  # the newest entry known to be committed
         self.committed_version = 0  # version that was put out as committed
@@ -91,7 +91,7 @@
             self.unpersisted_since = now
         if self.writing is None and now >= self.write_retry_at:
             self.token += 1
-            self.writing = PersistentState(self.disk, self.term, self.vote, self.entry)
+            self.writing = PersistentState(self.disk, self.term, self.vote, self.entry, self.stretch)
             self.out.append(Write(self.token, self.writing))
 
     def written(self, now: float, token: int) -> bool:
@@ -105,8 +105,14 @@
     def failed(self, now: float, token: int) -> None:
         """A write has failed; the next one waits a little."""
         if token == self.token and self.writing is not None:
+            self.persisted = self.persisted._replace(stretch=self.promisable())  # the disk may have either
             self.writing, self.write_retry_at = None, now + self.tuning.write_retry_s
 
+    def promisable(self) -> float:
+        """The highest stretch that a start would find on disk, whichever write has come to be."""
+        writing = self.stretch if self.writing is None else self.writing.stretch
+        return min(self.persisted.stretch, writing, self.stretch)
+
     def write_stalled_s(self, now: float) -> float:
         """Seconds since the disk should have saved something and hasn't."""
         return 0.0 if self.unpersisted_since is None else now - self.unpersisted_since
@@ -116,6 +122,7 @@
         return (
             self.disk != persisted.disk
             or self.entry.position != persisted.entry.position
+            or self.stretch != persisted.stretch
             or self.vote != ""
             and (self.term, self.vote) != (persisted.term, persisted.vote)
         )
--- a/gateway/consensus/storage.py
+++ b/gateway/consensus/storage.py
@@ -14,7 +14,7 @@
 from dbm import dumb
 
 from gateway.consensus import consensus_pb2 as pb
-from gateway.consensus.records import PersistentState, get_entry, put_entry
+from gateway.consensus.records import MOST_STRETCH, PersistentState, get_entry, put_entry
 
 SCHEMA = 1
 RETAINED_GENERATIONS = 2  # generations
@@ -144,6 +144,8 @@
 def pack(record: PersistentState) -> bytes:
     """A record as bytes."""
     message = pb.Record(schema=SCHEMA, disk=record.disk, term=record.term, vote=record.vote)
+    if record.stretch > 1.0:
+        message.stretch = record.stretch
     put_entry(record.entry, message.entry)
     return message.SerializeToString()
 
@@ -154,7 +156,13 @@
     message.ParseFromString(data)
     if message.schema != SCHEMA or not message.disk:
         raise ValueError(f"a record of schema {message.schema}")
-    return PersistentState(message.disk, message.term, message.vote, get_entry(message.entry))
+    return PersistentState(
+        message.disk,
+        message.term,
+        message.vote,
+        get_entry(message.entry),
+        min(MOST_STRETCH, max(1.0, message.stretch)),
+    )
 
 
 def _sync(path: str) -> None:
--- a/gateway/quota/owner_links.py
+++ b/gateway/quota/owner_links.py
@@ -7,8 +7,9 @@
 from google.protobuf.message import DecodeError
 
 from gateway.quota import quota_pb2 as pb
-from gateway.quota.interface import CLIENT_HEARTBEAT_S, SHARDS, SHARE_S
+from gateway.quota.interface import CLIENT_HEARTBEAT_S, SHARDS
 from gateway.quota.local_quota import LocalQuota
+from gateway.quota.peers import Peers
 from gateway.quota.quota_pb2 import ClientHeartbeat, Message
 from gateway.state_machine import Address, Send
 
@@ -48,7 +49,7 @@
         self.links: dict[Address, OwnerLink] = {}
         self.link_of_shard: list[OwnerLink | None] = [None] * SHARDS
         self.fencing_token = (0, 0)
-        self.peers, self.peers_at = 0, -1e9  # quota clients that a holder knew of, and when it said so
+        self.peers = Peers()  # quota clients that may have shares, as holders tell
         self.due = 0.0  # next look for holders that must hear something
 
     def follow(self, now: float, data: bytes) -> None:
@@ -76,8 +77,7 @@
 
     def on_heartbeat_reply(self, now: float, link: OwnerLink, heard: pb.ClientHeartbeatReply) -> None:
         """A holder has heard that this quota client is there."""
-        if heard.peers >= self.peers or now >= self.peers_at + SHARE_S:
-            self.peers, self.peers_at = heard.peers, now
+        self.peers.learn(now, heard.peers, heard.silent_ms)
         link.told = not heard.missing & link.shards
 
     def tick(self, now: float, local_quotas: Iterable[LocalQuota]) -> list[Send]:
@@ -109,8 +109,8 @@
         client_heartbeat = ClientHeartbeat(incarnation=self.incarnation, number=link.number)
         if link.silent:
             client_heartbeat.hears_nothing = True
-        if now < self.peers_at + SHARE_S:
-            client_heartbeat.peers = self.peers
+        client_heartbeat.peers, silent_ms = self.peers.told(now)
+        client_heartbeat.silent_ms.extend(silent_ms)
         if not link.told:
             client_heartbeat.shards = link.shards
             for local_quota in live:
--- a/gateway/quota/shard_owner.py
+++ b/gateway/quota/shard_owner.py
@@ -18,6 +18,7 @@
     SetLeader,
     Tick,
 )
+from gateway.quota.peers import FRESH_S, MOST_SILENT, Peers
 from gateway.quota.quota_pb2 import (
     Charge,
     ChargeRefund,
@@ -69,7 +70,8 @@
         self.windows: dict[int, tuple[str, Window]] = {}  # by the tenant's number
         self.counts: dict[int, TenantCounter] = {}
         self.clients: dict[Address, ClientState] = {}
-        self.peers, self.peers_at = 0, 0.0  # quota clients that there were of late, and when that was told
+        self.peers = Peers()  # quota clients that may have shares, as these tell
+        self.absent: list[float] = []  # when each quota client was last heard that is silent
         self.silent: dict[Address, float] = {}  # quota clients, and when they were last heard
         self.epoch, self.checked_at = 0, 0.0  # changes whenever what must be kept back may have
         self.seed = rng.randrange(1 << 14)
@@ -185,7 +187,7 @@
         if now >= self.since[part] + SHARE_S + MARGIN_S:
             return False
         told = sum(c.told >> part & 1 for c in self.clients.values())
-        return told < max(self.peers, len(self.clients))
+        return told < max(self.peers.count(now), len(self.clients))
 
     def on_refund(self, now: float, frm: Address, note: Message) -> list[Output]:
         """Give a unit back."""
@@ -236,8 +238,7 @@
                     now, frm, told.part, told.left_ms / 1000, told.spent, now + told.accrues_in_ms / 1000
                 )
                 client.shares_until = now + SHARE_S + MARGIN_S
-        if client_heartbeat.peers >= self.peers or now >= self.peers_at + SHARE_S:
-            self.peers, self.peers_at = client_heartbeat.peers, now
+        self.peers.learn(now, client_heartbeat.peers, client_heartbeat.silent_ms)
         news = client_heartbeat.shards & self.shards & ~client.told
         if news:
             client.told |= news
@@ -245,6 +246,7 @@
         heard = ClientHeartbeatReply(
             number=client_heartbeat.number, peers=len(self.clients), missing=self.shards & ~client.told
         )
+        heard.silent_ms.extend(int(1000 * (now - at)) for at in self.absent)
         return [Send(frm, Message(heard=heard))]
 
     def check_clients(self, now: float) -> None:
@@ -257,6 +259,8 @@
             if now >= client.heard + SHARE_S + MARGIN_S:
                 del self.clients[frm]
                 self.silent.pop(frm, None)
+        absent = [c.heard for c in self.clients.values() if now >= c.heard + FRESH_S]
+        self.absent = sorted(absent)[:MOST_SILENT]
 
     # The lease
 
--- a/gateway/quota/tenant_counter.py
+++ b/gateway/quota/tenant_counter.py
@@ -14,6 +14,7 @@
 SMOOTHING = 0.3  # weight of the newest window in what is usual
 HIGHER_PRECEDENCE_DEVIATIONS = 1.5  # standard deviations by which higher precedence may ask more than usual
 SHARE_TOLERANCE = 0.25  # a share within this of its aim stays as it is
+YIELDING = 0.05  # the same above its aim, while some quota client that asks has no share
 MIN_SHARE = 4  # parts of an allowance
 NEVER = 1e18
 EARLY_FRACTION = 0.5  # of an allowance that flows evenly before a count opens, if nobody has told a share: a
@@ -75,6 +76,7 @@
         "shares",
         "rotate_at",
         "typical_demand",
+        "wanting",
         "window",
     )
 
@@ -90,6 +92,7 @@
         self.rotate_at = now
         self.shares: dict[Address, ClientShare] = {}
         self.target_shares: dict[Address, int] = {}
+        self.wanting = False  # whether some quota client is to have a share and has none
         self.has_reported_shares = False  # whether any share has been told
         self.outstanding, self.has_unreported = (
             0,
@@ -229,6 +232,9 @@
         if share.number == 0:
             self.note_earlier_share()
             share.part, share.number = part, self.number()
+            share.usage = max(
+                share.usage, part / FULL_SHARE * self.window.allowance
+            )  # until more is seen of it
             if now < self.opens:
                 share.accrues_from, self.has_reported_shares = accrues_from, True
         share.before = max(share.before, part)
@@ -253,7 +259,8 @@
             share.before = 0
             self.outstanding += share.outstanding - previous
         target = self.target_shares.get(frm, share.part)
-        if abs(target - share.part) > SHARE_TOLERANCE * share.part + 2:
+        steady = YIELDING if self.wanting and target < share.part else SHARE_TOLERANCE
+        if abs(target - share.part) > steady * share.part + 2:
             self.change_share(share, target)
         share.until = now + SHARE_S + MARGIN_S
         return share.number != 0 and confirmed != share.number
@@ -293,6 +300,9 @@
         self.target_shares = {
             frm: target if target >= MIN_SHARE else 0 for frm, target in target_shares.items()
         }
+        self.wanting = any(
+            target and not self.shares[frm].outstanding for frm, target in self.target_shares.items()
+        )
 
     def forget(self, frm: Address) -> None:
         """A quota client's process has ended: it has no share any more."""
--- a/tests/system/test_consensus.py
+++ b/tests/system/test_consensus.py
@@ -20,6 +20,7 @@
 from gateway.consensus.reconfiguration import JoinRequest, MemberHealth, next_configuration
 from gateway.consensus.records import Member, PersistentState, bootstrap_entry
 from gateway.consensus.replica import Replica
+from gateway.consensus.timing import Timing
 from gateway.consensus.voter import Voter
 from gateway.state_machine import Send
 from tests.system.consensus_cluster import ConsensusCluster, InvariantViolation, Node, explore, finish, tell
@@ -281,7 +282,7 @@
     )
     replica = Replica(seeds[0], stored, STEADY, random.Random(1))
     replica.persisted = stored
-    leader_role = LeaderRole(replica, 10.0, 0)
+    leader_role = LeaderRole(replica, 10.0, 0, Timing(replica, 10.0))
 
     def held(now: float) -> None:
         position = replica.entry.position
