Move the shard owner's client bookkeeping into ClientRegistry

Change: ClientRegistry and ClientState in gateway/quota/client_registry.py hold the clients, the silent ones, the number of peers and the epoch. The shard owner asks it, and forgets the shares of a client that has restarted when the registry calls. No behaviour changes.

--- a/gateway/quota/shard_owner.py
+++ b/gateway/quota/shard_owner.py
@@ -5,13 +5,13 @@
 import random
 from collections.abc import Callable
 
+from gateway.quota.client_registry import ClientRegistry
 from gateway.quota.interface import (
     LEASE_RENEW_S,
     LEASE_S,
     MARGIN_S,
     SHARDS,
     SHARE_S,
-    SILENT_S,
     Allowances,
     Code,
     Received,
@@ -33,25 +33,12 @@
 from gateway.quota.window import Window, plan, tenant_number
 from gateway.state_machine import Address, Send
 
-MAX_CLIENTS = 1024  # that are remembered at most
-CLIENT_CHECK_S = 0.1  # between looks for silent quota clients
 LEASE_RETRY_S = 0.1  # to the next request for the lease when none has come
 
 Output = Send
 Input = Received | Tick | Allowances | SetLeader
 
 
-class ClientState:
-    """A quota client as its holder knows it."""
-
-    __slots__ = ("heard", "incarnation", "shares_until", "told")
-
-    def __init__(self, now: float, incarnation: int) -> None:
-        self.heard, self.incarnation = now, incarnation
-        self.shares_until = 0.0  # when its last share here is over
-        self.told = 0  # parts held here of which it has told its shares
-
-
 class ShardOwner:
     """Counts the tenants of the parts that it holds under a lease. Wants a `Tick` each 0.1 s.
 
@@ -68,10 +55,7 @@
         self.fencing_token, self.asked_at, self.answered = (0, 0), -LEASE_RENEW_S, True
         self.windows: dict[int, tuple[str, Window]] = {}  # by the tenant's number
         self.counts: dict[int, TenantCounter] = {}
-        self.clients: dict[Address, ClientState] = {}
-        self.peers, self.peers_at = 0, 0.0  # quota clients that there were of late, and when that was told
-        self.silent: dict[Address, float] = {}  # quota clients, and when they were last heard
-        self.epoch, self.checked_at = 0, 0.0  # changes whenever what must be kept back may have
+        self.registry = ClientRegistry(self.forget_client)
         self.seed = rng.randrange(1 << 14)
         self.view_audit = ViewAudit()
         self.handlers: dict[str, Callable[[float, Address, Message], list[Output]]] = {
@@ -113,7 +97,7 @@
     def on_charge(self, now: float, frm: Address, note: Message) -> list[Output]:
         """Charge a unit and answer with a verdict."""
         charge = note.charge
-        client = self.hear(now, frm, charge.incarnation)
+        client = self.registry.hear(now, frm, charge.incarnation)
         number = charge.tenant
         verdict = Verdict(id=charge.id)
         count = self.counts.get(number)
@@ -134,7 +118,7 @@
             verdict.code = Code.NOT_MINE
         elif count is not None:
             self.fill_reply(now, frm, charge, count, verdict)
-            client.shares_until = now + SHARE_S + MARGIN_S
+            client.extend_shares(now)
         return [Send(frm, Message(verdict=verdict))]
 
     def fill_reply(
@@ -176,16 +160,13 @@
         """Bring a count's window, and what it keeps back, up to now."""
         if now >= count.ends:
             count.begin_window(now)
-        if count.epoch != self.epoch:
-            count.reserve(self.silent, self.unknown(now, number % SHARDS))
-            count.epoch = self.epoch
+        if count.epoch != self.registry.epoch:
+            count.reserve(self.registry.silent, self.has_unreported_shares(now, number % SHARDS))
+            count.epoch = self.registry.epoch
 
-    def unknown(self, now: float, part: int) -> bool:
+    def has_unreported_shares(self, now: float, part: int) -> bool:
         """Whether some quota client may have a share of an earlier holder and has not told."""
-        if now >= self.since[part] + SHARE_S + MARGIN_S:
-            return False
-        told = sum(c.told >> part & 1 for c in self.clients.values())
-        return told < max(self.peers, len(self.clients))
+        return now < self.since[part] + SHARE_S + MARGIN_S and self.registry.has_unreported(part)
 
     def on_refund(self, now: float, frm: Address, note: Message) -> list[Output]:
         """Give a unit back."""
@@ -199,32 +180,15 @@
 
     # Quota clients
 
-    def hear(
-        self, now: float, frm: Address, incarnation: int, hears_nothing: bool = False
-    ) -> ClientState | None:
-        """Something came from a quota client; None if there are too many of them."""
-        client = self.clients.get(frm)
-        if client is None:
-            if len(self.clients) >= MAX_CLIENTS:
-                return None
-            client = self.clients[frm] = ClientState(now, incarnation)
-        elif client.incarnation != incarnation:
-            client.incarnation, client.told, client.shares_until = incarnation, 0, 0.0
-            for count in self.counts.values():
-                count.forget(frm)
-        client.heard = now
-        if hears_nothing != (frm in self.silent):  # one that doesn't hear us goes by its shares
-            if hears_nothing:
-                self.silent[frm] = now
-            else:
-                del self.silent[frm]
-            self.epoch += 1
-        return client
+    def forget_client(self, address: Address) -> None:
+        """A quota client has restarted: its shares are over."""
+        for count in self.counts.values():
+            count.forget(address)
 
     def on_client_heartbeat(self, now: float, frm: Address, note: Message) -> list[Output]:
         """A quota client is there; take the shares that it tells."""
         client_heartbeat: ClientHeartbeat = note.client_heartbeat
-        client = self.hear(now, frm, client_heartbeat.incarnation, client_heartbeat.hears_nothing)
+        client = self.registry.hear(now, frm, client_heartbeat.incarnation, client_heartbeat.hears_nothing)
         if client is None:
             return []
         self.expire_lease(now)
@@ -235,36 +199,22 @@
                 count.told(
                     now, frm, told.part, told.left_ms / 1000, told.spent, now + told.accrues_in_ms / 1000
                 )
-                client.shares_until = now + SHARE_S + MARGIN_S
-        if client_heartbeat.peers >= self.peers or now >= self.peers_at + SHARE_S:
-            self.peers, self.peers_at = client_heartbeat.peers, now
-        news = client_heartbeat.shards & self.shards & ~client.told
-        if news:
-            client.told |= news
-            self.epoch += 1
+                client.extend_shares(now)
+        self.registry.note_peers(now, client_heartbeat.peers)
+        self.registry.note_reported(client, client_heartbeat.shards & self.shards)
         heard = ClientHeartbeatReply(
-            number=client_heartbeat.number, peers=len(self.clients), missing=self.shards & ~client.told
+            number=client_heartbeat.number,
+            peers=len(self.registry.clients),
+            missing=self.shards & ~client.told,
         )
         return [Send(frm, Message(heard=heard))]
 
-    def check_clients(self, now: float) -> None:
-        """Find quota clients that went silent, and forget those silent for longer than any share lasts."""
-        self.checked_at = now
-        for frm, client in list(self.clients.items()):
-            if client.heard + SILENT_S <= now < client.shares_until and frm not in self.silent:
-                self.silent[frm] = client.heard
-                self.epoch += 1
-            if now >= client.heard + SHARE_S + MARGIN_S:
-                del self.clients[frm]
-                self.silent.pop(frm, None)
-
     # The lease
 
     def tick(self, now: float) -> list[Output]:
         """Look at leases and quota clients; ask for the lease when it is time."""
         self.expire_lease(now)
-        if now >= self.checked_at + CLIENT_CHECK_S:
-            self.check_clients(now)
+        self.registry.expire(now)
         if self.leader is None or now < self.asked_at + (LEASE_RENEW_S if self.answered else LEASE_RETRY_S):
             return []
         self.asked_at, self.answered = now, False
@@ -311,7 +261,7 @@
         self.shards = shards
         if not lost and not new:
             return
-        self.epoch += 1
+        self.registry.forget_reports(lost | new)
         self.view_audit.moved(lost, new)
         for part in range(SHARDS):
             if new >> part & 1:
@@ -319,8 +269,6 @@
                 self.since[part] = now - idle_s if idle & ~self.ever_held & 1 << part else now
         self.ever_held |= shards
         self.counts = {n: c for n, c in self.counts.items() if not lost >> (n % SHARDS) & 1}
-        for client in self.clients.values():
-            client.told &= ~(lost | new)
 
     # Configuration
 
