Move the concurrency limit out of Routing into a class of its own

Change: ConcurrencyLimit in roadspur/concurrency_limit.py has the attempts in flight, the slots, the latency ratio and the pause, and adjusts to each answer; Routing and Service hold it as limit. Backend.overdue in roadspur/fleet.py sums up the answers that a backend owes. The policy lists the new file. Tests read the same values at their new places. No behaviour changes.

--- a/gateway/proxy/decisions.py
+++ b/gateway/proxy/decisions.py
@@ -211,7 +211,7 @@
         s.acts = []
         call()
         self.acts += s.acts
-        if not s.armed and (s.out or s.queue):
+        if not s.armed and (s.limit.in_flight or s.queue):
             s.armed = True
             token = next(t for t, known in self.sweep_timers.items() if known is s)
             self.acts.append(io.SetTimer(services.SWEEP_INTERVAL_S, token))
--- a/gateway/proxy/service.py
+++ b/gateway/proxy/service.py
@@ -11,9 +11,10 @@
 from gateway.config.routing import Route
 from gateway.proxy.retry_budget import RetryBudget
 from roadspur import interface as io
+from roadspur.concurrency_limit import INITIAL_SLOTS
 from roadspur.fleet import Backend
 from roadspur.flight import ActiveRequest
-from roadspur.routing import SLOTS, Routing
+from roadspur.routing import Routing
 
 INITIAL_LATENCY_RATIO = 0.3  # of its aim that a route's answers are taken to need before any has come
 COLD_S, COLD_CAPACITY = 3.0, 0.5  # of a backend's slow start, and what it does then
@@ -134,7 +135,7 @@
 
     def send(self, now: float, f: ActiveRequest) -> None:
         """A slot that is free goes to the most urgent request that is held, whoever comes just then."""
-        if self.queue and self.queue[0].value > f.value and self.free(now):
+        if self.queue and self.queue[0].value > f.value and self.limit.allows(now):
             bisect.insort_right(self.queue, f, key=lambda g: -g.value)
             self.review(now)
         else:
@@ -188,10 +189,10 @@
             if entry.phase is io.Phase.DELETED:
                 self.others.pop(entry.backend, None)
         held = [b.entry.weight for b in self.fleet.backends.values() if b.usable]
-        self.floor = 1 + 2 * sum(held) / max(1, len(held))
+        self.limit.floor = 1 + 2 * sum(held) / max(1, len(held))
         # Backends come one by one: the first must not stand for all. Under press there are more as well. A
         # new leader may have heard of few ingresses yet; the budget doesn't believe that at once.
-        self.slots = max(self.slots, SLOTS * self.fleet.usable / self.budget.ingresses)
+        self.limit.slots = max(self.limit.slots, INITIAL_SLOTS * self.fleet.usable / self.budget.ingresses)
 
     def assign_own_backends(self, place: int, zone_peers: int) -> None:
         """Which backends of the zone are this ingress's own: the ingresses of a zone take them in turn."""
--- a/roadspur/control.py
+++ b/roadspur/control.py
@@ -2,7 +2,8 @@
 
 Here: admission by the counter, and what stands in while the counter fails. How much it is called is in
 roadspur/calling.py, the store of a customer in roadspur/customer.py, what peers tell in roadspur/gossip.py,
-the cap on open requests in roadspur/opencap.py, attempts in roadspur/routing.py.
+the cap on open requests in roadspur/opencap.py, attempts in roadspur/routing.py, how many of
+them may be out in roadspur/concurrency_limit.py.
 """
 
 from __future__ import annotations
@@ -57,7 +58,7 @@
         self.acts = []
         if type(event) in self.on:
             self.on[type(event)](now, event)
-        if not self.armed and (self.out or self.queue):  # an idle ingress costs nothing
+        if not self.armed and (self.limit.in_flight or self.queue):  # an idle ingress costs nothing
             self.armed = True
             self.acts.append(io.SetTimer(SWEEP_INTERVAL_S, SWEEP_TIMER))
         if self.gossip.unsent_usage and not self.gossip.send_scheduled:
@@ -91,7 +92,8 @@
         self.call_policy.note_request()  # and others can only have taken more than is known
         if self.call_policy.sampling_active() and (known < r.units or c.window_id(now) in self.gossip.spent):
             return self.refuse(now, f, (r.units - known) / plan.rate)
-        if not self.free(now) and self.late(now, f):  # a charge for what is not sent would use the quota up
+        # A charge for what is not sent would use the quota up.
+        if not self.limit.allows(now) and self.late(now, f):
             return self.refuse(now, f, 0.0)
         if r.expires_in <= 2 * self.s.counter_timeout or not self.should_call_counter(now, f):
             return self.admit_locally(now, f)
--- a/roadspur/fleet.py
+++ b/roadspur/fleet.py
@@ -26,6 +26,17 @@
             str, tuple[float, float]
         ] = {}  # class or plan: turned away (1) or served (0), when
 
+    def overdue(self, now: float, latency: Mapping[str, float], slow: float) -> float:
+        """How long it has owed answers, summed up in terms of the usual latency of each.
+
+        An attempt that was overdue when another was answered tells of itself, not of the backend.
+        """
+        return sum(
+            (now - max(sent, self.answered)) / latency[name]
+            for sent, name, _ in self.out.values()
+            if self.answered - sent < slow * latency[name]
+        )
+
 
 class Fleet:
     """All backends of one ingress."""
--- a/roadspur/opencap.py
+++ b/roadspur/opencap.py
@@ -57,7 +57,7 @@
         self.arrive(now, c)
         if c.out >= most:  # sure: what is open here alone fills it
             return self.gw.refuse(now, f, self.gw.latency[f.cls.name])
-        if not self.gw.free(now) and self.gw.late(now, f):
+        if not self.gw.limit.allows(now) and self.gw.late(now, f):
             return self.gw.refuse(now, f, 0.0)
         c.out += 1
         self.open[f.req.id] = c
--- a/roadspur/routing.py
+++ b/roadspur/routing.py
@@ -1,4 +1,4 @@
-"""Choice of a backend, attempts and their learning, and the concurrency limit of one fleet of backends.
+"""Choice of a backend, attempts, and what is learnt from them, for one fleet of backends.
 
 Admission is its user's: a request comes in through `send`, and `refuse` gives it its final answer.
 """
@@ -11,6 +11,7 @@
 from collections.abc import Iterable
 
 from roadspur import interface as io
+from roadspur.concurrency_limit import OVERLOAD_LATENCY_RATIO, ConcurrencyLimit
 from roadspur.fleet import Backend, Fleet
 from roadspur.flight import ActiveRequest
 
@@ -19,18 +20,12 @@
     8.0  # usual latencies of owed answers after which a backend counts as silent, an attempt as hung
 )
 SWEEP_INTERVAL_S = 0.05  # between looks at silent backends and at what is held
-SLOTS, FLOOR = 6.0, 2.0  # attempts out to a backend by all ingresses together, at first and at least
 AIM_PART = 0.16  # of its aim that a class's unpressed latency is taken for at most
-BACKOFF_STEP, BACKOFF_RATE = (
-    0.01,
-    0.3,
-)  # of the slots that a pressed answer takes, at least; a second, at most at once
 REJECTION_COST, REJECTION_MEMORY_S = (
     4.0,
     10.0,
 )  # cost of a backend sure to turn a class or plan away; time by which such news ages
 LATENCY_RATIO_CAP = 4.0  # times the unpressed latency, beyond which a longer answer says no more
-OVERLOAD_LATENCY_RATIO = 1.8  # times the unpressed latency, where the concurrency limit shrinks
 COLD_SAFETY = 0.5  # of the stated cold budget that is used, as the warm rate is only an estimate
 COLD_QUEUE_LIMIT = (
     4.0  # requests of all ingresses at a cold backend, beyond which what it serves makes no room
@@ -62,11 +57,11 @@
         self.queue = list[ActiveRequest]()  # dearest first, then in the order in which they came
         self.latency = {c.name: c.objective * AIM_PART for c in classes}  # usual time of an answer
         self.base = dict(self.latency)  # and what it was when nothing was pressed
-        self.armed, self.out, self.slots = False, 0, 0.0  # beat set; own attempts out, how many may be
-        self.press, self.judged, self.paused = 1.0, now, 0.0  # latency over base, when; rest below one slot
+        self.armed = False  # beat set
+        self.limit = ConcurrencyLimit(now)
         self.rejection_share = dict.fromkeys((*self.classes, *plans), 0.0)  # share of attempts turned away
         self.rate, self.rate_at = 0.0, now  # attempts a second to one warm backend
-        self.floor, self.step = FLOOR, 0.1
+        self.step = 0.1
         self.acts: list[io.Action] = []
 
     # What the user of this class decides.
@@ -86,14 +81,10 @@
 
     # Attempts.
 
-    def free(self, now: float) -> bool:
-        """Whether the concurrency limit allows one more attempt."""
-        return self.out < max(1.0, self.slots) and now >= self.paused
-
     def late(self, now: float, f: ActiveRequest) -> bool:
         """Whether a request that has to be held cannot make its aim."""
         ahead = 1 + bisect.bisect_right(self.queue, -f.value, key=lambda g: -g.value)
-        return now + ahead * self.latency[f.cls.name] / self.slots + self.base[f.cls.name] > f.aim
+        return now + ahead * self.latency[f.cls.name] / self.limit.slots + self.base[f.cls.name] > f.aim
 
     def send(self, now: float, f: ActiveRequest) -> None:
         """Start an attempt, or hold the request if a slot should come free in time for its aim."""
@@ -113,7 +104,7 @@
     def occupy(self, now: float, f: ActiveRequest, b: Backend) -> None:
         """An attempt is out at a backend."""
         b.out[f.req.id] = (now, f.cls.name, f.req.plan)
-        self.out += 1
+        self.limit.in_flight += 1
 
     def written(self, now: float, e: io.AttemptWritten) -> None:
         """A body that came slowly has gone out whole: only now does the request's time run."""
@@ -125,7 +116,7 @@
     def dispatch(self, now: float) -> None:
         """Send what is held as slots come free; it is looked through in full at each beat only."""
         for _ in range(len(self.queue)):
-            if not self.free(now):
+            if not self.limit.allows(now):
                 break
             f = self.queue.pop(0)
             if f.req.id in self.active_requests:
@@ -144,13 +135,7 @@
         self.renew(now)
         for b in [x for x in self.fleet.backends.values() if x.out]:
             slow = SILENT_LATENCY_RATIO * max(1.0, b.ratio)
-            # An attempt that was overdue when another was answered tells of itself, not of the backend.
-            owed = sum(
-                (now - max(sent, b.answered)) / self.latency[name]
-                for sent, name, _ in b.out.values()
-                if b.answered - sent < slow * self.latency[name]
-            )
-            silent = owed >= slow
+            silent = b.overdue(now, self.latency, slow) >= slow
             if silent:
                 self.acts += self.fleet.eject(now, b, "silent")
             for name in b.out:  # move what may be repeated; a long request at a live server is left alone
@@ -187,7 +172,7 @@
         """Least own outstanding work over learned speed, among those that are healthy and allowed."""
         best: Backend | None = None
         least = 0.0
-        if not self.free(now):
+        if not self.limit.allows(now):
             return None
         keyed = f.ran_on if f.cls.effect is io.Effect.KEYED else None
         keys = [(key, 1 + REJECTION_COST * self.rejection_share[key]) for key in (f.cls.name, f.req.plan)]
@@ -233,14 +218,14 @@
         """
         if b.known or b.start > self.began:
             return b.ratio
-        return max(b.ratio, self.press) * untried_cost
+        return max(b.ratio, self.limit.latency_ratio) * untried_cost
 
     def started(self, now: float, e: io.AttemptStarted) -> None:
         """A large answer has begun: the work is done, and only its customer's place is taken to its end."""
         b = self.fleet.backends.get(e.backend)
         _, name, plan = b.out.pop(e.request, (now, "", "")) if b is not None else (now, "", "")
         if b is not None and name:
-            self.out -= 1
+            self.limit.in_flight -= 1
             begun = io.AttemptEnded(e.request, e.attempt, e.backend, io.Outcome.OK, e.elapsed, True)
             self.judge(now, b, begun, name, plan)
         if self.queue:
@@ -259,7 +244,7 @@
         if b is not None:
             _, name, plan = b.out.pop(e.request, (now, "", ""))
             if name:
-                self.out -= 1
+                self.limit.in_flight -= 1
                 self.judge(now, b, e, name, plan)
         if f is None:
             return self.left(now, e.request)
@@ -273,36 +258,21 @@
                 self.dispatch(now)
             return self.served(now, f, e)
         f.bad.add(e.backend)
-        fleet_saturated = (
-            e.outcome is io.Outcome.FULL and self.press > OVERLOAD_LATENCY_RATIO
-        )  # elsewhere it is full too
+        fleet_saturated = e.outcome is io.Outcome.FULL and self.limit.overloaded  # elsewhere it is full too
         if not fleet_saturated and not e.spent and self.may_send(now, f, f.ran_at):
             self.send(now, f)
         else:
             self.refuse(now, f, 0.0)
 
     def judge(self, now: float, b: Backend, e: io.AttemptEnded, name: str, plan: str) -> None:
-        """Latency, errors and concurrency limit of one backend."""
+        """Learn the latency and errors of a backend, and adjust the concurrency limit."""
         b.answered = now if e.outcome in ANSWERS else b.answered  # a time-out is no sign of life, nor a fault
         if e.outcome is io.Outcome.OK or (e.outcome is io.Outcome.TIMEOUT and e.elapsed > self.latency[name]):
-            times = min(
-                e.elapsed / self.base[name], LATENCY_RATIO_CAP
-            )  # a few very costly requests are no jam
+            # The cap: a few very costly requests are no jam.
+            times = min(e.elapsed / self.base[name], LATENCY_RATIO_CAP)
             b.ratio = self.slowness(b, 1.0)
             b.ratio, b.known = b.ratio + self.step * (times - b.ratio), True
-            step = min(
-                BACKOFF_RATE, max(BACKOFF_STEP, BACKOFF_RATE * (now - self.judged))
-            )  # few answers: each says more
-            self.judged = now
-            self.press += min(0.4, 5 * step) * (times - self.press)
-            if (
-                self.press > OVERLOAD_LATENCY_RATIO
-            ):  # all hold too much there: one slot a backend may be too many
-                self.slots = max(self.floor * self.fleet.usable / self.s.instances, self.slots * (1 - step))
-            elif self.out + 2 > self.slots:
-                self.slots += min(self.slots, 1 / self.slots)
-            if self.slots < 1:  # less than one attempt out on average: a rest after each
-                self.paused = now + min(1.0, e.elapsed) * (1 / self.slots - 1)
+            self.limit.observe(now, times, e.elapsed, self.fleet.usable, self.s.instances)
         if e.outcome in (io.Outcome.OK, io.Outcome.FULL):
             for key in (name, plan):  # some turn one class or plan away: told from a full fleet by who it is
                 b.rejection_share[key] = (float(e.outcome is io.Outcome.FULL), now)
@@ -317,9 +287,9 @@
             if held <= COLD_QUEUE_LIMIT and self.fleet.cold(now, b) < 1.0:  # what it has served makes room
                 b.tokens = min(COLD_BURST, b.tokens + 1.0)
             self.latency[name] += 0.05 * (e.elapsed - self.latency[name])
-            usual = self.base[name] + (0.01 if self.press < OVERLOAD_LATENCY_RATIO else 0.0005) * (
-                self.latency[name] - self.base[name]
-            )
+            usual = self.base[name] + (
+                0.01 if self.limit.latency_ratio < OVERLOAD_LATENCY_RATIO else 0.0005
+            ) * (self.latency[name] - self.base[name])
             self.base[name] = min(usual, AIM_PART * self.classes[name].objective)  # a jam is never the norm
         elif e.outcome in FAULTS:
             b.errors += 0.3 * (1 - b.errors)
@@ -330,7 +300,7 @@
         """Follow the list of servers; the first one tells how many attempts may be out."""
         if e.kind is not io.ListKind.FAILED:
             self.fleet.listed(now, e)
-            self.slots = self.slots or max(2.0, SLOTS * self.fleet.usable / self.s.instances)
+            self.limit.initialize(self.fleet.usable, self.s.instances)
 
     def set_sibling_processes(self, now: float, e: io.SiblingProcesses) -> None:
         """Another process of this ingress has begun, or has ended."""
--- a/tests/system/calls.py
+++ b/tests/system/calls.py
@@ -423,7 +423,7 @@
         for client_connection in self.seats:
             self.heard(client_connection, runs)
         assert not self.ingress.held and not self.decisions.homes
-        assert not any(s.active_requests or s.out for s in self.decisions.services.values())
+        assert not any(s.active_requests or s.limit.in_flight for s in self.decisions.services.values())
 
     def heard(self, client_connection: SimulatedClient, runs: Counter[str]) -> None:
         """What a client makes of its answers."""
--- a/tests/system/test_proxy_rank.py
+++ b/tests/system/test_proxy_rank.py
@@ -66,7 +66,7 @@
 def one_slot() -> Any:
     """A service with two backends and room for one attempt."""
     held = backends_of(lambda *_: None)
-    held.slots, held.floor = 1.0, 1.0
+    held.limit.slots, held.limit.floor = 1.0, 1.0
     held.learn_route(CLASS, 2.0, "t1")
     return held
 
@@ -89,7 +89,8 @@
     service.send(0.0, in_flight(service, "urgent", 1.0))
     first = service.acts.pop()
     service.active_requests.pop("busy")
-    service.out, service.fleet.backends[first.backend].out = 0, {}  # it ended, and nobody was sent on yet
+    # It ended, and nobody was sent on yet.
+    service.limit.in_flight, service.fleet.backends[first.backend].out = 0, {}
     service.send(0.0, in_flight(service, "newcomer", 0.5))
     assert [a.request for a in service.acts] == ["urgent"]
     assert [f.req.id for f in service.queue] == ["newcomer"]
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -328,7 +328,7 @@
 def test_what_no_slot_can_serve_in_time_is_not_charged():
     # Charges of requests then refused for want of a slot used the quota up, and peers were told so.
     g = GatewayDriver(backends=1)
-    g.gw.slots, g.gw.latency["read"] = 1.0, 5.0
+    g.gw.limit.slots, g.gw.latency["read"] = 1.0, 5.0
     g.ask(customer=1)
     acts = g.ask(customer=2)
     only(acts, io.Refuse)
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -106,7 +106,7 @@
 def test_held_requests_behind_a_blocked_one_are_answered_too():
     # The look at what is held once stopped at the first blocked request and lost those behind it.
     g = GatewayDriver(backends=1)
-    g.gw.slots = 1.0
+    g.gw.limit.slots = 1.0
     acts = []
     for k in range(6):
         acts += g.ask(["pay", "read"][k % 2], customer=k)
@@ -117,11 +117,11 @@
 
 def test_dearest_goes_first_when_a_slot_comes_free():
     g = GatewayDriver(backends=1)
-    g.gw.slots = 1.0
+    g.gw.limit.slots = 1.0
     first = only(g.ask(customer=1), io.Attempt)
     g.ask("read", customer=2)
     g.ask("pay", customer=3)
-    g.gw.slots = 1.0
+    g.gw.limit.slots = 1.0
     assert some(g.end(first), io.Attempt)[0].request == "r3"
 
 
@@ -183,7 +183,7 @@
 def test_attempts_that_hang_say_nothing_of_a_backend_that_answers_others():
     # Each silence between two answers counted once for each of them: live backends were ejected all the time.
     g = GatewayDriver(backends=2)
-    g.gw.slots = 40.0
+    g.gw.limit.slots = 40.0
     for k in range(12):
         only(g.ask("once", customer=k), io.Attempt)
     rounds(g, 80, 0.05)
@@ -230,23 +230,23 @@
 def test_a_jam_from_the_start_is_not_taken_for_the_norm():
     # Latency measured in a jam became the base, and the limit never shrank.
     g = GatewayDriver(backends=4)
-    before = g.gw.slots
+    before = g.gw.limit.slots
     for k in range(120):
         for a in some(g.ask(customer=k), io.Attempt):
             g.end(a, elapsed=1.8)
-    assert g.gw.base["read"] <= 0.5 and g.gw.slots < before
+    assert g.gw.base["read"] <= 0.5 and g.gw.limit.slots < before
 
 
 def test_overload_recovers_once_answers_are_fast_again():
     # An early gate on latency once refused everything for good, as nothing was sent to unlearn it.
     g = GatewayDriver(backends=4)
     g.gw.latency["read"] = 30.0
-    g.gw.press = 10.0
+    g.gw.limit.latency_ratio = 10.0
     for k in range(300):
         for a in some(g.ask(customer=k), io.Attempt):
             g.end(a, elapsed=0.1)
         g.beat(0.05)
-    assert g.gw.press < 2.0
+    assert g.gw.limit.latency_ratio < 2.0
     assert some(g.ask(customer=999), io.Attempt)
 
 
@@ -255,7 +255,7 @@
     a = only(g.ask(), io.Attempt)
     g.give(io.ClientGone("r1"))
     g.end(a, io.Outcome.TIMEOUT, elapsed=5.0, done=True)
-    assert g.gw.press > 1.0 and g.gw.out == 0
+    assert g.gw.limit.latency_ratio > 1.0 and g.gw.limit.in_flight == 0
 
 
 def test_stray_events_raise_nothing():
@@ -285,12 +285,12 @@
 def test_a_few_very_costly_requests_neither_shrink_the_limit_nor_eject():
     # One answer in twenty at thirty times the usual pulled the limit down and ejected half of the fleet.
     g = GatewayDriver(backends=4)
-    before, out = g.gw.slots, []
+    before, out = g.gw.limit.slots, []
     for k in range(400):
         out += some(g.ask(customer=k), io.Attempt)
         while len(out) > 3:
             g.end(out.pop(0), elapsed=6.0 if k % 20 == 0 else 0.2)
-    assert g.gw.slots >= before
+    assert g.gw.limit.slots >= before
     assert not some(g.log, io.Log)
 
 
@@ -319,7 +319,7 @@
     stuck = only(g.ask(customer=9), io.Attempt)
     assert not some(g.beat(5.0), io.CancelAttempt)
     g.end(stuck, io.Outcome.TIMEOUT, elapsed=6.0)
-    assert g.gw.out == 0
+    assert g.gw.limit.in_flight == 0
 
 
 def test_an_idle_ingress_sets_no_timer():
@@ -336,26 +336,26 @@
 def test_a_limit_below_one_slot_rests_between_attempts():
     # One attempt out at each of hundreds of ingresses is many at each backend, and nothing could go below it.
     g = GatewayDriver(backends=4, instances=40)
-    g.gw.press, g.gw.slots = 4.0, 0.5
+    g.gw.limit.latency_ratio, g.gw.limit.slots = 4.0, 0.5
     g.end(only(g.ask("once"), io.Attempt), elapsed=1.0)
     assert not some(g.ask("once", customer=8), io.Attempt)
-    assert g.gw.slots < 0.5 and g.gw.paused > g.now
+    assert g.gw.limit.slots < 0.5 and g.gw.limit.paused_until > g.now
 
 
 def test_few_answers_each_say_more():
     g = GatewayDriver(backends=4, instances=40)
-    g.gw.slots = before = 8.0
+    g.gw.limit.slots = before = 8.0
     for k in range(6):  # 3 s of late answers, two a second
         a = only(g.ask(customer=k), io.Attempt)
         g.now += 0.5
         g.end(a, elapsed=1.9)
-    assert g.gw.slots < before / 1.5
+    assert g.gw.limit.slots < before / 1.5
 
 
 def test_a_class_turned_away_by_some_is_routed_round_them_and_shrinks_nothing():
     # 'full' for one class at half of the fleet was taken for a full fleet and shrank the limit.
     g = GatewayDriver(backends=4, classes=(SAFE, UNSAFE), max_attempts=4)
-    g.gw.slots = before = 6.0
+    g.gw.limit.slots = before = 6.0
     tries = []
     for k in range(30):
         acts, n = g.ask("once", customer=k), 0
@@ -363,13 +363,13 @@
             out = io.Outcome.FULL if sent[0].backend in ("b0", "b1") else io.Outcome.OK
             acts, n = g.end(sent[0], out, n=n), n + 1
         tries.append(n)
-    assert sum(tries[-10:]) <= 12 and g.gw.slots >= before
+    assert sum(tries[-10:]) <= 12 and g.gw.limit.slots >= before
 
 
 def test_full_is_not_sent_on_while_answers_are_late():
     # In a jam each 'full' went on to the next full backend, five attempts a request, and the jam stayed.
     g = GatewayDriver(backends=4)
-    g.gw.press = 4.0
+    g.gw.limit.latency_ratio = 4.0
     acts = g.end(only(g.ask(), io.Attempt), io.Outcome.FULL)
     assert not some(acts, io.Attempt) and len(finals(acts)) == 1
 
@@ -419,7 +419,7 @@
     i.give(io.ListUpdate(io.ListKind.CHANGE, 2, gone))
     assert set(i.gw.fleet.backends) == {a.backend} and other not in i.gw.fleet.backends
     i.end(a)
-    assert i.gw.out == 0
+    assert i.gw.limit.in_flight == 0
     i.give(io.ListUpdate(io.ListKind.CHANGE, 3))
     assert not i.gw.fleet.backends
     i.give(io.ListUpdate(io.ListKind.WHOLE, 3, (io.BackendEntry("b9", io.Phase.RUNNING),)))
@@ -440,9 +440,9 @@
     attempt = only(g.ask(), io.Attempt)
     g.give(io.ListUpdate(io.ListKind.WHOLE, 2, entries))
     g.give(io.ListUpdate(io.ListKind.WHOLE, 3, ()))
-    assert g.gw.out == 1
+    assert g.gw.limit.in_flight == 1
     g.end(attempt, io.Outcome.RESET)
-    assert g.gw.out == 0
+    assert g.gw.limit.in_flight == 0
 
 
 def test_an_ingress_that_has_only_begun_uses_cold_backends_within_what_is_sure():
--- a/tests/test_flow.py
+++ b/tests/test_flow.py
@@ -518,12 +518,12 @@
 def test_a_body_on_its_way_is_no_work_yet_and_time_runs_from_its_end():
     g = Driven(backends=1)
     a = only(g.give(io.Request("u1", "once", "basic", 7, 6.0, 1.0, 2, flows=True)), io.Attempt)
-    assert g.gw.out == 0
+    assert g.gw.limit.in_flight == 0
     assert not some(g.beat(30.0), io.CancelAttempt) and not g.gw.fleet.backends["b0"].resting
     g.give(io.AttemptWritten("u1", 0, "b0"))
-    assert g.gw.out == 1 and g.gw.active_requests["u1"].aim == g.now + 2.0
+    assert g.gw.limit.in_flight == 1 and g.gw.active_requests["u1"].aim == g.now + 2.0
     g.end(a)
-    assert g.gw.out == 0 and not g.gw.active_requests and g.gw.latency["once"] < 1.0
+    assert g.gw.limit.in_flight == 0 and not g.gw.active_requests and g.gw.latency["once"] < 1.0
 
 
 def test_a_body_that_is_gone_is_not_tried_again():
@@ -540,8 +540,8 @@
     a = only(g.ask(), io.Attempt)
     g.now += 0.2
     g.give(io.AttemptStarted(a.request, 0, a.backend, 0.2))
-    assert g.gw.out == 0 and not g.gw.fleet.backends[a.backend].out
+    assert g.gw.limit.in_flight == 0 and not g.gw.fleet.backends[a.backend].out
     assert not some(g.beat(30.0), io.CancelAttempt)
     assert g.gw.members(g.now) == (2, 0)
     g.end(a, elapsed=30.0)
-    assert not g.gw.active_requests and g.gw.out == 0 and g.gw.latency["read"] < 1.0
+    assert not g.gw.active_requests and g.gw.limit.in_flight == 0 and g.gw.latency["read"] < 1.0
