--- a/gateway/quota/peers.py
+++ b/gateway/quota/peers.py
@@ -1,5 +1,4 @@
-"""How many quota clients may have a share, and until when: what holders and quota clients tell one another
-of it."""
+"""How many quota clients may have a share, and until when, as shard owners and clients report it."""
 
 from __future__ import annotations
 
