Model sockets: what they use of the deployment is a protocol

Cause: proxy_sockets imported processes under TYPE_CHECKING and processes imports proxy_sockets: a circle. Change: Upstream is given the simulated process, its location and a ConnectionEnvironment (network, listeners, vacant); no behaviour changes.

--- a/proving/model/processes.py
+++ b/proving/model/processes.py
@@ -174,7 +174,15 @@
         super().__init__(machine, settings, rng)
         half = max(32, (settings.own.limits.max_fds - RESERVED_DESCRIPTORS) // 2)
         self.attach_recording("proxy", None)
-        self.upstream = Upstream(self, proxy_node_module.CONNECT_TIMEOUT_S, BACKEND_IDLE_S, half, SILENT_S)
+        self.upstream = Upstream(
+            self,
+            self.place,
+            machine.deployment,
+            proxy_node_module.CONNECT_TIMEOUT_S,
+            BACKEND_IDLE_S,
+            half,
+            SILENT_S,
+        )
         self.proxy_node = ProxyNode(self, self.loop, self.time, settings, self.upstream, rng)
         if self.recording is not None:
             self.recording.attach(self.proxy_node)
--- a/proving/model/proxy_sockets.py
+++ b/proving/model/proxy_sockets.py
@@ -4,29 +4,58 @@
 
 import asyncio
 import socket
-from typing import TYPE_CHECKING, Any, cast
+from collections.abc import Mapping
+from typing import Any, Protocol, cast
 
+from gateway.state_machine import Address
+from proving.model.network import Location, Network
+from proving.model.simulator import Process
 from proving.model.tcp import TcpEndpoint, connect
 from roadspur.net import upstream as real
 from roadspur.net.client import ClientConnection
 from roadspur.net.server import Server
 from roadspur.net.upstream import Pool
 
-if TYPE_CHECKING:
-    from proving.model.processes import ProxyProcess
+
+class ConnectionListener(Protocol):
+    """What takes connections at an address."""
+
+    @property
+    def place(self) -> Location:
+        """Where it stands."""
+
+    def accept(self, end: TcpEndpoint) -> bool | None:
+        """A caller connects: taken, refused, or (None) not answered at all."""
+
+
+class ConnectionEnvironment(Protocol):
+    """What connections need to know of the deployment around them."""
+
+    @property
+    def network(self) -> Network:
+        """All links."""
+
+    @property
+    def listeners(self) -> Mapping[Address, ConnectionListener]:
+        """What takes connections, by address."""
+
+    def vacant(self, ip: str) -> bool:
+        """Whether there is nothing at an address, not even a machine that could say so."""
 
 
 class Upstream(real.Upstream):
     """Connections to backends; only how one is opened is the model's."""
 
-    def __init__(self, process: ProxyProcess, *args: Any) -> None:
+    def __init__(
+        self, process: Process, place: Location, environment: ConnectionEnvironment, *args: Any
+    ) -> None:
         super().__init__(process.loop, *args)
-        self.process = process
+        self.process, self.place, self.environment = process, place, environment
 
     async def connect(self, pool: Pool) -> real.Connection:
-        process = self.process
+        process, environment = self.process, self.environment
         ip, port = pool.endpoint.address
-        backend = process.machine.deployment.listeners.get(f"{ip}:{port}")
+        backend = environment.listeners.get(f"{ip}:{port}")
         future = process.create_future()
 
         def made(end: TcpEndpoint | None) -> None:
@@ -40,8 +69,8 @@
 
         if backend is not None:
             connect(
-                process.machine.network,
-                process.place,
+                environment.network,
+                self.place,
                 process,
                 backend.place,
                 False,
@@ -49,7 +78,7 @@
                 backend.accept,
                 made,
             )
-        elif not process.machine.deployment.vacant(ip):
+        elif not environment.vacant(ip):
             process.call_later(0.001, made, None)
         async with asyncio.timeout(self.connect_timeout):
             end = await future
@@ -89,7 +118,7 @@
         self.listening_socket = ListeningSocket()
         self.listener = cast(asyncio.Server, self.listening_socket)
 
-    def accept(self, process: ProxyProcess, end: TcpEndpoint) -> bool:
+    def accept(self, process: Process, end: TcpEndpoint) -> bool:
         """A client connects: taken by the kernel, and by the program once it gets round to it."""
         if process.ended or not self.listening_socket.open:
             return False
