Model processes: the machine they run on is a protocol

Cause: processes imported machines under TYPE_CHECKING and machines imports processes: a circle. Change: ProcessHost and ProcessEnvironment say what a process uses of its machine and deployment; no behaviour changes.

--- a/proving/model/processes.py
+++ b/proving/model/processes.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
-from typing import TYPE_CHECKING, Any
+from collections.abc import Callable, Mapping
+from typing import Any, Protocol
 
 from gateway.consensus import api as consensus
 from gateway.consensus.records import PersistentState
@@ -17,26 +17,77 @@
 from gateway.runtime.http_listener import HttpCall
 from gateway.runtime.settings import Settings
 from gateway.state_machine import Address
-from proving.model.network import Location
-from proving.model.proxy_sockets import SimulatedServer, Upstream
-from proving.model.simulator import Process
+from proving.model.disk import Disk
+from proving.model.network import Location, Network
+from proving.model.proxy_sockets import ConnectionEnvironment, SimulatedServer, Upstream
+from proving.model.record import Record
+from proving.model.simulator import Process, Simulator
 from proving.recording import Recording, RecordingHeader
 from roadspur.net.connection_interfaces import Limits
 
-if TYPE_CHECKING:
-    from proving.model.machines import Machine
-
 CONTROLLER_TICK_S, PROXY_TICK_S = 0.025, 0.05
 KINDS = {CONSENSUS: "register", MEMBERSHIP: "rounds", QUOTA: "franking"}
 TICK = membership.Tick()
 
 
+class ProcessEnvironment(ConnectionEnvironment, Protocol):
+    """What a process uses of the deployment around it."""
+
+    @property
+    def rng(self) -> random.Random:
+        """The deployment's chance."""
+
+    @property
+    def record(self) -> Record:
+        """What the run leaves behind."""
+
+    @property
+    def recordings(self) -> list[tuple[str, Recording]] | None:
+        """Of all processes by their names, if they are wanted."""
+
+    @property
+    def ports(self) -> Mapping[Address, Location]:
+        """Where the processes' ports are, also those of processes that have ended."""
+
+    @property
+    def at_port(self) -> Mapping[Address, Program]:
+        """The processes that run, by their ports."""
+
+
+class ProcessHost(Protocol):
+    """What a process uses of the machine that it runs on."""
+
+    name: str
+    place: Location
+    cost: float
+    speed: float
+
+    @property
+    def deployment(self) -> ProcessEnvironment:
+        """The deployment around the machine."""
+
+    @property
+    def simulator(self) -> Simulator:
+        """Simulated time."""
+
+    @property
+    def network(self) -> Network:
+        """All links."""
+
+    @property
+    def disk(self) -> Disk:
+        """The machine's disk."""
+
+    def end(self, process: Program) -> None:
+        """A process ends of itself."""
+
+
 class Program(Process):
     """What both programs have in common: their place, messages, ticks and signals."""
 
     kind = ""
 
-    def __init__(self, machine: Machine, settings: Settings, rng: random.Random) -> None:
+    def __init__(self, machine: ProcessHost, settings: Settings, rng: random.Random) -> None:
         simulator = machine.simulator
         super().__init__(
             simulator,
@@ -45,7 +96,7 @@
             rng.uniform(1e3, 1e5),
             rng.uniform(-2e-5, 2e-5),
         )
-        self.machine: Machine = machine
+        self.machine: ProcessHost = machine
         self.settings, self.rng = settings, rng
         self.place: Location = machine.place
         self.me: Address = settings.own_address(self.kind)
@@ -116,7 +167,7 @@
 
     kind = "controller"
 
-    def __init__(self, machine: Machine, settings: Settings, rng: random.Random) -> None:
+    def __init__(self, machine: ProcessHost, settings: Settings, rng: random.Random) -> None:
         super().__init__(machine, settings, rng)
         self.attach_recording("controller", machine.disk.stored)
         self.controller_node = ControllerNode(self, self.time, settings, machine.disk.stored, rng)
@@ -170,7 +221,7 @@
 
     kind = "proxy"
 
-    def __init__(self, machine: Machine, settings: Settings, rng: random.Random) -> None:
+    def __init__(self, machine: ProcessHost, settings: Settings, rng: random.Random) -> None:
         super().__init__(machine, settings, rng)
         half = max(32, (settings.own.limits.max_fds - RESERVED_DESCRIPTORS) // 2)
         self.attach_recording("proxy", None)
