Model machines: the deployment around them is a protocol

Cause: machines imported deployment under TYPE_CHECKING and deployment imports machines: a circle. Change: MachineEnvironment says what a machine uses of its deployment; no behaviour changes.

--- a/proving/model/machines.py
+++ b/proving/model/machines.py
@@ -3,27 +3,59 @@
 from __future__ import annotations
 
 import random
-from typing import TYPE_CHECKING
+from typing import Protocol
 
+from gateway.runtime.settings import Settings
 from gateway.state_machine import Address
 from proving.model.disk import Disk
 from proving.model.network import Location, Network
-from proving.model.processes import ControllerProcess, Program, ProxyProcess
+from proving.model.processes import ControllerProcess, ProcessEnvironment, Program, ProxyProcess
 from proving.model.simulator import Simulator
-
-if TYPE_CHECKING:
-    from proving.model.deployment import Deployment
+from proving.spec import Spec
 
 CONTROL = 8407  # the port at which `control` is served
 RESTART_S = 0.8  # until the platform has started again what has ended
 START_S = 0.25  # of a program, until it does anything (as seen on the bench)
 
 
+class MachineEnvironment(ProcessEnvironment, Protocol):
+    """What a machine uses of the deployment around it."""
+
+    ports: dict[Address, Location]
+    at_port: dict[Address, Program]
+
+    @property
+    def simulator(self) -> Simulator:
+        """Simulated time."""
+
+    @property
+    def spec(self) -> Spec:
+        """The experiment."""
+
+    def settings(self, machine: Machine, role: str) -> Settings:
+        """What a process is told at its start."""
+
+    def listed(self) -> tuple[Address, ...]:
+        """Who serves `control`, by the list that callers have."""
+
+    def started(self, process: Program) -> None:
+        """A process begins."""
+
+    def account(self, process: Program) -> None:
+        """A process has ended."""
+
+
 class Machine:
     """A machine: its place and address, its disk if it is of the core, and its processes."""
 
     def __init__(
-        self, deployment: Deployment, name: str, ip: str, zone: str, roles: tuple[str, ...], fresh: bool
+        self,
+        deployment: MachineEnvironment,
+        name: str,
+        ip: str,
+        zone: str,
+        roles: tuple[str, ...],
+        fresh: bool,
     ) -> None:
         self.deployment, self.name, self.ip, self.roles, self.fresh = deployment, name, ip, roles, fresh
         self.simulator: Simulator = deployment.simulator
