Model backends: the deployment around them is a protocol; payloads on their own

Cause: backends imported deployment under TYPE_CHECKING and deployment imports backends: a circle. Change: BackendEnvironment says what a backend uses of its deployment. body_of and seal, which clients use too, move to proving.model.payloads; no behaviour changes.

--- a/proving/model/backends.py
+++ b/proving/model/backends.py
@@ -3,35 +3,25 @@
 from __future__ import annotations
 
 import json
-import zlib
+import random
 from collections import deque
 from collections.abc import Callable
 from functools import partial
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
+from gateway.state_machine import Address
 from proving.model.network import Location
-from proving.model.record import Arrived, BackendEvent
+from proving.model.payloads import body_of, seal
+from proving.model.record import Arrived, BackendEvent, Record
+from proving.model.simulator import Simulator
 from proving.model.tcp import TcpEndpoint
-from proving.spec import Service
+from proving.spec import Service, Spec
 from roadspur.net.http_messages import Response
 
-if TYPE_CHECKING:
-    from proving.model.deployment import Deployment
-
 LEAVE_S = 4.0  # to get an acknowledgement before it ends all the same
 Done = Callable[[Response | None], Any]
 
 
-def body_of(attempt: str, most: int) -> bytes:
-    """The body of a try: its id again and again, up to a length that follows from the id."""
-    return (attempt.encode() * (most // 16 + 1))[: int(attempt, 16) % (most + 1)] if most else b""
-
-
-def seal(attempt: str, body: bytes) -> bytes:
-    """What proves that an answer's body is the backend's whole one."""
-    return b"%08x.%s" % (zlib.crc32(body), attempt.encode())
-
-
 class BackendRequest:
     """A request at a backend."""
 
@@ -44,19 +34,59 @@
         self.running = self.over = False
 
 
+class BackendEnvironment(Protocol):
+    """What a backend uses of the deployment around it."""
+
+    listeners: dict[Address, Backend]
+
+    @property
+    def simulator(self) -> Simulator:
+        """Simulated time."""
+
+    @property
+    def spec(self) -> Spec:
+        """The experiment."""
+
+    @property
+    def record(self) -> Record:
+        """What the run leaves behind."""
+
+    def some_control(self, place: Location, rng: random.Random) -> Address | None:
+        """One of those that serve `control`."""
+
+    def call(
+        self,
+        place: Location,
+        address: Address | None,
+        method: str,
+        path: str,
+        body: bytes,
+        wait_s: float,
+        done: Callable[[int, str, bytes], Any],
+    ) -> None:
+        """Call `control` at an address: `done(status, machine, body)`."""
+
+    def work_s(self, path: str, rng: random.Random) -> float:
+        """The work of one request, at a backend of usual pace."""
+
+    def spoil(self, backend: Backend, data: bytes) -> list[tuple[float, bytes | None]]:
+        """What becomes of an answer on its way out."""
+
+
 class Backend:
     """One life of a backend. It beats from `start` on."""
 
     def __init__(
-        self, deployment: Deployment, service: Service, name: str, address: str, place: Location, pace: float
+        self,
+        deployment: BackendEnvironment,
+        service: Service,
+        name: str,
+        address: str,
+        place: Location,
+        pace: float,
     ) -> None:
-        self.deployment, self.service, self.id, self.address, self.place = (
-            deployment,
-            service,
-            name,
-            address,
-            place,
-        )
+        self.deployment, self.service, self.id = deployment, service, name
+        self.address, self.place = address, place
         self.simulator, self.rng = deployment.simulator, deployment.simulator.chance()
         self.pace = pace  # times the usual time that it takes
         self.began = self.simulator.now
--- a/proving/model/client_attempts.py
+++ b/proving/model/client_attempts.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING, Any
 
-from proving.model.backends import body_of, seal
+from proving.model.payloads import body_of, seal
 from proving.model.processes import ProxyProcess
 from proving.model.tcp import TcpEndpoint, connect
 from roadspur.net.http_messages import ResponseReader
