Model clients: who owns an attempt is a protocol; requests in a module of their own

Cause: client_attempts imported client_load and machines under TYPE_CHECKING, and client_load imports client_attempts: a circle. operators, injected_bugs and client_load hid imports that close no circle. Change: AttemptOwner says what an attempt uses of its clients; Request moves to proving.model.client_requests; the other hidden imports are plain ones.

--- a/proving/model/client_attempts.py
+++ b/proving/model/client_attempts.py
@@ -2,17 +2,20 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from collections.abc import Mapping
+from typing import Any, Protocol
 
+from proving.model.client_requests import Request
+from proving.model.machines import Machine
+from proving.model.network import Location, Network
 from proving.model.payloads import body_of, seal
 from proving.model.processes import ProxyProcess
+from proving.model.record import Record
+from proving.model.simulator import Simulator
 from proving.model.tcp import TcpEndpoint, connect
+from proving.spec import Spec
 from roadspur.net.http_messages import ResponseReader
 
-if TYPE_CHECKING:
-    from proving.model.client_load import ClientLoad, Request
-    from proving.model.machines import Machine
-
 CONNECT_S = 1.0
 
 
@@ -35,11 +38,49 @@
     return "" if rest.partition(b"\r\n")[0] == seal(attempt, body) else "not the whole body"
 
 
+class AttemptOwner(Protocol):
+    """What an attempt and its connection use of the clients that they belong to."""
+
+    idle: dict[tuple[str, int], SimulatedClientConnection]
+
+    @property
+    def simulator(self) -> Simulator:
+        """Simulated time."""
+
+    @property
+    def network(self) -> Network:
+        """All links."""
+
+    @property
+    def spec(self) -> Spec:
+        """The experiment."""
+
+    @property
+    def record(self) -> Record:
+        """What the run leaves behind."""
+
+    @property
+    def places(self) -> Mapping[str, Location]:
+        """Where the clients of each zone are."""
+
+    def over(
+        self,
+        request: Request,
+        attempt: str,
+        machine: Machine,
+        status: int,
+        after: float,
+        fault: str,
+        read: bool,
+    ) -> None:
+        """An attempt has come to something."""
+
+
 class SimulatedClientConnection:
     """A client's connection to an ingress: one try at a time."""
 
-    def __init__(self, load: ClientLoad, machine: Machine, slot: tuple[str, int]) -> None:
-        self.load, self.machine, self.slot = load, machine, slot
+    def __init__(self, owner: AttemptOwner, machine: Machine, slot: tuple[str, int]) -> None:
+        self.owner, self.machine, self.slot = owner, machine, slot
         self.end: TcpEndpoint | None = None
         self.reader = ResponseReader(flows=True)
         self.current: ClientAttempt | None = None
@@ -67,7 +108,7 @@
                 answer.status, read_after(lines), judge(answer.status, lines, answer.body, current.attempt)
             )
             if answer.keep and len(answers) == 1:
-                self.load.idle[self.slot] = self
+                self.owner.idle[self.slot] = self
             else:
                 self.drop()
             return
@@ -75,23 +116,23 @@
     def stray(self, data: bytes) -> None:
         """Something comes that nobody waits for: no harm unless it looks like a success."""
         if b" 200 " in data[:20]:
-            self.load.record.faults.append(f"MIXED: a success on an idle connection at {self.machine.name}")
+            self.owner.record.faults.append(f"MIXED: a success on an idle connection at {self.machine.name}")
 
     def eof_received(self) -> bool:
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.open = False
-        if self.load.idle.get(self.slot) is self:
-            del self.load.idle[self.slot]
+        if self.owner.idle.get(self.slot) is self:
+            del self.owner.idle[self.slot]
         current, self.current = self.current, None
         if current is not None:
             current.end(0, 0.0, "", current.was_read())
 
     def drop(self) -> None:
         self.open = False
-        if self.load.idle.get(self.slot) is self:
-            del self.load.idle[self.slot]
+        if self.owner.idle.get(self.slot) is self:
+            del self.owner.idle[self.slot]
         if self.end is not None:
             self.end.close()
 
@@ -99,10 +140,10 @@
 class ClientAttempt:
     """One try of a request at one ingress, over a kept connection or a new one."""
 
-    def __init__(self, load: ClientLoad, request: Request, attempt: str, machine: Machine) -> None:
-        self.load, self.request, self.attempt, self.machine = load, request, attempt, machine
-        self.simulator, self.network = load.simulator, load.deployment.network
-        self.place = load.places[request.zone]
+    def __init__(self, owner: AttemptOwner, request: Request, attempt: str, machine: Machine) -> None:
+        self.owner, self.request, self.attempt, self.machine = owner, request, attempt, machine
+        self.simulator, self.network = owner.simulator, owner.network
+        self.place = owner.places[request.zone]
         self.ended = False
         self.read_before = 0
 
@@ -115,19 +156,19 @@
         """What it came to."""
         if not self.ended:
             self.ended = True
-            self.load.over(self.request, self.attempt, self.machine, status, after, fault, read)
+            self.owner.over(self.request, self.attempt, self.machine, status, after, fault, read)
 
     def begin(self) -> None:
         r = self.request
         slot = (r.zone, r.hashed)
         self.simulator.at(r.ends, self.give_up)
-        known = self.load.idle.get(slot)
+        known = self.owner.idle.get(slot)
         if known is not None and known.machine is self.machine and known.open and not r.ways:
-            del self.load.idle[slot]
+            del self.owner.idle[slot]
             self.connection = known
             self.write()
             return
-        self.connection = SimulatedClientConnection(self.load, self.machine, slot)
+        self.connection = SimulatedClientConnection(self.owner, self.machine, slot)
         self.simulator.after(CONNECT_S, self.no_connection)
         connect(self.network, self.place, None, self.machine.place, True, None, self.accept, self.made)
 
@@ -157,7 +198,7 @@
         connection.current = self
         self.read_before = connection.end.peer.taken_bytes
         left = max(1, int(1000 * (r.ends - self.simulator.now)))
-        body = b"" if r.kind.safe else body_of(self.attempt, self.load.deployment.spec.day.bodies)
+        body = b"" if r.kind.safe else body_of(self.attempt, self.owner.spec.day.bodies)
         length = b"" if r.kind.safe else b"Content-Length: %d\r\n" % len(body)
         connection.end.write(
             b"%s %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\n"
--- a/proving/model/client_load.py
+++ b/proving/model/client_load.py
@@ -2,20 +2,17 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 import numpy as np
 
 from proving.model.client_attempts import ClientAttempt, SimulatedClientConnection
+from proving.model.client_requests import Request
+from proving.model.deployment import Deployment
+from proving.model.machines import Machine
 from proving.model.network import Location
-from proving.model.operators import HOST, Document, OperatorPool, keys_of, routes_of, shares
+from proving.model.operators import Document, OperatorPool, keys_of, routes_of, shares
 from proving.model.record import Answered, Sent
 from proving.spec import Kind
 
-if TYPE_CHECKING:
-    from proving.model.deployment import Deployment
-    from proving.model.machines import Machine
-
 PROMISES = (429, 503, 408, 421)
 FINAL = (400, 401, 404, 413, 431)
 PROBED = 3  # routes, and keys, that are asked for after a change
@@ -23,46 +20,6 @@
 DRAWN = 256  # arrivals that are drawn at once
 
 
-class Request:
-    """A request of a client, with all its tries."""
-
-    __slots__ = (
-        "began",
-        "ends",
-        "host",
-        "key",
-        "kind",
-        "label",
-        "left",
-        "number",
-        "path",
-        "probe",
-        "tenant",
-        "ways",
-        "zone",
-        "hashed",
-    )
-
-    def __init__(
-        self,
-        number: int,
-        kind: Kind,
-        label: str,
-        path: str,
-        tenant: str,
-        key: str,
-        zone: str,
-        hashed: int,
-        now: float,
-    ) -> None:
-        self.number, self.kind, self.label, self.path = number, kind, label, path
-        self.tenant, self.key, self.zone, self.hashed = tenant, key, zone, hashed
-        self.host, self.probe = HOST, False
-        self.began, self.ends = now, now + kind.deadline_s
-        self.left = kind.repeats
-        self.ways: set[str] = set()
-
-
 class ClientLoad:
     """All clients: requests of each kind come at random, by tenant, zone and client."""
 
@@ -71,7 +28,8 @@
         self.simulator, self.record = deployment.simulator, deployment.record
         self.rng = self.simulator.chance()
         self.numbers = self.simulator.numbers()
-        spec = deployment.spec
+        self.network = deployment.network
+        spec = self.spec = deployment.spec
         self.tenants = shares(spec.tenants.count, spec.tenants.uneven)
         self.zones = spec.zones
         self.count = 0
@@ -84,20 +42,20 @@
 
     def begin(self) -> None:
         """Traffic starts."""
-        for kind in self.deployment.spec.kinds:
+        for kind in self.spec.kinds:
             self.draw(kind)
         self.operator_pool.followers.append(self.follow)
 
     def draw(self, kind: Kind) -> None:
         """The next arrivals of a kind."""
-        rate = kind.rate * self.deployment.spec.day.load
+        rate = kind.rate * self.spec.day.load
         if rate <= 0:
             return
         n = DRAWN
         gaps = np.cumsum(self.numbers.exponential(1 / rate, n))
         tenants = self.numbers.choice(len(self.tenants), n, p=self.tenants).tolist()
         zones = self.numbers.integers(len(self.zones), size=n).tolist()
-        clients = self.numbers.integers(self.deployment.spec.day.clients, size=n).tolist()
+        clients = self.numbers.integers(self.spec.day.clients, size=n).tolist()
         now = self.simulator.now
         for gap, tenant, zone, client in zip(gaps.tolist(), tenants, zones, clients, strict=True):
             self.simulator.at(now + gap, self.arrive, kind, tenant, zone, client)
@@ -105,8 +63,8 @@
 
     def press(self, tenant: int, factor: float, until: float) -> None:
         """A tenant sends `factor` times its usual for a while."""
-        kinds = self.deployment.spec.kinds
-        usual = self.tenants[tenant] * sum(k.rate for k in kinds) * self.deployment.spec.day.load
+        kinds = self.spec.kinds
+        usual = self.tenants[tenant] * sum(k.rate for k in kinds) * self.spec.day.load
         rate = (factor - 1) * usual
 
         def one() -> None:
@@ -143,7 +101,7 @@
         labels = [label for label in {**old, **new} if old.get(label) != new.get(label)]
         before, after = keys_of(former), keys_of(document)
         keys = [key for key in {**before, **after} if before.get(key) != after.get(key)]
-        kind = self.deployment.spec.kinds[0]
+        kind = self.spec.kinds[0]
         usual = next(iter(after))
         asked = [(label, usual) for label in self.rng.sample(labels, min(PROBED, len(labels)))]
         asked += [(kind.name, key) for key in self.rng.sample(keys, min(PROBED, len(keys)))]
@@ -153,7 +111,7 @@
 
     def ask(self, label: str, key: str) -> None:
         """One such request to each ingress that is in."""
-        kind = self.deployment.spec.kinds[0]
+        kind = self.spec.kinds[0]
         tenant = keys_of(self.operator_pool.newest).get(key, "")
         for machine in list(self.deployment.machines.values()):
             if self.deployment.isready.get(machine.name) and self.simulator.now < self.until:
@@ -224,7 +182,7 @@
                     (request.began, request.label, request.tenant, request.zone, now - request.began)
                 )
             return
-        impatient = request.hashed < self.deployment.spec.day.impatient * self.deployment.spec.day.clients
+        impatient = request.hashed < self.spec.day.impatient * self.spec.day.clients
         if status in FINAL or request.left <= (-3 if impatient else 0):
             return
         if not request.kind.safe and status not in PROMISES and read:
--- /dev/null
+++ b/proving/model/client_requests.py
@@ -0,0 +1,46 @@
+"""Requests of clients."""
+
+from __future__ import annotations
+
+from proving.model.operators import HOST
+from proving.spec import Kind
+
+
+class Request:
+    """A request of a client, with all its tries."""
+
+    __slots__ = (
+        "began",
+        "ends",
+        "host",
+        "key",
+        "kind",
+        "label",
+        "left",
+        "number",
+        "path",
+        "probe",
+        "tenant",
+        "ways",
+        "zone",
+        "hashed",
+    )
+
+    def __init__(
+        self,
+        number: int,
+        kind: Kind,
+        label: str,
+        path: str,
+        tenant: str,
+        key: str,
+        zone: str,
+        hashed: int,
+        now: float,
+    ) -> None:
+        self.number, self.kind, self.label, self.path = number, kind, label, path
+        self.tenant, self.key, self.zone, self.hashed = tenant, key, zone, hashed
+        self.host, self.probe = HOST, False
+        self.began, self.ends = now, now + kind.deadline_s
+        self.left = kind.repeats
+        self.ways: set[str] = set()
--- a/proving/model/injected_bugs.py
+++ b/proving/model/injected_bugs.py
@@ -7,18 +7,16 @@
 
 import random
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from gateway.config.orders import ConfigState
 from gateway.config.routing import Route
 from gateway.consensus import api as consensus
+from proving.model.deployment import Deployment
 from proving.model.processes import ControllerProcess, Program, ProxyProcess
 from roadspur import interface as io
 from roadspur.net.connection_interfaces import ImmediateResponse
 
-if TYPE_CHECKING:
-    from proving.model.deployment import Deployment
-
 
 def _stale(s: ProxyProcess) -> None:
     """Takes up the first configuration only, and nothing in it looks for that."""
--- a/proving/model/operators.py
+++ b/proving/model/operators.py
@@ -6,14 +6,12 @@
 import json
 import random
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
+from proving.model.deployment import Deployment
 from proving.model.network import Location
 from proving.model.record import Order, Read, Repeat
 
-if TYPE_CHECKING:
-    from proving.model.deployment import Deployment
-
 HOST = "gate.example"
 Document = dict[str, Any]
 Entry = dict[str, Any]
@@ -100,7 +98,7 @@
 
 
 class Operator:
-    """One operator. What is known to be in force is shared by all of them in `Desk`."""
+    """One operator. What is known to be in force is shared by all of them in the `OperatorPool`."""
 
     def __init__(self, deployment: Deployment, operator_pool: OperatorPool, name: str, zone: str) -> None:
         self.deployment, self.operator_pool, self.name = deployment, operator_pool, name
