--- a/tests/system/test_proving.py
+++ b/tests/system/test_proving.py
@@ -59,7 +59,7 @@
 
 
 def test_one_seed_is_one_run_wherever_its_objects_lie_in_memory(monkeypatch):
-    """A set goes through its items by their hashes, which are addresses in memory: here they are turned round."""
+    """A set goes through its items by their hashes, that is by addresses: here they are turned round."""
     day = replace(SMALL.day, seconds=24.0)
     spec = random_days.random_day(replace(SMALL, day=day), 2)
     first = play(spec, 2)
