Proving: the commands in modules of their own

Change: proving.commands has a module for each subject, proving.cli the registry of commands and main.

--- /dev/null
+++ b/proving/commands/base.py
@@ -0,0 +1,80 @@
+"""What the commands share: their usual arguments and options, and how they print."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from cleo.commands.command import Command
+from cleo.formatters.formatter import Formatter
+from cleo.helpers import argument, option
+
+from proving import hunt, random_days, spec
+from proving.hunt import HuntResult
+
+EXPERIMENT = argument("file", "An experiment (TOML).")
+SEED = option("seed", "s", "Seed of the run.", flag=False, default="1")
+CORES = option("cores", "c", "Processes at a time, 0 for all cores.", flag=False, default="0")
+CHANCE = option("by-chance", None, "Add troubles by chance, from the seed.")
+GROUPS = option(
+    "groups", "g", f"Of which kinds of trouble: {', '.join(random_days.GROUPS)}.", flag=False, default=""
+)
+VALUES = option("set", None, "Other values, as day.load=0.1,day.seconds=45.", flag=False, default="")
+SEEDS = option("seeds", None, "How many seeds.", flag=False, default="")
+FIRST = option("first", None, "The first seed.", flag=False, default="1")
+
+
+class ProvingCommand(Command):
+    """What all commands share."""
+
+    def tell(self, text: str) -> None:
+        """Print a text as it is."""
+        self.line(Formatter.escape(text))
+
+    def number(self, name: str) -> int:
+        """An option that is a whole number."""
+        return int(self.option(name) or 0)
+
+    def groups(self) -> tuple[str, ...]:
+        """The kinds of trouble to choose from."""
+        chosen = tuple(name for name in (self.option("groups") or "").split(",") if name)
+        for name in chosen:
+            if name not in random_days.GROUPS:
+                raise ValueError(f"{name}: no group of troubles; there are {', '.join(random_days.GROUPS)}")
+        return chosen or tuple(random_days.GROUPS)
+
+    def values(self) -> dict[str, Any]:
+        """Other values than the file's, by their dotted names."""
+        pairs = [each.partition("=") for each in (self.option("set") or "").split(",") if each]
+        return {name: json.loads(value) for name, _, value in pairs}
+
+    def experiment(self) -> spec.Spec:
+        """The experiment's file."""
+        return spec.load(self.argument("file"))[0]
+
+    def day(self) -> spec.Spec:
+        """The experiment's day, or one by chance."""
+        told = spec.change(self.experiment(), self.values())
+        return (
+            random_days.random_day(told, self.number("seed"), self.groups())
+            if self.option("by-chance")
+            else told
+        )
+
+    def findings(self, found: HuntResult) -> int:
+        """Print what is broken."""
+        for broken in found.broken:
+            self.tell(str(broken))
+        return 1 if found.broken else 0
+
+    def handle(self) -> int:
+        hunt.quiet()
+        try:
+            return self.act()
+        except (OSError, ValueError, KeyError) as error:
+            self.line_error(Formatter.escape(str(error)))
+            return 2
+
+    def act(self) -> int:
+        """Carry it out."""
+        raise NotImplementedError
--- /dev/null
+++ b/proving/commands/recordings.py
@@ -0,0 +1,81 @@
+"""Keeps recordings of a day's processes, and plays them again."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import ClassVar
+
+from cleo.helpers import argument, option
+from cleo.io.inputs.argument import Argument
+from cleo.io.inputs.option import Option
+
+from proving.commands.base import CHANCE, EXPERIMENT, GROUPS, SEED, VALUES, ProvingCommand
+
+
+class RecordCommand(ProvingCommand):
+    """Keeps recordings of all processes of a day."""
+
+    name = "record"
+    description = "Play one day, keep a recording of each process, and play those again."
+    arguments: ClassVar[list[Argument]] = [EXPERIMENT]
+    options: ClassVar[list[Option]] = [
+        SEED,
+        CHANCE,
+        GROUPS,
+        VALUES,
+        option("out", "o", "Folder for the recordings.", flag=False, default="found/recordings"),
+    ]
+
+    def act(self) -> int:
+        from proving import recording
+        from proving.model.simulation_run import Run
+
+        run = Run(self.day(), self.number("seed"))
+        recordings: list[tuple[str, recording.Recording]] = []
+        run.deployment.recordings = recordings
+        run.play()
+        folder = Path(self.option("out"))
+        folder.mkdir(parents=True, exist_ok=True)
+        differing = 0
+        for n, (name, each) in enumerate(recordings):
+            path = folder / f"{name.replace(' ', '-')}-{n}.recording"
+            each.save(path)
+            found = recording.replay(each.head, list(each.steps))
+            differing += found is not None
+            self.tell(
+                f"{path}: {each.count} inputs, "
+                + ("same outputs" if found is None else f"another output at input {found.number}")
+            )
+        return 1 if differing else 0
+
+
+class ReplayCommand(ProvingCommand):
+    """Feeds a recording through the state machines again."""
+
+    name = "replay"
+    description = "Feed a recording through the state machines again, or print it."
+    arguments: ClassVar[list[Argument]] = [argument("file", "A recording.")]
+    options: ClassVar[list[Option]] = [
+        option("print", "p", "Print inputs and outputs."),
+        option("begins", "b", "Steady seconds.", flag=False, default="0"),
+        option("ends", "e", "Steady seconds.", flag=False, default="1e12"),
+    ]
+
+    def act(self) -> int:
+        from proving import recording
+
+        head, count, steps = recording.load(Path(self.argument("file")))
+        if self.option("print"):
+            for line in recording.told(steps, float(self.option("begins")), float(self.option("ends"))):
+                self.tell(line)
+            return 0
+        if count > len(steps):
+            self.tell(f"the recording holds the last {len(steps)} of {count} inputs: it can be printed only")
+            return 2
+        found = recording.replay(head, steps)
+        if found is None:
+            self.tell(f"{head.role}: {count} inputs, the same outputs")
+            return 0
+        self.tell(f"input {found.number} at {found.step.now:.4f}, {found.step.machine}:")
+        self.tell("\n".join(["on the recording:", *found.step.outputs, "now:", *found.outputs]))
+        return 1
--- /dev/null
+++ b/proving/commands/run.py
@@ -0,0 +1,33 @@
+"""Plays one day and checks it."""
+
+from __future__ import annotations
+
+from typing import ClassVar
+
+from cleo.io.inputs.argument import Argument
+from cleo.io.inputs.option import Option
+
+from proving import random_days
+from proving.commands.base import CHANCE, EXPERIMENT, GROUPS, SEED, VALUES, ProvingCommand
+from proving.hunt import HuntResult
+
+
+class RunCommand(ProvingCommand):
+    """Plays one day and checks it."""
+
+    name = "run"
+    description = "Play one day, check it, and print its figures."
+    arguments: ClassVar[list[Argument]] = [EXPERIMENT]
+    options: ClassVar[list[Option]] = [SEED, CHANCE, GROUPS, VALUES]
+
+    def act(self) -> int:
+        from proving.checkers import check
+        from proving.measurements import measure
+        from proving.model.simulation_run import play
+
+        day = self.day()
+        record = play(day, self.number("seed"))
+        self.tell(random_days.told(day))
+        for name, value in measure(record, day).items():
+            self.tell(f"{value:14.5g}  {name}")
+        return self.findings(HuntResult(self.number("seed"), day, check(record), {}))
--- /dev/null
+++ b/proving/commands/sweep.py
@@ -0,0 +1,43 @@
+"""Plays an experiment over its parameters' values."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from pathlib import Path
+from typing import ClassVar
+
+from cleo.helpers import option
+from cleo.io.inputs.argument import Argument
+from cleo.io.inputs.option import Option
+
+from proving import spec
+from proving.commands.base import CORES, EXPERIMENT, SEEDS, ProvingCommand
+
+
+class SweepCommand(ProvingCommand):
+    """Plays an experiment over its parameters' values."""
+
+    name = "sweep"
+    description = "Play an experiment over values and seeds; write a table and a report."
+    arguments: ClassVar[list[Argument]] = [EXPERIMENT]
+    options: ClassVar[list[Option]] = [
+        SEEDS,
+        CORES,
+        option("out", "o", "Folder.", flag=False, default="found/proving"),
+    ]
+
+    def act(self) -> int:
+        from proving import report, sweep
+
+        told, over = spec.load(self.argument("file"))
+        if self.option("seeds"):
+            over = replace(over, seeds=self.number("seeds"))
+        rows = list(sweep.rows(told, over, self.number("cores")))
+        folder = Path(self.option("out"))
+        folder.mkdir(parents=True, exist_ok=True)
+        sweep.write_table(rows, folder / f"{told.name}.csv")
+        report.write(told, rows, folder / f"{told.name}.html")
+        self.tell(f"{folder / told.name}.html")
+        broken = [f"{row.values} seed {row.seed}: {b}" for row in rows for b in row.broken]
+        self.tell("\n".join(broken[:20]) or "no rule is broken")
+        return 1 if broken else 0
