Move the leader's replication to its peers into a module of its own

Peer, and what is sent to peers and learnt from their replies, are now in gateway/consensus/replication.py. Methods are moved as they are; those that LeaderRole calls have lost their underscore. No change of behaviour.

The consensus tests (83) and those of order retries, orders, the cut core, operator commands and losses (52) pass.

--- /dev/null
+++ b/gateway/consensus/replication.py
@@ -0,0 +1,174 @@
+"""Replication by a leader: heartbeats, entries and their retries, and the lease that the replies give."""
+
+from __future__ import annotations
+
+from math import inf
+
+from gateway.consensus import consensus_pb2 as pb
+from gateway.consensus.records import NEVER, Entry, LogPosition, Member, put_entry
+from gateway.consensus.replica import Replica
+
+MAX_PAST_MEMBERS = 256  # disks
+MAX_RESEND_WAIT_S = 2.0  # between two times that an entry is sent to one who doesn't answer
+
+
+class Peer:
+    """Another member, as the leader sees it."""
+
+    __slots__ = (
+        "acknowledged_at",
+        "address",
+        "bare_entry_sent_at",
+        "began",
+        "disk",
+        "durable_position",
+        "heard",
+        "last_position",
+        "leaving",
+        "next",
+        "replied_at",
+        "wait",
+    )
+
+    def __init__(self, member: Member, now: float) -> None:
+        self.disk, self.address = member
+        self.began, self.heard = now, NEVER  # first looked for, and last heard
+        self.acknowledged_at = NEVER  # when the newest beat that it has answered was sent
+        self.replied_at = 0.0  # when its newest answer was sent, by its clock; 0: there is none
+        self.last_position: LogPosition | None = None  # newest entry that it has, and has on disk
+        self.durable_position: LogPosition | None = None
+        self.next = self.wait = 0.0  # when an entry is sent once more, and the wait after that
+        self.bare_entry_sent_at = NEVER  # when an entry without its value was sent
+        self.leaving = False  # it wants to be a member no more, by its newest answer
+
+
+class Replication:
+    """The peers of a leader during its term, and what it sends them."""
+
+    def __init__(self, replica: Replica, now: float) -> None:
+        self.replica, self.began = replica, now
+        self.peers: dict[str, Peer] = {}
+        self.past_members: dict[str, None] = {}  # disks that have been members in this term, the latest ones
+        self.recent_entries: dict[LogPosition, float] = {}  # entries that were the newest, and until when
+        self.learners: dict[
+            str, Peer
+        ] = {}  # joining disks that are sent the newest entry, to have it on disk
+        self.base: LogPosition | None = None  # an entry with the same value as the newest
+        self.next_heartbeat_at = now
+        self.transfer_since: float | None = None  # since when the leader has wanted to hand over to an heir
+        self.lease = NEVER
+
+    @property
+    def newest_entry_committed(self) -> bool:
+        """Is the newest entry, one of this term, known to be committed?"""
+        return self.replica.committed_entry is self.replica.entry
+
+    def has_leader_lease(self, now: float) -> bool:
+        """Can't there be another leader now, and is what is committed known?
+
+        One that leads itself out isn't sure: the members it leaves behind needn't ask it (`ColdStart`).
+        """
+        return now < self.quorum_contact_until()
+
+    def quorum_contact_until(self) -> float:
+        """See `RaftNode`. It begins with the beats that majorities have answered."""
+        known = self.replica.committed_entry
+        knows = known is not None and known.term == self.replica.term
+        return self.lease if knows and self.transfer_since is None and self.replica.is_voter else NEVER
+
+    def has_lost_quorum(self, now: float) -> bool:
+        """Have majorities been silent for so long that it leads no more?"""
+        latest_quorum_time = self.replica.entry.latest_quorum_time(self._acknowledged_times())
+        return now - max(latest_quorum_time, self.began) > self.replica.tuning.election_max_s
+
+    def on_append_response(self, now: float, message: pb.Message) -> bool:
+        """A member has answered a heartbeat or an entry. False if it is none of the peers."""
+        peer = self.peers.get(message.disk)
+        if peer is None:
+            return False
+        if (
+            now - peer.heard > self.replica.tuning.election_min_s
+        ):  # it is back: what it lacks goes out at once
+            peer.next, peer.wait = now, self.replica.tuning.resend_s
+        peer.heard, peer.replied_at, peer.leaving = now, message.replied_at, message.leaving
+        peer.last_position, peer.durable_position = (
+            (message.last_term, message.last_index),
+            (message.durable_term, message.durable_index),
+        )
+        if min(message.sent, now) > peer.acknowledged_at:
+            peer.acknowledged_at = min(message.sent, now)
+            self.renew_lease()
+        if (
+            peer.last_position != self.replica.entry.position and message.sent == peer.bare_entry_sent_at
+        ):  # it lacks the value too
+            peer.bare_entry_sent_at = NEVER
+            self.send_entry(now, peer, False)
+        return True
+
+    def replicate(self, now: float, entry: Entry, new_value: bool = False) -> None:
+        """Have this entry agreed on, as the next one of this term."""
+        replica = self.replica
+        self.recent_entries = {
+            p: at for p, at in self.recent_entries.items() if now - at <= replica.tuning.election_min_s
+        }
+        self.recent_entries[replica.entry.position] = now
+        self.base = None if new_value else replica.entry.position
+        replica.entry = entry._replace(term=replica.term, number=entry.number + 1)
+        old = self.peers
+        self.peers = {
+            m.disk: old.get(m.disk) or self.learners.pop(m.disk, None) or Peer(m, now)
+            for m in replica.entry.voters()
+            if m.disk != replica.disk
+        }
+        self.past_members = dict.fromkeys([*self.past_members, *self.peers][-MAX_PAST_MEMBERS:])
+        for peer in (*self.peers.values(), *self.learners.values()):
+            peer.next, peer.wait = now, replica.tuning.resend_s
+        self.renew_lease()
+        self.broadcast(now)
+
+    def broadcast(self, now: float) -> None:
+        """Send each peer a heartbeat, and the newest entry if it lacks that and a retry is due."""
+        replica = self.replica
+        self.next_heartbeat_at = now + replica.tuning.heartbeat_interval_s
+        for peer in self.peers.values():
+            if peer.last_position != replica.entry.position and now >= peer.next:
+                bare = self.base is not None and peer.last_position in (None, self.base)
+                self.send_entry(now, peer, bare)
+                if bare:  # which is a beat as well
+                    continue
+            replica.send(peer.address, self._heartbeat(now, pb.HEARTBEAT, peer))
+
+    def send_entry(self, now: float, peer: Peer, bare: bool) -> None:
+        """Send the newest entry, bare of its value to one who may have that."""
+        peer.next = now + peer.wait
+        peer.wait = min(MAX_RESEND_WAIT_S, 2 * peer.wait)
+        message = self._heartbeat(now, pb.APPEND_ENTRIES, peer)
+        put_entry(self.replica.entry, message.entry, not bare)
+        if bare and self.base is not None:
+            message.base_term, message.base_index = self.base
+            peer.bare_entry_sent_at = now
+        self.replica.send(peer.address, message)
+
+    def _heartbeat(self, now: float, kind: pb.Kind, peer: Peer) -> pb.Message:
+        replica = self.replica
+        message = replica.message_with_last_position(kind, peer.disk)
+        message.sent = now
+        if self.has_leader_lease(now):
+            message.last_reply_at = peer.replied_at
+        if replica.committed_entry is not None and replica.committed_entry.term == replica.term:
+            message.commit = replica.committed_entry.number
+        return message
+
+    def renew_lease(self) -> None:
+        """Reckon anew until when there can't be another leader."""
+        t = self.replica.tuning
+        self.lease = (
+            self.replica.entry.latest_quorum_time(self._acknowledged_times())
+            + t.election_min_s
+            - t.lease_margin_s
+        )
+
+    def _acknowledged_times(self) -> dict[str, float]:
+        times = {p.disk: p.acknowledged_at for p in self.peers.values()}
+        times[self.replica.disk] = inf
+        return times
