Move the dispatch of received messages out of RaftNode

MessageDispatch (gateway/consensus/message_dispatch.py) now takes messages to the roles; RaftNode keeps the roles, the changes between them and the election timer. Methods are moved as they are; those of RaftNode that the dispatch calls have lost their underscore. No change of behaviour.

The consensus tests (83) and those of order retries, orders, the cut core, operator commands and losses (52) pass.

--- a/gateway/consensus/raft.py
+++ b/gateway/consensus/raft.py
@@ -10,7 +10,6 @@
 import random
 from collections.abc import Sequence
 
-from gateway.consensus import consensus_pb2 as pb
 from gateway.consensus.api import (
     Event,
     KnownAddresses,
@@ -27,15 +26,14 @@
 from gateway.consensus.cold_start import ColdStart
 from gateway.consensus.follower import FollowerRole
 from gateway.consensus.leader import LeaderRole
-from gateway.consensus.learner import LearnerRole, reject_removed_member, send_leader_hint
+from gateway.consensus.learner import LearnerRole
+from gateway.consensus.message_dispatch import MessageDispatch
 from gateway.consensus.records import (
     EMPTY_ENTRY,
     Entry,
     Member,
     PersistentState,
     bootstrap_entry,
-    get_entry,
-    malformed_reason,
 )
 from gateway.consensus.replica import Replica
 from gateway.consensus.voter import Voter
@@ -84,8 +82,9 @@
         self.voter = Voter(self.replica, self.cold_start)
         self.dropped: dict[str, int] = {}
         self.leaving = self.left = False  # asked to leave; and no member any more
+        self.message_dispatch = MessageDispatch(self)
         self.election_deadline = now
-        self._reset_election_timer(now)
+        self.reset_election_timer(now)
 
     @property
     def role(self) -> str:
@@ -136,7 +135,7 @@
         """Take an input; what is to be sent, written and told."""
         out = self.replica.out = []
         if isinstance(event, Received):
-            self._receive(now, event.sender, event.message)
+            self.message_dispatch.receive(now, event.sender, event.message)
         elif isinstance(event, WriteCompleted):
             if self.replica.written(now, event.token):
                 self._on_persisted(now)
@@ -164,24 +163,24 @@
         self.cold_start.tick(now)
         if self.leader_role is not None:
             if not self.leader_role.tick(now, self.follower_role.leaving):
-                self._step_down(now)
+                self.step_down(now)
         elif now >= self.election_deadline:
-            self._start_election(now)
+            self.start_election(now)
         elif self.candidate_role is not None:
             self.candidate_role.tick(now)
         if not self.replica.is_voter and not self.left:
             self.learner_role.tick(now)
 
-    def _start_election(self, now: float) -> None:
+    def start_election(self, now: float) -> None:
         """No leader is heard: try to be one. Early in a life others may not be free yet, so ask often."""
-        self._reset_election_timer(now)
+        self.reset_election_timer(now)
         self.follower_role.leader = None
         early = now < self.cold_start.until + self.tuning.election_max_s
         retry_interval_s = (
             self.tuning.restart_query_interval_s if early else 2 * self.tuning.heartbeat_interval_s
         )
         self.candidate_role = (
-            CandidateRole(self.replica, now, retry_interval_s) if self._may_start_election(now) else None
+            CandidateRole(self.replica, now, retry_interval_s) if self.may_start_election(now) else None
         )
         self.learner_role.probe_other_addresses()
 
@@ -197,7 +196,7 @@
             and not self.replica.is_voter
         ):
             self.leader_role.transfer_leadership(now)
-            self._rejoin_as_new_disk(now)
+            self.rejoin_as_new_disk(now)
 
     def _on_persisted(self, now: float) -> None:
         """More is on disk: tell those whom it concerns."""
@@ -211,152 +210,33 @@
         if not self.replica.is_voter and not self.left:
             self.learner_role.report_progress(now)
 
-    def _may_start_election(self, now: float) -> bool:
+    def may_start_election(self, now: float) -> bool:
+        """Is this a voter, and does its disk make headway?"""
         return self.replica.is_voter and self.replica.write_stalled_s(now) <= MAX_CANDIDATE_WRITE_STALL_S
 
-    def _reset_election_timer(self, now: float) -> None:
+    def reset_election_timer(self, now: float) -> None:
         """Be patient with the leader anew. One that leaves lets those that stay stand first."""
         shortest, longest = self.tuning.election_min_s, self.tuning.election_max_s
         courtesy = longest if self.follower_role.leaving else 0.0
         self.election_deadline = now + self.rng.uniform(shortest, longest) + courtesy
 
-    def _step_down(self, now: float) -> None:
+    def step_down(self, now: float) -> None:
+        """Be a follower that knows of no leader."""
         if self.leader_role is not None:
             self.leader_role.resign()
             self.leader_role = self.leaderless_since = None
         self.candidate_role = self.follower_role.leader = None
-        self._reset_election_timer(now)
+        self.reset_election_timer(now)
 
-    def _enter_term(self, now: float, term: int) -> None:
+    def enter_term(self, now: float, term: int) -> None:
         """Go on to a later term that someone has told of."""
         if self.leader_role is not None or self.candidate_role is not None:
-            self._step_down(now)
+            self.step_down(now)
         self.follower_role.leader = self.voter.pending_vote_reply = None
         self.replica.enter_term(term)
 
-    def _receive(self, now: float, sender: Address, message: pb.Message) -> None:
-        why = malformed_reason(message)
-        if why:
-            return self._drop(why)
-        kind, replica = message.kind, self.replica
-        if message.to_disk and message.to_disk != replica.disk:
-            if kind != pb.HEARTBEAT:  # meant for a disk that was here before, or for anyone
-                reject_removed_member(replica, sender, message)
-            elif not replica.is_voter:
-                self.learner_role.on_leader(now, sender, message.term)
-        elif kind == pb.HEARTBEAT or kind == pb.APPEND_ENTRIES:
-            self._on_heartbeat(now, sender, message)
-        elif kind == pb.JOIN:
-            self._join(now, sender, message)
-        elif kind == pb.LEADER_HINT:
-            if not replica.is_voter:
-                self.learner_role.on_hint(now, sender, message)
-        elif kind == pb.REMOVED:
-            self._on_removed(now, message)
-        elif not reject_removed_member(replica, sender, message):
-            self._handle_member_message(now, sender, message)
-
-    def _drop(self, why: str) -> None:
-        self.dropped[why] = self.dropped.get(why, 0) + 1
-
-    def _handle_member_message(self, now: float, sender: Address, message: pb.Message) -> None:
-        kind = message.kind
-        if kind == pb.PRE_VOTE:
-            self.voter.pre_vote(sender, message, self._may_vote(now, message))
-        elif kind == pb.REQUEST_VOTE:
-            self._request_vote(now, sender, message)
-        elif kind == pb.TIMEOUT_NOW:
-            self._on_timeout_now(now, message)
-        elif kind == pb.RESTARTED:
-            self._on_restarted(now, sender, message)
-        elif message.term > self.replica.term and (kind == pb.APPEND_RESPONSE or not message.granted):
-            self._enter_term(now, message.term)
-        elif kind == pb.APPEND_RESPONSE:
-            if self.leader_role is not None and message.term == self.replica.term:
-                self.leader_role.on_append_response(now, message)
-        elif self.candidate_role is not None:
-            (
-                self.candidate_role.on_pre_vote_response
-                if kind == pb.PRE_VOTE_RESPONSE
-                else self.candidate_role.on_vote_response
-            )(message)
-
-    def _on_heartbeat(self, now: float, sender: Address, message: pb.Message) -> None:
-        """The leader is heard, with its newest entry perhaps."""
-        replica = self.replica
-        if message.term < replica.term:
-            return self.follower_role.send_append_response(now, sender, message.disk, message.sent)
-        learns = message.kind == pb.APPEND_ENTRIES and not get_entry(message.entry).has_voter(replica.disk)
-        if (
-            self.leader_role is not None
-            and message.term == replica.term
-            or learns
-            and (replica.is_voter or self.left)
-        ):
-            return self._drop("leader")
-        if message.term > replica.term:
-            self._enter_term(now, message.term)
-        self.candidate_role, self.cold_start.leaderless = None, False
-        if learns:
-            self.follower_role.learn(message)
-            return self.learner_role.on_leader_entry(now, sender, message.term)
-        self._reset_election_timer(now)
-        self.follower_role.on_heartbeat(now, sender, message)
-
-    def _may_vote(self, now: float, message: pb.Message) -> bool:
-        return self.leader_role is None and self.voter.may_vote(now, self.follower_role.heard, message)
-
-    def _request_vote(self, now: float, sender: Address, message: pb.Message) -> None:
-        if not self._may_vote(now, message):
-            return
-        if message.term > self.replica.term:
-            self._enter_term(now, message.term)
-        if self.voter.request_vote(sender, message):
-            self._reset_election_timer(now)
-
-    def _on_restarted(self, now: float, sender: Address, message: pb.Message) -> None:
-        """Others have begun anew: one after the other stands, if all have at once, else as soon as it may."""
-        cold_start = self.cold_start
-        cold_start.on_restarted(now, sender, message)
-        election_rank = (
-            cold_start.election_rank() if cold_start.leaderless and now < cold_start.until else None
-        )
-        if election_rank is not None and self.candidate_role is None:
-            begins = now if cold_start.all_members_restarted() else cold_start.until
-            self.election_deadline = min(
-                self.election_deadline, begins + election_rank * self.tuning.heartbeat_interval_s
-            )
-            if now >= self.election_deadline:
-                self._start_election(now)
-
-    def _on_timeout_now(self, now: float, message: pb.Message) -> None:
-        """The leader has stepped down in favour of this one."""
-        if (
-            message.term == self.replica.term
-            and self.follower_role.leader is not None
-            and message.disk == self.follower_role.disk
-            and self._may_start_election(now)
-        ):
-            self._reset_election_timer(now)
-            self.follower_role.leader = None
-            self.candidate_role = CandidateRole(
-                self.replica, now, 2 * self.tuning.heartbeat_interval_s, leadership_transfer=True
-            )
-
-    def _join(self, now: float, sender: Address, message: pb.Message) -> None:
-        if self.leader_role is not None:
-            self.leader_role.join(now, sender, message)
-        elif self.leader is not None or self.members:
-            send_leader_hint(self.replica, sender, message.disk, self.leader or "")
-
-    def _on_removed(self, now: float, message: pb.Message) -> None:
-        """This disk is no member any more."""
-        if (message.last_term, message.last_index) > self.replica.entry.position:
-            self.learner_role.learn([m.address for m in message.members])
-            self._rejoin_as_new_disk(now)
-
-    def _rejoin_as_new_disk(self, now: float) -> None:
+    def rejoin_as_new_disk(self, now: float) -> None:
         """What this disk holds counts for nothing any more; it asks to be a member, unless it is to end."""
-        self._step_down(now)
+        self.step_down(now)
         self.left = self.leaving
         self.replica.reset_identity(f"{self.rng.getrandbits(64):016x}")
