--- /dev/null
+++ b/gateway/__main__.py
@@ -0,0 +1,21 @@
+"""`python -m gateway proxy` and `... controller` run a program; the rest is `gateway.cli`."""
+
+from __future__ import annotations
+
+import sys
+
+import gateway.runtime.clock  # noqa: F401  imported first: it records the process start
+from gateway.programs import PROGRAMS, launch
+
+
+def main(arguments: list[str]) -> int:
+    """Run a command and return its exit code. The programs start without importing cleo, which costs time."""
+    if arguments and arguments[0] in PROGRAMS and set(arguments[1:]) <= {"--counts"}:
+        return launch(arguments[0])
+    from gateway.cli import commands
+
+    return commands.run(arguments)
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- a/post/office/cli.py
+++ b/gateway/cli/commands.py
@@ -1,6 +1,6 @@
-"""The command line beside the running programs: versions, checks of files, orders, and what all nodes run.
+"""The commands of `python -m gateway`: checks of files, configuration changes, reports, and the programs.
 
-Exit codes: 0 all is well, 1 a command that can't be understood, 2 faults, each printed with its place.
+Exit codes: 0 no faults, 1 a command line that can't be parsed, 2 faults, each printed with its place.
 """
 
 from __future__ import annotations
@@ -20,39 +20,40 @@
 from cleo.io.outputs.output import Type
 from result import Err
 
-from post.office import VERSION, settings
+from gateway.programs import launch
+from gateway.runtime import VERSION, settings
 
-FAULTY = 2
-SEEDS = argument("seeds", "Addresses of postmasters (`control`), such as 10.1.0.5:8407", multiple=True)
+EXIT_FAULTS = 2
+SEEDS = argument("seeds", "Addresses of controllers (`control`), such as 10.1.0.5:8407", multiple=True)
 
 
-class _Checking(Command):
-    """What the checks share."""
+class _CheckCommand(Command):
+    """Base of all commands that print faults and return an exit code."""
 
     def faults(self, file: str, faults: Iterable[tuple[str, str]]) -> int:
-        """Print faults with their places."""
+        """Print faults to standard error, each with its place; returns exit code 2."""
         for place, problem in faults:
             where = place if place.startswith(file) else f"{file}: {place}" if place else file
             self.line_error(Formatter.escape(f"{where}: {problem}"))
-        return FAULTY
+        return EXIT_FAULTS
 
     def lines(self, lines: Iterable[str]) -> None:
-        """Print lines as they are."""
+        """Print lines to standard output without interpreting markup."""
         for line in lines:
             self.line(Formatter.escape(line))
 
-    def fine(self, what: str) -> int:
-        """Print that all is well."""
+    def report_ok(self, what: str) -> int:
+        """Print that there are no faults; returns exit code 0."""
         self.line(Formatter.escape(f"{what}: no faults"))
         return 0
 
     def settings(self, path: str, program: str | None) -> int:
-        """Check a settings file, also for what one program needs."""
+        """Check a settings file; with `program`, also that it has the listeners which that program needs."""
         found = settings.read_file(path)
         if isinstance(found, Err):
             return self.faults(path, found.err_value)
-        lacks = found.ok_value.lacks(program) if program else []
-        return self.faults(path, lacks) if lacks else self.fine(path)
+        missing_listeners = found.ok_value.missing_listeners(program) if program else []
+        return self.faults(path, missing_listeners) if missing_listeners else self.report_ok(path)
 
     def own_settings(self, program: str | None) -> int:
         """Check the settings file that the environment names."""
@@ -63,38 +64,42 @@
 
 
 class VersionCommand(Command):
-    """Tells the version."""
+    """Prints the version."""
 
     name = "version"
     description = "Tell the version"
 
     def handle(self) -> int:
+        """Run the command; returns its exit code."""
         self.line(VERSION)
         return 0
 
 
-class CheckSettings(_Checking):
+class CheckSettings(_CheckCommand):
     """Checks a settings file, by default the one that the environment names."""
 
     name = "check-settings"
     description = "Check a settings file"
     arguments: ClassVar[list[Argument]] = [
-        argument("file", f"The file, else that of {settings.VARIABLE}", optional=True)]
+        argument("file", f"The file, else that of {settings.VARIABLE}", optional=True)
+    ]
 
     def handle(self) -> int:
+        """Run the command; returns its exit code."""
         path = self.argument("file")
         return self.settings(path, None) if path else self.own_settings(None)
 
 
-class CheckConfig(_Checking):
-    """Checks a whole configuration as an operator would put it."""
+class CheckConfig(_CheckCommand):
+    """Checks a whole configuration as `config put` would send it."""
 
     name = "check-config"
     description = "Check a configuration (JSON), as it would be put"
     arguments: ClassVar[list[Argument]] = [argument("file", "The file")]
 
     def handle(self) -> int:
-        from post.directory import document
+        """Run the command; returns its exit code."""
+        from gateway.config import document
 
         path = self.argument("file")
         try:
@@ -103,11 +108,11 @@
         except OSError as error:
             return self.faults(path, [(path, error.strerror or str(error))])
         found = document.parse(body)
-        return self.faults(path, found.err_value) if isinstance(found, Err) else self.fine(path)
+        return self.faults(path, found.err_value) if isinstance(found, Err) else self.report_ok(path)
 
 
-class NodesCommand(_Checking):
-    """Lists what all nodes run, as the postmasters know it."""
+class NodesCommand(_CheckCommand):
+    """Lists which configuration each node runs, as the controllers know it."""
 
     name = "nodes"
     description = "List nodes by version, digest, lag and findings"
@@ -115,31 +120,34 @@
     options: ClassVar[list[Option]] = [option("json", None, "As JSON")]
 
     def handle(self) -> int:
-        from post.office import nodes
+        """Run the command; returns its exit code."""
+        from gateway.cli import nodes
 
         told = nodes.ask(self.argument("seeds"))
         self.lines([json.dumps(told._asdict())] if self.option("json") else nodes.lines(told))
         self.faults("", told.faults)
-        return 0 if told.well else FAULTY
+        return 0 if told.well else EXIT_FAULTS
 
 
-class CoreCommand(_Checking):
-    """Shows the core's members."""
+class CoreCommand(_CheckCommand):
+    """Shows the members of the consensus group (the core)."""
 
     name = "core"
     description = "List the core's members, who leads, and what loss they bear"
     arguments: ClassVar[list[Argument]] = [SEEDS]
 
     def handle(self) -> int:
-        from post.office import nodes, showing
+        """Run the command; returns its exit code."""
+        from gateway.cli import nodes
+        from gateway.programs import status_report
 
-        answers, faults = nodes.ask_each(self.argument("seeds"), showing.CORE)
-        self.lines(showing.core_lines(answers))
+        answers, faults = nodes.ask_each(self.argument("seeds"), status_report.CORE)
+        self.lines(status_report.core_lines(answers))
         self.faults("", faults)
-        return 0 if showing.core_well(answers) and not faults else FAULTY
+        return 0 if status_report.core_well(answers) and not faults else EXIT_FAULTS
 
 
-class BackendsCommand(_Checking):
+class BackendsCommand(_CheckCommand):
     """Shows the backends and their leases."""
 
     name = "backends"
@@ -147,44 +155,52 @@
     arguments: ClassVar[list[Argument]] = [SEEDS]
 
     def handle(self) -> int:
-        from post.office import nodes, showing
+        """Run the command; returns its exit code."""
+        from gateway.cli import nodes
+        from gateway.programs import status_report
 
-        answers, faults = nodes.ask_each(self.argument("seeds"), showing.LEASES)
-        self.lines(showing.lease_lines(answers))
+        answers, faults = nodes.ask_each(self.argument("seeds"), status_report.LEASES)
+        self.lines(status_report.lease_lines(answers))
         return self.faults("", faults) if faults else 0
 
 
-class AllowanceCommand(_Checking):
-    """Compares what all nodes know of each tenant's remaining allowance with its holder's word."""
+class AllowanceCommand(_CheckCommand):
+    """Compares each node's view of each tenant's remaining allowance with the owner of its counter."""
 
     name = "allowance"
     description = "Compare each node's view of each tenant's remaining allowance with the holder's"
     arguments: ClassVar[list[Argument]] = [SEEDS]
-    options: ClassVar[list[Option]] = [option("nodes", None, "Each node's view, a line each"),
-                                       option("json", None, "As JSON")]
+    options: ClassVar[list[Option]] = [
+        option("nodes", None, "Each node's view, a line each"),
+        option("json", None, "As JSON"),
+    ]
 
     def handle(self) -> int:
-        from post.office import allowance
+        """Run the command; returns its exit code."""
+        from gateway.cli import allowance
 
         told = allowance.ask(self.argument("seeds"))
         table = allowance.lines(told, self.option("nodes"))
         self.lines([json.dumps(told._asdict())] if self.option("json") else table)
         self.faults("", told.faults)
-        return 0 if told.well else FAULTY
+        return 0 if told.well else EXIT_FAULTS
 
 
-class _Config(_Checking):
-    """An order about the configuration, at whichever process takes it."""
+class _ConfigCommand(_CheckCommand):
+    """Base of the commands that read or change the configuration at whichever controller answers."""
 
     method = "GET"
     options: ClassVar[list[Option]] = [
-        option("for", None, "Seconds to go on without a clear answer", flag=False, default="30")]
+        option("for", None, "Seconds to go on without a clear answer", flag=False, default="30")
+    ]
 
     def order(self, seeds: list[str], body: bytes) -> int:
-        """Carry it out and print the answer."""
-        from post.office import errand
+        """Send the request, retrying until there is a definite answer, and print that; the exit code."""
+        from gateway.cli import control_client
 
-        answer = errand.run(seeds, self.method, errand.CONFIG, body, float(self.option("for")))
+        answer = control_client.run(
+            seeds, self.method, control_client.CONFIG, body, float(self.option("for"))
+        )
         told = answer.body.decode(errors="replace")
         if answer.status != 200:
             status = f"answered {answer.status}" if answer.status else "no answer"
@@ -193,7 +209,7 @@
         return 0
 
 
-class ConfigGet(_Config):
+class ConfigGet(_ConfigCommand):
     """Prints the configuration in force, whole."""
 
     name = "config get"
@@ -201,19 +217,22 @@
     arguments: ClassVar[list[Argument]] = [SEEDS]
 
     def handle(self) -> int:
+        """Run the command; returns its exit code."""
         return self.order(self.argument("seeds"), b"")
 
 
-class ConfigPut(_Config):
-    """Puts a whole configuration."""
+class ConfigPut(_ConfigCommand):
+    """Replaces the whole configuration by that in a file."""
 
     name = "config put"
     description = "Put a whole configuration"
     method = "PUT"
     arguments: ClassVar[list[Argument]] = [
-        argument("seeds", "Addresses of postmasters (`control`), and last the file (JSON)", multiple=True)]
+        argument("seeds", "Addresses of controllers (`control`), and last the file (JSON)", multiple=True)
+    ]
 
     def handle(self) -> int:
+        """Run the command; returns its exit code."""
         *seeds, path = self.argument("seeds")
         if not seeds:
             return self.faults("", [(path, "expected addresses, and then a file")])
@@ -226,72 +245,91 @@
 
 
 class ConfigPatch(ConfigPut):
-    """Changes named entries."""
+    """Changes single entries of the configuration by the PATCH in a file."""
 
     name = "config patch"
     description = "Change named entries of the configuration"
     method = "PATCH"
 
 
-class PlanCore(_Checking):
-    """Tells what a core of so many disks bears."""
+class PlanCore(_CheckCommand):
+    """Prints which losses of disks a core of a given size tolerates."""
 
     name = "plan-core"
     description = "Tell what becomes of a core when disks are lost"
     arguments: ClassVar[list[Argument]] = [argument("members", "Disks of the core")]
     options: ClassVar[list[Option]] = [
-        option("tolerance", None, "How many may be lost at once", flag=False, default="1")]
+        option("tolerance", None, "How many may be lost at once", flag=False, default="1")
+    ]
 
     def handle(self) -> int:
-        from post.register import plan
+        """Run the command; returns its exit code."""
+        from gateway.consensus import quorum
 
         members, tolerance = int(self.argument("members")), int(self.option("tolerance"))
-        self.line(f"acknowledged: on {plan.majority(members)} of {members} disks")
-        for loss in plan.losses(members):
-            away, gone = plan.told(loss)
-            left = plan.more([(members, members - loss.lost)], plan.majority(members) - loss.lost)
+        self.line(f"acknowledged: on {quorum.majority(members)} of {members} disks")
+        for loss in quorum.losses(members):
+            away, gone = quorum.told(loss)
+            left = quorum.more([(members, members - loss.lost)], quorum.majority(members) - loss.lost)
             self.line(f"{loss.lost} lost: while away {away}; for good {gone}; then {left} more may go")
-        if plan.bears(members) < tolerance:
-            wanted = plan.wanted(tolerance)
-            return self.faults("", [("members", f"{tolerance} lost at once takes {wanted} of them at least")])
+        if quorum.tolerable_losses(members) < tolerance:
+            members_needed = quorum.members_needed(tolerance)
+            return self.faults(
+                "", [("members", f"{tolerance} lost at once takes {members_needed} of them at least")]
+            )
         return 0
 
 
-class _Program(_Checking):
+class _ProgramCommand(_CheckCommand):
+    """Base of the commands that run a program, or with `--check` only check its settings."""
+
     options: ClassVar[list[Option]] = [
         option("check", None, "Only check the settings, then end"),
-        option("counts", None, "Write what tenants asked and were allowed, a line each 5 s")]
+        option("counts", None, "Write what tenants asked and were allowed, a line each 5 s"),
+    ]
 
     def handle(self) -> int:
+        """Run the command; returns its exit code."""
         if self.option("check"):
             return self.own_settings(self.name)
-        from post.__main__ import main
-
-        return main([str(self.name)])
+        return launch(str(self.name))
 
 
-class SorterCommand(_Program):
-    """The program on every machine that takes requests."""
+class ProxyCommand(_ProgramCommand):
+    """Runs the proxy, which forwards clients' requests; on every machine."""
 
-    name = "sorter"
+    name = "proxy"
     description = "Run the program that takes requests"
 
 
-class PostmasterCommand(_Program):
-    """The program on the machines of the core."""
+class ControllerCommand(_ProgramCommand):
+    """Runs the controller, which serves backends and operators; on the machines of the core."""
 
-    name = "postmaster"
+    name = "controller"
     description = "Run the program that serves backends and operators"
 
 
-COMMANDS = (VersionCommand, CheckSettings, CheckConfig, ConfigGet, ConfigPut, ConfigPatch, NodesCommand,
-            CoreCommand, BackendsCommand, AllowanceCommand, PlanCore, SorterCommand, PostmasterCommand)
+COMMANDS = (
+    VersionCommand,
+    CheckSettings,
+    CheckConfig,
+    ConfigGet,
+    ConfigPut,
+    ConfigPatch,
+    NodesCommand,
+    CoreCommand,
+    BackendsCommand,
+    AllowanceCommand,
+    PlanCore,
+    ProxyCommand,
+    ControllerCommand,
+)
 
 
 def run(arguments: list[str]) -> int:
-    """Run a command line; its exit code."""
-    application = Application("post", VERSION)
+    """Parse and run a command line (without the program name); returns its exit code."""
+    application = Application("gateway", VERSION)
     application.auto_exits(False)
     for command in COMMANDS:
         application.add(command())
-    return application.run(ArgvInput(["post", *arguments]))
+    return application.run(ArgvInput(["gateway", *arguments]))
--- a/post/office/nodes.py
+++ b/gateway/cli/nodes.py
@@ -1,4 +1,7 @@
-"""What all nodes run, as the postmasters tell it: asked, put together, and laid out for a terminal."""
+"""Command `nodes`: which configuration each node runs, merged from the status of several controllers.
+
+`ask_each` and `columns` also serve the other report commands.
+"""
 
 from __future__ import annotations
 
@@ -7,17 +10,17 @@
 from http.client import HTTPConnection, HTTPException
 from typing import Any, NamedTuple
 
-from post.office.address import host_port
-from post.office.overseeing import STATUS
+from gateway.programs.fleet_monitor import STATUS
+from gateway.runtime.address import host_port
 
-PATIENCE_S = 2.0  # for one answer
-MOST_BYTES = 4 * 1024 * 1024  # of one answer
-SILENT_S = 10.0  # a node that has told nothing for so long is not well
+PATIENCE_S = 2.0  # timeout of one call
+MOST_BYTES = 4 * 1024 * 1024  # limit of one answer's body
+SILENT_S = 10.0  # without a report for so long, a node is in the state `silent`
 Row = dict[str, Any]
 
 
-class Told(NamedTuple):
-    """The newest version that a postmaster knows; all nodes; findings; and seeds that gave no answer."""
+class FleetReport(NamedTuple):
+    """The newest version that a controller knows, all nodes, drift findings, and seeds without an answer."""
 
     version: int
     nodes: list[Row]
@@ -26,12 +29,12 @@
 
     @property
     def well(self) -> bool:
-        """Whether nothing calls for an operator."""
+        """Whether every seed answered, there are no findings, and every node is in the state `well`."""
         return not (self.faults or self.findings or any(n["state"] != "well" for n in self.nodes))
 
 
 def status(address: str, path: str = STATUS) -> Row:
-    """A program's own word; OSError or ValueError where there is none."""
+    """The JSON object at `path` of a program. Raises OSError or ValueError if there is no valid answer."""
     host, port = host_port(address)
     connection = HTTPConnection(host, port, timeout=PATIENCE_S)
     try:
@@ -40,10 +43,10 @@
         body = answer.read(MOST_BYTES)
         if answer.status != 200:
             raise ValueError(f"answered {answer.status}")
-        told = json.loads(body)
-        if not isinstance(told, dict):
+        report = json.loads(body)
+        if not isinstance(report, dict):
             raise ValueError("answered no object")
-        return told
+        return report
     except HTTPException as error:
         raise ValueError(f"answered {type(error).__name__}") from error
     finally:
@@ -51,7 +54,7 @@
 
 
 def ask_each(seeds: Iterable[str], path: str = STATUS) -> tuple[list[Row], list[tuple[str, str]]]:
-    """The answer of each of these `control` addresses, and which gave none."""
+    """The answers of these `control` addresses, and the failures as pairs of address and reason."""
     answers, faults = [], []
     for seed in seeds:
         try:
@@ -61,18 +64,26 @@
     return answers, faults
 
 
-def ask(seeds: Iterable[str]) -> Told:
-    """Ask each of these `control` addresses."""
-    return put_together(*ask_each(seeds))
+def ask(seeds: Iterable[str]) -> FleetReport:
+    """Ask each of these `control` addresses and merge what they report."""
+    return merge_answers(*ask_each(seeds))
 
 
-def put_together(answers: list[Row], faults: list[tuple[str, str]]) -> Told:
-    """One list out of several: of each node what was heard latest."""
+def merge_answers(answers: list[Row], faults: list[tuple[str, str]]) -> FleetReport:
+    """One report from several answers: for each node the one that was heard from it last."""
     version = max((a["version"] for a in answers), default=0)
     latest: dict[str, Row] = {}
     for a in answers:
-        own = {"node": a["node"], "role": a["role"], "version": a["version"], "digest": a["digest"],
-               "lag-s": 0.0, "heard-s": 0.0, "found": a["found"], "finding": ""}
+        own = {
+            "node": a["node"],
+            "role": a["role"],
+            "version": a["version"],
+            "digest": a["digest"],
+            "lag-s": 0.0,
+            "heard-s": 0.0,
+            "found": a["found"],
+            "finding": "",
+        }
         for row in (own, *a["nodes"]):
             known = latest.get(row["node"])
             if known is None or row["heard-s"] < known["heard-s"]:
@@ -81,7 +92,7 @@
     for row in latest.values():
         row["state"] = _state(row, version, digests)
     findings = dict.fromkeys(f for a in answers for f in a["findings"])
-    return Told(version, [latest[n] for n in sorted(latest)], list(findings), faults)
+    return FleetReport(version, [latest[n] for n in sorted(latest)], list(findings), faults)
 
 
 def _state(row: Row, version: int, digests: set[str]) -> str:
@@ -97,18 +108,20 @@
 COLUMNS = ("node", "role", "version", "digest", "lag-s", "heard-s", "found", "state")
 
 
-def lines(told: Told) -> list[str]:
-    """A table of the nodes, then the findings."""
-    table = columns(COLUMNS, [tuple(n[c] for c in COLUMNS) for n in told.nodes])
-    return [*table, *(f"finding: {f}" for f in told.findings)]
+def lines(report: FleetReport) -> list[str]:
+    """Lines for the terminal: a table of the nodes, then the findings."""
+    table = columns(COLUMNS, [tuple(n[c] for c in COLUMNS) for n in report.nodes])
+    return [*table, *(f"finding: {f}" for f in report.findings)]
 
 
 def columns(names: tuple[str, ...], rows: Iterable[tuple[Any, ...]]) -> list[str]:
-    """Rows under their names, in even columns."""
+    """Format rows as a table with aligned columns; the first line has the names."""
     cells = [names, *(tuple(map(_cell, row)) for row in rows)]
     widths = [max(len(row[i]) for row in cells) for i in range(len(names))]
-    return ["  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True)).rstrip()
-            for row in cells]
+    return [
+        "  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True)).rstrip()
+        for row in cells
+    ]
 
 
 def _cell(value: Any) -> str:
--- /dev/null
+++ b/gateway/config/document.py
@@ -0,0 +1,352 @@
+"""A whole configuration as the operator sent it, with a typed view. Unknown fields are ignored but kept."""
+
+from __future__ import annotations
+
+import json
+import operator
+from collections.abc import Callable
+from typing import Any, Final, NamedTuple
+
+from result import Err, Ok, Result
+
+from gateway.config import schema
+from gateway.config.schema import ConfigError
+
+DEPTH_MAX = 32  # nesting of lists and objects, at most
+MAX_TARGET_LATENCY_EXCESS_S = 60.0  # seconds; a target latency may exceed its deadline by less
+
+Raw = dict[str, Any]
+Key = tuple[str, str]  # entry-kind and label
+
+
+class RouteEntry(NamedTuple):
+    """A route as configured. Lower-case host, times in seconds, `targets` are services with shares."""
+
+    label: str
+    host: str
+    prefix: str
+    safe: bool
+    deadline: float
+    target_latency: float
+    precedence: int
+    tries: int
+    public: bool
+    targets: tuple[tuple[str, float], ...]
+    unused_target: str | None  # a `target` beside `weighted`, which gets no requests
+
+
+class ServiceEntry(NamedTuple):
+    """A service as configured: path of health probes, and connections a backend accepts from all callers."""
+
+    label: str
+    health_path: str
+    max_conns: int
+
+
+class TenantEntry(NamedTuple):
+    """A tenant as configured. `rate` is requests a second, 0 for no limit; `precedence` None: the route's."""
+
+    label: str
+    keys: tuple[str, ...]
+    precedence: int | None
+    rate: float
+    burst: float
+
+
+class Limits(NamedTuple):
+    """Limits on clients: sizes in bytes, timeouts in seconds."""
+
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 64 * 1024 * 1024
+    header_timeout: float = 3.0
+    idle_timeout: float = 15.0
+
+
+Entry = RouteEntry | ServiceEntry | TenantEntry | Limits
+
+
+class Document:
+    """One configuration, immutable once it is built by `parse`, `whole` or `patch`."""
+
+    __slots__ = (
+        "raw",
+        "generation",
+        "base_version",
+        "entries",
+        "routes",
+        "services",
+        "tenants",
+        "limits",
+        "seen",
+    )
+
+    def __init__(self, raw: Raw, generation: int, base_version: int) -> None:
+        self.raw, self.generation, self.base_version = raw, generation, base_version
+        self.entries: list[Raw] = raw["resource-list"]
+        self.routes: dict[str, RouteEntry] = {}
+        self.services: dict[str, ServiceEntry] = {}
+        self.tenants: dict[str, TenantEntry] = {}
+        self.limits = Limits()
+        self.seen: dict[Key, tuple[Raw, Entry]] = {}  # by kind and label: raw and typed form
+
+    def encode(self) -> bytes:
+        """The configuration as JSON, structured as in the PUT."""
+        return json.dumps(self.raw, separators=(",", ":")).encode()
+
+    def add(self, key: Key, raw: Raw, entry: Entry) -> None:
+        """Add an entry to the typed view."""
+        self.seen[key] = raw, entry
+        if isinstance(entry, RouteEntry):
+            self.routes[entry.label] = entry
+        elif isinstance(entry, ServiceEntry):
+            self.services[entry.label] = entry
+        elif isinstance(entry, TenantEntry):
+            self.tenants[entry.label] = entry
+        else:
+            self.limits = entry
+
+
+def load(body: bytes, checked: bool = False) -> Result[Raw, list[ConfigError]]:
+    """Parse a body as a JSON object. Errors: invalid JSON, not an object, or nested too deeply.
+
+    The nesting isn't checked again if `checked`.
+    """
+    try:
+        raw = json.loads(body, parse_constant=_no_number)
+    except (ValueError, RecursionError) as e:
+        return Err([ConfigError("", f"expected JSON: {e}"[:200])])
+    if not isinstance(raw, dict):
+        return Err([ConfigError("", f"expected an object, got {schema.format_value(raw)}")])
+    if checked:
+        return Ok(raw)
+    level: list[Any] = [raw]
+    for _ in range(DEPTH_MAX):
+        level = [
+            child
+            for x in level
+            for child in (x.values() if isinstance(x, dict) else x)
+            if isinstance(child, dict | list)
+        ]
+        if not level:
+            return Ok(raw)
+    return Err([ConfigError("", f"expected at most {DEPTH_MAX} levels of lists and objects")])
+
+
+def parse(body: bytes, previous: Document | None = None) -> Result[Document, list[ConfigError]]:
+    """Parse and check a whole configuration.
+
+    Entries equal to those of `previous` are reused, which saves time. Pass it only for a configuration that
+    was checked before: to Python, 1 and true are equal.
+    """
+    raw = load(body, previous is not None)
+    return whole(raw.ok_value, previous) if isinstance(raw, Ok) else raw
+
+
+def whole(raw: Raw, previous: Document | None = None) -> Result[Document, list[ConfigError]]:
+    """Check a whole configuration and build its typed view (see `parse`). `raw` must not be changed later."""
+    return _build(raw, previous, operator.eq)
+
+
+def patch(previous: Document | None, raw: Raw) -> Result[Document, list[ConfigError]]:
+    """The configuration that results from a PATCH of `previous`: first its `remove`, then its `upsert`.
+
+    Replaced entries keep their position, new ones come last; removing an unknown name is no error.
+    """
+    errors: list[ConfigError] = []
+    upsert, remove = _upserted(raw, errors), _removed(raw, errors)
+    places: dict[Key, str] = {}
+    if not errors:
+        _check_labels(upsert, "upsert.resource-list", places, errors)
+    if errors:
+        return Err(errors[: schema.MAX_REPORTED_ERRORS])
+    new = {key_of(e): e for e in upsert}
+    kept = [e for e in (previous.entries if previous else []) if key_of(e) in new or key_of(e) not in remove]
+    entries = [new.pop(key_of(e), e) for e in kept] + list(new.values())
+    head = {"generation": raw.get("generation"), "base-version": raw.get("base-version", 0)}
+    result = {**(previous.raw if previous else {}), **head, "resource-list": entries}
+    return _build(result, previous, operator.is_, places)
+
+
+def key_of(entry: Raw) -> Key:
+    """Kind and label of a checked entry. There is only one entry of limits, whatever its label."""
+    kind: str = entry["entry-kind"]
+    label = "" if kind == "limits" else (entry.get("metadata") or {}).get("label") or ""
+    return kind, label
+
+
+def _no_number(constant: str) -> Any:
+    raise ValueError(f"{constant} is no number")
+
+
+def _upserted(raw: Raw, errors: list[ConfigError]) -> list[Raw]:
+    upsert = raw.get("upsert")
+    if upsert is None:
+        return []
+    entries = upsert.get("resource-list") if isinstance(upsert, dict) else upsert
+    if entries is None:
+        return []
+    if not isinstance(entries, list):
+        errors.append(
+            ConfigError("upsert.resource-list", f"expected a list, got {schema.format_value(upsert)}")
+        )
+        return []
+    return entries
+
+
+def _removed(raw: Raw, errors: list[ConfigError]) -> set[Key]:
+    remove = raw.get("remove")
+    if remove is None:
+        return set()
+    if not isinstance(remove, dict):
+        errors.append(ConfigError("remove", f"expected an object, got {schema.format_value(remove)}"))
+        return set()
+    gone: set[Key] = set()
+    for kind, names in remove.items():
+        if names is None:
+            continue
+        if not isinstance(names, list) or not all(isinstance(n, str) for n in names):
+            errors.append(
+                ConfigError(f"remove.{kind}", f"expected a list of names, got {schema.format_value(names)}")
+            )
+        elif kind == "limits":
+            gone |= {(kind, "")} if names else set()
+        else:
+            gone |= {(kind, n) for n in names}
+    return gone
+
+
+def _check_labels(entries: list[Any], where: str, places: dict[Key, str], errors: list[ConfigError]) -> None:
+    """Check kinds and labels, which all entries have, and record the place of each entry."""
+    for i, entry in enumerate(entries):
+        place = f"{where}[{i}]"
+        if not isinstance(entry, dict) or not isinstance(entry.get("entry-kind"), str):
+            errors.append(ConfigError(place, "expected an object with an entry-kind"))
+            continue
+        metadata = entry.get("metadata")
+        if metadata is not None and not isinstance(metadata, dict):
+            errors.append(
+                ConfigError(f"{place}.metadata", f"expected an object, got {schema.format_value(metadata)}")
+            )
+            continue
+        label = (metadata or {}).get("label")
+        if entry["entry-kind"] in LABELLED_KINDS and not schema.text(label):
+            errors.append(
+                ConfigError(f"{place}.metadata.label", f"expected a text, got {schema.format_value(label)}")
+            )
+            continue
+        if label is not None and not isinstance(label, str):
+            errors.append(
+                ConfigError(f"{place}.metadata.label", f"expected a text, got {schema.format_value(label)}")
+            )
+            continue
+        key = key_of(entry)
+        if key in places and key[0] in KINDS:
+            errors.append(ConfigError(place, f"expected one entry of {' '.join(key).strip()}, got two"))
+        places.setdefault(key, place)
+
+
+def _build(
+    raw: Raw, previous: Document | None, same: Callable[[Raw, Raw], bool], order: dict[Key, str] | None = None
+) -> Result[Document, list[ConfigError]]:
+    errors: list[ConfigError] = []
+    generation, base_version = schema.read(schema.HEAD, raw, "", errors)
+    entries = raw.get("resource-list")
+    found: dict[Key, str] = {}
+    if not isinstance(entries, list):
+        errors.append(ConfigError("resource-list", f"expected a list, got {schema.format_value(entries)}"))
+    else:
+        _check_labels(entries, "resource-list", found, errors)
+    if errors:
+        return Err(errors[: schema.MAX_REPORTED_ERRORS])
+    document = Document(raw, generation, base_version)
+    if order is not None:  # of a PATCH: only its own entries have a place
+        found = {key: order.get(key) or " ".join(key) for key in found}
+    for entry in document.entries:
+        key = key_of(entry)
+        if key[0] in KINDS:
+            old = previous.seen.get(key) if previous else None
+            if old is not None and same(old[0], entry):
+                document.add(key, entry, old[1])
+            else:
+                _read(document, key, entry, found[key], errors)
+    if not errors:
+        _check_references(document, found, errors)
+    return Err(errors[: schema.MAX_REPORTED_ERRORS]) if errors else Ok(document)
+
+
+def _read(document: Document, key: Key, raw: Raw, place: str, errors: list[ConfigError]) -> None:
+    before = len(errors)
+    kind, label = key
+    spec = raw.get("spec")
+    values = schema.read(KINDS[kind], {} if spec is None else spec, f"{place}.spec", errors)
+    if len(errors) > before:
+        return
+    if kind == "route-table":
+        entry: Entry | None = _route(label, values, place, errors)
+    elif kind == "services":
+        entry = ServiceEntry(label, *values)
+    elif kind == "tenants":
+        entry = TenantEntry(label, *values)
+    else:
+        entry = Limits(*values)
+    if entry is not None:
+        document.add(key, raw, entry)
+
+
+def _route(label: str, values: list[Any], place: str, errors: list[ConfigError]) -> RouteEntry | None:
+    host, prefix, kind, deadline, target_latency, precedence, tries, public, target, weighted = values
+    target_latency = deadline if target_latency is None else target_latency
+    if target_latency - deadline >= MAX_TARGET_LATENCY_EXCESS_S:
+        reason = f"expected less than a minute beyond deadline-s ({deadline:g}), got {target_latency:g}"
+        errors.append(ConfigError(f"{place}.spec.target-latency-s", reason))
+    if not target and not weighted:
+        errors.append(ConfigError(f"{place}.spec.target", "expected a target or a list of weighted ones"))
+        return None
+    targets = weighted or ((target, 1.0),)
+    return RouteEntry(
+        label,
+        host,
+        prefix,
+        kind == "safe",
+        deadline,
+        target_latency,
+        precedence,
+        tries,
+        public,
+        targets,
+        target if weighted else None,
+    )
+
+
+def _check_references(document: Document, places: dict[Key, str], errors: list[ConfigError]) -> None:
+    """Check references between entries, and that hosts with prefixes and keys are unique."""
+    places_taken: dict[tuple[str, str], str] = {}
+    for route in document.routes.values():
+        place = places["route-table", route.label]
+        for service, _ in route.targets:
+            if service not in document.services:
+                errors.append(ConfigError(f"{place}.spec", f"expected a known service, got {service}"))
+        if route.unused_target is not None and route.unused_target not in document.services:
+            errors.append(
+                ConfigError(f"{place}.spec.target", f"expected a known service, got {route.unused_target}")
+            )
+        holder = places_taken.setdefault((route.host, route.prefix), route.label)
+        if holder != route.label:
+            reason = f"expected one of its own on this host, got that of {holder}"
+            errors.append(ConfigError(f"{place}.spec.path-prefix", reason))
+    holders: dict[str, str] = {}
+    for tenant in document.tenants.values():
+        for key in tenant.keys:
+            holder = holders.setdefault(key, tenant.label)
+            if holder != tenant.label:
+                place = f"{places['tenants', tenant.label]}.spec.api-keys"
+                errors.append(ConfigError(place, f"expected keys of its own, got one of {holder}"))
+
+
+KINDS: Final = {
+    "route-table": schema.ROUTE,
+    "services": schema.SERVICE,
+    "tenants": schema.TENANT,
+    "limits": schema.LIMITS,
+}
+LABELLED_KINDS: Final = ("route-table", "services", "tenants")
--- /dev/null
+++ b/gateway/programs/settings_reload.py
@@ -0,0 +1,79 @@
+"""Reload of the settings file while a program runs: polled each second, and on SIGHUP."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+from typing import Any
+
+from result import Err
+
+from gateway.runtime.log_ring import LogRing
+from gateway.runtime.settings import Settings, SettingsFile
+from gateway.runtime.ticker import Ticker
+from gateway.state_machine import Address
+
+CHECK_INTERVAL_S = 1.0
+RELOADABLE = ("network.seeds",)
+"""Fields that apply while running; all others apply from the next start."""
+
+log = logging.getLogger("gateway.settings_reload")
+
+
+class Reload:
+    """Applies changed seeds: calls `seeds` with the own ports of their controllers.
+
+    Other changes are logged, as they apply from the next start. A file with faults changes nothing.
+    """
+
+    def __init__(
+        self, settings: Settings, file: SettingsFile, seeds: Callable[[tuple[Address, ...]], object]
+    ) -> None:
+        self.settings, self.file, self.seeds = settings, file, seeds
+
+    def look(self) -> None:
+        """Read the file if it has changed since the last check."""
+        if self.file.changed():
+            self.read()
+
+    def read(self) -> None:
+        """Read the file and apply its changes; for SIGHUP."""
+        found = self.file.read()
+        if isinstance(found, Err):
+            for fault in found.err_value:
+                log.warning("settings stay as they are: %s", fault)
+            return
+        former, self.settings = self.settings, found.ok_value
+        changes = differences(former, self.settings)
+        if waiting := [name for name in changes if name not in RELOADABLE]:
+            log.info("changed settings that need a restart: %s", ", ".join(waiting))
+        if "network.seeds" in changes:
+            log.info("seeds are now %s", ", ".join(self.settings.network.seeds))
+            self.seeds(seed_addresses(self.settings))
+
+
+def start_maintenance(loop: asyncio.AbstractEventLoop, reload: Reload, ring: LogRing) -> Ticker:
+    """Start what a program does each second: check its settings file, and write pending logs."""
+
+    def second(now: float) -> None:
+        ring.tick()
+        reload.look()
+
+    return Ticker(loop, CHECK_INTERVAL_S, second)
+
+
+def seed_addresses(settings: Settings) -> tuple[Address, ...]:
+    """Addresses of the own ports of the seeds' controllers."""
+    return tuple(settings.controller_at(seed) for seed in settings.network.seeds)
+
+
+def differences(former: Any, later: Any, place: str = "") -> list[str]:
+    """Dotted names of the fields in which two settings differ; `place` is the prefix of the names."""
+    if not hasattr(former, "_fields"):
+        return [] if former == later else [place]
+    found = []
+    for name in former._fields:
+        dotted = ("self" if name == "own" else name).replace("_", "-")
+        found += differences(getattr(former, name), getattr(later, name), f"{place}.{dotted}".lstrip("."))
+    return found
--- /dev/null
+++ b/gateway/programs/startup.py
@@ -0,0 +1,79 @@
+"""What both programs share: reading settings at the start, planes on the wire, signals, and exit codes."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import logging
+import os
+import signal
+import sys
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import uvloop
+from result import Err
+
+from gateway.consensus import consensus_pb2
+from gateway.programs.quota_report import QUOTA_LOGGER
+from gateway.runtime import settings as files
+from gateway.runtime.log_ring import LogRing
+from gateway.runtime.settings import Settings, SettingsFile
+
+CONSENSUS, MEMBERSHIP, QUOTA = 1, 2, 3
+"""Numbers of the planes on the wire."""
+
+COUNTS = "--counts"
+"""Option with which a program writes its quota records at once, for `python -m proving allowance`."""
+
+log = logging.getLogger("gateway.startup")
+
+
+def consensus_slot(note: Any) -> int | None:
+    """Slot of a queued message: an entry is the whole state, so a later one replaces it."""
+    return consensus_pb2.APPEND_ENTRIES if note.kind == consensus_pb2.APPEND_ENTRIES else None
+
+
+def membership_slot(note: Any) -> tuple[str, int] | None:
+    """Slot of a queued message: later answers build on confirmed positions, values are the newest."""
+    kind = note.WhichOneof("kind")
+    return (kind, note.value.kind) if kind == "value" else (kind, 0) if kind == "answer" else None
+
+
+def zone_number(settings: Settings) -> int:
+    """Index of the own zone among all zones in order of names, the same on every machine; 0 if unknown."""
+    zones = sorted(settings.network.zones)
+    return zones.index(settings.own.zone) if settings.own.zone in zones else 0
+
+
+def stop_on_signal(loop: asyncio.AbstractEventLoop, reload: Callable[[], None]) -> asyncio.Event:
+    """An event that SIGTERM or SIGINT sets; SIGHUP calls `reload`."""
+    stop = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, reload)
+    return stop
+
+
+def run(program: str, serve: Callable[[Settings, LogRing, SettingsFile], Awaitable[None]]) -> int:
+    """Run a program with the settings file that the environment names; returns the exit code.
+
+    Faults in the file and addresses that can't be bound are printed to standard error, with code 2.
+    """
+    file = files.SettingsFile(os.environ)
+    found = file.read()
+    if isinstance(found, Err):
+        for fault in found.err_value:
+            print(f"{program}: {fault}", file=sys.stderr)
+        return 2
+    ring = LogRing.install(immediate_logger=QUOTA_LOGGER if COUNTS in sys.argv else "")
+    log.info("%s begins", program)  # marks a new process in the ring
+    gc.freeze()  # objects made at startup are never collected
+    try:
+        uvloop.run(serve(found.ok_value, ring, file))  # type: ignore[arg-type]
+    except OSError as error:
+        print(f"{program}: {error}", file=sys.stderr)
+        return 2
+    finally:
+        ring.flush()
+    return 0
--- /dev/null
+++ b/gateway/runtime/log_ring.py
@@ -0,0 +1,127 @@
+"""Log handler with a ring buffer in memory that is written to standard error when an error occurs.
+
+ring = LogRing.install()         # as the only handler of the root logger
+log.info("joined %s", name)      # stays in the ring, unformatted
+ring.dump("no leader for 10 s")  # writes the ring as JSON lines
+"""
+
+from __future__ import annotations
+
+import logging
+import sys
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+from gateway.runtime.clock import steady
+
+MAX_RECORDS = 400  # size of the ring
+DUMP_INTERVAL_S = 5.0  # shortest time between two dumps of the ring
+MAX_LINES_PER_SECOND = 5  # warnings and notices written at once
+NOTICE = 25  # level of rare, normal events that are written at once
+logging.addLevelName(NOTICE, "NOTICE")
+
+
+class LogRing(logging.Handler):
+    """Keeps the latest records. They are formatted only when written, so their arguments must not change.
+
+    A record of level ERROR or above, or `dump`, writes the whole ring, at most every 5 s; records of the time
+    between stay in it and are written with the next record or `tick` after that. A WARNING or NOTICE is
+    written at once, up to 5 a second; those beyond stay in the ring. No record is written twice. Records of
+    the logger named `immediate_logger` are written at once, whatever their level.
+    """
+
+    def __init__(
+        self,
+        size: int = MAX_RECORDS,
+        write: Callable[[str], Any] | None = None,
+        clock: Callable[[], float] = steady,
+        immediate_logger: str = "",
+    ) -> None:
+        super().__init__()
+        self.records: deque[logging.LogRecord] = deque(maxlen=size)
+        self.clock = clock
+        self.out = write or _to_stderr
+        self.dump_pending = False
+        self.next_dump = float("-inf")
+        self.second, self.lines = float("-inf"), 0
+        self.dropped, self.immediate_logger = 0, immediate_logger
+
+    @classmethod
+    def install(cls, size: int = MAX_RECORDS, immediate_logger: str = "") -> LogRing:
+        """Make a ring the only handler of the root logger, for all records from level INFO on."""
+        ring, root = cls(size, immediate_logger=immediate_logger), logging.getLogger()
+        logging.logThreads = logging.logProcesses = logging.logMultiprocessing = False
+        logging._srcfile = None  # skips the inspection of the caller's frame, the costliest part
+        root.handlers[:] = [ring]
+        root.setLevel(logging.INFO)
+        return ring
+
+    def handle(self, record: logging.LogRecord) -> bool:
+        """Store or write a record, without the lock of `logging.Handler`: `deque.append` is atomic."""
+        if record.name == self.immediate_logger or (
+            NOTICE <= record.levelno <= logging.WARNING and self._line_allowed()
+        ):
+            self._write([record])
+            return True
+        self.records.append(record)
+        if record.levelno >= logging.ERROR:
+            self.dump_pending = True
+        if self.dump_pending:
+            self.tick()
+        return True
+
+    def dump(self, why: str) -> None:
+        """Write the ring because of `why`, now or once 5 s have passed since the last dump."""
+        self.handle(logging.LogRecord("gateway.log_ring", logging.ERROR, "", 0, "spilled: %s", (why,), None))
+
+    def tick(self) -> None:
+        """Write a pending dump if it is due. To be called regularly."""
+        now = self.clock()
+        if self.dump_pending and now >= self.next_dump:
+            self.next_dump, self.dump_pending = now + DUMP_INTERVAL_S, False
+            records = list(self.records)
+            self.records.clear()
+            self._write(records)
+
+    def flush(self) -> None:
+        """Write a pending dump at once, before the program exits."""
+        self.next_dump = float("-inf")
+        self.tick()
+
+    def _line_allowed(self) -> bool:
+        now = self.clock()
+        if now >= self.second + 1:
+            self.second, self.lines = now, 0
+        self.lines += 1
+        return self.lines <= MAX_LINES_PER_SECOND
+
+    def _write(self, records: list[logging.LogRecord]) -> None:
+        try:
+            if self.formatter is None:
+                self.formatter = _json_lines()
+            self.out("".join(self._line(record) for record in records))
+        except Exception:  # a log must not stop the program
+            self.dropped += len(records)
+
+    def _line(self, record: logging.LogRecord) -> str:
+        try:
+            return self.format(record) + "\n"
+        except Exception:  # the arguments don't match the format
+            self.dropped += 1
+            return ""
+
+
+def _json_lines() -> logging.Formatter:
+    from pythonjsonlogger.json import JsonFormatter  # imported late: slow, and most runs write nothing
+
+    return JsonFormatter(
+        "{created}{levelname}{name}{message}",
+        style="{",
+        rename_fields={"created": "time", "levelname": "level", "name": "logger"},
+    )
+
+
+def _to_stderr(lines: str) -> None:
+    sys.stderr.write(lines)
+    sys.stderr.flush()
--- a/post/office/wire.py
+++ b/gateway/runtime/peer_transport.py
@@ -1,11 +1,12 @@
-"""Messages between own processes: small ones as datagrams, others over kept TCP links to the same port.
+"""Messages between our own processes: small ones as datagrams, others over TCP links to the same port.
 
-    port = Port(loop, "10.1.0.5:7660", {1: Plane(1, Note, on_note)})
+    port = PeerTransport(loop, "10.1.0.5:7660", {1: Plane(1, Message, on_message)})
     await port.open()
-    port.send("10.2.0.3:7661", 1, Note(...))    # may be lost, come late, or come twice
+    port.send("10.2.0.3:7661", 1, Message(...))    # may be lost, delayed or duplicated
 
 A message on the wire is one byte (version in the upper 3 bits, plane in the lower 5) and the serialised
-protobuf. On a link each message follows its length in 4 bytes; the first one is the opener's own address.
+protobuf. On a link each message is preceded by its length in 4 bytes, big endian; the first one is the
+address of the process that opened the link.
 """
 
 from __future__ import annotations
@@ -16,42 +17,43 @@
 from collections.abc import Callable, Hashable, Mapping
 from typing import Any, NamedTuple, Protocol
 
-from post.machine import Address
-from post.office.address import host_port
-from post.office.links import MOST_BYTES, Inbound, Links, try_option
-from post.office.ticker import Ticker
+from gateway.runtime.address import host_port
+from gateway.runtime.tcp_links import MAX_QUEUED_BYTES, InboundLink, TcpLinks, try_option
+from gateway.runtime.ticker import Ticker
+from gateway.state_machine import Address
 
 VERSION = 1
-DATAGRAM_BYTES = 1150  # the longest message that goes as a datagram, its first byte counted
-READS = 32  # datagrams that are read before others get their turn
-SOCKET_BYTES = 1 << 19  # kept by the kernel for datagrams that aren't read yet
-SWEEP_S = 2.0  # between two looks for idle links
-KNOWN = 1024  # addresses whose parts are kept
+MAX_DATAGRAM_BYTES = 1150  # bytes with the first one; longer messages go over TCP
+MAX_READS_PER_WAKEUP = 32  # datagrams read before the event loop goes on
+SOCKET_BYTES = 1 << 19  # receive buffer of the UDP socket
+SWEEP_S = 2.0  # between two checks for idle links
+MAX_CACHED_ADDRESSES = 1024  # addresses whose parsed form is cached
 
-log = logging.getLogger("post.wire")
+log = logging.getLogger("gateway.peer_transport")
 
 
 class Message(Protocol):
-    """What a protobuf message can do, as far as needed here."""
+    """The methods of a protobuf message that are used here."""
 
     def SerializeToString(self) -> bytes: ...  # noqa: N802
     def ParseFromString(self, serialized: bytes) -> Any: ...  # noqa: N802
 
 
 class Plane(NamedTuple):
-    """Who takes a plane's messages: its number (0 to 31), the messages' class, and the one who is told.
+    """A plane on the wire: its number (0 to 31), the class of its messages, and the receiver of those.
 
-    `slot` tells of a message which later ones stand in for it: those with the same slot. None: none does.
+    `slot` maps a message to a key: of the messages queued for one link, a later one replaces an earlier one
+    of the same slot. None: it is never replaced.
     """
 
     number: int
     message_class: Callable[[], Any]
-    on_note: Callable[[Address, Any], object]
+    on_message: Callable[[Address, Any], object]
     slot: Callable[[Any], Hashable] = lambda _: None
 
 
-class Count:
-    """Messages and bytes of one plane, in and out, since the start."""
+class PlaneCounters:
+    """Messages and bytes of one plane, received and sent, since the start."""
 
     __slots__ = ("bytes_in", "bytes_out", "messages_in", "messages_out")
 
@@ -59,18 +61,19 @@
         self.messages_in = self.bytes_in = self.messages_out = self.bytes_out = 0
 
 
-class Port:
-    """A process's own port. `open` raises OSError if it can't be had; after that nothing here raises.
+class PeerTransport:
+    """A process's own port, UDP and TCP. `open` raises OSError if it can't be bound; no other method raises.
 
-    `counts` is by plane; `bad` counts messages that were dropped because they can't be read or sent, by why.
+    `counts` is by plane; `bad` counts dropped messages that couldn't be read or sent, by reason.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, address: Address,
-                 handlers: Mapping[int, Plane]) -> None:
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, address: Address, handlers: Mapping[int, Plane]
+    ) -> None:
         self.loop, self.address, self.handlers = loop, address, dict(handlers)
-        self.counts = {number: Count() for number in self.handlers}
+        self.counts = {number: PlaneCounters() for number in self.handlers}
         self.bad: dict[str, int] = {}
-        self.links = Links(loop, address, self._lost)
+        self.links = TcpLinks(loop, address, self._lost)
         self.to: dict[Address, tuple[str, int]] = {}
         self.names: dict[tuple[str, int], Address] = {}
         self.socket: socket.socket | None = None
@@ -78,7 +81,7 @@
         self.sweeper: Ticker | None = None
 
     async def open(self) -> None:
-        """Take messages from now on."""
+        """Bind the port and receive messages from now on."""
         host, port = host_port(self.address)
         udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         try:
@@ -94,7 +97,7 @@
         self.sweeper = Ticker(self.loop, SWEEP_S, lambda now: self.links.sweep())
 
     def close(self) -> None:
-        """Take and send no more. What waits on links is lost."""
+        """Stop receiving and sending. Messages queued on links are lost."""
         if self.socket is not None and self.server is not None and self.sweeper is not None:
             self.loop.remove_reader(self.socket.fileno())
             self.socket.close()
@@ -104,10 +107,10 @@
             self.socket = None
 
     def send(self, to: Address, plane: int, message: Message) -> None:
-        """Send a message to another process's own port, or lose it."""
+        """Send a message to another process's own port, or drop it and count that in `bad`."""
         count = self.counts.get(plane)
         if count is None:
-            count = self.counts[plane] = Count()
+            count = self.counts[plane] = PlaneCounters()
         data = bytes((VERSION << 5 | plane,)) + message.SerializeToString()
         count.messages_out += 1
         count.bytes_out += len(data)
@@ -118,7 +121,7 @@
             target = self._target(to)
             if target is None:
                 return self._lost("no address")
-        if len(data) > DATAGRAM_BYTES:
+        if len(data) > MAX_DATAGRAM_BYTES:
             known = self.handlers.get(plane)
             slot = None if known is None else known.slot(message)
             return self.links.send(to, target, data, None if slot is None else (plane, slot))
@@ -132,7 +135,7 @@
             target = host_port(to)
         except ValueError:
             return None
-        if len(self.to) >= KNOWN:
+        if len(self.to) >= MAX_CACHED_ADDRESSES:
             self.to.clear()
         self.to[to] = target
         return target
@@ -140,20 +143,20 @@
     def _lost(self, why: str) -> None:
         self.bad[why] = self.bad.get(why, 0) + 1
 
-    def _inbound(self) -> Inbound:
-        return Inbound(self.links, self._take, self._lost)
+    def _inbound(self) -> InboundLink:
+        return InboundLink(self.links, self._take, self._lost)
 
     def _readable(self) -> None:
-        for _ in range(READS):
-            if self.socket is None:  # a message just read has closed the port
+        for _ in range(MAX_READS_PER_WAKEUP):
+            if self.socket is None:  # the handler of a message has closed the port
                 return
             try:
-                data, source = self.socket.recvfrom(DATAGRAM_BYTES + 1)
-            except OSError:  # nothing is left, or an earlier datagram was turned away by its host
+                data, source = self.socket.recvfrom(MAX_DATAGRAM_BYTES + 1)
+            except OSError:  # nothing left to read, or an ICMP error of an earlier datagram
                 return
             name = self.names.get(source)
             if name is None:
-                if len(self.names) >= KNOWN:
+                if len(self.names) >= MAX_CACHED_ADDRESSES:
                     self.names.clear()
                 name = self.names[source] = f"{source[0]}:{source[1]}"
             self._take(name, data)
@@ -173,9 +176,9 @@
         except Exception:
             return self._lost("unreadable")
         try:
-            plane.on_note(sender, note)
+            plane.on_message(sender, note)
         except Exception:
             log.exception("a message of plane %s from %s could not be handled", plane.number, sender)
 
 
-__all__ = ["DATAGRAM_BYTES", "MOST_BYTES", "Count", "Message", "Plane", "Port"]
+__all__ = ["MAX_DATAGRAM_BYTES", "MAX_QUEUED_BYTES", "PlaneCounters", "Message", "Plane", "PeerTransport"]
--- a/post/office/ticker.py
+++ b/gateway/runtime/ticker.py
@@ -1,4 +1,4 @@
-"""Calls that come again and again, whatever becomes of one of them."""
+"""Periodic calls in the event loop that go on if one of them fails."""
 
 from __future__ import annotations
 
@@ -6,22 +6,27 @@
 import logging
 from collections.abc import Callable
 
-from post.office.clock import steady
+from gateway.runtime.clock import steady
 
-log = logging.getLogger("post.ticker")
+log = logging.getLogger("gateway.ticker")
 
 
 class Ticker:
     """Calls `call(now)` every `period` seconds, the first time after `first` (else `period`) seconds.
 
-    An exception in a call is logged as an error, and the next call comes all the same. Calls that came due
-    while the loop was held up are made once, not each.
+    `now` is `clock.steady()`. An exception in a call is logged as an error, and later calls are still made.
+    Several calls that came due while the loop was blocked are made as one.
     """
 
     __slots__ = ("call", "due", "handle", "loop", "period")
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, period: float, call: Callable[[float], object],
-                 first: float | None = None) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        period: float,
+        call: Callable[[float], object],
+        first: float | None = None,
+    ) -> None:
         self.loop, self.period, self.call = loop, period, call
         self.due = loop.time() + (period if first is None else first)
         self.handle: asyncio.TimerHandle | None = loop.call_at(self.due, self._tick)
@@ -35,7 +40,7 @@
             log.exception("a call every %s s failed", self.period)
 
     def stop(self) -> None:
-        """No more calls."""
+        """Make no more calls."""
         if self.handle is not None:
             self.handle.cancel()
             self.handle = None
--- a/proving/allowance_report.py
+++ b/proving/allowance_report.py
@@ -9,7 +9,7 @@
 import numpy as np
 from matplotlib import pyplot as plt
 
-from post.franking.tally import EDGES, WAYS
+from gateway.quota.decision_statistics import DECISION_KINDS, EDGES
 from proving import allowance
 from proving.allowance import STEP_S, Day, Table
 from proving.report import STYLE, picture
@@ -22,7 +22,7 @@
     figure, axes = plt.subplots(figsize=(11, 3.4))
     steps = sorted(day.course)
     floor = np.zeros(len(steps))
-    for n, (way, colour) in enumerate(zip(WAYS, COLOURS, strict=True)):
+    for n, (way, colour) in enumerate(zip(DECISION_KINDS, COLOURS, strict=True)):
         height = np.array([day.course[step][n] for step in steps])
         axes.bar(steps, height, STEP_S * 0.9, floor, align="edge", label=way, color=colour)
         floor = floor + height
@@ -71,11 +71,21 @@
 
 def write(day: Day, name: str, folder: Path) -> Path:
     """Write the page, and the same as text beside it; the page's path."""
-    parts = [f"<h1>{html.escape(name)}</h1>", "<h2>Asked, admitted, refused early</h2>", course(day),
-             table(allowance.table(day)), "<h2>Time that the charge adds</h2>", times(day),
-             table(allowance.added(day)), "<h2>Agreement</h2>", rest(day), table(allowance.agreement(day)),
-             f"<h2>Units given back</h2><p>{day.back.total()}</p>", "<h2>Keys that changed hands</h2>",
-             table(allowance.hands(day))]
+    parts = [
+        f"<h1>{html.escape(name)}</h1>",
+        "<h2>Asked, admitted, refused early</h2>",
+        course(day),
+        table(allowance.table(day)),
+        "<h2>Time that the charge adds</h2>",
+        times(day),
+        table(allowance.added(day)),
+        "<h2>Agreement</h2>",
+        rest(day),
+        table(allowance.agreement(day)),
+        f"<h2>Units given back</h2><p>{day.back.total()}</p>",
+        "<h2>Keys that changed hands</h2>",
+        table(allowance.hands(day)),
+    ]
     head = f'<!doctype html><meta charset="utf-8"><title>{html.escape(name)}</title>'
     path = folder / f"{name}.html"
     path.write_text(f"{head}<style>{STYLE}</style>" + "\n".join(parts), encoding="utf-8")
--- /dev/null
+++ b/proving/model/client_attempts.py
@@ -0,0 +1,229 @@
+"""Tries: one request at one ingress in bytes, and the connections of clients that carry them."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Any, Protocol
+
+from proving.model.client_requests import Request
+from proving.model.machines import Machine
+from proving.model.network import Location, Network
+from proving.model.payloads import body_of, seal
+from proving.model.processes import ProxyProcess
+from proving.model.record import Record
+from proving.model.simulator import Simulator
+from proving.model.tcp import TcpEndpoint, connect
+from proving.spec import Spec
+from roadspur.net.http_messages import ResponseReader
+
+CONNECT_S = 1.0
+
+
+def read_after(lines: bytes) -> float:
+    """The time that an answer tells to come back in."""
+    _, found, rest = lines.partition(b"Retry-After: ")
+    return float(rest.partition(b"\r\n")[0]) if found else 0.0
+
+
+def judge(status: int, lines: bytes, body: bytes, attempt: str) -> str:
+    """What is wrong with an answer, as its client can tell."""
+    if not 200 <= status < 300:
+        return ""
+    lower = lines.lower()
+    if b"attempt-id: " + attempt.encode() not in lower:
+        return "the answer to another request"
+    _, found, rest = lower.partition(b"backend-seal: ")
+    if not found:
+        return "no seal"
+    return "" if rest.partition(b"\r\n")[0] == seal(attempt, body) else "not the whole body"
+
+
+class AttemptOwner(Protocol):
+    """What an attempt and its connection use of the clients that they belong to."""
+
+    idle: dict[tuple[str, int], SimulatedClientConnection]
+
+    @property
+    def simulator(self) -> Simulator:
+        """Simulated time."""
+
+    @property
+    def network(self) -> Network:
+        """All links."""
+
+    @property
+    def spec(self) -> Spec:
+        """The experiment."""
+
+    @property
+    def record(self) -> Record:
+        """What the run leaves behind."""
+
+    @property
+    def places(self) -> Mapping[str, Location]:
+        """Where the clients of each zone are."""
+
+    def over(
+        self,
+        request: Request,
+        attempt: str,
+        machine: Machine,
+        status: int,
+        after: float,
+        fault: str,
+        read: bool,
+    ) -> None:
+        """An attempt has come to something."""
+
+
+class SimulatedClientConnection:
+    """A client's connection to an ingress: one try at a time."""
+
+    def __init__(self, owner: AttemptOwner, machine: Machine, slot: tuple[str, int]) -> None:
+        self.owner, self.machine, self.slot = owner, machine, slot
+        self.end: TcpEndpoint | None = None
+        self.reader = ResponseReader(flows=True)
+        self.current: ClientAttempt | None = None
+        self.open = False
+
+    def connection_made(self, transport: Any) -> None:
+        """Requests are written as they come up."""
+
+    def data_received(self, data: bytes) -> None:
+        answers = self.reader.feed(data)
+        if self.current is None:
+            if answers or self.reader.partial or self.reader.broken:
+                self.stray(data)
+            return
+        current = self.current
+        if self.reader.broken and not answers:
+            self.current = None
+            current.end(0, 0.0, f"no answer: {self.reader.broken}")
+            self.drop()
+            return
+        for answer in answers:
+            self.current = None
+            lines = b"".join(b"%s: %s\r\n" % (n.title(), v) for n, v in answer.headers.items())
+            current.end(
+                answer.status, read_after(lines), judge(answer.status, lines, answer.body, current.attempt)
+            )
+            if answer.keep and len(answers) == 1:
+                self.owner.idle[self.slot] = self
+            else:
+                self.drop()
+            return
+
+    def stray(self, data: bytes) -> None:
+        """Something comes that nobody waits for: no harm unless it looks like a success."""
+        if b" 200 " in data[:20]:
+            self.owner.record.faults.append(f"MIXED: a success on an idle connection at {self.machine.name}")
+
+    def eof_received(self) -> bool:
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.open = False
+        if self.owner.idle.get(self.slot) is self:
+            del self.owner.idle[self.slot]
+        current, self.current = self.current, None
+        if current is not None:
+            current.end(0, 0.0, "", current.was_read())
+
+    def drop(self) -> None:
+        self.open = False
+        if self.owner.idle.get(self.slot) is self:
+            del self.owner.idle[self.slot]
+        if self.end is not None:
+            self.end.close()
+
+
+class ClientAttempt:
+    """One try of a request at one ingress, over a kept connection or a new one."""
+
+    def __init__(self, owner: AttemptOwner, request: Request, attempt: str, machine: Machine) -> None:
+        self.owner, self.request, self.attempt, self.machine = owner, request, attempt, machine
+        self.simulator, self.network = owner.simulator, owner.network
+        self.place = owner.places[request.zone]
+        self.ended = False
+        self.read_before = 0
+
+    def process(self) -> ProxyProcess | None:
+        """The program at the ingress."""
+        found = self.machine.processes.get("proxy")
+        return found if isinstance(found, ProxyProcess) else None
+
+    def end(self, status: int, after: float = 0.0, fault: str = "", read: bool = True) -> None:
+        """What it came to."""
+        if not self.ended:
+            self.ended = True
+            self.owner.over(self.request, self.attempt, self.machine, status, after, fault, read)
+
+    def begin(self) -> None:
+        r = self.request
+        slot = (r.zone, r.hashed)
+        self.simulator.at(r.ends, self.give_up)
+        known = self.owner.idle.get(slot)
+        if known is not None and known.machine is self.machine and known.open and not r.ways:
+            del self.owner.idle[slot]
+            self.connection = known
+            self.write()
+            return
+        self.connection = SimulatedClientConnection(self.owner, self.machine, slot)
+        self.simulator.after(CONNECT_S, self.no_connection)
+        connect(self.network, self.place, None, self.machine.place, True, None, self.accept, self.made)
+
+    def accept(self, end: TcpEndpoint) -> bool | None:
+        process = self.process()
+        if process is None:
+            return False if self.machine.power else None
+        return process.server.accept(process, end)
+
+    def made(self, end: TcpEndpoint | None) -> None:
+        if end is None:
+            self.end(0, 0.0, "", False)
+            return
+        if self.ended:
+            end.abort()
+            return
+        self.connection.end, end.receiver, self.connection.open = end, self.connection, True
+        self.write()
+
+    def no_connection(self) -> None:
+        if not self.connection.open and self.connection.end is None:
+            self.end(0, 0.0, "no connection", False)
+
+    def write(self) -> None:
+        r, connection = self.request, self.connection
+        assert connection.end is not None
+        connection.current = self
+        self.read_before = connection.end.peer.taken_bytes
+        left = max(1, int(1000 * (r.ends - self.simulator.now)))
+        body = b"" if r.kind.safe else body_of(self.attempt, self.owner.spec.day.bodies)
+        length = b"" if r.kind.safe else b"Content-Length: %d\r\n" % len(body)
+        connection.end.write(
+            b"%s %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\n"
+            b"Authorization: Token %s\r\n%s\r\n%s"
+            % (
+                b"GET" if r.kind.safe else b"POST",
+                r.path.encode(),
+                r.host.encode(),
+                self.attempt.encode(),
+                left,
+                r.key.encode(),
+                length,
+                body,
+            )
+        )
+
+    def was_read(self) -> bool:
+        """Whether the ingress has read anything of it."""
+        end = self.connection.end
+        return end is not None and end.peer.taken_bytes > self.read_before
+
+    def give_up(self) -> None:
+        """The client has no time left."""
+        if not self.ended:
+            self.end(-1)
+            if self.connection.current is self:
+                self.connection.current = None
+                self.connection.drop()
--- /dev/null
+++ b/proving/model/proxy_sockets.py
@@ -0,0 +1,129 @@
+"""The proxy's connections to clients and backends: the program's own, over the model's links."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Mapping
+from typing import Any, Protocol, cast
+
+from gateway.state_machine import Address
+from proving.model.network import Location, Network
+from proving.model.simulator import Process
+from proving.model.tcp import TcpEndpoint, connect
+from roadspur.net import upstream as real
+from roadspur.net.client import ClientConnection
+from roadspur.net.server import Server
+from roadspur.net.upstream import Pool
+
+
+class ConnectionListener(Protocol):
+    """What takes connections at an address."""
+
+    @property
+    def place(self) -> Location:
+        """Where it stands."""
+
+    def accept(self, end: TcpEndpoint) -> bool | None:
+        """A caller connects: taken, refused, or (None) not answered at all."""
+
+
+class ConnectionEnvironment(Protocol):
+    """What connections need to know of the deployment around them."""
+
+    @property
+    def network(self) -> Network:
+        """All links."""
+
+    @property
+    def listeners(self) -> Mapping[Address, ConnectionListener]:
+        """What takes connections, by address."""
+
+    def vacant(self, ip: str) -> bool:
+        """Whether there is nothing at an address, not even a machine that could say so."""
+
+
+class Upstream(real.Upstream):
+    """Connections to backends; only how one is opened is the model's."""
+
+    def __init__(
+        self, process: Process, place: Location, environment: ConnectionEnvironment, *args: Any
+    ) -> None:
+        super().__init__(process.loop, *args)
+        self.process, self.place, self.environment = process, place, environment
+
+    async def connect(self, pool: Pool) -> real.Connection:
+        process, environment = self.process, self.environment
+        ip, port = pool.endpoint.address
+        backend = environment.listeners.get(f"{ip}:{port}")
+        future = process.create_future()
+
+        def made(end: TcpEndpoint | None) -> None:
+            if future.done():
+                if end is not None:
+                    end.abort()
+            elif end is None:
+                future.set_exception(ConnectionRefusedError())
+            else:
+                future.set_result(end)
+
+        if backend is not None:
+            connect(
+                environment.network,
+                self.place,
+                process,
+                backend.place,
+                False,
+                self.silent or None,
+                backend.accept,
+                made,
+            )
+        elif not environment.vacant(ip):
+            process.call_later(0.001, made, None)
+        async with asyncio.timeout(self.connect_timeout):
+            end = await future
+        connection = real.Connection(pool, cast(socket.socket, end))
+        end.receiver = connection
+        process.ends[end] = None
+        self.connections.add(connection)
+        connection.connection_made(cast(asyncio.Transport, end))
+        return connection
+
+
+class SimulatedServerConnection(ClientConnection):
+    """A client's connection; what has come and isn't read is known without a descriptor."""
+
+    def unread(self) -> bool:
+        end = cast(TcpEndpoint, self.transport)
+        return bool(end.pending or end.held)
+
+
+class ListeningSocket:
+    """Stands in for the listening socket."""
+
+    sockets = ()
+
+    def __init__(self) -> None:
+        self.open = True
+
+    def close(self) -> None:
+        self.open = False
+
+
+class SimulatedServer(Server):
+    """The proxy's own listener for clients."""
+
+    def __init__(self, *args: Any) -> None:
+        super().__init__(*args)
+        self.listening_socket = ListeningSocket()
+        self.listener = cast(asyncio.Server, self.listening_socket)
+
+    def accept(self, process: Process, end: TcpEndpoint) -> bool:
+        """A client connects: taken by the kernel, and by the program once it gets round to it."""
+        if process.ended or not self.listening_socket.open:
+            return False
+        end.process = process
+        process.ends[end] = None
+        connection = end.receiver = SimulatedServerConnection(self)
+        process.enter(connection.connection_made, end)
+        return True
--- a/tests/system/test_register_power.py
+++ b/tests/system/test_consensus_power_loss.py
@@ -10,8 +10,8 @@
 
 import pytest
 
-from post.register.disk import Store
-from tests.system.test_register_disk import record
+from gateway.consensus.storage import Store
+from tests.system.test_consensus_storage import record
 
 
 class PowerLostError(BaseException):
@@ -63,8 +63,11 @@
         now = {p.name: p.stat().st_ino for p in here.iterdir()}
         sure = self.sure.get(here, {})
         for name in sorted({*now, *sure}):
-            number = now.get(name) if now.get(name) == sure.get(name) else self.rng.choice(
-                [now.get(name), sure.get(name)])
+            number = (
+                now.get(name)
+                if now.get(name) == sure.get(name)
+                else self.rng.choice([now.get(name), sure.get(name)])
+            )
             if number is None:
                 continue
             if (here / name).is_dir():
@@ -94,7 +97,7 @@
 class NoParentSync(Store):
     """Planted fault: the folder is made, and its own name isn't synced."""
 
-    def _make(self) -> None:
+    def _create_folder(self) -> None:
         os.makedirs(self.folder, exist_ok=True)
 
 
@@ -102,9 +105,9 @@
     """Planted fault: what it has loaded counts as synced."""
 
     def save(self, record: Any) -> None:
-        if not self.unsynced or record != self.newest:
+        if not self.unsynced or record != self.newest_record:
             return super().save(record)
-        self._tidy()
+        self._remove_obsolete()
 
 
 class Hasty(Store):
@@ -122,18 +125,23 @@
     top = folder / "data"
     top.mkdir()
     power = Power(top, folder / "after", rng, patch)
-    acked = term = 0
+    heartbeat_answered = term = 0
     power.left = rng.randrange(1, 60)
     power.fails = rng.choice([0.0, 0.0, 0.1])
     try:
         while True:
             store = kind(str(top / "register"))
             found = store.load()
-            assert found is None and not acked or found is not None and found.term >= acked
+            assert (
+                found is None
+                and not heartbeat_answered
+                or found is not None
+                and found.term >= heartbeat_answered
+            )
             if found is not None:
                 try:
                     store.save(found)
-                    acked = found.term
+                    heartbeat_answered = found.term
                     assert len(os.listdir(store.folder)) <= 4, "more than two generations"
                 except OSError:
                     pass
@@ -141,7 +149,7 @@
                 term += 1
                 try:
                     store.save(record(term, 700))
-                    acked = term
+                    heartbeat_answered = term
                 except OSError:
                     pass
             if rng.random() < 0.5:  # killed between writing and syncing
@@ -155,11 +163,11 @@
         pass
     after = Store(str(folder / "after" / "register")).load()
     there = 0 if after is None else after.term
-    assert there >= acked, f"{acked} was saved, {there} is there"
+    assert there >= heartbeat_answered, f"{heartbeat_answered} was saved, {there} is there"
     assert after is None or after == record(after.term, 700)
     for descriptor in power.held:
         os.close(descriptor)
-    return acked
+    return heartbeat_answered
 
 
 def test_what_is_saved_outlives_any_loss_of_power(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
@@ -172,8 +180,9 @@
 
 
 @pytest.mark.parametrize("kind", [NoFolderSync, NoParentSync, Trusting, Hasty])
-def test_planted_faults_of_a_store_are_found(tmp_path: Path, monkeypatch: pytest.MonkeyPatch,
-                                             kind: type[Store]) -> None:
+def test_planted_faults_of_a_store_are_found(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, kind: type[Store]
+) -> None:
     for seed in range(300):
         (tmp_path / str(seed)).mkdir()
         with monkeypatch.context() as patch:
--- /dev/null
+++ b/tests/system/test_proxy_rank.py
@@ -0,0 +1,96 @@
+"""Who is refused last within a tenant: by its routes, and tries that can't be in time behind others."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+from typing import Any
+
+from gateway.proxy.decisions import RequestContext
+from gateway.proxy.ingress import ProxyIngress
+from roadspur import interface as io
+from tests.system.test_proxy_start import flight
+from tests.system.test_proxy_start import service as backends_of
+
+CLASS = io.ClassSettings("read", io.Effect.SAFE, 5.0, 5.0)
+
+
+def proxy_ingress() -> Any:
+    """As much of an ingress as tells late tries."""
+    return SimpleNamespace(patience={})
+
+
+def route_of(target_latency: float) -> Any:
+    """A route with an aim, in seconds."""
+    return SimpleNamespace(label="r", target_latency=target_latency)
+
+
+def test_a_nomination_goes_before_a_view_whatever_the_tenants_own_precedence() -> None:
+    nomination, view = SimpleNamespace(precedence=1), SimpleNamespace(precedence=2)
+    ranks = [
+        RequestContext(route, None, precedence=0, late=late).rank  # type: ignore[arg-type]
+        for route in (nomination, view)
+        for late in (False, True)
+    ]
+    assert ranks == sorted(set(ranks))  # nomination, late nomination, view, late view
+
+
+def test_a_try_is_late_once_its_client_has_used_up_most_of_its_aim() -> None:
+    here, route = proxy_ingress(), route_of(0.4)
+    assert not ProxyIngress.late(here, route, 2.5)  # nothing else is known yet
+    assert not ProxyIngress.late(here, route, 2.2)  # a third of a second later: still in time
+    assert ProxyIngress.late(here, route, 2.1)
+    assert not ProxyIngress.late(here, route, 2.5)
+
+
+def test_one_client_with_more_time_than_others_makes_these_late_for_a_while_only() -> None:
+    here, route = proxy_ingress(), route_of(0.4)
+    ProxyIngress.late(here, route, 4.0)
+    late = [ProxyIngress.late(here, route, 2.5) for _ in range(200)]
+    assert late[0] and not late[-1]
+
+
+def held_in_turn(requests: list[tuple[str, int, int | None]]) -> list[str]:
+    """Names of requests in the order in which they are held for a slot; each with the precedences of its
+    route and of its tenant."""
+    service = one_slot()
+    service.send(0.0, in_flight(service, "busy", 1.0))
+    for name, of_route, of_tenant in requests:
+        precedence = of_route if of_tenant is None else of_tenant
+        about = RequestContext(SimpleNamespace(precedence=of_route), None, precedence)  # type: ignore[arg-type]
+        service.send(0.0, in_flight(service, name, about.urgency))
+    names = [f.req.id for f in service.queue]
+    assert len(names) == len(requests)
+    return names
+
+
+def one_slot() -> Any:
+    """A service with two backends and room for one attempt."""
+    held = backends_of(lambda *_: None)
+    held.limit.slots, held.limit.floor = 1.0, 1.0
+    held.learn_route(CLASS, 2.0, "t1")
+    return held
+
+
+def in_flight(service: Any, name: str, urgency: float) -> Any:
+    """A request that a service has."""
+    f = service.active_requests[name] = flight(name, CLASS)
+    f.value = urgency
+    return f
+
+
+def test_within_a_tenants_precedence_the_more_urgent_route_goes_first() -> None:
+    asked = [("low", 2, 1), ("high", 0, 1), ("rush", 5, 0), ("other", 1, None), ("last", 0, 2)]
+    assert held_in_turn(asked) == ["rush", "high", "other", "low", "last"]
+
+
+def test_a_newcomer_does_not_take_the_slot_that_a_more_urgent_request_waits_for() -> None:
+    service = one_slot()
+    service.send(0.0, in_flight(service, "busy", 1.0))
+    service.send(0.0, in_flight(service, "urgent", 1.0))
+    first = service.acts.pop()
+    service.active_requests.pop("busy")
+    # It ended, and nobody was sent on yet.
+    service.limit.in_flight, service.fleet.backends[first.backend].out = 0, {}
+    service.send(0.0, in_flight(service, "newcomer", 0.5))
+    assert [a.request for a in service.acts] == ["urgent"]
+    assert [f.req.id for f in service.queue] == ["newcomer"]
