--- a/gateway/consensus/__init__.py
+++ b/gateway/consensus/__init__.py
@@ -1,1 +1,1 @@
-"""The configuration: agreement on one value among the core's disks."""
+"""Consensus on the configuration: Raft among the core's controllers, with one value as its whole state."""
--- a/gateway/consensus/api.py
+++ b/gateway/consensus/api.py
@@ -1,4 +1,4 @@
-"""What goes into the agreement and what comes out of it."""
+"""Input events and outputs of `RaftNode`, and its tuning parameters."""
 
 from __future__ import annotations
 
@@ -10,50 +10,51 @@
 
 
 class Tuning(NamedTuple):
-    """Times in seconds. Ways between members may take up to a fifth of `election_min_s`."""
+    """Timing and size parameters. Times are in seconds; one-way delays between members may be up to a fifth
+    of `election_min_s`."""
 
     heartbeat_interval_s: float = 0.08
-    election_min_s: float = 0.3  # silence of the leader that a follower bears at least
-    election_max_s: float = 0.55
-    lease_margin_s: float = 0.05  # by which a leader's lease ends before others may vote
-    resend_s: float = 0.3  # of an entry; doubled with each further time
-    max_write_stall_s: float = 1.0  # of a write, after which a leader hands over
-    presence_timeout_s: float = 1.0  # silence that counts as being there
-    replace_after_s: float = 2.0  # silence after which a newcomer takes a member's place
-    remove_after_s: float = 4.0  # silence after which a member goes without one
-    restart_query_interval_s: float = 0.04  # between two asks whether others have begun anew
-    request_interval_s: float = 0.5  # between two asks to join or to leave
-    write_retry_s: float = 0.25  # after a write that failed
-    max_proposal_wait_s: float = 2.0  # that a proposal waits for a change of members
+    election_min_s: float = 0.3  # shortest election timeout
+    election_max_s: float = 0.55  # longest election timeout
+    lease_margin_s: float = 0.05  # by which a leader's lease ends before its followers may vote for others
+    resend_s: float = 0.3  # until an unacknowledged entry is resent; doubled with each retry
+    max_write_stall_s: float = 1.0  # of a write without progress, after which a leader hands over
+    presence_timeout_s: float = 1.0  # a member silent for no longer than this counts as reachable
+    replace_after_s: float = 2.0  # silence after which a learner replaces a member
+    remove_after_s: float = 4.0  # silence after which a member is removed without a replacement
+    restart_query_interval_s: float = 0.04  # between queries whether the other members have restarted
+    request_interval_s: float = 0.5  # between two join requests
+    write_retry_s: float = 0.25  # pause after a failed write
+    max_proposal_wait_s: float = 2.0  # that a proposal waits for a membership change
     max_members: int = 9
 
 
 class Received(NamedTuple):
-    """A note has come."""
+    """A message has arrived from the network."""
 
     sender: Address
     message: pb.Message
 
 
 class Tick(NamedTuple):
-    """Time goes on; wanted about every 25 ms."""
+    """Time has passed; expected about every 25 ms."""
 
 
 class WriteCompleted(NamedTuple):
-    """The write of this token is on disk."""
+    """The write with this token is durable."""
 
     token: int
 
 
 class WriteFailed(NamedTuple):
-    """The write of this token failed. It is tried anew."""
+    """The write with this token failed, for the reason `why`. It is retried."""
 
     token: int
     why: str
 
 
 class Propose(NamedTuple):
-    """Agree on a value in place of version `expected`; for the leader alone. Answered by `Proposed`."""
+    """Replace the value of version `expected` by this one. Only a leader accepts it. Answer: `Proposed`."""
 
     token: int
     value: bytes
@@ -61,31 +62,31 @@
 
 
 class Leave(NamedTuple):
-    """This process ends soon: hand over, and have its disk taken out of the members."""
+    """This process ends soon: transfer leadership, and have its disk removed from the members."""
 
 
 class KnownAddresses(NamedTuple):
-    """Addresses of the core as learned elsewhere, for a disk that isn't a member yet."""
+    """Addresses of the core as learned elsewhere, to which a disk that isn't a member sends join requests."""
 
     addresses: tuple[Address, ...]
 
 
 class Write(NamedTuple):
-    """Save this record; at most one write is out at a time."""
+    """Persist this record; at most one write is in flight. Answered by `WriteCompleted` or `WriteFailed`."""
 
     token: int
     record: PersistentState
 
 
 class Committed(NamedTuple):
-    """This value is agreed on, for good. Versions rise, some may be left out."""
+    """This value is committed, permanently. Versions increase; some may be skipped."""
 
     version: int
     value: bytes
 
 
 class Proposed(NamedTuple):
-    """What became of a proposal: `done`; `refused`: it is not and won't be in force; `unknown`."""
+    """Outcome of a proposal: `done` (committed), `refused` (it never takes effect) or `unknown`."""
 
     token: int
     outcome: str
--- a/gateway/consensus/candidate.py
+++ b/gateway/consensus/candidate.py
@@ -1,4 +1,4 @@
-"""An election as its candidate sees it: it asks whether it might win before it begins a new term."""
+"""The candidate role: a pre-vote, and if that gets a quorum, an election in a new term."""
 
 from __future__ import annotations
 
@@ -7,7 +7,11 @@
 
 
 class CandidateRole:
-    """One try to become leader. `won` once majorities have voted."""
+    """One attempt to become leader; `won` is set once a quorum has granted its votes.
+
+    A `leadership_transfer` was requested by the leader itself: it skips the pre-vote. `retry_interval_s` is
+    the time in seconds after which unanswered requests are repeated.
+    """
 
     def __init__(
         self, replica: Replica, now: float, retry_interval_s: float, leadership_transfer: bool = False
@@ -17,7 +21,7 @@
             retry_interval_s,
             leadership_transfer,
         )
-        self.requesting_votes = False  # in a term of its own; before that it only sounds the others out
+        self.requesting_votes = False  # in a new term; before that it only asks for pre-votes
         self.granted = {replica.disk}
         self.requested_at = now
         self.won = False
@@ -28,25 +32,25 @@
             self._count()
 
     def tick(self, now: float) -> None:
-        """Ask those again who haven't answered; datagrams get lost."""
+        """Repeat the request to members that haven't granted it; datagrams get lost."""
         if now >= self.requested_at + self.retry_interval_s:
             self.requested_at = now
             self._ask()
 
     def on_pre_vote_response(self, message: pb.Message) -> None:
-        """One of them would vote for this disk."""
+        """A member has answered a pre-vote request."""
         if not self.requesting_votes and message.granted and message.term == self.replica.term + 1:
             self.granted.add(message.disk)
             self._count()
 
     def on_vote_response(self, message: pb.Message) -> None:
-        """One of them has voted for this disk."""
+        """A member has answered a vote request."""
         if self.requesting_votes and message.granted and message.term == self.replica.term:
             self.granted.add(message.disk)
             self._count()
 
     def on_persisted(self) -> None:
-        """Something is on disk: perhaps its own vote, with which it asks for the others'."""
+        """A write is durable: once that holds the candidate's own vote, request the others'."""
         if (
             self.requesting_votes
             and self.replica.disk not in self.granted
--- a/gateway/consensus/cold_start.py
+++ b/gateway/consensus/cold_start.py
@@ -1,8 +1,9 @@
-"""The beginning of a process's life: has every other member begun anew as well?
+"""Cold start: the detection that every other member has restarted as well.
 
-A member that begins has forgotten whose beats it answered, so it votes for nobody while a lease may rest on
-them. Such a leader decides by the entry that its successor must hold, and has led ever since; so if each
-member by that entry has said, after this life began, that it has not led in its own, there is no such leader.
+A member that restarts has forgotten which heartbeats it acknowledged, so it votes for nobody while a lease
+may rest on those acknowledgements. The holder of such a lease decides by the entry that its successor must
+hold, and has led ever since. So if each voter of that entry has said, after this process began, that it has
+not led since its own process began, there is no such leader, and votes need not be withheld.
 """
 
 from __future__ import annotations
@@ -16,7 +17,8 @@
 
 
 class PeerRestart(NamedTuple):
-    """Another one's beginning: its newest entry, when its process began at the latest, and in which term."""
+    """Another member's restart: its newest entry, the latest time at which its process began (by this
+    process's clock), and the term that it began with."""
 
     position: LogPosition
     began: float
@@ -24,20 +26,21 @@
 
 
 class ColdStart:
-    """Asks all others at once, and answers them. `until` is when no lease of before can run any more, and
-    `began` when this process began, both by its clock."""
+    """Asks all other voters whether they have restarted, and answers them. `until` is when any lease that
+    rests on this member's earlier acknowledgements has expired, `began` when this process began; both are
+    times of its own clock, in seconds."""
 
     def __init__(self, replica: Replica, now: float, until: float, began: float) -> None:
         self.replica, self.until, self.began, self.initial_term = replica, until, began, replica.term
         self.incarnation = (
             replica.rng.getrandbits(63) + 1
-        )  # named by answers; those to an earlier one don't count
+        )  # echoed in answers; answers to an earlier incarnation don't count
         self.leaderless = True  # this process has neither led nor heard a leader
-        self.others: dict[str, PeerRestart] = {}  # disks that have said so too since
+        self.others: dict[str, PeerRestart] = {}  # by disk, those that have said the same since
         self.next = now
 
     def tick(self, now: float) -> None:
-        """Ask those who haven't answered; some may not run yet, and datagrams get lost."""
+        """Query those that haven't answered; some may not run yet, and datagrams get lost."""
         if self.leaderless and self.next <= now < self.until:
             self.next = now + self.replica.tuning.restart_query_interval_s
             for member in self.replica.entry.voters():
@@ -45,7 +48,7 @@
                     self._tell(now, member.address, member.disk, 0)
 
     def on_restarted(self, now: float, sender: Address, message: pb.Message) -> None:
-        """Another one has begun anew: it asks (`life`), or answers (`to_life`), or both."""
+        """Another member has restarted: it queries (`incarnation`), answers (`to_incarnation`), or both."""
         if message.to_incarnation == self.incarnation:
             position = message.last_term, message.last_index
             self.others[message.disk] = PeerRestart(
@@ -55,17 +58,19 @@
             self._tell(now, sender, message.disk, message.incarnation, now < self.until)
 
     def all_members_restarted(self) -> bool:
-        """Have all whose word counts begun anew?"""
+        """Have all voters restarted, this one included?"""
         replica = self.replica
         return replica.is_voter and all(
             m.disk in self.others or m.disk == replica.disk for m in replica.entry.voters()
         )
 
     def leaderless_since(self) -> float | None:
-        """For a leader just elected: when the last of the core's processes began, if it is the first leader
-        of their lives. What a leader before has leased ended with the process that had it, so by then.
+        """For a leader just elected: when the last of the core's processes began, if this is the first leader
+        since all of them did; else None. What an earlier leader had leased ended with the process that held
+        it, so by that time.
 
-        Every leader of their lives is of a later term than all began with, and a term has one leader.
+        Every leader elected since all began has a later term than any of them began with, and a term has one
+        leader; so the leader of the first such term is the first leader.
         """
         known = [self.others[m.disk] for m in self.replica.entry.voters() if m.disk in self.others]
         if (
@@ -77,7 +82,8 @@
         return max([self.began, *(b.began for b in known)])
 
     def election_rank(self) -> int | None:
-        """How many are to stand before this one; None if too few are known to hold the same entry."""
+        """How many members are to become candidates before this one; None if no quorum is known to hold the
+        same newest entry."""
         replica = self.replica
         equal = {d for d, begun in self.others.items() if begun.position == replica.entry.position} | {
             replica.disk
--- a/gateway/consensus/follower.py
+++ b/gateway/consensus/follower.py
@@ -1,4 +1,4 @@
-"""What a follower takes from its leader, and answers."""
+"""The follower role: accepting heartbeats and entries of the leader, and acknowledging them."""
 
 from __future__ import annotations
 
@@ -8,27 +8,28 @@
 from gateway.consensus.timing import Timing
 from gateway.state_machine import Address
 
-RELAX_S = 10.0  # for which a stretch stays on disk that isn't asked for; no promise lasts that long
+RELAX_S = 10.0  # for which an unrequested stretch stays on disk; no promise lasts that long
 
 
 class FollowerRole:
-    """Who leads as far as heard (`leader`), and until when votes are `withheld` for those that were heard."""
+    """The `leader` as far as heard, and until when this member's vote is `withheld` from other candidates
+    because of the heartbeats that it has acknowledged. Times are seconds of this process's clock."""
 
     def __init__(self, replica: Replica, timing: Timing, now: float, leaving: bool) -> None:
         self.replica, self.timing, self.heard, self.withheld = replica, timing, NEVER, now
         self.leader: Address | None = None
         self.disk = ""  # the leader's
-        self.sent = 0.0  # when it sent the newest beat, by its clock
-        self.promise = 1.0  # stretch that the answer to the newest beat promises
-        self.stretched_at = now  # when a beat last asked for a stretch, or one of an earlier life may have
+        self.sent = 0.0  # when the leader sent the newest heartbeat, by the leader's clock
+        self.promise = 1.0  # stretch that the response to the newest heartbeat promises
+        self.stretched_at = now  # when a heartbeat last asked for a stretch, or may have before a restart
         self.last_reply_at = (
-            NEVER  # when the newest answer went out that a leader which was sure has told to have
+            NEVER  # when the newest response was sent that a leader, while it held its lease, has confirmed
         )
-        self.commit: LogPosition = (0, 0)  # newest that a leader has told to be committed
-        self.leaving = leaving  # others are to be members in its place, which each answer tells
+        self.commit: LogPosition = (0, 0)  # newest position that a leader has said is committed
+        self.leaving = leaving  # others are to be members in its place; said in each response
 
     def on_heartbeat(self, now: float, sender: Address, message: pb.Message) -> None:
-        """The leader of this term is heard, with its newest entry perhaps."""
+        """A heartbeat of this term's leader, perhaps with its newest entry: accept and acknowledge it."""
         replica = self.replica
         self.leader, self.disk, self.heard, self.sent = sender, message.disk, now, message.sent
         self.commit = max(self.commit, (message.term, message.commit))
@@ -45,18 +46,19 @@
         self.send_append_response(now, sender, message.disk, message.sent, self.promise)
 
     def learn(self, message: pb.Message) -> None:
-        """As a learner, take the leader's newest entry, which doesn't name this disk."""
+        """As a learner, accept the leader's newest entry, which doesn't have this disk as a voter."""
         if (message.entry.term, message.entry.number) > self.replica.entry.position:
             self._accept_entry(message)
 
     def on_persisted(self, now: float) -> None:
-        """More is on disk: the leader waits for that."""
+        """A write is durable: acknowledge the newest entry once it is, as the leader waits for that."""
         if self.leader is not None and self.replica.newest_entry_persisted():
             self.send_append_response(now, self.leader, self.disk, self.sent, self.promise)
 
     def quorum_contact_until(self) -> float:
-        """See `RaftNode`. It begins with this disk's own answer that a leader, which was sure, has told to
-        have; so beats that lay in a buffer, or come over a link of one direction, begin none."""
+        """See `RaftNode.quorum_contact_until`. The period begins with this disk's own response that a leader,
+        while it held its lease, has confirmed to have received; so heartbeats that lay in a buffer, or that
+        come over a link which carries only one direction, begin none."""
         known = self.replica.committed_entry
         if known is None or known.term != self.replica.term or known.position < self.commit:
             return NEVER
@@ -65,7 +67,7 @@
     def send_append_response(
         self, now: float, to: Address, disk: str, sent: float, promise: float = 1.0
     ) -> None:
-        """Tell a leader the newest entry that is here, and the newest on disk."""
+        """Report the positions of the newest entry held and of the newest one on disk to a leader."""
         replica = self.replica
         message = replica.message_with_durable_position(pb.APPEND_RESPONSE, disk)
         message.sent, message.replied_at, message.leaving = sent, now, self.leaving
@@ -74,12 +76,14 @@
         replica.send(to, message)
 
     def relax(self, now: float) -> None:
-        """Where nobody has asked for a stretch for long, all such promises are over: a start needn't wait."""
+        """Where no stretch has been requested for long, all promises of one have expired: a restart then
+        needn't wait for longer than without one."""
         if self.replica.stretch > 1.0 and now >= self.stretched_at + RELAX_S:
             self.replica.stretch = 1.0
 
     def _withhold(self, now: float, asked: float) -> None:
-        """No vote for others for as long as the leader asks, if a start would find that on disk."""
+        """Withhold votes from others for as long as the leader asks, as far as a restart would find the
+        stretch on disk."""
         replica = self.replica
         self.timing.follow(asked)
         if asked > 1.0:
@@ -95,7 +99,7 @@
             replica.entry = entry._replace(value=replica.entry.value)
 
     def _commit_from_leader(self, message: pb.Message) -> None:
-        """What the leader says is committed, if it is here."""
+        """Commit the entry held if the leader says that it is committed."""
         entry = self.replica.entry
         if entry.term == message.term and entry.number <= message.commit:
             self.replica.commit(entry)
--- a/gateway/consensus/leader.py
+++ b/gateway/consensus/leader.py
@@ -1,4 +1,4 @@
-"""The leader's part: proposals, commitment, changes of members and leadership transfer."""
+"""The leader role: proposals, commitment, membership changes and leadership transfer."""
 
 from __future__ import annotations
 
@@ -12,11 +12,15 @@
 from gateway.consensus.timing import Timing
 from gateway.state_machine import Address
 
-MAX_TRANSFER_WAIT_S = 1.0  # that handing over waits for the entry under way
+MAX_TRANSFER_WAIT_S = 1.0  # that a leadership transfer waits for the uncommitted entry
 
 
 class LeaderRole:
-    """A term as its leader. Its first entry is what it held; one entry is under way at a time."""
+    """The state of a leader during its term. Its first entry repeats what it held, so as to commit that in
+    its own term; at most one entry is uncommitted at a time.
+
+    `tolerance` is the number of members whose simultaneous loss the core must survive.
+    """
 
     def __init__(self, replica: Replica, now: float, tolerance: int, timing: Timing) -> None:
         self.replica, self.tolerance, self.timing = replica, tolerance, timing
@@ -27,36 +31,36 @@
         self.proposed_at, self.proposal_in_flight = (
             now,
             False,
-        )  # the proposal: when it came, and is it under way
+        )  # when the proposal came, and whether its entry is being replicated
         self.removed: list[Member] = []
         self.next_reconfiguration_check_at = now
         self.replication.replicate(now, replica.entry)
 
     @property
     def peers(self) -> dict[str, Peer]:
-        """The other members, by disk."""
+        """The other voters, by disk."""
         return self.replication.peers
 
     @property
     def lease(self) -> float:
-        """Until when no other can be elected: see `Replication.renew_lease`."""
+        """Until when no other leader can be elected, by this process's clock: `Replication.renew_lease`."""
         return self.replication.lease
 
     @property
     def newest_entry_committed(self) -> bool:
-        """Is the newest entry, one of this term, known to be committed?"""
+        """Whether the newest entry, which is one of this term, is committed."""
         return self.replication.newest_entry_committed
 
     def has_leader_lease(self, now: float) -> bool:
-        """Can't there be another leader now, and is what is committed known?"""
+        """Whether there can't be another leader now, and the newest committed entry is known."""
         return self.replication.has_leader_lease(now)
 
     def quorum_contact_until(self) -> float:
-        """See `RaftNode`."""
+        """See `RaftNode.quorum_contact_until`."""
         return self.replication.quorum_contact_until()
 
     def tick(self, now: float, leaving: bool) -> bool:
-        """Send beats and what is missing; change members where it is due. False if it must lead no more."""
+        """Send due heartbeats and entries, and begin a due membership change. False if it must step down."""
         self._make_way(now, leaving)
         ready = self.replication.transfer_since is not None and (
             self.newest_entry_committed or now - self.replication.transfer_since > MAX_TRANSFER_WAIT_S
@@ -76,7 +80,8 @@
         return True
 
     def propose(self, now: float, proposal: Propose) -> None:
-        """Take a proposal, at once or once the entry under way is committed."""
+        """Accept a proposal, to be replicated at once or when the uncommitted entry is committed. It is
+        refused while another one is pending or a leadership transfer is under way."""
         if self.proposal is not None or self.replication.transfer_since is not None:
             self.replica.out.append(Proposed(proposal.token, "refused"))
             return
@@ -84,12 +89,15 @@
         self._start_waiting_proposal(now)
 
     def on_append_response(self, now: float, message: pb.Message) -> None:
-        """A member has answered a heartbeat or an entry."""
+        """A member has acknowledged a heartbeat or an entry."""
         if self.replication.on_append_response(now, message):
             self.count(now)
 
     def count(self, now: float) -> None:
-        """Is the newest entry on enough disks?"""
+        """Commit the newest entry if it is on the disks of a quorum, and continue with what waited for that.
+
+        A committed joint configuration is followed by the entry that has the new members alone.
+        """
         replica, entry = self.replica, self.replica.entry
         if self.newest_entry_committed:
             return
@@ -114,9 +122,10 @@
             self.replication.broadcast(now)
 
     def join(self, now: float, sender: Address, message: pb.Message) -> None:
-        """A disk asks to be a member: answer, and keep it in mind if it has heard this leader's answer."""
+        """Handle a join request: answer with a hint, and note the disk if it already has this leader's hint
+        (which the request's term shows)."""
         replica, known = self.replica, self.replica.committed_entry
-        if message.disk in self.replication.past_members:  # one put out never comes in again by that name
+        if message.disk in self.replication.past_members:  # a removed disk never rejoins under its old id
             if (
                 known is not None
                 and not replica.entry.has_voter(message.disk)
@@ -136,7 +145,8 @@
     def _update_learner(
         self, now: float, member: Member, last_position: LogPosition, durable_position: LogPosition
     ) -> None:
-        """One that asks has this entry, and that on disk: it is sent the newest before it may be chosen."""
+        """Note what a joining disk holds, and holds on disk; it is sent the newest entry before it may be
+        chosen as a member."""
         peer = self.replication.learners.get(member.disk)
         if peer is None or peer.address != member.address:
             peer = Peer(member, now)
@@ -149,7 +159,7 @@
             self._replicate_to_learners(now)
 
     def _replicate_to_learners(self, now: float) -> None:
-        """Send the newest entry, which is committed, to those who might become members and lack it."""
+        """Send the newest entry, which is committed, to learners that lack it, if there is room for one."""
         replica = self.replica
         self.replication.learners = {
             d: p for d, p in self.replication.learners.items() if d in self.join_requests.askers
@@ -160,14 +170,16 @@
                     self.replication.send_entry(now, peer, peer.last_position == self.replication.base)
 
     def _make_way(self, now: float, leaving: bool) -> None:
-        """Before it leaves, take no more proposals while there is an heir; without one, lead on."""
+        """When leaving, prepare a leadership transfer (which refuses proposals) while a successor is
+        available; without one, go on leading."""
         if not leaving or not self._heirs(now):
             self.replication.transfer_since = None
         elif self.replication.transfer_since is None:
             self.replication.transfer_since = now
 
     def _heirs(self, now: float) -> list[Peer]:
-        """Members that may lead next: they stay, and hold the newest entry once that is agreed on."""
+        """Members that may lead next: they stay, have answered within the election timeout, are in the new
+        configuration, and have the newest entry on disk if that is committed."""
         entry = self.replica.entry
         oldest = now - self.replica.tuning.election_min_s * self.timing.stretch
         members = {m.disk for m in entry.members}
@@ -181,7 +193,8 @@
         ]
 
     def transfer_leadership(self, now: float) -> bool:
-        """Ask the member that is best placed for it to lead. If True, this one must step down for good."""
+        """Ask the most recently heard successor that has the newest entry on disk to begin an election. If
+        True, this leader must step down."""
         replica = self.replica
         able = [p for p in self._heirs(now) if p.durable_position == replica.entry.position]
         if not able:
@@ -191,7 +204,7 @@
         return True
 
     def resign(self) -> None:
-        """Lead no more: tell what became of the proposal."""
+        """Stop leading: report a pending proposal's outcome, which is `unknown` once it was replicated."""
         if self.proposal is not None:
             self._answer("unknown" if self.proposal_in_flight else "refused")
 
@@ -201,7 +214,7 @@
         self.proposal, self.proposal_in_flight = None, False
 
     def _start_waiting_proposal(self, now: float) -> None:
-        """Begin the proposal that waits, if nothing is under way."""
+        """Replicate the pending proposal if no entry is uncommitted and no membership change under way."""
         proposal = self.proposal
         if (
             proposal is None
@@ -220,9 +233,9 @@
         )
 
     def _start_reconfiguration_if_due(self, now: float) -> None:
-        """Begin a change of members if one is due, between two proposals as well.
+        """Begin a membership change if one is due and no proposal is pending.
 
-        A newcomer must have on disk what was the newest entry not longer ago than a follower bears silence.
+        A new member must have on disk an entry that was the newest no longer ago than the election timeout.
         """
         if (
             now < self.next_reconfiguration_check_at
@@ -251,7 +264,7 @@
             self.replication.replicate(now, entry._replace(members=members, outgoing=entry.members))
 
     def member_health(self, now: float) -> dict[str, MemberHealth]:
-        """What is known of each other member's presence, by disk."""
+        """What is known of the reachability of each other voter, by disk."""
         t = self.replica.tuning
         return {
             p.disk: MemberHealth(
--- a/gateway/consensus/learner.py
+++ b/gateway/consensus/learner.py
@@ -1,4 +1,4 @@
-"""How a disk that isn't a member asks to be one, and how one learns that it is none any more."""
+"""The learner role: how a disk that isn't a member joins, and how a removed one learns of its removal."""
 
 from __future__ import annotations
 
@@ -10,53 +10,54 @@
 from gateway.state_machine import Address
 
 MAX_CORE_ADDRESSES = 32
-ANY_DISK = "*"  # in place of a disk: one who knows that the sender is no member any more
-MIN_REQUEST_INTERVAL_S = 0.05  # between two asks
+ANY_DISK = "*"  # as the receiver's disk: whoever knows that the sender isn't a member any more
+MIN_REQUEST_INTERVAL_S = 0.05  # between two join requests
 
 
 class LearnerRole:
-    """Asks the leader where it is known, else everyone who may know it."""
+    """Sends join requests to the leader if it is known, else to all addresses that may know it."""
 
     def __init__(self, replica: Replica, seeds: Sequence[Address], asks: bool) -> None:
         self.replica = replica
-        self.asks = asks  # to be a member; else only who leads
+        self.asks = asks  # to become a member; otherwise it only asks for the leader
         self.seeds = tuple(seeds)
-        self.core: tuple[Address, ...] = ()  # as told by others
+        self.core: tuple[Address, ...] = ()  # addresses named by others
         self.leader: Address | None = None
         self.term = 0  # the leader's
         self.heard = self.next = self.requested_at = 0.0
 
     def learn(self, addresses: Sequence[Address]) -> None:
-        """Others name the core."""
+        """Note the core's addresses as others name them; at most `MAX_CORE_ADDRESSES`."""
         if addresses:
             self.core = tuple(addresses)[:MAX_CORE_ADDRESSES]
 
     def tick(self, now: float) -> None:
-        """Ask when it is time to."""
+        """Send a join request if one is due, and forget a leader that was silent for three intervals."""
         if self.leader is not None and now - self.heard > 3 * self.replica.tuning.request_interval_s:
             self.leader = None
         if now >= self.next:
             self._ask(now)
 
     def probe_other_addresses(self) -> None:
-        """As a member that hears no leader, ask others too: all other members may have been replaced."""
+        """As a member that hears no leader, ask addresses outside the membership too: all other members may
+        have been replaced."""
         known = {m.address for m in self.replica.entry.voters()} if self.replica.is_voter else set()
         for address in sorted({*self.seeds, *self.core} - known) if known else ():
             self.replica.send(address, self.replica.message_with_last_position(pb.PRE_VOTE, ANY_DISK))
 
     def report_progress(self, now: float) -> None:
-        """As a learner, have the leader know what is on disk."""
+        """As a learner, report to the leader what is on disk, with a join request."""
         self.next = now
         self.tick(now)
 
     def on_leader_entry(self, now: float, leader: Address, term: int) -> None:
-        """As a learner, one has been sent the leader's newest entry, perhaps again."""
+        """As a learner, the leader's newest entry has been received, perhaps again."""
         self.on_leader(now, leader, term)
         if self.replica.newest_entry_persisted():
             self.report_progress(now)
 
     def on_leader(self, now: float, leader: Address, term: int) -> None:
-        """Someone is heard as leader, or named as one (term 0)."""
+        """A leader is heard (in this term), or named by another process (term 0)."""
         if term == 0 and leader == self.leader:
             return
         new = (leader, term) != (self.leader, self.term)
@@ -66,14 +67,14 @@
             self.tick(now)
 
     def on_hint(self, now: float, sender: Address, message: pb.Message) -> None:
-        """An answer: who leads, and who else is of the core."""
+        """The response to a join request: the leader, and the other members of the core."""
         self.learn([m.address for m in message.members])
         if message.leader:
             self.on_leader(now, message.leader, message.term if message.leader == sender else 0)
 
     def _ask(self, now: float) -> None:
         replica = self.replica
-        if replica.persisted.disk != replica.disk:  # it has yet to show that it can write
+        if replica.persisted.disk != replica.disk:  # its first write isn't durable yet
             return
         self.requested_at, self.next = now, now + replica.tuning.request_interval_s
         targets = {*self.seeds, *self.core} if self.leader is None else {self.leader}
@@ -84,7 +85,7 @@
 
 
 def send_leader_hint(replica: Replica, to: Address, disk: str, leader: Address) -> None:
-    """Tell one who asks to join who leads (empty: unknown), and who the members are."""
+    """Answer a join request with the leader's address (empty: unknown) and the members."""
     hint = replica.message(pb.LEADER_HINT, disk)
     hint.leader = leader
     put_members(replica.entry.members, hint.members)
@@ -92,7 +93,7 @@
 
 
 def send_removed(replica: Replica, entry: Entry, to: Address, disk: str) -> None:
-    """Tell a disk that it isn't a member any more, by this committed entry."""
+    """Inform a disk that by this committed entry it isn't a member any more."""
     message = replica.message(pb.REMOVED, disk)
     message.last_term, message.last_index = entry.position
     put_members(entry.members, message.members)
@@ -100,7 +101,10 @@
 
 
 def reject_removed_member(replica: Replica, sender: Address, message: pb.Message) -> bool:
-    """Is a note from a disk that is no member any more? Then that is told to it."""
+    """Whether a message is from a removed member, which is then informed of its removal.
+
+    Only a committed entry outside a joint configuration, newer than what the sender holds, proves a removal.
+    """
     known = replica.committed_entry
     if (
         known is None
--- a/gateway/consensus/message_dispatch.py
+++ b/gateway/consensus/message_dispatch.py
@@ -1,6 +1,6 @@
 """The dispatch of received messages to the roles of a node.
 
-Messages for another disk, from disks that are no members, and of other terms are told apart here.
+It also handles messages that are meant for another disk, come from removed members, or are of other terms.
 """
 
 from __future__ import annotations
@@ -22,7 +22,7 @@
 
 
 class Node(Protocol):
-    """What the dispatch needs of a node: its roles, and the changes between them."""
+    """What the dispatch needs of a node: its roles, and the transitions between them."""
 
     replica: Replica
     tuning: Tuning
@@ -38,33 +38,33 @@
 
     @property
     def leader(self) -> Address | None:
-        """Who leads, as far as known."""
+        """The leader's address, as far as known."""
 
     @property
     def members(self) -> tuple[Member, ...]:
         """The members by the newest entry held."""
 
     def start_election(self, now: float) -> None:
-        """Become a candidate, if this disk may."""
+        """Become a candidate, if this disk may be one."""
 
     def reset_election_timer(self, now: float) -> None:
-        """Begin a new election timeout."""
+        """Begin a new random election timeout."""
 
     def enter_term(self, now: float, term: int) -> None:
         """Go on to a later term."""
 
     def rejoin_as_new_disk(self, now: float) -> None:
-        """Drop what this disk is, and ask to be a member again."""
+        """Give up this disk's id and entry, and ask to be a member again under a new id."""
 
 
 class MessageDispatch:
-    """Takes each message that a node receives to the role it concerns, in the term it belongs to."""
+    """Passes each message that a node receives to the role that handles it, in the term it belongs to."""
 
     def __init__(self, node: Node) -> None:
         self.node, self.replica = node, node.replica
 
     def receive(self, now: float, sender: Address, message: pb.Message) -> None:
-        """Take a message from the network; one that makes no sense is dropped and counted."""
+        """Handle a message from the network; a malformed one is dropped, and counted by its reason."""
         why = malformed_reason(message)
         if why:
             return self._drop(why)
@@ -113,7 +113,7 @@
             )(message)
 
     def _on_heartbeat(self, now: float, sender: Address, message: pb.Message) -> None:
-        """The leader is heard, with its newest entry perhaps."""
+        """Handle a leader's heartbeat, which may carry its newest entry."""
         replica = self.replica
         if message.term < replica.term:
             return self.node.follower_role.send_append_response(now, sender, message.disk, message.sent)
@@ -146,7 +146,8 @@
             self.node.reset_election_timer(now)
 
     def _on_restarted(self, now: float, sender: Address, message: pb.Message) -> None:
-        """Others have begun anew: one after the other stands, if all have at once, else as soon as it may."""
+        """Another member has restarted. Members that hold the same newest entry become candidates one after
+        the other: at once if all members have restarted, else as soon as votes need not be withheld."""
         cold_start = self.node.cold_start
         cold_start.on_restarted(now, sender, message)
         election_rank = (
@@ -161,7 +162,7 @@
                 self.node.start_election(now)
 
     def _on_timeout_now(self, now: float, message: pb.Message) -> None:
-        """The leader has stepped down in favour of this one."""
+        """The leader has stepped down in favour of this member: begin an election without a pre-vote."""
         if (
             message.term == self.replica.term
             and self.node.follower_role.leader is not None
@@ -181,7 +182,7 @@
             send_leader_hint(self.replica, sender, message.disk, self.node.leader or "")
 
     def _on_removed(self, now: float, message: pb.Message) -> None:
-        """This disk is no member any more."""
+        """This disk has been removed, if by an entry that is newer than its own: join again as a new disk."""
         if (message.last_term, message.last_index) > self.replica.entry.position:
             self.node.learner_role.learn([m.address for m in message.members])
             self.node.rejoin_as_new_disk(now)
--- a/gateway/consensus/quorum.py
+++ b/gateway/consensus/quorum.py
@@ -1,4 +1,4 @@
-"""What a core of so many disks bears: pure arithmetic over counts, for those who plan one."""
+"""Fault tolerance of a core by its number of disks: pure arithmetic, for capacity planning."""
 
 from __future__ import annotations
 
@@ -7,51 +7,52 @@
 
 
 class DiskLoss(NamedTuple):
-    """What becomes of a core when `lost` of its disks are away at once, or gone for good."""
+    """The effect on a core of `lost` of its disks being unreachable at once, or lost permanently."""
 
     lost: int
     stays_available: (
-        bool  # orders are agreed on all the while; where disks are gone, new ones take their places
+        bool  # orders are still committed; disks that are lost permanently get replaced by new ones
     )
-    keeps_orders: bool  # every acknowledged order is on a disk that is left
+    keeps_orders: bool  # every acknowledged order is on a disk that remains
 
 
 def majority(members: int) -> int:
-    """On how many disks an order is before it is acknowledged."""
+    """The number of disks that an order is on before it is acknowledged."""
     return members // 2 + 1
 
 
 def losses(members: int) -> list[DiskLoss]:
-    """By the number of disks lost, from none to all.
+    """The effect of each number of lost disks, from none to all.
 
-    An acknowledged order is on q disks. If f are lost, q - f of the others have it; if q others are left, any
-    q of those meet one that has it (q + q - f > members - f), and so the core goes on with it.
+    An acknowledged order is on q disks. If f are lost, at least q - f of the others have it; if q others are
+    left, any q of those include one that has it (q + q - f > members - f), so the core goes on with it.
     """
     q = majority(members)
     return [DiskLoss(f, members - f >= q, f < q) for f in range(members + 1)]
 
 
 def more(voter_sets: Iterable[tuple[int, int]], holders: int) -> int:
-    """How many more disks may be lost for good, whichever they are, while orders go on and none is lost.
+    """How many more disks, whichever they are, may be lost permanently while orders are still committed and
+    no acknowledged one is lost.
 
-    `voter sets`: of those whose majorities are needed, how many disks and how many of them are there.
-    `holders`: how many disks that are there have the newest acknowledged order.
+    `voter_sets`: for each set of voters whose majority is needed, its number of disks and how many of them
+    are reachable. `holders`: how many reachable disks have the newest acknowledged order.
     """
     return max(0, min([there - majority(disks) for disks, there in voter_sets] + [holders - 1]))
 
 
 def tolerable_losses(members: int) -> int:
-    """How many disks may be lost at once while the core goes on."""
+    """How many disks may be lost at once while the core stays available."""
     return max((loss.lost for loss in losses(members) if loss.stays_available), default=0)
 
 
 def members_needed(tolerance: int) -> int:
-    """The fewest members that bear the loss of so many."""
+    """The smallest core that stays available when `tolerance` members are lost at once."""
     return 2 * tolerance + 1
 
 
 def told(loss: DiskLoss) -> tuple[str, str]:
-    """In words: while these disks are only away, and if they are gone for good."""
+    """The effect in words: while these disks are only unreachable, and if they are lost permanently."""
     if loss.stays_available:
         return "goes on", "goes on, nothing lost" if loss.lost else "goes on"
     if loss.keeps_orders:
--- a/gateway/consensus/raft.py
+++ b/gateway/consensus/raft.py
@@ -1,8 +1,9 @@
-"""The agreement on the configuration: Raft with a log of one entry, which is the whole state.
+"""Consensus on the configuration: Raft with a log of one entry, which is the whole state.
 
-Elections, terms and the rule of commitment are Raft's. A leader first has what it held agreed on anew in its
-own term. An entry goes to those who lack it; beats carry no more than its place. Members are disks: one that
-comes back empty is a new one. While members change, an entry needs majorities of the old and of the new ones.
+Elections, terms and the commitment rule are Raft's. A leader first commits what it held again in its own
+term. The entry is sent to members that lack it; heartbeats carry only its position. Members are disks: one
+that comes back empty is a new member. During a membership change (a joint configuration), an entry needs
+majorities of both the old and the new members.
 """
 
 from __future__ import annotations
@@ -42,13 +43,15 @@
 
 
 class RaftNode:
-    """One disk's part. `now` must be read after the input came, for leases rest on it.
-
-    `stored` is what `Store.load` gave: it counts once it is saved, for a kill may have left it unsynced;
-    `fresh` the first start of the whole system; `seeds` the own ports of the seeds; `new_disk_id` a random
-    name, used if this disk is to be a new member; `tolerance` how many members may be lost at once. Where the
-    disk isn't `durable`, this is a member only if the first start has made it one, until durable ones come.
-    `dropped` counts notes that made no sense, by why.
+    """One disk's Raft node, a state machine without I/O. `now`, in seconds of this process's steady clock,
+    must be read after the event arrived, because leases rest on it.
+
+    `stored` is the result of `Store.load`; it counts only once it is saved again, since a killed process may
+    have left it unsynced. `fresh` means the first start of the whole system. `seeds` are the addresses of
+    the seeds' processes, `new_disk_id` is a random id, used if this disk is to be a new member, `tolerance`
+    the number of members that may be lost at once. A process whose disk isn't `durable` is a member only if
+    the first start made it one, until durable disks replace it. `began` is when the process began, by
+    default `now`. `dropped` counts malformed messages by reason.
     """
 
     def __init__(
@@ -77,16 +80,16 @@
         self.cold_start = ColdStart(self.replica, now, until, now if began is None else began)
         self.timing = Timing(self.replica, now)
         self.follower_role = FollowerRole(self.replica, self.timing, now, leaving=not durable)
-        self.leaderless_since: float | None = None  # of the leader that this is: see `ColdStart`
+        self.leaderless_since: float | None = None  # set while this is the leader: see `ColdStart`
         self.voter = Voter(self.replica, self.cold_start, self.follower_role)
         self.dropped: dict[str, int] = {}
-        self.leaving = self.left = False  # asked to leave; and no member any more
+        self.leaving = self.left = False  # asked to leave; and removed from the members after that
         self.message_dispatch = MessageDispatch(self)
         self.reset_election_timer(now)
 
     @property
     def role(self) -> str:
-        """`leader`, `candidate`, `follower` or `joining disk` (no member, asks to be one)."""
+        """`leader`, `candidate`, `follower` or `learner` (not a member; asks to be one)."""
         if self.leader_role is not None:
             return "leader"
         if not self.replica.is_voter:
@@ -95,7 +98,7 @@
 
     @property
     def leader(self) -> Address | None:
-        """Who leads, as far as known."""
+        """The leader's address, as far as known."""
         if self.leader_role is not None:
             return self.replica.me
         return self.follower_role.leader or (None if self.replica.is_voter else self.learner_role.leader)
@@ -107,12 +110,12 @@
 
     @property
     def term(self) -> int:
-        """The newest term known; a leader's is its fence."""
+        """The newest term known; a leader's term is its fencing token."""
         return self.replica.term
 
     @property
     def committed(self) -> int:
-        """Version of the newest value known to be committed; 0 if none."""
+        """The version of the newest value known to be committed; 0 if none is."""
         return self.replica.committed_version
 
     @property
@@ -121,16 +124,17 @@
         return self.replica.committed_entry
 
     def quorum_contact_until(self) -> float:
-        """A lease by this process's clock: until then it may say that it is in touch with a majority, and
-        that `value` is the newest there is, or was at most `election_max_s` ago."""
+        """A lease by this process's clock: until then it may claim to be in contact with a quorum, and that
+        `value` is the newest committed one, or was at most `election_max_s` ago."""
         return (self.leader_role or self.follower_role).quorum_contact_until()
 
     def has_leader_lease(self, now: float) -> bool:
-        """Is this the leader, can't there be another, and is `value` the newest there is?"""
+        """Whether this is the leader, there can't be another one now, and `value` is the newest committed
+        one."""
         return self.leader_role is not None and self.leader_role.has_leader_lease(now)
 
     def handle(self, now: float, event: Event) -> list[Output]:
-        """Take an input; what is to be sent, written and told."""
+        """Handle an event; returns what is to be sent, written and reported."""
         out = self.replica.out = []
         if isinstance(event, Received):
             self.message_dispatch.receive(now, event.sender, event.message)
@@ -172,7 +176,8 @@
             self.learner_role.tick(now)
 
     def start_election(self, now: float) -> None:
-        """No leader is heard: try to be one. Early in a life others may not be free yet, so ask often."""
+        """No leader is heard: become a candidate, if this disk may. Soon after the process began, other
+        members may still withhold their votes, so requests are repeated often."""
         self.reset_election_timer(now)
         self.follower_role.leader = None
         may = self.voter.may_stand(now)
@@ -184,7 +189,8 @@
         self.learner_role.probe_other_addresses()
 
     def _advance(self, now: float) -> None:
-        """A campaign that is won makes a leader. One that has led itself out of the members is done."""
+        """Make the winner of an election the leader. A leader that has committed its own removal hands over
+        and steps down."""
         if self.candidate_role is not None and self.candidate_role.won:
             self.leaderless_since = self.cold_start.leaderless_since()
             self.candidate_role, self.follower_role.leader, self.cold_start.leaderless = None, None, False
@@ -198,7 +204,7 @@
             self.rejoin_as_new_disk(now)
 
     def _on_persisted(self, now: float) -> None:
-        """More is on disk: tell those whom it concerns."""
+        """A write is durable: let each role act on it."""
         self.voter.on_persisted()
         if self.candidate_role is not None:
             self.candidate_role.on_persisted()
@@ -210,11 +216,11 @@
             self.learner_role.report_progress(now)
 
     def reset_election_timer(self, now: float) -> None:
-        """Wait for the leader anew, for a random election timeout."""
+        """Wait for a leader for a new random election timeout."""
         self.timing.reset_election_timer(now, self.follower_role.leaving)
 
     def step_down(self, now: float) -> None:
-        """Be a follower that knows of no leader."""
+        """Become a follower that knows of no leader."""
         if self.leader_role is not None:
             self.leader_role.resign()
             self.leader_role = self.leaderless_since = None
@@ -222,14 +228,15 @@
         self.reset_election_timer(now)
 
     def enter_term(self, now: float, term: int) -> None:
-        """Go on to a later term that someone has told of."""
+        """Enter a later term that another member has announced."""
         if self.leader_role is not None or self.candidate_role is not None:
             self.step_down(now)
         self.follower_role.leader = self.voter.pending_vote_reply = None
         self.replica.enter_term(term)
 
     def rejoin_as_new_disk(self, now: float) -> None:
-        """What this disk holds counts for nothing any more; it asks to be a member, unless it is to end."""
+        """Drop what this disk holds, which doesn't count any more, and ask to be a member under a new id,
+        unless this process is leaving."""
         self.step_down(now)
         self.left = self.leaving
         self.replica.reset_identity(f"{self.rng.getrandbits(64):016x}")
--- a/gateway/consensus/reconfiguration.py
+++ b/gateway/consensus/reconfiguration.py
@@ -1,4 +1,4 @@
-"""Which change of members a leader makes next."""
+"""Membership changes: which one a leader makes next."""
 
 from __future__ import annotations
 
@@ -13,7 +13,8 @@
 
 
 class MemberHealth(NamedTuple):
-    """What the leader knows of another member: seconds of its silence, is it there, does it want to go."""
+    """What the leader knows of another member: for how many seconds it has been silent, whether it counts as
+    reachable, and whether it is leaving."""
 
     silence_s: float
     reachable: bool
@@ -21,7 +22,7 @@
 
 
 class JoinRequest(NamedTuple):
-    """A disk that asks to be a member, and since when it asks."""
+    """A disk that asks to be a member, and the times of its first and its latest request."""
 
     member: Member
     since: float
@@ -29,20 +30,20 @@
 
 
 class JoinRequests:
-    """Disks that ask to be members."""
+    """The disks that ask to be members; at most `MAX_JOIN_REQUESTS` are kept."""
 
     def __init__(self) -> None:
         self.askers: dict[str, JoinRequest] = {}
 
     def add(self, now: float, disk: str, address: Address) -> None:
-        """A disk asks. The latest from an address is the one that is there."""
+        """Note a join request. It replaces one of another disk at the same address."""
         known = self.askers.get(disk)
         self.askers = {d: a for d, a in self.askers.items() if a.member.address != address}
         if len(self.askers) < MAX_JOIN_REQUESTS:
             self.askers[disk] = JoinRequest(Member(disk, address), known.since if known else now, now)
 
     def fresh(self, now: float, within: float) -> list[JoinRequest]:
-        """Those who have asked of late, the first one first; others are forgotten."""
+        """The disks that have asked within so many seconds, the first one first; others are forgotten."""
         self.askers = {d: a for d, a in self.askers.items() if now - a.last <= within}
         return sorted(self.askers.values(), key=lambda a: a.since)
 
@@ -55,9 +56,9 @@
     tolerance: int,
     tuning: Tuning,
 ) -> tuple[Member, ...] | None:
-    """The members after the next change; None if none is due. `others` is by disk, the leader left out.
+    """The members after the next change; None if none is due. `others` is by disk, without the leader.
 
-    A change is only begun if a majority of the members after it are there, the newcomer not counted.
+    A change is begun only if a majority of the members after it are reachable, the new one not counted.
     """
     found = None
     for learner in join_requests:
@@ -70,7 +71,7 @@
 
 
 def has_room(members: tuple[Member, ...], others: Mapping[str, MemberHealth], tuning: Tuning) -> bool:
-    """Is there a place for a newcomer, or may there be one soon?"""
+    """Whether a new member can be added, or may be soon."""
     return len(members) < tuning.max_members or any(p.leaving or not p.reachable for p in others.values())
 
 
@@ -85,14 +86,15 @@
     waited: float,
     tuning: Tuning,
 ) -> tuple[Member, ...] | None:
-    """The members with a newcomer, if there is a place for it now.
+    """The members with a new one, if there is a place for it now.
 
-    One that comes as another ends is to replace that one, so it is added only when its silence would show.
+    A disk that arrives as another one ends is to replace that one. So it is added as a further member only
+    after a wait in which the silence of a member that has ended would show.
     """
     if any(m.disk == learner.disk for m in members):
         return None
     for old in members:
-        if old.address == learner.address:  # its disk is lost, unless it is still heard
+        if old.address == learner.address:  # the old disk is lost, unless it is still heard
             presence = others.get(old.disk)
             if presence is None or presence.silence_s < tuning.election_min_s:
                 return None
@@ -110,9 +112,10 @@
 def _without_lost_member(
     members: tuple[Member, ...], others: Mapping[str, MemberHealth], tolerance: int, tuning: Tuning
 ) -> tuple[Member, ...] | None:
-    """The members without one that leaves or is gone, if enough stay.
+    """The members without one that is leaving or lost, if enough stay.
 
-    Of an even count, fewer are needed after that than before, whoever else is away.
+    If an odd number is left, the removal of one from an even number lowers the majority that is needed, so
+    it helps whoever else is unreachable. If an even number is left, only reachable members are counted.
     """
     min_members = max(3, 2 * tolerance + 1)
     for old in members:
--- a/gateway/consensus/records.py
+++ b/gateway/consensus/records.py
@@ -1,4 +1,4 @@
-"""What is agreed on: entries, the members who decide on them, and how both look in protobuf."""
+"""Entries, the members that vote on them, the persistent state, and their protobuf encoding."""
 
 from __future__ import annotations
 
@@ -9,23 +9,23 @@
 from gateway.state_machine import Address
 
 LogPosition = tuple[int, int]
-"""Term and number of an entry. Of two entries the one with the greater place is the newer."""
+"""Term and number of an entry. Of two entries the one with the greater position is the newer."""
 
-MAX_ENTRY_MEMBERS = 16  # in one entry that is taken from others
+MAX_ENTRY_MEMBERS = 16  # in an entry or a list of members that is received
 MAX_NAME_LENGTH = 80  # of a disk or an address
 MAX_TERM = 1 << 48
 MOST_STRETCH = 10.0
 
 
 class Member(NamedTuple):
-    """A disk that decides, and the address of the process that has it."""
+    """A voting disk, and the address of the process that has it."""
 
     disk: str
     address: Address
 
 
 class Entry(NamedTuple):
-    """The whole agreed state. While members change, `outgoing` holds those of before."""
+    """The whole replicated state. In a joint configuration, `outgoing` holds the old members."""
 
     term: int
     number: int
@@ -36,25 +36,26 @@
 
     @property
     def position(self) -> LogPosition:
-        """Where it stands among all entries."""
+        """Its position among all entries: term and number."""
         return self.term, self.number
 
     def voters(self) -> tuple[Member, ...]:
-        """All whose word counts, each disk once."""
+        """All voting members, in a joint configuration the old ones too; each disk once."""
         return (*self.members, *(m for m in self.outgoing if m not in self.members))
 
     def has_voter(self, disk: str) -> bool:
-        """Does the disk decide, by this entry?"""
+        """Whether the disk is a voter by this entry."""
         return any(m.disk == disk for m in self.voters())
 
     def has_quorum(self, disks: Container[str]) -> bool:
-        """Are these disks a majority of the members and, while those change, of the ones of before too?"""
+        """Whether these disks are a majority of the members and, in a joint configuration, of the old ones
+        too."""
         return all(
             2 * sum(m.disk in disks for m in voter_set) > len(voter_set) for voter_set in self._voter_sets()
         )
 
     def latest_quorum_time(self, times: Mapping[str, float]) -> float:
-        """The latest time that majorities have reached, given the time that each disk has reached."""
+        """The latest time that a quorum has reached, given the time that each disk has reached."""
         return min(
             sorted(times.get(m.disk, NEVER) for m in voter_set)[(len(voter_set) - 1) // 2]
             if voter_set
@@ -68,11 +69,11 @@
 
 NEVER = -1e9  # before any time of a steady clock
 EMPTY_ENTRY = Entry(0, 0, 0, (), (), b"")
-"""What a disk holds that has never been a member."""
+"""The entry of a disk that has never been a member."""
 
 
 class PersistentState(NamedTuple):
-    """What a member keeps on disk; nothing may be told that isn't there yet."""
+    """What a member keeps on disk; nothing that isn't durable yet may be acknowledged to others."""
 
     disk: str
     term: int
@@ -82,23 +83,23 @@
 
 
 def bootstrap_entry(seeds: Iterable[Address]) -> Entry:
-    """What all seeds hold at the first start of the whole system."""
+    """The entry that all seeds hold at the first start of the whole system."""
     return Entry(0, 1, 0, tuple(Member("first-" + a, a) for a in sorted(set(seeds))), (), b"")
 
 
 def put_members(members: Iterable[Member], into: Any) -> None:
-    """Append members to a repeated field."""
+    """Append members to a repeated `Member` field."""
     for disk, address in members:
         into.add(disk=disk, address=address)
 
 
 def get_members(members: Iterable[pb.Member]) -> tuple[Member, ...]:
-    """Members from a repeated field."""
+    """The members of a repeated field."""
     return tuple(Member(m.disk, m.address) for m in members)
 
 
 def put_entry(entry: Entry, into: pb.Entry, value: bool = True) -> None:
-    """Fill in an entry's message, with its value or without."""
+    """Fill in the message of an entry, with its value or without."""
     into.term, into.number, into.version = entry.term, entry.number, entry.version
     put_members(entry.members, into.members)
     put_members(entry.outgoing, into.outgoing)
@@ -107,7 +108,7 @@
 
 
 def get_entry(message: pb.Entry) -> Entry:
-    """An entry from its message."""
+    """The entry of a message."""
     return Entry(
         message.term,
         message.number,
@@ -119,7 +120,7 @@
 
 
 def malformed_reason(message: pb.Message) -> str:
-    """Why a note can't be from one of us; empty if it may be."""
+    """Why a message is malformed, by its field, and can't be from a member or learner; empty if it may be."""
     if not pb.HEARTBEAT <= message.kind <= pb.RESTARTED:
         return "kind"
     if not 0 < len(message.disk) <= MAX_NAME_LENGTH:
--- a/gateway/consensus/replica.py
+++ b/gateway/consensus/replica.py
@@ -1,4 +1,4 @@
-"""A disk's part in the agreement, whatever its role: what it holds, what is on disk, what it sends."""
+"""The state of a disk that all roles share: what it holds, what is durable, and what it sends."""
 
 from __future__ import annotations
 
@@ -13,52 +13,52 @@
 
 
 class Replica:
-    """Term, vote and entry, in memory and as they are on disk (`kept`). Outputs are gathered in `out`."""
+    """Term, vote and entry, in memory and as on disk (`persisted`). Outputs are collected in `out`."""
 
     def __init__(self, me: Address, stored: PersistentState, tuning: Tuning, rng: random.Random) -> None:
         self.me, self.tuning, self.rng = me, tuning, rng
         self.disk, self.term, self.vote, self.entry, self.stretch = stored
         self.persisted = EMPTY_STATE
         self.committed_entry: Entry | None = None  # the newest entry known to be committed
-        self.committed_version = 0  # version that was put out as committed
+        self.committed_version = 0  # newest version that was output as committed
         self.out: list[Output] = []
         self.token = 0
         self.writing: PersistentState | None = None
-        self.unpersisted_since: float | None = None  # since when the disk has made no headway
+        self.unpersisted_since: float | None = None  # since when a write has been needed and none has ended
         self.write_retry_at = 0.0
 
     @property
     def is_voter(self) -> bool:
-        """Does this disk decide, by what it holds?"""
+        """Whether this disk is a voter by the entry that it holds."""
         return self.entry.has_voter(self.disk)
 
     def message(self, kind: pb.Kind, to_disk: str = "") -> pb.Message:
-        """A note of this disk and its term, to be filled in and sent."""
+        """A message of this disk and its term, to be filled in and sent."""
         return pb.Message(kind=kind, disk=self.disk, to_disk=to_disk, term=self.term)
 
     def message_with_last_position(self, kind: pb.Kind, to_disk: str = "") -> pb.Message:
-        """A note that also tells the place of the newest entry held."""
+        """A message that also has the position of the newest entry held."""
         message = self.message(kind, to_disk)
         message.last_term, message.last_index = self.entry.position
         return message
 
     def message_with_durable_position(self, kind: pb.Kind, to_disk: str = "") -> pb.Message:
-        """A note that also tells the places of the newest entries held, and held on disk."""
+        """A message that also has the positions of the newest entry held and of the newest one on disk."""
         message = self.message_with_last_position(kind, to_disk)
         if self.persisted.disk == self.disk:
             message.durable_term, message.durable_index = self.persisted.entry.position
         return message
 
     def send(self, to: Address, message: pb.Message) -> None:
-        """Have a note sent."""
+        """Output a message to an address."""
         self.out.append(Send(to, message))
 
     def enter_term(self, term: int) -> None:
-        """Go on to a later term, in which this disk hasn't voted. That alone need not be on disk."""
+        """Enter a later term, in which this disk hasn't voted. The term alone needs no write; a vote does."""
         self.term, self.vote = term, ""
 
     def commit(self, entry: Entry) -> None:
-        """An entry is known to be committed; put its value out if it is new."""
+        """Note that an entry is committed, and output its value if that is new."""
         if self.committed_entry is None or entry.position > self.committed_entry.position:
             self.committed_entry = entry
         if entry.version > self.committed_version:
@@ -66,11 +66,11 @@
             self.out.append(Committed(entry.version, entry.value))
 
     def reset_identity(self, disk: str) -> None:
-        """Be a disk that has never been a member."""
+        """Become a disk, of this id, that has never been a member."""
         self.disk, self.vote, self.entry, self.committed_entry = disk, "", EMPTY_ENTRY, None
 
     def vote_is_persisted(self, disk: str) -> bool:
-        """Is the vote for that disk, in this term, on disk?"""
+        """Whether the vote for that disk in this term is durable."""
         return (
             self.persisted.disk == self.disk
             and self.persisted.term == self.term
@@ -78,11 +78,11 @@
         )
 
     def newest_entry_persisted(self) -> bool:
-        """Is the newest entry on disk?"""
+        """Whether the newest entry held is durable."""
         return self.persisted.disk == self.disk and self.persisted.entry.position == self.entry.position
 
     def save(self, now: float) -> None:
-        """Begin a write if something is wanted on disk and none is out."""
+        """Begin a write if one is needed and none is in flight."""
         if not self._wanted():
             if self.writing is None:
                 self.unpersisted_since = None
@@ -95,7 +95,7 @@
             self.out.append(Write(self.token, self.writing))
 
     def written(self, now: float, token: int) -> bool:
-        """A write is on disk. False if it isn't the one that is out."""
+        """A write has completed. False if it isn't the one in flight."""
         if token != self.token or self.writing is None:
             return False
         self.persisted, self.writing = self.writing, None
@@ -103,18 +103,19 @@
         return True
 
     def failed(self, now: float, token: int) -> None:
-        """A write has failed; the next one waits a little."""
+        """A write has failed; it is retried after `write_retry_s`."""
         if token == self.token and self.writing is not None:
             self.persisted = self.persisted._replace(stretch=self.promisable())  # the disk may have either
             self.writing, self.write_retry_at = None, now + self.tuning.write_retry_s
 
     def promisable(self) -> float:
-        """The highest stretch that a start would find on disk, whichever write has come to be."""
+        """The highest stretch that a restart is certain to find on disk, whether or not the write in flight
+        has taken effect."""
         writing = self.stretch if self.writing is None else self.writing.stretch
         return min(self.persisted.stretch, writing, self.stretch)
 
     def write_stalled_s(self, now: float) -> float:
-        """Seconds since the disk should have saved something and hasn't."""
+        """For how many seconds a write has been needed without any completing; 0 if none is needed."""
         return 0.0 if self.unpersisted_since is None else now - self.unpersisted_since
 
     def _wanted(self) -> bool:
--- a/gateway/consensus/replication.py
+++ b/gateway/consensus/replication.py
@@ -1,4 +1,4 @@
-"""Replication by a leader: heartbeats, entries and their retries, and the lease that the replies give."""
+"""Replication by a leader: heartbeats, entries and their retries, and the lease that the responses give."""
 
 from __future__ import annotations
 
@@ -10,12 +10,13 @@
 from gateway.consensus.timing import Timing
 
 MAX_PAST_MEMBERS = 256  # disks
-MAX_INTERVAL_SCALE = 2.5  # on slow links heartbeats and retries are at most so many times as far apart
-MAX_RESEND_WAIT_S = 2.0  # between two times that an entry is sent to one who doesn't answer
+MAX_INTERVAL_SCALE = 2.5  # on slow links the intervals of heartbeats and retries grow by at most this factor
+MAX_RESEND_WAIT_S = 2.0  # between retries of an entry to a peer that doesn't respond
 
 
 class Peer:
-    """Another member, as the leader sees it."""
+    """Another member, or a learner, as the leader sees it. Times are seconds of the leader's clock unless
+    said otherwise."""
 
     __slots__ = (
         "acknowledged_at",
@@ -35,19 +36,19 @@
 
     def __init__(self, member: Member, now: float) -> None:
         self.disk, self.address = member
-        self.began, self.heard = now, NEVER  # first looked for, and last heard
-        self.acknowledged_at = NEVER  # when the newest heartbeat that it has answered was sent
-        self.withheld = NEVER  # until when it votes for nobody else, less a margin
-        self.replied_at = 0.0  # when its newest answer was sent, by its clock; 0: there is none
-        self.last_position: LogPosition | None = None  # newest entry that it has, and has on disk
+        self.began, self.heard = now, NEVER  # when it became a peer, and when it was last heard
+        self.acknowledged_at = NEVER  # when the newest heartbeat that it has acknowledged was sent
+        self.withheld = NEVER  # until when it withholds its vote from others, less a safety margin
+        self.replied_at = 0.0  # when its newest response was sent, by its clock; 0: there is none
+        self.last_position: LogPosition | None = None  # newest entry that it holds, and below: on disk
         self.durable_position: LogPosition | None = None
-        self.next = self.wait = 0.0  # when an entry is sent once more, and the wait after that
+        self.next = self.wait = 0.0  # when an entry is resent, and the wait after that
         self.bare_entry_sent_at = NEVER  # when an entry without its value was sent
-        self.leaving = False  # it wants to be a member no more, by its newest answer
+        self.leaving = False  # by its newest response, it is leaving the members
 
 
 class Replication:
-    """The peers of a leader during its term, and what it sends them."""
+    """The peers of a leader during its term, what it sends them, and its lease."""
 
     def __init__(self, replica: Replica, now: float, timing: Timing) -> None:
         self.replica, self.began, self.timing = replica, now, timing
@@ -59,40 +60,42 @@
         ] = {}  # joining disks that are sent the newest entry, to have it on disk
         self.base: LogPosition | None = None  # an entry with the same value as the newest
         self.next_heartbeat_at = now
-        self.transfer_since: float | None = None  # since when the leader has wanted to hand over to an heir
+        self.transfer_since: float | None = None  # since when a leadership transfer is intended
         self.lease = NEVER
 
     @property
     def newest_entry_committed(self) -> bool:
-        """Is the newest entry, one of this term, known to be committed?"""
+        """Whether the newest entry, which is one of this term, is committed."""
         return self.replica.committed_entry is self.replica.entry
 
     def has_leader_lease(self, now: float) -> bool:
-        """Can't there be another leader now, and is what is committed known?
+        """Whether there can't be another leader now, and the newest committed entry is known.
 
-        One that leads itself out isn't sure: the members it leaves behind needn't ask it (`ColdStart`).
+        A leader that is removing itself from the members holds no lease: the members that remain needn't
+        query it when they restart (`ColdStart`).
         """
         return now < self.quorum_contact_until()
 
     def quorum_contact_until(self) -> float:
-        """See `RaftNode`. It begins with the beats that majorities have answered."""
+        """See `RaftNode.quorum_contact_until`. The period begins when the heartbeats were sent that a quorum
+        has acknowledged."""
         known = self.replica.committed_entry
         knows = known is not None and known.term == self.replica.term
         return self.lease if knows and self.transfer_since is None and self.replica.is_voter else NEVER
 
     def has_lost_quorum(self, now: float) -> bool:
-        """Have majorities been silent for so long that it leads no more?"""
+        """Whether no quorum has acknowledged a heartbeat for so long that the leader must step down."""
         acknowledged = {peer.disk: peer.acknowledged_at for peer in self.peers.values()}
         latest = self.replica.entry.latest_quorum_time({self.replica.disk: inf, **acknowledged})
         return now - max(latest, self.began) > self.replica.tuning.election_max_s * self.timing.stretch
 
     @property
     def resend_s(self) -> float:
-        """Seconds until an entry that isn't answered is sent once more."""
+        """Seconds until an unacknowledged entry is resent for the first time."""
         return self.replica.tuning.resend_s * min(MAX_INTERVAL_SCALE, self.timing.stretch)
 
     def on_append_response(self, now: float, message: pb.Message) -> bool:
-        """A member has answered a heartbeat or an entry. False if it is none of the peers."""
+        """A member has acknowledged a heartbeat or an entry. False if it isn't one of the peers."""
         peer = self.peers.get(message.disk)
         if peer is None:
             return False
@@ -118,7 +121,8 @@
         return True
 
     def replicate(self, now: float, entry: Entry, new_value: bool = False) -> None:
-        """Have this entry agreed on, as the next one of this term."""
+        """Replicate this entry as the next one of this term. `new_value` if its value differs from the
+        newest entry's, so that it can't be sent without the value."""
         replica = self.replica
         longest = replica.tuning.election_min_s * self.timing.stretch
         self.recent_entries = {p: at for p, at in self.recent_entries.items() if now - at <= longest}
@@ -138,7 +142,7 @@
         self.broadcast(now)
 
     def broadcast(self, now: float) -> None:
-        """Send each peer a heartbeat, and the newest entry if it lacks that and a retry is due."""
+        """Send each peer a heartbeat, and the newest entry if it lacks that and a (re)send is due."""
         replica = self.replica
         scale = min(MAX_INTERVAL_SCALE, self.timing.stretch)
         self.next_heartbeat_at = now + replica.tuning.heartbeat_interval_s * scale
@@ -146,12 +150,12 @@
             if peer.last_position != replica.entry.position and now >= peer.next:
                 bare = self.base is not None and peer.last_position in (None, self.base)
                 self.send_entry(now, peer, bare)
-                if bare:  # which is a beat as well
+                if bare:  # an entry is a heartbeat as well
                     continue
             replica.send(peer.address, self._heartbeat(now, pb.HEARTBEAT, peer))
 
     def send_entry(self, now: float, peer: Peer, bare: bool) -> None:
-        """Send the newest entry, bare of its value to one who may have that."""
+        """Send the newest entry; `bare`, without its value, to a peer that may have that already."""
         peer.next = now + peer.wait
         peer.wait = min(MAX_RESEND_WAIT_S, 2 * peer.wait)
         message = self._heartbeat(now, pb.APPEND_ENTRIES, peer)
@@ -174,6 +178,6 @@
         return message
 
     def renew_lease(self) -> None:
-        """Compute until when there can't be another leader: majorities withhold their votes until then."""
+        """Compute until when there can't be another leader: a quorum withholds its votes until then."""
         withheld = {peer.disk: peer.withheld for peer in self.peers.values()}
         self.lease = self.replica.entry.latest_quorum_time({self.replica.disk: inf, **withheld})
--- a/gateway/consensus/storage.py
+++ b/gateway/consensus/storage.py
@@ -1,9 +1,10 @@
-"""What a member keeps on disk: generations of one record, each a `dbm.dumb` of its own.
+"""Storage of a member's persistent state: generations of one record, each a `dbm.dumb` database of its own.
 
-A generation is the files `gen-N.dat` and `gen-N.dir`. It counts if both are whole and the record's checksum
-is right; the newest that counts is loaded, the last two are kept. Each save is a new generation, so whatever
-becomes of a save, those before it stay as they are. It syncs three times: both files and the folder. So is
-what a start finds, before it counts as saved.
+A generation is the files `gen-N.dat` and `gen-N.dir`. It is valid if both are complete and the record's
+checksum is right; the newest valid one is loaded, the last two are retained. Each save writes a new
+generation, so whatever happens during a save, the earlier ones stay as they are. A save syncs three times:
+both files and the folder. A generation that is loaded at the start is synced likewise before it counts as
+saved.
 """
 
 from __future__ import annotations
@@ -17,36 +18,35 @@
 from gateway.consensus.records import MOST_STRETCH, PersistentState, get_entry, put_entry
 
 SCHEMA = 1
-RETAINED_GENERATIONS = 2  # generations
-MAX_FILE_BYTES = 32 << 20  # of a file that is read at all
+RETAINED_GENERATIONS = 2
+MAX_FILE_BYTES = 32 << 20  # larger files aren't read
 PREFIX = "gen-"
 
 log = logging.getLogger("gateway.consensus")
 
 
 class _ModelessDatabase(dumb._Database):
-    """`dbm.dumb` on a disk that has no file modes."""
+    """`dbm.dumb` for file systems without file modes."""
 
     def _chmod(self, file: object) -> None:
         pass
 
 
 class Store:
-    """The generations in a folder, which the first save makes if need be. One thread at a time may use it.
-
-    Raises OSError if the folder can't be read.
+    """The generations in a folder, which the first save creates if needed. Not thread-safe: one thread at a
+    time may use it. Raises OSError if the folder can't be read.
     """
 
     def __init__(self, folder: str) -> None:
         self.folder = os.path.abspath(folder)
-        self.folder_is_synced = False  # the folder, and its name is synced
-        self.valid_generations: list[int] = []  # generations that count, oldest first
-        self.unsynced = True  # the loaded one may be: a kill leaves files as they are
-        self.last_generation = max(self._numbers(), default=0)  # of any, whole or not
+        self.folder_is_synced = False  # it exists, and its name is synced
+        self.valid_generations: list[int] = []  # oldest first
+        self.unsynced = True  # the loaded one may be: a killed process may have left it so
+        self.last_generation = max(self._numbers(), default=0)  # of all, valid or not
         self.newest_record = self._load()
 
     def load(self) -> PersistentState | None:
-        """The newest record that is whole; None if there is none."""
+        """The newest valid record; None if there is none."""
         return self.newest_record
 
     def _load(self) -> PersistentState | None:
@@ -56,7 +56,7 @@
                 break
             try:
                 stored = self._read(number)
-            except Exception as problem:  # whatever garbage makes of the parsers
+            except Exception as problem:  # garbage may raise anything in the parsers
                 log.warning("generation %d is passed over: %s: %s", number, type(problem).__name__, problem)
                 continue
             self.valid_generations.insert(0, number)
@@ -64,9 +64,9 @@
         return newest_record
 
     def save(self, record: PersistentState) -> None:
-        """Write a record and return once it lasts. Raises OSError; what was there before is there still.
+        """Write a record and return once it is durable. Raises OSError; the earlier records then remain.
 
-        The one that was loaded is only synced; where that fails, the next save writes it anew.
+        A record equal to the loaded one is only synced; if that fails, the next save writes it again.
         """
         if not self.folder_is_synced:
             self._create_folder()
@@ -88,13 +88,14 @@
         self._remove_obsolete()
 
     def _remove_obsolete(self) -> None:
-        """What doesn't count takes room; it goes once the newest that does is synced, never before."""
+        """Remove invalid and superseded generations; called only once the newest valid one is synced."""
         for number in self._numbers():
             if number not in self.valid_generations:
                 self._remove(number)
 
     def _create_folder(self) -> None:
-        """Whoever made the folder may have been killed before its name was synced, so that is done anyway."""
+        """Create the folder if it is missing, and sync its name in any case: the process that created it may
+        have been killed before it did so."""
         new, path = [self.folder], self.folder
         while not os.path.isdir(path := os.path.dirname(path)):
             new.append(path)
@@ -142,7 +143,7 @@
 
 
 def pack(record: PersistentState) -> bytes:
-    """A record as bytes."""
+    """Serialize a record."""
     message = pb.Record(schema=SCHEMA, disk=record.disk, term=record.term, vote=record.vote)
     if record.stretch > 1.0:
         message.stretch = record.stretch
@@ -151,7 +152,7 @@
 
 
 def unpack(data: bytes) -> PersistentState:
-    """A record from its bytes. Raises ValueError or protobuf's DecodeError if they are none of ours."""
+    """Parse a serialized record. Raises ValueError or protobuf's DecodeError if it isn't one."""
     message = pb.Record()
     message.ParseFromString(data)
     if message.schema != SCHEMA or not message.disk:
--- a/gateway/consensus/voter.py
+++ b/gateway/consensus/voter.py
@@ -1,4 +1,4 @@
-"""A member's vote: whom it may have, and when."""
+"""Granting of votes and pre-votes: to whom, and when."""
 
 from __future__ import annotations
 
@@ -8,20 +8,22 @@
 from gateway.consensus.replica import Replica
 from gateway.state_machine import Address
 
-MAX_CANDIDATE_WRITE_STALL_S = 0.3  # without headway of the disk: no candidate
+MAX_CANDIDATE_WRITE_STALL_S = 0.3  # a member whose writes stall for longer doesn't become a candidate
 
 
 class Voter:
-    """Answers candidates. A vote is told once it is on disk."""
+    """Answers candidates. A vote is announced only once it is on disk."""
 
     def __init__(self, replica: Replica, cold_start: ColdStart, follower_role: FollowerRole) -> None:
         self.replica, self.cold_start, self.follower_role = replica, cold_start, follower_role
-        self.pending_vote_reply: tuple[str, Address] | None = None  # who is told once the vote is on disk
+        self.pending_vote_reply: tuple[str, Address] | None = None  # whom to inform once the vote is durable
 
     def may_vote(self, now: float, message: pb.Message) -> bool:
-        """Not while a leader may count on this disk: its vote is `withheld`, or forgotten by a start.
+        """Whether this disk may vote for a candidate now. It may not while a leader's lease may count on it:
+        because its vote is `withheld`, or, after a restart, because it has forgotten whether it is.
 
-        Unless all have begun anew, by the very entry that the candidate holds.
+        The latter doesn't apply if all voters of this disk's newest entry have restarted and the candidate
+        holds the very same entry. The former doesn't apply if the leader itself has requested the election.
         """
         if now < self.cold_start.until and not (
             (message.last_term, message.last_index) == self.replica.entry.position
@@ -31,16 +33,17 @@
         return message.leadership_transfer or now >= self.follower_role.withheld
 
     def able(self, now: float) -> bool:
-        """May this disk be a candidate that a leader has asked to be one?"""
+        """Whether this disk may be a candidate when the leader asks it to: it is a voter and can write."""
         return self.replica.is_voter and self.replica.write_stalled_s(now) <= MAX_CANDIDATE_WRITE_STALL_S
 
     def may_stand(self, now: float) -> bool:
-        """May it have its own vote, by itself? No sooner than others may have it."""
+        """Whether this disk may become a candidate on its own: not before others might get its vote."""
         begun = now >= self.cold_start.until or self.cold_start.all_members_restarted()
         return self.able(now) and begun and now >= self.follower_role.withheld
 
     def pre_vote(self, sender: Address, message: pb.Message, may_vote: bool) -> None:
-        """Would this disk vote for another in that term? Changes nothing; a later term is told anyway."""
+        """Answer whether this disk would vote for the sender in that term. This changes no state; if this
+        disk's term isn't earlier, it is reported in any case."""
         replica = self.replica
         answer = replica.message(pb.PRE_VOTE_RESPONSE, message.disk)
         answer.sent = message.sent
@@ -51,7 +54,8 @@
         replica.send(sender, answer)
 
     def request_vote(self, sender: Address, message: pb.Message) -> bool:
-        """Vote, in a term that this disk has gone on to. Does the candidate have the vote?"""
+        """Decide on a vote in the present term, and answer once it is durable. Returns whether the candidate
+        has the vote."""
         replica = self.replica
         if message.term < replica.term:
             replica.send(sender, replica.message(pb.VOTE_RESPONSE, message.disk))
@@ -67,7 +71,7 @@
         return True
 
     def on_persisted(self) -> None:
-        """More is on disk, perhaps the vote."""
+        """A write is durable: announce the vote if that is what was awaited."""
         if self.pending_vote_reply is None or not self.replica.vote_is_persisted(self.pending_vote_reply[0]):
             return
         disk, address = self.pending_vote_reply
