Describe gateway.membership in the terms of gossip and leases

Cause: docstrings and comments kept the wording of the earlier names, and those of ControllerMembership and ProxyMembership listed inputs and outputs under names that no longer exist.

--- a/gateway/membership/__init__.py
+++ b/gateway/membership/__init__.py
@@ -1,1 +1,1 @@
-"""Who is there: neighbours, backends under lease, and logs of changes that others follow."""
+"""Membership: gossip between processes, backends under lease, and change logs that other processes follow."""
--- a/gateway/membership/backend_table.py
+++ b/gateway/membership/backend_table.py
@@ -1,4 +1,4 @@
-"""The backends as told by several sources: per backend the beat that is newest, until nobody holds it."""
+"""The backends as reported by several sources: for each its newest heartbeat, until no source holds it."""
 
 from __future__ import annotations
 
@@ -8,17 +8,18 @@
 from gateway.membership.wire import FINAL_SEQUENCE, EndRecord, LeaseRecord, Record, ReleaseRecord
 from gateway.state_machine import Address
 
-TOMBSTONE_S = 30.0  # an end is remembered, so that late news of the backend is known as such
-MAX_ROWS = 10_000  # backends, and ends
-PAUSE_S = 1.0  # between two ticks: this process stood still, or couldn't hear
-COLD_TOLERANCE_S = 1.0  # difference in the end of a slow start that is worth telling
+TOMBSTONE_S = 30.0  # for which a backend's end is remembered, so that late records of it are recognized
+MAX_ROWS = 10_000  # of backends, and of tombstones
+PAUSE_S = 1.0  # more than this between two ticks: this process was paused, or couldn't receive
+COLD_TOLERANCE_S = 1.0  # smaller differences in the end of a slow start aren't significant
 
 BackendChange = BackendAdded | BackendChanged | BackendRemoved
 
 
 class BackendRow:
-    """A backend, and which sources have it under lease, be it by an older beat: one that is cut off from the
-    source of the newest may well take its beats again. Without any it is an orphan from `alone` on."""
+    """A backend, and its `holders`: the sources that have it under lease, even if by an older heartbeat, as a
+    source that is cut off from that of the newest heartbeat may well receive its heartbeats again. Without
+    any holder it is an orphan, since `orphaned_at`."""
 
     __slots__ = ("backend", "holders", "orphaned_at")
 
@@ -28,12 +29,13 @@
 
 
 def is_significant(now: float, old: Backend, new: Backend) -> bool:
-    """Whether a newer beat of a backend tells more than that it is alive."""
+    """Whether a newer heartbeat of a backend says more than that it is alive."""
     return old[1:7] != new[1:7] or abs(max(now, old.cold_until) - max(now, new.cold_until)) > COLD_TOLERANCE_S
 
 
 class BackendTable:
-    """Merges records of sources. Orphans go when they have been alone for `grace` seconds."""
+    """Merges the records of all sources. Orphans are removed after `grace` seconds without a holder; at most
+    `max_rows` backends, and as many tombstones, are kept. Times are steady seconds of this process."""
 
     def __init__(self, grace: float = 6.0, max_rows: int = MAX_ROWS) -> None:
         self.grace, self.max_rows = grace, max_rows
@@ -43,7 +45,7 @@
         self.ticked: float | None = None
 
     def record(self, now: float, source: Address, record: Record) -> list[BackendChange]:
-        """Take a record of a source's log."""
+        """Apply a record of a source's log; returns what it changes."""
         if isinstance(record, LeaseRecord):
             return self._apply_lease(now, source, record)
         if isinstance(record, EndRecord):
@@ -53,7 +55,7 @@
         return []
 
     def snapshot(self, now: float, source: Address, records: Iterable[Record]) -> list[BackendChange]:
-        """Take a snapshot of a source: what is not in it, the source no longer holds."""
+        """Apply a snapshot of a source's log: what is not in it, the source no longer holds."""
         still_held, out = set(), list[BackendChange]()
         for record in records:
             if isinstance(record, LeaseRecord) and not record.relay:
@@ -63,7 +65,7 @@
         return out
 
     def release_all(self, at: float, source: Address, still_held: Iterable[str] = ()) -> None:
-        """From a time on, a source holds none but these."""
+        """From the time `at` on, a source holds only the backends in `still_held`."""
         still_held = set(still_held)
         for id in [i for i, row in self.rows.items() if source in row.holders and i not in still_held]:
             self._release(at, source, id)
@@ -107,7 +109,7 @@
         return out
 
     def _evict_address_owner(self, now: float, new: Backend) -> list[BackendChange] | None:
-        """End whoever had this address before; None if it is this one that had it before."""
+        """End the backend that had this address before; None if the other one is the newer one."""
         other = self.rows.get(self.by_address.get(new.address, new.id))
         if other is None or other.backend.id == new.id:
             return []
@@ -121,8 +123,8 @@
             del self.by_address[backend.address]
 
     def ended(self, now: float, source: Address, id: str, seq: int) -> list[BackendChange]:
-        """A source says that beats of a backend up to this call-seq are late. Unless that is final, those
-        who have it under lease still may know better: they are to say so themselves."""
+        """A source says that a backend's heartbeats up to this call-seq are obsolete. Unless that is final,
+        sources that still hold a lease on it may have newer heartbeats: they have to end it themselves."""
         self._add_tombstone(now, id, seq)
         self._release(now, source, id)
         row = self.rows.get(id)
@@ -145,13 +147,14 @@
         self.tombstones[id] = EndRecord(id, seq, now + TOMBSTONE_S, since)
 
     def drop(self, id: str) -> list[BackendChange]:
-        """Take a backend off the table."""
+        """Remove a backend from the table."""
         self._forget_address(self.rows.pop(id).backend)
         return [BackendRemoved(id)]
 
     def tick(self, now: float, suspicions_known: bool) -> list[BackendChange]:
-        """Forget old ends; drop orphans whose time is over. Their time stands still while it can't be
-        judged who is lost (`judged`), and while this process did."""
+        """Forget old tombstones, and remove orphans whose grace period is over. That period is suspended
+        while it can't be judged which sources are lost (`suspicions_known` is False), and while this process
+        was paused."""
         passed = now - self.ticked if self.ticked is not None else 0.0
         self.ticked = now
         for id in [i for i, tombstone in self.tombstones.items() if tombstone.until <= now]:
--- a/gateway/membership/change_log.py
+++ b/gateway/membership/change_log.py
@@ -1,4 +1,4 @@
-"""A log of changes at its source: only the last change of each thing is kept, so memory is bounded."""
+"""A change log at its source: only the last change of each key is kept, so memory is bounded."""
 
 from __future__ import annotations
 
@@ -11,11 +11,11 @@
 from gateway.membership.wire import EndRecord, Record, ReleaseRecord
 from gateway.state_machine import Address, Send
 
-FOLLOWER_LIVE_S = 1.5  # changes are pushed to those who followed this lately
-PUSH_RETRY_S = 0.25  # a push that was not confirmed by then is made again
-PUSH_INTERVAL_S = 0.02  # between two pushes to one follower; what comes between goes with the next tick
-FOLLOWER_FORGET_S = 30.0  # a follower that is silent
-EXPIRING_RECORDS = (EndRecord, ReleaseRecord)  # what is forgotten after a while
+FOLLOWER_LIVE_S = 1.5  # changes are pushed to followers heard within this time
+PUSH_RETRY_S = 0.25  # a push that isn't confirmed by then is repeated
+PUSH_INTERVAL_S = 0.02  # between two pushes to one follower; changes in between go with the next tick
+FOLLOWER_FORGET_S = 30.0  # of silence, after which a follower is forgotten
+EXPIRING_RECORDS = (EndRecord, ReleaseRecord)  # removed from the log when their time is over
 MAX_FOLLOWERS = 4096
 
 
@@ -25,31 +25,32 @@
     def __init__(self) -> None:
         self.heard, self.position = 0.0, -1  # -1: needs a snapshot
         self.sent, self.sent_at = 0, -1e9
-        self.zone = -1  # of an ingress
+        self.zone = -1  # of an ingress; -1: the follower is none
 
 
 class ChangeLog:
-    """Numbered changes by key, followed from a place on. A follower that has another log, or that is behind
-    the end of something that is forgotten by now, gets a snapshot."""
+    """Numbered changes by key, which followers read from a position on. A follower that has another log (by
+    its random `id`), or that is behind the number of an expired record (`floor`), gets a snapshot."""
 
     def __init__(self, rng: random.Random, zone: int = 0, max_followers: int = MAX_FOLLOWERS) -> None:
         self.id = rng.randrange(1, 1 << 32)
         self.zone, self.max_followers = zone, max_followers
         self.position = 0
-        self.quorate_until = inf  # a lease: a process that stood still past it isn't, without being told
-        self.lost: Collection[int] = ()
+        self.quorate_until = inf  # a lease: it ends without notice, also while this process is paused
+        self.lost: Collection[int] = ()  # hashes of the addresses of sources that are silent to this process
         self.items: dict[Hashable, tuple[int, Record]] = {}  # in the order of their numbers
-        self.floor = 0  # changes up to here may be forgotten ones
+        self.floor = 0  # changes up to here may have expired
         self.followers: dict[Address, _FollowerState] = {}
-        self._answers: dict[int, pb.Message] = {}  # pushes of one moment to followers at one place
+        self._answers: dict[int, pb.Message] = {}  # by position, those made at `_answers_at`
         self._answers_at = -1.0
 
     def quorate(self, now: float) -> bool:
-        """Whether this process is in touch with a majority of the core."""
+        """Whether this process is in contact with a majority of the core."""
         return now < self.quorate_until
 
     def put(self, key: Hashable, record: Record) -> int:
-        """Note a change; it goes out with the next `push`. Returns its number."""
+        """Append a change, which replaces the last one of its key; it is sent with the next `push`. Returns
+        its number."""
         self.items.pop(key, None)
         self.position += 1
         self.items[key] = (self.position, record)
@@ -67,11 +68,11 @@
         return item[0] if item else 0
 
     def confirmed(self, number: int, members: Collection[Address]) -> int:
-        """How many of these have the log up to this number."""
+        """How many of these members have confirmed the log up to this number."""
         return sum(1 for m in members if (f := self.followers.get(m)) is not None and f.position >= number)
 
     def followed(self, now: float, sender: Address, follow: pb.Follow) -> list[Send]:
-        """Somebody says how far it has this log: answer with what it lacks."""
+        """A follower says up to which position it has this log: answer with what it lacks."""
         f = self.followers.get(sender)
         if f is None:
             if len(self.followers) >= self.max_followers:
@@ -87,14 +88,14 @@
         return [self._send(now, sender, f)]
 
     def ingresses(self, now: float) -> list[tuple[int, Address]]:
-        """Zone and address of each ingress that follows, in that order."""
+        """The zone number and address of each ingress that follows this log, sorted."""
         live = (
             (f.zone, a) for a, f in self.followers.items() if f.zone >= 0 and now - f.heard < FOLLOWER_LIVE_S
         )
         return sorted(live)
 
     def push(self, now: float) -> list[Send]:
-        """Send what is new, or was sent and not confirmed, to all who followed lately."""
+        """Send new changes, and unconfirmed ones again, to all live followers."""
         out = []
         for address, f in self.followers.items():
             if not self.floor <= f.position < self.position or now - f.heard >= FOLLOWER_LIVE_S:
@@ -104,7 +105,7 @@
         return out
 
     def tick(self, now: float) -> list[Send]:
-        """Push what is due, and forget ends and followers of long ago."""
+        """Push what is due, and forget expired records and silent followers."""
         for key in [
             k for k, (_, r) in self.items.items() if isinstance(r, EXPIRING_RECORDS) and r.until <= now
         ]:
--- a/gateway/membership/controller.py
+++ b/gateway/membership/controller.py
@@ -1,4 +1,4 @@
-"""All that a controller does in this plane: leases, its log, the logs of the others, some neighbours."""
+"""Membership at a controller: backend leases, its own change log, the other controllers' logs, and gossip."""
 
 from __future__ import annotations
 
@@ -35,12 +35,16 @@
 
 
 class ControllerMembership:
-    """Inputs: `Received`, `Tick`, `SetCore` (this process included, if it is a member), `SetQuorate`,
-    `SetSeeds`, `Beat`, `End`, `Put`, `Holds`. Outputs: `Send`, `Acked`, `Refused`, `Came`, `Changed`, `Gone`,
-    `News`, `Heard`, `Core`, `Runs`.
+    """The state machine of a controller, without I/O.
 
-    `beat` is the time between a backend's beats in seconds. Calls of backends are refused unless this
-    process is a member of the core, since others aren't followed."""
+    Inputs: `Received`, `Tick`, `SetCore` (this process included, if it is a member), `SetQuorate`,
+    `SetSeeds`, `Heartbeat`, `Deregistration`, `Publish`, `ConfigApplied`. Outputs: `Send`, `Acknowledged`,
+    `Rejected`, `BackendAdded`, `BackendChanged`, `BackendRemoved`, `Update`, `ConfigAdvertised`,
+    `CoreMembers`, `RunningConfig`.
+
+    `heartbeat` is the interval of a backend's heartbeats in seconds, `zone` the number of this process's
+    zone. Calls of backends are rejected unless this process is a member of the core, since the logs of other
+    processes aren't followed."""
 
     def __init__(
         self, address: Address, zone: int, seeds: Sequence[Address], heartbeat: float, rng: random.Random
@@ -52,7 +56,8 @@
         self.view = PeerView(address, CONTROLLER, zone, seeds, rng)
 
     def handle(self, now: float, event: Any) -> list[Any]:
-        """Take an input; returns what to send, what to answer and what is new."""
+        """Handle an input; returns the outputs. Raises TypeError for an event that isn't one of the inputs.
+        `now` is in seconds of a steady clock."""
         position = self.log.position
         out = self._handle(now, event)
         if self.log.position != position:
@@ -103,7 +108,7 @@
         return []
 
     def _apply_log_update(self, now: float, log_update: LogUpdate) -> list[Any]:
-        """What came of another one's log; the own log is put in line with it."""
+        """Apply an update of another controller's log, and bring the own log in line with it."""
         backends = [r for r in log_update.records if not isinstance(r, wire.ValueRecord)]
         if log_update.snapshot:
             out: list[Any] = list(self.table.snapshot(now, log_update.source, backends))
@@ -116,7 +121,7 @@
         for value_record in log_update.records:
             if (
                 isinstance(value_record, wire.ValueRecord) and value_record.kind != CONFIG
-            ):  # that comes by agreement
+            ):  # configurations come by consensus
                 if value_record.data is not None:
                     out += self._apply_updates(
                         self.value_fetcher.accept(
@@ -133,7 +138,7 @@
         return out
 
     def _reconciled(self, now: float, outputs: Sequence[Any]) -> list[Any]:
-        """After backends have gone: leases that ended with them, and news of it in the own log."""
+        """After backends were removed: end their leases, and record that in the own log."""
         out: list[Any] = list(outputs)
         for output in outputs:
             if isinstance(output, BackendRemoved):
@@ -141,7 +146,7 @@
         return out
 
     def _apply_updates(self, updates: list[Update]) -> list[Any]:
-        """Tell news of another, and pass it on; configurations have their own way."""
+        """Output updates from others, and publish them in the own log too, except configurations."""
         for item in updates:
             if item.kind != CONFIG:
                 self._publish(Publish(*item))
--- a/gateway/membership/leases.py
+++ b/gateway/membership/leases.py
@@ -1,4 +1,4 @@
-"""Backends whose beats are taken here: their leases, and this process's own log of them."""
+"""Leases of the backends whose heartbeats this process receives, and its own log of them."""
 
 from __future__ import annotations
 
@@ -26,15 +26,15 @@
 from gateway.membership.wire import FINAL_SEQUENCE, EndRecord, LeaseRecord, Record, ReleaseRecord
 from gateway.state_machine import Address
 
-REJECT_AFTER_S = 0.7  # a backend waits a second
+REJECT_AFTER_S = 0.7  # for a call without a majority; less than the second that a backend waits
 MAX_PENDING_CALLS = 1024
-LEASE_SLACK_S = 0.5  # of a lease, beyond three beats
-MAX_NAME_LENGTH = 255  # letters of a name
+LEASE_SLACK_S = 0.5  # of a lease, beyond three heartbeat intervals
+MAX_NAME_LENGTH = 255  # characters
 SELF = ""  # this process as a source of its own table
 
 
 class Lease:
-    """What the beats taken here say of a backend, and until when it counts without a further one."""
+    """A backend as of its newest heartbeat received here, and until when the lease lasts without another."""
 
     __slots__ = ("backend", "until")
 
@@ -44,18 +44,18 @@
 
 class _PendingCall(NamedTuple):
     token: Any
-    number: int  # the place in the log that a majority must have
+    number: int  # of the change in the log that a majority must have
     until: float
 
 
 def _is_valid_name(text: str) -> bool:
-    """Whether a text can be told to others."""
+    """Whether a name can be sent to others: not too long, and without lone surrogates."""
     halves = not text.isascii() and any("\ud800" <= letter <= "\udfff" for letter in text)
     return len(text) <= MAX_NAME_LENGTH and not halves
 
 
 def is_valid(heartbeat: Heartbeat) -> bool:
-    """Whether a beat holds what can be told to others: short names, numbers that fit."""
+    """Whether a heartbeat can be passed on to others: its names are valid, its numbers in range."""
     return (
         0 <= heartbeat.seq < FINAL_SEQUENCE
         and 0 <= heartbeat.capacity < 1 << 32
@@ -69,10 +69,10 @@
 
 
 class Leases:
-    """Takes beats and ends, writes the log, and keeps it in line with what other logs say.
+    """Handles heartbeats and deregistrations, writes the log, and keeps it consistent with other logs.
 
-    The lease lasts three beats of `beat` seconds and a little. A planned end (draining, DELETE) is
-    acknowledged when a majority of the core has it."""
+    A lease lasts three heartbeat intervals and `LEASE_SLACK_S`. A planned end (draining, DELETE) is
+    acknowledged when a majority of the core has it in their copies of the log."""
 
     def __init__(self, log: ChangeLog, table: BackendTable, address: Address, heartbeat: float) -> None:
         self.log, self.table, self.address = log, table, address
@@ -83,7 +83,8 @@
         self.ticked: float | None = None
 
     def heartbeat(self, now: float, heartbeat: Heartbeat) -> list[Acknowledged | Rejected | BackendChange]:
-        """A beat that came here."""
+        """Handle a backend's heartbeat: renew its lease, and answer, one that drains only when a majority of
+        the core has that."""
         if self.address not in self.core or not is_valid(heartbeat):
             return [Rejected(heartbeat.token)]
         out = self._renew(now, heartbeat)
@@ -118,7 +119,7 @@
         return []
 
     def _publish_lease(self, now: float, backend: Backend) -> list[BackendChange]:
-        """Hold a backend from now on, and say so."""
+        """Hold a lease on a backend from now on, and publish it in the log."""
         out = self.table.record(now, SELF, LeaseRecord(backend))
         row = self.table.rows.get(backend.id)
         if row is not None and SELF in row.holders:
@@ -129,7 +130,7 @@
         return self._reconciled(now, out)
 
     def end(self, now: float, end: Deregistration) -> list[Acknowledged | Rejected | BackendChange]:
-        """A backend says that it has ended."""
+        """A backend says that it has ended: publish that, and answer when a majority has it."""
         if self.address not in self.core or not _is_valid_name(end.id):
             return [Rejected(end.token)]
         out = self.table.ended(now, SELF, end.id, FINAL_SEQUENCE)
@@ -137,8 +138,8 @@
         return [*out, *self._await_majority(now, end.token, self.log.number(end.id))]
 
     def tick(self, now: float, quorate: bool) -> list[Acknowledged | Rejected | BackendChange]:
-        """Leases that have run out, calls that can't be acknowledged. Leases stand still while this process
-        is cut off from the core (beats may go elsewhere) and while it stood still itself."""
+        """Expire leases, and reject calls that weren't confirmed in time. The time of leases is suspended
+        while this process is cut off from the core (heartbeats may go elsewhere) and while it was paused."""
         passed = now - self.ticked if self.ticked is not None else 0.0
         self.ticked = now
         if not quorate or passed > PAUSE_S:
@@ -153,8 +154,9 @@
         return out
 
     def reconcile(self, now: float, id: str) -> list[BackendChange]:
-        """Put the own log in line with the table: another one may take this backend's beats by now, or may
-        say something that is older than what was heard here, or a planned end that is to be passed on."""
+        """Bring the own log in line with the table for this backend: another controller may receive its
+        heartbeats by now, or may report something older than what was heard here, or a planned end that is
+        to be relayed."""
         lease, row, tombstone = self._known(id)
         published = self.log.get(id)
         if lease is not None:
@@ -185,7 +187,7 @@
 
     @staticmethod
     def _is_current(published: Record | None, row: BackendRow, tombstone: EndRecord | None) -> bool:
-        """Whether what the log says of a backend is the newest that others say."""
+        """Whether the lease in the own log is the newest that any source reports of the backend."""
         return (
             isinstance(published, LeaseRecord)
             and not published.relay
@@ -212,7 +214,7 @@
         return list(self.confirmed())
 
     def confirmed(self) -> list[Acknowledged]:
-        """Acknowledge what a majority of the core has by now."""
+        """Acknowledge the calls whose changes a majority of the core has by now."""
         out, still_pending = [], deque[_PendingCall]()
         others = [m for m in self.core if m != self.address]
         for call in self.waiting:
--- a/gateway/membership/log_follower.py
+++ b/gateway/membership/log_follower.py
@@ -1,4 +1,4 @@
-"""Following the logs of several sources: heartbeats, and what came of each log."""
+"""Following the change logs of several sources: heartbeats to them, and the position in each log."""
 
 from __future__ import annotations
 
@@ -11,19 +11,19 @@
 from gateway.state_machine import Address, Send
 
 HEARTBEAT_S = 0.4  # between two heartbeats to a source
-SLOW_HEARTBEAT_S = 1.0  # to one that is silent for long
+SLOW_HEARTBEAT_S = 1.0  # to a source that has been silent for five seconds
 FIRST_HEARTBEAT_S, STARTUP_S = (
     0.1,
     2.0,
-)  # to one that has yet to be heard, and for how long: it may be starting
-SILENT_S = 1.5  # unheard of for so long, a source counts as lost to us
-REQUEST_INTERVAL_S = 0.05  # between two requests for what is missing
-REPORT_S = 2.0  # what runs here is told in each heartbeat for so long after a change, and to silent sources,
-REPORT_EVERY = 2  # and in one of so many else
+)  # to a source not heard yet, and for how long after it is first followed: it may be starting
+SILENT_S = 1.5  # a source not heard for so long counts as silent
+REQUEST_INTERVAL_S = 0.05  # between two requests for missing changes
+REPORT_S = 2.0  # after a change, and to silent sources, each heartbeat reports the running configuration;
+REPORT_EVERY = 2  # otherwise one heartbeat in so many does
 
 
 class Update(NamedTuple):
-    """What came of a source's log; a whole one tells all that the log holds."""
+    """Records received of a source's log; a `snapshot` has all that the log holds."""
 
     source: Address
     snapshot: bool
@@ -54,20 +54,21 @@
         self.quorate, self.lost, self.zone = False, frozenset[int](), -1
         self.declared_lost = False
         self.last_heartbeats = (-1e9, -1e9)  # when the last two heartbeats went out
-        self.synced_at = -1e9  # nothing was missing of its log then
-        self.config = 0  # the newest version in it
-        self.reports_sent = 0  # heartbeats that told what runs here
+        self.synced_at = -1e9  # at that time nothing of its log was missing here
+        self.config = 0  # the newest configuration version in its log
+        self.reports_sent = 0  # heartbeats sent, for `REPORT_EVERY`
 
     def mark_synced(self, answer: pb.Answer) -> None:
-        """Nothing is missing of its log, by an answer to the last heartbeat or the one before: no earlier one
-        is answered so late, nor one from before it was followed."""
+        """Nothing of the log is missing, by an answer to the last heartbeat or the one before. It counts as
+        of that earlier one: no heartbeat before that is answered so late, nor one from before the source was
+        followed."""
         if answer.quorate:
             self.synced_at = max(self.last_heartbeats[0], self.since)
 
 
 class LogFollower:
-    """Knows how far it has each source's log. `beat` is the time between heartbeats in seconds; an
-    ingress tells the number of its zone."""
+    """Tracks the position reached in each source's log. `heartbeat_interval` is in seconds; an ingress gives
+    the number of its zone (-1: not an ingress)."""
 
     def __init__(self, heartbeat_interval: float = HEARTBEAT_S, ingress_zone: int = -1) -> None:
         self.heartbeat_interval, self.ingress_zone = heartbeat_interval, ingress_zone
@@ -78,11 +79,12 @@
     def report_running_config(
         self, now: float, version: int, digest: int, findings: int, finding: str
     ) -> None:
-        """What runs here, to be told to all sources for a while, and now and then later."""
+        """Set the running configuration that heartbeats report: each for `REPORT_S`, then one in
+        `REPORT_EVERY`."""
         self.running_config, self.running_config_at = (version, digest, findings, finding), now
 
     def follow(self, now: float, addresses: Iterable[Address]) -> list[Address]:
-        """Follow these from now on; returns those that are no longer followed."""
+        """Follow exactly these sources from now on; returns those that are no longer followed."""
         wanted = dict.fromkeys(addresses)
         left = [a for a in self.sources if a not in wanted]
         for address in left:
@@ -93,7 +95,7 @@
         return left
 
     def tick(self, now: float) -> list[Send]:
-        """Heartbeats that are due."""
+        """Send the heartbeats that are due."""
         out = []
         for address, state in self.sources.items():
             if now >= state.due:
@@ -122,7 +124,8 @@
         return Send(address, note)
 
     def answered(self, now: float, sender: Address, answer: pb.Answer) -> tuple[list[Send], Update | None]:
-        """An answer or a push: what to send (a confirmation, or a call for what is missing), what came."""
+        """Handle an answer or a push. Returns what to send (a confirmation, or a request for what is
+        missing), and the update received, if any."""
         state = self.sources.get(sender)
         if state is None:
             return [], None
@@ -145,8 +148,9 @@
         return [self._follow(now, sender, state, quiet=True)], news
 
     def confirmed(self, now: float, members: Collection[Address]) -> tuple[int, float] | None:
-        """The newest version that the logs of a majority of these end with, all quorate, and since when that
-        is sure: the heartbeats that they answered so went out then or later."""
+        """The newest configuration version in the logs of the quorate sources among these members, if a
+        majority of the members have it, and the time as of which that is certain: the heartbeats that they
+        answered so were sent then or later. None if there is no such majority."""
         confirming = [
             state
             for a, state in self.sources.items()
@@ -159,24 +163,25 @@
         return (version, synced_times[len(members) // 2]) if 2 * len(synced_times) > len(members) else None
 
     def heard(self, now: float) -> list[Address]:
-        """Sources that were heard of lately."""
+        """Sources that were heard within `SILENT_S`."""
         return [a for a, state in self.sources.items() if now - state.heard < SILENT_S]
 
     def quorate(self, now: float) -> list[Address]:
-        """Those of them that are in touch with a majority."""
+        """Sources heard lately that are in contact with a majority of the core."""
         return [a for a in self.heard(now) if self.sources[a].quorate]
 
     def silent(self, now: float) -> list[Address]:
-        """Sources that were not heard of lately, although there was time."""
+        """Sources that weren't heard within `SILENT_S`, although they have been followed for so long."""
         return [a for a, state in self.sources.items() if now - max(state.heard, state.since) >= SILENT_S]
 
     def suspicions(self, now: float) -> list[frozenset[int]]:
-        """Whom the quorate sources in reach have lost; empty while there are none."""
+        """For each quorate source in reach, the hashes of the addresses that it reports as silent."""
         return [self.sources[a].lost for a in self.quorate(now)]
 
     def lost(self, now: float, grace: float) -> list[tuple[Address, float]]:
-        """Sources silent for the grace that, as all quorate sources in reach say, are silent to them too; and
-        since when. Told once; a source that comes back later is followed from the beginning."""
+        """Sources that have been silent for `grace` seconds and, by the reports of all quorate sources in
+        reach, are silent to them too; each with the time it was last heard. None if no quorate source is in
+        reach. Each is returned once; a source that comes back later is followed from the beginning."""
         found = []
         suspicions = self.suspicions(now)
         for address, state in self.sources.items() if suspicions else ():
--- a/gateway/membership/messages.py
+++ b/gateway/membership/messages.py
@@ -1,4 +1,4 @@
-"""What goes into and comes out of the machines of this plane, besides messages to other processes."""
+"""Input events and outputs of the membership state machines, besides messages to other processes."""
 
 from __future__ import annotations
 
@@ -6,15 +6,15 @@
 
 from gateway.state_machine import Address
 
-CORE, CONFIG, SHARD_MAP, INGRESSES = 1, 2, 3, 4  # kinds of news of which there is one only: the newest
-PROXY, CONTROLLER = 1, 2  # roles in a view
+CORE, CONFIG, SHARD_MAP, INGRESSES = 1, 2, 3, 4  # kinds of values of which only the newest counts
+PROXY, CONTROLLER = 1, 2  # roles in a peer view
 
 FencingToken = tuple[int, int]
-"""Orders the news of one kind: (term, number); a configuration has (0, version)."""
+"""Orders the values of one kind: (term, number); a configuration has (0, version)."""
 
 
 class Backend(NamedTuple):
-    """A backend under lease. Times are steady seconds of this process."""
+    """A backend under lease. Times are in seconds of this process's steady clock."""
 
     id: str
     service: str
@@ -23,23 +23,23 @@
     generation: str
     capacity: int
     draining: bool = False
-    cold_until: float = 0.0  # slow until then; 0.0 or past: warm
-    seq: int = 0  # the `call-seq` of the beat that told so
-    since: float = 0.0  # when this life was first heard of, anywhere
+    cold_until: float = 0.0  # end of its slow start; 0.0 or past: warm
+    seq: int = 0  # the `call-seq` of its newest heartbeat
+    since: float = 0.0  # when this instance was first heard, by any process
 
 
 # Inputs.
 
 
 class Received(NamedTuple):
-    """A message of another process of this system (a `Note`)."""
+    """A message of another process: `note` is a `membership_pb2.Message`."""
 
     sender: Address
     note: Any
 
 
 class Tick(NamedTuple):
-    """Time goes on; due about every 50 ms."""
+    """Time has passed; expected about every 50 ms."""
 
 
 class SetCore(NamedTuple):
@@ -49,19 +49,19 @@
 
 
 class SetSeeds(NamedTuple):
-    """Other seeds than at the start, by the addresses of their controllers."""
+    """New seeds in place of the earlier ones, by the addresses of their controllers."""
 
     addresses: tuple[Address, ...]
 
 
 class SetQuorate(NamedTuple):
-    """Until when this controller is in touch with a majority of the core, unless it tells anew."""
+    """Until when this controller is in contact with a majority of the core, unless this input is renewed."""
 
     until: float
 
 
 class Heartbeat(NamedTuple):
-    """A beat of a backend, taken here. `token` comes back in `Acked` or `Refused`."""
+    """A backend's heartbeat, received by this process. `token` comes back in `Acknowledged` or `Rejected`."""
 
     token: Any
     id: str
@@ -71,19 +71,19 @@
     generation: str
     capacity: int
     draining: bool
-    cold_left: float  # seconds
-    seq: int
+    cold_left: float  # seconds left of its slow start
+    seq: int  # its `call-seq`
 
 
 class Deregistration(NamedTuple):
-    """A backend says that it has ended. `token` comes back in `Acked` or `Refused`."""
+    """A backend says that it has ended. `token` comes back in `Acknowledged` or `Rejected`."""
 
     token: Any
     id: str
 
 
 class Publish(NamedTuple):
-    """Pass this on to all, unless something newer of its kind is known."""
+    """Publish a value to all processes, unless a newer one of its kind is known."""
 
     kind: int
     fencing_token: FencingToken
@@ -92,7 +92,7 @@
 
 
 class ConfigApplied(NamedTuple):
-    """The configuration that this process runs, how many findings it had, and the latest for the operator."""
+    """The configuration that this process runs, the number of findings so far, and the latest finding."""
 
     version: int
     digest: bytes
@@ -101,7 +101,8 @@
 
 
 class FetchConfig(NamedTuple):
-    """Ask for a configuration now: its holder, or ("") the core. `again`: though it is held."""
+    """Request a configuration now from its holder, or (if that is "") from the core; `again`: even if it is
+    held already."""
 
     version: int
     holder: Address
@@ -118,7 +119,7 @@
 
 
 class Rejected(NamedTuple):
-    """Answer a backend's call with 503: it is to try another process."""
+    """Answer a backend's call with 503: it is to try another controller."""
 
     token: Any
 
@@ -130,19 +131,19 @@
 
 
 class BackendChanged(NamedTuple):
-    """A known backend with something new about it, such as that it drains."""
+    """A known backend has changed significantly, for example has begun to drain."""
 
     backend: Backend
 
 
 class BackendRemoved(NamedTuple):
-    """A backend to which nothing more may be sent."""
+    """A backend is gone: no more requests may be sent to it."""
 
     id: str
 
 
 class Update(NamedTuple):
-    """The newest of a kind; it may come again, and skip some."""
+    """The newest value of a kind. It may be repeated, and versions may be skipped."""
 
     kind: int
     fencing_token: FencingToken
@@ -151,7 +152,8 @@
 
 
 class ConfigAdvertised(NamedTuple):
-    """Somebody (`holder`, or "" for hearsay) holds this configuration; 8 bytes of its digest."""
+    """The process `holder` holds this configuration ("": known to exist, holder unknown). `digest` has 8
+    bytes."""
 
     version: int
     digest: bytes
@@ -159,7 +161,8 @@
 
 
 class RunningConfig(NamedTuple):
-    """A follower tells what it runs (8 bytes of the digest), its findings so far, and the latest."""
+    """A follower reports the configuration that it runs (8 bytes of the digest), the number of its findings
+    so far, and the latest one."""
 
     node: Address
     version: int
@@ -169,7 +172,7 @@
 
 
 class CoreMembers(NamedTuple):
-    """Newer members of the core, as neighbours tell them."""
+    """Newer members of the core, learned by gossip from peers."""
 
     members_version: FencingToken
     members: tuple[Address, ...]
--- a/gateway/membership/peer_view.py
+++ b/gateway/membership/peer_view.py
@@ -1,4 +1,4 @@
-"""Partial views of the processes, shuffled between neighbours, and the news that rides along."""
+"""Gossip membership: partial views of the processes, shuffled between peers, with the newest versions."""
 
 from __future__ import annotations
 
@@ -12,18 +12,18 @@
 from gateway.state_machine import Address, Send
 
 VIEW_SIZE = 8
-SHUFFLE_INTERVAL_S = 1.0  # between two swaps
-EXPEDITED_INTERVAL_S = 0.25  # likewise, while there is news to pass on
+SHUFFLE_INTERVAL_S = 1.0  # between two shuffles
+EXPEDITED_INTERVAL_S = 0.25  # likewise, while there is something new to pass on
 OUTSIDE_PEER_EVERY = (
-    5  # one swap in so many goes to somebody outside the view, so that parts of a cut meet again
+    5  # one shuffle in so many goes to a process outside the view, so that partitions find each other again
 )
-MAX_UNRESPONSIVE_PEERS = 8  # neighbours that gave no answer and are tried again
+MAX_UNRESPONSIVE_PEERS = 8  # peers that gave no answer and are tried again
 MAX_CORE_MEMBERS = 16
 DIGEST_BYTES = 8
 
 
 class PeerEntry(NamedTuple):
-    """An entry of a view; its age in swaps."""
+    """An entry of a view; its age in shuffles."""
 
     address: Address
     role: int
@@ -39,11 +39,11 @@
 
 
 class PeerView:
-    """Swaps half of its entries with its oldest neighbour each second; who gives no answer is dropped.
+    """Exchanges half of its entries with its oldest peer each second; a peer that doesn't answer is dropped.
 
-    `zone` is a number from 0 to 4095, `role` from 0 to 15. Seeds are asked while the view is empty, and now
-    and then. At most four swaps a second are begun, one while there is no news; each swap that comes is
-    answered. Each message holds at most half a view and 16 members of the core."""
+    `zone` is a number from 0 to 4095, `role` from 0 to 15. Seeds are contacted while the view is empty, and
+    occasionally later. At most four shuffles a second are begun, one while there is nothing new; each one
+    received is answered. Each message holds at most half a view and 16 members of the core."""
 
     def __init__(
         self,
@@ -58,29 +58,29 @@
         self.own_entry = packed(address) << 16 | zone << 4 | role
         self.seeds: list[int] = []
         self.set_seeds(seeds)
-        self.entries: dict[int, int] = {}  # whose address, role and zone in 64 bits: its age
+        self.entries: dict[int, int] = {}  # age by packed address, zone and role (64 bits)
         self.unresponsive_peers: list[int] = []  # packed addresses
         self.members_version: FencingToken = (0, 0)
         self.members: tuple[int, ...] = ()
         self.current_config = self.newest = ConfigVersion()
         self.number = self.shuffle_count = 0
-        self.asked: int | None = None  # whom the last swap went to, until its answer comes (packed address)
+        self.asked: int | None = None  # packed address that the last shuffle went to, until it answers
         self.sent_entries: list[int] = []
         self.last_shuffle_at, self.due, self.expedite = -1e9, -1e9, False
 
     def peers(self) -> list[PeerEntry]:
-        """The present view."""
+        """The entries of the present view."""
         return [
             PeerEntry(unpacked(entry >> 16), entry & 15, entry >> 4 & 4095, age)
             for entry, age in self.entries.items()
         ]
 
     def set_seeds(self, seeds: Iterable[Address]) -> None:
-        """Ask these while nobody else is known."""
+        """Set the addresses to contact while no peers are known."""
         self.seeds = [entry for entry in map(packed, seeds) if entry != self.own_entry >> 16]
 
     def set_core_members(self, members_version: FencingToken, members: Iterable[Address]) -> bool:
-        """The members of the core are known from elsewhere; whether that is news."""
+        """Set the members of the core, as known from elsewhere; returns whether they are newer."""
         if members_version <= self.members_version:
             return False
         self.members_version, self.members, self.expedite = (
@@ -91,7 +91,7 @@
         return True
 
     def set_current_config(self, version: int, digest: bytes) -> None:
-        """This process has taken up a configuration."""
+        """Set the configuration that this process holds, to be advertised to peers."""
         current_config = ConfigVersion(
             version, int.from_bytes(digest[:DIGEST_BYTES].ljust(DIGEST_BYTES, b"\0"), "big")
         )
@@ -102,7 +102,7 @@
         )
 
     def tick(self, now: float) -> list[Send]:
-        """Begin a swap if it is due."""
+        """Begin a shuffle if one is due."""
         if now < self.due and not (self.expedite and now - self.last_shuffle_at >= EXPEDITED_INTERVAL_S):
             return []
         self._drop_unresponsive()
@@ -126,7 +126,7 @@
         return [Send(unpacked(to), note)]
 
     def _drop_unresponsive(self) -> None:
-        """Drop the neighbour that gave no answer."""
+        """Drop the peer that didn't answer the last shuffle."""
         gone, self.asked = self.asked, None
         if gone is None:
             return
@@ -136,7 +136,7 @@
             self.unresponsive_peers = [*self.unresponsive_peers, gone][-MAX_UNRESPONSIVE_PEERS:]
 
     def _choose_partner(self) -> int | None:
-        """The oldest neighbour; at times one outside the view, or if there is none."""
+        """The oldest peer; one time in `OUTSIDE_PEER_EVERY`, or without any peer, one outside the view."""
         self.shuffle_count += 1
         if self.entries and self.shuffle_count % OUTSIDE_PEER_EVERY:
             return max(self.entries, key=lambda entry: self.entries[entry]) >> 16
@@ -164,7 +164,8 @@
     def received(
         self, now: float, sender: Address, shuffle_request: pb.Shuffle, answer: bool
     ) -> list[Send | ConfigAdvertised | CoreMembers]:
-        """A swap, or the answer to one."""
+        """Handle a shuffle request, or (`answer`) the reply to one. Returns what to send, and what is newer
+        than what was known here."""
         out = self._learn_from_shuffle(sender, shuffle_request)
         entries = list(zip(shuffle_request.packed_peer, shuffle_request.ages, strict=False))[: self.size]
         if answer:
@@ -174,7 +175,7 @@
             if (
                 shuffle_request.term,
                 shuffle_request.index,
-            ) < self.members_version:  # it doesn't know the core's members
+            ) < self.members_version:  # the sender doesn't know the newest members
                 note = pb.Message()
                 self._fill_shuffle(note.shuffle_reply, 0, [])
                 note.shuffle_reply.core.extend(self.members)
@@ -216,7 +217,7 @@
     def _merge_entries(
         self, entries: list[tuple[int, int]], sent_entries: list[int], asked: int | None
     ) -> None:
-        """Take entries in: into free places, then in the place of what was given away, then of the asked."""
+        """Merge received entries: into free places, then replacing those sent away, then the asked peer."""
         entry_by_address = {entry >> 16: entry for entry in self.entries}
         out = [entry for entry in sent_entries if entry in self.entries]
         if asked in entry_by_address:
--- a/gateway/membership/proxy.py
+++ b/gateway/membership/proxy.py
@@ -1,4 +1,4 @@
-"""All that a proxy does in this plane: it follows the core's controllers, and knows some neighbours."""
+"""Membership at a proxy: it follows the change logs of the core's controllers, and gossips with peers."""
 
 from __future__ import annotations
 
@@ -29,15 +29,18 @@
 from gateway.membership.value_fetch import OTHER_ZONE_DELAY_S, ValueFetcher, ValueStore
 from gateway.state_machine import Address, Send
 
-ISOLATED_S = 3.0  # without any quorate source in reach, seeds and neighbours are followed too
-PEER_FETCH_DELAY_S = 1.0  # a neighbour is asked for a configuration only after that
+ISOLATED_S = 3.0  # without any quorate source in reach, seeds and known controllers are followed too
+PEER_FETCH_DELAY_S = 1.0  # before a configuration is requested from a peer rather than from the core
 
 
 class ProxyMembership:
-    """Inputs: `Received`, `Tick`, `Holds`, `Fetch`, `SetSeeds`, and `SetCore` where the members are known
-    from elsewhere. Outputs: `Send`, `Came`, `Changed`, `Gone`, `News`, `Heard`, `Core`.
+    """The state machine of a proxy, without I/O.
 
-    Follows the seeds (addresses of controllers) until the members of the core are told by news."""
+    Inputs: `Received`, `Tick`, `ConfigApplied`, `FetchConfig`, `SetSeeds`, and `SetCore` where the members
+    are known from elsewhere. Outputs: `Send`, `BackendAdded`, `BackendChanged`, `BackendRemoved`, `Update`,
+    `ConfigAdvertised`, `CoreMembers`.
+
+    Follows the seeds (addresses of controllers) until it learns the members of the core."""
 
     def __init__(self, address: Address, zone: int, seeds: Sequence[Address], rng: random.Random) -> None:
         self.seeds, self.zone = tuple(seeds), zone
@@ -49,7 +52,8 @@
         self.started = self.isolated = False
 
     def handle(self, now: float, event: Any) -> list[Any]:
-        """Take an input; returns what to send and what is new."""
+        """Handle an input; returns the outputs. Raises TypeError for an event that isn't one of the inputs.
+        `now` is in seconds of a steady clock."""
         if not self.started:
             self.started, self.last_heard = True, now
             self._follow(now)
@@ -92,7 +96,7 @@
         return []
 
     def _apply_log_update(self, now: float, log_update: LogUpdate) -> list[Any]:
-        """What came of a log."""
+        """Apply an update of a controller's log."""
         out: list[Any] = []
         backends = [r for r in log_update.records if not isinstance(r, wire.ValueRecord)]
         if log_update.snapshot:
@@ -106,11 +110,12 @@
         return out
 
     def confirmed(self, now: float) -> tuple[int, float] | None:
-        """The version that a majority of the core says is the newest, and since when that is sure."""
+        """The configuration version that a majority of the core has as the newest, and the time as of which
+        that is certain: see `LogFollower.confirmed`."""
         return self.follower.confirmed(now, self.core)
 
     def _fetch(self, now: float, fetch: FetchConfig) -> list[Any]:
-        """Ask at once, whoever may have it."""
+        """Request a configuration at once, from its holder or from all sources heard lately."""
         self.value_fetcher.set_target(CONFIG, (0, fetch.version), fetch.again)
         holders = [fetch.holder] if fetch.holder else self.follower.heard(now)
         return [self.value_fetcher.ask(CONFIG, (0, fetch.version), holder) for holder in holders]
@@ -143,7 +148,7 @@
         return out
 
     def _core(self, now: float, updates: Update) -> list[Send]:
-        """Follow the members that news names."""
+        """Follow the members of the core that an update names."""
         members = wire.members_or_none(updates.data)
         if not members:
             return []
@@ -165,7 +170,8 @@
         return out
 
     def _follow(self, now: float, isolated: bool = False) -> None:
-        """Follow the core; while it is unknown or out of reach, whoever may know it."""
+        """Follow the core; while it is unknown, the seeds; while `isolated` from it, the seeds and all known
+        controllers too."""
         wanted = list(self.core) if self.core else list(self.seeds)
         if isolated:
             wanted += [*self.seeds, *(p.address for p in self.view.peers() if p.role == CONTROLLER)]
@@ -180,7 +186,7 @@
             if self.isolated and any(a in self.core for a in heard):
                 self._follow(now)
         elif self.last_heard is not None and now - self.last_heard > ISOLATED_S:
-            self.last_heard = now  # not again at once
+            self.last_heard = now  # begins the next period
             self._follow(now, isolated=True)
         out: list[Any] = [*self.follower.tick(now), *self.value_fetcher.tick(now), *self.view.tick(now)]
         for source, last in self.follower.lost(now, self.table.grace):
--- a/gateway/membership/wire.py
+++ b/gateway/membership/wire.py
@@ -1,4 +1,4 @@
-"""Between what this plane keeps and what travels: records of logs, addresses, members of the core."""
+"""Conversion between the membership's types and protobuf: log records, addresses, members, values."""
 
 from __future__ import annotations
 
@@ -14,26 +14,26 @@
 from gateway.membership.messages import Backend, FencingToken
 from gateway.state_machine import Address
 
-FINAL_SEQUENCE = 1 << 62  # as a call-seq: no later beat counts either
-INLINE_BYTES = 256  # longer values are asked for, so that they come from one source only
-MAX_VALUE_BYTES = 64 << 20  # of a value, unpacked
-COMPRESS_MIN_BYTES = 1024  # shorter values aren't worth packing
+FINAL_SEQUENCE = 1 << 62  # as the call-seq of an end: no later heartbeat counts either
+INLINE_BYTES = 256  # longer values have to be requested, so that they come from one source only
+MAX_VALUE_BYTES = 64 << 20  # of a value, decompressed
+COMPRESS_MIN_BYTES = 1024  # values up to this size aren't compressed
 
 
 class LeaseRecord(NamedTuple):
-    """A backend in a log; a relay is told on by one that doesn't take its beats."""
+    """A backend in a log. With `relay`, the log's source only passes it on and doesn't hold the lease."""
 
     backend: Backend
     relay: bool = False
 
 
 class EndRecord(NamedTuple):
-    """A backend's end: beats with a call-seq up to `seq` are late. Forgotten at `until`."""
+    """A backend's end: heartbeats with a call-seq up to `seq` are obsolete. Forgotten at `until`."""
 
     id: str
     seq: int
     until: float = 0.0
-    since: float = float("inf")  # when that life was first heard of, if it is known
+    since: float = float("inf")  # when that instance was first heard; inf: unknown
 
 
 class ReleaseRecord(NamedTuple):
@@ -44,7 +44,7 @@
 
 
 class ValueRecord(NamedTuple):
-    """News in a log; `data` is None where it must be asked for."""
+    """A value in a log; `data` is None if the value has to be requested."""
 
     kind: int
     fencing_token: FencingToken
@@ -56,7 +56,7 @@
 
 
 def packed(address: Address) -> int:
-    """An `ip:port` as 48 bits; ValueError or OSError where it is none."""
+    """An IPv4 `ip:port` as 48 bits. Raises ValueError or OSError if it isn't one."""
     host, _, port = address.rpartition(":")
     number = int(port)
     if not 0 < number < 65536:
@@ -65,24 +65,24 @@
 
 
 def unpacked(number: int) -> Address:
-    """The address of 48 bits."""
+    """The `ip:port` of 48 bits: the inverse of `packed`."""
     return f"{socket.inet_ntoa(struct.pack('>I', number >> 16 & 0xFFFFFFFF))}:{number & 0xFFFF}"
 
 
 def address_hash(address: Address) -> int:
-    """A short digest of an address, for naming it to those who know it."""
+    """The CRC-32 of an address, which identifies it to processes that know the address."""
     return zlib.crc32(address.encode())
 
 
 def encode_members(addresses: Iterable[Address], leader: Address = "") -> bytes:
-    """The value of `CORE` news: the members' addresses, and which of them leads ("": none)."""
+    """The value of kind `CORE`: the members' addresses, and which of them is the leader ("": none)."""
     members = list(addresses)
     position = members.index(leader) + 1 if leader in members else 0
     return pb.Members(addresses=map(packed, members), leader=position).SerializeToString()
 
 
 def decode_members(data: bytes) -> tuple[tuple[Address, ...], Address]:
-    """Addresses and leader of `CORE` news; ValueError where the bytes are none."""
+    """Addresses and leader of a value of kind `CORE`. Raises ValueError if the bytes aren't one."""
     try:
         message = pb.Members.FromString(data)
     except DecodeError as error:
@@ -92,7 +92,7 @@
 
 
 def members_or_none(data: bytes) -> tuple[Address, ...] | None:
-    """Addresses of `CORE` news; None where the bytes are none."""
+    """Addresses of a value of kind `CORE`; None if the bytes aren't one."""
     try:
         return decode_members(data)[0]
     except ValueError:
@@ -100,12 +100,13 @@
 
 
 def encode_ingresses(ingresses: Iterable[tuple[int, Address]]) -> bytes:
-    """The value of `INGRESSES` news: the zone and address of each."""
+    """The value of kind `INGRESSES`: the zone number and address of each."""
     return pb.Members(addresses=[packed(a) << 12 | zone for zone, a in ingresses]).SerializeToString()
 
 
 def decode_ingresses(data: bytes) -> list[tuple[int, Address]]:
-    """Zone and address of each ingress of `INGRESSES` news; ValueError where the bytes are none."""
+    """Zone number and address of each ingress in a value of kind `INGRESSES`. Raises ValueError if the bytes
+    aren't one."""
     try:
         message = pb.Members.FromString(data)
     except DecodeError as error:
@@ -114,7 +115,7 @@
 
 
 def fill_answer(answer: pb.Answer, now: float, records: Iterable[Record]) -> None:
-    """Put records into an answer; times become what is left or has passed."""
+    """Put records into an answer; times become durations, left or passed, as of `now`."""
     names: dict[str, int] = {}
     for record in records:
         out = answer.records.add()
@@ -150,7 +151,7 @@
 
 
 def records(answer: pb.Answer, now: float) -> Iterator[Record]:
-    """The records of an answer; what can't be read (names beyond the list) is left out."""
+    """The records of an answer. Malformed ones (with names beyond the list) are skipped."""
     names = answer.names
     for record in answer.records:
         kind = record.WhichOneof("kind")
@@ -180,7 +181,7 @@
 
 
 def value_note(value_record: ValueRecord) -> pb.Message:
-    """The whole value of news, for one that asked."""
+    """The message with a whole value, compressed if it is long; the answer to a request."""
     data = value_record.data or b""
     note = pb.Message()
     value = note.value
@@ -195,7 +196,7 @@
 
 
 def value_data(value: pb.Value) -> bytes | None:
-    """The bytes of a value that came; None where they can't be unpacked."""
+    """The bytes of a value that was received; None if they can't be decompressed."""
     if not value.packed:
         return value.value
     try:
