Describe gateway.proxy in the terms of HTTP proxies

Cause: docstrings and comments kept the wording of the earlier names, and some public methods had no docstring. Change: docstrings and comments only; each public item has a docstring, with units.

--- a/gateway/proxy/__init__.py
+++ b/gateway/proxy/__init__.py
@@ -1,1 +1,1 @@
-"""The traffic plane: HTTP towards clients and backends, and the decisions on each request."""
+"""The data plane: HTTP towards clients and backends, and the decisions on each request."""
--- a/gateway/proxy/decisions.py
+++ b/gateway/proxy/decisions.py
@@ -1,4 +1,4 @@
-"""All decisions on a request: its tenant's charge, its service, and by that service's choice its backend."""
+"""The decisions on a request: the charge to its tenant's quota, its service, and the choice of a backend."""
 
 from __future__ import annotations
 
@@ -20,42 +20,44 @@
 from roadspur.customer import Customer
 from roadspur.flight import ActiveRequest
 
-CHARGE_PATIENCE_RATIO = 0.25  # of a request's aim that its charge may take, then this ingress's share decides
-MAX_CHARGE_PATIENCE_S = 0.12  # and in seconds, at most
-MIN_RETRY_AFTER_S = 0.1  # after a refusal that no quota is the reason of, drawn from one to three times this
+CHARGE_PATIENCE_RATIO = 0.25  # of its target latency, for a charge; then this ingress's share decides
+MAX_CHARGE_PATIENCE_S = 0.12  # the upper limit of that time
+MIN_RETRY_AFTER_S = 0.1  # after a refusal for other reasons than quota: random, one to three times this
 
 log = logging.getLogger("gateway.proxy.decisions")
 
 
 class RequestContext(NamedTuple):
-    """What the configuration says of a request."""
+    """The result of matching a request against the configuration."""
 
     route: Route
     tenant: Tenant | None
     precedence: int
-    late: bool = False  # it can't earn its full worth any more
+    late: bool = False  # a retry that comes too late to meet the target latency
 
     @property
     def rank(self) -> int:
-        """Its place within its tenant's allowance, 0 the highest: by its route, late ones behind."""
+        """The precedence within its tenant's allowance, 0 the highest: by route, late requests behind."""
         return 2 * self.route.precedence + self.late
 
     @property
     def urgency(self) -> float:
-        """How soon it goes to a backend, the greatest first: by its precedence, then by its route's."""
+        """The order in which queued requests go to backends, the greatest first: by the request's precedence,
+        then by its route's."""
         own = self.route.precedence
         return 1.0 / (1 + self.precedence + own / (1 + own))
 
 
 class Backends(NamedTuple):
-    """Event: backends of a service that came, changed or went."""
+    """Event: backends of a service were added, changed or removed."""
 
     service: str
     entries: tuple[io.BackendEntry, ...]
 
 
 class ProxyPeers(NamedTuple):
-    """Event: how many ingresses there are, and this one's place among those of its zone."""
+    """Event: the number of ingresses, this one's index among those of its zone (-1: not listed yet), and the
+    number of those."""
 
     ingresses: int
     place: int
@@ -63,13 +65,14 @@
 
 
 class QuotaEvent(NamedTuple):
-    """Event: an input of the quota plane's machine."""
+    """Event: an input of the quota client's state machine."""
 
     input: Any
 
 
 class OverQuota(NamedTuple):
-    """Final answer: beyond the allowance, which has room again in `wait` seconds; `why` for the log."""
+    """Action: answer 429, as the tenant is over its allowance; `wait` is the time in seconds until it has
+    room again, `why` the reason for the log."""
 
     request: str
     wait: float
@@ -77,14 +80,17 @@
 
 
 class PendingCharge(NamedTuple):
-    """A request whose charge is out."""
+    """A request that waits for the verdict on its charge."""
 
     flight: ActiveRequest
     service: Service
 
 
 class Decisions:
-    """One ingress's decisions; `handle` takes an event and gives the actions it calls for."""
+    """The decision state machine of one ingress: `handle` takes an event and returns the resulting actions.
+
+    `budget` makes the retry budget of a service, given the number of ingresses.
+    """
 
     def __init__(
         self,
@@ -97,15 +103,15 @@
         self.services: dict[str, Service] = {}
         self.waiting: dict[
             int, PendingCharge | None
-        ] = {}  # by the number charged under; None: the client has gone
-        self.homes: dict[str, Service] = {}  # requests that a service has
-        self.charged: set[str] = set()  # of these, those whose unit can still be given back
+        ] = {}  # by the attempt number of the charge; None: the client has disconnected
+        self.homes: dict[str, Service] = {}  # by request id, the service that handles it
+        self.charged: set[str] = set()  # of these, the requests whose unit can still be refunded
         self.proxy_peers, self.instances = ProxyPeers(terms.instances, 0, 0), terms.instances
-        self.grown_at: float | None = None  # when more ingresses than before were told of
+        self.grown_at: float | None = None  # when the number of ingresses last increased
         self.customers: dict[str, Customer] = {}
         self.refusals = Refusals()
         self.acts: list[Any] = []
-        self.sweep_timers: dict[int, Service] = {}  # timers' tokens
+        self.sweep_timers: dict[int, Service] = {}  # by timer token
         self.on: dict[type, Callable[[float, Any], None]] = {
             io.Request: self.request,
             io.AttemptEnded: self.ended,
@@ -119,21 +125,21 @@
         }
 
     def handle(self, now: float, event: Any) -> list[Any]:
-        """Decide on one event; `now` is in seconds of a steady clock."""
+        """Handle one event; `now` is in seconds of a steady clock. Events of other types are ignored."""
         self.acts = []
         if (decide := self.on.get(type(event))) is not None:
             decide(now, event)
         return self.acts
 
     def members(self, now: float) -> tuple[int, int]:
-        """Backends known, and how many of them are avoided."""
+        """The number of known backends, and how many of them are avoided."""
         known = [s.fleet.members(now) for s in self.services.values()]
         return sum(n for n, _ in known), sum(n for _, n in known)
 
-    # A request: charge, then a service's choice.
+    # A request: charge, then the choice of a backend by its service.
 
     def request(self, now: float, r: io.Request) -> None:
-        """Charge one unit to the tenant's count before it goes on."""
+        """Charge one unit to the tenant's quota before the request is sent on; without a limit, send it."""
         self.refusals.request_received(now)
         about: RequestContext = r.about
         route, tenant = about.route, about.tenant
@@ -151,7 +157,7 @@
         self.handle_quota(now, quota.ChargeRequest(number, label, about.rank, patience))
 
     def service(self, now: float, name: str) -> Service:
-        """A service's backends, none of them known if it is new."""
+        """The service of this name; a new one has no backends yet."""
         known = self.services.get(name)
         if known is None:
             known = self.services[name] = Service(
@@ -163,7 +169,7 @@
         return known
 
     def customer_of(self, label: str, now: float) -> Customer:
-        """The tenant as the shared choice knows customers."""
+        """The tenant, as the `Customer` that `Routing` expects."""
         known = self.customers.get(label)
         if known is None:
             if len(self.customers) >= services.MAX_REJECTION_KEYS:
@@ -172,17 +178,17 @@
         return known
 
     def quota_event(self, now: float, e: QuotaEvent) -> None:
-        """News for the quota plane's machine."""
+        """Pass an event's input on to the quota client."""
         self.handle_quota(now, e.input)
 
     def handle_quota(self, now: float, item: Any) -> None:
-        """Hand an input to the quota plane, and go by the verdicts that come of it."""
+        """Pass an input to the quota client, and carry out the verdicts that result."""
         for out in self.quota_client.handle(now, item):
             if not isinstance(out, quota.ChargeDecision):
                 self.acts.append(out)
             elif out.id in self.waiting:
                 waiting = self.waiting.pop(out.id)
-                if waiting is None:  # its client has gone meanwhile
+                if waiting is None:  # its client has disconnected meanwhile
                     if out.verdict == "go":
                         self.handle_quota(now, quota.Refund(out.id))
                 elif out.verdict == "go":
@@ -193,13 +199,14 @@
                     self.acts.append(OverQuota(waiting.flight.req.id, out.wait_s, out.why))
 
     def send_on(self, now: float, f: ActiveRequest, s: Service) -> None:
-        """Within the allowance: on to a backend."""
+        """Hand a request, which is within its allowance, to its service to be sent to a backend."""
         self.homes[f.req.id] = s
         s.active_requests[f.req.id] = f
         self.run_service(s, lambda: s.send(now, f))
 
     def send_guarded(self, now: float, f: ActiveRequest, s: Service) -> None:
-        """The same, where no event of the request's own is handled: a fault ends it all the same."""
+        """As `send_on`, outside the handling of the request's own event: an exception is logged and ends the
+        request, as it would there."""
         try:
             self.send_on(now, f, s)
         except Exception:
@@ -207,7 +214,7 @@
             self.give_up(now, f, 0.0)
 
     def run_service(self, s: Service, call: Callable[[], None]) -> None:
-        """Let a service act, and see to its beat."""
+        """Let a service act, collect its actions, and set its sweep timer if it needs one."""
         s.acts = []
         call()
         self.acts += s.acts
@@ -217,25 +224,25 @@
             self.acts.append(io.SetTimer(services.SWEEP_INTERVAL_S, token))
 
     def movable(self, now: float, request: str) -> bool:
-        """Whether a request that is at a backend may be sent to another one instead."""
+        """Whether a request that is at a backend may be cancelled there and sent to another one."""
         s = self.homes.get(request)
         f = s.active_requests.get(request) if s is not None else None
         return s is not None and f is not None and s.movable(now, f)
 
     def sweep_due(self, now: float, e: io.TimerFired) -> None:
-        """Look at silent backends and at what is held."""
+        """A service's sweep timer has fired: check silent backends and queued requests."""
         s = self.sweep_timers[e.token]
         self.run_service(s, lambda: s.sweep(now))
 
     def stream_progress(self, now: float, e: io.AttemptStarted | io.AttemptWritten) -> None:
-        """A large body or answer is on its way."""
+        """A large request body or response is being streamed."""
         s = self.homes.get(e.request)
         if s is not None:
             call = s.started if isinstance(e, io.AttemptStarted) else s.written
             self.run_service(s, lambda: call(now, e))  # type: ignore[arg-type]
 
     def ended(self, now: float, e: io.AttemptEnded) -> None:
-        """An attempt has ended."""
+        """An attempt has ended. The unit is kept charged unless the outcome shows that it never ran."""
         s = self.homes.get(e.request)
         if s is None:
             return
@@ -245,11 +252,11 @@
         if e.request not in s.active_requests and not any(
             e.request in b.out for b in s.fleet.backends.values()
         ):
-            self.give_back(now, e.request)  # if the client left while a connection was being opened
+            self.give_back(now, e.request)  # if the client disconnected while a connection was being opened
             self.forget(e.request)
 
     def client_gone(self, now: float, e: io.ClientGone) -> None:
-        """The client has gone: what was not sent uses nothing up."""
+        """The client has disconnected: a request that was never sent gets its unit refunded."""
         if (number := attempt_number(e.request)) in self.waiting:
             self.waiting[number] = None
         s = self.homes.get(e.request)
@@ -260,17 +267,19 @@
             self.forget(e.request)
 
     def forget(self, request: str) -> None:
+        """Drop a finished request."""
         self.homes.pop(request, None)
         self.charged.discard(request)
 
     def give_back(self, now: float, request: str) -> None:
-        """A request that never ran gives its unit back."""
+        """Refund the unit of a request that never ran."""
         if request in self.charged:
             self.charged.discard(request)
             self.handle_quota(now, quota.Refund(attempt_number(request)))
 
     def give_up(self, now: float, f: ActiveRequest, wait: float) -> None:
-        """Final answer at once: a promise with a time to come back if it never ran, a failure otherwise."""
+        """Answer a request finally: with a refusal and a time to retry if it never ran, otherwise with a
+        failure. `wait` is the least time to retry, in seconds."""
         name = f.req.id
         home = self.homes.get(name)
         if home is not None:
@@ -287,13 +296,13 @@
     # Backends.
 
     def backends(self, now: float, e: Backends) -> None:
-        """Follow what is known of a service's backends."""
+        """Apply changes of a service's backends."""
         s = self.service(now, e.service)
         self.run_service(s, lambda: s.listed(now, io.ListUpdate(io.ListKind.CHANGE, 0, e.entries)))
         s.assign_own_backends(self.proxy_peers.place, self.proxy_peers.zone_peers)
 
     def update_peers(self, now: float, e: ProxyPeers) -> None:
-        """Other ingresses came or went: all share backends, slots and the budget anew."""
+        """The set of ingresses has changed: divide backends, slots and retry budgets among them anew."""
         if self.grown_at is None or e.ingresses > self.proxy_peers.ingresses:
             self.grown_at = now
         self.proxy_peers = e
--- a/gateway/proxy/execution_status.py
+++ b/gateway/proxy/execution_status.py
@@ -1,4 +1,4 @@
-"""May it have run? The one answer that decides what a request may still be told, and whether it may go on."""
+"""Whether a request may have run at a backend: this decides which answers are allowed, and any retry."""
 
 from __future__ import annotations
 
@@ -6,17 +6,17 @@
 
 
 class ExecutionStatus(Enum):
-    """What is known of a request's runs."""
+    """What is known of a request's execution by backends."""
 
-    NEVER_RAN = "never"  # it has not run and never will: 429, 503, 408 and 421 may be said, and anything sent
-    MAY_HAVE_RAN = "perhaps"  # it was sent, and nobody can tell
-    RAN = "ran"  # a backend has said so
+    NEVER_RAN = "never"  # it has not run and never will: 429, 503, 408 and 421 are allowed, and any retry
+    MAY_HAVE_RAN = "perhaps"  # it was sent, and it is unknown whether it ran
+    RAN = "ran"  # a backend has answered that it did
 
     @property
     def allows_refusal(self) -> bool:
-        """Whether an answer that promises that it never ran may be given."""
+        """Whether an answer that promises that the request never ran may be given."""
         return self is ExecutionStatus.NEVER_RAN
 
     def repeatable(self, safe: bool) -> bool:
-        """Whether it may be sent once more."""
+        """Whether the request may be retried; `safe` requests always may."""
         return safe or self is ExecutionStatus.NEVER_RAN
--- a/gateway/proxy/ingress.py
+++ b/gateway/proxy/ingress.py
@@ -1,4 +1,4 @@
-"""The whole system's words to clients and backends, on the shared ingress."""
+"""The gateway's HTTP protocol towards clients and backends, on the shared ingress of `roadspur.net`."""
 
 from __future__ import annotations
 
@@ -22,7 +22,7 @@
 from roadspur.net.upstream import Upstream
 
 DROPPED_RESPONSE_HEADERS = frozenset(
-    (  # headers of answers that are not handed on
+    (  # response headers that aren't passed on to clients
         b"connection",
         b"keep-alive",
         b"proxy-connection",
@@ -38,23 +38,23 @@
 )
 SINGLETON_HEADERS = frozenset(
     (b"host", b"attempt-id", b"authorization", b"deadline-ms")
-)  # by a request, once
-NOT_EXECUTED_STATUSES = (503, 429, 400)  # statuses with which a backend may say that it has not run a request
+)  # request headers that may occur only once
+NOT_EXECUTED_STATUSES = (503, 429, 400)  # with which a backend may say that it hasn't executed a request
 NEVER_RAN_STATUSES = (
     503,
     429,
     408,
     421,
-)  # statuses that promise that: only this ingress may give them to a client
-TIMER_SLACK_S = 0.02  # by which a timer may be early on the loop's own clock
+)  # statuses that promise to a client that its request never ran: only this ingress itself may give them
+TIMER_SLACK_S = 0.02  # by which a timer may be early by the event loop's clock
 RETRY_SOON = b"Retry-After: 0.3\r\n"
 MAX_DEADLINE_S = 3600.0
-LATE_RATIO = 0.8  # of its aim, after which a request is late, as its try has a way to go yet
-PATIENCE_DECAY = 0.01  # of the difference to the longest time told, by which that fades
+LATE_RATIO = 0.8  # of its target latency, after which a retry is late, as it still takes some time itself
+PATIENCE_DECAY = 0.01  # by which the longest time seen moves towards each shorter one
 
 
 class ProxyIngress(Ingress):
-    """One ingress of the whole system."""
+    """The HTTP ingress of one proxy: request matching, headers, final answers, and its backends."""
 
     health_path = None
     label, ends, streams = b"attempt-id", ResponseEnd(read_until_close=True), True
@@ -73,20 +73,20 @@
         self.send, self.steady, self.refusals = send, steady, decisions.refusals
         self.movable = decisions.movable
         self.compiled_config: CompiledConfig | None = None
-        self.patience: dict[str, float] = {}  # by route: seconds that clients tell with a first try
+        self.patience: dict[str, float] = {}  # by route: seconds that clients give a first try
         self.inspect: Callable[[bytes, bytes, bytes, RouteDecision], RouteDecision | None] | None = None
-        self.services: dict[str, str] = {}  # of backends that are known
+        self.services: dict[str, str] = {}  # of known backends: the service's name by backend
 
     def now(self) -> float:
-        """A steady clock's seconds: nothing here has to agree with other nodes' clocks."""
+        """Seconds of a steady clock: nothing here has to agree with the clocks of other nodes."""
         return self.steady()
 
-    # What clients say.
+    # Requests of clients.
 
     def read(
         self, method: bytes, url: bytes, headers: list[tuple[bytes, bytes]]
     ) -> io.Request | ImmediateResponse:
-        """Match the call and its key; what no configuration allows is answered at once."""
+        """Match a request and its key against the configuration; answer at once if it is not allowed."""
         if self.compiled_config is None:
             self.refusals.count(self.now(), "no configuration")
             return ImmediateResponse(503, "no configuration yet", lines=RETRY_SOON)
@@ -94,7 +94,7 @@
         for field, value in headers:
             field = field.lower()
             if field in SINGLETON_HEADERS:
-                if field in told:  # whoever reads the other one takes it for another request
+                if field in told:  # a reader of the other one would take it for another request
                     return ImmediateResponse(400, f"{field.decode()}: more than one", close=True)
                 told[field] = value
         host, name = told.get(b"host", b""), told.get(b"attempt-id", b"")
@@ -127,19 +127,21 @@
         )
 
     def late(self, route: Route, patience: float) -> bool:
-        """Whether a try comes too long after its request's first one to earn its full worth.
+        """Whether an attempt comes too long after its request's first one to meet the target latency.
 
-        Clients tell what is left of their time, in seconds; the longest of late is that of a first try.
+        Clients send what is left of their time (`patience`, in seconds); the longest one seen lately is taken
+        as that of a first attempt.
         """
         first = self.patience.get(route.label, patience)
         first = max(patience, first - PATIENCE_DECAY * (first - patience))
         self.patience[route.label] = first
         return first - patience > LATE_RATIO * route.target_latency
 
-    # What is said to backends, and what they say.
+    # Requests to backends, and their responses.
 
     def message(self, call: ClientRequest, backend: str, patience: float) -> bytes:
-        """The request as a backend gets it: for this instance only, under its tenant's name."""
+        """The request as sent to a backend: for this instance only, with its tenant's label, and with
+        `patience`, in seconds, as its deadline."""
         plan = call.request.plan
         tenant = b"Tenant: %s\r\n" % plan.encode() if plan else b""
         return call.message(
@@ -148,11 +150,15 @@
         )
 
     def outcome(self, call: ClientRequest, answer: Response) -> io.Outcome | None:
-        """Only an answer that says so has not run; a success needs its seal, all need the request's id."""
+        """The outcome of an attempt by its response; None if that belongs to another request.
+
+        Only a response that says so was not executed; a success needs its seal, and every response the
+        request's attempt id, which only a 421 or a not-executed one may lack.
+        """
         name = answer.headers.get(b"attempt-id")
         ours = name is not None and name == call.request.id.encode()
         if answer.status == 421 and (ours or name is None):
-            return io.Outcome.CONNECT_FAILED  # another instance has the address
+            return io.Outcome.CONNECT_FAILED  # another instance has this address now
         if (
             answer.status in NOT_EXECUTED_STATUSES
             and b"not-executed" in answer.headers
@@ -170,7 +176,7 @@
         return io.Outcome.OK
 
     def lines(self, answer: Response) -> bytes:
-        """All headers but those that concern one connection, or the backend only."""
+        """All response headers except hop-by-hop ones and those that concern only the backend."""
         return b"".join(
             b"%s: %s\r\n" % (name.title(), value)
             for name, value in answer.headers.items()
@@ -178,7 +184,8 @@
         )
 
     def load(self, answer: Response | None) -> dict[str, float]:
-        """`Backend-Load`: requests running, requests waiting, slots."""
+        """The load by the header `Backend-Load`: requests running, requests waiting, slots. Empty unless it
+        has these three parts."""
         told = answer.headers.get(b"backend-load") if answer is not None else None
         if not told:
             return {}
@@ -190,32 +197,37 @@
     # Final answers.
 
     def execution_status(self, held: PendingRequest) -> ExecutionStatus:
-        """What is known of a request's runs."""
+        """What is known of a request's execution by backends."""
         if held.last is not None and held.may_have_run and held.last.status >= 500:
             return ExecutionStatus.RAN
         sent = held.may_have_run or (held.exchange is not None and held.exchange.may_have_run)
         return ExecutionStatus.MAY_HAVE_RAN if sent else ExecutionStatus.NEVER_RAN
 
     def waits_out_silence(self, held: PendingRequest) -> bool:
-        """No answer is ended before its time because its backend is silent, unless another can be had."""
+        """Whether to wait on for a response whose backend has fallen silent: until the deadline if a part of
+        it has been passed on, else if the request can't be moved to another backend."""
         if held.flowing:
             return self.loop.time() < held.deadline < math.inf
         return not self.movable(self.now(), held.call.request.id)
 
     def cancels_when_gone(self, held: PendingRequest) -> bool:
-        """A repeatable request is: backends drop a request when its connection closes."""
+        """Whether a request is cancelled when its client disconnects: only a safe one is, as backends drop a
+        request when its connection closes."""
         return self.effects[held.call.request.class_name] is io.Effect.SAFE
 
     def may_refuse(self, held: PendingRequest) -> bool:
+        """Whether a refusal, which promises that the request never ran, may be given."""
         return self.execution_status(held).allows_refusal
 
     def answer(self, held: PendingRequest, status: int, lines: bytes = b"", body: bytes = b"") -> None:
-        """The one final answer. That a body stops when a part of it has gone out allows no promise."""
+        """Give the one final answer. A 408 for a request body that stalls becomes a 400 if a part of the body
+        may have been sent to a backend, as then nothing can be promised."""
         stopped = status == 408 and not self.may_refuse(held)
         super().answer(held, 400 if stopped else status, lines, body)
 
     def finish(self, name: str, refused: bool, wait: float) -> None:
-        """A promise with a time to come back, or what the backend has said, or a failure."""
+        """Give the final answer: a refusal with a time to retry (`wait`, in seconds) if the request never
+        ran, else the backend's own error, else 502, or 504 at the deadline."""
         held = self.held.get(name)
         if held is None:
             return
@@ -227,6 +239,7 @@
             self.answer(held, 504 if self.loop.time() >= held.deadline - TIMER_SLACK_S else 502)
 
     def carry_out(self, a: Any) -> None:
+        """Carry out an action of the decisions."""
         if isinstance(a, Send):
             self.send(a)
         elif isinstance(a, OverQuota):
@@ -239,14 +252,14 @@
                 held.attempt_history.append((self.loop.time(), a.why))
             super().carry_out(a)
 
-    # What the other planes tell.
+    # Events of the other planes.
 
     def handle_quota(self, item: Any) -> None:
-        """News for the quota plane's machine."""
+        """Pass an input to the quota client's state machine."""
         self.submit(QuotaEvent(item))  # type: ignore[arg-type]
 
     def proxy_peers(self, me: str, zone: int, ingresses: list[tuple[int, str]]) -> None:
-        """All ingresses there are, with their zones; this one may not be among them yet."""
+        """Set the zone number and address of all ingresses; this one (`me`) may not be among them yet."""
         zone_peers = [address for its, address in ingresses if its == zone]
         place = zone_peers.index(me) if me in zone_peers else -1
         self.submit(ProxyPeers(len(ingresses), place, len(zone_peers)))  # type: ignore[arg-type]
@@ -261,7 +274,8 @@
         capacity: int = 1,
         zone: str = "",
     ) -> None:
-        """A backend came, changed or went; connections of old go before anything may be sent."""
+        """A backend was added, changed or removed (`phase`); its old connections are closed before anything
+        new may be sent. `cold_left` is the rest of its slow start in seconds."""
         if phase is io.Phase.DELETED:
             service = self.services.pop(name, service)
             self.upstream.update(name, None)
--- a/gateway/proxy/refusals.py
+++ b/gateway/proxy/refusals.py
@@ -1,4 +1,4 @@
-"""What an ingress turns back, by cause: a line for each second with any, and a bad second is a warning."""
+"""Refused requests by cause: a log line for each second with any; one with many is a warning."""
 
 from __future__ import annotations
 
@@ -10,13 +10,13 @@
 WARNING_MIN_COUNT, WARNING_MIN_RATIO = (
     5,
     0.25,
-)  # requests of one second turned back for causes that lie with the system; of all
+)  # requests of one second refused for other causes than their allowance: at least so many, and of all
 
 log = logging.getLogger("gateway.proxy.refusals")
 
 
 class Refusals:
-    """Counts by cause in the running second. `now` is in seconds of a steady clock."""
+    """Counts refused requests by cause in the current second. `now` is in seconds of a steady clock."""
 
     __slots__ = ("causes", "requests", "until")
 
@@ -25,17 +25,17 @@
         self.causes = Counter[str]()
 
     def request_received(self, now: float) -> None:
-        """A request has come."""
+        """Count a request received."""
         self.roll_over(now)
         self.requests += 1
 
     def count(self, now: float, why: str) -> None:
-        """A request is turned back."""
+        """Count a refused request, by cause."""
         self.roll_over(now)
         self.causes[why] += 1
 
     def roll_over(self, now: float) -> None:
-        """Tell of the second that has ended, with the first news after it."""
+        """Log the second that has ended, at the first event after it."""
         if now < self.until:
             return
         if self.causes:
--- a/gateway/proxy/retry_budget.py
+++ b/gateway/proxy/retry_budget.py
@@ -1,24 +1,25 @@
-"""The budget of further tries that all ingresses share, as this one's part of it."""
+"""The retry budget of a service: this ingress's part of the budget that all ingresses share."""
 
 from __future__ import annotations
 
 from collections import deque
 
 SHRINK_DELAY_S = (
-    60.0  # after which fewer ingresses are believed: until then some may be there and out of reach
+    60.0  # until a lower number of ingresses is accepted: the others may just be unreachable until then
 )
 GROWTH_SETTLE_S = (
-    1.0  # without more ingresses, after which their number is believed, and the slack shared by it
+    1.0  # without an increase, until the number of ingresses is accepted and the slack divided by it
 )
-SAFETY_FACTOR = 0.7  # of the allowed ratio that is used, as the others count by clocks of their own
+SAFETY_FACTOR = 0.7  # of the allowed ratio that is used, as the other ingresses count by their own clocks
 
 
 class RetryBudget:
-    """Repeats to one service within a sliding window: a share of its requests here, and a part of the slack.
+    """Retries to one service within a sliding window: a ratio of its requests here, plus a part of the slack.
 
-    `window` is in seconds; `slack` is for all `ingresses`, of which a life of the process uses half of its
-    part: one that has begun again does not know what the last one has spent. Until the number of ingresses
-    is told and stays there is no slack: when all begin at once, each meets the others one after the other.
+    `window` is in seconds. `slack` is a number of retries for all `ingresses` together; each process uses
+    half of its part, since after a restart it doesn't know what its predecessor has spent. Until the number
+    of ingresses is known and has stopped growing there is no slack: when all start at once, each learns of
+    the others one after the other.
     """
 
     __slots__ = (
@@ -42,7 +43,8 @@
         self.requests = self.repeats = 0.0
 
     def share_among(self, now: float, ingresses: int) -> None:
-        """Share the slack among so many: more at once, fewer only after a time."""
+        """Divide the slack among this number of ingresses: a higher number counts at once, a lower one only
+        after `SHRINK_DELAY_S`."""
         if self.shared_at is None or ingresses > self.ingresses:
             self.grown_at = now
         if self.shared_at is None or ingresses >= self.ingresses:
@@ -51,7 +53,7 @@
             self.ingresses, self.shared_at = ingresses, now
 
     def count(self, now: float, repeat: bool) -> None:
-        """An attempt has gone out: a request's first, or a repeat."""
+        """Count an attempt: a request's first one, or a retry (`repeat`)."""
         self._forget(now)
         second = float(int(now))
         if not self.seconds or self.seconds[-1][0] != second:
@@ -63,7 +65,7 @@
             self.requests += 1
 
     def allows(self, now: float) -> bool:
-        """Whether one more repeat stays within the budget."""
+        """Whether one more retry stays within the budget."""
         self._forget(now)
         slack = self.slack / self.ingresses if now >= self.grown_at + GROWTH_SETTLE_S else 0.0
         return self.repeats + 1 <= self.ratio * self.requests + slack
