--- a/gateway/membership/leases.py
+++ b/gateway/membership/leases.py
@@ -83,8 +83,8 @@
         self.ticked: float | None = None
 
     def heartbeat(self, now: float, heartbeat: Heartbeat) -> list[Acknowledged | Rejected | BackendChange]:
-        """Handle a backend's heartbeat: renew its lease, and answer, one that drains only when a majority of
-        the core has that."""
+        """Handle a backend's heartbeat: renew its lease, and acknowledge it. A heartbeat that says that the
+        backend drains is acknowledged only when a majority of the core has that."""
         if self.address not in self.core or not is_valid(heartbeat):
             return [Rejected(heartbeat.token)]
         out = self._renew(now, heartbeat)
