--- a/roadspur/net/__init__.py
+++ b/roadspur/net/__init__.py
@@ -1,1 +1,1 @@
-"""roadspur.net: the real ingress, sockets round the decisions."""
+"""The network side of the ingress: HTTP connections, discovery, the counter and peers, on asyncio."""
--- a/roadspur/net/client.py
+++ b/roadspur/net/client.py
@@ -1,4 +1,4 @@
-"""The reading side of a client's connection: HTTP/1.1 requests in, each for one answer, and /healthz."""
+"""The reading side of a client's connection: HTTP/1.1 requests, which are answered in order, and /healthz."""
 
 from __future__ import annotations
 
@@ -14,10 +14,10 @@
 from roadspur.net.upload import Upload
 
 PIPELINE = 16  # requests read ahead on one connection
-SLOW_RATE = 32 * 1024  # bytes a second of a body that come at least
-LAG_S = 1.5  # for more of a body, however much of it has come
-LINGER_BYTES = 256 * 1024  # that are read, and thrown away, while a client reads the last answer
-ABSOLUTE = re.compile(rb"(?i:https?)://[^/?#]*")  # what a client may write before the path
+SLOW_RATE = 32 * 1024  # bytes a second: the least rate at which a request body has to arrive
+LAG_S = 1.5  # longest wait for more of a body, however much of it has arrived
+LINGER_BYTES = 256 * 1024  # that are read and discarded while a client reads the last response
+ABSOLUTE = re.compile(rb"(?i:https?)://[^/?#]*")  # of an absolute-form target, the part before the path
 HOP_BY_HOP = {
     b"connection",
     b"keep-alive",
@@ -32,38 +32,40 @@
 
 
 class ClientConnection(ResponseQueue):
-    """One client's connection; requests on it are answered in turn."""
+    """One client's connection: reads its requests; the base classes answer them in order."""
 
     def __init__(self, server: ConnectionServer) -> None:
         super().__init__(server)
         self.parser = httptools.HttpRequestParser(self)
-        self.upload_call: ClientRequest | None = None  # the one whose body is still coming
-        self.reserved = 0  # bytes for the body that is coming in, of those that all share
-        self.held_since = 0.0  # of not reading its body; 0 if it is read
+        self.upload_call: ClientRequest | None = None  # the one whose body is being streamed in
+        self.reserved = 0  # bytes of the shared buffer for the body that is being received
+        self.held_since = 0.0  # when reading of its body was suspended; 0: it is being read
         self.paused = self.crowded = False
         self.heard = next(server.order)
-        self.used = False  # a request has come
-        self.due = 0.0  # by when more of it is to come
-        self.began = 0.0  # when the request that is now coming in began; 0 between requests
+        self.used = False  # a request has been received
+        self.due = 0.0  # loop time by which more of the present request has to arrive
+        self.began = 0.0  # when the request that is being received began; 0 between requests
         self.reset()
 
     def reset(self) -> None:
-        """Ready for the next request's bytes."""
+        """Clear the parser's results for the next request."""
         self.url = b""
         self.headers: list[tuple[bytes, bytes]] = []
         self.body = bytearray()
         self.size, self.in_head, self.fresh = 0, True, True
-        self.length: int | None = None  # of the body, as the head tells it
-        self.got = 0  # of it
+        self.length: int | None = None  # of the body, by Content-Length
+        self.got = 0  # bytes of it received
 
-    # From the socket.
+    # Callbacks of the transport.
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """The connection is closed: release its share of the buffer."""
         self.server.bodies -= self.reserved
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
-        if self.discarding_input:  # the rest of a request that was turned away unread
+        """Parse the bytes received; malformed HTTP is answered with an error."""
+        if self.discarding_input:  # the rest of a request that was rejected unread
             self.size += len(data)
             if self.size > LINGER_BYTES and self.transport is not None and not self.paused:
                 self.paused = True
@@ -81,55 +83,59 @@
             else:
                 self.fault(400, "malformed HTTP")
             return
-        if self.in_head and self.began:  # the parser itself would take in a head that never ends
+        if self.in_head and self.began:  # the parser itself has no limit for the head
             self.size += 0 if self.fresh else len(data)
             self.fresh = False
             if self.size > self.server.limits.head:
                 self.fault(431, "the head is too long")
 
     def begin_request(self) -> None:
+        """Start the time limit for receiving a request."""
         self.began = self.loop.time()
         self.due = self.began + self.server.limits.slow
 
     def fault(self, status: int, why: str) -> None:
-        """Answer what cannot be read on, after what came before it, and close."""
+        """Answer a request that can't be read further with an error, after those before it, and close."""
         self.discarding_input, self.size, self.body = True, 0, bytearray()
         self.server.bodies, self.reserved = self.server.bodies - self.reserved, 0
         call, self.upload_call = self.upload_call, None
         if call is None:
             self.server.request_handler.statistics.counts[f"turned away {status}"] += 1
             self.enqueue(ImmediateResponse(status, why, bodiless=self.is_head()), keep=False)
-        elif call is self.call:  # its first part has been taken
+        elif call is self.call:  # it is being handled already
             self.server.request_handler.abort_request(call, status)
         elif any(call is item for item, _ in self.waiting):
             self.waiting.pop()
             self.enqueue(ImmediateResponse(status, why), keep=False)
-        else:  # it has been answered
+        else:  # it has been answered already
             self.close()
 
     def is_head(self) -> bool:
-        """Whether what is coming in is a HEAD, as far as it can be told: its answer has no body."""
+        """Whether the request being received is known to be a HEAD, whose response has no body."""
         return bool(self.url) and self.parser.get_method() == b"HEAD"
 
-    # From the parser.
+    # Callbacks of the parser.
 
     def on_message_begin(self) -> None:
+        """A request begins."""
         self.reset()
         self.begin_request()
 
     def on_url(self, url: bytes) -> None:
+        """A part of the request target. Raises BadRequest if it is too long."""
         self.url += url
         if len(self.url) > self.server.limits.head:
             raise BadRequest(431, "the head is too long")
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if self.in_head:  # and not in a trailer, behind a chunked body
-            self.headers.append((name, value.strip(BLANKS)))  # the parser leaves those behind a value
+        """A header field."""
+        if self.in_head:  # not a trailer field after a chunked body
+            self.headers.append((name, value.strip(BLANKS)))  # the parser leaves trailing blanks
 
     def on_headers_complete(self) -> None:
-        """What the head tells already is turned down before any body comes.
+        """Reject what can be rejected by the head (with BadRequest) before any body is received.
 
-        The parser refuses both framings at once, two lengths, and lengths that are no plain number.
+        The parser itself rejects both framings at once, two lengths, and lengths that aren't plain numbers.
         """
         self.in_head = False
         for name, value in self.headers:
@@ -150,12 +156,12 @@
             self.may_stream()
 
     def expects(self) -> bool:
-        """Whether the client waits to be told to send its body; one with answers before it waits in vain."""
+        """Whether to send 100 Continue: if it is expected and no earlier request is unanswered."""
         told = any(n.lower() == b"expect" and v.lower() == b"100-continue" for n, v in self.headers)
         return told and self.call is None and not self.waiting
 
     def may_stream(self) -> None:
-        """The body is too large to be held: the request is decided on before it has come."""
+        """Stream a body that is too large to be buffered: the request is handled before it is complete."""
         item = self.read()
         if isinstance(item, ImmediateResponse):
             raise BadRequest(item.status, item.why)
@@ -168,7 +174,7 @@
             self.body = bytearray()
 
     def may_buffer(self, size: int) -> bool:
-        """Whether a body of so many bytes is held whole; beyond a little, all bodies share what there is."""
+        """Whether a body of `size` bytes may be buffered; beyond `MAX_WHOLE`, all bodies share one limit."""
         if size <= max(MAX_WHOLE, self.reserved):
             return True
         more = size - self.reserved
@@ -179,9 +185,10 @@
         return True
 
     def on_body(self, data: bytes) -> None:
+        """A part of the body. Raises BadRequest if it is too large."""
         self.got += len(data)
         ahead = min(self.loop.time() + LAG_S, self.due + len(data) / SLOW_RATE)
-        self.due = max(self.due, ahead)  # what has come fast does not excuse a long silence
+        self.due = max(self.due, ahead)  # data received fast doesn't allow a long silence
         if self.got > self.server.limits.body:
             raise BadRequest(413, f"a body holds at most {self.server.limits.body} bytes")
         if self.upload_call is None and not self.may_buffer(self.got):
@@ -192,13 +199,14 @@
             self.body += data
 
     def on_message_complete(self) -> None:
+        """The request has been received completely: queue it to be handled."""
         self.began, self.in_head, self.used = 0.0, True, True
         call, self.upload_call = self.upload_call, None
         if call is not None and call.upload is not None:
             self.hold(False)
             self.server.request_handler.whole(call)
             call.upload.finish()
-            if call.upload.unwanted:  # answered before
+            if call.upload.unwanted:  # it has been answered already
                 self.close()
             return
         item = self.read()
@@ -210,16 +218,16 @@
             self.enqueue(item, self.parser.should_keep_alive() and not self.crowded)
 
     def hold(self, on: bool) -> None:
-        """Stop reading, or go on: a body's next hop is behind, or there is none yet."""
+        """Suspend reading (`on`), as the body's next hop is behind or not known yet, or resume it."""
         if on and not self.held_since:
             self.held_since = self.loop.time()
         elif not on and self.held_since:
-            self.due += self.loop.time() - self.held_since  # what it could not send is not its fault
+            self.due += self.loop.time() - self.held_since  # the client couldn't send meanwhile
             self.held_since = 0.0
         self.regulate()
 
     def regulate(self) -> None:
-        """Read, or do not, as the requests read ahead and a body on its way allow."""
+        """Pause or resume reading, by the number of requests read ahead and the state of the upload."""
         want = self.discarding_input or not (self.held_since or len(self.waiting) > PIPELINE)
         if self.transport is None or self.closing or want is not self.paused:
             return
@@ -230,7 +238,7 @@
             self.transport.pause_reading()
 
     def read(self) -> ClientRequest | ImmediateResponse:
-        """The request that has come, or the answer to one that is none of ours."""
+        """The request received, or the immediate response to one that isn't to be handled."""
         url = ABSOLUTE.sub(b"", self.url, 1) if self.url[:1] != b"/" else self.url
         request_handler = self.server.request_handler
         if url.partition(b"?")[0] == request_handler.health_path:
@@ -260,27 +268,27 @@
         self.reserved = 0
         return call
 
-    # Time.
+    # Closing and time limits.
 
     def close(self) -> None:
-        """Close, unless the rest of a body is to be read first, so that its answer is."""
-        if any(item is self.upload_call for item, _ in self.waiting):  # it is behind the last answer
+        """Close, unless the rest of a body has to be read first so that the client reads its response."""
+        if any(item is self.upload_call for item, _ in self.waiting):  # it is after the last response
             self.upload_call, self.held_since, self.discarding_input, self.size = None, 0.0, True, 0
             self.regulate()
         if self.upload_call is None:
             super().close()
 
     def idle(self) -> bool:
-        """Between requests, with nothing unread: closing it can at most cross a request."""
+        """Whether it is between requests with nothing unread: closing it can at most cross a new request."""
         if self.call is not None or self.waiting or self.began or self.closing or self.transport is None:
             return False
         return not self.unread()
 
     def sweep(self, now: float) -> None:
-        """Nothing is waited for without end: a first byte, the rest of a request, the next one, a reader."""
+        """Enforce the time limits: for a first byte, a request's rest, the next one, a slow reader."""
         if self.closing or self.transport is None:
             return
-        if self.paused and self.hung_up():  # its end isn't read while reading is paused
+        if self.paused and self.hung_up():  # a close isn't noticed while reading is paused
             self.transport.abort()
         elif self.full_since:
             if not self.reads(now):
@@ -293,7 +301,7 @@
                 self.close()
 
     def close_when_idle(self, now: float) -> None:
-        """A request comes whole in time: its head, and then its body no slower than any client sends."""
+        """Enforce the time limits of a request being received: of its head, and of its body by rate."""
         if self.held_since:
             if now - self.held_since > FLOW_STALL_S and self.upload_call is not None:
                 self.server.request_handler.upload_stalled(self.upload_call)
--- a/roadspur/net/client_connection_base.py
+++ b/roadspur/net/client_connection_base.py
@@ -1,4 +1,4 @@
-"""A client's connection as a line to write on: answers out, an orderly end, and whether the client reads."""
+"""The writing side of a client's connection: responses, an orderly close, and slow readers."""
 
 from __future__ import annotations
 
@@ -12,39 +12,41 @@
 from roadspur.net.connection_interfaces import ConnectionServer
 from roadspur.net.http_messages import EMPTY, unsent
 
-FLOW_STALL_S = 10.0  # for a client to read any more of a large answer
+FLOW_STALL_S = 10.0  # for a client to read any more of a large response
 CLOSE = b"Connection: close\r\n"
-LINGER_S = 0.5  # for a client to read the last answer
-RESET = struct.pack("ii", 1, 0)  # of SO_LINGER
+LINGER_S = 0.5  # for a client to read the last response
+RESET = struct.pack("ii", 1, 0)  # value of SO_LINGER with which a close sends a reset
 PHRASES = {s.value: s.phrase.encode() for s in http.HTTPStatus}
 
 
 class ClientConnectionBase(asyncio.Protocol):
-    """Writes answers, and ends the connection so that the last one is read."""
+    """Writes responses, and closes the connection so that the last one can be read."""
 
     def __init__(self, server: ConnectionServer) -> None:
         self.server = server
         self.loop = server.loop
         self.transport: asyncio.Transport | None = None
-        self.keep = True  # whether the connection stays open after the present answer
-        self.owed = 0  # answers to requests that had been read before a drain began, behind the present one
-        self.closing = self.discarding_input = False  # deaf: what comes is thrown away
-        self.since = self.loop.time()  # of being idle
-        self.full_since = 0.0  # of a client that does not read; 0 if it does
-        self.full_size = 0  # of what it has not read, when last looked at
-        self.endless = False  # only the connection's end tells the end of the present answer
-        self.flowed = False  # whether what is still to be written may be of a large answer
+        self.keep = True  # whether the connection stays open after the present response
+        self.owed = 0  # requests that were read before a drain began and wait behind the present one
+        self.closing = self.discarding_input = False  # the latter: bytes received are thrown away
+        self.since = self.loop.time()  # when it became idle
+        self.full_since = 0.0  # since when the client hasn't read; 0 if it does
+        self.full_size = 0  # unread bytes when last checked
+        self.endless = False  # the present response ends with the connection
+        self.flowed = False  # whether unwritten bytes may belong to a streamed response
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = cast(asyncio.Transport, transport)  # no subclass of it under uvloop
+        """The connection is open: register it with the server."""
+        self.transport = cast(asyncio.Transport, transport)  # uvloop's isn't a subclass
         self.server.connection_opened(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """The connection is closed."""
         self.closing = True
         self.server.connections.discard(self)
 
     def write(self, status: int, lines: bytes, body: bytes, bodiless: bool) -> None:
-        """An answer, whole; one without a body tells no length but what its lines tell."""
+        """Write a complete response; a `bodiless` one has no Content-Length but that in `lines`."""
         if self.transport is None or self.closing:
             return
         self.since = self.loop.time()
@@ -56,6 +58,7 @@
             self.close()
 
     def write_head(self, status: int, lines: bytes, body: bytes = b"") -> None:
+        """Write the head of a response with these header lines, and what is given of its body."""
         assert self.transport is not None
         self.keep = self.keep and not (self.server.draining and not self.owed)
         self.transport.write(
@@ -64,7 +67,8 @@
         )
 
     def close(self) -> None:
-        """Close. A client still sending gets a moment to read the answer, which a reset would destroy."""
+        """Close. A client that is still sending gets `LINGER_S` to read the response, which a reset would
+        destroy."""
         if self.closing or self.transport is None:
             return
         self.closing = True
@@ -76,7 +80,7 @@
         self.loop.call_later(LINGER_S, self.linger)
 
     def linger(self) -> None:
-        """Wait for the rest of an answer to go out, as long as the client reads; then it is the end."""
+        """Wait until the rest of a response is written, as long as the client reads; then abort."""
         if self.transport is None or self not in self.server.connections:
             return
         if not self.transport.get_write_buffer_size():
@@ -87,7 +91,7 @@
             self.cut()
 
     def cut(self) -> None:
-        """End it in the middle of an answer, so that this does not look like the answer's end."""
+        """Abort in the middle of a response, with a reset where a plain close would look like its end."""
         assert self.transport is not None
         self.closing = True
         if self.endless and (self.transport.get_write_buffer_size() or not self.transport.is_closing()):
@@ -95,7 +99,7 @@
         self.transport.abort()
 
     def reads(self, now: float) -> bool:
-        """Whether a client that is behind has read any more of its answer lately."""
+        """Whether a client that is behind has read more of its response lately. `now` is loop time."""
         assert self.transport is not None
         size, self.full_size = self.full_size, unsent(self.transport)
         if self.full_size < size:
@@ -103,17 +107,17 @@
         return now - self.full_since <= (FLOW_STALL_S if self.flowed else self.server.limits.slow)
 
     def hung_up(self) -> bool:
-        """Whether the client has closed, as far as it can be told without reading what it sent before."""
+        """Whether the client has closed, as far as that is visible without reading what it sent before."""
         assert self.transport is not None
         poll = select.poll()
         try:
             poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
-        except (OSError, ValueError):  # its own end has closed the descriptor already
+        except (OSError, ValueError):  # this side has closed the descriptor already
             return False
         return bool(poll.poll(0))
 
     def unread(self) -> bool:
-        """Whether bytes have come that this program has not got round to reading."""
+        """Whether bytes have arrived that this process hasn't read yet."""
         assert self.transport is not None
         poll = select.poll()
         poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
--- a/roadspur/net/connection_interfaces.py
+++ b/roadspur/net/connection_interfaces.py
@@ -1,4 +1,4 @@
-"""What a client's connection needs of the program that it is a part of."""
+"""The interfaces through which a client's connection uses its server and the request handler."""
 
 from __future__ import annotations
 
@@ -13,30 +13,30 @@
 
 
 class ImmediateResponse(NamedTuple):
-    """An answer that no decision is needed for."""
+    """A response that needs no decision. `why` is its body; `lines` are header lines."""
 
     status: int
     why: str
-    close: bool = False  # who repeats the request has to connect anew
+    close: bool = False  # the connection is closed after it
     lines: bytes = b""
-    bodiless: bool = False  # to HEAD
+    bodiless: bool = False  # it answers a HEAD
 
 
 class Limits(NamedTuple):
-    """What a client may send, in bytes, and how long it may take or remain idle, in seconds."""
+    """Limits for clients: of sizes in bytes, and of times in seconds."""
 
     head: int = MAX_HEAD
     body: int = MAX_BODY
-    slow: float = 2.5  # for a first byte, for a head, and for a client to read its answers
+    slow: float = 2.5  # for a first byte, for a head, and for a client to read its responses
     idle: float = 5.0  # between requests
-    hold: int = 1024 * 1024  # bytes of a body that is held whole where there is room
+    hold: int = 1024 * 1024  # largest body that is buffered if there is room
 
 
 USUAL = Limits()
 
 
 class RequestHandler(Protocol):
-    """Takes the requests that have come."""
+    """Handles the requests that connections receive."""
 
     statistics: RequestStatistics
     health_path: bytes | None
@@ -44,21 +44,27 @@
 
     def read(
         self, method: bytes, url: bytes, headers: list[tuple[bytes, bytes]]
-    ) -> io.Request | ImmediateResponse: ...
+    ) -> io.Request | ImmediateResponse:
+        """The request for the decisions, or the immediate response if it can't be one."""
 
-    def take(self, call: ClientRequest, client: Client) -> None: ...
+    def take(self, call: ClientRequest, client: Client) -> None:
+        """Handle a request; its one final response goes to `client`."""
 
-    def gone(self, call: ClientRequest) -> None: ...
+    def gone(self, call: ClientRequest) -> None:
+        """The client has disconnected before its response was complete."""
 
-    def whole(self, call: ClientRequest) -> None: ...
+    def whole(self, call: ClientRequest) -> None:
+        """The streamed body of a request has been received completely."""
 
-    def abort_request(self, call: ClientRequest, status: int) -> None: ...
+    def abort_request(self, call: ClientRequest, status: int) -> None:
+        """The rest of a streamed body will not arrive or can't be read; answer with this status."""
 
-    def upload_stalled(self, call: ClientRequest) -> None: ...
+    def upload_stalled(self, call: ClientRequest) -> None:
+        """The backend has accepted nothing of a streamed body for too long."""
 
 
 class ConnectionServer(Protocol):
-    """The listener that a connection came in by."""
+    """The server that accepted a connection. `bodies` is the size in bytes of all larger buffered bodies."""
 
     loop: asyncio.AbstractEventLoop
     connections: set[Any]
@@ -69,10 +75,13 @@
 
     @property
     def request_handler(self) -> RequestHandler:
-        """What takes the requests."""
+        """What handles the requests."""
 
-    def connection_opened(self, connection: Any) -> None: ...
+    def connection_opened(self, connection: Any) -> None:
+        """Register a new connection."""
 
-    def room(self, more: int) -> bool: ...
+    def room(self, more: int) -> bool:
+        """Whether so many more bytes of bodies may be buffered."""
 
-    def healthy(self) -> bool: ...
+    def healthy(self) -> bool:
+        """Whether a health check succeeds."""
--- a/roadspur/net/console.py
+++ b/roadspur/net/console.py
@@ -1,4 +1,4 @@
-"""The operator console: one line a connection, answered at once; what a call means is the callee's."""
+"""The operator console: a TCP service that runs one command line per connection."""
 
 from __future__ import annotations
 
@@ -9,25 +9,25 @@
 
 log = logging.getLogger(__name__)
 
-MAX_LINE = 256
-MOST = 16  # callers at once; one more takes the place of the one that has waited longest
-IDLE_S = 2.5  # for a whole line
-LINGER_S = 0.5  # for a caller to read its answer and close
+MAX_LINE = 256  # bytes
+MOST = 16  # connections at once; one more replaces the oldest one
+IDLE_S = 2.5  # until a complete line has to arrive
+LINGER_S = 0.5  # for the other side to read the answer and close
 
 
 class CommandRefused(Exception):
-    """Why a call is answered with `error`, in a few plain words."""
+    """Raised by a command to be answered with `error` and this message."""
 
 
 class ConsoleCommand(NamedTuple):
-    """What a call does: it takes so many arguments and gives the answer's lines."""
+    """A command: `act` takes this number of string arguments and returns the answer's lines."""
 
     act: Callable[..., list[str]]
     arguments: int = 0
 
 
 class ConsoleConnection(asyncio.Protocol):
-    """One connection of an operator's."""
+    """One operator's connection, with one command and one answer."""
 
     def __init__(self, console: Console) -> None:
         self.console = console
@@ -37,10 +37,12 @@
         self.timer = console.loop.call_later(IDLE_S, self.answer, ["error no call came in time"])
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = cast(asyncio.Transport, transport)  # no subclass of it under uvloop
+        """The connection is open: register it with the console."""
+        self.transport = cast(asyncio.Transport, transport)  # uvloop's isn't a subclass
         self.console.connection_opened(self)
 
     def data_received(self, data: bytes) -> None:
+        """Collect the line, and execute it once it is complete."""
         if self.answered:
             return
         self.line += data[: MAX_LINE + 1]
@@ -51,12 +53,13 @@
             self.answer(self.console.execute(bytes(line)))
 
     def eof_received(self) -> bool:
-        """A line without its end may be cut off, and then mean another call or backend."""
+        """The other side has ended its sending: a line without its end isn't executed, as it may be truncated
+        and then name another command or backend."""
         self.answer(["error the line has no end"])
         return True
 
     def answer(self, lines: list[str]) -> None:
-        """The one answer; the connection ends with it."""
+        """Send the one answer, and close the connection after it."""
         if self.answered or self.transport is None:
             return
         self.answered = True
@@ -66,23 +69,26 @@
         self.timer = self.console.loop.call_later(LINGER_S, self.transport.abort)
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """The connection is closed."""
         self.answered = True
         self.timer.cancel()
         self.console.callers.pop(self, None)
 
 
 class Console:
-    """Listens for operators."""
+    """The console's listener; `calls` are the commands by name."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, calls: Mapping[str, ConsoleCommand]) -> None:
         self.loop, self.calls = loop, calls
-        self.callers: dict[ConsoleConnection, None] = {}  # in the order in which they came
+        self.callers: dict[ConsoleConnection, None] = {}  # in the order of their arrival
         self.listener: asyncio.Server | None = None
 
     async def listen(self, host: str, port: int) -> None:
+        """Listen on this address. Raises OSError if that fails."""
         self.listener = await self.loop.create_server(lambda: ConsoleConnection(self), host, port)
 
     def connection_opened(self, caller: ConsoleConnection) -> None:
+        """Register a connection; beyond `MOST`, the oldest one is aborted."""
         self.callers[caller] = None
         if len(self.callers) > MOST:
             oldest = next(iter(self.callers))
@@ -91,7 +97,7 @@
                 oldest.transport.abort()
 
     def execute(self, line: bytes) -> list[str]:
-        """The answer to a line, whatever it holds."""
+        """Execute a line; returns the answer's lines, of which one with `error` reports any failure."""
         try:
             arguments_given = line.decode("ascii").split()
         except UnicodeDecodeError:
@@ -108,11 +114,12 @@
             return call.act(*arguments_given[1:])
         except CommandRefused as error:
             return [f"error {error}"]
-        except Exception:  # an operator's call must not end the program
+        except Exception:  # a command must not end the program
             log.exception("console: %r", line)
             return ["error a fault in the program"]
 
     def close(self) -> None:
+        """Stop listening, and abort all connections."""
         if self.listener is not None:
             self.listener.close()
         for caller in list(self.callers):
--- a/roadspur/net/counter.py
+++ b/roadspur/net/counter.py
@@ -1,4 +1,4 @@
-"""The counter: adds written one behind another, each with one verdict in time."""
+"""The client of the counter service: pipelined add calls, each with exactly one reply in time."""
 
 from __future__ import annotations
 
@@ -15,17 +15,17 @@
 
 log = logging.getLogger(__name__)
 
-LINES = 4  # one spoilt or stuck answer holds up the calls of one line; the counter takes 32 connections
-STUCK_S = 1.0  # with no answer at all to what is owed, after which a connection is replaced
-STALL_S = 0.05  # in the middle of an answer, likewise
-RETIRE_S = 1.5  # for the answers still owed by a counter that another has taken over from
-RETRY_S = 0.1
+LINES = 4  # connections: a bad or stuck response delays the calls of one; the counter accepts 32
+STUCK_S = 1.0  # without any response to unanswered calls, after which a connection is replaced
+STALL_S = 0.05  # of silence in the middle of a response, likewise
+RETIRE_S = 1.5  # for outstanding responses on a connection that has been replaced
+RETRY_S = 0.1  # before connecting again
 CONNECT_S = 0.5
-TOTAL = re.compile(rb"-?\d+(\.\d+)?([eE][+-]?\d{1,2})?")  # nan and inf are none; below 0 happens by settling
+TOTAL = re.compile(rb"-?\d+(\.\d+)?([eE][+-]?\d{1,2})?")  # not nan or inf; below 0 occurs after settling
 
 
 class Add:
-    """One call, with the time by which it needs a verdict."""
+    """One add call, with the loop time by which it needs a reply."""
 
     __slots__ = ("name", "text", "due", "began", "reply")
 
@@ -35,7 +35,7 @@
 
 
 class CounterConnection(asyncio.Protocol):
-    """One connection to the counter, from its start to its end. Answers come in the order of the calls."""
+    """One connection to the counter. Responses arrive in the order of the calls."""
 
     def __init__(self, line: ReconnectingCounterLink) -> None:
         self.line = line
@@ -44,16 +44,18 @@
         self.reader = ResponseReader()
         self.awaiting_reply: deque[Add] = (
             deque()
-        )  # written; kept past their time, so that late answers find their call
+        )  # written; kept past their time, so that late responses are matched to their calls
         self.heard = 0.0
         self.served = self.retired = self.closed = False
         self.stall: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = cast(asyncio.Transport, transport)  # no subclass of it under uvloop
+        """The connection is open."""
+        self.transport = cast(asyncio.Transport, transport)  # uvloop's isn't a subclass
         self.line.connection_ready(self)
 
     def write(self, add: Add) -> None:
+        """Send a call."""
         assert self.transport is not None
         if not self.awaiting_reply:
             self.heard = self.loop.time()
@@ -61,6 +63,7 @@
         self.transport.write(add.text)
 
     def data_received(self, data: bytes) -> None:
+        """Parse responses; a malformed one, or one that stalls midway, ends the connection."""
         if self.closed:
             return
         self.heard = self.loop.time()
@@ -74,6 +77,7 @@
             self.stall = self.loop.call_later(STALL_S, self.end, "spoilt: it stops midway", True)
 
     def answered(self, answer: Response) -> None:
+        """Match a response to the oldest unanswered call, and report its outcome."""
         if self.closed:
             return
         if not self.awaiting_reply:
@@ -97,7 +101,7 @@
             self.end("done")
 
     def retire(self) -> None:
-        """Another connection has taken over; what is owed here may still come."""
+        """Another connection has taken over; outstanding responses may still arrive here for `RETIRE_S`."""
         self.retired = True
         if self.awaiting_reply:
             self.loop.call_later(RETIRE_S, self.end, "retired")
@@ -105,12 +109,14 @@
             self.end("retired")
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """The connection is closed."""
         self.end("closed")
 
     def end(self, why: str, corrupt: bool = False) -> None:
-        """No answer can be had here any more. What was written may have been added; a spoilt answer says so.
+        """End the connection: no more responses are possible here. Calls that were written may have been
+        added; after a `corrupt` response, the first of them has been answered.
 
-        The line is told first: a verdict may bring about the next call, which must not be written here.
+        The link is informed first: a reply may cause the next call, which must not be written here.
         """
         if self.closed:
             return
@@ -128,19 +134,19 @@
 
 
 class ReconnectingCounterLink:
-    """Keeps one connection to wherever the counter is; calls that find none wait for it."""
+    """Keeps one connection to the counter's present address; calls wait for it if there is none."""
 
     def __init__(self, counter: Counter) -> None:
         self.counter, self.loop = counter, counter.loop
         self.link: CounterConnection | None = None
         self.unsent: deque[Add] = deque()
-        self.unresolved: deque[Add] = deque()  # those without a verdict, oldest first
+        self.unresolved: deque[Add] = deque()  # calls without a reply, oldest first
         self.timer: asyncio.TimerHandle | None = None
         self.wanted = asyncio.Event()
         self.task = self.loop.create_task(self.run())
 
     async def run(self) -> None:
-        """Connect, and again when that connection is lost or the counter is elsewhere."""
+        """Connect, and again whenever the connection is lost or the counter's address changes."""
         while True:
             address, link, began = self.counter.address, CounterConnection(self), self.loop.time()
             self.wanted.clear()
@@ -149,21 +155,22 @@
                     await self.loop.create_connection(self.factory(link), *address)
             except (OSError, TimeoutError) as error:
                 log.debug("counter: connect: %r", error)
-            except Exception:  # whatever it was, calls must not wait for ever for a connection
+            except Exception:  # whatever it was, calls must not wait forever for a connection
                 log.exception("counter")
             else:
                 await self.wanted.wait()
-                # One that has been of use, or was merely closed for being idle, is replaced at once.
+                # One that was useful, or was merely closed as idle, is replaced at once.
                 if link.served or self.loop.time() - began > STUCK_S or self.counter.address != address:
                     continue
             await asyncio.sleep(RETRY_S)
 
     @staticmethod
     def factory(link: CounterConnection) -> Callable[[], CounterConnection]:
+        """The protocol factory that returns this connection."""
         return lambda: link
 
     def connection_ready(self, link: CounterConnection) -> None:
-        """A connection has come up: it takes over."""
+        """A connection is open: it takes over, and waiting calls are sent on it."""
         old, self.link = self.link, link
         waiting = [a for a in self.unsent if a.reply is None]
         self.unsent.clear()
@@ -173,12 +180,13 @@
             old.retire()
 
     def lost(self, link: CounterConnection) -> None:
+        """A connection has ended: replace it if it is the present one."""
         if self.link is link:
             self.link = None
             self.wanted.set()
 
     def call(self, add: Add) -> None:
-        """Write a call, or have it wait for the connection as long as its time allows."""
+        """Send a call, or let it wait for the connection until it expires."""
         self.unresolved.append(add)
         if self.link is None:
             self.unsent.append(add)
@@ -187,13 +195,15 @@
         self.schedule_expiry()
 
     def schedule_expiry(self) -> None:
+        """Set the timer for the oldest call without a reply."""
         while self.unresolved and self.unresolved[0].reply is not None:
             self.unresolved.popleft()
         if self.timer is None and self.unresolved:
             self.timer = self.loop.call_at(self.unresolved[0].due, self.expire)
 
     def expire(self) -> None:
-        """Give a verdict on what is due; only what was never written is sure not to have been added."""
+        """Reply to expired calls: one that was never written has certainly not been added (CONNECT_FAILED),
+        others may have been (TIMEOUT)."""
         self.timer = None
         now, link = self.loop.time(), self.link
         late = [a for a in self.unresolved if a.reply is None and a.due <= now]
@@ -209,7 +219,7 @@
         self.schedule_expiry()
 
     def overtaken(self, link: CounterConnection) -> bool:
-        """Whether only this connection does not work: a later call has had its turn elsewhere."""
+        """Whether only this connection is stuck: a later call has been answered on another one."""
         return (
             bool(link.awaiting_reply)
             and link.heard < self.loop.time() - self.counter.timeout
@@ -217,13 +227,17 @@
         )
 
     def close(self) -> None:
+        """End the connection, at the end of the program."""
         self.task.cancel()
         if self.link is not None:
             self.link.end("the program ends")
 
 
 class Counter:
-    """The counter service. All calls of one name go over one line, so that they keep their order there."""
+    """The client of the counter service; `timeout` is the time for a reply, in seconds.
+
+    All calls of one name use the same link, so that the service receives them in order.
+    """
 
     def __init__(
         self,
@@ -235,19 +249,19 @@
     ) -> None:
         self.loop, self.address, self.timeout, self.on_reply = loop, address, timeout, on_reply
         self.statistics = statistics
-        self.newest = 0.0  # when the latest call that has been answered began
-        self.calls: dict[int, deque[Add]] = {}  # by name, until all before them have been told
+        self.newest = 0.0  # when the latest of the answered calls began
+        self.calls: dict[int, deque[Add]] = {}  # by name, until all before them have been replied to
         self.lines = [ReconnectingCounterLink(self) for _ in range(LINES)]
 
     def move(self, address: Address) -> None:
-        """The counter is elsewhere from now on; the old connections serve until the new ones stand."""
+        """The counter's address has changed; old connections are used until the new ones are open."""
         if address != self.address:
             self.address = address
             for line in self.lines:
                 line.wanted.set()
 
     def add(self, name: int, amount: float, lifetime: float) -> None:
-        """One call."""
+        """Add an amount to the number `name`; the addition expires after `lifetime` seconds."""
         now = self.loop.time()
         life = max(1, min(60_000, round(lifetime * 1000)))
         text = (
@@ -259,10 +273,10 @@
         self.lines[name % LINES].call(add)
 
     def tell(self, add: Add, outcome: io.Outcome, total: float = 0.0) -> None:
-        """The verdict on a call, the first one only.
+        """Report the outcome of a call; only the first report counts.
 
-        Verdicts on one name are handed on in the order of the calls, also where an old connection and a new
-        one carry them at once: that is how the decisions know which call is meant.
+        Replies for one name are passed on in the order of the calls, even if an old connection and a new one
+        carry them at once: that is how the decisions know which call is meant.
         """
         if add.reply is not None:
             return
@@ -278,5 +292,6 @@
             del self.calls[add.name]
 
     def close(self) -> None:
+        """End all connections, at the end of the program."""
         for line in self.lines:
             line.close()
--- a/roadspur/net/discovery.py
+++ b/roadspur/net/discovery.py
@@ -1,4 +1,4 @@
-"""Discovery: the list of backends, followed for ever."""
+"""The client of the discovery service: it watches the list of backends continuously."""
 
 from __future__ import annotations
 
@@ -18,17 +18,18 @@
 
 log = logging.getLogger(__name__)
 
-SILENCE_S = 3.2  # an empty line comes every 2 s; what is not heard counts as told 6 s later all the same
-RETRY_S = 0.4  # within which it is asked again after a failure, and twice as long after each further one
-RETRY_EACH_S = 0.05  # of that, at least, for each ingress: all of them lose discovery at once
-RETRY_MOST_S = 6.0  # what is not heard by then counts as told all the same
+SILENCE_S = 3.2  # an empty line comes every 2 s; a change counts as announced 6 s later even if unheard
+RETRY_S = 0.4  # longest wait after a first failure, doubled with each further one
+RETRY_EACH_S = 0.05  # that wait is at least this for each ingress: all of them lose discovery at once
+RETRY_MOST_S = 6.0  # longest wait: by then a change counts as announced even if unheard
 CONNECT_S = 1.0
-MAX_LINE = 8 * 1024 * 1024
+MAX_LINE = 8 * 1024 * 1024  # bytes
 PHASES = {"SERVING": io.Phase.RUNNING, "DRAINING": io.Phase.STOPPING, "DELETED": io.Phase.DELETED}
 
 
 class Listing(NamedTuple):
-    """The list of backends, or a change to it."""
+    """The `whole` list of backends, or changes to it, of a version; the endpoint of a deleted backend is
+    None."""
 
     version: int
     whole: bool
@@ -36,7 +37,7 @@
 
 
 def read_listing(message: Any) -> Listing:
-    """A message of discovery's; ValueError for anything else."""
+    """Read a decoded message of the discovery service. Raises ValueError for anything else."""
     try:
         whole = message["snapshot"]
         if not isinstance(whole, bool):
@@ -62,7 +63,11 @@
 
 
 class DiscoveryWatch(asyncio.Protocol):
-    """One connection: the whole list first where no version is known, then the changes, an object a line."""
+    """One connection: first the whole list if no version is known, then the changes as JSON lines.
+
+    `on_text` handles a message, and returns the version reached or raises ValueError. `ended` gets the reason
+    of the end.
+    """
 
     def __init__(self, on_text: Callable[[bytes], int], host: Address, index: int | None) -> None:
         self.on_text, self.host, self.index = on_text, host, index
@@ -75,10 +80,12 @@
         self.ended: asyncio.Future[str] = self.loop.create_future()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = cast(asyncio.Transport, transport)  # no subclass of it under uvloop
+        """The connection is open: send the first request."""
+        self.transport = cast(asyncio.Transport, transport)  # uvloop's isn't a subclass
         self.ask()
 
     def ask(self) -> None:
+        """Request the whole list, or the changes since the known version."""
         assert self.transport is not None
         what = b"" if self.index is None else b"?stream=1&index=%d" % self.index
         self.transport.write(
@@ -86,6 +93,7 @@
         )
 
     def data_received(self, data: bytes) -> None:
+        """Parse the response; malformed HTTP ends the watch."""
         if self.ended.done():
             return
         self.heard = self.loop.time()
@@ -95,11 +103,13 @@
             self.end(str(error.__context__ or error))
 
     def on_headers_complete(self) -> None:
+        """The head of the response: any status but 200 ends the watch."""
         self.accepted = self.parser.get_status_code() == 200
         if not self.accepted:
             self.end(f"status {self.parser.get_status_code()}")
 
     def on_body(self, data: bytes) -> None:
+        """A part of the body: handle each complete line of a stream of changes."""
         self.rest += data
         if self.index is not None:
             *lines, rest = self.rest.split(b"\n")
@@ -110,14 +120,15 @@
             self.end("a line without end")
 
     def take(self, text: bytes) -> None:
-        """One message."""
+        """Handle one message; a malformed one ends the watch."""
         if text.strip() and not self.ended.done():
             try:
                 self.index = self.on_text(text)
-            except ValueError as error:  # the list stands; what follows it is asked for anew
+            except ValueError as error:  # the list is kept; what follows it is requested again
                 self.end(f"a garbled line: {error}")
 
     def on_message_complete(self) -> None:
+        """The response is complete: after the whole list, request the changes."""
         if self.index is not None:
             self.end("the watch ended")
             return
@@ -129,29 +140,31 @@
             self.ask()
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """The connection is closed."""
         self.end(f"the connection ended: {exc}" if exc else "the connection ended")
 
     def end(self, why: str) -> None:
+        """End the watch for this reason; only the first one counts."""
         if not self.ended.done():
             self.ended.set_result(why)
 
 
 class Backoff:
-    """When to ask again: exponential backoff with full jitter, so that no fleet shuts itself out."""
+    """Exponential backoff with full jitter, so that many ingresses don't overload discovery together."""
 
     def __init__(self, instances: int, rng: random.Random) -> None:
         self.rng, self.failures = rng, 0
         self.first = max(RETRY_S, RETRY_EACH_S * instances)
 
     def next(self) -> float:
-        """The wait after one more failure."""
+        """The wait in seconds after one more failure."""
         window = min(RETRY_MOST_S, self.first * 2.0 ** min(self.failures, 10))
         self.failures += 1
         return self.rng.uniform(0.0, window)
 
 
 class DiscoverySource:
-    """Keeps a watch on one address going, from the last version that was taken in."""
+    """Keeps a watch on one address, from the last version that was accepted (`index`; None: none yet)."""
 
     def __init__(
         self,
@@ -166,20 +179,21 @@
         self.task = loop.create_task(self.run())
 
     async def run(self) -> None:
-        """Watch, and when that ends or falls silent, watch again."""
+        """Watch, and whenever the watch ends or falls silent, begin a new one after the backoff."""
         while True:
             try:
                 why = await self.follow(DiscoveryWatch(self.text, self.address, self.index))
             except (OSError, TimeoutError) as error:
                 why = f"connect: {error!r}"
-            except Exception:  # whatever it was, the list must not stay as it is for ever
+            except Exception:  # whatever it was, the list must not stay as it is forever
                 log.exception("discovery")
                 why = "a fault"
             log.info("discovery: %s", why)
             await asyncio.sleep(self.backoff.next())
 
     async def follow(self, watch: DiscoveryWatch) -> str:
-        """Keep a watch going; returns why it came to its end."""
+        """Run a watch until it ends; returns the reason. Raises OSError or TimeoutError if it can't
+        connect."""
         async with asyncio.timeout(CONNECT_S):
             transport, _ = await self.loop.create_connection(lambda: watch, *self.address)
         try:
@@ -195,17 +209,18 @@
             transport.abort()
 
     def text(self, text: bytes) -> int:
+        """Handle a message; returns its version. Raises ValueError if it is malformed."""
         listing = read_listing(json.loads(text))
         self.on_listing(self, listing)
-        self.index = listing.version  # only now: what failed to be taken in is asked for again
+        self.index = listing.version  # only now: what couldn't be handled is requested again
         return listing.version
 
 
 class Discovery:
-    """Hands on what the present source says.
+    """Passes on the listings of the present source.
 
-    A new source says nothing of what went before at the old one, and its versions need not go on from there:
-    it is asked for the whole list, and takes over with it. Until then the old one stays.
+    A new source knows nothing of the old one's state, and its versions needn't continue the old ones: it is
+    asked for the whole list, and takes over with that. Until then the old source is used.
     """
 
     def __init__(
@@ -222,10 +237,11 @@
         self.source = self.newest = self.connect_to_source(address, index)
 
     def connect_to_source(self, address: Address, index: int | None) -> DiscoverySource:
+        """Begin to watch an address, from this version on or (None) with the whole list."""
         return DiscoverySource(self.loop, address, index, self.listed, Backoff(self.instances, self.rng))
 
     def move(self, address: Address) -> None:
-        """Discovery is elsewhere from now on."""
+        """The discovery service's address has changed."""
         if address == self.newest.address:
             return
         if self.newest is not self.source:
@@ -233,6 +249,7 @@
         self.newest = self.connect_to_source(address, None)
 
     def listed(self, source: DiscoverySource, listing: Listing) -> None:
+        """Pass on a source's listing; with its first one, a new source takes over."""
         if source is self.newest:
             if source is not self.source:
                 self.source.task.cancel()
@@ -242,5 +259,6 @@
         self.on_listing(listing)
 
     def close(self) -> None:
+        """Stop watching."""
         self.source.task.cancel()
         self.newest.task.cancel()
--- a/roadspur/net/exchange.py
+++ b/roadspur/net/exchange.py
@@ -1,4 +1,4 @@
-"""One request to a backend and its one outcome."""
+"""One attempt at a backend: the request, and its exactly one outcome."""
 
 from __future__ import annotations
 
@@ -15,34 +15,40 @@
 
 
 class Endpoint(NamedTuple):
-    """Where a backend listens and since when."""
+    """The address of a backend, and when its process started (Unix time in seconds; 0: unknown)."""
 
     address: Address
     born: float
 
 
 class ResponseSink(Protocol):
-    """Where a large answer goes as it comes."""
+    """The receiver of a streamed response."""
 
-    def written(self, exchange: Exchange) -> None: ...
+    def written(self, exchange: Exchange) -> None:
+        """A streamed request body has been written completely."""
 
-    def begin(self, exchange: Exchange, head: Response) -> None: ...
+    def begin(self, exchange: Exchange, head: Response) -> None:
+        """The head of a streamed response has been received."""
 
-    def part(self, data: bytes) -> None: ...
+    def part(self, data: bytes) -> None:
+        """A part of its body has been received."""
 
 
 class UpstreamConnection(Protocol):
-    """The connection that an exchange is on."""
+    """The connection that an exchange uses."""
 
-    def pause(self) -> None: ...
+    def pause(self) -> None:
+        """Stop reading the response."""
 
-    def resume(self) -> None: ...
+    def resume(self) -> None:
+        """Continue reading it."""
 
-    def drop(self) -> None: ...
+    def drop(self) -> None:
+        """Close the connection at once."""
 
 
 def outcome_of(answer: Response) -> io.Outcome:
-    """What an answer says of the attempt; only a whole 200 is served."""
+    """The outcome of an attempt by its response; only a complete 200 is a success."""
     if answer.status == 200:
         return io.Outcome.OK
     if answer.status in REFUSED_STATUS and answer.headers.get(b"x-rejected") == b"1":
@@ -51,10 +57,11 @@
 
 
 class Exchange:
-    """One request to a backend and its one outcome, told through `on_end`.
+    """One request to a backend and its one outcome, reported through `on_end`.
 
-    `may_send` is asked again once a connection stands, right before the first byte: the backend may have
-    begun to drain, or the client may have gone, while it was being opened.
+    `may_send` is called again once a connection is open, right before the first byte: the backend may have
+    begun to drain, or the client may have disconnected, while it was being opened. `judge` gives the outcome
+    of a response, or None if that belongs to another request.
     """
 
     def __init__(
@@ -71,18 +78,18 @@
         streams: bool = False,
     ) -> None:
         self.backend, self.message, self.may_send, self.on_end = backend, message, may_send, on_end
-        self.sink, self.upload, self.judge = sink, upload, judge  # None: the answer to another request
-        self.ends, self.label = ends, label  # the header that names the request of an answer, if one does
+        self.sink, self.upload, self.judge = sink, upload, judge
+        self.ends, self.label = ends, label  # the latter: response header with the request's id, if any
         self.connection: UpstreamConnection | None = None
         self.timer: asyncio.TimerHandle | None = None
-        self.waits: Callable[[], bool] = lambda: False  # for the rest of an answer that stops midway
-        self.streams = streams  # a backend may begin with a request before it has come whole
-        self.begun = self.written = False  # its first byte has gone out, its last one
+        self.waits: Callable[[], bool] = lambda: False  # whether to wait for a response that stalls
+        self.streams = streams  # backends may begin to execute a request before it is complete
+        self.begun = self.written = False  # its first byte has been written; and its last one
         self.ended = False
-        self.heard = 0  # what the pool had heard at the start
+        self.heard = 0  # the pool's count of reads at the start
 
     def end(self, outcome: io.Outcome, answer: Response | None = None) -> None:
-        """Tell the outcome, the first time only."""
+        """Report the outcome; only the first call counts."""
         if self.ended:
             return
         self.ended = True
@@ -92,35 +99,36 @@
 
     @property
     def may_have_run(self) -> bool:
-        """Whether as much has gone out as a backend may run."""
+        """Whether so much has been written that the backend may have executed the request."""
         return self.written or (self.streams and self.begun)
 
     def named(self, answer: Response) -> bool:
-        """Whether an answer names its request, so that a copy of it is known whenever it comes."""
+        """Whether a response has its request's id, so that a late duplicate of it is recognized as one."""
         return not self.label or self.label in answer.headers
 
     def end_upload(self) -> None:
-        """Nothing more of a large body goes out."""
+        """Send no more of a streamed request body."""
         if self.upload is not None:
             self.upload.writer = None
 
     def begin(self, sink: ResponseSink, head: Response) -> None:
-        """A large answer has begun: from here on it is not timed."""
+        """A streamed response has begun: from here on the exchange has no time limit."""
         if self.timer is not None:
             self.timer.cancel()
         sink.begin(self, head)
 
     def pause(self) -> None:
-        """Whoever reads the answer is behind."""
+        """Stop reading the response, as its receiver is behind."""
         if self.connection is not None:
             self.connection.pause()
 
     def resume(self) -> None:
+        """Continue reading the response."""
         if self.connection is not None:
             self.connection.resume()
 
     def give_up(self, outcome: io.Outcome) -> None:
-        """Stop waiting. The connection is ended first, so that what is sent next is no second copy."""
+        """Stop waiting. The connection is closed first, so that a retry isn't a second copy."""
         if self.ended:
             return
         if self.connection is not None:
--- a/roadspur/net/http_messages.py
+++ b/roadspur/net/http_messages.py
@@ -1,4 +1,4 @@
-"""What several sides of the ingress share of HTTP: addresses, a client's call, whole answers."""
+"""HTTP types that several sides of the ingress share: addresses, client requests, backends' responses."""
 
 from __future__ import annotations
 
@@ -14,19 +14,19 @@
 from roadspur import interface as io
 from roadspur.net.upload import Upload
 
-MAX_WHOLE = 64 * 1024  # of a body that is held whole; a larger one flows through
-MAX_BODY = 40 * 1024 * 1024
-MAX_HEAD = 16 * 1024
-BLANKS = b" \t"  # that may stand round a header's value
+MAX_WHOLE = 64 * 1024  # bytes of a body that is buffered; a larger one is streamed
+MAX_BODY = 40 * 1024 * 1024  # bytes
+MAX_HEAD = 16 * 1024  # bytes
+BLANKS = b" \t"  # optional whitespace around a header's value
 FRAMING = (b"content-length", b"transfer-encoding")
-SINGLE = (*FRAMING, b"attempt-id", b"backend-seal")  # headers of answers of which two mean nothing
-EMPTY = (204, 304)  # statuses of answers that have no body, whatever their heads say
+SINGLE = (*FRAMING, b"attempt-id", b"backend-seal")  # response headers that may occur only once
+EMPTY = (204, 304)  # statuses of responses without a body, whatever their headers say
 
 Address = tuple[str, int]
 
 
 def read_address(text: str) -> Address:
-    """`host:port` with a numeric host; ValueError for anything else."""
+    """Parse `host:port`. Raises ValueError for anything else."""
     host, sep, port = text.rpartition(":")
     if not sep or not host or not port.isascii() or not port.isdigit() or not 0 < int(port) < 65536:
         raise ValueError(f"expected host:port, got {text!r}")
@@ -34,7 +34,7 @@
 
 
 def unsent(transport: asyncio.Transport) -> int:
-    """Bytes that the other side has not taken in, here and in the kernel; none if it is gone."""
+    """Bytes that the other side hasn't acknowledged, buffered here and in the kernel; 0 if it is closed."""
     queued = bytearray(4)
     try:
         fcntl.ioctl(transport.get_extra_info("socket").fileno(), termios.TIOCOUTQ, queued)
@@ -45,63 +45,63 @@
 
 @dataclass(slots=True)
 class ClientRequest:
-    """A client's request once it has come whole and has been found sound."""
+    """A valid client request; complete, unless its body is streamed."""
 
     request: io.Request
-    start: bytes  # request line and the headers that go on unchanged
+    start: bytes  # request line, and the headers that are passed on unchanged
     body: bytes | bytearray
     came: float  # loop time of its last byte
-    chunks: bool = True  # whether the client reads chunks
-    reserved: int = 0  # bytes of the body that count against what all bodies may take
-    upload: Upload | None = None  # a large body, of which `body` then holds nothing
-    bodiless: bool = False  # its answer has no body: it is a HEAD
+    chunks: bool = True  # whether the client supports chunked encoding
+    reserved: int = 0  # bytes of the body that count against the limit for all bodies
+    upload: Upload | None = None  # a streamed body; `body` is empty then
+    bodiless: bool = False  # its response has no body: it is a HEAD
 
     @property
     def unfinished(self) -> bool:
-        """Whether a part of its body is yet to come."""
+        """Whether a part of its body hasn't been received yet."""
         return self.upload is not None and not self.upload.whole
 
     def drop_rest(self) -> None:
-        """It has been answered: the rest of its body is read, so that the answer is, and thrown away."""
+        """Discard the rest of its body: it is still read, so that the client reads the response."""
         if self.upload is not None and not self.upload.whole:
             self.upload.drop()
 
     def message(self, lines: bytes) -> bytes:
-        """The request as a backend gets it, with further header lines."""
+        """The request as sent to a backend, with further header lines."""
         length = len(self.body) if self.upload is None else self.upload.length
         framing = b"Transfer-Encoding: chunked" if length is None else b"Content-Length: %d" % length
         return b"%s%s%s\r\n\r\n%s" % (self.start, lines, framing, self.body)
 
 
 class Response(NamedTuple):
-    """A whole answer, or the head of one that flows."""
+    """A complete response, or the head of a streamed one."""
 
     status: int
     headers: dict[bytes, bytes]
     body: bytes
     keep: bool  # the connection may carry another request
-    length: int | None = None  # of the body, where the head of one that flows, or that has none, tells it
+    length: int | None = None  # Content-Length of a streamed response, or of one without a body
 
 
 class ResponseEnd(NamedTuple):
-    """What the head of an answer does not tell of its end."""
+    """How a response ends, as far as its head doesn't say so."""
 
-    bodiless: bool = False  # it ends with its head, as the answer to HEAD does
+    bodiless: bool = False  # it ends with its head, as the response to a HEAD
     read_until_close: bool = (
-        False  # one without a length ends with its connection, also where its head does not say so
+        False  # without a length it ends with the connection, even if it has no Connection: close
     )
 
 
 class BadResponse(Exception):
-    """What came is no HTTP answer, or a larger one than is taken."""
+    """What was received isn't a valid HTTP response, or is too large."""
 
 
 class ResponseReader:
-    """Gathers whole answers, and lets a large one flow where that is wanted: `head`, parts, `done`.
+    """Parses responses: complete ones, and with `flows`, large ones as streams (`head`, `take`, `done`).
 
-    One that the end of the connection ends counts only if its head or `ends` says so, and answers may flow.
-    What a peer sends may be spoilt at any point, also right behind an answer that is good: whole answers are
-    handed over first, and `broken` then says why nothing more can be read here.
+    A response that is ended by the connection's end is accepted only if its head or `ends` says so, and only
+    with `flows`. The data may be malformed at any point, also right after a valid response: complete ones are
+    returned first, and `broken` then is the reason why nothing more can be read here.
     """
 
     def __init__(self, flows: bool = False) -> None:
@@ -111,18 +111,18 @@
         self.body = bytearray()
         self.answers: list[Response] = []
         self.broken = ""
-        self.partial = False  # an answer has begun and has not come whole
+        self.partial = False  # a response has begun and isn't complete
         self.in_head = self.until_end = self.done = self.over = False  # over: it has ended with its head
-        self.head: Response | None = None  # of the answer that flows
-        self.size = 0  # of its body so far
-        self.fed = 0  # since a body was last heard of
+        self.head: Response | None = None  # of the streamed response
+        self.size = 0  # bytes of its body so far
+        self.fed = 0  # bytes since the last ones of a body
 
     def expect(self, ends: ResponseEnd) -> None:
-        """A request goes out: what comes next is the answer to it."""
+        """A request is sent: the next response is the one to it, which ends as given."""
         self.ends, self.head, self.done = ends, None, False
 
     def feed(self, data: bytes) -> list[Response]:
-        """Take bytes in; returns the answers that are whole with them."""
+        """Parse bytes; returns the responses that they complete."""
         if not self.broken:
             self.fed += len(data)
             try:
@@ -131,34 +131,36 @@
                 self.broken = str(error.__context__ or error)
             except httptools.HttpParserUpgrade:
                 self.broken = "no other protocol is spoken here"
-            if self.over and not self.partial:  # the parser waits for a body yet
+            if self.over and not self.partial:  # the parser still expects a body
                 self.parser, self.over = httptools.HttpResponseParser(self), False
-            if self.fed > MAX_WHOLE + MAX_HEAD:  # a head without end is held in the parser's memory
+            if self.fed > MAX_WHOLE + MAX_HEAD:  # the parser would buffer an endless head
                 self.broken = self.broken or "the head is too long"
         answers, self.answers = self.answers, []
         return answers
 
     def end(self) -> list[Response]:
-        """The other side has ended its sending: so it has the answer, if its head said that it would."""
+        """The other side has ended its sending, which completes a response whose head allows that."""
         if self.partial and self.until_end and not self.broken:
             self.on_message_complete()
         answers, self.answers = self.answers, []
         return answers
 
     def take(self) -> bytes:
-        """What has come of the flowing answer's body since the last time."""
+        """The part of the streamed body that was received since the last call."""
         part = bytes(self.body)
         self.body.clear()
         return part
 
     def on_message_begin(self) -> None:
-        if self.done:  # its last part has not been taken yet
+        """Parser callback: a response begins. Raises BadResponse after a streamed one."""
+        if self.done:  # its last part hasn't been taken yet
             raise BadResponse("more behind a large answer")
         self.headers, self.body, self.partial, self.in_head = {}, bytearray(), True, True
         self.until_end = self.done = self.over = False
         self.head, self.size = None, 0
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        """Parser callback: a header field. Raises BadResponse for a forbidden repetition."""
         key = name.lower()
         if not self.in_head:  # a trailer
             return
@@ -167,7 +169,8 @@
         self.headers[key] = value.strip(BLANKS)
 
     def on_headers_complete(self) -> None:
-        """How long the answer is must be clear from its head, else its end could be taken for another's."""
+        """Parser callback: the head is complete. Raises BadResponse unless that makes the response's length
+        clear, as otherwise a part of it could be taken for another response."""
         self.fed, self.in_head = 0, False
         status = self.parser.get_status_code()
         if status < 200:
@@ -189,7 +192,8 @@
             self.flow(int(length))
 
     def flow(self, length: int | None) -> None:
-        """The answer is too large to be held."""
+        """Begin to stream a response that is too large to be buffered. Raises BadResponse if that isn't
+        allowed, or it exceeds `MAX_BODY`."""
         status = self.parser.get_status_code()
         if not self.flows or status != 200 or (length or 0) > MAX_BODY:
             raise BadResponse("the body is too large")
@@ -197,8 +201,9 @@
         self.head = Response(status, self.headers, b"", keep, length)
 
     def on_body(self, data: bytes) -> None:
+        """Parser callback: a part of the body. Raises BadResponse if it is too large."""
         self.fed = 0
-        if self.over:  # what comes behind it is no answer
+        if self.over:  # what follows it isn't a response
             self.partial = True
             return
         self.size += len(data)
@@ -209,11 +214,12 @@
         self.body += data
 
     def on_message_complete(self) -> None:
+        """Parser callback: the response is complete."""
         if self.over:
             return
         self.partial = False
         self.fed = 0
-        if self.parser.get_status_code() < 200:  # an interim answer
+        if self.parser.get_status_code() < 200:  # an interim response
             if self.answers:
                 self.broken = "an interim answer behind the last one"
             return
@@ -223,6 +229,6 @@
         self.hand_over(bytes(self.body))
 
     def hand_over(self, body: bytes, length: int | None = None) -> None:
-        """The answer has come whole."""
+        """Add a complete response to those to be returned."""
         keep = self.parser.should_keep_alive() and not self.until_end
         self.answers.append(Response(self.parser.get_status_code(), self.headers, body, keep, length))
--- a/roadspur/net/ingress.py
+++ b/roadspur/net/ingress.py
@@ -1,4 +1,4 @@
-"""Turns what happens on the sockets into events of the decision module, and carries out its actions."""
+"""The driver of the decision module: it submits network events to it, and carries out its actions."""
 
 from __future__ import annotations
 
@@ -21,15 +21,17 @@
 
 
 class Decisions(Protocol):
-    """The decision module, as the ingress drives it."""
+    """The decision module, as the ingress uses it."""
 
-    def handle(self, now: float, event: io.Event) -> list[io.Action]: ...
+    def handle(self, now: float, event: io.Event) -> list[io.Action]:
+        """Handle an event; returns the actions to carry out."""
 
-    def members(self, now: float) -> tuple[int, int]: ...
+    def members(self, now: float) -> tuple[int, int]:
+        """The number of known backends, and how many of them are avoided."""
 
 
 class Ingress(UpstreamAttempts):
-    """One ingress: events go to the module one at a time, in the order in which they came about."""
+    """One ingress: events are submitted to the decisions one at a time, in the order of their occurrence."""
 
     def __init__(
         self,
@@ -47,10 +49,10 @@
         self.serving: set[str] = set()
         self.cordon_entries: Mapping[
             str, io.CordonEntry
-        ] = {}  # backends that operators have taken out, or have just put back
+        ] = {}  # backends that operators have cordoned, or have just uncordoned
         self.state = state or State(None)
-        self.unavailable_by_cordon = False  # whether the last order was one that can be carried out
-        self.beside = self.sibling_clients = 0  # other processes of this ingress, and their clients
+        self.unavailable_by_cordon = False  # whether the last cordon command was valid
+        self.beside = self.sibling_clients = 0  # number of sibling processes, and of their client connections
         self.events: deque[io.Event] = deque()
         self.busy = False
         self.clock = 0.0
@@ -58,12 +60,12 @@
     # Events.
 
     def now(self) -> float:
-        """Unix time, the same at all ingresses, so that their windows agree; it never goes back."""
+        """Unix time in seconds, common to all ingresses so that their windows agree; it never goes back."""
         self.clock = max(self.clock, time.time())
         return self.clock
 
     def submit(self, event: io.Event) -> None:
-        """Hand an event to the module. One that comes about while another is handled waits for its turn."""
+        """Submit an event to the decisions. One that occurs while another is handled is queued."""
         self.events.append(event)
         if self.busy:
             return
@@ -75,7 +77,8 @@
             self.busy = False
 
     def decide(self, event: io.Event) -> None:
-        """A fault of the module or of an action ends the request that it is about, not the program."""
+        """Handle an event. An exception ends the request that the event concerns (with 500), not the
+        program."""
         try:
             for action in self.gateway.handle(self.now(), event):
                 self.carry_out(action)
@@ -85,10 +88,10 @@
             held = self.held.get(name) if isinstance(name, str) else None
             if held is not None:
                 self.answer(held, 500)
-                self.events.append(io.ClientGone(held.call.request.id))  # the module may hold it still
+                self.events.append(io.ClientGone(held.call.request.id))  # the decisions may still hold it
 
     def carry_out(self, a: io.Action) -> None:
-        """One action."""
+        """Carry out one action of the decisions."""
         if isinstance(a, io.Attempt):
             self.attempt(a)
         elif isinstance(a, io.CounterAdd):
@@ -117,12 +120,12 @@
             log.info("%s", a.text)
         elif isinstance(a, io.Cordons):
             self.cordon_entries, self.unavailable_by_cordon = a.cordon_entries, True
-        # Subscribe and FetchList need nothing: the watch is always on. UnknownBackend is no order.
+        # Subscribe and FetchList need nothing: the watch is always on. UnknownBackend needs no action.
 
-    # What operators ask.
+    # Console commands.
 
     def figures(self) -> list[str]:
-        """Totals since the start and what is the case now, a line each."""
+        """Totals since the start and current values, one `name=value` line each."""
         members, unavailable = self.gateway.members(self.now())
         figures = {
             f"{ending}.{name}": 0 for ending in ("completed", "rejected", "failed") for name in self.effects
@@ -137,7 +140,7 @@
         return [f"{name}={value}" for name, value in figures.items()]
 
     def cordon(self, backend: str, on: bool) -> bool:
-        """Take a backend out or put it back; False if there is none of that name."""
+        """Cordon a backend (`on`) or uncordon it; False if there is none of that name."""
 
         def order() -> Mapping[str, io.CordonEntry] | None:
             self.unavailable_by_cordon = False
@@ -147,10 +150,12 @@
         return self.state.change(self.restore, order)
 
     def restore(self, cordon_entries: Mapping[str, io.CordonEntry]) -> None:
+        """Replace the cordons by these."""
         self.submit(io.Cordons(cordon_entries))
 
     def follow(self, clients: int = 0) -> None:
-        """Keep to what another process has written, and share the room for connections with it."""
+        """Adopt the cordons that a sibling process has written, and divide the connection limits with it.
+        `clients` is the number of this process's client connections."""
         if (news := self.state.news()) is not None:
             self.restore(news)
         self.state.tell(clients, len(self.upstream.connections))
@@ -162,14 +167,15 @@
             self.submit(io.SiblingProcesses(self.beside))
 
     def open_to(self, backend: str) -> bool:
-        """Whether anything new may go to a backend."""
+        """Whether new requests may be sent to a backend."""
         cordon_entry = self.cordon_entries.get(backend)
         return backend in self.serving and (cordon_entry is None or cordon_entry.back > 0)
 
     # The list of backends.
 
     def listed(self, listing: Listing, saved: bool = False) -> None:
-        """The list or a change to it: connections of old go before the module may send anything."""
+        """Apply a listing, or one `saved` by an earlier process: old connections are closed before the
+        decisions may send anything."""
         if listing.whole:
             for backend in self.upstream.pools.keys() - {e.backend for e, _ in listing.entries}:
                 self.upstream.update(backend, None)
--- a/roadspur/net/peers.py
+++ b/roadspur/net/peers.py
@@ -1,4 +1,4 @@
-"""Datagrams between ingresses."""
+"""UDP messages between ingresses."""
 
 from __future__ import annotations
 
@@ -12,11 +12,15 @@
 
 log = logging.getLogger(__name__)
 
-MAX_MESSAGE = 256
+MAX_MESSAGE = 256  # bytes
 
 
 class Peers(asyncio.DatagramProtocol):
-    """Sends to one ingress or to all, and tells who sent what came."""
+    """Sends messages to one ingress or to all, and passes received ones on with their sender's number.
+
+    `peers` are the addresses of all ingresses by number, of which this is `me`; `everyone` is an address that
+    reaches all of them, if there is one.
+    """
 
     def __init__(
         self,
@@ -30,18 +34,22 @@
         self.transport: asyncio.DatagramTransport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = cast(asyncio.DatagramTransport, transport)  # no subclass of it under uvloop
+        """The socket is open."""
+        self.transport = cast(asyncio.DatagramTransport, transport)  # uvloop's isn't a subclass
 
     def datagram_received(self, data: bytes, addr: tuple[str | Any, int]) -> None:
+        """Pass on a message; one that is too long or not from another ingress is ignored."""
         sender = self.numbers.get((addr[0], addr[1]))
         if sender is not None and sender != self.me and len(data) <= MAX_MESSAGE:
             self.on_message(io.PeerMessage(sender, data))
 
     def error_received(self, exc: Exception) -> None:
+        """Log an error of an earlier send."""
         log.debug("peers: %s", exc)
 
     def tell(self, peer: int | None, payload: bytes) -> None:
-        """Send; a message that is too long, or to nobody, is left out and logged."""
+        """Send a message to an ingress, or (None) to all; one that is too long, or to an unknown ingress, is
+        logged and dropped."""
         if len(payload) > MAX_MESSAGE or (peer is not None and not 0 <= peer < len(self.peers)):
             log.error("peers: %d bytes to %r are not sent", len(payload), peer)
         elif self.transport is not None:
@@ -49,6 +57,7 @@
                 self.transport.sendto(payload, address)
 
     def addresses(self, peer: int | None) -> list[Address]:
+        """The addresses to send to for this ingress, or (None) for all."""
         if peer is not None:
             return [self.peers[peer]]
         if self.everyone is not None:
--- a/roadspur/net/pending_request.py
+++ b/roadspur/net/pending_request.py
@@ -1,4 +1,4 @@
-"""A request that is owed one final answer, and where that answer goes."""
+"""A request that waits for its one final response, and the interfaces that deliver it."""
 
 from __future__ import annotations
 
@@ -12,21 +12,26 @@
 
 
 class Client(Protocol):
-    """Where the one final answer to a request goes: at once, or in parts."""
+    """The receiver of the one final response to a request: complete, or as a stream."""
 
-    def reply(self, status: int, lines: bytes, body: bytes) -> None: ...
+    def reply(self, status: int, lines: bytes, body: bytes) -> None:
+        """Send a complete response with these header lines."""
 
-    def begin(self, lines: bytes, length: int | None, source: Exchange) -> None: ...
+    def begin(self, lines: bytes, length: int | None, source: Exchange) -> None:
+        """Send the head of a streamed response, of this Content-Length if it is known."""
 
-    def part(self, data: bytes) -> None: ...
+    def part(self, data: bytes) -> None:
+        """Send a part of its body."""
 
-    def finish(self) -> None: ...
+    def finish(self) -> None:
+        """The streamed response is complete."""
 
-    def break_off(self) -> None: ...
+    def break_off(self) -> None:
+        """The rest of the streamed response is lost: abort it visibly."""
 
 
 class PendingRequest:
-    """A request that is owed one final answer."""
+    """A request that waits for its one final response. `deadline` is loop time."""
 
     __slots__ = (
         "call",
@@ -49,27 +54,30 @@
         self.attempts = 0
         self.exchange: Exchange | None = None
         self.answered = self.may_have_run = False
-        self.flowing = 0.0  # since when its answer is on its way in parts
-        self.ended = False  # and counted
-        self.last: Response | None = None  # of the attempt that ended last
-        self.attempt_history: list[tuple[float, str]] = []  # what became of its attempts, for the log
+        self.flowing = 0.0  # since when its response is being streamed; 0: it isn't
+        self.ended = False  # and counted in the statistics
+        self.last: Response | None = None  # response of the latest attempt that has ended
+        self.attempt_history: list[tuple[float, str]] = []  # times and outcomes of its attempts, for the log
 
 
 class PendingRequestOwner(Protocol):
-    """What holds requests."""
+    """What a `ResponseRelay` needs of the ingress."""
 
     loop: asyncio.AbstractEventLoop
     statistics: RequestStatistics
 
-    def submit(self, event: io.Event) -> None: ...
+    def submit(self, event: io.Event) -> None:
+        """Submit an event to the decisions."""
 
-    def drop(self, exchange: Exchange) -> None: ...
+    def drop(self, exchange: Exchange) -> None:
+        """Cancel an attempt."""
 
-    def lines(self, answer: Response) -> bytes: ...
+    def lines(self, answer: Response) -> bytes:
+        """The header lines of a backend's response that its client gets."""
 
 
 class ResponseRelay:
-    """Passes one large answer on to its client, as its final one."""
+    """Streams one attempt's large response to the client as the final one. `number` is the attempt's."""
 
     __slots__ = ("ingress", "held", "number", "sent")
 
@@ -77,14 +85,15 @@
         self.ingress, self.held, self.number, self.sent = ingress, held, number, ingress.loop.time()
 
     def written(self, exchange: Exchange) -> None:
-        """A large body has gone out whole."""
+        """A streamed request body has been written completely."""
         self.sent = self.ingress.loop.time()
         self.ingress.statistics.totals["upstream_requests"] += 1
         self.ingress.submit(io.AttemptWritten(self.held.call.request.id, self.number, exchange.backend))
 
     def begin(self, exchange: Exchange, head: Response) -> None:
+        """Begin to stream the response, unless the request has been answered or its client is gone."""
         held, now = self.held, self.ingress.loop.time()
-        if held.answered:  # its client has gone, or has been told otherwise
+        if held.answered:  # its client has disconnected, or has got another response
             self.ingress.drop(exchange)
             return
         held.answered, held.flowing = True, now
@@ -96,4 +105,5 @@
         )
 
     def part(self, data: bytes) -> None:
+        """Pass on a part of the body."""
         self.held.client.part(data)
--- a/roadspur/net/pending_requests.py
+++ b/roadspur/net/pending_requests.py
@@ -1,4 +1,4 @@
-"""The requests that are in flight: each is held from its coming to its one final answer."""
+"""The requests in flight: each is held from its arrival to its one final response."""
 
 from __future__ import annotations
 
@@ -15,14 +15,14 @@
 
 log = logging.getLogger(__name__)
 
-MARGIN_S = 0.03  # before the client's own time is up, for the way back and a busy moment
-MARGIN_SHARE = 0.2  # of a short time
-DECIMALS = 3
+MARGIN_S = 0.03  # before the client's own timeout, for the way back and scheduling delays
+MARGIN_SHARE = 0.2  # of a timeout: the margin is no longer than this
+DECIMALS = 3  # of Retry-After
 ENDINGS = {"200": "completed", "late": "completed", "429": "rejected", "503": "rejected"}  # others: failed
 
 
 class PendingRequests(ServiceProtocol):
-    """Takes requests, and gives each one answer in time, whatever the decisions do."""
+    """Accepts requests, and gives each exactly one response in time, whatever the decisions do."""
 
     def __init__(
         self,
@@ -40,13 +40,13 @@
         self.statistics = RequestStatistics(loop)
 
     def submit(self, event: io.Event) -> None:
-        """Hand an event to the decisions."""
+        """Submit an event to the decisions."""
         raise NotImplementedError
 
     def take(self, call: ClientRequest, client: Client) -> None:
-        """A client's request has come whole: it is owed one answer from here on."""
+        """Accept a client's request, to be answered exactly once via `client`; a duplicate id gets 400."""
         r = call.request
-        if r.id in self.held:  # an id never comes twice
+        if r.id in self.held:  # ids are unique
             client.reply(400, b"", b"")
             return
         left = call.came + r.expires_in - self.loop.time()
@@ -55,11 +55,11 @@
         if call.upload is None or call.upload.whole:
             held.timer = self.loop.call_at(held.deadline, self.expire_request, held)
         else:
-            held.deadline = math.inf  # until its last byte has come
+            held.deadline = math.inf  # until its last byte has been received
         self.submit(r._replace(expires_in=max(0.0, left), flows=call.upload is not None))
 
     def whole(self, call: ClientRequest) -> None:
-        """The body of a request that was taken before has come whole: its time runs from here on."""
+        """The streamed body of a request is complete: its time limit runs from here on."""
         held = self.held.get(call.request.id)
         if held is None or held.call is not call or held.answered:
             return
@@ -68,23 +68,23 @@
         held.timer = self.loop.call_at(held.deadline, self.expire_request, held)
 
     def abort_request(self, call: ClientRequest, status: int) -> None:
-        """The rest of a request that was taken before will not come, or cannot be read."""
+        """The rest of a request's streamed body will not arrive or can't be read: answer with `status`."""
         held = self.held.get(call.request.id)
         if held is not None and held.call is call and not held.answered:
             self.submit(io.ClientGone(call.request.id))
             self.answer(held, status)
 
     def upload_stalled(self, call: ClientRequest) -> None:
-        """A backend has taken in nothing of a body for too long."""
+        """A backend has accepted nothing of a streamed body for too long: the attempt has timed out."""
         held = self.held.get(call.request.id)
         if held is not None and held.call is call and held.exchange is not None:
             self.upstream.expire(held.exchange)
 
     def gone(self, call: ClientRequest) -> None:
-        """The client has closed its connection: nothing more goes out for its request.
+        """The client has closed its connection: nothing more is sent for its request.
 
-        What a backend already has is waited for unless `cancels_when_gone` says otherwise; the module counts
-        it as load until then.
+        An attempt that a backend has completely is waited for, unless `cancels_when_gone` says otherwise; the
+        decisions count it as load until then.
         """
         held = self.held.get(call.request.id)
         if held is None or held.ended:
@@ -98,15 +98,15 @@
         if held.exchange is not None and not held.exchange.written:
             self.upstream.cancel(held.exchange)
         elif held.exchange is not None and self.cancels_when_gone(held):
-            held.exchange.give_up(io.Outcome.CANCELLED)  # that nothing has come yet says nothing of the pool
+            held.exchange.give_up(io.Outcome.CANCELLED)  # a missing response is no evidence against the pool
         self.forget(held)
 
     def cancels_when_gone(self, held: PendingRequest) -> bool:
-        """Whether a backend's work on a whole request is cancelled once its client has gone."""
+        """Whether a backend's work on a complete request is cancelled when its client disconnects."""
         return False
 
     def expire_request(self, held: PendingRequest) -> None:
-        """The client's time is as good as up: end the attempt, and answer what the module does not."""
+        """The request's deadline is reached: end the attempt, and answer if the decisions don't."""
         if held.exchange is not None:
             self.upstream.expire(held.exchange)
         if not held.answered:
@@ -117,7 +117,8 @@
         self.forget(held)
 
     def may_refuse(self, held: PendingRequest) -> bool:
-        """A refusal says that trying again is harmless: so it is where nothing ran, or where repeats are."""
+        """Whether a refusal, which implies that a retry is harmless, may be given: if nothing ran, or if
+        retries of the class are harmless anyway."""
         name = held.call.request.class_name
         effect = self.effects[name]
         return (
@@ -127,14 +128,15 @@
         )
 
     def finish(self, name: str, refused: bool, wait: float) -> None:
-        """The module's final answer. Beyond a quota it is 429 and tells when the quota has room again."""
+        """Give the decisions' final response: 502, or if `refused`, 503 or (with a `wait` in seconds until a
+        quota has room again) 429."""
         held = self.held.get(name)
         if held is None:
             return
         if not refused:
             self.answer(held, 502)
             return
-        after = max(wait, 10**-DECIMALS) if wait > 0 else self.settings.max_retry_after  # never told as 0
+        after = max(wait, 10**-DECIMALS) if wait > 0 else self.settings.max_retry_after  # never sent as 0
         self.answer(
             held,
             429 if wait > 0 else 503,
@@ -142,7 +144,7 @@
         )
 
     def answer(self, held: PendingRequest, status: int, lines: bytes = b"", body: bytes = b"") -> None:
-        """The one final answer; any further one is dropped."""
+        """Give the one final response; any further one is dropped."""
         if held.answered:
             return
         held.answered = True
@@ -153,7 +155,7 @@
         self.forget(held)
 
     def record_outcome(self, held: PendingRequest, how: str) -> None:
-        """Count an end, and sample those that are bad: anything but an answer within the class's aim."""
+        """Count the end of a request, and log a sample of bad ones: of all but a 200 within the objective."""
         if held.ended:
             return
         held.ended = True
@@ -179,7 +181,7 @@
             )
 
     def forget(self, held: PendingRequest) -> None:
-        """Answered, and nothing out any more."""
+        """Drop a request that is answered and has no attempt in flight."""
         if held.answered and held.exchange is None:
             if held.timer is not None:
                 held.timer.cancel()
--- a/roadspur/net/process_state.py
+++ b/roadspur/net/process_state.py
@@ -1,4 +1,4 @@
-"""What one process of an ingress leaves in $TMPDIR for the one after it, or beside it during an upgrade."""
+"""State in $TMPDIR that processes of one ingress share: with a successor, or a sibling during an upgrade."""
 
 from __future__ import annotations
 
@@ -19,20 +19,20 @@
 
 
 class State:
-    """Cordons in a file that is replaced whole, and a locked file for each living process.
+    """Cordons in a file that is replaced atomically, and a locked file for each live process.
 
-    A lock ends with its process, however that ends; a file alone says nothing. Without a folder, nothing is
-    kept.
+    A lock ends with its process, however that ends; the mere existence of a file proves nothing. Without a
+    folder, no state is kept. Errors of the file system are logged, not raised.
     """
 
     def __init__(self, folder: str | None) -> None:
         self.folder = Path(folder) if folder else None
-        self.seen: tuple[int, int] | None = None  # of the cordons' file, as last read or written
-        self.own = -1  # this process's locked file
+        self.seen: tuple[int, int] | None = None  # inode and mtime of the cordons' file when last used
+        self.own = -1  # descriptor of this process's locked file
 
     @contextmanager
     def alone(self) -> Iterator[None]:
-        """No other process of the ingress reads or writes meanwhile."""
+        """A context in which no other process of the ingress reads or writes the state."""
         file = -1
         try:
             if self.folder is not None:
@@ -47,7 +47,7 @@
                 os.close(file)
 
     def join(self) -> None:
-        """Be seen by the other process, and clear away what dead ones have left."""
+        """Become visible to sibling processes, and remove the files that dead ones have left."""
         if self.folder is None:
             return
         with self.alone():
@@ -61,12 +61,12 @@
             self.others()
 
     def tell(self, clients: int, backends: int) -> None:
-        """Let the other process know how many connections this one holds."""
+        """Publish the numbers of this process's connections to clients and backends."""
         if self.own >= 0:
             os.pwrite(self.own, f"{clients:6d} {backends:6d}\n".encode(), 0)
 
     def others(self) -> list[tuple[int, int]]:
-        """The connections, to clients and to backends, of each other living process of this ingress."""
+        """The numbers of connections, to clients and to backends, of each live sibling process."""
         alive: list[tuple[int, int]] = []
         for path in self.folder.glob(f"{PROCESS}*") if self.folder is not None else ():
             if path.name == f"{PROCESS}{os.getpid()}":
@@ -85,7 +85,7 @@
         return alive
 
     def news(self) -> dict[str, io.CordonEntry] | None:
-        """The cordons, if their file can be read and is not the one seen last."""
+        """The cordons, if their file can be read and has changed since it was last read or written."""
         if self.folder is None:
             return None
         try:
@@ -102,7 +102,7 @@
             return None
 
     def write(self, cordon_entries: Mapping[str, io.CordonEntry]) -> None:
-        """Replace the file at once: whoever reads it finds the old one or the new one whole."""
+        """Replace the cordons' file atomically: readers find the complete old one or the new one."""
         if self.folder is None:
             return
         new = self.folder / f"{NAME}.{os.getpid()}"
@@ -111,7 +111,7 @@
             stat = os.stat(new)
             os.replace(new, self.folder / NAME)
             self.seen = stat.st_ino, stat.st_mtime_ns
-        except OSError as error:  # they hold in this process all the same
+        except OSError as error:  # they are in force in this process all the same
             log.error("state: the cordons are not kept: %s", error)
 
     def change(
@@ -119,7 +119,8 @@
         follow: Callable[[Mapping[str, io.CordonEntry]], None],
         order: Callable[[], Mapping[str, io.CordonEntry] | None],
     ) -> bool:
-        """Carry out an order on top of what the other process has kept; whether it was one."""
+        """Change the cordons under the lock: `follow` adopts a sibling's changes, then `order` makes the
+        change and returns the new cordons, or None if it isn't valid. Returns whether it was valid."""
         with self.alone():
             if (news := self.news()) is not None:
                 follow(news)
@@ -129,14 +130,14 @@
             return cordon_entries is not None
 
     def leave(self) -> None:
-        """This process is done."""
+        """Remove this process's file, at its end."""
         if self.folder is not None and self.own >= 0:
             (self.folder / f"{PROCESS}{os.getpid()}").unlink(missing_ok=True)
             os.close(self.own)
 
 
 def read_counts(text: bytes) -> tuple[int, int]:
-    """The numbers that a process has told; none yet count as none."""
+    """Parse the numbers that a process has published; 0 if there are none yet."""
     try:
         clients, backends = map(int, text.split())
     except ValueError:
@@ -145,7 +146,7 @@
 
 
 def read_cordon_entries(data: object) -> dict[str, io.CordonEntry]:
-    """The bans in a file's JSON; ValueError for anything else."""
+    """Read the cordons from decoded JSON. Raises ValueError or TypeError for anything else."""
     if not isinstance(data, dict):
         raise ValueError("not an object")
     cordon_entries = {
--- a/roadspur/net/request_parser.py
+++ b/roadspur/net/request_parser.py
@@ -1,4 +1,4 @@
-"""What a client's request says of itself: its headers made into the module's request, or found unsound."""
+"""Parsing of a client request's headers into the decisions' `Request`."""
 
 from __future__ import annotations
 
@@ -11,19 +11,20 @@
 BUDGET = re.compile(rb"([0-9]{1,10})([mu])")
 UNITS = re.compile(r"[0-9]{1,9}(?:\.[0-9]{1,9})?")
 COUNT = re.compile(r"[0-9]{1,9}")
-ONCE = {b"idempotency-key", b"host"}  # and all X- headers: two of them could be read in two ways
+ONCE = {b"idempotency-key", b"host"}  # and all X- headers: repeated ones would be ambiguous
 MAX_CUSTOMER = 1 << 33
 MAX_BUDGET_S = 3600.0
 
 
 class BadRequest(ValueError):
-    """A request that cannot be what the protocol describes."""
+    """A request that violates the protocol; the message says how."""
 
 
 def read_request(
     settings: io.Settings, customer: bytes, method: bytes, headers: list[tuple[bytes, bytes]]
 ) -> io.Request:
-    """The module's request out of the headers; BadRequest says what is wrong with them."""
+    """The decisions' request from the headers; `customer` is hexadecimal. Raises BadRequest if they are
+    invalid."""
     values: dict[bytes, bytes] = {}
     for name, value in headers:
         key = name.lower()
@@ -50,7 +51,7 @@
     expires_in = int(budget[1]) / (1e3 if budget[2] == b"m" else 1e6) if budget else 0.0
     if not 0 < expires_in <= MAX_BUDGET_S:
         raise BadRequest("x-budget: expected a time such as 480m")
-    if cls.deadline > 0:  # a silent backend must not hold a request for longer than any client waits
+    if cls.deadline > 0:  # a silent backend must not hold a request longer than any client waits
         expires_in = min(expires_in, cls.deadline)
     units, spread, first = _terms(values.get(b"x-call-terms", b""), settings)
     return io.Request(
--- a/roadspur/net/response_queue.py
+++ b/roadspur/net/response_queue.py
@@ -1,4 +1,4 @@
-"""The answers on a client's connection, in the order of its requests: each at once, or in parts."""
+"""The responses on a client's connection, in the order of its requests: each complete, or streamed."""
 
 from __future__ import annotations
 
@@ -13,20 +13,21 @@
 
 
 class ResponseQueue(ClientConnectionBase):
-    """Has one request at a time decided on; those that were read ahead wait."""
+    """Has one request handled at a time; those that were read ahead (pipelined) wait."""
 
     def __init__(self, server: ConnectionServer) -> None:
         super().__init__(server)
         self.waiting: deque[tuple[ClientRequest | ImmediateResponse, bool]] = deque()
-        self.call: ClientRequest | None = None  # the one that is being decided on
-        self.source: Exchange | None = None  # of an answer that is on its way in parts
-        self.chunked = False  # as which they go
+        self.call: ClientRequest | None = None  # the one that is being handled
+        self.source: Exchange | None = None  # of a response that is being streamed
+        self.chunked = False  # whether it is streamed in chunked encoding
 
     def regulate(self) -> None:
-        """Read, or do not, as what waits allows."""
+        """Pause or resume reading, by the requests that wait."""
         raise NotImplementedError
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """The connection is closed: drop waiting requests, and report the client gone for the present one."""
         super().connection_lost(exc)
         for item, _ in self.waiting:
             if isinstance(item, ClientRequest):
@@ -38,25 +39,27 @@
             self.server.request_handler.gone(call)
 
     def pause_writing(self) -> None:
-        """The client does not read its answers: what it asks for further waits, and not for long."""
+        """The client doesn't read its responses: its further requests wait, for a limited time."""
         self.full_since = self.loop.time()
         if self.source is not None:
             self.source.pause()
 
     def resume_writing(self) -> None:
+        """The client reads again."""
         self.full_since, self.flowed = 0.0, self.source is not None
         if self.source is not None:
             self.source.resume()
         self.proceed()
 
     def enqueue(self, item: ClientRequest | ImmediateResponse, keep: bool) -> None:
+        """Add a request, or the response to one; `keep`: the connection may stay open after it."""
         self.waiting.append((item, keep))
         self.regulate()
         if self.call is None:
             self.proceed()
 
     def proceed(self) -> None:
-        """Go on with what has been read ahead, until there is one that must wait for its answer."""
+        """Process what has been read ahead, up to the next request that has to wait for its response."""
         while self.waiting and self.call is None and not self.closing and not self.full_since:
             item, self.keep = self.waiting.popleft()
             self.owed = max(0, self.owed - 1)
@@ -70,15 +73,15 @@
             self.regulate()
 
     def drain(self) -> None:
-        """The answer to the last request that has been read by now is to be the last one."""
+        """Begin to drain: the response to the last request that has been read by now is the last one."""
         self.owed = len(self.waiting)
 
     def reply(self, status: int, lines: bytes, body: bytes) -> None:
-        """The final answer to the present request."""
+        """Send the complete final response to the present request."""
         call, self.call = self.call, None
         if call is not None:
             self.release(call)
-        if status == 400:  # found to be bad only there: an id that another holds
+        if status == 400:  # rejected only by the handler, for a duplicate id
             self.discarding_input, self.keep = True, False
         if call is not None and call.unfinished:
             self.keep = False
@@ -88,7 +91,7 @@
             self.loop.call_soon(self.proceed)
 
     def begin(self, lines: bytes, length: int | None, source: Exchange) -> None:
-        """The head of a final answer whose body follows in parts."""
+        """Send the head of a streamed final response; its Content-Length is `length`, if known."""
         assert self.call is not None and self.transport is not None
         self.release(self.call)
         self.keep = self.keep and not self.call.unfinished
@@ -100,11 +103,12 @@
         self.write_head(200, lines)
 
     def part(self, data: bytes) -> None:
+        """Send a part of the streamed body."""
         if self.transport is not None and not self.closing:
             self.transport.write(b"%x\r\n%s\r\n" % (len(data), data) if self.chunked else data)
 
     def finish(self) -> None:
-        """The last part has been passed on."""
+        """The streamed response is complete: go on with the next request, or close."""
         if self.call is not None:
             self.call.drop_rest()
         self.call = self.source = None
@@ -119,12 +123,12 @@
             self.loop.call_soon(self.proceed)
 
     def break_off(self) -> None:
-        """The rest cannot be had: the client is to see that its answer is not whole."""
+        """The rest of a streamed response is lost: abort, so that the client sees that it is incomplete."""
         self.call = self.source = None
         if self.transport is not None:
             self.cut()
 
     def release(self, call: ClientRequest) -> None:
-        """A request has its final answer: its body is held no more."""
+        """Release a request's share of the buffer for bodies."""
         self.server.bodies -= call.reserved
         call.reserved = 0
--- a/roadspur/net/reuseport.py
+++ b/roadspur/net/reuseport.py
@@ -1,4 +1,4 @@
-"""Sends a shared address's new connections to the process that takes over."""
+"""Steering of new connections on a shared (SO_REUSEPORT) address to the process that takes over."""
 
 from __future__ import annotations
 
@@ -9,20 +9,21 @@
 
 log = logging.getLogger(__name__)
 
-SO_ATTACH_REUSEPORT_CBPF = 51  # Linux; the standard library does not name it
+SO_ATTACH_REUSEPORT_CBPF = 51  # Linux; not defined by the standard library
 RETURN = 0x06  # BPF_RET | BPF_K
-NEWEST = 1  # listeners are numbered in the order in which they came, and there are two at most
+NEWEST = 1  # index of the newer listener: they are numbered in order, and there are two at most
 
 
 def divert_new_connections(fileno: int) -> None:
-    """New connections go to the second listener of the group, if there is one; to this one otherwise.
+    """Direct new connections to the second listener of the group, if there is one, else to this one.
 
-    A connection that is in this listener's queue when it closes would be reset, so it has to run dry first.
+    A connection in this listener's queue would be reset when it closes, so the queue has to be emptied first.
+    If the kernel refuses, that is logged, and connections are still distributed over both.
     """
     code = ctypes.create_string_buffer(struct.pack("HBBI", RETURN, 0, 0, NEWEST))
     program = struct.pack("HL", 1, ctypes.addressof(code))
     with socket.socket(fileno=socket.dup(fileno)) as listener:
         try:
             listener.setsockopt(socket.SOL_SOCKET, SO_ATTACH_REUSEPORT_CBPF, program)
-        except OSError as error:  # the kernel goes on spreading them by its hash
+        except OSError as error:  # the kernel still distributes them by its hash
             log.warning("new connections are not steered: %s", error)
--- a/roadspur/net/server.py
+++ b/roadspur/net/server.py
@@ -1,4 +1,4 @@
-"""Listens for clients, and lets them go in order."""
+"""The server for client connections, with graceful draining."""
 
 from __future__ import annotations
 
@@ -12,13 +12,16 @@
 from roadspur.net.ingress import Ingress
 from roadspur.net.reuseport import divert_new_connections
 
-SWEEP_S = 0.25
-NOTICE_S = 0.5  # after a drain begins, in which new connections go on coming for up to 0.4 s
+SWEEP_S = 0.25  # between checks of the connections' time limits
+NOTICE_S = 0.5  # after a drain begins, during which new connections still arrive for up to 0.4 s
 DRAIN_IDLE_S = 0.3  # without a request, after which a drain closes a connection
 
 
 class Server:
-    """Listens for clients, and leaves in order."""
+    """Accepts client connections, at most `most` together with sibling processes, and drains them.
+
+    `bodies_most` is the limit in bytes for all larger buffered bodies.
+    """
 
     def __init__(
         self,
@@ -34,40 +37,42 @@
             most,
             limits or connection_interfaces.USUAL,
         )
-        self.bodies, self.bodies_most = 0, bodies_most  # bytes of larger bodies that are held
+        self.bodies, self.bodies_most = 0, bodies_most  # bytes of larger buffered bodies
         self.connections: set[ClientConnection] = set()
-        self.order: Iterator[int] = itertools.count()  # who was heard last: the clock is too coarse
-        self.draining = self.leaving = False  # for a time, for good
+        self.order: Iterator[int] = itertools.count()  # for the order of last reads: the clock is too coarse
+        self.draining = self.leaving = False  # temporarily; and for the end of the process
         self.drain_task: asyncio.Task[None] | None = None
         self.listener: asyncio.Server | None = None
         self.sweeper = loop.call_later(SWEEP_S, self.sweep)
 
     @property
     def request_handler(self) -> Ingress:
-        """What takes the requests."""
+        """What handles the requests."""
         return self.ingress
 
     async def listen(self, host: str, port: int) -> None:
+        """Listen on this address, which sibling processes may share. Raises OSError if that fails."""
         self.listener = await self.loop.create_server(
             lambda: ClientConnection(self), host, port, backlog=1024, reuse_port=True
         )
 
     def ready(self) -> bool:
-        """Whether a request could be served: there is a backend to send it to, and this is no goodbye."""
+        """Whether a request could be served: the server isn't draining, and there is a usable backend."""
         return not self.draining and any(map(self.ingress.open_to, self.ingress.serving))
 
     def healthy(self) -> bool:
-        """Whether the ingress is to be sent requests: in an upgrade the process taking over serves them."""
+        """Whether clients should send requests to this ingress: a leaving process says yes while a sibling
+        takes over."""
         return self.ready() or (self.leaving and self.ingress.beside > 0)
 
     def room(self, more: int) -> bool:
-        """Whether so many more bytes of bodies may be held; during an upgrade each process has its part."""
+        """Whether so many more bytes of bodies may be buffered; sibling processes divide the limit."""
         return self.bodies + more <= self.bodies_most // (1 + self.ingress.beside)
 
     def connection_opened(self, connection: ClientConnection) -> None:
-        """Room for one more is made by closing one that never sent anything, or has been idle longest.
-
-        Where none is idle, the new one is told so: ended without an answer, its request would be lost.
+        """Register a connection. Beyond the limit, one that never sent anything, or else the one idle
+        longest, is closed. If none is idle, the new one is marked `crowded` and its request gets a 503: if it
+        were closed without a response, the request would be lost.
         """
         self.connections.add(connection)
         if len(self.connections) + self.ingress.sibling_clients > self.most:
@@ -78,13 +83,14 @@
             connection.crowded = True
 
     def sweep(self) -> None:
+        """Enforce the time limits of all connections, periodically."""
         now = self.loop.time()
         for connection in list(self.connections):
             connection.sweep(now)
         self.sweeper = self.loop.call_later(SWEEP_S, self.sweep)
 
     def drain(self) -> None:
-        """Say no to health checks and let all connections go, each after its answer or once it is idle."""
+        """Fail health checks, and close all connections, each after its response or once it is idle."""
         if not self.draining:
             self.draining = True
             for connection in self.connections:
@@ -92,7 +98,7 @@
             self.drain_task = self.loop.create_task(self.release_connections())
 
     async def release_connections(self) -> None:
-        """Close what is idle once the notice is over; one that was accepted last may come only then."""
+        """Close idle connections after `NOTICE_S`: one accepted last may send its request only then."""
         await asyncio.sleep(NOTICE_S)
         while True:
             idle_since = self.loop.time() - DRAIN_IDLE_S
@@ -102,7 +108,7 @@
             await asyncio.sleep(0.02)
 
     def resume(self) -> bool:
-        """Serve again as before the drain, unless this process is ending."""
+        """End a drain and serve again; False, and no change, if this process is leaving."""
         if self.leaving:
             return False
         if self.drain_task is not None:
@@ -111,7 +117,7 @@
         return True
 
     async def leave(self) -> None:
-        """Drain for good: accept for the notice, unless another process does, and wait for what is held."""
+        """Drain for good: accept connections for `NOTICE_S`, unless a sibling does; wait for all to end."""
         self.leaving = True
         self.ingress.follow(len(self.connections))
         sockets = self.listener.sockets if self.listener is not None else ()
--- a/roadspur/net/service_protocol.py
+++ b/roadspur/net/service_protocol.py
@@ -1,4 +1,4 @@
-"""What is said to clients and backends, and what they say; another protocol says it otherwise."""
+"""The service's protocol on top of HTTP, towards clients and backends; subclasses may replace it."""
 
 from __future__ import annotations
 
@@ -10,13 +10,13 @@
 
 
 class ServiceProtocol:
-    """The words of today's service."""
+    """The paths, headers and statuses of the service: how requests and responses are read and written."""
 
     health_path: bytes | None = b"/healthz"
-    withheld_headers = frozenset((b"x-budget",))  # headers of clients that do not go on
-    label = b""  # the header of answers that names their request
-    streams = False  # whether backends may begin with a request before it has come whole
-    ends = PLAIN  # where answers end, but for those to HEAD
+    withheld_headers = frozenset((b"x-budget",))  # request headers that aren't passed on to backends
+    label = b""  # the response header with the request's id; empty: none
+    streams = False  # whether backends may begin to execute a request before it is complete
+    ends = PLAIN  # how responses end, except those to HEAD
 
     def __init__(self, settings: io.Settings, load_fields: tuple[str, ...]) -> None:
         self.settings, self.load_fields = settings, load_fields
@@ -24,7 +24,7 @@
     def read(
         self, method: bytes, url: bytes, headers: list[tuple[bytes, bytes]]
     ) -> io.Request | ImmediateResponse:
-        """The module's request out of a client's, or the answer to one that is none."""
+        """The decisions' request from a client's, or the immediate response to an invalid one."""
         match = CUSTOMER.fullmatch(url)
         if match is None:
             return ImmediateResponse(404, "no such path", close=True)
@@ -34,20 +34,20 @@
             return ImmediateResponse(400, str(error), close=True)
 
     def message(self, call: ClientRequest, backend: str, patience: float) -> bytes:
-        """The request as a backend gets it; `patience` is how long this ingress will wait, in seconds."""
+        """The request as sent to a backend; `patience` is how long this ingress will wait, in seconds."""
         return call.message(b"X-Budget: %dm\r\n" % max(1, int(patience * 1000)))
 
     def outcome(self, call: ClientRequest, answer: Response) -> io.Outcome | None:
-        """What an answer says of its attempt; None: it is the answer to another request."""
+        """The outcome of an attempt by its response; None if that belongs to another request."""
         return outcome_of(answer)
 
     def lines(self, answer: Response) -> bytes:
-        """The headers of a backend's answer that its client gets."""
+        """The header lines of a backend's response that its client gets."""
         kind = answer.headers.get(b"content-type")
         return b"Content-Type: %s\r\n" % kind if kind else b""
 
     def load(self, answer: Response | None) -> dict[str, float]:
-        """The load report of an answer, in its header or, for a probe, its body: `TEXT name=value, ...`."""
+        """The load report of a response, in its header or, for a probe, its body: `TEXT name=value, ...`."""
         if answer is None:
             return {}
         text = (answer.headers.get(b"x-load-report") or answer.body).decode("ascii", "replace")
@@ -56,7 +56,7 @@
 
 
 def read_number(text: bytes) -> float:
-    """A number of 0 or more, or 0 where there is none."""
+    """Parse a finite number of 0 or more; anything else counts as 0."""
     try:
         value = float(text)
     except ValueError:
--- a/roadspur/net/upload.py
+++ b/roadspur/net/upload.py
@@ -1,4 +1,4 @@
-"""A request's large body, on its way from the client to the attempt that is out."""
+"""A request's large body, streamed from the client to the attempt in flight."""
 
 from __future__ import annotations
 
@@ -7,18 +7,21 @@
 
 
 class UploadWriter(Protocol):
-    """The connection that an upload goes out on."""
+    """The backend connection that an upload is written to."""
 
-    def body(self, data: bytes) -> None: ...
+    def body(self, data: bytes) -> None:
+        """Write a part of the body."""
 
-    def uploaded(self) -> None: ...
+    def uploaded(self) -> None:
+        """The last part has been written."""
 
 
 class Upload:
-    """Holds what came before an attempt was out, and nothing after: the client waits while the backend does.
+    """Buffers only what is received before an attempt begins; from then on the client is read as fast as the
+    backend accepts data.
 
-    `hold(True)` stops the client's side and `hold(False)` lets it go on. What has gone out is not kept, so
-    no further attempt can be made with it.
+    `hold(True)` suspends reading from the client and `hold(False)` resumes it. What has been sent isn't kept,
+    so no further attempt is possible (`spent`). `length` is the Content-Length, or None for a chunked body.
     """
 
     def __init__(self, length: int | None, hold: Callable[[bool], None]) -> None:
@@ -28,7 +31,7 @@
         self.whole = self.spent = self.unwanted = False
 
     def feed(self, data: bytes) -> None:
-        """More of the body has come."""
+        """A part of the body has been received."""
         if self.unwanted:
             return
         if self.writer is None:
@@ -38,16 +41,17 @@
             self.writer.body(self.framed(data))
 
     def framed(self, data: bytes) -> bytes:
+        """A part of the body as it is written: a chunk, if the body has no length."""
         return data if self.length is not None else b"%x\r\n%s\r\n" % (len(data), data)
 
     def finish(self) -> None:
-        """The body has come whole."""
+        """The body has been received completely."""
         self.whole = True
         if self.writer is not None:
             self.end(self.writer)
 
     def attach(self, writer: UploadWriter) -> None:
-        """An attempt is out: its connection takes what there is, and what follows."""
+        """An attempt begins: write what is buffered to its connection, and then what follows."""
         self.writer, self.spent = writer, True
         if self.kept:
             writer.body(self.framed(bytes(self.kept)))
@@ -58,12 +62,13 @@
             self.hold(False)
 
     def end(self, writer: UploadWriter) -> None:
+        """Write the end of the body."""
         if self.length is None:
             writer.body(b"0\r\n\r\n")
         writer.uploaded()
 
     def drop(self) -> None:
-        """The request has its final answer: the rest is read, and thrown away."""
+        """The request has its final response: the rest of the body is read and discarded."""
         self.writer, self.unwanted = None, True
         self.kept.clear()
         self.hold(False)
--- a/roadspur/net/upstream.py
+++ b/roadspur/net/upstream.py
@@ -14,10 +14,10 @@
 
 log = logging.getLogger(__name__)
 
-IDLE_SHARE = 0.5  # of the backends' own idle time, after which a connection is no longer trusted
-SWEEP_S = 1.0
-STALL_S = 0.25  # in the middle of an answer, after which the rest is not waited for
-FLOW_STALL_S = 5.0  # the same where its first part has been passed on: the client can get no other
+IDLE_SHARE = 0.5  # of the backends' own idle timeout, after which a connection isn't used any more
+SWEEP_S = 1.0  # between checks for idle connections
+STALL_S = 0.25  # of silence in the middle of a response, after which the rest isn't waited for
+FLOW_STALL_S = 5.0  # the same for a streamed response, in whose place the client can't get another one
 
 
 class Connection(asyncio.Protocol):
@@ -30,14 +30,15 @@
         self.exchange: Exchange | None = None
         self.idle_since = 0.0
         self.closed = self.flowing = self.paused = False
-        self.saw_foreign_answer = False  # an answer to another request has come
+        self.saw_foreign_answer = False  # a response to another request was received
         self.stall: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = cast(asyncio.Transport, transport)  # no subclass of it under uvloop
+        """The connection is open."""
+        self.transport = cast(asyncio.Transport, transport)  # uvloop's isn't a subclass
 
     def stale(self) -> bool:
-        """Whether the other side has ended it, or has sent what was not read yet."""
+        """Whether the other side has closed it, or has sent bytes that weren't read yet."""
         if self.closed:
             return True
         try:
@@ -46,7 +47,7 @@
             return True
 
     def unread(self) -> bool:
-        """Whether bytes or an end have come that were not read yet. OSError: the connection was reset."""
+        """Whether bytes or a close have arrived that weren't read yet. Raises OSError if it was reset."""
         try:
             self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
         except BlockingIOError:
@@ -54,7 +55,7 @@
         return True
 
     def send(self, exchange: Exchange) -> None:
-        """Write the request. Once its last byte is, a break counts as a reset: it may have come whole."""
+        """Write the request. After its last byte a failure counts as a reset: the backend may have it all."""
         assert self.transport is not None
         self.exchange, exchange.connection = exchange, self
         self.reader.expect(exchange.ends)
@@ -64,35 +65,36 @@
             exchange.upload.attach(self)
 
     def sent(self) -> bool:
-        """Whether all that was written has been taken by the kernel."""
+        """Whether the kernel has accepted all that was written."""
         return self.transport is not None and not self.transport.get_write_buffer_size()
 
     def body(self, data: bytes) -> None:
-        """A part of a large body."""
+        """Write a part of a streamed request body."""
         if self.transport is not None and not self.closed:
             self.transport.write(data)
 
     def uploaded(self) -> None:
-        """Its last part has been written."""
+        """The last part of the request body has been written."""
         if self.exchange is not None and self.exchange.sink is not None:
             self.exchange.end_upload()
             self.exchange.written = True
             self.exchange.sink.written(self.exchange)
 
     def pause_writing(self) -> None:
-        """The backend takes a body in more slowly than it comes."""
+        """The backend accepts a body more slowly than it arrives: suspend the upload."""
         if self.exchange is not None and self.exchange.upload is not None:
             self.exchange.upload.hold(True)
 
     def resume_writing(self) -> None:
+        """The backend accepts data again: resume the upload."""
         if self.exchange is not None and self.exchange.upload is not None:
             self.exchange.upload.hold(False)
 
     def data_received(self, data: bytes) -> None:
-        """Only the first answer of a read is the exchange's.
+        """Parse the bytes of one read, of which only the first response is the exchange's.
 
-        The connection is used again only once the whole read has been looked at: what came behind the answer,
-        a copy of it or noise, would be taken for the answer to whatever is sent next.
+        The connection is reused only after the whole read has been examined: what follows the response, a
+        duplicate of it or garbage, would be taken for the response to the next request.
         """
         self.pool.heard += 1
         if self.stall is not None:
@@ -103,11 +105,12 @@
         self.read(self.reader.feed(data))
 
     def eof_received(self) -> None:
+        """The backend has ended its sending, which may complete a response."""
         if self.exchange is not None:
             self.read(self.reader.end())
 
     def read(self, answers: list[Response]) -> None:
-        """Go by what the reader has made of a read."""
+        """Act on the result of parsing a read."""
         if self.reader.head is not None:
             self.flow(self.reader.head, bool(answers))
         elif (mine := self.mine(answers)) is not None:
@@ -119,7 +122,7 @@
             self.stall = self.pool.loop.call_later(STALL_S, self.stalled)
 
     def mine(self, answers: list[Response]) -> Response | None:
-        """The answer to what was sent; one to another request may come first, in its place."""
+        """The response to the exchange's request; responses to other requests may precede it."""
         for answer in answers:
             if self.exchange is not None and self.exchange.judge(answer) is not None:
                 return answer
@@ -127,7 +130,8 @@
         return None
 
     def flow(self, head: Response, surplus: bool) -> None:
-        """Pass on what has come of a large answer; a probe's, which nobody reads, is spoilt."""
+        """Pass on the received part of a streamed response. One that isn't a success, or that nobody receives
+        (a probe's), ends the connection. `surplus`: complete responses came in the same read."""
         exchange, reader = self.exchange, self.reader
         if exchange is None or exchange.sink is None or exchange.judge(head) is not io.Outcome.OK:
             self.corrupt("the body is too large")
@@ -137,7 +141,7 @@
             exchange.begin(exchange.sink, head)
         if (part := reader.take()) and not self.closed:
             exchange.sink.part(part)
-        if self.closed:  # its reader has gone
+        if self.closed:  # its client has disconnected
             return
         if reader.done:
             self.answered(head, not (surplus or reader.partial or reader.broken))
@@ -147,6 +151,7 @@
             self.stall = self.pool.loop.call_later(FLOW_STALL_S, self.stalled)
 
     def pause(self) -> None:
+        """Stop reading, as the receiver of a streamed response is behind."""
         if not self.paused and not self.closed and self.transport is not None:
             self.paused = True
             self.transport.pause_reading()
@@ -154,12 +159,14 @@
                 self.stall.cancel()
 
     def resume(self) -> None:
+        """Continue reading."""
         if self.paused and not self.closed and self.transport is not None:
             self.paused = False
             self.transport.resume_reading()
             self.stall = self.pool.loop.call_later(FLOW_STALL_S, self.stalled)
 
     def answered(self, answer: Response, clean: bool) -> None:
+        """The response is complete: end the exchange, and keep the connection if it is `clean`."""
         exchange, self.exchange = self.exchange, None
         assert exchange is not None
         exchange.connection = None
@@ -176,14 +183,13 @@
         exchange.end(exchange.judge(answer) or io.Outcome.RESET, answer)
 
     def stalled(self) -> None:
-        """An answer that stops midway is only waited for where no other can be had.
-
-        Unread bytes mean that it was us who stopped.
+        """A response has stalled midway: wait on only if the client can't get another one (`Exchange.waits`),
+        or if there are unread bytes, as then it was this process that paused.
         """
         waits = self.exchange is not None and self.exchange.waits()
         try:
             goes_on = not self.closed and (self.unread() or waits)
-        except OSError:  # told only once: whoever reads next finds a plain end, which may be the answer's
+        except OSError:  # reported only once: the next read sees a plain close, which might end the response
             goes_on = False
         if goes_on:
             self.stall = self.pool.loop.call_later(STALL_S, self.stalled)
@@ -191,7 +197,7 @@
             self.corrupt("the answer stops midway")
 
     def corrupt(self, why: str) -> None:
-        """No answer can be had here any more; the request may have run."""
+        """End the exchange without a usable response; its request may have run."""
         exchange = self.exchange
         self.drop()
         if exchange is not None:
@@ -200,7 +206,7 @@
             exchange.end(io.Outcome.RESET if exchange.may_have_run else io.Outcome.CONNECT_FAILED)
 
     def drop(self) -> None:
-        """End it at once: the kernel has its end before anything else is written anywhere."""
+        """Close it at once: the kernel has the close before anything else is written to any connection."""
         if self.closed:
             return
         self.closed = True
@@ -216,23 +222,25 @@
         self.pool.forget(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """The connection is closed."""
         self.corrupt("the connection ended")
 
 
 class Pool:
-    """The connections to one backend; the newest idle one is used first, so that the others can age out."""
+    """The connections to one backend; the newest idle one is used first, so that the others can expire."""
 
     def __init__(
         self, backend: str, endpoint: Endpoint, loop: asyncio.AbstractEventLoop, connections: set[Connection]
     ) -> None:
         self.backend, self.endpoint, self.loop = backend, endpoint, loop
         self.idle: list[Connection] = []
-        self.connections = connections  # those of all pools, also of retired ones: each is a descriptor
-        self.retired = False  # the backend has moved or started anew: nothing is kept for later
-        self.heard = 0  # times that anything came; the loop's clock is too coarse to tell before from after
+        self.connections = connections  # those of all pools, also of retired ones: each takes a descriptor
+        self.retired = False  # the backend has moved or restarted: no connection is kept for reuse
+        self.heard = 0  # number of reads; the loop's clock is too coarse to order events
 
     def take(self, oldest: float) -> Connection | None:
-        """The newest idle connection that still stands; those idle since before `oldest` do not count."""
+        """The newest idle connection that is still open and idle since `oldest` (loop time) or later; None if
+        there is none. Others are closed."""
         while self.idle:
             connection = self.idle.pop()
             if connection.idle_since >= oldest and not connection.stale():
@@ -241,6 +249,7 @@
         return None
 
     def keep(self, connection: Connection) -> None:
+        """Keep a connection for reuse, unless the pool is retired."""
         if self.retired:
             connection.drop()
             return
@@ -248,18 +257,20 @@
         self.idle.append(connection)
 
     def forget(self, connection: Connection) -> None:
+        """Remove a closed connection."""
         self.connections.discard(connection)
         if connection in self.idle:
             self.idle.remove(connection)
 
     def close_idle(self, before: float | None = None) -> None:
-        """Close what has been idle since before a time, or all that is idle."""
+        """Close the connections idle since before this loop time, or (None) all idle ones."""
         for connection in [c for c in self.idle if before is None or c.idle_since < before]:
             connection.drop()
 
 
 class Upstream:
-    """All backends' pools."""
+    """The pools of all backends, with at most `most` connections together with sibling processes. Times are
+    in seconds; `idle` is the backends' own idle timeout."""
 
     def __init__(
         self,
@@ -270,17 +281,17 @@
         silent: float = 0.0,
     ) -> None:
         self.loop, self.connect_timeout, self.most = loop, connect_timeout, most
-        self.silent = silent  # seconds after which one that acknowledges nothing is lost; 0: the system's
+        self.silent = silent  # TCP user timeout in seconds; 0: the system's
         self.idle = IDLE_SHARE * idle
         self.pools: dict[str, Pool] = {}
         self.connections: set[Connection] = set()
         self.tasks: set[asyncio.Task[None]] = set()
         self.opening = 0
-        self.beside = 0  # connections of other processes of this ingress
+        self.beside = 0  # connections of sibling processes of this ingress
         self.sweeper = loop.call_later(SWEEP_S, self.sweep)
 
     def update(self, backend: str, endpoint: Endpoint | None) -> None:
-        """A backend's address and start, or None when it is gone; no connection outlives a change."""
+        """Set a backend's endpoint, or None if it is removed; old connections aren't used after a change."""
         pool = self.pools.get(backend)
         if pool is not None and pool.endpoint != endpoint:
             pool.close_idle()
@@ -291,7 +302,7 @@
             self.pools[backend] = Pool(backend, endpoint, self.loop, self.connections)
 
     def send(self, exchange: Exchange, timeout: float) -> None:
-        """Carry out one exchange; its outcome may come before this returns."""
+        """Carry out one exchange within `timeout` seconds; it may have ended before this returns."""
         pool = self.pools.get(exchange.backend)
         if pool is None or not exchange.may_send():
             exchange.end(io.Outcome.NOT_SENT)
@@ -311,24 +322,25 @@
             task.add_done_callback(self.tasks.discard)
 
     def expire(self, exchange: Exchange) -> None:
-        """No answer in time."""
+        """An exchange has timed out."""
         self.give_up(exchange, io.Outcome.TIMEOUT)
 
     def cancel(self, exchange: Exchange) -> None:
-        """Stop waiting for an attempt."""
+        """Cancel an exchange."""
         self.give_up(exchange, io.Outcome.CANCELLED)
 
     def give_up(self, exchange: Exchange, outcome: io.Outcome) -> None:
-        """If nothing at all has come from the backend since the start, its idle connections are dead too."""
+        """End an exchange. If nothing at all was received from the backend since its start, the idle
+        connections count as dead too, and are closed."""
         pool = self.pools.get(exchange.backend)
         if pool is not None and exchange.written and pool.heard == exchange.heard:
             pool.close_idle()
         exchange.give_up(outcome)
 
     async def open(self, pool: Pool, exchange: Exchange) -> None:
-        """A new connection for an exchange, whose first byte waits until it stands.
+        """Open a connection for an exchange, and send its request on it.
 
-        The end of the exchange does not cancel this: once a transport has the descriptor, closing it here too
+        The end of the exchange doesn't cancel this: once a transport owns the descriptor, closing it here too
         would close whatever has the same number by then.
         """
         self.opening += 1
@@ -345,14 +357,14 @@
         elif exchange.ended:
             pool.keep(connection)
         elif pool.retired or not exchange.may_send():
-            # It began to drain, moved, or its client left meanwhile: not one byte goes out.
+            # The backend began to drain or moved, or the client disconnected meanwhile: send nothing.
             connection.drop()
             exchange.end(io.Outcome.NOT_SENT)
         else:
             connection.send(exchange)
 
     async def connect(self, pool: Pool) -> Connection:
-        """A connection that stands."""
+        """Open a connection. Raises OSError or TimeoutError if that fails."""
         sock = socket.socket(socket.AF_INET6 if ":" in pool.endpoint.address[0] else socket.AF_INET)
         try:
             sock.setblocking(False)
@@ -374,7 +386,7 @@
         return connection
 
     def room(self) -> bool:
-        """Whether one more socket may be opened, closing an idle one for it where that helps."""
+        """Whether one more socket may be opened, if need be after closing the one idle longest."""
         if self.opening + len(self.connections) + self.beside < self.most:
             return True
         idle = [p.idle[0] for p in self.pools.values() if p.idle]
@@ -383,11 +395,12 @@
         return bool(idle)
 
     def close_idle(self, backend: str) -> None:
+        """Close all idle connections to a backend."""
         if backend in self.pools:
             self.pools[backend].close_idle()
 
     def sweep(self) -> None:
-        """Close idle connections well before the backend does: a request crossing its close is a reset."""
+        """Close idle connections well before the backend does: a request that crosses its close is reset."""
         oldest = self.loop.time() - self.idle
         for pool in self.pools.values():
             pool.close_idle(oldest)
--- a/roadspur/net/upstream_attempts.py
+++ b/roadspur/net/upstream_attempts.py
@@ -1,4 +1,4 @@
-"""Attempts at backends, and probes of them: sent as they are decided on, and told of as they end."""
+"""Attempts at backends, and probes of them: sent as the decisions order, with their outcomes reported."""
 
 from __future__ import annotations
 
@@ -16,18 +16,19 @@
 
 
 class UpstreamAttempts(PendingRequests):
-    """Sends the requests that are held to backends."""
+    """Sends pending requests to backends."""
 
     def open_to(self, backend: str) -> bool:
-        """Whether anything new may go to a backend."""
+        """Whether new requests may be sent to a backend."""
         raise NotImplementedError
 
     def drop(self, exchange: Exchange) -> None:
-        """Stop waiting for an attempt."""
+        """Cancel an attempt."""
         self.upstream.cancel(exchange)
 
     def attempt(self, a: io.Attempt) -> None:
-        """Send a request to a backend."""
+        """Send a request to a backend. An attempt that isn't allowed (the request is answered, or has one in
+        flight) is logged and reported as not sent."""
         held = self.held.get(a.request)
         now = self.loop.time()
         if held is None or held.answered or held.exchange is not None:
@@ -70,13 +71,13 @@
         self.upstream.send(exchange, left if a.timeout is None else min(left, a.timeout))
 
     def waits_out_silence(self, held: PendingRequest) -> bool:
-        """Whether the rest of an answer is waited for though its backend has stopped in the middle."""
+        """Whether to wait on for the rest of a response that has stalled."""
         return False
 
     def ended(
         self, passing: ResponseRelay, exchange: Exchange, outcome: io.Outcome, answer: Response | None
     ) -> None:
-        """An attempt has its outcome: a whole 200 is the answer, anything else is the module's to decide."""
+        """An attempt has ended: a success is the final response, on anything else the decisions decide."""
         held = passing.held
         held.exchange = None
         held.attempt_history.append((self.loop.time(), outcome.value))
@@ -85,7 +86,7 @@
         held.last, units = answer, 0.0
         if answer is not None and outcome is io.Outcome.OK:
             units = read_number(answer.headers.get(b"x-cost-units", b""))
-            if units > self.settings.max_units:  # no request counts more: it cannot be meant
+            if units > self.settings.max_units:  # more than any request may cost: invalid
                 units = 0.0
             if not held.flowing:
                 length = b"" if answer.length is None else b"Content-Length: %d\r\n" % answer.length
@@ -109,7 +110,7 @@
         self.forget(held)
 
     def passed(self, held: PendingRequest, outcome: io.Outcome) -> None:
-        """An answer in parts has ended; if it is not whole, the client can tell by the connection's end."""
+        """A streamed response has ended; if it is incomplete, the client sees its connection aborted."""
         self.record_outcome(held, "200" if outcome is io.Outcome.OK else "broken")
         if outcome is io.Outcome.OK:
             held.client.finish()
@@ -117,7 +118,7 @@
             held.client.break_off()
 
     def probe(self, backend: str) -> None:
-        """Ask a backend for its load; the answer may be a 503."""
+        """Request a backend's load; the response may be a 503."""
         began = self.loop.time()
 
         def ended(exchange: Exchange, outcome: io.Outcome, answer: Response | None) -> None:
