Quota: a client that ends in order returns its shares

A proxy that ended in order said nothing: owners kept its share back, and a new owner waited about 15 s for its report and kept back all that nobody had told meanwhile. Once its last request is done, a proxy now sends each owner a heartbeat that it leaves, with the units let go by its shares, three times at most. From then on it lets nothing go by a share and takes none. An owner counts those units, ends the share, and waits for no report where it has counted the shard since, or took it over later. Late messages of one that left bring no share back, those of an earlier incarnation are dropped; if all are lost, all is as before.

--- a/gateway/programs/proxy.py
+++ b/gateway/programs/proxy.py
@@ -91,6 +91,7 @@
     await stop.wait()
     proxy.proxy_node.leaving = True
     await proxy.server.leave()
+    await proxy.proxy_node.leave_quota()
     ticker.stop()
     proxy.proxy_node.charger_report.tell(steady())
     second.stop()
--- a/gateway/programs/proxy_node.py
+++ b/gateway/programs/proxy_node.py
@@ -36,6 +36,7 @@
 from roadspur.net.upstream import Upstream
 
 CONNECT_TIMEOUT_S = 0.3  # until a connection to a backend is established
+LEAVE_POLL_S = 0.02  # between two looks whether the shard owners know that the quota client leaves
 INGRESSES = 12  # assumed number of proxies, until the leader publishes it
 
 log = logging.getLogger("gateway.proxy")
@@ -115,6 +116,12 @@
         self.ingress.handle_quota(event)
         self.arm()
 
+    async def leave_quota(self) -> None:
+        """All requests are done: return the quota shares, until the owners know or were told often enough."""
+        self.handle_quota(quota.Leave())
+        while not self.quota_client.has_left:
+            await asyncio.sleep(LEAVE_POLL_S)
+
     def arm(self) -> None:
         """Set the timer for the next time that the quota client is due."""
         due = self.quota_client.due()
--- a/gateway/quota/client_registry.py
+++ b/gateway/quota/client_registry.py
@@ -2,29 +2,35 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable, Sequence
 
 from gateway.quota.interface import MARGIN_S, SHARE_S, SILENT_S
 from gateway.quota.peers import FRESH_S, MOST_SILENT, Peers
+from gateway.quota.quota_pb2 import ClientHeartbeatReply
 from gateway.state_machine import Address
 
 MAX_CLIENTS = 1024  # that are remembered at most
+MAX_EARLIER = 8  # earlier incarnations at one address, whose late messages are dropped
 CLIENT_CHECK_S = 0.1  # between looks for silent quota clients
 
 
 class ClientState:
     """A quota client as its shard owner knows it."""
 
-    __slots__ = ("heard", "incarnation", "shares_until", "told")
+    __slots__ = ("earlier", "heard", "incarnation", "left_at", "shares_until", "told")
 
     def __init__(self, now: float, incarnation: int) -> None:
         self.heard, self.incarnation = now, incarnation
+        self.earlier: deque[int] = deque(maxlen=MAX_EARLIER)  # incarnations at this address
         self.shares_until = 0.0  # when its last share here is over
         self.told = 0  # shards held here of which it has told its shares
+        self.left_at: float | None = None  # when this incarnation returned all its shares, to all owners
 
     def extend_shares(self, now: float) -> None:
-        """It has a share as of now, and may go by it until the share's lease is over."""
-        self.shares_until = now + SHARE_S + MARGIN_S
+        """It has a share as of now, unless it left, and may go by it until the share's lease is over."""
+        if self.left_at is None:
+            self.shares_until = now + SHARE_S + MARGIN_S
 
 
 class ClientRegistry:
@@ -52,8 +58,12 @@
                 return None
             client = self.clients[address] = ClientState(now, incarnation)
         elif client.incarnation != incarnation:
-            client.incarnation, client.told, client.shares_until = incarnation, 0, 0.0
+            client.earlier.append(client.incarnation)
+            client.incarnation, client.left_at = incarnation, None
+            client.told, client.shares_until = 0, 0.0
             self.on_restart(address)
+        elif client.left_at is not None:
+            return client  # a late or doubled message
         client.heard = now
         if hears_nothing != (address in self.silent):  # one that doesn't hear us goes by its shares
             if hears_nothing:
@@ -63,6 +73,12 @@
             self.epoch += 1
         return client
 
+    def reply(self, now: float, number: int, missing: int) -> ClientHeartbeatReply:
+        """The answer to a heartbeat of this number, from a client that has not told `missing` shards."""
+        heard = ClientHeartbeatReply(number=number, peers=len(self.clients), missing=missing)
+        heard.silent_ms.extend(int(1000 * (now - at)) for at in self.absent)
+        return heard
+
     def note_peers(self, now: float, peers: int, silent_ms: Sequence[int]) -> None:
         """A quota client tells how many of them there are, and for how long some have been silent (ms)."""
         self.peers.learn(now, peers, silent_ms)
@@ -74,9 +90,32 @@
             client.told |= news
             self.epoch += 1
 
-    def has_unreported(self, now: float, shard: int) -> bool:
-        """Whether some quota client has not told its shares of a shard."""
-        told = sum(client.told >> shard & 1 for client in self.clients.values())
+    def knows(self, address: Address, incarnation: int) -> bool:
+        """Whether this is the newest incarnation heard at an address."""
+        client = self.clients.get(address)
+        return client is not None and client.incarnation == incarnation
+
+    def has_ended(self, address: Address, incarnation: int) -> bool:
+        """Whether another incarnation has come after this one at an address."""
+        client = self.clients.get(address)
+        return client is not None and incarnation in client.earlier
+
+    def note_left(self, now: float, address: Address, client: ClientState) -> None:
+        """A quota client has returned all its shares. It stays known as long as others count it."""
+        client.left_at, client.shares_until = now, 0.0
+        self.silent.pop(address, None)
+        self.epoch += 1
+
+    def has_unreported(self, now: float, shard: int, since: float) -> bool:
+        """Whether some quota client may have a share of a shard and has not told it.
+
+        Nobody but this owner has counted the shard since `since`: one that left by then has no share, and
+        what it let go by its share was let go before.
+        """
+        told = sum(
+            client.told >> shard & 1 or (client.left_at is not None and client.left_at <= since)
+            for client in self.clients.values()
+        )
         return told < max(self.peers.count(now), len(self.clients))
 
     def forget_reports(self, shards: int) -> None:
--- a/gateway/quota/interface.py
+++ b/gateway/quota/interface.py
@@ -61,6 +61,10 @@
     id: int
 
 
+class Leave(NamedTuple):
+    """This quota client ends, and all its requests are done: it returns its shares."""
+
+
 class ChargeDecision(NamedTuple):
     """The answer to an `Ask`: 'go', or 'over' with the time after which to come back and the reason."""
 
--- a/gateway/quota/local_quota.py
+++ b/gateway/quota/local_quota.py
@@ -82,6 +82,10 @@
         """Whether there is a share."""
         return self.share > 0 and now < self.until
 
+    def give_up_share(self) -> None:
+        """The share is returned to its owner."""
+        self.share, self.until, self.share_owner = 0, 0.0, None
+
     def accrues_from(self, now: float) -> float:
         """From when the share's units flow, in seconds after now; of those there already only some count."""
         return max(self.accrued_from - now, -MAX_HANDED_WINDOWS * self.window.length_s)
--- a/gateway/quota/owner_links.py
+++ b/gateway/quota/owner_links.py
@@ -15,6 +15,8 @@
 
 SILENT_AFTER_MISSES = 2  # in a row make a holder silent
 IDLE_HEARTBEAT_S = 1.0  # between two Alive to a holder that gets charges all the time, or that gave no share
+LEAVE_RETRY_S = 0.08  # between two messages to a holder that this quota client leaves
+MAX_LEAVE_MESSAGES = 3  # to each holder; one that gets none awaits the shares' end
 VIEW_REPORT_S = 5.0  # between two of them with what this quota client knows
 
 
@@ -51,6 +53,8 @@
         self.fencing_token = (0, 0)
         self.peers = Peers()  # quota clients that may have shares, as holders tell
         self.due = 0.0  # next look for holders that must hear something
+        self.leaving: dict[Address, ClientHeartbeat] = {}  # the last message to holders that haven't answered
+        self.leave_messages = 0  # to each of these
 
     def follow(self, now: float, data: bytes) -> None:
         """Take over a table of holders, unless a newer one is known."""
@@ -78,6 +82,9 @@
     def on_heartbeat_reply(self, now: float, link: OwnerLink, heard: pb.ClientHeartbeatReply) -> None:
         """A holder has heard that this quota client is there."""
         self.peers.learn(now, heard.peers, heard.silent_ms)
+        last = self.leaving.get(link.address)
+        if last is not None and heard.number == last.number:
+            del self.leaving[link.address]
         link.told = not heard.missing & link.shards
 
     def tick(self, now: float, local_quotas: Iterable[LocalQuota]) -> list[Send]:
@@ -100,6 +107,28 @@
                 out.append(self.tell(now, link, live, known))
         return out
 
+    def leave(self, now: float, local_quotas: Iterable[LocalQuota]) -> list[Send]:
+        """Return all shares, with what was let go by them; these must not be used from now on."""
+        known = list(local_quotas)
+        live = [p for p in known if p.live(now)]
+        for link in self.links.values():
+            last = self.tell(now, link, live, known).message.client_heartbeat
+            last.leaving = True
+            reported = {share.tenant for share in last.shares}
+            for local_quota in known:
+                if local_quota.spent and local_quota.number not in reported:
+                    last.shares.add(tenant=local_quota.number, spent=local_quota.spent)
+            self.leaving[link.address] = last
+        return self.repeat_leaving(now)
+
+    def repeat_leaving(self, now: float) -> list[Send]:
+        """Say once more that this quota client leaves, where that wasn't answered."""
+        self.due = now + LEAVE_RETRY_S
+        if self.leave_messages >= MAX_LEAVE_MESSAGES:
+            self.leaving = {}
+        self.leave_messages += 1
+        return [Send(address, Message(client_heartbeat=last)) for address, last in self.leaving.items()]
+
     def tell(self, now: float, link: OwnerLink, live: list[LocalQuota], known: list[LocalQuota]) -> Send:
         """Say that this quota client is there, its shares until the holder knows them, and at times its
         views."""
--- a/gateway/quota/quota_client.py
+++ b/gateway/quota/quota_client.py
@@ -22,6 +22,7 @@
     ChargeDecision,
     ChargeRequest,
     Code,
+    Leave,
     Received,
     Refund,
     ShardMap,
@@ -39,7 +40,7 @@
 MIN_RETRY_AFTER_S, MAX_RETRY_AFTER_S = 0.05, 2.0  # told with 'over'
 
 Output = Send | ChargeDecision
-Input = ChargeRequest | Received | Tick | Refund | ShardMap | Allowances
+Input = ChargeRequest | Received | Tick | Refund | ShardMap | Allowances | Leave
 
 WAITING, COUNTED, SHARED, REFUSED = range(4)  # COUNTED: by the holder; SHARED: let go by share
 
@@ -69,6 +70,7 @@
         self.pending: dict[int, PendingCharge] = {}  # waiting or answered lately, and the generation before
         self.previous_pending: dict[int, PendingCharge] = {}
         self.rotate_at, self.waiting = 0.0, 0
+        self.leaving = False  # its shares are returned, and it takes no other
         self.timers: list[tuple[float, int]] = []
 
     def handle(self, now: float, input: Input) -> list[Output]:
@@ -85,8 +87,23 @@
             self.links.follow(now, input.data)
         elif type(input) is Allowances:
             self.set_allowances(input)
+        elif type(input) is Leave and not self.leaving:
+            return self.leave(now)
         return []
 
+    @property
+    def has_left(self) -> bool:
+        """Whether each owner knows that this quota client leaves, or it was said often enough."""
+        return self.leaving and not self.links.leaving
+
+    def leave(self, now: float) -> list[Output]:
+        """Return the shares. Whatever is asked or waits still is refused, unless an owner admits it."""
+        self.leaving = True
+        outputs: list[Output] = [*self.links.leave(now, self.local_quotas.values())]
+        for local_quota in self.local_quotas.values():
+            local_quota.give_up_share()
+        return outputs
+
     def due(self) -> float:
         """When the next `Tick` is wanted."""
         due = self.links.due
@@ -121,7 +138,7 @@
             self.rotate(now)
         link = self.links.link_of_shard[local_quota.number % SHARDS]
         out = self.pending[ask.id] = PendingCharge(local_quota, link, now, ask.patience_s, ask.precedence)
-        if link is None or link.silent or self.waiting >= MAX_PENDING_CHARGES:
+        if link is None or link.silent or self.leaving or self.waiting >= MAX_PENDING_CHARGES:
             why = "no holder" if link is None else "silent holder"
             return self.by_share(now, ask.id, out, why)
         self.waiting += 1
@@ -218,7 +235,7 @@
         out = self.pending.get(id) or self.previous_pending.get(id)
         if out is None:
             return []
-        if code <= Code.OVER:
+        if code <= Code.OVER and not self.leaving:  # one that leaves takes no share any more
             out.local_quota.note(now, frm, out.sent, verdict)
         elif code == Code.NOT_YET:
             if link is not None:
@@ -251,7 +268,9 @@
             out = self.pending.get(id) or self.previous_pending.get(id)
             if out is not None and out.state == WAITING:
                 outputs += self.late(now, id, out)
-        if now >= self.links.due:
+        if now >= self.links.due and self.leaving:
+            outputs += self.links.repeat_leaving(now)
+        elif now >= self.links.due:
             outputs += self.links.tick(now, self.local_quotas.values())
         return outputs
 
@@ -259,7 +278,7 @@
         """No verdict yet: repeat, then go by share; with none left, repeat and wait as long again."""
         out.tries += 1
         link = out.link
-        silent = link is None or link.silent
+        silent = link is None or link.silent or self.leaving
         if out.tries == 2 and link is not None and not silent:
             heappush(self.timers, (out.sent + out.patience, id))
             return [self.charge(now, id, out, link)]
--- a/gateway/quota/shard_owner.py
+++ b/gateway/quota/shard_owner.py
@@ -5,7 +5,7 @@
 import random
 from collections.abc import Callable
 
-from gateway.quota.client_registry import ClientRegistry
+from gateway.quota.client_registry import ClientRegistry, ClientState
 from gateway.quota.interface import (
     LEASE_RENEW_S,
     LEASE_S,
@@ -22,7 +22,6 @@
     Charge,
     ChargeRefund,
     ClientHeartbeat,
-    ClientHeartbeatReply,
     LeaseGrant,
     LeaseRequest,
     Message,
@@ -97,6 +96,8 @@
     def on_charge(self, now: float, frm: Address, note: Message) -> list[Output]:
         """Charge a unit and answer with a verdict."""
         charge = note.charge
+        if self.registry.has_ended(frm, charge.incarnation):
+            return []
         client = self.registry.hear(now, frm, charge.incarnation)
         number = charge.tenant
         verdict = Verdict(id=charge.id)
@@ -117,14 +118,20 @@
         if client is None:
             verdict.code = Code.NOT_MINE
         elif count is not None:
-            self.fill_reply(now, frm, charge, count, verdict)
+            self.fill_reply(now, frm, charge, count, verdict, may_lease=client.left_at is None)
             client.extend_shares(now)
         return [Send(frm, Message(verdict=verdict))]
 
     def fill_reply(
-        self, now: float, frm: Address, charge: Charge, count: TenantCounter, verdict: Verdict
+        self,
+        now: float,
+        frm: Address,
+        charge: Charge,
+        count: TenantCounter,
+        verdict: Verdict,
+        may_lease: bool,
     ) -> None:
-        """Fill in a verdict by an open count."""
+        """Fill in a verdict by an open count; a quota client that left gets no share with it."""
         self.refresh(now, charge.tenant, count)
         share = count.shares.get(frm) or count.known(frm, charge.spent)
         if charge.spent != share.spent:
@@ -136,7 +143,7 @@
         verdict.wait_ms = int((count.ends - now) * 1000) + 1
         if count.over_demand or count.asked > count.window.allowance:
             verdict.over_demand = True
-        if count.lease(now, frm, share, charge.share):
+        if may_lease and count.lease(now, frm, share, charge.share):
             verdict.share, verdict.part = share.number, share.part
 
     def count(self, now: float, number: int, verdict: Verdict | None) -> TenantCounter | None:
@@ -166,7 +173,9 @@
 
     def has_unreported_shares(self, now: float, part: int) -> bool:
         """Whether some quota client may have a share of an earlier holder and has not told."""
-        return now < self.since[part] + SHARE_S + MARGIN_S and self.registry.has_unreported(now, part)
+        return now < self.since[part] + SHARE_S + MARGIN_S and self.registry.has_unreported(
+            now, part, self.since[part]
+        )
 
     def on_refund(self, now: float, frm: Address, note: Message) -> list[Output]:
         """Give a unit back."""
@@ -188,12 +197,28 @@
     def on_client_heartbeat(self, now: float, frm: Address, note: Message) -> list[Output]:
         """A quota client is there; take the shares that it tells."""
         client_heartbeat: ClientHeartbeat = note.client_heartbeat
-        client = self.registry.hear(now, frm, client_heartbeat.incarnation, client_heartbeat.hears_nothing)
+        incarnation = client_heartbeat.incarnation
+        if self.registry.has_ended(frm, incarnation):
+            return []
+        if client_heartbeat.leaving and not self.registry.knows(frm, incarnation):
+            return []  # another one may be there by now
+        client = self.registry.hear(now, frm, incarnation, client_heartbeat.hears_nothing)
         if client is None:
             return []
         self.expire_lease(now)
+        if client.left_at is None:
+            self.take_report(now, frm, client, client_heartbeat)
+        heard = self.registry.reply(now, client_heartbeat.number, self.shards & ~client.told)
+        return [Send(frm, Message(heard=heard))]
+
+    def take_report(
+        self, now: float, frm: Address, client: ClientState, client_heartbeat: ClientHeartbeat
+    ) -> None:
+        """Take what a quota client tells of its shares, its views and others; and that it leaves."""
         self.view_audit.hear(now, frm, client_heartbeat.views)
         for told in client_heartbeat.shares:
+            if not told.part:
+                continue
             count = self.count(now, told.tenant, None)
             if count is not None and client_heartbeat.shards >> (told.tenant % SHARDS) & 1:
                 count.told(
@@ -202,13 +227,16 @@
                 client.extend_shares(now)
         self.registry.note_peers(now, client_heartbeat.peers, client_heartbeat.silent_ms)
         self.registry.note_reported(client, client_heartbeat.shards & self.shards)
-        heard = ClientHeartbeatReply(
-            number=client_heartbeat.number,
-            peers=len(self.registry.clients),
-            missing=self.shards & ~client.told,
-        )
-        heard.silent_ms.extend(int(1000 * (now - at)) for at in self.registry.absent)
-        return [Send(frm, Message(heard=heard))]
+        if client_heartbeat.leaving:
+            self.take_back_shares(now, frm, client_heartbeat)
+            self.registry.note_left(now, frm, client)
+
+    def take_back_shares(self, now: float, frm: Address, client_heartbeat: ClientHeartbeat) -> None:
+        """A quota client leaves: count what it let go by its shares, and end these."""
+        spent = {told.tenant: told.spent for told in client_heartbeat.shares}
+        for number, count in self.counts.items():
+            self.refresh(now, number, count)
+            count.take_back(frm, spent.get(number, 0))
 
     # The lease
 
@@ -245,11 +273,8 @@
         ):
             return []
         self.expire_lease(now)
-        self.fencing_token, self.until, self.answered = (
-            fencing_token,
-            max(self.until, hold.at + LEASE_S),
-            True,
-        )
+        self.fencing_token, self.answered = fencing_token, True
+        self.until = max(self.until, hold.at + LEASE_S)
         self.hold(now, hold.shards, hold.idle, hold.idle_ms / 1000)
         return []
 
--- a/gateway/quota/tenant_counter.py
+++ b/gateway/quota/tenant_counter.py
@@ -94,13 +94,11 @@
         self.target_shares: dict[Address, int] = {}
         self.wanting = False  # whether some quota client is to have a share and has none
         self.has_reported_shares = False  # whether any share has been told
-        self.outstanding, self.has_unreported = (
-            0,
-            False,
-        )  # sum of all shares; closed: others may be out that aren't told
+        self.outstanding = 0  # sum of all shares
+        self.has_unreported = False  # whether others may be out that aren't told
         self.claimed_by_client: dict[
             Address, int
-        ] = {}  # an earlier holder's shares, as each quota client first told its own
+        ] = {}  # an earlier owner's shares, as each first told its own
         self.claimed = 0  # their sum: what others have is in the rest
         self.reserved, self.epoch = 0.0, -1  # units kept back, and the holder's epoch for which they are
         self.next_number = number % SHARE_NUMBERS
@@ -232,9 +230,8 @@
         if share.number == 0:
             self.note_earlier_share()
             share.part, share.number = part, self.number()
-            share.usage = max(
-                share.usage, part / FULL_SHARE * self.window.allowance
-            )  # until more is seen of it
+            # Until more is seen of its usage:
+            share.usage = max(share.usage, part / FULL_SHARE * self.window.allowance)
             if now < self.opens:
                 share.accrues_from, self.has_reported_shares = accrues_from, True
         share.before = max(share.before, part)
@@ -304,6 +301,15 @@
             target and not self.shares[frm].outstanding for frm, target in self.target_shares.items()
         )
 
+    def take_back(self, frm: Address, spent: int) -> None:
+        """A quota client leaves, having let `spent` units go by its shares: it has no share any more."""
+        share = self.shares.get(frm)
+        if share is not None:
+            self.report(share, max(spent, share.spent))
+            spent = share.spent
+            self.forget(frm)
+            share.spent, share.asked, share.usage = spent, 0, 0.0
+
     def forget(self, frm: Address) -> None:
         """A quota client's process has ended: it has no share any more."""
         share = self.shares.get(frm)
--- a/proving/model/processes.py
+++ b/proving/model/processes.py
@@ -272,5 +272,10 @@
 
     def leave(self) -> None:
         self.proxy_node.leaving = True
-        task = self.create_task(self.server.leave())
+        task = self.create_task(self.finish())
         task.add_done_callback(lambda _: self.machine.end(self))
+
+    async def finish(self) -> None:
+        """Finish open requests, then return the quota shares."""
+        await self.server.leave()
+        await self.proxy_node.leave_quota()
--- a/tests/system/quota_net.py
+++ b/tests/system/quota_net.py
@@ -30,6 +30,7 @@
         self.quota_clients: dict[str, QuotaClient] = {}
         self.shard_assigner: dict[str, ShardAssigner] = {}
         self.leader, self.term, self.loss, self.away = "", 0, 0.0, set[str]()
+        self.doubled, self.late_s = 0.0, 0.3  # messages that come twice, and by when the second time
         self.dead: set[str] = set()
         self.went: dict[str, list[float]] = {t: [] for t in tenants}  # units let go
         self.asked: Counter[str] = Counter()
@@ -67,6 +68,21 @@
         (self.owners if name[0] == "p" else self.quota_clients).pop(name)
         self.shard_assigner.pop(name, None)
 
+    def leave(self, name: str) -> None:
+        """A proxy whose requests are done ends in order, as its program does."""
+        quota_client = self.quota_clients[name]
+        self.act(name, quota_client.handle(self.now, io.Leave()))
+
+        def end() -> None:
+            if self.quota_clients.get(name) is not quota_client:
+                return
+            if quota_client.has_left:
+                self.kill(name)
+            else:
+                self.schedule(0.02, end)
+
+        end()
+
     def lead(self, name: str, leaderless_since: float | None = None) -> None:
         """Let a controller lead; an earlier leader stops."""
         self.term += 1
@@ -113,6 +129,8 @@
                 reached = (name in self.away) == (o.to in self.away) or o.to == name
                 if reached and (o.to == name or self.rng.random() >= self.loss):
                     self.schedule(self.rng.uniform(0.001, 0.004), self.take, name, o.to, o.message)
+                    if self.doubled and self.rng.random() < self.doubled:
+                        self.schedule(self.rng.uniform(0.01, self.late_s), self.take, name, o.to, o.message)
             elif type(o) is ChargeDecision:
                 self.charged(name, o)
 
