Quota: a client that begins anew has no untold share of shards held since

A new incarnation at a known address counted as one that has not told its shares, until its first heartbeat. While another client was awaited or not, the owner then kept back what nobody had told. Where the earlier incarnation had told this owner its shares of a shard, and the shard has been held here since, the new one can't have any of another owner: what was told stays told. It is seen to fail without the change: test_one_that_begins_anew_has_no_untold_share.

--- a/gateway/quota/client_registry.py
+++ b/gateway/quota/client_registry.py
@@ -58,9 +58,10 @@
                 return None
             client = self.clients[address] = ClientState(now, incarnation)
         elif client.incarnation != incarnation:
+            # What the earlier incarnation told stays told: these shards have been held here since, so the new
+            # one can't have a share of theirs from another owner.
             client.earlier.append(client.incarnation)
-            client.incarnation, client.left_at = incarnation, None
-            client.told, client.shares_until = 0, 0.0
+            client.incarnation, client.left_at, client.shares_until = incarnation, None, 0.0
             self.on_restart(address)
         elif client.left_at is not None:
             return client  # a late or doubled message
--- a/tests/system/test_quota_leave.py
+++ b/tests/system/test_quota_leave.py
@@ -1,4 +1,4 @@
-"""Quota clients that end in order return their shares."""
+"""Quota clients that end in order return their shares, and those that begin anew have none."""
 
 from __future__ import annotations
 
@@ -187,6 +187,20 @@
     assert owner.view(net.now)["calm"][2] == 0.0
 
 
+def test_one_that_begins_anew_has_no_untold_share() -> None:
+    """A new owner that was told the share of the earlier incarnation keeps nothing back for the next one."""
+    net = loaded(3, 1, NORMAL)
+    lose_owner(net)
+    net.run(net.now + 3.5)
+    owner = net.owners[owner_of(net)]
+    (number,) = owner.counts
+    assert not owner.has_unreported_shares(net.now, number % SHARDS)
+    net.kill("s0")
+    reborn = Charge(id=1, tenant=number, incarnation=77)
+    owner.handle(net.now, Received("s0", Message(charge=reborn)))
+    assert not owner.has_unreported_shares(net.now, number % SHARDS)
+
+
 class OwnerStub:
     """A proxy's driver that stands in for the only shard owner, and answers."""
 
