Capacity: a command that measures what a configuration costs by its size

Cause: the page on capacity is to be made from measured slopes, by a command that can make it again.

--- /dev/null
+++ b/proving/capacity/configuration.py
@@ -0,0 +1,190 @@
+"""What a configuration costs by its size: bytes, processor time and memory, as a whole and for one change."""
+
+from __future__ import annotations
+
+import gc
+import json
+import random
+from collections.abc import Callable, Iterator
+from concurrent.futures import ProcessPoolExecutor
+from multiprocessing import get_context
+from time import process_time
+from typing import Any, NamedTuple, TypeVar
+
+from post.directory import document as documents_of
+from post.directory.digest import Expected
+from post.directory.matchers import Book
+from post.directory.orders import Held, decide, without_taken
+from post.franking import interface as franking
+from post.franking.charger import Charger
+from post.franking.holder import Holder
+from post.inspection.live import Live
+from post.inspection.quotas import planned
+from proving.capacity import design, documents
+from proving.capacity.samples import Sample
+from proving.hunt import quiet
+
+T = TypeVar("T")
+
+STUDY = "configuration"
+QUOTA_SPAN_S = 5.0
+STATM = "/proc/self/statm"
+PAGE_BYTES = 4096
+CHANGED_DEADLINE_S = 3.5
+
+
+class Shape(NamedTuple):
+    """One point of the study: the axis along which it lies, its size there, and the whole configuration."""
+
+    axis: str
+    size: int
+    routes: int
+    tenants: int
+    services: int
+
+
+class Stopwatch:
+    """Processor time of named steps, several repetitions each."""
+
+    def __init__(self) -> None:
+        self.seconds: dict[str, list[float]] = {}
+
+    def run(self, step: str, call: Callable[[], T]) -> T:
+        """Make a call and note the processor time that it took."""
+        began = process_time()
+        result = call()
+        self.seconds.setdefault(step, []).append(process_time() - began)
+        return result
+
+
+class Ingress:
+    """What an ingress keeps of a configuration, taken up as `Hall.take_up` does."""
+
+    def __init__(self) -> None:
+        self.held = Held()
+        self.book: Book | None = None
+        self.expected: Expected | None = None
+        self.live: Live | None = None
+        self.plans: Any = None
+        self.charger = Charger(QUOTA_SPAN_S, random.Random(1))
+
+    def take_up(self, value: bytes, watch: Stopwatch, prefix: str) -> None:
+        """Put an agreed value in force."""
+        held = watch.run(f"{prefix}: decode the agreed value", lambda: Held.decode(value, self.held))
+        document = _present(held.document)
+        book = watch.run(f"{prefix}: compile the matchers", lambda: Book(document, self.book))
+        expected = watch.run(f"{prefix}: digests", lambda: Expected(document, self.expected))
+        tenants = {t.label: (t.rate, t.burst) for t in book.tenants.values()}
+        watch.run(f"{prefix}: allowances",
+                  lambda: self.charger.handle(0.0, franking.Allowances(tenants)))
+        self.plans = watch.run(f"{prefix}: planned quotas", lambda: planned(document, QUOTA_SPAN_S))
+        self.live = watch.run(f"{prefix}: inspector", lambda: Live(document, expected, book, self.live))
+        self.held, self.book, self.expected = held, book, expected
+
+
+def shapes(quick: bool) -> Iterator[Shape]:
+    """Five sizes along each axis, and along both at once."""
+    parts = (32, 48, 64) if quick else (16, 8, 4, 2, 1)
+    for part in parts:
+        routes, tenants, services = (design.ROUTES // part, design.TENANTS // part,
+                                     max(1, design.SERVICES // part))
+        yield Shape("routes", routes, routes, 100, design.SERVICES)
+        yield Shape("tenants", tenants, 100, tenants, design.SERVICES)
+        yield Shape("whole", tenants, routes, tenants, services)
+
+
+def measure(quick: bool, repetitions: int) -> Iterator[list[Sample]]:
+    """The samples of each shape, each from a process of its own so that memory can be told."""
+    for shape in shapes(quick):
+        with ProcessPoolExecutor(1, get_context("spawn"), initializer=quiet) as pool:
+            yield pool.submit(measure_shape, shape, repetitions).result()
+
+
+def measure_shape(shape: Shape, repetitions: int) -> list[Sample]:
+    """All figures of one shape. Memory is that of the first repetition: later ones reuse what was freed."""
+    body = json.dumps(documents.document(shape.routes, shape.tenants, shape.services)).encode()
+    watch = Stopwatch()
+    figures: dict[str, tuple[str, list[float]]] = {}
+
+    def note(figure: str, unit: str, value: float) -> None:
+        figures.setdefault(figure, (unit, []))[1].append(value)
+
+    for repetition in range(repetitions):
+        _controller(shape, body, watch, note, repetition == 0)
+        _ingress(shape, body, watch, note, repetition == 0)
+    for step, seconds in watch.seconds.items():
+        figures[step] = "s", seconds
+    return [Sample(shape.axis, shape.size, figure, unit, tuple(values))
+            for figure, (unit, values) in figures.items()]
+
+
+def _controller(shape: Shape, body: bytes, watch: Stopwatch, note: Callable[[str, str, float], None],
+                with_memory: bool) -> None:
+    """The leader takes a whole configuration, then a change of one route, then a new key."""
+    gc.collect()
+    before = resident_mb()
+    watch.run("controller: check", lambda: documents_of.parse(body))
+    decision = watch.run("controller: decide a whole one", lambda: decide(Held(), "PUT", body))
+    held = _present(decision.held)
+    value = watch.run("controller: encode", held.encode)
+    expected = watch.run("controller: digests", lambda: Expected(_present(held.document)))
+    holder = Holder(QUOTA_SPAN_S, random.Random(1))
+    document = _present(held.document)
+    tenants = {t.label: (t.rate, t.burst) for t in document.tenants.values()}
+    watch.run("controller: allowances", lambda: holder.handle(0.0, franking.Allowances(tenants)))
+    if with_memory:
+        note("controller: memory", "MB", resident_mb() - before)
+    note("configuration as JSON", "bytes", len(body))
+    note("agreed value", "bytes", len(value))
+    changes = {
+        "one route": documents.route_entry(0, shape.services, CHANGED_DEADLINE_S),
+        "one key": documents.tenant_entry(0, random.Random(2), keys=2)}
+    for name, entry in changes.items():
+        order = json.dumps(documents.patch(held.generation, entry)).encode()
+        changed = watch.run(f"controller: decide {name}",
+                            lambda order=order: decide(held, "PATCH", order))  # type: ignore[misc]
+        after = _present(changed.held)
+        told = watch.run(f"controller: encode {name}", after.encode)
+        watch.run(f"controller: digests after {name}",
+                  lambda after=after: Expected(_present(after.document), expected))  # type: ignore[misc]
+        note(f"{name} as an order", "bytes", len(order))
+        note(f"{name} as an agreed value", "bytes", len(told))
+
+
+def _ingress(shape: Shape, body: bytes, watch: Stopwatch, note: Callable[[str, str, float], None],
+             with_memory: bool) -> None:
+    """An ingress takes up a configuration, then one with a route changed, then one with a key more."""
+    values = _values(shape, body)
+    gc.collect()
+    before = resident_mb()
+    ingress = Ingress()
+    for name, value in values.items():
+        start = process_time()
+        ingress.take_up(value, watch, f"ingress, {name}")
+        watch.seconds.setdefault(f"ingress: take up {name}", []).append(process_time() - start)
+        if with_memory:
+            note(f"ingress: memory after {name}", "MB", resident_mb() - before)
+
+
+def _values(shape: Shape, body: bytes) -> dict[str, bytes]:
+    """The agreed values that the ingress gets one after the other."""
+    held = _present(decide(Held(), "PUT", body).held)
+    found = {"a whole one": without_taken(held.encode())}
+    for name, entry in (("one route", documents.route_entry(0, shape.services, CHANGED_DEADLINE_S)),
+                        ("one key", documents.tenant_entry(0, random.Random(2), keys=2))):
+        order = json.dumps(documents.patch(held.generation, entry)).encode()
+        held = _present(decide(held, "PATCH", order).held)
+        found[name] = without_taken(held.encode())
+    return found
+
+
+def resident_mb() -> float:
+    """Resident memory of this process, in MB."""
+    with open(STATM, encoding="ascii") as file:
+        return int(file.read().split()[1]) * PAGE_BYTES / 1e6
+
+
+def _present(value: T | None) -> T:
+    if value is None:
+        raise RuntimeError("a synthetic configuration was refused")
+    return value
--- /dev/null
+++ b/proving/capacity/studies.py
@@ -0,0 +1,70 @@
+"""The studies that the page is made from: each measures along its axes and leaves one recording."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from proving.capacity import configuration, samples
+from proving.capacity.samples import Recording, RecordingError, Sample
+from proving.hunt import source
+
+COMMAND = "python -m proving capacity"
+REPETITIONS = 3
+
+
+@dataclass(frozen=True)
+class Study:
+    """A study: its name, and what yields its samples, some at a time; `quick` is for small sizes only."""
+
+    name: str
+    measure: Callable[[bool], Iterable[list[Sample]]]
+    settings: Callable[[bool], dict[str, Any]]
+
+
+def _configuration(quick: bool) -> Iterator[list[Sample]]:
+    return configuration.measure(quick, _repetitions(quick))
+
+
+def _repetitions(quick: bool) -> int:
+    return 2 if quick else REPETITIONS
+
+
+STUDIES = (
+    Study(configuration.STUDY, _configuration, lambda quick: {"repetitions": _repetitions(quick)}),
+)
+NAMES = tuple(study.name for study in STUDIES)
+
+
+def chosen(names: str) -> list[Study]:
+    """The studies of these names, separated by commas; all of them if there are none."""
+    wanted = [name for name in names.split(",") if name]
+    for name in wanted:
+        if name not in NAMES:
+            raise ValueError(f"{name}: no study; there are {', '.join(NAMES)}")
+    return [study for study in STUDIES if not wanted or study.name in wanted]
+
+
+def run(study: Study, quick: bool, folder: Path, progress: Callable[[int], None]) -> Recording:
+    """Measure a study and save its recording; `progress` is told after each step how many samples it gave."""
+    began = time.monotonic()
+    found: list[Sample] = []
+    for step in study.measure(quick):
+        found += step
+        progress(len(step))
+    command = f"{COMMAND} --only {study.name}" + (" --quick" if quick else "")
+    recording = samples.record(study.name, command, source(), time.monotonic() - began, found,
+                               study.settings(quick))
+    samples.save(recording, folder)
+    return recording
+
+
+def load_all(folder: Path) -> dict[str, Recording]:
+    """All recordings of a folder, by their studies; RecordingError if there is none."""
+    found = [samples.load(path) for path in sorted(folder.glob("*.json"))]
+    if not found:
+        raise RecordingError(f"{folder}: no recordings")
+    return {recording.study: recording for recording in found}
--- a/proving/cli.py
+++ b/proving/cli.py
@@ -388,9 +388,41 @@
         return 0 if found else 1
 
 
+class CapacityCommand(Proving):
+    """Measures how control grows, and writes the page on capacity."""
+
+    name = "capacity"
+    description = "Measure how control grows with size, and write the page on capacity from that."
+    options: ClassVar[list[Option]] = [
+        option("quick", None, "Small sizes only, into found/capacity."),
+        option("only", None, "Measure only these studies, separated by commas.", flag=False, default=""),
+        option("from", None, "Make the page from this folder's recordings; measure nothing.", flag=False,
+               default=""),
+        option("data", None, "Folder for the recordings.", flag=False, default=""),
+        option("out", "o", "The page.", flag=False, default="")]
+
+    def act(self) -> int:
+        from tqdm import tqdm
+
+        from proving.capacity import page, studies
+        quick, recorded = bool(self.option("quick")), self.option("from") or ""
+        if recorded and (quick or self.option("only")):
+            raise ValueError("--from measures nothing: --quick and --only don't go with it")
+        folder = Path(recorded or self.option("data") or ("found/capacity" if quick else "docs/capacity"))
+        out = Path(self.option("out") or (folder / "CAPACITY.md" if quick else "docs/CAPACITY.md"))
+        chosen = [] if recorded else studies.chosen(self.option("only") or "")
+        for study in chosen:
+            with tqdm(desc=study.name, unit="sample") as bar:
+                studies.run(study, quick, folder, bar.update)
+        out.parent.mkdir(parents=True, exist_ok=True)
+        out.write_text(page.page(studies.load_all(folder)), encoding="utf-8")
+        self.tell(str(out))
+        return 0
+
+
 COMMANDS = (RunCommand, HuntCommand, SweepCommand, PlanCommand, ShowCommand, TapeCommand, ReplayCommand,
             LoadCommand, StandardCommand, CompareCommand, AllowanceCommand, ProofsCommand, OrdersCommand,
-            LossesCommand)
+            LossesCommand, CapacityCommand)
 
 
 def main() -> int:
