Capacity: hollow fleets count messages, bytes and processor time by role and plane

Cause: what control costs an ingress and a controller has to be told by its growth along each axis. Change: the state machines of both programs in one process, with messages serialised and read as on the wire, along ingresses, backends, requests, tenants and controllers.

--- a/proving/capacity/documents.py
+++ b/proving/capacity/documents.py
@@ -33,7 +33,8 @@
 def route_entry(number: int, services: int, deadline_s: float = 2.5) -> Entry:
     """A route at a path of its own, to one of the services."""
     return _entry("route-table", f"route-{number}", {
-        "hostname": f"host-{number % HOSTS}.example", "path-prefix": f"/area-{number // HOSTS}/item-{number}/",
+        "hostname": f"host-{number % HOSTS}.example",
+        "path-prefix": f"/area-{number // HOSTS}/item-{number}/",
         "traffic-class": "safe" if number % 3 else "unsafe", "deadline-s": deadline_s,
         "target-latency-s": 0.5, "precedence": number % 3, "max-tries": 2, "public": False,
         "target": f"service-{number % services}"})
--- /dev/null
+++ b/proving/capacity/fleet.py
@@ -0,0 +1,170 @@
+"""A hollow fleet: the programs' state machines in one process, with real messages and simulated links."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass
+
+from post.franking import interface as franking
+from proving.capacity import design
+from proving.capacity.meter import Counts, Meter
+from proving.model.deployment import Deployment
+from proving.model.machines import Machine
+from proving.model.network import Network, Place, Ways
+from proving.model.operators import Desk
+from proving.model.processes import PostmasterProcess, Program, SorterProcess
+from proving.model.record import Record
+from proving.model.world import World
+from proving.spec import Bounds, Kind, Links, Service, Spec, Tenants
+
+CONTROLLER, INGRESS = "postmaster", "sorter"
+"""The two programs, by their names in the settings."""
+ZONES = tuple(f"zone-{n}" for n in range(1, design.ZONES + 1))
+REGION_A, REGION_B = ZONES[:design.ZONES // 2], ZONES[design.ZONES // 2:]
+CHARGE_PATIENCE_S = 0.2
+LAUNCH_S = 3.0
+"""Seconds over which the backends start."""
+CONFIGURE_AT_S = 1.5
+READY_S = 30.0
+POLL_S = 0.02
+
+
+class FleetError(RuntimeError):
+    """The fleet didn't come up, or didn't come back, in the time that it has."""
+
+
+@dataclass(frozen=True)
+class FleetSize:
+    """How large a hollow fleet is. `requests` are charges a second at each ingress; `members` says how many
+    controllers stand in each zone, and `region_delay_s` is one way between zones of unlike regions."""
+
+    ingresses: int = 30
+    members: tuple[int, ...] = (2, 1, 1, 1, 1, 1)
+    backends: int = 60
+    services: int = 6
+    tenants: int = 20
+    requests: float = 4.0
+    zone_delay_s: float = design.ZONE_DELAY_S
+    region_delay_s: float = design.ZONE_DELAY_S
+
+    def spec(self) -> Spec:
+        """The simulator's description of this fleet."""
+        zones = len(ZONES)
+        sorters = tuple(members + self.ingresses // zones + (n < self.ingresses % zones)
+                        for n, members in enumerate(self.members))
+        each, more = divmod(self.backends, self.services)
+        services = tuple(Service(f"service-{n}", each + (n < more)) for n in range(self.services))
+        kind = Kind(service="service-0", rate=3.0 * self.ingresses * max(self.requests, 1.0))
+        bounds = Bounds(apply_s=design.APPLY_S)
+        return Spec(name="hollow", zones=ZONES, postmasters=self.members, sorters=sorters,
+                    tolerance=sum(self.members) // 2, beat_s=design.BACKEND_HEARTBEAT_S, cost_s=0.0,
+                    services=services, kinds=(kind,), tenants=Tenants(self.tenants, uneven=0.0),
+                    links=Links(between=self.zone_delay_s, loss=0.0), bounds=bounds)
+
+
+class RegionNetwork(Network):
+    """A network on which the way between regions is longer than that between zones."""
+
+    def __init__(self, world: World, ways: Ways, region_delay_s: float) -> None:
+        super().__init__(world, ways)
+        self.region_delay_s = region_delay_s
+
+    def delay(self, a: Place, b: Place, client: bool = False) -> float:
+        """Seconds for one packet."""
+        known = a.zone in ZONES and b.zone in ZONES
+        if known and not client and (a.zone in REGION_A) != (b.zone in REGION_A):
+            return self.region_delay_s * (1.0 + self.ways.spread * self.rng.random())
+        return super().delay(a, b, client)
+
+
+class Fleet:
+    """A hollow fleet in the making, and what it is told to do."""
+
+    def __init__(self, size: FleetSize, seed: int) -> None:
+        self.size, self.spec = size, size.spec()
+        self.world, self.rng = World(seed), random.Random(seed)
+        self.record = Record()
+        self.record.bounds = self.spec.bounds
+        self.deployment = Deployment(self.world, self.spec, self.record)
+        self.desk = Desk(self.deployment)
+        self.meters: dict[Program, Meter] = {}
+        self.charges = 0
+        self.refused: dict[str, int] = {}
+        network = RegionNetwork(self.world, self.deployment.network.ways, size.region_delay_s)
+        self.deployment.network = network
+        for machine in self.deployment.machines.values():
+            machine.network = network
+            machine.roles = (CONTROLLER,) if machine.core else (INGRESS,)
+        self.deployment.spoilers.append(self._started)
+
+    def _started(self, process: Program) -> None:
+        self.meters[process] = Meter(process)
+        if isinstance(process, SorterProcess) and self.size.requests:
+            self.world.after(self.rng.expovariate(self.size.requests), self._request, process)
+
+    def _request(self, process: SorterProcess) -> None:
+        if process.ended:
+            return
+        self.world.after(self.rng.expovariate(self.size.requests), self._request, process)
+        if process.hall.book is not None:
+            self.charges += 1
+            tenant = f"tenant-{self.rng.randrange(self.size.tenants)}"
+            ask = franking.Ask(self.rng.getrandbits(63), tenant, 1, CHARGE_PATIENCE_S)
+            process.enter(process.hall.frank, ask)
+
+    # Running.
+
+    def begin(self) -> None:
+        """Start all processes and backends, and wait until every ingress is ready."""
+        self.deployment.start()
+        launches = [(service, ZONES[n % len(ZONES)]) for service in self.spec.services
+                    for n in range(service.backends)]
+        for n, (service, zone) in enumerate(launches):
+            self.world.at(0.5 + LAUNCH_S * n / len(launches), self.deployment.launch, service, zone)
+        self.world.at(CONFIGURE_AT_S, self.desk.begin)
+        self.world.run(LAUNCH_S + 1.0)
+        self.until(lambda: all(i.ready() for i in self.ingresses()), READY_S)
+
+    def until(self, condition: Callable[[], bool], most_s: float) -> float:
+        """Let time pass until something holds; the seconds that this took. FleetError if it never does."""
+        began = self.world.now
+        while not condition():
+            if self.world.now - began > most_s:
+                raise FleetError(f"not within {most_s:g} s")
+            self.world.run(self.world.now + POLL_S)
+        return self.world.now - began
+
+    def window(self, seconds: float) -> None:
+        """Measure for some seconds."""
+        for meter in self.meters.values():
+            meter.reset()
+        self.world.run(self.world.now + seconds)
+
+    # Who is there.
+
+    def ingresses(self) -> list[SorterProcess]:
+        """All ingresses that run."""
+        return [p for p in self._processes() if isinstance(p, SorterProcess)]
+
+    def controllers(self) -> list[PostmasterProcess]:
+        """All controllers that run."""
+        return [p for p in self._processes() if isinstance(p, PostmasterProcess)]
+
+    def leader(self) -> PostmasterProcess | None:
+        """The controller that leads and is sure of it."""
+        for process in self.controllers():
+            if process.post.agreement.sure(process.time()):
+                return process
+        return None
+
+    def counts(self, processes: Iterable[Program]) -> list[Counts]:
+        """What these processes were counted at in the last window."""
+        return [self.meters[p].counts for p in processes]
+
+    def machines(self, processes: Sequence[Program]) -> list[Machine]:
+        """The machines of these processes."""
+        return [process.machine for process in processes]
+
+    def _processes(self) -> list[Program]:
+        return [p for m in self.deployment.machines.values() for p in m.processes.values()]
--- /dev/null
+++ b/proving/capacity/growth.py
@@ -0,0 +1,124 @@
+"""What each role sends, receives and spends as the fleet grows along one axis at a time."""
+
+from __future__ import annotations
+
+import gc
+from collections.abc import Iterator, Sequence
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import asdict
+from multiprocessing import get_context
+from typing import Any, NamedTuple
+
+from proving.capacity.configuration import resident_mb
+from proving.capacity.fleet import Fleet, FleetSize
+from proving.capacity.meter import Counts
+from proving.capacity.samples import Sample
+from proving.hunt import quiet
+
+SETTLE_S = 5.0
+"""Seconds after the start in which heartbeats are more frequent than later."""
+WINDOW_S, QUICK_WINDOW_S = 6.0, 1.0
+WINDOWS, QUICK_WINDOWS = 3, 2
+TOTAL = "all"
+AXES = ("ingresses", "ingresses-910", "backends", "requests", "tenants", "controllers")
+
+
+class Step(NamedTuple):
+    """One fleet of the study: the axis, its size along it, and the whole size."""
+
+    axis: str
+    size: float
+    fleet: FleetSize
+
+
+def steps(axis: str, quick: bool) -> list[Step]:
+    """The fleets along an axis, smallest first."""
+    if axis == "ingresses":
+        counts = (6, 12, 24) if quick else (30, 100, 300)
+        return [Step(axis, n, FleetSize(ingresses=n)) for n in counts]
+    if axis == "ingresses-910":
+        return [] if quick else [Step("ingresses", 910, FleetSize(ingresses=910))]
+    if axis == "backends":
+        sizes = (60, 120, 240) if quick else (130, 430, 1300, 4300)
+        return [Step(axis, n, FleetSize(ingresses=6, backends=n, requests=1.0)) for n in sizes]
+    if axis == "requests":
+        rates = (5.0, 10.0, 20.0) if quick else (10.0, 30.0, 60.0, 121.0)
+        return [Step(axis, rate * 12, FleetSize(ingresses=12, requests=rate)) for rate in rates]
+    if axis == "tenants":
+        sizes = (20, 40, 80) if quick else (20, 200, 1000, 4000)
+        return [Step(axis, n, FleetSize(ingresses=12, tenants=n, requests=40.0)) for n in sizes]
+    if axis == "controllers":
+        members = {3: (1, 0, 1, 0, 1, 0), 5: (1, 1, 1, 1, 1, 0), 7: (2, 1, 1, 1, 1, 1)}
+        ingresses = 12 if quick else 60
+        return [Step(axis, n, FleetSize(ingresses=ingresses, members=m)) for n, m in members.items()]
+    raise ValueError(f"{axis}: no axis of growth")
+
+
+def settings(quick: bool) -> dict[str, Any]:
+    """What a recording tells of how it was made."""
+    seconds, windows = (QUICK_WINDOW_S, QUICK_WINDOWS) if quick else (WINDOW_S, WINDOWS)
+    return {"windows": windows, "window_s": seconds, "otherwise": asdict(FleetSize())}
+
+
+def measure(axis: str, quick: bool) -> Iterator[list[Sample]]:
+    """The samples of each fleet along an axis, each from a process of its own."""
+    seconds, windows = (QUICK_WINDOW_S, QUICK_WINDOWS) if quick else (WINDOW_S, WINDOWS)
+    for step in steps(axis, quick):
+        with ProcessPoolExecutor(1, get_context("spawn"), initializer=quiet) as pool:
+            yield pool.submit(measure_step, step, seconds, windows).result()
+
+
+def measure_step(step: Step, window_s: float, windows: int) -> list[Sample]:
+    """Run one fleet for some windows, and take the means of each role in each window."""
+    gc.collect()
+    before = resident_mb()
+    fleet = Fleet(step.fleet, seed=1)
+    fleet.begin()
+    fleet.window(SETTLE_S)
+    found: dict[tuple[str, str], list[float]] = {}
+    for _ in range(windows):
+        fleet.window(window_s)
+        for role, counts in roles(fleet).items():
+            for key, value in means(role, counts, window_s).items():
+                found.setdefault(key, []).append(value)
+    found["simulator: memory", "MB"] = [resident_mb() - before]
+    return [Sample(step.axis, step.size, figure, unit, _padded(values, windows))
+            for (figure, unit), values in found.items()]
+
+
+def roles(fleet: Fleet) -> dict[str, list[Counts]]:
+    """What the processes of each role were counted at in the last window."""
+    leader = fleet.leader()
+    others = [c for c in fleet.controllers() if c is not leader]
+    return {"ingress": fleet.counts(fleet.ingresses()), "leader": fleet.counts([leader] if leader else []),
+            "controller": fleet.counts(others)}
+
+
+def means(role: str, counts: Sequence[Counts], window_s: float) -> dict[tuple[str, str], float]:
+    """Means of a role over its processes, by figure and unit, each for one second."""
+    if not counts:
+        return {}
+    parts = 1.0 / (len(counts) * window_s)
+    found: dict[tuple[str, str], float] = {}
+
+    def add(figure: str, unit: str, value: float) -> None:
+        found[figure, unit] = found.get((figure, unit), 0.0) + value * parts
+
+    for each in counts:
+        for flow, number in each.messages.items():
+            for plane, kind in ((flow.plane, flow.kind), (flow.plane, TOTAL), (TOTAL, TOTAL)):
+                add(f"{role}: {plane}: {kind} {flow.direction}", "messages/s", number)
+                add(f"{role}: {plane}: {kind} {flow.direction}", "bytes/s", each.bytes[flow])
+        for plane, seconds in each.processor.items():
+            for name in (plane, TOTAL):
+                add(f"{role}: {name}: processor", "s/s", seconds)
+    found[f"{role}: links open", "links"] = max(c.most_links for c in counts)
+    return found
+
+
+def _padded(values: Sequence[float], windows: int) -> tuple[float, ...]:
+    """A kind of message that a window didn't see counts as none there."""
+    if len(values) == 1:
+        return tuple(values)
+    return (*values, *([0.0] * (windows - len(values))))
+
--- /dev/null
+++ b/proving/capacity/meter.py
@@ -0,0 +1,135 @@
+"""Counts what one hollow process sends, receives and spends. Its messages travel as serialised protobuf."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+from time import thread_time
+from typing import Any, Final, NamedTuple
+
+from post.franking.franking_pb2 import Note as FrankingNote
+from post.machine import Address
+from post.office.links import IDLE_S
+from post.office.program import FRANKING, REGISTER, ROUNDS
+from post.office.wire import DATAGRAM_BYTES
+from post.register.register_pb2 import Kind
+from post.register.register_pb2 import Note as RegisterNote
+from post.rounds.rounds_pb2 import Note as RoundsNote
+from proving.model.processes import KINDS, PostmasterProcess, Program
+
+CLASSES: Final[dict[int, Any]] = {REGISTER: RegisterNote, ROUNDS: RoundsNote, FRANKING: FrankingNote}
+PLANES: Final = {REGISTER: "agreement", ROUNDS: "membership", FRANKING: "quota"}
+"""Planes of the wire, by their names on the page."""
+TIMERS: Final = "timers"
+BACKENDS: Final = "backends"
+"""Calls of backends over HTTP; only what their state machine does is counted, not the reading of HTTP."""
+HTTP_HEADERS: Final = 220
+"""Bytes of a call's head and its segment's headers, about."""
+DATAGRAM_HEADERS: Final = 28
+"""Bytes of IPv4 and UDP."""
+SEGMENT_HEADERS, SEGMENT_BYTES, FRAME_BYTES = 52, 1448, 4
+"""Bytes of IPv4 and TCP with timestamps, of a segment's content, and of the length before a message."""
+
+
+class Flow(NamedTuple):
+    """A kind of message in one direction."""
+
+    direction: str
+    plane: str
+    kind: str
+
+
+class Counts:
+    """What was counted since the last reset."""
+
+    def __init__(self) -> None:
+        self.messages: Counter[Flow] = Counter()
+        self.bytes: Counter[Flow] = Counter()
+        self.processor: Counter[str] = Counter()
+        self.links: dict[Address, float] = {}
+        self.most_links = 0
+
+    def total_bytes(self) -> int:
+        """Bytes on the wire, in both directions."""
+        return sum(self.bytes.values())
+
+    def total_processor(self) -> float:
+        """Seconds of processor time."""
+        return float(sum(self.processor.values()))
+
+
+class Meter:
+    """Sits between a hollow process and the simulated network."""
+
+    def __init__(self, process: Program) -> None:
+        self.process = process
+        self.counts = Counts()
+        self.taking = self.take
+        self.give: Callable[[Address, int, Any], None] = process.take
+        self.acting: Callable[[Any, Any], None] = process.act
+        process.send = self.send  # type: ignore[method-assign]
+        process.take = self.taking  # type: ignore[method-assign, assignment]
+        process.act = self.act  # type: ignore[method-assign]
+
+    def reset(self) -> None:
+        """Begin a new measuring window. Links that are open stay open."""
+        links, self.counts = self.counts.links, Counts()
+        self.counts.links = links
+
+    def act(self, call: Callable[..., Any], args: tuple[Any, ...]) -> None:
+        """Let the process do one thing, and charge its processor time to a plane."""
+        label = self._label(call, args)
+        began = thread_time()
+        self.acting(call, args)
+        self.counts.processor[label] += thread_time() - began  # type: ignore[assignment]
+
+    def _label(self, call: Callable[..., Any], args: tuple[Any, ...]) -> str:
+        """What an event belongs to; calls to a controller are counted as they come."""
+        if call is self.taking:
+            return PLANES[args[1]]
+        if isinstance(self.process, PostmasterProcess) and call == self.process.answer:
+            flow = Flow("received", BACKENDS, "heartbeat")
+            self.counts.messages[flow] += 1
+            self.counts.bytes[flow] += len(args[0].body) + HTTP_HEADERS
+            return BACKENDS
+        return TIMERS
+
+    def send(self, to: Address, plane: int, message: Any) -> None:
+        """Serialise a message and hand it to the network."""
+        data = message.SerializeToString()
+        self._count("sent", plane, message, len(data) + 1)
+        if len(data) + 1 > DATAGRAM_BYTES:
+            self._link(to)
+        process = self.process
+        target = process.machine.deployment.ports.get(to)
+        if target is not None:
+            process.machine.network.message(process.place, target, KINDS[plane], len(data) + 1,
+                                            process.arrive, to, plane, data)
+
+    def take(self, sender: Address, plane: int, data: bytes) -> None:
+        """Read a message and hand it to the process."""
+        message = CLASSES[plane].FromString(data)
+        self._count("received", plane, message, len(data) + 1)
+        self.give(sender, plane, message)
+
+    def _count(self, direction: str, plane: int, message: Any, size: int) -> None:
+        kind = Kind.Name(message.kind).lower() if plane == REGISTER else message.WhichOneof("kind") or "empty"
+        flow = Flow(direction, PLANES[plane], kind)
+        self.counts.messages[flow] += 1
+        self.counts.bytes[flow] += wire_bytes(size)
+
+    def _link(self, to: Address) -> None:
+        """Note that a TCP link to a process is needed, and how many are open at once."""
+        now, links = self.process.world.now, self.counts.links
+        links[to] = now
+        for address in [a for a, used in links.items() if now - used > IDLE_S]:
+            del links[address]
+        self.counts.most_links = max(self.counts.most_links, len(links))
+
+
+def wire_bytes(size: int) -> int:
+    """Bytes on the wire of a message, headers included."""
+    if size <= DATAGRAM_BYTES:
+        return size + DATAGRAM_HEADERS
+    segments = -(-(size + FRAME_BYTES) // SEGMENT_BYTES)
+    return size + FRAME_BYTES + segments * SEGMENT_HEADERS
--- a/proving/capacity/samples.py
+++ b/proving/capacity/samples.py
@@ -80,7 +80,8 @@
 
     def worst_spread(self, axis: str = "") -> float:
         """The largest spread of all samples that were repeated."""
-        return max((s.spread for s in self.samples if len(s.values) > 1 and axis in ("", s.axis)), default=0.0)
+        repeated = (s for s in self.samples if len(s.values) > 1 and axis in ("", s.axis))
+        return max((s.spread for s in repeated), default=0.0)
 
 
 def record(study: str, command: str, source: str, seconds: float, samples: Iterable[Sample],
--- a/proving/capacity/studies.py
+++ b/proving/capacity/studies.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 from typing import Any
 
-from proving.capacity import configuration, samples
+from proving.capacity import configuration, growth, samples
 from proving.capacity.samples import Recording, RecordingError, Sample
 from proving.hunt import source
 
@@ -33,8 +33,13 @@
     return 2 if quick else REPETITIONS
 
 
+def _growth(axis: str) -> Study:
+    return Study(axis, lambda quick: growth.measure(axis, quick), growth.settings)
+
+
 STUDIES = (
     Study(configuration.STUDY, _configuration, lambda quick: {"repetitions": _repetitions(quick)}),
+    *(_growth(axis) for axis in growth.AXES),
 )
 NAMES = tuple(study.name for study in STUDIES)
 
