Capacity: restarts, loss of the leader and a region that is cut off, simulated

Change: studies of restarts (one ingress, a rack, a zone) and of one changed route in hollow fleets, of orders and elections with 3, 5 and 7 members at 1 and 35 ms, and of two regions that are cut off from one another. A hollow process loses what would need more links than a program opens.

--- /dev/null
+++ b/proving/capacity/agreement.py
@@ -0,0 +1,240 @@
+"""Agreement in the simulator: latency of orders, loss of the leader, and a region that is cut off."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterator
+from concurrent.futures import ProcessPoolExecutor
+from multiprocessing import get_context
+from typing import Any, NamedTuple
+
+from post.franking.tally import WAYS
+from post.office.wicket import Asked
+from proving.capacity import design, documents
+from proving.capacity.fleet import REGION_A, REGION_B, Fleet, FleetError, FleetSize
+from proving.capacity.samples import Sample
+from proving.hunt import quiet
+from proving.model.machines import RESTART_S, START_S
+from proving.model.processes import PostmasterProcess, SorterProcess
+
+STUDY, CUT_STUDY = "agreement", "region-cut"
+LATENCY_AXIS, CUT_AXIS = "members", "seconds of the cut"
+ORDERS, QUICK_ORDERS = 30, 5
+SEEDS, QUICK_SEEDS = 8, 2
+FINE_S = 0.002
+ORDER_MOST_S, ELECT_MOST_S = 8.0, 10.0
+CUT_S, QUICK_CUT_S = 300.0, 20.0
+HEAL_S = 15.0
+CUT_TENANTS, CUT_INGRESSES, CUT_REQUESTS = 12, 12, 10.0
+CUT_MARKS = (1.0, 2.0, 5.0, 10.0, 12.0, 15.0, 30.0, 60.0, 120.0, 300.0)
+
+
+class Layout(NamedTuple):
+    """Where the members stand, and how far zones and regions are from one another (one way)."""
+
+    name: str
+    members: tuple[int, ...]
+    zone_delay_s: float
+    region_delay_s: float
+
+    @property
+    def total(self) -> int:
+        """Members in all."""
+        return sum(self.members)
+
+
+def layouts() -> list[Layout]:
+    """All layouts that are compared. `spread` has each member as far from each other one."""
+    near, far = design.ZONE_DELAY_S, design.REGION_DELAY_S
+    return [
+        Layout("one region", (1, 1, 1, 0, 0, 0), near, near),
+        Layout("one region", (2, 2, 1, 0, 0, 0), near, near),
+        Layout("one region", (3, 2, 2, 0, 0, 0), near, near),
+        Layout("35 ms between zones", (1, 1, 1, 0, 0, 0), far, far),
+        Layout("35 ms between zones", (1, 1, 1, 1, 1, 0), far, far),
+        Layout("35 ms between zones", (2, 1, 1, 1, 1, 1), far, far),
+        Layout("two regions", (1, 1, 0, 1, 0, 0), near, far),
+        Layout("two regions", (1, 1, 1, 1, 1, 0), near, far),
+        Layout("two regions", (2, 1, 1, 1, 1, 1), near, far),
+    ]
+
+
+def settings(quick: bool) -> dict[str, Any]:
+    """What a recording tells of how it was made."""
+    return {"orders": QUICK_ORDERS if quick else ORDERS, "seeds": QUICK_SEEDS if quick else SEEDS,
+            "disk_sync_s": 0.002, "zone_delay_s": design.ZONE_DELAY_S,
+            "region_delay_s": design.REGION_DELAY_S}
+
+
+def measure(quick: bool) -> Iterator[list[Sample]]:
+    """Latency of orders, and the time without a leader, for each layout."""
+    for layout in layouts():
+        with ProcessPoolExecutor(1, get_context("spawn"), initializer=quiet) as pool:
+            yield pool.submit(measure_layout, layout, quick).result()
+
+
+def measure_layout(layout: Layout, quick: bool) -> list[Sample]:
+    """All seeds of one layout."""
+    latencies: dict[str, list[float]] = {}
+    for seed in range(1, 1 + (QUICK_SEEDS if quick else SEEDS)):
+        fleet = Fleet(FleetSize(ingresses=6, members=layout.members, backends=6, services=1, requests=0.0,
+                                zone_delay_s=layout.zone_delay_s, region_delay_s=layout.region_delay_s), seed)
+        fleet.begin()
+        where = f"leader in {'A' if _leader(fleet).place.zone in REGION_A else 'B'}"
+        name = f"{layout.name}, {where}" if layout.name == "two regions" else layout.name
+        for _ in range(QUICK_ORDERS if quick else ORDERS):
+            latencies.setdefault(f"{name}: order", []).append(order(fleet))
+        for figure, seconds in lose_leader(fleet).items():
+            latencies.setdefault(f"{layout.name}: {figure}", []).append(seconds)
+    found = [Sample(LATENCY_AXIS, layout.total, figure, "s", tuple(values))
+             for figure, values in latencies.items()]
+    return found + [Sample(LATENCY_AXIS, layout.total, f"{s.figure}s one after the other", "orders/s",
+                           (1.0 / s.middle,)) for s in found if s.figure.endswith(": order")]
+
+
+def order(fleet: Fleet) -> float:
+    """Change one route at the leader; seconds until its answer."""
+    began = fleet.world.now
+    status = _submit(fleet, _leader(fleet))
+    fleet.until(lambda: bool(status), ORDER_MOST_S, FINE_S)
+    if status != [200]:
+        raise FleetError(f"an order was answered {status[0]}")
+    return fleet.world.now - began
+
+
+def lose_leader(fleet: Fleet) -> dict[str, float]:
+    """Take the leader's power; seconds until another one is sure, and until it has acknowledged an order."""
+    lost, began = _leader(fleet), fleet.world.now
+    lost.machine.kill(power=True)
+    fleet.until(lambda: fleet.leader() not in (None, lost), ELECT_MOST_S, FINE_S)
+    elected = fleet.world.now - began
+    while True:
+        status = _submit(fleet, _leader(fleet))
+        fleet.until(lambda status=status: bool(status), ORDER_MOST_S, FINE_S)  # type: ignore[misc]
+        if status == [200]:
+            break
+    acknowledged = fleet.world.now - began
+    lost.machine.back(RESTART_S + START_S)
+    return {"leader lost, until another is sure": elected, "leader lost, until an order": acknowledged}
+
+
+def _leader(fleet: Fleet) -> PostmasterProcess:
+    fleet.until(lambda: fleet.leader() is not None, ELECT_MOST_S, FINE_S)
+    leader = fleet.leader()
+    if leader is None:
+        raise FleetError("no leader")
+    return leader
+
+
+def _submit(fleet: Fleet, process: PostmasterProcess) -> list[int]:
+    """Send a change of one route to a controller; its status is put into the list that is returned."""
+    held, status = process.post.held, list[int]()
+    generation = held.generation
+    entry = documents.route_entry(0, 1, deadline_s=2.0 + (generation % 100) / 100)
+    entry["spec"]["target"] = fleet.spec.services[0].name
+    body = json.dumps(documents.patch(generation, entry)).encode()
+    process.enter(process.answer, Asked("PATCH", "/-/config", body),
+                  lambda code, lines, answer: status.append(code))
+    return status
+
+
+# A region that is cut off.
+
+
+class Region(NamedTuple):
+    """What the ingresses of a region have decided so far, by `WAYS`, and how many of them are ready."""
+
+    decided: tuple[int, ...]
+    ready: int
+    ingresses: int
+
+
+def measure_cut(quick: bool) -> Iterator[list[Sample]]:
+    """Cut the two regions off from one another, and see what each may still do."""
+    with ProcessPoolExecutor(1, get_context("spawn"), initializer=quiet) as pool:
+        yield pool.submit(cut_regions, QUICK_CUT_S if quick else CUT_S).result()
+
+
+def cut_settings(quick: bool) -> dict[str, Any]:
+    """What a recording tells of how it was made."""
+    return {"ingresses": CUT_INGRESSES, "requests": CUT_REQUESTS, "members": "4 in A, 3 in B",
+            "cut_s": QUICK_CUT_S if quick else CUT_S}
+
+
+def cut_regions(seconds: float) -> list[Sample]:
+    """One cut in a small fleet with steady traffic well within each tenant's allowance."""
+    fleet = Fleet(FleetSize(ingresses=CUT_INGRESSES, tenants=CUT_TENANTS, requests=CUT_REQUESTS,
+                            region_delay_s=design.REGION_DELAY_S), seed=1)
+    fleet.begin()
+    fleet.world.run(fleet.world.now + 15.0)
+    found: list[Sample] = []
+    before = regions(fleet)
+    _note_charges(found, fleet)
+    _cut(fleet, True)
+    began = fleet.world.now
+    for mark in (m for m in CUT_MARKS if m <= seconds):
+        fleet.world.run(began + mark)
+        before = _note_span(found, fleet, before, mark)
+    for name, zones in (("A", REGION_A), ("B", REGION_B)):
+        found.append(Sample(CUT_AXIS, seconds, f"region {name}: orders taken", "orders",
+                            (float(_takes_orders(fleet, zones)),)))
+    _cut(fleet, False)
+    healed = fleet.world.now
+    same = fleet.until(lambda: len({i.hall.version for i in fleet.ingresses()}) == 1, HEAL_S, FINE_S)
+    found.append(Sample(CUT_AXIS, seconds, "after the cut: until all run one configuration", "s", (same,)))
+    ready = fleet.until(lambda: all(i.ready() for i in fleet.ingresses()), HEAL_S, FINE_S)
+    found.append(Sample(CUT_AXIS, seconds, "after the cut: until all are ready", "s", (same + ready,)))
+    before = regions(fleet)
+    fleet.world.run(healed + HEAL_S)
+    _note_span(found, fleet, before, seconds + HEAL_S)
+    return found
+
+
+def regions(fleet: Fleet) -> dict[str, Region]:
+    """What each region has decided so far."""
+    found = {}
+    for name, zones in (("A", REGION_A), ("B", REGION_B)):
+        ingresses = [i for i in fleet.ingresses() if i.place.zone in zones]
+        decided = [sum(counts[n] for i in ingresses for counts in i.hall.charger.tally.decided.values())
+                   for n in range(len(WAYS))]
+        found[name] = Region(tuple(decided), sum(i.ready() for i in ingresses), len(ingresses))
+    return found
+
+
+def _note_span(found: list[Sample], fleet: Fleet, before: dict[str, Region],
+               mark: float) -> dict[str, Region]:
+    after = regions(fleet)
+    for name, region in after.items():
+        parts = [n - b for n, b in zip(region.decided, before[name].decided, strict=True)]
+        total = max(1, sum(parts))
+        for way, part in zip(WAYS, parts, strict=True):
+            found.append(Sample(CUT_AXIS, mark, f"region {name}: {way}", "part", (part / total,)))
+        ready = region.ready / region.ingresses
+        found.append(Sample(CUT_AXIS, mark, f"region {name}: ready", "part", (ready,)))
+    return after
+
+
+def _note_charges(found: list[Sample], fleet: Fleet) -> None:
+    """The time that the charge adds while nothing is cut, by region."""
+    for name, zones in (("A", REGION_A), ("B", REGION_B)):
+        ingresses = [i for i in fleet.ingresses() if i.place.zone in zones]
+        found.append(Sample(CUT_AXIS, 0.0, f"region {name}: charge, mean", "s", (_mean_charge(ingresses),)))
+
+
+def _mean_charge(ingresses: list[SorterProcess]) -> float:
+    seconds = sum(i.hall.charger.tally.seconds[0] for i in ingresses)
+    return seconds / max(1, sum(sum(i.hall.charger.tally.times[0]) for i in ingresses))
+
+
+def _cut(fleet: Fleet, on: bool) -> None:
+    for a in REGION_A:
+        for b in REGION_B:
+            fleet.deployment.network.cut(a, b, on)
+            fleet.deployment.network.cut(b, a, on)
+
+
+def _takes_orders(fleet: Fleet, zones: tuple[str, ...]) -> bool:
+    """Whether any controller of a region acknowledges a change."""
+    answers = [_submit(fleet, c) for c in fleet.controllers() if c.place.zone in zones]
+    fleet.world.run(fleet.world.now + ORDER_MOST_S)
+    return any(status == [200] for status in answers)
--- a/proving/capacity/fleet.py
+++ b/proving/capacity/fleet.py
@@ -126,13 +126,13 @@
         self.world.run(LAUNCH_S + 1.0)
         self.until(lambda: all(i.ready() for i in self.ingresses()), READY_S)
 
-    def until(self, condition: Callable[[], bool], most_s: float) -> float:
+    def until(self, condition: Callable[[], bool], most_s: float, poll_s: float = POLL_S) -> float:
         """Let time pass until something holds; the seconds that this took. FleetError if it never does."""
         began = self.world.now
         while not condition():
             if self.world.now - began > most_s:
                 raise FleetError(f"not within {most_s:g} s")
-            self.world.run(self.world.now + POLL_S)
+            self.world.run(self.world.now + poll_s)
         return self.world.now - began
 
     def window(self, seconds: float) -> None:
--- a/proving/capacity/meter.py
+++ b/proving/capacity/meter.py
@@ -9,7 +9,7 @@
 
 from post.franking.franking_pb2 import Note as FrankingNote
 from post.machine import Address
-from post.office.links import IDLE_S
+from post.office.links import IDLE_S, LINKS
 from post.office.program import FRANKING, REGISTER, ROUNDS
 from post.office.wire import DATAGRAM_BYTES
 from post.register.register_pb2 import Kind
@@ -48,6 +48,7 @@
         self.processor: Counter[str] = Counter()
         self.links: dict[Address, float] = {}
         self.most_links = 0
+        self.lost = 0  # messages for want of a link
 
     def total_bytes(self) -> int:
         """Bytes on the wire, in both directions."""
@@ -98,8 +99,8 @@
         """Serialise a message and hand it to the network."""
         data = message.SerializeToString()
         self._count("sent", plane, message, len(data) + 1)
-        if len(data) + 1 > DATAGRAM_BYTES:
-            self._link(to)
+        if len(data) + 1 > DATAGRAM_BYTES and not self._link(to):
+            return
         process = self.process
         target = process.machine.deployment.ports.get(to)
         if target is not None:
@@ -118,13 +119,18 @@
         self.counts.messages[flow] += 1
         self.counts.bytes[flow] += wire_bytes(size)
 
-    def _link(self, to: Address) -> None:
-        """Note that a TCP link to a process is needed, and how many are open at once."""
+    def _link(self, to: Address) -> bool:
+        """Whether there is a TCP link to a process, or may be: a program has `LINKS` at most, and loses what
+        would need another."""
         now, links = self.process.world.now, self.counts.links
-        links[to] = now
         for address in [a for a, used in links.items() if now - used > IDLE_S]:
             del links[address]
+        if to not in links and len(links) >= LINKS:
+            self.counts.lost += 1
+            return False
+        links[to] = now
         self.counts.most_links = max(self.counts.most_links, len(links))
+        return True
 
 
 def wire_bytes(size: int) -> int:
--- /dev/null
+++ b/proving/capacity/restarts.py
@@ -0,0 +1,124 @@
+"""Events in a hollow fleet: restarts of one ingress, a rack and a zone, and a change of one route."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Sequence
+from concurrent.futures import ProcessPoolExecutor
+from multiprocessing import get_context
+from typing import Any, NamedTuple
+
+from proving.capacity.fleet import ZONES, Fleet, FleetError, FleetSize
+from proving.capacity.growth import SETTLE_S
+from proving.capacity.samples import Sample
+from proving.hunt import quiet
+from proving.model.machines import RESTART_S, START_S, Machine
+
+STUDY = "restarts"
+AXIS = "restarts at ingresses"
+SIZES, QUICK_SIZES = (30, 100, 300), (6, 12, 18)
+TENANTS = 300
+"""Enough that the agreed value doesn't fit a datagram, as none does at the size to design for."""
+RACK = 20
+QUIET_S, WATCHED_S, MOST_S = 4.0, 6.0, 40.0
+
+
+class Totals(NamedTuple):
+    """What controllers and the leader did within a window."""
+
+    bytes_sent: float
+    leader_processor_s: float
+    links: float
+    lost: float
+
+
+def settings(quick: bool) -> dict[str, Any]:
+    """What a recording tells of how it was made."""
+    return {"tenants": TENANTS, "rack": RACK, "watched_s": WATCHED_S}
+
+
+def measure(quick: bool) -> Iterator[list[Sample]]:
+    """The samples of each size, each from a process of its own."""
+    for size in QUICK_SIZES if quick else SIZES:
+        with ProcessPoolExecutor(1, get_context("spawn"), initializer=quiet) as pool:
+            yield pool.submit(measure_size, size).result()
+
+
+def measure_size(ingresses: int) -> list[Sample]:
+    """All events in a fleet of so many ingresses, one after the other."""
+    fleet = Fleet(FleetSize(ingresses=ingresses, backends=60, tenants=TENANTS, requests=1.0), seed=1)
+    fleet.begin()
+    fleet.window(SETTLE_S)
+    fleet.window(QUIET_S)
+    usual = totals(fleet)
+    found: list[Sample] = []
+
+    def note(event: str, figure: str, unit: str, value: float) -> None:
+        found.append(Sample(AXIS, ingresses, f"{event}: {figure}", unit, (value,)))
+
+    ingress_machines = fleet.machines(fleet.ingresses())
+    zone = [m for m in fleet.deployment.machines.values() if m.place.zone == ZONES[-1]]
+    for event, machines in (("one ingress", ingress_machines[:1]), ("rack", ingress_machines[:RACK]),
+                            ("zone", zone)):
+        seconds = restart(fleet, machines)
+        _note_totals(note, event, totals(fleet), usual)
+        note(event, "until all are ready", "s", seconds)
+        fleet.window(SETTLE_S)
+    seconds = change_route(fleet)
+    _note_totals(note, "one route", totals(fleet), usual)
+    note("one route", "from its order to the last ingress in force", "s", seconds)
+    return found
+
+
+def restart(fleet: Fleet, machines: Sequence[Machine]) -> float:
+    """Kill machines and start them again; seconds from their start until all ingresses are ready. -1 if some
+    are not within the time."""
+    for meter in fleet.meters.values():
+        meter.reset()
+    for machine in machines:
+        machine.kill()
+        machine.back()
+    began = fleet.world.now
+    fleet.world.run(began + RESTART_S + START_S)
+    try:
+        took = fleet.until(lambda: all(i.ready() for i in fleet.ingresses()), MOST_S)
+    except FleetError:
+        return -1.0
+    fleet.world.run(max(fleet.world.now, began + WATCHED_S))
+    return took
+
+
+def change_route(fleet: Fleet) -> float:
+    """Change one route; seconds from the order until the last ingress has it. -1 if some never has."""
+    for meter in fleet.meters.values():
+        meter.reset()
+    began, generation = fleet.world.now, fleet.desk.generation
+    fleet.desk.change("move")
+
+    def everywhere() -> bool:
+        return all((b := i.hall.book) is not None and b.generation > generation for i in fleet.ingresses())
+
+    try:
+        took = fleet.until(everywhere, MOST_S)
+    except FleetError:
+        return -1.0
+    fleet.world.run(max(fleet.world.now, began + WATCHED_S))
+    return took
+
+
+def totals(fleet: Fleet) -> Totals:
+    """What controllers did since the last reset."""
+    controllers = fleet.counts(fleet.controllers())
+    sent = sum(size for c in controllers for flow, size in c.bytes.items() if flow.direction == "sent")
+    leader = fleet.leader()
+    spent = fleet.meters[leader].counts.total_processor() if leader is not None else 0.0
+    return Totals(sent, spent, max(c.most_links for c in controllers), sum(c.lost for c in controllers))
+
+
+def _note_totals(note: Any, event: str, found: Totals, usual: Totals) -> None:
+    part = WATCHED_S / QUIET_S
+    note(event, "bytes that controllers send beyond the usual", "bytes",
+         found.bytes_sent - part * usual.bytes_sent)
+    note(event, "processor time of the leader beyond the usual", "s",
+         found.leader_processor_s - part * usual.leader_processor_s)
+    note(event, "most links open at a controller", "links", found.links)
+    note(event, "messages lost for want of a link", "messages", found.lost)
--- a/proving/capacity/studies.py
+++ b/proving/capacity/studies.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 from typing import Any
 
-from proving.capacity import configuration, growth, samples
+from proving.capacity import agreement, configuration, growth, restarts, samples
 from proving.capacity.samples import Recording, RecordingError, Sample
 from proving.hunt import source
 
@@ -40,6 +40,9 @@
 STUDIES = (
     Study(configuration.STUDY, _configuration, lambda quick: {"repetitions": _repetitions(quick)}),
     *(_growth(axis) for axis in growth.AXES),
+    Study(restarts.STUDY, restarts.measure, restarts.settings),
+    Study(agreement.STUDY, agreement.measure, agreement.settings),
+    Study(agreement.CUT_STUDY, agreement.measure_cut, agreement.cut_settings),
 )
 NAMES = tuple(study.name for study in STUDIES)
 
