Capacity: two regions in three ways, the cost of a datagram, and shorter runs

Change: a study of one core over two regions, of one with a member in a third place, and of a core for each region; a study of system calls, which a hollow fleet leaves out; configurations in one study for each axis.

--- a/proving/capacity/agreement.py
+++ b/proving/capacity/agreement.py
@@ -11,11 +11,11 @@
 from post.franking.tally import WAYS
 from post.office.wicket import Asked
 from proving.capacity import design, documents
-from proving.capacity.fleet import REGION_A, REGION_B, Fleet, FleetError, FleetSize
+from proving.capacity.fleet import Fleet, FleetError, FleetSize
 from proving.capacity.samples import Sample
 from proving.hunt import quiet
 from proving.model.machines import RESTART_S, START_S
-from proving.model.processes import PostmasterProcess, SorterProcess
+from proving.model.processes import PostmasterProcess
 
 STUDY, CUT_STUDY = "agreement", "region-cut"
 LATENCY_AXIS, CUT_AXIS = "members", "seconds of the cut"
@@ -80,8 +80,8 @@
         fleet = Fleet(FleetSize(ingresses=6, members=layout.members, backends=6, services=1, requests=0.0,
                                 zone_delay_s=layout.zone_delay_s, region_delay_s=layout.region_delay_s), seed)
         fleet.begin()
-        where = f"leader in {'A' if _leader(fleet).place.zone in REGION_A else 'B'}"
-        name = f"{layout.name}, {where}" if layout.name == "two regions" else layout.name
+        where = fleet.region_name(_leader(fleet).place.zone)
+        name = f"{layout.name}, leader in {where}" if layout.name == "two regions" else layout.name
         for _ in range(QUICK_ORDERS if quick else ORDERS):
             latencies.setdefault(f"{name}: order", []).append(order(fleet))
         for figure, seconds in lose_leader(fleet).items():
@@ -95,7 +95,7 @@
 def order(fleet: Fleet) -> float:
     """Change one route at the leader; seconds until its answer."""
     began = fleet.world.now
-    status = _submit(fleet, _leader(fleet))
+    status = submit(fleet, _leader(fleet))
     fleet.until(lambda: bool(status), ORDER_MOST_S, FINE_S)
     if status != [200]:
         raise FleetError(f"an order was answered {status[0]}")
@@ -109,7 +109,7 @@
     fleet.until(lambda: fleet.leader() not in (None, lost), ELECT_MOST_S, FINE_S)
     elected = fleet.world.now - began
     while True:
-        status = _submit(fleet, _leader(fleet))
+        status = submit(fleet, _leader(fleet))
         fleet.until(lambda status=status: bool(status), ORDER_MOST_S, FINE_S)  # type: ignore[misc]
         if status == [200]:
             break
@@ -126,7 +126,7 @@
     return leader
 
 
-def _submit(fleet: Fleet, process: PostmasterProcess) -> list[int]:
+def submit(fleet: Fleet, process: PostmasterProcess) -> list[int]:
     """Send a change of one route to a controller; its status is put into the list that is returned."""
     held, status = process.post.held, list[int]()
     generation = held.generation
@@ -168,33 +168,32 @@
     fleet.begin()
     fleet.world.run(fleet.world.now + 15.0)
     found: list[Sample] = []
-    before = regions(fleet)
-    _note_charges(found, fleet)
-    _cut(fleet, True)
+    before = by_region(fleet)
+    fleet.cut((0,), (1,), True)
     began = fleet.world.now
     for mark in (m for m in CUT_MARKS if m <= seconds):
         fleet.world.run(began + mark)
         before = _note_span(found, fleet, before, mark)
-    for name, zones in (("A", REGION_A), ("B", REGION_B)):
-        found.append(Sample(CUT_AXIS, seconds, f"region {name}: orders taken", "orders",
-                            (float(_takes_orders(fleet, zones)),)))
-    _cut(fleet, False)
+    for name in fleet.region_names():
+        found.append(Sample(CUT_AXIS, seconds, f"{name}: orders taken", "orders",
+                            (float(_takes_orders(fleet, name)),)))
+    fleet.cut((0,), (1,), False)
     healed = fleet.world.now
     same = fleet.until(lambda: len({i.hall.version for i in fleet.ingresses()}) == 1, HEAL_S, FINE_S)
     found.append(Sample(CUT_AXIS, seconds, "after the cut: until all run one configuration", "s", (same,)))
     ready = fleet.until(lambda: all(i.ready() for i in fleet.ingresses()), HEAL_S, FINE_S)
     found.append(Sample(CUT_AXIS, seconds, "after the cut: until all are ready", "s", (same + ready,)))
-    before = regions(fleet)
+    before = by_region(fleet)
     fleet.world.run(healed + HEAL_S)
     _note_span(found, fleet, before, seconds + HEAL_S)
     return found
 
 
-def regions(fleet: Fleet) -> dict[str, Region]:
+def by_region(fleet: Fleet) -> dict[str, Region]:
     """What each region has decided so far."""
     found = {}
-    for name, zones in (("A", REGION_A), ("B", REGION_B)):
-        ingresses = [i for i in fleet.ingresses() if i.place.zone in zones]
+    for name in fleet.region_names():
+        ingresses = [i for i in fleet.ingresses() if fleet.region_name(i.place.zone) == name]
         decided = [sum(counts[n] for i in ingresses for counts in i.hall.charger.tally.decided.values())
                    for n in range(len(WAYS))]
         found[name] = Region(tuple(decided), sum(i.ready() for i in ingresses), len(ingresses))
@@ -203,38 +202,20 @@
 
 def _note_span(found: list[Sample], fleet: Fleet, before: dict[str, Region],
                mark: float) -> dict[str, Region]:
-    after = regions(fleet)
+    after = by_region(fleet)
     for name, region in after.items():
         parts = [n - b for n, b in zip(region.decided, before[name].decided, strict=True)]
         total = max(1, sum(parts))
         for way, part in zip(WAYS, parts, strict=True):
-            found.append(Sample(CUT_AXIS, mark, f"region {name}: {way}", "part", (part / total,)))
+            found.append(Sample(CUT_AXIS, mark, f"{name}: {way}", "part", (part / total,)))
         ready = region.ready / region.ingresses
-        found.append(Sample(CUT_AXIS, mark, f"region {name}: ready", "part", (ready,)))
+        found.append(Sample(CUT_AXIS, mark, f"{name}: ready", "part", (ready,)))
     return after
 
 
-def _note_charges(found: list[Sample], fleet: Fleet) -> None:
-    """The time that the charge adds while nothing is cut, by region."""
-    for name, zones in (("A", REGION_A), ("B", REGION_B)):
-        ingresses = [i for i in fleet.ingresses() if i.place.zone in zones]
-        found.append(Sample(CUT_AXIS, 0.0, f"region {name}: charge, mean", "s", (_mean_charge(ingresses),)))
-
-
-def _mean_charge(ingresses: list[SorterProcess]) -> float:
-    seconds = sum(i.hall.charger.tally.seconds[0] for i in ingresses)
-    return seconds / max(1, sum(sum(i.hall.charger.tally.times[0]) for i in ingresses))
-
-
-def _cut(fleet: Fleet, on: bool) -> None:
-    for a in REGION_A:
-        for b in REGION_B:
-            fleet.deployment.network.cut(a, b, on)
-            fleet.deployment.network.cut(b, a, on)
-
-
-def _takes_orders(fleet: Fleet, zones: tuple[str, ...]) -> bool:
+def _takes_orders(fleet: Fleet, region: str) -> bool:
     """Whether any controller of a region acknowledges a change."""
-    answers = [_submit(fleet, c) for c in fleet.controllers() if c.place.zone in zones]
+    answers = [submit(fleet, c) for c in fleet.controllers()
+               if fleet.region_name(c.place.zone) == region]
     fleet.world.run(fleet.world.now + ORDER_MOST_S)
     return any(status == [200] for status in answers)
--- a/proving/capacity/configuration.py
+++ b/proving/capacity/configuration.py
@@ -26,7 +26,9 @@
 
 T = TypeVar("T")
 
-STUDY = "configuration"
+AXES = ("routes", "tenants", "whole")
+"""What grows: routes alone, tenants alone, or both with the services."""
+REPETITIONS, QUICK_REPETITIONS = 3, 2
 QUOTA_SPAN_S = 5.0
 STATM = "/proc/self/statm"
 PAGE_BYTES = 4096
@@ -82,24 +84,32 @@
         self.held, self.book, self.expected = held, book, expected
 
 
-def shapes(quick: bool) -> Iterator[Shape]:
-    """Five sizes along each axis, and along both at once."""
-    parts = (32, 48, 64) if quick else (16, 8, 4, 2, 1)
-    for part in parts:
-        routes, tenants, services = (design.ROUTES // part, design.TENANTS // part,
-                                     max(1, design.SERVICES // part))
-        yield Shape("routes", routes, routes, 100, design.SERVICES)
-        yield Shape("tenants", tenants, 100, tenants, design.SERVICES)
-        yield Shape("whole", tenants, routes, tenants, services)
+def shapes(axis: str, quick: bool) -> Iterator[Shape]:
+    """Five sizes along an axis; three small ones if it is to be quick."""
+    for part in (32, 48, 64) if quick else (16, 8, 4, 2, 1):
+        routes, tenants = design.ROUTES // part, design.TENANTS // part
+        services = max(1, design.SERVICES // part)
+        if axis == "routes":
+            yield Shape(axis, routes, routes, 100, design.SERVICES)
+        elif axis == "tenants":
+            yield Shape(axis, tenants, 100, tenants, design.SERVICES)
+        else:
+            yield Shape(axis, tenants, routes, tenants, services)
 
 
-def measure(quick: bool, repetitions: int) -> Iterator[list[Sample]]:
+def measure(axis: str, quick: bool) -> Iterator[list[Sample]]:
     """The samples of each shape, each from a process of its own so that memory can be told."""
-    for shape in shapes(quick):
+    repetitions = QUICK_REPETITIONS if quick else REPETITIONS
+    for shape in shapes(axis, quick):
         with ProcessPoolExecutor(1, get_context("spawn"), initializer=quiet) as pool:
             yield pool.submit(measure_shape, shape, repetitions).result()
 
 
+def settings(quick: bool) -> dict[str, Any]:
+    """What a recording tells of how it was made."""
+    return {"repetitions": QUICK_REPETITIONS if quick else REPETITIONS}
+
+
 def measure_shape(shape: Shape, repetitions: int) -> list[Sample]:
     """All figures of one shape. Memory is that of the first repetition: later ones reuse what was freed."""
     body = json.dumps(documents.document(shape.routes, shape.tenants, shape.services)).encode()
--- a/proving/capacity/fleet.py
+++ b/proving/capacity/fleet.py
@@ -21,7 +21,8 @@
 CONTROLLER, INGRESS = "postmaster", "sorter"
 """The two programs, by their names in the settings."""
 ZONES = tuple(f"zone-{n}" for n in range(1, design.ZONES + 1))
-REGION_A, REGION_B = ZONES[:design.ZONES // 2], ZONES[design.ZONES // 2:]
+TWO_REGIONS = (0, 0, 0, 1, 1, 1)
+"""The region of each zone."""
 CHARGE_PATIENCE_S = 0.2
 LAUNCH_S = 3.0
 """Seconds over which the backends start."""
@@ -37,7 +38,8 @@
 @dataclass(frozen=True)
 class FleetSize:
     """How large a hollow fleet is. `requests` are charges a second at each ingress; `members` says how many
-    controllers stand in each zone, and `region_delay_s` is one way between zones of unlike regions."""
+    controllers stand in each zone, `regions` which region each zone is in, and `region_delay_s` is one way
+    between zones of unlike regions."""
 
     ingresses: int = 30
     members: tuple[int, ...] = (2, 1, 1, 1, 1, 1)
@@ -47,6 +49,7 @@
     requests: float = 4.0
     zone_delay_s: float = design.ZONE_DELAY_S
     region_delay_s: float = design.ZONE_DELAY_S
+    regions: tuple[int, ...] = TWO_REGIONS
 
     def spec(self) -> Spec:
         """The simulator's description of this fleet."""
@@ -66,14 +69,16 @@
 class RegionNetwork(Network):
     """A network on which the way between regions is longer than that between zones."""
 
-    def __init__(self, world: World, ways: Ways, region_delay_s: float) -> None:
+    def __init__(self, world: World, ways: Ways, size: FleetSize) -> None:
         super().__init__(world, ways)
-        self.region_delay_s = region_delay_s
+        self.region_delay_s = size.region_delay_s
+        self.regions = dict(zip(ZONES, size.regions, strict=True))
 
     def delay(self, a: Place, b: Place, client: bool = False) -> float:
         """Seconds for one packet."""
-        known = a.zone in ZONES and b.zone in ZONES
-        if known and not client and (a.zone in REGION_A) != (b.zone in REGION_A):
+        regions = self.regions
+        known = a.zone in regions and b.zone in regions
+        if known and not client and regions[a.zone] != regions[b.zone]:
             return self.region_delay_s * (1.0 + self.ways.spread * self.rng.random())
         return super().delay(a, b, client)
 
@@ -91,7 +96,7 @@
         self.meters: dict[Program, Meter] = {}
         self.charges = 0
         self.refused: dict[str, int] = {}
-        network = RegionNetwork(self.world, self.deployment.network.ways, size.region_delay_s)
+        network = RegionNetwork(self.world, self.deployment.network.ways, size)
         self.deployment.network = network
         for machine in self.deployment.machines.values():
             machine.network = network
@@ -162,6 +167,25 @@
         """What these processes were counted at in the last window."""
         return [self.meters[p].counts for p in processes]
 
+    def region(self, zone: str) -> int:
+        """The number of a zone's region, from 0 on."""
+        return self.size.regions[ZONES.index(zone)]
+
+    def region_name(self, zone: str) -> str:
+        """How a zone's region is called."""
+        return f"region {self.region(zone) + 1}"
+
+    def region_names(self) -> list[str]:
+        """All regions."""
+        return list(dict.fromkeys(map(self.region_name, ZONES)))
+
+    def cut(self, these: Sequence[int], those: Sequence[int], on: bool) -> None:
+        """Cut regions off from others, or join them again."""
+        for a in (z for z in ZONES if self.region(z) in these):
+            for b in (z for z in ZONES if self.region(z) in those):
+                self.deployment.network.cut(a, b, on)
+                self.deployment.network.cut(b, a, on)
+
     def machines(self, processes: Sequence[Program]) -> list[Machine]:
         """The machines of these processes."""
         return [process.machine for process in processes]
--- a/proving/capacity/growth.py
+++ b/proving/capacity/growth.py
@@ -17,8 +17,10 @@
 
 SETTLE_S = 5.0
 """Seconds after the start in which heartbeats are more frequent than later."""
-WINDOW_S, QUICK_WINDOW_S = 6.0, 1.0
+WINDOW_S, SHORT_WINDOW_S, QUICK_WINDOW_S = 6.0, 2.0, 1.0
+"""Seconds of a window: as a rule, of the largest fleet, and where it is to be quick."""
 WINDOWS, QUICK_WINDOWS = 3, 2
+LARGEST = 910
 TOTAL = "all"
 AXES = ("ingresses", "ingresses-910", "backends", "requests", "tenants", "controllers")
 
@@ -37,7 +39,7 @@
         counts = (6, 12, 24) if quick else (30, 100, 300)
         return [Step(axis, n, FleetSize(ingresses=n)) for n in counts]
     if axis == "ingresses-910":
-        return [] if quick else [Step("ingresses", 910, FleetSize(ingresses=910))]
+        return [] if quick else [Step("ingresses", LARGEST, FleetSize(ingresses=LARGEST))]
     if axis == "backends":
         sizes = (60, 120, 240) if quick else (130, 430, 1300, 4300)
         return [Step(axis, n, FleetSize(ingresses=6, backends=n, requests=1.0)) for n in sizes]
@@ -57,13 +59,16 @@
 def settings(quick: bool) -> dict[str, Any]:
     """What a recording tells of how it was made."""
     seconds, windows = (QUICK_WINDOW_S, QUICK_WINDOWS) if quick else (WINDOW_S, WINDOWS)
-    return {"windows": windows, "window_s": seconds, "otherwise": asdict(FleetSize())}
+    return {"windows": windows, "window_s": seconds, "window_s_of_the_largest": SHORT_WINDOW_S,
+            "otherwise": asdict(FleetSize())}
 
 
 def measure(axis: str, quick: bool) -> Iterator[list[Sample]]:
     """The samples of each fleet along an axis, each from a process of its own."""
-    seconds, windows = (QUICK_WINDOW_S, QUICK_WINDOWS) if quick else (WINDOW_S, WINDOWS)
     for step in steps(axis, quick):
+        large = step.fleet.ingresses >= LARGEST
+        seconds = QUICK_WINDOW_S if quick else SHORT_WINDOW_S if large else WINDOW_S
+        windows = QUICK_WINDOWS if quick else WINDOWS
         with ProcessPoolExecutor(1, get_context("spawn"), initializer=quiet) as pool:
             yield pool.submit(measure_step, step, seconds, windows).result()
 
--- /dev/null
+++ b/proving/capacity/regions.py
@@ -0,0 +1,139 @@
+"""Two ways to stand in two regions, and today's, held against one another in the simulator."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Sequence
+from concurrent.futures import ProcessPoolExecutor
+from multiprocessing import get_context
+from typing import Any, NamedTuple
+
+from post.franking.tally import EDGES, HOLDER, SHARE
+from proving.capacity import design
+from proving.capacity.agreement import FINE_S, ORDER_MOST_S, Region, by_region, order, submit
+from proving.capacity.fleet import Fleet, FleetError, FleetSize
+from proving.capacity.samples import Sample
+from proving.hunt import quiet
+from proving.model.processes import SorterProcess
+
+STUDY, AXIS = "regions", "regions"
+INGRESSES, TENANTS, REQUESTS = 12, 12, 10.0
+SETTLE_S, QUICK_SETTLE_S = 15.0, 6.0
+LOST_S, QUICK_LOST_S = 40.0, 16.0
+LATE_S = 15.0
+"""Seconds after a cut or loss by which shares are used up."""
+ORDERS = 20
+TRIES = 3
+PERCENTILE = 0.99
+
+
+class RegionDesign(NamedTuple):
+    """A way to stand in two regions: the members in each zone, and the region of each zone."""
+
+    name: str
+    members: tuple[int, ...]
+    regions: tuple[int, ...]
+
+
+DESIGNS = (
+    RegionDesign("one core, 4 + 3", (2, 1, 1, 1, 1, 1), (0, 0, 0, 1, 1, 1)),
+    RegionDesign("one core, 3 + 3 + 1 in a third place", (2, 1, 0, 2, 1, 1), (0, 0, 0, 1, 1, 2)),
+    RegionDesign("a core in each region, 3 members", (1, 1, 1, 0, 0, 0), (0, 0, 0, 0, 0, 0)),
+)
+
+
+def settings(quick: bool) -> dict[str, Any]:
+    """What a recording tells of how it was made."""
+    return {"designs": [d._asdict() for d in DESIGNS], "ingresses": INGRESSES, "requests": REQUESTS,
+            "region_delay_s": design.REGION_DELAY_S}
+
+
+def measure(quick: bool) -> Iterator[list[Sample]]:
+    """The samples of each design."""
+    for each in range(len(DESIGNS)):
+        with ProcessPoolExecutor(1, get_context("spawn"), initializer=quiet) as pool:
+            yield pool.submit(measure_design, each, quick).result()
+
+
+def measure_design(number: int, quick: bool) -> list[Sample]:
+    """Charges and orders on a usual day, then a cut between the regions, then the loss of the first one."""
+    told = DESIGNS[number]
+    found: list[Sample] = []
+
+    def note(figure: str, unit: str, *values: float) -> None:
+        found.append(Sample(AXIS, number, f"{told.name}: {figure}", unit, tuple(values)))
+
+    fleet = start(told, quick)
+    for region in sorted(set(told.regions)):
+        ingresses = [i for i in fleet.ingresses() if fleet.region(i.place.zone) == region]
+        note(f"charge in region {region + 1}, mean", "s", mean_charge(ingresses))
+        note(f"charge in region {region + 1}, 99th percentile", "s", percentile(ingresses))
+    note("order", "s", *(order(fleet) for _ in range(3 if quick else ORDERS)))
+    if len(set(told.regions)) == 1:
+        return found
+    lasts = QUICK_LOST_S if quick else LOST_S
+    fleet.cut((0,), (1,), True)
+    _note_late(note, fleet, "regions cut off", lasts)
+    fleet = start(told, quick)
+    for machine in fleet.deployment.machines.values():
+        if fleet.region(machine.place.zone) == 0:
+            machine.kill(power=True)
+    _note_late(note, fleet, "first region lost", lasts)
+    return found
+
+
+def start(told: RegionDesign, quick: bool) -> Fleet:
+    """A fleet of this design, after some seconds of traffic."""
+    fleet = Fleet(FleetSize(ingresses=INGRESSES, members=told.members, tenants=TENANTS, requests=REQUESTS,
+                            region_delay_s=design.REGION_DELAY_S, regions=told.regions), seed=1)
+    fleet.begin()
+    fleet.world.run(fleet.world.now + (QUICK_SETTLE_S if quick else SETTLE_S))
+    return fleet
+
+
+def _note_late(note: Any, fleet: Fleet, event: str, lasts: float) -> None:
+    """What the regions admit once shares are used up, and whether they take orders."""
+    began = fleet.world.now
+    fleet.world.run(began + min(LATE_S, lasts / 2))
+    before = by_region(fleet)
+    fleet.world.run(began + lasts)
+    for name, after in by_region(fleet).items():
+        note(f"{event}: admitted in {name}", "part", admitted(before[name], after))
+        note(f"{event}: orders taken in {name}", "orders", float(takes_orders(fleet, name)))
+
+
+def admitted(before: Region, after: Region) -> float:
+    """The part of the requests that were let go between two looks; 0 if there were none."""
+    parts = [n - b for n, b in zip(after.decided, before.decided, strict=True)]
+    return (parts[HOLDER] + parts[SHARE]) / total if (total := sum(parts)) else 0.0
+
+
+def takes_orders(fleet: Fleet, region: str) -> bool:
+    """Whether a controller of a region acknowledges a change, in some tries."""
+    for _ in range(TRIES):
+        controllers = [c for c in fleet.controllers() if fleet.region_name(c.place.zone) == region]
+        answers = [submit(fleet, c) for c in controllers]
+        try:
+            fleet.until(lambda answers=answers: all(answers), ORDER_MOST_S, FINE_S)  # type: ignore[misc]
+        except FleetError:
+            pass
+        if any(status == [200] for status in answers):
+            return True
+    return False
+
+
+def mean_charge(ingresses: Sequence[SorterProcess]) -> float:
+    """Seconds that a charge at its holder took, on the mean."""
+    tallies = [i.hall.charger.tally for i in ingresses]
+    return sum(t.seconds[0] for t in tallies) / max(1, sum(sum(t.times[0]) for t in tallies))
+
+
+def percentile(ingresses: Sequence[SorterProcess]) -> float:
+    """The 99th percentile of it: the upper edge of its bucket."""
+    counts = [sum(column) for column in zip(*(i.hall.charger.tally.times[0] for i in ingresses), strict=True)]
+    left = PERCENTILE * sum(counts)
+    for edge, count in zip((*EDGES, EDGES[-1]), counts, strict=True):
+        left -= count
+        if left <= 0:
+            return edge
+    return EDGES[-1]
+
--- /dev/null
+++ b/proving/capacity/sockets.py
@@ -0,0 +1,70 @@
+"""What the hollow fleet leaves out: processor time of a datagram's system calls and of the loop around it."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Iterator
+from time import process_time
+from typing import Any
+
+import uvloop
+
+from proving.capacity.samples import Sample
+
+STUDY, AXIS = "sockets", "bytes of a datagram"
+SIZES = (40, 200, 1000)
+DATAGRAMS, QUICK_DATAGRAMS = 20_000, 1_000
+REPETITIONS = 5
+LOOPBACK = "127.0.0.1"
+
+
+def settings(quick: bool) -> dict[str, Any]:
+    """What a recording tells of how it was made."""
+    return {"datagrams": QUICK_DATAGRAMS if quick else DATAGRAMS, "repetitions": REPETITIONS}
+
+
+def measure(quick: bool) -> Iterator[list[Sample]]:
+    """Processor time of sending one datagram, being woken for it and reading it, by its size."""
+    for size in SIZES:
+        seconds = [asyncio_run(size, QUICK_DATAGRAMS if quick else DATAGRAMS) for _ in range(REPETITIONS)]
+        yield [Sample(AXIS, size, "processor time of a datagram, sent and received", "s", tuple(seconds))]
+
+
+def asyncio_run(size: int, datagrams: int) -> float:
+    """Seconds of processor time for each datagram of a ping-pong between two sockets of one process."""
+    return uvloop.run(_ping_pong(size, datagrams))
+
+
+async def _ping_pong(size: int, datagrams: int) -> float:
+    loop = asyncio.get_running_loop()
+    done, left = loop.create_future(), datagrams
+    ends = [_bound(), _bound()]
+    data = bytes(size)
+
+    def readable(own: socket.socket, other: socket.socket) -> None:
+        nonlocal left
+        own.recvfrom(size + 1)
+        left -= 1
+        if left > 0:
+            own.sendto(data, other.getsockname())
+        elif not done.done():
+            done.set_result(None)
+
+    for own, other in (ends, ends[::-1]):
+        loop.add_reader(own.fileno(), readable, own, other)
+    began = process_time()
+    ends[0].sendto(data, ends[1].getsockname())
+    await done
+    spent = process_time() - began
+    for end in ends:
+        loop.remove_reader(end.fileno())
+        end.close()
+    return spent / datagrams
+
+
+def _bound() -> socket.socket:
+    found = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    found.setblocking(False)
+    found.bind((LOOPBACK, 0))
+    return found
--- a/proving/capacity/studies.py
+++ b/proving/capacity/studies.py
@@ -3,17 +3,16 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
-from proving.capacity import agreement, configuration, growth, restarts, samples
+from proving.capacity import agreement, configuration, growth, regions, restarts, samples, sockets
 from proving.capacity.samples import Recording, RecordingError, Sample
 from proving.hunt import source
 
 COMMAND = "python -m proving capacity"
-REPETITIONS = 3
 
 
 @dataclass(frozen=True)
@@ -25,12 +24,9 @@
     settings: Callable[[bool], dict[str, Any]]
 
 
-def _configuration(quick: bool) -> Iterator[list[Sample]]:
-    return configuration.measure(quick, _repetitions(quick))
-
-
-def _repetitions(quick: bool) -> int:
-    return 2 if quick else REPETITIONS
+def _configuration(axis: str) -> Study:
+    return Study(f"configuration-{axis}", lambda quick: configuration.measure(axis, quick),
+                 configuration.settings)
 
 
 def _growth(axis: str) -> Study:
@@ -38,11 +34,13 @@
 
 
 STUDIES = (
-    Study(configuration.STUDY, _configuration, lambda quick: {"repetitions": _repetitions(quick)}),
+    *(_configuration(axis) for axis in configuration.AXES),
     *(_growth(axis) for axis in growth.AXES),
     Study(restarts.STUDY, restarts.measure, restarts.settings),
     Study(agreement.STUDY, agreement.measure, agreement.settings),
     Study(agreement.CUT_STUDY, agreement.measure_cut, agreement.cut_settings),
+    Study(regions.STUDY, regions.measure, regions.settings),
+    Study(sockets.STUDY, sockets.measure, sockets.settings),
 )
 NAMES = tuple(study.name for study in STUDIES)
 
