Capacity: what operators' questions cost, and a change in a fleet beyond the links

Change: the answers to status and leases are measured along each axis; one route is changed among 600 ingresses; messages and bytes are figures of their own.

--- a/proving/capacity/growth.py
+++ b/proving/capacity/growth.py
@@ -7,10 +7,14 @@
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import asdict
 from multiprocessing import get_context
+from time import thread_time
 from typing import Any, NamedTuple
 
+from post.office.overseeing import STATUS
+from post.office.showing import LEASES
+from post.office.wicket import Asked
 from proving.capacity.configuration import resident_mb
-from proving.capacity.fleet import Fleet, FleetSize
+from proving.capacity.fleet import Fleet, FleetError, FleetSize
 from proving.capacity.meter import Counts
 from proving.capacity.samples import Sample
 from proving.hunt import quiet
@@ -87,10 +91,32 @@
             for key, value in means(role, counts, window_s).items():
                 found.setdefault(key, []).append(value)
     found["simulator: memory", "MB"] = [resident_mb() - before]
-    return [Sample(step.axis, step.size, figure, unit, _padded(values, windows))
+    for path in STATUS, LEASES:
+        told = ask(fleet, path)
+        found[f"tools: GET {path}: bytes", "bytes"] = [told.bytes]
+        found[f"tools: GET {path}: processor", "s"] = [told.processor_s]
+    return [Sample(step.axis, step.size, figure, unit, _padded(figure, values, windows))
             for (figure, unit), values in found.items()]
 
 
+class Told(NamedTuple):
+    """What an operator's question costs a controller."""
+
+    bytes: float
+    processor_s: float
+
+
+def ask(fleet: Fleet, path: str) -> Told:
+    """Ask the leader what operators' tools ask."""
+    answers: list[bytes] = []
+    leader = fleet.leader()
+    if leader is None:
+        raise FleetError("no leader")
+    began = thread_time()
+    leader.answer(Asked("GET", path, b""), lambda status, lines, body: answers.append(body))
+    return Told(float(len(answers[0])), thread_time() - began)
+
+
 def roles(fleet: Fleet) -> dict[str, list[Counts]]:
     """What the processes of each role were counted at in the last window."""
     leader = fleet.leader()
@@ -112,8 +138,8 @@
     for each in counts:
         for flow, number in each.messages.items():
             for plane, kind in ((flow.plane, flow.kind), (flow.plane, TOTAL), (TOTAL, TOTAL)):
-                add(f"{role}: {plane}: {kind} {flow.direction}", "messages/s", number)
-                add(f"{role}: {plane}: {kind} {flow.direction}", "bytes/s", each.bytes[flow])
+                add(f"{role}: {plane}: {kind} {flow.direction}: messages", "messages/s", number)
+                add(f"{role}: {plane}: {kind} {flow.direction}: bytes", "bytes/s", each.bytes[flow])
         for plane, seconds in each.processor.items():
             for name in (plane, TOTAL):
                 add(f"{role}: {name}: processor", "s/s", seconds)
@@ -121,9 +147,9 @@
     return found
 
 
-def _padded(values: Sequence[float], windows: int) -> tuple[float, ...]:
+def _padded(figure: str, values: Sequence[float], windows: int) -> tuple[float, ...]:
     """A kind of message that a window didn't see counts as none there."""
-    if len(values) == 1:
+    if not figure.endswith(("messages", "bytes")) or figure.startswith("tools"):
         return tuple(values)
     return (*values, *([0.0] * (windows - len(values))))
 
--- a/proving/capacity/meter.py
+++ b/proving/capacity/meter.py
@@ -15,12 +15,14 @@
 from post.register.register_pb2 import Kind
 from post.register.register_pb2 import Note as RegisterNote
 from post.rounds.rounds_pb2 import Note as RoundsNote
-from proving.model.processes import KINDS, PostmasterProcess, Program
+from proving.model.processes import KINDS, PostmasterProcess, Program, SorterProcess
 
 CLASSES: Final[dict[int, Any]] = {REGISTER: RegisterNote, ROUNDS: RoundsNote, FRANKING: FrankingNote}
 PLANES: Final = {REGISTER: "agreement", ROUNDS: "membership", FRANKING: "quota"}
 """Planes of the wire, by their names on the page."""
 TIMERS: Final = "timers"
+REQUESTS: Final = "requests"
+"""The charges that stand in for clients' requests, until their messages are sent."""
 BACKENDS: Final = "backends"
 """Calls of backends over HTTP; only what their state machine does is counted, not the reading of HTTP."""
 HTTP_HEADERS: Final = 220
@@ -93,6 +95,8 @@
             self.counts.messages[flow] += 1
             self.counts.bytes[flow] += len(args[0].body) + HTTP_HEADERS
             return BACKENDS
+        if isinstance(self.process, SorterProcess) and call == self.process.hall.frank:
+            return REQUESTS
         return TIMERS
 
     def send(self, to: Address, plane: int, message: Any) -> None:
--- a/proving/capacity/restarts.py
+++ b/proving/capacity/restarts.py
@@ -7,19 +7,24 @@
 from multiprocessing import get_context
 from typing import Any, NamedTuple
 
+from post.office.links import IDLE_S
 from proving.capacity.fleet import ZONES, Fleet, FleetError, FleetSize
 from proving.capacity.growth import SETTLE_S
 from proving.capacity.samples import Sample
 from proving.hunt import quiet
 from proving.model.machines import RESTART_S, START_S, Machine
 
-STUDY = "restarts"
+STUDY, LARGE_STUDY = "restarts", "restarts-large"
 AXIS = "restarts at ingresses"
 SIZES, QUICK_SIZES = (30, 100, 300), (6, 12, 18)
+LARGE = 600
+"""More ingresses than all controllers together may have links to."""
 TENANTS = 300
 """Enough that the agreed value doesn't fit a datagram, as none does at the size to design for."""
 RACK = 20
 QUIET_S, WATCHED_S, MOST_S = 4.0, 6.0, 40.0
+LINKS_IDLE_S = IDLE_S + 1.0
+"""After which links of one event don't count for the next one."""
 
 
 class Totals(NamedTuple):
@@ -43,7 +48,14 @@
             yield pool.submit(measure_size, size).result()
 
 
-def measure_size(ingresses: int) -> list[Sample]:
+def measure_large(quick: bool) -> Iterator[list[Sample]]:
+    """The change of a route in a large fleet; the other events would take too long there."""
+    if not quick:
+        with ProcessPoolExecutor(1, get_context("spawn"), initializer=quiet) as pool:
+            yield pool.submit(measure_size, LARGE, False).result()
+
+
+def measure_size(ingresses: int, restarts: bool = True) -> list[Sample]:
     """All events in a fleet of so many ingresses, one after the other."""
     fleet = Fleet(FleetSize(ingresses=ingresses, backends=60, tenants=TENANTS, requests=1.0), seed=1)
     fleet.begin()
@@ -57,12 +69,12 @@
 
     ingress_machines = fleet.machines(fleet.ingresses())
     zone = [m for m in fleet.deployment.machines.values() if m.place.zone == ZONES[-1]]
-    for event, machines in (("one ingress", ingress_machines[:1]), ("rack", ingress_machines[:RACK]),
-                            ("zone", zone)):
+    events = (("one ingress", ingress_machines[:1]), ("rack", ingress_machines[:RACK]), ("zone", zone))
+    for event, machines in events if restarts else ():
         seconds = restart(fleet, machines)
         _note_totals(note, event, totals(fleet), usual)
         note(event, "until all are ready", "s", seconds)
-        fleet.window(SETTLE_S)
+        fleet.window(LINKS_IDLE_S)
     seconds = change_route(fleet)
     _note_totals(note, "one route", totals(fleet), usual)
     note("one route", "from its order to the last ingress in force", "s", seconds)
--- a/proving/capacity/studies.py
+++ b/proving/capacity/studies.py
@@ -37,6 +37,7 @@
     *(_configuration(axis) for axis in configuration.AXES),
     *(_growth(axis) for axis in growth.AXES),
     Study(restarts.STUDY, restarts.measure, restarts.settings),
+    Study(restarts.LARGE_STUDY, restarts.measure_large, restarts.settings),
     Study(agreement.STUDY, agreement.measure, agreement.settings),
     Study(agreement.CUT_STUDY, agreement.measure_cut, agreement.cut_settings),
     Study(regions.STUDY, regions.measure, regions.settings),
