Capacity: a quick run in one process, and lines only where they explain what was measured

Change: quick measures in its own process at small sizes; a figure grows along an axis only where R squared of its line is 0.7 or more, and is taken as measured where the axis reaches the size to design for.

--- a/proving/capacity/agreement.py
+++ b/proving/capacity/agreement.py
@@ -4,27 +4,26 @@
 
 import json
 from collections.abc import Iterator
-from concurrent.futures import ProcessPoolExecutor
-from multiprocessing import get_context
 from typing import Any, NamedTuple
 
 from post.franking.tally import WAYS
 from post.office.wicket import Asked
 from proving.capacity import design, documents
 from proving.capacity.fleet import Fleet, FleetError, FleetSize
+from proving.capacity.isolation import isolated
 from proving.capacity.samples import Sample
-from proving.hunt import quiet
 from proving.model.machines import RESTART_S, START_S
 from proving.model.processes import PostmasterProcess
 
 STUDY, CUT_STUDY = "agreement", "region-cut"
 LATENCY_AXIS, CUT_AXIS = "members", "seconds of the cut"
 ORDERS, QUICK_ORDERS = 30, 5
-SEEDS, QUICK_SEEDS = 8, 2
+SEEDS, QUICK_SEEDS = 8, 1
 FINE_S = 0.002
 ORDER_MOST_S, ELECT_MOST_S = 8.0, 10.0
-CUT_S, QUICK_CUT_S = 300.0, 20.0
+CUT_S, QUICK_CUT_S = 300.0, 2.0
 HEAL_S = 15.0
+WARM_S, QUICK_WARM_S = 15.0, 2.0
 CUT_TENANTS, CUT_INGRESSES, CUT_REQUESTS = 12, 12, 10.0
 CUT_MARKS = (1.0, 2.0, 5.0, 10.0, 12.0, 15.0, 30.0, 60.0, 120.0, 300.0)
 
@@ -68,9 +67,8 @@
 
 def measure(quick: bool) -> Iterator[list[Sample]]:
     """Latency of orders, and the time without a leader, for each layout."""
-    for layout in layouts():
-        with ProcessPoolExecutor(1, get_context("spawn"), initializer=quiet) as pool:
-            yield pool.submit(measure_layout, layout, quick).result()
+    for layout in layouts()[::3] if quick else layouts():
+        yield isolated(quick, measure_layout, layout, quick)
 
 
 def measure_layout(layout: Layout, quick: bool) -> list[Sample]:
@@ -151,8 +149,7 @@
 
 def measure_cut(quick: bool) -> Iterator[list[Sample]]:
     """Cut the two regions off from one another, and see what each may still do."""
-    with ProcessPoolExecutor(1, get_context("spawn"), initializer=quiet) as pool:
-        yield pool.submit(cut_regions, QUICK_CUT_S if quick else CUT_S).result()
+    yield isolated(quick, cut_regions, *((QUICK_CUT_S, QUICK_WARM_S) if quick else (CUT_S, WARM_S)))
 
 
 def cut_settings(quick: bool) -> dict[str, Any]:
@@ -161,12 +158,12 @@
             "cut_s": QUICK_CUT_S if quick else CUT_S}
 
 
-def cut_regions(seconds: float) -> list[Sample]:
+def cut_regions(seconds: float, warm_s: float) -> list[Sample]:
     """One cut in a small fleet with steady traffic well within each tenant's allowance."""
     fleet = Fleet(FleetSize(ingresses=CUT_INGRESSES, tenants=CUT_TENANTS, requests=CUT_REQUESTS,
                             region_delay_s=design.REGION_DELAY_S), seed=1)
     fleet.begin()
-    fleet.world.run(fleet.world.now + 15.0)
+    fleet.world.run(fleet.world.now + warm_s)
     found: list[Sample] = []
     before = by_region(fleet)
     fleet.cut((0,), (1,), True)
--- a/proving/capacity/configuration.py
+++ b/proving/capacity/configuration.py
@@ -6,8 +6,6 @@
 import json
 import random
 from collections.abc import Callable, Iterator
-from concurrent.futures import ProcessPoolExecutor
-from multiprocessing import get_context
 from time import process_time
 from typing import Any, NamedTuple, TypeVar
 
@@ -21,14 +19,14 @@
 from post.inspection.live import Live
 from post.inspection.quotas import planned
 from proving.capacity import design, documents
+from proving.capacity.isolation import isolated
 from proving.capacity.samples import Sample
-from proving.hunt import quiet
 
 T = TypeVar("T")
 
 AXES = ("routes", "tenants", "whole")
 """What grows: routes alone, tenants alone, or both with the services."""
-REPETITIONS, QUICK_REPETITIONS = 3, 2
+REPETITIONS, QUICK_REPETITIONS = 3, 1
 QUOTA_SPAN_S = 5.0
 STATM = "/proc/self/statm"
 PAGE_BYTES = 4096
@@ -86,7 +84,7 @@
 
 def shapes(axis: str, quick: bool) -> Iterator[Shape]:
     """Five sizes along an axis; three small ones if it is to be quick."""
-    for part in (32, 48, 64) if quick else (16, 8, 4, 2, 1):
+    for part in (64, 96, 128) if quick else (16, 8, 4, 2, 1):
         routes, tenants = design.ROUTES // part, design.TENANTS // part
         services = max(1, design.SERVICES // part)
         if axis == "routes":
@@ -101,8 +99,7 @@
     """The samples of each shape, each from a process of its own so that memory can be told."""
     repetitions = QUICK_REPETITIONS if quick else REPETITIONS
     for shape in shapes(axis, quick):
-        with ProcessPoolExecutor(1, get_context("spawn"), initializer=quiet) as pool:
-            yield pool.submit(measure_shape, shape, repetitions).result()
+        yield isolated(quick, measure_shape, shape, repetitions)
 
 
 def settings(quick: bool) -> dict[str, Any]:
--- a/proving/capacity/figures.py
+++ b/proving/capacity/figures.py
@@ -13,6 +13,8 @@
 USUAL = FleetSize()
 REQUESTS_FLEET = 12
 """Ingresses of the fleets in which requests and tenants were varied."""
+LEAST_CERTAINTY = 0.7
+"""R squared of a line, below which a figure isn't taken to grow along an axis."""
 RECEIVED, SENT = "received", "sent"
 
 
@@ -87,10 +89,17 @@
         for axis, measured, wanted in self._axes(role):
             if not self.series(axis, figure):
                 continue
-            slope = max(0.0, self.line(axis, figure).slope)
-            parts.append(Part(axis, measured, wanted, slope * (wanted - measured)))
+            parts.append(Part(axis, measured, wanted, self._added(axis, figure, measured, wanted)))
         return Estimate(sum(part.added for part in parts), tuple(parts))
 
+    def _added(self, axis: str, figure: str, measured: float, wanted: float) -> float:
+        """How much a figure grows along an axis: as measured at the size to design for, else by its line,
+        where one explains what was measured."""
+        points, line = self.series(axis, figure), self.line(axis, figure)
+        if points[-1].size >= wanted:
+            return max(0.0, points[-1].value - points[0].value)
+        return max(0.0, line.slope) * (wanted - measured) if line.certainty >= LEAST_CERTAINTY else 0.0
+
     def both_ways(self, role: str, plane: str, what: str) -> Estimate:
         """Messages or bytes, sent and received."""
         return together(self.estimate(role, plane, f"{way}: {what}") for way in (SENT, RECEIVED))
--- a/proving/capacity/fit.py
+++ b/proving/capacity/fit.py
@@ -17,12 +17,12 @@
 
 
 class Line(NamedTuple):
-    """A straight line by least squares: `base` at size 0, `slope` for each unit of size. `residual` is the
-    largest distance of a point from it, as a part of the largest value."""
+    """A straight line by least squares: `base` at size 0, `slope` for each unit of size. `certainty` is the
+    part of the values' variance that it explains (R squared)."""
 
     base: float
     slope: float
-    residual: float
+    certainty: float
 
     def at(self, size: float) -> float:
         """The line's value at a size."""
@@ -40,9 +40,8 @@
     values = np.array([p.value for p in points], dtype=float)
     weights = 1.0 / np.maximum(sizes, sizes[sizes > 0].min(initial=1.0))
     slope, base = np.polyfit(sizes, values, 1, w=np.sqrt(weights))
-    largest = float(np.abs(values).max())
-    distance = float(np.abs(base + slope * sizes - values).max())
-    return Line(float(base), float(slope), distance / largest if largest else 0.0)
+    left, all_of_it = np.sum((base + slope * sizes - values) ** 2), np.sum((values - values.mean()) ** 2)
+    return Line(float(base), float(slope), max(0.0, float(1 - left / all_of_it)) if all_of_it else 1.0)
 
 
 def exponent(points: Sequence[Point]) -> float | None:
--- a/proving/capacity/growth.py
+++ b/proving/capacity/growth.py
@@ -4,9 +4,7 @@
 
 import gc
 from collections.abc import Iterator, Sequence
-from concurrent.futures import ProcessPoolExecutor
 from dataclasses import asdict, replace
-from multiprocessing import get_context
 from time import thread_time
 from typing import Any, NamedTuple
 
@@ -15,11 +13,11 @@
 from post.office.wicket import Asked
 from proving.capacity.configuration import resident_mb
 from proving.capacity.fleet import Fleet, FleetError, FleetSize
+from proving.capacity.isolation import isolated
 from proving.capacity.meter import Counts
 from proving.capacity.samples import Sample
-from proving.hunt import quiet
 
-SETTLE_S = 5.0
+SETTLE_S, QUICK_SETTLE_S = 5.0, 0.5
 """Seconds after the start in which heartbeats are more frequent than later."""
 WINDOW_S, SHORT_WINDOW_S, QUICK_WINDOW_S = 6.0, 2.0, 1.0
 """Seconds of a window: as a rule, of the largest fleet, and where it is to be quick."""
@@ -74,8 +72,7 @@
         large = step.fleet.ingresses >= LARGEST
         seconds = QUICK_WINDOW_S if quick else SHORT_WINDOW_S if large else WINDOW_S
         windows = QUICK_WINDOWS if quick else WINDOWS
-        with ProcessPoolExecutor(1, get_context("spawn"), initializer=quiet) as pool:
-            yield pool.submit(measure_step, step, seconds, windows).result()
+        yield isolated(quick, measure_step, step, seconds, windows)
 
 
 def measure_step(step: Step, window_s: float, windows: int) -> list[Sample]:
@@ -84,7 +81,7 @@
     before = resident_mb()
     fleet = Fleet(step.fleet, seed=1)
     fleet.begin()
-    fleet.window(SETTLE_S)
+    fleet.window(QUICK_SETTLE_S if window_s <= QUICK_WINDOW_S else SETTLE_S)
     found: dict[tuple[str, str], list[float]] = {}
     for _ in range(windows):
         fleet.window(window_s)
--- /dev/null
+++ b/proving/capacity/isolation.py
@@ -0,0 +1,21 @@
+"""Runs a measurement in a process of its own, so that its memory and garbage are its own as well."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from concurrent.futures import ProcessPoolExecutor
+from multiprocessing import get_context
+from typing import ParamSpec, TypeVar
+
+from proving.hunt import quiet
+
+P = ParamSpec("P")
+T = TypeVar("T")
+
+
+def isolated(quick: bool, call: Callable[P, T], *args: P.args, **kwargs: P.kwargs) -> T:
+    """The result of a call in a fresh process; in this one if it is to be quick."""
+    if quick:
+        return call(*args, **kwargs)
+    with ProcessPoolExecutor(1, get_context("spawn"), initializer=quiet) as pool:
+        return pool.submit(call, *args, **kwargs).result()
--- a/proving/capacity/page.py
+++ b/proving/capacity/page.py
@@ -6,7 +6,7 @@
 
 from proving.capacity import design, remedies, sections
 from proving.capacity.budget import BudgetLine, gaps, lines
-from proving.capacity.figures import Figures, number, table
+from proving.capacity.figures import LEAST_CERTAINTY, Figures, number, table
 from proving.capacity.samples import Recording
 
 COMMAND = "python -m proving capacity"
@@ -16,9 +16,9 @@
     """The whole page."""
     figures = Figures(recordings)
     found = lines(figures)
-    parts = [_head(), _gaps(found), _budget(found), sections.messages(figures), sections.configuration(figures),
-             sections.agreement(figures), sections.events(figures), sections.regions(figures),
-             _runs(recordings), sections.not_measured()]
+    parts = [_head(), _gaps(found), _budget(found), sections.messages(figures),
+             sections.configuration(figures), sections.agreement(figures), sections.events(figures),
+             sections.regions(figures), _runs(recordings), sections.not_measured()]
     return "\n".join(line for part in parts for line in part).rstrip() + "\n"
 
 
@@ -33,10 +33,10 @@
         f"{design.CONTROLLERS} controllers, {design.CHANGES_PER_DAY:,} changes a day in force within "
         f"{design.APPLY_S:g} s.", "",
         "A figure at that size is measured there, or it is what was measured at smaller ones, continued by a "
-        "line through three sizes or more. Axes are varied one at a time and added up, so what grows "
-        "with the "
-        "product of two of them is told too low. Hollow fleets run the programs' state machines with real "
-        "messages in one process; system calls are added by the cost of one datagram on loopback.", ""]
+        "line through three sizes or more; where R squared is under "
+        f"{LEAST_CERTAINTY:g} it isn't taken to grow. Axes are varied one at a time and added up, so what grows "
+        "with the product of two of them is told too low. Hollow fleets run the programs' state machines with "
+        "real messages in one process; system calls are added by the cost of one datagram on loopback.", ""]
 
 
 def _gaps(found: list[BudgetLine]) -> list[str]:
@@ -44,14 +44,18 @@
     out = ["## The three largest gaps", ""]
     for place, group in enumerate(gaps(found), 1):
         remedy = known[group[0].cause]
-        worst = "; ".join(f"{line.role}, {line.plane}: {line.name} {number(line.estimate.value)} "
-                          f"{line.unit} of {number(line.budget)} ({number(line.ratio)} "
-                          "times)" for line in group)
+        worst = "; ".join(map(_over, group))
         out += [f"{place}. **{remedy.title}.** {worst}.", f"   Design: {remedy.design}",
                 f"   Expected cost (not measured): {remedy.cost}", ""]
     return out
 
 
+def _over(line: BudgetLine) -> str:
+    """A line that isn't held, in a few words."""
+    return (f"{line.role}, {line.plane}: {line.name} {number(line.estimate.value)} {line.unit} of "
+            f"{number(line.budget)} ({number(line.ratio)} times)")
+
+
 def _budget(found: list[BudgetLine]) -> list[str]:
     known = remedies.load()
     out = ["## Budget", "", "Where it fails: the axis that weighs most, at the size at which the budget "
--- a/proving/capacity/regions.py
+++ b/proving/capacity/regions.py
@@ -3,26 +3,24 @@
 from __future__ import annotations
 
 from collections.abc import Iterator, Sequence
-from concurrent.futures import ProcessPoolExecutor
-from multiprocessing import get_context
 from typing import Any, NamedTuple
 
 from post.franking.tally import EDGES, HOLDER, SHARE
 from proving.capacity import design
 from proving.capacity.agreement import FINE_S, ORDER_MOST_S, Region, by_region, order, submit
 from proving.capacity.fleet import Fleet, FleetError, FleetSize
+from proving.capacity.isolation import isolated
 from proving.capacity.samples import Sample
-from proving.hunt import quiet
 from proving.model.processes import SorterProcess
 
 STUDY, AXIS = "regions", "regions"
 INGRESSES, TENANTS, REQUESTS = 12, 12, 10.0
-SETTLE_S, QUICK_SETTLE_S = 15.0, 6.0
-LOST_S, QUICK_LOST_S = 40.0, 16.0
+SETTLE_S, QUICK_SETTLE_S = 15.0, 2.0
+LOST_S, QUICK_LOST_S = 40.0, 2.0
 LATE_S = 15.0
 """Seconds after a cut or loss by which shares are used up."""
 ORDERS = 20
-TRIES = 3
+TRIES, QUICK_TRIES = 3, 1
 PERCENTILE = 0.99
 
 
@@ -49,9 +47,8 @@
 
 def measure(quick: bool) -> Iterator[list[Sample]]:
     """The samples of each design."""
-    for each in range(len(DESIGNS)):
-        with ProcessPoolExecutor(1, get_context("spawn"), initializer=quiet) as pool:
-            yield pool.submit(measure_design, each, quick).result()
+    for each in (0, 2) if quick else range(len(DESIGNS)):
+        yield isolated(quick, measure_design, each, quick)
 
 
 def measure_design(number: int, quick: bool) -> list[Sample]:
--- a/proving/capacity/restarts.py
+++ b/proving/capacity/restarts.py
@@ -3,20 +3,18 @@
 from __future__ import annotations
 
 from collections.abc import Iterator, Sequence
-from concurrent.futures import ProcessPoolExecutor
-from multiprocessing import get_context
 from typing import Any, NamedTuple
 
 from post.office.links import IDLE_S
 from proving.capacity.fleet import ZONES, Fleet, FleetError, FleetSize
 from proving.capacity.growth import SETTLE_S
+from proving.capacity.isolation import isolated
 from proving.capacity.samples import Sample
-from proving.hunt import quiet
 from proving.model.machines import RESTART_S, START_S, Machine
 
 STUDY, LARGE_STUDY = "restarts", "restarts-large"
 AXIS = "restarts at ingresses"
-SIZES, QUICK_SIZES = (30, 100, 300), (6, 12, 18)
+SIZES, QUICK_SIZES = (30, 100, 300), (3, 4, 6)
 LARGE = 600
 """More ingresses than all controllers together may have links to."""
 TENANTS = 300
@@ -47,15 +45,13 @@
 def measure(quick: bool) -> Iterator[list[Sample]]:
     """The samples of each size, each from a process of its own."""
     for size in QUICK_SIZES if quick else SIZES:
-        with ProcessPoolExecutor(1, get_context("spawn"), initializer=quiet) as pool:
-            yield pool.submit(measure_size, size).result()
+        yield isolated(quick, measure_size, size)
 
 
 def measure_large(quick: bool) -> Iterator[list[Sample]]:
     """The change of a route in a large fleet; the other events would take too long there."""
     if not quick:
-        with ProcessPoolExecutor(1, get_context("spawn"), initializer=quiet) as pool:
-            yield pool.submit(measure_size, LARGE, False).result()
+        yield isolated(quick, measure_size, LARGE, False)
 
 
 def measure_size(ingresses: int, restarts: bool = True) -> list[Sample]:
--- a/proving/capacity/sections.py
+++ b/proving/capacity/sections.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 from statistics import median
 
-from proving.capacity import design, fit, restarts
+from proving.capacity import design, fit, growth, restarts
 from proving.capacity.agreement import CUT_AXIS, LATENCY_AXIS
 from proving.capacity.figures import Figures, number, table
 from proving.capacity.regions import AXIS as REGIONS_AXIS
@@ -37,9 +37,10 @@
            "ingresses. The exponent is the power of the number of ingresses.", "",
            source(figures, ("ingresses", "ingresses-910")), ""]
     for role in ("ingress", "leader", "controller"):
-        names = [n for n in figures.names("ingresses") if n.startswith(f"{role}: ") and n.endswith("messages")]
         rows = []
-        for name in sorted(names):
+        for name in sorted(figures.names("ingresses")):
+            if not name.startswith(f"{role}: ") or not name.endswith(": messages"):
+                continue
             points = figures.series("ingresses", name)
             if len(points) >= fit.LEAST_POINTS and points[-1].value >= LEAST_MESSAGES:
                 sizes = figures.series("ingresses", name.replace("messages", "bytes"))
@@ -52,12 +53,13 @@
 
 def _processor(figures: Figures) -> list[str]:
     out = ["### Processor time", "", "Milliseconds a second, at one process, along each axis.", "",
-           source(figures, ("ingresses", "ingresses-910", "backends", "requests", "tenants", "controllers")), ""]
+           source(figures, (*growth.AXES,)), ""]
     rows = []
     for axis in ("ingresses", "backends", "requests", "tenants", "controllers"):
         for name in figures.names(axis):
             points = [Point(p.size, 1000 * p.value) for p in figures.series(axis, name)]
-            if name.endswith(": processor") and not name.startswith("tools") and len(points) >= fit.LEAST_POINTS:
+            wanted = name.endswith(": processor") and not name.startswith("tools")
+            if wanted and len(points) >= fit.LEAST_POINTS:
                 rows.append((axis, name.removesuffix(": processor"), along(points),
                              number(fit.line(points).slope), power(points)))
     return [*out, *table(("axis", "role and plane", "ms a second", "slope", "exponent"), rows)]
@@ -148,8 +150,8 @@
     processor = spent / restarts.BACKENDS * design.BACKENDS
     return [f"A release of {design.SERVICES} services replaces {design.BACKENDS:,} backends: by the slope of "
             f"{number(each)} bytes for a backend and an ingress, controllers send {number(total / 1e6)} "
-            "MB in all, "
-            f"and each ingress spends {number(processor)} s of processor time, however long the release takes.", ""]
+            f"MB in all, and each ingress spends {number(processor)} s of processor time, however long the "
+            "release takes.", ""]
 
 
 def _cut(figures: Figures) -> list[str]:
@@ -216,7 +218,8 @@
         "Proposed: a core in each region for counts and backends, with each tenant's allowance split by its "
         "traffic of the last minutes and moved under leases; and for the configuration one core with a "
         "member in "
-        "a third place, whose orders may take a round trip: 2,400 a day don't hurry. Expected, not measured.", ""]
+        "a third place, whose orders may take a round trip: 2,400 a day don't hurry. Expected, not "
+        "measured.", ""]
 
 
 def not_measured() -> list[str]:
