Capacity: the largest number of tenants in a run of its own

Change: tenants at the size to design for are a study of their own; quick leaves out racks and zones.

--- a/proving/capacity/growth.py
+++ b/proving/capacity/growth.py
@@ -11,6 +11,7 @@
 from post.office.overseeing import STATUS
 from post.office.showing import LEASES
 from post.office.wicket import Asked
+from proving.capacity import design
 from proving.capacity.configuration import resident_mb
 from proving.capacity.fleet import Fleet, FleetError, FleetSize
 from proving.capacity.isolation import isolated
@@ -22,9 +23,12 @@
 WINDOW_S, SHORT_WINDOW_S, QUICK_WINDOW_S = 6.0, 2.0, 1.0
 """Seconds of a window: as a rule, of the largest fleet, and where it is to be quick."""
 WINDOWS, QUICK_WINDOWS = 3, 2
-LARGEST = 910
+LARGEST = design.INGRESSES
+SMALL = FleetSize(ingresses=3, members=(1, 0, 1, 0, 1, 0), requests=40.0)
+"""For many tenants, whose number memory bounds."""
 TOTAL = "all"
-AXES = ("ingresses", "ingresses-910", "backends", "requests", "tenants", "controllers")
+AXES = ("ingresses", "ingresses-910", "backends", "requests", "tenants", "tenants-88000",
+        "controllers")
 
 
 class Step(NamedTuple):
@@ -49,9 +53,10 @@
         rates = (5.0, 10.0, 20.0) if quick else (10.0, 30.0, 60.0, 121.0)
         return [Step(axis, rate * 12, FleetSize(ingresses=12, requests=rate)) for rate in rates]
     if axis == "tenants":
-        sizes = [20, 40, 80] if quick else [20, 1000, 5500, 22_000, 88_000]
-        fleet = FleetSize(ingresses=3, members=(1, 0, 1, 0, 1, 0), requests=40.0)  # memory bounds it
-        return [Step(axis, n, replace(fleet, tenants=n)) for n in sizes]
+        sizes = [20, 40, 80] if quick else [20, 1000, 5500, 22_000]
+        return [Step(axis, n, replace(SMALL, tenants=n)) for n in sizes]
+    if axis == "tenants-88000":
+        return [] if quick else [Step("tenants", design.TENANTS, replace(SMALL, tenants=design.TENANTS))]
     if axis == "controllers":
         members = {3: (1, 0, 1, 0, 1, 0), 5: (1, 1, 1, 1, 1, 0), 7: (2, 1, 1, 1, 1, 1)}
         ingresses = 12 if quick else 60
--- a/proving/capacity/restarts.py
+++ b/proving/capacity/restarts.py
@@ -7,7 +7,7 @@
 
 from post.office.links import IDLE_S
 from proving.capacity.fleet import ZONES, Fleet, FleetError, FleetSize
-from proving.capacity.growth import SETTLE_S
+from proving.capacity.growth import QUICK_SETTLE_S, SETTLE_S
 from proving.capacity.isolation import isolated
 from proving.capacity.samples import Sample
 from proving.model.machines import RESTART_S, START_S, Machine
@@ -45,7 +45,7 @@
 def measure(quick: bool) -> Iterator[list[Sample]]:
     """The samples of each size, each from a process of its own."""
     for size in QUICK_SIZES if quick else SIZES:
-        yield isolated(quick, measure_size, size)
+        yield isolated(quick, measure_size, size, quick=quick)
 
 
 def measure_large(quick: bool) -> Iterator[list[Sample]]:
@@ -54,11 +54,11 @@
         yield isolated(quick, measure_size, LARGE, False)
 
 
-def measure_size(ingresses: int, restarts: bool = True) -> list[Sample]:
-    """All events in a fleet of so many ingresses, one after the other."""
+def measure_size(ingresses: int, restarts: bool = True, quick: bool = False) -> list[Sample]:
+    """All events in a fleet of so many ingresses, one after the other; `quick` leaves rack and zone out."""
     fleet = Fleet(FleetSize(ingresses=ingresses, backends=BACKENDS, tenants=TENANTS, requests=1.0), seed=1)
     fleet.begin()
-    fleet.window(SETTLE_S)
+    fleet.window(QUICK_SETTLE_S if quick else SETTLE_S)
     fleet.window(QUIET_S)
     usual = totals(fleet)
     found: list[Sample] = []
@@ -69,11 +69,11 @@
     ingress_machines = fleet.machines(fleet.ingresses())
     zone = [m for m in fleet.deployment.machines.values() if m.place.zone == ZONES[-1]]
     events = (("one ingress", ingress_machines[:1]), ("rack", ingress_machines[:RACK]), ("zone", zone))
-    for event, machines in events if restarts else ():
+    for event, machines in events[:1] if quick else events if restarts else ():
         seconds = restart(fleet, machines)
         _note_totals(note, event, totals(fleet), usual)
         note(event, "until all are ready", "s", seconds)
-        fleet.window(LINKS_IDLE_S)
+        fleet.window(0.0 if quick else LINKS_IDLE_S)
     seconds = change_route(fleet)
     _note_totals(note, "one route", totals(fleet), usual)
     if restarts:
