--- a/proving/capacity/isolation.py
+++ b/proving/capacity/isolation.py
@@ -13,9 +13,9 @@
 T = TypeVar("T")
 
 
-def isolated(quick: bool, call: Callable[P, T], *args: P.args, **kwargs: P.kwargs) -> T:
-    """The result of a call in a fresh process; in this one if it is to be quick."""
-    if quick:
+def isolated(here: bool, call: Callable[P, T], *args: P.args, **kwargs: P.kwargs) -> T:
+    """The result of a call in a fresh process; in this one if it may be `here`."""
+    if here:
         return call(*args, **kwargs)
     with ProcessPoolExecutor(1, get_context("spawn"), initializer=quiet) as pool:
         return pool.submit(call, *args, **kwargs).result()
