Capacity: tests of lines, recordings, a tiny fleet and bad arguments

Cause: the page may not be made from a wrong fit, nor grow stale beside its recordings. Change: eleven tests; the two that need the recordings fail until those are committed with the page. A run of some studies says which recordings are still missing, in place of an error about a line.

--- a/proving/capacity/page.py
+++ b/proving/capacity/page.py
@@ -36,7 +36,8 @@
         "line through three sizes or more; where R squared is under "
         f"{LEAST_CERTAINTY:g} it isn't taken to grow. Axes are varied one at a time and added up, so what "
         "grows with the product of two of them is told too low. Hollow fleets run the programs' state "
-        "machines with real messages in one process; system calls are added by the cost of one datagram on loopback.", ""]
+        "machines with real messages in one process; system calls are added by the cost of one datagram on "
+        "loopback.", ""]
 
 
 def _gaps(found: list[BudgetLine]) -> list[str]:
--- a/proving/cli.py
+++ b/proving/cli.py
@@ -414,8 +414,12 @@
         for study in chosen:
             with tqdm(desc=study.name, unit="sample") as bar:
                 studies.run(study, quick, folder, bar.update)
+        recordings = studies.load_all(folder)
+        if missing := [name for name in studies.NAMES if name not in recordings]:
+            self.tell(f"no page: {folder} lacks {', '.join(missing)}")
+            return 0 if chosen else 2
         out.parent.mkdir(parents=True, exist_ok=True)
-        out.write_text(page.page(studies.load_all(folder)), encoding="utf-8")
+        out.write_text(page.page(recordings), encoding="utf-8")
         self.tell(str(out))
         return 0
 
--- /dev/null
+++ b/tests/system/test_capacity.py
@@ -0,0 +1,100 @@
+"""The page on capacity: lines through what was measured, the page from recordings, a tiny hollow fleet."""
+
+from __future__ import annotations
+
+import logging
+from collections import Counter
+from pathlib import Path
+
+import pytest
+from cleo.testers.command_tester import CommandTester
+
+from proving.capacity import budget, fit, page, samples, studies
+from proving.capacity.figures import Estimate, Part
+from proving.capacity.fleet import Fleet, FleetSize
+from proving.capacity.growth import roles
+from proving.capacity.meter import Counts, wire_bytes
+from proving.capacity.samples import Point, RecordingError, Sample
+from proving.cli import CapacityCommand
+
+RECORDED = Path(__file__).parents[2] / "docs" / "capacity"
+
+
+def test_a_line_and_an_exponent_are_found_again() -> None:
+    line = fit.line([Point(n, 3.0 + 0.5 * n) for n in (10, 30, 100, 300)])
+    assert (line.base, line.slope, line.certainty) == pytest.approx((3.0, 0.5, 1.0))
+    assert fit.exponent([Point(n, 2.0 * n ** 1.37) for n in (30, 100, 300)]) == pytest.approx(1.37)
+    assert fit.exponent([Point(n, 0.0) for n in (30, 100, 300)]) is None
+
+
+def test_noise_has_no_certain_line_and_two_sizes_have_none() -> None:
+    assert fit.line([Point(10, 1.0), Point(20, 5.0), Point(30, 1.1)]).certainty < 0.3
+    with pytest.raises(fit.FitError):
+        fit.line([Point(10, 1.0), Point(20, 2.0)])
+
+
+def test_the_size_at_which_a_budget_is_used_up() -> None:
+    parts = (Part("ingresses", 30, 910, 0.2), Part("tenants", 20, 88_000, 1.8))
+    line = budget.BudgetLine("ingress", "all", "time", "%", 1.1, Estimate(2.0, parts), "", budget.LEADER)
+    axis, size = line.fails_at() or ("", 0.0)
+    assert (axis, size, line.held) == ("tenants", pytest.approx(44_010), False)
+
+
+def test_the_gaps_of_the_recorded_measurements(snapshot: object) -> None:
+    written = page.page(studies.load_all(RECORDED))
+    assert written[:written.index("## Budget")] == snapshot
+
+
+def test_the_committed_page_is_that_of_the_recorded_measurements() -> None:
+    written = RECORDED.parent / "CAPACITY.md"
+    assert written.read_text(encoding="utf-8") == page.page(studies.load_all(RECORDED))
+
+
+def test_a_recording_is_read_as_it_was_saved(tmp_path: Path) -> None:
+    kept = samples.record("study", "command", "abc", 1.25, [Sample("axis", 3, "figure", "s", (0.5, 1.5))], {})
+    assert samples.load(samples.save(kept, tmp_path)) == kept
+    (tmp_path / "study.json").write_text("{}")
+    with pytest.raises(RecordingError):
+        samples.load(tmp_path / "study.json")
+
+
+def count(by_role: dict[str, list[Counts]], direction: str) -> Counter[tuple[str, str, str]]:
+    """Messages in one direction by role, plane and kind."""
+    found: Counter[tuple[str, str, str]] = Counter()
+    for role, ones in by_role.items():
+        for one in ones:
+            for flow, number in one.messages.items():
+                if flow.direction == direction:
+                    found[role, flow.plane, flow.kind] += number
+    return found
+
+
+def test_a_tiny_hollow_fleet_counts_its_messages(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(logging.getLogger("post"), "level", logging.ERROR)
+    fleet = Fleet(FleetSize(ingresses=3, backends=6, services=1, tenants=4, requests=20.0), seed=1)
+    fleet.begin()
+    fleet.window(4.0)
+    counts = roles(fleet)
+    assert [len(counts[role]) for role in ("ingress", "leader", "controller")] == [3, 1, 6]
+    sent, received = count(counts, "sent"), count(counts, "received")
+    charged = sent["ingress", "quota", "charge"]
+    assert charged == pytest.approx(3 * 20 * 4.0, rel=0.3)
+    taken = received["leader", "quota", "charge"] + received["controller", "quota", "charge"]
+    assert taken == pytest.approx(charged, abs=2)  # some are on their way when the window begins or ends
+    assert received["ingress", "quota", "verdict"] == pytest.approx(charged, abs=2)
+    beats = sent["leader", "agreement", "heartbeat"]
+    assert beats == pytest.approx(received["controller", "agreement", "heartbeat"], abs=6) and beats > 200
+    assert all(one.total_processor() > 0 for ones in counts.values() for one in ones)
+
+
+def test_bytes_on_the_wire_hold_headers() -> None:
+    assert [wire_bytes(100), wire_bytes(1151), wire_bytes(3000)] == [128, 1207, 3160]
+
+
+@pytest.mark.parametrize(("arguments", "why"), [
+    ("--only nothing", "no study"), ("--from docs/capacity --quick", "measures nothing"),
+    ("--from tests/absent --out /dev/null", "no recordings")])
+def test_bad_arguments(arguments: str, why: str) -> None:
+    tester = CommandTester(CapacityCommand())
+    assert tester.execute(arguments) == 2
+    assert why in tester.io.fetch_error()
