Capacity: hollow processes keep their links, as the programs do

Cause: each message beyond a datagram opened a connection in the model, so an order among 7 members at 35 ms took 0.152 s in the median once the orders taken no longer fitted a datagram. A recording names the commit at the start of its run.

--- a/proving/capacity/fleet.py
+++ b/proving/capacity/fleet.py
@@ -8,10 +8,10 @@
 
 from post.franking import interface as franking
 from proving.capacity import design
-from proving.capacity.meter import Counts, Meter
+from proving.capacity.meter import Counts, LinkNetwork, Meter
 from proving.model.deployment import Deployment
 from proving.model.machines import Machine
-from proving.model.network import Network, Place, Ways
+from proving.model.network import Place, Ways
 from proving.model.operators import Desk
 from proving.model.processes import PostmasterProcess, Program, SorterProcess
 from proving.model.record import Record
@@ -66,7 +66,7 @@
                     links=Links(between=self.zone_delay_s, loss=0.0), bounds=bounds)
 
 
-class RegionNetwork(Network):
+class RegionNetwork(LinkNetwork):
     """A network on which the way between regions is longer than that between zones."""
 
     def __init__(self, world: World, ways: Ways, size: FleetSize) -> None:
@@ -96,7 +96,7 @@
         self.meters: dict[Program, Meter] = {}
         self.charges = 0
         self.refused: dict[str, int] = {}
-        network = RegionNetwork(self.world, self.deployment.network.ways, size)
+        network = self.network = RegionNetwork(self.world, self.deployment.network.ways, size)
         self.deployment.network = network
         for machine in self.deployment.machines.values():
             machine.network = network
@@ -104,7 +104,7 @@
         self.deployment.spoilers.append(self._started)
 
     def _started(self, process: Program) -> None:
-        self.meters[process] = Meter(process)
+        self.meters[process] = Meter(process, self.network)
         if isinstance(process, SorterProcess) and self.size.requests:
             self.world.after(self.rng.expovariate(self.size.requests), self._request, process)
 
--- a/proving/capacity/meter.py
+++ b/proving/capacity/meter.py
@@ -15,6 +15,7 @@
 from post.register.register_pb2 import Kind
 from post.register.register_pb2 import Note as RegisterNote
 from post.rounds.rounds_pb2 import Note as RoundsNote
+from proving.model.network import Network, Place
 from proving.model.processes import KINDS, PostmasterProcess, Program, SorterProcess
 
 CLASSES: Final[dict[int, Any]] = {REGISTER: RegisterNote, ROUNDS: RoundsNote, FRANKING: FrankingNote}
@@ -61,11 +62,23 @@
         return float(sum(self.processor.values()))
 
 
+class LinkNetwork(Network):
+    """A network on which links between own processes are kept, as the programs keep them."""
+
+    def over_link(self, a: Place, b: Place, kind: str, size: int, arrive: Callable[..., Any],
+                  *args: Any) -> None:
+        """Send a message over a link that stands already: no handshake comes before it."""
+        self.note(a, b, kind, size)
+        wait = self.wait(a, size)
+        if self.reaches(a, b):
+            self.world.after(wait + self.delay(a, b), arrive, *args)
+
+
 class Meter:
     """Sits between a hollow process and the simulated network."""
 
-    def __init__(self, process: Program) -> None:
-        self.process = process
+    def __init__(self, process: Program, network: LinkNetwork) -> None:
+        self.process, self.network = process, network
         self.counts = Counts()
         self.taking = self.take
         self.give: Callable[[Address, int, Any], None] = process.take
@@ -100,16 +113,17 @@
         return TIMERS
 
     def send(self, to: Address, plane: int, message: Any) -> None:
-        """Serialise a message and hand it to the network."""
+        """Serialise a message and hand it to the network, over a link that is kept if it is a long one."""
         data = message.SerializeToString()
-        self._count("sent", plane, message, len(data) + 1)
-        if len(data) + 1 > DATAGRAM_BYTES and not self._link(to):
-            return
-        process = self.process
+        size = len(data) + 1
+        self._count("sent", plane, message, size)
+        process, used = self.process, self.counts.links.get(to, -IDLE_S)
+        kept = process.world.now - used < IDLE_S
         target = process.machine.deployment.ports.get(to)
-        if target is not None:
-            process.machine.network.message(process.place, target, KINDS[plane], len(data) + 1,
-                                            process.arrive, to, plane, data)
+        if target is None or (size > DATAGRAM_BYTES and not self._link(to)):
+            return
+        carry = self.network.over_link if kept and size > DATAGRAM_BYTES else self.network.message
+        carry(process.place, target, KINDS[plane], size, process.arrive, to, plane, data)
 
     def take(self, sender: Address, plane: int, data: bytes) -> None:
         """Read a message and hand it to the process."""
@@ -127,7 +141,7 @@
         """Whether there is a TCP link to a process, or may be: a program has `LINKS` at most, and loses what
         would need another."""
         now, links = self.process.world.now, self.counts.links
-        for address in [a for a, used in links.items() if now - used > IDLE_S]:
+        for address in [a for a, used in links.items() if a != to and now - used > IDLE_S]:
             del links[address]
         if to not in links and len(links) >= LINKS:
             self.counts.lost += 1
--- a/proving/capacity/studies.py
+++ b/proving/capacity/studies.py
@@ -67,13 +67,13 @@
 
 def run(study: Study, quick: bool, folder: Path, progress: Callable[[int], None]) -> Recording:
     """Measure a study and save its recording; `progress` is told after each step how many samples it gave."""
-    began = time.monotonic()
+    began, commit = time.monotonic(), source()
     found: list[Sample] = []
     for step in study.measure(quick):
         found += step
         progress(len(step))
     command = f"{COMMAND} --only {study.name}" + (" --quick" if quick else "")
-    recording = samples.record(study.name, command, source(), time.monotonic() - began, found,
+    recording = samples.record(study.name, command, commit, time.monotonic() - began, found,
                                study.settings(quick))
     samples.save(recording, folder)
     return recording
