Capacity: an operator follows a 307 to the leader; what is lost for want of a link is counted

Cause: with a member in a third place the leader stood there after the first region was lost, and the second one's controllers sent the caller on: that was told as taking no orders. At 910 ingresses the leader's 64 links were full, and 724 values a second were sent in vain, which showed as bytes only. Change: a 307 is followed where the leader can be reached; messages lost for want of a link are a figure.

--- a/proving/capacity/agreement.py
+++ b/proving/capacity/agreement.py
@@ -20,6 +20,7 @@
 ORDERS, QUICK_ORDERS = 30, 5
 SEEDS, QUICK_SEEDS = 8, 1
 FINE_S = 0.002
+OK, REDIRECT = 200, 307
 ORDER_MOST_S, ELECT_MOST_S = 8.0, 10.0
 CUT_S, QUICK_CUT_S = 300.0, 2.0
 HEAL_S = 15.0
@@ -173,7 +174,7 @@
         before = _note_span(found, fleet, before, mark)
     for name in fleet.region_names():
         found.append(Sample(CUT_AXIS, seconds, f"{name}: orders taken", "orders",
-                            (float(_takes_orders(fleet, name)),)))
+                            (float(takes_orders(fleet, name)),)))
     fleet.cut((0,), (1,), False)
     healed = fleet.world.now
     same = fleet.until(lambda: len({i.hall.version for i in fleet.ingresses()}) == 1, HEAL_S, FINE_S)
@@ -210,9 +211,26 @@
     return after
 
 
-def _takes_orders(fleet: Fleet, region: str) -> bool:
-    """Whether any controller of a region acknowledges a change."""
-    answers = [submit(fleet, c) for c in fleet.controllers()
-               if fleet.region_name(c.place.zone) == region]
-    fleet.world.run(fleet.world.now + ORDER_MOST_S)
-    return any(status == [200] for status in answers)
+def takes_orders(fleet: Fleet, region: str) -> bool:
+    """Whether an operator who calls the controllers of a region has a change acknowledged; a 307 is followed
+    where its leader can be reached from there."""
+    for controller in fleet.controllers():
+        if fleet.region_name(controller.place.zone) != region:
+            continue
+        status, leader = _answered(fleet, controller), fleet.leader()
+        reached = leader is not None and fleet.network.reaches(controller.place, leader.place)
+        if status == REDIRECT and leader is not None and reached:
+            status = _answered(fleet, leader)
+        if status == OK:
+            return True
+    return False
+
+
+def _answered(fleet: Fleet, process: PostmasterProcess) -> int:
+    """The status of a change at a controller; 0 if none comes in time."""
+    status = submit(fleet, process)
+    try:
+        fleet.until(lambda: bool(status), ORDER_MOST_S, FINE_S)
+    except FleetError:
+        return 0
+    return status[0]
--- a/proving/capacity/growth.py
+++ b/proving/capacity/growth.py
@@ -146,6 +146,7 @@
         for plane, seconds in each.processor.items():
             for name in (plane, TOTAL):
                 add(f"{role}: {name}: processor", "s/s", seconds)
+        add(f"{role}: lost for want of a link: messages", "messages/s", each.lost)
     found[f"{role}: links open", "links"] = max(c.most_links for c in counts)
     return found
 
--- a/proving/capacity/regions.py
+++ b/proving/capacity/regions.py
@@ -7,8 +7,8 @@
 
 from post.franking.tally import EDGES, HOLDER, SHARE
 from proving.capacity import design
-from proving.capacity.agreement import FINE_S, ORDER_MOST_S, Region, by_region, order, submit
-from proving.capacity.fleet import Fleet, FleetError, FleetSize
+from proving.capacity.agreement import Region, by_region, order, takes_orders
+from proving.capacity.fleet import Fleet, FleetSize
 from proving.capacity.isolation import isolated
 from proving.capacity.samples import Sample
 from proving.model.processes import SorterProcess
@@ -20,7 +20,6 @@
 LATE_S = 15.0
 """Seconds after a cut or loss by which shares are used up."""
 ORDERS = 20
-TRIES, QUICK_TRIES = 3, 1
 PERCENTILE = 0.99
 
 
@@ -104,20 +103,6 @@
     return (parts[HOLDER] + parts[SHARE]) / total if (total := sum(parts)) else 0.0
 
 
-def takes_orders(fleet: Fleet, region: str) -> bool:
-    """Whether a controller of a region acknowledges a change, in some tries."""
-    for _ in range(TRIES):
-        controllers = [c for c in fleet.controllers() if fleet.region_name(c.place.zone) == region]
-        answers = [submit(fleet, c) for c in controllers]
-        try:
-            fleet.until(lambda answers=answers: all(answers), ORDER_MOST_S, FINE_S)  # type: ignore[misc]
-        except FleetError:
-            pass
-        if any(status == [200] for status in answers):
-            return True
-    return False
-
-
 def mean_charge(ingresses: Sequence[SorterProcess]) -> float:
     """Seconds that a charge at its holder took, on the mean."""
     tallies = [i.hall.charger.tally for i in ingresses]
