Capacity: restarts in smaller fleets, within two minutes

Change: 30, 90 and 180 ingresses; links of one event are forgotten before the next, in place of waiting until they are.

--- a/proving/capacity/restarts.py
+++ b/proving/capacity/restarts.py
@@ -5,7 +5,6 @@
 from collections.abc import Iterator, Sequence
 from typing import Any, NamedTuple
 
-from post.office.links import IDLE_S
 from proving.capacity.fleet import ZONES, Fleet, FleetError, FleetSize
 from proving.capacity.growth import QUICK_SETTLE_S, SETTLE_S
 from proving.capacity.isolation import isolated
@@ -14,7 +13,7 @@
 
 STUDY, LARGE_STUDY = "restarts", "restarts-large"
 AXIS = "restarts at ingresses"
-SIZES, QUICK_SIZES = (30, 100, 300), (3, 4, 6)
+SIZES, QUICK_SIZES = (30, 90, 180), (3, 4, 6)
 LARGE = 600
 """More ingresses than all controllers together may have links to."""
 TENANTS = 300
@@ -23,8 +22,8 @@
 QUIET_S, WATCHED_S, MOST_S = 4.0, 6.0, 40.0
 BACKENDS = 60
 RELEASE_S, DRAIN_S = 2.0, 1.0
-LINKS_IDLE_S = IDLE_S + 1.0
-"""After which links of one event don't count for the next one."""
+CALM_S = 3.0
+"""Between two events; links of one don't count for the next, as if they had been idle meanwhile."""
 
 
 class Totals(NamedTuple):
@@ -73,7 +72,7 @@
         seconds = restart(fleet, machines)
         _note_totals(note, event, totals(fleet), usual)
         note(event, "until all are ready", "s", seconds)
-        fleet.window(0.0 if quick else LINKS_IDLE_S)
+        fleet.window(0.0 if quick else CALM_S)
     seconds = change_route(fleet)
     _note_totals(note, "one route", totals(fleet), usual)
     if restarts:
@@ -86,8 +85,7 @@
 def restart(fleet: Fleet, machines: Sequence[Machine]) -> float:
     """Kill machines and start them again; seconds from their start until all ingresses are ready. -1 if some
     are not within the time."""
-    for meter in fleet.meters.values():
-        meter.reset()
+    _reset(fleet)
     for machine in machines:
         machine.kill()
         machine.back()
@@ -103,8 +101,7 @@
 
 def change_route(fleet: Fleet) -> float:
     """Change one route; seconds from the order until the last ingress has it. -1 if some never has."""
-    for meter in fleet.meters.values():
-        meter.reset()
+    _reset(fleet)
     began, generation = fleet.world.now, fleet.desk.generation
     fleet.desk.change("move")
 
@@ -121,8 +118,7 @@
 
 def release(fleet: Fleet) -> None:
     """Replace every backend by a new one, service by service."""
-    for meter in fleet.meters.values():
-        meter.reset()
+    _reset(fleet)
     deployment, began = fleet.deployment, fleet.world.now
     old = deployment.alive()
     for n, backend in enumerate(old):
@@ -132,6 +128,12 @@
     fleet.world.run(began + WATCHED_S)
 
 
+def _reset(fleet: Fleet) -> None:
+    for meter in fleet.meters.values():
+        meter.reset()
+        meter.counts.links = {}
+
+
 def totals(fleet: Fleet) -> Totals:
     """What controllers did since the last reset."""
     controllers = fleet.counts(fleet.controllers())
