Capacity: events continued only where a line explains them

Cause: differences that are noise were carried to 910 ingresses, and links beyond their limit. Change: a line under R squared of 0.7 isn't continued; links stop at their limit; what of a cut was simulated is told apart from what the design says.

--- a/proving/capacity/page.py
+++ b/proving/capacity/page.py
@@ -75,13 +75,12 @@
 
 def _uneven(figures: Figures) -> str:
     """How uneven the counts were spread in these runs."""
-    leader, other = (figures.last("ingresses", f"{role}: quota: charge received: messages")
+    leader, other = (figures.last("requests", f"{role}: quota: charge received: messages")
                      for role in ("leader", "controller"))
     share = leader / (leader + (design.CONTROLLERS - 1) * other)
-    return (f"In these fleets the leader, by the cut of tenants over controllers, held the counts of "
-            f"{share:.0%} "
-            f"of all charges (an even part is {1 / design.CONTROLLERS:.0%}); which controller has the "
-            "most is chance.")
+    return ("In the fleets in which requests were varied the leader, by the cut of tenants over controllers, "
+            f"held the counts of {share:.0%} of all charges (an even part is {1 / design.CONTROLLERS:.0%}); "
+            "which controller has the most is chance.")
 
 
 def _lost(figures: Figures) -> list[str]:
--- a/proving/capacity/sections.py
+++ b/proving/capacity/sections.py
@@ -5,9 +5,10 @@
 from collections.abc import Iterable
 from statistics import median
 
+from post.office.links import LINKS
 from proving.capacity import design, fit, growth, programs, restarts
 from proving.capacity.agreement import CUT_AXIS, LATENCY_AXIS
-from proving.capacity.figures import Figures, number, table
+from proving.capacity.figures import LEAST_CERTAINTY, Figures, number, table
 from proving.capacity.regions import AXIS as REGIONS_AXIS
 from proving.capacity.regions import DESIGNS
 from proving.capacity.samples import Point, Recording
@@ -131,12 +132,22 @@
         points = figures.series(axis, name)
         event, figure = name.split(": ", 1)
         unit = next(s.unit for s in figures.samples(axis) if s.figure == name)
-        at = fit.line(points).at(design.INGRESSES) if len(points) >= fit.LEAST_POINTS else None
-        rows.append((event, figure, unit, along(points), "" if at is None else number(at)))
+        rows.append((event, figure, unit, along(points), _continued(points, unit)))
     out += table(("event", "figure", "unit", "at ingresses", f"line at {design.INGRESSES}"), rows)
     return out + _worked_out(figures) + _cut(figures)
 
 
+def _continued(points: list[Point], unit: str) -> str:
+    """A figure at the size to design for by its line; nothing where that explains too little."""
+    if len(points) < fit.LEAST_POINTS:
+        return ""
+    line = fit.line(points)
+    value = line.at(design.INGRESSES)
+    if line.certainty < LEAST_CERTAINTY or value < 0:
+        return ""
+    return f"{LINKS} (the limit)" if unit == "links" and value > LINKS else number(value)
+
+
 def _worked_out(figures: Figures) -> list[str]:
     """Events at the size to design for, from the slopes above."""
     def whole(name: str) -> float:
@@ -192,11 +203,11 @@
     others = [f"{s.figure}: {number(s.middle)} {s.unit}" for s in samples
               if s.figure.endswith("orders taken") or s.figure.startswith("after the cut")]
     return [*out, "; ".join(others) + ". The last row is the time after the cut.", "",
-            "Region 1 keeps the majority: it takes orders, hands out all counts after their leases are "
-            "over, and serves as before. Region 2 may serve what its ingresses know, within the shares that "
-            "they have; it may not take orders, may not acknowledge a backend's leaving, hands out no new "
-            "share, and an ingress "
-            "that begins anew there serves nobody until the cut ends.", ""]
+            "Region 1 keeps the majority: it takes orders, hands out all counts after their leases are over, "
+            "and serves as before. Region 2 serves within the shares that its ingresses have, and nothing "
+            "after those; its ingresses call themselves ready all the while, so clients are still led there. "
+            "By the design, not simulated here: region 2 may not acknowledge that a backend leaves, and an "
+            "ingress that begins anew there serves nobody until the cut ends.", ""]
 
 
 def regions(figures: Figures) -> list[str]:
