--- a/proving/capacity/agreement.py
+++ b/proving/capacity/agreement.py
@@ -23,7 +23,7 @@
 OK, REDIRECT = 200, 307
 ORDER_MOST_S, ELECT_MOST_S = 8.0, 10.0
 CUT_S, QUICK_CUT_S = 300.0, 2.0
-HEAL_S = 15.0
+HEAL_S, QUICK_HEAL_S = 15.0, 3.0
 WARM_S, QUICK_WARM_S = 15.0, 2.0
 CUT_TENANTS, CUT_INGRESSES, CUT_REQUESTS = 12, 12, 10.0
 CUT_MARKS = (1.0, 2.0, 5.0, 10.0, 12.0, 15.0, 30.0, 60.0, 120.0, 300.0)
@@ -150,7 +150,8 @@
 
 def measure_cut(quick: bool) -> Iterator[list[Sample]]:
     """Cut the two regions off from one another, and see what each may still do."""
-    yield isolated(quick, cut_regions, *((QUICK_CUT_S, QUICK_WARM_S) if quick else (CUT_S, WARM_S)))
+    yield isolated(quick, cut_regions, *((QUICK_CUT_S, QUICK_WARM_S, QUICK_HEAL_S) if quick else
+                                          (CUT_S, WARM_S, HEAL_S)))
 
 
 def cut_settings(quick: bool) -> dict[str, Any]:
@@ -159,7 +160,7 @@
             "cut_s": QUICK_CUT_S if quick else CUT_S}
 
 
-def cut_regions(seconds: float, warm_s: float) -> list[Sample]:
+def cut_regions(seconds: float, warm_s: float, heal_s: float) -> list[Sample]:
     """One cut in a small fleet with steady traffic well within each tenant's allowance."""
     fleet = Fleet(FleetSize(ingresses=CUT_INGRESSES, tenants=CUT_TENANTS, requests=CUT_REQUESTS,
                             region_delay_s=design.REGION_DELAY_S), seed=1)
@@ -177,13 +178,13 @@
                             (float(takes_orders(fleet, name)),)))
     fleet.cut((0,), (1,), False)
     healed = fleet.world.now
-    same = fleet.until(lambda: len({i.hall.version for i in fleet.ingresses()}) == 1, HEAL_S, FINE_S)
+    same = fleet.until(lambda: len({i.hall.version for i in fleet.ingresses()}) == 1, heal_s, FINE_S)
     found.append(Sample(CUT_AXIS, seconds, "after the cut: until all run one configuration", "s", (same,)))
-    ready = fleet.until(lambda: all(i.ready() for i in fleet.ingresses()), HEAL_S, FINE_S)
+    ready = fleet.until(lambda: all(i.ready() for i in fleet.ingresses()), heal_s, FINE_S)
     found.append(Sample(CUT_AXIS, seconds, "after the cut: until all are ready", "s", (same + ready,)))
     before = by_region(fleet)
-    fleet.world.run(healed + HEAL_S)
-    _note_span(found, fleet, before, seconds + HEAL_S)
+    fleet.world.run(healed + heal_s)
+    _note_span(found, fleet, before, seconds + heal_s)
     return found
 
 
--- a/proving/capacity/programs.py
+++ b/proving/capacity/programs.py
@@ -26,7 +26,7 @@
 PORT: Final = 19_600
 SERVICE: Final = "service-0"
 WORK_S, CAPACITY, BACKENDS = 0.005, 8, 2
-REQUESTS, QUICK_REQUESTS, BATCHES = 300, 5, 3
+REQUESTS, QUICK_REQUESTS, BATCHES = 300, 2, 3
 PACE_S: Final = 0.005
 """Between two requests, so that none waits for another."""
 WAIT_S, POLL_S = 30.0, 0.01
@@ -85,7 +85,8 @@
         note(f"request through an ingress, {name}", "ms", [float(v) for v in one])
         note(f"request to a backend, {name}", "ms", [float(v) for v in other])
         note(f"added time, {name}", "ms", [float(a - b) for a, b in zip(one, other, strict=True)])
-    note("ingress: start until ready", "s", [await restart(house) for house in town.houses])
+    restarted = town.houses[:1] if quick else town.houses
+    note("ingress: start until ready", "s", [await restart(house) for house in restarted])
     return found, generation
 
 
--- a/proving/capacity/restarts.py
+++ b/proving/capacity/restarts.py
@@ -54,7 +54,7 @@
 
 
 def measure_size(ingresses: int, restarts: bool = True, quick: bool = False) -> list[Sample]:
-    """All events in a fleet of so many ingresses, one after the other; `quick` leaves rack and zone out."""
+    """All events in a fleet of so many ingresses, one after the other; `quick` leaves restarts out."""
     fleet = Fleet(FleetSize(ingresses=ingresses, backends=BACKENDS, tenants=TENANTS, requests=1.0), seed=1)
     fleet.begin()
     fleet.window(QUICK_SETTLE_S if quick else SETTLE_S)
@@ -68,11 +68,11 @@
     ingress_machines = fleet.machines(fleet.ingresses())
     zone = [m for m in fleet.deployment.machines.values() if m.place.zone == ZONES[-1]]
     events = (("one ingress", ingress_machines[:1]), ("rack", ingress_machines[:RACK]), ("zone", zone))
-    for event, machines in events[:1] if quick else events if restarts else ():
+    for event, machines in events if restarts and not quick else ():
         seconds = restart(fleet, machines)
         _note_totals(note, event, totals(fleet), usual)
         note(event, "until all are ready", "s", seconds)
-        fleet.window(0.0 if quick else CALM_S)
+        fleet.window(CALM_S)
     seconds = change_route(fleet)
     _note_totals(note, "one route", totals(fleet), usual)
     if restarts:
