--- a/proving/capacity/agreement.py
+++ b/proving/capacity/agreement.py
@@ -6,14 +6,14 @@
 from collections.abc import Iterator
 from typing import Any, NamedTuple
 
-from post.franking.tally import WAYS
-from post.office.wicket import Asked
+from gateway.quota.decision_statistics import WAYS
+from gateway.runtime.http_listener import HttpCall
 from proving.capacity import design, documents
 from proving.capacity.fleet import Fleet, FleetError, FleetSize
 from proving.capacity.isolation import isolated
 from proving.capacity.samples import Sample
 from proving.model.machines import RESTART_S, START_S
-from proving.model.processes import PostmasterProcess
+from proving.model.processes import ControllerProcess
 
 STUDY, CUT_STUDY = "agreement", "region-cut"
 LATENCY_AXIS, CUT_AXIS = "members", "seconds of the cut"
@@ -61,9 +61,13 @@
 
 def settings(quick: bool) -> dict[str, Any]:
     """What a recording tells of how it was made."""
-    return {"orders": QUICK_ORDERS if quick else ORDERS, "seeds": QUICK_SEEDS if quick else SEEDS,
-            "disk_sync_s": 0.002, "zone_delay_s": design.ZONE_DELAY_S,
-            "region_delay_s": design.REGION_DELAY_S}
+    return {
+        "orders": QUICK_ORDERS if quick else ORDERS,
+        "seeds": QUICK_SEEDS if quick else SEEDS,
+        "disk_sync_s": 0.002,
+        "zone_delay_s": design.ZONE_DELAY_S,
+        "region_delay_s": design.REGION_DELAY_S,
+    }
 
 
 def measure(quick: bool) -> Iterator[list[Sample]]:
@@ -76,8 +80,18 @@
     """All seeds of one layout."""
     latencies: dict[str, list[float]] = {}
     for seed in range(1, 1 + (QUICK_SEEDS if quick else SEEDS)):
-        fleet = Fleet(FleetSize(ingresses=6, members=layout.members, backends=6, services=1, requests=0.0,
-                                zone_delay_s=layout.zone_delay_s, region_delay_s=layout.region_delay_s), seed)
+        fleet = Fleet(
+            FleetSize(
+                ingresses=6,
+                members=layout.members,
+                backends=6,
+                services=1,
+                requests=0.0,
+                zone_delay_s=layout.zone_delay_s,
+                region_delay_s=layout.region_delay_s,
+            ),
+            seed,
+        )
         fleet.begin()
         where = fleet.region_name(_leader(fleet).place.zone)
         name = f"{layout.name}, leader in {where}" if layout.name == "two regions" else layout.name
@@ -85,10 +99,14 @@
             latencies.setdefault(f"{name}: order", []).append(order(fleet))
         for figure, seconds in lose_leader(fleet).items():
             latencies.setdefault(f"{layout.name}: {figure}", []).append(seconds)
-    found = [Sample(LATENCY_AXIS, layout.total, figure, "s", tuple(values))
-             for figure, values in latencies.items()]
-    return found + [Sample(LATENCY_AXIS, layout.total, f"{s.figure}s one after the other", "orders/s",
-                           (1.0 / s.middle,)) for s in found if s.figure.endswith(": order")]
+    found = [
+        Sample(LATENCY_AXIS, layout.total, figure, "s", tuple(values)) for figure, values in latencies.items()
+    ]
+    return found + [
+        Sample(LATENCY_AXIS, layout.total, f"{s.figure}s one after the other", "orders/s", (1.0 / s.middle,))
+        for s in found
+        if s.figure.endswith(": order")
+    ]
 
 
 def order(fleet: Fleet) -> float:
@@ -117,7 +135,7 @@
     return {"leader lost, until another is sure": elected, "leader lost, until an order": acknowledged}
 
 
-def _leader(fleet: Fleet) -> PostmasterProcess:
+def _leader(fleet: Fleet) -> ControllerProcess:
     fleet.until(lambda: fleet.leader() is not None, ELECT_MOST_S, FINE_S)
     leader = fleet.leader()
     if leader is None:
@@ -125,15 +143,16 @@
     return leader
 
 
-def submit(fleet: Fleet, process: PostmasterProcess) -> list[int]:
+def submit(fleet: Fleet, process: ControllerProcess) -> list[int]:
     """Send a change of one route to a controller; its status is put into the list that is returned."""
     held, status = process.post.held, list[int]()
     generation = held.generation
     entry = documents.route_entry(0, 1, deadline_s=2.0 + (generation % 100) / 100)
     entry["spec"]["target"] = fleet.spec.services[0].name
     body = json.dumps(documents.patch(generation, entry)).encode()
-    process.enter(process.answer, Asked("PATCH", "/-/config", body),
-                  lambda code, lines, answer: status.append(code))
+    process.enter(
+        process.answer, HttpCall("PATCH", "/-/config", body), lambda code, lines, answer: status.append(code)
+    )
     return status
 
 
@@ -150,20 +169,32 @@
 
 def measure_cut(quick: bool) -> Iterator[list[Sample]]:
     """Cut the two regions off from one another, and see what each may still do."""
-    yield isolated(quick, cut_regions, *((QUICK_CUT_S, QUICK_WARM_S, QUICK_HEAL_S) if quick else
-                                          (CUT_S, WARM_S, HEAL_S)))
+    yield isolated(
+        quick, cut_regions, *((QUICK_CUT_S, QUICK_WARM_S, QUICK_HEAL_S) if quick else (CUT_S, WARM_S, HEAL_S))
+    )
 
 
 def cut_settings(quick: bool) -> dict[str, Any]:
     """What a recording tells of how it was made."""
-    return {"ingresses": CUT_INGRESSES, "requests": CUT_REQUESTS, "members": "4 in A, 3 in B",
-            "cut_s": QUICK_CUT_S if quick else CUT_S}
+    return {
+        "ingresses": CUT_INGRESSES,
+        "requests": CUT_REQUESTS,
+        "members": "4 in A, 3 in B",
+        "cut_s": QUICK_CUT_S if quick else CUT_S,
+    }
 
 
 def cut_regions(seconds: float, warm_s: float, heal_s: float) -> list[Sample]:
     """One cut in a small fleet with steady traffic well within each tenant's allowance."""
-    fleet = Fleet(FleetSize(ingresses=CUT_INGRESSES, tenants=CUT_TENANTS, requests=CUT_REQUESTS,
-                            region_delay_s=design.REGION_DELAY_S), seed=1)
+    fleet = Fleet(
+        FleetSize(
+            ingresses=CUT_INGRESSES,
+            tenants=CUT_TENANTS,
+            requests=CUT_REQUESTS,
+            region_delay_s=design.REGION_DELAY_S,
+        ),
+        seed=1,
+    )
     fleet.begin()
     fleet.world.run(fleet.world.now + warm_s)
     found: list[Sample] = []
@@ -174,11 +205,12 @@
         fleet.world.run(began + mark)
         before = _note_span(found, fleet, before, mark)
     for name in fleet.region_names():
-        found.append(Sample(CUT_AXIS, seconds, f"{name}: orders taken", "orders",
-                            (float(takes_orders(fleet, name)),)))
+        found.append(
+            Sample(CUT_AXIS, seconds, f"{name}: orders taken", "orders", (float(takes_orders(fleet, name)),))
+        )
     fleet.cut((0,), (1,), False)
     healed = fleet.world.now
-    same = fleet.until(lambda: len({i.hall.version for i in fleet.ingresses()}) == 1, heal_s, FINE_S)
+    same = fleet.until(lambda: len({i.proxy_node.version for i in fleet.ingresses()}) == 1, heal_s, FINE_S)
     found.append(Sample(CUT_AXIS, seconds, "after the cut: until all run one configuration", "s", (same,)))
     ready = fleet.until(lambda: all(i.ready() for i in fleet.ingresses()), heal_s, FINE_S)
     found.append(Sample(CUT_AXIS, seconds, "after the cut: until all are ready", "s", (same + ready,)))
@@ -193,14 +225,17 @@
     found = {}
     for name in fleet.region_names():
         ingresses = [i for i in fleet.ingresses() if fleet.region_name(i.place.zone) == name]
-        decided = [sum(counts[n] for i in ingresses for counts in i.hall.charger.tally.decided.values())
-                   for n in range(len(WAYS))]
+        decided = [
+            sum(counts[n] for i in ingresses for counts in i.proxy_node.charger.tally.decided.values())
+            for n in range(len(WAYS))
+        ]
         found[name] = Region(tuple(decided), sum(i.ready() for i in ingresses), len(ingresses))
     return found
 
 
-def _note_span(found: list[Sample], fleet: Fleet, before: dict[str, Region],
-               mark: float) -> dict[str, Region]:
+def _note_span(
+    found: list[Sample], fleet: Fleet, before: dict[str, Region], mark: float
+) -> dict[str, Region]:
     after = by_region(fleet)
     for name, region in after.items():
         parts = [n - b for n, b in zip(region.decided, before[name].decided, strict=True)]
@@ -227,7 +262,7 @@
     return False
 
 
-def _answered(fleet: Fleet, process: PostmasterProcess) -> int:
+def _answered(fleet: Fleet, process: ControllerProcess) -> int:
     """The status of a change at a controller; 0 if none comes in time."""
     status = submit(fleet, process)
     try:
--- a/proving/capacity/configuration.py
+++ b/proving/capacity/configuration.py
@@ -9,15 +9,15 @@
 from time import process_time
 from typing import Any, NamedTuple, TypeVar
 
-from post.directory import document as documents_of
-from post.directory.digest import Expected
-from post.directory.matchers import Book
-from post.directory.orders import Held, decide, without_taken
-from post.franking import interface as franking
-from post.franking.charger import Charger
-from post.franking.holder import Holder
-from post.inspection.live import Live
-from post.inspection.quotas import planned
+from gateway.config import document as documents_of
+from gateway.config.digest import ExpectedDigests
+from gateway.config.orders import Held, decide, without_order_history
+from gateway.config.routing import CompiledConfig
+from gateway.drift.live_check import Live
+from gateway.drift.quota_windows import planned
+from gateway.quota import interface as quota
+from gateway.quota.quota_client import Charger
+from gateway.quota.shard_owner import ShardOwner
 from proving.capacity import design, documents
 from proving.capacity.isolation import isolated
 from proving.capacity.samples import Sample
@@ -62,24 +62,27 @@
 
     def __init__(self) -> None:
         self.held = Held()
-        self.book: Book | None = None
-        self.expected: Expected | None = None
+        self.compiled_config: CompiledConfig | None = None
+        self.expected: ExpectedDigests | None = None
         self.live: Live | None = None
         self.plans: Any = None
         self.charger = Charger(QUOTA_SPAN_S, random.Random(1))
 
-    def take_up(self, value: bytes, watch: Stopwatch, prefix: str) -> None:
+    def apply_config(self, value: bytes, watch: Stopwatch, prefix: str) -> None:
         """Put an agreed value in force."""
         held = watch.run(f"{prefix}: decode the agreed value", lambda: Held.decode(value, self.held))
         document = _present(held.document)
-        book = watch.run(f"{prefix}: compile the matchers", lambda: Book(document, self.book))
-        expected = watch.run(f"{prefix}: digests", lambda: Expected(document, self.expected))
-        tenants = {t.label: (t.rate, t.burst) for t in book.tenants.values()}
-        watch.run(f"{prefix}: allowances",
-                  lambda: self.charger.handle(0.0, franking.Allowances(tenants)))
+        compiled_config = watch.run(
+            f"{prefix}: compile the matchers", lambda: CompiledConfig(document, self.compiled_config)
+        )
+        expected = watch.run(f"{prefix}: digests", lambda: ExpectedDigests(document, self.expected))
+        tenants = {t.label: (t.rate, t.burst) for t in compiled_config.tenants.values()}
+        watch.run(f"{prefix}: allowances", lambda: self.charger.handle(0.0, quota.Allowances(tenants)))
         self.plans = watch.run(f"{prefix}: planned quotas", lambda: planned(document, QUOTA_SPAN_S))
-        self.live = watch.run(f"{prefix}: inspector", lambda: Live(document, expected, book, self.live))
-        self.held, self.book, self.expected = held, book, expected
+        self.live = watch.run(
+            f"{prefix}: drift detector", lambda: Live(document, expected, compiled_config, self.live)
+        )
+        self.held, self.compiled_config, self.expected = held, compiled_config, expected
 
 
 def shapes(axis: str, quick: bool) -> Iterator[Shape]:
@@ -121,12 +124,15 @@
         _ingress(shape, body, watch, note, repetition == 0)
     for step, seconds in watch.seconds.items():
         figures[step] = "s", seconds
-    return [Sample(shape.axis, shape.size, figure, unit, tuple(values))
-            for figure, (unit, values) in figures.items()]
+    return [
+        Sample(shape.axis, shape.size, figure, unit, tuple(values))
+        for figure, (unit, values) in figures.items()
+    ]
 
 
-def _controller(shape: Shape, body: bytes, watch: Stopwatch, note: Callable[[str, str, float], None],
-                with_memory: bool) -> None:
+def _controller(
+    shape: Shape, body: bytes, watch: Stopwatch, note: Callable[[str, str, float], None], with_memory: bool
+) -> None:
     """The leader takes a whole configuration, then a change of one route, then a new key."""
     gc.collect()
     before = resident_mb()
@@ -134,32 +140,35 @@
     decision = watch.run("controller: decide a whole one", lambda: decide(Held(), "PUT", body))
     held = _present(decision.held)
     value = watch.run("controller: encode", held.encode)
-    expected = watch.run("controller: digests", lambda: Expected(_present(held.document)))
-    holder = Holder(QUOTA_SPAN_S, random.Random(1))
+    expected = watch.run("controller: digests", lambda: ExpectedDigests(_present(held.document)))
+    holder = ShardOwner(QUOTA_SPAN_S, random.Random(1))
     document = _present(held.document)
     tenants = {t.label: (t.rate, t.burst) for t in document.tenants.values()}
-    watch.run("controller: allowances", lambda: holder.handle(0.0, franking.Allowances(tenants)))
+    watch.run("controller: allowances", lambda: holder.handle(0.0, quota.Allowances(tenants)))
     if with_memory:
         note("controller: memory", "MB", resident_mb() - before)
     note("configuration as JSON", "bytes", len(body))
     note("agreed value", "bytes", len(value))
     changes = {
         "one route": documents.route_entry(0, shape.services, CHANGED_DEADLINE_S),
-        "one key": documents.tenant_entry(0, random.Random(2), keys=2)}
+        "one key": documents.tenant_entry(0, random.Random(2), keys=2),
+    }
     for name, entry in changes.items():
         order = json.dumps(documents.patch(held.generation, entry)).encode()
-        changed = watch.run(f"controller: decide {name}",
-                            lambda order=order: decide(held, "PATCH", order))  # type: ignore[misc]
+        changed = watch.run(f"controller: decide {name}", lambda order=order: decide(held, "PATCH", order))  # type: ignore[misc]
         after = _present(changed.held)
         told = watch.run(f"controller: encode {name}", after.encode)
-        watch.run(f"controller: digests after {name}",
-                  lambda after=after: Expected(_present(after.document), expected))  # type: ignore[misc]
+        watch.run(
+            f"controller: digests after {name}",
+            lambda after=after: ExpectedDigests(_present(after.document), expected),
+        )  # type: ignore[misc]
         note(f"{name} as an order", "bytes", len(order))
         note(f"{name} as an agreed value", "bytes", len(told))
 
 
-def _ingress(shape: Shape, body: bytes, watch: Stopwatch, note: Callable[[str, str, float], None],
-             with_memory: bool) -> None:
+def _ingress(
+    shape: Shape, body: bytes, watch: Stopwatch, note: Callable[[str, str, float], None], with_memory: bool
+) -> None:
     """An ingress takes up a configuration, then one with a route changed, then one with a key more."""
     values = _values(shape, body)
     gc.collect()
@@ -167,7 +176,7 @@
     ingress = Ingress()
     for name, value in values.items():
         start = process_time()
-        ingress.take_up(value, watch, f"ingress, {name}")
+        ingress.apply_config(value, watch, f"ingress, {name}")
         watch.seconds.setdefault(f"ingress: take up {name}", []).append(process_time() - start)
         if with_memory:
             note(f"ingress: memory after {name}", "MB", resident_mb() - before)
@@ -176,12 +185,14 @@
 def _values(shape: Shape, body: bytes) -> dict[str, bytes]:
     """The agreed values that the ingress gets one after the other."""
     held = _present(decide(Held(), "PUT", body).held)
-    found = {"a whole one": without_taken(held.encode())}
-    for name, entry in (("one route", documents.route_entry(0, shape.services, CHANGED_DEADLINE_S)),
-                        ("one key", documents.tenant_entry(0, random.Random(2), keys=2))):
+    found = {"a whole one": without_order_history(held.encode())}
+    for name, entry in (
+        ("one route", documents.route_entry(0, shape.services, CHANGED_DEADLINE_S)),
+        ("one key", documents.tenant_entry(0, random.Random(2), keys=2)),
+    ):
         order = json.dumps(documents.patch(held.generation, entry)).encode()
         held = _present(decide(held, "PATCH", order).held)
-        found[name] = without_taken(held.encode())
+        found[name] = without_order_history(held.encode())
     return found
 
 
--- a/proving/capacity/figures.py
+++ b/proving/capacity/figures.py
@@ -21,11 +21,21 @@
 WORK: Final = (TIMERS, REQUESTS, *MESSAGES)
 """Planes with messages, and all that processor time is charged to."""
 FOLLOWS_AT_INGRESS: Final = {
-    TIMERS: ("requests", "backends", "tenants"), REQUESTS: ("requests", "tenants"), "agreement": (),
-    "membership": ("backends",), "quota": ("requests", "tenants"), BACKENDS: ()}
+    TIMERS: ("requests", "backends", "tenants"),
+    REQUESTS: ("requests", "tenants"),
+    "agreement": (),
+    "membership": ("backends",),
+    "quota": ("requests", "tenants"),
+    BACKENDS: (),
+}
 FOLLOWS_AT_CONTROLLER: Final = {
-    TIMERS: ("backends", "tenants"), REQUESTS: (), "agreement": (), "membership": ("backends",),
-    "quota": ("requests", "tenants"), BACKENDS: ("backends",)}
+    TIMERS: ("backends", "tenants"),
+    REQUESTS: (),
+    "agreement": (),
+    "membership": ("backends",),
+    "quota": ("requests", "tenants"),
+    BACKENDS: ("backends",),
+}
 """The axes, beside ingresses, along which a plane's work can grow by what its code does. Along others a
 change is noise, which a line would carry far beyond what was measured."""
 RECEIVED, SENT = "received", "sent"
@@ -48,8 +58,11 @@
 
     def told(self, scale: float = 1.0) -> str:
         """The parts, as `ingresses 0.4 + requests 0.5`."""
-        return " + ".join(f"{part.axis} {number(part.added * scale)}" for part in self.parts
-                          if part.added > 0.005 * abs(self.value))
+        return " + ".join(
+            f"{part.axis} {number(part.added * scale)}"
+            for part in self.parts
+            if part.added > 0.005 * abs(self.value)
+        )
 
 
 class Figures:
@@ -134,9 +147,11 @@
         one = role == INGRESS
         usual = USUAL.requests * (1 if one else design.INGRESSES)
         wanted = design.REQUESTS_PER_INGRESS if one else float(design.REQUESTS_PER_S)
-        axes = {"requests": (usual, wanted, REQUESTS_FLEET if one else 1.0),
-                "backends": (USUAL.backends, design.BACKENDS, 1.0),
-                "tenants": (USUAL.tenants, design.TENANTS, 1.0)}
+        axes = {
+            "requests": (usual, wanted, REQUESTS_FLEET if one else 1.0),
+            "backends": (USUAL.backends, design.BACKENDS, 1.0),
+            "tenants": (USUAL.tenants, design.TENANTS, 1.0),
+        }
         follows = FOLLOWS_AT_INGRESS if one else FOLLOWS_AT_CONTROLLER
         return [(axis, *axes[axis]) for axis in follows[plane]]
 
--- a/proving/capacity/fleet.py
+++ b/proving/capacity/fleet.py
@@ -6,19 +6,19 @@
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 
-from post.franking import interface as franking
+from gateway.quota import interface as quota
 from proving.capacity import design
 from proving.capacity.meter import Counts, LinkNetwork, Meter
 from proving.model.deployment import Deployment
 from proving.model.machines import Machine
-from proving.model.network import Place, Ways
+from proving.model.network import LinkProfile, Place
 from proving.model.operators import Desk
-from proving.model.processes import PostmasterProcess, Program, SorterProcess
+from proving.model.processes import ControllerProcess, Program, ProxyProcess
 from proving.model.record import Record
-from proving.model.world import World
+from proving.model.simulator import World
 from proving.spec import Bounds, Kind, Links, Service, Spec, Tenants
 
-CONTROLLER, INGRESS = "postmaster", "sorter"
+CONTROLLER, INGRESS = "controller", "proxy"
 """The two programs, by their names in the settings."""
 ZONES = tuple(f"zone-{n}" for n in range(1, design.ZONES + 1))
 TWO_REGIONS = (0, 0, 0, 1, 1, 1)
@@ -54,22 +54,34 @@
     def spec(self) -> Spec:
         """The simulator's description of this fleet."""
         zones = len(ZONES)
-        sorters = tuple(members + self.ingresses // zones + (n < self.ingresses % zones)
-                        for n, members in enumerate(self.members))
+        proxies = tuple(
+            members + self.ingresses // zones + (n < self.ingresses % zones)
+            for n, members in enumerate(self.members)
+        )
         each, more = divmod(self.backends, self.services)
         services = tuple(Service(f"service-{n}", each + (n < more)) for n in range(self.services))
         kind = Kind(service="service-0", rate=3.0 * self.ingresses * max(self.requests, 1.0))
         bounds = Bounds(apply_s=design.APPLY_S)
-        return Spec(name="hollow", zones=ZONES, postmasters=self.members, sorters=sorters,
-                    tolerance=sum(self.members) // 2, beat_s=design.BACKEND_HEARTBEAT_S, cost_s=0.0,
-                    services=services, kinds=(kind,), tenants=Tenants(self.tenants, uneven=0.0),
-                    links=Links(between=self.zone_delay_s, loss=0.0), bounds=bounds)
+        return Spec(
+            name="hollow",
+            zones=ZONES,
+            controllers=self.members,
+            proxies=proxies,
+            tolerance=sum(self.members) // 2,
+            beat_s=design.BACKEND_HEARTBEAT_S,
+            cost_s=0.0,
+            services=services,
+            kinds=(kind,),
+            tenants=Tenants(self.tenants, uneven=0.0),
+            links=Links(between=self.zone_delay_s, loss=0.0),
+            bounds=bounds,
+        )
 
 
 class RegionNetwork(LinkNetwork):
     """A network on which the way between regions is longer than that between zones."""
 
-    def __init__(self, world: World, ways: Ways, size: FleetSize) -> None:
+    def __init__(self, world: World, ways: LinkProfile, size: FleetSize) -> None:
         super().__init__(world, ways)
         self.region_delay_s = size.region_delay_s
         self.regions = dict(zip(ZONES, size.regions, strict=True))
@@ -101,30 +113,33 @@
         for machine in self.deployment.machines.values():
             machine.network = network
             machine.roles = (CONTROLLER,) if machine.core else (INGRESS,)
-        self.deployment.spoilers.append(self._started)
+        self.deployment.process_hooks.append(self._started)
 
     def _started(self, process: Program) -> None:
         self.meters[process] = Meter(process, self.network)
-        if isinstance(process, SorterProcess) and self.size.requests:
+        if isinstance(process, ProxyProcess) and self.size.requests:
             self.world.after(self.rng.expovariate(self.size.requests), self._request, process)
 
-    def _request(self, process: SorterProcess) -> None:
+    def _request(self, process: ProxyProcess) -> None:
         if process.ended:
             return
         self.world.after(self.rng.expovariate(self.size.requests), self._request, process)
-        if process.hall.book is not None:
+        if process.proxy_node.compiled_config is not None:
             self.charges += 1
             tenant = f"tenant-{self.rng.randrange(self.size.tenants)}"
-            ask = franking.Ask(self.rng.getrandbits(63), tenant, 1, CHARGE_PATIENCE_S)
-            process.enter(process.hall.frank, ask)
+            ask = quota.Ask(self.rng.getrandbits(63), tenant, 1, CHARGE_PATIENCE_S)
+            process.enter(process.proxy_node.handle_quota, ask)
 
     # Running.
 
     def begin(self) -> None:
         """Start all processes and backends, and wait until every ingress is ready."""
         self.deployment.start()
-        launches = [(service, ZONES[n % len(ZONES)]) for service in self.spec.services
-                    for n in range(service.backends)]
+        launches = [
+            (service, ZONES[n % len(ZONES)])
+            for service in self.spec.services
+            for n in range(service.backends)
+        ]
         for n, (service, zone) in enumerate(launches):
             self.world.at(0.5 + LAUNCH_S * n / len(launches), self.deployment.launch, service, zone)
         self.world.at(CONFIGURE_AT_S, self.desk.begin)
@@ -148,15 +163,15 @@
 
     # Who is there.
 
-    def ingresses(self) -> list[SorterProcess]:
+    def ingresses(self) -> list[ProxyProcess]:
         """All ingresses that run."""
-        return [p for p in self._processes() if isinstance(p, SorterProcess)]
+        return [p for p in self._processes() if isinstance(p, ProxyProcess)]
 
-    def controllers(self) -> list[PostmasterProcess]:
+    def controllers(self) -> list[ControllerProcess]:
         """All controllers that run."""
-        return [p for p in self._processes() if isinstance(p, PostmasterProcess)]
+        return [p for p in self._processes() if isinstance(p, ControllerProcess)]
 
-    def leader(self) -> PostmasterProcess | None:
+    def leader(self) -> ControllerProcess | None:
         """The controller that leads and is sure of it."""
         for process in self.controllers():
             if process.post.agreement.sure(process.time()):
--- a/proving/capacity/growth.py
+++ b/proving/capacity/growth.py
@@ -8,9 +8,9 @@
 from time import thread_time
 from typing import Any, NamedTuple
 
-from post.office.overseeing import STATUS
-from post.office.showing import LEASES
-from post.office.wicket import Asked
+from gateway.programs.fleet_monitor import STATUS
+from gateway.programs.status_report import LEASES
+from gateway.runtime.http_listener import HttpCall
 from proving.capacity import design
 from proving.capacity.configuration import resident_mb
 from proving.capacity.fleet import Fleet, FleetError, FleetSize
@@ -27,8 +27,7 @@
 SMALL = FleetSize(ingresses=3, members=(1, 0, 1, 0, 1, 0), requests=40.0)
 """For many tenants, whose number memory bounds."""
 TOTAL = "all"
-AXES = ("ingresses", "ingresses-910", "backends", "requests", "tenants", "tenants-88000",
-        "controllers")
+AXES = ("ingresses", "ingresses-910", "backends", "requests", "tenants", "tenants-88000", "controllers")
 
 
 class Step(NamedTuple):
@@ -67,8 +66,12 @@
 def settings(quick: bool) -> dict[str, Any]:
     """What a recording tells of how it was made."""
     seconds, windows = (QUICK_WINDOW_S, QUICK_WINDOWS) if quick else (WINDOW_S, WINDOWS)
-    return {"windows": windows, "window_s": seconds, "window_s_of_the_largest": SHORT_WINDOW_S,
-            "otherwise": asdict(FleetSize())}
+    return {
+        "windows": windows,
+        "window_s": seconds,
+        "window_s_of_the_largest": SHORT_WINDOW_S,
+        "otherwise": asdict(FleetSize()),
+    }
 
 
 def measure(axis: str, quick: bool) -> Iterator[list[Sample]]:
@@ -98,8 +101,10 @@
         told = ask(fleet, path)
         found[f"tools: GET {path}: bytes", "bytes"] = [told.bytes]
         found[f"tools: GET {path}: processor", "s"] = [told.processor_s]
-    return [Sample(step.axis, step.size, figure, unit, _padded(figure, values, windows))
-            for (figure, unit), values in found.items()]
+    return [
+        Sample(step.axis, step.size, figure, unit, _padded(figure, values, windows))
+        for (figure, unit), values in found.items()
+    ]
 
 
 class Told(NamedTuple):
@@ -116,7 +121,7 @@
     if leader is None:
         raise FleetError("no leader")
     began = thread_time()
-    leader.answer(Asked("GET", path, b""), lambda status, lines, body: answers.append(body))
+    leader.answer(HttpCall("GET", path, b""), lambda status, lines, body: answers.append(body))
     return Told(float(len(answers[0])), thread_time() - began)
 
 
@@ -124,8 +129,11 @@
     """What the processes of each role were counted at in the last window."""
     leader = fleet.leader()
     others = [c for c in fleet.controllers() if c is not leader]
-    return {"ingress": fleet.counts(fleet.ingresses()), "leader": fleet.counts([leader] if leader else []),
-            "controller": fleet.counts(others)}
+    return {
+        "ingress": fleet.counts(fleet.ingresses()),
+        "leader": fleet.counts([leader] if leader else []),
+        "controller": fleet.counts(others),
+    }
 
 
 def means(role: str, counts: Sequence[Counts], window_s: float) -> dict[tuple[str, str], float]:
@@ -156,4 +164,3 @@
     if not figure.endswith(("messages", "bytes")) or figure.startswith("tools"):
         return tuple(values)
     return (*values, *([0.0] * (windows - len(values))))
-
--- a/proving/capacity/meter.py
+++ b/proving/capacity/meter.py
@@ -7,19 +7,23 @@
 from time import thread_time
 from typing import Any, Final, NamedTuple
 
-from post.franking.franking_pb2 import Note as FrankingNote
-from post.machine import Address
-from post.office.links import IDLE_S, LINKS
-from post.office.program import FRANKING, REGISTER, ROUNDS
-from post.office.wire import DATAGRAM_BYTES
-from post.register.register_pb2 import Kind
-from post.register.register_pb2 import Note as RegisterNote
-from post.rounds.rounds_pb2 import Note as RoundsNote
+from gateway.consensus.consensus_pb2 import Kind
+from gateway.consensus.consensus_pb2 import Message as ConsensusMessage
+from gateway.membership.membership_pb2 import Message as MembershipNote
+from gateway.programs.startup import CONSENSUS, MEMBERSHIP, QUOTA
+from gateway.quota.quota_pb2 import Message as QuotaNote
+from gateway.runtime.peer_transport import DATAGRAM_BYTES
+from gateway.runtime.tcp_links import IDLE_S, LINKS
+from gateway.state_machine import Address
 from proving.model.network import Network, Place
-from proving.model.processes import KINDS, PostmasterProcess, Program, SorterProcess
-
-CLASSES: Final[dict[int, Any]] = {REGISTER: RegisterNote, ROUNDS: RoundsNote, FRANKING: FrankingNote}
-PLANES: Final = {REGISTER: "agreement", ROUNDS: "membership", FRANKING: "quota"}
+from proving.model.processes import KINDS, ControllerProcess, Program, ProxyProcess
+
+TRAFFIC_CLASS: Final[dict[int, Any]] = {
+    CONSENSUS: ConsensusMessage,
+    MEMBERSHIP: MembershipNote,
+    QUOTA: QuotaNote,
+}
+PLANES: Final = {CONSENSUS: "agreement", MEMBERSHIP: "membership", QUOTA: "quota"}
 """Planes of the wire, by their names on the page."""
 TIMERS: Final = "timers"
 REQUESTS: Final = "requests"
@@ -65,8 +69,9 @@
 class LinkNetwork(Network):
     """A network on which links between own processes are kept, as the programs keep them."""
 
-    def over_link(self, a: Place, b: Place, kind: str, size: int, arrive: Callable[..., Any],
-                  *args: Any) -> None:
+    def over_link(
+        self, a: Place, b: Place, kind: str, size: int, arrive: Callable[..., Any], *args: Any
+    ) -> None:
         """Send a message over a link that stands already: no handshake comes before it."""
         self.note(a, b, kind, size)
         wait = self.wait(a, size)
@@ -103,12 +108,12 @@
         """What an event belongs to; calls to a controller are counted as they come."""
         if call is self.taking:
             return PLANES[args[1]]
-        if isinstance(self.process, PostmasterProcess) and call == self.process.answer:
+        if isinstance(self.process, ControllerProcess) and call == self.process.answer:
             flow = Flow("received", BACKENDS, "heartbeat")
             self.counts.messages[flow] += 1
             self.counts.bytes[flow] += len(args[0].body) + HTTP_HEADERS
             return BACKENDS
-        if isinstance(self.process, SorterProcess) and call == self.process.hall.frank:
+        if isinstance(self.process, ProxyProcess) and call == self.process.proxy_node.handle_quota:
             return REQUESTS
         return TIMERS
 
@@ -127,12 +132,14 @@
 
     def take(self, sender: Address, plane: int, data: bytes) -> None:
         """Read a message and hand it to the process."""
-        message = CLASSES[plane].FromString(data)
+        message = TRAFFIC_CLASS[plane].FromString(data)
         self._count("received", plane, message, len(data) + 1)
         self.give(sender, plane, message)
 
     def _count(self, direction: str, plane: int, message: Any, size: int) -> None:
-        kind = Kind.Name(message.kind).lower() if plane == REGISTER else message.WhichOneof("kind") or "empty"
+        kind = (
+            Kind.Name(message.kind).lower() if plane == CONSENSUS else message.WhichOneof("kind") or "empty"
+        )
         flow = Flow(direction, PLANES[plane], kind)
         self.counts.messages[flow] += 1
         self.counts.bytes[flow] += wire_bytes(size)
--- a/proving/capacity/programs.py
+++ b/proving/capacity/programs.py
@@ -16,8 +16,8 @@
 
 from proving.capacity import documents
 from proving.capacity.samples import Sample
-from proving.loopback import callers
-from proving.loopback.town import BACKENDS_AT, House, Town
+from proving.loopback import http_clients
+from proving.loopback.local_cluster import BACKENDS_AT, House, Town
 from proving.spec import Service, Spec
 
 STUDY, AXIS = "programs", "tenants of real programs"
@@ -33,7 +33,7 @@
 SETTLE_S, QUICK_SETTLE_S = 2.0, 0.2
 KEY: Final = "key-of-the-caller"
 MILLISECONDS: Final = 1000.0
-CONTROLLER, INGRESS = "postmaster", "sorter"
+CONTROLLER, INGRESS = "controller", "proxy"
 
 
 class ProgramsError(RuntimeError):
@@ -42,14 +42,23 @@
 
 def settings(quick: bool) -> dict[str, Any]:
     """What a recording tells of how it was made."""
-    return {"controllers": 3, "ingresses": 3, "backends": BACKENDS, "work_s": WORK_S,
-            "requests": QUICK_REQUESTS if quick else REQUESTS, "batches": BATCHES}
+    return {
+        "controllers": 3,
+        "ingresses": 3,
+        "backends": BACKENDS,
+        "work_s": WORK_S,
+        "requests": QUICK_REQUESTS if quick else REQUESTS,
+        "batches": BATCHES,
+    }
 
 
 def measure(quick: bool) -> Iterator[list[Sample]]:
     """One deployment that takes one configuration after the other."""
-    spec = Spec(zones=("zone-1", "zone-2", "zone-3"), sorters=(1, 1, 1),
-                services=(Service(SERVICE, BACKENDS, CAPACITY),))
+    spec = Spec(
+        zones=("zone-1", "zone-2", "zone-3"),
+        proxies=(1, 1, 1),
+        services=(Service(SERVICE, BACKENDS, CAPACITY),),
+    )
     with tempfile.TemporaryDirectory() as folder:
         town = Town(spec, Path(folder), PORT)
         try:
@@ -78,8 +87,11 @@
 
     for role, name in ((INGRESS, "ingress"), (CONTROLLER, "controller")):
         note(f"{name}: memory", "MB", [resident_mb(h.programs[role].pid) for h in town.houses])
-        note(f"{name}: memory at its peak", "MB", [resident_mb(h.programs[role].pid, "VmHWM")
-                                                   for h in town.houses])
+        note(
+            f"{name}: memory at its peak",
+            "MB",
+            [resident_mb(h.programs[role].pid, "VmHWM") for h in town.houses],
+        )
     for percent, name in ((50, "median"), (99, "99th percentile")):
         one, other = (np.percentile(times, percent, axis=1) for times in (through, direct))
         note(f"request through an ingress, {name}", "ms", [float(v) for v in one])
@@ -101,7 +113,7 @@
     controls = [h.address("control") for h in town.core]
     ends = time.monotonic() + WAIT_S
     while time.monotonic() < ends:
-        answer, _ = await callers.control(controls, "PUT", "/-/config", body, rng, WAIT_S)
+        answer, _ = await http_clients.control(controls, "PUT", "/-/config", body, rng, WAIT_S)
         if answer.status == 200:
             return base + 1
         await asyncio.sleep(0.3)
@@ -112,7 +124,9 @@
     """Wait until these ingresses are ready; ProgramsError if they aren't in time."""
     ends = time.monotonic() + WAIT_S
     for house in houses:
-        while (await callers.call(house.address("ready"), "GET", "/-/readiness", {}, b"", 0.9)).status != 200:
+        while (
+            await http_clients.call(house.address("ready"), "GET", "/-/readiness", {}, b"", 0.9)
+        ).status != 200:
             if time.monotonic() > ends:
                 raise ProgramsError(f"{house.name} isn't ready")
             await asyncio.sleep(POLL_S)
@@ -143,10 +157,14 @@
 async def request(address: str, number: int) -> float:
     """One request on a connection of its own; its time in ms."""
     await asyncio.sleep(PACE_S)
-    headers = {"Host": "host-0.example", "Attempt-Id": f"{random.getrandbits(64):016x}",
-               "Authorization": f"Token {KEY}", "Deadline-Ms": "2000"}
+    headers = {
+        "Host": "host-0.example",
+        "Attempt-Id": f"{random.getrandbits(64):016x}",
+        "Authorization": f"Token {KEY}",
+        "Deadline-Ms": "2000",
+    }
     began = time.perf_counter()
-    answer = await callers.call(address, "GET", f"/area-0/item-0/{number}", headers, b"", 2.0)
+    answer = await http_clients.call(address, "GET", f"/area-0/item-0/{number}", headers, b"", 2.0)
     if answer.status != 200:
         raise ProgramsError(f"a request was answered {answer.status}")
     return MILLISECONDS * (time.perf_counter() - began)
--- a/proving/capacity/regions.py
+++ b/proving/capacity/regions.py
@@ -5,18 +5,18 @@
 from collections.abc import Iterator, Sequence
 from typing import Any, NamedTuple
 
-from post.franking.tally import EDGES, HOLDER, SHARE
+from gateway.quota.decision_statistics import EDGES, HOLDER, SHARE
 from proving.capacity import design
 from proving.capacity.agreement import Region, by_region, order, takes_orders
 from proving.capacity.fleet import Fleet, FleetSize
 from proving.capacity.isolation import isolated
 from proving.capacity.samples import Sample
-from proving.model.processes import SorterProcess
+from proving.model.processes import ProxyProcess
 
 STUDY, AXIS = "regions", "regions"
 INGRESSES, TENANTS, REQUESTS = 12, 12, 10.0
 SETTLE_S, QUICK_SETTLE_S = 15.0, 2.0
-LOST_S, QUICK_LOST_S = 40.0, 2.0
+PROPOSAL_TIMEOUT_S, QUICK_LOST_S = 40.0, 2.0
 LATE_S = 15.0
 """Seconds after a cut or loss by which shares are used up."""
 ORDERS = 20
@@ -40,8 +40,12 @@
 
 def settings(quick: bool) -> dict[str, Any]:
     """What a recording tells of how it was made."""
-    return {"designs": [d._asdict() for d in DESIGNS], "ingresses": INGRESSES, "requests": REQUESTS,
-            "region_delay_s": design.REGION_DELAY_S}
+    return {
+        "designs": [d._asdict() for d in DESIGNS],
+        "ingresses": INGRESSES,
+        "requests": REQUESTS,
+        "region_delay_s": design.REGION_DELAY_S,
+    }
 
 
 def measure(quick: bool) -> Iterator[list[Sample]]:
@@ -66,7 +70,7 @@
     note("order", "s", *(order(fleet) for _ in range(3 if quick else ORDERS)))
     if len(set(told.regions)) == 1:
         return found
-    lasts = QUICK_LOST_S if quick else LOST_S
+    lasts = QUICK_LOST_S if quick else PROPOSAL_TIMEOUT_S
     fleet.cut((0,), (1,), True)
     _note_late(note, fleet, "regions cut off", lasts)
     fleet = start(told, quick)
@@ -79,8 +83,17 @@
 
 def start(told: RegionDesign, quick: bool) -> Fleet:
     """A fleet of this design, after some seconds of traffic."""
-    fleet = Fleet(FleetSize(ingresses=INGRESSES, members=told.members, tenants=TENANTS, requests=REQUESTS,
-                            region_delay_s=design.REGION_DELAY_S, regions=told.regions), seed=1)
+    fleet = Fleet(
+        FleetSize(
+            ingresses=INGRESSES,
+            members=told.members,
+            tenants=TENANTS,
+            requests=REQUESTS,
+            region_delay_s=design.REGION_DELAY_S,
+            regions=told.regions,
+        ),
+        seed=1,
+    )
     fleet.begin()
     fleet.world.run(fleet.world.now + (QUICK_SETTLE_S if quick else SETTLE_S))
     return fleet
@@ -103,19 +116,20 @@
     return (parts[HOLDER] + parts[SHARE]) / total if (total := sum(parts)) else 0.0
 
 
-def mean_charge(ingresses: Sequence[SorterProcess]) -> float:
+def mean_charge(ingresses: Sequence[ProxyProcess]) -> float:
     """Seconds that a charge at its holder took, on the mean."""
-    tallies = [i.hall.charger.tally for i in ingresses]
+    tallies = [i.proxy_node.charger.tally for i in ingresses]
     return sum(t.seconds[0] for t in tallies) / max(1, sum(sum(t.times[0]) for t in tallies))
 
 
-def percentile(ingresses: Sequence[SorterProcess]) -> float:
+def percentile(ingresses: Sequence[ProxyProcess]) -> float:
     """The 99th percentile of it: the upper edge of its bucket."""
-    counts = [sum(column) for column in zip(*(i.hall.charger.tally.times[0] for i in ingresses), strict=True)]
+    counts = [
+        sum(column) for column in zip(*(i.proxy_node.charger.tally.times[0] for i in ingresses), strict=True)
+    ]
     left = PERCENTILE * sum(counts)
     for edge, count in zip((*EDGES, EDGES[-1]), counts, strict=True):
         left -= count
         if left <= 0:
             return edge
     return EDGES[-1]
-
--- a/proving/capacity/remedies.py
+++ b/proving/capacity/remedies.py
@@ -26,5 +26,7 @@
     """All remedies, by the cause that they remove."""
     with open(FILE, "rb") as file:
         tables = tomllib.load(file)
-    return {cause: Remedy(**{name: " ".join(text.split()) for name, text in table.items()})
-            for cause, table in tables.items()}
+    return {
+        cause: Remedy(**{name: " ".join(text.split()) for name, text in table.items()})
+        for cause, table in tables.items()
+    }
--- a/proving/capacity/restarts.py
+++ b/proving/capacity/restarts.py
@@ -106,7 +106,10 @@
     fleet.desk.change("move")
 
     def everywhere() -> bool:
-        return all((b := i.hall.book) is not None and b.generation > generation for i in fleet.ingresses())
+        return all(
+            (b := i.proxy_node.compiled_config) is not None and b.generation > generation
+            for i in fleet.ingresses()
+        )
 
     try:
         took = fleet.until(everywhere, MOST_S)
@@ -141,17 +144,34 @@
     leader = fleet.leader()
     spent = fleet.meters[leader].counts.total_processor() if leader is not None else 0.0
     ingresses = [c.total_processor() for c in fleet.counts(fleet.ingresses())]
-    return Totals(sent, spent, sum(ingresses) / len(ingresses), max(c.most_links for c in controllers),
-                  sum(c.lost for c in controllers))
+    return Totals(
+        sent,
+        spent,
+        sum(ingresses) / len(ingresses),
+        max(c.most_links for c in controllers),
+        sum(c.lost for c in controllers),
+    )
 
 
 def _note_totals(note: Any, event: str, found: Totals, usual: Totals) -> None:
     part = WATCHED_S / QUIET_S
-    note(event, "bytes that controllers send beyond the usual", "bytes",
-         found.bytes_sent - part * usual.bytes_sent)
-    note(event, "processor time of the leader beyond the usual", "s",
-         found.leader_processor_s - part * usual.leader_processor_s)
-    note(event, "processor time of an ingress beyond the usual", "s",
-         found.ingress_processor_s - part * usual.ingress_processor_s)
+    note(
+        event,
+        "bytes that controllers send beyond the usual",
+        "bytes",
+        found.bytes_sent - part * usual.bytes_sent,
+    )
+    note(
+        event,
+        "processor time of the leader beyond the usual",
+        "s",
+        found.leader_processor_s - part * usual.leader_processor_s,
+    )
+    note(
+        event,
+        "processor time of an ingress beyond the usual",
+        "s",
+        found.ingress_processor_s - part * usual.ingress_processor_s,
+    )
     note(event, "most links open at a controller", "links", found.links)
     note(event, "messages lost for want of a link", "messages", found.lost)
--- a/proving/capacity/samples.py
+++ b/proving/capacity/samples.py
@@ -84,8 +84,14 @@
         return max((s.spread for s in repeated), default=0.0)
 
 
-def record(study: str, command: str, source: str, seconds: float, samples: Iterable[Sample],
-           settings: Mapping[str, Any]) -> Recording:
+def record(
+    study: str,
+    command: str,
+    source: str,
+    seconds: float,
+    samples: Iterable[Sample],
+    settings: Mapping[str, Any],
+) -> Recording:
     """A recording of a run that has just ended."""
     date = datetime.now(UTC).strftime("%Y-%m-%d %H:%M UTC")
     machine = f"{os.cpu_count()} cores, {platform.machine()}, Python {platform.python_version()}"
@@ -95,8 +101,10 @@
 def save(recording: Recording, folder: Path) -> Path:
     """Write a recording to its own file; one line a sample, so that differences can be read."""
     head = asdict(recording)
-    rows = [json.dumps([s.axis, s.size, s.figure, s.unit, [_rounded(v) for v in s.values]])
-            for s in recording.samples]
+    rows = [
+        json.dumps([s.axis, s.size, s.figure, s.unit, [_rounded(v) for v in s.values]])
+        for s in recording.samples
+    ]
     del head["samples"]
     text = json.dumps(head, indent=1)[:-2] + ',\n "samples": [\n  ' + ",\n  ".join(rows) + "\n ]\n}\n"
     folder.mkdir(parents=True, exist_ok=True)
@@ -110,8 +118,9 @@
     try:
         told = json.loads(path.read_text(encoding="utf-8"))
         rows: Sequence[Any] = told.pop("samples")
-        samples = tuple(Sample(axis, size, figure, unit, tuple(values))
-                        for axis, size, figure, unit, values in rows)
+        samples = tuple(
+            Sample(axis, size, figure, unit, tuple(values)) for axis, size, figure, unit, values in rows
+        )
         return Recording(**told, samples=samples)
     except (OSError, ValueError, KeyError, TypeError) as error:
         raise RecordingError(f"{path}: {error}") from error
--- a/proving/capacity/studies.py
+++ b/proving/capacity/studies.py
@@ -8,16 +8,7 @@
 from pathlib import Path
 from typing import Any
 
-from proving.capacity import (
-    agreement,
-    configuration,
-    growth,
-    programs,
-    regions,
-    restarts,
-    samples,
-    sockets,
-)
+from proving.capacity import agreement, configuration, growth, programs, regions, restarts, samples, sockets
 from proving.capacity.samples import Recording, RecordingError, Sample
 from proving.hunt import source
 
@@ -34,8 +25,9 @@
 
 
 def _configuration(axis: str) -> Study:
-    return Study(f"configuration-{axis}", lambda quick: configuration.measure(axis, quick),
-                 configuration.settings)
+    return Study(
+        f"configuration-{axis}", lambda quick: configuration.measure(axis, quick), configuration.settings
+    )
 
 
 def _growth(axis: str) -> Study:
@@ -73,8 +65,9 @@
         found += step
         progress(len(step))
     command = f"{COMMAND} --only {study.name}" + (" --quick" if quick else "")
-    recording = samples.record(study.name, command, commit, time.monotonic() - began, found,
-                               study.settings(quick))
+    recording = samples.record(
+        study.name, command, commit, time.monotonic() - began, found, study.settings(quick)
+    )
     samples.save(recording, folder)
     return recording
 
--- a/proving/model/operators.py
+++ b/proving/model/operators.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
-from proving.model.network import Place
+from proving.model.network import Location
 from proving.model.record import Order, Read, Repeat
 
 if TYPE_CHECKING:
@@ -26,30 +26,67 @@
     for kind in spec.kinds:
         targets: Any = {"target": kind.service}
         if kind.also:
-            targets = {"weighted": [{"target": kind.service, "share": 90},
-                                    {"target": kind.also, "share": 10}]}
+            targets = {
+                "weighted": [{"target": kind.service, "share": 90}, {"target": kind.also, "share": 10}]
+            }
         entries.append(route(kind.name, kind, targets))
         deployment.works[kind.name] = kind.work_s
-    entries += [_entry("services", s.name, {"health-path": "/health", "max-conns": s.max_conns,
-                                            "protocol": "h1", "tls": False}) for s in spec.services]
+    entries += [
+        _entry(
+            "services",
+            s.name,
+            {"health-path": "/health", "max-conns": s.max_conns, "protocol": "h1", "tls": False},
+        )
+        for s in spec.services
+    ]
     total = spec.day.load * sum(kind.rate for kind in spec.kinds)
     parts = shares(spec.tenants.count, spec.tenants.uneven)
     for n, part in enumerate(parts):
         rate = max(1.0, round(spec.tenants.headroom * part * total)) if spec.tenants.limited else 0.0
-        entries.append(_entry("tenants", f"tenant-{n}", {
-            "api-keys": [f"key-{n}-a", f"key-{n}-b"], "precedence": 0 if n == 0 else 1,
-            "rate-per-s": rate, "burst": max(1.0, round(rate * spec.tenants.burst_s)) if rate else 0}))
-    entries.append(_entry("limits", None, {"max-header-bytes": 16384, "max-body-bytes": 1 << 26,
-                                           "header-timeout-s": 3, "idle-timeout-s": 15}))
+        entries.append(
+            _entry(
+                "tenants",
+                f"tenant-{n}",
+                {
+                    "api-keys": [f"key-{n}-a", f"key-{n}-b"],
+                    "precedence": 0 if n == 0 else 1,
+                    "rate-per-s": rate,
+                    "burst": max(1.0, round(rate * spec.tenants.burst_s)) if rate else 0,
+                },
+            )
+        )
+    entries.append(
+        _entry(
+            "limits",
+            None,
+            {
+                "max-header-bytes": 16384,
+                "max-body-bytes": 1 << 26,
+                "header-timeout-s": 3,
+                "idle-timeout-s": 15,
+            },
+        )
+    )
     return {"generation": 1, "base-version": 0, "resource-list": entries}
 
 
 def route(label: str, kind: Any, targets: Entry) -> Entry:
     """A route of a kind of request, at a path of its own."""
-    return _entry("route-table", label, {
-        "hostname": HOST, "path-prefix": f"/{label}/", "traffic-class": "safe" if kind.safe else "unsafe",
-        "deadline-s": kind.deadline_s, "target-latency-s": kind.aim_s, "precedence": kind.precedence,
-        "max-tries": kind.tries, "public": False, **targets})
+    return _entry(
+        "route-table",
+        label,
+        {
+            "hostname": HOST,
+            "path-prefix": f"/{label}/",
+            "traffic-class": "safe" if kind.safe else "unsafe",
+            "deadline-s": kind.deadline_s,
+            "target-latency-s": kind.aim_s,
+            "precedence": kind.precedence,
+            "max-tries": kind.tries,
+            "public": False,
+            **targets,
+        },
+    )
 
 
 def shares(count: int, uneven: float) -> list[float]:
@@ -65,28 +102,39 @@
 class Operator:
     """One operator. What is known to be in force is shared by all of them in `Desk`."""
 
-    def __init__(self, deployment: Deployment, desk: Desk, name: str, zone: str) -> None:
-        self.deployment, self.desk, self.name = deployment, desk, name
-        self.world, self.rng = deployment.world, deployment.world.chance()
-        self.place = Place(f"operator {name}", f"operator {zone}")
+    def __init__(self, deployment: Deployment, operator_pool: OperatorPool, name: str, zone: str) -> None:
+        self.deployment, self.operator_pool, self.name = deployment, operator_pool, name
+        self.simulator, self.rng = deployment.simulator, deployment.simulator.chance()
+        self.place = Location(f"operator {name}", f"operator {zone}")
 
     def put(self, document: Document, valid: bool = True, patch: Document | None = None) -> None:
         """Send a change until there is a clear answer."""
         record, number = self.deployment.record, len(self.deployment.record.orders)
         method, body = "PATCH" if patch else "PUT", json.dumps(patch or document).encode()
-        record.orders.append(Order(self.world.now, 0.0, document["generation"], document["base-version"],
-                                   valid, 0, "", self.name, document))
+        record.orders.append(
+            Order(
+                self.simulator.now,
+                0.0,
+                document["generation"],
+                document["base-version"],
+                valid,
+                0,
+                "",
+                self.name,
+                document,
+            )
+        )
 
         def clear(status: int, by: str) -> None:
             order = record.orders[number]
-            record.orders[number] = order._replace(at=self.world.now, status=status, by=by)
+            record.orders[number] = order._replace(at=self.simulator.now, status=status, by=by)
             if status == 200:
-                self.desk.taken(document, method, body)
-            for listener in self.desk.listeners:
+                self.operator_pool.taken(document, method, body)
+            for listener in self.operator_pool.listeners:
                 listener(record.orders[number])
 
         def unheard() -> None:
-            record.orders[number] = record.orders[number]._replace(unheard=self.world.now)
+            record.orders[number] = record.orders[number]._replace(unheard=self.simulator.now)
 
         self.send(method, body, clear, unheard)
 
@@ -96,12 +144,13 @@
         record.repeats.append(Repeat(0.0, generation, 0, ""))
 
         def clear(status: int, by: str) -> None:
-            record.repeats[number] = Repeat(self.world.now, generation, status, by)
+            record.repeats[number] = Repeat(self.simulator.now, generation, status, by)
 
         self.send(method, body, clear, lambda: None)
 
-    def send(self, method: str, body: bytes, clear: Callable[[int, str], None],
-             unheard: Callable[[], None]) -> None:
+    def send(
+        self, method: str, body: bytes, clear: Callable[[int, str], None], unheard: Callable[[], None]
+    ) -> None:
         """Call one process after the other until there is a clear answer; `unheard`: an acknowledgement that
         was lost on its way."""
         wait, tries = 0.1, 0
@@ -113,7 +162,7 @@
 
         def told(status: int, by: str, answer: bytes) -> None:
             nonlocal wait, tries
-            if self.desk.deaf and self.rng.random() < self.desk.deaf:
+            if self.operator_pool.deaf and self.rng.random() < self.operator_pool.deaf:
                 if status == 200:
                     unheard()
                 status = 0
@@ -121,23 +170,25 @@
             if status in (200, 400, 409, 412, 413, 422) or tries >= 3:
                 clear(status, by)
             else:
-                self.world.after(wait * self.rng.uniform(0.8, 1.2), call)
+                self.simulator.after(wait * self.rng.uniform(0.8, 1.2), call)
                 wait = min(1.5, wait * 1.5)
 
         call()
 
     def read(self) -> None:
         """Read the configuration back once."""
+
         def told(status: int, by: str, answer: bytes) -> None:
             record = self.deployment.record
             generation, same = 0, False
             if status == 200:
                 found = json.loads(answer)
                 generation = found["generation"]
-                sent = [o.document for o in record.orders
-                        if o.generation == generation and o.status in (0, 200)]
+                sent = [
+                    o.document for o in record.orders if o.generation == generation and o.status in (0, 200)
+                ]
                 same = any(_canon(found) == _canon(s) for s in sent)
-            record.reads.append(Read(self.world.now, status, generation, same, by))
+            record.reads.append(Read(self.simulator.now, status, generation, same, by))
 
         address = self.deployment.some_control(self.place, self.rng)
         self.deployment.call(self.place, address, "GET", "/-/config", b"", 2.0, told)
@@ -150,28 +201,37 @@
 
 def keys_of(document: Document) -> dict[str, str]:
     """Keys, and the tenants that hold them."""
-    return {key: e["metadata"]["label"] for e in document.get("resource-list", ())
-            if e["entry-kind"] == "tenants" for key in e["spec"]["api-keys"]}
+    return {
+        key: e["metadata"]["label"]
+        for e in document.get("resource-list", ())
+        if e["entry-kind"] == "tenants"
+        for key in e["spec"]["api-keys"]
+    }
 
 
 def routes_of(document: Document) -> dict[str, Entry]:
     """Routes by label."""
-    return {e["metadata"]["label"]: e["spec"] for e in document.get("resource-list", ())
-            if e["entry-kind"] == "route-table"}
+    return {
+        e["metadata"]["label"]: e["spec"]
+        for e in document.get("resource-list", ())
+        if e["entry-kind"] == "route-table"
+    }
 
 
-class Desk:
+class OperatorPool:
     """What the operators know together: the newest configuration that was acknowledged, and their changes."""
 
     def __init__(self, deployment: Deployment) -> None:
         self.deployment = deployment
-        self.rng: random.Random = deployment.world.chance()
+        self.rng: random.Random = deployment.simulator.chance()
         self.newest: Document = {}
         self.generation = 0
         self.listeners: list[Any] = []  # told of each order's answer
         self.followers: list[Any] = []  # told of the former and the new configuration
-        self.operators = [Operator(deployment, self, "first", deployment.spec.zones[0]),
-                          Operator(deployment, self, "second", deployment.spec.zones[-1])]
+        self.operators = [
+            Operator(deployment, self, "first", deployment.spec.zones[0]),
+            Operator(deployment, self, "second", deployment.spec.zones[-1]),
+        ]
         self.added: list[str] = []  # labels of routes that were added later
         self.removed: list[str] = []
         self.acknowledged: list[tuple[int, str, bytes]] = []  # generation, method and body
@@ -210,8 +270,11 @@
         patch: Document | None = None
         valid = getattr(self, f"_{how}")(entries) is not False
         if how == "add" and self.rng.random() < 0.5:
-            patch = {"generation": document["generation"], "base-version": document["base-version"],
-                     "upsert": {"resource-list": entries[-1:]}}
+            patch = {
+                "generation": document["generation"],
+                "base-version": document["base-version"],
+                "upsert": {"resource-list": entries[-1:]},
+            }
         self.operators[who].put(document, valid, patch)
 
     def race(self) -> None:
--- a/tests/system/test_capacity.py
+++ b/tests/system/test_capacity.py
@@ -23,7 +23,7 @@
 def test_a_line_and_an_exponent_are_found_again() -> None:
     line = fit.line([Point(n, 3.0 + 0.5 * n) for n in (10, 30, 100, 300)])
     assert (line.base, line.slope, line.certainty) == pytest.approx((3.0, 0.5, 1.0))
-    assert fit.exponent([Point(n, 2.0 * n ** 1.37) for n in (30, 100, 300)]) == pytest.approx(1.37)
+    assert fit.exponent([Point(n, 2.0 * n**1.37) for n in (30, 100, 300)]) == pytest.approx(1.37)
     assert fit.exponent([Point(n, 0.0) for n in (30, 100, 300)]) is None
 
 
@@ -42,7 +42,7 @@
 
 def test_the_gaps_of_the_recorded_measurements(snapshot: object) -> None:
     written = page.page(studies.load_all(RECORDED))
-    assert written[:written.index("## Budget")] == snapshot
+    assert written[: written.index("## Budget")] == snapshot
 
 
 def test_the_committed_page_is_that_of_the_recorded_measurements() -> None:
@@ -91,9 +91,14 @@
     assert [wire_bytes(100), wire_bytes(1151), wire_bytes(3000)] == [128, 1207, 3160]
 
 
-@pytest.mark.parametrize(("arguments", "why"), [
-    ("--only nothing", "no study"), ("--from docs/capacity --quick", "measures nothing"),
-    ("--from tests/absent --out /dev/null", "no recordings")])
+@pytest.mark.parametrize(
+    ("arguments", "why"),
+    [
+        ("--only nothing", "no study"),
+        ("--from docs/capacity --quick", "measures nothing"),
+        ("--from tests/absent --out /dev/null", "no recordings"),
+    ],
+)
 def test_bad_arguments(arguments: str, why: str) -> None:
     tester = CommandTester(CapacityCommand())
     assert tester.execute(arguments) == 2
