--- /dev/null
+++ b/proving/capacity/restarts.py
@@ -0,0 +1,177 @@
+"""Events in a hollow fleet: restarts of one ingress, a rack and a zone, and a change of one route."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Sequence
+from typing import Any, NamedTuple
+
+from proving.capacity.fleet import ZONES, Fleet, FleetError, FleetSize
+from proving.capacity.growth import QUICK_SETTLE_S, SETTLE_S
+from proving.capacity.isolation import isolated
+from proving.capacity.samples import Sample
+from proving.model.machines import RESTART_S, START_S, Machine
+
+STUDY, LARGE_STUDY = "restarts", "restarts-large"
+AXIS = "restarts at ingresses"
+SIZES, QUICK_SIZES = (30, 90, 180), (3, 4, 6)
+LARGE = 600
+"""More ingresses than all controllers together may have links to."""
+TENANTS = 300
+"""Enough that the agreed value doesn't fit a datagram, as none does at the size to design for."""
+RACK = 20
+QUIET_S, WATCHED_S, MOST_S = 4.0, 6.0, 40.0
+BACKENDS = 60
+RELEASE_S, DRAIN_S = 2.0, 1.0
+CALM_S = 3.0
+"""Between two events; links of one don't count for the next, as if they had been idle meanwhile."""
+
+
+class Totals(NamedTuple):
+    """What controllers and the leader did within a window."""
+
+    bytes_sent: float
+    leader_processor_s: float
+    ingress_processor_s: float
+    links: float
+    lost: float
+
+
+def settings(quick: bool) -> dict[str, Any]:
+    """What a recording tells of how it was made."""
+    return {"tenants": TENANTS, "rack": RACK, "backends": BACKENDS, "watched_s": WATCHED_S}
+
+
+def measure(quick: bool) -> Iterator[list[Sample]]:
+    """The samples of each size, each from a process of its own."""
+    for size in QUICK_SIZES if quick else SIZES:
+        yield isolated(quick, measure_size, size, quick=quick)
+
+
+def measure_large(quick: bool) -> Iterator[list[Sample]]:
+    """The change of a route in a large fleet; the other events would take too long there."""
+    if not quick:
+        yield isolated(quick, measure_size, LARGE, False)
+
+
+def measure_size(ingresses: int, restarts: bool = True, quick: bool = False) -> list[Sample]:
+    """All events in a fleet of so many ingresses, one after the other; `quick` leaves restarts out."""
+    fleet = Fleet(FleetSize(ingresses=ingresses, backends=BACKENDS, tenants=TENANTS, requests=1.0), seed=1)
+    fleet.begin()
+    fleet.window(QUICK_SETTLE_S if quick else SETTLE_S)
+    fleet.window(QUIET_S)
+    usual = totals(fleet)
+    found: list[Sample] = []
+
+    def note(event: str, figure: str, unit: str, value: float) -> None:
+        found.append(Sample(AXIS, ingresses, f"{event}: {figure}", unit, (value,)))
+
+    ingress_machines = fleet.machines(fleet.ingresses())
+    zone = [m for m in fleet.deployment.machines.values() if m.place.zone == ZONES[-1]]
+    events = (("one ingress", ingress_machines[:1]), ("rack", ingress_machines[:RACK]), ("zone", zone))
+    for event, machines in events if restarts and not quick else ():
+        seconds = restart(fleet, machines)
+        _note_totals(note, event, totals(fleet), usual)
+        note(event, "until all are ready", "s", seconds)
+        fleet.window(CALM_S)
+    seconds = change_route(fleet)
+    _note_totals(note, "one route", totals(fleet), usual)
+    if restarts:
+        release(fleet)
+        _note_totals(note, "release", totals(fleet), usual)
+    note("one route", "from its order to the last ingress in force", "s", seconds)
+    return found
+
+
+def restart(fleet: Fleet, machines: Sequence[Machine]) -> float:
+    """Kill machines and start them again; seconds from their start until all ingresses are ready. -1 if some
+    are not within the time."""
+    _reset(fleet)
+    for machine in machines:
+        machine.kill()
+        machine.back()
+    began = fleet.world.now
+    fleet.world.run(began + RESTART_S + START_S)
+    try:
+        took = fleet.until(lambda: all(i.ready() for i in fleet.ingresses()), MOST_S)
+    except FleetError:
+        return -1.0
+    fleet.world.run(max(fleet.world.now, began + WATCHED_S))
+    return took
+
+
+def change_route(fleet: Fleet) -> float:
+    """Change one route; seconds from the order until the last ingress has it. -1 if some never has."""
+    _reset(fleet)
+    began, generation = fleet.world.now, fleet.desk.generation
+    fleet.desk.change("move")
+
+    def everywhere() -> bool:
+        return all(
+            (b := i.proxy_node.compiled_config) is not None and b.generation > generation
+            for i in fleet.ingresses()
+        )
+
+    try:
+        took = fleet.until(everywhere, MOST_S)
+    except FleetError:
+        return -1.0
+    fleet.world.run(max(fleet.world.now, began + WATCHED_S))
+    return took
+
+
+def release(fleet: Fleet) -> None:
+    """Replace every backend by a new one, service by service."""
+    _reset(fleet)
+    deployment, began = fleet.deployment, fleet.world.now
+    old = deployment.alive()
+    for n, backend in enumerate(old):
+        at = began + RELEASE_S * n / len(old)
+        fleet.world.at(at, deployment.launch, backend.service, backend.place.zone)
+        fleet.world.at(at, backend.leave, DRAIN_S)
+    fleet.world.run(began + WATCHED_S)
+
+
+def _reset(fleet: Fleet) -> None:
+    for meter in fleet.meters.values():
+        meter.reset()
+        meter.counts.links = {}
+
+
+def totals(fleet: Fleet) -> Totals:
+    """What controllers did since the last reset."""
+    controllers = fleet.counts(fleet.controllers())
+    sent = sum(size for c in controllers for flow, size in c.bytes.items() if flow.direction == "sent")
+    leader = fleet.leader()
+    spent = fleet.meters[leader].counts.total_processor() if leader is not None else 0.0
+    ingresses = [c.total_processor() for c in fleet.counts(fleet.ingresses())]
+    return Totals(
+        sent,
+        spent,
+        sum(ingresses) / len(ingresses),
+        max(c.most_links for c in controllers),
+        sum(c.lost for c in controllers),
+    )
+
+
+def _note_totals(note: Any, event: str, found: Totals, usual: Totals) -> None:
+    part = WATCHED_S / QUIET_S
+    note(
+        event,
+        "bytes that controllers send beyond the usual",
+        "bytes",
+        found.bytes_sent - part * usual.bytes_sent,
+    )
+    note(
+        event,
+        "processor time of the leader beyond the usual",
+        "s",
+        found.leader_processor_s - part * usual.leader_processor_s,
+    )
+    note(
+        event,
+        "processor time of an ingress beyond the usual",
+        "s",
+        found.ingress_processor_s - part * usual.ingress_processor_s,
+    )
+    note(event, "most links open at a controller", "links", found.links)
+    note(event, "messages lost for want of a link", "messages", found.lost)
