Capacity: the studies call the sources by their present names

Change: names only, with no change of what is measured. Machines are looked up in the deployment, since the protocol by which a process knows its machine doesn't tell how to stop and start it.

--- a/proving/capacity/agreement.py
+++ b/proving/capacity/agreement.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterator
 from typing import Any, NamedTuple
 
-from gateway.quota.decision_statistics import WAYS
+from gateway.quota.decision_statistics import DECISION_KINDS
 from gateway.runtime.http_listener import HttpCall
 from proving.capacity import design, documents
 from proving.capacity.fleet import Fleet, FleetError, FleetSize
@@ -111,27 +111,28 @@
 
 def order(fleet: Fleet) -> float:
     """Change one route at the leader; seconds until its answer."""
-    began = fleet.world.now
+    began = fleet.simulator.now
     status = submit(fleet, _leader(fleet))
     fleet.until(lambda: bool(status), ORDER_MOST_S, FINE_S)
     if status != [200]:
         raise FleetError(f"an order was answered {status[0]}")
-    return fleet.world.now - began
+    return fleet.simulator.now - began
 
 
 def lose_leader(fleet: Fleet) -> dict[str, float]:
     """Take the leader's power; seconds until another one is sure, and until it has acknowledged an order."""
-    lost, began = _leader(fleet), fleet.world.now
-    lost.machine.kill(power=True)
+    lost, began = _leader(fleet), fleet.simulator.now
+    machine = fleet.machine(lost)
+    machine.kill(power=True)
     fleet.until(lambda: fleet.leader() not in (None, lost), ELECT_MOST_S, FINE_S)
-    elected = fleet.world.now - began
+    elected = fleet.simulator.now - began
     while True:
         status = submit(fleet, _leader(fleet))
         fleet.until(lambda status=status: bool(status), ORDER_MOST_S, FINE_S)  # type: ignore[misc]
         if status == [200]:
             break
-    acknowledged = fleet.world.now - began
-    lost.machine.back(RESTART_S + START_S)
+    acknowledged = fleet.simulator.now - began
+    machine.back(RESTART_S + START_S)
     return {"leader lost, until another is sure": elected, "leader lost, until an order": acknowledged}
 
 
@@ -145,8 +146,7 @@
 
 def submit(fleet: Fleet, process: ControllerProcess) -> list[int]:
     """Send a change of one route to a controller; its status is put into the list that is returned."""
-    held, status = process.post.held, list[int]()
-    generation = held.generation
+    generation, status = process.controller_node.config_state.generation, list[int]()
     entry = documents.route_entry(0, 1, deadline_s=2.0 + (generation % 100) / 100)
     entry["spec"]["target"] = fleet.spec.services[0].name
     body = json.dumps(documents.patch(generation, entry)).encode()
@@ -160,7 +160,7 @@
 
 
 class Region(NamedTuple):
-    """What the ingresses of a region have decided so far, by `WAYS`, and how many of them are ready."""
+    """Decisions of a region's ingresses so far, by `DECISION_KINDS`, and how many of them are ready."""
 
     decided: tuple[int, ...]
     ready: int
@@ -196,26 +196,26 @@
         seed=1,
     )
     fleet.begin()
-    fleet.world.run(fleet.world.now + warm_s)
+    fleet.simulator.run(fleet.simulator.now + warm_s)
     found: list[Sample] = []
     before = by_region(fleet)
     fleet.cut((0,), (1,), True)
-    began = fleet.world.now
+    began = fleet.simulator.now
     for mark in (m for m in CUT_MARKS if m <= seconds):
-        fleet.world.run(began + mark)
+        fleet.simulator.run(began + mark)
         before = _note_span(found, fleet, before, mark)
     for name in fleet.region_names():
         found.append(
             Sample(CUT_AXIS, seconds, f"{name}: orders taken", "orders", (float(takes_orders(fleet, name)),))
         )
     fleet.cut((0,), (1,), False)
-    healed = fleet.world.now
+    healed = fleet.simulator.now
     same = fleet.until(lambda: len({i.proxy_node.version for i in fleet.ingresses()}) == 1, heal_s, FINE_S)
     found.append(Sample(CUT_AXIS, seconds, "after the cut: until all run one configuration", "s", (same,)))
     ready = fleet.until(lambda: all(i.ready() for i in fleet.ingresses()), heal_s, FINE_S)
     found.append(Sample(CUT_AXIS, seconds, "after the cut: until all are ready", "s", (same + ready,)))
     before = by_region(fleet)
-    fleet.world.run(healed + heal_s)
+    fleet.simulator.run(healed + heal_s)
     _note_span(found, fleet, before, seconds + heal_s)
     return found
 
@@ -225,9 +225,10 @@
     found = {}
     for name in fleet.region_names():
         ingresses = [i for i in fleet.ingresses() if fleet.region_name(i.place.zone) == name]
+        statistics = [i.proxy_node.quota_client.statistics for i in ingresses]
         decided = [
-            sum(counts[n] for i in ingresses for counts in i.proxy_node.charger.tally.decided.values())
-            for n in range(len(WAYS))
+            sum(counts[n] for each in statistics for counts in each.decided.values())
+            for n in range(len(DECISION_KINDS))
         ]
         found[name] = Region(tuple(decided), sum(i.ready() for i in ingresses), len(ingresses))
     return found
@@ -240,8 +241,8 @@
     for name, region in after.items():
         parts = [n - b for n, b in zip(region.decided, before[name].decided, strict=True)]
         total = max(1, sum(parts))
-        for way, part in zip(WAYS, parts, strict=True):
-            found.append(Sample(CUT_AXIS, mark, f"{name}: {way}", "part", (part / total,)))
+        for kind, part in zip(DECISION_KINDS, parts, strict=True):
+            found.append(Sample(CUT_AXIS, mark, f"{name}: {kind}", "part", (part / total,)))
         ready = region.ready / region.ingresses
         found.append(Sample(CUT_AXIS, mark, f"{name}: ready", "part", (ready,)))
     return after
--- a/proving/capacity/budget.py
+++ b/proving/capacity/budget.py
@@ -9,8 +9,8 @@
 from gateway.cli.nodes import MOST_BYTES
 from gateway.programs.fleet_monitor import STATUS
 from gateway.programs.status_report import LEASES
-from gateway.quota.shard_owner import MAX_CLIENTS
-from gateway.runtime.tcp_links import IDLE_S, LINKS
+from gateway.quota.client_registry import MAX_CLIENTS
+from gateway.runtime.tcp_links import MAX_OUTBOUND_LINKS, OUTBOUND_IDLE_S
 from proving.capacity import design, programs, remedies
 from proving.capacity.figures import Estimate, Figures, Part, scaled, together
 from proving.capacity.growth import TOTAL
@@ -304,9 +304,9 @@
     yield BudgetLine(
         CONTROLLER,
         "all",
-        f"links within {IDLE_S:g} s, for messages beyond a datagram",
+        f"links within {OUTBOUND_IDLE_S:g} s, for messages beyond a datagram",
         "links",
-        float(LINKS),
+        float(MAX_OUTBOUND_LINKS),
         _by_ingresses(ingresses / design.CONTROLLERS),
         "a kept TCP link to each ingress",
         remedies.LINKS,
--- a/proving/capacity/configuration.py
+++ b/proving/capacity/configuration.py
@@ -6,17 +6,18 @@
 import json
 import random
 from collections.abc import Callable, Iterator
+from functools import partial
 from time import process_time
 from typing import Any, NamedTuple, TypeVar
 
 from gateway.config import document as documents_of
 from gateway.config.digest import ExpectedDigests
-from gateway.config.orders import Held, decide, without_order_history
+from gateway.config.orders import ConfigState, decide, without_order_history
 from gateway.config.routing import CompiledConfig
-from gateway.drift.live_check import Live
-from gateway.drift.quota_windows import planned
+from gateway.drift.live_check import LiveCheck
+from gateway.drift.quota_windows import Windows, expected_windows
 from gateway.quota import interface as quota
-from gateway.quota.quota_client import Charger
+from gateway.quota.quota_client import QuotaClient
 from gateway.quota.shard_owner import ShardOwner
 from proving.capacity import design, documents
 from proving.capacity.isolation import isolated
@@ -58,31 +59,35 @@
 
 
 class Ingress:
-    """What an ingress keeps of a configuration, taken up as `Hall.take_up` does."""
+    """What an ingress keeps of a configuration, put in force as `ProxyNode.apply_config` does."""
 
     def __init__(self) -> None:
-        self.held = Held()
+        self.config_state = ConfigState()
         self.compiled_config: CompiledConfig | None = None
         self.expected: ExpectedDigests | None = None
-        self.live: Live | None = None
-        self.plans: Any = None
-        self.charger = Charger(QUOTA_SPAN_S, random.Random(1))
+        self.live: LiveCheck | None = None
+        self.quota_windows: Windows = {}
+        self.quota_client = QuotaClient(QUOTA_SPAN_S, random.Random(1))
 
     def apply_config(self, value: bytes, watch: Stopwatch, prefix: str) -> None:
         """Put an agreed value in force."""
-        held = watch.run(f"{prefix}: decode the agreed value", lambda: Held.decode(value, self.held))
-        document = _present(held.document)
+        config_state = watch.run(
+            f"{prefix}: decode the agreed value", lambda: ConfigState.decode(value, self.config_state)
+        )
+        document = _present(config_state.document)
         compiled_config = watch.run(
             f"{prefix}: compile the matchers", lambda: CompiledConfig(document, self.compiled_config)
         )
         expected = watch.run(f"{prefix}: digests", lambda: ExpectedDigests(document, self.expected))
         tenants = {t.label: (t.rate, t.burst) for t in compiled_config.tenants.values()}
-        watch.run(f"{prefix}: allowances", lambda: self.charger.handle(0.0, quota.Allowances(tenants)))
-        self.plans = watch.run(f"{prefix}: planned quotas", lambda: planned(document, QUOTA_SPAN_S))
+        watch.run(f"{prefix}: allowances", lambda: self.quota_client.handle(0.0, quota.Allowances(tenants)))
+        self.quota_windows = watch.run(
+            f"{prefix}: planned quotas", lambda: expected_windows(document, QUOTA_SPAN_S)
+        )
         self.live = watch.run(
-            f"{prefix}: drift detector", lambda: Live(document, expected, compiled_config, self.live)
+            f"{prefix}: drift detector", lambda: LiveCheck(document, expected, compiled_config, self.live)
         )
-        self.held, self.compiled_config, self.expected = held, compiled_config, expected
+        self.config_state, self.compiled_config, self.expected = config_state, compiled_config, expected
 
 
 def shapes(axis: str, quick: bool) -> Iterator[Shape]:
@@ -137,14 +142,14 @@
     gc.collect()
     before = resident_mb()
     watch.run("controller: check", lambda: documents_of.parse(body))
-    decision = watch.run("controller: decide a whole one", lambda: decide(Held(), "PUT", body))
-    held = _present(decision.held)
-    value = watch.run("controller: encode", held.encode)
-    expected = watch.run("controller: digests", lambda: ExpectedDigests(_present(held.document)))
-    holder = ShardOwner(QUOTA_SPAN_S, random.Random(1))
-    document = _present(held.document)
+    decision = watch.run("controller: decide a whole one", lambda: decide(ConfigState(), "PUT", body))
+    config_state = _present(decision.config_state)
+    value = watch.run("controller: encode", config_state.encode)
+    document = _present(config_state.document)
+    expected = watch.run("controller: digests", lambda: ExpectedDigests(document))
+    shard_owner = ShardOwner(QUOTA_SPAN_S, random.Random(1))
     tenants = {t.label: (t.rate, t.burst) for t in document.tenants.values()}
-    watch.run("controller: allowances", lambda: holder.handle(0.0, quota.Allowances(tenants)))
+    watch.run("controller: allowances", lambda: shard_owner.handle(0.0, quota.Allowances(tenants)))
     if with_memory:
         note("controller: memory", "MB", resident_mb() - before)
     note("configuration as JSON", "bytes", len(body))
@@ -154,14 +159,14 @@
         "one key": documents.tenant_entry(0, random.Random(2), keys=2),
     }
     for name, entry in changes.items():
-        order = json.dumps(documents.patch(held.generation, entry)).encode()
-        changed = watch.run(f"controller: decide {name}", lambda order=order: decide(held, "PATCH", order))  # type: ignore[misc]
-        after = _present(changed.held)
+        order = json.dumps(documents.patch(config_state.generation, entry)).encode()
+        changed = watch.run(f"controller: decide {name}", partial(decide, config_state, "PATCH", order))
+        after = _present(changed.config_state)
         told = watch.run(f"controller: encode {name}", after.encode)
         watch.run(
             f"controller: digests after {name}",
-            lambda after=after: ExpectedDigests(_present(after.document), expected),
-        )  # type: ignore[misc]
+            partial(ExpectedDigests, _present(after.document), expected),
+        )
         note(f"{name} as an order", "bytes", len(order))
         note(f"{name} as an agreed value", "bytes", len(told))
 
@@ -184,15 +189,15 @@
 
 def _values(shape: Shape, body: bytes) -> dict[str, bytes]:
     """The agreed values that the ingress gets one after the other."""
-    held = _present(decide(Held(), "PUT", body).held)
-    found = {"a whole one": without_order_history(held.encode())}
+    config_state = _present(decide(ConfigState(), "PUT", body).config_state)
+    found = {"a whole one": without_order_history(config_state.encode())}
     for name, entry in (
         ("one route", documents.route_entry(0, shape.services, CHANGED_DEADLINE_S)),
         ("one key", documents.tenant_entry(0, random.Random(2), keys=2)),
     ):
-        order = json.dumps(documents.patch(held.generation, entry)).encode()
-        held = _present(decide(held, "PATCH", order).held)
-        found[name] = without_order_history(held.encode())
+        order = json.dumps(documents.patch(config_state.generation, entry)).encode()
+        config_state = _present(decide(config_state, "PATCH", order).config_state)
+        found[name] = without_order_history(config_state.encode())
     return found
 
 
--- a/proving/capacity/fleet.py
+++ b/proving/capacity/fleet.py
@@ -11,11 +11,11 @@
 from proving.capacity.meter import Counts, LinkNetwork, Meter
 from proving.model.deployment import Deployment
 from proving.model.machines import Machine
-from proving.model.network import LinkProfile, Place
-from proving.model.operators import Desk
+from proving.model.network import LinkProfile, Location
+from proving.model.operators import OperatorPool
 from proving.model.processes import ControllerProcess, Program, ProxyProcess
 from proving.model.record import Record
-from proving.model.simulator import World
+from proving.model.simulator import Simulator
 from proving.spec import Bounds, Kind, Links, Service, Spec, Tenants
 
 CONTROLLER, INGRESS = "controller", "proxy"
@@ -81,12 +81,12 @@
 class RegionNetwork(LinkNetwork):
     """A network on which the way between regions is longer than that between zones."""
 
-    def __init__(self, world: World, ways: LinkProfile, size: FleetSize) -> None:
-        super().__init__(world, ways)
+    def __init__(self, simulator: Simulator, ways: LinkProfile, size: FleetSize) -> None:
+        super().__init__(simulator, ways)
         self.region_delay_s = size.region_delay_s
         self.regions = dict(zip(ZONES, size.regions, strict=True))
 
-    def delay(self, a: Place, b: Place, client: bool = False) -> float:
+    def delay(self, a: Location, b: Location, client: bool = False) -> float:
         """Seconds for one packet."""
         regions = self.regions
         known = a.zone in regions and b.zone in regions
@@ -100,15 +100,15 @@
 
     def __init__(self, size: FleetSize, seed: int) -> None:
         self.size, self.spec = size, size.spec()
-        self.world, self.rng = World(seed), random.Random(seed)
+        self.simulator, self.rng = Simulator(seed), random.Random(seed)
         self.record = Record()
         self.record.bounds = self.spec.bounds
-        self.deployment = Deployment(self.world, self.spec, self.record)
-        self.desk = Desk(self.deployment)
+        self.deployment = Deployment(self.simulator, self.spec, self.record)
+        self.operator_pool = OperatorPool(self.deployment)
         self.meters: dict[Program, Meter] = {}
         self.charges = 0
         self.refused: dict[str, int] = {}
-        network = self.network = RegionNetwork(self.world, self.deployment.network.ways, size)
+        network = self.network = RegionNetwork(self.simulator, self.deployment.network.ways, size)
         self.deployment.network = network
         for machine in self.deployment.machines.values():
             machine.network = network
@@ -118,17 +118,17 @@
     def _started(self, process: Program) -> None:
         self.meters[process] = Meter(process, self.network)
         if isinstance(process, ProxyProcess) and self.size.requests:
-            self.world.after(self.rng.expovariate(self.size.requests), self._request, process)
+            self.simulator.after(self.rng.expovariate(self.size.requests), self._request, process)
 
     def _request(self, process: ProxyProcess) -> None:
         if process.ended:
             return
-        self.world.after(self.rng.expovariate(self.size.requests), self._request, process)
+        self.simulator.after(self.rng.expovariate(self.size.requests), self._request, process)
         if process.proxy_node.compiled_config is not None:
             self.charges += 1
             tenant = f"tenant-{self.rng.randrange(self.size.tenants)}"
-            ask = quota.Ask(self.rng.getrandbits(63), tenant, 1, CHARGE_PATIENCE_S)
-            process.enter(process.proxy_node.handle_quota, ask)
+            charge = quota.ChargeRequest(self.rng.getrandbits(63), tenant, 1, CHARGE_PATIENCE_S)
+            process.enter(process.proxy_node.handle_quota, charge)
 
     # Running.
 
@@ -141,25 +141,25 @@
             for n in range(service.backends)
         ]
         for n, (service, zone) in enumerate(launches):
-            self.world.at(0.5 + LAUNCH_S * n / len(launches), self.deployment.launch, service, zone)
-        self.world.at(CONFIGURE_AT_S, self.desk.begin)
-        self.world.run(LAUNCH_S + 1.0)
+            self.simulator.at(0.5 + LAUNCH_S * n / len(launches), self.deployment.launch, service, zone)
+        self.simulator.at(CONFIGURE_AT_S, self.operator_pool.begin)
+        self.simulator.run(LAUNCH_S + 1.0)
         self.until(lambda: all(i.ready() for i in self.ingresses()), READY_S)
 
     def until(self, condition: Callable[[], bool], most_s: float, poll_s: float = POLL_S) -> float:
         """Let time pass until something holds; the seconds that this took. FleetError if it never does."""
-        began = self.world.now
+        began = self.simulator.now
         while not condition():
-            if self.world.now - began > most_s:
+            if self.simulator.now - began > most_s:
                 raise FleetError(f"not within {most_s:g} s")
-            self.world.run(self.world.now + poll_s)
-        return self.world.now - began
+            self.simulator.run(self.simulator.now + poll_s)
+        return self.simulator.now - began
 
     def window(self, seconds: float) -> None:
         """Measure for some seconds."""
         for meter in self.meters.values():
             meter.reset()
-        self.world.run(self.world.now + seconds)
+        self.simulator.run(self.simulator.now + seconds)
 
     # Who is there.
 
@@ -174,7 +174,7 @@
     def leader(self) -> ControllerProcess | None:
         """The controller that leads and is sure of it."""
         for process in self.controllers():
-            if process.post.agreement.sure(process.time()):
+            if process.controller_node.raft.has_leader_lease(process.time()):
                 return process
         return None
 
@@ -201,9 +201,13 @@
                 self.deployment.network.cut(a, b, on)
                 self.deployment.network.cut(b, a, on)
 
+    def machine(self, process: Program) -> Machine:
+        """The machine that a process runs on."""
+        return self.deployment.machines[process.machine.name]
+
     def machines(self, processes: Sequence[Program]) -> list[Machine]:
         """The machines of these processes."""
-        return [process.machine for process in processes]
+        return [self.machine(process) for process in processes]
 
     def _processes(self) -> list[Program]:
         return [p for m in self.deployment.machines.values() for p in m.processes.values()]
--- a/proving/capacity/meter.py
+++ b/proving/capacity/meter.py
@@ -9,19 +9,19 @@
 
 from gateway.consensus.consensus_pb2 import Kind
 from gateway.consensus.consensus_pb2 import Message as ConsensusMessage
-from gateway.membership.membership_pb2 import Message as MembershipNote
+from gateway.membership.membership_pb2 import Message as MembershipMessage
 from gateway.programs.startup import CONSENSUS, MEMBERSHIP, QUOTA
-from gateway.quota.quota_pb2 import Message as QuotaNote
-from gateway.runtime.peer_transport import DATAGRAM_BYTES
-from gateway.runtime.tcp_links import IDLE_S, LINKS
+from gateway.quota.quota_pb2 import Message as QuotaMessage
+from gateway.runtime.peer_transport import MAX_DATAGRAM_BYTES
+from gateway.runtime.tcp_links import MAX_OUTBOUND_LINKS, OUTBOUND_IDLE_S
 from gateway.state_machine import Address
-from proving.model.network import Network, Place
+from proving.model.network import Location, Network
 from proving.model.processes import KINDS, ControllerProcess, Program, ProxyProcess
 
-TRAFFIC_CLASS: Final[dict[int, Any]] = {
+MESSAGE_CLASSES: Final[dict[int, Any]] = {
     CONSENSUS: ConsensusMessage,
-    MEMBERSHIP: MembershipNote,
-    QUOTA: QuotaNote,
+    MEMBERSHIP: MembershipMessage,
+    QUOTA: QuotaMessage,
 }
 PLANES: Final = {CONSENSUS: "agreement", MEMBERSHIP: "membership", QUOTA: "quota"}
 """Planes of the wire, by their names on the page."""
@@ -70,13 +70,13 @@
     """A network on which links between own processes are kept, as the programs keep them."""
 
     def over_link(
-        self, a: Place, b: Place, kind: str, size: int, arrive: Callable[..., Any], *args: Any
+        self, a: Location, b: Location, kind: str, size: int, arrive: Callable[..., Any], *args: Any
     ) -> None:
         """Send a message over a link that stands already: no handshake comes before it."""
         self.note(a, b, kind, size)
         wait = self.wait(a, size)
         if self.reaches(a, b):
-            self.world.after(wait + self.delay(a, b), arrive, *args)
+            self.simulator.after(wait + self.delay(a, b), arrive, *args)
 
 
 class Meter:
@@ -122,17 +122,17 @@
         data = message.SerializeToString()
         size = len(data) + 1
         self._count("sent", plane, message, size)
-        process, used = self.process, self.counts.links.get(to, -IDLE_S)
-        kept = process.world.now - used < IDLE_S
+        process, used = self.process, self.counts.links.get(to, -OUTBOUND_IDLE_S)
+        kept = process.simulator.now - used < OUTBOUND_IDLE_S
         target = process.machine.deployment.ports.get(to)
-        if target is None or (size > DATAGRAM_BYTES and not self._link(to)):
+        if target is None or (size > MAX_DATAGRAM_BYTES and not self._link(to)):
             return
-        carry = self.network.over_link if kept and size > DATAGRAM_BYTES else self.network.message
+        carry = self.network.over_link if kept and size > MAX_DATAGRAM_BYTES else self.network.message
         carry(process.place, target, KINDS[plane], size, process.arrive, to, plane, data)
 
     def take(self, sender: Address, plane: int, data: bytes) -> None:
         """Read a message and hand it to the process."""
-        message = TRAFFIC_CLASS[plane].FromString(data)
+        message = MESSAGE_CLASSES[plane].FromString(data)
         self._count("received", plane, message, len(data) + 1)
         self.give(sender, plane, message)
 
@@ -145,12 +145,12 @@
         self.counts.bytes[flow] += wire_bytes(size)
 
     def _link(self, to: Address) -> bool:
-        """Whether there is a TCP link to a process, or may be: a program has `LINKS` at most, and loses what
-        would need another."""
-        now, links = self.process.world.now, self.counts.links
-        for address in [a for a, used in links.items() if a != to and now - used > IDLE_S]:
+        """Whether there is a TCP link to a process, or may be: a program opens at most
+        `MAX_OUTBOUND_LINKS`, and loses what would need another."""
+        now, links = self.process.simulator.now, self.counts.links
+        for address in [a for a, used in links.items() if a != to and now - used > OUTBOUND_IDLE_S]:
             del links[address]
-        if to not in links and len(links) >= LINKS:
+        if to not in links and len(links) >= MAX_OUTBOUND_LINKS:
             self.counts.lost += 1
             return False
         links[to] = now
@@ -160,7 +160,7 @@
 
 def wire_bytes(size: int) -> int:
     """Bytes on the wire of a message, headers included."""
-    if size <= DATAGRAM_BYTES:
+    if size <= MAX_DATAGRAM_BYTES:
         return size + DATAGRAM_HEADERS
     segments = -(-(size + FRAME_BYTES) // SEGMENT_BYTES)
     return size + FRAME_BYTES + segments * SEGMENT_HEADERS
--- a/proving/capacity/programs.py
+++ b/proving/capacity/programs.py
@@ -17,7 +17,7 @@
 from proving.capacity import documents
 from proving.capacity.samples import Sample
 from proving.loopback import http_clients
-from proving.loopback.local_cluster import BACKENDS_AT, House, Town
+from proving.loopback.local_cluster import BACKENDS_AT, LocalCluster, LocalMachine
 from proving.spec import Service, Spec
 
 STUDY, AXIS = "programs", "tenants of real programs"
@@ -60,49 +60,53 @@
         services=(Service(SERVICE, BACKENDS, CAPACITY),),
     )
     with tempfile.TemporaryDirectory() as folder:
-        town = Town(spec, Path(folder), PORT)
+        cluster = LocalCluster(spec, Path(folder), PORT)
         try:
-            for house in town.houses:
-                house.start()
+            for machine in cluster.machines:
+                machine.start()
             for _ in range(BACKENDS):
-                town.launch(spec.services[0], WORK_S)
+                cluster.launch(spec.services[0], WORK_S)
             generation = 0
             for size in QUICK_SIZES if quick else SIZES:
-                found, generation = asyncio.run(measure_size(town, size, generation, quick))
+                found, generation = asyncio.run(measure_size(cluster, size, generation, quick))
                 yield found
         finally:
-            town.stop()
+            cluster.stop()
 
 
-async def measure_size(town: Town, tenants: int, generation: int, quick: bool) -> tuple[list[Sample], int]:
+async def measure_size(
+    cluster: LocalCluster, tenants: int, generation: int, quick: bool
+) -> tuple[list[Sample], int]:
     """Put a configuration in force, then look at memory, added time and the start of an ingress."""
-    generation = await put(town, tenants, generation)
-    await until_ready(town.houses)
+    generation = await put(cluster, tenants, generation)
+    await until_ready(cluster.machines)
     await asyncio.sleep(QUICK_SETTLE_S if quick else SETTLE_S)
-    direct, through = await added(town, QUICK_REQUESTS if quick else REQUESTS)
+    direct, through = await added(cluster, QUICK_REQUESTS if quick else REQUESTS)
     found = []
 
     def note(figure: str, unit: str, values: list[float]) -> None:
         found.append(Sample(AXIS, tenants, figure, unit, tuple(values)))
 
     for role, name in ((INGRESS, "ingress"), (CONTROLLER, "controller")):
-        note(f"{name}: memory", "MB", [resident_mb(h.programs[role].pid) for h in town.houses])
+        note(
+            f"{name}: memory", "MB", [resident_mb(machine.programs[role].pid) for machine in cluster.machines]
+        )
         note(
             f"{name}: memory at its peak",
             "MB",
-            [resident_mb(h.programs[role].pid, "VmHWM") for h in town.houses],
+            [resident_mb(machine.programs[role].pid, "VmHWM") for machine in cluster.machines],
         )
     for percent, name in ((50, "median"), (99, "99th percentile")):
         one, other = (np.percentile(times, percent, axis=1) for times in (through, direct))
         note(f"request through an ingress, {name}", "ms", [float(v) for v in one])
         note(f"request to a backend, {name}", "ms", [float(v) for v in other])
         note(f"added time, {name}", "ms", [float(a - b) for a, b in zip(one, other, strict=True)])
-    restarted = town.houses[:1] if quick else town.houses
-    note("ingress: start until ready", "s", [await restart(house) for house in restarted])
+    restarted = cluster.machines[:1] if quick else cluster.machines
+    note("ingress: start until ready", "s", [await restart(machine) for machine in restarted])
     return found, generation
 
 
-async def put(town: Town, tenants: int, base: int) -> int:
+async def put(cluster: LocalCluster, tenants: int, base: int) -> int:
     """Put a configuration of this size in force; its generation."""
     document = documents.document(max(1, tenants // ROUTES_PER_TENANT), tenants, 1)
     caller = documents.tenant_entry(tenants, random.Random(1))
@@ -110,7 +114,7 @@
     document["resource-list"].append(caller)
     document |= {"generation": base + 1, "base-version": base}
     body, rng = json.dumps(document).encode(), random.Random(1)
-    controls = [h.address("control") for h in town.core]
+    controls = [machine.address("control") for machine in cluster.core]
     ends = time.monotonic() + WAIT_S
     while time.monotonic() < ends:
         answer, _ = await http_clients.control(controls, "PUT", "/-/config", body, rng, WAIT_S)
@@ -120,36 +124,36 @@
     raise ProgramsError(f"a configuration of {tenants} tenants was answered {answer.status}")
 
 
-async def until_ready(houses: list[House]) -> None:
+async def until_ready(machines: list[LocalMachine]) -> None:
     """Wait until these ingresses are ready; ProgramsError if they aren't in time."""
     ends = time.monotonic() + WAIT_S
-    for house in houses:
+    for machine in machines:
         while (
-            await http_clients.call(house.address("ready"), "GET", "/-/readiness", {}, b"", 0.9)
+            await http_clients.call(machine.address("ready"), "GET", "/-/readiness", {}, b"", 0.9)
         ).status != 200:
             if time.monotonic() > ends:
-                raise ProgramsError(f"{house.name} isn't ready")
+                raise ProgramsError(f"{machine.name} isn't ready")
             await asyncio.sleep(POLL_S)
 
 
-async def restart(house: House) -> float:
+async def restart(machine: LocalMachine) -> float:
     """Kill an ingress and start it again; seconds from its start until it is ready."""
-    program = house.programs[INGRESS]
+    program = machine.programs[INGRESS]
     program.send_signal(signal.SIGKILL)
     program.wait()
     began = time.monotonic()
-    house.start()
-    await until_ready([house])
+    machine.start()
+    await until_ready([machine])
     return time.monotonic() - began
 
 
-async def added(town: Town, requests: int) -> tuple[list[list[float]], list[list[float]]]:
+async def added(cluster: LocalCluster, requests: int) -> tuple[list[list[float]], list[list[float]]]:
     """Times of requests straight to a backend, and of such through an ingress, in ms, by batches."""
     direct: list[list[float]] = []
     through: list[list[float]] = []
     for batch in range(BATCHES):
-        house = town.houses[batch % len(town.houses)]
-        for times, address in ((direct, f"127.0.0.1:{BACKENDS_AT}"), (through, house.address("front"))):
+        machine = cluster.machines[batch % len(cluster.machines)]
+        for times, address in ((direct, f"127.0.0.1:{BACKENDS_AT}"), (through, machine.address("front"))):
             times.append([await request(address, batch * requests + n) for n in range(requests)])
     return direct, through
 
--- a/proving/capacity/regions.py
+++ b/proving/capacity/regions.py
@@ -95,16 +95,16 @@
         seed=1,
     )
     fleet.begin()
-    fleet.world.run(fleet.world.now + (QUICK_SETTLE_S if quick else SETTLE_S))
+    fleet.simulator.run(fleet.simulator.now + (QUICK_SETTLE_S if quick else SETTLE_S))
     return fleet
 
 
 def _note_late(note: Any, fleet: Fleet, event: str, lasts: float) -> None:
     """What the regions admit once shares are used up, and whether they take orders."""
-    began = fleet.world.now
-    fleet.world.run(began + min(LATE_S, lasts / 2))
+    began = fleet.simulator.now
+    fleet.simulator.run(began + min(LATE_S, lasts / 2))
     before = by_region(fleet)
-    fleet.world.run(began + lasts)
+    fleet.simulator.run(began + lasts)
     for name, after in by_region(fleet).items():
         note(f"{event}: admitted in {name}", "part", admitted(before[name], after))
         note(f"{event}: orders taken in {name}", "orders", float(takes_orders(fleet, name)))
@@ -117,16 +117,15 @@
 
 
 def mean_charge(ingresses: Sequence[ProxyProcess]) -> float:
-    """Seconds that a charge at its holder took, on the mean."""
-    tallies = [i.proxy_node.charger.tally for i in ingresses]
-    return sum(t.seconds[0] for t in tallies) / max(1, sum(sum(t.times[0]) for t in tallies))
+    """Seconds that a charge at its shard owner took, on the mean."""
+    statistics = [i.proxy_node.quota_client.statistics for i in ingresses]
+    return sum(t.seconds[0] for t in statistics) / max(1, sum(sum(t.times[0]) for t in statistics))
 
 
 def percentile(ingresses: Sequence[ProxyProcess]) -> float:
     """The 99th percentile of it: the upper edge of its bucket."""
-    counts = [
-        sum(column) for column in zip(*(i.proxy_node.charger.tally.times[0] for i in ingresses), strict=True)
-    ]
+    times = [i.proxy_node.quota_client.statistics.times[0] for i in ingresses]
+    counts = [sum(column) for column in zip(*times, strict=True)]
     left = PERCENTILE * sum(counts)
     for edge, count in zip((*EDGES, EDGES[-1]), counts, strict=True):
         left -= count
--- a/proving/capacity/restarts.py
+++ b/proving/capacity/restarts.py
@@ -89,21 +89,21 @@
     for machine in machines:
         machine.kill()
         machine.back()
-    began = fleet.world.now
-    fleet.world.run(began + RESTART_S + START_S)
+    began = fleet.simulator.now
+    fleet.simulator.run(began + RESTART_S + START_S)
     try:
         took = fleet.until(lambda: all(i.ready() for i in fleet.ingresses()), MOST_S)
     except FleetError:
         return -1.0
-    fleet.world.run(max(fleet.world.now, began + WATCHED_S))
+    fleet.simulator.run(max(fleet.simulator.now, began + WATCHED_S))
     return took
 
 
 def change_route(fleet: Fleet) -> float:
     """Change one route; seconds from the order until the last ingress has it. -1 if some never has."""
     _reset(fleet)
-    began, generation = fleet.world.now, fleet.desk.generation
-    fleet.desk.change("move")
+    began, generation = fleet.simulator.now, fleet.operator_pool.generation
+    fleet.operator_pool.change("move")
 
     def everywhere() -> bool:
         return all(
@@ -115,20 +115,20 @@
         took = fleet.until(everywhere, MOST_S)
     except FleetError:
         return -1.0
-    fleet.world.run(max(fleet.world.now, began + WATCHED_S))
+    fleet.simulator.run(max(fleet.simulator.now, began + WATCHED_S))
     return took
 
 
 def release(fleet: Fleet) -> None:
     """Replace every backend by a new one, service by service."""
     _reset(fleet)
-    deployment, began = fleet.deployment, fleet.world.now
+    deployment, began = fleet.deployment, fleet.simulator.now
     old = deployment.alive()
     for n, backend in enumerate(old):
         at = began + RELEASE_S * n / len(old)
-        fleet.world.at(at, deployment.launch, backend.service, backend.place.zone)
-        fleet.world.at(at, backend.leave, DRAIN_S)
-    fleet.world.run(began + WATCHED_S)
+        fleet.simulator.at(at, deployment.launch, backend.service, backend.place.zone)
+        fleet.simulator.at(at, backend.leave, DRAIN_S)
+    fleet.simulator.run(began + WATCHED_S)
 
 
 def _reset(fleet: Fleet) -> None:
--- a/proving/capacity/sections.py
+++ b/proving/capacity/sections.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 from statistics import median
 
-from gateway.runtime.tcp_links import LINKS
+from gateway.runtime.tcp_links import MAX_OUTBOUND_LINKS
 from proving.capacity import design, fit, growth, programs, restarts
 from proving.capacity.agreement import CUT_AXIS, LATENCY_AXIS
 from proving.capacity.figures import LEAST_CERTAINTY, Figures, number, table
@@ -184,7 +184,9 @@
     value = line.at(design.INGRESSES)
     if line.certainty < LEAST_CERTAINTY or value < 0:
         return ""
-    return f"{LINKS} (the limit)" if unit == "links" and value > LINKS else number(value)
+    if unit == "links" and value > MAX_OUTBOUND_LINKS:
+        return f"{MAX_OUTBOUND_LINKS} (the limit)"
+    return number(value)
 
 
 def _worked_out(figures: Figures) -> list[str]:
