--- /dev/null
+++ b/proving/capacity/meter.py
@@ -0,0 +1,166 @@
+"""Counts what one hollow process sends, receives and spends. Its messages travel as serialised protobuf."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+from time import thread_time
+from typing import Any, Final, NamedTuple
+
+from gateway.consensus.consensus_pb2 import Kind
+from gateway.consensus.consensus_pb2 import Message as ConsensusMessage
+from gateway.membership.membership_pb2 import Message as MembershipMessage
+from gateway.programs.startup import CONSENSUS, MEMBERSHIP, QUOTA
+from gateway.quota.quota_pb2 import Message as QuotaMessage
+from gateway.runtime.peer_transport import MAX_DATAGRAM_BYTES
+from gateway.runtime.tcp_links import MAX_OUTBOUND_LINKS, OUTBOUND_IDLE_S
+from gateway.state_machine import Address
+from proving.model.network import Location, Network
+from proving.model.processes import KINDS, ControllerProcess, Program, ProxyProcess
+
+MESSAGE_CLASSES: Final[dict[int, Any]] = {
+    CONSENSUS: ConsensusMessage,
+    MEMBERSHIP: MembershipMessage,
+    QUOTA: QuotaMessage,
+}
+PLANES: Final = {CONSENSUS: "agreement", MEMBERSHIP: "membership", QUOTA: "quota"}
+"""Planes of the wire, by their names on the page."""
+TIMERS: Final = "timers"
+REQUESTS: Final = "requests"
+"""The charges that stand in for clients' requests, until their messages are sent."""
+BACKENDS: Final = "backends"
+"""Calls of backends over HTTP; only what their state machine does is counted, not the reading of HTTP."""
+HTTP_HEADERS: Final = 220
+"""Bytes of a call's head and its segment's headers, about."""
+DATAGRAM_HEADERS: Final = 28
+"""Bytes of IPv4 and UDP."""
+SEGMENT_HEADERS, SEGMENT_BYTES, FRAME_BYTES = 52, 1448, 4
+"""Bytes of IPv4 and TCP with timestamps, of a segment's content, and of the length before a message."""
+
+
+class Flow(NamedTuple):
+    """A kind of message in one direction."""
+
+    direction: str
+    plane: str
+    kind: str
+
+
+class Counts:
+    """What was counted since the last reset."""
+
+    def __init__(self) -> None:
+        self.messages: Counter[Flow] = Counter()
+        self.bytes: Counter[Flow] = Counter()
+        self.processor: Counter[str] = Counter()
+        self.links: dict[Address, float] = {}
+        self.most_links = 0
+        self.lost = 0  # messages for want of a link
+
+    def total_bytes(self) -> int:
+        """Bytes on the wire, in both directions."""
+        return sum(self.bytes.values())
+
+    def total_processor(self) -> float:
+        """Seconds of processor time."""
+        return float(sum(self.processor.values()))
+
+
+class LinkNetwork(Network):
+    """A network on which links between own processes are kept, as the programs keep them."""
+
+    def over_link(
+        self, a: Location, b: Location, kind: str, size: int, arrive: Callable[..., Any], *args: Any
+    ) -> None:
+        """Send a message over a link that stands already: no handshake comes before it."""
+        self.note(a, b, kind, size)
+        wait = self.wait(a, size)
+        if self.reaches(a, b):
+            self.simulator.after(wait + self.delay(a, b), arrive, *args)
+
+
+class Meter:
+    """Sits between a hollow process and the simulated network."""
+
+    def __init__(self, process: Program, network: LinkNetwork) -> None:
+        self.process, self.network = process, network
+        self.counts = Counts()
+        self.taking = self.take
+        self.give: Callable[[Address, int, Any], None] = process.take
+        self.acting: Callable[[Any, Any], None] = process.act
+        process.send = self.send  # type: ignore[method-assign]
+        process.take = self.taking  # type: ignore[method-assign, assignment]
+        process.act = self.act  # type: ignore[method-assign]
+
+    def reset(self) -> None:
+        """Begin a new measuring window. Links that are open stay open."""
+        links, self.counts = self.counts.links, Counts()
+        self.counts.links, self.counts.most_links = links, len(links)
+
+    def act(self, call: Callable[..., Any], args: tuple[Any, ...]) -> None:
+        """Let the process do one thing, and charge its processor time to a plane."""
+        label = self._label(call, args)
+        began = thread_time()
+        self.acting(call, args)
+        self.counts.processor[label] += thread_time() - began  # type: ignore[assignment]
+
+    def _label(self, call: Callable[..., Any], args: tuple[Any, ...]) -> str:
+        """What an event belongs to; calls to a controller are counted as they come."""
+        if call is self.taking:
+            return PLANES[args[1]]
+        if isinstance(self.process, ControllerProcess) and call == self.process.answer:
+            flow = Flow("received", BACKENDS, "heartbeat")
+            self.counts.messages[flow] += 1
+            self.counts.bytes[flow] += len(args[0].body) + HTTP_HEADERS
+            return BACKENDS
+        if isinstance(self.process, ProxyProcess) and call == self.process.proxy_node.handle_quota:
+            return REQUESTS
+        return TIMERS
+
+    def send(self, to: Address, plane: int, message: Any) -> None:
+        """Serialise a message and hand it to the network, over a link that is kept if it is a long one."""
+        data = message.SerializeToString()
+        size = len(data) + 1
+        self._count("sent", plane, message, size)
+        process, used = self.process, self.counts.links.get(to, -OUTBOUND_IDLE_S)
+        kept = process.simulator.now - used < OUTBOUND_IDLE_S
+        target = process.machine.deployment.ports.get(to)
+        if target is None or (size > MAX_DATAGRAM_BYTES and not self._link(to)):
+            return
+        carry = self.network.over_link if kept and size > MAX_DATAGRAM_BYTES else self.network.message
+        carry(process.place, target, KINDS[plane], size, process.arrive, to, plane, data)
+
+    def take(self, sender: Address, plane: int, data: bytes) -> None:
+        """Read a message and hand it to the process."""
+        message = MESSAGE_CLASSES[plane].FromString(data)
+        self._count("received", plane, message, len(data) + 1)
+        self.give(sender, plane, message)
+
+    def _count(self, direction: str, plane: int, message: Any, size: int) -> None:
+        kind = (
+            Kind.Name(message.kind).lower() if plane == CONSENSUS else message.WhichOneof("kind") or "empty"
+        )
+        flow = Flow(direction, PLANES[plane], kind)
+        self.counts.messages[flow] += 1
+        self.counts.bytes[flow] += wire_bytes(size)
+
+    def _link(self, to: Address) -> bool:
+        """Whether there is a TCP link to a process, or may be: a program opens at most
+        `MAX_OUTBOUND_LINKS`, and loses what would need another."""
+        now, links = self.process.simulator.now, self.counts.links
+        for address in [a for a, used in links.items() if a != to and now - used > OUTBOUND_IDLE_S]:
+            del links[address]
+        if to not in links and len(links) >= MAX_OUTBOUND_LINKS:
+            self.counts.lost += 1
+            return False
+        links[to] = now
+        self.counts.most_links = max(self.counts.most_links, len(links))
+        return True
+
+
+def wire_bytes(size: int) -> int:
+    """Bytes on the wire of a message, headers included."""
+    if size <= MAX_DATAGRAM_BYTES:
+        return size + DATAGRAM_HEADERS
+    segments = -(-(size + FRAME_BYTES) // SEGMENT_BYTES)
+    return size + FRAME_BYTES + segments * SEGMENT_HEADERS
--- a/proving/cli.py
+++ b/proving/cli.py
@@ -8,6 +8,7 @@
 from cleo.application import Application
 
 from proving.commands.base import ProvingCommand
+from proving.commands.capacity import CapacityCommand
 from proving.commands.hunt import HuntCommand
 from proving.commands.loopback import LoadCommand
 from proving.commands.plan import PlanCommand
@@ -39,6 +40,7 @@
     InjectedBugsCommand,
     OrdersCommand,
     LossesCommand,
+    CapacityCommand,
 )
 """The registry: every command is listed here, and only here."""
 
