--- a/gateway/quota/__init__.py
+++ b/gateway/quota/__init__.py
@@ -1,1 +1,1 @@
-"""The quota plane: one count a tenant over all ingresses."""
+"""The quota plane: distributed rate limiting, with one count per tenant over all ingresses."""
--- a/gateway/quota/client_registry.py
+++ b/gateway/quota/client_registry.py
@@ -1,4 +1,7 @@
-"""The quota clients of a shard owner: which are alive, which are silent, and what they have reported."""
+"""The quota clients of a shard owner: which are alive, which are silent, and what they have reported.
+
+All times are seconds of the owner's steady clock; sets of shards are bitmasks.
+"""
 
 from __future__ import annotations
 
@@ -10,25 +13,25 @@
 from gateway.quota.quota_pb2 import ClientHeartbeatReply
 from gateway.state_machine import Address
 
-MAX_CLIENTS = 1024  # that are remembered at most
+MAX_CLIENTS = 1024  # quota clients remembered at most
 MAX_EARLIER = 8  # earlier incarnations at one address, whose late messages are dropped
-CLIENT_CHECK_S = 0.1  # between looks for silent quota clients
+CLIENT_CHECK_S = 0.1  # interval between checks for silent quota clients
 
 
 class ClientState:
-    """A quota client as its shard owner knows it."""
+    """One quota client, as known to a shard owner."""
 
     __slots__ = ("earlier", "heard", "incarnation", "left_at", "shares_until", "told")
 
     def __init__(self, now: float, incarnation: int) -> None:
         self.heard, self.incarnation = now, incarnation
-        self.earlier: deque[int] = deque(maxlen=MAX_EARLIER)  # incarnations at this address
-        self.shares_until = 0.0  # when its last share here is over
-        self.told = 0  # shards held here of which it has told its shares
+        self.earlier: deque[int] = deque(maxlen=MAX_EARLIER)  # earlier incarnations at this address
+        self.shares_until = 0.0  # when its last share from this owner expires
+        self.told = 0  # shards owned here whose shares it has reported
         self.left_at: float | None = None  # when this incarnation returned all its shares, to all owners
 
     def extend_shares(self, now: float) -> None:
-        """It has a share as of now, unless it left, and may go by it until the share's lease is over."""
+        """Note that it has a share now, unless it left; it may admit by the share until its lease expires."""
         if self.left_at is None:
             self.shares_until = now + SHARE_S + MARGIN_S
 
@@ -36,37 +39,40 @@
 class ClientRegistry:
     """Liveness of the quota clients, and for which shards each has reported its shares.
 
-    `on_restart` is called with the address of a quota client that came back as another incarnation.
+    `on_restart` is called with the address of a quota client that came back with a new incarnation.
     """
 
     def __init__(self, on_restart: Callable[[Address], None]) -> None:
         self.on_restart = on_restart
         self.clients: dict[Address, ClientState] = {}
-        self.silent: dict[Address, float] = {}  # quota clients, and when they were last heard
-        self.epoch = 0  # changes whenever what must be kept back for clients may have
+        self.silent: dict[Address, float] = {}  # silent quota clients, and when each was last heard
+        self.epoch = 0  # changes whenever the units reserved for quota clients may have changed
         self.checked_at = 0.0
-        self.peers = Peers()  # quota clients that may have shares, as these tell
-        self.absent: list[float] = []  # when each quota client was last heard that is silent
+        self.peers = Peers()  # quota clients that may have shares, as reported by quota clients
+        self.absent: list[float] = []  # for quota clients not heard lately, when each was last heard
 
     def hear(
         self, now: float, address: Address, incarnation: int, hears_nothing: bool = False
     ) -> ClientState | None:
-        """Something came from a quota client; None if there are too many of them."""
+        """Note a message of a quota client, and return its state; None if there are too many of them.
+
+        With `hears_nothing` it gets no answers from this owner and admits by its shares.
+        """
         client = self.clients.get(address)
         if client is None:
             if len(self.clients) >= MAX_CLIENTS:
                 return None
             client = self.clients[address] = ClientState(now, incarnation)
         elif client.incarnation != incarnation:
-            # What the earlier incarnation told stays told: these shards have been held here since, so the new
-            # one can't have a share of theirs from another owner.
+            # What the earlier incarnation reported stays valid: these shards have been owned here since, so
+            # the new one can't have a share of their tenants from another owner.
             client.earlier.append(client.incarnation)
             client.incarnation, client.left_at, client.shares_until = incarnation, None, 0.0
             self.on_restart(address)
         elif client.left_at is not None:
-            return client  # a late or doubled message
+            return client  # a late or duplicated message
         client.heard = now
-        if hears_nothing != (address in self.silent):  # one that doesn't hear us goes by its shares
+        if hears_nothing != (address in self.silent):  # one that doesn't hear this owner admits by its shares
             if hears_nothing:
                 self.silent[address] = now
             else:
@@ -75,43 +81,43 @@
         return client
 
     def reply(self, now: float, number: int, missing: int) -> ClientHeartbeatReply:
-        """The answer to a heartbeat of this number, from a client that has not told `missing` shards."""
+        """The answer to heartbeat `number` of a client that has not reported its shares of `missing`."""
         heard = ClientHeartbeatReply(number=number, peers=len(self.clients), missing=missing)
         heard.silent_ms.extend(int(1000 * (now - at)) for at in self.absent)
         return heard
 
     def note_peers(self, now: float, peers: int, silent_ms: Sequence[int]) -> None:
-        """A quota client tells how many of them there are, and for how long some have been silent (ms)."""
+        """Take a client's report of how many quota clients there are, and how long some have been silent."""
         self.peers.learn(now, peers, silent_ms)
 
     def note_reported(self, client: ClientState, shards: int) -> None:
-        """A quota client has told all its shares of these shards, which are held here."""
+        """Note that a quota client has reported all its shares of these shards, which are owned here."""
         news = shards & ~client.told
         if news:
             client.told |= news
             self.epoch += 1
 
     def knows(self, address: Address, incarnation: int) -> bool:
-        """Whether this is the newest incarnation heard at an address."""
+        """Whether `incarnation` is the newest one heard at an address."""
         client = self.clients.get(address)
         return client is not None and client.incarnation == incarnation
 
     def has_ended(self, address: Address, incarnation: int) -> bool:
-        """Whether another incarnation has come after this one at an address."""
+        """Whether another incarnation has replaced this one at an address: its messages are late."""
         client = self.clients.get(address)
         return client is not None and incarnation in client.earlier
 
     def note_left(self, now: float, address: Address, client: ClientState) -> None:
-        """A quota client has returned all its shares. It stays known as long as others count it."""
+        """Note that a quota client has returned all its shares. It stays known as long as others count it."""
         client.left_at, client.shares_until = now, 0.0
         self.silent.pop(address, None)
         self.epoch += 1
 
     def has_unreported(self, now: float, shard: int, since: float) -> bool:
-        """Whether some quota client may have a share of a shard and has not told it.
+        """Whether some quota client may have a share in a shard that it has not reported.
 
-        Nobody but this owner has counted the shard since `since`: one that left by then has no share, and
-        what it let go by its share was let go before.
+        Nobody but this owner has counted the shard since `since`: a client that left by then has no share,
+        and what it admitted by its share was admitted before.
         """
         told = sum(
             client.told >> shard & 1 or (client.left_at is not None and client.left_at <= since)
@@ -120,13 +126,13 @@
         return told < max(self.peers.count(now), len(self.clients))
 
     def forget_reports(self, shards: int) -> None:
-        """These shards are newly held, or held no more: what was told of them is void."""
+        """Discard the reports about shards that are newly owned, or no longer owned."""
         self.epoch += 1
         for client in self.clients.values():
             client.told &= ~shards
 
     def expire(self, now: float) -> None:
-        """Find quota clients that went silent, and forget those silent for longer than any share lasts."""
+        """Find quota clients that fell silent, and forget those silent for longer than any share lasts."""
         if now < self.checked_at + CLIENT_CHECK_S:
             return
         self.checked_at = now
--- a/gateway/quota/decision_statistics.py
+++ b/gateway/quota/decision_statistics.py
@@ -1,4 +1,4 @@
-"""How a quota client's requests were decided, and the time that took, since its process began."""
+"""Statistics of a quota client's decisions, and of the time they took, since its process started."""
 
 from __future__ import annotations
 
@@ -8,28 +8,31 @@
 
 HOLDER, SHARE, OVER, REFUSED_LOCALLY, SHARE_EXHAUSTED = range(5)
 DECISION_KINDS = ("holder", "share", "over", "unasked", "short")
-"""Let go by the holder or by the share; refused by the holder, after its answer that nothing is left, or as
-the share has none left."""
+"""Kinds of decision: admitted by the shard owner, or by the local share; refused by the owner, locally after
+the owner's verdict that nothing is left in the window, or because the share is exhausted or missing."""
 
 SPLIT = ("holder", "share", "refused")
 SPLIT_OF = (0, 1, 2, 2, 2)
 EDGES = tuple(0.00025 * 2 ** (k / 4) for k in range(41))
-"""Seconds between buckets of time: 0.25 ms to 256 ms, each 19% more; a bucket is below its edge, the last one
-beyond all."""
+"""Bounds of the histogram's buckets in seconds: 0.25 ms to 256 ms, each 19% above the one before. A bucket
+holds the times below its edge; the last bucket, which has no edge, those beyond all."""
 
 
 class DecisionStatistics:
-    """Counts that only grow. `decided` is by tenant and precedence a count for each of `WAYS`; `times` and
-    `seconds` are for each of `SPLIT` the counts by bucket and their sum."""
+    """Counters that only grow.
+
+    `decided` has, by tenant and precedence, a counter for each of `DECISION_KINDS`; `times` and `seconds`
+    have, for each of `SPLIT`, the histogram of decision times and the sum of these times.
+    """
 
     def __init__(self) -> None:
         self.decided: dict[tuple[str, int], list[int]] = {}
         self.times = [[0] * (len(EDGES) + 1) for _ in SPLIT]
         self.seconds = [0.0] * len(SPLIT)
-        self.back = 0  # units given back
+        self.back = 0  # units refunded
 
     def count(self, way: int, tenant: str, precedence: int, waited: float) -> None:
-        """A request was decided after so many seconds."""
+        """Count a request that was decided as `way`, an index of `DECISION_KINDS`, after `waited` seconds."""
         key = tenant, precedence if precedence < LOWEST_PRECEDENCE else LOWEST_PRECEDENCE
         counts = self.decided.get(key)
         if counts is None:
--- a/gateway/quota/local_quota.py
+++ b/gateway/quota/local_quota.py
@@ -1,4 +1,8 @@
-"""What a quota client knows of one tenant: the holder's last word, and its share for when that is away."""
+"""A quota client's state of one tenant: the owner's newest verdict, and the local share of its allowance.
+
+The share is what the client admits requests by while the owner doesn't answer.
+Shares are in parts of the allowance (`FULL_SHARE` is all of it), times in seconds of the steady clock.
+"""
 
 from __future__ import annotations
 
@@ -8,19 +12,19 @@
 from gateway.state_machine import Address
 
 CALM_CREDIT_WINDOWS = (
-    0.3  # windows' shares that can be spent at once when the holder falls silent in calm times
+    0.3  # windows' worth of the share that can be spent at once if the owner falls silent without over-demand
 )
-MAX_HANDED_WINDOWS = 0.3  # windows' shares that a quota client has unspent and hands to a new holder
-MAX_SHARE_WINDOWS = 1.2  # windows' shares that are kept
-EXHAUSTED_S = 0.25  # after a verdict that nothing is left in the window, nobody is asked for so long
+MAX_HANDED_WINDOWS = 0.3  # windows' worth of unspent share that count when a new owner takes over
+MAX_SHARE_WINDOWS = 1.2  # windows' worth of unspent share that are kept
+EXHAUSTED_S = 0.25  # after a verdict that nothing is left in the window, requests are refused locally so long
 
 
 class LocalQuota:
-    """A share flows in evenly, from where the holder's count stood at its last verdict.
+    """The local share of one tenant, whose units accrue evenly from where the owner's count stood last.
 
-    While the tenant asks for more than its allowance, the share flows only from the second window on: the
-    holder can't know in the first one that this quota client is cut off. `threshold` in (0, 1] is drawn
-    once a quota client, so that shares of less than a unit come to their sum over many quota clients.
+    While the tenant's demand exceeds its allowance, the share accrues only from the second window on: the
+    owner can't know in the first one that this quota client is cut off. `threshold` in (0, 1] is drawn once
+    per quota client, so that shares of less than a unit come to their sum over many quota clients.
     """
 
     __slots__ = (
@@ -46,17 +50,17 @@
     def __init__(self, label: str, number: int, window: Window, threshold: float) -> None:
         self.label, self.number, self.window = label, number, window
         self.threshold = threshold
-        self.share, self.until = 0, 0.0  # parts of the allowance, and until when
-        self.share_owner: Address | None = None  # which holder gave the share
+        self.share, self.until = 0, 0.0  # parts of the allowance, and the share's expiry
+        self.share_owner: Address | None = None  # the owner that granted the share
         self.part, self.sent = 0, 0.0  # the share's number, and when the charge for it was sent
-        self.accrued_from, self.over_demand = 0.0, -1e9  # from when units flow in; last verdict under press
-        self.spent = 0  # units let go by share
+        self.accrued_from, self.over_demand = 0.0, -1e9  # from when units accrue; last verdict of over-demand
+        self.spent = 0  # units admitted by share
         self.remaining, self.remaining_at = 0, -1e9  # by the newest verdict, and when that came
-        self.exhausted_until, self.ends = 0.0, 0.0  # nothing is left until then; end of the holder's window
-        self.refused: dict[int, int] = {}  # requests refused since, by precedence
+        self.exhausted_until, self.ends = 0.0, 0.0  # nothing is left until then; end of the owner's window
+        self.refused: dict[int, int] = {}  # requests refused locally and not reported yet, by precedence
 
     def note(self, now: float, frm: Address, sent: float, verdict: Verdict) -> None:
-        """Take a verdict of an open count, to a charge sent at `sent`."""
+        """Take the verdict of an open count on a charge that was sent at `sent`."""
         if verdict.share and sent >= self.sent:
             self.share_owner, self.part, self.share, self.sent = frm, verdict.share, verdict.part, sent
         if self.share_owner == frm and self.until < sent + SHARE_S:
@@ -74,24 +78,24 @@
             self.accrued_from = accrued_from
 
     def refuse(self, precedence: int) -> None:
-        """A request is refused without asking the holder, which hears of it with the next charge."""
+        """Count a request that is refused locally; the owner hears of it with the next charge."""
         level = min(precedence, LOWEST_PRECEDENCE)
         self.refused[level] = self.refused.get(level, 0) + 1
 
     def live(self, now: float) -> bool:
-        """Whether there is a share."""
+        """Whether there is a share that hasn't expired."""
         return self.share > 0 and now < self.until
 
     def give_up_share(self) -> None:
-        """The share is returned to its owner."""
+        """Drop the share, which is returned to its owner."""
         self.share, self.until, self.share_owner = 0, 0.0, None
 
     def accrues_from(self, now: float) -> float:
-        """From when the share's units flow, in seconds after now; of those there already only some count."""
+        """From when the share's units accrue, in seconds after now; of accrued units only some count."""
         return max(self.accrued_from - now, -MAX_HANDED_WINDOWS * self.window.length_s)
 
     def spend(self, now: float) -> float:
-        """Let one unit go by share: 0 if it may, else seconds until it might."""
+        """Admit one unit by the share: 0 if there is one, else the seconds until there might be."""
         if not self.live(now):
             return self.window.length_s
         rate = self.share / FULL_SHARE * self.window.allowance / self.window.length_s
@@ -105,6 +109,6 @@
         return 0.0
 
     def undo_spend(self) -> None:
-        """A unit spent was not needed: it may be spent again, but it stays told."""
+        """Return a unit to the share: it may be spent again, but stays in the total reported as spent."""
         if self.share:
             self.accrued_from -= self.window.length_s / (self.share / FULL_SHARE * self.window.allowance)
--- a/gateway/quota/owner_links.py
+++ b/gateway/quota/owner_links.py
@@ -1,4 +1,4 @@
-"""The holders as a quota client knows them: which parts each has, whether it answers, what it was told."""
+"""A quota client's links to the shard owners: the shards of each, whether it answers, what it was sent."""
 
 from __future__ import annotations
 
@@ -13,51 +13,51 @@
 from gateway.quota.quota_pb2 import ClientHeartbeat, Message
 from gateway.state_machine import Address, Send
 
-SILENT_AFTER_MISSES = 2  # in a row make a holder silent
-IDLE_HEARTBEAT_S = 1.0  # between two Alive to a holder that gets charges all the time, or that gave no share
-LEAVE_RETRY_S = 0.08  # between two messages to a holder that this quota client leaves
-MAX_LEAVE_MESSAGES = 3  # to each holder; one that gets none awaits the shares' end
-VIEW_REPORT_S = 5.0  # between two of them with what this quota client knows
+SILENT_AFTER_MISSES = 2  # unanswered messages in a row after which an owner counts as silent
+IDLE_HEARTBEAT_S = 1.0  # interval of heartbeats to an owner that gets charges all the time or gave no share
+LEAVE_RETRY_S = 0.08  # interval of messages to an owner that has not answered that this quota client leaves
+MAX_LEAVE_MESSAGES = 3  # such messages to each owner; one that gets none waits for the shares to expire
+VIEW_REPORT_S = 5.0  # interval of heartbeats that report this quota client's views of the counts
 
 
 class OwnerLink:
-    """One holder."""
+    """The state of the link to one shard owner."""
 
     __slots__ = ("address", "heard", "misses", "number", "shards", "sent", "told", "told_at", "viewed_at")
 
     def __init__(self, address: Address) -> None:
         self.address, self.shards = address, 0
         self.heard, self.sent, self.misses = -1e9, -1e9, 0
-        self.number, self.told_at = 0, -1e9  # the newest Alive
-        self.told = False  # whether it knows all shares of its parts
-        self.viewed_at = -1e9  # when it was told views
+        self.number, self.told_at = 0, -1e9  # number and time of the newest heartbeat
+        self.told = False  # whether the owner knows all shares in its shards
+        self.viewed_at = -1e9  # when views were last reported to it
 
     @property
     def silent(self) -> bool:
-        """Whether it didn't answer lately."""
+        """Whether the owner has not answered lately."""
         return self.misses >= SILENT_AFTER_MISSES
 
     def missed(self, since: float) -> None:
-        """Something sent at `since` has had no answer."""
+        """Note that a message sent at `since` has had no answer."""
         if self.heard < since:
             self.misses += 1
 
 
 class OwnerLinks:
-    """All holders of the newest table."""
+    """The links to all owners in the newest shard map."""
 
     def __init__(self, incarnation: int) -> None:
         self.incarnation = incarnation
         self.links: dict[Address, OwnerLink] = {}
         self.link_of_shard: list[OwnerLink | None] = [None] * SHARDS
         self.fencing_token = (0, 0)
-        self.peers = Peers()  # quota clients that may have shares, as holders tell
-        self.due = 0.0  # next look for holders that must hear something
-        self.leaving: dict[Address, ClientHeartbeat] = {}  # the last message to holders that haven't answered
-        self.leave_messages = 0  # to each of these
+        self.peers = Peers()  # quota clients that may have shares, as reported by owners
+        self.due = 0.0  # next check for owners that need a heartbeat
+        self.leaving: dict[Address, ClientHeartbeat] = {}  # last heartbeat to owners that haven't answered it
+        self.leave_messages = 0  # how often it was sent
 
     def follow(self, now: float, data: bytes) -> None:
-        """Take over a table of holders, unless a newer one is known."""
+        """Adopt a serialized shard map, unless it is malformed or a newer one is known."""
         try:
             table = pb.ShardMap.FromString(data)
         except DecodeError:
@@ -80,7 +80,7 @@
         self.links, self.due = links, now
 
     def on_heartbeat_reply(self, now: float, link: OwnerLink, heard: pb.ClientHeartbeatReply) -> None:
-        """A holder has heard that this quota client is there."""
+        """Take an owner's answer to a heartbeat."""
         self.peers.learn(now, heard.peers, heard.silent_ms)
         last = self.leaving.get(link.address)
         if last is not None and heard.number == last.number:
@@ -88,7 +88,7 @@
         link.told = not heard.missing & link.shards
 
     def tick(self, now: float, local_quotas: Iterable[LocalQuota]) -> list[Send]:
-        """Say to each holder often enough that this quota client is there."""
+        """Send a heartbeat to each owner that needs one now."""
         if now < self.due:
             return []
         self.due = now + CLIENT_HEARTBEAT_S / 2
@@ -108,7 +108,7 @@
         return out
 
     def leave(self, now: float, local_quotas: Iterable[LocalQuota]) -> list[Send]:
-        """Return all shares, with what was let go by them; these must not be used from now on."""
+        """Return all shares, with the units admitted by them; the shares must not be used from now on."""
         known = list(local_quotas)
         live = [p for p in known if p.live(now)]
         for link in self.links.values():
@@ -122,7 +122,7 @@
         return self.repeat_leaving(now)
 
     def repeat_leaving(self, now: float) -> list[Send]:
-        """Say once more that this quota client leaves, where that wasn't answered."""
+        """Repeat the last heartbeat to the owners that have not answered it, up to a limit."""
         self.due = now + LEAVE_RETRY_S
         if self.leave_messages >= MAX_LEAVE_MESSAGES:
             self.leaving = {}
@@ -130,8 +130,9 @@
         return [Send(address, Message(client_heartbeat=last)) for address, last in self.leaving.items()]
 
     def tell(self, now: float, link: OwnerLink, live: list[LocalQuota], known: list[LocalQuota]) -> Send:
-        """Say that this quota client is there, its shares until the holder knows them, and at times its
-        views."""
+        """The heartbeat to an owner, with this client's shares until the owner knows them, and at times its
+        views of the counts.
+        """
         link.missed(link.told_at)
         link.number += 1
         link.told_at = link.sent = now
--- a/gateway/quota/quota_client.py
+++ b/gateway/quota/quota_client.py
@@ -1,4 +1,4 @@
-"""The quota client at a proxy: asks the holders, and goes by shares where they don't answer."""
+"""The quota client at a proxy: charges requests at shard owners, and admits by its shares without them."""
 
 from __future__ import annotations
 
@@ -34,19 +34,19 @@
 from gateway.quota.window import plan, tenant_number
 from gateway.state_machine import Address, Send
 
-MAX_PENDING_CHARGES = 8192  # charges out at once
-MAX_REMEMBERED_CHARGES = 32768  # in one generation
-REMEMBER_ANSWERED_S = 4.0  # an answered charge is known at least this long
-MIN_RETRY_AFTER_S, MAX_RETRY_AFTER_S = 0.05, 2.0  # told with 'over'
+MAX_PENDING_CHARGES = 8192  # charges waiting for a verdict at once
+MAX_REMEMBERED_CHARGES = 32768  # charges in one generation
+REMEMBER_ANSWERED_S = 4.0  # a decided charge is remembered at least this long
+MIN_RETRY_AFTER_S, MAX_RETRY_AFTER_S = 0.05, 2.0  # bounds of the wait in a refusal
 
 Output = Send | ChargeDecision
 Input = ChargeRequest | Received | Tick | Refund | ShardMap | Allowances | Leave
 
-WAITING, COUNTED, SHARED, REFUSED = range(4)  # COUNTED: by the holder; SHARED: let go by share
+WAITING, COUNTED, SHARED, REFUSED = range(4)  # COUNTED: admitted by the owner; SHARED: by the local share
 
 
 class PendingCharge:
-    """A charge on its way, or answered lately."""
+    """A charge that waits for a verdict, or was decided lately."""
 
     __slots__ = ("ask_count", "link", "patience", "precedence", "local_quota", "sent", "state", "tries")
 
@@ -58,23 +58,24 @@
 
 
 class QuotaClient:
-    """Charges requests at a proxy. Wants a `Tick` at `due()`.
+    """State machine that charges a proxy's requests to their tenants' allowances. Needs a `Tick` at `due()`.
 
-    `span_s` is the span of the rule (quota-window-s); `rng` draws the life's number and shares' thresholds.
+    `span_s` is the window of the quota rule (quota-window-s); `rng` draws the incarnation and the thresholds
+    of the shares.
     """
 
     def __init__(self, span_s: float, rng: random.Random) -> None:
         self.span_s, self.rng, self.incarnation = span_s, rng, rng.randrange(1, 1 << 32)
         self.local_quotas: dict[str, LocalQuota] = {}
         self.links, self.statistics = OwnerLinks(self.incarnation), DecisionStatistics()
-        self.pending: dict[int, PendingCharge] = {}  # waiting or answered lately, and the generation before
+        self.pending: dict[int, PendingCharge] = {}  # waiting or decided lately; next, the generation before
         self.previous_pending: dict[int, PendingCharge] = {}
         self.rotate_at, self.waiting = 0.0, 0
-        self.leaving = False  # its shares are returned, and it takes no other
+        self.leaving = False  # its shares are returned, and it takes no others
         self.timers: list[tuple[float, int]] = []
 
     def handle(self, now: float, input: Input) -> list[Output]:
-        """Take one input at a steady time in seconds; messages to send and answers to `Ask`."""
+        """Process one input at steady time `now` (seconds); returns messages to send and decisions."""
         if type(input) is ChargeRequest:
             return self.ask(now, input)
         if type(input) is Received:
@@ -93,11 +94,11 @@
 
     @property
     def has_left(self) -> bool:
-        """Whether each owner knows that this quota client leaves, or it was said often enough."""
+        """Whether each owner knows that this quota client leaves, or has been sent that often enough."""
         return self.leaving and not self.links.leaving
 
     def leave(self, now: float) -> list[Output]:
-        """Return the shares. Whatever is asked or waits still is refused, unless an owner admits it."""
+        """Return the shares. Requests that still wait or come are refused, unless an owner admits them."""
         self.leaving = True
         outputs: list[Output] = [*self.links.leave(now, self.local_quotas.values())]
         for local_quota in self.local_quotas.values():
@@ -105,12 +106,14 @@
         return outputs
 
     def due(self) -> float:
-        """When the next `Tick` is wanted."""
+        """The steady time at which the next `Tick` is needed."""
         due = self.links.due
         return min(self.timers[0][0], due) if self.timers else due
 
     def view(self, now: float) -> dict[str, tuple[int, float, float, float]]:
-        """By tenant: units remaining by the newest verdict, its age in s, the allowance, the own share."""
+        """By tenant: units remaining by the newest verdict, the verdict's age in seconds, the allowance and
+        the own share in units a window.
+        """
         out = {}
         for label, p in self.local_quotas.items():
             share = p.share * p.window.allowance / FULL_SHARE if p.live(now) else 0.0
@@ -120,7 +123,7 @@
     # Requests
 
     def ask(self, now: float, ask: ChargeRequest) -> list[Output]:
-        """Charge a request: ask the holder, or decide at once where there is no limit or nobody to ask."""
+        """Charge a request at its shard's owner, or decide at once if it has no limit or no owner answers."""
         local_quota = self.local_quotas.get(ask.tenant)
         if local_quota is None:
             return [ChargeDecision(ask.id, "go", 0.0)]
@@ -146,7 +149,7 @@
         return [self.charge(now, ask.id, out, link)]
 
     def charge(self, now: float, id: int, out: PendingCharge, link: OwnerLink) -> Send:
-        """The message that asks the holder."""
+        """The message that charges the request at the owner."""
         local_quota = out.local_quota
         charge = Charge(id=id, tenant=local_quota.number, incarnation=self.incarnation)
         if out.precedence:
@@ -174,7 +177,7 @@
         decision: int = HOLDER,
         why: str = "",
     ) -> list[Output]:
-        """Answer a request, once for each time that it was asked."""
+        """Decide a charge; returns one decision for each `ChargeRequest` of this id."""
         out.state = state
         for _ in range(out.ask_count):
             self.statistics.count(decision, out.local_quota.label, out.precedence, now - out.sent)
@@ -185,18 +188,18 @@
         return [charged] * out.ask_count
 
     def by_share(self, now: float, id: int, out: PendingCharge, why: str) -> list[Output]:
-        """Decide by the share, for a reason."""
+        """Decide by the local share; `why` says why the owner didn't decide."""
         return self.shared(now, id, out, out.local_quota.spend(now), why)
 
     def shared(self, now: float, id: int, out: PendingCharge, wait: float, why: str) -> list[Output]:
-        """The same, where the share has said how long to wait."""
+        """The same, once `LocalQuota.spend` has returned `wait`: 0 if it admits, else seconds to wait."""
         if not wait:
             return self.decide(now, id, out, SHARED, decision=SHARE)
         share = "share spent" if out.local_quota.live(now) else "no share"
         return self.decide(now, id, out, REFUSED, wait, SHARE_EXHAUSTED, f"{why}, {share}")
 
     def refund(self, id: int) -> list[Output]:
-        """Give the unit of a request back that was let go and has not run."""
+        """Refund the unit of a request that was admitted and has not run."""
         out = self.pending.get(id) or self.previous_pending.get(id)
         if out is None or out.state not in (COUNTED, SHARED):
             return []
@@ -208,7 +211,7 @@
         return self.give_back(id, out)
 
     def give_back(self, id: int, out: PendingCharge) -> list[Output]:
-        """The message that gives a unit back."""
+        """The message that refunds a unit at the owner."""
         return (
             [Send(out.link.address, Message(back=ChargeRefund(id=id, tenant=out.local_quota.number)))]
             if out.link
@@ -218,7 +221,7 @@
     # Messages
 
     def receive(self, now: float, received: Received) -> list[Output]:
-        """Take a message of a holder."""
+        """Process a message of a shard owner."""
         link = self.links.links.get(received.frm)
         kind = received.note.WhichOneof("kind")
         if link is not None:
@@ -230,12 +233,14 @@
         return []
 
     def on_verdict(self, now: float, frm: Address, link: OwnerLink | None, verdict: Verdict) -> list[Output]:
-        """Answer the request; a verdict that comes too late is made good."""
+        """Decide the request. If it was decided before, a late admission is corrected: the unit is refunded
+        at the owner if the request was refused, and returned to the share if the share admitted it.
+        """
         id, code = verdict.id, verdict.code
         out = self.pending.get(id) or self.previous_pending.get(id)
         if out is None:
             return []
-        if code <= Code.OVER and not self.leaving:  # one that leaves takes no share any more
+        if code <= Code.OVER and not self.leaving:  # once it leaves, it takes no shares
             out.local_quota.note(now, frm, out.sent, verdict)
         elif code == Code.NOT_YET:
             if link is not None:
@@ -260,7 +265,7 @@
     # Time
 
     def tick(self, now: float) -> list[Output]:
-        """Repeat charges, end waiting, say that this quota client is there."""
+        """Repeat charges, decide those that waited long enough, and send heartbeats."""
         outputs: list[Output] = []
         timers = self.timers
         while timers and timers[0][0] <= now:
@@ -275,7 +280,9 @@
         return outputs
 
     def late(self, now: float, id: int, out: PendingCharge) -> list[Output]:
-        """No verdict yet: repeat, then go by share; with none left, repeat and wait as long again."""
+        """No verdict yet: repeat the charge, then decide by the share; if that is exhausted, repeat once more
+        and wait as long again.
+        """
         out.tries += 1
         link = out.link
         silent = link is None or link.silent or self.leaving
@@ -292,14 +299,14 @@
         return self.shared(now, id, out, wait, "no verdict")
 
     def rotate(self, now: float) -> None:
-        """Forget charges answered long ago."""
+        """Start a new generation of charges, which drops those decided long ago."""
         waiting = {id: out for id, out in self.previous_pending.items() if out.state == WAITING}
         self.previous_pending, self.pending, self.rotate_at = self.pending, waiting, now + REMEMBER_ANSWERED_S
 
     # Configuration
 
     def set_allowances(self, input: Allowances) -> None:
-        """Take over the tenants' allowances; shares stay the same part of them."""
+        """Adopt the tenants' new allowances; shares stay the same part of them."""
         local_quotas = {}
         for label, (rate, burst) in input.tenants.items():
             window = plan(rate, burst, self.span_s)
--- a/gateway/quota/shard_assigner.py
+++ b/gateway/quota/shard_assigner.py
@@ -1,4 +1,4 @@
-"""Who holds which parts of the tenants: cut by the core's leader, handed out under leases and a fence."""
+"""Assignment of shards to owners by the core's leader, under leases with fencing tokens."""
 
 from __future__ import annotations
 
@@ -19,20 +19,20 @@
 from gateway.quota.quota_pb2 import ShardMap as ShardMapMessage
 from gateway.state_machine import Address, Send
 
-PRESENT_S = 1.0  # a holder that asked this lately is there
-STABLE_S = 2.0  # and after this long without a gap, parts are moved to it from others
-PUBLISH_INTERVAL_S = 0.2  # between two tables, the first of which has a holder for each part
-EARLY_REQUEST_S = 0.1  # from a request to a leader that isn't sure yet; after so long it comes again
-MAX_EARLY_REQUESTS = 16  # of them
-MAX_CACHED_ASSIGNMENTS = 32  # remembered
-NO_OWNER = 255
+PRESENT_S = 1.0  # a candidate that requested its lease this lately is present
+STABLE_S = 2.0  # after this long without a gap in its requests, shards are moved to it from other owners
+PUBLISH_INTERVAL_S = 0.2  # between two shard maps, if the first has an owner for each shard
+EARLY_REQUEST_S = 0.1  # how long a request from before the leader had its lease is kept: then it is repeated
+MAX_EARLY_REQUESTS = 16  # such requests kept
+MAX_CACHED_ASSIGNMENTS = 32  # assignments cached, by the set of candidates
+NO_OWNER = 255  # in a published shard map: index of a shard without an owner
 
 Output = Send | PublishShardMap
 Input = Received | Tick | LeadershipChange | LiveControllers
 
 
 class OwnerCandidate:
-    """A controller that asks for parts, as the leader knows it."""
+    """A controller that requests shards, as known to the leader."""
 
     __slots__ = (
         "at",
@@ -51,42 +51,43 @@
     def __init__(self, address: Address) -> None:
         self.incarnation, self.at = 0, -1.0  # of its newest request
         self.asked, self.asked_since = -10.0, -10.0  # when that came here, and when the first without a gap
-        self.confirmed = -10.0  # when it last had seen the newest Hold
-        self.possibly_held, self.until = 0, 0.0  # parts that it may still hold, and until when
-        self.offer, self.last_grant = 0, (0, 0)  # parts in the newest Hold, and that one's fence
-        self.ever_offered = 0  # parts in any
+        self.confirmed = -10.0  # when a request last showed that it had the newest grant
+        self.possibly_held, self.until = 0, 0.0  # shards that it may still own, and until when
+        self.offer, self.last_grant = 0, (0, 0)  # shards in the newest grant, and that grant's fencing token
+        self.ever_offered = 0  # shards in any grant
         self.ranks = [
             blake2b(f"{address} {shard}".encode(), digest_size=8).digest() for shard in range(SHARDS)
         ]
 
 
 class ShardAssigner:
-    """The leader's hand: wants a `Tick` each 0.1 s, `Lead` and `Live` whenever they change.
+    """State machine at the leader. Needs a `Tick` each 0.1 s, and `LeadershipChange` and `LiveControllers`
+    whenever these change.
 
-    A part is handed on only when its holder has confirmed that it gave it up, when that holder's process has
-    begun anew, or when its lease is surely over. A new leader knows none of its predecessor's leases: it
-    confirms what holders report, and hands out the rest when those leases are over or all who could have one
-    have asked.
+    A shard is granted to another owner only when its owner has confirmed that it gave the shard up, when that
+    owner's process has restarted, or when its lease has surely expired. A new leader knows none of its
+    predecessor's leases: it confirms what owners report, and grants the rest once those leases have expired
+    or all controllers that could have one have sent a request.
     """
 
     def __init__(self) -> None:
         self.term, self.has_leader_lease = 0, False
         self.began, self.settled = 0.0, False
-        self.number = 0  # of the newest Hold or table, in this term
+        self.number = 0  # of the newest grant or shard map, in this term
         self.live: frozenset[Address] = frozenset()
         self.members: frozenset[Address] = frozenset()
         self.candidates: dict[Address, OwnerCandidate] = {}
         self.owner_of_shard: list[Address | None] = [None] * SHARDS
-        self.idle, self.idle_since = 0, 0.0  # parts that nobody has held since then but who was told so
+        self.idle, self.idle_since = 0, 0.0  # shards not owned since then but by an owner that was told so
         self.early: dict[
             Address, tuple[float, LeaseRequest]
-        ] = {}  # in this term before it was sure, and when
-        self.changed, self.has_unowned, self.published = False, True, 0.0  # gaps: of the newest table
+        ] = {}  # requests of this term from before it had the leader's lease, and when they came
+        self.changed, self.has_unowned, self.published = False, True, 0.0  # has_unowned: in the newest map
         self.data = b""
         self.assignments: dict[frozenset[Address], dict[Address, int]] = {}
 
     def handle(self, now: float, input: Input) -> list[Output]:
-        """Take one input at a steady time in seconds; what to send, and a changed table to spread."""
+        """Process one input at steady time `now` (seconds); returns messages, and a new shard map if any."""
         if type(input) is Received:
             if input.note.WhichOneof("kind") == "request":
                 if self.leads():
@@ -104,15 +105,15 @@
         return []
 
     def table(self) -> bytes:
-        """The newest table of this leader, empty before the first."""
+        """The newest shard map of this leader in serialized form; empty before the first."""
         return self.data
 
     def leads(self) -> bool:
-        """Whether this process may hand out parts."""
+        """Whether this process may grant leases."""
         return self.term > 0 and self.has_leader_lease
 
     def begin(self, now: float, term: int, idle_since: float | None) -> None:
-        """Begin to lead, or stop: what was known is of another term."""
+        """Begin to lead, or stop (term 0): what was known of another term is discarded."""
         self.term, self.began, self.settled, self.number = term, now, False, 0
         self.candidates, self.early, self.owner_of_shard = {}, {}, [None] * SHARDS
         self.changed, self.has_unowned, self.data = False, True, b""
@@ -121,7 +122,7 @@
     # Leases
 
     def on_lease_request(self, now: float, frm: Address, request: LeaseRequest) -> list[Output]:
-        """A holder asks: note what it may hold, and lease it what is its."""
+        """Process an owner's request: note what it may own, and grant its lease."""
         candidate = self.candidates.get(frm)
         if candidate is None:
             if frm not in self.live and frm not in self.members:
@@ -139,7 +140,7 @@
                 now,
                 now,
             )
-            self.idle &= ~candidate.ever_offered  # its process before may have counted
+            self.idle &= ~candidate.ever_offered  # its earlier process may have counted them
         elif request.at <= candidate.at:
             return []
         elif (request.term, request.number) == candidate.last_grant:
@@ -147,7 +148,7 @@
         if now > candidate.asked + PRESENT_S:
             candidate.asked_since = now
         candidate.incarnation, candidate.at, candidate.asked = request.incarnation, request.at, now
-        self.idle &= ~(request.shards & ~candidate.ever_offered)  # held, whoever leased them
+        self.idle &= ~(request.shards & ~candidate.ever_offered)  # owned, whoever granted them
         waited, out = not self.settled, list[Output]()
         self.settle(now)
         out.append(self.grant(now, frm, candidate))
@@ -156,13 +157,13 @@
         return out + self.publish(now)
 
     def settle(self, now: float) -> None:
-        """See whether leases of an earlier leader may still run that nobody has reported."""
+        """Find out whether unreported leases of an earlier leader may still run; if not, this is settled."""
         if not self.settled:
             heard = bool(self.members) and all(a in self.candidates for a in self.members)
             self.settled = heard or now >= self.began + LEASE_S + 2 * MARGIN_S
 
     def grant(self, now: float, frm: Address, candidate: OwnerCandidate) -> Send:
-        """Lease an asker its parts, from when it asked."""
+        """Grant a candidate its shards, under a lease that runs from when it sent its request."""
         offer = self.offer(now, frm, candidate)
         self.number += 1
         candidate.offer, candidate.last_grant = offer, (self.term, self.number)
@@ -187,7 +188,9 @@
         return Send(frm, Message(hold=hold))
 
     def offer(self, now: float, frm: Address, candidate: OwnerCandidate) -> int:
-        """Parts that an asker shall hold now: free ones that are its, and those it has and no other wants."""
+        """The shards that a candidate shall own now: free ones assigned to it, and those that it owns already
+        and no stable candidate should get instead.
+        """
         taken, present, stable = 0, [], []
         for address, other in self.candidates.items():
             if address != frm and now < other.until:
@@ -210,7 +213,7 @@
         )
 
     def assignment(self, addresses: list[Address]) -> dict[Address, int]:
-        """Rendezvous: each part goes to the address that ranks highest for it."""
+        """Rendezvous hashing: each shard goes to the address that ranks highest for it."""
         key = frozenset(addresses)
         assignment = self.assignments.get(key)
         if assignment is None:
@@ -223,7 +226,7 @@
         return assignment
 
     def tick(self, now: float) -> list[Output]:
-        """Push parts that have become free to those whose they are; publish."""
+        """Grant shards that have become free to their candidates, and publish the shard map."""
         out: list[Output] = []
         early, self.early = self.early, {}
         for address, (came, request) in early.items():
@@ -240,18 +243,19 @@
         return out + self.publish(now)
 
     def push(self, now: float) -> list[Output]:
-        """Lease free parts to those who have asked and whose they are."""
+        """Grant free shards to the candidates they are assigned to, without waiting for the next request."""
         return [
             self.grant(now, address, candidate)
             for address, candidate in self.candidates.items()
             if now < candidate.asked + LEASE_S / 2 and self.offer(now, address, candidate) & ~candidate.offer
         ]
 
-    # The table
+    # The shard map
 
     def publish(self, now: float) -> list[Output]:
-        """Give out a new table: not too often unless the last one had gaps, nor before an earlier leader's
-        leases are accounted for."""
+        """Publish a changed shard map: not too often, unless the last one had shards without an owner, and
+        not before an earlier leader's leases are accounted for.
+        """
         if (
             not self.changed
             or not self.settled
--- a/gateway/quota/shard_owner.py
+++ b/gateway/quota/shard_owner.py
@@ -1,4 +1,4 @@
-"""The holder of counts at a controller: charges, refuses, leases shares, and keeps its own lease going."""
+"""The shard owner at a controller: counts charges, grants shares, and renews its own lease."""
 
 from __future__ import annotations
 
@@ -32,25 +32,25 @@
 from gateway.quota.window import Window, plan, tenant_number
 from gateway.state_machine import Address, Send
 
-LEASE_RETRY_S = 0.1  # to the next request for the lease when none has come
+LEASE_RETRY_S = 0.1  # to the next request for the lease when no grant has come
 
 Output = Send
 Input = Received | Tick | Allowances | SetLeader
 
 
 class ShardOwner:
-    """Counts the tenants of the parts that it holds under a lease. Wants a `Tick` each 0.1 s.
+    """State machine that counts the tenants of the shards it owns under a lease. Needs a `Tick` each 0.1 s.
 
-    `span_s` is the span of the rule (quota-window-s); `rng` draws the life's number.
+    `span_s` is the window of the quota rule (quota-window-s); `rng` draws the incarnation.
     """
 
     def __init__(self, span_s: float, rng: random.Random) -> None:
         self.span_s, self.incarnation = span_s, rng.randrange(1, 1 << 32)
         self.leader: Address | None = None
-        self.shards, self.until = 0, 0.0  # held, and until when
-        self.since = [0.0] * SHARDS  # when each part's lease began, or nobody has counted since
-        self.lease_began = [0.0] * SHARDS  # when its lease began
-        self.ever_held = 0  # parts held at any time
+        self.shards, self.until = 0, 0.0  # owned, and until when
+        self.since = [0.0] * SHARDS  # when each shard's lease began, or since when nobody else counted it
+        self.lease_began = [0.0] * SHARDS  # by shard: when its lease began
+        self.ever_held = 0  # shards owned at any time
         self.fencing_token, self.asked_at, self.answered = (0, 0), -LEASE_RENEW_S, True
         self.windows: dict[int, tuple[str, Window]] = {}  # by the tenant's number
         self.counts: dict[int, TenantCounter] = {}
@@ -65,7 +65,7 @@
         }
 
     def handle(self, now: float, input: Input) -> list[Output]:
-        """Take one input at a steady time in seconds; what to send."""
+        """Process one input at steady time `now` (seconds); returns the messages to send."""
         if type(input) is Received:
             kind = input.note.WhichOneof("kind")
             take = self.handlers.get(kind) if kind is not None else None
@@ -80,8 +80,8 @@
         return []
 
     def view(self, now: float) -> dict[str, tuple[float, float, float]]:
-        """For each open count, by label: units remaining in the window, its allowance, units kept back at the
-        last charge. Nothing changes by it, and windows begin with a charge: the next one's is still whole."""
+        """For each open count, by label: units remaining in the window, its allowance, units reserved at the
+        last charge. This changes no state: windows begin with a charge, and one not begun is still whole."""
         out: dict[str, tuple[float, float, float]] = {}
         for number, count in self.counts.items() if now < self.until else ():
             if now >= count.opens and number in self.windows:
@@ -94,7 +94,7 @@
     # Charges
 
     def on_charge(self, now: float, frm: Address, note: Message) -> list[Output]:
-        """Charge a unit and answer with a verdict."""
+        """Charge one unit and answer with a verdict; a late charge of an earlier incarnation is dropped."""
         charge = note.charge
         if self.registry.has_ended(frm, charge.incarnation):
             return []
@@ -131,7 +131,7 @@
         verdict: Verdict,
         may_lease: bool,
     ) -> None:
-        """Fill in a verdict by an open count; a quota client that left gets no share with it."""
+        """Charge an open count and fill in the verdict; a share goes with it only if `may_lease`."""
         self.refresh(now, charge.tenant, count)
         share = count.shares.get(frm) or count.known(frm, charge.spent)
         if charge.spent != share.spent:
@@ -147,7 +147,7 @@
             verdict.share, verdict.part = share.number, share.part
 
     def count(self, now: float, number: int, verdict: Verdict | None) -> TenantCounter | None:
-        """A tenant's count, begun if its part is held; else the verdict's code says why there is none."""
+        """A tenant's count, created if its shard is owned; otherwise None, with the reason in the verdict."""
         self.expire_lease(now)
         part, known = number % SHARDS, self.windows.get(number)
         code = Code.NOT_MINE if not self.shards >> part & 1 else Code.UNKNOWN if known is None else 0
@@ -164,7 +164,7 @@
         return count
 
     def refresh(self, now: float, number: int, count: TenantCounter) -> None:
-        """Bring a count's window, and what it keeps back, up to now."""
+        """Bring a count's window and its reserved units up to date."""
         if now >= count.ends:
             count.begin_window(now)
         if count.epoch != self.registry.epoch:
@@ -172,13 +172,13 @@
             count.epoch = self.registry.epoch
 
     def has_unreported_shares(self, now: float, part: int) -> bool:
-        """Whether some quota client may have a share of an earlier holder and has not told."""
+        """Whether some quota client may have a share of an earlier owner that it has not reported."""
         return now < self.since[part] + SHARE_S + MARGIN_S and self.registry.has_unreported(
             now, part, self.since[part]
         )
 
     def on_refund(self, now: float, frm: Address, note: Message) -> list[Output]:
-        """Give a unit back."""
+        """Refund one unit."""
         back: ChargeRefund = note.back
         count = self.counts.get(back.tenant)
         if count is not None and now < self.until:
@@ -190,18 +190,18 @@
     # Quota clients
 
     def forget_client(self, address: Address) -> None:
-        """A quota client has restarted: its shares are over."""
+        """A quota client has restarted: its shares have ended."""
         for count in self.counts.values():
             count.forget(address)
 
     def on_client_heartbeat(self, now: float, frm: Address, note: Message) -> list[Output]:
-        """A quota client is there; take the shares that it tells."""
+        """Process a quota client's heartbeat and answer it; late ones of another incarnation are dropped."""
         client_heartbeat: ClientHeartbeat = note.client_heartbeat
         incarnation = client_heartbeat.incarnation
         if self.registry.has_ended(frm, incarnation):
             return []
         if client_heartbeat.leaving and not self.registry.knows(frm, incarnation):
-            return []  # another one may be there by now
+            return []  # another incarnation may be there by now
         client = self.registry.hear(now, frm, incarnation, client_heartbeat.hears_nothing)
         if client is None:
             return []
@@ -214,7 +214,7 @@
     def take_report(
         self, now: float, frm: Address, client: ClientState, client_heartbeat: ClientHeartbeat
     ) -> None:
-        """Take what a quota client tells of its shares, its views and others; and that it leaves."""
+        """Take a heartbeat's reports of shares, views and peers, and the returned shares if it leaves."""
         self.view_audit.hear(now, frm, client_heartbeat.views)
         for told in client_heartbeat.shares:
             if not told.part:
@@ -232,7 +232,7 @@
             self.registry.note_left(now, frm, client)
 
     def take_back_shares(self, now: float, frm: Address, client_heartbeat: ClientHeartbeat) -> None:
-        """A quota client leaves: count what it let go by its shares, and end these."""
+        """A quota client leaves: count what it admitted by its shares, and end these."""
         spent = {told.tenant: told.spent for told in client_heartbeat.shares}
         for number, count in self.counts.items():
             self.refresh(now, number, count)
@@ -241,7 +241,7 @@
     # The lease
 
     def tick(self, now: float) -> list[Output]:
-        """Look at leases and quota clients; ask for the lease when it is time."""
+        """Check leases and quota clients for expiry; request the lease when it is time."""
         self.expire_lease(now)
         self.registry.expire(now)
         if self.leader is None or now < self.asked_at + (LEASE_RENEW_S if self.answered else LEASE_RETRY_S):
@@ -257,12 +257,12 @@
         return [Send(self.leader, Message(request=request))]
 
     def expire_lease(self, now: float) -> None:
-        """Give up everything once the lease is over."""
+        """Give up all shards once the lease has expired."""
         if self.shards and now >= self.until:
             self.hold(now, 0)
 
     def on_lease_grant(self, now: float, frm: Address, note: Message) -> list[Output]:
-        """A lease from the leader, unless a newer one came before."""
+        """Adopt a grant, unless it is superseded, expired, of another leader or for another incarnation."""
         hold: LeaseGrant = note.hold
         fencing_token = (hold.term, hold.number)
         if (
@@ -279,9 +279,9 @@
         return []
 
     def hold(self, now: float, shards: int, idle: int = 0, idle_s: float = 0.0) -> None:
-        """Hold these parts from now on: counts of others end, those of new ones are begun.
+        """Own these shards from now on: the counts of others end, those of new shards start afresh.
 
-        Of the parts `idle` nobody but this holder has counted for `idle_s`, as the leader knew.
+        The shards `idle` have, by the leader's knowledge, been counted by nobody but this owner for `idle_s`.
         """
         lost, new = self.shards & ~shards, shards & ~self.shards
         self.shards = shards
@@ -299,7 +299,7 @@
     # Configuration
 
     def set_allowances(self, now: float, input: Allowances) -> None:
-        """Take over the tenants' allowances."""
+        """Adopt the tenants' new allowances."""
         self.windows = {}
         for label, (rate, burst) in input.tenants.items():
             window = plan(rate, burst, self.span_s)
--- a/gateway/quota/tenant_counter.py
+++ b/gateway/quota/tenant_counter.py
@@ -1,4 +1,7 @@
-"""One tenant's count at its holder: windows, precedence, repeats, and the shares leased to quota clients."""
+"""One tenant's count at its shard owner: windows, precedence, retries, and the shares of quota clients.
+
+An allowance is in units (requests) a window; a share is in parts of it, of which there are `FULL_SHARE`.
+"""
 
 from __future__ import annotations
 
@@ -9,48 +12,48 @@
 from gateway.quota.window import Window
 from gateway.state_machine import Address
 
-PRECEDENCE_LEVELS = LOWEST_PRECEDENCE + 1  # of precedence
-REMEMBER_S = 3.0  # ids are known at least this long, and two windows
-SMOOTHING = 0.3  # weight of the newest window in what is usual
-HIGHER_PRECEDENCE_DEVIATIONS = 1.5  # standard deviations by which higher precedence may ask more than usual
-SHARE_TOLERANCE = 0.25  # a share within this of its aim stays as it is
-YIELDING = 0.05  # the same above its aim, while some quota client that asks has no share
-MIN_SHARE = 4  # parts of an allowance
-NEVER = 1e18
-EARLY_FRACTION = 0.5  # of an allowance that flows evenly before a count opens, if nobody has told a share: a
-# span of 5 windows meets 6 of them at most, and the rule bears 6.6
+PRECEDENCE_LEVELS = LOWEST_PRECEDENCE + 1  # number of levels
+REMEMBER_S = 3.0  # ids are remembered at least this long, and for two windows
+SMOOTHING = 0.3  # weight of the newest window in moving averages
+HIGHER_PRECEDENCE_DEVIATIONS = 1.5  # standard deviations reserved for higher precedence over its usual demand
+SHARE_TOLERANCE = 0.25  # a share is not changed while within this fraction of its target
+YIELDING = 0.05  # the same for one above its target, while some quota client with a target has no share
+MIN_SHARE = 4  # smallest share, in parts of an allowance
+NEVER = 1e18  # a time that doesn't come
+EARLY_FRACTION = 0.5  # of an allowance that accrues evenly before a count opens, if no share is reported: a
+# span of 5 windows meets at most 6 of them, and the rule's bound is 6.6 allowances
 MIN_USAGE = 0.05  # units a window below which a quota client is forgotten
-SHARE_NUMBERS = 1 << 14  # of shares, for the lengths of messages
+SHARE_NUMBERS = 1 << 14  # numbers of shares are below this, which keeps messages short
 
 
 class ClientShare:
-    """What one quota client may let go by itself, as far as the holder can't rule it out."""
+    """What one quota client may admit by itself, as far as the owner can't rule it out."""
 
     __slots__ = ("asked", "before", "accrues_from", "number", "part", "raised", "spent", "until", "usage")
 
     def __init__(self, spent: int) -> None:
-        self.part = self.before = 0  # leased now, and the largest that it may still go by instead
+        self.part = self.before = 0  # leased now, and the largest share it may still use instead
         self.number = 0
-        self.until = 0.0  # end of the lease, with a margin
-        self.spent = spent  # units told as let go by share
-        self.asked, self.usage = 0, 0.0
-        self.accrues_from = NEVER  # from when its units flow into the pool
-        self.raised = False  # by this count
+        self.until = 0.0  # expiry of the lease, with a margin
+        self.spent = spent  # units reported as admitted by share
+        self.asked, self.usage = 0, 0.0  # requests in this window, and their moving average a window
+        self.accrues_from = NEVER  # from when its units accrue in the pool
+        self.raised = False  # whether this count has raised it
 
     @property
     def outstanding(self) -> int:
-        """Parts of the allowance that the quota client may go by."""
+        """Parts of the allowance by which the quota client may admit."""
         return self.part if self.part > self.before else self.before
 
 
 class TenantCounter:
     """The count of one tenant.
 
-    It opens a window after `begun`, when a predecessor may have counted last and filled a window. Until then
-    it pools the shares that quota clients tell it: they flow evenly, and to whoever asks. Where nobody has
-    counted for a time, `begun` is that time's beginning and `real` that of this holder; this one counts
-    again once a quota client is found to have a share of a predecessor, by which it may have let requests
-    go in between.
+    It opens one window after `begun`, when an earlier owner may have counted last and filled a window. Until
+    then it pools the shares that quota clients report: their units accrue evenly, and go to any request.
+    Where nobody has counted for a time, `begun` is the start of that time and `lease_began` the start of this
+    owner's lease; the latter counts instead once a quota client is found to have a share of an earlier owner,
+    by which it may have admitted requests in between.
     """
 
     __slots__ = (
@@ -87,25 +90,25 @@
         self.begins = self.ends = begun
         self.admitted, self.asked, self.over_demand = 0, 0, False
         self.levels, self.typical_demand = [0] * PRECEDENCE_LEVELS, [0.0] * PRECEDENCE_LEVELS
-        self.ids: dict[int, float] = {}  # admitted: begin of their window; -1 once given back
+        self.ids: dict[int, float] = {}  # admitted ids: start of their window; -1 once refunded
         self.previous_ids: dict[int, float] = {}
         self.rotate_at = now
         self.shares: dict[Address, ClientShare] = {}
         self.target_shares: dict[Address, int] = {}
-        self.wanting = False  # whether some quota client is to have a share and has none
-        self.has_reported_shares = False  # whether any share has been told
+        self.wanting = False  # whether some quota client has a target and no share
+        self.has_reported_shares = False  # whether any share has been reported
         self.outstanding = 0  # sum of all shares
-        self.has_unreported = False  # whether others may be out that aren't told
+        self.has_unreported = False  # whether there may be others that aren't reported
         self.claimed_by_client: dict[
             Address, int
-        ] = {}  # an earlier owner's shares, as each first told its own
-        self.claimed = 0  # their sum: what others have is in the rest
-        self.reserved, self.epoch = 0.0, -1  # units kept back, and the holder's epoch for which they are
+        ] = {}  # an earlier owner's shares, as each client first reported its own
+        self.claimed = 0  # their sum: the shares of other clients are within the rest
+        self.reserved, self.epoch = 0.0, -1  # units kept back, and the registry's epoch they are valid for
         self.next_number = number % SHARE_NUMBERS
         self.begin_window(now)
 
     def begin_window(self, now: float) -> None:
-        """Begin the window that `now` is in."""
+        """Begin the window that contains `now`, and compute the target shares."""
         length = self.window.length_s
         skipped = now >= self.ends + length
         self.begins += ((now - self.begins) // length) * length
@@ -126,11 +129,11 @@
         self.target(now)
 
     def remember(self) -> float:
-        """Seconds for which an id is known at least."""
+        """Seconds for which an id is remembered at least."""
         return max(REMEMBER_S, 2 * self.window.length_s)
 
     def resize(self, now: float, window: Window) -> None:
-        """The allowance has changed; a window of another length begins now, with what is counted."""
+        """Change the allowance; a window of another length begins now, and keeps what is counted."""
         if window.length_s != self.window.length_s:
             self.begins, self.ends = now, now + window.length_s
         self.window, self.epoch = window, -1
@@ -138,10 +141,10 @@
     def charge(
         self, now: float, share: ClientShare, id: int, precedence: int, refused_locally: int, late: int = 0
     ) -> bool:
-        """Charge one unit, unless it would pass the allowance. A repeat of an admitted id counts once.
+        """Charge one unit; False if it would exceed the allowance. A retry of an admitted id counts once.
 
-        `more` requests of the same precedence were refused by the quota client itself, `late` of them in an
-        earlier window: they tell what is usual, and nothing of how this window is pressed.
+        `refused_locally` requests of the same precedence were refused by the quota client itself, `late` of
+        them in an earlier window: these count for the usual demand, not for the demand in this window.
         """
         if self.ids.get(id, -1.0) >= 0 or self.previous_ids.get(id, -1.0) >= 0:
             return True
@@ -158,9 +161,9 @@
         return True
 
     def reserved_for_higher(self, now: float, level: int) -> float:
-        """Units that requests of higher precedence are rather sure not to exceed in the rest of this window.
+        """Units that requests of higher precedence are unlikely to exceed in the rest of this window.
 
-        Nothing once this window's own demand falls well short of the allowance: then all of it fits.
+        0 while this window's own demand falls well short of the allowance: then all of it fits.
         """
         passed = (now - self.begins) / self.window.length_s
         if self.asked < 0.8 * passed * self.window.allowance:
@@ -169,7 +172,7 @@
         return typical_demand + HIGHER_PRECEDENCE_DEVIATIONS * math.sqrt(typical_demand)
 
     def back(self, id: int) -> None:
-        """Give the unit of an id back, once, if it is of this window."""
+        """Refund the unit of an id, once; it can be used again if it was charged in this window."""
         for ids in (self.ids, self.previous_ids):
             begun = ids.get(id, -1.0)
             if begun >= 0:
@@ -179,7 +182,7 @@
                 return
 
     def early_limit(self, now: float) -> float:
-        """Units of told shares that have flowed since this count was begun; with none told, a part flows."""
+        """Units of reported shares accrued since this count began; with none, those of `EARLY_FRACTION`."""
         length = self.window.length_s
         if not self.has_reported_shares:
             return EARLY_FRACTION * (1 - (self.opens - now) / length) * self.window.allowance
@@ -188,19 +191,19 @@
         return parts / FULL_SHARE * self.window.allowance
 
     def note_earlier_share(self) -> None:
-        """A quota client has had a share of a predecessor."""
+        """Note that a quota client has had a share of an earlier owner: the count opens by this lease."""
         self.opens = max(self.opens, self.late)
 
     def remaining(self, now: float) -> float:
-        """Units left in this window; before the count opens, those still to come, and one to ask for."""
+        """Units left in this window; before the count opens, those still to accrue, but 1 at least."""
         if now < self.opens:
             parts = sum(s.part for s in self.shares.values() if s.accrues_from < self.opens)
             return max(1.0, parts / FULL_SHARE * self.window.allowance - self.admitted)
         return max(0.0, self.window.allowance - self.reserved - self.admitted)
 
     def reserve(self, silent: Mapping[Address, float], unknown: bool) -> None:
-        """Keep back the shares of silent quota clients (address: last heard), and those nothing is known
-        of: what quota clients have told, whatever became of it since, is none of those."""
+        """Reserve units for the shares of silent quota clients (address: last heard), and if `unknown` for
+        unreported shares: what clients have reported, whatever became of it since, is none of these."""
         self.has_unreported = unknown
         parts = float(max(0, FULL_SHARE - self.claimed)) if unknown else 0.0
         for frm, heard in silent.items():
@@ -212,7 +215,7 @@
     # Shares
 
     def known(self, frm: Address, spent: int) -> ClientShare:
-        """The books of a quota client, begun if there are none."""
+        """The state of a quota client's share, created if there is none."""
         share = self.shares.get(frm)
         if share is None:
             share = self.shares[frm] = ClientShare(spent)
@@ -221,7 +224,7 @@
     def told(
         self, now: float, frm: Address, part: int, left_s: float, spent: int, accrues_from: float
     ) -> None:
-        """A quota client tells the share that it has of an earlier holder, flowing from `flows` on."""
+        """Take a client's report of a share of an earlier owner, which expires in `left_s` seconds."""
         share = self.known(frm, spent)
         previous = share.outstanding
         if frm not in self.claimed_by_client and not share.raised:
@@ -239,7 +242,7 @@
         self.outstanding += share.outstanding - previous
 
     def report(self, share: ClientShare, spent: int) -> None:
-        """Count what a quota client let go by its share; at most what its share bore within one window."""
+        """Count the units that a quota client admitted by its share, at most one window's worth of it."""
         if spent > share.spent:
             self.admitted += min(
                 spent - share.spent, 1 + int(share.outstanding * self.window.allowance / FULL_SHARE)
@@ -247,10 +250,10 @@
         share.spent = spent
 
     def lease(self, now: float, frm: Address, share: ClientShare, confirmed: int) -> bool:
-        """Keep a quota client's lease going, move it towards its aim; whether there is news for the quota
-        client."""
+        """Renew the lease of a client's share and move the share towards its target. `confirmed` is the
+        number of the newest share the client has of this owner; returns whether it must be sent another."""
         previous = share.outstanding
-        if confirmed and not share.number:  # it goes by a share that isn't in the books
+        if confirmed and not share.number:  # it admits by a share that isn't known here
             share.number = self.number()
         if confirmed == share.number:
             share.before = 0
@@ -263,7 +266,7 @@
         return share.number != 0 and confirmed != share.number
 
     def change_share(self, share: ClientShare, target: int) -> None:
-        """Lower a share at once, raise it as far as the other shares leave room."""
+        """Lower a share at once, or raise it as far as the other shares leave room."""
         previous = share.outstanding
         if target > previous:
             most = self.claimed if self.has_unreported else FULL_SHARE
@@ -281,7 +284,7 @@
         return self.next_number
 
     def target(self, now: float) -> None:
-        """Share the allowance out by use of late; end what is over."""
+        """Compute the target shares from recent usage; end the shares that have expired."""
         total = 0.0
         for frm, share in list(self.shares.items()):
             share.usage += SMOOTHING * (share.asked - share.usage)
@@ -302,7 +305,7 @@
         )
 
     def take_back(self, frm: Address, spent: int) -> None:
-        """A quota client leaves, having let `spent` units go by its shares: it has no share any more."""
+        """A quota client leaves, having admitted `spent` units by its shares: it has no share any more."""
         share = self.shares.get(frm)
         if share is not None:
             self.report(share, max(spent, share.spent))
--- a/gateway/quota/view_audit.py
+++ b/gateway/quota/view_audit.py
@@ -1,4 +1,4 @@
-"""What a holder has said of each count of late, and whether what its quota clients know of it is that."""
+"""Audit of quota clients' views: whether they agree with what their shard owner has recently replied."""
 
 from __future__ import annotations
 
@@ -11,15 +11,18 @@
 from gateway.quota.window import tenant_number
 from gateway.state_machine import Address
 
-SLOT_S = 0.1  # verdicts of so long are known by their least and most
-SLOTS = 128  # remembered of each count: at least 12.8 s of verdicts
-MAX_TRANSIT_S = 0.5  # that a verdict and the view of it may have been under way together
-VIEW_FORGET_S = 30.0  # a view of this age is none any more
+SLOT_S = 0.1  # length of a slot, for which the least and the greatest replied value are kept
+SLOTS = 128  # slots kept for each count: at least 12.8 s of verdicts
+MAX_TRANSIT_S = 0.5  # that a verdict and the report of its view may have been in transit together
+VIEW_FORGET_S = 30.0  # a view of this age is discarded
 
 
 class RecordedView(NamedTuple):
-    """A quota client's view: units, when the verdict came by this holder's clock, and by how many units it is
-    beyond all that was said at that time; None if that was before this holder's first word."""
+    """A quota client's view: units remaining, and when its verdict came by this owner's clock.
+
+    `beyond` is by how many units it lies outside all that was replied at that time; None if that was before
+    this owner's first reply.
+    """
 
     remaining: int
     at: float
@@ -27,7 +30,7 @@
 
 
 class ComparedView(NamedTuple):
-    """A quota client's view now: its age in s, how far it is from what remains, and `Known.beyond`."""
+    """A quota client's view now: its age, its difference from the remaining units, `RecordedView.beyond`."""
 
     node: Address
     remaining: int
@@ -37,7 +40,7 @@
 
 
 class CounterComparison(NamedTuple):
-    """A tenant held here: allowance, units remaining, units kept back, and the views of its quota clients."""
+    """A tenant counted here: allowance, units remaining, units reserved, and the views of its clients."""
 
     tenant: str
     allowance: float
@@ -47,18 +50,18 @@
 
 
 class ViewAudit:
-    """Follows a holder's verdicts and its quota clients' views.
+    """Records a shard owner's verdicts and its quota clients' views.
 
-    A view is held against what was said when its verdict came, so that its age alone is no disagreement.
+    A view is compared with what was replied when its verdict came, so that age alone is no disagreement.
     """
 
     def __init__(self) -> None:
-        self.replied_range: dict[int, deque[list[float]]] = {}  # by tenant: begin of a slot, least, most
+        self.replied_range: dict[int, deque[list[float]]] = {}  # by tenant: slots of start, least, greatest
         self.known: dict[int, dict[Address, RecordedView]] = {}
-        self.gained = self.lost = self.back = 0  # parts; units given back; these only grow
+        self.gained = self.lost = self.back = 0  # shards; units refunded; these only grow
 
     def record_reply(self, now: float, tenant: int, remaining: int) -> None:
-        """A verdict goes out."""
+        """Record the remaining units in a verdict that is sent."""
         slots = self.replied_range.get(tenant)
         if slots is None:
             slots = self.replied_range[tenant] = deque(maxlen=SLOTS)
@@ -72,14 +75,14 @@
             slot[2] = remaining
 
     def hear(self, now: float, frm: Address, views: Iterable[CounterView]) -> None:
-        """A quota client tells what it knows."""
+        """Take the views that a quota client reports."""
         for view in views:
             at = now - view.age_ms / 1000
             known = RecordedView(view.remaining, at, self.beyond(at, view.tenant, view.remaining))
             self.known.setdefault(view.tenant, {})[frm] = known
 
     def beyond(self, at: float, tenant: int, remaining: int) -> int | None:
-        """By how much that is below or above all that was said by then, and not long before."""
+        """By how many units a view lies below or above all that was replied by then, and not long before."""
         before = [slot for slot in self.replied_range.get(tenant, ()) if slot[0] <= at]
         if not before:
             return None
@@ -87,14 +90,14 @@
         return int(max(0, min(s[1] for s in nearby) - remaining, remaining - max(s[2] for s in nearby)))
 
     def moved(self, lost: int, new: int) -> None:
-        """Parts were given up or begun: what was known of their tenants is of another count."""
+        """Shards were lost or gained: what is known of their tenants is of another count, and dropped."""
         self.lost, self.gained = self.lost + lost.bit_count(), self.gained + new.bit_count()
         for tenants in (self.replied_range, self.known):
             for tenant in [t for t in tenants if (lost | new) >> (t % SHARDS) & 1]:
                 del tenants[tenant]
 
     def compare(self, now: float, held: Mapping[str, tuple[float, float, float]]) -> list[CounterComparison]:
-        """All tenants held, as `Holder.view` tells them, by label."""
+        """Compare the views of all tenants in `held`, which is `ShardOwner.view`'s result; by label."""
         out = []
         for label, (remaining, allowance, reserved) in sorted(held.items()):
             known = self.known.get(tenant_number(label), {})
--- a/gateway/quota/window.py
+++ b/gateway/quota/window.py
@@ -1,4 +1,4 @@
-"""Windows of a tenant's count, and numbers for labels and attempts."""
+"""The fixed windows of a tenant's count, and numbers for labels and attempts."""
 
 from __future__ import annotations
 
@@ -7,9 +7,9 @@
 from hashlib import blake2b
 from typing import NamedTuple
 
-MIN_WINDOW_S = 0.5
+MIN_WINDOW_S = 0.5  # shortest window
 STEADY_RATE_FRACTION = (
-    0.96  # of the rate that a tenant without a burst has in the long run, for the sake of shares
+    0.96  # of the rate that a tenant without a burst gets in the long run, for the sake of shares
 )
 
 
@@ -21,10 +21,11 @@
 
 
 def plan(rate: float, burst: float, span_s: float) -> Window | None:
-    """The windows that allow `rate` a second for ever, and `rate` x span + `burst` in any span.
+    """The windows that allow `rate` a second in the long run, and `rate` x span + `burst` in any span.
 
     With a burst of `rate` x the span's n-th part they are burst / rate long and allow the burst. They are at
-    least half a second long and allow a unit, which the rule's excess and slack bear. None is no limit.
+    least half a second long and allow at least one unit, which the rule's excess and slack cover. None means
+    that there is no limit.
     """
     if rate <= 0:
         return None
@@ -35,7 +36,7 @@
 
 
 def tenant_number(label: str) -> int:
-    """A label's number in messages, 32 bits; its lowest six are the part."""
+    """A label's number in messages, 32 bits; its lowest six are the shard."""
     return zlib.crc32(label.encode())
 
 
