Roadspur: doc comments in the terms of load balancing and rate limiting

Units and errors are said where they were not. No code changes: the syntax trees without docstrings are the same.

--- a/roadspur/__main__.py
+++ b/roadspur/__main__.py
@@ -1,4 +1,4 @@
-"""One ingress on real sockets: configuration, start-up, signals."""
+"""One ingress process on real sockets: configuration, start-up, signals, shutdown."""
 
 from __future__ import annotations
 
@@ -31,18 +31,23 @@
 
 log = logging.getLogger("roadspur")
 
-STATE_S = 0.25  # between looks at what another process of this ingress has left
-BODY_MEMORY_DIVISOR = 8  # of the memory, the part that larger bodies may take together
-SOCKETS_SPARE = 64  # descriptors that are neither clients' nor backends'
+STATE_S = 0.25  # interval of checks for state shared by another process of this ingress
+BODY_MEMORY_DIVISOR = 8  # larger bodies may together take this fraction (1/8) of the memory
+SOCKETS_SPARE = 64  # file descriptors kept for other uses than client and backend connections
 
 
 class BadConfiguration(Exception):
-    """What is wrong with the configuration, in one line."""
+    """The configuration is missing or invalid; the message is one line."""
 
 
 @dataclass(frozen=True, slots=True)
 class Config:
-    """What an ingress is told at its start."""
+    """The configuration of one ingress process.
+
+    `sockets` is the limit on file descriptors, `memory` is in bytes, `idle` the seconds after which idle
+    backend connections are closed, `known` a saved list of backends, `load_fields` the values of a load
+    report.
+    """
 
     name: str
     listen: Address
@@ -62,7 +67,7 @@
 
 
 def flatten(value: Any, path: str) -> Iterator[str]:
-    """Nested settings in the adapter's path=value form, so that both are read by the same code."""
+    """Yield nested settings in the simulator's path=value form, so that both are read by the same code."""
     if isinstance(value, dict):
         for key, item in value.items():
             yield from flatten(item, f"{path}.{key}" if path else str(key))
@@ -77,7 +82,10 @@
 
 
 def read_config(environ: Mapping[str, str]) -> Config:
-    """The configuration file, whose name and addresses the environment also tells."""
+    """Read the configuration file named by PROXY_CONFIG; its name and addresses default to the environment's.
+
+    Raises BadConfiguration if it is missing or invalid.
+    """
     path = environ.get("PROXY_CONFIG")
     if not path:
         raise BadConfiguration("PROXY_CONFIG is not set")
@@ -121,13 +129,13 @@
 
 
 def follow(server: Server) -> None:
-    """Look now and then at what another process of this ingress tells."""
+    """Check periodically for state shared by another process of this ingress."""
     server.ingress.follow(len(server.connections))
     server.loop.call_later(STATE_S, follow, server)
 
 
 def calls(server: Server) -> dict[str, ConsoleCommand]:
-    """What operators may ask of this process."""
+    """The console commands that operators may send to this process, by name."""
 
     def done(done: bool, otherwise: str) -> list[str]:
         if not done:
@@ -161,7 +169,7 @@
 
 
 async def serve(config: Config) -> None:
-    """Serve until told to stop, then leave in order."""
+    """Serve until SIGTERM or SIGINT, then drain and shut down."""
     loop = asyncio.get_running_loop()
     share = max(16, (config.sockets - SOCKETS_SPARE) // 2)
     upstream = Upstream(loop, config.settings.connect_timeout or 1.0, config.idle, share)
@@ -195,7 +203,7 @@
         loop.add_signal_handler(number, stop.set)
 
     def reload() -> None:
-        """Follow discovery and the counter to where the file says now; all else takes a restart."""
+        """Read the file again and move to its discovery and counter addresses; all else needs a restart."""
         try:
             new = read_config(os.environ)
         except BadConfiguration as error:
@@ -214,7 +222,7 @@
     log.info("%s serves on %s:%d", config.name, *config.listen)
     for plan in config.settings.plans:
         log.info("%s", plan)
-    gc.freeze()  # what start-up made is never garbage
+    gc.freeze()  # objects made at start-up live as long as the process
     await stop.wait()
     log.info("%s stops: %d requests held", config.name, len(ingress.held))
     await server.leave()
@@ -229,7 +237,7 @@
 
 
 def main() -> int:
-    """Run; what keeps it from starting is one plain line and a non-zero exit."""
+    """Run the ingress; returns the exit code. A failure to start is reported in one plain line."""
     logging.basicConfig(
         level=logging.INFO, stream=sys.stderr, format="%(asctime)s %(name)s %(levelname)s %(message)s"
     )
--- a/roadspur/calling.py
+++ b/roadspur/calling.py
@@ -1,4 +1,4 @@
-"""How much an ingress calls the shared counter, by how the counter answers."""
+"""Sampling of the calls to the shared counter, adapted to how fast the counter answers."""
 
 from __future__ import annotations
 
@@ -6,56 +6,56 @@
 
 from roadspur import interface as io
 
-ASK_SHARE, ASK_OVER = 0.8, 0.01  # calls a request beyond which sure refusals need none; weight of a request
-WAIT = 0.3  # mean wait for the counter, of its time-out, that the share of requests that call aims at
-STEP = 0.1  # how fast that share moves
-ASK_NEED = 4.0  # times that share, for requests that would be refused unasked
-ASK_LEAST, ASK_DOWN = 0.05, 0.2  # its least; while the counter is down, and least that counts as told
-ASK_BACK, ASK_CUT = 0.5, 0.6  # its value when the counter is back; what a miss leaves of it
-ASK_ALL = 8.0  # ingresses that may all call for each request at once, as far as one knows that has only begun
-OUTAGE_MISSES = 8  # misses in a row after which the counter counts as down for all, not just crowded
+ASK_SHARE, ASK_OVER = 0.8, 0.01  # calls per request beyond which sure refusals make none; weight of a request
+WAIT = 0.3  # target of the mean wait for the counter, in timeouts, by which the call share is adapted
+STEP = 0.1  # how fast the call share moves
+ASK_NEED = 4.0  # factor on the call share for requests that would be refused without a call
+ASK_LEAST, ASK_DOWN = 0.05, 0.2  # least call share; the same while the counter is down, and least in `part`
+ASK_BACK, ASK_CUT = 0.5, 0.6  # call share when the counter is back; factor on it after a miss
+ASK_ALL = 8.0  # ingresses that may all call for each request, as assumed by one that has just started
+OUTAGE_MISSES = 8  # misses in a row after which the counter counts as down, not just overloaded
 
 
 class CounterCallPolicy:
-    """The share of the requests that call, and whether the counter is down."""
+    """The call share (the fraction of requests that call the counter), and whether the counter is down."""
 
     def __init__(self, settings: io.Settings, rng: random.Random) -> None:
         self.timeout, self.rng = settings.counter_timeout, rng
         self.begin_ask = min(1.0, ASK_ALL / settings.instances)
-        self.ask, self.misses, self.asked = self.begin_ask, 0, 1.0  # share that calls, misses in a row, calls
+        self.ask, self.misses, self.asked = self.begin_ask, 0, 1.0  # call share, misses in a row, mean calls
 
     def counter_down(self) -> bool:
-        """Whether the counter counts as down."""
+        """Whether the counter is taken to be down."""
         return self.misses >= OUTAGE_MISSES
 
     def sampling_active(self) -> bool:
-        """Whether calls are short: a request that is sure to be refused makes none."""
+        """Whether calls are scarce: a request that is sure to be refused makes none."""
         return self.ask < 1 or self.asked > ASK_SHARE
 
     def part(self) -> float:
-        """The part of the requests' charges that a count is taken to hold where only some call."""
+        """The fraction of the requests' charges that a count is taken to contain where only some call."""
         return max(ASK_DOWN, self.ask)
 
     def should_call(self, need: float) -> bool:
-        """Whether one of the calls there are goes to a request, by how much a verdict on it is needed."""
+        """Decide at random whether a request calls, by how much a verdict on it is needed (0 to 1)."""
         return self.rng.random() < self.draw_share(need)
 
     def draw_share(self, need: float) -> float:
-        """How many of the requests with such a need call."""
+        """The fraction of requests with such a need that call."""
         if self.misses >= OUTAGE_MISSES:
             return self.ask
         return max(ASK_LEAST, self.ask * self.ask, ASK_NEED * self.ask * need)
 
     def note_request(self) -> None:
-        """A request has come that may call."""
+        """Note a request that may call."""
         self.asked *= 1 - ASK_OVER
 
     def note_call(self) -> None:
-        """A call on a rate went out."""
+        """Note a call that charges a rate."""
         self.asked += ASK_OVER
 
     def answers(self, e: io.CounterReply, acts: list[io.Action]) -> bool:
-        """Whether the counter did add; the share of requests that call follows how it does."""
+        """Adapt the call share to a reply; returns whether the counter has added the amount."""
         if e.outcome not in (io.Outcome.OK, io.Outcome.ERROR):
             least = ASK_LEAST if self.misses < OUTAGE_MISSES else ASK_DOWN
             self.ask, self.misses = max(least, self.ask * ASK_CUT), self.misses + 1
--- a/roadspur/flight.py
+++ b/roadspur/flight.py
@@ -1,4 +1,4 @@
-"""A request on its way through the decision module."""
+"""The state of a request from its arrival to its final answer."""
 
 from __future__ import annotations
 
@@ -11,14 +11,14 @@
 
     def __init__(self, req: io.Request, cls: io.ClassSettings, customer: Customer, now: float) -> None:
         self.req, self.cls, self.customer = req, cls, customer
-        self.aim = now + min(cls.objective, req.expires_in)  # nothing is sent once its client is gone
+        self.aim = now + min(cls.objective, req.expires_in)  # answer due; later its client is gone
         self.attempts, self.sent, self.charge = 0, 0.0, req.units
         self.share_below_one = (
             req.units * customer.width > customer.plan.burst
-        )  # an even share is under one request
+        )  # an even share is below one request
         self.ran_at: float | None = None  # send time of the earliest attempt that may have run, and where
         self.ran_on: io.BackendEntry | None = None
-        self.charged_units = 0.0  # units off the store
-        self.attempt_out = False  # an attempt is out
-        self.pace = 0.0  # requests that its customer is taken to keep open
-        self.bad, self.value = set[str](), cls.worth * customer.plan.price  # worth a unit; units go with work
+        self.charged_units = 0.0  # units taken off the bucket
+        self.attempt_out = False  # an attempt is in flight
+        self.pace = 0.0  # estimate of the requests that its customer keeps open
+        self.bad, self.value = set[str](), cls.worth * customer.plan.price  # to avoid; worth per unit of work
--- a/roadspur/gossip.py
+++ b/roadspur/gossip.py
@@ -1,4 +1,4 @@
-"""What ingresses tell one another of what they have let in: between its own calls none sees it in a count."""
+"""Usage reports between ingresses, which otherwise see peers' usage only in the totals of their own calls."""
 
 from __future__ import annotations
 
@@ -13,20 +13,18 @@
 GOSSIP_INTERVAL_S, GOSSIP_INTERVAL_MAX_S = (
     0.1,
     0.25,
-)  # between tellings to peers of what was let in, and at most
-GOSSIP_MESSAGE_SHARE = 0.75  # of the messages that an ingress takes in, that its peers' tellings may make up
-PEER_SILENT_S = 1.0  # without a message, after which a peer counts as out of touch while the counter is down;
-PEER_GONE_S = 60.0  # while totals come they tell of it, and it is likely to be restarting
-LEVELS = 100.0  # steps of a burst in which a message tells what is left in a store
-USAGE_FORMAT = struct.Struct(">5sHbb")  # customer, plan; quarter units let in so far, since last told; level
+)  # between usage reports to peers, and at most
+GOSSIP_MESSAGE_SHARE = 0.75  # fraction of the messages an ingress accepts that usage reports may make up
+PEER_SILENT_S = 1.0  # without a message, after which a peer is unreachable while the counter is down;
+PEER_GONE_S = 60.0  # otherwise, as totals contain its usage and it is probably restarting
+LEVELS = 100.0  # steps of a burst in which a report gives the level of a bucket
+USAGE_FORMAT = struct.Struct(">5sHbb")  # customer, plan; quarter units in all, since the last report; level
 USAGE_PREFIX = b"\x01"
-USAGE_ENTRIES_MAX = (
-    256 - len(USAGE_PREFIX)
-) // USAGE_FORMAT.size  # customers that a message of 256 bytes tells of
+USAGE_ENTRIES_MAX = (256 - len(USAGE_PREFIX)) // USAGE_FORMAT.size  # customers in a message of 256 bytes
 
 
 class Gossip:
-    """What is to be told to peers, and what was heard of them."""
+    """Usage to report to peers, and what they have reported."""
 
     def __init__(
         self, settings: io.Settings, customers: Customers, call_policy: CounterCallPolicy, now: float
@@ -37,20 +35,20 @@
         self.every = max(GOSSIP_INTERVAL_S, (settings.instances - 1) / max(1e-9, taken_in))  # seconds
         self.most = int(taken_in * self.every / max(1, settings.instances - 1))  # messages at once
         self.enabled = settings.peers and settings.instances > 1 and self.every <= GOSSIP_INTERVAL_MAX_S
-        self.unsent_usage: dict[int, Customer] = {}  # whose use is to be told
+        self.unsent_usage: dict[int, Customer] = {}  # customers with usage to report
         self.send_scheduled = False
-        self.spent = OrderedDict[bytes, float]()  # windows known to be used up, until when it matters
-        self.last_heard_from = dict.fromkeys(range(settings.instances), 0.0)  # when each peer was last heard
+        self.spent = OrderedDict[bytes, float]()  # windows known to be used up, and until when that matters
+        self.last_heard_from = dict.fromkeys(range(settings.instances), 0.0)  # by peer
         self.plan_numbers = {p.name: n for n, p in enumerate(settings.plans)}
 
     def record_admission(self, c: Customer, units: float) -> None:
-        """Units were let in here."""
+        """Note units admitted here, to be reported."""
         if self.enabled and c.width <= c.plan.burst:
             c.mine += round(4 * units)
             self.unsent_usage[c.key] = c
 
     def due_messages(self, now: float) -> list[io.Action]:
-        """The messages that are due."""
+        """The usage reports that are due; what exceeds the rate limit stays for the next time."""
         self.send_scheduled = False
         waiting = list(islice(self.unsent_usage.values(), max(1, self.most) * USAGE_ENTRIES_MAX))
         return [
@@ -63,7 +61,7 @@
         ]
 
     def encode_usage(self, now: float, c: Customer) -> bytes:
-        """What a message says of one customer."""
+        """One customer's entry in a usage report."""
         del self.unsent_usage[c.key]
         new = max(-128, min(127, c.mine - c.own_total_sent))
         c.own_total_sent = c.mine
@@ -72,7 +70,7 @@
         return USAGE_FORMAT.pack(name.to_bytes(5), c.mine & 0xFFFF, new, round(level))
 
     def handle_peer_message(self, now: float, e: io.PeerMessage) -> None:
-        """What a peer has let in, or a window that is used up; what is long over is forgotten."""
+        """Process a peer's usage report or its notice of a used-up window; old windows are forgotten."""
         self.last_heard_from[e.sender] = now
         if e.payload[:1] == USAGE_PREFIX and len(e.payload) % USAGE_FORMAT.size == 1 and self.enabled:
             for name, total, new, level in USAGE_FORMAT.iter_unpack(e.payload[1:]):
@@ -84,9 +82,9 @@
             del self.spent[first]
 
     def add_peer_usage(self, now: float, peer: int, name: int, total: int, new: int, level: float) -> None:
-        """A customer's use at a peer. Its total makes up for lost messages, unless it has begun anew.
+        """Apply a customer's usage at a peer. Its total makes up for lost messages, unless it has restarted.
 
-        An ingress that has only begun itself knows nothing of what went before: the peer's level stands in.
+        An ingress that has just started itself has no history: it adopts the peer's level instead.
         """
         plan = self.plans[name & 127] if name & 127 < len(self.plans) else None
         if plan is None or plan.rate <= 0:
@@ -101,7 +99,7 @@
             c.level_from_peer, c.level, c.at = True, min(c.available_units(now), level * c.plan.burst), now
 
     def all_peers_reachable(self, now: float, c: Customer) -> bool:
-        """Whether all ingresses of the customer's set are heard of: the store is known without calls."""
+        """Whether all ingresses of the customer's set are heard: its bucket is then known without calls."""
         peers = (i % self.s.instances for i in range(c.first, c.first + c.width))
         since = now - (PEER_SILENT_S if self.call_policy.counter_down() else PEER_GONE_S)
         return (
@@ -111,5 +109,5 @@
         )
 
     def total_is_covered(self, now: float, c: Customer) -> bool:
-        """Whether all that the present window's total holds must have been heard of too."""
+        """Whether all usage in the current window's total must also have been reported by peers."""
         return self.all_peers_reachable(now, c) and c.born <= c.window_number(now) * c.length - c.phase
--- a/roadspur/interface.py
+++ b/roadspur/interface.py
@@ -1,4 +1,4 @@
-"""Settings, events and actions of the decision module, in the terms of the field."""
+"""Settings, events and actions of the gateway's state machine. Times are in seconds."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 
 
 class Effect(Enum):
-    """What repeating a request may do."""
+    """Whether a request may be repeated: always, for a time as backends deduplicate it by key, or never."""
 
     SAFE = "safe"
     KEYED = "keyed"
@@ -18,7 +18,7 @@
 
 
 class Group(Enum):
-    """The backends that together drop a repeat of a keyed request."""
+    """The backends that deduplicate a keyed request together."""
 
     ALL = "all"
     ZONE = "zone"
@@ -38,11 +38,11 @@
     NOT_SENT = "moot"
 
 
-NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT)  # outcomes that say so of an attempt
+NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT)  # outcomes of attempts that never ran
 
 
 class Phase(Enum):
-    """A backend's stage in the list of servers."""
+    """A backend's phase in the backend list."""
 
     RUNNING = "running"
     STOPPING = "stopping"
@@ -50,7 +50,7 @@
 
 
 class ListKind(Enum):
-    """What a message of the list of servers holds."""
+    """What a `ListUpdate` holds: a change, the whole list, a saved copy, or nothing as the fetch failed."""
 
     CHANGE = "change"
     WHOLE = "whole"
@@ -71,7 +71,11 @@
 
 @dataclass(frozen=True, slots=True)
 class ClassSettings:
-    """One class of request. Times are in seconds."""
+    """One class of requests.
+
+    `objective` is the latency objective, `deadline` the hard limit, `worth` and `late_worth` what a request
+    earns in time and late, `window` how long a keyed request is deduplicated.
+    """
 
     name: str
     effect: Effect
@@ -90,7 +94,10 @@
 
 @dataclass(frozen=True, slots=True)
 class PlanSettings:
-    """One plan: quota (rate and burst), ceiling (a second store) and price."""
+    """One plan: quota (units a second, burst in units), ceiling (a second token bucket) and price.
+
+    A rate of 0 is no quota; `max_open` caps a customer's open requests, 0 is no cap.
+    """
 
     name: str
     rate: float
@@ -121,7 +128,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Settings:
-    """All that a gateway is told at its start."""
+    """All settings of a gateway. `instances` is the number of ingresses, `me` the index of this one."""
 
     classes: tuple[ClassSettings, ...]
     plans: tuple[PlanSettings, ...]
@@ -187,7 +194,7 @@
 
 
 class BackendEntry(NamedTuple):
-    """One line of the list of servers."""
+    """One entry of the backend list; `born` is the start time of the backend's process, 0 if unknown."""
 
     backend: str
     phase: Phase
@@ -199,7 +206,7 @@
 
 
 class ListUpdate(NamedTuple):
-    """The list of servers, or a change to it."""
+    """The backend list, or a change to it."""
 
     kind: ListKind
     version: int
@@ -207,7 +214,10 @@
 
 
 class Request(NamedTuple):
-    """A client's request; exactly one final answer is owed."""
+    """A client's request, which must get exactly one final answer.
+
+    The customer's requests go to the `width` ingresses from number `first` on.
+    """
 
     id: str
     class_name: str
@@ -219,12 +229,12 @@
     first: int = 0
     is_repeat: bool = False
     is_write: bool = False
-    flows: bool = False  # its body is still coming, and goes on to a backend as it comes
-    about: Any = None  # what else its protocol has read of it, for decisions that know that protocol
+    flows: bool = False  # its body is still being received, and streamed to a backend
+    about: Any = None  # further protocol data, for decisions that know the protocol
 
 
 class AttemptStarted(NamedTuple):
-    """A streamed answer has begun."""
+    """A streamed response has begun."""
 
     request: str
     attempt: int
@@ -233,7 +243,7 @@
 
 
 class AttemptWritten(NamedTuple):
-    """The last byte of a flowing request has gone out: the backend may begin, and its time runs."""
+    """The last byte of a streamed request was written: the backend may begin, its latency counts from now."""
 
     request: str
     attempt: int
@@ -242,7 +252,7 @@
 
 @dataclass(frozen=True, slots=True)
 class AttemptEnded:
-    """How an attempt ended. `done`: the request has its final answer; `spent`: its body is gone."""
+    """An attempt has ended. `done`: the request has its final answer; `spent`: its body can't be resent."""
 
     request: str
     attempt: int
@@ -257,20 +267,20 @@
 
 
 class ClientGone(NamedTuple):
-    """The client left; nothing more is owed."""
+    """The client has disconnected; no answer is owed any more."""
 
     request: str
 
 
 class TimerFired(NamedTuple):
-    """A timer of this gateway's has come up."""
+    """A timer set by `SetTimer` has fired."""
 
     token: int
 
 
 @dataclass(frozen=True, slots=True)
 class ProbeEnded:
-    """The result of a probe."""
+    """A probe has ended."""
 
     backend: str
     outcome: Outcome
@@ -286,7 +296,7 @@
 
 
 class CounterReply(NamedTuple):
-    """The answer to one counter call; `total` is valid with OK. ERROR: it was added, the total is unknown."""
+    """The reply to a counter call; `total` is valid with OK. ERROR: it was added, the total is unknown."""
 
     name: int
     outcome: Outcome
@@ -295,27 +305,27 @@
 
 
 class Cordon(NamedTuple):
-    """An operator takes a backend out, or puts it back."""
+    """An operator cordons a backend (`on`), or uncordons it."""
 
     backend: str
     on: bool
 
 
 class CordonEntry(NamedTuple):
-    """A backend taken out by hand: since when, and when it was put back (0: it is out), in Unix time."""
+    """A cordoned backend: since when, and when it was uncordoned (0: it is cordoned), in Unix time."""
 
     since: float
     back: float = 0.0
 
 
 class Cordons(NamedTuple):
-    """All bans. As an event: what a process before or beside this one has left; as an action: to be kept."""
+    """All cordons. As an event: stored by another process of this ingress; as an action: to be stored."""
 
     cordon_entries: Mapping[str, CordonEntry]
 
 
 class SiblingProcesses(NamedTuple):
-    """How many other processes of this ingress are running: during an upgrade they are one ingress."""
+    """How many other processes of this ingress are running: during an upgrade they share its traffic."""
 
     processes: int
 
@@ -346,14 +356,14 @@
 
 
 class CancelAttempt(NamedTuple):
-    """Stop waiting for an attempt."""
+    """Cancel an attempt."""
 
     request: str
     attempt: int
 
 
 class Refuse(NamedTuple):
-    """Final answer: refused, a retry is harmless."""
+    """Final answer: refused, a retry is harmless after `retry_in` seconds."""
 
     request: str
     retry_in: float = 0.0
@@ -361,20 +371,20 @@
 
 
 class Fail(NamedTuple):
-    """Final answer: failed, nothing promised."""
+    """Final answer: failed, with no promise about a retry."""
 
     request: str
 
 
 class SetTimer(NamedTuple):
-    """Ask for a TimerFired."""
+    """Request a `TimerFired` with `token` after `delay` seconds."""
 
     delay: float
     token: int
 
 
 class Probe(NamedTuple):
-    """Look at a backend."""
+    """Probe a backend."""
 
     backend: str
 
@@ -393,7 +403,7 @@
 
 
 class CounterAdd(NamedTuple):
-    """Add to a named count; a new name lives `lifetime` seconds."""
+    """Add to a named count at the shared counter; a new name lives `lifetime` seconds."""
 
     name: int
     amount: float
@@ -401,23 +411,23 @@
 
 
 class Subscribe(NamedTuple):
-    """Follow the list of servers, or stop."""
+    """Subscribe to the backend list, or unsubscribe."""
 
     on: bool
 
 
 class FetchList(NamedTuple):
-    """Ask for the whole list of servers once."""
+    """Fetch the whole backend list once."""
 
 
 class Log(NamedTuple):
-    """One line for the people on call."""
+    """Write one line to the log."""
 
     text: str
 
 
 class UnknownBackend(NamedTuple):
-    """No such backend to take out or put back."""
+    """The answer to a `Cordon` of a backend that doesn't exist."""
 
     backend: str
 
--- a/roadspur/routing.py
+++ b/roadspur/routing.py
@@ -1,6 +1,6 @@
-"""Choice of a backend, attempts, and what is learnt from them, for one fleet of backends.
+"""Load balancing over one fleet of backends: choice of a backend, attempts, retries, learning from outcomes.
 
-Admission is its user's: a request comes in through `send`, and `refuse` gives it its final answer.
+Admission is left to subclasses: a request comes in through `send`, and `refuse` gives a final answer.
 """
 
 from __future__ import annotations
@@ -15,30 +15,30 @@
 from roadspur.fleet import Backend, Fleet
 from roadspur.flight import ActiveRequest
 
-BAD_SHARE = 0.5  # error share at which a backend is ejected
+BAD_SHARE = 0.5  # error rate at which a backend is ejected
 SILENT_LATENCY_RATIO = (
-    8.0  # usual latencies of owed answers after which a backend counts as silent, an attempt as hung
+    8.0  # usual latencies without an answer after which a backend counts as silent, an attempt as hung
 )
-SWEEP_INTERVAL_S = 0.05  # between looks at silent backends and at what is held
-AIM_PART = 0.16  # of its aim that a class's unpressed latency is taken for at most
+SWEEP_INTERVAL_S = 0.05  # interval of checks for silent backends, and of the queue
+AIM_PART = 0.16  # fraction of its objective that a class's unloaded latency is taken to be at most
 REJECTION_COST, REJECTION_MEMORY_S = (
     4.0,
     10.0,
-)  # cost of a backend sure to turn a class or plan away; time by which such news ages
-LATENCY_RATIO_CAP = 4.0  # times the unpressed latency, beyond which a longer answer says no more
-COLD_SAFETY = 0.5  # of the stated cold budget that is used, as the warm rate is only an estimate
+)  # added cost of a backend that surely rejects a class or plan; decay time of rejections
+LATENCY_RATIO_CAP = 4.0  # times the unloaded latency, at which a latency is capped
+COLD_SAFETY = 0.5  # fraction of the stated cold budget that is used, as the warm rate is only an estimate
 COLD_QUEUE_LIMIT = (
-    4.0  # requests of all ingresses at a cold backend, beyond which what it serves makes no room
+    4.0  # requests of all ingresses at a cold backend, above which an answer of it adds no token
 )
-COLD_BURST = 1.5  # attempts that may be saved up for a cold backend
-UNTRIED_COST = 1.15  # cost of a backend that has not answered here yet, over what the others cost
-TIE, RATE_S = 0.02, 5.0  # chance that breaks ties, span of the rate of answers
+COLD_BURST = 1.5  # most tokens (attempts) saved up for a cold backend
+UNTRIED_COST = 1.15  # relative cost of a backend that has not answered here yet
+TIE, RATE_S = 0.02, 5.0  # random cost that breaks ties; decay time of the rate of answers
 FAULTS = (io.Outcome.ERROR, io.Outcome.RESET, io.Outcome.CONNECT_FAILED)
 ANSWERS = (io.Outcome.OK, io.Outcome.ERROR, io.Outcome.RESET, io.Outcome.FULL)
 
 
 class Routing:
-    """Sends requests to the backends of one fleet, and learns from what becomes of them."""
+    """Sends requests to the backends of one fleet, and learns from their outcomes."""
 
     def __init__(
         self,
@@ -52,42 +52,42 @@
         self.classes = {c.name: c for c in classes}
         self.active_requests: dict[str, ActiveRequest] = {}
         self.fleet = Fleet(settings, rng)
-        self.processes = 1  # of this ingress: in an upgrade each lets in its part of what the ingress may
+        self.processes = 1  # of this ingress: in an upgrade each admits its part of the ingress's share
         self.members = self.fleet.members
-        self.queue = list[ActiveRequest]()  # dearest first, then in the order in which they came
-        self.latency = {c.name: c.objective * AIM_PART for c in classes}  # usual time of an answer
-        self.base = dict(self.latency)  # and what it was when nothing was pressed
-        self.armed = False  # beat set
+        self.queue = list[ActiveRequest]()  # most valuable first, then in order of arrival
+        self.latency = {c.name: c.objective * AIM_PART for c in classes}  # usual latency in seconds, by class
+        self.base = dict(self.latency)  # the same without load
+        self.armed = False  # whether the sweep timer is set
         self.limit = ConcurrencyLimit(now)
-        self.rejection_share = dict.fromkeys((*self.classes, *plans), 0.0)  # share of attempts turned away
+        self.rejection_share = dict.fromkeys((*self.classes, *plans), 0.0)  # rejected fraction of attempts
         self.rate, self.rate_at = 0.0, now  # attempts a second to one warm backend
         self.step = 0.1
         self.acts: list[io.Action] = []
 
-    # What the user of this class decides.
+    # Decided by subclasses
 
     def refuse(self, now: float, f: ActiveRequest, wait: float) -> None:
-        """Final answer: refused, or failed where a refusal would promise too much."""
+        """Final answer: refuse, or fail where a refusal would wrongly promise that a retry is harmless."""
         raise NotImplementedError
 
     def served(self, now: float, f: ActiveRequest, e: io.AttemptEnded) -> None:
-        """A request has its final answer by an attempt."""
+        """An attempt has given a request its final answer."""
 
     def left(self, now: float, request: str) -> None:
-        """A request is open no more."""
+        """A request is no longer open."""
 
     def renew(self, now: float) -> None:
-        """A beat has come."""
+        """Called at each sweep."""
 
-    # Attempts.
+    # Attempts
 
     def late(self, now: float, f: ActiveRequest) -> bool:
-        """Whether a request that has to be held cannot make its aim."""
+        """Whether a request that must be queued cannot meet its objective."""
         ahead = 1 + bisect.bisect_right(self.queue, -f.value, key=lambda g: -g.value)
         return now + ahead * self.latency[f.cls.name] / self.limit.slots + self.base[f.cls.name] > f.aim
 
     def send(self, now: float, f: ActiveRequest) -> None:
-        """Start an attempt, or hold the request if a slot should come free in time for its aim."""
+        """Start an attempt, or queue the request if a slot should become free in time; else refuse it."""
         best = self.choose(now, f)
         if best is None:
             if self.late(now, f):
@@ -95,26 +95,26 @@
             return bisect.insort_right(self.queue, f, key=lambda g: -g.value)
         f.attempts += 1
         f.sent, f.attempt_out = now, True
-        if not f.req.flows:  # no work for a backend before it has come whole
+        if not f.req.flows:  # no work for a backend before it is complete
             self.occupy(now, f, best)
         if self.fleet.cold(now, best) < 1.0:
             best.tokens -= 1.0
         self.acts.append(io.Attempt(f.req.id, best.entry.backend))
 
     def occupy(self, now: float, f: ActiveRequest, b: Backend) -> None:
-        """An attempt is out at a backend."""
+        """Count an attempt in flight at a backend."""
         b.out[f.req.id] = (now, f.cls.name, f.req.plan)
         self.limit.in_flight += 1
 
     def written(self, now: float, e: io.AttemptWritten) -> None:
-        """A body that came slowly has gone out whole: only now does the request's time run."""
+        """A streamed body was sent completely: the request's latency counts only from now."""
         f, b = self.active_requests.get(e.request), self.fleet.backends.get(e.backend)
         if f is not None and b is not None:
             f.sent, f.aim = now, now + min(f.cls.objective, f.req.expires_in)
             self.occupy(now, f, b)
 
     def dispatch(self, now: float) -> None:
-        """Send what is held as slots come free; it is looked through in full at each beat only."""
+        """Send queued requests while slots are free; the whole queue is reviewed only at each sweep."""
         for _ in range(len(self.queue)):
             if not self.limit.allows(now):
                 break
@@ -123,14 +123,14 @@
                 self.send(now, f)
 
     def review(self, now: float) -> None:
-        """Send what is held, dearest first, or refuse what cannot make its aim any more: none may starve."""
+        """Send queued requests, or refuse those that can't meet their objective any more: none may starve."""
         held, self.queue = self.queue, []
         for f in held:
             if f.req.id in self.active_requests:
                 self.send(now, f)
 
     def sweep(self, now: float) -> None:
-        """Each beat: find silent backends by the answers they owe, and see to what is held."""
+        """Find silent backends by their overdue answers, cancel hung attempts, and review the queue."""
         self.armed = False
         self.renew(now)
         for b in [x for x in self.fleet.backends.values() if x.out]:
@@ -138,7 +138,7 @@
             silent = b.overdue(now, self.latency, slow) >= slow
             if silent:
                 self.acts += self.fleet.eject(now, b, "silent")
-            for name in b.out:  # move what may be repeated; a long request at a live server is left alone
+            for name in b.out:  # move what may be repeated; a long request at a live backend is left alone
                 f = self.active_requests.get(name)
                 if (
                     f is None
@@ -155,11 +155,11 @@
         return self.may_send(now, f, f.ran_at or f.sent)
 
     def blocks(self, now: float, f: ActiveRequest, slow: float) -> bool:
-        """Whether an attempt hangs past its aim and only keeps a place from its customer's next request."""
+        """Whether an attempt hangs past its objective and only takes a place of its customer's cap."""
         return f.customer.plan.max_open > 0 and now > f.aim and now - f.sent > slow * self.latency[f.cls.name]
 
     def may_send(self, now: float, f: ActiveRequest, ran_at: float | None) -> bool:
-        """Whether one more attempt is allowed; if one may have run, by class and window too."""
+        """Whether another attempt is allowed; if one may have run, the class and its window decide too."""
         if f.attempts >= self.s.max_attempts or now + self.base[f.cls.name] > f.aim:
             return False
         return (
@@ -169,7 +169,7 @@
         )
 
     def choose(self, now: float, f: ActiveRequest) -> Backend | None:
-        """Least own outstanding work over learned speed, among those that are healthy and allowed."""
+        """The healthy, allowed backend with the least own work in flight over its learnt speed; else None."""
         best: Backend | None = None
         least = 0.0
         if not self.limit.allows(now):
@@ -208,20 +208,20 @@
         return best
 
     def cost(self, now: float, f: ActiveRequest, b: Backend) -> float:
-        """How long one more request may take at a backend, in terms of what is usual."""
+        """The estimated time of one more request at a backend, in usual latencies."""
         return (len(b.out) + 1) * self.slowness(b)
 
     def slowness(self, b: Backend, untried_cost: float = UNTRIED_COST) -> float:
-        """How slow a backend is; one that has not answered yet is as others are, and costs a handshake.
+        """The latency of a backend over the unloaded one; an untried one is as others are, with a handshake.
 
-        What has started since this ingress did is new to all of them: nobody would go there first.
+        One that started after this ingress is new to all: with an extra cost nobody would go there first.
         """
         if b.known or b.start > self.began:
             return b.ratio
         return max(b.ratio, self.limit.latency_ratio) * untried_cost
 
     def started(self, now: float, e: io.AttemptStarted) -> None:
-        """A large answer has begun: the work is done, and only its customer's place is taken to its end."""
+        """A streamed response has begun: the backend's work is done; the request stays open to its end."""
         b = self.fleet.backends.get(e.backend)
         _, name, plan = b.out.pop(e.request, (now, "", "")) if b is not None else (now, "", "")
         if b is not None and name:
@@ -232,14 +232,14 @@
             self.dispatch(now)
 
     def pace(self) -> float:
-        """Attempts a second that this ingress may count on at a warm backend: what one has served of late.
+        """Attempts a second that a warm backend can serve for this ingress, by the recent rate of answers.
 
-        One that has only begun has seen little: a backend serves one at a time at least, for all ingresses.
+        After a start few were seen: a backend serves at least one request at a time, for all ingresses.
         """
         return max(self.rate, 1 / (self.s.instances * self.processes * max(1e-3, *self.base.values())))
 
     def ended(self, now: float, e: io.AttemptEnded) -> None:
-        """An attempt ended: learn from it, then serve, try again or give the final answer."""
+        """An attempt has ended: learn from it, then finish the request, retry it or refuse it."""
         b, f = self.fleet.backends.get(e.backend), self.active_requests.get(e.request)
         if b is not None:
             _, name, plan = b.out.pop(e.request, (now, "", ""))
@@ -258,7 +258,7 @@
                 self.dispatch(now)
             return self.served(now, f, e)
         f.bad.add(e.backend)
-        fleet_saturated = e.outcome is io.Outcome.FULL and self.limit.overloaded  # elsewhere it is full too
+        fleet_saturated = e.outcome is io.Outcome.FULL and self.limit.overloaded  # others are full too
         if not fleet_saturated and not e.spent and self.may_send(now, f, f.ran_at):
             self.send(now, f)
         else:
@@ -266,50 +266,50 @@
 
     def judge(self, now: float, b: Backend, e: io.AttemptEnded, name: str, plan: str) -> None:
         """Learn the latency and errors of a backend, and adjust the concurrency limit."""
-        b.answered = now if e.outcome in ANSWERS else b.answered  # a time-out is no sign of life, nor a fault
+        b.answered = now if e.outcome in ANSWERS else b.answered  # a timeout is no sign of life, nor a fault
         if e.outcome is io.Outcome.OK or (e.outcome is io.Outcome.TIMEOUT and e.elapsed > self.latency[name]):
-            # The cap: a few very costly requests are no jam.
+            # The cap: a few very expensive requests are no overload.
             times = min(e.elapsed / self.base[name], LATENCY_RATIO_CAP)
             b.ratio = self.slowness(b, 1.0)
             b.ratio, b.known = b.ratio + self.step * (times - b.ratio), True
             self.limit.observe(now, times, e.elapsed, self.fleet.usable, self.s.instances)
         if e.outcome in (io.Outcome.OK, io.Outcome.FULL):
-            for key in (name, plan):  # some turn one class or plan away: told from a full fleet by who it is
+            for key in (name, plan):  # some backends reject one class or plan; a full fleet rejects all
                 b.rejection_share[key] = (float(e.outcome is io.Outcome.FULL), now)
                 self.rejection_share[key] += 0.1 * (b.rejection_share[key][0] - self.rejection_share[key])
         if e.outcome is io.Outcome.OK:
-            # Served, not sent: requests turned away made warm servers look able to take more, cold ones too.
+            # Count answers, not attempts: rejected ones would make backends look faster than they are.
             each = 1 / RATE_S / max(1, self.fleet.usable)
             self.rate = self.rate * math.exp((self.rate_at - now) / RATE_S) + each
             self.rate_at = now
             b.errors, b.trial = 0.8 * b.errors, False
             held = e.load.get("inflight", 0.0)  # of all ingresses: each sends one more for one served
-            if held <= COLD_QUEUE_LIMIT and self.fleet.cold(now, b) < 1.0:  # what it has served makes room
+            if held <= COLD_QUEUE_LIMIT and self.fleet.cold(now, b) < 1.0:  # an answer adds a token
                 b.tokens = min(COLD_BURST, b.tokens + 1.0)
             self.latency[name] += 0.05 * (e.elapsed - self.latency[name])
             usual = self.base[name] + (
                 0.01 if self.limit.latency_ratio < OVERLOAD_LATENCY_RATIO else 0.0005
             ) * (self.latency[name] - self.base[name])
-            self.base[name] = min(usual, AIM_PART * self.classes[name].objective)  # a jam is never the norm
+            self.base[name] = min(usual, AIM_PART * self.classes[name].objective)  # overload is never usual
         elif e.outcome in FAULTS:
             b.errors += 0.3 * (1 - b.errors)
             if b.trial or b.errors >= BAD_SHARE:
                 self.acts += self.fleet.eject(now, b, "failing")
 
     def listed(self, now: float, e: io.ListUpdate) -> None:
-        """Follow the list of servers; the first one tells how many attempts may be out."""
+        """Apply a backend list; the first one sets the initial concurrency limit."""
         if e.kind is not io.ListKind.FAILED:
             self.fleet.listed(now, e)
             self.limit.initialize(self.fleet.usable, self.s.instances)
 
     def set_sibling_processes(self, now: float, e: io.SiblingProcesses) -> None:
-        """Another process of this ingress has begun, or has ended."""
+        """The number of other processes of this ingress has changed."""
         self.processes = 1 + e.processes
 
     def cordon(self, now: float, e: io.Cordon) -> None:
-        """An operator takes a backend out or puts it back."""
+        """An operator cordons or uncordons a backend."""
         self.acts += self.fleet.cordon(now, e)
 
     def restore(self, now: float, e: io.Cordons) -> None:
-        """What operators have taken out through another process of this ingress."""
+        """Adopt cordons that were made through another process of this ingress."""
         self.acts += self.fleet.restore(e.cordon_entries)
--- a/roadspur/wirehost.py
+++ b/roadspur/wirehost.py
@@ -1,4 +1,4 @@
-"""Hosts many gateways on the simulator's wire: wire words to interface types and back, nothing else."""
+"""Adapter to the simulator: hosts many gateways, and translates its line protocol to interface types."""
 
 from __future__ import annotations
 
@@ -32,7 +32,7 @@
 
 
 class WireError(Exception):
-    """A line that is not wire: which message, which field, what was expected."""
+    """A malformed line; the text names the message, the field and what was expected."""
 
 
 def _bad(message: str, field: str, expected: str, got: object) -> NoReturn:
@@ -79,7 +79,7 @@
 
 
 class _Pairs:
-    """The settings as sent: path=value, read by path; keys not asked for are passed over."""
+    """Settings in path=value form, read by path; unknown keys are ignored."""
 
     def __init__(self, parts: list[str]) -> None:
         self.values: dict[str, str] = {}
@@ -113,7 +113,7 @@
 
 
 def read_settings(parts: list[str]) -> tuple[io.Settings, tuple[str, ...]]:
-    """The settings, and the names of the values of a load report."""
+    """Parse the settings, and the names of the values in a load report; WireError if they are malformed."""
     p = _Pairs(parts)
     classes = tuple(
         io.ClassSettings(
@@ -193,7 +193,7 @@
 
 
 def read_row(line: str) -> io.BackendEntry:
-    """One line of the list of servers."""
+    """Parse one line of the backend list; WireError if it is malformed."""
     parts = line.split(" ")
     if parts[0] != "ROW":
         _bad("UPDATE", "rows", "a ROW line", parts[0])
@@ -210,7 +210,7 @@
 
 
 def read_event(parts: list[str], fields: tuple[str, ...], rows: Iterator[str]) -> io.Event:
-    """One event of a running instance; the rows of a list are taken from `rows`."""
+    """Parse an event of an instance; rows of a backend list are read from `rows`. May raise WireError."""
     m = parts[0]
     if m == "WORK_ITEM":
         _count(m, parts, 11)
@@ -296,7 +296,7 @@
 
 
 def write_action(me: int, a: io.Action) -> str:
-    """The wire's line for one action."""
+    """The protocol line for an action of instance `me`."""
     if isinstance(a, io.Attempt):
         patience = "" if a.timeout is None else f" {a.timeout:.6f}"
         return f"SUBMIT_TO {me} {a.request} {a.backend}{patience or ' 0'}"
@@ -320,19 +320,19 @@
         return f"FOLLOW {me} {int(a.on)}"
     if isinstance(a, io.FetchList):
         return f"GET_LIST {me}"
-    # The simulator has no operators: what answers them is not seen there.
+    # The simulator has no operators: answers to them don't occur there.
     return f"EMIT {me} {' '.join(a.text.split()) if isinstance(a, io.Log) else a}"
 
 
 class Host:
-    """All instances of one process; they share nothing but this dispatch."""
+    """All gateway instances in one process; they share nothing but this dispatch."""
 
     def __init__(self, make: Callable[[io.Settings, int, float], Any] = Gateway) -> None:
         self.make = make
         self.gateways: dict[int, tuple[Any, tuple[str, ...], dict[str, Any], dict[str, Any]]] = {}
 
     def batch(self, lines: list[str]) -> list[str]:
-        """Answer one batch, from its CLOCK line to the line before END."""
+        """Process one batch, from its CLOCK line to the line before END; WireError if it is malformed."""
         head = lines[0].split(" ")
         if head[0] != "CLOCK":
             _bad("batch", "first line", "CLOCK", head[0])
@@ -368,14 +368,14 @@
                 _choice(m, "plan", event.plan, known[3])
             try:
                 out.extend(write_action(me, a) for a in known[0].handle(now, event))
-            except Exception as fault:  # the wire's own declaration of failure, with its text
+            except Exception as fault:  # reported by the protocol's line for failures
                 text = " ".join(f"{type(fault).__name__}: {fault}".split())
                 out.append(f"EXCEPTION {me} {text}")
         return out
 
 
 def serve(source: TextIO, sink: TextIO) -> None:
-    """Answer batches until the end of input."""
+    """Process batches until the end of input."""
     host = Host()
     lines: list[str] = []
     for line in source:
@@ -395,7 +395,7 @@
 
 
 def main() -> int:
-    """Serve standard input; a bad line ends in one plain line and a non-zero exit."""
+    """Serve standard input; returns the exit code. A malformed line is reported in one plain line."""
     try:
         serve(sys.stdin, sys.stdout)
     except (WireError, ValueError) as error:
