--- a/proving/__init__.py
+++ b/proving/__init__.py
@@ -1,1 +1,1 @@
-"""Proving ground: the whole deployment in simulated time, on the programs' own state machines."""
+"""Deterministic simulation of a whole deployment, on the programs' own state machines, and its checkers."""
--- a/proving/__main__.py
+++ b/proving/__main__.py
@@ -1,4 +1,4 @@
-"""`python -m proving`."""
+"""Entry point of `python -m proving`."""
 
 import sys
 
--- a/proving/allowance.py
+++ b/proving/allowance.py
@@ -1,6 +1,7 @@
-"""A day of the quota plane, read from the lines of counts that the programs wrote with `--counts`.
+"""Statistics of the quota plane over a day, read from the log lines that programs write with `--counts`.
 
-Lines may stand behind a time and a machine's name; whatever else is in a file is passed over.
+Lines may have a prefix with a time and a machine's name; other lines of a file are ignored. A `Table` is a
+list of rows of cells, the first of which is the header.
 """
 
 from __future__ import annotations
@@ -20,7 +21,7 @@
 
 
 class LogLine(NamedTuple):
-    """A line of counts: seconds as the file tells them, or as the process did, and the process's name."""
+    """A log line: its time in seconds, by its prefix or else by the process, the process, and its object."""
 
     at: float
     node: str
@@ -28,7 +29,11 @@
 
 
 class View(NamedTuple):
-    """A count as its holder told it."""
+    """A tenant's count as logged by its shard owner, compared with the views of the quota clients.
+
+    `kept` are reserved units; `views` is the number of views, `differs` the largest difference of one in
+    units, `beyond` the most units by which one lies outside what was replied, `oldest` the greatest age in s.
+    """
 
     at: float
     node: str
@@ -43,10 +48,11 @@
 
 
 class Day(NamedTuple):
-    """All lines of a day, put together.
+    """The aggregated lines of a day.
 
-    `decided` is by tenant and precedence the counts of `WAYS`, `times` by `SPLIT` the counts by bucket;
-    `course` is by 5 s the counts of `WAYS`, `back` units given back likewise.
+    `decided` has, by tenant and precedence, a counter for each of `DECISION_KINDS`; `times`, by the names in
+    `SPLIT`, histograms of decision times; `course`, by steps of 5 s, counters for `DECISION_KINDS`; `back`,
+    likewise, refunded units.
     """
 
     decided: dict[tuple[str, int], list[int]]
@@ -54,8 +60,8 @@
     course: dict[int, list[int]]
     back: Counter[int]
     views: list[View]
-    parts: list[tuple[float, str, int, int]]  # when, at whom, gained, lost
-    moves: list[tuple[float, str, str, str]]  # when, tenant, from, to
+    parts: list[tuple[float, str, int, int]]  # time, owner, shards gained, shards lost
+    moves: list[tuple[float, str, str, str]]  # time, tenant, old owner, new owner
 
 
 Table = list[tuple[str, ...]]
@@ -63,7 +69,7 @@
 
 
 def read(lines: Iterable[str]) -> Iterator[LogLine]:
-    """The lines of counts among others."""
+    """Yield the lines of the quota logger among others."""
     for before, told in objects(lines, QUOTA_LOGGER):
         time, name = TIME.search(before), NAME.search(before)
         at = float(time[1]) if time else float(told.get("time", 0.0))
@@ -71,7 +77,7 @@
 
 
 def gather(lines: Iterable[LogLine]) -> Day:
-    """A day out of its lines; times count from the first line where they are dates."""
+    """Aggregate the lines of a day; times that are Unix times become relative to the first line's."""
     found = sorted(lines, key=lambda line: line.at)
     begin = found[0].at if found and found[0].at > 1e6 else 0.0
     day = Day(
@@ -93,7 +99,7 @@
 
 
 def _charged(day: Day, at: float, told: dict[str, Any]) -> None:
-    step = int((at - STEP_S / 2) // STEP_S) * STEP_S  # a line tells of the time before it
+    step = int((at - STEP_S / 2) // STEP_S) * STEP_S  # a line covers the time before it
     for tenant, levels in told["charged"].items():
         for level, counts in levels.items():
             for total in (
@@ -120,7 +126,7 @@
 
 
 def quantile(counts: list[int], part: float) -> float:
-    """Seconds within which a part of the requests was decided, even within a bucket; 0 without any."""
+    """A quantile in seconds of a histogram, interpolated within its bucket; 0 if it is empty."""
     wanted, passed = part * sum(counts), 0
     for bucket, count in enumerate(counts):
         if count and passed + count >= wanted:
@@ -132,7 +138,7 @@
 
 
 def table(day: Day) -> Table:
-    """Asked, admitted and refused by tenant and its routes' precedence, late tries apart; a head first."""
+    """Requests asked, admitted and refused, by tenant and precedence, with late retries apart."""
     rows: Table = [("tenant", "precedence", "asked", "admitted", "refused early", "in part", *DECISION_KINDS)]
     for (tenant, level), counts in sorted(day.decided.items()):
         asked, admitted = sum(counts), counts[HOLDER] + counts[SHARE]
@@ -151,7 +157,7 @@
 
 
 def added(day: Day) -> Table:
-    """The time that the charge added, by how it was decided, in ms; a head first."""
+    """Quantiles of the time that a charge takes, in ms, by how it was decided."""
     rows: Table = [("decided by", "requests", "median ms", "99th ms", "99.9th ms")]
     every = [sum(column) for column in zip(*day.times.values(), strict=True)]
     for name, counts in [*day.times.items(), ("all", every)]:
@@ -161,7 +167,7 @@
 
 
 def agreement(day: Day) -> Table:
-    """By tenant: its allowance, looks at it, holders, and the worst of its views; a head first."""
+    """By tenant: allowance, number of log lines, owners, and the worst of its views."""
     rows: Table = [
         (
             "tenant",
@@ -192,7 +198,7 @@
 
 
 def hands(day: Day) -> Table:
-    """Parts of the tenants that came or went, and tenants that another node counts; a head first."""
+    """Shards gained and lost, and tenants whose owner has changed."""
     rows: Table = [
         (f"{at:.1f}", node, f"{gained} parts gained, {lost} lost") for at, node, gained, lost in day.parts
     ]
@@ -203,7 +209,7 @@
 
 
 def told(day: Day) -> str:
-    """All of it for a terminal."""
+    """All tables as text for a terminal."""
     parts = [
         ("asked, admitted, refused early", table(day)),
         ("time that the charge adds", added(day)),
--- a/proving/allowance_report.py
+++ b/proving/allowance_report.py
@@ -1,4 +1,4 @@
-"""The report of a day of the quota plane: one HTML file with its pictures in it."""
+"""HTML report of the quota plane over a day: one file with embedded plots."""
 
 from __future__ import annotations
 
@@ -18,7 +18,7 @@
 
 
 def course(day: Day) -> str:
-    """How requests were decided, by 5 s, and units given back."""
+    """Plot of how requests were decided, and of refunded units, by steps of 5 s; an HTML image."""
     figure, axes = plt.subplots(figsize=(11, 3.4))
     steps = sorted(day.course)
     floor = np.zeros(len(steps))
@@ -31,7 +31,7 @@
 
 
 def rest(day: Day) -> str:
-    """Of each tenant: what remained at the holder when it was looked at, and the largest difference to it."""
+    """Plots for each tenant of the largest difference of a view and of the units it lies outside replies."""
     figure, (left, right) = plt.subplots(1, 2, figsize=(12, 3.6))
     for tenant in sorted({v.tenant for v in day.views}):
         own = [v for v in day.views if v.tenant == tenant]
@@ -44,7 +44,7 @@
 
 
 def times(day: Day) -> str:
-    """The time that the charge added."""
+    """Plot of the cumulative distribution of the time that a charge takes."""
     figure, axes = plt.subplots(figsize=(11, 3.4))
     edges = [1000 * e for e in (*EDGES, EDGES[-1] * 2)]
     for name, counts in day.times.items():
@@ -55,7 +55,7 @@
 
 
 def finished(figure: Any, axes: Any, x: str, y: str) -> str:
-    """A picture with its names."""
+    """Label the axes `x` and `y`, add a legend, and render the figure as an HTML image."""
     axes.set_xlabel(x)
     axes.set_ylabel(y)
     axes.legend(fontsize=7)
@@ -63,14 +63,14 @@
 
 
 def table(rows: Table) -> str:
-    """Rows with a head."""
+    """A table as HTML."""
     head, *body = [[html.escape(cell) for cell in row] for row in rows]
     lines = ["".join(f"<td>{cell}</td>" for cell in row) for row in body]
     return f"<table><tr><th>{'<th>'.join(head)}</tr>{''.join(f'<tr>{line}</tr>' for line in lines)}</table>"
 
 
 def write(day: Day, name: str, folder: Path) -> Path:
-    """Write the page, and the same as text beside it; the page's path."""
+    """Write the report as HTML, and its tables as text beside it; returns the path of the HTML file."""
     parts = [
         f"<h1>{html.escape(name)}</h1>",
         "<h2>Asked, admitted, refused early</h2>",
--- a/proving/checkers/__init__.py
+++ b/proving/checkers/__init__.py
@@ -1,4 +1,4 @@
-"""Checkers: each rule, over the record of a run."""
+"""Checkers of the rules, each over the record of a simulation run."""
 
 from __future__ import annotations
 
@@ -26,11 +26,11 @@
     "ACKS": acks,
     "FAULT": faults,
 }
-"""Checkers by rule. ACKS is the gate's, FAULT what the programs would log as faults of their own."""
+"""Checkers by rule. ACKS is the bench gate's; FAULT is for what the programs would log as own errors."""
 
 
 def check(record: Record) -> list[RuleViolation]:
-    """All that is broken in a run."""
+    """All rule violations in a run."""
     history = RunHistory(record)
     return [found for checker in RULES.values() for found in checker(history)]
 
--- a/proving/checkers/budgets.py
+++ b/proving/checkers/budgets.py
@@ -1,4 +1,4 @@
-"""QUOTA and BUDGET: sums over sliding windows, of all machines together."""
+"""QUOTA and BUDGET: limits on sums over sliding windows, over all machines together."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 
 
 def quota(history: RunHistory) -> list[RuleViolation]:
-    """No tenant has more run in any window than its limit allows."""
+    """QUOTA: in no window are more requests of a tenant run than its limit allows."""
     b, found = history.bounds, []
     runs: dict[str, list[tuple[float, float]]] = {}
     for attempt, arrivals in history.ran.items():
@@ -42,8 +42,8 @@
 
 
 def limit_of(history: RunHistory, tenant: str, begins: float, ends: float) -> float | None:
-    """The most that a tenant may have run in a window; None for no limit. The highest counts of those limits
-    that may still have been in force anywhere."""
+    """The most requests of a tenant that may run in a window, None if there is no limit: by the highest of
+    the limits that may still have been in force anywhere."""
     b = history.bounds
     since = begins - b.quota_window_s - b.apply_s
     late = [
@@ -66,7 +66,7 @@
 
 
 def budget(history: RunHistory) -> list[RuleViolation]:
-    """Further arrivals of tries stay within the budget of their service."""
+    """BUDGET: repeated arrivals of tries stay within the retry budget of their service."""
     b, found = history.bounds, []
     window = b.retry_window_s
     first: set[tuple[str, str]] = set()
--- a/proving/checkers/configuration.py
+++ b/proving/checkers/configuration.py
@@ -1,4 +1,4 @@
-"""CONFIG: what is acknowledged takes hold in time, never goes back, and is what was sent."""
+"""CONFIG: an acknowledged configuration takes effect in time, never reverts, and is the one that was sent."""
 
 from __future__ import annotations
 
@@ -24,11 +24,11 @@
     "disk_hang",
     "disk_slow",
 )
-"""Troubles that end no process."""
+"""Disruptions in which no process ends."""
 
 
 class ServedRequest(NamedTuple):
-    """How a try was handled: run at a service in a tenant's name, or turned away with a status."""
+    """How a try was handled: run by a service for a tenant, or rejected with a status."""
 
     at: float
     sent: Sent
@@ -37,7 +37,7 @@
     status: int
 
     def by(self, version: ConfigVersion) -> bool:
-        """Whether a version allows this."""
+        """Whether a version of the configuration allows this."""
         if self.service:
             return version.runs(self.sent, self.service, self.tenant)
         return version.answers(self.sent, self.status)
@@ -48,7 +48,7 @@
 
 
 def config(history: RunHistory) -> list[RuleViolation]:
-    """All of the rule."""
+    """CONFIG: all parts of the rule."""
     parts = (
         acknowledged(history),
         repeated(history),
@@ -60,7 +60,7 @@
 
 
 def handled(history: RunHistory) -> list[ServedRequest]:
-    """All tries that show which configuration is in force."""
+    """All tries that show which configuration is in force, sorted by time."""
     found = [
         ServedRequest(a.at, history.sent[a.attempt], a.service, a.tenant, 0)
         for runs in history.ran.values()
@@ -76,7 +76,7 @@
 
 
 def acknowledged(history: RunHistory) -> Iterator[RuleViolation]:
-    """Which orders were acknowledged: of different ones on one base, one. The same one sent by two is one."""
+    """Of different orders on one base only one is acknowledged; the same one sent by two operators is one."""
     bases: dict[int, Order] = {}
     for order in history.record.orders:
         if order.status != 200:
@@ -96,7 +96,7 @@
 
 
 def repeated(history: RunHistory) -> Iterator[RuleViolation]:
-    """What was acknowledged and is sent again isn't refused, whether the acknowledgement was heard or not."""
+    """An acknowledged order that is sent again isn't refused, whether its acknowledgement arrived or not."""
     for order in history.record.orders:
         if order.unheard and order.status not in (0, 200):
             yield RuleViolation(
@@ -116,7 +116,7 @@
 
 
 def taken_hold(history: RunHistory) -> Iterator[RuleViolation]:
-    """Machines in touch go by what was acknowledged `apply_s` ago, and by nothing that was refused."""
+    """Connected machines apply what was acknowledged `apply_s` ago, and nothing that was refused."""
     apply_s = history.bounds.apply_s
     refused = [ConfigVersion(o) for o in history.record.orders if o.status not in (0, 200) and o.valid]
     for h in handled(history):
@@ -134,7 +134,7 @@
 
 
 def gone_back(history: RunHistory) -> Iterator[RuleViolation]:
-    """A machine that has shown a version doesn't go back, in one life of its processes."""
+    """A machine that has shown a version doesn't revert to an older one while its processes live."""
     shown: dict[tuple[str, int], tuple[float, int]] = {}
     for h in handled(history):
         allowing = [v.generation for v in history.versions if h.by(v)]
@@ -157,7 +157,7 @@
 
 
 def slowed(history: RunHistory, h: ServedRequest) -> bool:
-    """Whether the machine was slow, or stood still, not long before."""
+    """Whether the machine was slow or frozen recently."""
     return any(
         h.sent.way in t.machines
         and t.begins <= h.at
@@ -168,7 +168,7 @@
 
 
 def read_back(history: RunHistory) -> Iterator[RuleViolation]:
-    """What the operator reads at the day's end."""
+    """What operators read back at the end of the day is the newest acknowledged configuration, unchanged."""
     record = history.record
     rule = "LOST" if record.closing else "CONFIG"
     good = [r for r in record.reads if r.status == 200]
--- a/proving/checkers/draining.py
+++ b/proving/checkers/draining.py
@@ -1,4 +1,4 @@
-"""DRAIN and LOST: backends and ingresses that leave in order."""
+"""DRAIN and LOST: graceful shutdown of backends and ingresses."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 
 
 def drain(history: RunHistory) -> list[RuleViolation]:
-    """Nothing is sent on to a backend that has long been acknowledged to leave."""
+    """DRAIN: nothing is sent to a backend once `drain_s` have passed since its draining was acknowledged."""
     told: dict[str, float] = {}
     for life in history.record.lives:
         if life.what in ("draining", "gone") and history.has_contact(life.by, life.at, life.at):
@@ -30,7 +30,7 @@
 
 
 def lost(history: RunHistory) -> list[RuleViolation]:
-    """Around planned work, no request that was read ends without an answer."""
+    """LOST: around planned work, no request that was read ends without a response."""
     found = []
     for work in history.record.disruptions:
         if not work.planned:
--- a/proving/checkers/history.py
+++ b/proving/checkers/history.py
@@ -1,4 +1,4 @@
-"""What all checkers use: who was in touch, which configuration may have been in force, tries by their ids."""
+"""Views of a run's record that the checkers share: connectivity, configurations in force, tries by id."""
 
 from __future__ import annotations
 
@@ -7,11 +7,11 @@
 
 from proving.model.record import Arrived, Order, Record, Sent
 
-MOST = 5  # of one rule's findings that are told
+MOST = 5  # findings reported for one rule
 
 
 class RuleViolation(NamedTuple):
-    """A rule that is broken, when, and how."""
+    """A violation of a rule: its time in seconds, and a description."""
 
     rule: str
     at: float
@@ -22,7 +22,7 @@
 
 
 class ConfigVersion:
-    """A configuration that may be in force, as the checkers read it: nothing of the programs is used here."""
+    """A configuration that may be in force, parsed independently of the programs' own code."""
 
     def __init__(self, order: Order) -> None:
         self.order, self.generation = order, order.generation
@@ -40,7 +40,7 @@
                     self.keys[key] = label
 
     def route(self, host: str, path: str) -> dict[str, Any] | None:
-        """The route with the longest prefix."""
+        """The matching route with the longest path prefix, or None."""
         found = [
             (len(prefix), spec)
             for (name, prefix), spec in self.routes.items()
@@ -49,7 +49,7 @@
         return max(found, key=lambda f: f[0])[1] if found else None
 
     def services(self, host: str, path: str) -> set[str]:
-        """Where a request may go."""
+        """The services that a request may be routed to."""
         spec = self.route(host, path)
         if spec is None:
             return set()
@@ -57,15 +57,15 @@
         return weighted or {spec["target"]}
 
     def runs(self, sent: Sent, service: str, tenant: str) -> bool:
-        """Whether a request may run at a service in a tenant's name."""
+        """Whether a request may be run by a service for a tenant."""
         return service in self.services(sent.host, sent.path) and self.keys.get(sent.key) == tenant
 
     def allows(self, sent: Sent) -> bool:
-        """Whether a request may go on at all."""
+        """Whether a request may be routed at all."""
         return self.route(sent.host, sent.path) is not None and sent.key in self.keys
 
     def answers(self, sent: Sent, status: int) -> bool:
-        """Whether a request may be turned away with this status."""
+        """Whether a request may be rejected with this status."""
         if status == 404:
             return self.route(sent.host, sent.path) is None
         return (
@@ -76,19 +76,19 @@
 
 
 class RunHistory:
-    """A record, and what follows from it."""
+    """A record, and what is derived from it."""
 
     def __init__(self, record: Record) -> None:
         self.record, self.bounds = record, record.bounds
 
     @cached_property
     def sent(self) -> dict[str, Sent]:
-        """Tries by their ids."""
+        """Tries by attempt id."""
         return {s.attempt: s for s in self.record.sent}
 
     @cached_property
     def ran(self) -> dict[str, list[Arrived]]:
-        """Runs by the try's id."""
+        """Arrivals that were run, by attempt id."""
         found: dict[str, list[Arrived]] = {}
         for arrived in self.record.arrived:
             if arrived.ran:
@@ -97,26 +97,26 @@
 
     @cached_property
     def versions(self) -> list[ConfigVersion]:
-        """Configurations that may be in force, in their order: those acknowledged, or without an answer."""
+        """Configurations that may be in force, by generation: those acknowledged or without a response."""
         orders = sorted(
             (o for o in self.record.orders if o.status in (0, 200) and o.valid), key=lambda o: o.generation
         )
         return [ConfigVersion(o) for o in orders]
 
     def in_force(self, since: float, until: float) -> list[ConfigVersion]:
-        """Versions that may be in force for a request: the newest one acknowledged by `since`, and those that
-        were sent after that one's base and by `until`."""
+        """Versions that may be in force for a request: the newest one acknowledged by `since`, and those of
+        higher generations that were sent by `until`."""
         known = [v for v in self.versions if v.order.status == 200 and v.order.at <= since]
         newest = known[-1].generation if known else 0
         return [v for v in self.versions if v.generation >= newest and v.order.sent <= until]
 
     def older(self, since: float) -> list[ConfigVersion]:
-        """Versions that are over by then."""
+        """Versions that were superseded by then."""
         known = [v for v in self.versions if v.order.status == 200 and v.order.at <= since]
         return [v for v in self.versions if known and v.generation < known[-1].generation]
 
     def has_contact(self, machine: str, begins: float, ends: float) -> bool:
-        """Whether a machine was in touch for a whole span."""
+        """Whether a machine was connected for a whole span, and `contact_s` before it."""
         since = begins - self.bounds.contact_s
         return not any(
             t.begins <= ends and t.ends >= since and (t.core or machine in t.machines)
@@ -124,19 +124,19 @@
         )
 
     def settled(self, begins: float, ends: float) -> bool:
-        """Whether the core was settled, and no link in trouble, for a whole span."""
+        """Whether no machine was disrupted for a whole span, and `contact_s` before it."""
         since = begins - self.bounds.contact_s
         return not any(t.begins <= ends and t.ends >= since and t.machines for t in self.record.disruptions)
 
     def undisturbed(self, begins: float, ends: float) -> bool:
-        """Whether no unplanned trouble struck in a span."""
+        """Whether there was no unplanned disruption in a span."""
         return not any(
             t.begins <= ends and t.ends >= begins and not t.planned for t in self.record.disruptions
         )
 
 
 def limit_findings(found: list[RuleViolation]) -> list[RuleViolation]:
-    """The first findings, and how many there are."""
+    """The first findings; the last of these says how many more there are."""
     if len(found) > MOST:
         last = found[MOST - 1]
         return [*found[: MOST - 1], last._replace(what=f"{last.what} (and {len(found) - MOST} more)")]
--- a/proving/checkers/recovery.py
+++ b/proving/checkers/recovery.py
@@ -1,4 +1,4 @@
-"""RECOVER, the gate's acknowledgements, and what the programs would log as faults of their own."""
+"""RECOVER, ACKS (the bench gate's acknowledgements) and FAULT (what programs would log as own errors)."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 
 
 def recover(history: RunHistory) -> list[RuleViolation]:
-    """After the closing fault, requests are served again."""
+    """RECOVER: after the closing fault, requests are served again."""
     record, b = history.record, history.bounds
     if not record.closing or not record.wanted:
         return []
@@ -33,7 +33,7 @@
 
 
 def acks(history: RunHistory) -> list[RuleViolation]:
-    """Proper orders are acknowledged in time while the core is settled."""
+    """ACKS: valid orders are acknowledged in time while the core is undisturbed."""
     found = []
     wait = history.bounds.order_ack_s
     for order in history.record.orders:
@@ -69,7 +69,7 @@
 
 
 def faults(history: RunHistory) -> list[RuleViolation]:
-    """Exceptions that the programs would log as errors."""
+    """FAULT: exceptions that the programs would log as errors."""
     return limit_findings(
         [RuleViolation("FAULT", 0.0, f) for f in history.record.faults if f[:6] != "MIXED:"]
     )
--- a/proving/checkers/requests.py
+++ b/proving/checkers/requests.py
@@ -1,15 +1,15 @@
-"""TWICE, REFUSED, MIXED, UNASKED, DENIED and ROUTE: what becomes of single requests."""
+"""TWICE, REFUSED, MIXED, UNASKED, DENIED and ROUTE: rules about single requests."""
 
 from __future__ import annotations
 
 from proving.checkers.history import RuleViolation, RunHistory, limit_findings
 
-PROMISES = (429, 503, 408, 421)
-OWN = (408, 409, 421, 429)  # answers of the system's own that deny nothing
+PROMISES = (429, 503, 408, 421)  # statuses that promise that the request was not run and never will be
+OWN = (408, 409, 421, 429)  # statuses of the system's own that are no denial
 
 
 def twice(history: RunHistory) -> list[RuleViolation]:
-    """What may not be repeated runs once."""
+    """TWICE: a request that may not be repeated runs once."""
     return limit_findings(
         [
             RuleViolation(
@@ -25,7 +25,7 @@
 
 
 def refused(history: RunHistory) -> list[RuleViolation]:
-    """Nothing that has run, and may not be repeated, is answered with a promise."""
+    """REFUSED: a request that has run, and may not be repeated, doesn't get a status of `PROMISES`."""
     found = []
     for attempt, runs in history.ran.items():
         answer, sent = history.record.answered.get(attempt), history.sent.get(attempt)
@@ -42,7 +42,7 @@
 
 
 def mixed(history: RunHistory) -> list[RuleViolation]:
-    """Successes are whole and belong to their request; nothing else looks like one."""
+    """MIXED: successful responses are complete and belong to their request; nothing else looks like one."""
     found = [
         RuleViolation("MIXED", a.at, f"{history.sent[a.attempt].path}: {a.status}, {a.fault}")
         for a in history.record.answered.values()
@@ -62,7 +62,7 @@
 
 
 def unasked(history: RunHistory) -> list[RuleViolation]:
-    """Backends run what clients have sent, as they sent it, in the name of the key's tenant."""
+    """UNASKED: backends run only what clients have sent, as they sent it, for the tenant of the key."""
     found = []
     for attempt, runs in history.ran.items():
         sent = history.sent.get(attempt)
@@ -79,7 +79,7 @@
 
 
 def denied(history: RunHistory) -> list[RuleViolation]:
-    """Proper requests are not denied, but for a few."""
+    """DENIED: valid requests are not denied, except for a few."""
     wrong = []
     for a in history.record.answered.values():
         if not 300 <= a.status < 500 or a.status in OWN:
@@ -106,7 +106,7 @@
 
 
 def route(history: RunHistory) -> list[RuleViolation]:
-    """No service runs what no configuration lets it, nor for a key that none has held."""
+    """ROUTE: no service runs what no configuration routes to it, nor for a key that none has contained."""
     found = []
     for attempt, runs in history.ran.items():
         sent = history.sent.get(attempt)
--- a/proving/cli.py
+++ b/proving/cli.py
@@ -1,6 +1,6 @@
 """The command line: `python -m proving COMMAND ...`.
 
-Exit codes: 0 nothing is broken, 1 something is, 2 faults in what was asked for.
+Exit codes: 0 no rule is violated, 1 some rule is, 2 invalid arguments or files.
 """
 
 from __future__ import annotations
@@ -42,11 +42,11 @@
     LossesCommand,
     CapacityCommand,
 )
-"""The registry: every command is listed here, and only here."""
+"""All commands; a new one must be added here."""
 
 
 def main() -> int:
-    """Run the command line; the exit code."""
+    """Run the command line; returns the exit code."""
     application = Application("proving", "1")
     for command in COMMANDS:
         application.add(command())
--- a/proving/commands/__init__.py
+++ b/proving/commands/__init__.py
@@ -1,1 +1,1 @@
-"""The commands of `python -m proving`, a module for each subject; proving.cli lists them all."""
+"""The commands of `python -m proving`, one module for each subject; proving.cli lists them all."""
--- a/proving/commands/base.py
+++ b/proving/commands/base.py
@@ -1,4 +1,4 @@
-"""What the commands share: their usual arguments and options, and how they print."""
+"""Base class of the commands, with shared arguments, options and output."""
 
 from __future__ import annotations
 
@@ -25,18 +25,18 @@
 
 
 class ProvingCommand(Command):
-    """What all commands share."""
+    """Base class of all commands: subclasses implement `act`."""
 
     def tell(self, text: str) -> None:
-        """Print a text as it is."""
+        """Print a text without interpreting format tags."""
         self.line(Formatter.escape(text))
 
     def number(self, name: str) -> int:
-        """An option that is a whole number."""
+        """The value of an integer option; 0 if it is not given."""
         return int(self.option(name) or 0)
 
     def groups(self) -> tuple[str, ...]:
-        """The kinds of trouble to choose from."""
+        """The groups of disruptions to draw from; ValueError for an unknown one."""
         chosen = tuple(name for name in (self.option("groups") or "").split(",") if name)
         for name in chosen:
             if name not in random_days.GROUPS:
@@ -44,16 +44,16 @@
         return chosen or tuple(random_days.GROUPS)
 
     def values(self) -> dict[str, Any]:
-        """Other values than the file's, by their dotted names."""
+        """The parameters that override the file's, by dotted names."""
         pairs = [each.partition("=") for each in (self.option("set") or "").split(",") if each]
         return {name: json.loads(value) for name, _, value in pairs}
 
     def experiment(self) -> spec.Spec:
-        """The experiment's file."""
+        """The specification in the experiment's file."""
         return spec.load(self.argument("file"))[0]
 
     def day(self) -> spec.Spec:
-        """The experiment's day, or one by chance."""
+        """The experiment's day, or with `--by-chance` a random one."""
         told = spec.change(self.experiment(), self.values())
         return (
             random_days.random_day(told, self.number("seed"), self.groups())
@@ -62,12 +62,13 @@
         )
 
     def findings(self, found: HuntResult) -> int:
-        """Print what is broken."""
+        """Print the violated rules; returns the exit code."""
         for broken in found.broken:
             self.tell(str(broken))
         return 1 if found.broken else 0
 
     def handle(self) -> int:
+        """Run the command and return its exit code; errors in arguments or files are printed, with code 2."""
         hunt.quiet()
         try:
             return self.act()
@@ -76,5 +77,5 @@
             return 2
 
     def act(self) -> int:
-        """Carry it out."""
+        """Run the command; returns the exit code."""
         raise NotImplementedError
--- a/proving/commands/capacity.py
+++ b/proving/commands/capacity.py
@@ -1,4 +1,4 @@
-"""Measures how control grows with size, and writes the page on capacity."""
+"""The command that measures how the control planes scale, and writes the capacity page."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 
 
 class CapacityCommand(ProvingCommand):
-    """Measures how control grows, and writes the page on capacity."""
+    """Measures how the control planes scale with size, and writes the capacity page."""
 
     name = "capacity"
     description = "Measure how control grows with size, and write the page on capacity from that."
@@ -31,6 +31,7 @@
     ]
 
     def act(self) -> int:
+        """Run the chosen studies and write the page, unless recordings are missing."""
         from tqdm import tqdm
 
         from proving.capacity import page, studies
--- a/proving/commands/hunt.py
+++ b/proving/commands/hunt.py
@@ -1,4 +1,4 @@
-"""Plays days by chance and shrinks what breaks a rule."""
+"""The command that simulates random days and shrinks those that violate a rule."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 
 
 class HuntCommand(ProvingCommand):
-    """Plays days by chance."""
+    """Simulates random days and shrinks those that violate a rule."""
 
     name = "hunt"
     description = "Play days by chance; what breaks a rule is shrunk and printed. Seeds go on record."
@@ -30,6 +30,7 @@
     ]
 
     def act(self) -> int:
+        """Simulate, shrink and record; 1 if a rule is violated."""
         from tqdm import tqdm
 
         first, count = self.number("first"), self.number("seeds") or 100
--- a/proving/commands/loopback.py
+++ b/proving/commands/loopback.py
@@ -1,4 +1,4 @@
-"""Plays a day over loopback, against the real programs."""
+"""The command that runs a day over loopback against the real programs."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 
 
 class LoadCommand(ProvingCommand):
-    """Plays a day over loopback."""
+    """Runs a day over loopback against the real programs, and compares it with the simulation."""
 
     name = "load"
     description = "Play a day over loopback against the real programs, and the same one in the model."
@@ -25,6 +25,7 @@
     ]
 
     def act(self) -> int:
+        """Run the day and print the metrics of both."""
         from proving.loopback.driver import compare
 
         recordings = Path(self.option("recordings")) if self.option("recordings") else None
--- a/proving/commands/plan.py
+++ b/proving/commands/plan.py
@@ -1,4 +1,4 @@
-"""Compares days with and without a change."""
+"""The command that compares days with and without a change."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 
 
 class PlanCommand(ProvingCommand):
-    """What a change would do."""
+    """Estimates the impact of a change."""
 
     name = "plan"
     description = "Compare days with and without a change: core=N, lose-zone=ZONE, roll-out=SECONDS, grow=N."
@@ -20,6 +20,7 @@
     options: ClassVar[list[Option]] = [SEEDS, CORES]
 
     def act(self) -> int:
+        """Simulate the plan; 1 if a rule is violated after the change."""
         from proving import planner
 
         plan = planner.make(self.experiment(), self.argument("change"))
--- a/proving/commands/recordings.py
+++ b/proving/commands/recordings.py
@@ -1,4 +1,4 @@
-"""Keeps recordings of a day's processes, and plays them again."""
+"""Commands that record the processes of a day, and replay recordings."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 
 
 class RecordCommand(ProvingCommand):
-    """Keeps recordings of all processes of a day."""
+    """Records all processes of a simulated day, and replays the recordings."""
 
     name = "record"
     description = "Play one day, keep a recording of each process, and play those again."
@@ -27,6 +27,7 @@
     ]
 
     def act(self) -> int:
+        """Record the day and replay each process; 1 if a replay differs."""
         from proving import recording
         from proving.model.simulation_run import Run
 
@@ -50,7 +51,7 @@
 
 
 class ReplayCommand(ProvingCommand):
-    """Feeds a recording through the state machines again."""
+    """Replays a recording, or prints it."""
 
     name = "replay"
     description = "Feed a recording through the state machines again, or print it."
@@ -62,6 +63,7 @@
     ]
 
     def act(self) -> int:
+        """Replay the file, or print it; 1 if an output differs, 2 if the recording is incomplete."""
         from proving import recording
 
         head, count, steps = recording.load(Path(self.argument("file")))
--- a/proving/commands/reports.py
+++ b/proving/commands/reports.py
@@ -1,4 +1,4 @@
-"""Commands that print tables: of standard days, of the programs' log lines, of injected bugs."""
+"""Commands that print tables: of standard days, of the programs' log lines, and of injected bugs."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 
 
 class StandardCommand(ProvingCommand):
-    """Plays a site's standard days."""
+    """Simulates a site's standard days."""
 
     name = "standard"
     description = "Play the standard days of a site, their troubles at times by chance."
@@ -22,6 +22,7 @@
     options: ClassVar[list[Option]] = [SEEDS, CORES]
 
     def act(self) -> int:
+        """Print the table of the days."""
         from proving import standard_days
 
         for line in standard_days.table(
@@ -32,7 +33,7 @@
 
 
 class AllowanceCommand(ProvingCommand):
-    """A day of the quota plane."""
+    """Reports on the quota plane over a day."""
 
     name = "allowance"
     description = "Report on allowances over a day, from the lines that programs wrote with --counts."
@@ -40,6 +41,7 @@
     options: ClassVar[list[Option]] = [option("out", "o", "Folder.", flag=False, default="found/proving")]
 
     def act(self) -> int:
+        """Write the report; 1 if a view lies outside what was replied."""
         from proving import allowance, allowance_report
 
         lines: list[allowance.LogLine] = []
@@ -56,7 +58,7 @@
 
 
 class CompareCommand(ProvingCommand):
-    """Holds the model against the bench."""
+    """Compares the simulation model with the bench."""
 
     name = "compare"
     description = "Play the standard days that entries of the journal tell of; print both as markdown."
@@ -64,6 +66,7 @@
     options: ClassVar[list[Option]] = [SEEDS, CORES]
 
     def act(self) -> int:
+        """Print both as markdown."""
         from proving import comparison
 
         found = comparison.pairs(self.argument("entries"), self.number("seeds") or 3, self.number("cores"))
@@ -73,13 +76,14 @@
 
 
 class LossesCommand(ProvingCommand):
-    """Counts what a core bears while its members change."""
+    """Counts the disk losses that a core tolerates during membership changes."""
 
     name = "losses"
     description = "Count how many more disks of a core may go at each instant of a change of its members."
     options: ClassVar[list[Option]] = [SEEDS, CORES]
 
     def act(self) -> int:
+        """Print the table of tolerated losses."""
         from proving import disk_loss_tolerance
 
         for line in disk_loss_tolerance.table(self.number("seeds") or 20, self.number("cores")):
@@ -88,12 +92,13 @@
 
 
 class InjectedBugsCommand(ProvingCommand):
-    """Plays the days of all planted faults."""
+    """Simulates the days of all injected bugs, and verifies that the checkers find them."""
 
     name = "proofs"
     description = "Plant each fault and see that its checker finds it."
 
     def act(self) -> int:
+        """Run all cases; 1 if a checker misses its bug."""
         missed = 0
         for name, proof in injected_bug_cases.INJECTED_BUG_CASES.items():
             rules = {b.rule for b in hunt.run_once(injected_bug_cases.day(name), 1).broken}
@@ -103,7 +108,7 @@
 
 
 class OrdersCommand(ProvingCommand):
-    """Reads how long orders took."""
+    """Reports the propagation times of configuration orders."""
 
     name = "orders"
     description = "From a day's log lines: times to an order's acknowledgement and to the nodes in force."
@@ -113,6 +118,7 @@
     ]
 
     def act(self) -> int:
+        """Print the table of orders; 1 if there are none."""
         from proving import orders
 
         with open(self.argument("file"), encoding="utf-8", errors="replace") as file:
--- a/proving/commands/run.py
+++ b/proving/commands/run.py
@@ -1,4 +1,4 @@
-"""Plays one day and checks it."""
+"""The command that simulates one day and checks it."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 
 
 class RunCommand(ProvingCommand):
-    """Plays one day and checks it."""
+    """Simulates one day, checks it, and prints its metrics."""
 
     name = "run"
     description = "Play one day, check it, and print its figures."
@@ -21,6 +21,7 @@
     options: ClassVar[list[Option]] = [SEED, CHANCE, GROUPS, VALUES]
 
     def act(self) -> int:
+        """Simulate, check and print the day."""
         from proving.checkers import check
         from proving.measurements import measure
         from proving.model.simulation_run import play
--- a/proving/commands/sweep.py
+++ b/proving/commands/sweep.py
@@ -1,4 +1,4 @@
-"""Plays an experiment over its parameters' values."""
+"""The command that sweeps an experiment over its parameters' values."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 
 
 class SweepCommand(ProvingCommand):
-    """Plays an experiment over its parameters' values."""
+    """Sweeps an experiment over its parameters' values."""
 
     name = "sweep"
     description = "Play an experiment over values and seeds; write a table and a report."
@@ -27,6 +27,7 @@
     ]
 
     def act(self) -> int:
+        """Run the sweep and write its table and report; 1 if a rule is violated."""
         from proving import report, sweep
 
         told, over = spec.load(self.argument("file"))
--- a/proving/commands/transcript.py
+++ b/proving/commands/transcript.py
@@ -1,4 +1,4 @@
-"""Prints a day as a sequence of messages."""
+"""The command that prints the transcript of a day."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 
 
 class ShowCommand(ProvingCommand):
-    """A day as a sequence of messages."""
+    """Prints the transcript of a span of a simulated day."""
 
     name = "show"
     description = "Play one day and print what happens in a span of it, messages and all."
@@ -30,6 +30,7 @@
     ]
 
     def act(self) -> int:
+        """Simulate the day and print the transcript."""
         from proving.transcript import transcript
 
         planes = [p for p in (self.option("planes") or "").split(",") if p]
--- a/proving/comparison.py
+++ b/proving/comparison.py
@@ -1,4 +1,7 @@
-"""The model against the bench: standard days as the model plays them and as a journal tells of them."""
+"""Validation of the simulation model against the bench: standard days as simulated and as measured.
+
+Measurements are read from entries of the benchmark journal.
+"""
 
 from __future__ import annotations
 
@@ -21,11 +24,11 @@
     "failed": "failed_requests",
     "MB between zones": "zone_mb",
 }
-"""What the bench calls a figure, and what the model does."""
+"""The bench's name of each metric, and the model's."""
 
 
 class BenchModelPair(NamedTuple):
-    """A figure of a day: what the bench measured, and what the model says for each seed."""
+    """One metric of a day: the bench's measurement, and the model's value for each seed."""
 
     site: str
     day: str
@@ -34,7 +37,7 @@
 
 
 def measured(path: str | Path) -> dict[tuple[str, str], dict[str, float]]:
-    """The standard days of a journal's entry, by site and day. ValueError if it has none."""
+    """The metrics of the standard days in a journal entry, by site and day. ValueError if it has none."""
     entry = json.loads(Path(path).read_text(encoding="utf-8"))
     site = entry.get("site")
     found = {
@@ -54,7 +57,10 @@
 
 
 def pairs(paths: Sequence[str | Path], seeds: int, most: int = 0) -> dict[str, list[BenchModelPair]]:
-    """By figure, all days of some entries (later ones go before earlier) and as many seeds of the model."""
+    """By metric, all days in some entries (later ones override earlier ones), each with `seeds` simulations.
+
+    `most` limits the worker processes, 0 is no limit.
+    """
     bench = {key: figures for path in paths for key, figures in measured(path).items()}
     calls = [(*key, seed) for key in bench for seed in range(1, seeds + 1)]
     rows: dict[tuple[str, str], list[Row]] = {key: [] for key in bench}
@@ -69,14 +75,14 @@
 
 
 def ranks(values: Sequence[float]) -> np.ndarray[Any, Any]:
-    """Places in order; equal values share the mean of theirs."""
+    """Ranks of the values; equal values get the mean of their ranks."""
     _, which, counts = np.unique(np.round(values, 6), return_inverse=True, return_counts=True)
     ends = np.cumsum(counts)
     return (ends - (counts - 1) / 2)[which]
 
 
 def correlation(found: Sequence[BenchModelPair]) -> float:
-    """Spearman's: of the bench's figures and the model's means."""
+    """Spearman's rank correlation of the bench's values and the model's means; 0 if either is constant."""
     ours, theirs = ranks([float(np.mean(p.model)) for p in found]), ranks([p.bench for p in found])
     if ours.std() == 0 or theirs.std() == 0:
         return 0.0
@@ -84,7 +90,7 @@
 
 
 def tables(found: dict[str, list[BenchModelPair]]) -> Iterator[str]:
-    """Markdown: a line a day, bench and model side by side, and a line a figure with the agreement."""
+    """Yield markdown lines: one for each day, with bench and model, and one for each metric's agreement."""
     days = next(iter(found.values()))
     yield "| | " + " | ".join(f"{name}: bench | model" for name in found) + " |"
     yield "|" + " --- |" * (1 + 2 * len(found))
--- a/proving/disk_loss_tolerance.py
+++ b/proving/disk_loss_tolerance.py
@@ -1,4 +1,4 @@
-"""How many more disks of a core may go for good, at each instant of a change of its members."""
+"""Fault tolerance during membership changes: how many more disks of a core may be lost at each instant."""
 
 from __future__ import annotations
 
@@ -25,8 +25,11 @@
 
 
 class Change(NamedTuple):
-    """One change of members: the fewest losses that are borne at any instant, for how many seconds in all
-    fewer are than the core has to bear, and until when after the last newcomer's start."""
+    """The result of one membership change.
+
+    `fewest` is the least number of losses tolerated at any instant; `short_s` for how many seconds in all it
+    is below the required tolerance, and `since_start_s` until when after the last newcomer's start.
+    """
 
     fewest: int
     short_s: float
@@ -34,9 +37,10 @@
 
 
 def takes_orders(disks: Iterable[PersistentState], acknowledged: int) -> bool:
-    """Would these disks by themselves agree on orders again, with none lost that was acknowledged?
+    """Whether processes on just these disks could agree on orders again without losing an acknowledged one.
 
-    One may be elected by those of no newer entry, if they are quorums by its own; each such must have it all.
+    A process can be elected by those whose entry isn't newer, if these are quorums by its own entry; each
+    process that can be elected must have every acknowledged order.
     """
     left = list(disks)
     able = [
@@ -49,7 +53,7 @@
 
 
 def borne(disks: Sequence[PersistentState], acknowledged: int) -> int:
-    """How many of these disks may go for good, whichever they are; -1 if even these take no orders."""
+    """How many of these disks, whichever they are, may be lost; -1 if even all of them take no orders."""
     for lost in range(len(disks) + 1):
         if not all(takes_orders(left, acknowledged) for left in combinations(disks, len(disks) - lost)):
             return lost - 1
@@ -57,17 +61,17 @@
 
 
 class DiskLossMonitor:
-    """Looks at the disks of a deployment after each event."""
+    """Records the tolerated disk losses of a simulated deployment after each event."""
 
     def __init__(self, deployment: Deployment) -> None:
         self.deployment = deployment
         self.state: object = None
-        self.rows: list[tuple[float, int]] = []  # from when on, how many losses
+        self.rows: list[tuple[float, int]] = []  # start time, tolerated losses
         self.empty: set[str] = set()
         self.started = 0.0  # the last time that a process began on an empty disk
 
     def look(self) -> None:
-        """Count anew if a disk has another record, one came or went, or more was acknowledged."""
+        """Recompute if a disk's record has changed, a disk came or went, or more orders are acknowledged."""
         now = self.deployment.simulator.now
         machines = [m for m in self.deployment.machines.values() if m.core and not m.removed]
         empty = {m.name for m in machines if m.disk.stored is None and m.processes}
@@ -91,7 +95,7 @@
 
 
 def play(disks: int, kind: str, seed: int) -> tuple[int, str, Change]:
-    """One change of a core that takes orders all the while, at an instant by chance."""
+    """Simulate one membership change, at a random time, of a core that takes orders continuously."""
     tolerance = disks // 2
     spec = Spec(controllers=CORES[disks], proxies=CORES[disks], tolerance=tolerance, day=Day(traffic=False))
     at = AT_S + random.Random(seed).random()
@@ -114,7 +118,7 @@
 
 
 def summary(watch: DiskLossMonitor, tolerance: int) -> Change:
-    """What the instants that were looked at come to."""
+    """Summarize the recorded instants against the required tolerance."""
     ends = [*(at for at, _ in watch.rows[1:]), AT_S + FOR_S]
     short = [(end, end - at) for (at, bears), end in zip(watch.rows, ends, strict=True) if bears < tolerance]
     last = max((end for end, _ in short), default=0.0)
@@ -126,7 +130,7 @@
 
 
 def table(seeds: int, cores: int) -> list[str]:
-    """Lines of a markdown table: one for each size of a core and kind of change."""
+    """A markdown table with one line for each core size and kind of change."""
     found: dict[tuple[int, int], list[Change]] = {}
     names = list(KINDS.values())
     calls = [
--- a/proving/hunt.py
+++ b/proving/hunt.py
@@ -1,4 +1,4 @@
-"""A hunt: days by chance until a rule is broken; what broke it is then made as short as it can be."""
+"""Randomized testing: simulate random days, and shrink those that violate a rule to a short schedule."""
 
 from __future__ import annotations
 
@@ -18,11 +18,11 @@
 
 T = TypeVar("T")
 
-ROUNDED = (1.0, 0.1)  # seconds, to which times are rounded where that changes nothing
+ROUNDED = (1.0, 0.1)  # seconds, to which a shrunk schedule's times are rounded where possible
 
 
 class HuntResult(NamedTuple):
-    """A day, and what is broken in it."""
+    """A simulated day, the rules violated in it, and metrics of the run."""
 
     seed: int
     spec: Spec
@@ -31,18 +31,18 @@
 
 
 def run_once(spec: Spec, seed: int) -> HuntResult:
-    """Play one day and check it."""
+    """Simulate one day and check it."""
     record = play(spec, seed)
     return HuntResult(seed, spec, check(record), record.all_done())
 
 
 def run_random_day(spec: Spec, seed: int, groups: tuple[str, ...]) -> HuntResult:
-    """Play and check the day that a seed makes."""
+    """Simulate and check the random day of a seed."""
     return run_once(random_days.random_day(spec, seed, groups), seed)
 
 
 def source() -> str:
-    """The commit that is played, with a plus sign if the sources differ from it."""
+    """The short hash of the tested commit, with a plus sign if the sources differ from it."""
 
     def git(*words: str) -> str:
         return subprocess.run(
@@ -54,19 +54,19 @@
 
 
 def quiet() -> None:
-    """The programs' own logs are not shown; errors go on record."""
+    """Silence the programs' own logs in this process, except errors, which the simulation records."""
     root = logging.getLogger()
     root.handlers[:] = [logging.NullHandler()]
     root.setLevel(logging.ERROR)
 
 
 def workers(most: int = 0) -> int:
-    """How many processes to use."""
+    """The number of worker processes: one for each available core, `most` at most (0: no limit)."""
     return max(1, min(most or 999, len(os.sched_getaffinity(0))))
 
 
 def on_all_cores(call: Callable[..., T], calls: Iterable[tuple[Any, ...]], most: int = 0) -> Iterator[T]:
-    """The results of many calls as they come, from as many processes as there are cores (`most` at most)."""
+    """Yield the results of many calls, as they complete, from a pool of `workers(most)` processes."""
     with ProcessPoolExecutor(workers(most), initializer=quiet) as pool:
         waiting = [pool.submit(call, *arguments) for arguments in calls]
         try:
@@ -78,15 +78,15 @@
 
 
 def hunt(spec: Spec, seeds: Iterable[int], groups: tuple[str, ...], most: int = 0) -> Iterator[HuntResult]:
-    """Days by chance, one a seed."""
+    """Simulate and check one random day for each seed; results come as they complete."""
     return on_all_cores(run_random_day, ((spec, seed, groups) for seed in seeds), most)
 
 
 def shrink(
     found: HuntResult, rule: str = "", most: int = 300, tell: Callable[[Spec], Any] = lambda spec: None
 ) -> HuntResult:
-    """A shorter day that breaks the same rule: troubles are left out, made shorter, moved to round times. At
-    most `most` days are played for that."""
+    """Shrink a day to a shorter one that violates the same rule: disruptions are removed, made shorter and
+    moved to round times. At most `most` days are simulated; `tell` is called with each improvement."""
     rule = rule or found.broken[0].rule
     best, left = found, [most]
 
@@ -113,7 +113,7 @@
 
 
 def _without_more(spec: Spec, still: Callable[[Spec], bool]) -> None:
-    """Leave out what isn't a trouble of the schedule, and the time after it broke."""
+    """Remove what isn't a disruption of the schedule: configuration changes, the closing fault, traffic."""
     for day in (replace(spec.day, config_changes=0.0), replace(spec.day, closing=0.0)):
         if day != spec.day and still(replace(spec, day=day)):
             spec = replace(spec, day=day)
@@ -123,7 +123,7 @@
 
 
 def _fewer(found: HuntResult, still: Callable[[Spec], bool]) -> bool:
-    """Leave out halves, quarters and so on, down to single troubles."""
+    """Remove a half, a quarter and so on of the disruptions, down to single ones; False if none could be."""
     disruptions = found.spec.disruptions
     size = max(1, len(disruptions) // 2)
     while size:
--- a/proving/injected_bug_cases.py
+++ b/proving/injected_bug_cases.py
@@ -1,4 +1,4 @@
-"""For each planted fault: the rule whose checker has to find it, and a short day on which it shows."""
+"""Test cases of the checkers: for each injected bug, the rule it violates and a short day that shows it."""
 
 from __future__ import annotations
 
@@ -23,7 +23,7 @@
 
 
 class InjectedBugCase(NamedTuple):
-    """A rule, and a day that breaks it with the fault planted and keeps it without."""
+    """A rule, and a day that violates it with the bug injected, and doesn't without."""
 
     rule: str
     disruptions: tuple[Disruption, ...] = ()
@@ -75,7 +75,7 @@
 
 
 def day(name: str, injected_bug: bool = True) -> Spec:
-    """The day on which a fault shows, with it or without."""
+    """The day that shows a bug, with the bug injected or without."""
     proof = INJECTED_BUG_CASES[name]
     played = replace(SMALL.day, seconds=proof.seconds, closing=proof.closing)
     return replace(
@@ -84,8 +84,8 @@
 
 
 def calls(injected_bug: str = "") -> Spec:
-    """A day on which answers are lost, doubled, late, cut and spoilt while backends close connections that
-    have just become idle, end, and leave their addresses to others."""
+    """A day on which responses are lost, duplicated, late, truncated and corrupted, while backends close
+    connections that have just become idle, exit, and leave their addresses to others."""
     services = tuple(replace(s, idle_s=0.4, closes=0.1) for s in SMALL.services)
     kinds = ("answer_double", "answer_late", "garble", "answer_lost", "answer_short") + 2 * ("srv_crash",)
     which = [(kind, 40 * n + turn) for turn in range(3) for n, kind in enumerate(kinds)]
--- a/proving/log_lines.py
+++ b/proving/log_lines.py
@@ -1,4 +1,4 @@
-"""Lines of a day's log that came from one logger of the programs, whatever stands before them."""
+"""Reads the JSON log lines of one of the programs' loggers, with any prefix."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 
 
 def objects(lines: Iterable[str], logger: str) -> Iterator[tuple[str, dict[str, Any]]]:
-    """What stands before each JSON object of that logger, and the object; lines cut off are passed over."""
+    """Yield the prefix and the JSON object of each line of that logger; truncated lines are skipped."""
     for line in lines:
         begin = line.find("{")
         if begin < 0 or logger not in line:
--- a/proving/measurements.py
+++ b/proving/measurements.py
@@ -1,4 +1,4 @@
-"""Figures of a run: what was served and how fast, how long troubles were felt, what was said for it."""
+"""Metrics of a simulation run: requests served, latency, worth earned, impact of disruptions, messages."""
 
 from __future__ import annotations
 
@@ -10,14 +10,14 @@
 from proving.model.record import Record, Sent
 from proving.spec import Kind, Spec
 
-MOST_MS = 120_000
-LAST_S = 2.0  # of a day, whose requests may still be under way
-WINDOW_S = 4  # of the worst windows of worth, as their depth after closing faults tells
-USUAL_PART = 0.9  # of the usual share served, below which a second counts as felt
+MOST_MS = 120_000  # upper bound of the latency histogram
+LAST_S = 2.0  # end of a day, of which requests may still be in flight
+WINDOW_S = 4  # length of the worst windows of worth, inferred from their depth after closing faults
+USUAL_PART = 0.9  # of the usual fraction served, below which a second counts as affected
 
 
 class SecondCounts(NamedTuple):
-    """By second of the day: requests wanted, how many were served at all, how many within their aim."""
+    """By second of the day: requests sent by clients, those served, and those served within the objective."""
 
     wanted: np.ndarray[Any, Any]
     served: np.ndarray[Any, Any]
@@ -25,7 +25,7 @@
 
 
 def seconds(record: Record, spec: Spec) -> SecondCounts:
-    """What became of the requests of each second."""
+    """Count the requests by the second in which they were first sent, and their outcomes."""
     n = int(record.until) + 1
     aims = {kind.name: kind.aim_s for kind in spec.kinds}
     wanted = np.bincount([int(at) for at, *_ in record.wanted], minlength=n)
@@ -37,8 +37,10 @@
 
 
 def owed(record: Record, spec: Spec) -> np.ndarray[Any, Any]:
-    """By second of the day, three rows: worth owed, earned, and earned if lateness cost nothing. What a
-    tenant asks beyond its rate within a second isn't owed."""
+    """An array of three rows by second of the day: worth owed, earned, and earned if lateness cost nothing.
+
+    What a tenant requests beyond its rate within a second isn't owed.
+    """
     kinds = {kind.name: kind for kind in spec.kinds}
     limits = {
         e["metadata"]["label"]: e["spec"]["rate-per-s"] or 1e9
@@ -66,7 +68,7 @@
 
 
 def tries_of(record: Record) -> list[list[Sent]]:
-    """The tries of each request, in their order."""
+    """The tries of each request in order; probes are left out."""
     found: dict[int, list[Sent]] = {}
     for sent in record.sent:
         if not sent.probe:
@@ -75,8 +77,8 @@
 
 
 def earns(kind: Kind, tries: list[Sent], record: Record) -> float:
-    """What a request that was served earns: less if it was late, the mean if it was refused at once and came
-    back in time."""
+    """The worth that a served request earns: less if it was late, and the mean of both if it was refused
+    early and its last try was in time."""
     begun, ended = record.answered[tries[0].attempt], record.answered[tries[-1].attempt].at
     if ended <= tries[0].at + kind.aim_s:
         return kind.worth
@@ -87,7 +89,7 @@
 
 
 def worst_windows(by: np.ndarray[Any, Any]) -> float:
-    """The part of the worth owed that is earned in the two worst windows of `WINDOW_S` that don't overlap."""
+    """The fraction of worth earned, as a mean of the two worst windows of `WINDOW_S` that don't overlap."""
     due, got = (np.convolve(row, np.ones(WINDOW_S), "valid") for row in by[:2])
     parts = np.divide(got, due, out=np.ones_like(due), where=due > 0.25 * due.max(initial=0.0))
     first = int(parts.argmin())
@@ -96,8 +98,8 @@
 
 
 def unserved(record: Record) -> tuple[int, int]:
-    """Requests that ended refused, and those that ended in another way without success, perhaps without an
-    ingress to go to."""
+    """The number of requests that were refused at last, and of those that failed in other ways, perhaps
+    because there was no ingress to send them to."""
     lasts = [record.answered.get(tries[-1].attempt) for tries in tries_of(record)]
     refused = sum(last is not None and last.status in (429, 503) for last in lasts)
     under_way = sum(last is None for last in lasts)
@@ -105,7 +107,7 @@
 
 
 def histogram(record: Record) -> HdrHistogram:
-    """Times of what was served, in ms."""
+    """Histogram of the latency of served requests, in ms."""
     found = HdrHistogram(1, MOST_MS, 3)
     for *_, took in record.served:
         found.record_value(max(1, int(1000 * took)))
@@ -113,7 +115,7 @@
 
 
 def felt(by: SecondCounts, begins: float, ends: float) -> tuple[int, float]:
-    """How many seconds of a span less was served than usual, and the part lost in the worst of them."""
+    """The number of seconds in a span with less served than usual, and the fraction lost in the worst one."""
     wanted, served = by.wanted, by.served
     total = wanted.sum()
     usual = served.sum() / total if total else 1.0
@@ -127,8 +129,8 @@
 
 
 def spread(record: Record) -> list[float]:
-    """For each change of the configuration, seconds from its acknowledgement until the last ingress that was
-    in by then has taken it up; changes that were overtaken aren't counted."""
+    """For each configuration change, the seconds from its acknowledgement until the last ingress has adopted
+    it; changes that were superseded before aren't counted."""
     found = []
     orders = [o for o in record.orders if o.status == 200]
     for order, after in zip(orders, [*orders[1:], None], strict=True):
@@ -143,7 +145,7 @@
 
 
 def measure(record: Record, spec: Spec) -> dict[str, float]:
-    """All figures of a run, flat, for tables and plots."""
+    """All metrics of a run by name, for tables and plots."""
     by, times = seconds(record, spec), histogram(record)
     worth = owed(record, spec)
     asked, earned, at_all = worth.sum(axis=1)
--- a/proving/orders.py
+++ b/proving/orders.py
@@ -1,7 +1,7 @@
-"""How long the operator's orders took, from the log lines of a day: to the answer, and to the nodes.
+"""Times of configuration orders, from the log lines of a day: to the acknowledgement, and to each node.
 
-Lines are found by the JSON object in them (`gateway.runtime.config_events`); what stands before it, a time
-and a node's name perhaps, may be anything.
+Lines are recognized by their JSON object (`gateway.runtime.config_events`); they may have any prefix, such
+as a time and a node's name.
 """
 
 from __future__ import annotations
@@ -20,7 +20,7 @@
 
 
 class LogLine(NamedTuple):
-    """What a line tells, and when in seconds."""
+    """A log line: its time in seconds, its message, and its object."""
 
     at: float
     what: str
@@ -29,19 +29,22 @@
 
 @dataclass
 class Order:
-    """An order that was taken. Times are seconds after it came; nodes as they put it in force."""
+    """An order that was accepted. `came` is its time; other times are in seconds after that.
+
+    `nodes` has, for each node, when it put the order in force.
+    """
 
     version: int
     generation: int
     came: float
     ack_s: float | None = None
     nodes: dict[str, float] = field(default_factory=dict)
-    anew: int = 0  # nodes that began with it afterwards
-    missing: int = 0  # nodes that were there and have told nothing of it
+    anew: int = 0  # nodes that started with it afterwards
+    missing: int = 0  # nodes that were running and haven't logged it
 
 
 def read(lines: Iterable[str], by_prefix: bool) -> list[LogLine]:
-    """The lines that are about orders, by time: the first number before the object, or its own time."""
+    """The lines about orders, sorted by time: the first number in the prefix, or the object's own time."""
     found = []
     for before, told in objects(lines, LOGGER):
         number = NUMBER.search(before)
@@ -53,7 +56,7 @@
 
 
 def orders(lines: list[LogLine]) -> list[Order]:
-    """All orders that were taken, and what became of them."""
+    """All orders that were accepted, with their times."""
     found: dict[tuple[int, int], Order] = {}
     forces: list[LogLine] = []
     for line in lines:
@@ -72,7 +75,7 @@
 
 
 def _spread(order: Order, forces: list[LogLine]) -> None:
-    """See when each node had the order, or a later one, in force."""
+    """Set when each node put the order, or a later one, in force."""
     known, told = set[str](), set[str]()
     for line in forces:
         node, version = line.told["node"], line.told["version"]
@@ -88,7 +91,7 @@
 
 
 def table(found: list[Order]) -> list[str]:
-    """A line an order, then median and worst of all."""
+    """A text table: one line for each order, then the median and the worst of all."""
     rows = [("generation", "version", "acknowledged-s", "nodes", "median-s", "last-s", "anew", "missing")]
     for o in found:
         times = list(o.nodes.values())
--- a/proving/planner.py
+++ b/proving/planner.py
@@ -1,4 +1,4 @@
-"""What a change would do to a deployment: the same days with and without it, from the same model."""
+"""Impact of a change to a deployment, estimated by simulating the same days with and without it."""
 
 from __future__ import annotations
 
@@ -34,7 +34,7 @@
 
 
 class Plan(NamedTuple):
-    """A day before and after a change. `began` is when the change strikes, in seconds; 0: from the start."""
+    """A day without and with a change. `began` is when it takes effect, in seconds; 0: from the start."""
 
     title: str
     before: Spec
@@ -43,7 +43,7 @@
 
 
 def core(spec: Spec, size: str) -> Plan:
-    """The core gets another number of members, spread over the zones."""
+    """Plan: the core gets `size` members, spread over the zones."""
     n = int(size)
     zones = len(spec.zones)
     controllers = tuple(n // zones + (z < n % zones) for z in range(zones))
@@ -53,7 +53,7 @@
 
 
 def lose_zone(spec: Spec, zone: str) -> Plan:
-    """A zone loses power for good."""
+    """Plan: a zone, given by name or index, loses power permanently."""
     number = spec.zones.index(zone) if zone in spec.zones else int(zone or 0)
     at = spec.day.warm + 10.0
     disruption = Disruption("zone_lost", at, spec.day.seconds, number)
@@ -66,7 +66,7 @@
 
 
 def roll_out(spec: Spec, apart: str) -> Plan:
-    """A version of the system is rolled out: machine by machine, `apart` seconds from one to the next."""
+    """Plan: a new version is rolled out machine by machine, `apart` seconds from one to the next."""
     gap, at = float(apart or 7.0), spec.day.warm + 5.0
     needed = at + gap * sum(spec.proxies) + spec.bounds.grace_s + 10.0
     before = replace(spec, day=replace(spec.day, seconds=max(spec.day.seconds, needed)))
@@ -79,7 +79,7 @@
 
 
 def grow(spec: Spec, factor: str) -> Plan:
-    """Traffic, ingresses and backends grow by a factor; the core stays."""
+    """Plan: traffic, ingresses and backends grow by a factor, and the core stays."""
     times = float(factor)
 
     def more(service: Service) -> Service:
@@ -103,7 +103,7 @@
 
 
 def make(spec: Spec, change: str) -> Plan:
-    """The plan for a change, told as `name` or `name=value`; ValueError where there is none of that name."""
+    """The plan for a change, given as `name` or `name=value`; ValueError for an unknown name."""
     name, _, value = change.partition("=")
     if name not in CHANGES:
         raise ValueError(f"{name}: no change; there are {', '.join(CHANGES)}")
@@ -111,18 +111,18 @@
 
 
 class Outcome(NamedTuple):
-    """What a plan comes to: means before and after by figure, what is broken, what is felt and how long."""
+    """The result of a plan: the metrics' means before and after, violated rules, and the change's impact."""
 
     plan: Plan
     runs: int
     means: dict[str, tuple[float, float]]
     broken: tuple[list[str], list[str]]
     felt_s: float  # seconds with less served than usual, after the change
-    lost: float  # part lost in the worst of them
+    lost: float  # fraction lost in the worst of them
 
 
 def play(plan: Plan, seeds: Sequence[int], most: int = 0) -> Outcome:
-    """Play both for all seeds."""
+    """Simulate both days for all seeds, with at most `most` processes (0: no limit)."""
     calls = [
         (spec, {"name": name}, seed)
         for name, spec in (("before", plan.before), ("after", plan.after))
@@ -151,7 +151,7 @@
 
 
 def told(outcome: Outcome) -> str:
-    """The outcome as text."""
+    """An outcome as text for a terminal."""
     plan = outcome.plan
     lines = [f"{plan.title}: {outcome.runs} days before and after", "", f"{'before':>12}{'after':>12}"]
     for figure, text in FIGURES:
--- a/proving/random_days.py
+++ b/proving/random_days.py
@@ -1,4 +1,4 @@
-"""Days by chance: a seed makes circumstances, and a schedule of troubles that the deployment has to bear."""
+"""Random days: a seed determines the circumstances, and disruptions that the deployment must tolerate."""
 
 from __future__ import annotations
 
@@ -23,7 +23,7 @@
     "disk_hang",
     "disk_slow",
 )
-"""Troubles that befall the core: as many at once as it has to bear."""
+"""Disruptions of the core: as many at once as it must tolerate."""
 
 HERD = ("herd_kill", "all_kill", "after_ack_all", "all_power")
 EDGE = ("node_kill", "power", "freeze", "slow", "stop", "node_cut", "half_cut", "lossy", "squeeze", "lag")
@@ -60,7 +60,7 @@
 
 
 def random_day(spec: Spec, seed: int, groups: tuple[str, ...] = tuple(GROUPS)) -> Spec:
-    """A day of some troubles, alone and together; the core's come one after the other."""
+    """A day with random disruptions, which may overlap, except those of the core, which come one by one."""
     spec = varied(spec, seed)
     rng = random.Random(f"day {seed}")
     begins, ends = spec.day.warm + 2.0, spec.day.seconds - 8.0
@@ -96,7 +96,7 @@
 
 
 def varied(spec: Spec, seed: int) -> Spec:
-    """The deployment with some of its circumstances by chance: links, a larger core, backends when full."""
+    """The deployment with some parameters drawn at random: links, core size, behaviour of full backends."""
     rng = random.Random(f"circumstances {seed}")
     links = replace(spec.links, loss=rng.choice([0.0, 0.001, 0.02]), twice=rng.choice([0.0, 0.0, 0.02]))
     services = tuple(
@@ -114,7 +114,7 @@
 
 
 def told(spec: Spec) -> str:
-    """A day's schedule, a line a trouble."""
+    """A day's schedule as text, one line for each disruption."""
     lines = [f"{t.at:7.2f} s  {t.kind} ({t.which}), {t.lasts:g} s, x{t.much:g}" for t in spec.disruptions]
     if spec.day.closing:
         lines.append(f"{spec.day.closing:7.2f} s  closing fault: {spec.day.closing_kind}")
--- a/proving/recorded_program.py
+++ b/proving/recorded_program.py
@@ -1,8 +1,8 @@
-"""A program of the system with a recording, which goes to the folder $PROVING_RECORDINGS at its end.
+"""Runs a program of the system with a recording, which is written to the folder $PROVING_RECORDINGS on exit.
 
     python -m proving.recorded_program proxy|controller
 
-The program is the same; only its state machines are listened to, which costs it some time.
+The program is unchanged; only its state machines' inputs and outputs are recorded, at some cost in time.
 """
 
 from __future__ import annotations
@@ -24,7 +24,7 @@
 
 
 class RecordedController(ControllerNode):
-    """The controller's machines, listened to."""
+    """A controller whose state machines are recorded."""
 
     def __init__(
         self, driver: Any, clock: Callable[[], float], settings: Any, stored: Any, rng: random.Random
@@ -37,7 +37,7 @@
 
 
 class RecordedProxy(ProxyNode):
-    """The proxy's machines, listened to."""
+    """A proxy whose state machines are recorded."""
 
     def __init__(
         self,
@@ -55,7 +55,7 @@
 
 
 def main() -> int:
-    """Run the program and write the recording at its end; the exit code."""
+    """Run the program and write the recording on exit; returns the exit code."""
     role = sys.argv[1]
     if role == "controller":
         setattr(controller, "ControllerNode", RecordedController)  # noqa: B010
--- a/proving/recording.py
+++ b/proving/recording.py
@@ -1,8 +1,8 @@
-"""Recordings: all that went into a process's state machines and what came out, to be played again.
+"""Recording and replay of the inputs and outputs of a process's state machines.
 
-A machine is its inputs, its times and its chance, so the same inputs give the same outputs; where they don't,
-something else had a say in a decision. A recording holds what a process was told at its start and each call
-of a machine's `handle` since then.
+A state machine is determined by its inputs, their times and its random generator, so a replay gives the same
+outputs; if it doesn't, a decision depends on something else. A recording holds the arguments that a process
+started with, and each call of a machine's `handle` since then.
 """
 
 from __future__ import annotations
@@ -19,12 +19,12 @@
 from gateway.programs.proxy_node import ProxyNode
 from gateway.runtime.settings import Settings
 
-MOST = 200_000  # inputs that a recording keeps; a full one is no longer replayed, only read
+MOST = 200_000  # inputs that a recording keeps; one that has dropped inputs can't be replayed, only printed
 CONTROLLER_MACHINES = ("raft", "membership", "shard_assigner", "holder")
 
 
 class RecordingHeader(NamedTuple):
-    """What a process was told at its start. `chance` is the state of its random.Random."""
+    """The arguments that a process started with. `chance` is the state of its random.Random."""
 
     role: str
     settings: Settings
@@ -34,7 +34,7 @@
 
 
 class RecordedInput(NamedTuple):
-    """One input of a machine, and its outputs."""
+    """One input of a machine (`event`, pickled) at time `now`, and its outputs as text."""
 
     machine: str
     now: float
@@ -43,14 +43,14 @@
 
 
 class Recording:
-    """Records a process. `attach` is called once its machines are there, before anything goes in."""
+    """Records a process. `attach` must be called once its machines exist, before their first input."""
 
     def __init__(self, head: RecordingHeader, most: int = MOST) -> None:
         self.head, self.steps = head, deque[RecordedInput](maxlen=most)
         self.count = 0
 
     def attach(self, glue: ControllerNode | ProxyNode) -> None:
-        """Listen at all of its machines."""
+        """Record all state machines of a process."""
         for name, machine in machines(glue):
             self._listen(name, machine)
 
@@ -67,13 +67,13 @@
         machine.handle = recorded_handle
 
     def save(self, path: Path) -> None:
-        """Write it to a file."""
+        """Write the recording to a file."""
         with open(path, "wb") as file:
             pickle.dump((self.head, self.count, list(self.steps)), file)
 
 
 def machines(glue: ControllerNode | ProxyNode) -> Iterator[tuple[str, Any]]:
-    """A process's state machines by name."""
+    """Yield a process's state machines with their names."""
     if isinstance(glue, ControllerNode):
         for name in CONTROLLER_MACHINES:
             yield name, getattr(glue, name)
@@ -83,12 +83,12 @@
 
 
 def shown(output: Any) -> str:
-    """An output as text, the same for equal ones."""
+    """An output as text, which is the same for equal outputs."""
     return f"{type(output).__name__} {' '.join(str(output).split())}"
 
 
 class NullObject:
-    """Stands in for all that is outside: does nothing, and is asked nothing."""
+    """Replaces a replayed process's environment: any method does nothing."""
 
     def __getattr__(self, name: str) -> Any:
         return lambda *args, **more: NullObject()
@@ -98,7 +98,7 @@
 
 
 class OutputDifference(NamedTuple):
-    """The first input whose outputs are others than on the recording."""
+    """The first input whose outputs differ from the recorded ones."""
 
     number: int
     step: RecordedInput
@@ -106,7 +106,7 @@
 
 
 def replay(head: RecordingHeader, steps: list[RecordedInput]) -> OutputDifference | None:
-    """Feed a whole recording through new machines; the first difference, or None."""
+    """Feed a complete recording to new state machines; returns the first difference, or None."""
     rng = random.Random()
     rng.setstate(head.chance)
     glue: Any
@@ -130,7 +130,7 @@
 
 
 def load(path: Path) -> tuple[RecordingHeader, int, list[RecordedInput]]:
-    """A recording's head, how many inputs there were in all, and those that it has kept."""
+    """Read a recording: its header, the number of all inputs, and the inputs it has kept."""
     with open(path, "rb") as file:
         return pickle.load(file)  # type: ignore[no-any-return]
 
@@ -138,7 +138,7 @@
 def told(
     steps: list[RecordedInput], begins: float = 0.0, ends: float = 1e12, longest: int = 200
 ) -> Iterator[str]:
-    """Steps as lines: what came in, and what went out for it."""
+    """Yield inputs and outputs between two times as lines of text, cut to `longest` characters."""
     for step in steps:
         if begins <= step.now <= ends:
             event = pickle.loads(step.event)
--- a/proving/report.py
+++ b/proving/report.py
@@ -1,4 +1,4 @@
-"""A report of a sweep in one HTML file, with its pictures in it."""
+"""HTML report of a sweep: one file with embedded plots."""
 
 from __future__ import annotations
 
@@ -45,7 +45,7 @@
 
 
 def picture(figure: Any) -> str:
-    """A figure as an image within HTML."""
+    """Render a matplotlib figure as an embedded HTML image, and close it."""
     data = io.BytesIO()
     figure.savefig(data, format="png", dpi=110, bbox_inches="tight")
     plt.close(figure)
@@ -53,7 +53,7 @@
 
 
 def course(found: Sequence[Row], spec: Spec) -> str:
-    """The day by second, all runs together, with its troubles."""
+    """Plot of the requests by second, averaged over all runs, with the day's disruptions."""
     most = max(len(row.course[0]) for row in found)
     total = np.zeros((3, most))
     for row in found:
@@ -78,7 +78,7 @@
 
 
 def against(points: Sequence[Summary], name: str) -> str:
-    """Figures against one parameter; the other parameters' values are lines of their own."""
+    """Plots of the metrics against one parameter, with a line for each combination of the others."""
     figure, panes = plt.subplots(2, 3, figsize=(12, 6))
     others = {str({k: v for k, v in p.values.items() if k != name}) for p in points}
     for axes, metric in zip(panes.flat, PLOTTED, strict=True):
@@ -105,7 +105,7 @@
 
 
 def table(points: Sequence[Summary]) -> str:
-    """Means of all points."""
+    """An HTML table of the metrics' means at each point of the sweep."""
     head = "".join(f"<th>{html.escape(str(n))}</th>" for n in ["point", "runs", "with a broken rule", *SHOWN])
     lines = []
     for p in points:
@@ -120,7 +120,7 @@
 
 
 def write(spec: Spec, found: Sequence[Row], path: Path, text: str = "") -> None:
-    """Write the report."""
+    """Write the report of some runs to `path`, with `text` as an introduction."""
     points = summaries(found)
     parts = [
         f"<h1>{html.escape(spec.name)}</h1>",
--- a/proving/spec.py
+++ b/proving/spec.py
@@ -1,4 +1,7 @@
-"""What a run is told: a deployment, a day and its troubles, read from TOML; fields left out have defaults."""
+"""Specification of a simulation run: deployment, day and disruptions, read from TOML; fields have defaults.
+
+Times are in seconds.
+"""
 
 from __future__ import annotations
 
@@ -13,7 +16,7 @@
 
 @dataclass(frozen=True)
 class Service:
-    """A service and its backends. `when_full`: `503`, `reset` or `silent`. Times are seconds."""
+    """A service and its backends. `when_full`, a full backend's response: `503`, `reset` or `silent`."""
 
     name: str = "service"
     backends: int = 6
@@ -21,21 +24,21 @@
     queue: int = 4
     max_conns: int = 140
     when_full: str = "503"
-    slow_when_full: float = 0.0  # times as long that work takes with all slots taken; 0: as long
+    slow_when_full: float = 0.0  # factor on the work's time with all slots taken; 0: none
     tells_load: bool = True
     cold_s: float = 3.0
-    spread: float = 0.2  # of the backends' pace
-    idle_s: float = 10.0  # after which backends close connections that carry nothing
-    closes: float = 0.01  # part of the answers after which they close the connection
+    spread: float = 0.2  # of the backends' speed
+    idle_s: float = 10.0  # after which backends close idle connections
+    closes: float = 0.01  # fraction of responses after which they close the connection
 
 
 @dataclass(frozen=True)
 class Kind:
-    """A kind of request: its route's terms, how many a second come, and their work at the backend."""
+    """A kind of request: its route's parameters, its rate (requests a second), and its work at a backend."""
 
     name: str = "kind"
     service: str = "service"
-    also: str = ""  # a service that it goes to at times
+    also: str = ""  # a service that it is sometimes routed to
     safe: bool = True
     rate: float = 20.0
     work_s: float = 0.1
@@ -43,15 +46,15 @@
     deadline_s: float = 2.5
     worth: float = 1.0
     late: float = 0.5
-    repeats: int = 2  # further tries of a client
+    repeats: int = 2  # retries by a client
     tries: int = 2
     precedence: int = 1
 
 
 @dataclass(frozen=True)
 class Tenants:
-    """How many tenants, how uneven (Zipf's exponent), and the allowance of each as a multiple of its usual
-    rate. `limited` false: none has a limit."""
+    """The tenants: their number, Zipf's exponent of their rates, and `headroom`, the allowance of each as a
+    multiple of its usual rate. Without `limited` none has a limit."""
 
     count: int = 8
     uneven: float = 0.9
@@ -62,7 +65,7 @@
 
 @dataclass(frozen=True)
 class Links:
-    """One-way delays in seconds, chance that a datagram is lost or comes twice, megabits a second."""
+    """Network links: one-way delays, probabilities that a datagram is lost or duplicated, and bandwidth."""
 
     within: float = 0.0003
     between: float = 0.0014
@@ -74,7 +77,7 @@
 
 @dataclass(frozen=True)
 class Bounds:
-    """The rules' figures, as the settings file tells them."""
+    """The parameters of the rules, as in the settings file."""
 
     seed_staleness_s: float = 3.0
     addr_reuse_s: float = 2.0
@@ -99,8 +102,10 @@
 
 @dataclass(frozen=True)
 class Disruption:
-    """Something that befalls the deployment. `at` is in seconds of the day; `lasts` in seconds; `which`
-    chooses among machines, backends or ways by a number, so that it means something in any deployment."""
+    """A fault or change during a day. It begins at `at` and lasts `lasts` seconds; `much` is its size.
+
+    `which` selects machines, backends or variants by a number that is valid in any deployment.
+    """
 
     kind: str = ""
     at: float = 0.0
@@ -111,8 +116,8 @@
 
 @dataclass(frozen=True)
 class Day:
-    """How long it is played, when traffic begins, if there is any; `load` is a factor on all rates. The
-    closing fault strikes at `closing` seconds (0: there is none), and is a kind of trouble."""
+    """A simulated day: its length, when traffic begins, if there is any, and `load`, a factor on all rates.
+    The closing fault, a kind of disruption, begins at `closing` seconds (0: there is none)."""
 
     seconds: float = 45.0
     warm: float = 10.0
@@ -121,27 +126,27 @@
     clients: int = 12  # in each zone
     closing: float = 0.0
     closing_kind: str = "all_power"
-    config_changes: float = 0.0  # mean seconds between changes of the configuration; 0: none but troubles
-    bodies: int = 300  # bytes of the bodies of requests that may not be repeated, at most
-    impatient: float = 0.1  # part of the clients that come back at once, and more often
+    config_changes: float = 0.0  # mean seconds between configuration changes; 0: none but disruptions
+    bodies: int = 300  # largest body of requests that may not be repeated, in bytes
+    impatient: float = 0.1  # fraction of the clients that retry at once, and more often
 
 
 @dataclass(frozen=True)
 class Spec:
-    """A whole experiment's run, but for its seed."""
+    """Everything that determines a simulation run, except its seed."""
 
     name: str = "unnamed"
     zones: tuple[str, ...] = ("kgn-a", "kgn-b", "kgn-c")
     controllers: tuple[int, ...] = (1, 1, 1)
     proxies: tuple[int, ...] = (5, 5, 4)
     sampling_active: int = 0
-    tolerance: int = 1  # machines of the core that may be lost at once
+    tolerance: int = 1  # number of core machines that may be lost at once
     beat_s: float = 1.3
-    disk_s: float = 0.002  # of one sync
-    cost_s: float = 0.0001  # of processor time for an event
-    tick_factor: float = 1.0  # times as long between ticks as in the programs
-    serialized: bool = False  # messages go as bytes and are read again
-    injected_bug: str = ""  # a fault that is put into the system, for the checkers to find
+    disk_s: float = 0.002  # time of one sync
+    cost_s: float = 0.0001  # processor time of one event
+    tick_factor: float = 1.0  # factor on the programs' tick intervals
+    serialized: bool = False  # whether messages are serialized and parsed
+    injected_bug: str = ""  # name of a bug injected into the system, which the checkers must find
     services: tuple[Service, ...] = (Service(),)
     kinds: tuple[Kind, ...] = (Kind(),)
     tenants: Tenants = Tenants()
@@ -153,7 +158,7 @@
 
 @dataclass(frozen=True)
 class Sweep:
-    """Which parameters take which values, for which seeds. Names are dotted, as `day.load`."""
+    """Values of parameters (by dotted names such as `day.load`) to combine, and the seeds for each point."""
 
     seeds: int = 20
     first_seed: int = 1
@@ -164,7 +169,7 @@
 
 
 def make(cls: type[T], table: Mapping[str, Any], place: str = "") -> T:
-    """A dataclass from a table; ValueError names a field that is unknown or of the wrong type."""
+    """Make a dataclass from a table; ValueError names a field that is unknown or of the wrong type."""
     hints = get_type_hints(cls)
     known = {f.name for f in fields(cls)}  # type: ignore[arg-type]
     values: dict[str, Any] = {}
@@ -190,7 +195,7 @@
 
 
 def load(path: str | Path) -> tuple[Spec, Sweep]:
-    """An experiment's file. OSError or ValueError where it can't be had or read."""
+    """Read an experiment's file. OSError if it can't be read, ValueError if it is invalid."""
     with open(path, "rb") as file:
         table = tomllib.load(file)
     sweep = table.pop("sweep", {})
@@ -200,7 +205,7 @@
 
 
 def change(spec: Spec, values: Mapping[str, Any]) -> Spec:
-    """The experiment with some parameters at other values; names are dotted."""
+    """A copy with some parameters, given by dotted names, changed; ValueError if one is unknown."""
     for name, value in values.items():
         spec = _change(spec, name.replace("-", "_").split("."), value)
     return spec
--- a/proving/standard_days.py
+++ b/proving/standard_days.py
@@ -1,6 +1,6 @@
-"""The standard days of both sites as the model can have them: the same kinds of trouble, at times by chance.
+"""The bench's standard days of both sites, approximated: the same kinds of disruption at random times.
 
-What a day's troubles are is known from its record; their times, sizes and victims are not.
+The kinds of a day's disruptions are known from its record; their times, sizes and targets are not.
 """
 
 from __future__ import annotations
@@ -19,7 +19,7 @@
 
 SITES = Path(__file__).parent / "sites"
 LOAD = {"quiet": 0.5, "trouble": 0.5, "scale": 0.6}
-"""Of the rates that a site's page tells; the days' own requests are about half of those."""
+"""Factors on the rates in a site's page: the requests of the days are about half of those."""
 
 DAYS = {
     "bmgs-noms": {
@@ -65,16 +65,16 @@
     },
 }
 HOT_S = (6.0, 16.0)
-"""How long a hot tenant is hot: by the part of all requests that the bench's days refuse."""
+"""Range of how long a tenant is hot, inferred from the fraction of requests that the bench's days refuse."""
 
 CLOSING = ("trouble-1", "scale-1", "trouble-3")
-"""Those whose worst windows tell of a closing fault, at both sites."""
+"""Days whose worst windows indicate a closing fault, at both sites."""
 
 SHOWN = ("worth_part", "at_all_part", "worst_windows", "refused_requests", "failed_requests", "zone_mb")
 
 
 def day(site: str, name: str, seed: int) -> Spec:
-    """One of the days."""
+    """One of the days, with times drawn from a seed."""
     told = specs.load(SITES / f"{site}.toml")[0]
     rng = random.Random(f"{site} {name} {seed}")
     kind = name.partition("-")[0]
@@ -86,7 +86,7 @@
             disruption, which = "config_change", 3 if disruption == "revoke" else rng.choice((0, 1))
         much = 0.4 if disruption == "herd_kill" else 1.0
         lasts = rng.uniform(2.0, 5.0)
-        if disruption == "hot_tenant":  # one of the three largest, for long
+        if disruption == "hot_tenant":  # one of the three largest, for a long time
             at, which, lasts = rng.uniform(14.0, 22.0), which % 3, rng.uniform(*HOT_S)
         disruptions.append(Disruption(disruption, at, lasts, which, much))
     closing = seconds - 26.0 if name in CLOSING else 0.0
@@ -101,12 +101,12 @@
 
 
 def run(site: str, name: str, seed: int) -> sweep.Row:
-    """One run of a day."""
+    """Simulate one of the days; the row's values are the site and the day's name."""
     return sweep.run(day(site, name, seed), {}, seed)._replace(values={"site": site, "day": name})
 
 
 def table(site: str, seeds: int, most: int = 0) -> Iterator[str]:
-    """A line for each day: means over seeds, and their spread."""
+    """Yield the lines of a text table: for each day, the metrics' means and deviations over seeds."""
     calls = [(site, name, seed) for name in DAYS[site] for seed in range(1, seeds + 1)]
     rows = list(on_all_cores(run, calls, most))
     yield "day".ljust(12) + "".join(name.rjust(20) for name in SHOWN) + "  with a broken rule"
--- a/proving/sweep.py
+++ b/proving/sweep.py
@@ -1,4 +1,4 @@
-"""Sweeps: an experiment over values of its parameters and over seeds, on all cores."""
+"""Parameter sweeps: simulation runs over combinations of values and over seeds, on all cores."""
 
 from __future__ import annotations
 
@@ -19,7 +19,7 @@
 
 
 class Row(NamedTuple):
-    """One run: the parameters' values, its seed, its figures, what it broke, and its course by second."""
+    """One run: the parameters' values, its seed, its metrics, rule violations, and its course by second."""
 
     values: dict[str, Any]
     seed: int
@@ -29,7 +29,7 @@
 
 
 def run(spec: Spec, values: dict[str, Any], seed: int) -> Row:
-    """One run of a sweep."""
+    """Simulate, measure and check one run of a sweep."""
     changed = change(spec, values)
     record = play(changed, seed)
     course = [part.tolist() for part in seconds(record, changed)]
@@ -37,25 +37,25 @@
 
 
 def seconds_of(row: Row) -> SecondCounts:
-    """A run's course, as `measure.seconds` has it."""
+    """A run's course, in the form of `measurements.seconds`."""
     return SecondCounts(*(np.array(part) for part in row.course))
 
 
 def points(sweep: Sweep) -> list[dict[str, Any]]:
-    """All combinations of values."""
+    """All combinations of the parameters' values."""
     names = list(sweep.values)
     return [dict(zip(names, each, strict=True)) for each in itertools.product(*sweep.values.values())]
 
 
 def rows(spec: Spec, sweep: Sweep, most: int = 0, shown: bool = True) -> Iterator[Row]:
-    """All runs as they come, with a bar of progress if `shown`."""
+    """Yield all runs as they complete, with a progress bar if `shown`; `most` limits the processes."""
     calls = [(spec, values, sweep.first_seed + n) for values in points(sweep) for n in range(sweep.seeds)]
     results: Iterable[Any] = on_all_cores(run, calls, most)
     yield from tqdm(results, total=len(calls), unit="run", disable=not shown)
 
 
 class Summary(NamedTuple):
-    """A point of a sweep: means of the figures, their spread, and how many runs broke something."""
+    """A point of a sweep: the metrics' means and standard deviations over its runs, and violated rules."""
 
     values: dict[str, Any]
     runs: int
@@ -65,7 +65,7 @@
 
 
 def summaries(found: Iterable[Row]) -> list[Summary]:
-    """The runs by point, in the order of the values."""
+    """Summarize the runs by point, in the order of the values."""
     groups: dict[str, list[Row]] = {}
     for row in found:
         groups.setdefault(repr(row.values), []).append(row)
@@ -86,7 +86,7 @@
 
 
 def write_table(found: Iterable[Row], path: Path) -> None:
-    """All runs as CSV: parameters, seed, figures, and what is broken."""
+    """Write all runs as CSV: parameters, seed, metrics, and violated rules."""
     listed = sorted(found, key=lambda row: (repr(row.values), row.seed))
     if not listed:
         return
--- a/proving/transcript.py
+++ b/proving/transcript.py
@@ -1,4 +1,4 @@
-"""A run as a sequence that a person can read: troubles, orders, answers, and messages between processes."""
+"""A readable transcript of a simulation run: disruptions, orders, responses, messages between processes."""
 
 from __future__ import annotations
 
@@ -10,12 +10,12 @@
 from proving.model.simulation_run import Run
 from proving.spec import Spec
 
-LONGEST = 60  # letters of a field's value
-HIDDEN = ("value", "packed", "digest", "newest_digest")
+LONGEST = 60  # characters shown of a field's value
+HIDDEN = ("value", "packed", "digest", "newest_digest")  # fields of which only the length is shown
 
 
 def fields(message: Any, depth: int = 0) -> str:
-    """A protobuf message's fields in one line; long ones are cut short."""
+    """A protobuf message's fields in one line; long ones are truncated."""
     found = []
     for field, value in message.ListFields():
         if field.name in HIDDEN:
@@ -33,7 +33,10 @@
 
 
 class TranscriptWriter:
-    """Writes down messages as they come, within a span and of some planes."""
+    """Records messages as they arrive, within a span of time and of some planes and machines (empty: all).
+
+    With `quiet`, the heartbeats of consensus are left out.
+    """
 
     def __init__(
         self,
@@ -50,7 +53,7 @@
         run.deployment.network.watch = self.note
 
     def note(self, frm: Location, to: Location, plane: str, message: Any) -> None:
-        """A message has arrived."""
+        """Record a message that has arrived."""
         now = self.run.simulator.now
         if not self.begins <= now <= self.ends or (self.planes and plane not in self.planes):
             return
@@ -63,7 +66,7 @@
 
 
 def events(record: Record) -> Iterable[tuple[float, str]]:
-    """What befell the deployment, and what its callers saw but for the usual."""
+    """Yield, with times, the disruptions, orders, life cycles, and all responses that aren't successes."""
     for t in record.disruptions:
         yield t.begins, f"**  {t.told}, until {t.ends:.3f}"
     for o in record.orders:
@@ -95,7 +98,7 @@
     machines: Iterable[str] = (),
     quiet: bool = True,
 ) -> str:
-    """Play a day and tell what goes on in a span of it; `quiet` leaves out the agreement's beats."""
+    """Simulate a day and return the transcript of a span; `quiet` leaves out the heartbeats of consensus."""
     run = Run(spec, seed)
     transcript_writer = TranscriptWriter(run, begins, ends, planes, machines, quiet)
     record = run.play()
