Proving: message planes are consensus, membership and quota everywhere

Change: proving/planes.py has the one table of names, and reports, plans and measurements make their figures' names from it. An unknown name after `--planes` is refused.

--- a/proving/capacity/meter.py
+++ b/proving/capacity/meter.py
@@ -16,7 +16,8 @@
 from gateway.runtime.tcp_links import MAX_OUTBOUND_LINKS, OUTBOUND_IDLE_S
 from gateway.state_machine import Address
 from proving.model.network import Location, Network
-from proving.model.processes import KINDS, ControllerProcess, Program, ProxyProcess
+from proving.model.processes import ControllerProcess, Program, ProxyProcess
+from proving.planes import PLANE_NAMES
 
 MESSAGE_CLASSES: Final[dict[int, Any]] = {
     CONSENSUS: ConsensusMessage,
@@ -128,7 +129,7 @@
         if target is None or (size > MAX_DATAGRAM_BYTES and not self._link(to)):
             return
         carry = self.network.over_link if kept and size > MAX_DATAGRAM_BYTES else self.network.message
-        carry(process.place, target, KINDS[plane], size, process.arrive, to, plane, data)
+        carry(process.place, target, PLANE_NAMES[plane], size, process.arrive, to, plane, data)
 
     def take(self, sender: Address, plane: int, data: bytes) -> None:
         """Read a message and hand it to the process."""
--- a/proving/commands/transcript.py
+++ b/proving/commands/transcript.py
@@ -9,6 +9,7 @@
 from cleo.io.inputs.option import Option
 
 from proving.commands.base import CHANCE, EXPERIMENT, GROUPS, SEED, VALUES, ProvingCommand
+from proving.planes import PLANE_NAMES, check_names
 
 
 class ShowCommand(ProvingCommand):
@@ -24,16 +25,17 @@
         VALUES,
         option("begins", "b", "Seconds of the day.", flag=False, default="0"),
         option("ends", "e", "Seconds of the day.", flag=False, default="1e9"),
-        option("planes", "p", "Only these: register, rounds, quota, or none.", flag=False, default=""),
+        option("planes", "p", f"Only these: {', '.join(PLANE_NAMES.values())}.", flag=False, default=""),
         option("machines", "m", "Only messages from or to these.", flag=False, default=""),
-        option("beats", None, "With the agreement's beats."),
+        option("beats", None, "With consensus heartbeats and the responses to them."),
     ]
 
     def act(self) -> int:
         from proving.transcript import transcript
 
-        planes = [p for p in (self.option("planes") or "").split(",") if p]
-        machines = [m for m in (self.option("machines") or "").split(",") if m]
+        planes = [plane for plane in (self.option("planes") or "").split(",") if plane]
+        check_names(planes)
+        machines = [machine for machine in (self.option("machines") or "").split(",") if machine]
         self.tell(
             transcript(
                 self.day(),
--- a/proving/measurements.py
+++ b/proving/measurements.py
@@ -8,6 +8,7 @@
 from hdrh.histogram import HdrHistogram
 
 from proving.model.record import Record, Sent
+from proving.planes import byte_rate, message_rate
 from proving.spec import Kind, Spec
 
 MOST_MS = 120_000
@@ -185,6 +186,6 @@
         "zone_mb": figures["bytes_between_zones"] / 1e6,
     }
     for plane, count in figures["messages"].items():
-        out[f"{plane}_messages_a_second"] = count / day
-        out[f"{plane}_bytes_a_second"] = figures["bytes"][plane] / day
+        out[message_rate(plane)] = count / day
+        out[byte_rate(plane)] = figures["bytes"][plane] / day
     return {name: float(value) for name, value in out.items()}
--- a/proving/model/processes.py
+++ b/proving/model/processes.py
@@ -22,11 +22,11 @@
 from proving.model.proxy_sockets import ConnectionEnvironment, SimulatedServer, Upstream
 from proving.model.record import Record
 from proving.model.simulator import Process, Simulator
+from proving.planes import PLANE_NAMES
 from proving.recording import Recording, RecordingHeader
 from roadspur.net.connection_interfaces import Limits
 
 CONTROLLER_TICK_S, PROXY_TICK_S = 0.025, 0.05
-KINDS = {CONSENSUS: "register", MEMBERSHIP: "rounds", QUOTA: "franking"}
 TICK = membership.Tick()
 
 
@@ -137,14 +137,14 @@
         if target is None:
             return
         network = self.machine.network
-        network.message(self.place, target, KINDS[plane], size, self.arrive, to, plane, message)
+        network.message(self.place, target, PLANE_NAMES[plane], size, self.arrive, to, plane, message)
 
     def arrive(self, to: Address, plane: int, message: Any) -> None:
         """A message has come to another process's port, if there is one."""
         process = self.machine.deployment.at_port.get(to)
         if process is not None and plane in process.notes:
             if (watch := self.machine.network.watch) is not None:
-                watch(self.place, process.place, KINDS[plane], message)
+                watch(self.place, process.place, PLANE_NAMES[plane], message)
             process.enter(process.take, self.me, plane, message)
 
     def take(self, sender: Address, plane: int, message: Any) -> None:
--- a/proving/planner.py
+++ b/proving/planner.py
@@ -11,6 +11,7 @@
 from proving import sweep
 from proving.hunt import on_all_cores
 from proving.measurements import felt
+from proving.planes import PLANE_NAMES, byte_rate, message_rate
 from proving.spec import Disruption, Service, Spec
 
 FIGURES = (
@@ -23,12 +24,8 @@
     ("failed_part", "of the tries fail"),
     ("ack_s", "s until an order is acknowledged, at most"),
     ("spread_s", "s from then until all ingresses have it, at most"),
-    ("register_messages_a_second", "messages a second of the agreement"),
-    ("rounds_messages_a_second", "messages a second of the rounds"),
-    ("franking_messages_a_second", "messages a second of the quotas"),
-    ("register_bytes_a_second", "bytes a second of the agreement"),
-    ("rounds_bytes_a_second", "bytes a second of the rounds"),
-    ("franking_bytes_a_second", "bytes a second of the quotas"),
+    *((message_rate(plane), f"messages a second of {plane}") for plane in PLANE_NAMES.values()),
+    *((byte_rate(plane), f"bytes a second of {plane}") for plane in PLANE_NAMES.values()),
     ("zone_bytes_a_second", "bytes a second between zones"),
 )
 
--- a/proving/report.py
+++ b/proving/report.py
@@ -12,6 +12,7 @@
 import matplotlib
 import numpy as np
 
+from proving.planes import PLANE_NAMES, message_rate
 from proving.spec import Spec
 from proving.sweep import Row, Summary, summaries
 
@@ -31,9 +32,7 @@
     "ack_s",
     "spread_s",
     "zone_bytes_a_second",
-    "rounds_messages_a_second",
-    "franking_messages_a_second",
-    "register_messages_a_second",
+    *map(message_rate, PLANE_NAMES.values()),
     "times_real",
     "node_seconds_a_second",
 )
