Proving: a quiet transcript leaves out responses to heartbeats again

Cause: it looked for the text "kind=APPENDED", the former name of APPEND_RESPONSE, so all responses were shown.

Change: it compares kinds of the protocol in place of text.

--- a/proving/transcript.py
+++ b/proving/transcript.py
@@ -5,13 +5,18 @@
 from collections.abc import Iterable
 from typing import Any
 
+from gateway.consensus.consensus_pb2 import Kind
+from gateway.programs.startup import CONSENSUS
 from proving.model.network import Location
 from proving.model.record import Record
 from proving.model.simulation_run import Run
+from proving.planes import PLANE_NAMES
 from proving.spec import Spec
 
 LONGEST = 60  # letters of a field's value
 HIDDEN = ("value", "packed", "digest", "newest_digest")
+HEARTBEAT_KINDS = (Kind.HEARTBEAT, Kind.APPEND_RESPONSE)
+"""Kinds that a quiet transcript leaves out: a leader's heartbeats, and the responses to them."""
 
 
 def fields(message: Any, depth: int = 0) -> str:
@@ -49,17 +54,17 @@
         self.lines: list[tuple[float, str]] = []
         run.deployment.network.watch = self.note
 
-    def note(self, frm: Location, to: Location, plane: str, message: Any) -> None:
+    def note(self, sender: Location, receiver: Location, plane: str, message: Any) -> None:
         """A message has arrived."""
         now = self.run.simulator.now
         if not self.begins <= now <= self.ends or (self.planes and plane not in self.planes):
             return
-        if self.machines and frm.name not in self.machines and to.name not in self.machines:
+        if self.machines and sender.name not in self.machines and receiver.name not in self.machines:
             return
         text = fields(message)
-        if self.quiet and (text.startswith("kind=HEARTBEAT") or text.startswith("kind=APPENDED")):
+        if self.quiet and plane == PLANE_NAMES[CONSENSUS] and message.kind in HEARTBEAT_KINDS:
             return
-        self.lines.append((now, f"{frm.name} -> {to.name}  {plane} {text}"))
+        self.lines.append((now, f"{sender.name} -> {receiver.name}  {plane} {text}"))
 
 
 def events(record: Record) -> Iterable[tuple[float, str]]:
@@ -95,7 +100,7 @@
     machines: Iterable[str] = (),
     quiet: bool = True,
 ) -> str:
-    """Play a day and tell what goes on in a span of it; `quiet` leaves out the agreement's beats."""
+    """Play a day and tell what goes on in a span of it; `quiet` leaves out consensus heartbeats."""
     run = Run(spec, seed)
     transcript_writer = TranscriptWriter(run, begins, ends, planes, machines, quiet)
     record = run.play()
--- a/tests/system/test_transcript.py
+++ b/tests/system/test_transcript.py
@@ -3,13 +3,19 @@
 from __future__ import annotations
 
 from pathlib import Path
+from types import SimpleNamespace
+from typing import cast
 
 import pytest
 from cleo.testers.command_tester import CommandTester
 
 import proving
+from gateway.consensus.consensus_pb2 import Kind, Message
 from proving import hunt
 from proving.cli import ShowCommand
+from proving.model.network import Location
+from proving.model.simulation_run import Run
+from proving.transcript import TranscriptWriter
 
 SMALL_SITE = Path(proving.__file__).parent / "sites" / "small.toml"
 
@@ -21,3 +27,21 @@
     command = CommandTester(ShowCommand())
     assert command.execute(f"{SMALL_SITE} --planes quota,unheard") != 0
     assert "unknown plane unheard; there are consensus, membership, quota" in command.io.fetch_error()
+
+
+def shown(quiet: bool) -> list[str]:
+    """The lines of one heartbeat, its response, an entry and a vote request."""
+    run = SimpleNamespace(
+        simulator=SimpleNamespace(now=1.0), deployment=SimpleNamespace(network=SimpleNamespace())
+    )
+    writer = TranscriptWriter(cast(Run, run), 0.0, 9.0, (), (), quiet)
+    leader, follower = Location("a", "z1"), Location("b", "z2")
+    for kind in (Kind.HEARTBEAT, Kind.APPEND_RESPONSE, Kind.APPEND_ENTRIES, Kind.REQUEST_VOTE):
+        writer.note(leader, follower, "consensus", Message(kind=kind))
+    return [line for _, line in writer.lines]
+
+
+def test_a_quiet_transcript_leaves_out_heartbeats_and_the_responses_to_them() -> None:
+    kept = ["a -> b  consensus kind=APPEND_ENTRIES", "a -> b  consensus kind=REQUEST_VOTE"]
+    assert shown(quiet=True) == kept
+    assert len(shown(quiet=False)) == 4
