--- a/tests/system/test_allowance.py
+++ b/tests/system/test_allowance.py
@@ -43,7 +43,7 @@
     return allowance.merge_answers([{"node": h.me, **h.status(net.now)} for h in holdings], [])
 
 
-def test_all_nodes_agree_on_a_busy_morning_and_with_holders_lost_and_nodes_cut_off():
+def test_all_nodes_agree_on_a_busy_morning_and_with_shard_owners_lost_and_nodes_cut_off():
     net = busy()
     now = told(net)
     assert now.well and [row["tenant"] for row in now.tenants] == ["calm", "hot"]
--- a/tests/system/test_cut.py
+++ b/tests/system/test_cut.py
@@ -27,7 +27,7 @@
     return net
 
 
-def test_a_sorter_that_begins_and_hears_only_one_that_is_cut_off_serves_nobody():
+def test_a_proxy_that_begins_and_hears_only_one_that_is_cut_off_serves_nobody():
     net = cut_off()
     apart = net.cut
     new = "10.1.9.1:7660"
@@ -42,7 +42,7 @@
     assert proxy.proxy_node.version == 2 and proxy.ask("/r3/x") == 200 and proxy.drift_monitor.ready
 
 
-def test_a_sorter_that_begins_is_in_as_soon_as_a_majority_has_answered():
+def test_a_proxy_that_begins_is_in_as_soon_as_a_majority_has_answered():
     net = cut_off()
     proxy = begins(net)
     net.run(0.25)
--- a/tests/system/test_drift.py
+++ b/tests/system/test_drift.py
@@ -139,7 +139,7 @@
     assert not machine.ready and machine.handle(40.0, i.Tick())[0] == i.ReadinessChanged(True)
 
 
-def test_an_inspector_through_its_day(snapshot):
+def test_drift_detector_transcript(snapshot):
     """Awaiting the last contact with the core, behind, refusing, caught up, another digest, a claim that is
     none."""
     machine, said = DriftDetector(2.5, refuse_after_s=5.0), []
--- a/tests/system/test_membership.py
+++ b/tests/system/test_membership.py
@@ -133,7 +133,7 @@
     assert "i-1" in net.table(proxy)
 
 
-def test_postmasters_that_begin_anew_do_not_empty_the_tables():
+def test_controllers_that_restart_do_not_empty_the_tables():
     net, proxies = system()
     net.beat(P1, "i-1", 1)
     net.beat(P2, "i-2", 1, at="10.9.0.2:80")
@@ -231,7 +231,7 @@
     assert not net.got(proxy, m.Update)
 
 
-def test_sorters_follow_the_members_of_the_core_and_find_them_from_the_seeds():
+def test_proxies_follow_the_members_of_the_core_and_find_them_from_the_seeds():
     net, (proxy, _) = system()
     net.cut = lambda a, b: {a, b} == {P1, proxy}  # another controller hands it on
     net.give(P1, m.Publish(m.CORE, (1, 2), wire.encode_members([P1, P2], P2)))
--- a/tests/system/test_proving.py
+++ b/tests/system/test_proving.py
@@ -76,7 +76,7 @@
     assert {t.kind for t in short.spec.disruptions} == {"config_change"}
 
 
-def test_a_tape_played_again_gives_the_same_outputs():
+def test_a_recording_played_again_gives_the_same_outputs():
     run = Run(replace(injected_bug_cases.day("stale", injected_bug=False), disruptions=()), 2)
     run.deployment.recordings = recordings = []
     run.play()
--- a/tests/system/test_quota.py
+++ b/tests/system/test_quota.py
@@ -55,7 +55,7 @@
 
 @pytest.mark.parametrize("takes_holder", [False, True])
 @pytest.mark.parametrize("proxies,seeds", [(14, (1,)), (14, (2,)), (100, (1, 2, 3))])
-def test_a_cut_of_sorters(proxies: int, seeds: tuple[int, ...], takes_holder: bool) -> None:
+def test_a_cut_of_proxies(proxies: int, seeds: tuple[int, ...], takes_holder: bool) -> None:
     calm = []
     for seed in seeds:
         net = pressed(proxies, seed)
@@ -66,7 +66,7 @@
 
 
 @pytest.mark.parametrize("proxies,seed", [(14, 1), (100, 2)])
-def test_a_holder_killed_and_back(proxies: int, seed: int) -> None:
+def test_a_shard_owner_killed_and_back(proxies: int, seed: int) -> None:
     net = pressed(proxies, seed)
     for tenant in TENANTS:
         name = held(net, tenant)
@@ -98,7 +98,7 @@
     assert not [r for r in net.refused if r[1] == "calm" and r[0] > begun + 2.0]
 
 
-def test_sorters_killed_lose_their_shares_and_get_new_ones() -> None:
+def test_proxies_killed_lose_their_shares_and_get_new_ones() -> None:
     net = pressed(14, 4)
     for name in list(net.quota_clients)[:7]:
         net.kill(name)
@@ -160,7 +160,7 @@
     assert not [r for r in net.refused if r[0] > 14.5]  # the second window after the last one under press
 
 
-def test_what_each_charger_thinks_is_near_what_the_holder_thinks() -> None:
+def test_what_each_quota_client_counts_is_near_what_the_shard_owner_counts() -> None:
     net = pressed(14, 8)
     net.run(14.0)
     remaining, allowance, kept = net.owners[held(net, "calm")].view(net.now)["calm"]
--- a/tests/system/test_quota_machines.py
+++ b/tests/system/test_quota_machines.py
@@ -31,7 +31,7 @@
 TENANTS = Allowances({"a": (10.0, 10.0)})
 
 
-class HolderWithChargers:
+class OwnerWithClients:
     """A holder of all parts, open, with two quota clients; messages are passed on at once, if they are."""
 
     def __init__(self) -> None:
@@ -91,7 +91,7 @@
 
 
 def test_a_repeat_counts_once_wherever_it_is_charged() -> None:
-    pair = HolderWithChargers()
+    pair = OwnerWithClients()
     assert [pair.ask("s0", 7), pair.ask("s1", 7), pair.ask("s1", 8)] == ["go"] * 3
     assert pair.left() == 8.0
     pair.pass_time(2.5)
@@ -99,7 +99,7 @@
 
 
 def test_a_unit_is_given_back_once() -> None:
-    pair = HolderWithChargers()
+    pair = OwnerWithClients()
     for id in range(10):
         assert pair.ask("s0", id) == "go"
     assert pair.ask("s1", 50) == "over"
@@ -112,8 +112,8 @@
     assert [pair.ask("s0", 70), pair.ask("s0", 71)] == ["go", "over"]
 
 
-def test_an_ingress_without_a_holder_lives_within_its_share() -> None:
-    pair = HolderWithChargers()
+def test_an_ingress_without_a_shard_owner_lives_within_its_share() -> None:
+    pair = OwnerWithClients()
     for n in range(60):  # 5 a second at each, half a share
         pair.ask(f"s{n % 2}", 1000 + n)
         pair.pass_time(0.1)
@@ -133,15 +133,15 @@
 
 
 def test_a_charger_that_has_just_begun_has_no_share_and_no_limit_means_no_message() -> None:
-    pair = HolderWithChargers()
+    pair = OwnerWithClients()
     pair.lost = True
     assert pair.ask("s0", 1) == ""
     assert [charged.verdict for charged in pair.pass_time(0.3)] == ["over"]
     assert pair.ask("s0", 2, "unlimited") == "go"
 
 
-def test_a_holder_answers_only_under_its_lease_and_from_the_next_window_on() -> None:
-    pair = HolderWithChargers()
+def test_a_shard_owner_answers_only_under_its_lease_and_from_the_next_window_on() -> None:
+    pair = OwnerWithClients()
     assert pair.ask("s0", 1) == "go"
     pair.now += 2.0
     assert pair.ask("s0", 2) == "over"  # no lease, no share
@@ -152,7 +152,7 @@
 
 
 def test_messages_are_small() -> None:
-    pair, sizes = HolderWithChargers(), []
+    pair, sizes = OwnerWithClients(), []
     quota_client, first = pair.quota_clients["s0"], attempt_number("9c41d07be2a35f68")
     for id in range(first, first + 30):
         for send in quota_client.handle(pair.now, ChargeRequest(id, "a", 3, 0.1)):
@@ -281,7 +281,7 @@
     assert "['p0', 'p1', 'p2']" in [line for line in core.lines if " table " in line][-1]
 
 
-def test_no_part_has_two_holders() -> None:
+def test_no_shard_has_two_owners() -> None:
     """Holders that come, go, hang and miss messages never hold a part at the same time."""
     rng, shard_assigner = random.Random(5), ShardAssigner()
     owners = {name: ShardOwner(5.0, random.Random(name)) for name in ("p0", "p1", "p2")}
--- a/tests/system/test_quota_reserved.py
+++ b/tests/system/test_quota_reserved.py
@@ -27,7 +27,7 @@
     assert count.shares["b"].part > FULL_SHARE // 2
 
 
-def test_a_machine_lost_with_its_holder_and_its_charger_costs_little() -> None:
+def test_a_machine_lost_with_its_shard_owner_and_its_quota_client_costs_little() -> None:
     net = Net(14, 3, {"calm": (40.0, 40.0)}, 3)
     net.run(6.0)
     net.load("calm", 27.0, 40.0)
--- a/tests/system/test_quota_startup.py
+++ b/tests/system/test_quota_startup.py
@@ -95,7 +95,7 @@
     return holder
 
 
-def test_a_holder_opens_at_once_but_not_a_second_time() -> None:
+def test_a_shard_owner_opens_at_once_but_not_a_second_time() -> None:
     holder = holder_at(100.0)
     assert [charged(holder, 100.0, n) for n in range(11)] == [Code.ADMITTED] * 10 + [Code.OVER]
     holder.handle(103.0, Tick())  # its lease is over
--- a/tests/system/test_reload.py
+++ b/tests/system/test_reload.py
@@ -77,7 +77,7 @@
     return {out.to for out in outputs if isinstance(out, Send)}
 
 
-def test_a_sorter_that_knows_no_core_follows_the_new_seeds() -> None:
+def test_a_proxy_that_knows_no_core_follows_the_new_seeds() -> None:
     proxy = ProxyMembership("10.1.0.5:7660", 0, OLD, random.Random(1))
     assert sent_to(proxy.handle(100.0, m.Tick())) == set(OLD)
     assert sent_to(proxy.handle(100.1, m.SetSeeds(NEW))) == set(NEW)
--- a/tests/system/test_starting.py
+++ b/tests/system/test_starting.py
@@ -39,7 +39,7 @@
 
 
 @pytest.mark.parametrize("seed", range(6))
-def test_sorters_that_start_before_their_seeds_are_in_soon_after_the_first_order(seed: int) -> None:
+def test_proxies_that_start_before_their_seeds_are_in_soon_after_the_first_order(seed: int) -> None:
     net, chance = Net(0, seed), random.Random(seed)
     for address in CONTROLLER_ADDRESSES:
         net.kill(address)
