Tests: networks and shard owners have names of their own

Change: FleetNetwork, MembershipNetwork, QuotaNetwork, FollowerNetwork and ScriptedCalls; owner, quota client and sender in the quota plane's tests, and three names of tests. No assertion is changed.

--- a/tests/system/catch_up.py
+++ b/tests/system/catch_up.py
@@ -14,7 +14,7 @@
 from gateway.consensus.storage import Store
 from gateway.state_machine import Send
 from tests.system.consensus_cluster import ConsensusCluster, Node, finish
-from tests.system.test_change_log import SOURCE, TICK_S, Net
+from tests.system.test_change_log import SOURCE, TICK_S, FollowerNetwork
 from tests.system.test_consensus_storage import record
 
 CHANGES = (0, 500, 5000)
@@ -69,7 +69,7 @@
 
 def follower(again: bool, changes: int, seed: int) -> tuple[float, int]:
     """Seconds until a follower of a log has all of it, and bytes both ways; `again`: the log begins anew."""
-    net = Net(seed)
+    net = FollowerNetwork(seed)
     net.loss, net.delay = 0.0, 0.005
     (address, mirror), *_ = net.mirrors.items()
     net.mirrors = {address: mirror}
--- a/tests/system/drift.py
+++ b/tests/system/drift.py
@@ -130,7 +130,7 @@
         return [o for o in outs if isinstance(o, Send)]
 
 
-class Net:
+class FleetNetwork:
     """Processes; messages take 2 ms. `cut(a, b, kind)` tells which are lost, `asleep` who stands still."""
 
     def __init__(self, proxies=4, seed=1):
--- a/tests/system/membership_net.py
+++ b/tests/system/membership_net.py
@@ -12,7 +12,7 @@
 CONTROLLER_ADDRESSES = [f"10.{zone}.0.1:7661" for zone in (1, 2, 3)]
 
 
-class Net:
+class MembershipNetwork:
     """Processes, and messages between them that take a moment, get lost, or are held back by cuts."""
 
     def __init__(self, seed=1, loss=0.0):
@@ -100,7 +100,7 @@
 
 def system(proxies=2, **kwargs):
     """Three controllers that know each other, and proxies that know the seeds."""
-    net = Net(**kwargs)
+    net = MembershipNetwork(**kwargs)
     for address in CONTROLLER_ADDRESSES:
         net.controller(address)
     for n in range(proxies):
--- a/tests/system/quota_net.py
+++ b/tests/system/quota_net.py
@@ -1,4 +1,4 @@
-"""A small network of holders, quota clients and a leader, in simulated time, for the quota plane's tests."""
+"""A small network of shard owners, quota clients and a leader, in simulated time."""
 
 from __future__ import annotations
 
@@ -19,7 +19,7 @@
 SPAN = 5.0
 
 
-class Net:
+class QuotaNetwork:
     """Controllers p0.. (p0 leads at first) and proxies s0..; those in `away` are cut off from the others."""
 
     def __init__(self, proxies: int, owners: int, tenants: dict[str, tuple[float, float]], seed: int):
@@ -92,8 +92,8 @@
                 self.now, io.LeadershipChange(self.term if other == name else 0, True, leaderless_since)
             )
         self.leader = name
-        for other, holder in self.owners.items():
-            self.act(other, holder.handle(self.now, io.SetLeader(name)))
+        for other, owner in self.owners.items():
+            self.act(other, owner.handle(self.now, io.SetLeader(name)))
 
     # Time and messages
 
@@ -106,15 +106,15 @@
             what(*args)
         self.now = until
 
-    def beat(self, name: str, holder: ShardOwner) -> None:
-        if self.owners.get(name) is holder:
-            self.act(name, holder.handle(self.now, Tick()))
+    def beat(self, name: str, owner: ShardOwner) -> None:
+        if self.owners.get(name) is owner:
+            self.act(name, owner.handle(self.now, Tick()))
             if name == self.leader:
                 self.shard_assigner[name].handle(self.now, io.LiveControllers(list(self.owners), self.names))
                 if data := self.shard_assigner[name].table():
                     self.publish(name, data)
             self.act(name, self.shard_assigner[name].handle(self.now, Tick()))
-            self.schedule(0.1, self.beat, name, holder)
+            self.schedule(0.1, self.beat, name, owner)
 
     def due(self, name: str, quota_client: QuotaClient) -> None:
         if self.quota_clients.get(name) is quota_client:
@@ -147,11 +147,11 @@
         if to in self.quota_clients:
             self.quota_clients[to].handle(self.now, io.ShardMap(data))
 
-    def take(self, frm: str, to: str, note: Any) -> None:
+    def take(self, sender: str, to: str, note: Any) -> None:
         if to in self.quota_clients:
-            self.act(to, self.quota_clients[to].handle(self.now, Received(frm, note)))
+            self.act(to, self.quota_clients[to].handle(self.now, Received(sender, note)))
         elif to in self.owners:
-            received = Received(frm, note)
+            received = Received(sender, note)
             machine = self.shard_assigner[to] if note.WhichOneof("kind") == "request" else self.owners[to]
             self.act(to, machine.handle(self.now, received))
 
--- a/tests/system/test_allowance.py
+++ b/tests/system/test_allowance.py
@@ -13,22 +13,22 @@
 from gateway.quota.quota_pb2 import Message
 from gateway.runtime.log_ring import LogRing
 from proving import allowance as proving
-from tests.system.quota_net import Net
+from tests.system.quota_net import QuotaNetwork
 
 TENANTS = {"calm": (40.0, 40.0), "hot": (20.0, 20.0)}
 
 
-class Wrong(Net):
+class Wrong(QuotaNetwork):
     """One proxy reads verdicts wrongly."""
 
-    def take(self, frm: str, to: str, note: Any) -> None:
+    def take(self, sender: str, to: str, note: Any) -> None:
         if to == "s0" and note.WhichOneof("kind") == "verdict":
             note = Message.FromString(note.SerializeToString())
             note.verdict.remaining += 500
-        super().take(frm, to, note)
+        super().take(sender, to, note)
 
 
-def busy(kind: type[Net] = Net, seed: int = 1) -> Net:
+def busy(kind: type[QuotaNetwork] = QuotaNetwork, seed: int = 1) -> QuotaNetwork:
     net = kind(4, 3, TENANTS, seed)
     net.run(3.0)
     net.load("calm", 20.0, 60.0)
@@ -37,10 +37,10 @@
     return net
 
 
-def told(net: Net) -> allowance.AllowanceReport:
-    """What the command would show, asking all holders."""
-    holdings = [HolderReport(name, holder) for name, holder in net.owners.items()]
-    return allowance.merge_answers([{"node": h.me, **h.status(net.now)} for h in holdings], [])
+def told(net: QuotaNetwork) -> allowance.AllowanceReport:
+    """What the command would show, asking all shard owners."""
+    reports = [HolderReport(name, owner) for name, owner in net.owners.items()]
+    return allowance.merge_answers([{"node": h.me, **h.status(net.now)} for h in reports], [])
 
 
 def test_all_nodes_agree_on_a_busy_morning_and_with_shard_owners_lost_and_nodes_cut_off():
@@ -67,8 +67,8 @@
     now = told(net)
     assert {row["node"] for row in now.views if row["beyond"]} == {"s0"} and not now.well
     answers = {
-        name: {"node": name, **HolderReport(name, holder).status(net.now)}
-        for name, holder in net.owners.items()
+        name: {"node": name, **HolderReport(name, owner).status(net.now)}
+        for name, owner in net.owners.items()
     }
     monkeypatch.setattr(nodes, "status", lambda seed, path: answers[seed])
     assert commands.run(["allowance", *answers]) == 2 and "disagrees" in capfd.readouterr().out
@@ -109,17 +109,17 @@
 
 def test_figures_are_as_a_scraper_reads_them():
     net = busy()
-    charger_report, holder_report = (
+    client_report, owner_report = (
         ChargerReport("s0", net.quota_clients["s0"]),
         HolderReport("p0", net.owners["p0"]),
     )
-    for counting in (charger_report, holder_report):
+    for counting in (client_report, owner_report):
         body = render_metrics(counting.metrics(net.now), QUOTA_METRIC_PREFIX).decode().splitlines()
         families = [line.split()[2] for line in body if line.startswith("# TYPE")]
         assert len(families) == len(set(families))
     buckets = [
         float(line.split()[1])
-        for line in render_metrics(charger_report.metrics(net.now)).decode().splitlines()
+        for line in render_metrics(client_report.metrics(net.now)).decode().splitlines()
         if 'way="holder",le=' in line
     ]
     assert len(buckets) == len(EDGES) + 1 and buckets == sorted(buckets) and buckets[-1] > 100
@@ -129,7 +129,7 @@
     net = busy()
     net.load("hot", 30.0, 60.0)
     begun = [ChargerReport(name, quota_client) for name, quota_client in net.quota_clients.items()]
-    begun += [HolderReport(name, holder) for name, holder in net.owners.items()]
+    begun += [HolderReport(name, owner) for name, owner in net.owners.items()]
     lines = [
         "what else a file holds {",
         '   1.0 edge-a {"logger": "gateway.drift", "held": "gateway.quota_report"}',
--- a/tests/system/test_change_log.py
+++ b/tests/system/test_change_log.py
@@ -33,7 +33,7 @@
 class Mirror:
     """A follower and what it makes of a log: its backends, and the version of the configuration."""
 
-    def __init__(self, net: Net, address: str) -> None:
+    def __init__(self, net: FollowerNetwork, address: str) -> None:
         self.net, self.address = net, address
         self.begin()
 
@@ -58,7 +58,7 @@
                     self.backends.pop(record.id, None)
 
 
-class Net:
+class FollowerNetwork:
     """A source, its followers and the ways between them, with loss, delay and changes of order."""
 
     def __init__(self, seed: int, log: type[ChangeLog] = ChangeLog) -> None:
@@ -135,7 +135,7 @@
             assert mirror.version == self.version, f"{mirror.address} lacks a version"
 
 
-def day(net: Net, changes: int) -> None:
+def day(net: FollowerNetwork, changes: int) -> None:
     """Changes, followers that are away or begin anew, and a source that does."""
     while net.made < changes:
         for _ in range(net.rng.choice([0, 0, 0, 0, 0, 1, 1, 3, 20])):
@@ -155,14 +155,14 @@
 @pytest.mark.parametrize("changes", [500, 5000])
 def test_all_have_all_of_it(changes: int) -> None:
     for seed in range(20 if changes == 500 else 2):
-        day(Net(seed), changes)
+        day(FollowerNetwork(seed), changes)
 
 
 @pytest.mark.parametrize("fault", [OneEpoch, NoFloor])
 def test_planted_faults_of_logs_are_found(fault: type[ChangeLog]) -> None:
     for seed in range(60):
         try:
-            day(Net(seed, fault), 500)
+            day(FollowerNetwork(seed, fault), 500)
         except AssertionError as why:
             assert "has other backends" in str(why) or "lacks a version" in str(why)
             return
--- a/tests/system/test_cut.py
+++ b/tests/system/test_cut.py
@@ -2,7 +2,14 @@
 
 from gateway.membership import messages as m
 from gateway.membership import wire
-from tests.system.drift import CONTROLLER_ADDRESSES, Net, SimulatedController, SimulatedProxy, config, taken
+from tests.system.drift import (
+    CONTROLLER_ADDRESSES,
+    FleetNetwork,
+    SimulatedController,
+    SimulatedProxy,
+    config,
+    taken,
+)
 
 FIRST = taken(config())
 SECOND = taken(config(2, 1, r3="s2"), FIRST)
@@ -18,7 +25,7 @@
 
 def cut_off():
     """A core with a first version, of which one is cut off before the second; it is heard by all others."""
-    net = Net(2)
+    net = FleetNetwork(2)
     net.put(1, FIRST)
     net.run(2)
     net.cut = lambda a, b, kind: CUT in (a, b) and (a in MAJORITY or b in MAJORITY)
--- a/tests/system/test_drift.py
+++ b/tests/system/test_drift.py
@@ -15,14 +15,14 @@
 from gateway.programs.quota_report import HolderReport
 from gateway.quota.shard_owner import ShardOwner
 from gateway.runtime.http_listener import HttpCall
-from tests.system.drift import CONTROLLER_ADDRESSES, Net, config, route, taken
+from tests.system.drift import CONTROLLER_ADDRESSES, FleetNetwork, config, route, taken
 
 MANY = taken(config(more=[route(f"m{n}") for n in range(300)]))
 
 
 def begun(config_state=MANY):
     """A net with one proxy that has the version in force."""
-    net = Net(1)
+    net = FleetNetwork(1)
     net.put(1, config_state)
     net.run(2)
     return net, net.proxies[0]
--- a/tests/system/test_drift_fleet.py
+++ b/tests/system/test_drift_fleet.py
@@ -4,7 +4,7 @@
 
 from gateway.config.orders import decide
 from gateway.membership import messages as m
-from tests.system.drift import CONTROLLER_ADDRESSES, Net, SimulatedController, config, taken
+from tests.system.drift import CONTROLLER_ADDRESSES, FleetNetwork, SimulatedController, config, taken
 
 APPLY_S = 2.5
 FIRST = taken(config())
@@ -13,7 +13,7 @@
 
 
 def begun(proxies=4):
-    net = Net(proxies)
+    net = FleetNetwork(proxies)
     net.put(1, FIRST)
     net.run(3)
     assert {s.proxy_node.version for s in net.proxies} == {1}
--- a/tests/system/test_moved_rules.py
+++ b/tests/system/test_moved_rules.py
@@ -7,7 +7,7 @@
 from gateway.membership import messages as m
 from gateway.programs.proxy import ProxyServer as Program
 from roadspur.net.connection_interfaces import ImmediateResponse
-from tests.system.drift import CONTROLLER_ADDRESSES, Net, SimulatedProxy, config, taken
+from tests.system.drift import CONTROLLER_ADDRESSES, FleetNetwork, SimulatedProxy, config, taken
 
 LIMITS = {
     "entry-kind": "limits",
@@ -24,7 +24,7 @@
 HEADERS = [(b"Host", b"a.example"), (b"Attempt-Id", b"a1"), (b"Authorization", b"Token t1-a")]
 
 
-def begins(net: Net, address: str) -> SimulatedProxy:
+def begins(net: FleetNetwork, address: str) -> SimulatedProxy:
     proxy = net.nodes[address] = SimulatedProxy(net, address)
     net.later(0.01, address, m.Tick())
     return proxy
@@ -49,7 +49,7 @@
 
 
 def test_a_process_told_to_end_is_not_ready_from_then_on() -> None:
-    net = Net(1)
+    net = FleetNetwork(1)
     (proxy,) = net.proxies
     assert answered(proxy) == 503
     net.put(1, FIRST)
@@ -64,7 +64,7 @@
 
 
 def test_who_knows_no_configuration_or_has_not_heard_the_core_denies_nothing() -> None:
-    net = Net(1)
+    net = FleetNetwork(1)
     (proxy,) = net.proxies
     assert refusal(proxy, "/r1/x") == refusal(proxy, "/none/x") == 503
     net.put(1, FIRST)
@@ -82,7 +82,7 @@
 
 
 def test_routes_added_later_are_as_those_of_the_first_configuration() -> None:
-    net = Net(2)
+    net = FleetNetwork(2)
     net.put(1, FIRST)
     net.run(1)
     behind = net.proxies[0]
@@ -105,7 +105,7 @@
 
 
 def test_connections_rest_as_long_as_the_configuration_lets_them_also_right_after_a_restart() -> None:
-    net = Net(1)
+    net = FleetNetwork(1)
     net.put(1, FIRST)
     net.run(1)
     after = begins(net, "10.1.9.1:7660")
--- a/tests/system/test_operator_commands.py
+++ b/tests/system/test_operator_commands.py
@@ -25,7 +25,7 @@
     return Answer(307, f"http://{address}/-/config?x=1", b"")
 
 
-class World:
+class ScriptedCalls:
     """Answers calls in turn, the last one for ever; notes them and the pauses, in which alone time passes."""
 
     def __init__(self, *answers: Answer) -> None:
@@ -56,24 +56,24 @@
 
 
 def test_a_307_is_followed_twice_and_no_clear_answer_leads_to_the_next_process() -> None:
-    world = World(to(B), to(C), OK)
-    assert world.run() == 200
-    assert world.calls == [(A, "/-/config"), (B, "/-/config?x=1"), (C, "/-/config?x=1")]
-    world = World(to(B), to(C), to(A), NO_ANSWER, Answer(503, "", b""), Answer(429, "", b""), OK)
-    assert world.run() == 200
-    assert [a for a, _ in world.calls] == [A, B, C, B, A, B, A] and world.pauses == [0.1, 0.2, 0.4, 0.8]
+    script = ScriptedCalls(to(B), to(C), OK)
+    assert script.run() == 200
+    assert script.calls == [(A, "/-/config"), (B, "/-/config?x=1"), (C, "/-/config?x=1")]
+    script = ScriptedCalls(to(B), to(C), to(A), NO_ANSWER, Answer(503, "", b""), Answer(429, "", b""), OK)
+    assert script.run() == 200
+    assert [a for a, _ in script.calls] == [A, B, C, B, A, B, A] and script.pauses == [0.1, 0.2, 0.4, 0.8]
 
 
 @pytest.mark.parametrize("status,calls", [(400, 1), (409, 1), (412, 1), (413, 1), (422, 1), (404, 3)])
 def test_what_is_clear_ends_it(status: int, calls: int) -> None:
-    world = World(Answer(status, "", b""))
-    assert world.run() == status and len(world.calls) == calls
+    script = ScriptedCalls(Answer(status, "", b""))
+    assert script.run() == status and len(script.calls) == calls
 
 
 def test_it_ends_when_its_time_is_over_and_pauses_stay_short() -> None:
-    world = World(NO_ANSWER)
-    assert world.run(most_s=30.0) == 0
-    assert world.now <= 32 and max(world.pauses) == control_client.LONGEST_PAUSE_S
+    script = ScriptedCalls(NO_ANSWER)
+    assert script.run(most_s=30.0) == 0
+    assert script.now <= 32 and max(script.pauses) == control_client.LONGEST_PAUSE_S
 
 
 def test_commands(tmp_path: Path, capfd: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch) -> None:
--- a/tests/system/test_quota.py
+++ b/tests/system/test_quota.py
@@ -5,14 +5,14 @@
 import pytest
 
 from gateway.quota.tenant_counter import TenantCounter
-from tests.system.quota_net import Net
+from tests.system.quota_net import QuotaNetwork
 
 TENANTS = {"hot": (63.0, 63.0), "calm": (100.0, 100.0)}
 
 
-def pressed(proxies: int, seed: int) -> Net:
+def pressed(proxies: int, seed: int) -> QuotaNetwork:
     """A net in which one tenant asks eight times its allowance, and another 0.6 of its."""
-    net = Net(proxies, 3, TENANTS, seed)
+    net = QuotaNetwork(proxies, 3, TENANTS, seed)
     net.run(6.0)
     net.load("hot", 63.0 * 8, 32.0)
     net.load("calm", 60.0, 32.0)
@@ -20,18 +20,18 @@
     return net
 
 
-def held(net: Net, tenant: str) -> str:
-    """The holder of a tenant's count."""
-    return next(name for name, holder in net.owners.items() if tenant in holder.view(net.now))
+def held(net: QuotaNetwork, tenant: str) -> str:
+    """The shard owner that counts a tenant."""
+    return next(name for name, owner in net.owners.items() if tenant in owner.view(net.now))
 
 
-def refused(net: Net, tenant: str) -> float:
+def refused(net: QuotaNetwork, tenant: str) -> float:
     """The part of a tenant's requests that was refused."""
     return sum(r[1] == tenant for r in net.refused) / net.asked[tenant]
 
 
-def cut_off(net: Net, *owners: str, tenths: int = 3) -> None:
-    """Cut three in ten proxies off for 10 s, and these holders with them."""
+def cut_off(net: QuotaNetwork, *owners: str, tenths: int = 3) -> None:
+    """Cut three in ten proxies off for 10 s, and these shard owners with them."""
     net.away = {f"s{i}" for i in range(len(net.quota_clients) * tenths // 10)} | set(owners)
     net.run(net.now + 0.6)
     if net.leader in net.away:
@@ -43,7 +43,7 @@
 
 @pytest.mark.parametrize("proxies", [14, 100])
 def test_calm_times_refuse_nobody_inside_the_allowance(proxies: int) -> None:
-    net = Net(proxies, 3, {**TENANTS, "free": (0.0, 0.0)}, 1)
+    net = QuotaNetwork(proxies, 3, {**TENANTS, "free": (0.0, 0.0)}, 1)
     net.run(6.0)
     net.load("hot", 500.0, 20.0)
     net.load("calm", 60.0, 20.0)
@@ -53,13 +53,13 @@
     assert 0.9 * 63 * 14 <= len(net.went["hot"]) and net.most("hot") <= 63 * 6
 
 
-@pytest.mark.parametrize("takes_holder", [False, True])
+@pytest.mark.parametrize("takes_owner", [False, True])
 @pytest.mark.parametrize("proxies,seeds", [(14, (1,)), (14, (2,)), (100, (1, 2, 3))])
-def test_a_cut_of_proxies(proxies: int, seeds: tuple[int, ...], takes_holder: bool) -> None:
+def test_a_cut_of_proxies(proxies: int, seeds: tuple[int, ...], takes_owner: bool) -> None:
     calm = []
     for seed in seeds:
         net = pressed(proxies, seed)
-        cut_off(net, *([held(net, "hot")] if takes_holder else []))
+        cut_off(net, *([held(net, "hot")] if takes_owner else []))
         assert net.most("hot") <= net.bound("hot") and len(net.went["hot"]) > 0.7 * 63 * 25
         calm.append(refused(net, "calm"))
     assert median(calm) < 0.1  # far more in one of seven: few proxies have all shares of thin traffic
@@ -138,7 +138,7 @@
 
 
 def test_higher_precedence_is_refused_last() -> None:
-    net = Net(14, 3, TENANTS, 7)
+    net = QuotaNetwork(14, 3, TENANTS, 7)
     net.run(6.0)
     net.load("hot", 25.0, 30.0, precedence=0)
     net.load("hot", 400.0, 30.0, precedence=2)
@@ -149,7 +149,7 @@
 
 
 def test_a_reserve_refuses_nobody_once_its_tenant_is_inside_its_allowance() -> None:
-    net = Net(14, 3, TENANTS, 9)
+    net = QuotaNetwork(14, 3, TENANTS, 9)
     net.run(6.0)
     net.load("hot", 150.0, 12.5, precedence=0)
     net.load("hot", 300.0, 12.5, precedence=2)
--- a/tests/system/test_quota_leave.py
+++ b/tests/system/test_quota_leave.py
@@ -16,17 +16,17 @@
 from gateway.quota.quota_client import QuotaClient
 from gateway.quota.quota_pb2 import Charge, ClientHeartbeat, ClientHeartbeatReply, Message, ShardMap
 from gateway.runtime.settings import read_document
-from tests.system.quota_net import Net
+from tests.system.quota_net import QuotaNetwork
 
 NORMAL, EIGHT_TIMES = 30.0, 480.0  # requests a second, of a tenant that may send 60
 BACK_S = 3.0  # from a proxy's end to its next start
 STEP_S = 2.0  # from one proxy's end to the next one's, at least
 
 
-def loaded(proxies: int, seed: int, rate: float) -> Net:
+def loaded(proxies: int, seed: int, rate: float) -> QuotaNetwork:
     """A net in which requests go to all proxies that have not begun to leave. Rates are for 14 proxies."""
     scale = max(1.0, proxies / 14)
-    net = Net(proxies, 3, {"calm": (60.0 * scale, 60.0 * scale)}, seed)
+    net = QuotaNetwork(proxies, 3, {"calm": (60.0 * scale, 60.0 * scale)}, seed)
 
     def one() -> None:
         serving = [name for name, client in net.quota_clients.items() if not client.leaving]
@@ -39,7 +39,7 @@
     return net
 
 
-def lose_owner(net: Net) -> None:
+def lose_owner(net: QuotaNetwork) -> None:
     """Kill the owner of the tenant's shard; another controller leads, and one at another address begins."""
     gone = next((name for name, owner in net.owners.items() if owner.view(net.now)), next(iter(net.owners)))
     net.kill(gone)
@@ -53,7 +53,7 @@
 
 def roll(
     proxies: int, seed: int, rate: float = NORMAL, loss: float = 0.0, doubled: float = 0.0, back: bool = True
-) -> Net:
+) -> QuotaNetwork:
     """One proxy after the other ends in order; at times the owner of the tenant's shard is lost as well.
 
     The next incarnation begins at the same address, or with `back` False at another one.
@@ -72,7 +72,7 @@
     return net
 
 
-def owner_of(net: Net) -> str:
+def owner_of(net: QuotaNetwork) -> str:
     """The controller that counts the tenant."""
     return next(name for name, owner in net.owners.items() if owner.view(net.now))
 
@@ -92,7 +92,7 @@
         assert net.most("calm") <= net.bound("calm")
 
 
-def cut_off_after_leaving(seed: int) -> Net:
+def cut_off_after_leaving(seed: int) -> QuotaNetwork:
     """Under press ten of 14 proxies say that they leave; then these are cut off, and asked all the same."""
     net = loaded(14, seed, EIGHT_TIMES)
     leaving = [f"s{n}" for n in range(10)]
--- a/tests/system/test_quota_machines.py
+++ b/tests/system/test_quota_machines.py
@@ -32,18 +32,18 @@
 
 
 class OwnerWithClients:
-    """A holder of all parts, open, with two quota clients; messages are passed on at once, if they are."""
+    """An owner of all shards, open, with two quota clients; messages are passed on at once, if they are."""
 
     def __init__(self) -> None:
         rng = random.Random(1)
         self.now, self.number, self.lost = 0.0, 0, False
-        self.holder = ShardOwner(5.0, rng)
+        self.owner = ShardOwner(5.0, rng)
         self.quota_clients = {"s0": QuotaClient(5.0, rng), "s1": QuotaClient(5.0, rng)}
         places = ShardMapInput(
             ShardMap(term=1, number=1, owners=["h"], owner_of_shard=bytes(64)).SerializeToString()
         )
-        self.holder.handle(0.0, TENANTS)
-        self.holder.handle(0.0, SetLeader("p0"))
+        self.owner.handle(0.0, TENANTS)
+        self.owner.handle(0.0, SetLeader("p0"))
         for quota_client in self.quota_clients.values():
             quota_client.handle(0.0, TENANTS)
             quota_client.handle(0.0, places)
@@ -56,25 +56,25 @@
             self.now = min(until, self.now + 0.02)
             self.number += 1
             hold = LeaseGrant(
-                incarnation=self.holder.incarnation,
+                incarnation=self.owner.incarnation,
                 at=self.now,
                 term=1,
                 number=self.number,
                 shards=ALL_SHARDS,
             )
-            self.holder.handle(self.now, Received("p0", Message(hold=hold)))
-            self.holder.handle(self.now, Tick())
+            self.owner.handle(self.now, Received("p0", Message(hold=hold)))
+            self.owner.handle(self.now, Tick())
             for name, quota_client in self.quota_clients.items():
                 if self.now >= quota_client.due():
                     out += self.put(name, quota_client.handle(self.now, Tick()))
         return out
 
     def put(self, name: str, outputs: list[Any]) -> list[ChargeDecision]:
-        """Carry what a quota client says to the holder and back."""
+        """Carry what a quota client says to the shard owner and back."""
         out = [o for o in outputs if type(o) is ChargeDecision]
         for o in outputs:
             if type(o) is Send and not self.lost:
-                for answer in self.holder.handle(self.now, Received(name, o.message)):
+                for answer in self.owner.handle(self.now, Received(name, o.message)):
                     out += self.put(
                         name, self.quota_clients[name].handle(self.now, Received("h", answer.message))
                     )
@@ -86,8 +86,8 @@
         return out[0].verdict if out else ""
 
     def left(self) -> float:
-        """Units that remain by the holder."""
-        return self.holder.view(self.now)["a"][0]
+        """Units that remain by the shard owner."""
+        return self.owner.view(self.now)["a"][0]
 
 
 def test_a_repeat_counts_once_wherever_it_is_charged() -> None:
@@ -132,7 +132,7 @@
     assert pair.ask("s0", 3000) == "go"  # found again by itself
 
 
-def test_a_charger_that_has_just_begun_has_no_share_and_no_limit_means_no_message() -> None:
+def test_a_quota_client_that_has_just_begun_has_no_share_and_no_limit_means_no_message() -> None:
     pair = OwnerWithClients()
     pair.lost = True
     assert pair.ask("s0", 1) == ""
@@ -146,7 +146,7 @@
     pair.now += 2.0
     assert pair.ask("s0", 2) == "over"  # no lease, no share
     pair.pass_time(0.9)
-    assert "a" not in pair.holder.view(pair.now)
+    assert "a" not in pair.owner.view(pair.now)
     pair.pass_time(0.2)
     assert pair.ask("s0", 3) == "go"
 
@@ -157,7 +157,7 @@
     for id in range(first, first + 30):
         for send in quota_client.handle(pair.now, ChargeRequest(id, "a", 3, 0.1)):
             if type(send) is Send:
-                (answer,) = pair.holder.handle(pair.now, Received("s0", send.message))
+                (answer,) = pair.owner.handle(pair.now, Received("s0", send.message))
                 quota_client.handle(pair.now, Received("h", answer.message))
                 sizes += [send.message.ByteSize(), answer.message.ByteSize()]
         pair.pass_time(0.3)
@@ -179,7 +179,8 @@
 
     def __init__(self) -> None:
         self.shard_assigner, self.lines = ShardAssigner(), list[str]()
-        self.seen: dict[str, tuple[int, int, int]] = {}  # the newest Hold of each holder: term, number, parts
+        # The newest lease of each owner: term, number, shards.
+        self.seen: dict[str, tuple[int, int, int]] = {}
         self.lives: dict[str, int] = {}
 
     def do(self, now: float, input: Any) -> None:
@@ -197,7 +198,7 @@
                 )
 
     def ask(self, now: float, name: str, shards: int | None = None) -> None:
-        """A holder asks, and holds what it was leased last, or these parts."""
+        """An owner asks, and holds what it was leased last, or these shards."""
         term, number, held = self.seen.get(name, (0, 0, 0))
         held = held if shards is None else shards
         self.lines.append(f"{now:5.2f} {name} asks, holds {held.bit_count()}")
@@ -282,14 +283,14 @@
 
 
 def test_no_shard_has_two_owners() -> None:
-    """Holders that come, go, hang and miss messages never hold a part at the same time."""
+    """Owners that come, go, hang and miss messages never hold a shard at the same time."""
     rng, shard_assigner = random.Random(5), ShardAssigner()
     owners = {name: ShardOwner(5.0, random.Random(name)) for name in ("p0", "p1", "p2")}
     hung: dict[str, float] = {}
     shard_assigner.handle(0.0, LiveControllers(list(owners)))
     shard_assigner.handle(0.0, LeadershipChange(1, True))
-    for holder in owners.values():
-        holder.handle(0.0, SetLeader("p0"))
+    for owner in owners.values():
+        owner.handle(0.0, SetLeader("p0"))
     held = 0
     for step in range(4000):
         now = step * 0.05
@@ -298,15 +299,15 @@
         if rng.random() < 0.005:
             shard_assigner.handle(now, LeadershipChange(shard_assigner.term + 1, True))
         outputs = [("", o) for o in shard_assigner.handle(now, Tick())]
-        for name, holder in owners.items():
+        for name, owner in owners.items():
             if now >= hung.get(name, 0.0):
-                outputs += [(name, o) for o in holder.handle(now, Tick())]
+                outputs += [(name, o) for o in owner.handle(now, Tick())]
         while outputs:
-            frm, o = outputs.pop(0)
+            sender, o = outputs.pop(0)
             if type(o) is PublishShardMap or rng.random() < 0.2:
                 continue
             if o.message.WhichOneof("kind") == "request":
-                outputs += [("", x) for x in shard_assigner.handle(now, Received(frm, o.message))]
+                outputs += [("", x) for x in shard_assigner.handle(now, Received(sender, o.message))]
             elif now >= hung.get(o.to, 0.0):
                 owners[o.to].handle(now, Received("p0", o.message))
         masks = [h.shards if now < h.until else 0 for h in owners.values()]
--- a/tests/system/test_quota_peers.py
+++ b/tests/system/test_quota_peers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from gateway.quota.peers import LASTS_S, Peers
-from tests.system.quota_net import Net
+from tests.system.quota_net import QuotaNetwork
 
 
 def test_the_highest_bound_that_has_not_ended_counts() -> None:
@@ -15,9 +15,9 @@
     assert peers.count(106.0 + LASTS_S) == 0
 
 
-def lost_one_after_another(seed: int, times: int = 5, rate: float = 30.0) -> Net:
-    """Every 5.8 s a machine with a holder and a quota client is lost, and one at another address comes."""
-    net = Net(14, 3, {"calm": (60.0, 60.0)}, seed)
+def lost_one_after_another(seed: int, times: int = 5, rate: float = 30.0) -> QuotaNetwork:
+    """Every 5.8 s a machine with a shard owner and a quota client is lost; one at another address comes."""
+    net = QuotaNetwork(14, 3, {"calm": (60.0, 60.0)}, seed)
 
     def one() -> None:
         net.ask(net.rng.choice(list(net.quota_clients)), "calm")
@@ -43,16 +43,16 @@
 
 
 def test_one_that_went_counts_no_longer_than_its_share_lasts() -> None:
-    """A holder that is named later keeps nothing back for it."""
+    """A shard owner that is named later keeps nothing back for it."""
     net = lost_one_after_another(1, times=1)
     net.run(net.now + 12.0)
-    name = next(name for name, holder in net.owners.items() if holder.view(net.now))
+    name = next(name for name, owner in net.owners.items() if owner.view(net.now))
     net.kill(name)
     net.start(name)
     if name == net.leader:
         net.lead(next(iter(net.owners)))
     net.run(net.now + 4.0)
-    views = [holder.view(net.now) for holder in net.owners.values()]
+    views = [owner.view(net.now) for owner in net.owners.values()]
     assert [view["calm"][2] for view in views if view] == [0.0]
 
 
--- a/tests/system/test_quota_reserved.py
+++ b/tests/system/test_quota_reserved.py
@@ -1,11 +1,11 @@
-"""What a new holder keeps back for a quota client that never tells its share, because its machine is lost."""
+"""What a new shard owner keeps back for a quota client that never tells its share: its machine is lost."""
 
 from __future__ import annotations
 
 from gateway.quota.interface import FULL_SHARE
 from gateway.quota.tenant_counter import TenantCounter
 from gateway.quota.window import Window
-from tests.system.quota_net import SPAN, Net
+from tests.system.quota_net import SPAN, QuotaNetwork
 
 
 def test_shares_that_a_count_lowers_are_not_kept_back() -> None:
@@ -28,7 +28,7 @@
 
 
 def test_a_machine_lost_with_its_shard_owner_and_its_quota_client_costs_little() -> None:
-    net = Net(14, 3, {"calm": (40.0, 40.0)}, 3)
+    net = QuotaNetwork(14, 3, {"calm": (40.0, 40.0)}, 3)
     net.run(6.0)
     net.load("calm", 27.0, 40.0)
     net.run(15.0)
--- a/tests/system/test_quota_startup.py
+++ b/tests/system/test_quota_startup.py
@@ -1,4 +1,4 @@
-"""What a new holder lets go before its count opens, when nobody tells it of a share."""
+"""What a new shard owner lets go before its count opens, when nobody tells it of a share."""
 
 from __future__ import annotations
 
@@ -22,7 +22,7 @@
 from gateway.quota.shard_owner import ShardOwner
 from gateway.quota.tenant_counter import EARLY_FRACTION, TenantCounter
 from gateway.quota.window import Window, tenant_number
-from tests.system.quota_net import Net
+from tests.system.quota_net import QuotaNetwork
 
 
 def test_a_part_of_the_allowance_flows_evenly_until_the_count_opens() -> None:
@@ -50,8 +50,8 @@
     return TenantCounter(100.0, Window(1.0, 60), 98.9, 1, 100.0)
 
 
-def admitted(count: TenantCounter, now: float, frm: str) -> int:
-    share = count.known(frm, 0)
+def admitted(count: TenantCounter, now: float, sender: str) -> int:
+    share = count.known(sender, 0)
     return sum(count.charge(now, share, int(now * 1e6) + n, 0, 0) for n in range(99))
 
 
@@ -60,7 +60,7 @@
     assert admitted(count, 100.0, "10.0.0.1:7660") == 60
 
 
-def test_it_closes_again_when_a_charger_has_a_share_of_before() -> None:
+def test_it_closes_again_when_a_quota_client_has_a_share_of_before() -> None:
     count = open_at_once()
     count.told(100.0, "10.0.0.1:7660", FULL_SHARE // 5, 10.0, 0, 100.0)
     assert admitted(count, 100.5, "10.0.0.2:7660") <= 60 // 10
@@ -74,50 +74,48 @@
     )
 
 
-def charged(holder: ShardOwner, now: float, id: int, held: bool = False) -> int:
+def charged(owner: ShardOwner, now: float, id: int, held: bool = False) -> int:
     note = Message(charge=Charge(id=id, tenant=tenant_number("one"), incarnation=7, held=held))
-    (answer,) = holder.handle(now, Received("10.0.0.1:7660", note))
+    (answer,) = owner.handle(now, Received("10.0.0.1:7660", note))
     return int(answer.message.verdict.code)
 
 
-def holder_at(now: float) -> ShardOwner:
-    holder = ShardOwner(5.0, random.Random(1))
-    holder.handle(now, Allowances({"one": (10.0, 10.0)}))
-    holder.handle(now, SetLeader("p0"))
-    holder.handle(now, Received("p0", Message(hold=hold(incarnation=holder.incarnation))))
-    holder.handle(
+def owner_at(now: float) -> ShardOwner:
+    owner = ShardOwner(5.0, random.Random(1))
+    owner.handle(now, Allowances({"one": (10.0, 10.0)}))
+    owner.handle(now, SetLeader("p0"))
+    owner.handle(now, Received("p0", Message(hold=hold(incarnation=owner.incarnation))))
+    owner.handle(
         now,
         Received(
             "10.0.0.1:7660",
             Message(client_heartbeat=ClientHeartbeat(incarnation=7, number=1, shards=ALL_SHARDS)),
         ),
     )
-    return holder
+    return owner
 
 
 def test_a_shard_owner_opens_at_once_but_not_a_second_time() -> None:
-    holder = holder_at(100.0)
-    assert [charged(holder, 100.0, n) for n in range(11)] == [Code.ADMITTED] * 10 + [Code.OVER]
-    holder.handle(103.0, Tick())  # its lease is over
-    holder.handle(
-        103.0, Received("p0", Message(hold=hold(number=2, at=103.0, incarnation=holder.incarnation)))
-    )
-    assert charged(holder, 103.0, 20) == Code.NOT_YET
+    owner = owner_at(100.0)
+    assert [charged(owner, 100.0, n) for n in range(11)] == [Code.ADMITTED] * 10 + [Code.OVER]
+    owner.handle(103.0, Tick())  # its lease is over
+    owner.handle(103.0, Received("p0", Message(hold=hold(number=2, at=103.0, incarnation=owner.incarnation))))
+    assert charged(owner, 103.0, 20) == Code.NOT_YET
 
 
-def test_a_charger_that_has_had_a_share_closes_it() -> None:
-    holder = holder_at(100.0)
-    assert charged(holder, 100.0, 1, held=True) == Code.NOT_YET
+def test_a_quota_client_that_has_had_a_share_closes_it() -> None:
+    owner = owner_at(100.0)
+    assert charged(owner, 100.0, 1, held=True) == Code.NOT_YET
 
 
 def asked(
-    shard_assigner: ShardAssigner, now: float, frm: str, incarnation: int = 1, shards: int = 0
+    shard_assigner: ShardAssigner, now: float, sender: str, incarnation: int = 1, shards: int = 0
 ) -> LeaseGrant:
     request = LeaseRequest(incarnation=incarnation, at=now, shards=shards)
     return next(
         o.message.hold
-        for o in shard_assigner.handle(now, Received(frm, Message(request=request)))
-        if getattr(o, "to", "") == frm
+        for o in shard_assigner.handle(now, Received(sender, Message(request=request)))
+        if getattr(o, "to", "") == sender
     )
 
 
@@ -142,9 +140,11 @@
     assert asked(reported, 10.2, "p0", shards=5).idle & 5 == 0
 
 
-def lost_all(seed: int, down_s: float, proxies_too: bool, told: bool = True, age_s: float = 0.2) -> Net:
+def lost_all(
+    seed: int, down_s: float, proxies_too: bool, told: bool = True, age_s: float = 0.2
+) -> QuotaNetwork:
     """A pressed tenant, and a calm one; then all processes are killed, or the core's, and begin anew."""
-    net = Net(14, 3, {"hot": (63.0, 63.0), "calm": (100.0, 100.0)}, seed)
+    net = QuotaNetwork(14, 3, {"hot": (63.0, 63.0), "calm": (100.0, 100.0)}, seed)
     net.run(6.0)
     net.load("hot", 63.0 * 8, 22.0)
     net.load("calm", 60.0, 22.0)
--- a/tests/system/test_starting.py
+++ b/tests/system/test_starting.py
@@ -11,7 +11,14 @@
 from gateway.membership import messages as m
 from gateway.membership import wire
 from tests.system.consensus_cluster import ConsensusCluster, Node, finish
-from tests.system.drift import CONTROLLER_ADDRESSES, Net, SimulatedController, SimulatedProxy, config, taken
+from tests.system.drift import (
+    CONTROLLER_ADDRESSES,
+    FleetNetwork,
+    SimulatedController,
+    SimulatedProxy,
+    config,
+    taken,
+)
 
 SPREAD_S = 0.3
 FIRST = taken(config())
@@ -40,7 +47,7 @@
 
 @pytest.mark.parametrize("seed", range(6))
 def test_proxies_that_start_before_their_seeds_are_in_soon_after_the_first_order(seed: int) -> None:
-    net, chance = Net(0, seed), random.Random(seed)
+    net, chance = FleetNetwork(0, seed), random.Random(seed)
     for address in CONTROLLER_ADDRESSES:
         net.kill(address)
     starts = [(chance.uniform(0, SPREAD_S), address) for address in CONTROLLER_ADDRESSES]
