--- a/tests/system/calls.py
+++ b/tests/system/calls.py
@@ -148,9 +148,9 @@
     """A connection to a backend. `kernel` has what came and the ingress has not read: bytes, their end (b"")
     or a reset (None); `coming` what has yet to come."""
 
-    def __init__(self, process: Process, life: BackendLifetime) -> None:
+    def __init__(self, process: Process, lifetime: BackendLifetime) -> None:
         super().__init__(process)
-        self.life = life
+        self.lifetime = lifetime
         self.kernel, self.coming = deque[bytes | None](), deque[bytes]()
         self.wrote = bytearray()
         self.asked = deque[ArrivedRequest]()  # whole requests that the backend has not answered
@@ -172,9 +172,9 @@
             self.early = None
 
     def take(self, arrived: ArrivedRequest) -> None:
-        arrived.turned_away = arrived.target not in ("", self.life.name)
+        arrived.turned_away = arrived.target not in ("", self.lifetime.name)
         self.asked.append(arrived)
-        self.life.came.append(arrived)
+        self.lifetime.came.append(arrived)
 
     def hurry(self) -> None:
         """The backend takes a request for whole whose head has come, and answers before the rest does."""
@@ -233,7 +233,7 @@
 
 
 class BackendLifetime:
-    """One life of a backend."""
+    """A backend from its start to its end, and what arrived there."""
 
     def __init__(self, name: str, service: str, address: tuple[str, int]) -> None:
         self.name, self.service, self.address = name, service, address
@@ -252,16 +252,16 @@
 
     async def connect(self, pool: real.Pool) -> real.Connection:
         harness, future = self.harness, self.harness.process.create_future()
-        life = harness.lives.get(pool.endpoint.address)
+        lifetime = harness.lifetimes.get(pool.endpoint.address)
         how = harness.dials.pop(pool.endpoint.address, "taken")
-        if life is not None and how != "silent":
+        if lifetime is not None and how != "silent":
             harness.process.call_later(0.001, lambda: future.done() or future.set_result(how))
         async with asyncio.timeout(self.connect_timeout):
-            if await future == "refused" or life is None:
+            if await future == "refused" or lifetime is None:
                 raise ConnectionRefusedError
-        link = BackendLink(harness.process, life)
+        link = BackendLink(harness.process, lifetime)
         connection = link.receiver = real.Connection(pool, cast(Any, link))
-        life.links.append(link)
+        lifetime.links.append(link)
         harness.links.append(link)
         self.connections.add(connection)
         connection.connection_made(cast(asyncio.Transport, link))
@@ -299,12 +299,12 @@
         self.simulator = Simulator(1)
         self.process = Process(self.simulator, "proxy", 0.0, 100.0, 0.0)
         loop, rng = self.process.loop, random.Random(1)
-        self.lives: dict[tuple[str, int], BackendLifetime] = {}
+        self.lifetimes: dict[tuple[str, int], BackendLifetime] = {}
         self.all = list[BackendLifetime]()
         self.dials: dict[tuple[str, int], str] = {}
         self.links = list[BackendLink]()
         self.news = deque[Callable[[], None]]()  # that the ingress has not heard yet
-        self.seats = list[SimulatedClient]()
+        self.client_connections = list[SimulatedClient]()
         self.asks = dict[str, Ask]()
         terms = services.settings(1, CONNECT_S, "z1")
         self.decisions = Decisions(
@@ -323,19 +323,19 @@
     # Backends.
 
     def begin(self, service: str, address: tuple[str, int]) -> Callable[[], None]:
-        """A backend's life begins; returns what tells the ingress of it."""
-        life = self.lives[address] = BackendLifetime(f"i{len(self.all)}", service, address)
-        self.all.append(life)
+        """A backend starts; returns what tells the ingress of it."""
+        lifetime = self.lifetimes[address] = BackendLifetime(f"i{len(self.all)}", service, address)
+        self.all.append(lifetime)
 
         def tell() -> None:
-            life.known = True
-            self.ingress.backend(life.name, service, address, io.Phase.RUNNING, 0.0, 2)
+            lifetime.known = True
+            self.ingress.backend(lifetime.name, service, address, io.Phase.RUNNING, 0.0, 2)
 
         return tell
 
     def reuse(self, address: tuple[str, int], silent: bool) -> None:
-        """A life ends, and one of the other service has its address. Told of, in this order, later."""
-        old = self.lives[address]
+        """A backend ends, and one of the other service has its address. Told of, in this order, later."""
+        old = self.lifetimes[address]
         for link in old.links:
             link.forgotten = True
             if not silent and not link.lost:
@@ -345,11 +345,11 @@
 
     def stop(self, address: tuple[str, int]) -> None:
         """The ingress is told that a backend leaves: nothing new goes there."""
-        life = self.lives[address]
-        if life.known and life.before is None and life.service == "s1":
-            self.ingress.backend(life.name, life.service, address, io.Phase.STOPPING, 0.0)
-            begun = [read(link.wrote) for link in life.links]
-            life.before = {a.attempt for a in (*life.came, *begun) if a is not None}
+        lifetime = self.lifetimes[address]
+        if lifetime.known and lifetime.before is None and lifetime.service == "s1":
+            self.ingress.backend(lifetime.name, lifetime.service, address, io.Phase.STOPPING, 0.0)
+            begun = [read(link.wrote) for link in lifetime.links]
+            lifetime.before = {a.attempt for a in (*lifetime.came, *begun) if a is not None}
 
     def run(self, seconds: float) -> None:
         self.simulator.run(self.simulator.now + seconds)
@@ -361,7 +361,7 @@
         client_connection = SimulatedClient(self.process)
         client_connection.receiver = SimulatedServerConnection(self.server)
         client_connection.receiver.connection_made(client_connection)
-        self.seats.append(client_connection)
+        self.client_connections.append(client_connection)
         return client_connection
 
     def ask(self, client_connection: SimulatedClient, ask: Ask, kept: int) -> None:
@@ -399,7 +399,7 @@
         for _ in range(4):
             while self.news:
                 self.news.popleft()()
-            for client_connection in self.seats:
+            for client_connection in self.client_connections:
                 self.push(client_connection)
             for link in self.links:
                 while (link.kernel or link.coming) and not (link.lost or link.paused):
@@ -408,19 +408,21 @@
 
     def runs(self) -> Counter[str]:
         """How often each try has run, or may yet."""
-        return Counter(a.attempt for life in self.all for a in life.came if not a.turned_away)
+        return Counter(a.attempt for lifetime in self.all for a in lifetime.came if not a.turned_away)
 
     def check(self) -> None:
         """Each caller has its own answer or an honest break; nothing runs twice, nor after a promise."""
         assert not self.process.faults, self.process.faults
         runs = self.runs()
-        for life in self.all:
-            for came in life.came:
-                assert life.before is None or came.attempt in life.before, "goes to a backend that leaves"
-                assert came.turned_away or life.service == "s1", f"{came.attempt} runs at another service"
+        for lifetime in self.all:
+            for came in lifetime.came:
+                assert (
+                    lifetime.before is None or came.attempt in lifetime.before
+                ), "goes to a backend that leaves"
+                assert came.turned_away or lifetime.service == "s1", f"{came.attempt} runs at another service"
         for name, ask in self.asks.items():
             assert ask.safe or runs[name] <= 1, f"{name} runs {runs[name]} times"
-        for client_connection in self.seats:
+        for client_connection in self.client_connections:
             self.heard(client_connection, runs)
         assert not self.ingress.held and not self.decisions.homes
         assert not any(s.active_requests or s.limit.in_flight for s in self.decisions.services.values())
--- a/tests/system/test_calls.py
+++ b/tests/system/test_calls.py
@@ -28,7 +28,7 @@
 
 FIRST = int(os.environ.get("CALLS_FIRST", "0"))
 SEEDS = int(os.environ.get("CALLS_SEEDS", "100"))  # more where a long hunt is wanted
-BOOK = public()
+COMPILED_CONFIG = public()
 
 
 def answer(
@@ -152,13 +152,13 @@
     links = [link for link in harness.links if not link.lost]
     link = links[i % len(links)] if links else None
     busy = [x for x in harness.links if x.asked]
-    seats = [
+    client_connections = [
         client_connection
-        for client_connection in harness.seats
+        for client_connection in harness.client_connections
         if not (client_connection.closed or client_connection.gone)
     ]
-    client_connection = seats[i % len(seats)] if seats else None
-    addresses = sorted(harness.lives)
+    client_connection = client_connections[i % len(client_connections)] if client_connections else None
+    addresses = sorted(harness.lifetimes)
     if what == "ask":
         kind = n % 8
         method = ("GET", "POST", "POST", "GET", "POST", "HEAD", "POST", "GET")[kind]
@@ -217,7 +217,7 @@
 
 
 def play(schedule: Schedule, spoil: Callable[[ProxyHarness], None] | None = None) -> None:
-    harness = ProxyHarness(BOOK, spoil)
+    harness = ProxyHarness(COMPILED_CONFIG, spoil)
     for each in schedule:
         step(harness, *each)
     harness.settle()
@@ -239,12 +239,12 @@
 
 
 def test_a_plain_call_is_served() -> None:
-    harness = ProxyHarness(BOOK)
+    harness = ProxyHarness(COMPILED_CONFIG)
     order(harness)
     link = harness.links[0]
     link.kernel.append(answer(link, link.asked.popleft()))
     link.deliver()
-    assert harness.seats[0].said.startswith(b"HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\n")
+    assert harness.client_connections[0].said.startswith(b"HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\n")
     harness.settle()
     harness.check()
 
@@ -325,7 +325,7 @@
 
 def test_a_connection_with_an_answer_that_names_no_request_is_not_used_again() -> None:
     """A copy of such an answer would be believed of whatever is sent next, which then runs twice."""
-    harness = ProxyHarness(BOOK)
+    harness = ProxyHarness(COMPILED_CONFIG)
     order(harness)
     first = harness.links[0]
     nameless = away(first, first.asked.popleft(), 503, False)
@@ -333,9 +333,9 @@
     first.deliver()
     harness.run(0.002)
     assert len(harness.links) == 2, "it goes on to another"
-    for life in harness.all[:3]:
-        if life is not first.life:
-            harness.reuse(life.address, True)
+    for lifetime in harness.all[:3]:
+        if lifetime is not first.lifetime:
+            harness.reuse(lifetime.address, True)
     while harness.news:
         harness.news.popleft()()
     order(harness)
@@ -351,7 +351,7 @@
 )
 def test_what_was_sent_in_part_brings_no_promise(becomes: str, status: int) -> None:
     """A backend may begin with a body before it has come whole."""
-    harness = ProxyHarness(BOOK)
+    harness = ProxyHarness(COMPILED_CONFIG)
     order(harness, large=True, kept=9)
     link = harness.links[0]
     link.hurry()
@@ -362,7 +362,7 @@
         link.kernel.append(answer(link, a, status=500))
     link.deliver()
     harness.run(4.0)
-    assert harness.seats[0].said.startswith(b"HTTP/1.1 %d " % status)
+    assert harness.client_connections[0].said.startswith(b"HTTP/1.1 %d " % status)
     assert len(harness.links) == 1
     harness.settle()
     harness.check()
@@ -370,21 +370,21 @@
 
 def test_a_connection_with_a_request_that_has_not_gone_out_is_not_used_again() -> None:
     """What is left of it would stand before the next one."""
-    harness = ProxyHarness(BOOK)
+    harness = ProxyHarness(COMPILED_CONFIG)
     order(harness)
     link = harness.links[0]
     link.jammed = True
     link.kernel.append(answer(link, link.asked.popleft()))
     link.deliver()
     harness.run(0.01)
-    assert link.lost and harness.seats[0].said.startswith(b"HTTP/1.1 200 ")
+    assert link.lost and harness.client_connections[0].said.startswith(b"HTTP/1.1 200 ")
 
 
 @pytest.mark.parametrize("framing", [0, 1])
 def test_a_large_answer_before_the_request_is_whole_lets_its_client_go_on(framing: int) -> None:
-    harness = ProxyHarness(BOOK)
+    harness = ProxyHarness(COMPILED_CONFIG)
     order(harness, large=True, kept=9)
-    link, client_connection = harness.links[0], harness.seats[0]
+    link, client_connection = harness.links[0], harness.client_connections[0]
     link.hurry()
     link.kernel.append(answer(link, link.asked.popleft(), framing))
     link.deliver()
@@ -401,7 +401,7 @@
 
 def test_a_break_does_not_look_like_an_end_to_an_old_client() -> None:
     """It knows the end of an answer without a length by its connection's only."""
-    harness = ProxyHarness(BOOK)
+    harness = ProxyHarness(COMPILED_CONFIG)
     client_connection = harness.client_connection()
     harness.ask(client_connection, Ask("a1", True, "GET", True, "1.0"), 0)
     harness.run(0.002)
@@ -421,14 +421,17 @@
 
 def test_nothing_is_sent_on_from_behind_the_last_answer() -> None:
     """A client that is told that its connection ends takes what it has sent behind that for unread."""
-    harness = ProxyHarness(BOOK)
+    harness = ProxyHarness(COMPILED_CONFIG)
     harness.server.draining = True
     order(harness)
-    harness.ask(harness.seats[0], Ask("a2", False, "POST", True, "1.1"), 9)
+    harness.ask(harness.client_connections[0], Ask("a2", False, "POST", True, "1.1"), 9)
     link = harness.links[0]
     link.kernel.append(answer(link, link.asked.popleft()))
     link.deliver()
-    assert b"Connection: close" in harness.seats[0].said and harness.seats[0].receiver.closing
+    assert (
+        b"Connection: close" in harness.client_connections[0].said
+        and harness.client_connections[0].receiver.closing
+    )
     harness.settle()
     assert not harness.runs()["a2"]
     harness.check()
--- a/tests/system/test_calls_control.py
+++ b/tests/system/test_calls_control.py
@@ -36,7 +36,7 @@
         self.told = dict[str, list[tuple[int, bytes]]]()
         self.replies = list[Reply]()
         self.http_listener = HttpListener(self.process.loop, self.answer)
-        self.seats = [self.client_connection() for _ in range(3)]
+        self.client_connections = [self.client_connection() for _ in range(3)]
         self.calls = 0
 
     def leads(self, now: float) -> bool:
@@ -86,7 +86,7 @@
         )
 
     def step(self, what: str, i: int, n: int) -> None:
-        client_connection = self.seats[i % len(self.seats)]
+        client_connection = self.client_connections[i % len(self.client_connections)]
         if what in ("beat", "order"):
             self.ask(client_connection, what == "order", ("PUT", "DELETE")[n % 2])
         elif what == "ack" and self.tokens:  # also one that was before
@@ -111,7 +111,7 @@
         elif what == "leave":
             client_connection.gone = True
             client_connection.close()
-            self.seats[i % len(self.seats)] = self.client_connection()
+            self.client_connections[i % len(self.client_connections)] = self.client_connection()
         elif what == "wait":
             self.process.simulator.run(self.process.simulator.now + (0.1, PROPOSAL_TIMEOUT_S + 1.0)[n % 2])
             self.control.proceed(self.process.time())
@@ -130,14 +130,16 @@
 
 def play(schedule: list[tuple[str, int, int]]) -> None:
     controller = SimulatedController()
-    seats = list(controller.seats)
+    client_connections = list(controller.client_connections)
     for each in schedule:
         controller.step(*each)
-        seats += [
-            client_connection for client_connection in controller.seats if client_connection not in seats
+        client_connections += [
+            client_connection
+            for client_connection in controller.client_connections
+            if client_connection not in client_connections
         ]
     assert not controller.process.faults
-    for client_connection in seats:
+    for client_connection in client_connections:
         controller.check(client_connection)
 
 
