Proving: a run's record has backend events, not lives

Cause: names of the earlier style in the record, and single letters in the checker of draining.

Change: names alone; what is checked and printed is the same.

--- a/proving/checkers/configuration.py
+++ b/proving/checkers/configuration.py
@@ -8,7 +8,7 @@
 from proving.checkers.history import ConfigVersion, RuleViolation, RunHistory, limit_findings
 from proving.model.record import Order, Sent
 
-SAME_LIFE = (
+KEEPS_PROCESSES = (
     "slow",
     "freeze",
     "lossy",
@@ -134,26 +134,26 @@
 
 
 def gone_back(history: RunHistory) -> Iterator[RuleViolation]:
-    """A machine that has shown a version doesn't go back, in one life of its processes."""
+    """A machine that has shown a version doesn't go back, while its processes run on."""
     shown: dict[tuple[str, int], tuple[float, int]] = {}
     for h in handled(history):
         allowing = [v.generation for v in history.versions if h.by(v)]
         if not allowing:
             continue
-        life = (
+        incarnation = (
             h.sent.way,
             sum(
                 1
                 for t in history.record.disruptions
-                if h.sent.way in t.machines and t.begins <= h.at and t.kind not in SAME_LIFE
+                if h.sent.way in t.machines and t.begins <= h.at and t.kind not in KEEPS_PROCESSES
             ),
         )
-        seen = shown.get(life)
+        seen = shown.get(incarnation)
         slack = history.bounds.downgrade_s * (8 if slowed(history, h) else 1)
         if seen and h.sent.at > seen[0] + slack and max(allowing) < seen[1]:
             yield RuleViolation("CONFIG", h.at, f"{h}, after it showed generation {seen[1]} at {seen[0]:.3f}")
         if h.service and (not seen or min(allowing) > seen[1]):
-            shown[life] = h.at, min(allowing)
+            shown[incarnation] = h.at, min(allowing)
 
 
 def slowed(history: RunHistory, h: ServedRequest) -> bool:
--- a/proving/checkers/draining.py
+++ b/proving/checkers/draining.py
@@ -7,22 +7,22 @@
 
 def drain(history: RunHistory) -> list[RuleViolation]:
     """Nothing is sent on to a backend that has long been acknowledged to leave."""
-    told: dict[str, float] = {}
-    for life in history.record.lives:
-        if life.what in ("draining", "gone") and history.has_contact(life.by, life.at, life.at):
-            told.setdefault(life.backend, life.at)
+    acknowledged: dict[str, float] = {}
+    for event in history.record.backend_events:
+        if event.what in ("draining", "gone") and history.has_contact(event.by, event.at, event.at):
+            acknowledged.setdefault(event.backend, event.at)
     found = []
-    for a in history.record.arrived:
-        since = told.get(a.backend)
-        sent = history.sent.get(a.attempt)
-        if since is None or sent is None or a.why == "another is meant":
+    for arrived in history.record.arrived:
+        since = acknowledged.get(arrived.backend)
+        sent = history.sent.get(arrived.attempt)
+        if since is None or sent is None or arrived.why == "another is meant":
             continue
-        if a.at > since + history.bounds.drain_s and history.has_contact(sent.way, since, a.at):
+        if arrived.at > since + history.bounds.drain_s and history.has_contact(sent.way, since, arrived.at):
             found.append(
                 RuleViolation(
                     "DRAIN",
-                    a.at,
-                    f"{sent.way} sends {sent.path} to {a.backend}, which was "
+                    arrived.at,
+                    f"{sent.way} sends {sent.path} to {arrived.backend}, which was "
                     f"acknowledged to leave at {since:.3f}",
                 )
             )
--- a/proving/model/backends.py
+++ b/proving/model/backends.py
@@ -74,7 +74,7 @@
 
 
 class Backend:
-    """One life of a backend. It beats from `start` on."""
+    """A backend process. It sends heartbeats from `start` on."""
 
     def __init__(
         self,
@@ -99,7 +99,7 @@
         self.target: str | None = None  # where its beats are taken
         self.served = 0
 
-    # Its life.
+    # From its start to its end.
 
     def start(self, cold_s: float) -> None:
         """Begin to serve and to tell of it."""
@@ -109,7 +109,7 @@
         self.simulator.after(self.rng.uniform(0.0, 0.3), self.beat)
 
     def tell(self, what: str, by: str) -> None:
-        self.deployment.record.lives.append(
+        self.deployment.record.backend_events.append(
             BackendEvent(self.simulator.now, what, self.id, self.service.name, self.address, by)
         )
 
--- a/proving/model/record.py
+++ b/proving/model/record.py
@@ -80,7 +80,7 @@
 
 
 class BackendEvent(NamedTuple):
-    """Something in the life of a backend: `starts`, `draining` or `gone` (each acknowledged), `ends`."""
+    """Something that a backend does: `starts`, `draining` or `gone` (each acknowledged), `ends`."""
 
     at: float
     what: str
@@ -112,7 +112,7 @@
         self.orders: list[Order] = []
         self.repeats: list[Repeat] = []
         self.reads: list[Read] = []
-        self.lives: list[BackendEvent] = []
+        self.backend_events: list[BackendEvent] = []
         self.disruptions: list[Disruption] = []
         self.wanted: list[tuple[float, str, float, str]] = []  # first tries: at, route, worth, tenant
         self.served: list[tuple[float, str, str, str, float]] = []  # at, route, tenant, zone, seconds
--- a/proving/transcript.py
+++ b/proving/transcript.py
@@ -76,8 +76,8 @@
         yield o.sent, f"..  operator {o.who} sends generation {o.generation} on {o.base}{kind}"
         if o.status:
             yield o.at, f"..  operator {o.who} gets {o.status} for generation {o.generation} from {o.by}"
-    for life in record.lives:
-        yield life.at, f"..  backend {life.backend} of {life.service} {life.what} {life.by}".rstrip()
+    for event in record.backend_events:
+        yield event.at, f"..  backend {event.backend} of {event.service} {event.what} {event.by}".rstrip()
     for at, machine, ready in record.ready:
         yield at, f"..  {machine} is {'in' if ready else 'out'}"
     for at, machine, generation in record.taken:
