Proving: what renders text, handles messages or is a node is named so

Cause: four functions called `told`, a process's handlers called `notes` and a program's node called `glue` were names of the earlier style.

Change: render_outcome, render_day, render_spec, render_steps; message_handlers; node.

--- a/proving/allowance.py
+++ b/proving/allowance.py
@@ -202,7 +202,7 @@
     return [("from second", "at", "what"), *sorted(rows, key=lambda row: float(row[0]))]
 
 
-def told(day: Day) -> str:
+def render_day(day: Day) -> str:
     """All of it for a terminal."""
     parts = [
         ("asked, admitted, refused early", table(day)),
--- a/proving/allowance_report.py
+++ b/proving/allowance_report.py
@@ -89,5 +89,5 @@
     head = f'<!doctype html><meta charset="utf-8"><title>{html.escape(name)}</title>'
     path = folder / f"{name}.html"
     path.write_text(f"{head}<style>{STYLE}</style>" + "\n".join(parts), encoding="utf-8")
-    path.with_suffix(".txt").write_text(allowance.told(day) + "\n", encoding="utf-8")
+    path.with_suffix(".txt").write_text(allowance.render_day(day) + "\n", encoding="utf-8")
     return path
--- a/proving/commands/hunt.py
+++ b/proving/commands/hunt.py
@@ -45,7 +45,9 @@
         for each in broken:
             if not self.option("whole"):
                 short = hunt.shrink(each)
-                self.tell(f"\nseed {each.seed}, shrunk:\n{random_days.told(short.spec)}\n  {short.broken[0]}")
+                self.tell(
+                    f"\nseed {each.seed}, shrunk:\n{random_days.render_spec(short.spec)}\n  {short.broken[0]}"
+                )
         if path := self.option("record"):
             line = {
                 "experiment": told.name,
--- a/proving/commands/plan.py
+++ b/proving/commands/plan.py
@@ -24,5 +24,5 @@
 
         plan = planner.make(self.experiment(), self.argument("change"))
         outcome = planner.play(plan, range(1, 1 + (self.number("seeds") or 4)), self.number("cores"))
-        self.tell(planner.told(outcome))
+        self.tell(planner.render_outcome(outcome))
         return 1 if outcome.broken[1] else 0
--- a/proving/commands/recordings.py
+++ b/proving/commands/recordings.py
@@ -66,7 +66,9 @@
 
         head, count, steps = recording.load(Path(self.argument("file")))
         if self.option("print"):
-            for line in recording.told(steps, float(self.option("begins")), float(self.option("ends"))):
+            for line in recording.render_steps(
+                steps, float(self.option("begins")), float(self.option("ends"))
+            ):
                 self.tell(line)
             return 0
         if count > len(steps):
--- a/proving/commands/reports.py
+++ b/proving/commands/reports.py
@@ -51,7 +51,7 @@
         day, folder = allowance.gather(lines), Path(self.option("out"))
         folder.mkdir(parents=True, exist_ok=True)
         path = allowance_report.write(day, f"allowance-{Path(self.argument('logs')[0]).stem}", folder)
-        self.tell(f"{allowance.told(day)}\n\n{path}")
+        self.tell(f"{allowance.render_day(day)}\n\n{path}")
         return 1 if any(view.beyond for view in day.views) else 0
 
 
--- a/proving/commands/run.py
+++ b/proving/commands/run.py
@@ -27,7 +27,7 @@
 
         day = self.day()
         record = play(day, self.number("seed"))
-        self.tell(random_days.told(day))
+        self.tell(random_days.render_spec(day))
         for name, value in measure(record, day).items():
             self.tell(f"{value:14.5g}  {name}")
         return self.findings(HuntResult(self.number("seed"), day, check(record), {}))
--- a/proving/model/processes.py
+++ b/proving/model/processes.py
@@ -101,7 +101,7 @@
         self.place: Location = machine.place
         self.me: Address = settings.own_address(self.kind)
         self.speed = machine.speed
-        self.notes: dict[int, Callable[[Address, Any], None]] = {}
+        self.message_handlers: dict[int, Callable[[Address, Any], None]] = {}
         self.leaving = False
         self.tick_s = CONTROLLER_TICK_S if self.kind == "controller" else PROXY_TICK_S
 
@@ -142,7 +142,7 @@
     def arrive(self, to: Address, plane: int, message: Any) -> None:
         """A message has come to another process's port, if there is one."""
         process = self.machine.deployment.at_port.get(to)
-        if process is not None and plane in process.notes:
+        if process is not None and plane in process.message_handlers:
             if (watch := self.machine.network.watch) is not None:
                 watch(self.place, process.place, PLANE_NAMES[plane], message)
             process.enter(process.take, self.me, plane, message)
@@ -150,7 +150,7 @@
     def take(self, sender: Address, plane: int, message: Any) -> None:
         """A message has come here."""
         try:
-            self.notes[plane](sender, message)
+            self.message_handlers[plane](sender, message)
         except Exception as error:
             self.fault(error)
 
@@ -174,7 +174,7 @@
         controller_node = self.controller_node
         if self.recording is not None:
             self.recording.attach(controller_node)
-        self.notes = {
+        self.message_handlers = {
             CONSENSUS: controller_node.on_consensus_message,
             MEMBERSHIP: controller_node.on_membership_message,
             QUOTA: controller_node.on_quota_message,
@@ -239,7 +239,7 @@
             self.recording.attach(self.proxy_node)
         memory = int(1e6 * settings.own.limits.memory_mb)
         self.server = SimulatedServer(self.loop, self.proxy_node.ingress, half, memory // BODY_MEMORY_DIVISOR)
-        self.notes = {
+        self.message_handlers = {
             MEMBERSHIP: self.proxy_node.on_membership_message,
             QUOTA: self.proxy_node.on_quota_message,
         }
--- a/proving/planner.py
+++ b/proving/planner.py
@@ -147,7 +147,7 @@
     )
 
 
-def told(outcome: Outcome) -> str:
+def render_outcome(outcome: Outcome) -> str:
     """The outcome as text."""
     plan = outcome.plan
     lines = [f"{plan.title}: {outcome.runs} days before and after", "", f"{'before':>12}{'after':>12}"]
--- a/proving/random_days.py
+++ b/proving/random_days.py
@@ -113,7 +113,7 @@
     return spec
 
 
-def told(spec: Spec) -> str:
+def render_spec(spec: Spec) -> str:
     """A day's schedule, a line a trouble."""
     lines = [f"{t.at:7.2f} s  {t.kind} ({t.which}), {t.lasts:g} s, x{t.much:g}" for t in spec.disruptions]
     if spec.day.closing:
--- a/proving/recording.py
+++ b/proving/recording.py
@@ -49,9 +49,9 @@
         self.head, self.steps = head, deque[RecordedInput](maxlen=most)
         self.count = 0
 
-    def attach(self, glue: ControllerNode | ProxyNode) -> None:
+    def attach(self, node: ControllerNode | ProxyNode) -> None:
         """Listen at all of its machines."""
-        for name, machine in machines(glue):
+        for name, machine in machines(node):
             self._listen(name, machine)
 
     def _listen(self, name: str, machine: Any) -> None:
@@ -72,14 +72,14 @@
             pickle.dump((self.head, self.count, list(self.steps)), file)
 
 
-def machines(glue: ControllerNode | ProxyNode) -> Iterator[tuple[str, Any]]:
+def machines(node: ControllerNode | ProxyNode) -> Iterator[tuple[str, Any]]:
     """A process's state machines by name."""
-    if isinstance(glue, ControllerNode):
+    if isinstance(node, ControllerNode):
         for name in CONTROLLER_MACHINES:
-            yield name, getattr(glue, name)
+            yield name, getattr(node, name)
     else:
-        yield "membership", glue.membership
-        yield "gateway", glue.ingress.gateway
+        yield "membership", node.membership
+        yield "gateway", node.ingress.gateway
 
 
 def shown(output: Any) -> str:
@@ -109,11 +109,11 @@
     """Feed a whole recording through new machines; the first difference, or None."""
     rng = random.Random()
     rng.setstate(head.chance)
-    glue: Any
+    node: Any
     if head.role == "controller":
-        glue = ControllerNode(NullObject(), lambda: head.began, head.settings, head.stored, rng)
+        node = ControllerNode(NullObject(), lambda: head.began, head.settings, head.stored, rng)
     else:
-        glue = ProxyNode(
+        node = ProxyNode(
             NullObject(),
             cast(Any, NullObject()),
             lambda: head.began,
@@ -121,7 +121,7 @@
             cast(Any, NullObject()),
             rng,
         )
-    known = dict(machines(glue))
+    known = dict(machines(node))
     for number, step in enumerate(steps):
         out = [shown(o) for o in known[step.machine].handle(step.now, pickle.loads(step.event))]
         if out != step.outputs:
@@ -135,7 +135,7 @@
         return pickle.load(file)  # type: ignore[no-any-return]
 
 
-def told(
+def render_steps(
     steps: list[RecordedInput], begins: float = 0.0, ends: float = 1e12, longest: int = 200
 ) -> Iterator[str]:
     """Steps as lines: what came in, and what went out for it."""
--- a/tests/system/test_allowance.py
+++ b/tests/system/test_allowance.py
@@ -153,7 +153,7 @@
     assert {key for key in day.decided} == {("calm", 0), ("hot", 0), ("hot", 2)}
     assert 0.002 < proving.quantile(day.times["holder"], 0.5) < 0.009
     assert {move[1:3] for move in day.moves} >= {("calm", f"edge-{gone} {gone}")}
-    assert "hot     1           " in proving.told(day) and all(view.beyond == 0 for view in day.views)
+    assert "hot     1           " in proving.render_day(day) and all(view.beyond == 0 for view in day.views)
 
 
 def test_lines_of_counts_are_written_at_once_only_if_asked_for():
