Proving: the costs of queries and parts of estimates are named so

Cause: `Told`, `told` and, in tests, `Core`, `lives` and `Wrong` were names of the earlier style.

Change: QueryCost and breakdown; RecordedAssigner, incarnations and MisreadingNetwork in the quota plane's tests.

--- a/proving/capacity/figures.py
+++ b/proving/capacity/figures.py
@@ -56,7 +56,7 @@
     value: float
     parts: tuple[Part, ...]
 
-    def told(self, scale: float = 1.0) -> str:
+    def breakdown(self, scale: float = 1.0) -> str:
         """The parts, as `ingresses 0.4 + requests 0.5`."""
         return " + ".join(
             f"{part.axis} {number(part.added * scale)}"
--- a/proving/capacity/growth.py
+++ b/proving/capacity/growth.py
@@ -107,14 +107,14 @@
     ]
 
 
-class Told(NamedTuple):
+class QueryCost(NamedTuple):
     """What an operator's question costs a controller."""
 
     bytes: float
     processor_s: float
 
 
-def ask(fleet: Fleet, path: str) -> Told:
+def ask(fleet: Fleet, path: str) -> QueryCost:
     """Ask the leader what operators' tools ask."""
     answers: list[bytes] = []
     leader = fleet.leader()
@@ -122,7 +122,7 @@
         raise FleetError("no leader")
     began = thread_time()
     leader.answer(HttpCall("GET", path, b""), lambda status, lines, body: answers.append(body))
-    return Told(float(len(answers[0])), thread_time() - began)
+    return QueryCost(float(len(answers[0])), thread_time() - began)
 
 
 def roles(fleet: Fleet) -> dict[str, list[Counts]]:
--- a/proving/capacity/page.py
+++ b/proving/capacity/page.py
@@ -158,7 +158,7 @@
         budget,
         value,
         "yes" if line.held else "**no**",
-        line.estimate.told(),
+        line.estimate.breakdown(),
         line.mechanism,
         _fails_at(line),
         known[line.cause].short,
--- a/tests/system/test_allowance.py
+++ b/tests/system/test_allowance.py
@@ -18,7 +18,7 @@
 TENANTS = {"calm": (40.0, 40.0), "hot": (20.0, 20.0)}
 
 
-class Wrong(QuotaNetwork):
+class MisreadingNetwork(QuotaNetwork):
     """One proxy reads verdicts wrongly."""
 
     def take(self, sender: str, to: str, note: Any) -> None:
@@ -63,7 +63,7 @@
 
 
 def test_a_node_that_knows_something_else_is_found(monkeypatch, capfd):
-    net = busy(Wrong)
+    net = busy(MisreadingNetwork)
     now = told(net)
     assert {row["node"] for row in now.views if row["beyond"]} == {"s0"} and not now.well
     answers = {
--- a/tests/system/test_quota_machines.py
+++ b/tests/system/test_quota_machines.py
@@ -174,14 +174,14 @@
     assert plan(63, 63, 5.0) == (1.0, 63.0) and plan(0, 5, 5.0) is None
 
 
-class Core:
+class RecordedAssigner:
     """A leader and a transcript of what it is asked and says."""
 
     def __init__(self) -> None:
         self.shard_assigner, self.lines = ShardAssigner(), list[str]()
         # The newest lease of each owner: term, number, shards.
         self.seen: dict[str, tuple[int, int, int]] = {}
-        self.lives: dict[str, int] = {}
+        self.incarnations: dict[str, int] = {}
 
     def do(self, now: float, input: Any) -> None:
         """One input, and the outputs into the transcript."""
@@ -203,7 +203,7 @@
         held = held if shards is None else shards
         self.lines.append(f"{now:5.2f} {name} asks, holds {held.bit_count()}")
         request = LeaseRequest(
-            incarnation=self.lives.get(name, 1), at=now, term=term, number=number, shards=held
+            incarnation=self.incarnations.get(name, 1), at=now, term=term, number=number, shards=held
         )
         self.do(now, Received(name, Message(request=request)))
 
@@ -218,68 +218,70 @@
 
 
 def test_parts_change_hands_under_leases(snapshot: SnapshotAssertion) -> None:
-    core = Core()
-    core.do(0.0, LiveControllers(["p0", "p1"]))
-    core.do(0.0, LeadershipChange(1, True))
-    core.lines.append("-- a new leader waits out what another may have leased, and confirms what is told")
-    core.ask(0.1, "p0", 0b1111)
-    core.ticks(1.9, 2.4, "p0")
-    core.lines.append("-- another holder comes; after 2 s its parts are given up by the first, then leased")
-    core.ticks(2.5, 6.0, "p0", "p1")
-    core.lines.append("-- it falls silent, and its parts are free when its lease is surely over")
-    core.ticks(6.1, 8.2, "p0")
-    core.lines.append("-- a process that has begun anew holds nothing")
-    core.lives["p0"], core.seen["p0"] = 2, (0, 0, 0)
-    core.ask(8.5, "p0")
-    core.do(8.6, LeadershipChange(0, False))
-    core.ask(8.7, "p0")
-    assert "\n".join(core.lines) == snapshot
+    assigner = RecordedAssigner()
+    assigner.do(0.0, LiveControllers(["p0", "p1"]))
+    assigner.do(0.0, LeadershipChange(1, True))
+    assigner.lines.append("-- a new leader waits out what another may have leased, and confirms what is told")
+    assigner.ask(0.1, "p0", 0b1111)
+    assigner.ticks(1.9, 2.4, "p0")
+    assigner.lines.append(
+        "-- another holder comes; after 2 s its parts are given up by the first, then leased"
+    )
+    assigner.ticks(2.5, 6.0, "p0", "p1")
+    assigner.lines.append("-- it falls silent, and its parts are free when its lease is surely over")
+    assigner.ticks(6.1, 8.2, "p0")
+    assigner.lines.append("-- a process that has begun anew holds nothing")
+    assigner.incarnations["p0"], assigner.seen["p0"] = 2, (0, 0, 0)
+    assigner.ask(8.5, "p0")
+    assigner.do(8.6, LeadershipChange(0, False))
+    assigner.ask(8.7, "p0")
+    assert "\n".join(assigner.lines) == snapshot
 
 
 def test_the_first_table_after_a_loss_of_all_is_whole() -> None:
-    core = Core()
-    core.do(1.0, LiveControllers(["p0", "p1", "p2"], ["p0", "p1", "p2"]))
-    core.do(1.0, LeadershipChange(1, True))
+    assigner = RecordedAssigner()
+    assigner.do(1.0, LiveControllers(["p0", "p1", "p2"], ["p0", "p1", "p2"]))
+    assigner.do(1.0, LeadershipChange(1, True))
     for name in ("p0", "p1", "p2"):
-        core.ask(1.05, name)
-    (table,) = (line for line in core.lines if "table" in line)
+        assigner.ask(1.05, name)
+    (table,) = (line for line in assigner.lines if "table" in line)
     assert "'p0', 'p1', 'p2'" in table and sum(map(int, re.findall(r"\d+", table.split("] [")[1]))) == 64
 
 
-def first_table(core: Core, ticks: list[float]) -> list[str]:
+def first_table(assigner: RecordedAssigner, ticks: list[float]) -> list[str]:
     """What a new leader of three says of its tables by then."""
     names = ["p0", "p1", "p2"]
-    core.do(ticks[0], LeadershipChange(1, True))
-    core.do(ticks[0], LiveControllers(names, names))
+    assigner.do(ticks[0], LeadershipChange(1, True))
+    assigner.do(ticks[0], LiveControllers(names, names))
     for now in ticks:
-        core.do(now, Tick())
-    return [line for line in core.lines if " table " in line]
+        assigner.do(now, Tick())
+    return [line for line in assigner.lines if " table " in line]
 
 
 def test_requests_of_just_before_a_leader_is_sure_are_taken_up() -> None:
-    core = Core()
-    core.do(0.005, LeadershipChange(1, False))
+    assigner = RecordedAssigner()
+    assigner.do(0.005, LeadershipChange(1, False))
     for name in ("p0", "p1", "p2"):
-        core.ask(0.01, name)
-    assert "['p0', 'p1', 'p2']" in first_table(core, [0.02, 0.045])[-1]
-    former = Core()
+        assigner.ask(0.01, name)
+    assert "['p0', 'p1', 'p2']" in first_table(assigner, [0.02, 0.045])[-1]
+    former = RecordedAssigner()
     for name in ("p0", "p1", "p2"):
         former.ask(0.01, name)  # it doesn't lead: another that does may lease them more meanwhile
     assert first_table(former, [0.02, 0.045]) == []
-    late = Core()
+    late = RecordedAssigner()
     late.do(0.005, LeadershipChange(1, False))
     late.ask(0.01, "p0")
     assert first_table(late, [0.2]) == []  # it has asked again, or is gone
 
 
 def test_a_table_with_gaps_is_followed_at_once() -> None:
-    core = Core()
-    core.do(0.0, LeadershipChange(1, True))
-    core.do(0.0, LiveControllers(["p0", "p1", "p2"], ["p0", "p1", "p2"]))
+    assigner = RecordedAssigner()
+    assigner.do(0.0, LeadershipChange(1, True))
+    assigner.do(0.0, LiveControllers(["p0", "p1", "p2"], ["p0", "p1", "p2"]))
     for name in ("p0", "p1", "p2"):
-        core.ask(0.01, name)
-    core.do(0.03, Tick())
-    assert "['p0', 'p1', 'p2']" in [line for line in core.lines if " table " in line][-1]
+        assigner.ask(0.01, name)
+    assigner.do(0.03, Tick())
+    assert "['p0', 'p1', 'p2']" in [line for line in assigner.lines if " table " in line][-1]
 
 
 def test_no_shard_has_two_owners() -> None:
