--- a/proving/model/injected_bugs.py
+++ b/proving/model/injected_bugs.py
@@ -18,9 +18,9 @@
 from roadspur.net.connection_interfaces import ImmediateResponse
 
 
-def _stale(s: ProxyProcess) -> None:
+def _stale(process: ProxyProcess) -> None:
     """Takes up the first configuration only, and nothing in it looks for that."""
-    proxy_node: Any = s.proxy_node
+    proxy_node: Any = process.proxy_node
     proxy_node.drift_monitor.tick = lambda: setattr(proxy_node.drift_monitor, "ready", True)
     proxy_node.ingress.inspect = lambda host, path, key, route_decision: route_decision
     apply_config = proxy_node.apply_config
@@ -32,28 +32,28 @@
     proxy_node.apply_config = first_only
 
 
-def _any_charge(s: ProxyProcess) -> None:
-    """Lets every request go, whatever the holder says."""
-    decisions: Any = s.proxy_node.ingress.gateway
+def _any_charge(process: ProxyProcess) -> None:
+    """Lets every request go, whatever the shard owner says."""
+    decisions: Any = process.proxy_node.ingress.gateway
     request = decisions.request
 
-    def unlimited(now: float, r: io.Request) -> None:
-        about = r.about
-        request(now, r._replace(about=about._replace(tenant=None) if about.tenant else about))
+    def unlimited(now: float, received: io.Request) -> None:
+        about = received.about
+        request(now, received._replace(about=about._replace(tenant=None) if about.tenant else about))
 
     decisions.on[io.Request] = unlimited
 
 
-def _deaf_to_drain(s: ProxyProcess) -> None:
+def _deaf_to_drain(process: ProxyProcess) -> None:
     """Takes backends that leave for ones that stay."""
-    proxy_node: Any = s.proxy_node
+    proxy_node: Any = process.proxy_node
     backend = proxy_node.backend
-    proxy_node.backend = lambda b: backend(b._replace(draining=False))
+    proxy_node.backend = lambda record: backend(record._replace(draining=False))
 
 
-def _repeats(s: ProxyProcess) -> None:
+def _repeats(process: ProxyProcess) -> None:
     """Sends what may not be repeated to a second backend."""
-    proxy_node: Any = s.proxy_node
+    proxy_node: Any = process.proxy_node
     read = proxy_node.ingress.read
 
     def safe(*args: Any) -> Any:
@@ -68,32 +68,32 @@
     proxy_node.ingress.read = safe
 
 
-def _always_promises(s: ProxyProcess) -> None:
+def _always_promises(process: ProxyProcess) -> None:
     """Promises that nothing has run."""
     from gateway.proxy.execution_status import ExecutionStatus
 
-    ingress: Any = s.proxy_node.ingress
+    ingress: Any = process.proxy_node.ingress
     ingress.execution_status = lambda held: ExecutionStatus.NEVER_RAN
     decisions: Any = ingress.gateway
 
-    def refuse(now: float, f: Any, wait: float) -> None:
-        decisions.acts.append(io.Refuse(f.req.id, 0.1))
-        decisions.forget(f.req.id)
+    def refuse(now: float, active_request: Any, wait: float) -> None:
+        decisions.acts.append(io.Refuse(active_request.req.id, 0.1))
+        decisions.forget(active_request.req.id)
 
     decisions.give_up = refuse
     for service in decisions.services.values():
         service.give_up = refuse
 
 
-def _believes_all(s: ProxyProcess) -> None:
+def _believes_all(process: ProxyProcess) -> None:
     """Takes any answer for a good one."""
-    ingress: Any = s.proxy_node.ingress
+    ingress: Any = process.proxy_node.ingress
     ingress.outcome = lambda call, answer: io.Outcome.OK if answer.status == 200 else io.Outcome.ERROR
 
 
-def _no_budget(s: ProxyProcess) -> None:
+def _no_budget(process: ProxyProcess) -> None:
     """Repeats without end."""
-    decisions: Any = s.proxy_node.ingress.gateway
+    decisions: Any = process.proxy_node.ingress.gateway
     budget = decisions.budget
 
     def endless(*args: Any) -> Any:
@@ -111,16 +111,16 @@
     decisions.budget = endless
 
 
-def _other_path(s: ProxyProcess) -> None:
+def _other_path(process: ProxyProcess) -> None:
     """Changes a path on its way."""
-    ingress: Any = s.proxy_node.ingress
+    ingress: Any = process.proxy_node.ingress
     message = ingress.message
     ingress.message = lambda *args: message(*args).replace(b" HTTP/1.1", b"x HTTP/1.1", 1)
 
 
-def _no_target(s: ProxyProcess) -> None:
+def _no_target(process: ProxyProcess) -> None:
     """Doesn't say for whom a request is, and holds on to backends that are gone."""
-    proxy_node: Any = s.proxy_node
+    proxy_node: Any = process.proxy_node
     message, backend = proxy_node.ingress.message, proxy_node.ingress.backend
     proxy_node.ingress.message = lambda *args: message(*args).replace(b"Target-Instance:", b"X-Target:")
 
@@ -131,9 +131,9 @@
     proxy_node.ingress.backend = keep
 
 
-def _denies(s: ProxyProcess) -> None:
+def _denies(process: ProxyProcess) -> None:
     """Denies a tenth of what it is sent."""
-    ingress: Any = s.proxy_node.ingress
+    ingress: Any = process.proxy_node.ingress
     read, rng = ingress.read, random.Random(1)
 
     def deny(*args: Any) -> Any:
@@ -142,47 +142,47 @@
     ingress.read = deny
 
 
-def _abrupt(s: ProxyProcess) -> None:
+def _abrupt(process: ProxyProcess) -> None:
     """Ends at once when told to leave."""
-    process: Any = s
-    process.leave = lambda: s.machine.end(s)
+    replaced: Any = process
+    replaced.leave = lambda: process.machine.end(process)
 
 
-def _no_return(s: ProxyProcess) -> None:
+def _no_return(process: ProxyProcess) -> None:
     """Serves nothing after the closing fault."""
-    if s.machine.deployment.record.closing:
-        proxy_node: Any = s.proxy_node
+    if process.machine.deployment.record.closing:
+        proxy_node: Any = process.proxy_node
         proxy_node.apply_config = lambda *args, **more: None
 
 
-def _lying_disk(p: ControllerProcess) -> None:
+def _lying_disk(process: ControllerProcess) -> None:
     """Its disk says that it has saved what it has not."""
-    p.machine.disk.lying, p.machine.disk.sync_s = True, 0.1
+    process.machine.disk.lying, process.machine.disk.sync_s = True, 0.1
 
 
-def _hasty(p: ControllerProcess) -> None:
+def _hasty(process: ControllerProcess) -> None:
     """Acknowledges an order before it is agreed on."""
-    controller_node: Any = p.controller_node
+    controller_node: Any = process.controller_node
     propose = controller_node.propose
 
     def at_once(token: int, value: bytes, expected: int) -> None:
         propose(token, value, expected)
-        controller_node.control.proposed(p.time(), token, "done")
+        controller_node.control.proposed(process.time(), token, "done")
 
     controller_node.propose = at_once
 
 
-def _credulous(p: ControllerProcess) -> None:
+def _credulous(process: ControllerProcess) -> None:
     """Acknowledges whatever it is told to change."""
-    controller_node: Any = p.controller_node
+    controller_node: Any = process.controller_node
     controller_node.propose = lambda token, value, expected: controller_node.control.proposed(
-        p.time(), token, "done"
+        process.time(), token, "done"
     )
 
 
-def _forgets_orders(p: ControllerProcess) -> None:
+def _forgets_orders(process: ControllerProcess) -> None:
     """Knows no order again."""
-    controller_node: Any = p.controller_node
+    controller_node: Any = process.controller_node
     config_in_force = controller_node.config_in_force
 
     def bare() -> tuple[int, ConfigState]:
@@ -192,9 +192,9 @@
     controller_node.config_in_force = bare
 
 
-def _silent_orders(p: ControllerProcess) -> None:
+def _silent_orders(process: ControllerProcess) -> None:
     """Gives orders no answer."""
-    controller_node: Any = p.controller_node
+    controller_node: Any = process.controller_node
     handle_consensus = controller_node.handle_consensus
 
     def forgetful(event: Any) -> None:
@@ -204,9 +204,9 @@
     controller_node.handle_consensus = forgetful
 
 
-def _faulty(s: ProxyProcess) -> None:
+def _faulty(process: ProxyProcess) -> None:
     """Raises now and then."""
-    proxy_node: Any = s.proxy_node
+    proxy_node: Any = process.proxy_node
     handle_membership, rng = proxy_node.handle_membership, random.Random(1)
 
     def raising(event: Any) -> None:
