Proving: log entries, responses and descriptions are named so

Cause: `told` stood for a log line's fields, a response's handler, a disruption's description, lists of controls and a set of nodes.

Change: entry, on_response, description, control_lists and reported; whole names in the transcript's events.

--- a/proving/allowance.py
+++ b/proving/allowance.py
@@ -24,11 +24,11 @@
 
     at: float
     node: str
-    told: dict[str, Any]
+    entry: dict[str, Any]
 
 
 class View(NamedTuple):
-    """A count as its holder told it."""
+    """A count as its shard owner reported it."""
 
     at: float
     node: str
@@ -64,10 +64,10 @@
 
 def read(lines: Iterable[str]) -> Iterator[LogLine]:
     """The lines of counts among others."""
-    for before, told in objects(lines, QUOTA_LOGGER):
+    for before, entry in objects(lines, QUOTA_LOGGER):
         time, name = TIME.search(before), NAME.search(before)
-        at = float(time[1]) if time else float(told.get("time", 0.0))
-        yield LogLine(at, f"{name[0]} {told['node']}" if name else str(told.get("node", "")), told)
+        at = float(time[1]) if time else float(entry.get("time", 0.0))
+        yield LogLine(at, f"{name[0]} {entry['node']}" if name else str(entry.get("node", "")), entry)
 
 
 def gather(lines: Iterable[LogLine]) -> Day:
@@ -84,17 +84,17 @@
         [],
     )
     holders: dict[str, str] = {}
-    for at, node, told in (line._replace(at=line.at - begin) for line in found):
-        if "charged" in told:
-            _charged(day, at, told)
-        if "held" in told:
-            _held(day, at, node, told, holders)
+    for at, node, entry in (line._replace(at=line.at - begin) for line in found):
+        if "charged" in entry:
+            _charged(day, at, entry)
+        if "held" in entry:
+            _held(day, at, node, entry, holders)
     return day
 
 
-def _charged(day: Day, at: float, told: dict[str, Any]) -> None:
+def _charged(day: Day, at: float, entry: dict[str, Any]) -> None:
     step = int((at - STEP_S / 2) // STEP_S) * STEP_S  # a line tells of the time before it
-    for tenant, levels in told["charged"].items():
+    for tenant, levels in entry["charged"].items():
         for level, counts in levels.items():
             for total in (
                 day.decided.setdefault((tenant, int(level)), [0] * len(DECISION_KINDS)),
@@ -102,21 +102,21 @@
             ):
                 for n, count in enumerate(counts):
                     total[n] += count
-    for split, buckets in told["times"].items():
+    for split, buckets in entry["times"].items():
         for bucket, count in buckets.items():
             day.times[split][int(bucket)] += count
-    day.back[step] += told["back"]
+    day.back[step] += entry["back"]
 
 
-def _held(day: Day, at: float, node: str, told: dict[str, Any], holders: dict[str, str]) -> None:
-    for tenant, (allowance, remaining, kept, views, differs, beyond, oldest) in told["held"].items():
+def _held(day: Day, at: float, node: str, entry: dict[str, Any], holders: dict[str, str]) -> None:
+    for tenant, (allowance, remaining, kept, views, differs, beyond, oldest) in entry["held"].items():
         day.views.append(View(at, node, tenant, allowance, remaining, kept, views, differs, beyond, oldest))
         before = holders.get(tenant)
         holders[tenant] = node
         if before not in (None, node):
             day.moves.append((at, tenant, str(before), node))
-    if told["gained"] or told["lost"]:
-        day.parts.append((at, node, told["gained"], told["lost"]))
+    if entry["gained"] or entry["lost"]:
+        day.parts.append((at, node, entry["gained"], entry["lost"]))
 
 
 def quantile(counts: list[int], part: float) -> float:
--- a/proving/log_lines.py
+++ b/proving/log_lines.py
@@ -14,8 +14,8 @@
         if begin < 0 or logger not in line:
             continue
         try:
-            told, _ = json.JSONDecoder().raw_decode(line, begin)
+            entry, _ = json.JSONDecoder().raw_decode(line, begin)
         except ValueError:
             continue
-        if isinstance(told, dict) and told.get("logger") == logger:
-            yield line[:begin], told
+        if isinstance(entry, dict) and entry.get("logger") == logger:
+            yield line[:begin], entry
--- a/proving/model/backends.py
+++ b/proving/model/backends.py
@@ -122,9 +122,9 @@
     def on_heartbeat_response(self, status: int, by: str, body: bytes) -> None:
         if 200 <= status < 300:
             self.simulator.after(self.deployment.spec.beat_s * self.rng.uniform(0.95, 1.05), self.beat)
-            told = json.loads(body or b"{}").get("beat-target")
-            if told:
-                self.target = told
+            target = json.loads(body or b"{}").get("beat-target")
+            if target:
+                self.target = target
         else:
             self.target = None
             self.simulator.after(0.2, self.beat)
@@ -157,13 +157,13 @@
         self.draining = True
         give_up = self.simulator.now + LEAVE_S
 
-        def told(status: int, by: str, body: bytes) -> None:
+        def on_response(status: int, by: str, body: bytes) -> None:
             if 200 <= status < 300:
                 self.tell("draining", by)
                 self.simulator.after(drain_s + 0.3, last)
             elif self.simulator.now < give_up:
                 self.target = None
-                self.simulator.after(0.2, self.call, "PUT", told)
+                self.simulator.after(0.2, self.call, "PUT", on_response)
             else:
                 self.simulator.after(1.0, self.end)
 
@@ -175,7 +175,7 @@
                 self.tell("gone", by)
             self.simulator.after(0.5, self.end)
 
-        self.call("PUT", told)
+        self.call("PUT", on_response)
 
     def end(self) -> None:
         """It is there no more; what it was at is lost."""
--- a/proving/model/deployment.py
+++ b/proving/model/deployment.py
@@ -44,7 +44,7 @@
         self.works: dict[str, float] = {}  # by the first part of a path: seconds of work
         self.seeds: tuple[Address, ...] = ()
         self.controls: list[Address] = []  # the operator's list, as it stands
-        self.told: list[tuple[float, tuple[Address, ...]]] = []  # as it stood
+        self.control_lists: list[tuple[float, tuple[Address, ...]]] = []  # as it stood
         self.turned = 0
         self.misses: dict[str, int] = {}
         self.isready: dict[str, bool] = {}
@@ -91,9 +91,9 @@
         if self.controls:
             turned = self.turned % len(self.controls)
             self.controls = self.controls[turned:] + self.controls[:turned]
-        self.told.append((self.simulator.now, tuple(self.controls)))
-        self.told = self.told[-20:]
-        if len(self.told) > 1:
+        self.control_lists.append((self.simulator.now, tuple(self.controls)))
+        self.control_lists = self.control_lists[-20:]
+        if len(self.control_lists) > 1:
             for machine in self.machines.values():
                 self.simulator.after(
                     self.rng.uniform(0.0, 2 * self.spec.bounds.seed_staleness_s), machine.reseed
@@ -107,8 +107,8 @@
     def listed(self) -> tuple[Address, ...]:
         """The list as callers have it."""
         until = self.simulator.now - self.spec.bounds.seed_staleness_s
-        known = [controls for at, controls in self.told if at <= until]
-        return known[-1] if known else self.told[0][1]
+        known = [controls for at, controls in self.control_lists if at <= until]
+        return known[-1] if known else self.control_lists[0][1]
 
     def settings(self, machine: Machine, role: str) -> Settings:
         """What a process is told at its start."""
--- a/proving/model/operators.py
+++ b/proving/model/operators.py
@@ -156,9 +156,9 @@
         def call() -> None:
             address = self.deployment.some_control(self.place, self.rng)
             wait_s = 1.0 + len(body) / 1e5
-            self.deployment.call(self.place, address, method, "/-/config", body, wait_s, told)
+            self.deployment.call(self.place, address, method, "/-/config", body, wait_s, on_response)
 
-        def told(status: int, by: str, answer: bytes) -> None:
+        def on_response(status: int, by: str, answer: bytes) -> None:
             nonlocal wait, tries
             if self.operator_pool.deaf and self.rng.random() < self.operator_pool.deaf:
                 if status == 200:
@@ -176,7 +176,7 @@
     def read(self) -> None:
         """Read the configuration back once."""
 
-        def told(status: int, by: str, answer: bytes) -> None:
+        def on_response(status: int, by: str, answer: bytes) -> None:
             record = self.deployment.record
             generation, same = 0, False
             if status == 200:
@@ -189,7 +189,7 @@
             record.reads.append(Read(self.simulator.now, status, generation, same, by))
 
         address = self.deployment.some_control(self.place, self.rng)
-        self.deployment.call(self.place, address, "GET", "/-/config", b"", 2.0, told)
+        self.deployment.call(self.place, address, "GET", "/-/config", b"", 2.0, on_response)
 
 
 def _canon(document: Document) -> str:
--- a/proving/model/record.py
+++ b/proving/model/record.py
@@ -98,7 +98,7 @@
     kind: str
     machines: tuple[str, ...]
     core: bool
-    told: str
+    description: str
     planned: bool = False
 
 
--- a/proving/orders.py
+++ b/proving/orders.py
@@ -24,7 +24,7 @@
 
     at: float
     what: str
-    told: dict[str, Any]
+    entry: dict[str, Any]
 
 
 @dataclass
@@ -43,12 +43,12 @@
 def read(lines: Iterable[str], by_prefix: bool) -> list[LogLine]:
     """The lines that are about orders, by time: the first number before the object, or its own time."""
     found = []
-    for before, told in objects(lines, LOGGER):
+    for before, entry in objects(lines, LOGGER):
         number = NUMBER.search(before)
         if by_prefix and number is None:
             continue
-        at = float(number[0]) if by_prefix and number else float(told["time"])
-        found.append(LogLine(at, told["message"], told))
+        at = float(number[0]) if by_prefix and number else float(entry["time"])
+        found.append(LogLine(at, entry["message"], entry))
     return sorted(found, key=lambda line: line.at)
 
 
@@ -60,11 +60,11 @@
         if line.what == "in force":
             forces.append(line)
             continue
-        key = line.told["version"], line.told["generation"]
+        key = line.entry["version"], line.entry["generation"]
         order = found.setdefault(key, Order(*key, line.at))
         if line.what == "order acknowledged":
-            order.ack_s = line.told["after_s"]
-            order.came = line.at - line.told["after_s"]
+            order.ack_s = line.entry["after_s"]
+            order.came = line.at - line.entry["after_s"]
     for order in found.values():
         if order.ack_s is not None:
             _spread(order, forces)
@@ -73,18 +73,18 @@
 
 def _spread(order: Order, forces: list[LogLine]) -> None:
     """See when each node had the order, or a later one, in force."""
-    known, told = set[str](), set[str]()
+    known, reported = set[str](), set[str]()
     for line in forces:
-        node, version = line.told["node"], line.told["version"]
+        node, version = line.entry["node"], line.entry["version"]
         if version < order.version:
             known.add(node)
-        elif node not in told and line.at >= order.came - SKEW_S:
-            told.add(node)
-            if line.told["first"]:
+        elif node not in reported and line.at >= order.came - SKEW_S:
+            reported.add(node)
+            if line.entry["first"]:
                 order.anew += version == order.version
             else:
                 order.nodes[node] = max(0.0, line.at - order.came)
-    order.missing = len(known - told)
+    order.missing = len(known - reported)
 
 
 def table(found: list[Order]) -> list[str]:
--- a/proving/transcript.py
+++ b/proving/transcript.py
@@ -69,24 +69,29 @@
 
 def events(record: Record) -> Iterable[tuple[float, str]]:
     """What befell the deployment, and what its callers saw but for the usual."""
-    for t in record.disruptions:
-        yield t.begins, f"**  {t.told}, until {t.ends:.3f}"
-    for o in record.orders:
-        kind = "" if o.valid else " (invalid)"
-        yield o.sent, f"..  operator {o.who} sends generation {o.generation} on {o.base}{kind}"
-        if o.status:
-            yield o.at, f"..  operator {o.who} gets {o.status} for generation {o.generation} from {o.by}"
+    for disruption in record.disruptions:
+        yield disruption.begins, f"**  {disruption.description}, until {disruption.ends:.3f}"
+    for order in record.orders:
+        operator = f"..  operator {order.who}"
+        kind = "" if order.valid else " (invalid)"
+        yield order.sent, f"{operator} sends generation {order.generation} on {order.base}{kind}"
+        if order.status:
+            yield (
+                order.at,
+                f"{operator} gets {order.status} for generation {order.generation} from {order.by}",
+            )
     for event in record.backend_events:
         yield event.at, f"..  backend {event.backend} of {event.service} {event.what} {event.by}".rstrip()
     for at, machine, ready in record.ready:
         yield at, f"..  {machine} is {'in' if ready else 'out'}"
     for at, machine, generation in record.taken:
         yield at, f"..  {machine} takes up generation {generation}"
-    ways = {s.attempt: s for s in record.sent}
-    for a in record.answered.values():
-        if not 200 <= a.status < 300:
-            s = ways[a.attempt]
-            yield a.at, f"..  {s.path}, sent at {s.at:.3f} to {s.way}: {a.status} {a.fault}".rstrip()
+    sent_by_attempt = {sent.attempt: sent for sent in record.sent}
+    for answer in record.answered.values():
+        if not 200 <= answer.status < 300:
+            sent = sent_by_attempt[answer.attempt]
+            outcome = f"{answer.status} {answer.fault}"
+            yield answer.at, f"..  {sent.path}, sent at {sent.at:.3f} to {sent.way}: {outcome}".rstrip()
     for fault in record.faults:
         yield 0.0, f"!!  {fault}"
 
