--- a/proving/orders.py
+++ b/proving/orders.py
@@ -1,7 +1,7 @@
-"""How long the operator's orders took, from the log lines of a day: to the answer, and to the nodes.
+"""Times of configuration orders, from the log lines of a day: to the acknowledgement, and to each node.
 
-Lines are found by the JSON object in them (`gateway.runtime.config_events`); what stands before it, a time
-and a node's name perhaps, may be anything.
+Lines are recognized by their JSON object (`gateway.runtime.config_events`); they may have any prefix, such
+as a time and a node's name.
 """
 
 from __future__ import annotations
@@ -20,51 +20,54 @@
 
 
 class LogLine(NamedTuple):
-    """What a line tells, and when in seconds."""
+    """A log line: its time in seconds, its message, and its object."""
 
     at: float
     what: str
-    told: dict[str, Any]
+    entry: dict[str, Any]
 
 
 @dataclass
 class Order:
-    """An order that was taken. Times are seconds after it came; nodes as they put it in force."""
+    """An order that was accepted. `came` is its time; other times are in seconds after that.
+
+    `nodes` has, for each node, when it put the order in force.
+    """
 
     version: int
     generation: int
     came: float
     ack_s: float | None = None
     nodes: dict[str, float] = field(default_factory=dict)
-    anew: int = 0  # nodes that began with it afterwards
-    missing: int = 0  # nodes that were there and have told nothing of it
+    anew: int = 0  # nodes that started with it afterwards
+    missing: int = 0  # nodes that were running and haven't logged it
 
 
 def read(lines: Iterable[str], by_prefix: bool) -> list[LogLine]:
-    """The lines that are about orders, by time: the first number before the object, or its own time."""
+    """The lines about orders, sorted by time: the first number in the prefix, or the object's own time."""
     found = []
-    for before, told in objects(lines, LOGGER):
+    for before, entry in objects(lines, LOGGER):
         number = NUMBER.search(before)
         if by_prefix and number is None:
             continue
-        at = float(number[0]) if by_prefix and number else float(told["time"])
-        found.append(LogLine(at, told["message"], told))
+        at = float(number[0]) if by_prefix and number else float(entry["time"])
+        found.append(LogLine(at, entry["message"], entry))
     return sorted(found, key=lambda line: line.at)
 
 
 def orders(lines: list[LogLine]) -> list[Order]:
-    """All orders that were taken, and what became of them."""
+    """All orders that were accepted, with their times."""
     found: dict[tuple[int, int], Order] = {}
     forces: list[LogLine] = []
     for line in lines:
         if line.what == "in force":
             forces.append(line)
             continue
-        key = line.told["version"], line.told["generation"]
+        key = line.entry["version"], line.entry["generation"]
         order = found.setdefault(key, Order(*key, line.at))
         if line.what == "order acknowledged":
-            order.ack_s = line.told["after_s"]
-            order.came = line.at - line.told["after_s"]
+            order.ack_s = line.entry["after_s"]
+            order.came = line.at - line.entry["after_s"]
     for order in found.values():
         if order.ack_s is not None:
             _spread(order, forces)
@@ -72,23 +75,23 @@
 
 
 def _spread(order: Order, forces: list[LogLine]) -> None:
-    """See when each node had the order, or a later one, in force."""
-    known, told = set[str](), set[str]()
+    """Set when each node put the order, or a later one, in force."""
+    known, reported = set[str](), set[str]()
     for line in forces:
-        node, version = line.told["node"], line.told["version"]
+        node, version = line.entry["node"], line.entry["version"]
         if version < order.version:
             known.add(node)
-        elif node not in told and line.at >= order.came - SKEW_S:
-            told.add(node)
-            if line.told["first"]:
+        elif node not in reported and line.at >= order.came - SKEW_S:
+            reported.add(node)
+            if line.entry["first"]:
                 order.anew += version == order.version
             else:
                 order.nodes[node] = max(0.0, line.at - order.came)
-    order.missing = len(known - told)
+    order.missing = len(known - reported)
 
 
 def table(found: list[Order]) -> list[str]:
-    """A line an order, then median and worst of all."""
+    """A text table: one line for each order, then the median and the worst of all."""
     rows = [("generation", "version", "acknowledged-s", "nodes", "median-s", "last-s", "anew", "missing")]
     for o in found:
         times = list(o.nodes.values())
--- a/proving/transcript.py
+++ b/proving/transcript.py
@@ -1,21 +1,26 @@
-"""A run as a sequence that a person can read: troubles, orders, answers, and messages between processes."""
+"""A readable transcript of a simulation run: disruptions, orders, responses, messages between processes."""
 
 from __future__ import annotations
 
 from collections.abc import Iterable
 from typing import Any
 
+from gateway.consensus.consensus_pb2 import Kind
+from gateway.programs.startup import CONSENSUS
 from proving.model.network import Location
 from proving.model.record import Record
 from proving.model.simulation_run import Run
+from proving.planes import PLANE_NAMES
 from proving.spec import Spec
 
-LONGEST = 60  # letters of a field's value
-HIDDEN = ("value", "packed", "digest", "newest_digest")
+LONGEST = 60  # characters shown of a field's value
+HIDDEN = ("value", "packed", "digest", "newest_digest")  # fields of which only the length is shown
+HEARTBEAT_KINDS = (Kind.HEARTBEAT, Kind.APPEND_RESPONSE)
+"""Kinds that a quiet transcript leaves out: a leader's heartbeats, and the responses to them."""
 
 
 def fields(message: Any, depth: int = 0) -> str:
-    """A protobuf message's fields in one line; long ones are cut short."""
+    """A protobuf message's fields in one line; long ones are truncated."""
     found = []
     for field, value in message.ListFields():
         if field.name in HIDDEN:
@@ -33,7 +38,10 @@
 
 
 class TranscriptWriter:
-    """Writes down messages as they come, within a span and of some planes."""
+    """Records messages as they arrive, within a span of time and of some planes and machines (empty: all).
+
+    With `quiet`, the heartbeats of consensus are left out.
+    """
 
     def __init__(
         self,
@@ -49,39 +57,44 @@
         self.lines: list[tuple[float, str]] = []
         run.deployment.network.watch = self.note
 
-    def note(self, frm: Location, to: Location, plane: str, message: Any) -> None:
-        """A message has arrived."""
+    def note(self, sender: Location, receiver: Location, plane: str, message: Any) -> None:
+        """Record a message that has arrived."""
         now = self.run.simulator.now
         if not self.begins <= now <= self.ends or (self.planes and plane not in self.planes):
             return
-        if self.machines and frm.name not in self.machines and to.name not in self.machines:
+        if self.machines and sender.name not in self.machines and receiver.name not in self.machines:
             return
         text = fields(message)
-        if self.quiet and (text.startswith("kind=HEARTBEAT") or text.startswith("kind=APPENDED")):
+        if self.quiet and plane == PLANE_NAMES[CONSENSUS] and message.kind in HEARTBEAT_KINDS:
             return
-        self.lines.append((now, f"{frm.name} -> {to.name}  {plane} {text}"))
+        self.lines.append((now, f"{sender.name} -> {receiver.name}  {plane} {text}"))
 
 
 def events(record: Record) -> Iterable[tuple[float, str]]:
-    """What befell the deployment, and what its callers saw but for the usual."""
-    for t in record.disruptions:
-        yield t.begins, f"**  {t.told}, until {t.ends:.3f}"
-    for o in record.orders:
-        kind = "" if o.valid else " (invalid)"
-        yield o.sent, f"..  operator {o.who} sends generation {o.generation} on {o.base}{kind}"
-        if o.status:
-            yield o.at, f"..  operator {o.who} gets {o.status} for generation {o.generation} from {o.by}"
-    for life in record.lives:
-        yield life.at, f"..  backend {life.backend} of {life.service} {life.what} {life.by}".rstrip()
+    """Yield, with times, the disruptions, orders, life cycles, and all responses that aren't successes."""
+    for disruption in record.disruptions:
+        yield disruption.begins, f"**  {disruption.description}, until {disruption.ends:.3f}"
+    for order in record.orders:
+        operator = f"..  operator {order.who}"
+        kind = "" if order.valid else " (invalid)"
+        yield order.sent, f"{operator} sends generation {order.generation} on {order.base}{kind}"
+        if order.status:
+            yield (
+                order.at,
+                f"{operator} gets {order.status} for generation {order.generation} from {order.by}",
+            )
+    for event in record.backend_events:
+        yield event.at, f"..  backend {event.backend} of {event.service} {event.what} {event.by}".rstrip()
     for at, machine, ready in record.ready:
         yield at, f"..  {machine} is {'in' if ready else 'out'}"
     for at, machine, generation in record.taken:
         yield at, f"..  {machine} takes up generation {generation}"
-    ways = {s.attempt: s for s in record.sent}
-    for a in record.answered.values():
-        if not 200 <= a.status < 300:
-            s = ways[a.attempt]
-            yield a.at, f"..  {s.path}, sent at {s.at:.3f} to {s.way}: {a.status} {a.fault}".rstrip()
+    sent_by_attempt = {sent.attempt: sent for sent in record.sent}
+    for answer in record.answered.values():
+        if not 200 <= answer.status < 300:
+            sent = sent_by_attempt[answer.attempt]
+            outcome = f"{answer.status} {answer.fault}"
+            yield answer.at, f"..  {sent.path}, sent at {sent.at:.3f} to {sent.way}: {outcome}".rstrip()
     for fault in record.faults:
         yield 0.0, f"!!  {fault}"
 
@@ -95,7 +108,7 @@
     machines: Iterable[str] = (),
     quiet: bool = True,
 ) -> str:
-    """Play a day and tell what goes on in a span of it; `quiet` leaves out the agreement's beats."""
+    """Simulate a day and return the transcript of a span; `quiet` leaves out the heartbeats of consensus."""
     run = Run(spec, seed)
     transcript_writer = TranscriptWriter(run, begins, ends, planes, machines, quiet)
     record = run.play()
--- a/tests/system/test_cut.py
+++ b/tests/system/test_cut.py
@@ -2,7 +2,14 @@
 
 from gateway.membership import messages as m
 from gateway.membership import wire
-from tests.system.drift import CONTROLLER_ADDRESSES, Net, SimulatedController, SimulatedProxy, config, taken
+from tests.system.drift import (
+    CONTROLLER_ADDRESSES,
+    FleetNetwork,
+    SimulatedController,
+    SimulatedProxy,
+    config,
+    taken,
+)
 
 FIRST = taken(config())
 SECOND = taken(config(2, 1, r3="s2"), FIRST)
@@ -18,7 +25,7 @@
 
 def cut_off():
     """A core with a first version, of which one is cut off before the second; it is heard by all others."""
-    net = Net(2)
+    net = FleetNetwork(2)
     net.put(1, FIRST)
     net.run(2)
     net.cut = lambda a, b, kind: CUT in (a, b) and (a in MAJORITY or b in MAJORITY)
@@ -27,7 +34,7 @@
     return net
 
 
-def test_a_sorter_that_begins_and_hears_only_one_that_is_cut_off_serves_nobody():
+def test_a_proxy_that_begins_and_hears_only_one_that_is_cut_off_serves_nobody():
     net = cut_off()
     apart = net.cut
     new = "10.1.9.1:7660"
@@ -42,7 +49,7 @@
     assert proxy.proxy_node.version == 2 and proxy.ask("/r3/x") == 200 and proxy.drift_monitor.ready
 
 
-def test_a_sorter_that_begins_is_in_as_soon_as_a_majority_has_answered():
+def test_a_proxy_that_begins_is_in_as_soon_as_a_majority_has_answered():
     net = cut_off()
     proxy = begins(net)
     net.run(0.25)
--- a/tests/system/test_quota_machines.py
+++ b/tests/system/test_quota_machines.py
@@ -31,19 +31,19 @@
 TENANTS = Allowances({"a": (10.0, 10.0)})
 
 
-class HolderWithChargers:
-    """A holder of all parts, open, with two quota clients; messages are passed on at once, if they are."""
+class OwnerWithClients:
+    """An owner of all shards, open, with two quota clients; messages are passed on at once, if they are."""
 
     def __init__(self) -> None:
         rng = random.Random(1)
         self.now, self.number, self.lost = 0.0, 0, False
-        self.holder = ShardOwner(5.0, rng)
+        self.owner = ShardOwner(5.0, rng)
         self.quota_clients = {"s0": QuotaClient(5.0, rng), "s1": QuotaClient(5.0, rng)}
         places = ShardMapInput(
             ShardMap(term=1, number=1, owners=["h"], owner_of_shard=bytes(64)).SerializeToString()
         )
-        self.holder.handle(0.0, TENANTS)
-        self.holder.handle(0.0, SetLeader("p0"))
+        self.owner.handle(0.0, TENANTS)
+        self.owner.handle(0.0, SetLeader("p0"))
         for quota_client in self.quota_clients.values():
             quota_client.handle(0.0, TENANTS)
             quota_client.handle(0.0, places)
@@ -56,25 +56,25 @@
             self.now = min(until, self.now + 0.02)
             self.number += 1
             hold = LeaseGrant(
-                incarnation=self.holder.incarnation,
+                incarnation=self.owner.incarnation,
                 at=self.now,
                 term=1,
                 number=self.number,
                 shards=ALL_SHARDS,
             )
-            self.holder.handle(self.now, Received("p0", Message(hold=hold)))
-            self.holder.handle(self.now, Tick())
+            self.owner.handle(self.now, Received("p0", Message(hold=hold)))
+            self.owner.handle(self.now, Tick())
             for name, quota_client in self.quota_clients.items():
                 if self.now >= quota_client.due():
                     out += self.put(name, quota_client.handle(self.now, Tick()))
         return out
 
     def put(self, name: str, outputs: list[Any]) -> list[ChargeDecision]:
-        """Carry what a quota client says to the holder and back."""
+        """Carry what a quota client says to the shard owner and back."""
         out = [o for o in outputs if type(o) is ChargeDecision]
         for o in outputs:
             if type(o) is Send and not self.lost:
-                for answer in self.holder.handle(self.now, Received(name, o.message)):
+                for answer in self.owner.handle(self.now, Received(name, o.message)):
                     out += self.put(
                         name, self.quota_clients[name].handle(self.now, Received("h", answer.message))
                     )
@@ -86,12 +86,12 @@
         return out[0].verdict if out else ""
 
     def left(self) -> float:
-        """Units that remain by the holder."""
-        return self.holder.view(self.now)["a"][0]
+        """Units that remain by the shard owner."""
+        return self.owner.view(self.now)["a"][0]
 
 
 def test_a_repeat_counts_once_wherever_it_is_charged() -> None:
-    pair = HolderWithChargers()
+    pair = OwnerWithClients()
     assert [pair.ask("s0", 7), pair.ask("s1", 7), pair.ask("s1", 8)] == ["go"] * 3
     assert pair.left() == 8.0
     pair.pass_time(2.5)
@@ -99,7 +99,7 @@
 
 
 def test_a_unit_is_given_back_once() -> None:
-    pair = HolderWithChargers()
+    pair = OwnerWithClients()
     for id in range(10):
         assert pair.ask("s0", id) == "go"
     assert pair.ask("s1", 50) == "over"
@@ -112,8 +112,8 @@
     assert [pair.ask("s0", 70), pair.ask("s0", 71)] == ["go", "over"]
 
 
-def test_an_ingress_without_a_holder_lives_within_its_share() -> None:
-    pair = HolderWithChargers()
+def test_an_ingress_without_a_shard_owner_lives_within_its_share() -> None:
+    pair = OwnerWithClients()
     for n in range(60):  # 5 a second at each, half a share
         pair.ask(f"s{n % 2}", 1000 + n)
         pair.pass_time(0.1)
@@ -132,32 +132,32 @@
     assert pair.ask("s0", 3000) == "go"  # found again by itself
 
 
-def test_a_charger_that_has_just_begun_has_no_share_and_no_limit_means_no_message() -> None:
-    pair = HolderWithChargers()
+def test_a_quota_client_that_has_just_begun_has_no_share_and_no_limit_means_no_message() -> None:
+    pair = OwnerWithClients()
     pair.lost = True
     assert pair.ask("s0", 1) == ""
     assert [charged.verdict for charged in pair.pass_time(0.3)] == ["over"]
     assert pair.ask("s0", 2, "unlimited") == "go"
 
 
-def test_a_holder_answers_only_under_its_lease_and_from_the_next_window_on() -> None:
-    pair = HolderWithChargers()
+def test_a_shard_owner_answers_only_under_its_lease_and_from_the_next_window_on() -> None:
+    pair = OwnerWithClients()
     assert pair.ask("s0", 1) == "go"
     pair.now += 2.0
     assert pair.ask("s0", 2) == "over"  # no lease, no share
     pair.pass_time(0.9)
-    assert "a" not in pair.holder.view(pair.now)
+    assert "a" not in pair.owner.view(pair.now)
     pair.pass_time(0.2)
     assert pair.ask("s0", 3) == "go"
 
 
 def test_messages_are_small() -> None:
-    pair, sizes = HolderWithChargers(), []
+    pair, sizes = OwnerWithClients(), []
     quota_client, first = pair.quota_clients["s0"], attempt_number("9c41d07be2a35f68")
     for id in range(first, first + 30):
         for send in quota_client.handle(pair.now, ChargeRequest(id, "a", 3, 0.1)):
             if type(send) is Send:
-                (answer,) = pair.holder.handle(pair.now, Received("s0", send.message))
+                (answer,) = pair.owner.handle(pair.now, Received("s0", send.message))
                 quota_client.handle(pair.now, Received("h", answer.message))
                 sizes += [send.message.ByteSize(), answer.message.ByteSize()]
         pair.pass_time(0.3)
@@ -174,13 +174,14 @@
     assert plan(63, 63, 5.0) == (1.0, 63.0) and plan(0, 5, 5.0) is None
 
 
-class Core:
+class RecordedAssigner:
     """A leader and a transcript of what it is asked and says."""
 
     def __init__(self) -> None:
         self.shard_assigner, self.lines = ShardAssigner(), list[str]()
-        self.seen: dict[str, tuple[int, int, int]] = {}  # the newest Hold of each holder: term, number, parts
-        self.lives: dict[str, int] = {}
+        # The newest lease of each owner: term, number, shards.
+        self.seen: dict[str, tuple[int, int, int]] = {}
+        self.incarnations: dict[str, int] = {}
 
     def do(self, now: float, input: Any) -> None:
         """One input, and the outputs into the transcript."""
@@ -197,12 +198,12 @@
                 )
 
     def ask(self, now: float, name: str, shards: int | None = None) -> None:
-        """A holder asks, and holds what it was leased last, or these parts."""
+        """An owner asks, and holds what it was leased last, or these shards."""
         term, number, held = self.seen.get(name, (0, 0, 0))
         held = held if shards is None else shards
         self.lines.append(f"{now:5.2f} {name} asks, holds {held.bit_count()}")
         request = LeaseRequest(
-            incarnation=self.lives.get(name, 1), at=now, term=term, number=number, shards=held
+            incarnation=self.incarnations.get(name, 1), at=now, term=term, number=number, shards=held
         )
         self.do(now, Received(name, Message(request=request)))
 
@@ -217,79 +218,81 @@
 
 
 def test_parts_change_hands_under_leases(snapshot: SnapshotAssertion) -> None:
-    core = Core()
-    core.do(0.0, LiveControllers(["p0", "p1"]))
-    core.do(0.0, LeadershipChange(1, True))
-    core.lines.append("-- a new leader waits out what another may have leased, and confirms what is told")
-    core.ask(0.1, "p0", 0b1111)
-    core.ticks(1.9, 2.4, "p0")
-    core.lines.append("-- another holder comes; after 2 s its parts are given up by the first, then leased")
-    core.ticks(2.5, 6.0, "p0", "p1")
-    core.lines.append("-- it falls silent, and its parts are free when its lease is surely over")
-    core.ticks(6.1, 8.2, "p0")
-    core.lines.append("-- a process that has begun anew holds nothing")
-    core.lives["p0"], core.seen["p0"] = 2, (0, 0, 0)
-    core.ask(8.5, "p0")
-    core.do(8.6, LeadershipChange(0, False))
-    core.ask(8.7, "p0")
-    assert "\n".join(core.lines) == snapshot
+    assigner = RecordedAssigner()
+    assigner.do(0.0, LiveControllers(["p0", "p1"]))
+    assigner.do(0.0, LeadershipChange(1, True))
+    assigner.lines.append("-- a new leader waits out what another may have leased, and confirms what is told")
+    assigner.ask(0.1, "p0", 0b1111)
+    assigner.ticks(1.9, 2.4, "p0")
+    assigner.lines.append(
+        "-- another holder comes; after 2 s its parts are given up by the first, then leased"
+    )
+    assigner.ticks(2.5, 6.0, "p0", "p1")
+    assigner.lines.append("-- it falls silent, and its parts are free when its lease is surely over")
+    assigner.ticks(6.1, 8.2, "p0")
+    assigner.lines.append("-- a process that has begun anew holds nothing")
+    assigner.incarnations["p0"], assigner.seen["p0"] = 2, (0, 0, 0)
+    assigner.ask(8.5, "p0")
+    assigner.do(8.6, LeadershipChange(0, False))
+    assigner.ask(8.7, "p0")
+    assert "\n".join(assigner.lines) == snapshot
 
 
 def test_the_first_table_after_a_loss_of_all_is_whole() -> None:
-    core = Core()
-    core.do(1.0, LiveControllers(["p0", "p1", "p2"], ["p0", "p1", "p2"]))
-    core.do(1.0, LeadershipChange(1, True))
+    assigner = RecordedAssigner()
+    assigner.do(1.0, LiveControllers(["p0", "p1", "p2"], ["p0", "p1", "p2"]))
+    assigner.do(1.0, LeadershipChange(1, True))
     for name in ("p0", "p1", "p2"):
-        core.ask(1.05, name)
-    (table,) = (line for line in core.lines if "table" in line)
+        assigner.ask(1.05, name)
+    (table,) = (line for line in assigner.lines if "table" in line)
     assert "'p0', 'p1', 'p2'" in table and sum(map(int, re.findall(r"\d+", table.split("] [")[1]))) == 64
 
 
-def first_table(core: Core, ticks: list[float]) -> list[str]:
+def first_table(assigner: RecordedAssigner, ticks: list[float]) -> list[str]:
     """What a new leader of three says of its tables by then."""
     names = ["p0", "p1", "p2"]
-    core.do(ticks[0], LeadershipChange(1, True))
-    core.do(ticks[0], LiveControllers(names, names))
+    assigner.do(ticks[0], LeadershipChange(1, True))
+    assigner.do(ticks[0], LiveControllers(names, names))
     for now in ticks:
-        core.do(now, Tick())
-    return [line for line in core.lines if " table " in line]
+        assigner.do(now, Tick())
+    return [line for line in assigner.lines if " table " in line]
 
 
 def test_requests_of_just_before_a_leader_is_sure_are_taken_up() -> None:
-    core = Core()
-    core.do(0.005, LeadershipChange(1, False))
+    assigner = RecordedAssigner()
+    assigner.do(0.005, LeadershipChange(1, False))
     for name in ("p0", "p1", "p2"):
-        core.ask(0.01, name)
-    assert "['p0', 'p1', 'p2']" in first_table(core, [0.02, 0.045])[-1]
-    former = Core()
+        assigner.ask(0.01, name)
+    assert "['p0', 'p1', 'p2']" in first_table(assigner, [0.02, 0.045])[-1]
+    former = RecordedAssigner()
     for name in ("p0", "p1", "p2"):
         former.ask(0.01, name)  # it doesn't lead: another that does may lease them more meanwhile
     assert first_table(former, [0.02, 0.045]) == []
-    late = Core()
+    late = RecordedAssigner()
     late.do(0.005, LeadershipChange(1, False))
     late.ask(0.01, "p0")
     assert first_table(late, [0.2]) == []  # it has asked again, or is gone
 
 
 def test_a_table_with_gaps_is_followed_at_once() -> None:
-    core = Core()
-    core.do(0.0, LeadershipChange(1, True))
-    core.do(0.0, LiveControllers(["p0", "p1", "p2"], ["p0", "p1", "p2"]))
+    assigner = RecordedAssigner()
+    assigner.do(0.0, LeadershipChange(1, True))
+    assigner.do(0.0, LiveControllers(["p0", "p1", "p2"], ["p0", "p1", "p2"]))
     for name in ("p0", "p1", "p2"):
-        core.ask(0.01, name)
-    core.do(0.03, Tick())
-    assert "['p0', 'p1', 'p2']" in [line for line in core.lines if " table " in line][-1]
+        assigner.ask(0.01, name)
+    assigner.do(0.03, Tick())
+    assert "['p0', 'p1', 'p2']" in [line for line in assigner.lines if " table " in line][-1]
 
 
-def test_no_part_has_two_holders() -> None:
-    """Holders that come, go, hang and miss messages never hold a part at the same time."""
+def test_no_shard_has_two_owners() -> None:
+    """Owners that come, go, hang and miss messages never hold a shard at the same time."""
     rng, shard_assigner = random.Random(5), ShardAssigner()
     owners = {name: ShardOwner(5.0, random.Random(name)) for name in ("p0", "p1", "p2")}
     hung: dict[str, float] = {}
     shard_assigner.handle(0.0, LiveControllers(list(owners)))
     shard_assigner.handle(0.0, LeadershipChange(1, True))
-    for holder in owners.values():
-        holder.handle(0.0, SetLeader("p0"))
+    for owner in owners.values():
+        owner.handle(0.0, SetLeader("p0"))
     held = 0
     for step in range(4000):
         now = step * 0.05
@@ -298,15 +301,15 @@
         if rng.random() < 0.005:
             shard_assigner.handle(now, LeadershipChange(shard_assigner.term + 1, True))
         outputs = [("", o) for o in shard_assigner.handle(now, Tick())]
-        for name, holder in owners.items():
+        for name, owner in owners.items():
             if now >= hung.get(name, 0.0):
-                outputs += [(name, o) for o in holder.handle(now, Tick())]
+                outputs += [(name, o) for o in owner.handle(now, Tick())]
         while outputs:
-            frm, o = outputs.pop(0)
+            sender, o = outputs.pop(0)
             if type(o) is PublishShardMap or rng.random() < 0.2:
                 continue
             if o.message.WhichOneof("kind") == "request":
-                outputs += [("", x) for x in shard_assigner.handle(now, Received(frm, o.message))]
+                outputs += [("", x) for x in shard_assigner.handle(now, Received(sender, o.message))]
             elif now >= hung.get(o.to, 0.0):
                 owners[o.to].handle(now, Received("p0", o.message))
         masks = [h.shards if now < h.until else 0 for h in owners.values()]
