Capacity: one piece of code for the steady processor time of each role

Cause: the lines of the ingress and of the controllers stood twice, alike but for the role and the last cause. Change: one generator serves both.

--- a/proving/capacity/budget.py
+++ b/proving/capacity/budget.py
@@ -78,32 +78,32 @@
     return list(causes.values())[:most]
 
 
+def _steady_processor(
+    f: Figures, role: str, planes: dict[str, tuple[str, str]], core: float, cause: str
+) -> Iterator[BudgetLine]:
+    """A role's processor time in % of a core: each plane (mechanism, cause), system calls, and all of it."""
+    measure, unit = "processor time", "% of a core"
+    for plane, (mechanism, plane_cause) in planes.items():
+        estimate = scaled(f.estimate(role, plane, "processor"), 100.0)
+        yield BudgetLine(role, plane, measure, unit, core, estimate, mechanism, plane_cause)
+    sockets = scaled(f.sockets(role), 100.0)
+    mechanism = "a datagram each, and a wake-up each"
+    yield BudgetLine(
+        role, "all", f"{measure} of system calls", unit, core, sockets, mechanism, remedies.CHARGES
+    )
+    whole = together([scaled(f.estimate(role, TOTAL, "processor"), 100.0), sockets])
+    yield BudgetLine(role, "all", f"{measure}, steady", unit, core, whole, "all of these", cause)
+
+
 def _ingress(f: Figures) -> Iterator[BudgetLine]:
-    core, percent = 100 * design.INGRESS_CORE_SHARE, 100.0
+    core = 100 * design.INGRESS_CORE_SHARE
     planes = {
         "timers": ("its timers, which look at every backend and tenant", remedies.SCANS),
         "membership": ("heartbeats to each controller, shuffled views", remedies.FOLLOWERS),
         "quota": ("verdicts and client heartbeats", remedies.CHARGES),
         "requests": ("a charge for each request", remedies.CHARGES),
     }
-    for plane, (mechanism, cause) in planes.items():
-        estimate = scaled(f.estimate(INGRESS, plane, "processor"), percent)
-        yield BudgetLine(INGRESS, plane, "processor time", "% of a core", core, estimate, mechanism, cause)
-    sockets = scaled(f.sockets(INGRESS), percent)
-    yield BudgetLine(
-        INGRESS,
-        "all",
-        "processor time of system calls",
-        "% of a core",
-        core,
-        sockets,
-        "a datagram each, and a wake-up each",
-        remedies.CHARGES,
-    )
-    whole = together([scaled(f.estimate(INGRESS, TOTAL, "processor"), percent), sockets])
-    yield BudgetLine(
-        INGRESS, "all", "processor time, steady", "% of a core", core, whole, "all of these", remedies.SCANS
-    )
+    yield from _steady_processor(f, INGRESS, planes, core, remedies.SCANS)
     for plane, cause in (
         ("membership", remedies.FOLLOWERS),
         ("quota", remedies.CHARGES),
@@ -227,7 +227,7 @@
 
 
 def _controllers(f: Figures) -> Iterator[BudgetLine]:
-    core, percent = 100 * design.CONTROLLER_CORE_SHARE, 100.0
+    core = 100 * design.CONTROLLER_CORE_SHARE
     planes = {
         "timers": ("timers, which look at every backend, follower and tenant", remedies.SCANS),
         "agreement": ("heartbeats ten times a second between members", remedies.SCANS),
@@ -236,31 +236,7 @@
         "backends": ("heartbeats of backends, without the reading of HTTP", remedies.HEARTBEATS),
     }
     for role in (LEADER, CONTROLLER):
-        for plane, (mechanism, cause) in planes.items():
-            estimate = scaled(f.estimate(role, plane, "processor"), percent)
-            yield BudgetLine(role, plane, "processor time", "% of a core", core, estimate, mechanism, cause)
-        sockets = scaled(f.sockets(role), percent)
-        yield BudgetLine(
-            role,
-            "all",
-            "processor time of system calls",
-            "% of a core",
-            core,
-            sockets,
-            "a datagram each, and a wake-up each",
-            remedies.CHARGES,
-        )
-        whole = together([scaled(f.estimate(role, TOTAL, "processor"), percent), sockets])
-        yield BudgetLine(
-            role,
-            "all",
-            "processor time, steady",
-            "% of a core",
-            core,
-            whole,
-            "all of these",
-            remedies.CHARGES,
-        )
+        yield from _steady_processor(f, role, planes, core, remedies.CHARGES)
         both = scaled(f.both_ways(role, TOTAL, "bytes"), 1e-6)
         yield BudgetLine(
             role,
