--- a/proving/cli.py
+++ b/proving/cli.py
@@ -7,6 +7,7 @@
 
 from cleo.application import Application
 
+from proving import hunt
 from proving.commands.base import ProvingCommand
 from proving.commands.capacity import CapacityCommand
 from proving.commands.hunt import HuntCommand
@@ -46,7 +47,8 @@
 
 
 def main() -> int:
-    """Run the command line; returns the exit code."""
+    """Run the command line; returns the exit code. Silences the programs' own logs in this process."""
+    hunt.quiet()
     application = Application("proving", "1")
     for command in COMMANDS:
         application.add(command())
--- a/proving/commands/base.py
+++ b/proving/commands/base.py
@@ -9,7 +9,7 @@
 from cleo.formatters.formatter import Formatter
 from cleo.helpers import argument, option
 
-from proving import hunt, random_days, spec
+from proving import random_days, spec
 from proving.hunt import HuntResult
 
 EXPERIMENT = argument("file", "An experiment (TOML).")
@@ -69,7 +69,6 @@
 
     def handle(self) -> int:
         """Run the command and return its exit code; errors in arguments or files are printed, with code 2."""
-        hunt.quiet()
         try:
             return self.act()
         except (OSError, ValueError, KeyError) as error:
--- a/tests/system/test_proving_standard.py
+++ b/tests/system/test_proving_standard.py
@@ -31,8 +31,6 @@
 
 
 def test_equal_figures_share_their_place():
-    pytest.importorskip("hdrh")
-    pytest.importorskip("tqdm")
     from proving.comparison import ranks
 
     assert list(ranks([0.5, 0.1, 0.5, 0.9])) == [2.5, 1.0, 2.5, 4.0]
--- a/tests/system/test_transcript.py
+++ b/tests/system/test_transcript.py
@@ -2,16 +2,15 @@
 
 from __future__ import annotations
 
+import logging
 from pathlib import Path
 from types import SimpleNamespace
 from typing import cast
 
-import pytest
 from cleo.testers.command_tester import CommandTester
 
 import proving
 from gateway.consensus.consensus_pb2 import Kind, Message
-from proving import hunt
 from proving.cli import ShowCommand
 from proving.model.network import Location
 from proving.model.simulation_run import Run
@@ -20,15 +19,19 @@
 SMALL_SITE = Path(proving.__file__).parent / "sites" / "small.toml"
 
 
-def test_a_plane_that_does_not_exist_is_refused_before_anything_is_played(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
-    monkeypatch.setattr(hunt, "quiet", lambda: None)  # leaves the root logger as it is
+def test_a_plane_that_does_not_exist_is_refused_before_anything_is_played() -> None:
     command = CommandTester(ShowCommand())
     assert command.execute(f"{SMALL_SITE} --planes quota,unheard") != 0
     assert "unknown plane unheard; there are consensus, membership, quota" in command.io.fetch_error()
 
 
+def test_a_command_leaves_the_logging_of_its_process_as_it_is() -> None:
+    root = logging.getLogger()
+    before = root.level, list(root.handlers)
+    CommandTester(ShowCommand()).execute(f"{SMALL_SITE} --planes unheard")
+    assert (root.level, list(root.handlers)) == before
+
+
 def shown(quiet: bool) -> list[str]:
     """The lines of one heartbeat, its response, an entry and a vote request."""
     run = SimpleNamespace(
