Capacity: slopes in closed form, the same to the last digit on every processor

Cause: the page must equal what its recordings give, but the solver's rounding errors differ from processor to processor: series that don't grow had slopes of -0.00 or 2.97e-18 on one machine and 0.00 or 8.86e-19 on another, so the test of the page failed here. Change: weighted least squares in closed form with exact sums; equal values have a slope of exactly 0. New test, seen to fail before.

--- a/proving/capacity/fit.py
+++ b/proving/capacity/fit.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
+import math
+import operator
 from collections.abc import Sequence
 from typing import NamedTuple
 
-import numpy as np
-
 from proving.capacity.samples import Point
 
 LEAST_POINTS = 3
@@ -36,22 +36,46 @@
 def line(points: Sequence[Point]) -> Line:
     """The line through points, each weighted by the inverse of its size so that small sizes count as well."""
     _check(points)
-    sizes = np.array([p.size for p in points], dtype=float)
-    values = np.array([p.value for p in points], dtype=float)
-    weights = 1.0 / np.maximum(sizes, sizes[sizes > 0].min(initial=1.0))
-    slope, base = np.polyfit(sizes, values, 1, w=np.sqrt(weights))
-    left, all_of_it = np.sum((base + slope * sizes - values) ** 2), np.sum((values - values.mean()) ** 2)
-    return Line(float(base), float(slope), max(0.0, float(1 - left / all_of_it)) if all_of_it else 1.0)
+    sizes = [float(point.size) for point in points]
+    values = [float(point.value) for point in points]
+    least = min([1.0, *(size for size in sizes if size > 0)])
+    base, slope = _least_squares(sizes, values, [1.0 / max(size, least) for size in sizes])
+    mean = math.fsum(values) / len(values)
+    left = math.fsum((base + slope * size - value) ** 2 for size, value in zip(sizes, values, strict=True))
+    whole = math.fsum((value - mean) ** 2 for value in values)
+    return Line(base, slope, max(0.0, 1 - left / whole) if whole else 1.0)
 
 
 def exponent(points: Sequence[Point]) -> float | None:
     """The power of the size with which the values grow; None where a value or a size isn't positive."""
     _check(points)
-    if any(p.size <= 0 or p.value <= 0 for p in points):
+    if any(point.size <= 0 or point.value <= 0 for point in points):
         return None
-    sizes = np.log([p.size for p in points])
-    values = np.log([p.value for p in points])
-    return float(np.polyfit(sizes, values, 1)[0])
+    sizes = [math.log(point.size) for point in points]
+    values = [math.log(point.value) for point in points]
+    return _least_squares(sizes, values, [1.0] * len(points))[1]
+
+
+def _least_squares(
+    sizes: Sequence[float], values: Sequence[float], weights: Sequence[float]
+) -> tuple[float, float]:
+    """Base and slope of the weighted line, in closed form: the same to the last digit on every processor.
+
+    Equal values have a slope of exactly 0, which a solver of linear equations misses by its rounding errors.
+    """
+    if min(values) == max(values):
+        return values[0], 0.0
+    whole = math.fsum(weights)
+    mean_size = math.fsum(map(operator.mul, weights, sizes)) / whole
+    mean_value = math.fsum(map(operator.mul, weights, values)) / whole
+    from_mean = [size - mean_size for size in sizes]
+    spread = math.fsum(weight * each**2 for weight, each in zip(weights, from_mean, strict=True))
+    together = math.fsum(
+        weight * each * (value - mean_value)
+        for weight, each, value in zip(weights, from_mean, values, strict=True)
+    )
+    slope = together / spread
+    return mean_value - slope * mean_size, slope
 
 
 def _check(points: Sequence[Point]) -> None:
--- a/tests/system/test_capacity.py
+++ b/tests/system/test_capacity.py
@@ -31,6 +31,12 @@
     assert fit.exponent([Point(n, 0.0) for n in (30, 100, 300)]) is None
 
 
+def test_what_does_not_grow_has_a_slope_of_exactly_zero() -> None:
+    points = [Point(n, 350.3) for n in (20, 1_000, 5_500, 22_000, 88_000)]
+    assert fit.line(points) == fit.Line(350.3, 0.0, 1.0)
+    assert str(fit.exponent(points)) == "0.0"
+
+
 def test_noise_has_no_certain_line_and_two_sizes_have_none() -> None:
     assert fit.line([Point(10, 1.0), Point(20, 5.0), Point(30, 1.1)]).certainty < 0.3
     with pytest.raises(fit.FitError):
