Links: at the limit the least recently used idle one makes room for a new one

Accepted links had the same fault at 256. Ruled out: a higher limit (descriptors are 475 on some machines, and the fault would only begin later). Change: a new link closes the least recently used one whose messages are all with the kernel; one with messages to deliver stays. An accepted link without a byte for 1 s makes room as well. Tests seen to fail before: 8 receivers over 3 links twice; an accepted link at rest.

--- a/gateway/runtime/tcp_links.py
+++ b/gateway/runtime/tcp_links.py
@@ -1,9 +1,10 @@
 """TCP links that carry the longer messages between our own processes, each link in one direction.
 
-A link is opened when there is something to send, and closed by its opener after 10 s without messages. Its
-queue is bounded; the oldest message is dropped first. A later message of one slot replaces an earlier one
-that is still queued, so that a slow link delivers the newest state instead of all of them. Nothing is
-retried here: the state machines do that.
+A link is opened when there is something to send, and closed by its opener after 10 s without messages, or
+sooner if a link to another process needs its place: the least recently used one that has delivered all its
+messages to the kernel goes first. Its queue is bounded; the oldest message is dropped first. A later message
+of one slot replaces an earlier one that is still queued, so that a slow link delivers the newest state
+instead of all of them. Nothing is retried here: the state machines do that.
 """
 
 from __future__ import annotations
@@ -20,6 +21,7 @@
 CONNECT_TIMEOUT_S = 1.0  # until a connection is established
 OUTBOUND_IDLE_S = 10.0  # without a message, then the opener closes
 INBOUND_IDLE_S = 30.0  # without a byte, then the accepting side closes
+EVICTABLE_AFTER_S = 1.0  # without a byte, then an accepted link may be closed in favour of a new one
 MAX_QUEUED_BYTES = 4 << 20  # queued for one link; also the limit of one message
 MAX_OUTBOUND_LINKS = 64  # opened by this process
 MAX_INBOUND_LINKS = 256  # opened by others
@@ -80,6 +82,11 @@
             self.bytes -= len(data)
             self.transport.write(_frame(data))
 
+    @property
+    def has_delivered(self) -> bool:
+        """Whether every message was handed to the kernel."""
+        return self.transport is not None and not self.waiting and not self.transport.get_write_buffer_size()
+
     def connection_lost(self, error: Exception | None) -> None:
         """The connection has ended."""
         self.links.gone(self)
@@ -106,12 +113,12 @@
         self.used = links.loop.time()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """A connection was accepted; beyond `MAX_INBOUND_LINKS` it is closed."""
+        """A connection was accepted. Beyond `MAX_INBOUND_LINKS` an idle link is closed, else this one."""
         self.transport = cast(asyncio.Transport, transport)
         set_options(transport)
+        if not self.links.make_inbound_room():
+            return self._drop("too many links")
         self.links.inbound.add(self)
-        if len(self.links.inbound) > MAX_INBOUND_LINKS:
-            self._drop("too many links")
 
     def data_received(self, data: bytes) -> None:
         """Split what was received into frames and pass them on."""
@@ -173,7 +180,7 @@
             return self.lost("too long")
         link = self.outbound.get(to)
         if link is None:
-            if len(self.outbound) >= MAX_OUTBOUND_LINKS:
+            if not self._make_outbound_room():
                 return self.lost("too many links")
             link = self.outbound[to] = OutboundLink(self, to)
             task = self.loop.create_task(self._open(link, target))
@@ -181,6 +188,29 @@
             task.add_done_callback(self.opening.discard)
         link.send(data, slot)
 
+    def _make_outbound_room(self) -> bool:
+        """Whether another link may be opened; at the limit, the least recently used idle one is closed."""
+        if len(self.outbound) < MAX_OUTBOUND_LINKS:
+            return True
+        idle = [link for link in self.outbound.values() if link.has_delivered]
+        if not idle:
+            return False
+        oldest = min(idle, key=lambda link: link.used)
+        self.gone(oldest)
+        oldest.close()
+        return True
+
+    def make_inbound_room(self) -> bool:
+        """Whether another link may be accepted; at the limit, the least recently used idle one is closed."""
+        if len(self.inbound) < MAX_INBOUND_LINKS:
+            return True
+        oldest = min(self.inbound, key=lambda link: link.used)
+        if self.loop.time() - oldest.used < EVICTABLE_AFTER_S:
+            return False
+        self.inbound.discard(oldest)
+        oldest.close()
+        return True
+
     async def _open(self, link: OutboundLink, target: tuple[str, int]) -> None:
         try:
             await asyncio.wait_for(self.loop.create_connection(lambda: link, *target), CONNECT_TIMEOUT_S)
--- a/tests/system/test_runtime_transport.py
+++ b/tests/system/test_runtime_transport.py
@@ -193,6 +193,72 @@
     with_two(story, uvloop.new_event_loop)
 
 
+@LOOPS
+def test_a_process_reaches_more_others_than_it_may_keep_links_to(
+    loops: Any, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The value of a change goes to each of many proxies in one burst, and again with the next change."""
+    monkeypatch.setattr(tcp_links, "MAX_OUTBOUND_LINKS", 3)
+
+    async def play() -> None:
+        sender = await End(free()).open()
+        receivers = [await End(free()).open() for _ in range(8)]
+        try:
+            for letter in (b"a", b"b"):
+                for receiver in receivers:
+                    sender.port.send(receiver.port.address, 1, FakeMessage(letter * 2000))
+                    assert await receiver.next() == (sender.port.address, letter * 2000)
+                    assert len(sender.port.links.outbound) <= 3
+            assert not sender.port.bad
+        finally:
+            for end in (sender, *receivers):
+                end.port.close()
+
+    with asyncio.Runner(loop_factory=loops) as runner:
+        runner.run(play())
+
+
+def test_a_link_with_messages_still_to_deliver_is_not_closed_for_another(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(tcp_links, "MAX_OUTBOUND_LINKS", 1)
+
+    async def story(a: End, b: End) -> None:
+        a.port.send(b.port.address, 1, FakeMessage(b"x" * 2000))  # not connected yet
+        a.port.send(free(), 1, FakeMessage(b"y" * 2000))
+        assert await b.next() == (a.port.address, b"x" * 2000)
+        assert a.port.bad == {"too many links": 1}
+
+    with_two(story, uvloop.new_event_loop)
+
+
+@LOOPS
+def test_an_accepted_link_at_rest_makes_room_for_a_new_one(
+    loops: Any, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(tcp_links, "MAX_INBOUND_LINKS", 1)
+
+    async def story(a: End, b: End) -> None:
+        third = await End(free()).open()
+        a.port.send(b.port.address, 1, FakeMessage(b"x" * 2000))
+        await b.next()
+        third.port.send(b.port.address, 1, FakeMessage(b"y" * 2000))
+        async with asyncio.timeout(5):
+            while not b.port.bad:  # the link that is in use stays
+                await asyncio.sleep(0)
+        assert b.port.bad == {"too many links": 1}
+        (link,) = b.port.links.inbound
+        link.used -= tcp_links.EVICTABLE_AFTER_S
+        async with asyncio.timeout(5):
+            while third.port.links.outbound:
+                await asyncio.sleep(0)
+        third.port.send(b.port.address, 1, FakeMessage(b"z" * 2000))
+        assert await b.next() == (third.port.address, b"z" * 2000)
+        third.port.close()
+
+    with_two(story, loops)
+
+
 class Slow:
     """A transport over a way of 21 KB a second: takes 64 KB, then says that it is full until it isn't."""
 
