Membership: a burst of changes goes to an ingress at most each 0.1 s

Cause: each controller pushed changes to each of 200 ingresses up to 50 times a second, which confirm each; at the start of 270 backends that was most of what crossed zones. Change: at most each 0.1 s to an ingress; a lone change still goes at once, and members of the core, for which acknowledgements wait, keep 0.02 s.

--- a/gateway/membership/change_log.py
+++ b/gateway/membership/change_log.py
@@ -13,7 +13,10 @@
 
 FOLLOWER_LIVE_S = 1.5  # changes are pushed to followers heard within this time
 PUSH_RETRY_S = 0.25  # a push that isn't confirmed by then is repeated
-PUSH_INTERVAL_S = 0.02  # between two pushes to one follower; changes in between go with the next tick
+PUSH_INTERVAL_S = 0.02  # between two pushes to one controller; changes in between go with the next tick
+INGRESS_PUSH_INTERVAL_S = (
+    0.1  # the same for an ingress: there are many, and no acknowledgement waits for them
+)
 FOLLOWER_FORGET_S = 30.0  # of silence, after which a follower is forgotten
 EXPIRING_RECORDS = (EndRecord, ReleaseRecord)  # removed from the log when their time is over
 MAX_FOLLOWERS = 4096
@@ -100,7 +103,8 @@
         for address, f in self.followers.items():
             if not self.floor <= f.position < self.position or now - f.heard >= FOLLOWER_LIVE_S:
                 continue  # it lacks nothing, or gets a snapshot with the answer to its next heartbeat
-            if now - f.sent_at >= (PUSH_INTERVAL_S if f.sent < self.position else PUSH_RETRY_S):
+            interval = INGRESS_PUSH_INTERVAL_S if f.zone >= 0 else PUSH_INTERVAL_S
+            if now - f.sent_at >= (interval if f.sent < self.position else PUSH_RETRY_S):
                 out.append(self._send(now, address, f))
         return out
 
