Membership: acknowledgements name the controller for a backend's next heartbeats

Cause: without a `beat-target` backends pick a controller for each heartbeat, so each heartbeat moved the lease: a change in two logs, pushed to every follower and confirmed by it. Ruled out by counting: bodies, configurations, heartbeats of the quota. Change: a live member of the core in the backend's zone is named, else the controller itself; one that has been out of contact for 1 s names another member.

--- a/gateway/membership/controller.py
+++ b/gateway/membership/controller.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from typing import Any
 
 from gateway.membership import wire
 from gateway.membership.backend_table import BackendTable
 from gateway.membership.change_log import ChangeLog
+from gateway.membership.heartbeat_target import HeartbeatTargets
 from gateway.membership.leases import Leases
 from gateway.membership.log_follower import LogFollower
 from gateway.membership.log_follower import Update as LogUpdate
@@ -16,6 +17,7 @@
     CONFIG,
     CONTROLLER,
     CORE,
+    Acknowledged,
     BackendRemoved,
     ConfigApplied,
     Deregistration,
@@ -43,15 +45,22 @@
     `CoreMembers`, `RunningConfig`.
 
     `heartbeat` is the interval of a backend's heartbeats in seconds, `zone` the number of this process's
-    zone. Calls of backends are rejected unless this process is a member of the core, since the logs of other
-    processes aren't followed."""
+    zone, `zone_numbers` the numbers of all zones by their names. Calls of backends are rejected unless this
+    process is a member of the core, since the logs of other processes aren't followed."""
 
     def __init__(
-        self, address: Address, zone: int, seeds: Sequence[Address], heartbeat: float, rng: random.Random
+        self,
+        address: Address,
+        zone: int,
+        seeds: Sequence[Address],
+        heartbeat: float,
+        rng: random.Random,
+        zone_numbers: Mapping[str, int] | None = None,
     ) -> None:
         self.address = address
         self.log, self.table, self.follower = ChangeLog(rng, zone), BackendTable(), LogFollower()
         self.leases = Leases(self.log, self.table, address, heartbeat)
+        self.targets = HeartbeatTargets(address, zone, zone_numbers or {}, self.follower, rng)
         self.value_fetcher, self.value_store = ValueFetcher(), ValueStore()
         self.view = PeerView(address, CONTROLLER, zone, seeds, rng)
 
@@ -70,7 +79,7 @@
         if isinstance(event, Tick):
             return self._tick(now)
         if isinstance(event, Heartbeat):
-            return self._reconciled(now, self.leases.heartbeat(now, event))
+            return self._heartbeat(now, event)
         if isinstance(event, Deregistration):
             return self._reconciled(now, self.leases.end(now, event))
         if isinstance(event, Publish):
@@ -88,6 +97,15 @@
             return []
         raise TypeError(f"{type(event).__name__} is no input")
 
+    def _heartbeat(self, now: float, heartbeat: Heartbeat) -> list[Any]:
+        """Handle a backend's heartbeat; one that is acknowledged at once gets a target for the next ones."""
+        out = self._reconciled(now, self.leases.heartbeat(now, heartbeat))
+        if heartbeat.draining or Acknowledged(heartbeat.token) not in out:
+            return out
+        target = self.targets.choose(now, heartbeat.id, heartbeat.zone, self.leases.core)
+        out[out.index(Acknowledged(heartbeat.token))] = Acknowledged(heartbeat.token, target)
+        return out
+
     def _received(self, now: float, sender: Address, note: Any) -> list[Any]:
         kind = note.WhichOneof("kind")
         if kind == "follow":
@@ -172,7 +190,9 @@
         return [*self.follower.tick(now), *self.leases.confirmed()]
 
     def _tick(self, now: float) -> list[Any]:
-        out: list[Any] = self._reconciled(now, self.leases.tick(now, self.log.quorate(now)))
+        quorate = self.log.quorate(now)
+        self.targets.tick(now, quorate)
+        out: list[Any] = self._reconciled(now, self.leases.tick(now, quorate))
         self.log.lost = [wire.address_hash(a) for a in self.follower.silent(now)]
         for source, last in self.follower.lost(now, self.table.grace):
             self.table.release_all(last, source)
--- a/gateway/membership/messages.py
+++ b/gateway/membership/messages.py
@@ -113,9 +113,10 @@
 
 
 class Acknowledged(NamedTuple):
-    """Answer a backend's call with 200."""
+    """Answer a backend's call with 200, and name the controller for its later heartbeats ("": none)."""
 
     token: Any
+    target: Address = ""
 
 
 class Rejected(NamedTuple):
--- a/gateway/programs/control_api.py
+++ b/gateway/programs/control_api.py
@@ -200,11 +200,18 @@
         self.pending_heartbeats[self.token] = reply
         self.membership(call)
 
-    def heartbeat_answered(self, token: Any, well: bool) -> None:
-        """The membership plane has accepted a heartbeat, or can't acknowledge it."""
+    def heartbeat_answered(self, token: Any, well: bool, target: Address = "") -> None:
+        """The membership plane has accepted a call of a backend, or can't acknowledge it.
+
+        `target` is the `control` address for the backend's later heartbeats ("": any).
+        """
         reply = self.pending_heartbeats.pop(token, None)
-        if reply is not None:
-            reply(200 if well else 503, JSON if well else b"", b"{}" if well else b"")
+        if reply is None:
+            return
+        if well:
+            reply(200, JSON, json.dumps({"beat-target": target} if target else {}).encode())
+        else:
+            reply(503, b"", b"")
 
 
 def redirect(to: Address, http_call: HttpCall, reply: Reply) -> None:
--- a/gateway/programs/controller_node.py
+++ b/gateway/programs/controller_node.py
@@ -79,7 +79,9 @@
             durable=settings.own.counted or settings.own.data_dir is not None,
         )
         zone = startup.zone_number(settings)
-        self.membership = ControllerMembership(self.me, zone, seeds, settings.provider.beat_s, rng)
+        self.membership = ControllerMembership(
+            self.me, zone, seeds, settings.provider.beat_s, rng, startup.zone_numbers(settings)
+        )
         self.membership.handle(clock(), membership.SetQuorate(self.raft.quorum_contact_until()))
         self.shard_assigner = ShardAssigner()
         self.holder = ShardOwner(settings.terms.bounds.quota_window_s, rng)
@@ -167,7 +169,8 @@
             if isinstance(out, Send):
                 self.driver.send(out.to, MEMBERSHIP, out.message)
             elif isinstance(out, membership.Acknowledged):
-                self.control.heartbeat_answered(out.token, True)
+                target = self.control_at(out.target) if out.target else ""
+                self.control.heartbeat_answered(out.token, True, target)
             elif isinstance(out, membership.Rejected):
                 self.control.heartbeat_answered(out.token, False)
             elif isinstance(out, membership.RunningConfig):
--- a/gateway/programs/startup.py
+++ b/gateway/programs/startup.py
@@ -40,10 +40,14 @@
     return (kind, note.value.kind) if kind == "value" else (kind, 0) if kind == "answer" else None
 
 
+def zone_numbers(settings: Settings) -> dict[str, int]:
+    """Index of each zone among all zones in order of names, the same on every machine."""
+    return {zone: number for number, zone in enumerate(sorted(settings.network.zones))}
+
+
 def zone_number(settings: Settings) -> int:
-    """Index of the own zone among all zones in order of names, the same on every machine; 0 if unknown."""
-    zones = sorted(settings.network.zones)
-    return zones.index(settings.own.zone) if settings.own.zone in zones else 0
+    """Index of the own zone; 0 if unknown."""
+    return zone_numbers(settings).get(settings.own.zone, 0)
 
 
 def stop_on_signal(loop: asyncio.AbstractEventLoop, reload: Callable[[], None]) -> asyncio.Event:
--- a/proving/model/backends.py
+++ b/proving/model/backends.py
@@ -96,7 +96,7 @@
         self.ends: dict[TcpEndpoint, None] = {}  # in the order of their opening
         self.draining = self.ended = self.silenced = False  # mute: tells nothing any more
         self.calls = 0
-        self.target: str | None = None  # where its beats are taken
+        self.target: str | None = None  # named by an acknowledgement, until a call there fails
         self.served = 0
 
     # From its start to its end.
@@ -130,10 +130,9 @@
             self.simulator.after(0.2, self.beat)
 
     def call(self, method: str, done: Callable[[int, str, bytes], None]) -> None:
-        """One call to some controller, the one that took the last, or another."""
+        """One call to the controller that was named for later calls, or to any."""
         self.calls += 1
-        if self.target is None:
-            self.target = self.deployment.some_control(self.place, self.rng)
+        to = self.target or self.deployment.some_control(self.place, self.rng)
         body = b""
         if method == "PUT":
             body = json.dumps(
@@ -148,7 +147,7 @@
                     "cold-left-s": max(0.0, self.cold_until - self.simulator.now),
                 }
             ).encode()
-        self.deployment.call(self.place, self.target, method, f"/-/backends/{self.id}", body, 1.0, done)
+        self.deployment.call(self.place, to, method, f"/-/backends/{self.id}", body, 1.0, done)
 
     def leave(self, drain_s: float) -> None:
         """A planned end: say so until it is acknowledged, serve on for the drain, say that it is over."""
--- a/tests/system/test_control.py
+++ b/tests/system/test_control.py
@@ -291,7 +291,8 @@
     path = "/-/backends/i-1"
     for well, method, body in ((True, "PUT", json.dumps(beat).encode()), (False, "DELETE", b"")):
         task = await controller.held_back("taken" if well else "not vouched for", method, path, body)
-        controller.control.heartbeat_answered(controller.calls[-1].token, well)
+        target = "10.2.0.3:8407" if well else ""
+        controller.control.heartbeat_answered(controller.calls[-1].token, well, target)
         await task
     for wrong in ({"address": "10.128.0.9"}, {"call-seq": "x"}, {"cold-left-s": -1}, {"capacity": 1 << 40}):
         await controller.call(str(wrong), "PUT", path, json.dumps({**beat, **wrong}).encode())
