--- /dev/null
+++ b/proving/capacity/budget.py
@@ -0,0 +1,193 @@
+"""The lines of the budget: what is allowed, what it comes to at the size to design for, what carries it."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Final
+
+from post.franking.holder import CHARGERS
+from post.office.links import IDLE_S, LINKS
+from post.office.nodes import MOST_BYTES
+from post.office.overseeing import STATUS
+from post.office.showing import LEASES
+from proving.capacity import design, remedies
+from proving.capacity.figures import Estimate, Figures, Part, scaled, together
+from proving.capacity.growth import TOTAL
+
+INGRESS, LEADER, CONTROLLER, TOOLS = "ingress", "leader", "controller", "operators' tools"
+CHANGES_PER_S: Final = design.CHANGES_PER_DAY / design.SECONDS_PER_DAY
+LINK_BYTES_PER_S: Final = 125e6
+"""Of a controller's network link of 1 Gbit/s, which is assumed."""
+PROCESS_MB: Final = 21.0
+"""Memory of a process on the bench's quiet day (docs/open.md), not measured by this command."""
+LATE_CHARGE: Final = "one core, 4 + 3: charge in region 2, 99th percentile"
+"""How long a request waits for its charge today, in the study of regions."""
+LATE_SHARE: Final = 0.01
+
+
+@dataclass(frozen=True)
+class BudgetLine:
+    """One line. `estimate` and `budget` are in `unit`; `mechanism` carries it, `cause` names its remedy."""
+
+    role: str
+    plane: str
+    name: str
+    unit: str
+    budget: float
+    estimate: Estimate
+    mechanism: str
+    cause: str
+
+    @property
+    def ratio(self) -> float:
+        """The figure as a multiple of its budget."""
+        return self.estimate.value / self.budget
+
+    @property
+    def held(self) -> bool:
+        """Whether it is within its budget."""
+        return self.ratio <= 1.0
+
+    def fails_at(self) -> tuple[str, float] | None:
+        """The axis that weighs most, and the size along it at which the budget is used up; None if no axis
+        makes it grow. The other axes stay at the size to design for."""
+        growing = [p for p in self.estimate.parts if p.added > 0 and p.wanted > p.measured]
+        if not growing:
+            return None
+        part = max(growing, key=lambda p: p.added)
+        slope = part.added / (part.wanted - part.measured)
+        return part.axis, part.wanted + (self.budget - self.estimate.value) / slope
+
+
+def lines(figures: Figures) -> list[BudgetLine]:
+    """All lines, role by role."""
+    return [*_ingress(figures), *_ingress_changes(figures), *_controllers(figures), *_limits(figures),
+            *_tools(figures)]
+
+
+def gaps(found: list[BudgetLine], most: int = 3) -> list[list[BudgetLine]]:
+    """The lines that aren't held, by their causes, the largest first within and among causes."""
+    causes: dict[str, list[BudgetLine]] = {}
+    for line in sorted(found, key=lambda each: -each.ratio):
+        if not line.held:
+            causes.setdefault(line.cause, []).append(line)
+    return list(causes.values())[:most]
+
+
+def _ingress(f: Figures) -> Iterator[BudgetLine]:
+    core, percent = 100 * design.INGRESS_CORE_SHARE, 100.0
+    planes = {"timers": ("its timers, which look at every backend and tenant", remedies.SCANS),
+              "membership": ("heartbeats to each controller, shuffled views", remedies.FOLLOWERS),
+              "quota": ("verdicts and signs of life", remedies.CHARGES),
+              "requests": ("a charge for each request", remedies.CHARGES)}
+    for plane, (mechanism, cause) in planes.items():
+        estimate = scaled(f.estimate(INGRESS, plane, "processor"), percent)
+        yield BudgetLine(INGRESS, plane, "processor time", "% of a core", core, estimate, mechanism, cause)
+    sockets = scaled(f.sockets(INGRESS), percent)
+    yield BudgetLine(INGRESS, "all", "processor time of system calls", "% of a core", core, sockets,
+                     "a datagram each, and a wake-up each", remedies.CHARGES)
+    whole = together([scaled(f.estimate(INGRESS, TOTAL, "processor"), percent), sockets])
+    yield BudgetLine(INGRESS, "all", "processor time, steady", "% of a core", core, whole,
+                     "all of these", remedies.SCANS)
+    for plane, cause in (("membership", remedies.FOLLOWERS), ("quota", remedies.CHARGES),
+                         (TOTAL, remedies.CHARGES)):
+        estimate = scaled(f.both_ways(INGRESS, plane, "bytes"), 1e-3)
+        yield BudgetLine(INGRESS, plane, "bytes sent and received", "KB/s", design.INGRESS_BYTES_PER_S / 1e3,
+                         estimate, "datagrams with their headers", cause)
+    added = f.samples("regions")
+    late = max((s.middle for s in added if s.figure == LATE_CHARGE), default=0.0)
+    yield BudgetLine(INGRESS, "quota", "time that the charge adds, 99th percentile", "ms", design.ADDED_MS,
+                     _fixed(1e3 * late), "the charge is awaited before the request goes on", remedies.WAITS)
+
+
+def _ingress_changes(f: Figures) -> Iterator[BudgetLine]:
+    size = f.at_design("whole", "one route as an agreed value", design.TENANTS)
+    tenants = design.TENANTS
+    yield BudgetLine(INGRESS, "configuration", "bytes of 2,400 changes a day", "KB/s",
+                     design.INGRESS_BYTES_PER_S / 1e3, _by_tenants(size * CHANGES_PER_S / 1e3),
+                     "the whole agreed value with each change", remedies.CHANGES)
+    yield BudgetLine(INGRESS, "configuration", "bytes of one change within 13 s", "KB/s",
+                     design.INGRESS_BYTES_PER_S / 1e3, _by_tenants(size / design.APPLY_S / 1e3),
+                     "the whole agreed value with each change", remedies.CHANGES)
+    took = f.at_design("whole", "ingress: take up one route", tenants)
+    yield BudgetLine(INGRESS, "configuration", "processor time of 2,400 changes a day", "% of a core",
+                     100 * design.INGRESS_CORE_SHARE, _by_tenants(100 * took * CHANGES_PER_S),
+                     "all entries are read, compared, compiled and hashed", remedies.CHANGES)
+    yield BudgetLine(INGRESS, "configuration", "requests that wait behind a take-up", "% of requests",
+                     100 * LATE_SHARE, _by_tenants(100 * took * CHANGES_PER_S),
+                     "one thread for requests and control", remedies.CHANGES)
+    memory = f.at_design("whole", "ingress: memory after one route", tenants)
+    backends = f.line("backends", "simulator: memory").slope * design.BACKENDS / HOLDERS_OF_BACKENDS
+    parts = (Part("process", 0, 0, PROCESS_MB), Part("backends", 0, design.BACKENDS, backends),
+             Part("tenants", 0, tenants, memory))
+    yield BudgetLine(INGRESS, "all", "memory of state", "MB", design.INGRESS_MEMORY_MB,
+                     Estimate(PROCESS_MB + backends + memory, parts),
+                     "JSON as it came, typed view, matchers, digests, purses", remedies.MEMORY)
+
+
+HOLDERS_OF_BACKENDS: Final = 6 + design.CONTROLLERS
+"""Processes of the fleet in which backends were varied, each of which knows them all."""
+
+
+def _controllers(f: Figures) -> Iterator[BudgetLine]:
+    core, percent = 100 * design.CONTROLLER_CORE_SHARE, 100.0
+    planes = {"timers": ("timers, which look at every backend, follower and tenant", remedies.SCANS),
+              "agreement": ("heartbeats ten times a second between members", remedies.SCANS),
+              "membership": ("answers to each follower's heartbeats", remedies.FOLLOWERS),
+              "quota": ("a verdict for each charge", remedies.CHARGES),
+              "backends": ("heartbeats of backends, without the reading of HTTP", remedies.HEARTBEATS)}
+    for role in (LEADER, CONTROLLER):
+        for plane, (mechanism, cause) in planes.items():
+            estimate = scaled(f.estimate(role, plane, "processor"), percent)
+            yield BudgetLine(role, plane, "processor time", "% of a core", core, estimate, mechanism, cause)
+        sockets = scaled(f.sockets(role), percent)
+        yield BudgetLine(role, "all", "processor time of system calls", "% of a core", core, sockets,
+                         "a datagram each, and a wake-up each", remedies.CHARGES)
+        whole = together([scaled(f.estimate(role, TOTAL, "processor"), percent), sockets])
+        yield BudgetLine(role, "all", "processor time, steady", "% of a core", core, whole, "all of these",
+                         remedies.CHARGES)
+        both = scaled(f.both_ways(role, TOTAL, "bytes"), 1e-6)
+        yield BudgetLine(role, "all", "bytes sent and received", "MB/s", LINK_BYTES_PER_S / 1e6, both,
+                         "datagrams with their headers; heartbeats over HTTP", remedies.CHARGES)
+    steps = ("decide one route", "encode one route", "digests after one route", "allowances")
+    cost = sum(f.at_design("whole", f"controller: {step}", design.TENANTS) for step in steps)
+    yield BudgetLine(LEADER, "configuration", "processor time of 2,400 changes a day", "% of a core", core,
+                     _by_tenants(100 * cost * CHANGES_PER_S),
+                     "the whole value is built, packed and hashed again", remedies.CHANGES)
+    size = f.at_design("whole", "one route as an agreed value", design.TENANTS)
+    share = size * design.INGRESSES / design.CONTROLLERS / design.APPLY_S
+    yield BudgetLine(CONTROLLER, "configuration", "bytes of one change within 13 s", "MB/s",
+                     LINK_BYTES_PER_S / 1e6, _by_tenants(share / 1e6),
+                     "the whole value to each ingress", remedies.CHANGES)
+
+
+def _limits(f: Figures) -> Iterator[BudgetLine]:
+    """Limits of the sources that the size meets; these are read off, not measured."""
+    ingresses = float(design.INGRESSES)
+    yield BudgetLine(CONTROLLER, "all", f"links within {IDLE_S:g} s, for messages beyond a datagram",
+                     "links", float(LINKS), _by_ingresses(ingresses / design.CONTROLLERS),
+                     "a kept TCP link to each ingress", remedies.LINKS)
+    yield BudgetLine(CONTROLLER, "quota", "ingresses that a holder of counts remembers", "ingresses",
+                     float(CHARGERS), _by_ingresses(ingresses), "a record of each", remedies.CHARGES)
+
+
+def _tools(f: Figures) -> Iterator[BudgetLine]:
+    answers = ((STATUS, "ingresses", design.INGRESSES), (LEASES, "backends", design.BACKENDS))
+    for path, axis, size in answers:
+        found = f.at_design(axis, f"tools: GET {path}: bytes", size)
+        yield BudgetLine(TOOLS, "all", f"answer to GET {path}", "MB", MOST_BYTES / 1e6,
+                         Estimate(found / 1e6, (Part(axis, 0, size, found / 1e6),)),
+                         "one answer with all of them", remedies.TOOLS)
+
+
+def _fixed(value: float) -> Estimate:
+    return Estimate(value, ())
+
+
+def _by_tenants(value: float) -> Estimate:
+    return Estimate(value, (Part("tenants", 0, design.TENANTS, value),))
+
+
+def _by_ingresses(value: float) -> Estimate:
+    return Estimate(value, (Part("ingresses", 0, design.INGRESSES, value),))
--- a/proving/capacity/growth.py
+++ b/proving/capacity/growth.py
@@ -5,7 +5,7 @@
 import gc
 from collections.abc import Iterator, Sequence
 from concurrent.futures import ProcessPoolExecutor
-from dataclasses import asdict
+from dataclasses import asdict, replace
 from multiprocessing import get_context
 from time import thread_time
 from typing import Any, NamedTuple
@@ -40,19 +40,20 @@
 def steps(axis: str, quick: bool) -> list[Step]:
     """The fleets along an axis, smallest first."""
     if axis == "ingresses":
-        counts = (6, 12, 24) if quick else (30, 100, 300)
+        counts = [6, 12, 24] if quick else [30, 100, 300]
         return [Step(axis, n, FleetSize(ingresses=n)) for n in counts]
     if axis == "ingresses-910":
         return [] if quick else [Step("ingresses", LARGEST, FleetSize(ingresses=LARGEST))]
     if axis == "backends":
-        sizes = (60, 120, 240) if quick else (130, 430, 1300, 4300)
+        sizes = [60, 120, 240] if quick else [130, 430, 1300, 4300]
         return [Step(axis, n, FleetSize(ingresses=6, backends=n, requests=1.0)) for n in sizes]
     if axis == "requests":
         rates = (5.0, 10.0, 20.0) if quick else (10.0, 30.0, 60.0, 121.0)
         return [Step(axis, rate * 12, FleetSize(ingresses=12, requests=rate)) for rate in rates]
     if axis == "tenants":
-        sizes = (20, 40, 80) if quick else (20, 200, 1000, 4000)
-        return [Step(axis, n, FleetSize(ingresses=12, tenants=n, requests=40.0)) for n in sizes]
+        sizes = [20, 40, 80] if quick else [20, 1000, 5500, 22_000, 88_000]
+        fleet = FleetSize(ingresses=3, members=(1, 0, 1, 0, 1, 0), requests=40.0)  # memory bounds it
+        return [Step(axis, n, replace(fleet, tenants=n)) for n in sizes]
     if axis == "controllers":
         members = {3: (1, 0, 1, 0, 1, 0), 5: (1, 1, 1, 1, 1, 0), 7: (2, 1, 1, 1, 1, 1)}
         ingresses = 12 if quick else 60
--- a/proving/capacity/page.py
+++ b/proving/capacity/page.py
@@ -4,23 +4,84 @@
 
 from collections.abc import Mapping
 
-from proving.capacity import fit
+from proving.capacity import design, remedies, sections
+from proving.capacity.budget import BudgetLine, gaps, lines
+from proving.capacity.figures import Figures, number, table
 from proving.capacity.samples import Recording
 
+COMMAND = "python -m proving capacity"
+
 
 def page(recordings: Mapping[str, Recording]) -> str:
     """The whole page."""
-    lines = ["# Capacity", ""]
-    for recording in recordings.values():
-        lines += [f"## {recording.study}", "", f"`{recording.command}`, {recording.date}, "
-                  f"source {recording.source}, {recording.machine}; spread up to "
-                  f"{recording.worst_spread():.0%}.", "", "| figure | base | slope | exponent |",
-                  "| --- | --- | --- | --- |"]
-        for axis in dict.fromkeys(s.axis for s in recording.samples):
-            for figure in recording.figures(axis):
-                points = recording.series(axis, figure)
-                found, power = fit.line(points), fit.exponent(points)
-                lines.append(f"| {axis}: {figure} | {found.base:.4g} | {found.slope:.4g} | "
-                             f"{'' if power is None else f'{power:.2f}'} |")
-        lines.append("")
-    return "\n".join(lines)
+    figures = Figures(recordings)
+    found = lines(figures)
+    parts = [_head(), _gaps(found), _budget(found), sections.messages(figures), sections.configuration(figures),
+             sections.agreement(figures), sections.events(figures), sections.regions(figures),
+             _runs(recordings), sections.not_measured()]
+    return "\n".join(line for part in parts for line in part).rstrip() + "\n"
+
+
+def _head() -> list[str]:
+    return [
+        "# Capacity", "",
+        f"Made by `{COMMAND}` from the recordings in `docs/capacity`; `--from docs/capacity` makes it again "
+        "without measuring.",
+        f"The size to design for: {design.INGRESSES} ingresses, {design.BACKENDS:,} backends in "
+        f"{design.SERVICES} services, {design.REQUESTS_PER_S:,} requests a second, {design.ROUTES:,} routes, "
+        f"{design.TENANTS:,} tenants, {design.REGIONS} regions with {design.ZONES} zones, "
+        f"{design.CONTROLLERS} controllers, {design.CHANGES_PER_DAY:,} changes a day in force within "
+        f"{design.APPLY_S:g} s.", "",
+        "A figure at that size is measured there, or it is what was measured at smaller ones, continued by a "
+        "line through three sizes or more. Axes are varied one at a time and added up, so what grows "
+        "with the "
+        "product of two of them is told too low. Hollow fleets run the programs' state machines with real "
+        "messages in one process; system calls are added by the cost of one datagram on loopback.", ""]
+
+
+def _gaps(found: list[BudgetLine]) -> list[str]:
+    known = remedies.load()
+    out = ["## The three largest gaps", ""]
+    for place, group in enumerate(gaps(found), 1):
+        remedy = known[group[0].cause]
+        worst = "; ".join(f"{line.role}, {line.plane}: {line.name} {number(line.estimate.value)} "
+                          f"{line.unit} of {number(line.budget)} ({number(line.ratio)} "
+                          "times)" for line in group)
+        out += [f"{place}. **{remedy.title}.** {worst}.", f"   Design: {remedy.design}",
+                f"   Expected cost (not measured): {remedy.cost}", ""]
+    return out
+
+
+def _budget(found: list[BudgetLine]) -> list[str]:
+    known = remedies.load()
+    out = ["## Budget", "", "Where it fails: the axis that weighs most, at the size at which the budget "
+                            "is used "
+           "up while all others are at the size to design for; none if they alone use it up.", ""]
+    head = ("plane", "line", "budget", "figure", "held", "of which", "mechanism", "fails at",
+            "to be replaced by")
+    for role in dict.fromkeys(line.role for line in found):
+        rows = [_row(line, known) for line in found if line.role == role]
+        out += [f"### {role.capitalize()}", "", *table(head, rows)]
+    return out
+
+
+def _row(line: BudgetLine, known: Mapping[str, remedies.Remedy]) -> tuple[str, ...]:
+    budget, value = f"{number(line.budget)} {line.unit}", number(line.estimate.value)
+    return (line.plane, line.name, budget, value, "yes" if line.held else "**no**",
+            line.estimate.told(), line.mechanism, _fails_at(line), known[line.cause].short)
+
+
+def _fails_at(line: BudgetLine) -> str:
+    found = line.fails_at()
+    if found is None:
+        return "any size" if not line.held else "doesn't grow"
+    axis, size = found
+    return f"{number(size)} {axis}" if size > 0 else f"without {axis} too"
+
+
+def _runs(recordings: Mapping[str, Recording]) -> list[str]:
+    head = ("study", "command", "date", "source", "seconds", "machine", "spread, largest and median")
+    rows = [(r.study, f"`{r.command}`", r.date, r.source, number(r.seconds), r.machine, sections.spread(r))
+            for r in recordings.values()]
+    return ["## The runs", "", "Spread is half of the range of the repetitions, as a part of their median. "
+            "Source with a plus: the sources differed from that commit.", "", *table(head, rows)]
--- a/proving/capacity/restarts.py
+++ b/proving/capacity/restarts.py
@@ -23,6 +23,8 @@
 """Enough that the agreed value doesn't fit a datagram, as none does at the size to design for."""
 RACK = 20
 QUIET_S, WATCHED_S, MOST_S = 4.0, 6.0, 40.0
+BACKENDS = 60
+RELEASE_S, DRAIN_S = 2.0, 1.0
 LINKS_IDLE_S = IDLE_S + 1.0
 """After which links of one event don't count for the next one."""
 
@@ -32,13 +34,14 @@
 
     bytes_sent: float
     leader_processor_s: float
+    ingress_processor_s: float
     links: float
     lost: float
 
 
 def settings(quick: bool) -> dict[str, Any]:
     """What a recording tells of how it was made."""
-    return {"tenants": TENANTS, "rack": RACK, "watched_s": WATCHED_S}
+    return {"tenants": TENANTS, "rack": RACK, "backends": BACKENDS, "watched_s": WATCHED_S}
 
 
 def measure(quick: bool) -> Iterator[list[Sample]]:
@@ -57,7 +60,7 @@
 
 def measure_size(ingresses: int, restarts: bool = True) -> list[Sample]:
     """All events in a fleet of so many ingresses, one after the other."""
-    fleet = Fleet(FleetSize(ingresses=ingresses, backends=60, tenants=TENANTS, requests=1.0), seed=1)
+    fleet = Fleet(FleetSize(ingresses=ingresses, backends=BACKENDS, tenants=TENANTS, requests=1.0), seed=1)
     fleet.begin()
     fleet.window(SETTLE_S)
     fleet.window(QUIET_S)
@@ -77,6 +80,9 @@
         fleet.window(LINKS_IDLE_S)
     seconds = change_route(fleet)
     _note_totals(note, "one route", totals(fleet), usual)
+    if restarts:
+        release(fleet)
+        _note_totals(note, "release", totals(fleet), usual)
     note("one route", "from its order to the last ingress in force", "s", seconds)
     return found
 
@@ -117,13 +123,28 @@
     return took
 
 
+def release(fleet: Fleet) -> None:
+    """Replace every backend by a new one, service by service."""
+    for meter in fleet.meters.values():
+        meter.reset()
+    deployment, began = fleet.deployment, fleet.world.now
+    old = deployment.alive()
+    for n, backend in enumerate(old):
+        at = began + RELEASE_S * n / len(old)
+        fleet.world.at(at, deployment.launch, backend.service, backend.place.zone)
+        fleet.world.at(at, backend.leave, DRAIN_S)
+    fleet.world.run(began + WATCHED_S)
+
+
 def totals(fleet: Fleet) -> Totals:
     """What controllers did since the last reset."""
     controllers = fleet.counts(fleet.controllers())
     sent = sum(size for c in controllers for flow, size in c.bytes.items() if flow.direction == "sent")
     leader = fleet.leader()
     spent = fleet.meters[leader].counts.total_processor() if leader is not None else 0.0
-    return Totals(sent, spent, max(c.most_links for c in controllers), sum(c.lost for c in controllers))
+    ingresses = [c.total_processor() for c in fleet.counts(fleet.ingresses())]
+    return Totals(sent, spent, sum(ingresses) / len(ingresses), max(c.most_links for c in controllers),
+                  sum(c.lost for c in controllers))
 
 
 def _note_totals(note: Any, event: str, found: Totals, usual: Totals) -> None:
@@ -132,5 +153,7 @@
          found.bytes_sent - part * usual.bytes_sent)
     note(event, "processor time of the leader beyond the usual", "s",
          found.leader_processor_s - part * usual.leader_processor_s)
+    note(event, "processor time of an ingress beyond the usual", "s",
+         found.ingress_processor_s - part * usual.ingress_processor_s)
     note(event, "most links open at a controller", "links", found.links)
     note(event, "messages lost for want of a link", "messages", found.lost)
--- /dev/null
+++ b/proving/capacity/sections.py
@@ -0,0 +1,249 @@
+"""The sections of the page that tell what was measured, without a budget to hold it against."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from statistics import median
+
+from proving.capacity import design, fit, restarts
+from proving.capacity.agreement import CUT_AXIS, LATENCY_AXIS
+from proving.capacity.figures import Figures, number, table
+from proving.capacity.regions import AXIS as REGIONS_AXIS
+from proving.capacity.regions import DESIGNS
+from proving.capacity.samples import Point, Recording
+
+LEAST_MESSAGES = 0.5
+"""Messages a second at the largest fleet, below which a kind isn't shown."""
+
+
+def spread(recording: Recording) -> str:
+    """The largest and the median spread of a recording's figures."""
+    spreads = [s.spread for s in recording.samples if len(s.values) > 1]
+    return f"{max(spreads):.0%}, {median(spreads):.0%}" if spreads else "one run"
+
+
+def source(figures: Figures, studies: Iterable[str]) -> str:
+    """Which runs gave a table, with their dates and the median of their spread."""
+    known = [figures.recordings[name] for name in studies if name in figures.recordings]
+    told = [f"`{r.command}`, {r.date}, spread (largest, median) {spread(r)}" for r in known]
+    return "From " + "; ".join(told) + "."
+
+
+def messages(figures: Figures) -> list[str]:
+    """Messages and bytes by role, plane and kind, as the fleet grows."""
+    out = ["## Messages of a hollow fleet", "",
+           "A second, at one process; 4 requests a second at each ingress, 60 backends, 20 tenants. "
+           "Sizes are "
+           "ingresses. The exponent is the power of the number of ingresses.", "",
+           source(figures, ("ingresses", "ingresses-910")), ""]
+    for role in ("ingress", "leader", "controller"):
+        names = [n for n in figures.names("ingresses") if n.startswith(f"{role}: ") and n.endswith("messages")]
+        rows = []
+        for name in sorted(names):
+            points = figures.series("ingresses", name)
+            if len(points) >= fit.LEAST_POINTS and points[-1].value >= LEAST_MESSAGES:
+                sizes = figures.series("ingresses", name.replace("messages", "bytes"))
+                _, plane, what = name.removesuffix(": messages").split(": ")
+                rows.append((plane, what, along(points), along(sizes), power(points)))
+        out += [f"### {role.capitalize()}", "",
+                *table(("plane", "kind", "messages", "bytes", "exponent"), rows)]
+    return out + _processor(figures)
+
+
+def _processor(figures: Figures) -> list[str]:
+    out = ["### Processor time", "", "Milliseconds a second, at one process, along each axis.", "",
+           source(figures, ("ingresses", "ingresses-910", "backends", "requests", "tenants", "controllers")), ""]
+    rows = []
+    for axis in ("ingresses", "backends", "requests", "tenants", "controllers"):
+        for name in figures.names(axis):
+            points = [Point(p.size, 1000 * p.value) for p in figures.series(axis, name)]
+            if name.endswith(": processor") and not name.startswith("tools") and len(points) >= fit.LEAST_POINTS:
+                rows.append((axis, name.removesuffix(": processor"), along(points),
+                             number(fit.line(points).slope), power(points)))
+    return [*out, *table(("axis", "role and plane", "ms a second", "slope", "exponent"), rows)]
+
+
+def configuration(figures: Figures) -> list[str]:
+    """What a configuration costs by its size, as a whole and for one change."""
+    out = ["## Configuration", "", f"Along `whole` routes, tenants and services grow together, up to "
+           f"{design.ROUTES:,}, {design.TENANTS:,} and {design.SERVICES}; sizes are tenants. Along "
+           "`routes` there "
+           f"are 100 tenants, along `tenants` 100 routes, {design.SERVICES} services with both.", "",
+           source(figures, ("configuration-routes", "configuration-tenants", "configuration-whole")), ""]
+    rows = []
+    for axis in ("whole", "routes", "tenants"):
+        for name in figures.names(axis):
+            points = figures.series(axis, name)
+            if len(points) >= fit.LEAST_POINTS and (axis == "whole" or not name.startswith("ingress, ")):
+                unit = next(s.unit for s in figures.samples(axis) if s.figure == name)
+                rows.append((axis, name, unit, along(points), f"{fit.line(points).slope:.3g}", power(points)))
+    return [*out, *table(("axis", "figure", "unit", "at the sizes", "slope", "exponent"), rows)]
+
+
+def agreement(figures: Figures) -> list[str]:
+    """Latency of orders and the time without a leader."""
+    out = ["## Agreement", "", "Seconds, simulated: disks that sync in 2 ms three times a save, links "
+                               "that lose "
+           "nothing, processes that cost no time. An order is one changed route in a small "
+           "configuration, one "
+           "after the other; `until an order`: from the loss to the next acknowledgement.", "",
+           source(figures, ("agreement",)), ""]
+    rows = [(number(s.size), s.figure, number(s.middle), number(max(s.values)), str(len(s.values)))
+            for s in sorted(figures.samples(LATENCY_AXIS), key=lambda s: (s.figure, s.size))]
+    return [*out, *table(("members", "figure", "median", "worst", "of"), rows)]
+
+
+def events(figures: Figures) -> list[str]:
+    """A row for each event of a usual year."""
+    axis = restarts.AXIS
+    out = ["## Events", "", f"In hollow fleets with {restarts.TENANTS} tenants and {restarts.BACKENDS} "
+                            "backends; "
+           f"what is beyond the usual within {restarts.WATCHED_S:g} s. A rack is {restarts.RACK} "
+           "ingresses, a zone "
+           "a sixth of the fleet with its controllers; a restart takes 1.05 s until the process begins. "
+           "-1: some "
+           "ingress was not ready, or did not have the change, within 40 s. What a start costs by the "
+           "size of "
+           "the configuration is in the table above (`take up a whole one`).", "",
+           source(figures, (restarts.STUDY, restarts.LARGE_STUDY)), ""]
+    rows = []
+    for name in figures.names(axis):
+        points = figures.series(axis, name)
+        event, figure = name.split(": ", 1)
+        unit = next(s.unit for s in figures.samples(axis) if s.figure == name)
+        at = fit.line(points).at(design.INGRESSES) if len(points) >= fit.LEAST_POINTS else None
+        rows.append((event, figure, unit, along(points), "" if at is None else number(at)))
+    out += table(("event", "figure", "unit", "at ingresses", f"line at {design.INGRESSES}"), rows)
+    return out + _worked_out(figures) + _cut(figures)
+
+
+def _worked_out(figures: Figures) -> list[str]:
+    """Events at the size to design for, from the slopes above."""
+    def whole(name: str) -> float:
+        return figures.at_design("whole", name, design.TENANTS)
+
+    value, change = whole("agreed value"), whole("one route as an agreed value")
+    key = whole("one key as an agreed value")
+    take_up, one = whole("ingress: take up a whole one"), whole("ingress: take up one route")
+    one_key = whole("ingress: take up one key")
+    zone = design.INGRESSES / design.ZONES
+    rows = [
+        ("restart of one ingress", number(value / 1e6), number(take_up)),
+        (f"restart of a rack ({restarts.RACK})", number(restarts.RACK * value / 1e6), number(take_up)),
+        (f"restart of a zone ({zone:.0f})", number(zone * value / 1e6), number(take_up)),
+        ("a change of one route", number(design.INGRESSES * change / 1e6), number(one)),
+        ("a new key", number(design.INGRESSES * key / 1e6), number(one_key)),
+    ]
+    found = ["Worked out from the slopes: what the configuration alone costs at the size to design for.", "",
+             *table(("event", "MB that controllers send", "s of processor time at each ingress"), rows)]
+    return found + _release(figures)
+
+
+def _release(figures: Figures) -> list[str]:
+    """A release of all services: what one backend's replacement costs, for all of them."""
+    name = "release: bytes that controllers send beyond the usual"
+    each = figures.line(restarts.AXIS, name).slope / restarts.BACKENDS
+    spent = figures.last(restarts.AXIS, "release: processor time of an ingress beyond the usual")
+    total = each * design.INGRESSES * design.BACKENDS
+    processor = spent / restarts.BACKENDS * design.BACKENDS
+    return [f"A release of {design.SERVICES} services replaces {design.BACKENDS:,} backends: by the slope of "
+            f"{number(each)} bytes for a backend and an ingress, controllers send {number(total / 1e6)} "
+            "MB in all, "
+            f"and each ingress spends {number(processor)} s of processor time, however long the release takes.", ""]
+
+
+def _cut(figures: Figures) -> list[str]:
+    """What each half may do while the regions are cut off from one another, and after."""
+    out = ["### Regions cut off for five minutes", "", "4 members in region 1, 3 in region 2, traffic "
+                                                       "well within "
+           "all allowances. Parts of the requests in the span that ends at that second, by who decided: the "
+           "holder, the ingress's share, or none (`short`: no share left, refused).", "",
+           source(figures, ("region-cut",)), ""]
+    samples = figures.samples(CUT_AXIS)
+    spans = sorted({s.size for s in samples if s.figure.endswith(": holder")})
+    rows = []
+    for size in spans:
+        here = {s.figure: s.middle for s in samples if s.size == size}
+        rows.append((f"{size:g}", *(f"{here.get(f'region {n}: {way}', 0.0):.2f}" for n in (1, 2)
+                                    for way in ("holder", "share", "short", "ready"))))
+    head = ("until s", *(f"{n}: {way}" for n in (1, 2) for way in ("holder", "share", "short", "ready")))
+    out += table(head, rows)
+    others = [f"{s.figure}: {number(s.middle)} {s.unit}" for s in samples
+              if s.figure.endswith("orders taken") or s.figure.startswith("after the cut")]
+    return [*out, "; ".join(others) + ". The last row is the time after the cut.", "",
+            "Region 1 keeps the majority: it takes orders, hands out all counts after their leases are "
+            "over, and "
+            "serves as before. Region 2 may serve what its ingresses know, within the shares that they "
+            "have; it "
+            "may not take orders, may not acknowledge a backend's leaving, hands out no new share, and "
+            "an ingress "
+            "that begins anew there serves nobody until the cut ends.", ""]
+
+
+def regions(figures: Figures) -> list[str]:
+    """Designs for two regions, with the figures that were simulated for each."""
+    samples = figures.samples(REGIONS_AXIS)
+    names = list(dict.fromkeys(s.figure.split(": ", 1)[1] for s in samples if "region 3" not in s.figure))
+    known = {(int(s.size), s.figure.split(": ", 1)[1]): s for s in samples}
+    rows = []
+    for name in names:
+        cells = [known.get((n, name)) for n in range(len(DESIGNS))]
+        rows.append((name, *("" if c is None else f"{number(c.middle)} {c.unit}" for c in cells)))
+    return [
+        "## Two regions", "", source(figures, ("regions",)), "",
+        *table(("simulated, 35 ms one way", *(d.name for d in DESIGNS)), rows),
+        "- **One core, 4 + 3** (what stands today). Orders are agreed on in the larger region, so they "
+        "are as fast "
+        "as in one. Counts are cut over all members without regard to regions, so that about half of "
+        "all charges "
+        "cross; the cut-off half stops admitting once its shares are over, and the loss of the larger region "
+        "stops orders for good until an operator begins anew.",
+        "- **One core with a member in a third place**. Either region may be lost and orders go on, at "
+        "a round "
+        "trip between regions each. A cut between the two regions is no better for the smaller half's "
+        "tenants "
+        "than before, since holders are leased by one leader.",
+        "- **A core in each region**. Charges and orders stay in the region, and a cut takes nothing "
+        "from either "
+        "half. Its price isn't in the simulation: a tenant's allowance has to be split between the two "
+        "cores, so "
+        "that what one side doesn't use is lost to the other until it is moved; QUOTA over both halves holds "
+        "only if the parts add up to one allowance and are moved by leases that expire. And a change "
+        "has to be "
+        "taken by both cores, each with its own version: in force in one region first, and during a cut "
+        "in one "
+        "alone.", "",
+        "Proposed: a core in each region for counts and backends, with each tenant's allowance split by its "
+        "traffic of the last minutes and moved under leases; and for the configuration one core with a "
+        "member in "
+        "a third place, whose orders may take a round trip: 2,400 a day don't hurry. Expected, not measured.", ""]
+
+
+def not_measured() -> list[str]:
+    """What the page doesn't know."""
+    return [
+        "## Not measured", "",
+        "- Real programs over loopback: start-up, memory of a process and the time that an ingress adds to a "
+        "request at the median and the 99th percentile. The memory of a bare process in the budget is the "
+        "bench's figure.",
+        "- The reading of HTTP for backends' heartbeats, and requests themselves: only their charges "
+        "are here.",
+        "- TCP links beyond their number and headers, and what a full link does to what waits.",
+        f"- {design.BACKENDS:,} backends and {design.REQUESTS_PER_S:,} requests a second in one fleet: "
+        "both are "
+        "continued by lines, each from small fleets.",
+        "- The daily 63 failures and 760 restarts together: a restart is measured by itself, on a quiet "
+        "fleet.",
+        "- `fleetbench sweep`: this command doesn't run it.", ""]
+
+
+def along(points: Iterable[Point]) -> str:
+    """A figure at its sizes, as `30: 1.2, 100: 1.4`."""
+    return ", ".join(f"{number(p.size)}: {number(p.value)}" for p in points)
+
+
+def power(points: list[Point]) -> str:
+    """The exponent of a series; nothing where it has none."""
+    found = fit.exponent(points)
+    return "" if found is None else f"{found:.2f}"
+
