--- a/proving/capacity/page.py
+++ b/proving/capacity/page.py
@@ -24,19 +24,21 @@
 
 def _head() -> list[str]:
     return [
-        "# Capacity", "",
+        "# Capacity",
+        "",
         f"Made by `{COMMAND}` from the recordings in `docs/capacity`; `--from docs/capacity` makes it again "
         "without measuring.",
         f"The size to design for: {design.INGRESSES} ingresses, {design.BACKENDS:,} backends in "
         f"{design.SERVICES} services, {design.REQUESTS_PER_S:,} requests a second, {design.ROUTES:,} routes, "
         f"{design.TENANTS:,} tenants, {design.REGIONS} regions with {design.ZONES} zones, "
         f"{design.CONTROLLERS} controllers, {design.CHANGES_PER_DAY:,} changes a day in force within "
-        f"{design.APPLY_S:g} s.", "",
-        "A figure at that size is measured there, or it is what was measured at smaller ones, continued by a "
-        "line through three sizes or more; where R squared is under "
-        f"{LEAST_CERTAINTY:g} it isn't taken to grow. Axes are varied one at a time and added up, so what "
-        "grows with the product of two of them is told too low. Hollow fleets run the programs' state "
-        "machines with real messages in one process; system calls are added by the cost of one datagram on "
+        f"{design.APPLY_S:g} s.",
+        "",
+        "A figure at that size is measured there, or it is what was measured at smaller ones, continued by "
+        f"a line through three sizes or more; where R squared is under {LEAST_CERTAINTY:g} it isn't taken to "
+        "grow. Axes are varied one at a time and added up, so what grows with the product of two of them is "
+        "told too low. Hollow fleets run the programs' state machines with real messages in one process; "
+        "system calls are added by the cost of one datagram on "
         "loopback.", ""]
 
 
--- a/proving/capacity/sections.py
+++ b/proving/capacity/sections.py
@@ -32,9 +32,9 @@
 def messages(figures: Figures) -> list[str]:
     """Messages and bytes by role, plane and kind, as the fleet grows."""
     out = ["## Messages of a hollow fleet", "",
-           "A second, at one process; 4 requests a second at each ingress, 60 backends, 20 tenants. "
-           "Sizes are "
-           "ingresses. The exponent is the power of the number of ingresses.", "",
+           "A second, at one process; 4 requests a second at each ingress, 60 backends, 20 tenants. Sizes "
+           "are ingresses. The exponent is the power of the number of ingresses.",
+           "",
            source(figures, ("ingresses", "ingresses-910")), ""]
     for role in ("ingress", "leader", "controller"):
         rows = []
@@ -52,7 +52,9 @@
 
 
 def _processor(figures: Figures) -> list[str]:
-    out = ["### Processor time", "", "Milliseconds a second, at one process, along each axis.", "",
+    out = ["### Processor time", "",
+           "Milliseconds a second, at one process, along each axis.",
+           "",
            source(figures, (*growth.AXES,)), ""]
     rows = []
     for axis in ("ingresses", "backends", "requests", "tenants", "controllers"):
@@ -67,10 +69,11 @@
 
 def configuration(figures: Figures) -> list[str]:
     """What a configuration costs by its size, as a whole and for one change."""
-    out = ["## Configuration", "", f"Along `whole` routes, tenants and services grow together, up to "
-           f"{design.ROUTES:,}, {design.TENANTS:,} and {design.SERVICES}; sizes are tenants. Along "
-           "`routes` there "
-           f"are 100 tenants, along `tenants` 100 routes, {design.SERVICES} services with both.", "",
+    out = ["## Configuration", "",
+           f"Along `whole` routes, tenants and services grow together, up to {design.ROUTES:,}, "
+           f"{design.TENANTS:,} and {design.SERVICES}; sizes are tenants. Along `routes` there are 100 "
+           f"tenants, along `tenants` 100 routes, {design.SERVICES} services with both.",
+           "",
            source(figures, ("configuration-routes", "configuration-tenants", "configuration-whole")), ""]
     rows = []
     for axis in ("whole", "routes", "tenants"):
@@ -84,10 +87,10 @@
 
 def real_programs(figures: Figures) -> list[str]:
     """What real programs need over loopback."""
-    out = ["## Real programs", "", "Three controllers, three ingresses and two backends as processes over "
-           "loopback; sizes are tenants, with a route for twenty of them. Requests come one at a time, "
-           "each on a "
-           "connection of its own, straight to a backend and through an ingress; added is the difference of "
+    out = ["## Real programs", "",
+           "Three controllers, three ingresses and two backends as processes over loopback; sizes are "
+           "tenants, with a route for twenty of them. Requests come one at a time, each on a connection of "
+           "its own, straight to a backend and through an ingress; added is the difference of "
            "both's percentiles.", "", source(figures, (programs.STUDY,)), ""]
     rows = []
     for name in figures.names(programs.AXIS):
@@ -99,11 +102,11 @@
 
 def agreement(figures: Figures) -> list[str]:
     """Latency of orders and the time without a leader."""
-    out = ["## Agreement", "", "Seconds, simulated: disks that sync in 2 ms three times a save, links "
-                               "that lose "
-           "nothing, processes that cost no time. An order is one changed route in a small "
-           "configuration, one "
-           "after the other; `until an order`: from the loss to the next acknowledgement.", "",
+    out = ["## Agreement", "",
+           "Seconds, simulated: disks that sync in 2 ms three times a save, links that lose nothing, "
+           "processes that cost no time. An order is one changed route in a small configuration, one after "
+           "the other; `until an order`: from the loss to the next acknowledgement.",
+           "",
            source(figures, ("agreement",)), ""]
     rows = [(number(s.size), s.figure, number(s.middle), number(max(s.values)), str(len(s.values)))
             for s in sorted(figures.samples(LATENCY_AXIS), key=lambda s: (s.figure, s.size))]
@@ -113,15 +116,14 @@
 def events(figures: Figures) -> list[str]:
     """A row for each event of a usual year."""
     axis = restarts.AXIS
-    out = ["## Events", "", f"In hollow fleets with {restarts.TENANTS} tenants and {restarts.BACKENDS} "
-                            "backends; "
-           f"what is beyond the usual within {restarts.WATCHED_S:g} s. A rack is {restarts.RACK} "
-           "ingresses, a zone "
-           "a sixth of the fleet with its controllers; a restart takes 1.05 s until the process begins. "
-           "-1: some "
-           "ingress was not ready, or did not have the change, within 40 s. What a start costs by the "
-           "size of "
-           "the configuration is in the table above (`take up a whole one`).", "",
+    out = ["## Events", "",
+           f"In hollow fleets with {restarts.TENANTS} tenants and {restarts.BACKENDS} backends; what is "
+           f"beyond the usual within {restarts.WATCHED_S:g} s. A rack is {restarts.RACK} ingresses, a zone a "
+           "sixth of the fleet with its controllers; a restart takes 1.05 s until the process begins. -1: "
+           "some ingress was not ready, or did not have the change, within 40 s. What a start costs by the "
+           "size of the configuration is in the table above (`take up a whole one`). Processor time beyond "
+           "the usual is the difference of two windows: under 0.05 s it is noise.",
+           "",
            source(figures, (restarts.STUDY, restarts.LARGE_STUDY)), ""]
     rows = []
     for name in figures.names(axis):
@@ -164,17 +166,18 @@
     total = each * design.INGRESSES * design.BACKENDS
     processor = spent / restarts.BACKENDS * design.BACKENDS
     return [f"A release of {design.SERVICES} services replaces {design.BACKENDS:,} backends: by the slope of "
-            f"{number(each)} bytes for a backend and an ingress, controllers send {number(total / 1e6)} "
-            f"MB in all, and each ingress spends {number(processor)} s of processor time, however long the "
+            f"{number(each)} bytes for a backend and an ingress, controllers send {number(total / 1e6)} MB "
+            f"in all, and each ingress spends {number(processor)} s of processor time, however long the "
             "release takes.", ""]
 
 
 def _cut(figures: Figures) -> list[str]:
     """What each half may do while the regions are cut off from one another, and after."""
-    out = ["### Regions cut off for five minutes", "", "4 members in region 1, 3 in region 2, traffic "
-                                                       "well within "
-           "all allowances. Parts of the requests in the span that ends at that second, by who decided: the "
-           "holder, the ingress's share, or none (`short`: no share left, refused).", "",
+    out = ["### Regions cut off for five minutes", "",
+           "4 members in region 1, 3 in region 2, traffic well within all allowances. Parts of the requests "
+           "in the span that ends at that second, by who decided: the holder, the ingress's share, or none "
+           "(`short`: no share left, refused).",
+           "",
            source(figures, ("region-cut",)), ""]
     samples = figures.samples(CUT_AXIS)
     spans = sorted({s.size for s in samples if s.figure.endswith(": holder")})
@@ -189,11 +192,9 @@
               if s.figure.endswith("orders taken") or s.figure.startswith("after the cut")]
     return [*out, "; ".join(others) + ". The last row is the time after the cut.", "",
             "Region 1 keeps the majority: it takes orders, hands out all counts after their leases are "
-            "over, and "
-            "serves as before. Region 2 may serve what its ingresses know, within the shares that they "
-            "have; it "
-            "may not take orders, may not acknowledge a backend's leaving, hands out no new share, and "
-            "an ingress "
+            "over, and serves as before. Region 2 may serve what its ingresses know, within the shares that "
+            "they have; it may not take orders, may not acknowledge a backend's leaving, hands out no new "
+            "share, and an ingress "
             "that begins anew there serves nobody until the cut ends.", ""]
 
 
@@ -209,47 +210,38 @@
     return [
         "## Two regions", "", source(figures, ("regions",)), "",
         *table(("simulated, 35 ms one way", *(d.name for d in DESIGNS)), rows),
-        "- **One core, 4 + 3** (what stands today). Orders are agreed on in the larger region, so they "
-        "are as fast "
-        "as in one. Counts are cut over all members without regard to regions, so that about half of "
-        "all charges "
-        "cross; the cut-off half stops admitting once its shares are over, and the loss of the larger region "
-        "stops orders for good until an operator begins anew.",
-        "- **One core with a member in a third place**. Either region may be lost and orders go on, at "
-        "a round "
-        "trip between regions each. A cut between the two regions is no better for the smaller half's "
-        "tenants "
-        "than before, since holders are leased by one leader.",
-        "- **A core in each region**. Charges and orders stay in the region, and a cut takes nothing "
-        "from either "
-        "half. Its price isn't in the simulation: a tenant's allowance has to be split between the two "
-        "cores, so "
-        "that what one side doesn't use is lost to the other until it is moved; QUOTA over both halves holds "
-        "only if the parts add up to one allowance and are moved by leases that expire. And a change "
-        "has to be "
-        "taken by both cores, each with its own version: in force in one region first, and during a cut "
-        "in one "
-        "alone.", "",
+        "- **One core, 4 + 3** (what stands today). Orders are agreed on in the larger region, so they are "
+        "as fast as in one. Counts are cut over all members without regard to regions, so that about half "
+        "of all charges cross; the cut-off half stops admitting once its shares are over, and the loss of "
+        "the larger region stops orders and admission until its members are back.",
+        "- **One core with a member in a third place**. Either region may be lost and orders go on, at a "
+        "round trip between regions each. A cut between the two regions is no better for the smaller half's "
+        "tenants than before, since holders are leased by one leader.",
+        "- **A core in each region**. Charges and orders stay in the region, and a cut takes nothing from "
+        "either half. Its price isn't in the simulation: a tenant's allowance has to be split between the "
+        "two cores, so that what one side doesn't use is lost to the other until it is moved; QUOTA over "
+        "both halves holds only if the parts add up to one allowance and are moved by leases that expire. "
+        "And a change has to be taken by both cores, each with its own version: in force in one region "
+        "first, and during a cut in one alone.",
+        "",
         "Proposed: a core in each region for counts and backends, with each tenant's allowance split by its "
         "traffic of the last minutes and moved under leases; and for the configuration one core with a "
-        "member in "
-        "a third place, whose orders may take a round trip: 2,400 a day don't hurry. Expected, not "
-        "measured.", ""]
+        "member in a third place, whose orders may take a round trip: 2,400 a day don't hurry. Expected, "
+        "not measured.", ""]
 
 
 def not_measured() -> list[str]:
     """What the page doesn't know."""
     return [
-        "## Not measured", "",
+        "## Not measured",
+        "",
         "- Real programs at the size to design for: their memory and start are continued from 22,000 "
-        "tenants, and "
-        "the time that they add was measured at a light load only.",
-        "- The reading of HTTP for backends' heartbeats, and requests themselves: only their charges "
-        "are here.",
+        "tenants, and the time that they add was measured at a light load only.",
+        "- The reading of HTTP for backends' heartbeats, and requests themselves: only their charges are "
+        "here.",
         "- TCP links beyond their number and headers, and what a full link does to what waits.",
-        f"- {design.BACKENDS:,} backends and {design.REQUESTS_PER_S:,} requests a second in one fleet: "
-        "both are "
-        "continued by lines, each from small fleets.",
+        f"- {design.BACKENDS:,} backends and {design.REQUESTS_PER_S:,} requests a second in one fleet: both "
+        "are continued by lines, each from small fleets.",
         "- The daily 63 failures and 760 restarts together: a restart is measured by itself, on a quiet "
         "fleet.",
         "- `fleetbench sweep`: this command doesn't run it.", ""]
