--- a/review/standins/backend.py
+++ b/review/standins/backend.py
@@ -128,6 +128,13 @@
             self.controls = [named]
         return True
 
+    async def leave(self) -> bool:
+        """Deregister without having said `draining`, and serve on; whether that was acknowledged."""
+        if self.beating is not None:
+            self.beating.cancel()
+        answer = await call_json(self.controls[0], "DELETE", f"/-/backends/{self.id}", None, BEAT_WAIT_S)
+        return answer is not None and answer.status == OK
+
     # Requests.
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
